Lay out the workspace: common types, kernel, HTTP server and one-send client

Cause: every area needs the same ids, times, signatures and loop before it can start. Conclusion: areas can be built side by side against these types.

--- /dev/null
+++ b/crates/base/src/lib.rs
@@ -0,0 +1,22 @@
+//! Common types of the system: identifiers, sizes, times, reports and signatures.
+//!
+//! Nothing here performs I/O, reads a clock or draws random numbers.
+
+mod ids;
+mod mac;
+mod numbers;
+mod outcome;
+pub mod prelude;
+mod rendezvous;
+mod report;
+mod time;
+mod vm;
+
+pub use ids::*;
+pub use mac::{KeyId, MacError, SigningKey, SigningKeys};
+pub use numbers::*;
+pub use outcome::{CallOutcome, RefusalReason};
+pub use rendezvous::{rendezvous_order, rendezvous_score};
+pub use report::{CacheEvent, RunnerReport};
+pub use time::{TimePoint, TimeSpan};
+pub use vm::{VmRecord, VmRole, VmState};
--- /dev/null
+++ b/crates/base/src/mac.rs
@@ -0,0 +1,144 @@
+//! Signatures on what callers carry: home tags and stream cursors.
+//!
+//! HMAC-SHA-256 (RFC 2104) with key ids, so that keys can be rotated: the first key
+//! signs, all keys verify. Comparison is constant-time, by the `hmac` crate.
+
+use std::fmt::{self, Write as _};
+use std::str::FromStr;
+
+use hmac::{Hmac, Mac};
+use serde::{Deserialize, Serialize};
+use sha2::Sha256;
+use thiserror::Error;
+
+/// Bytes of a signature that are carried.
+const MAC_BYTES: usize = 16;
+
+/// Least length of a key, in bytes.
+const MIN_KEY_BYTES: usize = 16;
+
+/// Number of a signing key.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct KeyId(pub u16);
+
+impl fmt::Display for KeyId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+impl FromStr for KeyId {
+    type Err = std::num::ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        text.parse().map(Self)
+    }
+}
+
+/// Why a signed text was refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+pub enum MacError {
+    /// No key was given.
+    #[error("no signing key")]
+    NoKey,
+    /// A key is shorter than 16 bytes.
+    #[error("signing key {0} is shorter than 16 bytes")]
+    ShortKey(KeyId),
+    /// The text is not of the form `payload.key.signature`.
+    #[error("not a signed text")]
+    Malformed,
+    /// The key is not known here.
+    #[error("unknown key {0}")]
+    UnknownKey(KeyId),
+    /// The signature does not match.
+    #[error("wrong signature")]
+    WrongSignature,
+}
+
+/// One signing key.
+#[derive(Clone, Serialize, Deserialize)]
+pub struct SigningKey {
+    /// Its number.
+    pub id: KeyId,
+    /// Its secret bytes.
+    pub secret: Vec<u8>,
+}
+
+impl fmt::Debug for SigningKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "SigningKey({})", self.id)
+    }
+}
+
+/// All keys in force: the first signs, all verify.
+#[derive(Debug, Clone)]
+pub struct SigningKeys {
+    keys: Vec<SigningKey>,
+}
+
+impl SigningKeys {
+    /// Takes the keys in order of preference.
+    ///
+    /// # Errors
+    /// [`MacError::NoKey`] without keys, [`MacError::ShortKey`] for a weak one.
+    pub fn new(keys: Vec<SigningKey>) -> Result<Self, MacError> {
+        if keys.is_empty() {
+            return Err(MacError::NoKey);
+        }
+        if let Some(key) = keys.iter().find(|key| key.secret.len() < MIN_KEY_BYTES) {
+            return Err(MacError::ShortKey(key.id));
+        }
+        Ok(Self { keys })
+    }
+
+    /// Signs `payload` for `purpose`: `payload.key.signature`, with the signature in hex.
+    #[must_use]
+    pub fn sign(&self, purpose: &str, payload: &str) -> String {
+        let key = &self.keys[0];
+        let mac = compute(key, purpose, payload).finalize().into_bytes();
+        format!("{payload}.{}.{}", key.id, to_hex(&mac[..MAC_BYTES]))
+    }
+
+    /// Returns the payload of a text signed for `purpose`.
+    ///
+    /// # Errors
+    /// See [`MacError`]; the payload must not be used on any error.
+    pub fn verify<'a>(&self, purpose: &str, text: &'a str) -> Result<&'a str, MacError> {
+        let mut parts = text.rsplitn(3, '.');
+        let signature = parts.next().and_then(from_hex).ok_or(MacError::Malformed)?;
+        let id = parts.next().and_then(|id| id.parse().ok()).ok_or(MacError::Malformed)?;
+        let payload = parts.next().ok_or(MacError::Malformed)?;
+        if signature.len() != MAC_BYTES {
+            return Err(MacError::Malformed);
+        }
+        let key = self.keys.iter().find(|key| key.id == id).ok_or(MacError::UnknownKey(id))?;
+        compute(key, purpose, payload)
+            .verify_truncated_left(&signature)
+            .map_err(|_| MacError::WrongSignature)?;
+        Ok(payload)
+    }
+}
+
+fn compute(key: &SigningKey, purpose: &str, payload: &str) -> Hmac<Sha256> {
+    let mut mac =
+        Hmac::<Sha256>::new_from_slice(&key.secret).expect("HMAC takes keys of any length");
+    mac.update(purpose.as_bytes());
+    mac.update(&[0]);
+    mac.update(payload.as_bytes());
+    mac
+}
+
+fn to_hex(bytes: &[u8]) -> String {
+    let mut text = String::with_capacity(bytes.len() * 2);
+    for byte in bytes {
+        let _ = write!(text, "{byte:02x}");
+    }
+    text
+}
+
+fn from_hex(text: &str) -> Option<Vec<u8>> {
+    if !text.len().is_multiple_of(2) || !text.is_ascii() {
+        return None;
+    }
+    (0..text.len()).step_by(2).map(|at| u8::from_str_radix(&text[at..at + 2], 16).ok()).collect()
+}
--- /dev/null
+++ b/crates/base/src/numbers.rs
@@ -0,0 +1,73 @@
+//! Counts, sizes and positions, each with its unit in its name.
+
+use std::fmt;
+use std::num::ParseIntError;
+use std::str::FromStr;
+
+use serde::{Deserialize, Serialize};
+
+macro_rules! number {
+    ($(#[$doc:meta])* $name:ident, $inner:ty) => {
+        $(#[$doc])*
+        #[derive(
+            Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
+        )]
+        #[serde(transparent)]
+        pub struct $name(pub $inner);
+
+        impl $name {
+            /// The next value.
+            #[must_use]
+            pub fn next(self) -> Self {
+                Self(self.0 + 1)
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                self.0.fmt(f)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = ParseIntError;
+
+            fn from_str(text: &str) -> Result<Self, ParseIntError> {
+                text.parse().map(Self)
+            }
+        }
+    };
+}
+
+number! {
+    /// Position of a record in the platform's log; offsets only grow.
+    LogOffset, u64
+}
+number! {
+    /// A number of tokens.
+    TokenCount, u32
+}
+number! {
+    /// Position of a token in a generation, from 0.
+    TokenIndex, u32
+}
+number! {
+    /// Number of an attempt at one generation, from 0.
+    AttemptNumber, u32
+}
+number! {
+    /// A number of memory blocks of an engine.
+    BlockCount, u32
+}
+number! {
+    /// A size in bytes.
+    ByteSize, u64
+}
+number! {
+    /// A rate in requests per second.
+    RequestRate, u32
+}
+number! {
+    /// A fencing number: the log offset of the record that named the holder.
+    FencingNumber, u64
+}
--- /dev/null
+++ b/crates/base/src/prelude.rs
@@ -0,0 +1,9 @@
+//! The types that nearly every module uses.
+
+pub use std::sync::Arc;
+
+pub use crate::{
+    BlockCount, CallOutcome, GenerationId, IdempotencyKey, LogOffset, ModelName, PlaceName,
+    RefusalReason, RunnerId, RunnerReport, ServiceName, TimePoint, TimeSpan, TokenCount,
+    TokenIndex, VmId, VmIncarnation, VmRecord, VmRole, VmState, WorkspaceId,
+};
--- /dev/null
+++ b/crates/entry/src/main.rs
@@ -0,0 +1,3 @@
+//! Placeholder.
+
+fn main() {}
--- /dev/null
+++ b/crates/kernel/src/lib.rs
@@ -0,0 +1,26 @@
+//! The micro-kernel: one loop on one thread, and services that find each other by name.
+//!
+//! The kernel knows no service. It holds a registry of mailboxes and state dumps, a
+//! monotonic clock and the signal to stop; everything else is a service.
+
+mod clock;
+mod error;
+mod registry;
+mod stop;
+
+pub use clock::MonotonicClock;
+pub use error::{KernelError, Result};
+pub use registry::{Mailbox, ServiceHandle, ServiceRegistry};
+pub use stop::{StopSignal, wait_for_signals};
+
+pub use compio::runtime::spawn;
+pub use compio::time::sleep;
+
+/// Runs `main` to its end on the one loop of this process, and returns its value.
+///
+/// # Errors
+/// [`KernelError::Loop`] if the loop cannot be set up.
+pub fn run<T>(main: impl Future<Output = T>) -> Result<T> {
+    let runtime = compio::runtime::Runtime::new().map_err(KernelError::Loop)?;
+    Ok(runtime.block_on(main))
+}
--- /dev/null
+++ b/crates/peers/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/web/src/lib.rs
@@ -0,0 +1,21 @@
+//! HTTP/1.1 on the one loop: a server with limits, a client that sends once, and
+//! server-sent events.
+
+mod body;
+mod client;
+mod error;
+mod reply;
+mod server;
+mod sse;
+
+pub use body::{WebBody, full_body, read_bounded, stream_body};
+pub use client::{fetch, fetch_json, post_json, send_once};
+pub use error::{Result, SendFault, WebError};
+pub use reply::{json_reply, refusal_reply, text_reply};
+pub use server::{ServerLimits, WebServer};
+pub use sse::{SseEvent, SseReader};
+
+/// A request as the server hands it to its handler.
+pub type WebRequest = hyper::Request<hyper::body::Incoming>;
+/// A response as a handler gives it.
+pub type WebResponse = hyper::Response<WebBody>;
--- /dev/null
+++ b/crates/web/src/server.rs
@@ -0,0 +1,175 @@
+//! The HTTP server: bounded connections, bounded headers, graceful stop.
+
+use std::cell::Cell;
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::rc::Rc;
+
+use base::TimeSpan;
+use compio::net::{TcpListener, TcpStream};
+use compio::runtime::spawn;
+use cyper_core::{CompioTimer, HyperStream};
+use futures_util::future::{Either, select};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use kernel::StopSignal;
+
+use crate::{Result, WebError, WebRequest, WebResponse};
+
+/// How often a stopping server looks whether its last connection has ended.
+const DRAIN_POLL: TimeSpan = TimeSpan::millis(10);
+
+/// Limits of a server.
+#[derive(Debug, Clone, Copy)]
+pub struct ServerLimits {
+    /// Connections at once; further ones are closed at accept.
+    pub connections: usize,
+    /// Time for a caller to send a request's head.
+    pub header_time: TimeSpan,
+    /// Size of the buffer for a request's head, in bytes.
+    pub header_bytes: usize,
+}
+
+impl Default for ServerLimits {
+    fn default() -> Self {
+        Self { connections: 4_096, header_time: TimeSpan::seconds(5), header_bytes: 64 << 10 }
+    }
+}
+
+/// A listening server; clones share the count of connections.
+#[derive(Clone)]
+pub struct WebServer {
+    address: SocketAddr,
+    listener: Rc<TcpListener>,
+    limits: ServerLimits,
+    open: Rc<Cell<usize>>,
+    rejected: Rc<Cell<u64>>,
+}
+
+impl WebServer {
+    /// Listens on `address`.
+    ///
+    /// # Errors
+    /// [`WebError::Listen`].
+    pub async fn bind(address: SocketAddr, limits: ServerLimits) -> Result<Self> {
+        let listener = TcpListener::bind(address)
+            .await
+            .map_err(|source| WebError::Listen { address, source })?;
+        let address =
+            listener.local_addr().map_err(|source| WebError::Listen { address, source })?;
+        Ok(Self {
+            address,
+            listener: Rc::new(listener),
+            limits,
+            open: Rc::default(),
+            rejected: Rc::default(),
+        })
+    }
+
+    /// The address that it listens on.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Open connections.
+    #[must_use]
+    pub fn open(&self) -> usize {
+        self.open.get()
+    }
+
+    /// Connections closed at accept because the limit was reached.
+    #[must_use]
+    pub fn rejected(&self) -> u64 {
+        self.rejected.get()
+    }
+
+    /// Serves until `stop` is raised, then until the last request is answered.
+    pub async fn serve<F>(
+        &self,
+        stop: StopSignal,
+        handler: impl Fn(WebRequest) -> F + Clone + 'static,
+    ) where
+        F: Future<Output = WebResponse> + 'static,
+    {
+        loop {
+            let accept = pin!(self.listener.accept());
+            let accepted = match select(accept, pin!(stop.wait())).await {
+                Either::Left((accepted, _)) => accepted,
+                Either::Right(_) => break,
+            };
+            // A connection that failed before it was accepted concerns its caller only.
+            let Ok((stream, _)) = accepted else { continue };
+            if self.open.get() >= self.limits.connections {
+                self.rejected.set(self.rejected.get() + 1);
+                continue;
+            }
+            self.start_connection(stream, stop.clone(), handler.clone());
+        }
+        while self.open.get() > 0 {
+            compio::time::sleep(DRAIN_POLL.into()).await;
+        }
+    }
+
+    fn start_connection<F>(
+        &self,
+        stream: TcpStream,
+        stop: StopSignal,
+        handler: impl Fn(WebRequest) -> F + 'static,
+    ) where
+        F: Future<Output = WebResponse> + 'static,
+    {
+        let guard = OpenGuard::new(&self.open);
+        let limits = self.limits;
+        let _ = stream.set_nodelay(true);
+        spawn(async move {
+            let _guard = guard;
+            serve_connection(stream, limits, stop, handler).await;
+        })
+        .detach();
+    }
+}
+
+async fn serve_connection<F>(
+    stream: TcpStream,
+    limits: ServerLimits,
+    stop: StopSignal,
+    handler: impl Fn(WebRequest) -> F + 'static,
+) where
+    F: Future<Output = WebResponse> + 'static,
+{
+    let service = service_fn(move |request| {
+        let answer = handler(request);
+        async move { Ok::<_, Infallible>(answer.await) }
+    });
+    let mut builder = http1::Builder::new();
+    builder
+        .timer(CompioTimer)
+        .header_read_timeout(std::time::Duration::from(limits.header_time))
+        .max_buf_size(limits.header_bytes);
+    let mut connection = pin!(builder.serve_connection(HyperStream::new_plain(stream), service));
+    // An error here is a caller that left or sent no HTTP; hyper has answered what it could.
+    if let Either::Left(_) = select(connection.as_mut(), pin!(stop.wait())).await {
+        return;
+    }
+    connection.as_mut().graceful_shutdown();
+    let _ = connection.await;
+}
+
+struct OpenGuard {
+    open: Rc<Cell<usize>>,
+}
+
+impl OpenGuard {
+    fn new(open: &Rc<Cell<usize>>) -> Self {
+        open.set(open.get() + 1);
+        Self { open: Rc::clone(open) }
+    }
+}
+
+impl Drop for OpenGuard {
+    fn drop(&mut self) {
+        self.open.set(self.open.get() - 1);
+    }
+}
