Add the engine's step as a plain struct

Cause: the policy bench and the engine stand-in need the same engine. Ruled out: a share of prefix blocks between generations; a cache of its own memory keeps the count of blocks plain and still makes routing by prefix pay. Conclusion: ready to be bound to HTTP.

--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -1,1 +1,3 @@
-//! Placeholder.
+//! Small stand-ins for what the platform gives.
+
+pub mod engine;
