--- a/crates/fakes/tests/engine_model.rs
+++ b/crates/fakes/tests/engine_model.rs
@@ -55,7 +55,7 @@
 
 #[test]
 fn the_least_urgent_and_latest_one_is_preempted() {
-    let mut engine = engine(9);
+    let mut engine = engine(10);
     engine.admit(request(0, 0, 60, 80)).unwrap();
     engine.admit(request(1, 2, 60, 80)).unwrap();
     let mut now = TimePoint::default();
