Add the policy bench and the simple rules

Cause: routing policies have to be compared on the same arrivals and engines. Ruled out: a network and membership model; the desks' own lag is what decides here.

--- /dev/null
+++ b/crates/load/src/policy/simulation.rs
@@ -0,0 +1,524 @@
+//! One run: arrivals, engines, reports and faults on one line of virtual time.
+
+use std::collections::BTreeMap;
+
+use base::{AttemptNumber, CacheEvent, prelude::*};
+use fakes::engine::{AdmitError, AttemptKey, EngineModel, EngineRequest, StepResult};
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+use route::{CallEnd, CallId, RouteAction, RouteCall, RouteEvent, RouteMember};
+
+use crate::policy::bench_desk::{place, runner_id, runner_number};
+use crate::policy::{
+    ArrivalPlan, BenchCall, BenchDesk, BenchMeasures, BenchPolicy, FaultName, PolicyFigures,
+    Workload,
+};
+
+const REPORT_PERIOD: TimeSpan = TimeSpan::millis(250);
+const REPORT_LAG_MILLIS: std::ops::Range<u64> = 200..400;
+const TICK_PERIOD: TimeSpan = TimeSpan::millis(10);
+const MEMBERS_LAG: TimeSpan = TimeSpan::seconds(2);
+const RECLAIM_NOTICE: TimeSpan = TimeSpan::seconds(20);
+const CACHE_EVENT_LOSS: f64 = 0.05;
+const COME_BACKS: u32 = 3;
+const ENTRY_RETRY: TimeSpan = TimeSpan::seconds(1);
+const SLOW_FACTOR: f64 = 4.0;
+const BURST_FACTOR: f64 = 2.0;
+/// Low bits of a call number that hold the index of the call.
+const INDEX_BITS: u32 = 32;
+
+/// What a run is to be.
+#[derive(Debug, Clone)]
+pub struct BenchSettings {
+    /// The workload.
+    pub workload: Workload,
+    /// Who decides.
+    pub policy: BenchPolicy,
+    /// Seed of all draws.
+    pub seed: u64,
+    /// Arrivals relative to the capacity.
+    pub load: f64,
+    /// The fault.
+    pub fault: FaultName,
+    /// When the fault begins and goes.
+    pub fault_window: (TimePoint, TimePoint),
+    /// What is measured.
+    pub window: (TimePoint, TimePoint),
+    /// End of the run.
+    pub until: TimePoint,
+}
+
+impl BenchSettings {
+    /// A run of 180 s that measures from 30 s to 150 s, with any fault from 60 s to 90 s.
+    #[must_use]
+    pub fn new(workload: Workload, policy: BenchPolicy, seed: u64, load: f64) -> Self {
+        let at = |seconds| TimePoint::default() + TimeSpan::seconds(seconds);
+        Self {
+            workload,
+            policy,
+            seed,
+            load,
+            fault: FaultName::None,
+            fault_window: (at(60), at(90)),
+            window: (at(30), at(150)),
+            until: at(180),
+        }
+    }
+
+    /// Measures between these two instants only.
+    pub fn measure_seconds(&mut self, first: u64, last: u64) {
+        let at = |seconds| TimePoint::default() + TimeSpan::seconds(seconds);
+        self.window = (at(first), at(last));
+        self.until = self.until.max(at(last));
+    }
+}
+
+/// Index of a call among the run's calls.
+pub(crate) fn call_index(call: CallId) -> usize {
+    (call.0 & ((1 << INDEX_BITS) - 1)) as usize
+}
+
+/// What the caller's side knows of a call.
+#[derive(Debug, Clone, Default)]
+struct CallState {
+    number: u64,
+    entry: usize,
+    attempt: u32,
+    runner: Option<usize>,
+    produced: u32,
+    newest: Option<TimePoint>,
+    refused: u32,
+    decided: bool,
+}
+
+#[derive(Debug)]
+enum BenchEvent {
+    Arrive(usize),
+    Deadline(usize),
+    Step(usize),
+    Report(usize),
+    Deliver { entry: usize, report: RunnerReport, cache: Vec<CacheEvent> },
+    Tick(usize),
+    Members,
+    FaultBegin,
+    FaultEnd,
+    Kill(usize),
+    EntryCancels(Vec<(usize, AttemptKey)>),
+}
+
+struct Simulation {
+    settings: BenchSettings,
+    calls: Vec<BenchCall>,
+    states: Vec<CallState>,
+    desk: BenchDesk,
+    engines: Vec<EngineModel>,
+    steps: Vec<Option<StepResult>>,
+    restarts: u64,
+    events: BTreeMap<(TimePoint, u64), BenchEvent>,
+    events_put: u64,
+    now: TimePoint,
+    random: StdRng,
+    measures: BenchMeasures,
+    fault_on: bool,
+}
+
+/// Runs the bench once.
+#[must_use]
+pub fn simulate(settings: &BenchSettings) -> PolicyFigures {
+    let mut simulation = Simulation::new(settings.clone());
+    simulation.start();
+    while let Some(((now, _), event)) = simulation.events.pop_first() {
+        if now > settings.until {
+            break;
+        }
+        simulation.now = now;
+        simulation.take(event);
+    }
+    simulation.close();
+    simulation.measures.figures(&settings.workload)
+}
+
+impl Simulation {
+    fn new(settings: BenchSettings) -> Self {
+        let workload = &settings.workload;
+        let burst = settings.fault == FaultName::Burst;
+        let plan = ArrivalPlan {
+            seed: settings.seed,
+            rate: settings.load * workload.capacity,
+            until: settings.until,
+            burst: settings.fault_window,
+            burst_factor: if burst { BURST_FACTOR } else { 1.0 },
+        };
+        let calls = plan.draw(workload);
+        let engine = |i| EngineModel::new(runner_id(i), i as u64, workload.engine.clone());
+        Self {
+            states: vec![CallState::default(); calls.len()],
+            desk: BenchDesk::new(settings.policy, settings.seed, workload, &calls),
+            engines: (0..workload.runners).map(engine).collect(),
+            steps: vec![None; workload.runners],
+            restarts: workload.runners as u64,
+            events: BTreeMap::new(),
+            events_put: 0,
+            now: TimePoint::default(),
+            random: StdRng::seed_from_u64(settings.seed ^ 0x7265_706f_7274),
+            measures: BenchMeasures::new(workload, settings.window),
+            fault_on: false,
+            calls,
+            settings,
+        }
+    }
+
+    fn start(&mut self) {
+        let workload = self.settings.workload.clone();
+        for entry in 0..workload.entries {
+            let shares = workload.workspaces.iter().map(|w| (w.workspace.clone(), 1));
+            let event = RouteEvent::Service {
+                service: workload.service(),
+                kind: config::ServiceKind::Model,
+                weights: workload.weights,
+                shares: shares.collect(),
+            };
+            self.tell(entry, event);
+            self.put(TimeSpan::micros(1_300 * entry as u64), BenchEvent::Tick(entry));
+        }
+        self.tell_members();
+        for runner in 0..workload.runners {
+            let phase = REPORT_PERIOD.0 * runner as u64 / workload.runners as u64;
+            self.put(TimeSpan::micros(phase), BenchEvent::Report(runner));
+        }
+        for index in 0..self.calls.len() {
+            self.states[index].entry = self.calls[index].entry;
+            self.put_at(self.calls[index].arrival, BenchEvent::Arrive(index));
+            self.put_at(self.calls[index].deadline, BenchEvent::Deadline(index));
+            self.measures.arrived(&self.calls[index]);
+        }
+        self.put_at(self.settings.fault_window.0, BenchEvent::FaultBegin);
+        self.put_at(self.settings.fault_window.1, BenchEvent::FaultEnd);
+    }
+
+    fn put_at(&mut self, at: TimePoint, event: BenchEvent) {
+        self.events_put += 1;
+        self.events.insert((at, self.events_put), event);
+    }
+
+    fn put(&mut self, after: TimeSpan, event: BenchEvent) {
+        self.put_at(self.now + after, event);
+    }
+
+    fn take(&mut self, event: BenchEvent) {
+        match event {
+            BenchEvent::Arrive(index) => self.arrive(index),
+            BenchEvent::Deadline(index) => self.pass_deadline(index),
+            BenchEvent::Step(runner) => self.step(runner),
+            BenchEvent::Report(runner) => self.report(runner),
+            BenchEvent::Deliver { entry, report, cache } => self.deliver(entry, report, cache),
+            BenchEvent::Tick(entry) => {
+                self.put(TICK_PERIOD, BenchEvent::Tick(entry));
+                if !self.entry_is_gone(entry) {
+                    self.tell(entry, RouteEvent::Tick);
+                }
+            }
+            BenchEvent::Members => self.tell_members(),
+            BenchEvent::FaultBegin => self.begin_fault(),
+            BenchEvent::FaultEnd => self.end_fault(),
+            BenchEvent::Kill(runner) => self.kill(runner),
+            BenchEvent::EntryCancels(attempts) => {
+                for (runner, key) in attempts {
+                    self.engines[runner].cancel(key);
+                }
+            }
+        }
+    }
+
+    fn entry_is_gone(&self, entry: usize) -> bool {
+        entry == 0 && self.fault_on && self.settings.fault == FaultName::EntryGone
+    }
+
+    fn call_id(&self, index: usize) -> CallId {
+        CallId((self.states[index].number << INDEX_BITS) | index as u64)
+    }
+
+    fn key(&self, index: usize) -> AttemptKey {
+        let attempt = AttemptNumber(self.states[index].attempt);
+        AttemptKey { generation: GenerationId(index as u64), attempt }
+    }
+
+    /// A caller asks; it asks for the rest if it has a part already.
+    fn arrive(&mut self, index: usize) {
+        if self.states[index].decided {
+            return;
+        }
+        let state = &mut self.states[index];
+        state.number += 1;
+        if state.entry == 0 && self.fault_on && self.settings.fault == FaultName::EntryGone {
+            state.entry = 1 + index % (self.settings.workload.entries - 1);
+        }
+        let entry = state.entry;
+        let produced = TokenCount(state.produced);
+        let call = &self.calls[index];
+        let class = &self.settings.workload.classes[call.class];
+        let event = RouteEvent::Arrive(RouteCall {
+            call: self.call_id(index),
+            service: self.settings.workload.service(),
+            model: Some("model".parse().expect("a valid name")),
+            workspace: self.settings.workload.workspaces[call.workspace].workspace.clone(),
+            priority: class.priority,
+            prompt_tokens: call.prompt_tokens,
+            max_tokens: TokenCount(class.output.longest),
+            prefix: call.prefix,
+            deadline: call.deadline,
+            streamed: class.streamed,
+            movable: true,
+            produced,
+        });
+        self.tell(entry, event);
+    }
+
+    fn tell(&mut self, entry: usize, event: RouteEvent) {
+        for action in self.desk.handle(entry, self.now, event) {
+            match action {
+                RouteAction::Send { call, runner, .. } => self.send(call, &runner),
+                RouteAction::Refuse { call, come_back, .. } => self.refuse(call, come_back),
+                RouteAction::Withdraw { call, .. } => {
+                    self.measures.withdrawn(self.now);
+                    self.cancel(call_index(call));
+                }
+            }
+        }
+    }
+
+    fn send(&mut self, call: CallId, runner: &RunnerId) {
+        let index = call_index(call);
+        let runner = runner_number(runner);
+        self.states[index].attempt += 1;
+        let law = &self.settings.workload.classes[self.calls[index].class];
+        let request = EngineRequest {
+            key: self.key(index),
+            priority: law.priority as u8,
+            prompt_tokens: self.calls[index].prompt_tokens,
+            prefix: self.calls[index].prefix,
+            prefix_tokens: TokenCount(law.prefix_tokens),
+            length: self.calls[index].length,
+            produced: TokenCount(self.states[index].produced),
+        };
+        match self.engines[runner].admit(request) {
+            Ok(()) => {
+                self.states[index].runner = Some(runner);
+                self.wake(runner);
+            }
+            Err(AdmitError::Leaving) => self.end_and_ask_again(index, CallEnd::Refused),
+            Err(_) => self.end_and_ask_again(index, CallEnd::Failed),
+        }
+    }
+
+    fn end_and_ask_again(&mut self, index: usize, end: CallEnd) {
+        self.states[index].runner = None;
+        let call = self.call_id(index);
+        self.tell(self.states[index].entry, RouteEvent::Ended { call, end });
+        self.put(TimeSpan::millis(1), BenchEvent::Arrive(index));
+    }
+
+    fn refuse(&mut self, call: CallId, come_back: TimeSpan) {
+        let index = call_index(call);
+        self.measures.refused(self.now);
+        self.states[index].refused += 1;
+        let in_time = self.now + come_back < self.calls[index].deadline;
+        if in_time && self.states[index].refused <= COME_BACKS {
+            self.put(come_back, BenchEvent::Arrive(index));
+        } else {
+            self.decide(index, false);
+        }
+    }
+
+    fn cancel(&mut self, index: usize) {
+        if let Some(runner) = self.states[index].runner.take() {
+            let key = self.key(index);
+            self.engines[runner].cancel(key);
+        }
+    }
+
+    fn decide(&mut self, index: usize, met: bool) {
+        self.states[index].decided = true;
+        if self.states[index].newest.is_none() {
+            self.measures.first_token(self.calls[index].deadline, &self.calls[index]);
+        }
+        self.measures.decided(self.now, &self.calls[index], met);
+    }
+
+    fn pass_deadline(&mut self, index: usize) {
+        if self.states[index].decided {
+            return;
+        }
+        self.cancel(index);
+        self.decide(index, false);
+        let call = self.call_id(index);
+        self.tell(self.states[index].entry, RouteEvent::Ended { call, end: CallEnd::Left });
+    }
+
+    fn wake(&mut self, runner: usize) {
+        if self.steps[runner].is_none() {
+            self.steps[runner] = Some(StepResult::default());
+            self.put(TimeSpan::default(), BenchEvent::Step(runner));
+        }
+    }
+
+    /// Passes the tokens of the last step on and begins the next one.
+    fn step(&mut self, runner: usize) {
+        let ended = |result: &mut StepResult| result.until <= self.now;
+        let Some(result) = self.steps[runner].take_if(ended) else {
+            return;
+        };
+        for token in &result.tokens {
+            let index = token.key.generation.0 as usize;
+            if token.key == self.key(index) && self.states[index].runner == Some(runner) {
+                self.pass_token(index, token.index, token.last);
+            }
+        }
+        if self.engines[runner].is_idle() || self.steps[runner].is_some() {
+            return;
+        }
+        let before = (self.engines[runner].preemptions(), self.engines[runner].recomputed());
+        let result = self.engines[runner].step(self.now);
+        let engine = &self.engines[runner];
+        if self.measures.covers(self.now) {
+            self.measures
+                .preempted(engine.preemptions() - before.0, engine.recomputed() - before.1);
+        }
+        self.put_at(result.until, BenchEvent::Step(runner));
+        self.steps[runner] = Some(result);
+    }
+
+    fn pass_token(&mut self, index: usize, token: base::TokenIndex, last: bool) {
+        let state = &mut self.states[index];
+        state.produced += 1;
+        match state.newest.replace(self.now) {
+            Some(newest) => self.measures.gap(self.now, self.now.since(newest)),
+            None => self.measures.first_token(self.now, &self.calls[index]),
+        }
+        let (entry, call) = (state.entry, self.call_id(index));
+        self.tell(entry, RouteEvent::Progress { call, index: token });
+        if last {
+            self.states[index].runner = None;
+            self.decide(index, true);
+            self.tell(entry, RouteEvent::Ended { call, end: CallEnd::Finished });
+        }
+    }
+
+    fn report(&mut self, runner: usize) {
+        self.put(REPORT_PERIOD, BenchEvent::Report(runner));
+        if self.engines[runner].is_killed() {
+            return;
+        }
+        let mut report = self.engines[runner].report();
+        report.models = vec!["model".parse().expect("a valid name")];
+        let cache = self.engines[runner].take_cache_events();
+        for entry in 0..self.settings.workload.entries {
+            let lag = TimeSpan::millis(self.random.random_range(REPORT_LAG_MILLIS));
+            let lossless = |_: &CacheEvent| !self.random.random_bool(CACHE_EVENT_LOSS);
+            let cache = cache.iter().cloned().filter(lossless).collect();
+            let report = RunnerReport { age: lag, ..report.clone() };
+            self.put(lag, BenchEvent::Deliver { entry, report, cache });
+        }
+    }
+
+    fn deliver(&mut self, entry: usize, report: RunnerReport, cache: Vec<CacheEvent>) {
+        let fault = if self.fault_on { self.settings.fault } else { FaultName::None };
+        if self.entry_is_gone(entry) {
+            return;
+        }
+        let runner = report.runner.clone();
+        if fault != FaultName::ReportsFrozen {
+            self.tell(entry, RouteEvent::Report(report));
+        }
+        if fault == FaultName::CacheLost {
+            self.engines[runner_number(&runner)].clear_cache();
+            return;
+        }
+        for event in cache {
+            self.tell(entry, RouteEvent::Cache { runner: runner.clone(), event });
+        }
+    }
+
+    fn tell_members(&mut self) {
+        let workload = &self.settings.workload;
+        let alive = (0..workload.runners).filter(|runner| !self.engines[*runner].is_killed());
+        let members: Vec<RouteMember> = alive
+            .map(|runner| RouteMember {
+                runner: runner_id(runner),
+                place: place(runner),
+                leaving: false,
+            })
+            .collect();
+        let service = workload.service();
+        for entry in 0..workload.entries {
+            let (service, members) = (service.clone(), members.clone());
+            self.tell(entry, RouteEvent::Members { service, members });
+        }
+    }
+
+    fn begin_fault(&mut self) {
+        self.fault_on = true;
+        match self.settings.fault {
+            FaultName::EngineKilled => self.kill(0),
+            FaultName::EnginesReclaimed => {
+                for runner in 0..2 {
+                    self.engines[runner].set_leaving(true);
+                    self.put(RECLAIM_NOTICE, BenchEvent::Kill(runner));
+                }
+            }
+            FaultName::SlowEngine => self.engines[0].set_slow_factor(SLOW_FACTOR),
+            FaultName::EntryGone => self.lose_entry(),
+            _ => (),
+        }
+    }
+
+    fn end_fault(&mut self) {
+        self.fault_on = false;
+        for runner in 0..self.engines.len() {
+            self.engines[runner].set_slow_factor(1.0);
+            if self.engines[runner].is_killed() {
+                self.restarts += 1;
+                let engine = self.settings.workload.engine.clone();
+                self.engines[runner] = EngineModel::new(runner_id(runner), self.restarts, engine);
+            }
+        }
+        self.put(MEMBERS_LAG, BenchEvent::Members);
+    }
+
+    fn kill(&mut self, runner: usize) {
+        self.engines[runner].kill();
+        self.steps[runner] = None;
+        self.put(MEMBERS_LAG, BenchEvent::Members);
+        for index in self.calls_where(|state| state.runner == Some(runner)) {
+            self.end_and_ask_again(index, CallEnd::Failed);
+        }
+    }
+
+    /// The entry's calls end for the desks; their callers ask another entry, and the
+    /// engines go on with the old attempts for a while.
+    fn lose_entry(&mut self) {
+        let indexes = self.calls_where(|state| state.entry == 0 && state.number > 0);
+        let mut attempts = Vec::new();
+        for index in indexes {
+            let call = self.call_id(index);
+            if let Some(runner) = self.states[index].runner.take() {
+                attempts.push((runner, self.key(index)));
+            }
+            self.tell(0, RouteEvent::Ended { call, end: CallEnd::Left });
+            self.put(ENTRY_RETRY, BenchEvent::Arrive(index));
+        }
+        self.put(TimeSpan::seconds(10), BenchEvent::EntryCancels(attempts));
+    }
+
+    fn calls_where(&self, wanted: impl Fn(&CallState) -> bool) -> Vec<usize> {
+        let states = self.states.iter().enumerate();
+        let open = states.filter(|(_, state)| !state.decided && wanted(state));
+        open.map(|(index, _)| index).collect()
+    }
+
+    /// Counts callers that still wait for their first token at the end.
+    fn close(&mut self) {
+        for index in self.calls_where(|state| state.newest.is_none() && state.number > 0) {
+            self.measures.first_token(self.now, &self.calls[index]);
+        }
+    }
+}
--- a/crates/route/src/event.rs
+++ b/crates/route/src/event.rs
@@ -33,13 +33,42 @@
     RoundRobin,
     /// The least reported load.
     LeastLoad,
+    /// The least reported load, corrected by what this entry sent and saw end since.
+    LeastLoadCorrected,
     /// The less loaded of two drawn at random (Mitzenmacher, 2001).
     TwoChoices,
+    /// The same, with the corrected load.
+    TwoChoicesCorrected,
     /// The product's own.
     #[default]
     Product,
 }
 
+impl PolicyName {
+    /// All of them; the product's own is the last one.
+    pub const ALL: [Self; 6] = [
+        Self::RoundRobin,
+        Self::LeastLoad,
+        Self::LeastLoadCorrected,
+        Self::TwoChoices,
+        Self::TwoChoicesCorrected,
+        Self::Product,
+    ];
+}
+
+impl fmt::Display for PolicyName {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::RoundRobin => "round-robin",
+            Self::LeastLoad => "least-load",
+            Self::LeastLoadCorrected => "least-load-corrected",
+            Self::TwoChoices => "two-choices",
+            Self::TwoChoicesCorrected => "two-choices-corrected",
+            Self::Product => "product",
+        })
+    }
+}
+
 /// Settings of a desk; one desk serves one entry.
 #[derive(Debug, Clone)]
 pub struct RouteSettings {
--- /dev/null
+++ b/crates/route/src/length_table.rs
@@ -0,0 +1,84 @@
+//! Length estimates by who asks for what, with back-off.
+
+use std::collections::BTreeMap;
+
+use base::prelude::*;
+use config::CallPriority;
+
+use crate::forecast::{HORIZON_TOKENS, HORIZONS};
+use crate::{LengthEstimate, RouteCall};
+
+/// Observations below which the next wider group is asked.
+const ENOUGH_OBSERVATIONS: f64 = 40.0;
+
+/// A group of generations whose lengths are alike; a part that is none stands for all.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+struct LengthGroup {
+    service: ServiceName,
+    model: Option<ModelName>,
+    priority: Option<CallPriority>,
+    workspace: Option<WorkspaceId>,
+}
+
+/// All length estimates of a desk.
+#[derive(Debug, Default)]
+pub struct LengthTable {
+    estimates: BTreeMap<LengthGroup, LengthEstimate>,
+    prior: LengthEstimate,
+}
+
+/// The groups of a call, from the narrowest to the widest.
+fn groups(call: &RouteCall) -> [LengthGroup; 3] {
+    let narrow = LengthGroup {
+        service: call.service.clone(),
+        model: call.model.clone(),
+        priority: Some(call.priority),
+        workspace: Some(call.workspace.clone()),
+    };
+    let middle = LengthGroup { workspace: None, ..narrow.clone() };
+    let wide = LengthGroup { priority: None, ..middle.clone() };
+    [narrow, middle, wide]
+}
+
+impl LengthTable {
+    /// The estimate for a call.
+    #[must_use]
+    pub fn estimate(&self, call: &RouteCall) -> &LengthEstimate {
+        let found = groups(call).into_iter().find_map(|group| {
+            let estimate = self.estimates.get(&group)?;
+            (estimate.observations() >= ENOUGH_OBSERVATIONS).then_some(estimate)
+        });
+        found.unwrap_or(&self.prior)
+    }
+
+    /// The chance that a call which has produced `tokens` still runs at each horizon.
+    #[must_use]
+    pub fn alive(&self, call: &RouteCall, tokens: u32) -> [f64; HORIZONS] {
+        let estimate = self.estimate(call);
+        HORIZON_TOKENS.map(|ahead| estimate.survival_ahead(tokens, ahead))
+    }
+
+    /// A call ended by itself after `tokens`, or was cut there.
+    pub fn observe(&mut self, call: &RouteCall, tokens: u32, whole: bool) {
+        for group in groups(call) {
+            let estimate = self.estimates.entry(group).or_default();
+            if whole {
+                estimate.observe_end(tokens);
+            } else {
+                estimate.observe_cut(tokens);
+            }
+        }
+    }
+
+    /// Number of groups.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.estimates.len()
+    }
+
+    /// Whether nothing was observed yet.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.estimates.is_empty()
+    }
+}
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -4,10 +4,23 @@
 //! and gives actions. It performs no I/O, reads no clock, and draws random numbers only
 //! from the seed that it was given.
 
+mod baseline;
+mod call_record;
 mod desk;
 mod event;
+mod forecast;
+mod length_estimate;
+mod length_table;
+mod runner_view;
+mod service_view;
 
+pub use call_record::CallRecord;
 pub use desk::RouteDesk;
 pub use event::{
     CallEnd, CallId, PolicyName, RouteAction, RouteCall, RouteEvent, RouteMember, RouteSettings,
 };
+pub use forecast::{HORIZON_TOKENS, HORIZONS, MemoryForecast};
+pub use length_estimate::LengthEstimate;
+pub use length_table::LengthTable;
+pub use runner_view::RunnerView;
+pub use service_view::ServiceView;
