Call services directly by name, and add the harness for process tests

Cause: the registry handed out mailboxes; a cloned sender gets a slot of its own, so the bound was none, and a full mailbox would have lost the end of a call. Ruled out: bounded mailboxes with a shared sender, which lose messages when full; on one loop a direct call needs no queue at all. Conclusion: the registry maps a name to a service of known type. The harness starts real processes on loopback addresses of their own, and can kill, freeze, cut and stall.

--- a/crates/harness/src/lib.rs
+++ b/crates/harness/src/lib.rs
@@ -1,1 +1,23 @@
-//! Placeholder.
+//! Starts the real processes for tests and for the demo: spawn, fault, assert.
+//!
+//! Only this crate and the tests start processes; the product's own never do.
+
+mod addresses;
+mod caller;
+mod error;
+mod keys;
+mod link;
+mod process;
+mod stack;
+mod stack_plan;
+mod wait;
+
+pub use addresses::AddressBlock;
+pub use caller::{CallAnswer, TestCaller, TokenStream};
+pub use error::{HarnessError, Result};
+pub use keys::TestKeys;
+pub use link::{LinkState, TestLink};
+pub use process::TestProcess;
+pub use stack::{OPERATOR_TOKEN, TestStack};
+pub use stack_plan::{RunnerPlan, StackPlan, VmPlan};
+pub use wait::wait_until;
--- /dev/null
+++ b/crates/harness/src/link.rs
@@ -0,0 +1,141 @@
+//! A TCP link that can be cut or stalled, put between a process and its peer.
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use compio::BufResult;
+use compio::io::{AsyncRead, AsyncWriteExt};
+use compio::net::{TcpListener, TcpStream};
+use compio::runtime::spawn;
+use compio::time::sleep;
+
+use crate::{HarnessError, Result};
+
+/// Size of a copy buffer, in bytes.
+const BUFFER_BYTES: usize = 16 << 10;
+/// Pause between two looks at the state of a stalled link.
+const LOOK_EVERY: std::time::Duration = std::time::Duration::from_millis(5);
+
+/// What a link does with what comes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum LinkState {
+    /// Passes everything on.
+    #[default]
+    Open,
+    /// Holds everything back; connections stay.
+    Stalled,
+    /// Passes requests on, but holds the answers back.
+    AnswersStalled,
+    /// Closes all connections and refuses new ones.
+    Cut,
+}
+
+/// A running link.
+pub struct TestLink {
+    address: SocketAddr,
+    state: Rc<Cell<LinkState>>,
+    forwarded: Rc<Cell<u64>>,
+}
+
+impl TestLink {
+    /// Listens on `address` and passes connections on to `target`.
+    ///
+    /// # Errors
+    /// If the address cannot be had.
+    pub async fn start(address: SocketAddr, target: SocketAddr) -> Result<Self> {
+        let listener = TcpListener::bind(address).await.map_err(|source| HarnessError::Io {
+            step: "listen",
+            what: address.to_string(),
+            source,
+        })?;
+        let address = listener.local_addr().unwrap_or(address);
+        let link = Self { address, state: Rc::default(), forwarded: Rc::default() };
+        let (state, forwarded) = (Rc::clone(&link.state), Rc::clone(&link.forwarded));
+        spawn(async move {
+            while let Ok((caller, _)) = listener.accept().await {
+                if state.get() == LinkState::Cut {
+                    continue;
+                }
+                let Ok(callee) = TcpStream::connect(target).await else { continue };
+                let (state, forwarded) = (Rc::clone(&state), Rc::clone(&forwarded));
+                let (ask_read, answer_write) = caller.into_split();
+                let (answer_read, ask_write) = callee.into_split();
+                let ask = copy(ask_read, ask_write, Rc::clone(&state), false, forwarded);
+                let answer = copy(answer_read, answer_write, state, true, Rc::default());
+                spawn(ask).detach();
+                spawn(answer).detach();
+            }
+        })
+        .detach();
+        Ok(link)
+    }
+
+    /// The address that it listens on.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Changes what it does.
+    pub fn set(&self, state: LinkState) {
+        self.state.set(state);
+    }
+
+    /// Bytes passed on towards the target.
+    #[must_use]
+    pub fn forwarded(&self) -> u64 {
+        self.forwarded.get()
+    }
+}
+
+async fn copy(
+    mut from: TcpStream,
+    mut to: TcpStream,
+    state: Rc<Cell<LinkState>>,
+    is_answer: bool,
+    count: Rc<Cell<u64>>,
+) {
+    let mut buffer = Vec::with_capacity(BUFFER_BYTES);
+    loop {
+        buffer.clear();
+        let read = std::pin::pin!(from.read(buffer));
+        let cut = std::pin::pin!(wait_for_cut(&state));
+        let outcome = match futures_util::future::select(read, cut).await {
+            futures_util::future::Either::Left((outcome, _)) => outcome,
+            futures_util::future::Either::Right(_) => break,
+        };
+        let BufResult(length, filled) = outcome;
+        if !matches!(length, Ok(length) if length > 0)
+            || wait_while_stalled(&state, is_answer).await
+        {
+            break;
+        }
+        count.set(count.get() + filled.len() as u64);
+        let BufResult(written, returned) = to.write_all(filled).await;
+        if written.is_err() {
+            break;
+        }
+        buffer = returned;
+    }
+    let _ = to.close().await;
+}
+
+async fn wait_for_cut(state: &Cell<LinkState>) {
+    while state.get() != LinkState::Cut {
+        sleep(LOOK_EVERY).await;
+    }
+}
+
+/// Waits out a stall; true if the link was cut.
+async fn wait_while_stalled(state: &Cell<LinkState>, is_answer: bool) -> bool {
+    loop {
+        match state.get() {
+            LinkState::Cut => return true,
+            LinkState::Stalled => (),
+            LinkState::AnswersStalled if is_answer => (),
+            _ => return false,
+        }
+        sleep(LOOK_EVERY).await;
+    }
+}
--- /dev/null
+++ b/crates/harness/src/main.rs
@@ -0,0 +1,3 @@
+//! `yard-demo`: the whole system on one machine.
+
+fn main() {}
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -1,6 +1,6 @@
 //! The micro-kernel: one loop on one thread, and services that find each other by name.
 //!
-//! The kernel knows no service. It holds a registry of mailboxes and state dumps, a
+//! The kernel knows no service. It holds a registry of services and state dumps, a
 //! monotonic clock and the signal to stop; everything else is a service.
 
 mod clock;
@@ -10,7 +10,7 @@
 
 pub use clock::MonotonicClock;
 pub use error::{KernelError, Result};
-pub use registry::{Mailbox, ServiceHandle, ServiceRegistry};
+pub use registry::ServiceRegistry;
 pub use stop::{StopSignal, wait_for_signals};
 
 pub use compio::runtime::spawn;
--- a/crates/kernel/src/registry.rs
+++ b/crates/kernel/src/registry.rs
@@ -1,45 +1,20 @@
-//! Names, mailboxes and state dumps of the services of one process.
+//! Names and state dumps of the services of one process.
 
 use std::any::Any;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
-use futures_channel::mpsc;
 use serde_json::Value;
 
 use crate::{KernelError, Result};
 
-/// The receiving end of a service's messages.
-pub type Mailbox<M> = mpsc::Receiver<M>;
-
 type DumpFn = Rc<dyn Fn() -> Value>;
 
-/// The sending end of a service's mailbox.
-pub struct ServiceHandle<M> {
-    name: &'static str,
-    sender: mpsc::Sender<M>,
-}
-
-impl<M> Clone for ServiceHandle<M> {
-    fn clone(&self) -> Self {
-        Self { name: self.name, sender: self.sender.clone() }
-    }
-}
-
-impl<M> ServiceHandle<M> {
-    /// Puts a message into the mailbox.
-    ///
-    /// # Errors
-    /// [`KernelError::MailboxFull`]; the message is dropped.
-    pub fn send(&self, message: M) -> Result<()> {
-        // A clone of the sender would get a slot of its own; this keeps the bound.
-        let mut sender = self.sender.clone();
-        sender.try_send(message).map_err(|_| KernelError::MailboxFull(self.name))
-    }
-}
-
 /// The registry of one process; clones share it.
+///
+/// All services run on one loop and one thread, so that a service is called directly: a
+/// message between them needs no queue, which could fill up and lose it.
 #[derive(Clone, Default)]
 pub struct ServiceRegistry {
     state: Rc<RefCell<RegistryState>>,
@@ -47,7 +22,7 @@
 
 #[derive(Default)]
 struct RegistryState {
-    handles: BTreeMap<&'static str, Box<dyn Any>>,
+    services: BTreeMap<&'static str, Rc<dyn Any>>,
     dumps: BTreeMap<&'static str, DumpFn>,
 }
 
@@ -58,28 +33,28 @@
         Self::default()
     }
 
-    /// Registers a service; its mailbox holds about `capacity` messages.
+    /// Registers a service under its name.
     ///
     /// # Errors
     /// [`KernelError::NameTaken`].
-    pub fn register<M: 'static>(&self, name: &'static str, capacity: usize) -> Result<Mailbox<M>> {
+    pub fn register<T: 'static>(&self, name: &'static str, service: &Rc<T>) -> Result<()> {
         let mut state = self.state.borrow_mut();
-        if state.handles.contains_key(name) {
+        if state.services.contains_key(name) {
             return Err(KernelError::NameTaken(name));
         }
-        let (sender, mailbox) = mpsc::channel(capacity);
-        state.handles.insert(name, Box::new(ServiceHandle { name, sender }));
-        Ok(mailbox)
+        let service: Rc<T> = Rc::clone(service);
+        state.services.insert(name, service);
+        Ok(())
     }
 
     /// Finds a service by name.
     ///
     /// # Errors
-    /// [`KernelError::NoService`].
-    pub fn find<M: 'static>(&self, name: &'static str) -> Result<ServiceHandle<M>> {
-        let state = self.state.borrow();
-        let handle = state.handles.get(name).and_then(|any| any.downcast_ref::<ServiceHandle<M>>());
-        handle.cloned().ok_or(KernelError::NoService(name))
+    /// [`KernelError::NoService`] if there is none of this name and type.
+    pub fn find<T: 'static>(&self, name: &'static str) -> Result<Rc<T>> {
+        let service = self.state.borrow().services.get(name).cloned();
+        let service = service.ok_or(KernelError::NoService(name))?;
+        service.downcast::<T>().map_err(|_| KernelError::NoService(name))
     }
 
     /// Registers the function that describes a service's state as JSON.
