--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod body;
 mod client;
+mod cut;
 mod error;
 mod reply;
 mod server;
@@ -10,6 +11,7 @@
 
 pub use body::{WebBody, full_body, read_bounded, stream_body};
 pub use client::{fetch, fetch_json, post_json, send_once};
+pub use cut::ConnectionCut;
 pub use error::{Result, SendFault, WebError};
 pub use reply::{json_reply, refusal_reply, text_reply};
 pub use server::{ServerLimits, WebServer};
