--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -3,6 +3,7 @@
 //! `docs/TARGETS.md` describes their interfaces, `docs/FAKES.md` their faults.
 
 mod change_bell;
+pub mod engine;
 mod error;
 mod fake_host;
 mod log_fake;
--- a/crates/fakes/src/log_fake.rs
+++ b/crates/fakes/src/log_fake.rs
@@ -171,8 +171,7 @@
                 while self.faults.outage.get() == LogOutage::Hang {
                     self.bell.wait_past(self.bell.rung()).await;
                 }
-                cut.raise();
-                Err(unavailable())
+                Err(cut.close().await)
             }
         }
     }
@@ -201,7 +200,7 @@
         let lose_answers = self.faults.lose_answers.get();
         if lose_answers > 0 {
             self.faults.lose_answers.set(lose_answers - 1);
-            cut.raise();
+            return cut.close().await;
         }
         ok_reply(&json!({ "offset": offset }))
     }
--- a/crates/fakes/src/service_fake.rs
+++ b/crates/fakes/src/service_fake.rs
@@ -166,7 +166,7 @@
             self.bell.wait_past(self.bell.rung()).await;
         }
         if hung || self.take_lost_answer() {
-            cut.raise();
+            return cut.close().await;
         }
         ok_reply(&value)
     }
--- a/crates/web/src/cut.rs
+++ b/crates/web/src/cut.rs
@@ -1,13 +1,13 @@
 //! Closing a connection at once, without an answer or the rest of one.
 
-use std::future::poll_fn;
+use std::future::{pending, poll_fn};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::task::Poll;
 
 use futures_util::task::AtomicWaker;
 
-use crate::WebRequest;
+use crate::{WebRequest, WebResponse};
 
 /// Closes the connection of the request that it was taken from; clones share it.
 ///
@@ -36,6 +36,12 @@
         self.state.waker.wake();
     }
 
+    /// Closes the connection in place of an answer: the handler ends here.
+    pub async fn close(&self) -> WebResponse {
+        self.raise();
+        pending().await
+    }
+
     /// Waits until it is raised; one task at a time.
     pub(crate) async fn wait(&self) {
         poll_fn(|cx| {
