Add settings read in layers with all faults, and clients of the log and VM list

A process must not start on half-understood settings, and an operator should not mend them one run at a time. The reader puts the example's value in place of a faulty one and goes on, so that every fault is named with file, line, field, found and expected.

--- /dev/null
+++ b/crates/platform/src/error.rs
@@ -0,0 +1,34 @@
+//! Errors of the platform's clients.
+
+use std::net::SocketAddr;
+
+use thiserror::Error;
+use web::WebError;
+
+/// What can go wrong with the platform.
+#[derive(Debug, Error)]
+pub enum PlatformError {
+    /// The exchange failed.
+    #[error("{step} at {peer}: {source}")]
+    Exchange {
+        /// What was being done.
+        step: &'static str,
+        /// The platform's service.
+        peer: SocketAddr,
+        /// The cause.
+        source: WebError,
+    },
+    /// The answer breaks the interface.
+    #[error("{step} at {peer}: answer breaks the interface: {reason}")]
+    Answer {
+        /// What was being done.
+        step: &'static str,
+        /// The platform's service.
+        peer: SocketAddr,
+        /// What is wrong.
+        reason: &'static str,
+    },
+}
+
+/// Result of an exchange with the platform.
+pub type Result<T> = std::result::Result<T, PlatformError>;
--- /dev/null
+++ b/crates/settings/src/common.rs
@@ -0,0 +1,120 @@
+//! Settings that all our processes share.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::str::FromStr;
+
+use base::prelude::*;
+use serde::Deserialize;
+use serde_json::{Value, json};
+
+use crate::{FieldCheck, KeySettings, SharedFields};
+
+/// Names of the fields of [`CommonSettings`], as they stand at the top of a file.
+pub const COMMON_FIELDS: &[&str] =
+    &["vm", "place", "region", "log", "vm_list", "keys", "log_format", "log_level", "metrics"];
+
+/// Form of the log lines.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LogFormat {
+    /// For people.
+    #[default]
+    Text,
+    /// For programs: one JSON object a line.
+    Json,
+}
+
+/// Least severity of the log lines that are written.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LogLevel {
+    /// What needs mending.
+    Error,
+    /// What may need mending.
+    Warn,
+    /// Changes of state.
+    #[default]
+    Info,
+    /// Decisions.
+    Debug,
+    /// Everything.
+    Trace,
+}
+
+impl fmt::Display for LogLevel {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Error => "error",
+            Self::Warn => "warn",
+            Self::Info => "info",
+            Self::Debug => "debug",
+            Self::Trace => "trace",
+        })
+    }
+}
+
+impl FromStr for LogLevel {
+    type Err = serde_json::Error;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        serde_json::from_value(Value::from(text))
+    }
+}
+
+/// Settings that all our processes share.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct CommonSettings {
+    /// Name of this machine.
+    pub vm: VmId,
+    /// Failure domain of this machine.
+    pub place: PlaceName,
+    /// Region of the failure domain.
+    #[serde(default)]
+    pub region: Option<Arc<str>>,
+    /// HTTP address of the platform's log.
+    pub log: SocketAddr,
+    /// HTTP address of the platform's VM list.
+    pub vm_list: SocketAddr,
+    /// Signing keys and TLS.
+    pub keys: KeySettings,
+    /// Form of the log lines.
+    #[serde(default)]
+    pub log_format: LogFormat,
+    /// Least severity of the log lines.
+    #[serde(default)]
+    pub log_level: LogLevel,
+    /// UDP address that takes the metrics.
+    #[serde(default)]
+    pub metrics: Option<SocketAddr>,
+}
+
+impl CommonSettings {
+    /// Where the common fields stand in a document.
+    pub(crate) const SHARED: SharedFields = SharedFields { inner: "common", fields: COMMON_FIELDS };
+
+    pub(crate) fn example() -> Value {
+        let pem = |kind: &str| format!("-----BEGIN {kind}-----\n-----END {kind}-----\n");
+        json!({
+            "vm": "vm-1",
+            "place": "place-1",
+            "region": null,
+            "log": "127.0.0.1:7000",
+            "vm_list": "127.0.0.1:7001",
+            "keys": {
+                "signing": [{ "id": 1, "secret_hex": "00".repeat(32) }],
+                "certificate": pem("CERTIFICATE"),
+                "private_key": pem("PRIVATE KEY"),
+                "authority": pem("CERTIFICATE"),
+            },
+            "log_format": "text",
+            "log_level": "info",
+            "metrics": null,
+        })
+    }
+
+    pub(crate) fn check(&self, check: &mut FieldCheck) {
+        self.keys.check(check);
+    }
+}
