--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! Nothing here performs I/O, reads a clock or draws random numbers.
 
+mod fields;
 mod ids;
 mod mac;
 mod numbers;
@@ -12,6 +13,7 @@
 mod time;
 mod vm;
 
+pub use fields::{join_fields, split_fields};
 pub use ids::*;
 pub use mac::{KeyId, MacError, SigningKey, SigningKeys};
 pub use numbers::*;
--- /dev/null
+++ b/crates/booking/src/reply.rs
@@ -0,0 +1,98 @@
+//! Answers to bookings.
+
+use base::prelude::*;
+use serde::{Deserialize, Serialize};
+
+use crate::HomeTag;
+
+/// Status of a refusal that may be tried again.
+const STATUS_UNAVAILABLE: u16 = 503;
+/// Status of an unknown outcome.
+const STATUS_UNKNOWN: u16 = 504;
+/// Status of a booking without a tag (RFC 6585, section 3).
+const STATUS_TAG_REQUIRED: u16 = 428;
+/// Status of a key that was used for another request (IETF idempotency-key draft).
+const STATUS_KEY_REUSED: u16 = 422;
+
+/// A target's whole answer, kept for retries.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct KeptAnswer {
+    /// HTTP status.
+    pub status: u16,
+    /// Content type of the body.
+    pub content_type: Arc<str>,
+    /// The body.
+    pub body: Arc<[u8]>,
+}
+
+impl KeptAnswer {
+    /// Bytes that it holds.
+    #[must_use]
+    pub fn size(&self) -> usize {
+        self.content_type.len() + self.body.len()
+    }
+}
+
+/// What the caller of a booking is told.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct BookingReply {
+    /// HTTP status.
+    pub status: u16,
+    /// Outcome of the booking.
+    pub outcome: CallOutcome,
+    /// Why it was refused, if it was.
+    pub reason: Option<RefusalReason>,
+    /// Content type of the body; empty unless the outcome is done.
+    pub content_type: Arc<str>,
+    /// The target's body; empty unless the outcome is done.
+    pub body: Arc<[u8]>,
+    /// When to come back, if that helps.
+    pub come_back: Option<TimeSpan>,
+    /// A fresh tag to book with; to be signed by the binding.
+    pub tag: Option<HomeTag>,
+}
+
+impl BookingReply {
+    /// The kept answer.
+    #[must_use]
+    pub fn done(answer: &KeptAnswer) -> Self {
+        Self {
+            status: answer.status,
+            outcome: CallOutcome::Done,
+            reason: None,
+            content_type: answer.content_type.clone(),
+            body: answer.body.clone(),
+            come_back: None,
+            tag: None,
+        }
+    }
+
+    /// The booking was not run.
+    #[must_use]
+    pub fn not_run(reason: RefusalReason, come_back: Option<TimeSpan>) -> Self {
+        let status = match reason {
+            RefusalReason::BadRequest => STATUS_KEY_REUSED,
+            RefusalReason::HomeTagMissing => STATUS_TAG_REQUIRED,
+            _ => STATUS_UNAVAILABLE,
+        };
+        Self { reason: Some(reason), come_back, ..Self::empty(status, CallOutcome::NotRun) }
+    }
+
+    /// The booking was sent at most once; whether it ran is not known.
+    #[must_use]
+    pub fn unknown() -> Self {
+        Self::empty(STATUS_UNKNOWN, CallOutcome::Unknown)
+    }
+
+    fn empty(status: u16, outcome: CallOutcome) -> Self {
+        Self {
+            status,
+            outcome,
+            reason: None,
+            content_type: Arc::from(""),
+            body: Arc::from([]),
+            come_back: None,
+            tag: None,
+        }
+    }
+}
