--- a/crates/booking/tests/stop.rs
+++ b/crates/booking/tests/stop.rs
@@ -97,6 +97,8 @@
     assert_eq!(text(&again), "adoption: true");
     assert_eq!(ask(&mut adopter, at(503), 2, tagged("new", &tag)), "", "it waits for send 1");
     assert_eq!(adopter.entries(), 3);
+    let late = ask(&mut adopter, at(551), 3, tagged("late", &tag));
+    assert_eq!(late, "reply 3: 504 unknown", "the tag's life did not begin anew");
 }
 
 #[test]
