Let entries hand over bookings by message

Cause: a stopping home's table has to reach its adopter, and the peers have to learn who answers for it. Conclusion: Adopt, Adopted and Noted join the messages; a forwarded call is answered by the booking's own reply type, so that one type says what a caller is told.

--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -19,6 +19,5 @@
     CONNECT_LIMIT, IDLE_LIMIT, KEEP_ALIVE, LINK_LIMIT, MAX_CONNECTIONS, MAX_LINKS, MAX_REQUESTS,
 };
 pub use message::{
-    EntryRecord, EntryStatus, FleetView, ForwardedCall, ForwardedReply, PeerReply, PeerRequest,
-    RunnerRecord,
+    EntryRecord, EntryStatus, FleetView, ForwardedCall, PeerReply, PeerRequest, RunnerRecord,
 };
--- a/crates/peers/src/message.rs
+++ b/crates/peers/src/message.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use base::prelude::*;
+use booking::{BookingReply, HomeAddress, TableHandover};
 use config::ConfigPlan;
 use serde::{Deserialize, Serialize};
 
@@ -73,8 +74,6 @@
 /// A call that is passed to the entry that is its home.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ForwardedCall {
-    /// The home's incarnation, by the caller's tag.
-    pub home: VmIncarnation,
     /// Whose call it is.
     pub workspace: WorkspaceId,
     /// The service.
@@ -95,23 +94,6 @@
     pub remaining: TimeSpan,
 }
 
-/// The home's answer.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ForwardedReply {
-    /// HTTP status for the caller.
-    pub status: u16,
-    /// Outcome, as the caller is told.
-    pub outcome: CallOutcome,
-    /// Why it was refused, if it was.
-    pub reason: Option<RefusalReason>,
-    /// Content type of the body.
-    pub content_type: Arc<str>,
-    /// The body.
-    pub body: Vec<u8>,
-    /// When to come back, if that helps.
-    pub come_back: Option<TimeSpan>,
-}
-
 /// A request from one of our processes to another.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum PeerRequest {
@@ -129,6 +111,15 @@
     },
     /// A booking for its home.
     Call(ForwardedCall),
+    /// A stopping home hands its bookings to this entry.
+    Adopt(TableHandover),
+    /// The sender answers for the bookings of these incarnations from now on.
+    Adopted {
+        /// The incarnations that have stopped.
+        homes: Vec<VmIncarnation>,
+        /// Who answers for them.
+        adopter: HomeAddress,
+    },
     /// The whole state of the process.
     Dump,
 }
@@ -139,7 +130,12 @@
     /// To [`PeerRequest::View`].
     View(Box<FleetView>),
     /// To [`PeerRequest::Call`].
-    Call(ForwardedReply),
+    Call(BookingReply),
+    /// To [`PeerRequest::Adopt`]: whether the table was taken, now or earlier; if not, it
+    /// never was and never will be.
+    Adopted(bool),
+    /// To [`PeerRequest::Adopted`].
+    Noted,
     /// To [`PeerRequest::Dump`]: JSON.
     Dump(String),
     /// The request is not for this process, or it cannot be served now; it had no effect.
