--- a/crates/fakes/src/command/mod.rs
+++ b/crates/fakes/src/command/mod.rs
@@ -1,5 +1,6 @@
 //! Subcommands: one file each.
 
+mod engine;
 mod log;
 mod service;
 mod vms;
@@ -19,6 +20,7 @@
 #[derive(FromArgs)]
 #[argh(subcommand)]
 enum FakeKind {
+    Engine(engine::EngineCommand),
     Log(log::LogCommand),
     Service(service::ServiceCommand),
     Vms(vms::VmsCommand),
@@ -29,6 +31,7 @@
     /// Runs the stand-in until a signal to stop.
     pub async fn run(self) -> Result<()> {
         match self.fake {
+            FakeKind::Engine(command) => command.run().await,
             FakeKind::Log(command) => command.run().await,
             FakeKind::Service(command) => command.run().await,
             FakeKind::Vms(command) => command.run().await,
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod change_bell;
 pub mod engine;
+pub mod engine_server;
 mod error;
 mod fake_host;
 mod log_fake;
--- a/crates/fakes/src/reply.rs
+++ b/crates/fakes/src/reply.rs
@@ -8,7 +8,7 @@
 use web::{WebRequest, WebResponse, json_reply, read_bounded};
 
 /// Longest request body that a stand-in reads, in bytes.
-const MAX_BODY_BYTES: usize = 16 << 20;
+pub(crate) const MAX_BODY_BYTES: usize = 16 << 20;
 
 pub(crate) fn ok_reply(value: &impl Serialize) -> WebResponse {
     json_reply(StatusCode::OK, value)
