--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -3,6 +3,7 @@
 //! Nothing here performs I/O, reads a clock or draws random numbers.
 
 mod ids;
+mod log_page;
 mod mac;
 mod numbers;
 mod outcome;
@@ -13,6 +14,7 @@
 mod vm;
 
 pub use ids::*;
+pub use log_page::{LogPage, LogRecord};
 pub use mac::{KeyId, MacError, SigningKey, SigningKeys};
 pub use numbers::*;
 pub use outcome::{CallOutcome, RefusalReason};
--- /dev/null
+++ b/crates/base/src/log_page.rs
@@ -0,0 +1,56 @@
+//! Records of the platform's log, as they are read.
+
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{LogOffset, TimeSpan};
+
+/// One record as it was read.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LogRecord {
+    /// Its place in the stream.
+    pub offset: LogOffset,
+    /// Its content.
+    pub text: Arc<str>,
+    /// Time since it was appended, in milliseconds, by the log's clock.
+    #[serde(default)]
+    pub age_ms: u64,
+}
+
+impl LogRecord {
+    /// Time since it was appended.
+    #[must_use]
+    pub fn age(&self) -> TimeSpan {
+        TimeSpan(self.age_ms.saturating_mul(TimeSpan::millis(1).0))
+    }
+}
+
+/// A run of records.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LogPage {
+    /// The oldest offset retained.
+    pub first: LogOffset,
+    /// The offset after the newest record of the stream.
+    pub next: LogOffset,
+    /// Records, in rising order, from the offset asked for or from `first`.
+    pub records: Vec<LogRecord>,
+}
+
+impl LogPage {
+    /// What is wrong with the page as an answer to a read from `from`, if anything.
+    #[must_use]
+    pub fn check(&self, from: LogOffset) -> Option<&'static str> {
+        let start = from.max(self.first);
+        let runs = self.records.windows(2).all(|pair| pair[1].offset == pair[0].offset.next());
+        if self.records.first().is_some_and(|record| record.offset != start) {
+            Some("the first record is not the one asked for")
+        } else if !runs {
+            Some("offsets have a gap")
+        } else if self.records.last().is_some_and(|record| record.offset >= self.next) {
+            Some("a record lies beyond the end")
+        } else {
+            None
+        }
+    }
+}
--- /dev/null
+++ b/crates/config/src/record.rs
@@ -0,0 +1,110 @@
+//! Records of the log's configuration stream, in a versioned envelope.
+//!
+//! What a version means never changes: a new meaning is a new version, and a version is
+//! written only after every process that folds the stream can read it.
+
+use std::sync::Arc;
+
+use base::{LogOffset, PublishId};
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+use crate::ConfigState;
+
+/// The version that is written, and the only one that is read.
+const RECORD_VERSION: u16 = 1;
+
+/// A change of one file.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct FileChange {
+    /// Name of the file.
+    pub path: Arc<str>,
+    /// The version that it replaces; 0 for a file that is not there.
+    pub base: LogOffset,
+    /// Its new content; none removes it.
+    pub text: Option<Arc<str>>,
+}
+
+/// One publish command of an operator: all its changes, or none.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PublishRecord {
+    /// Random number, to find the record after a lost answer.
+    pub id: PublishId,
+    /// Who published.
+    pub author: Arc<str>,
+    /// A note for the next shift.
+    pub note: Arc<str>,
+    /// The changes; each path once.
+    pub files: Vec<FileChange>,
+}
+
+/// The whole configuration as of an offset, to start from when older records are gone.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct CheckpointRecord {
+    /// The state; its `offset` is the last record that it includes.
+    pub state: ConfigState,
+}
+
+/// A record of the configuration stream.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ConfigRecord {
+    /// A change.
+    Publish(PublishRecord),
+    /// The whole state.
+    Checkpoint(CheckpointRecord),
+}
+
+/// A text that is not a record of a version known here; every reader ignores it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Error)]
+pub enum RecordError {
+    /// Not a record at all.
+    #[error("not a configuration record")]
+    Malformed,
+    /// A record of another version.
+    #[error("configuration record of version {0}")]
+    UnknownVersion(u16),
+}
+
+#[derive(Deserialize)]
+struct VersionProbe {
+    version: u16,
+}
+
+#[derive(Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Envelope<R> {
+    version: u16,
+    record: R,
+}
+
+impl ConfigRecord {
+    /// The text that is appended to the log.
+    ///
+    /// # Panics
+    /// Never: every record has a JSON form.
+    #[must_use]
+    pub fn encode(&self) -> Arc<str> {
+        let envelope = Envelope { version: RECORD_VERSION, record: self };
+        Arc::from(serde_json::to_string(&envelope).expect("records have a JSON form"))
+    }
+
+    /// Reads a record's text.
+    ///
+    /// # Errors
+    /// [`RecordError`], the same in every reader of this version.
+    pub fn decode(text: &str) -> Result<Self, RecordError> {
+        if let Ok(Envelope { version: RECORD_VERSION, record }) = serde_json::from_str(text) {
+            return Ok(record);
+        }
+        match serde_json::from_str::<VersionProbe>(text) {
+            Ok(VersionProbe { version }) if version != RECORD_VERSION => {
+                Err(RecordError::UnknownVersion(version))
+            }
+            _ => Err(RecordError::Malformed),
+        }
+    }
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -4,6 +4,7 @@
 mod log_client;
 mod vm_list_client;
 
+pub use base::{LogPage, LogRecord};
 pub use error::{PlatformError, Result};
-pub use log_client::{AppendOutcome, LogClient, LogPage, LogRecord};
+pub use log_client::{AppendOutcome, LogClient};
 pub use vm_list_client::VmListClient;
--- a/crates/platform/src/log_client.rs
+++ b/crates/platform/src/log_client.rs
@@ -3,9 +3,9 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use base::{LogOffset, TimeSpan};
+use base::{LogOffset, LogPage, TimeSpan};
 use hyper::Method;
-use serde::{Deserialize, Serialize};
+use serde::Deserialize;
 use web::{SendFault, WebError, fetch, fetch_json};
 
 use crate::{PlatformError, Result};
@@ -30,29 +30,6 @@
     Unknown(Arc<str>),
 }
 
-/// One record as it was read.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct LogRecord {
-    /// Its place in the stream.
-    pub offset: LogOffset,
-    /// Its content.
-    pub text: Arc<str>,
-    /// Time since it was appended, in milliseconds, by the log's clock.
-    #[serde(default)]
-    pub age_ms: u64,
-}
-
-/// A run of records.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct LogPage {
-    /// The oldest offset retained.
-    pub first: LogOffset,
-    /// The offset after the newest record of the stream.
-    pub next: LogOffset,
-    /// Records, in rising order, from the offset asked for or from `first`.
-    pub records: Vec<LogRecord>,
-}
-
 #[derive(Deserialize)]
 struct AppendAnswer {
     offset: LogOffset,
@@ -124,24 +101,6 @@
     }
 }
 
-impl LogPage {
-    /// What is wrong with the page as an answer to a read from `from`, if anything.
-    #[must_use]
-    pub fn check(&self, from: LogOffset) -> Option<&'static str> {
-        let start = from.max(self.first);
-        let runs = self.records.windows(2).all(|pair| pair[1].offset == pair[0].offset.next());
-        if self.records.first().is_some_and(|record| record.offset != start) {
-            Some("the first record is not the one asked for")
-        } else if !runs {
-            Some("offsets have a gap")
-        } else if self.records.last().is_some_and(|record| record.offset >= self.next) {
-            Some("a record lies beyond the end")
-        } else {
-            None
-        }
-    }
-}
-
 /// Whether a failed append certainly left no record: it was not sent, or was refused.
 /// A status from 500 on may come after the effect.
 fn had_no_effect(error: &WebError) -> bool {
