--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -4,9 +4,11 @@
 
 mod fields;
 mod ids;
+mod log_page;
 mod mac;
 mod numbers;
 mod outcome;
+mod prefix;
 pub mod prelude;
 mod rendezvous;
 mod report;
@@ -15,9 +17,11 @@
 
 pub use fields::{join_fields, split_fields};
 pub use ids::*;
+pub use log_page::{LogPage, LogRecord};
 pub use mac::{KeyId, MacError, SigningKey, SigningKeys};
 pub use numbers::*;
 pub use outcome::{CallOutcome, RefusalReason};
+pub use prefix::prompt_prefix_hash;
 pub use rendezvous::{rendezvous_order, rendezvous_score};
 pub use report::{CacheEvent, RunnerReport};
 pub use time::{TimePoint, TimeSpan};
