Choose by forecast memory and hold calls at the entry

Cause: simple rules send into engines whose memory fills during the decode. Changed: load corrected by own sends and ends since the report; a censored estimate of lengths by workspace with back-off; chance that memory is exceeded at five horizons; calls wait at the entry, by priority and fair share, while it is too high everywhere.

--- a/crates/route/src/call_record.rs
+++ b/crates/route/src/call_record.rs
@@ -15,6 +15,8 @@
     pub attempt: u32,
     /// When it arrived.
     pub arrived: TimePoint,
+    /// When it was sent to its runner.
+    pub sent: TimePoint,
     /// What it adds to the forecast of its runner.
     pub forecast: MemoryForecast,
 }
@@ -23,7 +25,14 @@
     /// A call that has just arrived.
     #[must_use]
     pub fn new(now: TimePoint, call: RouteCall) -> Self {
-        Self { call, slot: None, attempt: 0, arrived: now, forecast: MemoryForecast::default() }
+        Self {
+            call,
+            slot: None,
+            attempt: 0,
+            arrived: now,
+            sent: now,
+            forecast: MemoryForecast::default(),
+        }
     }
 
     /// Tokens of prompt and output so far.
--- a/crates/route/src/desk.rs
+++ b/crates/route/src/desk.rs
@@ -3,16 +3,23 @@
 use std::collections::BTreeMap;
 
 use base::{AttemptNumber, prelude::*};
-use rand::{SeedableRng, rngs::StdRng};
+use rand::{RngExt, SeedableRng, rngs::StdRng};
 
 use crate::{
-    CallEnd, CallId, CallRecord, LengthTable, PolicyName, RouteAction, RouteCall, RouteEvent,
-    RouteMember, RouteSettings, RunnerView, ServiceView, baseline,
+    CallEnd, CallId, CallRecord, LengthTable, MemoryForecast, PolicyName, PrefixTable, RouteAction,
+    RouteCall, RouteEvent, RouteMember, RouteSettings, RunnerView, ServiceView, WaitQueue,
+    baseline, runner_score,
 };
 
 /// Time after which a refused caller may try again when nothing better is known.
 const DEFAULT_COME_BACK: TimeSpan = TimeSpan::seconds(1);
 
+/// Largest random part of a runner's cost, so that entries do not all choose alike.
+const SCORE_NOISE: f64 = 0.05;
+
+/// A queue is kept for each service and model.
+type QueueName = (ServiceName, Option<ModelName>);
+
 /// Routing state of one entry.
 pub struct RouteDesk {
     settings: RouteSettings,
@@ -21,6 +28,8 @@
     runners: Vec<RunnerView>,
     calls: BTreeMap<CallId, CallRecord>,
     lengths: LengthTable,
+    prefixes: PrefixTable,
+    queues: BTreeMap<QueueName, WaitQueue>,
     random: StdRng,
 }
 
@@ -36,6 +45,8 @@
             runners: Vec::new(),
             calls: BTreeMap::new(),
             lengths: LengthTable::default(),
+            prefixes: PrefixTable::default(),
+            queues: BTreeMap::new(),
         }
     }
 
@@ -49,9 +60,10 @@
                 view.shares = shares;
             }
             RouteEvent::Members { service, members } => self.take_members(&service, members),
-            RouteEvent::Report(report) => {
-                if let Some(&slot) = self.slots.get(&report.runner) {
-                    self.runners[slot].take_report(now, report);
+            RouteEvent::Report(report) => self.take_report(now, report),
+            RouteEvent::Cache { runner, event } => {
+                if let Some(&slot) = self.slots.get(&runner) {
+                    self.prefixes.take(slot, &event);
                 }
             }
             RouteEvent::Arrive(call) => return self.arrive(now, call),
@@ -59,11 +71,12 @@
                 if let Some(record) = self.calls.get_mut(&call) {
                     record.call.produced = TokenCount(index.0 + 1);
                 }
+                return Vec::new();
             }
             RouteEvent::Ended { call, end } => self.end(now, call, end),
-            RouteEvent::Cache { .. } | RouteEvent::Tick => (),
+            RouteEvent::Tick => (),
         }
-        Vec::new()
+        self.send_waiting(now)
     }
 
     /// The desk's state, for the dump.
@@ -86,19 +99,116 @@
         self.services.entry(service.clone()).or_default().slots = slots;
     }
 
+    fn take_report(&mut self, now: TimePoint, report: RunnerReport) {
+        let Some(&slot) = self.slots.get(&report.runner) else {
+            return;
+        };
+        let step = report.step;
+        if self.runners[slot].take_report(now, report)
+            && self.settings.policy == PolicyName::Product
+        {
+            self.refresh_forecast(now, slot, step);
+        }
+    }
+
+    /// Computes what the calls of this entry at a runner will need, and what the calls of
+    /// others held when it reported.
+    fn refresh_forecast(&mut self, now: TimePoint, slot: usize, step: TimeSpan) {
+        let reported = self.runners[slot].reported;
+        let steps_since = now.since(reported).0.checked_div(step.0).unwrap_or(0) as u32;
+        let mut own_tokens = 0.0;
+        let mut forecast = MemoryForecast::default();
+        let mut service = None;
+        for call in &self.runners[slot].own {
+            let Some(record) = self.calls.get_mut(call) else {
+                continue;
+            };
+            let alive = self.lengths.alive(&record.call, record.call.produced.0);
+            record.forecast = MemoryForecast::of_generation(record.context(), alive);
+            forecast += record.forecast;
+            if record.sent <= reported {
+                let since = steps_since.min(record.call.produced.0);
+                own_tokens += f64::from(record.context() - since);
+            }
+            service = Some(record.call.service.clone());
+        }
+        let runner = &mut self.runners[slot];
+        let before = std::mem::replace(&mut runner.own_forecast, forecast);
+        let known = own_tokens + runner.freed_tokens() as f64;
+        runner.other_tokens = (runner.used_tokens() - known).max(0.0);
+        if let Some(view) = service.and_then(|service| self.services.get_mut(&service)) {
+            view.own_forecast -= before;
+            view.own_forecast += forecast;
+        }
+    }
+
     fn arrive(&mut self, now: TimePoint, call: RouteCall) -> Vec<RouteAction> {
         let id = call.call;
+        let name = (call.service.clone(), call.model.clone());
+        let alive = self.lengths.alive(&call, call.produced.0);
+        let mut record = CallRecord::new(now, call);
+        record.forecast = MemoryForecast::of_generation(record.context(), alive);
+        if self.settings.policy == PolicyName::Product {
+            let view = self.services.entry(name.0.clone()).or_default();
+            let ahead = self.lengths.estimate(&record.call).expected_ahead(record.call.produced.0);
+            let work = u64::from(record.context()) + ahead as u64;
+            let share = view.share(&record.call.workspace);
+            let queue = self.queues.entry(name).or_default();
+            queue.push(id, record.call.priority, &record.call.workspace, work, share);
+            self.calls.insert(id, record);
+            return self.send_waiting(now);
+        }
+        self.calls.insert(id, record);
+        match self.choose_baseline(id) {
+            Some(slot) => vec![self.send(now, id, slot)],
+            None => vec![self.refuse(id, RefusalReason::NoRunner, DEFAULT_COME_BACK)],
+        }
+    }
+
+    fn choose_baseline(&mut self, id: CallId) -> Option<usize> {
+        let call = &self.calls.get(&id)?.call;
         let view = self.services.entry(call.service.clone()).or_default();
         let serves = |slot: &usize| self.runners[*slot].serves(call.model.as_ref());
         let open: Vec<usize> = view.slots.iter().copied().filter(serves).collect();
         let policy = self.settings.policy;
-        let chosen =
-            baseline::choose(policy, &self.runners, &open, &mut view.turn, &mut self.random);
-        self.calls.insert(id, CallRecord::new(now, call));
-        match chosen {
-            Some(slot) => vec![self.send(now, id, slot)],
-            None => vec![self.refuse(id, RefusalReason::NoRunner, DEFAULT_COME_BACK)],
+        baseline::choose(policy, &self.runners, &open, &mut view.turn, &mut self.random)
+    }
+
+    fn send_waiting(&mut self, now: TimePoint) -> Vec<RouteAction> {
+        let mut actions = Vec::new();
+        let names: Vec<QueueName> = self.queues.keys().cloned().collect();
+        for name in names {
+            while let Some(call) = self.queues.get(&name).and_then(WaitQueue::first) {
+                let Some(slot) = self.choose(now, call) else {
+                    break;
+                };
+                if let Some(queue) = self.queues.get_mut(&name) {
+                    queue.remove(call);
+                }
+                actions.push(self.send(now, call, slot));
+            }
         }
+        actions
+    }
+
+    fn choose(&mut self, now: TimePoint, id: CallId) -> Option<usize> {
+        let record = self.calls.get(&id)?;
+        let view = self.services.get(&record.call.service)?;
+        let model = record.call.model.as_ref();
+        let mut best: Option<(f64, usize)> = None;
+        for &slot in &view.slots {
+            let runner = &self.runners[slot];
+            if !runner.serves(model) {
+                continue;
+            }
+            let cached = runner_score::is_cached(&self.prefixes, slot, record);
+            let score = runner_score::score(now, record, view, runner, cached);
+            let noise = SCORE_NOISE * self.random.random::<f64>();
+            if score.open && best.is_none_or(|(cost, _)| score.cost + noise < cost) {
+                best = Some((score.cost + noise, slot));
+            }
+        }
+        best.map(|(_, slot)| slot)
     }
 
     fn send(&mut self, now: TimePoint, call: CallId, slot: usize) -> RouteAction {
@@ -108,7 +218,12 @@
             attempt = record.attempt;
             record.attempt += 1;
             record.slot = Some(slot);
+            record.sent = now;
             self.runners[slot].sent(now, call, record.context());
+            self.runners[slot].own_forecast += record.forecast;
+            if let Some(view) = self.services.get_mut(&record.call.service) {
+                view.own_forecast += record.forecast;
+            }
         }
         RouteAction::Send { call, runner, attempt: AttemptNumber(attempt) }
     }
@@ -124,6 +239,13 @@
         };
         if let Some(slot) = record.slot {
             self.runners[slot].ended(now, call, record.context());
+            self.runners[slot].own_forecast -= record.forecast;
+            if let Some(view) = self.services.get_mut(&record.call.service) {
+                view.own_forecast -= record.forecast;
+            }
+        }
+        for queue in self.queues.values_mut() {
+            queue.remove(call);
         }
         if end != CallEnd::Refused {
             let whole = end == CallEnd::Finished;
@@ -131,9 +253,3 @@
         }
     }
 }
-
-/// Whether a policy holds calls at the entry.
-#[must_use]
-pub fn holds_calls(policy: PolicyName) -> bool {
-    policy == PolicyName::Product
-}
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -11,8 +11,11 @@
 mod forecast;
 mod length_estimate;
 mod length_table;
+mod prefix_table;
+mod runner_score;
 mod runner_view;
 mod service_view;
+mod wait_queue;
 
 pub use call_record::CallRecord;
 pub use desk::RouteDesk;
@@ -22,5 +25,8 @@
 pub use forecast::{HORIZON_TOKENS, HORIZONS, MemoryForecast};
 pub use length_estimate::LengthEstimate;
 pub use length_table::LengthTable;
+pub use prefix_table::PrefixTable;
+pub use runner_score::RunnerScore;
 pub use runner_view::RunnerView;
 pub use service_view::ServiceView;
+pub use wait_queue::WaitQueue;
--- /dev/null
+++ b/crates/route/src/runner_score.rs
@@ -0,0 +1,82 @@
+//! How good a runner is for a call: lower is better.
+
+use base::prelude::*;
+use config::{CallPriority, ServiceKind};
+
+use crate::{CallRecord, MemoryForecast, PrefixTable, RunnerView, ServiceView};
+
+/// Time for which a prompt that was just sent still occupies the runner.
+const PREFILL_SPAN: TimeSpan = TimeSpan::millis(150);
+
+/// Weight of the share of memory that is forecast to be in use.
+const MEMORY_COST: f64 = 1.0;
+/// Weight of a call inside the runner, relative to a runner full of long ones.
+const CALL_COST: f64 = 0.02;
+/// Weight of a call that waits inside the runner.
+const WAITING_COST: f64 = 0.5;
+/// Weight of a prompt that is being prefilled, for each 1,000 tokens.
+const PREFILL_COST: f64 = 0.2;
+/// What a cached prefix is worth.
+const PREFIX_GAIN: f64 = 0.1;
+/// Weight of the chance that memory is exceeded, at weights of 1.
+const RISK_COST: f64 = 1.0;
+
+/// Chance of exceeding a runner's memory that a call of this priority may bring about.
+fn risk_limit(priority: CallPriority) -> f64 {
+    match priority {
+        CallPriority::Urgent => 0.5,
+        CallPriority::Normal => 0.05,
+        CallPriority::LateTolerant => 0.03,
+    }
+}
+
+/// A runner's score for one call.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct RunnerScore {
+    /// Lower is better.
+    pub cost: f64,
+    /// Chance that the runner's memory is exceeded.
+    pub risk: f64,
+    /// The call may be sent there now.
+    pub open: bool,
+}
+
+/// Scores `runner` for `record`.
+#[must_use]
+pub fn score(
+    now: TimePoint,
+    record: &CallRecord,
+    view: &ServiceView,
+    runner: &RunnerView,
+    cached: bool,
+) -> RunnerScore {
+    let calls = f64::from(runner.corrected_calls());
+    let Some(memory) = runner.memory_tokens().filter(|_| view.kind == ServiceKind::Model) else {
+        return RunnerScore { cost: calls, risk: 0.0, open: true };
+    };
+    let mut forecast = runner.own_forecast;
+    forecast += view.other_forecast(runner.other_tokens);
+    forecast += record.forecast;
+    let risk = forecast.chance_above(memory);
+    let waiting = f64::from(runner.waiting());
+    let prefill = runner.sent_tokens(now - PREFILL_SPAN) as f64 / 1_000.0;
+    let cost = MEMORY_COST * highest(&forecast) / memory
+        + CALL_COST * calls
+        + WAITING_COST * waiting
+        + PREFILL_COST * prefill
+        + RISK_COST * view.weights.preemptions * risk
+        - if cached { PREFIX_GAIN } else { 0.0 };
+    let urgent = record.call.priority == CallPriority::Urgent;
+    let open = risk <= risk_limit(record.call.priority) && (urgent || waiting == 0.0);
+    RunnerScore { cost, risk, open }
+}
+
+fn highest(forecast: &MemoryForecast) -> f64 {
+    forecast.mean.iter().copied().fold(0.0, f64::max)
+}
+
+/// Whether the prefix of a call seems to be cached at a runner.
+#[must_use]
+pub fn is_cached(prefixes: &PrefixTable, slot: usize, record: &CallRecord) -> bool {
+    prefixes.has(slot, record.call.prefix)
+}
--- a/crates/route/src/runner_view.rs
+++ b/crates/route/src/runner_view.rs
@@ -4,7 +4,7 @@
 
 use base::prelude::*;
 
-use crate::CallId;
+use crate::{CallId, MemoryForecast};
 
 /// A change of a runner's load by this entry.
 #[derive(Debug, Clone, Copy)]
@@ -29,6 +29,10 @@
     pub reported: TimePoint,
     /// Calls of this entry at the runner.
     pub own: BTreeSet<CallId>,
+    /// Forecast of this entry's calls at the runner.
+    pub own_forecast: MemoryForecast,
+    /// Tokens that calls of other entries held when the runner reported.
+    pub other_tokens: f64,
     changes: VecDeque<LoadChange>,
 }
 
@@ -43,6 +47,8 @@
             report: None,
             reported: TimePoint::default(),
             own: BTreeSet::new(),
+            own_forecast: MemoryForecast::default(),
+            other_tokens: 0.0,
             changes: VecDeque::new(),
         }
     }
@@ -89,16 +95,39 @@
         self.reported_calls().saturating_add_signed(change)
     }
 
-    /// Tokens that this entry added since the report, less those that it saw freed.
+    /// Tokens that this entry saw freed since the report.
     #[must_use]
-    pub fn changed_tokens(&self) -> i64 {
-        self.changes.iter().map(|change| change.tokens).sum()
+    pub fn freed_tokens(&self) -> u64 {
+        let freed = self.changes.iter().filter(|change| change.tokens < 0);
+        freed.map(|change| change.tokens.unsigned_abs()).sum()
     }
 
-    /// Calls that this entry sent since the report.
+    /// Tokens of the calls that this entry sent after `since`.
     #[must_use]
-    pub fn sent_since(&self) -> u32 {
-        self.changes.iter().filter(|change| change.calls > 0).count() as u32
+    pub fn sent_tokens(&self, since: TimePoint) -> u64 {
+        let sent = self.changes.iter().filter(|change| change.at > since && change.tokens > 0);
+        sent.map(|change| change.tokens.unsigned_abs()).sum()
+    }
+
+    /// Tokens that fit into the runner's memory; none if it did not say.
+    #[must_use]
+    pub fn memory_tokens(&self) -> Option<f64> {
+        let report = self.report.as_ref()?;
+        let tokens = f64::from(report.total_blocks.0) * f64::from(report.block_tokens);
+        (tokens > 0.0).then_some(tokens)
+    }
+
+    /// Tokens held in the runner's memory when it reported.
+    #[must_use]
+    pub fn used_tokens(&self) -> f64 {
+        let used = |r: &RunnerReport| f64::from(r.used_blocks.0) * f64::from(r.block_tokens);
+        self.report.as_ref().map_or(0.0, used)
+    }
+
+    /// Calls that waited inside the runner when it reported.
+    #[must_use]
+    pub fn waiting(&self) -> u32 {
+        self.report.as_ref().map_or(0, |report| report.waiting)
     }
 
     /// Whether the runner may get calls of `model`.
