--- a/crates/route/src/desk.rs
+++ b/crates/route/src/desk.rs
@@ -15,7 +15,7 @@
 const DEFAULT_COME_BACK: TimeSpan = TimeSpan::seconds(1);
 
 /// Largest random part of a runner's cost, so that entries do not all choose alike.
-const SCORE_NOISE: f64 = 0.05;
+const SCORE_NOISE: f64 = 0.15;
 
 /// A queue is kept for each service and model.
 type QueueName = (ServiceName, Option<ModelName>);
--- a/crates/route/src/runner_score.rs
+++ b/crates/route/src/runner_score.rs
@@ -10,23 +10,28 @@
 
 /// Weight of the share of memory that is forecast to be in use.
 const MEMORY_COST: f64 = 1.0;
-/// Weight of a call inside the runner, relative to a runner full of long ones.
-const CALL_COST: f64 = 0.02;
 /// Weight of a call that waits inside the runner.
 const WAITING_COST: f64 = 0.5;
 /// Weight of a prompt that is being prefilled, for each 1,000 tokens.
-const PREFILL_COST: f64 = 0.2;
+const PREFILL_COST: f64 = 0.3;
 /// What a cached prefix is worth.
-const PREFIX_GAIN: f64 = 0.1;
+const PREFIX_GAIN: f64 = 0.3;
 /// Weight of the chance that memory is exceeded, at weights of 1.
 const RISK_COST: f64 = 1.0;
 
+/// Highest chance of exceeding a runner's memory that an urgent call may bring about.
+const URGENT_RISK: f64 = 0.5;
+/// The same for a normal call.
+const NORMAL_RISK: f64 = 0.05;
+/// The same for a late-tolerant call.
+const LATE_RISK: f64 = 0.03;
+
 /// Chance of exceeding a runner's memory that a call of this priority may bring about.
 fn risk_limit(priority: CallPriority) -> f64 {
     match priority {
-        CallPriority::Urgent => 0.5,
-        CallPriority::Normal => 0.05,
-        CallPriority::LateTolerant => 0.03,
+        CallPriority::Urgent => URGENT_RISK,
+        CallPriority::Normal => NORMAL_RISK,
+        CallPriority::LateTolerant => LATE_RISK,
     }
 }
 
@@ -61,7 +66,6 @@
     let waiting = f64::from(runner.waiting());
     let prefill = runner.sent_tokens(now - PREFILL_SPAN) as f64 / 1_000.0;
     let cost = MEMORY_COST * highest(&forecast) / memory
-        + CALL_COST * calls
         + WAITING_COST * waiting
         + PREFILL_COST * prefill
         + RISK_COST * view.weights.preemptions * risk
