Let entries take turns at runners that have little room

Cause: at load 1.4 every entry filled the same room after the same report. Changed: a runner is open to a call if its memory would bear as many such calls as entries seem to share it (reported calls for each own one); otherwise to one call of each report, for one entry in that many, drawn at the report.

--- a/crates/route/src/desk.rs
+++ b/crates/route/src/desk.rs
@@ -104,13 +104,23 @@
             return;
         };
         let step = report.step;
+        let before = self.runners[slot].reported_calls();
         if self.runners[slot].take_report(now, report)
             && self.settings.policy == PolicyName::Product
         {
+            self.runners[slot].ticket = self.random.random();
             self.refresh_forecast(now, slot, step);
+            let now = self.runners[slot].reported_calls();
+            if let Some(view) = self.service_of(slot) {
+                view.observe_calls(before, now);
+            }
         }
     }
 
+    fn service_of(&mut self, slot: usize) -> Option<&mut ServiceView> {
+        self.services.values_mut().find(|view| view.slots.contains(&slot))
+    }
+
     /// Computes what the calls of this entry at a runner will need, and what the calls of
     /// others held when it reported.
     fn refresh_forecast(&mut self, now: TimePoint, slot: usize, step: TimeSpan) {
@@ -223,6 +233,7 @@
             self.runners[slot].own_forecast += record.forecast;
             if let Some(view) = self.services.get_mut(&record.call.service) {
                 view.own_forecast += record.forecast;
+                view.own_calls += 1;
             }
         }
         RouteAction::Send { call, runner, attempt: AttemptNumber(attempt) }
@@ -242,6 +253,7 @@
             self.runners[slot].own_forecast -= record.forecast;
             if let Some(view) = self.services.get_mut(&record.call.service) {
                 view.own_forecast -= record.forecast;
+                view.own_calls = view.own_calls.saturating_sub(1);
             }
         }
         for queue in self.queues.values_mut() {
--- a/crates/route/src/runner_score.rs
+++ b/crates/route/src/runner_score.rs
@@ -61,7 +61,9 @@
     };
     let mut forecast = runner.own_forecast;
     forecast += view.other_forecast(runner.other_tokens);
+    let mut crowded = forecast;
     forecast += record.forecast;
+    crowded += record.forecast.scaled(view.entry_factor);
     let risk = forecast.chance_above(memory);
     let waiting = f64::from(runner.waiting());
     let prefill = runner.sent_tokens(now - PREFILL_SPAN) as f64 / 1_000.0;
@@ -71,7 +73,10 @@
         + RISK_COST * view.weights.preemptions * risk
         - if cached { PREFIX_GAIN } else { 0.0 };
     let urgent = record.call.priority == CallPriority::Urgent;
-    let open = risk <= risk_limit(record.call.priority) && (urgent || waiting == 0.0);
+    let limit = risk_limit(record.call.priority);
+    let roomy = crowded.chance_above(memory) <= limit;
+    let allowed = runner.sent_calls == 0 && runner.ticket * view.entry_factor < 1.0;
+    let open = risk <= limit && (urgent || waiting == 0.0 && (roomy || allowed));
     RunnerScore { cost, risk, open }
 }
 
--- a/crates/route/src/runner_view.rs
+++ b/crates/route/src/runner_view.rs
@@ -33,6 +33,11 @@
     pub own_forecast: MemoryForecast,
     /// Tokens that calls of other entries held when the runner reported.
     pub other_tokens: f64,
+    /// Uniform number drawn at the last report: it decides which entries may fill what
+    /// little room the report shows.
+    pub ticket: f64,
+    /// Calls sent since the last report arrived.
+    pub sent_calls: u32,
     changes: VecDeque<LoadChange>,
 }
 
@@ -49,6 +54,8 @@
             own: BTreeSet::new(),
             own_forecast: MemoryForecast::default(),
             other_tokens: 0.0,
+            ticket: 1.0,
+            sent_calls: 0,
             changes: VecDeque::new(),
         }
     }
@@ -63,6 +70,7 @@
         }
         self.reported = now - report.age;
         self.report = Some(report);
+        self.sent_calls = 0;
         while self.changes.front().is_some_and(|change| change.at <= self.reported) {
             self.changes.pop_front();
         }
@@ -72,6 +80,7 @@
     /// This entry sent a call of `tokens` to the runner.
     pub fn sent(&mut self, now: TimePoint, call: CallId, tokens: u32) {
         self.own.insert(call);
+        self.sent_calls += 1;
         self.changes.push_back(LoadChange { at: now, calls: 1, tokens: i64::from(tokens) });
     }
 
--- a/crates/route/src/service_view.rs
+++ b/crates/route/src/service_view.rs
@@ -5,6 +5,12 @@
 
 use crate::MemoryForecast;
 
+/// Highest number of entries that are taken to share the runners.
+const ENTRY_FACTOR_LIMIT: f64 = 64.0;
+
+/// Weight of the newest report in the averaged factor.
+const ENTRY_FACTOR_WEIGHT: f64 = 0.02;
+
 /// What is known about a service.
 #[derive(Debug)]
 pub struct ServiceView {
@@ -20,7 +26,12 @@
     pub turn: usize,
     /// Forecast of this entry's calls at all its runners.
     pub own_forecast: MemoryForecast,
-    /// Calls at the runners for each one of this entry, averaged over time.
+    /// Calls at all its runners, as last reported.
+    pub reported_calls: u32,
+    /// Calls of this entry at all its runners.
+    pub own_calls: u32,
+    /// Calls at the runners for each one of this entry, averaged over time: as many
+    /// entries seem to share the runners.
     pub entry_factor: f64,
 }
 
@@ -33,6 +44,8 @@
             slots: Vec::new(),
             turn: 0,
             own_forecast: MemoryForecast::default(),
+            reported_calls: 0,
+            own_calls: 0,
             entry_factor: 1.0,
         }
     }
@@ -46,6 +59,14 @@
         found.map_or(1, |(_, share)| *share)
     }
 
+    /// Takes a changed count of reported calls.
+    pub fn observe_calls(&mut self, before: u32, now: u32) {
+        self.reported_calls = (self.reported_calls + now).saturating_sub(before);
+        let factor = f64::from(self.reported_calls) / f64::from(self.own_calls.max(1));
+        let factor = factor.clamp(1.0, ENTRY_FACTOR_LIMIT);
+        self.entry_factor += ENTRY_FACTOR_WEIGHT * (factor - self.entry_factor);
+    }
+
     /// What load of other entries, now of `tokens`, will need: it grows as this entry's
     /// own load does.
     #[must_use]
