--- a/crates/route/src/runner_score.rs
+++ b/crates/route/src/runner_score.rs
@@ -22,9 +22,9 @@
 /// Highest chance of exceeding a runner's memory that an urgent call may bring about.
 const URGENT_RISK: f64 = 0.5;
 /// The same for a normal call.
-const NORMAL_RISK: f64 = 0.05;
+const NORMAL_RISK: f64 = 0.03;
 /// The same for a late-tolerant call.
-const LATE_RISK: f64 = 0.03;
+const LATE_RISK: f64 = 0.005;
 
 /// Chance of exceeding a runner's memory that a call of this priority may bring about.
 fn risk_limit(priority: CallPriority) -> f64 {
