Refuse at once, eject outliers, use a subset, and tell the desk's state

Cause: a wait beyond the deadline was held back; dead and slow runners went on getting calls; an entry looked at every runner. Ruled out: a retry budget on top: every further attempt waits in the same queue, so retries cannot add load that first tries could not.

--- a/crates/route/src/desk.rs
+++ b/crates/route/src/desk.rs
@@ -1,36 +1,35 @@
 //! The desk: every routing decision of one entry.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
-use base::{AttemptNumber, prelude::*};
+use base::prelude::*;
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 
+use crate::decision_log::DecisionLog;
 use crate::{
-    CallEnd, CallId, CallRecord, LengthTable, MemoryForecast, PolicyName, PrefixTable, RouteAction,
-    RouteCall, RouteEvent, RouteMember, RouteSettings, RunnerView, ServiceView, WaitQueue,
-    baseline, runner_score,
+    CallEnd, CallId, CallRecord, DeskCounters, DeskSummary, LengthTable, MemoryForecast,
+    PolicyName, PrefixTable, RouteAction, RouteEvent, RouteMember, RouteSettings, RunnerSummary,
+    RunnerView, ServiceView, WaitQueue, subset,
 };
 
-/// Time after which a refused caller may try again when nothing better is known.
-const DEFAULT_COME_BACK: TimeSpan = TimeSpan::seconds(1);
-
-/// Largest random part of a runner's cost, so that entries do not all choose alike.
-const SCORE_NOISE: f64 = 0.15;
-
 /// A queue is kept for each service and model.
-type QueueName = (ServiceName, Option<ModelName>);
+pub(crate) type QueueName = (ServiceName, Option<ModelName>);
 
 /// Routing state of one entry.
 pub struct RouteDesk {
-    settings: RouteSettings,
-    services: BTreeMap<ServiceName, ServiceView>,
-    slots: BTreeMap<RunnerId, usize>,
-    runners: Vec<RunnerView>,
-    calls: BTreeMap<CallId, CallRecord>,
-    lengths: LengthTable,
-    prefixes: PrefixTable,
-    queues: BTreeMap<QueueName, WaitQueue>,
-    random: StdRng,
+    pub(crate) settings: RouteSettings,
+    pub(crate) services: BTreeMap<ServiceName, ServiceView>,
+    pub(crate) slots: BTreeMap<RunnerId, usize>,
+    pub(crate) runners: Vec<RunnerView>,
+    pub(crate) calls: BTreeMap<CallId, CallRecord>,
+    pub(crate) lengths: LengthTable,
+    pub(crate) prefixes: PrefixTable,
+    pub(crate) queues: BTreeMap<QueueName, WaitQueue>,
+    pub(crate) random: StdRng,
+    pub(crate) counters: DeskCounters,
+    pub(crate) decisions: DecisionLog,
+    pub(crate) deadlines: BTreeSet<(TimePoint, CallId)>,
+    pub(crate) now: TimePoint,
 }
 
 impl RouteDesk {
@@ -47,11 +46,16 @@
             lengths: LengthTable::default(),
             prefixes: PrefixTable::default(),
             queues: BTreeMap::new(),
+            counters: DeskCounters::default(),
+            decisions: DecisionLog::default(),
+            deadlines: BTreeSet::new(),
+            now: TimePoint::default(),
         }
     }
 
     /// Takes one event and gives what is to be done now.
     pub fn handle(&mut self, now: TimePoint, event: RouteEvent) -> Vec<RouteAction> {
+        self.now = now;
         match event {
             RouteEvent::Service { service, kind, weights, shares } => {
                 let view = self.services.entry(service).or_default();
@@ -76,16 +80,47 @@
             RouteEvent::Ended { call, end } => self.end(now, call, end),
             RouteEvent::Tick => (),
         }
-        self.send_waiting(now)
+        let mut actions = self.refuse_late(now);
+        actions.extend(self.send_waiting(now));
+        actions
     }
 
     /// The desk's state, for the dump.
     #[must_use]
-    pub fn summary(&self) -> String {
-        format!("{:?}: {} calls", self.settings.policy, self.calls.len())
+    pub fn summary(&self) -> DeskSummary {
+        let waiting = self.queues.iter().map(|((service, model), queue)| {
+            let model = model.as_ref().map_or("", |model| model.as_str());
+            (format!("{service}/{model}"), queue.len())
+        });
+        let runners = self.runners.iter().map(|view| (view.runner.clone(), self.summarize(view)));
+        DeskSummary {
+            policy: self.settings.policy,
+            counters: DeskCounters { cache_gaps: self.prefixes.gaps(), ..self.counters },
+            running: self.calls.values().filter(|record| record.slot.is_some()).count(),
+            waiting: waiting.collect(),
+            length_groups: self.lengths.len(),
+            runners: runners.collect(),
+            decisions: self.decisions.to_vec(),
+        }
+    }
+
+    fn summarize(&self, view: &RunnerView) -> RunnerSummary {
+        RunnerSummary {
+            calls: view.corrected_calls(),
+            own_calls: view.own.len(),
+            used_share: view.memory_tokens().map(|memory| view.used_tokens() / memory),
+            report_age: self.now.since(view.reported),
+            leaving: view.leaving,
+            ejected_for: view.health.ejected_until.since(self.now),
+        }
     }
 
     fn take_members(&mut self, service: &ServiceName, members: Vec<RouteMember>) {
+        let entry = format!("{}/{}", self.settings.place, self.settings.seed);
+        let members = match self.settings.policy {
+            PolicyName::Product => subset::choose(&entry, &self.settings.place, members),
+            _ => members,
+        };
         let mut slots = Vec::with_capacity(members.len());
         for member in members {
             let next = self.runners.len();
@@ -96,7 +131,20 @@
             self.runners[slot].leaving = member.leaving;
             slots.push(slot);
         }
-        self.services.entry(service.clone()).or_default().slots = slots;
+        let view = self.services.entry(service.clone()).or_default();
+        for &gone in view.slots.iter().filter(|slot| !slots.contains(slot)) {
+            self.runners[gone].forget_report();
+            self.prefixes.forget(gone);
+        }
+        let used = || slots.iter().map(|slot| &self.runners[*slot]);
+        view.reported_calls = used().map(RunnerView::reported_calls).sum();
+        view.own_calls = used().map(|runner| runner.own.len() as u32).sum();
+        view.own_forecast = MemoryForecast::default();
+        used().for_each(|runner| view.own_forecast += runner.own_forecast);
+        for &slot in &slots {
+            self.runners[slot].service = Some(service.clone());
+        }
+        view.slots = slots;
     }
 
     fn take_report(&mut self, now: TimePoint, report: RunnerReport) {
@@ -104,21 +152,70 @@
             return;
         };
         let step = report.step;
+        let busy = report.running > 0;
         let before = self.runners[slot].reported_calls();
-        if self.runners[slot].take_report(now, report)
-            && self.settings.policy == PolicyName::Product
-        {
-            self.runners[slot].ticket = self.random.random();
-            self.refresh_forecast(now, slot, step);
-            let now = self.runners[slot].reported_calls();
-            if let Some(view) = self.service_of(slot) {
-                view.observe_calls(before, now);
+        let incarnation = self.runners[slot].incarnation();
+        if !self.runners[slot].take_report(now, report) {
+            return;
+        }
+        if incarnation != self.runners[slot].incarnation() {
+            self.prefixes.forget(slot);
+        }
+        if self.settings.policy != PolicyName::Product {
+            return;
+        }
+        self.runners[slot].ticket = self.random.random();
+        self.refresh_forecast(now, slot, step);
+        let calls = self.runners[slot].reported_calls();
+        let Some(view) = self.service_of(slot) else {
+            return;
+        };
+        view.observe_calls(before, calls);
+        view.observe_step(now, step);
+        let average = view.step_micros;
+        if busy {
+            self.runners[slot].health.take_step(now, step, average);
+        }
+    }
+
+    fn end(&mut self, now: TimePoint, call: CallId, end: CallEnd) {
+        let Some(record) = self.calls.remove(&call) else {
+            return;
+        };
+        self.deadlines.remove(&(record.call.deadline, call));
+        let name = (record.call.service.clone(), record.call.model.clone());
+        if let Some(queue) = self.queues.get_mut(&name) {
+            queue.remove(call);
+        }
+        let Some(slot) = record.slot else {
+            return;
+        };
+        let runner = &mut self.runners[slot];
+        runner.ended(now, call, record.context());
+        runner.own_forecast -= record.forecast;
+        match end {
+            CallEnd::Finished => {
+                runner.health.take_success();
+                self.counters.finished += 1;
+            }
+            CallEnd::Refused | CallEnd::Failed => {
+                runner.health.take_failure(now);
+                self.counters.failed += 1;
             }
+            CallEnd::Left => (),
+        }
+        if let Some(view) = self.services.get_mut(&record.call.service) {
+            view.own_forecast -= record.forecast;
+            view.own_calls = view.own_calls.saturating_sub(1);
+        }
+        if end != CallEnd::Refused {
+            let whole = end == CallEnd::Finished;
+            self.lengths.observe(&record.call, record.call.produced.0, whole);
         }
     }
 
     fn service_of(&mut self, slot: usize) -> Option<&mut ServiceView> {
-        self.services.values_mut().find(|view| view.slots.contains(&slot))
+        self.services.get_mut(self.runners[slot].service.as_ref()?)
     }
 
     /// Computes what the calls of this entry at a runner will need, and what the calls of
@@ -128,7 +225,6 @@
         let steps_since = now.since(reported).0.checked_div(step.0).unwrap_or(0) as u32;
         let mut own_tokens = 0.0;
         let mut forecast = MemoryForecast::default();
-        let mut service = None;
         for call in &self.runners[slot].own {
             let Some(record) = self.calls.get_mut(call) else {
                 continue;
@@ -140,128 +236,14 @@
                 let since = steps_since.min(record.call.produced.0);
                 own_tokens += f64::from(record.context() - since);
             }
-            service = Some(record.call.service.clone());
         }
         let runner = &mut self.runners[slot];
         let before = std::mem::replace(&mut runner.own_forecast, forecast);
         let known = own_tokens + runner.freed_tokens() as f64;
         runner.other_tokens = (runner.used_tokens() - known).max(0.0);
-        if let Some(view) = service.and_then(|service| self.services.get_mut(&service)) {
+        if let Some(view) = self.service_of(slot) {
             view.own_forecast -= before;
             view.own_forecast += forecast;
         }
     }
-
-    fn arrive(&mut self, now: TimePoint, call: RouteCall) -> Vec<RouteAction> {
-        let id = call.call;
-        let name = (call.service.clone(), call.model.clone());
-        let alive = self.lengths.alive(&call, call.produced.0);
-        let mut record = CallRecord::new(now, call);
-        record.forecast = MemoryForecast::of_generation(record.context(), alive);
-        if self.settings.policy == PolicyName::Product {
-            let view = self.services.entry(name.0.clone()).or_default();
-            let ahead = self.lengths.estimate(&record.call).expected_ahead(record.call.produced.0);
-            let work = u64::from(record.context()) + ahead as u64;
-            let share = view.share(&record.call.workspace);
-            let queue = self.queues.entry(name).or_default();
-            queue.push(id, record.call.priority, &record.call.workspace, work, share);
-            self.calls.insert(id, record);
-            return self.send_waiting(now);
-        }
-        self.calls.insert(id, record);
-        match self.choose_baseline(id) {
-            Some(slot) => vec![self.send(now, id, slot)],
-            None => vec![self.refuse(id, RefusalReason::NoRunner, DEFAULT_COME_BACK)],
-        }
-    }
-
-    fn choose_baseline(&mut self, id: CallId) -> Option<usize> {
-        let call = &self.calls.get(&id)?.call;
-        let view = self.services.entry(call.service.clone()).or_default();
-        let serves = |slot: &usize| self.runners[*slot].serves(call.model.as_ref());
-        let open: Vec<usize> = view.slots.iter().copied().filter(serves).collect();
-        let policy = self.settings.policy;
-        baseline::choose(policy, &self.runners, &open, &mut view.turn, &mut self.random)
-    }
-
-    fn send_waiting(&mut self, now: TimePoint) -> Vec<RouteAction> {
-        let mut actions = Vec::new();
-        let names: Vec<QueueName> = self.queues.keys().cloned().collect();
-        for name in names {
-            while let Some(call) = self.queues.get(&name).and_then(WaitQueue::first) {
-                let Some(slot) = self.choose(now, call) else {
-                    break;
-                };
-                if let Some(queue) = self.queues.get_mut(&name) {
-                    queue.remove(call);
-                }
-                actions.push(self.send(now, call, slot));
-            }
-        }
-        actions
-    }
-
-    fn choose(&mut self, now: TimePoint, id: CallId) -> Option<usize> {
-        let record = self.calls.get(&id)?;
-        let view = self.services.get(&record.call.service)?;
-        let model = record.call.model.as_ref();
-        let mut best: Option<(f64, usize)> = None;
-        for &slot in &view.slots {
-            let runner = &self.runners[slot];
-            if !runner.serves(model) {
-                continue;
-            }
-            let cached = runner_score::is_cached(&self.prefixes, slot, record);
-            let score = runner_score::score(now, record, view, runner, cached);
-            let noise = SCORE_NOISE * self.random.random::<f64>();
-            if score.open && best.is_none_or(|(cost, _)| score.cost + noise < cost) {
-                best = Some((score.cost + noise, slot));
-            }
-        }
-        best.map(|(_, slot)| slot)
-    }
-
-    fn send(&mut self, now: TimePoint, call: CallId, slot: usize) -> RouteAction {
-        let runner = self.runners[slot].runner.clone();
-        let mut attempt = 0;
-        if let Some(record) = self.calls.get_mut(&call) {
-            attempt = record.attempt;
-            record.attempt += 1;
-            record.slot = Some(slot);
-            record.sent = now;
-            self.runners[slot].sent(now, call, record.context());
-            self.runners[slot].own_forecast += record.forecast;
-            if let Some(view) = self.services.get_mut(&record.call.service) {
-                view.own_forecast += record.forecast;
-                view.own_calls += 1;
-            }
-        }
-        RouteAction::Send { call, runner, attempt: AttemptNumber(attempt) }
-    }
-
-    fn refuse(&mut self, call: CallId, reason: RefusalReason, come_back: TimeSpan) -> RouteAction {
-        self.calls.remove(&call);
-        RouteAction::Refuse { call, reason, come_back }
-    }
-
-    fn end(&mut self, now: TimePoint, call: CallId, end: CallEnd) {
-        let Some(record) = self.calls.remove(&call) else {
-            return;
-        };
-        if let Some(slot) = record.slot {
-            self.runners[slot].ended(now, call, record.context());
-            self.runners[slot].own_forecast -= record.forecast;
-            if let Some(view) = self.services.get_mut(&record.call.service) {
-                view.own_forecast -= record.forecast;
-                view.own_calls = view.own_calls.saturating_sub(1);
-            }
-        }
-        for queue in self.queues.values_mut() {
-            queue.remove(call);
-        }
-        if end != CallEnd::Refused {
-            let whole = end == CallEnd::Finished;
-            self.lengths.observe(&record.call, record.call.produced.0, whole);
-        }
-    }
 }
--- /dev/null
+++ b/crates/route/src/desk_dispatch.rs
@@ -0,0 +1,251 @@
+//! The desk's way of a call: arrival, queue, choice of a runner, refusal.
+
+use base::{AttemptNumber, prelude::*};
+use config::ServiceKind;
+use rand::RngExt;
+
+use crate::desk::{QueueName, RouteDesk};
+use crate::runner_score::{self, RunnerScore};
+use crate::{
+    CallId, CallRecord, DeskDecision, MemoryForecast, PolicyName, RouteAction, RouteCall,
+    WaitQueue, baseline,
+};
+
+/// Time after which a refused caller may try again when nothing better is known.
+const DEFAULT_COME_BACK: TimeSpan = TimeSpan::seconds(1);
+
+/// Longest time that a refused caller is told.
+const LONGEST_COME_BACK: TimeSpan = TimeSpan::seconds(60);
+
+/// Largest random part of a runner's cost, so that entries do not all choose alike.
+const SCORE_NOISE: f64 = 0.15;
+
+/// Runners are ejected only while fewer than one in this many are.
+const EJECTED_SHARE_DIVISOR: usize = 3;
+
+/// Time that a runner's reports may lag behind the newest one of its service.
+const SILENT_SPAN: TimeSpan = TimeSpan::millis(1_500);
+
+impl RouteDesk {
+    pub(crate) fn arrive(&mut self, now: TimePoint, call: RouteCall) -> Vec<RouteAction> {
+        self.counters.arrived += 1;
+        let id = call.call;
+        let alive = self.lengths.alive(&call, call.produced.0);
+        let mut record = CallRecord::new(now, call);
+        record.forecast = MemoryForecast::of_generation(record.context(), alive);
+        if self.settings.policy != PolicyName::Product {
+            self.calls.insert(id, record);
+            return match self.choose_baseline(id) {
+                Some(slot) => vec![self.send(now, id, slot, None)],
+                None => vec![self.refuse(now, id, RefusalReason::NoRunner, DEFAULT_COME_BACK)],
+            };
+        }
+        if let Some((reason, come_back)) = self.find_refusal(now, &record) {
+            self.calls.insert(id, record);
+            return vec![self.refuse(now, id, reason, come_back)];
+        }
+        self.enqueue(id, record);
+        self.send_waiting(now)
+    }
+
+    fn enqueue(&mut self, id: CallId, record: CallRecord) {
+        let call = &record.call;
+        let ahead = self.lengths.estimate(call).expected_ahead(call.produced.0);
+        let work = u64::from(record.context()) + ahead as u64;
+        let share = self.services.entry(call.service.clone()).or_default().share(&call.workspace);
+        let name = (call.service.clone(), call.model.clone());
+        let queue = self.queues.entry(name).or_default();
+        queue.push(id, call.priority, &call.workspace, work, share);
+        self.deadlines.insert((call.deadline, id));
+        self.calls.insert(id, record);
+    }
+
+    /// Why a call that has just arrived has to be refused, and when to come back.
+    fn find_refusal(
+        &mut self,
+        now: TimePoint,
+        record: &CallRecord,
+    ) -> Option<(RefusalReason, TimeSpan)> {
+        let call = &record.call;
+        if call.deadline <= now {
+            return Some((RefusalReason::DeadlinePassed, TimeSpan::default()));
+        }
+        let view = self.services.get(&call.service);
+        let slots = view.map_or(&[][..], |view| view.slots.as_slice());
+        if !slots.iter().any(|slot| self.runners[*slot].serves(call.model.as_ref())) {
+            return Some((RefusalReason::NoRunner, DEFAULT_COME_BACK));
+        }
+        let queue = self.queues.get(&(call.service.clone(), call.model.clone()))?;
+        let wait = queue.wait(call.priority);
+        let step = TimeSpan::micros(view.map_or(0.0, |view| view.step_micros) as u64);
+        let ahead = self.lengths.estimate(call).expected_ahead(call.produced.0);
+        let run = TimeSpan::micros((ahead * step.0 as f64) as u64);
+        let slack = call.deadline.since(now + run);
+        if wait > slack && !queue.is_empty() {
+            let excess = TimeSpan(wait.0 - slack.0);
+            return Some((RefusalReason::Overloaded, self.come_back(excess)));
+        }
+        let waiting: usize = self.queues.values().map(WaitQueue::len).sum();
+        (waiting >= self.settings.queue_limit)
+            .then(|| (RefusalReason::TableFull, self.come_back(wait)))
+    }
+
+    /// When to come back if the wait is too long by `excess`: spread, so that refused
+    /// callers do not return together.
+    fn come_back(&mut self, excess: TimeSpan) -> TimeSpan {
+        let span = excess.clamp(DEFAULT_COME_BACK, LONGEST_COME_BACK);
+        TimeSpan((span.0 as f64 * self.random.random_range(0.75..1.25)) as u64)
+    }
+
+    /// Refuses waiting calls whose deadline has passed, and all for which no runner is
+    /// left.
+    pub(crate) fn refuse_late(&mut self, now: TimePoint) -> Vec<RouteAction> {
+        let mut actions = Vec::new();
+        while let Some(&(deadline, call)) = self.deadlines.first() {
+            if deadline > now {
+                break;
+            }
+            self.deadlines.remove(&(deadline, call));
+            actions.push(self.refuse(
+                now,
+                call,
+                RefusalReason::DeadlinePassed,
+                TimeSpan::default(),
+            ));
+        }
+        let waiting = self.queues.iter().filter(|(_, queue)| !queue.is_empty());
+        let names: Vec<QueueName> = waiting.map(|(name, _)| name.clone()).collect();
+        for name in names {
+            let view = self.services.get(&name.0);
+            let slots = view.map_or(&[][..], |view| view.slots.as_slice());
+            if slots.iter().any(|slot| self.runners[*slot].serves(name.1.as_ref())) {
+                continue;
+            }
+            let calls: Vec<CallId> = self.queues[&name].calls().collect();
+            for call in calls {
+                let come_back = self.come_back(DEFAULT_COME_BACK);
+                actions.push(self.refuse(now, call, RefusalReason::NoRunner, come_back));
+            }
+        }
+        actions
+    }
+
+    fn choose_baseline(&mut self, id: CallId) -> Option<usize> {
+        let call = &self.calls.get(&id)?.call;
+        let view = self.services.entry(call.service.clone()).or_default();
+        let serves = |slot: &usize| self.runners[*slot].serves(call.model.as_ref());
+        let open: Vec<usize> = view.slots.iter().copied().filter(serves).collect();
+        let policy = self.settings.policy;
+        baseline::choose(policy, &self.runners, &open, &mut view.turn, &mut self.random)
+    }
+
+    /// Sends waiting calls in order, as long as a runner is open to the next one.
+    pub(crate) fn send_waiting(&mut self, now: TimePoint) -> Vec<RouteAction> {
+        let mut actions = Vec::new();
+        let names: Vec<QueueName> = self.queues.keys().cloned().collect();
+        for name in names {
+            while let Some(call) = self.queues.get(&name).and_then(WaitQueue::first) {
+                let Some((slot, score)) = self.choose(now, call) else {
+                    break;
+                };
+                if let Some(queue) = self.queues.get_mut(&name) {
+                    queue.take(now, call);
+                }
+                actions.push(self.send(now, call, slot, Some(score)));
+            }
+        }
+        actions
+    }
+
+    /// The open runner of the lowest cost.
+    fn choose(&mut self, now: TimePoint, id: CallId) -> Option<(usize, RunnerScore)> {
+        let record = self.calls.get(&id)?;
+        let view = self.services.get(&record.call.service)?;
+        let model = record.call.model.as_ref();
+        let serving = || view.slots.iter().copied().filter(|s| self.runners[*s].serves(model));
+        let healthy = |slot: usize| {
+            let runner = &self.runners[slot];
+            let silent = view.received.since(runner.received) > SILENT_SPAN;
+            runner.health.is_open(now) && !(silent && runner.report.is_some())
+        };
+        let ejected = serving().filter(|slot| !healthy(*slot)).count();
+        let ejects = ejected * EJECTED_SHARE_DIVISOR <= serving().count();
+        let mut best: Option<(f64, usize, RunnerScore)> = None;
+        for slot in serving().filter(|slot| !ejects || healthy(*slot)) {
+            let cached = runner_score::is_cached(&self.prefixes, slot, record);
+            let score = runner_score::score(now, record, view, &self.runners[slot], cached);
+            let noise = match view.kind {
+                ServiceKind::Model => SCORE_NOISE,
+                ServiceKind::Plain => 1.0,
+            };
+            let cost = score.cost + noise * self.random.random::<f64>();
+            if score.open && best.is_none_or(|(least, _, _)| cost < least) {
+                best = Some((cost, slot, score));
+            }
+        }
+        best.map(|(_, slot, score)| (slot, score))
+    }
+
+    fn send(
+        &mut self,
+        now: TimePoint,
+        call: CallId,
+        slot: usize,
+        score: Option<RunnerScore>,
+    ) -> RouteAction {
+        let runner = self.runners[slot].runner.clone();
+        self.counters.sent += 1;
+        let mut attempt = 0;
+        if let Some(record) = self.calls.get_mut(&call) {
+            self.deadlines.remove(&(record.call.deadline, call));
+            attempt = record.attempt;
+            record.attempt += 1;
+            record.slot = Some(slot);
+            record.sent = now;
+            self.runners[slot].sent(now, call, record.context());
+            self.runners[slot].own_forecast += record.forecast;
+            if let Some(view) = self.services.get_mut(&record.call.service) {
+                view.own_forecast += record.forecast;
+                view.own_calls += 1;
+            }
+            self.decisions.push(DeskDecision {
+                at: now,
+                call,
+                runner: Some(runner.clone()),
+                waited: now.since(record.arrived),
+                risk: score.map_or(0.0, |score| score.risk),
+                cost: score.map_or(0.0, |score| score.cost),
+                refusal: None,
+            });
+        }
+        RouteAction::Send { call, runner, attempt: AttemptNumber(attempt) }
+    }
+
+    fn refuse(
+        &mut self,
+        now: TimePoint,
+        call: CallId,
+        reason: RefusalReason,
+        come_back: TimeSpan,
+    ) -> RouteAction {
+        self.counters.refused += 1;
+        let mut waited = TimeSpan::default();
+        if let Some(record) = self.calls.remove(&call) {
+            waited = now.since(record.arrived);
+            self.deadlines.remove(&(record.call.deadline, call));
+            if let Some(queue) = self.queues.get_mut(&(record.call.service, record.call.model)) {
+                queue.remove(call);
+            }
+        }
+        self.decisions.push(DeskDecision {
+            at: now,
+            call,
+            runner: None,
+            waited,
+            risk: 0.0,
+            cost: 0.0,
+            refusal: Some(reason),
+        });
+        RouteAction::Refuse { call, reason, come_back }
+    }
+}
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -6,19 +6,25 @@
 
 mod baseline;
 mod call_record;
+mod decision_log;
 mod desk;
+mod desk_dispatch;
+mod desk_summary;
 mod event;
 mod forecast;
 mod length_estimate;
 mod length_table;
 mod prefix_table;
+mod runner_health;
 mod runner_score;
 mod runner_view;
 mod service_view;
+mod subset;
 mod wait_queue;
 
 pub use call_record::CallRecord;
 pub use desk::RouteDesk;
+pub use desk_summary::{DeskCounters, DeskDecision, DeskSummary, RunnerSummary};
 pub use event::{
     CallEnd, CallId, PolicyName, RouteAction, RouteCall, RouteEvent, RouteMember, RouteSettings,
 };
@@ -26,6 +32,7 @@
 pub use length_estimate::LengthEstimate;
 pub use length_table::LengthTable;
 pub use prefix_table::PrefixTable;
+pub use runner_health::RunnerHealth;
 pub use runner_score::RunnerScore;
 pub use runner_view::RunnerView;
 pub use service_view::ServiceView;
--- a/crates/route/src/runner_score.rs
+++ b/crates/route/src/runner_score.rs
@@ -76,7 +76,8 @@
     let limit = risk_limit(record.call.priority);
     let roomy = crowded.chance_above(memory) <= limit;
     let allowed = runner.sent_calls == 0 && runner.ticket * view.entry_factor < 1.0;
-    let open = risk <= limit && (urgent || waiting == 0.0 && (roomy || allowed));
+    let held = runner.health.is_recovering(now) && runner.sent_calls > 0;
+    let open = !held && risk <= limit && (urgent || waiting == 0.0 && (roomy || allowed));
     RunnerScore { cost, risk, open }
 }
 
--- a/crates/route/src/runner_view.rs
+++ b/crates/route/src/runner_view.rs
@@ -4,7 +4,7 @@
 
 use base::prelude::*;
 
-use crate::{CallId, MemoryForecast};
+use crate::{CallId, MemoryForecast, RunnerHealth};
 
 /// A change of a runner's load by this entry.
 #[derive(Debug, Clone, Copy)]
@@ -19,6 +19,8 @@
 pub struct RunnerView {
     /// The runner.
     pub runner: RunnerId,
+    /// The service that it serves.
+    pub service: Option<ServiceName>,
     /// Its failure domain.
     pub place: PlaceName,
     /// It gets no new work.
@@ -27,6 +29,10 @@
     pub report: Option<RunnerReport>,
     /// The instant that the report describes.
     pub reported: TimePoint,
+    /// When that report arrived.
+    pub received: TimePoint,
+    /// Whether it works as the others do.
+    pub health: RunnerHealth,
     /// Calls of this entry at the runner.
     pub own: BTreeSet<CallId>,
     /// Forecast of this entry's calls at the runner.
@@ -47,10 +53,13 @@
     pub fn new(runner: RunnerId, place: PlaceName) -> Self {
         Self {
             runner,
+            service: None,
             place,
             leaving: false,
             report: None,
             reported: TimePoint::default(),
+            received: TimePoint::default(),
+            health: RunnerHealth::default(),
             own: BTreeSet::new(),
             own_forecast: MemoryForecast::default(),
             other_tokens: 0.0,
@@ -69,6 +78,7 @@
             return false;
         }
         self.reported = now - report.age;
+        self.received = now;
         self.report = Some(report);
         self.sent_calls = 0;
         while self.changes.front().is_some_and(|change| change.at <= self.reported) {
@@ -77,6 +87,19 @@
         true
     }
 
+    /// Forgets what the runner reported, as when it left the list.
+    pub fn forget_report(&mut self) {
+        self.report = None;
+        self.other_tokens = 0.0;
+        self.health = RunnerHealth::default();
+    }
+
+    /// The runner's start that the last report is from.
+    #[must_use]
+    pub fn incarnation(&self) -> Option<u64> {
+        self.report.as_ref().map(|report| report.incarnation)
+    }
+
     /// This entry sent a call of `tokens` to the runner.
     pub fn sent(&mut self, now: TimePoint, call: CallId, tokens: u32) {
         self.own.insert(call);
--- a/crates/route/src/service_view.rs
+++ b/crates/route/src/service_view.rs
@@ -8,6 +8,9 @@
 /// Highest number of entries that are taken to share the runners.
 const ENTRY_FACTOR_LIMIT: f64 = 64.0;
 
+/// Weight of the newest report in the averaged step time.
+const STEP_WEIGHT: f64 = 0.02;
+
 /// Weight of the newest report in the averaged factor.
 const ENTRY_FACTOR_WEIGHT: f64 = 0.02;
 
@@ -33,6 +36,10 @@
     /// Calls at the runners for each one of this entry, averaged over time: as many
     /// entries seem to share the runners.
     pub entry_factor: f64,
+    /// Step time of its runners, in microseconds, averaged.
+    pub step_micros: f64,
+    /// When the newest report of any of its runners arrived.
+    pub received: TimePoint,
 }
 
 impl Default for ServiceView {
@@ -47,6 +54,8 @@
             reported_calls: 0,
             own_calls: 0,
             entry_factor: 1.0,
+            step_micros: 0.0,
+            received: TimePoint::default(),
         }
     }
 }
@@ -67,6 +76,16 @@
         self.entry_factor += ENTRY_FACTOR_WEIGHT * (factor - self.entry_factor);
     }
 
+    /// Takes the step time of a report that arrived now.
+    pub fn observe_step(&mut self, now: TimePoint, step: TimeSpan) {
+        self.received = now;
+        let step = step.0 as f64;
+        if self.step_micros <= 0.0 {
+            self.step_micros = step;
+        }
+        self.step_micros += STEP_WEIGHT * (step - self.step_micros);
+    }
+
     /// What load of other entries, now of `tokens`, will need: it grows as this entry's
     /// own load does.
     #[must_use]
--- a/crates/route/src/wait_queue.rs
+++ b/crates/route/src/wait_queue.rs
@@ -31,8 +31,16 @@
     last_finish: BTreeMap<(CallPriority, WorkspaceId), u64>,
     clock: BTreeMap<CallPriority, u64>,
     work: BTreeMap<CallPriority, u64>,
+    sent_work: u64,
+    sent_since: TimePoint,
+    rate: Option<f64>,
 }
 
+/// Time over which the rate of sending is counted.
+const RATE_PERIOD: TimeSpan = TimeSpan::seconds(2);
+/// Weight of the newest period in the averaged rate.
+const RATE_WEIGHT: f64 = 0.3;
+
 impl WaitQueue {
     /// Puts a call in that stands for `work` tokens; its workspace has `share`.
     pub fn push(
@@ -59,19 +67,6 @@
         self.order.first_key_value().map(|(_, call)| *call)
     }
 
-    /// The first call of each priority, the most urgent first.
-    #[must_use]
-    pub fn heads(&self) -> Vec<CallId> {
-        const PRIORITIES: [CallPriority; 3] =
-            [CallPriority::Urgent, CallPriority::Normal, CallPriority::LateTolerant];
-        let head = |priority| {
-            let from = WaitTag { priority, finish: 0, call: CallId(0) };
-            let (tag, call) = self.order.range(from..).next()?;
-            (tag.priority == priority).then_some(*call)
-        };
-        PRIORITIES.into_iter().filter_map(head).collect()
-    }
-
     /// Takes a call out, whether its turn has come or not.
     pub fn remove(&mut self, call: CallId) -> bool {
         let Some(waiting) = self.waiting.remove(&call) else {
@@ -90,6 +85,34 @@
         true
     }
 
+    /// Takes a call out that is sent now; its work counts for the rate of sending.
+    pub fn take(&mut self, now: TimePoint, call: CallId) {
+        self.sent_work += self.waiting.get(&call).map_or(0, |waiting| waiting.work);
+        let period = now.since(self.sent_since);
+        if period >= RATE_PERIOD {
+            let rate = self.sent_work as f64 / period.as_seconds();
+            let before = self.rate.unwrap_or(rate);
+            self.rate = Some(before + RATE_WEIGHT * (rate - before));
+            self.sent_work = 0;
+            self.sent_since = now;
+        }
+        self.remove(call);
+    }
+
+    /// Forecast wait of a call of this priority that arrives now; zero while nothing is
+    /// known about the rate of sending.
+    #[must_use]
+    pub fn wait(&self, priority: CallPriority) -> TimeSpan {
+        let ahead = self.work_ahead(priority) as f64;
+        let seconds = self.rate.filter(|rate| *rate > 0.0).map_or(0.0, |rate| ahead / rate);
+        TimeSpan::micros((seconds * 1e6) as u64)
+    }
+
+    /// All waiting calls in order.
+    pub fn calls(&self) -> impl Iterator<Item = CallId> + '_ {
+        self.order.values().copied()
+    }
+
     /// Work that waits and is at least as urgent as `priority`, in tokens.
     #[must_use]
     pub fn work_ahead(&self, priority: CallPriority) -> u64 {
