Go on without reports from what the entry itself sees

Cause: with frozen reports a tight runner never opened again and others' load stood still. Changed: from 1 s without a report, the desk computes its own forecast every 250 ms, takes the load of others to be like its own, and draws again whose turn it is.

--- a/crates/route/src/desk.rs
+++ b/crates/route/src/desk.rs
@@ -12,6 +12,12 @@
     RunnerView, ServiceView, WaitQueue, subset,
 };
 
+/// Age of a runner's last report from which the desk goes on without it.
+const UNREPORTED_SPAN: TimeSpan = TimeSpan::seconds(1);
+
+/// Time between two forecasts of a runner that does not report.
+const REFRESH_PERIOD: TimeSpan = TimeSpan::millis(250);
+
 /// A queue is kept for each service and model.
 pub(crate) type QueueName = (ServiceName, Option<ModelName>);
 
@@ -78,7 +84,7 @@
                 return Vec::new();
             }
             RouteEvent::Ended { call, end } => self.end(now, call, end),
-            RouteEvent::Tick => (),
+            RouteEvent::Tick => self.refresh_unreported(now),
         }
         let mut actions = self.refuse_late(now);
         actions.extend(self.send_waiting(now));
@@ -214,6 +220,33 @@
         }
     }
 
+    /// Goes on without reports: the load of other entries is taken to be like this
+    /// entry's own, spread evenly.
+    fn refresh_unreported(&mut self, now: TimePoint) {
+        if self.settings.policy != PolicyName::Product {
+            return;
+        }
+        for slot in 0..self.runners.len() {
+            let runner = &self.runners[slot];
+            let late = now.since(runner.received) > UNREPORTED_SPAN && runner.report.is_some();
+            if !late || now.since(runner.refreshed) < REFRESH_PERIOD {
+                continue;
+            }
+            let step = runner.report.as_ref().map_or(TimeSpan::default(), |report| report.step);
+            self.refresh_forecast(now, slot, step);
+            let Some(view) = self.service_of(slot) else {
+                continue;
+            };
+            let own_tokens = view.own_forecast.mean[0] / view.slots.len().max(1) as f64;
+            let other_tokens = (view.entry_factor - 1.0) * own_tokens;
+            let ticket = self.random.random();
+            let runner = &mut self.runners[slot];
+            runner.other_tokens = other_tokens;
+            runner.ticket = ticket;
+            runner.sent_calls = 0;
+        }
+    }
+
     fn service_of(&mut self, slot: usize) -> Option<&mut ServiceView> {
         self.services.get_mut(self.runners[slot].service.as_ref()?)
     }
@@ -238,6 +271,7 @@
             }
         }
         let runner = &mut self.runners[slot];
+        runner.refreshed = now;
         let before = std::mem::replace(&mut runner.own_forecast, forecast);
         let known = own_tokens + runner.freed_tokens() as f64;
         runner.other_tokens = (runner.used_tokens() - known).max(0.0);
--- a/crates/route/src/runner_score.rs
+++ b/crates/route/src/runner_score.rs
@@ -19,6 +19,9 @@
 /// Weight of the chance that memory is exceeded, at weights of 1.
 const RISK_COST: f64 = 1.0;
 
+/// Age of a report up to which its count of waiting calls is believed.
+const WAITING_SPAN: TimeSpan = TimeSpan::seconds(1);
+
 /// Highest chance of exceeding a runner's memory that an urgent call may bring about.
 const URGENT_RISK: f64 = 0.5;
 /// The same for a normal call.
@@ -65,7 +68,8 @@
     forecast += record.forecast;
     crowded += record.forecast.scaled(view.entry_factor);
     let risk = forecast.chance_above(memory);
-    let waiting = f64::from(runner.waiting());
+    let reported = now.since(runner.received) <= WAITING_SPAN;
+    let waiting = if reported { f64::from(runner.waiting()) } else { 0.0 };
     let prefill = runner.sent_tokens(now - PREFILL_SPAN) as f64 / 1_000.0;
     let cost = MEMORY_COST * highest(&forecast) / memory
         + WAITING_COST * waiting
--- a/crates/route/src/runner_view.rs
+++ b/crates/route/src/runner_view.rs
@@ -44,9 +44,15 @@
     pub ticket: f64,
     /// Calls sent since the last report arrived.
     pub sent_calls: u32,
+    /// When the forecast was last computed.
+    pub refreshed: TimePoint,
     changes: VecDeque<LoadChange>,
+    folded_calls: i32,
 }
 
+/// Changes kept one by one; older ones are only counted.
+const CHANGE_LIMIT: usize = 1_024;
+
 impl RunnerView {
     /// A runner of which nothing is known yet.
     #[must_use]
@@ -65,7 +71,9 @@
             other_tokens: 0.0,
             ticket: 1.0,
             sent_calls: 0,
+            refreshed: TimePoint::default(),
             changes: VecDeque::new(),
+            folded_calls: 0,
         }
     }
 
@@ -81,6 +89,7 @@
         self.received = now;
         self.report = Some(report);
         self.sent_calls = 0;
+        self.folded_calls = 0;
         while self.changes.front().is_some_and(|change| change.at <= self.reported) {
             self.changes.pop_front();
         }
@@ -104,13 +113,20 @@
     pub fn sent(&mut self, now: TimePoint, call: CallId, tokens: u32) {
         self.own.insert(call);
         self.sent_calls += 1;
-        self.changes.push_back(LoadChange { at: now, calls: 1, tokens: i64::from(tokens) });
+        self.change(LoadChange { at: now, calls: 1, tokens: i64::from(tokens) });
     }
 
     /// A call of this entry that held `tokens` is gone from the runner.
     pub fn ended(&mut self, now: TimePoint, call: CallId, tokens: u32) {
         if self.own.remove(&call) {
-            self.changes.push_back(LoadChange { at: now, calls: -1, tokens: -i64::from(tokens) });
+            self.change(LoadChange { at: now, calls: -1, tokens: -i64::from(tokens) });
+        }
+    }
+
+    fn change(&mut self, change: LoadChange) {
+        self.changes.push_back(change);
+        if self.changes.len() > CHANGE_LIMIT {
+            self.folded_calls += self.changes.pop_front().map_or(0, |oldest| oldest.calls);
         }
     }
 
@@ -124,7 +140,7 @@
     #[must_use]
     pub fn corrected_calls(&self) -> u32 {
         let change: i32 = self.changes.iter().map(|change| change.calls).sum();
-        self.reported_calls().saturating_add_signed(change)
+        self.reported_calls().saturating_add_signed(change + self.folded_calls)
     }
 
     /// Tokens that this entry saw freed since the report.
