--- a/crates/load/src/policy/mod.rs
+++ b/crates/load/src/policy/mod.rs
@@ -21,6 +21,6 @@
 pub use error::{PolicyError, Result};
 pub use figure_table::FigureTable;
 pub use oracle_desk::OracleDesk;
-pub use policy_command::PolicyCommand;
+pub use policy_command::{PolicyCommand, simulate_all};
 pub use simulation::{BenchSettings, simulate};
 pub use workload::{BenchWorkspace, Workload, WorkloadName};
--- /dev/null
+++ b/crates/route/tests/common/mod.rs
@@ -0,0 +1,118 @@
+//! A desk with a clock, for the tests.
+
+use base::prelude::*;
+use config::{CallPriority, PolicyWeights, ServiceKind};
+use route::{
+    CallId, PolicyName, RouteAction, RouteCall, RouteDesk, RouteEvent, RouteMember, RouteSettings,
+};
+
+/// A desk and the present instant.
+pub struct DeskHarness {
+    pub desk: RouteDesk,
+    pub now: TimePoint,
+    reports: u64,
+}
+
+impl DeskHarness {
+    /// A product desk with this many members.
+    pub fn new(members: usize) -> Self {
+        let settings = RouteSettings {
+            policy: PolicyName::Product,
+            seed: 7,
+            place: "place-0".parse().unwrap(),
+            queue_limit: 10_000,
+        };
+        let now = TimePoint::default() + TimeSpan::seconds(10);
+        let mut harness = Self { desk: RouteDesk::new(settings), now, reports: 0 };
+        harness.tell(RouteEvent::Service {
+            service: service(),
+            kind: ServiceKind::Model,
+            weights: PolicyWeights::default(),
+            shares: vec![("workspace-0".parse().unwrap(), 2)],
+        });
+        harness.members((0..members).map(member).collect());
+        harness
+    }
+
+    pub fn tell(&mut self, event: RouteEvent) -> Vec<RouteAction> {
+        self.desk.handle(self.now, event)
+    }
+
+    pub fn arrive(&mut self, call: RouteCall) -> Vec<RouteAction> {
+        self.tell(RouteEvent::Arrive(call))
+    }
+
+    pub fn report(&mut self, report: RunnerReport) -> Vec<RouteAction> {
+        self.reports += 1;
+        self.tell(RouteEvent::Report(RunnerReport { sequence: self.reports, ..report }))
+    }
+
+    pub fn members(&mut self, members: Vec<RouteMember>) -> Vec<RouteAction> {
+        self.tell(RouteEvent::Members { service: service(), members })
+    }
+
+    pub fn advance(&mut self, span: TimeSpan) {
+        self.now = self.now + span;
+    }
+}
+
+pub fn service() -> ServiceName {
+    "summary".parse().unwrap()
+}
+
+pub fn runner(number: usize) -> RunnerId {
+    format!("runner-{number}").parse().unwrap()
+}
+
+pub fn member(number: usize) -> RouteMember {
+    let place = format!("place-{}", number % 3).parse().unwrap();
+    RouteMember { runner: runner(number), place, leaving: false }
+}
+
+pub fn id(number: u64) -> CallId {
+    CallId(number)
+}
+
+pub fn call(number: u64, priority: CallPriority) -> RouteCall {
+    RouteCall {
+        call: id(number),
+        service: service(),
+        model: Some("model".parse().unwrap()),
+        workspace: format!("workspace-{}", number % 3).parse().unwrap(),
+        priority,
+        prompt_tokens: TokenCount(500),
+        max_tokens: TokenCount(4_000),
+        prefix: 7,
+        deadline: TimePoint::NEVER,
+        streamed: true,
+        movable: true,
+        produced: TokenCount(0),
+    }
+}
+
+pub fn report(number: usize, used_blocks: u32, running: u32) -> RunnerReport {
+    RunnerReport {
+        runner: runner(number),
+        incarnation: 1,
+        sequence: 0,
+        age: TimeSpan::millis(50),
+        used_blocks: BlockCount(used_blocks),
+        total_blocks: BlockCount(2_048),
+        block_tokens: 16,
+        running,
+        waiting: 0,
+        preemptions: 0,
+        step: TimeSpan::millis(24),
+        leaving: false,
+        models: vec!["model".parse().unwrap()],
+        fence: 0,
+    }
+}
+
+/// The number of the call that an action sends.
+pub fn sent_call(action: &RouteAction) -> Option<u64> {
+    match action {
+        RouteAction::Send { call, .. } => Some(call.0),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/route/tests/desk.rs
@@ -0,0 +1,167 @@
+//! The desk's decisions, one rule at a time.
+
+mod common;
+
+use base::{CacheEvent, prelude::*};
+use common::{DeskHarness, call, id, report};
+use config::CallPriority;
+use route::{CallEnd, RouteAction, RouteEvent, RouteMember};
+
+fn sent_runner(actions: &[RouteAction]) -> Option<String> {
+    actions.iter().find_map(|action| match action {
+        RouteAction::Send { runner, .. } => Some(runner.to_string()),
+        _ => None,
+    })
+}
+
+#[test]
+fn a_full_runner_is_passed_over_and_all_full_ones_hold_the_call() {
+    let mut harness = DeskHarness::new(2);
+    harness.report(report(0, 2_040, 40));
+    harness.report(report(1, 100, 2));
+    let actions = harness.arrive(call(1, CallPriority::Normal));
+    assert_eq!(sent_runner(&actions).as_deref(), Some("runner-1"));
+    harness.report(report(1, 2_040, 40));
+    assert_eq!(harness.arrive(call(2, CallPriority::Normal)), vec![]);
+    harness.advance(TimeSpan::millis(300));
+    let actions = harness.report(report(1, 100, 2));
+    assert_eq!(sent_runner(&actions).as_deref(), Some("runner-1"));
+}
+
+#[test]
+fn urgent_calls_leave_the_queue_first() {
+    let mut harness = DeskHarness::new(1);
+    harness.report(report(0, 2_048, 40));
+    harness.arrive(call(1, CallPriority::LateTolerant));
+    harness.arrive(call(2, CallPriority::Normal));
+    harness.arrive(call(3, CallPriority::Urgent));
+    harness.advance(TimeSpan::millis(300));
+    let actions = harness.report(report(0, 10, 1));
+    let order: Vec<u64> = actions.iter().filter_map(common::sent_call).collect();
+    assert_eq!(order, vec![3, 2, 1]);
+}
+
+#[test]
+fn a_call_without_any_runner_is_refused_at_once() {
+    let mut harness = DeskHarness::new(0);
+    let actions = harness.arrive(call(1, CallPriority::Urgent));
+    assert!(matches!(actions[..], [RouteAction::Refuse { reason: RefusalReason::NoRunner, .. }]));
+}
+
+#[test]
+fn waiting_calls_are_refused_when_the_last_runner_leaves() {
+    let mut harness = DeskHarness::new(1);
+    harness.report(report(0, 2_048, 40));
+    assert_eq!(harness.arrive(call(1, CallPriority::Normal)), vec![]);
+    let member = RouteMember { leaving: true, ..common::member(0) };
+    let actions = harness.members(vec![member]);
+    assert!(matches!(actions[..], [RouteAction::Refuse { reason: RefusalReason::NoRunner, .. }]));
+}
+
+#[test]
+fn a_waiting_call_gets_its_final_answer_at_its_deadline() {
+    let mut harness = DeskHarness::new(1);
+    harness.report(report(0, 2_048, 40));
+    let mut late = call(1, CallPriority::Normal);
+    late.deadline = harness.now + TimeSpan::millis(50);
+    assert_eq!(harness.arrive(late), vec![]);
+    harness.advance(TimeSpan::millis(60));
+    let actions = harness.tell(RouteEvent::Tick);
+    assert!(matches!(
+        actions[..],
+        [RouteAction::Refuse { reason: RefusalReason::DeadlinePassed, .. }]
+    ));
+}
+
+#[test]
+fn a_wait_beyond_the_deadline_is_refused_with_a_time_to_come_back() {
+    let mut harness = DeskHarness::new(1);
+    for number in 0..200 {
+        harness.report(report(0, 100, 2));
+        harness.arrive(call(number, CallPriority::Normal));
+        harness.advance(TimeSpan::millis(100));
+        harness.tell(RouteEvent::Ended { call: id(number), end: CallEnd::Finished });
+    }
+    harness.report(report(0, 2_048, 40));
+    let refused = (200..5_000).find_map(|number| {
+        let mut call = call(number, CallPriority::Normal);
+        call.deadline = harness.now + TimeSpan::seconds(30);
+        match harness.arrive(call)[..] {
+            [RouteAction::Refuse { reason, come_back, .. }] => Some((reason, come_back)),
+            _ => None,
+        }
+    });
+    let (reason, come_back) = refused.expect("the queue can't grow without bounds");
+    assert_eq!(reason, RefusalReason::Overloaded);
+    assert!(come_back >= TimeSpan::millis(750) && come_back <= TimeSpan::seconds(75));
+}
+
+#[test]
+fn a_runner_that_refuses_gets_no_work_for_a_while() {
+    let mut harness = DeskHarness::new(4);
+    for runner in 0..4 {
+        harness.report(report(runner, 100, 2));
+    }
+    let first = sent_runner(&harness.arrive(call(1, CallPriority::Normal))).unwrap();
+    harness.tell(RouteEvent::Ended { call: id(1), end: CallEnd::Refused });
+    for number in 2..20 {
+        let next = sent_runner(&harness.arrive(call(number, CallPriority::Normal)));
+        assert_ne!(next.as_ref(), Some(&first));
+    }
+}
+
+#[test]
+fn a_slow_runner_is_ejected_but_not_half_of_all() {
+    let mut harness = DeskHarness::new(8);
+    for round in 0..20 {
+        for runner in 0..8 {
+            let slow = runner == 0 || (round > 10 && runner < 4);
+            let step = TimeSpan::millis(if slow { 120 } else { 24 });
+            harness.report(RunnerReport { step, ..report(runner, 100, 2) });
+        }
+        harness.advance(TimeSpan::millis(250));
+        if round == 9 {
+            let ejected = harness.desk.summary().runners;
+            let is_ejected = |(_, runner): &(_, &route::RunnerSummary)| runner.ejected_for.0 > 0;
+            assert_eq!(ejected.iter().filter(is_ejected).count(), 1);
+        }
+    }
+    let actions = harness.arrive(call(1, CallPriority::Normal));
+    assert!(sent_runner(&actions).is_some());
+}
+
+#[test]
+fn a_cached_prefix_attracts_its_calls() {
+    let mut harness = DeskHarness::new(4);
+    for runner in 0..4 {
+        harness.report(report(runner, 400, 8));
+    }
+    let event = CacheEvent { sequence: 1, prefix: 7, stored: true };
+    harness.tell(RouteEvent::Cache { runner: common::runner(2), event });
+    let actions = harness.arrive(call(1, CallPriority::Normal));
+    assert_eq!(sent_runner(&actions).as_deref(), Some("runner-2"));
+}
+
+#[test]
+fn a_thousand_runners_are_cut_to_a_stable_subset() {
+    let mut harness = DeskHarness::new(0);
+    let members: Vec<RouteMember> = (0..1_000).map(common::member).collect();
+    harness.members(members.clone());
+    let before = harness.desk.summary().runners;
+    assert_eq!(before.len(), 48);
+    let gone = before.keys().next().unwrap().clone();
+    let rest = members.into_iter().filter(|member| member.runner != gone).collect();
+    harness.members(rest);
+    let after = harness.desk.summary().runners;
+    assert_eq!(after.len(), 49, "one is new, and the one that is gone is still known");
+}
+
+#[test]
+fn the_summary_tells_counters_estimates_and_reasons() {
+    let mut harness = DeskHarness::new(2);
+    harness.report(report(0, 1_000, 20));
+    harness.report(report(1, 100, 2));
+    harness.arrive(call(1, CallPriority::Normal));
+    harness.tell(RouteEvent::Ended { call: id(1), end: CallEnd::Finished });
+    insta::assert_json_snapshot!(harness.desk.summary());
+}
--- /dev/null
+++ b/crates/route/tests/estimates.rs
@@ -0,0 +1,70 @@
+//! Length estimates, memory forecasts and the order of the queue.
+
+use base::prelude::*;
+use config::CallPriority;
+use route::{CallId, LengthEstimate, MemoryForecast, WaitQueue};
+
+#[test]
+fn unfinished_generations_count_as_at_least_their_length() {
+    let mut cut = LengthEstimate::default();
+    let mut blind = LengthEstimate::default();
+    for index in 0..800 {
+        let length = 50 + index % 400;
+        if length > 200 {
+            cut.observe_cut(200);
+        } else {
+            cut.observe_end(length);
+            blind.observe_end(length);
+        }
+    }
+    let truth = 0.625;
+    assert!((cut.survival(200) - truth).abs() < 0.1, "{}", cut.survival(200));
+    assert!(blind.survival(200) < 0.1);
+}
+
+#[test]
+fn a_generation_that_has_run_long_is_expected_to_run_on() {
+    let mut estimate = LengthEstimate::default();
+    for index in 0..1_000_u32 {
+        estimate.observe_end(if index.is_multiple_of(10) { 4_000 } else { 100 });
+    }
+    assert!(estimate.expected_ahead(0) < 800.0);
+    assert!(estimate.expected_ahead(200) > 2_000.0);
+}
+
+#[test]
+fn the_chance_of_exceeding_memory_grows_with_load_and_doubt() {
+    let mut load = MemoryForecast::default();
+    let sure = MemoryForecast::of_generation(1_000, [1.0, 0.9, 0.6, 0.2, 0.0]);
+    for _ in 0..10 {
+        load += sure;
+    }
+    let room = load.chance_above(20_000.0);
+    let tight = load.chance_above(10_500.0);
+    let over = load.chance_above(9_000.0);
+    assert!(room < 0.01 && room < tight && tight <= over && over > 0.99, "{room} {tight} {over}");
+    for _ in 0..10 {
+        load -= sure;
+    }
+    assert!(load.mean.iter().all(|mean| mean.abs() < 1e-6));
+}
+
+#[test]
+fn workspaces_share_the_queue_by_their_weights() {
+    let mut queue = WaitQueue::default();
+    let large: WorkspaceId = "large".parse().unwrap();
+    let small: WorkspaceId = "small".parse().unwrap();
+    for number in 0..60 {
+        queue.push(CallId(number), CallPriority::Normal, &large, 100, 2);
+    }
+    for number in 60..120 {
+        queue.push(CallId(number), CallPriority::Normal, &small, 100, 1);
+    }
+    let mut of_large = 0;
+    for _ in 0..60 {
+        let call = queue.first().unwrap();
+        of_large += u32::from(call.0 < 60);
+        queue.take(TimePoint::default(), call);
+    }
+    assert_eq!(of_large, 40);
+}
