--- a/crates/route/benches/decision.rs
+++ b/crates/route/benches/decision.rs
@@ -1,4 +1,5 @@
-//! Cost of one decision: a call arrives at a desk with 10 to 7,000 runners and is sent.
+//! Cost of one decision: a call arrives at a desk with 10 to 7,000 runners, is sent and
+//! ends; one report of a runner arrives with each call.
 
 use std::hint::black_box;
 
@@ -11,6 +12,7 @@
 
 const RUNNER_COUNTS: [usize; 4] = [10, 100, 1_000, 7_000];
 const PLACES: usize = 16;
+const ARRIVAL_GAP: TimeSpan = TimeSpan::millis(1);
 const CALLS_PER_RUNNER: u64 = 4;
 
 fn service() -> ServiceName {
@@ -91,6 +93,8 @@
     for runners in RUNNER_COUNTS {
         let mut desk = desk(runners, now);
         let mut number = 1_000_000;
+        let mut now = now;
+        let mut sequence = 1;
         group.bench_function(BenchmarkId::from_parameter(runners), |bencher| {
             bencher.iter_batched(
                 || {
@@ -98,7 +102,12 @@
                     call(number)
                 },
                 |call| {
+                    now = now + ARRIVAL_GAP;
                     let id = call.call;
+                    let next = id.0 as usize % runners;
+                    sequence += 1;
+                    let report = RunnerReport { sequence, ..report(next) };
+                    desk.handle(now, RouteEvent::Report(report));
                     black_box(desk.handle(now, RouteEvent::Arrive(call)));
                     desk.handle(now, RouteEvent::Ended { call: id, end: CallEnd::Finished });
                 },
--- a/crates/route/src/desk_dispatch.rs
+++ b/crates/route/src/desk_dispatch.rs
@@ -162,16 +162,17 @@
         let record = self.calls.get(&id)?;
         let view = self.services.get(&record.call.service)?;
         let model = record.call.model.as_ref();
-        let serving = || view.slots.iter().copied().filter(|s| self.runners[*s].serves(model));
         let healthy = |slot: usize| {
             let runner = &self.runners[slot];
             let silent = view.received.since(runner.received) > SILENT_SPAN;
             runner.health.is_open(now) && !(silent && runner.report.is_some())
         };
-        let ejected = serving().filter(|slot| !healthy(*slot)).count();
-        let ejects = ejected * EJECTED_SHARE_DIVISOR <= serving().count();
+        let serving = view.slots.iter().copied().filter(|slot| self.runners[*slot].serves(model));
+        let (open, ejected): (Vec<usize>, Vec<usize>) = serving.partition(|slot| healthy(*slot));
+        let too_many = ejected.len() * EJECTED_SHARE_DIVISOR > open.len() + ejected.len();
+        let back = if too_many { ejected.as_slice() } else { &[] };
         let mut best: Option<(f64, usize, RunnerScore)> = None;
-        for slot in serving().filter(|slot| !ejects || healthy(*slot)) {
+        for &slot in open.iter().chain(back) {
             let cached = runner_score::is_cached(&self.prefixes, slot, record);
             let score = runner_score::score(now, record, view, &self.runners[slot], cached);
             let noise = match view.kind {
--- a/crates/route/src/forecast.rs
+++ b/crates/route/src/forecast.rs
@@ -39,21 +39,18 @@
     }
 
     /// The highest chance over all horizons that the load exceeds `tokens`; the sum of
-    /// many generations is taken as normal.
+    /// many generations is taken as normal, with the logistic approximation of its tail,
+    /// whose error is below 0.01.
     #[must_use]
     pub fn chance_above(&self, tokens: f64) -> f64 {
-        let pairs = self.mean.iter().zip(&self.variance);
-        pairs.map(|(mean, variance)| normal_above(tokens, *mean, *variance)).fold(0.0, f64::max)
+        const LOGISTIC_SCALE: f64 = 1.702;
+        let distance = |(mean, variance): (&f64, &f64)| (mean - tokens) / variance.sqrt().max(1.0);
+        let distances = self.mean.iter().zip(&self.variance).map(distance);
+        let highest = distances.fold(f64::NEG_INFINITY, f64::max);
+        1.0 / (1.0 + (-LOGISTIC_SCALE * highest).exp())
     }
 }
 
-/// Logistic approximation of the normal tail; its error is below 0.01.
-fn normal_above(limit: f64, mean: f64, variance: f64) -> f64 {
-    const LOGISTIC_SCALE: f64 = 1.702;
-    let deviation = variance.sqrt().max(1.0);
-    1.0 / (1.0 + (LOGISTIC_SCALE * (limit - mean) / deviation).exp())
-}
-
 impl AddAssign for MemoryForecast {
     fn add_assign(&mut self, other: Self) {
         for index in 0..HORIZONS {
--- a/crates/route/src/runner_view.rs
+++ b/crates/route/src/runner_view.rs
@@ -47,7 +47,8 @@
     /// When the forecast was last computed.
     pub refreshed: TimePoint,
     changes: VecDeque<LoadChange>,
-    folded_calls: i32,
+    changed_calls: i32,
+    freed_tokens: u64,
 }
 
 /// Changes kept one by one; older ones are only counted.
@@ -73,7 +74,8 @@
             sent_calls: 0,
             refreshed: TimePoint::default(),
             changes: VecDeque::new(),
-            folded_calls: 0,
+            changed_calls: 0,
+            freed_tokens: 0,
         }
     }
 
@@ -89,10 +91,12 @@
         self.received = now;
         self.report = Some(report);
         self.sent_calls = 0;
-        self.folded_calls = 0;
         while self.changes.front().is_some_and(|change| change.at <= self.reported) {
             self.changes.pop_front();
         }
+        self.changed_calls = self.changes.iter().map(|change| change.calls).sum();
+        let freed = self.changes.iter().filter(|change| change.tokens < 0);
+        self.freed_tokens = freed.map(|change| change.tokens.unsigned_abs()).sum();
         true
     }
 
@@ -124,9 +128,13 @@
     }
 
     fn change(&mut self, change: LoadChange) {
+        self.changed_calls += change.calls;
+        if change.tokens < 0 {
+            self.freed_tokens += change.tokens.unsigned_abs();
+        }
         self.changes.push_back(change);
         if self.changes.len() > CHANGE_LIMIT {
-            self.folded_calls += self.changes.pop_front().map_or(0, |oldest| oldest.calls);
+            self.changes.pop_front();
         }
     }
 
@@ -139,21 +147,20 @@
     /// Reported calls with what this entry did since.
     #[must_use]
     pub fn corrected_calls(&self) -> u32 {
-        let change: i32 = self.changes.iter().map(|change| change.calls).sum();
-        self.reported_calls().saturating_add_signed(change + self.folded_calls)
+        self.reported_calls().saturating_add_signed(self.changed_calls)
     }
 
     /// Tokens that this entry saw freed since the report.
     #[must_use]
     pub fn freed_tokens(&self) -> u64 {
-        let freed = self.changes.iter().filter(|change| change.tokens < 0);
-        freed.map(|change| change.tokens.unsigned_abs()).sum()
+        self.freed_tokens
     }
 
     /// Tokens of the calls that this entry sent after `since`.
     #[must_use]
     pub fn sent_tokens(&self, since: TimePoint) -> u64 {
-        let sent = self.changes.iter().filter(|change| change.at > since && change.tokens > 0);
+        let newest = self.changes.iter().rev().take_while(|change| change.at > since);
+        let sent = newest.filter(|change| change.tokens > 0);
         sent.map(|change| change.tokens.unsigned_abs()).sum()
     }
 
