--- a/crates/load/src/policy/simulation.rs
+++ b/crates/load/src/policy/simulation.rs
@@ -5,73 +5,22 @@
 use base::{AttemptNumber, CacheEvent, prelude::*};
 use fakes::engine::{AdmitError, AttemptKey, EngineModel, EngineRequest, StepResult};
 use rand::{RngExt, SeedableRng, rngs::StdRng};
-use route::{CallEnd, CallId, RouteAction, RouteCall, RouteEvent, RouteMember};
+use route::{CallEnd, CallId, RouteAction, RouteCall, RouteEvent};
 
-use crate::policy::bench_desk::{place, runner_id, runner_number};
+use crate::policy::bench_desk::{runner_id, runner_number};
 use crate::policy::{
-    ArrivalPlan, BenchCall, BenchDesk, BenchMeasures, BenchPolicy, FaultName, PolicyFigures,
-    Workload,
+    ArrivalPlan, BenchCall, BenchDesk, BenchMeasures, BenchSettings, FaultName, PolicyFigures,
 };
 
 const REPORT_PERIOD: TimeSpan = TimeSpan::millis(250);
 const REPORT_LAG_MILLIS: std::ops::Range<u64> = 200..400;
 const TICK_PERIOD: TimeSpan = TimeSpan::millis(10);
-const MEMBERS_LAG: TimeSpan = TimeSpan::seconds(2);
-const RECLAIM_NOTICE: TimeSpan = TimeSpan::seconds(20);
 const CACHE_EVENT_LOSS: f64 = 0.05;
 const COME_BACKS: u32 = 3;
-const ENTRY_RETRY: TimeSpan = TimeSpan::seconds(1);
-const SLOW_FACTOR: f64 = 4.0;
 const BURST_FACTOR: f64 = 2.0;
 /// Low bits of a call number that hold the index of the call.
 const INDEX_BITS: u32 = 32;
 
-/// What a run is to be.
-#[derive(Debug, Clone)]
-pub struct BenchSettings {
-    /// The workload.
-    pub workload: Workload,
-    /// Who decides.
-    pub policy: BenchPolicy,
-    /// Seed of all draws.
-    pub seed: u64,
-    /// Arrivals relative to the capacity.
-    pub load: f64,
-    /// The fault.
-    pub fault: FaultName,
-    /// When the fault begins and goes.
-    pub fault_window: (TimePoint, TimePoint),
-    /// What is measured.
-    pub window: (TimePoint, TimePoint),
-    /// End of the run.
-    pub until: TimePoint,
-}
-
-impl BenchSettings {
-    /// A run of 180 s that measures from 30 s to 150 s, with any fault from 60 s to 90 s.
-    #[must_use]
-    pub fn new(workload: Workload, policy: BenchPolicy, seed: u64, load: f64) -> Self {
-        let at = |seconds| TimePoint::default() + TimeSpan::seconds(seconds);
-        Self {
-            workload,
-            policy,
-            seed,
-            load,
-            fault: FaultName::None,
-            fault_window: (at(60), at(90)),
-            window: (at(30), at(150)),
-            until: at(180),
-        }
-    }
-
-    /// Measures between these two instants only.
-    pub fn measure_seconds(&mut self, first: u64, last: u64) {
-        let at = |seconds| TimePoint::default() + TimeSpan::seconds(seconds);
-        self.window = (at(first), at(last));
-        self.until = self.until.max(at(last));
-    }
-}
-
 /// Index of a call among the run's calls.
 pub(crate) fn call_index(call: CallId) -> usize {
     (call.0 & ((1 << INDEX_BITS) - 1)) as usize
@@ -79,19 +28,19 @@
 
 /// What the caller's side knows of a call.
 #[derive(Debug, Clone, Default)]
-struct CallState {
-    number: u64,
-    entry: usize,
-    attempt: u32,
-    runner: Option<usize>,
-    produced: u32,
-    newest: Option<TimePoint>,
-    refused: u32,
-    decided: bool,
+pub(super) struct CallState {
+    pub(super) number: u64,
+    pub(super) entry: usize,
+    pub(super) attempt: u32,
+    pub(super) runner: Option<usize>,
+    pub(super) produced: u32,
+    pub(super) newest: Option<TimePoint>,
+    pub(super) refused: u32,
+    pub(super) decided: bool,
 }
 
 #[derive(Debug)]
-enum BenchEvent {
+pub(super) enum BenchEvent {
     Arrive(usize),
     Deadline(usize),
     Step(usize),
@@ -105,20 +54,20 @@
     EntryCancels(Vec<(usize, AttemptKey)>),
 }
 
-struct Simulation {
-    settings: BenchSettings,
-    calls: Vec<BenchCall>,
-    states: Vec<CallState>,
-    desk: BenchDesk,
-    engines: Vec<EngineModel>,
-    steps: Vec<Option<StepResult>>,
-    restarts: u64,
-    events: BTreeMap<(TimePoint, u64), BenchEvent>,
-    events_put: u64,
-    now: TimePoint,
-    random: StdRng,
-    measures: BenchMeasures,
-    fault_on: bool,
+pub(super) struct Simulation {
+    pub(super) settings: BenchSettings,
+    pub(super) calls: Vec<BenchCall>,
+    pub(super) states: Vec<CallState>,
+    pub(super) desk: BenchDesk,
+    pub(super) engines: Vec<EngineModel>,
+    pub(super) steps: Vec<Option<StepResult>>,
+    pub(super) restarts: u64,
+    pub(super) events: BTreeMap<(TimePoint, u64), BenchEvent>,
+    pub(super) events_put: u64,
+    pub(super) now: TimePoint,
+    pub(super) random: StdRng,
+    pub(super) measures: BenchMeasures,
+    pub(super) fault_on: bool,
 }
 
 /// Runs the bench once.
@@ -200,7 +149,7 @@
         self.events.insert((at, self.events_put), event);
     }
 
-    fn put(&mut self, after: TimeSpan, event: BenchEvent) {
+    pub(super) fn put(&mut self, after: TimeSpan, event: BenchEvent) {
         self.put_at(self.now + after, event);
     }
 
@@ -233,11 +182,11 @@
         entry == 0 && self.fault_on && self.settings.fault == FaultName::EntryGone
     }
 
-    fn call_id(&self, index: usize) -> CallId {
+    pub(super) fn call_id(&self, index: usize) -> CallId {
         CallId((self.states[index].number << INDEX_BITS) | index as u64)
     }
 
-    fn key(&self, index: usize) -> AttemptKey {
+    pub(super) fn key(&self, index: usize) -> AttemptKey {
         let attempt = AttemptNumber(self.states[index].attempt);
         AttemptKey { generation: GenerationId(index as u64), attempt }
     }
@@ -273,7 +222,7 @@
         self.tell(entry, event);
     }
 
-    fn tell(&mut self, entry: usize, event: RouteEvent) {
+    pub(super) fn tell(&mut self, entry: usize, event: RouteEvent) {
         for action in self.desk.handle(entry, self.now, event) {
             match action {
                 RouteAction::Send { call, runner, .. } => self.send(call, &runner),
@@ -310,7 +259,7 @@
         }
     }
 
-    fn end_and_ask_again(&mut self, index: usize, end: CallEnd) {
+    pub(super) fn end_and_ask_again(&mut self, index: usize, end: CallEnd) {
         self.states[index].runner = None;
         let call = self.call_id(index);
         self.tell(self.states[index].entry, RouteEvent::Ended { call, end });
@@ -438,78 +387,7 @@
         }
     }
 
-    fn tell_members(&mut self) {
-        let workload = &self.settings.workload;
-        let alive = (0..workload.runners).filter(|runner| !self.engines[*runner].is_killed());
-        let members: Vec<RouteMember> = alive
-            .map(|runner| RouteMember {
-                runner: runner_id(runner),
-                place: place(runner),
-                leaving: false,
-            })
-            .collect();
-        let service = workload.service();
-        for entry in 0..workload.entries {
-            let (service, members) = (service.clone(), members.clone());
-            self.tell(entry, RouteEvent::Members { service, members });
-        }
-    }
-
-    fn begin_fault(&mut self) {
-        self.fault_on = true;
-        match self.settings.fault {
-            FaultName::EngineKilled => self.kill(0),
-            FaultName::EnginesReclaimed => {
-                for runner in 0..2 {
-                    self.engines[runner].set_leaving(true);
-                    self.put(RECLAIM_NOTICE, BenchEvent::Kill(runner));
-                }
-            }
-            FaultName::SlowEngine => self.engines[0].set_slow_factor(SLOW_FACTOR),
-            FaultName::EntryGone => self.lose_entry(),
-            _ => (),
-        }
-    }
-
-    fn end_fault(&mut self) {
-        self.fault_on = false;
-        for runner in 0..self.engines.len() {
-            self.engines[runner].set_slow_factor(1.0);
-            if self.engines[runner].is_killed() {
-                self.restarts += 1;
-                let engine = self.settings.workload.engine.clone();
-                self.engines[runner] = EngineModel::new(runner_id(runner), self.restarts, engine);
-            }
-        }
-        self.put(MEMBERS_LAG, BenchEvent::Members);
-    }
-
-    fn kill(&mut self, runner: usize) {
-        self.engines[runner].kill();
-        self.steps[runner] = None;
-        self.put(MEMBERS_LAG, BenchEvent::Members);
-        for index in self.calls_where(|state| state.runner == Some(runner)) {
-            self.end_and_ask_again(index, CallEnd::Failed);
-        }
-    }
-
-    /// The entry's calls end for the desks; their callers ask another entry, and the
-    /// engines go on with the old attempts for a while.
-    fn lose_entry(&mut self) {
-        let indexes = self.calls_where(|state| state.entry == 0 && state.number > 0);
-        let mut attempts = Vec::new();
-        for index in indexes {
-            let call = self.call_id(index);
-            if let Some(runner) = self.states[index].runner.take() {
-                attempts.push((runner, self.key(index)));
-            }
-            self.tell(0, RouteEvent::Ended { call, end: CallEnd::Left });
-            self.put(ENTRY_RETRY, BenchEvent::Arrive(index));
-        }
-        self.put(TimeSpan::seconds(10), BenchEvent::EntryCancels(attempts));
-    }
-
-    fn calls_where(&self, wanted: impl Fn(&CallState) -> bool) -> Vec<usize> {
+    pub(super) fn calls_where(&self, wanted: impl Fn(&CallState) -> bool) -> Vec<usize> {
         let states = self.states.iter().enumerate();
         let open = states.filter(|(_, state)| !state.decided && wanted(state));
         open.map(|(index, _)| index).collect()
--- /dev/null
+++ b/crates/load/src/policy/simulation_faults.rs
@@ -0,0 +1,88 @@
+//! How faults begin and go in a run.
+
+use base::prelude::*;
+use fakes::engine::EngineModel;
+use route::{CallEnd, RouteEvent, RouteMember};
+
+use crate::policy::FaultName;
+use crate::policy::bench_desk::{place, runner_id};
+use crate::policy::simulation::{BenchEvent, Simulation};
+
+const MEMBERS_LAG: TimeSpan = TimeSpan::seconds(2);
+const RECLAIM_NOTICE: TimeSpan = TimeSpan::seconds(20);
+const ENTRY_RETRY: TimeSpan = TimeSpan::seconds(1);
+const ENTRY_CANCEL_DELAY: TimeSpan = TimeSpan::seconds(10);
+const SLOW_FACTOR: f64 = 4.0;
+
+impl Simulation {
+    pub(super) fn tell_members(&mut self) {
+        let workload = &self.settings.workload;
+        let alive = (0..workload.runners).filter(|runner| !self.engines[*runner].is_killed());
+        let members: Vec<RouteMember> = alive
+            .map(|runner| RouteMember {
+                runner: runner_id(runner),
+                place: place(runner),
+                leaving: false,
+            })
+            .collect();
+        let service = workload.service();
+        for entry in 0..workload.entries {
+            let (service, members) = (service.clone(), members.clone());
+            self.tell(entry, RouteEvent::Members { service, members });
+        }
+    }
+
+    pub(super) fn begin_fault(&mut self) {
+        self.fault_on = true;
+        match self.settings.fault {
+            FaultName::EngineKilled => self.kill(0),
+            FaultName::EnginesReclaimed => {
+                for runner in 0..2 {
+                    self.engines[runner].set_leaving(true);
+                    self.put(RECLAIM_NOTICE, BenchEvent::Kill(runner));
+                }
+            }
+            FaultName::SlowEngine => self.engines[0].set_slow_factor(SLOW_FACTOR),
+            FaultName::EntryGone => self.lose_entry(),
+            _ => (),
+        }
+    }
+
+    pub(super) fn end_fault(&mut self) {
+        self.fault_on = false;
+        for runner in 0..self.engines.len() {
+            self.engines[runner].set_slow_factor(1.0);
+            if self.engines[runner].is_killed() {
+                self.restarts += 1;
+                let engine = self.settings.workload.engine.clone();
+                self.engines[runner] = EngineModel::new(runner_id(runner), self.restarts, engine);
+            }
+        }
+        self.put(MEMBERS_LAG, BenchEvent::Members);
+    }
+
+    pub(super) fn kill(&mut self, runner: usize) {
+        self.engines[runner].kill();
+        self.steps[runner] = None;
+        self.put(MEMBERS_LAG, BenchEvent::Members);
+        for index in self.calls_where(|state| state.runner == Some(runner)) {
+            self.end_and_ask_again(index, CallEnd::Failed);
+        }
+    }
+
+    /// The entry's calls end for the desks; their callers ask another entry, and the
+    /// engines go on with the old attempts for a while.
+    fn lose_entry(&mut self) {
+        let indexes = self.calls_where(|state| state.entry == 0 && state.number > 0);
+        let mut attempts = Vec::new();
+        for index in indexes {
+            let call = self.call_id(index);
+            if let Some(runner) = self.states[index].runner.take() {
+                attempts.push((runner, self.key(index)));
+            }
+            self.tell(0, RouteEvent::Ended { call, end: CallEnd::Left });
+            self.put(ENTRY_RETRY, BenchEvent::Arrive(index));
+        }
+        self.put(ENTRY_CANCEL_DELAY, BenchEvent::EntryCancels(attempts));
+    }
+}
--- a/crates/route/tests/common/mod.rs
+++ b/crates/route/tests/common/mod.rs
@@ -108,11 +108,3 @@
         fence: 0,
     }
 }
-
-/// The number of the call that an action sends.
-pub fn sent_call(action: &RouteAction) -> Option<u64> {
-    match action {
-        RouteAction::Send { call, .. } => Some(call.0),
-        _ => None,
-    }
-}
--- a/crates/route/tests/desk.rs
+++ b/crates/route/tests/desk.rs
@@ -14,6 +14,13 @@
     })
 }
 
+fn sent_call(action: &RouteAction) -> Option<u64> {
+    match action {
+        RouteAction::Send { call, .. } => Some(call.0),
+        _ => None,
+    }
+}
+
 #[test]
 fn a_full_runner_is_passed_over_and_all_full_ones_hold_the_call() {
     let mut harness = DeskHarness::new(2);
@@ -37,7 +44,7 @@
     harness.arrive(call(3, CallPriority::Urgent));
     harness.advance(TimeSpan::millis(300));
     let actions = harness.report(report(0, 10, 1));
-    let order: Vec<u64> = actions.iter().filter_map(common::sent_call).collect();
+    let order: Vec<u64> = actions.iter().filter_map(sent_call).collect();
     assert_eq!(order, vec![3, 2, 1]);
 }
 
--- a/crates/route/tests/invariants.rs
+++ b/crates/route/tests/invariants.rs
@@ -16,7 +16,7 @@
 const SEED: u64 = 20_261_203;
 
 /// One step of a run.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Copy)]
 enum DeskStep {
     Arrive { priority: u8, patience_millis: u64 },
     Report { runner: usize, used_blocks: u32 },
@@ -158,7 +158,9 @@
     };
     let result = TestRunner::new(config).run(&steps(), |steps| {
         let mut ledger = CallLedger::new();
-        steps.into_iter().for_each(|step| ledger.take(step));
+        for step in steps {
+            ledger.take(step);
+        }
         ledger.close();
         Ok(())
     });
