--- a/crates/peers/tests/transport.rs
+++ b/crates/peers/tests/transport.rs
@@ -221,7 +221,6 @@
 
 fn forwarded_call(body_bytes: usize) -> peers::ForwardedCall {
     peers::ForwardedCall {
-        home: VmIncarnation(1),
         workspace: "wrecsam-counter".parse().unwrap(),
         service: "bookings".parse().unwrap(),
         tag: "tag".into(),
