Add the plan builder and the follower of the configuration stream

The follower decides what to read and when; the steward binds it to the log and to peers. Three stewards a failure domain read the log, the others ask peers for deltas.

--- a/crates/config/src/fold.rs
+++ b/crates/config/src/fold.rs
@@ -5,6 +5,7 @@
 //! schemas fold alike, and races of operators end the same everywhere.
 
 use std::collections::BTreeSet;
+use std::fmt;
 use std::sync::Arc;
 
 use base::LogOffset;
@@ -36,6 +37,19 @@
     },
 }
 
+impl fmt::Display for FoldOutcome {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Accepted => f.write_str("accepted"),
+            Self::Rejected { file, beaten_by } => {
+                write!(f, "rejected: {file} is at version {beaten_by}")
+            }
+            Self::Ignored(reason) => write!(f, "ignored: {reason}"),
+            Self::Stopped { wanted } => write!(f, "stopped: record {wanted} is missing"),
+        }
+    }
+}
+
 /// Why a record changes nothing.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Error)]
 pub enum IgnoredReason {
--- /dev/null
+++ b/crates/config/src/follower.rs
@@ -0,0 +1,334 @@
+//! Follows the published configuration: from the log, or from peers.
+//!
+//! A plain struct: the steward tells it of [`FollowerEvent`]s with
+//! [`handle`](ConfigFollower::handle) and does the [`FollowerAction`]s that it returns.
+//! Start it with a `Tick`; call it with a `Tick` again at
+//! [`next_wake`](ConfigFollower::next_wake). Each `Read`, `AskPeers` and
+//! `WriteCheckpoint` must be answered by its event, also when it failed.
+//!
+//! Only the first few stewards of each failure domain read the log; the others ask a
+//! peer as soon as a digest names a newer record, and look at the log now and then. A
+//! digest carries [`accepted`](ConfigFollower::accepted), and a peer answers with
+//! [`ConfigState::delta`]. What is in force never goes back: a lower offset is never
+//! applied, and where records are missing the last state stays in force until a usable
+//! checkpoint or a peer's higher state is found.
+
+use std::sync::Arc;
+
+use base::{LogOffset, LogPage, LogRecord, TimePoint, TimeSpan};
+
+use crate::checkpoint_writer::CheckpointWriter;
+use crate::exchange_timer::ExchangeTimer;
+use crate::log_search::{FoundCheckpoint, LogSearch, SearchStep, usable_checkpoint};
+use crate::reader_role::ReaderRole;
+use crate::{
+    CheckpointRecord, ConfigFold, ConfigPlan, ConfigRecord, ConfigState, FollowerAction,
+    FollowerEvent, FollowerMember, FollowerSettings, PlanBuilder, PublishHistory,
+};
+
+/// How long the log may wait for a record.
+const LONG_POLL: TimeSpan = TimeSpan::seconds(5);
+/// Least time between two reads that find nothing.
+const EMPTY_POLL: TimeSpan = TimeSpan::millis(100);
+/// Time between two looks at the log of a steward that is not among its readers.
+const SLOW_POLL: TimeSpan = TimeSpan::seconds(60);
+/// Time that a reader gives the log before it asks a peer that has more.
+const LOG_LEAD: TimeSpan = TimeSpan::seconds(1);
+/// Time over which the questions to peers after a publish are spread.
+const ASK_SPREAD: TimeSpan = TimeSpan::millis(500);
+/// Records of one read.
+const PAGE_RECORDS: usize = 256;
+/// Records behind the log's end from which a checkpoint is looked for first.
+const SEARCH_BACKLOG_RECORDS: u64 = 1_000;
+
+/// How the log is read.
+#[derive(Debug, Clone, PartialEq)]
+enum ReadPhase {
+    /// Record by record.
+    Following,
+    /// Backwards, for a checkpoint.
+    Searching(LogSearch),
+    /// Records are missing and there is no usable checkpoint before this offset.
+    Watching(LogOffset),
+}
+
+/// Follows the configuration; see the module's description.
+#[derive(Debug)]
+pub struct ConfigFollower {
+    settings: FollowerSettings,
+    fold: ConfigFold,
+    builder: PlanBuilder,
+    plan: Arc<ConfigPlan>,
+    history: PublishHistory,
+    phase: ReadPhase,
+    searched: bool,
+    range: (LogOffset, LogOffset),
+    reads: ExchangeTimer,
+    questions: ExchangeTimer,
+    peer_offset: LogOffset,
+    role: ReaderRole,
+    writer: CheckpointWriter,
+}
+
+impl ConfigFollower {
+    /// A follower that has nothing yet.
+    #[must_use]
+    pub fn new(settings: FollowerSettings) -> Self {
+        let seed = settings.seed;
+        Self {
+            writer: CheckpointWriter::new(settings.retention),
+            settings,
+            fold: ConfigFold::new(),
+            builder: PlanBuilder::new(),
+            plan: Arc::default(),
+            history: PublishHistory::default(),
+            phase: ReadPhase::Following,
+            searched: false,
+            range: (LogOffset(1), LogOffset(1)),
+            reads: ExchangeTimer::new(seed),
+            questions: ExchangeTimer::new(!seed),
+            peer_offset: LogOffset(0),
+            role: ReaderRole::ALONE,
+        }
+    }
+
+    /// The files as of the last record folded.
+    #[must_use]
+    pub fn state(&self) -> &Arc<ConfigState> {
+        self.fold.state()
+    }
+
+    /// The last accepted record folded: what digests to peers carry.
+    #[must_use]
+    pub fn accepted(&self) -> LogOffset {
+        self.fold.state().accepted
+    }
+
+    /// The plan in force.
+    #[must_use]
+    pub fn plan(&self) -> &Arc<ConfigPlan> {
+        &self.plan
+    }
+
+    /// The last publish records that were read from the log.
+    #[must_use]
+    pub fn history(&self) -> &PublishHistory {
+        &self.history
+    }
+
+    /// Whether some configuration is in force.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.accepted().0 > 0
+    }
+
+    /// Whether records are missing that no checkpoint makes up for.
+    #[must_use]
+    pub fn has_gap(&self) -> bool {
+        matches!(self.phase, ReadPhase::Watching(_))
+    }
+
+    /// Whether this steward is among the log's readers of its failure domain.
+    #[must_use]
+    pub fn is_reader(&self) -> bool {
+        self.role.is_reader
+    }
+
+    /// When to call with a `Tick` next.
+    #[must_use]
+    pub fn next_wake(&self) -> TimePoint {
+        let ask = if self.wants_peers() { self.questions.next_start() } else { TimePoint::NEVER };
+        let write = if self.may_write() { self.writer.next_wake() } else { TimePoint::NEVER };
+        self.reads.next_start().min(ask).min(write)
+    }
+
+    /// Takes one event and gives what is to be done now.
+    pub fn handle(&mut self, now: TimePoint, event: FollowerEvent) -> Vec<FollowerAction> {
+        let before = self.accepted();
+        match event {
+            FollowerEvent::Tick => (),
+            FollowerEvent::Page(page) => self.take_page(now, &page),
+            FollowerEvent::ReadFailed => self.reads.fail(now),
+            FollowerEvent::PeerOffset(offset) => self.take_peer_offset(now, offset),
+            FollowerEvent::PeerDelta(delta) => {
+                let adopted = delta.is_some_and(|delta| self.fold.adopt(&delta));
+                self.end_question(now, adopted);
+            }
+            FollowerEvent::Members(members) => self.take_members(&members),
+            FollowerEvent::CheckpointEnded => self.writer.end_write(now),
+        }
+        let mut actions = Vec::new();
+        if self.accepted() > before {
+            self.plan = Arc::new(self.builder.build(self.fold.state()));
+            actions.push(FollowerAction::InForce(self.plan.in_force));
+        }
+        self.start_exchanges(now, &mut actions);
+        actions
+    }
+
+    fn take_page(&mut self, now: TimePoint, page: &LogPage) {
+        self.range = (page.first, page.next);
+        match std::mem::replace(&mut self.phase, ReadPhase::Following) {
+            ReadPhase::Following => self.follow(now, page),
+            ReadPhase::Searching(search) => self.search(now, search, page),
+            ReadPhase::Watching(from) => self.watch(now, from, page),
+        }
+        let gap = match (self.is_caught_up(), page.records.is_empty()) {
+            (true, _) if !self.role.is_reader => SLOW_POLL,
+            (_, true) => EMPTY_POLL,
+            _ => TimeSpan(0),
+        };
+        self.reads.succeed(gap);
+    }
+
+    fn follow(&mut self, now: TimePoint, page: &LogPage) {
+        let behind = page.next.0.saturating_sub(self.fold.next().0);
+        let gap = page.first > self.fold.next();
+        if gap || (behind > SEARCH_BACKLOG_RECORDS && !self.searched) {
+            let search = LogSearch::new(page.first, page.next, self.fold.next());
+            self.phase = ReadPhase::Searching(search);
+            return;
+        }
+        for record in &page.records {
+            // A read that was under way when a peer's state was adopted starts too early.
+            if record.offset == self.fold.next() {
+                self.apply(now, record);
+            }
+        }
+        self.searched &= !self.is_caught_up();
+    }
+
+    fn apply(&mut self, now: TimePoint, record: &LogRecord) {
+        let Ok(content) = ConfigRecord::decode(&record.text) else {
+            self.fold.apply(record.offset, &record.text);
+            return;
+        };
+        let outcome = self.fold.apply_record(record.offset, &content);
+        match content {
+            ConfigRecord::Publish(publish) => {
+                self.history.note(now, record.age(), record.offset, &publish, outcome);
+            }
+            ConfigRecord::Checkpoint(checkpoint) => {
+                let as_of = checkpoint.state.offset;
+                if as_of < record.offset {
+                    self.writer.see(now, record.offset, as_of, record.age());
+                }
+            }
+        }
+    }
+
+    fn search(&mut self, now: TimePoint, mut search: LogSearch, page: &LogPage) {
+        match search.take(page) {
+            SearchStep::More => self.phase = ReadPhase::Searching(search),
+            SearchStep::Found(found) => self.start_from(now, &found, page.first),
+            SearchStep::Exhausted => {
+                self.searched = true;
+                if page.first > self.fold.next() {
+                    self.phase = ReadPhase::Watching(search.top);
+                }
+            }
+        }
+    }
+
+    fn watch(&mut self, now: TimePoint, from: LogOffset, page: &LogPage) {
+        if page.first <= self.fold.next() {
+            return;
+        }
+        let mut at = from;
+        for record in &page.records {
+            at = at.max(record.offset.next());
+            if let Some(found) = usable_checkpoint(record, page.first, self.fold.next()) {
+                self.start_from(now, &found, page.first);
+                return;
+            }
+        }
+        self.phase = ReadPhase::Watching(at);
+    }
+
+    fn start_from(&mut self, now: TimePoint, found: &FoundCheckpoint, first: LogOffset) {
+        self.searched = true;
+        let as_of = found.checkpoint.state.offset;
+        self.writer.see(now, found.offset, as_of, found.age);
+        self.fold.start_from(&found.checkpoint, found.offset, first);
+    }
+
+    fn take_peer_offset(&mut self, now: TimePoint, offset: LogOffset) {
+        if offset <= self.peer_offset {
+            return;
+        }
+        let news = offset > self.accepted() && self.peer_offset <= self.accepted();
+        self.peer_offset = offset;
+        if news {
+            let lead = if self.is_healthy_reader() { LOG_LEAD } else { TimeSpan(0) };
+            self.questions.spread(now + lead, ASK_SPREAD);
+        }
+    }
+
+    fn end_question(&mut self, now: TimePoint, adopted: bool) {
+        if !adopted {
+            self.questions.fail(now);
+            return;
+        }
+        self.questions.succeed(TimeSpan(0));
+        self.writer.skip_records(now);
+        self.phase = ReadPhase::Following;
+    }
+
+    fn take_members(&mut self, members: &[FollowerMember]) {
+        let was_reader = self.role.is_reader;
+        self.role = ReaderRole::choose(&self.settings.vm, members);
+        if self.role.is_reader && !was_reader {
+            self.reads.hurry();
+        }
+    }
+
+    fn is_caught_up(&self) -> bool {
+        matches!(self.phase, ReadPhase::Following) && self.fold.next() >= self.range.1
+    }
+
+    fn is_healthy_reader(&self) -> bool {
+        self.role.is_reader
+            && !self.reads.is_failing()
+            && matches!(self.phase, ReadPhase::Following)
+    }
+
+    fn wants_peers(&self) -> bool {
+        let news = self.peer_offset > self.accepted();
+        news || self.has_gap() || (self.reads.is_failing() && !self.is_ready())
+    }
+
+    fn may_write(&self) -> bool {
+        self.role.is_reader && self.is_caught_up() && self.is_ready()
+    }
+
+    fn start_exchanges(&mut self, now: TimePoint, actions: &mut Vec<FollowerAction>) {
+        if self.wants_peers() && self.questions.start(now) {
+            actions.push(FollowerAction::AskPeers { above: self.fold.offset() });
+        }
+        if self.reads.start(now) {
+            actions.push(self.next_read());
+        }
+        let (first, next) = self.range;
+        if self.may_write() && self.writer.start_write(now, first, next, self.role.rank) {
+            let state = (**self.fold.state()).clone();
+            let record = ConfigRecord::Checkpoint(CheckpointRecord { state });
+            actions.push(FollowerAction::WriteCheckpoint(record.encode()));
+        }
+    }
+
+    fn next_read(&self) -> FollowerAction {
+        match &self.phase {
+            ReadPhase::Following => {
+                let wait = if self.role.is_reader { LONG_POLL } else { TimeSpan(0) };
+                FollowerAction::Read { from: self.fold.next(), wait, max: PAGE_RECORDS }
+            }
+            ReadPhase::Searching(search) => {
+                let (from, max) = search.read();
+                FollowerAction::Read { from, wait: TimeSpan(0), max }
+            }
+            ReadPhase::Watching(from) => {
+                FollowerAction::Read { from: *from, wait: LONG_POLL, max: PAGE_RECORDS }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/config/src/history.rs
@@ -0,0 +1,107 @@
+//! Who published what when: the last publish records and what became of them.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use base::{LogOffset, PublishId, TimePoint, TimeSpan};
+use serde::Serialize;
+
+use crate::{FoldOutcome, PublishRecord};
+
+/// Records that are remembered.
+const MAX_ENTRIES: usize = 64;
+/// Paths of a record that are remembered.
+const MAX_PATHS: usize = 16;
+
+/// One publish record and what became of it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HistoryEntry {
+    /// Its place in the log.
+    pub offset: LogOffset,
+    /// Its number.
+    pub id: PublishId,
+    /// Who published.
+    pub author: Arc<str>,
+    /// The note for the next shift.
+    pub note: Arc<str>,
+    /// Files that it changes; only the first few.
+    pub paths: Vec<Arc<str>>,
+    /// What became of it.
+    pub outcome: FoldOutcome,
+    /// When it was appended.
+    pub appended: TimePoint,
+}
+
+/// A history entry as it is shown.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct HistoryLine {
+    /// Its place in the log.
+    pub offset: LogOffset,
+    /// Who published.
+    pub author: Arc<str>,
+    /// The note for the next shift.
+    pub note: Arc<str>,
+    /// Files that it changes; only the first few.
+    pub files: Vec<Arc<str>>,
+    /// `accepted`, or `rejected` and why.
+    pub outcome: Arc<str>,
+    /// Time since it was appended, in milliseconds.
+    pub age_ms: u64,
+}
+
+/// A bounded list of the newest publish records, oldest first.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct PublishHistory {
+    entries: VecDeque<HistoryEntry>,
+}
+
+impl PublishHistory {
+    /// Adds a record that was appended `age` before `now`; the oldest makes room.
+    pub fn note(
+        &mut self,
+        now: TimePoint,
+        age: TimeSpan,
+        offset: LogOffset,
+        publish: &PublishRecord,
+        outcome: FoldOutcome,
+    ) {
+        if self.entries.len() == MAX_ENTRIES {
+            self.entries.pop_front();
+        }
+        let paths = publish.files.iter().take(MAX_PATHS).map(|file| Arc::clone(&file.path));
+        self.entries.push_back(HistoryEntry {
+            offset,
+            id: publish.id,
+            author: Arc::clone(&publish.author),
+            note: Arc::clone(&publish.note),
+            paths: paths.collect(),
+            outcome,
+            appended: now - age,
+        });
+    }
+
+    /// The entries, oldest first.
+    #[must_use]
+    pub fn entries(&self) -> impl DoubleEndedIterator<Item = &HistoryEntry> {
+        self.entries.iter()
+    }
+
+    /// The entries as they are shown, oldest first.
+    #[must_use]
+    pub fn lines(&self, now: TimePoint) -> Vec<HistoryLine> {
+        self.entries.iter().map(|entry| entry.line(now)).collect()
+    }
+}
+
+impl HistoryEntry {
+    fn line(&self, now: TimePoint) -> HistoryLine {
+        HistoryLine {
+            offset: self.offset,
+            author: Arc::clone(&self.author),
+            note: Arc::clone(&self.note),
+            files: self.paths.clone(),
+            outcome: Arc::from(self.outcome.to_string()),
+            age_ms: now.since(self.appended).as_millis(),
+        }
+    }
+}
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -1,13 +1,30 @@
 //! Published configuration: the operators' files, and what is in force.
 
+mod checkpoint;
+mod checkpoint_writer;
+mod exchange_timer;
 mod fold;
+mod follower;
+mod follower_event;
+mod history;
+mod log_search;
+mod parsed_file;
 mod plan;
+mod plan_builder;
+mod reader_role;
 mod record;
+mod schema;
 mod service_file;
 mod state;
 
+pub use checkpoint::{SeenCheckpoint, checkpoint_due};
 pub use fold::{ConfigFold, FoldOutcome, IgnoredReason};
-pub use plan::{ConfigPlan, ServicePlan};
+pub use follower::ConfigFollower;
+pub use follower_event::{FollowerAction, FollowerEvent, FollowerMember, FollowerSettings};
+pub use history::{HistoryEntry, HistoryLine, PublishHistory};
+pub use parsed_file::{FileKind, KindError, ParsedFile};
+pub use plan::{ConfigPlan, ServicePlan, UnusableFile};
+pub use plan_builder::PlanBuilder;
 pub use record::{CheckpointRecord, ConfigRecord, FileChange, PublishRecord, RecordError};
 pub use service_file::{
     CallPriority, CallRule, ModelRule, OverridesFile, PolicyWeights, ServiceFile, ServiceKind,
--- a/crates/config/src/plan.rs
+++ b/crates/config/src/plan.rs
@@ -32,11 +32,30 @@
     }
 }
 
+/// A published file whose version in force this release cannot use.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UnusableFile {
+    /// Name of the file.
+    pub path: Arc<str>,
+    /// The version that cannot be used.
+    pub version: LogOffset,
+    /// Why not.
+    pub reason: Arc<str>,
+    /// The older version that is used in its place, if there is one.
+    pub serving: Option<LogOffset>,
+}
+
 /// The whole configuration in force.
 #[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
 pub struct ConfigPlan {
-    /// Offset of the last log record that it includes.
+    /// Offset of the last accepted log record that it includes; two plans with the same
+    /// offset are the same.
     pub offset: LogOffset,
+    /// Up to here every accepted file is used as it was published; below `offset` if a
+    /// file is unusable. This is what a process may claim to have in force.
+    pub in_force: LogOffset,
+    /// Files that are not used as they were published.
+    pub unusable: Vec<UnusableFile>,
     /// Services by name.
     pub services: BTreeMap<ServiceName, ServicePlan>,
     /// Workspaces by the hash of a caller key.
@@ -48,7 +67,7 @@
 }
 
 impl ConfigPlan {
-    /// Puts checked files together.
+    /// Puts checked files together. Of two files for one service the first counts.
     #[must_use]
     pub fn new(
         offset: LogOffset,
@@ -56,9 +75,9 @@
         workspaces: Vec<WorkspacesFile>,
         overrides: Vec<OverridesFile>,
     ) -> Self {
-        let mut plan = Self { offset, ..Self::default() };
+        let mut plan = Self { offset, in_force: offset, ..Self::default() };
         for file in services {
-            plan.services.insert(file.service.clone(), ServicePlan { file });
+            plan.services.entry(file.service.clone()).or_insert(ServicePlan { file });
         }
         for keys in workspaces.into_iter().flat_map(|file| file.workspaces) {
             for hash in keys.key_hashes {
