--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -1,5 +1,6 @@
 //! Published configuration: the operators' files, and what is in force.
 
+mod check;
 mod checkpoint;
 mod checkpoint_writer;
 mod exchange_timer;
@@ -7,6 +8,7 @@
 mod follower;
 mod follower_event;
 mod history;
+mod key_hash;
 mod log_search;
 mod parsed_file;
 mod plan;
@@ -17,11 +19,13 @@
 mod service_file;
 mod state;
 
+pub use check::{FaultLevel, FileFault, check_drains, check_files};
 pub use checkpoint::{SeenCheckpoint, checkpoint_due};
 pub use fold::{ConfigFold, FoldOutcome, IgnoredReason};
 pub use follower::ConfigFollower;
 pub use follower_event::{FollowerAction, FollowerEvent, FollowerMember, FollowerSettings};
 pub use history::{HistoryEntry, HistoryLine, PublishHistory};
+pub use key_hash::hash_key;
 pub use parsed_file::{FileKind, KindError, ParsedFile};
 pub use plan::{ConfigPlan, ServicePlan, UnusableFile};
 pub use plan_builder::PlanBuilder;
