Add the order desk: claims in the log, and orders that follow from the configuration

The latest claim of a place names its holder, and its offset is the fencing number. Engines that don't check the number take orders only while every earlier claimant's VM is proven gone. Ruled out: trusting absence from any VM list, which lags and may be older than the claim; and taking the retained claims for the whole history, since claims expire while a paused holder does not. Claims therefore name the earlier claimants and how far their author had read.

--- /dev/null
+++ b/crates/orders/src/claims.rs
@@ -0,0 +1,81 @@
+//! When a steward claims a place, and what proves that an earlier claimant is gone.
+
+use std::collections::BTreeSet;
+
+use base::{prelude::*, rendezvous_order};
+
+use crate::{OrderAction, OrderClaim, OrderDesk};
+
+impl OrderDesk {
+    /// A list that lacks this VM proves nothing about the others.
+    pub(crate) fn take_list(&mut self, after: LogOffset, vms: Vec<VmId>) {
+        let listed: BTreeSet<VmId> = vms.into_iter().collect();
+        if !listed.contains(&self.settings.vm) {
+            self.listed.clear();
+            return;
+        }
+        // An earlier process of this VM is dead, since this one has its port.
+        let own = self.settings.vm.clone();
+        self.holder.forget_gone(after, |vm| listed.contains(vm) && *vm != own);
+        self.listed = listed;
+    }
+
+    /// Claims the places that have no holder in service and for which this VM is the
+    /// first choice, and renews its own claims.
+    pub(crate) fn claim_places(&mut self, now: TimePoint) -> Vec<OrderAction> {
+        if !self.caught_up || !self.listed.contains(&self.settings.vm) {
+            return Vec::new();
+        }
+        let mut actions = Vec::new();
+        for place in self.places() {
+            let due = self.append_at.get(&place).is_none_or(|at| *at <= now);
+            if due && self.wants(now, &place) {
+                self.append_at.insert(place.clone(), now + self.settings.append_retry);
+                self.counters.claims += 1;
+                actions.push(OrderAction::Append { text: self.make_claim(place).encode() });
+            }
+        }
+        actions
+    }
+
+    fn wants(&self, now: TimePoint, place: &PlaceName) -> bool {
+        if self.fence(place).is_some() {
+            return self.renew_at.get(place).is_some_and(|at| *at <= now);
+        }
+        let Some(state) = self.holder.get(place) else { return self.is_first_choice(place) };
+        if state.vm == self.settings.vm {
+            // The holder was an earlier process of this VM; no other VM sees it missing.
+            return true;
+        }
+        let member = self.members.iter().find(|member| member.vm == state.vm);
+        let serves = member.is_some_and(|member| !member.leaving && !member.silent);
+        !serves && self.is_first_choice(place)
+    }
+
+    fn is_first_choice(&self, place: &PlaceName) -> bool {
+        let able = self.members.iter().filter(|member| !member.leaving && !member.silent);
+        let order = rendezvous_order(place.as_str(), able.map(|member| member.vm.as_str()));
+        order.first().is_some_and(|vm| *vm == self.settings.vm.as_str())
+    }
+
+    fn make_claim(&self, place: PlaceName) -> OrderClaim {
+        let state = self.holder.get(&place);
+        let mut earlier: BTreeSet<VmId> = BTreeSet::new();
+        if let Some(state) = state {
+            earlier.extend(state.earlier.keys().cloned());
+            earlier.insert(state.vm.clone());
+        }
+        if !state.map_or(self.holder.is_whole(), |state| state.grounded) {
+            earlier.extend(self.listed.iter().cloned());
+        }
+        earlier.remove(&self.settings.vm);
+        let seen = self.holder.offset();
+        OrderClaim::new(place, self.settings.vm.clone(), self.settings.incarnation, seen, earlier)
+    }
+
+    /// Whether no earlier claimant of a place held by this VM can wake.
+    pub(crate) fn is_alone(&self, place: &PlaceName) -> bool {
+        let state = self.holder.get(place);
+        state.is_some_and(|state| state.grounded && state.earlier.is_empty())
+    }
+}
--- /dev/null
+++ b/crates/orders/tests/orders.rs
@@ -0,0 +1,148 @@
+//! What a holder orders.
+
+mod common;
+
+use std::collections::BTreeMap;
+
+use base::{FencingNumber, prelude::*};
+use common::*;
+use insta::assert_snapshot;
+use orders::{OrderDesk, OrderEvent, spread_models};
+
+/// The only VM, which holds the place; both runners have reported `m`.
+fn holder() -> OrderDesk {
+    let mut stream = FakeStream::default();
+    let mut desk = desk("a", true);
+    desk.handle(at(0), members(&[("a", false)]));
+    stream.read_by(at(0), &mut desk);
+    stream.append(&tick(&mut desk, at(0)));
+    stream.read_by(at(0), &mut desk);
+    assert_eq!(text(&tick(&mut desk, at(1))), "order r1 #1 m; order r2 #1 m");
+    desk
+}
+
+#[test]
+fn orders_are_sent_until_reports_show_them() {
+    let mut desk = holder();
+    assert_eq!(text(&tick(&mut desk, at(2))), "");
+    desk.handle(at(3), OrderEvent::Report(report("r1", 2, &[])));
+    let resent = text(&tick(&mut desk, at(11)));
+    assert_eq!(resent, "order r1 #1 m");
+    assert_eq!(text(&tick(&mut desk, at(12))), "");
+    desk.handle(at(13), OrderEvent::Report(report("r1", 3, &["m"])));
+    assert_eq!(text(&tick(&mut desk, at(30))), "");
+}
+
+#[test]
+fn a_late_report_changes_nothing() {
+    let mut desk = holder();
+    desk.handle(at(3), OrderEvent::Report(report("r1", 3, &["m"])));
+    desk.handle(at(4), OrderEvent::Report(report("r1", 2, &[])));
+    assert_eq!(text(&tick(&mut desk, at(30))), "");
+}
+
+#[test]
+fn loads_share_one_budget() {
+    let mut desk = holder();
+    desk.handle(at(2), OrderEvent::Plan(plan(true, &[("m", 0), ("n", 0)])));
+    let log: Vec<String> = (2..6).map(|second| text(&tick(&mut desk, at(second)))).collect();
+    assert_snapshot!(log.join("\n"), @r"
+    order r1 #1 m+n
+
+    order r2 #1 m+n
+    ");
+}
+
+#[test]
+fn the_budget_is_divided_among_places() {
+    let mut desk = holder();
+    let mut runners = vec![runner("r1", "caerdydd"), runner("r2", "caerdydd")];
+    runners.push(runner("r3", "wrecsam"));
+    desk.handle(at(2), OrderEvent::Members(Vec::new()));
+    desk.handle(at(2), OrderEvent::Runners(runners));
+    desk.handle(at(2), OrderEvent::Plan(plan(true, &[("m", 0), ("n", 0)])));
+    let log: Vec<String> = (2..8).map(|second| text(&tick(&mut desk, at(second)))).collect();
+    assert_snapshot!(log.join("\n"), @r"
+    order r1 #1 m+n
+
+
+
+    order r2 #1 m+n
+    ");
+}
+
+#[test]
+fn unloading_waits_until_the_runner_was_idle_after_the_notice() {
+    let mut desk = holder();
+    desk.handle(at(2), OrderEvent::Plan(plan(true, &[])));
+    let busy = |sequence| RunnerReport { running: 1, ..report("r1", sequence, &["m"]) };
+    let mut log = vec![text(&tick(&mut desk, at(2)))];
+    assert_eq!(desk.draining().count(), 2);
+    desk.handle(at(4), OrderEvent::Report(report("r1", 2, &["m"])));
+    log.push(format!("idle before the notice has passed: {}", text(&tick(&mut desk, at(4)))));
+    desk.handle(at(6), OrderEvent::Report(busy(3)));
+    log.push(format!("busy: {}", text(&tick(&mut desk, at(6)))));
+    desk.handle(at(7), OrderEvent::Report(report("r1", 4, &["m"])));
+    log.push(format!("idle: {}", text(&tick(&mut desk, at(7)))));
+    desk.handle(at(8), OrderEvent::Report(report("r1", 5, &[])));
+    log.push(format!("gone: {}", text(&tick(&mut desk, at(30)))));
+    assert_snapshot!(log.join("\n"), @r"
+
+    idle before the notice has passed: 
+    busy: 
+    idle: order r1 #1 
+    gone: 
+    ");
+    assert_eq!(desk.draining().count(), 1, "r2 still has it");
+}
+
+#[test]
+fn a_runner_that_knows_a_later_holder_is_left_alone() {
+    let mut desk = holder();
+    let event = OrderEvent::Refused { runner: "r1".parse().unwrap(), fence: FencingNumber(5) };
+    desk.handle(at(2), event);
+    for runner in ["r1", "r2"] {
+        desk.handle(at(2), OrderEvent::Report(report(runner, 2, &[])));
+    }
+    assert_eq!(text(&tick(&mut desk, at(30))), "order r2 #1 m");
+}
+
+#[test]
+fn a_restarted_runner_is_ordered_anew() {
+    let mut desk = holder();
+    let restarted = RunnerReport { incarnation: 2, ..report("r1", 1, &[]) };
+    desk.handle(at(2), OrderEvent::Report(restarted));
+    assert_eq!(text(&tick(&mut desk, at(2))), "order r1 #1 m");
+}
+
+#[test]
+fn models_are_spread_over_places() {
+    let names = ["caerdydd", "abertawe", "wrecsam"];
+    let runner = |number: usize| runner(&format!("r{number:02}"), names[number % 3]);
+    let mut runners: Vec<_> = (0..12).map(runner).collect();
+    let plan = plan(true, &[("all", 0), ("few", 4), ("one", 1)]);
+    let count = |runners: &[orders::OrderRunner]| {
+        let wanted = spread_models(&plan, runners);
+        let mut counts: BTreeMap<String, usize> = BTreeMap::new();
+        for runner in runners {
+            for model in wanted.get(&runner.runner).into_iter().flatten() {
+                *counts.entry(format!("{model} in {}", runner.place)).or_default() += 1;
+            }
+        }
+        counts.iter().map(|(name, count)| format!("{name}: {count}")).collect::<Vec<_>>()
+    };
+    assert_snapshot!(count(&runners).join("\n"), @r"
+    all in abertawe: 4
+    all in caerdydd: 4
+    all in wrecsam: 4
+    few in abertawe: 1
+    few in caerdydd: 1
+    few in wrecsam: 2
+    one in wrecsam: 1
+    ");
+    let before = spread_models(&plan, &runners);
+    runners[0].leaving = true;
+    let after = spread_models(&plan, &runners);
+    let changed = after.iter().filter(|(runner, models)| before.get(*runner) != Some(models));
+    assert!(changed.count() <= 2, "a runner that leaves moves only its own models");
+}
