--- /dev/null
+++ b/crates/peers/src/fleet_desk.rs
@@ -0,0 +1,358 @@
+//! A steward's view of the fleet, from every source: the platform's list, runners, peers
+//! and its own entries. It opens no socket and reads no clock.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use base::prelude::*;
+
+use crate::leaving_words::LeavingWords;
+use crate::node_state::NodeState;
+use crate::report_share::{ShareNode, owns_report};
+use crate::runner_state::{ReportSource, RunnerState};
+use crate::{EntryStatus, LeavingWord, NodeRecord};
+
+/// Silence of a local entry after which it is taken for dead.
+pub const ENTRY_SILENCE: TimeSpan = TimeSpan::seconds(3);
+/// Silence of the platform and all peers after which this machine is cut off.
+pub const CUT_OFF_SILENCE: TimeSpan = TimeSpan::seconds(5);
+
+/// What a steward says about itself when it starts.
+#[derive(Debug, Clone)]
+pub struct FleetSelf {
+    /// Its machine.
+    pub vm: VmId,
+    /// Its failure domain.
+    pub place: PlaceName,
+    /// Its UDP address.
+    pub steward: SocketAddr,
+    /// Its start.
+    pub incarnation: VmIncarnation,
+}
+
+/// The fleet as one steward knows it: takes events, answers what to do and what is known.
+pub struct FleetDesk {
+    pub(crate) me: NodeRecord,
+    pub(crate) runners: BTreeMap<RunnerId, RunnerState>,
+    pub(crate) nodes: BTreeMap<VmId, NodeState>,
+    pub(crate) words: LeavingWords,
+    pub(crate) digest_period: TimeSpan,
+    /// Number of the last change of anything; it only grows within this start.
+    pub(crate) change: u64,
+    /// Last change of the list or state of the runners.
+    pub(crate) runners_change: u64,
+    /// Last change of `me`.
+    pub(crate) me_change: u64,
+    /// Something changed that peers should hear at once.
+    pub(crate) urgent: bool,
+    pub(crate) cut_off: bool,
+    entry_heard: BTreeMap<VmIncarnation, TimePoint>,
+    pub(crate) platform_heard: Option<TimePoint>,
+    pub(crate) started: TimePoint,
+    pub(crate) listed: bool,
+    me_listed_leaving: bool,
+}
+
+impl FleetDesk {
+    /// An empty view at the steward's start; digests go out every `digest_period`.
+    #[must_use]
+    pub fn new(now: TimePoint, own: FleetSelf, digest_period: TimeSpan) -> Self {
+        let me = NodeRecord {
+            vm: own.vm,
+            place: own.place,
+            steward: own.steward,
+            incarnation: own.incarnation,
+            sequence: 1,
+            leaving: false,
+            config_offset: LogOffset::default(),
+            entries: Vec::new(),
+        };
+        Self {
+            me,
+            runners: BTreeMap::new(),
+            nodes: BTreeMap::new(),
+            words: LeavingWords::default(),
+            digest_period,
+            change: 1,
+            runners_change: 1,
+            me_change: 1,
+            urgent: false,
+            cut_off: false,
+            entry_heard: BTreeMap::new(),
+            platform_heard: None,
+            started: now,
+            listed: false,
+            me_listed_leaving: false,
+        }
+    }
+
+    /// Version of the view: the number of the last change.
+    #[must_use]
+    pub fn version(&self) -> u64 {
+        self.change
+    }
+
+    /// Whether this machine is cut off from all others.
+    #[must_use]
+    pub fn is_cut_off(&self) -> bool {
+        self.cut_off
+    }
+
+    /// Whether the machine leaves.
+    #[must_use]
+    pub fn is_leaving(&self) -> bool {
+        self.me.leaving
+    }
+
+    /// Entries of this machine.
+    #[must_use]
+    pub fn own_entries(&self) -> &[EntryStatus] {
+        &self.me.entries
+    }
+
+    /// Takes the platform's list. An empty one after a list with machines is a fault of
+    /// the platform; the last one stays.
+    pub fn on_vms(&mut self, now: TimePoint, vms: &[VmRecord]) {
+        self.platform_heard = Some(now);
+        if vms.is_empty() && self.listed {
+            return;
+        }
+        self.listed = true;
+        self.take_runners(vms);
+        self.take_nodes(vms);
+    }
+
+    /// Notes that the platform answered anything.
+    pub fn on_platform(&mut self, now: TimePoint) {
+        self.platform_heard = Some(now);
+    }
+
+    /// Takes a report that this steward polled.
+    pub fn on_report(&mut self, now: TimePoint, report: RunnerReport) {
+        self.take_report(now, report, ReportSource::Own);
+    }
+
+    /// Takes a leaving word about a runner's start; 0: the start is not known.
+    pub fn on_leaving(&mut self, runner: &RunnerId, incarnation: u64) {
+        let known = self.runners.get(runner).map_or(0, RunnerState::incarnation);
+        let incarnation = if incarnation == 0 { known } else { incarnation };
+        let word = LeavingWord { runner: runner.clone(), incarnation };
+        let change = self.change + 1;
+        if self.words.add(word, change) {
+            self.change = change;
+            self.runners_change = change;
+            self.urgent = true;
+        }
+    }
+
+    /// Takes what an entry of this machine says about itself.
+    pub fn on_entry(&mut self, now: TimePoint, status: &EntryStatus) {
+        self.entry_heard.insert(status.incarnation, now);
+        let same_address = |entry: &EntryStatus| entry.address == status.address;
+        let known = self.me.entries.iter_mut().find(|entry| same_address(entry));
+        match known {
+            Some(known) if *known == *status => return,
+            Some(known) => {
+                // A late word of the same start does not take its leaving back.
+                let sticky = known.leaving && known.incarnation == status.incarnation;
+                self.urgent |= status.leaving && !known.leaving;
+                known.clone_from(status);
+                known.leaving |= sticky;
+            }
+            None => {
+                self.me.entries.push(status.clone());
+                self.urgent = true;
+            }
+        }
+        self.change_me();
+    }
+
+    /// Notes the configuration that this steward has; each view's drains may change.
+    pub fn on_config(&mut self, offset: LogOffset) {
+        if offset > self.me.config_offset {
+            self.me.config_offset = offset;
+            self.change_me();
+            self.runners_change = self.change;
+        }
+    }
+
+    /// Announces that this machine leaves.
+    pub fn leave(&mut self) {
+        if !self.me.leaving {
+            self.me.leaving = true;
+            self.urgent = true;
+            self.change_me();
+        }
+    }
+
+    /// Lets silent entries and peers drop out, and judges whether this machine is cut off.
+    pub fn tick(&mut self, now: TimePoint) {
+        self.drop_silent_entries(now);
+        let mut changed = false;
+        for node in self.nodes.values_mut() {
+            let live = node.is_heard(now);
+            changed |= live != node.live;
+            node.live = live;
+        }
+        self.nodes.retain(|_, node| node.live || node.listed.is_some());
+        let cut_off = self.judge_cut_off(now);
+        if changed || cut_off != self.cut_off {
+            self.cut_off = cut_off;
+            self.change += 1;
+        }
+    }
+
+    /// Runners that this steward has to poll.
+    #[must_use]
+    pub fn polls(&self) -> Vec<(RunnerId, SocketAddr, u64)> {
+        let me = ShareNode { vm: &self.me.vm, place: &self.me.place };
+        let peers = self.nodes.iter().filter(|(_, node)| node.live && !node.is_leaving());
+        let mut stewards: Vec<ShareNode<'_>> =
+            peers.map(|(vm, node)| ShareNode { vm, place: &node.place }).collect();
+        // A leaving steward goes on until others have taken over.
+        if !self.me.leaving || stewards.is_empty() {
+            stewards.push(me);
+        }
+        let owned = self
+            .runners
+            .iter()
+            .filter(|(runner, state)| owns_report(&self.me.vm, runner, &state.place, &stewards));
+        owned.map(|(id, state)| (id.clone(), state.address, state.events_next())).collect()
+    }
+
+    /// Whether a runner gets no new work, by any source.
+    pub(crate) fn is_runner_leaving(&self, runner: &RunnerId, state: &RunnerState) -> bool {
+        state.listed_leaving || self.words.has(runner, state.incarnation())
+    }
+
+    pub(crate) fn take_report(
+        &mut self,
+        now: TimePoint,
+        report: RunnerReport,
+        source: ReportSource,
+    ) {
+        let Some(state) = self.runners.get_mut(&report.runner) else { return };
+        let (runner, incarnation) = (report.runner.clone(), report.incarnation);
+        let (leaving, restarted) = (report.leaving, state.incarnation() != incarnation);
+        if !state.take_report(now, report, source, self.change + 1) {
+            return;
+        }
+        self.change += 1;
+        if restarted {
+            self.words.bind(&runner, incarnation, self.change);
+            self.runners_change = self.change;
+        }
+        if leaving {
+            self.on_leaving(&runner, incarnation);
+        }
+    }
+
+    fn take_runners(&mut self, vms: &[VmRecord]) {
+        let mut listed: BTreeMap<RunnerId, &VmRecord> = BTreeMap::new();
+        for vm in vms.iter().filter(|vm| vm.role == VmRole::Runner) {
+            if let Ok(runner) = vm.vm.as_str().parse() {
+                listed.insert(runner, vm);
+            }
+        }
+        let gone: Vec<RunnerId> =
+            self.runners.keys().filter(|runner| !listed.contains_key(*runner)).cloned().collect();
+        let mut changed = !gone.is_empty();
+        for runner in gone {
+            self.runners.remove(&runner);
+            self.words.forget(&runner);
+        }
+        let mut leaving = Vec::new();
+        for (runner, vm) in listed {
+            let Some(service) = vm.service.clone() else { continue };
+            let state = self.runners.entry(runner.clone()).or_insert_with(|| {
+                changed = true;
+                RunnerState::new(service.clone(), vm.place.clone(), vm.address)
+            });
+            let says_leaving = vm.state == VmState::Leaving;
+            if says_leaving && !state.listed_leaving {
+                leaving.push(runner);
+            }
+            changed |= state.listed_leaving != says_leaving || state.address != vm.address;
+            state.listed_leaving = says_leaving;
+            (state.service, state.place, state.address) = (service, vm.place.clone(), vm.address);
+        }
+        if changed {
+            self.change += 1;
+            self.runners_change = self.change;
+        }
+        for runner in leaving {
+            self.on_leaving(&runner, 0);
+        }
+    }
+
+    fn take_nodes(&mut self, vms: &[VmRecord]) {
+        let entries = || vms.iter().filter(|vm| vm.role == VmRole::Entry);
+        let mut changed = false;
+        for node in self.nodes.values_mut() {
+            changed |= node.listed.is_some();
+            node.listed = None;
+        }
+        for vm in entries() {
+            let Some(steward) = vm.steward else { continue };
+            if vm.vm == self.me.vm {
+                self.take_own_line(vm.state);
+                continue;
+            }
+            let node = self
+                .nodes
+                .entry(vm.vm.clone())
+                .or_insert_with(|| NodeState::new(vm.place.clone(), steward));
+            // A restarted steward may say another address by itself.
+            if node.record.is_none() {
+                node.steward = steward;
+            }
+            if vm.state == VmState::Leaving {
+                node.leave(node.seen.incarnation);
+            }
+            node.place = vm.place.clone();
+            (node.listed, node.was_listed) = (Some(vm.state), true);
+        }
+        if changed {
+            self.change += 1;
+        }
+    }
+
+    fn take_own_line(&mut self, state: VmState) {
+        // Only the change to leaving counts: a new start on a kept machine is in service.
+        let leaving = state == VmState::Leaving;
+        if leaving && !self.me_listed_leaving {
+            self.leave();
+        }
+        self.me_listed_leaving = leaving;
+    }
+
+    fn drop_silent_entries(&mut self, now: TimePoint) {
+        let heard = &mut self.entry_heard;
+        let before = self.me.entries.len();
+        self.me.entries.retain(|entry| {
+            heard.get(&entry.incarnation).is_some_and(|at| now.since(*at) < ENTRY_SILENCE)
+        });
+        if self.me.entries.len() != before {
+            heard.retain(|_, at| now.since(*at) < ENTRY_SILENCE);
+            self.urgent = true;
+            self.change_me();
+        }
+    }
+
+    /// Cut off: neither the platform nor any peer was heard, though there are peers. With
+    /// the platform down, the peers still answer.
+    fn judge_cut_off(&self, now: TimePoint) -> bool {
+        let alone = |heard: Option<TimePoint>| {
+            now.since(heard.unwrap_or(self.started)) >= CUT_OFF_SILENCE
+        };
+        let has_peers = self.nodes.values().any(|node| node.listed.is_some());
+        let peers_heard = self.nodes.values().filter_map(|node| node.heard).max();
+        (has_peers || !self.listed) && alone(self.platform_heard) && alone(peers_heard)
+    }
+
+    pub(crate) fn change_me(&mut self) {
+        self.change += 1;
+        self.me.sequence += 1;
+        self.me_change = self.change;
+    }
+}
--- /dev/null
+++ b/crates/peers/src/fleet_digest.rs
@@ -0,0 +1,152 @@
+//! The steward's view: what it tells its peers, and what it takes from them.
+
+use std::net::SocketAddr;
+
+use base::prelude::*;
+use base::CacheEvent;
+
+use crate::digest::{ChangeCursor, Digest};
+use crate::node_state::NodeState;
+use crate::runner_state::{ReportSource, RunnerState};
+use crate::FleetDesk;
+
+/// Silence after which a peer is tried less often.
+const LONG_SILENCE: TimeSpan = TimeSpan::seconds(10);
+/// Time between two tries of a peer that is silent for long.
+const SILENT_PERIOD: TimeSpan = TimeSpan::seconds(5);
+/// Time between two full reconciles with one peer.
+pub const RECONCILE_PERIOD: TimeSpan = TimeSpan::seconds(60);
+
+impl FleetDesk {
+    /// Peers that should get a digest now; each is then not due for a period.
+    pub fn due_peers(&mut self, now: TimePoint) -> Vec<(VmId, SocketAddr)> {
+        let urgent = std::mem::take(&mut self.urgent);
+        let (started, period) = (self.started, self.digest_period);
+        let mut due = Vec::new();
+        for (vm, node) in &mut self.nodes {
+            let silent = now.since(node.heard.unwrap_or(started)) >= LONG_SILENCE;
+            if now < node.next_digest && (silent || !urgent) {
+                continue;
+            }
+            node.next_digest = now + if silent { SILENT_PERIOD } else { period };
+            due.push((vm.clone(), node.steward));
+        }
+        due
+    }
+
+    /// When the next peer is due.
+    #[must_use]
+    pub fn next_due(&self, now: TimePoint) -> TimePoint {
+        if self.urgent {
+            return now;
+        }
+        let next = self.nodes.values().map(|node| node.next_digest).min();
+        next.unwrap_or(now + self.digest_period)
+    }
+
+    /// The news for `peer`.
+    #[must_use]
+    pub fn digest_for(&self, now: TimePoint, peer: &VmId) -> Digest {
+        let node = self.nodes.get(peer);
+        let acked = node.map_or(0, |node| node.acked);
+        let mut cache_events: Vec<(RunnerId, CacheEvent)> = Vec::new();
+        let mut reports = Vec::new();
+        for (runner, state) in &self.runners {
+            reports.extend(state.delta_since(now, acked));
+            let events = state.events_since(acked, true);
+            cache_events.extend(events.map(|event| (runner.clone(), event)));
+        }
+        Digest {
+            from: self.me.vm.clone(),
+            until: ChangeCursor { incarnation: self.me.incarnation, change: self.change },
+            seen: node.map_or_else(ChangeCursor::default, |node| node.seen),
+            config_offset: self.me.config_offset,
+            node: (self.me_change > acked).then(|| self.me.clone()),
+            reports,
+            leaving: self.words.since(acked),
+            cache_events,
+        }
+    }
+
+    /// Takes a peer's news; false if they come from an earlier start of the peer.
+    pub fn on_digest(&mut self, now: TimePoint, digest: Digest) -> bool {
+        if digest.from == self.me.vm {
+            return false;
+        }
+        let Some(known) = self.known_node(&digest) else { return false };
+        if known.is_retired(digest.until.incarnation) {
+            return false;
+        }
+        known.meet(digest.until.incarnation);
+        known.heard = Some(now);
+        let mut changed = !known.live;
+        known.live = true;
+        known.seen.change = known.seen.change.max(digest.until.change);
+        if let Some(record) = digest.node {
+            changed |= known.take_record(record);
+        }
+        if digest.seen.incarnation == self.me.incarnation {
+            let known = self.nodes.get_mut(&digest.from).expect("met above");
+            known.acked = known.acked.max(digest.seen.change);
+        }
+        if changed {
+            self.change += 1;
+        }
+        for delta in digest.reports {
+            let known = self.runners.get(&delta.runner).and_then(|state| state.known.as_ref());
+            if let Some(report) = delta.whole(known.map(|known| &known.report)) {
+                self.take_report(now, report, ReportSource::Peer);
+            }
+        }
+        for word in digest.leaving {
+            self.on_leaving(&word.runner, word.incarnation);
+        }
+        for (runner, event) in &digest.cache_events {
+            self.take_event(runner, event, ReportSource::Peer);
+        }
+        true
+    }
+
+    /// Takes cache events that this steward polled.
+    pub fn on_cache_events(&mut self, runner: &RunnerId, events: &[CacheEvent]) {
+        for event in events {
+            self.take_event(runner, event, ReportSource::Own);
+        }
+    }
+
+    /// Makes the next digest for `peer` a full one.
+    pub fn reconcile(&mut self, peer: &VmId) {
+        if let Some(node) = self.nodes.get_mut(peer) {
+            node.acked = 0;
+        }
+    }
+
+    /// The highest configuration that a live peer has, and its steward's address.
+    #[must_use]
+    pub fn newest_config(&self) -> Option<(LogOffset, SocketAddr)> {
+        let live = self.nodes.values().filter(|node| node.live);
+        live.map(|node| (node.config_offset, node.steward)).max()
+    }
+
+    fn known_node(&mut self, digest: &Digest) -> Option<&mut NodeState> {
+        if !self.nodes.contains_key(&digest.from) {
+            // The list lags: a peer with a valid certificate is taken at its word.
+            let record = digest.node.as_ref()?;
+            let node = NodeState::new(record.place.clone(), record.steward);
+            self.nodes.insert(digest.from.clone(), node);
+        }
+        let node = self.nodes.get_mut(&digest.from)?;
+        node.config_offset = node.config_offset.max(digest.config_offset);
+        Some(node)
+    }
+
+    fn take_event(&mut self, runner: &RunnerId, event: &CacheEvent, source: ReportSource) {
+        let taken = self
+            .runners
+            .get_mut(runner)
+            .is_some_and(|state: &mut RunnerState| state.take_event(event, source, self.change + 1));
+        if taken {
+            self.change += 1;
+        }
+    }
+}
--- a/crates/peers/src/message.rs
+++ b/crates/peers/src/message.rs
@@ -2,10 +2,13 @@
 
 use std::net::SocketAddr;
 
+use base::CacheEvent;
 use base::prelude::*;
 use config::ConfigPlan;
 use serde::{Deserialize, Serialize};
 
+use crate::{Digest, LeavingWord};
+
 /// What an entry tells its steward about itself.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EntryStatus {
@@ -66,6 +69,8 @@
     pub all_runners: bool,
     /// All entries that callers may use.
     pub entries: Vec<EntryRecord>,
+    /// Cache events since `version`; recent ones only.
+    pub cache_events: Vec<(RunnerId, CacheEvent)>,
     /// This VM is cut off from the others: its entries leave the lookups.
     pub cut_off: bool,
 }
@@ -131,6 +136,15 @@
     Call(ForwardedCall),
     /// The whole state of the process.
     Dump,
+    /// A steward's news for another.
+    Digest(Box<Digest>),
+    /// A steward asks for a configuration newer than `have`.
+    ConfigPull {
+        /// Configuration that the asking steward has.
+        have: LogOffset,
+    },
+    /// An entry tells its steward that a runner refused work because it leaves.
+    Leaving(LeavingWord),
 }
 
 /// The answer to a [`PeerRequest`].
@@ -142,6 +156,12 @@
     Call(ForwardedReply),
     /// To [`PeerRequest::Dump`]: JSON.
     Dump(String),
+    /// To [`PeerRequest::Digest`]: the answering steward's news.
+    Digest(Box<Digest>),
+    /// To [`PeerRequest::ConfigPull`]: a newer configuration, if there is one.
+    Config(Option<Box<ConfigState>>),
+    /// The request was carried out; there is nothing to say.
+    Done,
     /// The request is not for this process, or it cannot be served now; it had no effect.
     Refused(RefusalReason),
 }
--- /dev/null
+++ b/crates/peers/src/node_state.rs
@@ -0,0 +1,127 @@
+//! One machine of ours, as another steward knows it.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+
+use base::prelude::*;
+
+use crate::{ChangeCursor, EntryStatus, NodeRecord};
+
+/// Silence after which a steward, and what it told, no longer counts.
+pub const PEER_SILENCE: TimeSpan = TimeSpan::seconds(3);
+/// Earlier starts of a steward that are remembered, so that their late words are told.
+const MAX_RETIRED: usize = 4;
+
+/// One peer.
+pub(crate) struct NodeState {
+    pub(crate) place: PlaceName,
+    pub(crate) steward: SocketAddr,
+    /// What the platform's list says now; none if it does not name the machine.
+    pub(crate) listed: Option<VmState>,
+    /// The list has named the machine before.
+    pub(crate) was_listed: bool,
+    pub(crate) record: Option<NodeRecord>,
+    pub(crate) heard: Option<TimePoint>,
+    pub(crate) live: bool,
+    /// Configuration that the peer has.
+    pub(crate) config_offset: LogOffset,
+    /// The peer's changes that are known here.
+    pub(crate) seen: ChangeCursor,
+    /// This steward's changes that the peer has.
+    pub(crate) acked: u64,
+    pub(crate) next_digest: TimePoint,
+    left: Vec<VmIncarnation>,
+    retired: VecDeque<VmIncarnation>,
+}
+
+impl NodeState {
+    pub(crate) fn new(place: PlaceName, steward: SocketAddr) -> Self {
+        Self {
+            place,
+            steward,
+            listed: None,
+            was_listed: false,
+            record: None,
+            heard: None,
+            live: false,
+            config_offset: LogOffset::default(),
+            seen: ChangeCursor::default(),
+            acked: 0,
+            next_digest: TimePoint::default(),
+            left: Vec::new(),
+            retired: VecDeque::new(),
+        }
+    }
+
+    /// Whether `incarnation` is one that a later start has replaced.
+    pub(crate) fn is_retired(&self, incarnation: VmIncarnation) -> bool {
+        self.retired.contains(&incarnation)
+    }
+
+    /// Notes that the peer speaks as `incarnation`; a new start has no memory of the old.
+    pub(crate) fn meet(&mut self, incarnation: VmIncarnation) {
+        let known = self.seen.incarnation;
+        if known == incarnation {
+            return;
+        }
+        if known != VmIncarnation::default() {
+            if self.retired.len() >= MAX_RETIRED {
+                self.retired.pop_front();
+            }
+            self.retired.push_back(known);
+        }
+        self.seen = ChangeCursor { incarnation, change: 0 };
+        self.acked = 0;
+        self.record = None;
+    }
+
+    /// Takes the peer's own record; says whether it changed anything.
+    pub(crate) fn take_record(&mut self, record: NodeRecord) -> bool {
+        let stale = self.record.as_ref().is_some_and(|known| known.sequence >= record.sequence);
+        if stale || record.incarnation != self.seen.incarnation {
+            return false;
+        }
+        if record.leaving {
+            self.leave(record.incarnation);
+        }
+        for entry in &record.entries {
+            if entry.leaving {
+                self.leave(entry.incarnation);
+            }
+        }
+        self.steward = record.steward;
+        self.record = Some(record);
+        true
+    }
+
+    /// Notes that a start leaves: of the steward, or of an entry.
+    pub(crate) fn leave(&mut self, incarnation: VmIncarnation) {
+        if self.left.contains(&incarnation) {
+            return;
+        }
+        if self.left.len() >= MAX_RETIRED * 4 {
+            self.left.remove(0);
+        }
+        self.left.push(incarnation);
+    }
+
+    /// Whether the machine takes no new callers.
+    pub(crate) fn is_leaving(&self) -> bool {
+        let gone = self.listed.is_none() && self.was_listed;
+        gone || self.listed == Some(VmState::Leaving) || self.left.contains(&self.seen.incarnation)
+    }
+
+    /// Its entries that callers may use.
+    pub(crate) fn usable_entries(&self) -> impl Iterator<Item = &EntryStatus> {
+        let usable = self.live && !self.is_leaving();
+        let entries = self.record.iter().filter(move |_| usable);
+        entries.flat_map(|record| &record.entries).filter(|entry| {
+            !entry.leaving && !self.left.contains(&entry.incarnation)
+        })
+    }
+
+    /// Whether it has been heard lately.
+    pub(crate) fn is_heard(&self, now: TimePoint) -> bool {
+        self.heard.is_some_and(|heard| now.since(heard) < PEER_SILENCE)
+    }
+}
