--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod fields;
 mod ids;
+mod log_page;
 mod mac;
 mod numbers;
 mod outcome;
@@ -15,6 +16,7 @@
 
 pub use fields::{join_fields, split_fields};
 pub use ids::*;
+pub use log_page::{LogPage, LogRecord};
 pub use mac::{KeyId, MacError, SigningKey, SigningKeys};
 pub use numbers::*;
 pub use outcome::{CallOutcome, RefusalReason};
