--- a/crates/peers/src/digest.rs
+++ b/crates/peers/src/digest.rs
@@ -2,8 +2,8 @@
 
 use std::net::SocketAddr;
 
-use base::prelude::*;
 use base::CacheEvent;
+use base::prelude::*;
 use serde::{Deserialize, Serialize};
 
 use crate::EntryStatus;
--- a/crates/peers/src/fleet_desk.rs
+++ b/crates/peers/src/fleet_desk.rs
@@ -1,14 +1,14 @@
 //! A steward's view of the fleet, from every source: the platform's list, runners, peers
 //! and its own entries. It opens no socket and reads no clock.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use base::prelude::*;
 
 use crate::leaving_words::LeavingWords;
 use crate::node_state::NodeState;
-use crate::report_share::{ShareNode, owns_report};
+use crate::report_share::ReportShare;
 use crate::runner_state::{ReportSource, RunnerState};
 use crate::{EntryStatus, LeavingWord, NodeRecord};
 
@@ -17,6 +17,13 @@
 /// Silence of the platform and all peers after which this machine is cut off.
 pub const CUT_OFF_SILENCE: TimeSpan = TimeSpan::seconds(5);
 
+/// Least change of an entry's calls that is told, in calls.
+const CALLS_STEP: u32 = 4;
+/// Least change of an entry's calls that is told, as a part of its calls: one eighth.
+const CALLS_SHARE: u32 = 8;
+/// Time for which a machine that left the list is remembered.
+const GONE_MEMORY: TimeSpan = TimeSpan::seconds(900);
+
 /// What a steward says about itself when it starts.
 #[derive(Debug, Clone)]
 pub struct FleetSelf {
@@ -47,10 +54,12 @@
     pub(crate) urgent: bool,
     pub(crate) cut_off: bool,
     entry_heard: BTreeMap<VmIncarnation, TimePoint>,
+    /// Calls of the own entries, as they last said.
+    calls: BTreeMap<VmIncarnation, u32>,
     pub(crate) platform_heard: Option<TimePoint>,
     pub(crate) started: TimePoint,
     pub(crate) listed: bool,
-    me_listed_leaving: bool,
+    own_line: Option<VmState>,
 }
 
 impl FleetDesk {
@@ -82,7 +91,8 @@
             platform_heard: None,
             started: now,
             listed: false,
-            me_listed_leaving: false,
+            own_line: None,
+            calls: BTreeMap::new(),
         }
     }
 
@@ -119,7 +129,7 @@
         }
         self.listed = true;
         self.take_runners(vms);
-        self.take_nodes(vms);
+        self.take_nodes(now, vms);
     }
 
     /// Notes that the platform answered anything.
@@ -148,23 +158,37 @@
     /// Takes what an entry of this machine says about itself.
     pub fn on_entry(&mut self, now: TimePoint, status: &EntryStatus) {
         self.entry_heard.insert(status.incarnation, now);
-        let same_address = |entry: &EntryStatus| entry.address == status.address;
-        let known = self.me.entries.iter_mut().find(|entry| same_address(entry));
-        match known {
-            Some(known) if *known == *status => return,
-            Some(known) => {
-                // A late word of the same start does not take its leaving back.
-                let sticky = known.leaving && known.incarnation == status.incarnation;
-                self.urgent |= status.leaving && !known.leaving;
-                known.clone_from(status);
-                known.leaving |= sticky;
-            }
-            None => {
-                self.me.entries.push(status.clone());
-                self.urgent = true;
+        self.calls.insert(status.incarnation, status.calls);
+        let known = self.me.entries.iter_mut().find(|entry| entry.address == status.address);
+        let Some(known) = known else {
+            self.me.entries.push(status.clone());
+            self.urgent = true;
+            return self.change_me();
+        };
+        let mut status = EntryStatus { calls: known.calls, ..status.clone() };
+        // A late word of the same start does not take its leaving back.
+        status.leaving |= known.leaving && known.incarnation == status.incarnation;
+        if *known != status {
+            self.urgent |= status.leaving && !known.leaving;
+            *known = status;
+            self.change_me();
+        }
+    }
+
+    /// Brings the entries' calls into the own record where they moved enough to matter.
+    pub(crate) fn refresh_calls(&mut self) {
+        let mut moved = false;
+        for entry in &mut self.me.entries {
+            let calls = self.calls.get(&entry.incarnation).copied().unwrap_or_default();
+            let step = CALLS_STEP + entry.calls / CALLS_SHARE;
+            if calls.abs_diff(entry.calls) >= step || (calls == 0 && entry.calls > 0) {
+                entry.calls = calls;
+                moved = true;
             }
         }
-        self.change_me();
+        if moved {
+            self.change_me();
+        }
     }
 
     /// Notes the configuration that this steward has; each view's drains may change.
@@ -194,7 +218,10 @@
             changed |= live != node.live;
             node.live = live;
         }
-        self.nodes.retain(|_, node| node.live || node.listed.is_some());
+        self.nodes.retain(|_, node| {
+            let remembered = |gone: TimePoint| now.since(gone) < GONE_MEMORY;
+            node.live || node.listed.is_some() || node.gone.is_some_and(remembered)
+        });
         let cut_off = self.judge_cut_off(now);
         if changed || cut_off != self.cut_off {
             self.cut_off = cut_off;
@@ -205,18 +232,20 @@
     /// Runners that this steward has to poll.
     #[must_use]
     pub fn polls(&self) -> Vec<(RunnerId, SocketAddr, u64)> {
-        let me = ShareNode { vm: &self.me.vm, place: &self.me.place };
-        let peers = self.nodes.iter().filter(|(_, node)| node.live && !node.is_leaving());
-        let mut stewards: Vec<ShareNode<'_>> =
-            peers.map(|(vm, node)| ShareNode { vm, place: &node.place }).collect();
+        let mut share = ReportShare::default();
+        for (vm, node) in &self.nodes {
+            if node.live && !node.is_leaving() {
+                share.add(vm, &node.place);
+            }
+        }
         // A leaving steward goes on until others have taken over.
-        if !self.me.leaving || stewards.is_empty() {
-            stewards.push(me);
+        if !self.me.leaving || share.is_empty() {
+            share.add(&self.me.vm, &self.me.place);
         }
         let owned = self
             .runners
             .iter()
-            .filter(|(runner, state)| owns_report(&self.me.vm, runner, &state.place, &stewards));
+            .filter(|(runner, state)| share.owns(&self.me.vm, runner, &state.place));
         owned.map(|(id, state)| (id.clone(), state.address, state.events_next())).collect()
     }
 
@@ -285,15 +314,12 @@
         }
     }
 
-    fn take_nodes(&mut self, vms: &[VmRecord]) {
-        let entries = || vms.iter().filter(|vm| vm.role == VmRole::Entry);
+    fn take_nodes(&mut self, now: TimePoint, vms: &[VmRecord]) {
+        let mut listed = BTreeSet::new();
         let mut changed = false;
-        for node in self.nodes.values_mut() {
-            changed |= node.listed.is_some();
-            node.listed = None;
-        }
-        for vm in entries() {
+        for vm in vms.iter().filter(|vm| vm.role == VmRole::Entry) {
             let Some(steward) = vm.steward else { continue };
+            listed.insert(&vm.vm);
             if vm.vm == self.me.vm {
                 self.take_own_line(vm.state);
                 continue;
@@ -302,15 +328,13 @@
                 .nodes
                 .entry(vm.vm.clone())
                 .or_insert_with(|| NodeState::new(vm.place.clone(), steward));
-            // A restarted steward may say another address by itself.
-            if node.record.is_none() {
-                node.steward = steward;
-            }
-            if vm.state == VmState::Leaving {
-                node.leave(node.seen.incarnation);
+            changed |= node.take_line(vm, steward);
+        }
+        for (vm, node) in &mut self.nodes {
+            if node.listed.is_some() && !listed.contains(vm) {
+                (node.listed, node.gone) = (None, Some(now));
+                changed = true;
             }
-            node.place = vm.place.clone();
-            (node.listed, node.was_listed) = (Some(vm.state), true);
         }
         if changed {
             self.change += 1;
@@ -319,11 +343,10 @@
 
     fn take_own_line(&mut self, state: VmState) {
         // Only the change to leaving counts: a new start on a kept machine is in service.
-        let leaving = state == VmState::Leaving;
-        if leaving && !self.me_listed_leaving {
+        if state == VmState::Leaving && self.own_line != Some(VmState::Leaving) {
             self.leave();
         }
-        self.me_listed_leaving = leaving;
+        self.own_line = Some(state);
     }
 
     fn drop_silent_entries(&mut self, now: TimePoint) {
@@ -334,6 +357,7 @@
         });
         if self.me.entries.len() != before {
             heard.retain(|_, at| now.since(*at) < ENTRY_SILENCE);
+            self.calls.retain(|incarnation, _| heard.contains_key(incarnation));
             self.urgent = true;
             self.change_me();
         }
@@ -342,9 +366,8 @@
     /// Cut off: neither the platform nor any peer was heard, though there are peers. With
     /// the platform down, the peers still answer.
     fn judge_cut_off(&self, now: TimePoint) -> bool {
-        let alone = |heard: Option<TimePoint>| {
-            now.since(heard.unwrap_or(self.started)) >= CUT_OFF_SILENCE
-        };
+        let alone =
+            |heard: Option<TimePoint>| now.since(heard.unwrap_or(self.started)) >= CUT_OFF_SILENCE;
         let has_peers = self.nodes.values().any(|node| node.listed.is_some());
         let peers_heard = self.nodes.values().filter_map(|node| node.heard).max();
         (has_peers || !self.listed) && alone(self.platform_heard) && alone(peers_heard)
--- a/crates/peers/src/fleet_digest.rs
+++ b/crates/peers/src/fleet_digest.rs
@@ -2,13 +2,13 @@
 
 use std::net::SocketAddr;
 
-use base::prelude::*;
 use base::CacheEvent;
+use base::prelude::*;
 
 use crate::digest::{ChangeCursor, Digest};
 use crate::node_state::NodeState;
 use crate::runner_state::{ReportSource, RunnerState};
-use crate::FleetDesk;
+use crate::{FleetDesk, ReportDelta};
 
 /// Silence after which a peer is tried less often.
 const LONG_SILENCE: TimeSpan = TimeSpan::seconds(10);
@@ -20,10 +20,12 @@
 impl FleetDesk {
     /// Peers that should get a digest now; each is then not due for a period.
     pub fn due_peers(&mut self, now: TimePoint) -> Vec<(VmId, SocketAddr)> {
+        self.refresh_calls();
         let urgent = std::mem::take(&mut self.urgent);
         let (started, period) = (self.started, self.digest_period);
         let mut due = Vec::new();
-        for (vm, node) in &mut self.nodes {
+        let present = |node: &NodeState| node.live || node.listed.is_some();
+        for (vm, node) in self.nodes.iter_mut().filter(|(_, node)| present(node)) {
             let silent = now.since(node.heard.unwrap_or(started)) >= LONG_SILENCE;
             if now < node.next_digest && (silent || !urgent) {
                 continue;
@@ -40,7 +42,8 @@
         if self.urgent {
             return now;
         }
-        let next = self.nodes.values().map(|node| node.next_digest).min();
+        let present = self.nodes.values().filter(|node| node.live || node.listed.is_some());
+        let next = present.map(|node| node.next_digest).min();
         next.unwrap_or(now + self.digest_period)
     }
 
@@ -73,30 +76,27 @@
         if digest.from == self.me.vm {
             return false;
         }
+        let own = self.me.incarnation;
         let Some(known) = self.known_node(&digest) else { return false };
         if known.is_retired(digest.until.incarnation) {
             return false;
         }
         known.meet(digest.until.incarnation);
         known.heard = Some(now);
+        known.config_offset = digest.config_offset;
         let mut changed = !known.live;
         known.live = true;
         known.seen.change = known.seen.change.max(digest.until.change);
+        // A peer that forgot this start, or lacks a part, says so by a lower position.
+        known.acked = if digest.seen.incarnation == own { digest.seen.change } else { 0 };
         if let Some(record) = digest.node {
             changed |= known.take_record(record);
         }
-        if digest.seen.incarnation == self.me.incarnation {
-            let known = self.nodes.get_mut(&digest.from).expect("met above");
-            known.acked = known.acked.max(digest.seen.change);
-        }
         if changed {
             self.change += 1;
         }
-        for delta in digest.reports {
-            let known = self.runners.get(&delta.runner).and_then(|state| state.known.as_ref());
-            if let Some(report) = delta.whole(known.map(|known| &known.report)) {
-                self.take_report(now, report, ReportSource::Peer);
-            }
+        if !self.take_deltas(now, digest.reports) {
+            self.reconcile(&digest.from);
         }
         for word in digest.leaving {
             self.on_leaving(&word.runner, word.incarnation);
@@ -107,6 +107,19 @@
         true
     }
 
+    /// Takes a peer's reports; false if one of them lacks a detail that is not known here.
+    fn take_deltas(&mut self, now: TimePoint, deltas: Vec<ReportDelta>) -> bool {
+        let mut whole = true;
+        for delta in deltas {
+            let Some(state) = self.runners.get(&delta.runner) else { continue };
+            match delta.whole(state.known.as_ref().map(|known| &known.report)) {
+                Some(report) => self.take_report(now, report, ReportSource::Peer),
+                None => whole = false,
+            }
+        }
+        whole
+    }
+
     /// Takes cache events that this steward polled.
     pub fn on_cache_events(&mut self, runner: &RunnerId, events: &[CacheEvent]) {
         for event in events {
@@ -114,10 +127,10 @@
         }
     }
 
-    /// Makes the next digest for `peer` a full one.
+    /// Asks for everything that `peer` knows, with the next digest to it.
     pub fn reconcile(&mut self, peer: &VmId) {
         if let Some(node) = self.nodes.get_mut(peer) {
-            node.acked = 0;
+            node.seen.change = 0;
         }
     }
 
@@ -135,16 +148,13 @@
             let node = NodeState::new(record.place.clone(), record.steward);
             self.nodes.insert(digest.from.clone(), node);
         }
-        let node = self.nodes.get_mut(&digest.from)?;
-        node.config_offset = node.config_offset.max(digest.config_offset);
-        Some(node)
+        self.nodes.get_mut(&digest.from)
     }
 
     fn take_event(&mut self, runner: &RunnerId, event: &CacheEvent, source: ReportSource) {
-        let taken = self
-            .runners
-            .get_mut(runner)
-            .is_some_and(|state: &mut RunnerState| state.take_event(event, source, self.change + 1));
+        let taken = self.runners.get_mut(runner).is_some_and(|state: &mut RunnerState| {
+            state.take_event(event, source, self.change + 1)
+        });
         if taken {
             self.change += 1;
         }
--- a/crates/peers/src/leaving_words.rs
+++ b/crates/peers/src/leaving_words.rs
@@ -47,9 +47,10 @@
 
     /// Gives a word that was said before the runner's first report its start.
     pub(crate) fn bind(&mut self, runner: &RunnerId, incarnation: u64, change: u64) {
-        let unbound = self.words.get_mut(runner).and_then(|words| {
-            words.iter_mut().find(|word| word.incarnation == UNKNOWN_START)
-        });
+        let unbound = self
+            .words
+            .get_mut(runner)
+            .and_then(|words| words.iter_mut().find(|word| word.incarnation == UNKNOWN_START));
         if let Some(word) = unbound {
             *word = KnownWord { incarnation, change };
         }
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -1,19 +1,30 @@
 //! What our processes say to each other, and how: messages over QUIC with mutual TLS.
 
+mod digest;
 mod endpoint;
 mod envelope;
 mod error;
+mod fleet_desk;
+mod fleet_digest;
+mod fleet_view;
 mod keys;
+mod leaving_words;
 mod limits;
 mod link;
 mod message;
+mod node_state;
+mod report_share;
 mod restart;
+mod runner_state;
 mod server;
 mod stream;
 
+pub use digest::{ChangeCursor, Digest, LeavingWord, NodeRecord, ReportDelta, ReportDetail};
 pub use endpoint::PeerEndpoint;
 pub use envelope::{MAX_MESSAGE_BYTES, MESSAGE_VERSION, decode_message, encode_message};
 pub use error::{PeerError, RejectReason, Result};
+pub use fleet_desk::{CUT_OFF_SILENCE, ENTRY_SILENCE, FleetDesk, FleetSelf};
+pub use fleet_digest::RECONCILE_PERIOD;
 pub use keys::{PeerKeys, TLS_NAME};
 pub use limits::{
     CONNECT_LIMIT, IDLE_LIMIT, KEEP_ALIVE, LINK_LIMIT, MAX_CONNECTIONS, MAX_LINKS, MAX_REQUESTS,
@@ -22,3 +33,5 @@
     EntryRecord, EntryStatus, FleetView, ForwardedCall, ForwardedReply, PeerReply, PeerRequest,
     RunnerRecord,
 };
+pub use node_state::PEER_SILENCE;
+pub use report_share::{REPORT_OWNERS, ReportShare};
--- a/crates/peers/src/message.rs
+++ b/crates/peers/src/message.rs
@@ -4,7 +4,7 @@
 
 use base::CacheEvent;
 use base::prelude::*;
-use config::ConfigPlan;
+use config::{ConfigDelta, ConfigPlan};
 use serde::{Deserialize, Serialize};
 
 use crate::{Digest, LeavingWord};
@@ -159,7 +159,7 @@
     /// To [`PeerRequest::Digest`]: the answering steward's news.
     Digest(Box<Digest>),
     /// To [`PeerRequest::ConfigPull`]: a newer configuration, if there is one.
-    Config(Option<Box<ConfigState>>),
+    Config(Option<Box<ConfigDelta>>),
     /// The request was carried out; there is nothing to say.
     Done,
     /// The request is not for this process, or it cannot be served now; it had no effect.
--- a/crates/peers/src/node_state.rs
+++ b/crates/peers/src/node_state.rs
@@ -18,8 +18,8 @@
     pub(crate) steward: SocketAddr,
     /// What the platform's list says now; none if it does not name the machine.
     pub(crate) listed: Option<VmState>,
-    /// The list has named the machine before.
-    pub(crate) was_listed: bool,
+    /// When the list ceased to name the machine.
+    pub(crate) gone: Option<TimePoint>,
     pub(crate) record: Option<NodeRecord>,
     pub(crate) heard: Option<TimePoint>,
     pub(crate) live: bool,
@@ -40,7 +40,7 @@
             place,
             steward,
             listed: None,
-            was_listed: false,
+            gone: None,
             record: None,
             heard: None,
             live: false,
@@ -53,6 +53,22 @@
         }
     }
 
+    /// Takes the machine's line of the platform's list; says whether it changed anything.
+    pub(crate) fn take_line(&mut self, line: &VmRecord, steward: SocketAddr) -> bool {
+        let changed = self.listed != Some(line.state);
+        // Only the change to leaving is sticky: a later start on the machine is another.
+        if changed && line.state == VmState::Leaving {
+            self.leave(self.seen.incarnation);
+        }
+        // The steward itself knows its address better than the list, which lags.
+        if self.record.is_none() {
+            self.steward = steward;
+        }
+        self.place = line.place.clone();
+        (self.listed, self.gone) = (Some(line.state), None);
+        changed
+    }
+
     /// Whether `incarnation` is one that a later start has replaced.
     pub(crate) fn is_retired(&self, incarnation: VmIncarnation) -> bool {
         self.retired.contains(&incarnation)
@@ -107,7 +123,7 @@
 
     /// Whether the machine takes no new callers.
     pub(crate) fn is_leaving(&self) -> bool {
-        let gone = self.listed.is_none() && self.was_listed;
+        let gone = self.listed.is_none() && self.gone.is_some();
         gone || self.listed == Some(VmState::Leaving) || self.left.contains(&self.seen.incarnation)
     }
 
@@ -115,9 +131,9 @@
     pub(crate) fn usable_entries(&self) -> impl Iterator<Item = &EntryStatus> {
         let usable = self.live && !self.is_leaving();
         let entries = self.record.iter().filter(move |_| usable);
-        entries.flat_map(|record| &record.entries).filter(|entry| {
-            !entry.leaving && !self.left.contains(&entry.incarnation)
-        })
+        entries
+            .flat_map(|record| &record.entries)
+            .filter(|entry| !entry.leaving && !self.left.contains(&entry.incarnation))
     }
 
     /// Whether it has been heard lately.
--- a/crates/peers/src/report_share.rs
+++ b/crates/peers/src/report_share.rs
@@ -3,41 +3,45 @@
 //! The polls of a runner do not grow with the number of stewards. When a steward dies, its
 //! runners go to others, and no other runner changes hands.
 
+use std::collections::BTreeMap;
+
 use base::prelude::*;
 use base::rendezvous_score;
 
 /// Stewards that poll one runner.
 pub const REPORT_OWNERS: usize = 2;
 
-/// A live steward, as a candidate.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct ShareNode<'a> {
-    /// Its machine.
-    pub vm: &'a VmId,
-    /// Its failure domain.
-    pub place: &'a PlaceName,
+/// The live stewards, from which the owners of each runner's reports follow.
+#[derive(Debug, Clone, Default)]
+pub struct ReportShare {
+    by_place: BTreeMap<PlaceName, Vec<VmId>>,
+    all: Vec<VmId>,
 }
 
-/// Whether `me` is among the owners of `runner`: of the stewards in the runner's place if
-/// they are enough, else of all.
-#[must_use]
-pub fn owns_report(
-    me: &VmId,
-    runner: &RunnerId,
-    place: &PlaceName,
-    stewards: &[ShareNode<'_>],
-) -> bool {
-    let near = stewards.iter().filter(|node| node.place == place).count() >= REPORT_OWNERS;
-    let mut candidates = stewards.iter().filter(|node| !near || node.place == place);
-    if !candidates.clone().any(|node| node.vm == me) {
-        return false;
+impl ReportShare {
+    /// Notes a live steward.
+    pub fn add(&mut self, vm: &VmId, place: &PlaceName) {
+        self.by_place.entry(place.clone()).or_default().push(vm.clone());
+        self.all.push(vm.clone());
+    }
+
+    /// Whether no steward is live.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.all.is_empty()
+    }
+
+    /// Whether `vm` is among the owners of `runner`: of the stewards in the runner's place
+    /// if they are enough, else of all.
+    #[must_use]
+    pub fn owns(&self, vm: &VmId, runner: &RunnerId, place: &PlaceName) -> bool {
+        let near = self.by_place.get(place).filter(|near| near.len() >= REPORT_OWNERS);
+        let candidates = near.unwrap_or(&self.all);
+        if !candidates.contains(vm) {
+            return false;
+        }
+        let rank = |vm: &VmId| rendezvous_score(runner.as_str(), vm.as_str());
+        let own = (rank(vm), vm);
+        candidates.iter().filter(|other| (rank(other), *other) > own).count() < REPORT_OWNERS
     }
-    let rank = |vm: &VmId| (rendezvous_score(runner.as_str(), vm.as_str()), vm.clone());
-    let own = rank(me);
-    // The owners are those with the highest scores.
-    let mut better = 0;
-    candidates.all(|node| {
-        better += usize::from(rank(node.vm) > own);
-        better < REPORT_OWNERS
-    })
 }
--- a/crates/peers/src/runner_state.rs
+++ b/crates/peers/src/runner_state.rs
@@ -3,8 +3,8 @@
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 
-use base::prelude::*;
 use base::CacheEvent;
+use base::prelude::*;
 
 use crate::{ReportDelta, RunnerRecord};
 
