--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -30,8 +30,7 @@
     CONNECT_LIMIT, IDLE_LIMIT, KEEP_ALIVE, LINK_LIMIT, MAX_CONNECTIONS, MAX_LINKS, MAX_REQUESTS,
 };
 pub use message::{
-    EntryRecord, EntryStatus, FleetView, ForwardedCall, ForwardedReply, PeerReply, PeerRequest,
-    RunnerRecord,
+    EntryRecord, EntryStatus, FleetView, ForwardedCall, PeerReply, PeerRequest, RunnerRecord,
 };
 pub use node_state::PEER_SILENCE;
 pub use report_share::{REPORT_OWNERS, ReportShare};
