--- a/crates/peers/src/endpoint.rs
+++ b/crates/peers/src/endpoint.rs
@@ -55,7 +55,7 @@
         client.transport_config(transport);
         let bind_error = |source| PeerError::Bind { address, source };
         let socket = UdpSocket::bind(address).await.map_err(bind_error)?;
-        let config = keys.restart_key().endpoint_config();
+        let config = keys.restart_key(address).endpoint_config();
         let endpoint = Endpoint::new(socket, config, Some(server), None).map_err(bind_error)?;
         let address = endpoint.local_addr().map_err(bind_error)?;
         let links = LinkTable::new(endpoint.clone(), client);
--- a/crates/peers/src/fleet_digest.rs
+++ b/crates/peers/src/fleet_digest.rs
@@ -4,6 +4,7 @@
 
 use base::CacheEvent;
 use base::prelude::*;
+use config::FollowerMember;
 
 use crate::digest::{ChangeCursor, Digest};
 use crate::node_state::NodeState;
@@ -141,6 +142,22 @@
         live.map(|node| (node.config_offset, node.steward)).max()
     }
 
+    /// Peers that were heard lately.
+    #[must_use]
+    pub fn live_peers(&self) -> Vec<VmId> {
+        self.nodes.iter().filter(|(_, node)| node.live).map(|(vm, _)| vm.clone()).collect()
+    }
+
+    /// All live stewards, this one included.
+    #[must_use]
+    pub fn members(&self) -> Vec<FollowerMember> {
+        let own = FollowerMember { vm: self.me.vm.clone(), place: self.me.place.clone() };
+        let live = self.nodes.iter().filter(|(_, node)| node.live && !node.is_leaving());
+        let peers =
+            live.map(|(vm, node)| FollowerMember { vm: vm.clone(), place: node.place.clone() });
+        std::iter::once(own).chain(peers).collect()
+    }
+
     fn known_node(&mut self, digest: &Digest) -> Option<&mut NodeState> {
         if !self.nodes.contains_key(&digest.from) {
             // The list lags: a peer with a valid certificate is taken at its word.
--- a/crates/peers/src/keys.rs
+++ b/crates/peers/src/keys.rs
@@ -1,6 +1,7 @@
 //! Certificates and keys for mutual TLS between our processes.
 
 use std::fmt;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use compio_quic::crypto::rustls::{QuicClientConfig, QuicServerConfig};
@@ -63,8 +64,8 @@
     }
 
     /// The secret by which a restarted process disowns its predecessor's connections.
-    pub(crate) fn restart_key(&self) -> RestartKey {
-        RestartKey::new(self.private_key.as_bytes())
+    pub(crate) fn restart_key(&self, address: SocketAddr) -> RestartKey {
+        RestartKey::new(self.private_key.as_bytes(), address)
     }
 
     fn roots(&self) -> Result<RootCertStore> {
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -6,6 +6,7 @@
 mod error;
 mod fleet_desk;
 mod fleet_digest;
+mod fleet_dump;
 mod fleet_view;
 mod keys;
 mod leaving_words;
--- a/crates/peers/src/restart.rs
+++ b/crates/peers/src/restart.rs
@@ -2,9 +2,10 @@
 //!
 //! A stateless reset (RFC 9000, section 10.3) ends a connection within a round trip. Its
 //! token has to be the same for the next start of the process, so it is derived from the
-//! process's private key, and the next start must not take the connection's ids for forged
-//! ones, so the ids are plain random numbers.
+//! process's private key and address. The next start must not take the connection's ids
+//! for forged ones, so the ids are plain random numbers.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -18,15 +19,18 @@
 /// Length of a connection id.
 const ID_BYTES: usize = 8;
 
-/// A secret that each start of a process with the same private key has.
+/// A secret that each start of a process with the same private key and address has; other
+/// processes with the same key cannot be made to end its connections.
 #[derive(Clone)]
 pub(crate) struct RestartKey {
     mac: Hmac<Sha256>,
 }
 
 impl RestartKey {
-    pub(crate) fn new(private_key: &[u8]) -> Self {
-        let mac = Hmac::new_from_slice(private_key).expect("HMAC takes keys of any length");
+    pub(crate) fn new(private_key: &[u8], address: SocketAddr) -> Self {
+        let mut mac: Hmac<Sha256> =
+            Hmac::new_from_slice(private_key).expect("HMAC takes keys of any length");
+        mac.update(address.to_string().as_bytes());
         Self { mac }
     }
 
--- /dev/null
+++ b/crates/steward/src/dump.rs
@@ -0,0 +1,37 @@
+//! The steward's parts of the state dump.
+
+use std::rc::Rc;
+
+use serde_json::json;
+
+use crate::config_service::{CONFIG_SERVICE, ConfigService};
+use crate::context::StewardContext;
+
+/// Registers the dumps of all services.
+pub fn register(context: &Rc<StewardContext>, config: &Rc<ConfigService>) {
+    let service = Rc::clone(config);
+    context.registry.register_dump(CONFIG_SERVICE, {
+        let shared = Rc::downgrade(context);
+        move || shared.upgrade().map_or(json!(null), |context| service.dump(context.now()))
+    });
+    let shared = Rc::downgrade(context);
+    context.registry.register_dump("fleet", move || {
+        let Some(context) = shared.upgrade() else { return json!(null) };
+        let now = context.now();
+        context.look(|desk| desk.dump(now))
+    });
+    let shared = Rc::downgrade(context);
+    context.registry.register_dump("counters", move || {
+        shared.upgrade().map_or(json!(null), |context| json!(context.counters.snapshot()))
+    });
+    let shared = Rc::downgrade(context);
+    context.registry.register_dump("peers", move || {
+        let Some(context) = shared.upgrade() else { return json!(null) };
+        json!({
+            "links": context.peers.links(),
+            "connections": context.peers.connections(),
+            "requests": context.peers.requests(),
+            "rejected": context.peers.rejected(),
+        })
+    });
+}
--- a/crates/steward/src/main.rs
+++ b/crates/steward/src/main.rs
@@ -1,3 +1,92 @@
-//! Placeholder.
+//! `yard-steward`: one a machine; it follows the platform and its peers, and tells the
+//! machine's entries what the fleet looks like and what configuration is in force.
 
-fn main() {}
+mod arguments;
+mod change_bell;
+mod config_service;
+mod context;
+mod counters;
+mod digest_exchange;
+mod dump;
+mod error;
+mod fleet_clock;
+mod logging;
+mod peer_handler;
+mod planned_stop;
+mod runner_poll;
+mod vm_poll;
+
+use std::process::ExitCode;
+use std::rc::Rc;
+
+use peers::{PeerEndpoint, PeerKeys};
+use settings::{KeySettings, StewardSettings};
+
+use crate::arguments::StewardArguments;
+use crate::config_service::{CONFIG_SERVICE, ConfigService};
+use crate::context::StewardContext;
+use crate::counters::StewardCounters;
+use crate::error::{Result, StewardError};
+
+fn main() -> ExitCode {
+    let arguments: StewardArguments = argh::from_env();
+    let outcome = kernel::run(run(arguments)).map_err(StewardError::from);
+    match outcome.and_then(|outcome| outcome) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("yard-steward: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn run(arguments: StewardArguments) -> Result<()> {
+    let path = arguments.settings;
+    let settings: StewardSettings = settings::read_settings(&path, &arguments.sets)
+        .map_err(|source| StewardError::Settings { path, source })?;
+    logging::start(&settings.common);
+    let keys = read_keys(&settings.common.keys)?;
+    let peers = PeerEndpoint::bind(settings.peer, &keys).await?;
+    let counters = StewardCounters::new(settings.common.metrics)?;
+    println!("listening {}", peers.address());
+    let context = StewardContext::new(settings, peers, counters);
+    start_services(&context)?;
+    let serving = start_serving(&context);
+    kernel::wait_for_signals().await?;
+    planned_stop::run(Rc::clone(&context)).await;
+    context.stop.raise();
+    // The task has no other end than its own.
+    let _ = serving.await;
+    context.peers.close().await;
+    Ok(())
+}
+
+fn start_services(context: &Rc<StewardContext>) -> Result<()> {
+    let config = ConfigService::new(context);
+    context.registry.register(CONFIG_SERVICE, &config)?;
+    dump::register(context, &config);
+    kernel::spawn(config.run(Rc::clone(context))).detach();
+    kernel::spawn(vm_poll::run(Rc::clone(context))).detach();
+    kernel::spawn(runner_poll::run(Rc::clone(context))).detach();
+    kernel::spawn(digest_exchange::run(Rc::clone(context))).detach();
+    kernel::spawn(fleet_clock::run(Rc::clone(context))).detach();
+    Ok(())
+}
+
+fn start_serving(context: &Rc<StewardContext>) -> compio::runtime::JoinHandle<()> {
+    let context = Rc::clone(context);
+    kernel::spawn(async move {
+        let shared = Rc::clone(&context);
+        let handler = move |request| peer_handler::answer(Rc::clone(&shared), request);
+        context.peers.serve(context.stop.clone(), handler).await;
+    })
+}
+
+fn read_keys(settings: &KeySettings) -> Result<PeerKeys> {
+    let keys_error = |field| move |source| StewardError::Keys { field, source };
+    Ok(PeerKeys {
+        certificate: settings.certificate.read().map_err(keys_error("certificate"))?,
+        private_key: settings.private_key.read().map_err(keys_error("private_key"))?,
+        authorities: settings.authority.read().map_err(keys_error("authority"))?,
+    })
+}
--- /dev/null
+++ b/crates/steward/src/runner_poll.rs
@@ -0,0 +1,70 @@
+//! Polls this steward's share of the runners: their load and their cache events.
+
+use std::cell::RefCell;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use base::CacheEvent;
+use base::prelude::*;
+use serde::Deserialize;
+use web::fetch_json;
+
+use crate::context::StewardContext;
+
+/// Time between two looks at an empty share.
+const IDLE_PAUSE: TimeSpan = TimeSpan::millis(50);
+
+#[derive(Deserialize)]
+struct CacheAnswer {
+    events: Vec<CacheEvent>,
+}
+
+/// Polls until the process ends; the polls of a round are spread over its period.
+pub async fn run(context: Rc<StewardContext>) {
+    let busy: Rc<RefCell<BTreeSet<RunnerId>>> = Rc::default();
+    loop {
+        let share = context.look(peers::FleetDesk::polls);
+        context.counters.gauge("runners.polled", share.len() as u64);
+        if share.is_empty() {
+            kernel::sleep(IDLE_PAUSE.into()).await;
+            continue;
+        }
+        let pause = TimeSpan(context.settings.poll.0 / share.len() as u64);
+        for (runner, address, next_event) in share {
+            if busy.borrow_mut().insert(runner.clone()) {
+                let (context, busy) = (Rc::clone(&context), Rc::clone(&busy));
+                kernel::spawn(async move {
+                    poll(&context, &runner, address, next_event).await;
+                    busy.borrow_mut().remove(&runner);
+                })
+                .detach();
+            }
+            kernel::sleep(pause.into()).await;
+        }
+    }
+}
+
+async fn poll(context: &StewardContext, runner: &RunnerId, address: SocketAddr, next_event: u64) {
+    let limit = context.settings.exchange;
+    let report = fetch_json::<RunnerReport>("poll of a runner", address, "/load", limit).await;
+    let Ok(report) = report else {
+        // The report's age tells the entries; a line for each poll would tell nobody more.
+        return context.counters.count("runner_poll.failed");
+    };
+    // A report in another's name must not speak for that runner.
+    if report.runner != *runner {
+        return context.counters.count("runner_poll.foreign");
+    }
+    context.counters.count("runner_poll.done");
+    let has_cache = report.total_blocks.0 > 0;
+    context.change(|desk, now| desk.on_report(now, report));
+    if !has_cache {
+        return;
+    }
+    let path = format!("/cache-events?from={next_event}");
+    let answer = fetch_json::<CacheAnswer>("poll of cache events", address, &path, limit).await;
+    if let Ok(answer) = answer {
+        context.change(|desk, _| desk.on_cache_events(runner, &answer.events));
+    }
+}
--- /dev/null
+++ b/crates/steward/src/vm_poll.rs
@@ -0,0 +1,34 @@
+//! Follows the platform's VM list.
+
+use std::rc::Rc;
+
+use platform::VmListClient;
+
+use crate::context::StewardContext;
+
+/// Polls the VM list until the process ends.
+pub async fn run(context: Rc<StewardContext>) {
+    let client = VmListClient::new(context.settings.common.vm_list, context.settings.exchange);
+    let mut answering = None;
+    loop {
+        let outcome = client.get().await;
+        let answers = outcome.is_ok();
+        match outcome {
+            Ok(vms) => {
+                context.counters.count("vm_list.done");
+                context.change(|desk, now| desk.on_vms(now, &vms));
+            }
+            Err(error) => {
+                context.counters.count("vm_list.failed");
+                if answering != Some(false) {
+                    tracing::warn!(step = "vm_list", %error, "VM list does not answer");
+                }
+            }
+        }
+        if answers && answering == Some(false) {
+            tracing::info!(step = "vm_list", "VM list answers again");
+        }
+        answering = Some(answers);
+        kernel::sleep(context.settings.vm_poll.into()).await;
+    }
+}
