Let a digest cover only what follows on what its receiver has

A digest now names the change it starts above; a receiver with a gap keeps its position and so asks again. Starts have no order, so a replaced one that speaks on while its supposed successor is silent for 2 s is heard again.

--- a/crates/peers/src/digest.rs
+++ b/crates/peers/src/digest.rs
@@ -147,7 +147,9 @@
 pub struct Digest {
     /// The sender's machine.
     pub from: VmId,
-    /// The sender's changes that this digest covers.
+    /// This digest covers the sender's changes after this one…
+    pub above: u64,
+    /// … up to this one.
     pub until: ChangeCursor,
     /// The receiver's changes that the sender has.
     pub seen: ChangeCursor,
--- a/crates/peers/src/fleet_digest.rs
+++ b/crates/peers/src/fleet_digest.rs
@@ -62,6 +62,7 @@
         }
         Digest {
             from: self.me.vm.clone(),
+            above: acked,
             until: ChangeCursor { incarnation: self.me.incarnation, change: self.change },
             seen: node.map_or_else(ChangeCursor::default, |node| node.seen),
             config_offset: self.me.config_offset,
@@ -79,15 +80,17 @@
         }
         let own = self.me.incarnation;
         let Some(known) = self.known_node(&digest) else { return false };
-        if known.is_retired(digest.until.incarnation) {
+        if !known.meet(now, digest.until.incarnation) {
             return false;
         }
-        known.meet(digest.until.incarnation);
         known.heard = Some(now);
         known.config_offset = digest.config_offset;
         let mut changed = !known.live;
         known.live = true;
-        known.seen.change = known.seen.change.max(digest.until.change);
+        // A digest with a gap before it leaves the position, so that it is asked for again.
+        if digest.above <= known.seen.change {
+            known.seen.change = known.seen.change.max(digest.until.change);
+        }
         // A peer that forgot this start, or lacks a part, says so by a lower position.
         known.acked = if digest.seen.incarnation == own { digest.seen.change } else { 0 };
         if let Some(record) = digest.node {
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -33,5 +33,5 @@
 pub use message::{
     EntryRecord, EntryStatus, FleetView, ForwardedCall, PeerReply, PeerRequest, RunnerRecord,
 };
-pub use node_state::PEER_SILENCE;
+pub use node_state::{PEER_SILENCE, RETIRED_HOLD};
 pub use report_share::{REPORT_OWNERS, ReportShare};
--- a/crates/peers/src/node_state.rs
+++ b/crates/peers/src/node_state.rs
@@ -9,6 +9,9 @@
 
 /// Silence after which a steward, and what it told, no longer counts.
 pub const PEER_SILENCE: TimeSpan = TimeSpan::seconds(3);
+/// Silence of a start after which one that it seemed to replace is heard again: starts
+/// have no order, and the first word of the earlier one may be the late one.
+pub const RETIRED_HOLD: TimeSpan = TimeSpan::seconds(2);
 /// Earlier starts of a steward that are remembered, so that their late words are told.
 const MAX_RETIRED: usize = 4;
 
@@ -69,17 +72,18 @@
         changed
     }
 
-    /// Whether `incarnation` is one that a later start has replaced.
-    pub(crate) fn is_retired(&self, incarnation: VmIncarnation) -> bool {
-        self.retired.contains(&incarnation)
-    }
-
     /// Notes that the peer speaks as `incarnation`; a new start has no memory of the old.
-    pub(crate) fn meet(&mut self, incarnation: VmIncarnation) {
+    /// False if a later start has replaced it and is still heard.
+    pub(crate) fn meet(&mut self, now: TimePoint, incarnation: VmIncarnation) -> bool {
         let known = self.seen.incarnation;
         if known == incarnation {
-            return;
+            return true;
         }
+        let held = self.heard.is_some_and(|heard| now.since(heard) < RETIRED_HOLD);
+        if held && self.retired.contains(&incarnation) {
+            return false;
+        }
+        self.retired.retain(|retired| *retired != incarnation);
         if known != VmIncarnation::default() {
             if self.retired.len() >= MAX_RETIRED {
                 self.retired.pop_front();
@@ -89,6 +93,7 @@
         self.seen = ChangeCursor { incarnation, change: 0 };
         self.acked = 0;
         self.record = None;
+        true
     }
 
     /// Takes the peer's own record; says whether it changed anything.
--- a/crates/peers/src/runner_state.rs
+++ b/crates/peers/src/runner_state.rs
@@ -6,6 +6,7 @@
 use base::CacheEvent;
 use base::prelude::*;
 
+use crate::node_state::RETIRED_HOLD;
 use crate::{ReportDelta, RunnerRecord};
 
 /// Earlier starts of a runner that are remembered, so that their late reports are told.
@@ -85,12 +86,14 @@
         source: ReportSource,
         change: u64,
     ) -> bool {
-        if self.retired.contains(&report.incarnation) {
+        let held = |known: &KnownReport| now.since(known.received) < RETIRED_HOLD;
+        if self.retired.contains(&report.incarnation) && self.known.as_ref().is_some_and(held) {
             return false;
         }
         let mut detail_change = 0;
         if let Some(known) = &self.known {
             if known.report.incarnation != report.incarnation {
+                self.retired.retain(|retired| *retired != report.incarnation);
                 self.retire(known.report.incarnation);
             } else if report.sequence <= known.report.sequence {
                 return false;
