Choose bounded peers for digests: cells, links, gateways

A fleet of up to 16 machines is one mesh. Larger ones are cut into cells in each failure domain, with links between cells and gateways between failure domains. Of each pair only one starts the exchanges, which halves them.

--- a/crates/peers/src/fleet_digest.rs
+++ b/crates/peers/src/fleet_digest.rs
@@ -9,7 +9,7 @@
 use crate::digest::{ChangeCursor, Digest};
 use crate::node_state::NodeState;
 use crate::runner_state::{ReportSource, RunnerState};
-use crate::{FleetDesk, ReportDelta};
+use crate::{FleetDesk, ReportDelta, starts_exchange};
 
 /// Silence after which a peer is tried less often.
 const LONG_SILENCE: TimeSpan = TimeSpan::seconds(10);
@@ -19,7 +19,8 @@
 pub const RECONCILE_PERIOD: TimeSpan = TimeSpan::seconds(60);
 
 impl FleetDesk {
-    /// Peers that should get a digest now; each is then not due for a period.
+    /// Peers that should get a digest now; each is then not due for a period. Of each
+    /// pair one steward starts and the other replies, until that stays out.
     pub fn due_peers(&mut self, now: TimePoint) -> Vec<(VmId, SocketAddr)> {
         self.refresh_calls();
         let urgent = std::mem::take(&mut self.urgent);
@@ -32,6 +33,10 @@
                 continue;
             }
             node.next_digest = now + if silent { SILENT_PERIOD } else { period };
+            let recent = now.since(node.heard.unwrap_or(started)) < period + period;
+            if !urgent && recent && !starts_exchange(&self.me.vm, vm) {
+                continue;
+            }
             due.push((vm.clone(), node.steward));
         }
         due
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -14,6 +14,7 @@
 mod link;
 mod message;
 mod node_state;
+mod peer_choice;
 mod report_share;
 mod restart;
 mod runner_state;
@@ -34,4 +35,5 @@
     EntryRecord, EntryStatus, FleetView, ForwardedCall, PeerReply, PeerRequest, RunnerRecord,
 };
 pub use node_state::{PEER_SILENCE, RETIRED_HOLD};
+pub use peer_choice::{FleetCells, MESH_NODES, PeerCandidate, PeerChoice, starts_exchange};
 pub use report_share::{REPORT_OWNERS, ReportShare};
--- /dev/null
+++ b/crates/peers/src/peer_choice.rs
@@ -0,0 +1,154 @@
+//! Whom a steward exchanges digests with: bounded, whatever the number of machines.
+//!
+//! A small fleet is one cell: every steward exchanges with every other. A large one is cut
+//! into cells within each failure domain, by a hash of the machine's name; a cell is a
+//! full mesh and shares the reports of its runners. News of other cells goes along links:
+//! from each machine to its counterparts in two other cells of its failure domain, and
+//! between a few gateways of each two failure domains.
+
+use std::collections::BTreeMap;
+
+use base::prelude::*;
+use base::rendezvous_score;
+
+/// Most machines of a fleet that is one cell.
+pub const MESH_NODES: usize = 16;
+/// Least mean size of a cell in a larger fleet; the mean stays under twice that.
+const CELL_NODES: usize = 6;
+/// Links between each two failure domains.
+const GATEWAYS: usize = 4;
+
+/// One machine, as a candidate.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PeerCandidate {
+    /// The machine.
+    pub vm: VmId,
+    /// Its failure domain.
+    pub place: PlaceName,
+}
+
+/// The peers of one steward.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct PeerChoice {
+    /// The other machines of its cell, which share the runners' reports.
+    pub cell: Vec<VmId>,
+    /// Machines of other cells, for news of machines and leaving words.
+    pub links: Vec<VmId>,
+}
+
+/// All machines, cut into cells.
+#[derive(Debug, Default)]
+pub struct FleetCells {
+    places: BTreeMap<PlaceName, Vec<Vec<VmId>>>,
+    /// Gateways of the first failure domain to the second.
+    gateways: BTreeMap<(PlaceName, PlaceName), Vec<VmId>>,
+    is_mesh: bool,
+}
+
+impl FleetCells {
+    /// Cuts a fleet into cells; the order of `nodes` does not matter.
+    #[must_use]
+    pub fn new(nodes: &[PeerCandidate]) -> Self {
+        let mut by_place: BTreeMap<PlaceName, Vec<VmId>> = BTreeMap::new();
+        for node in nodes {
+            by_place.entry(node.place.clone()).or_default().push(node.vm.clone());
+        }
+        let is_mesh = nodes.len() <= MESH_NODES;
+        let places = by_place.into_iter().map(|(place, vms)| {
+            let cells = if is_mesh { vec![vms] } else { cut(vms) };
+            (place, cells)
+        });
+        let mut fleet = Self { places: places.collect(), gateways: BTreeMap::new(), is_mesh };
+        if !is_mesh {
+            fleet.choose_gateways();
+        }
+        fleet
+    }
+
+    /// The peers of `me`.
+    #[must_use]
+    pub fn choose(&self, me: &PeerCandidate) -> PeerChoice {
+        let others = |vms: &[VmId]| vms.iter().filter(|vm| **vm != me.vm).cloned().collect();
+        if self.is_mesh {
+            let all: Vec<VmId> = self.places.values().flatten().flatten().cloned().collect();
+            return PeerChoice { cell: others(&all), links: Vec::new() };
+        }
+        let Some(cells) = self.places.get(&me.place) else { return PeerChoice::default() };
+        let own = cell_of(&me.vm, cells.len());
+        let mut links = Vec::new();
+        for step in [1, cells.len() / 2] {
+            let other = &cells[(own + step) % cells.len()];
+            let best = other.iter().max_by_key(|vm| score(&me.vm, vm));
+            links.extend(best.filter(|vm| **vm != me.vm).cloned());
+        }
+        for place in self.places.keys().filter(|place| **place != me.place) {
+            links.extend(self.gateway_link(me, place).cloned());
+        }
+        links.sort();
+        links.dedup();
+        let cell: Vec<VmId> = others(&cells[own]);
+        links.retain(|vm| !cell.contains(vm));
+        PeerChoice { cell, links }
+    }
+
+    /// The cell of `place` that a runner belongs to, and the number of its cells.
+    #[must_use]
+    pub fn cell_of_runner(&self, runner: &RunnerId, place: &PlaceName) -> Option<&[VmId]> {
+        let cells = self.places.get(place)?;
+        let best = cells
+            .iter()
+            .enumerate()
+            .filter(|(_, cell)| !cell.is_empty())
+            .max_by_key(|(at, _)| rendezvous_score(runner.as_str(), &at.to_string()));
+        best.map(|(_, cell)| cell.as_slice())
+    }
+
+    /// The machine at the other end, if `me` is a gateway to `place`.
+    fn gateway_link(&self, me: &PeerCandidate, place: &PlaceName) -> Option<&VmId> {
+        let near = self.gateways.get(&(me.place.clone(), place.clone()))?;
+        let far = self.gateways.get(&(place.clone(), me.place.clone()))?;
+        let at = near.iter().position(|vm| *vm == me.vm)?;
+        far.get(at.min(far.len().checked_sub(1)?))
+    }
+
+    fn choose_gateways(&mut self) {
+        for (from, cells) in &self.places {
+            for to in self.places.keys().filter(|to| *to != from) {
+                let mut scored: Vec<(u64, &VmId)> = cells
+                    .iter()
+                    .flatten()
+                    .map(|vm| (rendezvous_score(to.as_str(), vm.as_str()), vm))
+                    .collect();
+                scored.sort_unstable_by(|one, other| other.cmp(one));
+                let best = scored.into_iter().take(GATEWAYS).map(|(_, vm)| vm.clone());
+                self.gateways.insert((from.clone(), to.clone()), best.collect());
+            }
+        }
+    }
+}
+
+/// Whether `me` is the one of a pair that starts their exchanges; the other one replies.
+#[must_use]
+pub fn starts_exchange(me: &VmId, peer: &VmId) -> bool {
+    let order = |one: &VmId, other: &VmId| rendezvous_score(one.as_str(), other.as_str());
+    (order(me, peer), me) > (order(peer, me), peer)
+}
+
+fn cut(vms: Vec<VmId>) -> Vec<Vec<VmId>> {
+    // A power of two: when the number of cells changes, each cell is halved or doubled.
+    let wanted = (vms.len() / CELL_NODES).max(1);
+    let count = if wanted.is_power_of_two() { wanted } else { wanted.next_power_of_two() / 2 };
+    let mut cells = vec![Vec::new(); count];
+    for vm in vms {
+        cells[cell_of(&vm, count)].push(vm);
+    }
+    cells
+}
+
+fn cell_of(vm: &VmId, count: usize) -> usize {
+    rendezvous_score("cell", vm.as_str()) as usize & (count - 1)
+}
+
+fn score(me: &VmId, peer: &VmId) -> u64 {
+    rendezvous_score(me.as_str(), peer.as_str())
+}
