--- /dev/null
+++ b/crates/entry/src/bookings.rs
@@ -0,0 +1,399 @@
+//! The service that binds the booking decisions to sockets.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::{Rc, Weak};
+
+use base::prelude::*;
+use booking::{
+    BookingAction, BookingCall, BookingDesk, BookingEvent, BookingFault, BookingKey, BookingLimits,
+    BookingReply, DeskPhase, HomeAddress, HomeTag, KeptAnswer, SendNumber, TableHandover, TagClaim,
+    TicketId,
+};
+use config::CallPriority;
+use futures_channel::oneshot;
+use peers::{ForwardedCall, PeerReply, PeerRequest};
+use route::CallEnd;
+use web::SendFault;
+
+use crate::context::EntryContext;
+use crate::plain::{PlainCall, TargetAnswer, says_leaving, send_to_runner};
+use crate::router::{RouteOrder, RouterService};
+
+/// Name of the service in the kernel.
+pub const BOOKINGS: &str = "bookings";
+/// Pause between two ticks of the desk.
+const TICK: TimeSpan = TimeSpan::millis(10);
+/// Time for one hand-over message.
+const HAND_OVER_TIME: TimeSpan = TimeSpan::millis(1_500);
+/// Targets asked at most for one booking, each after the one before said "not run".
+const MAX_TARGETS: u32 = 3;
+
+/// The bookings of one entry.
+pub struct BookingService {
+    context: Rc<EntryContext>,
+    router: Rc<RouterService>,
+    desk: RefCell<BookingDesk>,
+    waiters: RefCell<BTreeMap<TicketId, oneshot::Sender<BookingReply>>>,
+    next_ticket: Cell<u64>,
+    this: Weak<Self>,
+}
+
+impl BookingService {
+    /// A service with an empty table.
+    #[must_use]
+    pub fn new(context: &Rc<EntryContext>, router: &Rc<RouterService>) -> Rc<Self> {
+        let limits =
+            BookingLimits { entries: context.settings.bookings_limit, ..BookingLimits::default() };
+        let desk = BookingDesk::new(context.incarnation, context.settings.peer, limits);
+        Rc::new_cyclic(|this| Self {
+            context: Rc::clone(context),
+            router: Rc::clone(router),
+            desk: RefCell::new(desk),
+            waiters: RefCell::default(),
+            next_ticket: Cell::new(1),
+            this: this.clone(),
+        })
+    }
+
+    /// A signed tag for a lookup; none once the process is stopping.
+    #[must_use]
+    pub fn issue_tag(&self, workspace: &WorkspaceId) -> Option<String> {
+        if self.context.stop.is_raised() {
+            return None;
+        }
+        let tag = self.desk.borrow_mut().issue_tag(self.context.now(), workspace);
+        Some(tag.encode(&self.context.keys))
+    }
+
+    /// The signed text of a tag.
+    #[must_use]
+    pub fn sign_tag(&self, tag: &HomeTag) -> String {
+        tag.encode(&self.context.keys)
+    }
+
+    /// Serves a booking to its reply.
+    pub async fn serve(&self, call: BookingCall) -> BookingReply {
+        let ticket = TicketId(self.next_ticket.get());
+        self.next_ticket.set(ticket.0 + 1);
+        let (sender, receiver) = oneshot::channel();
+        self.waiters.borrow_mut().insert(ticket, sender);
+        let guard = WaiterGuard { service: self.this.clone(), ticket };
+        self.tell(BookingEvent::Request { ticket, call });
+        let reply = receiver.await;
+        drop(guard);
+        // The sender is dropped unused only when the process ends.
+        reply.unwrap_or_else(|_| BookingReply::unknown())
+    }
+
+    /// Serves a booking that another entry passed on.
+    pub async fn serve_forwarded(&self, call: ForwardedCall) -> BookingReply {
+        let not_run_status = {
+            let fleet = self.context.fleet.borrow();
+            let service = fleet.service(&call.service);
+            let rule = service.and_then(|service| service.call(&call.method, &call.path));
+            rule.map_or(0, |rule| rule.not_run_status)
+        };
+        let call = BookingCall {
+            workspace: call.workspace,
+            service: call.service,
+            key: call.key,
+            tag: TagClaim::read(&self.context.keys, Some(&call.tag)),
+            method: call.method,
+            path: call.path,
+            content_type: call.content_type,
+            body: call.body,
+            deadline: self.context.now() + call.remaining,
+            not_run_status,
+            forwarded: true,
+        };
+        self.serve(call).await
+    }
+
+    /// Takes the table of a stopping home; tells whether it is taken.
+    pub fn adopt(&self, handover: TableHandover) -> bool {
+        let event = BookingEvent::Adopt(handover);
+        let actions = self.desk.borrow_mut().handle(self.context.now(), event);
+        let mut taken = false;
+        for action in actions {
+            if let BookingAction::AnswerHandOver { home, accepted } = action {
+                taken = accepted;
+                tracing::info!(%home, accepted, step = "adopt", "bookings of a stopping entry");
+            } else {
+                self.act(action);
+            }
+        }
+        if taken {
+            self.announce_homes();
+        }
+        taken
+    }
+
+    /// Notes who answers for homes that have stopped.
+    pub fn note_adopted(&self, homes: Vec<VmIncarnation>, adopter: HomeAddress) {
+        for home in homes {
+            self.tell(BookingEvent::Adopted { home, adopter });
+        }
+    }
+
+    /// Stops as planned: drains the sends in flight, then hands the table to one adopter.
+    /// Gives whether an adopter has taken it, or none was needed.
+    pub async fn stop(&self, drain_until: TimePoint, give_up_at: TimePoint) -> bool {
+        self.tell(BookingEvent::Freeze);
+        while self.desk.borrow().in_flight() > 0 && self.context.now() < drain_until {
+            kernel::sleep(TICK.into()).await;
+        }
+        let mut refused: Vec<VmIncarnation> = Vec::new();
+        while self.context.now() < give_up_at {
+            let Some(adopter) = self.choose_adopter(&refused) else { return false };
+            self.tell(BookingEvent::StartHandOver { adopter });
+            if self.wait_handed_over(give_up_at).await {
+                return true;
+            }
+            refused.push(adopter.incarnation);
+        }
+        false
+    }
+
+    async fn wait_handed_over(&self, give_up_at: TimePoint) -> bool {
+        while self.context.now() < give_up_at {
+            match self.desk.borrow().phase() {
+                DeskPhase::HandedOver { .. } => return true,
+                DeskPhase::HandingOver { .. } => (),
+                _ => return false,
+            }
+            kernel::sleep(TICK.into()).await;
+        }
+        false
+    }
+
+    fn choose_adopter(&self, refused: &[VmIncarnation]) -> Option<HomeAddress> {
+        let fleet = self.context.fleet.borrow();
+        let own = self.context.incarnation;
+        let open = fleet.entries.iter().map(|entry| &entry.status).filter(|status| {
+            !status.leaving && status.incarnation != own && !refused.contains(&status.incarnation)
+        });
+        let score = |incarnation: VmIncarnation| {
+            base::rendezvous_score(&own.to_string(), &incarnation.to_string())
+        };
+        open.max_by_key(|status| score(status.incarnation))
+            .map(|status| HomeAddress { incarnation: status.incarnation, peer: status.peer })
+    }
+
+    fn announce_homes(&self) {
+        let (homes, adopter) = {
+            let desk = self.desk.borrow();
+            (desk.homes().collect::<Vec<_>>(), self.own_address())
+        };
+        let peers: Vec<_> = {
+            let fleet = self.context.fleet.borrow();
+            let others = fleet.entries.iter().map(|entry| &entry.status);
+            others.filter(|s| s.incarnation != adopter.incarnation).map(|s| s.peer).collect()
+        };
+        for peer in peers {
+            let request = PeerRequest::Adopted { homes: homes.clone(), adopter };
+            let context = Rc::clone(&self.context);
+            kernel::spawn(async move {
+                // A peer that misses it forwards to the old home, and answers "unknown".
+                let _ = context.peers.call(peer, request, HAND_OVER_TIME).await;
+            })
+            .detach();
+        }
+    }
+
+    fn own_address(&self) -> HomeAddress {
+        HomeAddress { incarnation: self.context.incarnation, peer: self.context.settings.peer }
+    }
+
+    fn tell(&self, event: BookingEvent) {
+        let actions = self.desk.borrow_mut().handle(self.context.now(), event);
+        for action in actions {
+            self.act(action);
+        }
+    }
+
+    fn act(&self, action: BookingAction) {
+        let Some(service) = self.this.upgrade() else { return };
+        match action {
+            BookingAction::Reply { ticket, reply } => {
+                if let Some(waiter) = self.waiters.borrow_mut().remove(&ticket) {
+                    // A caller that has left needs no reply.
+                    let _ = waiter.send(reply);
+                }
+            }
+            BookingAction::Send { key, send, call } => {
+                kernel::spawn(async move { service.send(key, send, call).await }).detach();
+            }
+            BookingAction::Forward { ticket, home, call } => {
+                kernel::spawn(async move { service.forward(ticket, home, call).await }).detach();
+            }
+            BookingAction::HandOver { adopter, handover } => {
+                kernel::spawn(async move { service.hand_over(adopter, &handover).await }).detach();
+            }
+            BookingAction::AnswerHandOver { .. } => (),
+        }
+    }
+
+    async fn send(&self, key: BookingKey, send: SendNumber, call: BookingCall) {
+        self.context.counters.count("booking.sent");
+        let event = match self.send_to_target(&call).await {
+            Ok(answer) => {
+                let body = Arc::from(&answer.body[..]);
+                let answer =
+                    KeptAnswer { status: answer.status, content_type: answer.content_type, body };
+                BookingEvent::Answered { key, send, answer }
+            }
+            Err(fault) => BookingEvent::Failed { key, send, fault },
+        };
+        self.tell(event);
+    }
+
+    /// Writes the booking to one target; to a further one only after a target said by its
+    /// published status that it did not run it, or when no byte was written.
+    async fn send_to_target(&self, call: &BookingCall) -> Result<TargetAnswer, BookingFault> {
+        let plain = self.plain_call(call)?;
+        let mut refused = None;
+        for _ in 0..MAX_TARGETS {
+            let mut ticket = self.router.open(plain.route_call());
+            let runner = match ticket.order().await {
+                RouteOrder::Send { runner } => runner,
+                RouteOrder::Withdraw => continue,
+                RouteOrder::Refuse { reason, come_back } => {
+                    ticket.end(CallEnd::Refused);
+                    return Err(BookingFault::NotSent { reason, come_back: Some(come_back) });
+                }
+            };
+            match send_to_runner(&self.context, &plain, &runner).await {
+                Ok(answer) if answer.status == call.not_run_status => {
+                    ticket.end(CallEnd::Refused);
+                    if says_leaving(&answer.body) {
+                        self.router.note_leaving(&runner);
+                    }
+                    refused = Some(answer);
+                }
+                Ok(answer) => {
+                    ticket.end(CallEnd::Finished);
+                    return Ok(answer);
+                }
+                Err(error) => {
+                    ticket.end(CallEnd::Failed);
+                    if error.send_fault() == SendFault::MaybeSent {
+                        return Err(BookingFault::MaybeSent);
+                    }
+                }
+            }
+        }
+        refused.ok_or(BookingFault::NotSent {
+            reason: RefusalReason::NoRunner,
+            come_back: Some(TimeSpan::seconds(1)),
+        })
+    }
+
+    fn plain_call(&self, call: &BookingCall) -> Result<PlainCall, BookingFault> {
+        let fault = BookingFault::NotSent { reason: RefusalReason::BadRequest, come_back: None };
+        let method = call.method.parse().map_err(|_| fault)?;
+        let priority = {
+            let fleet = self.context.fleet.borrow();
+            let rule = fleet.service(&call.service).and_then(|s| s.workspace(&call.workspace));
+            rule.map_or(CallPriority::Normal, |rule| rule.priority)
+        };
+        Ok(PlainCall {
+            workspace: call.workspace.clone(),
+            service: call.service.clone(),
+            priority,
+            method,
+            path: call.path.clone(),
+            content_type: call.content_type.clone(),
+            body: call.body.clone().into(),
+            key: Some(call.key.clone()),
+            deadline: call.deadline,
+        })
+    }
+
+    async fn forward(&self, ticket: TicketId, home: HomeAddress, call: BookingCall) {
+        self.context.counters.count("booking.forwarded");
+        let TagClaim::Verified(tag) = &call.tag else {
+            return self.tell(BookingEvent::ForwardFailed { ticket });
+        };
+        let remaining = call.deadline.since(self.context.now());
+        let request = PeerRequest::Call(ForwardedCall {
+            workspace: call.workspace,
+            service: call.service,
+            tag: Arc::from(tag.encode(&self.context.keys)),
+            key: call.key,
+            method: call.method,
+            path: call.path,
+            content_type: call.content_type,
+            body: call.body,
+            remaining,
+        });
+        let event = match self.context.peers.call(home.peer, request, remaining).await {
+            Ok(PeerReply::Call(reply)) => BookingEvent::ForwardAnswered { ticket, reply },
+            Ok(_) => BookingEvent::ForwardFailed { ticket },
+            Err(error) => {
+                tracing::debug!(%error, step = "forward booking", peer = %home.peer, "failed");
+                BookingEvent::ForwardFailed { ticket }
+            }
+        };
+        self.tell(event);
+    }
+
+    async fn hand_over(&self, adopter: HomeAddress, handover: &TableHandover) {
+        let request = PeerRequest::Adopt(handover.clone());
+        match self.context.peers.call(adopter.peer, request, HAND_OVER_TIME).await {
+            Ok(PeerReply::Adopted(true)) => {
+                self.tell(BookingEvent::HandOverDone { adopter: adopter.incarnation });
+            }
+            Ok(PeerReply::Adopted(false)) => {
+                self.tell(BookingEvent::HandOverRefused { adopter: adopter.incarnation });
+            }
+            // Only the adopter's own word counts; the desk asks it again.
+            _ => (),
+        }
+    }
+
+    /// Gives the desk the time until the process ends.
+    pub async fn run_ticks(self: Rc<Self>) {
+        loop {
+            kernel::sleep(TICK.into()).await;
+            self.send_counters();
+            let due = self.desk.borrow().next_tick();
+            if due.is_some_and(|due| due <= self.context.now()) {
+                self.tell(BookingEvent::Tick);
+            }
+        }
+    }
+
+    fn send_counters(&self) {
+        let counts = self.desk.borrow_mut().take_counters();
+        self.context.counters.add("booking.repeated", counts.joined);
+    }
+
+    /// The desk's state, for the dump.
+    #[must_use]
+    pub fn dump(&self) -> serde_json::Value {
+        let desk = self.desk.borrow();
+        serde_json::json!({
+            "phase": format!("{:?}", desk.phase()).split_whitespace().next(),
+            "entries": desk.entries(),
+            "entries_limit": self.context.settings.bookings_limit,
+            "in_flight": desk.in_flight(),
+            "waiting": self.waiters.borrow().len(),
+        })
+    }
+}
+
+/// Tells the desk when a waiting caller leaves.
+struct WaiterGuard {
+    service: Weak<BookingService>,
+    ticket: TicketId,
+}
+
+impl Drop for WaiterGuard {
+    fn drop(&mut self) {
+        let Some(service) = self.service.upgrade() else { return };
+        if service.waiters.borrow_mut().remove(&self.ticket).is_some() {
+            service.tell(BookingEvent::WaiterGone { ticket: self.ticket });
+        }
+    }
+}
--- a/crates/entry/src/counters.rs
+++ b/crates/entry/src/counters.rs
@@ -92,9 +92,12 @@
         }
     }
 
-    /// All counts, by name.
+    /// All counts, by name; those of timers say how often they were noted.
     #[must_use]
     pub fn snapshot(&self) -> BTreeMap<&'static str, u64> {
-        self.counts.borrow().clone()
+        let mut counts: BTreeMap<&'static str, u64> =
+            METRIC_NAMES.iter().map(|name| (*name, 0)).collect();
+        counts.extend(self.counts.borrow().iter());
+        counts
     }
 }
--- a/crates/entry/src/fleet_cache.rs
+++ b/crates/entry/src/fleet_cache.rs
@@ -113,6 +113,22 @@
         self.plan.as_ref()?.services.get(service)
     }
 
+    /// The view, for the dump.
+    #[must_use]
+    pub fn dump(&self, now: TimePoint) -> serde_json::Value {
+        serde_json::json!({
+            "version": self.version,
+            "steward": self.steward,
+            "age_ms": now.since(self.updated).as_millis(),
+            "cut_off": self.cut_off,
+            "config_offset": self.config_offset(),
+            "services": self.plan.as_ref().map(|plan| plan.services.keys().collect::<Vec<_>>()),
+            "entries": self.entries,
+            "runners": self.runners.values().collect::<Vec<_>>(),
+            "refused": self.refused,
+        })
+    }
+
     /// Whether a runner gets no new work, by the list, itself or the operators.
     #[must_use]
     pub fn is_leaving(&self, record: &RunnerRecord) -> bool {
--- a/crates/entry/src/lookup.rs
+++ b/crates/entry/src/lookup.rs
@@ -14,6 +14,7 @@
 
 /// Orders the entries for one caller: first the choice, then others, each from a failure
 /// domain not yet named as long as there is one.
+#[must_use]
 pub fn choose_entries<'a>(entries: &'a [EntryRecord], caller: &str) -> Vec<&'a EntryRecord> {
     let open = entries.iter().filter(|entry| !entry.status.leaving);
     let mut scored: Vec<(f64, &EntryRecord)> =
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -4,7 +4,6 @@
 
 use base::prelude::*;
 use config::{CallPriority, CallRule};
-use http_body_util::BodyExt;
 use hyper::body::Bytes;
 use hyper::header::CONTENT_TYPE;
 use hyper::{Request, StatusCode};
@@ -145,7 +144,8 @@
         };
         context.counters.count("attempt.started");
         let outcome = send_to_runner(context, call, &runner).await;
-        if let Some(answer) = finish_attempt(router, ticket, rule, &runner, outcome, &mut maybe_ran) {
+        if let Some(answer) = finish_attempt(router, ticket, rule, &runner, outcome, &mut maybe_ran)
+        {
             return Ok(answer_caller(answer));
         }
         context.counters.count("attempt.failed");
--- a/crates/entry/src/router.rs
+++ b/crates/entry/src/router.rs
@@ -7,7 +7,9 @@
 use base::prelude::*;
 use futures_channel::mpsc;
 use futures_util::StreamExt;
-use route::{CallEnd, CallId, RouteAction, RouteCall, RouteDesk, RouteEvent, RouteMember, RouteSettings};
+use route::{
+    CallEnd, CallId, RouteAction, RouteCall, RouteDesk, RouteEvent, RouteMember, RouteSettings,
+};
 
 use crate::context::EntryContext;
 use crate::fleet_cache::FleetChanges;
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -5,11 +5,13 @@
 
 mod clock;
 mod error;
+mod logs;
 mod registry;
 mod stop;
 
 pub use clock::MonotonicClock;
 pub use error::{KernelError, Result};
+pub use logs::start_logs;
 pub use registry::ServiceRegistry;
 pub use stop::{StopSignal, wait_for_signals};
 
--- a/crates/settings/src/common.rs
+++ b/crates/settings/src/common.rs
@@ -91,6 +91,12 @@
 }
 
 impl CommonSettings {
+    /// Starts the log lines of this process.
+    pub fn start_logs(&self) {
+        let json = self.log_format == LogFormat::Json;
+        kernel::start_logs(&self.log_level.to_string(), json);
+    }
+
     /// Where the common fields stand in a document.
     pub(crate) const SHARED: SharedFields = SharedFields { inner: "common", fields: COMMON_FIELDS };
 
--- a/crates/settings/src/entry.rs
+++ b/crates/settings/src/entry.rs
@@ -13,6 +13,8 @@
 const MAX_BODY_BYTES: u64 = 256 << 20;
 /// Most calls, connections or bookings that can be set.
 const MAX_COUNT: usize = 10_000_000;
+/// Longest linger that can be set.
+const MAX_LINGER: TimeSpan = TimeSpan::seconds(600);
 /// Characters of a SHA-256 sum in hexadecimal.
 const HASH_CHARS: usize = 64;
 
@@ -38,6 +40,9 @@
     pub max_connections: usize,
     /// Bookings that are remembered at once.
     pub bookings_limit: usize,
+    /// How long a stopping entry still takes calls, for callers that hold its address.
+    #[serde(rename = "linger_ms", deserialize_with = "crate::millis::deserialize")]
+    pub linger: TimeSpan,
     /// SHA-256 of each operator token that may read the dump, in hexadecimal.
     pub operator_tokens: Vec<Arc<str>>,
 }
@@ -50,6 +55,7 @@
             "max_body_bytes": 4 << 20,
             "max_connections": 4_096,
             "bookings_limit": 200_000,
+            "linger_ms": 17_000,
             "operator_tokens": [],
         })
     }
@@ -75,6 +81,7 @@
         check.range(self.max_body_bytes, "max_body_bytes", 1, MAX_BODY_BYTES);
         check.range(self.max_connections, "max_connections", 1, MAX_COUNT);
         check.range(self.bookings_limit, "bookings_limit", 1, MAX_COUNT);
+        check.range(self.linger.as_millis(), "linger_ms", 0, MAX_LINGER.as_millis());
         for (at, hash) in self.operator_tokens.iter().enumerate() {
             let good = hash.len() == HASH_CHARS && hash.bytes().all(|b| b.is_ascii_hexdigit());
             let field = format!("operator_tokens[{at}]");
--- a/crates/steward/src/main.rs
+++ b/crates/steward/src/main.rs
@@ -10,7 +10,6 @@
 mod dump;
 mod error;
 mod fleet_clock;
-mod logging;
 mod peer_handler;
 mod planned_stop;
 mod runner_poll;
@@ -44,7 +43,7 @@
     let path = arguments.settings;
     let settings: StewardSettings = settings::read_settings(&path, &arguments.sets)
         .map_err(|source| StewardError::Settings { path, source })?;
-    logging::start(&settings.common);
+    settings.common.start_logs();
     let keys = read_keys(&settings.common.keys)?;
     let peers = PeerEndpoint::bind(settings.peer, &keys).await?;
     let counters = StewardCounters::new(settings.common.metrics)?;
