Add the operators' command line

yard check, publish, status, dump and keys. A publish folds the log as a steward does, sends only changes, and never guesses: an append whose answer was lost is looked for by its id, and appended again only in a way that the fold rejects if the first one stands. It waits until every live VM has the record in force and names those that do not.

--- a/crates/config/src/follower.rs
+++ b/crates/config/src/follower.rs
@@ -282,7 +282,9 @@
         }
     }
 
-    fn is_caught_up(&self) -> bool {
+    /// Whether everything is folded that the last read saw in the log.
+    #[must_use]
+    pub fn is_caught_up(&self) -> bool {
         matches!(self.phase, ReadPhase::Following) && self.fold.next() >= self.range.1
     }
 
--- a/crates/config/src/history.rs
+++ b/crates/config/src/history.rs
@@ -9,7 +9,7 @@
 use crate::{FoldOutcome, PublishRecord};
 
 /// Records that are remembered.
-const MAX_ENTRIES: usize = 64;
+const MAX_ENTRIES: usize = 512;
 /// Paths of a record that are remembered.
 const MAX_PATHS: usize = 16;
 
--- a/crates/platform/src/error.rs
+++ b/crates/platform/src/error.rs
@@ -16,7 +16,7 @@
         /// The platform's service.
         peer: SocketAddr,
         /// The cause.
-        source: WebError,
+        source: Box<WebError>,
     },
     /// The answer breaks the interface.
     #[error("{step} at {peer}: answer breaks the interface: {reason}")]
@@ -30,5 +30,11 @@
     },
 }
 
+impl PlatformError {
+    pub(crate) fn exchange(step: &'static str, peer: SocketAddr, source: WebError) -> Self {
+        Self::Exchange { step, peer, source: Box::new(source) }
+    }
+}
+
 /// Result of an exchange with the platform.
 pub type Result<T> = std::result::Result<T, PlatformError>;
--- a/crates/platform/src/log_client.rs
+++ b/crates/platform/src/log_client.rs
@@ -93,7 +93,7 @@
         let limit = TimeSpan(self.limit.0.saturating_add(wait.0));
         let page: LogPage = fetch_json(step, self.peer, &path, limit)
             .await
-            .map_err(|source| PlatformError::Exchange { step, peer: self.peer, source })?;
+            .map_err(|source| PlatformError::exchange(step, self.peer, source))?;
         match page.check(from) {
             Some(reason) => Err(PlatformError::Answer { step, peer: self.peer, reason }),
             None => Ok(page),
--- a/crates/platform/src/vm_list_client.rs
+++ b/crates/platform/src/vm_list_client.rs
@@ -38,7 +38,7 @@
         let step = "read of the VM list";
         let answer: VmsAnswer = fetch_json(step, self.peer, "/vms", self.limit)
             .await
-            .map_err(|source| PlatformError::Exchange { step, peer: self.peer, source })?;
+            .map_err(|source| PlatformError::exchange(step, self.peer, source))?;
         if answer.vms.len() > MAX_VMS {
             let reason = "more lines than any fleet has";
             return Err(PlatformError::Answer { step, peer: self.peer, reason });
--- /dev/null
+++ b/crates/yard/src/command/publish.rs
@@ -0,0 +1,257 @@
+//! `yard publish`.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+
+use argh::FromArgs;
+use base::{LogOffset, TimeSpan};
+use config::{ConfigState, FaultLevel, check_drains};
+use kernel::{MonotonicClock, sleep};
+use platform::{LogClient, VmListClient};
+use serde::Serialize;
+
+use crate::author::author_name;
+use crate::config_reader::ConfigReader;
+use crate::file_set::FileSet;
+use crate::fleet_status::{VmStatus, ask_live_entries};
+use crate::output::{OutputFormat, print_json};
+use crate::publisher::{PublishOutcome, changes, check_merged, describe, new_record, publish};
+use crate::{ExitStatus, Result};
+
+/// Time of one exchange with the platform.
+const EXCHANGE_LIMIT: TimeSpan = TimeSpan::seconds(5);
+/// Time between two looks at the VMs.
+const LOOK_PAUSE: TimeSpan = TimeSpan::millis(250);
+
+/// Publish the files of folders, and wait until they are in force everywhere.
+#[derive(FromArgs)]
+#[argh(
+    subcommand,
+    name = "publish",
+    example = "{command_name} services/summaries --log 10.0.0.1:7000 --vms 10.0.0.2:7001 --note \"more room for tags\"",
+    note = "Only changed files are sent. A file that a folder of this name held before and no longer holds is removed.",
+    error_code(
+        1,
+        "Rejected, since another publish came first, or not in force everywhere in time."
+    ),
+    error_code(2, "A file has a fault, or an argument is wrong; nothing was sent."),
+    error_code(
+        3,
+        "The platform cannot be reached: nothing was appended, or the result is not known."
+    )
+)]
+pub struct PublishCommand {
+    /// folders to publish, together or not at all
+    #[argh(positional)]
+    folders: Vec<PathBuf>,
+    /// address of the platform's log, IP:PORT
+    #[argh(option)]
+    log: SocketAddr,
+    /// address of the platform's VM list, IP:PORT
+    #[argh(option)]
+    vms: SocketAddr,
+    /// show what would be sent, and send nothing
+    #[argh(switch)]
+    dry_run: bool,
+    /// who publishes; the user's name if not given
+    #[argh(option)]
+    author: Option<String>,
+    /// a note for the next shift
+    #[argh(option, default = "String::new()")]
+    note: String,
+    /// seconds to wait until all live VMs have it in force (default 30)
+    #[argh(option, default = "30")]
+    wait_seconds: u64,
+    /// seconds to go on trying while the platform is not reachable (default 15)
+    #[argh(option, default = "15")]
+    platform_seconds: u64,
+    /// table or json (default table)
+    #[argh(option, default = "OutputFormat::Table")]
+    format: OutputFormat,
+}
+
+/// The result, for programs.
+#[derive(Serialize)]
+struct PublishReport {
+    result: &'static str,
+    offset: Option<LogOffset>,
+    changes: Vec<String>,
+    rejected_by: Option<RejectionReport>,
+    reason: Option<Arc<str>>,
+    live_vms: Option<usize>,
+    not_in_force: Vec<LagReport>,
+}
+
+#[derive(Serialize)]
+struct RejectionReport {
+    file: Arc<str>,
+    version: LogOffset,
+    author: Arc<str>,
+}
+
+#[derive(Serialize)]
+struct LagReport {
+    vm: String,
+    reason: String,
+}
+
+impl PublishCommand {
+    pub async fn run(self) -> Result<ExitStatus> {
+        let set = FileSet::collect(&self.folders)?;
+        let client = LogClient::new(self.log, EXCHANGE_LIMIT);
+        let mut reader = ConfigReader::new(client);
+        reader.read_on().await?;
+        let state = Arc::clone(reader.follower().state());
+        if !self.check(&set, &state).await {
+            return Ok(ExitStatus::BadInput);
+        }
+        let changes = changes(&set, &state);
+        let lines = describe(&changes, &state);
+        let mut report = PublishReport {
+            result: "unchanged",
+            offset: None,
+            changes: lines.clone(),
+            rejected_by: None,
+            reason: None,
+            live_vms: None,
+            not_in_force: Vec::new(),
+        };
+        for line in &lines {
+            self.say(line);
+        }
+        if changes.is_empty() {
+            self.say("nothing changed; nothing was sent");
+            return Ok(self.finish(&report, ExitStatus::Done));
+        }
+        if self.dry_run {
+            report.result = "dry_run";
+            self.say("dry run; nothing was sent");
+            return Ok(self.finish(&report, ExitStatus::Done));
+        }
+        let author = author_name(self.author.clone());
+        let record = new_record(&author, &self.note, changes);
+        let limit = TimeSpan::seconds(self.platform_seconds);
+        let outcome = publish(&client, &mut reader, record, limit).await;
+        let status = self.tell(outcome, &mut report).await;
+        Ok(self.finish(&report, status))
+    }
+
+    async fn check(&self, set: &FileSet, state: &ConfigState) -> bool {
+        let mut faults = check_merged(set, state);
+        let own: Vec<(&str, &str)> =
+            set.files.iter().map(|(path, text)| (&**path, &**text)).collect();
+        match VmListClient::new(self.vms, EXCHANGE_LIMIT).get().await {
+            Ok(vms) => faults.extend(check_drains(&own, &vms)),
+            Err(error) => eprintln!("drains are not checked: {error}"),
+        }
+        for fault in &faults {
+            eprintln!("{fault}");
+        }
+        let good = faults.iter().all(|fault| fault.level < FaultLevel::Error);
+        if !good {
+            eprintln!("nothing was sent");
+        }
+        good
+    }
+
+    async fn tell(&self, outcome: PublishOutcome, report: &mut PublishReport) -> ExitStatus {
+        match outcome {
+            PublishOutcome::Accepted(offset) => {
+                report.result = "accepted";
+                report.offset = Some(offset);
+                self.say(&format!("accepted at offset {offset}"));
+                self.wait(offset, report).await
+            }
+            PublishOutcome::Rejected { offset, file, beaten_by, author } => {
+                report.result = "rejected";
+                report.offset = Some(offset);
+                self.say(&format!(
+                    "rejected at offset {offset}: {file} is at version {beaten_by}, published by \
+                     {author}; nothing of this publish is in force. Look at that version, then \
+                     publish again"
+                ));
+                report.rejected_by = Some(RejectionReport { file, version: beaten_by, author });
+                ExitStatus::Rejected
+            }
+            PublishOutcome::NotAppended(reason) => {
+                report.result = "not_appended";
+                self.say(&format!("not appended, nothing has changed: {reason}"));
+                report.reason = Some(reason);
+                ExitStatus::Unreachable
+            }
+            PublishOutcome::Unknown(reason) => {
+                report.result = "unknown";
+                self.say(&format!(
+                    "not known whether it was appended: {reason}. See yard status later, or \
+                     publish again: what stands in the log already is not sent twice"
+                ));
+                report.reason = Some(reason);
+                ExitStatus::Unreachable
+            }
+        }
+    }
+
+    /// Waits until every live VM has `offset` in force.
+    async fn wait(&self, offset: LogOffset, report: &mut PublishReport) -> ExitStatus {
+        let list = VmListClient::new(self.vms, EXCHANGE_LIMIT);
+        let clock = MonotonicClock::new();
+        let deadline = clock.now() + TimeSpan::seconds(self.wait_seconds);
+        let mut shown = None;
+        loop {
+            let vms = list.get().await;
+            let is_over = clock.now() + LOOK_PAUSE >= deadline;
+            if let Ok(vms) = &vms {
+                let statuses = ask_live_entries(vms).await;
+                let late: Vec<&VmStatus> =
+                    statuses.iter().filter(|status| !status.has_in_force(offset)).collect();
+                report.live_vms = Some(statuses.len());
+                let done = statuses.len() - late.len();
+                if shown.replace(done) != Some(done) {
+                    eprintln!("in force on {done} of {} live VMs", statuses.len());
+                }
+                if statuses.is_empty() {
+                    self.say("no live entry VM on the list; nothing to wait for");
+                    return ExitStatus::Done;
+                }
+                if late.is_empty() {
+                    self.say(&format!("in force on all {} live VMs", statuses.len()));
+                    return ExitStatus::Done;
+                }
+                if is_over {
+                    self.name_late(&late, statuses.len(), report);
+                    return ExitStatus::Rejected;
+                }
+            }
+            if let (Err(error), true) = (&vms, is_over) {
+                report.reason = Some(Arc::from(error.to_string()));
+                self.say(&format!("accepted, but not known where it is in force: {error}"));
+                return ExitStatus::Unreachable;
+            }
+            sleep(LOOK_PAUSE.into()).await;
+        }
+    }
+
+    fn name_late(&self, late: &[&VmStatus], live: usize, report: &mut PublishReport) {
+        let (waited, late_count) = (self.wait_seconds, late.len());
+        self.say(&format!("not in force on {late_count} of {live} live VMs after {waited} s:"));
+        for status in late {
+            let (vm, reason) = (status.record.vm.to_string(), status.lag());
+            self.say(&format!("  {vm}: {reason}"));
+            report.not_in_force.push(LagReport { vm, reason });
+        }
+    }
+
+    fn say(&self, line: &str) {
+        if self.format == OutputFormat::Table {
+            println!("{line}");
+        }
+    }
+
+    fn finish(&self, report: &PublishReport, status: ExitStatus) -> ExitStatus {
+        if self.format == OutputFormat::Json {
+            print_json(report);
+        }
+        status
+    }
+}
--- /dev/null
+++ b/crates/yard/src/lib.rs
@@ -0,0 +1,13 @@
+//! The operators' command line: check and publish files, and see what is in force.
+
+mod author;
+mod command;
+mod config_reader;
+mod error;
+mod file_set;
+mod fleet_status;
+mod output;
+mod publisher;
+
+pub use command::YardCommand;
+pub use error::{ExitStatus, Result, YardError};
--- /dev/null
+++ b/crates/yard/tests/cli/main.rs
@@ -0,0 +1,5 @@
+//! The command line as a process, before the platform's stand-ins.
+
+mod commands;
+mod platform;
+mod publish;
