--- a/crates/peers/src/digest.rs
+++ b/crates/peers/src/digest.rs
@@ -19,16 +19,36 @@
     pub steward: SocketAddr,
     /// The steward's start.
     pub incarnation: VmIncarnation,
+    /// Orders the starts of one machine for those who hear of it by others only; a start
+    /// that hears of a higher one of its machine goes above it.
+    pub generation: u64,
     /// Grows with each change of this record within one start.
     pub sequence: u64,
     /// The machine stops: no new callers.
     pub leaving: bool,
-    /// Configuration that the steward has.
-    pub config_offset: LogOffset,
     /// Its entries.
     pub entries: Vec<EntryStatus>,
 }
 
+/// A machine's record as it is passed on, and whether its neighbours miss it.
+///
+/// Higher generations come before lower ones, then higher sequences, then `down`.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NodeNews {
+    /// The record.
+    pub record: NodeRecord,
+    /// The machine has been silent since it said this.
+    pub down: bool,
+}
+
+impl NodeNews {
+    /// The order of news about one machine.
+    #[must_use]
+    pub fn rank(&self) -> (u64, u64, bool) {
+        (self.record.generation, self.record.sequence, self.down)
+    }
+}
+
 /// A runner's start that gets no new work, ever.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LeavingWord {
@@ -155,8 +175,9 @@
     pub seen: ChangeCursor,
     /// The sender's configuration.
     pub config_offset: LogOffset,
-    /// The sender's own record, if it changed.
-    pub node: Option<NodeRecord>,
+    /// The sender's own record, if it changed, and news of machines that the receiver
+    /// does not hear itself.
+    pub nodes: Vec<NodeNews>,
     /// Reports that the sender polled.
     pub reports: Vec<ReportDelta>,
     /// Leaving words that the sender learned, from whomever.
--- a/crates/peers/src/fleet_desk.rs
+++ b/crates/peers/src/fleet_desk.rs
@@ -6,21 +6,17 @@
 
 use base::prelude::*;
 
+use crate::fleet_entries::EntryFigures;
 use crate::leaving_words::LeavingWords;
 use crate::node_state::NodeState;
+use crate::peer_circle::PeerCircle;
 use crate::report_share::ReportShare;
 use crate::runner_state::{ReportSource, RunnerState};
-use crate::{EntryStatus, LeavingWord, NodeRecord};
+use crate::{EntryStatus, LeavingWord, NodeRecord, PeerCandidate};
 
-/// Silence of a local entry after which it is taken for dead.
-pub const ENTRY_SILENCE: TimeSpan = TimeSpan::seconds(3);
 /// Silence of the platform and all peers after which this machine is cut off.
 pub const CUT_OFF_SILENCE: TimeSpan = TimeSpan::seconds(5);
 
-/// Least change of an entry's calls that is told, in calls.
-const CALLS_STEP: u32 = 4;
-/// Least change of an entry's calls that is told, as a part of its calls: one eighth.
-const CALLS_SHARE: u32 = 8;
 /// Time for which a machine that left the list is remembered.
 const GONE_MEMORY: TimeSpan = TimeSpan::seconds(900);
 
@@ -35,6 +31,9 @@
     pub steward: SocketAddr,
     /// Its start.
     pub incarnation: VmIncarnation,
+    /// Order of its start among those of the machine, such as the wall clock's time; a
+    /// wrong one is mended by hearing of a higher one.
+    pub generation: u64,
 }
 
 /// The fleet as one steward knows it: takes events, answers what to do and what is known.
@@ -53,9 +52,11 @@
     /// Something changed that peers should hear at once.
     pub(crate) urgent: bool,
     pub(crate) cut_off: bool,
-    entry_heard: BTreeMap<VmIncarnation, TimePoint>,
-    /// Calls of the own entries, as they last said.
-    calls: BTreeMap<VmIncarnation, u32>,
+    pub(crate) circle: PeerCircle,
+    pub(crate) entry_heard: BTreeMap<VmIncarnation, TimePoint>,
+    /// What the own entries last said of themselves that moves all the time.
+    pub(crate) entry_figures: BTreeMap<VmIncarnation, EntryFigures>,
+    pub(crate) config_offset: LogOffset,
     pub(crate) platform_heard: Option<TimePoint>,
     pub(crate) started: TimePoint,
     pub(crate) listed: bool,
@@ -71,9 +72,9 @@
             place: own.place,
             steward: own.steward,
             incarnation: own.incarnation,
+            generation: own.generation,
             sequence: 1,
             leaving: false,
-            config_offset: LogOffset::default(),
             entries: Vec::new(),
         };
         Self {
@@ -87,12 +88,14 @@
             me_change: 1,
             urgent: false,
             cut_off: false,
+            circle: PeerCircle::default(),
             entry_heard: BTreeMap::new(),
             platform_heard: None,
             started: now,
             listed: false,
             own_line: None,
-            calls: BTreeMap::new(),
+            entry_figures: BTreeMap::new(),
+            config_offset: LogOffset::default(),
         }
     }
 
@@ -155,47 +158,13 @@
         }
     }
 
-    /// Takes what an entry of this machine says about itself.
-    pub fn on_entry(&mut self, now: TimePoint, status: &EntryStatus) {
-        self.entry_heard.insert(status.incarnation, now);
-        self.calls.insert(status.incarnation, status.calls);
-        let known = self.me.entries.iter_mut().find(|entry| entry.address == status.address);
-        let Some(known) = known else {
-            self.me.entries.push(status.clone());
-            self.urgent = true;
-            return self.change_me();
-        };
-        let mut status = EntryStatus { calls: known.calls, ..status.clone() };
-        // A late word of the same start does not take its leaving back.
-        status.leaving |= known.leaving && known.incarnation == status.incarnation;
-        if *known != status {
-            self.urgent |= status.leaving && !known.leaving;
-            *known = status;
-            self.change_me();
-        }
-    }
-
-    /// Brings the entries' calls into the own record where they moved enough to matter.
-    pub(crate) fn refresh_calls(&mut self) {
-        let mut moved = false;
-        for entry in &mut self.me.entries {
-            let calls = self.calls.get(&entry.incarnation).copied().unwrap_or_default();
-            let step = CALLS_STEP + entry.calls / CALLS_SHARE;
-            if calls.abs_diff(entry.calls) >= step || (calls == 0 && entry.calls > 0) {
-                entry.calls = calls;
-                moved = true;
-            }
-        }
-        if moved {
-            self.change_me();
-        }
-    }
-
     /// Notes the configuration that this steward has; each view's drains may change.
     pub fn on_config(&mut self, offset: LogOffset) {
-        if offset > self.me.config_offset {
-            self.me.config_offset = offset;
-            self.change_me();
+        if offset > self.config_offset {
+            self.config_offset = offset;
+            // Each digest names the offset; it is no news for others to pass on.
+            self.urgent = true;
+            self.change += 1;
             self.runners_change = self.change;
         }
     }
@@ -212,18 +181,15 @@
     /// Lets silent entries and peers drop out, and judges whether this machine is cut off.
     pub fn tick(&mut self, now: TimePoint) {
         self.drop_silent_entries(now);
-        let mut changed = false;
-        for node in self.nodes.values_mut() {
-            let live = node.is_heard(now);
-            changed |= live != node.live;
-            node.live = live;
-        }
+        self.refresh_circle();
+        let mut changed = self.judge_live(now);
         self.nodes.retain(|_, node| {
             let remembered = |gone: TimePoint| now.since(gone) < GONE_MEMORY;
             node.live || node.listed.is_some() || node.gone.is_some_and(remembered)
         });
         let cut_off = self.judge_cut_off(now);
-        if changed || cut_off != self.cut_off {
+        changed |= cut_off != self.cut_off;
+        if changed {
             self.cut_off = cut_off;
             self.change += 1;
         }
@@ -233,7 +199,7 @@
     #[must_use]
     pub fn polls(&self) -> Vec<(RunnerId, SocketAddr, u64)> {
         let mut share = ReportShare::default();
-        for (vm, node) in &self.nodes {
+        for (vm, node) in self.nodes.iter().filter(|(vm, _)| self.circle.is_cell(vm)) {
             if node.live && !node.is_leaving() {
                 share.add(vm, &node.place);
             }
@@ -242,10 +208,10 @@
         if !self.me.leaving || share.is_empty() {
             share.add(&self.me.vm, &self.me.place);
         }
-        let owned = self
-            .runners
-            .iter()
-            .filter(|(runner, state)| share.owns(&self.me.vm, runner, &state.place));
+        let owned = self.runners.iter().filter(|(runner, state)| {
+            self.circle.is_own(runner, &state.place)
+                && share.owns(&self.me.vm, runner, &state.place)
+        });
         owned.map(|(id, state)| (id.clone(), state.address, state.events_next())).collect()
     }
 
@@ -349,18 +315,31 @@
         self.own_line = Some(state);
     }
 
-    fn drop_silent_entries(&mut self, now: TimePoint) {
-        let heard = &mut self.entry_heard;
-        let before = self.me.entries.len();
-        self.me.entries.retain(|entry| {
-            heard.get(&entry.incarnation).is_some_and(|at| now.since(*at) < ENTRY_SILENCE)
-        });
-        if self.me.entries.len() != before {
-            heard.retain(|_, at| now.since(*at) < ENTRY_SILENCE);
-            self.calls.retain(|incarnation, _| heard.contains_key(incarnation));
-            self.urgent = true;
-            self.change_me();
+    /// Judges who is live; in a large fleet, a neighbour's silence is news for the others.
+    fn judge_live(&mut self, now: TimePoint) -> bool {
+        let mut changed = false;
+        for (vm, node) in &mut self.nodes {
+            let direct = self.circle.is_direct(vm);
+            let live = node.is_live(now, direct);
+            if node.live && !live && direct && !self.circle.is_mesh() && node.record.is_some() {
+                (node.down, node.source) = (true, None);
+                node.record_change = self.change + 1;
+                self.urgent = true;
+            }
+            changed |= live != node.live;
+            node.live = live;
         }
+        changed
+    }
+
+    /// Chooses the peers anew if the machines changed.
+    fn refresh_circle(&mut self) {
+        let present = self.nodes.iter().filter(|(_, node)| node.live || node.listed.is_some());
+        let me = PeerCandidate { vm: self.me.vm.clone(), place: self.me.place.clone() };
+        let peers =
+            present.map(|(vm, node)| PeerCandidate { vm: vm.clone(), place: node.place.clone() });
+        let nodes = std::iter::once(me.clone()).chain(peers).collect();
+        self.circle.refresh(&me, nodes);
     }
 
     /// Cut off: neither the platform nor any peer was heard, though there are peers. With
--- a/crates/peers/src/fleet_digest.rs
+++ b/crates/peers/src/fleet_digest.rs
@@ -22,12 +22,14 @@
     /// Peers that should get a digest now; each is then not due for a period. Of each
     /// pair one steward starts and the other replies, until that stays out.
     pub fn due_peers(&mut self, now: TimePoint) -> Vec<(VmId, SocketAddr)> {
-        self.refresh_calls();
+        self.refresh_figures();
         let urgent = std::mem::take(&mut self.urgent);
         let (started, period) = (self.started, self.digest_period);
         let mut due = Vec::new();
         let present = |node: &NodeState| node.live || node.listed.is_some();
-        for (vm, node) in self.nodes.iter_mut().filter(|(_, node)| present(node)) {
+        let circle = &self.circle;
+        let direct = |vm: &VmId, node: &NodeState| present(node) && circle.is_direct(vm);
+        for (vm, node) in self.nodes.iter_mut().filter(|(vm, node)| direct(vm, node)) {
             let silent = now.since(node.heard.unwrap_or(started)) >= LONG_SILENCE;
             if now < node.next_digest && (silent || !urgent) {
                 continue;
@@ -48,8 +50,10 @@
         if self.urgent {
             return now;
         }
-        let present = self.nodes.values().filter(|node| node.live || node.listed.is_some());
-        let next = present.map(|node| node.next_digest).min();
+        let present = |node: &NodeState| node.live || node.listed.is_some();
+        let direct =
+            self.nodes.iter().filter(|(vm, node)| present(node) && self.circle.is_direct(vm));
+        let next = direct.map(|(_, node)| node.next_digest).min();
         next.unwrap_or(now + self.digest_period)
     }
 
@@ -70,8 +74,8 @@
             above: acked,
             until: ChangeCursor { incarnation: self.me.incarnation, change: self.change },
             seen: node.map_or_else(ChangeCursor::default, |node| node.seen),
-            config_offset: self.me.config_offset,
-            node: (self.me_change > acked).then(|| self.me.clone()),
+            config_offset: self.config_offset,
+            nodes: self.news_for(peer, acked),
             reports,
             leaving: self.words.since(acked),
             cache_events,
@@ -98,9 +102,7 @@
         }
         // A peer that forgot this start, or lacks a part, says so by a lower position.
         known.acked = if digest.seen.incarnation == own { digest.seen.change } else { 0 };
-        if let Some(record) = digest.node {
-            changed |= known.take_record(record);
-        }
+        changed |= self.take_news(&digest.from, digest.nodes);
         if changed {
             self.change += 1;
         }
@@ -169,7 +171,8 @@
     fn known_node(&mut self, digest: &Digest) -> Option<&mut NodeState> {
         if !self.nodes.contains_key(&digest.from) {
             // The list lags: a peer with a valid certificate is taken at its word.
-            let record = digest.node.as_ref()?;
+            let own = digest.nodes.iter().map(|news| &news.record);
+            let record = own.into_iter().find(|record| record.vm == digest.from)?;
             let node = NodeState::new(record.place.clone(), record.steward);
             self.nodes.insert(digest.from.clone(), node);
         }
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -7,6 +7,8 @@
 mod fleet_desk;
 mod fleet_digest;
 mod fleet_dump;
+mod fleet_entries;
+mod fleet_news;
 mod fleet_view;
 mod keys;
 mod leaving_words;
@@ -15,18 +17,22 @@
 mod message;
 mod node_state;
 mod peer_choice;
+mod peer_circle;
 mod report_share;
 mod restart;
 mod runner_state;
 mod server;
 mod stream;
 
-pub use digest::{ChangeCursor, Digest, LeavingWord, NodeRecord, ReportDelta, ReportDetail};
+pub use digest::{
+    ChangeCursor, Digest, LeavingWord, NodeNews, NodeRecord, ReportDelta, ReportDetail,
+};
 pub use endpoint::PeerEndpoint;
 pub use envelope::{MAX_MESSAGE_BYTES, MESSAGE_VERSION, decode_message, encode_message};
 pub use error::{PeerError, RejectReason, Result};
-pub use fleet_desk::{CUT_OFF_SILENCE, ENTRY_SILENCE, FleetDesk, FleetSelf};
+pub use fleet_desk::{CUT_OFF_SILENCE, FleetDesk, FleetSelf};
 pub use fleet_digest::RECONCILE_PERIOD;
+pub use fleet_entries::ENTRY_SILENCE;
 pub use keys::{PeerKeys, TLS_NAME};
 pub use limits::{
     CONNECT_LIMIT, IDLE_LIMIT, KEEP_ALIVE, LINK_LIMIT, MAX_CONNECTIONS, MAX_LINKS, MAX_REQUESTS,
--- a/crates/peers/src/node_state.rs
+++ b/crates/peers/src/node_state.rs
@@ -5,7 +5,7 @@
 
 use base::prelude::*;
 
-use crate::{ChangeCursor, EntryStatus, NodeRecord};
+use crate::{ChangeCursor, EntryStatus, NodeNews, NodeRecord};
 
 /// Silence after which a steward, and what it told, no longer counts.
 pub const PEER_SILENCE: TimeSpan = TimeSpan::seconds(3);
@@ -24,6 +24,14 @@
     /// When the list ceased to name the machine.
     pub(crate) gone: Option<TimePoint>,
     pub(crate) record: Option<NodeRecord>,
+    /// This steward's change with which the record, or `down`, came.
+    pub(crate) record_change: u64,
+    /// Who told the record; none if the machine itself.
+    pub(crate) source: Option<VmId>,
+    /// The machine has been silent since its record.
+    pub(crate) down: bool,
+    /// Others miss the machine, which is heard here: it has to be told.
+    pub(crate) accused: bool,
     pub(crate) heard: Option<TimePoint>,
     pub(crate) live: bool,
     /// Configuration that the peer has.
@@ -45,6 +53,10 @@
             listed: None,
             gone: None,
             record: None,
+            record_change: 0,
+            source: None,
+            down: false,
+            accused: false,
             heard: None,
             live: false,
             config_offset: LogOffset::default(),
@@ -96,23 +108,49 @@
         true
     }
 
-    /// Takes the peer's own record; says whether it changed anything.
-    pub(crate) fn take_record(&mut self, record: NodeRecord) -> bool {
-        let stale = self.record.as_ref().is_some_and(|known| known.sequence >= record.sequence);
-        if stale || record.incarnation != self.seen.incarnation {
+    /// Takes the record that the peer itself told as change number `change`; says whether
+    /// it changed anything.
+    pub(crate) fn take_own(&mut self, record: NodeRecord, change: u64) -> bool {
+        let known = self.record.as_ref().map(|known| known.sequence);
+        if known > Some(record.sequence) || record.incarnation != self.seen.incarnation {
             return false;
         }
+        // With the same sequence, only the entries' calls differ: no news for others.
+        if known != Some(record.sequence) {
+            (self.record_change, self.source) = (change, None);
+            (self.down, self.accused) = (false, false);
+        }
+        self.take_record(record);
+        true
+    }
+
+    /// Takes news that `source` passed on; says whether it changed anything.
+    pub(crate) fn take_passed(&mut self, news: NodeNews, source: &VmId, change: u64) -> bool {
+        let known = self.record.as_ref().map(|known| (known.generation, known.sequence, self.down));
+        if known >= Some(news.rank()) {
+            return false;
+        }
+        (self.record_change, self.source) = (change, Some(source.clone()));
+        self.down = news.down;
+        self.take_record(news.record);
+        true
+    }
+
+    fn take_record(&mut self, record: NodeRecord) {
         if record.leaving {
             self.leave(record.incarnation);
         }
-        for entry in &record.entries {
-            if entry.leaving {
-                self.leave(entry.incarnation);
-            }
+        for entry in record.entries.iter().filter(|entry| entry.leaving) {
+            self.leave(entry.incarnation);
         }
         self.steward = record.steward;
         self.record = Some(record);
-        true
+    }
+
+    /// The machine's news as change number `change` and later ones brought them.
+    pub(crate) fn news_since(&self, change: u64) -> Option<NodeNews> {
+        let record = self.record.as_ref().filter(|_| self.record_change > change)?;
+        Some(NodeNews { record: record.clone(), down: self.down })
     }
 
     /// Notes that a start leaves: of the steward, or of an entry.
@@ -129,7 +167,8 @@
     /// Whether the machine takes no new callers.
     pub(crate) fn is_leaving(&self) -> bool {
         let gone = self.listed.is_none() && self.gone.is_some();
-        gone || self.listed == Some(VmState::Leaving) || self.left.contains(&self.seen.incarnation)
+        let start = self.record.as_ref().map_or(self.seen.incarnation, |known| known.incarnation);
+        gone || self.listed == Some(VmState::Leaving) || self.left.contains(&start)
     }
 
     /// Its entries that callers may use.
@@ -141,6 +180,12 @@
             .filter(|entry| !entry.leaving && !self.left.contains(&entry.incarnation))
     }
 
+    /// Whether it counts as live: heard lately, or else, if it is no direct peer, known by
+    /// others and not missed.
+    pub(crate) fn is_live(&self, now: TimePoint, direct: bool) -> bool {
+        self.is_heard(now) || (!direct && self.record.is_some() && !self.down)
+    }
+
     /// Whether it has been heard lately.
     pub(crate) fn is_heard(&self, now: TimePoint) -> bool {
         self.heard.is_some_and(|heard| now.since(heard) < PEER_SILENCE)
--- a/crates/peers/src/peer_choice.rs
+++ b/crates/peers/src/peer_choice.rs
@@ -91,15 +91,15 @@
         PeerChoice { cell, links }
     }
 
-    /// The cell of `place` that a runner belongs to, and the number of its cells.
+    /// The cell that polls a runner: one of its failure domain, if that has machines.
     #[must_use]
     pub fn cell_of_runner(&self, runner: &RunnerId, place: &PlaceName) -> Option<&[VmId]> {
-        let cells = self.places.get(place)?;
-        let best = cells
-            .iter()
-            .enumerate()
-            .filter(|(_, cell)| !cell.is_empty())
-            .max_by_key(|(at, _)| rendezvous_score(runner.as_str(), &at.to_string()));
+        let nearest = self.places.get(place);
+        let score = |key: &str| rendezvous_score(runner.as_str(), key);
+        let any = || self.places.iter().max_by_key(|(place, _)| score(place.as_str()));
+        let cells = nearest.or_else(|| any().map(|(_, cells)| cells))?;
+        let filled = cells.iter().enumerate().filter(|(_, cell)| !cell.is_empty());
+        let best = filled.max_by_key(|(at, _)| score(&at.to_string()));
         best.map(|(_, cell)| cell.as_slice())
     }
 
--- a/crates/peers/tests/fleet_desk.rs
+++ b/crates/peers/tests/fleet/desk.rs
@@ -1,10 +1,8 @@
 //! The fleet as stewards see it: leaving words, outages, restarts, shares, convergence.
 
-mod fleet;
-
+use crate::test_fleet::{TestFleet, entry_status, report, runner_id, vm_id};
 use base::CacheEvent;
 use base::prelude::*;
-use fleet::{TestFleet, entry_status, report, runner_id, vm_id};
 use peers::{
     CUT_OFF_SILENCE, ChangeCursor, ENTRY_SILENCE, LeavingWord, PEER_SILENCE, RETIRED_HOLD,
     ReportShare,
@@ -235,7 +233,7 @@
     fleet.desks[0].on_report(fleet.now, report(0, 7, 1));
     fleet.exchange(0, 1);
     let quiet = fleet.desks[0].digest_for(fleet.now, &vm_id(1));
-    assert!(quiet.node.is_none() && quiet.reports.is_empty(), "{quiet:?}");
+    assert!(quiet.nodes.is_empty() && quiet.reports.is_empty(), "{quiet:?}");
     fleet.desks[0].on_report(fleet.now, report(0, 7, 2));
     let news = fleet.desks[0].digest_for(fleet.now, &vm_id(1));
     assert_eq!(news.reports.len(), 1);
@@ -245,7 +243,7 @@
     forgot.seen = ChangeCursor::default();
     fleet.desks[0].on_digest(fleet.now, forgot);
     let full = fleet.desks[0].digest_for(fleet.now, &vm_id(1));
-    assert!(full.node.is_some() && full.reports[0].detail.is_some());
+    assert!(full.nodes.len() == 1 && full.reports[0].detail.is_some());
 }
 
 #[test]
--- /dev/null
+++ b/crates/peers/tests/fleet/main.rs
@@ -0,0 +1,6 @@
+//! The fleet as stewards see it, on virtual time and without sockets.
+
+mod choice;
+mod desk;
+mod scale;
+mod test_fleet;
--- a/crates/peers/tests/fleet/mod.rs
+++ b/crates/peers/tests/fleet/test_fleet.rs
@@ -151,6 +151,32 @@
         self.desks[from].on_digest(self.now, reply);
     }
 
+    /// One period: every live machine's entry speaks, and its steward exchanges as it is due.
+    pub fn round(&mut self, dead: &[usize]) -> usize {
+        self.advance(PERIOD);
+        let live: Vec<usize> = (0..self.desks.len()).filter(|at| !dead.contains(at)).collect();
+        self.speak(&live);
+        self.tick();
+        let mut exchanges = 0;
+        for &at in &live {
+            for (peer, _) in self.desks[at].due_peers(self.now) {
+                let peer: usize = peer.as_str()[3..].parse().unwrap();
+                if !dead.contains(&peer) {
+                    self.exchange(at, peer);
+                    exchanges += 1;
+                }
+            }
+        }
+        exchanges
+    }
+
+    /// Rounds in which everybody lives.
+    pub fn rounds(&mut self, count: usize) {
+        for _ in 0..count {
+            self.round(&[]);
+        }
+    }
+
     pub fn exchange_all(&mut self) {
         for from in 0..self.desks.len() {
             for to in (0..self.desks.len()).filter(|to| *to != from) {
@@ -185,6 +211,7 @@
         place: PLACES[number % 3].parse().unwrap(),
         steward: format!("10.0.0.{number}:8002").parse().unwrap(),
         incarnation: VmIncarnation(steward_start(number, start)),
+        generation: start,
     };
     FleetDesk::new(now, own, PERIOD)
 }
--- a/crates/steward/src/context.rs
+++ b/crates/steward/src/context.rs
@@ -46,6 +46,7 @@
             place: settings.common.place.clone(),
             steward: peers.address(),
             incarnation,
+            generation: wall_clock_millis(),
         };
         let desk = RefCell::new(FleetDesk::new(clock.now(), own, settings.digest));
         Rc::new(Self {
@@ -95,3 +96,9 @@
         outcome
     }
 }
+
+/// Time since the Unix epoch; it orders this machine's starts, and may be wrong.
+fn wall_clock_millis() -> u64 {
+    let elapsed = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    elapsed.map_or(0, |elapsed| elapsed.as_millis() as u64)
+}
--- a/crates/steward/tests/fleet.rs
+++ b/crates/steward/tests/fleet.rs
@@ -26,12 +26,16 @@
                 reported(view) == 6 && view.entries.len() == 3 && !view.cut_off
             })
             .await;
-        let mut polled = 0;
-        for number in all {
-            let dump = fleet.dump(number).await.unwrap();
-            polled += dump["counters"]["runners.polled"].as_u64().unwrap();
-        }
-        assert_eq!(polled, 12, "two stewards poll each of the six runners");
+        wait_until("two stewards poll each of the six runners", SPREAD, async || {
+            let mut polled = 0;
+            for number in all {
+                let dump = fleet.dump(number).await?;
+                polled += dump["counters"]["runners.polled"].as_u64()?;
+            }
+            (polled == 12).then_some(())
+        })
+        .await
+        .unwrap();
     })
     .unwrap();
 }
