--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -1,1 +1,3 @@
-//! Placeholder.
+//! Load against real processes, and policy experiments in virtual time.
+
+pub mod traffic;
