--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -3,6 +3,7 @@
 use std::process::ExitCode;
 
 use argh::FromArgs;
+use load::policy::PolicyCommand;
 use load::traffic::TrafficCommand;
 
 /// Exit code for arguments that cannot be used.
@@ -18,6 +19,7 @@
 #[derive(FromArgs)]
 #[argh(subcommand)]
 enum LoadCommand {
+    Policy(PolicyCommand),
     Traffic(TrafficCommand),
 }
 
@@ -25,9 +27,7 @@
     let texts: Vec<String> = std::env::args().collect();
     let words: Vec<&str> = texts.iter().skip(1).map(String::as_str).collect();
     match LoadArguments::from_args(&["yard-load"], &words) {
-        Ok(arguments) => match arguments.command {
-            LoadCommand::Traffic(command) => command.run(),
-        },
+        Ok(arguments) => run(arguments.command),
         Err(exit) if exit.status.is_ok() => {
             println!("{}", exit.output);
             ExitCode::SUCCESS
@@ -38,3 +38,16 @@
         }
     }
 }
+
+fn run(command: LoadCommand) -> ExitCode {
+    match command {
+        LoadCommand::Policy(command) => command.run().map_or_else(
+            |error| {
+                eprintln!("yard-load policy: {error}");
+                ExitCode::from(BAD_ARGUMENTS)
+            },
+            |()| ExitCode::SUCCESS,
+        ),
+        LoadCommand::Traffic(command) => command.run(),
+    }
+}
--- a/crates/peers/src/message.rs
+++ b/crates/peers/src/message.rs
@@ -2,10 +2,14 @@
 
 use std::net::SocketAddr;
 
+use base::CacheEvent;
 use base::prelude::*;
-use config::ConfigPlan;
+use booking::{BookingReply, HomeAddress, TableHandover};
+use config::{ConfigDelta, ConfigPlan};
 use serde::{Deserialize, Serialize};
 
+use crate::{Digest, LeavingWord};
+
 /// What an entry tells its steward about itself.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EntryStatus {
@@ -66,6 +70,8 @@
     pub all_runners: bool,
     /// All entries that callers may use.
     pub entries: Vec<EntryRecord>,
+    /// Cache events since `version`; recent ones only.
+    pub cache_events: Vec<(RunnerId, CacheEvent)>,
     /// This VM is cut off from the others: its entries leave the lookups.
     pub cut_off: bool,
 }
@@ -73,8 +79,6 @@
 /// A call that is passed to the entry that is its home.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ForwardedCall {
-    /// The home's incarnation, by the caller's tag.
-    pub home: VmIncarnation,
     /// Whose call it is.
     pub workspace: WorkspaceId,
     /// The service.
@@ -95,23 +99,6 @@
     pub remaining: TimeSpan,
 }
 
-/// The home's answer.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ForwardedReply {
-    /// HTTP status for the caller.
-    pub status: u16,
-    /// Outcome, as the caller is told.
-    pub outcome: CallOutcome,
-    /// Why it was refused, if it was.
-    pub reason: Option<RefusalReason>,
-    /// Content type of the body.
-    pub content_type: Arc<str>,
-    /// The body.
-    pub body: Vec<u8>,
-    /// When to come back, if that helps.
-    pub come_back: Option<TimeSpan>,
-}
-
 /// A request from one of our processes to another.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum PeerRequest {
@@ -129,8 +116,26 @@
     },
     /// A booking for its home.
     Call(ForwardedCall),
+    /// A stopping home hands its bookings to this entry.
+    Adopt(TableHandover),
+    /// The sender answers for the bookings of these incarnations from now on.
+    Adopted {
+        /// The incarnations that have stopped.
+        homes: Vec<VmIncarnation>,
+        /// Who answers for them.
+        adopter: HomeAddress,
+    },
     /// The whole state of the process.
     Dump,
+    /// A steward's news for another.
+    Digest(Box<Digest>),
+    /// A steward asks for a configuration newer than `have`.
+    ConfigPull {
+        /// Configuration that the asking steward has.
+        have: LogOffset,
+    },
+    /// An entry tells its steward that a runner refused work because it leaves.
+    Leaving(LeavingWord),
 }
 
 /// The answer to a [`PeerRequest`].
@@ -139,9 +144,20 @@
     /// To [`PeerRequest::View`].
     View(Box<FleetView>),
     /// To [`PeerRequest::Call`].
-    Call(ForwardedReply),
+    Call(BookingReply),
+    /// To [`PeerRequest::Adopt`]: whether the table was taken, now or earlier; if not, it
+    /// never was and never will be.
+    Adopted(bool),
+    /// To [`PeerRequest::Adopted`].
+    Noted,
     /// To [`PeerRequest::Dump`]: JSON.
     Dump(String),
+    /// To [`PeerRequest::Digest`]: the answering steward's news.
+    Digest(Box<Digest>),
+    /// To [`PeerRequest::ConfigPull`]: a newer configuration, if there is one.
+    Config(Option<Box<ConfigDelta>>),
+    /// The request was carried out; there is nothing to say.
+    Done,
     /// The request is not for this process, or it cannot be served now; it had no effect.
     Refused(RefusalReason),
 }
