--- /dev/null
+++ b/crates/settings/tests/page.rs
@@ -0,0 +1,56 @@
+//! `docs/SETTINGS.md` names every field, with its default.
+
+use serde_json::Value;
+use settings::{COMMON_FIELDS, EntrySettings, SettingsSchema, StewardSettings};
+
+const PAGE: &str = include_str!("../../../docs/SETTINGS.md");
+
+/// Names of all fields below `value`.
+fn names(value: &Value) -> Vec<String> {
+    match value {
+        Value::Object(fields) => {
+            let own = fields.keys().cloned();
+            own.chain(fields.values().flat_map(names)).collect()
+        }
+        Value::Array(elements) => elements.iter().flat_map(names).collect(),
+        _ => Vec::new(),
+    }
+}
+
+/// The row of a field, after its name.
+fn row(name: &str) -> Option<&'static str> {
+    PAGE.lines().find_map(|line| line.strip_prefix(&format!("| `{name}` |")))
+}
+
+#[test]
+fn the_page_names_every_field() {
+    let examples = [EntrySettings::example(), StewardSettings::example()];
+    for name in examples.iter().flat_map(names) {
+        assert!(row(&name).is_some(), "{name} has no row");
+    }
+    for name in COMMON_FIELDS {
+        assert!(row(name).is_some(), "{name} has no row");
+        assert!(examples.iter().all(|example| example.get(name).is_some()), "{name}");
+    }
+}
+
+#[test]
+fn the_page_names_every_default() {
+    for defaults in [EntrySettings::defaults(), StewardSettings::defaults()] {
+        for (name, value) in defaults.as_object().unwrap() {
+            let text = value.as_str().map_or_else(|| value.to_string(), str::to_owned);
+            let cell = format!("| `{text}` |");
+            assert!(row(name).unwrap().contains(&cell), "{name}: {cell}");
+        }
+    }
+}
+
+#[test]
+fn the_page_names_no_other_field() {
+    let examples = [EntrySettings::example(), StewardSettings::example()];
+    let known: Vec<String> = examples.iter().flat_map(names).collect();
+    let rows = PAGE.lines().filter_map(|line| line.strip_prefix("| `")?.split('`').next());
+    for name in rows {
+        assert!(known.iter().any(|known| known == name), "{name} is no field");
+    }
+}
