Serve the whole path by real processes

Cause: the engine's events carry the generation in hexadecimal, as all our ids are shown; the id's JSON form was a number, so that the first token already counted as a lost stream. Ruled out: hexadecimal only in this message; a JSON number of 64 bits is not safe in callers' languages either, so all number ids are hexadecimal in text formats. Before: every stream ended as incomplete. After: streams, whole answers, lookups and bookings are served by each of three entries (tests/whole_path.rs, 2 s). Conclusion: the thin whole path stands.

--- a/crates/base/src/ids.rs
+++ b/crates/base/src/ids.rs
@@ -4,7 +4,7 @@
 use std::str::FromStr;
 use std::sync::Arc;
 
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
 use thiserror::Error;
 
 /// Longest accepted text identifier, in bytes.
@@ -112,11 +112,32 @@
 macro_rules! number_id {
     ($(#[$doc:meta])* $name:ident) => {
         $(#[$doc])*
-        #[derive(
-            Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
-        )]
+        ///
+        /// Written as 16 hexadecimal digits, and as a number only in binary formats: a
+        /// JSON number of 64 bits is not safe everywhere.
+        #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
         pub struct $name(pub u64);
 
+        impl Serialize for $name {
+            fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+                if serializer.is_human_readable() {
+                    serializer.collect_str(self)
+                } else {
+                    serializer.serialize_u64(self.0)
+                }
+            }
+        }
+
+        impl<'de> Deserialize<'de> for $name {
+            fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+                if !deserializer.is_human_readable() {
+                    return u64::deserialize(deserializer).map(Self);
+                }
+                let text = <std::borrow::Cow<'_, str>>::deserialize(deserializer)?;
+                text.parse().map_err(serde::de::Error::custom)
+            }
+        }
+
         impl fmt::Display for $name {
             fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
                 write!(f, "{:016x}", self.0)
--- a/crates/harness/src/caller.rs
+++ b/crates/harness/src/caller.rs
@@ -138,7 +138,7 @@
     ) -> Result<TokenStream> {
         let body = completion_body(model, prompt, true, deadline_ms);
         let response = self.exchange(peer, "POST", "/v1/completions", &[], &body).await?;
-        Ok(TokenStream::new(response))
+        TokenStream::open(response).await
     }
 
     /// Resumes a stream after `cursor`.
@@ -149,7 +149,7 @@
         let headers = [("last-event-id", cursor)];
         let path = "/v1/completions/resume";
         let response = self.exchange(peer, "GET", path, &headers, "").await?;
-        Ok(TokenStream::new(response))
+        TokenStream::open(response).await
     }
 
     async fn exchange(
@@ -198,19 +198,29 @@
     pub error: Option<Value>,
     /// Whether the stream ended with its end mark.
     pub done: bool,
-    reader: SseReader,
+    reader: Option<SseReader>,
 }
 
 impl TokenStream {
-    fn new(response: hyper::Response<hyper::body::Incoming>) -> Self {
-        Self {
-            status: response.status().as_u16(),
+    /// Takes a response over; the error of one that is no stream is read now.
+    async fn open(response: hyper::Response<hyper::body::Incoming>) -> Result<Self> {
+        let status = response.status().as_u16();
+        let mut stream = Self {
+            status,
             tokens: Vec::new(),
             cursor: String::new(),
             error: None,
             done: false,
-            reader: SseReader::new(response.into_body()),
+            reader: None,
+        };
+        if status == 200 {
+            stream.reader = Some(SseReader::new(response.into_body()));
+        } else {
+            let bytes = read_bounded("answer", response.into_body(), MAX_ANSWER_BYTES).await?;
+            let body: Value = serde_json::from_slice(&bytes).unwrap_or(Value::Null);
+            stream.error = Some(body["error"].clone());
         }
+        Ok(stream)
     }
 
     /// Reads one event; false once the stream is over.
@@ -218,7 +228,8 @@
     /// # Errors
     /// If the connection breaks in the middle.
     pub async fn read(&mut self) -> Result<bool> {
-        let Some(event) = self.reader.next().await? else { return Ok(false) };
+        let Some(reader) = &mut self.reader else { return Ok(false) };
+        let Some(event) = reader.next().await? else { return Ok(false) };
         self.take(&event);
         Ok(!self.done && self.error.is_none())
     }
