Bring the check to green over all parts

Ruled out: keeping ids as numbers in claims alone. Conclusion: expectations follow the new text, with the same strictness.

--- a/crates/load/src/policy/bench_measures.rs
+++ b/crates/load/src/policy/bench_measures.rs
@@ -91,6 +91,9 @@
 
 impl BenchMeasures {
     /// Counters for the calls and tokens of `window`.
+    ///
+    /// # Panics
+    /// Never: the bounds of the histograms are valid.
     #[must_use]
     pub fn new(workload: &Workload, window: (TimePoint, TimePoint)) -> Self {
         let classes = workload.classes.len();
--- a/crates/load/src/policy/simulation.rs
+++ b/crates/load/src/policy/simulation.rs
@@ -413,8 +413,8 @@
         let cache = self.engines[runner].take_cache_events();
         for entry in 0..self.settings.workload.entries {
             let lag = TimeSpan::millis(self.random.random_range(REPORT_LAG_MILLIS));
-            let lossless = |_: &CacheEvent| !self.random.random_bool(CACHE_EVENT_LOSS);
-            let cache = cache.iter().cloned().filter(lossless).collect();
+            let lossless = |_: &&CacheEvent| !self.random.random_bool(CACHE_EVENT_LOSS);
+            let cache = cache.iter().filter(lossless).cloned().collect();
             let report = RunnerReport { age: lag, ..report.clone() };
             self.put(lag, BenchEvent::Deliver { entry, report, cache });
         }
--- a/crates/orders/tests/claims.rs
+++ b/crates/orders/tests/claims.rs
@@ -35,8 +35,7 @@
 #[test]
 fn the_first_choice_claims_and_the_offset_is_its_number() {
     let (stream, mut holder, other) = claimed(true);
-    let record =
-        r#"{"version":1,"place":"caerdydd","vm":"a","incarnation":97,"seen":0,"earlier":[]}"#;
+    let record = r#"{"version":1,"place":"caerdydd","vm":"a","incarnation":"0000000000000061","seen":0,"earlier":[]}"#;
     assert_eq!(&*stream.records[0].1, record);
     assert_eq!(fence(&holder), Some(FencingNumber(1)));
     assert_eq!(fence(&other), None);
@@ -158,7 +157,7 @@
     let mut fold = OrderHolder::default();
     fold.apply(LogOffset(1), OrderClaim::decode(LogOffset(1), "{}").ok());
     assert_eq!(fold.offset(), LogOffset(1));
-    let newer = r#"{"version":2,"place":"p","vm":"a","incarnation":1,"seen":0,"earlier":[]}"#;
+    let newer = r#"{"version":2,"place":"p","vm":"a","incarnation":"0000000000000001","seen":0,"earlier":[]}"#;
     let error = OrderClaim::decode(LogOffset(2), newer).unwrap_err();
     assert_snapshot!(error, @"read claim at offset 2: version 2 is not known");
 }
--- a/crates/route/src/length_estimate.rs
+++ b/crates/route/src/length_estimate.rs
@@ -33,7 +33,7 @@
             censored: [0.0; BINS],
             observations: 0.0,
             unseen: 0,
-            curve: std::array::from_fn(|bin| TAIL_SURVIVAL.powi(bin as i32)),
+            curve: std::array::from_fn(|bin| TAIL_SURVIVAL.powf(bin as f64)),
         }
     }
 }
