--- a/crates/config/src/parsed_file.rs
+++ b/crates/config/src/parsed_file.rs
@@ -2,8 +2,9 @@
 
 use std::fmt;
 use std::str::FromStr;
+use std::sync::Arc;
 
-use settings::{SettingsFaults, SettingsFile, SettingsSchema, read_layers};
+use settings::{SettingsFaults, SettingsFile, read_document};
 use thiserror::Error;
 
 use crate::{OverridesFile, ServiceFile, WorkspacesFile};
@@ -47,7 +48,7 @@
 #[derive(Debug, Clone, PartialEq)]
 pub enum ParsedFile {
     /// One service.
-    Service(Box<ServiceFile>),
+    Service(Arc<ServiceFile>),
     /// Workspaces and their keys.
     Workspaces(WorkspacesFile),
     /// What a shift decides by hand.
@@ -62,13 +63,9 @@
     pub fn read(kind: FileKind, path: &str, text: &str) -> Result<Self, SettingsFaults> {
         let file = SettingsFile { name: path, text };
         match kind {
-            FileKind::Service => read_one(file).map(|file| Self::Service(Box::new(file))),
-            FileKind::Workspaces => read_one(file).map(Self::Workspaces),
-            FileKind::Overrides => read_one(file).map(Self::Overrides),
+            FileKind::Service => read_document(file).map(|file| Self::Service(Arc::new(file))),
+            FileKind::Workspaces => read_document(file).map(Self::Workspaces),
+            FileKind::Overrides => read_document(file).map(Self::Overrides),
         }
     }
 }
-
-fn read_one<T: SettingsSchema>(file: SettingsFile<'_>) -> Result<T, SettingsFaults> {
-    read_layers(Some(file), &[])
-}
--- a/crates/config/src/plan.rs
+++ b/crates/config/src/plan.rs
@@ -11,7 +11,7 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct ServicePlan {
     /// The file it came from.
-    pub file: ServiceFile,
+    pub file: Arc<ServiceFile>,
 }
 
 impl ServicePlan {
@@ -71,12 +71,13 @@
     #[must_use]
     pub fn new(
         offset: LogOffset,
-        services: Vec<ServiceFile>,
+        services: Vec<impl Into<Arc<ServiceFile>>>,
         workspaces: Vec<WorkspacesFile>,
         overrides: Vec<OverridesFile>,
     ) -> Self {
         let mut plan = Self { offset, in_force: offset, ..Self::default() };
         for file in services {
+            let file: Arc<ServiceFile> = file.into();
             plan.services.entry(file.service.clone()).or_insert(ServicePlan { file });
         }
         for keys in workspaces.into_iter().flat_map(|file| file.workspaces) {
--- a/crates/config/src/plan_builder.rs
+++ b/crates/config/src/plan_builder.rs
@@ -48,7 +48,7 @@
                         unusable.push(conflict);
                     } else {
                         holders.insert(&service.service, path);
-                        services.push((**service).clone());
+                        services.push(Arc::clone(service));
                     }
                 }
                 Some((_, ParsedFile::Workspaces(file))) => workspaces.push(file.clone()),
--- a/crates/settings/src/document.rs
+++ b/crates/settings/src/document.rs
@@ -28,7 +28,8 @@
     pub found: String,
 }
 
-const OPTIONS: ParseOptions = ParseOptions {
+/// JSON with comments and trailing commas, and nothing else beyond JSON.
+pub(crate) const JSON_OPTIONS: ParseOptions = ParseOptions {
     allow_comments: true,
     allow_loose_object_property_names: false,
     allow_trailing_commas: true,
@@ -44,9 +45,10 @@
 impl JsonDocument {
     /// Parses `text`.
     pub fn parse(text: &str) -> Result<Self, SyntaxFault> {
-        let tree = parse_to_ast(text, &CollectOptions::default(), &OPTIONS).map_err(|error| {
-            SyntaxFault { line: error.line_display(), found: error.kind().to_string() }
-        })?;
+        let tree =
+            parse_to_ast(text, &CollectOptions::default(), &JSON_OPTIONS).map_err(|error| {
+                SyntaxFault { line: error.line_display(), found: error.kind().to_string() }
+            })?;
         let mut reader = DocumentReader { starts: line_starts(text), document: Self::default() };
         if let Some(root) = &tree.value {
             reader.document.value = reader.read(root, &FieldPath::default());
--- a/crates/settings/src/layers.rs
+++ b/crates/settings/src/layers.rs
@@ -6,7 +6,7 @@
 use serde_json::{Map, Value};
 
 use crate::decode::{DecodeFault, decode_all, show, show_at};
-use crate::document::JsonDocument;
+use crate::document::{JSON_OPTIONS, JsonDocument};
 use crate::field_path::FieldPath;
 use crate::{FieldCheck, Result, SettingsFault, SettingsFaults, SettingsSchema, SharedFields};
 
@@ -37,6 +37,22 @@
     read_layers(Some(SettingsFile { name: &name, text: &text }), sets)
 }
 
+/// Reads one file without layers. A file without faults takes a short way, without the
+/// lines that only faults need.
+///
+/// # Errors
+/// [`SettingsFaults`] with every fault found.
+pub fn read_document<T: SettingsSchema>(file: SettingsFile<'_>) -> Result<T> {
+    if let Ok(document) = jsonc_parser::parse_to_serde_value::<T>(file.text, &JSON_OPTIONS) {
+        let mut check = FieldCheck::default();
+        document.check(&mut check);
+        if check.faults.is_empty() {
+            return Ok(document);
+        }
+    }
+    read_layers(Some(file), &[])
+}
+
 /// Reads the layers, the later over the earlier, and checks the whole.
 ///
 /// # Errors
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -21,6 +21,6 @@
 pub use entry::EntrySettings;
 pub use fault::{Result, SettingsFault, SettingsFaults};
 pub use keys::{KeySettings, PemSource, SigningSecret};
-pub use layers::{SettingsFile, locate, read_layers, read_settings};
+pub use layers::{SettingsFile, locate, read_document, read_layers, read_settings};
 pub use schema::{SettingsSchema, SharedFields};
 pub use steward::StewardSettings;
