--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -1,7 +1,13 @@
 //! `yard-load`: load and experiments, one subcommand each.
 
+use std::process::ExitCode;
+
 use argh::FromArgs;
 use load::policy::PolicyCommand;
+use load::traffic::TrafficCommand;
+
+/// Exit code for arguments that cannot be used.
+const BAD_ARGUMENTS: u8 = 2;
 
 /// Load and experiments for dotterelyard.
 #[derive(FromArgs)]
@@ -14,12 +20,34 @@
 #[argh(subcommand)]
 enum LoadCommand {
     Policy(PolicyCommand),
+    Traffic(TrafficCommand),
+}
+
+fn main() -> ExitCode {
+    let texts: Vec<String> = std::env::args().collect();
+    let words: Vec<&str> = texts.iter().skip(1).map(String::as_str).collect();
+    match LoadArguments::from_args(&["yard-load"], &words) {
+        Ok(arguments) => run(arguments.command),
+        Err(exit) if exit.status.is_ok() => {
+            println!("{}", exit.output);
+            ExitCode::SUCCESS
+        }
+        Err(exit) => {
+            eprintln!("{}", exit.output);
+            ExitCode::from(BAD_ARGUMENTS)
+        }
+    }
 }
 
-fn main() -> Result<(), Box<dyn std::error::Error>> {
-    let arguments: LoadArguments = argh::from_env();
-    match arguments.command {
-        LoadCommand::Policy(command) => command.run()?,
+fn run(command: LoadCommand) -> ExitCode {
+    match command {
+        LoadCommand::Policy(command) => command.run().map_or_else(
+            |error| {
+                eprintln!("yard-load policy: {error}");
+                ExitCode::from(BAD_ARGUMENTS)
+            },
+            |()| ExitCode::SUCCESS,
+        ),
+        LoadCommand::Traffic(command) => command.run(),
     }
-    Ok(())
 }
