Check the bookings by breadth-first reachability

Three processes run the product's own desks; the network loses, repeats, delays and reorders; processes crash, stop as planned, refuse adoption and adopt in chains; the target declines, breaks and answers late.

--- /dev/null
+++ b/crates/spec/src/bookings/world.rs
@@ -0,0 +1,243 @@
+//! Three processes, one booking and its target, and the network between them.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+use base::prelude::*;
+use booking::{
+    BookingAction, BookingCall, BookingDesk, BookingEvent, BookingFault, BookingKey, BookingLimits,
+    BookingReply, DeskPhase, HomeAddress, HomeTag, KeptAnswer, SendNumber, TableHandover, TagClaim,
+    TicketId,
+};
+
+use super::BookingVariant;
+
+/// Each process that a call was passed on by adds a decimal digit to its ticket.
+const HOP: u64 = 10;
+/// Status by which the target says that it did not run a call.
+const DECLINED: u16 = 503;
+/// The clock of each process is this much ahead of the one before, in seconds.
+const CLOCK_SKEW: u64 = 1000;
+
+/// A process, by number; 0 is the home that issued the tag.
+pub(super) type Process = usize;
+
+/// How much may happen in a world.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub(super) struct BookingBounds {
+    /// Requests of the one booking.
+    pub(super) calls: u64,
+    /// Processes that crash.
+    pub(super) crashes: u32,
+    /// Processes that are stopped as planned.
+    pub(super) stops: u32,
+    /// Seconds that pass; the tag ends after 1 s, its key is evicted after 2 s.
+    pub(super) seconds: u64,
+}
+
+/// What is on its way.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub(super) enum Packet {
+    /// A call that is passed on; one that was given up on may still arrive.
+    Forward { from: Process, to: Process, ticket: u64, given_up: bool },
+    /// A request on its way to the target.
+    Run { from: Process, send: SendNumber, reported: bool },
+    /// The target's answer.
+    Answer { to: Process, send: SendNumber },
+    /// A table; may arrive any number of times.
+    Table { from: Process, to: Process },
+    /// The adopter's word; may arrive any number of times.
+    Taken { from: Process, to: Process, accepted: bool },
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub(super) struct BookingWorld {
+    pub(super) left: BookingBounds,
+    pub(super) seconds: u64,
+    pub(super) desks: Vec<Option<BookingDesk>>,
+    pub(super) wire: BTreeSet<Packet>,
+    /// The table that each process has sent away.
+    pub(super) tables: BTreeMap<Process, Arc<TableHandover>>,
+    /// The first home before its stop, for the variants that undo it.
+    pub(super) saved: Option<BookingDesk>,
+    pub(super) runs: u32,
+    tag: HomeTag,
+    pub(super) violation: Option<&'static str>,
+}
+
+pub(super) fn address(process: Process) -> HomeAddress {
+    let number = process as u64 + 1;
+    let peer = SocketAddr::from(([10, 0, 0, number as u8], 4000));
+    HomeAddress { incarnation: VmIncarnation(number), peer }
+}
+
+fn process_at(home: HomeAddress) -> Process {
+    home.incarnation.0 as usize - 1
+}
+
+impl BookingWorld {
+    pub(super) fn new(bounds: BookingBounds) -> Self {
+        let limits = BookingLimits {
+            tag_life: TimeSpan::seconds(1),
+            longest_deadline: TimeSpan::seconds(1),
+            hand_over_retry: TimeSpan::seconds(100_000),
+            ..BookingLimits::default()
+        };
+        let desk = |process| {
+            let home = address(process);
+            BookingDesk::new(home.incarnation, home.peer, limits)
+        };
+        let mut desks: Vec<BookingDesk> = (0..3).map(desk).collect();
+        let tag = desks[0].issue_tag(TimePoint::default(), &workspace());
+        Self {
+            left: bounds,
+            seconds: 0,
+            desks: desks.into_iter().map(Some).collect(),
+            wire: BTreeSet::new(),
+            tables: BTreeMap::new(),
+            saved: None,
+            runs: 0,
+            tag,
+            violation: None,
+        }
+    }
+
+    pub(super) fn now(&self, process: Process) -> TimePoint {
+        let seconds = self.seconds + CLOCK_SKEW * process as u64;
+        TimePoint::default() + TimeSpan::seconds(seconds)
+    }
+
+    pub(super) fn is_live(&self, process: Process) -> bool {
+        self.desks[process].is_some()
+    }
+
+    pub(super) fn phase(&self, process: Process) -> Option<&DeskPhase> {
+        self.desks[process].as_ref().map(BookingDesk::phase)
+    }
+
+    pub(super) fn call(&self, ticket: u64) -> BookingEvent {
+        let call = BookingCall {
+            workspace: workspace(),
+            service: "counter".parse().expect("a valid name"),
+            key: "key".parse().expect("a valid key"),
+            tag: TagClaim::Verified(self.tag.clone()),
+            method: Arc::from("POST"),
+            path: Arc::from("/bookings"),
+            content_type: Arc::from(""),
+            body: Vec::new(),
+            deadline: TimePoint::NEVER,
+            not_run_status: DECLINED,
+            forwarded: ticket >= HOP,
+        };
+        BookingEvent::Request { ticket: TicketId(ticket), call }
+    }
+
+    pub(super) fn key(&self) -> BookingKey {
+        let BookingEvent::Request { call, .. } = self.call(0) else { unreachable!() };
+        call.key_at(self.tag.incarnation)
+    }
+
+    pub(super) fn answered(&self, send: SendNumber, declined: bool) -> BookingEvent {
+        let status = if declined { DECLINED } else { 200 };
+        let answer = KeptAnswer { status, content_type: Arc::from(""), body: Arc::from([]) };
+        BookingEvent::Answered { key: self.key(), send, answer }
+    }
+
+    pub(super) fn failed(&self, send: SendNumber, fault: BookingFault) -> BookingEvent {
+        BookingEvent::Failed { key: self.key(), send, fault }
+    }
+
+    /// Gives an event to a process that lives, and its actions to the network.
+    pub(super) fn give(&mut self, process: Process, event: BookingEvent, variant: BookingVariant) {
+        let now = self.now(process);
+        let is_own_claim = !matches!(event, BookingEvent::ForwardAnswered { .. });
+        let Some(desk) = &mut self.desks[process] else { return };
+        let actions = desk.handle(now, event);
+        desk.take_counters();
+        for action in actions {
+            self.perform(process, action, is_own_claim, variant);
+        }
+    }
+
+    fn perform(
+        &mut self,
+        process: Process,
+        action: BookingAction,
+        is_own_claim: bool,
+        variant: BookingVariant,
+    ) {
+        match action {
+            BookingAction::Send { send, .. } => {
+                self.wire.insert(Packet::Run { from: process, send, reported: false });
+            }
+            BookingAction::Reply { reply, .. } => {
+                self.reply(&reply, is_own_claim);
+            }
+            BookingAction::Forward { .. }
+                if variant == BookingVariant::OldHomeSaysNotRun && process == 0 =>
+            {
+                let reply = BookingReply::not_run(RefusalReason::Stopping, None);
+                self.reply(&reply, true);
+            }
+            BookingAction::Forward { ticket, home, .. } => {
+                let to = process_at(home);
+                let ticket = ticket.0;
+                self.wire.insert(Packet::Forward { from: process, to, ticket, given_up: false });
+            }
+            BookingAction::HandOver { adopter, handover } => {
+                self.tables.insert(process, handover);
+                self.wire.insert(Packet::Table { from: process, to: process_at(adopter) });
+            }
+            BookingAction::AnswerHandOver { home, accepted } => {
+                let to = home.0 as usize - 1;
+                self.wire.insert(Packet::Taken { from: process, to, accepted });
+                if accepted {
+                    self.announce(process, home, variant);
+                }
+            }
+        }
+    }
+
+    /// Word of an adoption only tells where to ask, so it may as well arrive at once.
+    fn announce(&mut self, process: Process, home: VmIncarnation, variant: BookingVariant) {
+        let adopter = address(process);
+        for other in (1..self.desks.len()).filter(|other| *other != process) {
+            self.give(other, BookingEvent::Adopted { home, adopter }, variant);
+        }
+    }
+
+    /// *Not run* is judged where it is said first; passing an answer back changes no state.
+    fn reply(&mut self, reply: &BookingReply, is_own_claim: bool) {
+        let under_way = self.wire.iter().any(|packet| matches!(packet, Packet::Run { .. }));
+        if is_own_claim && reply.outcome == CallOutcome::NotRun && (self.runs > 0 || under_way) {
+            self.violation = Some("not run was said of a booking that has run or may run");
+        }
+        if reply.outcome == CallOutcome::Done && self.runs == 0 {
+            self.violation = Some("an answer without a run");
+        }
+    }
+
+    /// The ticket that a call from `from` gets at its next process.
+    pub(super) fn next_ticket(from: Process, ticket: u64) -> u64 {
+        ticket * HOP + from as u64 + 1
+    }
+
+    pub(super) fn check(&mut self) {
+        if self.runs > 1 {
+            self.violation = Some("a booking ran twice");
+        }
+        let first = address(0).incarnation;
+        let others = self.desks.iter().skip(1).flatten();
+        // A process that has handed the table on no longer runs keys of it.
+        let runs_them = |desk: &&BookingDesk| {
+            desk.phase().adopter().is_none() && desk.homes().any(|home| home == first)
+        };
+        if others.filter(runs_them).count() > 1 {
+            self.violation = Some("two processes answer for one home");
+        }
+    }
+}
+
+fn workspace() -> WorkspaceId {
+    "cobblers".parse().expect("a valid name")
+}
--- a/crates/spec/src/lib.rs
+++ b/crates/spec/src/lib.rs
@@ -1,1 +1,23 @@
-//! Placeholder.
+//! The specification of the core protocols, checked by breadth-first reachability.
+//!
+//! Each model is a small world around the very structs that the product runs
+//! ([`booking::BookingDesk`], [`relay::TokenRelay`], [`orders::OrderDesk`],
+//! [`config::ConfigFold`]): a few processes, a caller or a target, and a network that
+//! loses, repeats, delays and reorders. All interleavings within the world's bounds are
+//! visited. Each model has broken variants, in which the binding around the struct makes
+//! a mistake that is easily made; the search must find a violation in each, or it proves
+//! nothing about the sound one.
+
+mod bookings;
+mod search;
+
+pub use bookings::{BookingVariant, check_bookings};
+pub use search::{ModelRun, explore};
+
+/// All models: the sound ones, then their broken variants.
+#[must_use]
+pub fn check_all() -> Vec<ModelRun> {
+    let mut runs = Vec::new();
+    runs.extend(BookingVariant::ALL.map(check_bookings));
+    runs
+}
--- /dev/null
+++ b/crates/spec/src/main.rs
@@ -0,0 +1,17 @@
+//! `yard-spec`: checks all models and prints what each search found.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let runs = spec::check_all();
+    for run in &runs {
+        println!("{run}");
+    }
+    for run in runs.iter().filter(|run| !run.trace.is_empty()) {
+        println!("\n{} / {}: {}", run.model, run.variant, run.violation.unwrap_or("none"));
+        for (number, step) in run.trace.iter().enumerate() {
+            println!("{:4} {step}", number + 1);
+        }
+    }
+    if runs.iter().all(spec::ModelRun::is_expected) { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
