Give engines their orders from the steward

The order desk gets the log's stream of claims, the VM list with the claims read before it was asked for, members, runners, reports and the plan; an order in progress to a place that was lost is dropped. Models about to be unloaded are told to the peers, and no entry sees them in a runner's report any more.

--- a/crates/peers/src/digest.rs
+++ b/crates/peers/src/digest.rs
@@ -28,6 +28,8 @@
     pub leaving: bool,
     /// Its entries.
     pub entries: Vec<EntryStatus>,
+    /// Models to which no new calls go on a runner, since this machine's orders unload them.
+    pub draining: Vec<(RunnerId, ModelName)>,
 }
 
 /// A machine's record as it is passed on, and whether its neighbours miss it.
--- a/crates/peers/src/fleet_desk.rs
+++ b/crates/peers/src/fleet_desk.rs
@@ -53,6 +53,8 @@
     pub(crate) urgent: bool,
     pub(crate) cut_off: bool,
     pub(crate) circle: PeerCircle,
+    /// Models to which no new calls go on a runner.
+    pub(crate) draining: BTreeSet<(RunnerId, ModelName)>,
     pub(crate) entry_heard: BTreeMap<VmIncarnation, TimePoint>,
     /// What the own entries last said of themselves that moves all the time.
     pub(crate) entry_figures: BTreeMap<VmIncarnation, EntryFigures>,
@@ -76,6 +78,7 @@
             sequence: 1,
             leaving: false,
             entries: Vec::new(),
+            draining: Vec::new(),
         };
         Self {
             me,
@@ -89,6 +92,7 @@
             urgent: false,
             cut_off: false,
             circle: PeerCircle::default(),
+            draining: BTreeSet::new(),
             entry_heard: BTreeMap::new(),
             platform_heard: None,
             started: now,
@@ -183,6 +187,7 @@
         self.drop_silent_entries(now);
         self.refresh_circle();
         let mut changed = self.judge_live(now);
+        self.gather_draining();
         self.nodes.retain(|_, node| {
             let remembered = |gone: TimePoint| now.since(gone) < GONE_MEMORY;
             node.live || node.listed.is_some() || node.gone.is_some_and(remembered)
--- /dev/null
+++ b/crates/peers/src/fleet_state.rs
@@ -0,0 +1,84 @@
+//! The fleet's state, as the services beside the desk need it.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+use base::prelude::*;
+
+use crate::{FleetDesk, RunnerRecord};
+
+/// One of our machines, this one included.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct MemberState {
+    /// The machine.
+    pub vm: VmId,
+    /// It leaves.
+    pub leaving: bool,
+    /// Its steward has not been heard for a while.
+    pub silent: bool,
+}
+
+impl FleetDesk {
+    /// All our machines.
+    #[must_use]
+    pub fn member_states(&self) -> Vec<MemberState> {
+        let own = MemberState { vm: self.me.vm.clone(), leaving: self.me.leaving, silent: false };
+        let peers = self.nodes.iter().map(|(vm, node)| MemberState {
+            vm: vm.clone(),
+            leaving: node.is_leaving(),
+            silent: !node.live,
+        });
+        std::iter::once(own).chain(peers).collect()
+    }
+
+    /// Runners whose report changed after change number `since`; all of them for 0.
+    #[must_use]
+    pub fn runner_state(&self, now: TimePoint, since: u64) -> Vec<RunnerRecord> {
+        let changed = self.runners.iter().filter(|(_, state)| {
+            since == 0 || state.known.as_ref().is_some_and(|known| known.change > since)
+        });
+        let records = changed.map(|(runner, state)| {
+            state.record(now, runner, self.is_runner_leaving(runner, state))
+        });
+        records.collect()
+    }
+
+    /// Where a runner listens, and its failure domain.
+    #[must_use]
+    pub fn runner_address(&self, runner: &RunnerId) -> Option<(SocketAddr, PlaceName)> {
+        let state = self.runners.get(runner)?;
+        Some((state.address, state.place.clone()))
+    }
+
+    /// Failure domains that have runners.
+    #[must_use]
+    pub fn places(&self) -> Vec<PlaceName> {
+        let places: BTreeSet<&PlaceName> =
+            self.runners.values().map(|state| &state.place).collect();
+        places.into_iter().cloned().collect()
+    }
+
+    /// Notes the models to which no new calls go, since this machine's orders unload them.
+    pub fn set_draining(&mut self, mut draining: Vec<(RunnerId, ModelName)>) {
+        draining.sort();
+        if draining != self.me.draining {
+            self.me.draining = draining;
+            self.urgent = true;
+            self.change_me();
+            self.gather_draining();
+        }
+    }
+
+    /// Gathers what live machines' orders unload; entries see no such model.
+    pub(crate) fn gather_draining(&mut self) {
+        let live = self.nodes.values().filter(|node| node.live);
+        let records = live.filter_map(|node| node.record.as_ref()).chain([&self.me]);
+        let draining: BTreeSet<(RunnerId, ModelName)> =
+            records.flat_map(|record| &record.draining).cloned().collect();
+        if draining != self.draining {
+            self.draining = draining;
+            self.change += 1;
+            self.runners_change = self.change;
+        }
+    }
+}
--- a/crates/peers/src/fleet_view.rs
+++ b/crates/peers/src/fleet_view.rs
@@ -1,5 +1,7 @@
 //! The steward's view, as its entries get it.
 
+use std::collections::BTreeSet;
+
 use base::prelude::*;
 use config::ConfigPlan;
 
@@ -47,7 +49,10 @@
         });
         let records = changed.map(|(runner, state)| {
             let drained = plan.is_some_and(|plan| plan.drained.contains(runner));
-            state.record(now, runner, drained || self.is_runner_leaving(runner, state))
+            let mut record =
+                state.record(now, runner, drained || self.is_runner_leaving(runner, state));
+            hide_draining(&mut record, &self.draining);
+            record
         });
         records.collect()
     }
@@ -70,3 +75,13 @@
         records
     }
 }
+
+/// Takes models that are going to be unloaded out of what entries see of a runner.
+fn hide_draining(record: &mut RunnerRecord, draining: &BTreeSet<(RunnerId, ModelName)>) {
+    let Some(report) = record.report.as_mut().filter(|_| !draining.is_empty()) else { return };
+    let had_models = !report.models.is_empty();
+    let runner = &record.runner;
+    report.models.retain(|model| !draining.contains(&(runner.clone(), model.clone())));
+    // No models at all would say that the runner serves any.
+    record.leaving |= had_models && report.models.is_empty();
+}
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -9,6 +9,7 @@
 mod fleet_dump;
 mod fleet_entries;
 mod fleet_news;
+mod fleet_state;
 mod fleet_view;
 mod keys;
 mod leaving_words;
@@ -33,6 +34,7 @@
 pub use fleet_desk::{CUT_OFF_SILENCE, FleetDesk, FleetSelf};
 pub use fleet_digest::RECONCILE_PERIOD;
 pub use fleet_entries::ENTRY_SILENCE;
+pub use fleet_state::MemberState;
 pub use keys::{PeerKeys, TLS_NAME};
 pub use limits::{
     CONNECT_LIMIT, IDLE_LIMIT, KEEP_ALIVE, LINK_LIMIT, MAX_CONNECTIONS, MAX_LINKS, MAX_REQUESTS,
--- a/crates/steward/src/dump.rs
+++ b/crates/steward/src/dump.rs
@@ -6,14 +6,25 @@
 
 use crate::config_service::{CONFIG_SERVICE, ConfigService};
 use crate::context::StewardContext;
+use crate::order_service::{ORDER_SERVICE, OrderService};
 
 /// Registers the dumps of all services.
-pub fn register(context: &Rc<StewardContext>, config: &Rc<ConfigService>) {
+pub fn register(
+    context: &Rc<StewardContext>,
+    config: &Rc<ConfigService>,
+    orders: &Rc<OrderService>,
+) {
     let service = Rc::clone(config);
     context.registry.register_dump(CONFIG_SERVICE, {
         let shared = Rc::downgrade(context);
         move || shared.upgrade().map_or(json!(null), |context| service.dump(context.now()))
     });
+    let service = Rc::clone(orders);
+    let shared = Rc::downgrade(context);
+    context.registry.register_dump(ORDER_SERVICE, move || {
+        let Some(context) = shared.upgrade() else { return json!(null) };
+        service.dump(&context.look(peers::FleetDesk::places))
+    });
     let shared = Rc::downgrade(context);
     context.registry.register_dump("fleet", move || {
         let Some(context) = shared.upgrade() else { return json!(null) };
--- a/crates/steward/src/main.rs
+++ b/crates/steward/src/main.rs
@@ -11,6 +11,7 @@
 mod error;
 mod fleet_clock;
 mod logging;
+mod order_service;
 mod peer_handler;
 mod planned_stop;
 mod runner_poll;
@@ -27,6 +28,7 @@
 use crate::context::StewardContext;
 use crate::counters::StewardCounters;
 use crate::error::{Result, StewardError};
+use crate::order_service::{ORDER_SERVICE, OrderService};
 
 fn main() -> ExitCode {
     let arguments: StewardArguments = argh::from_env();
@@ -64,9 +66,13 @@
 fn start_services(context: &Rc<StewardContext>) -> Result<()> {
     let config = ConfigService::new(context);
     context.registry.register(CONFIG_SERVICE, &config)?;
-    dump::register(context, &config);
-    kernel::spawn(config.run(Rc::clone(context))).detach();
-    kernel::spawn(vm_poll::run(Rc::clone(context))).detach();
+    let orders = OrderService::new(context);
+    context.registry.register(ORDER_SERVICE, &orders)?;
+    dump::register(context, &config, &orders);
+    kernel::spawn(Rc::clone(&config).run(Rc::clone(context))).detach();
+    kernel::spawn(Rc::clone(&orders).follow(Rc::clone(context))).detach();
+    kernel::spawn(Rc::clone(&orders).reconcile(Rc::clone(context), config)).detach();
+    kernel::spawn(vm_poll::run(Rc::clone(context), orders)).detach();
     kernel::spawn(runner_poll::run(Rc::clone(context))).detach();
     kernel::spawn(digest_exchange::run(Rc::clone(context))).detach();
     kernel::spawn(fleet_clock::run(Rc::clone(context))).detach();
--- a/crates/steward/src/vm_poll.rs
+++ b/crates/steward/src/vm_poll.rs
@@ -5,18 +5,21 @@
 use platform::VmListClient;
 
 use crate::context::StewardContext;
+use crate::order_service::OrderService;
 
 /// Polls the VM list until the process ends.
-pub async fn run(context: Rc<StewardContext>) {
+pub async fn run(context: Rc<StewardContext>, orders: Rc<OrderService>) {
     let client = VmListClient::new(context.settings.common.vm_list, context.settings.exchange);
     let mut answering = None;
     loop {
+        let claims_read = orders.offset();
         let outcome = client.get().await;
         let answers = outcome.is_ok();
         match outcome {
             Ok(vms) => {
                 context.counters.count("vm_list.done");
                 context.change(|desk, now| desk.on_vms(now, &vms));
+                orders.on_vm_list(context.now(), claims_read, &vms);
             }
             Err(error) => {
                 context.counters.count("vm_list.failed");
--- a/crates/steward/tests/common/mod.rs
+++ b/crates/steward/tests/common/mod.rs
@@ -133,22 +133,22 @@
         web::post_json::<Value>("post", peer, path, body, LIMIT).await.unwrap();
     }
 
-    /// Appends one overrides file to the log.
-    pub async fn publish(&self, base: u64, text: &str) -> u64 {
+    /// Appends one file to the log; its offset.
+    pub async fn publish(&self, path: &str, base: u64, text: &str) -> u64 {
         let record = ConfigRecord::Publish(PublishRecord {
-            id: base::PublishId(base),
+            id: base::PublishId(rand_id(path, base)),
             author: "shift".into(),
             note: "test".into(),
             files: vec![FileChange {
-                path: "drain.overrides.jsonc".into(),
+                path: path.into(),
                 base: LogOffset(base),
                 text: Some(text.into()),
             }],
         });
         let peer = self.log.address();
         let body = record.encode().to_string();
-        let path = "/streams/config/records";
-        let answer = web::fetch("append", hyper::Method::POST, peer, path, body.into(), LIMIT);
+        let stream = "/streams/config/records";
+        let answer = web::fetch("append", hyper::Method::POST, peer, stream, body.into(), LIMIT);
         let answer: Value = serde_json::from_slice(&answer.await.unwrap()).unwrap();
         answer["offset"].as_u64().unwrap()
     }
@@ -193,6 +193,16 @@
         what: &str,
         numbers: &[usize],
         holds: impl Fn(&FleetView) -> bool,
+    ) {
+        self.wait_views_within(SPREAD, what, numbers, holds).await;
+    }
+
+    pub async fn wait_views_within(
+        &self,
+        limit: Duration,
+        what: &str,
+        numbers: &[usize],
+        holds: impl Fn(&FleetView) -> bool,
     ) {
         let all = async || {
             // Every entry has to speak each time, or its steward takes it for dead.
@@ -202,10 +212,14 @@
             }
             held.then_some(())
         };
-        wait_until(what, SPREAD, all).await.unwrap();
+        wait_until(what, limit, all).await.unwrap();
     }
 }
 
+fn rand_id(path: &str, base: u64) -> u64 {
+    base::rendezvous_score(path, &base.to_string())
+}
+
 pub fn vm_name(number: usize) -> String {
     format!("vm-{number}")
 }
--- a/crates/steward/tests/fleet.rs
+++ b/crates/steward/tests/fleet.rs
@@ -45,7 +45,7 @@
     kernel::run(async {
         let mut fleet = TestFleet::start(3, 2).await;
         let text = json!({ "drain": [runner_name(0)] }).to_string();
-        let offset = fleet.publish(0, &text).await;
+        let offset = fleet.publish("drain.overrides.jsonc", 0, &text).await;
         let in_force =
             |view: &FleetView| view.config.as_ref().is_some_and(|plan| plan.offset.0 == offset);
         fleet.wait_views("in force", &[0, 1, 2], in_force).await;
