--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -1,3 +1,4 @@
 //! Load against real processes, and policy experiments in virtual time.
 
 pub mod policy;
+pub mod traffic;
