--- a/crates/load/src/traffic/traffic_command.rs
+++ b/crates/load/src/traffic/traffic_command.rs
@@ -15,11 +15,14 @@
 /// Exit code for arguments that cannot be used.
 const BAD_ARGUMENTS: u8 = 2;
 
+/// Mix that is used when none is named.
+const DEFAULT_MIX: &str = "cobbler";
+
 /// Load through the callers' interface; every promise to callers is checked. Exits with 1
 /// if one was broken, and with 2 for arguments that cannot be used.
 ///
 /// Example: yard-load traffic --entries 10.0.0.1:8080,10.0.0.2:8080 --caller agency=KEY
-/// --seconds 30 --services 10.0.1.1:9000 --engines 10.0.2.1:9000,10.0.2.2:9000
+/// --seconds 30 --mix mix.jsonc --services 10.0.1.1:9000 --engines 10.0.2.1:9000
 #[derive(FromArgs)]
 #[argh(subcommand, name = "traffic")]
 pub struct TrafficCommand {
@@ -41,9 +44,9 @@
     /// seed of arrivals, lengths and jitter
     #[argh(option, default = "1")]
     seed: u64,
-    /// file with the mix of calls, JSON with comments
-    #[argh(option)]
-    mix: Option<PathBuf>,
+    /// mix of calls: cobbler, harmattan, or a file of JSON with comments
+    #[argh(option, default = "DEFAULT_MIX.to_owned()")]
+    mix: String,
     /// direct addresses of booking services, for the check of counts
     #[argh(option, default = "AddressList(Vec::new())", from_str_fn(parse_addresses))]
     services: AddressList,
@@ -106,11 +109,15 @@
         if callers.is_empty() {
             return Err(TrafficError::Argument("no callers: give --keys or --caller"));
         }
-        let mix = self.mix.as_deref().map(TrafficMix::read_file).transpose()?;
+        let mix = TrafficMix::load(&self.mix)?;
+        let uncalled = mix.classes.iter().any(|class| !callers.iter().any(|c| class.is_for(c)));
+        if uncalled {
+            return Err(TrafficError::Argument("a class of the mix has no caller"));
+        }
         Ok(TrafficPlan {
             entries: self.entries.0,
             callers,
-            mix: mix.unwrap_or_default(),
+            mix,
             seconds: self.seconds,
             drain_seconds: self.drain_seconds,
             seed: self.seed,
--- a/crates/load/src/traffic/traffic_run.rs
+++ b/crates/load/src/traffic/traffic_run.rs
@@ -58,6 +58,7 @@
 struct ClassRun {
     class: Rc<MixClass>,
     tally: Rc<RefCell<ClassTally>>,
+    books: Vec<Rc<AddressBook>>,
     random: StdRng,
 }
 
@@ -65,16 +66,9 @@
 pub async fn run_traffic(plan: &TrafficPlan) -> TrafficReport {
     let before = TargetStats::ask(&plan.services, &plan.engines).await;
     let state = Rc::new(LoadState::new(plan));
-    let runs: Vec<ClassRun> = plan
-        .mix
-        .classes
-        .iter()
-        .zip(1..)
-        .map(|(class, number)| {
-            let random = StdRng::seed_from_u64(plan.seed ^ (number << 32));
-            ClassRun { class: Rc::new(class.clone()), tally: Rc::default(), random }
-        })
-        .collect();
+    let classes = plan.mix.classes.iter().zip(1..);
+    let runs: Vec<ClassRun> =
+        classes.map(|(class, number)| ClassRun::new(class, &state, plan.seed, number)).collect();
     let tallies: Vec<_> = runs.iter().map(|run| Rc::clone(&run.tally)).collect();
     let until = state.clock.now() + TimeSpan::seconds(plan.seconds);
     join_all(runs.into_iter().map(|run| run.arrive(&state, until))).await;
@@ -84,9 +78,19 @@
 }
 
 impl ClassRun {
+    fn new(class: &MixClass, state: &LoadState, seed: u64, number: u64) -> Self {
+        let books = state.books.iter().filter(|book| class.is_for(book.caller()));
+        Self {
+            class: Rc::new(class.clone()),
+            tally: Rc::default(),
+            books: books.cloned().collect(),
+            random: StdRng::seed_from_u64(seed ^ (number << 32)),
+        }
+    }
+
     /// Starts calls at the times of a Poisson process.
     async fn arrive(mut self, state: &Rc<LoadState>, until: TimePoint) {
-        if self.class.per_second <= 0.0 {
+        if self.class.per_second <= 0.0 || self.books.is_empty() {
             return;
         }
         let mut at = state.clock.now();
@@ -105,7 +109,7 @@
     fn start_call(&mut self, state: &Rc<LoadState>, number: u64) {
         self.tally.borrow_mut().started += 1;
         let mut random = StdRng::from_rng(&mut self.random);
-        let book = Rc::clone(&state.books[random.random_range(0..state.books.len())]);
+        let book = Rc::clone(&self.books[random.random_range(0..self.books.len())]);
         let caller = LoadCaller {
             class: Rc::clone(&self.class),
             tally: Rc::clone(&self.tally),
