Write checkpoints at once where the log is about to lose them; test by processes

A process test with a log of 8 records and 12 publishes in a row found a dead end of some seconds: a reader that had just written a checkpoint paused for 10 s, the log moved past it, and yard publish could not tell what was in force.

Also: a read that fails asks for half as many records, since a page with checkpoints may be longer than an exchange carries; yard publish asks only VMs that are not done yet; an entry's status claims in_force and names unusable files.

--- a/crates/config/src/checkpoint.rs
+++ b/crates/config/src/checkpoint.rs
@@ -36,25 +36,41 @@
     }
 }
 
-/// Whether a log that retains records from `first` to before `next` needs a checkpoint
-/// beyond `newest`: for its age, for the records after it, or since it comes near the
-/// end that expires.
+/// How much a log needs a new checkpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum CheckpointNeed {
+    /// The newest one will do.
+    None,
+    /// It is old, or many records follow on it.
+    Routine,
+    /// There is none to start from, or it comes near the end that expires.
+    Urgent,
+}
+
+/// How much a log that retains records from `first` to before `next` needs a checkpoint
+/// beyond `newest`.
 #[must_use]
-pub fn checkpoint_due(
+pub fn checkpoint_need(
     now: TimePoint,
     first: LogOffset,
     next: LogOffset,
     newest: Option<&SeenCheckpoint>,
-) -> bool {
-    let retained = next.0.saturating_sub(first.0);
-    let Some(newest) = newest.filter(|seen| seen.offset >= first && seen.as_of.next() >= first)
-    else {
-        return next.0 > 1;
+) -> CheckpointNeed {
+    let usable = |seen: &&SeenCheckpoint| seen.offset >= first && seen.as_of.next() >= first;
+    let Some(newest) = newest.filter(usable) else {
+        return if next.0 > 1 { CheckpointNeed::Urgent } else { CheckpointNeed::None };
     };
+    let retained = next.0.saturating_sub(first.0);
     let behind = next.0.saturating_sub(newest.as_of.0);
     let margin = newest.as_of.0 + 1 - first.0;
     let near_end = first.0 > 1
         && retained >= MIN_JUDGED_RECORDS
         && margin.saturating_mul(RENEWALS_PER_RETENTION) < retained;
-    now >= newest.renewal || behind > MAX_RECORDS_BEHIND || near_end
+    if near_end {
+        CheckpointNeed::Urgent
+    } else if now >= newest.renewal || behind > MAX_RECORDS_BEHIND {
+        CheckpointNeed::Routine
+    } else {
+        CheckpointNeed::None
+    }
 }
--- a/crates/config/src/exchange_timer.rs
+++ b/crates/config/src/exchange_timer.rs
@@ -36,6 +36,11 @@
         self.failures > 0
     }
 
+    /// Exchanges that failed since the last one that did not.
+    pub fn failures(&self) -> u32 {
+        self.failures
+    }
+
     /// When the next exchange may begin; never while one is under way.
     pub fn next_start(&self) -> TimePoint {
         if self.open { TimePoint::NEVER } else { self.not_before }
--- a/crates/config/src/follower.rs
+++ b/crates/config/src/follower.rs
@@ -300,7 +300,8 @@
     }
 
     fn may_write(&self) -> bool {
-        self.role.is_reader && self.is_caught_up() && self.is_ready()
+        let has_read = self.range.1 > LogOffset(1);
+        has_read && self.role.is_reader && self.is_caught_up() && self.is_ready()
     }
 
     fn start_exchanges(&mut self, now: TimePoint, actions: &mut Vec<FollowerAction>) {
@@ -318,19 +319,18 @@
         }
     }
 
+    /// The next read; after failures it asks for less, since a page may be too long.
     fn next_read(&self) -> FollowerAction {
-        match &self.phase {
-            ReadPhase::Following => {
-                let wait = if self.role.is_reader { LONG_POLL } else { TimeSpan(0) };
-                FollowerAction::Read { from: self.fold.next(), wait, max: PAGE_RECORDS }
-            }
+        let most = (PAGE_RECORDS >> self.reads.failures().min(usize::BITS - 1)).max(1);
+        let (from, wait, max) = match &self.phase {
+            ReadPhase::Following if self.role.is_reader => (self.fold.next(), LONG_POLL, most),
+            ReadPhase::Following => (self.fold.next(), TimeSpan(0), most),
+            ReadPhase::Watching(from) => (*from, LONG_POLL, most),
             ReadPhase::Searching(search) => {
                 let (from, max) = search.read();
-                FollowerAction::Read { from, wait: TimeSpan(0), max }
-            }
-            ReadPhase::Watching(from) => {
-                FollowerAction::Read { from: *from, wait: LONG_POLL, max: PAGE_RECORDS }
+                (from, TimeSpan(0), max.min(most))
             }
-        }
+        };
+        FollowerAction::Read { from, wait, max }
     }
 }
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -20,7 +20,7 @@
 mod state;
 
 pub use check::{FaultLevel, FileFault, check_drains, check_files};
-pub use checkpoint::{SeenCheckpoint, checkpoint_due};
+pub use checkpoint::{CheckpointNeed, SeenCheckpoint, checkpoint_need};
 pub use fold::{ConfigFold, FoldOutcome, IgnoredReason};
 pub use follower::ConfigFollower;
 pub use follower_event::{FollowerAction, FollowerEvent, FollowerMember, FollowerSettings};
--- a/crates/config/tests/common/mod.rs
+++ b/crates/config/tests/common/mod.rs
@@ -21,6 +21,8 @@
     pub texts: Vec<(TimePoint, Arc<str>)>,
     pub first: usize,
     pub down: bool,
+    /// Longest page that an exchange can carry, in bytes; 0 for any.
+    pub max_page_bytes: usize,
 }
 
 impl BenchLog {
@@ -230,7 +232,12 @@
                 if page.records.is_empty() && self.now < deadline {
                     continue;
                 }
-                FollowerEvent::Page(page)
+                let bytes: usize = page.records.iter().map(|record| record.text.len()).sum();
+                if self.log.max_page_bytes > 0 && bytes > self.log.max_page_bytes {
+                    FollowerEvent::ReadFailed
+                } else {
+                    FollowerEvent::Page(page)
+                }
             };
             self.nodes[node].poll = None;
             let delay = if self.log.down { FAILURE } else { EXCHANGE };
--- a/crates/config/tests/follower.rs
+++ b/crates/config/tests/follower.rs
@@ -191,6 +191,18 @@
     assert_all_agree(&bench);
 }
 
+#[test]
+fn a_page_too_long_for_an_exchange_is_asked_for_in_parts() {
+    let mut bench = Bench::new(0, 1);
+    bench.log.max_page_bytes = 20_000;
+    for runner in 0..300 {
+        bench.publish(OVERRIDES, &drain(runner));
+    }
+    bench.add_node();
+    bench.run(TimeSpan::seconds(30));
+    assert_all_agree(&bench);
+}
+
 #[test]
 fn a_file_that_cannot_be_used_keeps_its_last_usable_version() {
     let mut bench = Bench::new(1, 1);
--- a/crates/entry/src/fleet_cache.rs
+++ b/crates/entry/src/fleet_cache.rs
@@ -101,6 +101,12 @@
         self.plan.as_ref().map_or(LogOffset(0), |plan| plan.offset)
     }
 
+    /// Up to here the configuration is used as it was published; 0 before the first.
+    #[must_use]
+    pub fn config_in_force(&self) -> LogOffset {
+        self.plan.as_ref().map_or(LogOffset(0), |plan| plan.in_force)
+    }
+
     /// Where a runner listens.
     #[must_use]
     pub fn runner_address(&self, runner: &RunnerId) -> Option<SocketAddr> {
--- a/crates/yard/src/command/publish.rs
+++ b/crates/yard/src/command/publish.rs
@@ -7,22 +7,20 @@
 use argh::FromArgs;
 use base::{LogOffset, TimeSpan};
 use config::{ConfigState, FaultLevel, check_drains};
-use kernel::{MonotonicClock, sleep};
 use platform::{LogClient, VmListClient};
 use serde::Serialize;
 
 use crate::author::author_name;
 use crate::config_reader::ConfigReader;
 use crate::file_set::FileSet;
-use crate::fleet_status::{VmStatus, ask_live_entries};
+use crate::fleet_status::VmStatus;
+use crate::in_force_wait::{WaitOutcome, wait_in_force};
 use crate::output::{OutputFormat, print_json};
 use crate::publisher::{PublishOutcome, changes, check_merged, describe, new_record, publish};
 use crate::{ExitStatus, Result};
 
 /// Time of one exchange with the platform.
 const EXCHANGE_LIMIT: TimeSpan = TimeSpan::seconds(5);
-/// Time between two looks at the VMs.
-const LOOK_PAUSE: TimeSpan = TimeSpan::millis(250);
 
 /// Publish the files of folders, and wait until they are in force everywhere.
 #[derive(FromArgs)]
@@ -101,7 +99,8 @@
         let set = FileSet::collect(&self.folders)?;
         let client = LogClient::new(self.log, EXCHANGE_LIMIT);
         let mut reader = ConfigReader::new(client);
-        reader.read_on().await?;
+        let limit = TimeSpan::seconds(self.platform_seconds);
+        reader.read_within(limit).await?;
         let state = Arc::clone(reader.follower().state());
         if !self.check(&set, &state).await {
             return Ok(ExitStatus::BadInput);
@@ -131,7 +130,6 @@
         }
         let author = author_name(self.author.clone());
         let record = new_record(&author, &self.note, changes);
-        let limit = TimeSpan::seconds(self.platform_seconds);
         let outcome = publish(&client, &mut reader, record, limit).await;
         let status = self.tell(outcome, &mut report).await;
         Ok(self.finish(&report, status))
@@ -195,44 +193,31 @@
     /// Waits until every live VM has `offset` in force.
     async fn wait(&self, offset: LogOffset, report: &mut PublishReport) -> ExitStatus {
         let list = VmListClient::new(self.vms, EXCHANGE_LIMIT);
-        let clock = MonotonicClock::new();
-        let deadline = clock.now() + TimeSpan::seconds(self.wait_seconds);
-        let mut shown = None;
-        loop {
-            let vms = list.get().await;
-            let is_over = clock.now() + LOOK_PAUSE >= deadline;
-            if let Ok(vms) = &vms {
-                let statuses = ask_live_entries(vms).await;
-                let late: Vec<&VmStatus> =
-                    statuses.iter().filter(|status| !status.has_in_force(offset)).collect();
-                report.live_vms = Some(statuses.len());
-                let done = statuses.len() - late.len();
-                if shown.replace(done) != Some(done) {
-                    eprintln!("in force on {done} of {} live VMs", statuses.len());
-                }
-                if statuses.is_empty() {
-                    self.say("no live entry VM on the list; nothing to wait for");
-                    return ExitStatus::Done;
-                }
-                if late.is_empty() {
-                    self.say(&format!("in force on all {} live VMs", statuses.len()));
-                    return ExitStatus::Done;
-                }
-                if is_over {
-                    self.name_late(&late, statuses.len(), report);
-                    return ExitStatus::Rejected;
-                }
+        match wait_in_force(list, offset, TimeSpan::seconds(self.wait_seconds)).await {
+            WaitOutcome::Everywhere { live: 0 } => {
+                self.say("no live entry VM on the list; nothing to wait for");
+                report.live_vms = Some(0);
+                ExitStatus::Done
+            }
+            WaitOutcome::Everywhere { live } => {
+                self.say(&format!("in force on all {live} live VMs"));
+                report.live_vms = Some(live);
+                ExitStatus::Done
             }
-            if let (Err(error), true) = (&vms, is_over) {
-                report.reason = Some(Arc::from(error.to_string()));
+            WaitOutcome::Late { live, late } => {
+                report.live_vms = Some(live);
+                self.name_late(&late, live, report);
+                ExitStatus::Rejected
+            }
+            WaitOutcome::NoList(error) => {
                 self.say(&format!("accepted, but not known where it is in force: {error}"));
-                return ExitStatus::Unreachable;
+                report.reason = Some(Arc::from(error));
+                ExitStatus::Unreachable
             }
-            sleep(LOOK_PAUSE.into()).await;
         }
     }
 
-    fn name_late(&self, late: &[&VmStatus], live: usize, report: &mut PublishReport) {
+    fn name_late(&self, late: &[VmStatus], live: usize, report: &mut PublishReport) {
         let (waited, late_count) = (self.wait_seconds, late.len());
         self.say(&format!("not in force on {late_count} of {live} live VMs after {waited} s:"));
         for status in late {
--- a/crates/yard/src/command/status.rs
+++ b/crates/yard/src/command/status.rs
@@ -59,7 +59,7 @@
         let report = StatusReport {
             accepted: read.is_ok().then(|| reader.follower().accepted()),
             log_error: read.err().map(|error| error.to_string()),
-            vms: ask_entries(&list).await,
+            vms: ask_entries(list.iter()).await,
             history: reader.history(),
         };
         match self.format {
--- a/crates/yard/src/config_reader.rs
+++ b/crates/yard/src/config_reader.rs
@@ -11,6 +11,8 @@
 pub(crate) const CONFIG_STREAM: &str = "config";
 /// Name under which the command line follows the log; it is no machine.
 const READER_NAME: &str = "yard";
+/// Time between two looks for a checkpoint.
+const GAP_PAUSE: TimeSpan = TimeSpan::millis(500);
 /// A retention so long that this reader never wants to write a checkpoint for its age.
 const NO_RETENTION: TimeSpan = TimeSpan(u64::MAX);
 
@@ -50,6 +52,26 @@
         self.follower.history().entries().find(|entry| entry.id == id)
     }
 
+    /// Reads up to the end of the log; where records have expired it waits within `limit`
+    /// for a steward to write a checkpoint.
+    ///
+    /// # Errors
+    /// As [`read_on`](Self::read_on).
+    pub async fn read_within(&mut self, limit: TimeSpan) -> Result<()> {
+        let deadline = self.clock.now() + limit;
+        loop {
+            match self.read_on().await {
+                Err(YardError::LogGap(peer)) if self.clock.now() < deadline => {
+                    eprintln!(
+                        "records of the log at {peer} have expired; waiting for a checkpoint"
+                    );
+                    sleep(GAP_PAUSE.into()).await;
+                }
+                outcome => return outcome,
+            }
+        }
+    }
+
     /// Reads up to the end of the log.
     ///
     /// # Errors
--- a/crates/yard/src/fleet_status.rs
+++ b/crates/yard/src/fleet_status.rs
@@ -1,8 +1,10 @@
 //! What the entries say about themselves.
 
+use std::fmt::Write as _;
 use std::sync::Arc;
 
-use base::{LogOffset, TimeSpan, VmRecord, VmRole, VmState};
+use base::{LogOffset, TimeSpan, VmRecord, VmRole};
+use config::UnusableFile;
 use futures_util::{StreamExt, stream};
 use serde::{Deserialize, Serialize};
 use web::fetch_json;
@@ -32,6 +34,8 @@
     pub calls: u64,
     #[serde(default)]
     pub crowded: Vec<Arc<str>>,
+    #[serde(default)]
+    pub unusable_files: Option<Vec<UnusableFile>>,
 }
 
 /// One entry VM: what the platform says, and what it says itself.
@@ -56,25 +60,19 @@
         match (&self.answer, &self.error) {
             (Some(answer), _) => {
                 let age = answer.view_age_ms;
-                format!("in force up to {}, view {age} ms old", answer.config_offset)
+                let mut lag = format!("in force up to {}, view {age} ms old", answer.config_offset);
+                for file in answer.unusable_files.iter().flatten() {
+                    let _ = write!(lag, "; cannot use {}: {}", file.path, file.reason);
+                }
+                lag
             }
             (None, error) => error.clone().unwrap_or_default(),
         }
     }
 }
 
-/// Asks all entries of the list that are there to stay.
-pub(crate) async fn ask_live_entries(vms: &[VmRecord]) -> Vec<VmStatus> {
-    let live = |vm: &&VmRecord| vm.state == VmState::Live;
-    ask(vms.iter().filter(live)).await
-}
-
-/// Asks all entries of the list.
-pub(crate) async fn ask_entries(vms: &[VmRecord]) -> Vec<VmStatus> {
-    ask(vms.iter()).await
-}
-
-async fn ask(vms: impl Iterator<Item = &VmRecord>) -> Vec<VmStatus> {
+/// Asks all entries among `vms`.
+pub(crate) async fn ask_entries(vms: impl Iterator<Item = &VmRecord>) -> Vec<VmStatus> {
     let entries = vms.filter(|vm| vm.role == VmRole::Entry).cloned();
     let asks = stream::iter(entries).map(ask_entry).buffer_unordered(PARALLEL_REQUESTS);
     let mut statuses: Vec<VmStatus> = asks.collect().await;
--- a/crates/yard/src/lib.rs
+++ b/crates/yard/src/lib.rs
@@ -6,6 +6,7 @@
 mod error;
 mod file_set;
 mod fleet_status;
+mod in_force_wait;
 mod output;
 mod publisher;
 
