--- a/crates/yard/src/command/status.rs
+++ b/crates/yard/src/command/status.rs
@@ -1,5 +1,6 @@
 //! `yard status`.
 
+use std::fmt::Write as _;
 use std::net::SocketAddr;
 
 use argh::FromArgs;
@@ -88,6 +89,15 @@
         let mut rows = vec![heads.map(str::to_owned).to_vec()];
         rows.extend(self.vms.iter().map(vm_row));
         text.push_str(&table(&rows));
+        for status in &self.vms {
+            let files =
+                status.answer.iter().flat_map(|answer| answer.unusable_files.iter().flatten());
+            for file in files {
+                let (vm, path) = (&status.record.vm, &file.path);
+                let _ =
+                    writeln!(text, "{vm} cannot use {path} of {}: {}", file.version, file.reason);
+            }
+        }
         let heads = ["offset", "age", "author", "result", "files", "note"];
         let mut rows = vec![heads.map(str::to_owned).to_vec()];
         rows.extend(self.history.iter().rev().take(SHOWN_RECORDS).map(history_row));
