Check the token streams by breadth-first reachability

The product's relay between a caller and engines: readings skip, repeat and break, old readings go on, runners are lost, refuse or are taken away, an entry dies and the caller comes back with its cursor; up to four faults in all interleavings.

--- a/crates/spec/src/lib.rs
+++ b/crates/spec/src/lib.rs
@@ -10,14 +10,18 @@
 
 mod bookings;
 mod search;
+mod streams;
 
 pub use bookings::{BookingVariant, check_bookings};
 pub use search::{ModelRun, explore};
+pub use streams::{StreamKind, StreamVariant, check_streams};
 
 /// All models: the sound ones, then their broken variants.
 #[must_use]
 pub fn check_all() -> Vec<ModelRun> {
     let mut runs = Vec::new();
     runs.extend(BookingVariant::ALL.map(check_bookings));
+    runs.extend(StreamKind::ALL.map(|kind| check_streams(kind, StreamVariant::Sound)));
+    runs.extend(StreamVariant::BROKEN.map(|(kind, variant)| check_streams(kind, variant)));
     runs
 }
