--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -4,6 +4,7 @@
 
 use argh::FromArgs;
 use load::policy::PolicyCommand;
+use load::slopes::SlopesCommand;
 use load::traffic::TrafficCommand;
 
 /// Exit code for arguments that cannot be used.
@@ -20,6 +21,7 @@
 #[argh(subcommand)]
 enum LoadCommand {
     Policy(PolicyCommand),
+    Slopes(SlopesCommand),
     Traffic(TrafficCommand),
 }
 
@@ -48,6 +50,7 @@
             },
             |()| ExitCode::SUCCESS,
         ),
+        LoadCommand::Slopes(command) => command.run(),
         LoadCommand::Traffic(command) => command.run(),
     }
 }
--- a/crates/peers/src/endpoint.rs
+++ b/crates/peers/src/endpoint.rs
@@ -14,7 +14,7 @@
 
 use crate::envelope::{MAX_MESSAGE_BYTES, decode_message, encode_message};
 use crate::limits::{CONFIRM_LIMIT, transport_config};
-use crate::link::{CLOSE_CODE, LinkTable, LinkUse};
+use crate::link::{CLOSE_CODE, LinkTable, LinkUse, PeerTraffic};
 use crate::stream::read_message;
 use crate::{PeerError, PeerKeys, PeerReply, PeerRequest, RejectReason, Result};
 
@@ -75,6 +75,12 @@
         self.inner.links.len()
     }
 
+    /// What the kept connections have carried.
+    #[must_use]
+    pub fn traffic(&self) -> PeerTraffic {
+        self.inner.links.traffic()
+    }
+
     /// Connections that peers opened.
     #[must_use]
     pub fn connections(&self) -> usize {
--- a/crates/peers/src/fleet_digest.rs
+++ b/crates/peers/src/fleet_digest.rs
@@ -152,10 +152,11 @@
         live.map(|node| (node.config_offset, node.steward)).max()
     }
 
-    /// Peers that were heard lately.
+    /// Peers with which this steward exchanges digests, and which are live.
     #[must_use]
     pub fn live_peers(&self) -> Vec<VmId> {
-        self.nodes.iter().filter(|(_, node)| node.live).map(|(vm, _)| vm.clone()).collect()
+        let live = self.nodes.iter().filter(|(vm, node)| node.live && self.circle.is_direct(vm));
+        live.map(|(vm, _)| vm.clone()).collect()
     }
 
     /// All live stewards, this one included.
--- a/crates/peers/src/fleet_state.rs
+++ b/crates/peers/src/fleet_state.rs
@@ -5,6 +5,7 @@
 
 use base::prelude::*;
 
+use crate::node_state::NodeState;
 use crate::{FleetDesk, RunnerRecord};
 
 /// One of our machines, this one included.
@@ -31,6 +32,13 @@
         std::iter::once(own).chain(peers).collect()
     }
 
+    /// Entries that callers may use.
+    #[must_use]
+    pub fn known_entries(&self) -> usize {
+        let peers = self.nodes.values().flat_map(NodeState::usable_entries).count();
+        peers + self.me.entries.len()
+    }
+
     /// Runners whose report changed after change number `since`; all of them for 0.
     #[must_use]
     pub fn runner_state(&self, now: TimePoint, since: u64) -> Vec<RunnerRecord> {
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -39,6 +39,7 @@
 pub use limits::{
     CONNECT_LIMIT, IDLE_LIMIT, KEEP_ALIVE, LINK_LIMIT, MAX_CONNECTIONS, MAX_LINKS, MAX_REQUESTS,
 };
+pub use link::PeerTraffic;
 pub use message::{
     EntryRecord, EntryStatus, FleetView, ForwardedCall, PeerReply, PeerRequest, RunnerRecord,
 };
--- a/crates/peers/src/link.rs
+++ b/crates/peers/src/link.rs
@@ -14,6 +14,15 @@
 use crate::limits::{CONNECT_LIMIT, LINK_LIMIT, MAX_LINKS};
 use crate::{PeerError, Result, TLS_NAME};
 
+/// What kept connections have carried, in both directions.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct PeerTraffic {
+    /// UDP datagrams.
+    pub datagrams: u64,
+    /// Their payload, in bytes.
+    pub bytes: u64,
+}
+
 /// One peer's connection.
 pub(crate) struct PeerLink {
     connection: Mutex<Option<Connection>>,
@@ -57,6 +66,20 @@
         self.links.borrow().len()
     }
 
+    /// Datagrams and bytes of the kept connections, both ways.
+    pub(crate) fn traffic(&self) -> PeerTraffic {
+        let mut traffic = PeerTraffic::default();
+        for link in self.links.borrow().values() {
+            let Some(kept) = link.connection.try_lock() else { continue };
+            let Some(stats) = kept.as_ref().map(Connection::stats) else { continue };
+            for udp in [stats.udp_tx, stats.udp_rx] {
+                traffic.datagrams += udp.datagrams;
+                traffic.bytes += udp.bytes;
+            }
+        }
+        traffic
+    }
+
     /// Forgets all connections; each is closed after its last call.
     pub(crate) fn clear(&self) {
         self.links.borrow_mut().clear();
