--- a/crates/harness/src/lib.rs
+++ b/crates/harness/src/lib.rs
@@ -17,7 +17,7 @@
 pub use error::{HarnessError, Result};
 pub use keys::TestKeys;
 pub use link::{LinkState, TestLink};
-pub use process::TestProcess;
+pub use process::{TestProcess, run_tool};
 pub use stack::{OPERATOR_TOKEN, TestStack};
 pub use stack_plan::{RunnerPlan, StackPlan, VmPlan};
 pub use wait::wait_until;
