--- a/crates/harness/tests/traffic.rs
+++ b/crates/harness/tests/traffic.rs
@@ -21,6 +21,8 @@
 ];
 /// Steps of the engines, relative to real time, to fit a load into a test.
 const SPEED: &str = "4";
+/// Classes of the mix.
+const CLASSES: usize = 5;
 /// Place of a class in the mix.
 const HISTORY: usize = 0;
 const MIX: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/mixes/streams.jsonc");
@@ -81,16 +83,20 @@
     report["classes"][class]["outcomes"][outcome].as_u64().unwrap_or(0)
 }
 
+fn assert_all_done(report: &Value) {
+    for class in 0..CLASSES {
+        let started = report["classes"][class]["started"].as_u64().unwrap();
+        assert_eq!(outcome(report, class, "done"), started, "{report:#}");
+    }
+}
+
 #[test]
 fn without_faults_every_call_is_done() {
     kernel::run(async {
         let mut stack = TestStack::start(plan()).await.unwrap();
         let (code, report) = load(&mut stack, 4, async |_| ()).await;
         assert_eq!(code, 0, "{report:#}");
-        for class in 0..5 {
-            let started = report["classes"][class]["started"].as_u64().unwrap();
-            assert_eq!(outcome(&report, class, "done"), started, "{report:#}");
-        }
+        assert_all_done(&report);
     })
     .unwrap();
 }
@@ -134,3 +140,70 @@
     })
     .unwrap();
 }
+
+#[test]
+fn a_planned_stop_cuts_no_request() {
+    kernel::run(async {
+        let mut stack = TestStack::start(plan()).await.unwrap();
+        let (code, report) = load(&mut stack, 6, async |stack| {
+            kernel::sleep(TimeSpan::seconds(2).into()).await;
+            stack.entries["vm-2"].terminate().unwrap();
+        })
+        .await;
+        assert_eq!(code, 0, "{report:#}");
+        assert_all_done(&report);
+    })
+    .unwrap();
+}
+
+#[test]
+fn a_leaving_engine_costs_no_answer() {
+    kernel::run(async {
+        let mut stack = TestStack::start(plan()).await.unwrap();
+        let (code, report) = load(&mut stack, 6, async |stack| {
+            kernel::sleep(TimeSpan::seconds(2).into()).await;
+            let engine = stack.runner("summaries-1");
+            stack.set_fault(engine, &json!({ "leaving": true })).await.unwrap();
+            stack.set_vm_state("summaries-1", "leaving").await.unwrap();
+        })
+        .await;
+        assert_eq!(code, 0, "{report:#}");
+        assert_all_done(&report);
+    })
+    .unwrap();
+}
+
+#[test]
+fn an_outage_of_the_platform_costs_no_answer() {
+    kernel::run(async {
+        let mut stack = TestStack::start(plan()).await.unwrap();
+        let (code, report) = load(&mut stack, 6, async |stack| {
+            kernel::sleep(TimeSpan::seconds(1).into()).await;
+            let (log, vms) = (stack.log.address(), stack.vm_list.address());
+            stack.set_fault(log, &json!({ "outage": "hang" })).await.unwrap();
+            stack.set_fault(vms, &json!({ "outage": true })).await.unwrap();
+        })
+        .await;
+        assert_eq!(code, 0, "{report:#}");
+        assert_all_done(&report);
+    })
+    .unwrap();
+}
+
+#[test]
+fn promises_hold_while_an_entry_and_a_steward_pause() {
+    kernel::run(async {
+        let mut stack = TestStack::start(plan()).await.unwrap();
+        let (code, report) = load(&mut stack, 6, async |stack| {
+            kernel::sleep(TimeSpan::seconds(1).into()).await;
+            stack.entries["vm-1"].freeze().unwrap();
+            stack.stewards["vm-3"].freeze().unwrap();
+            kernel::sleep(TimeSpan::seconds(3).into()).await;
+            stack.entries["vm-1"].thaw().unwrap();
+            stack.stewards["vm-3"].thaw().unwrap();
+        })
+        .await;
+        assert_eq!(code, 0, "{report:#}");
+    })
+    .unwrap();
+}
