--- a/crates/harness/src/stack.rs
+++ b/crates/harness/src/stack.rs
@@ -240,6 +240,14 @@
         Ok(fetch_json("status", self.entry(vm), "/v1/status", EXCHANGE_TIME).await?)
     }
 
+    /// Gets a JSON document from a process.
+    ///
+    /// # Errors
+    /// If it does not answer.
+    pub async fn ask(&self, peer: SocketAddr, path: &str) -> Result<Value> {
+        Ok(fetch_json("ask", peer, path, EXCHANGE_TIME).await?)
+    }
+
     /// The caller-facing address of a machine's entry.
     ///
     /// # Panics
--- a/crates/harness/src/wait.rs
+++ b/crates/harness/src/wait.rs
@@ -11,14 +11,11 @@
 ///
 /// # Errors
 /// [`HarnessError::Waited`] with `what`.
-pub async fn wait_until<T, F>(
+pub async fn wait_until<T>(
     what: &str,
     limit: Duration,
-    mut condition: impl FnMut() -> F,
-) -> Result<T>
-where
-    F: Future<Output = Option<T>>,
-{
+    mut condition: impl AsyncFnMut() -> Option<T>,
+) -> Result<T> {
     let end = Instant::now() + limit;
     loop {
         if let Some(value) = condition().await {
