Poll each runner by one steward, with a second one standing by

Two owners polled each runner all the time, which doubled the polls and the reports in digests. The second one now polls only when no report has come for two digest periods. The share is kept until stewards or runners change, a digest walks only polled runners, and a view carries the entries only when they changed. The tests that counted two polls a runner now ask for one, and for two while the first owner's reports stay out; entries are optional in a view, as its description said of all parts.

--- a/crates/entry/src/fleet_cache.rs
+++ b/crates/entry/src/fleet_cache.rs
@@ -68,7 +68,9 @@
         for record in view.runners {
             changes.members |= self.insert(record);
         }
-        self.entries = view.entries;
+        if let Some(entries) = view.entries {
+            self.entries = entries;
+        }
         self.cut_off = view.cut_off;
         self.version = view.version;
         self.steward = view.steward;
--- a/crates/load/src/slopes/cell_run.rs
+++ b/crates/load/src/slopes/cell_run.rs
@@ -165,10 +165,10 @@
     fn poll(&mut self) {
         for desk in self.desks.values_mut() {
             let started = Instant::now();
-            let share = desk.polls();
+            let share = desk.polls(self.now);
             self.tallies.polls.add(started, share.len());
-            for (runner, _, _) in share {
-                let report = report(&runner, self.now.0);
+            for due in share {
+                let report = report(&due.runner, self.now.0);
                 let started = Instant::now();
                 desk.on_report(self.now, report);
                 self.tallies.report.add(started, 0);
--- a/crates/peers/src/fleet_desk.rs
+++ b/crates/peers/src/fleet_desk.rs
@@ -10,7 +10,7 @@
 use crate::leaving_words::LeavingWords;
 use crate::node_state::NodeState;
 use crate::peer_circle::PeerCircle;
-use crate::report_share::ReportShare;
+use crate::report_duty::ReportDuty;
 use crate::runner_state::{ReportSource, RunnerState};
 use crate::{EntryStatus, LeavingWord, NodeRecord, PeerCandidate};
 
@@ -47,12 +47,17 @@
     pub(crate) change: u64,
     /// Last change of the list or state of the runners.
     pub(crate) runners_change: u64,
+    /// Last change of the entries that callers may use.
+    pub(crate) entries_change: u64,
+    /// Last change of which runners there are, and where.
+    pub(crate) list_change: u64,
     /// Last change of `me`.
     pub(crate) me_change: u64,
     /// Something changed that peers should hear at once.
     pub(crate) urgent: bool,
     pub(crate) cut_off: bool,
     pub(crate) circle: PeerCircle,
+    pub(crate) duty: ReportDuty,
     /// Models to which no new calls go on a runner.
     pub(crate) draining: BTreeSet<(RunnerId, ModelName)>,
     pub(crate) entry_heard: BTreeMap<VmIncarnation, TimePoint>,
@@ -88,10 +93,13 @@
             digest_period,
             change: 1,
             runners_change: 1,
+            list_change: 1,
+            entries_change: 1,
             me_change: 1,
             urgent: false,
             cut_off: false,
             circle: PeerCircle::default(),
+            duty: ReportDuty::default(),
             draining: BTreeSet::new(),
             entry_heard: BTreeMap::new(),
             platform_heard: None,
@@ -137,6 +145,8 @@
         self.listed = true;
         self.take_runners(vms);
         self.take_nodes(now, vms);
+        self.refresh_circle();
+        self.refresh_duty();
     }
 
     /// Notes that the platform answered anything.
@@ -168,7 +178,7 @@
             self.config_offset = offset;
             // Each digest names the offset; it is no news for others to pass on.
             self.urgent = true;
-            self.change += 1;
+            self.change_entries();
             self.runners_change = self.change;
         }
     }
@@ -186,40 +196,23 @@
     pub fn tick(&mut self, now: TimePoint) {
         self.drop_silent_entries(now);
         self.refresh_circle();
-        let mut changed = self.judge_live(now);
+        self.refresh_duty();
+        let changed = self.judge_live(now);
         self.gather_draining();
         self.nodes.retain(|_, node| {
             let remembered = |gone: TimePoint| now.since(gone) < GONE_MEMORY;
             node.live || node.listed.is_some() || node.gone.is_some_and(remembered)
         });
         let cut_off = self.judge_cut_off(now);
-        changed |= cut_off != self.cut_off;
         if changed {
+            self.change_entries();
+        }
+        if cut_off != self.cut_off {
             self.cut_off = cut_off;
             self.change += 1;
         }
     }
 
-    /// Runners that this steward has to poll.
-    #[must_use]
-    pub fn polls(&self) -> Vec<(RunnerId, SocketAddr, u64)> {
-        let mut share = ReportShare::default();
-        for (vm, node) in self.nodes.iter().filter(|(vm, _)| self.circle.is_cell(vm)) {
-            if node.live && !node.is_leaving() {
-                share.add(vm, &node.place);
-            }
-        }
-        // A leaving steward goes on until others have taken over.
-        if !self.me.leaving || share.is_empty() {
-            share.add(&self.me.vm, &self.me.place);
-        }
-        let owned = self.runners.iter().filter(|(runner, state)| {
-            self.circle.is_own(runner, &state.place)
-                && share.owns(&self.me.vm, runner, &state.place)
-        });
-        owned.map(|(id, state)| (id.clone(), state.address, state.events_next())).collect()
-    }
-
     /// Whether a runner gets no new work, by any source.
     pub(crate) fn is_runner_leaving(&self, runner: &RunnerId, state: &RunnerState) -> bool {
         state.listed_leaving || self.words.has(runner, state.incarnation())
@@ -237,6 +230,9 @@
         if !state.take_report(now, report, source, self.change + 1) {
             return;
         }
+        if source == ReportSource::Own {
+            self.duty.polled.insert(runner.clone());
+        }
         self.change += 1;
         if restarted {
             self.words.bind(&runner, incarnation, self.change);
@@ -259,6 +255,7 @@
         let mut changed = !gone.is_empty();
         for runner in gone {
             self.runners.remove(&runner);
+            self.duty.polled.remove(&runner);
             self.words.forget(&runner);
         }
         let mut leaving = Vec::new();
@@ -279,6 +276,7 @@
         if changed {
             self.change += 1;
             self.runners_change = self.change;
+            self.list_change = self.change;
         }
         for runner in leaving {
             self.on_leaving(&runner, 0);
@@ -308,7 +306,7 @@
             }
         }
         if changed {
-            self.change += 1;
+            self.change_entries();
         }
     }
 
@@ -357,8 +355,14 @@
         (has_peers || !self.listed) && alone(self.platform_heard) && alone(peers_heard)
     }
 
-    pub(crate) fn change_me(&mut self) {
+    /// Notes a change of the entries that callers may use.
+    pub(crate) fn change_entries(&mut self) {
         self.change += 1;
+        self.entries_change = self.change;
+    }
+
+    pub(crate) fn change_me(&mut self) {
+        self.change_entries();
         self.me.sequence += 1;
         self.me_change = self.change;
     }
--- a/crates/peers/src/fleet_digest.rs
+++ b/crates/peers/src/fleet_digest.rs
@@ -64,7 +64,8 @@
         let acked = node.map_or(0, |node| node.acked);
         let mut cache_events: Vec<(RunnerId, CacheEvent)> = Vec::new();
         let mut reports = Vec::new();
-        for (runner, state) in &self.runners {
+        for runner in &self.duty.polled {
+            let Some(state) = self.runners.get(runner) else { continue };
             reports.extend(state.delta_since(now, acked));
             let events = state.events_since(acked, true);
             cache_events.extend(events.map(|event| (runner.clone(), event)));
@@ -104,7 +105,7 @@
         known.acked = if digest.seen.incarnation == own { digest.seen.change } else { 0 };
         changed |= self.take_news(&digest.from, digest.nodes);
         if changed {
-            self.change += 1;
+            self.change_entries();
         }
         if !self.take_deltas(now, digest.reports) {
             self.reconcile(&digest.from);
--- a/crates/peers/src/fleet_entries.rs
+++ b/crates/peers/src/fleet_entries.rs
@@ -56,7 +56,7 @@
         }
         if moved {
             // Direct peers hear it; it is no news to pass on, so the sequence stays.
-            self.change += 1;
+            self.change_entries();
             self.me_change = self.change;
         }
     }
--- a/crates/peers/src/fleet_view.rs
+++ b/crates/peers/src/fleet_view.rs
@@ -31,7 +31,7 @@
             config: plan.filter(|plan| plan.offset > config_offset).cloned(),
             runners,
             all_runners,
-            entries: self.entry_records(plan),
+            entries: (self.entries_change > since).then(|| self.entry_records(plan)),
             cache_events: events.collect(),
             cut_off: self.cut_off,
         }
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -19,6 +19,7 @@
 mod node_state;
 mod peer_choice;
 mod peer_circle;
+mod report_duty;
 mod report_share;
 mod restart;
 mod runner_state;
@@ -45,4 +46,5 @@
 };
 pub use node_state::{PEER_SILENCE, RETIRED_HOLD};
 pub use peer_choice::{FleetCells, MESH_NODES, PeerCandidate, PeerChoice, starts_exchange};
+pub use report_duty::DuePoll;
 pub use report_share::{REPORT_OWNERS, ReportShare};
--- a/crates/peers/src/message.rs
+++ b/crates/peers/src/message.rs
@@ -68,8 +68,8 @@
     pub runners: Vec<RunnerRecord>,
     /// Whether `runners` holds all runners.
     pub all_runners: bool,
-    /// All entries that callers may use.
-    pub entries: Vec<EntryRecord>,
+    /// All entries that callers may use, if they changed.
+    pub entries: Option<Vec<EntryRecord>>,
     /// Cache events since `version`; recent ones only.
     pub cache_events: Vec<(RunnerId, CacheEvent)>,
     /// This VM is cut off from the others: its entries leave the lookups.
--- a/crates/peers/src/peer_circle.rs
+++ b/crates/peers/src/peer_circle.rs
@@ -14,6 +14,7 @@
     own_cell: BTreeSet<VmId>,
     cell: BTreeSet<VmId>,
     links: BTreeSet<VmId>,
+    choices: u64,
 }
 
 impl PeerCircle {
@@ -22,6 +23,7 @@
         if nodes == self.nodes {
             return;
         }
+        self.choices += 1;
         self.cells = FleetCells::new(&nodes);
         let choice = self.cells.choose(me);
         self.cell = choice.cell.into_iter().collect();
@@ -30,6 +32,11 @@
         self.nodes = nodes;
     }
 
+    /// How often it was chosen anew.
+    pub(crate) fn choices(&self) -> u64 {
+        self.choices
+    }
+
     /// Whether the whole fleet is one cell.
     pub(crate) fn is_mesh(&self) -> bool {
         self.nodes.len() <= MESH_NODES
--- a/crates/peers/src/report_share.rs
+++ b/crates/peers/src/report_share.rs
@@ -1,4 +1,5 @@
-//! Who polls which runner: two stewards a runner, by rendezvous hashing.
+//! Who polls which runner: by rendezvous hashing, one steward polls it, and a second one
+//! stands by for when no reports come.
 //!
 //! The polls of a runner do not grow with the number of stewards. When a steward dies, its
 //! runners go to others, and no other runner changes hands.
@@ -8,7 +9,7 @@
 use base::prelude::*;
 use base::rendezvous_score;
 
-/// Stewards that poll one runner.
+/// Owners of one runner's reports: the one that polls, and the one that stands by.
 pub const REPORT_OWNERS: usize = 2;
 
 /// The live stewards, from which the owners of each runner's reports follow.
@@ -31,17 +32,18 @@
         self.all.is_empty()
     }
 
-    /// Whether `vm` is among the owners of `runner`: of the stewards in the runner's place
-    /// if they are enough, else of all.
+    /// The rank of `vm` among the owners of `runner`, 0 for the one that polls; of the
+    /// stewards in the runner's place if they are enough, else of all.
     #[must_use]
-    pub fn owns(&self, vm: &VmId, runner: &RunnerId, place: &PlaceName) -> bool {
+    pub fn rank(&self, vm: &VmId, runner: &RunnerId, place: &PlaceName) -> Option<usize> {
         let near = self.by_place.get(place).filter(|near| near.len() >= REPORT_OWNERS);
         let candidates = near.unwrap_or(&self.all);
         if !candidates.contains(vm) {
-            return false;
+            return None;
         }
-        let rank = |vm: &VmId| rendezvous_score(runner.as_str(), vm.as_str());
-        let own = (rank(vm), vm);
-        candidates.iter().filter(|other| (rank(other), *other) > own).count() < REPORT_OWNERS
+        let score = |vm: &VmId| rendezvous_score(runner.as_str(), vm.as_str());
+        let own = (score(vm), vm);
+        let rank = candidates.iter().filter(|other| (score(other), *other) > own).count();
+        (rank < REPORT_OWNERS).then_some(rank)
     }
 }
--- a/crates/peers/tests/fleet/test_fleet.rs
+++ b/crates/peers/tests/fleet/test_fleet.rs
@@ -1,7 +1,7 @@
 //! Several stewards' desks on virtual time, with exchanges that can be lost.
 
 use base::prelude::*;
-use peers::{EntryStatus, FleetDesk, FleetSelf, FleetView};
+use peers::{EntryRecord, EntryStatus, FleetDesk, FleetSelf, FleetView};
 use rand::RngExt;
 
 const PLACES: [&str; 3] = ["ikeja", "lekki", "yaba"];
@@ -170,6 +170,16 @@
         exchanges
     }
 
+    /// Each steward polls its share; the reports carry this sequence.
+    pub fn poll_runners(&mut self, sequence: u64) {
+        for desk in &mut self.desks {
+            for due in desk.polls(self.now) {
+                let number: usize = due.runner.as_str()[7..].parse().unwrap();
+                desk.on_report(self.now, report(number, 7 + number as u64, sequence));
+            }
+        }
+    }
+
     /// Rounds in which everybody lives.
     pub fn rounds(&mut self, count: usize) {
         for _ in 0..count {
@@ -189,6 +199,10 @@
         self.desks[number].view(self.now, 0, VmIncarnation(0), None, LogOffset(0))
     }
 
+    pub fn entries(&self, number: usize) -> Vec<EntryRecord> {
+        self.view(number).entries.expect("a whole view")
+    }
+
     pub fn view_since(&self, number: usize, version: u64) -> FleetView {
         let steward = VmIncarnation(steward_start(number, self.starts[number]));
         self.desks[number].view(self.now, version, steward, None, LogOffset(0))
--- a/crates/steward/src/runner_poll.rs
+++ b/crates/steward/src/runner_poll.rs
@@ -2,11 +2,11 @@
 
 use std::cell::RefCell;
 use std::collections::BTreeSet;
-use std::net::SocketAddr;
 use std::rc::Rc;
 
 use base::CacheEvent;
 use base::prelude::*;
+use peers::DuePoll;
 use serde::Deserialize;
 use web::fetch_json;
 
@@ -24,19 +24,19 @@
 pub async fn run(context: Rc<StewardContext>) {
     let busy: Rc<RefCell<BTreeSet<RunnerId>>> = Rc::default();
     loop {
-        let share = context.look(peers::FleetDesk::polls);
+        let share = context.look(|desk| desk.polls(context.now()));
         context.counters.gauge("runners.polled", share.len() as u64);
         if share.is_empty() {
             kernel::sleep(IDLE_PAUSE.into()).await;
             continue;
         }
         let pause = TimeSpan(context.settings.poll.0 / share.len() as u64);
-        for (runner, address, next_event) in share {
-            if busy.borrow_mut().insert(runner.clone()) {
+        for due in share {
+            if busy.borrow_mut().insert(due.runner.clone()) {
                 let (context, busy) = (Rc::clone(&context), Rc::clone(&busy));
                 kernel::spawn(async move {
-                    poll(&context, &runner, address, next_event).await;
-                    busy.borrow_mut().remove(&runner);
+                    poll(&context, &due).await;
+                    busy.borrow_mut().remove(&due.runner);
                 })
                 .detach();
             }
@@ -45,7 +45,9 @@
     }
 }
 
-async fn poll(context: &StewardContext, runner: &RunnerId, address: SocketAddr, next_event: u64) {
+async fn poll(context: &StewardContext, due: &DuePoll) {
+    let DuePoll { runner, address, next_event } = due;
+    let address = *address;
     let limit = context.settings.exchange;
     let report = fetch_json::<RunnerReport>("poll of a runner", address, "/load", limit).await;
     let Ok(report) = report else {
