Show that a dead engine still costs answers: known red

Cause: the desk has no memory of a runner that failed. A dead engine that is still listed looks idle, each try goes to it, and the entry's four tries are used up. Ruled out: a restart of the entry, and an idle system, where the dead engine ties with the others.

--- a/crates/harness/tests/traffic.rs
+++ b/crates/harness/tests/traffic.rs
@@ -207,3 +207,18 @@
     })
     .unwrap();
 }
+
+#[test]
+fn a_dead_engine_still_listed_costs_no_answer() {
+    kernel::run(async {
+        let mut stack = TestStack::start(plan()).await.unwrap();
+        let (code, report) = load(&mut stack, 6, async |stack| {
+            kernel::sleep(TimeSpan::seconds(1).into()).await;
+            stack.runners.get_mut("summaries-3").unwrap().kill().unwrap();
+        })
+        .await;
+        assert_eq!(code, 0, "{report:#}");
+        assert_all_done(&report);
+    })
+    .unwrap();
+}
