--- a/crates/route/src/runner_view.rs
+++ b/crates/route/src/runner_view.rs
@@ -4,7 +4,7 @@
 
 use base::prelude::*;
 
-use crate::{CallId, MemoryForecast};
+use crate::{CallId, MemoryForecast, RunnerHealth};
 
 /// A change of a runner's load by this entry.
 #[derive(Debug, Clone, Copy)]
@@ -19,6 +19,8 @@
 pub struct RunnerView {
     /// The runner.
     pub runner: RunnerId,
+    /// The service that it serves.
+    pub service: Option<ServiceName>,
     /// Its failure domain.
     pub place: PlaceName,
     /// It gets no new work.
@@ -27,6 +29,10 @@
     pub report: Option<RunnerReport>,
     /// The instant that the report describes.
     pub reported: TimePoint,
+    /// When that report arrived.
+    pub received: TimePoint,
+    /// Whether it works as the others do.
+    pub health: RunnerHealth,
     /// Calls of this entry at the runner.
     pub own: BTreeSet<CallId>,
     /// Forecast of this entry's calls at the runner.
@@ -38,25 +44,36 @@
     pub ticket: f64,
     /// Calls sent since the last report arrived.
     pub sent_calls: u32,
+    /// When the forecast was last computed.
+    pub refreshed: TimePoint,
     changes: VecDeque<LoadChange>,
+    folded_calls: i32,
 }
 
+/// Changes kept one by one; older ones are only counted.
+const CHANGE_LIMIT: usize = 1_024;
+
 impl RunnerView {
     /// A runner of which nothing is known yet.
     #[must_use]
     pub fn new(runner: RunnerId, place: PlaceName) -> Self {
         Self {
             runner,
+            service: None,
             place,
             leaving: false,
             report: None,
             reported: TimePoint::default(),
+            received: TimePoint::default(),
+            health: RunnerHealth::default(),
             own: BTreeSet::new(),
             own_forecast: MemoryForecast::default(),
             other_tokens: 0.0,
             ticket: 1.0,
             sent_calls: 0,
+            refreshed: TimePoint::default(),
             changes: VecDeque::new(),
+            folded_calls: 0,
         }
     }
 
@@ -69,25 +86,47 @@
             return false;
         }
         self.reported = now - report.age;
+        self.received = now;
         self.report = Some(report);
         self.sent_calls = 0;
+        self.folded_calls = 0;
         while self.changes.front().is_some_and(|change| change.at <= self.reported) {
             self.changes.pop_front();
         }
         true
     }
 
+    /// Forgets what the runner reported, as when it left the list.
+    pub fn forget_report(&mut self) {
+        self.report = None;
+        self.other_tokens = 0.0;
+        self.health = RunnerHealth::default();
+    }
+
+    /// The runner's start that the last report is from.
+    #[must_use]
+    pub fn incarnation(&self) -> Option<u64> {
+        self.report.as_ref().map(|report| report.incarnation)
+    }
+
     /// This entry sent a call of `tokens` to the runner.
     pub fn sent(&mut self, now: TimePoint, call: CallId, tokens: u32) {
         self.own.insert(call);
         self.sent_calls += 1;
-        self.changes.push_back(LoadChange { at: now, calls: 1, tokens: i64::from(tokens) });
+        self.change(LoadChange { at: now, calls: 1, tokens: i64::from(tokens) });
     }
 
     /// A call of this entry that held `tokens` is gone from the runner.
     pub fn ended(&mut self, now: TimePoint, call: CallId, tokens: u32) {
         if self.own.remove(&call) {
-            self.changes.push_back(LoadChange { at: now, calls: -1, tokens: -i64::from(tokens) });
+            self.change(LoadChange { at: now, calls: -1, tokens: -i64::from(tokens) });
+        }
+    }
+
+    fn change(&mut self, change: LoadChange) {
+        self.changes.push_back(change);
+        if self.changes.len() > CHANGE_LIMIT {
+            self.folded_calls += self.changes.pop_front().map_or(0, |oldest| oldest.calls);
         }
     }
 
@@ -101,7 +140,7 @@
     #[must_use]
     pub fn corrected_calls(&self) -> u32 {
         let change: i32 = self.changes.iter().map(|change| change.calls).sum();
-        self.reported_calls().saturating_add_signed(change)
+        self.reported_calls().saturating_add_signed(change + self.folded_calls)
     }
 
     /// Tokens that this entry saw freed since the report.
