Let an operator begin anew where nobody can tell what was in force

Cause: with every steward gone for longer than the log's retention no checkpoint is left; readers stop with a gap, and no publish could ever end it. A reset record gives the whole configuration and depends on no earlier record, so that every reader, with or without the records before it, ends in the same state.

The state now names its last reset, and no delta reaches over it. Also: the first read of a follower does not wait, so that a gap shows at once and not after the long poll of 5 s.

--- a/crates/config/src/fold.rs
+++ b/crates/config/src/fold.rs
@@ -13,9 +13,12 @@
 
 use crate::{
     CheckpointRecord, ConfigDelta, ConfigRecord, ConfigState, FileRemoval, FileVersion,
-    PublishRecord, RecordError,
+    PublishRecord, RecordError, ResetRecord,
 };
 
+/// The file that a rejected reset is said to have been beaten on.
+const ALL_FILES: &str = "(all files)";
+
 /// What became of a record.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub enum FoldOutcome {
@@ -120,6 +123,7 @@
         match record {
             ConfigRecord::Publish(publish) => self.apply_publish(offset, publish),
             ConfigRecord::Checkpoint(_) => self.skip(offset, IgnoredReason::Checkpoint),
+            ConfigRecord::Reset(reset) => self.apply_reset(offset, reset),
         }
     }
 
@@ -140,6 +144,17 @@
         usable
     }
 
+    /// Starts from a reset that stands at `offset`, without the records before it. Done
+    /// only if that moves this reader forward, and if the reset counts.
+    pub fn start_over(&mut self, reset: &ResetRecord, offset: LogOffset) -> bool {
+        let counts =
+            offset > self.offset() && reset_outcome(offset, reset) == FoldOutcome::Accepted;
+        if counts {
+            self.state = Arc::new(reset_state(offset, reset));
+        }
+        counts
+    }
+
     /// Takes a later state from a peer. Done only if that moves this reader forward, and
     /// if the change is complete for it.
     pub fn adopt(&mut self, delta: &ConfigDelta) -> bool {
@@ -162,6 +177,16 @@
         FoldOutcome::Ignored(reason)
     }
 
+    fn apply_reset(&mut self, offset: LogOffset, reset: &ResetRecord) -> FoldOutcome {
+        let outcome = reset_outcome(offset, reset);
+        if outcome == FoldOutcome::Accepted {
+            self.state = Arc::new(reset_state(offset, reset));
+        } else {
+            Arc::make_mut(&mut self.state).set_offset(offset);
+        }
+        outcome
+    }
+
     fn apply_publish(&mut self, offset: LogOffset, publish: &PublishRecord) -> FoldOutcome {
         if publish.files.is_empty() {
             return self.skip(offset, IgnoredReason::Empty);
@@ -193,3 +218,27 @@
         FoldOutcome::Accepted
     }
 }
+
+/// What becomes of a reset: it follows from its own text and place alone.
+pub(crate) fn reset_outcome(offset: LogOffset, reset: &ResetRecord) -> FoldOutcome {
+    let paths: BTreeSet<&str> = reset.files.iter().map(|file| &*file.path).collect();
+    if reset.files.is_empty() {
+        FoldOutcome::Ignored(IgnoredReason::Empty)
+    } else if paths.len() < reset.files.len() {
+        FoldOutcome::Ignored(IgnoredReason::RepeatedFile)
+    } else if reset.after.next() != offset {
+        let beaten_by = LogOffset(offset.0 - 1);
+        FoldOutcome::Rejected { file: Arc::from(ALL_FILES), beaten_by }
+    } else {
+        FoldOutcome::Accepted
+    }
+}
+
+fn reset_state(offset: LogOffset, reset: &ResetRecord) -> ConfigState {
+    let file = |file: &crate::ResetFile| {
+        let (author, text) = (Arc::clone(&reset.author), Arc::clone(&file.text));
+        (Arc::clone(&file.path), FileVersion { version: offset, author, text })
+    };
+    let files = reset.files.iter().map(file).collect();
+    ConfigState { offset, accepted: offset, reset: offset, files, ..ConfigState::default() }
+}
--- a/crates/config/src/follower.rs
+++ b/crates/config/src/follower.rs
@@ -19,11 +19,12 @@
 
 use crate::checkpoint_writer::CheckpointWriter;
 use crate::exchange_timer::ExchangeTimer;
-use crate::log_search::{FoundCheckpoint, LogSearch, SearchStep, usable_checkpoint};
+use crate::fold::reset_outcome;
+use crate::log_search::{FoundStart, LogSearch, SearchStep, usable_start};
 use crate::reader_role::ReaderRole;
 use crate::{
-    CheckpointRecord, ConfigFold, ConfigPlan, ConfigRecord, ConfigState, FollowerAction,
-    FollowerEvent, FollowerMember, FollowerSettings, PlanBuilder, PublishHistory,
+    CheckpointRecord, ConfigFold, ConfigPlan, ConfigRecord, ConfigState, FoldOutcome,
+    FollowerAction, FollowerEvent, FollowerMember, FollowerSettings, PlanBuilder, PublishHistory,
 };
 
 /// How long the log may wait for a record.
@@ -62,6 +63,7 @@
     history: PublishHistory,
     phase: ReadPhase,
     searched: bool,
+    has_read: bool,
     range: (LogOffset, LogOffset),
     reads: ExchangeTimer,
     questions: ExchangeTimer,
@@ -84,6 +86,7 @@
             history: PublishHistory::default(),
             phase: ReadPhase::Following,
             searched: false,
+            has_read: false,
             range: (LogOffset(1), LogOffset(1)),
             reads: ExchangeTimer::new(seed),
             questions: ExchangeTimer::new(!seed),
@@ -167,6 +170,7 @@
     }
 
     fn take_page(&mut self, now: TimePoint, page: &LogPage) {
+        self.has_read = true;
         self.range = (page.first, page.next);
         match std::mem::replace(&mut self.phase, ReadPhase::Following) {
             ReadPhase::Following => self.follow(now, page),
@@ -204,15 +208,12 @@
             return;
         };
         let outcome = self.fold.apply_record(record.offset, &content);
-        match content {
-            ConfigRecord::Publish(publish) => {
-                self.history.note(now, record.age(), record.offset, &publish, outcome);
-            }
-            ConfigRecord::Checkpoint(checkpoint) => {
-                let as_of = checkpoint.state.offset;
-                if as_of < record.offset {
-                    self.writer.see(now, record.offset, as_of, record.age());
-                }
+        if let Some(heading) = content.heading() {
+            self.history.note(now, record.age(), record.offset, heading, outcome);
+        } else if let ConfigRecord::Checkpoint(checkpoint) = content {
+            let as_of = checkpoint.state.offset;
+            if as_of < record.offset {
+                self.writer.see(now, record.offset, as_of, record.age());
             }
         }
     }
@@ -237,19 +238,39 @@
         let mut at = from;
         for record in &page.records {
             at = at.max(record.offset.next());
-            if let Some(found) = usable_checkpoint(record, page.first, self.fold.next()) {
+            if let Some(found) = usable_start(record, page.first, self.fold.next()) {
                 self.start_from(now, &found, page.first);
                 return;
             }
+            self.note_failed_reset(now, record);
         }
         self.phase = ReadPhase::Watching(at);
     }
 
-    fn start_from(&mut self, now: TimePoint, found: &FoundCheckpoint, first: LogOffset) {
+    /// An operator who waits for a reset has to learn that it does not count.
+    fn note_failed_reset(&mut self, now: TimePoint, record: &LogRecord) {
+        let Ok(content) = ConfigRecord::decode(&record.text) else { return };
+        if let (ConfigRecord::Reset(reset), Some(heading)) = (&content, content.heading()) {
+            let outcome = reset_outcome(record.offset, reset);
+            self.history.note(now, record.age(), record.offset, heading, outcome);
+        }
+    }
+
+    fn start_from(&mut self, now: TimePoint, found: &FoundStart, first: LogOffset) {
         self.searched = true;
-        let as_of = found.checkpoint.state.offset;
-        self.writer.see(now, found.offset, as_of, found.age);
-        self.fold.start_from(&found.checkpoint, found.offset, first);
+        match &found.record {
+            ConfigRecord::Checkpoint(checkpoint) => {
+                self.writer.see(now, found.offset, found.as_of, found.age);
+                self.fold.start_from(checkpoint, found.offset, first);
+            }
+            ConfigRecord::Reset(reset) => {
+                self.fold.start_over(reset, found.offset);
+            }
+            ConfigRecord::Publish(_) => (),
+        }
+        if let Some(heading) = found.record.heading() {
+            self.history.note(now, found.age, found.offset, heading, FoldOutcome::Accepted);
+        }
     }
 
     fn take_peer_offset(&mut self, now: TimePoint, offset: LogOffset) {
@@ -300,8 +321,8 @@
     }
 
     fn may_write(&self) -> bool {
-        let has_read = self.range.1 > LogOffset(1);
-        has_read && self.role.is_reader && self.is_caught_up() && self.is_ready()
+        let has_records = self.range.1 > LogOffset(1);
+        has_records && self.role.is_reader && self.is_caught_up() && self.is_ready()
     }
 
     fn start_exchanges(&mut self, now: TimePoint, actions: &mut Vec<FollowerAction>) {
@@ -322,8 +343,9 @@
     /// The next read; after failures it asks for less, since a page may be too long.
     fn next_read(&self) -> FollowerAction {
         let most = (PAGE_RECORDS >> self.reads.failures().min(usize::BITS - 1)).max(1);
+        let may_wait = self.role.is_reader && self.has_read;
         let (from, wait, max) = match &self.phase {
-            ReadPhase::Following if self.role.is_reader => (self.fold.next(), LONG_POLL, most),
+            ReadPhase::Following if may_wait => (self.fold.next(), LONG_POLL, most),
             ReadPhase::Following => (self.fold.next(), TimeSpan(0), most),
             ReadPhase::Watching(from) => (*from, LONG_POLL, most),
             ReadPhase::Searching(search) => {
--- a/crates/config/src/history.rs
+++ b/crates/config/src/history.rs
@@ -6,7 +6,7 @@
 use base::{LogOffset, PublishId, TimePoint, TimeSpan};
 use serde::Serialize;
 
-use crate::{FoldOutcome, PublishRecord};
+use crate::{FoldOutcome, RecordHeading};
 
 /// Records that are remembered.
 const MAX_ENTRIES: usize = 512;
@@ -62,19 +62,20 @@
         now: TimePoint,
         age: TimeSpan,
         offset: LogOffset,
-        publish: &PublishRecord,
+        heading: RecordHeading,
         outcome: FoldOutcome,
     ) {
         if self.entries.len() == MAX_ENTRIES {
             self.entries.pop_front();
         }
-        let paths = publish.files.iter().take(MAX_PATHS).map(|file| Arc::clone(&file.path));
+        let mut paths = heading.paths;
+        paths.truncate(MAX_PATHS);
         self.entries.push_back(HistoryEntry {
             offset,
-            id: publish.id,
-            author: Arc::clone(&publish.author),
-            note: Arc::clone(&publish.note),
-            paths: paths.collect(),
+            id: heading.id,
+            author: heading.author,
+            note: heading.note,
+            paths,
             outcome,
             appended: now - age,
         });
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -29,7 +29,10 @@
 pub use parsed_file::{FileKind, KindError, ParsedFile};
 pub use plan::{ConfigPlan, ServicePlan, UnusableFile};
 pub use plan_builder::PlanBuilder;
-pub use record::{CheckpointRecord, ConfigRecord, FileChange, PublishRecord, RecordError};
+pub use record::{
+    CheckpointRecord, ConfigRecord, FileChange, PublishRecord, RecordError, RecordHeading,
+    ResetFile, ResetRecord,
+};
 pub use service_file::{
     CallPriority, CallRule, ModelRule, OverridesFile, PolicyWeights, ServiceFile, ServiceKind,
     WorkspaceKeys, WorkspaceRule, WorkspacesFile,
--- a/crates/config/src/log_search.rs
+++ b/crates/config/src/log_search.rs
@@ -1,20 +1,22 @@
-//! The search for a usable checkpoint, from the end of the log backwards.
+//! The search for a record to start from, from the end of the log backwards.
 
 use base::{LogOffset, LogPage, LogRecord, TimeSpan};
 
-use crate::{CheckpointRecord, ConfigRecord};
+use crate::ConfigRecord;
 
 /// Records of the first window; each further one is twice as long.
 const FIRST_WINDOW_RECORDS: u64 = 64;
 /// Most records of a window.
 const MAX_WINDOW_RECORDS: u64 = 1_000;
 
-/// A checkpoint found in the log.
+/// A record found in the log that a reader can start from.
 #[derive(Debug, Clone, PartialEq)]
-pub(crate) struct FoundCheckpoint {
+pub(crate) struct FoundStart {
     pub offset: LogOffset,
     pub age: TimeSpan,
-    pub checkpoint: CheckpointRecord,
+    /// The last record that its state includes.
+    pub as_of: LogOffset,
+    pub record: ConfigRecord,
 }
 
 /// A backward search in windows; each window is read forwards.
@@ -30,8 +32,8 @@
     at: LogOffset,
     /// End of the whole range that is searched, not included.
     pub top: LogOffset,
-    /// The checkpoint of the window with the highest state.
-    best: Option<FoundCheckpoint>,
+    /// The start of the window with the highest state.
+    best: Option<FoundStart>,
 }
 
 /// What comes next in a search.
@@ -39,9 +41,9 @@
 pub(crate) enum SearchStep {
     /// Read on.
     More,
-    /// The best usable checkpoint.
-    Found(Box<FoundCheckpoint>),
-    /// No usable checkpoint in the log.
+    /// The best record to start from.
+    Found(Box<FoundStart>),
+    /// No record in the log to start from.
     Exhausted,
 }
 
@@ -64,11 +66,9 @@
         let start = self.at;
         for record in page.records.iter().filter(|record| record.offset < self.end) {
             self.at = self.at.max(record.offset.next());
-            let found = usable_checkpoint(record, page.first, self.floor);
-            let better = |found: &FoundCheckpoint| {
-                let best = self.best.as_ref().map(|best| best.checkpoint.state.offset);
-                best.is_none_or(|best| found.checkpoint.state.offset > best)
-            };
+            let found = usable_start(record, page.first, self.floor);
+            let better =
+                |found: &FoundStart| self.best.as_ref().is_none_or(|best| found.as_of > best.as_of);
             self.best = found.filter(better).or(self.best.take());
         }
         if self.at < self.end && self.at > start {
@@ -88,21 +88,26 @@
     }
 }
 
-fn is_retained(found: &FoundCheckpoint, first: LogOffset) -> bool {
-    found.checkpoint.state.offset.next() >= first
+fn is_retained(found: &FoundStart, first: LogOffset) -> bool {
+    found.as_of.next() >= first
 }
 
-/// The checkpoint that `record` holds, if every record after its state is retained and
-/// it holds more than the records before `floor`.
-pub(crate) fn usable_checkpoint(
+/// The start that `record` holds, if every record after its state is retained and it
+/// holds more than the records before `floor`.
+pub(crate) fn usable_start(
     record: &LogRecord,
     first: LogOffset,
     floor: LogOffset,
-) -> Option<FoundCheckpoint> {
-    let Ok(ConfigRecord::Checkpoint(checkpoint)) = ConfigRecord::decode(&record.text) else {
-        return None;
+) -> Option<FoundStart> {
+    let content = ConfigRecord::decode(&record.text).ok()?;
+    let as_of = match &content {
+        ConfigRecord::Checkpoint(checkpoint) => checkpoint.state.offset,
+        ConfigRecord::Reset(reset) if reset.after.next() == record.offset => record.offset,
+        _ => return None,
     };
-    let as_of = checkpoint.state.offset;
-    let usable = as_of < record.offset && as_of.next() >= first && as_of.next() >= floor;
-    usable.then_some(FoundCheckpoint { offset: record.offset, age: record.age(), checkpoint })
+    let is_reset = matches!(content, ConfigRecord::Reset(_));
+    let usable =
+        (is_reset || as_of < record.offset) && as_of.next() >= first && as_of.next() >= floor;
+    let (offset, age) = (record.offset, record.age());
+    usable.then_some(FoundStart { offset, age, as_of, record: content })
 }
--- a/crates/config/src/record.rs
+++ b/crates/config/src/record.rs
@@ -40,6 +40,48 @@
     pub files: Vec<FileChange>,
 }
 
+/// A file of a [`ResetRecord`].
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ResetFile {
+    /// Name of the file.
+    pub path: Arc<str>,
+    /// Its content.
+    pub text: Arc<str>,
+}
+
+/// A new beginning by an operator: these files and no others, whatever was in force.
+///
+/// For the case that what was in force can no longer be told, since its records have
+/// expired. It depends on no earlier record, so that every reader can start from it.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ResetRecord {
+    /// Random number, to find the record after a lost answer.
+    pub id: PublishId,
+    /// Who published.
+    pub author: Arc<str>,
+    /// A note for the next shift.
+    pub note: Arc<str>,
+    /// The newest record that the operator saw; the reset counts only as the next one.
+    pub after: LogOffset,
+    /// All files; each path once.
+    pub files: Vec<ResetFile>,
+}
+
+/// What the history tells of a record.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RecordHeading {
+    /// Its number.
+    pub id: PublishId,
+    /// Who published.
+    pub author: Arc<str>,
+    /// The note for the next shift.
+    pub note: Arc<str>,
+    /// Files that it gives or changes.
+    pub paths: Vec<Arc<str>>,
+}
+
 /// The whole configuration as of an offset, to start from when older records are gone.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -56,6 +98,8 @@
     Publish(PublishRecord),
     /// The whole state.
     Checkpoint(CheckpointRecord),
+    /// A new beginning.
+    Reset(ResetRecord),
 }
 
 /// A text that is not a record of a version known here; every reader ignores it.
@@ -82,6 +126,23 @@
 }
 
 impl ConfigRecord {
+    /// What the history tells of an operator's record; none for checkpoints.
+    #[must_use]
+    pub fn heading(&self) -> Option<RecordHeading> {
+        let (id, author, note, paths) = match self {
+            Self::Checkpoint(_) => return None,
+            Self::Publish(record) => {
+                let paths = record.files.iter().map(|file| Arc::clone(&file.path));
+                (record.id, &record.author, &record.note, paths.collect())
+            }
+            Self::Reset(record) => {
+                let paths = record.files.iter().map(|file| Arc::clone(&file.path));
+                (record.id, &record.author, &record.note, paths.collect())
+            }
+        };
+        Some(RecordHeading { id, author: Arc::clone(author), note: Arc::clone(note), paths })
+    }
+
     /// The text that is appended to the log.
     ///
     /// # Panics
--- a/crates/config/src/state.rs
+++ b/crates/config/src/state.rs
@@ -40,6 +40,8 @@
     pub offset: LogOffset,
     /// The last record that was accepted; 0 before the first.
     pub accepted: LogOffset,
+    /// The last reset that was accepted; 0 if there was none. No delta reaches over it.
+    pub reset: LogOffset,
     /// Files by path.
     pub files: BTreeMap<Arc<str>, FileVersion>,
     /// Removed files by path, for a bounded number of records.
@@ -71,11 +73,12 @@
         live.or_else(|| self.removed.get(path).map(|file| &file.author))
     }
 
-    /// What a reader needs that has folded `above`: only what changed, unless it is so
-    /// far behind that removals may be forgotten.
+    /// What a reader needs that has folded `above`: only what changed, unless there was a
+    /// reset since or it is so far behind that removals may be forgotten.
     #[must_use]
     pub fn delta(&self, above: LogOffset) -> ConfigDelta {
-        if above.0 == 0 || above.0 + REMOVED_MEMORY_RECORDS < self.offset.0 {
+        let too_far = above.0 + REMOVED_MEMORY_RECORDS < self.offset.0;
+        if above.0 == 0 || above < self.reset || too_far {
             return ConfigDelta { above: LogOffset(0), state: self.clone() };
         }
         let newer = |version: LogOffset| version > above;
@@ -84,6 +87,7 @@
         let state = Self {
             offset: self.offset,
             accepted: self.accepted,
+            reset: self.reset,
             files: files.map(|(path, file)| (Arc::clone(path), file.clone())).collect(),
             removed: removed.map(|(path, file)| (Arc::clone(path), file.clone())).collect(),
         };
--- a/crates/config/tests/fold_laws.rs
+++ b/crates/config/tests/fold_laws.rs
@@ -5,7 +5,7 @@
 use base::{LogOffset, PublishId};
 use config::{
     CheckpointRecord, ConfigFold, ConfigRecord, ConfigState, FileChange, FoldOutcome,
-    IgnoredReason, PublishRecord,
+    IgnoredReason, PublishRecord, ResetFile, ResetRecord,
 };
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
@@ -19,6 +19,8 @@
     Publish(Vec<(usize, u64, bool)>),
     /// The true state as of so many records ago.
     Checkpoint(u64),
+    /// A new beginning that saw the record so many records ago as the newest.
+    Reset(u64),
     Junk(u8),
 }
 
@@ -27,6 +29,7 @@
     prop_oneof![
         6 => prop::collection::vec(change, 0..3).prop_map(Step::Publish),
         2 => (0..8u64).prop_map(Step::Checkpoint),
+        1 => prop_oneof![2 => Just(0u64), 1 => 1..3u64].prop_map(Step::Reset),
         1 => any::<u8>().prop_map(Step::Junk),
     ]
 }
@@ -57,6 +60,20 @@
                 let state = (*back(*age)).clone();
                 ConfigRecord::Checkpoint(CheckpointRecord { state }).encode()
             }
+            Step::Reset(age) => {
+                let file = ResetFile {
+                    path: Arc::from(PATHS[at % 3]),
+                    text: Arc::from(format!("reset {at}")),
+                };
+                ConfigRecord::Reset(ResetRecord {
+                    id: PublishId(at as u64),
+                    author: Arc::from("shift"),
+                    note: Arc::from(""),
+                    after: LogOffset((at as u64).saturating_sub(*age)),
+                    files: vec![file],
+                })
+                .encode()
+            }
             Step::Junk(0) => Arc::from(r#"{"version":2,"record":{"publish":{}}}"#),
             Step::Junk(byte) => Arc::from(format!("{{\"junk\": {byte}")),
         };
@@ -107,6 +124,23 @@
         }
     }
 
+    #[test]
+    fn readers_from_any_reset_that_counts_agree(steps in prop::collection::vec(step(), 1..40)) {
+        let (texts, states) = build(&steps);
+        for (at, text) in texts.iter().enumerate() {
+            let Ok(ConfigRecord::Reset(reset)) = ConfigRecord::decode(text) else { continue };
+            let offset = LogOffset(at as u64 + 1);
+            let mut fold = ConfigFold::new();
+            let started = fold.start_over(&reset, offset);
+            prop_assert_eq!(started, reset.after.next() == offset);
+            if started {
+                prop_assert_eq!(fold.state(), &states[at + 1]);
+                read_on(&mut fold, &texts);
+                prop_assert_eq!(fold.state(), states.last().unwrap());
+            }
+        }
+    }
+
     #[test]
     fn a_reader_never_goes_back(steps in prop::collection::vec(step(), 1..30), order in any::<u64>()) {
         let (texts, states) = build(&steps);
--- a/crates/config/tests/follower.rs
+++ b/crates/config/tests/follower.rs
@@ -4,9 +4,9 @@
 
 use std::sync::Arc;
 
-use base::{LogOffset, TimePoint, TimeSpan};
+use base::{LogOffset, PublishId, TimePoint, TimeSpan};
 use common::Bench;
-use config::{CheckpointRecord, ConfigRecord};
+use config::{CheckpointRecord, ConfigRecord, FoldOutcome, ResetFile, ResetRecord};
 
 const OVERRIDES: &str = "shift.overrides.jsonc";
 
@@ -191,6 +191,40 @@
     assert_all_agree(&bench);
 }
 
+#[test]
+fn where_everything_has_expired_a_reset_begins_anew() {
+    let mut bench = Bench::new(0, 1);
+    for runner in 0..10 {
+        bench.publish(OVERRIDES, &drain(runner));
+    }
+    bench.log.trim(LogOffset(11));
+    let nodes = [bench.add_node(), bench.add_node()];
+    bench.run(TimeSpan::seconds(2));
+    assert!(nodes.iter().all(|node| bench.nodes[*node].follower.has_gap()));
+    let reset = |after: u64, runner: u64| {
+        let file = ResetFile { path: OVERRIDES.into(), text: drain(runner).into() };
+        ConfigRecord::Reset(ResetRecord {
+            id: PublishId(after),
+            author: "shift".into(),
+            note: "".into(),
+            after: LogOffset(after),
+            files: vec![file],
+        })
+    };
+    // Two operators at once: the second one saw the same end of the log.
+    for (after, runner) in [(9, 1), (11, 2), (11, 3)] {
+        bench.log.append(bench.now, reset(after, runner).encode());
+    }
+    bench.run(TimeSpan::seconds(2));
+    assert_all_agree(&bench);
+    let follower = &bench.nodes[nodes[0]].follower;
+    assert_eq!(follower.accepted(), LogOffset(12));
+    assert!(follower.plan().drained.contains(&"runner-2".parse().unwrap()));
+    let outcomes: Vec<bool> =
+        follower.history().entries().map(|entry| entry.outcome == FoldOutcome::Accepted).collect();
+    assert_eq!(outcomes, [false, true, false]);
+}
+
 #[test]
 fn a_page_too_long_for_an_exchange_is_asked_for_in_parts() {
     let mut bench = Bench::new(0, 1);
--- a/crates/harness/tests/config_faults.rs
+++ b/crates/harness/tests/config_faults.rs
@@ -136,6 +136,40 @@
     .unwrap();
 }
 
+#[test]
+fn where_nobody_knows_what_was_in_force_an_operator_begins_anew() {
+    kernel::run(async {
+        let mut plan = plan();
+        plan.log_arguments = ["--keep-records", "8"].map(str::to_owned).to_vec();
+        let mut stack = TestStack::start(plan).await.unwrap();
+        let folder = write_shift(&stack, "night", "bookings-9");
+        let mut plain = publish_arguments(&stack, &folder, "10");
+        plain.extend(["--platform-seconds", "2"].map(str::to_owned));
+        let begin = [plain.clone(), vec!["--start-over".to_owned()]].concat();
+        let (code, output) = harness::run_tool("yard", &begin).unwrap();
+        assert_eq!(code, 2, "{output}");
+        for vm in VMS {
+            stack.stewards.get_mut(vm).unwrap().kill().unwrap();
+            stack.entries.get_mut(vm).unwrap().kill().unwrap();
+        }
+        for number in 0..20 {
+            append(&stack, &format!("expires {number}")).await;
+        }
+        for vm in VMS {
+            stack.start_steward(vm).unwrap();
+            stack.start_entry(vm).unwrap();
+        }
+        let (code, output) = harness::run_tool("yard", &plain).unwrap();
+        assert_eq!(code, 3, "{output}");
+        let (code, output) = harness::run_tool("yard", &begin).unwrap();
+        assert_eq!(code, 0, "{output}");
+        wait_in_force(&stack, &VMS, accepted(&output)).await;
+        let (code, output) = harness::run_tool("yard", &begin).unwrap();
+        assert_eq!(code, 2, "{output}");
+    })
+    .unwrap();
+}
+
 #[test]
 fn two_operators_at_once_end_the_same_everywhere() {
     kernel::run(async {
--- a/crates/yard/src/command/publish.rs
+++ b/crates/yard/src/command/publish.rs
@@ -5,19 +5,22 @@
 use std::sync::Arc;
 
 use argh::FromArgs;
-use base::{LogOffset, TimeSpan};
-use config::{ConfigState, FaultLevel, check_drains};
+use base::{LogOffset, PublishId, TimeSpan};
+use config::{
+    ConfigRecord, ConfigState, FaultLevel, FileChange, PublishRecord, ResetFile, ResetRecord,
+    check_drains,
+};
 use platform::{LogClient, VmListClient};
 use serde::Serialize;
 
 use crate::author::author_name;
-use crate::config_reader::ConfigReader;
+use crate::config_reader::{CONFIG_STREAM, ConfigReader};
 use crate::file_set::FileSet;
-use crate::fleet_status::VmStatus;
+use crate::fleet_status::{VmStatus, ask_entries};
 use crate::in_force_wait::{WaitOutcome, wait_in_force};
 use crate::output::{OutputFormat, print_json};
-use crate::publisher::{PublishOutcome, changes, check_merged, describe, new_record, publish};
-use crate::{ExitStatus, Result};
+use crate::publisher::{PublishOutcome, changes, check_merged, describe, publish};
+use crate::{ExitStatus, Result, YardError};
 
 /// Time of one exchange with the platform.
 const EXCHANGE_LIMIT: TimeSpan = TimeSpan::seconds(5);
@@ -52,6 +55,10 @@
     /// show what would be sent, and send nothing
     #[argh(switch)]
     dry_run: bool,
+    /// begin anew with these folders as the whole configuration; only where the log no
+    /// longer tells what was in force, and no VM knows it
+    #[argh(switch)]
+    start_over: bool,
     /// who publishes; the user's name if not given
     #[argh(option)]
     author: Option<String>,
@@ -81,6 +88,20 @@
     not_in_force: Vec<LagReport>,
 }
 
+impl PublishReport {
+    fn unchanged(changes: Vec<String>) -> Self {
+        Self {
+            result: "unchanged",
+            offset: None,
+            changes,
+            rejected_by: None,
+            reason: None,
+            live_vms: None,
+            not_in_force: Vec::new(),
+        }
+    }
+}
+
 #[derive(Serialize)]
 struct RejectionReport {
     file: Arc<str>,
@@ -99,24 +120,23 @@
         let set = FileSet::collect(&self.folders)?;
         let client = LogClient::new(self.log, EXCHANGE_LIMIT);
         let mut reader = ConfigReader::new(client);
-        let limit = TimeSpan::seconds(self.platform_seconds);
-        reader.read_within(limit).await?;
+        let read = reader.read_within(self.platform_limit()).await;
+        let after = match (read, self.start_over) {
+            (Ok(()), false) => None,
+            (Err(YardError::LogGap(_)), true) => Some(self.check_start_over(&client).await?),
+            (Ok(()), true) => {
+                let reason = "the log tells what is in force; publish without it".to_owned();
+                return Err(YardError::Argument { step: "--start-over", reason });
+            }
+            (Err(error), _) => return Err(error),
+        };
         let state = Arc::clone(reader.follower().state());
         if !self.check(&set, &state).await {
             return Ok(ExitStatus::BadInput);
         }
         let changes = changes(&set, &state);
-        let lines = describe(&changes, &state);
-        let mut report = PublishReport {
-            result: "unchanged",
-            offset: None,
-            changes: lines.clone(),
-            rejected_by: None,
-            reason: None,
-            live_vms: None,
-            not_in_force: Vec::new(),
-        };
-        for line in &lines {
+        let mut report = PublishReport::unchanged(describe(&changes, &state));
+        for line in &report.changes {
             self.say(line);
         }
         if changes.is_empty() {
@@ -128,13 +148,48 @@
             self.say("dry run; nothing was sent");
             return Ok(self.finish(&report, ExitStatus::Done));
         }
-        let author = author_name(self.author.clone());
-        let record = new_record(&author, &self.note, changes);
-        let outcome = publish(&client, &mut reader, record, limit).await;
+        let id = PublishId(rand::random());
+        let record = self.record(id, changes, after);
+        let outcome = publish(&client, &mut reader, id, &record, self.platform_limit()).await;
         let status = self.tell(outcome, &mut report).await;
         Ok(self.finish(&report, status))
     }
 
+    fn platform_limit(&self) -> TimeSpan {
+        TimeSpan::seconds(self.platform_seconds)
+    }
+
+    /// The record to append: the changes, or all files as a new beginning after `after`.
+    fn record(
+        &self,
+        id: PublishId,
+        files: Vec<FileChange>,
+        after: Option<LogOffset>,
+    ) -> ConfigRecord {
+        let author: Arc<str> = Arc::from(author_name(self.author.clone()));
+        let note: Arc<str> = Arc::from(self.note.as_str());
+        let Some(after) = after else {
+            return ConfigRecord::Publish(PublishRecord { id, author, note, files });
+        };
+        let file = |change: FileChange| Some(ResetFile { path: change.path, text: change.text? });
+        let files = files.into_iter().filter_map(file).collect();
+        ConfigRecord::Reset(ResetRecord { id, author, note, after, files })
+    }
+
+    /// The newest record of the log, after making sure that no VM knows what is in force.
+    async fn check_start_over(&self, client: &LogClient) -> Result<LogOffset> {
+        let vms = VmListClient::new(self.vms, EXCHANGE_LIMIT).get().await?;
+        let statuses = ask_entries(vms.iter()).await;
+        if let Some(holder) = statuses.iter().find(|status| status.has_in_force(LogOffset(1))) {
+            let vm = &holder.record.vm;
+            let reason =
+                format!("{vm} has a configuration in force; its steward writes a checkpoint");
+            return Err(YardError::Argument { step: "--start-over", reason });
+        }
+        let page = client.read(CONFIG_STREAM, LogOffset(1), TimeSpan(0), 1).await?;
+        Ok(LogOffset(page.next.0.saturating_sub(1)))
+    }
+
     async fn check(&self, set: &FileSet, state: &ConfigState) -> bool {
         let mut faults = check_merged(set, state);
         let own: Vec<(&str, &str)> =
--- a/crates/yard/src/publisher.rs
+++ b/crates/yard/src/publisher.rs
@@ -5,8 +5,7 @@
 
 use base::{LogOffset, PublishId, TimePoint, TimeSpan};
 use config::{
-    ConfigRecord, ConfigState, FaultLevel, FileChange, FileFault, FoldOutcome, PublishRecord,
-    check_files,
+    ConfigRecord, ConfigState, FaultLevel, FileChange, FileFault, FoldOutcome, check_files,
 };
 use kernel::{MonotonicClock, sleep};
 use platform::{AppendOutcome, LogClient};
@@ -74,7 +73,7 @@
     faults
 }
 
-/// Appends `record` and finds out what became of it, within `limit`.
+/// Appends `record`, whose number is `id`, and finds out what became of it, within `limit`.
 ///
 /// An append whose answer was lost is looked for by its publish id. Where it is not
 /// found the same record is appended again: should both stand in the log, the second
@@ -82,13 +81,13 @@
 pub(crate) async fn publish(
     client: &LogClient,
     reader: &mut ConfigReader,
-    record: PublishRecord,
+    id: PublishId,
+    record: &ConfigRecord,
     limit: TimeSpan,
 ) -> PublishOutcome {
     let clock = MonotonicClock::new();
     let deadline = clock.now() + limit;
-    let id = record.id;
-    let text = ConfigRecord::Publish(record).encode();
+    let text = record.encode();
     let mut in_doubt = false;
     loop {
         let reason = match client.append(CONFIG_STREAM, &text).await {
@@ -165,16 +164,6 @@
     }
 }
 
-/// A record of these changes, with a fresh random number.
-pub(crate) fn new_record(author: &str, note: &str, files: Vec<FileChange>) -> PublishRecord {
-    PublishRecord {
-        id: PublishId(rand::random()),
-        author: Arc::from(author),
-        note: Arc::from(note),
-        files,
-    }
-}
-
 /// One line for each change.
 pub(crate) fn describe(changes: &[FileChange], state: &ConfigState) -> Vec<String> {
     let line = |change: &FileChange| {
