--- a/crates/harness/tests/config_faults.rs
+++ b/crates/harness/tests/config_faults.rs
@@ -143,9 +143,9 @@
         plan.log_arguments = ["--keep-records", "8"].map(str::to_owned).to_vec();
         let mut stack = TestStack::start(plan).await.unwrap();
         let folder = write_shift(&stack, "night", "bookings-9");
-        let mut plain = publish_arguments(&stack, &folder, "10");
-        plain.extend(["--platform-seconds", "2"].map(str::to_owned));
-        let begin = [plain.clone(), vec!["--start-over".to_owned()]].concat();
+        let mut arguments = publish_arguments(&stack, &folder, "10");
+        arguments.extend(["--platform-seconds", "2"].map(str::to_owned));
+        let begin = [arguments.clone(), vec!["--start-over".to_owned()]].concat();
         let (code, output) = harness::run_tool("yard", &begin).unwrap();
         assert_eq!(code, 2, "{output}");
         for vm in VMS {
@@ -159,7 +159,7 @@
             stack.start_steward(vm).unwrap();
             stack.start_entry(vm).unwrap();
         }
-        let (code, output) = harness::run_tool("yard", &plain).unwrap();
+        let (code, output) = harness::run_tool("yard", &arguments).unwrap();
         assert_eq!(code, 3, "{output}");
         let (code, output) = harness::run_tool("yard", &begin).unwrap();
         assert_eq!(code, 0, "{output}");
