--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -19,6 +19,7 @@
 mod node_state;
 mod peer_choice;
 mod peer_circle;
+mod report_duty;
 mod report_share;
 mod restart;
 mod runner_state;
@@ -39,9 +40,11 @@
 pub use limits::{
     CONNECT_LIMIT, IDLE_LIMIT, KEEP_ALIVE, LINK_LIMIT, MAX_CONNECTIONS, MAX_LINKS, MAX_REQUESTS,
 };
+pub use link::PeerTraffic;
 pub use message::{
     EntryRecord, EntryStatus, FleetView, ForwardedCall, PeerReply, PeerRequest, RunnerRecord,
 };
 pub use node_state::{PEER_SILENCE, RETIRED_HOLD};
 pub use peer_choice::{FleetCells, MESH_NODES, PeerCandidate, PeerChoice, starts_exchange};
+pub use report_duty::DuePoll;
 pub use report_share::{REPORT_OWNERS, ReportShare};
