Let a claim without a known history wait for a VM list that is new enough

A claim without a known history now waits for a list that was asked for after the expired records were known to be gone. a_reader_of_an_expired_log_takes_every_vm_for_an_earlier_claimant shows it: before, the late VM claimed at once.

--- a/crates/orders/src/claims.rs
+++ b/crates/orders/src/claims.rs
@@ -18,6 +18,7 @@
         let own = self.settings.vm.clone();
         self.holder.forget_gone(after, |vm| listed.contains(vm) && *vm != own);
         self.listed = listed;
+        self.listed_after = after;
     }
 
     /// Claims the places that have no holder in service and for which this VM is the
@@ -29,7 +30,7 @@
         let mut actions = Vec::new();
         for place in self.places() {
             let due = self.append_at.get(&place).is_none_or(|at| *at <= now);
-            if due && self.wants(now, &place) {
+            if due && self.knows_earlier(&place) && self.wants(now, &place) {
                 self.append_at.insert(place.clone(), now + self.settings.append_retry);
                 self.counters.claims += 1;
                 actions.push(OrderAction::Append { text: self.make_claim(place).encode() });
@@ -58,6 +59,16 @@
         order.first().is_some_and(|vm| *vm == self.settings.vm.as_str())
     }
 
+    fn is_grounded(&self, place: &PlaceName) -> bool {
+        self.holder.get(place).map_or(self.holder.is_whole(), |state| state.grounded)
+    }
+
+    /// Whether a claim can name all earlier claimants. Those of expired claims are among
+    /// the VMs of the list, if it was asked for after those claims were appended.
+    fn knows_earlier(&self, place: &PlaceName) -> bool {
+        self.is_grounded(place) || self.listed_after >= self.holder.missed()
+    }
+
     fn make_claim(&self, place: PlaceName) -> OrderClaim {
         let state = self.holder.get(&place);
         let mut earlier: BTreeSet<VmId> = BTreeSet::new();
@@ -65,7 +76,7 @@
             earlier.extend(state.earlier.keys().cloned());
             earlier.insert(state.vm.clone());
         }
-        if !state.map_or(self.holder.is_whole(), |state| state.grounded) {
+        if !self.is_grounded(&place) {
             earlier.extend(self.listed.iter().cloned());
         }
         earlier.remove(&self.settings.vm);
--- a/crates/orders/src/desk.rs
+++ b/crates/orders/src/desk.rs
@@ -20,6 +20,8 @@
     pub(crate) members: Vec<OrderMember>,
     /// The last VM list that showed this VM.
     pub(crate) listed: BTreeSet<VmId>,
+    /// Offset that had been read when that list was asked for.
+    pub(crate) listed_after: LogOffset,
     /// When a claim may be appended (again), by place.
     pub(crate) append_at: BTreeMap<PlaceName, TimePoint>,
     /// When the own claim has to be renewed, by place held.
@@ -44,6 +46,7 @@
             caught_up: false,
             members: Vec::new(),
             listed: BTreeSet::new(),
+            listed_after: LogOffset(0),
             append_at: BTreeMap::new(),
             renew_at: BTreeMap::new(),
             plan: OrderPlan::default(),
--- a/crates/orders/src/holder.rs
+++ b/crates/orders/src/holder.rs
@@ -83,6 +83,12 @@
         self.offset
     }
 
+    /// Last offset that had expired before it could be read.
+    #[must_use]
+    pub fn missed(&self) -> LogOffset {
+        self.missed
+    }
+
     /// Whether a place without any claim is known never to have had one.
     #[must_use]
     pub fn is_whole(&self) -> bool {
--- a/crates/orders/tests/claims.rs
+++ b/crates/orders/tests/claims.rs
@@ -133,6 +133,8 @@
     let mut late = desk("c", false);
     late.handle(at(0), members(&[("c", false)]));
     stream.read_by(at(1), &mut late);
+    assert_eq!(text(&tick(&mut late, at(1))), "", "its list may be older than the lost claim");
+    list(&mut late, &["a", "b", "c"]);
     stream.append(&tick(&mut late, at(1)));
     stream.read_by(at(2), &mut late);
     let state = late.holder().get(&place("caerdydd")).unwrap();
