--- a/crates/entry/src/fleet_cache.rs
+++ b/crates/entry/src/fleet_cache.rs
@@ -68,7 +68,9 @@
         for record in view.runners {
             changes.members |= self.insert(record);
         }
-        self.entries = view.entries;
+        if let Some(entries) = view.entries {
+            self.entries = entries;
+        }
         self.cut_off = view.cut_off;
         self.version = view.version;
         self.steward = view.steward;
@@ -101,6 +103,12 @@
         self.plan.as_ref().map_or(LogOffset(0), |plan| plan.offset)
     }
 
+    /// Up to here the configuration is used as it was published; 0 before the first.
+    #[must_use]
+    pub fn config_in_force(&self) -> LogOffset {
+        self.plan.as_ref().map_or(LogOffset(0), |plan| plan.in_force)
+    }
+
     /// Where a runner listens.
     #[must_use]
     pub fn runner_address(&self, runner: &RunnerId) -> Option<SocketAddr> {
@@ -113,6 +121,22 @@
         self.plan.as_ref()?.services.get(service)
     }
 
+    /// The view, for the dump.
+    #[must_use]
+    pub fn dump(&self, now: TimePoint) -> serde_json::Value {
+        serde_json::json!({
+            "version": self.version,
+            "steward": self.steward,
+            "age_ms": now.since(self.updated).as_millis(),
+            "cut_off": self.cut_off,
+            "config_offset": self.config_offset(),
+            "services": self.plan.as_ref().map(|plan| plan.services.keys().collect::<Vec<_>>()),
+            "entries": self.entries,
+            "runners": self.runners.values().collect::<Vec<_>>(),
+            "refused": self.refused,
+        })
+    }
+
     /// Whether a runner gets no new work, by the list, itself or the operators.
     #[must_use]
     pub fn is_leaving(&self, record: &RunnerRecord) -> bool {
--- a/crates/peers/tests/fleet/mod.rs
+++ b/crates/peers/tests/fleet/test_fleet.rs
@@ -1,7 +1,7 @@
 //! Several stewards' desks on virtual time, with exchanges that can be lost.
 
 use base::prelude::*;
-use peers::{EntryStatus, FleetDesk, FleetSelf, FleetView};
+use peers::{EntryRecord, EntryStatus, FleetDesk, FleetSelf, FleetView};
 use rand::RngExt;
 
 const PLACES: [&str; 3] = ["ikeja", "lekki", "yaba"];
@@ -151,6 +151,42 @@
         self.desks[from].on_digest(self.now, reply);
     }
 
+    /// One period: every live machine's entry speaks, and its steward exchanges as it is due.
+    pub fn round(&mut self, dead: &[usize]) -> usize {
+        self.advance(PERIOD);
+        let live: Vec<usize> = (0..self.desks.len()).filter(|at| !dead.contains(at)).collect();
+        self.speak(&live);
+        self.tick();
+        let mut exchanges = 0;
+        for &at in &live {
+            for (peer, _) in self.desks[at].due_peers(self.now) {
+                let peer: usize = peer.as_str()[3..].parse().unwrap();
+                if !dead.contains(&peer) {
+                    self.exchange(at, peer);
+                    exchanges += 1;
+                }
+            }
+        }
+        exchanges
+    }
+
+    /// Each steward polls its share; the reports carry this sequence.
+    pub fn poll_runners(&mut self, sequence: u64) {
+        for desk in &mut self.desks {
+            for due in desk.polls(self.now) {
+                let number: usize = due.runner.as_str()[7..].parse().unwrap();
+                desk.on_report(self.now, report(number, 7 + number as u64, sequence));
+            }
+        }
+    }
+
+    /// Rounds in which everybody lives.
+    pub fn rounds(&mut self, count: usize) {
+        for _ in 0..count {
+            self.round(&[]);
+        }
+    }
+
     pub fn exchange_all(&mut self) {
         for from in 0..self.desks.len() {
             for to in (0..self.desks.len()).filter(|to| *to != from) {
@@ -163,6 +199,10 @@
         self.desks[number].view(self.now, 0, VmIncarnation(0), None, LogOffset(0))
     }
 
+    pub fn entries(&self, number: usize) -> Vec<EntryRecord> {
+        self.view(number).entries.expect("a whole view")
+    }
+
     pub fn view_since(&self, number: usize, version: u64) -> FleetView {
         let steward = VmIncarnation(steward_start(number, self.starts[number]));
         self.desks[number].view(self.now, version, steward, None, LogOffset(0))
@@ -185,6 +225,7 @@
         place: PLACES[number % 3].parse().unwrap(),
         steward: format!("10.0.0.{number}:8002").parse().unwrap(),
         incarnation: VmIncarnation(steward_start(number, start)),
+        generation: start,
     };
     FleetDesk::new(now, own, PERIOD)
 }
--- a/crates/route/src/desk.rs
+++ b/crates/route/src/desk.rs
@@ -1,27 +1,41 @@
 //! The desk: every routing decision of one entry.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
-use base::{AttemptNumber, prelude::*};
-use rand::{SeedableRng, rngs::StdRng};
+use base::prelude::*;
+use rand::{RngExt, SeedableRng, rngs::StdRng};
 
+use crate::decision_log::DecisionLog;
 use crate::{
-    CallEnd, CallId, CallRecord, LengthTable, PolicyName, RouteAction, RouteCall, RouteEvent,
-    RouteMember, RouteSettings, RunnerView, ServiceView, baseline,
+    CallEnd, CallId, CallRecord, DeskCounters, DeskSummary, LengthTable, MemoryForecast,
+    PolicyName, PrefixTable, RouteAction, RouteEvent, RouteMember, RouteSettings, RunnerSummary,
+    RunnerView, ServiceView, WaitQueue, subset,
 };
 
-/// Time after which a refused caller may try again when nothing better is known.
-const DEFAULT_COME_BACK: TimeSpan = TimeSpan::seconds(1);
+/// Age of a runner's last report from which the desk goes on without it.
+const UNREPORTED_SPAN: TimeSpan = TimeSpan::seconds(1);
+
+/// Time between two forecasts of a runner that does not report.
+const REFRESH_PERIOD: TimeSpan = TimeSpan::millis(250);
+
+/// A queue is kept for each service and model.
+pub(crate) type QueueName = (ServiceName, Option<ModelName>);
 
 /// Routing state of one entry.
 pub struct RouteDesk {
-    settings: RouteSettings,
-    services: BTreeMap<ServiceName, ServiceView>,
-    slots: BTreeMap<RunnerId, usize>,
-    runners: Vec<RunnerView>,
-    calls: BTreeMap<CallId, CallRecord>,
-    lengths: LengthTable,
-    random: StdRng,
+    pub(crate) settings: RouteSettings,
+    pub(crate) services: BTreeMap<ServiceName, ServiceView>,
+    pub(crate) slots: BTreeMap<RunnerId, usize>,
+    pub(crate) runners: Vec<RunnerView>,
+    pub(crate) calls: BTreeMap<CallId, CallRecord>,
+    pub(crate) lengths: LengthTable,
+    pub(crate) prefixes: PrefixTable,
+    pub(crate) queues: BTreeMap<QueueName, WaitQueue>,
+    pub(crate) random: StdRng,
+    pub(crate) counters: DeskCounters,
+    pub(crate) decisions: DecisionLog,
+    pub(crate) deadlines: BTreeSet<(TimePoint, CallId)>,
+    pub(crate) now: TimePoint,
 }
 
 impl RouteDesk {
@@ -36,11 +50,18 @@
             runners: Vec::new(),
             calls: BTreeMap::new(),
             lengths: LengthTable::default(),
+            prefixes: PrefixTable::default(),
+            queues: BTreeMap::new(),
+            counters: DeskCounters::default(),
+            decisions: DecisionLog::default(),
+            deadlines: BTreeSet::new(),
+            now: TimePoint::default(),
         }
     }
 
     /// Takes one event and gives what is to be done now.
     pub fn handle(&mut self, now: TimePoint, event: RouteEvent) -> Vec<RouteAction> {
+        self.now = now;
         match event {
             RouteEvent::Service { service, kind, weights, shares } => {
                 let view = self.services.entry(service).or_default();
@@ -49,9 +70,10 @@
                 view.shares = shares;
             }
             RouteEvent::Members { service, members } => self.take_members(&service, members),
-            RouteEvent::Report(report) => {
-                if let Some(&slot) = self.slots.get(&report.runner) {
-                    self.runners[slot].take_report(now, report);
+            RouteEvent::Report(report) => self.take_report(now, report),
+            RouteEvent::Cache { runner, event } => {
+                if let Some(&slot) = self.slots.get(&runner) {
+                    self.prefixes.take(slot, &event);
                 }
             }
             RouteEvent::Arrive(call) => return self.arrive(now, call),
@@ -59,20 +81,52 @@
                 if let Some(record) = self.calls.get_mut(&call) {
                     record.call.produced = TokenCount(index.0 + 1);
                 }
+                return Vec::new();
             }
             RouteEvent::Ended { call, end } => self.end(now, call, end),
-            RouteEvent::Cache { .. } | RouteEvent::Tick => (),
+            RouteEvent::Tick => self.refresh_unreported(now),
         }
-        Vec::new()
+        let mut actions = self.refuse_late(now);
+        actions.extend(self.send_waiting(now));
+        actions
     }
 
     /// The desk's state, for the dump.
     #[must_use]
-    pub fn summary(&self) -> String {
-        format!("{:?}: {} calls", self.settings.policy, self.calls.len())
+    pub fn summary(&self) -> DeskSummary {
+        let waiting = self.queues.iter().map(|((service, model), queue)| {
+            let model = model.as_ref().map_or("", |model| model.as_str());
+            (format!("{service}/{model}"), queue.len())
+        });
+        let runners = self.runners.iter().map(|view| (view.runner.clone(), self.summarize(view)));
+        DeskSummary {
+            policy: self.settings.policy,
+            counters: DeskCounters { cache_gaps: self.prefixes.gaps(), ..self.counters },
+            running: self.calls.values().filter(|record| record.slot.is_some()).count(),
+            waiting: waiting.collect(),
+            length_groups: self.lengths.len(),
+            runners: runners.collect(),
+            decisions: self.decisions.to_vec(),
+        }
+    }
+
+    fn summarize(&self, view: &RunnerView) -> RunnerSummary {
+        RunnerSummary {
+            calls: view.corrected_calls(),
+            own_calls: view.own.len(),
+            used_share: view.memory_tokens().map(|memory| view.used_tokens() / memory),
+            report_age: self.now.since(view.reported),
+            leaving: view.leaving,
+            ejected_for: view.health.ejected_until.since(self.now),
+        }
     }
 
     fn take_members(&mut self, service: &ServiceName, members: Vec<RouteMember>) {
+        let entry = format!("{}/{}", self.settings.place, self.settings.seed);
+        let members = match self.settings.policy {
+            PolicyName::Product => subset::choose(&entry, &self.settings.place, members),
+            _ => members,
+        };
         let mut slots = Vec::with_capacity(members.len());
         for member in members {
             let next = self.runners.len();
@@ -83,57 +137,147 @@
             self.runners[slot].leaving = member.leaving;
             slots.push(slot);
         }
-        self.services.entry(service.clone()).or_default().slots = slots;
-    }
-
-    fn arrive(&mut self, now: TimePoint, call: RouteCall) -> Vec<RouteAction> {
-        let id = call.call;
-        let view = self.services.entry(call.service.clone()).or_default();
-        let serves = |slot: &usize| self.runners[*slot].serves(call.model.as_ref());
-        let open: Vec<usize> = view.slots.iter().copied().filter(serves).collect();
-        let policy = self.settings.policy;
-        let chosen =
-            baseline::choose(policy, &self.runners, &open, &mut view.turn, &mut self.random);
-        self.calls.insert(id, CallRecord::new(now, call));
-        match chosen {
-            Some(slot) => vec![self.send(now, id, slot)],
-            None => vec![self.refuse(id, RefusalReason::NoRunner, DEFAULT_COME_BACK)],
+        let view = self.services.entry(service.clone()).or_default();
+        for &gone in view.slots.iter().filter(|slot| !slots.contains(slot)) {
+            self.runners[gone].forget_report();
+            self.prefixes.forget(gone);
         }
-    }
-
-    fn send(&mut self, now: TimePoint, call: CallId, slot: usize) -> RouteAction {
-        let runner = self.runners[slot].runner.clone();
-        let mut attempt = 0;
-        if let Some(record) = self.calls.get_mut(&call) {
-            attempt = record.attempt;
-            record.attempt += 1;
-            record.slot = Some(slot);
-            self.runners[slot].sent(now, call, record.context());
+        let used = || slots.iter().map(|slot| &self.runners[*slot]);
+        view.reported_calls = used().map(RunnerView::reported_calls).sum();
+        view.own_calls = used().map(|runner| runner.own.len() as u32).sum();
+        view.own_forecast = MemoryForecast::default();
+        used().for_each(|runner| view.own_forecast += runner.own_forecast);
+        for &slot in &slots {
+            self.runners[slot].service = Some(service.clone());
         }
-        RouteAction::Send { call, runner, attempt: AttemptNumber(attempt) }
+        view.slots = slots;
     }
 
-    fn refuse(&mut self, call: CallId, reason: RefusalReason, come_back: TimeSpan) -> RouteAction {
-        self.calls.remove(&call);
-        RouteAction::Refuse { call, reason, come_back }
+    fn take_report(&mut self, now: TimePoint, report: RunnerReport) {
+        let Some(&slot) = self.slots.get(&report.runner) else {
+            return;
+        };
+        let step = report.step;
+        let busy = report.running > 0;
+        let before = self.runners[slot].reported_calls();
+        let incarnation = self.runners[slot].incarnation();
+        if !self.runners[slot].take_report(now, report) {
+            return;
+        }
+        if incarnation != self.runners[slot].incarnation() {
+            self.prefixes.forget(slot);
+        }
+        if self.settings.policy != PolicyName::Product {
+            return;
+        }
+        self.runners[slot].ticket = self.random.random();
+        self.refresh_forecast(now, slot, step);
+        let calls = self.runners[slot].reported_calls();
+        let Some(view) = self.service_of(slot) else {
+            return;
+        };
+        view.observe_calls(before, calls);
+        view.observe_step(now, step);
+        let average = view.step_micros;
+        if busy {
+            self.runners[slot].health.take_step(now, step, average);
+        }
     }
 
     fn end(&mut self, now: TimePoint, call: CallId, end: CallEnd) {
         let Some(record) = self.calls.remove(&call) else {
             return;
         };
-        if let Some(slot) = record.slot {
-            self.runners[slot].ended(now, call, record.context());
+        self.deadlines.remove(&(record.call.deadline, call));
+        let name = (record.call.service.clone(), record.call.model.clone());
+        if let Some(queue) = self.queues.get_mut(&name) {
+            queue.remove(call);
+        }
+        let Some(slot) = record.slot else {
+            return;
+        };
+        let runner = &mut self.runners[slot];
+        runner.ended(now, call, record.context());
+        runner.own_forecast -= record.forecast;
+        match end {
+            CallEnd::Finished => {
+                runner.health.take_success();
+                self.counters.finished += 1;
+            }
+            CallEnd::Refused | CallEnd::Failed => {
+                runner.health.take_failure(now);
+                self.counters.failed += 1;
+            }
+            CallEnd::Left => (),
+        }
+        if let Some(view) = self.services.get_mut(&record.call.service) {
+            view.own_forecast -= record.forecast;
+            view.own_calls = view.own_calls.saturating_sub(1);
         }
         if end != CallEnd::Refused {
             let whole = end == CallEnd::Finished;
             self.lengths.observe(&record.call, record.call.produced.0, whole);
         }
     }
-}
 
-/// Whether a policy holds calls at the entry.
-#[must_use]
-pub fn holds_calls(policy: PolicyName) -> bool {
-    policy == PolicyName::Product
+    /// Goes on without reports: the load of other entries is taken to be like this
+    /// entry's own, spread evenly.
+    fn refresh_unreported(&mut self, now: TimePoint) {
+        if self.settings.policy != PolicyName::Product {
+            return;
+        }
+        for slot in 0..self.runners.len() {
+            let runner = &self.runners[slot];
+            let late = now.since(runner.received) > UNREPORTED_SPAN && runner.report.is_some();
+            if !late || now.since(runner.refreshed) < REFRESH_PERIOD {
+                continue;
+            }
+            let step = runner.report.as_ref().map_or(TimeSpan::default(), |report| report.step);
+            self.refresh_forecast(now, slot, step);
+            let Some(view) = self.service_of(slot) else {
+                continue;
+            };
+            let own_tokens = view.own_forecast.mean[0] / view.slots.len().max(1) as f64;
+            let other_tokens = (view.entry_factor - 1.0) * own_tokens;
+            let ticket = self.random.random();
+            let runner = &mut self.runners[slot];
+            runner.other_tokens = other_tokens;
+            runner.ticket = ticket;
+            runner.sent_calls = 0;
+        }
+    }
+
+    fn service_of(&mut self, slot: usize) -> Option<&mut ServiceView> {
+        self.services.get_mut(self.runners[slot].service.as_ref()?)
+    }
+
+    /// Computes what the calls of this entry at a runner will need, and what the calls of
+    /// others held when it reported.
+    fn refresh_forecast(&mut self, now: TimePoint, slot: usize, step: TimeSpan) {
+        let reported = self.runners[slot].reported;
+        let steps_since = now.since(reported).0.checked_div(step.0).unwrap_or(0) as u32;
+        let mut own_tokens = 0.0;
+        let mut forecast = MemoryForecast::default();
+        for call in &self.runners[slot].own {
+            let Some(record) = self.calls.get_mut(call) else {
+                continue;
+            };
+            let alive = self.lengths.alive(&record.call, record.call.produced.0);
+            record.forecast = MemoryForecast::of_generation(record.context(), alive);
+            forecast += record.forecast;
+            if record.sent <= reported {
+                let since = steps_since.min(record.call.produced.0);
+                own_tokens += f64::from(record.context() - since);
+            }
+        }
+        let runner = &mut self.runners[slot];
+        runner.refreshed = now;
+        let before = std::mem::replace(&mut runner.own_forecast, forecast);
+        let known = own_tokens + runner.freed_tokens() as f64;
+        runner.other_tokens = (runner.used_tokens() - known).max(0.0);
+        if let Some(view) = self.service_of(slot) {
+            view.own_forecast -= before;
+            view.own_forecast += forecast;
+        }
+    }
 }
--- /dev/null
+++ b/crates/route/src/wait_queue.rs
@@ -0,0 +1,133 @@
+//! Calls that wait at the entry: by priority, then by fair share among workspaces
+//! (self-clocked fair queueing; Golestani, 1994).
+
+use std::collections::BTreeMap;
+
+use base::prelude::*;
+use config::CallPriority;
+
+use crate::CallId;
+
+/// Place of a call in a queue.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct WaitTag {
+    priority: CallPriority,
+    finish: u64,
+    call: CallId,
+}
+
+/// A call that waits and the work that it stands for.
+#[derive(Debug, Clone, Copy)]
+struct WaitingCall {
+    tag: WaitTag,
+    work: u64,
+}
+
+/// The queue of one service and model.
+#[derive(Debug, Default)]
+pub struct WaitQueue {
+    order: BTreeMap<WaitTag, CallId>,
+    waiting: BTreeMap<CallId, WaitingCall>,
+    last_finish: BTreeMap<(CallPriority, WorkspaceId), u64>,
+    clock: BTreeMap<CallPriority, u64>,
+    work: BTreeMap<CallPriority, u64>,
+    sent_work: u64,
+    sent_since: TimePoint,
+    rate: Option<f64>,
+}
+
+/// Time over which the rate of sending is counted.
+const RATE_PERIOD: TimeSpan = TimeSpan::seconds(2);
+/// Weight of the newest period in the averaged rate.
+const RATE_WEIGHT: f64 = 0.3;
+
+impl WaitQueue {
+    /// Puts a call in that stands for `work` tokens; its workspace has `share`.
+    pub fn push(
+        &mut self,
+        call: CallId,
+        priority: CallPriority,
+        workspace: &WorkspaceId,
+        work: u64,
+        share: u32,
+    ) {
+        let clock = self.clock.get(&priority).copied().unwrap_or(0);
+        let last = self.last_finish.entry((priority, workspace.clone())).or_default();
+        let finish = clock.max(*last) + work.max(1) / u64::from(share.max(1)) + 1;
+        *last = finish;
+        let tag = WaitTag { priority, finish, call };
+        self.order.insert(tag, call);
+        self.waiting.insert(call, WaitingCall { tag, work });
+        *self.work.entry(priority).or_default() += work;
+    }
+
+    /// The call whose turn it is.
+    #[must_use]
+    pub fn first(&self) -> Option<CallId> {
+        self.order.first_key_value().map(|(_, call)| *call)
+    }
+
+    /// Takes a call out, whether its turn has come or not.
+    pub fn remove(&mut self, call: CallId) -> bool {
+        let Some(waiting) = self.waiting.remove(&call) else {
+            return false;
+        };
+        let priority = waiting.tag.priority;
+        self.order.remove(&waiting.tag);
+        let clock = self.clock.entry(priority).or_default();
+        *clock = (*clock).max(waiting.tag.finish);
+        let work = self.work.entry(priority).or_default();
+        *work = work.saturating_sub(waiting.work);
+        if self.order.is_empty() {
+            self.last_finish.clear();
+            self.clock.clear();
+        }
+        true
+    }
+
+    /// Takes a call out that is sent now; its work counts for the rate of sending.
+    pub fn take(&mut self, now: TimePoint, call: CallId) {
+        self.sent_work += self.waiting.get(&call).map_or(0, |waiting| waiting.work);
+        let period = now.since(self.sent_since);
+        if period >= RATE_PERIOD {
+            let rate = self.sent_work as f64 / period.as_seconds();
+            let before = self.rate.unwrap_or(rate);
+            self.rate = Some(before + RATE_WEIGHT * (rate - before));
+            self.sent_work = 0;
+            self.sent_since = now;
+        }
+        self.remove(call);
+    }
+
+    /// Forecast wait of a call of this priority that arrives now; zero while nothing is
+    /// known about the rate of sending.
+    #[must_use]
+    pub fn wait(&self, priority: CallPriority) -> TimeSpan {
+        let ahead = self.work_ahead(priority) as f64;
+        let seconds = self.rate.filter(|rate| *rate > 0.0).map_or(0.0, |rate| ahead / rate);
+        TimeSpan::micros((seconds * 1e6) as u64)
+    }
+
+    /// All waiting calls in order.
+    pub fn calls(&self) -> impl Iterator<Item = CallId> + '_ {
+        self.order.values().copied()
+    }
+
+    /// Work that waits and is at least as urgent as `priority`, in tokens.
+    #[must_use]
+    pub fn work_ahead(&self, priority: CallPriority) -> u64 {
+        self.work.range(..=priority).map(|(_, work)| *work).sum()
+    }
+
+    /// Number of waiting calls.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.order.len()
+    }
+
+    /// Whether nothing waits.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.order.is_empty()
+    }
+}
