Tell a machine that comes back that it was missed

A paused machine's neighbours had spread it as down; when they heard it again they did not tell it, so that it did not refute, and far machines kept it out for good (plain loop of 100 machines: not back after 60 rounds). The test fleet had hidden this by letting time pass at paused desks; it no longer does, and failed so before the mending.

--- a/crates/peers/src/fleet_digest.rs
+++ b/crates/peers/src/fleet_digest.rs
@@ -97,6 +97,8 @@
         known.config_offset = digest.config_offset;
         let mut changed = !known.live;
         known.live = true;
+        // It was told to others as down: only its own next record takes that back.
+        known.accused |= known.down;
         // A digest with a gap before it leaves the position, so that it is asked for again.
         if digest.above <= known.seen.change {
             known.seen.change = known.seen.change.max(digest.until.change);
--- a/crates/peers/tests/fleet/scale.rs
+++ b/crates/peers/tests/fleet/scale.rs
@@ -121,3 +121,13 @@
     }
     polls
 }
+
+#[test]
+fn a_paused_machine_comes_back_to_everybody() {
+    for paused in [0, 7, 31, 59] {
+        let mut fleet = TestFleet::new(NODES, 0);
+        rounds_until(&mut fleet, &[]);
+        rounds_until(&mut fleet, &[paused]);
+        rounds_until(&mut fleet, &[]);
+    }
+}
--- a/crates/peers/tests/fleet/test_fleet.rs
+++ b/crates/peers/tests/fleet/test_fleet.rs
@@ -156,7 +156,9 @@
         self.advance(PERIOD);
         let live: Vec<usize> = (0..self.desks.len()).filter(|at| !dead.contains(at)).collect();
         self.speak(&live);
-        self.tick();
+        for &at in &live {
+            self.desks[at].tick(self.now);
+        }
         let mut exchanges = 0;
         for &at in &live {
             for (peer, _) in self.desks[at].due_peers(self.now) {
