Do not take an own pause for the silence of others

A steward that was paused found every peer and entry silent when it woke: it dropped its own entries and, in a large fleet, spread its neighbours as down, which they then had to refute. A gap of 2 s between two ticks now moves what was heard forward by the gap.

--- a/crates/peers/src/fleet_desk.rs
+++ b/crates/peers/src/fleet_desk.rs
@@ -17,6 +17,8 @@
 /// Silence of the platform and all peers after which this machine is cut off.
 pub const CUT_OFF_SILENCE: TimeSpan = TimeSpan::seconds(5);
 
+/// Time between two ticks from which this process counts as paused.
+const PAUSE_LIMIT: TimeSpan = TimeSpan::seconds(2);
 /// Time for which a machine that left the list is remembered.
 const GONE_MEMORY: TimeSpan = TimeSpan::seconds(900);
 
@@ -68,6 +70,7 @@
     pub(crate) started: TimePoint,
     pub(crate) listed: bool,
     own_line: Option<VmState>,
+    ticked: Option<TimePoint>,
 }
 
 impl FleetDesk {
@@ -106,6 +109,7 @@
             started: now,
             listed: false,
             own_line: None,
+            ticked: None,
             entry_figures: BTreeMap::new(),
             config_offset: LogOffset::default(),
         }
@@ -194,6 +198,7 @@
 
     /// Lets silent entries and peers drop out, and judges whether this machine is cut off.
     pub fn tick(&mut self, now: TimePoint) {
+        self.excuse_pause(now);
         self.drop_silent_entries(now);
         self.refresh_circle();
         self.refresh_duty();
@@ -318,6 +323,20 @@
         self.own_line = Some(state);
     }
 
+    /// A pause of this process is no silence of the others.
+    fn excuse_pause(&mut self, now: TimePoint) {
+        let pause = now.since(self.ticked.unwrap_or(now));
+        self.ticked = Some(now);
+        if pause < PAUSE_LIMIT {
+            return;
+        }
+        let peers = self.nodes.values_mut().filter_map(|node| node.heard.as_mut());
+        let heard = peers.chain(self.entry_heard.values_mut()).chain(&mut self.platform_heard);
+        for at in heard {
+            *at = (*at + pause).min(now);
+        }
+    }
+
     /// Judges who is live; in a large fleet, a neighbour's silence is news for the others.
     fn judge_live(&mut self, now: TimePoint) -> bool {
         let mut changed = false;
--- a/crates/peers/tests/fleet/test_fleet.rs
+++ b/crates/peers/tests/fleet/test_fleet.rs
@@ -108,6 +108,15 @@
         self.now = self.now + span;
     }
 
+    /// Time passes while the stewards run.
+    pub fn pass(&mut self, span: TimeSpan) {
+        let end = self.now + span;
+        while self.now < end {
+            self.now = end.min(self.now + TimeSpan::millis(500));
+            self.tick();
+        }
+    }
+
     pub fn tick(&mut self) {
         self.desks.iter_mut().for_each(|desk| desk.tick(self.now));
     }
