--- a/crates/route/src/service_view.rs
+++ b/crates/route/src/service_view.rs
@@ -5,6 +5,15 @@
 
 use crate::MemoryForecast;
 
+/// Highest number of entries that are taken to share the runners.
+const ENTRY_FACTOR_LIMIT: f64 = 64.0;
+
+/// Weight of the newest report in the averaged step time.
+const STEP_WEIGHT: f64 = 0.02;
+
+/// Weight of the newest report in the averaged factor.
+const ENTRY_FACTOR_WEIGHT: f64 = 0.02;
+
 /// What is known about a service.
 #[derive(Debug)]
 pub struct ServiceView {
@@ -20,8 +29,17 @@
     pub turn: usize,
     /// Forecast of this entry's calls at all its runners.
     pub own_forecast: MemoryForecast,
-    /// Calls at the runners for each one of this entry, averaged over time.
+    /// Calls at all its runners, as last reported.
+    pub reported_calls: u32,
+    /// Calls of this entry at all its runners.
+    pub own_calls: u32,
+    /// Calls at the runners for each one of this entry, averaged over time: as many
+    /// entries seem to share the runners.
     pub entry_factor: f64,
+    /// Step time of its runners, in microseconds, averaged.
+    pub step_micros: f64,
+    /// When the newest report of any of its runners arrived.
+    pub received: TimePoint,
 }
 
 impl Default for ServiceView {
@@ -33,7 +51,11 @@
             slots: Vec::new(),
             turn: 0,
             own_forecast: MemoryForecast::default(),
+            reported_calls: 0,
+            own_calls: 0,
             entry_factor: 1.0,
+            step_micros: 0.0,
+            received: TimePoint::default(),
         }
     }
 }
@@ -46,6 +68,24 @@
         found.map_or(1, |(_, share)| *share)
     }
 
+    /// Takes a changed count of reported calls.
+    pub fn observe_calls(&mut self, before: u32, now: u32) {
+        self.reported_calls = (self.reported_calls + now).saturating_sub(before);
+        let factor = f64::from(self.reported_calls) / f64::from(self.own_calls.max(1));
+        let factor = factor.clamp(1.0, ENTRY_FACTOR_LIMIT);
+        self.entry_factor += ENTRY_FACTOR_WEIGHT * (factor - self.entry_factor);
+    }
+
+    /// Takes the step time of a report that arrived now.
+    pub fn observe_step(&mut self, now: TimePoint, step: TimeSpan) {
+        self.received = now;
+        let step = step.0 as f64;
+        if self.step_micros <= 0.0 {
+            self.step_micros = step;
+        }
+        self.step_micros += STEP_WEIGHT * (step - self.step_micros);
+    }
+
     /// What load of other entries, now of `tokens`, will need: it grows as this entry's
     /// own load does.
     #[must_use]
