--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -21,7 +21,7 @@
 pub use mac::{KeyId, MacError, SigningKey, SigningKeys};
 pub use numbers::*;
 pub use outcome::{CallOutcome, RefusalReason};
-pub use prefix::prompt_prefix_hash;
+pub use prefix::{PROMPT_PREFIX_BYTES, prompt_prefix_hash};
 pub use rendezvous::{rendezvous_order, rendezvous_score};
 pub use report::{CacheEvent, RunnerReport};
 pub use time::{TimePoint, TimeSpan};
--- a/crates/base/src/prefix.rs
+++ b/crates/base/src/prefix.rs
@@ -3,10 +3,10 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Start of a prompt that is hashed, in bytes.
-const PREFIX_BYTES: usize = 256;
+pub const PROMPT_PREFIX_BYTES: usize = 256;
 
 /// Hash of a prompt's start, as it stands in cache events.
 #[must_use]
 pub fn prompt_prefix_hash(prompt: &str) -> u64 {
-    xxh3_64(&prompt.as_bytes()[..prompt.len().min(PREFIX_BYTES)])
+    xxh3_64(&prompt.as_bytes()[..prompt.len().min(PROMPT_PREFIX_BYTES)])
 }
--- a/crates/fakes/src/engine_server/engine_loop.rs
+++ b/crates/fakes/src/engine_server/engine_loop.rs
@@ -10,10 +10,6 @@
 
 /// How often a report is taken.
 const REPORT_PERIOD: TimeSpan = TimeSpan::millis(10);
-/// How long a generation goes on without a reader.
-const READER_GRACE: TimeSpan = TimeSpan::seconds(10);
-/// How long the tokens of an ended attempt can be read.
-const KEEP_SPAN: TimeSpan = TimeSpan::seconds(30);
 /// How far steps may run behind the clock before they skip ahead.
 const CATCH_UP_LIMIT: TimeSpan = TimeSpan::millis(100);
 
@@ -75,10 +71,12 @@
     for track in tracks {
         let (end, since) = track.end.get();
         if end != TrackEnd::Running {
-            if now.since(since) > KEEP_SPAN && track.readers.get() == 0 {
+            if now.since(since) > engine.settings.keep_span && track.readers.get() == 0 {
                 engine.tracks.borrow_mut().remove(&track.key);
             }
-        } else if track.readers.get() == 0 && now.since(track.reader_left.get()) > READER_GRACE {
+        } else if track.readers.get() == 0
+            && now.since(track.reader_left.get()) > engine.settings.reader_grace
+        {
             engine.drop_track(&track, |attempt| attempt.abandoned = true);
         }
     }
--- a/crates/fakes/src/engine_server/prompt_spec.rs
+++ b/crates/fakes/src/engine_server/prompt_spec.rs
@@ -1,6 +1,6 @@
 //! What a prompt asks for: its size, the hidden length of its output, and its tag.
 
-use base::{TokenCount, prompt_prefix_hash};
+use base::{PROMPT_PREFIX_BYTES, TokenCount, prompt_prefix_hash};
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Bytes of text that count as one token.
@@ -9,8 +9,6 @@
 const LEAST_LENGTH: u32 = 16;
 /// Number of different lengths of prompts that state none.
 const LENGTH_SPREAD: u64 = 240;
-/// Size of the shared start of a prompt, in bytes, as `base::prompt_prefix_hash` takes it.
-const PREFIX_BYTES: usize = 256;
 
 /// A prompt as the stand-in reads it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -37,7 +35,7 @@
         let prompt_tokens = read_mark(prompt, "[[prompt ").unwrap_or(text_tokens).max(1);
         let text_length = LEAST_LENGTH + (hash % LENGTH_SPREAD) as u32;
         let length = read_mark(prompt, "[[length ").unwrap_or(text_length).max(1);
-        let shared = prompt.len().min(PREFIX_BYTES) as u64;
+        let shared = prompt.len().min(PROMPT_PREFIX_BYTES) as u64;
         let prefix_tokens = u64::from(prompt_tokens) * shared / prompt.len().max(1) as u64;
         Self {
             prompt_tokens: TokenCount(prompt_tokens),
--- a/crates/fakes/src/engine_server/server_settings.rs
+++ b/crates/fakes/src/engine_server/server_settings.rs
@@ -33,6 +33,10 @@
     pub waiting_limit: usize,
     /// Where weights come from; none: models load at once.
     pub weights: Option<SocketAddr>,
+    /// How long a generation goes on without a reader.
+    pub reader_grace: TimeSpan,
+    /// How long the tokens of an ended attempt can be read.
+    pub keep_span: TimeSpan,
     /// It is leaving from the start.
     pub leaving: bool,
 }
@@ -54,6 +58,8 @@
             cache_event_loss: 0.0,
             waiting_limit: 4_096,
             weights: None,
+            reader_grace: TimeSpan::seconds(10),
+            keep_span: TimeSpan::seconds(30),
             leaving: false,
         }
     }
--- a/crates/fakes/tests/engine_fake.rs
+++ b/crates/fakes/tests/engine_fake.rs
@@ -130,6 +130,27 @@
     });
 }
 
+#[test]
+fn a_generation_that_nobody_reads_is_abandoned_and_forgotten() {
+    run(async {
+        let grace = TimeSpan::millis(50);
+        let hasty = ServerSettings { reader_grace: grace, keep_span: grace, ..settings() };
+        let engine = start_engine(hasty).await;
+        let mut reader = open(&engine, Method::POST, COMPLETIONS, &body("a1", 9_000, &[])).await;
+        reader.next().await.unwrap().unwrap();
+        drop(reader);
+        let abandoned = async || {
+            let attempt = stats(&engine).await.generations["00000000000000a1"][&0];
+            attempt.abandoned.then_some(attempt)
+        };
+        assert!(!wait_for(abandoned).await.finished);
+        let path = "/v1/generations/a1/0?from=0";
+        let read = || web::fetch("read", Method::GET, engine.address(), path, "".into(), LIMIT);
+        let forgotten = async || read().await.err();
+        assert_eq!(status(Err(wait_for(forgotten).await)), 404);
+    });
+}
+
 #[test]
 fn a_continuation_keeps_the_nonce_and_the_indexes() {
     run(async {
--- a/crates/load/src/traffic/completion_text.rs
+++ b/crates/load/src/traffic/completion_text.rs
@@ -1,14 +1,12 @@
 //! Prompts whose hidden lengths the stand-in of an engine knows.
 
+use base::PROMPT_PREFIX_BYTES;
 use rand::RngExt;
 use rand::rngs::StdRng;
 use serde_json::json;
 
 use crate::traffic::{MixClass, TokenCheck};
 
-/// Size of the shared start of prompts, in bytes.
-const PREFIX_BYTES: usize = 256;
-
 /// One request for a generation.
 pub struct CompletionText {
     /// Its JSON body.
@@ -25,8 +23,9 @@
         let prompt_tokens = random.random_range(least..=greatest);
         let length = draw_length(class.length, random);
         let start = format!("{} dossier {prefix} ", class.name);
-        let prompt =
-            format!("{start:.<PREFIX_BYTES$}[[prompt {prompt_tokens}]] [[length {length}]] {call}");
+        let prompt = format!(
+            "{start:.<PROMPT_PREFIX_BYTES$}[[prompt {prompt_tokens}]] [[length {length}]] {call}"
+        );
         let check = TokenCheck::new(&prompt, length.min(class.max_tokens));
         let mut body = json!({
             "model": class.model,
