--- a/crates/peers/src/endpoint.rs
+++ b/crates/peers/src/endpoint.rs
@@ -14,7 +14,7 @@
 
 use crate::envelope::{MAX_MESSAGE_BYTES, decode_message, encode_message};
 use crate::limits::{CONFIRM_LIMIT, transport_config};
-use crate::link::{CLOSE_CODE, LinkTable, LinkUse};
+use crate::link::{CLOSE_CODE, LinkTable, LinkUse, PeerTraffic};
 use crate::stream::read_message;
 use crate::{PeerError, PeerKeys, PeerReply, PeerRequest, RejectReason, Result};
 
@@ -55,7 +55,7 @@
         client.transport_config(transport);
         let bind_error = |source| PeerError::Bind { address, source };
         let socket = UdpSocket::bind(address).await.map_err(bind_error)?;
-        let config = keys.restart_key().endpoint_config();
+        let config = keys.restart_key(address).endpoint_config();
         let endpoint = Endpoint::new(socket, config, Some(server), None).map_err(bind_error)?;
         let address = endpoint.local_addr().map_err(bind_error)?;
         let links = LinkTable::new(endpoint.clone(), client);
@@ -75,6 +75,12 @@
         self.inner.links.len()
     }
 
+    /// What the kept connections have carried.
+    #[must_use]
+    pub fn traffic(&self) -> PeerTraffic {
+        self.inner.links.traffic()
+    }
+
     /// Connections that peers opened.
     #[must_use]
     pub fn connections(&self) -> usize {
