--- a/crates/load/src/policy/bench_call.rs
+++ b/crates/load/src/policy/bench_call.rs
@@ -2,10 +2,19 @@
 
 use base::prelude::*;
 use rand::{RngExt, SeedableRng, rngs::StdRng};
+use route::CallId;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::policy::{Workload, call_class::open_uniform};
 
+/// Low bits of a call number that hold the index of the call.
+pub(crate) const INDEX_BITS: u32 = 32;
+
+/// Index of a call among the run's calls.
+pub(crate) fn call_index(call: CallId) -> usize {
+    (call.0 & ((1 << INDEX_BITS) - 1)) as usize
+}
+
 /// One call as its caller makes it.
 #[derive(Debug, Clone)]
 pub struct BenchCall {
--- a/crates/load/src/policy/oracle_desk.rs
+++ b/crates/load/src/policy/oracle_desk.rs
@@ -6,7 +6,7 @@
 use config::CallPriority;
 use route::{CallId, RouteAction, RouteCall, RouteEvent};
 
-use crate::policy::{BenchCall, Workload, bench_desk::runner_id, simulation::call_index};
+use crate::policy::{BenchCall, Workload, bench_call::call_index, bench_desk::runner_id};
 
 /// Load by which a cached prefix makes a runner look lighter, in generations.
 const PREFIX_BONUS: f64 = 2.0;
--- a/crates/load/src/policy/simulation.rs
+++ b/crates/load/src/policy/simulation.rs
@@ -7,6 +7,7 @@
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use route::{CallEnd, CallId, RouteAction, RouteCall, RouteEvent};
 
+use crate::policy::bench_call::{INDEX_BITS, call_index};
 use crate::policy::bench_desk::{runner_id, runner_number};
 use crate::policy::{
     ArrivalPlan, BenchCall, BenchDesk, BenchMeasures, BenchSettings, FaultName, PolicyFigures,
@@ -18,13 +19,6 @@
 const CACHE_EVENT_LOSS: f64 = 0.05;
 const COME_BACKS: u32 = 3;
 const BURST_FACTOR: f64 = 2.0;
-/// Low bits of a call number that hold the index of the call.
-const INDEX_BITS: u32 = 32;
-
-/// Index of a call among the run's calls.
-pub(crate) fn call_index(call: CallId) -> usize {
-    (call.0 & ((1 << INDEX_BITS) - 1)) as usize
-}
 
 /// What the caller's side knows of a call.
 #[derive(Debug, Clone, Default)]
