--- a/crates/route/src/length_table.rs
+++ b/crates/route/src/length_table.rs
@@ -11,6 +11,9 @@
 /// Observations below which the next wider group is asked.
 const ENOUGH_OBSERVATIONS: f64 = 40.0;
 
+/// Groups kept, of about 2 KB each; further workspaces use the wider groups.
+const GROUP_LIMIT: usize = 8_192;
+
 /// A group of generations whose lengths are alike; a part that is none stands for all.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 struct LengthGroup {
@@ -61,6 +64,10 @@
     /// A call ended by itself after `tokens`, or was cut there.
     pub fn observe(&mut self, call: &RouteCall, tokens: u32, whole: bool) {
         for group in groups(call) {
+            let is_full = self.estimates.len() >= GROUP_LIMIT && group.workspace.is_some();
+            if is_full && !self.estimates.contains_key(&group) {
+                continue;
+            }
             let estimate = self.estimates.entry(group).or_default();
             if whole {
                 estimate.observe_end(tokens);
--- a/crates/route/tests/common/mod.rs
+++ b/crates/route/tests/common/mod.rs
@@ -1,5 +1,7 @@
 //! A desk with a clock, for the tests.
 
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
 use base::prelude::*;
 use config::{CallPriority, PolicyWeights, ServiceKind};
 use route::{
--- a/crates/route/tests/estimates.rs
+++ b/crates/route/tests/estimates.rs
@@ -1,8 +1,11 @@
 //! Length estimates, memory forecasts and the order of the queue.
 
+mod common;
+
 use base::prelude::*;
+use common::call;
 use config::CallPriority;
-use route::{CallId, LengthEstimate, MemoryForecast, WaitQueue};
+use route::{CallId, LengthEstimate, LengthTable, MemoryForecast, WaitQueue};
 
 #[test]
 fn unfinished_generations_count_as_at_least_their_length() {
@@ -68,3 +71,16 @@
     }
     assert_eq!(of_large, 40);
 }
+
+#[test]
+fn estimates_of_many_workspaces_stay_bounded_and_back_off() {
+    let mut table = LengthTable::default();
+    for number in 0..10_000 {
+        let mut call = call(number, CallPriority::Normal);
+        call.workspace = format!("workspace-{number}").parse().unwrap();
+        table.observe(&call, 100, true);
+    }
+    assert!(table.len() <= 8_194, "{}", table.len());
+    let late = call(1, CallPriority::Normal);
+    assert!(table.estimate(&late).survival(200) < 0.1);
+}
