--- a/crates/load/tests/policy_bounds.rs
+++ b/crates/load/tests/policy_bounds.rs
@@ -6,7 +6,8 @@
 };
 use route::PolicyName;
 
-const SEEDS: std::ops::RangeInclusive<u64> = 1..=5;
+const SEEDS: std::ops::RangeInclusive<u64> = 1..=10;
+const FAULT_SEEDS: std::ops::RangeInclusive<u64> = 1..=5;
 const THREADS: usize = 3;
 const PRODUCT: BenchPolicy = BenchPolicy::Desk(PolicyName::Product);
 const FIRST_TOKEN_MILLIS: f64 = 750.0;
@@ -21,11 +22,12 @@
         name: WorkloadName,
         policies: &[BenchPolicy],
         load: f64,
+        seeds: std::ops::RangeInclusive<u64>,
         change: impl Fn(&mut BenchSettings),
     ) -> Self {
         let mut all = Vec::new();
         for &policy in policies {
-            for seed in SEEDS {
+            for seed in seeds.clone() {
                 let mut settings = BenchSettings::new(Workload::new(name), policy, seed, load);
                 change(&mut settings);
                 all.push(settings);
@@ -37,7 +39,7 @@
     }
 
     fn plain(name: WorkloadName, policies: &[BenchPolicy], load: f64) -> Self {
-        Self::new(name, policies, load, |_| ())
+        Self::new(name, policies, load, SEEDS, |_| ())
     }
 
     fn product(&self, read: &dyn Fn(&PolicyFigures) -> f64) -> f64 {
@@ -62,7 +64,7 @@
 fn median(figures: &[PolicyFigures], read: &dyn Fn(&PolicyFigures) -> f64) -> f64 {
     let mut values: Vec<f64> = figures.iter().map(read).collect();
     values.sort_by(f64::total_cmp);
-    values[values.len() / 2]
+    values[values.len() / 2].midpoint(values[(values.len() - 1) / 2])
 }
 
 fn deskside() -> Vec<BenchPolicy> {
@@ -78,7 +80,7 @@
         assert!(product <= SLACK * best, "first token p95, class {class}: {product} / {best}");
         let missed = move |f: &PolicyFigures| f.classes[class].miss_share;
         let (product, best) = (runs.product(&missed), runs.least(&missed));
-        assert!(product <= SLACK * best + 0.001, "misses of class {class}: {product} / {best}");
+        assert!(product <= SLACK * best, "misses of class {class}: {product} / {best}");
     }
     let (product, best) = (runs.product(&|f| f.goodput), runs.most(&|f| f.goodput));
     assert!(product >= best / SLACK, "goodput {product} / {best}");
@@ -103,10 +105,15 @@
     let runs = PolicyRuns::plain(WorkloadName::Harmattan, &deskside(), 0.9);
     let (product, best) = (runs.product(&|f| f.stall_seconds), runs.least(&|f| f.stall_seconds));
     assert!(product <= 0.5 * best, "stall {product} / {best} s");
-    assert_nothing_is_worse(&runs, 3);
     assert_targets_of_the_letter(&runs);
 }
 
+#[test]
+fn harmattan_has_no_class_that_is_worse_off() {
+    let runs = PolicyRuns::plain(WorkloadName::Harmattan, &deskside(), 0.9);
+    assert_nothing_is_worse(&runs, 3);
+}
+
 /// The target is half of the best simple rule's.
 #[test]
 fn harmattan_gap_p99_is_half_of_the_best_simple_rules() {
@@ -141,7 +148,7 @@
     ];
     for name in [WorkloadName::Cobbler, WorkloadName::Harmattan] {
         for fault in faults {
-            let runs = PolicyRuns::new(name, &[PRODUCT], 0.9, |settings| {
+            let runs = PolicyRuns::new(name, &[PRODUCT], 0.9, FAULT_SEEDS, |settings| {
                 settings.fault = fault;
                 settings.measure_seconds(100, 140);
             });
