--- a/crates/peers/src/fleet_digest.rs
+++ b/crates/peers/src/fleet_digest.rs
@@ -15,8 +15,11 @@
 const LONG_SILENCE: TimeSpan = TimeSpan::seconds(10);
 /// Time between two tries of a peer that is silent for long.
 const SILENT_PERIOD: TimeSpan = TimeSpan::seconds(5);
-/// Time between two full reconciles with one peer.
-pub const RECONCILE_PERIOD: TimeSpan = TimeSpan::seconds(60);
+/// Time between two full reconciles with one peer, in a fleet of up to
+/// [`RECONCILE_NODES`] machines.
+const RECONCILE_PERIOD: TimeSpan = TimeSpan::seconds(60);
+/// Machines up to which the period stays; each doubling adds one more.
+const RECONCILE_NODES: usize = 128;
 
 impl FleetDesk {
     /// Peers that should get a digest now; each is then not due for a period. Of each
@@ -155,6 +158,16 @@
         live.map(|node| (node.config_offset, node.steward)).max()
     }
 
+    /// Time between two full reconciles with one peer: they mend what was acknowledged but
+    /// lost. It grows with the fleet, as in Consul's anti-entropy ("Anti-Entropy
+    /// Enforcement", Consul documentation), since a full digest does.
+    #[must_use]
+    pub fn reconcile_period(&self) -> TimeSpan {
+        let nodes = self.nodes.len() + 1;
+        let doublings = nodes.div_ceil(RECONCILE_NODES).next_power_of_two().trailing_zeros();
+        TimeSpan(RECONCILE_PERIOD.0 * (1 + u64::from(doublings)))
+    }
+
     /// Peers with which this steward exchanges digests, and which are live.
     #[must_use]
     pub fn live_peers(&self) -> Vec<VmId> {
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -33,7 +33,6 @@
 pub use envelope::{MAX_MESSAGE_BYTES, MESSAGE_VERSION, decode_message, encode_message};
 pub use error::{PeerError, RejectReason, Result};
 pub use fleet_desk::{CUT_OFF_SILENCE, FleetDesk, FleetSelf};
-pub use fleet_digest::RECONCILE_PERIOD;
 pub use fleet_entries::ENTRY_SILENCE;
 pub use fleet_state::MemberState;
 pub use keys::{PeerKeys, TLS_NAME};
--- a/crates/peers/tests/fleet/desk.rs
+++ b/crates/peers/tests/fleet/desk.rs
@@ -289,6 +289,24 @@
     }
 }
 
+#[test]
+fn news_that_was_acknowledged_but_lost_comes_with_the_next_reconcile() {
+    let mut fleet = TestFleet::new(2, 0);
+    fleet.speak(&[0, 1]);
+    fleet.exchange(0, 1);
+    let mut leaving = entry_status(1, 1);
+    leaving.leaving = true;
+    fleet.desks[1].on_entry(fleet.now, &leaving);
+    let mut digest = fleet.desks[1].digest_for(fleet.now, &vm_id(0));
+    digest.nodes.clear();
+    fleet.desks[0].on_digest(fleet.now, digest);
+    fleet.exchange(0, 1);
+    assert_eq!(fleet.entries(0).len(), 2, "it was lost");
+    fleet.desks[0].reconcile(&vm_id(1));
+    fleet.exchange(0, 1);
+    assert_eq!(fleet.entries(0).len(), 1);
+}
+
 #[test]
 fn stewards_agree_after_any_losses() {
     for seed in 0..40 {
--- a/crates/steward/src/fleet_clock.rs
+++ b/crates/steward/src/fleet_clock.rs
@@ -3,7 +3,6 @@
 use std::rc::Rc;
 
 use base::TimeSpan;
-use peers::RECONCILE_PERIOD;
 
 use crate::context::StewardContext;
 
@@ -12,7 +11,9 @@
 
 /// Ticks until the process ends; asks one peer after the other for everything it knows.
 pub async fn run(context: Rc<StewardContext>) {
-    let mut next_reconcile = context.now() + RECONCILE_PERIOD;
+    // A random start and one peer after the other: full digests do not come together.
+    let period = context.look(peers::FleetDesk::reconcile_period);
+    let mut next_reconcile = context.now() + TimeSpan(rand::random_range(0..period.0));
     let mut turn = 0;
     loop {
         context.change(peers::FleetDesk::tick);
@@ -22,7 +23,8 @@
             let peer = &live[turn % live.len()];
             context.change(|desk, _| desk.reconcile(peer));
             turn += 1;
-            let pause = RECONCILE_PERIOD.0 / live.len() as u64;
+            let period = context.look(peers::FleetDesk::reconcile_period);
+            let pause = period.0 / live.len() as u64;
             next_reconcile = context.now() + TimeSpan(pause);
         }
         kernel::sleep(TICK.into()).await;
