--- a/crates/steward/src/runner_poll.rs
+++ b/crates/steward/src/runner_poll.rs
@@ -1,7 +1,7 @@
 //! Polls this steward's share of the runners: their load and their cache events.
 
 use std::cell::RefCell;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
 use base::CacheEvent;
@@ -15,6 +15,12 @@
 /// Time between two looks at an empty share.
 const IDLE_PAUSE: TimeSpan = TimeSpan::millis(50);
 
+/// Least time between two polls of a runner's cache events, which come late anyway.
+const CACHE_PERIOD: TimeSpan = TimeSpan::seconds(1);
+
+/// When each runner's cache events are polled next.
+type NextCaches = RefCell<BTreeMap<RunnerId, TimePoint>>;
+
 #[derive(Deserialize)]
 struct CacheAnswer {
     events: Vec<CacheEvent>,
@@ -23,6 +29,7 @@
 /// Polls until the process ends; the polls of a round are spread over its period.
 pub async fn run(context: Rc<StewardContext>) {
     let busy: Rc<RefCell<BTreeSet<RunnerId>>> = Rc::default();
+    let next_caches: Rc<NextCaches> = Rc::default();
     loop {
         let share = context.look(|desk| desk.polls(context.now()));
         context.counters.gauge("runners.polled", share.len() as u64);
@@ -34,8 +41,9 @@
         for due in share {
             if busy.borrow_mut().insert(due.runner.clone()) {
                 let (context, busy) = (Rc::clone(&context), Rc::clone(&busy));
+                let next_caches = Rc::clone(&next_caches);
                 kernel::spawn(async move {
-                    poll(&context, &due).await;
+                    poll(&context, &due, &next_caches).await;
                     busy.borrow_mut().remove(&due.runner);
                 })
                 .detach();
@@ -45,7 +53,7 @@
     }
 }
 
-async fn poll(context: &StewardContext, due: &DuePoll) {
+async fn poll(context: &StewardContext, due: &DuePoll, next_caches: &NextCaches) {
     let DuePoll { runner, address, next_event } = due;
     let address = *address;
     let limit = context.settings.exchange;
@@ -59,7 +67,7 @@
         return context.counters.count("runner_poll.foreign");
     }
     context.counters.count("runner_poll.done");
-    let has_cache = report.total_blocks.0 > 0;
+    let has_cache = report.total_blocks.0 > 0 && due_cache(context, runner, next_caches);
     context.change(|desk, now| desk.on_report(now, report));
     if !has_cache {
         return;
@@ -70,3 +78,16 @@
         context.change(|desk, _| desk.on_cache_events(runner, &answer.events));
     }
 }
+
+/// Whether a runner's cache events are to be polled now; if so, they are not due for a
+/// period.
+fn due_cache(context: &StewardContext, runner: &RunnerId, next_caches: &NextCaches) -> bool {
+    let now = context.now();
+    let mut next_caches = next_caches.borrow_mut();
+    if next_caches.get(runner).is_some_and(|next| now < *next) {
+        return false;
+    }
+    next_caches.retain(|_, next| now < *next);
+    next_caches.insert(runner.clone(), now + CACHE_PERIOD);
+    true
+}
