--- a/crates/route/tests/common/mod.rs
+++ b/crates/route/tests/common/mod.rs
@@ -1,5 +1,8 @@
 //! A desk with a clock, for the tests.
 
+// Each test program uses a part of it.
+#![allow(dead_code)]
+
 use base::prelude::*;
 use config::{CallPriority, PolicyWeights, ServiceKind};
 use route::{
--- a/crates/route/tests/invariants.rs
+++ b/crates/route/tests/invariants.rs
@@ -61,8 +61,8 @@
         }
     }
 
-    fn take(&mut self, step: DeskStep) {
-        let actions = match step {
+    fn take(&mut self, step: &DeskStep) {
+        let actions = match *step {
             DeskStep::Arrive { priority, patience_millis } => {
                 self.arrive(priority, patience_millis)
             }
@@ -158,7 +158,9 @@
     };
     let result = TestRunner::new(config).run(&steps(), |steps| {
         let mut ledger = CallLedger::new();
-        steps.into_iter().for_each(|step| ledger.take(step));
+        for step in &steps {
+            ledger.take(step);
+        }
         ledger.close();
         Ok(())
     });
