Read only files younger than the last plan

Each plan looked up every file twice by path and sorted all services twice. The version of a file tells whether it is younger than the last build, and conflicts of names are looked for only where the count of services shows that there are some.

--- a/crates/config/src/plan_builder.rs
+++ b/crates/config/src/plan_builder.rs
@@ -19,6 +19,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct PlanBuilder {
     files: BTreeMap<Arc<str>, FileUse>,
+    /// The last accepted record that was built; younger versions are to be read.
+    built: LogOffset,
 }
 
 impl PlanBuilder {
@@ -28,46 +30,58 @@
         Self::default()
     }
 
-    /// The plan for `state`; only files whose version changed are read again.
+    /// The plan for `state`, which is not older than the one before; only files whose
+    /// version changed are read.
     pub fn build(&mut self, state: &ConfigState) -> ConfigPlan {
-        self.files.retain(|path, _| state.files.contains_key(path));
-        for (path, file) in &state.files {
+        let built = self.built;
+        for (path, file) in state.files.iter().filter(|(_, file)| file.version > built) {
             self.read_file(path, file);
         }
-        let mut unusable = self.faulty_files();
-        let mut holders: BTreeMap<&ServiceName, &Arc<str>> = BTreeMap::new();
+        if self.files.len() > state.files.len() {
+            self.files.retain(|path, _| state.files.contains_key(path));
+        }
+        self.built = state.accepted;
         let (mut services, mut workspaces, mut overrides) = (Vec::new(), Vec::new(), Vec::new());
-        for (path, file) in &self.files {
+        for file in self.files.values() {
             match &file.usable {
-                Some((_, ParsedFile::Service(service))) => {
-                    if let Some(holder) = holders.get(&service.service) {
-                        let reason = format!("service {} stands in {holder}", service.service);
-                        let mut conflict = file.unusable(path, &reason, None);
-                        // The conflict began with the younger of both versions.
-                        conflict.version = file.version.max(self.files[*holder].version);
-                        unusable.push(conflict);
-                    } else {
-                        holders.insert(&service.service, path);
-                        services.push(Arc::clone(service));
-                    }
-                }
+                Some((_, ParsedFile::Service(service))) => services.push(Arc::clone(service)),
                 Some((_, ParsedFile::Workspaces(file))) => workspaces.push(file.clone()),
                 Some((_, ParsedFile::Overrides(file))) => overrides.push(file.clone()),
                 None => (),
             }
         }
+        let count = services.len();
         let mut plan = ConfigPlan::new(state.accepted, services, workspaces, overrides);
-        let oldest_fault = unusable.iter().map(|file| LogOffset(file.version.0 - 1)).min();
+        plan.unusable = self.faulty_files();
+        if plan.services.len() < count {
+            plan.unusable.extend(self.conflicts());
+        }
+        let oldest_fault = plan.unusable.iter().map(|file| LogOffset(file.version.0 - 1)).min();
         plan.in_force = oldest_fault.unwrap_or(plan.offset);
-        plan.unusable = unusable;
         plan
     }
 
+    /// Files whose service stands in an earlier file, which counts.
+    fn conflicts(&self) -> Vec<UnusableFile> {
+        let mut holders: BTreeMap<&ServiceName, (&Arc<str>, LogOffset)> = BTreeMap::new();
+        let mut conflicts = Vec::new();
+        for (path, file) in &self.files {
+            let Some((_, ParsedFile::Service(service))) = &file.usable else { continue };
+            let Some((holder, version)) = holders.get(&service.service) else {
+                holders.insert(&service.service, (path, file.version));
+                continue;
+            };
+            let reason = format!("service {} stands in {holder}", service.service);
+            let mut conflict = file.unusable(path, &reason, None);
+            // The conflict began with the younger of both versions.
+            conflict.version = file.version.max(*version);
+            conflicts.push(conflict);
+        }
+        conflicts
+    }
+
     fn read_file(&mut self, path: &Arc<str>, file: &FileVersion) {
         let known = self.files.get(path);
-        if known.is_some_and(|known| known.version == file.version) {
-            return;
-        }
         let parsed = match path.parse::<FileKind>() {
             Ok(kind) => ParsedFile::read(kind, path, &file.text).map_err(|error| error.to_string()),
             Err(error) => Err(error.to_string()),
--- a/crates/config/tests/follower.rs
+++ b/crates/config/tests/follower.rs
@@ -255,3 +255,26 @@
     assert_eq!((plan.offset, plan.in_force), (mended, mended));
     assert!(plan.unusable.is_empty());
 }
+
+#[test]
+fn of_two_files_for_one_service_the_first_counts() {
+    let mut bench = Bench::new(1, 1);
+    let service = |share: u32| {
+        format!(
+            r#"{{ "service": "s", "kind": "model", "models": [{{ "name": "m" }}],
+                "workspaces": [{{ "workspace": "w", "share": {share} }}] }}"#
+        )
+    };
+    let first = bench.publish("a.service.jsonc", &service(1));
+    let second = bench.publish("b.service.jsonc", &service(2));
+    bench.run(TimeSpan::seconds(1));
+    let plan = Arc::clone(bench.nodes[0].follower.plan());
+    let share = plan.services.values().next().unwrap().file.workspaces[0].share;
+    assert_eq!((plan.services.len(), share), (1, 1));
+    assert_eq!((plan.offset, plan.in_force), (second, first));
+    assert_eq!(&*plan.unusable[0].path, "b.service.jsonc");
+    let mended = bench.publish("b.service.jsonc", &service(2).replace("\"s\"", "\"t\""));
+    bench.run(TimeSpan::seconds(1));
+    let plan = bench.nodes[0].follower.plan();
+    assert_eq!((plan.services.len(), plan.in_force), (2, mended));
+}
