Hand a booking table to one process, not to whoever has its address

Cause: a hand-over named its adopter by address only. An adopter that took the table, ran a key and died could be replaced by a new process at the same address; a repeated hand-over then reached that one, which took the table as its first sender knew it and ran the key again.

The table now names the adopter's incarnation. Another process neither accepts nor refuses it: a refusal would let the home ask a third one, and the dead adopter may have run keys. The keys then stay unknown. The entry answers such a hand-over as refused request, which its sender takes for no word.

--- a/crates/booking/src/adoption.rs
+++ b/crates/booking/src/adoption.rs
@@ -27,7 +27,7 @@
         if self.phase != DeskPhase::Frozen || adopter.incarnation == self.address.incarnation {
             return Vec::new();
         }
-        let handover = Arc::new(self.make_handover(now));
+        let handover = Arc::new(self.make_handover(now, adopter.incarnation));
         let resend_at = now + self.limits.hand_over_retry;
         self.phase = DeskPhase::HandingOver { adopter, handover: handover.clone(), resend_at };
         vec![BookingAction::HandOver { adopter, handover }]
@@ -64,15 +64,26 @@
         }
     }
 
-    /// Takes a table once; a repeated hand-over must not undo what was run since.
-    pub(crate) fn adopt(&mut self, now: TimePoint, handover: TableHandover) -> BookingAction {
+    /// Takes a table once; a repeated hand-over must not undo what was run since. One that
+    /// is meant for another process gets no answer.
+    pub(crate) fn adopt(
+        &mut self,
+        now: TimePoint,
+        handover: TableHandover,
+    ) -> Option<BookingAction> {
         let home = handover.from;
-        if self.homes.contains_key(&home) {
-            return BookingAction::AnswerHandOver { home, accepted: true };
+        if handover.to != self.address.incarnation {
+            self.counters.stale += 1;
+            return None;
         }
-        if self.phase != DeskPhase::Serving {
-            return BookingAction::AnswerHandOver { home, accepted: false };
+        let accepted = self.homes.contains_key(&home) || self.phase == DeskPhase::Serving;
+        if !self.homes.contains_key(&home) && accepted {
+            self.take_table(now, handover);
         }
+        Some(BookingAction::AnswerHandOver { home, accepted })
+    }
+
+    fn take_table(&mut self, now: TimePoint, handover: TableHandover) {
         for (incarnation, theirs) in handover.homes {
             self.homes.insert(incarnation, HomeClock { theirs, ours: now });
             self.adopters.remove(&incarnation);
@@ -81,14 +92,14 @@
             self.counters.adopted += 1;
             self.table.insert(entry.key.clone(), adopted_entry(now, entry));
         }
-        BookingAction::AnswerHandOver { home, accepted: true }
     }
 
-    fn make_handover(&self, now: TimePoint) -> TableHandover {
+    fn make_handover(&self, now: TimePoint, to: VmIncarnation) -> TableHandover {
         let homes = self.homes.iter().map(|(home, clock)| (*home, clock.reading(now)));
         let entries = self.table.iter().map(|(key, entry)| hand_over_entry(now, key, entry));
         TableHandover {
             from: self.address.incarnation,
+            to,
             homes: homes.collect(),
             entries: entries.collect(),
         }
--- a/crates/booking/src/desk.rs
+++ b/crates/booking/src/desk.rs
@@ -120,7 +120,7 @@
                 self.hand_over_refused(adopter);
                 Vec::new()
             }
-            BookingEvent::Adopt(handover) => vec![self.adopt(now, handover)],
+            BookingEvent::Adopt(handover) => self.adopt(now, handover).into_iter().collect(),
             BookingEvent::Adopted { home, adopter } => {
                 self.adopters.insert(home, adopter);
                 Vec::new()
--- a/crates/booking/src/event.rs
+++ b/crates/booking/src/event.rs
@@ -89,7 +89,8 @@
         /// The adopter that says so; a late refusal by an earlier one has no effect.
         adopter: VmIncarnation,
     },
-    /// A stopping home hands its table to this process.
+    /// A stopping home hands its table to this process. Without any action in return, the
+    /// table is meant for an earlier process at this address: neither accept nor refuse it.
     Adopt(TableHandover),
     /// A peer says that it has adopted the table of `home`.
     Adopted {
--- a/crates/booking/src/handover.rs
+++ b/crates/booking/src/handover.rs
@@ -57,6 +57,8 @@
 pub struct TableHandover {
     /// The incarnation that stops.
     pub from: VmIncarnation,
+    /// The only adopter. A later process at its address can't tell what it has run.
+    pub to: VmIncarnation,
     /// The incarnations that it answers for, itself among them, each with the reading
     /// of its clock when the table was made.
     pub homes: Vec<(VmIncarnation, TimePoint)>,
--- a/crates/booking/tests/stop.rs
+++ b/crates/booking/tests/stop.rs
@@ -101,6 +101,16 @@
     assert_eq!(late, "reply 3: 504 unknown", "the tag's life did not begin anew");
 }
 
+#[test]
+fn a_new_start_at_the_adopters_address_neither_takes_nor_refuses() {
+    let (_, tag, handover) = stopped_home();
+    let mut restarted = desk(0xc);
+    assert_eq!(text(&restarted.handle(at(500), BookingEvent::Adopt(handover))), "");
+    let mut call = tagged("new", &tag);
+    call.forwarded = true;
+    assert_eq!(ask(&mut restarted, at(501), 1, call), "reply 1: 504 unknown");
+}
+
 #[test]
 fn a_refusal_by_an_earlier_adopter_has_no_effect() {
     let (mut old, _, handover) = stopped_home();
--- a/crates/entry/src/bookings.rs
+++ b/crates/entry/src/bookings.rs
@@ -110,20 +110,21 @@
         self.serve(call).await
     }
 
-    /// Takes the table of a stopping home; tells whether it is taken.
-    pub fn adopt(&self, handover: TableHandover) -> bool {
+    /// Takes the table of a stopping home; tells whether it is taken, or nothing if it is
+    /// meant for an earlier process at this address.
+    pub fn adopt(&self, handover: TableHandover) -> Option<bool> {
         let event = BookingEvent::Adopt(handover);
         let actions = self.desk.borrow_mut().handle(self.context.now(), event);
-        let mut taken = false;
+        let mut taken = None;
         for action in actions {
             if let BookingAction::AnswerHandOver { home, accepted } = action {
-                taken = accepted;
+                taken = Some(accepted);
                 tracing::info!(%home, accepted, step = "adopt", "bookings of a stopping entry");
             } else {
                 self.act(action);
             }
         }
-        if taken {
+        if taken == Some(true) {
             self.announce_homes();
         }
         taken
--- a/crates/entry/src/peer_server.rs
+++ b/crates/entry/src/peer_server.rs
@@ -19,7 +19,10 @@
             let _guard = context.count_call();
             PeerReply::Call(bookings.serve_forwarded(call).await)
         }
-        PeerRequest::Adopt(handover) => PeerReply::Adopted(bookings.adopt(handover)),
+        PeerRequest::Adopt(handover) => match bookings.adopt(handover) {
+            Some(taken) => PeerReply::Adopted(taken),
+            None => PeerReply::Refused(RefusalReason::HomeUnreachable),
+        },
         PeerRequest::Adopted { homes, adopter } => {
             bookings.note_adopted(homes, adopter);
             PeerReply::Noted
--- a/crates/harness/tests/streams.rs
+++ b/crates/harness/tests/streams.rs
@@ -127,9 +127,10 @@
         let mut stack = TestStack::start(plan(3)).await.unwrap();
         let (entry, text) = (stack.entry("vm-2"), prompt("whole"));
         let caller = caller();
-        let answer = kernel::spawn(async move {
-            caller.complete(entry, "briefing", &text, DEADLINE_MS).await
-        });
+        let answer =
+            kernel::spawn(
+                async move { caller.complete(entry, "briefing", &text, DEADLINE_MS).await },
+            );
         let engine = busy_engine(&stack).await;
         stack.runners.get_mut(&engine).unwrap().kill().unwrap();
         let answer = answer.await.unwrap().unwrap();
--- a/crates/spec/src/bookings/step.rs
+++ b/crates/spec/src/bookings/step.rs
@@ -4,7 +4,7 @@
 use booking::{BookingEvent, BookingFault, DeskPhase, TableHandover, TicketId};
 
 use super::BookingVariant;
-use super::world::{BookingWorld, Packet, Process, address};
+use super::world::{BookingWorld, Packet, Process, first_start};
 
 #[derive(Debug, Clone)]
 pub(super) enum BookingStep {
@@ -18,6 +18,7 @@
     LoseAnswer(Packet),
     Second,
     Crash(Process),
+    Restart(Process),
     Freeze(Process),
     HandOver { from: Process, to: Process },
     UndoStop,
@@ -38,6 +39,10 @@
     if world.left.seconds > 0 {
         steps.push(BookingStep::Second);
     }
+    if world.left.restarts > 0 {
+        let crashed = (0..world.desks.len()).filter(|process| !world.is_live(*process));
+        steps.extend(crashed.map(BookingStep::Restart));
+    }
     for process in live {
         if world.left.crashes > 0 {
             steps.push(BookingStep::Crash(process));
@@ -116,6 +121,10 @@
             next.left.crashes -= 1;
             next.desks[process] = None;
         }
+        BookingStep::Restart(process) => {
+            next.left.restarts -= 1;
+            next.restart(process);
+        }
         BookingStep::Freeze(process) => {
             next.left.stops -= 1;
             if process == 0 && undoes_stop(variant) {
@@ -124,13 +133,15 @@
             next.give(process, BookingEvent::Freeze, variant);
         }
         BookingStep::HandOver { from, to } => {
-            next.give(from, BookingEvent::StartHandOver { adopter: address(to) }, variant);
+            let adopter = next.address(to);
+            next.give(from, BookingEvent::StartHandOver { adopter }, variant);
         }
         BookingStep::UndoStop => next.desks[0] = next.saved.take(),
         BookingStep::AskAnother => {
             next.desks[0] = next.saved.take();
             next.give(0, BookingEvent::Freeze, variant);
-            next.give(0, BookingEvent::StartHandOver { adopter: address(2) }, variant);
+            let adopter = next.address(2);
+            next.give(0, BookingEvent::StartHandOver { adopter }, variant);
         }
         BookingStep::LoseTable => next.desks[0].clone_from(&BookingWorld::new(next.left).desks[0]),
         BookingStep::Deliver(packet) => deliver(&mut next, &packet, variant),
@@ -156,12 +167,16 @@
             let event = next.answered(send, false);
             next.give(to, event, variant);
         }
-        Packet::Table { from, to } => {
-            let table = TableHandover::clone(&next.tables[&from]);
+        Packet::Table { from, to, asked } => {
+            let mut table = TableHandover::clone(&next.tables[&(from, asked)]);
+            if variant == BookingVariant::NewStartAdopts {
+                table.to = next.address(to).incarnation;
+            }
+            next.asked = asked;
             next.give(to, BookingEvent::Adopt(table), variant);
+            next.asked = VmIncarnation(0);
         }
-        Packet::Taken { from, to, accepted } => {
-            let adopter = address(from).incarnation;
+        Packet::Taken { to, asked: adopter, accepted } => {
             let event = if accepted {
                 BookingEvent::HandOverDone { adopter }
             } else {
@@ -180,9 +195,10 @@
             next.wire.remove(&packet);
             next.wire.insert(Packet::Forward { from: asker, to, ticket, given_up: true });
             if variant == BookingVariant::ForwarderRuns {
-                let from = address(0).incarnation;
+                let from = first_start(0).incarnation;
                 let homes = vec![(from, next.now(0))];
-                let table = TableHandover { from, homes, entries: Vec::new() };
+                let to = next.address(asker).incarnation;
+                let table = TableHandover { from, to, homes, entries: Vec::new() };
                 next.give(asker, BookingEvent::Adopt(table), variant);
                 let event = next.call(ticket);
                 next.give(asker, event, variant);
--- a/crates/spec/src/bookings/variant.rs
+++ b/crates/spec/src/bookings/variant.rs
@@ -4,10 +4,14 @@
 use super::world::{BookingBounds, BookingWorld};
 use crate::{ModelRun, explore};
 
-const LIVES: BookingBounds = BookingBounds { calls: 3, crashes: 1, stops: 0, seconds: 2 };
-const STOPS: BookingBounds = BookingBounds { calls: 2, crashes: 0, stops: 2, seconds: 0 };
-const STOP_LIVES: BookingBounds = BookingBounds { calls: 2, crashes: 0, stops: 1, seconds: 2 };
-const STOP_CRASH: BookingBounds = BookingBounds { calls: 2, crashes: 1, stops: 1, seconds: 0 };
+const LIVES: BookingBounds =
+    BookingBounds { calls: 3, crashes: 1, restarts: 0, stops: 0, seconds: 2 };
+const STOPS: BookingBounds =
+    BookingBounds { calls: 2, crashes: 0, restarts: 0, stops: 2, seconds: 0 };
+const STOP_LIVES: BookingBounds =
+    BookingBounds { calls: 2, crashes: 0, restarts: 0, stops: 1, seconds: 2 };
+const STOP_RESTART: BookingBounds =
+    BookingBounds { calls: 2, crashes: 1, restarts: 1, stops: 1, seconds: 0 };
 
 /// How the binding around the desks behaves.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -18,7 +22,7 @@
     SoundStops,
     /// Two requests, a planned stop, and the tag's whole life.
     SoundStopLives,
-    /// Two requests, a planned stop and a crash.
+    /// Two requests, a planned stop, a crash, and a new start at the same address.
     SoundStopCrash,
     /// An entry that gets no answer from a home runs the booking itself.
     ForwarderRuns,
@@ -28,6 +32,8 @@
     ServesAfterLostAck,
     /// A home whose hand-over is not confirmed asks a second adopter.
     SecondAdopter,
+    /// A new process takes a table that was meant for the one before it.
+    NewStartAdopts,
     /// A home that has sent its table away says not run of keys that it does not know.
     OldHomeSaysNotRun,
     /// A client library sends a request again on a new connection.
@@ -38,7 +44,7 @@
 
 impl BookingVariant {
     /// All variants, the sound one first.
-    pub const ALL: [Self; 11] = [
+    pub const ALL: [Self; 12] = [
         Self::Sound,
         Self::SoundStops,
         Self::SoundStopLives,
@@ -47,6 +53,7 @@
         Self::TableLost,
         Self::ServesAfterLostAck,
         Self::SecondAdopter,
+        Self::NewStartAdopts,
         Self::OldHomeSaysNotRun,
         Self::ClientResends,
         Self::BreakSaidNotSent,
@@ -57,11 +64,12 @@
             Self::Sound => "sound: crash and expiry",
             Self::SoundStops => "sound: two stops",
             Self::SoundStopLives => "sound: stop and expiry",
-            Self::SoundStopCrash => "sound: stop and crash",
+            Self::SoundStopCrash => "sound: stop, crash and new start",
             Self::ForwarderRuns => "forwarder runs it",
             Self::TableLost => "table lost, incarnation kept",
             Self::ServesAfterLostAck => "serves again after a lost ack",
             Self::SecondAdopter => "second adopter after a lost ack",
+            Self::NewStartAdopts => "new start takes an old table",
             Self::OldHomeSaysNotRun => "old home says not run",
             Self::ClientResends => "HTTP client resends",
             Self::BreakSaidNotSent => "break reported as not sent",
@@ -77,7 +85,7 @@
         match self {
             Self::Sound | Self::ForwarderRuns | Self::TableLost => LIVES,
             Self::SoundStopLives => STOP_LIVES,
-            Self::SoundStopCrash => STOP_CRASH,
+            Self::SoundStopCrash | Self::NewStartAdopts => STOP_RESTART,
             _ => STOPS,
         }
     }
--- a/crates/spec/src/bookings/world.rs
+++ b/crates/spec/src/bookings/world.rs
@@ -29,6 +29,8 @@
     pub(super) calls: u64,
     /// Processes that crash.
     pub(super) crashes: u32,
+    /// Crashed processes that are started again, at the same address.
+    pub(super) restarts: u32,
     /// Processes that are stopped as planned.
     pub(super) stops: u32,
     /// Seconds that pass; the tag ends after 1 s, its key is evicted after 2 s.
@@ -45,9 +47,10 @@
     /// The target's answer.
     Answer { to: Process, send: SendNumber },
     /// A table; may arrive any number of times.
-    Table { from: Process, to: Process },
-    /// The adopter's word; may arrive any number of times.
-    Taken { from: Process, to: Process, accepted: bool },
+    Table { from: Process, to: Process, asked: VmIncarnation },
+    /// The adopter's word, taken for that of the start that was asked; may arrive any
+    /// number of times.
+    Taken { to: Process, asked: VmIncarnation, accepted: bool },
 }
 
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
@@ -57,8 +60,12 @@
     /// Shared with earlier states until they change.
     pub(super) desks: Vec<Option<Arc<BookingDesk>>>,
     pub(super) wire: BTreeSet<Packet>,
-    /// The table that each process has sent away.
-    pub(super) tables: BTreeMap<Process, Arc<TableHandover>>,
+    /// The table that each process has sent to each adopter.
+    pub(super) tables: BTreeMap<(Process, VmIncarnation), Arc<TableHandover>>,
+    /// The start that a hand-over being answered was meant for.
+    pub(super) asked: VmIncarnation,
+    /// How often each process was started again.
+    starts: [u64; 3],
     /// The first home before its stop, for the variants that undo it.
     pub(super) saved: Option<Arc<BookingDesk>>,
     pub(super) runs: u32,
@@ -66,29 +73,38 @@
     pub(super) violation: Option<&'static str>,
 }
 
-pub(super) fn address(process: Process) -> HomeAddress {
+/// Incarnations of one process lie this far apart.
+const START_STEP: u64 = 10;
+
+/// The first start of a process.
+pub(super) fn first_start(process: Process) -> HomeAddress {
+    start_address(process, 0)
+}
+
+fn start_address(process: Process, starts: u64) -> HomeAddress {
     let number = process as u64 + 1;
     let peer = SocketAddr::from(([10, 0, 0, number as u8], 4000));
-    HomeAddress { incarnation: VmIncarnation(number), peer }
+    HomeAddress { incarnation: VmIncarnation(number + START_STEP * starts), peer }
 }
 
-fn process_at(home: HomeAddress) -> Process {
-    home.incarnation.0 as usize - 1
+fn process_of(incarnation: VmIncarnation) -> Process {
+    (incarnation.0 % START_STEP) as usize - 1
+}
+
+fn new_desk(home: HomeAddress) -> BookingDesk {
+    let limits = BookingLimits {
+        tag_life: TimeSpan::seconds(1),
+        longest_deadline: TimeSpan::seconds(1),
+        hand_over_retry: TimeSpan::seconds(100_000),
+        ..BookingLimits::default()
+    };
+    BookingDesk::new(home.incarnation, home.peer, limits)
 }
 
 impl BookingWorld {
     pub(super) fn new(bounds: BookingBounds) -> Self {
-        let limits = BookingLimits {
-            tag_life: TimeSpan::seconds(1),
-            longest_deadline: TimeSpan::seconds(1),
-            hand_over_retry: TimeSpan::seconds(100_000),
-            ..BookingLimits::default()
-        };
-        let desk = |process| {
-            let home = address(process);
-            BookingDesk::new(home.incarnation, home.peer, limits)
-        };
-        let mut desks: Vec<BookingDesk> = (0..3).map(desk).collect();
+        let mut desks: Vec<BookingDesk> =
+            (0..3).map(|process| new_desk(first_start(process))).collect();
         let tag = desks[0].issue_tag(TimePoint::default(), &workspace());
         Self {
             left: bounds,
@@ -96,6 +112,8 @@
             desks: desks.into_iter().map(|desk| Some(Arc::new(desk))).collect(),
             wire: BTreeSet::new(),
             tables: BTreeMap::new(),
+            asked: VmIncarnation(0),
+            starts: [0; 3],
             saved: None,
             runs: 0,
             tag,
@@ -108,6 +126,17 @@
         TimePoint::default() + TimeSpan::seconds(seconds)
     }
 
+    /// The present start of a process.
+    pub(super) fn address(&self, process: Process) -> HomeAddress {
+        start_address(process, self.starts[process])
+    }
+
+    /// A new process listens at the address of a crashed one.
+    pub(super) fn restart(&mut self, process: Process) {
+        self.starts[process] += 1;
+        self.desks[process] = Some(Arc::new(new_desk(self.address(process))));
+    }
+
     pub(super) fn is_live(&self, process: Process) -> bool {
         self.desks[process].is_some()
     }
@@ -182,17 +211,19 @@
                 self.reply(&reply, true);
             }
             BookingAction::Forward { ticket, home, .. } => {
-                let to = process_at(home);
+                let to = process_of(home.incarnation);
                 let ticket = ticket.0;
                 self.wire.insert(Packet::Forward { from: process, to, ticket, given_up: false });
             }
             BookingAction::HandOver { adopter, handover } => {
-                self.tables.insert(process, handover);
-                self.wire.insert(Packet::Table { from: process, to: process_at(adopter) });
+                let asked = adopter.incarnation;
+                self.tables.insert((process, asked), handover);
+                let to = process_of(asked);
+                self.wire.insert(Packet::Table { from: process, to, asked });
             }
             BookingAction::AnswerHandOver { home, accepted } => {
-                let to = home.0 as usize - 1;
-                self.wire.insert(Packet::Taken { from: process, to, accepted });
+                let (to, asked) = (process_of(home), self.asked);
+                self.wire.insert(Packet::Taken { to, asked, accepted });
                 if accepted {
                     self.announce(process, home, variant);
                 }
@@ -202,7 +233,7 @@
 
     /// Word of an adoption only tells where to ask, so it may as well arrive at once.
     fn announce(&mut self, process: Process, home: VmIncarnation, variant: BookingVariant) {
-        let adopter = address(process);
+        let adopter = self.address(process);
         for other in (1..self.desks.len()).filter(|other| *other != process) {
             self.give(other, BookingEvent::Adopted { home, adopter }, variant);
         }
@@ -228,7 +259,7 @@
         if self.runs > 1 {
             self.violation = Some("a booking ran twice");
         }
-        let first = address(0).incarnation;
+        let first = first_start(0).incarnation;
         let others = self.desks.iter().skip(1).flatten();
         // A process that has handed the table on no longer runs keys of it.
         let runs_them = |desk: &&Arc<BookingDesk>| {
