--- a/crates/peers/tests/fleet/test_fleet.rs
+++ b/crates/peers/tests/fleet/test_fleet.rs
@@ -108,6 +108,15 @@
         self.now = self.now + span;
     }
 
+    /// Time passes while the stewards run.
+    pub fn pass(&mut self, span: TimeSpan) {
+        let end = self.now + span;
+        while self.now < end {
+            self.now = end.min(self.now + TimeSpan::millis(500));
+            self.tick();
+        }
+    }
+
     pub fn tick(&mut self) {
         self.desks.iter_mut().for_each(|desk| desk.tick(self.now));
     }
@@ -156,7 +165,9 @@
         self.advance(PERIOD);
         let live: Vec<usize> = (0..self.desks.len()).filter(|at| !dead.contains(at)).collect();
         self.speak(&live);
-        self.tick();
+        for &at in &live {
+            self.desks[at].tick(self.now);
+        }
         let mut exchanges = 0;
         for &at in &live {
             for (peer, _) in self.desks[at].due_peers(self.now) {
