Answer unknown when a retry of a booking is refused before its home is asked

Cause: an entry refused a request with a wrong header, an unknown service or no configuration as not run before the booking desk saw it, also if it named a booking by home tag and key, which an earlier attempt may have run. Such refusals now say unknown; status and reason stay. Without a tag there is no booking, and they stay not run.

--- a/crates/entry/src/api.rs
+++ b/crates/entry/src/api.rs
@@ -90,7 +90,11 @@
                 let cursor = cursor.ok_or_else(|| CallRefusal::bad_request("no Last-Event-ID"))?;
                 self.completions.resume(&workspace, &cursor).await
             }
-            _ if path.starts_with(SERVICES_PATH) => self.plain(request).await,
+            _ if path.starts_with(SERVICES_PATH) => {
+                let may_have_run = names_booking(request.headers());
+                let answer = self.plain(request).await;
+                answer.map_err(|refusal| refusal.of_booking(may_have_run))
+            }
             _ => Err(CallRefusal::not_found("no such path")),
         }
     }
@@ -287,6 +291,11 @@
     Ok(Some(Arc::from(text)))
 }
 
+/// Whether a request may be the retry of a booking that its home has sent.
+fn names_booking(headers: &HeaderMap) -> bool {
+    headers.contains_key(HOME_TAG_HEADER) && headers.contains_key(KEY_HEADER)
+}
+
 fn read_key(headers: &HeaderMap) -> Result<Option<IdempotencyKey>, CallRefusal> {
     let Some(text) = header_text(headers, KEY_HEADER)? else { return Ok(None) };
     text.parse().map(Some).map_err(|error| CallRefusal::bad_request(format!("{error}")))
--- a/crates/entry/src/refusal.rs
+++ b/crates/entry/src/refusal.rs
@@ -74,6 +74,16 @@
         Self::not_run(status, reason, "no runner can take the call now").come_back(come_back)
     }
 
+    /// A refusal before the home was asked: if the request names a booking, an earlier
+    /// attempt may have run, so that *not run* can't be said.
+    #[must_use]
+    pub fn of_booking(mut self, may_have_run: bool) -> Self {
+        if may_have_run && self.outcome == CallOutcome::NotRun {
+            self.outcome = CallOutcome::Unknown;
+        }
+        self
+    }
+
     /// Says when to come back.
     #[must_use]
     pub fn come_back(mut self, span: TimeSpan) -> Self {
--- a/crates/harness/tests/bookings.rs
+++ b/crates/harness/tests/bookings.rs
@@ -244,3 +244,24 @@
     })
     .unwrap();
 }
+
+#[test]
+fn a_retry_that_is_refused_before_its_home_is_asked_is_unknown() {
+    kernel::run(async {
+        let stack = TestStack::start(plan()).await.unwrap();
+        let caller = caller();
+        let tag = caller.home_tag(stack.entry("vm-1")).await.unwrap();
+        let first = caller.book(stack.entry("vm-1"), SERVICE, KEY, &tag, 3_000).await.unwrap();
+        assert_eq!(first.outcome(), "done");
+        let path = "/v1/services/bookings/bookings";
+        let bad = ("x-yard-deadline-ms", "soon");
+        let headers = [("idempotency-key", KEY), ("x-yard-home", tag.as_str()), bad];
+        let retry = caller.send(stack.entry("vm-2"), "POST", path, &headers, "{}").await.unwrap();
+        assert_eq!((retry.status, retry.outcome().as_str()), (400, "unknown"));
+        let headers = [("idempotency-key", KEY), bad];
+        let first = caller.send(stack.entry("vm-2"), "POST", path, &headers, "{}").await.unwrap();
+        assert_eq!((first.status, first.outcome().as_str()), (400, "not_run"));
+        assert_eq!(count(&stack, KEY).await, 1);
+    })
+    .unwrap();
+}
