--- /dev/null
+++ b/crates/booking/benches/booking_cost.rs
@@ -0,0 +1,91 @@
+//! Cost of a booking (request, answer, retry) by size of the table, and memory per key.
+
+use std::fs;
+use std::net::SocketAddr;
+
+use base::prelude::*;
+use booking::{
+    BookingAction, BookingCall, BookingDesk, BookingEvent, BookingLimits, HomeTag, KeptAnswer,
+    TagClaim, TicketId,
+};
+use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+
+const TABLE_SIZES: [u64; 3] = [1_000, 10_000, 100_000];
+/// Keys of the memory figure, and bytes of each kept answer.
+const MEMORY_KEYS: u64 = 100_000;
+const ANSWER_BYTES: usize = 100;
+const PAGE_BYTES: u64 = 4_096;
+
+fn new_desk() -> BookingDesk {
+    let limits = BookingLimits { entries: 1_000_000, ..BookingLimits::default() };
+    BookingDesk::new(VmIncarnation(1), SocketAddr::from(([10, 0, 0, 1], 4000)), limits)
+}
+
+fn request(number: u64, ticket: u64, tag: &HomeTag) -> BookingEvent {
+    let call = BookingCall {
+        workspace: tag.workspace.clone(),
+        service: "counter".parse().expect("a valid name"),
+        key: format!("booking-{number:016x}").parse().expect("a valid key"),
+        tag: TagClaim::Verified(tag.clone()),
+        method: Arc::from("POST"),
+        path: Arc::from("/bookings"),
+        content_type: Arc::from("application/json"),
+        body: vec![b'x'; 200],
+        deadline: TimePoint::NEVER,
+        not_run_status: 503,
+        forwarded: false,
+    };
+    BookingEvent::Request { ticket: TicketId(ticket), call }
+}
+
+/// A booking from its request to the retry of its answer.
+fn book(desk: &mut BookingDesk, number: u64, tag: &HomeTag) {
+    let now = TimePoint::default();
+    let actions = desk.handle(now, request(number, 2 * number, tag));
+    for action in actions {
+        if let BookingAction::Send { key, send, .. } = action {
+            let body = Arc::from(vec![b'y'; ANSWER_BYTES]);
+            let answer = KeptAnswer { status: 200, content_type: Arc::from("text/plain"), body };
+            desk.handle(now, BookingEvent::Answered { key, send, answer });
+        }
+    }
+    desk.handle(now, request(number, 2 * number + 1, tag));
+}
+
+fn filled(keys: u64) -> (BookingDesk, HomeTag) {
+    let mut desk = new_desk();
+    let tag = desk.issue_tag(TimePoint::default(), &"cobblers".parse().expect("a valid name"));
+    for number in 0..keys {
+        book(&mut desk, number, &tag);
+    }
+    (desk, tag)
+}
+
+fn resident_bytes() -> u64 {
+    let text = fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = text.split_whitespace().nth(1).and_then(|pages| pages.parse::<u64>().ok());
+    pages.unwrap_or(0) * PAGE_BYTES
+}
+
+fn bench(criterion: &mut Criterion) {
+    let before = resident_bytes();
+    let (desk, _) = filled(MEMORY_KEYS);
+    let bytes = resident_bytes().saturating_sub(before) / MEMORY_KEYS;
+    println!("memory: {bytes} bytes a key, {ANSWER_BYTES} of them its answer's body");
+    drop(desk);
+    let mut group = criterion.benchmark_group("booking");
+    for keys in TABLE_SIZES {
+        let (mut desk, tag) = filled(keys);
+        let mut number = keys;
+        group.bench_function(BenchmarkId::from_parameter(keys), |bencher| {
+            bencher.iter(|| {
+                number += 1;
+                book(&mut desk, number, &tag);
+            });
+        });
+    }
+    group.finish();
+}
+
+criterion_group!(benches, bench);
+criterion_main!(benches);
--- a/crates/relay/src/prefix.rs
+++ b/crates/relay/src/prefix.rs
@@ -2,6 +2,9 @@
 
 use base::prelude::*;
 
+/// Memory of a kept token besides its text: its pointer, its counts and the allocator's share.
+const TOKEN_OVERHEAD_BYTES: usize = 48;
+
 /// Tokens from the first on, without gaps, up to a bound in bytes.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Default)]
 pub(crate) struct TokenPrefix {
@@ -17,11 +20,12 @@
         if self.overflowed || self.tokens.len() != index as usize {
             return;
         }
-        if self.bytes + text.len() > limit {
+        let bytes = self.bytes + text.len() + TOKEN_OVERHEAD_BYTES;
+        if bytes > limit {
             *self = Self { overflowed: true, ..Self::default() };
             return;
         }
-        self.bytes += text.len();
+        self.bytes = bytes;
         self.tokens.push(text.clone());
     }
 
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -5,7 +5,7 @@
 /// Bounds of every relay of an entry.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct RelayLimits {
-    /// Bytes of tokens kept: of a prefix, or of a whole answer that is held.
+    /// Bytes of memory for the tokens kept: of a prefix, or of a whole answer that is held.
     pub kept_bytes: usize,
     /// Attempts at one call, refused ones included.
     pub attempts: u32,
@@ -17,7 +17,7 @@
 
 impl Default for RelayLimits {
     fn default() -> Self {
-        Self { kept_bytes: 1 << 20, attempts: 4, barren_reads: 2, stall: TimeSpan::seconds(20) }
+        Self { kept_bytes: 4 << 20, attempts: 4, barren_reads: 2, stall: TimeSpan::seconds(20) }
     }
 }
 
