--- a/crates/route/tests/common/mod.rs
+++ b/crates/route/tests/common/mod.rs
@@ -1,7 +1,6 @@
 //! A desk with a clock, for the tests.
 
-// Each test program uses a part of it.
-#![allow(dead_code)]
+#![allow(dead_code, reason = "each test file uses a part of it")]
 
 use base::prelude::*;
 use config::{CallPriority, PolicyWeights, ServiceKind};
--- a/crates/web/src/body.rs
+++ b/crates/web/src/body.rs
@@ -9,6 +9,9 @@
 
 use crate::{Result, WebError};
 
+/// How many times its limit a body may be long to be read to its end all the same.
+const DISCARD_FACTOR: usize = 4;
+
 /// A body of a response or request; it cannot fail on our side.
 pub type WebBody = Pin<Box<dyn Body<Data = Bytes, Error = Infallible>>>;
 
@@ -25,22 +28,28 @@
 
 /// Reads a whole body of at most `limit` bytes.
 ///
+/// A longer one is read on for a while and thrown away, since a peer that is still
+/// writing would not see the answer.
+///
 /// # Errors
-/// [`WebError::TooLong`] as soon as the limit is passed, [`WebError::Body`] if the peer
-/// ends early.
+/// [`WebError::TooLong`] if the limit is passed, [`WebError::Body`] if the peer ends
+/// early.
 pub async fn read_bounded(step: &'static str, mut body: Incoming, limit: usize) -> Result<Bytes> {
-    let announced = body.size_hint().lower();
-    if announced > limit as u64 {
-        return Err(WebError::TooLong { step, limit });
-    }
-    let mut whole = Vec::with_capacity(announced as usize);
+    let announced = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
+    let mut whole = Vec::with_capacity(announced.min(limit));
+    let mut length = 0;
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|source| WebError::Body { step, source })?;
         let Ok(chunk) = frame.into_data() else { continue };
-        if whole.len() + chunk.len() > limit {
-            return Err(WebError::TooLong { step, limit });
+        length += chunk.len();
+        if length <= limit {
+            whole.extend_from_slice(&chunk);
+        } else if length > limit.saturating_mul(DISCARD_FACTOR) {
+            break;
         }
-        whole.extend_from_slice(&chunk);
+    }
+    if length > limit {
+        return Err(WebError::TooLong { step, limit });
     }
     Ok(Bytes::from(whole))
 }
