--- a/crates/route/tests/invariants.rs
+++ b/crates/route/tests/invariants.rs
@@ -16,7 +16,7 @@
 const SEED: u64 = 20_261_203;
 
 /// One step of a run.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 enum DeskStep {
     Arrive { priority: u8, patience_millis: u64 },
     Report { runner: usize, used_blocks: u32 },
@@ -61,8 +61,8 @@
         }
     }
 
-    fn take(&mut self, step: DeskStep) {
-        let actions = match step {
+    fn take(&mut self, step: &DeskStep) {
+        let actions = match *step {
             DeskStep::Arrive { priority, patience_millis } => {
                 self.arrive(priority, patience_millis)
             }
@@ -158,7 +158,7 @@
     };
     let result = TestRunner::new(config).run(&steps(), |steps| {
         let mut ledger = CallLedger::new();
-        for step in steps {
+        for step in &steps {
             ledger.take(step);
         }
         ledger.close();
