Send further attempts to runners not yet tried, and keep no wakers

Cause: drains.rs, the_word_reaches_all_entries_while_a_steward_is_down, failed now and then with 503 no_runner while another runner served. With two runners the cap on the ejected share let the refusing one back at once, and a call could draw it four times in a row. Ruled out: more attempts (the draw stays), a lower cap (it holds at scale). Changed: a call names the runners that refused or lost it, and the desk takes them again only if no other is left; one of several runners may always be ejected.

--- a/crates/entry/src/bookings.rs
+++ b/crates/entry/src/bookings.rs
@@ -254,8 +254,9 @@
     async fn send_to_target(&self, call: &BookingCall) -> Result<TargetAnswer, BookingFault> {
         let plain = self.plain_call(call)?;
         let mut refused = None;
+        let mut tried = Vec::new();
         for _ in 0..MAX_TARGETS {
-            let mut ticket = self.router.open(plain.route_call());
+            let mut ticket = self.router.open(plain.route_call(&tried));
             let runner = match ticket.order().await {
                 RouteOrder::Send { runner } => runner,
                 RouteOrder::Withdraw => continue,
@@ -283,6 +284,7 @@
                     }
                 }
             }
+            tried.push(runner);
         }
         refused.ok_or(BookingFault::NotSent {
             reason: RefusalReason::NoRunner,
--- a/crates/entry/src/generation.rs
+++ b/crates/entry/src/generation.rs
@@ -51,7 +51,7 @@
 }
 
 impl GenerationCall {
-    fn route_call(&self, produced: u32) -> RouteCall {
+    fn route_call(&self, produced: u32, tried: &[RunnerId]) -> RouteCall {
         RouteCall {
             call: route::CallId(0),
             service: self.service.clone(),
@@ -65,6 +65,7 @@
             streamed: self.streamed,
             movable: self.continues,
             produced: TokenCount(produced),
+            tried: tried.to_vec(),
         }
     }
 
@@ -108,6 +109,8 @@
     /// Dropping the handle ends the reading.
     reading: Option<JoinHandle<()>>,
     runner: Option<RunnerId>,
+    /// Runners that refused or lost earlier attempts.
+    tried: Vec<RunnerId>,
     /// How the present attempt ended, as far as the router needs to know.
     attempt_end: CallEnd,
 }
@@ -134,6 +137,7 @@
             reports: mpsc::channel(REPORT_CAPACITY),
             reading: None,
             runner: None,
+            tried: Vec::new(),
             attempt_end: CallEnd::Failed,
         }
     }
@@ -142,7 +146,7 @@
     pub async fn run(mut self) {
         let _guard = self.context.count_call();
         self.context.counters.count("call.started");
-        self.ticket = Some(self.router.open(self.call.route_call(0)));
+        self.ticket = Some(self.router.open(self.call.route_call(0, &[])));
         self.work().await;
     }
 
@@ -319,11 +323,12 @@
             return;
         }
         self.context.counters.count("attempt.failed");
+        self.tried.extend(self.runner.take());
         if let Some(ticket) = self.ticket.take() {
             ticket.end(self.attempt_end);
         }
         let produced = u32::try_from(produced).unwrap_or(u32::MAX);
-        self.ticket = Some(self.router.open(self.call.route_call(produced)));
+        self.ticket = Some(self.router.open(self.call.route_call(produced, &self.tried)));
     }
 
     fn cancel(&mut self, runner: &RunnerId, attempt: AttemptNumber) {
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -45,9 +45,9 @@
 }
 
 impl PlainCall {
-    /// The call as the router takes it.
+    /// The call as the router takes it, after attempts at the runners of `tried`.
     #[must_use]
-    pub fn route_call(&self) -> RouteCall {
+    pub fn route_call(&self, tried: &[RunnerId]) -> RouteCall {
         RouteCall {
             call: CallId(0),
             service: self.service.clone(),
@@ -61,6 +61,7 @@
             streamed: false,
             movable: false,
             produced: TokenCount(0),
+            tried: tried.to_vec(),
         }
     }
 
@@ -132,8 +133,9 @@
     rule: &CallRule,
 ) -> Result<WebResponse, CallRefusal> {
     let mut maybe_ran = false;
+    let mut tried = Vec::new();
     for _ in 0..MAX_ATTEMPTS {
-        let mut ticket = router.open(call.route_call());
+        let mut ticket = router.open(call.route_call(&tried));
         let runner = match ticket.order().await {
             RouteOrder::Send { runner } => runner,
             RouteOrder::Withdraw => continue,
@@ -149,6 +151,7 @@
             return Ok(answer_caller(answer));
         }
         context.counters.count("attempt.failed");
+        tried.push(runner);
     }
     let refusal = CallRefusal::by_desk(RefusalReason::NoRunner, TimeSpan::seconds(1));
     Err(with_claim(refusal, maybe_ran))
--- a/crates/harness/src/main.rs
+++ b/crates/harness/src/main.rs
@@ -52,6 +52,10 @@
     println!("Starting 3 machines, 8 engines and 4 plain services on loopback …");
     let stack = TestStack::start(demo_plan()).await?;
     println!("Published both users' files; running {} s of load …", arguments.seconds);
+    for (vm, entry) in &stack.entries {
+        println!("  entry of {vm}: http://{}", entry.address());
+    }
+    println!("  log {}, VM list {}", stack.log.address(), stack.vm_list.address());
     let loads: Vec<_> = MIXES
         .iter()
         .map(|(mix, engines, bookings)| {
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -13,7 +13,7 @@
 pub use error::{KernelError, Result};
 pub use logs::start_logs;
 pub use registry::ServiceRegistry;
-pub use stop::{StopSignal, wait_for_signals};
+pub use stop::{StopSignal, StopWait, wait_for_signals};
 
 pub use compio::runtime::spawn;
 pub use compio::time::sleep;
--- a/crates/kernel/src/stop.rs
+++ b/crates/kernel/src/stop.rs
@@ -1,9 +1,10 @@
 //! The signal to stop gracefully.
 
 use std::cell::{Cell, RefCell};
-use std::future::poll_fn;
+use std::collections::BTreeMap;
+use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Poll, Waker};
+use std::task::{Context, Poll, Waker};
 
 use futures_util::future::{Either, select};
 
@@ -23,7 +24,8 @@
 #[derive(Default)]
 struct StopState {
     raised: Cell<bool>,
-    wakers: RefCell<Vec<Waker>>,
+    next_waiter: Cell<u64>,
+    wakers: RefCell<BTreeMap<u64, Waker>>,
 }
 
 impl StopSignal {
@@ -36,7 +38,7 @@
     /// Raises the signal and wakes all who wait for it.
     pub fn raise(&self) {
         self.state.raised.set(true);
-        for waker in self.state.wakers.take() {
+        for waker in self.state.wakers.take().into_values() {
             waker.wake();
         }
     }
@@ -47,19 +49,43 @@
         self.state.raised.get()
     }
 
+    /// Tasks that wait for it now.
+    #[must_use]
+    pub fn waiters(&self) -> usize {
+        self.state.wakers.borrow().len()
+    }
+
     /// Waits until it is raised.
-    pub async fn wait(&self) {
-        poll_fn(|cx| {
-            if self.is_raised() {
-                return Poll::Ready(());
-            }
-            let mut wakers = self.state.wakers.borrow_mut();
-            if !wakers.iter().any(|waker| waker.will_wake(cx.waker())) {
-                wakers.push(cx.waker().clone());
-            }
-            Poll::Pending
-        })
-        .await;
+    #[must_use]
+    pub fn wait(&self) -> StopWait {
+        let waiter = self.state.next_waiter.get();
+        self.state.next_waiter.set(waiter + 1);
+        StopWait { signal: self.clone(), waiter }
+    }
+}
+
+/// Waits for a [`StopSignal`]; dropped, it leaves nothing behind.
+pub struct StopWait {
+    signal: StopSignal,
+    waiter: u64,
+}
+
+impl Future for StopWait {
+    type Output = ();
+
+    fn poll(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<()> {
+        if self.signal.is_raised() {
+            return Poll::Ready(());
+        }
+        let mut wakers = self.signal.state.wakers.borrow_mut();
+        wakers.insert(self.waiter, cx.waker().clone());
+        Poll::Pending
+    }
+}
+
+impl Drop for StopWait {
+    fn drop(&mut self) {
+        self.signal.state.wakers.borrow_mut().remove(&self.waiter);
     }
 }
 
--- a/crates/load/src/policy/simulation.rs
+++ b/crates/load/src/policy/simulation.rs
@@ -212,6 +212,7 @@
             streamed: class.streamed,
             movable: true,
             produced,
+            tried: Vec::new(),
         });
         self.tell(entry, event);
     }
--- a/crates/route/benches/decision.rs
+++ b/crates/route/benches/decision.rs
@@ -37,6 +37,7 @@
         streamed: true,
         movable: true,
         produced: TokenCount(0),
+        tried: Vec::new(),
     }
 }
 
--- a/crates/route/src/desk_dispatch.rs
+++ b/crates/route/src/desk_dispatch.rs
@@ -20,7 +20,7 @@
 /// Largest random part of a runner's cost, so that entries do not all choose alike.
 const SCORE_NOISE: f64 = 0.15;
 
-/// Runners are ejected only while fewer than one in this many are.
+/// At most one runner in this many is ejected at a time, but always one of several.
 const EJECTED_SHARE_DIVISOR: usize = 3;
 
 /// Time that a runner's reports may lag behind the newest one of its service.
@@ -169,10 +169,12 @@
         };
         let serving = view.slots.iter().copied().filter(|slot| self.runners[*slot].serves(model));
         let (open, ejected): (Vec<usize>, Vec<usize>) = serving.partition(|slot| healthy(*slot));
-        let too_many = ejected.len() * EJECTED_SHARE_DIVISOR > open.len() + ejected.len();
+        let most = ((open.len() + ejected.len()) / EJECTED_SHARE_DIVISOR).max(1);
+        let too_many = open.is_empty() || ejected.len() > most;
         let back = if too_many { ejected.as_slice() } else { &[] };
+        let candidates = self.untried_first(&record.call, open.iter().chain(back).copied());
         let mut best: Option<(f64, usize, RunnerScore)> = None;
-        for &slot in open.iter().chain(back) {
+        for slot in candidates {
             let cached = runner_score::is_cached(&self.prefixes, slot, record);
             let score = runner_score::score(now, record, view, &self.runners[slot], cached);
             let noise = match view.kind {
@@ -187,6 +189,21 @@
         best.map(|(_, slot, score)| (slot, score))
     }
 
+    /// The candidates that the call has not tried yet; all of them if it has tried all.
+    fn untried_first(
+        &self,
+        call: &RouteCall,
+        candidates: impl Iterator<Item = usize>,
+    ) -> Vec<usize> {
+        let all: Vec<usize> = candidates.collect();
+        if call.tried.is_empty() {
+            return all;
+        }
+        let is_new = |slot: &&usize| !call.tried.contains(&self.runners[**slot].runner);
+        let untried: Vec<usize> = all.iter().filter(is_new).copied().collect();
+        if untried.is_empty() { all } else { untried }
+    }
+
     fn send(
         &mut self,
         now: TimePoint,
--- a/crates/route/src/event.rs
+++ b/crates/route/src/event.rs
@@ -120,6 +120,8 @@
     pub movable: bool,
     /// Tokens produced by earlier attempts, which a new attempt continues from.
     pub produced: TokenCount,
+    /// Runners that refused or lost earlier attempts: taken again only if no other is left.
+    pub tried: Vec<RunnerId>,
 }
 
 /// How an attempt ended.
--- a/crates/route/tests/common/mod.rs
+++ b/crates/route/tests/common/mod.rs
@@ -89,6 +89,7 @@
         streamed: true,
         movable: true,
         produced: TokenCount(0),
+        tried: Vec::new(),
     }
 }
 
--- a/crates/steward/tests/steward/orders.rs
+++ b/crates/steward/tests/steward/orders.rs
@@ -9,9 +9,9 @@
 use serde_json::json;
 
 /// Time for a claim, the notice to entries and an order, after a holder's silence.
-const ORDER_TIME: Duration = Duration::from_secs(30);
+pub const ORDER_TIME: Duration = Duration::from_secs(30);
 
-fn service_file(models: &[&str]) -> String {
+pub fn service_file(models: &[&str]) -> String {
     let models: Vec<_> = models.iter().map(|name| json!({ "name": name })).collect();
     json!({
         "service": "summaries",
@@ -23,7 +23,7 @@
     .to_string()
 }
 
-fn all_have(view: &FleetView, models: &[&str]) -> bool {
+pub fn all_have(view: &FleetView, models: &[&str]) -> bool {
     let mut wanted: Vec<ModelName> = models.iter().map(|name| name.parse().unwrap()).collect();
     wanted.sort();
     view.runners.iter().all(|record| {
@@ -36,7 +36,7 @@
 }
 
 /// The steward that holds some place.
-async fn holder(fleet: &TestFleet, numbers: &[usize]) -> Option<usize> {
+pub async fn holder(fleet: &TestFleet, numbers: &[usize]) -> Option<usize> {
     for &number in numbers {
         let dump = fleet.dump(number).await?;
         if dump["orders"]["held"].as_object().is_some_and(|held| !held.is_empty()) {
--- a/crates/steward/tests/steward/test_fleet.rs
+++ b/crates/steward/tests/steward/test_fleet.rs
@@ -67,7 +67,7 @@
     pub fn start_runner(&mut self, number: usize) {
         let address = self.runner_address(number);
         let name = runner_name(number);
-        let arguments = ["--runner", &name, "--models", "summary"];
+        let arguments = ["--runner", &name, "--models", "summary", "--checks-fencing"];
         self.runners.insert(number, start_fake("engine", address, &arguments));
     }
 
@@ -179,6 +179,16 @@
         self.view(number, self.entry_status(number)).await
     }
 
+    /// What each engine has counted.
+    pub async fn engine_stats(&self) -> Vec<Value> {
+        let mut stats = Vec::new();
+        for runner in self.runners.values() {
+            let peer = runner.address();
+            stats.push(web::fetch_json("stats", peer, "/stats", LIMIT).await.unwrap());
+        }
+        stats
+    }
+
     pub async fn dump(&self, number: usize) -> Option<Value> {
         let address = self.steward_address(number);
         match self.operator.call(address, PeerRequest::Dump, LIMIT).await {
