--- a/crates/entry/src/api.rs
+++ b/crates/entry/src/api.rs
@@ -15,6 +15,7 @@
 use crate::callers::{authenticate, authorize, bearer};
 use crate::completions::CompletionService;
 use crate::context::EntryContext;
+use crate::counters::count_outcome;
 use crate::lookup::{LOOKUP_TIME, choose_entries};
 use crate::plain::{PlainCall, serve_plain};
 use crate::refusal::CallRefusal;
@@ -66,7 +67,7 @@
         match self.dispatch(request).await {
             Ok(response) => response,
             Err(refusal) => {
-                self.context.counters.outcome(refusal.outcome, Some(refusal.reason));
+                count_outcome(&self.context.counters, refusal.outcome, Some(refusal.reason));
                 refusal.reply()
             }
         }
@@ -164,7 +165,7 @@
         self.context.counters.count("call.started");
         if rule.repeatable {
             let response = serve_plain(&self.context, &self.router, &call, rule).await?;
-            self.context.counters.outcome(CallOutcome::Done, None);
+            count_outcome(&self.context.counters, CallOutcome::Done, None);
             return Ok(response);
         }
         self.book(call, tag.as_deref(), rule.not_run_status).await
@@ -188,7 +189,7 @@
             forwarded: false,
         };
         let reply = self.bookings.serve(booking).await;
-        self.context.counters.outcome(reply.outcome, reply.reason);
+        count_outcome(&self.context.counters, reply.outcome, reply.reason);
         Ok(self.booking_response(&reply))
     }
 
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -9,8 +9,8 @@
 use peers::PeerEndpoint;
 use settings::EntrySettings;
 
-use crate::counters::EntryCounters;
 use crate::fleet_cache::FleetCache;
+use kernel::MetricCounters;
 
 /// The shared state of one entry process; services hold it by [`Rc`].
 pub struct EntryContext {
@@ -29,7 +29,7 @@
     /// The way to other processes.
     pub peers: PeerEndpoint,
     /// What is counted.
-    pub counters: EntryCounters,
+    pub counters: MetricCounters,
     /// Raised when the process stops: no new callers.
     pub stop: StopSignal,
     /// Calls that are served now.
@@ -44,7 +44,7 @@
         incarnation: VmIncarnation,
         keys: SigningKeys,
         peers: PeerEndpoint,
-        counters: EntryCounters,
+        counters: MetricCounters,
     ) -> Rc<Self> {
         Rc::new(Self {
             settings,
--- a/crates/entry/src/generation.rs
+++ b/crates/entry/src/generation.rs
@@ -16,6 +16,7 @@
 use serde_json::json;
 
 use crate::context::EntryContext;
+use crate::counters::count_outcome;
 use crate::delivery::CallerDelivery;
 use crate::engine_reader::{ReadPlan, ReadReport, ReadStart, cancel_attempt, read_engine};
 use crate::router::{RouteOrder, RouteTicket, RouterService};
@@ -357,7 +358,7 @@
             EndCause::Refused(reason) => Some(reason),
             _ => None,
         };
-        self.context.counters.outcome(end.outcome, reason);
+        count_outcome(&self.context.counters, end.outcome, reason);
         self.delivery.end(end).await;
     }
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -19,7 +19,6 @@
 mod router;
 mod view_client;
 
-pub use counters::METRIC_NAMES;
 pub use error::{EntryError, Result};
 pub use lookup::choose_entries;
 pub use process::run_entry;
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -13,11 +13,12 @@
 use crate::bookings::{BOOKINGS, BookingService};
 use crate::completions::CompletionService;
 use crate::context::EntryContext;
-use crate::counters::EntryCounters;
+use crate::counters::METRIC_PREFIX;
 use crate::error::{EntryError, Result};
 use crate::peer_server::answer_peer;
 use crate::router::{ROUTER, RouterService};
 use crate::view_client::follow_steward;
+use kernel::MetricCounters;
 
 /// Time for the bookings in flight to end at a planned stop.
 const DRAIN_TIME: TimeSpan = TimeSpan::seconds(125);
@@ -87,7 +88,7 @@
     };
     let signing = keys.signing_keys();
     let peers = PeerEndpoint::bind(settings.peer, &peer_keys).await?;
-    let counters = EntryCounters::new(settings.common.metrics)?;
+    let counters = MetricCounters::new(METRIC_PREFIX, settings.common.metrics)?;
     let incarnation = VmIncarnation(rand::random());
     Ok(EntryContext::new(settings, incarnation, signing, peers, counters))
 }
--- a/crates/steward/src/counters.rs
+++ b/crates/kernel/src/counters.rs
@@ -1,34 +1,32 @@
-//! What the steward counts: kept for the state dump, and sent by `cadence` over UDP.
+//! What a process counts: kept for the state dump, and sent by `cadence` over UDP.
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, UdpSocket};
 
+use base::TimeSpan;
 use cadence::prelude::*;
 use cadence::{MetricError, NopMetricSink, StatsdClient, UdpMetricSink};
 
-/// Prefix of all metric names.
-const PREFIX: &str = "yard.steward";
-
-/// Counters and gauges of one steward.
-pub struct StewardCounters {
+/// Counters, timers and gauges of one process.
+pub struct MetricCounters {
     client: StatsdClient,
     values: RefCell<BTreeMap<&'static str, u64>>,
 }
 
-impl StewardCounters {
-    /// Sends to `target`, or nowhere.
+impl MetricCounters {
+    /// Sends under `prefix` to `target`, or nowhere.
     ///
     /// # Errors
     /// If no UDP socket can be had.
-    pub fn new(target: Option<SocketAddr>) -> Result<Self, MetricError> {
+    pub fn new(prefix: &str, target: Option<SocketAddr>) -> Result<Self, MetricError> {
         let client = match target {
             Some(target) => {
                 let socket = UdpSocket::bind("0.0.0.0:0")?;
                 socket.set_nonblocking(true)?;
-                StatsdClient::from_sink(PREFIX, UdpMetricSink::from(target, socket)?)
+                StatsdClient::from_sink(prefix, UdpMetricSink::from(target, socket)?)
             }
-            None => StatsdClient::from_sink(PREFIX, NopMetricSink),
+            None => StatsdClient::from_sink(prefix, NopMetricSink),
         };
         Ok(Self { client, values: RefCell::default() })
     }
@@ -40,11 +38,23 @@
 
     /// Adds to a counter.
     pub fn add(&self, name: &'static str, amount: u64) {
-        *self.values.borrow_mut().entry(name).or_default() += amount;
+        self.note(name, amount);
         // A metric that cannot be sent must not harm the work.
         let _ = self.client.count(name, i64::try_from(amount).unwrap_or(i64::MAX));
     }
 
+    /// Adds one to a counter, and sends it with a tag.
+    pub fn count_tagged(&self, name: &'static str, tag: &str, value: &str) {
+        self.note(name, 1);
+        self.client.count_with_tags(name, 1).with_tag(tag, value).send();
+    }
+
+    /// Notes a length of time, in microseconds; the dump has how often.
+    pub fn time(&self, name: &'static str, span: TimeSpan) {
+        self.note(name, 1);
+        let _ = self.client.histogram(name, span.0);
+    }
+
     /// Sets a gauge; it is sent when it changes.
     pub fn gauge(&self, name: &'static str, value: u64) {
         if self.values.borrow_mut().insert(name, value) != Some(value) {
@@ -57,4 +67,8 @@
     pub fn snapshot(&self) -> BTreeMap<&'static str, u64> {
         self.values.borrow().clone()
     }
+
+    fn note(&self, name: &'static str, amount: u64) {
+        *self.values.borrow_mut().entry(name).or_default() += amount;
+    }
 }
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -4,12 +4,14 @@
 //! monotonic clock and the signal to stop; everything else is a service.
 
 mod clock;
+mod counters;
 mod error;
 mod logs;
 mod registry;
 mod stop;
 
 pub use clock::MonotonicClock;
+pub use counters::MetricCounters;
 pub use error::{KernelError, Result};
 pub use logs::start_logs;
 pub use registry::ServiceRegistry;
--- a/crates/steward/src/context.rs
+++ b/crates/steward/src/context.rs
@@ -9,7 +9,7 @@
 use settings::StewardSettings;
 
 use crate::change_bell::ChangeBell;
-use crate::counters::StewardCounters;
+use kernel::MetricCounters;
 
 /// The shared state of one steward process; services hold it by [`Rc`].
 pub struct StewardContext {
@@ -22,7 +22,7 @@
     /// The way to other processes.
     pub peers: PeerEndpoint,
     /// What is counted.
-    pub counters: StewardCounters,
+    pub counters: MetricCounters,
     /// Rings at each change of the fleet's state.
     pub bell: ChangeBell,
     /// Raised when the process stops serving.
@@ -37,7 +37,7 @@
     pub fn new(
         settings: StewardSettings,
         peers: PeerEndpoint,
-        counters: StewardCounters,
+        counters: MetricCounters,
     ) -> Rc<Self> {
         let clock = MonotonicClock::new();
         let incarnation = VmIncarnation(rand::random_range(1..=u64::MAX));
--- a/crates/steward/src/main.rs
+++ b/crates/steward/src/main.rs
@@ -5,7 +5,6 @@
 mod change_bell;
 mod config_service;
 mod context;
-mod counters;
 mod digest_exchange;
 mod dump;
 mod error;
@@ -25,9 +24,12 @@
 use crate::arguments::StewardArguments;
 use crate::config_service::{CONFIG_SERVICE, ConfigService};
 use crate::context::StewardContext;
-use crate::counters::StewardCounters;
 use crate::error::{Result, StewardError};
 use crate::order_service::{ORDER_SERVICE, OrderService};
+use kernel::MetricCounters;
+
+/// Prefix of the names of all metrics.
+const METRIC_PREFIX: &str = "yard.steward";
 
 fn main() -> ExitCode {
     let arguments: StewardArguments = argh::from_env();
@@ -48,7 +50,7 @@
     settings.common.start_logs();
     let keys = read_keys(&settings.common.keys)?;
     let peers = PeerEndpoint::bind(settings.peer, &keys).await?;
-    let counters = StewardCounters::new(settings.common.metrics)?;
+    let counters = MetricCounters::new(METRIC_PREFIX, settings.common.metrics)?;
     println!("listening {}", peers.address());
     let context = StewardContext::new(settings, peers, counters);
     start_services(&context)?;
