Tell calls that wait in vain before their deadline; keep the turns of those that stay

Tried first: refuse when the forecast wait passes the time left. Dropped: the forecast is rough. Kept: twice the time left. Also: a call that left in mid-queue moved the fair queue's clock to its own finish, which put later callers of small workspaces behind a large one's backlog; only sent calls move it. Also: the status names crowded workspaces; a booking whose answer is lost has the reason answer_lost instead of home_unreachable; over_share, which nothing gave, is gone.

--- a/crates/base/src/outcome.rs
+++ b/crates/base/src/outcome.rs
@@ -47,16 +47,14 @@
     NoRunner,
     /// The forecast wait passes the deadline.
     Overloaded,
-    /// The workspace is over its share.
-    OverShare,
     /// A table or queue of this process is full.
     TableFull,
     /// The deadline has passed.
     DeadlinePassed,
     /// The booking carries no valid home tag.
     HomeTagMissing,
-    /// The booking's home cannot be reached.
-    HomeUnreachable,
+    /// The target's or the home's answer is lost, or later than the deadline.
+    AnswerLost,
 }
 
 impl fmt::Display for RefusalReason {
@@ -69,11 +67,10 @@
             Self::NotFound => "not_found",
             Self::NoRunner => "no_runner",
             Self::Overloaded => "overloaded",
-            Self::OverShare => "over_share",
             Self::TableFull => "table_full",
             Self::DeadlinePassed => "deadline_passed",
             Self::HomeTagMissing => "home_tag_missing",
-            Self::HomeUnreachable => "home_unreachable",
+            Self::AnswerLost => "answer_lost",
         })
     }
 }
--- a/crates/entry/src/api.rs
+++ b/crates/entry/src/api.rs
@@ -206,7 +206,7 @@
         let refusal = CallRefusal {
             status,
             outcome: reply.outcome,
-            reason: reply.reason.unwrap_or(RefusalReason::HomeUnreachable),
+            reason: reply.reason.unwrap_or(RefusalReason::AnswerLost),
             message: booking_message(reply.outcome).to_owned(),
             come_back: reply.come_back,
         };
@@ -253,6 +253,7 @@
             "runners": fleet.runners.len(),
             "runners_leaving": leaving,
             "calls": self.context.calls(),
+            "crowded": self.router.crowded(),
         })
     }
 
--- a/crates/entry/src/peer_server.rs
+++ b/crates/entry/src/peer_server.rs
@@ -21,7 +21,7 @@
         }
         PeerRequest::Adopt(handover) => match bookings.adopt(handover) {
             Some(taken) => PeerReply::Adopted(taken),
-            None => PeerReply::Refused(RefusalReason::HomeUnreachable),
+            None => PeerReply::Refused(RefusalReason::Stopping),
         },
         PeerRequest::Adopted { homes, adopter } => {
             bookings.note_adopted(homes, adopter);
--- a/crates/entry/src/refusal.rs
+++ b/crates/entry/src/refusal.rs
@@ -67,7 +67,6 @@
     /// A refusal by the desk.
     pub fn by_desk(reason: RefusalReason, come_back: TimeSpan) -> Self {
         let status = match reason {
-            RefusalReason::OverShare => StatusCode::TOO_MANY_REQUESTS,
             RefusalReason::DeadlinePassed => StatusCode::GATEWAY_TIMEOUT,
             _ => StatusCode::SERVICE_UNAVAILABLE,
         };
--- a/crates/entry/src/router.rs
+++ b/crates/entry/src/router.rs
@@ -164,6 +164,12 @@
         }
     }
 
+    /// Workspaces of which many calls wait here.
+    #[must_use]
+    pub fn crowded(&self) -> Vec<WorkspaceId> {
+        self.desk.borrow().crowded()
+    }
+
     /// The desk's state, for the dump.
     #[must_use]
     pub fn dump(&self) -> serde_json::Value {
--- a/crates/route/src/desk.rs
+++ b/crates/route/src/desk.rs
@@ -21,6 +21,9 @@
 /// A queue is kept for each service and model.
 pub(crate) type QueueName = (ServiceName, Option<ModelName>);
 
+/// Waiting calls from which on a workspace counts as crowded.
+const CROWDED_CALLS: usize = 4;
+
 /// Routing state of one entry.
 pub struct RouteDesk {
     pub(crate) settings: RouteSettings,
@@ -35,6 +38,8 @@
     pub(crate) counters: DeskCounters,
     pub(crate) decisions: DecisionLog,
     pub(crate) deadlines: BTreeSet<(TimePoint, CallId)>,
+    /// When waits are forecast anew.
+    pub(crate) next_forecast: TimePoint,
     pub(crate) now: TimePoint,
 }
 
@@ -55,6 +60,7 @@
             counters: DeskCounters::default(),
             decisions: DecisionLog::default(),
             deadlines: BTreeSet::new(),
+            next_forecast: TimePoint::default(),
             now: TimePoint::default(),
         }
     }
@@ -88,9 +94,23 @@
         }
         let mut actions = self.refuse_late(now);
         actions.extend(self.send_waiting(now));
+        actions.extend(self.refuse_hopeless(now));
         actions
     }
 
+    /// Workspaces of which many calls wait at this entry.
+    #[must_use]
+    pub fn crowded(&self) -> Vec<WorkspaceId> {
+        let mut counts: BTreeMap<&WorkspaceId, usize> = BTreeMap::new();
+        for call in self.queues.values().flat_map(WaitQueue::calls) {
+            if let Some(record) = self.calls.get(&call) {
+                *counts.entry(&record.call.workspace).or_default() += 1;
+            }
+        }
+        let many = counts.into_iter().filter(|(_, count)| *count >= CROWDED_CALLS);
+        many.map(|(workspace, _)| workspace.clone()).collect()
+    }
+
     /// The desk's state, for the dump.
     #[must_use]
     pub fn summary(&self) -> DeskSummary {
--- a/crates/route/src/desk_dispatch.rs
+++ b/crates/route/src/desk_dispatch.rs
@@ -23,6 +23,13 @@
 /// At most one runner in this many is ejected at a time, but always one of several.
 const EJECTED_SHARE_DIVISOR: usize = 3;
 
+/// How many times the time left a forecast wait has to be for the call to be given up: the
+/// forecast is rough, and most calls that it puts a little past their deadline make it.
+const HOPELESS_FACTOR: u64 = 2;
+
+/// Time between two looks at whether waiting calls can still be served in time.
+const FORECAST_PERIOD: TimeSpan = TimeSpan::millis(100);
+
 /// Time that a runner's reports may lag behind the newest one of its service.
 const SILENT_SPAN: TimeSpan = TimeSpan::millis(1_500);
 
@@ -130,6 +137,30 @@
         actions
     }
 
+    /// Refuses waiting calls whose forecast wait is far beyond their deadline: they are
+    /// given up, so they are told now and not at their deadline.
+    pub(crate) fn refuse_hopeless(&mut self, now: TimePoint) -> Vec<RouteAction> {
+        if now < self.next_forecast {
+            return Vec::new();
+        }
+        self.next_forecast = now + FORECAST_PERIOD;
+        let mut hopeless: Vec<(CallId, TimeSpan)> = Vec::new();
+        for (call, wait) in self.queues.values().flat_map(WaitQueue::forecast_waits) {
+            let left = self.calls.get(&call).map(|record| record.call.deadline.since(now));
+            if let Some(excess) =
+                left.filter(|left| wait.0 > HOPELESS_FACTOR * left.0).map(|left| wait.0 - left.0)
+            {
+                hopeless.push((call, TimeSpan(excess)));
+            }
+        }
+        let mut actions = Vec::new();
+        for (call, excess) in hopeless {
+            let come_back = self.come_back(excess);
+            actions.push(self.refuse(now, call, RefusalReason::Overloaded, come_back));
+        }
+        actions
+    }
+
     fn choose_baseline(&mut self, id: CallId) -> Option<usize> {
         let call = &self.calls.get(&id)?.call;
         let view = self.services.entry(call.service.clone()).or_default();
--- a/crates/route/src/wait_queue.rs
+++ b/crates/route/src/wait_queue.rs
@@ -67,15 +67,13 @@
         self.order.first_key_value().map(|(_, call)| *call)
     }
 
-    /// Takes a call out, whether its turn has come or not.
+    /// Takes a call out before its turn; the others keep their turns.
     pub fn remove(&mut self, call: CallId) -> bool {
         let Some(waiting) = self.waiting.remove(&call) else {
             return false;
         };
         let priority = waiting.tag.priority;
         self.order.remove(&waiting.tag);
-        let clock = self.clock.entry(priority).or_default();
-        *clock = (*clock).max(waiting.tag.finish);
         let work = self.work.entry(priority).or_default();
         *work = work.saturating_sub(waiting.work);
         if self.order.is_empty() {
@@ -87,7 +85,11 @@
 
     /// Takes a call out that is sent now; its work counts for the rate of sending.
     pub fn take(&mut self, now: TimePoint, call: CallId) {
-        self.sent_work += self.waiting.get(&call).map_or(0, |waiting| waiting.work);
+        if let Some(waiting) = self.waiting.get(&call) {
+            self.sent_work += waiting.work;
+            let clock = self.clock.entry(waiting.tag.priority).or_default();
+            *clock = (*clock).max(waiting.tag.finish);
+        }
         let period = now.since(self.sent_since);
         if period >= RATE_PERIOD {
             let rate = self.sent_work as f64 / period.as_seconds();
@@ -108,6 +110,18 @@
         TimeSpan::micros((seconds * 1e6) as u64)
     }
 
+    /// All waiting calls in order, each with the forecast of its own wait; empty while
+    /// nothing is known about the rate of sending.
+    pub fn forecast_waits(&self) -> impl Iterator<Item = (CallId, TimeSpan)> + '_ {
+        let rate = self.rate.filter(|rate| *rate > 0.0);
+        let mut ahead = 0;
+        rate.into_iter().flat_map(move |_| self.order.values()).filter_map(move |call| {
+            let wait = TimeSpan::micros((ahead as f64 / rate? * 1e6) as u64);
+            ahead += self.waiting.get(call)?.work;
+            Some((*call, wait))
+        })
+    }
+
     /// All waiting calls in order.
     pub fn calls(&self) -> impl Iterator<Item = CallId> + '_ {
         self.order.values().copied()
