Say twice-written things once

Cause: a read as newcomers: hexadecimal stood in two crates, killing and starting a machine in five tests, taking a fault in two stand-ins. Changed: base::{from_hex, to_hex}, TestStack::{kill_vm, start_vm}, take_fault. Behaviour and assertions stay.

--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -3,6 +3,7 @@
 //! Nothing here performs I/O, reads a clock or draws random numbers.
 
 mod fields;
+mod hex;
 mod ids;
 mod log_page;
 mod mac;
@@ -16,6 +17,7 @@
 mod vm;
 
 pub use fields::{join_fields, split_fields};
+pub use hex::{from_hex, to_hex};
 pub use ids::*;
 pub use log_page::{LogPage, LogRecord};
 pub use mac::{KeyId, MacError, SigningKey, SigningKeys};
--- a/crates/base/src/mac.rs
+++ b/crates/base/src/mac.rs
@@ -3,7 +3,7 @@
 //! HMAC-SHA-256 (RFC 2104) with key ids, so that keys can be rotated: the first key
 //! signs, all keys verify. Comparison is constant-time, by the `hmac` crate.
 
-use std::fmt::{self, Write as _};
+use std::fmt;
 use std::str::FromStr;
 
 use hmac::{Hmac, Mac};
@@ -11,6 +11,8 @@
 use sha2::Sha256;
 use thiserror::Error;
 
+use crate::{from_hex, to_hex};
+
 /// Bytes of a signature that are carried.
 const MAC_BYTES: usize = 16;
 
@@ -127,18 +129,3 @@
     mac.update(payload.as_bytes());
     mac
 }
-
-fn to_hex(bytes: &[u8]) -> String {
-    let mut text = String::with_capacity(bytes.len() * 2);
-    for byte in bytes {
-        let _ = write!(text, "{byte:02x}");
-    }
-    text
-}
-
-fn from_hex(text: &str) -> Option<Vec<u8>> {
-    if !text.len().is_multiple_of(2) || !text.is_ascii() {
-        return None;
-    }
-    (0..text.len()).step_by(2).map(|at| u8::from_str_radix(&text[at..at + 2], 16).ok()).collect()
-}
--- a/crates/fakes/src/reply.rs
+++ b/crates/fakes/src/reply.rs
@@ -43,3 +43,17 @@
     let pair = query.split('&').filter_map(|pair| pair.split_once('='));
     pair.into_iter().find(|(key, _)| *key == name).and_then(|(_, value)| value.parse().ok())
 }
+
+/// Answers a `POST /fault`: reads the fault and has it set.
+pub(crate) async fn take_fault<T: DeserializeOwned>(
+    request: WebRequest,
+    set: impl FnOnce(T),
+) -> WebResponse {
+    match read_json(request).await {
+        Ok(fault) => {
+            set(fault);
+            ok_reply(&json!({}))
+        }
+        Err(refusal) => refusal,
+    }
+}
--- a/crates/fakes/src/service_fake.rs
+++ b/crates/fakes/src/service_fake.rs
@@ -12,7 +12,7 @@
 use serde_json::{Value, json};
 use web::{ConnectionCut, WebRequest, WebResponse};
 
-use crate::reply::{error_reply, no_route, ok_reply, read_body, read_json};
+use crate::reply::{error_reply, no_route, ok_reply, read_body, take_fault};
 
 /// Header that carries the key of a booking.
 const KEY_HEADER: &str = "idempotency-key";
@@ -108,13 +108,7 @@
         let method = request.method().clone();
         let path = request.uri().path().to_owned();
         match (&method, path.as_str()) {
-            (&Method::POST, "/fault") => match read_json(request).await {
-                Ok(fault) => {
-                    self.set_fault(fault);
-                    ok_reply(&json!({}))
-                }
-                Err(refusal) => refusal,
-            },
+            (&Method::POST, "/fault") => take_fault(request, |fault| self.set_fault(fault)).await,
             (&Method::GET, "/counts") => ok_reply(&*self.state.counts.borrow()),
             (&Method::GET, "/calls") => ok_reply(&*self.state.calls.borrow()),
             (&Method::GET, "/load") => ok_reply(&self.report()),
--- a/crates/fakes/src/weight_fake.rs
+++ b/crates/fakes/src/weight_fake.rs
@@ -11,7 +11,7 @@
 use serde_json::json;
 use web::{WebRequest, WebResponse};
 
-use crate::reply::{error_reply, no_route, ok_reply, read_json};
+use crate::reply::{error_reply, no_route, ok_reply, take_fault};
 
 /// Span over which the rate is counted.
 const RATE_SPAN: TimeSpan = TimeSpan::seconds(1);
@@ -92,13 +92,7 @@
         let method = request.method().clone();
         let path = request.uri().path().to_owned();
         match (&method, path.as_str()) {
-            (&Method::POST, "/fault") => match read_json(request).await {
-                Ok(fault) => {
-                    self.set_fault(fault);
-                    ok_reply(&json!({}))
-                }
-                Err(refusal) => refusal,
-            },
+            (&Method::POST, "/fault") => take_fault(request, |fault| self.set_fault(fault)).await,
             (&Method::GET, "/stats") => ok_reply(&self.state.borrow().stats),
             (&Method::GET, _) => match path.strip_prefix("/weights/") {
                 Some(model) => self.serve_load(model).await,
--- a/crates/harness/src/stack.rs
+++ b/crates/harness/src/stack.rs
@@ -65,8 +65,7 @@
         }
         stack.put_vm_list().await?;
         for plan in stack.plan.vms.clone() {
-            stack.start_steward(&plan.vm)?;
-            stack.start_entry(&plan.vm)?;
+            stack.start_vm(&plan.vm)?;
         }
         if !stack.plan.publish.is_empty() {
             stack.publish(&stack.plan.publish.clone())?;
@@ -197,6 +196,29 @@
         Ok(())
     }
 
+    /// Kills the steward and the entry of a machine, as when the machine dies.
+    ///
+    /// # Errors
+    /// If one cannot be killed.
+    ///
+    /// # Panics
+    /// If there is no such machine.
+    pub fn kill_vm(&mut self, vm: &str) -> Result<()> {
+        for processes in [&mut self.stewards, &mut self.entries] {
+            processes.get_mut(vm).expect("the machine is in the plan").kill()?;
+        }
+        Ok(())
+    }
+
+    /// Starts (again) the steward and the entry of a machine.
+    ///
+    /// # Errors
+    /// If one does not start.
+    pub fn start_vm(&mut self, vm: &str) -> Result<()> {
+        self.start_steward(vm)?;
+        self.start_entry(vm)
+    }
+
     /// Publishes folders of files by the operators' command line.
     ///
     /// # Errors
--- a/crates/harness/tests/config_faults.rs
+++ b/crates/harness/tests/config_faults.rs
@@ -88,10 +88,8 @@
         let refused = stack.publish(std::slice::from_ref(&changed)).unwrap_err().to_string();
         assert!(refused.contains("read of the log"), "{refused}");
         // The machine is replaced: nothing of it is left.
-        stack.entries.get_mut("vm-2").unwrap().kill().unwrap();
-        stack.stewards.get_mut("vm-2").unwrap().kill().unwrap();
-        stack.start_steward("vm-2").unwrap();
-        stack.start_entry("vm-2").unwrap();
+        stack.kill_vm("vm-2").unwrap();
+        stack.start_vm("vm-2").unwrap();
         wait_in_force(&stack, &VMS, offset).await;
         let caller = TestCaller::new(KEY);
         let path = "/v1/services/bookings/tickets/7";
@@ -125,12 +123,10 @@
         assert!(before < offset);
         // All stewards are replaced: only the log tells what is in force.
         for vm in VMS {
-            stack.stewards.get_mut(vm).unwrap().kill().unwrap();
-            stack.entries.get_mut(vm).unwrap().kill().unwrap();
+            stack.kill_vm(vm).unwrap();
         }
         for vm in VMS {
-            stack.start_steward(vm).unwrap();
-            stack.start_entry(vm).unwrap();
+            stack.start_vm(vm).unwrap();
         }
         wait_in_force(&stack, &VMS, offset).await;
     })
@@ -150,15 +146,13 @@
         let (code, output) = harness::run_tool("yard", &begin).unwrap();
         assert_eq!(code, 2, "{output}");
         for vm in VMS {
-            stack.stewards.get_mut(vm).unwrap().kill().unwrap();
-            stack.entries.get_mut(vm).unwrap().kill().unwrap();
+            stack.kill_vm(vm).unwrap();
         }
         for number in 0..20 {
             append(&stack, &format!("expires {number}")).await;
         }
         for vm in VMS {
-            stack.start_steward(vm).unwrap();
-            stack.start_entry(vm).unwrap();
+            stack.start_vm(vm).unwrap();
         }
         let (code, output) = harness::run_tool("yard", &arguments).unwrap();
         assert_eq!(code, 3, "{output}");
--- a/crates/harness/tests/configuration.rs
+++ b/crates/harness/tests/configuration.rs
@@ -114,10 +114,8 @@
         let mut stack = TestStack::start(plan()).await.unwrap();
         let accepted = publish(&stack, overrides(&stack, "night", "bookings-9"));
         stack.set_fault(stack.log.address(), &json!({ "outage": "hang" })).await.unwrap();
-        stack.stewards.get_mut("vm-2").unwrap().kill().unwrap();
-        stack.entries.get_mut("vm-2").unwrap().kill().unwrap();
-        stack.start_steward("vm-2").unwrap();
-        stack.start_entry("vm-2").unwrap();
+        stack.kill_vm("vm-2").unwrap();
+        stack.start_vm("vm-2").unwrap();
         let took = wait_in_force(&stack, &["vm-2"], accepted).await;
         assert!(took < IN_FORCE_LIMIT, "{took:?}");
     })
@@ -135,10 +133,8 @@
             let folder = overrides(&stack, &format!("round-{round}"), &format!("r-{round}"));
             let newest = publish(&stack, folder);
             let vm = VMS[round % 3];
-            stack.stewards.get_mut(vm).unwrap().kill().unwrap();
-            stack.entries.get_mut(vm).unwrap().kill().unwrap();
-            stack.start_steward(vm).unwrap();
-            stack.start_entry(vm).unwrap();
+            stack.kill_vm(vm).unwrap();
+            stack.start_vm(vm).unwrap();
             wait_in_force(&stack, &VMS, newest).await;
         }
         // The first records have expired; now all VMs go at once.
@@ -151,12 +147,10 @@
         .await
         .unwrap();
         for vm in VMS {
-            stack.stewards.get_mut(vm).unwrap().kill().unwrap();
-            stack.entries.get_mut(vm).unwrap().kill().unwrap();
+            stack.kill_vm(vm).unwrap();
         }
         for vm in VMS {
-            stack.start_steward(vm).unwrap();
-            stack.start_entry(vm).unwrap();
+            stack.start_vm(vm).unwrap();
         }
         wait_in_force(&stack, &VMS, newest).await;
     })
--- a/crates/settings/src/keys.rs
+++ b/crates/settings/src/keys.rs
@@ -5,7 +5,7 @@
 use std::str::FromStr;
 use std::sync::Arc;
 
-use base::{KeyId, SigningKey, SigningKeys};
+use base::{KeyId, SigningKey, SigningKeys, from_hex};
 use serde::Deserialize;
 
 use crate::FieldCheck;
@@ -128,10 +128,3 @@
         }
     }
 }
-
-fn from_hex(text: &str) -> Option<Vec<u8>> {
-    if !text.len().is_multiple_of(2) || !text.is_ascii() {
-        return None;
-    }
-    (0..text.len()).step_by(2).map(|at| u8::from_str_radix(&text[at..at + 2], 16).ok()).collect()
-}
