Answer a kept booking by the function that passes targets' answers on

Cause: the last read found the response of a done booking put together by hand in api.rs, beside plain::answer_caller, which does the same. Conclusion: one function serves both; behaviour and tests are unchanged.

--- a/crates/entry/src/api.rs
+++ b/crates/entry/src/api.rs
@@ -7,9 +7,9 @@
 use config::ConfigPlan;
 use hyper::StatusCode;
 use hyper::body::Bytes;
-use hyper::header::{CONTENT_TYPE, HeaderMap, HeaderValue};
+use hyper::header::{HeaderMap, HeaderValue};
 use serde_json::json;
-use web::{WebError, WebRequest, WebResponse, full_body, json_reply, read_bounded};
+use web::{WebError, WebRequest, WebResponse, json_reply, read_bounded};
 
 use crate::bookings::BookingService;
 use crate::callers::{authenticate, authorize, bearer};
@@ -17,7 +17,7 @@
 use crate::context::EntryContext;
 use crate::counters::count_outcome;
 use crate::lookup::{LOOKUP_TIME, choose_entries};
-use crate::plain::{PlainCall, serve_plain};
+use crate::plain::{PlainCall, TargetAnswer, answer_caller, serve_plain};
 use crate::refusal::CallRefusal;
 use crate::router::RouterService;
 
@@ -197,12 +197,11 @@
     fn booking_response(&self, reply: &BookingReply) -> WebResponse {
         let status = StatusCode::from_u16(reply.status).unwrap_or(StatusCode::BAD_GATEWAY);
         if reply.outcome == CallOutcome::Done {
-            let mut response = WebResponse::new(full_body(reply.body.to_vec()));
-            *response.status_mut() = status;
-            if let Ok(value) = HeaderValue::from_str(&reply.content_type) {
-                response.headers_mut().insert(CONTENT_TYPE, value);
-            }
-            return response;
+            return answer_caller(TargetAnswer {
+                status: reply.status,
+                content_type: reply.content_type.clone(),
+                body: reply.body.to_vec().into(),
+            });
         }
         let refusal = CallRefusal {
             status,
