--- /dev/null
+++ b/crates/node/src/call.rs
@@ -0,0 +1,81 @@
+//! One request of a caller, read and matched against the configuration.
+
+use std::rc::Rc;
+
+use base::prelude::*;
+use config::CallPriority;
+use hyper::body::Bytes;
+use hyper::{HeaderMap, Method, Uri};
+use platform::{AttemptId, CallHead};
+use route::{CallId, RouteCall};
+use serving::{PlanVersion, RouteRule};
+
+/// A request that may go to a runner.
+#[derive(Debug)]
+pub struct Call {
+    /// Its id.
+    pub attempt: AttemptId,
+    /// Its route.
+    pub route: Rc<RouteRule>,
+    /// Version of the configuration that it was matched against.
+    pub plan: PlanVersion,
+    /// The service that serves it.
+    pub service: ServiceName,
+    /// Tokens in one event; none for plain services.
+    pub event_tokens: Option<u32>,
+    /// The service's engines can move running generations.
+    pub moves: bool,
+    /// Whose it is; none on public routes.
+    pub workspace: Option<WorkspaceId>,
+    /// Its rank, 0 is the most urgent.
+    pub rank: u8,
+    /// What its headers say.
+    pub head: CallHead,
+    /// Its method.
+    pub method: Method,
+    /// Its path and query.
+    pub uri: Uri,
+    /// Its headers as they came.
+    pub headers: HeaderMap,
+    /// Its body.
+    pub body: Bytes,
+    /// When it arrived.
+    pub arrived: TimePoint,
+    /// When its caller has no more use for it, or its route's timeout is reached.
+    pub deadline: TimePoint,
+}
+
+/// Workspace of requests on public routes.
+const PUBLIC: &str = "public";
+
+impl Call {
+    /// The call as the routing desk sees it.
+    #[must_use]
+    pub fn route_call(&self, tried: &[RunnerId]) -> RouteCall {
+        let public = || PUBLIC.parse().unwrap_or_else(|_| unreachable!("a valid name"));
+        RouteCall {
+            call: CallId(0),
+            service: self.service.clone(),
+            model: self.head.model.clone(),
+            workspace: self.workspace.clone().unwrap_or_else(public),
+            priority: priority(self.rank),
+            prompt_tokens: self.head.prompt,
+            max_tokens: self.head.max_output,
+            prefix: 0,
+            deadline: self.deadline,
+            streamed: self.event_tokens.is_some(),
+            movable: self.moves,
+            produced: TokenCount::default(),
+            tried: tried.to_vec(),
+        }
+    }
+}
+
+/// The desk's priority for a rank.
+fn priority(rank: u8) -> CallPriority {
+    match rank {
+        0 => CallPriority::Urgent,
+        1 => CallPriority::Normal,
+        _ => CallPriority::LateTolerant,
+    }
+}
--- /dev/null
+++ b/crates/node/src/call_log.rs
@@ -0,0 +1,100 @@
+//! The log lines and counts of a request: where it was sent, and how it ended.
+
+use std::cell::Cell;
+
+use base::prelude::*;
+
+use crate::call::Call;
+use crate::context::NodeContext;
+use crate::metrics::EndLabels;
+
+/// Lines about requests in one second at most; further ones are counted.
+const LINES_PER_SECOND: u32 = 300;
+/// Microseconds in a second.
+const SECOND_MICROS: u64 = 1_000_000;
+
+thread_local! {
+    static LINES: Cell<(u64, u32)> = const { Cell::new((0, 0)) };
+}
+
+/// Whether one more line may be written in this second.
+fn may_write(context: &NodeContext) -> bool {
+    let second = context.now().0 / SECOND_MICROS;
+    let (last, written) = LINES.get();
+    let written = if last == second { written } else { 0 };
+    if written >= LINES_PER_SECOND {
+        context.metrics.lines_dropped.inc();
+        return false;
+    }
+    LINES.set((second, written + 1));
+    true
+}
+
+/// Notes that a request goes to a runner.
+pub fn log_send(context: &NodeContext, call: &Call, runner: &RunnerId, sends: u32) {
+    context.metrics.sends.inc();
+    if sends > 0 {
+        context.metrics.repeats.inc();
+    }
+    let waited = context.now().since(call.arrived);
+    context.metrics.queued.observe(waited.as_seconds());
+    if may_write(context) {
+        tracing::info!(
+            event = "send",
+            request = %call.attempt,
+            %runner,
+            service = %call.service,
+            earlier_sends = sends,
+            waited_ms = waited.as_millis(),
+            plan = call.plan.0,
+            runners_age_ms = context.runners_age().as_millis(),
+        );
+    }
+}
+
+/// Notes what became of one send that gave no answer to pass on.
+pub fn log_setback(context: &NodeContext, call: &Call, runner: &RunnerId, what: &str) {
+    if may_write(context) {
+        tracing::info!(event = "send_failed", request = %call.attempt, %runner, reason = what);
+    }
+}
+
+/// How a request ended.
+#[derive(Debug, Clone, Copy)]
+pub struct CallEnding {
+    /// In one word.
+    pub outcome: &'static str,
+    /// Why, where it was refused or failed.
+    pub reason: &'static str,
+    /// The status that the caller got; 0 if it got none.
+    pub status: u16,
+}
+
+/// Notes how a request ended.
+pub fn log_end(context: &NodeContext, call: &Call, ending: CallEnding) {
+    let CallEnding { outcome, reason, status } = ending;
+    context.metrics.ended.get_or_create(&EndLabels { outcome, reason }).inc();
+    let total = context.now().since(call.arrived);
+    context.metrics.total.observe(total.as_seconds());
+    if may_write(context) {
+        tracing::info!(
+            event = "end",
+            request = %call.attempt,
+            route = %call.route.name,
+            outcome,
+            reason,
+            status,
+            total_ms = total.as_millis(),
+            left_ms = call.deadline.since(context.now()).as_millis(),
+        );
+    }
+}
+
+/// Notes a request that was refused before it was matched to a route.
+pub fn log_rejection(context: &NodeContext, request: &str, reason: &'static str, status: u16) {
+    context.metrics.ended.get_or_create(&EndLabels { outcome: "rejected", reason }).inc();
+    if may_write(context) {
+        let plan = context.plan_version().map(|version| version.0);
+        tracing::info!(event = "end", request, outcome = "rejected", reason, status, plan);
+    }
+}
--- /dev/null
+++ b/crates/node/src/context.rs
@@ -0,0 +1,132 @@
+//! What the services of one node share.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+
+use base::prelude::*;
+use kernel::{MonotonicClock, StopSignal};
+use serving::{
+    BudgetSettings, FleetLoads, PeerTable, PlanVersion, RetryBudget, RunnerTable, ServingPlan,
+};
+use settings::NodeSettings;
+
+use crate::metrics::NodeMetrics;
+
+/// State that several services read; each part has one writer.
+pub struct NodeContext {
+    /// Settings of the process.
+    pub settings: NodeSettings,
+    /// Random number of this start.
+    pub incarnation: VmIncarnation,
+    /// What it counts.
+    pub metrics: NodeMetrics,
+    /// The configuration in force.
+    pub plan: RefCell<Option<Rc<ServingPlan>>>,
+    /// The runners.
+    pub runners: RefCell<RunnerTable>,
+    /// End of the list of runners as far as it was read.
+    pub runners_read: Cell<LogOffset>,
+    /// When the list of runners was last known to be current; none before the first time.
+    pub runners_current: Cell<Option<TimePoint>>,
+    /// The other nodes.
+    pub peers: RefCell<PeerTable>,
+    /// What they have at the runners.
+    pub loads: RefCell<FleetLoads>,
+    /// Repeated sends that this node may spend.
+    pub budget: RefCell<RetryBudget>,
+    /// Raised when the process is told to stop.
+    pub stop: StopSignal,
+    /// Requests of callers in progress.
+    pub active: Cell<usize>,
+    clock: MonotonicClock,
+}
+
+impl NodeContext {
+    /// The state of a node that has just started.
+    #[must_use]
+    pub fn new(settings: NodeSettings) -> Rc<Self> {
+        let clock = MonotonicClock::new();
+        let budget = RetryBudget::new(budget_settings(&settings), clock.now());
+        Rc::new(Self {
+            settings,
+            incarnation: VmIncarnation(rand::random()),
+            metrics: NodeMetrics::new(),
+            plan: RefCell::default(),
+            runners: RefCell::default(),
+            runners_read: Cell::default(),
+            runners_current: Cell::default(),
+            peers: RefCell::default(),
+            loads: RefCell::default(),
+            budget: RefCell::new(budget),
+            stop: StopSignal::new(),
+            active: Cell::default(),
+            clock,
+        })
+    }
+
+    /// The present instant.
+    #[must_use]
+    pub fn now(&self) -> TimePoint {
+        self.clock.now()
+    }
+
+    /// The configuration in force.
+    #[must_use]
+    pub fn plan(&self) -> Option<Rc<ServingPlan>> {
+        self.plan.borrow().clone()
+    }
+
+    /// Its version.
+    #[must_use]
+    pub fn plan_version(&self) -> Option<PlanVersion> {
+        self.plan.borrow().as_ref().map(|plan| plan.version)
+    }
+
+    /// Age of the list of runners.
+    #[must_use]
+    pub fn runners_age(&self) -> TimeSpan {
+        self.runners_current.get().map_or(TimeSpan(u64::MAX), |at| self.now().since(at))
+    }
+
+    /// Whether callers may be sent here.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        let known = self.plan.borrow().is_some() && self.runners_current.get().is_some();
+        known && !self.stop.is_raised() && !self.is_cut_off()
+    }
+
+    /// Whether neither the store nor any other node has been heard for a while.
+    #[must_use]
+    pub fn is_cut_off(&self) -> bool {
+        /// Silence from which callers are better off elsewhere.
+        const CUT_OFF_SPAN: TimeSpan = TimeSpan::millis(1_500);
+        self.runners_age() > CUT_OFF_SPAN && self.peers.borrow().lost_all(self.now() - CUT_OFF_SPAN)
+    }
+
+    /// Counts a request until the guard is dropped.
+    pub fn count_active(self: &Rc<Self>) -> ActiveGuard {
+        self.active.set(self.active.get() + 1);
+        ActiveGuard { context: Rc::clone(self) }
+    }
+}
+
+/// A request in progress.
+pub struct ActiveGuard {
+    context: Rc<NodeContext>,
+}
+
+impl Drop for ActiveGuard {
+    fn drop(&mut self) {
+        self.context.active.set(self.context.active.get() - 1);
+    }
+}
+
+/// The retry budget that the settings give.
+#[must_use]
+pub fn budget_settings(settings: &NodeSettings) -> BudgetSettings {
+    BudgetSettings {
+        ratio: settings.retry_ratio,
+        slack: settings.retry_slack,
+        window: settings.retry_window(),
+    }
+}
--- /dev/null
+++ b/crates/node/src/follow_nodes.rs
@@ -0,0 +1,78 @@
+//! Finding the other nodes: each writes its address to the store and reads the others'.
+
+use std::rc::Rc;
+
+use base::prelude::*;
+use platform::{KeyedListing, KeyedNews, NodeRecord, StoreClient, StoreTopic};
+
+use crate::context::NodeContext;
+use crate::dependency::DependencyState;
+
+/// Pause between two reads; nodes that are heard of need no store.
+const READ_PAUSE: TimeSpan = TimeSpan::seconds(5);
+/// Pause after a failure.
+const RETRY_PAUSE: TimeSpan = TimeSpan::millis(500);
+
+/// Announces this node, then follows the others until the process ends.
+pub async fn follow_nodes(context: Rc<NodeContext>, client: StoreClient) {
+    let state = DependencyState::new("store: nodes");
+    let mut announced = false;
+    let mut from: Option<LogOffset> = None;
+    loop {
+        match step(&context, &client, &mut announced, from).await {
+            Ok(next) => {
+                state.note_answer();
+                from = next;
+                kernel::sleep(READ_PAUSE.into()).await;
+            }
+            Err(error) => {
+                state.note_failure(&error);
+                context.metrics.store_failures.inc();
+                kernel::sleep(RETRY_PAUSE.into()).await;
+            }
+        }
+    }
+}
+
+async fn step(
+    context: &NodeContext,
+    client: &StoreClient,
+    announced: &mut bool,
+    from: Option<LogOffset>,
+) -> platform::Result<Option<LogOffset>> {
+    if !*announced {
+        announce(context, client).await?;
+        *announced = true;
+    }
+    let listing = match from {
+        None => client.newest(StoreTopic::Nodes).await?,
+        Some(from) => match client.changes(StoreTopic::Nodes, from, TimeSpan::default()).await? {
+            KeyedNews::Changes(listing) => listing,
+            KeyedNews::Deleted => return Ok(None),
+        },
+    };
+    take(context, &listing);
+    Ok(Some(listing.end))
+}
+
+async fn announce(context: &NodeContext, client: &StoreClient) -> platform::Result<()> {
+    let settings = &context.settings;
+    let record = NodeRecord { vm: settings.vm.clone(), peer: settings.peer() };
+    match record.encode() {
+        Ok(value) => client.set(StoreTopic::Nodes, settings.vm.as_str(), &value).await,
+        Err(error) => {
+            tracing::error!(event = "announce_failed", %error);
+            Ok(())
+        }
+    }
+}
+
+fn take(context: &NodeContext, listing: &KeyedListing) {
+    for value in listing.entries.iter().filter_map(|change| change.value.as_ref()) {
+        match NodeRecord::decode(value) {
+            Ok(record) if record.vm == context.settings.vm => (),
+            Ok(record) => context.peers.borrow_mut().note_listed(record.vm, record.peer),
+            Err(error) => tracing::debug!(event = "record_skipped", topic = "nodes", %error),
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/follow_operators.rs
@@ -0,0 +1,100 @@
+//! Following the configuration: from the store, and from nodes that know a newer one.
+
+use std::rc::Rc;
+
+use base::prelude::*;
+use platform::{KeyedChange, KeyedListing, KeyedNews, StoreClient, StoreTopic};
+use serving::ServingPlan;
+
+use crate::context::NodeContext;
+use crate::dependency::DependencyState;
+use crate::router::RouterService;
+
+/// Time that one read waits for a change. A connection that falls silent costs at most
+/// this and the limit of a call, within the 2 s in which a change has to be in force.
+const READ_WAIT: TimeSpan = TimeSpan::millis(1_000);
+/// Pause after a failed read.
+const RETRY_PAUSE: TimeSpan = TimeSpan::millis(150);
+
+/// Puts `plan` in force if it is newer than the present one.
+pub fn take_plan(context: &NodeContext, router: &RouterService, plan: ServingPlan, from: &str) {
+    let before = context.plan_version();
+    if before.is_some_and(|version| version >= plan.version) {
+        return;
+    }
+    tracing::info!(
+        event = "plan_in_force",
+        version = plan.version.0,
+        before = before.map(|version| version.0),
+        routes = plan.routes.values().map(std::collections::BTreeMap::len).sum::<usize>(),
+        source = from,
+    );
+    *context.plan.borrow_mut() = Some(Rc::new(plan));
+    context.metrics.plans.inc();
+    router.update_plan();
+}
+
+/// Follows the store until the process ends.
+pub async fn follow_operators(
+    context: Rc<NodeContext>,
+    router: Rc<RouterService>,
+    client: StoreClient,
+) {
+    let state = DependencyState::new("store: configuration");
+    let mut from: Option<LogOffset> = None;
+    loop {
+        match read(&client, from).await {
+            Ok(Some(listing)) => {
+                state.note_answer();
+                from = Some(listing.end);
+                take_listing(&context, &router, &listing);
+            }
+            Ok(None) => from = None,
+            Err(error) => {
+                state.note_failure(&error);
+                context.metrics.store_failures.inc();
+                kernel::sleep(RETRY_PAUSE.into()).await;
+            }
+        }
+    }
+}
+
+/// The next changes; none if the topic has to be listed anew.
+async fn read(
+    client: &StoreClient,
+    from: Option<LogOffset>,
+) -> platform::Result<Option<KeyedListing>> {
+    let Some(from) = from else {
+        return client.newest(StoreTopic::Operators).await.map(Some);
+    };
+    match client.changes(StoreTopic::Operators, from, READ_WAIT).await? {
+        KeyedNews::Changes(listing) => Ok(Some(listing)),
+        KeyedNews::Deleted => Ok(None),
+    }
+}
+
+fn take_listing(context: &NodeContext, router: &RouterService, listing: &KeyedListing) {
+    if listing.malformed > 0 {
+        tracing::warn!(
+            event = "records_skipped",
+            topic = "configuration",
+            count = listing.malformed
+        );
+    }
+    for change in &listing.entries {
+        if let Some(plan) = decode(change) {
+            take_plan(context, router, plan, "store");
+        }
+    }
+}
+
+fn decode(change: &KeyedChange) -> Option<ServingPlan> {
+    let value = change.value.as_ref()?;
+    match platform::decode_plan(&change.key, value)? {
+        Ok(plan) => Some(plan),
+        Err(error) => {
+            tracing::warn!(event = "record_skipped", topic = "configuration", key = %change.key, %error);
+            None
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/front.rs
@@ -0,0 +1,158 @@
+//! Taking a caller's request: limits, route, key, and then the runners.
+
+use std::rc::Rc;
+
+use base::prelude::*;
+use hyper::header::{CONNECTION, HOST, HeaderValue, RETRY_AFTER};
+use hyper::{StatusCode, Uri};
+use platform::CallHead;
+use serde_json::json;
+use serving::{RouteKind, RouteRule, ServingPlan};
+use web::{ConnectionCut, WebError, WebRequest, WebResponse, json_reply, read_bounded};
+
+use crate::call::Call;
+use crate::call_log::log_rejection;
+use crate::context::NodeContext;
+use crate::plain_call::run_plain;
+use crate::router::RouterService;
+use crate::stream_call::run_stream;
+
+/// When a caller may come back to a node that has no configuration yet.
+const NOT_READY_COME_BACK: TimeSpan = TimeSpan::millis(300);
+/// When a caller may come back, to another node, while this one stops.
+const STOPPING_COME_BACK: TimeSpan = TimeSpan::millis(20);
+
+/// A request that is answered without a runner.
+#[derive(Debug, Clone, Copy)]
+pub struct Rejection {
+    /// The status.
+    pub status: StatusCode,
+    /// Why, in one word.
+    pub reason: &'static str,
+    /// When to come back.
+    pub come_back: Option<TimeSpan>,
+}
+
+impl Rejection {
+    fn bad(status: StatusCode, reason: &'static str) -> Self {
+        Self { status, reason, come_back: None }
+    }
+
+    /// The answer.
+    #[must_use]
+    pub fn reply(self) -> WebResponse {
+        let body = json!({ "error": self.reason });
+        let mut response = json_reply(self.status, &body);
+        if let Some(span) = self.come_back {
+            let text = format!("{:.3}", span.as_seconds());
+            if let Ok(value) = HeaderValue::from_str(&text) {
+                response.headers_mut().insert(RETRY_AFTER, value);
+            }
+        }
+        response
+    }
+}
+
+/// Answers one request of a caller.
+pub async fn answer_caller(
+    context: Rc<NodeContext>,
+    router: Rc<RouterService>,
+    request: WebRequest,
+) -> WebResponse {
+    let _guard = context.count_active();
+    let cut = ConnectionCut::of(&request);
+    let arrived = context.now();
+    let head = CallHead::decode(request.headers());
+    let id = head.attempt.clone();
+    let mut response = match match_call(&context, request, head, arrived).await {
+        Ok(call) if call.route.kind == RouteKind::Stream => {
+            run_stream(&context, &router, Rc::new(call), cut).await
+        }
+        Ok(call) => run_plain(&context, &router, &call).await,
+        Err(rejection) => {
+            let id = id.as_ref().map_or("", |id| id.as_str());
+            log_rejection(&context, id, rejection.reason, rejection.status.as_u16());
+            rejection.reply()
+        }
+    };
+    if context.stop.is_raised() {
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
+}
+
+async fn match_call(
+    context: &NodeContext,
+    request: WebRequest,
+    head: CallHead,
+    arrived: TimePoint,
+) -> Result<Call, Rejection> {
+    let plan = context.plan().ok_or(Rejection {
+        status: StatusCode::SERVICE_UNAVAILABLE,
+        reason: "not_ready",
+        come_back: Some(NOT_READY_COME_BACK),
+    })?;
+    let route = find_route(&plan, &request)?;
+    let tenant = match (&plan.keys, route.public) {
+        (None, _) | (_, true) => None,
+        (Some(_), false) => {
+            let found = head.key.as_ref().and_then(|key| plan.tenant(key));
+            Some(found.ok_or(Rejection::bad(StatusCode::UNAUTHORIZED, "unauthorized"))?)
+        }
+    };
+    if route.kind == RouteKind::Stream && context.stop.is_raised() {
+        return Err(Rejection {
+            status: StatusCode::SERVICE_UNAVAILABLE,
+            reason: "stopping",
+            come_back: Some(STOPPING_COME_BACK),
+        });
+    }
+    let attempt =
+        head.attempt.clone().ok_or(Rejection::bad(StatusCode::BAD_REQUEST, "no_attempt_id"))?;
+    let service = route
+        .service(rand::random())
+        .ok_or(Rejection::bad(StatusCode::NOT_FOUND, "no_service"))?
+        .clone();
+    let engine = plan.services.get(&service).and_then(|service| service.engine.as_ref());
+    let wait = head.wait.map_or(route.timeout, |wait| wait.min(route.timeout));
+    let (parts, body) = request.into_parts();
+    let body = read_bounded("request", body, plan.limits.body_bytes)
+        .await
+        .map_err(|error| body_fault(&error))?;
+    Ok(Call {
+        attempt,
+        plan: plan.version,
+        event_tokens: engine.map(|engine| engine.event_tokens),
+        moves: engine.is_some_and(|engine| engine.moves),
+        workspace: tenant.map(|tenant| tenant.workspace.clone()),
+        rank: tenant.and_then(|tenant| tenant.priority).unwrap_or(route.priority),
+        route,
+        service,
+        head,
+        method: parts.method,
+        uri: origin_form(&parts.uri),
+        headers: parts.headers,
+        body,
+        arrived,
+        deadline: arrived + wait,
+    })
+}
+
+fn find_route(plan: &ServingPlan, request: &WebRequest) -> Result<Rc<RouteRule>, Rejection> {
+    let named = request.headers().get(HOST).and_then(|host| host.to_str().ok());
+    let host = request.uri().host().or(named).unwrap_or_default();
+    let route = plan.route(host, request.uri().path());
+    route.cloned().ok_or(Rejection::bad(StatusCode::NOT_FOUND, "no_route"))
+}
+
+fn body_fault(error: &WebError) -> Rejection {
+    match error {
+        WebError::TooLong { .. } => Rejection::bad(StatusCode::PAYLOAD_TOO_LARGE, "body_too_long"),
+        _ => Rejection::bad(StatusCode::BAD_REQUEST, "body_incomplete"),
+    }
+}
+
+/// Path and query, without scheme and host.
+fn origin_form(uri: &Uri) -> Uri {
+    uri.path_and_query().cloned().map_or_else(|| uri.clone(), Uri::from)
+}
--- /dev/null
+++ b/crates/node/src/lookups.rs
@@ -0,0 +1,49 @@
+//! Telling callers which addresses to use, and the platform whether this node is ready.
+
+use std::net::SocketAddr;
+
+use hyper::StatusCode;
+use platform::{LOOKUP_PATH, LookupAnswer, READY_PATH};
+use web::{WebRequest, WebResponse, json_reply, text_reply};
+
+use crate::context::NodeContext;
+
+/// Time for which callers may keep an answer, in seconds: short, since a node that is
+/// gone stays in it for as long.
+const KEEP_SECONDS: u32 = 2;
+/// Addresses in one answer at most.
+const MAX_ADDRESSES: usize = 64;
+
+/// Answers a look-up of addresses.
+pub fn answer_lookup(context: &NodeContext, request: &WebRequest) -> WebResponse {
+    if request.uri().path() != LOOKUP_PATH {
+        return text_reply(StatusCode::NOT_FOUND, "no such page");
+    }
+    let addresses = addresses(context);
+    if addresses.is_empty() {
+        return text_reply(StatusCode::SERVICE_UNAVAILABLE, "no node is ready");
+    }
+    json_reply(StatusCode::OK, &LookupAnswer { addresses, keep_seconds: KEEP_SECONDS })
+}
+
+fn addresses(context: &NodeContext) -> Vec<SocketAddr> {
+    if context.is_cut_off() {
+        return Vec::new();
+    }
+    let peers = context.peers.borrow();
+    let ready = peers.live(context.now()).filter(|beat| beat.ready);
+    let own = context.is_ready().then_some(context.settings.callers);
+    own.into_iter().chain(ready.map(|beat| beat.callers)).take(MAX_ADDRESSES).collect()
+}
+
+/// Answers the readiness check.
+pub fn answer_readiness(context: &NodeContext, request: &WebRequest) -> WebResponse {
+    if request.uri().path() != READY_PATH {
+        return text_reply(StatusCode::NOT_FOUND, "no such page");
+    }
+    if context.is_ready() {
+        text_reply(StatusCode::OK, "ready")
+    } else {
+        text_reply(StatusCode::SERVICE_UNAVAILABLE, "not ready")
+    }
+}
--- /dev/null
+++ b/crates/node/src/main.rs
@@ -0,0 +1,54 @@
+//! `yard-node`: serves callers on one machine of the users' platform.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use argh::FromArgs;
+use node::{NodeError, Result, run_node};
+use settings::NodeSettings;
+
+/// Exit code for settings that are not usable.
+const BAD_SETTINGS: u8 = 2;
+
+/// Serves callers on one machine: look-ups, streams and plain calls.
+#[derive(FromArgs)]
+#[argh(example = "{command_name} --settings node.jsonc --set log_level=debug")]
+struct NodeArguments {
+    /// file with the settings, JSON with comments
+    #[argh(option)]
+    settings: PathBuf,
+    /// a setting that goes before the file, NAME=VALUE; may be repeated
+    #[argh(option, long = "set")]
+    sets: Vec<String>,
+    /// check the settings and end
+    #[argh(switch)]
+    check: bool,
+}
+
+fn main() -> ExitCode {
+    let arguments: NodeArguments = argh::from_env();
+    match start(&arguments) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error @ NodeError::Settings(_)) => {
+            eprintln!("{error}");
+            ExitCode::from(BAD_SETTINGS)
+        }
+        Err(error) => {
+            eprintln!("yard-node: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn start(arguments: &NodeArguments) -> Result<()> {
+    let read = {
+        let (path, sets) = (arguments.settings.clone(), arguments.sets.clone());
+        move || settings::read_settings::<NodeSettings>(&path, &sets)
+    };
+    let settings = read()?;
+    if arguments.check {
+        return Ok(());
+    }
+    let _lines = kernel::start_output_lines(&settings.log_level.to_string());
+    kernel::run(run_node(settings, read))?
+}
--- /dev/null
+++ b/crates/node/src/metrics.rs
@@ -0,0 +1,113 @@
+//! Counters and latency histograms, in the text format of Prometheus.
+
+use prometheus_client::encoding::{EncodeLabelSet, text};
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::Registry;
+
+/// Labels of a finished request.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct EndLabels {
+    /// How it ended.
+    pub outcome: &'static str,
+    /// Why, where it was refused or failed.
+    pub reason: &'static str,
+}
+
+/// Everything that a node counts.
+pub struct NodeMetrics {
+    registry: Registry,
+    /// Requests by how they ended.
+    pub ended: Family<EndLabels, Counter>,
+    /// Sends to runners.
+    pub sends: Counter,
+    /// Sends beyond the first of a request.
+    pub repeats: Counter,
+    /// Repeats that the shared budget did not allow.
+    pub repeats_denied: Counter,
+    /// Moves of running streams, by how they ended.
+    pub moves: Family<EndLabels, Counter>,
+    /// Configurations put in force.
+    pub plans: Counter,
+    /// Failed exchanges with the store.
+    pub store_failures: Counter,
+    /// Heartbeats of other nodes.
+    pub beats: Counter,
+    /// Log lines left out to bound their volume.
+    pub lines_dropped: Counter,
+    /// Requests in progress.
+    pub active: Gauge,
+    /// Time from arrival to the first byte of the answer, in seconds.
+    pub first_byte: Histogram,
+    /// Time from arrival to the end, in seconds.
+    pub total: Histogram,
+    /// Time that requests waited for a runner, in seconds.
+    pub queued: Histogram,
+}
+
+/// Shortest time that the histograms tell apart, in seconds.
+const FIRST_BUCKET_SECONDS: f64 = 0.002;
+/// Buckets, each twice as long as the one before.
+const BUCKETS: u16 = 15;
+
+impl NodeMetrics {
+    /// All counts at zero.
+    #[must_use]
+    pub fn new() -> Self {
+        let histogram = || Histogram::new(exponential_buckets(FIRST_BUCKET_SECONDS, 2.0, BUCKETS));
+        let mut metrics = Self {
+            registry: Registry::with_prefix("yard_node"),
+            ended: Family::default(),
+            sends: Counter::default(),
+            repeats: Counter::default(),
+            repeats_denied: Counter::default(),
+            moves: Family::default(),
+            plans: Counter::default(),
+            store_failures: Counter::default(),
+            beats: Counter::default(),
+            lines_dropped: Counter::default(),
+            active: Gauge::default(),
+            first_byte: histogram(),
+            total: histogram(),
+            queued: histogram(),
+        };
+        metrics.register();
+        metrics
+    }
+
+    fn register(&mut self) {
+        let registry = &mut self.registry;
+        registry.register("requests", "Requests by how they ended", self.ended.clone());
+        registry.register("sends", "Sends to runners", self.sends.clone());
+        registry.register("repeats", "Sends beyond the first of a request", self.repeats.clone());
+        registry.register(
+            "repeats_denied",
+            "Repeats that the shared budget did not allow",
+            self.repeats_denied.clone(),
+        );
+        registry.register("moves", "Moves of running streams", self.moves.clone());
+        registry.register("plans", "Configurations put in force", self.plans.clone());
+        registry.register(
+            "store_failures",
+            "Failed exchanges with the store",
+            self.store_failures.clone(),
+        );
+        registry.register("beats", "Heartbeats of other nodes", self.beats.clone());
+        registry.register("lines_dropped", "Log lines left out", self.lines_dropped.clone());
+        registry.register("active", "Requests in progress", self.active.clone());
+        registry.register("first_byte_seconds", "Time to the first byte", self.first_byte.clone());
+        registry.register("total_seconds", "Time to the end", self.total.clone());
+        registry.register("queued_seconds", "Time without a runner", self.queued.clone());
+    }
+
+    /// The page.
+    #[must_use]
+    pub fn page(&self) -> String {
+        let mut page = String::new();
+        // Writing to a string cannot fail.
+        let _ = text::encode(&mut page, &self.registry);
+        page
+    }
+}
--- /dev/null
+++ b/crates/node/src/peer_link.rs
@@ -0,0 +1,212 @@
+//! Heartbeats between the nodes, over UDP.
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use base::prelude::*;
+use compio::net::UdpSocket;
+use hyper::Method;
+use serving::{PeerBeat, RunnerRecord, ServingPlan};
+use web::{Result, WebError, fetch};
+
+use crate::context::NodeContext;
+use crate::dependency::DependencyState;
+use crate::follow_operators::take_plan;
+use crate::peer_server::{PLAN_PATH, RUNNERS_PATH, RunnersAnswer};
+use crate::router::RouterService;
+
+/// Pause between two heartbeats.
+const BEAT_PERIOD: TimeSpan = TimeSpan::millis(100);
+/// Longest heartbeat, in bytes.
+const MAX_BEAT_BYTES: usize = 60_000;
+/// Age of the own list of runners from which a node that has read further is asked.
+const STALE_LIST_SPAN: TimeSpan = TimeSpan::millis(500);
+/// Time for one exchange with another node.
+const PEER_LIMIT: TimeSpan = TimeSpan::millis(700);
+
+/// The link of this node to the others.
+pub struct PeerLink {
+    context: Rc<NodeContext>,
+    router: Rc<RouterService>,
+    socket: UdpSocket,
+    sequence: Cell<u64>,
+    fetching: Cell<bool>,
+    state: DependencyState,
+}
+
+impl PeerLink {
+    /// Opens the socket.
+    ///
+    /// # Errors
+    /// If it cannot be bound.
+    pub async fn open(
+        context: &Rc<NodeContext>,
+        router: &Rc<RouterService>,
+    ) -> std::io::Result<Rc<Self>> {
+        let socket = UdpSocket::bind(context.settings.peer()).await?;
+        Ok(Rc::new(Self {
+            context: Rc::clone(context),
+            router: Rc::clone(router),
+            socket,
+            sequence: Cell::default(),
+            fetching: Cell::default(),
+            state: DependencyState::new("other nodes"),
+        }))
+    }
+
+    /// Sends heartbeats until the process ends.
+    pub async fn run_sending(self: Rc<Self>) {
+        loop {
+            self.send_beat().await;
+            self.forget_silent();
+            kernel::sleep(BEAT_PERIOD.into()).await;
+        }
+    }
+
+    async fn send_beat(&self) {
+        let beat = self.beat();
+        let Ok(bytes) = postcard::to_stdvec(&beat) else { return };
+        let addresses = self.context.peers.borrow().addresses();
+        let mut buffer = bytes;
+        for address in addresses {
+            let (sent, back) = self.socket.send_to(buffer, address).await.into();
+            buffer = back;
+            // A heartbeat that is lost is followed by the next one.
+            if let Err(error) = sent {
+                tracing::debug!(event = "beat_not_sent", %address, %error);
+            }
+        }
+    }
+
+    fn beat(&self) -> PeerBeat {
+        let sequence = self.sequence.get() + 1;
+        self.sequence.set(sequence);
+        let settings = &self.context.settings;
+        PeerBeat {
+            vm: settings.vm.clone(),
+            incarnation: self.context.incarnation,
+            sequence,
+            callers: settings.callers,
+            peer: settings.peer(),
+            place: settings.place.clone(),
+            ready: self.context.is_ready(),
+            plan: self.context.plan_version(),
+            runners_read: self.context.runners_read.get(),
+            loads: self.router.own_loads(),
+        }
+    }
+
+    fn forget_silent(&self) {
+        let silent = self.context.peers.borrow_mut().prune(self.context.now());
+        for vm in silent {
+            self.context.loads.borrow_mut().remove(&vm);
+        }
+    }
+
+    /// Takes the heartbeats of others until the process ends.
+    pub async fn run_receiving(self: Rc<Self>) {
+        let mut buffer = vec![0; MAX_BEAT_BYTES];
+        loop {
+            let (received, back) = self.socket.recv_from(buffer).await.into();
+            buffer = back;
+            match received {
+                Ok((length, _)) => self.take(&buffer[..length.min(buffer.len())]),
+                Err(error) => {
+                    self.state.note_failure(&error);
+                    kernel::sleep(BEAT_PERIOD.into()).await;
+                }
+            }
+            buffer.resize(MAX_BEAT_BYTES, 0);
+        }
+    }
+
+    fn take(self: &Rc<Self>, bytes: &[u8]) {
+        let beat: PeerBeat = match postcard::from_bytes(bytes) {
+            Ok(beat) => beat,
+            Err(error) => {
+                tracing::debug!(event = "beat_skipped", %error);
+                return;
+            }
+        };
+        if beat.vm == self.context.settings.vm {
+            return;
+        }
+        self.context.metrics.beats.inc();
+        let (vm, loads) = (beat.vm.clone(), beat.loads.clone());
+        if self.context.peers.borrow_mut().take(self.context.now(), beat) {
+            self.context.loads.borrow_mut().set(vm, loads);
+            self.catch_up();
+        }
+    }
+
+    /// Asks a node that knows more, one at a time.
+    fn catch_up(self: &Rc<Self>) {
+        if self.fetching.get() {
+            return;
+        }
+        let now = self.context.now();
+        let peers = self.context.peers.borrow();
+        let plan = peers.newer_plan(now, self.context.plan_version());
+        let is_stale = self.context.runners_age() > STALE_LIST_SPAN;
+        let read = self.context.runners_read.get();
+        let runners = if is_stale { peers.newer_runners(now, read) } else { None };
+        if plan.is_none() && runners.is_none() {
+            return;
+        }
+        self.fetching.set(true);
+        let link = Rc::clone(self);
+        kernel::spawn(async move {
+            link.fetch_from(plan, runners).await;
+            link.fetching.set(false);
+        })
+        .detach();
+    }
+
+    async fn fetch_from(&self, plan: Option<SocketAddr>, runners: Option<SocketAddr>) {
+        let mut outcome = Ok(());
+        if let Some(peer) = plan {
+            outcome = self.fetch_plan(peer).await;
+        }
+        if let Some(peer) = runners {
+            outcome = outcome.and(self.fetch_runners(peer).await);
+        }
+        match outcome {
+            Ok(()) => self.state.note_answer(),
+            Err(error) => self.state.note_failure(&error),
+        }
+    }
+
+    async fn fetch_plan(&self, peer: SocketAddr) -> Result<()> {
+        let step = "configuration of another node";
+        let plan: ServingPlan = get(step, peer, PLAN_PATH).await?;
+        take_plan(&self.context, &self.router, plan, "node");
+        Ok(())
+    }
+
+    async fn fetch_runners(&self, peer: SocketAddr) -> Result<()> {
+        let asked = self.context.now();
+        let answer: RunnersAnswer = get("runners of another node", peer, RUNNERS_PATH).await?;
+        if answer.read <= self.context.runners_read.get() {
+            return Ok(());
+        }
+        let records: Vec<RunnerRecord> = answer.runners;
+        let changed = self.context.runners.borrow_mut().replace(self.context.now(), records);
+        self.context.runners_read.set(answer.read);
+        self.context.runners_current.set(Some(asked));
+        if changed {
+            tracing::info!(event = "runners_taken", read = answer.read.0, source = "node", %peer);
+            self.router.update_members();
+        }
+        Ok(())
+    }
+}
+
+async fn get<T: serde::de::DeserializeOwned>(
+    step: &'static str,
+    peer: SocketAddr,
+    path: &str,
+) -> Result<T> {
+    let bytes = fetch(step, Method::GET, peer, path, Vec::new().into(), PEER_LIMIT).await?;
+    serde_json::from_slice(&bytes).map_err(|source| WebError::Json { step, source })
+}
--- /dev/null
+++ b/crates/node/src/peer_server.rs
@@ -0,0 +1,44 @@
+//! What a node tells other nodes on request: its configuration and its list of runners.
+
+use base::prelude::*;
+use hyper::StatusCode;
+use serde::{Deserialize, Serialize};
+use serving::RunnerRecord;
+use web::{WebRequest, WebResponse, json_reply, text_reply};
+
+use crate::context::NodeContext;
+
+/// Path of the configuration.
+pub const PLAN_PATH: &str = "/plan";
+/// Path of the list of runners.
+pub const RUNNERS_PATH: &str = "/runners";
+
+/// The list of runners of a node.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct RunnersAnswer {
+    /// End of the list in the store as far as it was read.
+    pub read: LogOffset,
+    /// All runners whose entry was not removed.
+    pub runners: Vec<RunnerRecord>,
+}
+
+/// Answers another node.
+pub fn answer_peer(context: &NodeContext, request: &WebRequest) -> WebResponse {
+    match request.uri().path() {
+        PLAN_PATH => match context.plan() {
+            Some(plan) => json_reply(StatusCode::OK, &*plan),
+            None => text_reply(StatusCode::SERVICE_UNAVAILABLE, "no configuration yet"),
+        },
+        RUNNERS_PATH => json_reply(StatusCode::OK, &list(context)),
+        _ => text_reply(StatusCode::NOT_FOUND, "no such page"),
+    }
+}
+
+fn list(context: &NodeContext) -> RunnersAnswer {
+    let table = context.runners.borrow();
+    let listed = table.entries().filter(|entry| entry.removed.is_none());
+    RunnersAnswer {
+        read: context.runners_read.get(),
+        runners: listed.map(|entry| entry.record.clone()).collect(),
+    }
+}
--- /dev/null
+++ b/crates/node/src/router.rs
@@ -0,0 +1,325 @@
+//! The service that binds the routing desk to the calls of this node.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::{Rc, Weak};
+
+use base::prelude::*;
+use config::{PolicyWeights, ServiceKind};
+use futures_channel::mpsc;
+use futures_util::StreamExt;
+use kernel::StopSignal;
+use route::{
+    CallEnd, CallId, PolicyName, RouteAction, RouteCall, RouteDesk, RouteEvent, RouteSettings,
+};
+use serving::RunnerLoad;
+
+use crate::context::NodeContext;
+
+/// Pause between two ticks of the desk while calls wait.
+const TICK: TimeSpan = TimeSpan::millis(10);
+/// Pause between two sums of the runners' loads.
+const LOAD_PERIOD: TimeSpan = TimeSpan::millis(100);
+/// Calls that may wait in this node.
+const QUEUE_LIMIT: usize = 2_000;
+
+/// What a call has to do next.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum RouteOrder {
+    /// Go to this runner.
+    Send {
+        /// The target.
+        runner: RunnerId,
+    },
+    /// Tell the caller that its call was not run.
+    Refuse {
+        /// Why.
+        reason: RefusalReason,
+        /// When to come back.
+        come_back: TimeSpan,
+    },
+}
+
+/// A call of this node that is at a runner or waits for one.
+struct OwnCall {
+    runner: Option<RunnerId>,
+    tokens: u32,
+    started: bool,
+    orders: mpsc::UnboundedSender<RouteOrder>,
+    /// Raised when its runner leaves.
+    leaving: StopSignal,
+}
+
+/// The router of one node.
+pub struct RouterService {
+    context: Rc<NodeContext>,
+    desk: RefCell<RouteDesk>,
+    calls: RefCell<BTreeMap<CallId, OwnCall>>,
+    waiting: Cell<usize>,
+    next_call: Cell<u64>,
+    reports: Cell<u64>,
+    this: Weak<Self>,
+}
+
+impl RouterService {
+    /// A router with an empty desk.
+    #[must_use]
+    pub fn new(context: &Rc<NodeContext>) -> Rc<Self> {
+        let settings = RouteSettings {
+            policy: PolicyName::Product,
+            seed: rand::random(),
+            place: context.settings.place.clone(),
+            queue_limit: QUEUE_LIMIT,
+        };
+        Rc::new_cyclic(|this| Self {
+            context: Rc::clone(context),
+            desk: RefCell::new(RouteDesk::new(settings)),
+            calls: RefCell::default(),
+            waiting: Cell::default(),
+            next_call: Cell::new(1),
+            reports: Cell::default(),
+            this: this.clone(),
+        })
+    }
+
+    /// Asks for a runner; the call's number is drawn here.
+    ///
+    /// # Panics
+    /// Never: the service lives as long as its process.
+    pub fn open(&self, mut call: RouteCall) -> RouteTicket {
+        let id = CallId(self.next_call.get());
+        self.next_call.set(id.0 + 1);
+        call.call = id;
+        let (sender, orders) = mpsc::unbounded();
+        let leaving = StopSignal::new();
+        let own = OwnCall {
+            runner: None,
+            tokens: call.prompt_tokens.0,
+            started: false,
+            orders: sender,
+            leaving: leaving.clone(),
+        };
+        self.calls.borrow_mut().insert(id, own);
+        self.waiting.set(self.waiting.get() + 1);
+        self.tell(RouteEvent::Arrive(call));
+        let router = self.this.upgrade().expect("the router outlives its calls");
+        RouteTicket { router, call: id, orders, leaving, open: true }
+    }
+
+    fn tell(&self, event: RouteEvent) {
+        let actions = self.desk.borrow_mut().handle(self.context.now(), event);
+        for action in actions {
+            self.pass_on(action);
+        }
+    }
+
+    fn pass_on(&self, action: RouteAction) {
+        let mut calls = self.calls.borrow_mut();
+        match action {
+            RouteAction::Send { call, runner, .. } => {
+                if let Some(own) = calls.get_mut(&call) {
+                    self.waiting.set(self.waiting.get() - 1);
+                    own.runner = Some(runner.clone());
+                    // The receiver ends only with its ticket, which takes the call away.
+                    let _ = own.orders.unbounded_send(RouteOrder::Send { runner });
+                }
+            }
+            RouteAction::Refuse { call, reason, come_back } => {
+                if let Some(own) = calls.get(&call) {
+                    let _ = own.orders.unbounded_send(RouteOrder::Refuse { reason, come_back });
+                }
+            }
+            // The desk withdraws nothing yet.
+            RouteAction::Withdraw { .. } => (),
+        }
+    }
+
+    /// Tells the desk about the services of the configuration in force.
+    pub fn update_plan(&self) {
+        let Some(plan) = self.context.plan() else { return };
+        for (service, entry) in &plan.services {
+            let kind = if entry.engine.is_some() { ServiceKind::Model } else { ServiceKind::Plain };
+            let service = service.clone();
+            let weights = PolicyWeights { preemptions: 1.0, gap_tail: 1.0, stall: 1.0 };
+            self.tell(RouteEvent::Service { service, kind, weights, shares: Vec::new() });
+        }
+        self.update_members();
+    }
+
+    /// Tells the desk about the runners, and calls whose runner leaves that it does.
+    pub fn update_members(&self) {
+        let Some(plan) = self.context.plan() else { return };
+        let now = self.context.now();
+        for service in plan.services.keys() {
+            let members = self.context.runners.borrow().members(service, now);
+            self.tell(RouteEvent::Members { service: service.clone(), members });
+        }
+        self.report_loads();
+        let runners = self.context.runners.borrow();
+        for own in self.calls.borrow().values() {
+            if own.runner.as_ref().is_some_and(|runner| runners.is_leaving(runner)) {
+                own.leaving.raise();
+            }
+        }
+    }
+
+    /// Notes that a runner refused work because it leaves.
+    pub fn note_leaving(&self, runner: &RunnerId) {
+        let now = self.context.now();
+        if self.context.runners.borrow_mut().note_leaving(now, runner) {
+            tracing::info!(event = "runner_changed", %runner, state = "leaving", source = "reply");
+            self.update_members();
+        }
+    }
+
+    /// What this node has at the runners.
+    #[must_use]
+    pub fn own_loads(&self) -> Vec<RunnerLoad> {
+        let mut loads: BTreeMap<&RunnerId, RunnerLoad> = BTreeMap::new();
+        let calls = self.calls.borrow();
+        for own in calls.values() {
+            let Some(runner) = &own.runner else { continue };
+            let load = loads.entry(runner).or_insert_with(|| RunnerLoad {
+                runner: runner.clone(),
+                calls: 0,
+                starting: 0,
+                tokens: 0,
+            });
+            load.calls += 1;
+            load.starting += u32::from(!own.started);
+            load.tokens = load.tokens.saturating_add(own.tokens);
+        }
+        loads.into_values().collect()
+    }
+
+    /// Tells the desk the load of every runner, over all nodes.
+    fn report_loads(&self) {
+        let Some(plan) = self.context.plan() else { return };
+        let mut sums = self.context.loads.borrow().sums();
+        for load in self.own_loads() {
+            serving::add_load(&mut sums, &load);
+        }
+        let sequence = self.reports.get() + 1;
+        self.reports.set(sequence);
+        let entries: Vec<(RunnerId, ServiceName, u64)> = {
+            let runners = self.context.runners.borrow();
+            let parts = |entry: &serving::RunnerEntry| {
+                let record = &entry.record;
+                (record.runner.clone(), record.service.clone(), record.born)
+            };
+            runners.entries().filter(|entry| entry.removed.is_none()).map(parts).collect()
+        };
+        for (runner, service, born) in entries {
+            let Some(service) = plan.services.get(&service) else { continue };
+            let memory = service.engine.as_ref().map_or(0, |engine| engine.memory.0);
+            let load = sums.get(&runner);
+            self.tell(RouteEvent::Report(RunnerReport {
+                runner,
+                incarnation: born,
+                sequence,
+                age: TimeSpan::default(),
+                used_blocks: base::BlockCount(load.map_or(0, |load| load.tokens)),
+                total_blocks: base::BlockCount(memory),
+                block_tokens: 1,
+                running: load.map_or(0, |load| load.calls),
+                waiting: 0,
+                preemptions: 0,
+                step: TimeSpan::default(),
+                leaving: false,
+                models: Vec::new(),
+                fence: 0,
+            }));
+        }
+    }
+
+    /// Gives the desk time and loads until the process ends.
+    pub async fn run_ticks(self: Rc<Self>) {
+        let mut next_report = TimePoint::default();
+        loop {
+            let now = self.context.now();
+            if now >= next_report {
+                next_report = now + LOAD_PERIOD;
+                self.report_loads();
+            }
+            if self.waiting.get() > 0 {
+                self.tell(RouteEvent::Tick);
+                kernel::sleep(TICK.into()).await;
+            } else {
+                kernel::sleep(next_report.since(now).into()).await;
+            }
+        }
+    }
+
+    fn close(&self, call: CallId, end: CallEnd) {
+        if let Some(own) = self.calls.borrow_mut().remove(&call)
+            && own.runner.is_none()
+        {
+            self.waiting.set(self.waiting.get() - 1);
+        }
+        self.tell(RouteEvent::Ended { call, end });
+    }
+}
+
+/// A call's place at the router; dropped without an end, the caller has left.
+pub struct RouteTicket {
+    router: Rc<RouterService>,
+    call: CallId,
+    orders: mpsc::UnboundedReceiver<RouteOrder>,
+    leaving: StopSignal,
+    open: bool,
+}
+
+impl RouteTicket {
+    /// Waits for what to do next.
+    pub async fn order(&mut self) -> RouteOrder {
+        match self.orders.next().await {
+            Some(order) => order,
+            // The sender is dropped only by `end`, after which nobody waits.
+            None => std::future::pending().await,
+        }
+    }
+
+    /// Notes that `produced` tokens have come.
+    pub fn progress(&self, prompt: TokenCount, produced: u32) {
+        let mut calls = self.router.calls.borrow_mut();
+        if let Some(own) = calls.get_mut(&self.call) {
+            own.started = true;
+            own.tokens = prompt.0.saturating_add(produced);
+        }
+        drop(calls);
+        let index = TokenIndex(produced.saturating_sub(1));
+        self.router.tell(RouteEvent::Progress { call: self.call, index });
+    }
+
+    /// Raised when the call's runner leaves.
+    #[must_use]
+    pub fn leaving(&self) -> StopSignal {
+        self.leaving.clone()
+    }
+
+    /// Books the call at another runner; none if there is none.
+    pub fn relocate(&mut self) -> Option<RunnerId> {
+        let now = self.router.context.now();
+        let runner = self.router.desk.borrow_mut().relocate(now, self.call)?;
+        self.leaving = StopSignal::new();
+        if let Some(own) = self.router.calls.borrow_mut().get_mut(&self.call) {
+            own.runner = Some(runner.clone());
+            own.leaving = self.leaving.clone();
+        }
+        Some(runner)
+    }
+
+    /// Tells the desk how the attempt ended.
+    pub fn end(mut self, end: CallEnd) {
+        self.open = false;
+        self.router.close(self.call, end);
+    }
+}
+
+impl Drop for RouteTicket {
+    fn drop(&mut self) {
+        if self.open {
+            self.router.close(self.call, CallEnd::Left);
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/runner_send.rs
@@ -0,0 +1,148 @@
+//! One send of a request to one runner, on a connection of its own.
+
+use std::rc::Rc;
+
+use base::prelude::*;
+use compio::time::timeout;
+use hyper::header::HOST;
+use hyper::{Request, StatusCode};
+use platform::{ReplyMeaning, ResumeSource, RunnerHead, read_reply, runner_headers};
+use route::CallEnd;
+use serving::{RunnerRecord, SendOutcome};
+use web::{SendFault, WebError, WebExchange, full_body, open_exchange};
+
+use crate::call::Call;
+use crate::context::NodeContext;
+
+/// Longest time to connect; a runner whose queue of connections is full drops the first
+/// packet, which is sent again only after a second.
+const CONNECT_LIMIT: TimeSpan = TimeSpan::millis(400);
+
+/// A send that gave no answer to pass on.
+#[derive(Debug, Clone)]
+pub struct SendSetback {
+    /// What it means for the request.
+    pub outcome: SendOutcome,
+    /// What it says about the runner.
+    pub end: CallEnd,
+    /// The address is another runner's by now, or the runner said that it leaves.
+    pub runner_gone: bool,
+    /// Why, for the log.
+    pub reason: Rc<str>,
+}
+
+/// Sends `call` to `runner` and waits at most `limit` for the head of its answer.
+///
+/// # Errors
+/// [`SendSetback`] where there is no answer to pass on.
+pub async fn send_to_runner(
+    context: &NodeContext,
+    call: &Call,
+    runner: &RunnerRecord,
+    resume: Option<&ResumeSource>,
+    limit: TimeSpan,
+) -> Result<WebExchange, SendSetback> {
+    let left = call.deadline.since(context.now());
+    let head = RunnerHead {
+        left,
+        runner: &runner.runner,
+        workspace: call.workspace.as_ref(),
+        rank: call.rank,
+        resume,
+        backup: None,
+    };
+    let request = build(call, &head).map_err(|error| not_sent(&error))?;
+    let connect_limit = CONNECT_LIMIT.min(left);
+    let exchange = open_exchange(runner.address, request, connect_limit, limit.min(left)).await;
+    let exchange = exchange.map_err(|error| match error.send_fault() {
+        SendFault::NotSent => not_sent(&error),
+        SendFault::MaybeSent => unknown(&error),
+    })?;
+    judge(call, exchange)
+}
+
+fn build(call: &Call, head: &RunnerHead<'_>) -> Result<Request<web::WebBody>, WebError> {
+    let mut request = Request::builder()
+        .method(call.method.clone())
+        .uri(call.uri.clone())
+        .body(full_body(call.body.clone()))
+        .map_err(|source| WebError::Request { step: "request to a runner", source })?;
+    *request.headers_mut() = runner_headers(&call.headers, head);
+    debug_assert!(request.headers().contains_key(HOST) || call.uri.host().is_none());
+    Ok(request)
+}
+
+fn judge(call: &Call, exchange: WebExchange) -> Result<WebExchange, SendSetback> {
+    let status = exchange.response.status();
+    match read_reply(status, exchange.response.headers(), &call.attempt) {
+        ReplyMeaning::Answer if !promises_not_run(status) => Ok(exchange),
+        ReplyMeaning::NotRun => Err(SendSetback {
+            outcome: SendOutcome::Refused,
+            end: CallEnd::Refused,
+            runner_gone: false,
+            reason: Rc::from(format!("refused with {status}")),
+        }),
+        ReplyMeaning::WrongRunner => Err(SendSetback {
+            outcome: SendOutcome::Refused,
+            end: CallEnd::Refused,
+            runner_gone: true,
+            reason: Rc::from("the address is another runner's"),
+        }),
+        meaning => Err(SendSetback {
+            outcome: SendOutcome::Unknown,
+            end: CallEnd::Failed,
+            runner_gone: false,
+            reason: Rc::from(format!("{meaning:?} with {status}")),
+        }),
+    }
+}
+
+/// Whether callers take a status as a promise that the request did not run.
+fn promises_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
+fn not_sent(error: &WebError) -> SendSetback {
+    SendSetback {
+        outcome: SendOutcome::NotSent,
+        end: CallEnd::Failed,
+        runner_gone: false,
+        reason: Rc::from(error.to_string()),
+    }
+}
+
+fn unknown(error: &WebError) -> SendSetback {
+    SendSetback { outcome: SendOutcome::Unknown, ..not_sent(error) }
+}
+
+/// Reads the whole body of an answer within `limit`.
+///
+/// # Errors
+/// [`SendSetback`] if it does not come whole.
+pub async fn read_whole(
+    exchange: WebExchange,
+    limit: TimeSpan,
+) -> Result<hyper::Response<hyper::body::Bytes>, SendSetback> {
+    /// Longest answer that is kept whole, in bytes.
+    const MAX_ANSWER_BYTES: usize = 8 << 20;
+    let WebExchange { response, connection } = exchange;
+    let (parts, body) = response.into_parts();
+    let read = web::read_bounded("answer of a runner", body, MAX_ANSWER_BYTES);
+    let bytes = match timeout(limit.into(), read).await {
+        Ok(Ok(bytes)) => bytes,
+        Ok(Err(error)) => return Err(unknown(&error)),
+        Err(_) => {
+            let reason = Rc::from("the answer did not come whole in time");
+            let (outcome, end) = (SendOutcome::Unknown, CallEnd::Failed);
+            return Err(SendSetback { outcome, end, runner_gone: false, reason });
+        }
+    };
+    drop(connection);
+    Ok(hyper::Response::from_parts(parts, bytes))
+}
--- /dev/null
+++ b/crates/node/src/stream_move.rs
@@ -0,0 +1,40 @@
+//! Moving a running stream's memory to another runner.
+//!
+//! The memory is copied while the run goes on; then the run stops and what it made
+//! meanwhile is copied too. Only after that does another runner go on with it.
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use base::prelude::*;
+use platform::{AttemptId, MoveAnswer, move_run};
+
+/// Time for the copy of a whole run; a link is shared by the runs that leave together.
+const COPY_LIMIT: TimeSpan = TimeSpan::millis(2_500);
+/// Time for the copy of what was made meanwhile.
+const REST_LIMIT: TimeSpan = TimeSpan::millis(1_000);
+
+/// A move in progress.
+pub struct StreamMove {
+    /// The run.
+    pub attempt: AttemptId,
+    /// The runner that has it.
+    pub source: SocketAddr,
+    /// The runner that it goes to.
+    pub target: SocketAddr,
+    /// Set before the run is told to stop.
+    pub stopping: Rc<Cell<bool>>,
+}
+
+impl StreamMove {
+    /// Copies the run's memory and stops the run.
+    ///
+    /// # Errors
+    /// What the source answered; after [`Self::stopping`] is set, the run may have stopped.
+    pub async fn run(self) -> platform::Result<MoveAnswer> {
+        move_run(self.source, &self.attempt, self.target, false, COPY_LIMIT).await?;
+        self.stopping.set(true);
+        move_run(self.source, &self.attempt, self.target, true, REST_LIMIT).await
+    }
+}
--- a/crates/route/src/desk_dispatch.rs
+++ b/crates/route/src/desk_dispatch.rs
@@ -176,7 +176,7 @@
         let names: Vec<QueueName> = self.queues.keys().cloned().collect();
         for name in names {
             while let Some(call) = self.queues.get(&name).and_then(WaitQueue::first) {
-                let Some((slot, score)) = self.choose(now, call) else {
+                let Some((slot, score)) = self.choose(now, call, |score| score.open) else {
                     break;
                 };
                 if let Some(queue) = self.queues.get_mut(&name) {
@@ -188,8 +188,13 @@
         actions
     }
 
-    /// The open runner of the lowest cost.
-    fn choose(&mut self, now: TimePoint, id: CallId) -> Option<(usize, RunnerScore)> {
+    /// The runner of the lowest cost among those whose score is allowed.
+    pub(crate) fn choose(
+        &mut self,
+        now: TimePoint,
+        id: CallId,
+        allow: fn(&RunnerScore) -> bool,
+    ) -> Option<(usize, RunnerScore)> {
         let record = self.calls.get(&id)?;
         let view = self.services.get(&record.call.service)?;
         let model = record.call.model.as_ref();
@@ -213,7 +218,7 @@
                 ServiceKind::Plain => 1.0,
             };
             let cost = score.cost + noise * self.random.random::<f64>();
-            if score.open && best.is_none_or(|(least, _, _)| cost < least) {
+            if allow(&score) && best.is_none_or(|(least, _, _)| cost < least) {
                 best = Some((cost, slot, score));
             }
         }
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -9,6 +9,7 @@
 mod decision_log;
 mod desk;
 mod desk_dispatch;
+mod desk_relocate;
 mod desk_summary;
 mod event;
 mod forecast;
--- /dev/null
+++ b/crates/serving/src/attempt.rs
@@ -0,0 +1,79 @@
+//! What is known of one request's runs, and which final status follows from it.
+//!
+//! This is the only place that decides between "not run" and "unknown".
+
+use crate::RouteKind;
+
+/// What came of one send.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum SendOutcome {
+    /// No byte of the request left this node.
+    NotSent,
+    /// The runner said that it did not run the request.
+    Refused,
+    /// The runner answered with a failure of its own.
+    Failed,
+    /// The request was sent and no usable answer came: it may have run.
+    Unknown,
+}
+
+/// The status of a request that ends without a runner's answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum FinalStatus {
+    /// It did not run and never will.
+    NotRun,
+    /// Whether it ran is not known.
+    Unknown,
+}
+
+/// The runs of one request so far.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct AttemptTrack {
+    kind: RouteKind,
+    max_attempts: u32,
+    sends: u32,
+    runs: u32,
+}
+
+/// Sends that runners may refuse before the request is given up; each one costs a round
+/// trip and a part of the shared retry budget.
+const MAX_REFUSALS: u32 = 3;
+
+impl AttemptTrack {
+    /// A request that was not sent yet.
+    #[must_use]
+    pub fn new(kind: RouteKind, max_attempts: u32) -> Self {
+        Self { kind, max_attempts: max_attempts.max(1), sends: 0, runs: 0 }
+    }
+
+    /// Notes how a send ended.
+    pub fn note(&mut self, outcome: SendOutcome) {
+        match outcome {
+            SendOutcome::NotSent => (),
+            SendOutcome::Refused => self.sends += 1,
+            SendOutcome::Failed | SendOutcome::Unknown => {
+                self.sends += 1;
+                self.runs += 1;
+            }
+        }
+    }
+
+    /// Sends that reached a runner.
+    #[must_use]
+    pub fn sends(&self) -> u32 {
+        self.sends
+    }
+
+    /// Whether the request may go to a further runner.
+    #[must_use]
+    pub fn may_send(&self) -> bool {
+        let repeatable = self.kind == RouteKind::Idempotent || self.runs == 0;
+        repeatable && self.runs < self.max_attempts && self.sends < self.max_attempts + MAX_REFUSALS
+    }
+
+    /// The status if the request ends now.
+    #[must_use]
+    pub fn final_status(&self) -> FinalStatus {
+        if self.runs == 0 { FinalStatus::NotRun } else { FinalStatus::Unknown }
+    }
+}
--- /dev/null
+++ b/crates/serving/src/fleet_loads.rs
@@ -0,0 +1,61 @@
+//! The load of each runner, summed from what all nodes have there.
+//!
+//! Load pattern: many nodes send to few engines. A runner's own report lags by half a
+//! second; the nodes' own books are some 100 ms old, and this node's own are exact.
+
+use std::collections::BTreeMap;
+
+use base::prelude::*;
+use serde::{Deserialize, Serialize};
+
+/// What one node has at one runner.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RunnerLoad {
+    /// The runner.
+    pub runner: RunnerId,
+    /// Requests there.
+    pub calls: u32,
+    /// Requests there whose first event or answer has not come.
+    pub starting: u32,
+    /// Tokens of prompts and outputs so far.
+    pub tokens: u32,
+}
+
+/// Loads told by other nodes.
+#[derive(Debug, Default)]
+pub struct FleetLoads {
+    nodes: BTreeMap<VmId, Vec<RunnerLoad>>,
+}
+
+impl FleetLoads {
+    /// Replaces what a node has told before.
+    pub fn set(&mut self, vm: VmId, loads: Vec<RunnerLoad>) {
+        self.nodes.insert(vm, loads);
+    }
+
+    /// Forgets a node that is gone.
+    pub fn remove(&mut self, vm: &VmId) {
+        self.nodes.remove(vm);
+    }
+
+    /// The sum over all other nodes, by runner.
+    #[must_use]
+    pub fn sums(&self) -> BTreeMap<RunnerId, RunnerLoad> {
+        let mut sums: BTreeMap<RunnerId, RunnerLoad> = BTreeMap::new();
+        for load in self.nodes.values().flatten() {
+            add_load(&mut sums, load);
+        }
+        sums
+    }
+}
+
+/// Adds `load` to the runner's sum.
+pub fn add_load(sums: &mut BTreeMap<RunnerId, RunnerLoad>, load: &RunnerLoad) {
+    let Some(sum) = sums.get_mut(&load.runner) else {
+        sums.insert(load.runner.clone(), load.clone());
+        return;
+    };
+    sum.calls = sum.calls.saturating_add(load.calls);
+    sum.starting = sum.starting.saturating_add(load.starting);
+    sum.tokens = sum.tokens.saturating_add(load.tokens);
+}
--- /dev/null
+++ b/crates/serving/src/lib.rs
@@ -0,0 +1,25 @@
+//! What a serving node believes, and the rules by which it treats one request.
+//!
+//! Nothing here performs I/O or reads a clock: plan and runners are told, time is passed
+//! in, and every decision is a value.
+
+mod attempt;
+mod fleet_loads;
+mod peer_beat;
+mod peer_table;
+mod plan;
+mod retry_budget;
+mod runner_table;
+mod stream_scan;
+
+pub use attempt::{AttemptTrack, FinalStatus, SendOutcome};
+pub use fleet_loads::{FleetLoads, RunnerLoad, add_load};
+pub use peer_beat::PeerBeat;
+pub use peer_table::PeerTable;
+pub use plan::{
+    EngineLimits, PlanVersion, RequestLimits, RouteKind, RouteRule, RouteTarget, ServicePlan,
+    ServingPlan, TenantRule,
+};
+pub use retry_budget::{BudgetSettings, RetryBudget};
+pub use runner_table::{RunnerChange, RunnerEntry, RunnerRecord, RunnerTable};
+pub use stream_scan::{StreamScan, StreamScanner};
--- /dev/null
+++ b/crates/serving/src/peer_beat.rs
@@ -0,0 +1,33 @@
+//! What nodes tell each other several times a second.
+
+use std::net::SocketAddr;
+
+use base::prelude::*;
+use serde::{Deserialize, Serialize};
+
+use crate::{PlanVersion, RunnerLoad};
+
+/// A node's heartbeat.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PeerBeat {
+    /// The node.
+    pub vm: VmId,
+    /// Random number of its start.
+    pub incarnation: VmIncarnation,
+    /// Grows with each heartbeat of one incarnation.
+    pub sequence: u64,
+    /// Address that callers connect to.
+    pub callers: SocketAddr,
+    /// Address that nodes talk to, UDP and HTTP.
+    pub peer: SocketAddr,
+    /// Its failure domain.
+    pub place: PlaceName,
+    /// It takes new callers.
+    pub ready: bool,
+    /// Configuration that it has in force; none if it has none yet.
+    pub plan: Option<PlanVersion>,
+    /// End of the list of runners as far as it has read it.
+    pub runners_read: LogOffset,
+    /// What it has at the runners.
+    pub loads: Vec<RunnerLoad>,
+}
--- /dev/null
+++ b/crates/serving/src/peer_table.rs
@@ -0,0 +1,100 @@
+//! The other nodes: who lives, who takes callers, who knows more.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use base::prelude::*;
+
+use crate::{PeerBeat, PlanVersion};
+
+/// Silence after which a node is taken to be gone; ten heartbeats.
+const SILENT_SPAN: TimeSpan = TimeSpan::millis(1_000);
+/// Silence after which a node's address is no longer tried.
+const FORGET_SPAN: TimeSpan = TimeSpan::seconds(30);
+
+#[derive(Debug)]
+struct PeerEntry {
+    beat: PeerBeat,
+    heard: TimePoint,
+}
+
+/// All other nodes.
+#[derive(Debug, Default)]
+pub struct PeerTable {
+    peers: BTreeMap<VmId, PeerEntry>,
+    /// Addresses read from the store, which may be of nodes that are gone.
+    listed: BTreeMap<VmId, SocketAddr>,
+    last_heard: Option<TimePoint>,
+}
+
+impl PeerTable {
+    /// Takes a heartbeat; false if a newer one was there.
+    pub fn take(&mut self, now: TimePoint, beat: PeerBeat) -> bool {
+        let stale = self.peers.get(&beat.vm).is_some_and(|entry| {
+            entry.beat.incarnation == beat.incarnation && entry.beat.sequence >= beat.sequence
+        });
+        if stale {
+            return false;
+        }
+        self.last_heard = Some(now);
+        self.peers.insert(beat.vm.clone(), PeerEntry { beat, heard: now });
+        true
+    }
+
+    /// Notes the address of a node that the store lists.
+    pub fn note_listed(&mut self, vm: VmId, peer: SocketAddr) {
+        self.listed.insert(vm, peer);
+    }
+
+    /// Drops nodes that have been silent for long; gives those that have just fallen
+    /// silent, whose load no longer counts.
+    pub fn prune(&mut self, now: TimePoint) -> Vec<VmId> {
+        self.peers.retain(|_, entry| now.since(entry.heard) < FORGET_SPAN);
+        let silent = self.peers.values().filter(|entry| now.since(entry.heard) >= SILENT_SPAN);
+        silent.map(|entry| entry.beat.vm.clone()).collect()
+    }
+
+    /// Heartbeats of the nodes that live.
+    pub fn live(&self, now: TimePoint) -> impl Iterator<Item = &PeerBeat> {
+        let alive = move |entry: &&PeerEntry| now.since(entry.heard) < SILENT_SPAN;
+        self.peers.values().filter(alive).map(|entry| &entry.beat)
+    }
+
+    /// Nodes that may spend a part of a shared budget: all heard of lately, and this one.
+    #[must_use]
+    pub fn sharers(&self) -> usize {
+        self.peers.len() + 1
+    }
+
+    /// Where heartbeats go: to nodes heard of lately, and to those that the store lists.
+    #[must_use]
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        let mut all: BTreeMap<&VmId, SocketAddr> =
+            self.listed.iter().map(|(vm, address)| (vm, *address)).collect();
+        all.extend(self.peers.values().map(|entry| (&entry.beat.vm, entry.beat.peer)));
+        let mut addresses: Vec<SocketAddr> = all.into_values().collect();
+        addresses.sort_unstable();
+        addresses.dedup();
+        addresses
+    }
+
+    /// A live node with a newer configuration.
+    #[must_use]
+    pub fn newer_plan(&self, now: TimePoint, own: Option<PlanVersion>) -> Option<SocketAddr> {
+        let best = self.live(now).filter(|beat| beat.plan > own).max_by_key(|beat| beat.plan)?;
+        Some(best.peer)
+    }
+
+    /// A live node that has read more of the list of runners.
+    #[must_use]
+    pub fn newer_runners(&self, now: TimePoint, own: LogOffset) -> Option<SocketAddr> {
+        let ahead = self.live(now).filter(|beat| beat.runners_read > own);
+        ahead.max_by_key(|beat| beat.runners_read).map(|beat| beat.peer)
+    }
+
+    /// Whether nodes were heard before, and none since `since`.
+    #[must_use]
+    pub fn lost_all(&self, since: TimePoint) -> bool {
+        self.last_heard.is_some_and(|heard| heard < since)
+    }
+}
--- /dev/null
+++ b/crates/serving/src/runner_table.rs
@@ -0,0 +1,170 @@
+//! The runners that the platform lists, and which of them may get new work.
+//!
+//! Load pattern: engines are reclaimed every few seconds. A runner that once said that it
+//! leaves stays leaving for this incarnation, also when a stale list shows it as ready.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use base::prelude::*;
+use route::RouteMember;
+use serde::{Deserialize, Serialize};
+
+/// Time for which a runner whose entry was removed may still be used if its service has no
+/// other: below the least time that a leaving runner goes on serving (2 s), and about the
+/// time in which entries that lapsed with the store are back.
+const LAPSE_GRACE: TimeSpan = TimeSpan::millis(1_500);
+
+/// Time after which a removed entry is forgotten.
+const FORGET_SPAN: TimeSpan = TimeSpan::seconds(20);
+
+/// A runner as it describes itself.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RunnerRecord {
+    /// Its id; mostly another one for each of its starts.
+    pub runner: RunnerId,
+    /// The service that it serves.
+    pub service: ServiceName,
+    /// Its HTTP address.
+    pub address: SocketAddr,
+    /// Its failure domain.
+    pub place: PlaceName,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// It has announced that it leaves.
+    pub leaving: bool,
+    /// When it was started, in Unix milliseconds; tells two starts under one id apart.
+    pub born: u64,
+}
+
+/// A runner and what became of its entry.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RunnerEntry {
+    /// Its newest record.
+    pub record: RunnerRecord,
+    /// When its entry was removed.
+    pub removed: Option<TimePoint>,
+    /// When this node learned that it leaves.
+    pub leaving_since: Option<TimePoint>,
+}
+
+/// A change of the list.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum RunnerChange {
+    /// An entry was written.
+    Put(RunnerRecord),
+    /// An entry was removed.
+    Remove(RunnerId),
+}
+
+/// All runners that are known.
+#[derive(Debug, Default)]
+pub struct RunnerTable {
+    entries: BTreeMap<RunnerId, RunnerEntry>,
+}
+
+impl RunnerTable {
+    /// Takes a change; whether it changed what is believed.
+    pub fn apply(&mut self, now: TimePoint, change: RunnerChange) -> bool {
+        match change {
+            RunnerChange::Put(record) => self.put(now, record),
+            RunnerChange::Remove(runner) => self.remove(now, &runner),
+        }
+    }
+
+    /// Takes a whole list: what is not in it was removed.
+    pub fn replace(&mut self, now: TimePoint, records: Vec<RunnerRecord>) -> bool {
+        let listed: Vec<RunnerId> = records.iter().map(|record| record.runner.clone()).collect();
+        let gone: Vec<RunnerId> =
+            self.entries.keys().filter(|runner| !listed.contains(runner)).cloned().collect();
+        let mut changed = false;
+        for record in records {
+            changed |= self.put(now, record);
+        }
+        for runner in gone {
+            changed |= self.remove(now, &runner);
+        }
+        changed
+    }
+
+    fn put(&mut self, now: TimePoint, mut record: RunnerRecord) -> bool {
+        let before = self.entries.get(&record.runner);
+        let same = before.filter(|entry| entry.record.born == record.born);
+        if before.is_some_and(|entry| entry.record.born > record.born) {
+            return false;
+        }
+        record.leaving |= same.is_some_and(|entry| entry.record.leaving);
+        let leaving_since = match same.and_then(|entry| entry.leaving_since) {
+            Some(since) => Some(since),
+            None => record.leaving.then_some(now),
+        };
+        let entry = RunnerEntry { record, removed: None, leaving_since };
+        let changed = before != Some(&entry);
+        self.entries.insert(entry.record.runner.clone(), entry);
+        changed
+    }
+
+    fn remove(&mut self, now: TimePoint, runner: &RunnerId) -> bool {
+        let Some(entry) = self.entries.get_mut(runner) else { return false };
+        let changed = entry.removed.is_none();
+        entry.removed.get_or_insert(now);
+        changed
+    }
+
+    /// Notes that a runner said itself that it leaves.
+    pub fn note_leaving(&mut self, now: TimePoint, runner: &RunnerId) -> bool {
+        let Some(entry) = self.entries.get_mut(runner) else { return false };
+        let changed = !entry.record.leaving;
+        entry.record.leaving = true;
+        entry.leaving_since.get_or_insert(now);
+        changed
+    }
+
+    /// Forgets entries that were removed long ago; whether a removed one has just passed
+    /// the time in which it could still be used.
+    pub fn prune(&mut self, now: TimePoint) {
+        let keep = |entry: &RunnerEntry| match entry.removed {
+            Some(removed) => now.since(removed) < FORGET_SPAN,
+            None => true,
+        };
+        self.entries.retain(|_, entry| keep(entry));
+    }
+
+    /// A runner by id.
+    #[must_use]
+    pub fn get(&self, runner: &RunnerId) -> Option<&RunnerEntry> {
+        self.entries.get(runner)
+    }
+
+    /// All runners.
+    pub fn entries(&self) -> impl Iterator<Item = &RunnerEntry> {
+        self.entries.values()
+    }
+
+    /// Whether the runner gets no new work.
+    #[must_use]
+    pub fn is_leaving(&self, runner: &RunnerId) -> bool {
+        self.entries.get(runner).is_none_or(|entry| entry.record.leaving || entry.removed.is_some())
+    }
+
+    /// The runners of a service for the routing desk.
+    ///
+    /// Where every entry of the service was removed at about the same time, as after an
+    /// outage of the store, the removed ones are used for a short time.
+    #[must_use]
+    pub fn members(&self, service: &ServiceName, now: TimePoint) -> Vec<RouteMember> {
+        let own = || self.entries.values().filter(|entry| entry.record.service == *service);
+        let all_removed = own().all(|entry| entry.removed.is_some());
+        let usable = |entry: &RunnerEntry| match entry.removed {
+            Some(removed) => all_removed && now.since(removed) < LAPSE_GRACE,
+            None => true,
+        };
+        own()
+            .map(|entry| RouteMember {
+                runner: entry.record.runner.clone(),
+                place: entry.record.place.clone(),
+                leaving: entry.record.leaving || !usable(entry),
+            })
+            .collect()
+    }
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -13,6 +13,7 @@
 mod keys;
 mod layers;
 mod millis;
+mod node;
 mod schema;
 mod steward;
 
@@ -22,5 +23,6 @@
 pub use fault::{Result, SettingsFault, SettingsFaults};
 pub use keys::{KeySettings, PemSource, SigningSecret};
 pub use layers::{SettingsFile, locate, read_document, read_layers, read_settings};
+pub use node::NodeSettings;
 pub use schema::{SettingsSchema, SharedFields};
 pub use steward::StewardSettings;
--- /dev/null
+++ b/crates/settings/src/node.rs
@@ -0,0 +1,120 @@
+//! Settings of `yard-node`.
+
+use std::net::{IpAddr, SocketAddr};
+
+use base::prelude::*;
+use serde::Deserialize;
+use serde_json::{Value, json};
+
+use crate::{FieldCheck, LogLevel, SettingsSchema};
+
+/// Most memory that can be set, in MiB.
+const MAX_MEMORY_MB: u32 = 1 << 20;
+/// Most descriptors that can be set.
+const MAX_DESCRIPTORS: usize = 1 << 20;
+/// Least descriptors with which a node can work.
+const MIN_DESCRIPTORS: usize = 64;
+/// Longest window or stop that can be set, in seconds.
+const MAX_SECONDS: f64 = 3_600.0;
+
+/// Settings of a node.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct NodeSettings {
+    /// Name of this machine.
+    pub vm: VmId,
+    /// Failure domain of this machine.
+    pub place: PlaceName,
+    /// HTTP address of the platform's store.
+    pub store: SocketAddr,
+    /// HTTP address for callers.
+    pub callers: SocketAddr,
+    /// HTTP address of the readiness check.
+    pub readiness: SocketAddr,
+    /// HTTP address of the look-up of addresses.
+    pub lookups: SocketAddr,
+    /// Address of this machine.
+    pub ip: IpAddr,
+    /// Port for the other nodes: UDP and HTTP.
+    pub peer_port: u16,
+    /// Port of the metrics page.
+    pub metrics_port: u16,
+    /// Memory of the process, in MiB.
+    pub memory_mb: u32,
+    /// Descriptors of the process.
+    pub descriptors: usize,
+    /// Time that a leaving runner goes on serving.
+    #[serde(rename = "drain_ms", deserialize_with = "crate::millis::deserialize")]
+    pub drain: TimeSpan,
+    /// Time from the signal to stop to the end of the process, in seconds.
+    pub stop_seconds: f64,
+    /// Repeated sends for each request, over all nodes.
+    pub retry_ratio: f64,
+    /// Repeated sends beyond that in each window, over all nodes.
+    pub retry_slack: f64,
+    /// Length of that window, in seconds.
+    pub retry_window_seconds: f64,
+    /// Least severity of the log lines.
+    pub log_level: LogLevel,
+}
+
+impl SettingsSchema for NodeSettings {
+    fn defaults() -> Value {
+        json!({ "metrics_port": 9_464, "log_level": "info" })
+    }
+
+    fn example() -> Value {
+        json!({
+            "vm": "vm-1",
+            "place": "place-1",
+            "store": "127.0.0.1:7000",
+            "callers": "127.0.0.1:8000",
+            "readiness": "127.0.0.1:8001",
+            "lookups": "127.0.0.1:8002",
+            "ip": "127.0.0.1",
+            "peer_port": 7_200,
+            "metrics_port": 9_464,
+            "memory_mb": 110,
+            "descriptors": 4_100,
+            "drain_ms": 2_000,
+            "stop_seconds": 8.0,
+            "retry_ratio": 0.2,
+            "retry_slack": 50.0,
+            "retry_window_seconds": 10.0,
+            "log_level": "info",
+        })
+    }
+
+    fn check(&self, check: &mut FieldCheck) {
+        check.range(self.memory_mb, "memory_mb", 1, MAX_MEMORY_MB);
+        check.range(self.descriptors, "descriptors", MIN_DESCRIPTORS, MAX_DESCRIPTORS);
+        check.range(self.stop_seconds, "stop_seconds", 0.0, MAX_SECONDS);
+        check.range(self.retry_ratio, "retry_ratio", 0.0, 1.0);
+        check.range(self.retry_slack, "retry_slack", 0.0, f64::from(u32::MAX));
+        check.range(self.retry_window_seconds, "retry_window_seconds", 0.1, MAX_SECONDS);
+    }
+}
+
+impl NodeSettings {
+    /// Address for the other nodes.
+    #[must_use]
+    pub fn peer(&self) -> SocketAddr {
+        SocketAddr::new(self.ip, self.peer_port)
+    }
+
+    /// Time from the signal to stop to the end of the process.
+    #[must_use]
+    pub fn stop_time(&self) -> TimeSpan {
+        seconds(self.stop_seconds)
+    }
+
+    /// Length of the window of the retry budget.
+    #[must_use]
+    pub fn retry_window(&self) -> TimeSpan {
+        seconds(self.retry_window_seconds)
+    }
+}
+
+fn seconds(value: f64) -> TimeSpan {
+    std::time::Duration::from_secs_f64(value).into()
+}
--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -7,7 +7,7 @@
 
 use base::TimeSpan;
 use compio::net::TcpStream;
-use compio::runtime::spawn;
+use compio::runtime::{JoinHandle, spawn};
 use compio::time::timeout;
 use cyper_core::HyperStream;
 use hyper::body::{Bytes, Incoming};
@@ -31,10 +31,45 @@
 /// Errors whose [`WebError::send_fault`] is `NotSent` mean that no byte was written.
 pub async fn send_once(
     peer: SocketAddr,
-    mut request: Request<WebBody>,
+    request: Request<WebBody>,
     connect_limit: TimeSpan,
     head_limit: TimeSpan,
 ) -> Result<Response<Incoming>> {
+    let exchange = open_exchange(peer, request, connect_limit, head_limit).await?;
+    exchange.connection.detach();
+    Ok(exchange.response)
+}
+
+/// A response whose connection ends when this is dropped.
+pub struct WebExchange {
+    /// The response; its body may still be on its way.
+    pub response: Response<Incoming>,
+    /// The connection.
+    pub connection: ConnectionTask,
+}
+
+/// The task that drives a connection: dropping it closes the connection.
+pub struct ConnectionTask {
+    task: JoinHandle<()>,
+}
+
+impl ConnectionTask {
+    /// Lets the connection live until its exchange ends.
+    pub fn detach(self) {
+        self.task.detach();
+    }
+}
+
+/// As [`send_once`], for an exchange that is ended by closing its connection.
+///
+/// # Errors
+/// As [`send_once`].
+pub async fn open_exchange(
+    peer: SocketAddr,
+    mut request: Request<WebBody>,
+    connect_limit: TimeSpan,
+    head_limit: TimeSpan,
+) -> Result<WebExchange> {
     let stream = timeout(connect_limit.into(), TcpStream::connect(peer))
         .await
         .map_err(|_| WebError::ConnectDeadline { peer })?
@@ -50,15 +85,16 @@
         hyper::client::conn::http1::handshake(HyperStream::new_plain(stream))
             .await
             .map_err(|source| WebError::Exchange { step: "handshake", peer, source })?;
-    spawn(async move {
+    let task = spawn(async move {
         // An end in mid-body reaches the reader of the body; there is nothing to add here.
         let _ = connection.await;
-    })
-    .detach();
-    timeout(head_limit.into(), sender.send_request(request))
+    });
+    let connection = ConnectionTask { task };
+    let response = timeout(head_limit.into(), sender.send_request(request))
         .await
         .map_err(|_| WebError::Deadline { step: "request", peer })?
-        .map_err(|source| WebError::Exchange { step: "request", peer, source })
+        .map_err(|source| WebError::Exchange { step: "request", peer, source })?;
+    Ok(WebExchange { response, connection })
 }
 
 /// Sends one request with an optional JSON body and reads the whole answer.
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -10,7 +10,9 @@
 mod sse;
 
 pub use body::{WebBody, full_body, read_bounded, stream_body};
-pub use client::{fetch, fetch_json, post_json, send_once};
+pub use client::{
+    ConnectionTask, WebExchange, fetch, fetch_json, open_exchange, post_json, send_once,
+};
 pub use cut::ConnectionCut;
 pub use error::{Result, SendFault, WebError};
 pub use reply::{json_reply, refusal_reply, text_reply};
