--- a/crates/node/src/stream_call.rs
+++ b/crates/node/src/stream_call.rs
@@ -55,7 +55,7 @@
         let left = call.deadline.since(context.now());
         match send_to_runner(context, &call, &runner, None, left).await {
             Ok(exchange) if is_stream(&exchange) => {
-                return start(context, router, call, cut, ticket, runner, exchange);
+                return start(context, call, cut, ticket, runner, exchange);
             }
             Ok(exchange) => {
                 let left = call.deadline.since(context.now());
@@ -92,7 +92,6 @@
 
 fn start(
     context: &Rc<NodeContext>,
-    router: &Rc<RouterService>,
     call: Rc<Call>,
     cut: ConnectionCut,
     ticket: RouteTicket,
@@ -107,7 +106,7 @@
     let headers = copy_reply_headers(exchange.response.headers());
     let status = exchange.response.status();
     let source = StreamSource::new(runner, exchange);
-    let pump = StreamPump::new(context, router, call, ticket, source, sender, cut, left);
+    let pump = StreamPump::new(context, call, ticket, source, sender, cut, left);
     kernel::spawn(pump.run()).detach();
     let chunks = receiver.map(move |chunk| {
         let _held = &guard;
--- a/crates/node/src/stream_pump.rs
+++ b/crates/node/src/stream_pump.rs
@@ -21,7 +21,7 @@
 use crate::call_log::{CallEnding, log_end, log_setback};
 use crate::context::{ActiveGuard, NodeContext};
 use crate::metrics::EndLabels;
-use crate::router::{RouteTicket, RouterService};
+use crate::router::RouteTicket;
 use crate::runner_send::send_to_runner;
 use crate::stream_call::is_framed;
 use crate::stream_move::StreamMove;
@@ -77,7 +77,6 @@
 /// The state of the task.
 pub struct StreamPump {
     context: Rc<NodeContext>,
-    router: Rc<RouterService>,
     call: Rc<Call>,
     ticket: RouteTicket,
     source: StreamSource,
@@ -94,10 +93,8 @@
 impl StreamPump {
     /// A task for a stream whose head has come from `source`.
     #[must_use]
-    #[expect(clippy::too_many_arguments, reason = "the parts of one stream, each used once")]
     pub fn new(
         context: &Rc<NodeContext>,
-        router: &Rc<RouterService>,
         call: Rc<Call>,
         ticket: RouteTicket,
         source: StreamSource,
@@ -107,7 +104,6 @@
     ) -> Self {
         Self {
             context: Rc::clone(context),
-            router: Rc::clone(router),
             call,
             ticket,
             source,
@@ -134,7 +130,7 @@
                 PumpInput::Frame(frame) => self.take_frame(frame).await,
             };
             if let PumpStep::End(outcome, reason) = step {
-                self.end(outcome, reason);
+                self.end(outcome, reason).await;
                 return;
             }
         }
@@ -340,20 +336,20 @@
         self.context.metrics.moves.get_or_create(&EndLabels { outcome, reason: "" }).inc();
     }
 
-    fn end(self, outcome: &'static str, reason: &'static str) {
+    async fn end(self, outcome: &'static str, reason: &'static str) {
         let end = match outcome {
             "streamed" => CallEnd::Finished,
             "caller_left" => CallEnd::Left,
             _ => CallEnd::Failed,
         };
-        if end == CallEnd::Failed {
-            // Without the end of the body, the caller sees that the answer is not whole.
-            self.cut.raise();
-        }
         log_end(&self.context, &self.call, CallEnding { outcome, reason, status: 200 });
-        let _ = &self.router;
         self.ticket.end(end);
         drop(self.source.connection);
+        if end == CallEnd::Failed {
+            // The body must not end before its connection does: it would look whole.
+            self.cut.raise();
+            self.left.wait().await;
+        }
     }
 }
 
