Keep a copy of long generations on a second runner and resume there

Cause: six runs leaving one runner share its link, and moves at the notice (0.2 to 0.4 s each) do not end before the runner is gone. Long generations now carry a copy from their start; at the notice, or when the runner is lost, the other one goes on. Open: pauses of 0.2 to 1.3 s at a change of the runner.

--- a/crates/node/src/call.rs
+++ b/crates/node/src/call.rs
@@ -25,6 +25,8 @@
     pub event_tokens: Option<u32>,
     /// The service's engines can move running generations.
     pub moves: bool,
+    /// The service's engines can keep copies of generations that run elsewhere.
+    pub backups: bool,
     /// Whose it is; none on public routes.
     pub workspace: Option<WorkspaceId>,
     /// Its rank, 0 is the most urgent.
@@ -48,7 +50,18 @@
 /// Workspace of requests on public routes.
 const PUBLIC: &str = "public";
 
+/// Expected output from which a copy is worth its transfer: shorter generations end
+/// within the notice that a leaving runner gives.
+const BACKUP_TOKENS: u32 = 64;
+
 impl Call {
+    /// Whether a second runner should keep a copy of the call's memory.
+    #[must_use]
+    pub fn wants_backup(&self) -> bool {
+        let expected = self.head.output_hint.unwrap_or(self.head.max_output);
+        self.backups && expected.0 >= BACKUP_TOKENS
+    }
+
     /// The call as the routing desk sees it.
     #[must_use]
     pub fn route_call(&self, tried: &[RunnerId]) -> RouteCall {
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -124,6 +124,7 @@
         plan: plan.version,
         event_tokens: engine.map(|engine| engine.event_tokens),
         moves: engine.is_some_and(|engine| engine.moves),
+        backups: engine.is_some_and(|engine| engine.backups),
         workspace: tenant.map(|tenant| tenant.workspace.clone()),
         rank: tenant.and_then(|tenant| tenant.priority).unwrap_or(route.priority),
         route,
--- a/crates/node/src/plain_call.rs
+++ b/crates/node/src/plain_call.rs
@@ -15,7 +15,7 @@
 use crate::context::NodeContext;
 use crate::front::Rejection;
 use crate::router::{RouteOrder, RouteTicket, RouterService};
-use crate::runner_send::{SendSetback, read_whole, send_to_runner};
+use crate::runner_send::{SendPlan, SendSetback, read_whole, send_to_runner};
 
 /// Part of the objective after which a further runner is tried, where that is allowed.
 const ATTEMPT_AIMS: u64 = 2;
@@ -130,7 +130,8 @@
         call.route.kind == RouteKind::Idempotent && track.sends() + 1 < call.route.max_attempts;
     let patience = TimeSpan(call.route.aim.0.saturating_mul(ATTEMPT_AIMS));
     let limit = if may_go_on { patience.min(left) } else { left };
-    let exchange = send_to_runner(context, call, runner, None, limit).await?;
+    let exchange =
+        send_to_runner(context, call, &SendPlan::first(runner.clone(), None), limit).await?;
     let left = call.deadline.since(context.now());
     read_whole(exchange, left).await
 }
--- a/crates/node/src/router.rs
+++ b/crates/node/src/router.rs
@@ -43,6 +43,8 @@
 /// A call of this node that is at a runner or waits for one.
 struct OwnCall {
     runner: Option<RunnerId>,
+    /// The runner that keeps a copy of it.
+    backup: Option<RunnerId>,
     tokens: u32,
     started: bool,
     orders: mpsc::UnboundedSender<RouteOrder>,
@@ -94,6 +96,7 @@
         let leaving = StopSignal::new();
         let own = OwnCall {
             runner: None,
+            backup: None,
             tokens: call.prompt_tokens.0,
             started: false,
             orders: sender,
@@ -175,19 +178,17 @@
     /// What this node has at the runners.
     #[must_use]
     pub fn own_loads(&self) -> Vec<RunnerLoad> {
-        let mut loads: BTreeMap<&RunnerId, RunnerLoad> = BTreeMap::new();
-        let calls = self.calls.borrow();
-        for own in calls.values() {
+        let mut loads: BTreeMap<RunnerId, RunnerLoad> = BTreeMap::new();
+        for own in self.calls.borrow().values() {
             let Some(runner) = &own.runner else { continue };
-            let load = loads.entry(runner).or_insert_with(|| RunnerLoad {
-                runner: runner.clone(),
-                calls: 0,
-                starting: 0,
-                tokens: 0,
-            });
-            load.calls += 1;
-            load.starting += u32::from(!own.started);
-            load.tokens = load.tokens.saturating_add(own.tokens);
+            let starting = u32::from(!own.started);
+            let tokens = own.tokens;
+            let run = RunnerLoad { runner: runner.clone(), calls: 1, starting, tokens };
+            serving::add_load(&mut loads, &run);
+            if let Some(backup) = &own.backup {
+                let copy = RunnerLoad { runner: backup.clone(), calls: 0, starting: 0, tokens };
+                serving::add_load(&mut loads, &copy);
+            }
         }
         loads.into_values().collect()
     }
@@ -301,12 +302,34 @@
     pub fn relocate(&mut self) -> Option<RunnerId> {
         let now = self.router.context.now();
         let runner = self.router.desk.borrow_mut().relocate(now, self.call)?;
+        self.set_runner(runner.clone());
+        Some(runner)
+    }
+
+    /// Books the call at the runner that keeps a copy of it.
+    pub fn relocate_to(&mut self, runner: &RunnerId) {
+        let now = self.router.context.now();
+        self.router.desk.borrow_mut().relocate_to(now, self.call, runner);
+        self.set_runner(runner.clone());
+    }
+
+    fn set_runner(&mut self, runner: RunnerId) {
         self.leaving = StopSignal::new();
         if let Some(own) = self.router.calls.borrow_mut().get_mut(&self.call) {
-            own.runner = Some(runner.clone());
+            own.runner = Some(runner);
+            own.backup = None;
             own.leaving = self.leaving.clone();
         }
-        Some(runner)
+    }
+
+    /// Chooses a runner that keeps a copy of the call, and books the copy there.
+    pub fn choose_backup(&self) -> Option<RunnerId> {
+        let now = self.router.context.now();
+        let backup = self.router.desk.borrow().choose_backup(now, self.call);
+        if let Some(own) = self.router.calls.borrow_mut().get_mut(&self.call) {
+            own.backup.clone_from(&backup);
+        }
+        backup
     }
 
     /// Tells the desk how the attempt ended.
--- a/crates/node/src/runner_send.rs
+++ b/crates/node/src/runner_send.rs
@@ -31,25 +31,57 @@
     pub reason: Rc<str>,
 }
 
-/// Sends `call` to `runner` and waits at most `limit` for the head of its answer.
+impl SendSetback {
+    /// The caller has left while the runner was asked.
+    #[must_use]
+    pub fn caller_left() -> Self {
+        Self {
+            outcome: SendOutcome::Unknown,
+            end: CallEnd::Left,
+            runner_gone: false,
+            reason: Rc::from("the caller has left"),
+        }
+    }
+}
+
+/// Where a request goes, and what it goes on from.
+#[derive(Debug, Clone)]
+pub struct SendPlan {
+    /// The runner.
+    pub runner: RunnerRecord,
+    /// Memory of an earlier part of the run.
+    pub resume: Option<ResumeSource>,
+    /// The runner that keeps a copy.
+    pub backup: Option<RunnerRecord>,
+}
+
+impl SendPlan {
+    /// A first send.
+    #[must_use]
+    pub fn first(runner: RunnerRecord, backup: Option<RunnerRecord>) -> Self {
+        Self { runner, resume: None, backup }
+    }
+}
+
+/// Sends `call` as `plan` says and waits at most `limit` for the head of its answer.
 ///
 /// # Errors
 /// [`SendSetback`] where there is no answer to pass on.
 pub async fn send_to_runner(
     context: &NodeContext,
     call: &Call,
-    runner: &RunnerRecord,
-    resume: Option<&ResumeSource>,
+    plan: &SendPlan,
     limit: TimeSpan,
 ) -> Result<WebExchange, SendSetback> {
+    let runner = &plan.runner;
     let left = call.deadline.since(context.now());
     let head = RunnerHead {
         left,
         runner: &runner.runner,
         workspace: call.workspace.as_ref(),
         rank: call.rank,
-        resume,
-        backup: None,
+        resume: plan.resume.as_ref(),
+        backup: plan.backup.as_ref().map(|backup| backup.address),
     };
     let request = build(call, &head).map_err(|error| not_sent(&error))?;
     let connect_limit = CONNECT_LIMIT.min(left);
--- a/crates/node/src/stream_call.rs
+++ b/crates/node/src/stream_call.rs
@@ -6,11 +6,12 @@
 use futures_channel::mpsc;
 use futures_util::StreamExt;
 use hyper::Response;
-use hyper::header::{CONTENT_TYPE, TRANSFER_ENCODING};
+use hyper::body::Bytes;
+use hyper::header::CONTENT_TYPE;
 use kernel::StopSignal;
-use platform::copy_reply_headers;
+use platform::{ResumeSource, copy_reply_headers};
 use route::CallEnd;
-use serving::{AttemptTrack, RunnerRecord};
+use serving::{AttemptTrack, RunnerRecord, SendOutcome};
 use web::{ConnectionCut, WebExchange, WebResponse, stream_body};
 
 use crate::call::Call;
@@ -18,8 +19,8 @@
 use crate::context::NodeContext;
 use crate::plain_call::{GivenUp, find_runner, give_up, may_repeat, pass_on, take_setback};
 use crate::router::{RouteTicket, RouterService};
-use crate::runner_send::{read_whole, send_to_runner};
-use crate::stream_pump::{StreamPump, StreamSource};
+use crate::runner_send::{SendPlan, SendSetback, read_whole, send_to_runner};
+use crate::stream_pump::{CallerSide, StreamPump, StreamSource};
 
 /// Chunks that wait for a slow caller.
 const WAITING_CHUNKS: usize = 16;
@@ -35,6 +36,14 @@
     }
 }
 
+/// What a runner answered.
+enum RunnerAnswer {
+    /// Events, which come as they are made.
+    Events(Box<StreamSource>, Response<()>),
+    /// An answer without events.
+    Whole(Response<Bytes>),
+}
+
 /// Serves a stream.
 pub async fn run_stream(
     context: &Rc<NodeContext>,
@@ -46,34 +55,32 @@
     let mut track = AttemptTrack::new(call.route.kind, call.route.max_attempts);
     let mut tried = Vec::new();
     loop {
-        let (ticket, runner) = match find_runner(context, router, &call, &tried).await {
+        let (mut ticket, runner) = match find_runner(context, router, &call, &tried).await {
             Ok(found) => found,
             Err(given_up) => return give_up(context, &call, &track, None, given_up),
         };
         log_send(context, &call, &runner.runner, track.sends());
         tried.push(runner.runner.clone());
-        let left = call.deadline.since(context.now());
-        match send_to_runner(context, &call, &runner, None, left).await {
-            Ok(exchange) if is_stream(&exchange) => {
-                return start(context, call, cut, ticket, runner, exchange);
+        let backup = choose_backup(context, &call, &ticket);
+        let plan = SendPlan::first(runner, backup);
+        let outcome = match ask(context, &call, &plan).await {
+            Err(setback) if setback.outcome == SendOutcome::Unknown && plan.backup.is_some() => {
+                take_setback(context, router, &call, &plan.runner.runner, &setback);
+                ask_backup(context, &call, &plan, &mut ticket).await.map_err(|()| setback)
+            }
+            outcome => outcome,
+        };
+        match outcome {
+            Ok(RunnerAnswer::Events(source, head)) => {
+                return start(context, call, cut, ticket, *source, head);
             }
-            Ok(exchange) => {
-                let left = call.deadline.since(context.now());
-                match read_whole(exchange, left).await {
-                    Ok(answer) => {
-                        ticket.end(CallEnd::Finished);
-                        return pass_on(context, &call, &answer);
-                    }
-                    Err(setback) => {
-                        track.note(setback.outcome);
-                        take_setback(context, router, &call, &runner.runner, &setback);
-                        ticket.end(setback.end);
-                    }
-                }
+            Ok(RunnerAnswer::Whole(answer)) => {
+                ticket.end(CallEnd::Finished);
+                return pass_on(context, &call, &answer);
             }
             Err(setback) => {
                 track.note(setback.outcome);
-                take_setback(context, router, &call, &runner.runner, &setback);
+                take_setback(context, router, &call, &plan.runner.runner, &setback);
                 ticket.end(setback.end);
             }
         }
@@ -84,6 +91,59 @@
     }
 }
 
+/// The runner that is to keep a copy of the call, if one has room.
+pub fn choose_backup(
+    context: &NodeContext,
+    call: &Call,
+    ticket: &RouteTicket,
+) -> Option<RunnerRecord> {
+    if !call.wants_backup() {
+        return None;
+    }
+    let backup = ticket.choose_backup()?;
+    context.runners.borrow().get(&backup).map(|entry| entry.record.clone())
+}
+
+/// Sends the call and takes the head of the answer, or the whole of one without events.
+async fn ask(
+    context: &NodeContext,
+    call: &Call,
+    plan: &SendPlan,
+) -> Result<RunnerAnswer, SendSetback> {
+    let left = call.deadline.since(context.now());
+    let exchange = send_to_runner(context, call, plan, left).await?;
+    if !is_stream(&exchange) {
+        let left = call.deadline.since(context.now());
+        return read_whole(exchange, left).await.map(RunnerAnswer::Whole);
+    }
+    let mut head = Response::new(());
+    *head.status_mut() = exchange.response.status();
+    *head.headers_mut() = copy_reply_headers(exchange.response.headers());
+    Ok(RunnerAnswer::Events(Box::new(StreamSource::new(plan, exchange)), head))
+}
+
+/// Goes on at the runner that keeps a copy, after the first one broke off without an
+/// answer. Without a copy there it refuses, and nothing has run there.
+async fn ask_backup(
+    context: &NodeContext,
+    call: &Call,
+    plan: &SendPlan,
+    ticket: &mut RouteTicket,
+) -> Result<RunnerAnswer, ()> {
+    let backup = plan.backup.clone().ok_or(())?;
+    ticket.relocate_to(&backup.runner);
+    let resume = ResumeSource {
+        address: backup.address,
+        handle: Arc::from(call.attempt.as_str()),
+        last_event: None,
+    };
+    let next = choose_backup(context, call, ticket);
+    let plan = SendPlan { runner: backup, resume: Some(resume), backup: next };
+    ask(context, call, &plan).await.map_err(|setback| {
+        crate::call_log::log_setback(context, call, &plan.runner.runner, &setback.reason);
+    })
+}
+
 fn is_stream(exchange: &WebExchange) -> bool {
     let kind = exchange.response.headers().get(CONTENT_TYPE);
     let events = kind.is_some_and(|kind| kind.as_bytes().starts_with(b"text/event-stream"));
@@ -95,30 +155,19 @@
     call: Rc<Call>,
     cut: ConnectionCut,
     ticket: RouteTicket,
-    runner: RunnerRecord,
-    exchange: WebExchange,
+    source: StreamSource,
+    head: Response<()>,
 ) -> WebResponse {
     let waited = context.now().since(call.arrived);
     context.metrics.first_byte.observe(waited.as_seconds());
     let (sender, receiver) = mpsc::channel(WAITING_CHUNKS);
     let left = StopSignal::new();
     let guard = LeftGuard(left.clone());
-    let headers = copy_reply_headers(exchange.response.headers());
-    let status = exchange.response.status();
-    let source = StreamSource::new(runner, exchange);
-    let pump = StreamPump::new(context, call, ticket, source, sender, cut, left);
-    kernel::spawn(pump.run()).detach();
+    let caller = CallerSide { sender, cut, left };
+    kernel::spawn(StreamPump::new(context, call, ticket, source, caller).run()).detach();
     let chunks = receiver.map(move |chunk| {
         let _held = &guard;
         chunk
     });
-    let mut response = Response::new(stream_body(chunks));
-    *response.status_mut() = status;
-    *response.headers_mut() = headers;
-    response
-}
-
-/// Whether the end of an answer can be told from a broken connection.
-pub fn is_framed(exchange: &WebExchange) -> bool {
-    exchange.response.headers().contains_key(TRANSFER_ENCODING)
+    head.map(|()| stream_body(chunks))
 }
--- a/crates/node/src/stream_pump.rs
+++ b/crates/node/src/stream_pump.rs
@@ -1,5 +1,5 @@
 //! The task of one stream: it takes events from a runner and gives them to the caller, and
-//! changes the runner when that one leaves.
+//! changes the runner when that one leaves or is lost.
 
 use std::cell::Cell;
 use std::future::pending;
@@ -11,6 +11,7 @@
 use futures_util::{FutureExt, SinkExt, select_biased};
 use http_body_util::BodyExt;
 use hyper::body::{Bytes, Incoming};
+use hyper::header::TRANSFER_ENCODING;
 use kernel::StopSignal;
 use platform::{MoveAnswer, ResumeSource};
 use route::CallEnd;
@@ -22,34 +23,70 @@
 use crate::context::{ActiveGuard, NodeContext};
 use crate::metrics::EndLabels;
 use crate::router::RouteTicket;
-use crate::runner_send::send_to_runner;
-use crate::stream_call::is_framed;
+use crate::runner_send::{SendPlan, SendSetback, send_to_runner};
+use crate::stream_call::choose_backup;
 use crate::stream_move::StreamMove;
 
-/// Moves of one stream at most.
-const MAX_MOVES: u32 = 12;
+/// Changes of the runner of one stream at most.
+const MAX_CHANGES: u32 = 16;
 /// Time to read what a stopped run still had on its way.
 const REST_TIME: TimeSpan = TimeSpan::millis(100);
+/// Time that a run with a copy elsewhere stays at a runner that leaves: short enough for
+/// the shortest notice (1.5 s), less the age of the news.
+const STAY_SPAN: TimeSpan = TimeSpan::millis(500);
+/// Time for another runner to take a run over before the old one is cut off. Two runners
+/// may not work on one request for longer than 400 ms.
+const OVERLAP_LIMIT: TimeSpan = TimeSpan::millis(250);
 
 /// The runner that a stream comes from.
 pub struct StreamSource {
     runner: RunnerRecord,
+    /// The runner that keeps a copy of the run.
+    backup: Option<RunnerRecord>,
     body: Incoming,
-    connection: ConnectionTask,
+    /// None once it was cut off.
+    connection: Option<ConnectionTask>,
     /// The end of the answer can be told from a broken connection.
     framed: bool,
+    /// It gives nothing more.
+    ended: bool,
+    /// When the run goes on elsewhere.
+    leave_at: Option<TimePoint>,
 }
 
 impl StreamSource {
     /// A stream whose head has come.
     #[must_use]
-    pub fn new(runner: RunnerRecord, exchange: WebExchange) -> Self {
-        let framed = is_framed(&exchange);
+    pub fn new(plan: &SendPlan, exchange: WebExchange) -> Self {
+        let framed = exchange.response.headers().contains_key(TRANSFER_ENCODING);
         let WebExchange { response, connection } = exchange;
-        Self { runner, body: response.into_body(), connection, framed }
+        Self {
+            runner: plan.runner.clone(),
+            backup: plan.backup.clone(),
+            body: response.into_body(),
+            connection: Some(connection),
+            framed,
+            ended: false,
+            leave_at: None,
+        }
+    }
+
+    fn cut_off(&mut self) {
+        self.connection = None;
+        self.ended = true;
     }
 }
 
+/// The caller's side of a stream.
+pub struct CallerSide {
+    /// Takes whole events.
+    pub sender: mpsc::Sender<Bytes>,
+    /// Cuts the caller's connection.
+    pub cut: ConnectionCut,
+    /// Raised when the caller has left.
+    pub left: StopSignal,
+}
+
 type MoveFuture = Pin<Box<dyn Future<Output = platform::Result<MoveAnswer>>>>;
 
 /// A move that was begun.
@@ -64,6 +101,7 @@
     CallerLeft,
     Deadline,
     RunnerLeaves,
+    LeaveRunner,
     Moved(platform::Result<MoveAnswer>),
     Frame(Option<Result<Bytes, hyper::Error>>),
 }
@@ -74,19 +112,35 @@
     End(&'static str, &'static str),
 }
 
+/// When events came; for the log.
+#[derive(Debug, Default)]
+struct StreamPace {
+    first: Option<TimePoint>,
+    last: TimePoint,
+    longest_gap: TimeSpan,
+}
+
+impl StreamPace {
+    fn note(&mut self, now: TimePoint) {
+        if self.first.is_some() {
+            self.longest_gap = self.longest_gap.max(now.since(self.last));
+        }
+        self.first.get_or_insert(now);
+        self.last = now;
+    }
+}
+
 /// The state of the task.
 pub struct StreamPump {
     context: Rc<NodeContext>,
     call: Rc<Call>,
     ticket: RouteTicket,
     source: StreamSource,
-    source_ended: bool,
     scanner: StreamScanner,
-    sender: mpsc::Sender<Bytes>,
-    cut: ConnectionCut,
-    left: StopSignal,
+    caller: CallerSide,
     moving: Option<PendingMove>,
-    moves: u32,
+    changes: u32,
+    pace: StreamPace,
     _active: ActiveGuard,
 }
 
@@ -98,22 +152,18 @@
         call: Rc<Call>,
         ticket: RouteTicket,
         source: StreamSource,
-        sender: mpsc::Sender<Bytes>,
-        cut: ConnectionCut,
-        left: StopSignal,
+        caller: CallerSide,
     ) -> Self {
         Self {
             context: Rc::clone(context),
             call,
             ticket,
             source,
-            source_ended: false,
             scanner: StreamScanner::default(),
-            sender,
-            cut,
-            left,
+            caller,
             moving: None,
-            moves: 0,
+            changes: 0,
+            pace: StreamPace::default(),
             _active: context.count_active(),
         }
     }
@@ -121,11 +171,11 @@
     /// Runs until the stream has ended.
     pub async fn run(mut self) {
         loop {
-            let input = self.next_input().await;
-            let step = match input {
+            let step = match self.next_input().await {
                 PumpInput::CallerLeft => PumpStep::End("caller_left", ""),
                 PumpInput::Deadline => PumpStep::End("cut", "deadline_passed"),
-                PumpInput::RunnerLeaves => self.start_move(),
+                PumpInput::RunnerLeaves => self.prepare_leave(),
+                PumpInput::LeaveRunner => self.leave_runner().await,
                 PumpInput::Moved(outcome) => self.finish_move(outcome).await,
                 PumpInput::Frame(frame) => self.take_frame(frame).await,
             };
@@ -137,33 +187,39 @@
     }
 
     async fn next_input(&mut self) -> PumpInput {
-        let left_time = self.call.deadline.since(self.context.now());
-        let may_move = self.moving.is_none()
-            && self.call.moves
-            && !self.source_ended
-            && self.moves < MAX_MOVES;
+        let now = self.context.now();
+        let may_leave = self.moving.is_none()
+            && self.source.leave_at.is_none()
+            && self.changes < MAX_CHANGES
+            && (self.call.moves || self.source.backup.is_some());
+        let leave_at = self.source.leave_at.filter(|_| self.moving.is_none());
         let leaving = self.ticket.leaving();
-        let body = &mut self.source.body;
-        let ended = self.source_ended;
+        let StreamSource { body, ended, .. } = &mut self.source;
+        let ended = *ended;
         let moving = &mut self.moving;
-        let mut frame =
-            pin!(async { if ended { pending().await } else { next_data(body).await } }.fuse());
-        let mut moved = pin!(
-            async {
-                match moving {
-                    Some(moving) => (&mut moving.future).await,
-                    None => pending().await,
-                }
+        let frame = async { if ended { pending().await } else { next_data(body).await } };
+        let moved = async {
+            match moving {
+                Some(moving) => (&mut moving.future).await,
+                None => pending().await,
             }
-            .fuse()
-        );
-        let mut leaves =
-            pin!(async { if may_move { leaving.wait().await } else { pending().await } }.fuse());
-        let mut deadline = pin!(kernel::sleep(left_time.into()).fuse());
-        let mut left = pin!(self.left.wait().fuse());
+        };
+        let leaves = async { if may_leave { leaving.wait().await } else { pending().await } };
+        let leave = async {
+            match leave_at {
+                Some(at) => kernel::sleep(at.since(now).into()).await,
+                None => pending().await,
+            }
+        };
+        let deadline = kernel::sleep(self.call.deadline.since(now).into());
+        let (mut frame, mut moved) = (pin!(frame.fuse()), pin!(moved.fuse()));
+        let (mut leaves, mut leave) = (pin!(leaves.fuse()), pin!(leave.fuse()));
+        let mut deadline = pin!(deadline.fuse());
+        let mut left = pin!(self.caller.left.wait().fuse());
         select_biased! {
             () = left => PumpInput::CallerLeft,
             moved = moved => PumpInput::Moved(moved),
+            () = leave => PumpInput::LeaveRunner,
             () = leaves => PumpInput::RunnerLeaves,
             frame = frame => PumpInput::Frame(frame),
             () = deadline => PumpInput::Deadline,
@@ -173,11 +229,11 @@
     async fn take_frame(&mut self, frame: Option<Result<Bytes, hyper::Error>>) -> PumpStep {
         match frame {
             Some(Ok(bytes)) => self.pass_on(&bytes).await,
-            Some(Err(error)) => self.lose_source(&error.to_string()),
+            Some(Err(error)) => self.lose_source(&error.to_string()).await,
             None => {
                 let stopped = self.moving.as_ref().is_some_and(|moving| moving.stopping.get());
                 if self.scanner.has_rest() || stopped && !self.source.framed {
-                    self.lose_source("the connection ended")
+                    self.lose_source("the connection ended").await
                 } else {
                     PumpStep::End("streamed", "")
                 }
@@ -189,23 +245,19 @@
         let whole = match self.scanner.push(bytes) {
             Ok(whole) => whole,
             Err(error) => {
-                log_setback(
-                    &self.context,
-                    &self.call,
-                    &self.source.runner.runner,
-                    &error.to_string(),
-                );
+                self.log_setback(&error.to_string());
                 return PumpStep::End("cut", "stream_malformed");
             }
         };
         if whole.is_empty() {
             return PumpStep::Continue;
         }
+        self.pace.note(self.context.now());
         let event_tokens = u64::from(self.call.event_tokens.unwrap_or(1));
         let produced = u32::try_from(self.scanner.events() * event_tokens).unwrap_or(u32::MAX);
         self.ticket.progress(self.call.head.prompt, produced);
-        let mut sent = pin!(self.sender.send(Bytes::from(whole)).fuse());
-        let mut left = pin!(self.left.wait().fuse());
+        let mut sent = pin!(self.caller.sender.send(Bytes::from(whole)).fuse());
+        let mut left = pin!(self.caller.left.wait().fuse());
         select_biased! {
             sent = sent => match sent {
                 Ok(()) => PumpStep::Continue,
@@ -216,32 +268,74 @@
     }
 
     /// The source gives nothing more and has not ended the stream.
-    fn lose_source(&mut self, why: &str) -> PumpStep {
-        self.source_ended = true;
-        log_setback(&self.context, &self.call, &self.source.runner.runner, why);
+    async fn lose_source(&mut self, why: &str) -> PumpStep {
+        self.source.cut_off();
+        self.log_setback(why);
         if self.moving.is_some() {
             return PumpStep::Continue;
         }
+        if self.source.backup.is_some() && self.changes < MAX_CHANGES {
+            return self.resume_from_backup().await;
+        }
         PumpStep::End("cut", "runner_lost")
     }
 
+    /// The runner has announced that it leaves.
+    fn prepare_leave(&mut self) -> PumpStep {
+        if self.has_live_backup() {
+            self.source.leave_at = Some(self.context.now() + STAY_SPAN);
+            return PumpStep::Continue;
+        }
+        self.start_move()
+    }
+
+    /// The time at the leaving runner is over.
+    async fn leave_runner(&mut self) -> PumpStep {
+        if self.has_live_backup() {
+            return self.resume_from_backup().await;
+        }
+        self.start_move()
+    }
+
+    fn has_live_backup(&self) -> bool {
+        let backup = self.source.backup.as_ref();
+        backup.is_some_and(|backup| !self.context.runners.borrow().is_leaving(&backup.runner))
+    }
+
+    /// Goes on at the runner that keeps a copy. The old one is cut off as soon as the
+    /// other has taken over.
+    async fn resume_from_backup(&mut self) -> PumpStep {
+        self.changes += 1;
+        let Some(backup) = self.source.backup.take() else { return PumpStep::Continue };
+        let resume = ResumeSource {
+            address: backup.address,
+            handle: Arc::from(self.call.attempt.as_str()),
+            last_event: self.scanner.last(),
+        };
+        self.ticket.relocate_to(&backup.runner);
+        let next = choose_backup(&self.context, &self.call, &self.ticket);
+        let plan = SendPlan { runner: backup, resume: Some(resume), backup: next };
+        match self.take_over(&plan, "resumed").await {
+            Ok(step) => step,
+            Err(_) if !self.source.ended => self.start_move(),
+            Err(_) => PumpStep::End("cut", "resume_refused"),
+        }
+    }
+
     fn start_move(&mut self) -> PumpStep {
-        self.moves += 1;
+        self.changes += 1;
         let old = &self.source.runner;
-        let Some(target) = self.ticket.relocate() else {
-            tracing::info!(event = "move_impossible", request = %self.call.attempt, runner = %old.runner);
-            self.moves = MAX_MOVES;
+        let (request, from) = (&self.call.attempt, &old.runner);
+        let target = self.ticket.relocate();
+        let runners = self.context.runners.borrow();
+        let Some(entry) = target.and_then(|target| runners.get(&target)) else {
+            tracing::info!(event = "move_impossible", %request, %from);
+            self.changes = MAX_CHANGES;
             return PumpStep::Continue;
         };
-        let record = self.context.runners.borrow().get(&target).map(|entry| entry.record.clone());
-        let Some(target) = record else { return PumpStep::Continue };
-        tracing::info!(
-            event = "move_begun",
-            request = %self.call.attempt,
-            from = %old.runner,
-            to = %target.runner,
-            events = self.scanner.events(),
-        );
+        let target = entry.record.clone();
+        let events = self.scanner.events();
+        tracing::info!(event = "move_begun", %request, %from, to = %target.runner, events);
         let stopping = Rc::new(Cell::new(false));
         let transfer = StreamMove {
             attempt: self.call.attempt.clone(),
@@ -258,14 +352,9 @@
         match outcome {
             Ok(answer) => self.switch(moving.target, answer).await,
             Err(error) => {
-                self.note_move("failed");
-                log_setback(
-                    &self.context,
-                    &self.call,
-                    &self.source.runner.runner,
-                    &error.to_string(),
-                );
-                if self.source_ended {
+                self.note_change("move_failed");
+                self.log_setback(&error.to_string());
+                if self.source.ended {
                     PumpStep::End("cut", "move_failed")
                 } else {
                     PumpStep::Continue
@@ -279,45 +368,77 @@
         if let Some(step) = self.read_rest().await {
             return step;
         }
-        self.scanner.drop_rest();
         let resume = ResumeSource {
             address: self.source.runner.address,
             handle: answer.handle,
             last_event: self.scanner.last(),
         };
-        let left = self.call.deadline.since(self.context.now());
-        let sent = send_to_runner(&self.context, &self.call, &target, Some(&resume), left).await;
-        match sent {
-            Ok(exchange) if exchange.response.status().is_success() => {
-                self.note_move("done");
-                tracing::info!(
-                    event = "move_done",
-                    request = %self.call.attempt,
-                    to = %target.runner,
-                    events = self.scanner.events(),
-                );
-                self.source = StreamSource::new(target, exchange);
-                self.source_ended = false;
-                PumpStep::Continue
-            }
-            Ok(exchange) => {
-                self.note_move("answered_otherwise");
-                let status = exchange.response.status().to_string();
-                log_setback(&self.context, &self.call, &target.runner, &status);
-                PumpStep::End("cut", "move_failed")
-            }
+        let backup = choose_backup(&self.context, &self.call, &self.ticket);
+        let plan = SendPlan { runner: target, resume: Some(resume), backup };
+        match self.take_over(&plan, "moved").await {
+            Ok(step) => step,
+            Err(_) => PumpStep::End("cut", "move_failed"),
+        }
+    }
+
+    /// Sends the request on to the runner that has the run's memory, and takes its events
+    /// in place of the old one's.
+    async fn take_over(
+        &mut self,
+        plan: &SendPlan,
+        word: &'static str,
+    ) -> Result<PumpStep, SendSetback> {
+        let exchange = match self.send_over(plan).await {
+            Ok(exchange) => exchange,
             Err(setback) => {
-                self.note_move("refused");
-                log_setback(&self.context, &self.call, &target.runner, &setback.reason);
-                PumpStep::End("cut", "move_failed")
+                self.note_change("refused");
+                log_setback(&self.context, &self.call, &plan.runner.runner, &setback.reason);
+                return Err(setback);
             }
+        };
+        if !exchange.response.status().is_success() {
+            self.note_change("answered_otherwise");
+            let status = exchange.response.status().to_string();
+            log_setback(&self.context, &self.call, &plan.runner.runner, &status);
+            return Ok(PumpStep::End("cut", "resume_failed"));
+        }
+        self.note_change(word);
+        tracing::info!(
+            event = "runner_changed_over",
+            request = %self.call.attempt,
+            how = word,
+            from = %self.source.runner.runner,
+            to = %plan.runner.runner,
+            events = self.scanner.events(),
+        );
+        self.scanner.drop_rest();
+        self.source = StreamSource::new(plan, exchange);
+        Ok(PumpStep::Continue)
+    }
+
+    /// Waits for the head of the answer; cuts the old runner off if that takes long.
+    async fn send_over(&mut self, plan: &SendPlan) -> Result<WebExchange, SendSetback> {
+        let left = self.call.deadline.since(self.context.now());
+        let mut sent = pin!(send_to_runner(&self.context, &self.call, plan, left));
+        if !self.source.ended {
+            let early = compio::time::timeout(OVERLAP_LIMIT.into(), sent.as_mut()).await;
+            if let Ok(outcome) = early {
+                return outcome;
+            }
+            self.source.cut_off();
+        }
+        let mut left = pin!(self.caller.left.wait().fuse());
+        let mut sent = pin!(sent.fuse());
+        select_biased! {
+            outcome = sent => outcome,
+            () = left => Err(SendSetback::caller_left()),
         }
     }
 
     /// Reads what the stopped run had sent before it stopped.
     async fn read_rest(&mut self) -> Option<PumpStep> {
         let until = self.context.now() + REST_TIME;
-        while !self.source_ended {
+        while !self.source.ended {
             let left = until.since(self.context.now());
             let frame = compio::time::timeout(left.into(), next_data(&mut self.source.body)).await;
             match frame {
@@ -326,29 +447,42 @@
                     end @ PumpStep::End(..) => return Some(end),
                 },
                 Ok(None) if self.source.framed => return Some(PumpStep::End("streamed", "")),
-                _ => self.source_ended = true,
+                _ => self.source.cut_off(),
             }
         }
         None
     }
 
-    fn note_move(&self, outcome: &'static str) {
+    fn note_change(&self, outcome: &'static str) {
         self.context.metrics.moves.get_or_create(&EndLabels { outcome, reason: "" }).inc();
     }
 
+    fn log_setback(&self, what: &str) {
+        log_setback(&self.context, &self.call, &self.source.runner.runner, what);
+    }
+
     async fn end(self, outcome: &'static str, reason: &'static str) {
         let end = match outcome {
             "streamed" => CallEnd::Finished,
             "caller_left" => CallEnd::Left,
             _ => CallEnd::Failed,
         };
+        let first = self.pace.first.unwrap_or(self.context.now());
+        tracing::info!(
+            event = "stream_pace",
+            request = %self.call.attempt,
+            events = self.scanner.events(),
+            first_ms = first.since(self.call.arrived).as_millis(),
+            longest_gap_ms = self.pace.longest_gap.as_millis(),
+            changes = self.changes,
+        );
         log_end(&self.context, &self.call, CallEnding { outcome, reason, status: 200 });
         self.ticket.end(end);
         drop(self.source.connection);
         if end == CallEnd::Failed {
             // The body must not end before its connection does: it would look whole.
-            self.cut.raise();
-            self.left.wait().await;
+            self.caller.cut.raise();
+            self.caller.left.wait().await;
         }
     }
 }
--- a/crates/route/src/desk_relocate.rs
+++ b/crates/route/src/desk_relocate.rs
@@ -1,10 +1,14 @@
-//! Moving a running call to another runner.
+//! Moving a running call to another runner, and choosing one that keeps a copy of it.
 //!
 //! Load pattern: engines are reclaimed at short notice, while long generations run there.
 
 use base::prelude::*;
 
-use crate::{CallId, RouteDesk};
+use crate::{CallId, RouteDesk, runner_score};
+
+/// Highest chance of exceeding a runner's memory that a copy may bring about: copies give
+/// way to calls.
+const COPY_RISK: f64 = 0.02;
 
 impl RouteDesk {
     /// Chooses another runner for a call that runs, and books the call there. Its memory
@@ -21,6 +25,50 @@
         let (slot, _) = self
             .choose(now, call, |score| score.open)
             .or_else(|| self.choose(now, call, |_| true))?;
+        self.rebook(now, call, old, slot)
+    }
+
+    /// Books a call that runs at `runner`, where a copy of it lies.
+    ///
+    /// None if the call does not run or the runner is not known.
+    pub fn relocate_to(
+        &mut self,
+        now: TimePoint,
+        call: CallId,
+        runner: &RunnerId,
+    ) -> Option<RunnerId> {
+        let old = self.calls.get(&call)?.slot?;
+        let slot = *self.slots.get(runner)?;
+        self.rebook(now, call, old, slot)
+    }
+
+    /// Chooses the runner that has most room for a copy of a call that runs.
+    ///
+    /// None if the call does not run, or if no other runner has room to spare.
+    #[must_use]
+    pub fn choose_backup(&self, now: TimePoint, call: CallId) -> Option<RunnerId> {
+        let record = self.calls.get(&call)?;
+        let own = record.slot?;
+        let view = self.services.get(&record.call.service)?;
+        let model = record.call.model.as_ref();
+        let others = view.slots.iter().copied().filter(|slot| *slot != own);
+        let usable = others.filter(|slot| {
+            self.runners[*slot].serves(model) && self.runners[*slot].health.is_open(now)
+        });
+        let scored = usable
+            .map(|slot| (slot, runner_score::score(now, record, view, &self.runners[slot], false)));
+        let roomy = scored.filter(|(_, score)| score.risk <= COPY_RISK);
+        let (slot, _) = roomy.min_by(|a, b| a.1.cost.total_cmp(&b.1.cost))?;
+        Some(self.runners[slot].runner.clone())
+    }
+
+    fn rebook(
+        &mut self,
+        now: TimePoint,
+        call: CallId,
+        old: usize,
+        slot: usize,
+    ) -> Option<RunnerId> {
         if slot == old {
             return None;
         }
