Balance prompts by what all nodes have sent, told at once

Cause: slow first events (43 of 321 streams past 1.5 s) came from several prompts on one runner: the desk knew only its own entry's prompts of the last 150 ms. Open: copies fill the runners' memory (19 preemptions), moves still pause.

--- a/crates/node/src/call_log.rs
+++ b/crates/node/src/call_log.rs
@@ -31,7 +31,13 @@
 }
 
 /// Notes that a request goes to a runner.
-pub fn log_send(context: &NodeContext, call: &Call, runner: &RunnerId, sends: u32) {
+pub fn log_send(
+    context: &NodeContext,
+    call: &Call,
+    runner: &RunnerId,
+    backup: Option<&RunnerId>,
+    sends: u32,
+) {
     context.metrics.sends.inc();
     if sends > 0 {
         context.metrics.repeats.inc();
@@ -43,6 +49,7 @@
             event = "send",
             request = %call.attempt,
             %runner,
+            backup = backup.map(RunnerId::as_str),
             service = %call.service,
             earlier_sends = sends,
             waited_ms = waited.as_millis(),
--- a/crates/node/src/peer_link.rs
+++ b/crates/node/src/peer_link.rs
@@ -6,6 +6,8 @@
 
 use base::prelude::*;
 use compio::net::UdpSocket;
+use futures_channel::mpsc;
+use futures_util::StreamExt;
 use hyper::Method;
 use serving::{PeerBeat, RunnerRecord, ServingPlan};
 use web::{Result, WebError, fetch};
@@ -18,6 +20,8 @@
 
 /// Pause between two heartbeats.
 const BEAT_PERIOD: TimeSpan = TimeSpan::millis(100);
+/// Pause between two heartbeats at least, when new calls ask for them.
+const LEAST_BEAT_PERIOD: TimeSpan = TimeSpan::millis(5);
 /// Longest heartbeat, in bytes.
 const MAX_BEAT_BYTES: usize = 60_000;
 /// Age of the own list of runners from which a node that has read further is asked.
@@ -55,12 +59,15 @@
         }))
     }
 
-    /// Sends heartbeats until the process ends.
-    pub async fn run_sending(self: Rc<Self>) {
+    /// Sends heartbeats until the process ends: regularly, and when one is `wanted`.
+    pub async fn run_sending(self: Rc<Self>, mut wanted: mpsc::Receiver<()>) {
         loop {
             self.send_beat().await;
             self.forget_silent();
-            kernel::sleep(BEAT_PERIOD.into()).await;
+            kernel::sleep(LEAST_BEAT_PERIOD.into()).await;
+            let rest = TimeSpan(BEAT_PERIOD.0 - LEAST_BEAT_PERIOD.0);
+            // Either is a reason to go on.
+            let _ = compio::time::timeout(rest.into(), wanted.next()).await;
         }
     }
 
@@ -135,7 +142,9 @@
         self.context.metrics.beats.inc();
         let (vm, loads) = (beat.vm.clone(), beat.loads.clone());
         if self.context.peers.borrow_mut().take(self.context.now(), beat) {
-            self.context.loads.borrow_mut().set(vm, loads);
+            if self.context.loads.borrow_mut().set(vm, loads) {
+                self.router.note_loads();
+            }
             self.catch_up();
         }
     }
--- a/crates/node/src/plain_call.rs
+++ b/crates/node/src/plain_call.rs
@@ -95,7 +95,7 @@
             Ok(found) => found,
             Err(given_up) => return give_up(context, call, &track, failure, given_up),
         };
-        log_send(context, call, &runner.runner, track.sends());
+        log_send(context, call, &runner.runner, None, track.sends());
         tried.push(runner.runner.clone());
         match try_runner(context, call, &track, &runner).await {
             Ok(answer) => {
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use base::prelude::*;
+use futures_channel::mpsc;
 use hyper::StatusCode;
 use kernel::StopSignal;
 use platform::StoreClient;
@@ -56,12 +57,13 @@
         incarnation = %context.incarnation,
         version = env!("CARGO_PKG_VERSION"),
     );
-    let router = RouterService::new(&context);
+    let (beat_wanted, beats) = mpsc::channel(1);
+    let router = RouterService::new(&context, beat_wanted);
     let store = StoreClient::new(context.settings.store, STORE_LIMIT);
     let stop = StopSignal::new();
     start_servers(&context, &router, &stop).await?;
     let link = PeerLink::open(&context, &router).await.map_err(NodeError::Peers)?;
-    kernel::spawn(Rc::clone(&link).run_sending()).detach();
+    kernel::spawn(Rc::clone(&link).run_sending(beats)).detach();
     kernel::spawn(link.run_receiving()).detach();
     kernel::spawn(follow_operators(Rc::clone(&context), Rc::clone(&router), store)).detach();
     kernel::spawn(follow_runners(Rc::clone(&context), Rc::clone(&router), store)).detach();
--- a/crates/node/src/router.rs
+++ b/crates/node/src/router.rs
@@ -60,13 +60,17 @@
     waiting: Cell<usize>,
     next_call: Cell<u64>,
     reports: Cell<u64>,
+    /// Other nodes have told loads that the desk does not know yet.
+    loads_changed: Cell<bool>,
+    /// Asks for a heartbeat, so that the other nodes learn of a new call at once.
+    beat_wanted: RefCell<mpsc::Sender<()>>,
     this: Weak<Self>,
 }
 
 impl RouterService {
     /// A router with an empty desk.
     #[must_use]
-    pub fn new(context: &Rc<NodeContext>) -> Rc<Self> {
+    pub fn new(context: &Rc<NodeContext>, beat_wanted: mpsc::Sender<()>) -> Rc<Self> {
         let settings = RouteSettings {
             policy: PolicyName::Product,
             seed: rand::random(),
@@ -80,6 +84,8 @@
             waiting: Cell::default(),
             next_call: Cell::new(1),
             reports: Cell::default(),
+            loads_changed: Cell::default(),
+            beat_wanted: RefCell::new(beat_wanted),
             this: this.clone(),
         })
     }
@@ -89,6 +95,9 @@
     /// # Panics
     /// Never: the service lives as long as its process.
     pub fn open(&self, mut call: RouteCall) -> RouteTicket {
+        if self.loads_changed.get() {
+            self.report_loads();
+        }
         let id = CallId(self.next_call.get());
         self.next_call.set(id.0 + 1);
         call.call = id;
@@ -109,6 +118,11 @@
         RouteTicket { router, call: id, orders, leaving, open: true }
     }
 
+    /// Notes that another node has told other loads than before.
+    pub fn note_loads(&self) {
+        self.loads_changed.set(true);
+    }
+
     fn tell(&self, event: RouteEvent) {
         let actions = self.desk.borrow_mut().handle(self.context.now(), event);
         for action in actions {
@@ -125,6 +139,8 @@
                     own.runner = Some(runner.clone());
                     // The receiver ends only with its ticket, which takes the call away.
                     let _ = own.orders.unbounded_send(RouteOrder::Send { runner });
+                    // A full channel has asked already.
+                    let _ = self.beat_wanted.borrow_mut().try_send(());
                 }
             }
             RouteAction::Refuse { call, reason, come_back } => {
@@ -181,12 +197,12 @@
         let mut loads: BTreeMap<RunnerId, RunnerLoad> = BTreeMap::new();
         for own in self.calls.borrow().values() {
             let Some(runner) = &own.runner else { continue };
-            let starting = u32::from(!own.started);
             let tokens = own.tokens;
-            let run = RunnerLoad { runner: runner.clone(), calls: 1, starting, tokens };
+            let prefill = if own.started { 0 } else { tokens };
+            let run = RunnerLoad { runner: runner.clone(), calls: 1, prefill, tokens };
             serving::add_load(&mut loads, &run);
             if let Some(backup) = &own.backup {
-                let copy = RunnerLoad { runner: backup.clone(), calls: 0, starting: 0, tokens };
+                let copy = RunnerLoad { runner: backup.clone(), calls: 0, prefill: 0, tokens };
                 serving::add_load(&mut loads, &copy);
             }
         }
@@ -196,6 +212,7 @@
     /// Tells the desk the load of every runner, over all nodes.
     fn report_loads(&self) {
         let Some(plan) = self.context.plan() else { return };
+        self.loads_changed.set(false);
         let mut sums = self.context.loads.borrow().sums();
         for load in self.own_loads() {
             serving::add_load(&mut sums, &load);
@@ -214,6 +231,8 @@
             let Some(service) = plan.services.get(&service) else { continue };
             let memory = service.engine.as_ref().map_or(0, |engine| engine.memory.0);
             let load = sums.get(&runner);
+            let tokens = load.map_or(0, |load| u64::from(load.prefill));
+            self.tell(RouteEvent::Prefill { runner: runner.clone(), tokens });
             self.tell(RouteEvent::Report(RunnerReport {
                 runner,
                 incarnation: born,
--- a/crates/node/src/stream_call.rs
+++ b/crates/node/src/stream_call.rs
@@ -59,9 +59,10 @@
             Ok(found) => found,
             Err(given_up) => return give_up(context, &call, &track, None, given_up),
         };
-        log_send(context, &call, &runner.runner, track.sends());
         tried.push(runner.runner.clone());
         let backup = choose_backup(context, &call, &ticket);
+        let backup_id = backup.as_ref().map(|backup| &backup.runner);
+        log_send(context, &call, &runner.runner, backup_id, track.sends());
         let plan = SendPlan::first(runner, backup);
         let outcome = match ask(context, &call, &plan).await {
             Err(setback) if setback.outcome == SendOutcome::Unknown && plan.backup.is_some() => {
--- a/crates/node/src/stream_pump.rs
+++ b/crates/node/src/stream_pump.rs
@@ -409,6 +409,7 @@
             how = word,
             from = %self.source.runner.runner,
             to = %plan.runner.runner,
+            backup = plan.backup.as_ref().map(|backup| backup.runner.as_str()),
             events = self.scanner.events(),
         );
         self.scanner.drop_rest();
--- a/crates/route/src/desk.rs
+++ b/crates/route/src/desk.rs
@@ -77,6 +77,12 @@
             }
             RouteEvent::Members { service, members } => self.take_members(&service, members),
             RouteEvent::Report(report) => self.take_report(now, report),
+            RouteEvent::Prefill { runner, tokens } => {
+                if let Some(&slot) = self.slots.get(&runner) {
+                    self.runners[slot].prefill = Some((now, tokens));
+                }
+                return Vec::new();
+            }
             RouteEvent::Cache { runner, event } => {
                 if let Some(&slot) = self.slots.get(&runner) {
                     self.prefixes.take(slot, &event);
--- a/crates/route/src/desk_relocate.rs
+++ b/crates/route/src/desk_relocate.rs
@@ -42,7 +42,8 @@
         self.rebook(now, call, old, slot)
     }
 
-    /// Chooses the runner that has most room for a copy of a call that runs.
+    /// Chooses the runner that has most room for a copy of a call that runs; one in the
+    /// same failure domain, if any has room, since a copy between domains takes longer.
     ///
     /// None if the call does not run, or if no other runner has room to spare.
     #[must_use]
@@ -58,7 +59,10 @@
         let scored = usable
             .map(|slot| (slot, runner_score::score(now, record, view, &self.runners[slot], false)));
         let roomy = scored.filter(|(_, score)| score.risk <= COPY_RISK);
-        let (slot, _) = roomy.min_by(|a, b| a.1.cost.total_cmp(&b.1.cost))?;
+        let place = &self.runners[own].place;
+        let rank = |slot: usize| self.runners[slot].place != *place;
+        let (slot, _) =
+            roomy.min_by(|a, b| rank(a.0).cmp(&rank(b.0)).then(a.1.cost.total_cmp(&b.1.cost)))?;
         Some(self.runners[slot].runner.clone())
     }
 
--- a/crates/route/src/event.rs
+++ b/crates/route/src/event.rs
@@ -160,6 +160,13 @@
     },
     /// A load report arrived; its age is counted up to now.
     Report(RunnerReport),
+    /// Prompt tokens that a runner has been sent by all entries and has not prefilled.
+    Prefill {
+        /// The runner.
+        runner: RunnerId,
+        /// The tokens, as of now.
+        tokens: u64,
+    },
     /// A cache event arrived.
     Cache {
         /// The engine.
--- a/crates/route/src/runner_score.rs
+++ b/crates/route/src/runner_score.rs
@@ -5,9 +5,6 @@
 
 use crate::{CallRecord, MemoryForecast, PrefixTable, RunnerView, ServiceView};
 
-/// Time for which a prompt that was just sent still occupies the runner.
-const PREFILL_SPAN: TimeSpan = TimeSpan::millis(150);
-
 /// Weight of the share of memory that is forecast to be in use.
 const MEMORY_COST: f64 = 1.0;
 /// Weight of a call that waits inside the runner.
@@ -70,7 +67,7 @@
     let risk = forecast.chance_above(memory);
     let reported = now.since(runner.received) <= WAITING_SPAN;
     let waiting = if reported { f64::from(runner.waiting()) } else { 0.0 };
-    let prefill = runner.sent_tokens(now - PREFILL_SPAN) as f64 / 1_000.0;
+    let prefill = runner.prefill_tokens(now) as f64 / 1_000.0;
     let cost = MEMORY_COST * highest(&forecast) / memory
         + WAITING_COST * waiting
         + PREFILL_COST * prefill
--- a/crates/route/src/runner_view.rs
+++ b/crates/route/src/runner_view.rs
@@ -44,6 +44,8 @@
     pub ticket: f64,
     /// Calls sent since the last report arrived.
     pub sent_calls: u32,
+    /// Prompt tokens that wait for prefill, over all entries, and when that was told.
+    pub prefill: Option<(TimePoint, u64)>,
     /// When the forecast was last computed.
     pub refreshed: TimePoint,
     changes: VecDeque<LoadChange>,
@@ -51,6 +53,10 @@
     freed_tokens: u64,
 }
 
+/// Time for which a prompt that was just sent is taken to occupy the runner when nobody
+/// tells.
+const PREFILL_SPAN: TimeSpan = TimeSpan::millis(150);
+
 /// Changes kept one by one; older ones are only counted.
 const CHANGE_LIMIT: usize = 1_024;
 
@@ -72,6 +78,7 @@
             other_tokens: 0.0,
             ticket: 1.0,
             sent_calls: 0,
+            prefill: None,
             refreshed: TimePoint::default(),
             changes: VecDeque::new(),
             changed_calls: 0,
@@ -164,6 +171,16 @@
         sent.map(|change| change.tokens.unsigned_abs()).sum()
     }
 
+    /// Prompt tokens that seem to wait for prefill: as told, with what was sent since, or
+    /// what this entry sent lately.
+    #[must_use]
+    pub fn prefill_tokens(&self, now: TimePoint) -> u64 {
+        match self.prefill {
+            Some((told, tokens)) => tokens + self.sent_tokens(told),
+            None => self.sent_tokens(now - PREFILL_SPAN),
+        }
+    }
+
     /// Tokens that fit into the runner's memory; none if it did not say.
     #[must_use]
     pub fn memory_tokens(&self) -> Option<f64> {
--- a/crates/serving/src/fleet_loads.rs
+++ b/crates/serving/src/fleet_loads.rs
@@ -15,8 +15,8 @@
     pub runner: RunnerId,
     /// Requests there.
     pub calls: u32,
-    /// Requests there whose first event or answer has not come.
-    pub starting: u32,
+    /// Prompt tokens of the requests there whose first event has not come.
+    pub prefill: u32,
     /// Tokens of prompts and outputs so far.
     pub tokens: u32,
 }
@@ -28,9 +28,14 @@
 }
 
 impl FleetLoads {
-    /// Replaces what a node has told before.
-    pub fn set(&mut self, vm: VmId, loads: Vec<RunnerLoad>) {
-        self.nodes.insert(vm, loads);
+    /// Replaces what a node has told before; whether it differs.
+    pub fn set(&mut self, vm: VmId, loads: Vec<RunnerLoad>) -> bool {
+        let before = self.nodes.get(&vm);
+        let changed = before != Some(&loads);
+        if changed {
+            self.nodes.insert(vm, loads);
+        }
+        changed
     }
 
     /// Forgets a node that is gone.
@@ -56,6 +61,6 @@
         return;
     };
     sum.calls = sum.calls.saturating_add(load.calls);
-    sum.starting = sum.starting.saturating_add(load.starting);
+    sum.prefill = sum.prefill.saturating_add(load.prefill);
     sum.tokens = sum.tokens.saturating_add(load.tokens);
 }
