--- a/crates/node/src/stream_move.rs
+++ b/crates/node/src/stream_move.rs
@@ -10,6 +10,8 @@
 use base::prelude::*;
 use platform::{AttemptId, MoveAnswer, move_run};
 
+use crate::context::NodeContext;
+
 /// Time for the copy of a whole run; a link is shared by the runs that leave together.
 const COPY_LIMIT: TimeSpan = TimeSpan::millis(2_500);
 /// Time for the copy of what was made meanwhile.
@@ -23,6 +25,10 @@
     pub source: SocketAddr,
     /// The runner that it goes to.
     pub target: SocketAddr,
+    /// Until then the copies of other runs have the link.
+    pub stop_at: TimePoint,
+    /// Gives the time.
+    pub context: Rc<NodeContext>,
     /// Set before the run is told to stop.
     pub stopping: Rc<Cell<bool>>,
 }
@@ -33,8 +39,21 @@
     /// # Errors
     /// What the source answered; after [`Self::stopping`] is set, the run may have stopped.
     pub async fn run(self) -> platform::Result<MoveAnswer> {
+        let begun = self.context.now();
         move_run(self.source, &self.attempt, self.target, false, COPY_LIMIT).await?;
+        let copied = self.context.now();
+        let wait = self.stop_at.since(self.context.now());
+        kernel::sleep(wait.into()).await;
         self.stopping.set(true);
-        move_run(self.source, &self.attempt, self.target, true, REST_LIMIT).await
+        let stopping = self.context.now();
+        let answer = move_run(self.source, &self.attempt, self.target, true, REST_LIMIT).await?;
+        tracing::info!(
+            event = "run_copied",
+            request = %self.attempt,
+            copy_ms = copied.since(begun).as_millis(),
+            rest_ms = self.context.now().since(stopping).as_millis(),
+            events = answer.events,
+        );
+        Ok(answer)
     }
 }
--- a/crates/node/src/stream_pump.rs
+++ b/crates/node/src/stream_pump.rs
@@ -34,6 +34,9 @@
 /// Time that a run with a copy elsewhere stays at a runner that leaves: short enough for
 /// the shortest notice (1.5 s), less the age of the news.
 const STAY_SPAN: TimeSpan = TimeSpan::millis(500);
+/// Time from the news that a runner leaves in which the runs there are copied while they go
+/// on. A run that stops for the rest of its copy earlier would wait behind whole copies.
+const COPY_SPAN: TimeSpan = TimeSpan::millis(900);
 /// Time for another runner to take a run over before the old one is cut off. Two runners
 /// may not work on one request for longer than 400 ms.
 const OVERLAP_LIMIT: TimeSpan = TimeSpan::millis(250);
@@ -341,6 +344,12 @@
             attempt: self.call.attempt.clone(),
             source: old.address,
             target: target.address,
+            stop_at: runners
+                .get(from)
+                .and_then(serving::RunnerEntry::gone_since)
+                .unwrap_or_default()
+                + COPY_SPAN,
+            context: Rc::clone(&self.context),
             stopping: Rc::clone(&stopping),
         };
         self.moving = Some(PendingMove { target, stopping, future: Box::pin(transfer.run()) });
--- a/crates/route/src/desk_relocate.rs
+++ b/crates/route/src/desk_relocate.rs
@@ -22,9 +22,10 @@
         if !record.call.tried.contains(&old_runner) {
             record.call.tried.push(old_runner);
         }
-        let (slot, _) = self
-            .choose(now, call, |score| score.open)
-            .or_else(|| self.choose(now, call, |_| true))?;
+        let slot = self.choose_near(now, call, old).or_else(|| {
+            let anywhere = self.choose(now, call, |score| score.open);
+            anywhere.or_else(|| self.choose(now, call, |_| true)).map(|(slot, _)| slot)
+        })?;
         self.rebook(now, call, old, slot)
     }
 
@@ -66,6 +67,24 @@
         Some(self.runners[slot].runner.clone())
     }
 
+    /// The best open runner in the failure domain of `old`.
+    fn choose_near(&self, now: TimePoint, call: CallId, old: usize) -> Option<usize> {
+        let record = self.calls.get(&call)?;
+        let view = self.services.get(&record.call.service)?;
+        let place = &self.runners[old].place;
+        let near = view.slots.iter().copied().filter(|slot| {
+            let runner = &self.runners[*slot];
+            *slot != old
+                && runner.place == *place
+                && runner.health.is_open(now)
+                && runner.serves(record.call.model.as_ref())
+        });
+        let scored = near
+            .map(|slot| (slot, runner_score::score(now, record, view, &self.runners[slot], false)));
+        let open = scored.filter(|(_, score)| score.open);
+        open.min_by(|a, b| a.1.cost.total_cmp(&b.1.cost)).map(|(slot, _)| slot)
+    }
+
     fn rebook(
         &mut self,
         now: TimePoint,
--- a/crates/serving/src/runner_table.rs
+++ b/crates/serving/src/runner_table.rs
@@ -48,6 +48,14 @@
     pub leaving_since: Option<TimePoint>,
 }
 
+impl RunnerEntry {
+    /// When this node learned that the runner goes; none while it stays.
+    #[must_use]
+    pub fn gone_since(&self) -> Option<TimePoint> {
+        self.leaving_since.into_iter().chain(self.removed).min()
+    }
+}
+
 /// A change of the list.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum RunnerChange {
