--- a/crates/node/src/call.rs
+++ b/crates/node/src/call.rs
@@ -52,7 +52,7 @@
 
 /// Expected output from which a copy is worth its transfer: shorter generations end
 /// within the notice that a leaving runner gives.
-const BACKUP_TOKENS: u32 = 64_000;
+const BACKUP_TOKENS: u32 = 64;
 
 impl Call {
     /// Whether a second runner should keep a copy of the call's memory.
--- a/crates/route/src/desk_relocate.rs
+++ b/crates/route/src/desk_relocate.rs
@@ -9,6 +9,9 @@
 /// Highest chance of exceeding a runner's memory that a copy may bring about: copies give
 /// way to calls.
 const COPY_RISK: f64 = 0.02;
+/// Share of a runner's memory up to which copies are taken: beyond it, they would preempt
+/// calls that come later, and their transfers would delay moves.
+const COPY_SHARE: f64 = 0.4;
 
 impl RouteDesk {
     /// Chooses another runner for a call that runs, and books the call there. Its memory
@@ -59,7 +62,12 @@
         });
         let scored = usable
             .map(|slot| (slot, runner_score::score(now, record, view, &self.runners[slot], false)));
-        let roomy = scored.filter(|(_, score)| score.risk <= COPY_RISK);
+        let roomy = scored.filter(|(slot, score)| {
+            let runner = &self.runners[*slot];
+            let memory = runner.memory_tokens().unwrap_or(0.0);
+            let needed = runner.used_tokens() + f64::from(record.context());
+            score.risk <= COPY_RISK && needed <= COPY_SHARE * memory
+        });
         let place = &self.runners[own].place;
         let rank = |slot: usize| self.runners[slot].place != *place;
         let (slot, _) =
