--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -8,6 +8,7 @@
 mod error;
 mod fake_host;
 mod log_fake;
+pub mod platform;
 mod reply;
 mod service_fake;
 mod vm_fake;
--- /dev/null
+++ b/crates/fakes/src/platform/mod.rs
@@ -0,0 +1,10 @@
+//! Stand-ins for the users' platform: its store and its runners, by their published pages.
+
+mod runner_fake;
+mod runner_request;
+mod store_fake;
+mod stream_memory;
+
+pub use runner_fake::{RunnerFake, RunnerFakeSettings, RunnerScript, RunnerVisit};
+pub use store_fake::{StoreFake, StoreFault};
+pub use stream_memory::StreamMemory;
--- /dev/null
+++ b/crates/fakes/src/platform/runner_fake.rs
@@ -0,0 +1,357 @@
+//! A runner, with answers that can be spoilt byte by byte.
+
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::fmt::Write as _;
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+use compio::net::{TcpListener, TcpStream};
+use futures_util::future::{Either, select};
+use kernel::{StopSignal, spawn};
+use serde_json::{Value, json};
+
+use super::runner_request::{RunnerRequest, write};
+use super::stream_memory::StreamMemory;
+use crate::{FakeError, Result};
+
+/// Pause between two events of a stream where none is set.
+const EVENT_PAUSE: Duration = Duration::from_millis(10);
+/// Events of a stream where none is set.
+const EVENTS: u64 = 30;
+
+/// How one request is answered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum RunnerScript {
+    /// As it should be.
+    #[default]
+    Answer,
+    /// With a failure of its own.
+    Failure,
+    /// With the promise that it was not run.
+    Refuse,
+    /// With the promise, before the body was read.
+    RefuseEarly,
+    /// Half of the body, then the connection ends.
+    Truncate,
+    /// Without a length; the end of the connection ends the body.
+    Unframed,
+    /// Twice.
+    Extra,
+    /// With bytes that are no answer.
+    Garbage,
+    /// Without the signature.
+    Unsigned,
+    /// As the answer to another attempt.
+    OtherAttempt,
+    /// With 503 but without the promise.
+    BareUnavailable,
+    /// Not at all; the connection stays open.
+    Silent,
+    /// Not at all; the connection ends.
+    Close,
+}
+
+/// A request that came, and what the runner did.
+#[derive(Debug, Clone)]
+pub struct RunnerVisit {
+    /// The request.
+    pub request: RunnerRequest,
+    /// It was run.
+    pub ran: bool,
+}
+
+/// What a runner is.
+#[derive(Debug, Clone)]
+pub struct RunnerFakeSettings {
+    /// Its id.
+    pub id: String,
+    /// Pause between two events of a stream.
+    pub event_pause: Duration,
+    /// Events of a stream.
+    pub events: u64,
+    /// Time that a plain call takes.
+    pub work: Duration,
+}
+
+impl RunnerFakeSettings {
+    /// A quick runner.
+    #[must_use]
+    pub fn new(id: &str) -> Self {
+        let id = id.to_owned();
+        Self { id, event_pause: EVENT_PAUSE, events: EVENTS, work: Duration::ZERO }
+    }
+}
+
+struct RunnerState {
+    settings: RunnerFakeSettings,
+    memory: StreamMemory,
+    scripts: RefCell<VecDeque<RunnerScript>>,
+    visits: RefCell<Vec<RunnerVisit>>,
+    /// Streams that are at work.
+    working: Cell<usize>,
+    crashed: StopSignal,
+}
+
+/// A running runner; it ends when it is dropped.
+pub struct RunnerFake {
+    state: Rc<RunnerState>,
+    address: SocketAddr,
+}
+
+impl RunnerFake {
+    /// Starts a runner at `address`; runners of one test share `memory`.
+    ///
+    /// # Errors
+    /// If the address cannot be had.
+    pub async fn start(
+        address: SocketAddr,
+        settings: RunnerFakeSettings,
+        memory: &StreamMemory,
+    ) -> Result<Self> {
+        let listener = TcpListener::bind(address).await.map_err(FakeError::Announce)?;
+        let address = listener.local_addr().map_err(FakeError::Announce)?;
+        let state = Rc::new(RunnerState {
+            settings,
+            memory: memory.clone(),
+            scripts: RefCell::default(),
+            visits: RefCell::default(),
+            working: Cell::default(),
+            crashed: StopSignal::new(),
+        });
+        let shared = Rc::clone(&state);
+        spawn(async move { accept(listener, shared).await }).detach();
+        Ok(Self { state, address })
+    }
+
+    /// Its address.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Its id.
+    #[must_use]
+    pub fn id(&self) -> &str {
+        &self.state.settings.id
+    }
+
+    /// The next requests are answered by these scripts, one each.
+    pub fn script(&self, scripts: &[RunnerScript]) {
+        self.state.scripts.borrow_mut().extend(scripts);
+    }
+
+    /// Further requests are answered as they should be.
+    pub fn clear_scripts(&self) {
+        self.state.scripts.borrow_mut().clear();
+    }
+
+    /// Requests so far.
+    #[must_use]
+    pub fn visits(&self) -> Vec<RunnerVisit> {
+        self.state.visits.borrow().clone()
+    }
+
+    /// Requests that it ran.
+    #[must_use]
+    pub fn runs(&self) -> usize {
+        self.state.visits.borrow().iter().filter(|visit| visit.ran).count()
+    }
+
+    /// Streams that are at work.
+    #[must_use]
+    pub fn working(&self) -> usize {
+        self.state.working.get()
+    }
+
+    /// Ends all its connections and takes no new ones.
+    pub fn crash(&self) {
+        self.state.crashed.raise();
+    }
+
+    /// Its entry in the store.
+    #[must_use]
+    pub fn entry(&self, service: &str, zone: &str, state: &str) -> Value {
+        json!({
+            "service": service, "address": self.address, "zone": zone, "version": "v1",
+            "slots": 8, "state": state, "coldRemainingMs": 0, "sequence": 1, "born": 1_000,
+        })
+    }
+}
+
+impl Drop for RunnerFake {
+    fn drop(&mut self) {
+        self.state.crashed.raise();
+    }
+}
+
+async fn accept(listener: TcpListener, state: Rc<RunnerState>) {
+    loop {
+        let (accept, crashed) = (pin!(listener.accept()), pin!(state.crashed.wait()));
+        let Either::Left((accepted, _)) = select(accept, crashed).await else { return };
+        let Ok((stream, _)) = accepted else { continue };
+        let shared = Rc::clone(&state);
+        spawn(async move {
+            let crashed = shared.crashed.clone();
+            select(pin!(serve(stream, shared)), pin!(crashed.wait())).await;
+        })
+        .detach();
+    }
+}
+
+async fn serve(mut stream: TcpStream, state: Rc<RunnerState>) {
+    while let Some(request) = RunnerRequest::read(&mut stream).await {
+        let go_on = if request.path == "/api/kv-move" {
+            answer_move(&mut stream, &state, &request).await
+        } else {
+            answer(&mut stream, &state, request).await
+        };
+        if !go_on {
+            return;
+        }
+    }
+}
+
+async fn answer_move(stream: &mut TcpStream, state: &RunnerState, request: &RunnerRequest) -> bool {
+    let body: Value = serde_json::from_slice(&request.body).unwrap_or_default();
+    let (id, last) = (body["id"].as_str().unwrap_or_default(), body["last"] == true);
+    match state.memory.copy(id, last) {
+        Some((handle, events)) => {
+            let body = json!({ "kvHandle": handle, "created": events }).to_string();
+            write(stream, whole("200 OK", "", &body)).await
+        }
+        None => write(stream, whole("404 Not Found", "", "{}")).await,
+    }
+}
+
+/// Answers a request; whether the connection goes on.
+async fn answer(stream: &mut TcpStream, state: &Rc<RunnerState>, request: RunnerRequest) -> bool {
+    let script = state.scripts.borrow_mut().pop_front().unwrap_or_default();
+    let expected = request.header("x-dotterelyard-expect-instance").to_owned();
+    let resumed = request.headers.get("kv-from").map(|from| {
+        let handle = from.rsplit('/').next().unwrap_or_default();
+        state.memory.take(handle, request.header("x-dotterelyard-attempt-id"))
+    });
+    let wrong = !expected.is_empty() && expected != state.settings.id;
+    let refused = matches!(script, RunnerScript::Refuse | RunnerScript::RefuseEarly);
+    let ran = !wrong && !refused && resumed != Some(false);
+    state.visits.borrow_mut().push(RunnerVisit { request: request.clone(), ran });
+    if wrong {
+        let headers = format!("X-Dotterelyard-Instance-Id: {}\r\n", state.settings.id);
+        return write(stream, whole("421 Misdirected Request", &headers, "")).await;
+    }
+    if !ran {
+        let headers = "X-Dotterelyard-Not-Executed: 1\r\n";
+        return write(stream, whole("503 Service Unavailable", headers, "")).await;
+    }
+    if request.headers.contains_key("x-dotterelyard-model") {
+        return answer_events(stream, state, &request, script).await;
+    }
+    compio::time::sleep(state.settings.work).await;
+    answer_plain(stream, state, &request, script).await
+}
+
+async fn answer_plain(
+    stream: &mut TcpStream,
+    state: &RunnerState,
+    request: &RunnerRequest,
+    script: RunnerScript,
+) -> bool {
+    let attempt = request.header("x-dotterelyard-attempt-id");
+    let signed = signature(attempt);
+    let body = format!("answer of {} to {attempt} {}", state.settings.id, request.path);
+    let good = whole("200 OK", &signed, &body);
+    match script {
+        RunnerScript::Answer | RunnerScript::Refuse | RunnerScript::RefuseEarly => {
+            write(stream, good).await
+        }
+        RunnerScript::Failure => {
+            write(stream, whole("500 Internal Server Error", &signed, "failed")).await
+        }
+        RunnerScript::Truncate => {
+            write(stream, &good[..good.len() - body.len() / 2]).await;
+            false
+        }
+        RunnerScript::Unframed => {
+            write(stream, format!("HTTP/1.1 200 OK\r\n{signed}\r\n{body}")).await;
+            false
+        }
+        RunnerScript::Extra => write(stream, format!("{good}{good}")).await,
+        RunnerScript::Garbage => {
+            write(stream, "bytes that are no answer\r\n\r\n").await;
+            false
+        }
+        RunnerScript::Unsigned => {
+            let echo = format!("X-Dotterelyard-Attempt-Id: {attempt}\r\n");
+            write(stream, whole("200 OK", &echo, &body)).await
+        }
+        RunnerScript::OtherAttempt => {
+            write(stream, whole("200 OK", &signature("another"), &body)).await
+        }
+        RunnerScript::BareUnavailable => {
+            write(stream, whole("503 Service Unavailable", &signed, "")).await
+        }
+        RunnerScript::Silent => std::future::pending().await,
+        RunnerScript::Close => false,
+    }
+}
+
+async fn answer_events(
+    stream: &mut TcpStream,
+    state: &Rc<RunnerState>,
+    request: &RunnerRequest,
+    script: RunnerScript,
+) -> bool {
+    let attempt = request.header("x-dotterelyard-attempt-id");
+    let backed_up = request.headers.contains_key("x-dotterelyard-kv-backup");
+    state.memory.begin(attempt, backed_up);
+    let _guard = WorkGuard::new(state);
+    let mut head = String::from("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n");
+    let _ = write!(head, "{}Transfer-Encoding: chunked\r\n\r\n", signature(attempt));
+    if !write(stream, head).await {
+        return false;
+    }
+    let first = request.header("last-event-id").parse::<u64>().map_or(1, |last| last + 1);
+    for number in first..=state.settings.events {
+        if state.memory.is_stopped(attempt) {
+            return false;
+        }
+        if script == RunnerScript::Truncate && number == state.settings.events / 2 {
+            write(stream, "20\r\nid: 99").await;
+            return false;
+        }
+        let event = format!("id: {number}\ndata: token {number} of {attempt}\n\n");
+        if !write(stream, format!("{:x}\r\n{event}\r\n", event.len())).await {
+            return false;
+        }
+        state.memory.note_event(attempt);
+        compio::time::sleep(state.settings.event_pause).await;
+    }
+    state.memory.end(attempt);
+    write(stream, "0\r\n\r\n").await
+}
+
+struct WorkGuard(Rc<RunnerState>);
+
+impl WorkGuard {
+    fn new(state: &Rc<RunnerState>) -> Self {
+        state.working.set(state.working.get() + 1);
+        Self(Rc::clone(state))
+    }
+}
+
+impl Drop for WorkGuard {
+    fn drop(&mut self) {
+        self.0.working.set(self.0.working.get() - 1);
+    }
+}
+
+fn signature(attempt: &str) -> String {
+    format!("X-Dotterelyard-Attempt-Id: {attempt}\r\nX-Dotterelyard-Server-Seal: s.{attempt}\r\n")
+}
+
+fn whole(status: &str, headers: &str, body: &str) -> String {
+    format!("HTTP/1.1 {status}\r\n{headers}Content-Length: {}\r\n\r\n{body}", body.len())
+}
--- /dev/null
+++ b/crates/harness/src/node_process.rs
@@ -0,0 +1,100 @@
+//! One `yard-node` process under test, with its log lines.
+
+use std::io::{BufRead, BufReader};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Mutex};
+
+use rustix::process::{Pid, Signal, kill_process};
+use serde_json::Value;
+
+use crate::process::program_path;
+use crate::{HarnessError, Result};
+
+/// A running node; it is killed when this is dropped.
+pub struct NodeProcess {
+    child: Child,
+    lines: Arc<Mutex<Vec<String>>>,
+    settings: PathBuf,
+}
+
+impl NodeProcess {
+    /// Starts a node with `settings`, written to a file of its own.
+    ///
+    /// With `read` false nobody reads what the node prints.
+    ///
+    /// # Errors
+    /// If it cannot be started.
+    ///
+    /// # Panics
+    /// Never: its output is piped.
+    pub fn start(name: &str, settings: &Value, read: bool) -> Result<Self> {
+        let file = format!("yard-node-{}-{name}.jsonc", std::process::id());
+        let path = std::env::temp_dir().join(file);
+        let io = |source| HarnessError::Io { step: "start", what: "yard-node".into(), source };
+        std::fs::write(&path, settings.to_string()).map_err(io)?;
+        let mut child = Command::new(program_path("yard-node"))
+            .arg("--settings")
+            .arg(&path)
+            .stdout(Stdio::piped())
+            .spawn()
+            .map_err(io)?;
+        let lines: Arc<Mutex<Vec<String>>> = Arc::default();
+        if read {
+            let stdout = child.stdout.take().expect("standard output is piped");
+            let shared = Arc::clone(&lines);
+            std::thread::spawn(move || {
+                for line in BufReader::new(stdout).lines().map_while(std::result::Result::ok) {
+                    if let Ok(mut lines) = shared.lock() {
+                        lines.push(line);
+                    }
+                }
+            });
+        }
+        Ok(Self { child, lines, settings: path })
+    }
+
+    /// Log lines so far whose field `event` is `name`.
+    #[must_use]
+    pub fn events(&self, name: &str) -> Vec<Value> {
+        let lines = self.lines.lock().map(|lines| lines.clone()).unwrap_or_default();
+        let parsed = lines.iter().filter_map(|line| serde_json::from_str::<Value>(line).ok());
+        parsed.filter(|line| line["event"] == name).collect()
+    }
+
+    /// Replaces the settings file.
+    ///
+    /// # Errors
+    /// If it cannot be written.
+    pub fn write_settings(&self, text: &str) -> Result<()> {
+        std::fs::write(&self.settings, text).map_err(|source| HarnessError::Io {
+            step: "write",
+            what: self.settings.display().to_string(),
+            source,
+        })
+    }
+
+    /// Sends a signal.
+    ///
+    /// # Errors
+    /// [`HarnessError::Signal`].
+    pub fn signal(&self, signal: Signal) -> Result<()> {
+        let program = "yard-node".to_owned();
+        kill_process(Pid::from_child(&self.child), signal)
+            .map_err(|source| HarnessError::Signal { program, source })
+    }
+
+    /// Whether it has ended, with its exit code.
+    pub fn ended(&mut self) -> Option<i32> {
+        let status = self.child.try_wait().ok()??;
+        Some(status.code().unwrap_or(-1))
+    }
+}
+
+impl Drop for NodeProcess {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.settings);
+    }
+}
--- /dev/null
+++ b/crates/harness/tests/node_moves.rs
@@ -0,0 +1,131 @@
+//! Streams whose runner leaves or is lost: every event once, of one run.
+
+use std::time::Duration;
+
+use fakes::platform::{RunnerFake, RunnerFakeSettings};
+use harness::{CallerRequest, NodeFleet, WholeAnswer, wait_until};
+
+const EVENTS: u64 = 300;
+const LIMIT: Duration = Duration::from_secs(10);
+
+fn slow(id: &str) -> RunnerFakeSettings {
+    let mut settings = RunnerFakeSettings::new(id);
+    settings.events = EVENTS;
+    settings
+}
+
+async fn fleet() -> (NodeFleet, Vec<RunnerFake>) {
+    let mut fleet = NodeFleet::start().await.unwrap();
+    let mut runners = Vec::new();
+    for number in 1..=3 {
+        runners.push(fleet.add_runner("llm", slow(&format!("llm-{number}"))).await.unwrap());
+    }
+    fleet.add_node().unwrap();
+    fleet.wait_ready().await.unwrap();
+    (fleet, runners)
+}
+
+/// The runner that works on the one stream.
+async fn worker(runners: &[RunnerFake]) -> &RunnerFake {
+    wait_until("a runner to work", LIMIT, async || {
+        runners.iter().find(|runner| runner.working() == 1)
+    })
+    .await
+    .unwrap()
+}
+
+fn assert_whole(answer: &WholeAnswer) {
+    assert_eq!((answer.status, answer.complete), (200, true), "{}", answer.text.len());
+    let expected: String = (1..=EVENTS)
+        .map(|number| format!("id: {number}\ndata: token {number} of s1\n\n"))
+        .collect();
+    assert_eq!(answer.text, expected);
+}
+
+/// Plays one stream while `fault` strikes the runner that works on it.
+async fn play(request: CallerRequest, fault: impl AsyncFn(&NodeFleet, &RunnerFake)) -> usize {
+    let (fleet, runners) = fleet().await;
+    let (answer, ()) = futures_util::join!(fleet.send(0, &request), async {
+        let runner = worker(&runners).await;
+        compio::time::sleep(Duration::from_millis(300)).await;
+        fault(&fleet, runner).await;
+    });
+    assert_whole(&answer);
+    runners.iter().map(RunnerFake::runs).sum()
+}
+
+/// A stream that is too short for a copy from its start.
+fn short() -> CallerRequest {
+    CallerRequest::stream("s1").with("x-dotterelyard-length-hint", "10")
+}
+
+#[test]
+fn a_stream_without_a_copy_moves_when_its_runner_says_that_it_leaves() {
+    kernel::run(async {
+        let runs = play(short(), async |fleet, runner| {
+            fleet.tell(runner, "llm", "draining");
+            compio::time::sleep(Duration::from_millis(1_800)).await;
+            runner.crash();
+        })
+        .await;
+        assert_eq!(runs, 2);
+    })
+    .unwrap();
+}
+
+#[test]
+fn a_stream_moves_when_its_runner_disappears_from_the_list() {
+    kernel::run(async {
+        let runs = play(short(), async |fleet, runner| {
+            fleet.store.put("keyed.servers", runner.id(), None);
+            compio::time::sleep(Duration::from_millis(1_800)).await;
+            runner.crash();
+        })
+        .await;
+        assert_eq!(runs, 2);
+    })
+    .unwrap();
+}
+
+#[test]
+fn a_stream_with_a_copy_survives_the_crash_of_its_runner() {
+    kernel::run(async {
+        let runs = play(CallerRequest::stream("s1"), async |_, runner| runner.crash()).await;
+        assert_eq!(runs, 2);
+    })
+    .unwrap();
+}
+
+#[test]
+fn a_stream_without_a_copy_is_cut_by_the_crash_of_its_runner() {
+    kernel::run(async {
+        let (fleet, runners) = fleet().await;
+        let request = short();
+        let (answer, ()) = futures_util::join!(fleet.send(0, &request), async {
+            worker(&runners).await.crash();
+        });
+        assert_eq!((answer.status, answer.complete), (200, false));
+        assert_eq!(runners.iter().map(RunnerFake::runs).sum::<usize>(), 1);
+    })
+    .unwrap();
+}
+
+#[test]
+fn a_leaving_runner_gets_no_new_work() {
+    kernel::run(async {
+        let (fleet, runners) = fleet().await;
+        let leaving = &runners[0];
+        fleet.tell(leaving, "llm", "draining");
+        compio::time::sleep(Duration::from_millis(800)).await;
+        // A stale entry of the same start does not bring it back.
+        fleet.tell(leaving, "llm", "ready");
+        compio::time::sleep(Duration::from_millis(500)).await;
+        let before = leaving.visits().len();
+        for number in 0..6 {
+            let response = fleet.open(0, &CallerRequest::stream(&format!("n{number}"))).await;
+            drop(response.unwrap());
+        }
+        assert_eq!(leaving.visits().len(), before);
+    })
+    .unwrap();
+}
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -28,6 +28,8 @@
     pub runners_read: Cell<LogOffset>,
     /// When the list of runners was last known to be current; none before the first time.
     pub runners_current: Cell<Option<TimePoint>>,
+    /// When the store last answered this node; none before the first time.
+    pub store_answered: Cell<Option<TimePoint>>,
     /// The other nodes.
     pub peers: RefCell<PeerTable>,
     /// What they have at the runners.
@@ -55,6 +57,7 @@
             runners: RefCell::default(),
             runners_read: Cell::default(),
             runners_current: Cell::default(),
+            store_answered: Cell::default(),
             peers: RefCell::default(),
             loads: RefCell::default(),
             budget: RefCell::new(budget),
@@ -88,6 +91,20 @@
         self.runners_current.get().map_or(TimeSpan(u64::MAX), |at| self.now().since(at))
     }
 
+    /// Whether the store has answered this node lately.
+    #[must_use]
+    pub fn reads_store(&self) -> bool {
+        /// Longer than any pause between two reads of a node that reads for the others.
+        const LATELY: TimeSpan = TimeSpan::millis(1_500);
+        self.store_answered.get().is_some_and(|at| self.now().since(at) < LATELY)
+    }
+
+    /// Nodes that read the store before this one has to.
+    #[must_use]
+    pub fn readers_before(&self) -> usize {
+        self.peers.borrow().readers_before(self.now(), &self.settings.vm)
+    }
+
     /// Whether callers may be sent here.
     #[must_use]
     pub fn is_ready(&self) -> bool {
--- a/crates/node/src/follow_nodes.rs
+++ b/crates/node/src/follow_nodes.rs
@@ -9,7 +9,7 @@
 use crate::dependency::DependencyState;
 
 /// Pause between two reads; nodes that are heard of need no store.
-const READ_PAUSE: TimeSpan = TimeSpan::seconds(5);
+const READ_PAUSE: TimeSpan = TimeSpan::seconds(10);
 /// Pause after a failure.
 const RETRY_PAUSE: TimeSpan = TimeSpan::millis(500);
 
--- a/crates/node/src/follow_operators.rs
+++ b/crates/node/src/follow_operators.rs
@@ -13,6 +13,10 @@
 /// Time that one read waits for a change. A connection that falls silent costs at most
 /// this and the limit of a call, within the 2 s in which a change has to be in force.
 const READ_WAIT: TimeSpan = TimeSpan::millis(1_000);
+/// Nodes that read; the others learn of a newer version by the heartbeats.
+const READERS: usize = 2;
+/// Pause between two looks at whether this node has to read.
+const TURN_POLL: TimeSpan = TimeSpan::millis(100);
 /// Pause after a failed read.
 const RETRY_PAUSE: TimeSpan = TimeSpan::millis(150);
 
@@ -43,9 +47,13 @@
     let state = DependencyState::new("store: configuration");
     let mut from: Option<LogOffset> = None;
     loop {
+        if from.is_some() {
+            wait_for_turn(&context).await;
+        }
         match read(&client, from).await {
             Ok(Some(listing)) => {
                 state.note_answer();
+                context.store_answered.set(Some(context.now()));
                 from = Some(listing.end);
                 take_listing(&context, &router, &listing);
             }
@@ -59,6 +67,13 @@
     }
 }
 
+/// Waits while enough other nodes read for this one.
+async fn wait_for_turn(context: &NodeContext) {
+    while context.readers_before() >= READERS {
+        kernel::sleep(TURN_POLL.into()).await;
+    }
+}
+
 /// The next changes; none if the topic has to be listed anew.
 async fn read(
     client: &StoreClient,
--- a/crates/node/src/follow_runners.rs
+++ b/crates/node/src/follow_runners.rs
@@ -1,102 +1,164 @@
 //! Following the list of runners: from the store, and from nodes that have read further.
+//!
+//! One node reads for all and tells the others; each other one reads by itself as soon as
+//! that one has been silent for a little longer.
 
 use std::rc::Rc;
 
 use base::prelude::*;
 use platform::{KeyedChange, KeyedListing, KeyedNews, StoreClient, StoreTopic};
-use serving::{RunnerChange, RunnerRecord};
+use serving::{RunnerChange, RunnerNews, RunnerRecord};
 
 use crate::context::NodeContext;
 use crate::dependency::DependencyState;
+use crate::peer_link::PeerLink;
 use crate::router::RouterService;
 
 /// Pause between two reads. Runners repeat themselves about once a second each, so that a
 /// waiting read would return at once anyway.
-const READ_PAUSE: TimeSpan = TimeSpan::millis(250);
+const READ_PAUSE: TimeSpan = TimeSpan::millis(150);
+/// Further pause for each node that reads before this one.
+const STAND_BY_PAUSE: TimeSpan = TimeSpan::millis(80);
+/// Nodes that stand by one after the other; all further ones come together.
+const MAX_STAND_BY: u64 = 4;
+/// Pause after a failure.
+const RETRY_PAUSE: TimeSpan = TimeSpan::millis(200);
 
-/// Follows the store until the process ends.
-pub async fn follow_runners(
+/// The feed of the list of runners.
+pub struct RunnerFeed {
     context: Rc<NodeContext>,
     router: Rc<RouterService>,
+    link: Rc<PeerLink>,
     client: StoreClient,
-) {
-    let state = DependencyState::new("store: runners");
-    let mut from: Option<LogOffset> = None;
-    loop {
-        match step(&context, &router, &client, from).await {
-            Ok(next) => {
-                state.note_answer();
-                from = next;
+    state: DependencyState,
+}
+
+impl RunnerFeed {
+    /// A feed that has read nothing yet.
+    #[must_use]
+    pub fn new(
+        context: &Rc<NodeContext>,
+        router: &Rc<RouterService>,
+        link: &Rc<PeerLink>,
+        client: StoreClient,
+    ) -> Self {
+        Self {
+            context: Rc::clone(context),
+            router: Rc::clone(router),
+            link: Rc::clone(link),
+            client,
+            state: DependencyState::new("store: runners"),
+        }
+    }
+
+    /// Follows the store until the process ends.
+    pub async fn run(self) {
+        let mut listed = false;
+        loop {
+            if listed {
+                self.wait_for_turn().await;
             }
-            Err(error) => {
-                state.note_failure(&error);
-                context.metrics.store_failures.inc();
+            match self.read(listed).await {
+                Ok(more) => {
+                    self.state.note_answer();
+                    listed = more;
+                }
+                Err(error) => {
+                    self.state.note_failure(&error);
+                    self.context.metrics.store_failures.inc();
+                    kernel::sleep(RETRY_PAUSE.into()).await;
+                }
             }
+            self.context.runners.borrow_mut().prune(self.context.now());
         }
-        context.runners.borrow_mut().prune(context.now());
-        kernel::sleep(READ_PAUSE.into()).await;
     }
-}
 
-/// One read; gives the offset to go on from, or none if the topic has to be listed anew.
-async fn step(
-    context: &NodeContext,
-    router: &RouterService,
-    client: &StoreClient,
-    from: Option<LogOffset>,
-) -> platform::Result<Option<LogOffset>> {
-    let asked = context.now();
-    let Some(from) = from else {
-        let listing = client.newest(StoreTopic::Runners).await?;
-        let records = decode_all(&listing);
-        let changed = context.runners.borrow_mut().replace(context.now(), records);
-        finish(context, router, asked, listing.end, changed);
-        return Ok(Some(listing.end));
-    };
-    match client.changes(StoreTopic::Runners, from, TimeSpan::default()).await? {
-        KeyedNews::Deleted => Ok(None),
-        KeyedNews::Changes(listing) => {
-            let mut changed = false;
-            for change in &listing.entries {
-                changed |= take_change(context, change);
+    /// Waits until the list has not been read for a while, by this node or another.
+    async fn wait_for_turn(&self) {
+        loop {
+            let stand_by = (self.context.readers_before() as u64).min(MAX_STAND_BY);
+            let pause = TimeSpan(READ_PAUSE.0 + stand_by * STAND_BY_PAUSE.0);
+            let read = self.context.runners_current.get().unwrap_or_default();
+            let left = (read + pause).since(self.context.now());
+            if left == TimeSpan::default() {
+                return;
+            }
+            kernel::sleep(left.into()).await;
+        }
+    }
+
+    /// One read; whether the next one can go on from it.
+    async fn read(&self, listed: bool) -> platform::Result<bool> {
+        let asked = self.context.now();
+        if !listed {
+            let listing = self.client.newest(StoreTopic::Runners).await?;
+            let records = decode_all(&listing);
+            let changed = self.context.runners.borrow_mut().replace(self.context.now(), records);
+            self.finish(asked, listing.end, changed);
+            return Ok(true);
+        }
+        let from = self.context.runners_read.get();
+        match self.client.changes(StoreTopic::Runners, from, TimeSpan::default()).await? {
+            KeyedNews::Deleted => Ok(false),
+            KeyedNews::Changes(listing) => {
+                self.take_changes(asked, from, &listing);
+                Ok(true)
             }
-            finish(context, router, asked, listing.end, changed);
-            Ok(Some(listing.end))
+        }
+    }
+
+    fn take_changes(&self, asked: TimePoint, from: LogOffset, listing: &KeyedListing) {
+        let decoded: Vec<RunnerChange> = listing.entries.iter().filter_map(decode).collect();
+        let changes = apply(&self.context, decoded, "store");
+        let is_news = !changes.is_empty();
+        self.finish(asked, listing.end, is_news);
+        self.link.tell_news(RunnerNews { from, end: listing.end, changes });
+    }
+
+    fn finish(&self, asked: TimePoint, end: LogOffset, changed: bool) {
+        self.context.store_answered.set(Some(self.context.now()));
+        self.context.runners_read.set(end.max(self.context.runners_read.get()));
+        self.context.runners_current.set(Some(asked));
+        if changed {
+            self.router.update_members();
         }
     }
 }
 
-fn finish(
-    context: &NodeContext,
-    router: &RouterService,
-    asked: TimePoint,
-    end: LogOffset,
-    changed: bool,
-) {
-    context.runners_read.set(end);
-    context.runners_current.set(Some(asked));
+/// Takes what another node has read, unless something between is missing here.
+pub fn take_news(context: &NodeContext, router: &RouterService, news: RunnerNews) {
+    let read = context.runners_read.get();
+    if context.runners_current.get().is_none() || news.from > read || news.end < read {
+        return;
+    }
+    let changed = !apply(context, news.changes, "node").is_empty();
+    context.runners_read.set(news.end);
+    context.runners_current.set(Some(context.now()));
     if changed {
         router.update_members();
     }
 }
 
-fn take_change(context: &NodeContext, change: &KeyedChange) -> bool {
-    let Some(change) = decode(change) else { return false };
+/// Applies changes; gives those that changed what is believed.
+fn apply(context: &NodeContext, changes: Vec<RunnerChange>, source: &str) -> Vec<RunnerChange> {
     let now = context.now();
-    let described = describe(&change);
-    let changed = context.runners.borrow_mut().apply(now, change);
-    if changed {
-        let (runner, state) = described;
-        tracing::info!(event = "runner_changed", %runner, state, source = "store");
+    let mut table = context.runners.borrow_mut();
+    let mut news = Vec::new();
+    for change in changes {
+        if table.apply(now, change.clone()) {
+            let (runner, state) = describe(&change);
+            tracing::info!(event = "runner_changed", %runner, state, source);
+            news.push(change);
+        }
     }
-    changed
+    news
 }
 
-fn describe(change: &RunnerChange) -> (RunnerId, &'static str) {
+fn describe(change: &RunnerChange) -> (&RunnerId, &'static str) {
     match change {
-        RunnerChange::Put(record) if record.leaving => (record.runner.clone(), "leaving"),
-        RunnerChange::Put(record) => (record.runner.clone(), "ready"),
-        RunnerChange::Remove(runner) => (runner.clone(), "removed"),
+        RunnerChange::Put(record) if record.leaving => (&record.runner, "leaving"),
+        RunnerChange::Put(record) => (&record.runner, "ready"),
+        RunnerChange::Remove(runner) => (runner, "removed"),
     }
 }
 
--- a/crates/node/src/peer_link.rs
+++ b/crates/node/src/peer_link.rs
@@ -9,12 +9,13 @@
 use futures_channel::mpsc;
 use futures_util::StreamExt;
 use hyper::Method;
-use serving::{PeerBeat, RunnerRecord, ServingPlan};
+use serving::{PeerBeat, PeerMessage, RunnerNews, RunnerRecord, ServingPlan};
 use web::{Result, WebError, fetch};
 
 use crate::context::NodeContext;
 use crate::dependency::DependencyState;
 use crate::follow_operators::take_plan;
+use crate::follow_runners::take_news;
 use crate::peer_server::{PLAN_PATH, RUNNERS_PATH, RunnersAnswer};
 use crate::router::RouterService;
 
@@ -62,7 +63,7 @@
     /// Sends heartbeats until the process ends: regularly, and when one is `wanted`.
     pub async fn run_sending(self: Rc<Self>, mut wanted: mpsc::Receiver<()>) {
         loop {
-            self.send_beat().await;
+            self.send(&PeerMessage::Beat(self.beat())).await;
             self.forget_silent();
             kernel::sleep(LEAST_BEAT_PERIOD.into()).await;
             let rest = TimeSpan(BEAT_PERIOD.0 - LEAST_BEAT_PERIOD.0);
@@ -71,9 +72,20 @@
         }
     }
 
-    async fn send_beat(&self) {
-        let beat = self.beat();
-        let Ok(bytes) = postcard::to_stdvec(&beat) else { return };
+    /// Tells the others what was read of the list of runners.
+    pub fn tell_news(self: &Rc<Self>, news: RunnerNews) {
+        let link = Rc::clone(self);
+        kernel::spawn(async move { link.send(&PeerMessage::News(news)).await }).detach();
+    }
+
+    async fn send(&self, message: &PeerMessage) {
+        let bytes = match postcard::to_stdvec(message) {
+            Ok(bytes) => bytes,
+            Err(error) => {
+                tracing::error!(event = "message_not_encoded", %error);
+                return;
+            }
+        };
         let addresses = self.context.peers.borrow().addresses();
         let mut buffer = bytes;
         for address in addresses {
@@ -81,7 +93,7 @@
             buffer = back;
             // A heartbeat that is lost is followed by the next one.
             if let Err(error) = sent {
-                tracing::debug!(event = "beat_not_sent", %address, %error);
+                tracing::debug!(event = "message_not_sent", %address, %error);
             }
         }
     }
@@ -98,6 +110,7 @@
             peer: settings.peer(),
             place: settings.place.clone(),
             ready: self.context.is_ready(),
+            reads_store: self.context.reads_store(),
             plan: self.context.plan_version(),
             runners_read: self.context.runners_read.get(),
             loads: self.router.own_loads(),
@@ -129,13 +142,14 @@
     }
 
     fn take(self: &Rc<Self>, bytes: &[u8]) {
-        let beat: PeerBeat = match postcard::from_bytes(bytes) {
-            Ok(beat) => beat,
-            Err(error) => {
-                tracing::debug!(event = "beat_skipped", %error);
-                return;
-            }
-        };
+        match postcard::from_bytes(bytes) {
+            Ok(PeerMessage::Beat(beat)) => self.take_beat(beat),
+            Ok(PeerMessage::News(news)) => take_news(&self.context, &self.router, news),
+            Err(error) => tracing::debug!(event = "message_skipped", %error),
+        }
+    }
+
+    fn take_beat(self: &Rc<Self>, beat: PeerBeat) {
         if beat.vm == self.context.settings.vm {
             return;
         }
--- a/crates/serving/src/peer_beat.rs
+++ b/crates/serving/src/peer_beat.rs
@@ -1,11 +1,31 @@
-//! What nodes tell each other several times a second.
+//! What nodes tell each other.
 
 use std::net::SocketAddr;
 
 use base::prelude::*;
 use serde::{Deserialize, Serialize};
 
-use crate::{PlanVersion, RunnerLoad};
+use crate::{PlanVersion, RunnerChange, RunnerLoad};
+
+/// A message between nodes.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PeerMessage {
+    /// Sent several times a second.
+    Beat(PeerBeat),
+    /// Sent when the sender has read the list of runners on.
+    News(RunnerNews),
+}
+
+/// What a read of the list of runners gave.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RunnerNews {
+    /// Where the read began.
+    pub from: LogOffset,
+    /// Where it ended.
+    pub end: LogOffset,
+    /// The changes between, without those that change nothing.
+    pub changes: Vec<RunnerChange>,
+}
 
 /// A node's heartbeat.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -24,6 +44,8 @@
     pub place: PlaceName,
     /// It takes new callers.
     pub ready: bool,
+    /// The store has answered it lately.
+    pub reads_store: bool,
     /// Configuration that it has in force; none if it has none yet.
     pub plan: Option<PlanVersion>,
     /// End of the list of runners as far as it has read it.
--- a/crates/serving/src/peer_table.rs
+++ b/crates/serving/src/peer_table.rs
@@ -78,6 +78,13 @@
         addresses
     }
 
+    /// Live nodes before `vm` in the order of names that read the store: the first of all
+    /// reads for the others, the next ones stand by.
+    #[must_use]
+    pub fn readers_before(&self, now: TimePoint, vm: &VmId) -> usize {
+        self.live(now).filter(|beat| beat.reads_store && beat.vm < *vm).count()
+    }
+
     /// A live node with a newer configuration.
     #[must_use]
     pub fn newer_plan(&self, now: TimePoint, own: Option<PlanVersion>) -> Option<SocketAddr> {
--- a/crates/serving/src/runner_table.rs
+++ b/crates/serving/src/runner_table.rs
@@ -57,7 +57,7 @@
 }
 
 /// A change of the list.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RunnerChange {
     /// An entry was written.
     Put(RunnerRecord),
