--- a/crates/harness/tests/node_moves.rs
+++ b/crates/harness/tests/node_moves.rs
@@ -36,10 +36,9 @@
 
 fn assert_whole(answer: &WholeAnswer) {
     assert_eq!((answer.status, answer.complete), (200, true), "{}", answer.text.len());
-    let expected: String = (1..=EVENTS)
-        .map(|number| format!("id: {number}\ndata: token {number} of s1\n\n"))
-        .collect();
-    assert_eq!(answer.text, expected);
+    let event = |number| format!("id: {number}\ndata: token {number} of s1\n\n");
+    let expected: Vec<String> = (1..=EVENTS).map(event).collect();
+    assert_eq!(answer.text, expected.concat());
 }
 
 /// Plays one stream while `fault` strikes the runner that works on it.
--- a/crates/settings/tests/page.rs
+++ b/crates/settings/tests/page.rs
@@ -1,7 +1,7 @@
 //! `docs/SETTINGS.md` names every field, with its default.
 
 use serde_json::Value;
-use settings::{COMMON_FIELDS, EntrySettings, SettingsSchema, StewardSettings};
+use settings::{COMMON_FIELDS, EntrySettings, NodeSettings, SettingsSchema, StewardSettings};
 
 const PAGE: &str = include_str!("../../../docs/SETTINGS.md");
 
@@ -24,6 +24,9 @@
 
 #[test]
 fn the_page_names_every_field() {
+    for name in names(&NodeSettings::example()) {
+        assert!(row(&name).is_some(), "{name} has no row");
+    }
     let examples = [EntrySettings::example(), StewardSettings::example()];
     for name in examples.iter().flat_map(names) {
         assert!(row(&name).is_some(), "{name} has no row");
@@ -36,7 +39,9 @@
 
 #[test]
 fn the_page_names_every_default() {
-    for defaults in [EntrySettings::defaults(), StewardSettings::defaults()] {
+    let defaults =
+        [EntrySettings::defaults(), StewardSettings::defaults(), NodeSettings::defaults()];
+    for defaults in defaults {
         for (name, value) in defaults.as_object().unwrap() {
             let text = value.as_str().map_or_else(|| value.to_string(), str::to_owned);
             let cell = format!("| `{text}` |");
@@ -47,7 +52,7 @@
 
 #[test]
 fn the_page_names_no_other_field() {
-    let examples = [EntrySettings::example(), StewardSettings::example()];
+    let examples = [EntrySettings::example(), StewardSettings::example(), NodeSettings::example()];
     let known: Vec<String> = examples.iter().flat_map(names).collect();
     let rows = PAGE.lines().filter_map(|line| line.strip_prefix("| `")?.split('`').next());
     for name in rows {
