--- a/crates/node/src/call.rs
+++ b/crates/node/src/call.rs
@@ -10,8 +10,9 @@
 use route::{CallId, RouteCall};
 use serving::{PlanVersion, RouteRule};
 
+use crate::context::BodyGuard;
+
 /// A request that may go to a runner.
-#[derive(Debug)]
 pub struct Call {
     /// Its id.
     pub attempt: AttemptId,
@@ -41,6 +42,8 @@
     pub headers: HeaderMap,
     /// Its body.
     pub body: Bytes,
+    /// Memory that the body takes.
+    pub _memory: BodyGuard,
     /// When it arrived.
     pub arrived: TimePoint,
     /// When its caller has no more use for it, or its route's timeout is reached.
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -40,6 +40,8 @@
     pub stop: StopSignal,
     /// Requests of callers in progress.
     pub active: Cell<usize>,
+    /// Bytes of bodies that are held for them.
+    body_bytes: Cell<usize>,
     clock: MonotonicClock,
 }
 
@@ -50,11 +52,10 @@
         let clock = MonotonicClock::new();
         let budget = RetryBudget::new(budget_settings(&settings), clock.now());
         Rc::new(Self {
-            settings,
             incarnation: VmIncarnation(rand::random()),
             metrics: NodeMetrics::new(),
             plan: RefCell::default(),
-            runners: RefCell::default(),
+            runners: RefCell::new(RunnerTable::new(settings.drain)),
             runners_read: Cell::default(),
             runners_current: Cell::default(),
             store_answered: Cell::default(),
@@ -63,6 +64,8 @@
             budget: RefCell::new(budget),
             stop: StopSignal::new(),
             active: Cell::default(),
+            body_bytes: Cell::default(),
+            settings,
             clock,
         })
     }
@@ -120,6 +123,18 @@
         self.runners_age() > CUT_OFF_SPAN && self.peers.borrow().lost_all(self.now() - CUT_OFF_SPAN)
     }
 
+    /// Books `bytes` of a request's body until the guard is dropped; none if the bodies in
+    /// progress take too much of the process's memory already.
+    #[must_use]
+    pub fn book_body(self: &Rc<Self>, bytes: usize) -> Option<BodyGuard> {
+        /// Part of the memory that bodies may take.
+        const BODY_SHARE_DIVISOR: usize = 4;
+        let most = (self.settings.memory_mb as usize * (1 << 20)) / BODY_SHARE_DIVISOR;
+        let booked = self.body_bytes.get().checked_add(bytes).filter(|sum| *sum <= most)?;
+        self.body_bytes.set(booked);
+        Some(BodyGuard { context: Rc::clone(self), bytes })
+    }
+
     /// Counts a request until the guard is dropped.
     pub fn count_active(self: &Rc<Self>) -> ActiveGuard {
         self.active.set(self.active.get() + 1);
@@ -127,6 +142,18 @@
     }
 }
 
+/// Memory booked for a body.
+pub struct BodyGuard {
+    context: Rc<NodeContext>,
+    bytes: usize,
+}
+
+impl Drop for BodyGuard {
+    fn drop(&mut self) {
+        self.context.body_bytes.set(self.context.body_bytes.get() - self.bytes);
+    }
+}
+
 /// A request in progress.
 pub struct ActiveGuard {
     context: Rc<NodeContext>,
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use base::prelude::*;
+use hyper::body::Body;
 use hyper::header::{CONNECTION, HOST, HeaderValue, RETRY_AFTER};
 use hyper::{StatusCode, Uri};
 use platform::CallHead;
@@ -82,7 +83,7 @@
 }
 
 async fn match_call(
-    context: &NodeContext,
+    context: &Rc<NodeContext>,
     request: WebRequest,
     head: CallHead,
     arrived: TimePoint,
@@ -116,6 +117,13 @@
     let engine = plan.services.get(&service).and_then(|service| service.engine.as_ref());
     let wait = head.wait.map_or(route.timeout, |wait| wait.min(route.timeout));
     let (parts, body) = request.into_parts();
+    let expected = usize::try_from(body.size_hint().upper().unwrap_or(u64::MAX));
+    let expected = expected.unwrap_or(usize::MAX).min(plan.limits.body_bytes);
+    let memory = context.book_body(expected).ok_or(Rejection {
+        status: StatusCode::SERVICE_UNAVAILABLE,
+        reason: "memory_full",
+        come_back: Some(NOT_READY_COME_BACK),
+    })?;
     let body = read_bounded("request", body, plan.limits.body_bytes)
         .await
         .map_err(|error| body_fault(&error))?;
@@ -134,6 +142,7 @@
         uri: origin_form(&parts.uri),
         headers: parts.headers,
         body,
+        _memory: memory,
         arrived,
         deadline: arrived + wait,
     })
--- a/crates/serving/src/runner_table.rs
+++ b/crates/serving/src/runner_table.rs
@@ -10,11 +10,6 @@
 use route::RouteMember;
 use serde::{Deserialize, Serialize};
 
-/// Time for which a runner whose entry was removed may still be used if its service has no
-/// other: below the least time that a leaving runner goes on serving (2 s), and about the
-/// time in which entries that lapsed with the store are back.
-const LAPSE_GRACE: TimeSpan = TimeSpan::millis(1_500);
-
 /// Time after which a removed entry is forgotten.
 const FORGET_SPAN: TimeSpan = TimeSpan::seconds(20);
 
@@ -66,12 +61,22 @@
 }
 
 /// All runners that are known.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct RunnerTable {
     entries: BTreeMap<RunnerId, RunnerEntry>,
+    /// Time for which a runner whose entry was removed may still be used if its service has
+    /// no other.
+    lapse_grace: TimeSpan,
 }
 
 impl RunnerTable {
+    /// An empty table. A leaving runner serves on for `drain`: removed ones are used for
+    /// three quarters of it, in which entries that lapsed with the store are back.
+    #[must_use]
+    pub fn new(drain: TimeSpan) -> Self {
+        Self { entries: BTreeMap::new(), lapse_grace: TimeSpan(drain.0 / 4 * 3) }
+    }
+
     /// Takes a change; whether it changed what is believed.
     pub fn apply(&mut self, now: TimePoint, change: RunnerChange) -> bool {
         match change {
@@ -128,8 +133,7 @@
         changed
     }
 
-    /// Forgets entries that were removed long ago; whether a removed one has just passed
-    /// the time in which it could still be used.
+    /// Forgets entries that were removed long ago.
     pub fn prune(&mut self, now: TimePoint) {
         let keep = |entry: &RunnerEntry| match entry.removed {
             Some(removed) => now.since(removed) < FORGET_SPAN,
@@ -164,7 +168,7 @@
         let own = || self.entries.values().filter(|entry| entry.record.service == *service);
         let all_removed = own().all(|entry| entry.removed.is_some());
         let usable = |entry: &RunnerEntry| match entry.removed {
-            Some(removed) => all_removed && now.since(removed) < LAPSE_GRACE,
+            Some(removed) => all_removed && now.since(removed) < self.lapse_grace,
             None => true,
         };
         own()
