--- a/crates/node/src/follow_operators.rs
+++ b/crates/node/src/follow_operators.rs
@@ -36,6 +36,7 @@
     *context.plan.borrow_mut() = Some(Rc::new(plan));
     context.metrics.plans.inc();
     router.update_plan();
+    router.want_beat();
 }
 
 /// Follows the store until the process ends.
--- a/crates/node/src/lookups.rs
+++ b/crates/node/src/lookups.rs
@@ -4,6 +4,7 @@
 
 use hyper::StatusCode;
 use platform::{LOOKUP_PATH, LookupAnswer, READY_PATH};
+use rand::seq::SliceRandom;
 use web::{WebRequest, WebResponse, json_reply, text_reply};
 
 use crate::context::NodeContext;
@@ -33,7 +34,11 @@
     let peers = context.peers.borrow();
     let ready = peers.live(context.now()).filter(|beat| beat.ready);
     let own = context.is_ready().then_some(context.settings.callers);
-    own.into_iter().chain(ready.map(|beat| beat.callers)).take(MAX_ADDRESSES).collect()
+    let mut all: Vec<SocketAddr> = own.into_iter().chain(ready.map(|beat| beat.callers)).collect();
+    // Large fleets do not fit into one answer: each answer has others.
+    all.shuffle(&mut rand::rng());
+    all.truncate(MAX_ADDRESSES);
+    all
 }
 
 /// Answers the readiness check.
--- a/crates/node/src/peer_link.rs
+++ b/crates/node/src/peer_link.rs
@@ -9,6 +9,7 @@
 use futures_channel::mpsc;
 use futures_util::StreamExt;
 use hyper::Method;
+use rand::seq::IndexedRandom;
 use serving::{PeerBeat, PeerMessage, RunnerNews, RunnerRecord, ServingPlan};
 use web::{Result, WebError, fetch};
 
@@ -19,10 +20,10 @@
 use crate::peer_server::{PLAN_PATH, RUNNERS_PATH, RunnersAnswer};
 use crate::router::RouterService;
 
-/// Pause between two heartbeats.
-const BEAT_PERIOD: TimeSpan = TimeSpan::millis(100);
-/// Pause between two heartbeats at least, when new calls ask for them.
-const LEAST_BEAT_PERIOD: TimeSpan = TimeSpan::millis(5);
+/// Part of the time between two heartbeats that passes at least when new calls ask for one.
+const LEAST_BEAT_DIVISOR: u64 = 20;
+/// Pause after a failure of the socket.
+const SOCKET_PAUSE: TimeSpan = TimeSpan::millis(100);
 /// Longest heartbeat, in bytes.
 const MAX_BEAT_BYTES: usize = 60_000;
 /// Age of the own list of runners from which a node that has read further is asked.
@@ -65,8 +66,10 @@
         loop {
             self.send(&PeerMessage::Beat(self.beat())).await;
             self.forget_silent();
-            kernel::sleep(LEAST_BEAT_PERIOD.into()).await;
-            let rest = TimeSpan(BEAT_PERIOD.0 - LEAST_BEAT_PERIOD.0);
+            let span = self.context.peers.borrow().beat_span();
+            let least = TimeSpan(span.0 / LEAST_BEAT_DIVISOR);
+            kernel::sleep(least.into()).await;
+            let rest = TimeSpan(span.0 - least.0);
             // Either is a reason to go on.
             let _ = compio::time::timeout(rest.into(), wanted.next()).await;
         }
@@ -134,7 +137,7 @@
                 Ok((length, _)) => self.take(&buffer[..length.min(buffer.len())]),
                 Err(error) => {
                     self.state.note_failure(&error);
-                    kernel::sleep(BEAT_PERIOD.into()).await;
+                    kernel::sleep(SOCKET_PAUSE.into()).await;
                 }
             }
             buffer.resize(MAX_BEAT_BYTES, 0);
@@ -170,7 +173,9 @@
         }
         let now = self.context.now();
         let peers = self.context.peers.borrow();
-        let plan = peers.newer_plan(now, self.context.plan_version());
+        // Any of the holders, so that a change spreads without a crowd at the first one.
+        let holders = peers.newer_plan(now, self.context.plan_version());
+        let plan = holders.choose(&mut rand::rng()).copied();
         let is_stale = self.context.runners_age() > STALE_LIST_SPAN;
         let read = self.context.runners_read.get();
         let runners = if is_stale { peers.newer_runners(now, read) } else { None };
--- a/crates/node/src/router.rs
+++ b/crates/node/src/router.rs
@@ -118,6 +118,12 @@
         RouteTicket { router, call: id, orders, leaving, open: true }
     }
 
+    /// Asks for a heartbeat, so that the other nodes learn at once what changed here.
+    pub fn want_beat(&self) {
+        // A full channel has asked already.
+        let _ = self.beat_wanted.borrow_mut().try_send(());
+    }
+
     /// Notes that another node has told other loads than before.
     pub fn note_loads(&self) {
         self.loads_changed.set(true);
@@ -139,8 +145,7 @@
                     own.runner = Some(runner.clone());
                     // The receiver ends only with its ticket, which takes the call away.
                     let _ = own.orders.unbounded_send(RouteOrder::Send { runner });
-                    // A full channel has asked already.
-                    let _ = self.beat_wanted.borrow_mut().try_send(());
+                    self.want_beat();
                 }
             }
             RouteAction::Refuse { call, reason, come_back } => {
--- a/crates/serving/src/peer_table.rs
+++ b/crates/serving/src/peer_table.rs
@@ -7,8 +7,15 @@
 
 use crate::{PeerBeat, PlanVersion};
 
-/// Silence after which a node is taken to be gone; ten heartbeats.
-const SILENT_SPAN: TimeSpan = TimeSpan::millis(1_000);
+/// Time between two heartbeats of a node, for each node of the fleet: what a node sends and
+/// takes stays at a hundred heartbeats a second.
+const BEAT_SPAN_PER_NODE: TimeSpan = TimeSpan::millis(10);
+/// Least and longest time between two heartbeats.
+const BEAT_SPANS: [TimeSpan; 2] = [TimeSpan::millis(100), TimeSpan::millis(1_000)];
+/// Heartbeats that may be lost before a node is taken to be gone.
+const LOST_BEATS: u64 = 4;
+/// Least silence after which a node is taken to be gone.
+const LEAST_SILENT_SPAN: TimeSpan = TimeSpan::millis(1_000);
 /// Silence after which a node's address is no longer tried.
 const FORGET_SPAN: TimeSpan = TimeSpan::seconds(30);
 
@@ -50,13 +57,28 @@
     /// silent, whose load no longer counts.
     pub fn prune(&mut self, now: TimePoint) -> Vec<VmId> {
         self.peers.retain(|_, entry| now.since(entry.heard) < FORGET_SPAN);
-        let silent = self.peers.values().filter(|entry| now.since(entry.heard) >= SILENT_SPAN);
+        let span = self.silent_span();
+        let silent = self.peers.values().filter(|entry| now.since(entry.heard) >= span);
         silent.map(|entry| entry.beat.vm.clone()).collect()
     }
 
+    /// Time between two heartbeats, which grows with the fleet.
+    #[must_use]
+    pub fn beat_span(&self) -> TimeSpan {
+        let [least, longest] = BEAT_SPANS;
+        let span = TimeSpan(BEAT_SPAN_PER_NODE.0 * self.sharers() as u64);
+        span.clamp(least, longest)
+    }
+
+    /// Silence after which a node is taken to be gone.
+    fn silent_span(&self) -> TimeSpan {
+        TimeSpan(self.beat_span().0 * LOST_BEATS).max(LEAST_SILENT_SPAN)
+    }
+
     /// Heartbeats of the nodes that live.
     pub fn live(&self, now: TimePoint) -> impl Iterator<Item = &PeerBeat> {
-        let alive = move |entry: &&PeerEntry| now.since(entry.heard) < SILENT_SPAN;
+        let span = self.silent_span();
+        let alive = move |entry: &&PeerEntry| now.since(entry.heard) < span;
         self.peers.values().filter(alive).map(|entry| &entry.beat)
     }
 
@@ -85,11 +107,12 @@
         self.live(now).filter(|beat| beat.reads_store && beat.vm < *vm).count()
     }
 
-    /// A live node with a newer configuration.
+    /// Live nodes with a newer configuration: those with the newest one.
     #[must_use]
-    pub fn newer_plan(&self, now: TimePoint, own: Option<PlanVersion>) -> Option<SocketAddr> {
-        let best = self.live(now).filter(|beat| beat.plan > own).max_by_key(|beat| beat.plan)?;
-        Some(best.peer)
+    pub fn newer_plan(&self, now: TimePoint, own: Option<PlanVersion>) -> Vec<SocketAddr> {
+        let newest = self.live(now).map(|beat| beat.plan).max().filter(|plan| *plan > own);
+        let holders = self.live(now).filter(|beat| Some(beat.plan) == newest);
+        holders.map(|beat| beat.peer).collect()
     }
 
     /// A live node that has read more of the list of runners.
--- /dev/null
+++ b/crates/serving/tests/plan.rs
@@ -0,0 +1,67 @@
+//! Routes by host and longest prefix; shares of a split route.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use base::prelude::*;
+use serving::{PlanVersion, RequestLimits, RouteKind, RouteRule, RouteTarget, ServingPlan};
+
+fn rule(host: &str, prefix: &str) -> RouteRule {
+    let target = |name: &str, weight| RouteTarget { service: name.parse().unwrap(), weight };
+    RouteRule {
+        name: Arc::from(format!("{host}{prefix}")),
+        host: Arc::from(host),
+        prefix: Arc::from(prefix),
+        targets: vec![target("a", 90), target("b", 10)],
+        kind: RouteKind::Idempotent,
+        timeout: TimeSpan::seconds(1),
+        aim: TimeSpan::millis(100),
+        priority: 0,
+        max_attempts: 2,
+        public: false,
+    }
+}
+
+fn plan(rules: &[RouteRule]) -> ServingPlan {
+    let mut routes: BTreeMap<Arc<str>, BTreeMap<Arc<str>, Rc<RouteRule>>> = BTreeMap::new();
+    for rule in rules {
+        let host = routes.entry(rule.host.clone()).or_default();
+        host.insert(rule.prefix.clone(), Rc::new(rule.clone()));
+    }
+    ServingPlan {
+        version: PlanVersion(1),
+        routes,
+        services: BTreeMap::new(),
+        keys: None,
+        limits: RequestLimits { head_bytes: 1, body_bytes: 1, idle: TimeSpan::seconds(1) },
+    }
+}
+
+#[test]
+fn the_longest_prefix_that_begins_the_path_wins() {
+    let plan = plan(&[rule("h", "/"), rule("h", "/a/"), rule("h", "/a/b/"), rule("g", "/c/")]);
+    let cases = [
+        ("h", "/a/b/c"),
+        ("h", "/a/b"),
+        ("h", "/a/bc/d"),
+        ("h", "/ab"),
+        ("H:8740", "/a/x"),
+        ("g", "/c"),
+        ("g", "/c/"),
+        ("other", "/a/"),
+        ("", ""),
+    ];
+    let found = cases.map(|(host, path)| {
+        let name = plan.route(host, path).map(|route| route.name.to_string());
+        format!("{host} {path} -> {}", name.unwrap_or_default())
+    });
+    insta::assert_debug_snapshot!(found);
+}
+
+#[test]
+fn a_split_route_gives_each_service_its_share() {
+    let rule = rule("h", "/");
+    let first = |draw| rule.service(draw).unwrap().as_str() == "a";
+    let share = (0..1_000).filter(|step| first(f64::from(*step) / 1_000.0)).count();
+    assert_eq!(share, 900);
+}
--- /dev/null
+++ b/crates/serving/tests/stream_scan.rs
@@ -0,0 +1,45 @@
+//! Whole events, in order, however the bytes are cut.
+
+use serving::{StreamScan, StreamScanner};
+
+fn stream(numbers: std::ops::RangeInclusive<u64>) -> String {
+    numbers.map(|number| format!("id: {number}\ndata: x{number}\n\n")).collect::<Vec<_>>().concat()
+}
+
+#[test]
+fn every_cut_of_the_bytes_gives_the_same_events() {
+    let text = stream(1..=9);
+    for size in 1..text.len() {
+        let mut scanner = StreamScanner::default();
+        let mut passed = Vec::new();
+        for chunk in text.as_bytes().chunks(size) {
+            let whole = scanner.push(chunk).unwrap();
+            assert!(whole.is_empty() || whole.ends_with(b"\n\n"), "{size}");
+            passed.extend(whole);
+        }
+        assert_eq!(passed, text.as_bytes(), "{size}");
+        assert_eq!((scanner.last(), scanner.events(), scanner.has_rest()), (Some(9), 9, false));
+    }
+}
+
+#[test]
+fn a_gap_a_repeat_or_a_missing_number_ends_the_stream() {
+    let cases = [
+        ("gap", "id: 1\n\nid: 3\n\n", StreamScan::OutOfOrder { last: 1, found: 3 }),
+        ("repeat", "id: 1\n\nid: 1\n\n", StreamScan::OutOfOrder { last: 1, found: 1 }),
+        ("none", "data: x\n\n", StreamScan::NoNumber),
+    ];
+    for (case, text, expected) in cases {
+        assert_eq!(StreamScanner::default().push(text.as_bytes()), Err(expected), "{case}");
+    }
+}
+
+#[test]
+fn a_stream_goes_on_after_an_unfinished_event() {
+    let mut scanner = StreamScanner::default();
+    scanner.push(b"id: 1\n\nid: 2\ndata: ha").unwrap();
+    assert!(scanner.has_rest());
+    scanner.drop_rest();
+    assert_eq!(scanner.push(b"id: 2\ndata: half\n\n").unwrap(), b"id: 2\ndata: half\n\n");
+    assert_eq!(scanner.last(), Some(2));
+}
