--- a/crates/node/src/call_log.rs
+++ b/crates/node/src/call_log.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 
 use base::prelude::*;
+use route::RunnerSummary;
 
 use crate::call::Call;
 use crate::context::NodeContext;
@@ -36,6 +37,7 @@
     call: &Call,
     runner: &RunnerId,
     backup: Option<&RunnerId>,
+    load: Option<&RunnerSummary>,
     sends: u32,
 ) {
     context.metrics.sends.inc();
@@ -51,6 +53,10 @@
             %runner,
             backup = backup.map(RunnerId::as_str),
             service = %call.service,
+            runner_calls = load.map(|load| load.calls),
+            runner_memory = load.and_then(|load| load.used_share),
+            runner_prefill = load.map(|load| load.prefill_tokens),
+            load_age_ms = load.map(|load| load.report_age.as_millis()),
             earlier_sends = sends,
             waited_ms = waited.as_millis(),
             plan = call.plan.0,
--- a/crates/node/src/plain_call.rs
+++ b/crates/node/src/plain_call.rs
@@ -95,7 +95,8 @@
             Ok(found) => found,
             Err(given_up) => return give_up(context, call, &track, failure, given_up),
         };
-        log_send(context, call, &runner.runner, None, track.sends());
+        let load = ticket.load_of(&runner.runner);
+        log_send(context, call, &runner.runner, None, load.as_ref(), track.sends());
         tried.push(runner.runner.clone());
         match try_runner(context, call, &track, &runner).await {
             Ok(answer) => {
--- a/crates/node/src/router.rs
+++ b/crates/node/src/router.rs
@@ -11,6 +11,7 @@
 use kernel::StopSignal;
 use route::{
     CallEnd, CallId, PolicyName, RouteAction, RouteCall, RouteDesk, RouteEvent, RouteSettings,
+    RunnerSummary,
 };
 use serving::RunnerLoad;
 
@@ -304,11 +305,20 @@
         }
     }
 
+    /// What the desk knows of a runner, for the log.
+    #[must_use]
+    pub fn load_of(&self, runner: &RunnerId) -> Option<RunnerSummary> {
+        self.router.desk.borrow().summary_of(runner)
+    }
+
     /// Notes that `produced` tokens have come.
     pub fn progress(&self, prompt: TokenCount, produced: u32) {
         let mut calls = self.router.calls.borrow_mut();
         if let Some(own) = calls.get_mut(&self.call) {
-            own.started = true;
+            if !own.started {
+                own.started = true;
+                self.router.want_beat();
+            }
             own.tokens = prompt.0.saturating_add(produced);
         }
         drop(calls);
--- a/crates/node/src/stream_call.rs
+++ b/crates/node/src/stream_call.rs
@@ -62,7 +62,8 @@
         tried.push(runner.runner.clone());
         let backup = choose_backup(context, &call, &ticket);
         let backup_id = backup.as_ref().map(|backup| &backup.runner);
-        log_send(context, &call, &runner.runner, backup_id, track.sends());
+        let load = ticket.load_of(&runner.runner);
+        log_send(context, &call, &runner.runner, backup_id, load.as_ref(), track.sends());
         let plan = SendPlan::first(runner, backup);
         let outcome = match ask(context, &call, &plan).await {
             Err(setback) if setback.outcome == SendOutcome::Unknown && plan.backup.is_some() => {
--- a/crates/node/src/stream_pump.rs
+++ b/crates/node/src/stream_pump.rs
@@ -37,6 +37,10 @@
 /// Time from the news that a runner leaves in which the runs there are copied while they go
 /// on. A run that stops for the rest of its copy earlier would wait behind whole copies.
 const COPY_SPAN: TimeSpan = TimeSpan::millis(900);
+/// Pause before a move to another target, after one had no room.
+const NEXT_TARGET_PAUSE: TimeSpan = TimeSpan::millis(20);
+/// Status of a move of a run that is not at the runner.
+const RUN_NOT_FOUND: u16 = 404;
 /// Time for another runner to take a run over before the old one is cut off. Two runners
 /// may not work on one request for longer than 400 ms.
 const OVERLAP_LIMIT: TimeSpan = TimeSpan::millis(250);
@@ -327,6 +331,10 @@
 
     fn start_move(&mut self) -> PumpStep {
         self.changes += 1;
+        self.source.leave_at = None;
+        if self.changes > MAX_CHANGES {
+            return PumpStep::Continue;
+        }
         let old = &self.source.runner;
         let (request, from) = (&self.call.attempt, &old.runner);
         let target = self.ticket.relocate();
@@ -364,10 +372,12 @@
                 self.note_change("move_failed");
                 self.log_setback(&error.to_string());
                 if self.source.ended {
-                    PumpStep::End("cut", "move_failed")
-                } else {
-                    PumpStep::Continue
+                    return PumpStep::End("cut", "move_failed");
                 }
+                // A run that is not there has ended; the rest of its events is on its way.
+                let is_over = error.status() == Some(RUN_NOT_FOUND);
+                self.source.leave_at = (!is_over).then(|| self.context.now() + NEXT_TARGET_PAUSE);
+                PumpStep::Continue
             }
         }
     }
--- a/crates/route/src/desk.rs
+++ b/crates/route/src/desk.rs
@@ -136,11 +136,18 @@
         }
     }
 
+    /// What is known of one runner.
+    #[must_use]
+    pub fn summary_of(&self, runner: &RunnerId) -> Option<RunnerSummary> {
+        self.slots.get(runner).map(|slot| self.summarize(&self.runners[*slot]))
+    }
+
     fn summarize(&self, view: &RunnerView) -> RunnerSummary {
         RunnerSummary {
             calls: view.corrected_calls(),
             own_calls: view.own.len(),
             used_share: view.memory_tokens().map(|memory| view.used_tokens() / memory),
+            prefill_tokens: view.prefill_tokens(self.now),
             report_age: self.now.since(view.reported),
             leaving: view.leaving,
             ejected_for: view.health.ejected_until.since(self.now),
--- a/crates/route/src/desk_summary.rs
+++ b/crates/route/src/desk_summary.rs
@@ -33,6 +33,8 @@
     pub own_calls: usize,
     /// Share of its memory in use, as reported; none if it has no memory to report.
     pub used_share: Option<f64>,
+    /// Prompt tokens that seem to wait for prefill.
+    pub prefill_tokens: u64,
     /// Age of the state that its report describes.
     pub report_age: TimeSpan,
     /// It gets no new work.
