Free copies that nobody goes on from

Cause: a move that failed after its whole copy left the copy at its target, where it holds memory and a slot for over 5 s. It is now freed at both ends.

--- a/crates/node/src/stream_move.rs
+++ b/crates/node/src/stream_move.rs
@@ -8,7 +8,7 @@
 use std::rc::Rc;
 
 use base::prelude::*;
-use platform::{AttemptId, MoveAnswer, move_run};
+use platform::{AttemptId, MoveAnswer, drop_copy, move_run};
 
 use crate::context::NodeContext;
 
@@ -40,13 +40,15 @@
     /// What the source answered; after [`Self::stopping`] is set, the run may have stopped.
     pub async fn run(self) -> platform::Result<MoveAnswer> {
         let begun = self.context.now();
-        move_run(self.source, &self.attempt, self.target, false, COPY_LIMIT).await?;
+        let whole = move_run(self.source, &self.attempt, self.target, false, COPY_LIMIT).await?;
+        let copy = CopyGuard { source: self.source, handle: Some(whole.handle) };
         let copied = self.context.now();
         let wait = self.stop_at.since(self.context.now());
         kernel::sleep(wait.into()).await;
         self.stopping.set(true);
         let stopping = self.context.now();
         let answer = move_run(self.source, &self.attempt, self.target, true, REST_LIMIT).await?;
+        copy.keep();
         tracing::info!(
             event = "run_copied",
             request = %self.attempt,
@@ -57,3 +59,30 @@
         Ok(answer)
     }
 }
+
+/// A copy that nobody has gone on from: dropped, it is freed at both ends, since it would
+/// hold memory for seconds.
+struct CopyGuard {
+    source: SocketAddr,
+    handle: Option<Arc<str>>,
+}
+
+impl CopyGuard {
+    /// Leaves the copy to the run that goes on from it.
+    fn keep(mut self) {
+        self.handle = None;
+    }
+}
+
+impl Drop for CopyGuard {
+    fn drop(&mut self) {
+        let Some(handle) = self.handle.take() else { return };
+        let source = self.source;
+        kernel::spawn(async move {
+            if let Err(error) = drop_copy(source, &handle, REST_LIMIT).await {
+                tracing::info!(event = "copy_not_freed", %source, %error);
+            }
+        })
+        .detach();
+    }
+}
