Ask runners whether they leave while the list is old; model attempts and moves

Nodes now read the reports of runners that have their streams while the list is older than 0.7 s. The new test fails without it.

--- a/crates/fakes/src/platform/runner_fake.rs
+++ b/crates/fakes/src/platform/runner_fake.rs
@@ -92,6 +92,7 @@
     visits: RefCell<Vec<RunnerVisit>>,
     /// Streams that are at work.
     working: Cell<usize>,
+    leaving: Cell<bool>,
     crashed: StopSignal,
 }
 
@@ -119,6 +120,7 @@
             scripts: RefCell::default(),
             visits: RefCell::default(),
             working: Cell::default(),
+            leaving: Cell::default(),
             crashed: StopSignal::new(),
         });
         let shared = Rc::clone(&state);
@@ -166,6 +168,11 @@
         self.state.working.get()
     }
 
+    /// Its report says from now on that it leaves.
+    pub fn leave(&self) {
+        self.state.leaving.set(true);
+    }
+
     /// Ends all its connections and takes no new ones.
     pub fn crash(&self) {
         self.state.crashed.raise();
@@ -203,10 +210,10 @@
 
 async fn serve(mut stream: TcpStream, state: Rc<RunnerState>) {
     while let Some(request) = RunnerRequest::read(&mut stream).await {
-        let go_on = if request.path == "/api/kv-move" {
-            answer_move(&mut stream, &state, &request).await
-        } else {
-            answer(&mut stream, &state, request).await
+        let go_on = match request.path.as_str() {
+            "/api/kv-move" => answer_move(&mut stream, &state, &request).await,
+            "/api/report" => answer_report(&mut stream, &state).await,
+            _ => answer(&mut stream, &state, request).await,
         };
         if !go_on {
             return;
@@ -214,6 +221,12 @@
     }
 }
 
+async fn answer_report(stream: &mut TcpStream, state: &RunnerState) -> bool {
+    let word = if state.leaving.get() { "draining" } else { "ready" };
+    let report = json!({ "phase": "mixed", "active": state.working.get(), "state": word });
+    write(stream, whole("200 OK", "", &report.to_string())).await
+}
+
 async fn answer_move(stream: &mut TcpStream, state: &RunnerState, request: &RunnerRequest) -> bool {
     let body: Value = serde_json::from_slice(&request.body).unwrap_or_default();
     let (id, last) = (body["id"].as_str().unwrap_or_default(), body["last"] == true);
--- a/crates/harness/tests/node_moves.rs
+++ b/crates/harness/tests/node_moves.rs
@@ -2,10 +2,10 @@
 
 use std::time::Duration;
 
-use fakes::platform::{RunnerFake, RunnerFakeSettings};
+use fakes::platform::{RunnerFake, RunnerFakeSettings, StoreFault};
 use harness::{CallerRequest, NodeFleet, WholeAnswer, wait_until};
 
-const EVENTS: u64 = 300;
+const EVENTS: u64 = 350;
 const LIMIT: Duration = Duration::from_secs(10);
 
 fn slow(id: &str) -> RunnerFakeSettings {
@@ -86,6 +86,22 @@
     .unwrap();
 }
 
+#[test]
+fn a_stream_moves_while_the_store_is_away_when_the_runner_itself_says_that_it_leaves() {
+    kernel::run(async {
+        let runs = play(short(), async |fleet, runner| {
+            fleet.store.set_fault(StoreFault::Silent);
+            compio::time::sleep(Duration::from_millis(300)).await;
+            runner.leave();
+            compio::time::sleep(Duration::from_millis(2_300)).await;
+            runner.crash();
+        })
+        .await;
+        assert_eq!(runs, 2);
+    })
+    .unwrap();
+}
+
 #[test]
 fn a_stream_with_a_copy_survives_the_crash_of_its_runner() {
     kernel::run(async {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -20,6 +20,7 @@
 mod process;
 mod router;
 mod runner_send;
+mod runner_watch;
 mod stream_call;
 mod stream_move;
 mod stream_pump;
--- a/crates/node/src/plain_call.rs
+++ b/crates/node/src/plain_call.rs
@@ -147,7 +147,7 @@
 ) {
     log_setback(context, call, runner, &setback.reason);
     if setback.runner_gone {
-        router.note_leaving(runner);
+        router.note_leaving(runner, "reply");
     }
 }
 
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -20,6 +20,7 @@
 use crate::peer_link::PeerLink;
 use crate::peer_server::answer_peer;
 use crate::router::RouterService;
+use crate::runner_watch::watch_runners;
 
 /// Time for one exchange with the store beyond the wait asked for. It answers in some
 /// milliseconds; a slow one takes up to a hundred times as long.
@@ -68,6 +69,7 @@
     kernel::spawn(follow_operators(Rc::clone(&context), Rc::clone(&router), store)).detach();
     kernel::spawn(RunnerFeed::new(&context, &router, &link, store).run()).detach();
     kernel::spawn(follow_nodes(Rc::clone(&context), store)).detach();
+    kernel::spawn(watch_runners(Rc::clone(&context), Rc::clone(&router))).detach();
     kernel::spawn(Rc::clone(&router).run_ticks()).detach();
     kernel::spawn(follow_settings(Rc::clone(&context), read_settings)).detach();
     kernel::wait_for_signals().await?;
--- a/crates/node/src/router.rs
+++ b/crates/node/src/router.rs
@@ -188,11 +188,11 @@
         }
     }
 
-    /// Notes that a runner refused work because it leaves.
-    pub fn note_leaving(&self, runner: &RunnerId) {
+    /// Notes that a runner leaves, as its reply or its report says.
+    pub fn note_leaving(&self, runner: &RunnerId, source: &str) {
         let now = self.context.now();
         if self.context.runners.borrow_mut().note_leaving(now, runner) {
-            tracing::info!(event = "runner_changed", %runner, state = "leaving", source = "reply");
+            tracing::info!(event = "runner_changed", %runner, state = "leaving", source);
             self.update_members();
         }
     }
--- /dev/null
+++ b/crates/node/src/runner_watch.rs
@@ -0,0 +1,56 @@
+//! Asking runners themselves whether they leave, while the list of runners is old.
+//!
+//! Load pattern: engines are reclaimed also while the store is away, and their streams
+//! would be lost without notice.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use base::prelude::*;
+use futures_util::future::join_all;
+use platform::read_report;
+
+use crate::context::NodeContext;
+use crate::router::RouterService;
+
+/// Age of the list from which runners are asked: longer than the pauses of all nodes that
+/// stand by to read it.
+const STALE_SPAN: TimeSpan = TimeSpan::millis(700);
+/// Pause between two rounds; a notice is at least 1.5 s long.
+const ROUND_PAUSE: TimeSpan = TimeSpan::millis(250);
+/// Time for one answer.
+const REPORT_LIMIT: TimeSpan = TimeSpan::millis(250);
+
+/// Watches the runners that have calls of this node until the process ends.
+pub async fn watch_runners(context: Rc<NodeContext>, router: Rc<RouterService>) {
+    loop {
+        kernel::sleep(ROUND_PAUSE.into()).await;
+        if context.runners_age() < STALE_SPAN {
+            continue;
+        }
+        let asked = staying_runners(&context, &router);
+        let asking = asked.into_iter().map(|(runner, address)| ask(&router, runner, address));
+        join_all(asking).await;
+    }
+}
+
+/// Engines with calls of this node that are not known to leave.
+fn staying_runners(context: &NodeContext, router: &RouterService) -> Vec<(RunnerId, SocketAddr)> {
+    let Some(plan) = context.plan() else { return Vec::new() };
+    let runners = context.runners.borrow();
+    let loads = router.own_loads();
+    let entries = loads.iter().filter_map(|load| runners.get(&load.runner));
+    let staying = entries.filter(|entry| !entry.record.leaving && entry.removed.is_none());
+    let engines = staying.filter(|entry| {
+        plan.services.get(&entry.record.service).is_some_and(|service| service.engine.is_some())
+    });
+    engines.map(|entry| (entry.record.runner.clone(), entry.record.address)).collect()
+}
+
+async fn ask(router: &RouterService, runner: RunnerId, address: SocketAddr) {
+    match read_report(address, REPORT_LIMIT).await {
+        Ok(report) if report.leaving => router.note_leaving(&runner, "report"),
+        Ok(_) => (),
+        Err(error) => tracing::debug!(event = "report_not_read", %runner, %error),
+    }
+}
--- a/crates/serving/src/stream_scan.rs
+++ b/crates/serving/src/stream_scan.rs
@@ -25,7 +25,7 @@
 }
 
 /// Passes whole events on, unchanged and in order.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Hash, Default)]
 pub struct StreamScanner {
     rest: Vec<u8>,
     last: Option<u64>,
--- a/crates/spec/src/lib.rs
+++ b/crates/spec/src/lib.rs
@@ -2,21 +2,25 @@
 //!
 //! Each model is a small world around the very structs that the product runs
 //! ([`booking::BookingDesk`], [`relay::TokenRelay`], [`orders::OrderDesk`],
-//! [`config::ConfigFold`]): a few processes, a caller or a target, and a network that
+//! [`config::ConfigFold`], [`serving::AttemptTrack`], [`serving::StreamScanner`]): a few processes, a caller or a target, and a network that
 //! loses, repeats, delays and reorders. All interleavings within the world's bounds are
 //! visited. Each model has broken variants, in which the binding around the struct makes
 //! a mistake that is easily made; the search must find a violation in each, or it proves
 //! nothing about the sound one.
 
+mod attempts;
 mod bookings;
 mod claims;
 mod configs;
+mod moves;
 mod search;
 mod streams;
 
+pub use attempts::{AttemptVariant, check_attempts};
 pub use bookings::{BookingVariant, check_bookings};
 pub use claims::{ClaimVariant, check_claims};
 pub use configs::{ConfigVariant, check_configs};
+pub use moves::{MoveVariant, check_moves};
 pub use search::{ModelRun, explore};
 pub use streams::{StreamKind, StreamVariant, check_streams};
 
@@ -29,5 +33,7 @@
     runs.extend(StreamVariant::BROKEN.map(|(kind, variant)| check_streams(kind, variant)));
     runs.extend(ClaimVariant::ALL.map(check_claims));
     runs.extend(ConfigVariant::ALL.map(check_configs));
+    runs.extend(AttemptVariant::ALL.map(check_attempts));
+    runs.extend(MoveVariant::ALL.map(check_moves));
     runs
 }
--- a/crates/spec/tests/models.rs
+++ b/crates/spec/tests/models.rs
@@ -2,8 +2,9 @@
 
 use insta::assert_snapshot;
 use spec::{
-    BookingVariant, ClaimVariant, ConfigVariant, ModelRun, StreamKind, StreamVariant,
-    check_bookings, check_claims, check_configs, check_streams,
+    AttemptVariant, BookingVariant, ClaimVariant, ConfigVariant, ModelRun, MoveVariant, StreamKind,
+    StreamVariant, check_attempts, check_bookings, check_claims, check_configs, check_moves,
+    check_streams,
 };
 
 /// One line for each run; a run that is not as expected fails with its trace.
@@ -37,6 +38,16 @@
     assert_snapshot!(table(ConfigVariant::ALL.map(check_configs)));
 }
 
+#[test]
+fn an_attempt_says_only_what_is_known_of_its_runs() {
+    assert_snapshot!(table(AttemptVariant::ALL.map(check_attempts)));
+}
+
+#[test]
+fn a_stream_that_moves_keeps_every_event() {
+    assert_snapshot!(table(MoveVariant::ALL.map(check_moves)));
+}
+
 /// The trace of a broken variant reads as what happened.
 #[test]
 fn a_violation_comes_with_its_trace() {
