--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -22,8 +22,10 @@
 mod runner_send;
 mod runner_watch;
 mod stream_call;
+mod stream_change;
 mod stream_move;
 mod stream_pump;
+mod stream_source;
 
 pub use error::{NodeError, Result};
 pub use process::run_node;
--- a/crates/node/src/stream_call.rs
+++ b/crates/node/src/stream_call.rs
@@ -20,7 +20,8 @@
 use crate::plain_call::{GivenUp, find_runner, give_up, may_repeat, pass_on, take_setback};
 use crate::router::{RouteTicket, RouterService};
 use crate::runner_send::{SendPlan, SendSetback, read_whole, send_to_runner};
-use crate::stream_pump::{CallerSide, StreamPump, StreamSource};
+use crate::stream_pump::StreamPump;
+use crate::stream_source::{CallerSide, StreamSource};
 
 /// Chunks that wait for a slow caller.
 const WAITING_CHUNKS: usize = 16;
