Bind the desk to tasks in one place for entry and node

Cause: the node's router repeated the entry's tickets, orders and closing. crates/dispatch now has them once; the node keeps its own books beside it.

--- /dev/null
+++ b/crates/dispatch/src/call_desk.rs
@@ -0,0 +1,131 @@
+//! A routing desk with the calls that wait for its orders.
+
+use std::cell::{Cell, Ref, RefCell, RefMut};
+use std::collections::BTreeMap;
+use std::rc::{Rc, Weak};
+
+use base::prelude::*;
+use futures_channel::mpsc;
+use kernel::MonotonicClock;
+use route::{CallEnd, CallId, RouteAction, RouteCall, RouteDesk, RouteEvent, RouteSettings};
+
+use crate::CallTicket;
+
+/// What a call has to do next.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum RouteOrder {
+    /// Go to this runner.
+    Send {
+        /// The target.
+        runner: RunnerId,
+    },
+    /// Tell the caller that its call was not run.
+    Refuse {
+        /// Why.
+        reason: RefusalReason,
+        /// When to come back.
+        come_back: TimeSpan,
+    },
+    /// Cancel on the runner, and wait for the next order.
+    Withdraw,
+}
+
+type SendHook = Box<dyn Fn(CallId, &RunnerId)>;
+
+/// The desk of one process.
+pub struct CallDesk {
+    clock: MonotonicClock,
+    desk: RefCell<RouteDesk>,
+    orders: RefCell<BTreeMap<CallId, mpsc::UnboundedSender<RouteOrder>>>,
+    next_call: Cell<u64>,
+    on_send: SendHook,
+    this: Weak<Self>,
+}
+
+impl CallDesk {
+    /// An empty desk; `on_send` is called with each call that gets a runner, before the
+    /// call's task learns of it.
+    #[must_use]
+    pub fn new(
+        settings: RouteSettings,
+        clock: MonotonicClock,
+        on_send: impl Fn(CallId, &RunnerId) + 'static,
+    ) -> Rc<Self> {
+        Rc::new_cyclic(|this| Self {
+            clock,
+            desk: RefCell::new(RouteDesk::new(settings)),
+            orders: RefCell::default(),
+            next_call: Cell::new(1),
+            on_send: Box::new(on_send),
+            this: this.clone(),
+        })
+    }
+
+    /// A number for a further call.
+    pub fn next_id(&self) -> CallId {
+        let id = CallId(self.next_call.get());
+        self.next_call.set(id.0 + 1);
+        id
+    }
+
+    /// Asks for a runner for a call, whose number is from [`Self::next_id`].
+    ///
+    /// # Panics
+    /// Never: the desk lives as long as its process.
+    pub fn open(&self, call: RouteCall) -> CallTicket {
+        let id = call.call;
+        let (sender, orders) = mpsc::unbounded();
+        self.orders.borrow_mut().insert(id, sender);
+        self.tell(RouteEvent::Arrive(call));
+        let desk = self.this.upgrade().expect("the desk outlives its calls");
+        CallTicket::new(desk, id, orders)
+    }
+
+    /// Gives the desk an event and passes its actions on.
+    pub fn tell(&self, event: RouteEvent) {
+        let actions = self.desk.borrow_mut().handle(self.clock.now(), event);
+        for action in actions {
+            self.pass_on(action);
+        }
+    }
+
+    fn pass_on(&self, action: RouteAction) {
+        let (call, order) = match action {
+            RouteAction::Send { call, runner, .. } => {
+                (self.on_send)(call, &runner);
+                (call, RouteOrder::Send { runner })
+            }
+            RouteAction::Refuse { call, reason, come_back } => {
+                (call, RouteOrder::Refuse { reason, come_back })
+            }
+            RouteAction::Withdraw { call, .. } => (call, RouteOrder::Withdraw),
+        };
+        if let Some(sender) = self.orders.borrow().get(&call) {
+            // The receiver ends only with its ticket, which takes the sender away.
+            let _ = sender.unbounded_send(order);
+        }
+    }
+
+    /// Calls that are at the desk or at a runner.
+    #[must_use]
+    pub fn open_calls(&self) -> usize {
+        self.orders.borrow().len()
+    }
+
+    /// The desk itself, to look at.
+    #[must_use]
+    pub fn desk(&self) -> Ref<'_, RouteDesk> {
+        self.desk.borrow()
+    }
+
+    /// The desk itself, for what gives no orders.
+    #[must_use]
+    pub fn desk_mut(&self) -> RefMut<'_, RouteDesk> {
+        self.desk.borrow_mut()
+    }
+
+    pub(crate) fn close(&self, call: CallId, end: CallEnd) {
+        self.orders.borrow_mut().remove(&call);
+        self.tell(RouteEvent::Ended { call, end });
+    }
+}
--- a/crates/entry/src/bookings.rs
+++ b/crates/entry/src/bookings.rs
@@ -11,6 +11,7 @@
     TicketId,
 };
 use config::CallPriority;
+use dispatch::RouteOrder;
 use futures_channel::oneshot;
 use peers::{ForwardedCall, PeerReply, PeerRequest};
 use route::CallEnd;
@@ -18,7 +19,7 @@
 
 use crate::context::EntryContext;
 use crate::plain::{PlainCall, TargetAnswer, says_leaving, send_to_runner};
-use crate::router::{RouteOrder, RouterService};
+use crate::router::RouterService;
 
 /// Name of the service in the kernel.
 pub const BOOKINGS: &str = "bookings";
--- a/crates/entry/src/generation.rs
+++ b/crates/entry/src/generation.rs
@@ -7,6 +7,7 @@
 use base::{AttemptNumber, prelude::*};
 use compio::runtime::JoinHandle;
 use config::CallPriority;
+use dispatch::{CallTicket, RouteOrder};
 use futures_channel::mpsc;
 use futures_util::future::{Either, select};
 use futures_util::{FutureExt, StreamExt, select_biased};
@@ -19,7 +20,7 @@
 use crate::counters::count_outcome;
 use crate::delivery::CallerDelivery;
 use crate::engine_reader::{ReadPlan, ReadReport, ReadStart, cancel_attempt, read_engine};
-use crate::router::{RouteOrder, RouteTicket, RouterService};
+use crate::router::RouterService;
 
 /// Reports of a reading that may wait for the task.
 const REPORT_CAPACITY: usize = 64;
@@ -103,7 +104,7 @@
     router: Rc<RouterService>,
     call: GenerationCall,
     relay: TokenRelay,
-    ticket: Option<RouteTicket>,
+    ticket: Option<CallTicket>,
     delivery: CallerDelivery,
     left: StopSignal,
     reports: (mpsc::Sender<ReadReport>, mpsc::Receiver<ReadReport>),
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -4,6 +4,7 @@
 
 use base::prelude::*;
 use config::{CallPriority, CallRule};
+use dispatch::{CallTicket, RouteOrder};
 use hyper::body::Bytes;
 use hyper::header::CONTENT_TYPE;
 use hyper::{Request, StatusCode};
@@ -12,7 +13,7 @@
 
 use crate::context::EntryContext;
 use crate::refusal::CallRefusal;
-use crate::router::{RouteOrder, RouteTicket, RouterService};
+use crate::router::RouterService;
 
 /// Most attempts at one call.
 const MAX_ATTEMPTS: u32 = 4;
@@ -162,7 +163,7 @@
 
 fn finish_attempt(
     router: &Rc<RouterService>,
-    ticket: RouteTicket,
+    ticket: CallTicket,
     rule: &CallRule,
     runner: &RunnerId,
     outcome: Result<TargetAnswer, WebError>,
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -70,6 +70,12 @@
         })
     }
 
+    /// The process's clock.
+    #[must_use]
+    pub fn clock(&self) -> MonotonicClock {
+        self.clock
+    }
+
     /// The present instant.
     #[must_use]
     pub fn now(&self) -> TimePoint {
--- a/crates/node/src/plain_call.rs
+++ b/crates/node/src/plain_call.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use base::prelude::*;
+use dispatch::RouteOrder;
 use hyper::body::Bytes;
 use hyper::{Response, StatusCode};
 use platform::copy_reply_headers;
@@ -14,7 +15,7 @@
 use crate::call_log::{CallEnding, log_end, log_send, log_setback};
 use crate::context::NodeContext;
 use crate::front::Rejection;
-use crate::router::{RouteOrder, RouteTicket, RouterService};
+use crate::router::{RouteTicket, RouterService};
 use crate::runner_send::{SendPlan, SendSetback, read_whole, send_to_runner};
 
 /// Part of the objective after which a further runner is tried, where that is allowed.
@@ -42,16 +43,18 @@
     tried: &[RunnerId],
 ) -> Result<(RouteTicket, RunnerRecord), GivenUp> {
     let mut ticket = router.open(call.route_call(tried));
-    match ticket.order().await {
-        RouteOrder::Refuse { reason, come_back } => {
-            Err(GivenUp { reason: reason_word(reason), come_back })
-        }
-        RouteOrder::Send { runner } => {
-            let record = context.runners.borrow().get(&runner).map(|entry| entry.record.clone());
-            let gone = GivenUp { reason: "no_runner", come_back: REFUSED_COME_BACK };
-            record.map(|record| (ticket, record)).ok_or(gone)
+    let runner = loop {
+        match ticket.order().await {
+            RouteOrder::Send { runner } => break runner,
+            RouteOrder::Withdraw => (),
+            RouteOrder::Refuse { reason, come_back } => {
+                return Err(GivenUp { reason: reason_word(reason), come_back });
+            }
         }
-    }
+    };
+    let record = context.runners.borrow().get(&runner).map(|entry| entry.record.clone());
+    let gone = GivenUp { reason: "no_runner", come_back: REFUSED_COME_BACK };
+    record.map(|record| (ticket, record)).ok_or(gone)
 }
 
 fn reason_word(reason: RefusalReason) -> &'static str {
--- a/crates/node/src/router.rs
+++ b/crates/node/src/router.rs
@@ -6,13 +6,10 @@
 
 use base::prelude::*;
 use config::{PolicyWeights, ServiceKind};
+use dispatch::{CallDesk, CallTicket, RouteOrder};
 use futures_channel::mpsc;
-use futures_util::StreamExt;
 use kernel::StopSignal;
-use route::{
-    CallEnd, CallId, PolicyName, RouteAction, RouteCall, RouteDesk, RouteEvent, RouteSettings,
-    RunnerSummary,
-};
+use route::{CallEnd, CallId, PolicyName, RouteCall, RouteEvent, RouteSettings, RunnerSummary};
 use serving::RunnerLoad;
 
 use crate::context::NodeContext;
@@ -24,23 +21,6 @@
 /// Calls that may wait in this node.
 const QUEUE_LIMIT: usize = 2_000;
 
-/// What a call has to do next.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum RouteOrder {
-    /// Go to this runner.
-    Send {
-        /// The target.
-        runner: RunnerId,
-    },
-    /// Tell the caller that its call was not run.
-    Refuse {
-        /// Why.
-        reason: RefusalReason,
-        /// When to come back.
-        come_back: TimeSpan,
-    },
-}
-
 /// A call of this node that is at a runner or waits for one.
 struct OwnCall {
     runner: Option<RunnerId>,
@@ -48,23 +28,22 @@
     backup: Option<RunnerId>,
     tokens: u32,
     started: bool,
-    orders: mpsc::UnboundedSender<RouteOrder>,
     /// Raised when its runner leaves.
     leaving: StopSignal,
 }
 
+type OwnCalls = Rc<RefCell<BTreeMap<CallId, OwnCall>>>;
+
 /// The router of one node.
 pub struct RouterService {
     context: Rc<NodeContext>,
-    desk: RefCell<RouteDesk>,
-    calls: RefCell<BTreeMap<CallId, OwnCall>>,
-    waiting: Cell<usize>,
-    next_call: Cell<u64>,
+    desk: Rc<CallDesk>,
+    calls: OwnCalls,
     reports: Cell<u64>,
     /// Other nodes have told loads that the desk does not know yet.
     loads_changed: Cell<bool>,
     /// Asks for a heartbeat, so that the other nodes learn of a new call at once.
-    beat_wanted: RefCell<mpsc::Sender<()>>,
+    beat_wanted: Rc<RefCell<mpsc::Sender<()>>>,
     this: Weak<Self>,
 }
 
@@ -78,15 +57,23 @@
             place: context.settings.place.clone(),
             queue_limit: QUEUE_LIMIT,
         };
+        let calls = OwnCalls::default();
+        let beat_wanted = Rc::new(RefCell::new(beat_wanted));
+        let (sent_calls, wanted) = (Rc::clone(&calls), Rc::clone(&beat_wanted));
+        let on_send = move |call: CallId, runner: &RunnerId| {
+            if let Some(own) = sent_calls.borrow_mut().get_mut(&call) {
+                own.runner = Some(runner.clone());
+            }
+            ask_for_beat(&wanted);
+        };
+        let desk = CallDesk::new(settings, context.clock(), on_send);
         Rc::new_cyclic(|this| Self {
             context: Rc::clone(context),
-            desk: RefCell::new(RouteDesk::new(settings)),
-            calls: RefCell::default(),
-            waiting: Cell::default(),
-            next_call: Cell::new(1),
+            desk,
+            calls,
             reports: Cell::default(),
             loads_changed: Cell::default(),
-            beat_wanted: RefCell::new(beat_wanted),
+            beat_wanted,
             this: this.clone(),
         })
     }
@@ -99,30 +86,24 @@
         if self.loads_changed.get() {
             self.report_loads();
         }
-        let id = CallId(self.next_call.get());
-        self.next_call.set(id.0 + 1);
+        let id = self.desk.next_id();
         call.call = id;
-        let (sender, orders) = mpsc::unbounded();
         let leaving = StopSignal::new();
         let own = OwnCall {
             runner: None,
             backup: None,
             tokens: call.prompt_tokens.0,
             started: false,
-            orders: sender,
             leaving: leaving.clone(),
         };
         self.calls.borrow_mut().insert(id, own);
-        self.waiting.set(self.waiting.get() + 1);
-        self.tell(RouteEvent::Arrive(call));
         let router = self.this.upgrade().expect("the router outlives its calls");
-        RouteTicket { router, call: id, orders, leaving, open: true }
+        RouteTicket { own: OwnGuard { router, call: id }, place: self.desk.open(call), leaving }
     }
 
     /// Asks for a heartbeat, so that the other nodes learn at once what changed here.
     pub fn want_beat(&self) {
-        // A full channel has asked already.
-        let _ = self.beat_wanted.borrow_mut().try_send(());
+        ask_for_beat(&self.beat_wanted);
     }
 
     /// Notes that another node has told other loads than before.
@@ -130,35 +111,6 @@
         self.loads_changed.set(true);
     }
 
-    fn tell(&self, event: RouteEvent) {
-        let actions = self.desk.borrow_mut().handle(self.context.now(), event);
-        for action in actions {
-            self.pass_on(action);
-        }
-    }
-
-    fn pass_on(&self, action: RouteAction) {
-        let mut calls = self.calls.borrow_mut();
-        match action {
-            RouteAction::Send { call, runner, .. } => {
-                if let Some(own) = calls.get_mut(&call) {
-                    self.waiting.set(self.waiting.get() - 1);
-                    own.runner = Some(runner.clone());
-                    // The receiver ends only with its ticket, which takes the call away.
-                    let _ = own.orders.unbounded_send(RouteOrder::Send { runner });
-                    self.want_beat();
-                }
-            }
-            RouteAction::Refuse { call, reason, come_back } => {
-                if let Some(own) = calls.get(&call) {
-                    let _ = own.orders.unbounded_send(RouteOrder::Refuse { reason, come_back });
-                }
-            }
-            // The desk withdraws nothing yet.
-            RouteAction::Withdraw { .. } => (),
-        }
-    }
-
     /// Tells the desk about the services of the configuration in force.
     pub fn update_plan(&self) {
         let Some(plan) = self.context.plan() else { return };
@@ -166,7 +118,7 @@
             let kind = if entry.engine.is_some() { ServiceKind::Model } else { ServiceKind::Plain };
             let service = service.clone();
             let weights = PolicyWeights { preemptions: 1.0, gap_tail: 1.0, stall: 1.0 };
-            self.tell(RouteEvent::Service { service, kind, weights, shares: Vec::new() });
+            self.desk.tell(RouteEvent::Service { service, kind, weights, shares: Vec::new() });
         }
         self.update_members();
     }
@@ -177,7 +129,7 @@
         let now = self.context.now();
         for service in plan.services.keys() {
             let members = self.context.runners.borrow().members(service, now);
-            self.tell(RouteEvent::Members { service: service.clone(), members });
+            self.desk.tell(RouteEvent::Members { service: service.clone(), members });
         }
         self.report_loads();
         let runners = self.context.runners.borrow();
@@ -238,8 +190,8 @@
             let memory = service.engine.as_ref().map_or(0, |engine| engine.memory.0);
             let load = sums.get(&runner);
             let tokens = load.map_or(0, |load| u64::from(load.prefill));
-            self.tell(RouteEvent::Prefill { runner: runner.clone(), tokens });
-            self.tell(RouteEvent::Report(RunnerReport {
+            self.desk.tell(RouteEvent::Prefill { runner: runner.clone(), tokens });
+            self.desk.tell(RouteEvent::Report(RunnerReport {
                 runner,
                 incarnation: born,
                 sequence,
@@ -267,8 +219,8 @@
                 next_report = now + LOAD_PERIOD;
                 self.report_loads();
             }
-            if self.waiting.get() > 0 {
-                self.tell(RouteEvent::Tick);
+            if self.has_waiting() {
+                self.desk.tell(RouteEvent::Tick);
                 kernel::sleep(TICK.into()).await;
             } else {
                 kernel::sleep(next_report.since(now).into()).await;
@@ -276,54 +228,58 @@
         }
     }
 
-    fn close(&self, call: CallId, end: CallEnd) {
-        if let Some(own) = self.calls.borrow_mut().remove(&call)
-            && own.runner.is_none()
-        {
-            self.waiting.set(self.waiting.get() - 1);
-        }
-        self.tell(RouteEvent::Ended { call, end });
+    fn has_waiting(&self) -> bool {
+        self.calls.borrow().values().any(|own| own.runner.is_none())
     }
 }
 
-/// A call's place at the router; dropped without an end, the caller has left.
-pub struct RouteTicket {
+fn ask_for_beat(wanted: &RefCell<mpsc::Sender<()>>) {
+    // A full channel has asked already.
+    let _ = wanted.borrow_mut().try_send(());
+}
+
+/// Takes the call out of the node's books when it is dropped.
+struct OwnGuard {
     router: Rc<RouterService>,
     call: CallId,
-    orders: mpsc::UnboundedReceiver<RouteOrder>,
+}
+
+impl Drop for OwnGuard {
+    fn drop(&mut self) {
+        self.router.calls.borrow_mut().remove(&self.call);
+    }
+}
+
+/// A call's place at the desk and in the node's books.
+pub struct RouteTicket {
+    place: CallTicket,
+    own: OwnGuard,
     leaving: StopSignal,
-    open: bool,
 }
 
 impl RouteTicket {
     /// Waits for what to do next.
     pub async fn order(&mut self) -> RouteOrder {
-        match self.orders.next().await {
-            Some(order) => order,
-            // The sender is dropped only by `end`, after which nobody waits.
-            None => std::future::pending().await,
-        }
+        self.place.order().await
     }
 
     /// What the desk knows of a runner, for the log.
     #[must_use]
     pub fn load_of(&self, runner: &RunnerId) -> Option<RunnerSummary> {
-        self.router.desk.borrow().summary_of(runner)
+        self.own.router.desk.desk().summary_of(runner)
     }
 
     /// Notes that `produced` tokens have come.
     pub fn progress(&self, prompt: TokenCount, produced: u32) {
-        let mut calls = self.router.calls.borrow_mut();
-        if let Some(own) = calls.get_mut(&self.call) {
+        let router = &self.own.router;
+        if let Some(own) = router.calls.borrow_mut().get_mut(&self.own.call) {
             if !own.started {
                 own.started = true;
-                self.router.want_beat();
+                router.want_beat();
             }
             own.tokens = prompt.0.saturating_add(produced);
         }
-        drop(calls);
-        let index = TokenIndex(produced.saturating_sub(1));
-        self.router.tell(RouteEvent::Progress { call: self.call, index });
+        self.place.progress(TokenIndex(produced.saturating_sub(1)));
     }
 
     /// Raised when the call's runner leaves.
@@ -334,22 +290,22 @@
 
     /// Books the call at another runner; none if there is none.
     pub fn relocate(&mut self) -> Option<RunnerId> {
-        let now = self.router.context.now();
-        let runner = self.router.desk.borrow_mut().relocate(now, self.call)?;
+        let now = self.own.router.context.now();
+        let runner = self.own.router.desk.desk_mut().relocate(now, self.own.call)?;
         self.set_runner(runner.clone());
         Some(runner)
     }
 
     /// Books the call at the runner that keeps a copy of it.
     pub fn relocate_to(&mut self, runner: &RunnerId) {
-        let now = self.router.context.now();
-        self.router.desk.borrow_mut().relocate_to(now, self.call, runner);
+        let now = self.own.router.context.now();
+        self.own.router.desk.desk_mut().relocate_to(now, self.own.call, runner);
         self.set_runner(runner.clone());
     }
 
     fn set_runner(&mut self, runner: RunnerId) {
         self.leaving = StopSignal::new();
-        if let Some(own) = self.router.calls.borrow_mut().get_mut(&self.call) {
+        if let Some(own) = self.own.router.calls.borrow_mut().get_mut(&self.own.call) {
             own.runner = Some(runner);
             own.backup = None;
             own.leaving = self.leaving.clone();
@@ -358,25 +314,16 @@
 
     /// Chooses a runner that keeps a copy of the call, and books the copy there.
     pub fn choose_backup(&self) -> Option<RunnerId> {
-        let now = self.router.context.now();
-        let backup = self.router.desk.borrow().choose_backup(now, self.call);
-        if let Some(own) = self.router.calls.borrow_mut().get_mut(&self.call) {
+        let now = self.own.router.context.now();
+        let backup = self.own.router.desk.desk().choose_backup(now, self.own.call);
+        if let Some(own) = self.own.router.calls.borrow_mut().get_mut(&self.own.call) {
             own.backup.clone_from(&backup);
         }
         backup
     }
 
     /// Tells the desk how the attempt ended.
-    pub fn end(mut self, end: CallEnd) {
-        self.open = false;
-        self.router.close(self.call, end);
-    }
-}
-
-impl Drop for RouteTicket {
-    fn drop(&mut self) {
-        if self.open {
-            self.router.close(self.call, CallEnd::Left);
-        }
+    pub fn end(self, end: CallEnd) {
+        self.place.end(end);
     }
 }
