Tell short and long kinds of call apart by their limit when lengths are learned

Cause: a workspace's rank goes before its route's, so digests (about 900 tokens) and tags (about 12) of one workspace shared one length distribution, and memory was forecast wrongly for both. The test fails without the change.

--- a/crates/route/src/length_table.rs
+++ b/crates/route/src/length_table.rs
@@ -20,6 +20,9 @@
     service: ServiceName,
     model: Option<ModelName>,
     priority: Option<CallPriority>,
+    /// Doublings of the limit that the caller gave: short and long kinds of call share
+    /// services, models, priorities and workspaces, and differ in their limits.
+    limit: u32,
     workspace: Option<WorkspaceId>,
 }
 
@@ -36,6 +39,7 @@
         service: call.service.clone(),
         model: call.model.clone(),
         priority: Some(call.priority),
+        limit: call.max_tokens.0.max(1).ilog2(),
         workspace: Some(call.workspace.clone()),
     };
     let middle = LengthGroup { workspace: None, ..narrow.clone() };
--- a/crates/route/tests/estimates.rs
+++ b/crates/route/tests/estimates.rs
@@ -84,3 +84,18 @@
     let late = call(1, CallPriority::Normal);
     assert!(table.estimate(&late).survival(200) < 0.1);
 }
+
+#[test]
+fn short_and_long_kinds_of_one_workspace_are_told_apart_by_their_limit() {
+    let mut table = LengthTable::default();
+    let mut short = call(1, CallPriority::Normal);
+    short.max_tokens = TokenCount(40);
+    let long = call(2, CallPriority::Normal);
+    for _ in 0..100 {
+        table.observe(&short, 12, true);
+        table.observe(&long, 900, true);
+    }
+    let ahead = |call| table.estimate(call).expected_ahead(0);
+    assert!(ahead(&short) < 40.0, "{}", ahead(&short));
+    assert!(ahead(&long) > 600.0, "{}", ahead(&long));
+}
