Let readers of the store count only while they are heard, more of them in large fleets

Readers now count for two heartbeats (0.5 to 1.7 s), come in an order that is not that of names and places, and are one in 16 nodes.

--- a/crates/node/src/follow_operators.rs
+++ b/crates/node/src/follow_operators.rs
@@ -13,8 +13,6 @@
 /// Time that one read waits for a change. A connection that falls silent costs at most
 /// this and the limit of a call, within the 2 s in which a change has to be in force.
 const READ_WAIT: TimeSpan = TimeSpan::millis(1_000);
-/// Nodes that read; the others learn of a newer version by the heartbeats.
-const READERS: usize = 2;
 /// Pause between two looks at whether this node has to read.
 const TURN_POLL: TimeSpan = TimeSpan::millis(100);
 /// Pause after a failed read.
@@ -70,7 +68,7 @@
 
 /// Waits while enough other nodes read for this one.
 async fn wait_for_turn(context: &NodeContext) {
-    while context.readers_before() >= READERS {
+    while context.readers_before() >= context.peers.borrow().wanted_readers() {
         kernel::sleep(TURN_POLL.into()).await;
     }
 }
--- a/crates/route/tests/estimates.rs
+++ b/crates/route/tests/estimates.rs
@@ -90,7 +90,8 @@
     let mut table = LengthTable::default();
     let mut short = call(1, CallPriority::Normal);
     short.max_tokens = TokenCount(40);
-    let long = call(2, CallPriority::Normal);
+    let long = call(4, CallPriority::Normal);
+    assert_eq!(short.workspace, long.workspace);
     for _ in 0..100 {
         table.observe(&short, 12, true);
         table.observe(&long, 900, true);
--- a/crates/serving/src/peer_table.rs
+++ b/crates/serving/src/peer_table.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 
 use base::prelude::*;
+use base::rendezvous_score;
 
 use crate::{PeerBeat, PlanVersion};
 
@@ -19,6 +20,17 @@
 /// Silence after which a node's address is no longer tried.
 const FORGET_SPAN: TimeSpan = TimeSpan::seconds(30);
 
+/// Heartbeats after which a reader that is not heard no longer counts.
+const READER_BEATS: u64 = 2;
+/// Least and longest silence after which that is so: others have to read well within the
+/// time in which a change must be in force.
+const READER_SPANS: [TimeSpan; 2] = [TimeSpan::millis(500), TimeSpan::millis(1_700)];
+/// One reader of the configuration for so many nodes, so that a fault that strikes a third
+/// of the nodes hardly strikes all readers.
+const NODES_PER_READER: usize = 16;
+/// Readers of the configuration at least.
+const LEAST_READERS: usize = 2;
+
 #[derive(Debug)]
 struct PeerEntry {
     beat: PeerBeat,
@@ -100,11 +112,23 @@
         addresses
     }
 
-    /// Live nodes before `vm` in the order of names that read the store: the first of all
-    /// reads for the others, the next ones stand by.
+    /// Nodes that read the store and come before `vm` in an order that all share: the first
+    /// ones read for the others, the next ones stand by.
+    ///
+    /// Only nodes that were heard lately count, since one that stands still reads nothing.
     #[must_use]
     pub fn readers_before(&self, now: TimePoint, vm: &VmId) -> usize {
-        self.live(now).filter(|beat| beat.reads_store && beat.vm < *vm).count()
+        let span =
+            TimeSpan(self.beat_span().0 * READER_BEATS).clamp(READER_SPANS[0], READER_SPANS[1]);
+        let reads = |entry: &&PeerEntry| entry.beat.reads_store && now.since(entry.heard) < span;
+        let own = reader_rank(vm);
+        self.peers.values().filter(reads).filter(|entry| reader_rank(&entry.beat.vm) < own).count()
+    }
+
+    /// Nodes that wait for changes of the configuration at a time.
+    #[must_use]
+    pub fn wanted_readers(&self) -> usize {
+        (self.sharers() / NODES_PER_READER).max(LEAST_READERS)
     }
 
     /// Live nodes with a newer configuration: those with the newest one.
@@ -128,3 +152,8 @@
         self.last_heard.is_some_and(|heard| heard < since)
     }
 }
+
+/// Place of a node among the readers; neighbours by name are not neighbours here.
+fn reader_rank(vm: &VmId) -> (u64, &VmId) {
+    (rendezvous_score("reader", vm.as_str()), vm)
+}
