--- a/crates/node/src/call_log.rs
+++ b/crates/node/src/call_log.rs
@@ -72,11 +72,44 @@
     }
 }
 
+/// How a request ended, in one word.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EndOutcome {
+    /// A runner's whole answer was passed on.
+    Answered,
+    /// A stream was passed on to its end.
+    Streamed,
+    /// It did not run and never will.
+    NotRun,
+    /// Whether it ran is not known.
+    Unknown,
+    /// A stream broke off.
+    Cut,
+    /// The caller left.
+    CallerLeft,
+    /// It was never matched to a route.
+    Rejected,
+}
+
+impl EndOutcome {
+    fn word(self) -> &'static str {
+        match self {
+            Self::Answered => "answered",
+            Self::Streamed => "streamed",
+            Self::NotRun => "not_run",
+            Self::Unknown => "unknown",
+            Self::Cut => "cut",
+            Self::CallerLeft => "caller_left",
+            Self::Rejected => "rejected",
+        }
+    }
+}
+
 /// How a request ended.
 #[derive(Debug, Clone, Copy)]
 pub struct CallEnding {
     /// In one word.
-    pub outcome: &'static str,
+    pub outcome: EndOutcome,
     /// Why, where it was refused or failed.
     pub reason: &'static str,
     /// The status that the caller got; 0 if it got none.
@@ -86,6 +119,7 @@
 /// Notes how a request ended.
 pub fn log_end(context: &NodeContext, call: &Call, ending: CallEnding) {
     let CallEnding { outcome, reason, status } = ending;
+    let outcome = outcome.word();
     context.metrics.ended.get_or_create(&EndLabels { outcome, reason }).inc();
     let total = context.now().since(call.arrived);
     context.metrics.total.observe(total.as_seconds());
@@ -105,9 +139,10 @@
 
 /// Notes a request that was refused before it was matched to a route.
 pub fn log_rejection(context: &NodeContext, request: &str, reason: &'static str, status: u16) {
-    context.metrics.ended.get_or_create(&EndLabels { outcome: "rejected", reason }).inc();
+    let outcome = EndOutcome::Rejected.word();
+    context.metrics.ended.get_or_create(&EndLabels { outcome, reason }).inc();
     if may_write(context) {
         let plan = context.plan_version().map(|version| version.0);
-        tracing::info!(event = "end", request, outcome = "rejected", reason, status, plan);
+        tracing::info!(event = "end", request, outcome, reason, status, plan);
     }
 }
--- a/crates/node/src/plain_call.rs
+++ b/crates/node/src/plain_call.rs
@@ -12,7 +12,7 @@
 use web::{WebResponse, full_body};
 
 use crate::call::Call;
-use crate::call_log::{CallEnding, log_end, log_send, log_setback};
+use crate::call_log::{CallEnding, EndOutcome, log_end, log_send, log_setback};
 use crate::context::NodeContext;
 use crate::front::Rejection;
 use crate::router::{RouteTicket, RouterService};
@@ -157,7 +157,11 @@
 /// Passes a runner's whole answer on, unchanged.
 pub fn pass_on(context: &NodeContext, call: &Call, answer: &Response<Bytes>) -> WebResponse {
     let status = answer.status();
-    log_end(context, call, CallEnding { outcome: "answered", reason: "", status: status.as_u16() });
+    log_end(
+        context,
+        call,
+        CallEnding { outcome: EndOutcome::Answered, reason: "", status: status.as_u16() },
+    );
     let mut response = Response::new(full_body(answer.body().clone()));
     *response.status_mut() = status;
     *response.headers_mut() = copy_reply_headers(answer.headers());
@@ -176,11 +180,11 @@
         return pass_on(context, call, &answer);
     }
     let (outcome, status) = match track.final_status() {
-        FinalStatus::NotRun => ("not_run", StatusCode::SERVICE_UNAVAILABLE),
+        FinalStatus::NotRun => (EndOutcome::NotRun, StatusCode::SERVICE_UNAVAILABLE),
         FinalStatus::Unknown if call.deadline <= context.now() => {
-            ("unknown", StatusCode::GATEWAY_TIMEOUT)
+            (EndOutcome::Unknown, StatusCode::GATEWAY_TIMEOUT)
         }
-        FinalStatus::Unknown => ("unknown", StatusCode::BAD_GATEWAY),
+        FinalStatus::Unknown => (EndOutcome::Unknown, StatusCode::BAD_GATEWAY),
     };
     let reason = given_up.reason;
     log_end(context, call, CallEnding { outcome, reason, status: status.as_u16() });
--- a/crates/node/src/stream_change.rs
+++ b/crates/node/src/stream_change.rs
@@ -12,7 +12,7 @@
 use serving::RunnerRecord;
 use web::WebExchange;
 
-use crate::call_log::log_setback;
+use crate::call_log::{EndOutcome, log_setback};
 use crate::metrics::EndLabels;
 use crate::runner_send::{SendPlan, SendSetback, send_to_runner};
 use crate::stream_call::choose_backup;
@@ -32,8 +32,6 @@
 const COPY_SPAN: TimeSpan = TimeSpan::millis(900);
 /// Pause before a move to another target, after one had no room.
 const NEXT_TARGET_PAUSE: TimeSpan = TimeSpan::millis(20);
-/// Status of a move of a run that is not at the runner.
-const RUN_NOT_FOUND: u16 = 404;
 /// Time for another runner to take a run over before the old one is cut off. Two runners
 /// may not work on one request for longer than 400 ms.
 const OVERLAP_LIMIT: TimeSpan = TimeSpan::millis(250);
@@ -60,7 +58,7 @@
         if self.source.backup.is_some() && self.changes < MAX_CHANGES {
             return self.resume_from_backup().await;
         }
-        PumpStep::End("cut", "runner_lost")
+        PumpStep::End(EndOutcome::Cut, "runner_lost")
     }
 
     /// The runner has announced that it leaves.
@@ -101,7 +99,7 @@
         match self.take_over(&plan, "resumed").await {
             Ok(step) => step,
             Err(_) if !self.source.ended => self.start_move(),
-            Err(_) => PumpStep::End("cut", "resume_refused"),
+            Err(_) => PumpStep::End(EndOutcome::Cut, "resume_refused"),
         }
     }
 
@@ -148,10 +146,10 @@
                 self.note_change("move_failed");
                 self.log_setback(&error.to_string());
                 if self.source.ended {
-                    return PumpStep::End("cut", "move_failed");
+                    return PumpStep::End(EndOutcome::Cut, "move_failed");
                 }
                 // A run that is not there has ended; the rest of its events is on its way.
-                let is_over = error.status() == Some(RUN_NOT_FOUND);
+                let is_over = error.is_missing();
                 self.source.leave_at = (!is_over).then(|| self.context.now() + NEXT_TARGET_PAUSE);
                 PumpStep::Continue
             }
@@ -172,7 +170,7 @@
         let plan = SendPlan { runner: target, resume: Some(resume), backup };
         match self.take_over(&plan, "moved").await {
             Ok(step) => step,
-            Err(_) => PumpStep::End("cut", "move_failed"),
+            Err(_) => PumpStep::End(EndOutcome::Cut, "move_failed"),
         }
     }
 
@@ -195,7 +193,7 @@
             self.note_change("answered_otherwise");
             let status = exchange.response.status().to_string();
             log_setback(&self.context, &self.call, &plan.runner.runner, &status);
-            return Ok(PumpStep::End("cut", "resume_failed"));
+            return Ok(PumpStep::End(EndOutcome::Cut, "resume_failed"));
         }
         self.note_change(word);
         tracing::info!(
@@ -242,7 +240,9 @@
                     PumpStep::Continue => (),
                     end @ PumpStep::End(..) => return Some(end),
                 },
-                Ok(None) if self.source.framed => return Some(PumpStep::End("streamed", "")),
+                Ok(None) if self.source.framed => {
+                    return Some(PumpStep::End(EndOutcome::Streamed, ""));
+                }
                 _ => self.source.cut_off(),
             }
         }
--- a/crates/node/src/stream_pump.rs
+++ b/crates/node/src/stream_pump.rs
@@ -12,7 +12,7 @@
 use serving::StreamScanner;
 
 use crate::call::Call;
-use crate::call_log::{CallEnding, log_end, log_setback};
+use crate::call_log::{CallEnding, EndOutcome, log_end, log_setback};
 use crate::context::{ActiveGuard, NodeContext};
 use crate::router::RouteTicket;
 use crate::stream_change::{MAX_CHANGES, PendingMove};
@@ -31,8 +31,8 @@
 /// How the task goes on.
 pub(crate) enum PumpStep {
     Continue,
-    /// Outcome and reason.
-    End(&'static str, &'static str),
+    /// How the stream ended, and why.
+    End(EndOutcome, &'static str),
 }
 
 /// The state of the task.
@@ -77,8 +77,8 @@
     pub async fn run(mut self) {
         loop {
             let step = match self.next_input().await {
-                PumpInput::CallerLeft => PumpStep::End("caller_left", ""),
-                PumpInput::Deadline => PumpStep::End("cut", "deadline_passed"),
+                PumpInput::CallerLeft => PumpStep::End(EndOutcome::CallerLeft, ""),
+                PumpInput::Deadline => PumpStep::End(EndOutcome::Cut, "deadline_passed"),
                 PumpInput::RunnerLeaves => self.prepare_leave(),
                 PumpInput::LeaveRunner => self.leave_runner().await,
                 PumpInput::Moved(outcome) => self.finish_move(outcome).await,
@@ -139,7 +139,7 @@
                 if self.scanner.has_rest() || stopped && !self.source.framed {
                     self.lose_source("the connection ended").await
                 } else {
-                    PumpStep::End("streamed", "")
+                    PumpStep::End(EndOutcome::Streamed, "")
                 }
             }
         }
@@ -151,7 +151,7 @@
             Ok(whole) => whole,
             Err(error) => {
                 self.log_setback(&error.to_string());
-                return PumpStep::End("cut", "stream_malformed");
+                return PumpStep::End(EndOutcome::Cut, "stream_malformed");
             }
         };
         if whole.is_empty() {
@@ -166,9 +166,9 @@
         select_biased! {
             sent = sent => match sent {
                 Ok(()) => PumpStep::Continue,
-                Err(_) => PumpStep::End("caller_left", ""),
+                Err(_) => PumpStep::End(EndOutcome::CallerLeft, ""),
             },
-            () = left => PumpStep::End("caller_left", ""),
+            () = left => PumpStep::End(EndOutcome::CallerLeft, ""),
         }
     }
 
@@ -177,10 +177,10 @@
         log_setback(&self.context, &self.call, &self.source.runner.runner, what);
     }
 
-    async fn end(self, outcome: &'static str, reason: &'static str) {
+    async fn end(self, outcome: EndOutcome, reason: &'static str) {
         let end = match outcome {
-            "streamed" => CallEnd::Finished,
-            "caller_left" => CallEnd::Left,
+            EndOutcome::Streamed => CallEnd::Finished,
+            EndOutcome::CallerLeft => CallEnd::Left,
             _ => CallEnd::Failed,
         };
         let first = self.pace.first.unwrap_or(self.context.now());
