Give a request up after a few connections that fail

Cause, found by reading: a runner that refuses connections takes no time to fail, nothing counted such sends, and a request tried on without pause until its deadline: 8.0 s in the new test, against the rule that what is given up on is told at once. Six failed connections now end it as not run. Ruled out: ejection, which falls back to ejected runners when no other is left.

--- a/crates/harness/tests/node_runner_faults.rs
+++ b/crates/harness/tests/node_runner_faults.rs
@@ -113,3 +113,22 @@
     })
     .unwrap();
 }
+
+#[test]
+fn a_request_whose_runners_refuse_connections_is_given_up_at_once() {
+    kernel::run(async {
+        let mut fleet = NodeFleet::start().await.unwrap();
+        let desk = fleet.add_runner("desk", RunnerFakeSettings::new("desk-1")).await.unwrap();
+        fleet.add_node().unwrap();
+        fleet.wait_ready().await.unwrap();
+        desk.crash();
+        for request in [CallerRequest::booking("a1"), CallerRequest::lookup("a2")] {
+            let begun = std::time::Instant::now();
+            let answer = fleet.send(0, &request).await;
+            assert_eq!(answer.status, 503);
+            assert!(answer.retry_after.is_some());
+            assert!(begun.elapsed() < std::time::Duration::from_secs(1), "{:?}", begun.elapsed());
+        }
+    })
+    .unwrap();
+}
--- a/crates/serving/src/attempt.rs
+++ b/crates/serving/src/attempt.rs
@@ -33,8 +33,13 @@
     max_attempts: u32,
     sends: u32,
     runs: u32,
+    /// Sends of which no byte left this node.
+    unsent: u32,
 }
 
+/// Connections that may fail before the request is given up: each refused one takes no
+/// time, so that a request would otherwise try on without pause until its deadline.
+const MAX_UNSENT: u32 = 6;
 /// Sends that runners may refuse before the request is given up; each one costs a round
 /// trip and a part of the shared retry budget.
 const MAX_REFUSALS: u32 = 3;
@@ -43,13 +48,13 @@
     /// A request that was not sent yet.
     #[must_use]
     pub fn new(kind: RouteKind, max_attempts: u32) -> Self {
-        Self { kind, max_attempts: max_attempts.max(1), sends: 0, runs: 0 }
+        Self { kind, max_attempts: max_attempts.max(1), sends: 0, runs: 0, unsent: 0 }
     }
 
     /// Notes how a send ended.
     pub fn note(&mut self, outcome: SendOutcome) {
         match outcome {
-            SendOutcome::NotSent => (),
+            SendOutcome::NotSent => self.unsent += 1,
             SendOutcome::Refused => self.sends += 1,
             SendOutcome::Failed | SendOutcome::Unknown => {
                 self.sends += 1;
@@ -68,7 +73,8 @@
     #[must_use]
     pub fn may_send(&self) -> bool {
         let repeatable = self.kind == RouteKind::Idempotent || self.runs == 0;
-        repeatable && self.runs < self.max_attempts && self.sends < self.max_attempts + MAX_REFUSALS
+        let patient = self.sends < self.max_attempts + MAX_REFUSALS && self.unsent < MAX_UNSENT;
+        repeatable && patient && self.runs < self.max_attempts
     }
 
     /// The status if the request ends now.
--- a/crates/serving/tests/attempt.rs
+++ b/crates/serving/tests/attempt.rs
@@ -70,3 +70,17 @@
     }
     assert_eq!(sends, 4);
 }
+
+#[test]
+fn connections_that_fail_end_after_a_few() {
+    for kind in KINDS {
+        let mut track = AttemptTrack::new(kind, 2);
+        let mut connections = 0;
+        while track.may_send() && connections < 1_000 {
+            track.note(SendOutcome::NotSent);
+            connections += 1;
+        }
+        assert_eq!(connections, 6, "{kind:?}");
+        assert_eq!(track.final_status(), FinalStatus::NotRun);
+    }
+}
