--- a/crates/node/src/peer_link.rs
+++ b/crates/node/src/peer_link.rs
@@ -8,10 +8,9 @@
 use compio::net::UdpSocket;
 use futures_channel::mpsc;
 use futures_util::StreamExt;
-use hyper::Method;
 use rand::seq::IndexedRandom;
 use serving::{PeerBeat, PeerMessage, RunnerNews, RunnerRecord, ServingPlan};
-use web::{Result, WebError, fetch};
+use web::{Result, fetch_json};
 
 use crate::context::NodeContext;
 use crate::dependency::DependencyState;
@@ -207,14 +206,15 @@
 
     async fn fetch_plan(&self, peer: SocketAddr) -> Result<()> {
         let step = "configuration of another node";
-        let plan: ServingPlan = get(step, peer, PLAN_PATH).await?;
+        let plan: ServingPlan = fetch_json(step, peer, PLAN_PATH, PEER_LIMIT).await?;
         take_plan(&self.context, &self.router, plan, "node");
         Ok(())
     }
 
     async fn fetch_runners(&self, peer: SocketAddr) -> Result<()> {
         let asked = self.context.now();
-        let answer: RunnersAnswer = get("runners of another node", peer, RUNNERS_PATH).await?;
+        let step = "runners of another node";
+        let answer: RunnersAnswer = fetch_json(step, peer, RUNNERS_PATH, PEER_LIMIT).await?;
         if answer.read <= self.context.runners_read.get() {
             return Ok(());
         }
@@ -229,12 +229,3 @@
         Ok(())
     }
 }
-
-async fn get<T: serde::de::DeserializeOwned>(
-    step: &'static str,
-    peer: SocketAddr,
-    path: &str,
-) -> Result<T> {
-    let bytes = fetch(step, Method::GET, peer, path, Vec::new().into(), PEER_LIMIT).await?;
-    serde_json::from_slice(&bytes).map_err(|source| WebError::Json { step, source })
-}
