Go on from the whole copy of a run, without a stop for its rest

Cause: a run that left its runner stopped 0.9 s after the news and waited for the copy of what it had made meanwhile.

Change: the copy is used as soon as it is whole; the other runner reads what is missing, as it does for copies kept from the start. A run whose copy is kept from the start goes on there 0.1 s after the news in place of 0.5 s, which leaves time to copy where the copy is not there. A target that refuses is followed by another; before, that cut the stream. The adapter's call needs no `last`.

The model of moves follows: nothing is read from the old runner while another is asked. Two tests in node_moves fail on the code before: a notice of 0.7 s, and a target that refuses.

--- a/crates/fakes/src/platform/runner_fake.rs
+++ b/crates/fakes/src/platform/runner_fake.rs
@@ -229,8 +229,7 @@
 
 async fn answer_move(stream: &mut TcpStream, state: &RunnerState, request: &RunnerRequest) -> bool {
     let body: Value = serde_json::from_slice(&request.body).unwrap_or_default();
-    let (id, last) = (body["id"].as_str().unwrap_or_default(), body["last"] == true);
-    match state.memory.copy(id, last) {
+    match state.memory.copy(body["id"].as_str().unwrap_or_default()) {
         Some((handle, events)) => {
             let body = json!({ "kvHandle": handle, "created": events }).to_string();
             write(stream, whole("200 OK", "", &body)).await
@@ -328,9 +327,6 @@
     }
     let first = request.header("last-event-id").parse::<u64>().map_or(1, |last| last + 1);
     for number in first..=state.settings.events {
-        if state.memory.is_stopped(attempt) {
-            return false;
-        }
         if script == RunnerScript::Truncate && number == state.settings.events / 2 {
             write(stream, "20\r\nid: 99").await;
             return false;
--- a/crates/fakes/src/platform/stream_memory.rs
+++ b/crates/fakes/src/platform/stream_memory.rs
@@ -9,8 +9,6 @@
 struct RunMemory {
     /// Events that it made.
     events: u64,
-    /// It was told to stop for a move.
-    stopped: bool,
     /// It has a copy on another runner.
     backed_up: bool,
     /// It ended by itself.
@@ -30,7 +28,6 @@
     pub fn begin(&self, attempt: &str, backed_up: bool) {
         let mut runs = self.runs.borrow_mut();
         let run = runs.entry(attempt.to_owned()).or_default();
-        run.stopped = false;
         run.backed_up = backed_up;
     }
 
@@ -48,23 +45,15 @@
         }
     }
 
-    /// Whether a run was told to stop.
+    /// Copies a run, which goes on. Gives the handle and the events made, or none if no
+    /// such run goes on.
     #[must_use]
-    pub fn is_stopped(&self, attempt: &str) -> bool {
-        self.runs.borrow().get(attempt).is_some_and(|run| run.stopped)
-    }
-
-    /// Copies a run; with `last` it stops. Gives the handle and the events made, or none
-    /// if no such run goes on.
-    #[must_use]
-    pub fn copy(&self, attempt: &str, last: bool) -> Option<(String, u64)> {
-        let mut runs = self.runs.borrow_mut();
-        let run = runs.get_mut(attempt).filter(|run| !run.ended)?;
-        run.stopped |= last;
+    pub fn copy(&self, attempt: &str) -> Option<(String, u64)> {
+        let events = self.runs.borrow().get(attempt).filter(|run| !run.ended)?.events;
         let handle = format!("h{}", self.next_handle.get());
         self.next_handle.set(self.next_handle.get() + 1);
         self.handles.borrow_mut().insert(handle.clone(), attempt.to_owned());
-        Some((handle, run.events))
+        Some((handle, events))
     }
 
     /// Uses a handle, or the copy under the attempt's own id, once.
--- a/crates/harness/tests/node_moves.rs
+++ b/crates/harness/tests/node_moves.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use fakes::platform::{RunnerFake, RunnerFakeSettings, StoreFault};
+use fakes::platform::{RunnerFake, RunnerFakeSettings, RunnerScript, StoreFault};
 use harness::{CallerRequest, NodeFleet, WholeAnswer, wait_until};
 
 const EVENTS: u64 = 350;
@@ -72,6 +72,39 @@
     .unwrap();
 }
 
+#[test]
+fn a_stream_moves_within_a_short_notice() {
+    kernel::run(async {
+        let runs = play(short(), async |fleet, runner| {
+            fleet.tell(runner, "llm", "draining");
+            compio::time::sleep(Duration::from_millis(700)).await;
+            runner.crash();
+        })
+        .await;
+        assert_eq!(runs, 2);
+    })
+    .unwrap();
+}
+
+#[test]
+fn a_move_that_its_target_refuses_goes_to_another() {
+    kernel::run(async {
+        let (fleet, runners) = fleet().await;
+        let request = short();
+        let (answer, ()) = futures_util::join!(fleet.send(0, &request), async {
+            let runner = worker(&runners).await;
+            for other in runners.iter().filter(|other| other.id() != runner.id()) {
+                other.script(&[RunnerScript::Refuse]);
+            }
+            fleet.tell(runner, "llm", "draining");
+            compio::time::sleep(Duration::from_millis(1_500)).await;
+            runner.crash();
+        });
+        assert_whole(&answer);
+    })
+    .unwrap();
+}
+
 #[test]
 fn a_stream_moves_when_its_runner_disappears_from_the_list() {
     kernel::run(async {
--- a/crates/node/src/stream_change.rs
+++ b/crates/node/src/stream_change.rs
@@ -2,13 +2,12 @@
 //!
 //! With a copy elsewhere it goes on there; without one its memory is moved first.
 
-use std::cell::Cell;
 use std::pin::{Pin, pin};
 use std::rc::Rc;
 
 use base::prelude::*;
 use futures_util::{FutureExt, select_biased};
-use platform::{MoveAnswer, ResumeSource};
+use platform::ResumeSource;
 use serving::RunnerRecord;
 use web::WebExchange;
 
@@ -16,35 +15,28 @@
 use crate::metrics::EndLabels;
 use crate::runner_send::{SendPlan, SendSetback, send_to_runner};
 use crate::stream_call::choose_backup;
-use crate::stream_move::StreamMove;
+use crate::stream_move::{RunCopy, copy_run};
 use crate::stream_pump::{PumpStep, StreamPump};
 use crate::stream_source::StreamSource;
 
 /// Changes of the runner of one stream at most.
 pub const MAX_CHANGES: u32 = 16;
-/// Time to read what a stopped run still had on its way.
-const REST_TIME: TimeSpan = TimeSpan::millis(100);
 /// Time that a run with a copy elsewhere stays at a runner that leaves: short enough for
 /// the shortest notice (1.5 s), less the age of the news.
-const STAY_SPAN: TimeSpan = TimeSpan::millis(500);
-/// Time from the news that a runner leaves in which the runs there are copied while they go
-/// on. A run that stops for the rest of its copy earlier would wait behind whole copies.
-const COPY_SPAN: TimeSpan = TimeSpan::millis(900);
+const STAY_SPAN: TimeSpan = TimeSpan::millis(100);
 /// Pause before a move to another target, after one had no room.
 const NEXT_TARGET_PAUSE: TimeSpan = TimeSpan::millis(20);
 /// Time for another runner to take a run over before the old one is cut off. Two runners
 /// may not work on one request for longer than 400 ms.
 const OVERLAP_LIMIT: TimeSpan = TimeSpan::millis(250);
 
-type MoveFuture = Pin<Box<dyn Future<Output = platform::Result<MoveAnswer>>>>;
+type CopyFuture = Pin<Box<dyn Future<Output = platform::Result<RunCopy>>>>;
 
 /// A move that was begun.
 pub struct PendingMove {
     target: RunnerRecord,
-    /// Set before the run is told to stop.
-    pub stopping: Rc<Cell<bool>>,
     /// Ends with the copy.
-    pub future: MoveFuture,
+    pub future: CopyFuture,
 }
 
 impl StreamPump {
@@ -121,56 +113,50 @@
         let target = entry.record.clone();
         let events = self.scanner.events();
         tracing::info!(event = "move_begun", %request, %from, to = %target.runner, events);
-        let stopping = Rc::new(Cell::new(false));
-        let transfer = StreamMove {
-            attempt: self.call.attempt.clone(),
-            source: old.address,
-            target: target.address,
-            stop_at: runners
-                .get(from)
-                .and_then(serving::RunnerEntry::gone_since)
-                .unwrap_or_default()
-                + COPY_SPAN,
-            context: Rc::clone(&self.context),
-            stopping: Rc::clone(&stopping),
-        };
-        self.moving = Some(PendingMove { target, stopping, future: Box::pin(transfer.run()) });
+        let (context, attempt) = (Rc::clone(&self.context), self.call.attempt.clone());
+        let copy = copy_run(context, attempt, old.address, target.address);
+        self.moving = Some(PendingMove { target, future: Box::pin(copy) });
         PumpStep::Continue
     }
 
-    pub(crate) async fn finish_move(&mut self, outcome: platform::Result<MoveAnswer>) -> PumpStep {
+    pub(crate) async fn finish_move(&mut self, outcome: platform::Result<RunCopy>) -> PumpStep {
         let Some(moving) = self.moving.take() else { return PumpStep::Continue };
         match outcome {
-            Ok(answer) => self.switch(moving.target, answer).await,
+            Ok(copy) => self.switch(moving.target, copy).await,
             Err(error) => {
                 self.note_change("move_failed");
                 self.log_setback(&error.to_string());
-                if self.source.ended {
-                    return PumpStep::End(EndOutcome::Cut, "move_failed");
-                }
                 // A run that is not there has ended; the rest of its events is on its way.
-                let is_over = error.is_missing();
-                self.source.leave_at = (!is_over).then(|| self.context.now() + NEXT_TARGET_PAUSE);
-                PumpStep::Continue
+                self.move_again(!error.is_missing())
             }
         }
     }
 
-    /// Goes on at `target`, which holds the memory under the handle of `answer`.
-    async fn switch(&mut self, target: RunnerRecord, answer: MoveAnswer) -> PumpStep {
-        if let Some(step) = self.read_rest().await {
-            return step;
+    /// Tries another target a little later, unless the run is over or lost.
+    fn move_again(&mut self, still_runs: bool) -> PumpStep {
+        if self.source.ended {
+            return PumpStep::End(EndOutcome::Cut, "move_failed");
         }
+        self.source.leave_at = still_runs.then(|| self.context.now() + NEXT_TARGET_PAUSE);
+        PumpStep::Continue
+    }
+
+    /// Goes on at `target`, which holds `copy`. The old runner is cut off as soon as the
+    /// other has taken over.
+    async fn switch(&mut self, target: RunnerRecord, copy: RunCopy) -> PumpStep {
         let resume = ResumeSource {
             address: self.source.runner.address,
-            handle: answer.handle,
+            handle: copy.handle.clone(),
             last_event: self.scanner.last(),
         };
         let backup = choose_backup(&self.context, &self.call, &self.ticket);
         let plan = SendPlan { runner: target, resume: Some(resume), backup };
         match self.take_over(&plan, "moved").await {
-            Ok(step) => step,
-            Err(_) => PumpStep::End(EndOutcome::Cut, "move_failed"),
+            Ok(step) => {
+                copy.keep();
+                step
+            }
+            Err(_) => self.move_again(true),
         }
     }
 
@@ -229,26 +215,6 @@
         }
     }
 
-    /// Reads what the stopped run had sent before it stopped.
-    async fn read_rest(&mut self) -> Option<PumpStep> {
-        let until = self.context.now() + REST_TIME;
-        while !self.source.ended {
-            let left = until.since(self.context.now());
-            let frame = compio::time::timeout(left.into(), self.source.next_data()).await;
-            match frame {
-                Ok(Some(Ok(bytes))) => match self.pass_on(&bytes).await {
-                    PumpStep::Continue => (),
-                    end @ PumpStep::End(..) => return Some(end),
-                },
-                Ok(None) if self.source.framed => {
-                    return Some(PumpStep::End(EndOutcome::Streamed, ""));
-                }
-                _ => self.source.cut_off(),
-            }
-        }
-        None
-    }
-
     fn note_change(&self, outcome: &'static str) {
         self.context.metrics.moves.get_or_create(&EndLabels { outcome, reason: "" }).inc();
     }
--- a/crates/node/src/stream_pump.rs
+++ b/crates/node/src/stream_pump.rs
@@ -7,7 +7,6 @@
 
 use futures_util::{FutureExt, SinkExt, select_biased};
 use hyper::body::Bytes;
-use platform::MoveAnswer;
 use route::CallEnd;
 use serving::StreamScanner;
 
@@ -16,6 +15,7 @@
 use crate::context::{ActiveGuard, NodeContext};
 use crate::router::RouteTicket;
 use crate::stream_change::{MAX_CHANGES, PendingMove};
+use crate::stream_move::RunCopy;
 use crate::stream_source::{CallerSide, StreamPace, StreamSource};
 
 /// What the task has to act on.
@@ -24,7 +24,7 @@
     Deadline,
     RunnerLeaves,
     LeaveRunner,
-    Moved(platform::Result<MoveAnswer>),
+    Moved(platform::Result<RunCopy>),
     Frame(Option<Result<Bytes, hyper::Error>>),
 }
 
@@ -135,8 +135,7 @@
             Some(Ok(bytes)) => self.pass_on(&bytes).await,
             Some(Err(error)) => self.lose_source(&error.to_string()).await,
             None => {
-                let stopped = self.moving.as_ref().is_some_and(|moving| moving.stopping.get());
-                if self.scanner.has_rest() || stopped && !self.source.framed {
+                if self.scanner.has_rest() {
                     self.lose_source("the connection ended").await
                 } else {
                     PumpStep::End(EndOutcome::Streamed, "")
--- a/crates/node/src/stream_source.rs
+++ b/crates/node/src/stream_source.rs
@@ -4,7 +4,6 @@
 use futures_channel::mpsc;
 use http_body_util::BodyExt;
 use hyper::body::{Bytes, Incoming};
-use hyper::header::TRANSFER_ENCODING;
 use kernel::StopSignal;
 use serving::RunnerRecord;
 use web::{ConnectionCut, ConnectionTask, WebExchange};
@@ -21,8 +20,6 @@
     pub body: Incoming,
     /// None once it was cut off.
     pub connection: Option<ConnectionTask>,
-    /// The end of the answer can be told from a broken connection.
-    pub framed: bool,
     /// It gives nothing more.
     pub ended: bool,
     /// When the run goes on elsewhere.
@@ -33,14 +30,12 @@
     /// A stream whose head has come.
     #[must_use]
     pub fn new(plan: &SendPlan, exchange: WebExchange) -> Self {
-        let framed = exchange.response.headers().contains_key(TRANSFER_ENCODING);
         let WebExchange { response, connection } = exchange;
         Self {
             runner: plan.runner.clone(),
             backup: plan.backup.clone(),
             body: response.into_body(),
             connection: Some(connection),
-            framed,
             ended: false,
             leave_at: None,
         }
--- a/crates/spec/src/moves.rs
+++ b/crates/spec/src/moves.rs
@@ -1,5 +1,5 @@
-//! A running stream that changes its runner: events on their way, a copy of the memory, a
-//! stop, and another runner that goes on.
+//! A running stream that changes its runner: events on their way, another runner that is
+//! asked to go on from a copy of the memory, and the old one, which is cut off.
 
 use serving::StreamScanner;
 
@@ -8,32 +8,37 @@
 /// A variant of the model.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum MoveVariant {
-    /// As the product does it: the run stops, its rest is read, then another goes on.
+    /// As the product does it: nothing is read from the old runner while another is asked
+    /// to go on after what the caller has, and the old one is cut off when it does.
     Sound,
-    /// The other runner goes on before the run has stopped.
-    NoStop,
-    /// It goes on from the events that were made, not from those that the caller has.
+    /// The old runner is left at work.
+    NoCut,
+    /// The other goes on from the events that were made, not from those that the caller has.
     FromMade,
-    /// The rest that the old runner had sent is read after the other has gone on.
-    RestAfterResume,
-    /// Numbers of events are not checked.
+    /// Events of the old runner are read while the other is asked, and after.
+    ReadOn,
+    /// The same, and numbers of events are not checked.
     Unchecked,
 }
 
 impl MoveVariant {
     /// All of them.
     pub const ALL: [Self; 5] =
-        [Self::Sound, Self::NoStop, Self::FromMade, Self::RestAfterResume, Self::Unchecked];
+        [Self::Sound, Self::NoCut, Self::FromMade, Self::ReadOn, Self::Unchecked];
 
     fn name(self) -> &'static str {
         match self {
             Self::Sound => "sound",
-            Self::NoStop => "goes on before the stop",
+            Self::NoCut => "old runner not cut off",
             Self::FromMade => "goes on from the events made",
-            Self::RestAfterResume => "rest read after going on",
-            Self::Unchecked => "rest read late, numbers unchecked",
+            Self::ReadOn => "old runner read on",
+            Self::Unchecked => "read on, numbers unchecked",
         }
     }
+
+    fn reads_on(self) -> bool {
+        matches!(self, Self::ReadOn | Self::Unchecked)
+    }
 }
 
 /// Events of the stream.
@@ -45,13 +50,15 @@
     OldMakes,
     /// The node reads the next event of the old runner.
     ReadOld,
-    /// The node asks for a copy with a stop.
-    Stop,
     /// The connection to the old runner breaks; what was on its way is lost.
     OldBreaks,
     /// Another runner is asked to go on.
-    Resume,
-    /// The other runner makes an event and the node reads it.
+    Ask,
+    /// It has no copy.
+    Refused,
+    /// It goes on.
+    TakesOver,
+    /// It makes an event and the node reads it.
     NewMakes,
     /// The stream has ended at the runner that has it.
     End,
@@ -65,8 +72,12 @@
     made: u64,
     /// Events of the old runner that the node has not read.
     on_the_way: Vec<u64>,
-    stopped: bool,
-    broken: bool,
+    /// The old runner works no more: its connection broke, or the node has cut it.
+    cut: bool,
+    /// The event after which another runner is asked to go on.
+    asked: Option<u64>,
+    /// A runner was asked and had no copy.
+    refused: bool,
     /// Next event of the other runner, once it goes on.
     next: Option<u64>,
     end: Option<StreamEnd>,
@@ -87,8 +98,9 @@
         delivered: Vec::new(),
         made: 0,
         on_the_way: Vec::new(),
-        stopped: false,
-        broken: false,
+        cut: false,
+        asked: None,
+        refused: false,
         next: None,
         end: None,
     };
@@ -107,33 +119,27 @@
         return Vec::new();
     }
     let mut steps = Vec::new();
-    if world.next.is_none() || variant != MoveVariant::Sound {
-        if !world.stopped && !world.broken && world.made < EVENTS {
-            steps.push(MoveStep::OldMakes);
-        }
-        if !world.on_the_way.is_empty() {
-            steps.push(MoveStep::ReadOld);
-        }
+    if !world.cut && world.made < EVENTS {
+        steps.push(MoveStep::OldMakes);
     }
-    if world.next.is_none() {
-        if !world.stopped && !world.broken {
-            steps.push(MoveStep::Stop);
-        }
-        if !world.broken {
-            steps.push(MoveStep::OldBreaks);
-        }
-        // The rest is read before another goes on, but not by the variants that forget it.
-        let rest_read = world.on_the_way.is_empty() || variant != MoveVariant::Sound;
-        if (world.stopped && rest_read) || variant == MoveVariant::NoStop {
-            steps.push(MoveStep::Resume);
-        }
+    let alone = world.asked.is_none() && world.next.is_none();
+    if !world.on_the_way.is_empty() && (alone || variant.reads_on()) {
+        steps.push(MoveStep::ReadOld);
+    }
+    if !world.cut && world.next.is_none() {
+        steps.push(MoveStep::OldBreaks);
+    }
+    if alone && !world.refused {
+        steps.push(MoveStep::Ask);
+    }
+    if world.asked.is_some() {
+        steps.extend([MoveStep::Refused, MoveStep::TakesOver]);
     }
     if world.next.is_some_and(|next| next <= EVENTS) {
         steps.push(MoveStep::NewMakes);
     }
-    let old_done = world.made == EVENTS && world.on_the_way.is_empty() && !world.broken;
-    let new_done = world.next == Some(EVENTS + 1);
-    if new_done || world.next.is_none() && !world.stopped && old_done {
+    let old_done = alone && !world.cut && world.made == EVENTS && world.on_the_way.is_empty();
+    if old_done || world.next == Some(EVENTS + 1) {
         steps.push(MoveStep::End);
     }
     steps
@@ -150,15 +156,24 @@
             let event = next.on_the_way.remove(0);
             deliver(variant, &mut next, event);
         }
-        MoveStep::Stop => next.stopped = true,
         MoveStep::OldBreaks => {
-            next.broken = true;
+            next.cut = true;
             next.on_the_way.clear();
         }
-        MoveStep::Resume => {
-            let from_made = variant == MoveVariant::FromMade;
-            let last = if from_made { world.made } else { world.scanner.last().unwrap_or(0) };
-            next.next = Some(last + 1);
+        MoveStep::Ask => {
+            let has = world.scanner.last().unwrap_or(0);
+            next.asked = Some(if variant == MoveVariant::FromMade { world.made } else { has });
+        }
+        MoveStep::Refused => {
+            next.asked = None;
+            next.refused = true;
+        }
+        MoveStep::TakesOver => {
+            next.next = next.asked.take().map(|last| last + 1);
+            next.cut |= variant != MoveVariant::NoCut;
+            if !variant.reads_on() {
+                next.on_the_way.clear();
+            }
         }
         MoveStep::NewMakes => {
             if let Some(event) = world.next {
@@ -190,7 +205,7 @@
     if world.end == Some(StreamEnd::Complete) && world.delivered.len() as u64 != EVENTS {
         return Some("a part looks whole");
     }
-    if world.next.is_some() && !world.stopped && !world.broken && world.made < EVENTS {
+    if world.next.is_some() && !world.cut {
         return Some("two runners work on one stream");
     }
     // A cut is no violation of order, but a move that always cuts serves nobody.
