Tell other nodes which runners say that they leave

Cause: while the store was away, each node learned for itself, from reports of the runners that had its own calls, that a runner leaves.

Change: heartbeats carry the starts of runners that told the sender that they leave; hearsay is not passed on. Since one node's word serves all, about two nodes ask a runner in each round, in place of all that have calls there, and rounds come each 150 ms from a list older than 450 ms (before: 250 and 700 ms). A copy younger than 0.6 s is not relied on when its run's runner leaves: it was refused in each case that the log showed.

Test: node_moves, two nodes of which one has a stream at the runner; fails without the change.

--- a/crates/harness/tests/node_moves.rs
+++ b/crates/harness/tests/node_moves.rs
@@ -177,3 +177,30 @@
     })
     .unwrap();
 }
+
+#[test]
+fn nodes_tell_each_other_which_runners_leave_while_the_store_is_away() {
+    kernel::run(async {
+        let mut fleet = NodeFleet::start().await.unwrap();
+        let leaving = fleet.add_runner("llm", slow("llm-1")).await.unwrap();
+        for _ in 0..2 {
+            fleet.add_node().unwrap();
+        }
+        fleet.wait_ready().await.unwrap();
+        let stream = fleet.open(0, &CallerRequest::stream("s1")).await.unwrap();
+        let staying = fleet.add_runner("llm", slow("llm-2")).await.unwrap();
+        compio::time::sleep(Duration::from_millis(500)).await;
+        fleet.store.set_fault(StoreFault::Silent);
+        leaving.leave();
+        // Only the first node has a stream there, and asks.
+        fleet.wait_event(1, "runner_changed", "state", &"leaving".into()).await.unwrap();
+        let mut open = Vec::new();
+        for number in 0..4 {
+            let request = CallerRequest::stream(&format!("n{number}"));
+            open.push(fleet.open(1, &request).await.unwrap());
+        }
+        assert_eq!((leaving.visits().len(), staying.runs() >= 4), (1, true));
+        drop(stream);
+    })
+    .unwrap();
+}
--- a/crates/node/src/peer_link.rs
+++ b/crates/node/src/peer_link.rs
@@ -116,6 +116,7 @@
             plan: self.context.plan_version(),
             runners_read: self.context.runners_read.get(),
             loads: self.router.own_loads(),
+            leaving: self.context.runners.borrow().told_leaving(),
         }
     }
 
@@ -156,11 +157,12 @@
             return;
         }
         self.context.metrics.beats.inc();
-        let (vm, loads) = (beat.vm.clone(), beat.loads.clone());
+        let (vm, loads, leaving) = (beat.vm.clone(), beat.loads.clone(), beat.leaving.clone());
         if self.context.peers.borrow_mut().take(self.context.now(), beat) {
             if self.context.loads.borrow_mut().set(vm, loads) {
                 self.router.note_loads();
             }
+            self.router.take_leaving(&leaving);
             self.catch_up();
         }
     }
--- a/crates/node/src/router.rs
+++ b/crates/node/src/router.rs
@@ -10,7 +10,7 @@
 use futures_channel::mpsc;
 use kernel::StopSignal;
 use route::{CallEnd, CallId, PolicyName, RouteCall, RouteEvent, RouteSettings, RunnerSummary};
-use serving::RunnerLoad;
+use serving::{RunnerLoad, RunnerStart};
 
 use crate::context::NodeContext;
 
@@ -140,12 +140,27 @@
         }
     }
 
-    /// Notes that a runner leaves, as its reply or its report says.
+    /// Notes that a runner leaves, as its reply or its report says, and tells the others.
     pub fn note_leaving(&self, runner: &RunnerId, source: &str) {
-        let now = self.context.now();
-        if self.context.runners.borrow_mut().note_leaving(now, runner) {
+        if self.context.runners.borrow_mut().note_leaving(runner) {
             tracing::info!(event = "runner_changed", %runner, state = "leaving", source);
             self.update_members();
+            self.want_beat();
+        }
+    }
+
+    /// Takes what runners told another node.
+    pub fn take_leaving(&self, starts: &[RunnerStart]) {
+        let mut changed = false;
+        for start in starts {
+            if self.context.runners.borrow_mut().take_leaving(start) {
+                let runner = &start.runner;
+                tracing::info!(event = "runner_changed", %runner, state = "leaving", source = "node");
+                changed = true;
+            }
+        }
+        if changed {
+            self.update_members();
         }
     }
 
--- a/crates/node/src/runner_watch.rs
+++ b/crates/node/src/runner_watch.rs
@@ -15,9 +15,11 @@
 
 /// Age of the list from which runners are asked: longer than the pauses of all nodes that
 /// stand by to read it.
-const STALE_SPAN: TimeSpan = TimeSpan::millis(700);
+const STALE_SPAN: TimeSpan = TimeSpan::millis(450);
 /// Pause between two rounds; a notice is at least 1.5 s long.
-const ROUND_PAUSE: TimeSpan = TimeSpan::millis(250);
+const ROUND_PAUSE: TimeSpan = TimeSpan::millis(150);
+/// Nodes that ask a runner in one round, on average; they tell the others.
+const ASKING_NODES: f64 = 2.0;
 /// Time for one answer.
 const REPORT_LIMIT: TimeSpan = TimeSpan::millis(250);
 
@@ -40,11 +42,16 @@
     let runners = context.runners.borrow();
     let loads = router.own_loads();
     let entries = loads.iter().filter_map(|load| runners.get(&load.runner));
+    let told = context.loads.borrow();
     let staying = entries.filter(|entry| !entry.record.leaving && entry.removed.is_none());
     let engines = staying.filter(|entry| {
         plan.services.get(&entry.record.service).is_some_and(|service| service.engine.is_some())
     });
-    engines.map(|entry| (entry.record.runner.clone(), entry.record.address)).collect()
+    let chosen = engines.filter(|entry| {
+        let nodes = 1 + told.holders(&entry.record.runner);
+        rand::random_bool((ASKING_NODES / nodes as f64).min(1.0))
+    });
+    chosen.map(|entry| (entry.record.runner.clone(), entry.record.address)).collect()
 }
 
 async fn ask(router: &RouterService, runner: RunnerId, address: SocketAddr) {
--- a/crates/node/src/stream_change.rs
+++ b/crates/node/src/stream_change.rs
@@ -24,6 +24,8 @@
 /// Time that a run with a copy elsewhere stays at a runner that leaves: short enough for
 /// the shortest notice (1.5 s), less the age of the news.
 const STAY_SPAN: TimeSpan = TimeSpan::millis(100);
+/// Time after the first events of a run until its copy at another runner is there.
+const FILL_SPAN: TimeSpan = TimeSpan::millis(600);
 /// Pause before a move to another target, after one had no room.
 const NEXT_TARGET_PAUSE: TimeSpan = TimeSpan::millis(20);
 /// Time for another runner to take a run over before the old one is cut off. Two runners
@@ -70,9 +72,14 @@
         self.start_move()
     }
 
+    /// Whether a copy is at a runner that stays, and has had the time to get there.
     fn has_live_backup(&self) -> bool {
+        let now = self.context.now();
         let backup = self.source.backup.as_ref();
-        backup.is_some_and(|backup| !self.context.runners.borrow().is_leaving(&backup.runner))
+        let is_there = self.source.first_events.is_some_and(|first| now.since(first) >= FILL_SPAN);
+        is_there
+            && backup
+                .is_some_and(|backup| !self.context.runners.borrow().is_leaving(&backup.runner))
     }
 
     /// Goes on at the runner that keeps a copy. The old one is cut off as soon as the
--- a/crates/node/src/stream_pump.rs
+++ b/crates/node/src/stream_pump.rs
@@ -156,7 +156,9 @@
         if whole.is_empty() {
             return PumpStep::Continue;
         }
-        self.pace.note(self.context.now());
+        let now = self.context.now();
+        self.pace.note(now);
+        self.source.first_events.get_or_insert(now);
         let event_tokens = u64::from(self.call.event_tokens.unwrap_or(1));
         let produced = u32::try_from(self.scanner.events() * event_tokens).unwrap_or(u32::MAX);
         self.ticket.progress(self.call.head.prompt, produced);
--- a/crates/node/src/stream_source.rs
+++ b/crates/node/src/stream_source.rs
@@ -22,6 +22,8 @@
     pub connection: Option<ConnectionTask>,
     /// It gives nothing more.
     pub ended: bool,
+    /// When it gave the first events.
+    pub first_events: Option<TimePoint>,
     /// When the run goes on elsewhere.
     pub leave_at: Option<TimePoint>,
 }
@@ -37,6 +39,7 @@
             body: response.into_body(),
             connection: Some(connection),
             ended: false,
+            first_events: None,
             leave_at: None,
         }
     }
--- a/crates/serving/src/fleet_loads.rs
+++ b/crates/serving/src/fleet_loads.rs
@@ -43,6 +43,13 @@
         self.nodes.remove(vm);
     }
 
+    /// How many other nodes have something at `runner`.
+    #[must_use]
+    pub fn holders(&self, runner: &RunnerId) -> usize {
+        let has = |loads: &&Vec<RunnerLoad>| loads.iter().any(|load| load.runner == *runner);
+        self.nodes.values().filter(has).count()
+    }
+
     /// The sum over all other nodes, by runner.
     #[must_use]
     pub fn sums(&self) -> BTreeMap<RunnerId, RunnerLoad> {
--- a/crates/serving/src/peer_beat.rs
+++ b/crates/serving/src/peer_beat.rs
@@ -5,7 +5,7 @@
 use base::prelude::*;
 use serde::{Deserialize, Serialize};
 
-use crate::{PlanVersion, RunnerChange, RunnerLoad};
+use crate::{PlanVersion, RunnerChange, RunnerLoad, RunnerStart};
 
 /// A message between nodes.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -52,4 +52,6 @@
     pub runners_read: LogOffset,
     /// What it has at the runners.
     pub loads: Vec<RunnerLoad>,
+    /// Runners that told it that they leave: the list may come late, or not at all.
+    pub leaving: Vec<RunnerStart>,
 }
--- a/crates/serving/src/runner_table.rs
+++ b/crates/serving/src/runner_table.rs
@@ -39,16 +39,17 @@
     pub record: RunnerRecord,
     /// When its entry was removed.
     pub removed: Option<TimePoint>,
-    /// When this node learned that it leaves.
-    pub leaving_since: Option<TimePoint>,
+    /// It told this node itself that it leaves.
+    pub told_leaving: bool,
 }
 
-impl RunnerEntry {
-    /// When this node learned that the runner goes; none while it stays.
-    #[must_use]
-    pub fn gone_since(&self) -> Option<TimePoint> {
-        self.leaving_since.into_iter().chain(self.removed).min()
-    }
+/// One start of a runner.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RunnerStart {
+    /// Its id.
+    pub runner: RunnerId,
+    /// When it was started, in Unix milliseconds.
+    pub born: u64,
 }
 
 /// A change of the list.
@@ -80,7 +81,7 @@
     /// Takes a change; whether it changed what is believed.
     pub fn apply(&mut self, now: TimePoint, change: RunnerChange) -> bool {
         match change {
-            RunnerChange::Put(record) => self.put(now, record),
+            RunnerChange::Put(record) => self.put(record),
             RunnerChange::Remove(runner) => self.remove(now, &runner),
         }
     }
@@ -92,7 +93,7 @@
             self.entries.keys().filter(|runner| !listed.contains(runner)).cloned().collect();
         let mut changed = false;
         for record in records {
-            changed |= self.put(now, record);
+            changed |= self.put(record);
         }
         for runner in gone {
             changed |= self.remove(now, &runner);
@@ -100,18 +101,15 @@
         changed
     }
 
-    fn put(&mut self, now: TimePoint, mut record: RunnerRecord) -> bool {
+    fn put(&mut self, mut record: RunnerRecord) -> bool {
         let before = self.entries.get(&record.runner);
         let same = before.filter(|entry| entry.record.born == record.born);
         if before.is_some_and(|entry| entry.record.born > record.born) {
             return false;
         }
         record.leaving |= same.is_some_and(|entry| entry.record.leaving);
-        let leaving_since = match same.and_then(|entry| entry.leaving_since) {
-            Some(since) => Some(since),
-            None => record.leaving.then_some(now),
-        };
-        let entry = RunnerEntry { record, removed: None, leaving_since };
+        let told_leaving = same.is_some_and(|entry| entry.told_leaving);
+        let entry = RunnerEntry { record, removed: None, told_leaving };
         let changed = before != Some(&entry);
         self.entries.insert(entry.record.runner.clone(), entry);
         changed
@@ -124,15 +122,35 @@
         changed
     }
 
-    /// Notes that a runner said itself that it leaves.
-    pub fn note_leaving(&mut self, now: TimePoint, runner: &RunnerId) -> bool {
+    /// Notes that a runner told this node that it leaves; whether that is news.
+    pub fn note_leaving(&mut self, runner: &RunnerId) -> bool {
         let Some(entry) = self.entries.get_mut(runner) else { return false };
         let changed = !entry.record.leaving;
         entry.record.leaving = true;
-        entry.leaving_since.get_or_insert(now);
+        entry.told_leaving = true;
         changed
     }
 
+    /// Takes the word of another node that a runner told it that it leaves; whether that is
+    /// news. It holds for that start of the runner only.
+    pub fn take_leaving(&mut self, start: &RunnerStart) -> bool {
+        let Some(entry) = self.entries.get_mut(&start.runner) else { return false };
+        let changed = entry.record.born == start.born && !entry.record.leaving;
+        entry.record.leaving |= changed;
+        changed
+    }
+
+    /// The listed runners that told this node that they leave.
+    #[must_use]
+    pub fn told_leaving(&self) -> Vec<RunnerStart> {
+        let told = |entry: &&RunnerEntry| entry.told_leaving && entry.removed.is_none();
+        let start = |entry: &RunnerEntry| RunnerStart {
+            runner: entry.record.runner.clone(),
+            born: entry.record.born,
+        };
+        self.entries.values().filter(told).map(start).collect()
+    }
+
     /// Forgets entries that were removed long ago.
     pub fn prune(&mut self, now: TimePoint) {
         let keep = |entry: &RunnerEntry| match entry.removed {
--- a/crates/serving/tests/runner_table.rs
+++ b/crates/serving/tests/runner_table.rs
@@ -1,7 +1,7 @@
 //! Which runners may get new work, as their entries change.
 
 use base::prelude::*;
-use serving::{RunnerChange, RunnerRecord, RunnerTable};
+use serving::{RunnerChange, RunnerRecord, RunnerStart, RunnerTable};
 
 const DRAIN: TimeSpan = TimeSpan::seconds(2);
 
@@ -72,3 +72,19 @@
     assert_eq!(open(&table, at(2)), ["b"]);
     assert!(!table.replace(at(3), vec![record("b", 1, false)]));
 }
+
+#[test]
+fn what_a_runner_told_one_node_holds_at_another_for_that_start() {
+    let mut table = RunnerTable::new(DRAIN);
+    table.apply(at(0), RunnerChange::Put(record("a", 2, false)));
+    table.apply(at(0), RunnerChange::Put(record("b", 2, false)));
+    let start = |born| RunnerStart { runner: "a".parse().unwrap(), born };
+    assert!(!table.take_leaving(&start(1)), "an older start");
+    assert!(table.take_leaving(&start(2)));
+    assert!(!table.take_leaving(&start(2)), "no news");
+    assert_eq!(open(&table, at(1)), ["b"]);
+    assert!(table.told_leaving().is_empty(), "hearsay is not passed on");
+    table.note_leaving(&"b".parse().unwrap());
+    let told: Vec<String> = table.told_leaving().iter().map(|s| s.runner.to_string()).collect();
+    assert_eq!(told, ["b"]);
+}
