Serve those first who can be served in time; let no new runner look empty

(2) The desk learned of a new runner before its load, took it to be empty without limit, and each node sent at once whatever waited: 13 calls within 25 ms to a runner that holds six.

Changes: a call whose first token can no longer come within its route's objective goes behind all others, also behind those of other nodes, whose heartbeats say for which services such calls wait; 1 s past the objective it is given up with a time to come back, not held to the end. The desk takes members and loads as one state.

--- a/crates/dispatch/src/call_desk.rs
+++ b/crates/dispatch/src/call_desk.rs
@@ -83,7 +83,12 @@
 
     /// Gives the desk an event and passes its actions on.
     pub fn tell(&self, event: RouteEvent) {
-        let actions = self.desk.borrow_mut().handle(self.clock.now(), event);
+        self.tell_all([event]);
+    }
+
+    /// Tells the desk events that describe one state.
+    pub fn tell_all(&self, events: impl IntoIterator<Item = RouteEvent>) {
+        let actions = self.desk.borrow_mut().handle_all(self.clock.now(), events);
         for action in actions {
             self.pass_on(action);
         }
--- a/crates/entry/src/generation.rs
+++ b/crates/entry/src/generation.rs
@@ -63,6 +63,7 @@
             prompt_tokens: self.prompt_tokens,
             max_tokens: self.max_tokens,
             prefix: base::prompt_prefix_hash(&self.prompt),
+            aim: None,
             deadline: self.deadline,
             streamed: self.streamed,
             movable: self.continues,
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -61,6 +61,7 @@
             prompt_tokens: TokenCount(0),
             max_tokens: TokenCount(0),
             prefix: 0,
+            aim: None,
             deadline: self.deadline,
             streamed: false,
             movable: false,
--- a/crates/load/src/policy/simulation.rs
+++ b/crates/load/src/policy/simulation.rs
@@ -208,6 +208,7 @@
             prompt_tokens: call.prompt_tokens,
             max_tokens: TokenCount(class.output.longest),
             prefix: call.prefix,
+            aim: None,
             deadline: call.deadline,
             streamed: class.streamed,
             movable: true,
--- a/crates/node/src/peer_link.rs
+++ b/crates/node/src/peer_link.rs
@@ -9,7 +9,7 @@
 use futures_channel::mpsc;
 use futures_util::StreamExt;
 use rand::seq::IndexedRandom;
-use serving::{PeerBeat, PeerMessage, RunnerNews, RunnerRecord, ServingPlan};
+use serving::{NodeLoad, PeerBeat, PeerMessage, RunnerNews, RunnerRecord, ServingPlan};
 use web::{Result, fetch_json};
 
 use crate::context::NodeContext;
@@ -116,6 +116,7 @@
             plan: self.context.plan_version(),
             runners_read: self.context.runners_read.get(),
             loads: self.router.own_loads(),
+            waits: self.router.waits_in_time(),
             leaving: self.context.runners.borrow().told_leaving(),
         }
     }
@@ -157,9 +158,10 @@
             return;
         }
         self.context.metrics.beats.inc();
-        let (vm, loads, leaving) = (beat.vm.clone(), beat.loads.clone(), beat.leaving.clone());
+        let (vm, leaving) = (beat.vm.clone(), beat.leaving.clone());
+        let load = NodeLoad { loads: beat.loads.clone(), waits: beat.waits.clone() };
         if self.context.peers.borrow_mut().take(self.context.now(), beat) {
-            if self.context.loads.borrow_mut().set(vm, loads) {
+            if self.context.loads.borrow_mut().set(vm, load) {
                 self.router.note_loads();
             }
             self.router.take_leaving(&leaving);
--- a/crates/node/src/router.rs
+++ b/crates/node/src/router.rs
@@ -84,7 +84,7 @@
     /// Never: the service lives as long as its process.
     pub fn open(&self, mut call: RouteCall) -> RouteTicket {
         if self.loads_changed.get() {
-            self.report_loads();
+            self.desk.tell_all(self.load_events());
         }
         let id = self.desk.next_id();
         call.call = id;
@@ -98,7 +98,18 @@
         };
         self.calls.borrow_mut().insert(id, own);
         let router = self.this.upgrade().expect("the router outlives its calls");
-        RouteTicket { own: OwnGuard { router, call: id }, place: self.desk.open(call), leaving }
+        let place = self.desk.open(call);
+        let waits = self.calls.borrow().get(&id).is_some_and(|own| own.runner.is_none());
+        if waits {
+            self.want_beat();
+        }
+        RouteTicket { own: OwnGuard { router, call: id }, place, leaving }
+    }
+
+    /// The services for which calls wait here that can still be served in time.
+    #[must_use]
+    pub fn waits_in_time(&self) -> Vec<ServiceName> {
+        self.desk.desk().waits_in_time()
     }
 
     /// Asks for a heartbeat, so that the other nodes learn at once what changed here.
@@ -127,11 +138,13 @@
     pub fn update_members(&self) {
         let Some(plan) = self.context.plan() else { return };
         let now = self.context.now();
-        for service in plan.services.keys() {
-            let members = self.context.runners.borrow().members(service, now);
-            self.desk.tell(RouteEvent::Members { service: service.clone(), members });
-        }
-        self.report_loads();
+        let members = |service: &ServiceName| RouteEvent::Members {
+            service: service.clone(),
+            members: self.context.runners.borrow().members(service, now),
+        };
+        let mut events: Vec<RouteEvent> = plan.services.keys().map(members).collect();
+        events.extend(self.load_events());
+        self.desk.tell_all(events);
         let runners = self.context.runners.borrow();
         for own in self.calls.borrow().values() {
             if own.runner.as_ref().is_some_and(|runner| runners.is_leaving(runner)) {
@@ -182,9 +195,9 @@
         loads.into_values().collect()
     }
 
-    /// Tells the desk the load of every runner, over all nodes.
-    fn report_loads(&self) {
-        let Some(plan) = self.context.plan() else { return };
+    /// The load of every runner, over all nodes.
+    fn load_events(&self) -> Vec<RouteEvent> {
+        let Some(plan) = self.context.plan() else { return Vec::new() };
         self.loads_changed.set(false);
         let mut sums = self.context.loads.borrow().sums();
         for load in self.own_loads() {
@@ -192,23 +205,23 @@
         }
         let sequence = self.reports.get() + 1;
         self.reports.set(sequence);
-        let entries: Vec<(RunnerId, ServiceName, u64)> = {
-            let runners = self.context.runners.borrow();
-            let parts = |entry: &serving::RunnerEntry| {
-                let record = &entry.record;
-                (record.runner.clone(), record.service.clone(), record.born)
-            };
-            runners.entries().filter(|entry| entry.removed.is_none()).map(parts).collect()
+        let runners = self.context.runners.borrow();
+        let loads = self.context.loads.borrow();
+        let others_wait = |service: &ServiceName| RouteEvent::OthersWait {
+            service: service.clone(),
+            others_wait: loads.others_wait(service),
         };
-        for (runner, service, born) in entries {
-            let Some(service) = plan.services.get(&service) else { continue };
+        let mut events: Vec<RouteEvent> = plan.services.keys().map(others_wait).collect();
+        for entry in runners.entries().filter(|entry| entry.removed.is_none()) {
+            let record = &entry.record;
+            let Some(service) = plan.services.get(&record.service) else { continue };
             let memory = service.engine.as_ref().map_or(0, |engine| engine.memory.0);
-            let load = sums.get(&runner);
+            let load = sums.get(&record.runner);
             let tokens = load.map_or(0, |load| u64::from(load.prefill));
-            self.desk.tell(RouteEvent::Prefill { runner: runner.clone(), tokens });
-            self.desk.tell(RouteEvent::Report(RunnerReport {
-                runner,
-                incarnation: born,
+            events.push(RouteEvent::Prefill { runner: record.runner.clone(), tokens });
+            events.push(RouteEvent::Report(RunnerReport {
+                runner: record.runner.clone(),
+                incarnation: record.born,
                 sequence,
                 age: TimeSpan::default(),
                 used_blocks: base::BlockCount(load.map_or(0, |load| load.tokens)),
@@ -223,6 +236,7 @@
                 fence: 0,
             }));
         }
+        events
     }
 
     /// Gives the desk time and loads until the process ends.
@@ -232,7 +246,7 @@
             let now = self.context.now();
             if now >= next_report {
                 next_report = now + LOAD_PERIOD;
-                self.report_loads();
+                self.desk.tell_all(self.load_events());
             }
             if self.has_waiting() {
                 self.desk.tell(RouteEvent::Tick);
--- a/crates/route/benches/decision.rs
+++ b/crates/route/benches/decision.rs
@@ -33,6 +33,7 @@
         prompt_tokens: TokenCount(800),
         max_tokens: TokenCount(4_000),
         prefix: number % 300,
+        aim: None,
         deadline: TimePoint::NEVER,
         streamed: true,
         movable: true,
--- a/crates/route/src/desk.rs
+++ b/crates/route/src/desk.rs
@@ -67,7 +67,36 @@
 
     /// Takes one event and gives what is to be done now.
     pub fn handle(&mut self, now: TimePoint, event: RouteEvent) -> Vec<RouteAction> {
+        self.handle_all(now, [event])
+    }
+
+    /// Takes events that describe one state, and gives what is to be done after the last:
+    /// a runner whose load comes behind it must not look empty meanwhile.
+    pub fn handle_all(
+        &mut self,
+        now: TimePoint,
+        events: impl IntoIterator<Item = RouteEvent>,
+    ) -> Vec<RouteAction> {
         self.now = now;
+        let mut actions = Vec::new();
+        let mut changed = false;
+        for event in events {
+            match event {
+                RouteEvent::Arrive(call) => actions.extend(self.arrive(now, call)),
+                event => changed |= self.note(now, event),
+            }
+        }
+        if changed {
+            actions.extend(self.refuse_late(now));
+            actions.extend(self.send_waiting(now));
+            actions.extend(self.refuse_overdue(now));
+            actions.extend(self.refuse_hopeless(now));
+        }
+        actions
+    }
+
+    /// Takes what an event tells; whether calls that wait may be concerned.
+    fn note(&mut self, now: TimePoint, event: RouteEvent) -> bool {
         match event {
             RouteEvent::Service { service, kind, weights, shares } => {
                 let view = self.services.entry(service).or_default();
@@ -81,27 +110,34 @@
                 if let Some(&slot) = self.slots.get(&runner) {
                     self.runners[slot].prefill = Some((now, tokens));
                 }
-                return Vec::new();
+                return false;
             }
             RouteEvent::Cache { runner, event } => {
                 if let Some(&slot) = self.slots.get(&runner) {
                     self.prefixes.take(slot, &event);
                 }
             }
-            RouteEvent::Arrive(call) => return self.arrive(now, call),
             RouteEvent::Progress { call, index } => {
-                if let Some(record) = self.calls.get_mut(&call) {
-                    record.call.produced = TokenCount(index.0 + 1);
-                }
-                return Vec::new();
+                self.progress(now, call, index);
+                return false;
             }
             RouteEvent::Ended { call, end } => self.end(now, call, end),
             RouteEvent::Tick => self.refresh_unreported(now),
+            RouteEvent::OthersWait { service, others_wait } => {
+                self.services.entry(service).or_default().others_wait = others_wait;
+            }
+            RouteEvent::Arrive(_) => return false,
+        }
+        true
+    }
+
+    fn progress(&mut self, now: TimePoint, call: CallId, index: TokenIndex) {
+        let Some(record) = self.calls.get_mut(&call) else { return };
+        let is_first = record.call.produced.0 == 0;
+        record.call.produced = TokenCount(index.0 + 1);
+        if let Some(view) = self.services.get_mut(&record.call.service).filter(|_| is_first) {
+            view.observe_first(now.since(record.sent));
         }
-        let mut actions = self.refuse_late(now);
-        actions.extend(self.send_waiting(now));
-        actions.extend(self.refuse_hopeless(now));
-        actions
     }
 
     /// Workspaces of which many calls wait at this entry.
@@ -117,6 +153,16 @@
         many.map(|(workspace, _)| workspace.clone()).collect()
     }
 
+    /// The services for which calls wait here that can still be served in time.
+    #[must_use]
+    pub fn waits_in_time(&self) -> Vec<ServiceName> {
+        let waits = |queue: &WaitQueue| !queue.is_empty() && !queue.is_late();
+        let waiting = self.queues.iter().filter(|(_, queue)| waits(queue));
+        let mut services: Vec<ServiceName> = waiting.map(|(name, _)| name.0.clone()).collect();
+        services.dedup();
+        services
+    }
+
     /// The desk's state, for the dump.
     #[must_use]
     pub fn summary(&self) -> DeskSummary {
--- a/crates/route/src/desk_dispatch.rs
+++ b/crates/route/src/desk_dispatch.rs
@@ -62,7 +62,7 @@
         let share = self.services.entry(call.service.clone()).or_default().share(&call.workspace);
         let name = (call.service.clone(), call.model.clone());
         let queue = self.queues.entry(name).or_default();
-        queue.push(id, call.priority, &call.workspace, work, share);
+        queue.push(call, work, share);
         self.deadlines.insert((call.deadline, id));
         self.calls.insert(id, record);
     }
@@ -161,6 +161,18 @@
         actions
     }
 
+    /// Refuses calls that are late and for which no room has opened since: they are given
+    /// up, so their callers are told now when to come back.
+    pub(crate) fn refuse_overdue(&mut self, now: TimePoint) -> Vec<RouteAction> {
+        let overdue: Vec<CallId> =
+            self.queues.values().flat_map(|queue| queue.overdue(now)).collect();
+        let refuse = |call| {
+            let come_back = self.come_back(DEFAULT_COME_BACK);
+            self.refuse(now, call, RefusalReason::Overloaded, come_back)
+        };
+        overdue.into_iter().map(refuse).collect()
+    }
+
     fn choose_baseline(&mut self, id: CallId) -> Option<usize> {
         let call = &self.calls.get(&id)?.call;
         let view = self.services.entry(call.service.clone()).or_default();
@@ -175,7 +187,16 @@
         let mut actions = Vec::new();
         let names: Vec<QueueName> = self.queues.keys().cloned().collect();
         for name in names {
+            let view = self.services.entry(name.0.clone()).or_default();
+            let (first, others_wait) = (view.first_span(), view.others_wait);
+            if let Some(queue) = self.queues.get_mut(&name) {
+                queue.mark_late(now + first);
+            }
             while let Some(call) = self.queues.get(&name).and_then(WaitQueue::first) {
+                // What little room there is goes to those that can be served in time.
+                if others_wait && self.queues.get(&name).is_some_and(WaitQueue::is_late) {
+                    break;
+                }
                 let Some((slot, score)) = self.choose(now, call, |score| score.open) else {
                     break;
                 };
--- a/crates/route/src/event.rs
+++ b/crates/route/src/event.rs
@@ -112,6 +112,8 @@
     pub max_tokens: TokenCount,
     /// Hash of the start of the prompt, as engines use it in cache events.
     pub prefix: u64,
+    /// When the first token is due; an answer that begins later is of less use.
+    pub aim: Option<TimePoint>,
     /// When the caller has no more use for the answer.
     pub deadline: TimePoint,
     /// Tokens have to be passed on as they come.
@@ -167,6 +169,13 @@
         /// The tokens, as of now.
         tokens: u64,
     },
+    /// Whether calls wait at other entries that can still be served in time.
+    OthersWait {
+        /// The service.
+        service: ServiceName,
+        /// They do.
+        others_wait: bool,
+    },
     /// A cache event arrived.
     Cache {
         /// The engine.
--- a/crates/route/src/service_view.rs
+++ b/crates/route/src/service_view.rs
@@ -14,6 +14,9 @@
 /// Weight of the newest report in the averaged factor.
 const ENTRY_FACTOR_WEIGHT: f64 = 0.02;
 
+/// Weight of the newest call in the averaged time to its first token.
+const FIRST_WEIGHT: f64 = 0.05;
+
 /// What is known about a service.
 #[derive(Debug)]
 pub struct ServiceView {
@@ -38,6 +41,10 @@
     pub entry_factor: f64,
     /// Step time of its runners, in microseconds, averaged.
     pub step_micros: f64,
+    /// Time from the send of a call to its first token, in microseconds, averaged.
+    pub first_micros: f64,
+    /// Calls wait at other entries that can still be served in time.
+    pub others_wait: bool,
     /// When the newest report of any of its runners arrived.
     pub received: TimePoint,
 }
@@ -55,6 +62,8 @@
             own_calls: 0,
             entry_factor: 1.0,
             step_micros: 0.0,
+            first_micros: 0.0,
+            others_wait: false,
             received: TimePoint::default(),
         }
     }
@@ -76,6 +85,21 @@
         self.entry_factor += ENTRY_FACTOR_WEIGHT * (factor - self.entry_factor);
     }
 
+    /// Takes the time that a call's first token took from its send.
+    pub fn observe_first(&mut self, span: TimeSpan) {
+        let span = span.0 as f64;
+        if self.first_micros <= 0.0 {
+            self.first_micros = span;
+        }
+        self.first_micros += FIRST_WEIGHT * (span - self.first_micros);
+    }
+
+    /// Time that a call's first token takes from its send.
+    #[must_use]
+    pub fn first_span(&self) -> TimeSpan {
+        TimeSpan::micros(self.first_micros as u64)
+    }
+
     /// Takes the step time of a report that arrived now.
     pub fn observe_step(&mut self, now: TimePoint, step: TimeSpan) {
         self.received = now;
--- a/crates/route/src/wait_queue.rs
+++ b/crates/route/src/wait_queue.rs
@@ -1,16 +1,18 @@
-//! Calls that wait at the entry: by priority, then by fair share among workspaces
-//! (self-clocked fair queueing; Golestani, 1994).
+//! Calls that wait at the entry: those that can still be served in time first, then by
+//! priority, then by fair share among workspaces (self-clocked fair queueing; Golestani,
+//! 1994).
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use base::prelude::*;
 use config::CallPriority;
 
-use crate::CallId;
+use crate::{CallId, RouteCall};
 
 /// Place of a call in a queue.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct WaitTag {
+    late: bool,
     priority: CallPriority,
     finish: u64,
     call: CallId,
@@ -21,6 +23,7 @@
 struct WaitingCall {
     tag: WaitTag,
     work: u64,
+    aim: Option<TimePoint>,
 }
 
 /// The queue of one service and model.
@@ -28,6 +31,10 @@
 pub struct WaitQueue {
     order: BTreeMap<WaitTag, CallId>,
     waiting: BTreeMap<CallId, WaitingCall>,
+    /// Calls that are not late yet, by the time at which they are.
+    aims: BTreeSet<(TimePoint, CallId)>,
+    /// Calls that are late, by the time at which they are given up.
+    ends: BTreeSet<(TimePoint, CallId)>,
     last_finish: BTreeMap<(CallPriority, WorkspaceId), u64>,
     clock: BTreeMap<CallPriority, u64>,
     work: BTreeMap<CallPriority, u64>,
@@ -36,6 +43,9 @@
     rate: Option<f64>,
 }
 
+/// Time after a call's aim for which it waits on: room that opens soon serves it still.
+const LATE_SPAN: TimeSpan = TimeSpan::millis(1_000);
+
 /// Time over which the rate of sending is counted.
 const RATE_PERIOD: TimeSpan = TimeSpan::seconds(2);
 /// Weight of the newest period in the averaged rate.
@@ -43,21 +53,19 @@
 
 impl WaitQueue {
     /// Puts a call in that stands for `work` tokens; its workspace has `share`.
-    pub fn push(
-        &mut self,
-        call: CallId,
-        priority: CallPriority,
-        workspace: &WorkspaceId,
-        work: u64,
-        share: u32,
-    ) {
+    pub fn push(&mut self, waiting: &RouteCall, work: u64, share: u32) {
+        let RouteCall { call, priority, workspace, aim, .. } = waiting;
+        let (call, priority) = (*call, *priority);
+        if let Some(aim) = aim {
+            self.aims.insert((*aim, call));
+        }
         let clock = self.clock.get(&priority).copied().unwrap_or(0);
         let last = self.last_finish.entry((priority, workspace.clone())).or_default();
         let finish = clock.max(*last) + work.max(1) / u64::from(share.max(1)) + 1;
         *last = finish;
-        let tag = WaitTag { priority, finish, call };
+        let tag = WaitTag { late: false, priority, finish, call };
         self.order.insert(tag, call);
-        self.waiting.insert(call, WaitingCall { tag, work });
+        self.waiting.insert(call, WaitingCall { tag, work, aim: *aim });
         *self.work.entry(priority).or_default() += work;
     }
 
@@ -67,6 +75,34 @@
         self.order.first_key_value().map(|(_, call)| *call)
     }
 
+    /// Puts the calls behind all others whose first token would have been due before
+    /// `limit`.
+    pub fn mark_late(&mut self, limit: TimePoint) {
+        while let Some(&(aim, call)) = self.aims.first() {
+            if aim >= limit {
+                break;
+            }
+            self.aims.remove(&(aim, call));
+            let Some(waiting) = self.waiting.get_mut(&call) else { continue };
+            self.order.remove(&waiting.tag);
+            waiting.tag.late = true;
+            self.order.insert(waiting.tag, call);
+            self.ends.insert((aim + LATE_SPAN, call));
+        }
+    }
+
+    /// Calls that have been late for so long that they are given up.
+    #[must_use]
+    pub fn overdue(&self, now: TimePoint) -> Vec<CallId> {
+        self.ends.iter().take_while(|(end, _)| *end <= now).map(|(_, call)| *call).collect()
+    }
+
+    /// Whether all calls that wait are late.
+    #[must_use]
+    pub fn is_late(&self) -> bool {
+        self.order.first_key_value().is_some_and(|(tag, _)| tag.late)
+    }
+
     /// Takes a call out before its turn; the others keep their turns.
     pub fn remove(&mut self, call: CallId) -> bool {
         let Some(waiting) = self.waiting.remove(&call) else {
@@ -74,6 +110,10 @@
         };
         let priority = waiting.tag.priority;
         self.order.remove(&waiting.tag);
+        if let Some(aim) = waiting.aim {
+            self.aims.remove(&(aim, call));
+            self.ends.remove(&(aim + LATE_SPAN, call));
+        }
         let work = self.work.entry(priority).or_default();
         *work = work.saturating_sub(waiting.work);
         if self.order.is_empty() {
--- a/crates/route/tests/common/mod.rs
+++ b/crates/route/tests/common/mod.rs
@@ -85,6 +85,7 @@
         prompt_tokens: TokenCount(500),
         max_tokens: TokenCount(4_000),
         prefix: 7,
+        aim: None,
         deadline: TimePoint::NEVER,
         streamed: true,
         movable: true,
--- a/crates/route/tests/estimates.rs
+++ b/crates/route/tests/estimates.rs
@@ -5,7 +5,7 @@
 use base::prelude::*;
 use common::call;
 use config::CallPriority;
-use route::{CallId, LengthEstimate, LengthTable, MemoryForecast, WaitQueue};
+use route::{LengthEstimate, LengthTable, MemoryForecast, RouteCall, WaitQueue};
 
 #[test]
 fn unfinished_generations_count_as_at_least_their_length() {
@@ -58,10 +58,12 @@
     let large: WorkspaceId = "large".parse().unwrap();
     let small: WorkspaceId = "small".parse().unwrap();
     for number in 0..60 {
-        queue.push(CallId(number), CallPriority::Normal, &large, 100, 2);
+        let waiting = RouteCall { workspace: large.clone(), ..call(number, CallPriority::Normal) };
+        queue.push(&waiting, 100, 2);
     }
     for number in 60..120 {
-        queue.push(CallId(number), CallPriority::Normal, &small, 100, 1);
+        let waiting = RouteCall { workspace: small.clone(), ..call(number, CallPriority::Normal) };
+        queue.push(&waiting, 100, 1);
     }
     let mut of_large = 0;
     for _ in 0..60 {
--- a/crates/serving/src/fleet_loads.rs
+++ b/crates/serving/src/fleet_loads.rs
@@ -24,16 +24,25 @@
 /// Loads told by other nodes.
 #[derive(Debug, Default)]
 pub struct FleetLoads {
-    nodes: BTreeMap<VmId, Vec<RunnerLoad>>,
+    nodes: BTreeMap<VmId, NodeLoad>,
+}
+
+/// What one node has at the runners, and waits for.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct NodeLoad {
+    /// By runner.
+    pub loads: Vec<RunnerLoad>,
+    /// Services for which calls wait that can still be served in time.
+    pub waits: Vec<ServiceName>,
 }
 
 impl FleetLoads {
     /// Replaces what a node has told before; whether it differs.
-    pub fn set(&mut self, vm: VmId, loads: Vec<RunnerLoad>) -> bool {
+    pub fn set(&mut self, vm: VmId, load: NodeLoad) -> bool {
         let before = self.nodes.get(&vm);
-        let changed = before != Some(&loads);
+        let changed = before != Some(&load);
         if changed {
-            self.nodes.insert(vm, loads);
+            self.nodes.insert(vm, load);
         }
         changed
     }
@@ -46,15 +55,21 @@
     /// How many other nodes have something at `runner`.
     #[must_use]
     pub fn holders(&self, runner: &RunnerId) -> usize {
-        let has = |loads: &&Vec<RunnerLoad>| loads.iter().any(|load| load.runner == *runner);
+        let has = |node: &&NodeLoad| node.loads.iter().any(|load| load.runner == *runner);
         self.nodes.values().filter(has).count()
     }
 
+    /// Whether calls for `service` wait at another node that can still be served in time.
+    #[must_use]
+    pub fn others_wait(&self, service: &ServiceName) -> bool {
+        self.nodes.values().any(|node| node.waits.contains(service))
+    }
+
     /// The sum over all other nodes, by runner.
     #[must_use]
     pub fn sums(&self) -> BTreeMap<RunnerId, RunnerLoad> {
         let mut sums: BTreeMap<RunnerId, RunnerLoad> = BTreeMap::new();
-        for load in self.nodes.values().flatten() {
+        for load in self.nodes.values().flat_map(|node| &node.loads) {
             add_load(&mut sums, load);
         }
         sums
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -13,7 +13,7 @@
 mod stream_scan;
 
 pub use attempt::{AttemptTrack, FinalStatus, SendOutcome};
-pub use fleet_loads::{FleetLoads, RunnerLoad, add_load};
+pub use fleet_loads::{FleetLoads, NodeLoad, RunnerLoad, add_load};
 pub use peer_beat::{PeerBeat, PeerMessage, RunnerNews};
 pub use peer_table::PeerTable;
 pub use plan::{
--- a/crates/serving/src/peer_beat.rs
+++ b/crates/serving/src/peer_beat.rs
@@ -52,6 +52,8 @@
     pub runners_read: LogOffset,
     /// What it has at the runners.
     pub loads: Vec<RunnerLoad>,
+    /// Services for which calls wait at it that can still be served in time.
+    pub waits: Vec<ServiceName>,
     /// Runners that told it that they leave: the list may come late, or not at all.
     pub leaving: Vec<RunnerStart>,
 }
--- /dev/null
+++ b/crates/serving/tests/fleet_loads.rs
@@ -0,0 +1,22 @@
+//! What other nodes have at the runners, and wait for.
+
+use serving::{FleetLoads, NodeLoad, RunnerLoad};
+
+fn load(runner: &str) -> RunnerLoad {
+    RunnerLoad { runner: runner.parse().unwrap(), calls: 2, prefill: 100, tokens: 300 }
+}
+
+#[test]
+fn the_load_of_a_node_that_is_gone_no_longer_counts() {
+    let mut loads = FleetLoads::default();
+    let one = NodeLoad { loads: vec![load("a"), load("b")], waits: vec!["llm".parse().unwrap()] };
+    let other = NodeLoad { loads: vec![load("a")], waits: Vec::new() };
+    assert!(loads.set("node-1".parse().unwrap(), one.clone()));
+    assert!(!loads.set("node-1".parse().unwrap(), one), "no news");
+    loads.set("node-2".parse().unwrap(), other);
+    let (a, llm) = ("a".parse().unwrap(), "llm".parse().unwrap());
+    assert_eq!((loads.holders(&a), loads.sums()[&a].tokens), (2, 600));
+    assert!(loads.others_wait(&llm) && !loads.others_wait(&"desk".parse().unwrap()));
+    loads.remove(&"node-1".parse().unwrap());
+    assert_eq!((loads.holders(&a), loads.others_wait(&llm)), (1, false));
+}
--- a/crates/serving/tests/peer_table.rs
+++ b/crates/serving/tests/peer_table.rs
@@ -20,6 +20,7 @@
         plan: Some(PlanVersion(plan)),
         runners_read: LogOffset(plan),
         loads: Vec::new(),
+        waits: Vec::new(),
         leaving: Vec::new(),
     }
 }
