Try a move that finds no room for as long as a notice lasts

Change: 20 tries, 75 ms apart; completed changes are counted apart from tries, and each completed one allows new tries.

Test: a_move_that_finds_no_room_is_tried_for_as_long_as_a_notice, fails on the code before.

--- a/crates/fakes/src/platform/mod.rs
+++ b/crates/fakes/src/platform/mod.rs
@@ -6,5 +6,6 @@
 mod stream_memory;
 
 pub use runner_fake::{RunnerFake, RunnerFakeSettings, RunnerScript, RunnerVisit};
+pub use runner_request::RunnerRequest;
 pub use store_fake::{StoreFake, StoreFault};
 pub use stream_memory::StreamMemory;
--- a/crates/fakes/src/platform/runner_fake.rs
+++ b/crates/fakes/src/platform/runner_fake.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use compio::net::{TcpListener, TcpStream};
 use futures_util::future::{Either, select};
@@ -61,6 +61,8 @@
     pub request: RunnerRequest,
     /// It was run.
     pub ran: bool,
+    /// When it came.
+    pub at: Instant,
 }
 
 /// What a runner is.
@@ -93,6 +95,8 @@
     /// Streams that are at work.
     working: Cell<usize>,
     leaving: Cell<bool>,
+    /// Moves from here find no room.
+    moves_refused: Cell<bool>,
     crashed: StopSignal,
 }
 
@@ -121,6 +125,7 @@
             visits: RefCell::default(),
             working: Cell::default(),
             leaving: Cell::default(),
+            moves_refused: Cell::default(),
             crashed: StopSignal::new(),
         });
         let shared = Rc::clone(&state);
@@ -173,6 +178,11 @@
         self.state.leaving.set(true);
     }
 
+    /// Whether moves of its runs find no room.
+    pub fn refuse_moves(&self, refused: bool) {
+        self.state.moves_refused.set(refused);
+    }
+
     /// Ends all its connections and takes no new ones.
     pub fn crash(&self) {
         self.state.crashed.raise();
@@ -228,6 +238,9 @@
 }
 
 async fn answer_move(stream: &mut TcpStream, state: &RunnerState, request: &RunnerRequest) -> bool {
+    if state.moves_refused.get() {
+        return write(stream, whole("503 Service Unavailable", "", "{}")).await;
+    }
     let body: Value = serde_json::from_slice(&request.body).unwrap_or_default();
     match state.memory.copy(body["id"].as_str().unwrap_or_default()) {
         Some((handle, events)) => {
@@ -249,7 +262,11 @@
     let wrong = !expected.is_empty() && expected != state.settings.id;
     let refused = matches!(script, RunnerScript::Refuse | RunnerScript::RefuseEarly);
     let ran = !wrong && !refused && resumed != Some(false);
-    state.visits.borrow_mut().push(RunnerVisit { request: request.clone(), ran });
+    state.visits.borrow_mut().push(RunnerVisit {
+        request: request.clone(),
+        ran,
+        at: Instant::now(),
+    });
     if wrong {
         let headers = format!("X-Dotterelyard-Instance-Id: {}\r\n", state.settings.id);
         return write(stream, whole("421 Misdirected Request", &headers, "")).await;
--- a/crates/harness/src/node_fleet.rs
+++ b/crates/harness/src/node_fleet.rs
@@ -8,7 +8,7 @@
 use serde_json::{Value, json};
 use web::{full_body, send_once};
 
-use crate::{AddressBlock, HarnessError, NodeProcess, Result, wait_until};
+use crate::{AddressBlock, HarnessError, NodeProcess, Result, TestLink, wait_until};
 
 /// Host of all routes.
 pub const HOST: &str = "yard.example";
@@ -126,15 +126,30 @@
         service: &str,
         settings: RunnerFakeSettings,
     ) -> Result<RunnerFake> {
-        self.runners += 1;
-        let address = self.addresses.address(100 + self.runners, 0);
-        let runner = RunnerFake::start(address, settings, &self.memory)
-            .await
-            .map_err(|error| fake_fault(&error))?;
+        let runner = self.prepare_runner(settings).await?;
         self.tell(&runner, service, "ready");
         Ok(runner)
     }
 
+    /// Starts a runner that the store does not list yet.
+    ///
+    /// # Errors
+    /// If an address cannot be had.
+    pub async fn prepare_runner(&mut self, settings: RunnerFakeSettings) -> Result<RunnerFake> {
+        self.runners += 1;
+        let address = self.addresses.address(100 + self.runners, 0);
+        let runner = RunnerFake::start(address, settings, &self.memory).await;
+        runner.map_err(|error| fake_fault(&error))
+    }
+
+    /// Starts link number `number`, which passes connections on to `target`.
+    ///
+    /// # Errors
+    /// If an address cannot be had.
+    pub async fn start_link(&self, number: u8, target: SocketAddr) -> Result<TestLink> {
+        TestLink::start(self.addresses.address(150 + number, 0), target).await
+    }
+
     /// Writes a runner's entry with a state.
     pub fn tell(&self, runner: &RunnerFake, service: &str, state: &str) {
         self.store.put_json("keyed.servers", runner.id(), &runner.entry(service, "north", state));
@@ -154,13 +169,26 @@
     /// If it cannot be started.
     pub fn add_node_with(&mut self, sets: &[(&str, Value)], read: bool) -> Result<usize> {
         let number = self.nodes.len();
+        self.nodes.push(self.start_node(number, sets, read)?);
+        Ok(number)
+    }
+
+    /// Starts the process of node `number`, also again.
+    ///
+    /// # Errors
+    /// If it cannot be started.
+    pub fn start_node(
+        &self,
+        number: usize,
+        sets: &[(&str, Value)],
+        read: bool,
+    ) -> Result<NodeProcess> {
         let mut settings = self.settings(number);
         for (name, value) in sets {
             settings[*name] = value.clone();
         }
         let name = format!("{}-{number}", self.addresses.address(1, 0).port());
-        self.nodes.push(NodeProcess::start(&name, &settings, read)?);
-        Ok(number)
+        NodeProcess::start(&name, &settings, read)
     }
 
     /// The settings of a node.
--- a/crates/harness/tests/node_moves.rs
+++ b/crates/harness/tests/node_moves.rs
@@ -105,6 +105,23 @@
     .unwrap();
 }
 
+#[test]
+fn a_move_that_finds_no_room_is_tried_for_as_long_as_a_notice() {
+    kernel::run(async {
+        let runs = play(short(), async |fleet, runner| {
+            runner.refuse_moves(true);
+            fleet.tell(runner, "llm", "draining");
+            compio::time::sleep(Duration::from_millis(1_100)).await;
+            runner.refuse_moves(false);
+            compio::time::sleep(Duration::from_millis(500)).await;
+            runner.crash();
+        })
+        .await;
+        assert_eq!(runs, 2);
+    })
+    .unwrap();
+}
+
 #[test]
 fn a_stream_moves_when_its_runner_disappears_from_the_list() {
     kernel::run(async {
--- a/crates/node/src/stream_change.rs
+++ b/crates/node/src/stream_change.rs
@@ -19,15 +19,16 @@
 use crate::stream_pump::{PumpStep, StreamPump};
 use crate::stream_source::StreamSource;
 
-/// Changes of the runner of one stream at most.
-pub const MAX_CHANGES: u32 = 16;
+/// Tries to change the runner of a stream at most, until one succeeds.
+pub const MAX_TRIES: u32 = 20;
 /// Time that a run with a copy elsewhere stays at a runner that leaves: short enough for
 /// the shortest notice (1.5 s), less the age of the news.
 const STAY_SPAN: TimeSpan = TimeSpan::millis(100);
 /// Time after the first events of a run until its copy at another runner is there.
 const FILL_SPAN: TimeSpan = TimeSpan::millis(600);
-/// Pause before a move to another target, after one had no room.
-const NEXT_TARGET_PAUSE: TimeSpan = TimeSpan::millis(20);
+/// Pause before a move to another target, after one had no room; with all tries, as long
+/// as a notice.
+const NEXT_TARGET_PAUSE: TimeSpan = TimeSpan::millis(75);
 /// Time for another runner to take a run over before the old one is cut off. Two runners
 /// may not work on one request for longer than 400 ms.
 const OVERLAP_LIMIT: TimeSpan = TimeSpan::millis(250);
@@ -49,7 +50,7 @@
         if self.moving.is_some() {
             return PumpStep::Continue;
         }
-        if self.source.backup.is_some() && self.changes < MAX_CHANGES {
+        if self.source.backup.is_some() && self.tries < MAX_TRIES {
             return self.resume_from_backup().await;
         }
         PumpStep::End(EndOutcome::Cut, "runner_lost")
@@ -85,7 +86,7 @@
     /// Goes on at the runner that keeps a copy. The old one is cut off as soon as the
     /// other has taken over.
     async fn resume_from_backup(&mut self) -> PumpStep {
-        self.changes += 1;
+        self.tries += 1;
         let Some(backup) = self.source.backup.take() else { return PumpStep::Continue };
         let resume = ResumeSource {
             address: backup.address,
@@ -103,9 +104,9 @@
     }
 
     fn start_move(&mut self) -> PumpStep {
-        self.changes += 1;
+        self.tries += 1;
         self.source.leave_at = None;
-        if self.changes > MAX_CHANGES {
+        if self.tries > MAX_TRIES {
             return PumpStep::Continue;
         }
         let old = &self.source.runner;
@@ -114,7 +115,7 @@
         let runners = self.context.runners.borrow();
         let Some(entry) = target.and_then(|target| runners.get(&target)) else {
             tracing::info!(event = "move_impossible", %request, %from);
-            self.changes = MAX_CHANGES;
+            self.tries = MAX_TRIES;
             return PumpStep::Continue;
         };
         let target = entry.record.clone();
@@ -189,6 +190,8 @@
             return Ok(PumpStep::End(EndOutcome::Cut, "resume_failed"));
         }
         self.note_change(word);
+        self.changes += 1;
+        self.tries = 0;
         tracing::info!(
             event = "runner_changed_over",
             request = %self.call.attempt,
--- a/crates/node/src/stream_pump.rs
+++ b/crates/node/src/stream_pump.rs
@@ -14,7 +14,7 @@
 use crate::call_log::{CallEnding, EndOutcome, log_end, log_setback};
 use crate::context::{ActiveGuard, NodeContext};
 use crate::router::RouteTicket;
-use crate::stream_change::{MAX_CHANGES, PendingMove};
+use crate::stream_change::{MAX_TRIES, PendingMove};
 use crate::stream_move::RunCopy;
 use crate::stream_source::{CallerSide, StreamPace, StreamSource};
 
@@ -44,7 +44,10 @@
     pub(crate) scanner: StreamScanner,
     pub(crate) caller: CallerSide,
     pub(crate) moving: Option<PendingMove>,
+    /// Changes of the runner.
     pub(crate) changes: u32,
+    /// Tries of the next change.
+    pub(crate) tries: u32,
     pace: StreamPace,
     _active: ActiveGuard,
 }
@@ -68,6 +71,7 @@
             caller,
             moving: None,
             changes: 0,
+            tries: 0,
             pace: StreamPace::default(),
             _active: context.count_active(),
         }
@@ -95,7 +99,7 @@
         let now = self.context.now();
         let may_leave = self.moving.is_none()
             && self.source.leave_at.is_none()
-            && self.changes < MAX_CHANGES
+            && self.tries < MAX_TRIES
             && (self.call.moves || self.source.backup.is_some());
         let leave_at = self.source.leave_at.filter(|_| self.moving.is_none());
         let leaving = self.ticket.leaving();
