--- a/crates/harness/tests/node_moves.rs
+++ b/crates/harness/tests/node_moves.rs
@@ -46,13 +46,23 @@
     let (fleet, runners) = fleet().await;
     let (answer, ()) = futures_util::join!(fleet.send(0, &request), async {
         let runner = worker(&runners).await;
-        compio::time::sleep(Duration::from_millis(300)).await;
+        pause(300).await;
         fault(&fleet, runner).await;
     });
     assert_whole(&answer);
     runners.iter().map(RunnerFake::runs).sum()
 }
 
+/// Plays one stream, which has to go on at one other runner.
+fn assert_moves(request: CallerRequest, fault: impl AsyncFn(&NodeFleet, &RunnerFake)) {
+    let runs = kernel::run(play(request, fault)).unwrap();
+    assert_eq!(runs, 2);
+}
+
+async fn pause(millis: u64) {
+    compio::time::sleep(Duration::from_millis(millis)).await;
+}
+
 /// A stream that is too short for a copy from its start.
 fn short() -> CallerRequest {
     CallerRequest::stream("s1").with("x-dotterelyard-length-hint", "10")
@@ -60,30 +70,20 @@
 
 #[test]
 fn a_stream_without_a_copy_moves_when_its_runner_says_that_it_leaves() {
-    kernel::run(async {
-        let runs = play(short(), async |fleet, runner| {
-            fleet.tell(runner, "llm", "draining");
-            compio::time::sleep(Duration::from_millis(1_800)).await;
-            runner.crash();
-        })
-        .await;
-        assert_eq!(runs, 2);
-    })
-    .unwrap();
+    assert_moves(short(), async |fleet, runner| {
+        fleet.tell(runner, "llm", "draining");
+        pause(1_800).await;
+        runner.crash();
+    });
 }
 
 #[test]
 fn a_stream_moves_within_a_short_notice() {
-    kernel::run(async {
-        let runs = play(short(), async |fleet, runner| {
-            fleet.tell(runner, "llm", "draining");
-            compio::time::sleep(Duration::from_millis(700)).await;
-            runner.crash();
-        })
-        .await;
-        assert_eq!(runs, 2);
-    })
-    .unwrap();
+    assert_moves(short(), async |fleet, runner| {
+        fleet.tell(runner, "llm", "draining");
+        pause(700).await;
+        runner.crash();
+    });
 }
 
 #[test]
@@ -97,7 +97,7 @@
                 other.script(&[RunnerScript::Refuse]);
             }
             fleet.tell(runner, "llm", "draining");
-            compio::time::sleep(Duration::from_millis(1_500)).await;
+            pause(1_500).await;
             runner.crash();
         });
         assert_whole(&answer);
@@ -107,58 +107,39 @@
 
 #[test]
 fn a_move_that_finds_no_room_is_tried_for_as_long_as_a_notice() {
-    kernel::run(async {
-        let runs = play(short(), async |fleet, runner| {
-            runner.refuse_moves(true);
-            fleet.tell(runner, "llm", "draining");
-            compio::time::sleep(Duration::from_millis(1_100)).await;
-            runner.refuse_moves(false);
-            compio::time::sleep(Duration::from_millis(500)).await;
-            runner.crash();
-        })
-        .await;
-        assert_eq!(runs, 2);
-    })
-    .unwrap();
+    assert_moves(short(), async |fleet, runner| {
+        runner.refuse_moves(true);
+        fleet.tell(runner, "llm", "draining");
+        pause(1_100).await;
+        runner.refuse_moves(false);
+        pause(500).await;
+        runner.crash();
+    });
 }
 
 #[test]
 fn a_stream_moves_when_its_runner_disappears_from_the_list() {
-    kernel::run(async {
-        let runs = play(short(), async |fleet, runner| {
-            fleet.store.put("keyed.servers", runner.id(), None);
-            compio::time::sleep(Duration::from_millis(1_800)).await;
-            runner.crash();
-        })
-        .await;
-        assert_eq!(runs, 2);
-    })
-    .unwrap();
+    assert_moves(short(), async |fleet, runner| {
+        fleet.store.put("keyed.servers", runner.id(), None);
+        pause(1_800).await;
+        runner.crash();
+    });
 }
 
 #[test]
 fn a_stream_moves_while_the_store_is_away_when_the_runner_itself_says_that_it_leaves() {
-    kernel::run(async {
-        let runs = play(short(), async |fleet, runner| {
-            fleet.store.set_fault(StoreFault::Silent);
-            compio::time::sleep(Duration::from_millis(300)).await;
-            runner.leave();
-            compio::time::sleep(Duration::from_millis(2_300)).await;
-            runner.crash();
-        })
-        .await;
-        assert_eq!(runs, 2);
-    })
-    .unwrap();
+    assert_moves(short(), async |fleet, runner| {
+        fleet.store.set_fault(StoreFault::Silent);
+        pause(300).await;
+        runner.leave();
+        pause(2_300).await;
+        runner.crash();
+    });
 }
 
 #[test]
 fn a_stream_with_a_copy_survives_the_crash_of_its_runner() {
-    kernel::run(async {
-        let runs = play(CallerRequest::stream("s1"), async |_, runner| runner.crash()).await;
-        assert_eq!(runs, 2);
-    })
-    .unwrap();
+    assert_moves(CallerRequest::stream("s1"), async |_, runner| runner.crash());
 }
 
 #[test]
@@ -181,10 +162,10 @@
         let (fleet, runners) = fleet().await;
         let leaving = &runners[0];
         fleet.tell(leaving, "llm", "draining");
-        compio::time::sleep(Duration::from_millis(800)).await;
+        pause(800).await;
         // A stale entry of the same start does not bring it back.
         fleet.tell(leaving, "llm", "ready");
-        compio::time::sleep(Duration::from_millis(500)).await;
+        pause(500).await;
         let before = leaving.visits().len();
         for number in 0..6 {
             let response = fleet.open(0, &CallerRequest::stream(&format!("n{number}"))).await;
@@ -206,7 +187,7 @@
         fleet.wait_ready().await.unwrap();
         let stream = fleet.open(0, &CallerRequest::stream("s1")).await.unwrap();
         let staying = fleet.add_runner("llm", slow("llm-2")).await.unwrap();
-        compio::time::sleep(Duration::from_millis(500)).await;
+        pause(500).await;
         fleet.store.set_fault(StoreFault::Silent);
         leaving.leave();
         // Only the first node has a stream there, and asks.
