Say once what the nodes' code said twice

Found by reading the whole change: the plan for going on at a runner with a copy was written for a lost head and for a lost stream; what is noted after the list of runners was read stood in three places; reading on in a topic, or listing it, in two; each heartbeat's loads were cloned, and kept by the table of nodes beside the books of loads; the soak had two copies of a fault that lasts and two rules of what overlaps. Each now stands once; loads are moved, and the table keeps the rest.

One line fewer in the log: a send that broke off was noted again when its backup refused too. Behaviour is otherwise as it was.

--- a/crates/node/src/follow_nodes.rs
+++ b/crates/node/src/follow_nodes.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use base::prelude::*;
-use platform::{KeyedListing, KeyedNews, NodeRecord, StoreClient, StoreTopic};
+use platform::{KeyedListing, NodeRecord, StoreClient, StoreTopic};
 
 use crate::context::NodeContext;
 use crate::dependency::DependencyState;
@@ -44,15 +44,11 @@
         announce(context, client).await?;
         *announced = true;
     }
-    let listing = match from {
-        None => client.newest(StoreTopic::Nodes).await?,
-        Some(from) => match client.changes(StoreTopic::Nodes, from, TimeSpan::default()).await? {
-            KeyedNews::Changes(listing) => listing,
-            KeyedNews::Deleted => return Ok(None),
-        },
-    };
-    take(context, &listing);
-    Ok(Some(listing.end))
+    let listing = client.read_on(StoreTopic::Nodes, from, TimeSpan::default()).await?;
+    Ok(listing.map(|listing| {
+        take(context, &listing);
+        listing.end
+    }))
 }
 
 async fn announce(context: &NodeContext, client: &StoreClient) -> platform::Result<()> {
--- a/crates/node/src/follow_operators.rs
+++ b/crates/node/src/follow_operators.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use base::prelude::*;
-use platform::{KeyedChange, KeyedListing, KeyedNews, StoreClient, StoreTopic};
+use platform::{KeyedChange, KeyedListing, StoreClient, StoreTopic};
 use serving::ServingPlan;
 
 use crate::context::NodeContext;
@@ -49,7 +49,7 @@
         if from.is_some() {
             wait_for_turn(&context).await;
         }
-        match read(&client, from).await {
+        match client.read_on(StoreTopic::Operators, from, READ_WAIT).await {
             Ok(Some(listing)) => {
                 state.note_answer();
                 context.store_answered.set(Some(context.now()));
@@ -73,20 +73,6 @@
     }
 }
 
-/// The next changes; none if the topic has to be listed anew.
-async fn read(
-    client: &StoreClient,
-    from: Option<LogOffset>,
-) -> platform::Result<Option<KeyedListing>> {
-    let Some(from) = from else {
-        return client.newest(StoreTopic::Operators).await.map(Some);
-    };
-    match client.changes(StoreTopic::Operators, from, READ_WAIT).await? {
-        KeyedNews::Changes(listing) => Ok(Some(listing)),
-        KeyedNews::Deleted => Ok(None),
-    }
-}
-
 fn take_listing(context: &NodeContext, router: &RouterService, listing: &KeyedListing) {
     if listing.malformed > 0 {
         tracing::warn!(
--- a/crates/node/src/follow_runners.rs
+++ b/crates/node/src/follow_runners.rs
@@ -117,11 +117,22 @@
 
     fn finish(&self, asked: TimePoint, end: LogOffset, changed: bool) {
         self.context.store_answered.set(Some(self.context.now()));
-        self.context.runners_read.set(end.max(self.context.runners_read.get()));
-        self.context.runners_current.set(Some(asked));
-        if changed {
-            self.router.update_members();
-        }
+        note_read(&self.context, &self.router, asked, end, changed);
+    }
+}
+
+/// Notes that the list is read up to `end` as it was at `current`, by this node or another.
+pub fn note_read(
+    context: &NodeContext,
+    router: &RouterService,
+    current: TimePoint,
+    end: LogOffset,
+    changed: bool,
+) {
+    context.runners_read.set(end.max(context.runners_read.get()));
+    context.runners_current.set(Some(current));
+    if changed {
+        router.update_members();
     }
 }
 
@@ -132,11 +143,7 @@
         return;
     }
     let changed = !apply(context, news.changes, "node").is_empty();
-    context.runners_read.set(news.end);
-    context.runners_current.set(Some(context.now()));
-    if changed {
-        router.update_members();
-    }
+    note_read(context, router, context.now(), news.end, changed);
 }
 
 /// Applies changes; gives those that changed what is believed.
--- a/crates/node/src/peer_link.rs
+++ b/crates/node/src/peer_link.rs
@@ -15,7 +15,7 @@
 use crate::context::NodeContext;
 use crate::dependency::DependencyState;
 use crate::follow_operators::take_plan;
-use crate::follow_runners::take_news;
+use crate::follow_runners::{note_read, take_news};
 use crate::peer_server::{PLAN_PATH, RUNNERS_PATH, RunnersAnswer};
 use crate::router::RouterService;
 
@@ -153,13 +153,16 @@
         }
     }
 
-    fn take_beat(self: &Rc<Self>, beat: PeerBeat) {
+    fn take_beat(self: &Rc<Self>, mut beat: PeerBeat) {
         if beat.vm == self.context.settings.vm {
             return;
         }
         self.context.metrics.beats.inc();
-        let (vm, leaving) = (beat.vm.clone(), beat.leaving.clone());
-        let load = NodeLoad { loads: beat.loads.clone(), waits: beat.waits.clone() };
+        let vm = beat.vm.clone();
+        // These have books of their own; the table of nodes keeps the rest.
+        let leaving = std::mem::take(&mut beat.leaving);
+        let loads = std::mem::take(&mut beat.loads);
+        let load = NodeLoad { loads, waits: std::mem::take(&mut beat.waits) };
         if self.context.peers.borrow_mut().take(self.context.now(), beat) {
             if self.context.loads.borrow_mut().set(vm, load) {
                 self.router.note_loads();
@@ -224,12 +227,10 @@
         }
         let records: Vec<RunnerRecord> = answer.runners;
         let changed = self.context.runners.borrow_mut().replace(self.context.now(), records);
-        self.context.runners_read.set(answer.read);
-        self.context.runners_current.set(Some(asked));
         if changed {
             tracing::info!(event = "runners_taken", read = answer.read.0, source = "node", %peer);
-            self.router.update_members();
         }
+        note_read(&self.context, &self.router, asked, answer.read, changed);
         Ok(())
     }
 }
--- a/crates/node/src/stream_call.rs
+++ b/crates/node/src/stream_call.rs
@@ -66,13 +66,16 @@
         let load = ticket.load_of(&runner.runner);
         log_send(context, &call, &runner.runner, backup_id, load.as_ref(), track.sends());
         let plan = SendPlan::first(runner, backup);
-        let outcome = match ask(context, &call, &plan).await {
-            Err(setback) if setback.outcome == SendOutcome::Unknown && plan.backup.is_some() => {
-                take_setback(context, router, &call, &plan.runner.runner, &setback);
-                ask_backup(context, &call, &plan, &mut ticket).await.map_err(|()| setback)
+        let mut outcome = ask(context, &call, &plan).await;
+        if let Err(setback) = &outcome {
+            take_setback(context, router, &call, &plan.runner.runner, setback);
+            if setback.outcome == SendOutcome::Unknown
+                && let Some(backup) = plan.backup
+                && let Ok(answer) = ask_backup(context, &call, backup, &mut ticket).await
+            {
+                outcome = Ok(answer);
             }
-            outcome => outcome,
-        };
+        }
         match outcome {
             Ok(RunnerAnswer::Events(source, head)) => {
                 return start(context, call, cut, ticket, *source, head);
@@ -83,7 +86,6 @@
             }
             Err(setback) => {
                 track.note(setback.outcome);
-                take_setback(context, router, &call, &plan.runner.runner, &setback);
                 ticket.end(setback.end);
             }
         }
@@ -107,6 +109,22 @@
     context.runners.borrow().get(&backup).map(|entry| entry.record.clone())
 }
 
+/// Books the call at `backup`, which keeps a copy of it, and plans how it goes on there
+/// after event `last_event`.
+pub fn plan_at_backup(
+    context: &NodeContext,
+    call: &Call,
+    ticket: &mut RouteTicket,
+    backup: RunnerRecord,
+    last_event: Option<u64>,
+) -> SendPlan {
+    ticket.relocate_to(&backup.runner);
+    let handle = Arc::from(call.attempt.as_str());
+    let resume = ResumeSource { address: backup.address, handle, last_event };
+    let next = choose_backup(context, call, ticket);
+    SendPlan { runner: backup, resume: Some(resume), backup: next }
+}
+
 /// Sends the call and takes the head of the answer, or the whole of one without events.
 async fn ask(
     context: &NodeContext,
@@ -130,18 +148,10 @@
 async fn ask_backup(
     context: &NodeContext,
     call: &Call,
-    plan: &SendPlan,
+    backup: RunnerRecord,
     ticket: &mut RouteTicket,
 ) -> Result<RunnerAnswer, ()> {
-    let backup = plan.backup.clone().ok_or(())?;
-    ticket.relocate_to(&backup.runner);
-    let resume = ResumeSource {
-        address: backup.address,
-        handle: Arc::from(call.attempt.as_str()),
-        last_event: None,
-    };
-    let next = choose_backup(context, call, ticket);
-    let plan = SendPlan { runner: backup, resume: Some(resume), backup: next };
+    let plan = plan_at_backup(context, call, ticket, backup, None);
     ask(context, call, &plan).await.map_err(|setback| {
         crate::call_log::log_setback(context, call, &plan.runner.runner, &setback.reason);
     })
--- a/crates/node/src/stream_change.rs
+++ b/crates/node/src/stream_change.rs
@@ -14,7 +14,7 @@
 use crate::call_log::{EndOutcome, log_setback};
 use crate::metrics::EndLabels;
 use crate::runner_send::{SendPlan, SendSetback, send_to_runner};
-use crate::stream_call::choose_backup;
+use crate::stream_call::{choose_backup, plan_at_backup};
 use crate::stream_move::{RunCopy, copy_run};
 use crate::stream_pump::{PumpStep, StreamPump};
 use crate::stream_source::StreamSource;
@@ -88,14 +88,8 @@
     async fn resume_from_backup(&mut self) -> PumpStep {
         self.tries += 1;
         let Some(backup) = self.source.backup.take() else { return PumpStep::Continue };
-        let resume = ResumeSource {
-            address: backup.address,
-            handle: Arc::from(self.call.attempt.as_str()),
-            last_event: self.scanner.last(),
-        };
-        self.ticket.relocate_to(&backup.runner);
-        let next = choose_backup(&self.context, &self.call, &self.ticket);
-        let plan = SendPlan { runner: backup, resume: Some(resume), backup: next };
+        let last = self.scanner.last();
+        let plan = plan_at_backup(&self.context, &self.call, &mut self.ticket, backup, last);
         match self.take_over(&plan, "resumed").await {
             Ok(step) => step,
             Err(_) if !self.source.ended => self.start_move(),
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -6,7 +6,7 @@
 
 use fakes::platform::StoreFault;
 use futures_util::future::{join, join_all};
-use harness::{CallerRequest, LinkState, Result, TestLink, wait_until};
+use harness::{CallerRequest, LinkState, Result, wait_until};
 use rustix::process::Signal;
 
 use crate::callers::call_until;
@@ -101,13 +101,19 @@
     async fn play(&self, start: Instant, step: &SoakStep) -> Result<()> {
         compio::time::sleep(step.at.saturating_sub(start.elapsed())).await;
         match step.fault {
-            SoakFault::Store(fault, span) => self.strike_store(fault, span).await,
+            SoakFault::Store(fault, span) => {
+                let store = &self.site.fleet.store;
+                let end = || store.set_fault(StoreFault::None);
+                self.strike(None, span, || store.set_fault(fault), end).await;
+            }
             SoakFault::Compact => {
                 self.site.fleet.store.compact("keyed.servers");
                 self.site.fleet.store.compact("keyed.op");
             }
             SoakFault::StoreLink(node, state, span) => {
-                self.strike_link(&self.site.store_links[node], Some(node), state, span).await;
+                let link = &self.site.store_links[node];
+                self.strike(Some(node), span, || link.set(state), || link.set(LinkState::Open))
+                    .await;
             }
             SoakFault::RunnerLink(engine, state, span) => {
                 let address = self.site.engines.borrow()[engine].link.address();
@@ -124,25 +130,18 @@
         Ok(())
     }
 
-    async fn strike_store(&self, fault: StoreFault, span: Duration) {
-        let number = self.site.disturb(None, false);
-        self.site.fleet.store.set_fault(fault);
-        compio::time::sleep(span).await;
-        self.site.fleet.store.set_fault(StoreFault::None);
-        self.site.calm(number);
-    }
-
-    async fn strike_link(
+    /// Lets a fault last for `span`.
+    async fn strike(
         &self,
-        link: &TestLink,
         node: Option<usize>,
-        state: LinkState,
         span: Duration,
+        begin: impl FnOnce(),
+        end: impl FnOnce(),
     ) {
         let number = self.site.disturb(node, false);
-        link.set(state);
+        begin();
         compio::time::sleep(span).await;
-        link.set(LinkState::Open);
+        end();
         self.site.calm(number);
     }
 
@@ -155,11 +154,7 @@
                 runner.link.set(state);
             }
         };
-        let number = self.site.disturb(None, false);
-        set(state);
-        compio::time::sleep(span).await;
-        set(LinkState::Open);
-        self.site.calm(number);
+        self.strike(None, span, || set(state), || set(LinkState::Open)).await;
     }
 
     async fn stop(&self, node: usize) -> Result<()> {
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -14,7 +14,7 @@
 /// Events of a stream, one each 10 ms: short enough for a planned stop.
 pub const EVENTS: u64 = 150;
 /// Time before a check for which nothing may have disturbed a node.
-pub const STABLE_SPAN: Duration = Duration::from_secs(3);
+const STABLE_SPAN: Duration = Duration::from_secs(3);
 /// Time that a plain call takes.
 const WORK: Duration = Duration::from_millis(10);
 
@@ -146,27 +146,26 @@
     /// Whether nothing disturbed `node` between two instants, and for a while before.
     #[must_use]
     pub fn was_calm(&self, node: usize, from: Instant, until: Instant) -> bool {
-        let from = from.checked_sub(STABLE_SPAN).unwrap_or(from);
-        let disturbances = self.disturbances.borrow();
-        let strikes = |one: &&Disturbance| one.node.is_none_or(|struck| struck == node);
-        let overlaps =
-            |one: &Disturbance| one.from <= until && one.until.is_none_or(|ended| ended >= from);
-        !disturbances.iter().filter(strikes).any(overlaps)
+        self.disturbances_of(node, from, until).is_empty()
     }
 
     /// Whether a planned stop of `node`, and nothing else, struck a request of that time
     /// after it had been sent.
     #[must_use]
     pub fn was_only_stopped(&self, node: usize, from: Instant, until: Instant) -> bool {
-        let disturbances = self.disturbances.borrow();
+        let struck = self.disturbances_of(node, from, until);
+        !struck.is_empty() && struck.iter().all(|one| one.planned && one.from > from)
+    }
+
+    /// What `node` may have felt between two instants, or in a while before them.
+    fn disturbances_of(&self, node: usize, from: Instant, until: Instant) -> Vec<Disturbance> {
         let since = from.checked_sub(STABLE_SPAN).unwrap_or(from);
-        let overlaps = |one: &&Disturbance| {
+        let strikes = |one: &&Disturbance| {
             one.node.is_none_or(|struck| struck == node)
                 && one.from <= until
                 && one.until.is_none_or(|ended| ended >= since)
         };
-        let mut struck = disturbances.iter().filter(overlaps).peekable();
-        struck.peek().is_some() && struck.all(|one| one.planned && one.from > from)
+        self.disturbances.borrow().iter().filter(strikes).copied().collect()
     }
 
     /// All requests that reached any runner.
