Forecast memory over all nodes, bound prompts by prefill time, spare the store in an outage

In an outage of the store every node took itself for its first reader, and every node read the list of nodes each 10 s. Change: heartbeats carry the forecast of each node's calls and copies; lengths start from the caller's hint and limit; risk is judged over the call's own life; a runner is admissible only if its prompts are read in time; entries with waiting calls take turns; moves have noise in their cost; readers keep an order in an outage; the list of nodes is read less often as the fleet grows.

--- a/crates/entry/src/generation.rs
+++ b/crates/entry/src/generation.rs
@@ -62,6 +62,7 @@
             priority: self.priority,
             prompt_tokens: self.prompt_tokens,
             max_tokens: self.max_tokens,
+            length_hint: None,
             prefix_hash: base::prompt_prefix_hash(&self.prompt),
             first_token_target: None,
             deadline: self.deadline,
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -60,6 +60,7 @@
             priority: self.priority,
             prompt_tokens: TokenCount(0),
             max_tokens: TokenCount(0),
+            length_hint: None,
             prefix_hash: 0,
             first_token_target: None,
             deadline: self.deadline,
--- a/crates/load/src/policy/simulation.rs
+++ b/crates/load/src/policy/simulation.rs
@@ -207,6 +207,7 @@
             priority: class.priority,
             prompt_tokens: call.prompt_tokens,
             max_tokens: TokenCount(class.output.longest),
+            length_hint: None,
             prefix_hash: call.prefix,
             first_token_target: None,
             deadline: call.deadline,
--- a/crates/node/src/call.rs
+++ b/crates/node/src/call.rs
@@ -77,6 +77,7 @@
             priority: route_priority(self.priority),
             prompt_tokens: self.head.prompt_tokens,
             max_tokens: self.head.max_output_tokens,
+            length_hint: self.head.output_hint,
             prefix_hash: 0,
             first_token_target: Some(self.arrived + self.route.target_latency),
             deadline: self.deadline,
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -111,7 +111,8 @@
     /// Number of nodes ranked before this one for reading the store on behalf of the fleet.
     #[must_use]
     pub fn readers_before(&self) -> usize {
-        self.peers.borrow().readers_ahead_of(self.now(), &self.settings.vm)
+        let reaches_store = self.is_store_reachable();
+        self.peers.borrow().readers_ahead_of(self.now(), &self.settings.vm, reaches_store)
     }
 
     /// Whether this node can serve callers: it knows the configuration and the runners, is
--- a/crates/node/src/follow_configuration.rs
+++ b/crates/node/src/follow_configuration.rs
@@ -17,7 +17,7 @@
 /// Interval at which a node checks whether it has to read itself.
 const TURN_CHECK_PAUSE: TimeSpan = TimeSpan::millis(100);
 /// Pause after a failed read.
-const RETRY_PAUSE: TimeSpan = TimeSpan::millis(150);
+const RETRY_PAUSE: TimeSpan = TimeSpan::millis(250);
 
 /// Activates `plan` if it is newer than the active configuration.
 pub fn apply_plan(context: &NodeContext, router: &RouterService, plan: ServingPlan, from: &str) {
--- a/crates/node/src/follow_runners.rs
+++ b/crates/node/src/follow_runners.rs
@@ -20,8 +20,8 @@
 /// Additional pause for each node that ranks before this one as a reader.
 const STANDBY_PAUSE: TimeSpan = TimeSpan::millis(80);
 /// Maximum number of additional pauses; all further nodes read at the same time.
-const MAX_STANDBY_STEPS: u64 = 4;
-/// Pause after a failure.
+const MAX_STANDBY_STEPS: u64 = 20;
+/// Pause of the first reader after a failure; the others wait longer, as after a read.
 const RETRY_PAUSE: TimeSpan = TimeSpan::millis(200);
 
 /// Keeps the list of runners up to date from the store.
@@ -66,7 +66,7 @@
                 Err(error) => {
                     self.dependency.record_failure(&error);
                     self.context.metrics.store_failures.inc();
-                    kernel::sleep(RETRY_PAUSE.into()).await;
+                    kernel::sleep(self.standby_pause(RETRY_PAUSE).into()).await;
                 }
             }
             self.context.runners.borrow_mut().prune(self.context.now());
@@ -76,10 +76,8 @@
     /// Waits until neither this node nor another has read the list for a while.
     async fn wait_for_turn(&self) {
         loop {
-            let standby = (self.context.readers_before() as u64).min(MAX_STANDBY_STEPS);
-            let pause = TimeSpan(READ_PAUSE.0 + standby * STANDBY_PAUSE.0);
             let read = self.context.runners_updated.get().unwrap_or_default();
-            let left = (read + pause).since(self.context.now());
+            let left = (read + self.standby_pause(READ_PAUSE)).since(self.context.now());
             if left == TimeSpan::default() {
                 return;
             }
@@ -87,6 +85,12 @@
         }
     }
 
+    /// Pause of this node by its rank as a reader; `first` is that of the first reader.
+    fn standby_pause(&self, first: TimeSpan) -> TimeSpan {
+        let steps = (self.context.readers_before() as u64).min(MAX_STANDBY_STEPS);
+        TimeSpan(first.0 + steps * STANDBY_PAUSE.0)
+    }
+
     /// Reads the whole list, or the changes since the last read if `has_list`; returns
     /// whether the next read can continue from this one.
     async fn read(&self, has_list: bool) -> platform::Result<bool> {
--- a/crates/node/src/router.rs
+++ b/crates/node/src/router.rs
@@ -9,7 +9,10 @@
 use dispatch::{CallDispatcher, CallHandle, RouteCommand};
 use futures_channel::mpsc;
 use kernel::StopSignal;
-use route::{CallEnd, CallId, PolicyName, RouteCall, RouteEvent, RouteSettings, RunnerSummary};
+use route::{
+    CallEnd, CallId, MemoryForecast, PolicyName, RouteCall, RouteEvent, RouteSettings,
+    RunnerSummary,
+};
 use serving::{RunnerIncarnation, RunnerLoad};
 
 use crate::context::NodeContext;
@@ -65,10 +68,13 @@
         let heartbeat_requests = Rc::new(RefCell::new(heartbeat_requests));
         let (sent_calls, requests) = (Rc::clone(&calls), Rc::clone(&heartbeat_requests));
         let on_send = move |id: CallId, runner: &RunnerId| {
-            if let Some(call) = sent_calls.borrow_mut().get_mut(&id) {
-                call.runner = Some(runner.clone());
+            let mut calls = sent_calls.borrow_mut();
+            let Some(call) = calls.get_mut(&id) else { return };
+            call.runner = Some(runner.clone());
+            // A plain call has ended before it would matter to other nodes.
+            if call.tokens > 0 {
+                try_request_heartbeat(&requests);
             }
-            try_request_heartbeat(&requests);
         };
         let dispatcher = CallDispatcher::new(settings, context.clock(), on_send);
         Rc::new_cyclic(|weak_self| Self {
@@ -191,27 +197,46 @@
     #[must_use]
     pub fn local_loads(&self) -> Vec<RunnerLoad> {
         let mut loads: BTreeMap<RunnerId, RunnerLoad> = BTreeMap::new();
-        for call in self.calls.borrow().values() {
-            let Some(runner) = &call.runner else { continue };
-            let tokens = call.tokens;
-            let prefill_tokens = if call.started { 0 } else { tokens };
-            let run_load = RunnerLoad { runner: runner.clone(), calls: 1, prefill_tokens, tokens };
-            serving::add_load(&mut loads, &run_load);
-            if let Some(backup) = &call.backup {
-                let copy_load =
-                    RunnerLoad { runner: backup.clone(), calls: 0, prefill_tokens: 0, tokens };
-                serving::add_load(&mut loads, &copy_load);
-            }
+        for load in self.run_loads().iter().chain(&self.copy_loads()) {
+            serving::add_load(&mut loads, load);
         }
         loads.into_values().collect()
     }
 
+    /// Load of each call at its runner.
+    fn run_loads(&self) -> Vec<RunnerLoad> {
+        let state = self.dispatcher.state();
+        let run_load = |(id, call): (&CallId, &LocalCall)| {
+            let forecast = state.call_forecast(*id).unwrap_or_default();
+            let prefill_tokens = if call.started { 0 } else { call.tokens };
+            let runner = call.runner.clone()?;
+            Some(RunnerLoad { runner, calls: 1, prefill_tokens, forecast })
+        };
+        self.calls.borrow().iter().filter_map(run_load).collect()
+    }
+
+    /// Load of each backup copy at the runner that keeps it.
+    fn copy_loads(&self) -> Vec<RunnerLoad> {
+        let state = self.dispatcher.state();
+        let copy_load = |(id, call): (&CallId, &LocalCall)| {
+            let forecast = state.call_forecast(*id).unwrap_or_default();
+            let runner = call.backup.clone()?;
+            Some(RunnerLoad { runner, calls: 0, prefill_tokens: 0, forecast })
+        };
+        self.calls.borrow().iter().filter_map(copy_load).collect()
+    }
+
     /// Dispatcher events with the load of every runner, summed over all nodes.
     fn load_events(&self) -> Vec<RouteEvent> {
         let Some(plan) = self.context.plan() else { return Vec::new() };
         self.peer_loads_changed.set(false);
         let mut loads = self.context.peer_loads.borrow().totals();
-        for load in self.local_loads() {
+        for load in self.copy_loads() {
+            serving::add_load(&mut loads, &load);
+        }
+        let other_forecasts: BTreeMap<RunnerId, MemoryForecast> =
+            loads.iter().map(|(runner, load)| (runner.clone(), load.forecast)).collect();
+        for load in self.run_loads() {
             serving::add_load(&mut loads, &load);
         }
         let sequence = self.load_sequence.get() + 1;
@@ -220,7 +245,7 @@
         let peer_loads = self.context.peer_loads.borrow();
         let peers_waiting = |service: &ServiceName| RouteEvent::PeersWaiting {
             service: service.clone(),
-            peers_waiting: peer_loads.has_waiting_calls(service),
+            waiting_peers: peer_loads.waiting_nodes(service),
         };
         let mut events: Vec<RouteEvent> = plan.services.keys().map(peers_waiting).collect();
         for entry in runners.entries().filter(|entry| entry.removed_at.is_none()) {
@@ -230,12 +255,14 @@
             let load = loads.get(&record.runner);
             let tokens = load.map_or(0, |load| u64::from(load.prefill_tokens));
             events.push(RouteEvent::PendingPrefill { runner: record.runner.clone(), tokens });
+            let forecast = other_forecasts.get(&record.runner).copied().unwrap_or_default();
+            events.push(RouteEvent::OtherForecast { runner: record.runner.clone(), forecast });
             events.push(RouteEvent::Report(RunnerReport {
                 runner: record.runner.clone(),
                 incarnation: record.started_unix_ms,
                 sequence,
                 age: TimeSpan::default(),
-                used_blocks: base::BlockCount(load.map_or(0, |load| load.tokens)),
+                used_blocks: base::BlockCount(load.map_or(0, RunnerLoad::tokens)),
                 total_blocks: base::BlockCount(memory),
                 block_tokens: 1,
                 running: load.map_or(0, |load| load.calls),
@@ -333,6 +360,7 @@
         let now = self.guard.router.context.now();
         let runner = self.guard.router.dispatcher.state_mut().relocate(now, self.guard.id)?;
         self.set_runner(runner.clone());
+        self.guard.router.request_heartbeat();
         Some(runner)
     }
 
--- a/crates/route/benches/decision.rs
+++ b/crates/route/benches/decision.rs
@@ -32,6 +32,7 @@
         priority: CallPriority::Normal,
         prompt_tokens: TokenCount(800),
         max_tokens: TokenCount(4_000),
+        length_hint: None,
         prefix_hash: number % 300,
         first_token_target: None,
         deadline: TimePoint::NEVER,
--- a/crates/route/src/call_record.rs
+++ b/crates/route/src/call_record.rs
@@ -17,6 +17,8 @@
     pub arrived_at: TimePoint,
     /// When it was last sent to a runner.
     pub sent_at: TimePoint,
+    /// Prompt tokens that waited for prefill at its runner when it was sent, with its own.
+    pub prefill_tokens: u64,
     /// Its contribution to the memory forecast of its runner.
     pub forecast: MemoryForecast,
 }
@@ -31,6 +33,7 @@
             attempt: 0,
             arrived_at: now,
             sent_at: now,
+            prefill_tokens: 0,
             forecast: MemoryForecast::default(),
         }
     }
--- a/crates/route/src/event.rs
+++ b/crates/route/src/event.rs
@@ -7,6 +7,8 @@
 use config::{CallPriority, PolicyWeights, ServiceKind};
 use serde::{Deserialize, Serialize};
 
+use crate::MemoryForecast;
+
 /// Identifier of a call, unique within one entry and never reused by it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct CallId(pub u64);
@@ -111,6 +113,8 @@
     pub prompt_tokens: TokenCount,
     /// Output limit set by the caller.
     pub max_tokens: TokenCount,
+    /// The caller's own estimate of the output's length.
+    pub length_hint: Option<TokenCount>,
     /// Hash of the prompt's prefix, as used by engines in cache events.
     pub prefix_hash: u64,
     /// Latency objective: when the first token is due. An answer that begins later is of
@@ -171,12 +175,20 @@
         /// Number of tokens at the time of this event.
         tokens: u64,
     },
-    /// Whether other entries have waiting calls that can still meet their first-token target.
+    /// Memory that calls and copies of other entries need at a runner, as these entries
+    /// forecast it.
+    OtherForecast {
+        /// The runner.
+        runner: RunnerId,
+        /// Sum over all other entries, with the copies of this one.
+        forecast: MemoryForecast,
+    },
+    /// Other entries have waiting calls that can still meet their first-token target.
     PeersWaiting {
         /// The service.
         service: ServiceName,
-        /// Whether such calls wait.
-        peers_waiting: bool,
+        /// Number of such entries.
+        waiting_peers: usize,
     },
     /// A cache event arrived.
     Cache {
--- a/crates/route/src/forecast.rs
+++ b/crates/route/src/forecast.rs
@@ -8,6 +8,10 @@
 /// Number of forecast horizons.
 pub const HORIZON_COUNT: usize = HORIZON_TOKENS.len();
 
+/// Expected share of a generation's present memory from which a horizon counts as within its
+/// life.
+const MIN_ALIVE_SHARE: f64 = 0.1;
+
 /// Mean and variance of the tokens in memory at each horizon. Forecasts of independent
 /// generations can be added.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
@@ -43,11 +47,25 @@
     /// is approximated by the logistic function, with an error below 0.01.
     #[must_use]
     pub fn overflow_probability(&self, capacity: f64) -> f64 {
+        self.highest_overflow(capacity, |_| true)
+    }
+
+    /// Returns the same as [`Self::overflow_probability`], but over the horizons at which the
+    /// generation of forecast `call` is still likely to run.
+    #[must_use]
+    pub fn overflow_probability_during(&self, capacity: f64, call: &Self) -> f64 {
+        let is_alive = |index: usize| call.mean[index] >= MIN_ALIVE_SHARE * call.mean[0];
+        self.highest_overflow(capacity, is_alive)
+    }
+
+    fn highest_overflow(&self, capacity: f64, is_included: impl Fn(usize) -> bool) -> f64 {
         const LOGISTIC_SCALE: f64 = 1.702;
         let distance =
             |(mean, variance): (&f64, &f64)| (mean - capacity) / variance.sqrt().max(1.0);
-        let distances = self.mean.iter().zip(&self.variance).map(distance);
-        let highest = distances.fold(f64::NEG_INFINITY, f64::max);
+        let horizons = self.mean.iter().zip(&self.variance).enumerate();
+        let included = horizons.filter(|(index, _)| is_included(*index));
+        let highest =
+            included.map(|(_, horizon)| distance(horizon)).fold(f64::NEG_INFINITY, f64::max);
         1.0 / (1.0 + (-LOGISTIC_SCALE * highest).exp())
     }
 }
--- a/crates/route/src/length_estimate.rs
+++ b/crates/route/src/length_estimate.rs
@@ -71,25 +71,14 @@
     /// `ahead` tokens later.
     #[must_use]
     pub fn conditional_survival(&self, tokens: u32, ahead: u32) -> f64 {
-        const MIN_SURVIVAL: f64 = 1e-9;
-        let now = self.survival(tokens).max(MIN_SURVIVAL);
-        (self.survival(tokens + ahead) / now).clamp(0.0, 1.0)
+        conditional_survival(&|tokens| self.survival(tokens), tokens, ahead)
     }
 
     /// Returns the expected number of further tokens of a generation which has produced
-    /// `tokens`, by trapezoidal integration of the conditional survival. Tokens beyond the
-    /// last step are not counted.
+    /// `tokens`.
     #[must_use]
     pub fn expected_remaining(&self, tokens: u32) -> f64 {
-        const STEPS: [u32; 8] = [8, 32, 128, 512, 1_024, 2_048, 4_096, 8_192];
-        let mut expected = 0.0;
-        let mut previous = (0, 1.0);
-        for ahead in STEPS {
-            let survival = self.conditional_survival(tokens, ahead);
-            expected += f64::from(ahead - previous.0) * f64::midpoint(survival, previous.1);
-            previous = (ahead, survival);
-        }
-        expected
+        expected_remaining(&|tokens| self.survival(tokens), tokens)
     }
 
     fn observe(&mut self) {
@@ -118,6 +107,32 @@
     }
 }
 
+/// Returns the probability that a generation which has produced `tokens` still runs `ahead`
+/// tokens later; `survival` is the probability that a generation is longer than its argument.
+pub fn conditional_survival(survival: &dyn Fn(u32) -> f64, tokens: u32, ahead: u32) -> f64 {
+    const MIN_SURVIVAL: f64 = 1e-9;
+    if ahead == 0 {
+        return 1.0;
+    }
+    let now = survival(tokens).max(MIN_SURVIVAL);
+    (survival(tokens.saturating_add(ahead)) / now).clamp(0.0, 1.0)
+}
+
+/// Returns the expected number of further tokens of a generation which has produced `tokens`,
+/// by trapezoidal integration of the conditional survival. Tokens beyond the last step are not
+/// counted.
+pub fn expected_remaining(survival: &dyn Fn(u32) -> f64, tokens: u32) -> f64 {
+    const STEPS: [u32; 8] = [8, 32, 128, 512, 1_024, 2_048, 4_096, 8_192];
+    let mut expected = 0.0;
+    let mut previous = (0, 1.0);
+    for ahead in STEPS {
+        let survival = conditional_survival(survival, tokens, ahead);
+        expected += f64::from(ahead - previous.0) * f64::midpoint(survival, previous.1);
+        previous = (ahead, survival);
+    }
+    expected
+}
+
 /// Returns the fractional bin position of a length.
 fn position_of(tokens: u32) -> f64 {
     f64::from(tokens.max(1)).log2() * BINS_PER_OCTAVE
--- a/crates/route/src/length_table.rs
+++ b/crates/route/src/length_table.rs
@@ -2,11 +2,9 @@
 
 use std::collections::BTreeMap;
 
-use base::prelude::*;
-use config::CallPriority;
-
 use crate::forecast::{HORIZON_COUNT, HORIZON_TOKENS};
-use crate::{LengthEstimate, RouteCall};
+use crate::length_estimate::{conditional_survival, expected_remaining};
+use crate::{LengthEstimate, LengthGroup, LengthPrior, RouteCall};
 
 /// Minimum number of observations of a group; below it, the next wider group is used.
 const MIN_OBSERVATIONS: f64 = 40.0;
@@ -15,72 +13,76 @@
 /// groups are added, and calls of further workspaces use the wider groups.
 const MAX_GROUPS: usize = 8_192;
 
-/// Key of a group of generations with similar lengths. `None` in a field matches all
-/// values.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
-struct LengthGroup {
-    service: ServiceName,
-    model: Option<ModelName>,
-    priority: Option<CallPriority>,
-    /// Binary logarithm of the caller's output limit. Short and long kinds of call share
-    /// services, models, priorities and workspaces, and differ only in their limits.
-    limit: u32,
-    workspace: Option<WorkspaceId>,
-}
-
 /// Length estimates of all groups.
 #[derive(Debug, Default)]
 pub struct LengthTable {
     estimates: BTreeMap<LengthGroup, LengthEstimate>,
-    prior: LengthEstimate,
+    /// Estimate of calls without an output limit before any was observed.
+    unlimited_prior: LengthEstimate,
 }
 
-/// Returns the groups of a call, from the narrowest to the widest.
-fn groups(call: &RouteCall) -> [LengthGroup; 3] {
-    let narrow = LengthGroup {
-        service: call.service.clone(),
-        model: call.model.clone(),
-        priority: Some(call.priority),
-        limit: call.max_tokens.0.max(1).ilog2(),
-        workspace: Some(call.workspace.clone()),
-    };
-    let middle = LengthGroup { workspace: None, ..narrow.clone() };
-    let wide = LengthGroup { priority: None, ..middle.clone() };
-    [narrow, middle, wide]
+/// Returns the groups of a call, in the order in which they are used.
+fn groups(call: &RouteCall) -> Vec<LengthGroup> {
+    let with_hint = LengthGroup::with_hint(call);
+    let of_workspace =
+        LengthGroup { workspace: Some(call.workspace.clone()), ..with_hint.any_hint() };
+    let mut groups = with_hint.widening();
+    let narrowest = usize::from(with_hint.hint.is_some());
+    groups.insert(narrowest, of_workspace);
+    groups
 }
 
 impl LengthTable {
-    /// Returns the estimate of the narrowest group with enough observations, else the prior.
-    #[must_use]
-    pub fn estimate(&self, call: &RouteCall) -> &LengthEstimate {
-        let found = groups(call).into_iter().find_map(|group| {
+    /// Applies `use_survival` to the survival function of the call's narrowest group with
+    /// enough observations, or to that of its prior.
+    fn with_survival<T>(
+        &self,
+        call: &RouteCall,
+        use_survival: impl FnOnce(&dyn Fn(u32) -> f64) -> T,
+    ) -> T {
+        let observed = groups(call).into_iter().find_map(|group| {
             let estimate = self.estimates.get(&group)?;
             (estimate.observations() >= MIN_OBSERVATIONS).then_some(estimate)
         });
-        found.unwrap_or(&self.prior)
+        match (observed, LengthPrior::for_call(call)) {
+            (Some(estimate), _) => use_survival(&|tokens| estimate.survival(tokens)),
+            (None, Some(prior)) => use_survival(&|tokens| prior.survival(tokens)),
+            (None, None) => use_survival(&|tokens| self.unlimited_prior.survival(tokens)),
+        }
     }
 
     /// Returns the probability that a call which has produced `tokens` still runs at each
     /// horizon.
     #[must_use]
     pub fn survival_at_horizons(&self, call: &RouteCall, tokens: u32) -> [f64; HORIZON_COUNT] {
-        let estimate = self.estimate(call);
-        HORIZON_TOKENS.map(|ahead| estimate.conditional_survival(tokens, ahead))
+        self.with_survival(call, |survival| {
+            HORIZON_TOKENS.map(|ahead| conditional_survival(survival, tokens, ahead))
+        })
+    }
+
+    /// Returns the expected number of tokens that a call is still to produce.
+    #[must_use]
+    pub fn expected_remaining(&self, call: &RouteCall) -> f64 {
+        self.with_survival(call, |survival| expected_remaining(survival, call.produced_tokens.0))
     }
 
     /// Records a call that ended after `tokens`; `complete` is false if it was cut off there.
     pub fn observe(&mut self, call: &RouteCall, tokens: u32, complete: bool) {
         for group in groups(call) {
-            let is_full = self.estimates.len() >= MAX_GROUPS && group.workspace.is_some();
-            if is_full && !self.estimates.contains_key(&group) {
-                continue;
-            }
-            let estimate = self.estimates.entry(group).or_default();
-            if complete {
-                estimate.observe_complete(tokens);
-            } else {
-                estimate.observe_censored(tokens);
-            }
+            self.observe_group(group, tokens, complete);
+        }
+    }
+
+    fn observe_group(&mut self, group: LengthGroup, tokens: u32, complete: bool) {
+        let is_full = self.estimates.len() >= MAX_GROUPS && group.workspace.is_some();
+        if is_full && !self.estimates.contains_key(&group) {
+            return;
+        }
+        let estimate = self.estimates.entry(group).or_default();
+        if complete {
+            estimate.observe_complete(tokens);
+        } else {
+            estimate.observe_censored(tokens);
         }
     }
 
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -10,6 +10,8 @@
 mod event;
 mod forecast;
 mod length_estimate;
+mod length_group;
+mod length_prior;
 mod length_table;
 mod prefix_table;
 mod route_summary;
@@ -29,6 +31,8 @@
 };
 pub use forecast::{HORIZON_COUNT, HORIZON_TOKENS, MemoryForecast};
 pub use length_estimate::LengthEstimate;
+pub use length_group::LengthGroup;
+pub use length_prior::LengthPrior;
 pub use length_table::LengthTable;
 pub use prefix_table::PrefixTable;
 pub use route_summary::{RouteCounters, RouteDecision, RouteSummary, RunnerSummary};
--- a/crates/route/src/runner_score.rs
+++ b/crates/route/src/runner_score.rs
@@ -35,6 +35,14 @@
     }
 }
 
+/// Share of a runner's memory up to which new calls are admitted. The rest is for calls that are
+/// relocated, and for those that other entries send at the same moment.
+const NEW_CALL_SHARE: f64 = 0.88;
+
+/// Longest time for which a prompt may wait at a runner, if its call is late already or its
+/// prompt alone takes most of the time that is left.
+const MIN_PREFILL_WAIT: TimeSpan = TimeSpan::millis(200);
+
 /// Score of a runner for one call.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct RunnerScore {
@@ -49,9 +57,10 @@
 /// Scores `runner` for the call of `record`; `cached` tells whether it has the prompt's
 /// prefix in its cache.
 ///
-/// For calls that are not urgent, the admission check assumes that all entries which share
-/// the runner send such a call at the same time. If memory does not suffice for that, an
-/// entry may send one call per report, with a probability of one over the number of entries.
+/// Where entries tell each other their forecasts, the sum of these decides. Elsewhere, for calls
+/// that are not urgent, the admission check assumes that all entries which share the runner send
+/// such a call at the same time. If memory does not suffice for that, an entry may send one call
+/// per report, with a probability of one over the number of entries.
 #[must_use]
 pub fn score(
     now: TimePoint,
@@ -65,11 +74,17 @@
         return RunnerScore { cost: calls, risk: 0.0, admissible: true };
     };
     let mut forecast = runner.own_forecast;
-    forecast += view.other_forecast(runner.other_tokens);
+    forecast += match runner.other_forecast {
+        Some(told) => told,
+        None => view.other_forecast(runner.other_tokens),
+    };
     let mut shared_forecast = forecast;
     forecast += record.forecast;
     shared_forecast += record.forecast.scaled(view.estimated_entries);
-    let risk = forecast.overflow_probability(memory);
+    let knows_others = runner.other_forecast.is_some();
+    let is_relocated = record.call.produced_tokens.0 > 0;
+    let usable = if knows_others && !is_relocated { NEW_CALL_SHARE * memory } else { memory };
+    let risk = forecast.overflow_probability_during(usable, &record.forecast);
     let is_recent = now.since(runner.received_at) <= MAX_WAITING_AGE;
     let waiting = if is_recent { f64::from(runner.waiting_calls()) } else { 0.0 };
     let prefill = runner.pending_prefill_tokens(now) as f64 / 1_000.0;
@@ -83,11 +98,30 @@
     let fits_all_entries = shared_forecast.overflow_probability(memory) <= limit;
     let won_draw = runner.sent_calls == 0 && runner.admission_draw * view.estimated_entries < 1.0;
     let throttled = runner.health.is_recovering(now) && runner.sent_calls > 0;
-    let admissible =
-        !throttled && risk <= limit && (urgent || waiting == 0.0 && (fits_all_entries || won_draw));
+    let admissible = !throttled
+        && is_prefilled_in_time(now, record, view, runner)
+        && risk <= limit
+        && (urgent || knows_others || waiting == 0.0 && (fits_all_entries || won_draw));
     RunnerScore { cost, risk, admissible }
 }
 
+/// Returns whether the prompts that wait at the runner leave the call time to produce its first
+/// token by its target.
+fn is_prefilled_in_time(
+    now: TimePoint,
+    record: &CallRecord,
+    view: &ServiceView,
+    runner: &RunnerView,
+) -> bool {
+    let has_started = record.call.produced_tokens.0 > 0;
+    let Some(target) = record.call.first_token_target.filter(|_| !has_started) else {
+        return true;
+    };
+    let own = view.prefill_time(u64::from(record.context_tokens()));
+    let wait = view.prefill_time(runner.pending_prefill_tokens(now));
+    wait <= target.since(now + own).max(MIN_PREFILL_WAIT)
+}
+
 /// Returns the highest expected memory use over all horizons.
 fn highest(forecast: &MemoryForecast) -> f64 {
     forecast.mean.iter().copied().fold(0.0, f64::max)
--- a/crates/route/src/runner_view.rs
+++ b/crates/route/src/runner_view.rs
@@ -46,6 +46,8 @@
     pub sent_calls: u32,
     /// Prompt tokens that wait for prefill over all entries, with the time of that figure.
     pub pending_prefill: Option<(TimePoint, u64)>,
+    /// Memory that calls and copies of other entries need, if these entries tell it.
+    pub other_forecast: Option<MemoryForecast>,
     /// When the memory forecast was last computed.
     pub forecast_at: TimePoint,
     changes: VecDeque<LoadChange>,
@@ -79,6 +81,7 @@
             admission_draw: 1.0,
             sent_calls: 0,
             pending_prefill: None,
+            other_forecast: None,
             forecast_at: TimePoint::default(),
             changes: VecDeque::new(),
             changed_calls: 0,
@@ -112,6 +115,7 @@
     pub fn clear_report(&mut self) {
         self.report = None;
         self.other_tokens = 0.0;
+        self.other_forecast = None;
         self.health = RunnerHealth::default();
     }
 
--- a/crates/route/src/scheduler.rs
+++ b/crates/route/src/scheduler.rs
@@ -113,6 +113,12 @@
                 }
                 return false;
             }
+            RouteEvent::OtherForecast { runner, forecast } => {
+                if let Some(&slot) = self.slots.get(&runner) {
+                    self.runners[slot].other_forecast = Some(forecast);
+                }
+                return false;
+            }
             RouteEvent::Cache { runner, event } => {
                 if let Some(&slot) = self.slots.get(&runner) {
                     self.prefixes.apply(slot, &event);
@@ -124,8 +130,8 @@
             }
             RouteEvent::Ended { call, end } => self.end_call(now, call, end),
             RouteEvent::Tick => self.estimate_unreported(now),
-            RouteEvent::PeersWaiting { service, peers_waiting } => {
-                self.services.entry(service).or_default().peers_waiting = peers_waiting;
+            RouteEvent::PeersWaiting { service, waiting_peers } => {
+                self.services.entry(service).or_default().waiting_peers = waiting_peers;
             }
             RouteEvent::Arrive(_) => return false,
         }
@@ -138,7 +144,7 @@
         let is_first = record.call.produced_tokens.0 == 0;
         record.call.produced_tokens = TokenCount(index.0 + 1);
         if let Some(view) = self.services.get_mut(&record.call.service).filter(|_| is_first) {
-            view.observe_first_token(now.since(record.sent_at));
+            view.observe_first_token(now.since(record.sent_at), record.prefill_tokens);
         }
     }
 
@@ -165,6 +171,12 @@
         services
     }
 
+    /// Returns the memory that a call is expected to need; none if the call is unknown.
+    #[must_use]
+    pub fn call_forecast(&self, call: CallId) -> Option<MemoryForecast> {
+        self.calls.get(&call).map(|record| record.forecast)
+    }
+
     /// Returns a summary of the state, for the state dump.
     #[must_use]
     pub fn summary(&self) -> RouteSummary {
--- a/crates/route/src/scheduler_dispatch.rs
+++ b/crates/route/src/scheduler_dispatch.rs
@@ -30,6 +30,9 @@
 /// estimate is rough, and most calls that it puts slightly past their deadline meet it.
 const UNREACHABLE_WAIT_RATIO: u64 = 2;
 
+/// Length of a turn in which about one of the entries with waiting calls sends one of them.
+const TURN_INTERVAL: TimeSpan = TimeSpan::millis(10);
+
 /// Interval between checks of whether waiting calls can still meet their deadline.
 const WAIT_CHECK_INTERVAL: TimeSpan = TimeSpan::millis(100);
 
@@ -64,7 +67,7 @@
     /// Adds a call to the queue of its service and model.
     fn enqueue(&mut self, id: CallId, record: CallRecord) {
         let call = &record.call;
-        let remaining = self.lengths.estimate(call).expected_remaining(call.produced_tokens.0);
+        let remaining = self.lengths.expected_remaining(call);
         let work = u64::from(record.context_tokens()) + remaining as u64;
         let share = self.services.entry(call.service.clone()).or_default().share(&call.workspace);
         let key = (call.service.clone(), call.model.clone());
@@ -92,7 +95,7 @@
         let queue = self.queues.get(&(call.service.clone(), call.model.clone()))?;
         let wait = queue.expected_wait(call.priority);
         let step = TimeSpan::micros(view.map_or(0.0, |view| view.step_micros) as u64);
-        let remaining = self.lengths.estimate(call).expected_remaining(call.produced_tokens.0);
+        let remaining = self.lengths.expected_remaining(call);
         let run = TimeSpan::micros((remaining * step.0 as f64) as u64);
         let slack = call.deadline.since(now + run);
         if wait > slack && !queue.is_empty() {
@@ -202,14 +205,20 @@
         let keys: Vec<QueueKey> = self.queues.keys().cloned().collect();
         for key in keys {
             let view = self.services.entry(key.0.clone()).or_default();
-            let (first_token_latency, peers_waiting) =
-                (view.first_token_latency(), view.peers_waiting);
+            let (first_token_latency, waiting_peers) =
+                (view.first_token_latency(), view.waiting_peers);
             if let Some(queue) = self.queues.get_mut(&key) {
                 queue.mark_late(now + first_token_latency);
             }
+            let mut may_send_waiting = self.take_turn(now, &key, waiting_peers);
             while let Some(call) = self.queues.get(&key).and_then(WaitQueue::first) {
                 // Capacity is left to the calls at other entries that are not late.
-                if peers_waiting && self.queues.get(&key).is_some_and(WaitQueue::is_all_late) {
+                let peers_wait = waiting_peers > 0;
+                if peers_wait && self.queues.get(&key).is_some_and(WaitQueue::is_all_late) {
+                    break;
+                }
+                let has_waited = self.calls.get(&call).is_some_and(|call| call.arrived_at < now);
+                if peers_wait && has_waited && !std::mem::take(&mut may_send_waiting) {
                     break;
                 }
                 let Some((slot, score)) = self.choose(now, call, |score| score.admissible) else {
@@ -224,6 +233,21 @@
         actions
     }
 
+    /// Decides whether a call that has waited may be sent now. Capacity that becomes free is
+    /// seen by all entries at once: in each turn, only about one of those with waiting calls
+    /// takes some of it.
+    fn take_turn(&mut self, now: TimePoint, key: &QueueKey, waiting_peers: usize) -> bool {
+        let Some(queue) = self.queues.get_mut(key) else { return false };
+        if waiting_peers == 0 {
+            return true;
+        }
+        if queue.is_empty() || now < queue.next_turn {
+            return false;
+        }
+        queue.next_turn = now + TURN_INTERVAL;
+        self.rng.random_bool(1.0 / (1 + waiting_peers) as f64)
+    }
+
     /// Returns the runner with the lowest cost among those whose score satisfies `allow`.
     pub(crate) fn choose(
         &mut self,
@@ -288,6 +312,7 @@
         score: Option<RunnerScore>,
     ) -> RouteAction {
         let runner = self.runners[slot].runner.clone();
+        let pending_prefill = self.runners[slot].pending_prefill_tokens(now);
         self.counters.sent += 1;
         let mut attempt = 0;
         if let Some(record) = self.calls.get_mut(&call) {
@@ -296,6 +321,7 @@
             record.attempt += 1;
             record.slot = Some(slot);
             record.sent_at = now;
+            record.prefill_tokens = pending_prefill + u64::from(record.context_tokens());
             self.runners[slot].record_sent(now, call, record.context_tokens());
             self.runners[slot].own_forecast += record.forecast;
             if let Some(view) = self.services.get_mut(&record.call.service) {
--- a/crates/route/src/scheduler_relocate.rs
+++ b/crates/route/src/scheduler_relocate.rs
@@ -4,6 +4,7 @@
 //! Engines are reclaimed at short notice while long generations run on them.
 
 use base::prelude::*;
+use rand::RngExt;
 
 use crate::{CallId, RouteScheduler, runner_score};
 
@@ -14,6 +15,9 @@
 /// would cause preemption of later calls, and their transfers would delay relocations.
 const MAX_COPY_SHARE: f64 = 0.4;
 
+/// Amplitude of the noise added to a runner's cost when calls are relocated.
+const MOVE_NOISE: f64 = 0.5;
+
 impl RouteScheduler {
     /// Chooses another runner for a running call, and accounts its memory there. The caller
     /// is responsible for the transfer.
@@ -79,8 +83,9 @@
         Some(self.runners[slot].runner.clone())
     }
 
-    /// Returns the lowest-cost runner that admits the call in the failure domain of `old`.
-    fn choose_in_same_place(&self, now: TimePoint, call: CallId, old: usize) -> Option<usize> {
+    /// Returns a runner of low cost that admits the call in the failure domain of `old`. Several
+    /// entries relocate their calls at the same instant, so the cost has noise added.
+    fn choose_in_same_place(&mut self, now: TimePoint, call: CallId, old: usize) -> Option<usize> {
         let record = self.calls.get(&call)?;
         let view = self.services.get(&record.call.service)?;
         let place = &self.runners[old].place;
@@ -94,7 +99,10 @@
         let scored = same_place
             .map(|slot| (slot, runner_score::score(now, record, view, &self.runners[slot], false)));
         let admitted = scored.filter(|(_, score)| score.admissible);
-        admitted.min_by(|a, b| a.1.cost.total_cmp(&b.1.cost)).map(|(slot, _)| slot)
+        let rng = &mut self.rng;
+        let noisy =
+            admitted.map(|(slot, score)| (slot, score.cost + MOVE_NOISE * rng.random::<f64>()));
+        noisy.min_by(|a, b| a.1.total_cmp(&b.1)).map(|(slot, _)| slot)
     }
 
     /// Moves the load of a call from runner `old` to runner `slot`.
--- a/crates/route/src/service_view.rs
+++ b/crates/route/src/service_view.rs
@@ -14,6 +14,12 @@
 /// Weight of the newest report in the moving average of the number of entries.
 const ESTIMATED_ENTRIES_WEIGHT: f64 = 0.02;
 
+/// Prefill time per prompt token before any was observed, in microseconds.
+const DEFAULT_PREFILL_MICROS: f64 = 150.0;
+
+/// Relative step of the median of the prefill time per token, at each observation.
+const PREFILL_STEP: f64 = 0.05;
+
 /// Weight of the newest call in the moving average of the time to first token.
 const FIRST_TOKEN_WEIGHT: f64 = 0.05;
 
@@ -43,8 +49,11 @@
     pub step_micros: f64,
     /// Moving average of the time from sending a call to its first token, in microseconds.
     pub first_token_micros: f64,
-    /// Whether other entries have waiting calls that can still meet their first-token target.
-    pub peers_waiting: bool,
+    /// Number of other entries with waiting calls that can still meet their first-token target.
+    pub waiting_peers: usize,
+    /// Median time that a prompt token which waits for prefill adds to the time to first token,
+    /// in microseconds.
+    pub prefill_micros: f64,
     /// When the most recent report of any of its runners arrived.
     pub last_report_at: TimePoint,
 }
@@ -63,7 +72,8 @@
             estimated_entries: 1.0,
             step_micros: 0.0,
             first_token_micros: 0.0,
-            peers_waiting: false,
+            waiting_peers: 0,
+            prefill_micros: DEFAULT_PREFILL_MICROS,
             last_report_at: TimePoint::default(),
         }
     }
@@ -86,15 +96,26 @@
         self.estimated_entries += ESTIMATED_ENTRIES_WEIGHT * (entries - self.estimated_entries);
     }
 
-    /// Records the time from sending a call to its first token.
-    pub fn observe_first_token(&mut self, span: TimeSpan) {
+    /// Records the time from sending a call to its first token. When it was sent,
+    /// `prefill_tokens` waited for prefill at its runner, its own prompt included.
+    pub fn observe_first_token(&mut self, span: TimeSpan, prefill_tokens: u64) {
         let span = span.0 as f64;
+        if prefill_tokens > 0 {
+            let is_longer = span > self.prefill_micros * prefill_tokens as f64;
+            self.prefill_micros *= 1.0 + if is_longer { PREFILL_STEP } else { -PREFILL_STEP };
+        }
         if self.first_token_micros <= 0.0 {
             self.first_token_micros = span;
         }
         self.first_token_micros += FIRST_TOKEN_WEIGHT * (span - self.first_token_micros);
     }
 
+    /// Returns the expected time in which a runner prefills `tokens`.
+    #[must_use]
+    pub fn prefill_time(&self, tokens: u64) -> TimeSpan {
+        TimeSpan::micros((tokens as f64 * self.prefill_micros) as u64)
+    }
+
     /// Returns the average time from sending a call to its first token.
     #[must_use]
     pub fn first_token_latency(&self) -> TimeSpan {
--- a/crates/route/src/wait_queue.rs
+++ b/crates/route/src/wait_queue.rs
@@ -41,6 +41,8 @@
     period_work: u64,
     period_start: TimePoint,
     send_rate: Option<f64>,
+    /// When this entry may next compete with others for free capacity.
+    pub next_turn: TimePoint,
 }
 
 /// Time for which a call stays queued after its first-token target, since capacity that is
--- a/crates/route/tests/common/mod.rs
+++ b/crates/route/tests/common/mod.rs
@@ -85,6 +85,7 @@
         priority,
         prompt_tokens: TokenCount(500),
         max_tokens: TokenCount(4_000),
+        length_hint: None,
         prefix_hash: 7,
         first_token_target: None,
         deadline: TimePoint::NEVER,
--- a/crates/route/tests/estimates.rs
+++ b/crates/route/tests/estimates.rs
@@ -84,7 +84,8 @@
     }
     assert!(table.len() <= 8_194, "{}", table.len());
     let late = call(1, CallPriority::Normal);
-    assert!(table.estimate(&late).survival(200) < 0.1);
+    let survival = table.survival_at_horizons(&late, 0);
+    assert!(survival[2] < 0.1, "longer than 128 tokens: {survival:?}");
 }
 
 #[test]
@@ -98,7 +99,7 @@
         table.observe(&short, 12, true);
         table.observe(&long, 900, true);
     }
-    let ahead = |call| table.estimate(call).expected_remaining(0);
+    let ahead = |call| table.expected_remaining(call);
     assert!(ahead(&short) < 40.0, "{}", ahead(&short));
     assert!(ahead(&long) > 600.0, "{}", ahead(&long));
 }
--- a/crates/route/tests/first_token_targets.rs
+++ b/crates/route/tests/first_token_targets.rs
@@ -37,8 +37,8 @@
     actions.iter().filter_map(refusal).collect()
 }
 
-fn peers_waiting(harness: &mut SchedulerHarness, peers_waiting: bool) -> Vec<RouteAction> {
-    harness.tell(RouteEvent::PeersWaiting { service: service(), peers_waiting })
+fn peers_waiting(harness: &mut SchedulerHarness, waiting_peers: usize) -> Vec<RouteAction> {
+    harness.tell(RouteEvent::PeersWaiting { service: service(), waiting_peers })
 }
 
 #[test]
@@ -68,14 +68,14 @@
     let target = harness.now + TimeSpan::millis(500);
     assert!(harness.arrive(call_due(1, target)).is_empty());
     assert_eq!(harness.scheduler.services_waiting_in_time(), [service()]);
-    peers_waiting(&mut harness, true);
+    peers_waiting(&mut harness, 1);
     harness.advance(TimeSpan::millis(600));
     assert!(
         sent(&harness.report(report(0, 0, 0))).is_empty(),
         "peers have calls that can still meet their target"
     );
     assert!(harness.scheduler.services_waiting_in_time().is_empty());
-    assert_eq!(sent(&peers_waiting(&mut harness, false)), [1]);
+    assert_eq!(sent(&peers_waiting(&mut harness, 0)), [1]);
 }
 
 #[test]
--- a/crates/serving/src/fleet_loads.rs
+++ b/crates/serving/src/fleet_loads.rs
@@ -6,10 +6,11 @@
 use std::collections::BTreeMap;
 
 use base::prelude::*;
+use route::MemoryForecast;
 use serde::{Deserialize, Serialize};
 
 /// Load that one node has placed on one runner.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct RunnerLoad {
     /// The runner.
     pub runner: RunnerId,
@@ -17,8 +18,17 @@
     pub calls: u32,
     /// Prompt tokens of those requests whose first event has not arrived.
     pub prefill_tokens: u32,
-    /// Prompt and output tokens of those requests so far.
-    pub tokens: u32,
+    /// Memory that those requests and copies hold now and at later times, in tokens.
+    #[serde(with = "crate::forecast_codec")]
+    pub forecast: MemoryForecast,
+}
+
+impl RunnerLoad {
+    /// Tokens that the load holds in memory now.
+    #[must_use]
+    pub fn tokens(&self) -> u32 {
+        self.forecast.mean[0] as u32
+    }
 }
 
 /// Loads reported by the other nodes.
@@ -28,7 +38,7 @@
 }
 
 /// Load of one node on all runners, and the services it has queued calls for.
-#[derive(Debug, Clone, PartialEq, Eq, Default)]
+#[derive(Debug, Clone, PartialEq, Default)]
 pub struct NodeLoad {
     /// One entry per runner.
     pub loads: Vec<RunnerLoad>,
@@ -59,10 +69,11 @@
         self.nodes.values().filter(uses_runner).count()
     }
 
-    /// Whether another node has queued calls for `service` that can still be served in time.
+    /// Number of other nodes that have queued calls for `service` that can still be served in
+    /// time.
     #[must_use]
-    pub fn has_waiting_calls(&self, service: &ServiceName) -> bool {
-        self.nodes.values().any(|node| node.waiting_services.contains(service))
+    pub fn waiting_nodes(&self, service: &ServiceName) -> usize {
+        self.nodes.values().filter(|node| node.waiting_services.contains(service)).count()
     }
 
     /// Total load of all other nodes, by runner.
@@ -84,5 +95,5 @@
     };
     total.calls = total.calls.saturating_add(load.calls);
     total.prefill_tokens = total.prefill_tokens.saturating_add(load.prefill_tokens);
-    total.tokens = total.tokens.saturating_add(load.tokens);
+    total.forecast += load.forecast;
 }
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod attempt;
 mod fleet_loads;
+mod forecast_codec;
 mod peer_heartbeat;
 mod peer_table;
 mod plan;
--- a/crates/serving/src/peer_heartbeat.rs
+++ b/crates/serving/src/peer_heartbeat.rs
@@ -8,7 +8,7 @@
 use crate::{PlanVersion, RunnerChange, RunnerIncarnation, RunnerLoad};
 
 /// A message from one node to another.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum PeerMessage {
     /// Periodic state of the sender, sent several times a second.
     Heartbeat(PeerHeartbeat),
@@ -17,7 +17,7 @@
 }
 
 /// Result of one incremental read of the runner list.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct RunnerUpdate {
     /// Offset at which the read began.
     pub from: LogOffset,
@@ -28,7 +28,7 @@
 }
 
 /// A node's heartbeat.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct PeerHeartbeat {
     /// VM of the sending node.
     pub vm: VmId,
--- a/crates/serving/src/peer_table.rs
+++ b/crates/serving/src/peer_table.rs
@@ -121,23 +121,25 @@
         addresses
     }
 
-    /// Number of nodes that read the store and precede `vm` in the reader order, which is the
-    /// same on all nodes. The first ones read for the fleet, the next ones are standbys.
+    /// Number of nodes that precede `vm` in the order in which nodes read the store for the
+    /// fleet, which is the same on all nodes; `reaches_store` tells whether the store has
+    /// answered `vm` recently. The first ones read, the next ones are standbys.
     ///
-    /// Only nodes with a recent heartbeat count, because a stalled node reads nothing.
+    /// Nodes that the store answers precede all others. While it answers none, they keep their
+    /// order, so that an outage does not turn the whole fleet into readers. Only nodes with a
+    /// recent heartbeat count, because a stalled node reads nothing.
     #[must_use]
-    pub fn readers_ahead_of(&self, now: TimePoint, vm: &VmId) -> usize {
+    pub fn readers_ahead_of(&self, now: TimePoint, vm: &VmId, reaches_store: bool) -> usize {
         let timeout = TimeSpan(self.heartbeat_interval().0 * READER_MISSED_HEARTBEATS)
             .clamp(READER_TIMEOUT_BOUNDS[0], READER_TIMEOUT_BOUNDS[1]);
-        let is_reader = |entry: &&PeerEntry| {
-            entry.heartbeat.store_reachable && now.since(entry.received_at) < timeout
-        };
+        let is_recent = |entry: &&PeerEntry| now.since(entry.received_at) < timeout;
         let own = reader_rank(vm);
-        self.peers
-            .values()
-            .filter(is_reader)
-            .filter(|entry| reader_rank(&entry.heartbeat.vm) < own)
-            .count()
+        let precedes = |entry: &PeerEntry| match (entry.heartbeat.store_reachable, reaches_store) {
+            (true, false) => true,
+            (false, true) => false,
+            _ => reader_rank(&entry.heartbeat.vm) < own,
+        };
+        self.peers.values().filter(is_recent).filter(|entry| precedes(entry)).count()
     }
 
     /// Number of nodes that should follow the configuration in the store at the same time.
--- a/crates/serving/tests/peer_table.rs
+++ b/crates/serving/tests/peer_table.rs
@@ -46,15 +46,46 @@
         let table = table(nodes);
         let last = (1..=nodes)
             .map(|number| format!("node-{number}").parse::<VmId>().unwrap())
-            .max_by_key(|vm| table.readers_ahead_of(at(1), vm))
+            .max_by_key(|vm| table.readers_ahead_of(at(1), vm, true))
             .unwrap();
-        assert_eq!(table.readers_ahead_of(at(1), &last), nodes - 1);
+        assert_eq!(table.readers_ahead_of(at(1), &last, true), nodes - 1);
         let silent = if nodes == 6 { 500 } else { 1_700 };
-        assert_eq!(table.readers_ahead_of(at(silent), &last), 0, "{nodes} nodes");
+        assert_eq!(table.readers_ahead_of(at(silent), &last, true), 0, "{nodes} nodes");
         assert_eq!(table.live(at(silent)).count(), nodes, "still alive and taking callers");
     }
 }
 
+/// A table of nodes of which only the first `reachable` reach the store.
+fn table_in_outage(nodes: usize, reachable: usize) -> PeerTable {
+    let mut table = PeerTable::default();
+    for number in 1..=nodes {
+        let store_reachable = number <= reachable;
+        let heartbeat = PeerHeartbeat { store_reachable, ..heartbeat(number, 1, 3) };
+        table.record_heartbeat(at(0), heartbeat);
+    }
+    table
+}
+
+#[test]
+fn an_outage_of_the_store_does_not_turn_all_nodes_into_readers() {
+    let table = table_in_outage(194, 0);
+    let mut ranks: Vec<usize> = (1..=194)
+        .map(|number| format!("node-{number}").parse().unwrap())
+        .map(|vm| table.readers_ahead_of(at(1), &vm, false))
+        .collect();
+    ranks.sort_unstable();
+    assert_eq!(ranks, (0..194).collect::<Vec<usize>>(), "each node keeps a rank of its own");
+}
+
+#[test]
+fn a_node_that_the_store_turns_away_stands_by_behind_those_it_answers() {
+    let table = table_in_outage(194, 130);
+    let turned_away = "node-194".parse().unwrap();
+    assert!(table.readers_ahead_of(at(1), &turned_away, false) >= 130);
+    let answered: VmId = "node-1".parse().unwrap();
+    assert!(table.readers_ahead_of(at(1), &answered, true) < 130);
+}
+
 #[test]
 fn large_fleets_have_more_readers() {
     let readers = [0, 6, 67, 84].map(|nodes| table(nodes).target_reader_count());
