--- a/crates/route/src/runner_score.rs
+++ b/crates/route/src/runner_score.rs
@@ -35,10 +35,6 @@
     }
 }
 
-/// Share of a runner's memory up to which new calls are admitted. The rest is for calls that are
-/// relocated, and for those that other entries send at the same moment.
-const NEW_CALL_SHARE: f64 = 0.88;
-
 /// Longest time for which a prompt may wait at a runner, if its call is late already or its
 /// prompt alone takes most of the time that is left.
 const MIN_PREFILL_WAIT: TimeSpan = TimeSpan::millis(200);
@@ -82,9 +78,7 @@
     forecast += record.forecast;
     shared_forecast += record.forecast.scaled(view.estimated_entries);
     let knows_others = runner.other_forecast.is_some();
-    let is_relocated = record.call.produced_tokens.0 > 0;
-    let usable = if knows_others && !is_relocated { NEW_CALL_SHARE * memory } else { memory };
-    let risk = forecast.overflow_probability_during(usable, &record.forecast);
+    let risk = forecast.overflow_probability_during(memory, &record.forecast);
     let is_recent = now.since(runner.received_at) <= MAX_WAITING_AGE;
     let waiting = if is_recent { f64::from(runner.waiting_calls()) } else { 0.0 };
     let prefill = runner.pending_prefill_tokens(now) as f64 / 1_000.0;
--- a/crates/route/tests/common/mod.rs
+++ b/crates/route/tests/common/mod.rs
@@ -19,9 +19,14 @@
 impl SchedulerHarness {
     /// Creates a scheduler with the production policy and this many runners.
     pub fn new(members: usize) -> Self {
+        Self::with_seed(members, 7)
+    }
+
+    /// As [`Self::new`], as the entry with this seed of its random numbers.
+    pub fn with_seed(members: usize, seed: u64) -> Self {
         let settings = RouteSettings {
             policy: PolicyName::Product,
-            seed: 7,
+            seed,
             place: "place-0".parse().unwrap(),
             queue_limit: 10_000,
         };
--- a/crates/route/tests/estimates.rs
+++ b/crates/route/tests/estimates.rs
@@ -103,3 +103,22 @@
     assert!(ahead(&short) < 40.0, "{}", ahead(&short));
     assert!(ahead(&long) > 600.0, "{}", ahead(&long));
 }
+
+#[test]
+fn hint_and_limit_stand_in_for_lengths_that_were_not_observed() {
+    let table = LengthTable::default();
+    let stated = |limit, hint: Option<u32>| RouteCall {
+        max_tokens: TokenCount(limit),
+        length_hint: hint.map(TokenCount),
+        ..call(1, CallPriority::Normal)
+    };
+    let [short, long] =
+        [200, 1_600].map(|hint| table.expected_remaining(&stated(2_200, Some(hint))));
+    assert!(300.0 < short && short < long && long < 1_400.0, "{short} {long}");
+    let label = table.expected_remaining(&stated(40, Some(8)));
+    assert!(label < 40.0, "{label}");
+    let running = table.survival_at_horizons(&stated(2_200, Some(800)), 2_300);
+    assert_eq!(running[0], 1.0, "what runs beyond its limit still holds its memory");
+    let unstated = table.expected_remaining(&stated(2_200, None));
+    assert!(unstated < short, "a limit alone says little: {unstated}");
+}
