Cut the scheduler's decisions apart: queueing, refusing, placing

Change: functions and their constants move to scheduler_refuse.rs and scheduler_place.rs, each with the load pattern it answers; no function changes. Conclusion: the tests of route pass as before.

--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -20,6 +20,8 @@
 mod runner_view;
 mod scheduler;
 mod scheduler_dispatch;
+mod scheduler_place;
+mod scheduler_refuse;
 mod scheduler_relocate;
 mod service_view;
 mod subset;
