Refuse at once a prompt that no runner can hold

Cause: by reading; such a call waited until 1 s after its objective, though it could never be sent. Change: a runner whose whole memory is smaller than the prompt does not count as one that can serve. Test: prompt_that_no_runner_can_hold_is_refused_at_once, failing on the code before.

--- a/crates/route/src/scheduler_refuse.rs
+++ b/crates/route/src/scheduler_refuse.rs
@@ -7,7 +7,7 @@
 use rand::RngExt;
 
 use crate::scheduler::{QueueKey, RouteScheduler};
-use crate::{CallId, CallRecord, RouteAction, RouteDecision, WaitQueue};
+use crate::{CallId, CallRecord, RouteAction, RouteDecision, RunnerView, WaitQueue};
 
 /// Retry delay of a refused caller if no better estimate exists, and the
 /// minimum delay before jitter.
@@ -36,7 +36,10 @@
         }
         let view = self.services.get(&call.service);
         let slots = view.map_or(&[][..], |view| view.slots.as_slice());
-        if !slots.iter().any(|slot| self.runners[*slot].can_serve(call.model.as_ref())) {
+        let tokens = f64::from(record.context_tokens());
+        let fits = |runner: &RunnerView| runner.memory_tokens().is_none_or(|all| tokens <= all);
+        let can_serve = |runner: &RunnerView| runner.can_serve(call.model.as_ref()) && fits(runner);
+        if !slots.iter().any(|slot| can_serve(&self.runners[*slot])) {
             return Some((RefusalReason::NoRunner, DEFAULT_RETRY_AFTER));
         }
         let queue = self.queues.get(&(call.service.clone(), call.model.clone()))?;
--- a/crates/route/tests/fleet_overload.rs
+++ b/crates/route/tests/fleet_overload.rs
@@ -79,6 +79,27 @@
     assert!(is_sent(&harness.tell(RouteEvent::Tick)));
 }
 
+#[test]
+fn prompt_that_no_runner_can_hold_is_refused_at_once() {
+    let mut harness = SchedulerHarness::new(2);
+    for number in 0..2 {
+        tell_others(&mut harness, number, 0.9 * MEMORY, 0.9 * MEMORY);
+    }
+    let fitting =
+        RouteCall { prompt_tokens: TokenCount(MEMORY as u32 - 1), ..long_call(&harness, 1, 1_800) };
+    assert!(harness.arrive(fitting).is_empty(), "waits for a runner to become empty");
+    let too_long =
+        RouteCall { prompt_tokens: TokenCount(MEMORY as u32 + 1), ..long_call(&harness, 2, 1_800) };
+    let actions = harness.arrive(too_long);
+    assert!(
+        matches!(
+            actions[..],
+            [RouteAction::Refuse { call, reason: RefusalReason::NoRunner, .. }] if call == id(2)
+        ),
+        "{actions:?}"
+    );
+}
+
 #[test]
 fn entries_with_waiting_calls_take_turns_at_a_runner_that_becomes_free() {
     let mut sent = 0;
