Give the nodes' messages a version; count and name what cannot be read

Cause: a message that could not be decoded, from an older node during an update or forged, left one line at debug level for each, and no counter. Change: a version byte before each message, typed errors, the counter messages_skipped, one line in 10 s. Tests: round trip, another version, 4,000 seeded cases of arbitrary, cut and changed bytes; and from outside, datagrams that are no message are counted and change nothing.

--- a/crates/harness/tests/node_bad_input.rs
+++ b/crates/harness/tests/node_bad_input.rs
@@ -6,7 +6,7 @@
 use compio::io::{AsyncRead, AsyncWriteExt};
 use compio::net::TcpStream;
 use fakes::platform::{RunnerFake, RunnerFakeSettings};
-use harness::{CallerRequest, HOST, KEY, NodeFleet};
+use harness::{CallerRequest, HOST, KEY, NodeFleet, wait_until};
 
 const LIMIT: Duration = Duration::from_secs(3);
 
@@ -118,3 +118,37 @@
     })
     .unwrap();
 }
+
+/// Value of a counter on a node's metrics page; 0 if it is not there.
+async fn counter(fleet: &NodeFleet, name: &str) -> u64 {
+    let page = fleet.metrics(0).await;
+    let line = page.lines().find(|line| line.contains(name) && !line.starts_with('#'));
+    line.and_then(|line| line.rsplit(' ').next()?.parse().ok()).unwrap_or(0)
+}
+
+#[test]
+fn datagrams_that_are_no_message_are_counted_and_change_nothing() {
+    kernel::run(async {
+        let (fleet, _desk) = fleet().await;
+        let settings = fleet.settings(0);
+        let ip = settings["ip"].as_str().unwrap().to_owned();
+        let port = u16::try_from(settings["peer_port"].as_u64().unwrap()).unwrap();
+        let socket = std::net::UdpSocket::bind((ip.as_str(), 0)).unwrap();
+        let datagrams =
+            [Vec::new(), vec![1, 0, 0], vec![2, 9, 9, 9], vec![2; 1_000], vec![0xff; 3]];
+        for datagram in &datagrams {
+            socket.send_to(datagram, (ip.as_str(), port)).unwrap();
+        }
+        wait_until("all datagrams to be counted", LIMIT, async || {
+            let counted = counter(&fleet, "messages_skipped").await;
+            (counted >= datagrams.len() as u64).then_some(())
+        })
+        .await
+        .unwrap();
+        assert_eq!(counter(&fleet, "beats").await, 0);
+        assert_eq!(fleet.readiness(0).await, 200);
+        let answer = fleet.send(0, &CallerRequest::booking("after")).await;
+        assert_eq!(answer.status, 200);
+    })
+    .unwrap();
+}
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -35,6 +35,8 @@
     pub store_failures: Counter,
     /// Heartbeats received from other nodes.
     pub heartbeats: Counter,
+    /// Messages of other nodes that could not be read.
+    pub messages_skipped: Counter,
     /// Log lines dropped by the rate limit.
     pub lines_dropped: Counter,
     /// Requests in progress.
@@ -67,6 +69,7 @@
             plans: Counter::default(),
             store_failures: Counter::default(),
             heartbeats: Counter::default(),
+            messages_skipped: Counter::default(),
             lines_dropped: Counter::default(),
             active: Gauge::default(),
             first_byte_time: histogram(),
@@ -95,6 +98,11 @@
             self.store_failures.clone(),
         );
         registry.register("beats", "Heartbeats of other nodes", self.heartbeats.clone());
+        registry.register(
+            "messages_skipped",
+            "Messages of other nodes that could not be read",
+            self.messages_skipped.clone(),
+        );
         registry.register("lines_dropped", "Log lines left out", self.lines_dropped.clone());
         registry.register("active", "Requests in progress", self.active.clone());
         registry.register(
--- a/crates/node/src/peer_link.rs
+++ b/crates/node/src/peer_link.rs
@@ -9,7 +9,10 @@
 use futures_channel::mpsc;
 use futures_util::StreamExt;
 use rand::seq::IndexedRandom;
-use serving::{NodeLoad, PeerHeartbeat, PeerMessage, RunnerRecord, RunnerUpdate, ServingPlan};
+use serving::{
+    MessageError, NodeLoad, PeerHeartbeat, PeerMessage, RunnerRecord, RunnerUpdate, ServingPlan,
+    decode_message, encode_message,
+};
 use web::{Result, fetch_json};
 
 use crate::context::NodeContext;
@@ -28,6 +31,8 @@
 const MAX_MESSAGE_BYTES: usize = 60_000;
 /// Age of the list of runners from which it is fetched from a node that has read further.
 const STALE_LIST_SPAN: TimeSpan = TimeSpan::millis(500);
+/// Shortest time between two log lines on messages that cannot be read.
+const SKIP_LINE_INTERVAL: TimeSpan = TimeSpan::seconds(10);
 /// Timeout of one exchange with another node.
 const PEER_TIMEOUT: TimeSpan = TimeSpan::millis(700);
 
@@ -38,6 +43,8 @@
     socket: UdpSocket,
     /// Sequence number of the last heartbeat sent.
     sequence: Cell<u64>,
+    /// When a message that cannot be read is logged again.
+    next_skip_line: Cell<TimePoint>,
     /// Whether a fetch from another node is in progress.
     fetching: Cell<bool>,
     dependency: DependencyState,
@@ -58,6 +65,7 @@
             router: Rc::clone(router),
             socket,
             sequence: Cell::default(),
+            next_skip_line: Cell::default(),
             fetching: Cell::default(),
             dependency: DependencyState::new("other nodes"),
         }))
@@ -86,7 +94,7 @@
 
     /// Sends `message` to every known node.
     async fn send(&self, message: &PeerMessage) {
-        let bytes = match postcard::to_stdvec(message) {
+        let bytes = match encode_message(message) {
             Ok(bytes) => bytes,
             Err(error) => {
                 tracing::error!(event = "message_not_encoded", %error);
@@ -141,7 +149,9 @@
             let (received, back) = self.socket.recv_from(buffer).await.into();
             buffer = back;
             match received {
-                Ok((length, _)) => self.handle_message(&buffer[..length.min(buffer.len())]),
+                Ok((length, sender)) => {
+                    self.handle_message(sender, &buffer[..length.min(buffer.len())]);
+                }
                 Err(error) => {
                     self.dependency.record_failure(&error);
                     kernel::sleep(SOCKET_RETRY_PAUSE.into()).await;
@@ -151,13 +161,24 @@
         }
     }
 
-    fn handle_message(self: &Rc<Self>, bytes: &[u8]) {
-        match postcard::from_bytes(bytes) {
+    fn handle_message(self: &Rc<Self>, sender: SocketAddr, bytes: &[u8]) {
+        match decode_message(bytes) {
             Ok(PeerMessage::Heartbeat(heartbeat)) => self.handle_heartbeat(heartbeat),
             Ok(PeerMessage::RunnerUpdate(update)) => {
                 apply_peer_update(&self.context, &self.router, update);
             }
-            Err(error) => tracing::debug!(event = "message_skipped", %error),
+            Err(error) => self.skip_message(sender, &error),
+        }
+    }
+
+    /// Counts a message that cannot be read, and logs it if none was logged lately: during an
+    /// update, all messages of nodes with another version are skipped.
+    fn skip_message(&self, sender: SocketAddr, error: &MessageError) {
+        self.context.metrics.messages_skipped.inc();
+        let now = self.context.now();
+        if now >= self.next_skip_line.get() {
+            self.next_skip_line.set(now + SKIP_LINE_INTERVAL);
+            tracing::warn!(event = "message_skipped", %sender, %error);
         }
     }
 
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -7,6 +7,7 @@
 mod attempt;
 mod fleet_loads;
 mod forecast_codec;
+mod peer_codec;
 mod peer_heartbeat;
 mod peer_table;
 mod plan;
@@ -16,6 +17,7 @@
 
 pub use attempt::{AttemptTracker, FinalStatus, SendOutcome};
 pub use fleet_loads::{FleetLoads, NodeLoad, RunnerLoad, add_load};
+pub use peer_codec::{MESSAGE_VERSION, MessageError, decode_message, encode_message};
 pub use peer_heartbeat::{PeerHeartbeat, PeerMessage, RunnerUpdate};
 pub use peer_table::PeerTable;
 pub use plan::{
--- /dev/null
+++ b/crates/serving/tests/peer_codec.rs
@@ -0,0 +1,79 @@
+//! Messages between nodes: what is encoded is decoded, and bytes that are no message give an error.
+
+use std::net::SocketAddr;
+
+use base::prelude::*;
+use proptest::prelude::*;
+use route::MemoryForecast;
+use serving::{
+    MESSAGE_VERSION, MessageError, PeerHeartbeat, PeerMessage, RunnerLoad, decode_message,
+    encode_message,
+};
+
+fn message() -> PeerMessage {
+    let address: SocketAddr = "10.0.0.1:7200".parse().unwrap();
+    let forecast = MemoryForecast {
+        mean: [3_000.0, 3_030.0, 2_900.0, 1_500.0, 10.0],
+        variance: [0.0, 100.0, 400.0, 2_500.0, 81.0],
+    };
+    let load =
+        RunnerLoad { runner: "runner-1".parse().unwrap(), calls: 1, prefill_tokens: 0, forecast };
+    PeerMessage::Heartbeat(PeerHeartbeat {
+        vm: "node-1".parse().unwrap(),
+        incarnation: VmIncarnation(7),
+        sequence: 3,
+        caller_address: address,
+        peer_address: address,
+        place: "north".parse().unwrap(),
+        ready: true,
+        store_reachable: true,
+        plan_version: None,
+        runners_offset: LogOffset(12),
+        loads: vec![load],
+        waiting_services: vec!["llm".parse().unwrap()],
+        leaving: Vec::new(),
+    })
+}
+
+#[test]
+fn a_message_is_decoded_as_it_was_encoded() {
+    let bytes = encode_message(&message()).unwrap();
+    assert_eq!(decode_message(&bytes), Ok(message()));
+}
+
+#[test]
+fn a_message_of_another_version_is_named_as_such() {
+    let mut bytes = encode_message(&message()).unwrap();
+    bytes[0] = MESSAGE_VERSION - 1;
+    assert_eq!(decode_message(&bytes), Err(MessageError::OtherVersion(MESSAGE_VERSION - 1)));
+    assert_eq!(decode_message(&[]), Err(MessageError::Empty));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 2_000,
+        rng_seed: prop::test_runner::RngSeed::Fixed(20),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn arbitrary_bytes_give_a_message_or_an_error(bytes in prop::collection::vec(any::<u8>(), 0..600)) {
+        let _ = decode_message(&bytes);
+        let versioned: Vec<u8> = std::iter::once(MESSAGE_VERSION).chain(bytes).collect();
+        let _ = decode_message(&versioned);
+    }
+
+    #[test]
+    fn a_cut_or_changed_message_gives_a_message_or_an_error(
+        cut in 0_usize..200,
+        at in 0_usize..200,
+        bit in 0_u32..8,
+    ) {
+        let mut bytes = encode_message(&message()).unwrap();
+        let index = at % bytes.len();
+        bytes[index] ^= 1 << bit;
+        bytes.truncate(bytes.len().saturating_sub(cut));
+        let _ = decode_message(&bytes);
+    }
+}
