Log and count transfers of a configuration and closed sources of a handover

The lines could not tell why a stream's runner was given up during a handover, nor how long a transfer of a configuration between nodes took or whether it came through. New: source_closed, plan_fetched (peer, outcome, version, took_ms, error), counters plan_fetches and plans_sent. No change of logic.

--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -31,6 +31,10 @@
     pub moves: Family<OutcomeLabels, Counter>,
     /// Configurations activated.
     pub plans: Counter,
+    /// Transfers of a configuration from another node, by outcome.
+    pub plan_fetches: Family<OutcomeLabels, Counter>,
+    /// Transfers of the configuration to other nodes that were begun.
+    pub plans_sent: Counter,
     /// Failed exchanges with the store.
     pub store_failures: Counter,
     /// Heartbeats received from other nodes.
@@ -67,6 +71,8 @@
             retries_denied: Counter::default(),
             moves: Family::default(),
             plans: Counter::default(),
+            plan_fetches: Family::default(),
+            plans_sent: Counter::default(),
             store_failures: Counter::default(),
             heartbeats: Counter::default(),
             messages_skipped: Counter::default(),
@@ -92,6 +98,16 @@
         );
         registry.register("moves", "Moves of running streams", self.moves.clone());
         registry.register("plans", "Configurations put in force", self.plans.clone());
+        registry.register(
+            "plan_fetches",
+            "Transfers of a configuration from another node",
+            self.plan_fetches.clone(),
+        );
+        registry.register(
+            "plans_sent",
+            "Transfers of the configuration to other nodes",
+            self.plans_sent.clone(),
+        );
         registry.register(
             "store_failures",
             "Failed exchanges with the store",
--- a/crates/node/src/peer_link.rs
+++ b/crates/node/src/peer_link.rs
@@ -13,12 +13,13 @@
     MessageError, NodeLoad, PeerHeartbeat, PeerMessage, RunnerRecord, RunnerUpdate, ServingPlan,
     decode_message, encode_message,
 };
-use web::{Result, fetch_json};
+use web::{Result, WebError, fetch_json};
 
 use crate::context::NodeContext;
 use crate::dependency::DependencyState;
 use crate::follow_configuration::apply_plan;
 use crate::follow_runners::{apply_peer_update, record_read};
+use crate::metrics::OutcomeLabels;
 use crate::peer_server::{PLAN_PATH, RUNNERS_PATH, RunnersAnswer};
 use crate::router::RouterService;
 
@@ -243,11 +244,35 @@
 
     async fn fetch_plan(&self, peer: SocketAddr) -> Result<()> {
         let step = "configuration of another node";
-        let plan: ServingPlan = fetch_json(step, peer, PLAN_PATH, PEER_TIMEOUT).await?;
+        let begun = self.context.now();
+        let fetched = fetch_json(step, peer, PLAN_PATH, PEER_TIMEOUT).await;
+        self.log_plan_fetch(peer, begun, fetched.as_ref());
+        let plan: ServingPlan = fetched?;
         apply_plan(&self.context, &self.router, plan, "node");
         Ok(())
     }
 
+    /// Logs and counts one transfer of a configuration from another node.
+    fn log_plan_fetch(
+        &self,
+        peer: SocketAddr,
+        begun: TimePoint,
+        fetched: std::result::Result<&ServingPlan, &WebError>,
+    ) {
+        let outcome = if fetched.is_ok() { "fetched" } else { "failed" };
+        let labels = OutcomeLabels { outcome, reason: "" };
+        self.context.metrics.plan_fetches.get_or_create(&labels).inc();
+        tracing::info!(
+            event = "plan_fetched",
+            %peer,
+            outcome,
+            version = fetched.ok().map(|plan| plan.version.0),
+            before = self.context.plan_version().map(|version| version.0),
+            took_ms = self.context.now().since(begun).as_millis(),
+            error = fetched.err().map(ToString::to_string),
+        );
+    }
+
     async fn fetch_runners(&self, peer: SocketAddr) -> Result<()> {
         let requested = self.context.now();
         let step = "runners of another node";
--- a/crates/node/src/peer_server.rs
+++ b/crates/node/src/peer_server.rs
@@ -26,7 +26,10 @@
 pub fn answer_peer(context: &NodeContext, request: &WebRequest) -> WebResponse {
     match request.uri().path() {
         PLAN_PATH => match context.plan() {
-            Some(plan) => json_reply(StatusCode::OK, &*plan),
+            Some(plan) => {
+                context.metrics.plans_sent.inc();
+                json_reply(StatusCode::OK, &*plan)
+            }
             None => text_reply(StatusCode::SERVICE_UNAVAILABLE, "no configuration yet"),
         },
         RUNNERS_PATH => json_reply(StatusCode::OK, &runners_answer(context)),
--- a/crates/node/src/stream_handover.rs
+++ b/crates/node/src/stream_handover.rs
@@ -217,6 +217,14 @@
             if let Ok(outcome) = in_time {
                 return outcome;
             }
+            tracing::info!(
+                event = "source_closed",
+                request = %self.call.attempt,
+                runner = %self.source.runner.runner,
+                next = %plan.runner.runner,
+                waited_ms = MAX_OVERLAP.as_millis(),
+                events = self.scanner.event_count(),
+            );
             self.source.close();
         }
         let mut disconnected = pin!(self.caller.disconnected.wait().fuse());
