Reproduce the lost stream and the configuration that never arrives, as failing tests

The stand-in runner can stop accepting, make its events without pauses, and is silent to generations too; the test link has a bandwidth.

--- a/crates/fakes/src/platform/runner_fake.rs
+++ b/crates/fakes/src/platform/runner_fake.rs
@@ -19,6 +19,8 @@
 
 /// Pause between two events of a stream where none is set.
 const EVENT_PAUSE: Duration = Duration::from_millis(10);
+/// Time after which an attempt to connect counts as hanging.
+const HANG_AFTER: Duration = Duration::from_millis(100);
 /// Events of a stream where none is set.
 const EVENTS: u64 = 30;
 
@@ -97,6 +99,12 @@
     leaving: Cell<bool>,
     /// Moves from here find no room.
     moves_refused: Cell<bool>,
+    /// Events are made without a pause.
+    rushes: Cell<bool>,
+    /// New connections are accepted.
+    accepts: Cell<bool>,
+    /// Connections that fill the queue of the listener.
+    held: RefCell<Vec<TcpStream>>,
     crashed: StopSignal,
 }
 
@@ -126,6 +134,9 @@
             working: Cell::default(),
             leaving: Cell::default(),
             moves_refused: Cell::default(),
+            rushes: Cell::default(),
+            accepts: Cell::new(true),
+            held: RefCell::default(),
             crashed: StopSignal::new(),
         });
         let shared = Rc::clone(&state);
@@ -183,6 +194,21 @@
         self.state.moves_refused.set(refused);
     }
 
+    /// Its streams make all their further events without a pause.
+    pub fn rush(&self) {
+        self.state.rushes.set(true);
+    }
+
+    /// New connections to it hang: nobody accepts them, and the queue of the listener is full.
+    pub async fn stop_accepting(&self) {
+        self.state.accepts.set(false);
+        loop {
+            let connect = TcpStream::connect(self.address);
+            let Ok(Ok(stream)) = compio::time::timeout(HANG_AFTER, connect).await else { return };
+            self.state.held.borrow_mut().push(stream);
+        }
+    }
+
     /// Ends all its connections and takes no new ones.
     pub fn crash(&self) {
         self.state.crashed.raise();
@@ -209,6 +235,10 @@
         let (accept, crashed) = (pin!(listener.accept()), pin!(state.crashed.wait()));
         let Either::Left((accepted, _)) = select(accept, crashed).await else { return };
         let Ok((stream, _)) = accepted else { continue };
+        if !state.accepts.get() {
+            state.held.borrow_mut().push(stream);
+            return state.crashed.wait().await;
+        }
         let shared = Rc::clone(&state);
         spawn(async move {
             let crashed = shared.crashed.clone();
@@ -275,6 +305,9 @@
         let headers = "X-Dotterelyard-Not-Executed: 1\r\n";
         return write(stream, whole("503 Service Unavailable", headers, "")).await;
     }
+    if script == RunnerScript::Silent {
+        return std::future::pending().await;
+    }
     if request.headers.contains_key("x-dotterelyard-model") {
         return answer_events(stream, state, &request, script).await;
     }
@@ -353,7 +386,9 @@
             return false;
         }
         state.memory.note_event(attempt);
-        compio::time::sleep(state.settings.event_pause).await;
+        if !state.rushes.get() {
+            compio::time::sleep(state.settings.event_pause).await;
+        }
     }
     state.memory.end(attempt);
     write(stream, "0\r\n\r\n").await
--- a/crates/harness/src/link.rs
+++ b/crates/harness/src/link.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::{Duration, Instant};
 
 use compio::BufResult;
 use compio::io::{AsyncRead, AsyncWriteExt};
@@ -15,7 +16,7 @@
 /// Size of a copy buffer, in bytes.
 const BUFFER_BYTES: usize = 16 << 10;
 /// Pause between two looks at the state of a stalled link.
-const LOOK_EVERY: std::time::Duration = std::time::Duration::from_millis(5);
+const LOOK_EVERY: Duration = Duration::from_millis(5);
 
 /// What a link does with what comes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
@@ -36,6 +37,31 @@
     address: SocketAddr,
     state: Rc<Cell<LinkState>>,
     forwarded: Rc<Cell<u64>>,
+    pace: Rc<AnswerPace>,
+}
+
+/// Bandwidth that all answers of a link share.
+#[derive(Default)]
+struct AnswerPace {
+    /// Bytes a second; 0 for no limit.
+    rate: Cell<u64>,
+    /// When the link has sent all that was put on it.
+    free_at: Cell<Option<Instant>>,
+}
+
+impl AnswerPace {
+    /// Waits until `bytes` more have gone over the link.
+    async fn pass(&self, bytes: usize) {
+        let rate = self.rate.get();
+        if rate == 0 {
+            return;
+        }
+        let now = Instant::now();
+        let begin = self.free_at.get().unwrap_or(now).max(now);
+        let end = begin + Duration::from_secs_f64(bytes as f64 / rate as f64);
+        self.free_at.set(Some(end));
+        sleep(end - now).await;
+    }
 }
 
 impl TestLink {
@@ -50,8 +76,10 @@
             source,
         })?;
         let address = listener.local_addr().unwrap_or(address);
-        let link = Self { address, state: Rc::default(), forwarded: Rc::default() };
+        let pace: Rc<AnswerPace> = Rc::default();
+        let link = Self { address, state: Rc::default(), forwarded: Rc::default(), pace };
         let (state, forwarded) = (Rc::clone(&link.state), Rc::clone(&link.forwarded));
+        let pace = Rc::clone(&link.pace);
         spawn(async move {
             while let Ok((caller, _)) = listener.accept().await {
                 if state.get() == LinkState::Cut {
@@ -61,8 +89,9 @@
                 let (state, forwarded) = (Rc::clone(&state), Rc::clone(&forwarded));
                 let (ask_read, answer_write) = caller.into_split();
                 let (answer_read, ask_write) = callee.into_split();
-                let ask = copy(ask_read, ask_write, Rc::clone(&state), false, forwarded);
-                let answer = copy(answer_read, answer_write, state, true, Rc::default());
+                let pace = Some(Rc::clone(&pace));
+                let ask = copy(ask_read, ask_write, Rc::clone(&state), None, forwarded);
+                let answer = copy(answer_read, answer_write, state, pace, Rc::default());
                 spawn(ask).detach();
                 spawn(answer).detach();
             }
@@ -82,6 +111,11 @@
         self.state.set(state);
     }
 
+    /// Limits what all answers together may take, in bytes a second.
+    pub fn set_answer_rate(&self, rate: u64) {
+        self.pace.rate.set(rate);
+    }
+
     /// Bytes passed on towards the target.
     #[must_use]
     pub fn forwarded(&self) -> u64 {
@@ -89,11 +123,12 @@
     }
 }
 
+/// Passes bytes on in one direction; answers have a pace.
 async fn copy(
     mut from: TcpStream,
     mut to: TcpStream,
     state: Rc<Cell<LinkState>>,
-    is_answer: bool,
+    pace: Option<Rc<AnswerPace>>,
     count: Rc<Cell<u64>>,
 ) {
     let mut buffer = Vec::with_capacity(BUFFER_BYTES);
@@ -107,10 +142,13 @@
         };
         let BufResult(length, filled) = outcome;
         if !matches!(length, Ok(length) if length > 0)
-            || wait_while_stalled(&state, is_answer).await
+            || wait_while_stalled(&state, pace.is_some()).await
         {
             break;
         }
+        if let Some(pace) = &pace {
+            pace.pass(filled.len()).await;
+        }
         count.set(count.get() + filled.len() as u64);
         let BufResult(written, returned) = to.write_all(filled).await;
         if written.is_err() {
--- a/crates/harness/src/node_fleet.rs
+++ b/crates/harness/src/node_fleet.rs
@@ -226,6 +226,12 @@
         self.address(number, 0)
     }
 
+    /// Where other nodes reach a node.
+    #[must_use]
+    pub fn peer_address(&self, number: usize) -> SocketAddr {
+        self.address(number, 3)
+    }
+
     /// Waits until every node is ready and tells all of them to callers.
     ///
     /// # Errors
--- a/crates/harness/tests/node_moves.rs
+++ b/crates/harness/tests/node_moves.rs
@@ -156,6 +156,45 @@
     .unwrap();
 }
 
+#[test]
+fn a_stream_that_its_runner_ends_during_a_handover_without_an_answer_is_whole() {
+    kernel::run(async {
+        let (fleet, runners) = fleet().await;
+        let request = short();
+        let (answer, ()) = futures_util::join!(fleet.send(0, &request), async {
+            let runner = worker(&runners).await;
+            let others = || runners.iter().filter(|other| other.id() != runner.id());
+            others().for_each(|other| other.script(&[RunnerScript::Silent]));
+            fleet.tell(runner, "llm", "draining");
+            wait_until("the next runner to be asked", LIMIT, async || {
+                others().any(|other| !other.visits().is_empty()).then_some(())
+            })
+            .await
+            .unwrap();
+            runner.rush();
+        });
+        assert_whole(&answer);
+    })
+    .unwrap();
+}
+
+#[test]
+fn a_stream_stays_at_its_runner_while_the_next_one_cannot_be_reached() {
+    kernel::run(async {
+        let (fleet, runners) = fleet().await;
+        let request = short();
+        let (answer, ()) = futures_util::join!(fleet.send(0, &request), async {
+            let runner = worker(&runners).await;
+            for other in runners.iter().filter(|other| other.id() != runner.id()) {
+                other.stop_accepting().await;
+            }
+            fleet.tell(runner, "llm", "draining");
+        });
+        assert_whole(&answer);
+    })
+    .unwrap();
+}
+
 #[test]
 fn a_leaving_runner_gets_no_new_work() {
     kernel::run(async {
--- /dev/null
+++ b/crates/harness/tests/node_plan_transfer.rs
@@ -0,0 +1,121 @@
+//! Transfers of a large configuration between nodes whose links are slow.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use base::{LogOffset, VmIncarnation};
+use compio::net::UdpSocket;
+use harness::{HOST, NodeFleet, TestLink, config, wait_until};
+use serde_json::{Value, json};
+use serving::{PeerHeartbeat, PeerMessage, PlanVersion, encode_message};
+
+/// Time in which a change has to be in force on the large deployments.
+const APPLY_LIMIT: Duration = Duration::from_secs(3);
+/// Bandwidth of a small machine's link (10 Mbit/s), in bytes a second.
+const LINK_RATE: u64 = 1_250_000;
+/// Routes of a configuration after it has grown twice by 1,400.
+const ROUTES: usize = 4_200;
+/// Pause between two heartbeats.
+const HEARTBEAT_PAUSE: Duration = Duration::from_millis(100);
+
+/// A configuration with many routes.
+fn large_config(version: u64) -> Value {
+    let mut config = config(version);
+    let route = |number: usize| {
+        json!({
+            "name": format!("r-{:07x}", number * 7_919), "hostname": HOST,
+            "pathPrefix": format!("/p{:06x}/", number * 104_729 % 0xff_ffff),
+            "routeType": "idempotent", "timeoutMs": 8_000, "targetLatencyMs": 500, "priority": 1,
+            "service": "desk", "maxAttempts": 2, "public": false,
+        })
+    };
+    config["routes"].as_array_mut().unwrap().extend((0..ROUTES).map(route));
+    config
+}
+
+/// A node that has a newer configuration, and nodes that can only get it over its slow link.
+struct SlowHolder {
+    holder: NodeFleet,
+    followers: NodeFleet,
+    _link: TestLink,
+}
+
+impl SlowHolder {
+    async fn start(followers: usize, rate: u64) -> Self {
+        let mut holder = NodeFleet::start().await.unwrap();
+        holder.store.put_json("keyed.op", "config", &large_config(2));
+        holder.add_node().unwrap();
+        holder.wait_event(0, "plan_in_force", "version", &2.into()).await.unwrap();
+        let mut fleet = NodeFleet::start().await.unwrap();
+        for _ in 0..followers {
+            fleet.add_node().unwrap();
+        }
+        fleet.wait_ready().await.unwrap();
+        let link = fleet.start_link(1, holder.peer_address(0)).await.unwrap();
+        link.set_answer_rate(rate);
+        let targets = (0..followers).map(|number| fleet.peer_address(number)).collect();
+        let heartbeats = send_heartbeats(link.address(), targets);
+        kernel::spawn(heartbeats).detach();
+        Self { holder, followers: fleet, _link: link }
+    }
+
+    /// Waits until a follower has the newer configuration in force.
+    async fn wait_in_force(&self, number: usize) {
+        wait_until("the newer configuration", APPLY_LIMIT, async || {
+            let lines = self.followers.nodes[number].events("plan_in_force");
+            lines.iter().any(|line| line["version"] == 2).then_some(())
+        })
+        .await
+        .unwrap();
+    }
+}
+
+/// Sends heartbeats of a node at `address` that has version 2.
+async fn send_heartbeats(address: SocketAddr, targets: Vec<SocketAddr>) {
+    let socket = Rc::new(UdpSocket::bind(SocketAddr::new(address.ip(), 0)).await.unwrap());
+    for sequence in 1.. {
+        let heartbeat = PeerHeartbeat {
+            vm: "holder".parse().unwrap(),
+            incarnation: VmIncarnation(7),
+            sequence,
+            caller_address: address,
+            peer_address: address,
+            place: "north".parse().unwrap(),
+            ready: true,
+            store_reachable: true,
+            plan_version: Some(PlanVersion(2)),
+            runners_offset: LogOffset::default(),
+            loads: Vec::new(),
+            waiting_services: Vec::new(),
+            leaving: Vec::new(),
+        };
+        let bytes = encode_message(&PeerMessage::Heartbeat(heartbeat)).unwrap();
+        for target in &targets {
+            let _ = socket.send_to(bytes.clone(), *target).await;
+        }
+        compio::time::sleep(HEARTBEAT_PAUSE).await;
+    }
+}
+
+#[test]
+fn a_large_configuration_reaches_all_nodes_in_time_over_the_slow_link_of_its_holder() {
+    kernel::run(async {
+        let fleet = SlowHolder::start(6, LINK_RATE).await;
+        let waits = (0..6).map(|number| fleet.wait_in_force(number));
+        futures_util::future::join_all(waits).await;
+    })
+    .unwrap();
+}
+
+#[test]
+fn a_transfer_of_a_configuration_that_makes_progress_is_not_begun_anew() {
+    kernel::run(async {
+        // A twentieth of a link: what remains of one beside nineteen other transfers.
+        let fleet = SlowHolder::start(1, LINK_RATE / 20).await;
+        fleet.wait_in_force(0).await;
+        let metrics = fleet.holder.metrics(0).await;
+        assert!(metrics.contains("yard_node_plans_sent_total 1\n"), "{metrics}");
+    })
+    .unwrap();
+}
