Spread a large configuration by few, paced, compressed transfers

What callers saw: beside a configuration that grows by 1,400 routes, generations cut in the middle, 404 on routes acknowledged long ago, readiness checks that fail.

The nodes that read the configuration from the store answered all others at the same time with the whole of it as JSON (about a megabyte), over links of 10 Mbit/s; the readers gave each transfer up after 0.7 s as a whole and began it anew at the next heartbeat. No transfer could come through, all links of holders were full of the retries, and the generations that these nodes relayed or moved stood behind them. A timeout shorter than the work it bounds, a retry that throws away what it has, and bulk traffic without a bound beside urgent traffic.

A transfer is compressed (flate2; under a fifth of the JSON, test), at most two run at a node, together at half of its link (setting link_mbps); others are told to ask elsewhere and do so after 40 to 120 ms. A transfer ends by a stall of 0.7 s, not by its whole time. A node that has known of a newer version for 1 s reads the store itself. Fetches of the runner list no longer wait behind those of the configuration. Nodes of the release before get plain JSON.

Ruled out: each node reads the store (64 times the bytes at the platform's price, and the store's outages then hit all); deltas between versions (more state, and a node that joins needs the whole anyway).

--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -7,10 +7,12 @@
 use kernel::{MonotonicClock, StopSignal};
 use serving::{
     BudgetSettings, FleetLoads, PeerTable, PlanVersion, RetryBudget, RunnerTable, ServingPlan,
+    TransferPacer,
 };
 use settings::NodeSettings;
 
 use crate::metrics::NodeMetrics;
+use crate::plan_transfer::EncodedPlan;
 
 /// Shared state of a node. Several services read it; each part has one writer.
 pub struct NodeContext {
@@ -22,6 +24,12 @@
     pub metrics: NodeMetrics,
     /// The active configuration; `None` until one has been received.
     pub plan: RefCell<Option<Rc<ServingPlan>>>,
+    /// The configuration as other nodes fetch it; of an older version until it is used.
+    pub encoded_plan: RefCell<Option<EncodedPlan>>,
+    /// When a node was first seen with a newer configuration than the active one.
+    pub newer_plan_since: Cell<Option<TimePoint>>,
+    /// Limits of transfers of the configuration to other nodes.
+    pub transfers: RefCell<TransferPacer>,
     /// Known runners and their state.
     pub runners: RefCell<RunnerTable>,
     /// Store offset up to which the list of runners has been read.
@@ -55,6 +63,9 @@
             incarnation: VmIncarnation(rand::random()),
             metrics: NodeMetrics::new(),
             plan: RefCell::default(),
+            encoded_plan: RefCell::default(),
+            newer_plan_since: Cell::default(),
+            transfers: RefCell::new(TransferPacer::new(settings.link_mbps)),
             runners: RefCell::new(RunnerTable::new(settings.drain)),
             runners_offset: Cell::default(),
             runners_updated: Cell::default(),
@@ -115,6 +126,15 @@
         self.peers.borrow().readers_ahead_of(self.now(), &self.settings.vm, reaches_store)
     }
 
+    /// Whether a newer configuration has been known for so long that this node reads it from the
+    /// store itself: transfers from other nodes do not come through.
+    #[must_use]
+    pub fn is_plan_overdue(&self) -> bool {
+        /// Longer than a transfer from another node takes, even if some are busy first.
+        const OVERDUE_SPAN: TimeSpan = TimeSpan::millis(1_000);
+        self.newer_plan_since.get().is_some_and(|since| self.now().since(since) >= OVERDUE_SPAN)
+    }
+
     /// Whether this node can serve callers: it knows the configuration and the runners, is
     /// not stopping and is not isolated.
     #[must_use]
--- a/crates/node/src/follow_configuration.rs
+++ b/crates/node/src/follow_configuration.rs
@@ -33,6 +33,7 @@
         source = from,
     );
     *context.plan.borrow_mut() = Some(Rc::new(plan));
+    context.newer_plan_since.set(None);
     context.metrics.plans.inc();
     router.update_services();
     router.request_heartbeat();
@@ -67,9 +68,11 @@
     }
 }
 
-/// Waits while enough other nodes read on behalf of this one.
+/// Waits while enough other nodes read on behalf of this one, and what they read arrives here.
 async fn wait_for_turn(context: &NodeContext) {
-    while context.readers_before() >= context.peers.borrow().target_reader_count() {
+    while !context.is_plan_overdue()
+        && context.readers_before() >= context.peers.borrow().target_reader_count()
+    {
         kernel::sleep(TURN_CHECK_PAUSE.into()).await;
     }
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -18,6 +18,7 @@
 mod peer_link;
 mod peer_server;
 mod plain_call;
+mod plan_transfer;
 mod process;
 mod router;
 mod runner_poll;
--- a/crates/node/src/lookups.rs
+++ b/crates/node/src/lookups.rs
@@ -1,6 +1,7 @@
 //! Address look-ups for callers, and the readiness check for the platform.
 
 use std::net::SocketAddr;
+use std::rc::Rc;
 
 use hyper::StatusCode;
 use platform::{LOOKUP_PATH, LookupResponse, READY_PATH};
@@ -16,7 +17,7 @@
 const MAX_ADDRESSES: usize = 64;
 
 /// Answers an address look-up.
-pub fn answer_lookup(context: &NodeContext, request: &WebRequest) -> WebResponse {
+pub fn answer_lookup(context: &Rc<NodeContext>, request: &WebRequest) -> WebResponse {
     if request.uri().path() != LOOKUP_PATH {
         return text_reply(StatusCode::NOT_FOUND, "no such page");
     }
@@ -44,7 +45,7 @@
 }
 
 /// Answers the readiness check.
-pub fn answer_readiness(context: &NodeContext, request: &WebRequest) -> WebResponse {
+pub fn answer_readiness(context: &Rc<NodeContext>, request: &WebRequest) -> WebResponse {
     if request.uri().path() != READY_PATH {
         return text_reply(StatusCode::NOT_FOUND, "no such page");
     }
--- a/crates/node/src/peer_link.rs
+++ b/crates/node/src/peer_link.rs
@@ -13,14 +13,15 @@
     MessageError, NodeLoad, PeerHeartbeat, PeerMessage, RunnerRecord, RunnerUpdate, ServingPlan,
     decode_message, encode_message,
 };
-use web::{Result, WebError, fetch_json};
+use web::{Result, fetch_json};
 
 use crate::context::NodeContext;
 use crate::dependency::DependencyState;
 use crate::follow_configuration::apply_plan;
 use crate::follow_runners::{apply_peer_update, record_read};
 use crate::metrics::OutcomeLabels;
-use crate::peer_server::{PLAN_PATH, RUNNERS_PATH, RunnersAnswer};
+use crate::peer_server::{RUNNERS_PATH, RunnersAnswer};
+use crate::plan_transfer::{TransferError, fetch_plan};
 use crate::router::RouterService;
 
 /// A requested heartbeat is sent no sooner than the heartbeat interval divided by this after
@@ -34,6 +35,9 @@
 const STALE_LIST_SPAN: TimeSpan = TimeSpan::millis(500);
 /// Shortest time between two log lines on messages that cannot be read.
 const SKIP_LINE_INTERVAL: TimeSpan = TimeSpan::seconds(10);
+/// Pause until the configuration is fetched again from another node, in milliseconds; random, so
+/// that those who were turned away together do not return together.
+const FETCH_PAUSE_RANGE_MS: std::ops::Range<u64> = 40..120;
 /// Timeout of one exchange with another node.
 const PEER_TIMEOUT: TimeSpan = TimeSpan::millis(700);
 
@@ -46,8 +50,12 @@
     sequence: Cell<u64>,
     /// When a message that cannot be read is logged again.
     next_skip_line: Cell<TimePoint>,
-    /// Whether a fetch from another node is in progress.
-    fetching: Cell<bool>,
+    /// Whether the configuration is being fetched from another node.
+    fetching_plan: Cell<bool>,
+    /// When the configuration may be fetched again after a failure.
+    next_plan_fetch: Cell<TimePoint>,
+    /// Whether the list of runners is being fetched from another node.
+    fetching_runners: Cell<bool>,
     dependency: DependencyState,
 }
 
@@ -67,7 +75,9 @@
             socket,
             sequence: Cell::default(),
             next_skip_line: Cell::default(),
-            fetching: Cell::default(),
+            fetching_plan: Cell::default(),
+            next_plan_fetch: Cell::default(),
+            fetching_runners: Cell::default(),
             dependency: DependencyState::new("other nodes"),
         }))
     }
@@ -203,65 +213,92 @@
         }
     }
 
-    /// Starts fetching newer data from other nodes, unless a fetch is in progress.
+    /// Starts fetching newer data from other nodes, unless the same is being fetched.
     fn fetch_newer(self: &Rc<Self>) {
-        if self.fetching.get() {
-            return;
-        }
+        self.fetch_newer_plan();
+        self.fetch_newer_runners();
+    }
+
+    fn fetch_newer_plan(self: &Rc<Self>) {
         let now = self.context.now();
-        let peers = self.context.peers.borrow();
+        let own = self.context.plan_version();
+        let holders = self.context.peers.borrow().peers_with_newer_plan(now, own);
         // A random holder, so that not all nodes fetch a change from the first one.
-        let holders = peers.peers_with_newer_plan(now, self.context.plan_version());
-        let plan = holders.choose(&mut rand::rng()).copied();
-        let is_stale = self.context.runners_age() > STALE_LIST_SPAN;
-        let read = self.context.runners_offset.get();
-        let runners = if is_stale { peers.peer_with_newer_runners(now, read) } else { None };
-        if plan.is_none() && runners.is_none() {
+        let Some(peer) = holders.choose(&mut rand::rng()).copied() else {
+            self.context.newer_plan_since.set(None);
+            return;
+        };
+        if self.context.newer_plan_since.get().is_none() {
+            self.context.newer_plan_since.set(Some(now));
+        }
+        if self.fetching_plan.get() || now < self.next_plan_fetch.get() {
             return;
         }
-        self.fetching.set(true);
+        self.fetching_plan.set(true);
         let link = Rc::clone(self);
         kernel::spawn(async move {
-            link.fetch_from(plan, runners).await;
-            link.fetching.set(false);
+            link.fetch_plan_from(peer).await;
+            link.fetching_plan.set(false);
         })
         .detach();
     }
 
-    async fn fetch_from(&self, plan: Option<SocketAddr>, runners: Option<SocketAddr>) {
-        let mut outcome = Ok(());
-        if let Some(peer) = plan {
-            outcome = self.fetch_plan(peer).await;
-        }
-        if let Some(peer) = runners {
-            outcome = outcome.and(self.fetch_runners(peer).await);
-        }
-        match outcome {
-            Ok(()) => self.dependency.record_success(),
-            Err(error) => self.dependency.record_failure(&error),
+    fn fetch_newer_runners(self: &Rc<Self>) {
+        if self.fetching_runners.get() || self.context.runners_age() <= STALE_LIST_SPAN {
+            return;
         }
+        let read = self.context.runners_offset.get();
+        let peer = self.context.peers.borrow().peer_with_newer_runners(self.context.now(), read);
+        let Some(peer) = peer else { return };
+        self.fetching_runners.set(true);
+        let link = Rc::clone(self);
+        kernel::spawn(async move {
+            match link.fetch_runners(peer).await {
+                Ok(()) => link.dependency.record_success(),
+                Err(error) => link.dependency.record_failure(&error),
+            }
+            link.fetching_runners.set(false);
+        })
+        .detach();
     }
 
-    async fn fetch_plan(&self, peer: SocketAddr) -> Result<()> {
-        let step = "configuration of another node";
+    async fn fetch_plan_from(&self, peer: SocketAddr) {
         let begun = self.context.now();
-        let fetched = fetch_json(step, peer, PLAN_PATH, PEER_TIMEOUT).await;
+        let fetched = fetch_plan(&self.context, peer).await;
         self.log_plan_fetch(peer, begun, fetched.as_ref());
-        let plan: ServingPlan = fetched?;
-        apply_plan(&self.context, &self.router, plan, "node");
-        Ok(())
+        match fetched {
+            Ok(plan) => {
+                self.dependency.record_success();
+                apply_plan(&self.context, &self.router, plan, "node");
+            }
+            Err(error) => {
+                if !matches!(error, TransferError::Busy { .. }) {
+                    self.dependency.record_failure(&error);
+                }
+                let pause = rand::random_range(FETCH_PAUSE_RANGE_MS);
+                self.next_plan_fetch.set(self.context.now() + TimeSpan::millis(pause));
+            }
+        }
     }
 
-    /// Logs and counts one transfer of a configuration from another node.
+    /// Counts one transfer of a configuration from another node, and logs it unless the other
+    /// node only was busy.
     fn log_plan_fetch(
         &self,
         peer: SocketAddr,
         begun: TimePoint,
-        fetched: std::result::Result<&ServingPlan, &WebError>,
+        fetched: std::result::Result<&ServingPlan, &TransferError>,
     ) {
-        let outcome = if fetched.is_ok() { "fetched" } else { "failed" };
+        let outcome = match fetched {
+            Ok(_) => "fetched",
+            Err(TransferError::Busy { .. }) => "busy",
+            Err(_) => "failed",
+        };
         let labels = OutcomeLabels { outcome, reason: "" };
         self.context.metrics.plan_fetches.get_or_create(&labels).inc();
+        if outcome == "busy" {
+            return;
+        }
         tracing::info!(
             event = "plan_fetched",
             %peer,
--- a/crates/node/src/peer_server.rs
+++ b/crates/node/src/peer_server.rs
@@ -1,5 +1,7 @@
 //! HTTP endpoints for other nodes: the active configuration and the list of runners.
 
+use std::rc::Rc;
+
 use base::prelude::*;
 use hyper::StatusCode;
 use serde::{Deserialize, Serialize};
@@ -7,9 +9,8 @@
 use web::{WebRequest, WebResponse, json_reply, text_reply};
 
 use crate::context::NodeContext;
+use crate::plan_transfer::{PLAN_PATH, answer_plan};
 
-/// Path of the active configuration.
-pub const PLAN_PATH: &str = "/plan";
 /// Path of the list of runners.
 pub const RUNNERS_PATH: &str = "/runners";
 
@@ -23,15 +24,9 @@
 }
 
 /// Answers a request of another node.
-pub fn answer_peer(context: &NodeContext, request: &WebRequest) -> WebResponse {
+pub fn answer_peer(context: &Rc<NodeContext>, request: &WebRequest) -> WebResponse {
     match request.uri().path() {
-        PLAN_PATH => match context.plan() {
-            Some(plan) => {
-                context.metrics.plans_sent.inc();
-                json_reply(StatusCode::OK, &*plan)
-            }
-            None => text_reply(StatusCode::SERVICE_UNAVAILABLE, "no configuration yet"),
-        },
+        PLAN_PATH => answer_plan(context, request),
         RUNNERS_PATH => json_reply(StatusCode::OK, &runners_answer(context)),
         _ => text_reply(StatusCode::NOT_FOUND, "no such page"),
     }
--- /dev/null
+++ b/crates/node/src/plan_transfer.rs
@@ -0,0 +1,176 @@
+//! Transfers of the active configuration between nodes: serving it and fetching it.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use base::prelude::*;
+use futures_util::stream;
+use hyper::body::Bytes;
+use hyper::header::{ACCEPT_ENCODING, CONTENT_ENCODING, HeaderMap, HeaderValue};
+use hyper::{Request, Response, StatusCode};
+use serving::{PlanCodecError, PlanVersion, ServingPlan, TransferId, decode_plan, encode_plan};
+use thiserror::Error;
+use web::{WebError, WebRequest, WebResponse, full_body, stream_body, text_reply};
+
+use crate::context::NodeContext;
+
+/// Path of the active configuration.
+pub const PLAN_PATH: &str = "/plan";
+/// Name of the encoding of [`encode_plan`] in HTTP.
+const ENCODING: &str = "deflate";
+/// Size of the chunks that are paced, in bytes.
+const CHUNK_BYTES: usize = 16 << 10;
+/// Maximum size of an encoded configuration, in bytes.
+const MAX_ENCODED_BYTES: usize = 16 << 20;
+/// Maximum time to connect, until the head of the answer, and between two parts of the body. A
+/// transfer has no limit on its whole time: one that is begun anew takes bandwidth again.
+const STALL_TIMEOUT: TimeSpan = TimeSpan::millis(700);
+
+/// An encoded configuration.
+#[derive(Debug, Clone)]
+pub struct EncodedPlan {
+    /// Its version.
+    pub version: PlanVersion,
+    /// Its bytes, as transferred.
+    pub bytes: Bytes,
+}
+
+/// A transfer that did not come through.
+#[derive(Debug, Error)]
+pub enum TransferError {
+    /// The other node serves as many transfers as it may.
+    #[error("configuration of another node with {peer}: it serves others")]
+    Busy {
+        /// The other node.
+        peer: SocketAddr,
+    },
+    /// The HTTP exchange failed.
+    #[error(transparent)]
+    Exchange(#[from] WebError),
+    /// The other node answered with an error.
+    #[error("configuration of another node with {peer}: status {status}")]
+    Status {
+        /// The other node.
+        peer: SocketAddr,
+        /// HTTP status.
+        status: StatusCode,
+    },
+    /// The bytes are not a configuration.
+    #[error("with {peer}: {source}")]
+    Malformed {
+        /// The other node.
+        peer: SocketAddr,
+        /// The cause.
+        source: PlanCodecError,
+    },
+}
+
+/// Result of this module's functions.
+pub type Result<T> = std::result::Result<T, TransferError>;
+
+/// Serves the active configuration to another node, unless enough others are being served.
+pub fn answer_plan(context: &Rc<NodeContext>, request: &WebRequest) -> WebResponse {
+    let Some(plan) = context.plan() else {
+        return text_reply(StatusCode::SERVICE_UNAVAILABLE, "no configuration yet");
+    };
+    let Some(id) = context.transfers.borrow_mut().try_begin(context.now()) else {
+        return text_reply(StatusCode::TOO_MANY_REQUESTS, "other transfers are in progress");
+    };
+    let guard = TransferGuard { context: Rc::clone(context), id };
+    match encode_reply(context, &plan, request.headers()) {
+        Ok((bytes, encoding)) => {
+            context.metrics.plans_sent.inc();
+            let mut response = Response::new(paced_body(guard, bytes));
+            if let Some(encoding) = encoding {
+                response.headers_mut().insert(CONTENT_ENCODING, encoding);
+            }
+            response
+        }
+        Err(error) => {
+            tracing::error!(event = "plan_not_encoded", version = plan.version.0, %error);
+            text_reply(StatusCode::INTERNAL_SERVER_ERROR, "the configuration cannot be encoded")
+        }
+    }
+}
+
+/// Encodes the configuration as the request accepts it: nodes of an earlier release take only
+/// plain JSON.
+fn encode_reply(
+    context: &NodeContext,
+    plan: &ServingPlan,
+    headers: &HeaderMap,
+) -> serving::PlanResult<(Bytes, Option<HeaderValue>)> {
+    let accepted = headers.get(ACCEPT_ENCODING).is_some_and(|value| value == ENCODING);
+    if !accepted {
+        let json = serde_json::to_vec(plan)?;
+        return Ok((json.into(), None));
+    }
+    let encoded = encode_once(context, plan)?;
+    Ok((encoded.bytes, Some(HeaderValue::from_static(ENCODING))))
+}
+
+/// The encoded configuration; encoded at its first use, or kept as it was fetched.
+fn encode_once(context: &NodeContext, plan: &ServingPlan) -> serving::PlanResult<EncodedPlan> {
+    let mut kept = context.encoded_plan.borrow_mut();
+    if let Some(encoded) = kept.as_ref().filter(|encoded| encoded.version == plan.version) {
+        return Ok(encoded.clone());
+    }
+    let bytes = Bytes::from(encode_plan(plan)?);
+    Ok(kept.insert(EncodedPlan { version: plan.version, bytes }).clone())
+}
+
+/// Ends a transfer when dropped, with the body or with its connection.
+struct TransferGuard {
+    context: Rc<NodeContext>,
+    id: TransferId,
+}
+
+impl Drop for TransferGuard {
+    fn drop(&mut self) {
+        self.context.transfers.borrow_mut().end(self.id);
+    }
+}
+
+/// A body whose chunks are sent when the link has room for them.
+fn paced_body(guard: TransferGuard, bytes: Bytes) -> web::WebBody {
+    stream_body(stream::unfold((guard, bytes), |(guard, mut rest)| async move {
+        if rest.is_empty() {
+            return None;
+        }
+        let chunk = rest.split_to(CHUNK_BYTES.min(rest.len()));
+        let now = guard.context.now();
+        let mut transfers = guard.context.transfers.borrow_mut();
+        let due = transfers.schedule_chunk(now, guard.id, chunk.len());
+        drop(transfers);
+        kernel::sleep(due.since(now).into()).await;
+        Some((chunk, (guard, rest)))
+    }))
+}
+
+/// Fetches the active configuration of the node at `peer`.
+///
+/// # Errors
+/// [`TransferError`].
+pub async fn fetch_plan(context: &NodeContext, peer: SocketAddr) -> Result<ServingPlan> {
+    let step = "configuration of another node";
+    let request = Request::get(PLAN_PATH)
+        .header(ACCEPT_ENCODING, ENCODING)
+        .body(full_body(Bytes::new()))
+        .map_err(|source| WebError::Request { step, source })?;
+    let response = web::send_once(peer, request, STALL_TIMEOUT, STALL_TIMEOUT).await?;
+    match response.status() {
+        StatusCode::OK => (),
+        StatusCode::TOO_MANY_REQUESTS => return Err(TransferError::Busy { peer }),
+        status => return Err(TransferError::Status { peer, status }),
+    }
+    let is_encoded = response.headers().contains_key(CONTENT_ENCODING);
+    let body = response.into_body();
+    let bytes = web::read_steadily(step, peer, body, MAX_ENCODED_BYTES, STALL_TIMEOUT).await?;
+    let malformed = |source| TransferError::Malformed { peer, source };
+    if !is_encoded {
+        return serde_json::from_slice(&bytes).map_err(|source| malformed(source.into()));
+    }
+    let plan = decode_plan(&bytes).map_err(malformed)?;
+    *context.encoded_plan.borrow_mut() = Some(EncodedPlan { version: plan.version, bytes });
+    Ok(plan)
+}
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -114,7 +114,7 @@
     context: &Rc<NodeContext>,
     address: std::net::SocketAddr,
     stop: &StopSignal,
-    answer: fn(&NodeContext, &WebRequest) -> WebResponse,
+    answer: fn(&Rc<NodeContext>, &WebRequest) -> WebResponse,
 ) -> Result<()> {
     let server = WebServer::bind(address, ServerLimits::default()).await?;
     let context = Rc::clone(context);
@@ -130,7 +130,7 @@
     Ok(())
 }
 
-fn answer_metrics(context: &NodeContext, request: &WebRequest) -> WebResponse {
+fn answer_metrics(context: &Rc<NodeContext>, request: &WebRequest) -> WebResponse {
     if request.uri().path() != METRICS_PATH {
         return text_reply(StatusCode::NOT_FOUND, "no such page");
     }
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -11,9 +11,11 @@
 mod peer_heartbeat;
 mod peer_table;
 mod plan;
+mod plan_codec;
 mod retry_budget;
 mod runner_table;
 mod stream_scan;
+mod transfer_pacer;
 
 pub use attempt::{AttemptTracker, FinalStatus, SendOutcome};
 pub use fleet_loads::{FleetLoads, NodeLoad, RunnerLoad, add_load};
@@ -24,6 +26,8 @@
     EngineLimits, PlanVersion, RequestLimits, RouteKind, RouteRule, RouteTarget, ServicePlan,
     ServingPlan, TenantRule,
 };
+pub use plan_codec::{PlanCodecError, Result as PlanResult, decode_plan, encode_plan};
 pub use retry_budget::{BudgetSettings, RetryBudget};
 pub use runner_table::{RunnerChange, RunnerEntry, RunnerIncarnation, RunnerRecord, RunnerTable};
 pub use stream_scan::{StreamError, StreamScanner};
+pub use transfer_pacer::{TransferId, TransferPacer};
--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -14,6 +14,8 @@
 const MAX_DESCRIPTORS: usize = 1 << 20;
 /// Minimum number of file descriptors that a node needs to work.
 const MIN_DESCRIPTORS: usize = 64;
+/// Slowest and fastest network link, in Mbit/s.
+const LINK_MBPS_RANGE: [f64; 2] = [0.1, 1_000_000.0];
 /// Maximum of `stop_seconds` and `retry_window_seconds`.
 const MAX_SECONDS: f64 = 3_600.0;
 
@@ -43,6 +45,8 @@
     pub memory_mb: u32,
     /// File descriptor limit of the process; it bounds the number of caller connections.
     pub descriptors: usize,
+    /// Bandwidth of the machine's network link, in Mbit/s.
+    pub link_mbps: f64,
     /// How long a leaving runner continues to serve.
     #[serde(rename = "drain_ms", deserialize_with = "crate::millis::deserialize")]
     pub drain: TimeSpan,
@@ -60,7 +64,7 @@
 
 impl SettingsSchema for NodeSettings {
     fn defaults() -> Value {
-        json!({ "metrics_port": 9_464, "log_level": "info" })
+        json!({ "metrics_port": 9_464, "link_mbps": 10.0, "log_level": "info" })
     }
 
     fn example() -> Value {
@@ -76,6 +80,7 @@
             "metrics_port": 9_464,
             "memory_mb": 110,
             "descriptors": 4_100,
+            "link_mbps": 1_000.0,
             "drain_ms": 2_000,
             "stop_seconds": 8.0,
             "retry_ratio": 0.2,
@@ -88,6 +93,8 @@
     fn check(&self, check: &mut FieldCheck) {
         check.require_range(self.memory_mb, "memory_mb", 1, MAX_MEMORY_MB);
         check.require_range(self.descriptors, "descriptors", MIN_DESCRIPTORS, MAX_DESCRIPTORS);
+        let [slowest, fastest] = LINK_MBPS_RANGE;
+        check.require_range(self.link_mbps, "link_mbps", slowest, fastest);
         check.require_range(self.stop_seconds, "stop_seconds", 0.0, MAX_SECONDS);
         check.require_range(self.retry_ratio, "retry_ratio", 0.0, 1.0);
         check.require_range(self.retry_slack, "retry_slack", 0.0, f64::from(u32::MAX));
--- a/crates/web/src/body.rs
+++ b/crates/web/src/body.rs
@@ -1,8 +1,11 @@
 //! Message bodies: complete, streamed, and read up to a size limit.
 
 use std::convert::Infallible;
+use std::net::SocketAddr;
 use std::pin::Pin;
 
+use base::TimeSpan;
+use compio::time::timeout;
 use futures_util::{Stream, StreamExt};
 use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::body::{Body, Bytes, Frame, Incoming};
@@ -53,3 +56,31 @@
     }
     Ok(Bytes::from(bytes))
 }
+
+/// Reads a complete body of at most `limit` bytes, for as long as parts of it arrive at least
+/// every `stall_timeout`.
+///
+/// # Errors
+/// [`WebError::Deadline`] if no part arrives in time, [`WebError::TooLong`] and
+/// [`WebError::Body`] as of [`read_bounded`].
+pub async fn read_steadily(
+    step: &'static str,
+    peer: SocketAddr,
+    mut body: Incoming,
+    limit: usize,
+    stall_timeout: TimeSpan,
+) -> Result<Bytes> {
+    let mut bytes = Vec::new();
+    loop {
+        let frame = timeout(stall_timeout.into(), body.frame())
+            .await
+            .map_err(|_| WebError::Deadline { step, peer })?;
+        let Some(frame) = frame else { return Ok(Bytes::from(bytes)) };
+        let frame = frame.map_err(|source| WebError::Body { step, source })?;
+        let Ok(chunk) = frame.into_data() else { continue };
+        if bytes.len() + chunk.len() > limit {
+            return Err(WebError::TooLong { step, limit });
+        }
+        bytes.extend_from_slice(&chunk);
+    }
+}
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -9,9 +9,10 @@
 mod server;
 mod sse;
 
-pub use body::{WebBody, full_body, read_bounded, stream_body};
+pub use body::{WebBody, full_body, read_bounded, read_steadily, stream_body};
 pub use client::{
-    ConnectionTask, WebExchange, fetch, fetch_json, open_exchange, post_json, send_once,
+    ConnectionTask, WebExchange, fetch, fetch_json, open_exchange, post_json,
+    send_once,
 };
 pub use closer::ConnectionCloser;
 pub use error::{Result, SendFault, WebError};
