Keep a stream's runner until the next one has answered

A handover stopped reading the old runner when it began to connect to the next one, and closed it 250 ms later, whether or not the next had been reached. If the connection then failed (full link, full accept queue), the stream had no runner left; and what the old one had delivered meanwhile, up to the end of the answer, was thrown away. An irrevocable step before its replacement is certain.

While the next runner is being connected to, the old one is read and forwarded as before, without a limit. The time in which both may work counts from the moment the request is sent. From then on what the old one delivers is held: forwarded if the next one does not take over, dropped if it does (it makes the same events again). If the old one ends the stream meanwhile, the caller gets that end.

Ruled out: a longer overlap (two runners may not work on one request for over 400 ms).

Tests: a_stream_stays_at_its_runner_while_the_next_one_cannot_be_reached and a_stream_that_its_runner_ends_during_a_handover_without_an_answer_is_whole failed before, pass.

--- a/crates/node/src/runner_send.rs
+++ b/crates/node/src/runner_send.rs
@@ -9,7 +9,7 @@
 use platform::{ReplyKind, ResumeSource, RunnerHead, classify_reply, runner_headers};
 use route::CallEnd;
 use serving::{RunnerRecord, SendOutcome};
-use web::{SendFault, WebError, WebExchange, full_body, open_exchange};
+use web::{SendFault, WebConnection, WebError, WebExchange, full_body};
 
 use crate::call::Call;
 use crate::context::NodeContext;
@@ -32,6 +32,15 @@
 }
 
 impl SendFailure {
+    /// The source of the stream ended it while another runner was asked to take over.
+    #[must_use]
+    pub fn source_ended() -> Self {
+        Self {
+            reason: Rc::from("the runner before has ended the stream"),
+            ..Self::caller_disconnected()
+        }
+    }
+
     /// The caller disconnected while the send was in progress.
     #[must_use]
     pub fn caller_disconnected() -> Self {
@@ -72,6 +81,35 @@
     call: &Call,
     plan: &SendPlan,
     limit: TimeSpan,
+) -> Result<WebExchange, SendFailure> {
+    let connection = connect_to_runner(context, call, &plan.runner).await?;
+    send_connected(context, call, plan, connection, limit).await
+}
+
+/// Connects to a runner; nothing is sent yet.
+///
+/// # Errors
+/// Returns [`SendFailure`] with [`SendOutcome::NotSent`] if it cannot be reached in time.
+pub async fn connect_to_runner(
+    context: &NodeContext,
+    call: &Call,
+    runner: &RunnerRecord,
+) -> Result<WebConnection, SendFailure> {
+    let left = call.deadline.since(context.now());
+    let connected = WebConnection::open(runner.address, CONNECT_TIMEOUT.min(left)).await;
+    connected.map_err(|error| not_sent(&error))
+}
+
+/// Sends `call` on a connection to the runner of `plan`; like [`send_to_runner`] from there on.
+///
+/// # Errors
+/// Returns [`SendFailure`] if there is no answer to forward.
+pub async fn send_connected(
+    context: &NodeContext,
+    call: &Call,
+    plan: &SendPlan,
+    connection: WebConnection,
+    limit: TimeSpan,
 ) -> Result<WebExchange, SendFailure> {
     let runner = &plan.runner;
     let left = call.deadline.since(context.now());
@@ -84,9 +122,9 @@
         backup: plan.backup.as_ref().map(|backup| backup.address),
     };
     let request = build_request(call, &head).map_err(|error| not_sent(&error))?;
-    let connect_limit = CONNECT_TIMEOUT.min(left);
-    let exchange = open_exchange(runner.address, request, connect_limit, limit.min(left)).await;
-    let exchange = exchange.map_err(|error| match error.send_fault() {
+    let exchange = connection.send(request, limit.min(left)).await.map_err(|error| match error
+        .send_fault()
+    {
         SendFault::NotSent => not_sent(&error),
         SendFault::MaybeSent => outcome_unknown(&error),
     })?;
--- a/crates/node/src/stream_call.rs
+++ b/crates/node/src/stream_call.rs
@@ -114,17 +114,16 @@
 }
 
 /// Assigns the call to `backup`, which keeps a copy of its memory, and plans the send that
-/// resumes it there after event `last_event_id`.
+/// resumes it there; the last event that was forwarded is filled in when it is sent.
 pub fn plan_backup_resume(
     context: &NodeContext,
     call: &Call,
     ticket: &mut RouteTicket,
     backup: RunnerRecord,
-    last_event_id: Option<u64>,
 ) -> SendPlan {
     ticket.relocate_to(&backup.runner);
     let handle = Arc::from(call.attempt.as_str());
-    let resume = ResumeSource { address: backup.address, handle, last_event_id };
+    let resume = ResumeSource { address: backup.address, handle, last_event_id: None };
     let next = choose_backup(context, call, ticket);
     SendPlan { runner: backup, resume: Some(resume), backup: next }
 }
@@ -155,7 +154,7 @@
     backup: RunnerRecord,
     ticket: &mut RouteTicket,
 ) -> Result<RunnerAnswer, ()> {
-    let plan = plan_backup_resume(context, call, ticket, backup, None);
+    let plan = plan_backup_resume(context, call, ticket, backup);
     request_answer(context, call, &plan).await.map_err(|failure| {
         crate::call_log::log_send_failure(context, call, &plan.runner.runner, &failure.reason);
     })
--- a/crates/node/src/stream_handover.rs
+++ b/crates/node/src/stream_handover.rs
@@ -3,18 +3,21 @@
 //! With a backup copy at another runner, the stream resumes there; without one, its memory is
 //! copied to another runner first.
 
+use std::future::pending;
 use std::pin::{Pin, pin};
 use std::rc::Rc;
 
 use base::prelude::*;
 use futures_util::{FutureExt, select_biased};
+use hyper::body::Bytes;
 use platform::ResumeSource;
-use serving::RunnerRecord;
-use web::WebExchange;
+use serving::{RunnerRecord, StreamScanner};
+use web::{WebConnection, WebExchange};
 
 use crate::call_log::{RequestOutcome, log_send_failure};
+use crate::context::NodeContext;
 use crate::metrics::OutcomeLabels;
-use crate::runner_send::{SendFailure, SendPlan, send_to_runner};
+use crate::runner_send::{SendFailure, SendPlan, connect_to_runner, send_connected};
 use crate::stream_call::{choose_backup, plan_backup_resume};
 use crate::stream_copy::{RunCopy, copy_run};
 use crate::stream_pump::{PumpStep, StreamPump};
@@ -43,6 +46,61 @@
     pub future: CopyFuture,
 }
 
+/// How a handover ended.
+enum HandoverStep {
+    /// The stream goes on at the next runner.
+    Switched,
+    /// The next runner did not take over; the old source is kept, unless it is closed.
+    Failed,
+    /// The stream has ended meanwhile.
+    End(PumpStep),
+}
+
+/// What a source delivered after the next runner was asked to go on. It is forwarded only if
+/// that runner does not take over, since it would make the same events again.
+struct HeldEvents {
+    frames: Vec<Bytes>,
+    /// Reads the frames ahead of their forwarding.
+    scanner: StreamScanner,
+    malformed: bool,
+    /// Whether the source delivered the stream to its end.
+    ended: bool,
+}
+
+impl HeldEvents {
+    /// Nothing held yet; `scanner` is that of the forwarded events.
+    fn new(scanner: &StreamScanner) -> Self {
+        Self { frames: Vec::new(), scanner: scanner.clone(), malformed: false, ended: false }
+    }
+
+    fn push(&mut self, bytes: Bytes) {
+        self.malformed |= self.scanner.push(&bytes).is_err();
+        self.frames.push(bytes);
+    }
+
+    /// Whether the held frames end with a complete event.
+    fn is_whole(&self) -> bool {
+        !self.malformed && !self.scanner.has_partial_event()
+    }
+}
+
+/// Waits until the source may no longer work beside the next runner; forever if it is closed.
+async fn overlap_left(context: &NodeContext, source_ended: bool, end: TimePoint) {
+    if source_ended {
+        pending().await
+    } else {
+        kernel::sleep(end.since(context.now()).into()).await;
+    }
+}
+
+/// Reason of a source's loss, for the log.
+fn describe_loss(lost: Option<Result<Bytes, hyper::Error>>) -> String {
+    match lost {
+        Some(Err(error)) => error.to_string(),
+        _ => "the connection ended".to_owned(),
+    }
+}
+
 impl StreamPump {
     /// Handles a source that failed before the end of the stream.
     pub(crate) async fn handle_source_loss(&mut self, reason: &str) -> PumpStep {
@@ -91,13 +149,12 @@
     async fn resume_from_backup(&mut self) -> PumpStep {
         self.tries += 1;
         let Some(backup) = self.source.backup.take() else { return PumpStep::Continue };
-        let last_event_id = self.scanner.last_id();
-        let plan =
-            plan_backup_resume(&self.context, &self.call, &mut self.ticket, backup, last_event_id);
-        match self.hand_over(&plan, "resumed").await {
-            Ok(step) => step,
-            Err(_) if !self.source.ended => self.start_move(),
-            Err(_) => PumpStep::End(RequestOutcome::Interrupted, "resume_refused"),
+        let plan = plan_backup_resume(&self.context, &self.call, &mut self.ticket, backup);
+        match self.hand_over(plan, "resumed").await {
+            HandoverStep::Switched => PumpStep::Continue,
+            HandoverStep::End(step) => step,
+            HandoverStep::Failed if !self.source.ended => self.start_move(),
+            HandoverStep::Failed => PumpStep::End(RequestOutcome::Interrupted, "resume_refused"),
         }
     }
 
@@ -156,39 +213,44 @@
         let resume = ResumeSource {
             address: self.source.runner.address,
             handle: copy.handle.clone(),
-            last_event_id: self.scanner.last_id(),
+            last_event_id: None,
         };
         let backup = choose_backup(&self.context, &self.call, &self.ticket);
         let plan = SendPlan { runner: target, resume: Some(resume), backup };
-        match self.hand_over(&plan, "moved").await {
-            Ok(step) => {
+        match self.hand_over(plan, "moved").await {
+            HandoverStep::Switched => {
                 copy.keep();
-                step
+                PumpStep::Continue
             }
-            Err(_) => self.schedule_move(true),
+            HandoverStep::End(step) => step,
+            HandoverStep::Failed => self.schedule_move(true),
         }
     }
 
     /// Sends the request to the runner that has the run's memory, and makes that runner the
-    /// source of the stream.
-    async fn hand_over(
-        &mut self,
-        plan: &SendPlan,
-        how: &'static str,
-    ) -> Result<PumpStep, SendFailure> {
-        let exchange = match self.send_with_overlap(plan).await {
+    /// source of the stream. Until it has answered, the old source is read on.
+    async fn hand_over(&mut self, mut plan: SendPlan, how: &'static str) -> HandoverStep {
+        let connection = match self.connect_next(&plan.runner).await {
+            Ok(Ok(connection)) => connection,
+            Ok(Err(failure)) => return self.note_refusal(&plan, &failure),
+            Err(end) => return HandoverStep::End(end),
+        };
+        if let Some(resume) = &mut plan.resume {
+            resume.last_event_id = self.scanner.last_id();
+        }
+        let mut held = HeldEvents::new(&self.scanner);
+        let exchange = match self.send_with_overlap(&plan, connection, &mut held).await {
             Ok(exchange) => exchange,
             Err(failure) => {
-                self.count_move("refused");
-                log_send_failure(&self.context, &self.call, &plan.runner.runner, &failure.reason);
-                return Err(failure);
+                let step = self.note_refusal(&plan, &failure);
+                return self.forward_held(held).await.map_or(step, HandoverStep::End);
             }
         };
         if !exchange.response.status().is_success() {
             self.count_move("answered_otherwise");
             let status = exchange.response.status().to_string();
             log_send_failure(&self.context, &self.call, &plan.runner.runner, &status);
-            return Ok(PumpStep::End(RequestOutcome::Interrupted, "resume_failed"));
+            return HandoverStep::End(PumpStep::End(RequestOutcome::Interrupted, "resume_failed"));
         }
         self.count_move(how);
         self.changes += 1;
@@ -203,38 +265,117 @@
             events = self.scanner.event_count(),
         );
         self.scanner.discard_partial_event();
-        self.source = StreamSource::new(plan, exchange);
-        Ok(PumpStep::Continue)
-    }
-
-    /// Sends the request and waits for the head of the answer; closes the old connection if
-    /// that takes longer than [`MAX_OVERLAP`].
-    async fn send_with_overlap(&mut self, plan: &SendPlan) -> Result<WebExchange, SendFailure> {
-        let left = self.call.deadline.since(self.context.now());
-        let mut send = pin!(send_to_runner(&self.context, &self.call, plan, left));
-        if !self.source.ended {
-            let in_time = compio::time::timeout(MAX_OVERLAP.into(), send.as_mut()).await;
-            if let Ok(outcome) = in_time {
-                return outcome;
+        self.source = StreamSource::new(&plan, exchange);
+        HandoverStep::Switched
+    }
+
+    /// Connects to the next runner; meanwhile the source is forwarded as before. Returns `Err`
+    /// if the stream has ended.
+    async fn connect_next(
+        &mut self,
+        runner: &RunnerRecord,
+    ) -> Result<Result<WebConnection, SendFailure>, PumpStep> {
+        let (context, call) = (Rc::clone(&self.context), Rc::clone(&self.call));
+        let mut connect = pin!(connect_to_runner(&context, &call, runner).fuse());
+        loop {
+            let frame = {
+                let mut disconnected = pin!(self.caller.disconnected.wait().fuse());
+                let mut frame = pin!(self.source.next_frame().fuse());
+                select_biased! {
+                    () = disconnected => return Ok(Err(SendFailure::caller_disconnected())),
+                    connected = connect => return Ok(connected),
+                    frame = frame => frame,
+                }
+            };
+            match frame {
+                Some(Ok(bytes)) => {
+                    if let end @ PumpStep::End(..) = self.forward_events(&bytes).await {
+                        return Err(end);
+                    }
+                }
+                None if !self.scanner.has_partial_event() => {
+                    return Err(PumpStep::End(RequestOutcome::Streamed, ""));
+                }
+                lost => {
+                    self.log_send_failure(&describe_loss(lost));
+                    self.source.close();
+                }
             }
-            tracing::info!(
-                event = "source_closed",
-                request = %self.call.attempt,
-                runner = %self.source.runner.runner,
-                next = %plan.runner.runner,
-                waited_ms = MAX_OVERLAP.as_millis(),
-                events = self.scanner.event_count(),
-            );
-            self.source.close();
         }
-        let mut disconnected = pin!(self.caller.disconnected.wait().fuse());
-        let mut send = pin!(send.fuse());
-        select_biased! {
-            outcome = send => outcome,
-            () = disconnected => Err(SendFailure::caller_disconnected()),
+    }
+
+    /// Sends the request and waits for the head of the answer. What the source delivers
+    /// meanwhile goes to `held`; it is closed if that takes longer than [`MAX_OVERLAP`]. Returns
+    /// early if the source delivers the stream to its end.
+    async fn send_with_overlap(
+        &mut self,
+        plan: &SendPlan,
+        connection: WebConnection,
+        held: &mut HeldEvents,
+    ) -> Result<WebExchange, SendFailure> {
+        let (context, call) = (Rc::clone(&self.context), Rc::clone(&self.call));
+        let overlap_end = context.now() + MAX_OVERLAP;
+        let left = call.deadline.since(context.now());
+        let mut send = pin!(send_connected(&context, &call, plan, connection, left).fuse());
+        loop {
+            let frame = {
+                let mut disconnected = pin!(self.caller.disconnected.wait().fuse());
+                let mut overlap =
+                    pin!(overlap_left(&context, self.source.ended, overlap_end).fuse());
+                let mut frame = pin!(self.source.next_frame().fuse());
+                select_biased! {
+                    () = disconnected => return Err(SendFailure::caller_disconnected()),
+                    outcome = send => return outcome,
+                    frame = frame => Some(frame),
+                    () = overlap => None,
+                }
+            };
+            match frame {
+                Some(Some(Ok(bytes))) => held.push(bytes),
+                Some(None) if held.is_whole() => {
+                    held.ended = true;
+                    return Err(SendFailure::source_ended());
+                }
+                Some(lost) => {
+                    self.log_send_failure(&describe_loss(lost));
+                    self.source.close();
+                }
+                None => self.close_source(plan),
+            }
         }
     }
 
+    /// Closes the connection to the runner before, since two may not work on one request.
+    fn close_source(&mut self, plan: &SendPlan) {
+        tracing::info!(
+            event = "source_closed",
+            request = %self.call.attempt,
+            runner = %self.source.runner.runner,
+            next = %plan.runner.runner,
+            waited_ms = MAX_OVERLAP.as_millis(),
+            events = self.scanner.event_count(),
+        );
+        self.source.close();
+    }
+
+    /// Forwards what the source delivered during a handover that failed. Returns how the stream
+    /// ends, if it does.
+    async fn forward_held(&mut self, held: HeldEvents) -> Option<PumpStep> {
+        for bytes in held.frames {
+            if let end @ PumpStep::End(..) = self.forward_events(&bytes).await {
+                return Some(end);
+            }
+        }
+        held.ended.then_some(PumpStep::End(RequestOutcome::Streamed, ""))
+    }
+
+    /// Logs and counts a runner that did not take over.
+    fn note_refusal(&self, plan: &SendPlan, failure: &SendFailure) -> HandoverStep {
+        self.count_move("refused");
+        log_send_failure(&self.context, &self.call, &plan.runner.runner, &failure.reason);
+        HandoverStep::Failed
+    }
+
     /// Counts a runner change by its outcome.
     fn count_move(&self, outcome: &'static str) {
         self.context.metrics.moves.get_or_create(&OutcomeLabels { outcome, reason: "" }).inc();
--- a/crates/node/src/stream_pump.rs
+++ b/crates/node/src/stream_pump.rs
@@ -116,7 +116,7 @@
         let leaving = self.ticket.leaving();
         let source = &mut self.source;
         let pending_move = &mut self.pending_move;
-        let frame = async { if source.ended { pending().await } else { source.next_data().await } };
+        let frame = source.next_frame();
         let moved = async {
             match pending_move {
                 Some(pending) => (&mut pending.future).await,
--- a/crates/node/src/stream_source.rs
+++ b/crates/node/src/stream_source.rs
@@ -1,5 +1,7 @@
 //! The two ends of a relayed stream: the source runner and the caller.
 
+use std::future::pending;
+
 use base::prelude::*;
 use futures_channel::mpsc;
 use http_body_util::BodyExt;
@@ -50,8 +52,13 @@
         self.ended = true;
     }
 
+    /// Next data of the body while it is read; waits forever once closed.
+    pub async fn next_frame(&mut self) -> Option<Result<Bytes, hyper::Error>> {
+        if self.ended { pending().await } else { self.next_data().await }
+    }
+
     /// Next data of the body; `None` at its end.
-    pub async fn next_data(&mut self) -> Option<Result<Bytes, hyper::Error>> {
+    async fn next_data(&mut self) -> Option<Result<Bytes, hyper::Error>> {
         loop {
             match self.body.frame().await? {
                 Ok(frame) => {
--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -66,16 +66,54 @@
 /// Same as [`send_once`].
 pub async fn open_exchange(
     peer: SocketAddr,
-    mut request: Request<WebBody>,
+    request: Request<WebBody>,
     connect_timeout: TimeSpan,
     head_timeout: TimeSpan,
 ) -> Result<WebExchange> {
-    let stream = timeout(connect_timeout.into(), TcpStream::connect(peer))
-        .await
-        .map_err(|_| WebError::ConnectDeadline { peer })?
-        .map_err(|source| WebError::Connect { peer, source })?;
-    // Disables Nagle's algorithm: small writes must not wait for acknowledgements.
-    let _ = stream.set_nodelay(true);
+    let connection = WebConnection::open(peer, connect_timeout).await?;
+    connection.send(request, head_timeout).await
+}
+
+/// A connection on which nothing has been sent.
+pub struct WebConnection {
+    peer: SocketAddr,
+    stream: TcpStream,
+}
+
+impl WebConnection {
+    /// Connects within `connect_timeout`.
+    ///
+    /// # Errors
+    /// [`WebError::Connect`] and [`WebError::ConnectDeadline`].
+    pub async fn open(peer: SocketAddr, connect_timeout: TimeSpan) -> Result<Self> {
+        let stream = timeout(connect_timeout.into(), TcpStream::connect(peer))
+            .await
+            .map_err(|_| WebError::ConnectDeadline { peer })?
+            .map_err(|source| WebError::Connect { peer, source })?;
+        // Disables Nagle's algorithm: small writes must not wait for acknowledgements.
+        let _ = stream.set_nodelay(true);
+        Ok(Self { peer, stream })
+    }
+
+    /// Sends `request` and returns when the response's head has arrived, within `head_timeout`.
+    ///
+    /// # Errors
+    /// Same as [`send_once`], except those of connecting.
+    pub async fn send(
+        self,
+        request: Request<WebBody>,
+        head_timeout: TimeSpan,
+    ) -> Result<WebExchange> {
+        send_on(self.stream, self.peer, request, head_timeout).await
+    }
+}
+
+async fn send_on(
+    stream: TcpStream,
+    peer: SocketAddr,
+    mut request: Request<WebBody>,
+    head_timeout: TimeSpan,
+) -> Result<WebExchange> {
     if !request.headers().contains_key(HOST) {
         let host = HeaderValue::from_str(&peer.to_string())
             .map_err(|source| WebError::Request { step: "host header", source: source.into() })?;
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -11,7 +11,7 @@
 
 pub use body::{WebBody, full_body, read_bounded, read_steadily, stream_body};
 pub use client::{
-    ConnectionTask, WebExchange, fetch, fetch_json, open_exchange, post_json,
+    ConnectionTask, WebConnection, WebExchange, fetch, fetch_json, open_exchange, post_json,
     send_once,
 };
 pub use closer::ConnectionCloser;
