--- a/crates/node/src/plan_transfer.rs
+++ b/crates/node/src/plan_transfer.rs
@@ -125,6 +125,15 @@
     id: TransferId,
 }
 
+impl TransferGuard {
+    /// Waits until a chunk of `bytes` may be sent.
+    async fn wait_for_turn(&self, bytes: usize) {
+        let now = self.context.now();
+        let due = self.context.transfers.borrow_mut().schedule_chunk(now, self.id, bytes);
+        kernel::sleep(due.since(now).into()).await;
+    }
+}
+
 impl Drop for TransferGuard {
     fn drop(&mut self) {
         self.context.transfers.borrow_mut().end(self.id);
@@ -138,11 +147,7 @@
             return None;
         }
         let chunk = rest.split_to(CHUNK_BYTES.min(rest.len()));
-        let now = guard.context.now();
-        let mut transfers = guard.context.transfers.borrow_mut();
-        let due = transfers.schedule_chunk(now, guard.id, chunk.len());
-        drop(transfers);
-        kernel::sleep(due.since(now).into()).await;
+        guard.wait_for_turn(chunk.len()).await;
         Some((chunk, (guard, rest)))
     }))
 }
--- a/crates/node/src/stream_handover.rs
+++ b/crates/node/src/stream_handover.rs
@@ -87,10 +87,9 @@
 /// Waits until the source may no longer work beside the next runner; forever if it is closed.
 async fn overlap_left(context: &NodeContext, source_ended: bool, end: TimePoint) {
     if source_ended {
-        pending().await
-    } else {
-        kernel::sleep(end.since(context.now()).into()).await;
+        pending::<()>().await;
     }
+    kernel::sleep(end.since(context.now()).into()).await;
 }
 
 /// Reason of a source's loss, for the log.
