--- a/crates/serving/tests/transfer_pacer.rs
+++ b/crates/serving/tests/transfer_pacer.rs
@@ -101,10 +101,10 @@
 fn an_encoded_configuration_is_small_and_decodes_to_the_same() {
     let plan = large_plan();
     let encoded = encode_plan(&plan).unwrap();
-    let plain = serde_json::to_vec(&plan).unwrap();
-    assert!(encoded.len() * 5 < plain.len(), "{} of {}", encoded.len(), plain.len());
+    let json = serde_json::to_vec(&plan).unwrap();
+    assert!(encoded.len() * 5 < json.len(), "{} of {}", encoded.len(), json.len());
     assert_eq!(decode_plan(&encoded).unwrap(), plan);
-    assert!(decode_plan(&plain).is_err());
+    assert!(decode_plan(&json).is_err());
     assert!(decode_plan(&encoded[..encoded.len() / 2]).is_err());
 }
 
