Drop the remembered state of the own machine in the VM list

Cause: FleetDesk kept the last listed state of its own machine, so that only the change to leaving calls leave(). leave() is idempotent and nothing resets the flag that it sets, so the guard never changed an outcome. Its comment (a new start on a kept machine is in service) described something that the code does not do: a steward that starts on a machine listed as leaving announces that at its first list. Ruled out: making the comment true, which would change behaviour. Before and after: the tests of peers pass unchanged. Conclusion: one field and one function fewer; no change of behaviour.

--- a/crates/peers/src/fleet_desk.rs
+++ b/crates/peers/src/fleet_desk.rs
@@ -69,7 +69,6 @@
     pub(crate) platform_heard: Option<TimePoint>,
     pub(crate) started: TimePoint,
     pub(crate) listed: bool,
-    own_line: Option<VmState>,
     ticked: Option<TimePoint>,
 }
 
@@ -108,7 +107,6 @@
             platform_heard: None,
             started: now,
             listed: false,
-            own_line: None,
             ticked: None,
             entry_figures: BTreeMap::new(),
             config_offset: LogOffset::default(),
@@ -295,7 +293,9 @@
             let Some(steward) = vm.steward else { continue };
             listed.insert(&vm.vm);
             if vm.vm == self.me.vm {
-                self.take_own_line(vm.state);
+                if vm.state == VmState::Leaving {
+                    self.leave();
+                }
                 continue;
             }
             let node = self
@@ -315,14 +315,6 @@
         }
     }
 
-    fn take_own_line(&mut self, state: VmState) {
-        // Only the change to leaving counts: a new start on a kept machine is in service.
-        if state == VmState::Leaving && self.own_line != Some(VmState::Leaving) {
-            self.leave();
-        }
-        self.own_line = Some(state);
-    }
-
     /// A pause of this process is no silence of the others.
     fn excuse_pause(&mut self, now: TimePoint) {
         let pause = now.since(self.ticked.unwrap_or(now));
