--- a/crates/peers/src/digest.rs
+++ b/crates/peers/src/digest.rs
@@ -1,4 +1,4 @@
-//! What stewards tell each other about the fleet.
+//! The digests by which stewards exchange their views of the fleet.
 
 use std::net::SocketAddr;
 
@@ -8,7 +8,7 @@
 
 use crate::EntryStatus;
 
-/// What a steward says about its own machine.
+/// A steward's record of its own machine.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct NodeRecord {
     /// The machine.
@@ -17,50 +17,50 @@
     pub place: PlaceName,
     /// UDP address of its steward.
     pub steward: SocketAddr,
-    /// The steward's start.
+    /// The steward's incarnation.
     pub incarnation: VmIncarnation,
-    /// Orders the starts of one machine for those who hear of it by others only; a start
-    /// that hears of a higher one of its machine goes above it.
+    /// Orders the incarnations of one machine for peers that get its record from others
+    /// only; an incarnation that receives a higher generation of its machine exceeds it.
     pub generation: u64,
-    /// Grows with each change of this record within one start.
+    /// Grows with each change of this record within one incarnation.
     pub sequence: u64,
-    /// The machine stops: no new callers.
+    /// The machine is leaving: no new callers.
     pub leaving: bool,
     /// Its entries.
     pub entries: Vec<EntryStatus>,
-    /// Models to which no new calls go on a runner, since this machine's orders unload them.
+    /// Models to which no new calls go on a runner, because this machine's orders unload them.
     pub draining: Vec<(RunnerId, ModelName)>,
 }
 
-/// A machine's record as it is passed on, and whether its neighbours miss it.
+/// A machine's record as peers relay it, and whether its direct peers report it as down.
 ///
-/// Higher generations come before lower ones, then higher sequences, then `down`.
+/// Of two, the one with the higher generation counts, then the higher sequence, then `down`.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct NodeNews {
     /// The record.
     pub record: NodeRecord,
-    /// The machine has been silent since it said this.
+    /// The machine has been silent since it sent the record.
     pub down: bool,
 }
 
 impl NodeNews {
-    /// The order of news about one machine.
+    /// Precedence among the updates about one machine.
     #[must_use]
     pub fn rank(&self) -> (u64, u64, bool) {
         (self.record.generation, self.record.sequence, self.down)
     }
 }
 
-/// A runner's start that gets no new work, ever.
+/// An incarnation of a runner that is leaving: it never gets new work again.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct LeavingWord {
+pub struct LeavingRunner {
     /// The runner.
     pub runner: RunnerId,
-    /// Its start.
+    /// Its incarnation.
     pub incarnation: u64,
 }
 
-/// What seldom changes in a runner's reports.
+/// The fields of a runner's reports that seldom change.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ReportDetail {
     /// All memory blocks.
@@ -71,37 +71,37 @@
     pub models: Vec<ModelName>,
 }
 
-/// A runner's report without what the receiver has already.
+/// A runner's report, without the fields that the receiver already has.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ReportDelta {
     /// The runner.
     pub runner: RunnerId,
-    /// Its start.
+    /// Its incarnation.
     pub incarnation: u64,
-    /// Number of the report within the start.
+    /// Sequence number of the report within the incarnation.
     pub sequence: u64,
     /// How old the figures are.
     pub age: TimeSpan,
     /// Memory blocks held by running generations.
     pub used_blocks: BlockCount,
-    /// What runs.
+    /// Calls that are running.
     pub running: u32,
-    /// What waits inside the runner.
+    /// Calls that are queued inside the runner.
     pub waiting: u32,
-    /// Preemptions since its start.
+    /// Preemptions within the incarnation.
     pub preemptions: u64,
-    /// Time of a decode step or call.
+    /// Duration of a decode step or call.
     pub step: TimeSpan,
-    /// The runner leaves.
+    /// The runner is leaving.
     pub leaving: bool,
     /// Highest fencing number accepted.
     pub fence: u64,
-    /// The rest, if the receiver may not have it for this start.
+    /// The other fields, if the receiver may not have them for this incarnation.
     pub detail: Option<ReportDetail>,
 }
 
 impl ReportDelta {
-    /// What `report` says, with its detail if `with_detail`.
+    /// The delta of `report`, with its detail if `with_detail`.
     #[must_use]
     pub fn new(report: &RunnerReport, age: TimeSpan, with_detail: bool) -> Self {
         Self {
@@ -124,8 +124,8 @@
         }
     }
 
-    /// The whole report; `known` is an earlier one of the same start. None if the detail
-    /// is known to neither.
+    /// The whole report; its detail comes from the delta, or else from `known` if that is
+    /// of the same incarnation. None if neither has it.
     #[must_use]
     pub fn whole(self, known: Option<&RunnerReport>) -> Option<RunnerReport> {
         let known = known.filter(|known| known.incarnation == self.incarnation);
@@ -155,16 +155,16 @@
     }
 }
 
-/// A position in the changes of one steward's start.
+/// A position in the changes of one steward's incarnation.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct ChangeCursor {
-    /// The steward's start.
+    /// The steward's incarnation.
     pub incarnation: VmIncarnation,
     /// Number of the last change.
     pub change: u64,
 }
 
-/// One steward's news for another: what changed since the other's last acknowledgement.
+/// What changed at one steward since the last change that the receiver acknowledged.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Digest {
     /// The sender's machine.
@@ -173,17 +173,17 @@
     pub above: u64,
     /// … up to this one.
     pub until: ChangeCursor,
-    /// The receiver's changes that the sender has.
+    /// Acknowledges the receiver's changes up to this one.
     pub seen: ChangeCursor,
     /// The sender's configuration.
     pub config_offset: LogOffset,
-    /// The sender's own record, if it changed, and news of machines that the receiver
-    /// does not hear itself.
+    /// The sender's own record, if it changed, and records of machines that are no direct
+    /// peers of the receiver.
     pub nodes: Vec<NodeNews>,
     /// Reports that the sender polled.
     pub reports: Vec<ReportDelta>,
-    /// Leaving words that the sender learned, from whomever.
-    pub leaving: Vec<LeavingWord>,
+    /// Leaving runners that the sender learned of, from any source.
+    pub leaving: Vec<LeavingRunner>,
     /// Cache events that the sender polled.
     pub cache_events: Vec<(RunnerId, CacheEvent)>,
 }
--- a/crates/peers/src/endpoint.rs
+++ b/crates/peers/src/endpoint.rs
@@ -20,8 +20,9 @@
 
 /// An endpoint bound to one UDP address; clones share it.
 ///
-/// It has one kept connection a peer, with one bidirectional stream a request. A request
-/// is never sent again by the endpoint once a byte of it may have left.
+/// It keeps one connection to each peer, with one bidirectional stream for each request.
+/// It never sends a request again once a byte of it may have been written: the peer may
+/// have acted on it.
 #[derive(Clone)]
 pub struct PeerEndpoint {
     pub(crate) inner: Rc<EndpointState>,
@@ -34,7 +35,7 @@
     links: LinkTable,
 }
 
-/// What an endpoint has to do now, and has had to reject.
+/// Present load of an endpoint, and the rejections since its start.
 #[derive(Default)]
 pub(crate) struct PeerCounts {
     pub(crate) connections: Cell<usize>,
@@ -69,13 +70,13 @@
         self.inner.address
     }
 
-    /// Kept connections to peers.
+    /// Open connections to peers.
     #[must_use]
     pub fn links(&self) -> usize {
         self.inner.links.len()
     }
 
-    /// What the kept connections have carried.
+    /// Traffic of the open connections to peers.
     #[must_use]
     pub fn traffic(&self) -> PeerTraffic {
         self.inner.links.traffic()
@@ -87,7 +88,7 @@
         self.inner.counts.connections.get()
     }
 
-    /// Requests that it serves now.
+    /// Requests in progress.
     #[must_use]
     pub fn requests(&self) -> usize {
         self.inner.counts.requests.get()
@@ -99,7 +100,7 @@
         self.inner.counts.rejected.get()
     }
 
-    /// Sends `request` once to `peer`, and gives its reply within `limit`.
+    /// Sends `request` once to `peer`, and returns its reply within `limit`.
     ///
     /// # Errors
     /// [`PeerError::may_have_run`] tells whether the peer may have acted on the request.
@@ -132,11 +133,11 @@
                 compio::time::sleep(TimeSpan::millis(5).into()).await;
             }
         };
-        // Peers that do not answer notice by their idle time-out.
+        // Peers that do not confirm it in time drop the connection at their idle timeout.
         let _ = timeout(CONFIRM_LIMIT.into(), idle).await;
     }
 
-    /// Opens a stream; nothing is written, so a lost kept connection is replaced once.
+    /// Opens a stream. Nothing has been written yet, so a lost connection is replaced once.
     async fn open_stream(
         &self,
         peer: SocketAddr,
@@ -175,7 +176,8 @@
     if written.is_ok() {
         let _ = sender.finish();
     }
-    // A peer that rejects a request stops the stream and says why on the other half.
+    // A peer that rejects a request stops this stream, and resets the other half with its
+    // reason as the code.
     let reply = read_message(&mut receiver, MAX_MESSAGE_BYTES).await;
     match (written, reply) {
         (_, Ok(Some(bytes))) => decode_message("reply", &bytes),
--- a/crates/peers/src/envelope.rs
+++ b/crates/peers/src/envelope.rs
@@ -5,7 +5,7 @@
 
 use crate::{PeerError, Result};
 
-/// Version of the messages; another one is refused.
+/// Version of the messages; any other one is rejected.
 pub const MESSAGE_VERSION: u16 = 1;
 /// Longest message, in bytes.
 pub const MAX_MESSAGE_BYTES: usize = 16 << 20;
--- a/crates/peers/src/error.rs
+++ b/crates/peers/src/error.rs
@@ -6,10 +6,10 @@
 use compio_quic::{ConnectError, ConnectionError, ReadError, WriteError};
 use thiserror::Error;
 
-/// Why a peer rejected a request before its handler saw it.
+/// Why a peer rejected a request without calling its handler.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RejectReason {
-    /// The peer speaks another version of the messages.
+    /// The peer uses another version of the messages.
     UnknownVersion,
     /// The message cannot be decoded, or it is too long.
     Malformed,
@@ -22,7 +22,8 @@
 impl RejectReason {
     const ALL: [Self; 4] = [Self::UnknownVersion, Self::Malformed, Self::Busy, Self::Stopping];
 
-    /// The code of a stream's reset for this reason; zero stays free for a lost stream.
+    /// The code of a stream's reset for this reason; zero is reserved for a stream that was
+    /// dropped without one.
     #[must_use]
     pub fn code(self) -> u32 {
         match self {
@@ -59,7 +60,7 @@
     Keys {
         /// Part of the set-up.
         step: &'static str,
-        /// The cause, in words of the TLS library.
+        /// The cause, as the TLS library gives it.
         reason: String,
     },
     /// The UDP socket cannot be opened.
@@ -114,7 +115,7 @@
         /// The cause.
         source: postcard::Error,
     },
-    /// The peer said that its handler did not see the request.
+    /// The peer rejected the request without calling its handler.
     #[error("request to {peer}: rejected: {reason}")]
     Rejected {
         /// The peer.
@@ -130,7 +131,7 @@
         /// The cause.
         source: WriteError,
     },
-    /// The connection or stream failed before the reply was whole.
+    /// The connection or stream failed before the reply was complete.
     #[error("reply of {peer}: {source}")]
     Read {
         /// The peer.
@@ -171,9 +172,9 @@
 }
 
 impl PeerError {
-    /// Whether the peer's handler may have seen the request.
+    /// Whether the peer's handler may have been called with the request.
     ///
-    /// False only if no byte of the request was written, or if the peer said that it
+    /// False only if no byte of the request was written, or if the peer reported that it
     /// rejected the request.
     #[must_use]
     pub fn may_have_run(&self) -> bool {
--- a/crates/peers/src/fleet_dump.rs
+++ b/crates/peers/src/fleet_dump.rs
@@ -17,13 +17,13 @@
             (runner.to_string(), runner_dump(now, state, leaving))
         });
         json!({
-            "vm": self.me.vm,
-            "incarnation": self.me.incarnation.to_string(),
+            "vm": self.own_record.vm,
+            "incarnation": self.own_record.incarnation.to_string(),
             "version": self.change,
             "cut_off": self.cut_off,
-            "leaving": self.me.leaving,
-            "platform_silence_ms": self.platform_heard.map(|heard| now.since(heard).as_millis()),
-            "entries": self.me.entries,
+            "leaving": self.own_record.leaving,
+            "platform_silence_ms": self.platform_last_heard.map(|heard| now.since(heard).as_millis()),
+            "entries": self.own_record.entries,
             "peers": nodes.collect::<Value>(),
             "runners": runners.collect::<Value>(),
         })
@@ -37,7 +37,7 @@
         "live": node.live,
         "leaving": node.is_leaving(),
         "listed": node.listed,
-        "silence_ms": node.heard.map(|heard| now.since(heard).as_millis()),
+        "silence_ms": node.last_heard.map(|heard| now.since(heard).as_millis()),
         "incarnation": node.seen.incarnation.to_string(),
         "config_offset": node.config_offset,
         "seen": node.seen.change,
--- a/crates/peers/src/fleet_state.rs
+++ b/crates/peers/src/fleet_state.rs
@@ -1,4 +1,4 @@
-//! The fleet's state, as the services beside the desk need it.
+//! The steward's view: queries of the steward's other services.
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -13,9 +13,9 @@
 pub struct MemberState {
     /// The machine.
     pub vm: VmId,
-    /// It leaves.
+    /// It is leaving.
     pub leaving: bool,
-    /// Its steward has not been heard for a while.
+    /// Its steward is not live.
     pub silent: bool,
 }
 
@@ -23,7 +23,11 @@
     /// All our machines.
     #[must_use]
     pub fn member_states(&self) -> Vec<MemberState> {
-        let own = MemberState { vm: self.me.vm.clone(), leaving: self.me.leaving, silent: false };
+        let own = MemberState {
+            vm: self.own_record.vm.clone(),
+            leaving: self.own_record.leaving,
+            silent: false,
+        };
         let peers = self.nodes.iter().map(|(vm, node)| MemberState {
             vm: vm.clone(),
             leaving: node.is_leaving(),
@@ -36,22 +40,21 @@
     #[must_use]
     pub fn known_entries(&self) -> usize {
         let peers = self.nodes.values().flat_map(NodeState::usable_entries).count();
-        peers + self.me.entries.len()
+        peers + self.own_record.entries.len()
     }
 
     /// Runners whose report changed after change number `since`; all of them for 0.
     #[must_use]
     pub fn runner_state(&self, now: TimePoint, since: u64) -> Vec<RunnerRecord> {
-        let changed = self.runners.iter().filter(|(_, state)| {
-            since == 0 || state.known.as_ref().is_some_and(|known| known.change > since)
-        });
+        let changed =
+            self.runners.iter().filter(|(_, state)| since == 0 || state.is_reported_since(since));
         let records = changed.map(|(runner, state)| {
             state.record(now, runner, self.is_runner_leaving(runner, state))
         });
         records.collect()
     }
 
-    /// Where a runner listens, and its failure domain.
+    /// A runner's HTTP address and failure domain.
     #[must_use]
     pub fn runner_address(&self, runner: &RunnerId) -> Option<(SocketAddr, PlaceName)> {
         let state = self.runners.get(runner)?;
@@ -66,21 +69,21 @@
         places.into_iter().cloned().collect()
     }
 
-    /// Notes the models to which no new calls go, since this machine's orders unload them.
+    /// Sets the models to which no new calls go, because this machine's orders unload them.
     pub fn set_draining(&mut self, mut draining: Vec<(RunnerId, ModelName)>) {
         draining.sort();
-        if draining != self.me.draining {
-            self.me.draining = draining;
+        if draining != self.own_record.draining {
+            self.own_record.draining = draining;
             self.urgent = true;
-            self.change_me();
-            self.gather_draining();
+            self.change_own_record();
+            self.collect_draining();
         }
     }
 
-    /// Gathers what live machines' orders unload; entries see no such model.
-    pub(crate) fn gather_draining(&mut self) {
+    /// Collects the models that live machines' orders unload; entries do not see them.
+    pub(crate) fn collect_draining(&mut self) {
         let live = self.nodes.values().filter(|node| node.live);
-        let records = live.filter_map(|node| node.record.as_ref()).chain([&self.me]);
+        let records = live.filter_map(|node| node.record.as_ref()).chain([&self.own_record]);
         let draining: BTreeSet<(RunnerId, ModelName)> =
             records.flat_map(|record| &record.draining).cloned().collect();
         if draining != self.draining {
--- a/crates/peers/src/fleet_view.rs
+++ b/crates/peers/src/fleet_view.rs
@@ -1,4 +1,4 @@
-//! The steward's view, as its entries get it.
+//! The steward's view: the part that its entries get.
 
 use std::collections::BTreeSet;
 
@@ -8,8 +8,9 @@
 use crate::{EntryRecord, FleetDesk, FleetView, RunnerRecord};
 
 impl FleetDesk {
-    /// What changed since `version` of this steward's start; everything if `steward` is
-    /// another start. `plan` is the configuration in force, `config_offset` the entry's.
+    /// The changes since `version` of this steward's incarnation; everything if `steward`
+    /// is another incarnation. `plan` is the configuration in force, `config_offset` the
+    /// entry's.
     #[must_use]
     pub fn view(
         &self,
@@ -19,7 +20,7 @@
         plan: Option<&Arc<ConfigPlan>>,
         config_offset: LogOffset,
     ) -> FleetView {
-        let since = if steward == self.me.incarnation { version } else { 0 };
+        let since = if steward == self.own_record.incarnation { version } else { 0 };
         let all_runners = self.runners_change > since;
         let runners = self.runner_records(now, since, all_runners, plan);
         let events = self.runners.iter().flat_map(|(runner, state)| {
@@ -27,7 +28,7 @@
         });
         FleetView {
             version: self.change,
-            steward: self.me.incarnation,
+            steward: self.own_record.incarnation,
             config: plan.filter(|plan| plan.offset > config_offset).cloned(),
             runners,
             all_runners,
@@ -44,9 +45,8 @@
         all: bool,
         plan: Option<&Arc<ConfigPlan>>,
     ) -> Vec<RunnerRecord> {
-        let changed = self.runners.iter().filter(|(_, state)| {
-            all || state.known.as_ref().is_some_and(|known| known.change > since)
-        });
+        let changed =
+            self.runners.iter().filter(|(_, state)| all || state.is_reported_since(since));
         let records = changed.map(|(runner, state)| {
             let drained = plan.is_some_and(|plan| plan.drained.contains(runner));
             let mut record =
@@ -60,9 +60,9 @@
     fn entry_records(&self, plan: Option<&Arc<ConfigPlan>>) -> Vec<EntryRecord> {
         let drained = |vm: &VmId| plan.is_some_and(|plan| plan.drained_vms.contains(vm));
         let mut records = Vec::new();
-        if !self.me.leaving && !drained(&self.me.vm) {
-            for status in self.me.entries.iter().filter(|entry| !entry.leaving) {
-                let (vm, place) = (self.me.vm.clone(), self.me.place.clone());
+        if !self.own_record.leaving && !drained(&self.own_record.vm) {
+            for status in self.own_record.entries.iter().filter(|entry| !entry.leaving) {
+                let (vm, place) = (self.own_record.vm.clone(), self.own_record.place.clone());
                 records.push(EntryRecord { vm, place, status: status.clone() });
             }
         }
@@ -76,12 +76,12 @@
     }
 }
 
-/// Takes models that are going to be unloaded out of what entries see of a runner.
+/// Hides models that are going to be unloaded from the entries' view of a runner.
 fn hide_draining(record: &mut RunnerRecord, draining: &BTreeSet<(RunnerId, ModelName)>) {
     let Some(report) = record.report.as_mut().filter(|_| !draining.is_empty()) else { return };
     let had_models = !report.models.is_empty();
     let runner = &record.runner;
     report.models.retain(|model| !draining.contains(&(runner.clone(), model.clone())));
-    // No models at all would say that the runner serves any.
+    // An empty list of models would mean that the runner serves all.
     record.leaving |= had_models && report.models.is_empty();
 }
--- a/crates/peers/src/keys.rs
+++ b/crates/peers/src/keys.rs
@@ -63,7 +63,7 @@
         QuicServerConfig::try_from(config).map_err(|source| keys_error("server cipher", &source))
     }
 
-    /// The secret by which a restarted process disowns its predecessor's connections.
+    /// The secret with which a restarted process resets its predecessor's connections.
     pub(crate) fn restart_key(&self, address: SocketAddr) -> RestartKey {
         RestartKey::new(self.private_key.as_bytes(), address)
     }
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -1,5 +1,7 @@
-//! What our processes say to each other, and how: messages over QUIC with mutual TLS.
+//! Messages between our processes over QUIC with mutual TLS, and a steward's view of the
+//! fleet that it builds from them.
 
+mod bounded_set;
 mod digest;
 mod endpoint;
 mod envelope;
@@ -8,18 +10,20 @@
 mod fleet_digest;
 mod fleet_dump;
 mod fleet_entries;
+mod fleet_listing;
+mod fleet_liveness;
 mod fleet_news;
 mod fleet_state;
 mod fleet_view;
 mod keys;
-mod leaving_words;
+mod leaving_runners;
 mod limits;
 mod link;
 mod message;
 mod node_state;
 mod peer_choice;
-mod peer_circle;
-mod report_duty;
+mod peer_topology;
+mod poll_assignment;
 mod report_share;
 mod restart;
 mod runner_state;
@@ -27,13 +31,14 @@
 mod stream;
 
 pub use digest::{
-    ChangeCursor, Digest, LeavingWord, NodeNews, NodeRecord, ReportDelta, ReportDetail,
+    ChangeCursor, Digest, LeavingRunner, NodeNews, NodeRecord, ReportDelta, ReportDetail,
 };
 pub use endpoint::PeerEndpoint;
 pub use envelope::{MAX_MESSAGE_BYTES, MESSAGE_VERSION, decode_message, encode_message};
 pub use error::{PeerError, RejectReason, Result};
-pub use fleet_desk::{CUT_OFF_SILENCE, FleetDesk, FleetSelf};
+pub use fleet_desk::{FleetDesk, FleetSelf};
 pub use fleet_entries::ENTRY_SILENCE;
+pub use fleet_liveness::CUT_OFF_SILENCE;
 pub use fleet_state::MemberState;
 pub use keys::{PeerKeys, TLS_NAME};
 pub use limits::{
@@ -45,5 +50,5 @@
 };
 pub use node_state::{PEER_SILENCE, RETIRED_HOLD};
 pub use peer_choice::{FleetCells, MESH_NODES, PeerCandidate, PeerChoice, starts_exchange};
-pub use report_duty::DuePoll;
+pub use poll_assignment::DuePoll;
 pub use report_share::{REPORT_OWNERS, ReportShare};
--- a/crates/peers/src/limits.rs
+++ b/crates/peers/src/limits.rs
@@ -5,32 +5,32 @@
 use base::TimeSpan;
 use compio_quic::{IdleTimeout, TransportConfig, VarInt};
 
-/// Time for a connection to a peer to stand.
+/// Timeout of the handshake with a peer.
 pub const CONNECT_LIMIT: TimeSpan = TimeSpan::seconds(2);
-/// Silence after which a connection is lost.
+/// Idle timeout of a connection.
 pub const IDLE_LIMIT: TimeSpan = TimeSpan::seconds(4);
-/// Time between two signs of life on a quiet connection.
+/// Interval of the keep-alive packets on an idle connection.
 pub const KEEP_ALIVE: TimeSpan = TimeSpan::seconds(1);
-/// Time without a call after which a kept connection is closed.
+/// Time without a call after which a connection to a peer is closed.
 pub const LINK_LIMIT: TimeSpan = TimeSpan::seconds(15);
-/// Time for a peer to confirm that it has a whole reply, while this side stops.
+/// Time for a peer to confirm the whole reply, or the close of its connection.
 pub const CONFIRM_LIMIT: TimeSpan = TimeSpan::seconds(1);
 
-/// Kept connections that this process opened.
+/// Most connections that this process opens.
 pub const MAX_LINKS: usize = 512;
-/// Connections that peers opened.
+/// Most connections that peers may open.
 pub const MAX_CONNECTIONS: usize = 2_048;
-/// Requests that this process serves at once.
+/// Most requests that this process serves at once.
 pub const MAX_REQUESTS: usize = 2_048;
-/// Requests at once on one connection.
+/// Most requests at once on one connection.
 const MAX_STREAMS: u32 = 256;
 
-/// Bytes in flight to one stream of a receiver.
+/// Flow-control window of one stream, in bytes.
 const STREAM_WINDOW_BYTES: u32 = 1 << 20;
-/// Bytes in flight on one connection.
+/// Flow-control window of one connection, in bytes.
 const CONNECTION_WINDOW_BYTES: u32 = 4 << 20;
 
-/// The transport's settings, which are the same on both sides.
+/// The transport's settings, the same for both sides.
 pub(crate) fn transport_config() -> Arc<TransportConfig> {
     let idle = VarInt::from_u32(IDLE_LIMIT.as_millis() as u32);
     let mut config = TransportConfig::default();
--- a/crates/peers/src/link.rs
+++ b/crates/peers/src/link.rs
@@ -1,4 +1,4 @@
-//! The kept connections to peers: one a peer, opened when it is needed.
+//! The connections to peers: one for each peer, opened when it is first needed.
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -14,7 +14,7 @@
 use crate::limits::{CONNECT_LIMIT, LINK_LIMIT, MAX_LINKS};
 use crate::{PeerError, Result, TLS_NAME};
 
-/// What kept connections have carried, in both directions.
+/// Traffic of the open connections to peers, in both directions.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct PeerTraffic {
     /// UDP datagrams.
@@ -30,7 +30,7 @@
     calls: Cell<usize>,
 }
 
-/// Counts a call on a link, so that the link is not closed under it.
+/// Counts a call on a link while it lasts, so that the link is not closed meanwhile.
 pub(crate) struct LinkUse {
     link: Rc<PeerLink>,
 }
@@ -41,7 +41,7 @@
     }
 }
 
-/// All kept connections.
+/// All connections to peers.
 pub(crate) struct LinkTable {
     endpoint: Endpoint,
     config: ClientConfig,
@@ -61,12 +61,12 @@
         }
     }
 
-    /// Kept connections.
+    /// Open connections.
     pub(crate) fn len(&self) -> usize {
         self.links.borrow().len()
     }
 
-    /// Datagrams and bytes of the kept connections, both ways.
+    /// Traffic of the open connections; one that is being opened is left out.
     pub(crate) fn traffic(&self) -> PeerTraffic {
         let mut traffic = PeerTraffic::default();
         for link in self.links.borrow().values() {
@@ -80,7 +80,7 @@
         traffic
     }
 
-    /// Forgets all connections; each is closed after its last call.
+    /// Drops all connections; each is closed after its last call.
     pub(crate) fn clear(&self) {
         self.links.borrow_mut().clear();
     }
@@ -103,14 +103,14 @@
         LinkUse { link }
     }
 
-    /// A connection that stands, the kept one or a new one, within `limit`.
+    /// An established connection, the open one or a new one, within `limit`.
     pub(crate) async fn connection(
         &self,
         peer: SocketAddr,
         link: &LinkUse,
         limit: TimeSpan,
     ) -> Result<Connection> {
-        // Calls that come together wait here for one handshake.
+        // Concurrent calls wait here for one handshake.
         let connecting = async {
             let mut kept = link.link.connection.lock().await;
             if let Some(connection) = kept.as_ref().filter(|kept| kept.close_reason().is_none()) {
@@ -136,7 +136,8 @@
             .map_err(|source| PeerError::Connect { step: "connect", peer, source })
     }
 
-    /// Closes links without calls for a while, and the least used one of a full table.
+    /// Closes links that have been idle for [`LINK_LIMIT`], and the least recently used
+    /// idle one of a full table.
     fn sweep(&self, now: TimePoint) {
         self.next_sweep.set(now + LINK_LIMIT);
         let mut links = self.links.borrow_mut();
--- a/crates/peers/src/message.rs
+++ b/crates/peers/src/message.rs
@@ -8,20 +8,20 @@
 use config::{ConfigDelta, ConfigPlan};
 use serde::{Deserialize, Serialize};
 
-use crate::{Digest, LeavingWord};
+use crate::{Digest, LeavingRunner};
 
-/// What an entry tells its steward about itself.
+/// An entry's status, as it reports it to its steward.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EntryStatus {
-    /// The entry's start.
+    /// The entry's incarnation.
     pub incarnation: VmIncarnation,
     /// HTTP address for callers.
     pub address: SocketAddr,
     /// UDP address for peers.
     pub peer: SocketAddr,
-    /// It stops: no new callers.
+    /// It is leaving: no new callers.
     pub leaving: bool,
-    /// Calls that it serves now.
+    /// Calls in progress.
     pub calls: u32,
     /// Configuration that it uses.
     pub config_offset: LogOffset,
@@ -34,7 +34,7 @@
     pub vm: VmId,
     /// Its failure domain.
     pub place: PlaceName,
-    /// What it last told its steward.
+    /// Its last status.
     pub status: EntryStatus,
 }
 
@@ -49,37 +49,37 @@
     pub place: PlaceName,
     /// Its HTTP address.
     pub address: SocketAddr,
-    /// It gets no new work.
+    /// It is leaving or drained: no new work.
     pub leaving: bool,
-    /// Its newest report; its age is counted up to when the view was sent.
+    /// Its newest report; the age includes the time up to the sending of the view.
     pub report: Option<RunnerReport>,
 }
 
-/// What a steward gives its entries; parts that did not change since `version` are none.
+/// A steward's view for its entries, without the parts that the entry already has.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct FleetView {
-    /// Version of this view on this steward's incarnation; grows with each change.
+    /// Version of this view within the steward's incarnation; grows with each change.
     pub version: u64,
-    /// The steward's start: versions of another start do not compare.
+    /// The steward's incarnation; versions of different ones cannot be compared.
     pub steward: VmIncarnation,
-    /// The configuration in force, if it is newer than what the entry said it uses.
+    /// The configuration in force, if it is newer than the entry's.
     pub config: Option<Arc<ConfigPlan>>,
-    /// All runners, if their list or state changed; else those with a new report.
+    /// All runners if `all_runners`, else those with a new report.
     pub runners: Vec<RunnerRecord>,
-    /// Whether `runners` holds all runners.
+    /// Whether `runners` holds all runners, because their list or state changed.
     pub all_runners: bool,
-    /// All entries that callers may use, if they changed.
+    /// All entries that callers may use, if any changed.
     pub entries: Option<Vec<EntryRecord>>,
-    /// Cache events since `version`; recent ones only.
+    /// Cache events since the entry's version; recent ones only.
     pub cache_events: Vec<(RunnerId, CacheEvent)>,
-    /// This VM is cut off from the others: its entries leave the lookups.
+    /// This VM is cut off from the others: its entries are taken out of the lookups.
     pub cut_off: bool,
 }
 
-/// A call that is passed to the entry that is its home.
+/// A booking that an entry forwards to the entry that is its home.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ForwardedCall {
-    /// Whose call it is.
+    /// The workspace of the caller.
     pub workspace: WorkspaceId,
     /// The service.
     pub service: ServiceName,
@@ -95,68 +95,68 @@
     pub content_type: Arc<str>,
     /// The body.
     pub body: Vec<u8>,
-    /// Time left until the caller's deadline.
+    /// Time left until the caller's deadline, as of sending; the processes share no clock.
     pub remaining: TimeSpan,
 }
 
 /// A request from one of our processes to another.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum PeerRequest {
-    /// An entry asks its steward for what changed since `version`; the steward answers at
-    /// once if something did, else within `wait`.
+    /// An entry asks its steward for the changes since `version`; the steward replies at
+    /// once if there are any, else within `wait`.
     View {
         /// The entry.
         status: EntryStatus,
-        /// Version that the entry has, of the steward's start `steward`.
+        /// Version that the entry has.
         version: u64,
-        /// The steward's start that `version` belongs to.
+        /// The steward's incarnation that `version` belongs to.
         steward: VmIncarnation,
-        /// How long the answer may wait for a change.
+        /// How long the reply may wait for a change.
         wait: TimeSpan,
     },
-    /// A booking for its home.
+    /// A booking, forwarded to its home.
     Call(ForwardedCall),
     /// A stopping home hands its bookings to this entry.
     Adopt(TableHandover),
-    /// The sender answers for the bookings of these incarnations from now on.
+    /// The adopter is responsible for the bookings of these incarnations from now on.
     Adopted {
-        /// The incarnations that have stopped.
+        /// The incarnations that stopped.
         homes: Vec<VmIncarnation>,
-        /// Who answers for them.
+        /// The entry that took over their bookings.
         adopter: HomeAddress,
     },
-    /// The whole state of the process.
+    /// Asks for the state dump of the process.
     Dump,
-    /// A steward's news for another.
+    /// A steward's digest for another.
     Digest(Box<Digest>),
     /// A steward asks for a configuration newer than `have`.
     ConfigPull {
         /// Configuration that the asking steward has.
         have: LogOffset,
     },
-    /// An entry tells its steward that a runner refused work because it leaves.
-    Leaving(LeavingWord),
+    /// An entry reports to its steward that a runner refused work because it is leaving.
+    Leaving(LeavingRunner),
 }
 
-/// The answer to a [`PeerRequest`].
+/// The reply to a [`PeerRequest`].
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum PeerReply {
     /// To [`PeerRequest::View`].
     View(Box<FleetView>),
     /// To [`PeerRequest::Call`].
     Call(BookingReply),
-    /// To [`PeerRequest::Adopt`]: whether the table was taken, now or earlier; if not, it
-    /// never was and never will be.
+    /// To [`PeerRequest::Adopt`]: whether the table was adopted, now or earlier; if not, it
+    /// was not and will not be.
     Adopted(bool),
     /// To [`PeerRequest::Adopted`].
     Noted,
     /// To [`PeerRequest::Dump`]: JSON.
     Dump(String),
-    /// To [`PeerRequest::Digest`]: the answering steward's news.
+    /// To [`PeerRequest::Digest`]: the replying steward's digest.
     Digest(Box<Digest>),
     /// To [`PeerRequest::ConfigPull`]: a newer configuration, if there is one.
     Config(Option<Box<ConfigDelta>>),
-    /// The request was carried out; there is nothing to say.
+    /// The request was carried out and has no result.
     Done,
     /// The request is not for this process, or it cannot be served now; it had no effect.
     Refused(RefusalReason),
--- a/crates/peers/src/node_state.rs
+++ b/crates/peers/src/node_state.rs
@@ -1,48 +1,56 @@
-//! One machine of ours, as another steward knows it.
+//! One machine of ours, as known to another steward.
 
-use std::collections::VecDeque;
 use std::net::SocketAddr;
 
 use base::prelude::*;
 
+use crate::bounded_set::BoundedSet;
 use crate::{ChangeCursor, EntryStatus, NodeNews, NodeRecord};
 
-/// Silence after which a steward, and what it told, no longer counts.
+/// Silence after which a steward is no longer live.
 pub const PEER_SILENCE: TimeSpan = TimeSpan::seconds(3);
-/// Silence of a start after which one that it seemed to replace is heard again: starts
-/// have no order, and the first word of the earlier one may be the late one.
+/// Silence of an incarnation after which one that it seemed to replace is accepted again:
+/// incarnations have no order, so a late message of the earlier one may have replaced the
+/// later one.
 pub const RETIRED_HOLD: TimeSpan = TimeSpan::seconds(2);
-/// Earlier starts of a steward that are remembered, so that their late words are told.
-const MAX_RETIRED: usize = 4;
+/// Replaced incarnations that are remembered, so that their late messages are recognized.
+pub(crate) const MAX_RETIRED: usize = 4;
+/// Incarnations of a steward and its entries that are remembered as leaving.
+const MAX_LEAVING: usize = 16;
 
 /// One peer.
 pub(crate) struct NodeState {
     pub(crate) place: PlaceName,
     pub(crate) steward: SocketAddr,
-    /// What the platform's list says now; none if it does not name the machine.
+    /// Its state in the platform's list; none if it is not listed.
     pub(crate) listed: Option<VmState>,
-    /// When the list ceased to name the machine.
-    pub(crate) gone: Option<TimePoint>,
+    /// When it was removed from the list.
+    pub(crate) unlisted_at: Option<TimePoint>,
     pub(crate) record: Option<NodeRecord>,
-    /// This steward's change with which the record, or `down`, came.
+    /// This steward's change that brought the record, or `down`.
     pub(crate) record_change: u64,
-    /// Who told the record; none if the machine itself.
+    /// The peer that relayed the record; none if the machine itself sent it.
     pub(crate) source: Option<VmId>,
     /// The machine has been silent since its record.
     pub(crate) down: bool,
-    /// Others miss the machine, which is heard here: it has to be told.
-    pub(crate) accused: bool,
-    pub(crate) heard: Option<TimePoint>,
+    /// Others have the machine as down though it is heard here; the next digest reports that
+    /// to it, so that it refutes it.
+    pub(crate) suspected: bool,
+    /// When its steward's last digest came.
+    pub(crate) last_heard: Option<TimePoint>,
+    /// It counted as live at the last tick or digest.
     pub(crate) live: bool,
     /// Configuration that the peer has.
     pub(crate) config_offset: LogOffset,
-    /// The peer's changes that are known here.
+    /// The peer's changes that have been applied here.
     pub(crate) seen: ChangeCursor,
-    /// This steward's changes that the peer has.
+    /// This steward's changes that the peer has acknowledged.
     pub(crate) acked: u64,
     pub(crate) next_digest: TimePoint,
-    left: Vec<VmIncarnation>,
-    retired: VecDeque<VmIncarnation>,
+    /// Incarnations of its steward and entries that are leaving.
+    leaving: BoundedSet<VmIncarnation>,
+    /// Incarnations of its steward that were replaced.
+    retired: BoundedSet<VmIncarnation>,
 }
 
 impl NodeState {
@@ -51,56 +59,57 @@
             place,
             steward,
             listed: None,
-            gone: None,
+            unlisted_at: None,
             record: None,
             record_change: 0,
             source: None,
             down: false,
-            accused: false,
-            heard: None,
+            suspected: false,
+            last_heard: None,
             live: false,
             config_offset: LogOffset::default(),
             seen: ChangeCursor::default(),
             acked: 0,
             next_digest: TimePoint::default(),
-            left: Vec::new(),
-            retired: VecDeque::new(),
+            leaving: BoundedSet::new(MAX_LEAVING),
+            retired: BoundedSet::new(MAX_RETIRED),
         }
     }
 
-    /// Takes the machine's line of the platform's list; says whether it changed anything.
-    pub(crate) fn take_line(&mut self, line: &VmRecord, steward: SocketAddr) -> bool {
-        let changed = self.listed != Some(line.state);
-        // Only the change to leaving is sticky: a later start on the machine is another.
-        if changed && line.state == VmState::Leaving {
+    /// Applies the machine's record of the platform's list; says whether its state changed.
+    pub(crate) fn take_listing(&mut self, listing: &VmRecord, steward: SocketAddr) -> bool {
+        let changed = self.listed != Some(listing.state);
+        // Marked at the change only: a later incarnation on the machine is not marked.
+        if changed && listing.state == VmState::Leaving {
             self.leave(self.seen.incarnation);
         }
-        // The steward itself knows its address better than the list, which lags.
+        // The steward's own record of its address is newer than the list, which lags behind.
         if self.record.is_none() {
             self.steward = steward;
         }
-        self.place = line.place.clone();
-        (self.listed, self.gone) = (Some(line.state), None);
+        self.place = listing.place.clone();
+        (self.listed, self.unlisted_at) = (Some(listing.state), None);
         changed
     }
 
-    /// Notes that the peer speaks as `incarnation`; a new start has no memory of the old.
-    /// False if a later start has replaced it and is still heard.
-    pub(crate) fn meet(&mut self, now: TimePoint, incarnation: VmIncarnation) -> bool {
+    /// Records the incarnation of the peer's digest; for a new one, the positions of the
+    /// exchange start over. False if it was replaced by one that is still heard.
+    pub(crate) fn observe_incarnation(
+        &mut self,
+        now: TimePoint,
+        incarnation: VmIncarnation,
+    ) -> bool {
         let known = self.seen.incarnation;
         if known == incarnation {
             return true;
         }
-        let held = self.heard.is_some_and(|heard| now.since(heard) < RETIRED_HOLD);
+        let held = self.last_heard.is_some_and(|heard| now.since(heard) < RETIRED_HOLD);
         if held && self.retired.contains(&incarnation) {
             return false;
         }
-        self.retired.retain(|retired| *retired != incarnation);
+        self.retired.remove(&incarnation);
         if known != VmIncarnation::default() {
-            if self.retired.len() >= MAX_RETIRED {
-                self.retired.pop_front();
-            }
-            self.retired.push_back(known);
+            self.retired.insert(known);
         }
         self.seen = ChangeCursor { incarnation, change: 0 };
         self.acked = 0;
@@ -108,24 +117,24 @@
         true
     }
 
-    /// Takes the record that the peer itself told as change number `change`; says whether
-    /// it changed anything.
+    /// Applies the record that the peer itself sent, as change number `change`; says whether
+    /// it was accepted.
     pub(crate) fn take_own(&mut self, record: NodeRecord, change: u64) -> bool {
         let known = self.record.as_ref().map(|known| known.sequence);
         if known > Some(record.sequence) || record.incarnation != self.seen.incarnation {
             return false;
         }
-        // With the same sequence, only the entries' calls differ: no news for others.
+        // With the same sequence only the entries' figures differ, which are not relayed.
         if known != Some(record.sequence) {
             (self.record_change, self.source) = (change, None);
-            (self.down, self.accused) = (false, false);
+            (self.down, self.suspected) = (false, false);
         }
         self.take_record(record);
         true
     }
 
-    /// Takes news that `source` passed on; says whether it changed anything.
-    pub(crate) fn take_passed(&mut self, news: NodeNews, source: &VmId, change: u64) -> bool {
+    /// Applies a record that `source` relayed; says whether it is newer than the known one.
+    pub(crate) fn take_relayed(&mut self, news: NodeNews, source: &VmId, change: u64) -> bool {
         let known = self.record.as_ref().map(|known| (known.generation, known.sequence, self.down));
         if known >= Some(news.rank()) {
             return false;
@@ -147,28 +156,23 @@
         self.record = Some(record);
     }
 
-    /// The machine's news as change number `change` and later ones brought them.
+    /// The machine's record, if a change after number `change` brought it.
     pub(crate) fn news_since(&self, change: u64) -> Option<NodeNews> {
         let record = self.record.as_ref().filter(|_| self.record_change > change)?;
         Some(NodeNews { record: record.clone(), down: self.down })
     }
 
-    /// Notes that a start leaves: of the steward, or of an entry.
+    /// Marks an incarnation as leaving: of the steward, or of an entry.
     pub(crate) fn leave(&mut self, incarnation: VmIncarnation) {
-        if self.left.contains(&incarnation) {
-            return;
-        }
-        if self.left.len() >= MAX_RETIRED * 4 {
-            self.left.remove(0);
-        }
-        self.left.push(incarnation);
+        self.leaving.insert(incarnation);
     }
 
     /// Whether the machine takes no new callers.
     pub(crate) fn is_leaving(&self) -> bool {
-        let gone = self.listed.is_none() && self.gone.is_some();
-        let start = self.record.as_ref().map_or(self.seen.incarnation, |known| known.incarnation);
-        gone || self.listed == Some(VmState::Leaving) || self.left.contains(&start)
+        let unlisted = self.listed.is_none() && self.unlisted_at.is_some();
+        let incarnation =
+            self.record.as_ref().map_or(self.seen.incarnation, |known| known.incarnation);
+        unlisted || self.listed == Some(VmState::Leaving) || self.leaving.contains(&incarnation)
     }
 
     /// Its entries that callers may use.
@@ -177,17 +181,22 @@
         let entries = self.record.iter().filter(move |_| usable);
         entries
             .flat_map(|record| &record.entries)
-            .filter(|entry| !entry.leaving && !self.left.contains(&entry.incarnation))
+            .filter(|entry| !entry.leaving && !self.leaving.contains(&entry.incarnation))
     }
 
-    /// Whether it counts as live: heard lately, or else, if it is no direct peer, known by
-    /// others and not missed.
+    /// Whether it counts as live: heard recently, or, if it is no direct peer, known by a
+    /// relayed record that is not `down`.
     pub(crate) fn is_live(&self, now: TimePoint, direct: bool) -> bool {
         self.is_heard(now) || (!direct && self.record.is_some() && !self.down)
     }
 
-    /// Whether it has been heard lately.
-    pub(crate) fn is_heard(&self, now: TimePoint) -> bool {
-        self.heard.is_some_and(|heard| now.since(heard) < PEER_SILENCE)
+    /// Whether it belongs to the fleet, as the list or its own digests show.
+    pub(crate) fn is_present(&self) -> bool {
+        self.live || self.listed.is_some()
+    }
+
+    /// Whether its steward has been heard within [`PEER_SILENCE`].
+    fn is_heard(&self, now: TimePoint) -> bool {
+        self.last_heard.is_some_and(|heard| now.since(heard) < PEER_SILENCE)
     }
 }
--- a/crates/peers/src/peer_choice.rs
+++ b/crates/peers/src/peer_choice.rs
@@ -1,10 +1,11 @@
-//! Whom a steward exchanges digests with: bounded, whatever the number of machines.
+//! The peers with which a steward exchanges digests: a bounded number in a fleet of any
+//! size.
 //!
-//! A small fleet is one cell: every steward exchanges with every other. A large one is cut
-//! into cells within each failure domain, by a hash of the machine's name; a cell is a
-//! full mesh and shares the reports of its runners. News of other cells goes along links:
-//! from each machine to its counterparts in two other cells of its failure domain, and
-//! between a few gateways of each two failure domains.
+//! A small fleet is one cell: every steward exchanges with every other. A large one is
+//! divided into cells within each failure domain, by a hash of the machine's name; a cell is
+//! a full mesh and shares the reports of its runners. Records of other cells are relayed
+//! over links: from each machine to one machine in each of two other cells of its failure
+//! domain, and between a few gateways of each two failure domains.
 
 use std::collections::BTreeMap;
 
@@ -32,11 +33,11 @@
 pub struct PeerChoice {
     /// The other machines of its cell, which share the runners' reports.
     pub cell: Vec<VmId>,
-    /// Machines of other cells, for news of machines and leaving words.
+    /// Machines of other cells, which relay machines' records and leaving runners.
     pub links: Vec<VmId>,
 }
 
-/// All machines, cut into cells.
+/// All machines, divided into cells.
 #[derive(Debug, Default)]
 pub struct FleetCells {
     places: BTreeMap<PlaceName, Vec<Vec<VmId>>>,
@@ -46,7 +47,7 @@
 }
 
 impl FleetCells {
-    /// Cuts a fleet into cells; the order of `nodes` does not matter.
+    /// Divides a fleet into cells; the order of `nodes` does not matter.
     #[must_use]
     pub fn new(nodes: &[PeerCandidate]) -> Self {
         let mut by_place: BTreeMap<PlaceName, Vec<VmId>> = BTreeMap::new();
@@ -55,7 +56,7 @@
         }
         let is_mesh = nodes.len() <= MESH_NODES;
         let places = by_place.into_iter().map(|(place, vms)| {
-            let cells = if is_mesh { vec![vms] } else { cut(vms) };
+            let cells = if is_mesh { vec![vms] } else { into_cells(vms) };
             (place, cells)
         });
         let mut fleet = Self { places: places.collect(), gateways: BTreeMap::new(), is_mesh };
@@ -65,28 +66,28 @@
         fleet
     }
 
-    /// The peers of `me`.
+    /// The peers of `own`.
     #[must_use]
-    pub fn choose(&self, me: &PeerCandidate) -> PeerChoice {
-        let others = |vms: &[VmId]| vms.iter().filter(|vm| **vm != me.vm).cloned().collect();
+    pub fn choose(&self, own: &PeerCandidate) -> PeerChoice {
+        let others = |vms: &[VmId]| vms.iter().filter(|vm| **vm != own.vm).cloned().collect();
         if self.is_mesh {
             let all: Vec<VmId> = self.places.values().flatten().flatten().cloned().collect();
             return PeerChoice { cell: others(&all), links: Vec::new() };
         }
-        let Some(cells) = self.places.get(&me.place) else { return PeerChoice::default() };
-        let own = cell_of(&me.vm, cells.len());
+        let Some(cells) = self.places.get(&own.place) else { return PeerChoice::default() };
+        let own_cell = cell_of(&own.vm, cells.len());
         let mut links = Vec::new();
         for step in [1, cells.len() / 2] {
-            let other = &cells[(own + step) % cells.len()];
-            let best = other.iter().max_by_key(|vm| score(&me.vm, vm));
-            links.extend(best.filter(|vm| **vm != me.vm).cloned());
+            let other = &cells[(own_cell + step) % cells.len()];
+            let best = other.iter().max_by_key(|vm| score(&own.vm, vm));
+            links.extend(best.filter(|vm| **vm != own.vm).cloned());
         }
-        for place in self.places.keys().filter(|place| **place != me.place) {
-            links.extend(self.gateway_link(me, place).cloned());
+        for place in self.places.keys().filter(|place| **place != own.place) {
+            links.extend(self.gateway_link(own, place).cloned());
         }
         links.sort();
         links.dedup();
-        let cell: Vec<VmId> = others(&cells[own]);
+        let cell: Vec<VmId> = others(&cells[own_cell]);
         links.retain(|vm| !cell.contains(vm));
         PeerChoice { cell, links }
     }
@@ -103,11 +104,11 @@
         best.map(|(_, cell)| cell.as_slice())
     }
 
-    /// The machine at the other end, if `me` is a gateway to `place`.
-    fn gateway_link(&self, me: &PeerCandidate, place: &PlaceName) -> Option<&VmId> {
-        let near = self.gateways.get(&(me.place.clone(), place.clone()))?;
-        let far = self.gateways.get(&(place.clone(), me.place.clone()))?;
-        let at = near.iter().position(|vm| *vm == me.vm)?;
+    /// The gateway of `place` that `own` is linked to, if `own` is a gateway itself.
+    fn gateway_link(&self, own: &PeerCandidate, place: &PlaceName) -> Option<&VmId> {
+        let near = self.gateways.get(&(own.place.clone(), place.clone()))?;
+        let far = self.gateways.get(&(place.clone(), own.place.clone()))?;
+        let at = near.iter().position(|vm| *vm == own.vm)?;
         far.get(at.min(far.len().checked_sub(1)?))
     }
 
@@ -127,15 +128,16 @@
     }
 }
 
-/// Whether `me` is the one of a pair that starts their exchanges; the other one replies.
+/// Whether `own` is the one of a pair that starts their exchanges; the other one replies.
 #[must_use]
-pub fn starts_exchange(me: &VmId, peer: &VmId) -> bool {
+pub fn starts_exchange(own: &VmId, peer: &VmId) -> bool {
     let order = |one: &VmId, other: &VmId| rendezvous_score(one.as_str(), other.as_str());
-    (order(me, peer), me) > (order(peer, me), peer)
+    (order(own, peer), own) > (order(peer, own), peer)
 }
 
-fn cut(vms: Vec<VmId>) -> Vec<Vec<VmId>> {
-    // A power of two: when the number of cells changes, each cell is halved or doubled.
+fn into_cells(vms: Vec<VmId>) -> Vec<Vec<VmId>> {
+    // A power of two, so that a change of the number of cells halves or doubles each cell
+    // and moves no machine between others.
     let wanted = (vms.len() / CELL_NODES).max(1);
     let count = if wanted.is_power_of_two() { wanted } else { wanted.next_power_of_two() / 2 };
     let mut cells = vec![Vec::new(); count];
@@ -149,6 +151,6 @@
     rendezvous_score("cell", vm.as_str()) as usize & (count - 1)
 }
 
-fn score(me: &VmId, peer: &VmId) -> u64 {
-    rendezvous_score(me.as_str(), peer.as_str())
+fn score(own: &VmId, peer: &VmId) -> u64 {
+    rendezvous_score(own.as_str(), peer.as_str())
 }
--- a/crates/peers/src/report_share.rs
+++ b/crates/peers/src/report_share.rs
@@ -1,18 +1,18 @@
-//! Who polls which runner: by rendezvous hashing, one steward polls it, and a second one
-//! stands by for when no reports come.
+//! Assigns runners to stewards by rendezvous hashing: one polls a runner, and a second one
+//! is its standby.
 //!
-//! The polls of a runner do not grow with the number of stewards. When a steward dies, its
-//! runners go to others, and no other runner changes hands.
+//! The polls of a runner do not grow with the number of stewards. When a steward dies, only
+//! its own runners are assigned to others.
 
 use std::collections::BTreeMap;
 
 use base::prelude::*;
 use base::rendezvous_score;
 
-/// Owners of one runner's reports: the one that polls, and the one that stands by.
+/// Owners of one runner's reports: the one that polls, and its standby.
 pub const REPORT_OWNERS: usize = 2;
 
-/// The live stewards, from which the owners of each runner's reports follow.
+/// The live stewards, which determine the owners of each runner's reports.
 #[derive(Debug, Clone, Default)]
 pub struct ReportShare {
     by_place: BTreeMap<PlaceName, Vec<VmId>>,
@@ -20,7 +20,7 @@
 }
 
 impl ReportShare {
-    /// Notes a live steward.
+    /// Adds a live steward.
     pub fn add(&mut self, vm: &VmId, place: &PlaceName) {
         self.by_place.entry(place.clone()).or_default().push(vm.clone());
         self.all.push(vm.clone());
@@ -32,8 +32,8 @@
         self.all.is_empty()
     }
 
-    /// The rank of `vm` among the owners of `runner`, 0 for the one that polls; of the
-    /// stewards in the runner's place if they are enough, else of all.
+    /// The rank of `vm` among the owners of `runner`, 0 for the one that polls. Owners are
+    /// chosen among the stewards in the runner's place if there are enough, else among all.
     #[must_use]
     pub fn rank(&self, vm: &VmId, runner: &RunnerId, place: &PlaceName) -> Option<usize> {
         let near = self.by_place.get(place).filter(|near| near.len() >= REPORT_OWNERS);
--- a/crates/peers/src/restart.rs
+++ b/crates/peers/src/restart.rs
@@ -1,9 +1,10 @@
-//! How a restarted process tells its peers that their connections are gone.
+//! Stateless resets, by which peers learn that a process restarted without their connections.
 //!
 //! A stateless reset (RFC 9000, section 10.3) ends a connection within a round trip. Its
-//! token has to be the same for the next start of the process, so it is derived from the
-//! process's private key and address. The next start must not take the connection's ids
-//! for forged ones, so the ids are plain random numbers.
+//! token has to be the same after a restart of the process, so it is derived from the
+//! process's private key and address. The library's default connection ids carry a hash
+//! with a random key, so a restarted process would reject them and send no reset; here they
+//! are plain random numbers.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -19,8 +20,9 @@
 /// Length of a connection id.
 const ID_BYTES: usize = 8;
 
-/// A secret that each start of a process with the same private key and address has; other
-/// processes with the same key cannot be made to end its connections.
+/// A secret that stays the same over restarts with the same private key and address. The
+/// address is part of it, so that no other process with the same key can be made to reset
+/// its connections.
 #[derive(Clone)]
 pub(crate) struct RestartKey {
     mac: Hmac<Sha256>,
@@ -34,7 +36,7 @@
         Self { mac }
     }
 
-    /// The endpoint's settings that outlive a restart.
+    /// The endpoint's settings that have to stay the same over a restart.
     pub(crate) fn endpoint_config(self) -> EndpointConfig {
         let mut config = EndpointConfig::new(Arc::new(self));
         config.cid_generator(|| Box::new(RandomIds));
--- a/crates/peers/src/runner_state.rs
+++ b/crates/peers/src/runner_state.rs
@@ -1,4 +1,4 @@
-//! One runner, as a steward knows it.
+//! One runner, as known to a steward.
 
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -6,11 +6,10 @@
 use base::CacheEvent;
 use base::prelude::*;
 
-use crate::node_state::RETIRED_HOLD;
+use crate::bounded_set::BoundedSet;
+use crate::node_state::{MAX_RETIRED, RETIRED_HOLD};
 use crate::{ReportDelta, RunnerRecord};
 
-/// Earlier starts of a runner that are remembered, so that their late reports are told.
-const MAX_RETIRED: usize = 4;
 /// Cache events of one runner that are kept for entries and peers.
 const MAX_CACHE_EVENTS: usize = 256;
 
@@ -23,13 +22,14 @@
     Peer,
 }
 
-/// A report and when it came.
+/// The newest report.
 pub(crate) struct KnownReport {
     pub(crate) report: RunnerReport,
     pub(crate) received: TimePoint,
     pub(crate) source: ReportSource,
+    /// This steward's change that brought it.
     pub(crate) change: u64,
-    /// The first change with an own report of this detail; 0 if there was none.
+    /// The first change with an own report of the same detail; 0 if there was none.
     pub(crate) detail_change: u64,
 }
 
@@ -51,10 +51,11 @@
     pub(crate) service: ServiceName,
     pub(crate) place: PlaceName,
     pub(crate) address: SocketAddr,
-    /// The platform's list says that it leaves.
+    /// The platform's list has it as leaving.
     pub(crate) listed_leaving: bool,
     pub(crate) known: Option<KnownReport>,
-    retired: VecDeque<u64>,
+    /// Incarnations that were replaced.
+    retired: BoundedSet<u64>,
     events: VecDeque<KnownEvent>,
     events_next: u64,
 }
@@ -67,18 +68,34 @@
             address,
             listed_leaving: false,
             known: None,
-            retired: VecDeque::new(),
+            retired: BoundedSet::new(MAX_RETIRED),
             events: VecDeque::new(),
             events_next: 0,
         }
     }
 
-    /// The runner's present start; 0 before its first report.
+    /// Applies the runner's record of the platform's list; says whether its state or address
+    /// changed.
+    pub(crate) fn take_listing(&mut self, listing: &VmRecord, service: ServiceName) -> bool {
+        let leaving = listing.state == VmState::Leaving;
+        let changed = self.listed_leaving != leaving || self.address != listing.address;
+        self.listed_leaving = leaving;
+        (self.service, self.place) = (service, listing.place.clone());
+        self.address = listing.address;
+        changed
+    }
+
+    /// Whether the newest report came after change number `change`.
+    pub(crate) fn is_reported_since(&self, change: u64) -> bool {
+        self.known.as_ref().is_some_and(|known| known.change > change)
+    }
+
+    /// The runner's present incarnation; 0 before its first report.
     pub(crate) fn incarnation(&self) -> u64 {
         self.known.as_ref().map_or(0, |known| known.report.incarnation)
     }
 
-    /// Takes a report if it is newer than the known one; says whether it was.
+    /// Applies a report if it is newer than the known one; says whether it was.
     pub(crate) fn take_report(
         &mut self,
         now: TimePoint,
@@ -93,7 +110,7 @@
         let mut detail_change = 0;
         if let Some(known) = &self.known {
             if known.report.incarnation != report.incarnation {
-                self.retired.retain(|retired| *retired != report.incarnation);
+                self.retired.remove(&report.incarnation);
                 self.retire(known.report.incarnation);
             } else if report.sequence <= known.report.sequence {
                 return false;
@@ -109,16 +126,14 @@
         true
     }
 
+    /// Records that `incarnation` was replaced; its cache events count no more.
     fn retire(&mut self, incarnation: u64) {
-        if self.retired.len() >= MAX_RETIRED {
-            self.retired.pop_front();
-        }
-        self.retired.push_back(incarnation);
+        self.retired.insert(incarnation);
         self.events.clear();
         self.events_next = 0;
     }
 
-    /// Takes a cache event if it is newer than the known ones; says whether it was.
+    /// Applies a cache event if it is newer than the known ones; says whether it was.
     pub(crate) fn take_event(
         &mut self,
         event: &CacheEvent,
@@ -146,12 +161,13 @@
             .map(|known| known.event.clone())
     }
 
-    /// The next cache event that is wanted.
+    /// Sequence number of the next cache event that is wanted.
     pub(crate) fn events_next(&self) -> u64 {
         self.events_next
     }
 
-    /// The own report for a peer that has all changes up to `change`.
+    /// The report for a peer that has all changes up to `change`; none if this steward did
+    /// not poll it.
     pub(crate) fn delta_since(&self, now: TimePoint, change: u64) -> Option<ReportDelta> {
         let known = self.known.as_ref()?;
         if known.source != ReportSource::Own || known.change <= change {
@@ -160,7 +176,7 @@
         Some(ReportDelta::new(&known.report, known.age(now), known.detail_change > change))
     }
 
-    /// The runner as entries see it.
+    /// The runner's record for entries.
     pub(crate) fn record(&self, now: TimePoint, runner: &RunnerId, leaving: bool) -> RunnerRecord {
         let report = self.known.as_ref().map(|known| {
             let mut report = known.report.clone();
--- a/crates/peers/src/server.rs
+++ b/crates/peers/src/server.rs
@@ -19,12 +19,12 @@
 
 /// Time for a peer to send a whole request.
 const REQUEST_LIMIT: TimeSpan = TimeSpan::seconds(10);
-/// How often a stopping endpoint looks whether its last request has been answered.
+/// Interval at which a stopping endpoint checks for requests in progress.
 const DRAIN_POLL: TimeSpan = TimeSpan::millis(5);
 
 impl PeerEndpoint {
     /// Serves until `stop` is raised, then until the last request in progress has been
-    /// answered. Later requests are rejected as not seen.
+    /// answered. Later requests are rejected without a call of the handler.
     pub async fn serve<F>(
         &self,
         stop: StopSignal,
@@ -69,7 +69,7 @@
             self.count_rejected();
             return;
         };
-        // The end of a connection is a normal event; what it cost is told to the callers.
+        // The end of a connection is no fault here: calls that it breaks fail at their callers.
         while let Ok((sender, receiver)) = connection.accept_bi().await {
             if stop.is_raised() {
                 self.reject(sender, receiver, RejectReason::Stopping);
@@ -98,7 +98,7 @@
         F: Future<Output = PeerReply>,
     {
         let reading = read_message(&mut receiver, MAX_MESSAGE_BYTES);
-        // A request that did not come whole has no handler; its caller knows it as lost.
+        // An incomplete request never reaches the handler; its caller gets the error.
         let Ok(Ok(message)) = timeout(REQUEST_LIMIT.into(), reading).await else { return };
         let request = match message.map(|bytes| decode_message("request", &bytes)) {
             Some(Ok(request)) => request,
@@ -115,14 +115,14 @@
             return;
         }
         let _ = sender.finish();
-        // Until the peer has the whole reply, the request counts as in progress.
+        // The request counts as in progress until the peer has the whole reply.
         let _ = timeout(CONFIRM_LIMIT.into(), sender.stopped()).await;
     }
 
     fn reject(&self, mut sender: SendStream, mut receiver: RecvStream, reason: RejectReason) {
         self.count_rejected();
         let code = VarInt::from_u32(reason.code());
-        // Either half may be closed already; then its caller has left.
+        // Either half may be closed already, if the caller has gone.
         let _ = receiver.stop(code);
         let _ = sender.reset(code);
     }
--- a/crates/peers/tests/common/mod.rs
+++ b/crates/peers/tests/common/mod.rs
@@ -52,7 +52,7 @@
     PeerEndpoint::bind(loopback(), keys).await.unwrap()
 }
 
-/// Serves dumps with `text` until the result is raised.
+/// Replies to all requests with a dump of `text` until the returned signal is raised.
 pub fn serve_text(endpoint: &PeerEndpoint, text: &'static str) -> StopSignal {
     let stop = StopSignal::new();
     let (endpoint, raised) = (endpoint.clone(), stop.clone());
--- a/crates/peers/tests/common/relay.rs
+++ b/crates/peers/tests/common/relay.rs
@@ -1,4 +1,4 @@
-//! A link that a test can lead elsewhere: it passes datagrams of one client on.
+//! A UDP relay whose target a test can change.
 
 use std::cell::Cell;
 use std::net::SocketAddr;
@@ -8,7 +8,7 @@
 
 const MAX_DATAGRAM_BYTES: usize = 65_536;
 
-/// Passes datagrams between one client and `target`; none drops them.
+/// Relays datagrams between one client and `target`; with none, it drops them.
 pub struct TestLink {
     pub address: SocketAddr,
     pub target: Rc<Cell<Option<SocketAddr>>>,
@@ -34,7 +34,7 @@
         kernel::spawn(async move {
             loop {
                 let (bytes, sender) = receive(&back).await;
-                // What an earlier target still says is lost.
+                // Datagrams of an earlier target are dropped.
                 if Some(sender) == aim.get() {
                     send(&front, bytes, client.get()).await;
                 }
--- a/crates/peers/tests/fleet/choice.rs
+++ b/crates/peers/tests/fleet/choice.rs
@@ -18,7 +18,7 @@
     nodes.iter().map(|node| (node.vm.clone(), cells.choose(node))).collect()
 }
 
-/// All peers in either direction: an exchange carries news both ways.
+/// All peers in either direction: an exchange carries digests both ways.
 fn graph(choices: &BTreeMap<VmId, PeerChoice>) -> BTreeMap<&VmId, BTreeSet<&VmId>> {
     let mut graph: BTreeMap<&VmId, BTreeSet<&VmId>> = BTreeMap::new();
     for (vm, choice) in choices {
--- a/crates/peers/tests/fleet/desk.rs
+++ b/crates/peers/tests/fleet/desk.rs
@@ -1,17 +1,17 @@
-//! The fleet as stewards see it: leaving words, outages, restarts, shares, convergence.
+//! Stewards' views of small fleets: leaving runners, outages, restarts, shares, convergence.
 
 use crate::test_fleet::{TestFleet, entry_status, report, runner_id, vm_id};
 use base::CacheEvent;
 use base::prelude::*;
 use peers::{
-    CUT_OFF_SILENCE, ChangeCursor, ENTRY_SILENCE, LeavingWord, PEER_SILENCE, RETIRED_HOLD,
+    CUT_OFF_SILENCE, ChangeCursor, ENTRY_SILENCE, LeavingRunner, PEER_SILENCE, RETIRED_HOLD,
     ReportShare,
 };
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
 #[test]
-fn a_leaving_word_from_any_source_is_sticky_for_the_start() {
+fn a_leaving_mark_from_any_source_is_sticky_for_the_incarnation() {
     let sources: [fn(&mut TestFleet); 4] = [
         |fleet| {
             fleet.list.set_state("runner-0", VmState::Leaving);
@@ -29,18 +29,18 @@
         |fleet| {
             fleet.exchange(1, 0);
             let mut digest = fleet.desks[1].digest_for(fleet.now, &vm_id(0));
-            digest.leaving = vec![LeavingWord { runner: runner_id(0), incarnation: 7 }];
+            digest.leaving = vec![LeavingRunner { runner: runner_id(0), incarnation: 7 }];
             assert!(fleet.desks[0].on_digest(fleet.now, digest));
         },
     ];
-    for say in sources {
+    for mark in sources {
         let mut fleet = TestFleet::new(2, 1);
         fleet.desks[0].on_report(fleet.now, report(0, 7, 1));
-        say(&mut fleet);
+        mark(&mut fleet);
         assert!(fleet.is_leaving(0, 0));
         fleet.exchange(0, 1);
-        assert!(fleet.is_leaving(1, 0), "the peer hears the word");
-        // Another start of the runner is in service; its predecessor's late words are not.
+        assert!(fleet.is_leaving(1, 0), "the peer gets the mark");
+        // Another incarnation is in service, and a late report of the earlier one is ignored.
         fleet.desks[0].on_report(fleet.now, report(0, 8, 1));
         fleet.desks[0].on_report(fleet.now, report(0, 7, 9));
         assert!(!fleet.is_leaving(0, 0));
@@ -48,7 +48,7 @@
 }
 
 #[test]
-fn a_word_before_the_first_report_belongs_to_the_first_start() {
+fn a_leaving_mark_before_the_first_report_belongs_to_the_first_incarnation() {
     let mut fleet = TestFleet::new(1, 1);
     fleet.desks[0].on_leaving(&runner_id(0), 0);
     assert!(fleet.is_leaving(0, 0));
@@ -71,9 +71,9 @@
 }
 
 #[test]
-fn cut_off_alone_is_told_from_the_platform_being_down() {
+fn a_cut_off_machine_is_distinguished_from_a_platform_outage() {
     let mut fleet = TestFleet::new(3, 0);
-    fleet.speak(&[0, 1, 2]);
+    fleet.report_entries(&[0, 1, 2]);
     let silence = CUT_OFF_SILENCE + TimeSpan::seconds(1);
     let end = fleet.now + silence;
     while fleet.now < end {
@@ -97,34 +97,34 @@
 }
 
 #[test]
-fn a_restarted_peer_replaces_its_earlier_start() {
+fn a_restarted_peer_replaces_its_earlier_incarnation() {
     let mut fleet = TestFleet::new(2, 0);
-    fleet.speak(&[0, 1]);
+    fleet.report_entries(&[0, 1]);
     fleet.exchange(1, 0);
     let old = fleet.desks[1].digest_for(fleet.now, &vm_id(0));
     fleet.restart(1);
-    fleet.speak(&[1]);
+    fleet.report_entries(&[1]);
     fleet.exchange(1, 0);
-    assert!(!fleet.desks[0].on_digest(fleet.now, old), "the earlier start's words are late");
+    assert!(!fleet.desks[0].on_digest(fleet.now, old), "a digest of the earlier incarnation");
     let entries = fleet.entries(0);
     let calls: Vec<VmIncarnation> = entries.iter().map(|entry| entry.status.incarnation).collect();
     assert_eq!(calls, [entry_status(0, 1).incarnation, entry_status(1, 2).incarnation]);
-    // The new start knows nothing, and is told everything.
+    // The new incarnation knows nothing, and gets everything.
     assert_eq!(fleet.entries(1).len(), 2);
 }
 
 #[test]
-fn a_late_word_of_an_unknown_earlier_start_does_not_keep_the_present_one_out() {
+fn a_late_digest_of_an_unknown_earlier_incarnation_does_not_keep_the_present_one_out() {
     let mut fleet = TestFleet::new(2, 0);
-    fleet.speak(&[0, 1]);
+    fleet.report_entries(&[0, 1]);
     let old = fleet.desks[1].digest_for(fleet.now, &vm_id(0));
     fleet.restart(1);
-    fleet.speak(&[1]);
+    fleet.report_entries(&[1]);
     fleet.exchange(1, 0);
-    // This start was never met before: nothing tells it from a still later one.
+    // This incarnation was not known before: it cannot be distinguished from a later one.
     fleet.desks[0].on_digest(fleet.now, old);
     fleet.advance(RETIRED_HOLD);
-    fleet.speak(&[1]);
+    fleet.report_entries(&[1]);
     // The first exchange asks for what was forgotten, the second brings it.
     fleet.exchange(1, 0);
     fleet.exchange(1, 0);
@@ -136,7 +136,7 @@
 #[test]
 fn a_lower_sequence_is_ignored() {
     let mut fleet = TestFleet::new(2, 1);
-    fleet.speak(&[1]);
+    fleet.report_entries(&[1]);
     let late = fleet.desks[1].digest_for(fleet.now, &vm_id(0));
     let mut leaving = entry_status(1, 1);
     leaving.leaving = true;
@@ -155,12 +155,12 @@
 #[test]
 fn dead_entries_and_machines_leave_the_lookups() {
     let mut fleet = TestFleet::new(2, 0);
-    fleet.speak(&[0, 1]);
+    fleet.report_entries(&[0, 1]);
     fleet.exchange(0, 1);
     assert_eq!(fleet.entries(0).len(), 2);
     for _ in 0..PEER_SILENCE.as_millis() / 1_000 {
         fleet.pass(TimeSpan::seconds(1));
-        fleet.speak(&[0]);
+        fleet.report_entries(&[0]);
     }
     fleet.tick();
     assert_eq!(fleet.entries(0).len(), 1, "the peer is silent");
@@ -171,7 +171,7 @@
 #[test]
 fn an_own_pause_is_no_silence_of_the_others() {
     let mut fleet = TestFleet::new(2, 0);
-    fleet.speak(&[0, 1]);
+    fleet.report_entries(&[0, 1]);
     fleet.exchange(0, 1);
     fleet.tick();
     fleet.advance(CUT_OFF_SILENCE + CUT_OFF_SILENCE);
@@ -184,21 +184,21 @@
 }
 
 #[test]
-fn a_machine_that_left_the_list_stays_out_when_it_wakes() {
+fn a_machine_removed_from_the_list_stays_out_when_it_resumes() {
     let mut fleet = TestFleet::new(2, 0);
-    fleet.speak(&[0, 1]);
+    fleet.report_entries(&[0, 1]);
     fleet.exchange(0, 1);
     fleet.list.remove("vm-1");
     fleet.desks[0].on_vms(fleet.now, &fleet.list.vms);
     assert_eq!(fleet.entries(0).len(), 1);
     fleet.pass(PEER_SILENCE + PEER_SILENCE);
-    fleet.speak(&[0, 1]);
+    fleet.report_entries(&[0, 1]);
     fleet.exchange(1, 0);
     assert_eq!(fleet.entries(0).len(), 1);
 }
 
 #[test]
-fn a_report_whose_first_copy_came_before_the_list_is_asked_for_again() {
+fn a_report_that_came_before_its_runner_was_listed_is_requested_again() {
     let mut fleet = TestFleet::new(2, 0);
     fleet.exchange(0, 1);
     fleet.list.add_runner(0);
@@ -244,7 +244,7 @@
 #[test]
 fn a_digest_holds_only_what_the_peer_has_not_acknowledged() {
     let mut fleet = TestFleet::new(2, 1);
-    fleet.speak(&[0]);
+    fleet.report_entries(&[0]);
     fleet.desks[0].on_report(fleet.now, report(0, 7, 1));
     fleet.exchange(0, 1);
     let quiet = fleet.desks[0].digest_for(fleet.now, &vm_id(1));
@@ -253,7 +253,7 @@
     let news = fleet.desks[0].digest_for(fleet.now, &vm_id(1));
     assert_eq!(news.reports.len(), 1);
     assert_eq!(news.reports[0].detail, None, "the detail went before");
-    // A peer that lost everything says so, and is told everything.
+    // A peer that lost everything acknowledges nothing, and gets everything.
     let mut forgot = fleet.desks[1].digest_for(fleet.now, &vm_id(0));
     forgot.seen = ChangeCursor::default();
     fleet.desks[0].on_digest(fleet.now, forgot);
@@ -290,9 +290,9 @@
 }
 
 #[test]
-fn news_that_was_acknowledged_but_lost_comes_with_the_next_reconcile() {
+fn a_record_that_was_acknowledged_but_lost_comes_with_the_next_reconcile() {
     let mut fleet = TestFleet::new(2, 0);
-    fleet.speak(&[0, 1]);
+    fleet.report_entries(&[0, 1]);
     fleet.exchange(0, 1);
     let mut leaving = entry_status(1, 1);
     leaving.leaving = true;
@@ -324,14 +324,14 @@
                     let polled = report(runner, incarnation, sequences[start][runner]);
                     fleet.desks[at].on_report(fleet.now, polled);
                 }
-                3 => fleet.speak(&[at]),
+                3 => fleet.report_entries(&[at]),
                 4 if rng.random_bool(0.05) => fleet.restart(at),
                 5 if rng.random_bool(0.05) => fleet.desks[at].on_leaving(&runner_id(runner), 0),
                 _ => fleet.exchange_lossy(at, rng.random_range(0..5), &mut rng),
             }
         }
-        fleet.speak(&[0, 1, 2, 3, 4]);
-        // The runners' newest starts report to one steward, and all exchange twice.
+        fleet.report_entries(&[0, 1, 2, 3, 4]);
+        // The runners' newest incarnations report to one steward, and all exchange twice.
         for runner in 0..6 {
             let newest = report(runner, 100 + runner as u64, 1);
             fleet.desks[0].on_report(fleet.now, newest);
--- a/crates/peers/tests/fleet/main.rs
+++ b/crates/peers/tests/fleet/main.rs
@@ -1,4 +1,4 @@
-//! The fleet as stewards see it, on virtual time and without sockets.
+//! Stewards' views of the fleet, on virtual time and without sockets.
 
 mod choice;
 mod desk;
--- a/crates/peers/tests/fleet/scale.rs
+++ b/crates/peers/tests/fleet/scale.rs
@@ -1,11 +1,11 @@
-//! A fleet too large for a mesh: everybody hears of everybody along bounded peers.
+//! A fleet too large for a mesh: records reach all machines along bounded peers.
 
 use crate::test_fleet::{TestFleet, entry_status, report, runner_id, vm_id};
 use base::prelude::*;
 use peers::{EntryRecord, NodeNews};
 
 const NODES: usize = 60;
-/// Rounds for news to reach everybody: the hops, and the silence before a death is told.
+/// Rounds for a record to reach all: the hops, and the silence before a peer counts as down.
 const ROUNDS: usize = 12;
 
 fn knows_all_but(entries: &[EntryRecord], missing: &[usize]) -> bool {
@@ -26,18 +26,18 @@
 }
 
 #[test]
-fn births_and_deaths_reach_everybody() {
+fn joins_and_failures_reach_all_machines() {
     let mut fleet = TestFleet::new(NODES, 0);
-    let born = rounds_until(&mut fleet, &[]);
+    let joined = rounds_until(&mut fleet, &[]);
     let dead = rounds_until(&mut fleet, &[7, 31]);
     let back = rounds_until(&mut fleet, &[]);
-    println!("{NODES} machines: born {born}, dead {dead}, back {back} rounds");
+    println!("{NODES} machines: joined {joined}, dead {dead}, back {back} rounds");
     let exchanges = fleet.round(&[]);
-    assert!(exchanges <= NODES * 8, "{exchanges} exchanges in a quiet round");
+    assert!(exchanges <= NODES * 8, "{exchanges} exchanges in an idle round");
 }
 
 #[test]
-fn a_quiet_fleet_passes_nothing_on() {
+fn an_idle_fleet_relays_nothing() {
     let mut fleet = TestFleet::new(NODES, 0);
     rounds_until(&mut fleet, &[]);
     fleet.rounds(ROUNDS);
@@ -49,10 +49,10 @@
 }
 
 #[test]
-fn a_machine_that_lives_refutes_that_it_is_down() {
+fn a_live_machine_refutes_that_it_is_down() {
     let mut fleet = TestFleet::new(NODES, 0);
     rounds_until(&mut fleet, &[]);
-    // A far machine hears that vm-5 is down, as some neighbour of vm-5 said wrongly.
+    // A machine that is no peer of vm-5 gets a wrong record that vm-5 is down.
     let far = (0..NODES)
         .find(|at| {
             fleet.desks[*at]
@@ -72,7 +72,7 @@
 }
 
 #[test]
-fn a_restart_replaces_the_start_that_far_machines_know() {
+fn a_restart_replaces_the_incarnation_that_far_machines_know() {
     let mut fleet = TestFleet::new(NODES, 0);
     rounds_until(&mut fleet, &[]);
     fleet.restart(3);
@@ -85,7 +85,7 @@
 }
 
 #[test]
-fn a_leaving_word_reaches_everybody() {
+fn a_leaving_mark_reaches_all_machines() {
     let mut fleet = TestFleet::new(NODES, 3);
     rounds_until(&mut fleet, &[]);
     fleet.desks[9].on_report(fleet.now, report(0, 7, 1));
@@ -108,7 +108,7 @@
         assert_eq!(polls(&fleet), vec![expected; 40]);
     }
     fleet.rounds(2);
-    assert_eq!(polls(&fleet), vec![2; 40], "the first owner's reports stay out");
+    assert_eq!(polls(&fleet), vec![2; 40], "the first owner's reports are missing");
 }
 
 fn polls(fleet: &TestFleet) -> Vec<usize> {
@@ -123,7 +123,7 @@
 }
 
 #[test]
-fn a_paused_machine_comes_back_to_everybody() {
+fn a_paused_machine_returns_to_all_views() {
     for paused in [0, 7, 31, 59] {
         let mut fleet = TestFleet::new(NODES, 0);
         rounds_until(&mut fleet, &[]);
--- a/crates/peers/tests/fleet/test_fleet.rs
+++ b/crates/peers/tests/fleet/test_fleet.rs
@@ -125,8 +125,8 @@
         self.desks.iter_mut().for_each(|desk| desk.on_vms(self.now, &self.list.vms));
     }
 
-    /// The entries of these machines speak to their stewards.
-    pub fn speak(&mut self, numbers: &[usize]) {
+    /// The entries of these machines report to their stewards.
+    pub fn report_entries(&mut self, numbers: &[usize]) {
         for &number in numbers {
             let status = entry_status(number, self.starts[number]);
             self.desks[number].on_entry(self.now, &status);
@@ -160,11 +160,11 @@
         self.desks[from].on_digest(self.now, reply);
     }
 
-    /// One period: every live machine's entry speaks, and its steward exchanges as it is due.
+    /// One period: every live machine's entry reports, and its steward exchanges as due.
     pub fn round(&mut self, dead: &[usize]) -> usize {
         self.advance(PERIOD);
         let live: Vec<usize> = (0..self.desks.len()).filter(|at| !dead.contains(at)).collect();
-        self.speak(&live);
+        self.report_entries(&live);
         for &at in &live {
             self.desks[at].tick(self.now);
         }
@@ -191,7 +191,7 @@
         }
     }
 
-    /// Rounds in which everybody lives.
+    /// Rounds in which all machines are live.
     pub fn rounds(&mut self, count: usize) {
         for _ in 0..count {
             self.round(&[]);
--- a/crates/peers/tests/transport.rs
+++ b/crates/peers/tests/transport.rs
@@ -1,4 +1,5 @@
-//! The transport between processes: who may speak, what was sent, restarts, limits, drain.
+//! The transport between processes: authentication, what may have run, restarts, limits,
+//! graceful stop.
 
 mod common;
 
@@ -112,7 +113,7 @@
 }
 
 #[test]
-fn what_was_not_sent_is_told_from_what_may_have_run() {
+fn what_was_not_sent_is_distinguished_from_what_may_have_run() {
     kernel::run(async {
         let authority = TestAuthority::new();
         let client = bind(&authority.own_keys()).await;
@@ -142,7 +143,7 @@
     .unwrap();
 }
 
-/// Counts requests and answers none.
+/// Counts requests and replies to none.
 fn serve_silence(server: &PeerEndpoint) -> Rc<Cell<u32>> {
     let calls = Rc::new(Cell::new(0));
     let (endpoint, seen) = (server.clone(), Rc::clone(&calls));
@@ -169,7 +170,7 @@
         let client = bind(&authority.own_keys()).await;
         client.call(link.address, PeerRequest::Dump, LIMIT).await.unwrap();
 
-        // The address now leads to another process, which knows no connection.
+        // The address now leads to another process, which has no connections.
         link.target.set(Some(new.address()));
         let clock = MonotonicClock::new();
         let error = client.call(link.address, PeerRequest::Dump, LIMIT).await.unwrap_err();
