--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -1,4 +1,4 @@
-//! The check of published files, alone and against each other, before they are sent.
+//! Validates the operators' files, alone and against each other, before they are published.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
@@ -11,10 +11,10 @@
 
 use crate::{FileKind, ParsedFile, ServiceFile, WorkspacesFile};
 
-/// How grave a fault is.
+/// Severity of a fault.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum FaultLevel {
-    /// Worth a look; the file can be published.
+    /// Possibly a mistake; the file can be published.
     Warning,
     /// The file must not be published.
     Error,
@@ -32,9 +32,9 @@
 /// One fault of a published file.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct FileFault {
-    /// How grave it is.
+    /// Its severity.
     pub level: FaultLevel,
-    /// Where it is, and what is wrong.
+    /// Its position, and what was found and expected.
     pub fault: SettingsDiagnostic,
 }
 
@@ -44,7 +44,7 @@
     }
 }
 
-/// A file that could be read, with its text for the lines of later faults.
+/// A file that could be parsed; its text gives the line numbers of later faults.
 struct CheckedFile<'a> {
     path: &'a str,
     text: &'a str,
@@ -61,7 +61,7 @@
     faults
 }
 
-/// A warning for each runner and machine that an override names and `vms` does not hold.
+/// A warning for each runner and machine that an override names but `vms` does not list.
 #[must_use]
 pub fn check_drains(files: &[(&str, &str)], vms: &[VmRecord]) -> Vec<FileFault> {
     let names = |role: VmRole| -> BTreeSet<&str> {
@@ -146,7 +146,7 @@
     }
 }
 
-/// Names of services and models stand in one file only.
+/// Each service and each model is defined in one file only.
 fn check_services(files: &[CheckedFile<'_>], faults: &mut Vec<FileFault>) {
     let mut services: BTreeMap<&str, &str> = BTreeMap::new();
     let mut models: BTreeMap<&str, &str> = BTreeMap::new();
@@ -167,7 +167,7 @@
     }
 }
 
-/// Services name known workspaces, and each key belongs to one workspace.
+/// Each workspace is defined once, each key belongs to one, and services name only those.
 fn check_workspaces(files: &[CheckedFile<'_>], faults: &mut Vec<FileFault>) {
     let mut known: BTreeMap<&str, &str> = BTreeMap::new();
     let mut hashes: BTreeMap<&str, &str> = BTreeMap::new();
@@ -176,7 +176,7 @@
         for (at, keys) in rules.iter().enumerate() {
             let name = keys.workspace.as_str();
             if let Some(other) = known.insert(name, file.path) {
-                let expected = format!("a workspace that does not stand in {other} before");
+                let expected = format!("a workspace that is not defined in {other}");
                 faults.push(file.error(&format!("workspaces[{at}].workspace"), name, &expected));
             }
             for (index, hash) in keys.key_hashes.iter().enumerate() {
--- a/crates/config/src/checkpoint.rs
+++ b/crates/config/src/checkpoint.rs
@@ -1,27 +1,27 @@
-//! When the whole state has to be written to the log again.
+//! When the log needs a new checkpoint.
 
 use base::{LogOffset, TimePoint, TimeSpan};
 
-/// Records after a checkpoint's state until the next one is due.
+/// Records after a checkpoint's state beyond which the next one is due.
 const MAX_RECORDS_BEHIND: u64 = 512;
-/// A checkpoint is renewed after this part of the log's retention.
+/// A checkpoint is renewed this often within the log's retention.
 const RENEWALS_PER_RETENTION: u64 = 4;
-/// Least retained records for which the place of the checkpoint among them counts.
+/// Fewest retained records for which the position of the checkpoint among them counts.
 const MIN_JUDGED_RECORDS: u64 = 8;
 
 /// The newest checkpoint that a reader has seen in the log.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct SeenCheckpoint {
-    /// Where it stands.
+    /// Offset of its record.
     pub offset: LogOffset,
     /// The last record that its state includes.
     pub as_of: LogOffset,
-    /// When it is to be renewed for its age alone.
+    /// When it is to be renewed because of its age alone.
     pub renewal: TimePoint,
 }
 
 impl SeenCheckpoint {
-    /// A checkpoint read now, of that age, in a log that keeps records for `retention`.
+    /// A checkpoint read at `read`, of that age, in a log that keeps records for `retention`.
     #[must_use]
     pub fn new(
         offset: LogOffset,
@@ -30,25 +30,25 @@
         age: TimeSpan,
         retention: TimeSpan,
     ) -> Self {
-        let life = TimeSpan(retention.0 / RENEWALS_PER_RETENTION);
-        // An age over the whole life means: at once.
-        Self { offset, as_of, renewal: read + TimeSpan(life.0.saturating_sub(age.0)) }
+        let interval = TimeSpan(retention.0 / RENEWALS_PER_RETENTION);
+        // Older than the renewal interval: it is due at once.
+        Self { offset, as_of, renewal: read + TimeSpan(interval.0.saturating_sub(age.0)) }
     }
 }
 
-/// How much a log needs a new checkpoint.
+/// How urgently a log needs a new checkpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum CheckpointNeed {
-    /// The newest one will do.
+    /// The newest one is sufficient.
     None,
-    /// It is old, or many records follow on it.
+    /// The newest one is old, or many records follow it.
     Routine,
-    /// There is none to start from, or it comes near the end that expires.
+    /// There is none to start from, or the newest one is about to expire.
     Urgent,
 }
 
-/// How much a log that retains records from `first` to before `next` needs a checkpoint
-/// beyond `newest`.
+/// How urgently a log that retains the records from `first` to before `next` needs a
+/// checkpoint newer than `newest`.
 #[must_use]
 pub fn checkpoint_need(
     now: TimePoint,
@@ -63,10 +63,10 @@
     let retained = next.0.saturating_sub(first.0);
     let behind = next.0.saturating_sub(newest.as_of.0);
     let margin = newest.as_of.0 + 1 - first.0;
-    let near_end = first.0 > 1
+    let expires_soon = first.0 > 1
         && retained >= MIN_JUDGED_RECORDS
         && margin.saturating_mul(RENEWALS_PER_RETENTION) < retained;
-    if near_end {
+    if expires_soon {
         CheckpointNeed::Urgent
     } else if now >= newest.renewal || behind > MAX_RECORDS_BEHIND {
         CheckpointNeed::Routine
--- a/crates/config/src/fold.rs
+++ b/crates/config/src/fold.rs
@@ -1,8 +1,8 @@
-//! What is in force: a pure fold over the records of the log.
+//! The configuration in force: a pure fold over the records of the log.
 //!
 //! A publish record is accepted if and only if each of its changes names the version
-//! that is in force. The rule never looks into a file, so that releases with different
-//! schemas fold alike, and races of operators end the same everywhere.
+//! that is in force. The fold never parses a file, so that releases with different schemas
+//! agree, and concurrent publishes have the same outcome everywhere.
 
 use std::collections::BTreeSet;
 use std::fmt;
@@ -16,10 +16,10 @@
     PublishRecord, RecordError, ResetRecord,
 };
 
-/// The file that a rejected reset is said to have been beaten on.
+/// Shown as the conflicting file of a rejected reset, which replaces all files.
 const ALL_FILES: &str = "(all files)";
 
-/// What became of a record.
+/// The outcome of a record.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub enum FoldOutcome {
     /// All changes of the record are in force.
@@ -29,7 +29,7 @@
         /// The first file whose base is not the version in force.
         file: Arc<str>,
         /// That version; 0 if the file is not there.
-        beaten_by: LogOffset,
+        current_version: LogOffset,
     },
     /// The record changes nothing.
     Ignored(IgnoredReason),
@@ -44,8 +44,8 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Accepted => f.write_str("accepted"),
-            Self::Rejected { file, beaten_by } => {
-                write!(f, "rejected: {file} is at version {beaten_by}")
+            Self::Rejected { file, current_version } => {
+                write!(f, "rejected: {file} is at version {current_version}")
             }
             Self::Ignored(reason) => write!(f, "ignored: {reason}"),
             Self::Stopped { wanted } => write!(f, "stopped: record {wanted} is missing"),
@@ -59,7 +59,7 @@
     /// It was folded before.
     #[error("folded before")]
     AlreadyFolded,
-    /// It is a checkpoint, and this reader has folded what it holds.
+    /// It is a checkpoint, whose state this reader has folded.
     #[error("a checkpoint")]
     Checkpoint,
     /// Its text is not a record known here.
@@ -73,7 +73,7 @@
     RepeatedFile,
 }
 
-/// A reader's position and state; clones share the state until one of them changes.
+/// A reader's offset and state; clones share the state until one of them changes.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Default)]
 pub struct ConfigFold {
     state: Arc<ConfigState>,
@@ -106,7 +106,7 @@
 
     /// Folds the record `text` at `offset`.
     pub fn apply(&mut self, offset: LogOffset, text: &str) -> FoldOutcome {
-        if let Some(outcome) = self.out_of_turn(offset) {
+        if let Some(outcome) = self.out_of_sequence(offset) {
             return outcome;
         }
         match ConfigRecord::decode(text) {
@@ -115,9 +115,9 @@
         }
     }
 
-    /// Folds a record that was read before.
+    /// Folds a record that has been decoded.
     pub fn apply_record(&mut self, offset: LogOffset, record: &ConfigRecord) -> FoldOutcome {
-        if let Some(outcome) = self.out_of_turn(offset) {
+        if let Some(outcome) = self.out_of_sequence(offset) {
             return outcome;
         }
         match record {
@@ -127,9 +127,9 @@
         }
     }
 
-    /// Starts from a checkpoint that stands at `offset` of a log that retains records
-    /// from `first` on. Done only if that moves this reader forward, and if every record
-    /// after the checkpoint's state is still there to be folded.
+    /// Starts from a checkpoint at `offset` of a log that retains the records from `first`
+    /// on. Done only if that moves this reader forward, and if every record after the
+    /// checkpoint's state is retained; says whether it was done.
     pub fn start_from(
         &mut self,
         checkpoint: &CheckpointRecord,
@@ -144,19 +144,19 @@
         usable
     }
 
-    /// Starts from a reset that stands at `offset`, without the records before it. Done
-    /// only if that moves this reader forward, and if the reset counts.
-    pub fn start_over(&mut self, reset: &ResetRecord, offset: LogOffset) -> bool {
-        let counts =
+    /// Starts from a reset at `offset`, without the records before it. Done only if that
+    /// moves this reader forward, and if the reset is accepted; says whether it was done.
+    pub fn start_from_reset(&mut self, reset: &ResetRecord, offset: LogOffset) -> bool {
+        let usable =
             offset > self.offset() && reset_outcome(offset, reset) == FoldOutcome::Accepted;
-        if counts {
+        if usable {
             self.state = Arc::new(reset_state(offset, reset));
         }
-        counts
+        usable
     }
 
-    /// Takes a later state from a peer. Done only if that moves this reader forward, and
-    /// if the change is complete for it.
+    /// Adopts a later state from a peer. Done only if that moves this reader forward, and
+    /// if the delta is complete for it; says whether it was done.
     pub fn adopt(&mut self, delta: &ConfigDelta) -> bool {
         let usable = delta.state.offset > self.offset() && delta.above <= self.offset();
         if usable {
@@ -165,7 +165,7 @@
         usable
     }
 
-    fn out_of_turn(&self, offset: LogOffset) -> Option<FoldOutcome> {
+    fn out_of_sequence(&self, offset: LogOffset) -> Option<FoldOutcome> {
         if offset <= self.offset() {
             return Some(FoldOutcome::Ignored(IgnoredReason::AlreadyFolded));
         }
@@ -195,12 +195,13 @@
         if paths.len() < publish.files.len() {
             return self.skip(offset, IgnoredReason::RepeatedFile);
         }
-        let beaten = publish.files.iter().find(|file| self.state.version(&file.path) != file.base);
+        let conflict =
+            publish.files.iter().find(|file| self.state.version(&file.path) != file.base);
         let state = Arc::make_mut(&mut self.state);
-        if let Some(file) = beaten {
-            let beaten_by = state.version(&file.path);
+        if let Some(file) = conflict {
+            let current_version = state.version(&file.path);
             state.set_offset(offset);
-            return FoldOutcome::Rejected { file: Arc::clone(&file.path), beaten_by };
+            return FoldOutcome::Rejected { file: Arc::clone(&file.path), current_version };
         }
         for file in &publish.files {
             let (path, author) = (Arc::clone(&file.path), Arc::clone(&publish.author));
@@ -219,7 +220,7 @@
     }
 }
 
-/// What becomes of a reset: it follows from its own text and place alone.
+/// The outcome of a reset, which depends on its content and offset alone.
 pub(crate) fn reset_outcome(offset: LogOffset, reset: &ResetRecord) -> FoldOutcome {
     let paths: BTreeSet<&str> = reset.files.iter().map(|file| &*file.path).collect();
     if reset.files.is_empty() {
@@ -227,8 +228,8 @@
     } else if paths.len() < reset.files.len() {
         FoldOutcome::Ignored(IgnoredReason::RepeatedFile)
     } else if reset.after.next() != offset {
-        let beaten_by = LogOffset(offset.0 - 1);
-        FoldOutcome::Rejected { file: Arc::from(ALL_FILES), beaten_by }
+        let current_version = LogOffset(offset.0 - 1);
+        FoldOutcome::Rejected { file: Arc::from(ALL_FILES), current_version }
     } else {
         FoldOutcome::Accepted
     }
--- a/crates/config/src/follower_event.rs
+++ b/crates/config/src/follower_event.rs
@@ -1,4 +1,4 @@
-//! What a [`ConfigFollower`](crate::ConfigFollower) is told, and what it asks for.
+//! Events and actions of a [`ConfigFollower`](crate::ConfigFollower).
 
 use std::sync::Arc;
 
@@ -11,13 +11,13 @@
 pub struct FollowerSettings {
     /// Seed of its jitter; different in every process.
     pub seed: u64,
-    /// The machine that it runs on.
+    /// The machine on which it runs.
     pub vm: VmId,
     /// How long the log keeps records.
     pub retention: TimeSpan,
 }
 
-/// A live steward, as the member list has it.
+/// A live steward of the member list.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct FollowerMember {
     /// Its machine.
@@ -26,45 +26,45 @@
     pub place: PlaceName,
 }
 
-/// What a follower is told.
+/// An event for a follower.
 #[derive(Debug, Clone, PartialEq)]
 pub enum FollowerEvent {
     /// Time has passed; due at [`next_wake`](crate::ConfigFollower::next_wake).
     Tick,
-    /// The answer to [`FollowerAction::Read`].
+    /// The result of [`FollowerAction::Read`].
     Page(LogPage),
-    /// The read failed or took too long.
+    /// The read failed or timed out.
     ReadFailed,
-    /// A peer's digest says that it has this accepted record.
+    /// A peer's digest carried this accepted offset.
     PeerOffset(LogOffset),
-    /// The answer to [`FollowerAction::AskPeers`]; none if it failed.
+    /// The result of [`FollowerAction::RequestDelta`]; none if it failed.
     PeerDelta(Option<Arc<ConfigDelta>>),
     /// All live stewards, this one included.
     Members(Vec<FollowerMember>),
-    /// The append of a checkpoint ended, well or not.
+    /// The append of a checkpoint ended, successfully or not.
     CheckpointEnded,
 }
 
-/// What a follower asks for.
+/// An action that a follower asks its process to carry out.
 #[derive(Debug, Clone, PartialEq)]
 pub enum FollowerAction {
     /// Read the stream `config`; one read at a time.
     Read {
         /// First record wanted.
         from: LogOffset,
-        /// How long the log may wait for a record.
+        /// Time for which the log may hold the read until there is a record.
         wait: TimeSpan,
         /// Most records wanted.
         max: usize,
     },
-    /// Ask one peer, if possible one that has more, for its
-    /// [`delta`](crate::ConfigState::delta) above this offset; one question at a time.
-    AskPeers {
+    /// Request the [`delta`](crate::ConfigState::delta) above this offset from one peer, if
+    /// possible one that has more; one request at a time.
+    RequestDelta {
         /// The offset that this process has folded.
         above: LogOffset,
     },
     /// Append this text to the stream `config`.
     WriteCheckpoint(Arc<str>),
-    /// The plan has changed; all of it up to this offset is in force here.
+    /// Announce that the plan changed; all of it up to this offset is in force here.
     InForce(LogOffset),
 }
--- a/crates/config/src/history.rs
+++ b/crates/config/src/history.rs
@@ -1,4 +1,4 @@
-//! Who published what when: the last publish records and what became of them.
+//! The history of publishes: the newest records of operators and their outcomes.
 
 use std::collections::VecDeque;
 use std::sync::Arc;
@@ -8,15 +8,15 @@
 
 use crate::{FoldOutcome, RecordHeading};
 
-/// Records that are remembered.
+/// Records that are kept.
 const MAX_ENTRIES: usize = 512;
-/// Paths of a record that are remembered.
+/// Paths of a record that are kept.
 const MAX_PATHS: usize = 16;
 
-/// One publish record and what became of it.
+/// One publish or reset record and its outcome.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct HistoryEntry {
-    /// Its place in the log.
+    /// Its offset in the log.
     pub offset: LogOffset,
     /// Its number.
     pub id: PublishId,
@@ -26,16 +26,16 @@
     pub note: Arc<str>,
     /// Files that it changes; only the first few.
     pub paths: Vec<Arc<str>>,
-    /// What became of it.
+    /// Its outcome.
     pub outcome: FoldOutcome,
     /// When it was appended.
     pub appended: TimePoint,
 }
 
-/// A history entry as it is shown.
+/// A history entry in the form that is shown.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 pub struct HistoryLine {
-    /// Its place in the log.
+    /// Its offset in the log.
     pub offset: LogOffset,
     /// Who published.
     pub author: Arc<str>,
@@ -49,15 +49,15 @@
     pub age_ms: u64,
 }
 
-/// A bounded list of the newest publish records, oldest first.
+/// A bounded list of the newest publish and reset records, oldest first.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct PublishHistory {
     entries: VecDeque<HistoryEntry>,
 }
 
 impl PublishHistory {
-    /// Adds a record that was appended `age` before `now`; the oldest makes room.
-    pub fn note(
+    /// Adds a record that was appended `age` before `now`; a full list drops its oldest.
+    pub fn push(
         &mut self,
         now: TimePoint,
         age: TimeSpan,
@@ -87,7 +87,7 @@
         self.entries.iter()
     }
 
-    /// The entries as they are shown, oldest first.
+    /// The entries in the form that is shown, oldest first.
     #[must_use]
     pub fn lines(&self, now: TimePoint) -> Vec<HistoryLine> {
         self.entries.iter().map(|entry| entry.line(now)).collect()
--- a/crates/config/src/key_hash.rs
+++ b/crates/config/src/key_hash.rs
@@ -5,7 +5,7 @@
 
 use sha2::{Digest, Sha256};
 
-/// SHA-256 of a key, in lower-case hexadecimal: what files and settings hold.
+/// SHA-256 of a key, in lower-case hexadecimal, as in files and settings.
 #[must_use]
 pub fn hash_key(key: &str) -> Arc<str> {
     let mut text = String::new();
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -1,4 +1,4 @@
-//! Published configuration: the operators' files, and what is in force.
+//! Published configuration: the operators' files, the log's records, and the plan in force.
 
 mod check;
 mod checkpoint;
--- a/crates/config/src/log_search.rs
+++ b/crates/config/src/log_search.rs
@@ -1,15 +1,15 @@
-//! The search for a record to start from, from the end of the log backwards.
+//! The search backwards from the log's end for a record to start from.
 
 use base::{LogOffset, LogPage, LogRecord, TimeSpan};
 
 use crate::ConfigRecord;
 
-/// Records of the first window; each further one is twice as long.
+/// Records of the first window; each further one has twice as many.
 const FIRST_WINDOW_RECORDS: u64 = 64;
 /// Most records of a window.
 const MAX_WINDOW_RECORDS: u64 = 1_000;
 
-/// A record found in the log that a reader can start from.
+/// A record of the log from which a reader can start.
 #[derive(Debug, Clone, PartialEq)]
 pub(crate) struct FoundStart {
     pub offset: LogOffset,
@@ -22,28 +22,28 @@
 /// A backward search in windows; each window is read forwards.
 #[derive(Debug, Clone, PartialEq)]
 pub(crate) struct LogSearch {
-    /// The search ends below this offset: the reader has folded what lies there.
+    /// The search ends at this offset: the reader has folded the records before it.
     floor: LogOffset,
-    /// Start of the present window.
+    /// Start of the current window.
     start: LogOffset,
-    /// End of the present window, not included.
+    /// End of the current window, not included.
     end: LogOffset,
-    /// Next record to read of the present window.
+    /// Next record to read in the current window.
     at: LogOffset,
     /// End of the whole range that is searched, not included.
     pub top: LogOffset,
-    /// The start of the window with the highest state.
+    /// The usable record of the current window with the latest state.
     best: Option<FoundStart>,
 }
 
-/// What comes next in a search.
+/// The next step of a search.
 #[derive(Debug, PartialEq)]
 pub(crate) enum SearchStep {
-    /// Read on.
+    /// Read again, as [`LogSearch::read`] says.
     More,
     /// The best record to start from.
     Found(Box<FoundStart>),
-    /// No record in the log to start from.
+    /// The log has no record to start from.
     Exhausted,
 }
 
@@ -60,7 +60,7 @@
         (self.at, self.end.0.saturating_sub(self.at.0).clamp(1, MAX_WINDOW_RECORDS) as usize)
     }
 
-    /// Takes the answer to the last read.
+    /// Applies the result of the last read.
     pub fn take(&mut self, page: &LogPage) -> SearchStep {
         self.floor = self.floor.max(page.first);
         let start = self.at;
@@ -92,8 +92,8 @@
     found.as_of.next() >= first
 }
 
-/// The start that `record` holds, if every record after its state is retained and it
-/// holds more than the records before `floor`.
+/// The start that `record` gives, if every record after its state is retained and its state
+/// includes at least the records before `floor`.
 pub(crate) fn usable_start(
     record: &LogRecord,
     first: LogOffset,
--- a/crates/config/src/parsed_file.rs
+++ b/crates/config/src/parsed_file.rs
@@ -1,4 +1,4 @@
-//! A published file, read by its kind.
+//! A published file, parsed by its kind.
 
 use std::fmt;
 use std::str::FromStr;
@@ -9,7 +9,7 @@
 
 use crate::{OverridesFile, ServiceFile, WorkspacesFile};
 
-/// Kind of a published file, by the end of its name.
+/// Kind of a published file, given by its name's suffix.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum FileKind {
     /// `*.service.jsonc`.
@@ -51,12 +51,12 @@
     Service(Arc<ServiceFile>),
     /// Workspaces and their keys.
     Workspaces(WorkspacesFile),
-    /// What a shift decides by hand.
+    /// Manual overrides by operators.
     Overrides(OverridesFile),
 }
 
 impl ParsedFile {
-    /// Reads the file of that kind.
+    /// Parses the file as that kind.
     ///
     /// # Errors
     /// [`SettingsError`] with every fault of the file.
--- a/crates/config/src/plan.rs
+++ b/crates/config/src/plan.rs
@@ -1,4 +1,4 @@
-//! What is in force, resolved for use by the other services.
+//! The configuration in force, resolved for use by the other services.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -15,7 +15,7 @@
 }
 
 impl ServicePlan {
-    /// What `workspace` may do; none if it may not use the service.
+    /// The rule for `workspace`; none if it may not use the service.
     #[must_use]
     pub fn workspace(&self, workspace: &WorkspaceId) -> Option<&WorkspaceRule> {
         self.file.workspaces.iter().find(|rule| rule.workspace == *workspace)
@@ -51,10 +51,10 @@
     /// Offset of the last accepted log record that it includes; two plans with the same
     /// offset are the same.
     pub offset: LogOffset,
-    /// Up to here every accepted file is used as it was published; below `offset` if a
-    /// file is unusable. This is what a process may claim to have in force.
+    /// Up to here every accepted file is used as published; lower than `offset` if a file
+    /// is unusable. A process reports this offset as in force.
     pub in_force: LogOffset,
-    /// Files that are not used as they were published.
+    /// Files that are not used as published.
     pub unusable: Vec<UnusableFile>,
     /// Services by name.
     pub services: BTreeMap<ServiceName, ServicePlan>,
@@ -62,12 +62,12 @@
     pub keys: BTreeMap<Arc<str>, WorkspaceId>,
     /// Runners that get no new work.
     pub drained: BTreeSet<RunnerId>,
-    /// Entry VMs that leave the lookups.
+    /// Entry VMs that are taken out of the lookups.
     pub drained_vms: BTreeSet<VmId>,
 }
 
 impl ConfigPlan {
-    /// Puts checked files together. Of two files for one service the first counts.
+    /// Combines checked files. Of two files for one service the first one is used.
     #[must_use]
     pub fn new(
         offset: LogOffset,
--- a/crates/config/src/reader_role.rs
+++ b/crates/config/src/reader_role.rs
@@ -1,4 +1,4 @@
-//! Which stewards read the log, and who of them writes checkpoints first.
+//! Chooses the stewards that read the log, and the order in which they write checkpoints.
 
 use std::collections::BTreeMap;
 
@@ -6,23 +6,23 @@
 
 use crate::FollowerMember;
 
-/// Stewards of a failure domain that read the log.
+/// Stewards of each failure domain that read the log.
 const READERS_PER_PLACE: usize = 3;
 
-/// The part of one steward in following the log.
+/// One steward's role in following the log.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct ReaderRole {
     /// It reads the log.
     pub is_reader: bool,
-    /// Its place, from 0, in the order in which readers write a checkpoint.
+    /// Its rank, from 0, in the order in which readers write a checkpoint.
     pub rank: usize,
 }
 
 impl ReaderRole {
-    /// The part of a steward that knows of no others.
-    pub const ALONE: Self = Self { is_reader: true, rank: 0 };
+    /// The role of a steward that knows no others.
+    pub const WITHOUT_PEERS: Self = Self { is_reader: true, rank: 0 };
 
-    /// The part of `own` among `members`: the same in every steward with the same list.
+    /// The role of `own` among `members`, computed alike by every steward with the same list.
     pub fn choose(own: &VmId, members: &[FollowerMember]) -> Self {
         if !members.iter().any(|member| member.vm == *own) {
             return Self { is_reader: true, rank: members.len() };
@@ -31,11 +31,11 @@
         for member in members {
             places.entry(&member.place).or_default().push(member.vm.as_str());
         }
-        let choose = |vms: Vec<&'_ str>| {
+        let choose_readers = |vms: Vec<&'_ str>| {
             let order = rendezvous_order("config-reader", vms.into_iter());
             order.into_iter().take(READERS_PER_PLACE).map(str::to_owned).collect::<Vec<_>>()
         };
-        let readers: Vec<String> = places.into_values().flat_map(choose).collect();
+        let readers: Vec<String> = places.into_values().flat_map(choose_readers).collect();
         let order = rendezvous_order("checkpoint-writer", readers.iter().map(String::as_str));
         let rank = order.iter().position(|vm| *vm == own.as_str());
         Self { is_reader: rank.is_some(), rank: rank.unwrap_or(order.len()) }
--- a/crates/config/src/record.rs
+++ b/crates/config/src/record.rs
@@ -1,7 +1,7 @@
 //! Records of the log's configuration stream, in a versioned envelope.
 //!
-//! What a version means never changes: a new meaning is a new version, and a version is
-//! written only after every process that folds the stream can read it.
+//! The meaning of a version never changes: a new meaning gets a new version, and a version
+//! is written only once every process that folds the stream can read it.
 
 use std::sync::Arc;
 
@@ -50,10 +50,10 @@
     pub text: Arc<str>,
 }
 
-/// A new beginning by an operator: these files and no others, whatever was in force.
+/// An operator's reset to these files and no others, whatever was in force.
 ///
-/// For the case that what was in force can no longer be told, since its records have
-/// expired. It depends on no earlier record, so that every reader can start from it.
+/// It is used when the configuration in force can no longer be determined, because its
+/// records have expired. It depends on no earlier record, so every reader can start from it.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ResetRecord {
@@ -63,13 +63,13 @@
     pub author: Arc<str>,
     /// A note for the next shift.
     pub note: Arc<str>,
-    /// The newest record that the operator saw; the reset counts only as the next one.
+    /// The newest record that the operator saw; the reset is accepted only as the next one.
     pub after: LogOffset,
     /// All files; each path once.
     pub files: Vec<ResetFile>,
 }
 
-/// What the history tells of a record.
+/// The part of an operator's record that the history keeps.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RecordHeading {
     /// Its number.
@@ -78,11 +78,11 @@
     pub author: Arc<str>,
     /// The note for the next shift.
     pub note: Arc<str>,
-    /// Files that it gives or changes.
+    /// Files that it sets, changes or removes.
     pub paths: Vec<Arc<str>>,
 }
 
-/// The whole configuration as of an offset, to start from when older records are gone.
+/// The whole configuration as of an offset, to start from when older records have expired.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct CheckpointRecord {
@@ -98,11 +98,11 @@
     Publish(PublishRecord),
     /// The whole state.
     Checkpoint(CheckpointRecord),
-    /// A new beginning.
+    /// A reset.
     Reset(ResetRecord),
 }
 
-/// A text that is not a record of a version known here; every reader ignores it.
+/// Why a text is not a record of the version known here; every reader ignores it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Error)]
 pub enum RecordError {
     /// Not a record at all.
@@ -126,7 +126,7 @@
 }
 
 impl ConfigRecord {
-    /// What the history tells of an operator's record; none for checkpoints.
+    /// The heading of an operator's record; none for checkpoints.
     #[must_use]
     pub fn heading(&self) -> Option<RecordHeading> {
         let (id, author, note, paths) = match self {
@@ -153,7 +153,7 @@
         Arc::from(serde_json::to_string(&envelope).expect("records have a JSON form"))
     }
 
-    /// Reads a record's text.
+    /// Decodes a record's text.
     ///
     /// # Errors
     /// [`RecordError`], the same in every reader of this version.
--- a/crates/config/src/schema.rs
+++ b/crates/config/src/schema.rs
@@ -1,4 +1,4 @@
-//! The operators' files as documents that are checked field by field.
+//! Defaults, examples and checks of the operators' files, field by field.
 
 use serde_json::{Value, json};
 use settings::{FieldCheck, SettingsSchema};
--- a/crates/config/src/service_file.rs
+++ b/crates/config/src/service_file.rs
@@ -1,30 +1,30 @@
-//! The operators' files, as they are written.
+//! The format of the operators' files.
 
 use base::prelude::*;
 use serde::{Deserialize, Serialize};
 
-/// What kind of target serves a service.
+/// Kind of the runners that serve a service.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum ServiceKind {
     /// Model engines: generations of unknown length.
     Model,
-    /// Plain request and answer.
+    /// Plain services: one request, one response.
     Plain,
 }
 
-/// How urgent a workspace's calls are; the order is from most to least urgent.
+/// Priority of a workspace's calls, from the most to the least urgent.
 #[derive(
     Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
 )]
 #[serde(rename_all = "snake_case")]
 pub enum CallPriority {
-    /// Short, and somebody waits for it.
+    /// Interactive: short, and a person waits for the result.
     Urgent,
-    /// The common case.
+    /// The default.
     #[default]
     Normal,
-    /// May be late, but has to arrive.
+    /// May be late, but must complete.
     LateTolerant,
 }
 
@@ -42,7 +42,7 @@
     pub runners: u32,
 }
 
-/// What a workspace may do with a service.
+/// A workspace's access to a service.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct WorkspaceRule {
@@ -51,7 +51,7 @@
     /// Its share under contention, relative to the other workspaces; at least 1.
     #[serde(default = "default_share")]
     pub share: u32,
-    /// Priority of calls that name none.
+    /// Priority of calls that do not set one.
     #[serde(default)]
     pub priority: CallPriority,
 }
@@ -64,18 +64,18 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct CallRule {
-    /// Start of the path, such as `/bookings`.
+    /// Prefix of the path, such as `/bookings`.
     pub path: Arc<str>,
     /// HTTP method, or `*`.
     pub method: Arc<str>,
-    /// Whether the call may be sent again when its outcome is unknown.
+    /// Whether the call is idempotent: it may be sent again when its outcome is unknown.
     pub repeatable: bool,
-    /// Status by which the target says that it did not run the call; 0: none.
+    /// HTTP status with which the runner reports that it did not run the call; 0: none.
     #[serde(default)]
     pub not_run_status: u16,
 }
 
-/// How the users weigh what the policy trades; only the ratios matter.
+/// Weights of the goals that the policy trades off; only their ratios matter.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct PolicyWeights {
@@ -100,26 +100,26 @@
     }
 }
 
-/// `*.service.jsonc`: one service, written beside its code.
+/// `*.service.jsonc`: one service, kept beside its code.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ServiceFile {
     /// Its name: unique over all files.
     pub service: ServiceName,
-    /// Its kind of target.
+    /// Its kind of runner.
     pub kind: ServiceKind,
     /// Its models; empty for plain services.
     #[serde(default)]
     pub models: Vec<ModelRule>,
-    /// Who may use it.
+    /// Workspaces that may use it.
     pub workspaces: Vec<WorkspaceRule>,
     /// Its calls; empty for model services.
     #[serde(default)]
     pub calls: Vec<CallRule>,
-    /// What its users weigh.
+    /// Its users' weights.
     #[serde(default)]
     pub weights: PolicyWeights,
-    /// Its runners refuse an order with an old fencing number.
+    /// Its runners reject an order with an old fencing number.
     #[serde(default)]
     pub checks_fencing: bool,
 }
@@ -142,14 +142,14 @@
     pub workspaces: Vec<WorkspaceKeys>,
 }
 
-/// `*.overrides.jsonc`: what a shift decides by hand.
+/// `*.overrides.jsonc`: manual overrides by operators.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct OverridesFile {
     /// Runners that get no new work.
     #[serde(default)]
     pub drain: Vec<RunnerId>,
-    /// Entry VMs that leave the lookups.
+    /// Entry VMs that are taken out of the lookups.
     #[serde(default)]
     pub drain_vms: Vec<VmId>,
 }
--- a/crates/config/src/state.rs
+++ b/crates/config/src/state.rs
@@ -6,8 +6,8 @@
 use base::LogOffset;
 use serde::{Deserialize, Serialize};
 
-/// Records for which a removed file's version is remembered, so that a late duplicate of
-/// the record that created the file cannot bring it back.
+/// Records for which a removed file's version is kept, so that a late duplicate of the record
+/// that created the file cannot restore it.
 const REMOVED_MEMORY_RECORDS: u64 = 65_536;
 
 /// A file in force.
@@ -40,7 +40,7 @@
     pub offset: LogOffset,
     /// The last record that was accepted; 0 before the first.
     pub accepted: LogOffset,
-    /// The last reset that was accepted; 0 if there was none. No delta reaches over it.
+    /// The last reset that was accepted; 0 if there was none. No delta starts before it.
     pub reset: LogOffset,
     /// Files by path.
     pub files: BTreeMap<Arc<str>, FileVersion>,
@@ -48,18 +48,18 @@
     pub removed: BTreeMap<Arc<str>, FileRemoval>,
 }
 
-/// What changed after an offset; the whole state if `above` is 0.
+/// The changes after an offset; the whole state if `above` is 0.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct ConfigDelta {
-    /// The change is complete for a reader that has folded this offset or a later one.
+    /// The delta is complete for a reader that has folded this offset or a later one.
     pub above: LogOffset,
-    /// The state after the change; it holds only files whose version is over `above`.
+    /// The state after the changes, with only the files whose version is above `above`.
     pub state: ConfigState,
 }
 
 impl ConfigState {
-    /// The version that a change of `path` must name as its base; 0 for a file that is
-    /// not there.
+    /// The version that a change of `path` must name as its base; 0 for a file that does
+    /// not exist and was not removed recently.
     #[must_use]
     pub fn version(&self, path: &str) -> LogOffset {
         let live = self.files.get(path).map(|file| file.version);
@@ -73,8 +73,8 @@
         live.or_else(|| self.removed.get(path).map(|file| &file.author))
     }
 
-    /// What a reader needs that has folded `above`: only what changed, unless there was a
-    /// reset since or it is so far behind that removals may be forgotten.
+    /// The delta for a reader that has folded `above`: only the changes, or the whole state
+    /// if there was a reset since or removals may have been dropped meanwhile.
     #[must_use]
     pub fn delta(&self, above: LogOffset) -> ConfigDelta {
         let too_far = above.0 + REMOVED_MEMORY_RECORDS < self.offset.0;
@@ -113,7 +113,7 @@
         self.set_offset(delta.state.offset);
     }
 
-    /// Moves to `offset`, and forgets removals that lie too far back.
+    /// Moves to `offset`, and drops removals that are too old.
     pub(crate) fn set_offset(&mut self, offset: LogOffset) {
         self.offset = offset;
         let oldest = offset.0.saturating_sub(REMOVED_MEMORY_RECORDS);
--- a/crates/config/tests/common/mod.rs
+++ b/crates/config/tests/common/mod.rs
@@ -31,7 +31,7 @@
         LogOffset(self.texts.len() as u64)
     }
 
-    /// Forgets all records before `offset`.
+    /// Expires all records before `offset`.
     pub fn trim(&mut self, offset: LogOffset) {
         self.first = offset.0 as usize - 1;
     }
@@ -53,7 +53,7 @@
     }
 }
 
-/// One follower and its open read.
+/// One follower and its read in flight.
 pub struct BenchNode {
     pub follower: ConfigFollower,
     pub alive: bool,
@@ -63,14 +63,14 @@
     poll: Option<(LogOffset, usize, TimePoint)>,
 }
 
-/// Followers, a log, and the events to come.
+/// Followers, a log, and the pending events.
 #[derive(Default)]
 pub struct Bench {
     pub now: TimePoint,
     pub log: BenchLog,
     pub nodes: Vec<BenchNode>,
-    /// Digests reach peers.
-    pub peers_talk: bool,
+    /// Digests and deltas reach peers.
+    pub peers_connected: bool,
     truth: RefCell<ConfigFold>,
     events: BTreeMap<(TimePoint, u64), (usize, FollowerEvent)>,
     count: u64,
@@ -78,7 +78,7 @@
 
 impl Bench {
     pub fn new(nodes: usize, places: usize) -> Self {
-        let mut bench = Self { peers_talk: true, ..Self::default() };
+        let mut bench = Self { peers_connected: true, ..Self::default() };
         for _ in 0..nodes {
             bench.add_node();
         }
@@ -163,7 +163,7 @@
                     self.feed(node, FollowerEvent::Tick);
                 }
             }
-            if self.peers_talk && self.now.0.is_multiple_of(TimeSpan::millis(500).0) {
+            if self.peers_connected && self.now.0.is_multiple_of(TimeSpan::millis(500).0) {
                 self.send_digests();
             }
         }
@@ -198,12 +198,12 @@
                 self.nodes[node].reads += 1;
                 self.nodes[node].poll = Some((from, max, self.now + wait));
             }
-            FollowerAction::AskPeers { above } => {
+            FollowerAction::RequestDelta { above } => {
                 let peers =
                     self.nodes.iter().enumerate().filter(|(at, peer)| *at != node && peer.alive);
                 let best = peers.max_by_key(|(_, peer)| peer.follower.state().offset);
                 let delta = best
-                    .filter(|_| self.peers_talk)
+                    .filter(|_| self.peers_connected)
                     .map(|(_, peer)| Arc::new(peer.follower.state().delta(above)));
                 self.later(EXCHANGE, node, FollowerEvent::PeerDelta(delta));
             }
--- a/crates/config/tests/fold_laws.rs
+++ b/crates/config/tests/fold_laws.rs
@@ -1,4 +1,4 @@
-//! Laws of the fold, over random logs with fixed seeds.
+//! Properties of the fold, over random logs with fixed seeds.
 
 use std::sync::Arc;
 
@@ -19,7 +19,7 @@
     Publish(Vec<(usize, u64, bool)>),
     /// The true state as of so many records ago.
     Checkpoint(u64),
-    /// A new beginning that saw the record so many records ago as the newest.
+    /// A reset whose operator saw the record so many records ago as the newest.
     Reset(u64),
     Junk(u8),
 }
@@ -125,13 +125,13 @@
     }
 
     #[test]
-    fn readers_from_any_reset_that_counts_agree(steps in prop::collection::vec(step(), 1..40)) {
+    fn readers_from_any_accepted_reset_agree(steps in prop::collection::vec(step(), 1..40)) {
         let (texts, states) = build(&steps);
         for (at, text) in texts.iter().enumerate() {
             let Ok(ConfigRecord::Reset(reset)) = ConfigRecord::decode(text) else { continue };
             let offset = LogOffset(at as u64 + 1);
             let mut fold = ConfigFold::new();
-            let started = fold.start_over(&reset, offset);
+            let started = fold.start_from_reset(&reset, offset);
             prop_assert_eq!(started, reset.after.next() == offset);
             if started {
                 prop_assert_eq!(fold.state(), &states[at + 1]);
@@ -151,7 +151,7 @@
             let pick = (random >> 33) as usize % texts.len();
             let before = fold.clone();
             match random >> 61 {
-                // A stale checkpoint of a paused writer, wherever it lands.
+                // A stale checkpoint of a paused writer, at any offset.
                 0 | 1 => {
                     let state = (*states[pick]).clone();
                     let checkpoint = CheckpointRecord { state };
@@ -205,7 +205,7 @@
             let offset = fold.next();
             match fold.apply_record(offset, &ConfigRecord::Publish(record)) {
                 FoldOutcome::Accepted => winners[*path] += 1,
-                FoldOutcome::Rejected { beaten_by, .. } => prop_assert!(beaten_by < offset),
+                FoldOutcome::Rejected { current_version, .. } => prop_assert!(current_version < offset),
                 other => prop_assert!(false, "{other:?}"),
             }
         }
@@ -216,7 +216,7 @@
 }
 
 #[test]
-fn a_late_duplicate_cannot_bring_a_removed_file_back() {
+fn a_late_duplicate_cannot_restore_a_removed_file() {
     let steps = [Step::Publish(vec![(0, 0, true)]), Step::Publish(vec![(0, 0, false)])];
     let (mut texts, _) = build(&steps);
     texts.push(Arc::clone(&texts[0]));
@@ -224,7 +224,7 @@
     read_on(&mut fold, &texts[..2]);
     let outcome = fold.apply(LogOffset(3), &texts[2]);
     assert!(
-        matches!(outcome, FoldOutcome::Rejected { beaten_by: LogOffset(2), .. }),
+        matches!(outcome, FoldOutcome::Rejected { current_version: LogOffset(2), .. }),
         "{outcome:?}"
     );
     assert!(fold.state().files.is_empty());
--- a/crates/config/tests/follower.rs
+++ b/crates/config/tests/follower.rs
@@ -14,7 +14,7 @@
     format!(r#"{{ "drain": ["runner-{runner}"] }}"#)
 }
 
-/// Every live follower has the true files in force.
+/// Every live follower has the log's newest files in force.
 fn assert_all_agree(bench: &Bench) {
     let truth = bench.truth();
     for (at, node) in bench.nodes.iter().enumerate().filter(|(_, node)| node.alive) {
@@ -39,7 +39,7 @@
 }
 
 #[test]
-fn a_quiet_log_is_not_polled_hard() {
+fn an_idle_log_is_polled_rarely() {
     let mut bench = Bench::new(10, 2);
     bench.publish(OVERRIDES, &drain(1));
     bench.run(TimeSpan::seconds(300));
@@ -52,7 +52,7 @@
 }
 
 #[test]
-fn in_an_outage_of_the_log_a_fresh_vm_takes_the_state_of_peers() {
+fn in_an_outage_of_the_log_a_fresh_vm_adopts_the_state_of_peers() {
     let mut bench = Bench::new(3, 1);
     bench.publish(OVERRIDES, &drain(1));
     bench.run(TimeSpan::seconds(20));
@@ -102,11 +102,11 @@
 }
 
 #[test]
-fn a_gap_without_checkpoint_stops_the_reader_until_a_peer_helps() {
+fn a_gap_without_checkpoint_stops_the_reader_until_a_peer_has_the_state() {
     let mut bench = Bench::new(2, 1);
     bench.publish(OVERRIDES, &drain(1));
     bench.run(TimeSpan::seconds(1));
-    bench.peers_talk = false;
+    bench.peers_connected = false;
     bench.nodes[1].alive = false;
     for runner in 2..20 {
         bench.publish(OVERRIDES, &drain(runner));
@@ -117,21 +117,21 @@
     let fresh = bench.add_node();
     bench.nodes[0].alive = false;
     bench.run(TimeSpan::seconds(3));
-    // The fresh one has nothing, the old one keeps what it had.
+    // The fresh follower has nothing, the old one keeps its state.
     assert!(bench.nodes[fresh].follower.has_gap());
     assert!(!bench.nodes[fresh].follower.is_ready());
     assert!(bench.nodes[1].follower.state().offset < ahead.offset);
     bench.nodes[0].alive = true;
     let delta = ahead.delta(LogOffset(0));
     bench.feed(0, config::FollowerEvent::PeerDelta(Some(Arc::new(delta))));
-    bench.peers_talk = true;
+    bench.peers_connected = true;
     bench.run(TimeSpan::seconds(20));
     assert_all_agree(&bench);
     assert!(!bench.nodes[fresh].follower.has_gap());
 }
 
 #[test]
-fn a_stale_checkpoint_does_no_harm() {
+fn a_stale_checkpoint_changes_nothing() {
     let mut bench = Bench::new(1, 1);
     for runner in 0..10 {
         bench.publish(OVERRIDES, &drain(runner));
@@ -141,7 +141,7 @@
         bench.publish(OVERRIDES, &drain(runner));
     }
     bench.run(TimeSpan::seconds(5));
-    // A writer that was paused since record 10 wakes up.
+    // A writer that was paused since record 10 resumes.
     bench.log.append(bench.now, stale.encode());
     bench.publish(OVERRIDES, &drain(20));
     bench.run(TimeSpan::seconds(2));
@@ -170,7 +170,7 @@
 }
 
 #[test]
-fn checkpoints_keep_ahead_of_the_retention() {
+fn checkpoints_are_renewed_before_they_expire() {
     let mut bench = Bench::new(5, 1);
     let mut written = 0;
     for runner in 0..1_000 {
@@ -192,7 +192,7 @@
 }
 
 #[test]
-fn where_everything_has_expired_a_reset_begins_anew() {
+fn where_all_records_have_expired_a_reset_starts_over() {
     let mut bench = Bench::new(0, 1);
     for runner in 0..10 {
         bench.publish(OVERRIDES, &drain(runner));
@@ -211,7 +211,7 @@
             files: vec![file],
         })
     };
-    // Two operators at once: the second one saw the same end of the log.
+    // Of two concurrent resets that saw the same end of the log, the first is accepted.
     for (after, runner) in [(9, 1), (11, 2), (11, 3)] {
         bench.log.append(bench.now, reset(after, runner).encode());
     }
@@ -226,7 +226,7 @@
 }
 
 #[test]
-fn a_page_too_long_for_an_exchange_is_asked_for_in_parts() {
+fn a_page_too_long_for_an_exchange_is_requested_in_parts() {
     let mut bench = Bench::new(0, 1);
     bench.log.max_page_bytes = 20_000;
     for runner in 0..300 {
@@ -249,15 +249,15 @@
     assert_eq!(plan.unusable[0].serving, Some(good));
     assert!(plan.unusable[0].reason.contains("did you mean drain?"), "{:?}", plan.unusable);
     assert!(plan.drained.contains(&"runner-1".parse().unwrap()));
-    let mended = bench.publish(OVERRIDES, &drain(2));
+    let repaired = bench.publish(OVERRIDES, &drain(2));
     bench.run(TimeSpan::seconds(1));
     let plan = bench.nodes[0].follower.plan();
-    assert_eq!((plan.offset, plan.in_force), (mended, mended));
+    assert_eq!((plan.offset, plan.in_force), (repaired, repaired));
     assert!(plan.unusable.is_empty());
 }
 
 #[test]
-fn of_two_files_for_one_service_the_first_counts() {
+fn of_two_files_for_one_service_the_first_is_used() {
     let mut bench = Bench::new(1, 1);
     let service = |share: u32| {
         format!(
@@ -273,8 +273,8 @@
     assert_eq!((plan.services.len(), share), (1, 1));
     assert_eq!((plan.offset, plan.in_force), (second, first));
     assert_eq!(&*plan.unusable[0].path, "b.service.jsonc");
-    let mended = bench.publish("b.service.jsonc", &service(2).replace("\"s\"", "\"t\""));
+    let repaired = bench.publish("b.service.jsonc", &service(2).replace("\"s\"", "\"t\""));
     bench.run(TimeSpan::seconds(1));
     let plan = bench.nodes[0].follower.plan();
-    assert_eq!((plan.services.len(), plan.in_force), (2, mended));
+    assert_eq!((plan.services.len(), plan.in_force), (2, repaired));
 }
--- a/crates/steward/src/config_service.rs
+++ b/crates/steward/src/config_service.rs
@@ -139,7 +139,7 @@
                 let page = self.client.read(CONFIG_STREAM, from, wait, max).await;
                 read_event(context, page)
             }
-            FollowerAction::AskPeers { above } => {
+            FollowerAction::RequestDelta { above } => {
                 FollowerEvent::PeerDelta(ask_peer(context, above).await)
             }
             FollowerAction::WriteCheckpoint(text) => {
--- a/crates/yard/src/command/publish.rs
+++ b/crates/yard/src/command/publish.rs
@@ -216,15 +216,16 @@
                 self.say(&format!("accepted at offset {offset}"));
                 self.wait(offset, report).await
             }
-            PublishOutcome::Rejected { offset, file, beaten_by, author } => {
+            PublishOutcome::Rejected { offset, file, current_version, author } => {
                 report.result = "rejected";
                 report.offset = Some(offset);
                 self.say(&format!(
-                    "rejected at offset {offset}: {file} is at version {beaten_by}, published by \
+                    "rejected at offset {offset}: {file} is at version {current_version}, published by \
                      {author}; nothing of this publish is in force. Look at that version, then \
                      publish again"
                 ));
-                report.rejected_by = Some(RejectionReport { file, version: beaten_by, author });
+                report.rejected_by =
+                    Some(RejectionReport { file, version: current_version, author });
                 ExitStatus::Rejected
             }
             PublishOutcome::NotAppended(reason) => {
--- a/crates/yard/src/config_reader.rs
+++ b/crates/yard/src/config_reader.rs
@@ -115,7 +115,7 @@
                 match action {
                     FollowerAction::Read { from, max, .. } => self.pending = Some((from, max)),
                     // It has no peers, and writes nothing but publish records.
-                    FollowerAction::AskPeers { .. } => {
+                    FollowerAction::RequestDelta { .. } => {
                         events.push(FollowerEvent::PeerDelta(None));
                     }
                     FollowerAction::WriteCheckpoint(_) => {
--- a/crates/yard/src/publisher.rs
+++ b/crates/yard/src/publisher.rs
@@ -28,7 +28,7 @@
         /// The file that had another version.
         file: Arc<str>,
         /// That version; 0 if the file is not there.
-        beaten_by: LogOffset,
+        current_version: LogOffset,
         /// Who published that version.
         author: Arc<str>,
     },
@@ -145,15 +145,15 @@
     let entry = reader.find(id)?;
     match &entry.outcome {
         FoldOutcome::Accepted => Some(PublishOutcome::Accepted(entry.offset)),
-        FoldOutcome::Rejected { file, beaten_by } => {
+        FoldOutcome::Rejected { file, current_version } => {
             let known = reader.follower().history().entries();
-            let beater =
-                known.filter(|other| other.offset == *beaten_by).map(|it| &it.author).next();
-            let author = beater.or_else(|| before.author(file));
+            let publisher =
+                known.filter(|other| other.offset == *current_version).map(|it| &it.author).next();
+            let author = publisher.or_else(|| before.author(file));
             Some(PublishOutcome::Rejected {
                 offset: entry.offset,
                 file: Arc::clone(file),
-                beaten_by: *beaten_by,
+                current_version: *current_version,
                 author: author.map_or_else(|| Arc::from("unknown"), Arc::clone),
             })
         }
