Read crates/steward whole: plain terms, the order controller's inputs apart

Names: ChangeBell -> ChangeNotifier (ring -> notify, rings -> count), StewardContext::look and change -> read_fleet and update_fleet, told -> peer_offset, ask_peer -> request_delta, tell_fleet and tell_plan -> OrderInputs in a module of its own, without I/O. The order of the events to the controller is the same: members, runners, reports, plan. Kept: texts and fields of log lines, metrics, keys of the dump.

--- a/crates/steward/src/arguments.rs
+++ b/crates/steward/src/arguments.rs
@@ -5,7 +5,7 @@
 use argh::FromArgs;
 
 /// The steward of one machine: follows the platform, its peers and its share of the
-/// runners, and tells the machine's entries.
+/// runners, and informs the machine's entries.
 #[derive(Debug, FromArgs)]
 pub struct StewardArguments {
     /// settings file, JSON with comments
--- a/crates/steward/src/change_bell.rs
+++ b/crates/steward/src/change_notifier.rs
@@ -1,4 +1,4 @@
-//! Wakes all who wait for a change of the fleet's state.
+//! Notifies waiting tasks of changes of the fleet's state.
 
 use std::cell::{Cell, RefCell};
 use std::future::poll_fn;
@@ -6,30 +6,31 @@
 
 /// Counts changes; tasks wait for the next one.
 #[derive(Default)]
-pub struct ChangeBell {
-    rings: Cell<u64>,
+pub struct ChangeNotifier {
+    count: Cell<u64>,
     wakers: RefCell<Vec<Waker>>,
 }
 
-impl ChangeBell {
-    /// Wakes all waiting tasks.
-    pub fn ring(&self) {
-        self.rings.set(self.rings.get() + 1);
+impl ChangeNotifier {
+    /// Counts a change and wakes all waiting tasks.
+    pub fn notify(&self) {
+        self.count.set(self.count.get() + 1);
         for waker in self.wakers.take() {
             waker.wake();
         }
     }
 
-    /// How often it has rung.
+    /// Changes so far. A task reads it before it checks the state, and passes it to
+    /// [`ChangeNotifier::wait`], so that it misses no change in between.
     #[must_use]
-    pub fn rings(&self) -> u64 {
-        self.rings.get()
+    pub fn count(&self) -> u64 {
+        self.count.get()
     }
 
-    /// Waits until it has rung more than `seen` times.
+    /// Waits until there were more than `seen` changes.
     pub async fn wait(&self, seen: u64) {
         poll_fn(|cx| {
-            if self.rings.get() > seen {
+            if self.count.get() > seen {
                 return Poll::Ready(());
             }
             let mut wakers = self.wakers.borrow_mut();
--- a/crates/steward/src/config_service.rs
+++ b/crates/steward/src/config_service.rs
@@ -19,7 +19,7 @@
 
 /// Name of the service.
 pub const CONFIG_SERVICE: &str = "config";
-/// Longest time between two looks at the fleet.
+/// Longest time between two checks of the fleet.
 const MAX_PAUSE: TimeSpan = TimeSpan::seconds(10);
 /// The log's stream of published files.
 const CONFIG_STREAM: &str = "config";
@@ -28,8 +28,8 @@
 pub struct ConfigService {
     follower: RefCell<ConfigFollower>,
     client: LogClient,
-    /// The highest offset of a peer that the follower was told.
-    told: Cell<LogOffset>,
+    /// The highest offset of a peer that was passed to the follower.
+    peer_offset: Cell<LogOffset>,
 }
 
 impl ConfigService {
@@ -43,7 +43,7 @@
         };
         let client = LogClient::new(context.settings.common.log, context.settings.exchange_timeout);
         let follower = RefCell::new(ConfigFollower::new(settings));
-        Rc::new(Self { follower, client, told: Cell::default() })
+        Rc::new(Self { follower, client, peer_offset: Cell::default() })
     }
 
     /// The plan in force; none before the first record.
@@ -53,7 +53,7 @@
         follower.is_ready().then(|| Arc::clone(follower.plan()))
     }
 
-    /// What a reader needs that has folded `have`; none if this process has no more.
+    /// The delta for a reader that has folded `have`; none if this process has no more.
     #[must_use]
     pub fn delta(&self, have: LogOffset) -> Option<ConfigDelta> {
         let follower = self.follower.borrow();
@@ -98,14 +98,15 @@
         events: &mut UnboundedReceiver<FollowerEvent>,
     ) -> FollowerEvent {
         loop {
-            let seen = context.bell.rings();
-            let present = context.look(peers::FleetDesk::members);
+            let seen = context.changes.count();
+            let present = context.read_fleet(peers::FleetDesk::members);
             if present != *members {
                 members.clone_from(&present);
                 return FollowerEvent::Members(present);
             }
-            let newest = context.look(peers::FleetDesk::newest_config);
-            if let Some((offset, _)) = newest.filter(|(offset, _)| self.is_news(*offset)) {
+            let newest = context.read_fleet(peers::FleetDesk::newest_config);
+            if let Some((offset, _)) = newest.filter(|(offset, _)| self.raise_peer_offset(*offset))
+            {
                 return FollowerEvent::PeerOffset(offset);
             }
             let pause = self.follower.borrow().next_wake().since(context.now());
@@ -113,8 +114,8 @@
                 return FollowerEvent::Tick;
             }
             let sleep = pin!(kernel::sleep(pause.min(MAX_PAUSE).into()));
-            let bell = pin!(context.bell.wait(seen));
-            let other = select(sleep, bell);
+            let change = pin!(context.changes.wait(seen));
+            let other = select(sleep, change);
             match select(events.next(), other).await {
                 Either::Left((Some(event), _)) => return event,
                 Either::Left((None, _)) | Either::Right(_) => (),
@@ -122,10 +123,11 @@
         }
     }
 
-    fn is_news(&self, offset: LogOffset) -> bool {
-        let news = offset > self.told.get();
-        self.told.set(self.told.get().max(offset));
-        news
+    /// Raises the highest peer offset to `offset`; says whether it was lower.
+    fn raise_peer_offset(&self, offset: LogOffset) -> bool {
+        let known = self.peer_offset.get();
+        self.peer_offset.set(known.max(offset));
+        offset > known
     }
 
     async fn act(
@@ -140,7 +142,7 @@
                 read_event(context, page)
             }
             FollowerAction::RequestDelta { above } => {
-                FollowerEvent::PeerDelta(ask_peer(context, above).await)
+                FollowerEvent::PeerDelta(request_delta(context, above).await)
             }
             FollowerAction::WriteCheckpoint(text) => {
                 let outcome = self.client.append(CONFIG_STREAM, &text).await;
@@ -158,7 +160,7 @@
         context.counters.gauge("config.accepted", accepted.0);
         context.counters.gauge("config.in_force", offset.0);
         tracing::info!(step = "config", %accepted, in_force = %offset, "configuration changed");
-        context.change(|desk, _| desk.on_config(accepted));
+        context.update_fleet(|fleet, _| fleet.on_config(accepted));
     }
 }
 
@@ -167,15 +169,16 @@
         context.counters.count("log.read_failed");
         return FollowerEvent::ReadFailed;
     };
-    context.change(peers::FleetDesk::on_platform);
+    context.update_fleet(peers::FleetDesk::on_platform);
     FollowerEvent::Page(page)
 }
 
-async fn ask_peer(context: &StewardContext, above: LogOffset) -> Option<Arc<ConfigDelta>> {
-    let (_, address) = context.look(peers::FleetDesk::newest_config)?;
+async fn request_delta(context: &StewardContext, above: LogOffset) -> Option<Arc<ConfigDelta>> {
+    let (_, address) = context.read_fleet(peers::FleetDesk::newest_config)?;
     let request = PeerRequest::ConfigPull { have: above };
     match context.peers.call(address, request, context.settings.exchange_timeout).await {
         Ok(PeerReply::Config(delta)) => delta.map(|delta| Arc::new(*delta)),
+        // The follower counts any other end as a failure and tries again after a pause.
         _ => None,
     }
 }
--- a/crates/steward/src/context.rs
+++ b/crates/steward/src/context.rs
@@ -1,4 +1,4 @@
-//! What all services of a steward share.
+//! The state that all services of a steward share.
 
 use std::cell::RefCell;
 use std::rc::Rc;
@@ -8,7 +8,7 @@
 use peers::{FleetDesk, FleetSelf, PeerEndpoint};
 use settings::StewardSettings;
 
-use crate::change_bell::ChangeBell;
+use crate::change_notifier::ChangeNotifier;
 use kernel::MetricCounters;
 
 /// The shared state of one steward process; services hold it by [`Rc`].
@@ -19,20 +19,20 @@
     pub clock: MonotonicClock,
     /// Names of the services.
     pub registry: ServiceRegistry,
-    /// The way to other processes.
+    /// The transport to other processes.
     pub peers: PeerEndpoint,
-    /// What is counted.
+    /// The process's metrics.
     pub counters: MetricCounters,
-    /// Rings at each change of the fleet's state.
-    pub bell: ChangeBell,
+    /// Notifies of each change of the fleet's state.
+    pub changes: ChangeNotifier,
     /// Raised when the process stops serving.
     pub stop: StopSignal,
     incarnation: VmIncarnation,
-    desk: RefCell<FleetDesk>,
+    fleet: RefCell<FleetDesk>,
 }
 
 impl StewardContext {
-    /// Puts the shared state together.
+    /// Builds the shared state.
     #[must_use]
     pub fn new(
         settings: StewardSettings,
@@ -48,17 +48,17 @@
             incarnation,
             generation: wall_clock_millis(),
         };
-        let desk = RefCell::new(FleetDesk::new(clock.now(), own, settings.digest_interval));
+        let fleet = RefCell::new(FleetDesk::new(clock.now(), own, settings.digest_interval));
         Rc::new(Self {
             settings,
             clock,
             registry: ServiceRegistry::new(),
             peers,
             counters,
-            bell: ChangeBell::default(),
+            changes: ChangeNotifier::default(),
             stop: StopSignal::new(),
             incarnation,
-            desk,
+            fleet,
         })
     }
 
@@ -68,36 +68,36 @@
         self.clock.now()
     }
 
-    /// This start of the process.
+    /// The incarnation of the process.
     #[must_use]
     pub fn incarnation(&self) -> VmIncarnation {
         self.incarnation
     }
 
     /// Reads the fleet's state.
-    pub fn look<T>(&self, read: impl FnOnce(&FleetDesk) -> T) -> T {
-        read(&self.desk.borrow())
+    pub fn read_fleet<T>(&self, read: impl FnOnce(&FleetDesk) -> T) -> T {
+        read(&self.fleet.borrow())
     }
 
-    /// Tells the fleet's desk of an event, and rings if that changed its state.
-    pub fn change<T>(&self, event: impl FnOnce(&mut FleetDesk, TimePoint) -> T) -> T {
+    /// Applies an event to the fleet's state, and notifies if that changed it.
+    pub fn update_fleet<T>(&self, event: impl FnOnce(&mut FleetDesk, TimePoint) -> T) -> T {
         let now = self.now();
-        let mut desk = self.desk.borrow_mut();
-        let (version, cut_off) = (desk.version(), desk.is_cut_off());
-        let outcome = event(&mut desk, now);
-        let (changed, cut_off_now) = (desk.version() != version, desk.is_cut_off());
-        drop(desk);
+        let mut fleet = self.fleet.borrow_mut();
+        let (version, cut_off) = (fleet.version(), fleet.is_cut_off());
+        let outcome = event(&mut fleet, now);
+        let (changed, cut_off_now) = (fleet.version() != version, fleet.is_cut_off());
+        drop(fleet);
         if cut_off != cut_off_now {
             tracing::warn!(step = "fleet", cut_off = cut_off_now, "reach of this machine changed");
         }
         if changed {
-            self.bell.ring();
+            self.changes.notify();
         }
         outcome
     }
 }
 
-/// Time since the Unix epoch; it orders this machine's starts, and may be wrong.
+/// Time since the Unix epoch; it orders this machine's incarnations, and may be wrong.
 fn wall_clock_millis() -> u64 {
     let elapsed = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
     elapsed.map_or(0, |elapsed| elapsed.as_millis() as u64)
--- a/crates/steward/src/digest_exchange.rs
+++ b/crates/steward/src/digest_exchange.rs
@@ -12,11 +12,11 @@
 
 use crate::context::StewardContext;
 
-/// Exchanges until the process ends: every period, and at once when there is urgent news.
+/// Exchanges until the process ends: every period, and at once after urgent changes.
 pub async fn run(context: Rc<StewardContext>) {
     let busy: Rc<RefCell<BTreeSet<VmId>>> = Rc::default();
     loop {
-        for (vm, address) in context.change(peers::FleetDesk::due_peers) {
+        for (vm, address) in context.update_fleet(peers::FleetDesk::due_peers) {
             if !busy.borrow_mut().insert(vm.clone()) {
                 continue;
             }
@@ -27,23 +27,23 @@
             })
             .detach();
         }
-        let seen = context.bell.rings();
+        let seen = context.changes.count();
         let now = context.now();
-        let wake = context.look(|desk| desk.next_due(now));
+        let wake = context.read_fleet(|fleet| fleet.next_due(now));
         let pause = wake.since(now).max(TimeSpan::millis(1));
-        select(pin!(kernel::sleep(pause.into())), pin!(context.bell.wait(seen))).await;
+        select(pin!(kernel::sleep(pause.into())), pin!(context.changes.wait(seen))).await;
     }
 }
 
 async fn exchange(context: &StewardContext, vm: &VmId, address: SocketAddr) {
-    let digest = context.look(|desk| desk.digest_for(context.now(), vm));
+    let digest = context.read_fleet(|fleet| fleet.digest_for(context.now(), vm));
     let request = PeerRequest::Digest(Box::new(digest));
     match context.peers.call(address, request, context.settings.exchange_timeout).await {
         Ok(PeerReply::Digest(digest)) => {
             context.counters.count("digest.done");
-            context.change(|desk, now| desk.on_digest(now, *digest));
+            context.update_fleet(|fleet, now| fleet.on_digest(now, *digest));
         }
-        // A stopping peer refuses; the others' words and its silence tell the rest.
+        // A stopping peer refuses; its announcement and its silence suffice to drop it.
         Ok(_) => context.counters.count("digest.refused"),
         Err(_) => context.counters.count("digest.failed"),
     }
--- a/crates/steward/src/dump.rs
+++ b/crates/steward/src/dump.rs
@@ -23,13 +23,13 @@
     let shared = Rc::downgrade(context);
     context.registry.register_dump(ORDER_SERVICE, move || {
         let Some(context) = shared.upgrade() else { return json!(null) };
-        service.dump(&context.look(peers::FleetDesk::places))
+        service.dump(&context.read_fleet(peers::FleetDesk::places))
     });
     let shared = Rc::downgrade(context);
     context.registry.register_dump("fleet", move || {
         let Some(context) = shared.upgrade() else { return json!(null) };
         let now = context.now();
-        context.look(|desk| desk.dump(now))
+        context.read_fleet(|fleet| fleet.dump(now))
     });
     let shared = Rc::downgrade(context);
     context.registry.register_dump("counters", move || {
--- a/crates/steward/src/main.rs
+++ b/crates/steward/src/main.rs
@@ -1,14 +1,15 @@
-//! `yard-steward`: one a machine; it follows the platform and its peers, and tells the
-//! machine's entries what the fleet looks like and what configuration is in force.
+//! `yard-steward`: one on each machine; it follows the platform and its peers, and gives the
+//! machine's entries the view of the fleet and the configuration in force.
 
 mod arguments;
-mod change_bell;
+mod change_notifier;
 mod config_service;
 mod context;
 mod digest_exchange;
 mod dump;
 mod error;
 mod fleet_clock;
+mod order_inputs;
 mod order_service;
 mod peer_handler;
 mod planned_stop;
@@ -58,7 +59,7 @@
     kernel::wait_for_signals().await?;
     planned_stop::run(Rc::clone(&context)).await;
     context.stop.raise();
-    // The task has no other end than its own.
+    // The task ends by itself once the stop is raised; it has no result.
     let _ = serving.await;
     context.peers.close().await;
     Ok(())
--- a/crates/steward/src/order_service.rs
+++ b/crates/steward/src/order_service.rs
@@ -1,4 +1,4 @@
-//! Gives the engines of the places that this machine holds their orders.
+//! Claims places in the log, and sends orders to the engines of the places held.
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -7,64 +7,55 @@
 use base::FencingNumber;
 use base::prelude::*;
 use compio::runtime::JoinHandle;
-use orders::{
-    OrderAction, OrderController, OrderEvent, OrderMember, OrderPlan, OrderRunner, OrderSettings,
-};
-use peers::{FleetDesk, RunnerRecord};
+use orders::{OrderAction, OrderController, OrderEvent, OrderSettings};
+use peers::FleetDesk;
 use platform::{AppendOutcome, LogClient, LogPage};
 use serde_json::{Value, json};
 use web::{WebError, post_json};
 
 use crate::config_service::ConfigService;
 use crate::context::StewardContext;
+use crate::order_inputs::OrderInputs;
 
 /// Name of the service.
 pub const ORDER_SERVICE: &str = "orders";
 /// The log's stream of claims.
 const ORDER_STREAM: &str = "orders";
-/// How long the log may wait for a claim.
+/// Time for which the log may hold a read that waits for a claim.
 const LONG_POLL: TimeSpan = TimeSpan::seconds(5);
-/// Claims of one read.
+/// Most claims of one read.
 const PAGE_RECORDS: usize = 256;
-/// Time between two reads of a log that does not answer.
+/// Pause after a failed read of the log.
 const RETRY_PAUSE: TimeSpan = TimeSpan::seconds(1);
 /// Time between two ticks of the controller.
 const TICK: TimeSpan = TimeSpan::seconds(1);
-/// Part of the log's retention after which a claim is renewed.
-const RENEW_PART: u64 = 4;
+/// Renewals of a claim within the log's retention.
+const RENEWALS_PER_RETENTION: u64 = 4;
 /// Time after which a claim that was not read back is appended again.
 const APPEND_RETRY: TimeSpan = TimeSpan::seconds(5);
-/// Time after which an order that reports do not show yet is sent again.
+/// Time after which an order that the reports do not confirm is sent again.
 const ORDER_RETRY: TimeSpan = TimeSpan::seconds(10);
-/// Time that the entries need to learn that a model is going to be unloaded.
+/// Time for the entries to learn that a model is going to be unloaded.
 const DRAIN_NOTICE: TimeSpan = TimeSpan::seconds(3);
 /// Time between two loads from the weight store, over all holders.
 const LOAD_INTERVAL: TimeSpan = TimeSpan::seconds(2);
-/// Status by which a runner refuses an old fencing number.
+/// HTTP status with which a runner rejects an old fencing number.
 const CONFLICT: u16 = 409;
 
+/// An order in flight.
 struct RunningOrder {
     place: PlaceName,
     done: Rc<Cell<bool>>,
-    /// Dropping it ends the exchange.
+    /// Dropping it cancels the exchange.
     _task: JoinHandle<()>,
 }
 
-/// What the controller was last told of the fleet.
-#[derive(Default)]
-struct ToldFleet {
-    version: u64,
-    runners: Vec<OrderRunner>,
-    members: Vec<OrderMember>,
-    plan: Option<LogOffset>,
-}
-
-/// Claims places in the log, and brings their engines to the models that are wanted.
+/// Drives the order controller: it reads and appends claims, and sends orders to engines.
 pub struct OrderService {
     controller: RefCell<OrderController>,
     client: LogClient,
     running: RefCell<BTreeMap<RunnerId, RunningOrder>>,
-    told: RefCell<ToldFleet>,
+    inputs: RefCell<OrderInputs>,
 }
 
 impl OrderService {
@@ -74,7 +65,7 @@
         let settings = OrderSettings {
             vm: context.settings.common.vm.clone(),
             incarnation: context.incarnation(),
-            renew_after: TimeSpan(context.settings.log_retention.0 / RENEW_PART),
+            renew_after: TimeSpan(context.settings.log_retention.0 / RENEWALS_PER_RETENTION),
             append_retry: APPEND_RETRY,
             order_retry: ORDER_RETRY,
             drain_notice: DRAIN_NOTICE,
@@ -85,18 +76,18 @@
             controller: RefCell::new(OrderController::new(settings)),
             client,
             running: RefCell::default(),
-            told: RefCell::default(),
+            inputs: RefCell::default(),
         })
     }
 
-    /// The last claim read, to be noted when the VM list is asked for.
+    /// The last claim read; to be read before a request for the VM list.
     #[must_use]
     pub fn offset(&self) -> LogOffset {
         self.controller.borrow().offset()
     }
 
-    /// Takes the VM list that was asked for when [`OrderService::offset`] was `after`. An
-    /// empty list proves nothing.
+    /// Passes on the VM list that was requested when [`OrderService::offset`] was `after`. An
+    /// empty list is a fault of the platform, and proves no machine gone.
     pub fn on_vm_list(&self, now: TimePoint, after: LogOffset, vms: &[VmRecord]) {
         if vms.is_empty() {
             return;
@@ -124,7 +115,7 @@
             let from = self.controller.borrow().next_offset();
             match self.client.read(ORDER_STREAM, from, LONG_POLL, PAGE_RECORDS).await {
                 Ok(page) => {
-                    context.change(FleetDesk::on_platform);
+                    context.update_fleet(FleetDesk::on_platform);
                     let event = log_event(from, page);
                     self.handle(&context, event);
                 }
@@ -136,12 +127,11 @@
     /// Reconciles until the process ends.
     pub async fn reconcile(self: Rc<Self>, context: Rc<StewardContext>, config: Rc<ConfigService>) {
         loop {
-            self.tell_fleet(&context);
-            self.tell_plan(&context, &config);
+            self.send_inputs(&context, &config);
             self.running.borrow_mut().retain(|_, order| !order.done.get());
             self.handle(&context, OrderEvent::Tick);
             let draining: Vec<_> = self.controller.borrow().draining().cloned().collect();
-            context.change(|fleet, _| fleet.set_draining(draining));
+            context.update_fleet(|fleet, _| fleet.set_draining(draining));
             self.count(&context);
             kernel::sleep(TICK.into()).await;
         }
@@ -154,45 +144,18 @@
         }
     }
 
-    fn tell_fleet(self: &Rc<Self>, context: &Rc<StewardContext>) {
-        let mut told = self.told.borrow_mut();
+    fn send_inputs(self: &Rc<Self>, context: &Rc<StewardContext>, config: &ConfigService) {
         let now = context.now();
-        let (records, members, version) = context
-            .look(|fleet| (fleet.runner_state(now, 0), fleet.member_states(), fleet.version()));
-        let members: Vec<OrderMember> = members
-            .into_iter()
-            .map(|state| OrderMember { vm: state.vm, leaving: state.leaving, silent: state.silent })
-            .collect();
-        let runners: Vec<OrderRunner> = records.iter().map(order_runner).collect();
-        let mut events = Vec::new();
-        if members != told.members {
-            told.members.clone_from(&members);
-            events.push(OrderEvent::Members(members));
-        }
-        if runners != told.runners {
-            told.runners.clone_from(&runners);
-            events.push(OrderEvent::Runners(runners));
+        let mut events =
+            context.read_fleet(|fleet| self.inputs.borrow_mut().fleet_events(now, fleet));
+        if let Some(plan) = config.plan() {
+            events.extend(self.inputs.borrow_mut().plan_event(&plan));
         }
-        let since = told.version;
-        told.version = version;
-        drop(told);
-        let reports = context.look(|fleet| fleet.runner_state(now, since));
-        events
-            .extend(reports.into_iter().filter_map(|record| record.report).map(OrderEvent::Report));
         for event in events {
             self.handle(context, event);
         }
     }
 
-    fn tell_plan(self: &Rc<Self>, context: &Rc<StewardContext>, config: &ConfigService) {
-        let Some(plan) = config.plan() else { return };
-        if self.told.borrow().plan == Some(plan.offset) {
-            return;
-        }
-        self.told.borrow_mut().plan = Some(plan.offset);
-        self.handle(context, OrderEvent::Plan(OrderPlan::from(&*plan)));
-    }
-
     fn act(self: &Rc<Self>, context: &Rc<StewardContext>, action: OrderAction) {
         match action {
             OrderAction::Append { text } => {
@@ -216,9 +179,9 @@
         fence: FencingNumber,
         models: Vec<ModelName>,
     ) {
-        // A second order would race the first; the controller asks again if it is still needed.
+        // A second order would race the first; the controller repeats it if it is still needed.
         let busy = self.running.borrow().get(&runner).is_some_and(|order| !order.done.get());
-        let target = context.look(|fleet| fleet.runner_address(&runner));
+        let target = context.read_fleet(|fleet| fleet.runner_address(&runner));
         let Some((address, place)) = target.filter(|_| !busy) else { return };
         let done = Rc::new(Cell::new(false));
         let (service, shared, ended) = (Rc::clone(self), Rc::clone(context), Rc::clone(&done));
@@ -244,7 +207,7 @@
         match answer {
             Ok(_) => context.counters.count("order.done"),
             Err(WebError::Status { status: CONFLICT, .. }) => {
-                // The runner has accepted a higher number; how much higher, its report says.
+                // The runner has accepted a higher number, which its next report gives exactly.
                 let fence = fence.next();
                 self.handle(context, OrderEvent::Refused { runner: runner.clone(), fence });
             }
@@ -272,7 +235,7 @@
 }
 
 async fn append(client: LogClient, text: &str) {
-    // A claim counts once it is read back; a lost one is appended again.
+    // A claim is valid once it is read back; a lost one is appended again.
     if let AppendOutcome::NotAppended(reason) = client.append(ORDER_STREAM, text).await {
         tracing::debug!(step = "claim", %reason, "claim not appended");
     }
@@ -284,12 +247,3 @@
     let records = page.records.into_iter().map(|record| (record.offset, record.text)).collect();
     OrderEvent::Log { first: page.first, records, at_end }
 }
-
-fn order_runner(record: &RunnerRecord) -> OrderRunner {
-    OrderRunner {
-        runner: record.runner.clone(),
-        service: record.service.clone(),
-        place: record.place.clone(),
-        leaving: record.leaving,
-    }
-}
--- a/crates/steward/src/peer_handler.rs
+++ b/crates/steward/src/peer_handler.rs
@@ -9,10 +9,11 @@
 use crate::config_service::{CONFIG_SERVICE, ConfigService};
 use crate::context::StewardContext;
 
-/// Longest wait of a view; an entry that asks again at once is then never silent.
+/// Longest wait of a view; it bounds the time between two requests of an entry, which would
+/// otherwise count as silent.
 const MAX_VIEW_WAIT: TimeSpan = TimeSpan::seconds(1);
-/// Time over which changes are gathered into one view.
-const VIEW_GATHER: TimeSpan = TimeSpan::millis(20);
+/// Time over which changes are batched into one view.
+const VIEW_BATCH: TimeSpan = TimeSpan::millis(20);
 
 /// Answers one request.
 pub async fn answer(context: Rc<StewardContext>, request: PeerRequest) -> PeerReply {
@@ -26,15 +27,15 @@
         }
         PeerRequest::Digest(digest) => {
             let from = digest.from.clone();
-            if !context.change(|desk, now| desk.on_digest(now, *digest)) {
+            if !context.update_fleet(|fleet, now| fleet.on_digest(now, *digest)) {
                 context.counters.count("digest.stale");
             }
-            let reply = context.look(|desk| desk.digest_for(context.now(), &from));
+            let reply = context.read_fleet(|fleet| fleet.digest_for(context.now(), &from));
             PeerReply::Digest(Box::new(reply))
         }
         PeerRequest::ConfigPull { have } => PeerReply::Config(config.delta(have).map(Box::new)),
-        PeerRequest::Leaving(word) => {
-            context.change(|desk, _| desk.on_leaving(&word.runner, word.incarnation));
+        PeerRequest::Leaving(leaving) => {
+            context.update_fleet(|fleet, _| fleet.on_leaving(&leaving.runner, leaving.incarnation));
             PeerReply::Done
         }
         PeerRequest::Dump => PeerReply::Dump(context.registry.dump().to_string()),
@@ -42,6 +43,7 @@
     }
 }
 
+/// The position of an entry's request in this steward's changes.
 struct ViewPosition {
     version: u64,
     steward: VmIncarnation,
@@ -54,26 +56,26 @@
     status: &EntryStatus,
     position: ViewPosition,
 ) -> PeerReply {
-    context.change(|desk, now| desk.on_entry(now, status));
+    context.update_fleet(|fleet, now| fleet.on_entry(now, status));
     let deadline = context.now() + position.wait.min(MAX_VIEW_WAIT);
-    let fresh = position.steward == context.incarnation();
-    let is_news = || {
+    let same_incarnation = position.steward == context.incarnation();
+    let has_changed = || {
         let plan = config.plan();
         let newer = plan.is_some_and(|plan| plan.offset > status.config_offset);
-        newer || context.look(|desk| desk.version() > position.version)
+        newer || context.read_fleet(|fleet| fleet.version() > position.version)
     };
-    while fresh && !is_news() && context.now() < deadline {
-        let seen = context.bell.rings();
+    while same_incarnation && !has_changed() && context.now() < deadline {
+        let seen = context.changes.count();
         let left = deadline.since(context.now());
-        if timeout(left.into(), context.bell.wait(seen)).await.is_ok() {
-            kernel::sleep(VIEW_GATHER.into()).await;
+        if timeout(left.into(), context.changes.wait(seen)).await.is_ok() {
+            kernel::sleep(VIEW_BATCH.into()).await;
         }
     }
     context.counters.count("view.sent");
     let plan = config.plan();
     let now = context.now();
-    let view = context.look(|desk| {
-        desk.view(now, position.version, position.steward, plan.as_ref(), status.config_offset)
+    let view = context.read_fleet(|fleet| {
+        fleet.view(now, position.version, position.steward, plan.as_ref(), status.config_offset)
     });
     PeerReply::View(Box::new(view))
 }
--- a/crates/steward/src/runner_poll.rs
+++ b/crates/steward/src/runner_poll.rs
@@ -12,10 +12,10 @@
 
 use crate::context::StewardContext;
 
-/// Time between two looks at an empty share.
+/// Interval at which an empty share is checked again.
 const IDLE_PAUSE: TimeSpan = TimeSpan::millis(50);
 
-/// Least time between two polls of a runner's cache events, which come late anyway.
+/// Least time between two polls of a runner's cache events, which are delayed anyway.
 const CACHE_PERIOD: TimeSpan = TimeSpan::seconds(1);
 
 /// When each runner's cache events are polled next.
@@ -31,7 +31,7 @@
     let busy: Rc<RefCell<BTreeSet<RunnerId>>> = Rc::default();
     let next_caches: Rc<NextCaches> = Rc::default();
     loop {
-        let share = context.look(|desk| desk.polls(context.now()));
+        let share = context.read_fleet(|fleet| fleet.polls(context.now()));
         context.counters.gauge("runners.polled", share.len() as u64);
         if share.is_empty() {
             kernel::sleep(IDLE_PAUSE.into()).await;
@@ -59,28 +59,27 @@
     let limit = context.settings.exchange_timeout;
     let report = fetch_json::<RunnerReport>("poll of a runner", address, "/load", limit).await;
     let Ok(report) = report else {
-        // The report's age tells the entries; a line for each poll would tell nobody more.
+        // Entries see the age of the last report; a log line for each poll would add nothing.
         return context.counters.count("runner_poll.failed");
     };
-    // A report in another's name must not speak for that runner.
+    // A report that names another runner must not count as that runner's.
     if report.runner != *runner {
         return context.counters.count("runner_poll.foreign");
     }
     context.counters.count("runner_poll.done");
     let has_cache = report.total_blocks.0 > 0 && due_cache(context, runner, next_caches);
-    context.change(|desk, now| desk.on_report(now, report));
+    context.update_fleet(|fleet, now| fleet.on_report(now, report));
     if !has_cache {
         return;
     }
     let path = format!("/cache-events?from={next_event}");
     let answer = fetch_json::<CacheAnswer>("poll of cache events", address, &path, limit).await;
     if let Ok(answer) = answer {
-        context.change(|desk, _| desk.on_cache_events(runner, &answer.events));
+        context.update_fleet(|fleet, _| fleet.on_cache_events(runner, &answer.events));
     }
 }
 
-/// Whether a runner's cache events are to be polled now; if so, they are not due for a
-/// period.
+/// Whether a runner's cache events are due; if so, they are due again after a period.
 fn due_cache(context: &StewardContext, runner: &RunnerId, next_caches: &NextCaches) -> bool {
     let now = context.now();
     let mut next_caches = next_caches.borrow_mut();
--- a/crates/steward/src/vm_poll.rs
+++ b/crates/steward/src/vm_poll.rs
@@ -19,7 +19,7 @@
         match outcome {
             Ok(vms) => {
                 context.counters.count("vm_list.done");
-                context.change(|desk, now| desk.on_vms(now, &vms));
+                context.update_fleet(|fleet, now| fleet.on_vms(now, &vms));
                 orders.on_vm_list(context.now(), claims_read, &vms);
             }
             Err(error) => {
--- a/crates/steward/tests/steward/fleet.rs
+++ b/crates/steward/tests/steward/fleet.rs
@@ -53,7 +53,7 @@
         fleet.wait_views("in force", &[0, 1, 2], in_force).await;
         fleet.wait_views("drained", &[0, 1, 2], |view| is_leaving(view, 0)).await;
 
-        // With the log down, a new start gets the configuration from its peers.
+        // With the log down, a new incarnation gets the configuration from its peers.
         fleet.log.kill().unwrap();
         fleet.stewards.get_mut(&2).unwrap().kill().unwrap();
         fleet.start_steward(2);
@@ -63,7 +63,7 @@
 }
 
 #[test]
-fn a_leaving_word_reaches_all_and_outlives_the_list() {
+fn a_leaving_mark_reaches_all_and_outlives_the_list() {
     kernel::run(async {
         let fleet = TestFleet::start(3, 3).await;
         let all = [0, 1, 2];
@@ -79,7 +79,7 @@
 }
 
 #[test]
-fn a_dead_steward_drops_out_and_its_share_is_taken_over() {
+fn a_dead_steward_is_removed_and_its_share_is_reassigned() {
     kernel::run(async {
         let mut fleet = TestFleet::start(3, 6).await;
         fleet.wait_views("entries", &[0, 1, 2], |view| entries(view).len() == 3).await;
@@ -97,7 +97,7 @@
 }
 
 #[test]
-fn platform_outage_is_no_cut_off_but_loneliness_is() {
+fn a_platform_outage_is_no_cut_off_but_silence_of_all_is() {
     kernel::run(async {
         let mut fleet = TestFleet::start(3, 2).await;
         fleet.wait_views("entries", &[0, 1, 2], |view| entries(view).len() == 3).await;
--- a/crates/steward/tests/steward/frozen_holder.rs
+++ b/crates/steward/tests/steward/frozen_holder.rs
@@ -1,4 +1,4 @@
-//! A holder that is paused, is succeeded by another one, and wakes.
+//! A holder that is paused, is succeeded by another one, and resumes.
 
 use harness::wait_until;
 use peers::FleetView;
@@ -15,7 +15,7 @@
 }
 
 #[test]
-fn a_frozen_holder_that_wakes_is_fenced() {
+fn a_frozen_holder_that_resumes_is_fenced() {
     kernel::run(async {
         let fleet = TestFleet::start(2, 2).await;
         let first = fleet.publish(FILE, 0, &service_file(&["summary", "label"])).await;
@@ -28,7 +28,7 @@
 
         fleet.stewards[&frozen].freeze().unwrap();
         let second = fleet.publish(FILE, first, &service_file(&["summary"])).await;
-        // The view hides a model before its unloading is ordered: the number tells more.
+        // The view hides a model before its unloading is ordered, so the fencing number is checked.
         let succeeded = |view: &FleetView| fences(view).iter().max() > before.iter().max();
         fleet.wait_views_within(ORDER_TIME, "a successor's order", &[other], succeeded).await;
         let one = |view: &FleetView| all_have(view, &["summary"]);
--- a/crates/steward/tests/steward/orders.rs
+++ b/crates/steward/tests/steward/orders.rs
@@ -1,4 +1,4 @@
-//! Stewards as processes: who gives the engines their orders.
+//! Stewards as processes: the orders to engines.
 
 use std::time::Duration;
 
@@ -59,7 +59,7 @@
         let dead = dead.await.unwrap();
         fleet.stewards.get_mut(&dead).unwrap().kill().unwrap();
         let left = 1 - dead;
-        // Engines that check fencing numbers change hands though the dead one may wake.
+        // Engines that check fencing numbers get another holder though the dead one may resume.
         fleet.publish(path, first, &service_file(&["summary"])).await;
         let one = |view: &FleetView| all_have(view, &["summary"]);
         fleet.wait_views_within(ORDER_TIME, "one model", &[left], one).await;
--- a/crates/steward/tests/steward/test_fleet.rs
+++ b/crates/steward/tests/steward/test_fleet.rs
@@ -11,7 +11,7 @@
 use serde_json::{Value, json};
 
 pub const LIMIT: TimeSpan = TimeSpan::seconds(5);
-/// Time in which a change has to be everywhere.
+/// Time within which a change has to reach all stewards.
 pub const SPREAD: Duration = Duration::from_secs(10);
 const PLACES: [&str; 3] = ["caerdydd", "abertawe", "wrecsam"];
 const FIRST_VM: u8 = 10;
@@ -22,7 +22,7 @@
     pub vm_list: TestProcess,
     pub runners: BTreeMap<usize, TestProcess>,
     pub stewards: BTreeMap<usize, TestProcess>,
-    /// The tests' way to the stewards.
+    /// The tests' transport to the stewards.
     pub operator: PeerEndpoint,
     keys: TestKeys,
     block: AddressBlock,
