Name what the follower compares with a peer's offset

Cause: two different comparisons were both called news. Before and after: config 5 + 8 + 13 + 1 tests pass. Conclusion: behaviour unchanged.

--- a/crates/config/src/follower.rs
+++ b/crates/config/src/follower.rs
@@ -289,9 +289,9 @@
         if offset <= self.peer_offset {
             return;
         }
-        let news = offset > self.accepted() && self.peer_offset <= self.accepted();
+        let is_new = offset > self.accepted() && self.peer_offset <= self.accepted();
         self.peer_offset = offset;
-        if news {
+        if is_new {
             let delay = if self.is_healthy_reader() { READER_REQUEST_DELAY } else { TimeSpan(0) };
             self.delta_requests.delay(now + delay, REQUEST_SPREAD);
         }
@@ -328,8 +328,8 @@
     }
 
     fn wants_delta(&self) -> bool {
-        let news = self.peer_offset > self.accepted();
-        news || self.has_gap() || (self.reads.is_failing() && !self.is_ready())
+        let peer_has_more = self.peer_offset > self.accepted();
+        peer_has_more || self.has_gap() || (self.reads.is_failing() && !self.is_ready())
     }
 
     fn may_write(&self) -> bool {
