--- a/crates/fakes/src/engine_server/generation_track.rs
+++ b/crates/fakes/src/engine_server/generation_track.rs
@@ -31,7 +31,7 @@
     pub produced: Cell<u32>,
     /// Length of the whole output.
     pub length: u32,
-    /// Whether it goes on, and since when not.
+    /// State of the generation, and when it reached that state.
     pub end: Cell<(TrackEnd, TimePoint)>,
     /// Connections that read it.
     pub readers: Cell<u32>,
