Keep a copy that was not reached, and a source beside a next runner that fails

What callers saw: a generation whose runner crashed is cut 0.4 s later although its copy is whole, because one connection to the copy's runner hung.

A backup copy was taken out before its runner was reached, and given up with the first failed connection; likewise a stream that had lost its source while a move was under way ended with that move although it had a backup; and an error of the next runner ended a stream whose old runner was alive.

A handover tells an unreached runner (nothing was sent: the copy stands and is tried again) from one that refused; an error of the next runner leaves the source; a caller that disconnects meanwhile ends the stream as such and is not counted as a refusal.

--- a/crates/fakes/src/platform/runner_fake.rs
+++ b/crates/fakes/src/platform/runner_fake.rs
@@ -209,6 +209,12 @@
         }
     }
 
+    /// New connections are accepted again.
+    pub fn resume_accepting(&self) {
+        self.state.held.borrow_mut().clear();
+        self.state.accepts.set(true);
+    }
+
     /// Ends all its connections and takes no new ones.
     pub fn crash(&self) {
         self.state.crashed.raise();
@@ -237,7 +243,10 @@
         let Ok((stream, _)) = accepted else { continue };
         if !state.accepts.get() {
             state.held.borrow_mut().push(stream);
-            return state.crashed.wait().await;
+            while !state.accepts.get() {
+                compio::time::sleep(EVENT_PAUSE).await;
+            }
+            continue;
         }
         let shared = Rc::clone(&state);
         spawn(async move {
--- a/crates/harness/tests/node_moves.rs
+++ b/crates/harness/tests/node_moves.rs
@@ -241,3 +241,40 @@
     })
     .unwrap();
 }
+
+#[test]
+fn a_stream_stays_at_its_runner_while_the_next_one_does_not_answer() {
+    kernel::run(async {
+        let (fleet, runners) = fleet().await;
+        let request = short();
+        let (answer, ()) = futures_util::join!(fleet.send(0, &request), async {
+            let runner = worker(&runners).await;
+            let others = runners.iter().filter(|other| other.id() != runner.id());
+            others.for_each(|other| other.script(&[RunnerScript::Silent]));
+            fleet.tell(runner, "llm", "draining");
+        });
+        assert_whole(&answer);
+    })
+    .unwrap();
+}
+
+#[test]
+fn a_stream_goes_on_at_its_copy_although_the_first_connection_to_it_hangs() {
+    kernel::run(async {
+        let (fleet, runners) = fleet().await;
+        let request = CallerRequest::stream("s1");
+        let (answer, ()) = futures_util::join!(fleet.send(0, &request), async {
+            let runner = worker(&runners).await;
+            pause(900).await;
+            let others = || runners.iter().filter(|other| other.id() != runner.id());
+            for other in others() {
+                other.stop_accepting().await;
+            }
+            runner.crash();
+            pause(600).await;
+            others().for_each(RunnerFake::resume_accepting);
+        });
+        assert_whole(&answer);
+    })
+    .unwrap();
+}
--- a/crates/node/src/runner_send.rs
+++ b/crates/node/src/runner_send.rs
@@ -31,28 +31,6 @@
     pub reason: Rc<str>,
 }
 
-impl SendFailure {
-    /// The source of the stream ended it while another runner was asked to take over.
-    #[must_use]
-    pub fn source_ended() -> Self {
-        Self {
-            reason: Rc::from("the runner before has ended the stream"),
-            ..Self::caller_disconnected()
-        }
-    }
-
-    /// The caller disconnected while the send was in progress.
-    #[must_use]
-    pub fn caller_disconnected() -> Self {
-        Self {
-            outcome: SendOutcome::Unknown,
-            end: CallEnd::Cancelled,
-            runner_gone: false,
-            reason: Rc::from("the caller disconnected"),
-        }
-    }
-}
-
 /// Target runner of a send, and the state that the request resumes from.
 #[derive(Debug, Clone)]
 pub struct SendPlan {
--- a/crates/node/src/stream_handover.rs
+++ b/crates/node/src/stream_handover.rs
@@ -50,12 +50,26 @@
 enum HandoverStep {
     /// The stream goes on at the next runner.
     Switched,
+    /// The next runner was not reached; nothing was sent.
+    Unreached,
     /// The next runner did not take over; the old source is kept, unless it is closed.
-    Failed,
+    Refused,
     /// The stream has ended meanwhile.
     End(PumpStep),
 }
 
+/// How the time ended in which the next runner was asked to go on.
+enum OverlapEnd {
+    /// The next runner has answered.
+    Answered(WebExchange),
+    /// The next runner gave no answer to go on with.
+    Failed(SendFailure),
+    /// The source has delivered the stream to its end.
+    SourceEnded,
+    /// The caller closed the connection.
+    CallerDisconnected,
+}
+
 /// What a source delivered after the next runner was asked to go on. It is forwarded only if
 /// that runner does not take over, since it would make the same events again.
 struct HeldEvents {
@@ -63,14 +77,12 @@
     /// Reads the frames ahead of their forwarding.
     scanner: StreamScanner,
     malformed: bool,
-    /// Whether the source delivered the stream to its end.
-    ended: bool,
 }
 
 impl HeldEvents {
     /// Nothing held yet; `scanner` is that of the forwarded events.
     fn new(scanner: &StreamScanner) -> Self {
-        Self { frames: Vec::new(), scanner: scanner.clone(), malformed: false, ended: false }
+        Self { frames: Vec::new(), scanner: scanner.clone(), malformed: false }
     }
 
     fn push(&mut self, bytes: Bytes) {
@@ -92,6 +104,10 @@
     kernel::sleep(end.since(context.now()).into()).await;
 }
 
+fn caller_disconnected() -> PumpStep {
+    PumpStep::End(RequestOutcome::CallerDisconnected, "")
+}
+
 /// Reason of a source's loss, for the log.
 fn describe_loss(lost: Option<Result<Bytes, hyper::Error>>) -> String {
     match lost {
@@ -100,6 +116,17 @@
     }
 }
 
+impl PendingMove {
+    /// A move whose copy is complete and whose target is tried once more after a pause.
+    fn again(target: RunnerRecord, copy: RunCopy) -> Self {
+        let future = async move {
+            kernel::sleep(MOVE_RETRY_PAUSE.into()).await;
+            Ok(copy)
+        };
+        Self { target, future: Box::pin(future) }
+    }
+}
+
 impl StreamPump {
     /// Handles a source that failed before the end of the stream.
     pub(crate) async fn handle_source_loss(&mut self, reason: &str) -> PumpStep {
@@ -108,12 +135,20 @@
         if self.pending_move.is_some() {
             return PumpStep::Continue;
         }
-        if self.source.backup.is_some() && self.tries < MAX_SWITCH_TRIES {
+        if self.may_resume() {
             return self.resume_from_backup().await;
         }
         PumpStep::End(RequestOutcome::Interrupted, "runner_lost")
     }
 
+    /// Whether a stream that has lost its source can go on from the backup copy.
+    fn may_resume(&self) -> bool {
+        let backup = self.source.backup.as_ref();
+        let runners = self.context.runners.borrow();
+        self.tries < MAX_SWITCH_TRIES
+            && backup.is_some_and(|backup| !runners.is_leaving(&backup.runner))
+    }
+
     /// Handles the announcement that the runner leaves: schedules the switch to the backup,
     /// or starts a move.
     pub(crate) fn handle_leaving_runner(&mut self) -> PumpStep {
@@ -126,7 +161,7 @@
 
     /// Leaves the current runner once the scheduled switch is due.
     pub(crate) async fn leave_source(&mut self) -> PumpStep {
-        if self.has_usable_backup() {
+        if self.source.ended || self.has_usable_backup() {
             return self.resume_from_backup().await;
         }
         self.start_move()
@@ -148,12 +183,19 @@
     async fn resume_from_backup(&mut self) -> PumpStep {
         self.tries += 1;
         let Some(backup) = self.source.backup.take() else { return PumpStep::Continue };
-        let plan = plan_backup_resume(&self.context, &self.call, &mut self.ticket, backup);
+        let plan = plan_backup_resume(&self.context, &self.call, &mut self.ticket, backup.clone());
         match self.hand_over(plan, "resumed").await {
             HandoverStep::Switched => PumpStep::Continue,
             HandoverStep::End(step) => step,
-            HandoverStep::Failed if !self.source.ended => self.start_move(),
-            HandoverStep::Failed => PumpStep::End(RequestOutcome::Interrupted, "resume_refused"),
+            HandoverStep::Unreached | HandoverStep::Refused if !self.source.ended => {
+                self.start_move()
+            }
+            HandoverStep::Unreached => {
+                // Nothing was sent: the copy is still there.
+                self.source.backup = Some(backup);
+                self.schedule_move(true)
+            }
+            HandoverStep::Refused => PumpStep::End(RequestOutcome::Interrupted, "resume_refused"),
         }
     }
 
@@ -197,12 +239,14 @@
         }
     }
 
-    /// Schedules a move to another target, unless the run is finished or lost.
+    /// Schedules the next try after one that failed, unless the run is finished. A stream that
+    /// has lost its source ends if it has no copy either.
     fn schedule_move(&mut self, still_runs: bool) -> PumpStep {
-        if self.source.ended {
+        if self.source.ended && !self.may_resume() {
             return PumpStep::End(RequestOutcome::Interrupted, "move_failed");
         }
-        self.source.switch_at = still_runs.then(|| self.context.now() + MOVE_RETRY_PAUSE);
+        let has_next = still_runs || self.source.ended;
+        self.source.switch_at = has_next.then(|| self.context.now() + MOVE_RETRY_PAUSE);
         PumpStep::Continue
     }
 
@@ -215,23 +259,33 @@
             last_event_id: None,
         };
         let backup = choose_backup(&self.context, &self.call, &self.ticket);
-        let plan = SendPlan { runner: target, resume: Some(resume), backup };
+        let plan = SendPlan { runner: target.clone(), resume: Some(resume), backup };
         match self.hand_over(plan, "moved").await {
             HandoverStep::Switched => {
                 copy.keep();
                 PumpStep::Continue
             }
             HandoverStep::End(step) => step,
-            HandoverStep::Failed => self.schedule_move(true),
+            HandoverStep::Unreached if self.source.ended && self.tries < MAX_SWITCH_TRIES => {
+                // Nothing was sent: the copy is still there, and nothing else is.
+                self.tries += 1;
+                self.pending_move = Some(PendingMove::again(target, copy));
+                PumpStep::Continue
+            }
+            HandoverStep::Unreached | HandoverStep::Refused => self.schedule_move(true),
         }
     }
 
     /// Sends the request to the runner that has the run's memory, and makes that runner the
-    /// source of the stream. Until it has answered, the old source is read on.
+    /// source of the stream. The old source is read on until that runner has answered, or for
+    /// [`MAX_OVERLAP`].
     async fn hand_over(&mut self, mut plan: SendPlan, how: &'static str) -> HandoverStep {
         let connection = match self.connect_next(&plan.runner).await {
             Ok(Ok(connection)) => connection,
-            Ok(Err(failure)) => return self.note_refusal(&plan, &failure),
+            Ok(Err(failure)) => {
+                self.note_refusal(&plan, &failure.reason);
+                return HandoverStep::Unreached;
+            }
             Err(end) => return HandoverStep::End(end),
         };
         if let Some(resume) = &mut plan.resume {
@@ -239,18 +293,22 @@
         }
         let mut held = HeldEvents::new(&self.scanner);
         let exchange = match self.send_with_overlap(&plan, connection, &mut held).await {
-            Ok(exchange) => exchange,
-            Err(failure) => {
-                let step = self.note_refusal(&plan, &failure);
-                return self.forward_held(held).await.map_or(step, HandoverStep::End);
+            OverlapEnd::Answered(exchange) if exchange.response.status().is_success() => exchange,
+            OverlapEnd::Answered(exchange) => {
+                let reason = exchange.response.status().to_string();
+                return self.keep_source(&plan, held, &reason).await;
             }
+            OverlapEnd::Failed(failure) => {
+                return self.keep_source(&plan, held, &failure.reason).await;
+            }
+            OverlapEnd::SourceEnded => {
+                self.count_move("source_ended");
+                let end = self.forward_held(held).await;
+                let whole = PumpStep::End(RequestOutcome::Streamed, "");
+                return HandoverStep::End(end.unwrap_or(whole));
+            }
+            OverlapEnd::CallerDisconnected => return HandoverStep::End(caller_disconnected()),
         };
-        if !exchange.response.status().is_success() {
-            self.count_move("answered_otherwise");
-            let status = exchange.response.status().to_string();
-            log_send_failure(&self.context, &self.call, &plan.runner.runner, &status);
-            return HandoverStep::End(PumpStep::End(RequestOutcome::Interrupted, "resume_failed"));
-        }
         self.count_move(how);
         self.changes += 1;
         self.tries = 0;
@@ -281,7 +339,7 @@
                 let mut disconnected = pin!(self.caller.disconnected.wait().fuse());
                 let mut frame = pin!(self.source.next_frame().fuse());
                 select_biased! {
-                    () = disconnected => return Ok(Err(SendFailure::caller_disconnected())),
+                    () = disconnected => return Err(caller_disconnected()),
                     connected = connect => return Ok(connected),
                     frame = frame => frame,
                 }
@@ -304,14 +362,13 @@
     }
 
     /// Sends the request and waits for the head of the answer. What the source delivers
-    /// meanwhile goes to `held`; it is closed if that takes longer than [`MAX_OVERLAP`]. Returns
-    /// early if the source delivers the stream to its end.
+    /// meanwhile goes to `held`; it is closed if that takes longer than [`MAX_OVERLAP`].
     async fn send_with_overlap(
         &mut self,
         plan: &SendPlan,
         connection: WebConnection,
         held: &mut HeldEvents,
-    ) -> Result<WebExchange, SendFailure> {
+    ) -> OverlapEnd {
         let (context, call) = (Rc::clone(&self.context), Rc::clone(&self.call));
         let overlap_end = context.now() + MAX_OVERLAP;
         let left = call.deadline.since(context.now());
@@ -323,18 +380,17 @@
                     pin!(overlap_left(&context, self.source.ended, overlap_end).fuse());
                 let mut frame = pin!(self.source.next_frame().fuse());
                 select_biased! {
-                    () = disconnected => return Err(SendFailure::caller_disconnected()),
-                    outcome = send => return outcome,
+                    () = disconnected => return OverlapEnd::CallerDisconnected,
+                    outcome = send => {
+                        return outcome.map_or_else(OverlapEnd::Failed, OverlapEnd::Answered);
+                    }
                     frame = frame => Some(frame),
                     () = overlap => None,
                 }
             };
             match frame {
                 Some(Some(Ok(bytes))) => held.push(bytes),
-                Some(None) if held.is_whole() => {
-                    held.ended = true;
-                    return Err(SendFailure::source_ended());
-                }
+                Some(None) if held.is_whole() => return OverlapEnd::SourceEnded,
                 Some(lost) => {
                     self.log_send_failure(&describe_loss(lost));
                     self.source.close();
@@ -357,22 +413,33 @@
         self.source.close();
     }
 
-    /// Forwards what the source delivered during a handover that failed. Returns how the stream
-    /// ends, if it does.
+    /// Goes on with the source after the next runner did not take over.
+    async fn keep_source(
+        &mut self,
+        plan: &SendPlan,
+        held: HeldEvents,
+        reason: &str,
+    ) -> HandoverStep {
+        self.note_refusal(plan, reason);
+        let end = self.forward_held(held).await;
+        end.map_or(HandoverStep::Refused, HandoverStep::End)
+    }
+
+    /// Forwards what the source delivered while the next runner was asked to go on. Returns how
+    /// the stream ends, if it has to.
     async fn forward_held(&mut self, held: HeldEvents) -> Option<PumpStep> {
         for bytes in held.frames {
             if let end @ PumpStep::End(..) = self.forward_events(&bytes).await {
                 return Some(end);
             }
         }
-        held.ended.then_some(PumpStep::End(RequestOutcome::Streamed, ""))
+        None
     }
 
     /// Logs and counts a runner that did not take over.
-    fn note_refusal(&self, plan: &SendPlan, failure: &SendFailure) -> HandoverStep {
+    fn note_refusal(&self, plan: &SendPlan, reason: &str) {
         self.count_move("refused");
-        log_send_failure(&self.context, &self.call, &plan.runner.runner, &failure.reason);
-        HandoverStep::Failed
+        log_send_failure(&self.context, &self.call, &plan.runner.runner, reason);
     }
 
     /// Counts a runner change by its outcome.
