Serve nodes of the release before apart from compressed transfers

A node of the release before fetches the configuration as plain JSON and gives up after 0.7 s as a whole; paced at half a link such a transfer never came through, and it took one of the two places from nodes of this release. Plain transfers now have one place of their own and are not slowed down.

--- a/crates/harness/tests/node_state_transfer.rs
+++ b/crates/harness/tests/node_state_transfer.rs
@@ -1,6 +1,7 @@
 //! Transfers of a large configuration and of the list of runners between nodes whose links are
 //! slow.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -18,6 +19,8 @@
 const DRAIN_LIMIT: Duration = Duration::from_secs(3);
 /// Bandwidth of a small machine's link (10 Mbit/s), in bytes a second.
 const LINK_RATE: u64 = 1_250_000;
+/// Bytes per second of 1 Mbit/s.
+const BYTES_PER_MEGABIT: f64 = 125_000.0;
 /// Routes of a configuration after it has grown twice by 1,400.
 const ROUTES: usize = 4_200;
 /// Runners in the list of a grown deployment with those of some minutes before.
@@ -53,18 +56,27 @@
 struct SlowHolder {
     holder: NodeFleet,
     followers: NodeFleet,
-    _link: TestLink,
+    link: TestLink,
 }
 
 impl SlowHolder {
+    /// Starts all nodes; the followers learn of the holder at once.
     async fn start(followers: usize, rate: u64) -> Self {
+        let fleet = Self::prepare(followers, rate).await;
+        fleet.announce();
+        fleet
+    }
+
+    /// Starts all nodes; the followers do not know of the holder yet.
+    async fn prepare(followers: usize, rate: u64) -> Self {
         let mut holder = NodeFleet::start().await.unwrap();
         holder.store.put_json("keyed.op", "config", &large_config(2));
         for number in 0..RUNNERS {
             let id = format!("i-{number:010x}");
             holder.store.put_json("keyed.servers", &id, &runner_entry(number));
         }
-        holder.add_node().unwrap();
+        let link_mbps = json!(rate as f64 / BYTES_PER_MEGABIT);
+        holder.add_node_with(&[("link_mbps", link_mbps)], true).unwrap();
         holder.wait_event(0, "plan_in_force", "version", &2.into()).await.unwrap();
         let mut fleet = NodeFleet::start().await.unwrap();
         for _ in 0..followers {
@@ -73,10 +85,14 @@
         fleet.wait_ready().await.unwrap();
         let link = fleet.start_link(1, holder.peer_address(0)).await.unwrap();
         link.set_answer_rate(rate);
-        let targets = (0..followers).map(|number| fleet.peer_address(number)).collect();
-        let heartbeats = send_heartbeats(link.address(), targets);
-        kernel::spawn(heartbeats).detach();
-        Self { holder, followers: fleet, _link: link }
+        Self { holder, followers: fleet, link }
+    }
+
+    /// Sends the followers heartbeats of the holder from now on.
+    fn announce(&self) {
+        let numbers = 0..self.followers.nodes.len();
+        let targets = numbers.map(|number| self.followers.peer_address(number)).collect();
+        kernel::spawn(send_heartbeats(self.link.address(), targets)).detach();
     }
 
     /// Waits until a follower has the newer configuration in force.
@@ -160,3 +176,44 @@
     })
     .unwrap();
 }
+
+/// Fetches the configuration as nodes of the release before do: plain, 0.7 s for the whole, begun
+/// anew with each heartbeat. Counts those that came through.
+async fn fetch_plain(peer: SocketAddr, fetched: Rc<Cell<u32>>) {
+    let limit = base::TimeSpan::millis(700);
+    loop {
+        let plan = web::fetch_json::<Value>("configuration", peer, "/plan", limit).await;
+        fetched.set(fetched.get() + u32::from(plan.is_ok()));
+        compio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
+#[test]
+fn nodes_of_the_release_before_do_not_keep_a_configuration_from_the_others() {
+    kernel::run(async {
+        let fleet = SlowHolder::prepare(4, LINK_RATE).await;
+        for _ in 0..4 {
+            kernel::spawn(fetch_plain(fleet.holder.peer_address(0), Rc::default())).detach();
+        }
+        compio::time::sleep(Duration::from_millis(300)).await;
+        fleet.announce();
+        let waits = (0..4).map(|number| fleet.wait_in_force(number));
+        futures_util::future::join_all(waits).await;
+    })
+    .unwrap();
+}
+
+#[test]
+fn a_node_of_the_release_before_gets_a_configuration_that_its_time_allows() {
+    kernel::run(async {
+        let fleet = SlowHolder::start(0, 2 * LINK_RATE).await;
+        let fetched = Rc::default();
+        kernel::spawn(fetch_plain(fleet.link.address(), Rc::clone(&fetched))).detach();
+        wait_until("a plain configuration", APPLY_LIMIT, async || {
+            (fetched.get() > 0).then_some(())
+        })
+        .await
+        .unwrap();
+    })
+    .unwrap();
+}
--- a/crates/node/src/state_transfer.rs
+++ b/crates/node/src/state_transfer.rs
@@ -12,7 +12,8 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use serving::{
-    PlanVersion, ServingPlan, StateCodecError, StateResult, TransferId, decode_state, encode_state,
+    PlanVersion, ServingPlan, StateCodecError, StateResult, TransferForm, TransferId, decode_state,
+    encode_state,
 };
 use thiserror::Error;
 use web::{WebError, WebRequest, WebResponse, full_body, json_reply, stream_body, text_reply};
@@ -78,11 +79,13 @@
     let Some(plan) = context.plan() else {
         return text_reply(StatusCode::SERVICE_UNAVAILABLE, "no configuration yet");
     };
-    let Some(id) = context.transfers.borrow_mut().try_begin(context.now()) else {
+    let is_encoded = accepts_encoding(request.headers());
+    let form = if is_encoded { TransferForm::Compressed } else { TransferForm::Plain };
+    let Some(id) = context.transfers.borrow_mut().try_begin(context.now(), form) else {
         return text_reply(StatusCode::TOO_MANY_REQUESTS, "other transfers are in progress");
     };
     let guard = TransferGuard { context: Rc::clone(context), id };
-    match encode_reply(context, &plan, request.headers()) {
+    match encode_reply(context, &plan, form) {
         Ok((bytes, encoding)) => {
             context.metrics.plans_sent.inc();
             let mut response = Response::new(paced_body(guard, bytes));
@@ -98,13 +101,13 @@
     }
 }
 
-/// Encodes the configuration as the request accepts it.
+/// Encodes the configuration; also returns the value of the header that names the encoding.
 fn encode_reply(
     context: &NodeContext,
     plan: &ServingPlan,
-    headers: &HeaderMap,
+    form: TransferForm,
 ) -> StateResult<(Bytes, Option<HeaderValue>)> {
-    if accepts_encoding(headers) {
+    if form == TransferForm::Compressed {
         let encoded = encode_once(context, plan)?;
         return Ok((encoded.bytes, Some(HeaderValue::from_static(ENCODING))));
     }
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -30,4 +30,4 @@
 pub use runner_table::{RunnerChange, RunnerEntry, RunnerIncarnation, RunnerRecord, RunnerTable};
 pub use state_codec::{Result as StateResult, StateCodecError, decode_state, encode_state};
 pub use stream_scan::{StreamError, StreamScanner};
-pub use transfer_pacer::{TransferId, TransferPacer};
+pub use transfer_pacer::{TransferForm, TransferId, TransferPacer};
--- a/crates/serving/src/transfer_pacer.rs
+++ b/crates/serving/src/transfer_pacer.rs
@@ -12,8 +12,10 @@
 
 use base::prelude::*;
 
-/// Transfers that are served at the same time.
-const MAX_TRANSFERS: usize = 2;
+/// Compressed transfers that are served at the same time.
+const MAX_COMPRESSED: usize = 2;
+/// Plain transfers that are served at the same time.
+const MAX_PLAIN: usize = 1;
 /// Share of the link that all transfers together may take.
 const LINK_SHARE: f64 = 0.5;
 /// Bytes per second of 1 Mbit/s.
@@ -40,13 +42,23 @@
     }
 }
 
+/// Form in which the configuration is transferred.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum TransferForm {
+    /// Compressed, and paced.
+    Compressed,
+    /// Plain, for a node of the release before. That gives up after 0.7 s as a whole, so a
+    /// transfer is not slowed down, and takes no place of a compressed one.
+    Plain,
+}
+
 /// Limits of the transfers of one node.
 #[derive(Debug)]
 pub struct TransferPacer {
     /// Bytes per second of all transfers together.
     rate: f64,
-    /// When the lease of each transfer in progress ends.
-    leases: BTreeMap<TransferId, TimePoint>,
+    /// Form of each transfer in progress, and when its lease ends.
+    leases: BTreeMap<TransferId, (TransferForm, TimePoint)>,
     next_id: TransferId,
     /// When the link has sent all chunks scheduled so far.
     free_at: TimePoint,
@@ -64,15 +76,19 @@
         }
     }
 
-    /// Begins a transfer; `None` if enough others are in progress.
-    pub fn try_begin(&mut self, now: TimePoint) -> Option<TransferId> {
-        self.leases.retain(|_, end| *end > now);
-        if self.leases.len() >= MAX_TRANSFERS {
+    /// Begins a transfer; `None` if enough others of the same form are in progress.
+    pub fn try_begin(&mut self, now: TimePoint, form: TransferForm) -> Option<TransferId> {
+        self.leases.retain(|_, (_, end)| *end > now);
+        let limit = match form {
+            TransferForm::Compressed => MAX_COMPRESSED,
+            TransferForm::Plain => MAX_PLAIN,
+        };
+        if self.leases.values().filter(|(other, _)| *other == form).count() >= limit {
             return None;
         }
         let id = self.next_id;
         self.next_id = TransferId(id.0 + 1);
-        self.leases.insert(id, now + LEASE_SPAN);
+        self.leases.insert(id, (form, now + LEASE_SPAN));
         Some(id)
     }
 
@@ -81,11 +97,18 @@
         self.leases.remove(&id);
     }
 
-    /// Schedules a chunk of a transfer behind those of all others; returns when it may be sent.
+    /// Schedules a chunk of a transfer behind those of all others of its form; returns when it may
+    /// be sent. A transfer whose lease has ended goes on, but may not keep its place.
     pub fn schedule_chunk(&mut self, now: TimePoint, id: TransferId, bytes: usize) -> TimePoint {
+        let lease = self.leases.get_mut(&id);
+        if lease.as_ref().is_some_and(|(form, _)| *form == TransferForm::Plain) {
+            return now;
+        }
         let begin = self.free_at.max(now);
         self.free_at = begin + std::time::Duration::from_secs_f64(bytes as f64 / self.rate).into();
-        self.leases.insert(id, begin + LEASE_SPAN);
+        if let Some((_, end)) = lease {
+            *end = begin + LEASE_SPAN;
+        }
         begin
     }
 }
--- a/crates/serving/tests/transfer_pacer.rs
+++ b/crates/serving/tests/transfer_pacer.rs
@@ -7,8 +7,8 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use serving::{
-    PlanVersion, RequestLimits, RouteKind, RouteRule, RouteTarget, ServingPlan, TransferId,
-    TransferPacer, decode_state, encode_state,
+    PlanVersion, RequestLimits, RouteKind, RouteRule, RouteTarget, ServingPlan, TransferForm,
+    TransferId, TransferPacer, decode_state, encode_state,
 };
 
 /// Bandwidth of a small machine's link, in Mbit/s.
@@ -80,7 +80,7 @@
             Step::Receive { holder, transfer, left } => (holder, transfer, left),
             Step::Ask => {
                 let holder = holders[rng.random_range(0..holders.len())];
-                let Some(transfer) = pacers[holder].try_begin(now) else {
+                let Some(transfer) = pacers[holder].try_begin(now, TransferForm::Compressed) else {
                     let pause = TimeSpan::millis(rng.random_range(RETRY_MS)) + ROUND_TRIP;
                     queue.insert((now + pause, node), Step::Ask);
                     continue;
@@ -123,7 +123,10 @@
 fn transfers_leave_half_of_the_link() {
     let mut pacer = TransferPacer::new(LINK_MBPS);
     let now = TimePoint::default();
-    let ids = [pacer.try_begin(now).unwrap(), pacer.try_begin(now).unwrap()];
+    let ids = [
+        pacer.try_begin(now, TransferForm::Compressed).unwrap(),
+        pacer.try_begin(now, TransferForm::Compressed).unwrap(),
+    ];
     let second = now + TimeSpan::seconds(1);
     let mut sent = 0;
     while pacer.schedule_chunk(now, ids[sent % 2], CHUNK_BYTES) < second {
@@ -137,13 +140,26 @@
 fn a_silent_receiver_does_not_keep_its_place() {
     let mut pacer = TransferPacer::new(LINK_MBPS);
     let begun = TimePoint::default();
-    let silent = pacer.try_begin(begun).unwrap();
-    pacer.try_begin(begun).unwrap();
-    assert_eq!(pacer.try_begin(begun), None);
+    let silent = pacer.try_begin(begun, TransferForm::Compressed).unwrap();
+    pacer.try_begin(begun, TransferForm::Compressed).unwrap();
+    assert_eq!(pacer.try_begin(begun, TransferForm::Compressed), None);
     let later = begun + TimeSpan::seconds(2);
-    assert!(pacer.try_begin(later).is_some());
-    assert!(pacer.try_begin(later).is_some());
+    assert!(pacer.try_begin(later, TransferForm::Compressed).is_some());
+    assert!(pacer.try_begin(later, TransferForm::Compressed).is_some());
     // Its end, when it comes at last, frees no other's place.
     pacer.end(silent);
-    assert_eq!(pacer.try_begin(later), None);
+    assert_eq!(pacer.try_begin(later, TransferForm::Compressed), None);
+}
+
+#[test]
+fn a_plain_transfer_takes_no_place_of_a_compressed_one_and_is_not_slowed_down() {
+    let mut pacer = TransferPacer::new(LINK_MBPS);
+    let now = TimePoint::default();
+    let plain = pacer.try_begin(now, TransferForm::Plain).unwrap();
+    assert_eq!(pacer.try_begin(now, TransferForm::Plain), None);
+    for _ in 0..2 {
+        let id = pacer.try_begin(now, TransferForm::Compressed).unwrap();
+        pacer.schedule_chunk(now, id, CHUNK_BYTES);
+    }
+    assert_eq!(pacer.schedule_chunk(now, plain, CHUNK_BYTES), now);
 }
