Let the store's stand-in come back from a copy; return an answer's head

The store may come back from a copy some seconds old: offsets are given out again, a read from one that it does not have gets 410, and the header Store-Era rises by one. The stand-in could not play that, and web::fetch dropped the headers of an answer. Change: the stand-in names its era in all answers, refusals included, and has copy, take_away and come_back; a read past its end gets 410; it counts the nodes' appends. web::fetch_answer returns status, headers and body, also of an error status; fetch is built on it. A newtype StoreEra. Ruled out: dropping the reads that wait over the return. One that is answered afterwards, from an offset given out again, is the harder case and stays possible.

--- a/crates/base/src/numbers.rs
+++ b/crates/base/src/numbers.rs
@@ -43,6 +43,11 @@
     /// Offset of a record in the platform's log; offsets only increase.
     LogOffset, u64
 }
+number! {
+    /// Era of the platform's store: one higher after each return from a copy, which loses the
+    /// newest records and gives their offsets out again. 0 where the store names none.
+    StoreEra, u64
+}
 number! {
     /// A number of tokens.
     TokenCount, u32
--- a/crates/fakes/src/platform/mod.rs
+++ b/crates/fakes/src/platform/mod.rs
@@ -7,5 +7,5 @@
 
 pub use runner_fake::{RunnerFake, RunnerFakeSettings, RunnerScript, RunnerVisit};
 pub use runner_request::RunnerRequest;
-pub use store_fake::{StoreFake, StoreFault};
+pub use store_fake::{StoreCopy, StoreFake, StoreFault};
 pub use stream_memory::StreamMemory;
--- a/crates/fakes/src/platform/store_fake.rs
+++ b/crates/fakes/src/platform/store_fake.rs
@@ -8,6 +8,7 @@
 
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
+use hyper::header::HeaderValue;
 use hyper::{Response, StatusCode};
 use serde_json::{Value, json};
 use web::{WebRequest, WebResponse, full_body, json_reply, read_bounded, text_reply};
@@ -18,6 +19,10 @@
 const MAX_APPEND_BYTES: usize = 2 << 20;
 /// Pause between two looks of a waiting read.
 const LOOK_EVERY: Duration = Duration::from_millis(5);
+/// Header with the store's era.
+const ERA_HEADER: &str = "store-era";
+/// Era of a store that has never come back from a copy.
+const FIRST_ERA: u64 = 1;
 
 /// How the store misbehaves.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
@@ -52,11 +57,30 @@
     }
 }
 
-#[derive(Default)]
+/// How much of each topic was written when the copy was made.
+#[derive(Debug, Clone, Default)]
+pub struct StoreCopy {
+    records: BTreeMap<String, usize>,
+}
+
 struct StoreState {
     topics: RefCell<BTreeMap<String, TopicState>>,
     fault: Cell<StoreFault>,
+    era: Cell<u64>,
     calls: Cell<u64>,
+    appends: Cell<u64>,
+}
+
+impl Default for StoreState {
+    fn default() -> Self {
+        Self {
+            topics: RefCell::default(),
+            fault: Cell::default(),
+            era: Cell::new(FIRST_ERA),
+            calls: Cell::default(),
+            appends: Cell::default(),
+        }
+    }
 }
 
 /// A running store.
@@ -73,7 +97,8 @@
     pub async fn start(address: SocketAddr) -> Result<Self> {
         let state: Rc<StoreState> = Rc::default();
         let shared = Rc::clone(&state);
-        let host = FakeHost::start(address, move |request| answer(Rc::clone(&shared), request));
+        let host =
+            FakeHost::start(address, move |request| answer_in_era(Rc::clone(&shared), request));
         Ok(Self { state, host: host.await? })
     }
 
@@ -89,6 +114,12 @@
         self.state.calls.get()
     }
 
+    /// Appends of nodes so far.
+    #[must_use]
+    pub fn appends(&self) -> u64 {
+        self.state.appends.get()
+    }
+
     /// Starts or ends a fault.
     pub fn set_fault(&self, fault: StoreFault) {
         self.state.fault.set(fault);
@@ -106,6 +137,38 @@
         self.put(topic, key, Some(value.to_string().as_bytes()));
     }
 
+    /// Keys of a topic that have a value.
+    #[must_use]
+    pub fn keys(&self, topic: &str) -> Vec<String> {
+        let topics = self.state.topics.borrow();
+        let newest = topics.get(topic).map(TopicState::newest).unwrap_or_default();
+        newest.into_keys().map(str::to_owned).collect()
+    }
+
+    /// Makes a copy for a later [`Self::come_back`].
+    #[must_use]
+    pub fn copy(&self) -> StoreCopy {
+        let topics = self.state.topics.borrow();
+        let records = topics.iter().map(|(name, topic)| (name.clone(), topic.records.len()));
+        StoreCopy { records: records.collect() }
+    }
+
+    /// Takes the store away: it answers nothing, and reads that wait go on waiting.
+    pub fn take_away(&self) {
+        self.set_fault(StoreFault::Silent);
+    }
+
+    /// Brings the store back from `copy`: later records are gone, their offsets are given out
+    /// again, and the era is one higher.
+    pub fn come_back(&self, copy: &StoreCopy) {
+        for (name, topic) in self.state.topics.borrow_mut().iter_mut() {
+            topic.records.truncate(copy.records.get(name).copied().unwrap_or(0));
+            topic.first = topic.first.min(topic.records.len());
+        }
+        self.state.era.set(self.state.era.get() + 1);
+        self.set_fault(StoreFault::None);
+    }
+
     /// Deletes the history of a topic; the newest value of each key stays.
     pub fn compact(&self, topic: &str) {
         if let Some(topic) = self.state.topics.borrow_mut().get_mut(topic) {
@@ -114,6 +177,13 @@
     }
 }
 
+/// The answer, with the era in which it was given.
+async fn answer_in_era(state: Rc<StoreState>, request: WebRequest) -> WebResponse {
+    let mut response = answer(Rc::clone(&state), request).await;
+    response.headers_mut().insert(ERA_HEADER, HeaderValue::from(state.era.get()));
+    response
+}
+
 async fn answer(state: Rc<StoreState>, request: WebRequest) -> WebResponse {
     state.calls.set(state.calls.get() + 1);
     match state.fault.get() {
@@ -152,7 +222,9 @@
     let from = usize::try_from(number("from").unwrap_or(0)).unwrap_or(usize::MAX);
     let end = Instant::now() + Duration::from_millis(number("waitMs").unwrap_or(0));
     loop {
-        if let Some(response) = read_now(state, topic, from, Instant::now() >= end) {
+        if state.fault.get() != StoreFault::Silent
+            && let Some(response) = read_now(state, topic, from, Instant::now() >= end)
+        {
             return response;
         }
         compio::time::sleep(LOOK_EVERY).await;
@@ -163,7 +235,7 @@
 fn read_now(state: &StoreState, topic: &str, from: usize, late: bool) -> Option<WebResponse> {
     let mut topics = state.topics.borrow_mut();
     let topic = topics.entry(topic.to_owned()).or_default();
-    if from < topic.first {
+    if from < topic.first || from > topic.records.len() {
         return Some(json_reply(StatusCode::GONE, &json!({ "first": topic.first })));
     }
     let records = topic.records.get(from..).unwrap_or_default();
@@ -195,6 +267,7 @@
     let topic = topics.entry(topic.to_owned()).or_default();
     let offset = topic.records.len();
     topic.records.push((key, value));
+    state.appends.set(state.appends.get() + 1);
     json_reply(StatusCode::OK, &json!({ "offset": offset, "end": offset + 1 }))
 }
 
--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -11,8 +11,8 @@
 use compio::time::timeout;
 use cyper_core::HyperStream;
 use hyper::body::{Bytes, Incoming};
-use hyper::header::{CONTENT_TYPE, HOST, HeaderValue};
-use hyper::{Method, Request, Response};
+use hyper::header::{CONTENT_TYPE, HOST, HeaderMap, HeaderValue};
+use hyper::{Method, Request, Response, StatusCode};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
@@ -97,12 +97,38 @@
     Ok(WebExchange { response, connection })
 }
 
+/// A complete response.
+#[derive(Debug)]
+pub struct WebAnswer {
+    /// Status; may be that of an error.
+    pub status: StatusCode,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Body.
+    pub bytes: Bytes,
+}
+
+impl WebAnswer {
+    /// The body, unless the status is that of an error.
+    ///
+    /// # Errors
+    /// [`WebError::Status`] for statuses from 400.
+    pub fn check_status(self, step: &'static str, peer: SocketAddr) -> Result<Bytes> {
+        let status = self.status.as_u16();
+        if status < 400 {
+            return Ok(self.bytes);
+        }
+        let text =
+            String::from_utf8_lossy(&self.bytes).chars().take(MAX_ERROR_TEXT_CHARS).collect();
+        Err(WebError::Status { step, peer, status, text })
+    }
+}
+
 /// Sends one request with an optional JSON body and reads the complete response within
 /// `limit`.
 ///
 /// # Errors
-/// [`WebError::Status`] for statuses from 400, [`WebError::TooLong`] and
-/// [`WebError::Body`] for the body, and all errors of [`send_once`].
+/// [`WebError::Status`] for statuses from 400, and all errors of [`fetch_answer`].
 pub async fn fetch(
     step: &'static str,
     method: Method,
@@ -111,6 +137,21 @@
     body: Bytes,
     limit: TimeSpan,
 ) -> Result<Bytes> {
+    fetch_answer(step, method, peer, path, body, limit).await?.check_status(step, peer)
+}
+
+/// Like [`fetch`], but returns the head too, also that of an error status.
+///
+/// # Errors
+/// [`WebError::TooLong`] and [`WebError::Body`] for the body, and all errors of [`send_once`].
+pub async fn fetch_answer(
+    step: &'static str,
+    method: Method,
+    peer: SocketAddr,
+    path: &str,
+    body: Bytes,
+    limit: TimeSpan,
+) -> Result<WebAnswer> {
     let request = Request::builder()
         .method(method)
         .uri(path)
@@ -119,13 +160,9 @@
         .map_err(|source| WebError::Request { step, source })?;
     let exchange = async {
         let response = send_once(peer, request, limit, limit).await?;
-        let status = response.status();
-        let bytes = read_bounded(step, response.into_body(), MAX_FETCH_BYTES).await?;
-        if status.as_u16() >= 400 {
-            let text = String::from_utf8_lossy(&bytes).chars().take(MAX_ERROR_TEXT_CHARS).collect();
-            return Err(WebError::Status { step, peer, status: status.as_u16(), text });
-        }
-        Ok(bytes)
+        let (head, body) = response.into_parts();
+        let bytes = read_bounded(step, body, MAX_FETCH_BYTES).await?;
+        Ok(WebAnswer { status: head.status, headers: head.headers, bytes })
     };
     timeout(limit.into(), exchange).await.map_err(|_| WebError::Deadline { step, peer })?
 }
