Tie the store's offsets to its era, and keep what was learned before a return

No line knew Store-Era. A cursor from before a return skipped the records at offsets given out again, or a fresh listing undid what the nodes knew. Change: - The store's client decodes Store-Era once, for every answer, refusals included, and tells the node. A node that learns of a higher one drops its offset, and compares offsets with nodes of the newest era only. A list asked for before the era rose gives no offset. - RunnerTable: for 2 s after a return an entry that the store lacks stays; for 5 s a list does not bring back an incarnation that was known as removed, only a newer record does; leaving stays leaving. What is left open after 5 s has the list read once more. A first configuration that no other node can confirm is logged. Ruled out: marks of entries not yet written again at nodes that only hear from others. A node now lists the topic itself before it reads on in an era. Not done: an entry that came back does not yet get work by answering a report, only by a newer record.

--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -6,7 +6,8 @@
 use base::prelude::*;
 use kernel::{MonotonicClock, StopSignal};
 use serving::{
-    BudgetSettings, FleetLoads, PeerTable, PlanVersion, RetryBudget, RunnerTable, ServingPlan,
+    BudgetSettings, EraView, FleetLoads, PeerTable, PlanVersion, RetryBudget, RunnerTable,
+    ServingPlan,
 };
 use settings::NodeSettings;
 
@@ -24,7 +25,9 @@
     pub plan: RefCell<Option<Rc<ServingPlan>>>,
     /// Known runners and their state.
     pub runners: RefCell<RunnerTable>,
-    /// Store offset up to which the list of runners has been read.
+    /// Newest era of the store that the store or another node has named.
+    pub store_era: RefCell<EraView>,
+    /// Offset in the newest era up to which the list of runners has been read; 0 if it has not.
     pub runners_offset: Cell<LogOffset>,
     /// When the list of runners was last known to be current; `None` before the first read.
     pub runners_updated: Cell<Option<TimePoint>>,
@@ -56,6 +59,7 @@
             metrics: NodeMetrics::new(),
             plan: RefCell::default(),
             runners: RefCell::new(RunnerTable::new(settings.drain)),
+            store_era: RefCell::default(),
             runners_offset: Cell::default(),
             runners_updated: Cell::default(),
             store_answered_at: Cell::default(),
@@ -94,6 +98,33 @@
         self.plan.borrow().as_ref().map(|plan| plan.version)
     }
 
+    /// The newest era of the store.
+    #[must_use]
+    pub fn newest_era(&self) -> StoreEra {
+        self.store_era.borrow().newest()
+    }
+
+    /// Records an era that `source` named. If it is higher, what was read of the list of runners
+    /// stays, but its offset is void.
+    pub fn observe_store_era(&self, era: StoreEra, source: &str) {
+        let now = self.now();
+        let Some(before) = self.store_era.borrow_mut().observe(now, era) else { return };
+        let offset = self.runners_offset.take().0;
+        tracing::info!(
+            event = "store_era",
+            era = era.0,
+            before = before.0,
+            source,
+            runners_offset = offset
+        );
+        self.metrics.store_eras.inc();
+        self.peers.borrow_mut().set_store_era(era);
+        if self.runners_updated.get().is_some() {
+            self.metrics.cursors_dropped.inc();
+            self.runners.borrow_mut().mark_store_return(now);
+        }
+    }
+
     /// Time since the list of runners was last current; the maximum before the first read.
     #[must_use]
     pub fn runners_age(&self) -> TimeSpan {
--- a/crates/node/src/follow_configuration.rs
+++ b/crates/node/src/follow_configuration.rs
@@ -3,12 +3,13 @@
 use std::rc::Rc;
 
 use base::prelude::*;
-use platform::{KeyedChange, KeyedListing, StoreClient, StoreTopic};
-use serving::ServingPlan;
+use platform::{KeyedChange, KeyedListing, StoreTopic};
+use serving::{ServingPlan, StoreCursor};
 
 use crate::context::NodeContext;
 use crate::dependency::DependencyState;
 use crate::router::RouterService;
+use crate::store_reader::StoreReader;
 
 /// Time that one read waits for a change. A connection that goes silent delays a change by
 /// at most this plus the timeout of an exchange, which stays within the 2 s in which a
@@ -42,20 +43,20 @@
 pub async fn follow_configuration(
     context: Rc<NodeContext>,
     router: Rc<RouterService>,
-    client: StoreClient,
+    reader: StoreReader,
 ) {
     let dependency = DependencyState::new("store: configuration");
-    let mut from: Option<LogOffset> = None;
+    let mut from: Option<StoreCursor> = None;
     loop {
         if from.is_some() {
             wait_for_turn(&context).await;
         }
-        match client.read_or_list(StoreTopic::Operators, from, READ_WAIT).await {
-            Ok(Some(listing)) => {
+        match reader.read_or_list(StoreTopic::Operators, from, READ_WAIT).await {
+            Ok(Some(read)) => {
                 dependency.record_success();
                 context.store_answered_at.set(Some(context.now()));
-                from = Some(listing.end);
-                apply_listing(&context, &router, &listing);
+                from = Some(read.end);
+                apply_listing(&context, &router, &read.listing);
             }
             Ok(None) => from = None,
             Err(error) => {
@@ -85,11 +86,25 @@
     }
     for change in &listing.entries {
         if let Some(plan) = decode_plan(change) {
+            report_unconfirmed(context, &plan);
             apply_plan(context, router, plan, "store");
         }
     }
 }
 
+/// Logs a first configuration that no other node can confirm: a store that has come back from a
+/// copy may show an older one.
+fn report_unconfirmed(context: &NodeContext, plan: &ServingPlan) {
+    let is_alone = context.peers.borrow().live(context.now()).next().is_none();
+    if context.plan_version().is_none() && is_alone {
+        tracing::info!(
+            event = "plan_unconfirmed",
+            version = plan.version.0,
+            reason = "no other node"
+        );
+    }
+}
+
 /// Decodes a configuration; `None` if the record is removed, of another kind or malformed.
 fn decode_plan(change: &KeyedChange) -> Option<ServingPlan> {
     let value = change.value.as_ref()?;
--- a/crates/node/src/follow_runners.rs
+++ b/crates/node/src/follow_runners.rs
@@ -3,16 +3,18 @@
 //! One node reads on behalf of all and sends the changes to the others. The others stand by
 //! and read themselves after a slightly longer silence each.
 
+use std::cell::Cell;
 use std::rc::Rc;
 
 use base::prelude::*;
-use platform::{KeyedChange, KeyedListing, ReadOutcome, StoreClient, StoreTopic};
-use serving::{RunnerChange, RunnerRecord, RunnerUpdate};
+use platform::{KeyedChange, KeyedListing, StoreTopic};
+use serving::{RunnerChange, RunnerRecord, RunnerUpdate, StoreCursor};
 
 use crate::context::NodeContext;
 use crate::dependency::DependencyState;
 use crate::peer_link::PeerLink;
 use crate::router::RouterService;
+use crate::store_reader::{EraListing, StoreReader};
 
 /// Pause between two reads. Runners rewrite their records about once a second each, so a
 /// long poll would return immediately anyway.
@@ -29,7 +31,9 @@
     context: Rc<NodeContext>,
     router: Rc<RouterService>,
     link: Rc<PeerLink>,
-    client: StoreClient,
+    reader: StoreReader,
+    /// Where the last read of this node ended.
+    last_end: Cell<Option<StoreCursor>>,
     dependency: DependencyState,
 }
 
@@ -40,42 +44,39 @@
         context: &Rc<NodeContext>,
         router: &Rc<RouterService>,
         link: &Rc<PeerLink>,
-        client: StoreClient,
+        reader: StoreReader,
     ) -> Self {
         Self {
             context: Rc::clone(context),
             router: Rc::clone(router),
             link: Rc::clone(link),
-            client,
+            reader,
+            last_end: Cell::default(),
             dependency: DependencyState::new("store: runners"),
         }
     }
 
     /// Reads the list of runners until the process ends.
     pub async fn run(self) {
-        let mut has_list = false;
         loop {
-            if has_list {
+            if self.last_end.get().is_some() {
                 self.wait_for_turn().await;
             }
-            match self.read(has_list).await {
-                Ok(can_continue) => {
-                    self.dependency.record_success();
-                    has_list = can_continue;
-                }
+            match self.read().await {
+                Ok(()) => self.dependency.record_success(),
                 Err(error) => {
                     self.dependency.record_failure(&error);
                     self.context.metrics.store_failures.inc();
                     kernel::sleep(self.standby_pause(RETRY_PAUSE).into()).await;
                 }
             }
-            self.context.runners.borrow_mut().prune(self.context.now());
         }
     }
 
     /// Waits until neither this node nor another has read the list for a while.
     async fn wait_for_turn(&self) {
         loop {
+            self.tend_table();
             let read = self.context.runners_updated.get().unwrap_or_default();
             let left = (read + self.standby_pause(READ_PAUSE)).since(self.context.now());
             if left == TimeSpan::default() {
@@ -85,55 +86,115 @@
         }
     }
 
+    /// Forgets entries removed long ago. Has the list read once more where a return of the store
+    /// has left entries open.
+    fn tend_table(&self) {
+        let now = self.context.now();
+        let mut table = self.context.runners.borrow_mut();
+        table.prune(now);
+        if table.take_list_request(now) {
+            self.context.runners_offset.take();
+            self.context.metrics.cursors_dropped.inc();
+            tracing::info!(event = "cursor_dropped", topic = "runners", reason = "entries open");
+        }
+    }
+
     /// Pause of this node by its rank as a reader; `first` is that of the first reader.
     fn standby_pause(&self, first: TimeSpan) -> TimeSpan {
         let steps = (self.context.readers_before() as u64).min(MAX_STANDBY_STEPS);
         TimeSpan(first.0 + steps * STANDBY_PAUSE.0)
     }
 
-    /// Reads the whole list, or the changes since the last read if `has_list`; returns
-    /// whether the next read can continue from this one.
-    async fn read(&self, has_list: bool) -> platform::Result<bool> {
+    /// Where the next read can begin; `None` if the whole list has to be read.
+    ///
+    /// Which entries the store lacks after a return, and which are written again, only shows in
+    /// what this node has read itself: other nodes pass on their own list of runners, and only
+    /// changes that had an effect on it.
+    fn cursor(&self) -> Option<StoreCursor> {
+        let era = self.context.newest_era();
+        let last_end = self.last_end.get().filter(|last_end| last_end.era == era)?;
+        let cursor = StoreCursor { era, offset: self.context.runners_offset.get() };
+        let is_own = cursor == last_end;
+        let is_read = cursor.offset > LogOffset::default();
+        let is_settled = !self.context.runners.borrow().awaits_rewrites();
+        (is_own || is_read && is_settled).then_some(cursor)
+    }
+
+    /// Reads the changes since the last read, or the whole list.
+    async fn read(&self) -> platform::Result<()> {
         let requested = self.context.now();
-        if !has_list {
-            let listing = self.client.list(StoreTopic::Runners).await?;
-            let records = decode_records(&listing);
-            let changed = self.context.runners.borrow_mut().replace(self.context.now(), records);
-            self.record_listing(requested, listing.end, changed);
-            return Ok(true);
-        }
-        let from = self.context.runners_offset.get();
-        match self.client.read_changes(StoreTopic::Runners, from, TimeSpan::default()).await? {
-            ReadOutcome::Truncated => Ok(false),
-            ReadOutcome::Changes(listing) => {
-                self.apply_changes(requested, from, &listing);
-                Ok(true)
-            }
+        let cursor = self.cursor();
+        let outcome =
+            self.reader.read_or_list(StoreTopic::Runners, cursor, TimeSpan::default()).await?;
+        match (outcome, cursor) {
+            (None, _) => self.last_end.set(None),
+            (Some(read), None) => self.apply_list(requested, &read),
+            (Some(read), Some(cursor)) => self.apply_changes(requested, cursor, &read),
         }
+        Ok(())
     }
 
-    fn apply_changes(&self, requested: TimePoint, from: LogOffset, listing: &KeyedListing) {
-        let decoded: Vec<RunnerChange> = listing.entries.iter().filter_map(decode_change).collect();
+    fn apply_list(&self, requested: TimePoint, read: &EraListing) {
+        let records = decode_records(&read.listing);
+        let changed = self.context.runners.borrow_mut().replace_listed(self.context.now(), records);
+        // The list counts alone, also where it ends before what was read.
+        self.context.runners_offset.take();
+        self.record_end(requested, read.end, changed);
+    }
+
+    fn apply_changes(&self, requested: TimePoint, from: StoreCursor, read: &EraListing) {
+        let mut decoded: Vec<RunnerChange> =
+            read.listing.entries.iter().filter_map(decode_change).collect();
+        let overdue = self.context.runners.borrow().overdue_rewrites(self.context.now());
+        let rewritten: Vec<&RunnerId> = decoded.iter().map(changed_runner).collect();
+        let expired: Vec<RunnerId> =
+            overdue.into_iter().filter(|runner| !rewritten.contains(&runner)).collect();
+        decoded.extend(expired.into_iter().map(RunnerChange::Remove));
         let changes = apply_to_table(&self.context, decoded, "store");
-        let has_changes = !changes.is_empty();
-        self.record_listing(requested, listing.end, has_changes);
-        self.link.send_update(RunnerUpdate { from, end: listing.end, changes });
+        self.record_end(requested, read.end, !changes.is_empty());
+        let (from, end) = (from.offset, read.end.offset);
+        self.link.send_update(RunnerUpdate { era: read.end.era, from, end, changes });
     }
 
-    fn record_listing(&self, requested: TimePoint, end: LogOffset, changed: bool) {
+    fn record_end(&self, requested: TimePoint, end: StoreCursor, changed: bool) {
         self.context.store_answered_at.set(Some(self.context.now()));
-        record_read(&self.context, &self.router, requested, end, changed);
+        self.last_end.set(Some(end));
+        record_current_read(&self.context, &self.router, requested, end.offset, changed);
     }
 }
 
-/// Records that the list has been read up to `end`, by this node or another, and was current
-/// at `current`.
+/// Records that another node's list, read up to `end` and current at `current`, has been taken.
+/// Its offset may belong to an older era if a newer one became known since.
 pub fn record_read(
     context: &NodeContext,
     router: &RouterService,
     current: TimePoint,
     end: LogOffset,
     changed: bool,
+) {
+    if !context.store_era.borrow().may_be_older(current) {
+        record_current_read(context, router, current, end, changed);
+        return;
+    }
+    tracing::info!(
+        event = "offset_skipped",
+        topic = "runners",
+        offset = end.0,
+        reason = "older era"
+    );
+    if changed {
+        router.update_members();
+    }
+}
+
+/// Records that the list has been read up to `end` of the newest era and was current at
+/// `current`.
+fn record_current_read(
+    context: &NodeContext,
+    router: &RouterService,
+    current: TimePoint,
+    end: LogOffset,
+    changed: bool,
 ) {
     context.runners_offset.set(end.max(context.runners_offset.get()));
     context.runners_updated.set(Some(current));
@@ -144,12 +205,16 @@
 
 /// Applies changes that another node has read, unless there is a gap to what is known here.
 pub fn apply_peer_update(context: &NodeContext, router: &RouterService, update: RunnerUpdate) {
+    context.observe_store_era(update.era, "node");
+    if update.era < context.newest_era() {
+        return;
+    }
     let read = context.runners_offset.get();
     if context.runners_updated.get().is_none() || update.from > read || update.end < read {
         return;
     }
     let changed = !apply_to_table(context, update.changes, "node").is_empty();
-    record_read(context, router, context.now(), update.end, changed);
+    record_current_read(context, router, context.now(), update.end, changed);
 }
 
 /// Applies changes to the runner table; returns those that had an effect.
@@ -171,6 +236,14 @@
     effective
 }
 
+/// Runner that a change is about.
+fn changed_runner(change: &RunnerChange) -> &RunnerId {
+    match change {
+        RunnerChange::Put(record) => &record.runner,
+        RunnerChange::Remove(runner) => runner,
+    }
+}
+
 /// Runner and state of a change, for the log.
 fn describe_change(change: &RunnerChange) -> (&RunnerId, &'static str) {
     match change {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -22,6 +22,7 @@
 mod router;
 mod runner_poll;
 mod runner_send;
+mod store_reader;
 mod stream_call;
 mod stream_copy;
 mod stream_handover;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -33,6 +33,12 @@
     pub plans: Counter,
     /// Failed exchanges with the store.
     pub store_failures: Counter,
+    /// Higher eras of the store seen.
+    pub store_eras: Counter,
+    /// Positions in the store's topics dropped.
+    pub cursors_dropped: Counter,
+    /// Records of this node written to the store again.
+    pub records_rewritten: Counter,
     /// Heartbeats received from other nodes.
     pub heartbeats: Counter,
     /// Messages of other nodes that could not be read.
@@ -68,6 +74,9 @@
             moves: Family::default(),
             plans: Counter::default(),
             store_failures: Counter::default(),
+            store_eras: Counter::default(),
+            cursors_dropped: Counter::default(),
+            records_rewritten: Counter::default(),
             heartbeats: Counter::default(),
             messages_skipped: Counter::default(),
             lines_dropped: Counter::default(),
@@ -97,6 +106,17 @@
             "Failed exchanges with the store",
             self.store_failures.clone(),
         );
+        registry.register("store_eras", "Higher eras of the store seen", self.store_eras.clone());
+        registry.register(
+            "cursors_dropped",
+            "Positions in the topics of the store dropped",
+            self.cursors_dropped.clone(),
+        );
+        registry.register(
+            "records_rewritten",
+            "Records of this node written to the store again",
+            self.records_rewritten.clone(),
+        );
         registry.register("beats", "Heartbeats of other nodes", self.heartbeats.clone());
         registry.register(
             "messages_skipped",
--- a/crates/node/src/peer_link.rs
+++ b/crates/node/src/peer_link.rs
@@ -127,6 +127,7 @@
             ready: self.context.is_ready(),
             store_reachable: self.context.is_store_reachable(),
             plan_version: self.context.plan_version(),
+            store_era: self.context.newest_era(),
             runners_offset: self.context.runners_offset.get(),
             loads: self.router.local_loads(),
             waiting_services: self.router.waiting_services(),
@@ -187,6 +188,7 @@
             return;
         }
         self.context.metrics.heartbeats.inc();
+        self.context.observe_store_era(heartbeat.store_era, "node");
         let vm = heartbeat.vm.clone();
         // Leaving runners and loads are kept in other tables; the peer table keeps the rest.
         let leaving = std::mem::take(&mut heartbeat.leaving);
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -21,6 +21,7 @@
 use crate::peer_server::answer_peer;
 use crate::router::RouterService;
 use crate::runner_poll::poll_runners;
+use crate::store_reader::StoreReader;
 
 /// Timeout of one exchange with the store, in addition to the requested wait. The store
 /// normally answers within a few milliseconds; a slow store takes up to a hundred times as
@@ -63,14 +64,18 @@
     );
     let (heartbeat_requests, requested_heartbeats) = mpsc::channel(1);
     let router = RouterService::new(&context, heartbeat_requests);
-    let store = StoreClient::new(context.settings.store, STORE_TIMEOUT);
+    let observer = Rc::clone(&context);
+    let observe_era = Rc::new(move |era| observer.observe_store_era(era, "store"));
+    let store = StoreClient::new(context.settings.store, STORE_TIMEOUT, observe_era);
     let stop = StopSignal::new();
     start_servers(&context, &router, &stop).await?;
     let link = PeerLink::open(&context, &router).await.map_err(NodeError::PeerSocket)?;
     kernel::spawn(Rc::clone(&link).run_sending(requested_heartbeats)).detach();
     kernel::spawn(Rc::clone(&link).run_receiving()).detach();
-    kernel::spawn(follow_configuration(Rc::clone(&context), Rc::clone(&router), store)).detach();
-    kernel::spawn(RunnerFeed::new(&context, &router, &link, store).run()).detach();
+    let reader = StoreReader::new(&context, store.clone());
+    kernel::spawn(follow_configuration(Rc::clone(&context), Rc::clone(&router), reader)).detach();
+    let reader = StoreReader::new(&context, store.clone());
+    kernel::spawn(RunnerFeed::new(&context, &router, &link, reader).run()).detach();
     kernel::spawn(follow_nodes(Rc::clone(&context), store)).detach();
     kernel::spawn(poll_runners(Rc::clone(&context), Rc::clone(&router))).detach();
     kernel::spawn(Rc::clone(&router).run_ticks()).detach();
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -13,6 +13,7 @@
 mod plan;
 mod retry_budget;
 mod runner_table;
+mod store_era;
 mod stream_scan;
 
 pub use attempt::{AttemptTracker, FinalStatus, SendOutcome};
@@ -26,4 +27,5 @@
 };
 pub use retry_budget::{BudgetSettings, RetryBudget};
 pub use runner_table::{RunnerChange, RunnerEntry, RunnerIncarnation, RunnerRecord, RunnerTable};
+pub use store_era::{AnswerUse, EraView, StoreCursor};
 pub use stream_scan::{StreamError, StreamScanner};
--- a/crates/serving/src/peer_heartbeat.rs
+++ b/crates/serving/src/peer_heartbeat.rs
@@ -19,6 +19,8 @@
 /// Result of one incremental read of the runner list.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct RunnerUpdate {
+    /// Era of the store that the offsets belong to.
+    pub era: StoreEra,
     /// Offset at which the read began.
     pub from: LogOffset,
     /// Offset at which the read ended.
@@ -48,7 +50,9 @@
     pub store_reachable: bool,
     /// Version of the configuration in force; `None` before the first one.
     pub plan_version: Option<PlanVersion>,
-    /// Offset up to which the node has read the runner list.
+    /// Newest era of the store that the node knows.
+    pub store_era: StoreEra,
+    /// Offset in that era up to which the node has read the runner list; 0 if it has not.
     pub runners_offset: LogOffset,
     /// Load that the node has placed on each runner.
     pub loads: Vec<RunnerLoad>,
--- a/crates/serving/src/peer_table.rs
+++ b/crates/serving/src/peer_table.rs
@@ -47,6 +47,8 @@
     /// Addresses read from the store; some may belong to nodes that no longer exist.
     listed: BTreeMap<VmId, SocketAddr>,
     last_heartbeat_at: Option<TimePoint>,
+    /// Newest era of the store known to this node.
+    store_era: StoreEra,
 }
 
 impl PeerTable {
@@ -162,10 +164,17 @@
         holders.map(|heartbeat| heartbeat.peer_address).collect()
     }
 
-    /// Address of the live node that has read furthest in the runner list, if it is past `own`.
+    /// Records the newest era of the store. Offsets of other eras are not compared.
+    pub fn set_store_era(&mut self, era: StoreEra) {
+        self.store_era = era;
+    }
+
+    /// Address of the live node that has read furthest in the runner list in the newest era of
+    /// the store, if it is past `own`.
     #[must_use]
     pub fn peer_with_newer_runners(&self, now: TimePoint, own: LogOffset) -> Option<SocketAddr> {
-        let ahead = self.live(now).filter(|heartbeat| heartbeat.runners_offset > own);
+        let current = self.live(now).filter(|heartbeat| heartbeat.store_era == self.store_era);
+        let ahead = current.filter(|heartbeat| heartbeat.runners_offset > own);
         ahead
             .max_by_key(|heartbeat| heartbeat.runners_offset)
             .map(|heartbeat| heartbeat.peer_address)
--- a/crates/serving/src/runner_table.rs
+++ b/crates/serving/src/runner_table.rs
@@ -1,7 +1,8 @@
 //! The runners that the platform lists, and which of them may receive new requests.
 //!
 //! Load pattern: engines are reclaimed every few seconds. A runner that has announced that it
-//! is leaving stays so for its incarnation, even if a stale list shows it as ready.
+//! is leaving stays so for its incarnation, even if a stale list shows it as ready. A store that
+//! comes back from a copy lists runners that have ended, and lacks some that have just started.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -12,6 +13,11 @@
 
 /// Time after which a removed entry is dropped from the table.
 const FORGET_TIMEOUT: TimeSpan = TimeSpan::seconds(20);
+/// Time after a return of the store in which a runner that its copy lacks writes its entry again.
+const REWRITE_TIMEOUT: TimeSpan = TimeSpan::seconds(2);
+/// Time after a return of the store in which its list may show runners that have ended: it
+/// removes an entry after three heartbeat intervals of silence.
+const STALE_LIST_TIMEOUT: TimeSpan = TimeSpan::seconds(5);
 
 /// The entry of a runner in the list, as written by the runner.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -42,6 +48,9 @@
     pub removed_at: Option<TimePoint>,
     /// Whether the runner told this node directly that it is leaving.
     pub announced_leaving: bool,
+    /// Whether the list of a store that has come back lacks it, so that it may still be written
+    /// again.
+    pub awaits_rewrite: bool,
 }
 
 /// Identifies one start of a runner.
@@ -69,6 +78,17 @@
     /// Time for which a removed runner may still be used if all entries of its service were
     /// removed.
     lapse_grace: TimeSpan,
+    /// The last return of the store from a copy.
+    store_return: Option<StoreReturn>,
+}
+
+/// A return of the store from a copy.
+#[derive(Debug)]
+struct StoreReturn {
+    /// When this node learned of it.
+    seen_at: TimePoint,
+    /// Whether a list showed a runner that had been removed before.
+    showed_removed: bool,
 }
 
 impl RunnerTable {
@@ -77,7 +97,16 @@
     /// outage of the store are written again.
     #[must_use]
     pub fn new(drain: TimeSpan) -> Self {
-        Self { entries: BTreeMap::new(), lapse_grace: TimeSpan(drain.0 / 4 * 3) }
+        Self {
+            entries: BTreeMap::new(),
+            lapse_grace: TimeSpan(drain.0 / 4 * 3),
+            store_return: None,
+        }
+    }
+
+    /// Records that the store has come back from a copy.
+    pub fn mark_store_return(&mut self, now: TimePoint) {
+        self.store_return = Some(StoreReturn { seen_at: now, showed_removed: false });
     }
 
     /// Applies a change. Returns whether the table changed.
@@ -88,22 +117,109 @@
         }
     }
 
-    /// Replaces the table by a complete list; entries that are not in it count as removed.
-    /// Returns whether the table changed.
+    /// Replaces the table by the complete list of another node; entries that are not in it count
+    /// as removed. Returns whether the table changed.
+    ///
+    /// Soon after a return of the store, entries that are not in the list stay for a while, and
+    /// those that had been removed before stay removed: both may be due to the copy.
     pub fn replace(&mut self, now: TimePoint, records: Vec<RunnerRecord>) -> bool {
-        let listed: Vec<RunnerId> = records.iter().map(|record| record.runner.clone()).collect();
-        let missing: Vec<RunnerId> =
-            self.entries.keys().filter(|runner| !listed.contains(runner)).cloned().collect();
+        let awaiting: Vec<RunnerId> = self.awaiting_rewrite().cloned().collect();
+        let changed = self.replace_listed(now, records);
+        // The other node may keep an entry that the store lacks.
+        for runner in awaiting {
+            self.await_rewrite(&runner);
+        }
+        changed
+    }
+
+    /// Like [`Self::replace`], with a list read from the store: its entries have been written.
+    pub fn replace_listed(&mut self, now: TimePoint, records: Vec<RunnerRecord>) -> bool {
+        let listed: BTreeMap<&RunnerId, u64> =
+            records.iter().map(|record| (&record.runner, record.started_unix_ms)).collect();
+        let is_missing = |entry: &&RunnerEntry| {
+            let started = listed.get(&entry.record.runner);
+            started.is_none_or(|started| *started < entry.record.started_unix_ms)
+        };
+        let missing = self.entries.values().filter(is_missing);
+        let missing: Vec<RunnerId> = missing.map(|entry| entry.record.runner.clone()).collect();
         let mut changed = false;
         for record in records {
-            changed |= self.put(record);
+            if self.is_stale_entry(now, &record) {
+                self.record_stale_entry();
+            } else {
+                changed |= self.put(record);
+            }
         }
+        let may_be_rewritten = self.has_returned_within(now, REWRITE_TIMEOUT);
         for runner in missing {
-            changed |= self.remove(now, &runner);
+            if may_be_rewritten {
+                self.await_rewrite(&runner);
+            } else {
+                changed |= self.remove(now, &runner);
+            }
         }
         changed
     }
 
+    fn has_returned_within(&self, now: TimePoint, span: TimeSpan) -> bool {
+        self.store_return.as_ref().is_some_and(|last| now.since(last.seen_at) < span)
+    }
+
+    /// Whether a list shows an incarnation that was removed before the store came back.
+    fn is_stale_entry(&self, now: TimePoint, record: &RunnerRecord) -> bool {
+        let Some(entry) = self.entries.get(&record.runner) else { return false };
+        let Some(last) = &self.store_return else { return false };
+        entry.record.started_unix_ms == record.started_unix_ms
+            && entry.removed_at.is_some_and(|removed| removed <= last.seen_at)
+            && now.since(last.seen_at) < STALE_LIST_TIMEOUT
+    }
+
+    fn record_stale_entry(&mut self) {
+        if let Some(last) = &mut self.store_return {
+            last.showed_removed = true;
+        }
+    }
+
+    fn await_rewrite(&mut self, runner: &RunnerId) {
+        if let Some(entry) = self.entries.get_mut(runner) {
+            entry.awaits_rewrite = entry.removed_at.is_none();
+        }
+    }
+
+    /// Whether entries may still be written again.
+    #[must_use]
+    pub fn awaits_rewrites(&self) -> bool {
+        self.awaiting_rewrite().next().is_some()
+    }
+
+    fn awaiting_rewrite(&self) -> impl Iterator<Item = &RunnerId> {
+        let awaiting = self.entries.values().filter(|entry| entry.awaits_rewrite);
+        awaiting.map(|entry| &entry.record.runner)
+    }
+
+    /// The runners whose entries were not written again in time after a return of the store.
+    #[must_use]
+    pub fn overdue_rewrites(&self, now: TimePoint) -> Vec<RunnerId> {
+        if self.has_returned_within(now, REWRITE_TIMEOUT) {
+            return Vec::new();
+        }
+        self.awaiting_rewrite().cloned().collect()
+    }
+
+    /// Whether the list has to be read once more, since the time in which it may be stale has
+    /// ended and entries were left open.
+    pub fn take_list_request(&mut self, now: TimePoint) -> bool {
+        if self.has_returned_within(now, STALE_LIST_TIMEOUT) {
+            return false;
+        }
+        let showed_removed = self.store_return.take().is_some_and(|last| last.showed_removed);
+        let is_open = self.awaits_rewrites();
+        for entry in self.entries.values_mut() {
+            entry.awaits_rewrite = false;
+        }
+        showed_removed || is_open
+    }
+
     fn put(&mut self, mut record: RunnerRecord) -> bool {
         let before = self.entries.get(&record.runner);
         let same_incarnation =
@@ -113,7 +229,8 @@
         }
         record.leaving |= same_incarnation.is_some_and(|entry| entry.record.leaving);
         let announced_leaving = same_incarnation.is_some_and(|entry| entry.announced_leaving);
-        let entry = RunnerEntry { record, removed_at: None, announced_leaving };
+        let entry =
+            RunnerEntry { record, removed_at: None, announced_leaving, awaits_rewrite: false };
         let changed = before != Some(&entry);
         self.entries.insert(entry.record.runner.clone(), entry);
         changed
@@ -123,6 +240,7 @@
         let Some(entry) = self.entries.get_mut(runner) else { return false };
         let changed = entry.removed_at.is_none();
         entry.removed_at.get_or_insert(now);
+        entry.awaits_rewrite = false;
         changed
     }
 
--- a/crates/serving/tests/peer_codec.rs
+++ b/crates/serving/tests/peer_codec.rs
@@ -6,8 +6,8 @@
 use proptest::prelude::*;
 use route::MemoryForecast;
 use serving::{
-    MESSAGE_VERSION, MessageError, PeerHeartbeat, PeerMessage, RunnerLoad, decode_message,
-    encode_message,
+    MESSAGE_VERSION, MessageError, PeerHeartbeat, PeerMessage, RunnerChange, RunnerLoad,
+    RunnerUpdate, decode_message, encode_message,
 };
 
 fn message() -> PeerMessage {
@@ -28,6 +28,7 @@
         ready: true,
         store_reachable: true,
         plan_version: None,
+        store_era: StoreEra(4),
         runners_offset: LogOffset(12),
         loads: vec![load],
         waiting_services: vec!["llm".parse().unwrap()],
@@ -41,6 +42,15 @@
     assert_eq!(decode_message(&bytes), Ok(message()));
 }
 
+#[test]
+fn changes_of_the_runner_list_carry_their_era() {
+    let changes = vec![RunnerChange::Remove("runner-1".parse().unwrap())];
+    let (from, end) = (LogOffset(3), LogOffset(4));
+    let message = PeerMessage::RunnerUpdate(RunnerUpdate { era: StoreEra(7), from, end, changes });
+    let bytes = encode_message(&message).unwrap();
+    assert_eq!(decode_message(&bytes), Ok(message));
+}
+
 #[test]
 fn a_message_of_another_version_is_named_as_such() {
     let mut bytes = encode_message(&message()).unwrap();
--- a/crates/serving/tests/peer_table.rs
+++ b/crates/serving/tests/peer_table.rs
@@ -18,6 +18,7 @@
         ready: true,
         store_reachable: true,
         plan_version: Some(PlanVersion(plan)),
+        store_era: StoreEra(0),
         runners_offset: LogOffset(plan),
         loads: Vec::new(),
         waiting_services: Vec::new(),
@@ -124,3 +125,16 @@
     assert!(table.peer_with_newer_runners(at(20), LogOffset(4)).is_some());
     assert!(table.peer_with_newer_runners(at(20), LogOffset(5)).is_none());
 }
+
+#[test]
+fn offsets_of_an_older_era_are_not_ahead() {
+    let mut table = table(2);
+    let mut current = heartbeat(1, 2, 3);
+    current.store_era = StoreEra(2);
+    table.record_heartbeat(at(10), current);
+    table.record_heartbeat(at(10), heartbeat(2, 2, 90));
+    table.set_store_era(StoreEra(2));
+    let address = table.peer_with_newer_runners(at(20), LogOffset(0));
+    assert_eq!(address, Some("10.0.0.1:7200".parse().unwrap()));
+    assert!(table.peer_with_newer_runners(at(20), LogOffset(3)).is_none());
+}
--- a/crates/serving/tests/runner_table.rs
+++ b/crates/serving/tests/runner_table.rs
@@ -93,3 +93,80 @@
         table.announced_leaving().iter().map(|s| s.runner.to_string()).collect();
     assert_eq!(announced, ["b"]);
 }
+
+#[test]
+fn an_entry_that_a_returned_store_lacks_stays_for_two_seconds() {
+    let mut table = RunnerTable::new(DRAIN);
+    table.replace_listed(at(0), vec![record("a", 1, false), record("b", 1, false)]);
+    table.mark_store_return(at(100));
+    table.replace_listed(at(200), vec![record("b", 1, false)]);
+    assert_eq!(available(&table, at(201)), ["a", "b"]);
+    assert!(table.awaits_rewrites());
+    assert!(table.overdue_rewrites(at(2_099)).is_empty());
+    assert_eq!(table.overdue_rewrites(at(2_100)), ["a".parse().unwrap()]);
+    assert!(table.replace_listed(at(2_100), vec![record("b", 1, false)]), "the time is over");
+    assert_eq!(available(&table, at(2_101)), ["b"]);
+}
+
+#[test]
+fn an_entry_that_is_written_again_in_time_stays() {
+    let mut table = RunnerTable::new(DRAIN);
+    table.replace_listed(at(0), vec![record("a", 1, false)]);
+    table.mark_store_return(at(100));
+    table.replace_listed(at(200), vec![]);
+    table.replace(at(300), vec![record("a", 1, false)]);
+    assert!(table.awaits_rewrites(), "another node's list proves nothing");
+    assert!(table.apply(at(1_900), RunnerChange::Put(record("a", 1, false))));
+    assert!(table.overdue_rewrites(at(3_000)).is_empty());
+    assert!(!table.take_list_request(at(9_000)));
+    assert_eq!(available(&table, at(9_001)), ["a"]);
+}
+
+#[test]
+fn an_older_incarnation_in_the_copy_does_not_stand_for_the_newer() {
+    let mut table = RunnerTable::new(DRAIN);
+    table.replace_listed(at(0), vec![record("a", 2, false)]);
+    table.mark_store_return(at(100));
+    table.replace_listed(at(200), vec![record("a", 1, false)]);
+    assert_eq!(table.overdue_rewrites(at(2_100)), ["a".parse().unwrap()]);
+}
+
+#[test]
+fn a_runner_that_had_ended_needs_a_newer_record_than_the_list() {
+    let mut table = RunnerTable::new(DRAIN);
+    let list = || vec![record("a", 1, false), record("b", 1, false), record("c", 1, false)];
+    table.replace_listed(at(0), list());
+    table.apply(at(10), RunnerChange::Put(record("b", 1, true)));
+    table.apply(at(10), RunnerChange::Remove("c".parse().unwrap()));
+    table.mark_store_return(at(100));
+    table.replace_listed(at(200), list());
+    table.replace(at(300), list());
+    assert_eq!(available(&table, at(301)), ["a"], "b is leaving, c had ended");
+    table.apply(at(400), RunnerChange::Put(record("b", 1, false)));
+    table.apply(at(400), RunnerChange::Put(record("c", 1, false)));
+    assert_eq!(available(&table, at(401)), ["a", "c"], "b stays leaving");
+}
+
+#[test]
+fn a_list_that_may_be_stale_is_read_once_more() {
+    let mut table = RunnerTable::new(DRAIN);
+    table.replace_listed(at(0), vec![record("a", 1, false)]);
+    table.apply(at(10), RunnerChange::Remove("a".parse().unwrap()));
+    table.mark_store_return(at(100));
+    table.replace_listed(at(200), vec![record("a", 1, false)]);
+    assert!(!table.take_list_request(at(5_099)));
+    assert!(table.take_list_request(at(5_100)));
+    assert!(!table.take_list_request(at(5_200)), "once");
+    table.replace_listed(at(5_300), vec![record("a", 1, false)]);
+    assert_eq!(available(&table, at(5_301)), ["a"], "the store has had time to remove it");
+}
+
+#[test]
+fn a_removal_after_the_return_is_undone_by_a_list() {
+    let mut table = RunnerTable::new(DRAIN);
+    table.replace_listed(at(0), vec![record("a", 1, false)]);
+    table.mark_store_return(at(100));
+    table.apply(at(200), RunnerChange::Remove("a".parse().unwrap()));
+    table.replace_listed(at(300), vec![record("a", 1, false)]);
+    assert_eq!(available(&table, at(301)), ["a"]);
+}
