Model a store that comes back from a copy

Change: spec's model "eras" around the product's EraView and StoreCursor: reads whose answers arrive late, changes that one node passes to the other, heartbeats, a list taken over. Properties: a configuration never goes back; no node has read past a version that it does not have; no position lies past the end of its era. Left out: runners (their two spans of time are in serving/tests/runner_table.rs), two returns.

--- a/crates/spec/src/lib.rs
+++ b/crates/spec/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! Each model is a small world around the very structs that the product runs
 //! ([`booking::BookingCoordinator`], [`relay::TokenRelay`], [`orders::OrderController`],
-//! [`config::ConfigFold`], [`serving::AttemptTracker`], [`serving::StreamScanner`]): a few processes, a caller or a target, and a network that
+//! [`config::ConfigFold`], [`serving::AttemptTracker`], [`serving::StreamScanner`],
+//! [`serving::EraView`]): a few processes, a caller or a target, and a network that
 //! loses, repeats, delays and reorders. All interleavings within the world's bounds are
 //! visited. Each model has broken variants, in which the binding around the struct makes
 //! a mistake that is easily made; the search must find a violation in each, or it proves
@@ -12,6 +13,7 @@
 mod bookings;
 mod claims;
 mod configs;
+mod eras;
 mod moves;
 mod search;
 mod streams;
@@ -20,6 +22,7 @@
 pub use bookings::{BookingVariant, check_bookings};
 pub use claims::{ClaimVariant, check_claims};
 pub use configs::{ConfigVariant, check_configs};
+pub use eras::{EraVariant, check_eras};
 pub use moves::{MoveVariant, check_moves};
 pub use search::{ModelRun, explore};
 pub use streams::{StreamKind, StreamVariant, check_streams};
@@ -35,5 +38,6 @@
     runs.extend(ConfigVariant::ALL.map(check_configs));
     runs.extend(AttemptVariant::ALL.map(check_attempts));
     runs.extend(MoveVariant::ALL.map(check_moves));
+    runs.extend(EraVariant::ALL.map(check_eras));
     runs
 }
--- a/crates/spec/tests/models.rs
+++ b/crates/spec/tests/models.rs
@@ -2,9 +2,9 @@
 
 use insta::assert_snapshot;
 use spec::{
-    AttemptVariant, BookingVariant, ClaimVariant, ConfigVariant, ModelRun, MoveVariant, StreamKind,
-    StreamVariant, check_attempts, check_bookings, check_claims, check_configs, check_moves,
-    check_streams,
+    AttemptVariant, BookingVariant, ClaimVariant, ConfigVariant, EraVariant, ModelRun, MoveVariant,
+    StreamKind, StreamVariant, check_attempts, check_bookings, check_claims, check_configs,
+    check_eras, check_moves, check_streams,
 };
 
 /// One line for each run; a run that is not as expected fails with its trace.
@@ -48,6 +48,29 @@
     assert_snapshot!(table(MoveVariant::ALL.map(check_moves)));
 }
 
+#[test]
+fn a_store_that_comes_back_from_a_copy_hides_no_version() {
+    assert_snapshot!(table(EraVariant::ALL.map(check_eras)));
+}
+
+/// The shortest way to a record that is skipped, since its offset was given out before.
+#[test]
+fn a_cursor_without_era_skips_a_record() {
+    let run = check_eras(EraVariant::CursorWithoutEra);
+    assert_snapshot!(run.trace.join("\n"), @r"
+    Copy
+    Write
+    Ask(0)
+    Answer(0)
+    Return
+    Write
+    Receive(0)
+    Ask(0)
+    Answer(0)
+    Receive(0)
+    ");
+}
+
 /// The trace of a broken variant reads as what happened.
 #[test]
 fn a_violation_comes_with_its_trace() {
