Test late answers, and a loss of power everywhere, around a return of the store

Change: two more process tests. Answers to one node are held back over the return; all nodes end at once, and start again on the copy.

--- a/crates/harness/tests/node_store_era.rs
+++ b/crates/harness/tests/node_store_era.rs
@@ -6,7 +6,7 @@
 
 use compio::time::sleep;
 use fakes::platform::{RunnerFake, RunnerFakeSettings, StoreCopy, StoreFake, StoreFault};
-use harness::{CallerRequest, NodeFleet, config, wait_until};
+use harness::{CallerRequest, LinkState, NodeFleet, config, wait_until};
 use serde_json::json;
 
 /// Time that the store is away.
@@ -274,3 +274,48 @@
     })
     .unwrap();
 }
+
+#[test]
+fn answers_held_back_over_the_return_hide_no_change() {
+    kernel::run(async {
+        let mut fleet = NodeFleet::start().await.unwrap();
+        let _desk = fleet.add_runner("desk", RunnerFakeSettings::new("desk-1")).await.unwrap();
+        fleet.add_node().unwrap();
+        let link = fleet.start_link(0, fleet.store.address()).await.unwrap();
+        fleet.add_node_with(&[("store", json!(link.address()))], true).unwrap();
+        fleet.wait_ready().await.unwrap();
+        let copy = fleet.store.copy();
+        link.set(LinkState::AnswersStalled);
+        fleet.store.put_json("keyed.op", "config", &without_bookings(5));
+        sleep(OUTAGE).await;
+        let write = || fleet.store.put_json("keyed.op", "config", &config(6));
+        drill(&fleet.store, &copy, write).await;
+        link.set(LinkState::Open);
+        wait_status(&fleet, 200, APPLY_LIMIT, "version 6").await;
+        hold_status(&fleet, 200, APPLY_LIMIT, "version 6").await;
+        fleet.store.put_json("keyed.op", "config", &without_bookings(7));
+        wait_status(&fleet, 404, APPLY_LIMIT, "version 7").await;
+    })
+    .unwrap();
+}
+
+/// Nothing of the nodes outlives them, so that only what the store has is left.
+#[test]
+fn after_a_loss_of_power_everywhere_the_nodes_start_from_the_copy() {
+    kernel::run(async {
+        let (mut fleet, _desk) = fleet(2).await;
+        let copy = fleet.store.copy();
+        fleet.store.put_json("keyed.op", "config", &without_bookings(5));
+        wait_status(&fleet, 404, APPLY_LIMIT, "version 5").await;
+        fleet.nodes.clear();
+        drill(&fleet.store, &copy, || ()).await;
+        for _ in 0..2 {
+            fleet.add_node().unwrap();
+        }
+        fleet.wait_ready().await.unwrap();
+        wait_status(&fleet, 200, APPLY_LIMIT, "version 1").await;
+        fleet.store.put_json("keyed.op", "config", &without_bookings(5));
+        wait_status(&fleet, 404, APPLY_LIMIT, "version 5, written again").await;
+    })
+    .unwrap();
+}
