--- a/crates/harness/tests/node_state_transfer.rs
+++ b/crates/harness/tests/node_state_transfer.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use base::{LogOffset, VmIncarnation};
+use base::{LogOffset, StoreEra, VmIncarnation};
 use compio::net::UdpSocket;
 use fakes::platform::StoreFault;
 use harness::{HOST, NodeFleet, TestLink, config, wait_until};
@@ -92,7 +92,8 @@
     fn announce(&self) {
         let numbers = 0..self.followers.nodes.len();
         let targets = numbers.map(|number| self.followers.peer_address(number)).collect();
-        kernel::spawn(send_heartbeats(self.link.address(), targets)).detach();
+        let era = StoreEra(self.holder.store.era());
+        kernel::spawn(send_heartbeats(self.link.address(), era, targets)).detach();
     }
 
     /// Waits until a follower has the newer configuration in force.
@@ -117,7 +118,7 @@
 }
 
 /// Sends heartbeats of a node at `address` that has version 2.
-async fn send_heartbeats(address: SocketAddr, targets: Vec<SocketAddr>) {
+async fn send_heartbeats(address: SocketAddr, era: StoreEra, targets: Vec<SocketAddr>) {
     let socket = Rc::new(UdpSocket::bind(SocketAddr::new(address.ip(), 0)).await.unwrap());
     for sequence in 1.. {
         let heartbeat = PeerHeartbeat {
@@ -129,6 +130,7 @@
             place: "north".parse().unwrap(),
             ready: true,
             store_reachable: true,
+            store_era: era,
             plan_version: Some(PlanVersion(2)),
             runners_offset: LogOffset(RUNNERS),
             loads: Vec::new(),
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -23,6 +23,7 @@
 mod runner_poll;
 mod runner_send;
 mod state_transfer;
+mod store_reader;
 mod stream_call;
 mod stream_copy;
 mod stream_handover;
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -14,6 +14,7 @@
 mod retry_budget;
 mod runner_table;
 mod state_codec;
+mod store_era;
 mod stream_scan;
 mod transfer_pacer;
 
@@ -29,5 +30,6 @@
 pub use retry_budget::{BudgetSettings, RetryBudget};
 pub use runner_table::{RunnerChange, RunnerEntry, RunnerIncarnation, RunnerRecord, RunnerTable};
 pub use state_codec::{Result as StateResult, StateCodecError, decode_state, encode_state};
+pub use store_era::{AnswerUse, EraView, StoreCursor};
 pub use stream_scan::{StreamError, StreamScanner};
 pub use transfer_pacer::{TransferForm, TransferId, TransferPacer};
--- a/crates/serving/src/peer_table.rs
+++ b/crates/serving/src/peer_table.rs
@@ -47,6 +47,8 @@
     /// Addresses read from the store; some may belong to nodes that no longer exist.
     listed: BTreeMap<VmId, SocketAddr>,
     last_heartbeat_at: Option<TimePoint>,
+    /// Newest era of the store known to this node.
+    store_era: StoreEra,
 }
 
 impl PeerTable {
@@ -162,13 +164,19 @@
         holders.map(|heartbeat| heartbeat.peer_address).collect()
     }
 
-    /// Addresses of the live nodes that have read furthest in the runner list, if that is past
-    /// `own`.
+    /// Records the newest era of the store. Offsets of other eras are not compared.
+    pub fn set_store_era(&mut self, era: StoreEra) {
+        self.store_era = era;
+    }
+
+    /// Addresses of the live nodes that have read furthest in the runner list in the newest era of
+    /// the store, if that is past `own`.
     #[must_use]
     pub fn peers_with_newer_runners(&self, now: TimePoint, own: LogOffset) -> Vec<SocketAddr> {
-        let furthest = self.live(now).map(|heartbeat| heartbeat.runners_offset).max();
+        let current = || self.live(now).filter(|heartbeat| heartbeat.store_era == self.store_era);
+        let furthest = current().map(|heartbeat| heartbeat.runners_offset).max();
         let furthest = furthest.filter(|offset| *offset > own);
-        let holders = self.live(now).filter(|heartbeat| Some(heartbeat.runners_offset) == furthest);
+        let holders = current().filter(|heartbeat| Some(heartbeat.runners_offset) == furthest);
         holders.map(|heartbeat| heartbeat.peer_address).collect()
     }
 
--- a/crates/serving/tests/peer_table.rs
+++ b/crates/serving/tests/peer_table.rs
@@ -18,6 +18,7 @@
         ready: true,
         store_reachable: true,
         plan_version: Some(PlanVersion(plan)),
+        store_era: StoreEra(0),
         runners_offset: LogOffset(plan),
         loads: Vec::new(),
         waiting_services: Vec::new(),
@@ -124,3 +125,16 @@
     assert_eq!(table.peers_with_newer_runners(at(20), LogOffset(4)).len(), 2);
     assert!(table.peers_with_newer_runners(at(20), LogOffset(5)).is_empty());
 }
+
+#[test]
+fn offsets_of_an_older_era_are_not_ahead() {
+    let mut table = table(2);
+    let mut current = heartbeat(1, 2, 3);
+    current.store_era = StoreEra(2);
+    table.record_heartbeat(at(10), current);
+    table.record_heartbeat(at(10), heartbeat(2, 2, 90));
+    table.set_store_era(StoreEra(2));
+    let addresses = table.peers_with_newer_runners(at(20), LogOffset(0));
+    assert_eq!(addresses, ["10.0.0.1:7200".parse().unwrap()]);
+    assert!(table.peers_with_newer_runners(at(20), LogOffset(3)).is_empty());
+}
