End reads of the store by a stall, not by their whole time

A listing of a configuration of 4,200 routes is 1.1 MB; over a link of 10 Mbit/s that takes longer than the 0.9 s that the whole exchange had. It was thrown away and begun anew each 250 ms, also by a node that had the configuration from another one, since only a node with an offset waited for its turn. Who starts beside a large configuration, or finds its history deleted, was in this state.

Exchanges of the store client have 0.9 s until the head (plus the wait that a read asks for) and between two parts of the body. A node that has a configuration waits for its turn.

--- a/crates/node/src/follow_configuration.rs
+++ b/crates/node/src/follow_configuration.rs
@@ -49,7 +49,7 @@
     let dependency = DependencyState::new("store: configuration");
     let mut from: Option<StoreCursor> = None;
     loop {
-        if from.is_some() {
+        if from.is_some() || context.plan_version().is_some() {
             wait_for_turn(&context).await;
         }
         match reader.read_or_list(StoreTopic::Operators, from, READ_WAIT).await {
--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -16,7 +16,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
-use crate::body::{WebBody, full_body, read_bounded};
+use crate::body::{WebBody, full_body, read_bounded, read_steadily};
 use crate::{Result, WebError};
 
 /// Maximum size of a response body that [`fetch`] accepts, in bytes.
@@ -135,6 +135,21 @@
     Ok(WebExchange { response, connection })
 }
 
+/// Time that an exchange may take.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum FetchLimit {
+    /// For the whole exchange.
+    Whole(TimeSpan),
+    /// For a response of unknown size: a limit on the whole would discard what has arrived, and
+    /// the next try would begin anew.
+    Steady {
+        /// Until the head of the response.
+        head: TimeSpan,
+        /// Between two parts of its body.
+        stall: TimeSpan,
+    },
+}
+
 /// A complete response.
 #[derive(Debug)]
 pub struct WebAnswer {
@@ -175,6 +190,7 @@
     body: Bytes,
     limit: TimeSpan,
 ) -> Result<Bytes> {
+    let limit = FetchLimit::Whole(limit);
     fetch_answer(step, method, peer, path, body, limit).await?.check_status(step, peer)
 }
 
@@ -188,7 +204,7 @@
     peer: SocketAddr,
     path: &str,
     body: Bytes,
-    limit: TimeSpan,
+    limit: FetchLimit,
 ) -> Result<WebAnswer> {
     let request = Request::builder()
         .method(method)
@@ -196,13 +212,25 @@
         .header(CONTENT_TYPE, "application/json")
         .body(full_body(body))
         .map_err(|source| WebError::Request { step, source })?;
+    let (FetchLimit::Whole(until_head) | FetchLimit::Steady { head: until_head, .. }) = limit;
     let exchange = async {
-        let response = send_once(peer, request, limit, limit).await?;
+        let response = send_once(peer, request, until_head, until_head).await?;
         let (head, body) = response.into_parts();
-        let bytes = read_bounded(step, body, MAX_FETCH_BYTES).await?;
+        let bytes = match limit {
+            FetchLimit::Whole(_) => read_bounded(step, body, MAX_FETCH_BYTES).await?,
+            FetchLimit::Steady { stall, .. } => {
+                read_steadily(step, peer, body, MAX_FETCH_BYTES, stall).await?
+            }
+        };
         Ok(WebAnswer { status: head.status, headers: head.headers, bytes })
     };
-    timeout(limit.into(), exchange).await.map_err(|_| WebError::Deadline { step, peer })?
+    match limit {
+        FetchLimit::Steady { .. } => exchange.await,
+        FetchLimit::Whole(whole) => {
+            let outcome = timeout(whole.into(), exchange).await;
+            outcome.map_err(|_| WebError::Deadline { step, peer })?
+        }
+    }
 }
 
 /// Gets a JSON document.
