Take a runner's announcement that it leaves from any of its answers

Cause: the platform lets a runner announce in every answer (Server-Leaving: 1) that it is leaving. No line read it: it was known only from the store's list, the report or a reply of another runner. A call assigned before the announcement was sent regardless. The start that was addressed is marked, never a later one of the same id. runner_gate decides whether a request may go to a runner: where it is assigned, before the connection and before anything is sent on it. A call that is withheld is assigned again without a retry. Ruled out: a check only in the scheduler, because a call can be assigned before the answer arrives; marking by runner id, because ids are reused. RunnerTable's test marked a start that was no longer listed; it marks the listed one now and checks that the older one has no effect. Open: stream_copy.rs still calls copy_kv_cache, which drops the notice; copy_between_runners in runner_gate records it and is not called yet. The check after the connection is not covered by a test of its own.

--- a/crates/fakes/src/platform/runner_fake.rs
+++ b/crates/fakes/src/platform/runner_fake.rs
@@ -95,6 +95,10 @@
     /// Streams that are at work.
     working: Cell<usize>,
     leaving: Cell<bool>,
+    /// Value of `Server-Leaving` in all its answers.
+    leaving_header: RefCell<Option<String>>,
+    /// Value of `Retry-After` with which it turns all requests away.
+    retry_after: RefCell<Option<String>>,
     /// Moves from here find no room.
     moves_refused: Cell<bool>,
     crashed: StopSignal,
@@ -125,6 +129,8 @@
             visits: RefCell::default(),
             working: Cell::default(),
             leaving: Cell::default(),
+            leaving_header: RefCell::default(),
+            retry_after: RefCell::default(),
             moves_refused: Cell::default(),
             crashed: StopSignal::new(),
         });
@@ -178,6 +184,16 @@
         self.state.leaving.set(true);
     }
 
+    /// All its answers carry `Server-Leaving` with this value from now on.
+    pub fn announce_leaving(&self, value: &str) {
+        *self.state.leaving_header.borrow_mut() = Some(value.to_owned());
+    }
+
+    /// It turns requests away with 503 and this `Retry-After`; with `None` it takes them again.
+    pub fn turn_away(&self, retry_after: Option<&str>) {
+        *self.state.retry_after.borrow_mut() = retry_after.map(str::to_owned);
+    }
+
     /// Whether moves of its runs find no room.
     pub fn refuse_moves(&self, refused: bool) {
         self.state.moves_refused.set(refused);
@@ -198,6 +214,22 @@
     }
 }
 
+impl RunnerState {
+    /// Header lines of every answer.
+    fn notice(&self) -> String {
+        let leaving = self.leaving_header.borrow();
+        leaving.as_ref().map(|value| format!("Server-Leaving: {value}\r\n")).unwrap_or_default()
+    }
+
+    /// Header lines of an answer to `attempt`.
+    fn signature(&self, attempt: &str) -> String {
+        format!(
+            "{}X-Dotterelyard-Attempt-Id: {attempt}\r\nX-Dotterelyard-Server-Seal: s.{attempt}\r\n",
+            self.notice()
+        )
+    }
+}
+
 impl Drop for RunnerFake {
     fn drop(&mut self) {
         self.state.crashed.raise();
@@ -234,20 +266,21 @@
 async fn answer_report(stream: &mut TcpStream, state: &RunnerState) -> bool {
     let word = if state.leaving.get() { "draining" } else { "ready" };
     let report = json!({ "phase": "mixed", "active": state.working.get(), "state": word });
-    write(stream, whole("200 OK", "", &report.to_string())).await
+    write(stream, whole("200 OK", &state.notice(), &report.to_string())).await
 }
 
 async fn answer_move(stream: &mut TcpStream, state: &RunnerState, request: &RunnerRequest) -> bool {
+    let notice = state.notice();
     if state.moves_refused.get() {
-        return write(stream, whole("503 Service Unavailable", "", "{}")).await;
+        return write(stream, whole("503 Service Unavailable", &notice, "{}")).await;
     }
     let body: Value = serde_json::from_slice(&request.body).unwrap_or_default();
     match state.memory.copy(body["id"].as_str().unwrap_or_default()) {
         Some((handle, events)) => {
             let body = json!({ "kvHandle": handle, "created": events }).to_string();
-            write(stream, whole("200 OK", "", &body)).await
+            write(stream, whole("200 OK", &notice, &body)).await
         }
-        None => write(stream, whole("404 Not Found", "", "{}")).await,
+        None => write(stream, whole("404 Not Found", &notice, "{}")).await,
     }
 }
 
@@ -261,6 +294,8 @@
     });
     let wrong = !expected.is_empty() && expected != state.settings.id;
     let refused = matches!(script, RunnerScript::Refuse | RunnerScript::RefuseEarly);
+    let retry_after = state.retry_after.borrow().clone();
+    let refused = refused || retry_after.is_some();
     let ran = !wrong && !refused && resumed != Some(false);
     state.visits.borrow_mut().push(RunnerVisit {
         request: request.clone(),
@@ -268,12 +303,16 @@
         at: Instant::now(),
     });
     if wrong {
-        let headers = format!("X-Dotterelyard-Instance-Id: {}\r\n", state.settings.id);
+        let id = &state.settings.id;
+        let headers = format!("{}X-Dotterelyard-Instance-Id: {id}\r\n", state.notice());
         return write(stream, whole("421 Misdirected Request", &headers, "")).await;
     }
     if !ran {
-        let headers = "X-Dotterelyard-Not-Executed: 1\r\n";
-        return write(stream, whole("503 Service Unavailable", headers, "")).await;
+        let mut headers = format!("{}X-Dotterelyard-Not-Executed: 1\r\n", state.notice());
+        if let Some(value) = retry_after {
+            let _ = write!(headers, "Retry-After: {value}\r\n");
+        }
+        return write(stream, whole("503 Service Unavailable", &headers, "")).await;
     }
     if request.headers.contains_key("x-dotterelyard-model") {
         return answer_events(stream, state, &request, script).await;
@@ -289,7 +328,7 @@
     script: RunnerScript,
 ) -> bool {
     let attempt = request.header("x-dotterelyard-attempt-id");
-    let signed = signature(attempt);
+    let signed = state.signature(attempt);
     let body = format!("answer of {} to {attempt} {}", state.settings.id, request.path);
     let good = whole("200 OK", &signed, &body);
     match script {
@@ -317,7 +356,7 @@
             write(stream, whole("200 OK", &echo, &body)).await
         }
         RunnerScript::OtherAttempt => {
-            write(stream, whole("200 OK", &signature("another"), &body)).await
+            write(stream, whole("200 OK", &state.signature("another"), &body)).await
         }
         RunnerScript::BareUnavailable => {
             write(stream, whole("503 Service Unavailable", &signed, "")).await
@@ -338,7 +377,7 @@
     state.memory.begin(attempt, backed_up);
     let _guard = WorkGuard::new(state);
     let mut head = String::from("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n");
-    let _ = write!(head, "{}Transfer-Encoding: chunked\r\n\r\n", signature(attempt));
+    let _ = write!(head, "{}Transfer-Encoding: chunked\r\n\r\n", state.signature(attempt));
     if !write(stream, head).await {
         return false;
     }
@@ -374,10 +413,6 @@
     }
 }
 
-fn signature(attempt: &str) -> String {
-    format!("X-Dotterelyard-Attempt-Id: {attempt}\r\nX-Dotterelyard-Server-Seal: s.{attempt}\r\n")
-}
-
 fn whole(status: &str, headers: &str, body: &str) -> String {
     format!("HTTP/1.1 {status}\r\n{headers}Content-Length: {}\r\n\r\n{body}", body.len())
 }
--- a/crates/node/src/call_log.rs
+++ b/crates/node/src/call_log.rs
@@ -21,7 +21,7 @@
 
 /// Checks the rate limit and counts one line against it; counts the line as dropped if the
 /// limit is reached.
-fn may_log(context: &NodeContext) -> bool {
+pub fn may_log(context: &NodeContext) -> bool {
     let second = context.now().0 / SECOND_MICROS;
     let (last, written) = LINES_WRITTEN.get();
     let written = if last == second { written } else { 0 };
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 
 use base::prelude::*;
+use futures_channel::mpsc;
 use kernel::{MonotonicClock, StopSignal};
 use serving::{
     BudgetSettings, FleetLoads, PeerTable, PlanVersion, RetryBudget, RunnerTable, ServingPlan,
@@ -42,13 +43,15 @@
     pub active_requests: Cell<usize>,
     /// Bytes reserved for the bodies of these requests.
     reserved_body_bytes: Cell<usize>,
+    /// Signals the router that an answer has changed what is known about a runner.
+    runner_changes: RefCell<mpsc::Sender<()>>,
     clock: MonotonicClock,
 }
 
 impl NodeContext {
     /// Creates the state of a node that has just started.
     #[must_use]
-    pub fn new(settings: NodeSettings) -> Rc<Self> {
+    pub fn new(settings: NodeSettings, runner_changes: mpsc::Sender<()>) -> Rc<Self> {
         let clock = MonotonicClock::new();
         let budget = RetryBudget::new(retry_budget_settings(&settings), clock.now());
         Rc::new(Self {
@@ -65,6 +68,7 @@
             stop: StopSignal::new(),
             active_requests: Cell::default(),
             reserved_body_bytes: Cell::default(),
+            runner_changes: RefCell::new(runner_changes),
             settings,
             clock,
         })
@@ -88,6 +92,12 @@
         self.plan.borrow().clone()
     }
 
+    /// Signals the router that an answer has changed what is known about a runner.
+    pub fn signal_runner_change(&self) {
+        // A full channel already holds a signal.
+        let _ = self.runner_changes.borrow_mut().try_send(());
+    }
+
     /// Version of the active configuration.
     #[must_use]
     pub fn plan_version(&self) -> Option<PlanVersion> {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -20,6 +20,7 @@
 mod plain_call;
 mod process;
 mod router;
+mod runner_gate;
 mod runner_poll;
 mod runner_send;
 mod stream_call;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -16,6 +16,13 @@
     pub reason: &'static str,
 }
 
+/// Labels of a send that was withheld.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct WithheldLabels {
+    /// Why the runner accepts no requests.
+    pub reason: &'static str,
+}
+
 /// Metrics of a node.
 pub struct NodeMetrics {
     registry: Registry,
@@ -27,6 +34,8 @@
     pub retries: Counter,
     /// Retries denied by the shared retry budget.
     pub retries_denied: Counter,
+    /// Requests not sent to a runner that was assigned, since it accepts none, by reason.
+    pub sends_withheld: Family<WithheldLabels, Counter>,
     /// Runner changes of running streams, by outcome.
     pub moves: Family<OutcomeLabels, Counter>,
     /// Configurations activated.
@@ -65,6 +74,7 @@
             sends: Counter::default(),
             retries: Counter::default(),
             retries_denied: Counter::default(),
+            sends_withheld: Family::default(),
             moves: Family::default(),
             plans: Counter::default(),
             store_failures: Counter::default(),
@@ -90,6 +100,11 @@
             "Repeats that the shared budget did not allow",
             self.retries_denied.clone(),
         );
+        registry.register(
+            "sends_withheld",
+            "Requests not sent since their runner accepts none",
+            self.sends_withheld.clone(),
+        );
         registry.register("moves", "Moves of running streams", self.moves.clone());
         registry.register("plans", "Configurations put in force", self.plans.clone());
         registry.register(
--- a/crates/node/src/plain_call.rs
+++ b/crates/node/src/plain_call.rs
@@ -16,6 +16,7 @@
 use crate::caller_server::CallRejection;
 use crate::context::NodeContext;
 use crate::router::{RouteTicket, RouterService};
+use crate::runner_gate::check_send;
 use crate::runner_send::{SendFailure, SendPlan, read_full_answer, send_to_runner};
 
 /// Timeout of one attempt, as a multiple of the route's target latency, while another runner
@@ -33,7 +34,7 @@
     pub retry_after: TimeSpan,
 }
 
-/// Waits until the dispatcher assigns a runner to the request.
+/// Waits until the dispatcher assigns a runner that accepts the request.
 ///
 /// # Errors
 /// Returns [`CallFailure`] if the dispatcher refuses the call or the assigned runner was removed.
@@ -42,6 +43,29 @@
     router: &RouterService,
     call: &Call,
     tried: &[RunnerId],
+) -> Result<(RouteTicket, RunnerRecord), CallFailure> {
+    loop {
+        let (ticket, runner) = assign_runner(context, router, call, tried).await?;
+        if check_send(context, &runner.incarnation()).is_ok() {
+            return Ok((ticket, runner));
+        }
+        unassign(router, ticket);
+    }
+}
+
+/// Takes back the assignment of a call that was not sent, since its runner accepts no
+/// requests. The dispatcher then knows that it does not, and assigns another.
+pub fn unassign(router: &RouterService, ticket: RouteTicket) {
+    ticket.finish(CallEnd::Cancelled);
+    router.update_members();
+}
+
+/// Waits until the dispatcher assigns a runner to the request.
+async fn assign_runner(
+    context: &NodeContext,
+    router: &RouterService,
+    call: &Call,
+    tried: &[RunnerId],
 ) -> Result<(RouteTicket, RunnerRecord), CallFailure> {
     let mut ticket = router.open(call.route_call(tried));
     let runner = loop {
@@ -103,8 +127,13 @@
         };
         let load = ticket.runner_summary(&runner.runner);
         log_send(context, call, &runner.runner, None, load.as_ref(), tracker.sends());
+        let answer = try_runner(context, call, &tracker, &runner).await;
+        if answer.as_ref().is_err_and(|failure| failure.withheld) {
+            unassign(router, ticket);
+            continue;
+        }
         tried.push(runner.runner.clone());
-        match try_runner(context, call, &tracker, &runner).await {
+        match answer {
             Ok(answer) => {
                 ticket.finish(CallEnd::Finished);
                 if !answer.status().is_server_error() || call.route.kind != RouteKind::Idempotent {
@@ -114,7 +143,7 @@
                 error_answer = Some(answer);
             }
             Err(failure) => {
-                record_send_failure(context, router, call, &runner.runner, &failure);
+                record_send_failure(context, router, call, &runner, &failure);
                 tracker.record_send(failure.outcome);
                 ticket.finish(failure.end);
             }
@@ -151,12 +180,12 @@
     context: &NodeContext,
     router: &RouterService,
     call: &Call,
-    runner: &RunnerId,
+    runner: &RunnerRecord,
     failure: &SendFailure,
 ) {
-    log_send_failure(context, call, runner, &failure.reason);
+    log_send_failure(context, call, &runner.runner, &failure.reason);
     if failure.runner_gone {
-        router.mark_leaving(runner, "reply");
+        router.mark_leaving(&runner.incarnation(), "reply");
     }
 }
 
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -53,7 +53,8 @@
     settings: NodeSettings,
     read_settings: impl Fn() -> std::result::Result<NodeSettings, SettingsError> + 'static,
 ) -> Result<()> {
-    let context = NodeContext::new(settings);
+    let (runner_changes, changed_runners) = mpsc::channel(1);
+    let context = NodeContext::new(settings, runner_changes);
     tracing::info!(
         event = "start",
         vm = %context.settings.vm,
@@ -74,6 +75,7 @@
     kernel::spawn(follow_nodes(Rc::clone(&context), store)).detach();
     kernel::spawn(poll_runners(Rc::clone(&context), Rc::clone(&router))).detach();
     kernel::spawn(Rc::clone(&router).run_ticks()).detach();
+    kernel::spawn(Rc::clone(&router).follow_runner_changes(changed_runners)).detach();
     kernel::spawn(reload_on_sighup(Rc::clone(&context), read_settings)).detach();
     kernel::wait_for_signals().await?;
     drain_requests(&context).await;
--- a/crates/node/src/router.rs
+++ b/crates/node/src/router.rs
@@ -8,6 +8,7 @@
 use config::{PolicyWeights, ServiceKind};
 use dispatch::{CallDispatcher, CallHandle, RouteCommand};
 use futures_channel::mpsc;
+use futures_util::StreamExt;
 use kernel::StopSignal;
 use route::{
     CallEnd, CallId, MemoryForecast, PolicyName, RouteCall, RouteEvent, RouteSettings,
@@ -16,6 +17,7 @@
 use serving::{RunnerIncarnation, RunnerLoad};
 
 use crate::context::NodeContext;
+use crate::runner_gate;
 
 /// Interval between ticks of the call dispatcher while calls are queued.
 const TICK_PERIOD: TimeSpan = TimeSpan::millis(10);
@@ -168,11 +170,19 @@
         }
     }
 
-    /// Records that a runner is leaving, as its reply or report states, and notifies the
-    /// other nodes.
-    pub fn mark_leaving(&self, runner: &RunnerId, source: &str) {
-        if self.context.runners.borrow_mut().mark_leaving(runner) {
-            tracing::info!(event = "runner_changed", %runner, state = "leaving", source);
+    /// Records that this start of a runner is leaving, as its reply or report states, and
+    /// notifies the other nodes.
+    pub fn mark_leaving(&self, runner: &RunnerIncarnation, source: &str) {
+        if runner_gate::mark_leaving(&self.context, runner, source) {
+            self.update_members();
+            self.request_heartbeat();
+        }
+    }
+
+    /// Applies what answers of runners have changed, and notifies the other nodes, until the
+    /// process ends.
+    pub async fn follow_runner_changes(self: Rc<Self>, mut changes: mpsc::Receiver<()>) {
+        while changes.next().await.is_some() {
             self.update_members();
             self.request_heartbeat();
         }
--- a/crates/node/src/runner_poll.rs
+++ b/crates/node/src/runner_poll.rs
@@ -3,15 +3,16 @@
 //! Engines are reclaimed also while the store is unavailable. Without the poll, nodes would
 //! miss the notice and their streams would be lost.
 
-use std::net::SocketAddr;
 use std::rc::Rc;
 
 use base::prelude::*;
 use futures_util::future::join_all;
-use platform::read_report;
+use platform::{RunnerReply, read_report};
+use serving::RunnerRecord;
 
 use crate::context::NodeContext;
 use crate::router::RouterService;
+use crate::runner_gate::record_notice;
 
 /// Age of the list of runners from which runners are polled: longer than the pauses of all
 /// nodes that stand by to read it.
@@ -31,15 +32,14 @@
             continue;
         }
         let polled = runners_to_poll(&context, &router);
-        let polls =
-            polled.into_iter().map(|(runner, address)| poll_runner(&router, runner, address));
+        let polls = polled.iter().map(|runner| poll_runner(&context, &router, runner));
         join_all(polls).await;
     }
 }
 
 /// Engines with calls of this node that are not known to be leaving. Each is selected with
 /// a probability that keeps the average at [`POLLING_NODES`] over all nodes.
-fn runners_to_poll(context: &NodeContext, router: &RouterService) -> Vec<(RunnerId, SocketAddr)> {
+fn runners_to_poll(context: &NodeContext, router: &RouterService) -> Vec<RunnerRecord> {
     let Some(plan) = context.plan() else { return Vec::new() };
     let runners = context.runners.borrow();
     let loads = router.local_loads();
@@ -53,14 +53,21 @@
         let nodes = 1 + peer_loads.nodes_using(&entry.record.runner);
         rand::random_bool((POLLING_NODES / nodes as f64).min(1.0))
     });
-    chosen.map(|entry| (entry.record.runner.clone(), entry.record.address)).collect()
+    chosen.map(|entry| entry.record.clone()).collect()
 }
 
 /// Reads a runner's report and marks the runner as leaving if the report says so.
-async fn poll_runner(router: &RouterService, runner: RunnerId, address: SocketAddr) {
-    match read_report(address, REPORT_TIMEOUT).await {
+async fn poll_runner(context: &NodeContext, router: &RouterService, record: &RunnerRecord) {
+    let runner = record.incarnation();
+    let RunnerReply { notice, result } = read_report(record.address, REPORT_TIMEOUT).await;
+    if let Some(notice) = notice {
+        record_notice(context, &runner, &notice);
+    }
+    match result {
         Ok(report) if report.leaving => router.mark_leaving(&runner, "report"),
         Ok(_) => (),
-        Err(error) => tracing::debug!(event = "report_not_read", %runner, %error),
+        Err(error) => {
+            tracing::debug!(event = "report_not_read", runner = %record.runner, %error);
+        }
     }
 }
--- a/crates/node/src/runner_send.rs
+++ b/crates/node/src/runner_send.rs
@@ -6,13 +6,14 @@
 use compio::time::timeout;
 use hyper::header::HOST;
 use hyper::{Request, StatusCode};
-use platform::{ReplyKind, ResumeSource, RunnerHead, classify_reply, runner_headers};
+use platform::{ReplyKind, ResumeSource, RunnerHead, RunnerNotice, classify_reply, runner_headers};
 use route::CallEnd;
 use serving::{RunnerRecord, SendOutcome};
-use web::{SendFault, WebError, WebExchange, full_body, open_exchange};
+use web::{PeerConnection, SendFault, WebError, WebExchange, full_body};
 
 use crate::call::Call;
 use crate::context::NodeContext;
+use crate::runner_gate::{SendBlock, check_send, record_notice};
 
 /// Maximum time to connect. A runner whose connection backlog is full drops the first
 /// packet, which TCP sends again only after a second.
@@ -27,6 +28,8 @@
     pub end: CallEnd,
     /// Whether the address now belongs to another runner.
     pub runner_gone: bool,
+    /// Whether the request was not sent because the runner accepts none at present.
+    pub withheld: bool,
     /// Reason, for the log.
     pub reason: Rc<str>,
 }
@@ -39,9 +42,21 @@
             outcome: SendOutcome::Unknown,
             end: CallEnd::Cancelled,
             runner_gone: false,
+            withheld: false,
             reason: Rc::from("the caller disconnected"),
         }
     }
+
+    /// The runner accepts no requests at present. That says nothing about its health.
+    fn withheld(block: SendBlock) -> Self {
+        Self {
+            outcome: SendOutcome::NotSent,
+            end: CallEnd::Cancelled,
+            runner_gone: false,
+            withheld: true,
+            reason: Rc::from(block.as_str()),
+        }
+    }
 }
 
 /// Target runner of a send, and the state that the request resumes from.
@@ -65,6 +80,9 @@
 
 /// Sends `call` according to `plan` and waits at most `limit` for the head of the answer.
 ///
+/// Whether the runner accepts requests is checked before the connection is opened and once
+/// more before anything is sent on it.
+///
 /// # Errors
 /// Returns [`SendFailure`] if there is no answer to forward.
 pub async fn send_to_runner(
@@ -74,6 +92,8 @@
     limit: TimeSpan,
 ) -> Result<WebExchange, SendFailure> {
     let runner = &plan.runner;
+    let incarnation = runner.incarnation();
+    check_send(context, &incarnation).map_err(SendFailure::withheld)?;
     let left = call.deadline.since(context.now());
     let head = RunnerHead {
         remaining: left,
@@ -85,14 +105,25 @@
     };
     let request = build_request(call, &head).map_err(|error| not_sent(&error))?;
     let connect_limit = CONNECT_TIMEOUT.min(left);
-    let exchange = open_exchange(runner.address, request, connect_limit, limit.min(left)).await;
-    let exchange = exchange.map_err(|error| match error.send_fault() {
-        SendFault::NotSent => not_sent(&error),
-        SendFault::MaybeSent => outcome_unknown(&error),
-    })?;
+    let connection = PeerConnection::open(runner.address, connect_limit).await;
+    let connection = connection.map_err(|error| send_failure(&error))?;
+    check_send(context, &incarnation).map_err(SendFailure::withheld)?;
+    let exchange = connection.send(request, limit.min(left)).await;
+    let exchange = exchange.map_err(|error| send_failure(&error))?;
+    let headers = exchange.response.headers();
+    if platform::is_from_runner(headers, &runner.runner) {
+        record_notice(context, &incarnation, &RunnerNotice::decode(headers));
+    }
     check_reply(call, exchange)
 }
 
+fn send_failure(error: &WebError) -> SendFailure {
+    match error.send_fault() {
+        SendFault::NotSent => not_sent(error),
+        SendFault::MaybeSent => outcome_unknown(error),
+    }
+}
+
 fn build_request(call: &Call, head: &RunnerHead<'_>) -> Result<Request<web::WebBody>, WebError> {
     let mut request = Request::builder()
         .method(call.method.clone())
@@ -112,18 +143,21 @@
             outcome: SendOutcome::Refused,
             end: CallEnd::Refused,
             runner_gone: false,
+            withheld: false,
             reason: Rc::from(format!("refused with {status}")),
         }),
         ReplyKind::WrongRunner => Err(SendFailure {
             outcome: SendOutcome::Refused,
             end: CallEnd::Refused,
             runner_gone: true,
+            withheld: false,
             reason: Rc::from("the address belongs to another runner"),
         }),
         kind => Err(SendFailure {
             outcome: SendOutcome::Unknown,
             end: CallEnd::Failed,
             runner_gone: false,
+            withheld: false,
             reason: Rc::from(format!("{kind:?} with {status}")),
         }),
     }
@@ -146,6 +180,7 @@
         outcome: SendOutcome::NotSent,
         end: CallEnd::Failed,
         runner_gone: false,
+        withheld: false,
         reason: Rc::from(error.to_string()),
     }
 }
@@ -173,7 +208,7 @@
         Err(_) => {
             let reason = Rc::from("timed out reading the answer");
             let (outcome, end) = (SendOutcome::Unknown, CallEnd::Failed);
-            return Err(SendFailure { outcome, end, runner_gone: false, reason });
+            return Err(SendFailure { outcome, end, runner_gone: false, withheld: false, reason });
         }
     };
     drop(connection);
--- a/crates/node/src/stream_call.rs
+++ b/crates/node/src/stream_call.rs
@@ -18,9 +18,10 @@
 use crate::call_log::log_send;
 use crate::context::NodeContext;
 use crate::plain_call::{
-    CallFailure, fail_call, find_runner, forward_answer, may_retry, record_send_failure,
+    CallFailure, fail_call, find_runner, forward_answer, may_retry, record_send_failure, unassign,
 };
 use crate::router::{RouteTicket, RouterService};
+use crate::runner_gate::find_block;
 use crate::runner_send::{SendFailure, SendPlan, read_full_answer, send_to_runner};
 use crate::stream_pump::StreamPump;
 use crate::stream_source::{CallerSide, StreamSource};
@@ -62,15 +63,19 @@
             Ok(found) => found,
             Err(failure) => return fail_call(context, &call, &tracker, None, failure),
         };
-        tried.push(runner.runner.clone());
         let backup = choose_backup(context, &call, &ticket);
         let backup_id = backup.as_ref().map(|backup| &backup.runner);
         let load = ticket.runner_summary(&runner.runner);
         log_send(context, &call, &runner.runner, backup_id, load.as_ref(), tracker.sends());
         let plan = SendPlan::first(runner, backup);
         let mut outcome = request_answer(context, &call, &plan).await;
+        if outcome.as_ref().is_err_and(|failure| failure.withheld) {
+            unassign(router, ticket);
+            continue;
+        }
+        tried.push(plan.runner.runner.clone());
         if let Err(failure) = &outcome {
-            record_send_failure(context, router, &call, &plan.runner.runner, failure);
+            record_send_failure(context, router, &call, &plan.runner, failure);
             if failure.outcome == SendOutcome::Unknown
                 && let Some(backup) = plan.backup
                 && let Ok(answer) = request_backup(context, &call, backup, &mut ticket).await
@@ -110,7 +115,8 @@
         return None;
     }
     let backup = ticket.choose_backup()?;
-    context.runners.borrow().get(&backup).map(|entry| entry.record.clone())
+    let record = context.runners.borrow().get(&backup).map(|entry| entry.record.clone())?;
+    find_block(context, &record.incarnation()).is_none().then_some(record)
 }
 
 /// Assigns the call to `backup`, which keeps a copy of its memory, and plans the send that
--- a/crates/serving/src/runner_table.rs
+++ b/crates/serving/src/runner_table.rs
@@ -33,6 +33,15 @@
     pub started_unix_ms: u64,
 }
 
+impl RunnerRecord {
+    /// The start of the runner that wrote the entry.
+    #[must_use]
+    pub fn incarnation(&self) -> RunnerIncarnation {
+        let (runner, started_unix_ms) = (self.runner.clone(), self.started_unix_ms);
+        RunnerIncarnation { runner, started_unix_ms }
+    }
+}
+
 /// A runner in the table.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RunnerEntry {
@@ -126,10 +135,13 @@
         changed
     }
 
-    /// Marks a runner that told this node directly that it is leaving. Returns whether that was
-    /// not known before.
-    pub fn mark_leaving(&mut self, runner: &RunnerId) -> bool {
-        let Some(entry) = self.entries.get_mut(runner) else { return false };
+    /// Marks an incarnation of a runner that told this node directly that it is leaving. Later
+    /// incarnations are not affected. Returns whether that was not known before.
+    pub fn mark_leaving(&mut self, incarnation: &RunnerIncarnation) -> bool {
+        let Some(entry) = self.entries.get_mut(&incarnation.runner) else { return false };
+        if entry.record.started_unix_ms != incarnation.started_unix_ms {
+            return false;
+        }
         let changed = !entry.record.leaving;
         entry.record.leaving = true;
         entry.announced_leaving = true;
@@ -151,10 +163,7 @@
     pub fn announced_leaving(&self) -> Vec<RunnerIncarnation> {
         let announced =
             |entry: &&RunnerEntry| entry.announced_leaving && entry.removed_at.is_none();
-        let incarnation = |entry: &RunnerEntry| RunnerIncarnation {
-            runner: entry.record.runner.clone(),
-            started_unix_ms: entry.record.started_unix_ms,
-        };
+        let incarnation = |entry: &RunnerEntry| entry.record.incarnation();
         self.entries.values().filter(announced).map(incarnation).collect()
     }
 
@@ -186,6 +195,23 @@
             .is_none_or(|entry| entry.record.leaving || entry.removed_at.is_some())
     }
 
+    /// Whether this incarnation is known to be leaving. An incarnation that is not listed is
+    /// not.
+    #[must_use]
+    pub fn is_incarnation_leaving(&self, incarnation: &RunnerIncarnation) -> bool {
+        self.entries.get(&incarnation.runner).is_some_and(|entry| {
+            entry.record.leaving && entry.record.started_unix_ms == incarnation.started_unix_ms
+        })
+    }
+
+    /// The record of the runner at `address`; of several, that of the latest start.
+    #[must_use]
+    pub fn find_by_address(&self, address: SocketAddr) -> Option<&RunnerRecord> {
+        let at_address = |record: &&RunnerRecord| record.address == address;
+        let records = self.entries.values().map(|entry| &entry.record).filter(at_address);
+        records.max_by_key(|record| record.started_unix_ms)
+    }
+
     /// The runners of a service, as input for routing.
     ///
     /// If every entry of the service was removed at about the same time, as after an outage of
--- a/crates/serving/tests/runner_table.rs
+++ b/crates/serving/tests/runner_table.rs
@@ -88,7 +88,10 @@
         table.announced_leaving().is_empty(),
         "notices from other nodes are not announced again"
     );
-    table.mark_leaving(&"b".parse().unwrap());
+    assert!(!table.mark_leaving(&record("b", 1, false).incarnation()), "an older incarnation");
+    assert!(table.announced_leaving().is_empty());
+    assert!(table.mark_leaving(&record("b", 2, false).incarnation()));
+    assert!(!table.mark_leaving(&record("b", 2, false).incarnation()), "already known");
     let announced: Vec<String> =
         table.announced_leaving().iter().map(|s| s.runner.to_string()).collect();
     assert_eq!(announced, ["b"]);
--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -66,43 +66,73 @@
 /// Same as [`send_once`].
 pub async fn open_exchange(
     peer: SocketAddr,
-    mut request: Request<WebBody>,
+    request: Request<WebBody>,
     connect_timeout: TimeSpan,
     head_timeout: TimeSpan,
 ) -> Result<WebExchange> {
-    let stream = timeout(connect_timeout.into(), TcpStream::connect(peer))
-        .await
-        .map_err(|_| WebError::ConnectDeadline { peer })?
-        .map_err(|source| WebError::Connect { peer, source })?;
-    // Disables Nagle's algorithm: small writes must not wait for acknowledgements.
-    let _ = stream.set_nodelay(true);
-    if !request.headers().contains_key(HOST) {
-        let host = HeaderValue::from_str(&peer.to_string())
-            .map_err(|source| WebError::Request { step: "host header", source: source.into() })?;
-        request.headers_mut().insert(HOST, host);
+    PeerConnection::open(peer, connect_timeout).await?.send(request, head_timeout).await
+}
+
+/// An open connection on which nothing has been sent.
+pub struct PeerConnection {
+    peer: SocketAddr,
+    stream: TcpStream,
+}
+
+impl PeerConnection {
+    /// Connects within `limit`.
+    ///
+    /// # Errors
+    /// [`WebError::ConnectDeadline`] and [`WebError::Connect`].
+    pub async fn open(peer: SocketAddr, limit: TimeSpan) -> Result<Self> {
+        let stream = timeout(limit.into(), TcpStream::connect(peer))
+            .await
+            .map_err(|_| WebError::ConnectDeadline { peer })?
+            .map_err(|source| WebError::Connect { peer, source })?;
+        // Disables Nagle's algorithm: small writes must not wait for acknowledgements.
+        let _ = stream.set_nodelay(true);
+        Ok(Self { peer, stream })
     }
-    let (mut sender, connection) =
-        hyper::client::conn::http1::handshake(HyperStream::new_plain(stream))
+
+    /// Sends `request` and returns when the response's head has arrived, within
+    /// `head_timeout`.
+    ///
+    /// # Errors
+    /// If [`WebError::send_fault`] of the error is `NotSent`, no byte was written.
+    pub async fn send(
+        self,
+        mut request: Request<WebBody>,
+        head_timeout: TimeSpan,
+    ) -> Result<WebExchange> {
+        let Self { peer, stream } = self;
+        if !request.headers().contains_key(HOST) {
+            let host = HeaderValue::from_str(&peer.to_string()).map_err(|source| {
+                WebError::Request { step: "host header", source: source.into() }
+            })?;
+            request.headers_mut().insert(HOST, host);
+        }
+        let (mut sender, connection) =
+            hyper::client::conn::http1::handshake(HyperStream::new_plain(stream))
+                .await
+                .map_err(|source| WebError::Exchange { step: "handshake", peer, source })?;
+        let task = spawn(async move {
+            // An error in mid-body is also reported to the reader of the body.
+            let _ = connection.await;
+        });
+        let connection = ConnectionTask { task };
+        let response = timeout(head_timeout.into(), sender.send_request(request))
             .await
-            .map_err(|source| WebError::Exchange { step: "handshake", peer, source })?;
-    let task = spawn(async move {
-        // An error in mid-body is also reported to the reader of the body.
-        let _ = connection.await;
-    });
-    let connection = ConnectionTask { task };
-    let response = timeout(head_timeout.into(), sender.send_request(request))
-        .await
-        .map_err(|_| WebError::Deadline { step: "request", peer })?
-        .map_err(|source| WebError::Exchange { step: "request", peer, source })?;
-    Ok(WebExchange { response, connection })
+            .map_err(|_| WebError::Deadline { step: "request", peer })?
+            .map_err(|source| WebError::Exchange { step: "request", peer, source })?;
+        Ok(WebExchange { response, connection })
+    }
 }
 
 /// Sends one request with an optional JSON body and reads the complete response within
 /// `limit`.
 ///
 /// # Errors
-/// [`WebError::Status`] for statuses from 400, [`WebError::TooLong`] and
-/// [`WebError::Body`] for the body, and all errors of [`send_once`].
+/// [`WebError::Status`] for statuses from 400, and all errors of [`fetch_reply`].
 pub async fn fetch(
     step: &'static str,
     method: Method,
@@ -111,6 +141,37 @@
     body: Bytes,
     limit: TimeSpan,
 ) -> Result<Bytes> {
+    let reply = fetch_reply(step, method, peer, path, body, limit).await?;
+    check_status(step, peer, reply)
+}
+
+/// Returns the body of a response.
+///
+/// # Errors
+/// [`WebError::Status`] for statuses from 400.
+pub fn check_status(step: &'static str, peer: SocketAddr, reply: Response<Bytes>) -> Result<Bytes> {
+    let status = reply.status().as_u16();
+    let bytes = reply.into_body();
+    if status >= 400 {
+        let text = String::from_utf8_lossy(&bytes).chars().take(MAX_ERROR_TEXT_CHARS).collect();
+        return Err(WebError::Status { step, peer, status, text });
+    }
+    Ok(bytes)
+}
+
+/// Like [`fetch`], but returns the response with its headers, whatever its status is.
+///
+/// # Errors
+/// [`WebError::TooLong`] and [`WebError::Body`] for the body, and all errors of
+/// [`send_once`].
+pub async fn fetch_reply(
+    step: &'static str,
+    method: Method,
+    peer: SocketAddr,
+    path: &str,
+    body: Bytes,
+    limit: TimeSpan,
+) -> Result<Response<Bytes>> {
     let request = Request::builder()
         .method(method)
         .uri(path)
@@ -119,13 +180,9 @@
         .map_err(|source| WebError::Request { step, source })?;
     let exchange = async {
         let response = send_once(peer, request, limit, limit).await?;
-        let status = response.status();
-        let bytes = read_bounded(step, response.into_body(), MAX_FETCH_BYTES).await?;
-        if status.as_u16() >= 400 {
-            let text = String::from_utf8_lossy(&bytes).chars().take(MAX_ERROR_TEXT_CHARS).collect();
-            return Err(WebError::Status { step, peer, status: status.as_u16(), text });
-        }
-        Ok(bytes)
+        let (parts, body) = response.into_parts();
+        let bytes = read_bounded(step, body, MAX_FETCH_BYTES).await?;
+        Ok(Response::from_parts(parts, bytes))
     };
     timeout(limit.into(), exchange).await.map_err(|_| WebError::Deadline { step, peer })?
 }
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -11,7 +11,8 @@
 
 pub use body::{WebBody, full_body, read_bounded, stream_body};
 pub use client::{
-    ConnectionTask, WebExchange, fetch, fetch_json, open_exchange, post_json, send_once,
+    ConnectionTask, PeerConnection, WebExchange, check_status, fetch, fetch_json, fetch_reply,
+    open_exchange, post_json, send_once,
 };
 pub use closer::ConnectionCloser;
 pub use error::{Result, SendFault, WebError};
