Send nothing to a runner before the end of the wait that it names

Cause: a runner that turns a request away with 503 may name in Retry-After for how long it wants nothing. It was dropped: the runner was ejected for a second, and got calls again long before its time; callers were told to return in 0.15 s although every runner waited. Change: the notice decodes Retry-After of a 503 (a non-negative number of seconds; others are ignored with a line). WaitTable keeps the latest end for each start of a runner, at most 60 s a time. runner_gate withholds every send, before the connection and once more on it, and the report poll. The scheduler gives a waiting runner no calls, moves or copies; if all wait, calls due before the earliest end are refused at once (runners_wait) with that end and a spread, others queue. After a wait one call goes out, and one more for each success, without a limit from eight on. Log lines wait_begun and wait_ended, counter runner_waits. Also: a queued call without a deadline overflowed a multiplication of the deadline check in debug builds; it saturates now. Ruled out: ejection alone, which the scheduler lifts when too many runners are ejected; two sends within the wait, which the platform allows, since nothing shows which calls deserve them; sharing waits between nodes, since a wait is meant for the node that got it. Open: the calls that copy a run or free a copy are not checked, until stream_copy.rs uses copy_between_runners.

--- a/crates/base/src/outcome.rs
+++ b/crates/base/src/outcome.rs
@@ -55,6 +55,8 @@
     HomeTagMissing,
     /// The response of the runner or of the home was lost or did not arrive by the deadline.
     AnswerLost,
+    /// Every runner has named a time before which it accepts no call.
+    RunnersWait,
 }
 
 impl fmt::Display for RefusalReason {
@@ -71,6 +73,7 @@
             Self::DeadlinePassed => "deadline_passed",
             Self::HomeTagMissing => "home_tag_missing",
             Self::AnswerLost => "answer_lost",
+            Self::RunnersWait => "runners_wait",
         })
     }
 }
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -8,6 +8,7 @@
 use kernel::{MonotonicClock, StopSignal};
 use serving::{
     BudgetSettings, FleetLoads, PeerTable, PlanVersion, RetryBudget, RunnerTable, ServingPlan,
+    WaitTable,
 };
 use settings::NodeSettings;
 
@@ -25,6 +26,8 @@
     pub plan: RefCell<Option<Rc<ServingPlan>>>,
     /// Known runners and their state.
     pub runners: RefCell<RunnerTable>,
+    /// Runners that asked this node to send them nothing for some time.
+    pub waits: RefCell<WaitTable>,
     /// Store offset up to which the list of runners has been read.
     pub runners_offset: Cell<LogOffset>,
     /// When the list of runners was last known to be current; `None` before the first read.
@@ -59,6 +62,7 @@
             metrics: NodeMetrics::new(),
             plan: RefCell::default(),
             runners: RefCell::new(RunnerTable::new(settings.drain)),
+            waits: RefCell::default(),
             runners_offset: Cell::default(),
             runners_updated: Cell::default(),
             store_answered_at: Cell::default(),
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -36,6 +36,8 @@
     pub retries_denied: Counter,
     /// Requests not sent to a runner that was assigned, since it accepts none, by reason.
     pub sends_withheld: Family<WithheldLabels, Counter>,
+    /// Waits that runners asked for.
+    pub runner_waits: Counter,
     /// Runner changes of running streams, by outcome.
     pub moves: Family<OutcomeLabels, Counter>,
     /// Configurations activated.
@@ -75,6 +77,7 @@
             retries: Counter::default(),
             retries_denied: Counter::default(),
             sends_withheld: Family::default(),
+            runner_waits: Counter::default(),
             moves: Family::default(),
             plans: Counter::default(),
             store_failures: Counter::default(),
@@ -105,6 +108,7 @@
             "Requests not sent since their runner accepts none",
             self.sends_withheld.clone(),
         );
+        registry.register("runner_waits", "Waits begun by runners", self.runner_waits.clone());
         registry.register("moves", "Moves of running streams", self.moves.clone());
         registry.register("plans", "Configurations put in force", self.plans.clone());
         registry.register(
--- a/crates/node/src/plain_call.rs
+++ b/crates/node/src/plain_call.rs
@@ -25,6 +25,9 @@
 /// `Retry-After` if no runner accepted the request.
 const REFUSED_RETRY_AFTER: TimeSpan = TimeSpan::millis(150);
 
+/// Reason of a refusal because every runner of the service has named a wait.
+const RUNNERS_WAIT: &str = "runners_wait";
+
 /// Why no runner answered a request.
 #[derive(Debug, Clone, Copy)]
 pub struct CallFailure {
@@ -85,6 +88,7 @@
 fn refusal_reason(reason: RefusalReason) -> &'static str {
     match reason {
         RefusalReason::NoRunner => "no_runner",
+        RefusalReason::RunnersWait => RUNNERS_WAIT,
         RefusalReason::Overloaded => "overloaded",
         RefusalReason::TableFull => "queue_full",
         RefusalReason::DeadlinePassed => "deadline_passed",
@@ -149,13 +153,21 @@
             }
         }
         if !may_retry(context, call, &tracker) {
-            let failure =
-                CallFailure { reason: "runners_failed", retry_after: REFUSED_RETRY_AFTER };
+            let failure = explain_failure(router, call, REFUSED_RETRY_AFTER);
             return fail_call(context, call, &tracker, error_answer, failure);
         }
     }
 }
 
+/// Why a call is given up after its sends, and when its caller may come back: after
+/// `retry_after`, unless every runner waits for longer.
+pub fn explain_failure(router: &RouterService, call: &Call, retry_after: TimeSpan) -> CallFailure {
+    match router.wait_retry_after(call) {
+        Some(wait) => CallFailure { reason: RUNNERS_WAIT, retry_after: wait.max(retry_after) },
+        None => CallFailure { reason: "runners_failed", retry_after },
+    }
+}
+
 /// Sends the call to one runner and reads its whole answer.
 async fn try_runner(
     context: &NodeContext,
--- a/crates/node/src/router.rs
+++ b/crates/node/src/router.rs
@@ -16,6 +16,7 @@
 };
 use serving::{RunnerIncarnation, RunnerLoad};
 
+use crate::call::Call;
 use crate::context::NodeContext;
 use crate::runner_gate;
 
@@ -203,6 +204,17 @@
         }
     }
 
+    /// After how long a caller may come back if every runner that serves the call waits.
+    #[must_use]
+    pub fn wait_retry_after(&self, call: &Call) -> Option<TimeSpan> {
+        if self.context.waits.borrow().is_empty() {
+            return None;
+        }
+        self.update_members();
+        let (now, model) = (self.context.now(), call.head.model.as_ref());
+        self.dispatcher.state_mut().wait_retry_after(now, &call.service, model)
+    }
+
     /// Load that the calls of this node put on each runner, including backup copies.
     #[must_use]
     pub fn local_loads(&self) -> Vec<RunnerLoad> {
@@ -251,6 +263,8 @@
         }
         let sequence = self.load_sequence.get() + 1;
         self.load_sequence.set(sequence);
+        let now = self.context.now();
+        let waits = self.context.waits.borrow();
         let runners = self.context.runners.borrow();
         let peer_loads = self.context.peer_loads.borrow();
         let peers_waiting = |service: &ServiceName| RouteEvent::PeersWaiting {
@@ -283,6 +297,9 @@
                 models: Vec::new(),
                 fence: 0,
             }));
+            if let Some(until) = waits.end(now, &record.incarnation()) {
+                events.push(RouteEvent::RunnerWait { runner: record.runner.clone(), until });
+            }
         }
         events
     }
@@ -294,6 +311,7 @@
             let now = self.context.now();
             if now >= next_update {
                 next_update = now + LOAD_UPDATE_PERIOD;
+                runner_gate::log_ended_waits(&self.context);
                 self.dispatcher.handle_all(self.load_events());
             }
             if self.has_waiting_calls() {
--- a/crates/node/src/runner_gate.rs
+++ b/crates/node/src/runner_gate.rs
@@ -2,13 +2,13 @@
 //! runners state about themselves in their answers.
 //!
 //! Load pattern: runners announce that they leave while calls that were assigned to them
-//! earlier have not been sent yet.
+//! earlier have not been sent yet. Busy runners name a time before which they accept nothing.
 
 use std::net::SocketAddr;
 
 use base::prelude::*;
 use platform::{AttemptId, KvCopy, PlatformError, RunnerNotice, RunnerReply};
-use serving::{RunnerIncarnation, RunnerRecord};
+use serving::{MAX_RUNNER_WAIT, RunnerIncarnation, RunnerRecord};
 
 use crate::call_log::may_log;
 use crate::context::NodeContext;
@@ -19,6 +19,8 @@
 pub enum SendBlock {
     /// The runner is leaving.
     Leaving,
+    /// The runner asked this node to send it nothing for some time.
+    Waiting,
 }
 
 impl SendBlock {
@@ -27,6 +29,7 @@
     pub fn as_str(self) -> &'static str {
         match self {
             Self::Leaving => "runner_leaving",
+            Self::Waiting => "runner_waiting",
         }
     }
 }
@@ -36,16 +39,30 @@
 /// # Errors
 /// Returns the reason if it may not.
 pub fn check_send(context: &NodeContext, runner: &RunnerIncarnation) -> Result<(), SendBlock> {
-    let Some(block) = find_block(context, runner) else { return Ok(()) };
+    match find_block(context, runner) {
+        Some(block) => Err(withhold(context, runner, block)),
+        None => Ok(()),
+    }
+}
+
+/// Counts a request that is not sent.
+fn withhold(context: &NodeContext, runner: &RunnerIncarnation, block: SendBlock) -> SendBlock {
+    if block == SendBlock::Waiting {
+        context.waits.borrow_mut().count_withheld(runner);
+    }
     let reason = block.as_str();
     context.metrics.sends_withheld.get_or_create(&WithheldLabels { reason }).inc();
-    Err(block)
+    block
 }
 
 /// Why this start of a runner accepts no requests; `None` if it does.
 #[must_use]
 pub fn find_block(context: &NodeContext, runner: &RunnerIncarnation) -> Option<SendBlock> {
-    context.runners.borrow().is_incarnation_leaving(runner).then_some(SendBlock::Leaving)
+    if context.runners.borrow().is_incarnation_leaving(runner) {
+        return Some(SendBlock::Leaving);
+    }
+    let end = context.waits.borrow().end(context.now(), runner);
+    end.map(|_| SendBlock::Waiting)
 }
 
 /// Records what this start of a runner stated about itself in an answer.
@@ -53,6 +70,9 @@
     if notice.leaving && mark_leaving(context, runner, "answer") {
         context.signal_runner_change();
     }
+    if let Some(span) = notice.retry_after {
+        begin_wait(context, runner, span);
+    }
     if let Some(header) = notice.unknown_value
         && may_log(context)
     {
@@ -60,6 +80,30 @@
     }
 }
 
+/// Records that this start of a runner wants no requests for `span`.
+fn begin_wait(context: &NodeContext, runner: &RunnerIncarnation, span: TimeSpan) {
+    if !context.waits.borrow_mut().record(context.now(), runner, span) {
+        return;
+    }
+    context.metrics.runner_waits.inc();
+    context.signal_runner_change();
+    let (seconds, limit) = (span.as_seconds(), MAX_RUNNER_WAIT.as_seconds());
+    if may_log(context) {
+        tracing::info!(event = "wait_begun", runner = %runner.runner, seconds, limit);
+    }
+}
+
+/// Logs the waits that have ended since the last call.
+pub fn log_ended_waits(context: &NodeContext) {
+    for wait in context.waits.borrow_mut().take_ended(context.now()) {
+        let seconds = wait.until.since(wait.begun).as_seconds();
+        let withheld = wait.withheld;
+        if may_log(context) {
+            tracing::info!(event = "wait_ended", runner = %wait.runner.runner, seconds, withheld);
+        }
+    }
+}
+
 /// Records that this start of a runner told this node that it is leaving. Returns whether
 /// that was not known before.
 pub fn mark_leaving(context: &NodeContext, runner: &RunnerIncarnation, source: &str) -> bool {
@@ -83,12 +127,22 @@
     target: SocketAddr,
     limit: TimeSpan,
 ) -> platform::Result<KvCopy> {
-    let receiver = find_runner(context, target);
-    if let Some(block) = receiver.and_then(|runner| check_send(context, &runner).err()) {
-        let (step, reason) = ("KV cache copy", block.as_str());
-        return Err(PlatformError::NotSent { step, peer: target, reason });
+    let step = "KV cache copy";
+    if let Some(receiver) = find_runner(context, target) {
+        check_send(context, &receiver).map_err(|block| PlatformError::NotSent {
+            step,
+            peer: target,
+            reason: block.as_str(),
+        })?;
     }
     let sender = find_runner(context, source);
+    if let Some(sender) = &sender {
+        check_copy_source(context, sender).map_err(|block| PlatformError::NotSent {
+            step,
+            peer: source,
+            reason: block.as_str(),
+        })?;
+    }
     let RunnerReply { notice, result } =
         platform::request_kv_copy(source, attempt, target, limit).await;
     if let (Some(runner), Some(notice)) = (sender, notice) {
@@ -97,6 +151,16 @@
     result
 }
 
+/// Checks whether a runner may be asked to copy a run. One that leaves may: it hands its runs
+/// over.
+#[allow(dead_code, reason = "stream_copy.rs does not call it yet")]
+fn check_copy_source(context: &NodeContext, runner: &RunnerIncarnation) -> Result<(), SendBlock> {
+    if context.waits.borrow().end(context.now(), runner).is_none() {
+        return Ok(());
+    }
+    Err(withhold(context, runner, SendBlock::Waiting))
+}
+
 /// The latest known start of the runner at `address`.
 #[allow(dead_code, reason = "stream_copy.rs does not call it yet")]
 fn find_runner(context: &NodeContext, address: SocketAddr) -> Option<RunnerIncarnation> {
--- a/crates/node/src/runner_poll.rs
+++ b/crates/node/src/runner_poll.rs
@@ -12,7 +12,7 @@
 
 use crate::context::NodeContext;
 use crate::router::RouterService;
-use crate::runner_gate::record_notice;
+use crate::runner_gate::{find_block, record_notice};
 
 /// Age of the list of runners from which runners are polled: longer than the pauses of all
 /// nodes that stand by to read it.
@@ -37,7 +37,7 @@
     }
 }
 
-/// Engines with calls of this node that are not known to be leaving. Each is selected with
+/// Engines with calls of this node that are not known to be leaving and accept requests. Each is selected with
 /// a probability that keeps the average at [`POLLING_NODES`] over all nodes.
 fn runners_to_poll(context: &NodeContext, router: &RouterService) -> Vec<RunnerRecord> {
     let Some(plan) = context.plan() else { return Vec::new() };
@@ -46,7 +46,9 @@
     let entries = loads.iter().filter_map(|load| runners.get(&load.runner));
     let peer_loads = context.peer_loads.borrow();
     let staying = entries.filter(|entry| !entry.record.leaving && entry.removed_at.is_none());
-    let engines = staying.filter(|entry| {
+    let accepting =
+        staying.filter(|entry| find_block(context, &entry.record.incarnation()).is_none());
+    let engines = accepting.filter(|entry| {
         plan.services.get(&entry.record.service).is_some_and(|service| service.engine.is_some())
     });
     let chosen = engines.filter(|entry| {
--- a/crates/node/src/runner_send.rs
+++ b/crates/node/src/runner_send.rs
@@ -110,9 +110,9 @@
     check_send(context, &incarnation).map_err(SendFailure::withheld)?;
     let exchange = connection.send(request, limit.min(left)).await;
     let exchange = exchange.map_err(|error| send_failure(&error))?;
-    let headers = exchange.response.headers();
+    let (status, headers) = (exchange.response.status(), exchange.response.headers());
     if platform::is_from_runner(headers, &runner.runner) {
-        record_notice(context, &incarnation, &RunnerNotice::decode(headers));
+        record_notice(context, &incarnation, &RunnerNotice::decode(status, headers));
     }
     check_reply(call, exchange)
 }
--- a/crates/node/src/stream_call.rs
+++ b/crates/node/src/stream_call.rs
@@ -18,7 +18,8 @@
 use crate::call_log::log_send;
 use crate::context::NodeContext;
 use crate::plain_call::{
-    CallFailure, fail_call, find_runner, forward_answer, may_retry, record_send_failure, unassign,
+    explain_failure, fail_call, find_runner, forward_answer, may_retry, record_send_failure,
+    unassign,
 };
 use crate::router::{RouteTicket, RouterService};
 use crate::runner_gate::find_block;
@@ -97,8 +98,7 @@
             }
         }
         if !may_retry(context, &call, &tracker) {
-            let failure =
-                CallFailure { reason: "runners_failed", retry_after: REFUSED_RETRY_AFTER };
+            let failure = explain_failure(router, &call, REFUSED_RETRY_AFTER);
             return fail_call(context, &call, &tracker, None, failure);
         }
     }
--- a/crates/route/src/event.rs
+++ b/crates/route/src/event.rs
@@ -183,6 +183,13 @@
         /// Sum over all other entries, with the copies of this one.
         forecast: MemoryForecast,
     },
+    /// A runner accepts no calls before a time. An event with an earlier time has no effect.
+    RunnerWait {
+        /// The runner.
+        runner: RunnerId,
+        /// End of its wait.
+        until: TimePoint,
+    },
     /// Other entries have waiting calls that can still meet their first-token target.
     PeersWaiting {
         /// The service.
--- a/crates/route/src/runner_view.rs
+++ b/crates/route/src/runner_view.rs
@@ -4,7 +4,7 @@
 
 use base::prelude::*;
 
-use crate::{CallId, MemoryForecast, RunnerHealth};
+use crate::{CallId, MemoryForecast, RunnerHealth, RunnerRamp};
 
 /// Change of a runner's load caused by this entry.
 #[derive(Debug, Clone, Copy)]
@@ -42,6 +42,8 @@
     /// Uniform random number drawn at each report. It decides which entries may use the
     /// memory that is left if it does not suffice for a call of every entry.
     pub admission_draw: f64,
+    /// Whether the runner waits, or has just done so and gets few calls.
+    pub ramp: RunnerRamp,
     /// Number of calls sent since the last report arrived.
     pub sent_calls: u32,
     /// Prompt tokens that wait for prefill over all entries, with the time of that figure.
@@ -79,6 +81,7 @@
             own_forecast: MemoryForecast::default(),
             other_tokens: 0.0,
             admission_draw: 1.0,
+            ramp: RunnerRamp::default(),
             sent_calls: 0,
             pending_prefill: None,
             other_forecast: None,
@@ -117,6 +120,7 @@
         self.other_tokens = 0.0;
         self.other_forecast = None;
         self.health = RunnerHealth::default();
+        self.ramp = RunnerRamp::default();
     }
 
     /// Returns the runner incarnation that sent the last report.
@@ -128,12 +132,14 @@
     /// Records that this entry sent a call of `tokens` to the runner.
     pub fn record_sent(&mut self, now: TimePoint, call: CallId, tokens: u32) {
         self.own_calls.insert(call);
+        self.ramp.record_sent(call);
         self.sent_calls += 1;
         self.push_change(LoadChange { at: now, calls: 1, tokens: i64::from(tokens) });
     }
 
     /// Records that a call of this entry that held `tokens` has left the runner.
     pub fn record_ended(&mut self, now: TimePoint, call: CallId, tokens: u32) {
+        self.ramp.record_ended(call);
         if self.own_calls.remove(&call) {
             self.push_change(LoadChange { at: now, calls: -1, tokens: -i64::from(tokens) });
         }
--- a/crates/route/src/scheduler.rs
+++ b/crates/route/src/scheduler.rs
@@ -8,8 +8,8 @@
 use crate::decision_log::DecisionLog;
 use crate::{
     CallEnd, CallId, CallRecord, LengthTable, MemoryForecast, PolicyName, PrefixTable, RouteAction,
-    RouteCounters, RouteEvent, RouteMember, RouteSettings, RouteSummary, RunnerSummary, RunnerView,
-    ServiceView, WaitQueue, subset,
+    RouteCounters, RouteEvent, RouteMember, RouteSettings, RouteSummary, RunnerRamp, RunnerSummary,
+    RunnerView, ServiceView, WaitQueue, subset,
 };
 
 /// Age of a runner's last report above which its load is estimated instead.
@@ -89,6 +89,7 @@
         }
         if changed {
             actions.extend(self.refuse_expired(now));
+            actions.extend(self.refuse_waiting_for_runners(now));
             actions.extend(self.send_waiting(now));
             actions.extend(self.refuse_overdue(now));
             actions.extend(self.refuse_unreachable_deadlines(now));
@@ -119,6 +120,11 @@
                 }
                 return false;
             }
+            RouteEvent::RunnerWait { runner, until } => {
+                if let Some(&slot) = self.slots.get(&runner) {
+                    self.runners[slot].ramp.begin(until);
+                }
+            }
             RouteEvent::Cache { runner, event } => {
                 if let Some(&slot) = self.slots.get(&runner) {
                     self.prefixes.apply(slot, &event);
@@ -143,6 +149,9 @@
         let Some(record) = self.calls.get_mut(&call) else { return };
         let is_first = record.call.produced_tokens.0 == 0;
         record.call.produced_tokens = TokenCount(index.0 + 1);
+        if let Some(slot) = record.slot {
+            self.runners[slot].ramp.record_success(call);
+        }
         if let Some(view) = self.services.get_mut(&record.call.service).filter(|_| is_first) {
             view.observe_first_token(now.since(record.sent_at), record.prefill_tokens);
         }
@@ -263,6 +272,7 @@
         }
         if incarnation != self.runners[slot].incarnation() {
             self.prefixes.remove_runner(slot);
+            self.runners[slot].ramp = RunnerRamp::default();
         }
         if self.settings.policy != PolicyName::Product {
             return;
@@ -295,6 +305,9 @@
             return;
         };
         let runner = &mut self.runners[slot];
+        if end == CallEnd::Finished {
+            runner.ramp.record_success(call);
+        }
         runner.record_ended(now, call, record.context_tokens());
         runner.own_forecast -= record.forecast;
         match end {
--- a/crates/route/src/scheduler_place.rs
+++ b/crates/route/src/scheduler_place.rs
@@ -55,8 +55,10 @@
             let is_silent = view.last_report_at.since(runner.received_at) > MAX_REPORT_LAG;
             runner.health.is_available(now) && !(is_silent && runner.report.is_some())
         };
-        let serving =
-            view.slots.iter().copied().filter(|slot| self.runners[*slot].can_serve(model));
+        let serving = view.slots.iter().copied().filter(|slot| {
+            let runner = &self.runners[*slot];
+            runner.can_serve(model) && runner.ramp.admits(now)
+        });
         let (healthy, ejected): (Vec<usize>, Vec<usize>) =
             serving.partition(|slot| is_healthy(*slot));
         let max_ejected = ((healthy.len() + ejected.len()) / EJECTED_SHARE_DIVISOR).max(1);
--- a/crates/route/src/scheduler_refuse.rs
+++ b/crates/route/src/scheduler_refuse.rs
@@ -42,6 +42,11 @@
         if !slots.iter().any(|slot| can_serve(&self.runners[*slot])) {
             return Some((RefusalReason::NoRunner, DEFAULT_RETRY_AFTER));
         }
+        if self.waits_too_long(now, record) {
+            let retry_after = self.wait_retry_after(now, &call.service, call.model.as_ref());
+            return Some((RefusalReason::RunnersWait, retry_after.unwrap_or_default()));
+        }
+        let view = self.services.get(&call.service);
         let queue = self.queues.get(&(call.service.clone(), call.model.clone()))?;
         let wait = queue.expected_wait(call.priority);
         let step = TimeSpan::micros(view.map_or(0.0, |view| view.step_micros) as u64);
@@ -107,7 +112,7 @@
         for (call, wait) in self.queues.values().flat_map(WaitQueue::expected_waits) {
             let left = self.calls.get(&call).map(|record| record.call.deadline.since(now));
             if let Some(excess) = left
-                .filter(|left| wait.0 > UNREACHABLE_WAIT_RATIO * left.0)
+                .filter(|left| wait.0 > UNREACHABLE_WAIT_RATIO.saturating_mul(left.0))
                 .map(|left| wait.0 - left.0)
             {
                 unreachable.push((call, TimeSpan(excess)));
--- a/crates/route/src/scheduler_relocate.rs
+++ b/crates/route/src/scheduler_relocate.rs
@@ -65,7 +65,8 @@
         let model = record.call.model.as_ref();
         let others = view.slots.iter().copied().filter(|slot| *slot != own);
         let usable = others.filter(|slot| {
-            self.runners[*slot].can_serve(model) && self.runners[*slot].health.is_available(now)
+            let runner = &self.runners[*slot];
+            runner.can_serve(model) && runner.health.is_available(now) && runner.ramp.admits(now)
         });
         let scored = usable
             .map(|slot| (slot, runner_score::score(now, record, view, &self.runners[slot], false)));
@@ -94,6 +95,7 @@
             *slot != old
                 && runner.place == *place
                 && runner.health.is_available(now)
+                && runner.ramp.admits(now)
                 && runner.can_serve(record.call.model.as_ref())
         });
         let scored = same_place
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -13,6 +13,7 @@
 mod plan;
 mod retry_budget;
 mod runner_table;
+mod runner_wait;
 mod stream_scan;
 
 pub use attempt::{AttemptTracker, FinalStatus, SendOutcome};
@@ -26,4 +27,5 @@
 };
 pub use retry_budget::{BudgetSettings, RetryBudget};
 pub use runner_table::{RunnerChange, RunnerEntry, RunnerIncarnation, RunnerRecord, RunnerTable};
+pub use runner_wait::{MAX_RUNNER_WAIT, RunnerWait, WaitTable};
 pub use stream_scan::{StreamError, StreamScanner};
