--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -4,10 +4,11 @@
 use std::rc::Rc;
 
 use base::prelude::*;
+use futures_channel::mpsc;
 use kernel::{MonotonicClock, StopSignal};
 use serving::{
     BudgetSettings, EraView, FleetLoads, PeerTable, PlanVersion, RetryBudget, RunnerTable,
-    ServingPlan, TransferPacer,
+    ServingPlan, TransferPacer, WaitTable,
 };
 use settings::NodeSettings;
 
@@ -32,6 +33,8 @@
     pub transfers: RefCell<TransferPacer>,
     /// Known runners and their state.
     pub runners: RefCell<RunnerTable>,
+    /// Runners that asked this node to send them nothing for some time.
+    pub waits: RefCell<WaitTable>,
     /// Newest era of the store that the store or another node has named.
     pub store_era: RefCell<EraView>,
     /// Offset in the newest era up to which the list of runners has been read; 0 if it has not.
@@ -52,13 +55,15 @@
     pub active_requests: Cell<usize>,
     /// Bytes reserved for the bodies of these requests.
     reserved_body_bytes: Cell<usize>,
+    /// Signals the router that an answer has changed what is known about a runner.
+    runner_changes: RefCell<mpsc::Sender<()>>,
     clock: MonotonicClock,
 }
 
 impl NodeContext {
     /// Creates the state of a node that has just started.
     #[must_use]
-    pub fn new(settings: NodeSettings) -> Rc<Self> {
+    pub fn new(settings: NodeSettings, runner_changes: mpsc::Sender<()>) -> Rc<Self> {
         let clock = MonotonicClock::new();
         let budget = RetryBudget::new(retry_budget_settings(&settings), clock.now());
         Rc::new(Self {
@@ -70,6 +75,7 @@
             transfers: RefCell::new(TransferPacer::new(settings.link_mbps)),
             runners: RefCell::new(RunnerTable::new(settings.drain)),
             store_era: RefCell::default(),
+            waits: RefCell::default(),
             runners_offset: Cell::default(),
             runners_updated: Cell::default(),
             store_answered_at: Cell::default(),
@@ -79,6 +85,7 @@
             stop: StopSignal::new(),
             active_requests: Cell::default(),
             reserved_body_bytes: Cell::default(),
+            runner_changes: RefCell::new(runner_changes),
             settings,
             clock,
         })
@@ -102,6 +109,12 @@
         self.plan.borrow().clone()
     }
 
+    /// Signals the router that an answer has changed what is known about a runner.
+    pub fn signal_runner_change(&self) {
+        // A full channel already holds a signal.
+        let _ = self.runner_changes.borrow_mut().try_send(());
+    }
+
     /// Version of the active configuration.
     #[must_use]
     pub fn plan_version(&self) -> Option<PlanVersion> {
--- a/crates/node/src/plain_call.rs
+++ b/crates/node/src/plain_call.rs
@@ -16,6 +16,7 @@
 use crate::caller_server::CallRejection;
 use crate::context::NodeContext;
 use crate::router::{RouteTicket, RouterService};
+use crate::runner_gate::check_send;
 use crate::runner_send::{SendFailure, SendPlan, read_full_answer, send_to_runner};
 
 /// Timeout of one attempt, as a multiple of the route's target latency, while another runner
@@ -24,6 +25,9 @@
 /// `Retry-After` if no runner accepted the request.
 const REFUSED_RETRY_AFTER: TimeSpan = TimeSpan::millis(150);
 
+/// Reason of a refusal because every runner of the service has named a wait.
+const RUNNERS_WAIT: &str = "runners_wait";
+
 /// Why no runner answered a request.
 #[derive(Debug, Clone, Copy)]
 pub struct CallFailure {
@@ -33,7 +37,7 @@
     pub retry_after: TimeSpan,
 }
 
-/// Waits until the dispatcher assigns a runner to the request.
+/// Waits until the dispatcher assigns a runner that accepts the request.
 ///
 /// # Errors
 /// Returns [`CallFailure`] if the dispatcher refuses the call or the assigned runner was removed.
@@ -42,6 +46,29 @@
     router: &RouterService,
     call: &Call,
     tried: &[RunnerId],
+) -> Result<(RouteTicket, RunnerRecord), CallFailure> {
+    loop {
+        let (ticket, runner) = assign_runner(context, router, call, tried).await?;
+        if check_send(context, &runner.incarnation()).is_ok() {
+            return Ok((ticket, runner));
+        }
+        unassign(router, ticket);
+    }
+}
+
+/// Takes back the assignment of a call that was not sent, since its runner accepts no
+/// requests. The dispatcher then knows that it does not, and assigns another.
+pub fn unassign(router: &RouterService, ticket: RouteTicket) {
+    ticket.finish(CallEnd::Cancelled);
+    router.update_members();
+}
+
+/// Waits until the dispatcher assigns a runner to the request.
+async fn assign_runner(
+    context: &NodeContext,
+    router: &RouterService,
+    call: &Call,
+    tried: &[RunnerId],
 ) -> Result<(RouteTicket, RunnerRecord), CallFailure> {
     let mut ticket = router.open(call.route_call(tried));
     let runner = loop {
@@ -61,6 +88,7 @@
 fn refusal_reason(reason: RefusalReason) -> &'static str {
     match reason {
         RefusalReason::NoRunner => "no_runner",
+        RefusalReason::RunnersWait => RUNNERS_WAIT,
         RefusalReason::Overloaded => "overloaded",
         RefusalReason::TableFull => "queue_full",
         RefusalReason::DeadlinePassed => "deadline_passed",
@@ -103,8 +131,13 @@
         };
         let load = ticket.runner_summary(&runner.runner);
         log_send(context, call, &runner.runner, None, load.as_ref(), tracker.sends());
+        let answer = try_runner(context, call, &tracker, &runner).await;
+        if answer.as_ref().is_err_and(|failure| failure.withheld) {
+            unassign(router, ticket);
+            continue;
+        }
         tried.push(runner.runner.clone());
-        match try_runner(context, call, &tracker, &runner).await {
+        match answer {
             Ok(answer) => {
                 ticket.finish(CallEnd::Finished);
                 if !answer.status().is_server_error() || call.route.kind != RouteKind::Idempotent {
@@ -114,19 +147,27 @@
                 error_answer = Some(answer);
             }
             Err(failure) => {
-                record_send_failure(context, router, call, &runner.runner, &failure);
+                record_send_failure(context, router, call, &runner, &failure);
                 tracker.record_send(failure.outcome);
                 ticket.finish(failure.end);
             }
         }
         if !may_retry(context, call, &tracker) {
-            let failure =
-                CallFailure { reason: "runners_failed", retry_after: REFUSED_RETRY_AFTER };
+            let failure = explain_failure(router, call, REFUSED_RETRY_AFTER);
             return fail_call(context, call, &tracker, error_answer, failure);
         }
     }
 }
 
+/// Why a call is given up after its sends, and when its caller may come back: after
+/// `retry_after`, unless every runner waits for longer.
+pub fn explain_failure(router: &RouterService, call: &Call, retry_after: TimeSpan) -> CallFailure {
+    match router.wait_retry_after(call) {
+        Some(wait) => CallFailure { reason: RUNNERS_WAIT, retry_after: wait.max(retry_after) },
+        None => CallFailure { reason: "runners_failed", retry_after },
+    }
+}
+
 /// Sends the call to one runner and reads its whole answer.
 async fn try_runner(
     context: &NodeContext,
@@ -151,12 +192,12 @@
     context: &NodeContext,
     router: &RouterService,
     call: &Call,
-    runner: &RunnerId,
+    runner: &RunnerRecord,
     failure: &SendFailure,
 ) {
-    log_send_failure(context, call, runner, &failure.reason);
+    log_send_failure(context, call, &runner.runner, &failure.reason);
     if failure.runner_gone {
-        router.mark_leaving(runner, "reply");
+        router.mark_leaving(&runner.incarnation(), "reply");
     }
 }
 
--- a/crates/node/src/router.rs
+++ b/crates/node/src/router.rs
@@ -8,6 +8,7 @@
 use config::{PolicyWeights, ServiceKind};
 use dispatch::{CallDispatcher, CallHandle, RouteCommand};
 use futures_channel::mpsc;
+use futures_util::StreamExt;
 use kernel::StopSignal;
 use route::{
     CallEnd, CallId, MemoryForecast, PolicyName, RouteCall, RouteEvent, RouteSettings,
@@ -15,7 +16,9 @@
 };
 use serving::{RunnerIncarnation, RunnerLoad};
 
+use crate::call::Call;
 use crate::context::NodeContext;
+use crate::runner_gate;
 
 /// Interval between ticks of the call dispatcher while calls are queued.
 const TICK_PERIOD: TimeSpan = TimeSpan::millis(10);
@@ -168,11 +171,19 @@
         }
     }
 
-    /// Records that a runner is leaving, as its reply or report states, and notifies the
-    /// other nodes.
-    pub fn mark_leaving(&self, runner: &RunnerId, source: &str) {
-        if self.context.runners.borrow_mut().mark_leaving(runner) {
-            tracing::info!(event = "runner_changed", %runner, state = "leaving", source);
+    /// Records that this start of a runner is leaving, as its reply or report states, and
+    /// notifies the other nodes.
+    pub fn mark_leaving(&self, runner: &RunnerIncarnation, source: &str) {
+        if runner_gate::mark_leaving(&self.context, runner, source) {
+            self.update_members();
+            self.request_heartbeat();
+        }
+    }
+
+    /// Applies what answers of runners have changed, and notifies the other nodes, until the
+    /// process ends.
+    pub async fn follow_runner_changes(self: Rc<Self>, mut changes: mpsc::Receiver<()>) {
+        while changes.next().await.is_some() {
             self.update_members();
             self.request_heartbeat();
         }
@@ -193,6 +204,17 @@
         }
     }
 
+    /// After how long a caller may come back if every runner that serves the call waits.
+    #[must_use]
+    pub fn wait_retry_after(&self, call: &Call) -> Option<TimeSpan> {
+        if self.context.waits.borrow().is_empty() {
+            return None;
+        }
+        self.update_members();
+        let (now, model) = (self.context.now(), call.head.model.as_ref());
+        self.dispatcher.state_mut().wait_retry_after(now, &call.service, model)
+    }
+
     /// Load that the calls of this node put on each runner, including backup copies.
     #[must_use]
     pub fn local_loads(&self) -> Vec<RunnerLoad> {
@@ -241,6 +263,8 @@
         }
         let sequence = self.load_sequence.get() + 1;
         self.load_sequence.set(sequence);
+        let now = self.context.now();
+        let waits = self.context.waits.borrow();
         let runners = self.context.runners.borrow();
         let peer_loads = self.context.peer_loads.borrow();
         let peers_waiting = |service: &ServiceName| RouteEvent::PeersWaiting {
@@ -273,6 +297,9 @@
                 models: Vec::new(),
                 fence: 0,
             }));
+            if let Some(until) = waits.end(now, &record.incarnation()) {
+                events.push(RouteEvent::RunnerWait { runner: record.runner.clone(), until });
+            }
         }
         events
     }
@@ -284,6 +311,7 @@
             let now = self.context.now();
             if now >= next_update {
                 next_update = now + LOAD_UPDATE_PERIOD;
+                runner_gate::log_ended_waits(&self.context);
                 self.dispatcher.handle_all(self.load_events());
             }
             if self.has_waiting_calls() {
--- /dev/null
+++ b/crates/node/src/runner_gate.rs
@@ -0,0 +1,168 @@
+//! Decides at the last moment whether a request may be sent to a runner, and records what
+//! runners state about themselves in their answers.
+//!
+//! Load pattern: runners announce that they leave while calls that were assigned to them
+//! earlier have not been sent yet. Busy runners name a time before which they accept nothing.
+
+use std::net::SocketAddr;
+
+use base::prelude::*;
+use platform::{AttemptId, KvCopy, PlatformError, RunnerNotice, RunnerReply};
+use serving::{MAX_RUNNER_WAIT, RunnerIncarnation, RunnerRecord};
+
+use crate::call_log::may_log;
+use crate::context::NodeContext;
+use crate::metrics::WithheldLabels;
+
+/// Why a request may not be sent to a runner.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SendBlock {
+    /// The runner is leaving.
+    Leaving,
+    /// The runner asked this node to send it nothing for some time.
+    Waiting,
+}
+
+impl SendBlock {
+    /// Name of the reason, for logs and metrics.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Leaving => "runner_leaving",
+            Self::Waiting => "runner_waiting",
+        }
+    }
+}
+
+/// Checks whether a call may be sent to this start of a runner now.
+///
+/// # Errors
+/// Returns the reason if it may not.
+pub fn check_send(context: &NodeContext, runner: &RunnerIncarnation) -> Result<(), SendBlock> {
+    match find_block(context, runner) {
+        Some(block) => Err(withhold(context, runner, block)),
+        None => Ok(()),
+    }
+}
+
+/// Counts a request that is not sent.
+fn withhold(context: &NodeContext, runner: &RunnerIncarnation, block: SendBlock) -> SendBlock {
+    if block == SendBlock::Waiting {
+        context.waits.borrow_mut().count_withheld(runner);
+    }
+    let reason = block.as_str();
+    context.metrics.sends_withheld.get_or_create(&WithheldLabels { reason }).inc();
+    block
+}
+
+/// Why this start of a runner accepts no requests; `None` if it does.
+#[must_use]
+pub fn find_block(context: &NodeContext, runner: &RunnerIncarnation) -> Option<SendBlock> {
+    if context.runners.borrow().is_incarnation_leaving(runner) {
+        return Some(SendBlock::Leaving);
+    }
+    let end = context.waits.borrow().end(context.now(), runner);
+    end.map(|_| SendBlock::Waiting)
+}
+
+/// Records what this start of a runner stated about itself in an answer.
+pub fn record_notice(context: &NodeContext, runner: &RunnerIncarnation, notice: &RunnerNotice) {
+    if notice.leaving && mark_leaving(context, runner, "answer") {
+        context.signal_runner_change();
+    }
+    if let Some(span) = notice.retry_after {
+        begin_wait(context, runner, span);
+    }
+    if let Some(header) = notice.unknown_value
+        && may_log(context)
+    {
+        tracing::info!(event = "header_ignored", runner = %runner.runner, header);
+    }
+}
+
+/// Records that this start of a runner wants no requests for `span`.
+fn begin_wait(context: &NodeContext, runner: &RunnerIncarnation, span: TimeSpan) {
+    if !context.waits.borrow_mut().record(context.now(), runner, span) {
+        return;
+    }
+    context.metrics.runner_waits.inc();
+    context.signal_runner_change();
+    let (seconds, limit) = (span.as_seconds(), MAX_RUNNER_WAIT.as_seconds());
+    if may_log(context) {
+        tracing::info!(event = "wait_begun", runner = %runner.runner, seconds, limit);
+    }
+}
+
+/// Logs the waits that have ended since the last call.
+pub fn log_ended_waits(context: &NodeContext) {
+    for wait in context.waits.borrow_mut().take_ended(context.now()) {
+        let seconds = wait.until.since(wait.begun).as_seconds();
+        let withheld = wait.withheld;
+        if may_log(context) {
+            tracing::info!(event = "wait_ended", runner = %wait.runner.runner, seconds, withheld);
+        }
+    }
+}
+
+/// Records that this start of a runner told this node that it is leaving. Returns whether
+/// that was not known before.
+pub fn mark_leaving(context: &NodeContext, runner: &RunnerIncarnation, source: &str) -> bool {
+    let changed = context.runners.borrow_mut().mark_leaving(runner);
+    if changed {
+        tracing::info!(event = "runner_changed", runner = %runner.runner, state = "leaving", source);
+    }
+    changed
+}
+
+/// Copies the KV cache of a run from the runner at `source` to the one at `target`, unless
+/// either accepts no requests, and records what the source states about itself.
+///
+/// # Errors
+/// Those of [`platform::copy_kv_cache`], and [`PlatformError::NotSent`].
+#[allow(dead_code, reason = "stream_copy.rs does not call it yet")]
+pub async fn copy_between_runners(
+    context: &NodeContext,
+    attempt: &AttemptId,
+    source: SocketAddr,
+    target: SocketAddr,
+    limit: TimeSpan,
+) -> platform::Result<KvCopy> {
+    let step = "KV cache copy";
+    if let Some(receiver) = find_runner(context, target) {
+        check_send(context, &receiver).map_err(|block| PlatformError::NotSent {
+            step,
+            peer: target,
+            reason: block.as_str(),
+        })?;
+    }
+    let sender = find_runner(context, source);
+    if let Some(sender) = &sender {
+        check_copy_source(context, sender).map_err(|block| PlatformError::NotSent {
+            step,
+            peer: source,
+            reason: block.as_str(),
+        })?;
+    }
+    let RunnerReply { notice, result } =
+        platform::request_kv_copy(source, attempt, target, limit).await;
+    if let (Some(runner), Some(notice)) = (sender, notice) {
+        record_notice(context, &runner, &notice);
+    }
+    result
+}
+
+/// Checks whether a runner may be asked to copy a run. One that leaves may: it hands its runs
+/// over.
+#[allow(dead_code, reason = "stream_copy.rs does not call it yet")]
+fn check_copy_source(context: &NodeContext, runner: &RunnerIncarnation) -> Result<(), SendBlock> {
+    if context.waits.borrow().end(context.now(), runner).is_none() {
+        return Ok(());
+    }
+    Err(withhold(context, runner, SendBlock::Waiting))
+}
+
+/// The latest known start of the runner at `address`.
+#[allow(dead_code, reason = "stream_copy.rs does not call it yet")]
+fn find_runner(context: &NodeContext, address: SocketAddr) -> Option<RunnerIncarnation> {
+    context.runners.borrow().find_by_address(address).map(RunnerRecord::incarnation)
+}
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -13,6 +13,7 @@
 mod plan;
 mod retry_budget;
 mod runner_table;
+mod runner_wait;
 mod state_codec;
 mod store_era;
 mod stream_scan;
@@ -29,6 +30,7 @@
 };
 pub use retry_budget::{BudgetSettings, RetryBudget};
 pub use runner_table::{RunnerChange, RunnerEntry, RunnerIncarnation, RunnerRecord, RunnerTable};
+pub use runner_wait::{MAX_RUNNER_WAIT, RunnerWait, WaitTable};
 pub use state_codec::{Result as StateResult, StateCodecError, decode_state, encode_state};
 pub use store_era::{AnswerUse, EraView, StoreCursor};
 pub use stream_scan::{StreamError, StreamScanner};
