--- a/crates/fakes/src/platform/runner_fake.rs
+++ b/crates/fakes/src/platform/runner_fake.rs
@@ -101,6 +101,8 @@
     leaving_header: RefCell<Option<String>>,
     /// Value of `Retry-After` with which it turns all requests away.
     retry_after: RefCell<Option<String>>,
+    /// Moves that were asked for.
+    moves: RefCell<Vec<Instant>>,
     /// Moves from here find no room.
     moves_refused: Cell<bool>,
     /// Events are made without a pause.
@@ -139,6 +141,7 @@
             leaving: Cell::default(),
             leaving_header: RefCell::default(),
             retry_after: RefCell::default(),
+            moves: RefCell::default(),
             moves_refused: Cell::default(),
             rushes: Cell::default(),
             accepts: Cell::new(true),
@@ -178,6 +181,12 @@
         self.state.visits.borrow().clone()
     }
 
+    /// When moves from here were asked for.
+    #[must_use]
+    pub fn moves(&self) -> Vec<Instant> {
+        self.state.moves.borrow().clone()
+    }
+
     /// Requests that it ran.
     #[must_use]
     pub fn runs(&self) -> usize {
@@ -309,8 +318,12 @@
 }
 
 async fn answer_move(stream: &mut TcpStream, state: &RunnerState, request: &RunnerRequest) -> bool {
-    let notice = state.notice();
+    state.moves.borrow_mut().push(Instant::now());
+    let mut notice = state.notice();
     if state.moves_refused.get() {
+        if let Some(value) = state.retry_after.borrow().as_ref() {
+            let _ = write!(notice, "Retry-After: {value}\r\n");
+        }
         return write(stream, whole("503 Service Unavailable", &notice, "{}")).await;
     }
     let body: Value = serde_json::from_slice(&request.body).unwrap_or_default();
--- a/crates/harness/tests/node_runner_word.rs
+++ b/crates/harness/tests/node_runner_word.rs
@@ -393,3 +393,43 @@
     })
     .unwrap();
 }
+
+#[test]
+fn a_runner_that_turns_a_move_away_is_not_asked_again_before_the_end_of_its_wait() {
+    kernel::run(async {
+        let mut fleet = NodeFleet::start().await.unwrap();
+        let mut runners = Vec::new();
+        for number in 1..=3 {
+            runners.push(fleet.add_runner("llm", long(&format!("llm-{number}"))).await.unwrap());
+        }
+        fleet.add_node().unwrap();
+        fleet.wait_ready().await.unwrap();
+        let request = short("s1");
+        let (answer, ()) = futures_util::join!(fleet.send(0, &request), async {
+            let leaving = wait_until("a runner to work", LIMIT, async || {
+                runners.iter().find(|runner| runner.working() == 1)
+            })
+            .await
+            .unwrap();
+            leaving.refuse_moves(true);
+            leaving.turn_away(Some("1"));
+            fleet.tell(leaving, "llm", "draining");
+            let first = wait_until("a move", LIMIT, async || leaving.moves().first().copied())
+                .await
+                .unwrap();
+            leaving.refuse_moves(false);
+            wait_until("the stream to move", LIMIT, async || {
+                let staying = |runner: &&RunnerFake| runner.id() != leaving.id();
+                runners.iter().filter(staying).any(|runner| has_run(runner, "s1")).then_some(())
+            })
+            .await
+            .unwrap();
+            let is_early = |at: &&Instant| **at < first + Duration::from_secs(1);
+            assert_eq!(leaving.moves().iter().filter(is_early).count(), 1);
+            compio::time::sleep(Duration::from_millis(300)).await;
+            leaving.crash();
+        });
+        assert_eq!((answer.status, answer.complete), (200, true));
+    })
+    .unwrap();
+}
--- a/crates/node/src/runner_gate.rs
+++ b/crates/node/src/runner_gate.rs
@@ -118,8 +118,7 @@
 /// either accepts no requests, and records what the source states about itself.
 ///
 /// # Errors
-/// Those of [`platform::copy_kv_cache`], and [`PlatformError::NotSent`].
-#[allow(dead_code, reason = "stream_copy.rs does not call it yet")]
+/// [`PlatformError`]; it is `NotSent` if either accepts no requests.
 pub async fn copy_between_runners(
     context: &NodeContext,
     attempt: &AttemptId,
@@ -144,7 +143,34 @@
         })?;
     }
     let RunnerReply { notice, result } =
-        platform::request_kv_copy(source, attempt, target, limit).await;
+        platform::copy_kv_cache(source, attempt, target, limit).await;
+    if let (Some(runner), Some(notice)) = (sender, notice) {
+        record_notice(context, &runner, &notice);
+    }
+    result
+}
+
+/// Frees a copy of a run at both runners, unless the source accepts no requests; the copy then
+/// expires.
+///
+/// # Errors
+/// [`PlatformError`].
+pub async fn free_copy(
+    context: &NodeContext,
+    source: SocketAddr,
+    handle: &str,
+    limit: TimeSpan,
+) -> platform::Result<()> {
+    let step = "KV cache copy release";
+    let sender = find_runner(context, source);
+    if let Some(sender) = &sender {
+        check_copy_source(context, sender).map_err(|block| PlatformError::NotSent {
+            step,
+            peer: source,
+            reason: block.as_str(),
+        })?;
+    }
+    let RunnerReply { notice, result } = platform::release_kv_copy(source, handle, limit).await;
     if let (Some(runner), Some(notice)) = (sender, notice) {
         record_notice(context, &runner, &notice);
     }
@@ -153,7 +179,6 @@
 
 /// Checks whether a runner may be asked to copy a run. One that leaves may: it hands its runs
 /// over.
-#[allow(dead_code, reason = "stream_copy.rs does not call it yet")]
 fn check_copy_source(context: &NodeContext, runner: &RunnerIncarnation) -> Result<(), SendBlock> {
     if context.waits.borrow().end(context.now(), runner).is_none() {
         return Ok(());
@@ -162,7 +187,6 @@
 }
 
 /// The latest known start of the runner at `address`.
-#[allow(dead_code, reason = "stream_copy.rs does not call it yet")]
 fn find_runner(context: &NodeContext, address: SocketAddr) -> Option<RunnerIncarnation> {
     context.runners.borrow().find_by_address(address).map(RunnerRecord::incarnation)
 }
--- a/crates/node/src/stream_copy.rs
+++ b/crates/node/src/stream_copy.rs
@@ -8,9 +8,10 @@
 use std::rc::Rc;
 
 use base::prelude::*;
-use platform::{AttemptId, copy_kv_cache, release_kv_copy};
+use platform::AttemptId;
 
 use crate::context::NodeContext;
+use crate::runner_gate::{copy_between_runners, free_copy};
 
 /// Timeout for copying the memory of a run; runs that leave together share the link.
 const COPY_LIMIT: TimeSpan = TimeSpan::millis(2_500);
@@ -42,8 +43,9 @@
     target: SocketAddr,
 ) -> platform::Result<RunCopy> {
     let begun = context.now();
-    let copy = copy_kv_cache(source, &attempt, target, COPY_LIMIT).await?;
-    let guard = CopyGuard { source, handle: Some(copy.handle.clone()) };
+    let copy = copy_between_runners(&context, &attempt, source, target, COPY_LIMIT).await?;
+    let handle = Some(copy.handle.clone());
+    let guard = CopyGuard { context: Rc::clone(&context), source, handle };
     tracing::info!(
         event = "run_copied",
         request = %attempt,
@@ -56,6 +58,7 @@
 /// Frees an unused copy at both runners when dropped; otherwise it would occupy memory for
 /// seconds.
 struct CopyGuard {
+    context: Rc<NodeContext>,
     source: SocketAddr,
     handle: Option<Arc<str>>,
 }
@@ -63,9 +66,9 @@
 impl Drop for CopyGuard {
     fn drop(&mut self) {
         let Some(handle) = self.handle.take() else { return };
-        let source = self.source;
+        let (context, source) = (Rc::clone(&self.context), self.source);
         kernel::spawn(async move {
-            if let Err(error) = release_kv_copy(source, &handle, FREE_LIMIT).await {
+            if let Err(error) = free_copy(&context, source, &handle, FREE_LIMIT).await {
                 tracing::info!(event = "copy_not_freed", %source, %error);
             }
         })
--- a/crates/node/src/stream_handover.rs
+++ b/crates/node/src/stream_handover.rs
@@ -11,7 +11,7 @@
 use futures_util::{FutureExt, select_biased};
 use hyper::body::Bytes;
 use platform::ResumeSource;
-use serving::{RunnerRecord, StreamScanner};
+use serving::{RunnerRecord, SendOutcome, StreamScanner};
 use web::{WebConnection, WebExchange};
 
 use crate::call_log::{RequestOutcome, log_send_failure};
@@ -299,7 +299,12 @@
                 return self.keep_source(&plan, held, &reason).await;
             }
             OverlapEnd::Failed(failure) => {
-                return self.keep_source(&plan, held, &failure.reason).await;
+                return match self.keep_source(&plan, held, &failure.reason).await {
+                    HandoverStep::Refused if failure.outcome == SendOutcome::NotSent => {
+                        HandoverStep::Unreached
+                    }
+                    step => step,
+                };
             }
             OverlapEnd::SourceEnded => {
                 self.count_move("source_ended");
