Try a refused move again at its only target

What callers saw: with two runners of a service, a generation whose first move was refused stayed at its leaving runner and was cut with it.

The scheduler assigns a call to the target when its move begins; after a refusal the next assignment excludes that target, finds no other and gives up for good.

Without another runner the last target is tried again, if it is not leaving.

Test: a_move_that_its_only_target_refuses_is_tried_again failed before (the answer is cut after 4,093 bytes), passes.

--- a/crates/harness/tests/node_moves.rs
+++ b/crates/harness/tests/node_moves.rs
@@ -15,9 +15,13 @@
 }
 
 async fn fleet() -> (NodeFleet, Vec<RunnerFake>) {
+    fleet_of(3).await
+}
+
+async fn fleet_of(count: usize) -> (NodeFleet, Vec<RunnerFake>) {
     let mut fleet = NodeFleet::start().await.unwrap();
     let mut runners = Vec::new();
-    for number in 1..=3 {
+    for number in 1..=count {
         runners.push(fleet.add_runner("llm", slow(&format!("llm-{number}"))).await.unwrap());
     }
     fleet.add_node().unwrap();
@@ -105,6 +109,24 @@
     .unwrap();
 }
 
+#[test]
+fn a_move_that_its_only_target_refuses_is_tried_again() {
+    kernel::run(async {
+        let (fleet, runners) = fleet_of(2).await;
+        let request = short();
+        let (answer, ()) = futures_util::join!(fleet.send(0, &request), async {
+            let runner = worker(&runners).await;
+            let others = runners.iter().filter(|other| other.id() != runner.id());
+            others.for_each(|other| other.script(&[RunnerScript::Refuse]));
+            fleet.tell(runner, "llm", "draining");
+            pause(1_500).await;
+            runner.crash();
+        });
+        assert_whole(&answer);
+    })
+    .unwrap();
+}
+
 #[test]
 fn a_move_that_finds_no_room_is_tried_for_as_long_as_a_notice() {
     assert_moves(short(), async |fleet, runner| {
--- a/crates/node/src/router.rs
+++ b/crates/node/src/router.rs
@@ -383,6 +383,12 @@
         self.leaving.clone()
     }
 
+    /// The runner that the call is assigned to; during a move, the one that it moves to.
+    #[must_use]
+    pub fn assigned_runner(&self) -> Option<RunnerId> {
+        self.guard.router.calls.borrow().get(&self.guard.id)?.runner.clone()
+    }
+
     /// Assigns the call to another runner; `None` if no other is available.
     pub fn relocate(&mut self) -> Option<RunnerId> {
         let now = self.guard.router.context.now();
--- a/crates/node/src/state_transfer.rs
+++ b/crates/node/src/state_transfer.rs
@@ -114,7 +114,7 @@
     Ok((serde_json::to_vec(plan)?.into(), None))
 }
 
-/// Whether a request accepts the encoding. Nodes of an earlier release take only plain JSON.
+/// Whether a request accepts the encoding; plain JSON is sent otherwise.
 fn accepts_encoding(headers: &HeaderMap) -> bool {
     headers.get(ACCEPT_ENCODING).is_some_and(|value| value == ENCODING)
 }
--- a/crates/node/src/stream_handover.rs
+++ b/crates/node/src/stream_handover.rs
@@ -208,7 +208,7 @@
         }
         let old = &self.source.runner;
         let (request, from) = (&self.call.attempt, &old.runner);
-        let target = self.ticket.relocate();
+        let target = self.ticket.relocate().or_else(|| self.last_target());
         let runners = self.context.runners.borrow();
         let Some(entry) = target.and_then(|target| runners.get(&target)) else {
             tracing::info!(event = "move_impossible", %request, %from);
@@ -224,6 +224,14 @@
         PumpStep::Continue
     }
 
+    /// The target of the last move that failed, if it is not leaving: there may be no other.
+    fn last_target(&self) -> Option<RunnerId> {
+        let runners = self.context.runners.borrow();
+        let target = self.ticket.assigned_runner()?;
+        let is_other = target != self.source.runner.runner;
+        (is_other && !runners.is_leaving(&target)).then_some(target)
+    }
+
     /// Switches to the target of a completed move, or schedules another try.
     pub(crate) async fn finish_move(&mut self, outcome: platform::Result<RunCopy>) -> PumpStep {
         let Some(pending) = self.pending_move.take() else { return PumpStep::Continue };
--- a/crates/serving/src/transfer_pacer.rs
+++ b/crates/serving/src/transfer_pacer.rs
@@ -47,8 +47,8 @@
 pub enum TransferForm {
     /// Compressed, and paced.
     Compressed,
-    /// Plain, for a node of the release before. That gives up after 0.7 s as a whole, so a
-    /// transfer is not slowed down, and takes no place of a compressed one.
+    /// Plain, for a peer that does not accept the encoding. Such a peer has a limit on the whole
+    /// transfer, so it is not slowed down, and takes no place of a compressed one.
     Plain,
 }
 
