--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -23,11 +23,13 @@
 mod runner_gate;
 mod runner_poll;
 mod runner_send;
+mod state_fetcher;
 mod state_transfer;
 mod store_reader;
 mod stream_call;
 mod stream_copy;
 mod stream_handover;
+mod stream_move;
 mod stream_pump;
 mod stream_source;
 
--- a/crates/node/src/peer_link.rs
+++ b/crates/node/src/peer_link.rs
@@ -1,4 +1,4 @@
-//! UDP heartbeats between the nodes, and catching up with nodes that have newer data.
+//! UDP messages between the nodes: heartbeats, and changes of the list of runners.
 
 use std::cell::Cell;
 use std::net::SocketAddr;
@@ -8,21 +8,16 @@
 use compio::net::UdpSocket;
 use futures_channel::mpsc;
 use futures_util::StreamExt;
-use rand::seq::IndexedRandom;
 use serving::{
-    MessageError, NodeLoad, PeerHeartbeat, PeerMessage, RunnerRecord, RunnerUpdate, ServingPlan,
-    decode_message, encode_message,
+    MessageError, NodeLoad, PeerHeartbeat, PeerMessage, RunnerUpdate, decode_message,
+    encode_message,
 };
 
 use crate::context::NodeContext;
 use crate::dependency::DependencyState;
-use crate::follow_configuration::apply_plan;
-use crate::follow_runners::{apply_peer_update, record_read};
-use crate::metrics::OutcomeLabels;
-use crate::peer_server::{RUNNERS_PATH, RunnersAnswer};
-
+use crate::follow_runners::apply_peer_update;
 use crate::router::RouterService;
-use crate::state_transfer::{Result, TransferError, fetch_plan, fetch_state};
+use crate::state_fetcher::StateFetcher;
 
 /// A requested heartbeat is sent no sooner than the heartbeat interval divided by this after
 /// the previous one.
@@ -31,15 +26,10 @@
 const SOCKET_RETRY_PAUSE: TimeSpan = TimeSpan::millis(100);
 /// Size of the receive buffer: the longest accepted message, in bytes.
 const MAX_MESSAGE_BYTES: usize = 60_000;
-/// Age of the list of runners from which it is fetched from a node that has read further.
-const STALE_LIST_SPAN: TimeSpan = TimeSpan::millis(500);
 /// Shortest time between two log lines on messages that cannot be read.
 const SKIP_LINE_INTERVAL: TimeSpan = TimeSpan::seconds(10);
-/// Pause until the configuration is fetched again from another node, in milliseconds; random, so
-/// that those who were turned away together do not return together.
-const FETCH_PAUSE_RANGE_MS: std::ops::Range<u64> = 40..120;
 
-/// Exchanges messages and data with the other nodes.
+/// Exchanges messages with the other nodes.
 pub struct PeerLink {
     context: Rc<NodeContext>,
     router: Rc<RouterService>,
@@ -48,12 +38,7 @@
     sequence: Cell<u64>,
     /// When a message that cannot be read is logged again.
     next_skip_line: Cell<TimePoint>,
-    /// Whether the configuration is being fetched from another node.
-    fetching_plan: Cell<bool>,
-    /// When the configuration may be fetched again after a failure.
-    next_plan_fetch: Cell<TimePoint>,
-    /// Whether the list of runners is being fetched from another node.
-    fetching_runners: Cell<bool>,
+    fetcher: Rc<StateFetcher>,
     dependency: DependencyState,
 }
 
@@ -73,9 +58,7 @@
             socket,
             sequence: Cell::default(),
             next_skip_line: Cell::default(),
-            fetching_plan: Cell::default(),
-            next_plan_fetch: Cell::default(),
-            fetching_runners: Cell::default(),
+            fetcher: StateFetcher::new(context, router),
             dependency: DependencyState::new("other nodes"),
         }))
     }
@@ -209,122 +192,7 @@
                 self.router.mark_loads_changed();
             }
             self.router.apply_leaving(&leaving);
-            self.fetch_newer();
-        }
-    }
-
-    /// Starts fetching newer data from other nodes, unless the same is being fetched.
-    fn fetch_newer(self: &Rc<Self>) {
-        self.fetch_newer_plan();
-        self.fetch_newer_runners();
-    }
-
-    fn fetch_newer_plan(self: &Rc<Self>) {
-        let now = self.context.now();
-        let own = self.context.plan_version();
-        let holders = self.context.peers.borrow().peers_with_newer_plan(now, own);
-        // A random holder, so that not all nodes fetch a change from the first one.
-        let Some(peer) = holders.choose(&mut rand::rng()).copied() else {
-            self.context.newer_plan_since.set(None);
-            return;
-        };
-        if self.context.newer_plan_since.get().is_none() {
-            self.context.newer_plan_since.set(Some(now));
-        }
-        if self.fetching_plan.get() || now < self.next_plan_fetch.get() {
-            return;
-        }
-        self.fetching_plan.set(true);
-        let link = Rc::clone(self);
-        kernel::spawn(async move {
-            link.fetch_plan_from(peer).await;
-            link.fetching_plan.set(false);
-        })
-        .detach();
-    }
-
-    fn fetch_newer_runners(self: &Rc<Self>) {
-        if self.fetching_runners.get() || self.context.runners_age() <= STALE_LIST_SPAN {
-            return;
-        }
-        let read = self.context.runners_offset.get();
-        let holders =
-            self.context.peers.borrow().peers_with_newer_runners(self.context.now(), read);
-        // A random holder, so that not all nodes fetch the list from the one that read it.
-        let Some(peer) = holders.choose(&mut rand::rng()).copied() else { return };
-        self.fetching_runners.set(true);
-        let link = Rc::clone(self);
-        kernel::spawn(async move {
-            match link.fetch_runners(peer).await {
-                Ok(()) => link.dependency.record_success(),
-                Err(error) => link.dependency.record_failure(&error),
-            }
-            link.fetching_runners.set(false);
-        })
-        .detach();
-    }
-
-    async fn fetch_plan_from(&self, peer: SocketAddr) {
-        let begun = self.context.now();
-        let fetched = fetch_plan(&self.context, peer).await;
-        self.log_plan_fetch(peer, begun, fetched.as_ref());
-        match fetched {
-            Ok(plan) => {
-                self.dependency.record_success();
-                apply_plan(&self.context, &self.router, plan, "node");
-            }
-            Err(error) => {
-                if !matches!(error, TransferError::Busy { .. }) {
-                    self.dependency.record_failure(&error);
-                }
-                let pause = rand::random_range(FETCH_PAUSE_RANGE_MS);
-                self.next_plan_fetch.set(self.context.now() + TimeSpan::millis(pause));
-            }
-        }
-    }
-
-    /// Counts one transfer of a configuration from another node, and logs it unless the other
-    /// node only was busy.
-    fn log_plan_fetch(
-        &self,
-        peer: SocketAddr,
-        begun: TimePoint,
-        fetched: std::result::Result<&ServingPlan, &TransferError>,
-    ) {
-        let outcome = match fetched {
-            Ok(_) => "fetched",
-            Err(TransferError::Busy { .. }) => "busy",
-            Err(_) => "failed",
-        };
-        let labels = OutcomeLabels { outcome, reason: "" };
-        self.context.metrics.plan_fetches.get_or_create(&labels).inc();
-        if outcome == "busy" {
-            return;
-        }
-        tracing::info!(
-            event = "plan_fetched",
-            %peer,
-            outcome,
-            version = fetched.ok().map(|plan| plan.version.0),
-            before = self.context.plan_version().map(|version| version.0),
-            took_ms = self.context.now().since(begun).as_millis(),
-            error = fetched.err().map(ToString::to_string),
-        );
-    }
-
-    async fn fetch_runners(&self, peer: SocketAddr) -> Result<()> {
-        let requested = self.context.now();
-        let step = "runners of another node";
-        let (answer, _) = fetch_state::<RunnersAnswer>(step, peer, RUNNERS_PATH).await?;
-        if answer.read <= self.context.runners_offset.get() {
-            return Ok(());
-        }
-        let records: Vec<RunnerRecord> = answer.runners;
-        let changed = self.context.runners.borrow_mut().replace(self.context.now(), records);
-        if changed {
-            tracing::info!(event = "runners_taken", read = answer.read.0, source = "node", %peer);
+            self.fetcher.fetch_newer();
         }
-        record_read(&self.context, &self.router, requested, answer.read, changed);
-        Ok(())
     }
 }
--- /dev/null
+++ b/crates/node/src/stream_move.rs
@@ -0,0 +1,212 @@
+//! Where a stream goes when its runner leaves or is lost.
+//!
+//! With a backup copy at another runner, the stream resumes there; without one, its memory is
+//! copied to another runner first.
+
+use std::pin::Pin;
+use std::rc::Rc;
+
+use base::prelude::*;
+use platform::ResumeSource;
+use serving::RunnerRecord;
+
+use crate::call_log::RequestOutcome;
+use crate::metrics::OutcomeLabels;
+use crate::runner_send::SendPlan;
+use crate::stream_call::{choose_backup, plan_backup_resume};
+use crate::stream_copy::{RunCopy, copy_run};
+use crate::stream_handover::HandoverStep;
+use crate::stream_pump::{PumpStep, StreamPump};
+
+/// Maximum number of consecutive failed tries to change the runner of a stream.
+pub const MAX_SWITCH_TRIES: u32 = 20;
+/// Time that a run with a backup copy stays at a leaving runner. Short enough for the
+/// shortest notice period (1.5 s), less the age of the announcement.
+const SWITCH_DELAY: TimeSpan = TimeSpan::millis(100);
+/// Time from the first events of a run until its backup copy is complete.
+const BACKUP_FILL_SPAN: TimeSpan = TimeSpan::millis(600);
+/// Pause before the next move, after a target had no room. All tries together take as long
+/// as the notice period.
+const MOVE_RETRY_PAUSE: TimeSpan = TimeSpan::millis(75);
+type CopyFuture = Pin<Box<dyn Future<Output = platform::Result<RunCopy>>>>;
+
+/// A move whose memory copy is in progress.
+pub struct PendingMove {
+    target: RunnerRecord,
+    /// Completes when the copy has ended.
+    pub future: CopyFuture,
+}
+
+impl PendingMove {
+    /// A move whose copy is complete and whose target is tried once more after a pause.
+    fn again(target: RunnerRecord, copy: RunCopy) -> Self {
+        let future = async move {
+            kernel::sleep(MOVE_RETRY_PAUSE.into()).await;
+            Ok(copy)
+        };
+        Self { target, future: Box::pin(future) }
+    }
+}
+
+impl StreamPump {
+    /// Handles a source that failed before the end of the stream.
+    pub(crate) async fn handle_source_loss(&mut self, reason: &str) -> PumpStep {
+        self.source.close();
+        self.log_send_failure(reason);
+        if self.pending_move.is_some() {
+            return PumpStep::Continue;
+        }
+        if self.may_resume() {
+            return self.resume_from_backup().await;
+        }
+        PumpStep::End(RequestOutcome::Interrupted, "runner_lost")
+    }
+
+    /// Whether a stream that has lost its source can go on from the backup copy.
+    fn may_resume(&self) -> bool {
+        let backup = self.source.backup.as_ref();
+        let runners = self.context.runners.borrow();
+        self.tries < MAX_SWITCH_TRIES
+            && backup.is_some_and(|backup| !runners.is_leaving(&backup.runner))
+    }
+
+    /// Handles the announcement that the runner leaves: schedules the switch to the backup,
+    /// or starts a move.
+    pub(crate) fn handle_leaving_runner(&mut self) -> PumpStep {
+        if self.has_usable_backup() {
+            self.source.switch_at = Some(self.context.now() + SWITCH_DELAY);
+            return PumpStep::Continue;
+        }
+        self.start_move()
+    }
+
+    /// Leaves the current runner once the scheduled switch is due.
+    pub(crate) async fn leave_source(&mut self) -> PumpStep {
+        if self.source.ended || self.has_usable_backup() {
+            return self.resume_from_backup().await;
+        }
+        self.start_move()
+    }
+
+    /// Whether a backup copy is at a runner that is not leaving and has had time to complete.
+    fn has_usable_backup(&self) -> bool {
+        let now = self.context.now();
+        let backup = self.source.backup.as_ref();
+        let is_complete =
+            self.source.first_events.is_some_and(|first| now.since(first) >= BACKUP_FILL_SPAN);
+        is_complete
+            && backup
+                .is_some_and(|backup| !self.context.runners.borrow().is_leaving(&backup.runner))
+    }
+
+    /// Resumes the stream at the runner that keeps its backup copy. The connection to the old
+    /// runner is closed as soon as the new one has taken over.
+    async fn resume_from_backup(&mut self) -> PumpStep {
+        self.tries += 1;
+        let Some(backup) = self.source.backup.take() else { return PumpStep::Continue };
+        let plan = plan_backup_resume(&self.context, &self.call, &mut self.ticket, backup.clone());
+        match self.hand_over(plan, "resumed").await {
+            HandoverStep::Switched => PumpStep::Continue,
+            HandoverStep::End(step) => step,
+            HandoverStep::Unreached | HandoverStep::Refused if !self.source.ended => {
+                self.start_move()
+            }
+            HandoverStep::Unreached => {
+                // Nothing was sent: the copy is still there.
+                self.source.backup = Some(backup);
+                self.schedule_move(true)
+            }
+            HandoverStep::Refused => PumpStep::End(RequestOutcome::Interrupted, "resume_refused"),
+        }
+    }
+
+    /// Starts copying the run's memory to another runner, if there is one.
+    fn start_move(&mut self) -> PumpStep {
+        self.tries += 1;
+        self.source.switch_at = None;
+        if self.tries > MAX_SWITCH_TRIES {
+            return PumpStep::Continue;
+        }
+        let old = &self.source.runner;
+        let (request, from) = (&self.call.attempt, &old.runner);
+        let target = self.ticket.relocate().or_else(|| self.last_target());
+        let runners = self.context.runners.borrow();
+        let Some(entry) = target.and_then(|target| runners.get(&target)) else {
+            tracing::info!(event = "move_impossible", %request, %from);
+            self.tries = MAX_SWITCH_TRIES;
+            return PumpStep::Continue;
+        };
+        let target = entry.record.clone();
+        let events = self.scanner.event_count();
+        tracing::info!(event = "move_begun", %request, %from, to = %target.runner, events);
+        let (context, attempt) = (Rc::clone(&self.context), self.call.attempt.clone());
+        let copy = copy_run(context, attempt, old.address, target.address);
+        self.pending_move = Some(PendingMove { target, future: Box::pin(copy) });
+        PumpStep::Continue
+    }
+
+    /// The target of the last move that failed, if it is not leaving: there may be no other.
+    fn last_target(&self) -> Option<RunnerId> {
+        let runners = self.context.runners.borrow();
+        let target = self.ticket.assigned_runner()?;
+        let is_other = target != self.source.runner.runner;
+        (is_other && !runners.is_leaving(&target)).then_some(target)
+    }
+
+    /// Switches to the target of a completed move, or schedules another try.
+    pub(crate) async fn finish_move(&mut self, outcome: platform::Result<RunCopy>) -> PumpStep {
+        let Some(pending) = self.pending_move.take() else { return PumpStep::Continue };
+        match outcome {
+            Ok(copy) => self.switch_to(pending.target, copy).await,
+            Err(error) => {
+                self.count_move("move_failed");
+                self.log_send_failure(&error.to_string());
+                // A run that the source no longer has is finished; its last events are in
+                // transit.
+                self.schedule_move(!error.is_not_found())
+            }
+        }
+    }
+
+    /// Schedules the next try after one that failed, unless the run is finished. A stream that
+    /// has lost its source ends if it has no copy either.
+    fn schedule_move(&mut self, still_runs: bool) -> PumpStep {
+        if self.source.ended && !self.may_resume() {
+            return PumpStep::End(RequestOutcome::Interrupted, "move_failed");
+        }
+        let has_next = still_runs || self.source.ended;
+        self.source.switch_at = has_next.then(|| self.context.now() + MOVE_RETRY_PAUSE);
+        PumpStep::Continue
+    }
+
+    /// Resumes the stream at `target`, which holds `copy`. The connection to the old runner is
+    /// closed as soon as the new one has taken over.
+    async fn switch_to(&mut self, target: RunnerRecord, copy: RunCopy) -> PumpStep {
+        let resume = ResumeSource {
+            address: self.source.runner.address,
+            handle: copy.handle.clone(),
+            last_event_id: None,
+        };
+        let backup = choose_backup(&self.context, &self.call, &self.ticket);
+        let plan = SendPlan { runner: target.clone(), resume: Some(resume), backup };
+        match self.hand_over(plan, "moved").await {
+            HandoverStep::Switched => {
+                copy.keep();
+                PumpStep::Continue
+            }
+            HandoverStep::End(step) => step,
+            HandoverStep::Unreached if self.source.ended && self.tries < MAX_SWITCH_TRIES => {
+                // Nothing was sent: the copy is still there, and nothing else is.
+                self.tries += 1;
+                self.pending_move = Some(PendingMove::again(target, copy));
+                PumpStep::Continue
+            }
+            HandoverStep::Unreached | HandoverStep::Refused => self.schedule_move(true),
+        }
+    }
+
+    /// Counts a runner change by its outcome.
+    pub(crate) fn count_move(&self, outcome: &'static str) {
+        self.context.metrics.moves.get_or_create(&OutcomeLabels { outcome, reason: "" }).inc();
+    }
+}
--- a/crates/node/src/stream_pump.rs
+++ b/crates/node/src/stream_pump.rs
@@ -15,7 +15,7 @@
 use crate::context::{NodeContext, RequestGuard};
 use crate::router::RouteTicket;
 use crate::stream_copy::RunCopy;
-use crate::stream_handover::{MAX_SWITCH_TRIES, PendingMove};
+use crate::stream_move::{MAX_SWITCH_TRIES, PendingMove};
 use crate::stream_source::{CallerSide, StreamPace, StreamSource};
 
 /// Inputs that the task reacts to.
