Add runners that turn calls away as a load pattern of the policy bench

Cause: yard-load policy had no runner that turns calls away and names a time, so what the scheduler does with RouteEvent::RunnerWait was measured nowhere.

Ruled out: an effect on other runs.

CallState moves to a file of its own, as simulation.rs had grown.

--- a/crates/load/src/policy/bench_fault.rs
+++ b/crates/load/src/policy/bench_fault.rs
@@ -24,9 +24,11 @@
     Burst,
     /// One entry dies with its calls; callers come back to others.
     EntryGone,
+    /// A third of the runners turns calls away for 3 s, then the next third.
+    RunnersTurnAway,
 }
 
-const FAULTS: [(&str, FaultName); 8] = [
+const FAULTS: [(&str, FaultName); 9] = [
     ("none", FaultName::None),
     ("engine-killed", FaultName::EngineKilled),
     ("engines-reclaimed", FaultName::EnginesReclaimed),
@@ -35,6 +37,7 @@
     ("cache-lost", FaultName::CacheLost),
     ("burst", FaultName::Burst),
     ("entry-gone", FaultName::EntryGone),
+    ("runners-turn-away", FaultName::RunnersTurnAway),
 ];
 
 impl fmt::Display for FaultName {
--- a/crates/load/src/policy/bench_measures.rs
+++ b/crates/load/src/policy/bench_measures.rs
@@ -9,11 +9,15 @@
 use hdrhistogram::Histogram;
 use serde::Serialize;
 
-use crate::policy::{BenchCall, Workload};
+use crate::policy::{BenchCall, TurnAwayFigures, TurnAwayMeasures, TurnedAway, Workload};
 
 /// Gap between tokens beyond which a stream stalls.
 pub const STALL_GAP: TimeSpan = TimeSpan::millis(48);
 
+/// First token after which a complete call is worth less.
+const FIRST_TOKEN_TARGET: TimeSpan = TimeSpan::millis(750);
+/// Worth of a complete call whose first token was late, relative to one in time.
+const LATE_WORTH: f64 = 0.15;
 const HISTOGRAM_DIGITS: u8 = 3;
 const LONGEST_MICROS: u64 = 600_000_000;
 const MICROS_PER_MILLI: f64 = 1_000.0;
@@ -35,6 +39,8 @@
     wanted_tokens: Vec<u64>,
     met_tokens: Vec<u64>,
     goodput_tokens: u64,
+    worth: f64,
+    turn_aways: TurnAwayMeasures,
 }
 
 /// Figures of one class.
@@ -83,6 +89,11 @@
     pub refusals: f64,
     /// Tokens of calls that were complete in time, per second.
     pub goodput: f64,
+    /// Worth of all calls relative to that of as many complete calls with a first token in
+    /// time; calls that are complete with a late first token count a part.
+    pub worth: f64,
+    /// Calls that were turned away by a runner or refused by an entry.
+    pub turn_aways: TurnAwayFigures,
     /// Jain's index over the workspaces' shares of wanted tokens that they got in time.
     pub fairness: f64,
     /// By class.
@@ -91,20 +102,14 @@
 
 impl BenchMeasures {
     /// Counters for the calls and tokens of `window`.
-    ///
-    /// # Panics
-    /// Never: the histograms' bounds are valid.
     #[must_use]
     pub fn new(workload: &Workload, window: (TimePoint, TimePoint)) -> Self {
         let classes = workload.classes.len();
         let workspaces = workload.workspaces.len();
-        let empty = || {
-            Histogram::new_with_bounds(1, LONGEST_MICROS, HISTOGRAM_DIGITS).expect("valid bounds")
-        };
         Self {
             window,
-            gaps: empty(),
-            first_tokens: (0..classes).map(|_| empty()).collect(),
+            gaps: empty_histogram(),
+            first_tokens: (0..classes).map(|_| empty_histogram()).collect(),
             stall: TimeSpan::default(),
             preemptions: 0,
             recomputed: 0,
@@ -116,6 +121,8 @@
             wanted_tokens: vec![0; workspaces],
             met_tokens: vec![0; workspaces],
             goodput_tokens: 0,
+            worth: 0.0,
+            turn_aways: TurnAwayMeasures::default(),
         }
     }
 
@@ -176,9 +183,38 @@
         self.withdrawals += u64::from(self.covers(now));
     }
 
-    /// A call was refused.
-    pub fn refused(&mut self, now: TimePoint) {
-        self.refusals += u64::from(self.covers(now));
+    /// A call was refused by an entry; `again` if it had been turned away or refused before.
+    pub fn refused(&mut self, now: TimePoint, again: bool) {
+        if !self.covers(now) {
+            return;
+        }
+        self.refusals += 1;
+        if again {
+            self.turn_aways.refused_again();
+        }
+    }
+
+    /// A runner turned a request away.
+    pub fn turned_away(&mut self, now: TimePoint, request: TurnedAway) {
+        if self.covers(now) {
+            self.turn_aways.turned_away(now, request);
+        }
+    }
+
+    /// The first token came of a call that was turned away or refused, or its caller gave up
+    /// waiting for it.
+    pub fn returned_first_token(&mut self, now: TimePoint, call: &BenchCall) {
+        if self.covers(call.arrival) {
+            self.turn_aways.first_token(now.since(call.arrival));
+        }
+    }
+
+    /// A call was complete in time.
+    pub fn add_worth(&mut self, call: &BenchCall, first_token: TimePoint) {
+        if self.covers(call.arrival) {
+            let late = first_token.since(call.arrival) > FIRST_TOKEN_TARGET;
+            self.worth += if late { LATE_WORTH } else { 1.0 };
+        }
     }
 
     /// The figures.
@@ -204,6 +240,8 @@
             first_token_p99: millis(&first_tokens, 0.99),
             refusals: per_thousand(self.refusals),
             goodput: self.goodput_tokens as f64 / seconds,
+            worth: self.worth / calls.max(1) as f64,
+            turn_aways: self.turn_aways.figures(calls),
             fairness: self.fairness(),
             classes: classes.map(|(index, class)| self.class(index, class.name)).collect(),
         }
@@ -238,6 +276,12 @@
     }
 }
 
-fn millis(histogram: &Histogram<u64>, quantile: f64) -> f64 {
+/// An empty histogram of times in microseconds.
+pub(super) fn empty_histogram() -> Histogram<u64> {
+    Histogram::new_with_bounds(1, LONGEST_MICROS, HISTOGRAM_DIGITS).expect("valid bounds")
+}
+
+/// A quantile of times in microseconds, in milliseconds.
+pub(super) fn millis(histogram: &Histogram<u64>, quantile: f64) -> f64 {
     histogram.value_at_quantile(quantile) as f64 / MICROS_PER_MILLI
 }
--- a/crates/load/src/policy/figure_table.rs
+++ b/crates/load/src/policy/figure_table.rs
@@ -63,8 +63,12 @@
         measure("first p99 [ms]", |f| f.first_token_p99),
         measure("refusals /1000", |f| f.refusals),
         Measure { more_is_better: true, ..measure("goodput [tokens/s]", |f| f.goodput) },
+        Measure { more_is_better: true, ..measure("worth [%]", |f| 100.0 * f.worth) },
         Measure { more_is_better: true, ..measure("fairness", |f| f.fairness) },
     ];
+    if example.turn_aways.requests > 0.0 {
+        measures.extend(turn_away_measures());
+    }
     for (index, class) in example.classes.iter().enumerate() {
         let name = &class.class;
         let of = |what: &str| format!("{name} {what}");
@@ -78,6 +82,16 @@
     measures
 }
 
+fn turn_away_measures() -> [Measure; 5] {
+    [
+        measure("turned away /1000", |f| f.turn_aways.requests),
+        measure("refused again /1000", |f| f.turn_aways.again),
+        measure("sent in a wait /1000", |f| f.turn_aways.late),
+        measure("returned first p50 [ms]", |f| f.turn_aways.first_token_p50),
+        measure("returned first p95 [ms]", |f| f.turn_aways.first_token_p95),
+    ]
+}
+
 impl FigureTable {
     /// Puts the runs of each policy, one for each seed, together.
     ///
--- a/crates/load/src/policy/simulation.rs
+++ b/crates/load/src/policy/simulation.rs
@@ -9,6 +9,7 @@
 
 use crate::policy::bench_call::{INDEX_BITS, call_index};
 use crate::policy::bench_desk::{runner_id, runner_number};
+use crate::policy::call_state::CallState;
 use crate::policy::{
     ArrivalPlan, BenchCall, BenchDesk, BenchMeasures, BenchSettings, FaultName, PolicyFigures,
 };
@@ -20,19 +21,6 @@
 const COME_BACKS: u32 = 3;
 const BURST_FACTOR: f64 = 2.0;
 
-/// What the caller's side knows of a call.
-#[derive(Debug, Clone, Default)]
-pub(super) struct CallState {
-    pub(super) number: u64,
-    pub(super) entry: usize,
-    pub(super) attempt: u32,
-    pub(super) runner: Option<usize>,
-    pub(super) produced: u32,
-    pub(super) newest: Option<TimePoint>,
-    pub(super) refused: u32,
-    pub(super) decided: bool,
-}
-
 #[derive(Debug)]
 pub(super) enum BenchEvent {
     Arrive(usize),
@@ -235,6 +223,9 @@
     fn send(&mut self, call: CallId, runner: &RunnerId) {
         let index = call_index(call);
         let runner = runner_number(runner);
+        if let Some(until) = self.turn_away_end(runner) {
+            return self.turn_away(index, runner, until);
+        }
         self.states[index].attempt += 1;
         let law = &self.settings.workload.classes[self.calls[index].class];
         let request = EngineRequest {
@@ -265,7 +256,7 @@
 
     fn refuse(&mut self, call: CallId, retry_after: TimeSpan) {
         let index = call_index(call);
-        self.measures.refused(self.now);
+        self.measures.refused(self.now, self.states[index].has_returned());
         self.states[index].refused += 1;
         let in_time = self.now + retry_after < self.calls[index].deadline;
         if in_time && self.states[index].refused <= COME_BACKS {
@@ -284,8 +275,10 @@
 
     fn decide(&mut self, index: usize, met: bool) {
         self.states[index].decided = true;
-        if self.states[index].newest.is_none() {
-            self.measures.first_token(self.calls[index].deadline, &self.calls[index]);
+        match self.states[index].first_token {
+            Some(first) if met => self.measures.add_worth(&self.calls[index], first),
+            Some(_) => (),
+            None => self.record_first_token(index, self.calls[index].deadline),
         }
         self.measures.decided(self.now, &self.calls[index], met);
     }
@@ -336,11 +329,14 @@
     fn pass_token(&mut self, index: usize, token: base::TokenIndex, last: bool) {
         let state = &mut self.states[index];
         state.produced += 1;
-        match state.newest.replace(self.now) {
-            Some(newest) => self.measures.gap(self.now, self.now.since(newest)),
-            None => self.measures.first_token(self.now, &self.calls[index]),
+        let entry = state.entry;
+        if let Some(newest) = state.newest.replace(self.now) {
+            self.measures.gap(self.now, self.now.since(newest));
+        } else {
+            state.first_token = Some(self.now);
+            self.record_first_token(index, self.now);
         }
-        let (entry, call) = (state.entry, self.call_id(index));
+        let call = self.call_id(index);
         self.tell(entry, RouteEvent::Progress { call, index: token });
         if last {
             self.states[index].runner = None;
@@ -393,7 +389,15 @@
     /// Counts callers that still wait for their first token at the end.
     fn close(&mut self) {
         for index in self.calls_where(|state| state.newest.is_none() && state.number > 0) {
-            self.measures.first_token(self.now, &self.calls[index]);
+            self.record_first_token(index, self.now);
+        }
+    }
+
+    /// The first token of a call came at this time, or its caller gave up then.
+    fn record_first_token(&mut self, index: usize, at: TimePoint) {
+        self.measures.first_token(at, &self.calls[index]);
+        if self.states[index].has_returned() {
+            self.measures.returned_first_token(at, &self.calls[index]);
         }
     }
 }
--- a/crates/load/src/policy/simulation_faults.rs
+++ b/crates/load/src/policy/simulation_faults.rs
@@ -4,9 +4,9 @@
 use fakes::engine::EngineModel;
 use route::{CallEnd, RouteEvent, RouteMember};
 
-use crate::policy::FaultName;
 use crate::policy::bench_desk::{place, runner_id};
 use crate::policy::simulation::{BenchEvent, Simulation};
+use crate::policy::{FaultName, TurnAwayPlan, TurnedAway};
 
 const MEMBERS_LAG: TimeSpan = TimeSpan::seconds(2);
 const RECLAIM_NOTICE: TimeSpan = TimeSpan::seconds(20);
@@ -70,6 +70,26 @@
         }
     }
 
+    /// Time before which the runner accepts no calls; `None` if it accepts them.
+    pub(super) fn turn_away_end(&self, runner: usize) -> Option<TimePoint> {
+        let turns_away = self.settings.fault == FaultName::RunnersTurnAway;
+        let plan = TurnAwayPlan { window: self.settings.fault_window };
+        if turns_away { plan.end(self.now, runner) } else { None }
+    }
+
+    /// A runner refuses a call and names the time before which it accepts none.
+    pub(super) fn turn_away(&mut self, index: usize, runner: usize, until: TimePoint) {
+        let state = &mut self.states[index];
+        let entry = state.entry;
+        let again = state.has_returned();
+        state.turned_away += 1;
+        self.measures.turned_away(self.now, TurnedAway { entry, runner, until, again });
+        if self.settings.waits_told {
+            self.tell(entry, RouteEvent::RunnerWait { runner: runner_id(runner), until });
+        }
+        self.end_and_ask_again(index, CallEnd::Refused);
+    }
+
     /// The entry's calls end for the desks; their callers ask another entry, and the
     /// engines go on with the old attempts for a while.
     fn lose_entry(&mut self) {
