Add runners whose answers alone say that they leave to the policy bench

Cause: in the fault engines-reclaimed the reports say that a runner leaves; how a notice in its answers acts was measured nowhere.

Fault engines-leave-by-answer: two runners refuse calls for 20 s and stop; their reports don't say so.

--- a/crates/fakes/src/engine/engine_model.rs
+++ b/crates/fakes/src/engine/engine_model.rs
@@ -153,6 +153,12 @@
         self.leaving = leaving;
     }
 
+    /// Whether the engine has announced that it leaves.
+    #[must_use]
+    pub fn is_leaving(&self) -> bool {
+        self.leaving
+    }
+
     /// Makes every step `factor` times as long.
     pub fn set_slow_factor(&mut self, factor: f64) {
         self.slow_factor = factor;
--- a/crates/load/src/policy/bench_fault.rs
+++ b/crates/load/src/policy/bench_fault.rs
@@ -14,6 +14,8 @@
     EngineKilled,
     /// Two engines announce that they leave and die soon after.
     EnginesReclaimed,
+    /// As [`Self::EnginesReclaimed`], but only the engines' answers say that they leave.
+    EnginesLeaveByAnswer,
     /// One engine becomes several times slower.
     SlowEngine,
     /// No load report arrives.
@@ -28,10 +30,11 @@
     RunnersTurnAway,
 }
 
-const FAULTS: [(&str, FaultName); 9] = [
+const FAULTS: [(&str, FaultName); 10] = [
     ("none", FaultName::None),
     ("engine-killed", FaultName::EngineKilled),
     ("engines-reclaimed", FaultName::EnginesReclaimed),
+    ("engines-leave-by-answer", FaultName::EnginesLeaveByAnswer),
     ("slow-engine", FaultName::SlowEngine),
     ("reports-frozen", FaultName::ReportsFrozen),
     ("cache-lost", FaultName::CacheLost),
--- a/crates/load/src/policy/bench_settings.rs
+++ b/crates/load/src/policy/bench_settings.rs
@@ -19,8 +19,9 @@
     pub fault: FaultName,
     /// When the fault begins and goes.
     pub fault_window: (TimePoint, TimePoint),
-    /// The entries are told the time that a runner names when it turns a call away.
-    pub waits_told: bool,
+    /// The entries are told what a runner's answer says of it: that it leaves, or the time before
+    /// which it accepts no calls.
+    pub notices_told: bool,
     /// What is measured.
     pub window: (TimePoint, TimePoint),
     /// End of the run.
@@ -39,7 +40,7 @@
             load,
             fault: FaultName::None,
             fault_window: (at(60), at(90)),
-            waits_told: true,
+            notices_told: true,
             window: (at(30), at(150)),
             until: at(180),
         }
--- a/crates/load/src/policy/policy_command.rs
+++ b/crates/load/src/policy/policy_command.rs
@@ -36,9 +36,9 @@
     /// name of a fault
     #[argh(option, default = "FaultName::None")]
     fault: FaultName,
-    /// do not tell the entries the time that a runner names when it turns a call away
+    /// do not tell the entries what a runner's answer says of it: that it leaves, or that it waits
     #[argh(switch)]
-    waits_untold: bool,
+    notices_untold: bool,
     /// table or json
     #[argh(option, default = "String::from(\"table\")")]
     format: String,
@@ -100,7 +100,7 @@
                 let workload = Workload::new(self.workload);
                 let mut settings = BenchSettings::new(workload, policy, seed, self.load);
                 settings.fault = self.fault;
-                settings.waits_told = !self.waits_untold;
+                settings.notices_told = !self.notices_untold;
                 if let Some((first, last)) = window {
                     settings.measure_seconds(first, last);
                 }
--- a/crates/load/src/policy/simulation.rs
+++ b/crates/load/src/policy/simulation.rs
@@ -1,6 +1,6 @@
 //! One run: arrivals, engines, reports and faults on one line of virtual time.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use base::{AttemptNumber, CacheEvent, prelude::*};
 use fakes::engine::{AdmitError, AttemptKey, EngineModel, EngineRequest, StepResult};
@@ -50,6 +50,8 @@
     pub(super) random: StdRng,
     pub(super) measures: BenchMeasures,
     pub(super) fault_on: bool,
+    /// Entries and the runners that they know to leave.
+    pub(super) known_leaving: BTreeSet<(usize, usize)>,
 }
 
 /// Runs the bench once.
@@ -93,6 +95,7 @@
             random: StdRng::seed_from_u64(settings.seed ^ 0x7265_706f_7274),
             measures: BenchMeasures::new(workload, settings.window),
             fault_on: false,
+            known_leaving: BTreeSet::new(),
             calls,
             settings,
         }
@@ -242,7 +245,7 @@
                 self.states[index].runner = Some(runner);
                 self.wake(runner);
             }
-            Err(AdmitError::Leaving) => self.end_and_ask_again(index, CallEnd::Refused),
+            Err(AdmitError::Leaving) => self.refuse_leaving(index, runner),
             Err(_) => self.end_and_ask_again(index, CallEnd::Failed),
         }
     }
@@ -309,6 +312,7 @@
         for token in &result.tokens {
             let index = token.key.generation.0 as usize;
             if token.key == self.key(index) && self.states[index].runner == Some(runner) {
+                self.note_answer(index, runner, token.last);
                 self.pass_token(index, token.index, token.last);
             }
         }
@@ -351,6 +355,7 @@
             return;
         }
         let mut report = self.engines[runner].report();
+        report.leaving &= self.settings.fault != FaultName::EnginesLeaveByAnswer;
         report.models = vec!["model".parse().expect("a valid name")];
         let cache = self.engines[runner].take_cache_events();
         for entry in 0..self.settings.workload.entries {
--- a/crates/load/src/policy/simulation_faults.rs
+++ b/crates/load/src/policy/simulation_faults.rs
@@ -18,25 +18,63 @@
     pub(super) fn tell_members(&mut self) {
         let workload = &self.settings.workload;
         let alive = (0..workload.runners).filter(|runner| !self.engines[*runner].is_killed());
-        let members: Vec<RouteMember> = alive
-            .map(|runner| RouteMember {
-                runner: runner_id(runner),
-                place: place(runner),
-                leaving: false,
-            })
-            .collect();
-        let service = workload.service();
+        let alive: Vec<usize> = alive.collect();
         for entry in 0..workload.entries {
-            let (service, members) = (service.clone(), members.clone());
-            self.tell(entry, RouteEvent::Members { service, members });
+            self.tell_entry_members(entry, &alive);
         }
     }
 
+    fn tell_entry_members(&mut self, entry: usize, runners: &[usize]) {
+        let member = |&runner: &usize| RouteMember {
+            runner: runner_id(runner),
+            place: place(runner),
+            leaving: self.known_leaving.contains(&(entry, runner)),
+        };
+        let members = runners.iter().map(member).collect();
+        let service = self.settings.workload.service();
+        self.tell(entry, RouteEvent::Members { service, members });
+    }
+
+    /// A token reaches the entry. The head of an answer comes with the first token of a stream,
+    /// and with the last token of a whole answer.
+    pub(super) fn note_answer(&mut self, index: usize, runner: usize, last: bool) {
+        let class = &self.settings.workload.classes[self.calls[index].class];
+        let state = &self.states[index];
+        let has_head = if class.streamed { state.produced == 0 } else { last };
+        if has_head {
+            self.note_leaving(state.entry, runner);
+        }
+    }
+
+    /// The head of an answer reaches the entry, which learns whether the runner leaves.
+    fn note_leaving(&mut self, entry: usize, runner: usize) {
+        let by_answer = self.settings.fault == FaultName::EnginesLeaveByAnswer && self.fault_on;
+        let leaves = by_answer && self.engines[runner].is_leaving();
+        if !leaves || !self.settings.notices_told || !self.known_leaving.insert((entry, runner)) {
+            return;
+        }
+        let runners = 0..self.engines.len();
+        let alive: Vec<usize> = runners.filter(|r| !self.engines[*r].is_killed()).collect();
+        self.tell_entry_members(entry, &alive);
+    }
+
+    /// A leaving runner refuses a call.
+    pub(super) fn refuse_leaving(&mut self, index: usize, runner: usize) {
+        let state = &mut self.states[index];
+        let entry = state.entry;
+        let again = state.has_returned();
+        state.turned_away += 1;
+        let until = self.settings.fault_window.1;
+        self.measures.turned_away(self.now, TurnedAway { entry, runner, until, again });
+        self.note_leaving(entry, runner);
+        self.end_and_ask_again(index, CallEnd::Refused);
+    }
+
     pub(super) fn begin_fault(&mut self) {
         self.fault_on = true;
         match self.settings.fault {
             FaultName::EngineKilled => self.kill(0),
-            FaultName::EnginesReclaimed => {
+            FaultName::EnginesReclaimed | FaultName::EnginesLeaveByAnswer => {
                 for runner in 0..2 {
                     self.engines[runner].set_leaving(true);
                     self.put(RECLAIM_NOTICE, BenchEvent::Kill(runner));
@@ -50,6 +88,7 @@
 
     pub(super) fn end_fault(&mut self) {
         self.fault_on = false;
+        self.known_leaving.clear();
         for runner in 0..self.engines.len() {
             self.engines[runner].set_slow_factor(1.0);
             if self.engines[runner].is_killed() {
@@ -84,7 +123,7 @@
         let again = state.has_returned();
         state.turned_away += 1;
         self.measures.turned_away(self.now, TurnedAway { entry, runner, until, again });
-        if self.settings.waits_told {
+        if self.settings.notices_told {
             self.tell(entry, RouteEvent::RunnerWait { runner: runner_id(runner), until });
         }
         self.end_and_ask_again(index, CallEnd::Refused);
--- a/crates/load/tests/turn_away.rs
+++ b/crates/load/tests/turn_away.rs
@@ -1,5 +1,6 @@
-//! A fleet of which a third turns calls away for 3 s, then the next third, with and without
-//! the entries being told the time that a runner names. Runs are deterministic; bounds come
+//! A fleet of which a third turns calls away for 3 s, then the next third, and one of which two
+//! runners leave and only their answers say so; with and without the entries being told what an
+//! answer says. Runs are deterministic; bounds come
 //! from the targets, and from the same arrivals with entries that are not told.
 
 use base::prelude::*;
@@ -17,12 +18,12 @@
 const SLACK: f64 = 1.02;
 
 /// A run for each seed, measured from the begin of the pattern to 10 s after it went.
-fn runs(name: WorkloadName, load: f64, waits_told: bool) -> Vec<PolicyFigures> {
+fn runs(name: WorkloadName, fault: FaultName, load: f64, notices_told: bool) -> Vec<PolicyFigures> {
     let settings = SEEDS.map(|seed| {
         let policy = BenchPolicy::Desk(PolicyName::Product);
         let mut settings = BenchSettings::new(Workload::new(name), policy, seed, load);
-        settings.fault = FaultName::RunnersTurnAway;
-        settings.waits_told = waits_told;
+        settings.fault = fault;
+        settings.notices_told = notices_told;
         settings.measure_seconds(60, 100);
         settings
     });
@@ -59,7 +60,7 @@
 fn no_request_reaches_a_runner_in_its_wait_and_first_tokens_are_in_time() {
     for name in [WorkloadName::Cobbler, WorkloadName::Harmattan] {
         for load in LOADS {
-            let told = runs(name, load, true);
+            let told = runs(name, FaultName::RunnersTurnAway, load, true);
             for (seed, figures) in SEEDS.zip(&told) {
                 let late = figures.turn_aways.late;
                 assert!(figures.turn_aways.requests > 0.0, "{name}, {load}, seed {seed}");
@@ -75,7 +76,8 @@
 fn entries_that_know_the_waits_lose_no_worth_and_are_turned_away_less_often() {
     for name in [WorkloadName::Cobbler, WorkloadName::Harmattan] {
         for load in LOADS {
-            let (told, untold) = (runs(name, load, true), runs(name, load, false));
+            let told = runs(name, FaultName::RunnersTurnAway, load, true);
+            let untold = runs(name, FaultName::RunnersTurnAway, load, false);
             let late = median(&untold, |f| f.turn_aways.late);
             assert!(late > 0.0, "{name}, {load}: the pattern shows no request in a wait");
             let again = |f: &PolicyFigures| f.turn_aways.again;
@@ -89,3 +91,19 @@
         }
     }
 }
+
+#[test]
+fn runners_that_only_their_answers_say_to_leave_get_no_calls_after_it() {
+    for name in [WorkloadName::Cobbler, WorkloadName::Harmattan] {
+        let told = runs(name, FaultName::EnginesLeaveByAnswer, LOADS[0], true);
+        let untold = runs(name, FaultName::EnginesLeaveByAnswer, LOADS[0], false);
+        for (seed, figures) in SEEDS.zip(&told) {
+            let late = figures.turn_aways.late;
+            assert!(late == 0.0, "{name}, seed {seed}: {late} /1000");
+        }
+        let late = median(&untold, |f| f.turn_aways.late);
+        assert!(late > 0.0, "{name}: the pattern shows no call that is sent to a leaving runner");
+        let (after, before) = (median(&told, |f| f.worth), median(&untold, |f| f.worth));
+        assert!(after >= before / SLACK, "{name}: worth {after} / {before}");
+    }
+}
