--- a/crates/load/src/policy/bench_fault.rs
+++ b/crates/load/src/policy/bench_fault.rs
@@ -14,6 +14,8 @@
     EngineKilled,
     /// Two engines announce that they leave and die soon after.
     EnginesReclaimed,
+    /// As [`Self::EnginesReclaimed`], but only the engines' answers say that they leave.
+    EnginesLeaveByAnswer,
     /// One engine becomes several times slower.
     SlowEngine,
     /// No load report arrives.
@@ -24,17 +26,21 @@
     Burst,
     /// One entry dies with its calls; callers come back to others.
     EntryGone,
+    /// A third of the runners turns calls away for 3 s, then the next third.
+    RunnersTurnAway,
 }
 
-const FAULTS: [(&str, FaultName); 8] = [
+const FAULTS: [(&str, FaultName); 10] = [
     ("none", FaultName::None),
     ("engine-killed", FaultName::EngineKilled),
     ("engines-reclaimed", FaultName::EnginesReclaimed),
+    ("engines-leave-by-answer", FaultName::EnginesLeaveByAnswer),
     ("slow-engine", FaultName::SlowEngine),
     ("reports-frozen", FaultName::ReportsFrozen),
     ("cache-lost", FaultName::CacheLost),
     ("burst", FaultName::Burst),
     ("entry-gone", FaultName::EntryGone),
+    ("runners-turn-away", FaultName::RunnersTurnAway),
 ];
 
 impl fmt::Display for FaultName {
--- a/crates/load/src/policy/simulation.rs
+++ b/crates/load/src/policy/simulation.rs
@@ -1,6 +1,6 @@
 //! One run: arrivals, engines, reports and faults on one line of virtual time.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use base::{AttemptNumber, CacheEvent, prelude::*};
 use fakes::engine::{AdmitError, AttemptKey, EngineModel, EngineRequest, StepResult};
@@ -9,6 +9,7 @@
 
 use crate::policy::bench_call::{INDEX_BITS, call_index};
 use crate::policy::bench_desk::{runner_id, runner_number};
+use crate::policy::call_state::CallState;
 use crate::policy::{
     ArrivalPlan, BenchCall, BenchDesk, BenchMeasures, BenchSettings, FaultName, PolicyFigures,
 };
@@ -20,19 +21,6 @@
 const COME_BACKS: u32 = 3;
 const BURST_FACTOR: f64 = 2.0;
 
-/// What the caller's side knows of a call.
-#[derive(Debug, Clone, Default)]
-pub(super) struct CallState {
-    pub(super) number: u64,
-    pub(super) entry: usize,
-    pub(super) attempt: u32,
-    pub(super) runner: Option<usize>,
-    pub(super) produced: u32,
-    pub(super) newest: Option<TimePoint>,
-    pub(super) refused: u32,
-    pub(super) decided: bool,
-}
-
 #[derive(Debug)]
 pub(super) enum BenchEvent {
     Arrive(usize),
@@ -62,6 +50,8 @@
     pub(super) random: StdRng,
     pub(super) measures: BenchMeasures,
     pub(super) fault_on: bool,
+    /// Entries and the runners that they know to leave.
+    pub(super) known_leaving: BTreeSet<(usize, usize)>,
 }
 
 /// Runs the bench once.
@@ -105,6 +95,7 @@
             random: StdRng::seed_from_u64(settings.seed ^ 0x7265_706f_7274),
             measures: BenchMeasures::new(workload, settings.window),
             fault_on: false,
+            known_leaving: BTreeSet::new(),
             calls,
             settings,
         }
@@ -235,6 +226,9 @@
     fn send(&mut self, call: CallId, runner: &RunnerId) {
         let index = call_index(call);
         let runner = runner_number(runner);
+        if let Some(until) = self.turn_away_end(runner) {
+            return self.turn_away(index, runner, until);
+        }
         self.states[index].attempt += 1;
         let law = &self.settings.workload.classes[self.calls[index].class];
         let request = EngineRequest {
@@ -251,7 +245,7 @@
                 self.states[index].runner = Some(runner);
                 self.wake(runner);
             }
-            Err(AdmitError::Leaving) => self.end_and_ask_again(index, CallEnd::Refused),
+            Err(AdmitError::Leaving) => self.refuse_leaving(index, runner),
             Err(_) => self.end_and_ask_again(index, CallEnd::Failed),
         }
     }
@@ -265,7 +259,7 @@
 
     fn refuse(&mut self, call: CallId, retry_after: TimeSpan) {
         let index = call_index(call);
-        self.measures.refused(self.now);
+        self.measures.refused(self.now, self.states[index].has_returned());
         self.states[index].refused += 1;
         let in_time = self.now + retry_after < self.calls[index].deadline;
         if in_time && self.states[index].refused <= COME_BACKS {
@@ -284,8 +278,10 @@
 
     fn decide(&mut self, index: usize, met: bool) {
         self.states[index].decided = true;
-        if self.states[index].newest.is_none() {
-            self.measures.first_token(self.calls[index].deadline, &self.calls[index]);
+        match self.states[index].first_token {
+            Some(first) if met => self.measures.add_worth(&self.calls[index], first),
+            Some(_) => (),
+            None => self.record_first_token(index, self.calls[index].deadline),
         }
         self.measures.decided(self.now, &self.calls[index], met);
     }
@@ -316,6 +312,7 @@
         for token in &result.tokens {
             let index = token.key.generation.0 as usize;
             if token.key == self.key(index) && self.states[index].runner == Some(runner) {
+                self.note_answer(index, runner, token.last);
                 self.pass_token(index, token.index, token.last);
             }
         }
@@ -336,11 +333,14 @@
     fn pass_token(&mut self, index: usize, token: base::TokenIndex, last: bool) {
         let state = &mut self.states[index];
         state.produced += 1;
-        match state.newest.replace(self.now) {
-            Some(newest) => self.measures.gap(self.now, self.now.since(newest)),
-            None => self.measures.first_token(self.now, &self.calls[index]),
+        let entry = state.entry;
+        if let Some(newest) = state.newest.replace(self.now) {
+            self.measures.gap(self.now, self.now.since(newest));
+        } else {
+            state.first_token = Some(self.now);
+            self.record_first_token(index, self.now);
         }
-        let (entry, call) = (state.entry, self.call_id(index));
+        let call = self.call_id(index);
         self.tell(entry, RouteEvent::Progress { call, index: token });
         if last {
             self.states[index].runner = None;
@@ -355,6 +355,7 @@
             return;
         }
         let mut report = self.engines[runner].report();
+        report.leaving &= self.settings.fault != FaultName::EnginesLeaveByAnswer;
         report.models = vec!["model".parse().expect("a valid name")];
         let cache = self.engines[runner].take_cache_events();
         for entry in 0..self.settings.workload.entries {
@@ -393,7 +394,15 @@
     /// Counts callers that still wait for their first token at the end.
     fn close(&mut self) {
         for index in self.calls_where(|state| state.newest.is_none() && state.number > 0) {
-            self.measures.first_token(self.now, &self.calls[index]);
+            self.record_first_token(index, self.now);
+        }
+    }
+
+    /// The first token of a call came at this time, or its caller gave up then.
+    fn record_first_token(&mut self, index: usize, at: TimePoint) {
+        self.measures.first_token(at, &self.calls[index]);
+        if self.states[index].has_returned() {
+            self.measures.returned_first_token(at, &self.calls[index]);
         }
     }
 }
--- a/crates/load/src/policy/simulation_faults.rs
+++ b/crates/load/src/policy/simulation_faults.rs
@@ -4,9 +4,9 @@
 use fakes::engine::EngineModel;
 use route::{CallEnd, RouteEvent, RouteMember};
 
-use crate::policy::FaultName;
 use crate::policy::bench_desk::{place, runner_id};
 use crate::policy::simulation::{BenchEvent, Simulation};
+use crate::policy::{FaultName, TurnAwayPlan, TurnedAway};
 
 const MEMBERS_LAG: TimeSpan = TimeSpan::seconds(2);
 const RECLAIM_NOTICE: TimeSpan = TimeSpan::seconds(20);
@@ -18,25 +18,63 @@
     pub(super) fn tell_members(&mut self) {
         let workload = &self.settings.workload;
         let alive = (0..workload.runners).filter(|runner| !self.engines[*runner].is_killed());
-        let members: Vec<RouteMember> = alive
-            .map(|runner| RouteMember {
-                runner: runner_id(runner),
-                place: place(runner),
-                leaving: false,
-            })
-            .collect();
-        let service = workload.service();
+        let alive: Vec<usize> = alive.collect();
         for entry in 0..workload.entries {
-            let (service, members) = (service.clone(), members.clone());
-            self.tell(entry, RouteEvent::Members { service, members });
+            self.tell_entry_members(entry, &alive);
         }
     }
 
+    fn tell_entry_members(&mut self, entry: usize, runners: &[usize]) {
+        let member = |&runner: &usize| RouteMember {
+            runner: runner_id(runner),
+            place: place(runner),
+            leaving: self.known_leaving.contains(&(entry, runner)),
+        };
+        let members = runners.iter().map(member).collect();
+        let service = self.settings.workload.service();
+        self.tell(entry, RouteEvent::Members { service, members });
+    }
+
+    /// A token reaches the entry. The head of an answer comes with the first token of a stream,
+    /// and with the last token of a whole answer.
+    pub(super) fn note_answer(&mut self, index: usize, runner: usize, last: bool) {
+        let class = &self.settings.workload.classes[self.calls[index].class];
+        let state = &self.states[index];
+        let has_head = if class.streamed { state.produced == 0 } else { last };
+        if has_head {
+            self.note_leaving(state.entry, runner);
+        }
+    }
+
+    /// The head of an answer reaches the entry, which learns whether the runner leaves.
+    fn note_leaving(&mut self, entry: usize, runner: usize) {
+        let by_answer = self.settings.fault == FaultName::EnginesLeaveByAnswer && self.fault_on;
+        let leaves = by_answer && self.engines[runner].is_leaving();
+        if !leaves || !self.settings.notices_told || !self.known_leaving.insert((entry, runner)) {
+            return;
+        }
+        let runners = 0..self.engines.len();
+        let alive: Vec<usize> = runners.filter(|r| !self.engines[*r].is_killed()).collect();
+        self.tell_entry_members(entry, &alive);
+    }
+
+    /// A leaving runner refuses a call.
+    pub(super) fn refuse_leaving(&mut self, index: usize, runner: usize) {
+        let state = &mut self.states[index];
+        let entry = state.entry;
+        let again = state.has_returned();
+        state.turned_away += 1;
+        let until = self.settings.fault_window.1;
+        self.measures.turned_away(self.now, TurnedAway { entry, runner, until, again });
+        self.note_leaving(entry, runner);
+        self.end_and_ask_again(index, CallEnd::Refused);
+    }
+
     pub(super) fn begin_fault(&mut self) {
         self.fault_on = true;
         match self.settings.fault {
             FaultName::EngineKilled => self.kill(0),
-            FaultName::EnginesReclaimed => {
+            FaultName::EnginesReclaimed | FaultName::EnginesLeaveByAnswer => {
                 for runner in 0..2 {
                     self.engines[runner].set_leaving(true);
                     self.put(RECLAIM_NOTICE, BenchEvent::Kill(runner));
@@ -50,6 +88,7 @@
 
     pub(super) fn end_fault(&mut self) {
         self.fault_on = false;
+        self.known_leaving.clear();
         for runner in 0..self.engines.len() {
             self.engines[runner].set_slow_factor(1.0);
             if self.engines[runner].is_killed() {
@@ -70,6 +109,26 @@
         }
     }
 
+    /// Time before which the runner accepts no calls; `None` if it accepts them.
+    pub(super) fn turn_away_end(&self, runner: usize) -> Option<TimePoint> {
+        let turns_away = self.settings.fault == FaultName::RunnersTurnAway;
+        let plan = TurnAwayPlan { window: self.settings.fault_window };
+        if turns_away { plan.end(self.now, runner) } else { None }
+    }
+
+    /// A runner refuses a call and names the time before which it accepts none.
+    pub(super) fn turn_away(&mut self, index: usize, runner: usize, until: TimePoint) {
+        let state = &mut self.states[index];
+        let entry = state.entry;
+        let again = state.has_returned();
+        state.turned_away += 1;
+        self.measures.turned_away(self.now, TurnedAway { entry, runner, until, again });
+        if self.settings.notices_told {
+            self.tell(entry, RouteEvent::RunnerWait { runner: runner_id(runner), until });
+        }
+        self.end_and_ask_again(index, CallEnd::Refused);
+    }
+
     /// The entry's calls end for the desks; their callers ask another entry, and the
     /// engines go on with the old attempts for a while.
     fn lose_entry(&mut self) {
