--- a/crates/node/src/stream_move.rs
+++ b/crates/node/src/stream_move.rs
@@ -28,6 +28,7 @@
 /// Pause before the next move, after a target had no room. All tries together take as long
 /// as the notice period.
 const MOVE_RETRY_PAUSE: TimeSpan = TimeSpan::millis(75);
+
 type CopyFuture = Pin<Box<dyn Future<Output = platform::Result<RunCopy>>>>;
 
 /// A move whose memory copy is in progress.
