--- a/crates/harness/tests/node_state_transfer.rs
+++ b/crates/harness/tests/node_state_transfer.rs
@@ -179,7 +179,7 @@
     .unwrap();
 }
 
-/// Fetches the configuration as nodes of the release before do: plain, 0.7 s for the whole, begun
+/// Fetches the configuration as a peer that does not accept the encoding: plain, 0.7 s for the whole, begun
 /// anew with each heartbeat. Counts those that came through.
 async fn fetch_plain(peer: SocketAddr, fetched: Rc<Cell<u32>>) {
     let limit = base::TimeSpan::millis(700);
--- a/crates/node/src/stream_move.rs
+++ b/crates/node/src/stream_move.rs
@@ -100,8 +100,7 @@
                 .is_some_and(|backup| !self.context.runners.borrow().is_leaving(&backup.runner))
     }
 
-    /// Resumes the stream at the runner that keeps its backup copy. The connection to the old
-    /// runner is closed as soon as the new one has taken over.
+    /// Resumes the stream at the runner that keeps its backup copy.
     async fn resume_from_backup(&mut self) -> PumpStep {
         self.tries += 1;
         let Some(backup) = self.source.backup.take() else { return PumpStep::Continue };
@@ -180,8 +179,7 @@
         PumpStep::Continue
     }
 
-    /// Resumes the stream at `target`, which holds `copy`. The connection to the old runner is
-    /// closed as soon as the new one has taken over.
+    /// Resumes the stream at `target`, which holds `copy`.
     async fn switch_to(&mut self, target: RunnerRecord, copy: RunCopy) -> PumpStep {
         let resume = ResumeSource {
             address: self.source.runner.address,
