--- a/crates/base/src/ids.rs
+++ b/crates/base/src/ids.rs
@@ -88,6 +88,10 @@
     /// Name of a model that engines serve.
     ModelName
 }
+text_id! {
+    /// Content hash of one part of a prompt; prompts that share the part share the hash.
+    PromptPart
+}
 text_id! {
     /// Name by which callers address a service, a group of runners of one kind.
     ServiceName
--- a/crates/base/src/prelude.rs
+++ b/crates/base/src/prelude.rs
@@ -4,6 +4,6 @@
 
 pub use crate::{
     BlockCount, CallOutcome, GenerationId, IdempotencyKey, LogOffset, ModelName, PlaceName,
-    RefusalReason, RunnerId, RunnerReport, ServiceName, StoreEra, TimePoint, TimeSpan, TokenCount,
-    TokenIndex, VmId, VmIncarnation, VmRecord, VmRole, VmState, WorkspaceId,
+    PromptPart, RefusalReason, RunnerId, RunnerReport, ServiceName, StoreEra, TimePoint, TimeSpan,
+    TokenCount, TokenIndex, VmId, VmIncarnation, VmRecord, VmRole, VmState, WorkspaceId,
 };
--- a/crates/node/src/call_log.rs
+++ b/crates/node/src/call_log.rs
@@ -67,6 +67,13 @@
     }
 }
 
+/// Formats the parts of a prompt for a log line, separated by commas.
+#[must_use]
+pub fn format_parts(parts: &[PromptPart]) -> String {
+    let parts: Vec<&str> = parts.iter().map(PromptPart::as_str).collect();
+    parts.join(",")
+}
+
 /// Logs a send that gave no answer to forward.
 pub fn log_send_failure(context: &NodeContext, call: &Call, runner: &RunnerId, reason: &str) {
     if may_log(context) {
--- a/crates/node/src/stream_pump.rs
+++ b/crates/node/src/stream_pump.rs
@@ -11,7 +11,7 @@
 use serving::StreamScanner;
 
 use crate::call::Call;
-use crate::call_log::{RequestOutcome, RequestSummary, log_end, log_send_failure};
+use crate::call_log::{RequestOutcome, RequestSummary, format_parts, log_end, log_send_failure};
 use crate::context::{NodeContext, RequestGuard};
 use crate::router::RouteTicket;
 use crate::stream_copy::RunCopy;
@@ -209,6 +209,7 @@
             first_ms = first.since(self.call.arrived).as_millis(),
             longest_gap_ms = self.pace.longest_gap.as_millis(),
             changes = self.changes,
+            parts = format_parts(&self.call.head.shared_parts),
         );
         log_end(&self.context, &self.call, RequestSummary { outcome, reason, status: 200 });
         self.ticket.finish(end);
