--- a/crates/fakes/src/platform/runner_fake.rs
+++ b/crates/fakes/src/platform/runner_fake.rs
@@ -21,6 +21,8 @@
 const EVENT_PAUSE: Duration = Duration::from_millis(10);
 /// Time after which an attempt to connect counts as hanging.
 const HANG_AFTER: Duration = Duration::from_millis(100);
+/// Time from the head of an answer to the crash that a part of its prompt brings about.
+const CRASH_AFTER: Duration = Duration::from_millis(20);
 /// Events of a stream where none is set.
 const EVENTS: u64 = 30;
 
@@ -107,6 +109,8 @@
     moves_refused: Cell<bool>,
     /// Events are made without a pause.
     rushes: Cell<bool>,
+    /// Part of a prompt at which it crashes as it begins to answer.
+    crash_part: RefCell<Option<String>>,
     /// New connections are accepted.
     accepts: Cell<bool>,
     /// Connections that fill the queue of the listener.
@@ -144,6 +148,7 @@
             moves: RefCell::default(),
             moves_refused: Cell::default(),
             rushes: Cell::default(),
+            crash_part: RefCell::default(),
             accepts: Cell::new(true),
             held: RefCell::default(),
             crashed: StopSignal::new(),
@@ -245,6 +250,17 @@
         self.state.crashed.raise();
     }
 
+    /// It crashes as it begins to answer a prompt with this part.
+    pub fn crash_on(&self, part: &str) {
+        *self.state.crash_part.borrow_mut() = Some(part.to_owned());
+    }
+
+    /// Whether it has crashed.
+    #[must_use]
+    pub fn has_crashed(&self) -> bool {
+        self.state.crashed.is_raised()
+    }
+
     /// Its entry in the store.
     #[must_use]
     pub fn entry(&self, service: &str, zone: &str, state: &str) -> Value {
@@ -436,6 +452,12 @@
     if !write(stream, head).await {
         return false;
     }
+    let crash_part = state.crash_part.borrow().clone();
+    if crash_part.is_some_and(|part| request.has_part(&part)) {
+        compio::time::sleep(CRASH_AFTER).await;
+        state.crashed.raise();
+        return std::future::pending().await;
+    }
     let first = request.header("last-event-id").parse::<u64>().map_or(1, |last| last + 1);
     for number in first..=state.settings.events {
         if script == RunnerScript::Truncate && number == state.settings.events / 2 {
--- a/crates/fakes/src/platform/runner_request.rs
+++ b/crates/fakes/src/platform/runner_request.rs
@@ -28,6 +28,13 @@
         self.headers.get(name).map_or("", String::as_str)
     }
 
+    /// Whether its prompt has this part.
+    #[must_use]
+    pub fn has_part(&self, part: &str) -> bool {
+        let parts = self.header("x-dotterelyard-prefix-hash").split(',');
+        parts.filter_map(|entry| entry.split(':').next()).any(|hash| hash == part)
+    }
+
     /// Reads one request; none if the peer leaves before it is whole.
     pub async fn read(stream: &mut TcpStream) -> Option<Self> {
         let mut bytes = Vec::new();
--- /dev/null
+++ b/crates/harness/tests/node_crashing_parts.rs
@@ -0,0 +1,152 @@
+//! Prompts with a part that crashes each runner that begins to answer them.
+
+use std::time::{Duration, Instant};
+
+use fakes::platform::{RunnerFake, RunnerFakeSettings};
+use harness::{CallerRequest, NodeFleet, WholeAnswer, wait_until};
+
+const LIMIT: Duration = Duration::from_secs(10);
+/// Nodes of a fleet.
+const NODES: usize = 3;
+/// Runners that are up at any time.
+const RUNNERS: usize = 5;
+/// Crashes after which the part has to be known everywhere, once `KNOWN_AFTER` has passed.
+const KNOWN_CRASHES: usize = 5;
+const KNOWN_AFTER: Duration = Duration::from_secs(3);
+/// Requests with the part that may reach runners from then on.
+const LATER_REQUESTS: usize = 3;
+/// The part that crashes runners, and parts that do not.
+const CRASHING: &str = "dead0001";
+const FIRST: &str = "aaaa0001";
+const SOUND: &str = "beef0001";
+
+/// A label whose prompt has `part` between its first part and its own one.
+fn label(attempt: &str, part: &str) -> CallerRequest {
+    CallerRequest::stream(attempt)
+        .with("x-dotterelyard-length-hint", "10")
+        .with("x-dotterelyard-prefix-hash", &format!("{FIRST}:79,{part}:350,{attempt}:500"))
+}
+
+/// Nodes before runners that crash on one part, and are replaced when they have crashed.
+struct CrashingFleet {
+    fleet: NodeFleet,
+    runners: Vec<RunnerFake>,
+    sent: usize,
+}
+
+impl CrashingFleet {
+    async fn start(nodes: usize) -> Self {
+        let fleet = NodeFleet::start().await.unwrap();
+        let mut crashing = Self { fleet, runners: Vec::new(), sent: 0 };
+        crashing.replace_crashed().await;
+        for _ in 0..nodes {
+            crashing.fleet.add_node().unwrap();
+        }
+        crashing.fleet.wait_ready().await.unwrap();
+        crashing
+    }
+
+    /// Replaces the runners that have crashed, and waits until the nodes list the new ones.
+    async fn replace_crashed(&mut self) {
+        let up = self.runners.len() - self.crashes();
+        for _ in up..RUNNERS {
+            let id = format!("llm-{}", self.runners.len() + 1);
+            let runner = self.fleet.add_runner("llm", RunnerFakeSettings::new(&id)).await.unwrap();
+            runner.crash_on(CRASHING);
+            for number in 0..self.fleet.nodes.len() {
+                let id = runner.id().into();
+                self.fleet.wait_event(number, "runner_changed", "runner", &id).await.unwrap();
+            }
+            self.runners.push(runner);
+        }
+        for runner in self.runners.iter().filter(|runner| runner.has_crashed()) {
+            self.fleet.store.put("keyed.servers", runner.id(), None);
+        }
+    }
+
+    fn crashes(&self) -> usize {
+        self.runners.iter().filter(|runner| runner.has_crashed()).count()
+    }
+
+    /// Requests with `part` that have reached runners.
+    fn visits(&self, part: &str) -> usize {
+        let visits = self.runners.iter().flat_map(RunnerFake::visits);
+        visits.filter(|visit| visit.request.has_part(part)).count()
+    }
+
+    /// Sends one request with `part`, to each node in turn.
+    async fn send(&mut self, part: &str) -> WholeAnswer {
+        self.sent += 1;
+        let request = label(&format!("{:08x}", self.sent), part);
+        let answer = self.fleet.send(self.sent % self.fleet.nodes.len(), &request).await;
+        self.replace_crashed().await;
+        answer
+    }
+
+    /// Sends requests with the crashing part among sound ones until five runners have crashed
+    /// and the time has passed in which the nodes have to learn why.
+    async fn crash_runners(&mut self) {
+        let mut sent = 0;
+        while self.crashes() < KNOWN_CRASHES && sent < 2 * KNOWN_CRASHES {
+            self.send(CRASHING).await;
+            assert_eq!(self.send(SOUND).await.status, 200);
+            sent += 1;
+        }
+        compio::time::sleep(KNOWN_AFTER).await;
+    }
+}
+
+#[test]
+fn a_part_that_crashes_runners_reaches_no_more_than_three_once_five_have_crashed() {
+    kernel::run(async {
+        let mut crashing = CrashingFleet::start(NODES).await;
+        crashing.crash_runners().await;
+        let before = crashing.visits(CRASHING);
+        for _ in 0..4 * NODES {
+            let sent = Instant::now();
+            let answer = crashing.send(CRASHING).await;
+            assert_eq!(crashing.send(SOUND).await.status, 200);
+            if answer.status == 503 {
+                assert!(answer.retry_after.is_some());
+                assert!(sent.elapsed() < Duration::from_secs(1), "{:?}", sent.elapsed());
+            }
+        }
+        let later = crashing.visits(CRASHING) - before;
+        assert!(later <= LATER_REQUESTS, "{later} requests after {before}");
+    })
+    .unwrap();
+}
+
+#[test]
+fn sound_prompts_that_share_parts_with_crashing_ones_are_answered() {
+    kernel::run(async {
+        let mut crashing = CrashingFleet::start(NODES).await;
+        crashing.crash_runners().await;
+        for _ in 0..4 * NODES {
+            crashing.send(CRASHING).await;
+            let answer = crashing.send(SOUND).await;
+            assert_eq!((answer.status, answer.complete), (200, true), "{}", answer.text);
+        }
+    })
+    .unwrap();
+}
+
+#[test]
+fn a_prompt_whose_part_is_known_to_crash_runners_is_refused_with_that_reason() {
+    kernel::run(async {
+        let mut crashing = CrashingFleet::start(1).await;
+        crashing.crash_runners().await;
+        let before = crashing.visits(CRASHING);
+        let answer = crashing.send(CRASHING).await;
+        assert_eq!(answer.status, 503);
+        assert!(answer.text.contains("part_crashes_runners"), "{}", answer.text);
+        assert_eq!(crashing.visits(CRASHING), before);
+        wait_until("the part to be named", LIMIT, async || {
+            let lines = crashing.fleet.nodes[0].events("part_blocked");
+            lines.iter().any(|line| line["part"] == CRASHING).then_some(())
+        })
+        .await
+        .unwrap();
+    })
+    .unwrap();
+}
