Block parts of prompts under which runners crash, at all nodes

Cause: nothing remembered what a runner was doing when it was lost, so each such request was sent on like any other, and every one of them took a runner. Class: input that crashes its worker, given out again and again because a failure is put down to the worker alone.

A call that loses its runner before 0.5 s of its answer have come, while the runner refuses connections and had not said that it leaves, makes the shared parts of its prompt suspects. Answers make parts sound, for 30 s. Under three crashes a part is blocked for ten minutes: calls with it are refused at once, with the end of the block, also those that wait; no run with it goes on at its copy.

--- a/crates/harness/tests/node_state_transfer.rs
+++ b/crates/harness/tests/node_state_transfer.rs
@@ -11,7 +11,7 @@
 use fakes::platform::StoreFault;
 use harness::{HOST, NodeFleet, TestLink, config, wait_until};
 use serde_json::{Value, json};
-use serving::{PeerHeartbeat, PeerMessage, PlanVersion, encode_message};
+use serving::{PartNews, PeerHeartbeat, PeerMessage, PlanVersion, encode_message};
 
 /// Time in which a change has to be in force on the large deployments.
 const APPLY_LIMIT: Duration = Duration::from_secs(3);
@@ -136,8 +136,9 @@
             loads: Vec::new(),
             waiting_services: Vec::new(),
             leaving: Vec::new(),
+            part_news: PartNews::default(),
         };
-        let bytes = encode_message(&PeerMessage::Heartbeat(heartbeat)).unwrap();
+        let bytes = encode_message(&PeerMessage::Heartbeat(Box::new(heartbeat))).unwrap();
         for target in &targets {
             let _ = socket.send_to(bytes.clone(), *target).await;
         }
--- a/crates/node/src/caller_server.rs
+++ b/crates/node/src/caller_server.rs
@@ -69,7 +69,7 @@
         Ok(call) if call.route.kind == RouteKind::Stream => {
             run_stream(&context, &router, Rc::new(call), closer).await
         }
-        Ok(call) => run_plain(&context, &router, &call).await,
+        Ok(call) => run_plain(&context, &router, &Rc::new(call)).await,
         Err(rejection) => {
             let id = id.as_ref().map_or("", |id| id.as_str());
             log_rejection(&context, id, rejection.reason, rejection.status.as_u16());
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -7,8 +7,8 @@
 use futures_channel::mpsc;
 use kernel::{MonotonicClock, StopSignal};
 use serving::{
-    BudgetSettings, EraView, FleetLoads, PeerTable, PlanVersion, RetryBudget, RunnerTable,
-    ServingPlan, TransferPacer, WaitTable,
+    BudgetSettings, EraView, FleetLoads, PartTable, PeerTable, PlanVersion, RetryBudget,
+    RunnerTable, ServingPlan, TransferPacer, WaitTable,
 };
 use settings::NodeSettings;
 
@@ -35,6 +35,8 @@
     pub runners: RefCell<RunnerTable>,
     /// Runners that asked this node to send them nothing for some time.
     pub waits: RefCell<WaitTable>,
+    /// Parts of prompts that crash runners.
+    pub parts: RefCell<PartTable>,
     /// Newest era of the store that the store or another node has named.
     pub store_era: RefCell<EraView>,
     /// Offset in the newest era up to which the list of runners has been read; 0 if it has not.
@@ -76,6 +78,7 @@
             runners: RefCell::new(RunnerTable::new(settings.drain)),
             store_era: RefCell::default(),
             waits: RefCell::default(),
+            parts: RefCell::default(),
             runners_offset: Cell::default(),
             runners_updated: Cell::default(),
             store_answered_at: Cell::default(),
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -15,6 +15,7 @@
 mod follow_runners;
 mod lookups;
 mod metrics;
+mod part_watch;
 mod peer_link;
 mod peer_server;
 mod plain_call;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -38,6 +38,10 @@
     pub sends_withheld: Family<WithheldLabels, Counter>,
     /// Waits that runners asked for.
     pub runner_waits: Counter,
+    /// Runners that crashed as they began to answer a call of this node, once for each call.
+    pub runner_crashes: Counter,
+    /// Parts of prompts blocked since runners crash under them.
+    pub parts_blocked: Counter,
     /// Runner changes of running streams, by outcome.
     pub moves: Family<OutcomeLabels, Counter>,
     /// Configurations activated.
@@ -88,6 +92,8 @@
             retries_denied: Counter::default(),
             sends_withheld: Family::default(),
             runner_waits: Counter::default(),
+            runner_crashes: Counter::default(),
+            parts_blocked: Counter::default(),
             moves: Family::default(),
             plans: Counter::default(),
             plan_fetches: Family::default(),
@@ -124,6 +130,12 @@
             self.sends_withheld.clone(),
         );
         registry.register("runner_waits", "Waits begun by runners", self.runner_waits.clone());
+        registry.register(
+            "runner_crashes",
+            "Calls lost as their runner crashed",
+            self.runner_crashes.clone(),
+        );
+        registry.register("parts_blocked", "Parts of prompts blocked", self.parts_blocked.clone());
         registry.register("moves", "Moves of running streams", self.moves.clone());
         registry.register("plans", "Configurations put in force", self.plans.clone());
         registry.register(
--- /dev/null
+++ b/crates/node/src/part_watch.rs
@@ -0,0 +1,112 @@
+//! Watches under which parts of prompts runners crash, and refuses prompts with such parts.
+//!
+//! A lost connection alone says little: answers are also cut by links and by faulty runners. A
+//! crash is a runner that refuses connections right after it lost a call that it was about to
+//! answer, without having announced that it leaves.
+
+use std::io::ErrorKind;
+use std::rc::Rc;
+
+use base::prelude::*;
+use serving::{PartChange, PartNews, RunnerRecord};
+use web::{WebConnection, WebError};
+
+use crate::call::Call;
+use crate::call_log::{format_parts, may_log};
+use crate::context::NodeContext;
+use crate::plain_call::CallFailure;
+
+/// Time for which a runner has to write an answer until it has survived its beginning.
+pub const SURVIVAL_SPAN: TimeSpan = TimeSpan::millis(500);
+/// Timeout for connecting to a runner that lost a call.
+const PROBE_TIMEOUT: TimeSpan = TimeSpan::millis(250);
+/// Reason of a refusal because of a part of the prompt.
+const PART_CRASHES_RUNNERS: &str = "part_crashes_runners";
+
+/// The refusal of a call whose prompt has a part that crashes runners; `None` if it has none.
+#[must_use]
+pub fn find_part_refusal(context: &NodeContext, call: &Call) -> Option<CallFailure> {
+    let now = context.now();
+    let parts = context.parts.borrow();
+    let (_, until) = parts.find_blocked(now, &call.head.shared_parts)?;
+    Some(CallFailure { reason: PART_CRASHES_RUNNERS, retry_after: until.since(now) })
+}
+
+/// Whether the call's prompt has a part that crashes runners.
+#[must_use]
+pub fn has_blocked_part(context: &NodeContext, call: &Call) -> bool {
+    context.parts.borrow().find_blocked(context.now(), &call.head.shared_parts).is_some()
+}
+
+/// Records that a runner answered the call, or has survived the beginning of its answer.
+pub fn record_answer(context: &NodeContext, call: &Call) {
+    let parts = &call.head.shared_parts;
+    let is_news = context.parts.borrow_mut().record_answer(context.now(), parts);
+    log_changes(context);
+    if is_news {
+        context.signal_runner_change();
+    }
+}
+
+/// Finds out whether `runner`, which lost the call before it had survived the beginning of its
+/// answer, has crashed, and records that.
+pub fn watch_lost_runner(context: &Rc<NodeContext>, call: &Rc<Call>, runner: &RunnerRecord) {
+    let may_leave = context.runners.borrow().is_leaving(&runner.runner);
+    if may_leave || call.head.shared_parts.is_empty() {
+        return;
+    }
+    let (context, call, runner) = (Rc::clone(context), Rc::clone(call), runner.clone());
+    kernel::spawn(async move {
+        if refuses_connections(&runner).await {
+            record_crash(&context, &call, &runner);
+        }
+    })
+    .detach();
+}
+
+async fn refuses_connections(runner: &RunnerRecord) -> bool {
+    match WebConnection::open(runner.address, PROBE_TIMEOUT).await {
+        Err(WebError::Connect { source, .. }) => source.kind() == ErrorKind::ConnectionRefused,
+        _ => false,
+    }
+}
+
+fn record_crash(context: &NodeContext, call: &Call, runner: &RunnerRecord) {
+    context.metrics.runner_crashes.inc();
+    let parts = &call.head.shared_parts;
+    if may_log(context) {
+        tracing::info!(
+            event = "runner_crashed",
+            request = %call.attempt,
+            runner = %runner.runner,
+            parts = format_parts(parts),
+        );
+    }
+    let incarnation = runner.incarnation();
+    let is_news = context.parts.borrow_mut().record_crash(context.now(), &incarnation, parts);
+    log_changes(context);
+    if is_news {
+        context.signal_runner_change();
+    }
+}
+
+/// Takes what another node knows about parts of prompts.
+pub fn apply_part_news(context: &NodeContext, news: &PartNews) {
+    let is_contested = context.parts.borrow_mut().apply_news(context.now(), news);
+    log_changes(context);
+    if is_contested {
+        context.signal_runner_change();
+    }
+}
+
+fn log_changes(context: &NodeContext) {
+    for change in context.parts.borrow_mut().take_changes() {
+        match change {
+            PartChange::Blocked { part, crashes } => {
+                context.metrics.parts_blocked.inc();
+                tracing::warn!(event = "part_blocked", %part, crashes);
+            }
+            PartChange::Cleared { part } => tracing::info!(event = "part_cleared", %part),
+        }
+    }
+}
--- a/crates/node/src/peer_link.rs
+++ b/crates/node/src/peer_link.rs
@@ -16,6 +16,7 @@
 use crate::context::NodeContext;
 use crate::dependency::DependencyState;
 use crate::follow_runners::apply_peer_update;
+use crate::part_watch::apply_part_news;
 use crate::router::RouterService;
 use crate::state_fetcher::StateFetcher;
 
@@ -67,8 +68,8 @@
     /// requested.
     pub async fn run_sending(self: Rc<Self>, mut requests: mpsc::Receiver<()>) {
         loop {
-            self.send(&PeerMessage::Heartbeat(self.heartbeat())).await;
-            self.prune_peers();
+            self.send(&PeerMessage::Heartbeat(Box::new(self.heartbeat()))).await;
+            self.prune_tables();
             let span = self.context.peers.borrow().heartbeat_interval();
             let min_pause = TimeSpan(span.0 / MIN_PAUSE_DIVISOR);
             kernel::sleep(min_pause.into()).await;
@@ -124,11 +125,14 @@
             loads: self.router.local_loads(),
             waiting_services: self.router.waiting_services(),
             leaving: self.context.runners.borrow().announced_leaving(),
+            part_news: self.context.parts.borrow().news(self.context.now()),
         }
     }
 
-    /// Prunes the peer table and removes the loads of nodes that have fallen silent.
-    fn prune_peers(&self) {
+    /// Prunes what is known of other nodes and of parts of prompts, and removes the loads of nodes
+    /// that have fallen silent.
+    fn prune_tables(&self) {
+        self.context.parts.borrow_mut().prune(self.context.now());
         let silent = self.context.peers.borrow_mut().prune(self.context.now());
         for vm in silent {
             self.context.peer_loads.borrow_mut().remove(&vm);
@@ -156,7 +160,7 @@
 
     fn handle_message(self: &Rc<Self>, sender: SocketAddr, bytes: &[u8]) {
         match decode_message(bytes) {
-            Ok(PeerMessage::Heartbeat(heartbeat)) => self.handle_heartbeat(heartbeat),
+            Ok(PeerMessage::Heartbeat(heartbeat)) => self.handle_heartbeat(*heartbeat),
             Ok(PeerMessage::RunnerUpdate(update)) => {
                 apply_peer_update(&self.context, &self.router, update);
             }
@@ -182,8 +186,9 @@
         self.context.metrics.heartbeats.inc();
         self.context.observe_store_era(heartbeat.store_era, "node");
         let vm = heartbeat.vm.clone();
-        // Leaving runners and loads are kept in other tables; the peer table keeps the rest.
+        // These are kept in other tables; the peer table keeps the rest.
         let leaving = std::mem::take(&mut heartbeat.leaving);
+        let part_news = std::mem::take(&mut heartbeat.part_news);
         let loads = std::mem::take(&mut heartbeat.loads);
         let load =
             NodeLoad { loads, waiting_services: std::mem::take(&mut heartbeat.waiting_services) };
@@ -192,6 +197,7 @@
                 self.router.mark_loads_changed();
             }
             self.router.apply_leaving(&leaving);
+            apply_part_news(&self.context, &part_news);
             self.fetcher.fetch_newer();
         }
     }
--- a/crates/node/src/plain_call.rs
+++ b/crates/node/src/plain_call.rs
@@ -8,15 +8,16 @@
 use hyper::{Response, StatusCode};
 use platform::copy_reply_headers;
 use route::CallEnd;
-use serving::{AttemptTracker, FinalStatus, RouteKind, RunnerRecord};
+use serving::{AttemptTracker, FinalStatus, RouteKind, RunnerRecord, SendOutcome};
 use web::{WebResponse, full_body};
 
 use crate::call::Call;
 use crate::call_log::{RequestOutcome, RequestSummary, log_end, log_send, log_send_failure};
 use crate::caller_server::CallRejection;
 use crate::context::NodeContext;
+use crate::part_watch::{find_part_refusal, record_answer, watch_lost_runner};
 use crate::router::{RouteTicket, RouterService};
-use crate::runner_gate::check_send;
+use crate::runner_gate::{check_prompt, check_send};
 use crate::runner_send::{SendFailure, SendPlan, read_full_answer, send_to_runner};
 
 /// Timeout of one attempt, as a multiple of the route's target latency, while another runner
@@ -40,7 +41,8 @@
 /// Waits until the dispatcher assigns a runner that accepts the request.
 ///
 /// # Errors
-/// Returns [`CallFailure`] if the dispatcher refuses the call or the assigned runner was removed.
+/// Returns [`CallFailure`] if the dispatcher refuses the call, the assigned runner was removed, or
+/// the prompt has a part that crashes runners.
 pub async fn find_runner(
     context: &NodeContext,
     router: &RouterService,
@@ -48,8 +50,14 @@
     tried: &[RunnerId],
 ) -> Result<(RouteTicket, RunnerRecord), CallFailure> {
     loop {
+        if let Some(refusal) = find_part_refusal(context, call) {
+            return Err(refusal);
+        }
         let (ticket, runner) = assign_runner(context, router, call, tried).await?;
-        if check_send(context, &runner.incarnation()).is_ok() {
+        let incarnation = runner.incarnation();
+        let accepts = check_send(context, &incarnation)
+            .and_then(|()| check_prompt(context, call, &incarnation));
+        if accepts.is_ok() {
             return Ok((ticket, runner));
         }
         unassign(router, ticket);
@@ -118,7 +126,7 @@
 pub async fn run_plain(
     context: &Rc<NodeContext>,
     router: &RouterService,
-    call: &Call,
+    call: &Rc<Call>,
 ) -> WebResponse {
     context.retry_budget.borrow_mut().record_request(context.now(), &call.service);
     let mut tracker = AttemptTracker::new(call.route.kind, call.route.max_attempts);
@@ -140,10 +148,11 @@
         match answer {
             Ok(answer) => {
                 ticket.finish(CallEnd::Finished);
+                record_answer(context, call);
                 if !answer.status().is_server_error() || call.route.kind != RouteKind::Idempotent {
                     return forward_answer(context, call, &answer);
                 }
-                tracker.record_send(serving::SendOutcome::Failed);
+                tracker.record_send(SendOutcome::Failed);
                 error_answer = Some(answer);
             }
             Err(failure) => {
@@ -187,11 +196,12 @@
     read_full_answer(exchange, left).await
 }
 
-/// Logs a failed send, and marks the runner as leaving if the failure says so.
+/// Logs a failed send, marks the runner as leaving if the failure says so, and finds out whether
+/// it has crashed.
 pub fn record_send_failure(
-    context: &NodeContext,
+    context: &Rc<NodeContext>,
     router: &RouterService,
-    call: &Call,
+    call: &Rc<Call>,
     runner: &RunnerRecord,
     failure: &SendFailure,
 ) {
@@ -199,6 +209,9 @@
     if failure.runner_gone {
         router.mark_leaving(&runner.incarnation(), "reply");
     }
+    if failure.outcome == SendOutcome::Unknown {
+        watch_lost_runner(context, call, runner);
+    }
 }
 
 /// Forwards a runner's complete answer unchanged.
--- a/crates/node/src/runner_gate.rs
+++ b/crates/node/src/runner_gate.rs
@@ -10,9 +10,11 @@
 use platform::{AttemptId, KvCopy, PlatformError, RunnerNotice, RunnerReply};
 use serving::{MAX_RUNNER_WAIT, RunnerIncarnation, RunnerRecord};
 
+use crate::call::Call;
 use crate::call_log::may_log;
 use crate::context::NodeContext;
 use crate::metrics::WithheldLabels;
+use crate::part_watch::has_blocked_part;
 
 /// Why a request may not be sent to a runner.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -21,6 +23,8 @@
     Leaving,
     /// The runner asked this node to send it nothing for some time.
     Waiting,
+    /// The prompt has a part that crashes runners.
+    PartBlocked,
 }
 
 impl SendBlock {
@@ -30,6 +34,7 @@
         match self {
             Self::Leaving => "runner_leaving",
             Self::Waiting => "runner_waiting",
+            Self::PartBlocked => "part_blocked",
         }
     }
 }
@@ -45,6 +50,21 @@
     }
 }
 
+/// Checks whether the prompt of a call may be sent to runners.
+///
+/// # Errors
+/// Returns the reason if it may not.
+pub fn check_prompt(
+    context: &NodeContext,
+    call: &Call,
+    runner: &RunnerIncarnation,
+) -> Result<(), SendBlock> {
+    if has_blocked_part(context, call) {
+        return Err(withhold(context, runner, SendBlock::PartBlocked));
+    }
+    Ok(())
+}
+
 /// Counts a request that is not sent.
 fn withhold(context: &NodeContext, runner: &RunnerIncarnation, block: SendBlock) -> SendBlock {
     if block == SendBlock::Waiting {
--- a/crates/node/src/stream_call.rs
+++ b/crates/node/src/stream_call.rs
@@ -15,8 +15,9 @@
 use web::{ConnectionCloser, WebExchange, WebResponse, stream_body};
 
 use crate::call::Call;
-use crate::call_log::log_send;
+use crate::call_log::{log_send, log_send_failure};
 use crate::context::NodeContext;
+use crate::part_watch::{record_answer, watch_lost_runner};
 use crate::plain_call::{
     explain_failure, fail_call, find_runner, forward_answer, may_retry, record_send_failure,
     unassign,
@@ -90,6 +91,7 @@
             }
             Ok(RunnerAnswer::Full(answer)) => {
                 ticket.finish(CallEnd::Finished);
+                record_answer(context, &call);
                 return forward_answer(context, &call, &answer);
             }
             Err(failure) => {
@@ -155,14 +157,17 @@
 /// Resumes the call at the runner that keeps a copy, after the first runner failed without
 /// an answer. If the copy has not arrived there, that runner refuses and runs nothing.
 async fn request_backup(
-    context: &NodeContext,
-    call: &Call,
+    context: &Rc<NodeContext>,
+    call: &Rc<Call>,
     backup: RunnerRecord,
     ticket: &mut RouteTicket,
 ) -> Result<RunnerAnswer, ()> {
     let plan = plan_backup_resume(context, call, ticket, backup);
     request_answer(context, call, &plan).await.map_err(|failure| {
-        crate::call_log::log_send_failure(context, call, &plan.runner.runner, &failure.reason);
+        log_send_failure(context, call, &plan.runner.runner, &failure.reason);
+        if failure.outcome == SendOutcome::Unknown {
+            watch_lost_runner(context, call, &plan.runner);
+        }
     })
 }
 
--- a/crates/node/src/stream_pump.rs
+++ b/crates/node/src/stream_pump.rs
@@ -13,6 +13,7 @@
 use crate::call::Call;
 use crate::call_log::{RequestOutcome, RequestSummary, format_parts, log_end, log_send_failure};
 use crate::context::{NodeContext, RequestGuard};
+use crate::part_watch::{SURVIVAL_SPAN, record_answer};
 use crate::router::RouteTicket;
 use crate::stream_copy::RunCopy;
 use crate::stream_move::{MAX_SWITCH_TRIES, PendingMove};
@@ -54,6 +55,8 @@
     pub(crate) changes: u32,
     /// Number of tries of the next runner change.
     pub(crate) tries: u32,
+    /// Whether a runner has survived the beginning of its answer.
+    pub(crate) survived: bool,
     pace: StreamPace,
     _active: RequestGuard,
 }
@@ -78,6 +81,7 @@
             pending_move: None,
             changes: 0,
             tries: 0,
+            survived: false,
             pace: StreamPace::default(),
             _active: context.track_request(),
         }
@@ -175,7 +179,11 @@
         }
         let now = self.context.now();
         self.pace.record(now);
-        self.source.first_events.get_or_insert(now);
+        let first = *self.source.first_events.get_or_insert(now);
+        if !self.survived && now.since(first) >= SURVIVAL_SPAN {
+            self.survived = true;
+            record_answer(&self.context, &self.call);
+        }
         let event_tokens = u64::from(self.call.tokens_per_event.unwrap_or(1));
         let produced = u32::try_from(self.scanner.event_count() * event_tokens).unwrap_or(u32::MAX);
         self.ticket.record_progress(self.call.head.prompt_tokens, produced);
@@ -201,6 +209,9 @@
             RequestOutcome::CallerDisconnected => CallEnd::Cancelled,
             _ => CallEnd::Failed,
         };
+        if outcome == RequestOutcome::Streamed {
+            record_answer(&self.context, &self.call);
+        }
         let first = self.pace.first.unwrap_or(self.context.now());
         tracing::info!(
             event = "stream_pace",
--- a/crates/serving/src/peer_heartbeat.rs
+++ b/crates/serving/src/peer_heartbeat.rs
@@ -5,13 +5,13 @@
 use base::prelude::*;
 use serde::{Deserialize, Serialize};
 
-use crate::{PlanVersion, RunnerChange, RunnerIncarnation, RunnerLoad};
+use crate::{PartNews, PlanVersion, RunnerChange, RunnerIncarnation, RunnerLoad};
 
 /// A message from one node to another.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum PeerMessage {
     /// Periodic state of the sender, sent several times a second.
-    Heartbeat(PeerHeartbeat),
+    Heartbeat(Box<PeerHeartbeat>),
     /// Changes of the runner list, sent after the sender has read more of it.
     RunnerUpdate(RunnerUpdate),
 }
@@ -61,4 +61,6 @@
     /// Runners that told this node they are leaving. Peers learn it from here because the
     /// runner list may show it late or not at all.
     pub leaving: Vec<RunnerIncarnation>,
+    /// What the node knows about parts of prompts that may crash runners.
+    pub part_news: PartNews,
 }
--- a/crates/serving/src/runner_table.rs
+++ b/crates/serving/src/runner_table.rs
@@ -63,7 +63,7 @@
 }
 
 /// Identifies one start of a runner.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct RunnerIncarnation {
     /// Id of the runner.
     pub runner: RunnerId,
--- /dev/null
+++ b/crates/serving/tests/part_table.rs
@@ -0,0 +1,151 @@
+//! Which parts of prompts are blocked because runners crash under them, and which are not.
+
+use base::prelude::*;
+use serving::{PartChange, PartTable, RunnerIncarnation};
+
+fn at(seconds: f64) -> TimePoint {
+    TimePoint::default() + TimeSpan::micros((seconds * 1e6) as u64)
+}
+
+fn parts(texts: &[&str]) -> Vec<PromptPart> {
+    texts.iter().map(|text| text.parse().unwrap()).collect()
+}
+
+fn runner(number: u64) -> RunnerIncarnation {
+    RunnerIncarnation { runner: format!("i-{number}").parse().unwrap(), started_unix_ms: number }
+}
+
+/// Records a crash of a new runner at each of the times.
+fn crash(table: &mut PartTable, times: &[f64], texts: &[&str]) {
+    for &time in times {
+        table.record_crash(at(time), &runner((time * 1e3) as u64), &parts(texts));
+    }
+}
+
+fn is_blocked(table: &PartTable, time: f64, text: &str) -> bool {
+    table.find_blocked(at(time), &parts(&[text])).is_some()
+}
+
+#[test]
+fn the_part_that_all_crashes_share_is_blocked_and_no_other() {
+    let mut table = PartTable::default();
+    table.record_answer(at(1.0), &parts(&["first"]));
+    for (time, other) in [(2.0, "a"), (3.0, "b"), (4.0, "c")] {
+        crash(&mut table, &[time], &["first", other, "bad"]);
+    }
+    let blocked = |text| is_blocked(&table, 5.0, text);
+    assert!(blocked("bad"));
+    for sound in ["first", "a", "b", "c", "unknown"] {
+        assert!(!blocked(sound), "{sound}");
+    }
+    let changes = table.take_changes();
+    insta::assert_debug_snapshot!(changes);
+}
+
+#[test]
+fn two_crashes_do_not_block_a_part() {
+    let mut table = PartTable::default();
+    crash(&mut table, &[1.0, 2.0], &["bad"]);
+    assert!(!is_blocked(&table, 5.0, "bad"));
+}
+
+#[test]
+fn several_calls_lost_in_one_crash_count_as_one() {
+    let mut table = PartTable::default();
+    for _ in 0..5 {
+        table.record_crash(at(1.0), &runner(1), &parts(&["bad"]));
+    }
+    assert!(!is_blocked(&table, 5.0, "bad"));
+}
+
+#[test]
+fn crashes_seen_by_different_nodes_add_up_at_each_of_them() {
+    let mut tables: Vec<PartTable> = (0..3).map(|_| PartTable::default()).collect();
+    for (number, table) in tables.iter_mut().enumerate() {
+        crash(table, &[1.0 + number as f64], &["first", "bad"]);
+    }
+    for _ in 0..2 {
+        for from in 0..tables.len() {
+            let news = tables[from].news(at(5.0));
+            for to in (0..tables.len()).filter(|to| *to != from) {
+                tables[to].apply_news(at(5.0), &news);
+            }
+        }
+    }
+    assert!(tables.iter().all(|table| is_blocked(table, 6.0, "bad")));
+}
+
+#[test]
+fn an_answer_that_another_node_saw_excuses_a_part() {
+    let (mut suspecting, mut knowing) = (PartTable::default(), PartTable::default());
+    knowing.record_answer(at(1.0), &parts(&["first"]));
+    crash(&mut suspecting, &[2.0], &["first", "bad"]);
+    assert!(knowing.apply_news(at(2.0), &suspecting.news(at(2.0))), "it has something to tell");
+    suspecting.apply_news(at(2.0), &knowing.news(at(2.0)));
+    crash(&mut suspecting, &[3.0, 4.0], &["first", "bad"]);
+    assert!(!is_blocked(&suspecting, 5.0, "first"));
+    assert!(is_blocked(&suspecting, 5.0, "bad"));
+}
+
+#[test]
+fn an_answer_ends_a_block_at_all_nodes() {
+    let (mut one, mut other) = (PartTable::default(), PartTable::default());
+    crash(&mut one, &[1.0, 2.0, 3.0], &["rare"]);
+    other.apply_news(at(4.0), &one.news(at(4.0)));
+    assert!(is_blocked(&one, 4.5, "rare") && is_blocked(&other, 4.5, "rare"));
+    assert!(other.record_answer(at(5.0), &parts(&["rare"])), "the others have to know");
+    assert!(!is_blocked(&other, 5.0, "rare"));
+    let news = other.news(at(5.0));
+    one.apply_news(at(5.0), &news);
+    assert!(!is_blocked(&one, 5.0, "rare"));
+    // A message that was under way does not bring the block back.
+    other.apply_news(at(5.1), &one.news(at(4.9)));
+    assert!(!is_blocked(&other, 5.2, "rare"));
+}
+
+#[test]
+fn a_part_that_was_sound_long_ago_can_be_blocked() {
+    let mut table = PartTable::default();
+    table.record_answer(at(1.0), &parts(&["bad"]));
+    crash(&mut table, &[40.0, 41.0, 42.0], &["bad"]);
+    assert!(is_blocked(&table, 43.0, "bad"));
+}
+
+#[test]
+fn a_fresh_node_learns_blocked_parts_from_any_other() {
+    let (mut first, mut second, mut fresh) =
+        (PartTable::default(), PartTable::default(), PartTable::default());
+    crash(&mut first, &[1.0, 2.0, 3.0], &["bad"]);
+    second.apply_news(at(4.0), &first.news(at(4.0)));
+    let news = second.news(at(60.0));
+    assert!(news.crashes.is_empty());
+    // The fresh node's clock has just begun.
+    fresh.apply_news(at(0.1), &news);
+    let (_, until) = fresh.find_blocked(at(0.1), &parts(&["bad"])).unwrap();
+    assert_eq!(until, at(0.1) + TimeSpan::seconds(600 - 57));
+}
+
+#[test]
+fn a_block_ends_by_itself_and_is_forgotten() {
+    let mut table = PartTable::default();
+    crash(&mut table, &[1.0, 2.0, 3.0], &["bad"]);
+    assert!(is_blocked(&table, 602.0, "bad"));
+    assert!(!is_blocked(&table, 604.0, "bad"));
+    table.prune(at(604.0));
+    assert_eq!(table.news(at(604.0)), serving::PartNews::default());
+}
+
+#[test]
+fn what_is_told_stays_within_a_message() {
+    let mut table = PartTable::default();
+    for number in 0..2_000 {
+        let texts = [format!("p{number}"), format!("q{number}")];
+        crash(&mut table, &[1.0, 2.0, 3.0], &[&texts[0], &texts[1]]);
+    }
+    let news = table.news(at(4.0));
+    let crashed: usize = news.crashes.iter().map(|crash| crash.parts.len()).sum();
+    assert!(crashed <= 256 && !news.crashes.is_empty());
+    assert_eq!(news.blocked.len(), 256);
+    let changes = table.take_changes();
+    assert!(changes.iter().all(|change| matches!(change, PartChange::Blocked { .. })));
+}
--- a/crates/serving/tests/peer_codec.rs
+++ b/crates/serving/tests/peer_codec.rs
@@ -6,10 +6,21 @@
 use proptest::prelude::*;
 use route::MemoryForecast;
 use serving::{
-    MESSAGE_VERSION, MessageError, PeerHeartbeat, PeerMessage, RunnerChange, RunnerLoad,
-    RunnerUpdate, decode_message, encode_message,
+    CrashReport, MESSAGE_VERSION, MessageError, PartNews, PeerHeartbeat, PeerMessage, RunnerChange,
+    RunnerIncarnation, RunnerLoad, RunnerUpdate, TimedPart, decode_message, encode_message,
 };
 
+fn part_news() -> PartNews {
+    let part: PromptPart = "91bd3f06".parse().unwrap();
+    let runner = RunnerIncarnation { runner: "runner-1".parse().unwrap(), started_unix_ms: 9 };
+    let timed = TimedPart { part: part.clone(), left: TimeSpan::seconds(3) };
+    PartNews {
+        crashes: vec![CrashReport { runner, parts: vec![part], left: TimeSpan::seconds(2) }],
+        blocked: vec![timed.clone()],
+        sound: vec![timed],
+    }
+}
+
 fn message() -> PeerMessage {
     let address: SocketAddr = "10.0.0.1:7200".parse().unwrap();
     let forecast = MemoryForecast {
@@ -18,7 +29,7 @@
     };
     let load =
         RunnerLoad { runner: "runner-1".parse().unwrap(), calls: 1, prefill_tokens: 0, forecast };
-    PeerMessage::Heartbeat(PeerHeartbeat {
+    PeerMessage::Heartbeat(Box::new(PeerHeartbeat {
         vm: "node-1".parse().unwrap(),
         incarnation: VmIncarnation(7),
         sequence: 3,
@@ -33,7 +44,8 @@
         loads: vec![load],
         waiting_services: vec!["llm".parse().unwrap()],
         leaving: Vec::new(),
-    })
+        part_news: part_news(),
+    }))
 }
 
 #[test]
