Do not take a connection that ends before any event for a whole stream

A runner that crashed before the first event of such a stream looked as if it had answered with no event at all: the caller got a whole, empty answer, and the parts of the prompt that had crashed the runner counted as sound. Such an end is now the loss of the runner, also while a stream moves.

Evidence: a new test of node_runner_faults failed before (status 200, complete, no text), and passes; its sibling, a stream of this kind that ends inside an event or after its last one, passed before.

--- a/crates/fakes/src/platform/runner_fake.rs
+++ b/crates/fakes/src/platform/runner_fake.rs
@@ -42,6 +42,10 @@
     Truncate,
     /// Without a length; the end of the connection ends the body.
     Unframed,
+    /// A stream without a length or chunks that ends inside an event.
+    UnframedTruncate,
+    /// A stream without a length or chunks that ends before its first event.
+    UnframedEmpty,
     /// Twice.
     Extra,
     /// With bytes that are no answer.
@@ -433,7 +437,7 @@
             write(stream, whole("503 Service Unavailable", &signed, "")).await
         }
         RunnerScript::Silent => std::future::pending().await,
-        RunnerScript::Close => false,
+        RunnerScript::Close | RunnerScript::UnframedTruncate | RunnerScript::UnframedEmpty => false,
     }
 }
 
@@ -448,7 +452,12 @@
     state.memory.begin(attempt, backed_up);
     let _guard = WorkGuard::new(state);
     let mut head = String::from("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n");
-    let _ = write!(head, "{}Transfer-Encoding: chunked\r\n\r\n", state.signature(attempt));
+    let is_unframed = matches!(
+        script,
+        RunnerScript::Unframed | RunnerScript::UnframedTruncate | RunnerScript::UnframedEmpty
+    );
+    let framing = if is_unframed { "" } else { "Transfer-Encoding: chunked\r\n" };
+    let _ = write!(head, "{}{framing}\r\n", state.signature(attempt));
     if !write(stream, head).await {
         return false;
     }
@@ -460,12 +469,20 @@
     }
     let first = request.header("last-event-id").parse::<u64>().map_or(1, |last| last + 1);
     for number in first..=state.settings.events {
+        if script == RunnerScript::UnframedEmpty {
+            return false;
+        }
+        if script == RunnerScript::UnframedTruncate && number == state.settings.events / 2 {
+            write(stream, "id: 99").await;
+            return false;
+        }
         if script == RunnerScript::Truncate && number == state.settings.events / 2 {
             write(stream, "20\r\nid: 99").await;
             return false;
         }
         let event = format!("id: {number}\ndata: token {number} of {attempt}\n\n");
-        if !write(stream, format!("{:x}\r\n{event}\r\n", event.len())).await {
+        let framed = format!("{:x}\r\n{event}\r\n", event.len());
+        if !write(stream, if is_unframed { event } else { framed }).await {
             return false;
         }
         state.memory.note_event(attempt);
@@ -474,7 +491,7 @@
         }
     }
     state.memory.end(attempt);
-    write(stream, "0\r\n\r\n").await
+    !is_unframed && write(stream, "0\r\n\r\n").await
 }
 
 struct WorkGuard(Rc<RunnerState>);
--- a/crates/harness/tests/node_runner_faults.rs
+++ b/crates/harness/tests/node_runner_faults.rs
@@ -1,7 +1,7 @@
 //! Runners that answer badly: what callers are told, and how often a request runs.
 
 use fakes::platform::{RunnerFakeSettings, RunnerScript};
-use harness::{CallerRequest, NodeFleet};
+use harness::{CallerRequest, NodeFleet, WholeAnswer};
 use serde_json::json;
 
 const SCRIPTS: [RunnerScript; 13] = [
@@ -80,6 +80,38 @@
     .unwrap();
 }
 
+/// Plays one stream that ends with its connection.
+async fn play_unframed(script: RunnerScript) -> WholeAnswer {
+    let mut fleet = NodeFleet::start().await.unwrap();
+    let runner = fleet.add_runner("llm", RunnerFakeSettings::new("llm-1")).await.unwrap();
+    fleet.add_node().unwrap();
+    fleet.wait_ready().await.unwrap();
+    runner.script(&[script]);
+    fleet.send(0, &CallerRequest::stream("s1")).await
+}
+
+#[test]
+fn a_stream_that_ends_with_its_connection_is_whole_unless_it_ends_inside_an_event() {
+    kernel::run(async {
+        let whole = play_unframed(RunnerScript::Unframed).await;
+        assert_eq!((whole.status, whole.complete), (200, true));
+        assert!(whole.text.ends_with("token 30 of s1\n\n"), "{}", whole.text);
+        let cut = play_unframed(RunnerScript::UnframedTruncate).await;
+        assert!(!cut.complete);
+        assert!(cut.text.ends_with("token 14 of s1\n\n"), "{}", cut.text);
+    })
+    .unwrap();
+}
+
+#[test]
+fn a_stream_that_ends_with_its_connection_before_its_first_event_is_not_whole() {
+    kernel::run(async {
+        let empty = play_unframed(RunnerScript::UnframedEmpty).await;
+        assert!(!(empty.status == 200 && empty.complete), "{empty:?}");
+    })
+    .unwrap();
+}
+
 #[test]
 fn a_second_answer_reaches_nobody() {
     kernel::run(async {
--- a/crates/node/src/stream_handover.rs
+++ b/crates/node/src/stream_handover.rs
@@ -177,7 +177,7 @@
                         return Err(end);
                     }
                 }
-                None if !self.scanner.has_partial_event() => {
+                None if self.is_whole() => {
                     return Err(PumpStep::End(RequestOutcome::Streamed, ""));
                 }
                 lost => {
@@ -217,7 +217,9 @@
             };
             match frame {
                 Some(Some(Ok(bytes))) => held.push(bytes),
-                Some(None) if held.is_whole() => return OverlapEnd::SourceEnded,
+                Some(None) if held.is_whole() && self.source.has_whole_body() => {
+                    return OverlapEnd::SourceEnded;
+                }
                 Some(lost) => {
                     self.log_send_failure(&describe_loss(lost));
                     self.source.close();
--- a/crates/node/src/stream_pump.rs
+++ b/crates/node/src/stream_pump.rs
@@ -156,15 +156,20 @@
             Some(Ok(bytes)) => self.forward_events(&bytes).await,
             Some(Err(error)) => self.handle_source_loss(&error.to_string()).await,
             None => {
-                if self.scanner.has_partial_event() {
-                    self.handle_source_loss("the connection ended").await
-                } else {
+                if self.is_whole() {
                     PumpStep::End(RequestOutcome::Streamed, "")
+                } else {
+                    self.handle_source_loss("the connection ended").await
                 }
             }
         }
     }
 
+    /// Whether a stream whose source has ended now is whole.
+    pub(crate) fn is_whole(&self) -> bool {
+        !self.scanner.has_partial_event() && self.source.has_whole_body()
+    }
+
     /// Forwards the complete events in `bytes`; the scanner keeps an incomplete rest.
     pub(crate) async fn forward_events(&mut self, bytes: &[u8]) -> PumpStep {
         let events = match self.scanner.push(bytes) {
--- a/crates/node/src/stream_source.rs
+++ b/crates/node/src/stream_source.rs
@@ -6,6 +6,7 @@
 use futures_channel::mpsc;
 use http_body_util::BodyExt;
 use hyper::body::{Bytes, Incoming};
+use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use kernel::StopSignal;
 use serving::RunnerRecord;
 use web::{ConnectionCloser, ConnectionTask, WebExchange};
@@ -22,6 +23,8 @@
     pub body: Incoming,
     /// The connection to the runner; `None` once closed.
     pub connection: Option<ConnectionTask>,
+    /// Whether the body has neither a length nor chunks, so that it ends with its connection.
+    ends_with_connection: bool,
     /// Whether the source was closed and is no longer read.
     pub ended: bool,
     /// When the first events arrived from this runner.
@@ -35,17 +38,28 @@
     #[must_use]
     pub fn new(plan: &SendPlan, exchange: WebExchange) -> Self {
         let WebExchange { response, connection } = exchange;
+        let headers = response.headers();
+        let is_framed =
+            headers.contains_key(TRANSFER_ENCODING) || headers.contains_key(CONTENT_LENGTH);
         Self {
             runner: plan.runner.clone(),
             backup: plan.backup.clone(),
             body: response.into_body(),
             connection: Some(connection),
+            ends_with_connection: !is_framed,
             ended: false,
             first_events: None,
             switch_at: None,
         }
     }
 
+    /// Whether the end of the body is that of the stream, if it is not inside an event. A
+    /// connection that ends before any event says nothing about the stream.
+    #[must_use]
+    pub fn has_whole_body(&self) -> bool {
+        !self.ends_with_connection || self.first_events.is_some()
+    }
+
     /// Closes the connection and stops reading from it.
     pub fn close(&mut self) {
         self.connection = None;
