Decode the limit that a runner names, and log its changes

`Server-Limit` is decoded from every answer now, `limit_named` and `limit_ended` tell its changes, `runner_limits` counts them. Nothing is decided by it yet.

--- a/crates/base/src/numbers.rs
+++ b/crates/base/src/numbers.rs
@@ -68,10 +68,6 @@
     /// A size in bytes.
     ByteSize, u64
 }
-number! {
-    /// A rate in requests per second.
-    RequestRate, u32
-}
 number! {
     /// A fencing token: the log offset of the record that named the holder. Called a number here
     /// to keep it apart from the tokens of a generation.
--- a/crates/fakes/src/platform/runner_fake.rs
+++ b/crates/fakes/src/platform/runner_fake.rs
@@ -105,6 +105,8 @@
     leaving: Cell<bool>,
     /// Value of `Server-Leaving` in all its answers.
     leaving_header: RefCell<Option<String>>,
+    /// Value of `Server-Limit` in all its answers.
+    limit_header: RefCell<Option<String>>,
     /// Value of `Retry-After` with which it turns all requests away.
     retry_after: RefCell<Option<String>>,
     /// Moves that were asked for.
@@ -148,6 +150,7 @@
             working: Cell::default(),
             leaving: Cell::default(),
             leaving_header: RefCell::default(),
+            limit_header: RefCell::default(),
             retry_after: RefCell::default(),
             moves: RefCell::default(),
             moves_refused: Cell::default(),
@@ -218,6 +221,11 @@
         *self.state.leaving_header.borrow_mut() = Some(value.to_owned());
     }
 
+    /// All its answers carry `Server-Limit` with this value from now on; with `None` they do not.
+    pub fn name_limit(&self, value: Option<&str>) {
+        *self.state.limit_header.borrow_mut() = value.map(str::to_owned);
+    }
+
     /// It turns requests away with 503 and this `Retry-After`; with `None` it takes them again.
     pub fn turn_away(&self, retry_after: Option<&str>) {
         *self.state.retry_after.borrow_mut() = retry_after.map(str::to_owned);
@@ -278,8 +286,12 @@
 impl RunnerState {
     /// Header lines of every answer.
     fn notice(&self) -> String {
-        let leaving = self.leaving_header.borrow();
-        leaving.as_ref().map(|value| format!("Server-Leaving: {value}\r\n")).unwrap_or_default()
+        let headers =
+            [("Server-Leaving", &self.leaving_header), ("Server-Limit", &self.limit_header)];
+        let line = |(name, value): (&str, &RefCell<Option<String>>)| {
+            value.borrow().as_ref().map(|value| format!("{name}: {value}\r\n"))
+        };
+        headers.into_iter().filter_map(line).collect()
     }
 
     /// Header lines of an answer to `attempt`.
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -7,8 +7,8 @@
 use futures_channel::mpsc;
 use kernel::{MonotonicClock, StopSignal};
 use serving::{
-    BudgetSettings, EraView, FleetLoads, PartTable, PeerTable, PlanVersion, RetryBudget,
-    RunnerTable, ServingPlan, TransferPacer, WaitTable,
+    BudgetSettings, EraView, FleetLoads, LimitTable, PartTable, PeerTable, PlanVersion,
+    RetryBudget, RunnerTable, ServingPlan, TransferPacer, WaitTable,
 };
 use settings::NodeSettings;
 
@@ -35,6 +35,8 @@
     pub runners: RefCell<RunnerTable>,
     /// Runners that asked this node to send them nothing for some time.
     pub waits: RefCell<WaitTable>,
+    /// Limits on the requests that runners take from all nodes.
+    pub limits: RefCell<LimitTable>,
     /// Parts of prompts that crash runners.
     pub parts: RefCell<PartTable>,
     /// Newest era of the store that the store or another node has named.
@@ -78,6 +80,7 @@
             runners: RefCell::new(RunnerTable::new(settings.drain)),
             store_era: RefCell::default(),
             waits: RefCell::default(),
+            limits: RefCell::default(),
             parts: RefCell::default(),
             runners_offset: Cell::default(),
             runners_updated: Cell::default(),
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -38,6 +38,8 @@
     pub sends_withheld: Family<WithheldLabels, Counter>,
     /// Waits that runners asked for.
     pub runner_waits: Counter,
+    /// Limits that runners named, changed or ended.
+    pub runner_limits: Counter,
     /// Runners that crashed as they began to answer a call of this node, once for each call.
     pub runner_crashes: Counter,
     /// Parts of prompts blocked since runners crash under them.
@@ -92,6 +94,7 @@
             retries_denied: Counter::default(),
             sends_withheld: Family::default(),
             runner_waits: Counter::default(),
+            runner_limits: Counter::default(),
             runner_crashes: Counter::default(),
             parts_blocked: Counter::default(),
             moves: Family::default(),
@@ -130,6 +133,11 @@
             self.sends_withheld.clone(),
         );
         registry.register("runner_waits", "Waits begun by runners", self.runner_waits.clone());
+        registry.register(
+            "runner_limits",
+            "Changes of the limits that runners name",
+            self.runner_limits.clone(),
+        );
         registry.register(
             "runner_crashes",
             "Calls lost as their runner crashed",
--- a/crates/node/src/peer_link.rs
+++ b/crates/node/src/peer_link.rs
@@ -133,6 +133,7 @@
     /// that have fallen silent.
     fn prune_tables(&self) {
         self.context.parts.borrow_mut().prune(self.context.now());
+        self.context.limits.borrow_mut().prune(self.context.now());
         let silent = self.context.peers.borrow_mut().prune(self.context.now());
         for vm in silent {
             self.context.peer_loads.borrow_mut().remove(&vm);
--- a/crates/node/src/runner_gate.rs
+++ b/crates/node/src/runner_gate.rs
@@ -90,6 +90,9 @@
     if notice.leaving && mark_leaving(context, runner, "answer") {
         context.signal_runner_change();
     }
+    if let Some(rate) = notice.limit {
+        record_limit(context, runner, Some(rate));
+    }
     if let Some(span) = notice.retry_after {
         begin_wait(context, runner, span);
     }
@@ -100,6 +103,27 @@
     }
 }
 
+/// Records that this start of a runner answered a call and named no limit.
+pub fn record_unlimited(context: &NodeContext, runner: &RunnerIncarnation) {
+    record_limit(context, runner, None);
+}
+
+fn record_limit(context: &NodeContext, runner: &RunnerIncarnation, limit: Option<RequestRate>) {
+    if !context.limits.borrow_mut().record(context.now(), runner, limit) {
+        return;
+    }
+    context.metrics.runner_limits.inc();
+    if !may_log(context) {
+        return;
+    }
+    let runner = &runner.runner;
+    if let Some(rate) = limit {
+        tracing::info!(event = "limit_named", %runner, rate = rate.0);
+    } else {
+        tracing::info!(event = "limit_ended", %runner);
+    }
+}
+
 /// Records that this start of a runner wants no requests for `span`.
 fn begin_wait(context: &NodeContext, runner: &RunnerIncarnation, span: TimeSpan) {
     if !context.waits.borrow_mut().record(context.now(), runner, span) {
--- a/crates/node/src/runner_send.rs
+++ b/crates/node/src/runner_send.rs
@@ -13,7 +13,7 @@
 
 use crate::call::Call;
 use crate::context::NodeContext;
-use crate::runner_gate::{SendBlock, check_prompt, check_send, record_notice};
+use crate::runner_gate::{SendBlock, check_prompt, check_send, record_notice, record_unlimited};
 
 /// Maximum time to connect. A runner whose connection backlog is full drops the first
 /// packet, which TCP sends again only after a second.
@@ -127,7 +127,12 @@
     let exchange = exchange.map_err(|error| send_failure(&error))?;
     let (status, headers) = (exchange.response.status(), exchange.response.headers());
     if platform::is_from_runner(headers, &runner.runner) {
-        record_notice(context, &incarnation, &RunnerNotice::decode(status, headers));
+        let notice = RunnerNotice::decode(status, headers);
+        record_notice(context, &incarnation, &notice);
+        let kind = classify_reply(status, headers, &call.attempt);
+        if notice.names_no_limit() && matches!(kind, ReplyKind::Answer | ReplyKind::NotRun) {
+            record_unlimited(context, &incarnation);
+        }
     }
     check_reply(call, exchange)
 }
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -14,6 +14,7 @@
 mod peer_table;
 mod plan;
 mod retry_budget;
+mod runner_limit;
 mod runner_table;
 mod runner_wait;
 mod state_codec;
@@ -33,6 +34,7 @@
     ServingPlan, TenantRule,
 };
 pub use retry_budget::{BudgetSettings, RetryBudget};
+pub use runner_limit::{LimitTable, LimitWord};
 pub use runner_table::{RunnerChange, RunnerEntry, RunnerIncarnation, RunnerRecord, RunnerTable};
 pub use runner_wait::{MAX_RUNNER_WAIT, RunnerWait, WaitTable};
 pub use state_codec::{Result as StateResult, StateCodecError, decode_state, encode_state};
