Do not prolong a block of a part by telling of it

The time that is left of a block is told in each heartbeat and counted anew from its arrival, so each message added its own delay: after 500 exchanges of 100 ms, two nodes that told each other had a block end 100 s late (703 s instead of 603 s), and over a slow link it would not have ended at all. Found by reading. A block that is told now replaces a known one only if it ends later by over 10 s, as after a further crash. The new test of part_table failed before.

--- a/crates/serving/src/part_table.rs
+++ b/crates/serving/src/part_table.rs
@@ -21,6 +21,9 @@
 const CRASH_SPAN: TimeSpan = TimeSpan::seconds(300);
 /// Time for which a part is blocked after its last crash.
 const BLOCK_SPAN: TimeSpan = TimeSpan::seconds(600);
+/// Difference up to which two ends of one block count as the same: a time that is told again
+/// and again grows by the delay of each message.
+const SAME_END_SPAN: TimeSpan = TimeSpan::seconds(10);
 /// Time for which other nodes are told of a crash or an answer: many heartbeats.
 const TELL_SPAN: TimeSpan = TimeSpan::seconds(10);
 /// Maximum number of sound parts, and of suspected ones, in the table.
@@ -256,7 +259,8 @@
         let Some(suspect) = self.suspect(part) else { return };
         suspect.crashes.entry(runner.clone()).or_insert(until);
         let crashes = suspect.crashes.values().filter(|until| now < **until).count();
-        let block_until = until - CRASH_SPAN + BLOCK_SPAN;
+        let last_until = suspect.crashes.values().max().copied().unwrap_or(until);
+        let block_until = last_until - CRASH_SPAN + BLOCK_SPAN;
         if let Some(block) = &mut suspect.block {
             block.until = block.until.max(block_until);
         } else if crashes >= CRASHES_TO_BLOCK {
@@ -269,7 +273,9 @@
     fn take_block(&mut self, now: TimePoint, until: TimePoint, part: &PromptPart) {
         let Some(suspect) = self.suspect(part) else { return };
         if let Some(block) = &mut suspect.block {
-            block.until = block.until.max(until);
+            if until > block.until + SAME_END_SPAN {
+                block.until = until;
+            }
         } else {
             suspect.block = Some(PartBlock { from: now, until });
             let crashes = suspect.crashes.len();
--- a/crates/serving/tests/part_table.rs
+++ b/crates/serving/tests/part_table.rs
@@ -125,6 +125,23 @@
     assert_eq!(until, at(0.1) + TimeSpan::seconds(600 - 57));
 }
 
+#[test]
+fn nodes_do_not_prolong_a_block_by_telling_each_other_of_it() {
+    let (mut one, mut other) = (PartTable::default(), PartTable::default());
+    crash(&mut one, &[1.0, 2.0, 3.0], &["bad"]);
+    for round in 0..500 {
+        // Each message takes 100 ms.
+        let time = 4.0 + f64::from(round) * 0.2;
+        other.apply_news(at(time + 0.1), &one.news(at(time)));
+        one.apply_news(at(time + 0.2), &other.news(at(time + 0.1)));
+    }
+    for table in [&one, &other] {
+        let bad = parts(&["bad"]);
+        let (_, until) = table.find_blocked(at(110.0), &bad).unwrap();
+        assert!(until <= at(604.0), "{until:?}");
+    }
+}
+
 #[test]
 fn a_block_ends_by_itself_and_is_forgotten() {
     let mut table = PartTable::default();
