Keep to the limits that runners name, over all nodes together

Class: a limit on all nodes together that no node can keep by itself, like the retry budget.

The nodes share it by their recent requests for the service, told in their heartbeats while a runner of the service has a limit. The scheduler sends at the node's share (`RateGate`): one call saved up at most, a random part of one at first, since full buckets at 195 nodes would be 195 calls at once. Calls that would be late behind those that wait for limited runners are refused at once, with a time.

Ruled out: further attempts after errors (5 of 127 sends to these runners); a limit kept by some nodes only (the sends of none fell).

--- a/crates/node/src/peer_link.rs
+++ b/crates/node/src/peer_link.rs
@@ -18,6 +18,7 @@
 use crate::follow_runners::apply_peer_update;
 use crate::part_watch::apply_part_news;
 use crate::router::RouterService;
+use crate::runner_gate::apply_limit_news;
 use crate::state_fetcher::StateFetcher;
 
 /// A requested heartbeat is sent no sooner than the heartbeat interval divided by this after
@@ -126,6 +127,7 @@
             waiting_services: self.router.waiting_services(),
             leaving: self.context.runners.borrow().announced_leaving(),
             part_news: self.context.parts.borrow().news(self.context.now()),
+            limit_news: self.router.limit_news(),
         }
     }
 
@@ -137,6 +139,7 @@
         let silent = self.context.peers.borrow_mut().prune(self.context.now());
         for vm in silent {
             self.context.peer_loads.borrow_mut().remove(&vm);
+            self.context.limits.borrow_mut().forget_demand(&vm);
         }
     }
 
@@ -190,15 +193,20 @@
         // These are kept in other tables; the peer table keeps the rest.
         let leaving = std::mem::take(&mut heartbeat.leaving);
         let part_news = std::mem::take(&mut heartbeat.part_news);
+        let limit_news = std::mem::take(&mut heartbeat.limit_news);
         let loads = std::mem::take(&mut heartbeat.loads);
         let load =
             NodeLoad { loads, waiting_services: std::mem::take(&mut heartbeat.waiting_services) };
         if self.context.peers.borrow_mut().record_heartbeat(self.context.now(), heartbeat) {
+            let limits_changed = apply_limit_news(&self.context, &vm, limit_news);
             if self.context.peer_loads.borrow_mut().set(vm, load) {
                 self.router.mark_loads_changed();
             }
             self.router.apply_leaving(&leaving);
             apply_part_news(&self.context, &part_news);
+            if limits_changed {
+                self.router.update_members();
+            }
             self.fetcher.fetch_newer();
         }
     }
--- a/crates/node/src/router.rs
+++ b/crates/node/src/router.rs
@@ -1,7 +1,7 @@
 //! Connects the call dispatcher to the calls of this node, and tracks their load on runners.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::{Rc, Weak};
 
 use base::prelude::*;
@@ -14,7 +14,7 @@
     CallEnd, CallId, MemoryForecast, PolicyName, RouteCall, RouteEvent, RouteSettings,
     RunnerSummary,
 };
-use serving::{RunnerIncarnation, RunnerLoad};
+use serving::{LimitNews, RunnerEntry, RunnerIncarnation, RunnerLoad, ServiceDemand};
 
 use crate::call::Call;
 use crate::context::NodeContext;
@@ -52,6 +52,8 @@
     load_sequence: Cell<u64>,
     /// Whether other nodes have reported loads that the dispatcher has not received yet.
     peer_loads_changed: Cell<bool>,
+    /// Whether the dispatcher was told of a limit.
+    limits_told: Cell<bool>,
     /// Requests an immediate heartbeat, so that the other nodes learn of a new call at once.
     heartbeat_requests: Rc<RefCell<mpsc::Sender<()>>>,
     weak_self: Weak<Self>,
@@ -86,6 +88,7 @@
             calls,
             load_sequence: Cell::default(),
             peer_loads_changed: Cell::default(),
+            limits_told: Cell::default(),
             heartbeat_requests,
             weak_self: weak_self.clone(),
         })
@@ -207,7 +210,7 @@
     /// After how long a caller may come back if every runner that serves the call waits.
     #[must_use]
     pub fn wait_retry_after(&self, call: &Call) -> Option<TimeSpan> {
-        if self.context.waits.borrow().is_empty() {
+        if self.context.waits.borrow().is_empty() && self.context.limits.borrow().is_empty() {
             return None;
         }
         self.update_members();
@@ -248,6 +251,53 @@
         self.calls.borrow().iter().filter_map(copy_load).collect()
     }
 
+    /// What this node tells others about limits of runners: what it heard, and its demand for the
+    /// services with limited runners.
+    #[must_use]
+    pub fn limit_news(&self) -> LimitNews {
+        let now = self.context.now();
+        let limits = self.context.limits.borrow();
+        if limits.is_empty() {
+            return LimitNews::default();
+        }
+        let runners = self.context.runners.borrow();
+        let limited =
+            |entry: &&RunnerEntry| limits.limit(now, &entry.record.incarnation()).is_some();
+        let services: BTreeSet<&ServiceName> =
+            runners.entries().filter(limited).map(|entry| &entry.record.service).collect();
+        let demand = |service: &ServiceName| ServiceDemand {
+            service: service.clone(),
+            requests: self.demand(service),
+        };
+        let demands = services.into_iter().map(demand).collect();
+        LimitNews { limits: limits.reports(now), demands }
+    }
+
+    /// Number of recent requests for a service at this node.
+    fn demand(&self, service: &ServiceName) -> u32 {
+        self.context.retry_budget.borrow().recent_requests(self.context.now(), service)
+    }
+
+    /// Dispatcher events with this node's share of the limits of runners; none while no runner
+    /// has or had one.
+    fn limit_events(&self) -> Vec<RouteEvent> {
+        let now = self.context.now();
+        let limits = self.context.limits.borrow();
+        if !self.limits_told.replace(!limits.is_empty()) && limits.is_empty() {
+            return Vec::new();
+        }
+        let runners = self.context.runners.borrow();
+        let event = |entry: &RunnerEntry| {
+            let record = &entry.record;
+            let rate = limits.rate(now, &record.incarnation()).map(|rate| {
+                let part = limits.own_part(&record.service, self.demand(&record.service));
+                RequestRate(rate.0 * part)
+            });
+            RouteEvent::RunnerLimit { runner: record.runner.clone(), rate }
+        };
+        runners.entries().map(event).collect()
+    }
+
     /// Dispatcher events with the load of every runner, summed over all nodes.
     fn load_events(&self) -> Vec<RouteEvent> {
         let Some(plan) = self.context.plan() else { return Vec::new() };
@@ -301,6 +351,7 @@
                 events.push(RouteEvent::RunnerWait { runner: record.runner.clone(), until });
             }
         }
+        events.extend(self.limit_events());
         events
     }
 
--- a/crates/node/src/runner_gate.rs
+++ b/crates/node/src/runner_gate.rs
@@ -8,7 +8,7 @@
 
 use base::prelude::*;
 use platform::{AttemptId, KvCopy, PlatformError, RunnerNotice, RunnerReply};
-use serving::{MAX_RUNNER_WAIT, RunnerIncarnation, RunnerRecord};
+use serving::{LimitChange, LimitNews, MAX_RUNNER_WAIT, RunnerIncarnation, RunnerRecord};
 
 use crate::call::Call;
 use crate::call_log::may_log;
@@ -109,18 +109,30 @@
 }
 
 fn record_limit(context: &NodeContext, runner: &RunnerIncarnation, limit: Option<RequestRate>) {
-    if !context.limits.borrow_mut().record(context.now(), runner, limit) {
-        return;
+    let change = context.limits.borrow_mut().record(context.now(), runner, limit);
+    if let Some(change) = change {
+        log_limit(context, &change, "answer");
+        context.signal_runner_change();
     }
+}
+
+/// Takes what another node knows about limits of runners. Returns whether one has changed.
+pub fn apply_limit_news(context: &NodeContext, vm: &VmId, news: LimitNews) -> bool {
+    let changes = context.limits.borrow_mut().apply_news(context.now(), vm, news);
+    changes.iter().for_each(|change| log_limit(context, change, "node"));
+    !changes.is_empty()
+}
+
+fn log_limit(context: &NodeContext, change: &LimitChange, source: &str) {
     context.metrics.runner_limits.inc();
     if !may_log(context) {
         return;
     }
-    let runner = &runner.runner;
-    if let Some(rate) = limit {
-        tracing::info!(event = "limit_named", %runner, rate = rate.0);
+    let runner = &change.runner;
+    if let Some(rate) = change.limit {
+        tracing::info!(event = "limit_named", %runner, rate = rate.0, source);
     } else {
-        tracing::info!(event = "limit_ended", %runner);
+        tracing::info!(event = "limit_ended", %runner, source);
     }
 }
 
--- a/crates/route/src/event.rs
+++ b/crates/route/src/event.rs
@@ -190,6 +190,13 @@
         /// End of its wait.
         until: TimePoint,
     },
+    /// The rate of calls that a runner takes from this entry has changed.
+    RunnerLimit {
+        /// The runner.
+        runner: RunnerId,
+        /// This entry's share of the runner's limit; none if it has no limit.
+        rate: Option<RequestRate>,
+    },
     /// Other entries have waiting calls that can still meet their first-token target.
     PeersWaiting {
         /// The service.
--- a/crates/route/src/scheduler.rs
+++ b/crates/route/src/scheduler.rs
@@ -7,9 +7,9 @@
 
 use crate::decision_log::DecisionLog;
 use crate::{
-    CallEnd, CallId, CallRecord, LengthTable, MemoryForecast, PolicyName, PrefixTable, RouteAction,
-    RouteCounters, RouteEvent, RouteMember, RouteSettings, RouteSummary, RunnerRamp, RunnerSummary,
-    RunnerView, ServiceView, WaitQueue, subset,
+    CallEnd, CallId, CallRecord, LengthTable, MemoryForecast, PolicyName, PrefixTable, RateGate,
+    RouteAction, RouteCounters, RouteEvent, RouteMember, RouteSettings, RouteSummary, RunnerRamp,
+    RunnerSummary, RunnerView, ServiceView, WaitQueue, subset,
 };
 
 /// Age of a runner's last report above which its load is estimated instead.
@@ -125,6 +125,12 @@
                     self.runners[slot].ramp.begin(until);
                 }
             }
+            RouteEvent::RunnerLimit { runner, rate } => {
+                let draw = self.rng.random();
+                if let Some(&slot) = self.slots.get(&runner) {
+                    self.runners[slot].gate.set_rate(now, rate, draw);
+                }
+            }
             RouteEvent::Cache { runner, event } => {
                 if let Some(&slot) = self.slots.get(&runner) {
                     self.prefixes.apply(slot, &event);
@@ -273,6 +279,7 @@
         if incarnation != self.runners[slot].incarnation() {
             self.prefixes.remove_runner(slot);
             self.runners[slot].ramp = RunnerRamp::default();
+            self.runners[slot].gate = RateGate::default();
         }
         if self.settings.policy != PolicyName::Product {
             return;
--- a/crates/route/src/scheduler_place.rs
+++ b/crates/route/src/scheduler_place.rs
@@ -57,7 +57,7 @@
         };
         let serving = view.slots.iter().copied().filter(|slot| {
             let runner = &self.runners[*slot];
-            runner.can_serve(model) && runner.ramp.admits(now)
+            runner.can_serve(model) && runner.admits(now)
         });
         let (healthy, ejected): (Vec<usize>, Vec<usize>) =
             serving.partition(|slot| is_healthy(*slot));
--- a/crates/route/src/scheduler_refuse.rs
+++ b/crates/route/src/scheduler_refuse.rs
@@ -42,7 +42,7 @@
         if !slots.iter().any(|slot| can_serve(&self.runners[*slot])) {
             return Some((RefusalReason::NoRunner, DEFAULT_RETRY_AFTER));
         }
-        if self.waits_too_long(now, record) {
+        if self.waits_too_long(now, record, self.calls_ahead(record)) {
             let retry_after = self.wait_retry_after(now, &call.service, call.model.as_ref());
             return Some((RefusalReason::RunnersWait, retry_after.unwrap_or_default()));
         }
--- a/crates/route/src/scheduler_relocate.rs
+++ b/crates/route/src/scheduler_relocate.rs
@@ -66,7 +66,10 @@
         let others = view.slots.iter().copied().filter(|slot| *slot != own);
         let usable = others.filter(|slot| {
             let runner = &self.runners[*slot];
-            runner.can_serve(model) && runner.health.is_available(now) && runner.ramp.admits(now)
+            // If a runner is lost, all its calls go on at once at the runners with their copies.
+            let takes_all = runner.gate.rate().is_none();
+            let is_available = runner.health.is_available(now) && runner.admits(now);
+            runner.can_serve(model) && is_available && takes_all
         });
         let scored = usable
             .map(|slot| (slot, runner_score::score(now, record, view, &self.runners[slot], false)));
@@ -95,7 +98,7 @@
             *slot != old
                 && runner.place == *place
                 && runner.health.is_available(now)
-                && runner.ramp.admits(now)
+                && runner.admits(now)
                 && runner.can_serve(record.call.model.as_ref())
         });
         let scored = same_place
--- a/crates/route/src/scheduler_waits.rs
+++ b/crates/route/src/scheduler_waits.rs
@@ -1,7 +1,8 @@
-//! Calls whose runners all wait: which are refused, and when their callers may come back.
+//! Calls whose runners all wait or are at their limits: which are refused, and when their callers
+//! may come back.
 //!
 //! Load pattern: the runners of a service turn calls away and each names a time before which
-//! it accepts none.
+//! it accepts none, or a rate that is below that of the calls.
 
 use base::prelude::*;
 use rand::RngExt;
@@ -15,7 +16,8 @@
 const MIN_RETURN_SPREAD: TimeSpan = TimeSpan::millis(200);
 
 impl RouteScheduler {
-    /// Returns after how long a caller may come back if every runner that serves `model` waits.
+    /// Returns after how long a caller may come back if every runner that serves `model` waits or
+    /// is at its limit.
     pub fn wait_retry_after(
         &mut self,
         now: TimePoint,
@@ -27,8 +29,8 @@
         Some(wait + TimeSpan(self.rng.random_range(0..spread.0)))
     }
 
-    /// Returns when the first of the runners that serve `model` ends its wait; none if one of
-    /// them does not wait.
+    /// Returns when the first of the runners that serve `model` accepts a call; none if one of
+    /// them does now.
     fn earliest_wait_end(
         &self,
         now: TimePoint,
@@ -39,15 +41,46 @@
         let runners = slots.iter().map(|slot| &self.runners[*slot]);
         let serving = runners.filter(|runner| runner.can_serve(model));
         let ends: Option<Vec<TimePoint>> =
-            serving.map(|runner: &RunnerView| runner.ramp.wait_end(now)).collect();
+            serving.map(|runner: &RunnerView| runner.next_call_at(now)).collect();
         ends?.into_iter().min()
     }
 
-    /// Returns whether every runner of the call waits, and none ends its wait early enough for
-    /// the call's first token.
-    pub(crate) fn waits_too_long(&self, now: TimePoint, record: &CallRecord) -> bool {
+    /// Returns the rate that the runners of a service that serve `model` take together; none if
+    /// one of them has no limit.
+    fn limited_rate(&self, service: &ServiceName, model: Option<&ModelName>) -> Option<f64> {
+        let slots = self.services.get(service).map_or(&[][..], |view| view.slots.as_slice());
+        let runners = slots.iter().map(|slot| &self.runners[*slot]);
+        let serving = runners.filter(|runner| runner.can_serve(model));
+        serving.map(|runner| runner.gate.rate().map(|rate| rate.0)).sum()
+    }
+
+    /// Returns the number of waiting calls that go before a new one where runners are limited; 0
+    /// elsewhere.
+    pub(crate) fn calls_ahead(&self, record: &CallRecord) -> usize {
+        let call = &record.call;
+        let is_limited = self.limited_rate(&call.service, call.model.as_ref()).is_some();
+        let queue = self.queues.get(&(call.service.clone(), call.model.clone()));
+        queue.filter(|_| is_limited).map_or(0, |queue| queue.calls_ahead(call.priority))
+    }
+
+    /// Returns when a call can be sent that waits behind `ahead` others; none if that is now, or
+    /// depends on more than waits and limits.
+    fn accepted_at(&self, now: TimePoint, record: &CallRecord, ahead: usize) -> Option<TimePoint> {
+        let call = &record.call;
+        let (service, model) = (&call.service, call.model.as_ref());
+        let first = self.earliest_wait_end(now, service, model);
+        let Some(rate) = self.limited_rate(service, model).filter(|_| ahead > 0) else {
+            return first;
+        };
+        let behind_others = TimeSpan::micros((ahead as f64 / rate * 1e6) as u64);
+        Some(first.unwrap_or(now) + behind_others)
+    }
+
+    /// Returns whether no runner accepts the call, which waits behind `ahead` others, early enough
+    /// for its first token, because of waits and limits.
+    pub(crate) fn waits_too_long(&self, now: TimePoint, record: &CallRecord, ahead: usize) -> bool {
         let call = &record.call;
-        let end = self.earliest_wait_end(now, &call.service, call.model.as_ref());
+        let end = self.accepted_at(now, record, ahead);
         let view = self.services.get(&call.service);
         let latency = view.map_or(TimeSpan::default(), ServiceView::first_token_latency);
         let due = call.first_token_target.unwrap_or(call.deadline).min(call.deadline);
@@ -64,10 +97,12 @@
                 continue;
             }
             let queue = &self.queues[&(service.clone(), model.clone())];
-            let is_late = |call: &CallId| {
-                self.calls.get(call).is_some_and(|record| self.waits_too_long(now, record))
+            let is_late = |(ahead, call): &(usize, CallId)| {
+                let record = self.calls.get(call);
+                record.is_some_and(|record| self.waits_too_long(now, record, *ahead))
             };
-            let calls: Vec<CallId> = queue.calls().filter(is_late).collect();
+            let calls: Vec<CallId> =
+                queue.calls().enumerate().filter(is_late).map(|(_, call)| call).collect();
             for call in calls {
                 let retry_after = self.wait_retry_after(now, &service, model.as_ref());
                 let retry_after = retry_after.unwrap_or_default();
--- a/crates/route/src/wait_queue.rs
+++ b/crates/route/src/wait_queue.rs
@@ -181,6 +181,12 @@
         self.work.range(..=priority).map(|(_, work)| *work).sum()
     }
 
+    /// Returns the number of waiting calls that go before a new one of this priority.
+    #[must_use]
+    pub fn calls_ahead(&self, priority: CallPriority) -> usize {
+        self.order.keys().filter(|key| !key.late && key.priority <= priority).count()
+    }
+
     /// Returns the number of waiting calls.
     #[must_use]
     pub fn len(&self) -> usize {
--- /dev/null
+++ b/crates/route/tests/runner_limits.rs
@@ -0,0 +1,115 @@
+//! Runners that take a limited rate of calls from this entry.
+
+mod common;
+
+use base::prelude::*;
+use common::{SchedulerHarness, call, id, report, runner};
+use config::CallPriority;
+use route::{RateGate, RouteAction, RouteCall, RouteEvent};
+
+fn at(millis: u64) -> TimePoint {
+    TimePoint::default() + TimeSpan::millis(millis)
+}
+
+fn limit(harness: &mut SchedulerHarness, number: usize, rate: Option<f64>) -> Vec<RouteAction> {
+    let rate = rate.map(RequestRate);
+    harness.tell(RouteEvent::RunnerLimit { runner: runner(number), rate })
+}
+
+fn due(harness: &SchedulerHarness, number: u64, millis: u64) -> RouteCall {
+    let target = harness.now + TimeSpan::millis(millis);
+    RouteCall { first_token_target: Some(target), ..call(number, CallPriority::Normal) }
+}
+
+fn sends_to(actions: &[RouteAction], number: usize) -> usize {
+    let is_send = |action: &&RouteAction| matches!(action, RouteAction::Send { runner: to, .. } if *to == runner(number));
+    actions.iter().filter(is_send).count()
+}
+
+#[test]
+fn a_gate_lets_calls_through_at_its_rate() {
+    let mut gate = RateGate::default();
+    assert!(gate.admits(at(0)));
+    gate.set_rate(at(0), Some(RequestRate(4.0)), 0.0);
+    assert_eq!(gate.next_call_at(at(0)), Some(at(250)));
+    let mut sent = Vec::new();
+    for millis in 0..2_000 {
+        if gate.admits(at(millis)) {
+            gate.record_sent(at(millis));
+            sent.push(millis);
+        }
+    }
+    assert_eq!(sent.len(), 7, "{sent:?}");
+    gate.set_rate(at(2_000), None, 0.0);
+    assert!(gate.admits(at(2_000)));
+}
+
+#[test]
+fn calls_are_not_saved_up_while_none_come() {
+    let mut gate = RateGate::default();
+    gate.set_rate(at(0), Some(RequestRate(2.0)), 0.5);
+    let now = at(60_000);
+    gate.record_sent(now);
+    assert!(!gate.admits(now));
+}
+
+#[test]
+fn calls_that_could_not_wait_are_made_up_for() {
+    let mut gate = RateGate::default();
+    gate.set_rate(at(0), Some(RequestRate(1.0)), 0.0);
+    gate.record_sent(at(0));
+    gate.record_sent(at(0));
+    assert_eq!(gate.next_call_at(at(0)), Some(at(3_000)));
+}
+
+#[test]
+fn a_limited_runner_gets_its_rate_and_the_others_the_rest() {
+    let mut harness = SchedulerHarness::new(2);
+    limit(&mut harness, 0, Some(2.0));
+    let (mut limited, mut other) = (0, 0);
+    for number in 1..=500 {
+        let actions = harness.arrive(call(number, CallPriority::Normal));
+        limited += sends_to(&actions, 0);
+        other += sends_to(&actions, 1);
+        harness.advance(TimeSpan::millis(20));
+    }
+    assert_eq!(limited + other, 500);
+    assert!((10..=21).contains(&limited), "{limited}");
+}
+
+#[test]
+fn calls_beyond_the_limits_of_all_runners_are_refused_at_once_with_a_time() {
+    let mut harness = SchedulerHarness::new(2);
+    limit(&mut harness, 0, Some(2.0));
+    limit(&mut harness, 1, Some(3.0));
+    let mut waiting = 0;
+    let mut named = Vec::new();
+    for number in 1..=40 {
+        let arrived = due(&harness, number, 1_000);
+        match harness.arrive(arrived)[..] {
+            [RouteAction::Refuse { reason: RefusalReason::RunnersWait, retry_after, .. }] => {
+                named.push(retry_after);
+            }
+            ref actions => waiting += 1 - sends_to(actions, 0) - sends_to(actions, 1),
+        }
+    }
+    // Five calls a second are taken, and a call waits for a second at most.
+    assert!((3..=6).contains(&waiting), "{waiting}");
+    assert!(named.len() >= 32, "{}", named.len());
+    assert!(named.iter().all(|wait| *wait > TimeSpan::default()));
+}
+
+#[test]
+fn a_limited_runner_keeps_no_copies() {
+    let mut harness = SchedulerHarness::new(2);
+    harness.report(report(0, 0, 0));
+    harness.report(report(1, 0, 0));
+    let actions = harness.arrive(call(1, CallPriority::Normal));
+    let other = usize::from(sends_to(&actions, 0) == 1);
+    let now = harness.now;
+    assert_eq!(harness.scheduler.choose_backup(now, id(1)), Some(runner(other)));
+    limit(&mut harness, other, Some(50.0));
+    assert_eq!(harness.scheduler.choose_backup(now, id(1)), None);
+    limit(&mut harness, other, None);
+    assert_eq!(harness.scheduler.choose_backup(now, id(1)), Some(runner(other)));
+}
--- a/crates/serving/src/retry_budget.rs
+++ b/crates/serving/src/retry_budget.rs
@@ -58,6 +58,15 @@
         counts.requests.push_back(now);
     }
 
+    /// Number of requests for a service within the window.
+    #[must_use]
+    pub fn recent_requests(&self, now: TimePoint, service: &ServiceName) -> u32 {
+        let window = self.settings.window;
+        let requests = self.services.get(service).map(|counts| &counts.requests);
+        let recent = requests.into_iter().flatten().filter(|at| now.since(**at) < window);
+        u32::try_from(recent.count()).unwrap_or(u32::MAX)
+    }
+
     /// Reserves one retry if this node's share allows it; the slack is split evenly over
     /// `nodes`. Returns whether the retry may be sent.
     pub fn try_acquire(&mut self, now: TimePoint, service: &ServiceName, nodes: usize) -> bool {
--- a/crates/serving/tests/peer_codec.rs
+++ b/crates/serving/tests/peer_codec.rs
@@ -6,8 +6,9 @@
 use proptest::prelude::*;
 use route::MemoryForecast;
 use serving::{
-    CrashReport, MESSAGE_VERSION, MessageError, PartNews, PeerHeartbeat, PeerMessage, RunnerChange,
-    RunnerIncarnation, RunnerLoad, RunnerUpdate, TimedPart, decode_message, encode_message,
+    CrashReport, LimitNews, LimitReport, MESSAGE_VERSION, MessageError, PartNews, PeerHeartbeat,
+    PeerMessage, RunnerChange, RunnerIncarnation, RunnerLoad, RunnerUpdate, ServiceDemand,
+    TimedPart, decode_message, encode_message,
 };
 
 fn part_news() -> PartNews {
@@ -21,6 +22,15 @@
     }
 }
 
+fn limit_news() -> LimitNews {
+    let runner = RunnerIncarnation { runner: "runner-2".parse().unwrap(), started_unix_ms: 9 };
+    let limit = Some(RequestRate(3.5));
+    LimitNews {
+        limits: vec![LimitReport { runner, limit, left: TimeSpan::seconds(2) }],
+        demands: vec![ServiceDemand { service: "desk".parse().unwrap(), requests: 40 }],
+    }
+}
+
 fn message() -> PeerMessage {
     let address: SocketAddr = "10.0.0.1:7200".parse().unwrap();
     let forecast = MemoryForecast {
@@ -45,6 +55,7 @@
         waiting_services: vec!["llm".parse().unwrap()],
         leaving: Vec::new(),
         part_news: part_news(),
+        limit_news: limit_news(),
     }))
 }
 
