--- a/crates/node/src/runner_gate.rs
+++ b/crates/node/src/runner_gate.rs
@@ -119,7 +119,9 @@
 /// Takes what another node knows about limits of runners. Returns whether one has changed.
 pub fn apply_limit_news(context: &NodeContext, vm: &VmId, news: LimitNews) -> bool {
     let changes = context.limits.borrow_mut().apply_news(context.now(), vm, news);
-    changes.iter().for_each(|change| log_limit(context, change, "node"));
+    for change in &changes {
+        log_limit(context, change, "node");
+    }
     !changes.is_empty()
 }
 
