Bound the memory that answers without end take together

A node read up to 8 MiB of each answer, 32 MiB before it gave up one that was too long, 64 MiB of a report, and 1 MiB of an event of each stream: with 12 bookings at such a runner its peak was 108 MiB, where the smallest machines have 88; there the process is killed and all its callers are cut. Cause: limits on each body, none on all of them.

A body over its limit is not read on.

Tests (node_endless_bytes): bytes without end from the start, in a header, in a body with and without chunks, for bookings, streams, look-ups and reports.

--- a/crates/fakes/src/platform/mod.rs
+++ b/crates/fakes/src/platform/mod.rs
@@ -1,10 +1,12 @@
 //! Stand-ins for the users' platform: its store and its runners, by their published pages.
 
+mod endless_bytes;
 mod runner_fake;
 mod runner_request;
 mod store_fake;
 mod stream_memory;
 
+pub use endless_bytes::EndlessBytes;
 pub use runner_fake::{RunnerFake, RunnerFakeSettings, RunnerScript, RunnerVisit};
 pub use runner_request::RunnerRequest;
 pub use store_fake::{StoreCopy, StoreFake, StoreFault};
--- a/crates/fakes/src/platform/runner_fake.rs
+++ b/crates/fakes/src/platform/runner_fake.rs
@@ -13,6 +13,7 @@
 use kernel::{StopSignal, spawn};
 use serde_json::{Value, json};
 
+use super::endless_bytes::EndlessBytes;
 use super::runner_request::{RunnerRequest, write};
 use super::stream_memory::StreamMemory;
 use crate::{FakeError, Result};
@@ -117,6 +118,8 @@
     rushes: Cell<bool>,
     /// Part of a prompt at which it crashes as it begins to answer.
     crash_part: RefCell<Option<String>>,
+    /// Bytes without end with which it answers all requests.
+    endless: Cell<Option<EndlessBytes>>,
     /// New connections are accepted.
     accepts: Cell<bool>,
     /// Connections that fill the queue of the listener.
@@ -156,6 +159,7 @@
             moves_refused: Cell::default(),
             rushes: Cell::default(),
             crash_part: RefCell::default(),
+            endless: Cell::default(),
             accepts: Cell::new(true),
             held: RefCell::default(),
             crashed: StopSignal::new(),
@@ -262,6 +266,11 @@
         self.state.crashed.raise();
     }
 
+    /// It answers all requests with bytes that do not end.
+    pub fn answer_without_end(&self, bytes: EndlessBytes) {
+        self.state.endless.set(Some(bytes));
+    }
+
     /// It crashes as it begins to answer a prompt with this part.
     pub fn crash_on(&self, part: &str) {
         *self.state.crash_part.borrow_mut() = Some(part.to_owned());
@@ -332,6 +341,9 @@
 
 async fn serve(mut stream: TcpStream, state: Rc<RunnerState>) {
     while let Some(request) = RunnerRequest::read(&mut stream).await {
+        if let Some(endless) = state.endless.get() {
+            return answer_without_end(&mut stream, &state, request, endless).await;
+        }
         let go_on = match request.path.as_str() {
             "/api/kv-move" => answer_move(&mut stream, &state, &request).await,
             "/api/report" => answer_report(&mut stream, &state).await,
@@ -343,6 +355,20 @@
     }
 }
 
+async fn answer_without_end(
+    stream: &mut TcpStream,
+    state: &RunnerState,
+    request: RunnerRequest,
+    endless: EndlessBytes,
+) {
+    let mut signed = state.signature(request.header("x-dotterelyard-attempt-id"));
+    if request.headers.contains_key("x-dotterelyard-model") {
+        signed += "Content-Type: text/event-stream\r\n";
+    }
+    state.visits.borrow_mut().push(RunnerVisit { request, ran: true, at: Instant::now() });
+    endless.write_to(stream, &signed).await;
+}
+
 async fn answer_report(stream: &mut TcpStream, state: &RunnerState) -> bool {
     let word = if state.leaving.get() { "draining" } else { "ready" };
     let report = json!({ "phase": "mixed", "active": state.working.get(), "state": word });
--- a/crates/harness/src/node_process.rs
+++ b/crates/harness/src/node_process.rs
@@ -62,6 +62,24 @@
         parsed.filter(|line| line["event"] == name).collect()
     }
 
+    /// The most memory that it has had resident, in bytes.
+    ///
+    /// # Errors
+    /// If the system does not tell.
+    pub fn peak_memory(&self) -> Result<u64> {
+        /// Bytes in the unit of the figure.
+        const UNIT_BYTES: u64 = 1_024;
+        let path = format!("/proc/{}/status", self.child.id());
+        let status = std::fs::read_to_string(&path).map_err(|source| HarnessError::Io {
+            step: "read",
+            what: path,
+            source,
+        })?;
+        let figure = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let units = figure.and_then(|text| text.split_whitespace().next()?.parse::<u64>().ok());
+        units.map(|units| units * UNIT_BYTES).ok_or(HarnessError::Waited("peak memory".to_owned()))
+    }
+
     /// Replaces the settings file.
     ///
     /// # Errors
--- /dev/null
+++ b/crates/harness/tests/node_endless_bytes.rs
@@ -0,0 +1,127 @@
+//! Runners that send bytes which are no answer and do not end until the caller closes.
+
+use std::time::{Duration, Instant};
+
+use fakes::platform::{EndlessBytes, RunnerFakeSettings, StoreFault};
+use futures_util::future::join_all;
+use harness::{CallerRequest, NodeFleet, WholeAnswer};
+
+/// Calls of each kind that come at once.
+const CALLS: usize = 12;
+/// Memory that a node may have on the smallest machines (`limits.memoryMb`), in bytes.
+const MEMORY_BYTES: u64 = 88 << 20;
+/// Time in which a call has to end that a runner answers with bytes without end: well before its
+/// deadline of 8 s.
+const END_LIMIT: Duration = Duration::from_secs(4);
+
+/// Sends calls together, and gives their answers with the time that each took.
+async fn send_all(
+    fleet: &NodeFleet,
+    make: impl Fn(&str) -> CallerRequest,
+) -> Vec<(WholeAnswer, Duration)> {
+    let sends = (0..CALLS).map(|number| {
+        let request = make(&format!("c{number}"));
+        async move {
+            let sent = Instant::now();
+            let answer = fleet.send(0, &request).await;
+            (answer, sent.elapsed())
+        }
+    });
+    join_all(sends).await
+}
+
+/// Plays calls to a runner that answers without end, with a sound runner beside it if `beside`.
+async fn play(
+    service: &str,
+    endless: EndlessBytes,
+    beside: bool,
+    make: impl Fn(&str) -> CallerRequest,
+) -> Vec<(WholeAnswer, Duration)> {
+    let mut fleet = NodeFleet::start().await.unwrap();
+    let bad = fleet.add_runner(service, RunnerFakeSettings::new("bad")).await.unwrap();
+    let mut sound = None;
+    if beside {
+        sound = Some(fleet.add_runner(service, RunnerFakeSettings::new("sound")).await.unwrap());
+    }
+    fleet.add_node().unwrap();
+    fleet.wait_ready().await.unwrap();
+    bad.answer_without_end(endless);
+    let answers = send_all(&fleet, make).await;
+    let peak = fleet.nodes[0].peak_memory().unwrap();
+    assert!(peak <= MEMORY_BYTES, "{endless:?}: {} MiB", peak >> 20);
+    assert!(bad.runs() > 0, "{endless:?}: no call reached the runner");
+    drop(sound);
+    answers
+}
+
+fn assert_ended(endless: EndlessBytes, answers: &[(WholeAnswer, Duration)]) {
+    for (answer, took) in answers {
+        assert!(*took < END_LIMIT, "{endless:?}: {took:?}, status {}", answer.status);
+        let is_whole = answer.status == 200 && answer.complete;
+        assert!(!is_whole, "{endless:?}: {} bytes look whole", answer.text.len());
+        assert_ne!(answer.status, 503, "{endless:?}: it may have run");
+    }
+}
+
+#[test]
+fn bookings_answered_without_end_are_given_up_within_the_memory_of_a_node() {
+    kernel::run(async {
+        for endless in EndlessBytes::ALL {
+            let answers = play("desk", endless, false, CallerRequest::booking).await;
+            assert_ended(endless, &answers);
+        }
+    })
+    .unwrap();
+}
+
+#[test]
+fn streams_answered_without_end_are_given_up_within_the_memory_of_a_node() {
+    kernel::run(async {
+        for endless in EndlessBytes::ALL {
+            let answers = play("llm", endless, false, CallerRequest::stream).await;
+            assert_ended(endless, &answers);
+        }
+    })
+    .unwrap();
+}
+
+#[test]
+fn look_ups_answered_without_end_go_on_at_another_runner() {
+    kernel::run(async {
+        for endless in EndlessBytes::ALL {
+            let answers = play("desk", endless, true, CallerRequest::lookup).await;
+            let served = answers.iter().filter(|(answer, _)| answer.status == 200).count();
+            assert!(served >= CALLS / 2, "{endless:?}: {served} of {CALLS}");
+            let statuses: Vec<u16> = answers.iter().map(|(answer, _)| answer.status).collect();
+            assert!(answers.iter().all(|(_, took)| *took < END_LIMIT), "{endless:?}: {statuses:?}");
+        }
+    })
+    .unwrap();
+}
+
+#[test]
+fn a_report_without_end_does_not_take_the_memory_of_a_node() {
+    kernel::run(async {
+        for endless in EndlessBytes::ALL {
+            let mut fleet = NodeFleet::start().await.unwrap();
+            let mut settings = RunnerFakeSettings::new("llm-1");
+            settings.events = 400;
+            let runner = fleet.add_runner("llm", settings).await.unwrap();
+            fleet.add_node().unwrap();
+            fleet.wait_ready().await.unwrap();
+            // A stream runs when the list of runners grows old, so that its runner is polled.
+            let request = CallerRequest::stream("s1");
+            let (answer, ()) = futures_util::join!(fleet.send(0, &request), async {
+                compio::time::sleep(Duration::from_millis(300)).await;
+                runner.answer_without_end(endless);
+                fleet.store.set_fault(StoreFault::Silent);
+            });
+            assert_eq!((answer.status, answer.complete), (200, true), "{endless:?}");
+            let polled = runner.visits().iter().any(|visit| visit.request.path == "/api/report");
+            assert!(polled, "{endless:?}");
+            let peak = fleet.nodes[0].peak_memory().unwrap();
+            assert!(peak <= MEMORY_BYTES, "{endless:?}: {} MiB", peak >> 20);
+        }
+    })
+    .unwrap();
+}
--- a/crates/node/src/call.rs
+++ b/crates/node/src/call.rs
@@ -10,7 +10,7 @@
 use route::{CallId, RouteCall};
 use serving::{PlanVersion, RouteRule};
 
-use crate::context::BodyReservation;
+use crate::memory_pool::MemoryReservation;
 
 /// A request that can be sent to a runner.
 pub struct Call {
@@ -43,7 +43,7 @@
     /// The whole body.
     pub body: Bytes,
     /// Memory reserved for the body.
-    pub _reservation: BodyReservation,
+    pub _reservation: MemoryReservation,
     /// When the request arrived.
     pub arrived: TimePoint,
     /// The earlier of the caller's deadline and the route's timeout.
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -12,9 +12,14 @@
 };
 use settings::NodeSettings;
 
+use crate::memory_pool::{MemoryPool, MemoryReservation};
 use crate::metrics::NodeMetrics;
 use crate::state_transfer::EncodedPlan;
 
+/// The bodies of requests, and the answers of runners, may each take one part in this many of the
+/// process's memory.
+const BODY_SHARE_DIVISOR: usize = 4;
+
 /// Shared state of a node. Several services read it; each part has one writer.
 pub struct NodeContext {
     /// Process settings as read at the start.
@@ -57,8 +62,10 @@
     pub stop: StopSignal,
     /// Number of callers' requests in progress.
     pub active_requests: Cell<usize>,
-    /// Bytes reserved for the bodies of these requests.
-    reserved_body_bytes: Cell<usize>,
+    /// Memory for the bodies of these requests.
+    request_memory: Rc<MemoryPool>,
+    /// Memory for answers of runners that are read completely.
+    answer_memory: Rc<MemoryPool>,
     /// Signals the router that an answer has changed what is known about a runner.
     runner_changes: RefCell<mpsc::Sender<()>>,
     clock: MonotonicClock,
@@ -70,6 +77,7 @@
     pub fn new(settings: NodeSettings, runner_changes: mpsc::Sender<()>) -> Rc<Self> {
         let clock = MonotonicClock::new();
         let budget = RetryBudget::new(retry_budget_settings(&settings), clock.now());
+        let body_bytes = (settings.memory_mb as usize * (1 << 20)) / BODY_SHARE_DIVISOR;
         Rc::new(Self {
             incarnation: VmIncarnation(rand::random()),
             metrics: NodeMetrics::new(),
@@ -90,7 +98,8 @@
             retry_budget: RefCell::new(budget),
             stop: StopSignal::new(),
             active_requests: Cell::default(),
-            reserved_body_bytes: Cell::default(),
+            request_memory: MemoryPool::new(body_bytes),
+            answer_memory: MemoryPool::new(body_bytes),
             runner_changes: RefCell::new(runner_changes),
             settings,
             clock,
@@ -205,14 +214,15 @@
     ///
     /// Returns `None` if the reserved bodies would exceed their share of the process's memory.
     #[must_use]
-    pub fn reserve_body(self: &Rc<Self>, bytes: usize) -> Option<BodyReservation> {
-        /// Bodies may take one part in this many of the process's memory.
-        const BODY_SHARE_DIVISOR: usize = 4;
-        let limit = (self.settings.memory_mb as usize * (1 << 20)) / BODY_SHARE_DIVISOR;
-        let reserved =
-            self.reserved_body_bytes.get().checked_add(bytes).filter(|sum| *sum <= limit)?;
-        self.reserved_body_bytes.set(reserved);
-        Some(BodyReservation { context: Rc::clone(self), bytes })
+    pub fn reserve_body(&self, bytes: usize) -> Option<MemoryReservation> {
+        let mut reservation = self.request_memory.open();
+        reservation.grow_to(bytes).then_some(reservation)
+    }
+
+    /// A reservation for an answer of a runner, which grows as the answer is read.
+    #[must_use]
+    pub fn open_answer(&self) -> MemoryReservation {
+        self.answer_memory.open()
     }
 
     /// Counts a request as in progress until the returned guard is dropped.
@@ -222,18 +232,6 @@
     }
 }
 
-/// Memory reserved for a request's body; released when dropped.
-pub struct BodyReservation {
-    context: Rc<NodeContext>,
-    bytes: usize,
-}
-
-impl Drop for BodyReservation {
-    fn drop(&mut self) {
-        self.context.reserved_body_bytes.set(self.context.reserved_body_bytes.get() - self.bytes);
-    }
-}
-
 /// Counts one request in progress; uncounted when dropped.
 pub struct RequestGuard {
     context: Rc<NodeContext>,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -14,6 +14,7 @@
 mod follow_nodes;
 mod follow_runners;
 mod lookups;
+mod memory_pool;
 mod metrics;
 mod part_watch;
 mod peer_link;
--- a/crates/node/src/stream_call.rs
+++ b/crates/node/src/stream_call.rs
@@ -146,7 +146,7 @@
     let exchange = send_to_runner(context, call, plan, left).await?;
     if !is_stream(&exchange) {
         let left = call.deadline.since(context.now());
-        return read_full_answer(exchange, left).await.map(RunnerAnswer::Full);
+        return read_full_answer(context, exchange, left).await.map(RunnerAnswer::Full);
     }
     let mut head = Response::new(());
     *head.status_mut() = exchange.response.status();
--- a/crates/serving/src/stream_scan.rs
+++ b/crates/serving/src/stream_scan.rs
@@ -2,8 +2,9 @@
 
 use thiserror::Error;
 
-/// Maximum size of an event, in bytes.
-const MAX_EVENT_BYTES: usize = 1 << 20;
+/// Maximum size of an event, in bytes. An event holds a few tokens; a node holds the incomplete
+/// event of each of its streams.
+const MAX_EVENT_BYTES: usize = 64 << 10;
 
 /// A malformed event stream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
@@ -19,7 +20,7 @@
         /// Id of the offending event.
         found: u64,
     },
-    /// An event is larger than 1 MiB.
+    /// An event is larger than 64 KiB.
     #[error("event is larger than {MAX_EVENT_BYTES} bytes")]
     TooLong,
 }
--- a/crates/web/src/body.rs
+++ b/crates/web/src/body.rs
@@ -57,6 +57,29 @@
     Ok(Bytes::from(bytes))
 }
 
+/// Reads a complete body for as long as `admit` accepts its length so far, in bytes. The rest of
+/// a body that is not accepted is not read.
+///
+/// # Errors
+/// [`WebError::Body`] if the body cannot be read to its end, and the errors of `admit`.
+pub async fn read_admitted(
+    step: &'static str,
+    mut body: Incoming,
+    mut admit: impl FnMut(usize) -> Result<()>,
+) -> Result<Bytes> {
+    /// Largest size for which a declared length is relied on, in bytes.
+    const MAX_FIRST_CAPACITY: usize = 64 << 10;
+    let declared_length = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
+    let mut bytes = Vec::with_capacity(declared_length.min(MAX_FIRST_CAPACITY));
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|source| WebError::Body { step, source })?;
+        let Ok(chunk) = frame.into_data() else { continue };
+        admit(bytes.len() + chunk.len())?;
+        bytes.extend_from_slice(&chunk);
+    }
+    Ok(Bytes::from(bytes))
+}
+
 /// Reads a complete body of at most `limit` bytes, for as long as parts of it arrive at least
 /// every `stall_timeout`.
 ///
--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -20,7 +20,7 @@
 use crate::{Result, WebError};
 
 /// Maximum size of a response body that [`fetch`] accepts, in bytes.
-const MAX_FETCH_BYTES: usize = 64 << 20;
+pub const MAX_FETCH_BYTES: usize = 64 << 20;
 /// Maximum length of the part of an error body that is kept, in characters.
 const MAX_ERROR_TEXT_CHARS: usize = 300;
 
@@ -191,10 +191,12 @@
     limit: TimeSpan,
 ) -> Result<Bytes> {
     let limit = FetchLimit::Whole(limit);
-    fetch_answer(step, method, peer, path, body, limit).await?.check_status(step, peer)
+    let answer = fetch_answer(step, method, peer, path, body, limit, MAX_FETCH_BYTES).await?;
+    answer.check_status(step, peer)
 }
 
-/// Like [`fetch`], but returns the head too, also that of an error status.
+/// Like [`fetch`], but returns the head too, also that of an error status, and accepts a body of
+/// at most `max_bytes`.
 ///
 /// # Errors
 /// [`WebError::TooLong`] and [`WebError::Body`] for the body, and all errors of [`send_once`].
@@ -205,6 +207,7 @@
     path: &str,
     body: Bytes,
     limit: FetchLimit,
+    max_bytes: usize,
 ) -> Result<WebAnswer> {
     let request = Request::builder()
         .method(method)
@@ -217,9 +220,9 @@
         let response = send_once(peer, request, until_head, until_head).await?;
         let (head, body) = response.into_parts();
         let bytes = match limit {
-            FetchLimit::Whole(_) => read_bounded(step, body, MAX_FETCH_BYTES).await?,
+            FetchLimit::Whole(_) => read_bounded(step, body, max_bytes).await?,
             FetchLimit::Steady { stall, .. } => {
-                read_steadily(step, peer, body, MAX_FETCH_BYTES, stall).await?
+                read_steadily(step, peer, body, max_bytes, stall).await?
             }
         };
         Ok(WebAnswer { status: head.status, headers: head.headers, bytes })
--- a/crates/web/src/error.rs
+++ b/crates/web/src/error.rs
@@ -56,6 +56,12 @@
         /// The limit, in bytes.
         limit: usize,
     },
+    /// There is no memory left for a body.
+    #[error("{step}: no memory left for the body")]
+    MemoryFull {
+        /// The step that failed.
+        step: &'static str,
+    },
     /// A body could not be read to its end.
     #[error("{step}: body ended early: {source}")]
     Body {
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -9,10 +9,10 @@
 mod server;
 mod sse;
 
-pub use body::{WebBody, full_body, read_bounded, read_steadily, stream_body};
+pub use body::{WebBody, full_body, read_admitted, read_bounded, read_steadily, stream_body};
 pub use client::{
-    ConnectionTask, FetchLimit, WebAnswer, WebConnection, WebExchange, fetch, fetch_answer,
-    fetch_json, open_exchange, post_json, send_once,
+    ConnectionTask, FetchLimit, MAX_FETCH_BYTES, WebAnswer, WebConnection, WebExchange, fetch,
+    fetch_answer, fetch_json, open_exchange, post_json, send_once,
 };
 pub use closer::ConnectionCloser;
 pub use error::{Result, SendFault, WebError};
