End a response whose head does not end

A runner that sends interim responses without end kept the whole node busy: the HTTP library reads them for as long as they arrive, and lets no other task run. Callers had no answer after 30 s, and a stream of another runner stood still. Cause: the library bounds a head, not the number of heads before the final one. Class: one peer's input without a bound on the work that it makes.

Tests: the fifth kind of node_endless_bytes, interim answers, failed for streams and reports before; all kinds pass now. The other kinds did not show it.

--- a/crates/fakes/src/platform/endless_bytes.rs
+++ b/crates/fakes/src/platform/endless_bytes.rs
@@ -27,7 +27,8 @@
 
 impl EndlessBytes {
     /// All of them.
-    pub const ALL: [Self; 4] = [Self::Start, Self::Header, Self::Body, Self::ChunkedBody];
+    pub const ALL: [Self; 5] =
+        [Self::Start, Self::Header, Self::Body, Self::ChunkedBody, Self::Interim];
 
     /// Writes until the peer closes; `signed` are the headers of a sound answer.
     pub(super) async fn write_to(self, stream: &mut TcpStream, signed: &str) {
--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -17,6 +17,7 @@
 use serde::de::DeserializeOwned;
 
 use crate::body::{WebBody, full_body, read_bounded, read_steadily};
+use crate::bounded_head::{BoundedHead, HeadLimit};
 use crate::{Result, WebError};
 
 /// Maximum size of a response body that [`fetch`] accepts, in bytes.
@@ -119,10 +120,11 @@
             .map_err(|source| WebError::Request { step: "host header", source: source.into() })?;
         request.headers_mut().insert(HOST, host);
     }
-    let (mut sender, connection) =
-        hyper::client::conn::http1::handshake(HyperStream::new_plain(stream))
-            .await
-            .map_err(|source| WebError::Exchange { step: "handshake", peer, source })?;
+    let head_limit = HeadLimit::new();
+    let stream = BoundedHead::new(HyperStream::new_plain(stream), head_limit.clone());
+    let (mut sender, connection) = hyper::client::conn::http1::handshake(stream)
+        .await
+        .map_err(|source| WebError::Exchange { step: "handshake", peer, source })?;
     let task = spawn(async move {
         // An error in mid-body is also reported to the reader of the body.
         let _ = connection.await;
@@ -132,6 +134,7 @@
         .await
         .map_err(|_| WebError::Deadline { step: "request", peer })?
         .map_err(|source| WebError::Exchange { step: "request", peer, source })?;
+    head_limit.end();
     Ok(WebExchange { response, connection })
 }
 
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -2,6 +2,7 @@
 //! client that never retries, and server-sent events.
 
 mod body;
+mod bounded_head;
 mod client;
 mod closer;
 mod error;
