Keep blocked parts of prompts in the store, for a fault that ends all nodes

Blocked parts lived in the nodes only. The node that sees the crash that blocks a part writes it to a topic of its own, each node reads the topic once at its start, and the node that sees an answer which clears the part removes it.

--- a/crates/harness/tests/node_crashing_parts.rs
+++ b/crates/harness/tests/node_crashing_parts.rs
@@ -131,6 +131,31 @@
     .unwrap();
 }
 
+#[test]
+fn a_part_that_crashes_runners_is_known_after_all_nodes_were_killed_at_once() {
+    kernel::run(async {
+        let mut crashing = CrashingFleet::start(NODES).await;
+        crashing.crash_runners().await;
+        wait_until("the part to be stored", LIMIT, async || {
+            crashing.fleet.store.keys("keyed.parts").contains(&CRASHING.to_owned()).then_some(())
+        })
+        .await
+        .unwrap();
+        crashing.fleet.nodes.clear();
+        for _ in 0..NODES {
+            crashing.fleet.add_node().unwrap();
+        }
+        crashing.fleet.wait_ready().await.unwrap();
+        let before = crashing.visits(CRASHING);
+        for _ in 0..2 * NODES {
+            assert_eq!(crashing.send(CRASHING).await.status, 503);
+            assert_eq!(crashing.send(SOUND).await.status, 200);
+        }
+        assert_eq!(crashing.visits(CRASHING), before);
+    })
+    .unwrap();
+}
+
 #[test]
 fn a_prompt_whose_part_is_known_to_crash_runners_is_refused_with_that_reason() {
     kernel::run(async {
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -68,13 +68,19 @@
     answer_memory: Rc<MemoryPool>,
     /// Signals the router that an answer has changed what is known about a runner.
     runner_changes: RefCell<mpsc::Sender<()>>,
+    /// Signals that blocked parts of prompts have changed.
+    part_changes: RefCell<mpsc::Sender<()>>,
     clock: MonotonicClock,
 }
 
 impl NodeContext {
     /// Creates the state of a node that has just started.
     #[must_use]
-    pub fn new(settings: NodeSettings, runner_changes: mpsc::Sender<()>) -> Rc<Self> {
+    pub fn new(
+        settings: NodeSettings,
+        runner_changes: mpsc::Sender<()>,
+        part_changes: mpsc::Sender<()>,
+    ) -> Rc<Self> {
         let clock = MonotonicClock::new();
         let budget = RetryBudget::new(retry_budget_settings(&settings), clock.now());
         let body_bytes = (settings.memory_mb as usize * (1 << 20)) / BODY_SHARE_DIVISOR;
@@ -101,6 +107,7 @@
             request_memory: MemoryPool::new(body_bytes),
             answer_memory: MemoryPool::new(body_bytes),
             runner_changes: RefCell::new(runner_changes),
+            part_changes: RefCell::new(part_changes),
             settings,
             clock,
         })
@@ -130,6 +137,12 @@
         let _ = self.runner_changes.borrow_mut().try_send(());
     }
 
+    /// Signals that blocked parts of prompts have changed.
+    pub fn signal_part_change(&self) {
+        // A full channel already holds a signal.
+        let _ = self.part_changes.borrow_mut().try_send(());
+    }
+
     /// Version of the active configuration.
     #[must_use]
     pub fn plan_version(&self) -> Option<PlanVersion> {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -16,6 +16,7 @@
 mod lookups;
 mod memory_pool;
 mod metrics;
+mod part_store;
 mod part_watch;
 mod peer_link;
 mod peer_server;
--- /dev/null
+++ b/crates/node/src/part_store.rs
@@ -0,0 +1,113 @@
+//! Blocked parts of prompts in the store, so that they outlast a fault that ends all nodes.
+//!
+//! Load pattern: all nodes are killed at once while requests with a part that crashes runners
+//! still come. Without the store each of them would have to be learned anew by crashes.
+
+use std::rc::Rc;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use base::prelude::*;
+use futures_channel::mpsc;
+use futures_util::StreamExt;
+use platform::{KeyedChange, PartRecord, StoreClient, StoreTopic};
+
+use crate::context::NodeContext;
+use crate::dependency::DependencyState;
+use crate::part_watch::log_part_changes;
+
+/// Pause after a failed exchange with the store.
+const RETRY_PAUSE: TimeSpan = TimeSpan::seconds(1);
+
+/// Reads the blocked parts once, then writes those that this node blocks or clears until the
+/// process ends.
+pub async fn keep_parts(
+    context: Rc<NodeContext>,
+    client: StoreClient,
+    mut changes: mpsc::Receiver<()>,
+) {
+    let dependency = DependencyState::new("store: parts");
+    while let Err(error) = load_parts(&context, &client).await {
+        dependency.record_failure(&error);
+        context.metrics.store_failures.inc();
+        kernel::sleep(RETRY_PAUSE.into()).await;
+    }
+    dependency.record_success();
+    while changes.next().await.is_some() {
+        while let Err(error) = store_parts(&context, &client).await {
+            dependency.record_failure(&error);
+            context.metrics.store_failures.inc();
+            kernel::sleep(RETRY_PAUSE.into()).await;
+        }
+        dependency.record_success();
+    }
+}
+
+async fn load_parts(context: &NodeContext, client: &StoreClient) -> platform::Result<()> {
+    let listing = match client.list(StoreTopic::Parts).await {
+        Ok(listing) => listing,
+        // The topic does not exist before its first record.
+        Err(error) if error.is_not_found() => return Ok(()),
+        Err(error) => return Err(error),
+    };
+    for change in &listing.entries {
+        if let Some((part, until)) = decode_part(context, change) {
+            context.parts.borrow_mut().load_block(context.now(), until, &part);
+        }
+    }
+    log_part_changes(context, "store");
+    Ok(())
+}
+
+/// A stored part and the end of its block; `None` if the record is malformed.
+fn decode_part(context: &NodeContext, change: &KeyedChange) -> Option<(PromptPart, TimePoint)> {
+    let value = change.value.as_ref()?;
+    let (Ok(part), Ok(record)) = (change.key.parse(), PartRecord::decode(value)) else {
+        tracing::debug!(event = "record_skipped", topic = "parts", key = %change.key);
+        return None;
+    };
+    let left = TimeSpan::millis(record.until_unix_ms.saturating_sub(unix_millis()));
+    Some((part, context.now() + left))
+}
+
+/// Writes what this node has blocked or cleared; keeps what could not be written.
+async fn store_parts(context: &NodeContext, client: &StoreClient) -> platform::Result<()> {
+    let mut unstored = context.parts.borrow_mut().take_unstored();
+    while let Some((part, until)) = unstored.pop_first() {
+        if let Err(error) = store_part(context, client, &part, until).await {
+            unstored.insert(part, until);
+            let mut parts = context.parts.borrow_mut();
+            for (part, until) in unstored {
+                parts.return_unstored(part, until);
+            }
+            return Err(error);
+        }
+    }
+    Ok(())
+}
+
+async fn store_part(
+    context: &NodeContext,
+    client: &StoreClient,
+    part: &PromptPart,
+    until: Option<TimePoint>,
+) -> platform::Result<()> {
+    let left = until.map(|until| until.since(context.now()).as_millis());
+    let record = left.map(|left| PartRecord { until_unix_ms: unix_millis() + left });
+    let value = match record.map(PartRecord::encode).transpose() {
+        Ok(value) => value.unwrap_or_default(),
+        Err(error) => {
+            tracing::error!(event = "part_not_stored", %part, %error);
+            return Ok(());
+        }
+    };
+    client.set(StoreTopic::Parts, part.as_str(), &value).await?;
+    tracing::info!(event = "part_stored", %part, blocked = until.is_some());
+    Ok(())
+}
+
+/// The time of day in Unix milliseconds. It may be wrong by seconds, which the length of a block
+/// allows for.
+fn unix_millis() -> u64 {
+    let elapsed = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/node/src/part_watch.rs
+++ b/crates/node/src/part_watch.rs
@@ -42,7 +42,7 @@
 pub fn record_answer(context: &NodeContext, call: &Call) {
     let parts = &call.head.shared_parts;
     let is_news = context.parts.borrow_mut().record_answer(context.now(), parts);
-    log_changes(context);
+    log_part_changes(context, "answer");
     if is_news {
         context.signal_runner_change();
     }
@@ -84,7 +84,7 @@
     }
     let incarnation = runner.incarnation();
     let is_news = context.parts.borrow_mut().record_crash(context.now(), &incarnation, parts);
-    log_changes(context);
+    log_part_changes(context, "crash");
     if is_news {
         context.signal_runner_change();
     }
@@ -93,20 +93,23 @@
 /// Takes what another node knows about parts of prompts.
 pub fn apply_part_news(context: &NodeContext, news: &PartNews) {
     let is_contested = context.parts.borrow_mut().apply_news(context.now(), news);
-    log_changes(context);
+    log_part_changes(context, "node");
     if is_contested {
         context.signal_runner_change();
     }
 }
 
-fn log_changes(context: &NodeContext) {
+/// Logs what has changed in the table of parts, and has it written to the store. `source` is what the
+/// change is due to.
+pub fn log_part_changes(context: &NodeContext, source: &str) {
     for change in context.parts.borrow_mut().take_changes() {
         match change {
             PartChange::Blocked { part, crashes } => {
                 context.metrics.parts_blocked.inc();
-                tracing::warn!(event = "part_blocked", %part, crashes);
+                tracing::warn!(event = "part_blocked", %part, crashes, source);
             }
-            PartChange::Cleared { part } => tracing::info!(event = "part_cleared", %part),
+            PartChange::Cleared { part } => tracing::info!(event = "part_cleared", %part, source),
         }
+        context.signal_part_change();
     }
 }
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -17,6 +17,7 @@
 use crate::follow_nodes::follow_nodes;
 use crate::follow_runners::RunnerFeed;
 use crate::lookups::{answer_lookup, answer_readiness};
+use crate::part_store::keep_parts;
 use crate::peer_link::PeerLink;
 use crate::peer_server::answer_peer;
 use crate::router::RouterService;
@@ -55,7 +56,8 @@
     read_settings: impl Fn() -> std::result::Result<NodeSettings, SettingsError> + 'static,
 ) -> Result<()> {
     let (runner_changes, changed_runners) = mpsc::channel(1);
-    let context = NodeContext::new(settings, runner_changes);
+    let (part_changes, changed_parts) = mpsc::channel(1);
+    let context = NodeContext::new(settings, runner_changes, part_changes);
     tracing::info!(
         event = "start",
         vm = %context.settings.vm,
@@ -77,7 +79,8 @@
     kernel::spawn(follow_configuration(Rc::clone(&context), Rc::clone(&router), reader)).detach();
     let reader = StoreReader::new(&context, store.clone());
     kernel::spawn(RunnerFeed::new(&context, &router, &link, reader).run()).detach();
-    kernel::spawn(follow_nodes(Rc::clone(&context), store)).detach();
+    kernel::spawn(follow_nodes(Rc::clone(&context), store.clone())).detach();
+    kernel::spawn(keep_parts(Rc::clone(&context), store, changed_parts)).detach();
     kernel::spawn(poll_runners(Rc::clone(&context), Rc::clone(&router))).detach();
     kernel::spawn(Rc::clone(&router).run_ticks()).detach();
     kernel::spawn(Rc::clone(&router).follow_runner_changes(changed_runners)).detach();
--- a/crates/serving/src/part_table.rs
+++ b/crates/serving/src/part_table.rs
@@ -99,6 +99,9 @@
     /// Sound parts that other nodes are told of, and until when.
     told_sound: BTreeMap<PromptPart, TimePoint>,
     changes: Vec<PartChange>,
+    /// Blocks that began or ended by what this node saw, to be written to the store: until when
+    /// they hold, or `None` for those that ended.
+    unstored: BTreeMap<PromptPart, Option<TimePoint>>,
 }
 
 impl PartTable {
@@ -107,7 +110,13 @@
     pub fn record_answer(&mut self, now: TimePoint, parts: &[PromptPart]) -> bool {
         let mut was_suspect = false;
         for part in parts {
-            was_suspect |= self.clear(part, now + SOUND_SPAN) && self.tell_sound(now, part);
+            let was_blocked = self.block_end(part).is_some();
+            if self.clear(part, now + SOUND_SPAN) {
+                was_suspect |= self.tell_sound(now, part);
+                if was_blocked {
+                    self.unstored.insert(part.clone(), None);
+                }
+            }
         }
         was_suspect
     }
@@ -127,7 +136,11 @@
         }
         let until = now + CRASH_SPAN;
         for part in &parts {
+            let was_blocked = self.block_end(part).is_some();
             self.add_crash(now, until, runner, part);
+            if let Some(block_end) = self.block_end(part).filter(|_| !was_blocked) {
+                self.unstored.insert(part.clone(), Some(block_end));
+            }
         }
         let told_until = now + TELL_SPAN;
         self.seen.push(SeenCrash { runner: runner.clone(), parts, until, told_until });
@@ -205,6 +218,29 @@
         is_contested
     }
 
+    /// Takes over a block that was read from the store.
+    pub fn load_block(&mut self, now: TimePoint, until: TimePoint, part: &PromptPart) {
+        let until = until.min(now + BLOCK_SPAN);
+        if now < until && !self.is_sound_at(part, now) {
+            self.take_block(now, until, part);
+        }
+    }
+
+    /// The blocks that began or ended by what this node saw since the last call: the part, and
+    /// until when it is blocked, or `None` if the block has ended.
+    pub fn take_unstored(&mut self) -> BTreeMap<PromptPart, Option<TimePoint>> {
+        std::mem::take(&mut self.unstored)
+    }
+
+    /// Keeps what could not be written to the store, unless there is something newer.
+    pub fn return_unstored(&mut self, part: PromptPart, until: Option<TimePoint>) {
+        self.unstored.entry(part).or_insert(until);
+    }
+
+    fn block_end(&self, part: &PromptPart) -> Option<TimePoint> {
+        Some(self.suspects.get(part)?.block?.until)
+    }
+
     /// The changes since the last call.
     pub fn take_changes(&mut self) -> Vec<PartChange> {
         std::mem::take(&mut self.changes)
--- a/crates/serving/tests/part_table.rs
+++ b/crates/serving/tests/part_table.rs
@@ -152,6 +152,25 @@
     assert_eq!(table.news(at(604.0)), serving::PartNews::default());
 }
 
+#[test]
+fn a_node_stores_the_blocks_that_it_began_or_ended_itself() {
+    let (mut one, mut other) = (PartTable::default(), PartTable::default());
+    crash(&mut one, &[1.0, 2.0], &["bad"]);
+    assert!(one.take_unstored().is_empty());
+    crash(&mut one, &[3.0], &["bad"]);
+    let bad: PromptPart = "bad".parse().unwrap();
+    let stored = one.take_unstored();
+    assert_eq!(stored.get(&bad), Some(&Some(at(603.0))));
+    other.apply_news(at(4.0), &one.news(at(4.0)));
+    assert!(other.take_unstored().is_empty());
+    other.record_answer(at(5.0), std::slice::from_ref(&bad));
+    assert_eq!(other.take_unstored().get(&bad), Some(&None));
+    let mut fresh = PartTable::default();
+    fresh.load_block(at(0.5), at(600.0), &bad);
+    assert!(is_blocked(&fresh, 0.5, "bad"));
+    assert!(fresh.take_unstored().is_empty());
+}
+
 #[test]
 fn what_is_told_stays_within_a_message() {
     let mut table = PartTable::default();
