Block the part that explains crashes, not the parts that it comes with

Of several parts that all crashes have in common, the last one of the prompts is blocked now, and a crash that a blocked part explains counts against no other part. Another one is blocked once crashes go on without it.

--- a/crates/serving/src/part_table.rs
+++ b/crates/serving/src/part_table.rs
@@ -135,12 +135,9 @@
             return false;
         }
         let until = now + CRASH_SPAN;
-        for part in &parts {
-            let was_blocked = self.block_end(part).is_some();
-            self.add_crash(now, until, runner, part);
-            if let Some(block_end) = self.block_end(part).filter(|_| !was_blocked) {
-                self.unstored.insert(part.clone(), Some(block_end));
-            }
+        if let Some(part) = self.add_crash(now, until, runner, &parts) {
+            let block_end = self.block_end(&part);
+            self.unstored.insert(part, block_end);
         }
         let told_until = now + TELL_SPAN;
         self.seen.push(SeenCrash { runner: runner.clone(), parts, until, told_until });
@@ -198,14 +195,16 @@
         }
         let mut is_contested = false;
         for crash in &news.crashes {
-            for part in &crash.parts {
-                let until = now + crash.left;
-                if self.is_sound_at(part, until - CRASH_SPAN) {
-                    is_contested |= self.tell_sound(now, part);
-                } else {
-                    self.add_crash(now, until, &crash.runner, part);
-                }
+            let until = now + crash.left;
+            let (sound, suspects): (Vec<PromptPart>, Vec<PromptPart>) = crash
+                .parts
+                .iter()
+                .cloned()
+                .partition(|part| self.is_sound_at(part, until - CRASH_SPAN));
+            for part in &sound {
+                is_contested |= self.tell_sound(now, part);
             }
+            self.add_crash(now, until, &crash.runner, &suspects);
         }
         for blocked in &news.blocked {
             let until = now + blocked.left;
@@ -284,25 +283,79 @@
         self.told_sound.insert(part.clone(), now + TELL_SPAN).is_none()
     }
 
-    /// Counts a crash, which counts until `until`, against a part.
+    /// Counts a crash, which counts until `until`, against the parts of a prompt, unless a part that
+    /// is blocked explains it. Returns the part that is blocked because of it.
     fn add_crash(
+        &mut self,
+        now: TimePoint,
+        until: TimePoint,
+        runner: &RunnerIncarnation,
+        parts: &[PromptPart],
+    ) -> Option<PromptPart> {
+        if self.is_explained(until, runner, parts) {
+            self.forget_crash(runner);
+            return None;
+        }
+        // The last part is the most specific one: if all crashes so far have several parts in
+        // common, it is blocked alone, and the others only if crashes go on without it.
+        for part in parts.iter().rev() {
+            if self.count_crash(now, until, runner, part) {
+                let explained: Vec<RunnerIncarnation> =
+                    self.suspects[part].crashes.keys().cloned().collect();
+                for runner in &explained {
+                    self.forget_crash(runner);
+                }
+                return Some(part.clone());
+            }
+        }
+        None
+    }
+
+    /// Whether a blocked part explains a crash: it is one of `parts`, or of another prompt at that
+    /// runner. If it is one of `parts`, its block is prolonged.
+    fn is_explained(
+        &mut self,
+        until: TimePoint,
+        runner: &RunnerIncarnation,
+        parts: &[PromptPart],
+    ) -> bool {
+        for part in parts {
+            let Some(suspect) = self.suspects.get_mut(part) else { continue };
+            let Some(block) = &mut suspect.block else { continue };
+            block.until = block.until.max(until - CRASH_SPAN + BLOCK_SPAN);
+            suspect.crashes.entry(runner.clone()).or_insert(until);
+            return true;
+        }
+        let blocked = self.suspects.values().filter(|suspect| suspect.block.is_some());
+        blocked.into_iter().any(|suspect| suspect.crashes.contains_key(runner))
+    }
+
+    /// Counts a crash against no part but those that are blocked.
+    fn forget_crash(&mut self, runner: &RunnerIncarnation) {
+        for suspect in self.suspects.values_mut().filter(|suspect| suspect.block.is_none()) {
+            suspect.crashes.remove(runner);
+        }
+    }
+
+    /// Counts a crash against one part. Returns whether the part is blocked because of it.
+    fn count_crash(
         &mut self,
         now: TimePoint,
         until: TimePoint,
         runner: &RunnerIncarnation,
         part: &PromptPart,
-    ) {
-        let Some(suspect) = self.suspect(part) else { return };
+    ) -> bool {
+        let Some(suspect) = self.suspect(part) else { return false };
         suspect.crashes.entry(runner.clone()).or_insert(until);
         let crashes = suspect.crashes.values().filter(|until| now < **until).count();
+        if crashes < CRASHES_TO_BLOCK {
+            return false;
+        }
         let last_until = suspect.crashes.values().max().copied().unwrap_or(until);
         let block_until = last_until - CRASH_SPAN + BLOCK_SPAN;
-        if let Some(block) = &mut suspect.block {
-            block.until = block.until.max(block_until);
-        } else if crashes >= CRASHES_TO_BLOCK {
-            suspect.block = Some(PartBlock { from: now + CONFIRM_SPAN, until: block_until });
-            self.changes.push(PartChange::Blocked { part: part.clone(), crashes });
-        }
+        suspect.block = Some(PartBlock { from: now + CONFIRM_SPAN, until: block_until });
+        self.changes.push(PartChange::Blocked { part: part.clone(), crashes });
+        true
     }
 
     /// Takes over the block of another node.
