Give up the next runner of a stream, not the old one, if it does not answer

Two runners may not work on one request for over 400 ms, so one of the connections has to be closed; closing one ends the run behind it at either runner, and the old one is known to deliver. The connection to the next one is closed now, what the old one made meanwhile is forwarded, and the stream tries another runner. If the old one has ended, the next one has until the deadline, as before.

--- a/crates/node/src/stream_handover.rs
+++ b/crates/node/src/stream_handover.rs
@@ -1,7 +1,7 @@
 //! Handover of a stream from one runner to the next, which has its memory.
 //!
 //! Load pattern: runners leave every few seconds, and the next one may be out of reach, full or
-//! slow. The old runner is given up only when that cannot be put off any longer.
+//! silent. The old runner is given up only when the next one has answered.
 
 use std::future::pending;
 use std::pin::pin;
@@ -19,7 +19,7 @@
 use crate::stream_pump::{PumpStep, StreamPump};
 use crate::stream_source::StreamSource;
 
-/// Time that another runner has to take over a run before the old connection is closed. Two
+/// Time that another runner has to take over a run from one that is still working on it. Two
 /// runners may not work on one request for longer than 400 ms.
 const MAX_OVERLAP: TimeSpan = TimeSpan::millis(250);
 
@@ -41,6 +41,9 @@
     Answered(WebExchange),
     /// The next runner gave no answer to go on with.
     Failed(SendFailure),
+    /// The next runner has not answered in time, and the source still works: the connection to
+    /// the next one is closed, so that only the source goes on.
+    Unanswered,
     /// The source has delivered the stream to its end.
     SourceEnded,
     /// The caller closed the connection.
@@ -95,8 +98,8 @@
 
 impl StreamPump {
     /// Sends the request to the runner that has the run's memory, and makes that runner the
-    /// source of the stream. The old source is read on until that runner has answered, or for
-    /// [`MAX_OVERLAP`].
+    /// source of the stream. The old source is read on until that runner has answered. One that
+    /// does not answer within [`MAX_OVERLAP`] is given up, unless the old source has ended.
     pub(crate) async fn hand_over(
         &mut self,
         mut plan: SendPlan,
@@ -128,6 +131,7 @@
                     step => step,
                 };
             }
+            OverlapEnd::Unanswered => return self.keep_source(&plan, held, "no answer").await,
             OverlapEnd::SourceEnded => {
                 self.count_move("source_ended");
                 let end = self.forward_held(held).await;
@@ -189,7 +193,7 @@
     }
 
     /// Sends the request and waits for the head of the answer. What the source delivers
-    /// meanwhile goes to `held`; it is closed if that takes longer than [`MAX_OVERLAP`].
+    /// meanwhile goes to `held`. While it works, the wait takes [`MAX_OVERLAP`] at most.
     async fn send_with_overlap(
         &mut self,
         plan: &SendPlan,
@@ -224,24 +228,11 @@
                     self.log_send_failure(&describe_loss(lost));
                     self.source.close();
                 }
-                None => self.close_source(plan),
+                None => return OverlapEnd::Unanswered,
             }
         }
     }
 
-    /// Closes the connection to the runner before, since two may not work on one request.
-    fn close_source(&mut self, plan: &SendPlan) {
-        tracing::info!(
-            event = "source_closed",
-            request = %self.call.attempt,
-            runner = %self.source.runner.runner,
-            next = %plan.runner.runner,
-            waited_ms = MAX_OVERLAP.as_millis(),
-            events = self.scanner.event_count(),
-        );
-        self.source.close();
-    }
-
     /// Goes on with the source after the next runner did not take over.
     async fn keep_source(
         &mut self,
