Let a node that hears no other read the blocked parts from the store

A node that is cut off from the other nodes, but reaches callers, runners and the store, read blocked parts at its start only: it would have learned each part by three crashes of its own. Found by going through who may not hear of a block. It reads the topic every 1.5 s now while no other node is heard. Its new process test failed before (the call with the part was sent).

--- a/crates/harness/tests/node_crashing_parts.rs
+++ b/crates/harness/tests/node_crashing_parts.rs
@@ -1,9 +1,10 @@
 //! Prompts with a part that crashes each runner that begins to answer them.
 
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use fakes::platform::{RunnerFake, RunnerFakeSettings};
 use harness::{CallerRequest, NodeFleet, WholeAnswer, wait_until};
+use serde_json::json;
 
 const LIMIT: Duration = Duration::from_secs(10);
 /// Nodes of a fleet.
@@ -156,6 +157,23 @@
     .unwrap();
 }
 
+#[test]
+fn a_node_that_hears_no_other_learns_from_the_store_which_parts_are_blocked() {
+    kernel::run(async {
+        let mut crashing = CrashingFleet::start(2).await;
+        crashing.fleet.nodes.truncate(1);
+        assert_eq!(crashing.send(SOUND).await.status, 200);
+        // As a node writes it that this one does not hear.
+        let ends = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() + 600_000;
+        let record = json!({ "until_unix_ms": u64::try_from(ends).unwrap() });
+        crashing.fleet.store.put_json("keyed.parts", CRASHING, &record);
+        compio::time::sleep(KNOWN_AFTER).await;
+        assert_eq!(crashing.send(CRASHING).await.status, 503);
+        assert_eq!((crashing.crashes(), crashing.visits(CRASHING)), (0, 0));
+    })
+    .unwrap();
+}
+
 #[test]
 fn a_prompt_whose_part_is_known_to_crash_runners_is_refused_with_that_reason() {
     kernel::run(async {
--- a/crates/node/src/part_store.rs
+++ b/crates/node/src/part_store.rs
@@ -7,6 +7,7 @@
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use base::prelude::*;
+use compio::time::timeout;
 use futures_channel::mpsc;
 use futures_util::StreamExt;
 use platform::{KeyedChange, PartRecord, StoreClient, StoreTopic};
@@ -17,29 +18,45 @@
 
 /// Pause after a failed exchange with the store.
 const RETRY_PAUSE: TimeSpan = TimeSpan::seconds(1);
+/// Time without a heartbeat of another node after which this one reads the blocked parts again, as
+/// often as this.
+const SILENCE_SPAN: TimeSpan = TimeSpan::millis(1_500);
 
-/// Reads the blocked parts once, then writes those that this node blocks or clears until the
-/// process ends.
+/// Reads the blocked parts at the start, and while no other node is heard that would tell of them;
+/// writes those that this node blocks or clears. Runs until the process ends.
 pub async fn keep_parts(
     context: Rc<NodeContext>,
     client: StoreClient,
     mut changes: mpsc::Receiver<()>,
 ) {
     let dependency = DependencyState::new("store: parts");
-    while let Err(error) = load_parts(&context, &client).await {
-        dependency.record_failure(&error);
-        context.metrics.store_failures.inc();
-        kernel::sleep(RETRY_PAUSE.into()).await;
-    }
-    dependency.record_success();
-    while changes.next().await.is_some() {
-        while let Err(error) = store_parts(&context, &client).await {
-            dependency.record_failure(&error);
-            context.metrics.store_failures.inc();
-            kernel::sleep(RETRY_PAUSE.into()).await;
+    let mut may_lack_parts = true;
+    loop {
+        match exchange_parts(&context, &client, may_lack_parts).await {
+            Ok(()) => dependency.record_success(),
+            Err(error) => {
+                dependency.record_failure(&error);
+                context.metrics.store_failures.inc();
+                kernel::sleep(RETRY_PAUSE.into()).await;
+                continue;
+            }
         }
-        dependency.record_success();
+        // A change and the end of the pause both lead to the next exchange.
+        let _ = timeout(SILENCE_SPAN.into(), changes.next()).await;
+        may_lack_parts = !context.peers.borrow().heard_since(context.now() - SILENCE_SPAN);
+    }
+}
+
+/// Reads the blocked parts if this node may lack some, and writes what it has blocked or cleared.
+async fn exchange_parts(
+    context: &NodeContext,
+    client: &StoreClient,
+    may_lack_parts: bool,
+) -> platform::Result<()> {
+    if may_lack_parts {
+        load_parts(context, client).await?;
     }
+    store_parts(context, client).await
 }
 
 async fn load_parts(context: &NodeContext, client: &StoreClient) -> platform::Result<()> {
--- a/crates/serving/src/peer_table.rs
+++ b/crates/serving/src/peer_table.rs
@@ -180,6 +180,12 @@
         holders.map(|heartbeat| heartbeat.peer_address).collect()
     }
 
+    /// Whether a heartbeat was received since `since`.
+    #[must_use]
+    pub fn heard_since(&self, since: TimePoint) -> bool {
+        self.last_heartbeat_at.is_some_and(|received_at| received_at >= since)
+    }
+
     /// Whether heartbeats were received at some time, but none since `since`.
     #[must_use]
     pub fn all_silent_since(&self, since: TimePoint) -> bool {
