Do not take an error of a runner as the answer to a prompt

Only a success makes the parts of its prompt sound now. The new test of node_crashing_parts failed before.

--- a/crates/fakes/src/platform/runner_fake.rs
+++ b/crates/fakes/src/platform/runner_fake.rs
@@ -427,7 +427,7 @@
     if script == RunnerScript::Silent {
         return std::future::pending().await;
     }
-    if request.headers.contains_key("x-dotterelyard-model") {
+    if request.headers.contains_key("x-dotterelyard-model") && script != RunnerScript::Failure {
         return answer_events(stream, state, &request, script).await;
     }
     compio::time::sleep(state.settings.work).await;
--- a/crates/harness/tests/node_crashing_parts.rs
+++ b/crates/harness/tests/node_crashing_parts.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use fakes::platform::{RunnerFake, RunnerFakeSettings};
+use fakes::platform::{RunnerFake, RunnerFakeSettings, RunnerScript};
 use harness::{CallerRequest, NodeFleet, WholeAnswer, wait_until};
 use serde_json::json;
 
@@ -157,6 +157,28 @@
     .unwrap();
 }
 
+#[test]
+fn an_error_of_a_runner_does_not_make_a_crashing_part_sound() {
+    kernel::run(async {
+        let mut crashing = CrashingFleet::start(NODES).await;
+        crashing.send(CRASHING).await;
+        assert_eq!(crashing.crashes(), 1);
+        for runner in &crashing.runners {
+            runner.script(&[RunnerScript::Failure]);
+        }
+        assert_eq!(crashing.send(CRASHING).await.status, 500);
+        crashing.runners.iter().for_each(RunnerFake::clear_scripts);
+        crashing.crash_runners().await;
+        let before = crashing.visits(CRASHING);
+        for _ in 0..2 * NODES {
+            crashing.send(CRASHING).await;
+        }
+        let later = crashing.visits(CRASHING) - before;
+        assert!(later <= LATER_REQUESTS, "{later} requests after {before}");
+    })
+    .unwrap();
+}
+
 #[test]
 fn a_node_that_hears_no_other_learns_from_the_store_which_parts_are_blocked() {
     kernel::run(async {
--- a/crates/node/src/part_watch.rs
+++ b/crates/node/src/part_watch.rs
@@ -8,6 +8,8 @@
 use std::rc::Rc;
 
 use base::prelude::*;
+use hyper::Response;
+use hyper::body::Bytes;
 use serving::{PartChange, PartNews, RunnerRecord};
 use web::{WebConnection, WebError};
 
@@ -38,6 +40,14 @@
     context.parts.borrow().find_blocked(context.now(), &call.head.shared_parts).is_some()
 }
 
+/// Records a complete answer of a runner, unless it is an error: that says nothing about the
+/// prompt, which may not have been read.
+pub fn record_full_answer(context: &NodeContext, call: &Call, answer: &Response<Bytes>) {
+    if answer.status().is_success() {
+        record_answer(context, call);
+    }
+}
+
 /// Records that a runner answered the call, or has survived the beginning of its answer.
 pub fn record_answer(context: &NodeContext, call: &Call) {
     let parts = &call.head.shared_parts;
--- a/crates/node/src/plain_call.rs
+++ b/crates/node/src/plain_call.rs
@@ -15,7 +15,7 @@
 use crate::call_log::{RequestOutcome, RequestSummary, log_end, log_send, log_send_failure};
 use crate::caller_server::CallRejection;
 use crate::context::NodeContext;
-use crate::part_watch::{find_part_refusal, record_answer, watch_lost_runner};
+use crate::part_watch::{find_part_refusal, record_full_answer, watch_lost_runner};
 use crate::router::{RouteTicket, RouterService};
 use crate::runner_gate::{check_prompt, check_send};
 use crate::runner_send::{SendFailure, SendPlan, read_full_answer, send_to_runner};
@@ -148,7 +148,7 @@
         match answer {
             Ok(answer) => {
                 ticket.finish(CallEnd::Finished);
-                record_answer(context, call);
+                record_full_answer(context, call, &answer);
                 if !answer.status().is_server_error() || call.route.kind != RouteKind::Idempotent {
                     return forward_answer(context, call, &answer);
                 }
--- a/crates/node/src/stream_call.rs
+++ b/crates/node/src/stream_call.rs
@@ -17,7 +17,7 @@
 use crate::call::Call;
 use crate::call_log::{log_send, log_send_failure};
 use crate::context::NodeContext;
-use crate::part_watch::{record_answer, watch_lost_runner};
+use crate::part_watch::{record_full_answer, watch_lost_runner};
 use crate::plain_call::{
     explain_failure, fail_call, find_runner, forward_answer, may_retry, record_send_failure,
     unassign,
@@ -91,7 +91,7 @@
             }
             Ok(RunnerAnswer::Full(answer)) => {
                 ticket.finish(CallEnd::Finished);
-                record_answer(context, &call);
+                record_full_answer(context, &call, &answer);
                 return forward_answer(context, &call, &answer);
             }
             Err(failure) => {
