End a runner's limit by a success only

An error or a refusal that names no limit ended the limit at all nodes, until the next answer named it again. Faulty runners answer by errors that need not carry the header. The new test of node_runner_limit failed before.

--- a/crates/harness/tests/node_runner_limit.rs
+++ b/crates/harness/tests/node_runner_limit.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use fakes::platform::{RunnerFake, RunnerFakeSettings, StoreFault};
+use fakes::platform::{RunnerFake, RunnerFakeSettings, RunnerScript, StoreFault};
 use harness::{CallerRequest, NodeFleet, WholeAnswer, wait_until};
 
 const LIMIT: Duration = Duration::from_secs(10);
@@ -180,6 +180,29 @@
     .unwrap();
 }
 
+#[test]
+fn an_error_that_names_no_limit_does_not_end_one() {
+    kernel::run(async {
+        let (fleet, runners) = fleet_of(1).await;
+        runners[0].name_limit(Some("40"));
+        assert_eq!(fleet.send(0, &CallerRequest::booking("first")).await.status, 200);
+        runners[0].name_limit(None);
+        for script in [RunnerScript::Failure, RunnerScript::Refuse] {
+            runners[0].script(&[script]);
+            let answer = fleet.send(0, &CallerRequest::booking("error")).await;
+            assert!(answer.status >= 500, "{}", answer.status);
+            // An ejected runner is back after a second.
+            compio::time::sleep(Duration::from_millis(1_100)).await;
+            runners[0].clear_scripts();
+        }
+        assert!(fleet.nodes[0].events("limit_ended").is_empty());
+        assert_eq!(fleet.send(0, &CallerRequest::booking("last")).await.status, 200);
+        let runner = runners[0].id().into();
+        fleet.wait_event(0, "limit_ended", "runner", &runner).await.unwrap();
+    })
+    .unwrap();
+}
+
 #[test]
 fn a_limit_of_zero_lets_a_request_through_now_and_then() {
     kernel::run(async {
--- a/crates/node/src/runner_gate.rs
+++ b/crates/node/src/runner_gate.rs
@@ -103,7 +103,7 @@
     }
 }
 
-/// Records that this start of a runner answered a call and named no limit.
+/// Records that this start of a runner served a call and named no limit.
 pub fn record_unlimited(context: &NodeContext, runner: &RunnerIncarnation) {
     record_limit(context, runner, None);
 }
--- a/crates/node/src/runner_send.rs
+++ b/crates/node/src/runner_send.rs
@@ -130,7 +130,8 @@
         let notice = RunnerNotice::decode(status, headers);
         record_notice(context, &incarnation, &notice);
         let kind = classify_reply(status, headers, &call.attempt);
-        if notice.names_no_limit() && matches!(kind, ReplyKind::Answer | ReplyKind::NotRun) {
+        // An error may come from a part of the runner that knows nothing of its limit.
+        if notice.names_no_limit() && kind == ReplyKind::Answer && status.is_success() {
             record_unlimited(context, &incarnation);
         }
     }
