Cut the router by its jobs: the ticket of a call, and the share of limits

Moves only, and one iteration over the runners of a service that stood twice in scheduler_waits. A service without runners no longer has a rate of 0.

--- a/crates/node/src/peer_link.rs
+++ b/crates/node/src/peer_link.rs
@@ -16,6 +16,7 @@
 use crate::context::NodeContext;
 use crate::dependency::DependencyState;
 use crate::follow_runners::apply_peer_update;
+use crate::limit_share::limit_news;
 use crate::part_watch::apply_part_news;
 use crate::router::RouterService;
 use crate::runner_gate::apply_limit_news;
@@ -127,7 +128,7 @@
             waiting_services: self.router.waiting_services(),
             leaving: self.context.runners.borrow().announced_leaving(),
             part_news: self.context.parts.borrow().news(self.context.now()),
-            limit_news: self.router.limit_news(),
+            limit_news: limit_news(&self.context),
         }
     }
 
--- a/crates/node/src/plain_call.rs
+++ b/crates/node/src/plain_call.rs
@@ -16,7 +16,8 @@
 use crate::caller_server::CallRejection;
 use crate::context::NodeContext;
 use crate::part_watch::{find_part_refusal, record_full_answer, watch_lost_runner};
-use crate::router::{RouteTicket, RouterService};
+use crate::route_ticket::RouteTicket;
+use crate::router::RouterService;
 use crate::runner_gate::{check_prompt, check_send};
 use crate::runner_send::{SendFailure, SendPlan, read_full_answer, send_to_runner};
 
--- a/crates/node/src/router.rs
+++ b/crates/node/src/router.rs
@@ -1,23 +1,22 @@
 //! Connects the call dispatcher to the calls of this node, and tracks their load on runners.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::rc::{Rc, Weak};
 
 use base::prelude::*;
 use config::{PolicyWeights, ServiceKind};
-use dispatch::{CallDispatcher, CallHandle, RouteCommand};
+use dispatch::CallDispatcher;
 use futures_channel::mpsc;
 use futures_util::StreamExt;
 use kernel::StopSignal;
-use route::{
-    CallEnd, CallId, MemoryForecast, PolicyName, RouteCall, RouteEvent, RouteSettings,
-    RunnerSummary,
-};
-use serving::{LimitNews, RunnerEntry, RunnerIncarnation, RunnerLoad, ServiceDemand};
+use route::{CallId, MemoryForecast, PolicyName, RouteCall, RouteEvent, RouteSettings};
+use serving::{RunnerIncarnation, RunnerLoad};
 
 use crate::call::Call;
 use crate::context::NodeContext;
+use crate::limit_share::limit_events;
+use crate::route_ticket::RouteTicket;
 use crate::runner_gate;
 
 /// Interval between ticks of the call dispatcher while calls are queued.
@@ -28,26 +27,26 @@
 const QUEUE_LIMIT: usize = 2_000;
 
 /// A call of this node that is assigned to a runner or queued for one.
-struct LocalCall {
+pub(crate) struct LocalCall {
     /// The assigned runner; `None` while the call is queued.
-    runner: Option<RunnerId>,
+    pub(crate) runner: Option<RunnerId>,
     /// The runner that keeps a copy of the call's memory.
-    backup: Option<RunnerId>,
+    pub(crate) backup: Option<RunnerId>,
     /// Prompt tokens plus the tokens generated so far.
-    tokens: u32,
+    pub(crate) tokens: u32,
     /// Whether the first tokens have arrived, so that prefill is over.
-    started: bool,
+    pub(crate) started: bool,
     /// Raised when the assigned runner announces that it leaves.
-    leaving: StopSignal,
+    pub(crate) leaving: StopSignal,
 }
 
 type LocalCalls = Rc<RefCell<BTreeMap<CallId, LocalCall>>>;
 
 /// Assigns the calls of this node to runners.
 pub struct RouterService {
-    context: Rc<NodeContext>,
-    dispatcher: Rc<CallDispatcher>,
-    calls: LocalCalls,
+    pub(crate) context: Rc<NodeContext>,
+    pub(crate) dispatcher: Rc<CallDispatcher>,
+    pub(crate) calls: LocalCalls,
     /// Sequence number of the last load reports given to the dispatcher.
     load_sequence: Cell<u64>,
     /// Whether other nodes have reported loads that the dispatcher has not received yet.
@@ -119,7 +118,7 @@
         if is_waiting {
             self.request_heartbeat();
         }
-        RouteTicket { handle, guard: CallGuard { router, id }, leaving }
+        RouteTicket::new(router, id, handle, leaving)
     }
 
     /// Services with calls queued on this node that can still be served in time.
@@ -251,53 +250,6 @@
         self.calls.borrow().iter().filter_map(copy_load).collect()
     }
 
-    /// What this node tells others about limits of runners: what it heard, and its demand for the
-    /// services with limited runners.
-    #[must_use]
-    pub fn limit_news(&self) -> LimitNews {
-        let now = self.context.now();
-        let limits = self.context.limits.borrow();
-        if limits.is_empty() {
-            return LimitNews::default();
-        }
-        let runners = self.context.runners.borrow();
-        let limited =
-            |entry: &&RunnerEntry| limits.limit(now, &entry.record.incarnation()).is_some();
-        let services: BTreeSet<&ServiceName> =
-            runners.entries().filter(limited).map(|entry| &entry.record.service).collect();
-        let demand = |service: &ServiceName| ServiceDemand {
-            service: service.clone(),
-            requests: self.demand(service),
-        };
-        let demands = services.into_iter().map(demand).collect();
-        LimitNews { limits: limits.reports(now), demands }
-    }
-
-    /// Number of recent requests for a service at this node.
-    fn demand(&self, service: &ServiceName) -> u32 {
-        self.context.retry_budget.borrow().recent_requests(self.context.now(), service)
-    }
-
-    /// Dispatcher events with this node's share of the limits of runners; none while no runner
-    /// has or had one.
-    fn limit_events(&self) -> Vec<RouteEvent> {
-        let now = self.context.now();
-        let limits = self.context.limits.borrow();
-        if !self.limits_told.replace(!limits.is_empty()) && limits.is_empty() {
-            return Vec::new();
-        }
-        let runners = self.context.runners.borrow();
-        let event = |entry: &RunnerEntry| {
-            let record = &entry.record;
-            let rate = limits.rate(now, &record.incarnation()).map(|rate| {
-                let part = limits.own_part(&record.service, self.demand(&record.service));
-                RequestRate(rate.0 * part)
-            });
-            RouteEvent::RunnerLimit { runner: record.runner.clone(), rate }
-        };
-        runners.entries().map(event).collect()
-    }
-
     /// Dispatcher events with the load of every runner, summed over all nodes.
     fn load_events(&self) -> Vec<RouteEvent> {
         let Some(plan) = self.context.plan() else { return Vec::new() };
@@ -351,7 +303,7 @@
                 events.push(RouteEvent::RunnerWait { runner: record.runner.clone(), until });
             }
         }
-        events.extend(self.limit_events());
+        events.extend(limit_events(&self.context, &self.limits_told));
         events
     }
 
@@ -383,100 +335,3 @@
     // A full channel already holds a request.
     let _ = requests.borrow_mut().try_send(());
 }
-
-/// Removes the call from the router's table when dropped.
-struct CallGuard {
-    router: Rc<RouterService>,
-    id: CallId,
-}
-
-impl Drop for CallGuard {
-    fn drop(&mut self) {
-        self.router.calls.borrow_mut().remove(&self.id);
-    }
-}
-
-/// Handle of a call in the call dispatcher and in the router's table.
-pub struct RouteTicket {
-    handle: CallHandle,
-    guard: CallGuard,
-    leaving: StopSignal,
-}
-
-impl RouteTicket {
-    /// Waits for the next command of the dispatcher.
-    pub async fn next_command(&mut self) -> RouteCommand {
-        self.handle.next_command().await
-    }
-
-    /// The dispatcher's view of a runner's load, for the log.
-    #[must_use]
-    pub fn runner_summary(&self, runner: &RunnerId) -> Option<RunnerSummary> {
-        self.guard.router.dispatcher.state().runner_summary(runner)
-    }
-
-    /// Records that `produced` tokens have been generated in total.
-    pub fn record_progress(&self, prompt: TokenCount, produced: u32) {
-        let router = &self.guard.router;
-        if let Some(call) = router.calls.borrow_mut().get_mut(&self.guard.id) {
-            if !call.started {
-                call.started = true;
-                router.request_heartbeat();
-            }
-            call.tokens = prompt.0.saturating_add(produced);
-        }
-        self.handle.report_progress(TokenIndex(produced.saturating_sub(1)));
-    }
-
-    /// Signal that is raised when the call's runner announces that it leaves.
-    #[must_use]
-    pub fn leaving(&self) -> StopSignal {
-        self.leaving.clone()
-    }
-
-    /// The runner that the call is assigned to; during a move, the one that it moves to.
-    #[must_use]
-    pub fn assigned_runner(&self) -> Option<RunnerId> {
-        self.guard.router.calls.borrow().get(&self.guard.id)?.runner.clone()
-    }
-
-    /// Assigns the call to another runner; `None` if no other is available.
-    pub fn relocate(&mut self) -> Option<RunnerId> {
-        let now = self.guard.router.context.now();
-        let runner = self.guard.router.dispatcher.state_mut().relocate(now, self.guard.id)?;
-        self.set_runner(runner.clone());
-        self.guard.router.request_heartbeat();
-        Some(runner)
-    }
-
-    /// Assigns the call to the runner that keeps a copy of its memory.
-    pub fn relocate_to(&mut self, runner: &RunnerId) {
-        let now = self.guard.router.context.now();
-        self.guard.router.dispatcher.state_mut().relocate_to(now, self.guard.id, runner);
-        self.set_runner(runner.clone());
-    }
-
-    fn set_runner(&mut self, runner: RunnerId) {
-        self.leaving = StopSignal::new();
-        if let Some(call) = self.guard.router.calls.borrow_mut().get_mut(&self.guard.id) {
-            call.runner = Some(runner);
-            call.backup = None;
-            call.leaving = self.leaving.clone();
-        }
-    }
-
-    /// Chooses a runner to keep a copy of the call's memory and counts the copy in its load.
-    pub fn choose_backup(&self) -> Option<RunnerId> {
-        let now = self.guard.router.context.now();
-        let backup = self.guard.router.dispatcher.state().choose_backup(now, self.guard.id);
-        if let Some(call) = self.guard.router.calls.borrow_mut().get_mut(&self.guard.id) {
-            call.backup.clone_from(&backup);
-        }
-        backup
-    }
-
-    /// Reports to the dispatcher how the attempt ended.
-    pub fn finish(self, end: CallEnd) {
-        self.handle.end(end);
-    }
-}
--- a/crates/node/src/stream_call.rs
+++ b/crates/node/src/stream_call.rs
@@ -22,7 +22,8 @@
     explain_failure, fail_call, find_runner, forward_answer, may_retry, record_send_failure,
     unassign,
 };
-use crate::router::{RouteTicket, RouterService};
+use crate::route_ticket::RouteTicket;
+use crate::router::RouterService;
 use crate::runner_gate::find_block;
 use crate::runner_send::{SendFailure, SendPlan, read_full_answer, send_to_runner};
 use crate::stream_pump::StreamPump;
--- a/crates/node/src/stream_pump.rs
+++ b/crates/node/src/stream_pump.rs
@@ -14,7 +14,7 @@
 use crate::call_log::{RequestOutcome, RequestSummary, format_parts, log_end, log_send_failure};
 use crate::context::{NodeContext, RequestGuard};
 use crate::part_watch::{SURVIVAL_SPAN, record_answer};
-use crate::router::RouteTicket;
+use crate::route_ticket::RouteTicket;
 use crate::stream_copy::RunCopy;
 use crate::stream_move::{MAX_SWITCH_TRIES, PendingMove};
 use crate::stream_source::{CallerSide, StreamPace, StreamSource};
--- a/crates/route/src/scheduler_waits.rs
+++ b/crates/route/src/scheduler_waits.rs
@@ -37,21 +37,28 @@
         service: &ServiceName,
         model: Option<&ModelName>,
     ) -> Option<TimePoint> {
-        let slots = self.services.get(service).map_or(&[][..], |view| view.slots.as_slice());
-        let runners = slots.iter().map(|slot| &self.runners[*slot]);
-        let serving = runners.filter(|runner| runner.can_serve(model));
-        let ends: Option<Vec<TimePoint>> =
-            serving.map(|runner: &RunnerView| runner.next_call_at(now)).collect();
+        let serving = self.serving_runners(service, model);
+        let ends: Option<Vec<TimePoint>> = serving.map(|runner| runner.next_call_at(now)).collect();
         ends?.into_iter().min()
     }
 
     /// Returns the rate that the runners of a service that serve `model` take together; none if
     /// one of them has no limit.
     fn limited_rate(&self, service: &ServiceName, model: Option<&ModelName>) -> Option<f64> {
+        let serving = self.serving_runners(service, model);
+        let rate: Option<f64> = serving.map(|runner| runner.gate.rate().map(|rate| rate.0)).sum();
+        rate.filter(|rate| *rate > 0.0)
+    }
+
+    /// The runners of a service that serve `model`.
+    fn serving_runners<'a>(
+        &'a self,
+        service: &ServiceName,
+        model: Option<&'a ModelName>,
+    ) -> impl Iterator<Item = &'a RunnerView> {
         let slots = self.services.get(service).map_or(&[][..], |view| view.slots.as_slice());
         let runners = slots.iter().map(|slot| &self.runners[*slot]);
-        let serving = runners.filter(|runner| runner.can_serve(model));
-        serving.map(|runner| runner.gate.rate().map(|rate| rate.0)).sum()
+        runners.filter(move |runner| runner.can_serve(model))
     }
 
     /// Returns the number of waiting calls that go before a new one where runners are limited; 0
