--- a/crates/harness/tests/node_store_era.rs
+++ b/crates/harness/tests/node_store_era.rs
@@ -197,6 +197,27 @@
     .unwrap();
 }
 
+#[test]
+fn a_runner_that_leaves_just_after_the_return_gets_no_work() {
+    kernel::run(async {
+        let (mut fleet, leaving) = fleet(3).await;
+        let settings = RunnerFakeSettings::new("desk-2");
+        let staying = fleet.add_runner("desk", settings).await.unwrap();
+        wait_runner(&fleet, &staying, "ready").await;
+        let copy = fleet.store.copy();
+        // What the copy lacks takes the offset of the notice after the return.
+        fleet.store.put_json("keyed.servers", "desk-3", &leaving.entry("desk", "north", "bad"));
+        drill(&fleet.store, &copy, || fleet.tell(&leaving, "desk", "draining")).await;
+        wait_era(&fleet, 2).await;
+        sleep(APPLY_LIMIT).await;
+        let (runs, others) = (leaving.runs(), staying.runs());
+        hold_status(&fleet, 200, APPLY_LIMIT, "the runner that stays").await;
+        assert_eq!(leaving.runs(), runs);
+        assert!(staying.runs() > others);
+    })
+    .unwrap();
+}
+
 #[test]
 fn a_runner_that_the_copy_lacks_has_two_seconds_to_write_its_record_again() {
     kernel::run(async {
