Find a part that crashes runners among many suspected ones, and split its table

Suspects and blocks have a file of their own (suspect_parts.rs); names of our own or of the users' pages are replaced (news, told, sound, survive).

--- a/crates/node/src/part_store.rs
+++ b/crates/node/src/part_store.rs
@@ -88,13 +88,13 @@
 
 /// Writes what this node has blocked or cleared; keeps what could not be written.
 async fn store_parts(context: &NodeContext, client: &StoreClient) -> platform::Result<()> {
-    let mut unstored = context.parts.borrow_mut().take_unstored();
-    while let Some((part, until)) = unstored.pop_first() {
+    let mut unsaved = context.parts.borrow_mut().take_unsaved();
+    while let Some((part, until)) = unsaved.pop_first() {
         if let Err(error) = store_part(context, client, &part, until).await {
-            unstored.insert(part, until);
+            unsaved.insert(part, until);
             let mut parts = context.parts.borrow_mut();
-            for (part, until) in unstored {
-                parts.return_unstored(part, until);
+            for (part, until) in unsaved {
+                parts.return_unsaved(part, until);
             }
             return Err(error);
         }
--- a/crates/node/src/part_watch.rs
+++ b/crates/node/src/part_watch.rs
@@ -10,7 +10,7 @@
 use base::prelude::*;
 use hyper::Response;
 use hyper::body::Bytes;
-use serving::{PartChange, PartNews, RunnerRecord};
+use serving::{PartChange, PartUpdate, RunnerRecord};
 use web::{WebConnection, WebError};
 
 use crate::call::Call;
@@ -18,8 +18,9 @@
 use crate::context::NodeContext;
 use crate::plain_call::CallFailure;
 
-/// Time for which a runner has to write an answer until it has survived its beginning.
-pub const SURVIVAL_SPAN: TimeSpan = TimeSpan::millis(500);
+/// Time for which a runner has to write an answer until a later crash says nothing about its
+/// prompt.
+pub const PROOF_SPAN: TimeSpan = TimeSpan::millis(500);
 /// Timeout for connecting to a runner that lost a call.
 const PROBE_TIMEOUT: TimeSpan = TimeSpan::millis(250);
 /// Reason of a refusal because of a part of the prompt.
@@ -48,7 +49,7 @@
     }
 }
 
-/// Records that a runner answered the call, or has survived the beginning of its answer.
+/// Records that a runner answered the call, or has written its answer for [`PROOF_SPAN`].
 pub fn record_answer(context: &NodeContext, call: &Call) {
     let parts = &call.head.shared_parts;
     let is_news = context.parts.borrow_mut().record_answer(context.now(), parts);
@@ -58,9 +59,9 @@
     }
 }
 
-/// Finds out whether `runner`, which lost the call before it had survived the beginning of its
-/// answer, has crashed, and records that.
-pub fn watch_lost_runner(context: &Rc<NodeContext>, call: &Rc<Call>, runner: &RunnerRecord) {
+/// Finds out whether `runner`, which lost the call before it had written its answer for
+/// [`PROOF_SPAN`], has crashed, and records that.
+pub fn probe_lost_runner(context: &Rc<NodeContext>, call: &Rc<Call>, runner: &RunnerRecord) {
     let may_leave = context.runners.borrow().is_leaving(&runner.runner);
     if may_leave || call.head.shared_parts.is_empty() {
         return;
@@ -101,10 +102,10 @@
 }
 
 /// Takes what another node knows about parts of prompts.
-pub fn apply_part_news(context: &NodeContext, news: &PartNews) {
-    let is_contested = context.parts.borrow_mut().apply_news(context.now(), news);
+pub fn apply_part_update(context: &NodeContext, update: &PartUpdate) {
+    let lacks_answer = context.parts.borrow_mut().apply_update(context.now(), update);
     log_part_changes(context, "node");
-    if is_contested {
+    if lacks_answer {
         context.signal_runner_change();
     }
 }
--- a/crates/node/src/peer_link.rs
+++ b/crates/node/src/peer_link.rs
@@ -17,7 +17,7 @@
 use crate::dependency::DependencyState;
 use crate::follow_runners::apply_peer_update;
 use crate::limit_share::limit_news;
-use crate::part_watch::apply_part_news;
+use crate::part_watch::apply_part_update;
 use crate::router::RouterService;
 use crate::runner_gate::apply_limit_news;
 use crate::state_fetcher::StateFetcher;
@@ -127,7 +127,7 @@
             loads: self.router.local_loads(),
             waiting_services: self.router.waiting_services(),
             leaving: self.context.runners.borrow().announced_leaving(),
-            part_news: self.context.parts.borrow().news(self.context.now()),
+            part_update: self.context.parts.borrow().update(self.context.now()),
             limit_news: limit_news(&self.context),
         }
     }
@@ -193,7 +193,7 @@
         let vm = heartbeat.vm.clone();
         // These are kept in other tables; the peer table keeps the rest.
         let leaving = std::mem::take(&mut heartbeat.leaving);
-        let part_news = std::mem::take(&mut heartbeat.part_news);
+        let part_update = std::mem::take(&mut heartbeat.part_update);
         let limit_news = std::mem::take(&mut heartbeat.limit_news);
         let loads = std::mem::take(&mut heartbeat.loads);
         let load =
@@ -204,7 +204,7 @@
                 self.router.mark_loads_changed();
             }
             self.router.apply_leaving(&leaving);
-            apply_part_news(&self.context, &part_news);
+            apply_part_update(&self.context, &part_update);
             if limits_changed {
                 self.router.update_members();
             }
--- a/crates/node/src/plain_call.rs
+++ b/crates/node/src/plain_call.rs
@@ -15,7 +15,7 @@
 use crate::call_log::{RequestOutcome, RequestSummary, log_end, log_send, log_send_failure};
 use crate::caller_server::CallRejection;
 use crate::context::NodeContext;
-use crate::part_watch::{find_part_refusal, record_full_answer, watch_lost_runner};
+use crate::part_watch::{find_part_refusal, probe_lost_runner, record_full_answer};
 use crate::route_ticket::RouteTicket;
 use crate::router::RouterService;
 use crate::runner_gate::{check_prompt, check_send};
@@ -211,7 +211,7 @@
         router.mark_leaving(&runner.incarnation(), "reply");
     }
     if failure.outcome == SendOutcome::Unknown {
-        watch_lost_runner(context, call, runner);
+        probe_lost_runner(context, call, runner);
     }
 }
 
--- a/crates/node/src/stream_call.rs
+++ b/crates/node/src/stream_call.rs
@@ -17,7 +17,7 @@
 use crate::call::Call;
 use crate::call_log::{log_send, log_send_failure};
 use crate::context::NodeContext;
-use crate::part_watch::{record_full_answer, watch_lost_runner};
+use crate::part_watch::{probe_lost_runner, record_full_answer};
 use crate::plain_call::{
     explain_failure, fail_call, find_runner, forward_answer, may_retry, record_send_failure,
     unassign,
@@ -167,7 +167,7 @@
     request_answer(context, call, &plan).await.map_err(|failure| {
         log_send_failure(context, call, &plan.runner.runner, &failure.reason);
         if failure.outcome == SendOutcome::Unknown {
-            watch_lost_runner(context, call, &plan.runner);
+            probe_lost_runner(context, call, &plan.runner);
         }
     })
 }
--- a/crates/node/src/stream_move.rs
+++ b/crates/node/src/stream_move.rs
@@ -12,7 +12,7 @@
 
 use crate::call_log::RequestOutcome;
 use crate::metrics::OutcomeLabels;
-use crate::part_watch::{has_blocked_part, watch_lost_runner};
+use crate::part_watch::{has_blocked_part, probe_lost_runner};
 use crate::runner_send::SendPlan;
 use crate::stream_call::{choose_backup, plan_backup_resume};
 use crate::stream_copy::{RunCopy, copy_run};
@@ -55,8 +55,8 @@
     pub(crate) async fn handle_source_loss(&mut self, reason: &str) -> PumpStep {
         self.source.close();
         self.log_send_failure(reason);
-        if !self.survived {
-            watch_lost_runner(&self.context, &self.call, &self.source.runner);
+        if !self.is_prompt_proven {
+            probe_lost_runner(&self.context, &self.call, &self.source.runner);
         }
         if self.pending_move.is_some() {
             return PumpStep::Continue;
--- a/crates/node/src/stream_pump.rs
+++ b/crates/node/src/stream_pump.rs
@@ -13,7 +13,7 @@
 use crate::call::Call;
 use crate::call_log::{RequestOutcome, RequestSummary, format_parts, log_end, log_send_failure};
 use crate::context::{NodeContext, RequestGuard};
-use crate::part_watch::{SURVIVAL_SPAN, record_answer};
+use crate::part_watch::{PROOF_SPAN, record_answer};
 use crate::route_ticket::RouteTicket;
 use crate::stream_copy::RunCopy;
 use crate::stream_move::{MAX_SWITCH_TRIES, PendingMove};
@@ -55,8 +55,8 @@
     pub(crate) changes: u32,
     /// Number of tries of the next runner change.
     pub(crate) tries: u32,
-    /// Whether a runner has survived the beginning of its answer.
-    pub(crate) survived: bool,
+    /// Whether the answer shows that the prompt does not crash runners.
+    pub(crate) is_prompt_proven: bool,
     pace: StreamPace,
     _active: RequestGuard,
 }
@@ -81,7 +81,7 @@
             pending_move: None,
             changes: 0,
             tries: 0,
-            survived: false,
+            is_prompt_proven: false,
             pace: StreamPace::default(),
             _active: context.track_request(),
         }
@@ -185,8 +185,8 @@
         let now = self.context.now();
         self.pace.record(now);
         let first = *self.source.first_events.get_or_insert(now);
-        if !self.survived && now.since(first) >= SURVIVAL_SPAN {
-            self.survived = true;
+        if !self.is_prompt_proven && now.since(first) >= PROOF_SPAN {
+            self.is_prompt_proven = true;
             record_answer(&self.context, &self.call);
         }
         let event_tokens = u64::from(self.call.tokens_per_event.unwrap_or(1));
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -7,8 +7,8 @@
 mod attempt;
 mod fleet_loads;
 mod forecast_codec;
-mod part_news;
 mod part_table;
+mod part_update;
 mod peer_codec;
 mod peer_heartbeat;
 mod peer_table;
@@ -20,12 +20,13 @@
 mod state_codec;
 mod store_era;
 mod stream_scan;
+mod suspect_parts;
 mod transfer_pacer;
 
 pub use attempt::{AttemptTracker, FinalStatus, SendOutcome};
 pub use fleet_loads::{FleetLoads, NodeLoad, RunnerLoad, add_load};
-pub use part_news::{CrashReport, PartNews, TimedPart};
 pub use part_table::{PartChange, PartTable};
+pub use part_update::{CrashReport, PartUpdate, TimedPart};
 pub use peer_codec::{MESSAGE_VERSION, MessageError, decode_message, encode_message};
 pub use peer_heartbeat::{PeerHeartbeat, PeerMessage, RunnerUpdate};
 pub use peer_table::PeerTable;
--- a/crates/serving/src/part_table.rs
+++ b/crates/serving/src/part_table.rs
@@ -1,35 +1,25 @@
 //! Parts of prompts that crash runners, told apart from those that are answered.
 //!
 //! Load pattern: a part of some prompts crashes each runner that begins to answer them. Such
-//! requests come at any node, share their caller and their other parts with sound ones, and
-//! each takes a runner and all that runs there. A part under which several runners have
-//! crashed, and no answer has been seen, is blocked at all nodes.
+//! requests come at any node, share their caller and their other parts with harmless ones, and
+//! each ends a runner and all calls there. A part under which several runners have crashed,
+//! and no answer has been seen, is blocked at all nodes.
 
 use std::collections::BTreeMap;
 
 use base::prelude::*;
 
-use crate::{CrashReport, PartNews, RunnerIncarnation, TimedPart};
+use crate::suspect_parts::{BLOCK_SPAN, CRASH_SPAN, NewBlock, SuspectParts};
+use crate::{CrashReport, PartUpdate, RunnerIncarnation, TimedPart};
 
-/// Number of runners that have to crash under a part before it is blocked.
-const CRASHES_TO_BLOCK: usize = 3;
-/// Time from the last of these crashes until the block: other nodes may have seen an answer.
-const CONFIRM_SPAN: TimeSpan = TimeSpan::millis(300);
 /// Time after an answer in which a crash says nothing about the parts of its prompt.
-const SOUND_SPAN: TimeSpan = TimeSpan::seconds(30);
-/// Time for which a crash counts.
-const CRASH_SPAN: TimeSpan = TimeSpan::seconds(300);
-/// Time for which a part is blocked after its last crash.
-const BLOCK_SPAN: TimeSpan = TimeSpan::seconds(600);
-/// Difference up to which two ends of one block count as the same: a time that is told again
-/// and again grows by the delay of each message.
-const SAME_END_SPAN: TimeSpan = TimeSpan::seconds(10);
-/// Time for which other nodes are told of a crash or an answer: many heartbeats.
-const TELL_SPAN: TimeSpan = TimeSpan::seconds(10);
-/// Maximum number of sound parts, and of suspected ones, in the table.
-const MAX_PARTS: usize = 4_096;
-/// Maximum number of parts of each kind that one message tells.
-const MAX_TOLD_PARTS: usize = 256;
+const SAFE_SPAN: TimeSpan = TimeSpan::seconds(30);
+/// Time for which each heartbeat repeats a crash or an answer, since heartbeats may be lost.
+const REPEAT_SPAN: TimeSpan = TimeSpan::seconds(10);
+/// Maximum number of safe parts.
+const MAX_SAFE_PARTS: usize = 4_096;
+/// Maximum number of parts of each kind in one update.
+const MAX_UPDATE_PARTS: usize = 256;
 
 /// A change of what is known about a part, for the log.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -48,77 +38,47 @@
     },
 }
 
-/// When a part is blocked.
-#[derive(Debug, Clone, Copy)]
-struct PartBlock {
-    from: TimePoint,
-    until: TimePoint,
-}
-
-/// A part under which runners crashed and no answer was seen.
-#[derive(Debug, Default)]
-struct SuspectPart {
-    /// The runners that crashed under it, and until when each crash counts.
-    crashes: BTreeMap<RunnerIncarnation, TimePoint>,
-    block: Option<PartBlock>,
-}
-
-impl SuspectPart {
-    /// Whether all crashes under it happened before `time`.
-    fn crashed_before(&self, time: TimePoint) -> bool {
-        let counted = self.crashes.values().all(|until| *until < time + CRASH_SPAN);
-        counted && self.block.is_none_or(|block| block.until < time + BLOCK_SPAN)
-    }
-
-    fn is_blocked(&self, now: TimePoint) -> bool {
-        self.block.is_some_and(|block| block.from <= now && now < block.until)
-    }
-
-    fn is_over(&self, now: TimePoint) -> bool {
-        self.crashes.is_empty() && self.block.is_none_or(|block| block.until <= now)
-    }
-}
-
 /// A crash that this node saw itself.
 #[derive(Debug)]
-struct SeenCrash {
+struct OwnCrash {
     runner: RunnerIncarnation,
     parts: Vec<PromptPart>,
     /// Until when it counts.
     until: TimePoint,
-    told_until: TimePoint,
+    repeat_until: TimePoint,
 }
 
 /// What this node knows about the parts of prompts.
 #[derive(Debug, Default)]
 pub struct PartTable {
     /// Parts that were answered; crashes before this time say nothing about them.
-    sound: BTreeMap<PromptPart, TimePoint>,
-    suspects: BTreeMap<PromptPart, SuspectPart>,
-    seen: Vec<SeenCrash>,
-    /// Sound parts that other nodes are told of, and until when.
-    told_sound: BTreeMap<PromptPart, TimePoint>,
+    safe: BTreeMap<PromptPart, TimePoint>,
+    suspects: SuspectParts,
+    /// Crashes that the updates of this node repeat.
+    own_crashes: Vec<OwnCrash>,
+    /// Safe parts that the updates of this node repeat, and until when.
+    repeated_safe: BTreeMap<PromptPart, TimePoint>,
     changes: Vec<PartChange>,
-    /// Blocks that began or ended by what this node saw, to be written to the store: until when
-    /// they hold, or `None` for those that ended.
-    unstored: BTreeMap<PromptPart, Option<TimePoint>>,
+    /// Blocks that this node began or ended and that the store lacks: until when they hold, or
+    /// `None` for those that ended.
+    unsaved: BTreeMap<PromptPart, Option<TimePoint>>,
 }
 
 impl PartTable {
-    /// Records that a runner answered a prompt with these parts, or has survived its beginning.
+    /// Records that a runner answered a prompt with these parts, or wrote enough of the answer.
     /// Returns whether other nodes have to know.
     pub fn record_answer(&mut self, now: TimePoint, parts: &[PromptPart]) -> bool {
-        let mut was_suspect = false;
+        let mut is_new = false;
         for part in parts {
-            let was_blocked = self.block_end(part).is_some();
-            if self.clear(part, now + SOUND_SPAN) {
-                was_suspect |= self.tell_sound(now, part);
+            let was_blocked = self.suspects.has_block(part);
+            if self.mark_safe(part, now + SAFE_SPAN) {
+                is_new |= self.repeat_safe(now, part);
                 if was_blocked {
-                    self.unstored.insert(part.clone(), None);
+                    self.unsaved.insert(part.clone(), None);
                 }
             }
         }
-        was_suspect
+        is_new
     }
 
     /// Records that a runner crashed while it was about to answer a prompt with these parts.
@@ -129,18 +89,18 @@
         runner: &RunnerIncarnation,
         parts: &[PromptPart],
     ) -> bool {
-        let suspected = parts.iter().filter(|part| !self.is_sound_at(part, now));
-        let parts: Vec<PromptPart> = suspected.take(MAX_TOLD_PARTS).cloned().collect();
+        let suspected = parts.iter().filter(|part| !self.is_safe_at(part, now));
+        let parts: Vec<PromptPart> = suspected.take(MAX_UPDATE_PARTS).cloned().collect();
         if parts.is_empty() {
             return false;
         }
         let until = now + CRASH_SPAN;
-        if let Some(part) = self.add_crash(now, until, runner, &parts) {
-            let block_end = self.block_end(&part);
-            self.unstored.insert(part, block_end);
+        if let Some(block) = self.suspects.add_crash(now, until, runner, &parts) {
+            self.unsaved.insert(block.part.clone(), Some(block.until));
+            self.note_block(block);
         }
-        let told_until = now + TELL_SPAN;
-        self.seen.push(SeenCrash { runner: runner.clone(), parts, until, told_until });
+        let repeat_until = now + REPEAT_SPAN;
+        self.own_crashes.push(OwnCrash { runner: runner.clone(), parts, until, repeat_until });
         true
     }
 
@@ -154,90 +114,94 @@
         if self.suspects.is_empty() {
             return None;
         }
-        parts.iter().find_map(|part| {
-            let suspect = self.suspects.get(part).filter(|suspect| suspect.is_blocked(now))?;
-            Some((part, suspect.block?.until))
-        })
+        let blocked = |part| Some((part, self.suspects.blocked_until(now, part)?));
+        parts.iter().find_map(blocked)
     }
 
     /// What other nodes are to know.
     #[must_use]
-    pub fn news(&self, now: TimePoint) -> PartNews {
-        let mut told_parts = 0;
-        let fits = |crash: &&SeenCrash| {
-            told_parts += crash.parts.len();
-            told_parts <= MAX_TOLD_PARTS
+    pub fn update(&self, now: TimePoint) -> PartUpdate {
+        let mut crash_parts = 0;
+        let fits = |crash: &&OwnCrash| {
+            crash_parts += crash.parts.len();
+            crash_parts <= MAX_UPDATE_PARTS
         };
-        let report = |crash: &SeenCrash| CrashReport {
+        let report = |crash: &OwnCrash| CrashReport {
             runner: crash.runner.clone(),
             parts: crash.parts.clone(),
             left: crash.until.since(now),
         };
-        let recent = self.seen.iter().rev().filter(|crash| now < crash.told_until);
-        let block =
-            |(part, suspect): (&PromptPart, &SuspectPart)| timed(now, part, suspect.block?.until);
-        let sound = |(part, told_until): (&PromptPart, &TimePoint)| {
-            let until = self.sound.get(part).filter(|_| now < *told_until)?;
+        let recent = self.own_crashes.iter().rev().filter(|crash| now < crash.repeat_until);
+        let blocked = self.suspects.blocks().filter_map(|(part, until)| timed(now, part, until));
+        let safe = |(part, repeat_until): (&PromptPart, &TimePoint)| {
+            let until = self.safe.get(part).filter(|_| now < *repeat_until)?;
             timed(now, part, *until)
         };
-        PartNews {
+        PartUpdate {
             crashes: recent.take_while(fits).map(report).collect(),
-            blocked: self.suspects.iter().filter_map(block).take(MAX_TOLD_PARTS).collect(),
-            sound: self.told_sound.iter().filter_map(sound).take(MAX_TOLD_PARTS).collect(),
+            blocked: blocked.take(MAX_UPDATE_PARTS).collect(),
+            safe: self.repeated_safe.iter().filter_map(safe).take(MAX_UPDATE_PARTS).collect(),
         }
     }
 
-    /// Takes what another node tells. Returns whether that node lacks an answer that this one
-    /// saw.
-    pub fn apply_news(&mut self, now: TimePoint, news: &PartNews) -> bool {
-        for sound in &news.sound {
-            self.clear(&sound.part, now + sound.left);
+    /// Applies the update of another node. Returns whether that node lacks an answer that this
+    /// one saw.
+    pub fn apply_update(&mut self, now: TimePoint, update: &PartUpdate) -> bool {
+        for safe in &update.safe {
+            self.mark_safe(&safe.part, now + safe.left);
         }
-        let mut is_contested = false;
-        for crash in &news.crashes {
-            let until = now + crash.left;
-            let (sound, suspects): (Vec<PromptPart>, Vec<PromptPart>) = crash
-                .parts
-                .iter()
-                .cloned()
-                .partition(|part| self.is_sound_at(part, until - CRASH_SPAN));
-            for part in &sound {
-                is_contested |= self.tell_sound(now, part);
-            }
-            self.add_crash(now, until, &crash.runner, &suspects);
+        let mut lacks_answer = false;
+        for crash in &update.crashes {
+            lacks_answer |= self.apply_crash(now, crash);
         }
-        for blocked in &news.blocked {
+        for blocked in &update.blocked {
             let until = now + blocked.left;
-            if self.is_sound_at(&blocked.part, until - BLOCK_SPAN) {
-                is_contested |= self.tell_sound(now, &blocked.part);
-            } else {
-                self.take_block(now, until, &blocked.part);
+            if self.is_safe_at(&blocked.part, until - BLOCK_SPAN) {
+                lacks_answer |= self.repeat_safe(now, &blocked.part);
+            } else if let Some(block) = self.suspects.take_block(now, until, &blocked.part) {
+                self.note_block(block);
             }
         }
-        is_contested
+        lacks_answer
+    }
+
+    /// Counts a crash that another node saw against the parts that are not known to be safe.
+    /// Returns whether that node does not know of one that is.
+    fn apply_crash(&mut self, now: TimePoint, crash: &CrashReport) -> bool {
+        let until = now + crash.left;
+        let is_safe = |part: &PromptPart| self.is_safe_at(part, until - CRASH_SPAN);
+        let (safe, suspected): (Vec<PromptPart>, Vec<PromptPart>) =
+            crash.parts.iter().cloned().partition(is_safe);
+        let mut lacks_answer = false;
+        for part in &safe {
+            lacks_answer |= self.repeat_safe(now, part);
+        }
+        if let Some(block) = self.suspects.add_crash(now, until, &crash.runner, &suspected) {
+            self.note_block(block);
+        }
+        lacks_answer
     }
 
     /// Takes over a block that was read from the store.
     pub fn load_block(&mut self, now: TimePoint, until: TimePoint, part: &PromptPart) {
         let until = until.min(now + BLOCK_SPAN);
-        if now < until && !self.is_sound_at(part, now) {
-            self.take_block(now, until, part);
+        if until <= now || self.is_safe_at(part, now) {
+            return;
+        }
+        if let Some(block) = self.suspects.take_block(now, until, part) {
+            self.note_block(block);
         }
     }
 
-    /// The blocks that began or ended by what this node saw since the last call: the part, and
-    /// until when it is blocked, or `None` if the block has ended.
-    pub fn take_unstored(&mut self) -> BTreeMap<PromptPart, Option<TimePoint>> {
-        std::mem::take(&mut self.unstored)
-    }
-
-    /// Keeps what could not be written to the store, unless there is something newer.
-    pub fn return_unstored(&mut self, part: PromptPart, until: Option<TimePoint>) {
-        self.unstored.entry(part).or_insert(until);
+    /// The blocks that this node began or ended since the last call: the part, and until when it
+    /// is blocked, or `None` if the block has ended.
+    pub fn take_unsaved(&mut self) -> BTreeMap<PromptPart, Option<TimePoint>> {
+        std::mem::take(&mut self.unsaved)
     }
 
-    fn block_end(&self, part: &PromptPart) -> Option<TimePoint> {
-        Some(self.suspects.get(part)?.block?.until)
+    /// Returns a block that could not be saved, unless there is a newer one of its part.
+    pub fn return_unsaved(&mut self, part: PromptPart, until: Option<TimePoint>) {
+        self.unsaved.entry(part).or_insert(until);
     }
 
     /// The changes since the last call.
@@ -247,137 +211,40 @@
 
     /// Drops what no longer counts.
     pub fn prune(&mut self, now: TimePoint) {
-        for suspect in self.suspects.values_mut() {
-            suspect.crashes.retain(|_, until| now < *until);
-        }
-        self.suspects.retain(|_, suspect| !suspect.is_over(now));
-        self.seen.retain(|crash| now < crash.told_until);
-        self.told_sound.retain(|_, told_until| now < *told_until);
-        self.sound.retain(|_, until| now < *until + TELL_SPAN);
+        self.suspects.prune(now);
+        self.own_crashes.retain(|crash| now < crash.repeat_until);
+        self.repeated_safe.retain(|_, repeat_until| now < *repeat_until);
+        self.safe.retain(|_, until| now < *until + REPEAT_SPAN);
     }
 
     /// Whether an answer was seen by which a crash at `time` says nothing about the part.
-    fn is_sound_at(&self, part: &PromptPart, time: TimePoint) -> bool {
-        self.sound.get(part).is_some_and(|until| time < *until)
+    fn is_safe_at(&self, part: &PromptPart, time: TimePoint) -> bool {
+        self.safe.get(part).is_some_and(|until| time < *until)
     }
 
     /// Records an answer by which crashes before `until` say nothing about the part. Returns
     /// whether the part was suspected because of such crashes only.
-    fn clear(&mut self, part: &PromptPart, until: TimePoint) -> bool {
-        if self.sound.len() >= MAX_PARTS && !self.sound.contains_key(part) {
-            drop_oldest(&mut self.sound);
+    fn mark_safe(&mut self, part: &PromptPart, until: TimePoint) -> bool {
+        if self.safe.len() >= MAX_SAFE_PARTS && !self.safe.contains_key(part) {
+            drop_oldest(&mut self.safe);
         }
-        let sound_until = self.sound.entry(part.clone()).or_insert(until);
-        *sound_until = until.max(*sound_until);
-        let is_cleared =
-            self.suspects.get(part).is_some_and(|suspect| suspect.crashed_before(until));
+        let safe_until = self.safe.entry(part.clone()).or_insert(until);
+        *safe_until = until.max(*safe_until);
+        let is_cleared = self.suspects.remove_if_before(until, part);
         if is_cleared {
-            self.suspects.remove(part);
             self.changes.push(PartChange::Cleared { part: part.clone() });
         }
         is_cleared
     }
 
-    /// Has other nodes told that a part is sound. Returns whether they were not told before.
-    fn tell_sound(&mut self, now: TimePoint, part: &PromptPart) -> bool {
-        self.told_sound.insert(part.clone(), now + TELL_SPAN).is_none()
+    /// Has the updates of this node say that a part is safe. Returns whether they did not before.
+    fn repeat_safe(&mut self, now: TimePoint, part: &PromptPart) -> bool {
+        self.repeated_safe.insert(part.clone(), now + REPEAT_SPAN).is_none()
     }
 
-    /// Counts a crash, which counts until `until`, against the parts of a prompt, unless a part that
-    /// is blocked explains it. Returns the part that is blocked because of it.
-    fn add_crash(
-        &mut self,
-        now: TimePoint,
-        until: TimePoint,
-        runner: &RunnerIncarnation,
-        parts: &[PromptPart],
-    ) -> Option<PromptPart> {
-        if self.is_explained(until, runner, parts) {
-            self.forget_crash(runner);
-            return None;
-        }
-        // The last part is the most specific one: if all crashes so far have several parts in
-        // common, it is blocked alone, and the others only if crashes go on without it.
-        for part in parts.iter().rev() {
-            if self.count_crash(now, until, runner, part) {
-                let explained: Vec<RunnerIncarnation> =
-                    self.suspects[part].crashes.keys().cloned().collect();
-                for runner in &explained {
-                    self.forget_crash(runner);
-                }
-                return Some(part.clone());
-            }
-        }
-        None
-    }
-
-    /// Whether a blocked part explains a crash: it is one of `parts`, or of another prompt at that
-    /// runner. If it is one of `parts`, its block is prolonged.
-    fn is_explained(
-        &mut self,
-        until: TimePoint,
-        runner: &RunnerIncarnation,
-        parts: &[PromptPart],
-    ) -> bool {
-        for part in parts {
-            let Some(suspect) = self.suspects.get_mut(part) else { continue };
-            let Some(block) = &mut suspect.block else { continue };
-            block.until = block.until.max(until - CRASH_SPAN + BLOCK_SPAN);
-            suspect.crashes.entry(runner.clone()).or_insert(until);
-            return true;
-        }
-        let blocked = self.suspects.values().filter(|suspect| suspect.block.is_some());
-        blocked.into_iter().any(|suspect| suspect.crashes.contains_key(runner))
-    }
-
-    /// Counts a crash against no part but those that are blocked.
-    fn forget_crash(&mut self, runner: &RunnerIncarnation) {
-        for suspect in self.suspects.values_mut().filter(|suspect| suspect.block.is_none()) {
-            suspect.crashes.remove(runner);
-        }
-    }
-
-    /// Counts a crash against one part. Returns whether the part is blocked because of it.
-    fn count_crash(
-        &mut self,
-        now: TimePoint,
-        until: TimePoint,
-        runner: &RunnerIncarnation,
-        part: &PromptPart,
-    ) -> bool {
-        let Some(suspect) = self.suspect(part) else { return false };
-        suspect.crashes.entry(runner.clone()).or_insert(until);
-        let crashes = suspect.crashes.values().filter(|until| now < **until).count();
-        if crashes < CRASHES_TO_BLOCK {
-            return false;
-        }
-        let last_until = suspect.crashes.values().max().copied().unwrap_or(until);
-        let block_until = last_until - CRASH_SPAN + BLOCK_SPAN;
-        suspect.block = Some(PartBlock { from: now + CONFIRM_SPAN, until: block_until });
-        self.changes.push(PartChange::Blocked { part: part.clone(), crashes });
-        true
-    }
-
-    /// Takes over the block of another node.
-    fn take_block(&mut self, now: TimePoint, until: TimePoint, part: &PromptPart) {
-        let Some(suspect) = self.suspect(part) else { return };
-        if let Some(block) = &mut suspect.block {
-            if until > block.until + SAME_END_SPAN {
-                block.until = until;
-            }
-        } else {
-            suspect.block = Some(PartBlock { from: now, until });
-            let crashes = suspect.crashes.len();
-            self.changes.push(PartChange::Blocked { part: part.clone(), crashes });
-        }
-    }
-
-    /// The entry of a suspected part; `None` if the table is full.
-    fn suspect(&mut self, part: &PromptPart) -> Option<&mut SuspectPart> {
-        if self.suspects.len() >= MAX_PARTS && !self.suspects.contains_key(part) {
-            return None;
-        }
-        Some(self.suspects.entry(part.clone()).or_default())
+    fn note_block(&mut self, block: NewBlock) {
+        let NewBlock { part, crashes, .. } = block;
+        self.changes.push(PartChange::Blocked { part, crashes });
     }
 }
 
@@ -387,9 +254,9 @@
 }
 
 /// Drops the part whose last answer is the oldest.
-fn drop_oldest(sound: &mut BTreeMap<PromptPart, TimePoint>) {
-    let oldest = sound.iter().min_by_key(|(_, until)| **until).map(|(part, _)| part.clone());
+fn drop_oldest(safe: &mut BTreeMap<PromptPart, TimePoint>) {
+    let oldest = safe.iter().min_by_key(|(_, until)| **until).map(|(part, _)| part.clone());
     if let Some(part) = oldest {
-        sound.remove(&part);
+        safe.remove(&part);
     }
 }
--- a/crates/serving/src/part_news.rs
+++ b/crates/serving/src/part_update.rs
@@ -16,7 +16,7 @@
     pub left: TimeSpan,
 }
 
-/// A part, and the time for which what is told of it still holds.
+/// A part, and the time for which a statement about it still holds.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TimedPart {
     /// The part.
@@ -25,14 +25,14 @@
     pub left: TimeSpan,
 }
 
-/// What one node tells about parts of prompts. Remaining times take the place of deadlines,
-/// since nodes do not share a clock.
+/// What one node knows about parts of prompts, in each of its heartbeats. Remaining times take
+/// the place of deadlines, since nodes do not share a clock.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct PartNews {
-    /// Crashes that this node saw lately.
+pub struct PartUpdate {
+    /// Crashes that the node saw lately.
     pub crashes: Vec<CrashReport>,
     /// Parts that are blocked.
     pub blocked: Vec<TimedPart>,
-    /// Parts that this node saw answered and another node suspects.
-    pub sound: Vec<TimedPart>,
+    /// Parts that the node saw answered, and that another node suspects.
+    pub safe: Vec<TimedPart>,
 }
--- a/crates/serving/src/peer_heartbeat.rs
+++ b/crates/serving/src/peer_heartbeat.rs
@@ -5,7 +5,7 @@
 use base::prelude::*;
 use serde::{Deserialize, Serialize};
 
-use crate::{LimitNews, PartNews, PlanVersion, RunnerChange, RunnerIncarnation, RunnerLoad};
+use crate::{LimitNews, PartUpdate, PlanVersion, RunnerChange, RunnerIncarnation, RunnerLoad};
 
 /// A message from one node to another.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -62,7 +62,7 @@
     /// runner list may show it late or not at all.
     pub leaving: Vec<RunnerIncarnation>,
     /// What the node knows about parts of prompts that may crash runners.
-    pub part_news: PartNews,
+    pub part_update: PartUpdate,
     /// Limits that runners named to the node, and its demand where it matters for them.
     pub limit_news: LimitNews,
 }
--- a/crates/serving/tests/part_table.rs
+++ b/crates/serving/tests/part_table.rs
@@ -111,9 +111,9 @@
     }
     for _ in 0..2 {
         for from in 0..tables.len() {
-            let news = tables[from].news(at(5.0));
+            let update = tables[from].update(at(5.0));
             for to in (0..tables.len()).filter(|to| *to != from) {
-                tables[to].apply_news(at(5.0), &news);
+                tables[to].apply_update(at(5.0), &update);
             }
         }
     }
@@ -125,8 +125,8 @@
     let (mut suspecting, mut knowing) = (PartTable::default(), PartTable::default());
     knowing.record_answer(at(1.0), &parts(&["first"]));
     crash(&mut suspecting, &[2.0], &["first", "bad"]);
-    assert!(knowing.apply_news(at(2.0), &suspecting.news(at(2.0))), "it has something to tell");
-    suspecting.apply_news(at(2.0), &knowing.news(at(2.0)));
+    assert!(knowing.apply_update(at(2.0), &suspecting.update(at(2.0))), "it has something to tell");
+    suspecting.apply_update(at(2.0), &knowing.update(at(2.0)));
     crash(&mut suspecting, &[3.0, 4.0], &["first", "bad"]);
     assert!(!is_blocked(&suspecting, 5.0, "first"));
     assert!(is_blocked(&suspecting, 5.0, "bad"));
@@ -136,15 +136,15 @@
 fn an_answer_ends_a_block_at_all_nodes() {
     let (mut one, mut other) = (PartTable::default(), PartTable::default());
     crash(&mut one, &[1.0, 2.0, 3.0], &["rare"]);
-    other.apply_news(at(4.0), &one.news(at(4.0)));
+    other.apply_update(at(4.0), &one.update(at(4.0)));
     assert!(is_blocked(&one, 4.5, "rare") && is_blocked(&other, 4.5, "rare"));
     assert!(other.record_answer(at(5.0), &parts(&["rare"])), "the others have to know");
     assert!(!is_blocked(&other, 5.0, "rare"));
-    let news = other.news(at(5.0));
-    one.apply_news(at(5.0), &news);
+    let update = other.update(at(5.0));
+    one.apply_update(at(5.0), &update);
     assert!(!is_blocked(&one, 5.0, "rare"));
     // A message that was under way does not bring the block back.
-    other.apply_news(at(5.1), &one.news(at(4.9)));
+    other.apply_update(at(5.1), &one.update(at(4.9)));
     assert!(!is_blocked(&other, 5.2, "rare"));
 }
 
@@ -161,11 +161,11 @@
     let (mut first, mut second, mut fresh) =
         (PartTable::default(), PartTable::default(), PartTable::default());
     crash(&mut first, &[1.0, 2.0, 3.0], &["bad"]);
-    second.apply_news(at(4.0), &first.news(at(4.0)));
-    let news = second.news(at(60.0));
-    assert!(news.crashes.is_empty());
+    second.apply_update(at(4.0), &first.update(at(4.0)));
+    let update = second.update(at(60.0));
+    assert!(update.crashes.is_empty());
     // The fresh node's clock has just begun.
-    fresh.apply_news(at(0.1), &news);
+    fresh.apply_update(at(0.1), &update);
     let (_, until) = fresh.find_blocked(at(0.1), &parts(&["bad"])).unwrap();
     assert_eq!(until, at(0.1) + TimeSpan::seconds(600 - 57));
 }
@@ -177,8 +177,8 @@
     for round in 0..500 {
         // Each message takes 100 ms.
         let time = 4.0 + f64::from(round) * 0.2;
-        other.apply_news(at(time + 0.1), &one.news(at(time)));
-        one.apply_news(at(time + 0.2), &other.news(at(time + 0.1)));
+        other.apply_update(at(time + 0.1), &one.update(at(time)));
+        one.apply_update(at(time + 0.2), &other.update(at(time + 0.1)));
     }
     for table in [&one, &other] {
         let bad = parts(&["bad"]);
@@ -194,42 +194,52 @@
     assert!(is_blocked(&table, 602.0, "bad"));
     assert!(!is_blocked(&table, 604.0, "bad"));
     table.prune(at(604.0));
-    assert_eq!(table.news(at(604.0)), serving::PartNews::default());
+    assert_eq!(table.update(at(604.0)), serving::PartUpdate::default());
 }
 
 #[test]
 fn a_node_stores_the_blocks_that_it_began_or_ended_itself() {
     let (mut one, mut other) = (PartTable::default(), PartTable::default());
     crash(&mut one, &[1.0, 2.0], &["bad"]);
-    assert!(one.take_unstored().is_empty());
+    assert!(one.take_unsaved().is_empty());
     crash(&mut one, &[3.0], &["bad"]);
     let bad: PromptPart = "bad".parse().unwrap();
-    let stored = one.take_unstored();
+    let stored = one.take_unsaved();
     assert_eq!(stored.get(&bad), Some(&Some(at(603.0))));
-    other.apply_news(at(4.0), &one.news(at(4.0)));
-    assert!(other.take_unstored().is_empty());
+    other.apply_update(at(4.0), &one.update(at(4.0)));
+    assert!(other.take_unsaved().is_empty());
     other.record_answer(at(5.0), std::slice::from_ref(&bad));
-    assert_eq!(other.take_unstored().get(&bad), Some(&None));
+    assert_eq!(other.take_unsaved().get(&bad), Some(&None));
     let mut fresh = PartTable::default();
     fresh.load_block(at(0.5), at(600.0), &bad);
     assert!(is_blocked(&fresh, 0.5, "bad"));
-    assert!(fresh.take_unstored().is_empty());
+    assert!(fresh.take_unsaved().is_empty());
+}
+
+#[test]
+fn many_suspected_parts_do_not_hide_one_that_crashes_runners() {
+    let mut table = PartTable::default();
+    for number in 0..10_000 {
+        table.record_crash(at(1.0), &runner(number), &parts(&[&format!("p{number}")]));
+    }
+    crash(&mut table, &[20.0, 21.0, 22.0], &["bad"]);
+    assert!(is_blocked(&table, 23.0, "bad"));
 }
 
 #[test]
 fn what_is_told_stays_within_a_message() {
     let mut table = PartTable::default();
-    for number in 0..300 {
+    for number in 0..2_000 {
         let texts = [format!("p{number}"), format!("q{number}")];
         for crash in 0..3 {
             let texts = parts(&[&texts[0], &texts[1]]);
             table.record_crash(at(1.0), &runner(3 * number + crash), &texts);
         }
     }
-    let news = table.news(at(8.0));
-    let crashed: usize = news.crashes.iter().map(|crash| crash.parts.len()).sum();
-    assert!(crashed <= 256 && !news.crashes.is_empty());
-    assert_eq!(news.blocked.len(), 256);
+    let update = table.update(at(8.0));
+    let crashed: usize = update.crashes.iter().map(|crash| crash.parts.len()).sum();
+    assert!(crashed <= 256 && !update.crashes.is_empty());
+    assert_eq!(update.blocked.len(), 256);
     let changes = table.take_changes();
     assert!(changes.iter().all(|change| matches!(change, PartChange::Blocked { .. })));
 }
--- a/crates/serving/tests/peer_codec.rs
+++ b/crates/serving/tests/peer_codec.rs
@@ -6,19 +6,19 @@
 use proptest::prelude::*;
 use route::MemoryForecast;
 use serving::{
-    CrashReport, LimitNews, LimitReport, MESSAGE_VERSION, MessageError, PartNews, PeerHeartbeat,
+    CrashReport, LimitNews, LimitReport, MESSAGE_VERSION, MessageError, PartUpdate, PeerHeartbeat,
     PeerMessage, RunnerChange, RunnerIncarnation, RunnerLoad, RunnerUpdate, ServiceDemand,
     TimedPart, decode_message, encode_message,
 };
 
-fn part_news() -> PartNews {
+fn part_update() -> PartUpdate {
     let part: PromptPart = "91bd3f06".parse().unwrap();
     let runner = RunnerIncarnation { runner: "runner-1".parse().unwrap(), started_unix_ms: 9 };
     let timed = TimedPart { part: part.clone(), left: TimeSpan::seconds(3) };
-    PartNews {
+    PartUpdate {
         crashes: vec![CrashReport { runner, parts: vec![part], left: TimeSpan::seconds(2) }],
         blocked: vec![timed.clone()],
-        sound: vec![timed],
+        safe: vec![timed],
     }
 }
 
@@ -54,7 +54,7 @@
         loads: vec![load],
         waiting_services: vec!["llm".parse().unwrap()],
         leaving: Vec::new(),
-        part_news: part_news(),
+        part_update: part_update(),
         limit_news: limit_news(),
     }))
 }
--- a/crates/serving/tests/peer_table.rs
+++ b/crates/serving/tests/peer_table.rs
@@ -1,7 +1,7 @@
 //! Liveness, reader order and newer state of peers, as heartbeats arrive and stop.
 
 use base::prelude::*;
-use serving::{LimitNews, PartNews, PeerHeartbeat, PeerTable, PlanVersion};
+use serving::{LimitNews, PartUpdate, PeerHeartbeat, PeerTable, PlanVersion};
 
 fn at(millis: u64) -> TimePoint {
     TimePoint::default() + TimeSpan::millis(millis)
@@ -23,7 +23,7 @@
         loads: Vec::new(),
         waiting_services: Vec::new(),
         leaving: Vec::new(),
-        part_news: PartNews::default(),
+        part_update: PartUpdate::default(),
         limit_news: LimitNews::default(),
     }
 }
