Use the field's terms for the limits of runners

Words only, read as by someone who joins: the rate gate is a token bucket (RateLimiter), the "word" of a runner a statement, what nodes "tell" each other an update, like the changes of the list of runners. The tests of route and serving and those of node_runner_limit pass as before.

--- a/crates/node/src/limit_share.rs
+++ b/crates/node/src/limit_share.rs
@@ -1,22 +1,22 @@
-//! This node's share of the limits that runners name: what the other nodes are told of them and of
-//! its demand, and what the dispatcher is told.
+//! This node's share of the limits that runners name: its updates for the other nodes, and the
+//! events for the dispatcher.
 
 use std::cell::Cell;
 use std::collections::BTreeSet;
 
 use base::prelude::*;
 use route::RouteEvent;
-use serving::{LimitNews, RunnerEntry, ServiceDemand};
+use serving::{LimitUpdate, RunnerEntry, ServiceDemand};
 
 use crate::context::NodeContext;
 
-/// What this node heard from runners, and its demand for the services with limited runners.
+/// What runners stated to this node, and its demand for the services with limited runners.
 #[must_use]
-pub fn limit_news(context: &NodeContext) -> LimitNews {
+pub fn limit_update(context: &NodeContext) -> LimitUpdate {
     let now = context.now();
     let limits = context.limits.borrow();
     if limits.is_empty() {
-        return LimitNews::default();
+        return LimitUpdate::default();
     }
     let runners = context.runners.borrow();
     let is_limited =
@@ -28,16 +28,17 @@
         requests: recent_requests(context, service),
     };
     let demands = services.into_iter().map(demand).collect();
-    LimitNews { limits: limits.reports(now), demands }
+    LimitUpdate { limits: limits.reports(now), demands }
 }
 
 /// Events with this node's share of the limit of each runner; none while no runner has or had
-/// one. `told` keeps whether the dispatcher knows of a limit, so that it learns of the end.
-pub fn limit_events(context: &NodeContext, told: &Cell<bool>) -> Vec<RouteEvent> {
+/// one. `dispatcher_limited` keeps whether the dispatcher knows of a limit, so that it learns of
+/// the end.
+pub fn limit_events(context: &NodeContext, dispatcher_limited: &Cell<bool>) -> Vec<RouteEvent> {
     let now = context.now();
     let limits = context.limits.borrow();
-    let was_told = told.replace(!limits.is_empty());
-    if limits.is_empty() && !was_told {
+    let was_limited = dispatcher_limited.replace(!limits.is_empty());
+    if limits.is_empty() && !was_limited {
         return Vec::new();
     }
     let runners = context.runners.borrow();
@@ -45,7 +46,7 @@
         let record = &entry.record;
         let rate = limits.rate(now, &record.incarnation()).map(|rate| {
             let requests = recent_requests(context, &record.service);
-            RequestRate(rate.0 * limits.own_part(&record.service, requests))
+            RequestRate(rate.0 * limits.own_share(&record.service, requests))
         });
         RouteEvent::RunnerLimit { runner: record.runner.clone(), rate }
     };
--- a/crates/node/src/peer_link.rs
+++ b/crates/node/src/peer_link.rs
@@ -16,10 +16,10 @@
 use crate::context::NodeContext;
 use crate::dependency::DependencyState;
 use crate::follow_runners::apply_peer_update;
-use crate::limit_share::limit_news;
+use crate::limit_share::limit_update;
 use crate::part_watch::apply_part_update;
 use crate::router::RouterService;
-use crate::runner_gate::apply_limit_news;
+use crate::runner_gate::apply_limit_update;
 use crate::state_fetcher::StateFetcher;
 
 /// A requested heartbeat is sent no sooner than the heartbeat interval divided by this after
@@ -128,7 +128,7 @@
             waiting_services: self.router.waiting_services(),
             leaving: self.context.runners.borrow().announced_leaving(),
             part_update: self.context.parts.borrow().update(self.context.now()),
-            limit_news: limit_news(&self.context),
+            limit_update: limit_update(&self.context),
         }
     }
 
@@ -194,12 +194,12 @@
         // These are kept in other tables; the peer table keeps the rest.
         let leaving = std::mem::take(&mut heartbeat.leaving);
         let part_update = std::mem::take(&mut heartbeat.part_update);
-        let limit_news = std::mem::take(&mut heartbeat.limit_news);
+        let limit_update = std::mem::take(&mut heartbeat.limit_update);
         let loads = std::mem::take(&mut heartbeat.loads);
         let load =
             NodeLoad { loads, waiting_services: std::mem::take(&mut heartbeat.waiting_services) };
         if self.context.peers.borrow_mut().record_heartbeat(self.context.now(), heartbeat) {
-            let limits_changed = apply_limit_news(&self.context, &vm, limit_news);
+            let limits_changed = apply_limit_update(&self.context, &vm, limit_update);
             if self.context.peer_loads.borrow_mut().set(vm, load) {
                 self.router.mark_loads_changed();
             }
--- a/crates/node/src/router.rs
+++ b/crates/node/src/router.rs
@@ -51,8 +51,8 @@
     load_sequence: Cell<u64>,
     /// Whether other nodes have reported loads that the dispatcher has not received yet.
     peer_loads_changed: Cell<bool>,
-    /// Whether the dispatcher was told of a limit.
-    limits_told: Cell<bool>,
+    /// Whether the dispatcher knows of a limit.
+    dispatcher_limited: Cell<bool>,
     /// Requests an immediate heartbeat, so that the other nodes learn of a new call at once.
     heartbeat_requests: Rc<RefCell<mpsc::Sender<()>>>,
     weak_self: Weak<Self>,
@@ -87,7 +87,7 @@
             calls,
             load_sequence: Cell::default(),
             peer_loads_changed: Cell::default(),
-            limits_told: Cell::default(),
+            dispatcher_limited: Cell::default(),
             heartbeat_requests,
             weak_self: weak_self.clone(),
         })
@@ -303,7 +303,7 @@
                 events.push(RouteEvent::RunnerWait { runner: record.runner.clone(), until });
             }
         }
-        events.extend(limit_events(&self.context, &self.limits_told));
+        events.extend(limit_events(&self.context, &self.dispatcher_limited));
         events
     }
 
--- a/crates/node/src/runner_gate.rs
+++ b/crates/node/src/runner_gate.rs
@@ -8,7 +8,7 @@
 
 use base::prelude::*;
 use platform::{AttemptId, KvCopy, PlatformError, RunnerNotice, RunnerReply};
-use serving::{LimitChange, LimitNews, MAX_RUNNER_WAIT, RunnerIncarnation, RunnerRecord};
+use serving::{LimitChange, LimitUpdate, MAX_RUNNER_WAIT, RunnerIncarnation, RunnerRecord};
 
 use crate::call::Call;
 use crate::call_log::may_log;
@@ -117,8 +117,8 @@
 }
 
 /// Takes what another node knows about limits of runners. Returns whether one has changed.
-pub fn apply_limit_news(context: &NodeContext, vm: &VmId, news: LimitNews) -> bool {
-    let changes = context.limits.borrow_mut().apply_news(context.now(), vm, news);
+pub fn apply_limit_update(context: &NodeContext, vm: &VmId, update: LimitUpdate) -> bool {
+    let changes = context.limits.borrow_mut().apply_update(context.now(), vm, update);
     for change in &changes {
         log_limit(context, change, "node");
     }
--- a/crates/route/src/rate_gate.rs
+++ b/crates/route/src/rate_limiter.rs
@@ -1,26 +1,26 @@
-//! Limit on the rate of this entry's calls to a runner.
+//! Limit on the rate of this entry's calls to a runner: a token bucket, whose tokens are calls.
 //!
-//! Load pattern: a runner in need names the rate that it takes from all entries together, and
-//! each entry keeps to its share. Without memory of the last calls, entries whose callers come
-//! together would each send at once.
+//! Load pattern: a runner names the rate that it takes from all entries together, and each entry
+//! sends at its share. If hundreds of entries began with a full bucket, or saved up several calls,
+//! their calls would still arrive together.
 
 use base::prelude::*;
 
-/// Calls that may be saved up, as a time at the rate; at least one call.
+/// Size of the bucket, as the time in which it fills; it holds one call at least.
 const SAVED_SPAN: TimeSpan = TimeSpan::millis(250);
-/// Calls that may be sent ahead of the rate, as by moves that cannot wait.
+/// Calls that may be sent ahead of the rate: runs that move do not wait for it.
 const MAX_DEBT: f64 = 4.0;
 
-/// What a rate still allows.
+/// Contents of the bucket.
 #[derive(Debug, Clone, Copy)]
-struct RateBalance {
+struct RateBucket {
     rate: RequestRate,
     /// Calls allowed at `at`; negative after calls that could not wait.
     calls: f64,
     at: TimePoint,
 }
 
-impl RateBalance {
+impl RateBucket {
     fn calls_at(&self, now: TimePoint) -> f64 {
         let saved = (self.rate.0 * SAVED_SPAN.as_seconds()).max(1.0);
         (self.calls + self.rate.0 * now.since(self.at).as_seconds()).min(saved)
@@ -34,53 +34,53 @@
 
 /// Limit on the rate of calls to one runner; there is none by default.
 #[derive(Debug, Default)]
-pub struct RateGate {
-    balance: Option<RateBalance>,
+pub struct RateLimiter {
+    bucket: Option<RateBucket>,
 }
 
-impl RateGate {
-    /// Sets the rate, or ends the limit. `draw`, between 0 and 1, is what a new limit begins
-    /// with, so that entries do not all send their first calls together.
-    pub fn set_rate(&mut self, now: TimePoint, rate: Option<RequestRate>, draw: f64) {
+impl RateLimiter {
+    /// Sets the rate, or ends the limit. `initial_calls`, between 0 and 1, are in the bucket of a new
+    /// limit; drawn at random, they keep entries from sending their first calls together.
+    pub fn set_rate(&mut self, now: TimePoint, rate: Option<RequestRate>, initial_calls: f64) {
         let Some(rate) = rate else {
-            self.balance = None;
+            self.bucket = None;
             return;
         };
-        let balance = self.balance.get_or_insert(RateBalance { rate, calls: draw, at: now });
-        balance.settle(now);
-        balance.rate = rate;
+        let bucket = self.bucket.get_or_insert(RateBucket { rate, calls: initial_calls, at: now });
+        bucket.settle(now);
+        bucket.rate = rate;
     }
 
     /// The rate; `None` without a limit.
     #[must_use]
     pub fn rate(&self) -> Option<RequestRate> {
-        self.balance.map(|balance| balance.rate)
+        self.bucket.map(|bucket| bucket.rate)
     }
 
     /// Returns whether the runner may get a call now.
     #[must_use]
     pub fn admits(&self, now: TimePoint) -> bool {
-        self.balance.is_none_or(|balance| balance.calls_at(now) >= 1.0)
+        self.bucket.is_none_or(|bucket| bucket.calls_at(now) >= 1.0)
     }
 
     /// When the runner may get the next call; `None` if it may now.
     #[must_use]
     pub fn next_call_at(&self, now: TimePoint) -> Option<TimePoint> {
-        let balance = self.balance?;
-        let missing = 1.0 - balance.calls_at(now);
+        let bucket = self.bucket?;
+        let missing = 1.0 - bucket.calls_at(now);
         if missing <= 0.0 {
             return None;
         }
-        let seconds = missing / balance.rate.0;
+        let seconds = missing / bucket.rate.0;
         // A rate of nearly 0 gives more than a time can hold; the conversion saturates.
         Some(now + TimeSpan::micros((seconds * 1e6).ceil() as u64))
     }
 
     /// Records that a call was sent to the runner.
     pub fn record_sent(&mut self, now: TimePoint) {
-        if let Some(balance) = &mut self.balance {
-            balance.settle(now);
-            balance.calls = (balance.calls - 1.0).max(-MAX_DEBT);
+        if let Some(bucket) = &mut self.bucket {
+            bucket.settle(now);
+            bucket.calls = (bucket.calls - 1.0).max(-MAX_DEBT);
         }
     }
 }
--- a/crates/route/src/runner_view.rs
+++ b/crates/route/src/runner_view.rs
@@ -4,7 +4,7 @@
 
 use base::prelude::*;
 
-use crate::{CallId, MemoryForecast, RateGate, RunnerHealth, RunnerRamp};
+use crate::{CallId, MemoryForecast, RateLimiter, RunnerHealth, RunnerRamp};
 
 /// Change of a runner's load caused by this entry.
 #[derive(Debug, Clone, Copy)]
@@ -45,7 +45,7 @@
     /// Whether the runner waits, or has just done so and gets few calls.
     pub ramp: RunnerRamp,
     /// This entry's share of the rate that the runner takes.
-    pub gate: RateGate,
+    pub limiter: RateLimiter,
     /// Number of calls sent since the last report arrived.
     pub sent_calls: u32,
     /// Prompt tokens that wait for prefill over all entries, with the time of that figure.
@@ -84,7 +84,7 @@
             other_tokens: 0.0,
             admission_draw: 1.0,
             ramp: RunnerRamp::default(),
-            gate: RateGate::default(),
+            limiter: RateLimiter::default(),
             sent_calls: 0,
             pending_prefill: None,
             other_forecast: None,
@@ -124,19 +124,19 @@
         self.other_forecast = None;
         self.health = RunnerHealth::default();
         self.ramp = RunnerRamp::default();
-        self.gate = RateGate::default();
+        self.limiter = RateLimiter::default();
     }
 
     /// Returns whether the runner accepts a call now: it does not wait, and is not at its limit.
     #[must_use]
     pub fn admits(&self, now: TimePoint) -> bool {
-        self.ramp.admits(now) && self.gate.admits(now)
+        self.ramp.admits(now) && self.limiter.admits(now)
     }
 
     /// When the runner's wait ends and its rate allows a call; `None` if that is now.
     #[must_use]
     pub fn next_call_at(&self, now: TimePoint) -> Option<TimePoint> {
-        self.ramp.wait_end(now).max(self.gate.next_call_at(now))
+        self.ramp.wait_end(now).max(self.limiter.next_call_at(now))
     }
 
     /// Returns the runner incarnation that sent the last report.
@@ -149,7 +149,7 @@
     pub fn record_sent(&mut self, now: TimePoint, call: CallId, tokens: u32) {
         self.own_calls.insert(call);
         self.ramp.record_sent(call);
-        self.gate.record_sent(now);
+        self.limiter.record_sent(now);
         self.sent_calls += 1;
         self.push_change(LoadChange { at: now, calls: 1, tokens: i64::from(tokens) });
     }
--- a/crates/route/src/scheduler.rs
+++ b/crates/route/src/scheduler.rs
@@ -7,7 +7,7 @@
 
 use crate::decision_log::DecisionLog;
 use crate::{
-    CallEnd, CallId, CallRecord, LengthTable, MemoryForecast, PolicyName, PrefixTable, RateGate,
+    CallEnd, CallId, CallRecord, LengthTable, MemoryForecast, PolicyName, PrefixTable, RateLimiter,
     RouteAction, RouteCounters, RouteEvent, RouteMember, RouteSettings, RouteSummary, RunnerRamp,
     RunnerSummary, RunnerView, ServiceView, WaitQueue, subset,
 };
@@ -128,7 +128,7 @@
             RouteEvent::RunnerLimit { runner, rate } => {
                 let draw = self.rng.random();
                 if let Some(&slot) = self.slots.get(&runner) {
-                    self.runners[slot].gate.set_rate(now, rate, draw);
+                    self.runners[slot].limiter.set_rate(now, rate, draw);
                 }
             }
             RouteEvent::Cache { runner, event } => {
@@ -279,7 +279,7 @@
         if incarnation != self.runners[slot].incarnation() {
             self.prefixes.remove_runner(slot);
             self.runners[slot].ramp = RunnerRamp::default();
-            self.runners[slot].gate = RateGate::default();
+            self.runners[slot].limiter = RateLimiter::default();
         }
         if self.settings.policy != PolicyName::Product {
             return;
--- a/crates/route/src/scheduler_waits.rs
+++ b/crates/route/src/scheduler_waits.rs
@@ -46,7 +46,8 @@
     /// one of them has no limit.
     fn limited_rate(&self, service: &ServiceName, model: Option<&ModelName>) -> Option<f64> {
         let serving = self.serving_runners(service, model);
-        let rate: Option<f64> = serving.map(|runner| runner.gate.rate().map(|rate| rate.0)).sum();
+        let rate: Option<f64> =
+            serving.map(|runner| runner.limiter.rate().map(|rate| rate.0)).sum();
         rate.filter(|rate| *rate > 0.0)
     }
 
--- a/crates/route/tests/runner_limits.rs
+++ b/crates/route/tests/runner_limits.rs
@@ -5,7 +5,7 @@
 use base::prelude::*;
 use common::{SchedulerHarness, call, id, report, runner};
 use config::CallPriority;
-use route::{RateGate, RouteAction, RouteCall, RouteEvent};
+use route::{RateLimiter, RouteAction, RouteCall, RouteEvent};
 
 fn at(millis: u64) -> TimePoint {
     TimePoint::default() + TimeSpan::millis(millis)
@@ -27,39 +27,39 @@
 }
 
 #[test]
-fn a_gate_lets_calls_through_at_its_rate() {
-    let mut gate = RateGate::default();
-    assert!(gate.admits(at(0)));
-    gate.set_rate(at(0), Some(RequestRate(4.0)), 0.0);
-    assert_eq!(gate.next_call_at(at(0)), Some(at(250)));
+fn a_rate_limiter_lets_calls_through_at_its_rate() {
+    let mut limiter = RateLimiter::default();
+    assert!(limiter.admits(at(0)));
+    limiter.set_rate(at(0), Some(RequestRate(4.0)), 0.0);
+    assert_eq!(limiter.next_call_at(at(0)), Some(at(250)));
     let mut sent = Vec::new();
     for millis in 0..2_000 {
-        if gate.admits(at(millis)) {
-            gate.record_sent(at(millis));
+        if limiter.admits(at(millis)) {
+            limiter.record_sent(at(millis));
             sent.push(millis);
         }
     }
     assert_eq!(sent.len(), 7, "{sent:?}");
-    gate.set_rate(at(2_000), None, 0.0);
-    assert!(gate.admits(at(2_000)));
+    limiter.set_rate(at(2_000), None, 0.0);
+    assert!(limiter.admits(at(2_000)));
 }
 
 #[test]
 fn calls_are_not_saved_up_while_none_come() {
-    let mut gate = RateGate::default();
-    gate.set_rate(at(0), Some(RequestRate(2.0)), 0.5);
+    let mut limiter = RateLimiter::default();
+    limiter.set_rate(at(0), Some(RequestRate(2.0)), 0.5);
     let now = at(60_000);
-    gate.record_sent(now);
-    assert!(!gate.admits(now));
+    limiter.record_sent(now);
+    assert!(!limiter.admits(now));
 }
 
 #[test]
 fn calls_that_could_not_wait_are_made_up_for() {
-    let mut gate = RateGate::default();
-    gate.set_rate(at(0), Some(RequestRate(1.0)), 0.0);
-    gate.record_sent(at(0));
-    gate.record_sent(at(0));
-    assert_eq!(gate.next_call_at(at(0)), Some(at(3_000)));
+    let mut limiter = RateLimiter::default();
+    limiter.set_rate(at(0), Some(RequestRate(1.0)), 0.0);
+    limiter.record_sent(at(0));
+    limiter.record_sent(at(0));
+    assert_eq!(limiter.next_call_at(at(0)), Some(at(3_000)));
 }
 
 #[test]
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -35,7 +35,7 @@
     ServingPlan, TenantRule,
 };
 pub use retry_budget::{BudgetSettings, RetryBudget};
-pub use runner_limit::{LimitChange, LimitNews, LimitReport, LimitTable, ServiceDemand};
+pub use runner_limit::{LimitChange, LimitReport, LimitTable, LimitUpdate, ServiceDemand};
 pub use runner_table::{RunnerChange, RunnerEntry, RunnerIncarnation, RunnerRecord, RunnerTable};
 pub use runner_wait::{MAX_RUNNER_WAIT, RunnerWait, WaitTable};
 pub use state_codec::{Result as StateResult, StateCodecError, decode_state, encode_state};
--- a/crates/serving/src/peer_heartbeat.rs
+++ b/crates/serving/src/peer_heartbeat.rs
@@ -5,7 +5,7 @@
 use base::prelude::*;
 use serde::{Deserialize, Serialize};
 
-use crate::{LimitNews, PartUpdate, PlanVersion, RunnerChange, RunnerIncarnation, RunnerLoad};
+use crate::{LimitUpdate, PartUpdate, PlanVersion, RunnerChange, RunnerIncarnation, RunnerLoad};
 
 /// A message from one node to another.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -63,6 +63,6 @@
     pub leaving: Vec<RunnerIncarnation>,
     /// What the node knows about parts of prompts that may crash runners.
     pub part_update: PartUpdate,
-    /// Limits that runners named to the node, and its demand where it matters for them.
-    pub limit_news: LimitNews,
+    /// What the node knows about limits of runners.
+    pub limit_update: LimitUpdate,
 }
--- a/crates/serving/src/runner_limit.rs
+++ b/crates/serving/src/runner_limit.rs
@@ -1,9 +1,8 @@
 //! Limits that runners name in their answers, in requests a second from all nodes together, and
 //! this node's share of them.
 //!
-//! Load pattern: a runner in need takes a few requests a second, and more nodes than that have
-//! callers who would be served there. Each node takes the part of the limit that its callers are of
-//! all callers of the service, as the nodes tell each other.
+//! Load pattern: a runner takes a few requests a second, and more nodes than that have requests for
+//! its service. The nodes exchange their demand, and each sends at its share of the limit.
 
 use std::collections::BTreeMap;
 
@@ -12,20 +11,20 @@
 
 use crate::RunnerIncarnation;
 
-/// Time for which the last word of a runner on its limit holds.
-const WORD_SPAN: TimeSpan = TimeSpan::seconds(60);
+/// Time for which a limit holds after the last answer that named it.
+const LIMIT_TTL: TimeSpan = TimeSpan::seconds(60);
 /// Rate of all nodes at a runner that names less: without an answer, they would never learn that
 /// its limit has ended.
 const MIN_RATE: RequestRate = RequestRate(0.2);
 
-/// The last word of a runner on its limit, as a node heard it.
+/// What a runner last stated about its limit to one node.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct LimitReport {
-    /// The start of the runner that said it.
+    /// The start of the runner.
     pub runner: RunnerIncarnation,
     /// The limit; `None` if the runner has none any more.
     pub limit: Option<RequestRate>,
-    /// Time for which the word still holds.
+    /// Time for which that still holds.
     pub left: TimeSpan,
 }
 
@@ -38,10 +37,10 @@
     pub requests: u32,
 }
 
-/// What one node tells about limits.
+/// What one node knows about limits, in each of its heartbeats.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
-pub struct LimitNews {
-    /// What runners said to this node.
+pub struct LimitUpdate {
+    /// What runners stated to the node.
     pub limits: Vec<LimitReport>,
     /// Demand for the services with limited runners.
     pub demands: Vec<ServiceDemand>,
@@ -56,15 +55,15 @@
     pub limit: Option<RequestRate>,
 }
 
-/// The last word of a runner on its limit.
+/// The newest known statement of a runner about its limit.
 #[derive(Debug, Clone)]
-struct LimitWord {
+struct LimitStatement {
     runner: RunnerIncarnation,
     limit: Option<RequestRate>,
     until: TimePoint,
 }
 
-impl LimitWord {
+impl LimitStatement {
     /// Whether it replaces `known`: it is that of a later start, or newer.
     fn is_newer_than(&self, known: &Self) -> bool {
         let starts = (self.runner.started_unix_ms, known.runner.started_unix_ms);
@@ -75,11 +74,11 @@
 /// The limits of all runners at this node.
 #[derive(Debug, Default)]
 pub struct LimitTable {
-    /// Words that this node heard.
-    heard: BTreeMap<RunnerId, LimitWord>,
-    /// The newest words that other nodes heard. They are not told again: each message adds its
-    /// delay to the time left, so that a word that is told around would outlast newer ones.
-    told: BTreeMap<RunnerId, LimitWord>,
+    /// Statements in answers to this node.
+    own: BTreeMap<RunnerId, LimitStatement>,
+    /// The newest statements in answers to other nodes. They are not passed on: each message adds
+    /// its delay to the time left, so that a statement that is passed on would outlast newer ones.
+    from_peers: BTreeMap<RunnerId, LimitStatement>,
     /// Demand of the other nodes.
     demands: BTreeMap<VmId, Vec<ServiceDemand>>,
 }
@@ -94,28 +93,33 @@
         limit: Option<RequestRate>,
     ) -> Option<LimitChange> {
         let before = self.limit(now, runner);
-        let is_known = self.heard.contains_key(&runner.runner);
+        let is_known = self.own.contains_key(&runner.runner);
         if limit.is_none() && before.is_none() && !is_known {
             return None;
         }
-        let word = LimitWord { runner: runner.clone(), limit, until: now + WORD_SPAN };
-        keep_newest(&mut self.heard, word);
+        let statement = LimitStatement { runner: runner.clone(), limit, until: now + LIMIT_TTL };
+        keep_newest(&mut self.own, statement);
         self.change(now, runner, before)
     }
 
-    /// Takes what another node tells. Returns the changes.
-    pub fn apply_news(&mut self, now: TimePoint, vm: &VmId, news: LimitNews) -> Vec<LimitChange> {
-        if news.demands.is_empty() {
+    /// Applies the update of another node. Returns the changes.
+    pub fn apply_update(
+        &mut self,
+        now: TimePoint,
+        vm: &VmId,
+        update: LimitUpdate,
+    ) -> Vec<LimitChange> {
+        if update.demands.is_empty() {
             self.demands.remove(vm);
         } else {
-            self.demands.insert(vm.clone(), news.demands);
+            self.demands.insert(vm.clone(), update.demands);
         }
         let mut changes = Vec::new();
-        for report in news.limits {
+        for report in update.limits {
             let LimitReport { runner, limit, left } = report;
             let before = self.limit(now, &runner);
-            let word = LimitWord { runner: runner.clone(), limit, until: now + left };
-            keep_newest(&mut self.told, word);
+            let statement = LimitStatement { runner: runner.clone(), limit, until: now + left };
+            keep_newest(&mut self.from_peers, statement);
             changes.extend(self.change(now, &runner, before));
         }
         changes
@@ -132,7 +136,7 @@
         (limit != before).then(|| LimitChange { runner: runner.runner.clone(), limit })
     }
 
-    /// Forgets the demand of a node that has fallen silent; what runners said to it holds on.
+    /// Forgets the demand of a node that has fallen silent; what runners stated to it still holds.
     pub fn forget_demand(&mut self, vm: &VmId) {
         self.demands.remove(vm);
     }
@@ -140,16 +144,18 @@
     /// Whether no runner has a limit, or had one lately.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.heard.is_empty() && self.told.is_empty()
+        self.own.is_empty() && self.from_peers.is_empty()
     }
 
-    /// The limit of this start of a runner by its newest word; `None` if it has none.
+    /// The limit of this start of a runner by its newest statement; `None` if it has none.
     #[must_use]
     pub fn limit(&self, now: TimePoint, runner: &RunnerIncarnation) -> Option<RequestRate> {
-        let words =
-            [&self.heard, &self.told].into_iter().filter_map(|words| words.get(&runner.runner));
-        let holding = words.filter(|word| word.runner == *runner && now < word.until);
-        holding.max_by_key(|word| word.until)?.limit
+        let statements = [&self.own, &self.from_peers]
+            .into_iter()
+            .filter_map(|statements| statements.get(&runner.runner));
+        let holding =
+            statements.filter(|statement| statement.runner == *runner && now < statement.until);
+        holding.max_by_key(|statement| statement.until)?.limit
     }
 
     /// Rate that all nodes together send to this start of a runner at most; `None` if it has no
@@ -159,10 +165,10 @@
         self.limit(now, runner).map(|limit| RequestRate(limit.0.max(MIN_RATE.0)))
     }
 
-    /// The part of the requests for a service that come to this node, which has had `requests`
-    /// of them lately.
+    /// This node's share of the demand for a service, if it has had `requests` of the recent
+    /// requests.
     #[must_use]
-    pub fn own_part(&self, service: &ServiceName, requests: u32) -> f64 {
+    pub fn own_share(&self, service: &ServiceName, requests: u32) -> f64 {
         let demands = self.demands.values().flatten();
         let of_service = demands.filter(|demand| demand.service == *service);
         let others: f64 = of_service.map(|demand| f64::from(demand.requests)).sum();
@@ -171,29 +177,29 @@
         own / (own + others)
     }
 
-    /// What this node heard from runners.
+    /// What runners stated to this node.
     #[must_use]
     pub fn reports(&self, now: TimePoint) -> Vec<LimitReport> {
-        let holding = self.heard.values().filter(|word| now < word.until);
-        let report = |word: &LimitWord| LimitReport {
-            runner: word.runner.clone(),
-            limit: word.limit,
-            left: word.until.since(now),
+        let holding = self.own.values().filter(|statement| now < statement.until);
+        let report = |statement: &LimitStatement| LimitReport {
+            runner: statement.runner.clone(),
+            limit: statement.limit,
+            left: statement.until.since(now),
         };
         holding.map(report).collect()
     }
 
-    /// Drops words that no longer hold.
+    /// Drops statements that no longer hold.
     pub fn prune(&mut self, now: TimePoint) {
-        self.heard.retain(|_, word| now < word.until);
-        self.told.retain(|_, word| now < word.until);
+        self.own.retain(|_, statement| now < statement.until);
+        self.from_peers.retain(|_, statement| now < statement.until);
     }
 }
 
-/// Keeps the newest word of each runner.
-fn keep_newest(words: &mut BTreeMap<RunnerId, LimitWord>, word: LimitWord) {
-    let known = words.get(&word.runner.runner);
-    if known.is_none_or(|known| word.is_newer_than(known)) {
-        words.insert(word.runner.runner.clone(), word);
+/// Keeps the newest statement of each runner.
+fn keep_newest(statements: &mut BTreeMap<RunnerId, LimitStatement>, statement: LimitStatement) {
+    let known = statements.get(&statement.runner.runner);
+    if known.is_none_or(|known| statement.is_newer_than(known)) {
+        statements.insert(statement.runner.runner.clone(), statement);
     }
 }
--- a/crates/serving/tests/peer_codec.rs
+++ b/crates/serving/tests/peer_codec.rs
@@ -6,9 +6,9 @@
 use proptest::prelude::*;
 use route::MemoryForecast;
 use serving::{
-    CrashReport, LimitNews, LimitReport, MESSAGE_VERSION, MessageError, PartUpdate, PeerHeartbeat,
-    PeerMessage, RunnerChange, RunnerIncarnation, RunnerLoad, RunnerUpdate, ServiceDemand,
-    TimedPart, decode_message, encode_message,
+    CrashReport, LimitReport, LimitUpdate, MESSAGE_VERSION, MessageError, PartUpdate,
+    PeerHeartbeat, PeerMessage, RunnerChange, RunnerIncarnation, RunnerLoad, RunnerUpdate,
+    ServiceDemand, TimedPart, decode_message, encode_message,
 };
 
 fn part_update() -> PartUpdate {
@@ -22,10 +22,10 @@
     }
 }
 
-fn limit_news() -> LimitNews {
+fn limit_update() -> LimitUpdate {
     let runner = RunnerIncarnation { runner: "runner-2".parse().unwrap(), started_unix_ms: 9 };
     let limit = Some(RequestRate(3.5));
-    LimitNews {
+    LimitUpdate {
         limits: vec![LimitReport { runner, limit, left: TimeSpan::seconds(2) }],
         demands: vec![ServiceDemand { service: "desk".parse().unwrap(), requests: 40 }],
     }
@@ -55,7 +55,7 @@
         waiting_services: vec!["llm".parse().unwrap()],
         leaving: Vec::new(),
         part_update: part_update(),
-        limit_news: limit_news(),
+        limit_update: limit_update(),
     }))
 }
 
--- a/crates/serving/tests/peer_table.rs
+++ b/crates/serving/tests/peer_table.rs
@@ -1,7 +1,7 @@
 //! Liveness, reader order and newer state of peers, as heartbeats arrive and stop.
 
 use base::prelude::*;
-use serving::{LimitNews, PartUpdate, PeerHeartbeat, PeerTable, PlanVersion};
+use serving::{LimitUpdate, PartUpdate, PeerHeartbeat, PeerTable, PlanVersion};
 
 fn at(millis: u64) -> TimePoint {
     TimePoint::default() + TimeSpan::millis(millis)
@@ -24,7 +24,7 @@
         waiting_services: Vec::new(),
         leaving: Vec::new(),
         part_update: PartUpdate::default(),
-        limit_news: LimitNews::default(),
+        limit_update: LimitUpdate::default(),
     }
 }
 
--- a/crates/serving/tests/runner_limit.rs
+++ b/crates/serving/tests/runner_limit.rs
@@ -1,10 +1,10 @@
-//! Limits that runners name: whose word holds, and how the nodes share a limit.
+//! Limits that runners name: whose statement holds, and how the nodes share a limit.
 
 use base::prelude::*;
 use rand::{RngExt, SeedableRng, rngs::StdRng};
-use route::RateGate;
+use route::RateLimiter;
 use serving::{
-    BudgetSettings, LimitNews, LimitTable, RetryBudget, RunnerIncarnation, ServiceDemand,
+    BudgetSettings, LimitTable, LimitUpdate, RetryBudget, RunnerIncarnation, ServiceDemand,
 };
 
 fn at(seconds: f64) -> TimePoint {
@@ -23,23 +23,23 @@
     format!("node-{number}").parse().unwrap()
 }
 
-fn news(table: &LimitTable, time: f64, requests: u32) -> LimitNews {
+fn update(table: &LimitTable, time: f64, requests: u32) -> LimitUpdate {
     let demands = vec![ServiceDemand { service: service(), requests }];
-    LimitNews { limits: table.reports(at(time)), demands }
+    LimitUpdate { limits: table.reports(at(time)), demands }
 }
 
 #[test]
-fn the_newest_word_holds_whichever_node_heard_it() {
+fn the_newest_statement_holds_whichever_node_got_it() {
     let (mut one, mut other) = (LimitTable::default(), LimitTable::default());
     assert!(one.record(at(1.0), &runner(1), Some(RequestRate(4.0))).is_some());
-    assert_eq!(other.apply_news(at(1.1), &vm(1), news(&one, 1.1, 1)).len(), 1);
+    assert_eq!(other.apply_update(at(1.1), &vm(1), update(&one, 1.1, 1)).len(), 1);
     assert_eq!(other.limit(at(1.1), &runner(1)), Some(RequestRate(4.0)));
     assert!(other.record(at(2.0), &runner(1), None).is_some());
     assert_eq!(other.limit(at(2.0), &runner(1)), None);
-    one.apply_news(at(2.1), &vm(2), news(&other, 2.1, 1));
+    one.apply_update(at(2.1), &vm(2), update(&other, 2.1, 1));
     assert_eq!(one.limit(at(2.1), &runner(1)), None);
     // What the first node heard is told on, and is older.
-    other.apply_news(at(2.2), &vm(1), news(&one, 2.2, 1));
+    other.apply_update(at(2.2), &vm(1), update(&one, 2.2, 1));
     assert_eq!(other.limit(at(2.2), &runner(1)), None);
 }
 
@@ -74,9 +74,9 @@
 #[test]
 fn nodes_share_a_limit_by_their_demand() {
     let mut table = LimitTable::default();
-    table.apply_news(at(1.0), &vm(1), news(&LimitTable::default(), 1.0, 30));
-    table.apply_news(at(1.0), &vm(2), news(&LimitTable::default(), 1.0, 60));
-    let part = |table: &LimitTable, requests| table.own_part(&service(), requests);
+    table.apply_update(at(1.0), &vm(1), update(&LimitTable::default(), 1.0, 30));
+    table.apply_update(at(1.0), &vm(2), update(&LimitTable::default(), 1.0, 60));
+    let part = |table: &LimitTable, requests| table.own_share(&service(), requests);
     assert!((part(&table, 10) - 0.1).abs() < 1e-9);
     assert!(part(&table, 0) > 0.0, "a node that asks has a part");
     table.forget_demand(&vm(2));
@@ -87,7 +87,7 @@
 struct ReplayNode {
     limits: LimitTable,
     budget: RetryBudget,
-    gate: RateGate,
+    limiter: RateLimiter,
     next_heartbeat: f64,
 }
 
@@ -111,7 +111,7 @@
         .map(|_| ReplayNode {
             limits: LimitTable::default(),
             budget: RetryBudget::new(settings, at(0.0)),
-            gate: RateGate::default(),
+            limiter: RateLimiter::default(),
             next_heartbeat: rng.random::<f64>() * interval,
         })
         .collect();
@@ -125,8 +125,8 @@
             if rng.random::<f64>() < expected {
                 let node = &mut fleet[number];
                 node.budget.record_request(at(time), &service());
-                if node.gate.admits(at(time)) {
-                    node.gate.record_sent(at(time));
+                if node.limiter.admits(at(time)) {
+                    node.limiter.record_sent(at(time));
                     sends.push(time);
                     let named = if time >= named_at { Some(RequestRate(limit)) } else { None };
                     if node.limits.record(at(time), &runner(1), named).is_some() {
@@ -139,10 +139,10 @@
                 fleet[number].next_heartbeat = time + interval;
                 let node = &fleet[number];
                 let requests = node.budget.recent_requests(at(time), &service());
-                let told = news(&node.limits, time, requests);
+                let told = update(&node.limits, time, requests);
                 for (to, other) in fleet.iter_mut().enumerate() {
                     if to != number {
-                        other.limits.apply_news(at(time), &vm(number), told.clone());
+                        other.limits.apply_update(at(time), &vm(number), told.clone());
                     }
                 }
             }
@@ -150,10 +150,10 @@
         if tick % 10 == 0 {
             for node in &mut fleet {
                 let requests = node.budget.recent_requests(at(time), &service());
-                let part = node.limits.own_part(&service(), requests);
+                let part = node.limits.own_share(&service(), requests);
                 let rate = node.limits.rate(at(time), &runner(1));
                 let share = rate.map(|rate| RequestRate(rate.0 * part));
-                node.gate.set_rate(at(time), share, rng.random());
+                node.limiter.set_rate(at(time), share, rng.random());
             }
         }
     }
