--- a/crates/harness/tests/node_crashing_parts.rs
+++ b/crates/harness/tests/node_crashing_parts.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use fakes::platform::{RunnerFake, RunnerFakeSettings, RunnerScript};
+use fakes::platform::{RunnerFake, RunnerFakeSettings, RunnerScript, StoreFault};
 use harness::{CallerRequest, NodeFleet, WholeAnswer, wait_until};
 use serde_json::json;
 
@@ -157,6 +157,27 @@
     .unwrap();
 }
 
+#[test]
+fn a_part_that_is_blocked_while_the_store_is_away_is_stored_after_its_return() {
+    kernel::run(async {
+        let mut crashing = CrashingFleet::start(1).await;
+        crashing.send(CRASHING).await;
+        crashing.send(CRASHING).await;
+        assert_eq!(crashing.crashes(), 2);
+        crashing.fleet.store.set_fault(StoreFault::Busy);
+        crashing.fleet.send(0, &label("third", CRASHING)).await;
+        crashing.fleet.wait_event(0, "part_blocked", "part", &CRASHING.into()).await.unwrap();
+        compio::time::sleep(Duration::from_millis(500)).await;
+        crashing.fleet.store.set_fault(StoreFault::None);
+        wait_until("the part to be stored", LIMIT, async || {
+            crashing.fleet.store.keys("keyed.parts").contains(&CRASHING.to_owned()).then_some(())
+        })
+        .await
+        .unwrap();
+    })
+    .unwrap();
+}
+
 #[test]
 fn an_error_of_a_runner_does_not_make_a_crashing_part_sound() {
     kernel::run(async {
