--- a/crates/route/tests/runner_limits.rs
+++ b/crates/route/tests/runner_limits.rs
@@ -99,6 +99,24 @@
     assert!(named.iter().all(|wait| *wait > TimeSpan::default()));
 }
 
+#[test]
+fn an_urgent_call_is_not_refused_for_calls_that_it_goes_before() {
+    let mut harness = SchedulerHarness::new(1);
+    limit(&mut harness, 0, Some(5.0));
+    let mut refused = 0;
+    for number in 1..=20 {
+        let arrived = due(&harness, number, 1_000);
+        refused += harness.arrive(arrived).len();
+    }
+    assert!(refused > 0, "the queue is as long as it may be");
+    let urgent = RouteCall { priority: CallPriority::Urgent, ..due(&harness, 21, 1_000) };
+    assert!(harness.arrive(urgent).is_empty(), "it waits");
+    harness.advance(TimeSpan::millis(250));
+    let actions = harness.tell(RouteEvent::Tick);
+    let first = actions.first();
+    assert!(matches!(first, Some(RouteAction::Send { call, .. }) if *call == id(21)), "{first:?}");
+}
+
 #[test]
 fn a_limited_runner_keeps_no_copies() {
     let mut harness = SchedulerHarness::new(2);
--- a/crates/serving/tests/runner_limit.rs
+++ b/crates/serving/tests/runner_limit.rs
@@ -139,7 +139,10 @@
                 fleet[number].next_heartbeat = time + interval;
                 let node = &fleet[number];
                 let requests = node.budget.recent_requests(at(time), &service());
-                let told = update(&node.limits, time, requests);
+                let mut told = update(&node.limits, time, requests);
+                if node.limits.limit(at(time), &runner(1)).is_none() {
+                    told.demands.clear();
+                }
                 for (to, other) in fleet.iter_mut().enumerate() {
                     if to != number {
                         other.limits.apply_update(at(time), &vm(number), told.clone());
