--- a/crates/harness/tests/node_endless_bytes.rs
+++ b/crates/harness/tests/node_endless_bytes.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use base::TimeSpan;
 use fakes::platform::{EndlessBytes, RunnerFakeSettings, StoreFault};
 use futures_util::future::join_all;
 use harness::{CallerRequest, NodeFleet, WholeAnswer};
@@ -13,6 +14,8 @@
 /// Time in which a call has to end that a runner answers with bytes without end: well before its
 /// deadline of 8 s.
 const END_LIMIT: Duration = Duration::from_secs(4);
+/// Time for a report, longer than [`END_LIMIT`].
+const REPORT_LIMIT: TimeSpan = TimeSpan::seconds(8);
 
 /// Sends calls together, and gives their answers with the time that each took.
 async fn send_all(
@@ -99,6 +102,40 @@
     .unwrap();
 }
 
+#[test]
+fn a_report_without_end_is_given_up_by_its_size() {
+    kernel::run(async {
+        let mut fleet = NodeFleet::start().await.unwrap();
+        let runner = fleet.prepare_runner(RunnerFakeSettings::new("llm-1")).await.unwrap();
+        for endless in [EndlessBytes::Body, EndlessBytes::ChunkedBody] {
+            runner.answer_without_end(endless);
+            let begun = Instant::now();
+            let reply = platform::read_report(runner.address(), REPORT_LIMIT).await;
+            let error = reply.result.unwrap_err().to_string();
+            assert!(error.contains("longer than"), "{endless:?}: {error}");
+            assert!(begun.elapsed() < END_LIMIT, "{endless:?}: {:?}", begun.elapsed());
+        }
+    })
+    .unwrap();
+}
+
+#[test]
+fn bookings_at_a_sound_runner_are_served_beside_answers_without_end() {
+    kernel::run(async {
+        let mut fleet = NodeFleet::start().await.unwrap();
+        let bad = fleet.add_runner("desk", RunnerFakeSettings::new("bad")).await.unwrap();
+        let sound = fleet.add_runner("desk", RunnerFakeSettings::new("sound")).await.unwrap();
+        fleet.add_node().unwrap();
+        fleet.wait_ready().await.unwrap();
+        bad.answer_without_end(EndlessBytes::Body);
+        let answers = send_all(&fleet, CallerRequest::booking).await;
+        let served = answers.iter().filter(|(answer, _)| answer.status == 200).count();
+        assert!(sound.runs() > 0 && bad.runs() > 0);
+        assert_eq!(served, sound.runs());
+    })
+    .unwrap();
+}
+
 #[test]
 fn a_report_without_end_does_not_take_the_memory_of_a_node() {
     kernel::run(async {
--- a/crates/serving/tests/stream_scan.rs
+++ b/crates/serving/tests/stream_scan.rs
@@ -37,6 +37,17 @@
     }
 }
 
+#[test]
+fn an_event_that_does_not_end_is_given_up_at_64_kib() {
+    let mut scanner = StreamScanner::default();
+    let mut pushed = 0;
+    while scanner.push(&[b'x'; 4_096]).is_ok() {
+        pushed += 4_096;
+        assert!(pushed <= 64 << 10, "{pushed}");
+    }
+    assert_eq!(scanner.push(b"x"), Err(StreamError::TooLong));
+}
+
 #[test]
 fn a_stream_continues_after_a_discarded_partial_event() {
     let mut scanner = StreamScanner::default();
