Cut three files that had grown past one job

runner_fake.rs (552 lines) is the stand-in itself, its scripts and its answers now; scheduler.rs (403) gives the load reports of runners a file of their own; node_runner_word.rs (435, 14 tests) is a file on runners that leave (5 tests) and one on runners that name a wait (9).

--- a/crates/fakes/src/platform/mod.rs
+++ b/crates/fakes/src/platform/mod.rs
@@ -1,13 +1,16 @@
 //! Stand-ins for the users' platform: its store and its runners, by their published pages.
 
 mod endless_bytes;
+mod runner_answers;
 mod runner_fake;
 mod runner_request;
+mod runner_script;
 mod store_fake;
 mod stream_memory;
 
 pub use endless_bytes::EndlessBytes;
-pub use runner_fake::{RunnerFake, RunnerFakeSettings, RunnerScript, RunnerVisit};
+pub use runner_fake::{RunnerFake, RunnerFakeSettings, RunnerVisit};
 pub use runner_request::RunnerRequest;
+pub use runner_script::RunnerScript;
 pub use store_fake::{StoreCopy, StoreFake, StoreFault};
 pub use stream_memory::StreamMemory;
--- /dev/null
+++ b/crates/fakes/src/platform/runner_answers.rs
@@ -0,0 +1,220 @@
+//! The answers of a runner, written byte by byte.
+
+use std::fmt::Write as _;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use compio::net::TcpStream;
+use serde_json::{Value, json};
+
+use super::endless_bytes::EndlessBytes;
+use super::runner_fake::{RunnerState, RunnerVisit};
+use super::runner_request::{RunnerRequest, write};
+use super::runner_script::RunnerScript;
+
+/// Time from the head of an answer to the crash that a part of its prompt brings about.
+const CRASH_AFTER: Duration = Duration::from_millis(20);
+
+pub(super) async fn answer_without_end(
+    stream: &mut TcpStream,
+    state: &RunnerState,
+    request: RunnerRequest,
+    endless: EndlessBytes,
+) {
+    let mut signed = state.signature(request.header("x-dotterelyard-attempt-id"));
+    if request.headers.contains_key("x-dotterelyard-model") {
+        signed += "Content-Type: text/event-stream\r\n";
+    }
+    state.visits.borrow_mut().push(RunnerVisit { request, ran: true, at: Instant::now() });
+    endless.write_to(stream, &signed).await;
+}
+
+pub(super) async fn answer_report(stream: &mut TcpStream, state: &RunnerState) -> bool {
+    let word = if state.leaving.get() { "draining" } else { "ready" };
+    let report = json!({ "phase": "mixed", "active": state.working.get(), "state": word });
+    write(stream, whole("200 OK", &state.notice(), &report.to_string())).await
+}
+
+pub(super) async fn answer_move(
+    stream: &mut TcpStream,
+    state: &RunnerState,
+    request: &RunnerRequest,
+) -> bool {
+    state.moves.borrow_mut().push(Instant::now());
+    let mut notice = state.notice();
+    if state.moves_refused.get() {
+        if let Some(value) = state.retry_after.borrow().as_ref() {
+            let _ = write!(notice, "Retry-After: {value}\r\n");
+        }
+        return write(stream, whole("503 Service Unavailable", &notice, "{}")).await;
+    }
+    let body: Value = serde_json::from_slice(&request.body).unwrap_or_default();
+    match state.memory.copy(body["id"].as_str().unwrap_or_default()) {
+        Some((handle, events)) => {
+            let body = json!({ "kvHandle": handle, "created": events }).to_string();
+            write(stream, whole("200 OK", &notice, &body)).await
+        }
+        None => write(stream, whole("404 Not Found", &notice, "{}")).await,
+    }
+}
+
+/// Answers a request; whether the connection goes on.
+pub(super) async fn answer(
+    stream: &mut TcpStream,
+    state: &Rc<RunnerState>,
+    request: RunnerRequest,
+) -> bool {
+    let script = state.scripts.borrow_mut().pop_front().unwrap_or_default();
+    let expected = request.header("x-dotterelyard-expect-instance").to_owned();
+    let resumed = request.headers.get("kv-from").map(|from| {
+        let handle = from.rsplit('/').next().unwrap_or_default();
+        state.memory.take(handle, request.header("x-dotterelyard-attempt-id"))
+    });
+    let wrong = !expected.is_empty() && expected != state.settings.id;
+    let refused = matches!(script, RunnerScript::Refuse | RunnerScript::RefuseEarly);
+    let retry_after = state.retry_after.borrow().clone();
+    let refused = refused || retry_after.is_some();
+    let ran = !wrong && !refused && resumed != Some(false);
+    state.visits.borrow_mut().push(RunnerVisit {
+        request: request.clone(),
+        ran,
+        at: Instant::now(),
+    });
+    if wrong {
+        let id = &state.settings.id;
+        let headers = format!("{}X-Dotterelyard-Instance-Id: {id}\r\n", state.notice());
+        return write(stream, whole("421 Misdirected Request", &headers, "")).await;
+    }
+    if !ran {
+        let mut headers = format!("{}X-Dotterelyard-Not-Executed: 1\r\n", state.notice());
+        if let Some(value) = retry_after {
+            let _ = write!(headers, "Retry-After: {value}\r\n");
+        }
+        return write(stream, whole("503 Service Unavailable", &headers, "")).await;
+    }
+    if script == RunnerScript::Silent {
+        return std::future::pending().await;
+    }
+    if request.headers.contains_key("x-dotterelyard-model") && script != RunnerScript::Failure {
+        return answer_events(stream, state, &request, script).await;
+    }
+    compio::time::sleep(state.settings.work).await;
+    answer_plain(stream, state, &request, script).await
+}
+
+async fn answer_plain(
+    stream: &mut TcpStream,
+    state: &RunnerState,
+    request: &RunnerRequest,
+    script: RunnerScript,
+) -> bool {
+    let attempt = request.header("x-dotterelyard-attempt-id");
+    let signed = state.signature(attempt);
+    let body = format!("answer of {} to {attempt} {}", state.settings.id, request.path);
+    let good = whole("200 OK", &signed, &body);
+    match script {
+        RunnerScript::Answer | RunnerScript::Refuse | RunnerScript::RefuseEarly => {
+            write(stream, good).await
+        }
+        RunnerScript::Failure => {
+            write(stream, whole("500 Internal Server Error", &signed, "failed")).await
+        }
+        RunnerScript::Truncate => {
+            write(stream, &good[..good.len() - body.len() / 2]).await;
+            false
+        }
+        RunnerScript::Unframed => {
+            write(stream, format!("HTTP/1.1 200 OK\r\n{signed}\r\n{body}")).await;
+            false
+        }
+        RunnerScript::Extra => write(stream, format!("{good}{good}")).await,
+        RunnerScript::Garbage => {
+            write(stream, "bytes that are no answer\r\n\r\n").await;
+            false
+        }
+        RunnerScript::Unsigned => {
+            let echo = format!("X-Dotterelyard-Attempt-Id: {attempt}\r\n");
+            write(stream, whole("200 OK", &echo, &body)).await
+        }
+        RunnerScript::OtherAttempt => {
+            write(stream, whole("200 OK", &state.signature("another"), &body)).await
+        }
+        RunnerScript::BareUnavailable => {
+            write(stream, whole("503 Service Unavailable", &signed, "")).await
+        }
+        RunnerScript::Silent => std::future::pending().await,
+        RunnerScript::Close | RunnerScript::UnframedTruncate | RunnerScript::UnframedEmpty => false,
+    }
+}
+
+async fn answer_events(
+    stream: &mut TcpStream,
+    state: &Rc<RunnerState>,
+    request: &RunnerRequest,
+    script: RunnerScript,
+) -> bool {
+    let attempt = request.header("x-dotterelyard-attempt-id");
+    let backed_up = request.headers.contains_key("x-dotterelyard-kv-backup");
+    state.memory.begin(attempt, backed_up);
+    let _guard = WorkGuard::new(state);
+    let mut head = String::from("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n");
+    let is_unframed = matches!(
+        script,
+        RunnerScript::Unframed | RunnerScript::UnframedTruncate | RunnerScript::UnframedEmpty
+    );
+    let framing = if is_unframed { "" } else { "Transfer-Encoding: chunked\r\n" };
+    let _ = write!(head, "{}{framing}\r\n", state.signature(attempt));
+    if !write(stream, head).await {
+        return false;
+    }
+    let crash_part = state.crash_part.borrow().clone();
+    if crash_part.is_some_and(|part| request.has_part(&part)) {
+        compio::time::sleep(CRASH_AFTER).await;
+        state.crashed.raise();
+        return std::future::pending().await;
+    }
+    let first = request.header("last-event-id").parse::<u64>().map_or(1, |last| last + 1);
+    for number in first..=state.settings.events {
+        if script == RunnerScript::UnframedEmpty {
+            return false;
+        }
+        if script == RunnerScript::UnframedTruncate && number == state.settings.events / 2 {
+            write(stream, "id: 99").await;
+            return false;
+        }
+        if script == RunnerScript::Truncate && number == state.settings.events / 2 {
+            write(stream, "20\r\nid: 99").await;
+            return false;
+        }
+        let event = format!("id: {number}\ndata: token {number} of {attempt}\n\n");
+        let framed = format!("{:x}\r\n{event}\r\n", event.len());
+        if !write(stream, if is_unframed { event } else { framed }).await {
+            return false;
+        }
+        state.memory.note_event(attempt);
+        if !state.rushes.get() {
+            compio::time::sleep(state.settings.event_pause).await;
+        }
+    }
+    state.memory.end(attempt);
+    !is_unframed && write(stream, "0\r\n\r\n").await
+}
+
+struct WorkGuard(Rc<RunnerState>);
+
+impl WorkGuard {
+    fn new(state: &Rc<RunnerState>) -> Self {
+        state.working.set(state.working.get() + 1);
+        Self(Rc::clone(state))
+    }
+}
+
+impl Drop for WorkGuard {
+    fn drop(&mut self) {
+        self.0.working.set(self.0.working.get() - 1);
+    }
+}
+
+fn whole(status: &str, headers: &str, body: &str) -> String {
+    format!("HTTP/1.1 {status}\r\n{headers}Content-Length: {}\r\n\r\n{body}", body.len())
+}
--- /dev/null
+++ b/crates/fakes/src/platform/runner_script.rs
@@ -0,0 +1,37 @@
+//! How a runner answers single requests.
+
+/// How one request is answered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum RunnerScript {
+    /// As it should be.
+    #[default]
+    Answer,
+    /// With a failure of its own.
+    Failure,
+    /// With the promise that it was not run.
+    Refuse,
+    /// With the promise, before the body was read.
+    RefuseEarly,
+    /// Half of the body, then the connection ends.
+    Truncate,
+    /// Without a length; the end of the connection ends the body.
+    Unframed,
+    /// A stream without a length or chunks that ends inside an event.
+    UnframedTruncate,
+    /// A stream without a length or chunks that ends before its first event.
+    UnframedEmpty,
+    /// Twice.
+    Extra,
+    /// With bytes that are no answer.
+    Garbage,
+    /// Without the signature.
+    Unsigned,
+    /// As the answer to another attempt.
+    OtherAttempt,
+    /// With 503 but without the promise.
+    BareUnavailable,
+    /// Not at all; the connection stays open.
+    Silent,
+    /// Not at all; the connection ends.
+    Close,
+}
--- a/crates/harness/tests/node_runner_word.rs
+++ b/crates/harness/tests/node_runner_wait.rs
@@ -1,195 +1,14 @@
-//! What a runner says of itself in its answers: that it leaves, and for how long it wants no
-//! requests.
+//! Runners that state in their answers for how long they want no requests.
+
+mod runner_pair;
 
 use std::time::{Duration, Instant};
 
-use fakes::platform::{RunnerFake, RunnerFakeSettings, RunnerScript, StoreFault};
+use fakes::platform::{RunnerFake, RunnerFakeSettings};
 use harness::{CallerRequest, NodeFleet, wait_until};
+use runner_pair::{LATER_REQUESTS, LIMIT, has_run, later_visits, long, pair, reach, short};
 use serde_json::json;
 
-const LIMIT: Duration = Duration::from_secs(10);
-/// Requests that a runner which is out of use must not get.
-const LATER_REQUESTS: usize = 12;
-
-fn long(id: &str) -> RunnerFakeSettings {
-    let mut settings = RunnerFakeSettings::new(id);
-    settings.events = 350;
-    settings
-}
-
-/// A fleet of one node and two runners of `service`.
-async fn pair(service: &str) -> (NodeFleet, [RunnerFake; 2]) {
-    let mut fleet = NodeFleet::start().await.unwrap();
-    let first = fleet.add_runner(service, long("runner-1")).await.unwrap();
-    let second = fleet.add_runner(service, long("runner-2")).await.unwrap();
-    fleet.add_node().unwrap();
-    fleet.wait_ready().await.unwrap();
-    (fleet, [first, second])
-}
-
-/// Sends requests until `runner` has got one.
-async fn reach(fleet: &NodeFleet, runner: &RunnerFake, make: impl Fn(&str) -> CallerRequest) {
-    for number in 0.. {
-        if !runner.visits().is_empty() {
-            return;
-        }
-        assert!(number < 50, "no request reached {}", runner.id());
-        drop(fleet.open(0, &make(&format!("r{number}"))).await);
-    }
-}
-
-/// Sends further requests and gives the number that reached `runner`.
-async fn later_visits(
-    fleet: &NodeFleet,
-    runner: &RunnerFake,
-    make: impl Fn(&str) -> CallerRequest,
-) -> usize {
-    let before = runner.visits().len();
-    for number in 0..LATER_REQUESTS {
-        drop(fleet.open(0, &make(&format!("l{number}"))).await);
-    }
-    runner.visits().len() - before
-}
-
-/// The runner announces in its answer to a request of `make` that it leaves.
-async fn announce_by(
-    service: &str,
-    value: &str,
-    script: RunnerScript,
-    store_fault: Option<StoreFault>,
-    make: impl Fn(&str) -> CallerRequest,
-) -> usize {
-    let (fleet, [leaving, _staying]) = pair(service).await;
-    if let Some(fault) = store_fault {
-        fleet.store.set_fault(fault);
-    }
-    leaving.script(&[script]);
-    leaving.announce_leaving(value);
-    reach(&fleet, &leaving, &make).await;
-    later_visits(&fleet, &leaving, &make).await
-}
-
-#[test]
-fn a_runner_that_announces_in_any_answer_that_it_leaves_gets_no_further_request() {
-    kernel::run(async {
-        let cut = Some(StoreFault::Silent);
-        let answered = RunnerScript::Answer;
-        let plain = announce_by("desk", "1", answered, None, CallerRequest::lookup).await;
-        assert_eq!(plain, 0, "2xx");
-        let plain = announce_by("desk", "1", answered, cut, CallerRequest::lookup).await;
-        assert_eq!(plain, 0, "2xx, store cut");
-        let refused = RunnerScript::Refuse;
-        let plain = announce_by("desk", "1", refused, cut, CallerRequest::booking).await;
-        assert_eq!(plain, 0, "503");
-        let failed = RunnerScript::Failure;
-        let plain = announce_by("desk", "1", failed, None, CallerRequest::booking).await;
-        assert_eq!(plain, 0, "500");
-        let stream = announce_by("llm", "1", answered, None, CallerRequest::stream).await;
-        assert_eq!(stream, 0, "head of a stream");
-        let stream = announce_by("llm", "1", answered, cut, CallerRequest::stream).await;
-        assert_eq!(stream, 0, "head of a stream, store cut");
-    })
-    .unwrap();
-}
-
-#[test]
-fn another_value_of_the_header_does_not_take_a_runner_out() {
-    kernel::run(async {
-        let visits =
-            announce_by("desk", "0", RunnerScript::Answer, None, CallerRequest::lookup).await;
-        assert!(visits > 0);
-    })
-    .unwrap();
-}
-
-#[test]
-fn a_runner_that_starts_again_is_used_again() {
-    kernel::run(async {
-        let (fleet, [leaving, _staying]) = pair("desk").await;
-        leaving.announce_leaving("1");
-        reach(&fleet, &leaving, CallerRequest::lookup).await;
-        assert_eq!(later_visits(&fleet, &leaving, CallerRequest::lookup).await, 0);
-        let mut entry = leaving.entry("desk", "north", "ready");
-        entry["born"] = json!(2_000);
-        fleet.store.put_json("keyed.servers", leaving.id(), &entry);
-        let before = leaving.visits().len();
-        wait_until("the new start to be used", LIMIT, async || {
-            drop(fleet.open(0, &CallerRequest::lookup("again")).await);
-            (leaving.visits().len() > before).then_some(())
-        })
-        .await
-        .unwrap();
-    })
-    .unwrap();
-}
-
-/// A stream that is too short for a copy from its start.
-fn short(attempt: &str) -> CallerRequest {
-    CallerRequest::stream(attempt).with("x-dotterelyard-length-hint", "10")
-}
-
-fn has_run(runner: &RunnerFake, attempt: &str) -> bool {
-    let is_own = |id: &str| id == attempt;
-    runner
-        .visits()
-        .iter()
-        .any(|visit| visit.ran && is_own(visit.request.header("x-dotterelyard-attempt-id")))
-}
-
-#[test]
-fn the_streams_of_a_runner_move_once_another_answer_says_that_it_leaves() {
-    kernel::run(async {
-        let (fleet, runners) = pair("llm").await;
-        let request = short("s1");
-        let (answer, ()) = futures_util::join!(fleet.send(0, &request), async {
-            let leaving = wait_until("a runner to work", LIMIT, async || {
-                runners.iter().find(|runner| runner.working() == 1)
-            })
-            .await
-            .unwrap();
-            let staying = runners.iter().find(|runner| runner.id() != leaving.id()).unwrap();
-            leaving.announce_leaving("1");
-            let mut open = Vec::new();
-            for number in 0..20 {
-                if leaving.visits().len() > 1 {
-                    break;
-                }
-                open.push(fleet.open(0, &short(&format!("n{number}"))).await);
-            }
-            wait_until("the stream to move", LIMIT, async || has_run(staying, "s1").then_some(()))
-                .await
-                .unwrap();
-            compio::time::sleep(Duration::from_millis(300)).await;
-            leaving.crash();
-        });
-        assert_eq!((answer.status, answer.complete), (200, true));
-    })
-    .unwrap();
-}
-
-#[test]
-fn nodes_tell_each_other_which_runners_announced_in_an_answer_that_they_leave() {
-    kernel::run(async {
-        let mut fleet = NodeFleet::start().await.unwrap();
-        let leaving = fleet.add_runner("desk", RunnerFakeSettings::new("desk-1")).await.unwrap();
-        let _staying = fleet.add_runner("desk", RunnerFakeSettings::new("desk-2")).await.unwrap();
-        for _ in 0..2 {
-            fleet.add_node().unwrap();
-        }
-        fleet.wait_ready().await.unwrap();
-        fleet.store.set_fault(StoreFault::Silent);
-        leaving.announce_leaving("1");
-        reach(&fleet, &leaving, CallerRequest::lookup).await;
-        fleet.wait_event(1, "runner_changed", "state", &"leaving".into()).await.unwrap();
-        let before = leaving.visits().len();
-        for number in 0..LATER_REQUESTS {
-            drop(fleet.open(1, &CallerRequest::lookup(&format!("p{number}"))).await);
-        }
-        assert_eq!(leaving.visits().len(), before);
-    })
-    .unwrap();
-}
-
 /// Sends lookups one after another until `end` and gives the statuses.
 async fn send_until(fleet: &NodeFleet, end: Instant) -> Vec<u16> {
     let mut statuses = Vec::new();
@@ -200,7 +19,6 @@
     }
     statuses
 }
-
 #[test]
 fn a_runner_that_names_a_wait_gets_nothing_before_its_end_and_is_used_afterwards() {
     kernel::run(async {
@@ -225,7 +43,6 @@
     })
     .unwrap();
 }
-
 #[test]
 fn a_call_is_refused_at_once_with_the_earliest_end_when_all_runners_wait() {
     kernel::run(async {
@@ -254,7 +71,6 @@
     })
     .unwrap();
 }
-
 #[test]
 fn a_call_waits_in_the_node_for_a_wait_that_ends_in_time() {
     kernel::run(async {
@@ -272,7 +88,6 @@
     })
     .unwrap();
 }
-
 #[test]
 fn a_new_start_of_a_waiting_runner_does_not_wait() {
     kernel::run(async {
@@ -293,7 +108,6 @@
     })
     .unwrap();
 }
-
 #[test]
 fn nothing_reaches_a_waiting_runner_from_many_callers_at_once() {
     kernel::run(async {
@@ -314,7 +128,6 @@
     })
     .unwrap();
 }
-
 #[test]
 fn a_value_that_is_no_number_of_seconds_begins_no_wait() {
     kernel::run(async {
@@ -337,7 +150,6 @@
     })
     .unwrap();
 }
-
 #[test]
 fn a_stream_is_refused_at_once_when_all_engines_wait() {
     kernel::run(async {
@@ -355,7 +167,6 @@
     })
     .unwrap();
 }
-
 #[test]
 fn a_stream_does_not_move_to_a_waiting_runner() {
     kernel::run(async {
@@ -393,7 +204,6 @@
     })
     .unwrap();
 }
-
 #[test]
 fn a_runner_that_turns_a_move_away_is_not_asked_again_before_the_end_of_its_wait() {
     kernel::run(async {
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -25,6 +25,7 @@
 mod scheduler_place;
 mod scheduler_refuse;
 mod scheduler_relocate;
+mod scheduler_reports;
 mod scheduler_waits;
 mod service_view;
 mod subset;
