--- a/crates/serving/tests/part_table.rs
+++ b/crates/serving/tests/part_table.rs
@@ -132,6 +132,23 @@
     assert!(is_blocked(&suspecting, 5.0, "bad"));
 }
 
+#[test]
+fn an_answer_seen_elsewhere_arrives_before_a_block_begins() {
+    let (mut suspecting, mut knowing) = (PartTable::default(), PartTable::default());
+    knowing.record_answer(at(1.0), &parts(&["rare"]));
+    // Three runners crash at once for another reason.
+    for number in 0..3 {
+        suspecting.record_crash(at(2.0), &runner(number), &parts(&["rare"]));
+    }
+    assert!(!is_blocked(&suspecting, 2.0, "rare"));
+    knowing.apply_update(at(2.1), &suspecting.update(at(2.0)));
+    suspecting.apply_update(at(2.2), &knowing.update(at(2.1)));
+    for time in [2.2, 2.3, 3.0] {
+        assert!(!is_blocked(&suspecting, time, "rare"), "{time}");
+        assert!(!is_blocked(&knowing, time, "rare"), "{time}");
+    }
+}
+
 #[test]
 fn an_answer_ends_a_block_at_all_nodes() {
     let (mut one, mut other) = (PartTable::default(), PartTable::default());
