Free a copy whose stream has ended before the copy was whole

A node learns the handle of a copy from the answer to its move. If the caller left, or the stream came to its end, while the copy was under way, the node dropped the call and never knew the handle: the copy kept memory and a slot at the next runner until the time limit of handles.

Change: CopyTask, the move in progress, completes in a task of its own if it is dropped after it has begun; the finished copy is then freed at its source, as one that was not used is. A move that has not begun is dropped as before.

Measured: two tests, a caller that leaves 300 ms before the copy is whole, and a stream that ends before it.

--- a/crates/fakes/src/platform/runner_answers.rs
+++ b/crates/fakes/src/platform/runner_answers.rs
@@ -49,7 +49,9 @@
         return write(stream, whole("503 Service Unavailable", &notice, "{}")).await;
     }
     let body: Value = serde_json::from_slice(&request.body).unwrap_or_default();
-    match state.memory.copy(body["id"].as_str().unwrap_or_default()) {
+    let copied = state.memory.copy(body["id"].as_str().unwrap_or_default());
+    compio::time::sleep(state.move_time.get()).await;
+    match copied {
         Some((handle, events)) => {
             let body = json!({ "kvHandle": handle, "created": events }).to_string();
             write(stream, whole("200 OK", &notice, &body)).await
--- a/crates/fakes/src/platform/runner_fake.rs
+++ b/crates/fakes/src/platform/runner_fake.rs
@@ -82,6 +82,8 @@
     pub(super) moves: RefCell<Vec<Instant>>,
     /// Handles that were to be freed here.
     pub(super) releases: RefCell<Vec<String>>,
+    /// Time that a move from here takes.
+    pub(super) move_time: Cell<Duration>,
     /// Moves from here find no room.
     pub(super) moves_refused: Cell<bool>,
     /// Events are made without a pause.
@@ -127,6 +129,7 @@
             retry_after: RefCell::default(),
             moves: RefCell::default(),
             releases: RefCell::default(),
+            move_time: Cell::default(),
             moves_refused: Cell::default(),
             rushes: Cell::default(),
             crash_part: RefCell::default(),
@@ -212,6 +215,11 @@
         *self.state.retry_after.borrow_mut() = retry_after.map(str::to_owned);
     }
 
+    /// Moves of its runs take this long.
+    pub fn slow_moves(&self, time: Duration) {
+        self.state.move_time.set(time);
+    }
+
     /// Whether moves of its runs find no room.
     pub fn refuse_moves(&self, refused: bool) {
         self.state.moves_refused.set(refused);
--- a/crates/harness/tests/node_runner_leaving.rs
+++ b/crates/harness/tests/node_runner_leaving.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use fakes::platform::{RunnerFakeSettings, RunnerScript, StoreFault};
+use fakes::platform::{RunnerFake, RunnerFakeSettings, RunnerScript, StoreFault};
 use harness::{CallerRequest, NodeFleet, wait_until};
 use runner_pair::{LATER_REQUESTS, LIMIT, has_run, later_visits, pair, reach, short};
 use serde_json::json;
@@ -107,6 +107,59 @@
     })
     .unwrap();
 }
+/// Opens a stream whose runner then leaves, and waits until its copy to the other one has begun.
+async fn begin_slow_move<'a>(
+    fleet: &NodeFleet,
+    runners: &'a [RunnerFake; 2],
+    time: Duration,
+) -> (&'a RunnerFake, impl Sized) {
+    let open = fleet.open(0, &short("s1")).await.unwrap();
+    let leaving = wait_until("a runner to work", LIMIT, async || {
+        runners.iter().find(|runner| runner.working() == 1)
+    })
+    .await
+    .unwrap();
+    leaving.slow_moves(time);
+    fleet.tell(leaving, "llm", "draining");
+    wait_until("the copy to begin", LIMIT, async || (!leaving.moves().is_empty()).then_some(()))
+        .await
+        .unwrap();
+    (leaving, open)
+}
+async fn wait_released(leaving: &RunnerFake) {
+    wait_until("the copy to be freed", LIMIT, async || {
+        (!leaving.releases().is_empty()).then_some(())
+    })
+    .await
+    .unwrap();
+}
+#[test]
+fn a_copy_that_is_not_whole_when_its_caller_leaves_is_freed() {
+    kernel::run(async {
+        let (fleet, runners) = pair("llm").await;
+        let (leaving, open) = begin_slow_move(&fleet, &runners, Duration::from_millis(300)).await;
+        drop(open);
+        wait_released(leaving).await;
+        assert_eq!((leaving.moves().len(), leaving.releases().len()), (1, 1));
+    })
+    .unwrap();
+}
+#[test]
+fn a_copy_that_is_not_whole_when_its_stream_ends_is_freed() {
+    kernel::run(async {
+        let (fleet, runners) = pair("llm").await;
+        let (leaving, open) = begin_slow_move(&fleet, &runners, Duration::from_millis(500)).await;
+        leaving.rush();
+        wait_until("the stream to end", LIMIT, async || (leaving.working() == 0).then_some(()))
+            .await
+            .unwrap();
+        assert_eq!(leaving.releases().len(), 0);
+        wait_released(leaving).await;
+        assert_eq!((leaving.moves().len(), leaving.releases().len()), (1, 1));
+        drop(open);
+    })
+    .unwrap();
+}
 /// The release goes to the runner that leaves: it frees the copy at both ends, and is no request
 /// of a caller.
 #[test]
@@ -128,11 +181,7 @@
         .await
         .unwrap();
         drop(open);
-        wait_until("the copy to be freed", LIMIT, async || {
-            (!leaving.releases().is_empty()).then_some(())
-        })
-        .await
-        .unwrap();
+        wait_released(leaving).await;
         assert_eq!(later_visits(&fleet, leaving, short).await, 0);
         assert_eq!((leaving.visits().len(), leaving.releases().len()), (1, 1));
     })
--- a/crates/node/src/stream_copy.rs
+++ b/crates/node/src/stream_copy.rs
@@ -5,7 +5,9 @@
 //! second copy would queue behind those of all other runs that leave the runner.
 
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::rc::Rc;
+use std::task::{Context, Poll};
 
 use base::prelude::*;
 use platform::AttemptId;
@@ -32,11 +34,53 @@
     }
 }
 
-/// Copies the memory of the run of `attempt` from `source` to `target` while it continues.
-///
-/// # Errors
-/// Returns an error if the source refuses the copy or does not answer in time.
-pub async fn copy_run(
+/// A copy in progress. Dropped before its end, it completes in a task of its own, which frees the
+/// copy: its handle is known only then.
+pub struct CopyTask {
+    future: Option<CopyFuture>,
+    has_begun: bool,
+}
+
+type CopyFuture = Pin<Box<dyn Future<Output = platform::Result<RunCopy>>>>;
+
+impl CopyTask {
+    /// Copies the memory of the run of `attempt` from `source` to `target` while it continues.
+    /// Gives an error if the source refuses the copy or does not answer in time.
+    #[must_use]
+    pub fn new(
+        context: Rc<NodeContext>,
+        attempt: AttemptId,
+        source: SocketAddr,
+        target: SocketAddr,
+    ) -> Self {
+        let future = Box::pin(copy_run(context, attempt, source, target));
+        Self { future: Some(future), has_begun: false }
+    }
+}
+
+impl Future for CopyTask {
+    type Output = platform::Result<RunCopy>;
+
+    fn poll(mut self: Pin<&mut Self>, waker: &mut Context<'_>) -> Poll<Self::Output> {
+        self.has_begun = true;
+        let Some(future) = &mut self.future else { return Poll::Pending };
+        let polled = future.as_mut().poll(waker);
+        if polled.is_ready() {
+            self.future = None;
+        }
+        polled
+    }
+}
+
+impl Drop for CopyTask {
+    fn drop(&mut self) {
+        if let Some(future) = self.future.take().filter(|_| self.has_begun) {
+            kernel::spawn(async move { drop(future.await) }).detach();
+        }
+    }
+}
+
+async fn copy_run(
     context: Rc<NodeContext>,
     attempt: AttemptId,
     source: SocketAddr,
--- a/crates/node/src/stream_move.rs
+++ b/crates/node/src/stream_move.rs
@@ -15,7 +15,7 @@
 use crate::part_watch::{has_blocked_part, probe_lost_runner};
 use crate::runner_send::SendPlan;
 use crate::stream_call::{choose_backup, plan_backup_resume};
-use crate::stream_copy::{RunCopy, copy_run};
+use crate::stream_copy::{CopyTask, RunCopy};
 use crate::stream_handover::HandoverStep;
 use crate::stream_pump::{PumpStep, StreamPump};
 
@@ -145,7 +145,7 @@
         let events = self.scanner.event_count();
         tracing::info!(event = "move_begun", %request, %from, to = %target.runner, events);
         let (context, attempt) = (Rc::clone(&self.context), self.call.attempt.clone());
-        let copy = copy_run(context, attempt, old.address, target.address);
+        let copy = CopyTask::new(context, attempt, old.address, target.address);
         self.pending_move = Some(PendingMove { target, future: Box::pin(copy) });
         PumpStep::Continue
     }
