Write blocked parts again when the store comes back without them

Cause: a block is written once, by the node that sees the third crash. A store that comes back from an older copy may lack it, and nobody wrote it again: after a fault that ends all nodes the part would crash runners anew.

Change: in a new era of the store the nodes that rank first as readers, three at most and 1.5 s apart, list the topic, and write the blocks that it lacks and the end of blocks of parts that were answered. The second and third are for a first one that has just started and knows nothing. A part that is listed and unknown here is left: a node that hears others does not take a block from an older copy.

--- a/crates/harness/tests/node_crashing_parts.rs
+++ b/crates/harness/tests/node_crashing_parts.rs
@@ -7,6 +7,8 @@
 use serde_json::json;
 
 const LIMIT: Duration = Duration::from_secs(10);
+/// Time within which what a copy of the store lacks has to be written again.
+const STORE_LIMIT: Duration = Duration::from_secs(3);
 /// Nodes of a fleet.
 const NODES: usize = 3;
 /// Runners that are up at any time.
@@ -178,6 +180,34 @@
     .unwrap();
 }
 
+#[test]
+fn a_blocked_part_is_stored_again_when_the_store_comes_back_from_a_copy_without_it() {
+    kernel::run(async {
+        let mut crashing = CrashingFleet::start(NODES).await;
+        let copy = crashing.fleet.store.copy();
+        crashing.crash_runners().await;
+        let is_stored =
+            |fleet: &NodeFleet| fleet.store.keys("keyed.parts").contains(&CRASHING.to_owned());
+        wait_until("the part to be stored", LIMIT, async || {
+            is_stored(&crashing.fleet).then_some(())
+        })
+        .await
+        .unwrap();
+        for _ in 0..2 {
+            crashing.fleet.store.take_away();
+            compio::time::sleep(Duration::from_millis(300)).await;
+            crashing.fleet.store.come_back(&copy);
+            assert!(!is_stored(&crashing.fleet));
+            wait_until("the part to be stored again", STORE_LIMIT, async || {
+                is_stored(&crashing.fleet).then_some(())
+            })
+            .await
+            .unwrap();
+        }
+    })
+    .unwrap();
+}
+
 #[test]
 fn an_error_of_a_runner_does_not_make_a_crashing_part_sound() {
     kernel::run(async {
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -169,6 +169,7 @@
             runners_offset = offset
         );
         self.metrics.store_eras.inc();
+        self.signal_part_change();
         self.peers.borrow_mut().set_store_era(era);
         if self.runners_updated.get().is_some() {
             self.metrics.cursors_dropped.inc();
--- a/crates/node/src/part_store.rs
+++ b/crates/node/src/part_store.rs
@@ -10,7 +10,7 @@
 use compio::time::timeout;
 use futures_channel::mpsc;
 use futures_util::StreamExt;
-use platform::{KeyedChange, PartRecord, StoreClient, StoreTopic};
+use platform::{KeyedChange, KeyedListing, PartRecord, StoreClient, StoreTopic};
 
 use crate::context::NodeContext;
 use crate::dependency::DependencyState;
@@ -21,18 +21,24 @@
 /// Time without a heartbeat of another node after which this one reads the blocked parts again, as
 /// often as this.
 const SILENCE_SPAN: TimeSpan = TimeSpan::millis(1_500);
+/// Number of nodes that compare the store with what they know after its return from a copy.
+const CHECKING_NODES: usize = 3;
+/// Time after which the next of them does so.
+const CHECK_STEP: TimeSpan = TimeSpan::millis(1_500);
 
 /// Reads the blocked parts at the start, and while no other node is heard that would tell of them;
-/// writes those that this node blocks or clears. Runs until the process ends.
+/// writes those that this node blocks or clears, and those that a copy lacks from which the store
+/// has come back. Runs until the process ends.
 pub async fn keep_parts(
     context: Rc<NodeContext>,
     client: StoreClient,
     mut changes: mpsc::Receiver<()>,
 ) {
     let dependency = DependencyState::new("store: parts");
+    let mut check = StoreCheck::default();
     let mut may_lack_parts = true;
     loop {
-        match exchange_parts(&context, &client, may_lack_parts).await {
+        match exchange_parts(&context, &client, &mut check, may_lack_parts).await {
             Ok(()) => dependency.record_success(),
             Err(error) => {
                 dependency.record_failure(&error);
@@ -47,32 +53,73 @@
     }
 }
 
-/// Reads the blocked parts if this node may lack some, and writes what it has blocked or cleared.
+/// In which era the store was last compared with the blocks of this node.
+#[derive(Default)]
+struct StoreCheck {
+    /// The newest era, and when this node first saw it.
+    seen: (StoreEra, TimePoint),
+    checked: StoreEra,
+}
+
+impl StoreCheck {
+    /// The era in which the store has to be compared now, if any. The nodes ranked first as readers
+    /// compare it one after the other: the first of them may have just started.
+    fn due_era(&mut self, context: &NodeContext) -> Option<StoreEra> {
+        let (now, era) = (context.now(), context.newest_era());
+        if era > self.seen.0 {
+            self.seen = (era, now);
+        }
+        let rank = context.readers_before();
+        let due = self.seen.1 + TimeSpan(CHECK_STEP.0 * rank as u64);
+        (era > self.checked && rank < CHECKING_NODES && now >= due).then_some(era)
+    }
+}
+
+/// Reads the blocked parts if this node may lack some, and writes what it has blocked or cleared
+/// and what the store has lost.
 async fn exchange_parts(
     context: &NodeContext,
     client: &StoreClient,
+    check: &mut StoreCheck,
     may_lack_parts: bool,
 ) -> platform::Result<()> {
-    if may_lack_parts {
-        load_parts(context, client).await?;
+    let due_era = check.due_era(context);
+    if may_lack_parts || due_era.is_some() {
+        let listing = list_parts(client).await?;
+        if may_lack_parts {
+            load_parts(context, &listing);
+        }
+        let is_current = |era: &StoreEra| listing.era.is_none_or(|listed| listed >= *era);
+        if let Some(era) = due_era.filter(is_current) {
+            compare_parts(context, &listing);
+            check.checked = era;
+        }
     }
     store_parts(context, client).await
 }
 
-async fn load_parts(context: &NodeContext, client: &StoreClient) -> platform::Result<()> {
-    let listing = match client.list(StoreTopic::Parts).await {
-        Ok(listing) => listing,
+/// Has the parts written in which the store differs from what this node knows.
+fn compare_parts(context: &NodeContext, listing: &KeyedListing) {
+    let listed = listing.entries.iter().filter_map(|change| decode_part(context, change));
+    let stored = listed.map(|(part, _)| part).collect();
+    context.parts.borrow_mut().compare_stored(context.now(), &stored);
+}
+
+async fn list_parts(client: &StoreClient) -> platform::Result<KeyedListing> {
+    match client.list(StoreTopic::Parts).await {
         // The topic does not exist before its first record.
-        Err(error) if error.is_not_found() => return Ok(()),
-        Err(error) => return Err(error),
-    };
+        Err(error) if error.is_not_found() => Ok(KeyedListing::default()),
+        listed => listed,
+    }
+}
+
+fn load_parts(context: &NodeContext, listing: &KeyedListing) {
     for change in &listing.entries {
         if let Some((part, until)) = decode_part(context, change) {
             context.parts.borrow_mut().load_block(context.now(), until, &part);
         }
     }
     log_part_changes(context, "store");
-    Ok(())
 }
 
 /// A stored part and the end of its block; `None` if the record is malformed.
--- a/crates/serving/src/part_table.rs
+++ b/crates/serving/src/part_table.rs
@@ -5,7 +5,7 @@
 //! each ends a runner and all calls there. A part under which several runners have crashed,
 //! and no answer has been seen, is blocked at all nodes.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use base::prelude::*;
 
@@ -193,6 +193,21 @@
         }
     }
 
+    /// Has the blocks of this node saved that are not among the `stored` parts, and the records of
+    /// those cleared that were answered.
+    pub fn compare_stored(&mut self, now: TimePoint, stored: &BTreeSet<PromptPart>) {
+        let blocks = self.suspects.blocks();
+        let lacking = blocks.filter(|(part, until)| now < *until && !stored.contains(*part));
+        for (part, until) in lacking {
+            self.unsaved.entry(part.clone()).or_insert(Some(until));
+        }
+        for part in stored {
+            if self.is_safe_at(part, now) {
+                self.unsaved.entry(part.clone()).or_insert(None);
+            }
+        }
+    }
+
     /// The blocks that this node began or ended since the last call: the part, and until when it
     /// is blocked, or `None` if the block has ended.
     pub fn take_unsaved(&mut self) -> BTreeMap<PromptPart, Option<TimePoint>> {
--- a/crates/serving/tests/part_table.rs
+++ b/crates/serving/tests/part_table.rs
@@ -233,6 +233,23 @@
     assert!(fresh.take_unsaved().is_empty());
 }
 
+#[test]
+fn a_block_that_the_store_lacks_is_saved_again_and_one_of_an_answered_part_ended() {
+    let mut table = PartTable::default();
+    crash(&mut table, &[1.0, 2.0, 3.0], &["bad"]);
+    crash(&mut table, &[4.0, 5.0, 6.0], &["kept"]);
+    let until = table.take_unsaved();
+    table.record_answer(at(7.0), &parts(&["good"]));
+    let stored = parts(&["kept", "good", "unknown"]).into_iter().collect();
+    table.compare_stored(at(8.0), &stored);
+    let bad: PromptPart = "bad".parse().unwrap();
+    let good = "good".parse().unwrap();
+    let expected = [(bad.clone(), until[&bad]), (good, None)];
+    assert_eq!(table.take_unsaved().into_iter().collect::<Vec<_>>(), expected);
+    table.compare_stored(at(800.0), &stored);
+    assert!(table.take_unsaved().is_empty());
+}
+
 #[test]
 fn many_suspected_parts_do_not_hide_one_that_crashes_runners() {
     let mut table = PartTable::default();
