Test two returns of the store over lossy links

Three nodes reach the store by a link each; at any time one of them is cut, one holds its answers back and one passes, changed every 150 ms. A configuration published in each of two returns is in force at all nodes within 2 s, and a runner that leaves in the second gets no work.

--- a/crates/harness/tests/node_store_era.rs
+++ b/crates/harness/tests/node_store_era.rs
@@ -1,12 +1,13 @@
 //! Nodes whose store comes back from an older copy: what was written since is lost, and
 //! offsets are given out again.
 
+use std::pin::pin;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use compio::time::sleep;
 use fakes::platform::{RunnerFake, RunnerFakeSettings, StoreCopy, StoreFake, StoreFault};
-use harness::{CallerRequest, LinkState, NodeFleet, config, wait_until};
+use harness::{CallerRequest, LinkState, NodeFleet, TestLink, config, wait_until};
 use serde_json::json;
 
 /// Time that the store is away.
@@ -17,6 +18,8 @@
 const REWRITE_LIMIT: Duration = Duration::from_secs(2);
 /// Time by which an entry that was not written again is out of use.
 const EXPIRY_LIMIT: Duration = Duration::from_secs(4);
+/// Time for which a link does one thing.
+const LINK_STEP: Duration = Duration::from_millis(150);
 /// Pause between two rounds of requests.
 const ROUND_PAUSE: Duration = Duration::from_millis(100);
 
@@ -320,6 +323,54 @@
     .unwrap();
 }
 
+/// At any time one of the links is cut, one holds its answers back, and one passes all on.
+async fn disturb(links: &[TestLink]) {
+    let states = [LinkState::Cut, LinkState::Open, LinkState::AnswersStalled];
+    for step in 0.. {
+        for (number, link) in links.iter().enumerate() {
+            link.set(states[(step + number) % states.len()]);
+        }
+        sleep(LINK_STEP).await;
+    }
+}
+
+#[test]
+fn two_returns_over_lossy_links_lose_no_change() {
+    kernel::run(async {
+        let (mut fleet, leaving) = fleet(0).await;
+        let staying = fleet.add_runner("desk", RunnerFakeSettings::new("desk-2")).await.unwrap();
+        let mut links = Vec::new();
+        for number in 0..3 {
+            links.push(fleet.start_link(number, fleet.store.address()).await.unwrap());
+            let address = json!(links[usize::from(number)].address());
+            fleet.add_node_with(&[("store", address)], true).unwrap();
+        }
+        fleet.wait_ready().await.unwrap();
+        let rules = async {
+            let copy = fleet.store.copy();
+            fleet.store.put_json("keyed.op", "config", &without_bookings(5));
+            wait_status(&fleet, 404, APPLY_LIMIT, "version 5").await;
+            let first = || fleet.store.put_json("keyed.op", "config", &config(6));
+            drill(&fleet.store, &copy, first).await;
+            wait_status(&fleet, 200, APPLY_LIMIT, "version 6").await;
+            let second = || {
+                fleet.store.put_json("keyed.op", "config", &config(6));
+                fleet.tell(&leaving, "desk", "draining");
+                fleet.tell(&staying, "desk", "ready");
+            };
+            drill(&fleet.store, &copy, second).await;
+            wait_era(&fleet, 3).await;
+            sleep(APPLY_LIMIT).await;
+            let (runs, others) = (leaving.runs(), staying.runs());
+            hold_status(&fleet, 200, APPLY_LIMIT, "the runner that stays").await;
+            assert_eq!(leaving.runs(), runs);
+            assert!(staying.runs() > others);
+        };
+        futures_util::future::select(pin!(rules), pin!(disturb(&links))).await;
+    })
+    .unwrap();
+}
+
 /// Nothing of the nodes outlives them, so that only what the store has is left.
 #[test]
 fn after_a_loss_of_power_everywhere_the_nodes_start_from_the_copy() {
