Log the changes that come with a whole list of runners

Cause: a runner that leaves, ends or starts writes runner_changed, but not where the change comes with a whole list from the store (a start, a new era, a dropped cursor) or from another node.

Change: replacing the table gives the runners whose entries changed, and each of them has its line, 32 at most for one list; the number of the others is logged. Decisions are as before.

Tests of the table name the changed runners instead of whether any changed.

--- a/crates/harness/tests/node_store_era.rs
+++ b/crates/harness/tests/node_store_era.rs
@@ -212,6 +212,7 @@
         fleet.store.put_json("keyed.servers", "desk-3", &leaving.entry("desk", "north", "bad"));
         drill(&fleet.store, &copy, || fleet.tell(&leaving, "desk", "draining")).await;
         wait_era(&fleet, 2).await;
+        wait_runner(&fleet, &leaving, "leaving").await;
         sleep(APPLY_LIMIT).await;
         let (runs, others) = (leaving.runs(), staying.runs());
         hold_status(&fleet, 200, APPLY_LIMIT, "the runner that stays").await;
--- a/crates/node/src/follow_runners.rs
+++ b/crates/node/src/follow_runners.rs
@@ -23,6 +23,8 @@
 const STANDBY_PAUSE: TimeSpan = TimeSpan::millis(80);
 /// Maximum number of additional pauses; all further nodes read at the same time.
 const MAX_STANDBY_STEPS: u64 = 20;
+/// Maximum number of lines about the changes of one whole list.
+const MAX_LIST_LINES: usize = 32;
 /// Pause of the first reader after a failure; the others wait longer, as after a read.
 const RETRY_PAUSE: TimeSpan = TimeSpan::millis(200);
 
@@ -139,7 +141,8 @@
         let changed = self.context.runners.borrow_mut().replace_listed(self.context.now(), records);
         // The list counts alone, also where it ends before what was read.
         self.context.runners_offset.take();
-        self.record_end(requested, read.end, changed);
+        log_list_changes(&self.context, &changed, "store");
+        self.record_end(requested, read.end, !changed.is_empty());
     }
 
     fn apply_changes(&self, requested: TimePoint, from: StoreCursor, read: &EraListing) {
@@ -236,6 +239,20 @@
     effective
 }
 
+/// Logs which entries a whole list has changed; the rest of a long list only as a number.
+pub fn log_list_changes(context: &NodeContext, changed: &[RunnerId], source: &str) {
+    let table = context.runners.borrow();
+    for entry in changed.iter().take(MAX_LIST_LINES).filter_map(|runner| table.get(runner)) {
+        let state =
+            if entry.removed_at.is_some() { "removed" } else { describe_record(&entry.record) };
+        let runner = &entry.record.runner;
+        tracing::info!(event = "runner_changed", %runner, state, source);
+    }
+    if let Some(omitted) = changed.len().checked_sub(MAX_LIST_LINES).filter(|count| *count > 0) {
+        tracing::info!(event = "runner_lines_omitted", omitted, source);
+    }
+}
+
 /// Runner that a change is about.
 fn changed_runner(change: &RunnerChange) -> &RunnerId {
     match change {
@@ -247,12 +264,15 @@
 /// Runner and state of a change, for the log.
 fn describe_change(change: &RunnerChange) -> (&RunnerId, &'static str) {
     match change {
-        RunnerChange::Put(record) if record.leaving => (&record.runner, "leaving"),
-        RunnerChange::Put(record) => (&record.runner, "ready"),
+        RunnerChange::Put(record) => (&record.runner, describe_record(record)),
         RunnerChange::Remove(runner) => (runner, "removed"),
     }
 }
 
+fn describe_record(record: &RunnerRecord) -> &'static str {
+    if record.leaving { "leaving" } else { "ready" }
+}
+
 /// Decodes the records of a whole list; malformed ones are skipped.
 fn decode_records(listing: &KeyedListing) -> Vec<RunnerRecord> {
     let puts = listing.entries.iter().filter_map(decode_change);
--- a/crates/node/src/state_fetcher.rs
+++ b/crates/node/src/state_fetcher.rs
@@ -11,7 +11,7 @@
 use crate::context::NodeContext;
 use crate::dependency::DependencyState;
 use crate::follow_configuration::apply_plan;
-use crate::follow_runners::record_read;
+use crate::follow_runners::{log_list_changes, record_read};
 use crate::metrics::OutcomeLabels;
 use crate::peer_server::{RUNNERS_PATH, RunnersAnswer};
 use crate::router::RouterService;
@@ -180,10 +180,11 @@
         }
         let records: Vec<RunnerRecord> = answer.runners;
         let changed = self.context.runners.borrow_mut().replace(self.context.now(), records);
-        if changed {
+        if !changed.is_empty() {
             tracing::info!(event = "runners_taken", read = answer.read.0, source = "node", %peer);
         }
-        record_read(&self.context, &self.router, requested, answer.read, changed);
+        log_list_changes(&self.context, &changed, "node");
+        record_read(&self.context, &self.router, requested, answer.read, !changed.is_empty());
         Ok(())
     }
 }
--- a/crates/serving/src/runner_table.rs
+++ b/crates/serving/src/runner_table.rs
@@ -127,11 +127,11 @@
     }
 
     /// Replaces the table by the complete list of another node; entries that are not in it count
-    /// as removed. Returns whether the table changed.
+    /// as removed. Returns the runners whose entries changed.
     ///
     /// Soon after a return of the store, entries that are not in the list stay for a while, and
     /// those that had been removed before stay removed: both may be due to the copy.
-    pub fn replace(&mut self, now: TimePoint, records: Vec<RunnerRecord>) -> bool {
+    pub fn replace(&mut self, now: TimePoint, records: Vec<RunnerRecord>) -> Vec<RunnerId> {
         let awaiting: Vec<RunnerId> = self.awaiting_rewrite().cloned().collect();
         let changed = self.replace_listed(now, records);
         // The other node may keep an entry that the store lacks.
@@ -142,7 +142,7 @@
     }
 
     /// Like [`Self::replace`], with a list read from the store: its entries have been written.
-    pub fn replace_listed(&mut self, now: TimePoint, records: Vec<RunnerRecord>) -> bool {
+    pub fn replace_listed(&mut self, now: TimePoint, records: Vec<RunnerRecord>) -> Vec<RunnerId> {
         let listed: BTreeMap<&RunnerId, u64> =
             records.iter().map(|record| (&record.runner, record.started_unix_ms)).collect();
         let is_missing = |entry: &&RunnerEntry| {
@@ -151,20 +151,21 @@
         };
         let missing = self.entries.values().filter(is_missing);
         let missing: Vec<RunnerId> = missing.map(|entry| entry.record.runner.clone()).collect();
-        let mut changed = false;
+        let mut changed = Vec::new();
         for record in records {
+            let runner = record.runner.clone();
             if self.is_stale_entry(now, &record) {
                 self.record_stale_entry();
-            } else {
-                changed |= self.put(record);
+            } else if self.put(record) {
+                changed.push(runner);
             }
         }
         let may_be_rewritten = self.has_returned_within(now, REWRITE_TIMEOUT);
         for runner in missing {
             if may_be_rewritten {
                 self.await_rewrite(&runner);
-            } else {
-                changed |= self.remove(now, &runner);
+            } else if self.remove(now, &runner) {
+                changed.push(runner);
             }
         }
         changed
--- a/crates/serving/tests/runner_table.rs
+++ b/crates/serving/tests/runner_table.rs
@@ -68,9 +68,9 @@
 fn replacing_the_list_removes_runners_that_are_not_in_it() {
     let mut table = RunnerTable::new(DRAIN);
     table.replace(at(0), vec![record("a", 1, false), record("b", 1, false)]);
-    assert!(table.replace(at(1), vec![record("b", 1, false)]));
+    assert_eq!(table.replace(at(1), vec![record("b", 1, false)]), ["a".parse().unwrap()]);
     assert_eq!(available(&table, at(2)), ["b"]);
-    assert!(!table.replace(at(3), vec![record("b", 1, false)]));
+    assert!(table.replace(at(3), vec![record("b", 1, false)]).is_empty());
 }
 
 #[test]
@@ -107,7 +107,8 @@
     assert!(table.awaits_rewrites());
     assert!(table.overdue_rewrites(at(2_099)).is_empty());
     assert_eq!(table.overdue_rewrites(at(2_100)), ["a".parse().unwrap()]);
-    assert!(table.replace_listed(at(2_100), vec![record("b", 1, false)]), "the time is over");
+    let changed = table.replace_listed(at(2_100), vec![record("b", 1, false)]);
+    assert_eq!(changed, ["a".parse().unwrap()], "the time is over");
     assert_eq!(available(&table, at(2_101)), ["b"]);
 }
 
