Test unframed streams that end before their first event during a handover

A stream without a length or chunks whose connection ends before any event must not pass for whole. The stand-in's crash now also ends a runner that does not accept connections.

--- a/crates/fakes/src/platform/runner_answers.rs
+++ b/crates/fakes/src/platform/runner_answers.rs
@@ -157,7 +157,10 @@
             write(stream, whole("503 Service Unavailable", &signed, "")).await
         }
         RunnerScript::Silent => std::future::pending().await,
-        RunnerScript::Close | RunnerScript::UnframedTruncate | RunnerScript::UnframedEmpty => false,
+        RunnerScript::Close
+        | RunnerScript::UnframedTruncate
+        | RunnerScript::UnframedEmpty
+        | RunnerScript::UnframedSilent => false,
     }
 }
 
@@ -174,7 +177,10 @@
     let mut head = String::from("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n");
     let is_unframed = matches!(
         script,
-        RunnerScript::Unframed | RunnerScript::UnframedTruncate | RunnerScript::UnframedEmpty
+        RunnerScript::Unframed
+            | RunnerScript::UnframedTruncate
+            | RunnerScript::UnframedEmpty
+            | RunnerScript::UnframedSilent
     );
     let framing = if is_unframed { "" } else { "Transfer-Encoding: chunked\r\n" };
     let _ = write!(head, "{}{framing}\r\n", state.signature(attempt));
@@ -189,8 +195,10 @@
     }
     let first = request.header("last-event-id").parse::<u64>().map_or(1, |last| last + 1);
     for number in first..=state.settings.events {
-        if script == RunnerScript::UnframedEmpty {
-            return false;
+        match script {
+            RunnerScript::UnframedEmpty => return false,
+            RunnerScript::UnframedSilent => return std::future::pending().await,
+            _ => (),
         }
         if script == RunnerScript::UnframedTruncate && number == state.settings.events / 2 {
             write(stream, "id: 99").await;
--- a/crates/fakes/src/platform/runner_fake.rs
+++ b/crates/fakes/src/platform/runner_fake.rs
@@ -310,7 +310,7 @@
         let Ok((stream, _)) = accepted else { continue };
         if !state.accepts.get() {
             state.held.borrow_mut().push(stream);
-            while !state.accepts.get() {
+            while !state.accepts.get() && !state.crashed.is_raised() {
                 compio::time::sleep(EVENT_PAUSE).await;
             }
             continue;
--- a/crates/fakes/src/platform/runner_script.rs
+++ b/crates/fakes/src/platform/runner_script.rs
@@ -20,6 +20,8 @@
     UnframedTruncate,
     /// A stream without a length or chunks that ends before its first event.
     UnframedEmpty,
+    /// The same, but it ends only with the runner.
+    UnframedSilent,
     /// Twice.
     Extra,
     /// With bytes that are no answer.
