Pass the end of a connection on through test links, and refuse with the target

Cause: a link closed one half of a connection only once the other direction had ended too, since its task holds a clone. The end of a runner's connection was not passed on: where a runner behind a link crashed, the node saw silence until the deadline of the call. And a link accepted connections for a runner that had crashed, and closed them; a crashed runner refuses them.

Change: the write side is shut down, which needs no other clone. A link to a runner listens only until the runner has crashed.

Measured: an_open_link_passes_on_that_the_peer_has_closed_the_connection failed before (nothing within 500 ms); a_link_whose_target_has_ended_refuses_connections is new with the function.

--- a/crates/fakes/src/platform/runner_fake.rs
+++ b/crates/fakes/src/platform/runner_fake.rs
@@ -267,6 +267,12 @@
         self.state.crashed.is_raised()
     }
 
+    /// Raised when it crashes.
+    #[must_use]
+    pub fn crash_signal(&self) -> StopSignal {
+        self.state.crashed.clone()
+    }
+
     /// Its entry in the store.
     #[must_use]
     pub fn entry(&self, service: &str, zone: &str, state: &str) -> Value {
--- a/crates/harness/src/link.rs
+++ b/crates/harness/src/link.rs
@@ -2,14 +2,17 @@
 
 use std::cell::Cell;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use compio::BufResult;
-use compio::io::{AsyncRead, AsyncWriteExt};
+use compio::io::{AsyncRead, AsyncWrite, AsyncWriteExt};
 use compio::net::{TcpListener, TcpStream};
 use compio::runtime::spawn;
 use compio::time::sleep;
+use futures_util::future::{Either, select};
+use kernel::StopSignal;
 
 use crate::{HarnessError, Result};
 
@@ -72,6 +75,19 @@
     /// # Errors
     /// If the address cannot be had.
     pub async fn start(address: SocketAddr, target: SocketAddr) -> Result<Self> {
+        Self::start_until(address, target, StopSignal::new()).await
+    }
+
+    /// The same, but it listens only until `target` has ended, so that it refuses connections
+    /// from then on.
+    ///
+    /// # Errors
+    /// If the address cannot be had.
+    pub async fn start_until(
+        address: SocketAddr,
+        target: SocketAddr,
+        ended: StopSignal,
+    ) -> Result<Self> {
         let listener = TcpListener::bind(address).await.map_err(|source| HarnessError::Io {
             step: "listen",
             what: address.to_string(),
@@ -83,17 +99,19 @@
         let (state, forwarded) = (Rc::clone(&link.state), Rc::clone(&link.forwarded));
         let pace = Rc::clone(&link.pace);
         spawn(async move {
-            while let Ok((caller, _)) = listener.accept().await {
+            loop {
+                let (accept, end) = (pin!(listener.accept()), pin!(ended.wait()));
+                let Either::Left((Ok((client, _)), _)) = select(accept, end).await else { return };
                 if state.get() == LinkState::Cut {
                     continue;
                 }
                 if state.get() == LinkState::Lost {
-                    spawn(hold(caller)).detach();
+                    spawn(hold(client)).detach();
                     continue;
                 }
                 let Ok(callee) = TcpStream::connect(target).await else { continue };
                 let (state, forwarded) = (Rc::clone(&state), Rc::clone(&forwarded));
-                let (ask_read, answer_write) = caller.into_split();
+                let (ask_read, answer_write) = client.into_split();
                 let (answer_read, ask_write) = callee.into_split();
                 let pace = Some(Rc::clone(&pace));
                 let ask = copy(ask_read, ask_write, Rc::clone(&state), None, forwarded);
@@ -140,12 +158,8 @@
     let mut buffer = Vec::with_capacity(BUFFER_BYTES);
     loop {
         buffer.clear();
-        let read = std::pin::pin!(from.read(buffer));
-        let broken = std::pin::pin!(wait_until_broken(&state));
-        let outcome = match futures_util::future::select(read, broken).await {
-            futures_util::future::Either::Left((outcome, _)) => outcome,
-            futures_util::future::Either::Right(_) => break,
-        };
+        let (read, broken) = (pin!(from.read(buffer)), pin!(wait_until_broken(&state)));
+        let Either::Left((outcome, _)) = select(read, broken).await else { break };
         let BufResult(length, filled) = outcome;
         if !matches!(length, Ok(length) if length > 0)
             || wait_while_stalled(&state, pace.is_some()).await
@@ -165,9 +179,8 @@
     if state.get() == LinkState::Lost {
         return hold((from, to)).await;
     }
-    // The other half closes only once this one is dropped.
-    drop(from);
-    let _ = to.close().await;
+    // Closing would wait for the other direction, whose task has a clone of the connection.
+    let _ = to.shutdown().await;
 }
 
 /// Keeps a connection open without passing anything on.
--- a/crates/harness/src/node_fleet.rs
+++ b/crates/harness/src/node_fleet.rs
@@ -150,6 +150,15 @@
         TestLink::start(self.addresses.address(150 + number, 0), target).await
     }
 
+    /// Starts a link to a runner; it refuses connections once the runner has crashed.
+    ///
+    /// # Errors
+    /// If an address cannot be had.
+    pub async fn start_runner_link(&self, number: u8, runner: &RunnerFake) -> Result<TestLink> {
+        let address = self.addresses.address(150 + number, 0);
+        TestLink::start_until(address, runner.address(), runner.crash_signal()).await
+    }
+
     /// Writes a runner's entry with a state.
     pub fn tell(&self, runner: &RunnerFake, service: &str, state: &str) {
         self.store.put_json("keyed.servers", runner.id(), &runner.entry(service, "north", state));
--- a/crates/harness/tests/link.rs
+++ b/crates/harness/tests/link.rs
@@ -1,11 +1,13 @@
 //! What a link between a process and its peer does to their connections.
 
+use std::io::ErrorKind;
 use std::time::Duration;
 
 use compio::io::{AsyncRead, AsyncWriteExt};
 use compio::net::{TcpListener, TcpStream};
 use compio::time::{sleep, timeout};
 use harness::{LinkState, TestLink};
+use kernel::StopSignal;
 
 /// Time for a byte or an end to arrive.
 const ARRIVAL_LIMIT: Duration = Duration::from_millis(500);
@@ -18,6 +20,9 @@
     Nothing,
 }
 
+/// Byte at which the peer closes the connection.
+const CLOSING: u8 = b'x';
+
 /// A connection through a link to a peer that returns what it gets.
 async fn connect() -> (TestLink, TcpStream) {
     let any = "127.0.0.1:0".parse().unwrap();
@@ -27,6 +32,9 @@
         while let Ok((mut peer, _)) = listener.accept().await {
             compio::runtime::spawn(async move {
                 while let Seen::Bytes(bytes) = read(&mut peer, None).await {
+                    if bytes.contains(&CLOSING) {
+                        return;
+                    }
                     let _ = peer.write_all(bytes).await;
                 }
             })
@@ -58,6 +66,30 @@
     read(stream, Some(ARRIVAL_LIMIT)).await
 }
 
+#[test]
+fn an_open_link_passes_on_that_the_peer_has_closed_the_connection() {
+    kernel::run(async {
+        let (_link, mut stream) = connect().await;
+        assert_eq!(exchange(&mut stream, "x").await, Seen::End);
+    })
+    .unwrap();
+}
+
+#[test]
+fn a_link_whose_target_has_ended_refuses_connections() {
+    kernel::run(async {
+        let any = "127.0.0.1:0".parse().unwrap();
+        let ended = StopSignal::new();
+        let link = TestLink::start_until(any, any, ended.clone()).await.unwrap();
+        TcpStream::connect(link.address()).await.unwrap();
+        ended.raise();
+        sleep(Duration::from_millis(20)).await;
+        let refused = TcpStream::connect(link.address()).await.unwrap_err();
+        assert_eq!(refused.kind(), ErrorKind::ConnectionRefused);
+    })
+    .unwrap();
+}
+
 #[test]
 fn a_cut_link_closes_its_connections_and_refuses_new_ones() {
     kernel::run(async {
