Play limits and parts that crash runners in the soak

In two thirds of the calms, drawn by a seed of their own so that the other faults of a seed stay, a plain runner names a limit of 5 a second for 7.5 s, or requests come with a part that crashes each engine. Judged only where nothing else happened.

Seeds 31 and 32 are played by the tests.

--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -9,7 +9,10 @@
 mod promises;
 mod run;
 mod site;
+mod trials;
 
 pub use plan::{SoakFault, SoakPlan, SoakStep};
-pub use promises::{CallerKind, CallerRecord, PromiseBreach, check_answers, check_leaving};
+pub use promises::{
+    CallerKind, CallerRecord, PromiseBreach, check_answers, check_leaving, check_limit, check_part,
+};
 pub use run::{SoakReport, run_soak};
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -33,6 +33,9 @@
 /// How long the store is then away, in milliseconds.
 const AWAY_MS: std::ops::Range<u64> = 100..1_000;
 
+/// Seed of the faults in a calm, drawn apart like the returns.
+const CALM_SEED: u64 = 0x11a7;
+
 /// How long faults follow each other before a calm.
 const STORM_SPAN: Duration = Duration::from_secs(6);
 /// Time from the end of a storm to the changes that are checked in the calm: the longest
@@ -40,6 +43,9 @@
 const CALM_SPAN: Duration = Duration::from_millis(7_200);
 /// What a return of the store adds to the calm, until its own check has been made.
 const RETURN_SPAN: Duration = Duration::from_millis(3_600);
+/// How long a runner names a limit, and requests with a part that crashes runners come: the time
+/// until it is known everywhere, and one in which it is kept.
+pub const TRIAL_SPAN: Duration = Duration::from_millis(7_500);
 /// Time for these checks, until the next storm.
 const CHECK_SPAN: Duration = Duration::from_millis(2_800);
 
@@ -71,6 +77,10 @@
     Spoil(usize, RunnerScript),
     /// A new configuration, in which one route takes another's place.
     Configure,
+    /// A plain runner names a limit for [`TRIAL_SPAN`].
+    Limit(usize),
+    /// For [`TRIAL_SPAN`] requests come whose prompt has this part, which crashes each engine.
+    CrashPart(u32),
 }
 
 /// A fault and its time.
@@ -105,6 +115,7 @@
     pub fn draw(seed: u64, span: Duration) -> Self {
         let mut random = StdRng::seed_from_u64(seed);
         let mut returns = StdRng::seed_from_u64(seed ^ RETURN_SEED);
+        let mut calms = StdRng::seed_from_u64(seed ^ CALM_SEED);
         let mut steps = Vec::new();
         let mut at = Duration::from_secs(1);
         while at < span {
@@ -118,6 +129,10 @@
                 steps.push(step);
                 at += RETURN_SPAN;
             }
+            if let Some(fault) = draw_trial(&mut calms) {
+                steps.push(SoakStep { at, fault });
+                at += TRIAL_SPAN;
+            }
             let engine = random.random_range(0..ENGINES);
             for fault in [SoakFault::Configure, SoakFault::Leave(engine)] {
                 steps.push(SoakStep { at, fault });
@@ -137,6 +152,16 @@
     random.random_ratio(1, STORMS_PER_RETURN).then_some(step)
 }
 
+/// A fault that nothing else may disturb, or none.
+fn draw_trial(random: &mut StdRng) -> Option<SoakFault> {
+    let (desk, part) = (random.random_range(0..DESKS), random.random());
+    match random.random_range(0..3) {
+        0 => Some(SoakFault::Limit(desk)),
+        1 => Some(SoakFault::CrashPart(part)),
+        _ => None,
+    }
+}
+
 fn draw_fault(random: &mut StdRng) -> SoakFault {
     const LINKS: [LinkState; 4] =
         [LinkState::Stalled, LinkState::AnswersStalled, LinkState::Cut, LinkState::Lost];
--- a/crates/soak/src/promises.rs
+++ b/crates/soak/src/promises.rs
@@ -125,3 +125,33 @@
     })
     .collect()
 }
+
+/// Checks that a runner gets in no window of 4 s from `from` on more than one and a half times what
+/// its limit, in requests a second, allows, and five.
+#[must_use]
+pub fn check_limit(
+    runner: &str,
+    limit: f64,
+    from: Instant,
+    visits: &[RunnerVisit],
+) -> Option<PromiseBreach> {
+    const WINDOW: Duration = Duration::from_secs(4);
+    const SLACK: f64 = 5.0;
+    let times = || visits.iter().map(|visit| visit.at).filter(|at| *at >= from);
+    let in_window = |begin| times().filter(|at| *at >= begin && *at < begin + WINDOW).count();
+    let most = times().map(in_window).max().unwrap_or(0);
+    let allowed = 1.5 * limit * WINDOW.as_secs_f64() + SLACK;
+    let subject = || format!("{runner}: {most} in 4 s, allowed {allowed}");
+    let promise = "a runner gets no more than the limit that it names";
+    (most as f64 > allowed).then(|| PromiseBreach { promise, subject: subject() })
+}
+
+/// Checks that a part that crashes runners reaches no more than three once `known`.
+#[must_use]
+pub fn check_part(part: &str, known: Instant, visits: &[RunnerVisit]) -> Option<PromiseBreach> {
+    const ALLOWED: usize = 3;
+    let is_late = |visit: &&RunnerVisit| visit.at > known && visit.request.has_part(part);
+    let late = visits.iter().filter(is_late).count();
+    let promise = "a part that crashes runners is kept from them";
+    (late > ALLOWED).then(|| PromiseBreach { promise, subject: format!("{part}: {late} requests") })
+}
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -57,10 +57,10 @@
     }
 }
 
-struct SoakRun {
-    site: SoakSite,
-    checks: RefCell<usize>,
-    breaches: RefCell<Vec<PromiseBreach>>,
+pub(crate) struct SoakRun {
+    pub(crate) site: SoakSite,
+    pub(crate) checks: RefCell<usize>,
+    pub(crate) breaches: RefCell<Vec<PromiseBreach>>,
 }
 
 /// Plays a plan.
@@ -129,6 +129,8 @@
             SoakFault::Crash(engine) => self.crash(engine),
             SoakFault::Spoil(desk, script) => self.site.desks[desk].fake.script(&[script]),
             SoakFault::Configure => self.configure().await,
+            SoakFault::Limit(desk) => self.limit(desk).await,
+            SoakFault::CrashPart(part) => self.crash_on(part).await,
         }
         Ok(())
     }
@@ -221,7 +223,7 @@
     }
 
     /// Takes an engine out of service and puts a spare in its place; gives the id.
-    fn replace(&self, engine: usize) -> Option<String> {
+    pub(crate) fn replace(&self, engine: usize) -> Option<String> {
         let spare = self.site.spares.borrow_mut().pop()?;
         self.site.tell(&spare, "ready");
         let old = std::mem::replace(&mut self.site.engines.borrow_mut()[engine], spare);
@@ -254,7 +256,7 @@
         self.site.calm(number);
     }
 
-    fn with_gone<T: Default>(
+    pub(crate) fn with_gone<T: Default>(
         &self,
         id: &str,
         act: impl FnOnce(&crate::site::SoakRunner) -> T,
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -10,7 +10,7 @@
 use crate::plan::{DESKS, ENGINES, NODES};
 
 /// Engines that may take the place of those that leave or crash.
-const SPARES: usize = 14;
+const SPARES: usize = 24;
 /// Events of a stream, one each 10 ms: short enough for a planned stop.
 pub const EVENTS: u64 = 150;
 /// Time before a check for which nothing may have disturbed a node.
@@ -178,6 +178,15 @@
         !struck.is_empty() && struck.iter().all(|one| one.planned && one.from > from)
     }
 
+    /// Whether nothing but disturbance `own` struck any node since `from`, or in a while before.
+    #[must_use]
+    pub fn was_calm_beside(&self, own: usize, from: Instant) -> bool {
+        let since = from.checked_sub(STABLE_SPAN).unwrap_or(from);
+        let disturbances = self.disturbances.borrow();
+        let mut others = disturbances.iter().enumerate().filter(|(number, _)| *number != own);
+        others.all(|(_, one)| one.until.is_some_and(|ended| ended < since))
+    }
+
     /// What `node` may have felt between two instants, or in a while before them.
     fn disturbances_of(&self, node: usize, from: Instant, until: Instant) -> Vec<Disturbance> {
         let since = from.checked_sub(STABLE_SPAN).unwrap_or(from);
@@ -208,7 +217,7 @@
     settings.work = WORK;
     let fake = fleet.prepare_runner(settings).await?;
     let number = u8::try_from(number).unwrap_or(u8::MAX);
-    let link = fleet.start_link(number, fake.address()).await?;
+    let link = fleet.start_runner_link(number, &fake).await?;
     Ok(SoakRunner { fake, link, service, state: Cell::default() })
 }
 
--- a/crates/soak/tests/promises.rs
+++ b/crates/soak/tests/promises.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use fakes::platform::{RunnerRequest, RunnerVisit};
-use soak::{CallerKind, CallerRecord, check_answers, check_leaving};
+use soak::{CallerKind, CallerRecord, check_answers, check_leaving, check_limit, check_part};
 
 const EVENTS: u64 = 3;
 
@@ -96,3 +96,34 @@
     ];
     assert_eq!(check_leaving("llm-1", told, Duration::from_secs(1), &visits).len(), 1);
 }
+
+#[test]
+fn more_than_a_limit_allows_in_some_window_is_a_breach() {
+    let named = Instant::now();
+    let visits = |count: u64, pause: u64| -> Vec<RunnerVisit> {
+        let at = |number| named + Duration::from_millis(number * pause);
+        (0..count).map(|number| RunnerVisit { at: at(number), ..visit(true, false) }).collect()
+    };
+    // Allowed are 11 in 4 s.
+    assert!(check_limit("desk-1", 1.0, named, &visits(40, 364)).is_none());
+    assert!(check_limit("desk-1", 1.0, named, &visits(12, 200)).is_some());
+    let later = named + Duration::from_millis(250);
+    assert!(check_limit("desk-1", 1.0, later, &visits(12, 200)).is_none());
+}
+
+#[test]
+fn a_fourth_request_with_a_part_that_is_known_to_crash_runners_is_a_breach() {
+    let known = Instant::now();
+    let with_part = |millis: u64| {
+        let mut visit = visit(true, false);
+        let parts = "dead0001:350,beef0001:500".to_owned();
+        visit.request.headers.insert("x-dotterelyard-prefix-hash".to_owned(), parts);
+        RunnerVisit { at: known + Duration::from_millis(millis), ..visit }
+    };
+    let mut visits: Vec<RunnerVisit> = [0, 1, 2, 3].map(with_part).into();
+    visits.extend((0..9).map(|_| visit(true, false)));
+    assert!(check_part("dead0001", known, &visits).is_none());
+    visits.push(with_part(4));
+    assert!(check_part("dead0001", known, &visits).is_some());
+    assert!(check_part("dead0002", known, &visits).is_none());
+}
--- a/crates/soak/tests/seeds.rs
+++ b/crates/soak/tests/seeds.rs
@@ -29,3 +29,15 @@
 fn a_store_that_comes_back_older_hides_no_configuration() {
     play(19, 21);
 }
+
+/// On code that did not read limits, a runner that takes 5 a second got 93 requests in 4 s.
+#[test]
+fn a_runner_that_names_a_limit_gets_no_more() {
+    play(31, 23);
+}
+
+/// On code that knew no such parts, all requests with one reached runners.
+#[test]
+fn a_part_that_crashes_runners_is_kept_from_them() {
+    play(32, 23);
+}
