Cut the circle around the attempts of a call

caller_server, plain_call, stream_call and part_watch imported each other: the outcome of an attempt stood with plain calls, the node's own answers with the server, and the choice of a copy's runner with the head of a stream, which the pump's moves needed back.

Now call_attempt has the attempts (the next runner, whether another send is allowed, what follows from a failure), call_answer the answers that end a call, stream_backup the runner that keeps a copy. Imports go one way; stream_pump, stream_move and stream_handover are one struct by what it decides, and stay. Functions are moved as they were; one constant that both files used stands twice under its own name, with the same value.

Measured: the process tests of calls, moves, faults, leaving, parts, limits and waits pass. No decision is changed, so none is measured again.

--- /dev/null
+++ b/crates/node/src/call_attempt.rs
@@ -0,0 +1,134 @@
+//! The attempts of a call: the runner of the next one, and what follows from one that failed.
+
+use std::rc::Rc;
+
+use base::prelude::*;
+use dispatch::RouteCommand;
+use route::CallEnd;
+use serving::{AttemptTracker, RunnerRecord, SendOutcome};
+
+use crate::call::Call;
+use crate::call_answer::CallFailure;
+use crate::call_log::log_send_failure;
+use crate::context::NodeContext;
+use crate::part_watch::{find_part_refusal, probe_lost_runner};
+use crate::route_ticket::RouteTicket;
+use crate::router::RouterService;
+use crate::runner_gate::{check_prompt, check_send};
+use crate::runner_send::SendFailure;
+
+/// `Retry-After` if the assigned runner has disappeared from the list.
+const RUNNER_GONE_RETRY_AFTER: TimeSpan = TimeSpan::millis(150);
+/// Reason of a refusal because every runner of the service has named a wait.
+const RUNNERS_WAIT: &str = "runners_wait";
+
+/// Waits until the dispatcher assigns a runner that accepts the request.
+///
+/// # Errors
+/// Returns [`CallFailure`] if the dispatcher refuses the call, the assigned runner was removed, or
+/// the prompt has a part that crashes runners.
+pub async fn find_runner(
+    context: &NodeContext,
+    router: &RouterService,
+    call: &Call,
+    tried: &[RunnerId],
+) -> Result<(RouteTicket, RunnerRecord), CallFailure> {
+    loop {
+        if let Some(refusal) = find_part_refusal(context, call) {
+            return Err(refusal);
+        }
+        let (ticket, runner) = assign_runner(context, router, call, tried).await?;
+        let incarnation = runner.incarnation();
+        let accepts = check_send(context, &incarnation)
+            .and_then(|()| check_prompt(context, call, &incarnation));
+        if accepts.is_ok() {
+            return Ok((ticket, runner));
+        }
+        unassign(router, ticket);
+    }
+}
+
+/// Takes back the assignment of a call that was not sent, since its runner accepts no
+/// requests. The dispatcher then knows that it does not, and assigns another.
+pub fn unassign(router: &RouterService, ticket: RouteTicket) {
+    ticket.finish(CallEnd::Cancelled);
+    router.update_members();
+}
+
+/// Waits until the dispatcher assigns a runner to the request.
+async fn assign_runner(
+    context: &NodeContext,
+    router: &RouterService,
+    call: &Call,
+    tried: &[RunnerId],
+) -> Result<(RouteTicket, RunnerRecord), CallFailure> {
+    let mut ticket = router.open(call.route_call(tried));
+    let runner = loop {
+        match ticket.next_command().await {
+            RouteCommand::Send { runner } => break runner,
+            RouteCommand::Withdraw => (),
+            RouteCommand::Refuse { reason, retry_after } => {
+                return Err(CallFailure { reason: refusal_reason(reason), retry_after });
+            }
+        }
+    };
+    let record = context.runners.borrow().get(&runner).map(|entry| entry.record.clone());
+    let gone = CallFailure { reason: "no_runner", retry_after: RUNNER_GONE_RETRY_AFTER };
+    record.map(|record| (ticket, record)).ok_or(gone)
+}
+
+fn refusal_reason(reason: RefusalReason) -> &'static str {
+    match reason {
+        RefusalReason::NoRunner => "no_runner",
+        RefusalReason::RunnersWait => RUNNERS_WAIT,
+        RefusalReason::Overloaded => "overloaded",
+        RefusalReason::TableFull => "queue_full",
+        RefusalReason::DeadlinePassed => "deadline_passed",
+        _ => "refused",
+    }
+}
+
+/// Whether the request may be sent to another runner. A retry is charged to the retry budget
+/// that the nodes share.
+pub fn may_retry(context: &NodeContext, call: &Call, tracker: &AttemptTracker) -> bool {
+    if !tracker.may_send() || call.deadline <= context.now() {
+        return false;
+    }
+    if tracker.sends() == 0 {
+        return true;
+    }
+    let nodes = context.peers.borrow().fleet_size();
+    let allowed =
+        context.retry_budget.borrow_mut().try_acquire(context.now(), &call.service, nodes);
+    if !allowed {
+        context.metrics.retries_denied.inc();
+    }
+    allowed
+}
+
+/// Logs a failed send, marks the runner as leaving if the failure says so, and finds out whether
+/// it has crashed.
+pub fn record_send_failure(
+    context: &Rc<NodeContext>,
+    router: &RouterService,
+    call: &Rc<Call>,
+    runner: &RunnerRecord,
+    failure: &SendFailure,
+) {
+    log_send_failure(context, call, &runner.runner, &failure.reason);
+    if failure.runner_gone {
+        router.mark_leaving(&runner.incarnation(), "reply");
+    }
+    if failure.outcome == SendOutcome::Unknown {
+        probe_lost_runner(context, call, runner);
+    }
+}
+
+/// Why a call is given up after its sends, and when its caller may come back: after
+/// `retry_after`, unless every runner waits for longer.
+pub fn explain_failure(router: &RouterService, call: &Call, retry_after: TimeSpan) -> CallFailure {
+    match router.wait_retry_after(call) {
+        Some(wait) => CallFailure { reason: RUNNERS_WAIT, retry_after: wait.max(retry_after) },
+        None => CallFailure { reason: "runners_failed", retry_after },
+    }
+}
--- a/crates/node/src/caller_server.rs
+++ b/crates/node/src/caller_server.rs
@@ -4,14 +4,14 @@
 
 use base::prelude::*;
 use hyper::body::Body;
-use hyper::header::{CONNECTION, HOST, HeaderValue, RETRY_AFTER};
+use hyper::header::{CONNECTION, HOST, HeaderValue};
 use hyper::{StatusCode, Uri};
 use platform::CallHead;
-use serde_json::json;
 use serving::{RouteKind, RouteRule, ServingPlan};
-use web::{ConnectionCloser, WebError, WebRequest, WebResponse, json_reply, read_bounded};
+use web::{ConnectionCloser, WebError, WebRequest, WebResponse, read_bounded};
 
 use crate::call::Call;
+use crate::call_answer::CallRejection;
 use crate::call_log::log_rejection;
 use crate::context::NodeContext;
 use crate::plain_call::run_plain;
@@ -23,37 +23,6 @@
 /// `Retry-After` of a stopping node; short, since the caller can retry at another node.
 const STOPPING_RETRY_AFTER: TimeSpan = TimeSpan::millis(20);
 
-/// An error answer that the node gives itself.
-#[derive(Debug, Clone, Copy)]
-pub struct CallRejection {
-    /// HTTP status.
-    pub status: StatusCode,
-    /// Reason, sent to the caller and logged.
-    pub reason: &'static str,
-    /// Value of the `Retry-After` header, if any.
-    pub retry_after: Option<TimeSpan>,
-}
-
-impl CallRejection {
-    fn new(status: StatusCode, reason: &'static str) -> Self {
-        Self { status, reason, retry_after: None }
-    }
-
-    /// Builds the HTTP response.
-    #[must_use]
-    pub fn reply(self) -> WebResponse {
-        let body = json!({ "error": self.reason });
-        let mut response = json_reply(self.status, &body);
-        if let Some(span) = self.retry_after {
-            let text = format!("{:.3}", span.as_seconds());
-            if let Ok(value) = HeaderValue::from_str(&text) {
-                response.headers_mut().insert(RETRY_AFTER, value);
-            }
-        }
-        response
-    }
-}
-
 /// Handles one request of a caller.
 pub async fn answer_caller(
     context: Rc<NodeContext>,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -5,6 +5,8 @@
 //! to runners.
 
 mod call;
+mod call_answer;
+mod call_attempt;
 mod call_log;
 mod caller_server;
 mod context;
@@ -31,6 +33,7 @@
 mod state_fetcher;
 mod state_transfer;
 mod store_reader;
+mod stream_backup;
 mod stream_call;
 mod stream_copy;
 mod stream_handover;
--- a/crates/node/src/part_watch.rs
+++ b/crates/node/src/part_watch.rs
@@ -14,9 +14,9 @@
 use web::{WebConnection, WebError};
 
 use crate::call::Call;
+use crate::call_answer::CallFailure;
 use crate::call_log::{format_parts, may_log};
 use crate::context::NodeContext;
-use crate::plain_call::CallFailure;
 
 /// Time for which a runner has to write an answer until a later crash says nothing about its
 /// prompt.
--- a/crates/node/src/stream_call.rs
+++ b/crates/node/src/stream_call.rs
@@ -9,23 +9,21 @@
 use hyper::body::Bytes;
 use hyper::header::CONTENT_TYPE;
 use kernel::StopSignal;
-use platform::{ResumeSource, copy_reply_headers};
+use platform::copy_reply_headers;
 use route::CallEnd;
 use serving::{AttemptTracker, RunnerRecord, SendOutcome};
 use web::{ConnectionCloser, WebExchange, WebResponse, stream_body};
 
 use crate::call::Call;
+use crate::call_answer::{fail_call, forward_answer};
+use crate::call_attempt::{explain_failure, find_runner, may_retry, record_send_failure, unassign};
 use crate::call_log::{log_send, log_send_failure};
 use crate::context::NodeContext;
 use crate::part_watch::{probe_lost_runner, record_full_answer};
-use crate::plain_call::{
-    explain_failure, fail_call, find_runner, forward_answer, may_retry, record_send_failure,
-    unassign,
-};
 use crate::route_ticket::RouteTicket;
 use crate::router::RouterService;
-use crate::runner_gate::find_block;
 use crate::runner_send::{SendFailure, SendPlan, read_full_answer, send_to_runner};
+use crate::stream_backup::{choose_backup, plan_backup_resume};
 use crate::stream_pump::StreamPump;
 use crate::stream_source::{CallerSide, StreamSource};
 
@@ -107,36 +105,6 @@
     }
 }
 
-/// Chooses the runner that is to keep a copy of the call's memory, if it needs one and a
-/// runner has room.
-pub fn choose_backup(
-    context: &NodeContext,
-    call: &Call,
-    ticket: &RouteTicket,
-) -> Option<RunnerRecord> {
-    if !call.wants_backup() {
-        return None;
-    }
-    let backup = ticket.choose_backup()?;
-    let record = context.runners.borrow().get(&backup).map(|entry| entry.record.clone())?;
-    find_block(context, &record.incarnation()).is_none().then_some(record)
-}
-
-/// Assigns the call to `backup`, which keeps a copy of its memory, and plans the send that
-/// resumes it there; the last event that was forwarded is filled in when it is sent.
-pub fn plan_backup_resume(
-    context: &NodeContext,
-    call: &Call,
-    ticket: &mut RouteTicket,
-    backup: RunnerRecord,
-) -> SendPlan {
-    ticket.relocate_to(&backup.runner);
-    let handle = Arc::from(call.attempt.as_str());
-    let resume = ResumeSource { address: backup.address, handle, last_event_id: None };
-    let next = choose_backup(context, call, ticket);
-    SendPlan { runner: backup, resume: Some(resume), backup: next }
-}
-
 /// Sends the call and reads the head of a stream, or the whole of any other answer.
 async fn request_answer(
     context: &NodeContext,
--- a/crates/node/src/stream_move.rs
+++ b/crates/node/src/stream_move.rs
@@ -14,7 +14,7 @@
 use crate::metrics::OutcomeLabels;
 use crate::part_watch::{has_blocked_part, probe_lost_runner};
 use crate::runner_send::SendPlan;
-use crate::stream_call::{choose_backup, plan_backup_resume};
+use crate::stream_backup::{choose_backup, plan_backup_resume};
 use crate::stream_copy::{CopyTask, RunCopy};
 use crate::stream_handover::HandoverStep;
 use crate::stream_pump::{PumpStep, StreamPump};
