See a crash although the runner's address still accepts connections for a moment

A trace shows three crashes and two runner_crashed lines: right after the third loss the node's one connection to the runner was accepted. A process that ends closes its connections one after the other; the stand-in does so in two tasks, and under load the node is faster. Then the crash counts for nothing, and the part reaches one runner more.

Ruled out: the store (away on purpose; a block needs none), parts known as safe (no answer was seen).

Change: the node connects up to three times, at once, after 50 ms and 150 ms more; a refusal of any is a crash, unless the runner has said meanwhile that it leaves. One that is off the list by then still counts.

--- a/crates/fakes/src/platform/runner_fake.rs
+++ b/crates/fakes/src/platform/runner_fake.rs
@@ -90,6 +90,8 @@
     pub(super) rushes: Cell<bool>,
     /// Part of a prompt at which it crashes as it begins to answer.
     pub(super) crash_part: RefCell<Option<String>>,
+    /// Time after a crash for which its address still accepts connections, and closes them.
+    pub(super) linger: Cell<Duration>,
     /// Bytes without end with which it answers all requests.
     pub(super) endless: Cell<Option<EndlessBytes>>,
     /// New connections are accepted.
@@ -133,6 +135,7 @@
             moves_refused: Cell::default(),
             rushes: Cell::default(),
             crash_part: RefCell::default(),
+            linger: Cell::default(),
             endless: Cell::default(),
             accepts: Cell::new(true),
             held: RefCell::default(),
@@ -261,6 +264,11 @@
         *self.state.crash_part.borrow_mut() = Some(part.to_owned());
     }
 
+    /// Its address accepts connections for a while after it has crashed, and closes them.
+    pub fn linger(&self, time: Duration) {
+        self.state.linger.set(time);
+    }
+
     /// Whether it has crashed.
     #[must_use]
     pub fn has_crashed(&self) -> bool {
@@ -312,7 +320,7 @@
 async fn accept(listener: TcpListener, state: Rc<RunnerState>) {
     loop {
         let (accept, crashed) = (pin!(listener.accept()), pin!(state.crashed.wait()));
-        let Either::Left((accepted, _)) = select(accept, crashed).await else { return };
+        let Either::Left((accepted, _)) = select(accept, crashed).await else { break };
         let Ok((stream, _)) = accepted else { continue };
         if !state.accepts.get() {
             state.held.borrow_mut().push(stream);
@@ -328,6 +336,11 @@
         })
         .detach();
     }
+    let linger = state.linger.get();
+    if !linger.is_zero() {
+        let accept_all = async { while listener.accept().await.is_ok() {} };
+        let _ = compio::time::timeout(linger, accept_all).await;
+    }
 }
 
 async fn serve(mut stream: TcpStream, state: Rc<RunnerState>) {
--- a/crates/harness/tests/node_crashing_parts.rs
+++ b/crates/harness/tests/node_crashing_parts.rs
@@ -18,6 +18,8 @@
 const KNOWN_AFTER: Duration = Duration::from_secs(3);
 /// Requests with the part that may reach runners from then on.
 const LATER_REQUESTS: usize = 3;
+/// Time for which the address of a crashed runner still accepts connections.
+const LINGER: Duration = Duration::from_millis(60);
 /// The part that crashes runners, and parts that do not.
 const CRASHING: &str = "dead0001";
 const FIRST: &str = "aaaa0001";
@@ -120,6 +122,22 @@
     .unwrap();
 }
 
+/// A process that ends closes its connections one after the other, so that its address may still
+/// accept for a moment.
+#[test]
+fn a_part_is_blocked_although_crashed_runners_accept_connections_for_a_moment() {
+    kernel::run(async {
+        let mut crashing = CrashingFleet::start(1).await;
+        crashing.runners.iter().for_each(|runner| runner.linger(LINGER));
+        for _ in 0..3 {
+            crashing.send(CRASHING).await;
+        }
+        assert_eq!(crashing.crashes(), 3);
+        crashing.fleet.wait_event(0, "part_blocked", "part", &CRASHING.into()).await.unwrap();
+    })
+    .unwrap();
+}
+
 #[test]
 fn sound_prompts_that_share_parts_with_crashing_ones_are_answered() {
     kernel::run(async {
--- a/crates/node/src/part_watch.rs
+++ b/crates/node/src/part_watch.rs
@@ -1,7 +1,7 @@
 //! Watches under which parts of prompts runners crash, and refuses prompts with such parts.
 //!
 //! A lost connection alone says little: answers are also cut by links and by faulty runners. A
-//! crash is a runner that refuses connections right after it lost a call that it was about to
+//! crash is a runner that refuses connections soon after it lost a call that it was about to
 //! answer, without having announced that it leaves.
 
 use std::io::ErrorKind;
@@ -23,6 +23,10 @@
 pub const PROOF_SPAN: TimeSpan = TimeSpan::millis(500);
 /// Timeout for connecting to a runner that lost a call.
 const PROBE_TIMEOUT: TimeSpan = TimeSpan::millis(250);
+/// Pauses before the connections to it. A process that ends may accept them for a moment after it
+/// has closed others; a crashed runner is back only after seconds.
+const PROBE_PAUSES: [TimeSpan; 3] =
+    [TimeSpan::millis(0), TimeSpan::millis(50), TimeSpan::millis(150)];
 /// Reason of a refusal because of a part of the prompt.
 const PART_CRASHES_RUNNERS: &str = "part_crashes_runners";
 
@@ -68,7 +72,9 @@
     }
     let (context, call, runner) = (Rc::clone(context), Rc::clone(call), runner.clone());
     kernel::spawn(async move {
-        if refuses_connections(&runner).await {
+        // A crashed runner may be off the list by now; one that leaves has said so.
+        let refuses = refuses_connections(&runner).await;
+        if refuses && !context.runners.borrow().is_incarnation_leaving(&runner.incarnation()) {
             record_crash(&context, &call, &runner);
         }
     })
@@ -76,10 +82,16 @@
 }
 
 async fn refuses_connections(runner: &RunnerRecord) -> bool {
-    match WebConnection::open(runner.address, PROBE_TIMEOUT).await {
-        Err(WebError::Connect { source, .. }) => source.kind() == ErrorKind::ConnectionRefused,
-        _ => false,
+    for pause in PROBE_PAUSES {
+        kernel::sleep(pause.into()).await;
+        if let Err(WebError::Connect { source, .. }) =
+            WebConnection::open(runner.address, PROBE_TIMEOUT).await
+            && source.kind() == ErrorKind::ConnectionRefused
+        {
+            return true;
+        }
     }
+    false
 }
 
 fn record_crash(context: &NodeContext, call: &Call, runner: &RunnerRecord) {
