Test that sound prompts begin at the first attempt beside crashing ones

Now 24 of them before any crash are compared with 24 from twice the stable window after the crashes, while requests with the part still come: half as many have to begin at the first attempt.

--- a/crates/harness/tests/node_crashing_parts.rs
+++ b/crates/harness/tests/node_crashing_parts.rs
@@ -1,8 +1,9 @@
 //! Prompts with a part that crashes each runner that begins to answer them.
 
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use fakes::platform::{RunnerFake, RunnerFakeSettings, RunnerScript, StoreFault};
+use fakes::platform::{RunnerFake, RunnerFakeSettings, RunnerScript, RunnerVisit, StoreFault};
 use harness::{CallerRequest, NodeFleet, WholeAnswer, wait_until};
 use serde_json::json;
 
@@ -20,6 +21,8 @@
 const LATER_REQUESTS: usize = 3;
 /// Time for which the address of a crashed runner still accepts connections.
 const LINGER: Duration = Duration::from_millis(60);
+/// Sound requests before the crashes, and as many after them.
+const SOUND_REQUESTS: usize = 24;
 /// The part that crashes runners, and parts that do not.
 const CRASHING: &str = "dead0001";
 const FIRST: &str = "aaaa0001";
@@ -79,6 +82,19 @@
         visits.filter(|visit| visit.request.has_part(part)).count()
     }
 
+    /// Requests with `part` that ran, and reached no more than one runner.
+    fn first_attempts(&self, part: &str) -> usize {
+        let visits: Vec<RunnerVisit> = self.runners.iter().flat_map(RunnerFake::visits).collect();
+        let mut reached: BTreeMap<&str, (usize, bool)> = BTreeMap::new();
+        for visit in visits.iter().filter(|visit| visit.request.has_part(part)) {
+            let attempt = visit.request.header("x-dotterelyard-attempt-id");
+            let (count, ran) = reached.entry(attempt).or_default();
+            *count += 1;
+            *ran |= visit.ran;
+        }
+        reached.values().filter(|reached| **reached == (1, true)).count()
+    }
+
     /// Sends one request with `part`, to each node in turn.
     async fn send(&mut self, part: &str) -> WholeAnswer {
         self.sent += 1;
@@ -152,6 +168,30 @@
     .unwrap();
 }
 
+/// The measure of the users' rule: what begins at its first attempt later than twice the time in
+/// which the part has to be known, against what did before any crash.
+#[test]
+fn sound_prompts_begin_at_the_first_attempt_while_crashing_ones_still_come() {
+    kernel::run(async {
+        let mut crashing = CrashingFleet::start(NODES).await;
+        for _ in 0..SOUND_REQUESTS {
+            assert_eq!(crashing.send(SOUND).await.status, 200);
+        }
+        let before = crashing.first_attempts(SOUND);
+        assert_eq!(before, SOUND_REQUESTS);
+        crashing.crash_runners().await;
+        compio::time::sleep(KNOWN_AFTER).await;
+        let earlier = crashing.first_attempts(SOUND);
+        for _ in 0..SOUND_REQUESTS {
+            crashing.send(CRASHING).await;
+            crashing.send(SOUND).await;
+        }
+        let after = crashing.first_attempts(SOUND) - earlier;
+        assert!(2 * after >= before, "{after} of {SOUND_REQUESTS}, {before} before any crash");
+    })
+    .unwrap();
+}
+
 #[test]
 fn a_part_that_crashes_runners_is_known_after_all_nodes_were_killed_at_once() {
     kernel::run(async {
