Explain a request from the log lines of all nodes

`yard explain ID [FILE...]` reads the lines from files or standard input, keeps those of the request and the kinds that may explain an end, and shows the request's way in order of time, what the reason of its end means, and the last lines that may have brought it about: changes of the runners that it was sent to, waits and limits, blocked parts and crashes at any node, the configuration of its node. `--format json` gives the lines. Exit 1 if no line has the id, 2 if a file cannot be read.

Measured: six tests of the command line as a process, on lines as nodes write them; not tried on the logs of a whole fleet.

--- a/crates/yard/src/command/mod.rs
+++ b/crates/yard/src/command/mod.rs
@@ -2,6 +2,7 @@
 
 mod check;
 mod dump;
+mod explain;
 mod keys;
 mod publish;
 mod status;
@@ -12,6 +13,7 @@
 
 use check::CheckCommand;
 use dump::DumpCommand;
+use explain::ExplainCommand;
 use keys::KeysCommand;
 use publish::PublishCommand;
 use status::StatusCommand;
@@ -38,6 +40,7 @@
     Publish(PublishCommand),
     Status(StatusCommand),
     Dump(DumpCommand),
+    Explain(ExplainCommand),
     Keys(KeysCommand),
 }
 
@@ -52,6 +55,7 @@
             YardAction::Publish(command) => kernel::run(command.run())?,
             YardAction::Status(command) => kernel::run(command.run())?,
             YardAction::Dump(command) => kernel::run(command.run())?,
+            YardAction::Explain(command) => command.run(),
             YardAction::Keys(command) => command.run(),
         }
     }
--- a/crates/yard/src/lib.rs
+++ b/crates/yard/src/lib.rs
@@ -7,8 +7,10 @@
 mod file_set;
 mod fleet_status;
 mod in_force_wait;
+mod log_reader;
 mod output;
 mod publisher;
+mod request_trace;
 
 pub use command::YardCommand;
 pub use error::{ExitStatus, Result, YardError};
--- a/crates/yard/tests/cli/main.rs
+++ b/crates/yard/tests/cli/main.rs
@@ -2,5 +2,6 @@
 
 mod certificates;
 mod commands;
+mod explain;
 mod platform;
 mod publish;
