Keep what callers of nodes send in a file of its own, and name one dependency only

And yard explain showed every lost dependency of the store beside a request that the configuration explains, tried on the lines of a node without a store; now only that of the configuration.

--- a/crates/harness/src/node_fleet.rs
+++ b/crates/harness/src/node_fleet.rs
@@ -4,11 +4,14 @@
 use std::time::Duration;
 
 use fakes::platform::{RunnerFake, RunnerFakeSettings, StoreFake, StreamMemory};
-use hyper::{Method, Request, Response};
+use hyper::{Request, Response};
 use serde_json::{Value, json};
 use web::{full_body, send_once};
 
-use crate::{AddressBlock, HarnessError, NodeProcess, Result, TestLink, wait_until};
+use crate::{
+    AddressBlock, CallerRequest, HarnessError, NodeProcess, Result, TestLink, WholeAnswer,
+    wait_until,
+};
 
 /// Host of all routes.
 pub const HOST: &str = "yard.example";
@@ -19,77 +22,6 @@
 /// Time for one exchange.
 const EXCHANGE_LIMIT: base::TimeSpan = base::TimeSpan::seconds(30);
 
-/// What a caller sends.
-#[derive(Debug, Clone)]
-pub struct CallerRequest {
-    /// Method.
-    pub method: Method,
-    /// Path and query.
-    pub path: String,
-    /// Id of the attempt.
-    pub attempt: String,
-    /// Further headers; these replace the usual ones.
-    pub headers: Vec<(&'static str, String)>,
-    /// Body.
-    pub body: Vec<u8>,
-}
-
-impl CallerRequest {
-    /// A lookup: it may be repeated.
-    #[must_use]
-    pub fn lookup(attempt: &str) -> Self {
-        Self::new(Method::GET, "/look/ticket", attempt)
-    }
-
-    /// A booking: it runs at most once.
-    #[must_use]
-    pub fn booking(attempt: &str) -> Self {
-        let mut request = Self::new(Method::POST, "/book/job", attempt);
-        request.body = b"{\"job\":\"resole\"}".to_vec();
-        request
-    }
-
-    /// A generation.
-    #[must_use]
-    pub fn stream(attempt: &str) -> Self {
-        let mut request = Self::new(Method::POST, "/digest/long", attempt);
-        request.headers.push(("x-dotterelyard-model", "m".to_owned()));
-        request.headers.push(("x-dotterelyard-token-count", "1000,400".to_owned()));
-        request.body = b"a prompt".to_vec();
-        request
-    }
-
-    fn new(method: Method, path: &str, attempt: &str) -> Self {
-        Self {
-            method,
-            path: path.to_owned(),
-            attempt: attempt.to_owned(),
-            headers: Vec::new(),
-            body: Vec::new(),
-        }
-    }
-
-    /// The same with another header.
-    #[must_use]
-    pub fn with(mut self, name: &'static str, value: &str) -> Self {
-        self.headers.push((name, value.to_owned()));
-        self
-    }
-}
-
-/// A whole answer.
-#[derive(Debug, Clone)]
-pub struct WholeAnswer {
-    /// Status.
-    pub status: u16,
-    /// `Retry-After`, in seconds.
-    pub retry_after: Option<f64>,
-    /// The body, as far as it came.
-    pub text: String,
-    /// The body came to its end.
-    pub complete: bool,
-}
-
 /// What stands before the nodes.
 pub struct NodeFleet {
     /// The store.
--- a/crates/yard/src/request_trace.rs
+++ b/crates/yard/src/request_trace.rs
@@ -86,10 +86,13 @@
 }
 
 /// Whether a line is about the node of the end, or about runners that crashed anywhere. Of changes of
-/// runners only those of runners that the request was sent to count, if it was sent.
+/// runners only those of runners that the request was sent to count, if it was sent; of lost
+/// dependencies, the one that configurations come from.
 fn concerns(line: &LogLine, end: &LogLine, steps: &[&LogLine]) -> bool {
-    if line.event == "runner_crashed" {
-        return true;
+    match line.event.as_str() {
+        "runner_crashed" => return true,
+        "dependency_lost" if line.text("dependency") != "store: configuration" => return false,
+        _ => (),
     }
     let sends = || steps.iter().filter(|step| step.event == "send");
     let runner = line.text("runner");
--- a/crates/yard/tests/cli/explain.rs
+++ b/crates/yard/tests/cli/explain.rs
@@ -21,6 +21,7 @@
 "#;
 const NODE_2: &str = r#"{"timestamp":"2026-12-04T10:00:04.000000Z","level":"INFO","event":"runner_crashed","request":"ee05","runner":"llm-7","parts":"aaaa0001,dead0001"}
 {"timestamp":"2026-12-04T10:00:07.000000Z","level":"WARN","event":"dependency_lost","dependency":"store: configuration","error":"deadline passed"}
+{"timestamp":"2026-12-04T10:00:07.000001Z","level":"WARN","event":"dependency_lost","dependency":"store: runners","error":"deadline passed"}
 {"timestamp":"2026-12-04T10:00:08.000000Z","level":"INFO","event":"end","request":"dd04","outcome":"rejected","reason":"no_route","status":404,"plan":4}
 "#;
 
