Name the faults of a calm in the soak as such

Found by reading the diff: "trial" is the word for figures from a scratch copy, and two functions were named after a noun and a state. calm_faults, CALM_FAULT_SPAN, play_limit and play_crash_part say what they are.

--- a/crates/soak/src/trials.rs
+++ b/crates/soak/src/calm_faults.rs
@@ -5,7 +5,7 @@
 
 use harness::CallerRequest;
 
-use crate::plan::{ENGINES, NODES, TRIAL_SPAN};
+use crate::plan::{CALM_FAULT_SPAN, ENGINES, NODES};
 use crate::promises::{check_limit, check_part};
 use crate::run::SoakRun;
 use crate::site::STABLE_SPAN;
@@ -19,11 +19,11 @@
 
 impl SoakRun {
     /// A plain runner names a limit for a while.
-    pub(crate) async fn limit(&self, desk: usize) {
+    pub(crate) async fn play_limit(&self, desk: usize) {
         let named = Instant::now();
         let fake = &self.site.desks[desk].fake;
         fake.name_limit(Some(&LIMIT.to_string()));
-        compio::time::sleep(TRIAL_SPAN).await;
+        compio::time::sleep(CALM_FAULT_SPAN).await;
         let visits = fake.visits();
         fake.name_limit(None);
         if (0..NODES).all(|node| self.site.was_calm(node, named, Instant::now())) {
@@ -34,7 +34,7 @@
     }
 
     /// Requests with a part that crashes each engine come for a while, one after the other.
-    pub(crate) async fn crash_on(&self, part: u32) {
+    pub(crate) async fn play_crash_part(&self, part: u32) {
         let part = format!("{part:08x}");
         for runner in self.site.engines.borrow().iter().chain(self.site.spares.borrow().iter()) {
             runner.fake.crash_on(&part);
@@ -43,7 +43,7 @@
         let number = self.site.disturb(None, false);
         let mut crashes = Vec::new();
         let mut sent = 0;
-        while begin.elapsed() < TRIAL_SPAN {
+        while begin.elapsed() < CALM_FAULT_SPAN {
             sent += 1;
             let attempt = format!("{part}-{sent}");
             let request = CallerRequest::stream(&attempt)
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -5,11 +5,11 @@
 //! and runners see.
 
 mod callers;
+mod calm_faults;
 mod plan;
 mod promises;
 mod run;
 mod site;
-mod trials;
 
 pub use plan::{SoakFault, SoakPlan, SoakStep};
 pub use promises::{
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -45,7 +45,7 @@
 const RETURN_SPAN: Duration = Duration::from_millis(3_600);
 /// How long a runner names a limit, and requests with a part that crashes runners come: the time
 /// until it is known everywhere, and one in which it is kept.
-pub const TRIAL_SPAN: Duration = Duration::from_millis(7_500);
+pub const CALM_FAULT_SPAN: Duration = Duration::from_millis(7_500);
 /// Time for these checks, until the next storm.
 const CHECK_SPAN: Duration = Duration::from_millis(2_800);
 
@@ -77,9 +77,9 @@
     Spoil(usize, RunnerScript),
     /// A new configuration, in which one route takes another's place.
     Configure,
-    /// A plain runner names a limit for [`TRIAL_SPAN`].
+    /// A plain runner names a limit for [`CALM_FAULT_SPAN`].
     Limit(usize),
-    /// For [`TRIAL_SPAN`] requests come whose prompt has this part, which crashes each engine.
+    /// For [`CALM_FAULT_SPAN`] requests come whose prompt has this part, which crashes each engine.
     CrashPart(u32),
 }
 
@@ -129,9 +129,9 @@
                 steps.push(step);
                 at += RETURN_SPAN;
             }
-            if let Some(fault) = draw_trial(&mut calms) {
+            if let Some(fault) = draw_calm_fault(&mut calms) {
                 steps.push(SoakStep { at, fault });
-                at += TRIAL_SPAN;
+                at += CALM_FAULT_SPAN;
             }
             let engine = random.random_range(0..ENGINES);
             for fault in [SoakFault::Configure, SoakFault::Leave(engine)] {
@@ -153,7 +153,7 @@
 }
 
 /// A fault that nothing else may disturb, or none.
-fn draw_trial(random: &mut StdRng) -> Option<SoakFault> {
+fn draw_calm_fault(random: &mut StdRng) -> Option<SoakFault> {
     let (desk, part) = (random.random_range(0..DESKS), random.random());
     match random.random_range(0..3) {
         0 => Some(SoakFault::Limit(desk)),
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -129,8 +129,8 @@
             SoakFault::Crash(engine) => self.crash(engine),
             SoakFault::Spoil(desk, script) => self.site.desks[desk].fake.script(&[script]),
             SoakFault::Configure => self.configure().await,
-            SoakFault::Limit(desk) => self.limit(desk).await,
-            SoakFault::CrashPart(part) => self.crash_on(part).await,
+            SoakFault::Limit(desk) => self.play_limit(desk).await,
+            SoakFault::CrashPart(part) => self.play_crash_part(part).await,
         }
         Ok(())
     }
