--- a/crates/harness/tests/bookings.rs
+++ b/crates/harness/tests/bookings.rs
@@ -130,25 +130,32 @@
     .unwrap();
 }
 
+/// Plays a booking whose links end in `state` after it was sent.
+async fn break_links_after_the_send(state: LinkState) {
+    let stack = TestStack::start(plan()).await.unwrap();
+    stop_log(&stack).await;
+    let tag = caller().home_tag(stack.entry("vm-1")).await.unwrap();
+    for link in stack.links.values() {
+        link.set(LinkState::AnswersStalled);
+    }
+    let book = caller().book(stack.entry("vm-1"), SERVICE, KEY, &tag, 5_000).await;
+    for link in stack.links.values() {
+        link.set(state);
+    }
+    let retries = book_everywhere(&stack, &["vm-1", "vm-2", "vm-3"], &tag).await;
+    assert_eq!(count(&stack, KEY).await, 1);
+    assert_true_answers(&stack, &[book]).await;
+    assert_true_answers(&stack, &retries).await;
+}
+
 #[test]
 fn a_cut_link_after_the_send_is_unknown() {
-    kernel::run(async {
-        let stack = TestStack::start(plan()).await.unwrap();
-        stop_log(&stack).await;
-        let tag = caller().home_tag(stack.entry("vm-1")).await.unwrap();
-        for link in stack.links.values() {
-            link.set(LinkState::AnswersStalled);
-        }
-        let book = caller().book(stack.entry("vm-1"), SERVICE, KEY, &tag, 5_000).await;
-        for link in stack.links.values() {
-            link.set(LinkState::Cut);
-        }
-        let retries = book_everywhere(&stack, &["vm-1", "vm-2", "vm-3"], &tag).await;
-        assert_eq!(count(&stack, KEY).await, 1);
-        assert_true_answers(&stack, &[book]).await;
-        assert_true_answers(&stack, &retries).await;
-    })
-    .unwrap();
+    kernel::run(break_links_after_the_send(LinkState::Cut)).unwrap();
+}
+
+#[test]
+fn a_lost_link_after_the_send_is_unknown() {
+    kernel::run(break_links_after_the_send(LinkState::Lost)).unwrap();
 }
 
 #[test]
--- a/crates/harness/tests/node_runner_leaving.rs
+++ b/crates/harness/tests/node_runner_leaving.rs
@@ -111,17 +111,25 @@
     })
     .unwrap();
 }
-/// Opens a stream whose runner then leaves, and waits until its copy to the other one has begun.
-async fn begin_slow_move<'a>(
+/// Opens a stream, and waits until a runner works on it.
+async fn open_stream<'a>(
     fleet: &NodeFleet,
     runners: &'a [RunnerFake; 2],
 ) -> (&'a RunnerFake, impl Sized) {
     let open = fleet.open(0, &short("s1")).await.unwrap();
-    let leaving = wait_until("a runner to work", LIMIT, async || {
+    let working = wait_until("a runner to work", LIMIT, async || {
         runners.iter().find(|runner| runner.working() == 1)
     })
     .await
     .unwrap();
+    (working, open)
+}
+/// Opens a stream whose runner then leaves, and waits until its copy to the other one has begun.
+async fn begin_slow_move<'a>(
+    fleet: &NodeFleet,
+    runners: &'a [RunnerFake; 2],
+) -> (&'a RunnerFake, impl Sized) {
+    let (leaving, open) = open_stream(fleet, runners).await;
     leaving.slow_moves(MOVE_TIME);
     fleet.tell(leaving, "llm", "draining");
     wait_until("the copy to begin", LIMIT, async || (!leaving.moves().is_empty()).then_some(()))
@@ -169,12 +177,7 @@
 fn a_caller_that_leaves_during_a_move_costs_the_leaving_runner_one_release() {
     kernel::run(async {
         let (fleet, runners) = pair("llm").await;
-        let open = fleet.open(0, &short("s1")).await.unwrap();
-        let leaving = wait_until("a runner to work", LIMIT, async || {
-            runners.iter().find(|runner| runner.working() == 1)
-        })
-        .await
-        .unwrap();
+        let (leaving, open) = open_stream(&fleet, &runners).await;
         let staying = runners.iter().find(|runner| runner.id() != leaving.id()).unwrap();
         staying.script(&[RunnerScript::Silent]);
         fleet.tell(leaving, "llm", "draining");
