Name the fingerprint of a request in the lines of failed sends

A fingerprint hashes host, path, caller and body, which its repeats have in common whatever their attempt ids; `send_failed` names it. Nothing decides by it yet. Host and path as the route is found by them; the caller by its workspace, since one caller may have several keys.

--- a/crates/base/src/ids.rs
+++ b/crates/base/src/ids.rs
@@ -166,6 +166,10 @@
     /// One start of a process of this system: random, never reused.
     VmIncarnation
 }
+number_id! {
+    /// Hash of what the repeats of one request have in common: host, path, caller and body.
+    RequestFingerprint
+}
 number_id! {
     /// One generation across all its attempts: random.
     GenerationId
--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -3,6 +3,7 @@
 //! This crate performs no I/O, reads no clock and generates no random numbers.
 
 mod fields;
+mod fingerprint;
 mod hex;
 mod ids;
 mod log_page;
@@ -18,6 +19,7 @@
 mod vm;
 
 pub use fields::{join_fields, split_fields};
+pub use fingerprint::RequestContent;
 pub use hex::{from_hex, to_hex};
 pub use ids::*;
 pub use log_page::{LogPage, LogRecord};
--- a/crates/node/src/call.rs
+++ b/crates/node/src/call.rs
@@ -16,6 +16,8 @@
 pub struct Call {
     /// Id under which runners recognise repeated sends of the request.
     pub attempt: AttemptId,
+    /// What the caller's repeats of the request have in common.
+    pub fingerprint: RequestFingerprint,
     /// The matched route.
     pub route: Rc<RouteRule>,
     /// Version of the configuration that the request was matched against.
--- a/crates/node/src/call_log.rs
+++ b/crates/node/src/call_log.rs
@@ -77,7 +77,13 @@
 /// Logs a send that gave no answer to forward.
 pub fn log_send_failure(context: &NodeContext, call: &Call, runner: &RunnerId, reason: &str) {
     if may_log(context) {
-        tracing::info!(event = "send_failed", request = %call.attempt, %runner, reason = reason);
+        tracing::info!(
+            event = "send_failed",
+            request = %call.attempt,
+            fingerprint = %call.fingerprint,
+            %runner,
+            reason = reason,
+        );
     }
 }
 
--- a/crates/node/src/caller_server.rs
+++ b/crates/node/src/caller_server.rs
@@ -2,10 +2,12 @@
 
 use std::rc::Rc;
 
+use base::RequestContent;
 use base::prelude::*;
 use hyper::body::Body;
 use hyper::header::{CONNECTION, HOST, HeaderValue};
-use hyper::{StatusCode, Uri};
+use hyper::http::uri::PathAndQuery;
+use hyper::{HeaderMap, StatusCode, Uri};
 use platform::CallHead;
 use serving::{RouteKind, RouteRule, ServingPlan};
 use web::{ConnectionCloser, WebError, WebRequest, WebResponse, read_bounded};
@@ -97,8 +99,16 @@
     let body = read_bounded("request", body, plan.limits.max_body_bytes)
         .await
         .map_err(|error| body_rejection(&error))?;
+    let uri = origin_form(&parts.uri);
+    let content = RequestContent {
+        host: request_host(&parts.uri, &parts.headers),
+        path: uri.path_and_query().map_or("", PathAndQuery::as_str),
+        workspace: tenant.map(|tenant| &tenant.workspace),
+        body: &body,
+    };
     Ok(Call {
         attempt,
+        fingerprint: content.fingerprint(),
         plan_version: plan.version,
         tokens_per_event: engine.map(|engine| engine.event_tokens),
         supports_moves: engine.is_some_and(|engine| engine.supports_moves),
@@ -109,7 +119,7 @@
         service,
         head,
         method: parts.method,
-        uri: origin_form(&parts.uri),
+        uri,
         headers: parts.headers,
         body,
         _reservation: reservation,
@@ -119,12 +129,17 @@
 }
 
 fn find_route(plan: &ServingPlan, request: &WebRequest) -> Result<Rc<RouteRule>, CallRejection> {
-    let host_header = request.headers().get(HOST).and_then(|host| host.to_str().ok());
-    let host = request.uri().host().or(host_header).unwrap_or_default();
+    let host = request_host(request.uri(), request.headers());
     let route = plan.find_route(host, request.uri().path());
     route.cloned().ok_or(CallRejection::new(StatusCode::NOT_FOUND, "no_route"))
 }
 
+/// The host that a request is addressed to; empty if it names none.
+fn request_host<'a>(uri: &'a Uri, headers: &'a HeaderMap) -> &'a str {
+    let host_header = headers.get(HOST).and_then(|host| host.to_str().ok());
+    uri.host().or(host_header).unwrap_or_default()
+}
+
 fn body_rejection(error: &WebError) -> CallRejection {
     match error {
         WebError::TooLong { .. } => {
