--- a/crates/harness/tests/node_crashing_parts.rs
+++ b/crates/harness/tests/node_crashing_parts.rs
@@ -119,6 +119,21 @@
     check_later_requests(CrashLook::Refuses);
 }
 
+#[test]
+fn a_crashing_part_is_recognised_although_its_runners_reset_connections() {
+    check_later_requests(CrashLook::Resets);
+}
+
+#[test]
+fn a_crashing_part_is_recognised_although_its_runners_close_connections() {
+    check_later_requests(CrashLook::Closes);
+}
+
+#[test]
+fn a_crashing_part_is_recognised_although_its_runners_accept_connections() {
+    check_later_requests(CrashLook::Accepts);
+}
+
 /// A process that ends closes its connections one after the other, so that its address may still
 /// accept for a moment.
 #[test]
--- a/crates/harness/tests/node_crashing_requests.rs
+++ b/crates/harness/tests/node_crashing_requests.rs
@@ -125,6 +125,21 @@
     check_repeats(STREAM, CrashLook::Refuses);
 }
 
+#[test]
+fn a_crashing_request_is_recognised_although_its_runners_reset_connections() {
+    check_repeats(LOOKUP, CrashLook::Resets);
+}
+
+#[test]
+fn a_crashing_request_is_recognised_although_its_runners_close_connections() {
+    check_repeats(BOOKING, CrashLook::Closes);
+}
+
+#[test]
+fn a_crashing_request_is_recognised_although_its_runners_accept_connections() {
+    check_repeats(STREAM, CrashLook::Accepts);
+}
+
 #[test]
 fn a_request_that_crashes_runners_is_known_after_all_nodes_were_killed_at_once() {
     kernel::run(async {
