--- a/crates/harness/tests/node_crashing_requests.rs
+++ b/crates/harness/tests/node_crashing_requests.rs
@@ -1,7 +1,7 @@
 //! A request that crashes each runner that begins to run it, and is sent again by its caller.
 
 use crashing_fleet::{CrashPlan, CrashingFleet, KNOWN_AFTER, LATER_REQUESTS};
-use fakes::platform::{CrashLook, CrashTrigger, RunnerScript};
+use fakes::platform::{CrashLook, CrashTrigger, RunnerFake, RunnerScript};
 use harness::{CallerRequest, WholeAnswer, wait_until};
 use std::time::{Duration, Instant};
 
@@ -175,7 +175,7 @@
                 runner.script(&[RunnerScript::Close]);
             }
             assert_eq!(requests.send(requests.kind.sound_path).await.status, 502);
-            requests.crashing.runners.iter().for_each(|runner| runner.clear_scripts());
+            requests.crashing.runners.iter().for_each(RunnerFake::clear_scripts);
         }
         compio::time::sleep(KNOWN_AFTER).await;
         assert_eq!(requests.send(requests.kind.sound_path).await.status, 200);
--- a/crates/harness/tests/node_state_transfer.rs
+++ b/crates/harness/tests/node_state_transfer.rs
@@ -11,7 +11,7 @@
 use fakes::platform::StoreFault;
 use harness::{HOST, NodeFleet, TestLink, config, wait_until};
 use serde_json::{Value, json};
-use serving::{LimitUpdate, PartUpdate, PeerHeartbeat, PeerMessage, PlanVersion, encode_message};
+use serving::{InputUpdate, LimitUpdate, PeerHeartbeat, PeerMessage, PlanVersion, encode_message};
 
 /// Time in which a change has to be in force on the large deployments.
 const APPLY_LIMIT: Duration = Duration::from_secs(3);
@@ -136,7 +136,7 @@
             loads: Vec::new(),
             waiting_services: Vec::new(),
             leaving: Vec::new(),
-            part_update: PartUpdate::default(),
+            input_update: InputUpdate::default(),
             limit_update: LimitUpdate::default(),
         };
         let bytes = encode_message(&PeerMessage::Heartbeat(Box::new(heartbeat))).unwrap();
--- a/crates/node/src/part_store.rs
+++ b/crates/node/src/block_store.rs
@@ -1,7 +1,7 @@
-//! Blocked parts of prompts in the store, so that they outlast a fault that ends all nodes.
+//! Blocked inputs of calls in the store, so that they outlast a fault that ends all nodes.
 //!
-//! Load pattern: all nodes are killed at once while requests with a part that crashes runners
-//! still come. Without the store each of them would have to be learned anew by crashes.
+//! Load pattern: all nodes are killed at once while requests that crash runners still
+//! come. Without the store each of them would have to be learned anew by crashes.
 
 use std::rc::Rc;
 use std::time::{SystemTime, UNIX_EPOCH};
@@ -12,13 +12,15 @@
 use futures_util::StreamExt;
 use platform::{KeyedChange, KeyedListing, PartRecord, StoreClient, StoreTopic};
 
+use serving::CallInput;
+
 use crate::context::NodeContext;
+use crate::crash_watch::log_block_changes;
 use crate::dependency::DependencyState;
-use crate::part_watch::log_part_changes;
 
 /// Pause after a failed exchange with the store.
 const RETRY_PAUSE: TimeSpan = TimeSpan::seconds(1);
-/// Time without a heartbeat of another node after which this one reads the blocked parts again, as
+/// Time without a heartbeat of another node after which this one reads the blocked inputs again, as
 /// often as this.
 const SILENCE_SPAN: TimeSpan = TimeSpan::millis(1_500);
 /// Number of nodes that compare the store with what they know after its return from a copy.
@@ -26,19 +28,19 @@
 /// Time after which the next of them does so.
 const CHECK_STEP: TimeSpan = TimeSpan::millis(1_500);
 
-/// Reads the blocked parts at the start, and while no other node is heard that would tell of them;
+/// Reads the blocked inputs at the start, and while no other node is heard that would tell of them;
 /// writes those that this node blocks or clears, and those that a copy lacks from which the store
 /// has come back. Runs until the process ends.
-pub async fn keep_parts(
+pub async fn keep_blocks(
     context: Rc<NodeContext>,
     client: StoreClient,
     mut changes: mpsc::Receiver<()>,
 ) {
     let dependency = DependencyState::new("store: parts");
     let mut check = StoreCheck::default();
-    let mut may_lack_parts = true;
+    let mut may_lack_blocks = true;
     loop {
-        match exchange_parts(&context, &client, &mut check, may_lack_parts).await {
+        match exchange_blocks(&context, &client, &mut check, may_lack_blocks).await {
             Ok(()) => dependency.record_success(),
             Err(error) => {
                 dependency.record_failure(&error);
@@ -49,7 +51,7 @@
         }
         // A change and the end of the pause both lead to the next exchange.
         let _ = timeout(SILENCE_SPAN.into(), changes.next()).await;
-        may_lack_parts = !context.peers.borrow().heard_since(context.now() - SILENCE_SPAN);
+        may_lack_blocks = !context.peers.borrow().heard_since(context.now() - SILENCE_SPAN);
     }
 }
 
@@ -76,37 +78,37 @@
     }
 }
 
-/// Reads the blocked parts if this node may lack some, and writes what it has blocked or cleared
+/// Reads the blocked inputs if this node may lack some, and writes what it has blocked or cleared
 /// and what the store has lost.
-async fn exchange_parts(
+async fn exchange_blocks(
     context: &NodeContext,
     client: &StoreClient,
     check: &mut StoreCheck,
-    may_lack_parts: bool,
+    may_lack_blocks: bool,
 ) -> platform::Result<()> {
     let due_era = check.due_era(context);
-    if may_lack_parts || due_era.is_some() {
-        let listing = list_parts(client).await?;
-        if may_lack_parts {
-            load_parts(context, &listing);
+    if may_lack_blocks || due_era.is_some() {
+        let listing = list_blocks(client).await?;
+        if may_lack_blocks {
+            load_blocks(context, &listing);
         }
         let is_current = |era: &StoreEra| listing.era.is_none_or(|listed| listed >= *era);
         if let Some(era) = due_era.filter(is_current) {
-            compare_parts(context, &listing);
+            compare_blocks(context, &listing);
             check.checked = era;
         }
     }
-    store_parts(context, client).await
+    store_blocks(context, client).await
 }
 
-/// Has the parts written in which the store differs from what this node knows.
-fn compare_parts(context: &NodeContext, listing: &KeyedListing) {
-    let listed = listing.entries.iter().filter_map(|change| decode_part(context, change));
-    let stored = listed.map(|(part, _)| part).collect();
-    context.parts.borrow_mut().compare_stored(context.now(), &stored);
+/// Has the inputs written in which the store differs from what this node knows.
+fn compare_blocks(context: &NodeContext, listing: &KeyedListing) {
+    let listed = listing.entries.iter().filter_map(|change| decode_block(context, change));
+    let stored = listed.map(|(input, _)| input).collect();
+    context.inputs.borrow_mut().compare_stored(context.now(), &stored);
 }
 
-async fn list_parts(client: &StoreClient) -> platform::Result<KeyedListing> {
+async fn list_blocks(client: &StoreClient) -> platform::Result<KeyedListing> {
     match client.list(StoreTopic::Parts).await {
         // The topic does not exist before its first record.
         Err(error) if error.is_not_found() => Ok(KeyedListing::default()),
@@ -114,35 +116,35 @@
     }
 }
 
-fn load_parts(context: &NodeContext, listing: &KeyedListing) {
+fn load_blocks(context: &NodeContext, listing: &KeyedListing) {
     for change in &listing.entries {
-        if let Some((part, until)) = decode_part(context, change) {
-            context.parts.borrow_mut().load_block(context.now(), until, &part);
+        if let Some((input, until)) = decode_block(context, change) {
+            context.inputs.borrow_mut().load_block(context.now(), until, &input);
         }
     }
-    log_part_changes(context, "store");
+    log_block_changes(context, "store");
 }
 
-/// A stored part and the end of its block; `None` if the record is malformed.
-fn decode_part(context: &NodeContext, change: &KeyedChange) -> Option<(PromptPart, TimePoint)> {
+/// A stored input and the end of its block; `None` if the record is malformed.
+fn decode_block(context: &NodeContext, change: &KeyedChange) -> Option<(CallInput, TimePoint)> {
     let value = change.value.as_ref()?;
-    let (Ok(part), Ok(record)) = (change.key.parse(), PartRecord::decode(value)) else {
+    let (Ok(input), Ok(record)) = (change.key.parse(), PartRecord::decode(value)) else {
         tracing::debug!(event = "record_skipped", topic = "parts", key = %change.key);
         return None;
     };
     let left = TimeSpan::millis(record.until_unix_ms.saturating_sub(unix_millis()));
-    Some((part, context.now() + left))
+    Some((input, context.now() + left))
 }
 
 /// Writes what this node has blocked or cleared; keeps what could not be written.
-async fn store_parts(context: &NodeContext, client: &StoreClient) -> platform::Result<()> {
-    let mut unsaved = context.parts.borrow_mut().take_unsaved();
-    while let Some((part, until)) = unsaved.pop_first() {
-        if let Err(error) = store_part(context, client, &part, until).await {
-            unsaved.insert(part, until);
-            let mut parts = context.parts.borrow_mut();
-            for (part, until) in unsaved {
-                parts.return_unsaved(part, until);
+async fn store_blocks(context: &NodeContext, client: &StoreClient) -> platform::Result<()> {
+    let mut unsaved = context.inputs.borrow_mut().take_unsaved();
+    while let Some((input, until)) = unsaved.pop_first() {
+        if let Err(error) = store_block(context, client, &input, until).await {
+            unsaved.insert(input, until);
+            let mut inputs = context.inputs.borrow_mut();
+            for (input, until) in unsaved {
+                inputs.return_unsaved(input, until);
             }
             return Err(error);
         }
@@ -150,10 +152,10 @@
     Ok(())
 }
 
-async fn store_part(
+async fn store_block(
     context: &NodeContext,
     client: &StoreClient,
-    part: &PromptPart,
+    input: &CallInput,
     until: Option<TimePoint>,
 ) -> platform::Result<()> {
     let left = until.map(|until| until.since(context.now()).as_millis());
@@ -161,12 +163,12 @@
     let value = match record.map(PartRecord::encode).transpose() {
         Ok(value) => value.unwrap_or_default(),
         Err(error) => {
-            tracing::error!(event = "part_not_stored", %part, %error);
+            tracing::error!(event = "part_not_stored", part = %input, %error);
             return Ok(());
         }
     };
-    client.set(StoreTopic::Parts, part.as_str(), &value).await?;
-    tracing::info!(event = "part_stored", %part, blocked = until.is_some());
+    client.set(StoreTopic::Parts, &input.to_string(), &value).await?;
+    tracing::info!(event = "part_stored", part = %input, blocked = until.is_some());
     Ok(())
 }
 
--- a/crates/node/src/call.rs
+++ b/crates/node/src/call.rs
@@ -8,7 +8,7 @@
 use hyper::{HeaderMap, Method, Uri};
 use platform::{AttemptId, CallHead};
 use route::{CallId, RouteCall};
-use serving::{PlanVersion, RouteRule};
+use serving::{CallInput, PlanVersion, RouteRule};
 
 use crate::memory_pool::MemoryReservation;
 
@@ -34,6 +34,8 @@
     pub workspace: Option<WorkspaceId>,
     /// Priority; 0 is the most urgent.
     pub priority: u8,
+    /// What of the call may crash runners; the most specific input is the last one.
+    pub inputs: Vec<CallInput>,
     /// Decoded platform headers.
     pub head: CallHead,
     /// HTTP method.
--- a/crates/node/src/call_attempt.rs
+++ b/crates/node/src/call_attempt.rs
@@ -11,7 +11,7 @@
 use crate::call_answer::CallFailure;
 use crate::call_log::log_send_failure;
 use crate::context::NodeContext;
-use crate::part_watch::{find_part_refusal, probe_lost_runner};
+use crate::crash_watch::{find_crash_refusal, probe_lost_runner};
 use crate::route_ticket::RouteTicket;
 use crate::router::RouterService;
 use crate::runner_gate::{check_prompt, check_send};
@@ -34,7 +34,7 @@
     tried: &[RunnerId],
 ) -> Result<(RouteTicket, RunnerRecord), CallFailure> {
     loop {
-        if let Some(refusal) = find_part_refusal(context, call) {
+        if let Some(refusal) = find_crash_refusal(context, call) {
             return Err(refusal);
         }
         let (ticket, runner) = assign_runner(context, router, call, tried).await?;
--- a/crates/node/src/caller_server.rs
+++ b/crates/node/src/caller_server.rs
@@ -9,7 +9,7 @@
 use hyper::http::uri::PathAndQuery;
 use hyper::{HeaderMap, StatusCode, Uri};
 use platform::CallHead;
-use serving::{RouteKind, RouteRule, ServingPlan};
+use serving::{CallInput, RouteKind, RouteRule, ServingPlan};
 use web::{ConnectionCloser, WebError, WebRequest, WebResponse, read_bounded};
 
 use crate::call::Call;
@@ -100,7 +100,7 @@
         .await
         .map_err(|error| body_rejection(&error))?;
     let uri = origin_form(&parts.uri);
-    let content = RequestContent {
+    let hashed = RequestContent {
         host: request_host(&parts.uri, &parts.headers),
         path: uri.path_and_query().map_or("", PathAndQuery::as_str),
         workspace: tenant.map(|tenant| &tenant.workspace),
@@ -108,7 +108,7 @@
     };
     Ok(Call {
         attempt,
-        fingerprint: content.fingerprint(),
+        fingerprint: hashed.fingerprint(),
         plan_version: plan.version,
         tokens_per_event: engine.map(|engine| engine.event_tokens),
         supports_moves: engine.is_some_and(|engine| engine.supports_moves),
@@ -117,6 +117,7 @@
         priority: tenant.and_then(|tenant| tenant.priority).unwrap_or(route.priority),
         route,
         service,
+        inputs: head.shared_parts.iter().cloned().map(CallInput::Part).collect(),
         head,
         method: parts.method,
         uri,
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -7,7 +7,7 @@
 use futures_channel::mpsc;
 use kernel::{MonotonicClock, StopSignal};
 use serving::{
-    BudgetSettings, EraView, FleetLoads, LimitTable, PartTable, PeerTable, PlanVersion,
+    BudgetSettings, EraView, FleetLoads, InputTable, LimitTable, PeerTable, PlanVersion,
     RetryBudget, RunnerTable, ServingPlan, TransferPacer, WaitTable,
 };
 use settings::NodeSettings;
@@ -42,8 +42,8 @@
     pub waits: RefCell<WaitTable>,
     /// Limits on the requests that runners take from all nodes.
     pub limits: RefCell<LimitTable>,
-    /// Parts of prompts that crash runners.
-    pub parts: RefCell<PartTable>,
+    /// Inputs of calls that crash runners.
+    pub inputs: RefCell<InputTable>,
     /// Newest era of the store that the store or another node has named.
     pub store_era: RefCell<EraView>,
     /// Offset in the newest era up to which the list of runners has been read; 0 if it has not.
@@ -68,8 +68,8 @@
     answer_memory: Rc<MemoryPool>,
     /// Signals the router that an answer has changed what is known about a runner.
     runner_changes: RefCell<mpsc::Sender<()>>,
-    /// Signals that blocked parts of prompts have changed.
-    part_changes: RefCell<mpsc::Sender<()>>,
+    /// Signals that blocked inputs of calls have changed.
+    block_changes: RefCell<mpsc::Sender<()>>,
     clock: MonotonicClock,
 }
 
@@ -79,7 +79,7 @@
     pub fn new(
         settings: NodeSettings,
         runner_changes: mpsc::Sender<()>,
-        part_changes: mpsc::Sender<()>,
+        block_changes: mpsc::Sender<()>,
     ) -> Rc<Self> {
         let clock = MonotonicClock::new();
         let budget = RetryBudget::new(retry_budget_settings(&settings), clock.now());
@@ -95,7 +95,7 @@
             store_era: RefCell::default(),
             waits: RefCell::default(),
             limits: RefCell::default(),
-            parts: RefCell::default(),
+            inputs: RefCell::default(),
             runners_offset: Cell::default(),
             runners_updated: Cell::default(),
             store_answered_at: Cell::default(),
@@ -107,7 +107,7 @@
             request_memory: MemoryPool::new(body_bytes),
             answer_memory: MemoryPool::new(body_bytes),
             runner_changes: RefCell::new(runner_changes),
-            part_changes: RefCell::new(part_changes),
+            block_changes: RefCell::new(block_changes),
             settings,
             clock,
         })
@@ -137,10 +137,10 @@
         let _ = self.runner_changes.borrow_mut().try_send(());
     }
 
-    /// Signals that blocked parts of prompts have changed.
-    pub fn signal_part_change(&self) {
+    /// Signals that blocked inputs of calls have changed.
+    pub fn signal_block_change(&self) {
         // A full channel already holds a signal.
-        let _ = self.part_changes.borrow_mut().try_send(());
+        let _ = self.block_changes.borrow_mut().try_send(());
     }
 
     /// Version of the active configuration.
@@ -169,7 +169,7 @@
             runners_offset = offset
         );
         self.metrics.store_eras.inc();
-        self.signal_part_change();
+        self.signal_block_change();
         self.peers.borrow_mut().set_store_era(era);
         if self.runners_updated.get().is_some() {
             self.metrics.cursors_dropped.inc();
--- a/crates/node/src/part_watch.rs
+++ b/crates/node/src/crash_watch.rs
@@ -1,4 +1,4 @@
-//! Watches under which parts of prompts runners crash, and refuses prompts with such parts.
+//! Watches under which inputs of calls runners crash, and refuses calls with such inputs.
 //!
 //! A lost connection alone says little: answers are also cut by links and by faulty runners. A
 //! crash is a runner that refuses connections soon after it lost a call that it was about to
@@ -10,7 +10,7 @@
 use base::prelude::*;
 use hyper::Response;
 use hyper::body::Bytes;
-use serving::{PartChange, PartUpdate, RunnerRecord};
+use serving::{CallInput, InputChange, InputUpdate, RunnerRecord};
 use web::{WebConnection, WebError};
 
 use crate::call::Call;
@@ -30,19 +30,19 @@
 /// Reason of a refusal because of a part of the prompt.
 const PART_CRASHES_RUNNERS: &str = "part_crashes_runners";
 
-/// The refusal of a call whose prompt has a part that crashes runners; `None` if it has none.
+/// The refusal of a call with an input that crashes runners; `None` if it has none.
 #[must_use]
-pub fn find_part_refusal(context: &NodeContext, call: &Call) -> Option<CallFailure> {
+pub fn find_crash_refusal(context: &NodeContext, call: &Call) -> Option<CallFailure> {
     let now = context.now();
-    let parts = context.parts.borrow();
-    let (_, until) = parts.find_blocked(now, &call.head.shared_parts)?;
+    let inputs = context.inputs.borrow();
+    let (_, until) = inputs.find_blocked(now, &call.inputs)?;
     Some(CallFailure { reason: PART_CRASHES_RUNNERS, retry_after: until.since(now) })
 }
 
-/// Whether the call's prompt has a part that crashes runners.
+/// Whether the call has an input that crashes runners.
 #[must_use]
-pub fn has_blocked_part(context: &NodeContext, call: &Call) -> bool {
-    context.parts.borrow().find_blocked(context.now(), &call.head.shared_parts).is_some()
+pub fn has_blocked_input(context: &NodeContext, call: &Call) -> bool {
+    context.inputs.borrow().find_blocked(context.now(), &call.inputs).is_some()
 }
 
 /// Records a complete answer of a runner, unless it is an error: that says nothing about the
@@ -55,9 +55,8 @@
 
 /// Records that a runner answered the call, or has written its answer for [`PROOF_SPAN`].
 pub fn record_answer(context: &NodeContext, call: &Call) {
-    let parts = &call.head.shared_parts;
-    let is_news = context.parts.borrow_mut().record_answer(context.now(), parts);
-    log_part_changes(context, "answer");
+    let is_news = context.inputs.borrow_mut().record_answer(context.now(), &call.inputs);
+    log_block_changes(context, "answer");
     if is_news {
         context.signal_runner_change();
     }
@@ -67,7 +66,7 @@
 /// [`PROOF_SPAN`], has crashed, and records that.
 pub fn probe_lost_runner(context: &Rc<NodeContext>, call: &Rc<Call>, runner: &RunnerRecord) {
     let may_leave = context.runners.borrow().is_leaving(&runner.runner);
-    if may_leave || call.head.shared_parts.is_empty() {
+    if may_leave || call.inputs.is_empty() {
         return;
     }
     let (context, call, runner) = (Rc::clone(context), Rc::clone(call), runner.clone());
@@ -96,43 +95,63 @@
 
 fn record_crash(context: &NodeContext, call: &Call, runner: &RunnerRecord) {
     context.metrics.runner_crashes.inc();
-    let parts = &call.head.shared_parts;
     if may_log(context) {
         tracing::info!(
             event = "runner_crashed",
             request = %call.attempt,
             runner = %runner.runner,
-            parts = format_parts(parts),
+            parts = format_parts(&call.head.shared_parts),
         );
     }
     let incarnation = runner.incarnation();
-    let is_news = context.parts.borrow_mut().record_crash(context.now(), &incarnation, parts);
-    log_part_changes(context, "crash");
+    let is_news =
+        context.inputs.borrow_mut().record_crash(context.now(), &incarnation, &call.inputs);
+    log_block_changes(context, "crash");
     if is_news {
         context.signal_runner_change();
     }
 }
 
-/// Takes what another node knows about parts of prompts.
-pub fn apply_part_update(context: &NodeContext, update: &PartUpdate) {
-    let lacks_answer = context.parts.borrow_mut().apply_update(context.now(), update);
-    log_part_changes(context, "node");
+/// Takes what another node knows about inputs of calls.
+pub fn apply_input_update(context: &NodeContext, update: &InputUpdate) {
+    let lacks_answer = context.inputs.borrow_mut().apply_update(context.now(), update);
+    log_block_changes(context, "node");
     if lacks_answer {
         context.signal_runner_change();
     }
 }
 
-/// Logs what has changed in the table of parts, and has it written to the store. `source` is what the
-/// change is due to.
-pub fn log_part_changes(context: &NodeContext, source: &str) {
-    for change in context.parts.borrow_mut().take_changes() {
+/// Logs what has changed in the table of inputs, and has it written to the store. `source` is what
+/// the change is due to.
+pub fn log_block_changes(context: &NodeContext, source: &str) {
+    for change in context.inputs.borrow_mut().take_changes() {
         match change {
-            PartChange::Blocked { part, crashes } => {
+            InputChange::Blocked { input, crashes } => {
                 context.metrics.parts_blocked.inc();
-                tracing::warn!(event = "part_blocked", %part, crashes, source);
+                log_block(&input, crashes, source);
             }
-            PartChange::Cleared { part } => tracing::info!(event = "part_cleared", %part, source),
+            InputChange::Cleared { input } => log_clearing(&input, source),
+        }
+        context.signal_block_change();
+    }
+}
+
+fn log_block(input: &CallInput, crashes: usize, source: &str) {
+    match input {
+        CallInput::Part(part) => {
+            tracing::warn!(event = "part_blocked", %part, crashes, source);
+        }
+        CallInput::Request(fingerprint) => {
+            tracing::warn!(event = "request_blocked", %fingerprint, crashes, source);
+        }
+    }
+}
+
+fn log_clearing(input: &CallInput, source: &str) {
+    match input {
+        CallInput::Part(part) => tracing::info!(event = "part_cleared", %part, source),
+        CallInput::Request(fingerprint) => {
+            tracing::info!(event = "request_cleared", %fingerprint, source);
         }
-        context.signal_part_change();
     }
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -4,12 +4,14 @@
 //! heartbeats with the other nodes, answers address look-ups and forwards callers' requests
 //! to runners.
 
+mod block_store;
 mod call;
 mod call_answer;
 mod call_attempt;
 mod call_log;
 mod caller_server;
 mod context;
+mod crash_watch;
 mod dependency;
 mod error;
 mod follow_configuration;
@@ -19,8 +21,6 @@
 mod lookups;
 mod memory_pool;
 mod metrics;
-mod part_store;
-mod part_watch;
 mod peer_link;
 mod peer_server;
 mod plain_call;
--- a/crates/node/src/peer_link.rs
+++ b/crates/node/src/peer_link.rs
@@ -14,10 +14,10 @@
 };
 
 use crate::context::NodeContext;
+use crate::crash_watch::apply_input_update;
 use crate::dependency::DependencyState;
 use crate::follow_runners::apply_peer_update;
 use crate::limit_share::limit_update;
-use crate::part_watch::apply_part_update;
 use crate::router::RouterService;
 use crate::runner_gate::apply_limit_update;
 use crate::state_fetcher::StateFetcher;
@@ -127,15 +127,15 @@
             loads: self.router.local_loads(),
             waiting_services: self.router.waiting_services(),
             leaving: self.context.runners.borrow().announced_leaving(),
-            part_update: self.context.parts.borrow().update(self.context.now()),
+            input_update: self.context.inputs.borrow().update(self.context.now()),
             limit_update: limit_update(&self.context),
         }
     }
 
-    /// Prunes what is known of other nodes and of parts of prompts, and removes the loads of nodes
+    /// Prunes what is known of other nodes and of inputs of calls, and removes the loads of nodes
     /// that have fallen silent.
     fn prune_tables(&self) {
-        self.context.parts.borrow_mut().prune(self.context.now());
+        self.context.inputs.borrow_mut().prune(self.context.now());
         self.context.limits.borrow_mut().prune(self.context.now());
         let silent = self.context.peers.borrow_mut().prune(self.context.now());
         for vm in silent {
@@ -193,7 +193,7 @@
         let vm = heartbeat.vm.clone();
         // These are kept in other tables; the peer table keeps the rest.
         let leaving = std::mem::take(&mut heartbeat.leaving);
-        let part_update = std::mem::take(&mut heartbeat.part_update);
+        let input_update = std::mem::take(&mut heartbeat.input_update);
         let limit_update = std::mem::take(&mut heartbeat.limit_update);
         let loads = std::mem::take(&mut heartbeat.loads);
         let load =
@@ -204,7 +204,7 @@
                 self.router.mark_loads_changed();
             }
             self.router.apply_leaving(&leaving);
-            apply_part_update(&self.context, &part_update);
+            apply_input_update(&self.context, &input_update);
             if limits_changed {
                 self.router.update_members();
             }
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -10,6 +10,7 @@
 use settings::{NodeSettings, SettingsError};
 use web::{ServerLimits, WebRequest, WebResponse, WebServer, text_reply};
 
+use crate::block_store::keep_blocks;
 use crate::caller_server::answer_caller;
 use crate::context::{NodeContext, retry_budget_settings};
 use crate::error::{NodeError, Result};
@@ -17,7 +18,6 @@
 use crate::follow_nodes::follow_nodes;
 use crate::follow_runners::RunnerFeed;
 use crate::lookups::{answer_lookup, answer_readiness};
-use crate::part_store::keep_parts;
 use crate::peer_link::PeerLink;
 use crate::peer_server::answer_peer;
 use crate::router::RouterService;
@@ -56,8 +56,8 @@
     read_settings: impl Fn() -> std::result::Result<NodeSettings, SettingsError> + 'static,
 ) -> Result<()> {
     let (runner_changes, changed_runners) = mpsc::channel(1);
-    let (part_changes, changed_parts) = mpsc::channel(1);
-    let context = NodeContext::new(settings, runner_changes, part_changes);
+    let (block_changes, changed_blocks) = mpsc::channel(1);
+    let context = NodeContext::new(settings, runner_changes, block_changes);
     tracing::info!(
         event = "start",
         vm = %context.settings.vm,
@@ -80,7 +80,7 @@
     let reader = StoreReader::new(&context, store.clone());
     kernel::spawn(RunnerFeed::new(&context, &router, &link, reader).run()).detach();
     kernel::spawn(follow_nodes(Rc::clone(&context), store.clone())).detach();
-    kernel::spawn(keep_parts(Rc::clone(&context), store, changed_parts)).detach();
+    kernel::spawn(keep_blocks(Rc::clone(&context), store, changed_blocks)).detach();
     kernel::spawn(poll_runners(Rc::clone(&context), Rc::clone(&router))).detach();
     kernel::spawn(Rc::clone(&router).run_ticks()).detach();
     kernel::spawn(Rc::clone(&router).follow_runner_changes(changed_runners)).detach();
--- a/crates/node/src/runner_gate.rs
+++ b/crates/node/src/runner_gate.rs
@@ -13,8 +13,8 @@
 use crate::call::Call;
 use crate::call_log::may_log;
 use crate::context::NodeContext;
+use crate::crash_watch::has_blocked_input;
 use crate::metrics::WithheldLabels;
-use crate::part_watch::has_blocked_part;
 
 /// Why a request may not be sent to a runner.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -24,7 +24,7 @@
     /// The runner asked this node to send it nothing for some time.
     Waiting,
     /// The prompt has a part that crashes runners.
-    PartBlocked,
+    InputBlocked,
 }
 
 impl SendBlock {
@@ -34,7 +34,7 @@
         match self {
             Self::Leaving => "runner_leaving",
             Self::Waiting => "runner_waiting",
-            Self::PartBlocked => "part_blocked",
+            Self::InputBlocked => "part_blocked",
         }
     }
 }
@@ -59,8 +59,8 @@
     call: &Call,
     runner: &RunnerIncarnation,
 ) -> Result<(), SendBlock> {
-    if has_blocked_part(context, call) {
-        return Err(withhold(context, runner, SendBlock::PartBlocked));
+    if has_blocked_input(context, call) {
+        return Err(withhold(context, runner, SendBlock::InputBlocked));
     }
     Ok(())
 }
--- a/crates/node/src/stream_call.rs
+++ b/crates/node/src/stream_call.rs
@@ -19,7 +19,7 @@
 use crate::call_attempt::{explain_failure, find_runner, may_retry, record_send_failure, unassign};
 use crate::call_log::{log_send, log_send_failure};
 use crate::context::NodeContext;
-use crate::part_watch::{probe_lost_runner, record_full_answer};
+use crate::crash_watch::{probe_lost_runner, record_full_answer};
 use crate::route_ticket::RouteTicket;
 use crate::router::RouterService;
 use crate::runner_send::{SendFailure, SendPlan, read_full_answer, send_to_runner};
--- a/crates/node/src/stream_move.rs
+++ b/crates/node/src/stream_move.rs
@@ -11,8 +11,8 @@
 use serving::RunnerRecord;
 
 use crate::call_log::RequestOutcome;
+use crate::crash_watch::{has_blocked_input, probe_lost_runner};
 use crate::metrics::OutcomeLabels;
-use crate::part_watch::{has_blocked_part, probe_lost_runner};
 use crate::runner_send::SendPlan;
 use crate::stream_backup::{choose_backup, plan_backup_resume};
 use crate::stream_copy::{CopyTask, RunCopy};
@@ -72,7 +72,7 @@
         let backup = self.source.backup.as_ref();
         let runners = self.context.runners.borrow();
         self.tries < MAX_SWITCH_TRIES
-            && !has_blocked_part(&self.context, &self.call)
+            && !has_blocked_input(&self.context, &self.call)
             && backup.is_some_and(|backup| !runners.is_leaving(&backup.runner))
     }
 
--- a/crates/node/src/stream_pump.rs
+++ b/crates/node/src/stream_pump.rs
@@ -13,7 +13,7 @@
 use crate::call::Call;
 use crate::call_log::{RequestOutcome, RequestSummary, format_parts, log_end, log_send_failure};
 use crate::context::{NodeContext, RequestGuard};
-use crate::part_watch::{PROOF_SPAN, record_answer};
+use crate::crash_watch::{PROOF_SPAN, record_answer};
 use crate::route_ticket::RouteTicket;
 use crate::stream_copy::RunCopy;
 use crate::stream_move::{MAX_SWITCH_TRIES, PendingMove};
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -5,10 +5,11 @@
 //! time, and decisions are returned as values.
 
 mod attempt;
+mod call_input;
 mod fleet_loads;
 mod forecast_codec;
-mod part_table;
-mod part_update;
+mod input_table;
+mod input_update;
 mod peer_codec;
 mod peer_heartbeat;
 mod peer_table;
@@ -20,13 +21,14 @@
 mod state_codec;
 mod store_era;
 mod stream_scan;
-mod suspect_parts;
+mod suspect_inputs;
 mod transfer_pacer;
 
 pub use attempt::{AttemptTracker, FinalStatus, SendOutcome};
+pub use call_input::CallInput;
 pub use fleet_loads::{FleetLoads, NodeLoad, RunnerLoad, add_load};
-pub use part_table::{PartChange, PartTable};
-pub use part_update::{CrashReport, PartUpdate, TimedPart};
+pub use input_table::{InputChange, InputTable};
+pub use input_update::{CrashReport, InputUpdate, TimedInput};
 pub use peer_codec::{MESSAGE_VERSION, MessageError, decode_message, encode_message};
 pub use peer_heartbeat::{PeerHeartbeat, PeerMessage, RunnerUpdate};
 pub use peer_table::PeerTable;
--- a/crates/serving/src/peer_codec.rs
+++ b/crates/serving/src/peer_codec.rs
@@ -5,7 +5,7 @@
 use crate::PeerMessage;
 
 /// Version of the messages. Raised when an older node could not read a message, or misread it.
-pub const MESSAGE_VERSION: u8 = 4;
+pub const MESSAGE_VERSION: u8 = 5;
 
 /// A message that cannot be encoded or decoded.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
--- a/crates/serving/src/peer_heartbeat.rs
+++ b/crates/serving/src/peer_heartbeat.rs
@@ -5,7 +5,7 @@
 use base::prelude::*;
 use serde::{Deserialize, Serialize};
 
-use crate::{LimitUpdate, PartUpdate, PlanVersion, RunnerChange, RunnerIncarnation, RunnerLoad};
+use crate::{InputUpdate, LimitUpdate, PlanVersion, RunnerChange, RunnerIncarnation, RunnerLoad};
 
 /// A message from one node to another.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -61,8 +61,8 @@
     /// Runners that told this node they are leaving. Peers learn it from here because the
     /// runner list may show it late or not at all.
     pub leaving: Vec<RunnerIncarnation>,
-    /// What the node knows about parts of prompts that may crash runners.
-    pub part_update: PartUpdate,
+    /// What the node knows about inputs of calls that may crash runners.
+    pub input_update: InputUpdate,
     /// What the node knows about limits of runners.
     pub limit_update: LimitUpdate,
 }
--- a/crates/serving/src/suspect_parts.rs
+++ b/crates/serving/src/suspect_inputs.rs
@@ -1,44 +1,44 @@
-//! Parts of prompts under which runners crashed, and which of them are blocked.
+//! Inputs of calls under which runners crashed, and which of them are blocked.
 //!
 //! Load pattern: one crash takes several calls, and fails many calls of all nodes where runners crash
-//! for other reasons, so that most suspected parts have nothing to do with it.
+//! for other reasons, so that most suspected inputs have nothing to do with it.
 
 use std::collections::BTreeMap;
 
 use base::prelude::*;
 
-use crate::RunnerIncarnation;
+use crate::{CallInput, RunnerIncarnation};
 
-/// Number of runners that have to crash under a part before it is blocked.
+/// Number of runners that have to crash under an input before it is blocked.
 const CRASHES_TO_BLOCK: usize = 3;
 /// Time from the last of these crashes until the block: other nodes may have seen an answer.
 const CONFIRM_SPAN: TimeSpan = TimeSpan::millis(300);
 /// Time for which a crash counts.
 pub const CRASH_SPAN: TimeSpan = TimeSpan::seconds(300);
-/// Time for which a part is blocked after its last crash.
+/// Time for which an input is blocked after its last crash.
 pub const BLOCK_SPAN: TimeSpan = TimeSpan::seconds(600);
 /// Difference up to which two ends of one block count as the same. A remaining time that nodes
 /// pass on to each other grows by the delay of each message.
 const SAME_END_SPAN: TimeSpan = TimeSpan::seconds(10);
-/// Maximum number of suspected parts.
+/// Maximum number of suspected inputs.
 const MAX_SUSPECTS: usize = 4_096;
 
-/// When a part is blocked.
+/// When an input is blocked.
 #[derive(Debug, Clone, Copy)]
-struct PartBlock {
+struct InputBlock {
     from: TimePoint,
     until: TimePoint,
 }
 
-/// A part under which runners crashed.
+/// An input under which runners crashed.
 #[derive(Debug, Default)]
-struct SuspectPart {
+struct SuspectInput {
     /// The runners that crashed under it, and until when each crash counts.
     crashes: BTreeMap<RunnerIncarnation, TimePoint>,
-    block: Option<PartBlock>,
+    block: Option<InputBlock>,
 }
 
-impl SuspectPart {
+impl SuspectInput {
     /// Whether all crashes under it happened before `time`.
     fn crashed_before(&self, time: TimePoint) -> bool {
         let counted = self.crashes.values().all(|until| *until < time + CRASH_SPAN);
@@ -55,183 +55,183 @@
     }
 }
 
-/// A part that has just been blocked.
+/// An input that has just been blocked.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct NewBlock {
-    /// The part.
-    pub part: PromptPart,
+    /// The input.
+    pub input: CallInput,
     /// Number of crashes under it that this node knows of.
     pub crashes: usize,
     /// End of the block.
     pub until: TimePoint,
 }
 
-/// All suspected parts.
+/// All suspected inputs.
 #[derive(Debug, Default)]
-pub struct SuspectParts {
-    parts: BTreeMap<PromptPart, SuspectPart>,
-    /// Runners that crashed under a blocked part, and that part. Their crashes count against no
-    /// other part while it is blocked.
-    explained: BTreeMap<RunnerIncarnation, PromptPart>,
+pub struct SuspectInputs {
+    inputs: BTreeMap<CallInput, SuspectInput>,
+    /// Runners that crashed under a blocked input, and that input. Their crashes count against no
+    /// other input while it is blocked.
+    explained: BTreeMap<RunnerIncarnation, CallInput>,
 }
 
-impl SuspectParts {
+impl SuspectInputs {
     /// Whether there are none.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.parts.is_empty()
+        self.inputs.is_empty()
     }
 
-    /// When the block of a part ends; `None` if the part is not blocked now.
+    /// When the block of an input ends; `None` if the input is not blocked now.
     #[must_use]
-    pub fn blocked_until(&self, now: TimePoint, part: &PromptPart) -> Option<TimePoint> {
-        let block = self.parts.get(part)?.block?;
+    pub fn blocked_until(&self, now: TimePoint, input: &CallInput) -> Option<TimePoint> {
+        let block = self.inputs.get(input)?.block?;
         (block.from <= now && now < block.until).then_some(block.until)
     }
 
-    /// All blocked parts with the ends of their blocks, those whose block is about to begin
+    /// All blocked inputs with the ends of their blocks, those whose block is about to begin
     /// included.
-    pub fn blocks(&self) -> impl Iterator<Item = (&PromptPart, TimePoint)> {
-        self.parts.iter().filter_map(|(part, suspect)| Some((part, suspect.block?.until)))
+    pub fn blocks(&self) -> impl Iterator<Item = (&CallInput, TimePoint)> {
+        self.inputs.iter().filter_map(|(input, suspect)| Some((input, suspect.block?.until)))
     }
 
-    /// Whether a part is blocked, or about to be.
+    /// Whether an input is blocked, or about to be.
     #[must_use]
-    pub fn has_block(&self, part: &PromptPart) -> bool {
-        self.parts.get(part).is_some_and(|suspect| suspect.block.is_some())
+    pub fn has_block(&self, input: &CallInput) -> bool {
+        self.inputs.get(input).is_some_and(|suspect| suspect.block.is_some())
     }
 
-    /// Counts a crash, which counts until `until`, against the parts of a prompt, unless a blocked
-    /// part explains it. Returns the part that is blocked because of it.
+    /// Counts a crash, which counts until `until`, against the inputs of a call, unless a blocked
+    /// input explains it. Returns the input that is blocked because of it.
     pub fn add_crash(
         &mut self,
         now: TimePoint,
         until: TimePoint,
         runner: &RunnerIncarnation,
-        parts: &[PromptPart],
+        inputs: &[CallInput],
     ) -> Option<NewBlock> {
-        if let Some(blocked) = parts.iter().find(|part| self.has_block(part)) {
+        if let Some(blocked) = inputs.iter().find(|input| self.has_block(input)) {
             self.add_explained_crash(until, runner, blocked);
             return None;
         }
         if self.is_explained(runner) {
             return None;
         }
-        // The last part is the most specific one: if all crashes so far have several parts in
+        // The last input is the most specific one: if all crashes so far have several inputs in
         // common, it is blocked alone, and the others only if crashes go on without it.
-        parts.iter().rev().find_map(|part| self.count_crash(now, until, runner, part))
+        inputs.iter().rev().find_map(|input| self.count_crash(now, until, runner, input))
     }
 
-    /// Counts a crash against a blocked part, and prolongs its block.
+    /// Counts a crash against a blocked input, and prolongs its block.
     fn add_explained_crash(
         &mut self,
         until: TimePoint,
         runner: &RunnerIncarnation,
-        part: &PromptPart,
+        input: &CallInput,
     ) {
-        let Some(suspect) = self.parts.get_mut(part) else { return };
+        let Some(suspect) = self.inputs.get_mut(input) else { return };
         suspect.crashes.entry(runner.clone()).or_insert(until);
         if let Some(block) = &mut suspect.block {
             block.until = block.until.max(until - CRASH_SPAN + BLOCK_SPAN);
         }
-        self.explain(runner, part);
+        self.explain(runner, input);
     }
 
-    /// Whether the runner crashed under a part that is still blocked.
+    /// Whether the runner crashed under an input that is still blocked.
     fn is_explained(&self, runner: &RunnerIncarnation) -> bool {
-        self.explained.get(runner).is_some_and(|part| self.has_block(part))
+        self.explained.get(runner).is_some_and(|input| self.has_block(input))
     }
 
-    /// Records that a blocked part explains the crash of a runner, and takes the crash off all
+    /// Records that a blocked input explains the crash of a runner, and takes the crash off all
     /// others.
-    fn explain(&mut self, runner: &RunnerIncarnation, part: &PromptPart) {
-        if self.explained.insert(runner.clone(), part.clone()).as_ref() == Some(part) {
+    fn explain(&mut self, runner: &RunnerIncarnation, input: &CallInput) {
+        if self.explained.insert(runner.clone(), input.clone()).as_ref() == Some(input) {
             return;
         }
-        for suspect in self.parts.values_mut().filter(|suspect| suspect.block.is_none()) {
+        for suspect in self.inputs.values_mut().filter(|suspect| suspect.block.is_none()) {
             suspect.crashes.remove(runner);
         }
     }
 
-    /// Counts a crash against one part. Returns its block if that begins because of it.
+    /// Counts a crash against one input. Returns its block if that begins because of it.
     fn count_crash(
         &mut self,
         now: TimePoint,
         until: TimePoint,
         runner: &RunnerIncarnation,
-        part: &PromptPart,
+        input: &CallInput,
     ) -> Option<NewBlock> {
-        let suspect = self.entry(part);
+        let suspect = self.entry(input);
         suspect.crashes.entry(runner.clone()).or_insert(until);
         let crashes = suspect.crashes.values().filter(|until| now < **until).count();
         if crashes < CRASHES_TO_BLOCK {
             return None;
         }
         let until = suspect.last_until() - CRASH_SPAN + BLOCK_SPAN;
-        suspect.block = Some(PartBlock { from: now + CONFIRM_SPAN, until });
+        suspect.block = Some(InputBlock { from: now + CONFIRM_SPAN, until });
         let runners: Vec<RunnerIncarnation> = suspect.crashes.keys().cloned().collect();
         for runner in &runners {
-            self.explain(runner, part);
+            self.explain(runner, input);
         }
-        Some(NewBlock { part: part.clone(), crashes, until })
+        Some(NewBlock { input: input.clone(), crashes, until })
     }
 
-    /// Takes over the block of another node or of the store. Returns it if the part was not
+    /// Takes over the block of another node or of the store. Returns it if the input was not
     /// blocked before.
     pub fn take_block(
         &mut self,
         now: TimePoint,
         until: TimePoint,
-        part: &PromptPart,
+        input: &CallInput,
     ) -> Option<NewBlock> {
-        let suspect = self.entry(part);
+        let suspect = self.entry(input);
         if let Some(block) = &mut suspect.block {
             if until > block.until + SAME_END_SPAN {
                 block.until = until;
             }
             return None;
         }
-        suspect.block = Some(PartBlock { from: now, until });
+        suspect.block = Some(InputBlock { from: now, until });
         let crashes = suspect.crashes.len();
-        Some(NewBlock { part: part.clone(), crashes, until })
+        Some(NewBlock { input: input.clone(), crashes, until })
     }
 
-    /// Removes a part if all crashes under it happened before `time`. Returns whether it was
+    /// Removes an input if all crashes under it happened before `time`. Returns whether it was
     /// suspected until then.
-    pub fn remove_if_before(&mut self, time: TimePoint, part: &PromptPart) -> bool {
-        let is_before = self.parts.get(part).is_some_and(|suspect| suspect.crashed_before(time));
-        is_before && self.parts.remove(part).is_some()
+    pub fn remove_if_before(&mut self, time: TimePoint, input: &CallInput) -> bool {
+        let is_before = self.inputs.get(input).is_some_and(|suspect| suspect.crashed_before(time));
+        is_before && self.inputs.remove(input).is_some()
     }
 
     /// Drops what no longer counts.
     pub fn prune(&mut self, now: TimePoint) {
-        for suspect in self.parts.values_mut() {
+        for suspect in self.inputs.values_mut() {
             suspect.crashes.retain(|_, until| now < *until);
         }
-        self.parts.retain(|_, suspect| !suspect.is_over(now));
-        let parts = &self.parts;
-        self.explained.retain(|runner, part| {
-            parts.get(part).is_some_and(|suspect| suspect.crashes.contains_key(runner))
+        self.inputs.retain(|_, suspect| !suspect.is_over(now));
+        let inputs = &self.inputs;
+        self.explained.retain(|runner, input| {
+            inputs.get(input).is_some_and(|suspect| suspect.crashes.contains_key(runner))
         });
     }
 
-    /// The entry of a part, new if there is none.
-    fn entry(&mut self, part: &PromptPart) -> &mut SuspectPart {
-        if self.parts.len() >= MAX_SUSPECTS && !self.parts.contains_key(part) {
+    /// The entry of an input, new if there is none.
+    fn entry(&mut self, input: &CallInput) -> &mut SuspectInput {
+        if self.inputs.len() >= MAX_SUSPECTS && !self.inputs.contains_key(input) {
             self.make_room();
         }
-        self.parts.entry(part.clone()).or_default()
+        self.inputs.entry(input.clone()).or_default()
     }
 
-    /// Drops the older half of the parts that are not blocked: a part that crashes runners is
+    /// Drops the older half of the inputs that are not blocked: an input that crashes runners is
     /// among the newer ones again with its next crash.
     fn make_room(&mut self) {
-        let unblocked = self.parts.values().filter(|suspect| suspect.block.is_none());
-        let mut ends: Vec<TimePoint> = unblocked.map(SuspectPart::last_until).collect();
+        let unblocked = self.inputs.values().filter(|suspect| suspect.block.is_none());
+        let mut ends: Vec<TimePoint> = unblocked.map(SuspectInput::last_until).collect();
         ends.sort_unstable();
         let Some(middle) = ends.get(ends.len() / 2).copied() else { return };
         let mut spare = ends.len() / 2 + 1;
-        self.parts.retain(|_, suspect| {
+        self.inputs.retain(|_, suspect| {
             let is_dropped = suspect.block.is_none() && suspect.last_until() <= middle && spare > 0;
             spare -= usize::from(is_dropped);
             !is_dropped
--- a/crates/serving/tests/part_table.rs
+++ b/crates/serving/tests/input_table.rs
@@ -1,13 +1,13 @@
 //! Which parts of prompts are blocked because runners crash under them, and which are not.
 
 use base::prelude::*;
-use serving::{PartChange, PartTable, RunnerIncarnation};
+use serving::{CallInput, InputChange, InputTable, RunnerIncarnation};
 
 fn at(seconds: f64) -> TimePoint {
     TimePoint::default() + TimeSpan::micros((seconds * 1e6) as u64)
 }
 
-fn parts(texts: &[&str]) -> Vec<PromptPart> {
+fn parts(texts: &[&str]) -> Vec<CallInput> {
     texts.iter().map(|text| text.parse().unwrap()).collect()
 }
 
@@ -16,19 +16,19 @@
 }
 
 /// Records a crash of a new runner at each of the times.
-fn crash(table: &mut PartTable, times: &[f64], texts: &[&str]) {
+fn crash(table: &mut InputTable, times: &[f64], texts: &[&str]) {
     for &time in times {
         table.record_crash(at(time), &runner((time * 1e3) as u64), &parts(texts));
     }
 }
 
-fn is_blocked(table: &PartTable, time: f64, text: &str) -> bool {
+fn is_blocked(table: &InputTable, time: f64, text: &str) -> bool {
     table.find_blocked(at(time), &parts(&[text])).is_some()
 }
 
 #[test]
 fn the_part_that_all_crashes_share_is_blocked_and_no_other() {
-    let mut table = PartTable::default();
+    let mut table = InputTable::default();
     table.record_answer(at(1.0), &parts(&["first"]));
     for (time, other) in [(2.0, "a"), (3.0, "b"), (4.0, "c")] {
         crash(&mut table, &[time], &["first", other, "bad"]);
@@ -44,7 +44,7 @@
 
 #[test]
 fn a_rare_first_part_is_not_blocked_for_the_part_behind_it() {
-    let mut table = PartTable::default();
+    let mut table = InputTable::default();
     crash(&mut table, &[2.0, 3.0, 4.0, 5.0, 6.0], &["rare", "bad"]);
     assert!(is_blocked(&table, 7.0, "bad"));
     assert!(!is_blocked(&table, 7.0, "rare"));
@@ -52,13 +52,13 @@
 
 #[test]
 fn a_first_part_that_crashes_runners_by_itself_is_blocked() {
-    let mut table = PartTable::default();
+    let mut table = InputTable::default();
     for (time, behind) in [(2.0, "a"), (3.0, "b"), (4.0, "c")] {
         crash(&mut table, &[time], &["bad", behind]);
     }
     assert!(is_blocked(&table, 5.0, "bad"));
     // Also if all crashes so far had another part in common.
-    let mut table = PartTable::default();
+    let mut table = InputTable::default();
     crash(&mut table, &[2.0, 3.0, 4.0], &["bad", "a"]);
     crash(&mut table, &[5.0, 6.0, 7.0], &["bad", "b"]);
     assert!(is_blocked(&table, 8.0, "a") && is_blocked(&table, 8.0, "b"));
@@ -70,7 +70,7 @@
 
 #[test]
 fn prompts_that_were_at_a_crashing_runner_by_chance_are_not_suspected() {
-    let mut table = PartTable::default();
+    let mut table = InputTable::default();
     for (time, before, after) in
         [(2.0, "a", "b"), (3.0, "a", "c"), (4.0, "d", "b"), (5.0, "c", "e")]
     {
@@ -89,14 +89,14 @@
 
 #[test]
 fn two_crashes_do_not_block_a_part() {
-    let mut table = PartTable::default();
+    let mut table = InputTable::default();
     crash(&mut table, &[1.0, 2.0], &["bad"]);
     assert!(!is_blocked(&table, 5.0, "bad"));
 }
 
 #[test]
 fn several_calls_lost_in_one_crash_count_as_one() {
-    let mut table = PartTable::default();
+    let mut table = InputTable::default();
     for _ in 0..5 {
         table.record_crash(at(1.0), &runner(1), &parts(&["bad"]));
     }
@@ -105,7 +105,7 @@
 
 #[test]
 fn crashes_seen_by_different_nodes_add_up_at_each_of_them() {
-    let mut tables: Vec<PartTable> = (0..3).map(|_| PartTable::default()).collect();
+    let mut tables: Vec<InputTable> = (0..3).map(|_| InputTable::default()).collect();
     for (number, table) in tables.iter_mut().enumerate() {
         crash(table, &[1.0 + number as f64], &["first", "bad"]);
     }
@@ -122,7 +122,7 @@
 
 #[test]
 fn an_answer_that_another_node_saw_excuses_a_part() {
-    let (mut suspecting, mut knowing) = (PartTable::default(), PartTable::default());
+    let (mut suspecting, mut knowing) = (InputTable::default(), InputTable::default());
     knowing.record_answer(at(1.0), &parts(&["first"]));
     crash(&mut suspecting, &[2.0], &["first", "bad"]);
     assert!(knowing.apply_update(at(2.0), &suspecting.update(at(2.0))), "it has something to tell");
@@ -134,7 +134,7 @@
 
 #[test]
 fn an_answer_seen_elsewhere_arrives_before_a_block_begins() {
-    let (mut suspecting, mut knowing) = (PartTable::default(), PartTable::default());
+    let (mut suspecting, mut knowing) = (InputTable::default(), InputTable::default());
     knowing.record_answer(at(1.0), &parts(&["rare"]));
     // Three runners crash at once for another reason.
     for number in 0..3 {
@@ -151,7 +151,7 @@
 
 #[test]
 fn an_answer_ends_a_block_at_all_nodes() {
-    let (mut one, mut other) = (PartTable::default(), PartTable::default());
+    let (mut one, mut other) = (InputTable::default(), InputTable::default());
     crash(&mut one, &[1.0, 2.0, 3.0], &["rare"]);
     other.apply_update(at(4.0), &one.update(at(4.0)));
     assert!(is_blocked(&one, 4.5, "rare") && is_blocked(&other, 4.5, "rare"));
@@ -167,7 +167,7 @@
 
 #[test]
 fn a_part_that_was_sound_long_ago_can_be_blocked() {
-    let mut table = PartTable::default();
+    let mut table = InputTable::default();
     table.record_answer(at(1.0), &parts(&["bad"]));
     crash(&mut table, &[40.0, 41.0, 42.0], &["bad"]);
     assert!(is_blocked(&table, 43.0, "bad"));
@@ -176,7 +176,7 @@
 #[test]
 fn a_fresh_node_learns_blocked_parts_from_any_other() {
     let (mut first, mut second, mut fresh) =
-        (PartTable::default(), PartTable::default(), PartTable::default());
+        (InputTable::default(), InputTable::default(), InputTable::default());
     crash(&mut first, &[1.0, 2.0, 3.0], &["bad"]);
     second.apply_update(at(4.0), &first.update(at(4.0)));
     let update = second.update(at(60.0));
@@ -189,7 +189,7 @@
 
 #[test]
 fn nodes_do_not_prolong_a_block_by_telling_each_other_of_it() {
-    let (mut one, mut other) = (PartTable::default(), PartTable::default());
+    let (mut one, mut other) = (InputTable::default(), InputTable::default());
     crash(&mut one, &[1.0, 2.0, 3.0], &["bad"]);
     for round in 0..500 {
         // Each message takes 100 ms.
@@ -206,28 +206,28 @@
 
 #[test]
 fn a_block_ends_by_itself_and_is_forgotten() {
-    let mut table = PartTable::default();
+    let mut table = InputTable::default();
     crash(&mut table, &[1.0, 2.0, 3.0], &["bad"]);
     assert!(is_blocked(&table, 602.0, "bad"));
     assert!(!is_blocked(&table, 604.0, "bad"));
     table.prune(at(604.0));
-    assert_eq!(table.update(at(604.0)), serving::PartUpdate::default());
+    assert_eq!(table.update(at(604.0)), serving::InputUpdate::default());
 }
 
 #[test]
 fn a_node_stores_the_blocks_that_it_began_or_ended_itself() {
-    let (mut one, mut other) = (PartTable::default(), PartTable::default());
+    let (mut one, mut other) = (InputTable::default(), InputTable::default());
     crash(&mut one, &[1.0, 2.0], &["bad"]);
     assert!(one.take_unsaved().is_empty());
     crash(&mut one, &[3.0], &["bad"]);
-    let bad: PromptPart = "bad".parse().unwrap();
+    let bad: CallInput = "bad".parse().unwrap();
     let stored = one.take_unsaved();
     assert_eq!(stored.get(&bad), Some(&Some(at(603.0))));
     other.apply_update(at(4.0), &one.update(at(4.0)));
     assert!(other.take_unsaved().is_empty());
     other.record_answer(at(5.0), std::slice::from_ref(&bad));
     assert_eq!(other.take_unsaved().get(&bad), Some(&None));
-    let mut fresh = PartTable::default();
+    let mut fresh = InputTable::default();
     fresh.load_block(at(0.5), at(600.0), &bad);
     assert!(is_blocked(&fresh, 0.5, "bad"));
     assert!(fresh.take_unsaved().is_empty());
@@ -235,14 +235,14 @@
 
 #[test]
 fn a_block_that_the_store_lacks_is_saved_again_and_one_of_an_answered_part_ended() {
-    let mut table = PartTable::default();
+    let mut table = InputTable::default();
     crash(&mut table, &[1.0, 2.0, 3.0], &["bad"]);
     crash(&mut table, &[4.0, 5.0, 6.0], &["kept"]);
     let until = table.take_unsaved();
     table.record_answer(at(7.0), &parts(&["good"]));
     let stored = parts(&["kept", "good", "unknown"]).into_iter().collect();
     table.compare_stored(at(8.0), &stored);
-    let bad: PromptPart = "bad".parse().unwrap();
+    let bad: CallInput = "bad".parse().unwrap();
     let good = "good".parse().unwrap();
     let expected = [(bad.clone(), until[&bad]), (good, None)];
     assert_eq!(table.take_unsaved().into_iter().collect::<Vec<_>>(), expected);
@@ -252,7 +252,7 @@
 
 #[test]
 fn many_suspected_parts_do_not_hide_one_that_crashes_runners() {
-    let mut table = PartTable::default();
+    let mut table = InputTable::default();
     for number in 0..10_000 {
         table.record_crash(at(1.0), &runner(number), &parts(&[&format!("p{number}")]));
     }
@@ -262,7 +262,7 @@
 
 #[test]
 fn what_is_told_stays_within_a_message() {
-    let mut table = PartTable::default();
+    let mut table = InputTable::default();
     for number in 0..2_000 {
         let texts = [format!("p{number}"), format!("q{number}")];
         for crash in 0..3 {
@@ -271,9 +271,9 @@
         }
     }
     let update = table.update(at(8.0));
-    let crashed: usize = update.crashes.iter().map(|crash| crash.parts.len()).sum();
+    let crashed: usize = update.crashes.iter().map(|crash| crash.inputs.len()).sum();
     assert!(crashed <= 256 && !update.crashes.is_empty());
     assert_eq!(update.blocked.len(), 256);
     let changes = table.take_changes();
-    assert!(changes.iter().all(|change| matches!(change, PartChange::Blocked { .. })));
+    assert!(changes.iter().all(|change| matches!(change, InputChange::Blocked { .. })));
 }
--- a/crates/serving/tests/peer_codec.rs
+++ b/crates/serving/tests/peer_codec.rs
@@ -6,17 +6,17 @@
 use proptest::prelude::*;
 use route::MemoryForecast;
 use serving::{
-    CrashReport, LimitReport, LimitUpdate, MESSAGE_VERSION, MessageError, PartUpdate,
+    CallInput, CrashReport, InputUpdate, LimitReport, LimitUpdate, MESSAGE_VERSION, MessageError,
     PeerHeartbeat, PeerMessage, RunnerChange, RunnerIncarnation, RunnerLoad, RunnerUpdate,
-    ServiceDemand, TimedPart, decode_message, encode_message,
+    ServiceDemand, TimedInput, decode_message, encode_message,
 };
 
-fn part_update() -> PartUpdate {
-    let part: PromptPart = "91bd3f06".parse().unwrap();
+fn input_update() -> InputUpdate {
+    let input: CallInput = "91bd3f06".parse().unwrap();
     let runner = RunnerIncarnation { runner: "runner-1".parse().unwrap(), started_unix_ms: 9 };
-    let timed = TimedPart { part: part.clone(), left: TimeSpan::seconds(3) };
-    PartUpdate {
-        crashes: vec![CrashReport { runner, parts: vec![part], left: TimeSpan::seconds(2) }],
+    let timed = TimedInput { input: input.clone(), left: TimeSpan::seconds(3) };
+    InputUpdate {
+        crashes: vec![CrashReport { runner, inputs: vec![input], left: TimeSpan::seconds(2) }],
         blocked: vec![timed.clone()],
         safe: vec![timed],
     }
@@ -54,7 +54,7 @@
         loads: vec![load],
         waiting_services: vec!["llm".parse().unwrap()],
         leaving: Vec::new(),
-        part_update: part_update(),
+        input_update: input_update(),
         limit_update: limit_update(),
     }))
 }
--- a/crates/serving/tests/peer_table.rs
+++ b/crates/serving/tests/peer_table.rs
@@ -1,7 +1,7 @@
 //! Liveness, reader order and newer state of peers, as heartbeats arrive and stop.
 
 use base::prelude::*;
-use serving::{LimitUpdate, PartUpdate, PeerHeartbeat, PeerTable, PlanVersion};
+use serving::{InputUpdate, LimitUpdate, PeerHeartbeat, PeerTable, PlanVersion};
 
 fn at(millis: u64) -> TimePoint {
     TimePoint::default() + TimeSpan::millis(millis)
@@ -23,7 +23,7 @@
         loads: Vec::new(),
         waiting_services: Vec::new(),
         leaving: Vec::new(),
-        part_update: PartUpdate::default(),
+        input_update: InputUpdate::default(),
         limit_update: LimitUpdate::default(),
     }
 }
