See a crash of a runner also if its address goes on accepting connections

A runner whose address resets or closes new connections, or accepts them for a process that is gone, took part after part and request after request without any of them being suspected. Cause: the probe looked for one sign of a crash in place of a sign of life. Class: a failure detector that knows one kind of failure.

After the end of a connection the node now asks on the last of its three connections for the runner's report (engines) or health (the service's healthPath), and any answer of that runner shows that it is up. A call without an answer in time has one connection made, not three, and nothing is asked, since a busy runner would get more to do. Calls that one runner loses at once share one probe, so a crash that takes 24 streams costs one, not 24.

The plan's JSON between nodes has one more name, `health_path`, which may be absent.

--- a/crates/node/src/call_attempt.rs
+++ b/crates/node/src/call_attempt.rs
@@ -11,10 +11,11 @@
 use crate::call_answer::CallFailure;
 use crate::call_log::log_send_failure;
 use crate::context::NodeContext;
-use crate::crash_watch::{find_crash_refusal, probe_lost_runner};
+use crate::crash_watch::find_crash_refusal;
 use crate::route_ticket::RouteTicket;
 use crate::router::RouterService;
 use crate::runner_gate::{check_inputs, check_send};
+use crate::runner_probe::probe_lost_runner;
 use crate::runner_send::SendFailure;
 
 /// `Retry-After` if the assigned runner has disappeared from the list.
@@ -120,7 +121,7 @@
         router.mark_leaving(&runner.incarnation(), "reply");
     }
     if failure.outcome == SendOutcome::Unknown {
-        probe_lost_runner(context, call, runner);
+        probe_lost_runner(context, call, runner, failure.loss);
     }
 }
 
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -14,6 +14,7 @@
 
 use crate::memory_pool::{MemoryPool, MemoryReservation};
 use crate::metrics::NodeMetrics;
+use crate::runner_probe::LostCalls;
 use crate::state_transfer::EncodedPlan;
 
 /// The bodies of requests, and the answers of runners, may each take one part in this many of the
@@ -44,6 +45,8 @@
     pub limits: RefCell<LimitTable>,
     /// Inputs of calls that crash runners.
     pub inputs: RefCell<InputTable>,
+    /// Calls that were lost by runners which are being probed.
+    pub lost_calls: RefCell<LostCalls>,
     /// Newest era of the store that the store or another node has named.
     pub store_era: RefCell<EraView>,
     /// Offset in the newest era up to which the list of runners has been read; 0 if it has not.
@@ -96,6 +99,7 @@
             waits: RefCell::default(),
             limits: RefCell::default(),
             inputs: RefCell::default(),
+            lost_calls: RefCell::default(),
             runners_offset: Cell::default(),
             runners_updated: Cell::default(),
             store_answered_at: Cell::default(),
--- a/crates/node/src/crash_watch.rs
+++ b/crates/node/src/crash_watch.rs
@@ -1,17 +1,9 @@
 //! Watches under which inputs of calls runners crash, and refuses calls with such inputs.
-//!
-//! A lost connection alone says little: answers are also cut by links and by faulty runners. A
-//! crash is a runner that refuses connections soon after it lost a call that it was about to
-//! answer, without having announced that it leaves.
-
-use std::io::ErrorKind;
-use std::rc::Rc;
 
 use base::prelude::*;
 use hyper::Response;
 use hyper::body::Bytes;
 use serving::{CallInput, InputChange, InputUpdate, RunnerRecord};
-use web::{WebConnection, WebError};
 
 use crate::call::Call;
 use crate::call_answer::CallFailure;
@@ -21,12 +13,6 @@
 /// Time for which a runner has to write an answer until a later crash says nothing about its
 /// prompt.
 pub const PROOF_SPAN: TimeSpan = TimeSpan::millis(500);
-/// Timeout for connecting to a runner that lost a call.
-const PROBE_TIMEOUT: TimeSpan = TimeSpan::millis(250);
-/// Pauses before the connections to it. A process that ends may accept them for a moment after it
-/// has closed others; a crashed runner is back only after seconds.
-const PROBE_PAUSES: [TimeSpan; 3] =
-    [TimeSpan::millis(0), TimeSpan::millis(50), TimeSpan::millis(150)];
 /// Reason of a refusal because of a part of the prompt.
 const PART_CRASHES_RUNNERS: &str = "part_crashes_runners";
 /// Reason of a refusal because of the request as a whole.
@@ -69,38 +55,8 @@
     }
 }
 
-/// Finds out whether `runner`, which lost the call before it had written its answer for
-/// [`PROOF_SPAN`], has crashed, and records that.
-pub fn probe_lost_runner(context: &Rc<NodeContext>, call: &Rc<Call>, runner: &RunnerRecord) {
-    let may_leave = context.runners.borrow().is_leaving(&runner.runner);
-    if may_leave {
-        return;
-    }
-    let (context, call, runner) = (Rc::clone(context), Rc::clone(call), runner.clone());
-    kernel::spawn(async move {
-        // A crashed runner may be off the list by now; one that leaves has said so.
-        let refuses = refuses_connections(&runner).await;
-        if refuses && !context.runners.borrow().is_incarnation_leaving(&runner.incarnation()) {
-            record_crash(&context, &call, &runner);
-        }
-    })
-    .detach();
-}
-
-async fn refuses_connections(runner: &RunnerRecord) -> bool {
-    for pause in PROBE_PAUSES {
-        kernel::sleep(pause.into()).await;
-        if let Err(WebError::Connect { source, .. }) =
-            WebConnection::open(runner.address, PROBE_TIMEOUT).await
-            && source.kind() == ErrorKind::ConnectionRefused
-        {
-            return true;
-        }
-    }
-    false
-}
-
-fn record_crash(context: &NodeContext, call: &Call, runner: &RunnerRecord) {
+/// Records that `runner` crashed while it was about to answer the call.
+pub fn record_crash(context: &NodeContext, call: &Call, runner: &RunnerRecord) {
     context.metrics.runner_crashes.inc();
     if may_log(context) {
         tracing::info!(
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -29,6 +29,7 @@
 mod router;
 mod runner_gate;
 mod runner_poll;
+mod runner_probe;
 mod runner_send;
 mod state_fetcher;
 mod state_transfer;
--- a/crates/node/src/runner_send.rs
+++ b/crates/node/src/runner_send.rs
@@ -8,7 +8,7 @@
 use hyper::{Request, StatusCode};
 use platform::{ReplyKind, ResumeSource, RunnerHead, RunnerNotice, classify_reply, runner_headers};
 use route::CallEnd;
-use serving::{RunnerRecord, SendOutcome};
+use serving::{RunnerLoss, RunnerRecord, SendOutcome};
 use web::{SendFault, WebConnection, WebError, WebExchange, full_body};
 
 use crate::call::Call;
@@ -26,6 +26,8 @@
     pub outcome: SendOutcome,
     /// How the attempt ended, as reported to the dispatcher.
     pub end: CallEnd,
+    /// How the runner was lost, if the outcome is unknown.
+    pub loss: RunnerLoss,
     /// Whether the address now belongs to another runner.
     pub runner_gone: bool,
     /// Whether the request was not sent because the runner accepts none at present.
@@ -40,6 +42,7 @@
         Self {
             outcome: SendOutcome::NotSent,
             end: CallEnd::Cancelled,
+            loss: RunnerLoss::NoAnswer,
             runner_gone: false,
             withheld: true,
             reason: Rc::from(block.as_str()),
@@ -163,6 +166,7 @@
         ReplyKind::NotRun => Err(SendFailure {
             outcome: SendOutcome::Refused,
             end: CallEnd::Refused,
+            loss: RunnerLoss::NoAnswer,
             runner_gone: false,
             withheld: false,
             reason: Rc::from(format!("refused with {status}")),
@@ -170,6 +174,7 @@
         ReplyKind::WrongRunner => Err(SendFailure {
             outcome: SendOutcome::Refused,
             end: CallEnd::Refused,
+            loss: RunnerLoss::NoAnswer,
             runner_gone: true,
             withheld: false,
             reason: Rc::from("the address belongs to another runner"),
@@ -177,6 +182,7 @@
         kind => Err(SendFailure {
             outcome: SendOutcome::Unknown,
             end: CallEnd::Failed,
+            loss: RunnerLoss::NoAnswer,
             runner_gone: false,
             withheld: false,
             reason: Rc::from(format!("{kind:?} with {status}")),
@@ -200,6 +206,7 @@
     SendFailure {
         outcome: SendOutcome::NotSent,
         end: CallEnd::Failed,
+        loss: RunnerLoss::NoAnswer,
         runner_gone: false,
         withheld: false,
         reason: Rc::from(error.to_string()),
@@ -207,7 +214,9 @@
 }
 
 fn outcome_unknown(error: &WebError) -> SendFailure {
-    SendFailure { outcome: SendOutcome::Unknown, ..not_sent(error) }
+    let is_end = error.is_connection_end();
+    let loss = if is_end { RunnerLoss::ConnectionEnded } else { RunnerLoss::NoAnswer };
+    SendFailure { outcome: SendOutcome::Unknown, loss, ..not_sent(error) }
 }
 
 /// Reads the whole body of an answer within `limit`.
@@ -242,8 +251,14 @@
         Ok(Err(error)) => return Err(outcome_unknown(&error)),
         Err(_) => {
             let reason = Rc::from("timed out reading the answer");
-            let (outcome, end) = (SendOutcome::Unknown, CallEnd::Failed);
-            return Err(SendFailure { outcome, end, runner_gone: false, withheld: false, reason });
+            return Err(SendFailure {
+                outcome: SendOutcome::Unknown,
+                end: CallEnd::Failed,
+                loss: RunnerLoss::NoAnswer,
+                runner_gone: false,
+                withheld: false,
+                reason,
+            });
         }
     };
     drop(connection);
--- a/crates/node/src/stream_call.rs
+++ b/crates/node/src/stream_call.rs
@@ -19,9 +19,10 @@
 use crate::call_attempt::{explain_failure, find_runner, may_retry, record_send_failure, unassign};
 use crate::call_log::{log_send, log_send_failure};
 use crate::context::NodeContext;
-use crate::crash_watch::{probe_lost_runner, record_full_answer};
+use crate::crash_watch::record_full_answer;
 use crate::route_ticket::RouteTicket;
 use crate::router::RouterService;
+use crate::runner_probe::probe_lost_runner;
 use crate::runner_send::{SendFailure, SendPlan, read_full_answer, send_to_runner};
 use crate::stream_backup::{choose_backup, plan_backup_resume};
 use crate::stream_pump::StreamPump;
@@ -135,7 +136,7 @@
     request_answer(context, call, &plan).await.map_err(|failure| {
         log_send_failure(context, call, &plan.runner.runner, &failure.reason);
         if failure.outcome == SendOutcome::Unknown {
-            probe_lost_runner(context, call, &plan.runner);
+            probe_lost_runner(context, call, &plan.runner, failure.loss);
         }
     })
 }
--- a/crates/node/src/stream_move.rs
+++ b/crates/node/src/stream_move.rs
@@ -8,11 +8,12 @@
 
 use base::prelude::*;
 use platform::ResumeSource;
-use serving::RunnerRecord;
+use serving::{RunnerLoss, RunnerRecord};
 
 use crate::call_log::RequestOutcome;
-use crate::crash_watch::{find_blocked_input, probe_lost_runner};
+use crate::crash_watch::find_blocked_input;
 use crate::metrics::OutcomeLabels;
+use crate::runner_probe::probe_lost_runner;
 use crate::runner_send::SendPlan;
 use crate::stream_backup::{choose_backup, plan_backup_resume};
 use crate::stream_copy::{CopyTask, RunCopy};
@@ -56,7 +57,8 @@
         self.source.close();
         self.log_send_failure(reason);
         if !self.is_prompt_proven {
-            probe_lost_runner(&self.context, &self.call, &self.source.runner);
+            let (runner, loss) = (&self.source.runner, RunnerLoss::ConnectionEnded);
+            probe_lost_runner(&self.context, &self.call, runner, loss);
         }
         if self.pending_move.is_some() {
             return PumpStep::Continue;
--- a/crates/serving/src/plan.rs
+++ b/crates/serving/src/plan.rs
@@ -122,6 +122,9 @@
 pub struct ServicePlan {
     /// Connections that one runner accepts, over all clients.
     pub max_connections: u32,
+    /// Path of the health check of its runners.
+    #[serde(default)]
+    pub health_path: Option<Arc<str>>,
     /// Limits of its engines; `None` for plain services.
     pub engine: Option<EngineLimits>,
 }
--- a/crates/web/src/error.rs
+++ b/crates/web/src/error.rs
@@ -109,6 +109,15 @@
 }
 
 impl WebError {
+    /// Whether the connection ended in the middle of the exchange.
+    #[must_use]
+    pub fn is_connection_end(&self) -> bool {
+        match self {
+            Self::Exchange { source, .. } | Self::Body { source, .. } => !source.is_parse(),
+            _ => false,
+        }
+    }
+
     /// Whether the peer may have received the request.
     #[must_use]
     pub fn send_fault(&self) -> SendFault {
