Tell in log lines and heartbeats whether a node reaches any runner

When runners fail and none answers, the node asks up to four of them at once, of all services: an engine's report or the service's health path. If none answers within 0.25 s the line `runners_unreached` says for how long no runner has answered and how many other nodes reach runners; `runners_reached` ends it. When to ask is decided without I/O in serving/runner_reach.rs. Nothing else decides by it yet.

--- a/crates/harness/tests/node_state_transfer.rs
+++ b/crates/harness/tests/node_state_transfer.rs
@@ -130,6 +130,7 @@
             place: "north".parse().unwrap(),
             ready: true,
             store_reachable: true,
+            reaches_runners: true,
             store_era: era,
             plan_version: Some(PlanVersion(2)),
             runners_offset: LogOffset(RUNNERS),
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -8,7 +8,7 @@
 use kernel::{MonotonicClock, StopSignal};
 use serving::{
     BudgetSettings, EraView, FleetLoads, InputTable, LimitTable, PeerTable, PlanVersion,
-    RetryBudget, RunnerTable, ServingPlan, TransferPacer, WaitTable,
+    RetryBudget, RunnerReach, RunnerTable, ServingPlan, TransferPacer, WaitTable,
 };
 use settings::NodeSettings;
 
@@ -45,6 +45,8 @@
     pub limits: RefCell<LimitTable>,
     /// Inputs of calls that crash runners.
     pub inputs: RefCell<InputTable>,
+    /// Whether this node reaches the runners.
+    pub reach: RefCell<RunnerReach>,
     /// Calls that were lost by runners which are being probed.
     pub lost_calls: RefCell<LostCalls>,
     /// Newest era of the store that the store or another node has named.
@@ -99,6 +101,7 @@
             waits: RefCell::default(),
             limits: RefCell::default(),
             inputs: RefCell::default(),
+            reach: RefCell::default(),
             lost_calls: RefCell::default(),
             runners_offset: Cell::default(),
             runners_updated: Cell::default(),
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -44,6 +44,8 @@
     pub runner_crashes: Counter,
     /// Parts of prompts blocked since runners crash under them.
     pub parts_blocked: Counter,
+    /// Times that this node reached no runner any more.
+    pub reach_losses: Counter,
     /// Runner changes of running streams, by outcome.
     pub moves: Family<OutcomeLabels, Counter>,
     /// Configurations activated.
@@ -97,6 +99,7 @@
             runner_limits: Counter::default(),
             runner_crashes: Counter::default(),
             parts_blocked: Counter::default(),
+            reach_losses: Counter::default(),
             moves: Family::default(),
             plans: Counter::default(),
             plan_fetches: Family::default(),
@@ -143,6 +146,11 @@
             "Calls lost as their runner crashed",
             self.runner_crashes.clone(),
         );
+        registry.register(
+            "reach_losses",
+            "Times that no runner was reached any more",
+            self.reach_losses.clone(),
+        );
         registry.register("parts_blocked", "Parts of prompts blocked", self.parts_blocked.clone());
         registry.register("moves", "Moves of running streams", self.moves.clone());
         registry.register("plans", "Configurations put in force", self.plans.clone());
--- a/crates/node/src/peer_link.rs
+++ b/crates/node/src/peer_link.rs
@@ -121,6 +121,7 @@
             place: settings.place.clone(),
             ready: self.context.is_ready(),
             store_reachable: self.context.is_store_reachable(),
+            reaches_runners: !self.context.reach.borrow().is_lost(),
             plan_version: self.context.plan_version(),
             store_era: self.context.newest_era(),
             runners_offset: self.context.runners_offset.get(),
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -20,6 +20,7 @@
 use crate::lookups::{answer_lookup, answer_readiness};
 use crate::peer_link::PeerLink;
 use crate::peer_server::answer_peer;
+use crate::reach_watch::watch_reach;
 use crate::router::RouterService;
 use crate::runner_poll::poll_runners;
 use crate::store_reader::StoreReader;
@@ -82,6 +83,7 @@
     kernel::spawn(follow_nodes(Rc::clone(&context), store.clone())).detach();
     kernel::spawn(keep_blocks(Rc::clone(&context), store, changed_blocks)).detach();
     kernel::spawn(poll_runners(Rc::clone(&context), Rc::clone(&router))).detach();
+    kernel::spawn(watch_reach(Rc::clone(&context))).detach();
     kernel::spawn(Rc::clone(&router).run_ticks()).detach();
     kernel::spawn(Rc::clone(&router).follow_runner_changes(changed_runners)).detach();
     kernel::spawn(reload_on_sighup(Rc::clone(&context), read_settings)).detach();
--- /dev/null
+++ b/crates/node/src/reach_watch.rs
@@ -0,0 +1,116 @@
+//! Watches whether this node reaches the runners, by asking some of them when calls fail.
+
+use std::rc::Rc;
+
+use base::prelude::*;
+use futures_util::future::join_all;
+use platform::{pulse_path, read_pulse};
+use rand::seq::SliceRandom;
+use serving::{ReachChange, RunnerRecord};
+use web::WebConnection;
+
+use crate::context::NodeContext;
+use crate::runner_gate::find_block;
+
+/// How often it is looked whether runners are to be asked.
+const WATCH_PERIOD: TimeSpan = TimeSpan::millis(50);
+/// Number of runners that are asked at once, of all services.
+const ASKED_RUNNERS: usize = 4;
+/// Timeout for a runner's answer.
+const ANSWER_TIMEOUT: TimeSpan = TimeSpan::millis(250);
+
+/// Records that a runner has answered a request or a question.
+pub fn record_runner_answer(context: &NodeContext) {
+    let change = context.reach.borrow_mut().record_answer(context.now());
+    note_change(context, change);
+}
+
+/// Records that a runner could not be connected to, or gave no answer.
+pub fn record_runner_failure(context: &NodeContext, runner: &RunnerId) {
+    context.reach.borrow_mut().record_failure(runner);
+}
+
+/// Asks runners whenever that is due, until the process ends.
+pub async fn watch_reach(context: Rc<NodeContext>) {
+    loop {
+        kernel::sleep(WATCH_PERIOD.into()).await;
+        let begun = context.now();
+        if context.reach.borrow_mut().begin_check(begun) {
+            check_reach(&context, begun).await;
+        }
+    }
+}
+
+async fn check_reach(context: &NodeContext, begun: TimePoint) {
+    let runners = choose_runners(context);
+    if runners.is_empty() {
+        return;
+    }
+    let questions = runners.iter().map(|(runner, path)| ask(context, runner, path));
+    if join_all(questions).await.into_iter().any(|answered| answered) {
+        return;
+    }
+    let change = context.reach.borrow_mut().record_silence(context.now(), begun);
+    note_change(context, change);
+}
+
+/// Runners to ask, each with the path to ask at: at random, of as many services as possible.
+fn choose_runners(context: &NodeContext) -> Vec<(RunnerRecord, Arc<str>)> {
+    let Some(plan) = context.plan() else { return Vec::new() };
+    let table = context.runners.borrow();
+    let staying =
+        table.entries().filter(|entry| entry.removed_at.is_none() && !entry.record.leaving);
+    let mut all: Vec<(RunnerRecord, Arc<str>)> = staying
+        .filter(|entry| find_block(context, &entry.record.incarnation()).is_none())
+        .filter_map(|entry| {
+            let service = plan.services.get(&entry.record.service)?;
+            let path = pulse_path(service.engine.is_some(), service.health_path.as_deref())?;
+            Some((entry.record.clone(), Arc::from(path)))
+        })
+        .collect();
+    all.shuffle(&mut rand::rng());
+    let mut services = Vec::new();
+    // Those that are the first of their service come first.
+    all.sort_by_key(|(runner, _)| {
+        let is_first = !services.contains(&runner.service);
+        services.push(runner.service.clone());
+        !is_first
+    });
+    all.truncate(ASKED_RUNNERS);
+    all
+}
+
+/// Whether the runner answers in time, whatever its answer.
+async fn ask(context: &NodeContext, runner: &RunnerRecord, path: &str) -> bool {
+    let Ok(connection) = WebConnection::open(runner.address, ANSWER_TIMEOUT).await else {
+        return false;
+    };
+    let answered = read_pulse(connection, path, &runner.runner, ANSWER_TIMEOUT).await.is_ok();
+    if answered {
+        record_runner_answer(context);
+    }
+    answered
+}
+
+fn note_change(context: &NodeContext, change: Option<ReachChange>) {
+    let Some(change) = change else { return };
+    let now = context.now();
+    let peers = context.peers.borrow();
+    let reaching = peers.live(now).filter(|heartbeat| heartbeat.reaches_runners).count();
+    match change {
+        ReachChange::Lost { silent } => {
+            context.metrics.reach_losses.inc();
+            tracing::warn!(
+                event = "runners_unreached",
+                silent_ms = silent.as_millis(),
+                runners = context.runners.borrow().entries().count(),
+                nodes_reaching = reaching,
+            );
+        }
+        ReachChange::Regained => {
+            tracing::info!(event = "runners_reached", nodes_reaching = reaching);
+        }
+    }
+    drop(peers);
+    context.signal_runner_change();
+}
--- a/crates/node/src/runner_send.rs
+++ b/crates/node/src/runner_send.rs
@@ -13,6 +13,7 @@
 
 use crate::call::Call;
 use crate::context::NodeContext;
+use crate::reach_watch::{record_runner_answer, record_runner_failure};
 use crate::runner_gate::{SendBlock, check_inputs, check_send, record_notice, record_unlimited};
 
 /// Maximum time to connect. A runner whose connection backlog is full drops the first
@@ -98,7 +99,13 @@
     check_send(context, &runner.incarnation()).map_err(SendFailure::withheld)?;
     let left = call.deadline.since(context.now());
     let connected = WebConnection::open(runner.address, CONNECT_TIMEOUT.min(left)).await;
-    connected.map_err(|error| send_failure(&error))
+    connected.map_err(|error| {
+        // A call whose time is over says nothing about the runner.
+        if left >= CONNECT_TIMEOUT || !matches!(error, WebError::ConnectDeadline { .. }) {
+            record_runner_failure(context, &runner.runner);
+        }
+        send_failure(&error)
+    })
 }
 
 /// Sends `call` on a connection to the runner of `plan`; like [`send_to_runner`] from there on.
@@ -127,7 +134,11 @@
     };
     let request = build_request(call, &head).map_err(|error| not_sent(&error))?;
     let exchange = connection.send(request, limit.min(left)).await;
-    let exchange = exchange.map_err(|error| send_failure(&error))?;
+    let exchange = exchange.map_err(|error| {
+        record_runner_failure(context, &runner.runner);
+        send_failure(&error)
+    })?;
+    record_runner_answer(context);
     let (status, headers) = (exchange.response.status(), exchange.response.headers());
     if platform::is_from_runner(headers, &runner.runner) {
         let notice = RunnerNotice::decode(status, headers);
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -17,6 +17,7 @@
 mod retry_budget;
 mod runner_limit;
 mod runner_loss;
+mod runner_reach;
 mod runner_table;
 mod runner_wait;
 mod state_codec;
@@ -40,6 +41,7 @@
 pub use retry_budget::{BudgetSettings, RetryBudget};
 pub use runner_limit::{LimitChange, LimitReport, LimitTable, LimitUpdate, ServiceDemand};
 pub use runner_loss::{ProbeOutcome, RunnerLoss, has_crashed};
+pub use runner_reach::{ReachChange, RunnerReach};
 pub use runner_table::{RunnerChange, RunnerEntry, RunnerIncarnation, RunnerRecord, RunnerTable};
 pub use runner_wait::{MAX_RUNNER_WAIT, RunnerWait, WaitTable};
 pub use state_codec::{Result as StateResult, StateCodecError, decode_state, encode_state};
--- a/crates/serving/src/peer_heartbeat.rs
+++ b/crates/serving/src/peer_heartbeat.rs
@@ -48,6 +48,8 @@
     pub ready: bool,
     /// Whether the store has answered the node recently.
     pub store_reachable: bool,
+    /// Whether the node reaches runners, as far as it knows.
+    pub reaches_runners: bool,
     /// Version of the configuration in force; `None` before the first one.
     pub plan_version: Option<PlanVersion>,
     /// Newest era of the store that the node knows.
--- /dev/null
+++ b/crates/serving/src/runner_reach.rs
@@ -0,0 +1,84 @@
+//! Whether this node reaches the runners.
+//!
+//! Load pattern: a node is cut off from all runners while callers and the other nodes still reach
+//! it. To it that looks like runners that fail one after the other. Answers of any runner show that
+//! it is not cut off; when none has come beside several failures, some runners are asked at once.
+
+use std::collections::BTreeSet;
+
+use base::prelude::*;
+
+/// Runners that fail without an answer of any other, until some are asked.
+const SUSPECT_RUNNERS: usize = 2;
+/// Time without an answer of any runner after which one failure is enough.
+const SUSPECT_SPAN: TimeSpan = TimeSpan::millis(200);
+/// Pause between two checks while the runners are reached.
+const CHECK_PAUSE: TimeSpan = TimeSpan::millis(500);
+/// Pause between two checks while they are not.
+const LOST_CHECK_PAUSE: TimeSpan = TimeSpan::millis(250);
+
+/// A change of whether runners are reached.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ReachChange {
+    /// No runner is reached any more.
+    Lost {
+        /// Time since the last answer of a runner.
+        silent: TimeSpan,
+    },
+    /// A runner has answered again.
+    Regained,
+}
+
+/// What this node has seen of the runners lately.
+#[derive(Debug, Default)]
+pub struct RunnerReach {
+    /// When a runner last answered.
+    answered_at: TimePoint,
+    /// Runners that have failed since.
+    failed: BTreeSet<RunnerId>,
+    /// When the next check may begin.
+    next_check: TimePoint,
+    is_lost: bool,
+}
+
+impl RunnerReach {
+    /// Whether no runner is reached.
+    #[must_use]
+    pub fn is_lost(&self) -> bool {
+        self.is_lost
+    }
+
+    /// Records that a runner has answered.
+    pub fn record_answer(&mut self, now: TimePoint) -> Option<ReachChange> {
+        self.answered_at = now;
+        self.failed.clear();
+        std::mem::take(&mut self.is_lost).then_some(ReachChange::Regained)
+    }
+
+    /// Records that a runner could not be connected to, or gave no answer.
+    pub fn record_failure(&mut self, runner: &RunnerId) {
+        self.failed.insert(runner.clone());
+    }
+
+    /// Whether some runners are to be asked now. That counts as begun.
+    pub fn begin_check(&mut self, now: TimePoint) -> bool {
+        let is_silent = now.since(self.answered_at) >= SUSPECT_SPAN;
+        let is_suspected =
+            self.failed.len() >= SUSPECT_RUNNERS || !self.failed.is_empty() && is_silent;
+        if now < self.next_check || !(self.is_lost || is_suspected) {
+            return false;
+        }
+        self.next_check = now + if self.is_lost { LOST_CHECK_PAUSE } else { CHECK_PAUSE };
+        true
+    }
+
+    /// Records that none of the runners that were asked at `begun` has answered.
+    pub fn record_silence(&mut self, now: TimePoint, begun: TimePoint) -> Option<ReachChange> {
+        if self.is_lost || self.answered_at >= begun {
+            return None;
+        }
+        self.is_lost = true;
+        self.next_check = now + LOST_CHECK_PAUSE;
+        Some(ReachChange::Lost { silent: now.since(self.answered_at) })
+    }
+}
--- a/crates/serving/tests/peer_codec.rs
+++ b/crates/serving/tests/peer_codec.rs
@@ -48,6 +48,7 @@
         place: "north".parse().unwrap(),
         ready: true,
         store_reachable: true,
+        reaches_runners: true,
         plan_version: None,
         store_era: StoreEra(4),
         runners_offset: LogOffset(12),
--- a/crates/serving/tests/peer_table.rs
+++ b/crates/serving/tests/peer_table.rs
@@ -17,6 +17,7 @@
         place: "north".parse().unwrap(),
         ready: true,
         store_reachable: true,
+        reaches_runners: true,
         plan_version: Some(PlanVersion(plan)),
         store_era: StoreEra(0),
         runners_offset: LogOffset(plan),
