--- a/crates/harness/src/lib.rs
+++ b/crates/harness/src/lib.rs
@@ -11,6 +11,7 @@
 mod node_fleet;
 mod node_process;
 mod process;
+mod socket_owner;
 mod stack;
 mod stack_plan;
 mod wait;
--- a/crates/harness/src/link.rs
+++ b/crates/harness/src/link.rs
@@ -1,6 +1,6 @@
 //! A TCP link that can be cut or stalled, put between a process and its peer.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
@@ -14,6 +14,7 @@
 use futures_util::future::{Either, select};
 use kernel::StopSignal;
 
+use crate::socket_owner::owns_connection;
 use crate::{HarnessError, Result};
 
 /// Size of a copy buffer, in bytes.
@@ -35,12 +36,19 @@
     Cut,
     /// Passes nothing on and closes nothing; the connections of that time do not recover.
     Lost,
+    /// Closes new connections; open ones go on.
+    NewCut,
 }
 
+/// A process by its id, and the state of its connections.
+type ProcessState = (u32, Rc<Cell<LinkState>>);
+
 /// A running link.
 pub struct TestLink {
     address: SocketAddr,
     state: Rc<Cell<LinkState>>,
+    /// Processes whose connections have a state of their own.
+    processes: Rc<RefCell<Vec<ProcessState>>>,
     forwarded: Rc<Cell<u64>>,
     pace: Rc<AnswerPace>,
 }
@@ -95,14 +103,24 @@
         })?;
         let address = listener.local_addr().unwrap_or(address);
         let pace: Rc<AnswerPace> = Rc::default();
-        let link = Self { address, state: Rc::default(), forwarded: Rc::default(), pace };
-        let (state, forwarded) = (Rc::clone(&link.state), Rc::clone(&link.forwarded));
+        let link = Self {
+            address,
+            state: Rc::default(),
+            processes: Rc::default(),
+            forwarded: Rc::default(),
+            pace,
+        };
+        let (all, forwarded) = (Rc::clone(&link.state), Rc::clone(&link.forwarded));
+        let processes = Rc::clone(&link.processes);
         let pace = Rc::clone(&link.pace);
         spawn(async move {
             loop {
                 let (accept, end) = (pin!(listener.accept()), pin!(ended.wait()));
-                let Either::Left((Ok((client, _)), _)) = select(accept, end).await else { return };
-                if state.get() == LinkState::Cut {
+                let Either::Left((Ok((client, peer)), _)) = select(accept, end).await else {
+                    return;
+                };
+                let state = find_state(&processes.borrow(), &all, peer, address);
+                if matches!(state.get(), LinkState::Cut | LinkState::NewCut) {
                     continue;
                 }
                 if state.get() == LinkState::Lost {
@@ -110,7 +128,7 @@
                     continue;
                 }
                 let Ok(callee) = TcpStream::connect(target).await else { continue };
-                let (state, forwarded) = (Rc::clone(&state), Rc::clone(&forwarded));
+                let forwarded = Rc::clone(&forwarded);
                 let (ask_read, answer_write) = client.into_split();
                 let (answer_read, ask_write) = callee.into_split();
                 let pace = Some(Rc::clone(&pace));
@@ -130,7 +148,17 @@
         self.address
     }
 
-    /// Changes what it does.
+    /// Gives the connections that process `pid` opens from now on a state of their own, and
+    /// changes it.
+    pub fn set_for(&self, pid: u32, state: LinkState) {
+        let mut processes = self.processes.borrow_mut();
+        match processes.iter().find(|(other, _)| *other == pid) {
+            Some((_, own)) => own.set(state),
+            None => processes.push((pid, Rc::new(Cell::new(state)))),
+        }
+    }
+
+    /// Changes what it does, but for processes with a state of their own.
     pub fn set(&self, state: LinkState) {
         self.state.set(state);
     }
@@ -147,6 +175,17 @@
     }
 }
 
+/// The state of the connection from `client`: that of its process, or else the one of `all`.
+fn find_state(
+    processes: &[ProcessState],
+    all: &Rc<Cell<LinkState>>,
+    client: SocketAddr,
+    listener: SocketAddr,
+) -> Rc<Cell<LinkState>> {
+    let own = processes.iter().find(|(pid, _)| owns_connection(*pid, client, listener));
+    Rc::clone(own.map_or(all, |(_, state)| state))
+}
+
 /// Passes bytes on in one direction; answers have a pace.
 async fn copy(
     mut from: TcpStream,
--- a/crates/harness/src/node_process.rs
+++ b/crates/harness/src/node_process.rs
@@ -54,6 +54,12 @@
         Ok(Self { child, lines, settings: path })
     }
 
+    /// Its process id.
+    #[must_use]
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Log lines so far whose field `event` is `name`.
     #[must_use]
     pub fn events(&self, name: &str) -> Vec<Value> {
--- a/crates/harness/tests/link.rs
+++ b/crates/harness/tests/link.rs
@@ -136,3 +136,19 @@
     })
     .unwrap();
 }
+
+#[test]
+fn a_link_can_be_cut_for_the_connections_of_one_process_only() {
+    kernel::run(async {
+        for (pid, passes) in [(std::process::id(), false), (1, true)] {
+            let (link, mut open) = connect().await;
+            link.set_for(pid, LinkState::NewCut);
+            let mut fresh = TcpStream::connect(link.address()).await.unwrap();
+            let expected = if passes { Seen::Bytes(b"b".to_vec()) } else { Seen::End };
+            assert_eq!(exchange(&mut fresh, "b").await, expected);
+            // Connections that were open before go on.
+            assert_eq!(exchange(&mut open, "c").await, Seen::Bytes(b"c".to_vec()));
+        }
+    })
+    .unwrap();
+}
--- /dev/null
+++ b/crates/harness/tests/node_runner_partition.rs
@@ -0,0 +1,188 @@
+//! A node that is cut off from all runners, while callers, the store and the other nodes reach it.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use fakes::platform::{RunnerFake, RunnerFakeSettings};
+use futures_util::future::join_all;
+use harness::{CallerRequest, LinkState, NodeFleet, TestLink, WholeAnswer, wait_until};
+use serde_json::json;
+
+const LIMIT: Duration = Duration::from_secs(10);
+/// Nodes of a fleet.
+const NODES: usize = 3;
+/// The node that is cut off, and one that is not.
+const CUT: usize = 0;
+const OTHER: usize = 1;
+/// Runners of each service.
+const RUNNERS: u8 = 3;
+/// Time after the begin of the cut from which callers of all nodes have to be served.
+const KNOWN_AFTER: Duration = Duration::from_secs(3);
+/// Pause between two requests to one node.
+const PAUSE: Duration = Duration::from_millis(40);
+/// Requests to each node whose answers count.
+const REQUESTS: usize = 30;
+/// Time in which what cannot be served has to be refused.
+const REFUSE_WITHIN: Duration = Duration::from_secs(2);
+
+/// Nodes before runners behind links that can be cut for single nodes.
+struct CutFleet {
+    fleet: NodeFleet,
+    runners: Vec<RunnerFake>,
+    links: Vec<TestLink>,
+}
+
+impl CutFleet {
+    async fn start() -> Self {
+        let fleet = NodeFleet::start().await.unwrap();
+        let mut cut = Self { fleet, runners: Vec::new(), links: Vec::new() };
+        for number in 0..RUNNERS {
+            cut.add_runner("desk", 2 * number).await;
+            cut.add_runner("llm", 2 * number + 1).await;
+        }
+        for _ in 0..NODES {
+            let number = cut.fleet.add_node().unwrap();
+            cut.set(number, LinkState::Open);
+        }
+        cut.fleet.wait_ready().await.unwrap();
+        cut
+    }
+
+    async fn add_runner(&mut self, service: &str, number: u8) {
+        let settings = RunnerFakeSettings::new(&format!("{service}-{number}"));
+        let runner = self.fleet.prepare_runner(settings).await.unwrap();
+        let link = self.fleet.start_runner_link(number, &runner).await.unwrap();
+        let mut entry = runner.entry(service, "north", "ready");
+        entry["address"] = json!(link.address());
+        self.fleet.store.put_json("keyed.servers", runner.id(), &entry);
+        self.runners.push(runner);
+        self.links.push(link);
+    }
+
+    /// Changes what all links to runners do for one node.
+    fn set(&self, node: usize, state: LinkState) {
+        let pid = self.fleet.nodes[node].pid();
+        self.links.iter().for_each(|link| link.set_for(pid, state));
+    }
+
+    /// Sends requests of all kinds to a node, one after each pause.
+    async fn send_all(&self, node: usize, name: &str, count: usize) -> Vec<WholeAnswer> {
+        let send = async |number: usize| {
+            let pauses = u32::try_from(number).unwrap();
+            compio::time::sleep(PAUSE * pauses).await;
+            self.fleet.send(node, &request(&format!("{name}-{node}-{number}"), number)).await
+        };
+        join_all((0..count).map(send)).await
+    }
+
+    /// The most runs of one request.
+    fn most_runs(&self) -> usize {
+        let mut runs: BTreeMap<String, usize> = BTreeMap::new();
+        for visit in self.runners.iter().flat_map(RunnerFake::visits).filter(|visit| visit.ran) {
+            let attempt = visit.request.header("x-dotterelyard-attempt-id").to_owned();
+            *runs.entry(attempt).or_default() += 1;
+        }
+        runs.into_values().max().unwrap_or_default()
+    }
+}
+
+/// A request of each kind in turn.
+fn request(attempt: &str, number: usize) -> CallerRequest {
+    match number % 3 {
+        0 => CallerRequest::lookup(attempt),
+        1 => CallerRequest::booking(attempt),
+        _ => CallerRequest::stream(attempt).with("x-dotterelyard-length-hint", "10"),
+    }
+}
+
+/// Requests that were answered with success and as a whole.
+fn served(answers: &[WholeAnswer]) -> usize {
+    answers.iter().filter(|answer| answer.status == 200 && answer.complete).count()
+}
+
+/// Cuts a node off from all runners, and counts whom it and another one serve.
+fn check_cut(state: LinkState) {
+    kernel::run(async {
+        let cut = CutFleet::start().await;
+        cut.send_all(CUT, "before", 6).await;
+        cut.set(CUT, state);
+        let begun = Instant::now();
+        let mut round = 0;
+        while begun.elapsed() < KNOWN_AFTER {
+            // Callers do not wait for one another.
+            let name = format!("round{round}");
+            let sent = cut.send_all(CUT, &name, 6);
+            let _ = compio::time::timeout(Duration::from_millis(500), sent).await;
+            round += 1;
+        }
+        let (own, others) = futures_util::future::join(
+            cut.send_all(CUT, "cut", REQUESTS),
+            cut.send_all(OTHER, "other", REQUESTS),
+        )
+        .await;
+        let (own, others) = (served(&own), served(&others));
+        assert_eq!(others, REQUESTS);
+        assert!(3 * own >= 2 * others, "{state:?}: {own} served, {others} at another node");
+        assert_eq!(cut.most_runs(), 1);
+    })
+    .unwrap();
+}
+
+#[test]
+fn callers_of_a_node_whose_connections_to_all_runners_are_closed_are_served() {
+    check_cut(LinkState::Cut);
+}
+
+#[test]
+fn callers_of_a_node_whose_connections_to_all_runners_hang_are_served() {
+    check_cut(LinkState::Lost);
+}
+
+#[test]
+fn callers_of_a_node_that_gets_no_new_connection_to_runners_are_served() {
+    check_cut(LinkState::NewCut);
+}
+
+#[test]
+fn a_node_sends_to_the_runners_itself_once_it_reaches_them_again() {
+    kernel::run(async {
+        let cut = CutFleet::start().await;
+        cut.set(CUT, LinkState::Cut);
+        wait_until("the cut to be seen", LIMIT, async || {
+            cut.send_all(CUT, "before", 3).await;
+            (!cut.fleet.nodes[CUT].events("runners_unreached").is_empty()).then_some(())
+        })
+        .await
+        .unwrap();
+        cut.set(CUT, LinkState::Open);
+        wait_until("the end of the cut to be seen", LIMIT, async || {
+            (!cut.fleet.nodes[CUT].events("runners_reached").is_empty()).then_some(())
+        })
+        .await
+        .unwrap();
+        let relayed = cut.fleet.nodes[CUT].events("relayed").len();
+        let answers = cut.send_all(CUT, "after", REQUESTS).await;
+        assert_eq!(served(&answers), REQUESTS);
+        assert_eq!(cut.fleet.nodes[CUT].events("relayed").len(), relayed);
+    })
+    .unwrap();
+}
+
+#[test]
+fn what_no_node_can_send_to_a_runner_is_refused_soon() {
+    kernel::run(async {
+        let cut = CutFleet::start().await;
+        cut.send_all(CUT, "before", 6).await;
+        (0..NODES).for_each(|node| cut.set(node, LinkState::Cut));
+        for node in 0..NODES {
+            cut.send_all(node, "warm", 6).await;
+        }
+        compio::time::sleep(KNOWN_AFTER).await;
+        let sent = Instant::now();
+        for answer in cut.send_all(CUT, "cut", 3).await {
+            assert_ne!(answer.status, 200);
+        }
+        assert!(sent.elapsed() < REFUSE_WITHIN, "{:?}", sent.elapsed());
+    })
+    .unwrap();
+}
