Play runners and callers that fall silent for a moment

A stream goes on at a runner that was silent for 1.2 s, a booking is sent to it once and the runner is not taken for crashed, and a caller's connection that is silent for 4 s is kept.

--- /dev/null
+++ b/crates/harness/tests/node_short_silence.rs
@@ -0,0 +1,100 @@
+//! Runners and callers that fall silent for a moment and go on.
+
+use std::time::Duration;
+
+use fakes::platform::RunnerFakeSettings;
+use harness::{CallerRequest, LinkState, NodeFleet, TestLink};
+use http_body_util::BodyExt;
+use hyper::Request;
+use serde_json::json;
+use web::{full_body, send_once};
+
+/// How long a sound runner may be silent.
+const SILENCE: Duration = Duration::from_millis(1_200);
+/// Longer than keep-alive probes of the system or of a library may take to give up.
+const CALLER_SILENCE: Duration = Duration::from_secs(4);
+/// Time until a stream runs.
+const RUNNING_AFTER: Duration = Duration::from_millis(300);
+/// Events of a long stream.
+const EVENTS: u64 = 150;
+
+/// A fleet of one node before one runner of `service` behind a link.
+async fn fleet(service: &str) -> (NodeFleet, fakes::platform::RunnerFake, TestLink) {
+    let mut fleet = NodeFleet::start().await.unwrap();
+    let mut settings = RunnerFakeSettings::new("runner-1");
+    settings.events = EVENTS;
+    settings.work = Duration::from_millis(100);
+    let runner = fleet.prepare_runner(settings).await.unwrap();
+    let link = fleet.start_runner_link(1, &runner).await.unwrap();
+    let mut entry = runner.entry(service, "north", "ready");
+    entry["address"] = json!(link.address());
+    fleet.store.put_json("keyed.servers", runner.id(), &entry);
+    fleet.add_node().unwrap();
+    fleet.wait_ready().await.unwrap();
+    (fleet, runner, link)
+}
+
+#[test]
+fn a_stream_goes_on_at_a_runner_that_was_silent_for_a_moment() {
+    kernel::run(async {
+        let (fleet, runner, link) = fleet("llm").await;
+        let response = fleet.open(0, &CallerRequest::stream("silent")).await.unwrap();
+        compio::time::sleep(RUNNING_AFTER).await;
+        link.set(LinkState::Stalled);
+        compio::time::sleep(SILENCE).await;
+        link.set(LinkState::Open);
+        let body = response.into_body().collect().await.unwrap().to_bytes();
+        let text = String::from_utf8_lossy(&body);
+        assert!(text.contains(&format!("id: {EVENTS}\n")), "{text}");
+        assert_eq!(runner.runs(), 1);
+    })
+    .unwrap();
+}
+
+#[test]
+fn a_booking_is_sent_once_to_a_runner_that_is_silent_for_a_moment() {
+    kernel::run(async {
+        let (fleet, runner, link) = fleet("desk").await;
+        let booking = CallerRequest::booking("silent");
+        let (answer, ()) = futures_util::future::join(fleet.send(0, &booking), async {
+            compio::time::sleep(Duration::from_millis(50)).await;
+            link.set(LinkState::Stalled);
+            compio::time::sleep(SILENCE).await;
+            link.set(LinkState::Open);
+        })
+        .await;
+        assert!(answer.status == 200 || answer.status == 502 || answer.status == 504);
+        assert_eq!(runner.runs(), 1);
+        // The runner is neither given up nor taken for crashed.
+        compio::time::sleep(SILENCE).await;
+        assert_eq!(fleet.send(0, &CallerRequest::booking("after")).await.status, 200);
+        assert!(fleet.nodes[0].events("runner_crashed").is_empty());
+    })
+    .unwrap();
+}
+
+/// A user timeout on the node's sockets would also end keep-alive probes, whatever their count.
+#[test]
+fn a_callers_connection_that_is_silent_for_seconds_is_kept() {
+    kernel::run(async {
+        let (fleet, _runner, _link) = fleet("llm").await;
+        let callers = fleet.start_link(2, fleet.callers(0)).await.unwrap();
+        let request = Request::post("/digest/long")
+            .header("host", harness::HOST)
+            .header("authorization", format!("Bearer {}", harness::KEY))
+            .header("x-dotterelyard-attempt-id", "quiet")
+            .header("x-dotterelyard-deadline-ms", "20000")
+            .header("x-dotterelyard-model", "m")
+            .header("x-dotterelyard-token-count", "1000,400")
+            .body(full_body("a prompt"))
+            .unwrap();
+        let limit = base::TimeSpan::seconds(10);
+        let response = send_once(callers.address(), request, limit, limit).await.unwrap();
+        callers.set(LinkState::Stalled);
+        compio::time::sleep(CALLER_SILENCE).await;
+        callers.set(LinkState::Open);
+        let body = response.into_body().collect().await.unwrap().to_bytes();
+        assert!(String::from_utf8_lossy(&body).contains(&format!("id: {EVENTS}\n")));
+    })
+    .unwrap();
+}
