--- a/crates/fakes/src/platform/runner_answers.rs
+++ b/crates/fakes/src/platform/runner_answers.rs
@@ -93,7 +93,7 @@
     let wrong = !expected.is_empty() && expected != state.settings.id;
     let refused = matches!(script, RunnerScript::Refuse | RunnerScript::RefuseEarly);
     let retry_after = state.retry_after.borrow().clone();
-    let refused = refused || retry_after.is_some();
+    let refused = refused || retry_after.is_some() || state.lacks_room();
     let ran = !wrong && !refused && resumed != Some(false);
     state.visits.borrow_mut().push(RunnerVisit {
         request: request.clone(),
@@ -122,7 +122,9 @@
     if request.headers.contains_key("x-dotterelyard-model") && script != RunnerScript::Failure {
         return answer_events(stream, state, &request, script).await;
     }
+    state.plain_working.set(state.plain_working.get() + 1);
     compio::time::sleep(state.settings.work).await;
+    state.plain_working.set(state.plain_working.get() - 1);
     answer_plain(stream, state, &request, script).await
 }
 
--- a/crates/fakes/src/platform/runner_fake.rs
+++ b/crates/fakes/src/platform/runner_fake.rs
@@ -26,6 +26,8 @@
 const EVENT_PAUSE: Duration = Duration::from_millis(10);
 /// Time after which an attempt to connect counts as hanging.
 const HANG_AFTER: Duration = Duration::from_millis(100);
+/// Time in which the requests that a brittle runner turns away count together.
+const BRITTLE_SPAN: Duration = Duration::from_secs(1);
 /// Path of the health check.
 const HEALTH_PATH: &str = "/healthz";
 /// Path of the handles of copies.
@@ -66,6 +68,15 @@
     }
 }
 
+/// What a brittle runner can bear.
+#[derive(Debug, Clone, Copy)]
+pub struct BrittleRoom {
+    /// Plain calls that it works on at once; it turns further ones away.
+    pub calls: usize,
+    /// Requests that it can turn away in a second: the value of `Server-Brittle`.
+    pub turned_away: usize,
+}
+
 /// State that the connections of a runner share.
 pub(super) struct RunnerState {
     pub(super) settings: RunnerFakeSettings,
@@ -79,6 +90,12 @@
     pub(super) leaving_header: RefCell<Option<String>>,
     /// Value of `Server-Limit` in all its answers.
     pub(super) limit_header: RefCell<Option<String>>,
+    /// What it can bear while it says that it is brittle.
+    pub(super) brittle: Cell<Option<BrittleRoom>>,
+    /// Plain calls that are at work.
+    pub(super) plain_working: Cell<usize>,
+    /// When it turned requests away for want of room.
+    pub(super) turned_away: RefCell<Vec<Instant>>,
     /// Value of `Retry-After` with which it turns all requests away.
     pub(super) retry_after: RefCell<Option<String>>,
     /// Moves that were asked for.
@@ -135,6 +152,9 @@
             leaving: Cell::default(),
             leaving_header: RefCell::default(),
             limit_header: RefCell::default(),
+            brittle: Cell::default(),
+            plain_working: Cell::default(),
+            turned_away: RefCell::default(),
             retry_after: RefCell::default(),
             moves: RefCell::default(),
             releases: RefCell::default(),
@@ -222,6 +242,12 @@
         *self.state.limit_header.borrow_mut() = value.map(str::to_owned);
     }
 
+    /// All its answers carry `Server-Brittle` from now on, and it falls over when it has to turn
+    /// more requests away in a second.
+    pub fn become_brittle(&self, room: BrittleRoom) {
+        self.state.brittle.set(Some(room));
+    }
+
     /// It turns requests away with 503 and this `Retry-After`; with `None` it takes them again.
     pub fn turn_away(&self, retry_after: Option<&str>) {
         *self.state.retry_after.borrow_mut() = retry_after.map(str::to_owned);
@@ -318,7 +344,25 @@
         let line = |(name, value): (&str, &RefCell<Option<String>>)| {
             value.borrow().as_ref().map(|value| format!("{name}: {value}\r\n"))
         };
-        headers.into_iter().filter_map(line).collect()
+        let brittle = self.brittle.get().map(|room| room.turned_away);
+        let brittle = brittle.map(|count| format!("Server-Brittle: {count}\r\n"));
+        headers.into_iter().filter_map(line).chain(brittle).collect()
+    }
+
+    /// Whether a brittle runner has no room for one more call; it falls over if it has turned too
+    /// many away.
+    pub(super) fn lacks_room(&self) -> bool {
+        let Some(room) = self.brittle.get() else { return false };
+        if self.plain_working.get() < room.calls {
+            return false;
+        }
+        let mut turned_away = self.turned_away.borrow_mut();
+        turned_away.retain(|at| at.elapsed() < BRITTLE_SPAN);
+        turned_away.push(Instant::now());
+        if turned_away.len() > room.turned_away {
+            self.crashed.raise();
+        }
+        true
     }
 
     /// Header lines of an answer to `attempt`.
