Choose the runners that are asked without a sort by a changing key

Found by reading the diff: which runners a node asks was ordered by a key that remembered the services it had been asked for, so it gave another answer each time it was computed; the order was arbitrary, and a sort may panic on it (by its documentation; no run has shown it). The first runner of each service now comes first by a partition, in serving/runner_reach.rs, with a test of 200 runners of two services.

--- a/crates/node/src/reach_watch.rs
+++ b/crates/node/src/reach_watch.rs
@@ -6,7 +6,7 @@
 use futures_util::future::join_all;
 use platform::{pulse_path, read_pulse};
 use rand::seq::SliceRandom;
-use serving::{ReachChange, RunnerRecord};
+use serving::{ReachChange, RunnerRecord, spread_over_services};
 use web::WebConnection;
 
 use crate::context::NodeContext;
@@ -77,15 +77,9 @@
         })
         .collect();
     all.shuffle(&mut rand::rng());
-    let mut services = Vec::new();
-    // Those that are the first of their service come first.
-    all.sort_by_key(|(runner, _)| {
-        let is_first = !services.contains(&runner.service);
-        services.push(runner.service.clone());
-        !is_first
-    });
-    all.truncate(ASKED_RUNNERS);
-    all
+    let mut chosen = spread_over_services(all, |(runner, _)| &runner.service);
+    chosen.truncate(ASKED_RUNNERS);
+    chosen
 }
 
 /// Whether the runner answers in time, whatever its answer.
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -41,7 +41,7 @@
 pub use retry_budget::{BudgetSettings, RetryBudget};
 pub use runner_limit::{LimitChange, LimitReport, LimitTable, LimitUpdate, ServiceDemand};
 pub use runner_loss::{ProbeOutcome, RunnerLoss, has_crashed};
-pub use runner_reach::{ReachChange, RunnerReach};
+pub use runner_reach::{ReachChange, RunnerReach, spread_over_services};
 pub use runner_table::{RunnerChange, RunnerEntry, RunnerIncarnation, RunnerRecord, RunnerTable};
 pub use runner_wait::{MAX_RUNNER_WAIT, RunnerWait, WaitTable};
 pub use state_codec::{Result as StateResult, StateCodecError, decode_state, encode_state};
--- a/crates/serving/src/runner_reach.rs
+++ b/crates/serving/src/runner_reach.rs
@@ -88,3 +88,12 @@
         Some(ReachChange::Lost { silent: now.since(self.answered_at) })
     }
 }
+
+/// Orders runners so that the first of each service comes before all others.
+pub fn spread_over_services<T>(runners: Vec<T>, service: impl Fn(&T) -> &ServiceName) -> Vec<T> {
+    let mut services = BTreeSet::new();
+    let is_first = |runner: &T| services.insert(service(runner).clone());
+    let (mut ordered, others): (Vec<T>, Vec<T>) = runners.into_iter().partition(is_first);
+    ordered.extend(others);
+    ordered
+}
--- a/crates/serving/tests/runner_reach.rs
+++ b/crates/serving/tests/runner_reach.rs
@@ -1,7 +1,7 @@
 //! When a node takes itself for cut off from all runners.
 
 use base::prelude::*;
-use serving::{ReachChange, RunnerReach};
+use serving::{ReachChange, RunnerReach, spread_over_services};
 
 fn at(millis: u64) -> TimePoint {
     TimePoint::default() + TimeSpan::millis(millis)
@@ -74,3 +74,17 @@
     let later = (2_200..3_200).filter(|millis| reach.begin_check(at(*millis))).count();
     assert_eq!(later, 3);
 }
+
+#[test]
+fn runners_of_all_services_are_asked_however_many_one_service_has() {
+    let service = |number: usize| -> ServiceName {
+        let name = if number % 50 == 49 { "desk" } else { "llm" };
+        name.parse().unwrap()
+    };
+    let runners: Vec<(usize, ServiceName)> =
+        (0..200).map(|number| (number, service(number))).collect();
+    let ordered = spread_over_services(runners, |(_, service)| service);
+    let first: Vec<usize> = ordered.iter().take(4).map(|(number, _)| *number).collect();
+    assert_eq!(first, [0, 49, 1, 2]);
+    assert_eq!(ordered.len(), 200);
+}
