--- a/crates/harness/tests/node_short_silence.rs
+++ b/crates/harness/tests/node_short_silence.rs
@@ -11,7 +11,7 @@
 
 /// How long a sound runner may be silent.
 const SILENCE: Duration = Duration::from_millis(1_200);
-/// Longer than keep-alive probes of the system or of a library may take to give up.
+/// How long a caller leaves the stream unread.
 const CALLER_SILENCE: Duration = Duration::from_secs(4);
 /// Time until a stream runs.
 const RUNNING_AFTER: Duration = Duration::from_millis(300);
@@ -73,7 +73,7 @@
     .unwrap();
 }
 
-/// A user timeout on the node's sockets would also end keep-alive probes, whatever their count.
+/// The system still acknowledges what arrives, so no timeout of a socket is played by this.
 #[test]
 fn a_callers_connection_that_is_silent_for_seconds_is_kept() {
     kernel::run(async {
