--- a/crates/harness/tests/node_state_transfer.rs
+++ b/crates/harness/tests/node_state_transfer.rs
@@ -11,7 +11,10 @@
 use fakes::platform::StoreFault;
 use harness::{HOST, NodeFleet, TestLink, config, wait_until};
 use serde_json::{Value, json};
-use serving::{InputUpdate, LimitUpdate, PeerHeartbeat, PeerMessage, PlanVersion, encode_message};
+use serving::{
+    HeartbeatSections, InputUpdate, LimitUpdate, PeerHeartbeat, PeerMessage, PlanVersion,
+    encode_message,
+};
 
 /// Time in which a change has to be in force on the large deployments.
 const APPLY_LIMIT: Duration = Duration::from_secs(3);
@@ -139,6 +142,7 @@
             leaving: Vec::new(),
             input_update: InputUpdate::default(),
             limit_update: LimitUpdate::default(),
+            sections: HeartbeatSections::default(),
         };
         let bytes = encode_message(&PeerMessage::Heartbeat(Box::new(heartbeat))).unwrap();
         for target in &targets {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -17,6 +17,7 @@
 mod follow_configuration;
 mod follow_nodes;
 mod follow_runners;
+mod heartbeat_sections;
 mod limit_share;
 mod lookups;
 mod memory_pool;
--- a/crates/node/src/peer_link.rs
+++ b/crates/node/src/peer_link.rs
@@ -17,6 +17,7 @@
 use crate::crash_watch::apply_input_update;
 use crate::dependency::DependencyState;
 use crate::follow_runners::apply_peer_update;
+use crate::heartbeat_sections::{apply_sections, collect_sections};
 use crate::limit_share::limit_update;
 use crate::router::RouterService;
 use crate::runner_gate::apply_limit_update;
@@ -130,6 +131,7 @@
             leaving: self.context.runners.borrow().announced_leaving(),
             input_update: self.context.inputs.borrow().update(self.context.now()),
             limit_update: limit_update(&self.context),
+            sections: collect_sections(&self.context),
         }
     }
 
@@ -196,12 +198,13 @@
         let leaving = std::mem::take(&mut heartbeat.leaving);
         let input_update = std::mem::take(&mut heartbeat.input_update);
         let limit_update = std::mem::take(&mut heartbeat.limit_update);
+        let sections = std::mem::take(&mut heartbeat.sections);
         let loads = std::mem::take(&mut heartbeat.loads);
         let load =
             NodeLoad { loads, waiting_services: std::mem::take(&mut heartbeat.waiting_services) };
         if self.context.peers.borrow_mut().record_heartbeat(self.context.now(), heartbeat) {
             let limits_changed = apply_limit_update(&self.context, &vm, limit_update);
-            if self.context.peer_loads.borrow_mut().set(vm, load) {
+            if self.context.peer_loads.borrow_mut().set(vm.clone(), load) {
                 self.router.mark_loads_changed();
             }
             self.router.apply_leaving(&leaving);
@@ -209,6 +212,7 @@
             if limits_changed {
                 self.router.update_members();
             }
+            apply_sections(&self.context, &self.router, &vm, &sections);
             self.fetcher.fetch_newer();
         }
     }
--- a/crates/serving/src/peer_heartbeat.rs
+++ b/crates/serving/src/peer_heartbeat.rs
@@ -5,7 +5,10 @@
 use base::prelude::*;
 use serde::{Deserialize, Serialize};
 
-use crate::{InputUpdate, LimitUpdate, PlanVersion, RunnerChange, RunnerIncarnation, RunnerLoad};
+use crate::{
+    HeartbeatSections, InputUpdate, LimitUpdate, PlanVersion, RunnerChange, RunnerIncarnation,
+    RunnerLoad,
+};
 
 /// A message from one node to another.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -67,4 +70,7 @@
     pub input_update: InputUpdate,
     /// What the node knows about limits of runners.
     pub limit_update: LimitUpdate,
+    /// Optional sections, encoded after the message.
+    #[serde(skip)]
+    pub sections: HeartbeatSections,
 }
--- a/crates/serving/tests/peer_codec.rs
+++ b/crates/serving/tests/peer_codec.rs
@@ -6,9 +6,10 @@
 use proptest::prelude::*;
 use route::MemoryForecast;
 use serving::{
-    CallInput, CrashReport, InputUpdate, LimitReport, LimitUpdate, MESSAGE_VERSION, MessageError,
-    PeerHeartbeat, PeerMessage, RunnerChange, RunnerIncarnation, RunnerLoad, RunnerUpdate,
-    ServiceDemand, TimedInput, decode_message, encode_message,
+    CallInput, CrashReport, HeartbeatSections, InputUpdate, LimitReport, LimitUpdate,
+    MAX_SECTION_BYTES, MESSAGE_VERSION, MessageError, PeerHeartbeat, PeerMessage, RunnerChange,
+    RunnerIncarnation, RunnerLoad, RunnerUpdate, SectionTag, ServiceDemand, TimedInput,
+    decode_message, encode_message,
 };
 
 fn input_update() -> InputUpdate {
@@ -57,6 +58,7 @@
         leaving: Vec::new(),
         input_update: input_update(),
         limit_update: limit_update(),
+        sections: HeartbeatSections::default(),
     }))
 }
 
@@ -83,6 +85,57 @@
     assert_eq!(decode_message(&[]), Err(MessageError::Empty));
 }
 
+fn message_with_sections() -> PeerMessage {
+    let PeerMessage::Heartbeat(mut heartbeat) = message() else { unreachable!("a heartbeat") };
+    heartbeat.sections.put(SectionTag::EVACUATIONS, &vec![7_u64, 8]).unwrap();
+    heartbeat.sections.put(SectionTag::RUNNER_SPEEDS, &"half").unwrap();
+    PeerMessage::Heartbeat(heartbeat)
+}
+
+#[test]
+fn sections_follow_the_heartbeat() {
+    let bytes = encode_message(&message_with_sections()).unwrap();
+    assert_eq!(decode_message(&bytes), Ok(message_with_sections()));
+}
+
+/// Guards against an update of the fleet in which nodes do not understand each other: builds
+/// without sections decode the message and ignore what follows it.
+#[test]
+fn a_heartbeat_with_sections_begins_with_the_bytes_of_one_without() {
+    let plain = encode_message(&message()).unwrap();
+    let bytes = encode_message(&message_with_sections()).unwrap();
+    assert_eq!(bytes[..plain.len()], plain);
+    assert_eq!(decode_message(&plain), Ok(message()));
+}
+
+/// Guards against sections of newer builds that make a node miss whole heartbeats.
+#[test]
+fn bytes_after_a_heartbeat_that_are_no_sections_are_ignored() {
+    let mut bytes = encode_message(&message()).unwrap();
+    bytes.extend([0xff; 7]);
+    assert_eq!(decode_message(&bytes), Ok(message()));
+}
+
+#[test]
+fn a_section_is_read_on_its_own() {
+    let PeerMessage::Heartbeat(heartbeat) = message_with_sections() else {
+        unreachable!("a heartbeat")
+    };
+    let sections = heartbeat.sections;
+    assert_eq!(sections.get(SectionTag::EVACUATIONS), Ok(Some(vec![7_u64, 8])));
+    assert_eq!(sections.get::<u64>(SectionTag::HEDGES), Ok(None));
+    assert!(sections.get::<[f64; 4]>(SectionTag::RUNNER_SPEEDS).is_err());
+}
+
+#[test]
+fn a_section_that_is_too_long_is_left_out() {
+    let mut sections = HeartbeatSections::default();
+    let content = vec![0_u8; MAX_SECTION_BYTES];
+    let refused = sections.put(SectionTag::HEDGES, &content);
+    assert!(matches!(refused, Err(MessageError::SectionTooLong(_))), "{refused:?}");
+    assert!(sections.is_empty());
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         cases: 2_000,
--- a/crates/serving/tests/peer_table.rs
+++ b/crates/serving/tests/peer_table.rs
@@ -1,7 +1,7 @@
 //! Liveness, reader order and newer state of peers, as heartbeats arrive and stop.
 
 use base::prelude::*;
-use serving::{InputUpdate, LimitUpdate, PeerHeartbeat, PeerTable, PlanVersion};
+use serving::{HeartbeatSections, InputUpdate, LimitUpdate, PeerHeartbeat, PeerTable, PlanVersion};
 
 fn at(millis: u64) -> TimePoint {
     TimePoint::default() + TimeSpan::millis(millis)
@@ -26,6 +26,7 @@
         leaving: Vec::new(),
         input_update: InputUpdate::default(),
         limit_update: LimitUpdate::default(),
+        sections: HeartbeatSections::default(),
     }
 }
 
