Finish answers that are being written before a planned stop ends, and end exchanges that never progress

The stop now also waits for the callers' connections, up to the same end. - The body of a request had no time limit: one that came byte by byte kept its memory and connection for as long as its caller liked. It is refused with 408 (body_late) at the deadline; the request has not run. - Answers of the store, and transfers between nodes, ended only after a stall without any byte; a byte now and then kept a reader for good. 256 bytes, or the end, have to arrive in each stall timeout.

Ruled out: requests that arrive during a stop were all served before, too (test kept); a stream without a whole event ended at its deadline before, too (test kept); idle connections do not delay a stop (test kept).

--- a/crates/fakes/src/platform/mod.rs
+++ b/crates/fakes/src/platform/mod.rs
@@ -13,6 +13,6 @@
 pub use runner_crash::{CrashLook, CrashTrigger};
 pub use runner_fake::{BrittleRoom, RunnerFake, RunnerFakeSettings, RunnerVisit};
 pub use runner_request::RunnerRequest;
-pub use runner_script::RunnerScript;
+pub use runner_script::{LONG_BODY_BYTES, RunnerScript};
 pub use store_fake::{StoreCopy, StoreFake, StoreFault};
 pub use stream_memory::StreamMemory;
--- a/crates/fakes/src/platform/runner_answers.rs
+++ b/crates/fakes/src/platform/runner_answers.rs
@@ -10,10 +10,12 @@
 use super::endless_bytes::EndlessBytes;
 use super::runner_fake::{COPY_PATH, RunnerState, RunnerVisit};
 use super::runner_request::{RunnerRequest, write};
-use super::runner_script::RunnerScript;
+use super::runner_script::{LONG_BODY_BYTES, RunnerScript};
 
 /// Time from the begin of a run, or from the head of its answer, to the crash that it brings about.
 const CRASH_AFTER: Duration = Duration::from_millis(20);
+/// Pause between two bytes of an answer that is never complete.
+const TRICKLE_PAUSE: Duration = Duration::from_millis(100);
 
 pub(super) async fn answer_without_end(
     stream: &mut TcpStream,
@@ -175,8 +177,12 @@
         RunnerScript::BareUnavailable => {
             write(stream, whole("503 Service Unavailable", &signed, "")).await
         }
+        RunnerScript::Long => {
+            write(stream, whole("200 OK", &signed, &"x".repeat(LONG_BODY_BYTES))).await
+        }
         RunnerScript::Silent => std::future::pending().await,
-        RunnerScript::Close
+        RunnerScript::Trickle
+        | RunnerScript::Close
         | RunnerScript::UnframedTruncate
         | RunnerScript::UnframedEmpty
         | RunnerScript::UnframedSilent => false,
@@ -215,6 +221,7 @@
         match script {
             RunnerScript::UnframedEmpty => return false,
             RunnerScript::UnframedSilent => return std::future::pending().await,
+            RunnerScript::Trickle => return trickle(stream).await,
             _ => (),
         }
         if script == RunnerScript::UnframedTruncate && number == state.settings.events / 2 {
@@ -239,6 +246,14 @@
     !is_unframed && write(stream, "0\r\n\r\n").await
 }
 
+/// Sends an event byte by byte and never ends it.
+async fn trickle(stream: &mut TcpStream) -> bool {
+    while write(stream, "1\r\n:\r\n").await {
+        compio::time::sleep(TRICKLE_PAUSE).await;
+    }
+    false
+}
+
 struct WorkGuard(Rc<RunnerState>);
 
 impl WorkGuard {
--- a/crates/fakes/src/platform/runner_script.rs
+++ b/crates/fakes/src/platform/runner_script.rs
@@ -1,5 +1,8 @@
 //! How a runner answers single requests.
 
+/// Length of the body of [`RunnerScript::Long`].
+pub const LONG_BODY_BYTES: usize = 6 << 20;
+
 /// How one request is answered.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum RunnerScript {
@@ -36,4 +39,8 @@
     Silent,
     /// Not at all; the connection ends.
     Close,
+    /// With a long body, of [`LONG_BODY_BYTES`].
+    Long,
+    /// A stream whose first event does not end: a byte of it comes now and then.
+    Trickle,
 }
--- a/crates/node/src/caller_server.rs
+++ b/crates/node/src/caller_server.rs
@@ -96,8 +96,11 @@
         reason: "memory_full",
         retry_after: Some(NOT_READY_RETRY_AFTER),
     })?;
-    let body = read_bounded("request", body, plan.limits.max_body_bytes)
+    let reading = read_bounded("request", body, plan.limits.max_body_bytes);
+    // A body that never ends would keep its memory and its connection.
+    let body = compio::time::timeout(timeout.into(), reading)
         .await
+        .map_err(|_| CallRejection::new(StatusCode::REQUEST_TIMEOUT, "body_late"))?
         .map_err(|error| body_rejection(&error))?;
     let uri = origin_form(&parts.uri);
     let hashed = RequestContent {
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -72,7 +72,7 @@
     let observe_era = Rc::new(move |era| observer.observe_store_era(era, "store"));
     let store = StoreClient::new(context.settings.store, STORE_TIMEOUT, observe_era);
     let stop = StopSignal::new();
-    start_servers(&context, &router, &stop).await?;
+    let callers = start_servers(&context, &router, &stop).await?;
     let link = PeerLink::open(&context, &router).await.map_err(NodeError::PeerSocket)?;
     kernel::spawn(Rc::clone(&link).run_sending(requested_heartbeats)).detach();
     kernel::spawn(Rc::clone(&link).run_receiving()).detach();
@@ -88,17 +88,20 @@
     kernel::spawn(Rc::clone(&router).follow_runner_changes(changed_runners)).detach();
     kernel::spawn(reload_on_sighup(Rc::clone(&context), read_settings)).detach();
     kernel::wait_for_signals().await?;
-    drain_requests(&context).await;
+    let deadline = drain_requests(&context).await;
     stop.raise();
-    tracing::info!(event = "stop", step = "ended", active = context.active_requests.get());
+    let connections = drain_connections(&context, &callers, deadline).await;
+    let active = context.active_requests.get();
+    tracing::info!(event = "stop", step = "ended", active, connections);
     Ok(())
 }
 
+/// Starts all servers; returns that of the callers.
 async fn start_servers(
     context: &Rc<NodeContext>,
     router: &Rc<RouterService>,
     stop: &StopSignal,
-) -> Result<()> {
+) -> Result<WebServer> {
     let settings = &context.settings;
     let connections =
         settings.descriptors.saturating_sub(RESERVED_DESCRIPTORS).max(RESERVED_DESCRIPTORS);
@@ -112,13 +115,14 @@
     let handler = move |request| {
         answer_caller(Rc::clone(&caller_context), Rc::clone(&caller_router), request)
     };
-    let caller_stop = stop.clone();
-    kernel::spawn(async move { callers.serve(caller_stop, handler).await }).detach();
+    let (server, caller_stop) = (callers.clone(), stop.clone());
+    kernel::spawn(async move { server.serve(caller_stop, handler).await }).detach();
     let metrics = std::net::SocketAddr::new(settings.ip, settings.metrics_port);
     start_server(context, settings.lookups, stop, answer_lookup).await?;
     start_server(context, settings.readiness, stop, answer_readiness).await?;
     start_server(context, settings.peer_address(), stop, answer_peer).await?;
-    start_server(context, metrics, stop, answer_metrics).await
+    start_server(context, metrics, stop, answer_metrics).await?;
+    Ok(callers)
 }
 
 /// Starts an HTTP server whose handler answers synchronously.
@@ -151,8 +155,8 @@
 }
 
 /// Drops out of look-ups, keeps serving callers that still hold this address, and waits for
-/// requests in progress until the stop time is used up.
-async fn drain_requests(context: &NodeContext) {
+/// requests in progress until the stop time is used up. Returns when it will be.
+async fn drain_requests(context: &NodeContext) -> TimePoint {
     let begun = context.now();
     context.stop.raise();
     tracing::info!(event = "stop", step = "begun", active = context.active_requests.get());
@@ -161,12 +165,25 @@
         let now = context.now();
         let may_exit = now.since(begun) >= MIN_STOP_TIME;
         if now >= deadline || may_exit && context.active_requests.get() == 0 {
-            return;
+            return deadline;
         }
         kernel::sleep(STOP_POLL.into()).await;
     }
 }
 
+/// Waits until the callers' connections have closed, but no longer than until `deadline`: a
+/// request has ended before a slow caller has read its answer. Returns how many are still open.
+async fn drain_connections(
+    context: &NodeContext,
+    callers: &WebServer,
+    deadline: TimePoint,
+) -> usize {
+    while callers.open_connections() > 0 && context.now() < deadline {
+        kernel::sleep(STOP_POLL.into()).await;
+    }
+    callers.open_connections()
+}
+
 /// Reloads the settings at each SIGHUP; only the retry budget takes effect without a restart.
 async fn reload_on_sighup(
     context: Rc<NodeContext>,
--- a/crates/web/src/body.rs
+++ b/crates/web/src/body.rs
@@ -80,11 +80,15 @@
     Ok(Bytes::from(bytes))
 }
 
-/// Reads a complete body of at most `limit` bytes, for as long as parts of it arrive at least
-/// every `stall_timeout`.
+/// Bytes of a steadily read body that have to arrive in each stall timeout. A peer that sends
+/// single bytes now and then would otherwise occupy its reader without end.
+const MIN_STEADY_BYTES: usize = 256;
+
+/// Reads a complete body of at most `limit` bytes, for as long as at least
+/// [`MIN_STEADY_BYTES`] of it, or its end, arrive in each `stall_timeout`.
 ///
 /// # Errors
-/// [`WebError::Deadline`] if no part arrives in time, [`WebError::TooLong`] and
+/// [`WebError::Deadline`] if too little arrives in time, [`WebError::TooLong`] and
 /// [`WebError::Body`] as of [`read_bounded`].
 pub async fn read_steadily(
     step: &'static str,
@@ -95,10 +99,26 @@
 ) -> Result<Bytes> {
     let mut bytes = Vec::new();
     loop {
-        let frame = timeout(stall_timeout.into(), body.frame())
+        let reading = read_progress(step, &mut body, &mut bytes, limit);
+        let has_ended = timeout(stall_timeout.into(), reading)
             .await
-            .map_err(|_| WebError::Deadline { step, peer })?;
-        let Some(frame) = frame else { return Ok(Bytes::from(bytes)) };
+            .map_err(|_| WebError::Deadline { step, peer })??;
+        if has_ended {
+            return Ok(Bytes::from(bytes));
+        }
+    }
+}
+
+/// Reads at least [`MIN_STEADY_BYTES`] of a body, or to its end; returns whether it has ended.
+async fn read_progress(
+    step: &'static str,
+    body: &mut Incoming,
+    bytes: &mut Vec<u8>,
+    limit: usize,
+) -> Result<bool> {
+    let begin = bytes.len();
+    while bytes.len() < begin + MIN_STEADY_BYTES {
+        let Some(frame) = body.frame().await else { return Ok(true) };
         let frame = frame.map_err(|source| WebError::Body { step, source })?;
         let Ok(chunk) = frame.into_data() else { continue };
         if bytes.len() + chunk.len() > limit {
@@ -106,4 +126,5 @@
         }
         bytes.extend_from_slice(&chunk);
     }
+    Ok(false)
 }
