Add the state of evacuated places, merged by era and offset

A node has to keep an evacuation whatever older statement arrives later, also when the store comes back from a copy that lacks the key. Each place keeps the newest (era, offset) at which it was evacuated or withdrawn, and the table knows up to which record it is complete, so that a list without the key withdraws.

--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod attempt;
 mod call_input;
+mod evacuation;
 mod fleet_loads;
 mod forecast_codec;
 mod heartbeat_sections;
@@ -29,6 +30,7 @@
 
 pub use attempt::{AttemptTracker, FinalStatus, SendOutcome};
 pub use call_input::CallInput;
+pub use evacuation::{EvacuationStatement, EvacuationTable, EvacuationUpdate};
 pub use fleet_loads::{FleetLoads, NodeLoad, RunnerLoad, add_load};
 pub use heartbeat_sections::{HeartbeatSections, MAX_SECTION_BYTES, SectionTag};
 pub use input_table::{InputChange, InputTable};
