Send nothing to the runners of a place that the operator has evacuated

Nodes that read the configuration now read the key and pass the state on in a section of their heartbeats. Runners of the place are not chosen, and the last check before a send holds back what was assigned before. A service without another place is refused at once (place_evacuated). A node without a configuration takes one from another node only once it has been told of evacuations.

--- a/crates/node/src/call_attempt.rs
+++ b/crates/node/src/call_attempt.rs
@@ -12,6 +12,7 @@
 use crate::call_log::log_send_failure;
 use crate::context::NodeContext;
 use crate::crash_watch::find_crash_refusal;
+use crate::evacuation_watch::is_service_evacuated;
 use crate::route_ticket::RouteTicket;
 use crate::router::RouterService;
 use crate::runner_gate::{check_inputs, check_send};
@@ -22,6 +23,8 @@
 const RUNNER_GONE_RETRY_AFTER: TimeSpan = TimeSpan::millis(150);
 /// Reason of a refusal because every runner of the service has named a wait.
 const RUNNERS_WAIT: &str = "runners_wait";
+/// Reason of a refusal because every runner of the service is in an evacuated place.
+const PLACE_EVACUATED: &str = "place_evacuated";
 
 /// Waits until the dispatcher assigns a runner that accepts the request.
 ///
@@ -69,7 +72,10 @@
             RouteCommand::Send { runner } => break runner,
             RouteCommand::Withdraw => (),
             RouteCommand::Refuse { reason, retry_after } => {
-                return Err(CallFailure { reason: refusal_reason(reason), retry_after });
+                let is_evacuated = reason == RefusalReason::NoRunner
+                    && is_service_evacuated(context, &call.service);
+                let reason = if is_evacuated { PLACE_EVACUATED } else { refusal_reason(reason) };
+                return Err(CallFailure { reason, retry_after });
             }
         }
     };
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -7,8 +7,8 @@
 use futures_channel::mpsc;
 use kernel::{MonotonicClock, StopSignal};
 use serving::{
-    BudgetSettings, EraView, FleetLoads, InputTable, LimitTable, PeerTable, PlanVersion,
-    RetryBudget, RunnerReach, RunnerTable, ServingPlan, TransferPacer, WaitTable,
+    BudgetSettings, EraView, EvacuationTable, FleetLoads, InputTable, LimitTable, PeerTable,
+    PlanVersion, RetryBudget, RunnerReach, RunnerTable, ServingPlan, TransferPacer, WaitTable,
 };
 use settings::NodeSettings;
 
@@ -39,6 +39,8 @@
     pub transfers: RefCell<TransferPacer>,
     /// Known runners and their state.
     pub runners: RefCell<RunnerTable>,
+    /// Places whose runners may be sent no requests.
+    pub evacuations: RefCell<EvacuationTable>,
     /// Runners that asked this node to send them nothing for some time.
     pub waits: RefCell<WaitTable>,
     /// Limits on the requests that runners take from all nodes.
@@ -98,6 +100,7 @@
             transfers: RefCell::new(TransferPacer::new(settings.link_mbps)),
             runners: RefCell::new(RunnerTable::new(settings.drain)),
             store_era: RefCell::default(),
+            evacuations: RefCell::default(),
             waits: RefCell::default(),
             limits: RefCell::default(),
             inputs: RefCell::default(),
@@ -178,6 +181,7 @@
         self.metrics.store_eras.inc();
         self.signal_block_change();
         self.peers.borrow_mut().set_store_era(era);
+        self.evacuations.borrow_mut().mark_store_return(now);
         if self.runners_updated.get().is_some() {
             self.metrics.cursors_dropped.inc();
             self.runners.borrow_mut().mark_store_return(now);
--- a/crates/node/src/follow_configuration.rs
+++ b/crates/node/src/follow_configuration.rs
@@ -8,6 +8,7 @@
 
 use crate::context::NodeContext;
 use crate::dependency::DependencyState;
+use crate::evacuation_watch::apply_evacuations;
 use crate::router::RouterService;
 use crate::store_reader::StoreReader;
 
@@ -49,13 +50,16 @@
     let dependency = DependencyState::new("store: configuration");
     let mut from: Option<StoreCursor> = None;
     loop {
-        if from.is_some() || context.plan_version().is_some() {
+        let is_informed = context.evacuations.borrow().is_informed(context.now());
+        if from.is_some() || context.plan_version().is_some() && is_informed {
             wait_for_turn(&context).await;
         }
         match reader.read_or_list(StoreTopic::Operators, from, READ_WAIT).await {
             Ok(Some(read)) => {
                 dependency.record_success();
                 context.store_answered_at.set(Some(context.now()));
+                // A configuration may be what this node needs to send its first request.
+                apply_evacuations(&context, &router, from, &read);
                 from = Some(read.end);
                 apply_listing(&context, &router, &read.listing);
             }
--- a/crates/node/src/heartbeat_sections.rs
+++ b/crates/node/src/heartbeat_sections.rs
@@ -1,7 +1,5 @@
 //! Optional sections of this node's heartbeats, and those of other nodes.
 
-#![allow(dead_code, reason = "each subject adds its section here")]
-
 use base::prelude::*;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -9,21 +7,29 @@
 
 use crate::call_log::may_log;
 use crate::context::NodeContext;
+use crate::evacuation_watch::apply_evacuation_update;
 use crate::router::RouterService;
 
 /// Collects what this node states about subjects that have a section.
 #[must_use]
-pub fn collect_sections(_context: &NodeContext) -> HeartbeatSections {
-    HeartbeatSections::default()
+pub fn collect_sections(context: &NodeContext) -> HeartbeatSections {
+    let mut sections = HeartbeatSections::default();
+    if let Some(update) = context.evacuations.borrow().update() {
+        put_section(context, &mut sections, SectionTag::EVACUATIONS, &update);
+    }
+    sections
 }
 
 /// Applies what another node states.
 pub fn apply_sections(
-    _context: &NodeContext,
-    _router: &RouterService,
-    _vm: &VmId,
-    _sections: &HeartbeatSections,
+    context: &NodeContext,
+    router: &RouterService,
+    vm: &VmId,
+    sections: &HeartbeatSections,
 ) {
+    if let Some(update) = read_section(context, vm, sections, SectionTag::EVACUATIONS) {
+        apply_evacuation_update(context, router, update);
+    }
 }
 
 /// Adds a section; one that cannot be encoded is logged and left out.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -14,6 +14,7 @@
 mod crash_watch;
 mod dependency;
 mod error;
+mod evacuation_watch;
 mod follow_configuration;
 mod follow_nodes;
 mod follow_runners;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -40,6 +40,8 @@
     pub runner_waits: Counter,
     /// Limits that runners named, changed or ended.
     pub runner_limits: Counter,
+    /// Evacuations of places that began or ended.
+    pub evacuations: Counter,
     /// Runners that crashed as they began to answer a call of this node, once for each call.
     pub runner_crashes: Counter,
     /// Parts of prompts blocked since runners crash under them.
@@ -97,6 +99,7 @@
             sends_withheld: Family::default(),
             runner_waits: Counter::default(),
             runner_limits: Counter::default(),
+            evacuations: Counter::default(),
             runner_crashes: Counter::default(),
             parts_blocked: Counter::default(),
             reach_losses: Counter::default(),
@@ -141,6 +144,11 @@
             "Changes of the limits that runners name",
             self.runner_limits.clone(),
         );
+        registry.register(
+            "evacuations",
+            "Evacuations of places that began or ended",
+            self.evacuations.clone(),
+        );
         registry.register(
             "runner_crashes",
             "Calls lost as their runner crashed",
--- a/crates/node/src/peer_link.rs
+++ b/crates/node/src/peer_link.rs
@@ -16,6 +16,7 @@
 use crate::context::NodeContext;
 use crate::crash_watch::apply_input_update;
 use crate::dependency::DependencyState;
+use crate::evacuation_watch::expire_evacuations;
 use crate::follow_runners::apply_peer_update;
 use crate::heartbeat_sections::{apply_sections, collect_sections};
 use crate::limit_share::limit_update;
@@ -135,11 +136,12 @@
         }
     }
 
-    /// Prunes what is known of other nodes and of inputs of calls, and removes the loads of nodes
+    /// Prunes what is known of other nodes, of inputs of calls and of evacuations, and removes the loads of nodes
     /// that have fallen silent.
     fn prune_tables(&self) {
         self.context.inputs.borrow_mut().prune(self.context.now());
         self.context.limits.borrow_mut().prune(self.context.now());
+        expire_evacuations(&self.context, &self.router);
         let silent = self.context.peers.borrow_mut().prune(self.context.now());
         for vm in silent {
             self.context.peer_loads.borrow_mut().remove(&vm);
--- a/crates/node/src/reach_watch.rs
+++ b/crates/node/src/reach_watch.rs
@@ -10,7 +10,7 @@
 use web::WebConnection;
 
 use crate::context::NodeContext;
-use crate::runner_gate::find_block;
+use crate::runner_gate::find_own_block;
 
 /// How often it is looked whether runners are to be asked.
 const WATCH_PERIOD: TimeSpan = TimeSpan::millis(50);
@@ -69,7 +69,7 @@
     let staying =
         table.entries().filter(|entry| entry.removed_at.is_none() && !entry.record.leaving);
     let mut all: Vec<(RunnerRecord, Arc<str>)> = staying
-        .filter(|entry| find_block(context, &entry.record.incarnation()).is_none())
+        .filter(|entry| find_own_block(context, &entry.record.incarnation()).is_none())
         .filter_map(|entry| {
             let service = plan.services.get(&entry.record.service)?;
             let path = pulse_path(service.engine.is_some(), service.health_path.as_deref())?;
--- a/crates/node/src/router.rs
+++ b/crates/node/src/router.rs
@@ -10,7 +10,9 @@
 use futures_channel::mpsc;
 use futures_util::StreamExt;
 use kernel::StopSignal;
-use route::{CallId, MemoryForecast, PolicyName, RouteCall, RouteEvent, RouteSettings};
+use route::{
+    CallId, MemoryForecast, PolicyName, RouteCall, RouteEvent, RouteMember, RouteSettings,
+};
 use serving::{RunnerIncarnation, RunnerLoad};
 
 use crate::call::Call;
@@ -160,7 +162,7 @@
         let now = self.context.now();
         let members = |service: &ServiceName| RouteEvent::Members {
             service: service.clone(),
-            members: self.context.runners.borrow().route_members(service, now),
+            members: self.usable_members(service, now),
         };
         let mut events: Vec<RouteEvent> = plan.services.keys().map(members).collect();
         events.extend(self.load_events());
@@ -173,6 +175,12 @@
         }
     }
 
+    /// The runners of a service; those in evacuated places count as leaving.
+    fn usable_members(&self, service: &ServiceName, now: TimePoint) -> Vec<RouteMember> {
+        let members = self.context.runners.borrow().route_members(service, now);
+        self.context.evacuations.borrow().exclude(members)
+    }
+
     /// Records that this start of a runner is leaving, as its reply or report states, and
     /// notifies the other nodes.
     pub fn mark_leaving(&self, runner: &RunnerIncarnation, source: &str) {
--- a/crates/node/src/runner_gate.rs
+++ b/crates/node/src/runner_gate.rs
@@ -16,6 +16,7 @@
 use crate::call_log::may_log;
 use crate::context::NodeContext;
 use crate::crash_watch::find_blocked_input;
+use crate::evacuation_watch::is_runner_evacuated;
 use crate::metrics::WithheldLabels;
 
 /// Why a request may not be sent to a runner.
@@ -23,6 +24,8 @@
 pub enum SendBlock {
     /// The runner is leaving.
     Leaving,
+    /// The operator has evacuated the place of the runner.
+    Evacuated,
     /// The runner asked this node to send it nothing for some time.
     Waiting,
     /// The prompt has a part that crashes runners.
@@ -37,6 +40,7 @@
     pub fn as_str(self) -> &'static str {
         match self {
             Self::Leaving => "runner_leaving",
+            Self::Evacuated => "place_evacuated",
             Self::Waiting => "runner_waiting",
             Self::PartBlocked => "part_blocked",
             Self::RequestBlocked => "request_blocked",
@@ -82,9 +86,19 @@
     block
 }
 
-/// Why this start of a runner accepts no requests; `None` if it does.
+/// Why this start of a runner may be sent no requests; `None` if it may.
 #[must_use]
 pub fn find_block(context: &NodeContext, runner: &RunnerIncarnation) -> Option<SendBlock> {
+    if is_runner_evacuated(context, &runner.runner) {
+        return Some(SendBlock::Evacuated);
+    }
+    find_own_block(context, runner)
+}
+
+/// Why this start of a runner accepts nothing by its own statement; `None` if it does. Health checks
+/// and reads of reports depend only on this: streams in an evacuated place go on.
+#[must_use]
+pub fn find_own_block(context: &NodeContext, runner: &RunnerIncarnation) -> Option<SendBlock> {
     if context.runners.borrow().is_incarnation_leaving(runner) {
         return Some(SendBlock::Leaving);
     }
@@ -215,8 +229,8 @@
     result
 }
 
-/// Frees a copy of a run at both runners, unless the source accepts no requests; the copy then
-/// expires.
+/// Frees a copy of a run at both runners, unless the source accepts no requests or is in an
+/// evacuated place; the copy then expires.
 ///
 /// # Errors
 /// [`PlatformError`].
@@ -229,7 +243,12 @@
     let step = "KV cache copy release";
     let sender = find_runner(context, source);
     if let Some(sender) = &sender {
-        check_copy_source(context, sender).map_err(|block| PlatformError::NotSent {
+        let checked = if is_runner_evacuated(context, &sender.runner) {
+            Err(withhold(context, sender, SendBlock::Evacuated))
+        } else {
+            check_copy_source(context, sender)
+        };
+        checked.map_err(|block| PlatformError::NotSent {
             step,
             peer: source,
             reason: block.as_str(),
@@ -242,8 +261,15 @@
     result
 }
 
+/// Whether no new run and no copy may go to the runner: it leaves, has gone, or is in an evacuated
+/// place.
+#[must_use]
+pub fn is_closed(context: &NodeContext, runner: &RunnerId) -> bool {
+    context.runners.borrow().is_leaving(runner) || is_runner_evacuated(context, runner)
+}
+
 /// Checks whether a runner may be asked to copy a run. One that leaves may: it hands its runs
-/// over.
+/// over. So may one in an evacuated place: only what goes there is held back.
 fn check_copy_source(context: &NodeContext, runner: &RunnerIncarnation) -> Result<(), SendBlock> {
     if context.waits.borrow().end(context.now(), runner).is_none() {
         return Ok(());
--- a/crates/node/src/runner_poll.rs
+++ b/crates/node/src/runner_poll.rs
@@ -12,7 +12,7 @@
 
 use crate::context::NodeContext;
 use crate::router::RouterService;
-use crate::runner_gate::{find_block, record_notice};
+use crate::runner_gate::{find_own_block, record_notice};
 
 /// Age of the list of runners from which runners are polled: longer than the pauses of all
 /// nodes that stand by to read it.
@@ -47,7 +47,7 @@
     let peer_loads = context.peer_loads.borrow();
     let staying = entries.filter(|entry| !entry.record.leaving && entry.removed_at.is_none());
     let accepting =
-        staying.filter(|entry| find_block(context, &entry.record.incarnation()).is_none());
+        staying.filter(|entry| find_own_block(context, &entry.record.incarnation()).is_none());
     let engines = accepting.filter(|entry| {
         plan.services.get(&entry.record.service).is_some_and(|service| service.engine.is_some())
     });
--- a/crates/node/src/runner_probe.rs
+++ b/crates/node/src/runner_probe.rs
@@ -18,7 +18,7 @@
 use crate::context::NodeContext;
 use crate::crash_watch::record_crash;
 use crate::reach_watch::reaches_runners;
-use crate::runner_gate::find_block;
+use crate::runner_gate::find_own_block;
 
 /// Timeout for connecting to a runner that lost a call.
 const CONNECT_TIMEOUT: TimeSpan = TimeSpan::millis(250);
@@ -136,7 +136,7 @@
     connection: WebConnection,
 ) -> ProbeOutcome {
     let Some(path) = find_path(context, runner) else { return ProbeOutcome::Answered };
-    if find_block(context, &runner.incarnation()).is_some() {
+    if find_own_block(context, &runner.incarnation()).is_some() {
         return ProbeOutcome::Answered;
     }
     match read_pulse(connection, &path, &runner.runner, PULSE_TIMEOUT).await {
--- a/crates/node/src/state_fetcher.rs
+++ b/crates/node/src/state_fetcher.rs
@@ -19,6 +19,9 @@
 
 /// Age of the list of runners from which it is fetched from a node that has read further.
 const STALE_LIST_SPAN: TimeSpan = TimeSpan::millis(500);
+/// Time for which a node without a configuration waits to be told of evacuations. Nodes of an older
+/// build never do so, and the store may be away.
+const EVACUATIONS_TIMEOUT: TimeSpan = TimeSpan::seconds(3);
 /// Pause until the same is fetched again from another node, in milliseconds; random, so that
 /// those who were turned away together do not return together.
 const FETCH_PAUSE_RANGE_MS: std::ops::Range<u64> = 40..120;
@@ -84,7 +87,7 @@
         if self.context.newer_plan_since.get().is_none() {
             self.context.newer_plan_since.set(Some(now));
         }
-        if !self.plan.may_begin(now) {
+        if !self.plan.may_begin(now) || !self.may_take_first_plan(now) {
             return;
         }
         self.plan.active.set(true);
@@ -96,6 +99,15 @@
         .detach();
     }
 
+    /// Whether this node may take a configuration, with which it begins to serve: it has one, knows
+    /// the evacuated places, or neither the store nor another node has told it in time.
+    fn may_take_first_plan(&self, now: TimePoint) -> bool {
+        let waited = self.context.newer_plan_since.get().map_or(TimeSpan(0), |at| now.since(at));
+        self.context.plan_version().is_some()
+            || self.context.evacuations.borrow().is_informed(now)
+            || waited >= EVACUATIONS_TIMEOUT
+    }
+
     fn fetch_newer_runners(self: &Rc<Self>) {
         let now = self.context.now();
         if !self.runners.may_begin(now) || self.context.runners_age() <= STALE_LIST_SPAN {
--- a/crates/node/src/stream_move.rs
+++ b/crates/node/src/stream_move.rs
@@ -13,6 +13,7 @@
 use crate::call_log::RequestOutcome;
 use crate::crash_watch::find_blocked_input;
 use crate::metrics::OutcomeLabels;
+use crate::runner_gate::is_closed;
 use crate::runner_probe::probe_lost_runner;
 use crate::runner_send::SendPlan;
 use crate::stream_backup::{choose_backup, plan_backup_resume};
@@ -72,10 +73,9 @@
     /// Whether a stream that has lost its source can go on from the backup copy.
     fn may_resume(&self) -> bool {
         let backup = self.source.backup.as_ref();
-        let runners = self.context.runners.borrow();
         self.tries < MAX_SWITCH_TRIES
             && find_blocked_input(&self.context, &self.call).is_none()
-            && backup.is_some_and(|backup| !runners.is_leaving(&backup.runner))
+            && backup.is_some_and(|backup| !is_closed(&self.context, &backup.runner))
     }
 
     /// Handles the announcement that the runner leaves: schedules the switch to the backup,
@@ -102,9 +102,7 @@
         let backup = self.source.backup.as_ref();
         let is_complete =
             self.source.first_events.is_some_and(|first| now.since(first) >= BACKUP_FILL_SPAN);
-        is_complete
-            && backup
-                .is_some_and(|backup| !self.context.runners.borrow().is_leaving(&backup.runner))
+        is_complete && backup.is_some_and(|backup| !is_closed(&self.context, &backup.runner))
     }
 
     /// Resumes the stream at the runner that keeps its backup copy.
@@ -154,10 +152,9 @@
 
     /// The target of the last move that failed, if it is not leaving: there may be no other.
     fn last_target(&self) -> Option<RunnerId> {
-        let runners = self.context.runners.borrow();
         let target = self.ticket.assigned_runner()?;
         let is_other = target != self.source.runner.runner;
-        (is_other && !runners.is_leaving(&target)).then_some(target)
+        (is_other && !is_closed(&self.context, &target)).then_some(target)
     }
 
     /// Switches to the target of a completed move, or schedules another try.
--- a/crates/yard/src/request_trace.rs
+++ b/crates/yard/src/request_trace.rs
@@ -9,13 +9,18 @@
 
 /// Why requests end as they do: the reason in the line `end`, what it means, and the kinds of lines
 /// that tell more.
-const REASONS: [(&str, &str, &[&str]); 22] = [
+const REASONS: [(&str, &str, &[&str]); 23] = [
     ("no_runner", "all runners of the service leave or are gone", &["runner_changed"]),
     (
         "runners_wait",
         "every runner of the service has named a wait or is at its limit",
         &["wait_begun", "limit_named"],
     ),
+    (
+        "place_evacuated",
+        "all runners of the service are in places that the operator has evacuated",
+        &["place_evacuated", "evacuation_withdrawn"],
+    ),
     ("overloaded", "no room opened at a runner in time", &["runner_changed"]),
     ("queue_full", "too many requests wait at this node", &["runner_changed"]),
     ("runners_failed", "every send failed, or no other one was allowed", &["runner_changed"]),
