Forward calls from a node that reaches no runner to one that does

A node that is cut off from all runners could only refuse the calls that it got. It now offers a call that has not run to a node that reaches runners, over the peer port, and relays the response. The receiving node declines at once what it cannot serve, and never forwards a call again.

--- a/crates/node/src/call.rs
+++ b/crates/node/src/call.rs
@@ -1,5 +1,6 @@
 //! A caller's request after it was read and matched against the configuration.
 
+use std::cell::RefCell;
 use std::rc::Rc;
 
 use base::prelude::*;
@@ -8,7 +9,7 @@
 use hyper::{HeaderMap, Method, Uri};
 use platform::{AttemptId, CallHead};
 use route::{CallId, RouteCall};
-use serving::{CallInput, PlanVersion, RouteRule};
+use serving::{CallInput, ForwardState, PlanVersion, RouteRule};
 
 use crate::memory_pool::MemoryReservation;
 
@@ -42,10 +43,14 @@
     pub method: Method,
     /// Path and query.
     pub uri: Uri,
+    /// Host of a request that named it in its URI; otherwise it is in the headers.
+    pub uri_host: Option<Box<str>>,
     /// Headers as received.
     pub headers: HeaderMap,
     /// The whole body.
     pub body: Bytes,
+    /// Whether the call may be forwarded to another node.
+    pub forwards: RefCell<ForwardState>,
     /// Memory reserved for the body.
     pub _reservation: MemoryReservation,
     /// When the request arrived.
--- /dev/null
+++ b/crates/node/src/call_forward.rs
@@ -0,0 +1,328 @@
+//! Forwarding of calls to another node while this one reaches no runner.
+//!
+//! Load pattern: a node is cut off from all runners while callers and the other nodes reach it.
+//! Only a call that has not run is forwarded, and none is sent to a second node once it may have
+//! reached the first.
+
+use std::pin::pin;
+use std::rc::Rc;
+
+use base::prelude::*;
+use futures_util::future::{Either, select};
+use futures_util::{FutureExt, SinkExt, select_biased};
+use http_body_util::BodyExt;
+use hyper::body::Bytes;
+use hyper::header::{HOST, HeaderValue};
+use hyper::{Request, StatusCode};
+use platform::{copy_reply_headers, forwarded_headers};
+use serving::{
+    AttemptTracker, ForwardFailure, ForwardSource, ForwardTarget, SendOutcome, StreamScanner,
+};
+use web::{
+    ConnectionCloser, SendFault, WebBody, WebConnection, WebError, WebExchange, WebResponse,
+    full_body,
+};
+
+use crate::call::Call;
+use crate::call_answer::{CallFailure, fail_call};
+use crate::call_log::{RequestOutcome, RequestSummary, log_end, may_log};
+use crate::context::NodeContext;
+use crate::forwarded_calls::{ANSWERED, DECLINED, FORWARD_PATH, FORWARD_PLAN, FORWARD_RESULT};
+use crate::metrics::OutcomeLabels;
+use crate::runner_send::read_full_answer;
+use crate::stream_source::{CallerSide, is_event_stream, open_caller_side};
+
+/// Maximum time to connect to a node. Nodes are connected to over the network that carries their
+/// heartbeats, so one that takes longer is better replaced by another one.
+const CONNECT_TIMEOUT: TimeSpan = TimeSpan::millis(250);
+/// Interval at which a waiting call is checked for a node to forward it to.
+const CHOICE_INTERVAL: TimeSpan = TimeSpan::millis(50);
+/// `Retry-After` of a forwarded call whose outcome is unknown; not sent to the caller.
+const UNKNOWN_RETRY_AFTER: TimeSpan = TimeSpan::millis(300);
+
+/// How an offer of a call to a node ended.
+enum OfferEnd {
+    /// The node has responded to the call.
+    Answered(WebExchange),
+    /// The call has not run there.
+    NotRun(ForwardFailure, Rc<str>),
+    /// The call may have run there.
+    Unknown(Rc<str>),
+}
+
+/// Forwards the call if this node reaches no runner and another one can take the call. Returns
+/// `None` if the call is to be served here.
+pub async fn try_forward(
+    context: &Rc<NodeContext>,
+    call: &Rc<Call>,
+    closer: &ConnectionCloser,
+) -> Option<WebResponse> {
+    loop {
+        let target = choose_target(context, call)?;
+        call.forwards.borrow_mut().record_offer(&target.vm);
+        match offer_call(context, call, &target).await {
+            OfferEnd::Answered(exchange) => {
+                log_offer(context, call, &target, "answered", "", "");
+                return Some(relay_response(context, call, closer, exchange).await);
+            }
+            OfferEnd::NotRun(failure, error) => {
+                let now = context.now();
+                context.forwards.borrow_mut().record_failure(now, &target, failure);
+                log_offer(context, call, &target, "not_run", failure_reason(failure), &error);
+            }
+            OfferEnd::Unknown(error) => {
+                log_offer(context, call, &target, "unknown", "", &error);
+                return Some(fail_unknown(context, call));
+            }
+        }
+    }
+}
+
+/// Waits for `serving`, which serves the call here and must not have sent it. Returns `None` if
+/// the call is to be forwarded instead.
+pub async fn unless_forwarded<T>(
+    context: &NodeContext,
+    call: &Call,
+    serving: impl Future<Output = T>,
+) -> Option<T> {
+    if !call.forwards.borrow().may_forward() {
+        return Some(serving.await);
+    }
+    match select(pin!(serving), pin!(wait_for_choice(context, call))).await {
+        Either::Left((served, _)) => Some(served),
+        Either::Right(_) => None,
+    }
+}
+
+/// Waits until this node reaches no runner and another one can take the call.
+async fn wait_for_choice(context: &NodeContext, call: &Call) {
+    loop {
+        let lost = context.reach_loss.borrow().clone();
+        lost.wait().await;
+        if has_choice(context, call) {
+            return;
+        }
+        kernel::sleep(CHOICE_INTERVAL.into()).await;
+    }
+}
+
+fn forward_source<'a>(context: &'a NodeContext, call: &Call) -> ForwardSource<'a> {
+    ForwardSource { place: &context.settings.place, plan_version: call.plan_version }
+}
+
+fn has_choice(context: &NodeContext, call: &Call) -> bool {
+    let now = context.now();
+    context.reach.borrow().is_lost()
+        && context.forwards.borrow().has_choice(
+            now,
+            forward_source(context, call),
+            &call.forwards.borrow(),
+            context.peers.borrow().live(now),
+        )
+}
+
+fn choose_target(context: &NodeContext, call: &Call) -> Option<ForwardTarget> {
+    let now = context.now();
+    if !context.reach.borrow().is_lost() || call.deadline <= now {
+        return None;
+    }
+    context.forwards.borrow().choose(
+        now,
+        forward_source(context, call),
+        &call.forwards.borrow(),
+        context.peers.borrow().live(now),
+        rand::random(),
+    )
+}
+
+/// Sends the call to a node and waits for the head of the response.
+async fn offer_call(context: &NodeContext, call: &Call, target: &ForwardTarget) -> OfferEnd {
+    let unconnected = |error: &WebError| {
+        OfferEnd::NotRun(ForwardFailure::Unconnected, Rc::from(error.to_string()))
+    };
+    let left = call.deadline.since(context.now());
+    let connected = WebConnection::open(target.address, CONNECT_TIMEOUT.min(left)).await;
+    let connection = match connected {
+        Ok(connection) => connection,
+        Err(error) => return unconnected(&error),
+    };
+    let left = call.deadline.since(context.now());
+    let request = match build_request(call, left) {
+        Ok(request) => request,
+        Err(error) => return unconnected(&error),
+    };
+    match connection.send(request, left).await {
+        Ok(exchange) => classify_response(exchange),
+        Err(error) if error.send_fault() == SendFault::NotSent => unconnected(&error),
+        Err(error) => OfferEnd::Unknown(Rc::from(error.to_string())),
+    }
+}
+
+fn build_request(call: &Call, left: TimeSpan) -> Result<Request<WebBody>, WebError> {
+    let fault = |source| WebError::Request { step: "forwarded call", source };
+    let path = call.uri.path_and_query().map_or("/", |path| path.as_str());
+    let mut request = Request::builder()
+        .method(call.method.clone())
+        .uri(format!("{FORWARD_PATH}{}", path.trim_start_matches('/')))
+        .body(full_body(call.body.clone()))
+        .map_err(fault)?;
+    let mut headers = forwarded_headers(&call.headers, left);
+    if let Some(host) = &call.uri_host {
+        headers.insert(HOST, HeaderValue::from_str(host).map_err(|error| fault(error.into()))?);
+    }
+    headers.insert(FORWARD_PLAN, HeaderValue::from(call.plan_version.0));
+    *request.headers_mut() = headers;
+    Ok(request)
+}
+
+fn classify_response(exchange: WebExchange) -> OfferEnd {
+    let status = exchange.response.status();
+    let result = exchange.response.headers().get(FORWARD_RESULT).map(HeaderValue::as_bytes);
+    match result {
+        Some(result) if result == ANSWERED.as_bytes() => OfferEnd::Answered(exchange),
+        Some(result) if result == DECLINED.as_bytes() => {
+            OfferEnd::NotRun(ForwardFailure::Declined, Rc::from(format!("declined with {status}")))
+        }
+        // Builds that do not know the path respond so to all requests on it.
+        None if status == StatusCode::NOT_FOUND => {
+            OfferEnd::NotRun(ForwardFailure::Unsupported, Rc::from("path not known"))
+        }
+        _ => OfferEnd::Unknown(Rc::from(format!("not the response to a call: {status}"))),
+    }
+}
+
+/// Returns the response of the other node to the caller.
+async fn relay_response(
+    context: &Rc<NodeContext>,
+    call: &Rc<Call>,
+    closer: &ConnectionCloser,
+    mut exchange: WebExchange,
+) -> WebResponse {
+    exchange.response.headers_mut().remove(FORWARD_RESULT);
+    let status = exchange.response.status();
+    let headers = copy_reply_headers(exchange.response.headers());
+    let mut response = if is_event_stream(&exchange.response) {
+        let waited = context.now().since(call.arrived);
+        context.metrics.first_byte_time.observe(waited.as_seconds());
+        let (caller, body) = open_caller_side(closer.clone());
+        let relay = relay_stream(Rc::clone(context), Rc::clone(call), exchange, caller);
+        kernel::spawn(relay).detach();
+        WebResponse::new(body)
+    } else {
+        let left = call.deadline.since(context.now());
+        let Ok(answer) = read_full_answer(context, exchange, left).await else {
+            return fail_unknown(context, call);
+        };
+        log_relayed_end(context, call, status);
+        WebResponse::new(full_body(answer.into_body()))
+    };
+    *response.status_mut() = status;
+    *response.headers_mut() = headers;
+    response
+}
+
+fn log_relayed_end(context: &NodeContext, call: &Call, status: StatusCode) {
+    let (outcome, reason) = match status {
+        StatusCode::SERVICE_UNAVAILABLE => (RequestOutcome::NotRun, "forwarded"),
+        StatusCode::BAD_GATEWAY | StatusCode::GATEWAY_TIMEOUT => {
+            (RequestOutcome::Unknown, "forwarded")
+        }
+        _ => (RequestOutcome::Answered, ""),
+    };
+    log_end(context, call, RequestSummary { outcome, reason, status: status.as_u16() });
+}
+
+/// Relays the events of a stream until it has ended; closes the caller's connection if the
+/// stream has broken off.
+async fn relay_stream(
+    context: Rc<NodeContext>,
+    call: Rc<Call>,
+    exchange: WebExchange,
+    mut caller: CallerSide,
+) {
+    let _active = context.track_request();
+    let WebExchange { response, connection } = exchange;
+    let mut body = response.into_body();
+    let mut scanner = StreamScanner::default();
+    let (outcome, reason) = loop {
+        let frame = {
+            let left = call.deadline.since(context.now());
+            let mut deadline = pin!(kernel::sleep(left.into()).fuse());
+            let mut disconnected = pin!(caller.disconnected.wait().fuse());
+            let mut frame = pin!(body.frame().fuse());
+            select_biased! {
+                () = disconnected => break (RequestOutcome::CallerDisconnected, ""),
+                frame = frame => frame,
+                () = deadline => break (RequestOutcome::Interrupted, "deadline_passed"),
+            }
+        };
+        let bytes = match frame {
+            Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
+            None if !scanner.has_partial_event() => break (RequestOutcome::Streamed, ""),
+            Some(Err(_)) | None => break (RequestOutcome::Interrupted, "node_lost"),
+        };
+        let Ok(events) = scanner.push(&bytes) else {
+            break (RequestOutcome::Interrupted, "stream_malformed");
+        };
+        if !events.is_empty() && !send_events(&mut caller, Bytes::from(events)).await {
+            break (RequestOutcome::CallerDisconnected, "");
+        }
+    };
+    log_end(&context, &call, RequestSummary { outcome, reason, status: 200 });
+    drop(connection);
+    if outcome == RequestOutcome::Interrupted {
+        // Abort the connection before the body ends: the answer would look complete.
+        caller.closer.close();
+        caller.disconnected.wait().await;
+    }
+}
+
+/// Passes events on to the caller; `false` if it has disconnected.
+async fn send_events(caller: &mut CallerSide, events: Bytes) -> bool {
+    let mut disconnected = pin!(caller.disconnected.wait().fuse());
+    let mut sent = pin!(caller.sender.send(events).fuse());
+    select_biased! {
+        sent = sent => sent.is_ok(),
+        () = disconnected => false,
+    }
+}
+
+/// The response to a call of which it is unknown whether it ran at the other node.
+fn fail_unknown(context: &NodeContext, call: &Call) -> WebResponse {
+    let mut tracker = AttemptTracker::new(call.route.kind, call.route.max_attempts);
+    tracker.record_send(SendOutcome::Unknown);
+    let failure = CallFailure { reason: "node_lost", retry_after: UNKNOWN_RETRY_AFTER };
+    fail_call(context, call, &tracker, None, failure)
+}
+
+fn failure_reason(failure: ForwardFailure) -> &'static str {
+    match failure {
+        ForwardFailure::Unconnected => "unconnected",
+        ForwardFailure::Declined => "declined",
+        ForwardFailure::Unsupported => "unsupported",
+    }
+}
+
+/// Logs and counts an offer of a call to a node.
+fn log_offer(
+    context: &NodeContext,
+    call: &Call,
+    target: &ForwardTarget,
+    outcome: &'static str,
+    reason: &'static str,
+    error: &str,
+) {
+    context.metrics.forwards.get_or_create(&OutcomeLabels { outcome, reason }).inc();
+    if may_log(context) {
+        tracing::info!(
+            event = "relayed",
+            request = %call.attempt,
+            node = %target.vm,
+            outcome,
+            reason,
+            error,
+            waited_ms = context.now().since(call.arrived).as_millis(),
+            left_ms = call.deadline.since(context.now()).as_millis(),
+        );
+    }
+}
--- a/crates/node/src/caller_server.rs
+++ b/crates/node/src/caller_server.rs
@@ -1,5 +1,6 @@
 //! Handling of callers' requests: limits, routing and authorization, then the runners.
 
+use std::cell::RefCell;
 use std::rc::Rc;
 
 use base::RequestContent;
@@ -9,7 +10,7 @@
 use hyper::http::uri::PathAndQuery;
 use hyper::{HeaderMap, StatusCode, Uri};
 use platform::CallHead;
-use serving::{CallInput, RouteKind, RouteRule, ServingPlan};
+use serving::{CallInput, ForwardState, RouteKind, RouteRule, ServingPlan};
 use web::{ConnectionCloser, WebError, WebRequest, WebResponse, read_bounded};
 
 use crate::call::Call;
@@ -25,26 +26,51 @@
 /// `Retry-After` of a stopping node; short, since the caller can retry at another node.
 const STOPPING_RETRY_AFTER: TimeSpan = TimeSpan::millis(20);
 
+/// Where a request came from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CallSource {
+    /// A caller.
+    Caller,
+    /// Another node, which forwarded it.
+    Node,
+}
+
+/// Marks the response to a request that was rejected before it could be sent to a runner.
+#[derive(Debug, Clone, Copy)]
+pub struct Rejected;
+
 /// Handles one request of a caller.
 pub async fn answer_caller(
     context: Rc<NodeContext>,
     router: Rc<RouterService>,
     request: WebRequest,
+) -> WebResponse {
+    answer_call(&context, &router, request, CallSource::Caller).await
+}
+
+/// Handles one request of a caller, which arrived from `source`.
+pub async fn answer_call(
+    context: &Rc<NodeContext>,
+    router: &Rc<RouterService>,
+    request: WebRequest,
+    source: CallSource,
 ) -> WebResponse {
     let _guard = context.track_request();
     let closer = ConnectionCloser::from_request(&request);
     let arrived = context.now();
     let head = CallHead::decode(request.headers());
     let id = head.attempt.clone();
-    let mut response = match match_call(&context, request, head, arrived).await {
+    let mut response = match match_call(context, request, head, arrived, source).await {
         Ok(call) if call.route.kind == RouteKind::Stream => {
-            run_stream(&context, &router, Rc::new(call), closer).await
+            run_stream(context, router, Rc::new(call), closer).await
         }
-        Ok(call) => run_plain(&context, &router, &Rc::new(call)).await,
+        Ok(call) => run_plain(context, router, &Rc::new(call), closer).await,
         Err(rejection) => {
             let id = id.as_ref().map_or("", |id| id.as_str());
-            log_rejection(&context, id, rejection.reason, rejection.status.as_u16());
-            rejection.reply()
+            log_rejection(context, id, rejection.reason, rejection.status.as_u16());
+            let mut response = rejection.reply();
+            response.extensions_mut().insert(Rejected);
+            response
         }
     };
     if context.stop.is_raised() {
@@ -59,6 +85,7 @@
     request: WebRequest,
     head: CallHead,
     arrived: TimePoint,
+    source: CallSource,
 ) -> Result<Call, CallRejection> {
     let plan = context.plan().ok_or(CallRejection {
         status: StatusCode::SERVICE_UNAVAILABLE,
@@ -121,9 +148,11 @@
         inputs: call_inputs(&head, fingerprint),
         head,
         method: parts.method,
+        uri_host: parts.uri.host().map(Box::from),
         uri,
         headers: parts.headers,
         body,
+        forwards: RefCell::new(ForwardState::new(source == CallSource::Node)),
         _reservation: reservation,
         arrived,
         deadline: arrived + timeout,
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -7,8 +7,8 @@
 use futures_channel::mpsc;
 use kernel::{MonotonicClock, StopSignal};
 use serving::{
-    BudgetSettings, EraView, FleetLoads, InputTable, LimitTable, PeerTable, PlanVersion,
-    RetryBudget, RunnerReach, RunnerTable, ServingPlan, TransferPacer, WaitTable,
+    BudgetSettings, EraView, FleetLoads, ForwardTable, InputTable, LimitTable, PeerTable,
+    PlanVersion, RetryBudget, RunnerReach, RunnerTable, ServingPlan, TransferPacer, WaitTable,
 };
 use settings::NodeSettings;
 
@@ -47,6 +47,10 @@
     pub inputs: RefCell<InputTable>,
     /// Whether this node reaches the runners.
     pub reach: RefCell<RunnerReach>,
+    /// Raised while this node reaches no runner.
+    pub reach_loss: RefCell<StopSignal>,
+    /// Nodes that did not take a forwarded call lately.
+    pub forwards: RefCell<ForwardTable>,
     /// Calls that were lost by runners which are being probed.
     pub lost_calls: RefCell<LostCalls>,
     /// Newest era of the store that the store or another node has named.
@@ -102,6 +106,8 @@
             limits: RefCell::default(),
             inputs: RefCell::default(),
             reach: RefCell::default(),
+            reach_loss: RefCell::default(),
+            forwards: RefCell::default(),
             lost_calls: RefCell::default(),
             runners_offset: Cell::default(),
             runners_updated: Cell::default(),
--- /dev/null
+++ b/crates/node/src/forwarded_calls.rs
@@ -0,0 +1,109 @@
+//! Calls that another node forwards to this one because it reaches no runner.
+//!
+//! They are authorized, routed and counted like calls of callers, and never forwarded again. A
+//! node that cannot serve a call at present declines it at once: the call has then not run.
+
+use std::rc::Rc;
+
+use base::prelude::*;
+use hyper::header::{HeaderName, HeaderValue};
+use hyper::{StatusCode, Uri};
+use serving::PlanVersion;
+use web::{WebRequest, WebResponse, text_reply};
+
+use crate::call_answer::CallRejection;
+use crate::caller_server::{CallSource, Rejected, answer_call};
+use crate::context::NodeContext;
+use crate::metrics::OutcomeLabels;
+use crate::router::RouterService;
+
+/// Path of forwarded calls; the path of the call follows it.
+pub const FORWARD_PATH: &str = "/forward/";
+/// Version of the configuration that the forwarding node matched the call against.
+pub const FORWARD_PLAN: HeaderName = HeaderName::from_static("x-yard-forward-plan");
+/// What the receiving node did with the call. Without it, the response is not that of a node
+/// which accepts forwarded calls.
+pub const FORWARD_RESULT: HeaderName = HeaderName::from_static("x-yard-forward-result");
+/// Value of [`FORWARD_RESULT`] for the response to the call.
+pub const ANSWERED: &str = "answered";
+/// Value of [`FORWARD_RESULT`] if this node cannot serve the call, which has not run.
+pub const DECLINED: &str = "declined";
+
+/// `Retry-After` of a declined call; the forwarding node does not wait, it tries another node.
+const DECLINED_RETRY_AFTER: TimeSpan = TimeSpan::millis(300);
+
+/// Handles one call that another node forwards.
+pub async fn answer_forwarded(
+    context: &Rc<NodeContext>,
+    router: &Rc<RouterService>,
+    request: WebRequest,
+) -> WebResponse {
+    // Counted from the beginning, so that a planned stop waits for the call.
+    let _guard = context.track_request();
+    if let Some(reason) = find_obstacle(context, required_plan(&request)) {
+        return decline(context, reason);
+    }
+    let Some(request) = restore_request(request) else {
+        return text_reply(StatusCode::BAD_REQUEST, "not a forwarded call");
+    };
+    let response = answer_call(context, router, request, CallSource::Node).await;
+    if response.status() == StatusCode::SERVICE_UNAVAILABLE {
+        // This status is used only for calls that have not run. Another node may take the call
+        // if this one can't, while a refusal for load is the caller's.
+        let is_rejected = response.extensions().get::<Rejected>().is_some();
+        let obstacle = find_obstacle(context, None).or(is_rejected.then_some("rejected"));
+        if let Some(reason) = obstacle {
+            return decline(context, reason);
+        }
+    }
+    count(context, ANSWERED, "");
+    mark(response, ANSWERED)
+}
+
+/// Why this node can serve no forwarded call at present; `None` if it can.
+fn find_obstacle(context: &NodeContext, required: Option<PlanVersion>) -> Option<&'static str> {
+    if context.stop.is_raised() {
+        Some("stopping")
+    } else if !context.is_ready() {
+        Some("not_ready")
+    } else if context.reach.borrow().is_lost() {
+        Some("runners_unreached")
+    } else if context.plan_version() < required {
+        Some("older_plan")
+    } else {
+        None
+    }
+}
+
+fn required_plan(request: &WebRequest) -> Option<PlanVersion> {
+    request.headers().get(FORWARD_PLAN)?.to_str().ok()?.parse().ok()
+}
+
+/// The request as it arrived at the forwarding node.
+fn restore_request(mut request: WebRequest) -> Option<WebRequest> {
+    let path = request.uri().path_and_query()?.as_str();
+    // The slash belongs to both paths.
+    let uri: Uri = path.get(FORWARD_PATH.len() - 1..)?.parse().ok()?;
+    *request.uri_mut() = uri;
+    request.headers_mut().remove(FORWARD_PLAN);
+    Some(request)
+}
+
+fn decline(context: &NodeContext, reason: &'static str) -> WebResponse {
+    count(context, DECLINED, reason);
+    let rejection = CallRejection {
+        status: StatusCode::SERVICE_UNAVAILABLE,
+        reason,
+        retry_after: Some(DECLINED_RETRY_AFTER),
+    };
+    mark(rejection.reply(), DECLINED)
+}
+
+fn mark(mut response: WebResponse, result: &'static str) -> WebResponse {
+    response.headers_mut().insert(FORWARD_RESULT, HeaderValue::from_static(result));
+    response
+}
+
+fn count(context: &NodeContext, outcome: &'static str, reason: &'static str) {
+    context.metrics.forwarded_calls.get_or_create(&OutcomeLabels { outcome, reason }).inc();
+}
--- a/crates/node/src/lookups.rs
+++ b/crates/node/src/lookups.rs
@@ -28,16 +28,22 @@
     json_reply(StatusCode::OK, &LookupResponse { addresses, ttl_seconds: ANSWER_TTL_SECONDS })
 }
 
-/// Caller addresses of the ready nodes; empty if this node is isolated and cannot know them.
+/// Caller addresses of the ready nodes that reach runners, or of all ready nodes if none does;
+/// empty if this node is isolated and cannot know them.
 fn ready_addresses(context: &NodeContext) -> Vec<SocketAddr> {
     if context.is_isolated() {
         return Vec::new();
     }
     let peers = context.peers.borrow();
     let ready = peers.live(context.now()).filter(|heartbeat| heartbeat.ready);
-    let own = context.is_ready().then_some(context.settings.callers);
-    let mut all: Vec<SocketAddr> =
-        own.into_iter().chain(ready.map(|heartbeat| heartbeat.caller_address)).collect();
+    let own =
+        context.is_ready().then(|| (context.settings.callers, !context.reach.borrow().is_lost()));
+    let others = ready.map(|heartbeat| (heartbeat.caller_address, heartbeat.reaches_runners));
+    let mut found: Vec<(SocketAddr, bool)> = own.into_iter().chain(others).collect();
+    if found.iter().any(|(_, reaches_runners)| *reaches_runners) {
+        found.retain(|(_, reaches_runners)| *reaches_runners);
+    }
+    let mut all: Vec<SocketAddr> = found.into_iter().map(|(address, _)| address).collect();
     // Large fleets do not fit into one answer; a random selection spreads callers over all.
     all.shuffle(&mut rand::rng());
     all.truncate(MAX_ADDRESSES);
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -46,6 +46,10 @@
     pub parts_blocked: Counter,
     /// Times that this node reached no runner any more.
     pub reach_losses: Counter,
+    /// Offers of calls to other nodes, by outcome.
+    pub forwards: Family<OutcomeLabels, Counter>,
+    /// Calls that other nodes forwarded to this one, by outcome.
+    pub forwarded_calls: Family<OutcomeLabels, Counter>,
     /// Runner changes of running streams, by outcome.
     pub moves: Family<OutcomeLabels, Counter>,
     /// Configurations activated.
@@ -100,6 +104,8 @@
             runner_crashes: Counter::default(),
             parts_blocked: Counter::default(),
             reach_losses: Counter::default(),
+            forwards: Family::default(),
+            forwarded_calls: Family::default(),
             moves: Family::default(),
             plans: Counter::default(),
             plan_fetches: Family::default(),
@@ -151,6 +157,12 @@
             "Times that no runner was reached any more",
             self.reach_losses.clone(),
         );
+        registry.register("forwards", "Offers of calls to other nodes", self.forwards.clone());
+        registry.register(
+            "forwarded_calls",
+            "Calls forwarded by other nodes",
+            self.forwarded_calls.clone(),
+        );
         registry.register("parts_blocked", "Parts of prompts blocked", self.parts_blocked.clone());
         registry.register("moves", "Moves of running streams", self.moves.clone());
         registry.register("plans", "Configurations put in force", self.plans.clone());
--- a/crates/node/src/peer_server.rs
+++ b/crates/node/src/peer_server.rs
@@ -1,4 +1,5 @@
-//! HTTP endpoints for other nodes: the active configuration and the list of runners.
+//! HTTP endpoints for other nodes: the active configuration, the list of runners, and calls that
+//! they forward.
 
 use std::rc::Rc;
 
@@ -9,6 +10,8 @@
 use web::{WebRequest, WebResponse, text_reply};
 
 use crate::context::NodeContext;
+use crate::forwarded_calls::{FORWARD_PATH, answer_forwarded};
+use crate::router::RouterService;
 use crate::state_transfer::{PLAN_PATH, answer_plan, answer_state};
 
 /// Path of the list of runners.
@@ -24,10 +27,17 @@
 }
 
 /// Answers a request of another node.
-pub fn answer_peer(context: &Rc<NodeContext>, request: &WebRequest) -> WebResponse {
+pub async fn answer_peer(
+    context: Rc<NodeContext>,
+    router: Rc<RouterService>,
+    request: WebRequest,
+) -> WebResponse {
     match request.uri().path() {
-        PLAN_PATH => answer_plan(context, request),
-        RUNNERS_PATH => answer_state(request, &runners_answer(context)),
+        PLAN_PATH => answer_plan(&context, &request),
+        RUNNERS_PATH => answer_state(&request, &runners_answer(&context)),
+        path if path.starts_with(FORWARD_PATH) => {
+            answer_forwarded(&context, &router, request).await
+        }
         _ => text_reply(StatusCode::NOT_FOUND, "no such page"),
     }
 }
--- a/crates/node/src/plain_call.rs
+++ b/crates/node/src/plain_call.rs
@@ -7,11 +7,12 @@
 use hyper::body::Bytes;
 use route::CallEnd;
 use serving::{AttemptTracker, RouteKind, RunnerRecord, SendOutcome};
-use web::WebResponse;
+use web::{ConnectionCloser, WebResponse};
 
 use crate::call::Call;
 use crate::call_answer::{fail_call, forward_answer};
 use crate::call_attempt::{explain_failure, find_runner, may_retry, record_send_failure, unassign};
+use crate::call_forward::{try_forward, unless_forwarded};
 use crate::call_log::log_send;
 use crate::context::NodeContext;
 use crate::crash_watch::record_full_answer;
@@ -29,13 +30,19 @@
     context: &Rc<NodeContext>,
     router: &RouterService,
     call: &Rc<Call>,
+    closer: ConnectionCloser,
 ) -> WebResponse {
     context.retry_budget.borrow_mut().record_request(context.now(), &call.service);
     let mut tracker = AttemptTracker::new(call.route.kind, call.route.max_attempts);
     let mut tried = Vec::new();
     let mut error_answer: Option<Response<Bytes>> = None;
     loop {
-        let (ticket, runner) = match find_runner(context, router, call, &tried).await {
+        if let Some(response) = try_forward(context, call, &closer).await {
+            return response;
+        }
+        let found = find_runner(context, router, call, &tried);
+        let Some(found) = unless_forwarded(context, call, found).await else { continue };
+        let (ticket, runner) = match found {
             Ok(found) => found,
             Err(failure) => return fail_call(context, call, &tracker, error_answer, failure),
         };
@@ -55,11 +62,13 @@
                     return forward_answer(context, call, &answer);
                 }
                 tracker.record_send(SendOutcome::Failed);
+                call.forwards.borrow_mut().record_send(SendOutcome::Failed);
                 error_answer = Some(answer);
             }
             Err(failure) => {
                 record_send_failure(context, router, call, &runner, &failure);
                 tracker.record_send(failure.outcome);
+                call.forwards.borrow_mut().record_send(failure.outcome);
                 ticket.finish(failure.end);
             }
         }
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -117,10 +117,25 @@
     let metrics = std::net::SocketAddr::new(settings.ip, settings.metrics_port);
     start_server(context, settings.lookups, stop, answer_lookup).await?;
     start_server(context, settings.readiness, stop, answer_readiness).await?;
-    start_server(context, settings.peer_address(), stop, answer_peer).await?;
+    start_peer_server(context, router, stop).await?;
     start_server(context, metrics, stop, answer_metrics).await
 }
 
+/// Starts the HTTP server for other nodes.
+async fn start_peer_server(
+    context: &Rc<NodeContext>,
+    router: &Rc<RouterService>,
+    stop: &StopSignal,
+) -> Result<()> {
+    let address = context.settings.peer_address();
+    let server = WebServer::bind(address, ServerLimits::default()).await?;
+    let (context, router) = (Rc::clone(context), Rc::clone(router));
+    let handler = move |request| answer_peer(Rc::clone(&context), Rc::clone(&router), request);
+    let stop = stop.clone();
+    kernel::spawn(async move { server.serve(stop, handler).await }).detach();
+    Ok(())
+}
+
 /// Starts an HTTP server whose handler answers synchronously.
 async fn start_server(
     context: &Rc<NodeContext>,
--- a/crates/node/src/reach_watch.rs
+++ b/crates/node/src/reach_watch.rs
@@ -102,6 +102,7 @@
     match change {
         ReachChange::Lost { silent } => {
             context.metrics.reach_losses.inc();
+            context.reach_loss.borrow().raise();
             tracing::warn!(
                 event = "runners_unreached",
                 silent_ms = silent.as_millis(),
@@ -110,6 +111,7 @@
             );
         }
         ReachChange::Regained => {
+            context.reach_loss.take();
             tracing::info!(event = "runners_reached", nodes_reaching = reaching);
         }
     }
--- a/crates/node/src/runner_send.rs
+++ b/crates/node/src/runner_send.rs
@@ -12,6 +12,7 @@
 use web::{SendFault, WebConnection, WebError, WebExchange, full_body};
 
 use crate::call::Call;
+use crate::call_forward::unless_forwarded;
 use crate::context::NodeContext;
 use crate::reach_watch::{record_runner_answer, record_runner_failure};
 use crate::runner_gate::{SendBlock, check_inputs, check_send, record_notice, record_unlimited};
@@ -38,15 +39,15 @@
 }
 
 impl SendFailure {
-    /// The runner accepts no requests at present. That says nothing about its health.
-    fn withheld(block: SendBlock) -> Self {
+    /// The request is not sent to this runner at present, which says nothing about its health.
+    fn withheld(reason: &str) -> Self {
         Self {
             outcome: SendOutcome::NotSent,
             end: CallEnd::Cancelled,
             loss: RunnerLoss::NoAnswer,
             runner_gone: false,
             withheld: true,
-            reason: Rc::from(block.as_str()),
+            reason: Rc::from(reason),
         }
     }
 }
@@ -83,7 +84,11 @@
     plan: &SendPlan,
     limit: TimeSpan,
 ) -> Result<WebExchange, SendFailure> {
-    let connection = connect_to_runner(context, call, &plan.runner).await?;
+    let connect = connect_to_runner(context, call, &plan.runner);
+    let Some(connected) = unless_forwarded(context, call, connect).await else {
+        return Err(SendFailure::withheld("forwarded"));
+    };
+    let connection = connected?;
     send_connected(context, call, plan, connection, limit).await
 }
 
@@ -96,7 +101,7 @@
     call: &Call,
     runner: &RunnerRecord,
 ) -> Result<WebConnection, SendFailure> {
-    check_send(context, &runner.incarnation()).map_err(SendFailure::withheld)?;
+    check_send(context, &runner.incarnation()).map_err(withheld)?;
     let left = call.deadline.since(context.now());
     let connected = WebConnection::open(runner.address, CONNECT_TIMEOUT.min(left)).await;
     connected.map_err(|error| {
@@ -121,8 +126,8 @@
 ) -> Result<WebExchange, SendFailure> {
     let runner = &plan.runner;
     let incarnation = runner.incarnation();
-    check_send(context, &incarnation).map_err(SendFailure::withheld)?;
-    check_inputs(context, call, &incarnation).map_err(SendFailure::withheld)?;
+    check_send(context, &incarnation).map_err(withheld)?;
+    check_inputs(context, call, &incarnation).map_err(withheld)?;
     let left = call.deadline.since(context.now());
     let head = RunnerHead {
         remaining: left,
@@ -152,6 +157,10 @@
     check_reply(call, exchange)
 }
 
+fn withheld(block: SendBlock) -> SendFailure {
+    SendFailure::withheld(block.as_str())
+}
+
 fn send_failure(error: &WebError) -> SendFailure {
     match error.send_fault() {
         SendFault::NotSent => not_sent(error),
--- a/crates/node/src/stream_call.rs
+++ b/crates/node/src/stream_call.rs
@@ -3,20 +3,17 @@
 use std::rc::Rc;
 
 use base::prelude::*;
-use futures_channel::mpsc;
-use futures_util::StreamExt;
 use hyper::Response;
 use hyper::body::Bytes;
-use hyper::header::CONTENT_TYPE;
-use kernel::StopSignal;
 use platform::copy_reply_headers;
 use route::CallEnd;
 use serving::{AttemptTracker, RunnerRecord, SendOutcome};
-use web::{ConnectionCloser, WebExchange, WebResponse, stream_body};
+use web::{ConnectionCloser, WebResponse};
 
 use crate::call::Call;
 use crate::call_answer::{fail_call, forward_answer};
 use crate::call_attempt::{explain_failure, find_runner, may_retry, record_send_failure, unassign};
+use crate::call_forward::{try_forward, unless_forwarded};
 use crate::call_log::{log_send, log_send_failure};
 use crate::context::NodeContext;
 use crate::crash_watch::record_full_answer;
@@ -26,22 +23,11 @@
 use crate::runner_send::{SendFailure, SendPlan, read_full_answer, send_to_runner};
 use crate::stream_backup::{choose_backup, plan_backup_resume};
 use crate::stream_pump::StreamPump;
-use crate::stream_source::{CallerSide, StreamSource};
+use crate::stream_source::{StreamSource, is_event_stream, open_caller_side};
 
-/// Number of chunks buffered for a slow caller.
-const CHUNK_BUFFER: usize = 16;
 /// `Retry-After` if no runner accepted the request.
 const REFUSED_RETRY_AFTER: TimeSpan = TimeSpan::millis(300);
 
-/// Raises its signal when the response body is dropped, as on a caller's disconnect.
-struct DisconnectGuard(StopSignal);
-
-impl Drop for DisconnectGuard {
-    fn drop(&mut self) {
-        self.0.raise();
-    }
-}
-
 /// A runner's answer to a stream call.
 enum RunnerAnswer {
     /// A stream of events, and the response head.
@@ -61,7 +47,12 @@
     let mut tracker = AttemptTracker::new(call.route.kind, call.route.max_attempts);
     let mut tried = Vec::new();
     loop {
-        let (mut ticket, runner) = match find_runner(context, router, &call, &tried).await {
+        if let Some(response) = try_forward(context, &call, &closer).await {
+            return response;
+        }
+        let found = find_runner(context, router, &call, &tried);
+        let Some(found) = unless_forwarded(context, &call, found).await else { continue };
+        let (mut ticket, runner) = match found {
             Ok(found) => found,
             Err(failure) => return fail_call(context, &call, &tracker, None, failure),
         };
@@ -96,6 +87,7 @@
             }
             Err(failure) => {
                 tracker.record_send(failure.outcome);
+                call.forwards.borrow_mut().record_send(failure.outcome);
                 ticket.finish(failure.end);
             }
         }
@@ -114,7 +106,7 @@
 ) -> Result<RunnerAnswer, SendFailure> {
     let left = call.deadline.since(context.now());
     let exchange = send_to_runner(context, call, plan, left).await?;
-    if !is_stream(&exchange) {
+    if !is_event_stream(&exchange.response) {
         let left = call.deadline.since(context.now());
         return read_full_answer(context, exchange, left).await.map(RunnerAnswer::Full);
     }
@@ -141,13 +133,6 @@
     })
 }
 
-fn is_stream(exchange: &WebExchange) -> bool {
-    let content_type = exchange.response.headers().get(CONTENT_TYPE);
-    let is_events = content_type
-        .is_some_and(|content_type| content_type.as_bytes().starts_with(b"text/event-stream"));
-    exchange.response.status().is_success() && is_events
-}
-
 /// Starts the task that relays the stream, and builds the response that it feeds.
 fn start_stream(
     context: &Rc<NodeContext>,
@@ -159,15 +144,7 @@
 ) -> WebResponse {
     let waited = context.now().since(call.arrived);
     context.metrics.first_byte_time.observe(waited.as_seconds());
-    let (sender, receiver) = mpsc::channel(CHUNK_BUFFER);
-    let disconnected = StopSignal::new();
-    let guard = DisconnectGuard(disconnected.clone());
-    let caller = CallerSide { sender, closer, disconnected };
+    let (caller, body) = open_caller_side(closer);
     kernel::spawn(StreamPump::new(context, call, ticket, source, caller).run()).detach();
-    let chunks = receiver.map(move |chunk| {
-        // Moves the guard into the body, so that dropping the body drops it.
-        let _guard = &guard;
-        chunk
-    });
-    head.map(|()| stream_body(chunks))
+    head.map(|()| body)
 }
--- a/crates/node/src/stream_source.rs
+++ b/crates/node/src/stream_source.rs
@@ -4,12 +4,14 @@
 
 use base::prelude::*;
 use futures_channel::mpsc;
+use futures_util::StreamExt;
 use http_body_util::BodyExt;
+use hyper::Response;
 use hyper::body::{Bytes, Incoming};
-use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use hyper::header::{CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING};
 use kernel::StopSignal;
 use serving::RunnerRecord;
-use web::{ConnectionCloser, ConnectionTask, WebExchange};
+use web::{ConnectionCloser, ConnectionTask, WebBody, WebExchange, stream_body};
 
 use crate::runner_send::SendPlan;
 
@@ -86,6 +88,41 @@
     }
 }
 
+/// Number of chunks buffered for a slow caller.
+const CHUNK_BUFFER: usize = 16;
+
+/// Raises its signal when the response body is dropped, as on a caller's disconnect.
+struct DisconnectGuard(StopSignal);
+
+impl Drop for DisconnectGuard {
+    fn drop(&mut self) {
+        self.0.raise();
+    }
+}
+
+/// Whether a response is a stream of events.
+#[must_use]
+pub fn is_event_stream<B>(response: &Response<B>) -> bool {
+    let content_type = response.headers().get(CONTENT_TYPE);
+    let is_events = content_type
+        .is_some_and(|content_type| content_type.as_bytes().starts_with(b"text/event-stream"));
+    response.status().is_success() && is_events
+}
+
+/// Opens the caller's side of a stream: what feeds it, and the body that is fed.
+#[must_use]
+pub fn open_caller_side(closer: ConnectionCloser) -> (CallerSide, WebBody) {
+    let (sender, receiver) = mpsc::channel(CHUNK_BUFFER);
+    let disconnected = StopSignal::new();
+    let guard = DisconnectGuard(disconnected.clone());
+    let chunks = receiver.map(move |chunk| {
+        // Moves the guard into the body, so that dropping the body drops it.
+        let _guard = &guard;
+        chunk
+    });
+    (CallerSide { sender, closer, disconnected }, stream_body(chunks))
+}
+
 /// The caller's side of a stream.
 pub struct CallerSide {
     /// Channel of whole events to the caller.
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -8,6 +8,7 @@
 mod call_input;
 mod fleet_loads;
 mod forecast_codec;
+mod forward_choice;
 mod heartbeat_sections;
 mod input_table;
 mod input_update;
@@ -30,6 +31,9 @@
 pub use attempt::{AttemptTracker, FinalStatus, SendOutcome};
 pub use call_input::CallInput;
 pub use fleet_loads::{FleetLoads, NodeLoad, RunnerLoad, add_load};
+pub use forward_choice::{
+    ForwardFailure, ForwardSource, ForwardState, ForwardTable, ForwardTarget,
+};
 pub use heartbeat_sections::{HeartbeatSections, MAX_SECTION_BYTES, SectionTag};
 pub use input_table::{InputChange, InputTable};
 pub use input_update::{CrashReport, InputUpdate, TimedInput};
