See a cut whose connections hang, and report no load of calls that hang in one

Runners are now asked as soon as requests have gone without any answer for 0.5 s. Other nodes counted such requests as load of the runners: one refused a call as overloaded.

--- a/crates/node/src/router.rs
+++ b/crates/node/src/router.rs
@@ -121,9 +121,13 @@
         RouteTicket::new(router, id, handle, leaving)
     }
 
-    /// Services with calls queued on this node that can still be served in time.
+    /// Services with calls queued on this node that can still be served in time; none while it
+    /// reaches no runner, since the other nodes need not keep room for such calls.
     #[must_use]
     pub fn waiting_services(&self) -> Vec<ServiceName> {
+        if self.context.reach.borrow().is_lost() {
+            return Vec::new();
+        }
         self.dispatcher.state().services_waiting_in_time()
     }
 
@@ -217,18 +221,24 @@
         self.dispatcher.state_mut().wait_retry_after(now, &call.service, model)
     }
 
-    /// Load that the calls of this node put on each runner, including backup copies.
+    /// Load that the calls of this node put on each runner, including backup copies, as the other
+    /// nodes learn it.
+    ///
+    /// While this node reaches no runner, only streams that have begun count: other calls may never
+    /// have arrived, and the other nodes would take the runners for busy until these calls end.
     #[must_use]
     pub fn local_loads(&self) -> Vec<RunnerLoad> {
+        let is_lost = self.context.reach.borrow().is_lost();
+        let counts = |call: &LocalCall| call.started || !is_lost;
         let mut loads: BTreeMap<RunnerId, RunnerLoad> = BTreeMap::new();
-        for load in self.run_loads().iter().chain(&self.copy_loads()) {
+        for load in self.run_loads(counts).iter().chain(&self.copy_loads(counts)) {
             serving::add_load(&mut loads, load);
         }
         loads.into_values().collect()
     }
 
-    /// Load of each call at its runner.
-    fn run_loads(&self) -> Vec<RunnerLoad> {
+    /// Load of each call that `counts` at its runner.
+    fn run_loads(&self, counts: impl Fn(&LocalCall) -> bool) -> Vec<RunnerLoad> {
         let state = self.dispatcher.state();
         let run_load = |(id, call): (&CallId, &LocalCall)| {
             let forecast = state.call_forecast(*id).unwrap_or_default();
@@ -236,18 +246,18 @@
             let runner = call.runner.clone()?;
             Some(RunnerLoad { runner, calls: 1, prefill_tokens, forecast })
         };
-        self.calls.borrow().iter().filter_map(run_load).collect()
+        self.calls.borrow().iter().filter(|(_, call)| counts(call)).filter_map(run_load).collect()
     }
 
-    /// Load of each backup copy at the runner that keeps it.
-    fn copy_loads(&self) -> Vec<RunnerLoad> {
+    /// Load of the backup copy of each call that `counts`, at the runner that keeps it.
+    fn copy_loads(&self, counts: impl Fn(&LocalCall) -> bool) -> Vec<RunnerLoad> {
         let state = self.dispatcher.state();
         let copy_load = |(id, call): (&CallId, &LocalCall)| {
             let forecast = state.call_forecast(*id).unwrap_or_default();
             let runner = call.backup.clone()?;
             Some(RunnerLoad { runner, calls: 0, prefill_tokens: 0, forecast })
         };
-        self.calls.borrow().iter().filter_map(copy_load).collect()
+        self.calls.borrow().iter().filter(|(_, call)| counts(call)).filter_map(copy_load).collect()
     }
 
     /// Dispatcher events with the load of every runner, summed over all nodes.
@@ -255,12 +265,12 @@
         let Some(plan) = self.context.plan() else { return Vec::new() };
         self.peer_loads_changed.set(false);
         let mut loads = self.context.peer_loads.borrow().totals();
-        for load in self.copy_loads() {
+        for load in self.copy_loads(|_| true) {
             serving::add_load(&mut loads, &load);
         }
         let other_forecasts: BTreeMap<RunnerId, MemoryForecast> =
             loads.iter().map(|(runner, load)| (runner.clone(), load.forecast)).collect();
-        for load in self.run_loads() {
+        for load in self.run_loads(|_| true) {
             serving::add_load(&mut loads, &load);
         }
         let sequence = self.load_sequence.get() + 1;
--- a/crates/node/src/runner_send.rs
+++ b/crates/node/src/runner_send.rs
@@ -138,6 +138,7 @@
         backup: plan.backup.as_ref().map(|backup| backup.address),
     };
     let request = build_request(call, &head).map_err(|error| not_sent(&error))?;
+    context.reach.borrow_mut().record_send(context.now());
     let exchange = connection.send(request, limit.min(left)).await;
     let exchange = exchange.map_err(|error| {
         record_runner_failure(context, &runner.runner);
--- a/crates/serving/src/runner_reach.rs
+++ b/crates/serving/src/runner_reach.rs
@@ -2,7 +2,8 @@
 //!
 //! Load pattern: a node is cut off from all runners while callers and the other nodes still reach
 //! it. To it that looks like runners that fail one after the other. Answers of any runner show that
-//! it is not cut off; when none has come beside several failures, some runners are asked at once.
+//! it is not cut off; when none has come beside several failures, or for some time after a request
+//! was sent, some runners are asked at once.
 
 use std::collections::BTreeSet;
 
@@ -12,6 +13,10 @@
 const SUSPECT_RUNNERS: usize = 2;
 /// Time without an answer of any runner after which one failure is enough.
 const SUSPECT_SPAN: TimeSpan = TimeSpan::millis(200);
+/// Time for which requests have been sent without an answer of any runner, until some are asked.
+/// Connections that hang fail only at the deadlines of their calls, and not at all if the callers
+/// leave before.
+const UNANSWERED_SPAN: TimeSpan = TimeSpan::millis(500);
 /// Pause between two checks while the runners are reached.
 const CHECK_PAUSE: TimeSpan = TimeSpan::millis(500);
 /// Pause between two checks while they are not.
@@ -36,6 +41,8 @@
     answered_at: TimePoint,
     /// Runners that have failed since.
     failed: BTreeSet<RunnerId>,
+    /// When the first request was sent since.
+    unanswered_since: Option<TimePoint>,
     /// When the next check may begin.
     next_check: TimePoint,
     is_lost: bool,
@@ -58,9 +65,15 @@
     pub fn record_answer(&mut self, now: TimePoint) -> Option<ReachChange> {
         self.answered_at = now;
         self.failed.clear();
+        self.unanswered_since = None;
         std::mem::take(&mut self.is_lost).then_some(ReachChange::Regained)
     }
 
+    /// Records that a request is sent to a runner.
+    pub fn record_send(&mut self, now: TimePoint) {
+        self.unanswered_since.get_or_insert(now);
+    }
+
     /// Records that a runner could not be connected to, or gave no answer.
     pub fn record_failure(&mut self, runner: &RunnerId) {
         self.failed.insert(runner.clone());
@@ -69,8 +82,11 @@
     /// Whether some runners are to be asked now. That counts as begun.
     pub fn begin_check(&mut self, now: TimePoint) -> bool {
         let is_silent = now.since(self.answered_at) >= SUSPECT_SPAN;
-        let is_suspected =
-            self.failed.len() >= SUSPECT_RUNNERS || !self.failed.is_empty() && is_silent;
+        let is_unanswered =
+            self.unanswered_since.is_some_and(|since| now.since(since) >= UNANSWERED_SPAN);
+        let is_suspected = self.failed.len() >= SUSPECT_RUNNERS
+            || !self.failed.is_empty() && is_silent
+            || is_unanswered;
         if now < self.next_check || !(self.is_lost || is_suspected) {
             return false;
         }
