Refuse soon what neither a runner nor another node takes

While no runner is reached, a call waited for ejected runners until 1 s after its target latency, or tried six connections of 0.4 s. It now waits for 0.5 s and is refused with 503 and Retry-After.

--- a/crates/node/src/call_forward.rs
+++ b/crates/node/src/call_forward.rs
@@ -40,6 +40,9 @@
 /// `Retry-After` of a forwarded call whose outcome is unknown; not sent to the caller.
 const UNKNOWN_RETRY_AFTER: TimeSpan = TimeSpan::millis(300);
 
+/// `Retry-After` if no runner is reached: as long as two checks of whether one is.
+const UNREACHED_RETRY_AFTER: TimeSpan = TimeSpan::millis(500);
+
 /// How an offer of a call to a node ended.
 enum OfferEnd {
     /// The node has responded to the call.
@@ -78,34 +81,53 @@
     }
 }
 
-/// Waits for `serving`, which serves the call here and must not have sent it. Returns `None` if
-/// the call is to be forwarded instead.
-pub async fn unless_forwarded<T>(
+/// Why a call that was not sent is not served here.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ServingStop {
+    /// Another node can take it.
+    Forward,
+    /// No runner was reached in time, and no other node can take it.
+    Unreached,
+}
+
+/// Waits for `serving`, which serves the call here and must not have sent it.
+///
+/// # Errors
+/// Returns [`ServingStop`] if the call is not to be served here, since no runner is reached.
+pub async fn unless_unreached<T>(
     context: &NodeContext,
     call: &Call,
     serving: impl Future<Output = T>,
-) -> Option<T> {
-    if !call.forwards.borrow().may_forward() {
-        return Some(serving.await);
-    }
-    match select(pin!(serving), pin!(wait_for_choice(context, call))).await {
-        Either::Left((served, _)) => Some(served),
-        Either::Right(_) => None,
+) -> Result<T, ServingStop> {
+    match select(pin!(serving), pin!(wait_for_stop(context, call))).await {
+        Either::Left((served, _)) => Ok(served),
+        Either::Right((stop, _)) => Err(stop),
     }
 }
 
-/// Waits until this node reaches no runner and another one can take the call.
-async fn wait_for_choice(context: &NodeContext, call: &Call) {
+/// Waits until this node reaches no runner, and then until another one can take the call or the
+/// call has waited for long enough.
+async fn wait_for_stop(context: &NodeContext, call: &Call) -> ServingStop {
     loop {
         let lost = context.reach_loss.borrow().clone();
         lost.wait().await;
         if has_choice(context, call) {
-            return;
+            return ServingStop::Forward;
+        }
+        let wait_end = context.reach.borrow().wait_end(call.arrived);
+        if wait_end.is_some_and(|end| end <= context.now()) {
+            return ServingStop::Unreached;
         }
         kernel::sleep(CHOICE_INTERVAL.into()).await;
     }
 }
 
+/// The failure of a call that no runner and no other node takes.
+#[must_use]
+pub fn unreached_failure() -> CallFailure {
+    CallFailure { reason: "runners_unreached", retry_after: UNREACHED_RETRY_AFTER }
+}
+
 fn forward_source<'a>(context: &'a NodeContext, call: &Call) -> ForwardSource<'a> {
     ForwardSource { place: &context.settings.place, plan_version: call.plan_version }
 }
--- a/crates/node/src/runner_send.rs
+++ b/crates/node/src/runner_send.rs
@@ -12,7 +12,7 @@
 use web::{SendFault, WebConnection, WebError, WebExchange, full_body};
 
 use crate::call::Call;
-use crate::call_forward::unless_forwarded;
+use crate::call_forward::unless_unreached;
 use crate::context::NodeContext;
 use crate::reach_watch::{record_runner_answer, record_runner_failure};
 use crate::runner_gate::{SendBlock, check_inputs, check_send, record_notice, record_unlimited};
@@ -85,10 +85,8 @@
     limit: TimeSpan,
 ) -> Result<WebExchange, SendFailure> {
     let connect = connect_to_runner(context, call, &plan.runner);
-    let Some(connected) = unless_forwarded(context, call, connect).await else {
-        return Err(SendFailure::withheld("forwarded"));
-    };
-    let connection = connected?;
+    let connected = unless_unreached(context, call, connect).await;
+    let connection = connected.map_err(|_| SendFailure::withheld("runners_unreached"))??;
     send_connected(context, call, plan, connection, limit).await
 }
 
--- a/crates/node/src/stream_call.rs
+++ b/crates/node/src/stream_call.rs
@@ -13,7 +13,7 @@
 use crate::call::Call;
 use crate::call_answer::{fail_call, forward_answer};
 use crate::call_attempt::{explain_failure, find_runner, may_retry, record_send_failure, unassign};
-use crate::call_forward::{try_forward, unless_forwarded};
+use crate::call_forward::{ServingStop, try_forward, unless_unreached, unreached_failure};
 use crate::call_log::{log_send, log_send_failure};
 use crate::context::NodeContext;
 use crate::crash_watch::record_full_answer;
@@ -51,7 +51,11 @@
             return response;
         }
         let found = find_runner(context, router, &call, &tried);
-        let Some(found) = unless_forwarded(context, &call, found).await else { continue };
+        let found = match unless_unreached(context, &call, found).await {
+            Ok(found) => found,
+            Err(ServingStop::Forward) => continue,
+            Err(ServingStop::Unreached) => Err(unreached_failure()),
+        };
         let (mut ticket, runner) = match found {
             Ok(found) => found,
             Err(failure) => return fail_call(context, &call, &tracker, None, failure),
--- a/crates/serving/src/runner_reach.rs
+++ b/crates/serving/src/runner_reach.rs
@@ -19,6 +19,9 @@
 const UNANSWERED_SPAN: TimeSpan = TimeSpan::millis(500);
 /// Pause between two checks while the runners are reached.
 const CHECK_PAUSE: TimeSpan = TimeSpan::millis(500);
+/// Time for which a call waits while no runner is reached and no other node takes it: two checks.
+/// Without this bound it waited for ejected runners until 1 s after its target latency.
+const UNREACHED_WAIT: TimeSpan = TimeSpan::millis(500);
 /// Pause between two checks while they are not.
 const LOST_CHECK_PAUSE: TimeSpan = TimeSpan::millis(250);
 
@@ -45,14 +48,22 @@
     unanswered_since: Option<TimePoint>,
     /// When the next check may begin.
     next_check: TimePoint,
-    is_lost: bool,
+    /// When this node was first known to reach no runner; `None` while it reaches some.
+    lost_at: Option<TimePoint>,
 }
 
 impl RunnerReach {
     /// Whether no runner is reached.
     #[must_use]
     pub fn is_lost(&self) -> bool {
-        self.is_lost
+        self.lost_at.is_some()
+    }
+
+    /// Until when a call that arrived at `arrived`, and that no other node takes, waits for a
+    /// runner to be reached again; `None` while runners are reached.
+    #[must_use]
+    pub fn wait_end(&self, arrived: TimePoint) -> Option<TimePoint> {
+        Some(self.lost_at?.max(arrived) + UNREACHED_WAIT)
     }
 
     /// Whether a runner has answered since `time`.
@@ -66,7 +77,7 @@
         self.answered_at = now;
         self.failed.clear();
         self.unanswered_since = None;
-        std::mem::take(&mut self.is_lost).then_some(ReachChange::Regained)
+        self.lost_at.take().map(|_| ReachChange::Regained)
     }
 
     /// Records that a request is sent to a runner.
@@ -87,19 +98,19 @@
         let is_suspected = self.failed.len() >= SUSPECT_RUNNERS
             || !self.failed.is_empty() && is_silent
             || is_unanswered;
-        if now < self.next_check || !(self.is_lost || is_suspected) {
+        if now < self.next_check || !(self.is_lost() || is_suspected) {
             return false;
         }
-        self.next_check = now + if self.is_lost { LOST_CHECK_PAUSE } else { CHECK_PAUSE };
+        self.next_check = now + if self.is_lost() { LOST_CHECK_PAUSE } else { CHECK_PAUSE };
         true
     }
 
     /// Records that none of the runners that were asked at `begun` has answered.
     pub fn record_silence(&mut self, now: TimePoint, begun: TimePoint) -> Option<ReachChange> {
-        if self.is_lost || self.answered_at >= begun {
+        if self.is_lost() || self.answered_at >= begun {
             return None;
         }
-        self.is_lost = true;
+        self.lost_at = Some(now);
         self.next_check = now + LOST_CHECK_PAUSE;
         Some(ReachChange::Lost { silent: now.since(self.answered_at) })
     }
