--- /dev/null
+++ b/crates/harness/tests/node_forwarding.rs
@@ -0,0 +1,452 @@
+//! Calls that a node which reaches no runner forwards to another node: what reaches the caller
+//! when either of them ends, and which nodes take such calls.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use base::{LogOffset, StoreEra, TimeSpan, VmIncarnation};
+use compio::net::UdpSocket;
+use fakes::platform::{RunnerFake, RunnerFakeSettings};
+use harness::{CallerRequest, HOST, KEY, LinkState, NodeFleet, TestLink, wait_until};
+use http_body_util::BodyExt;
+use hyper::{Request, StatusCode};
+use kernel::StopSignal;
+use rustix::process::Signal;
+use serde_json::json;
+use serving::{
+    HeartbeatSections, InputUpdate, LimitUpdate, PeerHeartbeat, PeerMessage, PlanVersion,
+    encode_message,
+};
+use web::{ServerLimits, WebRequest, WebResponse, WebServer, full_body, send_once, text_reply};
+
+const LIMIT: Duration = Duration::from_secs(10);
+/// The node that is cut off.
+const CUT: usize = 0;
+/// The node that takes its calls.
+const OTHER: usize = 1;
+/// Time that a plain call takes, long enough to end a node meanwhile.
+const WORK: Duration = Duration::from_secs(1);
+/// Time in which work has to end after its caller has left.
+const CANCEL_WITHIN: Duration = Duration::from_millis(500);
+/// Time for a peer exchange of the test itself.
+const EXCHANGE_LIMIT: TimeSpan = TimeSpan::seconds(10);
+
+/// Two nodes before runners whose links can be cut for one of them.
+struct CutFleet {
+    fleet: NodeFleet,
+    desk: RunnerFake,
+    llm: RunnerFake,
+    links: Vec<TestLink>,
+}
+
+impl CutFleet {
+    async fn start(nodes: usize) -> Self {
+        Self::start_with(nodes, WORK).await
+    }
+
+    /// Starts nodes before runners whose plain calls take `work`.
+    async fn start_with(nodes: usize, work: Duration) -> Self {
+        let mut fleet = NodeFleet::start().await.unwrap();
+        let mut links = Vec::new();
+        let mut desk = RunnerFakeSettings::new("desk-1");
+        desk.work = work;
+        let mut llm = RunnerFakeSettings::new("llm-1");
+        llm.events = 100;
+        llm.event_pause = Duration::from_millis(20);
+        let desk = add_runner(&mut fleet, &mut links, "desk", desk).await;
+        let llm = add_runner(&mut fleet, &mut links, "llm", llm).await;
+        for _ in 0..nodes {
+            let number = fleet.add_node().unwrap();
+            let pid = fleet.nodes[number].pid();
+            for link in &links {
+                link.set_for(pid, LinkState::Open);
+            }
+        }
+        fleet.wait_ready().await.unwrap();
+        Self { fleet, desk, llm, links }
+    }
+
+    /// Starts the fleet, and cuts off its first node.
+    async fn start_cut(nodes: usize) -> Self {
+        let cut = Self::start(nodes).await;
+        cut.cut_off(CUT).await;
+        cut
+    }
+
+    fn set(&self, node: usize, state: LinkState) {
+        let pid = self.fleet.nodes[node].pid();
+        self.links.iter().for_each(|link| link.set_for(pid, state));
+    }
+
+    /// Cuts a node off from all runners, and waits until it knows.
+    async fn cut_off(&self, node: usize) {
+        self.set(node, LinkState::Cut);
+        wait_until("the cut to be seen", LIMIT, async || {
+            let _ = self.fleet.send(node, &CallerRequest::lookup("look-cut")).await;
+            (!self.fleet.nodes[node].events("runners_unreached").is_empty()).then_some(())
+        })
+        .await
+        .unwrap();
+    }
+
+    /// Runs of one attempt at the runners.
+    fn runs(&self, attempt: &str) -> usize {
+        let visits = [self.desk.visits(), self.llm.visits()].concat();
+        let own = |visit: &&fakes::platform::RunnerVisit| {
+            visit.ran && visit.request.header("x-dotterelyard-attempt-id") == attempt
+        };
+        visits.iter().filter(own).count()
+    }
+
+    /// Waits until an attempt runs.
+    async fn wait_running(&self, attempt: &str) {
+        wait_until("the call to run", LIMIT, async || (self.runs(attempt) > 0).then_some(()))
+            .await
+            .unwrap();
+    }
+
+    /// Sends a booking to the cut-off node; while it runs at the other one, does `during`.
+    async fn book_during(&self, during: impl Future<Output = ()>) -> harness::WholeAnswer {
+        let request = CallerRequest::booking("b1");
+        let sent = self.fleet.send(CUT, &request);
+        let interfere = async {
+            self.wait_running("b1").await;
+            during.await;
+        };
+        let (answer, ()) = futures_util::future::join(sent, interfere).await;
+        answer
+    }
+
+    /// The same with a stream.
+    async fn stream_during(&self, during: impl Future<Output = ()>) -> harness::WholeAnswer {
+        let request = CallerRequest::stream("s1");
+        let sent = self.fleet.send(CUT, &request);
+        let interfere = async {
+            wait_until("the stream", LIMIT, async || (self.llm.working() > 0).then_some(()))
+                .await
+                .unwrap();
+            compio::time::sleep(Duration::from_millis(300)).await;
+            during.await;
+        };
+        let (answer, ()) = futures_util::future::join(sent, interfere).await;
+        answer
+    }
+
+    /// Sends a call to the peer port of a node, as another node would.
+    async fn forward(&self, node: usize, key: &str, path: &str) -> (StatusCode, Option<String>) {
+        let request = Request::post(path)
+            .header("host", HOST)
+            .header("authorization", format!("Bearer {key}"))
+            .header("x-dotterelyard-attempt-id", "f1")
+            .header("x-dotterelyard-deadline-ms", "3000")
+            .body(full_body("{}"))
+            .unwrap();
+        let peer = self.fleet.peer_address(node);
+        let response = send_once(peer, request, EXCHANGE_LIMIT, EXCHANGE_LIMIT).await.unwrap();
+        let result = response.headers().get("x-yard-forward-result");
+        (response.status(), result.map(|result| result.to_str().unwrap().to_owned()))
+    }
+
+    /// Counts of a node's offers of calls to other nodes, as on its metrics page.
+    async fn offers(&self, node: usize) -> Vec<String> {
+        let page = self.fleet.metrics(node).await;
+        let own = page.lines().filter(|line| line.starts_with("yard_node_forwards_total"));
+        own.map(str::to_owned).collect()
+    }
+
+    fn relayed(&self, node: usize, outcome: &str) -> usize {
+        let lines = self.fleet.nodes[node].events("relayed");
+        lines.iter().filter(|line| line["outcome"] == outcome).count()
+    }
+}
+
+async fn add_runner(
+    fleet: &mut NodeFleet,
+    links: &mut Vec<TestLink>,
+    service: &str,
+    settings: RunnerFakeSettings,
+) -> RunnerFake {
+    let runner = fleet.prepare_runner(settings).await.unwrap();
+    let number = u8::try_from(links.len()).unwrap();
+    let link = fleet.start_runner_link(number, &runner).await.unwrap();
+    let mut entry = runner.entry(service, "north", "ready");
+    entry["address"] = json!(link.address());
+    fleet.store.put_json("keyed.servers", runner.id(), &entry);
+    links.push(link);
+    runner
+}
+
+/// Events of a stream's text.
+fn events(text: &str) -> usize {
+    text.matches("data: token").count()
+}
+
+/// A planned stop of the node that a call was forwarded to must not cut the call off.
+#[test]
+fn a_forwarded_booking_outlives_a_planned_stop_of_the_other_node() {
+    kernel::run(async {
+        let cut = CutFleet::start_cut(2).await;
+        let stop = async { cut.fleet.nodes[OTHER].signal(Signal::TERM).unwrap() };
+        let answer = cut.book_during(stop).await;
+        assert_eq!((answer.status, answer.complete, cut.runs("b1")), (200, true, 1));
+    })
+    .unwrap();
+}
+
+#[test]
+fn a_forwarded_stream_outlives_a_planned_stop_of_the_other_node() {
+    kernel::run(async {
+        let cut = CutFleet::start_cut(2).await;
+        let stop = async { cut.fleet.nodes[OTHER].signal(Signal::TERM).unwrap() };
+        let answer = cut.stream_during(stop).await;
+        assert_eq!((answer.status, answer.complete, events(&answer.text)), (200, true, 100));
+    })
+    .unwrap();
+}
+
+/// A stopping node still serves its callers, but takes no calls of other nodes.
+#[test]
+fn a_stopping_node_takes_no_forwarded_calls() {
+    kernel::run(async {
+        let cut = CutFleet::start(2).await;
+        cut.fleet.nodes[OTHER].signal(Signal::TERM).unwrap();
+        wait_until("the stop", LIMIT, async || {
+            (!cut.fleet.nodes[OTHER].events("stop").is_empty()).then_some(())
+        })
+        .await
+        .unwrap();
+        let (status, result) = cut.forward(OTHER, KEY, "/forward/book/job").await;
+        assert_eq!((status.as_u16(), result.as_deref()), (503, Some("declined")));
+        assert_eq!(cut.runs("f1"), 0);
+    })
+    .unwrap();
+}
+
+/// A booking whose node was killed may have run: it must not be sent again, nor be called not run.
+#[test]
+fn the_outcome_of_a_forwarded_booking_is_unknown_after_a_kill_of_the_other_node() {
+    kernel::run(async {
+        let cut = CutFleet::start_cut(3).await;
+        let kill = async {
+            // Either of the two may have it; with both gone, nobody could send it again unseen.
+            for number in [1, 2] {
+                cut.fleet.nodes[number].signal(Signal::KILL).unwrap();
+            }
+        };
+        let answer = cut.book_during(kill).await;
+        assert_eq!((answer.status, cut.runs("b1")), (502, 1));
+    })
+    .unwrap();
+}
+
+/// A stream that broke off must not look complete.
+#[test]
+fn a_forwarded_stream_breaks_off_after_a_kill_of_the_other_node() {
+    kernel::run(async {
+        let cut = CutFleet::start_cut(2).await;
+        let kill = async { cut.fleet.nodes[OTHER].signal(Signal::KILL).unwrap() };
+        let answer = cut.stream_during(kill).await;
+        assert_eq!((answer.status, answer.complete), (200, false));
+        assert!((1..100).contains(&events(&answer.text)), "{}", answer.text);
+        assert!(answer.text.ends_with("\n\n"), "a partial event: {}", answer.text);
+    })
+    .unwrap();
+}
+
+/// Events must not be held back until the stream has ended.
+#[test]
+fn the_events_of_a_forwarded_stream_arrive_one_by_one() {
+    kernel::run(async {
+        let cut = CutFleet::start_cut(2).await;
+        let response = cut.fleet.open(CUT, &CallerRequest::stream("s1")).await.unwrap();
+        let seal = response.headers().get("x-dotterelyard-server-seal").unwrap();
+        assert_eq!(seal.as_bytes(), b"s.s1");
+        assert!(!response.headers().contains_key("x-yard-forward-result"));
+        let mut body = response.into_body();
+        let (begun, mut text, mut chunks) = (Instant::now(), String::new(), 0);
+        while let Some(frame) = body.frame().await {
+            text.push_str(&String::from_utf8_lossy(&frame.unwrap().into_data().unwrap()));
+            if chunks == 0 {
+                assert!(events(&text) < 20, "{text}");
+            }
+            chunks += 1;
+        }
+        assert_eq!(events(&text), 100);
+        assert!(chunks > 20, "{chunks} chunks in {:?}", begun.elapsed());
+        let relayed = cut.fleet.nodes[CUT].events("relayed");
+        let own: Vec<_> = relayed.iter().filter(|line| line["request"] == "s1").collect();
+        assert_eq!((own.len(), own[0]["outcome"].as_str()), (1, Some("answered")));
+    })
+    .unwrap();
+}
+
+#[test]
+fn a_caller_that_leaves_ends_the_work_of_a_forwarded_stream() {
+    kernel::run(async {
+        let cut = CutFleet::start_cut(2).await;
+        let response = cut.fleet.open(CUT, &CallerRequest::stream("s1")).await.unwrap();
+        assert_eq!(cut.llm.working(), 1);
+        drop(response);
+        wait_until("the run to end", CANCEL_WITHIN, async || {
+            (cut.llm.working() == 0).then_some(())
+        })
+        .await
+        .unwrap();
+    })
+    .unwrap();
+}
+
+/// The connection to the other node, and its connection to the runner, have to close as well.
+#[test]
+fn a_caller_that_leaves_ends_a_forwarded_plain_call() {
+    kernel::run(async {
+        let cut = CutFleet::start_cut(2).await;
+        let request = CallerRequest::booking("b1");
+        let sent = cut.fleet.send(CUT, &request);
+        let _ = compio::time::timeout(Duration::from_millis(400), sent).await;
+        assert_eq!(cut.runs("b1"), 1);
+        wait_until("the requests to end", CANCEL_WITHIN, async || {
+            let other = cut.fleet.metrics(OTHER).await;
+            let own = cut.fleet.metrics(CUT).await;
+            let is_idle = |page: &str| page.contains("yard_node_active 0\n");
+            (is_idle(&other) && is_idle(&own)).then_some(())
+        })
+        .await
+        .unwrap();
+    })
+    .unwrap();
+}
+
+/// A receiving node trusts nothing but the caller's key.
+#[test]
+fn a_forwarded_call_is_authorized_as_if_a_caller_had_sent_it() {
+    kernel::run(async {
+        let cut = CutFleet::start(2).await;
+        let answered = Some("answered".to_owned());
+        let wrong = cut.forward(OTHER, "wrong", "/forward/book/job").await;
+        assert_eq!(wrong, (StatusCode::UNAUTHORIZED, answered.clone()));
+        let unknown = cut.forward(OTHER, KEY, "/forward/nowhere/job").await;
+        assert_eq!(unknown, (StatusCode::NOT_FOUND, answered.clone()));
+        assert_eq!(cut.runs("f1"), 0);
+        let right = cut.forward(OTHER, KEY, "/forward/book/job").await;
+        assert_eq!((right, cut.runs("f1")), ((StatusCode::OK, answered), 1));
+    })
+    .unwrap();
+}
+
+/// Two nodes that are both cut off must not pass a call back and forth.
+#[test]
+fn a_cut_off_node_declines_a_forwarded_call_and_does_not_forward_it() {
+    kernel::run(async {
+        let cut = CutFleet::start_cut(2).await;
+        let before = cut.offers(CUT).await;
+        let (status, result) = cut.forward(CUT, KEY, "/forward/book/job").await;
+        assert_eq!((status.as_u16(), result.as_deref()), (503, Some("declined")));
+        assert_eq!(cut.offers(CUT).await, before);
+        assert_eq!(cut.runs("f1"), 0);
+    })
+    .unwrap();
+}
+
+/// Callers must not be sent to a node that reaches no runner, unless no node is better.
+#[test]
+fn a_cut_off_node_is_out_of_the_lookups_while_others_reach_runners() {
+    kernel::run(async {
+        let cut = CutFleet::start_cut(2).await;
+        let callers = |node| cut.fleet.callers(node).to_string();
+        let expect = async |expected: Vec<String>| {
+            for node in [CUT, OTHER] {
+                wait_until("the look-ups", LIMIT, async || {
+                    let mut found = cut.fleet.lookup(node).await;
+                    found.sort();
+                    (found == expected).then_some(())
+                })
+                .await
+                .unwrap();
+            }
+        };
+        let mut both = vec![callers(CUT), callers(OTHER)];
+        both.sort();
+        expect(vec![callers(OTHER)]).await;
+        cut.cut_off(OTHER).await;
+        expect(both.clone()).await;
+        cut.set(CUT, LinkState::Open);
+        expect(vec![callers(CUT)]).await;
+        cut.set(OTHER, LinkState::Open);
+        expect(both).await;
+    })
+    .unwrap();
+}
+
+/// Sends heartbeats of a ready node at `address` that reaches runners.
+async fn send_heartbeats(address: SocketAddr, era: StoreEra, target: SocketAddr) {
+    let socket = UdpSocket::bind(SocketAddr::new(address.ip(), 0)).await.unwrap();
+    for sequence in 1.. {
+        let heartbeat = PeerHeartbeat {
+            vm: "older".parse().unwrap(),
+            incarnation: VmIncarnation(7),
+            sequence,
+            caller_address: address,
+            peer_address: address,
+            place: "north".parse().unwrap(),
+            ready: true,
+            store_reachable: false,
+            reaches_runners: true,
+            store_era: era,
+            plan_version: Some(PlanVersion(1)),
+            runners_offset: LogOffset(0),
+            loads: Vec::new(),
+            waiting_services: Vec::new(),
+            leaving: Vec::new(),
+            input_update: InputUpdate::default(),
+            limit_update: LimitUpdate::default(),
+            sections: HeartbeatSections::default(),
+        };
+        let bytes = encode_message(&PeerMessage::Heartbeat(Box::new(heartbeat))).unwrap();
+        let _ = socket.send_to(bytes, target).await;
+        compio::time::sleep(Duration::from_millis(100)).await;
+    }
+}
+
+/// Nodes of an older build say that they reach runners, and respond 404 to forwarded calls.
+#[test]
+fn a_build_that_does_not_know_the_path_is_passed_over() {
+    kernel::run(async {
+        let cut = CutFleet::start_with(2, Duration::ZERO).await;
+        let address = SocketAddr::new(cut.fleet.peer_address(9).ip(), 0);
+        let server = WebServer::bind(address, ServerLimits::default()).await.unwrap();
+        let asked: Rc<RefCell<Vec<String>>> = Rc::default();
+        let (older, paths) = (server.address(), Rc::clone(&asked));
+        kernel::spawn(async move {
+            let handler = move |request: WebRequest| {
+                paths.borrow_mut().push(request.uri().path().to_owned());
+                async { no_such_page() }
+            };
+            server.serve(StopSignal::new(), handler).await;
+        })
+        .detach();
+        let era = StoreEra(cut.fleet.store.era());
+        kernel::spawn(send_heartbeats(older, era, cut.fleet.peer_address(CUT))).detach();
+        wait_until("the older node to be known", LIMIT, async || {
+            (cut.fleet.lookup(CUT).await.len() == 3).then_some(())
+        })
+        .await
+        .unwrap();
+        cut.cut_off(CUT).await;
+        let mut answered = 0;
+        for number in 0..16 {
+            let answer = cut.fleet.send(CUT, &CallerRequest::lookup(&format!("l{number}"))).await;
+            answered += usize::from(answer.status == 200);
+        }
+        assert_eq!(answered, 16);
+        let forwarded = asked.borrow().iter().filter(|path| path.starts_with("/forward/")).count();
+        assert_eq!((forwarded, cut.relayed(CUT, "not_run")), (1, 1), "{:?}", asked.borrow());
+    })
+    .unwrap();
+}
+
+fn no_such_page() -> WebResponse {
+    text_reply(StatusCode::NOT_FOUND, "no such page")
+}
--- a/crates/serving/tests/runner_reach.rs
+++ b/crates/serving/tests/runner_reach.rs
@@ -88,3 +88,27 @@
     assert_eq!(first, [0, 49, 1, 2]);
     assert_eq!(ordered.len(), 200);
 }
+
+/// Requests on connections that hang fail late, and not at all if their callers leave.
+#[test]
+fn a_request_without_an_answer_is_looked_into_though_nothing_has_failed() {
+    let mut reach = reaching();
+    reach.record_send(at(2_000));
+    reach.record_send(at(2_400));
+    assert!(!reach.begin_check(at(2_450)));
+    assert!(reach.begin_check(at(2_500)));
+    reach.record_answer(at(2_600));
+    assert!(!reach.begin_check(at(3_500)), "nothing was sent since the answer");
+}
+
+/// A call must not wait long for runners that are not reached, whenever it arrived.
+#[test]
+fn a_call_waits_for_half_a_second_from_the_loss_or_its_arrival_on() {
+    let mut reach = reaching();
+    assert_eq!(reach.wait_end(at(1_000)), None);
+    reach.record_failure(&runner(1));
+    assert!(reach.begin_check(at(1_500)));
+    assert!(reach.record_silence(at(1_750), at(1_500)).is_some());
+    assert_eq!(reach.wait_end(at(1_000)), Some(at(2_250)));
+    assert_eq!(reach.wait_end(at(5_000)), Some(at(5_500)));
+}
--- a/crates/yard/src/request_trace.rs
+++ b/crates/yard/src/request_trace.rs
@@ -9,7 +9,7 @@
 
 /// Why requests end as they do: the reason in the line `end`, what it means, and the kinds of lines
 /// that tell more.
-const REASONS: [(&str, &str, &[&str]); 22] = [
+const REASONS: [(&str, &str, &[&str]); 25] = [
     ("no_runner", "all runners of the service leave or are gone", &["runner_changed"]),
     (
         "runners_wait",
@@ -18,6 +18,13 @@
     ),
     ("overloaded", "no room opened at a runner in time", &["runner_changed"]),
     ("queue_full", "too many requests wait at this node", &["runner_changed"]),
+    (
+        "runners_unreached",
+        "the node reached no runner, and no other node took it",
+        &["runners_unreached"],
+    ),
+    ("forwarded", "the node that it was forwarded to ended it", &["runners_unreached"]),
+    ("node_lost", "the node that it was forwarded to was lost", &["runners_unreached"]),
     ("runners_failed", "every send failed, or no other one was allowed", &["runner_changed"]),
     ("refused", "the scheduler gave it up", &["runner_changed"]),
     (
@@ -117,6 +124,12 @@
             let (runner, waited) = (field("runner"), field("waited_ms"));
             format!("sent to {runner}{backup}, {waited} ms after it came")
         }
+        "relayed" => {
+            let (node, outcome, reason) = (field("node"), field("outcome"), field("reason"));
+            let reason = Some(reason).filter(|reason| !reason.is_empty());
+            let reason = reason.map(|reason| format!(" ({reason})")).unwrap_or_default();
+            format!("forwarded to {node}: {outcome}{reason}")
+        }
         "send_failed" => format!("no answer from {}: {}", field("runner"), field("reason")),
         "runner_crashed" => {
             let (runner, request) = (field("runner"), field("request"));
