Keep a node without other nodes as it was when no runner responds

node_endless_bytes failed once on the bound of 0.5 s: the only node refused calls that wait behind a runner whose responses never end. Only other nodes that reach no runner either show that waiting is of no use.

--- a/crates/node/src/call_forward.rs
+++ b/crates/node/src/call_forward.rs
@@ -114,8 +114,11 @@
         if has_choice(context, call) {
             return ServingStop::Forward;
         }
+        // Without other nodes, nothing tells a cut from runners that respond to nothing.
+        let now = context.now();
+        let has_peers = context.peers.borrow().live(now).next().is_some();
         let wait_end = context.reach.borrow().wait_end(call.arrived);
-        if wait_end.is_some_and(|end| end <= context.now()) {
+        if has_peers && wait_end.is_some_and(|end| end <= now) {
             return ServingStop::Unreached;
         }
         kernel::sleep(CHOICE_INTERVAL.into()).await;
