--- a/crates/harness/tests/node_forwarding.rs
+++ b/crates/harness/tests/node_forwarding.rs
@@ -364,6 +364,40 @@
     .unwrap();
 }
 
+/// Calls that hang at a cut-off node must not count as load of the runners at the other nodes, which
+/// would refuse calls as overloaded.
+#[test]
+fn calls_that_hang_at_a_cut_off_node_take_no_room_at_the_others() {
+    /// Streams that would fill the runner's memory if they had arrived.
+    const STREAMS: usize = 12;
+    kernel::run(async {
+        let cut = CutFleet::start_with(2, Duration::ZERO).await;
+        cut.set(CUT, LinkState::Lost);
+        let long =
+            |name: &str| CallerRequest::stream(name).with("x-dotterelyard-token-count", "4000,400");
+        let hanging =
+            futures_util::future::join_all((0..STREAMS).map(async |number: usize| {
+                cut.fleet.send(CUT, &long(&format!("h{number}"))).await
+            }));
+        let others = async {
+            wait_until("the cut to be seen", LIMIT, async || {
+                (!cut.fleet.nodes[CUT].events("runners_unreached").is_empty()).then_some(())
+            })
+            .await
+            .unwrap();
+            compio::time::sleep(Duration::from_millis(300)).await;
+            let send =
+                async |number: usize| cut.fleet.send(OTHER, &long(&format!("o{number}"))).await;
+            futures_util::future::join_all((0..4).map(send)).await
+        };
+        let (_, answers) = futures_util::future::join(hanging, others).await;
+        for answer in answers {
+            assert_eq!((answer.status, answer.complete), (200, true), "{}", answer.text);
+        }
+    })
+    .unwrap();
+}
+
 /// A receiving node trusts nothing but the caller's key.
 #[test]
 fn a_forwarded_call_is_authorized_as_if_a_caller_had_sent_it() {
