--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -72,7 +72,7 @@
     let observe_era = Rc::new(move |era| observer.observe_store_era(era, "store"));
     let store = StoreClient::new(context.settings.store, STORE_TIMEOUT, observe_era);
     let stop = StopSignal::new();
-    let callers = start_servers(&context, &router, &stop).await?;
+    let servers = start_servers(&context, &router, &stop).await?;
     let link = PeerLink::open(&context, &router).await.map_err(NodeError::PeerSocket)?;
     kernel::spawn(Rc::clone(&link).run_sending(requested_heartbeats)).detach();
     kernel::spawn(Rc::clone(&link).run_receiving()).detach();
@@ -90,18 +90,18 @@
     kernel::wait_for_signals().await?;
     let deadline = drain_requests(&context).await;
     stop.raise();
-    let connections = drain_connections(&context, &callers, deadline).await;
+    let connections = drain_connections(&context, &servers, deadline).await;
     let active = context.active_requests.get();
     tracing::info!(event = "stop", step = "ended", active, connections);
     Ok(())
 }
 
-/// Starts all servers; returns that of the callers.
+/// Starts all servers; returns those that carry calls, of callers and of other nodes.
 async fn start_servers(
     context: &Rc<NodeContext>,
     router: &Rc<RouterService>,
     stop: &StopSignal,
-) -> Result<WebServer> {
+) -> Result<[WebServer; 2]> {
     let settings = &context.settings;
     let connections =
         settings.descriptors.saturating_sub(RESERVED_DESCRIPTORS).max(RESERVED_DESCRIPTORS);
@@ -120,9 +120,24 @@
     let metrics = std::net::SocketAddr::new(settings.ip, settings.metrics_port);
     start_server(context, settings.lookups, stop, answer_lookup).await?;
     start_server(context, settings.readiness, stop, answer_readiness).await?;
-    start_server(context, settings.peer_address(), stop, answer_peer).await?;
+    let peers = start_peer_server(context, router, stop).await?;
     start_server(context, metrics, stop, answer_metrics).await?;
-    Ok(callers)
+    Ok([callers, peers])
+}
+
+/// Starts the HTTP server for other nodes.
+async fn start_peer_server(
+    context: &Rc<NodeContext>,
+    router: &Rc<RouterService>,
+    stop: &StopSignal,
+) -> Result<WebServer> {
+    let address = context.settings.peer_address();
+    let server = WebServer::bind(address, ServerLimits::default()).await?;
+    let (context, router) = (Rc::clone(context), Rc::clone(router));
+    let handler = move |request| answer_peer(Rc::clone(&context), Rc::clone(&router), request);
+    let (peers, stop) = (server.clone(), stop.clone());
+    kernel::spawn(async move { server.serve(stop, handler).await }).detach();
+    Ok(peers)
 }
 
 /// Starts an HTTP server whose handler answers synchronously.
@@ -171,17 +186,18 @@
     }
 }
 
-/// Waits until the callers' connections have closed, but no longer than until `deadline`: a
+/// Waits until the connections of `servers` have closed, but no longer than until `deadline`: a
 /// request has ended before a slow caller has read its answer. Returns how many are still open.
 async fn drain_connections(
     context: &NodeContext,
-    callers: &WebServer,
+    servers: &[WebServer],
     deadline: TimePoint,
 ) -> usize {
-    while callers.open_connections() > 0 && context.now() < deadline {
+    let open = || servers.iter().map(WebServer::open_connections).sum();
+    while open() > 0 && context.now() < deadline {
         kernel::sleep(STOP_POLL.into()).await;
     }
-    callers.open_connections()
+    open()
 }
 
 /// Reloads the settings at each SIGHUP; only the retry budget takes effect without a restart.
--- a/crates/node/src/runner_send.rs
+++ b/crates/node/src/runner_send.rs
@@ -12,6 +12,7 @@
 use web::{SendFault, WebConnection, WebError, WebExchange, full_body};
 
 use crate::call::Call;
+use crate::call_forward::unless_unreached;
 use crate::context::NodeContext;
 use crate::reach_watch::{record_runner_answer, record_runner_failure};
 use crate::runner_gate::{SendBlock, check_inputs, check_send, record_notice, record_unlimited};
@@ -38,15 +39,15 @@
 }
 
 impl SendFailure {
-    /// The runner accepts no requests at present. That says nothing about its health.
-    fn withheld(block: SendBlock) -> Self {
+    /// The request is not sent to this runner at present, which says nothing about its health.
+    fn withheld(reason: &str) -> Self {
         Self {
             outcome: SendOutcome::NotSent,
             end: CallEnd::Cancelled,
             loss: RunnerLoss::NoAnswer,
             runner_gone: false,
             withheld: true,
-            reason: Rc::from(block.as_str()),
+            reason: Rc::from(reason),
         }
     }
 }
@@ -83,7 +84,9 @@
     plan: &SendPlan,
     limit: TimeSpan,
 ) -> Result<WebExchange, SendFailure> {
-    let connection = connect_to_runner(context, call, &plan.runner).await?;
+    let connect = connect_to_runner(context, call, &plan.runner);
+    let connected = unless_unreached(context, call, connect).await;
+    let connection = connected.map_err(|_| SendFailure::withheld("runners_unreached"))??;
     send_connected(context, call, plan, connection, limit).await
 }
 
@@ -96,7 +99,7 @@
     call: &Call,
     runner: &RunnerRecord,
 ) -> Result<WebConnection, SendFailure> {
-    check_send(context, &runner.incarnation()).map_err(SendFailure::withheld)?;
+    check_send(context, &runner.incarnation()).map_err(withheld)?;
     let left = call.deadline.since(context.now());
     let connected = WebConnection::open(runner.address, CONNECT_TIMEOUT.min(left)).await;
     connected.map_err(|error| {
@@ -121,8 +124,8 @@
 ) -> Result<WebExchange, SendFailure> {
     let runner = &plan.runner;
     let incarnation = runner.incarnation();
-    check_send(context, &incarnation).map_err(SendFailure::withheld)?;
-    check_inputs(context, call, &incarnation).map_err(SendFailure::withheld)?;
+    check_send(context, &incarnation).map_err(withheld)?;
+    check_inputs(context, call, &incarnation).map_err(withheld)?;
     let left = call.deadline.since(context.now());
     let head = RunnerHead {
         remaining: left,
@@ -133,6 +136,7 @@
         backup: plan.backup.as_ref().map(|backup| backup.address),
     };
     let request = build_request(call, &head).map_err(|error| not_sent(&error))?;
+    context.reach.borrow_mut().record_send(context.now());
     let exchange = connection.send(request, limit.min(left)).await;
     let exchange = exchange.map_err(|error| {
         record_runner_failure(context, &runner.runner);
@@ -152,6 +156,10 @@
     check_reply(call, exchange)
 }
 
+fn withheld(block: SendBlock) -> SendFailure {
+    SendFailure::withheld(block.as_str())
+}
+
 fn send_failure(error: &WebError) -> SendFailure {
     match error.send_fault() {
         SendFault::NotSent => not_sent(error),
