Name a time to come back to calls that others go before, although a runner accepts one

A call that would be late behind the calls that wait got the earliest end of the runners' waits; if a runner accepted a call again at that moment, there was none, and the time was 0.

Change: the time at which the calls that go first have been sent, spread as before.

Ruled out: the rate limiter itself, whose tests are unchanged.

--- a/crates/route/src/scheduler_refuse.rs
+++ b/crates/route/src/scheduler_refuse.rs
@@ -42,9 +42,9 @@
         if !slots.iter().any(|slot| can_serve(&self.runners[*slot])) {
             return Some((RefusalReason::NoRunner, DEFAULT_RETRY_AFTER));
         }
-        if self.waits_too_long(now, record, self.calls_ahead(record)) {
-            let retry_after = self.wait_retry_after(now, &call.service, call.model.as_ref());
-            return Some((RefusalReason::RunnersWait, retry_after.unwrap_or_default()));
+        let ahead = self.calls_ahead(record);
+        if self.waits_too_long(now, record, ahead) {
+            return Some((RefusalReason::RunnersWait, self.late_retry_after(now, record, ahead)));
         }
         let view = self.services.get(&call.service);
         let queue = self.queues.get(&(call.service.clone(), call.model.clone()))?;
--- a/crates/route/src/scheduler_waits.rs
+++ b/crates/route/src/scheduler_waits.rs
@@ -24,9 +24,28 @@
         service: &ServiceName,
         model: Option<&ModelName>,
     ) -> Option<TimeSpan> {
-        let wait = self.earliest_wait_end(now, service, model)?.since(now);
+        let end = self.earliest_wait_end(now, service, model)?;
+        Some(self.spread_return(end.since(now)))
+    }
+
+    /// Returns after how long the caller may come back whose call waits too long behind `ahead`
+    /// others. A runner may accept a call at this moment, which is then one of the others.
+    pub(crate) fn late_retry_after(
+        &mut self,
+        now: TimePoint,
+        record: &CallRecord,
+        ahead: usize,
+    ) -> TimeSpan {
+        let (service, model) = (&record.call.service, record.call.model.as_ref());
+        let end = self.earliest_wait_end(now, service, model);
+        let end = end.or_else(|| self.accepted_at(now, record, ahead)).unwrap_or(now);
+        self.spread_return(end.since(now))
+    }
+
+    /// Adds a random time to a wait, so that callers do not return together.
+    fn spread_return(&mut self, wait: TimeSpan) -> TimeSpan {
         let spread = TimeSpan(wait.0 / SPREAD_DIVISOR).max(MIN_RETURN_SPREAD);
-        Some(wait + TimeSpan(self.rng.random_range(0..spread.0)))
+        wait + TimeSpan(self.rng.random_range(0..spread.0))
     }
 
     /// Returns when the first of the runners that serve `model` accepts a call; none if one of
--- a/crates/route/tests/runner_limits.rs
+++ b/crates/route/tests/runner_limits.rs
@@ -99,6 +99,26 @@
     assert!(named.iter().all(|wait| *wait > TimeSpan::default()));
 }
 
+/// Guards against a refusal that tells the caller to come back at once: a runner may accept a call
+/// again, but the calls that wait go first.
+#[test]
+fn a_call_behind_others_is_told_when_to_come_back_although_a_runner_accepts_one() {
+    let mut harness = SchedulerHarness::new(1);
+    limit(&mut harness, 0, Some(5.0));
+    for number in 1..=20 {
+        let arrived = due(&harness, number, 1_000);
+        harness.arrive(arrived);
+    }
+    harness.now = harness.now + TimeSpan::millis(400);
+    let arrived = due(&harness, 21, 500);
+    let actions = harness.arrive(arrived);
+    let [RouteAction::Refuse { reason: RefusalReason::RunnersWait, retry_after, .. }] = actions[..]
+    else {
+        panic!("{actions:?}");
+    };
+    assert!(retry_after >= TimeSpan::millis(500), "{retry_after:?}");
+}
+
 #[test]
 fn an_urgent_call_is_not_refused_for_calls_that_it_goes_before() {
     let mut harness = SchedulerHarness::new(1);
