Resume streams of routes with streamResume at another runner

A stream of such a route may run more than once. After a failure of unknown outcome it is sent to another runner, as it is before its first event, and with Last-Event-Id afterwards, within one response, maxAttempts and the retry budget. The first event of a client's resume has to follow the one that it has.

The configuration that nodes exchange carries the field only if it is true; earlier builds skip it, and without it a stream runs at most once.

--- a/crates/fakes/src/platform/mod.rs
+++ b/crates/fakes/src/platform/mod.rs
@@ -11,7 +11,7 @@
 
 pub use endless_bytes::EndlessBytes;
 pub use runner_crash::{CrashLook, CrashTrigger};
-pub use runner_fake::{BrittleRoom, RunnerFake, RunnerFakeSettings, RunnerVisit};
+pub use runner_fake::{BrittleRoom, RunnerFake, RunnerFakeSettings, RunnerVisit, SharedScripts};
 pub use runner_request::RunnerRequest;
 pub use runner_script::RunnerScript;
 pub use store_fake::{StoreCopy, StoreFake, StoreFault};
--- a/crates/fakes/src/platform/runner_answers.rs
+++ b/crates/fakes/src/platform/runner_answers.rs
@@ -84,7 +84,7 @@
     state: &Rc<RunnerState>,
     request: RunnerRequest,
 ) -> bool {
-    let script = state.scripts.borrow_mut().pop_front().unwrap_or_default();
+    let script = state.next_script();
     let expected = request.header("x-dotterelyard-expect-instance").to_owned();
     let resumed = request.headers.get("kv-from").map(|from| {
         let handle = from.rsplit('/').next().unwrap_or_default();
@@ -146,9 +146,10 @@
     let body = format!("answer of {} to {attempt} {}", state.settings.id, request.path);
     let good = whole("200 OK", &signed, &body);
     match script {
-        RunnerScript::Answer | RunnerScript::Refuse | RunnerScript::RefuseEarly => {
-            write(stream, good).await
-        }
+        RunnerScript::Answer
+        | RunnerScript::Refuse
+        | RunnerScript::RefuseEarly
+        | RunnerScript::FromStart => write(stream, good).await,
         RunnerScript::Failure => {
             write(stream, whole("500 Internal Server Error", &signed, "failed")).await
         }
@@ -189,6 +190,9 @@
     request: &RunnerRequest,
     script: RunnerScript,
 ) -> bool {
+    if script == RunnerScript::Close {
+        return false;
+    }
     let attempt = request.header("x-dotterelyard-attempt-id");
     let backed_up = request.headers.contains_key("x-dotterelyard-kv-backup");
     state.memory.begin(attempt, backed_up);
@@ -210,7 +214,9 @@
     if trigger.is_some_and(|trigger| trigger.hits_answer(request)) {
         return crash(state).await;
     }
-    let first = request.header("last-event-id").parse::<u64>().map_or(1, |last| last + 1);
+    let last = request.header("last-event-id").parse::<u64>();
+    let last = last.ok().filter(|_| script != RunnerScript::FromStart);
+    let first = last.map_or(1, |last| last + 1);
     for number in first..=state.settings.events {
         match script {
             RunnerScript::UnframedEmpty => return false,
--- a/crates/fakes/src/platform/runner_fake.rs
+++ b/crates/fakes/src/platform/runner_fake.rs
@@ -68,6 +68,9 @@
     }
 }
 
+/// Scripts that several runners take in turn.
+pub type SharedScripts = Rc<RefCell<VecDeque<RunnerScript>>>;
+
 /// What a brittle runner can bear.
 #[derive(Debug, Clone, Copy)]
 pub struct BrittleRoom {
@@ -82,6 +85,8 @@
     pub(super) settings: RunnerFakeSettings,
     pub(super) memory: StreamMemory,
     pub(super) scripts: RefCell<VecDeque<RunnerScript>>,
+    /// Scripts that it shares with other runners; used after its own.
+    pub(super) shared_scripts: RefCell<SharedScripts>,
     pub(super) visits: RefCell<Vec<RunnerVisit>>,
     /// Streams that are at work.
     pub(super) working: Cell<usize>,
@@ -147,6 +152,7 @@
             settings,
             memory: memory.clone(),
             scripts: RefCell::default(),
+            shared_scripts: RefCell::default(),
             visits: RefCell::default(),
             working: Cell::default(),
             leaving: Cell::default(),
@@ -192,6 +198,12 @@
         self.state.scripts.borrow_mut().extend(scripts);
     }
 
+    /// Requests are answered by these scripts, one each, whichever of the runners that share them
+    /// gets the request.
+    pub fn share_scripts(&self, scripts: &SharedScripts) {
+        *self.state.shared_scripts.borrow_mut() = Rc::clone(scripts);
+    }
+
     /// Further requests are answered as they should be.
     pub fn clear_scripts(&self) {
         self.state.scripts.borrow_mut().clear();
@@ -337,6 +349,13 @@
 }
 
 impl RunnerState {
+    /// The script of the next request.
+    pub(super) fn next_script(&self) -> RunnerScript {
+        let own = self.scripts.borrow_mut().pop_front();
+        let shared = || self.shared_scripts.borrow().borrow_mut().pop_front();
+        own.or_else(shared).unwrap_or_default()
+    }
+
     /// Header lines of every answer.
     pub(super) fn notice(&self) -> String {
         let headers =
--- a/crates/fakes/src/platform/runner_script.rs
+++ b/crates/fakes/src/platform/runner_script.rs
@@ -22,6 +22,8 @@
     UnframedEmpty,
     /// The same, but it ends only with the runner.
     UnframedSilent,
+    /// A stream from its first event, whatever the request has as its last one.
+    FromStart,
     /// Twice.
     Extra,
     /// With bytes that are no answer.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -42,6 +42,7 @@
 mod stream_handover;
 mod stream_move;
 mod stream_pump;
+mod stream_resume;
 mod stream_source;
 
 pub use error::{NodeError, Result};
--- a/crates/node/src/plain_call.rs
+++ b/crates/node/src/plain_call.rs
@@ -31,7 +31,7 @@
     call: &Rc<Call>,
 ) -> WebResponse {
     context.retry_budget.borrow_mut().record_request(context.now(), &call.service);
-    let mut tracker = AttemptTracker::new(call.route.kind, call.route.max_attempts);
+    let mut tracker = AttemptTracker::for_route(&call.route);
     let mut tried = Vec::new();
     let mut error_answer: Option<Response<Bytes>> = None;
     loop {
--- a/crates/node/src/route_ticket.rs
+++ b/crates/node/src/route_ticket.rs
@@ -23,7 +23,8 @@
 
 /// Handle of a call in the call dispatcher and in the router's table.
 pub struct RouteTicket {
-    handle: CallHandle,
+    /// `None` once the end of the attempt was reported.
+    handle: Option<CallHandle>,
     guard: CallGuard,
     leaving: StopSignal,
 }
@@ -36,12 +37,15 @@
         handle: CallHandle,
         leaving: StopSignal,
     ) -> Self {
-        Self { handle, guard: CallGuard { router, id }, leaving }
+        Self { handle: Some(handle), guard: CallGuard { router, id }, leaving }
     }
 
     /// Waits for the next command of the dispatcher.
     pub async fn next_command(&mut self) -> RouteCommand {
-        self.handle.next_command().await
+        match &mut self.handle {
+            Some(handle) => handle.next_command().await,
+            None => std::future::pending().await,
+        }
     }
 
     /// The dispatcher's view of a runner's load, for the log.
@@ -60,7 +64,9 @@
             }
             call.tokens = prompt.0.saturating_add(produced);
         }
-        self.handle.report_progress(TokenIndex(produced.saturating_sub(1)));
+        if let Some(handle) = &self.handle {
+            handle.report_progress(TokenIndex(produced.saturating_sub(1)));
+        }
     }
 
     /// Signal that is raised when the call's runner announces that it leaves.
@@ -111,7 +117,15 @@
     }
 
     /// Reports to the dispatcher how the attempt ended.
-    pub fn finish(self, end: CallEnd) {
-        self.handle.end(end);
+    pub fn finish(mut self, end: CallEnd) {
+        self.end(end);
+    }
+
+    /// Like [`Self::finish`]; the call takes no place at its runner from then on.
+    pub fn end(&mut self, end: CallEnd) {
+        if let Some(handle) = self.handle.take() {
+            handle.end(end);
+            self.guard.router.calls.borrow_mut().remove(&self.guard.id);
+        }
     }
 }
--- a/crates/node/src/runner_send.rs
+++ b/crates/node/src/runner_send.rs
@@ -58,6 +58,8 @@
     pub runner: RunnerRecord,
     /// Memory of an earlier part of the run to resume from.
     pub resume: Option<ResumeSource>,
+    /// Id of the last event that was forwarded, for a run that resumes without that memory.
+    pub last_event_id: Option<u64>,
     /// The runner that is to keep a copy of the run's memory.
     pub backup: Option<RunnerRecord>,
 }
@@ -66,7 +68,7 @@
     /// A send that starts a new run.
     #[must_use]
     pub fn first(runner: RunnerRecord, backup: Option<RunnerRecord>) -> Self {
-        Self { runner, resume: None, backup }
+        Self { runner, resume: None, last_event_id: None, backup }
     }
 }
 
@@ -130,6 +132,7 @@
         workspace: call.workspace.as_ref(),
         priority: call.priority,
         resume: plan.resume.as_ref(),
+        last_event_id: plan.last_event_id,
         backup: plan.backup.as_ref().map(|backup| backup.address),
     };
     let request = build_request(call, &head).map_err(|error| not_sent(&error))?;
--- a/crates/node/src/stream_call.rs
+++ b/crates/node/src/stream_call.rs
@@ -25,7 +25,8 @@
 use crate::runner_probe::probe_lost_runner;
 use crate::runner_send::{SendFailure, SendPlan, read_full_answer, send_to_runner};
 use crate::stream_backup::{choose_backup, plan_backup_resume};
-use crate::stream_pump::StreamPump;
+use crate::stream_pump::{StreamParts, StreamPump};
+use crate::stream_resume::StreamAttempts;
 use crate::stream_source::{CallerSide, StreamSource};
 
 /// Number of chunks buffered for a slow caller.
@@ -43,7 +44,7 @@
 }
 
 /// A runner's answer to a stream call.
-enum RunnerAnswer {
+pub(crate) enum RunnerAnswer {
     /// A stream of events, and the response head.
     Stream(Box<StreamSource>, Response<()>),
     /// A complete answer that is not a stream.
@@ -58,12 +59,13 @@
     closer: ConnectionCloser,
 ) -> WebResponse {
     context.retry_budget.borrow_mut().record_request(context.now(), &call.service);
-    let mut tracker = AttemptTracker::new(call.route.kind, call.route.max_attempts);
+    let mut tracker = AttemptTracker::for_route(&call.route);
     let mut tried = Vec::new();
+    let mut error_answer: Option<Response<Bytes>> = None;
     loop {
         let (mut ticket, runner) = match find_runner(context, router, &call, &tried).await {
             Ok(found) => found,
-            Err(failure) => return fail_call(context, &call, &tracker, None, failure),
+            Err(failure) => return fail_call(context, &call, &tracker, error_answer, failure),
         };
         let backup = choose_backup(context, &call, &ticket);
         let backup_id = backup.as_ref().map(|backup| &backup.runner);
@@ -87,12 +89,18 @@
         }
         match outcome {
             Ok(RunnerAnswer::Stream(source, head)) => {
-                return start_stream(context, call, closer, ticket, *source, head);
+                let attempts = StreamAttempts { tracker, tried };
+                let pump = StreamParts { call, ticket, source: *source, attempts };
+                return start_stream(context, router, pump, closer, head);
             }
             Ok(RunnerAnswer::Full(answer)) => {
                 ticket.finish(CallEnd::Finished);
                 record_full_answer(context, &call, &answer);
-                return forward_answer(context, &call, &answer);
+                if !answer.status().is_server_error() || !call.route.may_repeat() {
+                    return forward_answer(context, &call, &answer);
+                }
+                tracker.record_send(SendOutcome::Failed);
+                error_answer = Some(answer);
             }
             Err(failure) => {
                 tracker.record_send(failure.outcome);
@@ -101,13 +109,13 @@
         }
         if !may_retry(context, &call, &tracker) {
             let failure = explain_failure(router, &call, REFUSED_RETRY_AFTER);
-            return fail_call(context, &call, &tracker, None, failure);
+            return fail_call(context, &call, &tracker, error_answer, failure);
         }
     }
 }
 
 /// Sends the call and reads the head of a stream, or the whole of any other answer.
-async fn request_answer(
+pub(crate) async fn request_answer(
     context: &NodeContext,
     call: &Call,
     plan: &SendPlan,
@@ -151,19 +159,18 @@
 /// Starts the task that relays the stream, and builds the response that it feeds.
 fn start_stream(
     context: &Rc<NodeContext>,
-    call: Rc<Call>,
+    router: &Rc<RouterService>,
+    parts: StreamParts,
     closer: ConnectionCloser,
-    ticket: RouteTicket,
-    source: StreamSource,
     head: Response<()>,
 ) -> WebResponse {
-    let waited = context.now().since(call.arrived);
+    let waited = context.now().since(parts.call.arrived);
     context.metrics.first_byte_time.observe(waited.as_seconds());
     let (sender, receiver) = mpsc::channel(CHUNK_BUFFER);
     let disconnected = StopSignal::new();
     let guard = DisconnectGuard(disconnected.clone());
     let caller = CallerSide { sender, closer, disconnected };
-    kernel::spawn(StreamPump::new(context, call, ticket, source, caller).run()).detach();
+    kernel::spawn(StreamPump::new(context, router, parts, caller).run()).detach();
     let chunks = receiver.map(move |chunk| {
         // Moves the guard into the body, so that dropping the body drops it.
         let _guard = &guard;
--- a/crates/node/src/stream_move.rs
+++ b/crates/node/src/stream_move.rs
@@ -10,7 +10,6 @@
 use platform::ResumeSource;
 use serving::{RunnerLoss, RunnerRecord};
 
-use crate::call_log::RequestOutcome;
 use crate::crash_watch::find_blocked_input;
 use crate::metrics::OutcomeLabels;
 use crate::runner_probe::probe_lost_runner;
@@ -66,7 +65,7 @@
         if self.may_resume() {
             return self.resume_from_backup().await;
         }
-        PumpStep::End(RequestOutcome::Interrupted, "runner_lost")
+        self.run_elsewhere("runner_lost").await
     }
 
     /// Whether a stream that has lost its source can go on from the backup copy.
@@ -121,9 +120,9 @@
             HandoverStep::Unreached => {
                 // Nothing was sent: the copy is still there.
                 self.source.backup = Some(backup);
-                self.schedule_move(true)
+                self.schedule_move(true).await
             }
-            HandoverStep::Refused => PumpStep::End(RequestOutcome::Interrupted, "resume_refused"),
+            HandoverStep::Refused => self.run_elsewhere("resume_refused").await,
         }
     }
 
@@ -170,16 +169,16 @@
                 self.log_send_failure(&error.to_string());
                 // A run that the source no longer has is finished; its last events are in
                 // transit.
-                self.schedule_move(!error.is_not_found())
+                self.schedule_move(!error.is_not_found()).await
             }
         }
     }
 
     /// Schedules the next try after one that failed, unless the run is finished. A stream that
     /// has lost its source ends if it has no copy either.
-    fn schedule_move(&mut self, still_runs: bool) -> PumpStep {
+    async fn schedule_move(&mut self, still_runs: bool) -> PumpStep {
         if self.source.ended && !self.may_resume() {
-            return PumpStep::End(RequestOutcome::Interrupted, "move_failed");
+            return self.run_elsewhere("move_failed").await;
         }
         let has_next = still_runs || self.source.ended;
         self.source.switch_at = has_next.then(|| self.context.now() + MOVE_RETRY_PAUSE);
@@ -194,7 +193,8 @@
             last_event_id: None,
         };
         let backup = choose_backup(&self.context, &self.call, &self.ticket);
-        let plan = SendPlan { runner: target.clone(), resume: Some(resume), backup };
+        let plan =
+            SendPlan { runner: target.clone(), resume: Some(resume), last_event_id: None, backup };
         match self.hand_over(plan, "moved").await {
             HandoverStep::Switched => {
                 copy.keep();
@@ -207,7 +207,7 @@
                 self.pending_move = Some(PendingMove::again(target, copy));
                 PumpStep::Continue
             }
-            HandoverStep::Unreached | HandoverStep::Refused => self.schedule_move(true),
+            HandoverStep::Unreached | HandoverStep::Refused => self.schedule_move(true).await,
         }
     }
 
--- a/crates/node/src/stream_pump.rs
+++ b/crates/node/src/stream_pump.rs
@@ -15,8 +15,10 @@
 use crate::context::{NodeContext, RequestGuard};
 use crate::crash_watch::{PROOF_SPAN, record_answer};
 use crate::route_ticket::RouteTicket;
+use crate::router::RouterService;
 use crate::stream_copy::RunCopy;
 use crate::stream_move::{MAX_SWITCH_TRIES, PendingMove};
+use crate::stream_resume::StreamAttempts;
 use crate::stream_source::{CallerSide, StreamPace, StreamSource};
 
 /// Inputs that the task reacts to.
@@ -42,11 +44,26 @@
     End(RequestOutcome, &'static str),
 }
 
+/// A stream whose response head has arrived.
+pub struct StreamParts {
+    /// The request.
+    pub call: Rc<Call>,
+    /// Its place at the runner.
+    pub ticket: RouteTicket,
+    /// The runner's answer.
+    pub source: StreamSource,
+    /// Its earlier sends.
+    pub attempts: StreamAttempts,
+}
+
 /// Relays one stream from its runner to its caller.
 pub struct StreamPump {
     pub(crate) context: Rc<NodeContext>,
+    pub(crate) router: Rc<RouterService>,
     pub(crate) call: Rc<Call>,
     pub(crate) ticket: RouteTicket,
+    /// Sends that failed; the current source is not among them.
+    pub(crate) attempts: StreamAttempts,
     pub(crate) source: StreamSource,
     pub(crate) scanner: StreamScanner,
     pub(crate) caller: CallerSide,
@@ -62,21 +79,25 @@
 }
 
 impl StreamPump {
-    /// Creates the task of a stream whose response head has arrived from `source`.
+    /// Creates the task of a stream.
     #[must_use]
     pub fn new(
         context: &Rc<NodeContext>,
-        call: Rc<Call>,
-        ticket: RouteTicket,
-        source: StreamSource,
+        router: &Rc<RouterService>,
+        parts: StreamParts,
         caller: CallerSide,
     ) -> Self {
+        let StreamParts { call, ticket, source, attempts } = parts;
+        // The events of a resume by the client follow those that it has.
+        let resumed_after = call.head.last_event_id.filter(|_| call.route.stream_resume);
         Self {
             context: Rc::clone(context),
+            router: Rc::clone(router),
             call,
             ticket,
+            attempts,
             source,
-            scanner: StreamScanner::default(),
+            scanner: StreamScanner::after(resumed_after),
             caller,
             pending_move: None,
             changes: 0,
--- a/crates/serving/src/attempt.rs
+++ b/crates/serving/src/attempt.rs
@@ -2,7 +2,7 @@
 //!
 //! No other code decides between "not run" and "unknown".
 
-use crate::RouteKind;
+use crate::{RouteKind, RouteRule};
 
 /// Result of sending a request to a runner once.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -59,6 +59,13 @@
         }
     }
 
+    /// Creates a tracker for a request on `route` that has not been sent.
+    #[must_use]
+    pub fn for_route(route: &RouteRule) -> Self {
+        let kind = if route.may_repeat() { RouteKind::Idempotent } else { route.kind };
+        Self::new(kind, route.max_attempts)
+    }
+
     /// Records the outcome of one send.
     pub fn record_send(&mut self, outcome: SendOutcome) {
         match outcome {
--- a/crates/serving/src/plan.rs
+++ b/crates/serving/src/plan.rs
@@ -37,7 +37,8 @@
     Idempotent,
     /// A request is executed at most once.
     AtMostOnce,
-    /// A request is executed at most once, and its answer is a stream of events.
+    /// The answer is a stream of events. A request is executed at most once, unless the route's
+    /// streams can be resumed.
     Stream,
 }
 
@@ -76,9 +77,29 @@
     /// Whether requests need no API key.
     #[serde(rename = "public")]
     pub is_public: bool,
+    /// Whether a stream may run again and go on at another runner. Left out while it is false, so
+    /// that the encoding is that of earlier builds, which ignore the field and do not send it.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub stream_resume: bool,
+}
+
+/// Whether a field with a default of false is left out of the encoding.
+#[expect(clippy::trivially_copy_pass_by_ref, reason = "the signature that serde calls")]
+fn is_false(value: &bool) -> bool {
+    !*value
 }
 
 impl RouteRule {
+    /// Whether a request may be executed again after any failure.
+    #[must_use]
+    pub fn may_repeat(&self) -> bool {
+        match self.kind {
+            RouteKind::Idempotent => true,
+            RouteKind::AtMostOnce => false,
+            RouteKind::Stream => self.stream_resume,
+        }
+    }
+
     /// Picks a service by weight. `draw` is a random number, uniform in `0..1`.
     #[must_use]
     pub fn pick_service(&self, draw: f64) -> Option<&ServiceName> {
--- a/crates/serving/src/stream_scan.rs
+++ b/crates/serving/src/stream_scan.rs
@@ -35,6 +35,13 @@
 }
 
 impl StreamScanner {
+    /// Scanner of a stream whose next event follows `last_id`; any id may come first if that is
+    /// `None`.
+    #[must_use]
+    pub fn after(last_id: Option<u64>) -> Self {
+        Self { last_id, ..Self::default() }
+    }
+
     /// Id of the last complete event.
     #[must_use]
     pub fn last_id(&self) -> Option<u64> {
--- a/crates/serving/tests/attempt.rs
+++ b/crates/serving/tests/attempt.rs
@@ -1,7 +1,8 @@
 //! Checks the final status and the retry decision of a request for every sequence of send
 //! outcomes.
 
-use serving::{AttemptTracker, FinalStatus, RouteKind, SendOutcome};
+use base::prelude::*;
+use serving::{AttemptTracker, FinalStatus, RouteKind, RouteRule, SendOutcome};
 
 const OUTCOMES: [SendOutcome; 4] =
     [SendOutcome::NotSent, SendOutcome::Refused, SendOutcome::Failed, SendOutcome::Unknown];
@@ -86,3 +87,36 @@
         assert_eq!(tracker.final_status(), FinalStatus::NotRun);
     }
 }
+
+/// Guards against a second run of a booking, or of a stream without `streamResume`, and against a
+/// resumable stream that is given up after its first failure.
+#[test]
+fn of_the_streams_only_resumable_ones_are_repeated() {
+    for (kind, stream_resume, repeats) in [
+        (RouteKind::Idempotent, false, true),
+        (RouteKind::AtMostOnce, false, false),
+        (RouteKind::AtMostOnce, true, false),
+        (RouteKind::Stream, false, false),
+        (RouteKind::Stream, true, true),
+    ] {
+        let route = RouteRule {
+            name: Arc::from("route"),
+            host: Arc::from("h"),
+            prefix: Arc::from("/"),
+            targets: Vec::new(),
+            kind,
+            timeout: TimeSpan::seconds(1),
+            target_latency: TimeSpan::seconds(1),
+            priority: 1,
+            max_attempts: 2,
+            is_public: true,
+            stream_resume,
+        };
+        assert_eq!(route.may_repeat(), repeats, "{kind:?} {stream_resume}");
+        let mut tracker = AttemptTracker::for_route(&route);
+        tracker.record_send(SendOutcome::Unknown);
+        assert_eq!(tracker.may_send(), repeats, "{kind:?} {stream_resume}");
+        tracker.record_send(SendOutcome::Unknown);
+        assert!(!tracker.may_send(), "{kind:?} {stream_resume}");
+    }
+}
--- a/crates/serving/tests/plan.rs
+++ b/crates/serving/tests/plan.rs
@@ -19,6 +19,7 @@
         priority: 0,
         max_attempts: 2,
         is_public: false,
+        stream_resume: false,
     }
 }
 
--- a/crates/serving/tests/stream_scan.rs
+++ b/crates/serving/tests/stream_scan.rs
@@ -57,3 +57,15 @@
     assert_eq!(scanner.push(b"id: 2\ndata: half\n\n").unwrap(), b"id: 2\ndata: half\n\n");
     assert_eq!(scanner.last_id(), Some(2));
 }
+
+/// Guards against a resumed stream whose first event the caller already has, or that leaves one
+/// out.
+#[test]
+fn the_first_event_of_a_resumed_stream_follows_the_last_one_that_was_received() {
+    assert_eq!(StreamScanner::after(Some(5)).push(b"id: 6\n\n").unwrap(), b"id: 6\n\n");
+    for (found, event) in [(1, "id: 1\n\n"), (5, "id: 5\n\n"), (7, "id: 7\n\n")] {
+        let outcome = StreamScanner::after(Some(5)).push(event.as_bytes());
+        assert_eq!(outcome, Err(StreamError::OutOfOrder { last: 5, found }));
+    }
+    assert!(StreamScanner::after(None).push(b"id: 7\n\n").is_ok());
+}
--- a/crates/serving/tests/transfer_pacer.rs
+++ b/crates/serving/tests/transfer_pacer.rs
@@ -40,6 +40,7 @@
             priority: 1,
             max_attempts: 2,
             is_public: false,
+            stream_resume: false,
         };
         routes.entry(rule.host.clone()).or_default().insert(rule.prefix.clone(), Rc::new(rule));
     }
--- a/crates/serving/tests/wire_names.rs
+++ b/crates/serving/tests/wire_names.rs
@@ -10,9 +10,8 @@
     ServicePlan, ServingPlan, TenantRule,
 };
 
-#[test]
-fn a_plan_keeps_its_json_names() {
-    let rule = RouteRule {
+fn rule() -> RouteRule {
+    RouteRule {
         name: Arc::from("route"),
         host: Arc::from("h"),
         prefix: Arc::from("/"),
@@ -23,7 +22,12 @@
         priority: 1,
         max_attempts: 2,
         is_public: true,
-    };
+        stream_resume: false,
+    }
+}
+
+#[test]
+fn a_plan_keeps_its_json_names() {
     let engine = EngineLimits {
         slots: 8,
         kv_capacity: TokenCount(100),
@@ -40,7 +44,7 @@
         version: PlanVersion(1),
         routes: BTreeMap::from([(
             Arc::from("h"),
-            BTreeMap::from([(Arc::from("/"), Rc::new(rule))]),
+            BTreeMap::from([(Arc::from("/"), Rc::new(rule()))]),
         )]),
         services: BTreeMap::from([("llm".parse().unwrap(), service)]),
         keys: Some(BTreeMap::from([(Arc::from("key"), tenant)])),
@@ -66,3 +70,18 @@
     };
     insta::assert_json_snapshot!(record);
 }
+
+/// Guards against a configuration that one of two builds cannot read: earlier ones do not send the
+/// field, and get no field that is false.
+#[test]
+fn a_route_can_be_exchanged_with_builds_that_do_not_know_stream_resume() {
+    let mut json = serde_json::to_value(rule()).unwrap();
+    assert!(json.get("stream_resume").is_none(), "{json}");
+    assert_eq!(serde_json::from_value::<RouteRule>(json.clone()).unwrap(), rule());
+    let resumable = RouteRule { kind: RouteKind::Stream, stream_resume: true, ..rule() };
+    let sent = serving::encode_state(&resumable).unwrap();
+    assert_eq!(serving::decode_state::<RouteRule>(&sent).unwrap(), resumable);
+    // A field of a later build is skipped, as an earlier build skips this one.
+    json["field_of_a_later_build"] = serde_json::json!([1]);
+    assert_eq!(serde_json::from_value::<RouteRule>(json).unwrap(), rule());
+}
