Send slow requests that may be repeated to a second runner

With hedge_share above 0, an idempotent plain call, or a stream with streamResume before its first event, is sent to a second runner once its first send is slower than nearly all of its route. The first whole response wins, and the other connection is closed at once; its ticket ends as cancelled, so that it counts neither as a failure nor as a crash.

hedge_share takes effect on SIGHUP; by default it is 0 and the sends take the path that they took before.

--- a/crates/fakes/src/platform/runner_answers.rs
+++ b/crates/fakes/src/platform/runner_answers.rs
@@ -1,10 +1,13 @@
 //! The answers of a runner, written byte by byte.
 
 use std::fmt::Write as _;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use compio::io::AsyncRead;
 use compio::net::TcpStream;
+use futures_util::future::{Either, select};
 use serde_json::{Value, json};
 
 use super::endless_bytes::EndlessBytes;
@@ -14,6 +17,8 @@
 
 /// Time from the begin of a run, or from the head of its answer, to the crash that it brings about.
 const CRASH_AFTER: Duration = Duration::from_millis(20);
+/// Time until a late answer, or a late end of a connection.
+const LATE_AFTER: Duration = Duration::from_millis(200);
 
 pub(super) async fn answer_without_end(
     stream: &mut TcpStream,
@@ -113,7 +118,11 @@
         return write(stream, whole("503 Service Unavailable", &headers, "")).await;
     }
     if script == RunnerScript::Silent {
-        return std::future::pending().await;
+        return wait_closed(stream, state).await;
+    }
+    if script == RunnerScript::CloseLate {
+        compio::time::sleep(LATE_AFTER).await;
+        return false;
     }
     let trigger = state.crash_trigger.borrow().clone();
     if trigger.is_some_and(|trigger| trigger.hits_run(&request)) {
@@ -123,11 +132,26 @@
         return answer_events(stream, state, &request, script).await;
     }
     state.plain_working.set(state.plain_working.get() + 1);
-    compio::time::sleep(state.settings.work).await;
+    let is_late = matches!(script, RunnerScript::AnswerLate | RunnerScript::FailureLate);
+    let work = if is_late { LATE_AFTER } else { state.settings.work };
+    let closed = !work.is_zero() && {
+        let (work, closed) = (pin!(compio::time::sleep(work)), pin!(wait_closed(stream, state)));
+        matches!(select(work, closed).await, Either::Right(_))
+    };
     state.plain_working.set(state.plain_working.get() - 1);
+    if closed {
+        return false;
+    }
     answer_plain(stream, state, &request, script).await
 }
 
+/// Waits until the connection is closed from outside; it does not go on then.
+async fn wait_closed(stream: &mut TcpStream, state: &RunnerState) -> bool {
+    let _ = stream.read(Vec::with_capacity(1)).await;
+    state.abandoned.borrow_mut().push(Instant::now());
+    false
+}
+
 /// Crashes a moment after it has begun to work; the connection is ended from outside.
 async fn crash(state: &RunnerState) -> bool {
     compio::time::sleep(CRASH_AFTER).await;
@@ -147,10 +171,11 @@
     let good = whole("200 OK", &signed, &body);
     match script {
         RunnerScript::Answer
+        | RunnerScript::AnswerLate
         | RunnerScript::Refuse
         | RunnerScript::RefuseEarly
         | RunnerScript::FromStart => write(stream, good).await,
-        RunnerScript::Failure => {
+        RunnerScript::Failure | RunnerScript::FailureLate => {
             write(stream, whole("500 Internal Server Error", &signed, "failed")).await
         }
         RunnerScript::Truncate => {
@@ -178,6 +203,7 @@
         }
         RunnerScript::Silent => std::future::pending().await,
         RunnerScript::Close
+        | RunnerScript::CloseLate
         | RunnerScript::UnframedTruncate
         | RunnerScript::UnframedEmpty
         | RunnerScript::UnframedSilent => false,
@@ -220,7 +246,7 @@
     for number in first..=state.settings.events {
         match script {
             RunnerScript::UnframedEmpty => return false,
-            RunnerScript::UnframedSilent => return std::future::pending().await,
+            RunnerScript::UnframedSilent => return wait_closed(stream, state).await,
             _ => (),
         }
         if script == RunnerScript::UnframedTruncate && number == state.settings.events / 2 {
--- a/crates/fakes/src/platform/runner_fake.rs
+++ b/crates/fakes/src/platform/runner_fake.rs
@@ -99,6 +99,8 @@
     pub(super) brittle: Cell<Option<BrittleRoom>>,
     /// Plain calls that are at work.
     pub(super) plain_working: Cell<usize>,
+    /// When connections were closed from outside before they were answered.
+    pub(super) abandoned: RefCell<Vec<Instant>>,
     /// When it turned requests away for want of room.
     pub(super) turned_away: RefCell<Vec<Instant>>,
     /// Value of `Retry-After` with which it turns all requests away.
@@ -160,6 +162,7 @@
             limit_header: RefCell::default(),
             brittle: Cell::default(),
             plain_working: Cell::default(),
+            abandoned: RefCell::default(),
             turned_away: RefCell::default(),
             retry_after: RefCell::default(),
             moves: RefCell::default(),
@@ -227,6 +230,12 @@
         self.state.releases.borrow().clone()
     }
 
+    /// When connections were closed from outside while it worked on a plain call, or was silent.
+    #[must_use]
+    pub fn abandoned(&self) -> Vec<Instant> {
+        self.state.abandoned.borrow().clone()
+    }
+
     /// Requests that it ran.
     #[must_use]
     pub fn runs(&self) -> usize {
--- a/crates/fakes/src/platform/runner_script.rs
+++ b/crates/fakes/src/platform/runner_script.rs
@@ -6,8 +6,12 @@
     /// As it should be.
     #[default]
     Answer,
+    /// As it should be, but a plain call takes 200 ms.
+    AnswerLate,
     /// With a failure of its own.
     Failure,
+    /// The same, after 200 ms for a plain call.
+    FailureLate,
     /// With the promise that it was not run.
     Refuse,
     /// With the promise, before the body was read.
@@ -38,4 +42,6 @@
     Silent,
     /// Not at all; the connection ends.
     Close,
+    /// Not at all; the connection ends after 200 ms.
+    CloseLate,
 }
--- /dev/null
+++ b/crates/harness/tests/node_hedged_calls.rs
@@ -0,0 +1,388 @@
+//! Second sends of slow requests: the first whole response reaches the caller, the other send is
+//! ended at once, and nothing is sent twice that may not be.
+
+use std::time::{Duration, Instant};
+
+use fakes::platform::{RunnerFake, RunnerFakeSettings, RunnerScript, SharedScripts};
+use harness::{CallerRequest, NodeFleet, config, wait_until};
+use serde_json::{Value, json};
+
+/// Sends of a route after which a slow one is told from others.
+const LEARNED: usize = 100;
+/// Time within which the connection of a send that lost is closed.
+const CLOSE_LIMIT: Duration = Duration::from_millis(500);
+/// Time in which runners report their load several times.
+const REPORT_SPAN: Duration = Duration::from_millis(500);
+/// Time for a change that a test waits for.
+const LIMIT: Duration = Duration::from_secs(5);
+
+fn plan(resume: bool, attempts: u32) -> Value {
+    let mut plan = config(2);
+    for route in 0..3 {
+        plan["routes"][route]["maxAttempts"] = json!(attempts);
+    }
+    plan["routes"][2]["streamResume"] = json!(resume);
+    plan
+}
+
+struct Site {
+    fleet: NodeFleet,
+    runners: Vec<RunnerFake>,
+    scripts: SharedScripts,
+}
+
+impl Site {
+    /// One node and two runners of `service`.
+    async fn start(service: &str, plan: &Value, sets: &[(&str, Value)]) -> Self {
+        let mut fleet = NodeFleet::start().await.unwrap();
+        fleet.store.put_json("keyed.op", "config", plan);
+        let scripts = SharedScripts::default();
+        let mut runners = Vec::new();
+        for number in 1..=2 {
+            let mut settings = RunnerFakeSettings::new(&format!("runner-{number}"));
+            settings.events = 3;
+            settings.event_pause = Duration::from_millis(1);
+            let runner = fleet.add_runner(service, settings).await.unwrap();
+            runner.share_scripts(&scripts);
+            runners.push(runner);
+        }
+        fleet.add_node_with(sets, true).unwrap();
+        fleet.wait_ready().await.unwrap();
+        Self { fleet, runners, scripts }
+    }
+
+    /// Sends requests until the node knows how long they take.
+    async fn learn(&self, make: fn(&str) -> CallerRequest) {
+        for number in 0..LEARNED {
+            let answer = self.fleet.send(0, &make(&format!("l{number}"))).await;
+            assert!(answer.complete && answer.status == 200, "{answer:?}");
+        }
+        // The node learns from the runners' reports that nothing waits there any more.
+        compio::time::sleep(REPORT_SPAN).await;
+    }
+
+    /// The next requests are answered by these scripts, whichever runner gets them.
+    fn script(&self, scripts: &[RunnerScript]) {
+        *self.scripts.borrow_mut() = scripts.iter().copied().collect();
+    }
+
+    fn runs(&self, attempt: &str) -> usize {
+        let visits = self.runners.iter().flat_map(RunnerFake::visits);
+        let own = visits.filter(|visit| {
+            visit.ran && visit.request.header("x-dotterelyard-attempt-id") == attempt
+        });
+        own.count()
+    }
+
+    /// When connections were closed from outside.
+    fn abandoned(&self) -> Vec<Instant> {
+        self.runners.iter().flat_map(RunnerFake::abandoned).collect()
+    }
+
+    /// Waits for the lines of an event that name this request.
+    async fn lines(&self, event: &str, attempt: &str) -> Vec<Value> {
+        let found = async || {
+            let mut lines = self.fleet.nodes[0].events(event);
+            lines.retain(|line| line["request"] == attempt);
+            (!lines.is_empty()).then_some(lines)
+        };
+        wait_until(event, LIMIT, found).await.unwrap()
+    }
+
+    /// Value of a counter; 0 if it is not on the page.
+    async fn counter(&self, name: &str) -> u64 {
+        let page = self.fleet.metrics(0).await;
+        let line = page.lines().find_map(|line| line.strip_prefix(name));
+        line.map_or(0, |value| value.trim().parse().unwrap())
+    }
+
+    /// Waits until `count` connections have been closed from outside.
+    async fn wait_abandoned(&self, count: usize) {
+        let closed = async || (self.abandoned().len() >= count).then_some(());
+        wait_until("connections to be closed", LIMIT, closed).await.unwrap();
+    }
+}
+
+fn hedging() -> Vec<(&'static str, Value)> {
+    vec![("hedge_share", json!(0.1))]
+}
+
+fn short(attempt: &str) -> CallerRequest {
+    CallerRequest::stream(attempt).with("x-dotterelyard-length-hint", "10")
+}
+
+/// Guards against a caller who waits for a stalled runner, against two responses to one call,
+/// against work that goes on for nobody, and against a runner that is held for failed since its
+/// send was cancelled.
+#[test]
+fn the_second_send_wins_over_a_stalled_runner() {
+    kernel::run(async {
+        let site = Site::start("desk", &plan(false, 2), &hedging()).await;
+        site.learn(CallerRequest::lookup).await;
+        site.script(&[RunnerScript::Silent]);
+        let begun = Instant::now();
+        let answer = site.fleet.send(0, &CallerRequest::lookup("s1")).await;
+        let answered = Instant::now();
+        assert_eq!((answer.status, answer.complete), (200, true), "{answer:?}");
+        // Without a second send, the first one is given up after twice the target latency.
+        assert!(begun.elapsed() < Duration::from_millis(900), "{:?}", begun.elapsed());
+        let lines = site.lines("hedge_sent", "s1").await;
+        assert_eq!(lines.len(), 1, "{lines:?}");
+        let to = lines[0]["to"].as_str().unwrap();
+        assert_ne!(lines[0]["from"], lines[0]["to"]);
+        assert_eq!(answer.text, format!("answer of {to} to s1 /look/ticket"));
+        assert_eq!(site.runs("s1"), 2);
+        site.wait_abandoned(1).await;
+        assert!(site.abandoned()[0] < answered + CLOSE_LIMIT);
+        assert!(site.counter("yard_node_hedges_total{outcome=\"won\"}").await >= 1);
+        let from = lines[0]["from"].as_str().unwrap().to_owned();
+        let first = site.runners.iter().find(|runner| runner.id() == from).unwrap();
+        let before = first.visits().len();
+        for number in 0..20 {
+            site.fleet.send(0, &CallerRequest::lookup(&format!("a{number}"))).await;
+        }
+        assert!(first.visits().len() > before, "{from} gets no more work");
+        for event in ["runner_probed", "runner_crashed", "send_failed"] {
+            assert_eq!(site.fleet.nodes[0].events(event).len(), 0, "{event}");
+        }
+    })
+    .unwrap();
+}
+
+/// Guards against a first send that is given up although it is the quicker one.
+#[test]
+fn the_first_send_wins_if_the_second_is_slower() {
+    kernel::run(async {
+        let site = Site::start("desk", &plan(false, 2), &hedging()).await;
+        site.learn(CallerRequest::lookup).await;
+        site.script(&[RunnerScript::AnswerLate, RunnerScript::Silent]);
+        let answer = site.fleet.send(0, &CallerRequest::lookup("s1")).await;
+        let answered = Instant::now();
+        let lines = site.lines("hedge_sent", "s1").await;
+        let from = lines[0]["from"].as_str().unwrap();
+        assert_eq!(answer.text, format!("answer of {from} to s1 /look/ticket"));
+        site.wait_abandoned(1).await;
+        assert!(site.abandoned()[0] < answered + CLOSE_LIMIT);
+        assert!(site.counter("yard_node_hedges_total{outcome=\"cancelled\"}").await >= 1);
+    })
+    .unwrap();
+}
+
+/// Guards against a second run of a request that may run only once.
+#[test]
+fn a_booking_is_never_hedged() {
+    kernel::run(async {
+        let site = Site::start("desk", &plan(false, 2), &hedging()).await;
+        site.learn(CallerRequest::booking).await;
+        site.script(&[RunnerScript::Silent]);
+        let request = CallerRequest::booking("s1").with("x-dotterelyard-deadline-ms", "1000");
+        let answer = site.fleet.send(0, &request).await;
+        assert_eq!(answer.status, 504, "{answer:?}");
+        assert_eq!(site.runs("s1"), 1);
+        assert_eq!(site.counter("yard_node_hedges_total{outcome=\"sent\"}").await, 0);
+    })
+    .unwrap();
+}
+
+/// Guards against a stream that waits for a runner without a first event although another has
+/// room, and against two generations in one response.
+#[test]
+fn a_resumable_stream_is_hedged_until_its_first_event() {
+    kernel::run(async {
+        for script in [RunnerScript::Silent, RunnerScript::UnframedSilent] {
+            let site = Site::start("llm", &plan(true, 2), &hedging()).await;
+            site.learn(short).await;
+            site.script(&[script]);
+            let answer = site.fleet.send(0, &short("s1")).await;
+            let answered = Instant::now();
+            assert_eq!((answer.status, answer.complete), (200, true), "{script:?} {answer:?}");
+            let events = answer.text.lines().filter(|line| line.starts_with("id: "));
+            assert_eq!(events.collect::<Vec<_>>(), ["id: 1", "id: 2", "id: 3"], "{script:?}");
+            assert_eq!(site.lines("hedge_sent", "s1").await.len(), 1);
+            assert_eq!(site.runs("s1"), 2, "{script:?}");
+            site.wait_abandoned(1).await;
+            assert!(site.abandoned()[0] < answered + CLOSE_LIMIT, "{script:?}");
+        }
+    })
+    .unwrap();
+}
+
+/// Guards against a second run of a stream that may run only once.
+#[test]
+fn a_stream_without_the_field_is_never_hedged() {
+    kernel::run(async {
+        let site = Site::start("llm", &plan(false, 2), &hedging()).await;
+        site.learn(short).await;
+        for (attempt, script) in
+            [("s1", RunnerScript::Silent), ("s2", RunnerScript::UnframedSilent)]
+        {
+            site.script(&[script]);
+            let request = short(attempt).with("x-dotterelyard-deadline-ms", "800");
+            let answer = site.fleet.send(0, &request).await;
+            assert!(answer.status != 200 || !answer.complete, "{answer:?}");
+            assert_eq!(site.runs(attempt), 1, "{script:?}");
+        }
+        assert_eq!(site.counter("yard_node_hedges_total{outcome=\"sent\"}").await, 0);
+    })
+    .unwrap();
+}
+
+/// Guards against hedges without the operator's word.
+#[test]
+fn nothing_is_hedged_by_default() {
+    kernel::run(async {
+        let site = Site::start("desk", &plan(false, 2), &[]).await;
+        site.learn(CallerRequest::lookup).await;
+        site.script(&[RunnerScript::Silent]);
+        let begun = Instant::now();
+        let answer = site.fleet.send(0, &CallerRequest::lookup("s1")).await;
+        assert_eq!(answer.status, 200);
+        assert!(begun.elapsed() >= Duration::from_secs(1), "{:?}", begun.elapsed());
+        let page = site.fleet.metrics(0).await;
+        assert!(!page.contains("yard_node_hedges_total{"), "{page}");
+        assert!(!page.contains("yard_node_hedges_denied_total{"), "{page}");
+    })
+    .unwrap();
+}
+
+/// Guards against a call that is told as not run although both sends may have run, and against a
+/// third run.
+#[test]
+fn if_both_sends_fail_the_outcome_is_unknown() {
+    kernel::run(async {
+        let site = Site::start("desk", &plan(false, 2), &hedging()).await;
+        site.learn(CallerRequest::lookup).await;
+        site.script(&[RunnerScript::CloseLate, RunnerScript::CloseLate]);
+        let answer = site.fleet.send(0, &CallerRequest::lookup("s1")).await;
+        assert_eq!(answer.status, 502, "{answer:?}");
+        assert_eq!(site.lines("hedge_sent", "s1").await.len(), 1);
+        assert_eq!(site.runs("s1"), 2);
+    })
+    .unwrap();
+}
+
+/// Guards against a failure that reaches the caller although the other send still works, and
+/// against a third send.
+#[test]
+fn a_send_that_fails_leaves_the_race_to_the_other() {
+    kernel::run(async {
+        for script in [RunnerScript::CloseLate, RunnerScript::FailureLate] {
+            let site = Site::start("desk", &plan(false, 2), &hedging()).await;
+            site.learn(CallerRequest::lookup).await;
+            site.script(&[script, RunnerScript::AnswerLate]);
+            let answer = site.fleet.send(0, &CallerRequest::lookup("s1")).await;
+            let lines = site.lines("hedge_sent", "s1").await;
+            let to = lines[0]["to"].as_str().unwrap();
+            assert_eq!(answer.text, format!("answer of {to} to s1 /look/ticket"), "{script:?}");
+            assert_eq!(site.runs("s1"), 2, "{script:?}");
+            let ended = site.lines("hedge_ended", "s1").await;
+            assert_eq!(ended[0]["outcome"], "won", "{script:?}");
+        }
+    })
+    .unwrap();
+}
+
+/// Guards against a second send beyond `maxAttempts`.
+#[test]
+fn a_hedge_counts_against_the_attempts() {
+    kernel::run(async {
+        let site = Site::start("desk", &plan(false, 1), &hedging()).await;
+        site.learn(CallerRequest::lookup).await;
+        site.script(&[RunnerScript::AnswerLate]);
+        site.fleet.send(0, &CallerRequest::lookup("s1")).await;
+        let lines = site.lines("hedge_denied", "s1").await;
+        assert_eq!(lines[0]["reason"], "attempts_used");
+        assert_eq!(site.runs("s1"), 1);
+    })
+    .unwrap();
+}
+
+/// Guards against runners that go on working for a caller who has left.
+#[test]
+fn both_sends_end_when_the_caller_leaves() {
+    kernel::run(async {
+        let site = Site::start("desk", &plan(false, 2), &hedging()).await;
+        site.learn(CallerRequest::lookup).await;
+        site.script(&[RunnerScript::Silent, RunnerScript::Silent]);
+        let request = CallerRequest::lookup("s1");
+        let open = site.fleet.open(0, &request);
+        assert!(compio::time::timeout(Duration::from_millis(300), open).await.is_err());
+        let left = Instant::now();
+        site.wait_abandoned(2).await;
+        assert!(site.abandoned().iter().all(|closed| *closed < left + CLOSE_LIMIT));
+        assert_eq!(site.runs("s1"), 2);
+    })
+    .unwrap();
+}
+
+/// Guards against more second sends than the share allows.
+#[test]
+fn a_share_that_is_used_up_ends_the_hedges() {
+    kernel::run(async {
+        let site = Site::start("desk", &plan(false, 2), &[("hedge_share", json!(0.03))]).await;
+        site.learn(CallerRequest::lookup).await;
+        let mut requests = LEARNED;
+        loop {
+            let attempt = format!("s{requests}");
+            requests += 1;
+            site.script(&[RunnerScript::AnswerLate]);
+            site.fleet.send(0, &CallerRequest::lookup(&attempt)).await;
+            let denied = site.counter("yard_node_hedges_denied_total{reason=\"share_used\"}").await;
+            if denied > 0 {
+                break;
+            }
+            assert!(requests < LEARNED + 20, "no end of the hedges");
+        }
+        let sent = site.counter("yard_node_hedges_total{outcome=\"sent\"}").await;
+        assert!(sent >= 1 && sent as f64 <= 0.03 * requests as f64, "{sent} of {requests}");
+    })
+    .unwrap();
+}
+
+/// Guards against hedges that take the retry budget from sends after failures.
+#[test]
+fn nothing_is_hedged_while_less_than_half_of_the_retry_budget_is_left() {
+    kernel::run(async {
+        let sets = [("hedge_share", json!(0.1)), ("retry_ratio", json!(0.015))];
+        let sets = [&sets[..], &[("retry_slack", json!(0.0))]].concat();
+        let site = Site::start("desk", &plan(false, 2), &sets).await;
+        site.learn(CallerRequest::lookup).await;
+        site.script(&[RunnerScript::AnswerLate]);
+        site.fleet.send(0, &CallerRequest::lookup("s1")).await;
+        let lines = site.lines("hedge_denied", "s1").await;
+        assert_eq!(lines[0]["reason"], "budget_spent");
+        assert_eq!(site.runs("s1"), 1);
+    })
+    .unwrap();
+}
+
+/// Guards against extra work while a runner of the service says that it has too much.
+#[test]
+fn nothing_is_hedged_while_a_runner_names_a_limit_or_a_wait() {
+    kernel::run(async {
+        for named in ["limit", "wait"] {
+            let site = Site::start("desk", &plan(false, 2), &hedging()).await;
+            site.learn(CallerRequest::lookup).await;
+            let runner = &site.runners[0];
+            if named == "limit" {
+                runner.name_limit(Some("1000"));
+            } else {
+                runner.turn_away(Some("4"));
+            }
+            let before = runner.visits().len();
+            for number in 0..50 {
+                if runner.visits().len() > before {
+                    break;
+                }
+                site.fleet.send(0, &CallerRequest::lookup(&format!("n{number}"))).await;
+            }
+            assert!(runner.visits().len() > before);
+            site.script(&[RunnerScript::AnswerLate]);
+            site.fleet.send(0, &CallerRequest::lookup("s1")).await;
+            let lines = site.lines("hedge_denied", "s1").await;
+            assert_eq!(lines[0]["reason"], "runners_restricted", "{named}");
+            assert_eq!(site.runs("s1"), 1, "{named}");
+        }
+    })
+    .unwrap();
+}
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -7,8 +7,8 @@
 use futures_channel::mpsc;
 use kernel::{MonotonicClock, StopSignal};
 use serving::{
-    BudgetSettings, EraView, FleetLoads, InputTable, LimitTable, PeerTable, PlanVersion,
-    RetryBudget, RunnerReach, RunnerTable, ServingPlan, TransferPacer, WaitTable,
+    BudgetSettings, EraView, FleetLoads, HedgeLimit, HedgeTimer, InputTable, LimitTable, PeerTable,
+    PlanVersion, RetryBudget, RunnerReach, RunnerTable, ServingPlan, TransferPacer, WaitTable,
 };
 use settings::NodeSettings;
 
@@ -63,6 +63,10 @@
     pub peer_loads: RefCell<FleetLoads>,
     /// Budget of retries that this node may spend.
     pub retry_budget: RefCell<RetryBudget>,
+    /// Limit of the second sends of slow requests.
+    pub hedge_limit: RefCell<HedgeLimit>,
+    /// Times of sends, for second sends of slow requests.
+    pub hedge_timer: RefCell<HedgeTimer>,
     /// Raised when the process is asked to stop.
     pub stop: StopSignal,
     /// Number of callers' requests in progress.
@@ -109,6 +113,8 @@
             peers: RefCell::default(),
             peer_loads: RefCell::default(),
             retry_budget: RefCell::new(budget),
+            hedge_limit: RefCell::new(HedgeLimit::new(settings.hedge_share)),
+            hedge_timer: RefCell::default(),
             stop: StopSignal::new(),
             active_requests: Cell::default(),
             request_memory: MemoryPool::new(body_bytes),
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -18,6 +18,7 @@
 mod follow_nodes;
 mod follow_runners;
 mod heartbeat_sections;
+mod hedged_call;
 mod limit_share;
 mod lookups;
 mod memory_pool;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -23,6 +23,13 @@
     pub reason: &'static str,
 }
 
+/// Labels of a hedge.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct HedgeLabels {
+    /// What became of it.
+    pub outcome: &'static str,
+}
+
 /// Metrics of a node.
 pub struct NodeMetrics {
     registry: Registry,
@@ -34,6 +41,10 @@
     pub retries: Counter,
     /// Retries denied by the shared retry budget.
     pub retries_denied: Counter,
+    /// Second sends of slow requests, by what became of them.
+    pub hedges: Family<HedgeLabels, Counter>,
+    /// Slow requests without a second send, by reason.
+    pub hedges_denied: Family<WithheldLabels, Counter>,
     /// Requests not sent to a runner that was assigned, since it accepts none, by reason.
     pub sends_withheld: Family<WithheldLabels, Counter>,
     /// Waits that runners asked for.
@@ -94,6 +105,8 @@
             sends: Counter::default(),
             retries: Counter::default(),
             retries_denied: Counter::default(),
+            hedges: Family::default(),
+            hedges_denied: Family::default(),
             sends_withheld: Family::default(),
             runner_waits: Counter::default(),
             runner_limits: Counter::default(),
@@ -130,6 +143,12 @@
             "Repeats that the shared budget did not allow",
             self.retries_denied.clone(),
         );
+        registry.register("hedges", "Second sends of slow requests", self.hedges.clone());
+        registry.register(
+            "hedges_denied",
+            "Slow requests without a second send",
+            self.hedges_denied.clone(),
+        );
         registry.register(
             "sends_withheld",
             "Requests not sent since their runner accepts none",
--- a/crates/node/src/plain_call.rs
+++ b/crates/node/src/plain_call.rs
@@ -15,6 +15,7 @@
 use crate::call_log::log_send;
 use crate::context::NodeContext;
 use crate::crash_watch::record_full_answer;
+use crate::hedged_call::{RaceEnd, SendEnd, may_hedge, race_plain, record_request};
 use crate::router::RouterService;
 use crate::runner_send::{SendFailure, SendPlan, read_full_answer, send_to_runner};
 
@@ -31,17 +32,43 @@
     call: &Rc<Call>,
 ) -> WebResponse {
     context.retry_budget.borrow_mut().record_request(context.now(), &call.service);
+    record_request(context, &call.service);
     let mut tracker = AttemptTracker::for_route(&call.route);
     let mut tried = Vec::new();
     let mut error_answer: Option<Response<Bytes>> = None;
     loop {
-        let (ticket, runner) = match find_runner(context, router, call, &tried).await {
+        let (mut ticket, mut runner) = match find_runner(context, router, call, &tried).await {
             Ok(found) => found,
             Err(failure) => return fail_call(context, call, &tracker, error_answer, failure),
         };
         let load = ticket.runner_summary(&runner.runner);
         log_send(context, call, &runner.runner, None, load.as_ref(), tracker.sends());
-        let answer = try_runner(context, call, &tracker, &runner).await;
+        let answer = if may_hedge(context, call, &tracker) {
+            let first = (ticket, SendPlan::first(runner, None));
+            let limit = attempt_limit(context, call, &tracker);
+            let RaceEnd { last, failed } =
+                race_plain(context, router, call, &tracker, first, limit).await;
+            if let Some(SendEnd { ticket, plan, result }) = failed {
+                tried.push(plan.runner.runner.clone());
+                match result {
+                    Ok(answer) => {
+                        ticket.finish(CallEnd::Finished);
+                        record_full_answer(context, call, &answer);
+                        tracker.record_send(SendOutcome::Failed);
+                        error_answer = Some(answer);
+                    }
+                    Err(failure) => {
+                        record_send_failure(context, router, call, &plan.runner, &failure);
+                        tracker.record_send(failure.outcome);
+                        ticket.finish(failure.end);
+                    }
+                }
+            }
+            (ticket, runner) = (last.ticket, last.plan.runner);
+            last.result
+        } else {
+            try_runner(context, call, &tracker, &runner).await
+        };
         if answer.as_ref().is_err_and(|failure| failure.withheld) {
             unassign(router, ticket);
             continue;
@@ -77,14 +104,19 @@
     tracker: &AttemptTracker,
     runner: &RunnerRecord,
 ) -> Result<Response<Bytes>, SendFailure> {
+    let limit = attempt_limit(context, call, tracker);
+    let exchange =
+        send_to_runner(context, call, &SendPlan::first(runner.clone(), None), limit).await?;
+    let left = call.deadline.since(context.now());
+    read_full_answer(context, exchange, left).await
+}
+
+/// Time for the head of the answer to the next send.
+fn attempt_limit(context: &NodeContext, call: &Call, tracker: &AttemptTracker) -> TimeSpan {
     let left = call.deadline.since(context.now());
     let can_retry =
         call.route.kind == RouteKind::Idempotent && tracker.sends() + 1 < call.route.max_attempts;
     let attempt_timeout =
         TimeSpan(call.route.target_latency.0.saturating_mul(ATTEMPT_TIMEOUT_FACTOR));
-    let limit = if can_retry { attempt_timeout.min(left) } else { left };
-    let exchange =
-        send_to_runner(context, call, &SendPlan::first(runner.clone(), None), limit).await?;
-    let left = call.deadline.since(context.now());
-    read_full_answer(context, exchange, left).await
+    if can_retry { attempt_timeout.min(left) } else { left }
 }
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -167,7 +167,8 @@
     }
 }
 
-/// Reloads the settings at each SIGHUP; only the retry budget takes effect without a restart.
+/// Reloads the settings at each SIGHUP; only the retry budget and the share
+/// of hedges take effect without a restart.
 async fn reload_on_sighup(
     context: Rc<NodeContext>,
     read_settings: impl Fn() -> std::result::Result<NodeSettings, SettingsError>,
@@ -180,7 +181,8 @@
         match read_settings() {
             Ok(settings) => {
                 context.retry_budget.borrow_mut().set_settings(retry_budget_settings(&settings));
-                tracing::info!(event = "reload", applied = "retry budget");
+                context.hedge_limit.borrow_mut().set_share(settings.hedge_share);
+                tracing::info!(event = "reload", applied = "retry budget, hedge share");
             }
             Err(error) => tracing::error!(event = "reload_failed", %error),
         }
--- a/crates/node/src/runner_send.rs
+++ b/crates/node/src/runner_send.rs
@@ -38,6 +38,18 @@
 }
 
 impl SendFailure {
+    /// The runner's stream ended before its first event, or has none in time.
+    pub(crate) fn stream_lost(reason: &str, loss: RunnerLoss) -> Self {
+        Self {
+            outcome: SendOutcome::Unknown,
+            end: CallEnd::Failed,
+            loss,
+            runner_gone: false,
+            withheld: false,
+            reason: Rc::from(reason),
+        }
+    }
+
     /// The runner accepts no requests at present. That says nothing about its health.
     fn withheld(block: SendBlock) -> Self {
         Self {
--- a/crates/node/src/stream_call.rs
+++ b/crates/node/src/stream_call.rs
@@ -20,6 +20,7 @@
 use crate::call_log::{log_send, log_send_failure};
 use crate::context::NodeContext;
 use crate::crash_watch::record_full_answer;
+use crate::hedged_call::{RaceEnd, SendEnd, may_hedge, race_stream, record_request};
 use crate::route_ticket::RouteTicket;
 use crate::router::RouterService;
 use crate::runner_probe::probe_lost_runner;
@@ -59,6 +60,7 @@
     closer: ConnectionCloser,
 ) -> WebResponse {
     context.retry_budget.borrow_mut().record_request(context.now(), &call.service);
+    record_request(context, &call.service);
     let mut tracker = AttemptTracker::for_route(&call.route);
     let mut tried = Vec::new();
     let mut error_answer: Option<Response<Bytes>> = None;
@@ -71,8 +73,33 @@
         let backup_id = backup.as_ref().map(|backup| &backup.runner);
         let load = ticket.runner_summary(&runner.runner);
         log_send(context, &call, &runner.runner, backup_id, load.as_ref(), tracker.sends());
-        let plan = SendPlan::first(runner, backup);
-        let mut outcome = request_answer(context, &call, &plan).await;
+        let mut plan = SendPlan::first(runner, backup);
+        let mut outcome = if may_hedge(context, &call, &tracker) {
+            let RaceEnd { last, failed } =
+                race_stream(context, router, &call, &tracker, (ticket, plan)).await;
+            if let Some(SendEnd { ticket, plan, result }) = failed {
+                tried.push(plan.runner.runner.clone());
+                match result {
+                    Ok(RunnerAnswer::Full(answer)) => {
+                        ticket.finish(CallEnd::Finished);
+                        record_full_answer(context, &call, &answer);
+                        tracker.record_send(SendOutcome::Failed);
+                        error_answer = Some(answer);
+                    }
+                    // A stream wins its race.
+                    Ok(RunnerAnswer::Stream(..)) => ticket.finish(CallEnd::Cancelled),
+                    Err(failure) => {
+                        record_send_failure(context, router, &call, &plan.runner, &failure);
+                        tracker.record_send(failure.outcome);
+                        ticket.finish(failure.end);
+                    }
+                }
+            }
+            (ticket, plan) = (last.ticket, last.plan);
+            last.result
+        } else {
+            request_answer(context, &call, &plan).await
+        };
         if outcome.as_ref().is_err_and(|failure| failure.withheld) {
             unassign(router, ticket);
             continue;
--- a/crates/node/src/stream_source.rs
+++ b/crates/node/src/stream_source.rs
@@ -1,17 +1,19 @@
 //! The two ends of a relayed stream: the source runner and the caller.
 
+use std::collections::VecDeque;
 use std::future::pending;
 
 use base::prelude::*;
+use compio::time::timeout;
 use futures_channel::mpsc;
 use http_body_util::BodyExt;
 use hyper::body::{Bytes, Incoming};
 use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use kernel::StopSignal;
-use serving::RunnerRecord;
+use serving::{RunnerLoss, RunnerRecord, StreamScanner};
 use web::{ConnectionCloser, ConnectionTask, WebExchange};
 
-use crate::runner_send::SendPlan;
+use crate::runner_send::{SendFailure, SendPlan};
 
 /// The runner that a stream is read from.
 pub struct StreamSource {
@@ -19,6 +21,8 @@
     pub runner: RunnerRecord,
     /// The runner that keeps a copy of the run's memory.
     pub backup: Option<RunnerRecord>,
+    /// Data that was read before the stream was passed on.
+    peeked: VecDeque<Bytes>,
     /// Body of the runner's answer.
     pub body: Incoming,
     /// The connection to the runner; `None` once closed.
@@ -44,6 +48,7 @@
         Self {
             runner: plan.runner.clone(),
             backup: plan.backup.clone(),
+            peeked: VecDeque::new(),
             body: response.into_body(),
             connection: Some(connection),
             ends_with_connection: !is_framed,
@@ -68,7 +73,47 @@
 
     /// Next data of the body while it is read; waits forever once closed.
     pub async fn next_frame(&mut self) -> Option<Result<Bytes, hyper::Error>> {
-        if self.ended { pending().await } else { self.next_data().await }
+        if self.ended {
+            return pending().await;
+        }
+        match self.peeked.pop_front() {
+            Some(bytes) => Some(Ok(bytes)),
+            None => self.next_data().await,
+        }
+    }
+
+    /// Waits at most `limit` for the first whole event, and keeps what is read until then. A body
+    /// that ends before is whole if it has a length or chunks.
+    ///
+    /// # Errors
+    /// [`SendFailure`] if the body breaks off before its first event, or if none comes in time.
+    pub async fn read_first_event(&mut self, limit: TimeSpan) -> Result<(), SendFailure> {
+        let connection_ended = RunnerLoss::ConnectionEnded;
+        let mut scanner = StreamScanner::default();
+        let read = async {
+            while scanner.event_count() == 0 {
+                let Some(data) = self.next_data().await else {
+                    let is_whole = self.has_whole_body() && !scanner.has_partial_event();
+                    let loss =
+                        || SendFailure::stream_lost("the connection ended", connection_ended);
+                    return is_whole.then_some(()).ok_or_else(loss);
+                };
+                let bytes = data.map_err(|error| {
+                    SendFailure::stream_lost(&error.to_string(), connection_ended)
+                })?;
+                // What is malformed is left to the relay of the stream.
+                let is_malformed = scanner.push(&bytes).is_err();
+                self.peeked.push_back(bytes);
+                if is_malformed {
+                    break;
+                }
+            }
+            Ok(())
+        };
+        timeout(limit.into(), read).await.unwrap_or_else(|_| {
+            let reason = "timed out before the first event";
+            Err(SendFailure::stream_lost(reason, RunnerLoss::NoAnswer))
+        })
     }
 
     /// Next data of the body; `None` at its end.
--- a/crates/serving/src/retry_budget.rs
+++ b/crates/serving/src/retry_budget.rs
@@ -11,6 +11,9 @@
 /// holds in windows that an observer starts at other instants.
 const USABLE_SHARE: f64 = 0.7;
 
+/// Fraction of the usable budget up to which hedges are sent.
+const HEDGE_SHARE: f64 = 0.5;
+
 /// Limits of the fleet-wide retry budget.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct BudgetSettings {
@@ -67,16 +70,38 @@
         u32::try_from(recent.count()).unwrap_or(u32::MAX)
     }
 
+    /// Reserves one retry for a second send of a request whose first send is in progress. That
+    /// leaves at least half of this node's share for sends after failures.
+    pub fn try_acquire_hedge(
+        &mut self,
+        now: TimePoint,
+        service: &ServiceName,
+        nodes: usize,
+    ) -> bool {
+        self.acquire_within(now, service, nodes, USABLE_SHARE * HEDGE_SHARE)
+    }
+
     /// Reserves one retry if this node's share allows it; the slack is split evenly over
     /// `nodes`. Returns whether the retry may be sent.
     pub fn try_acquire(&mut self, now: TimePoint, service: &ServiceName, nodes: usize) -> bool {
+        self.acquire_within(now, service, nodes, USABLE_SHARE)
+    }
+
+    /// Reserves one retry within a fraction of this node's share.
+    fn acquire_within(
+        &mut self,
+        now: TimePoint,
+        service: &ServiceName,
+        nodes: usize,
+        fraction: f64,
+    ) -> bool {
         let window = self.settings.window;
         let counts = self.services.entry(service.clone()).or_default();
         counts.expire(now, window);
         let in_first_window = now.since(self.started_at) < window;
         let slack = if in_first_window { 0.0 } else { self.settings.slack / nodes.max(1) as f64 };
         let allowed = self.settings.ratio * counts.requests.len() as f64 + slack;
-        if (counts.retries.len() + 1) as f64 > USABLE_SHARE * allowed {
+        if (counts.retries.len() + 1) as f64 > fraction * allowed {
             return false;
         }
         counts.retries.push_back(now);
--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -18,6 +18,8 @@
 const LINK_MBPS_RANGE: [f64; 2] = [0.1, 1_000_000.0];
 /// Maximum of `stop_seconds` and `retry_window_seconds`.
 const MAX_SECONDS: f64 = 3_600.0;
+/// Maximum of `hedge_share`. More second sends than this would be a load of their own.
+const MAX_HEDGE_SHARE: f64 = 0.1;
 
 /// Settings of a node process.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
@@ -58,13 +60,20 @@
     pub retry_slack: f64,
     /// Length of the retry budget window, in seconds.
     pub retry_window_seconds: f64,
+    /// Hedges allowed per request, over all nodes; 0 turns them off.
+    pub hedge_share: f64,
     /// Minimum severity of log lines.
     pub log_level: LogLevel,
 }
 
 impl SettingsSchema for NodeSettings {
     fn defaults() -> Value {
-        json!({ "metrics_port": 9_464, "link_mbps": 10.0, "log_level": "info" })
+        json!({
+            "metrics_port": 9_464,
+            "link_mbps": 10.0,
+            "hedge_share": 0.0,
+            "log_level": "info",
+        })
     }
 
     fn example() -> Value {
@@ -86,6 +95,7 @@
             "retry_ratio": 0.2,
             "retry_slack": 50.0,
             "retry_window_seconds": 10.0,
+            "hedge_share": 0.0,
             "log_level": "info",
         })
     }
@@ -98,6 +108,7 @@
         check.require_range(self.stop_seconds, "stop_seconds", 0.0, MAX_SECONDS);
         check.require_range(self.retry_ratio, "retry_ratio", 0.0, 1.0);
         check.require_range(self.retry_slack, "retry_slack", 0.0, f64::from(u32::MAX));
+        check.require_range(self.hedge_share, "hedge_share", 0.0, MAX_HEDGE_SHARE);
         check.require_range(self.retry_window_seconds, "retry_window_seconds", 0.1, MAX_SECONDS);
     }
 }
