--- a/crates/fakes/src/platform/runner_answers.rs
+++ b/crates/fakes/src/platform/runner_answers.rs
@@ -1,10 +1,13 @@
 //! The answers of a runner, written byte by byte.
 
 use std::fmt::Write as _;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use compio::io::AsyncRead;
 use compio::net::TcpStream;
+use futures_util::future::{Either, select};
 use serde_json::{Value, json};
 
 use super::endless_bytes::EndlessBytes;
@@ -16,6 +19,8 @@
 const CRASH_AFTER: Duration = Duration::from_millis(20);
 /// Pause between two bytes of an answer that is never complete.
 const TRICKLE_PAUSE: Duration = Duration::from_millis(100);
+/// Time until a late answer, or a late end of a connection.
+const LATE_AFTER: Duration = Duration::from_millis(200);
 
 pub(super) async fn answer_without_end(
     stream: &mut TcpStream,
@@ -86,7 +91,7 @@
     state: &Rc<RunnerState>,
     request: RunnerRequest,
 ) -> bool {
-    let script = state.scripts.borrow_mut().pop_front().unwrap_or_default();
+    let script = state.next_script();
     let expected = request.header("x-dotterelyard-expect-instance").to_owned();
     let resumed = request.headers.get("kv-from").map(|from| {
         let handle = from.rsplit('/').next().unwrap_or_default();
@@ -115,7 +120,11 @@
         return write(stream, whole("503 Service Unavailable", &headers, "")).await;
     }
     if script == RunnerScript::Silent {
-        return std::future::pending().await;
+        return wait_closed(stream, state).await;
+    }
+    if script == RunnerScript::CloseLate {
+        compio::time::sleep(LATE_AFTER).await;
+        return false;
     }
     let trigger = state.crash_trigger.borrow().clone();
     if trigger.is_some_and(|trigger| trigger.hits_run(&request)) {
@@ -125,11 +134,26 @@
         return answer_events(stream, state, &request, script).await;
     }
     state.plain_working.set(state.plain_working.get() + 1);
-    compio::time::sleep(state.settings.work).await;
+    let is_late = matches!(script, RunnerScript::AnswerLate | RunnerScript::FailureLate);
+    let work = if is_late { LATE_AFTER } else { state.settings.work };
+    let closed = !work.is_zero() && {
+        let (work, closed) = (pin!(compio::time::sleep(work)), pin!(wait_closed(stream, state)));
+        matches!(select(work, closed).await, Either::Right(_))
+    };
     state.plain_working.set(state.plain_working.get() - 1);
+    if closed {
+        return false;
+    }
     answer_plain(stream, state, &request, script).await
 }
 
+/// Waits until the connection is closed from outside; it does not go on then.
+async fn wait_closed(stream: &mut TcpStream, state: &RunnerState) -> bool {
+    let _ = stream.read(Vec::with_capacity(1)).await;
+    state.abandoned.borrow_mut().push(Instant::now());
+    false
+}
+
 /// Crashes a moment after it has begun to work; the connection is ended from outside.
 async fn crash(state: &RunnerState) -> bool {
     compio::time::sleep(CRASH_AFTER).await;
@@ -148,10 +172,12 @@
     let body = format!("answer of {} to {attempt} {}", state.settings.id, request.path);
     let good = whole("200 OK", &signed, &body);
     match script {
-        RunnerScript::Answer | RunnerScript::Refuse | RunnerScript::RefuseEarly => {
-            write(stream, good).await
-        }
-        RunnerScript::Failure => {
+        RunnerScript::Answer
+        | RunnerScript::AnswerLate
+        | RunnerScript::Refuse
+        | RunnerScript::RefuseEarly
+        | RunnerScript::FromStart => write(stream, good).await,
+        RunnerScript::Failure | RunnerScript::FailureLate => {
             write(stream, whole("500 Internal Server Error", &signed, "failed")).await
         }
         RunnerScript::Truncate => {
@@ -183,6 +209,7 @@
         RunnerScript::Silent => std::future::pending().await,
         RunnerScript::Trickle
         | RunnerScript::Close
+        | RunnerScript::CloseLate
         | RunnerScript::UnframedTruncate
         | RunnerScript::UnframedEmpty
         | RunnerScript::UnframedSilent => false,
@@ -195,6 +222,9 @@
     request: &RunnerRequest,
     script: RunnerScript,
 ) -> bool {
+    if script == RunnerScript::Close {
+        return false;
+    }
     let attempt = request.header("x-dotterelyard-attempt-id");
     let backed_up = request.headers.contains_key("x-dotterelyard-kv-backup");
     state.memory.begin(attempt, backed_up);
@@ -216,11 +246,13 @@
     if trigger.is_some_and(|trigger| trigger.hits_answer(request)) {
         return crash(state).await;
     }
-    let first = request.header("last-event-id").parse::<u64>().map_or(1, |last| last + 1);
+    let last = request.header("last-event-id").parse::<u64>();
+    let last = last.ok().filter(|_| script != RunnerScript::FromStart);
+    let first = last.map_or(1, |last| last + 1);
     for number in first..=state.settings.events {
         match script {
             RunnerScript::UnframedEmpty => return false,
-            RunnerScript::UnframedSilent => return std::future::pending().await,
+            RunnerScript::UnframedSilent => return wait_closed(stream, state).await,
             RunnerScript::Trickle => return trickle(stream).await,
             _ => (),
         }
--- a/crates/fakes/src/platform/runner_script.rs
+++ b/crates/fakes/src/platform/runner_script.rs
@@ -9,8 +9,12 @@
     /// As it should be.
     #[default]
     Answer,
+    /// As it should be, but a plain call takes 200 ms.
+    AnswerLate,
     /// With a failure of its own.
     Failure,
+    /// The same, after 200 ms for a plain call.
+    FailureLate,
     /// With the promise that it was not run.
     Refuse,
     /// With the promise, before the body was read.
@@ -25,6 +29,8 @@
     UnframedEmpty,
     /// The same, but it ends only with the runner.
     UnframedSilent,
+    /// A stream from its first event, whatever the request has as its last one.
+    FromStart,
     /// Twice.
     Extra,
     /// With bytes that are no answer.
@@ -43,4 +49,6 @@
     Long,
     /// A stream whose first event does not end: a byte of it comes now and then.
     Trickle,
+    /// Not at all; the connection ends after 200 ms.
+    CloseLate,
 }
--- a/crates/node/src/call_attempt.rs
+++ b/crates/node/src/call_attempt.rs
@@ -113,6 +113,12 @@
     allowed
 }
 
+/// Records the outcome of a send, after which the call may not be forwarded if it may have run.
+pub fn record_send(call: &Call, tracker: &mut AttemptTracker, outcome: SendOutcome) {
+    tracker.record_send(outcome);
+    call.forwards.borrow_mut().record_send(outcome);
+}
+
 /// Logs a failed send, marks the runner as leaving if the failure says so, and finds out whether
 /// it has crashed.
 pub fn record_send_failure(
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -21,6 +21,7 @@
 mod follow_runners;
 mod forwarded_calls;
 mod heartbeat_sections;
+mod hedged_call;
 mod limit_share;
 mod lookups;
 mod memory_pool;
@@ -45,6 +46,7 @@
 mod stream_handover;
 mod stream_move;
 mod stream_pump;
+mod stream_resume;
 mod stream_source;
 
 pub use error::{NodeError, Result};
--- a/crates/node/src/runner_send.rs
+++ b/crates/node/src/runner_send.rs
@@ -39,6 +39,18 @@
 }
 
 impl SendFailure {
+    /// The runner's stream ended before its first event, or has none in time.
+    pub(crate) fn stream_lost(reason: &str, loss: RunnerLoss) -> Self {
+        Self {
+            outcome: SendOutcome::Unknown,
+            end: CallEnd::Failed,
+            loss,
+            runner_gone: false,
+            withheld: false,
+            reason: Rc::from(reason),
+        }
+    }
+
     /// The request is not sent to this runner at present, which says nothing about its health.
     fn withheld(reason: &str) -> Self {
         Self {
@@ -59,6 +71,8 @@
     pub runner: RunnerRecord,
     /// Memory of an earlier part of the run to resume from.
     pub resume: Option<ResumeSource>,
+    /// Id of the last event that was forwarded, for a run that resumes without that memory.
+    pub last_event_id: Option<u64>,
     /// The runner that is to keep a copy of the run's memory.
     pub backup: Option<RunnerRecord>,
 }
@@ -67,7 +81,7 @@
     /// A send that starts a new run.
     #[must_use]
     pub fn first(runner: RunnerRecord, backup: Option<RunnerRecord>) -> Self {
-        Self { runner, resume: None, backup }
+        Self { runner, resume: None, last_event_id: None, backup }
     }
 }
 
@@ -133,6 +147,7 @@
         workspace: call.workspace.as_ref(),
         priority: call.priority,
         resume: plan.resume.as_ref(),
+        last_event_id: plan.last_event_id,
         backup: plan.backup.as_ref().map(|backup| backup.address),
     };
     let request = build_request(call, &head).map_err(|error| not_sent(&error))?;
--- a/crates/node/src/stream_call.rs
+++ b/crates/node/src/stream_call.rs
@@ -12,24 +12,28 @@
 
 use crate::call::Call;
 use crate::call_answer::{fail_call, forward_answer};
-use crate::call_attempt::{explain_failure, find_runner, may_retry, record_send_failure, unassign};
+use crate::call_attempt::{
+    explain_failure, find_runner, may_retry, record_send, record_send_failure, unassign,
+};
 use crate::call_forward::{ServingStop, try_forward, unless_unreached, unreached_failure};
 use crate::call_log::{log_send, log_send_failure};
 use crate::context::NodeContext;
 use crate::crash_watch::record_full_answer;
+use crate::hedged_call::{RaceEnd, SendEnd, may_hedge, race_stream, record_request};
 use crate::route_ticket::RouteTicket;
 use crate::router::RouterService;
 use crate::runner_probe::probe_lost_runner;
 use crate::runner_send::{SendFailure, SendPlan, read_full_answer, send_to_runner};
 use crate::stream_backup::{choose_backup, plan_backup_resume};
-use crate::stream_pump::StreamPump;
+use crate::stream_pump::{StreamParts, StreamPump};
+use crate::stream_resume::StreamAttempts;
 use crate::stream_source::{StreamSource, is_event_stream, open_caller_side};
 
 /// `Retry-After` if no runner accepted the request.
 const REFUSED_RETRY_AFTER: TimeSpan = TimeSpan::millis(300);
 
 /// A runner's answer to a stream call.
-enum RunnerAnswer {
+pub(crate) enum RunnerAnswer {
     /// A stream of events, and the response head.
     Stream(Box<StreamSource>, Response<()>),
     /// A complete answer that is not a stream.
@@ -44,8 +48,10 @@
     closer: ConnectionCloser,
 ) -> WebResponse {
     context.retry_budget.borrow_mut().record_request(context.now(), &call.service);
-    let mut tracker = AttemptTracker::new(call.route.kind, call.route.max_attempts);
+    record_request(context, &call.service);
+    let mut tracker = AttemptTracker::for_route(&call.route);
     let mut tried = Vec::new();
+    let mut error_answer: Option<Response<Bytes>> = None;
     loop {
         if let Some(response) = try_forward(context, &call, &closer).await {
             return response;
@@ -58,14 +64,39 @@
         };
         let (mut ticket, runner) = match found {
             Ok(found) => found,
-            Err(failure) => return fail_call(context, &call, &tracker, None, failure),
+            Err(failure) => return fail_call(context, &call, &tracker, error_answer, failure),
         };
         let backup = choose_backup(context, &call, &ticket);
         let backup_id = backup.as_ref().map(|backup| &backup.runner);
         let load = ticket.runner_summary(&runner.runner);
         log_send(context, &call, &runner.runner, backup_id, load.as_ref(), tracker.sends());
-        let plan = SendPlan::first(runner, backup);
-        let mut outcome = request_answer(context, &call, &plan).await;
+        let mut plan = SendPlan::first(runner, backup);
+        let mut outcome = if may_hedge(context, &call, &tracker) {
+            let RaceEnd { last, failed } =
+                race_stream(context, router, &call, &tracker, (ticket, plan)).await;
+            if let Some(SendEnd { ticket, plan, result }) = failed {
+                tried.push(plan.runner.runner.clone());
+                match result {
+                    Ok(RunnerAnswer::Full(answer)) => {
+                        ticket.finish(CallEnd::Finished);
+                        record_full_answer(context, &call, &answer);
+                        record_send(&call, &mut tracker, SendOutcome::Failed);
+                        error_answer = Some(answer);
+                    }
+                    // A stream wins its race.
+                    Ok(RunnerAnswer::Stream(..)) => ticket.finish(CallEnd::Cancelled),
+                    Err(failure) => {
+                        record_send_failure(context, router, &call, &plan.runner, &failure);
+                        record_send(&call, &mut tracker, failure.outcome);
+                        ticket.finish(failure.end);
+                    }
+                }
+            }
+            (ticket, plan) = (last.ticket, last.plan);
+            last.result
+        } else {
+            request_answer(context, &call, &plan).await
+        };
         if outcome.as_ref().is_err_and(|failure| failure.withheld) {
             unassign(router, ticket);
             continue;
@@ -82,28 +113,33 @@
         }
         match outcome {
             Ok(RunnerAnswer::Stream(source, head)) => {
-                return start_stream(context, call, closer, ticket, *source, head);
+                let attempts = StreamAttempts { tracker, tried };
+                let pump = StreamParts { call, ticket, source: *source, attempts };
+                return start_stream(context, router, pump, closer, head);
             }
             Ok(RunnerAnswer::Full(answer)) => {
                 ticket.finish(CallEnd::Finished);
                 record_full_answer(context, &call, &answer);
-                return forward_answer(context, &call, &answer);
+                if !answer.status().is_server_error() || !call.route.may_repeat() {
+                    return forward_answer(context, &call, &answer);
+                }
+                record_send(&call, &mut tracker, SendOutcome::Failed);
+                error_answer = Some(answer);
             }
             Err(failure) => {
-                tracker.record_send(failure.outcome);
-                call.forwards.borrow_mut().record_send(failure.outcome);
+                record_send(&call, &mut tracker, failure.outcome);
                 ticket.finish(failure.end);
             }
         }
         if !may_retry(context, &call, &tracker) {
             let failure = explain_failure(router, &call, REFUSED_RETRY_AFTER);
-            return fail_call(context, &call, &tracker, None, failure);
+            return fail_call(context, &call, &tracker, error_answer, failure);
         }
     }
 }
 
 /// Sends the call and reads the head of a stream, or the whole of any other answer.
-async fn request_answer(
+pub(crate) async fn request_answer(
     context: &NodeContext,
     call: &Call,
     plan: &SendPlan,
@@ -140,15 +176,14 @@
 /// Starts the task that relays the stream, and builds the response that it feeds.
 fn start_stream(
     context: &Rc<NodeContext>,
-    call: Rc<Call>,
+    router: &Rc<RouterService>,
+    parts: StreamParts,
     closer: ConnectionCloser,
-    ticket: RouteTicket,
-    source: StreamSource,
     head: Response<()>,
 ) -> WebResponse {
-    let waited = context.now().since(call.arrived);
+    let waited = context.now().since(parts.call.arrived);
     context.metrics.first_byte_time.observe(waited.as_seconds());
     let (caller, body) = open_caller_side(closer);
-    kernel::spawn(StreamPump::new(context, call, ticket, source, caller).run()).detach();
+    kernel::spawn(StreamPump::new(context, router, parts, caller).run()).detach();
     head.map(|()| body)
 }
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -11,6 +11,8 @@
 mod forecast_codec;
 mod forward_choice;
 mod heartbeat_sections;
+mod hedge_limit;
+mod hedge_timer;
 mod input_table;
 mod input_update;
 mod peer_codec;
@@ -37,6 +39,8 @@
     ForwardFailure, ForwardSource, ForwardState, ForwardTable, ForwardTarget,
 };
 pub use heartbeat_sections::{HeartbeatSections, MAX_SECTION_BYTES, SectionTag};
+pub use hedge_limit::{HEDGE_WINDOW, HedgeDenial, HedgeLimit, HedgeRequest, HedgeTarget};
+pub use hedge_timer::HedgeTimer;
 pub use input_table::{InputChange, InputTable};
 pub use input_update::{CrashReport, InputUpdate, TimedInput};
 pub use peer_codec::{MESSAGE_VERSION, MessageError, decode_message, encode_message};
