--- a/crates/node/src/reach_watch.rs
+++ b/crates/node/src/reach_watch.rs
@@ -49,17 +49,8 @@
     context.reach.borrow().answered_since(since)
 }
 
-/// Whether another runner in the place of `lost` answers this node, or none is known there. To a node
-/// that is cut off from a place, each runner there looks crashed.
-pub async fn reaches_place(context: &NodeContext, lost: &RunnerRecord) -> bool {
-    let others = |record: &RunnerRecord| record.place == lost.place && record.runner != lost.runner;
-    let runners = choose_runners(context, others);
-    let questions = runners.iter().map(|(runner, path)| ask(context, runner, path));
-    runners.is_empty() || join_all(questions).await.into_iter().any(|answered| answered)
-}
-
 async fn check_reach(context: &NodeContext, begun: TimePoint) {
-    let runners = choose_runners(context, |_| true);
+    let runners = choose_runners(context);
     if runners.is_empty() {
         return;
     }
@@ -71,18 +62,13 @@
     note_change(context, change);
 }
 
-/// Runners to ask among those that `filter` admits, each with the path to ask at: at random, of as
-/// many services as possible.
-fn choose_runners(
-    context: &NodeContext,
-    filter: impl Fn(&RunnerRecord) -> bool,
-) -> Vec<(RunnerRecord, Arc<str>)> {
+/// Runners to ask, each with the path to ask at: at random, of as many services as possible.
+fn choose_runners(context: &NodeContext) -> Vec<(RunnerRecord, Arc<str>)> {
     let Some(plan) = context.plan() else { return Vec::new() };
     let table = context.runners.borrow();
     let staying =
         table.entries().filter(|entry| entry.removed_at.is_none() && !entry.record.leaving);
     let mut all: Vec<(RunnerRecord, Arc<str>)> = staying
-        .filter(|entry| filter(&entry.record))
         .filter(|entry| find_own_block(context, &entry.record.incarnation()).is_none())
         .filter_map(|entry| {
             let service = plan.services.get(&entry.record.service)?;
--- a/crates/node/src/runner_probe.rs
+++ b/crates/node/src/runner_probe.rs
@@ -17,7 +17,7 @@
 use crate::call_log::may_log;
 use crate::context::NodeContext;
 use crate::crash_watch::record_crash;
-use crate::reach_watch::{reaches_place, reaches_runners};
+use crate::reach_watch::reaches_runners;
 use crate::runner_gate::find_own_block;
 
 /// Timeout for connecting to a runner that lost a call.
@@ -61,11 +61,8 @@
             ),
             RunnerLoss::ConnectionEnded => probe(&context, &runner).await,
         };
-        // To a node that is cut off from all runners, or from their place, each of them looks
-        // crashed.
-        let crashed = has_crashed(loss, outcome)
-            && reaches_runners(&context, lost_at).await
-            && reaches_place(&context, &runner).await;
+        // To a node that is cut off from all runners, each of them looks crashed.
+        let crashed = has_crashed(loss, outcome) && reaches_runners(&context, lost_at).await;
         finish_probe(&context, &runner, loss, outcome, crashed);
     })
     .detach();
