Limit the requests outstanding at brittle runners

Each node now has no more requests outstanding or rejected at a brittle runner than its part of the rejections that the runner can bear; the parts are dealt by rendezvous hashing, so the sum does not depend on messages.

--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -7,8 +7,9 @@
 use futures_channel::mpsc;
 use kernel::{MonotonicClock, StopSignal};
 use serving::{
-    BudgetSettings, EraView, FleetLoads, InputTable, LimitTable, PeerTable, PlanVersion,
-    RetryBudget, RunnerReach, RunnerTable, ServingPlan, TransferPacer, WaitTable,
+    BrittleTable, BudgetSettings, EraView, FleetLoads, FleetMembers, InputTable, LimitTable,
+    PeerTable, PlanVersion, RetryBudget, RunnerReach, RunnerTable, ServingPlan, TransferPacer,
+    WaitTable,
 };
 use settings::NodeSettings;
 
@@ -43,6 +44,12 @@
     pub waits: RefCell<WaitTable>,
     /// Limits on the requests that runners take from all nodes.
     pub limits: RefCell<LimitTable>,
+    /// Brittle runners.
+    pub brittle: RefCell<BrittleTable>,
+    /// Whether the room at a brittle runner has changed since the dispatcher was told.
+    pub room_changed: Cell<bool>,
+    /// The nodes that share what a runner can take.
+    pub members: RefCell<FleetMembers>,
     /// Inputs of calls that crash runners.
     pub inputs: RefCell<InputTable>,
     /// Whether this node reaches the runners.
@@ -100,6 +107,9 @@
             store_era: RefCell::default(),
             waits: RefCell::default(),
             limits: RefCell::default(),
+            brittle: RefCell::default(),
+            room_changed: Cell::default(),
+            members: RefCell::new(FleetMembers::new(settings.vm.clone(), clock.now())),
             inputs: RefCell::default(),
             reach: RefCell::default(),
             lost_calls: RefCell::default(),
--- a/crates/node/src/follow_nodes.rs
+++ b/crates/node/src/follow_nodes.rs
@@ -148,4 +148,6 @@
             Err(error) => tracing::debug!(event = "record_skipped", topic = "nodes", %error),
         }
     }
+    let listed = context.peers.borrow().listed_count();
+    context.members.borrow_mut().set_listed(listed);
 }
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -40,6 +40,10 @@
     pub runner_waits: Counter,
     /// Limits that runners named, changed or ended.
     pub runner_limits: Counter,
+    /// Runners that stated that they are brittle, and changes and ends of that.
+    pub brittle_runners: Counter,
+    /// Requests that brittle runners rejected.
+    pub brittle_rejections: Counter,
     /// Runners that crashed as they began to answer a call of this node, once for each call.
     pub runner_crashes: Counter,
     /// Parts of prompts blocked since runners crash under them.
@@ -97,6 +101,8 @@
             sends_withheld: Family::default(),
             runner_waits: Counter::default(),
             runner_limits: Counter::default(),
+            brittle_runners: Counter::default(),
+            brittle_rejections: Counter::default(),
             runner_crashes: Counter::default(),
             parts_blocked: Counter::default(),
             reach_losses: Counter::default(),
@@ -141,6 +147,16 @@
             "Changes of the limits that runners name",
             self.runner_limits.clone(),
         );
+        registry.register(
+            "brittle_runners",
+            "Changes of what runners state about being brittle",
+            self.brittle_runners.clone(),
+        );
+        registry.register(
+            "brittle_rejections",
+            "Requests rejected by brittle runners",
+            self.brittle_rejections.clone(),
+        );
         registry.register(
             "runner_crashes",
             "Calls lost as their runner crashed",
--- a/crates/node/src/peer_link.rs
+++ b/crates/node/src/peer_link.rs
@@ -140,6 +140,8 @@
     fn prune_tables(&self) {
         self.context.inputs.borrow_mut().prune(self.context.now());
         self.context.limits.borrow_mut().prune(self.context.now());
+        self.context.brittle.borrow_mut().prune(self.context.now());
+        self.context.members.borrow_mut().prune(self.context.now());
         let silent = self.context.peers.borrow_mut().prune(self.context.now());
         for vm in silent {
             self.context.peer_loads.borrow_mut().remove(&vm);
@@ -203,6 +205,7 @@
         let load =
             NodeLoad { loads, waiting_services: std::mem::take(&mut heartbeat.waiting_services) };
         if self.context.peers.borrow_mut().record_heartbeat(self.context.now(), heartbeat) {
+            self.context.members.borrow_mut().record(self.context.now(), &vm, None);
             let limits_changed = apply_limit_update(&self.context, &vm, limit_update);
             if self.context.peer_loads.borrow_mut().set(vm.clone(), load) {
                 self.router.mark_loads_changed();
--- a/crates/node/src/router.rs
+++ b/crates/node/src/router.rs
@@ -15,7 +15,7 @@
 
 use crate::call::Call;
 use crate::context::NodeContext;
-use crate::limit_share::limit_events;
+use crate::limit_share::{limit_events, room_events};
 use crate::route_ticket::RouteTicket;
 use crate::runner_gate;
 
@@ -53,6 +53,8 @@
     peer_loads_changed: Cell<bool>,
     /// Whether the dispatcher knows of a limit.
     dispatcher_limited: Cell<bool>,
+    /// Whether the dispatcher knows of a runner with little room.
+    dispatcher_confined: Cell<bool>,
     /// Requests an immediate heartbeat, so that the other nodes learn of a new call at once.
     heartbeat_requests: Rc<RefCell<mpsc::Sender<()>>>,
     weak_self: Weak<Self>,
@@ -88,6 +90,7 @@
             load_sequence: Cell::default(),
             peer_loads_changed: Cell::default(),
             dispatcher_limited: Cell::default(),
+            dispatcher_confined: Cell::default(),
             heartbeat_requests,
             weak_self: weak_self.clone(),
         })
@@ -101,6 +104,7 @@
         if self.peer_loads_changed.get() {
             self.dispatcher.handle_all(self.load_events());
         }
+        self.update_room();
         let id = self.dispatcher.next_call_id();
         call.id = id;
         let leaving = StopSignal::new();
@@ -209,7 +213,9 @@
     /// After how long a caller may come back if every runner that serves the call waits.
     #[must_use]
     pub fn wait_retry_after(&self, call: &Call) -> Option<TimeSpan> {
-        if self.context.waits.borrow().is_empty() && self.context.limits.borrow().is_empty() {
+        let has_limits =
+            !self.context.limits.borrow().is_empty() || !self.context.brittle.borrow().is_empty();
+        if self.context.waits.borrow().is_empty() && !has_limits {
             return None;
         }
         self.update_members();
@@ -304,9 +310,17 @@
             }
         }
         events.extend(limit_events(&self.context, &self.dispatcher_limited));
+        events.extend(room_events(&self.context, &self.dispatcher_confined));
         events
     }
 
+    /// Passes the room at brittle runners to the dispatcher if it has changed.
+    fn update_room(&self) {
+        if self.context.room_changed.take() {
+            self.dispatcher.handle_all(room_events(&self.context, &self.dispatcher_confined));
+        }
+    }
+
     /// Sends ticks and load updates to the dispatcher until the process ends.
     pub async fn run_ticks(self: Rc<Self>) {
         let mut next_update = TimePoint::default();
@@ -318,6 +332,7 @@
                 self.dispatcher.handle_all(self.load_events());
             }
             if self.has_waiting_calls() {
+                self.update_room();
                 self.dispatcher.handle(RouteEvent::Tick);
                 kernel::sleep(TICK_PERIOD.into()).await;
             } else {
--- a/crates/node/src/runner_gate.rs
+++ b/crates/node/src/runner_gate.rs
@@ -9,13 +9,15 @@
 use base::prelude::*;
 use platform::{AttemptId, KvCopy, PlatformError, RunnerNotice, RunnerReply};
 use serving::{
-    CallInput, LimitChange, LimitUpdate, MAX_RUNNER_WAIT, RunnerIncarnation, RunnerRecord,
+    BrittleChange, BrittleUpdate, CallInput, LimitChange, LimitUpdate, MAX_RUNNER_WAIT,
+    RunnerIncarnation, RunnerRecord,
 };
 
 use crate::call::Call;
 use crate::call_log::may_log;
 use crate::context::NodeContext;
 use crate::crash_watch::find_blocked_input;
+use crate::limit_share::runner_room;
 use crate::metrics::WithheldLabels;
 
 /// Why a request may not be sent to a runner.
@@ -25,6 +27,8 @@
     Leaving,
     /// The runner asked this node to send it nothing for some time.
     Waiting,
+    /// The runner may not get more requests of this node, since it can take only few.
+    NoRoom,
     /// The prompt has a part that crashes runners.
     PartBlocked,
     /// The request crashes runners.
@@ -38,6 +42,7 @@
         match self {
             Self::Leaving => "runner_leaving",
             Self::Waiting => "runner_waiting",
+            Self::NoRoom => "runner_without_room",
             Self::PartBlocked => "part_blocked",
             Self::RequestBlocked => "request_blocked",
         }
@@ -49,7 +54,7 @@
 /// # Errors
 /// Returns the reason if it may not.
 pub fn check_send(context: &NodeContext, runner: &RunnerIncarnation) -> Result<(), SendBlock> {
-    match find_block(context, runner) {
+    match find_block(context, runner).or_else(|| find_shortage(context, runner)) {
         Some(block) => Err(withhold(context, runner, block)),
         None => Ok(()),
     }
@@ -92,6 +97,62 @@
     end.map(|_| SendBlock::Waiting)
 }
 
+/// Whether this start of a runner may not get another request of this node now, since it can take
+/// only few. That does not concern health checks and reports.
+fn find_shortage(context: &NodeContext, runner: &RunnerIncarnation) -> Option<SendBlock> {
+    let room = runner_room(context, runner)?;
+    (room.calls == 0).then_some(SendBlock::NoRoom)
+}
+
+/// A request that is being sent to a runner. If it is dropped, the runner may have rejected the
+/// request.
+pub struct PendingSend<'a> {
+    context: &'a NodeContext,
+    /// The runner, if it counts the requests that it rejects.
+    brittle: Option<RunnerIncarnation>,
+}
+
+impl PendingSend<'_> {
+    /// Records that the runner has answered, and whether it rejected the request.
+    pub fn finish(mut self, rejected: bool) {
+        self.record_end(rejected);
+    }
+
+    fn record_end(&mut self, rejected: bool) {
+        let Some(runner) = self.brittle.take() else { return };
+        let now = self.context.now();
+        self.context.brittle.borrow_mut().end_send(now, &runner, rejected);
+        self.context.room_changed.set(true);
+        if rejected {
+            self.context.metrics.brittle_rejections.inc();
+            self.context.signal_runner_change();
+        }
+    }
+}
+
+impl Drop for PendingSend<'_> {
+    fn drop(&mut self) {
+        self.record_end(true);
+    }
+}
+
+/// Checks for the last time whether a call may be sent to this start of a runner, and counts it.
+///
+/// # Errors
+/// Returns the reason if it may not.
+pub fn begin_send<'a>(
+    context: &'a NodeContext,
+    runner: &RunnerIncarnation,
+) -> Result<PendingSend<'a>, SendBlock> {
+    check_send(context, runner)?;
+    let is_brittle = context.brittle.borrow().limit(context.now(), runner).is_some();
+    if is_brittle {
+        context.brittle.borrow_mut().begin_send(runner);
+        context.room_changed.set(true);
+    }
+    Ok(PendingSend { context, brittle: is_brittle.then(|| runner.clone()) })
+}
+
 /// Records what this start of a runner stated about itself in an answer.
 pub fn record_notice(context: &NodeContext, runner: &RunnerIncarnation, notice: &RunnerNotice) {
     if notice.leaving && mark_leaving(context, runner, "answer") {
@@ -100,6 +161,9 @@
     if let Some(rate) = notice.limit {
         record_limit(context, runner, Some(rate));
     }
+    if let Some(count) = notice.brittle {
+        record_brittle(context, runner, Some(count));
+    }
     if let Some(span) = notice.retry_after {
         begin_wait(context, runner, span);
     }
@@ -115,6 +179,41 @@
     record_limit(context, runner, None);
 }
 
+/// Records that this start of a runner served a call and did not state that it is brittle.
+pub fn record_not_brittle(context: &NodeContext, runner: &RunnerIncarnation) {
+    record_brittle(context, runner, None);
+}
+
+fn record_brittle(context: &NodeContext, runner: &RunnerIncarnation, limit: Option<u32>) {
+    let change = context.brittle.borrow_mut().record(context.now(), runner, limit);
+    if let Some(change) = change {
+        log_brittle(context, &change, "answer");
+        context.signal_runner_change();
+    }
+}
+
+/// Takes what another node knows about brittle runners. Returns whether anything has changed.
+pub fn apply_brittle_update(context: &NodeContext, vm: &VmId, update: BrittleUpdate) -> bool {
+    let changes = context.brittle.borrow_mut().apply_update(context.now(), vm, update);
+    for change in &changes {
+        log_brittle(context, change, "node");
+    }
+    !changes.is_empty()
+}
+
+fn log_brittle(context: &NodeContext, change: &BrittleChange, source: &str) {
+    context.metrics.brittle_runners.inc();
+    if !may_log(context) {
+        return;
+    }
+    let runner = &change.runner;
+    if let Some(rejections) = change.limit {
+        tracing::info!(event = "runner_brittle", %runner, rejections, source);
+    } else {
+        tracing::info!(event = "runner_sturdy", %runner, source);
+    }
+}
+
 fn record_limit(context: &NodeContext, runner: &RunnerIncarnation, limit: Option<RequestRate>) {
     let change = context.limits.borrow_mut().record(context.now(), runner, limit);
     if let Some(change) = change {
--- a/crates/node/src/runner_send.rs
+++ b/crates/node/src/runner_send.rs
@@ -14,7 +14,10 @@
 use crate::call::Call;
 use crate::context::NodeContext;
 use crate::reach_watch::{record_runner_answer, record_runner_failure};
-use crate::runner_gate::{SendBlock, check_inputs, check_send, record_notice, record_unlimited};
+use crate::runner_gate::{
+    SendBlock, begin_send, check_inputs, check_send, record_not_brittle, record_notice,
+    record_unlimited,
+};
 
 /// Maximum time to connect. A runner whose connection backlog is full drops the first
 /// packet, which TCP sends again only after a second.
@@ -121,7 +124,6 @@
 ) -> Result<WebExchange, SendFailure> {
     let runner = &plan.runner;
     let incarnation = runner.incarnation();
-    check_send(context, &incarnation).map_err(SendFailure::withheld)?;
     check_inputs(context, call, &incarnation).map_err(SendFailure::withheld)?;
     let left = call.deadline.since(context.now());
     let head = RunnerHead {
@@ -133,21 +135,30 @@
         backup: plan.backup.as_ref().map(|backup| backup.address),
     };
     let request = build_request(call, &head).map_err(|error| not_sent(&error))?;
-    let exchange = connection.send(request, limit.min(left)).await;
-    let exchange = exchange.map_err(|error| {
-        record_runner_failure(context, &runner.runner);
-        send_failure(&error)
-    })?;
+    let pending = begin_send(context, &incarnation).map_err(SendFailure::withheld)?;
+    let exchange = match connection.send(request, limit.min(left)).await {
+        Ok(exchange) => exchange,
+        Err(error) => {
+            let failure = send_failure(&error);
+            pending.finish(failure.outcome == SendOutcome::Unknown);
+            record_runner_failure(context, &runner.runner);
+            return Err(failure);
+        }
+    };
     record_runner_answer(context);
     let (status, headers) = (exchange.response.status(), exchange.response.headers());
+    let kind = classify_reply(status, headers, &call.attempt);
+    pending.finish(kind == ReplyKind::NotRun);
     if platform::is_from_runner(headers, &runner.runner) {
         let notice = RunnerNotice::decode(status, headers);
         record_notice(context, &incarnation, &notice);
-        let kind = classify_reply(status, headers, &call.attempt);
         // An error may come from a part of the runner that knows nothing of its limit.
         if notice.names_no_limit() && kind == ReplyKind::Answer && status.is_success() {
             record_unlimited(context, &incarnation);
         }
+        if notice.names_not_brittle() && kind == ReplyKind::Answer && status.is_success() {
+            record_not_brittle(context, &incarnation);
+        }
     }
     check_reply(call, exchange)
 }
--- a/crates/route/src/event.rs
+++ b/crates/route/src/event.rs
@@ -197,6 +197,15 @@
         /// This entry's share of the runner's limit; none if it has no limit.
         rate: Option<RequestRate>,
     },
+    /// The number of further calls that a runner can get from this entry has changed.
+    RunnerRoom {
+        /// The runner.
+        runner: RunnerId,
+        /// Number of calls; none if there is no such limit.
+        calls: Option<u32>,
+        /// When the runner can get further calls; none if that is not known.
+        free_at: Option<TimePoint>,
+    },
     /// Other entries have waiting calls that can still meet their first-token target.
     PeersWaiting {
         /// The service.
--- a/crates/route/src/rate_limiter.rs
+++ b/crates/route/src/rate_limiter.rs
@@ -1,4 +1,5 @@
-//! Limit on the rate of this entry's calls to a runner: a token bucket, whose tokens are calls.
+//! Limit on this entry's calls to a runner: a token bucket, whose tokens are calls, and the room
+//! that the runner has for further calls.
 //!
 //! Load pattern: a runner names the rate that it takes from all entries together, and each entry
 //! sends at its share. If hundreds of entries began with a full bucket, or saved up several calls,
@@ -32,10 +33,19 @@
     }
 }
 
-/// Limit on the rate of calls to one runner; there is none by default.
+/// Room that a runner has for calls of this entry.
+#[derive(Debug, Clone, Copy)]
+struct CallRoom {
+    calls: u32,
+    /// When there is room again, if that is known.
+    free_at: Option<TimePoint>,
+}
+
+/// Limit on the calls to one runner; there is none by default.
 #[derive(Debug, Default)]
 pub struct RateLimiter {
     bucket: Option<RateBucket>,
+    room: Option<CallRoom>,
 }
 
 impl RateLimiter {
@@ -51,6 +61,18 @@
         bucket.rate = rate;
     }
 
+    /// Sets how many more calls the runner may get until this is set again, and when it may get
+    /// further ones if that is known; with `None`, ends that limit.
+    pub fn set_room(&mut self, calls: Option<u32>, free_at: Option<TimePoint>) {
+        self.room = calls.map(|calls| CallRoom { calls, free_at });
+    }
+
+    /// Whether there is a limit of any kind.
+    #[must_use]
+    pub fn is_limited(&self) -> bool {
+        self.bucket.is_some() || self.room.is_some()
+    }
+
     /// The rate; `None` without a limit.
     #[must_use]
     pub fn rate(&self) -> Option<RequestRate> {
@@ -60,12 +82,20 @@
     /// Returns whether the runner may get a call now.
     #[must_use]
     pub fn admits(&self, now: TimePoint) -> bool {
-        self.bucket.is_none_or(|bucket| bucket.calls_at(now) >= 1.0)
+        let has_room = self.room.is_none_or(|room| room.calls > 0);
+        has_room && self.bucket.is_none_or(|bucket| bucket.calls_at(now) >= 1.0)
     }
 
-    /// When the runner may get the next call; `None` if it may now.
+    /// When the runner may get the next call; `None` if it may now, or if that depends on calls in
+    /// progress.
     #[must_use]
     pub fn next_call_at(&self, now: TimePoint) -> Option<TimePoint> {
+        let full = self.room.filter(|room| room.calls == 0);
+        let free_at = full.and_then(|room| room.free_at).filter(|at| *at > now);
+        free_at.max(self.next_token_at(now))
+    }
+
+    fn next_token_at(&self, now: TimePoint) -> Option<TimePoint> {
         let bucket = self.bucket?;
         let missing = 1.0 - bucket.calls_at(now);
         if missing <= 0.0 {
@@ -78,6 +108,9 @@
 
     /// Records that a call was sent to the runner.
     pub fn record_sent(&mut self, now: TimePoint) {
+        if let Some(room) = &mut self.room {
+            room.calls = room.calls.saturating_sub(1);
+        }
         if let Some(bucket) = &mut self.bucket {
             bucket.settle(now);
             bucket.calls = (bucket.calls - 1.0).max(-MAX_DEBT);
--- a/crates/route/src/scheduler.rs
+++ b/crates/route/src/scheduler.rs
@@ -125,6 +125,11 @@
                     self.runners[slot].limiter.set_rate(now, rate, draw);
                 }
             }
+            RouteEvent::RunnerRoom { runner, calls, free_at } => {
+                if let Some(&slot) = self.slots.get(&runner) {
+                    self.runners[slot].limiter.set_room(calls, free_at);
+                }
+            }
             RouteEvent::Cache { runner, event } => {
                 if let Some(&slot) = self.slots.get(&runner) {
                     self.prefixes.apply(slot, &event);
--- a/crates/route/src/scheduler_relocate.rs
+++ b/crates/route/src/scheduler_relocate.rs
@@ -67,7 +67,7 @@
         let usable = others.filter(|slot| {
             let runner = &self.runners[*slot];
             // If a runner is lost, all its calls go on at once at the runners with their copies.
-            let takes_all = runner.limiter.rate().is_none();
+            let takes_all = !runner.limiter.is_limited();
             let is_available = runner.health.is_available(now) && runner.admits(now);
             runner.can_serve(model) && is_available && takes_all
         });
--- a/crates/route/tests/runner_limits.rs
+++ b/crates/route/tests/runner_limits.rs
@@ -131,3 +131,33 @@
     limit(&mut harness, other, None);
     assert_eq!(harness.scheduler.choose_backup(now, id(1)), Some(runner(other)));
 }
+
+/// Guards against a runner that gets calls beyond its room, and calls that wait for nothing.
+#[test]
+fn a_runner_without_room_gets_no_calls_and_they_are_refused_if_it_has_none_in_time() {
+    let mut harness = SchedulerHarness::new(1);
+    let room = |harness: &mut SchedulerHarness, calls, free_at| {
+        harness.tell(RouteEvent::RunnerRoom { runner: runner(0), calls, free_at })
+    };
+    room(&mut harness, Some(2), None);
+    for number in 1..=2 {
+        let arrival = RouteEvent::Arrive(due(&harness, number, 300));
+        assert_eq!(sends_to(&harness.tell(arrival), 0), 1);
+    }
+    // It depends on calls in progress when there is room again: the call waits.
+    let arrival = RouteEvent::Arrive(due(&harness, 3, 300));
+    assert!(harness.tell(arrival).is_empty());
+    assert_eq!(sends_to(&room(&mut harness, Some(1), None), 0), 1);
+    let free_at = harness.now + TimeSpan::seconds(2);
+    room(&mut harness, Some(0), Some(free_at));
+    let arrival = RouteEvent::Arrive(due(&harness, 4, 300));
+    let refused = harness.tell(arrival);
+    let [RouteAction::Refuse { reason, retry_after, .. }] = refused.as_slice() else {
+        panic!("{refused:?}")
+    };
+    assert_eq!(*reason, RefusalReason::RunnersWait);
+    assert!(*retry_after >= TimeSpan::seconds(2), "{retry_after:?}");
+    room(&mut harness, None, None);
+    let arrival = RouteEvent::Arrive(due(&harness, 5, 300));
+    assert_eq!(sends_to(&harness.tell(arrival), 0), 1);
+}
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -5,8 +5,10 @@
 //! time, and decisions are returned as values.
 
 mod attempt;
+mod brittle_runners;
 mod call_input;
 mod fleet_loads;
+mod fleet_members;
 mod forecast_codec;
 mod heartbeat_sections;
 mod input_table;
@@ -28,8 +30,10 @@
 mod transfer_pacer;
 
 pub use attempt::{AttemptTracker, FinalStatus, SendOutcome};
+pub use brittle_runners::{BrittleChange, BrittleReport, BrittleTable, BrittleUpdate, RunnerRoom};
 pub use call_input::CallInput;
 pub use fleet_loads::{FleetLoads, NodeLoad, RunnerLoad, add_load};
+pub use fleet_members::FleetMembers;
 pub use heartbeat_sections::{HeartbeatSections, MAX_SECTION_BYTES, SectionTag};
 pub use input_table::{InputChange, InputTable};
 pub use input_update::{CrashReport, InputUpdate, TimedInput};
--- a/crates/serving/src/peer_table.rs
+++ b/crates/serving/src/peer_table.rs
@@ -72,6 +72,12 @@
         self.listed.insert(vm, address);
     }
 
+    /// Number of other nodes that the store lists or has listed.
+    #[must_use]
+    pub fn listed_count(&self) -> usize {
+        self.listed.len()
+    }
+
     /// Drops nodes that have been silent for `FORGET_TIMEOUT`. Returns the remaining ones
     /// that are considered dead, so that the caller can discard their load.
     pub fn prune(&mut self, now: TimePoint) -> Vec<VmId> {
