Limit the requests of all nodes to cold runners

A cold runner crashes well above coldPerS, and every node prefers the empty runners of a place that has just come back. The allowance of a cold runner is divided into slots, which are dealt to the nodes by rendezvous hashing; a slot sends one saved request and its rate, so the sum holds in any second whichever nodes send.

--- a/crates/fakes/src/platform/runner_answers.rs
+++ b/crates/fakes/src/platform/runner_answers.rs
@@ -36,8 +36,11 @@
 }
 
 pub(super) async fn answer_health(stream: &mut TcpStream, state: &RunnerState) -> bool {
-    let headers =
+    let mut headers =
         format!("{}X-Dotterelyard-Instance-Id: {}\r\n", state.notice(), state.settings.id);
+    if state.cold.get().is_some() {
+        let _ = write!(headers, "X-Dotterelyard-Cold-Ms: {}\r\n", state.cold_left_ms());
+    }
     write(stream, whole("200 OK", &headers, "")).await
 }
 
@@ -105,6 +108,7 @@
         let headers = format!("{}X-Dotterelyard-Instance-Id: {id}\r\n", state.notice());
         return write(stream, whole("421 Misdirected Request", &headers, "")).await;
     }
+    state.note_cold_request();
     if !ran {
         let mut headers = format!("{}X-Dotterelyard-Not-Executed: 1\r\n", state.notice());
         if let Some(value) = retry_after {
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -7,9 +7,9 @@
 use futures_channel::mpsc;
 use kernel::{MonotonicClock, StopSignal};
 use serving::{
-    BrittleTable, BudgetSettings, EraView, FleetLoads, FleetMembers, InputTable, LimitTable,
-    PeerTable, PlanVersion, RetryBudget, RunnerReach, RunnerTable, ServingPlan, TransferPacer,
-    WaitTable,
+    BrittleTable, BudgetSettings, ColdSettings, ColdTable, EraView, FleetLoads, FleetMembers,
+    InputTable, LimitTable, PeerTable, PlanVersion, RetryBudget, RunnerReach, RunnerTable,
+    ServingPlan, TransferPacer, WaitTable,
 };
 use settings::NodeSettings;
 
@@ -44,6 +44,8 @@
     pub waits: RefCell<WaitTable>,
     /// Limits on the requests that runners take from all nodes.
     pub limits: RefCell<LimitTable>,
+    /// Cold runners.
+    pub cold: RefCell<ColdTable>,
     /// Brittle runners.
     pub brittle: RefCell<BrittleTable>,
     /// Whether the room at a brittle runner has changed since the dispatcher was told.
@@ -107,6 +109,7 @@
             store_era: RefCell::default(),
             waits: RefCell::default(),
             limits: RefCell::default(),
+            cold: RefCell::default(),
             brittle: RefCell::default(),
             room_changed: Cell::default(),
             members: RefCell::new(FleetMembers::new(settings.vm.clone(), clock.now())),
@@ -274,6 +277,12 @@
     }
 }
 
+/// What cold runners bear beyond their rate, from the settings.
+#[must_use]
+pub fn cold_settings(settings: &NodeSettings) -> ColdSettings {
+    ColdSettings { overshoot: settings.cold_overshoot, slack: settings.cold_start_slack }
+}
+
 /// Retry budget parameters from the settings.
 #[must_use]
 pub fn retry_budget_settings(settings: &NodeSettings) -> BudgetSettings {
--- a/crates/node/src/follow_runners.rs
+++ b/crates/node/src/follow_runners.rs
@@ -7,13 +7,17 @@
 use std::rc::Rc;
 
 use base::prelude::*;
-use platform::{KeyedChange, KeyedListing, StoreTopic};
-use serving::{RunnerChange, RunnerRecord, RunnerUpdate, StoreCursor};
+use platform::{KeyedChange, KeyedListing, RunnerCold, StoreTopic};
+use serving::{
+    ColdSource, RunnerChange, RunnerIncarnation, RunnerRecord, RunnerUpdate, StoreCursor,
+};
 
 use crate::context::NodeContext;
 use crate::dependency::DependencyState;
+use crate::limit_share::cold_plan;
 use crate::peer_link::PeerLink;
 use crate::router::RouterService;
+use crate::runner_gate::record_cold;
 use crate::store_reader::{EraListing, StoreReader};
 
 /// Pause between two reads. Runners rewrite their records about once a second each, so a
@@ -137,8 +141,9 @@
     }
 
     fn apply_list(&self, requested: TimePoint, read: &EraListing) {
-        let records = decode_records(&read.listing);
+        let (records, cold) = decode_records(&read.listing);
         let changed = self.context.runners.borrow_mut().replace_listed(self.context.now(), records);
+        record_cold_entries(&self.context, &cold);
         // The list counts alone, also where it ends before what was read.
         self.context.runners_offset.take();
         log_list_changes(&self.context, &changed, "store");
@@ -146,14 +151,16 @@
     }
 
     fn apply_changes(&self, requested: TimePoint, from: StoreCursor, read: &EraListing) {
-        let mut decoded: Vec<RunnerChange> =
-            read.listing.entries.iter().filter_map(decode_change).collect();
+        let (mut decoded, cold): (Vec<RunnerChange>, Vec<Option<ColdEntry>>) =
+            read.listing.entries.iter().filter_map(decode_change).unzip();
         let overdue = self.context.runners.borrow().overdue_rewrites(self.context.now());
         let rewritten: Vec<&RunnerId> = decoded.iter().map(changed_runner).collect();
         let expired: Vec<RunnerId> =
             overdue.into_iter().filter(|runner| !rewritten.contains(&runner)).collect();
         decoded.extend(expired.into_iter().map(RunnerChange::Remove));
         let changes = apply_to_table(&self.context, decoded, "store");
+        let cold: Vec<ColdEntry> = cold.into_iter().flatten().collect();
+        record_cold_entries(&self.context, &cold);
         self.record_end(requested, read.end, !changes.is_empty());
         let (from, end) = (from.offset, read.end.offset);
         self.link.send_update(RunnerUpdate { era: read.end.era, from, end, changes });
@@ -216,10 +223,45 @@
     if context.runners_updated.get().is_none() || update.from > read || update.end < read {
         return;
     }
+    let started = new_starts(context, &update.changes);
     let changed = !apply_to_table(context, update.changes, "node").is_empty();
+    for runner in &started {
+        assume_cold(context, runner);
+    }
     record_current_read(context, router, context.now(), update.end, changed);
 }
 
+/// Starts of runners in `changes` that are not in the table.
+fn new_starts(context: &NodeContext, changes: &[RunnerChange]) -> Vec<RunnerRecord> {
+    let table = context.runners.borrow();
+    let is_new = |record: &&RunnerRecord| {
+        let known = table.get(&record.runner);
+        known.is_none_or(|known| known.record.started_unix_ms < record.started_unix_ms)
+    };
+    let puts = changes.iter().filter_map(|change| match change {
+        RunnerChange::Put(record) => Some(record),
+        RunnerChange::Remove(_) => None,
+    });
+    puts.filter(is_new).cloned().collect()
+}
+
+/// Treats a runner that another node has read of as cold, if its service has cold runners: that it
+/// is cold may become known only with that node's next heartbeat.
+fn assume_cold(context: &NodeContext, runner: &RunnerRecord) {
+    if let Some(cold) = cold_plan(context, &runner.service) {
+        record_cold(context, &runner.incarnation(), cold.span, ColdSource::Start);
+    }
+}
+
+/// A runner that is cold as its entry states.
+type ColdEntry = (RunnerIncarnation, RunnerCold);
+
+fn record_cold_entries(context: &NodeContext, entries: &[ColdEntry]) {
+    for (runner, cold) in entries {
+        record_cold(context, runner, cold.left, ColdSource::Store(cold.sequence));
+    }
+}
+
 /// Applies changes to the runner table; returns those that had an effect.
 fn apply_to_table(
     context: &NodeContext,
@@ -273,23 +315,30 @@
     if record.leaving { "leaving" } else { "ready" }
 }
 
-/// Decodes the records of a whole list; malformed ones are skipped.
-fn decode_records(listing: &KeyedListing) -> Vec<RunnerRecord> {
-    let puts = listing.entries.iter().filter_map(decode_change);
-    puts.filter_map(|change| match change {
-        RunnerChange::Put(record) => Some(record),
-        RunnerChange::Remove(_) => None,
-    })
-    .collect()
+/// Decodes the records of a whole list, and which of the runners are cold; malformed ones are
+/// skipped.
+fn decode_records(listing: &KeyedListing) -> (Vec<RunnerRecord>, Vec<ColdEntry>) {
+    let (mut records, mut cold_entries) = (Vec::new(), Vec::new());
+    for (change, cold) in listing.entries.iter().filter_map(decode_change) {
+        if let RunnerChange::Put(record) = change {
+            records.push(record);
+        }
+        cold_entries.extend(cold);
+    }
+    (records, cold_entries)
 }
 
-/// Decodes one change; `None` if it is malformed.
-fn decode_change(change: &KeyedChange) -> Option<RunnerChange> {
+/// Decodes one change, and whether the runner is cold; `None` if it is malformed.
+fn decode_change(change: &KeyedChange) -> Option<(RunnerChange, Option<ColdEntry>)> {
     let Some(value) = &change.value else {
-        return change.key.parse().ok().map(RunnerChange::Remove);
+        return change.key.parse().ok().map(|runner| (RunnerChange::Remove(runner), None));
     };
-    match platform::decode_runner(&change.key, value) {
-        Ok(record) => Some(RunnerChange::Put(record)),
+    match platform::decode_runner_entry(&change.key, value) {
+        Ok((record, cold)) => {
+            let is_cold = cold.left > TimeSpan::default();
+            let entry = is_cold.then(|| (record.incarnation(), cold));
+            Some((RunnerChange::Put(record), entry))
+        }
         Err(error) => {
             tracing::debug!(event = "record_skipped", topic = "runners", key = %change.key, %error);
             None
--- a/crates/node/src/heartbeat_sections.rs
+++ b/crates/node/src/heartbeat_sections.rs
@@ -3,18 +3,25 @@
 use base::prelude::*;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
-use serving::{BrittleUpdate, HeartbeatSections, SectionTag};
+use serving::{BrittleUpdate, ColdUpdate, HeartbeatSections, SectionTag};
 
 use crate::call_log::may_log;
 use crate::context::NodeContext;
 use crate::router::RouterService;
-use crate::runner_gate::apply_brittle_update;
+use crate::runner_gate::{apply_brittle_update, apply_cold_update};
 
 /// Collects what this node states about subjects that have a section.
 #[must_use]
 pub fn collect_sections(context: &NodeContext) -> HeartbeatSections {
     let mut sections = HeartbeatSections::default();
-    let brittle = context.brittle.borrow().update(context.now());
+    let (now, fleet_size) = (context.now(), context.members.borrow().known_size());
+    let has_cold =
+        context.plan().is_some_and(|plan| plan.services.values().any(|entry| entry.cold.is_some()));
+    if has_cold {
+        let cold = context.cold.borrow().update(now, fleet_size);
+        put_section(context, &mut sections, SectionTag::COLD_RUNNERS, &cold);
+    }
+    let brittle = context.brittle.borrow().update(now, fleet_size);
     if !brittle.reports.is_empty() {
         put_section(context, &mut sections, SectionTag::BRITTLE_RUNNERS, &brittle);
     }
@@ -30,8 +37,17 @@
 ) {
     let brittle: Option<BrittleUpdate> =
         read_section(context, vm, sections, SectionTag::BRITTLE_RUNNERS);
+    let cold: Option<ColdUpdate> = read_section(context, vm, sections, SectionTag::COLD_RUNNERS);
+    let sizes = (
+        cold.as_ref().map(|update| update.fleet_size),
+        brittle.as_ref().map(|update| update.fleet_size),
+    );
+    if let Some(size) = sizes.0.max(sizes.1) {
+        context.members.borrow_mut().record(context.now(), vm, Some(size as usize));
+    }
+    let cold_changed = cold.is_some_and(|update| apply_cold_update(context, update));
     let changed = brittle.is_some_and(|update| apply_brittle_update(context, vm, update));
-    if changed {
+    if changed || cold_changed {
         router.update_members();
     }
 }
--- a/crates/node/src/limit_share.rs
+++ b/crates/node/src/limit_share.rs
@@ -7,10 +7,10 @@
 use base::prelude::*;
 use route::RouteEvent;
 use serving::{
-    BrittleTable, LimitUpdate, RunnerEntry, RunnerIncarnation, RunnerRoom, ServiceDemand,
+    BrittleTable, ColdPlan, LimitUpdate, RunnerEntry, RunnerIncarnation, RunnerRoom, ServiceDemand,
 };
 
-use crate::context::NodeContext;
+use crate::context::{NodeContext, cold_settings};
 
 /// What runners stated to this node, and its demand for the services with limited runners.
 #[must_use]
@@ -39,8 +39,9 @@
 pub fn limit_events(context: &NodeContext, dispatcher_limited: &Cell<bool>) -> Vec<RouteEvent> {
     let now = context.now();
     let limits = context.limits.borrow();
-    let was_limited = dispatcher_limited.replace(!limits.is_empty());
-    if limits.is_empty() && !was_limited {
+    let is_empty = limits.is_empty() && context.cold.borrow().is_empty();
+    let was_limited = dispatcher_limited.replace(!is_empty);
+    if is_empty && !was_limited {
         return Vec::new();
     }
     let runners = context.runners.borrow();
@@ -50,15 +51,20 @@
             let requests = recent_requests(context, &record.service);
             RequestRate(rate.0 * limits.own_share(&record.service, requests))
         });
+        let cold = cold_share(context, &record.incarnation()).and_then(|cold| cold.rate);
+        let rate = match (rate, cold) {
+            (Some(limit), Some(cold)) => Some(RequestRate(limit.0.min(cold.0))),
+            (limit, cold) => limit.or(cold),
+        };
         RouteEvent::RunnerLimit { runner: record.runner.clone(), rate }
     };
     runners.entries().map(event).collect()
 }
 
-/// Events with the room that brittle runners have for calls of this node; none while no runner is
-/// or was brittle. `dispatcher_limited` is as for [`limit_events`].
+/// Events with the room that brittle and cold runners have for calls of this node; none while no
+/// runner is or was brittle or cold. `dispatcher_limited` is as for [`limit_events`].
 pub fn room_events(context: &NodeContext, dispatcher_limited: &Cell<bool>) -> Vec<RouteEvent> {
-    let is_empty = context.brittle.borrow().is_empty();
+    let is_empty = context.brittle.borrow().is_empty() && context.cold.borrow().is_empty();
     let was_limited = dispatcher_limited.replace(!is_empty);
     if is_empty && !was_limited {
         return Vec::new();
@@ -75,13 +81,48 @@
     runners.entries().map(event).collect()
 }
 
-/// How many more requests this node may send to a brittle runner; `None` if it is not brittle.
+/// What this node may send to a cold runner.
+#[derive(Debug, Clone, Copy)]
+pub struct ColdShare {
+    /// When the runner stops being cold.
+    pub until: TimePoint,
+    /// Requests a second; `None` if this node may send none.
+    pub rate: Option<RequestRate>,
+}
+
+/// What this node may send to this start of a runner while it is cold; `None` if it is not cold.
+pub fn cold_share(context: &NodeContext, runner: &RunnerIncarnation) -> Option<ColdShare> {
+    let now = context.now();
+    let until = context.cold.borrow().end(now, runner)?;
+    let service = context.runners.borrow().get(&runner.runner)?.record.service.clone();
+    let plan = cold_plan(context, &service)?;
+    let allowance = cold_settings(&context.settings).allowance(plan.rate);
+    let mut members = context.members.borrow_mut();
+    let is_settled = members.is_settled(now);
+    let slots = if is_settled { members.share(now, &runner.runner, allowance.slots) } else { 0 };
+    let rate = RequestRate(f64::from(slots) * allowance.slot_rate.0);
+    Some(ColdShare { until, rate: (slots > 0).then_some(rate) })
+}
+
+/// What the configuration says of the cold runners of a service; `None` if it has none.
+pub fn cold_plan(context: &NodeContext, service: &ServiceName) -> Option<ColdPlan> {
+    context.plan()?.services.get(service)?.cold
+}
+
+/// How many more requests this node may send to a brittle or cold runner; `None` if it is neither,
+/// or if the rate of this node alone limits them.
 pub fn runner_room(context: &NodeContext, runner: &RunnerIncarnation) -> Option<RunnerRoom> {
+    let cold = cold_share(context, runner).filter(|cold| cold.rate.is_none());
+    let closed = cold.map(|cold| RunnerRoom { calls: 0, free_at: Some(cold.until) });
+    closed.or_else(|| brittle_room(context, runner))
+}
+
+fn brittle_room(context: &NodeContext, runner: &RunnerIncarnation) -> Option<RunnerRoom> {
     let now = context.now();
     let brittle = context.brittle.borrow();
     let limit = brittle.limit(now, runner)?;
     let usable = BrittleTable::usable_rejections(limit);
-    let share = context.members.borrow_mut().share(&runner.runner, usable);
+    let share = context.members.borrow_mut().share(now, &runner.runner, usable);
     Some(brittle.room(now, runner, share))
 }
 
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -40,6 +40,8 @@
     pub runner_waits: Counter,
     /// Limits that runners named, changed or ended.
     pub runner_limits: Counter,
+    /// Runners that became cold.
+    pub cold_runners: Counter,
     /// Runners that stated that they are brittle, and changes and ends of that.
     pub brittle_runners: Counter,
     /// Requests that brittle runners rejected.
@@ -101,6 +103,7 @@
             sends_withheld: Family::default(),
             runner_waits: Counter::default(),
             runner_limits: Counter::default(),
+            cold_runners: Counter::default(),
             brittle_runners: Counter::default(),
             brittle_rejections: Counter::default(),
             runner_crashes: Counter::default(),
@@ -147,6 +150,7 @@
             "Changes of the limits that runners name",
             self.runner_limits.clone(),
         );
+        registry.register("cold_runners", "Runners that became cold", self.cold_runners.clone());
         registry.register(
             "brittle_runners",
             "Changes of what runners state about being brittle",
--- a/crates/node/src/peer_link.rs
+++ b/crates/node/src/peer_link.rs
@@ -140,6 +140,7 @@
     fn prune_tables(&self) {
         self.context.inputs.borrow_mut().prune(self.context.now());
         self.context.limits.borrow_mut().prune(self.context.now());
+        self.context.cold.borrow_mut().prune(self.context.now());
         self.context.brittle.borrow_mut().prune(self.context.now());
         self.context.members.borrow_mut().prune(self.context.now());
         let silent = self.context.peers.borrow_mut().prune(self.context.now());
--- a/crates/node/src/reach_watch.rs
+++ b/crates/node/src/reach_watch.rs
@@ -10,7 +10,7 @@
 use web::WebConnection;
 
 use crate::context::NodeContext;
-use crate::runner_gate::find_block;
+use crate::runner_gate::{find_block, record_notice};
 
 /// How often it is looked whether runners are to be asked.
 const WATCH_PERIOD: TimeSpan = TimeSpan::millis(50);
@@ -87,11 +87,14 @@
     let Ok(connection) = WebConnection::open(runner.address, ANSWER_TIMEOUT).await else {
         return false;
     };
-    let answered = read_pulse(connection, path, &runner.runner, ANSWER_TIMEOUT).await.is_ok();
-    if answered {
-        record_runner_answer(context);
+    let Ok(notice) = read_pulse(connection, path, &runner.runner, ANSWER_TIMEOUT).await else {
+        return false;
+    };
+    record_runner_answer(context);
+    if let Some(notice) = notice {
+        record_notice(context, &runner.incarnation(), &notice);
     }
-    answered
+    true
 }
 
 fn note_change(context: &NodeContext, change: Option<ReachChange>) {
--- a/crates/node/src/router.rs
+++ b/crates/node/src/router.rs
@@ -213,8 +213,9 @@
     /// After how long a caller may come back if every runner that serves the call waits.
     #[must_use]
     pub fn wait_retry_after(&self, call: &Call) -> Option<TimeSpan> {
-        let has_limits =
-            !self.context.limits.borrow().is_empty() || !self.context.brittle.borrow().is_empty();
+        let has_limits = !self.context.limits.borrow().is_empty()
+            || !self.context.brittle.borrow().is_empty()
+            || !self.context.cold.borrow().is_empty();
         if self.context.waits.borrow().is_empty() && !has_limits {
             return None;
         }
--- a/crates/node/src/runner_gate.rs
+++ b/crates/node/src/runner_gate.rs
@@ -9,15 +9,15 @@
 use base::prelude::*;
 use platform::{AttemptId, KvCopy, PlatformError, RunnerNotice, RunnerReply};
 use serving::{
-    BrittleChange, BrittleUpdate, CallInput, LimitChange, LimitUpdate, MAX_RUNNER_WAIT,
-    RunnerIncarnation, RunnerRecord,
+    BrittleChange, BrittleUpdate, CallInput, ColdSource, ColdUpdate, LimitChange, LimitUpdate,
+    MAX_RUNNER_WAIT, RunnerIncarnation, RunnerRecord,
 };
 
 use crate::call::Call;
 use crate::call_log::may_log;
 use crate::context::NodeContext;
 use crate::crash_watch::find_blocked_input;
-use crate::limit_share::runner_room;
+use crate::limit_share::{cold_plan, cold_share, runner_room};
 use crate::metrics::WithheldLabels;
 
 /// Why a request may not be sent to a runner.
@@ -29,6 +29,8 @@
     Waiting,
     /// The runner may not get more requests of this node, since it can take only few.
     NoRoom,
+    /// The runner is cold and gets no more from this node now.
+    Cold,
     /// The prompt has a part that crashes runners.
     PartBlocked,
     /// The request crashes runners.
@@ -43,6 +45,7 @@
             Self::Leaving => "runner_leaving",
             Self::Waiting => "runner_waiting",
             Self::NoRoom => "runner_without_room",
+            Self::Cold => "runner_cold",
             Self::PartBlocked => "part_blocked",
             Self::RequestBlocked => "request_blocked",
         }
@@ -100,6 +103,13 @@
 /// Whether this start of a runner may not get another request of this node now, since it can take
 /// only few. That does not concern health checks and reports.
 fn find_shortage(context: &NodeContext, runner: &RunnerIncarnation) -> Option<SendBlock> {
+    if let Some(cold) = cold_share(context, runner) {
+        let now = context.now();
+        let admits = |rate| context.cold.borrow_mut().admits(now, runner, rate);
+        if !cold.rate.is_some_and(admits) {
+            return Some(SendBlock::Cold);
+        }
+    }
     let room = runner_room(context, runner)?;
     (room.calls == 0).then_some(SendBlock::NoRoom)
 }
@@ -145,6 +155,7 @@
     runner: &RunnerIncarnation,
 ) -> Result<PendingSend<'a>, SendBlock> {
     check_send(context, runner)?;
+    context.cold.borrow_mut().record_sent(context.now(), runner);
     let is_brittle = context.brittle.borrow().limit(context.now(), runner).is_some();
     if is_brittle {
         context.brittle.borrow_mut().begin_send(runner);
@@ -161,6 +172,9 @@
     if let Some(rate) = notice.limit {
         record_limit(context, runner, Some(rate));
     }
+    if let Some(left) = notice.cold {
+        record_cold(context, runner, left, ColdSource::Answer);
+    }
     if let Some(count) = notice.brittle {
         record_brittle(context, runner, Some(count));
     }
@@ -179,6 +193,45 @@
     record_limit(context, runner, None);
 }
 
+/// Records that this start of a runner stays cold for `left`, unless its service has no cold
+/// runners.
+pub fn record_cold(
+    context: &NodeContext,
+    runner: &RunnerIncarnation,
+    left: TimeSpan,
+    source: ColdSource,
+) {
+    let service =
+        context.runners.borrow().get(&runner.runner).map(|entry| entry.record.service.clone());
+    let has_cold = service.is_some_and(|service| cold_plan(context, &service).is_some());
+    // The list of runners may be read before the configuration.
+    if !has_cold && context.plan().is_some() {
+        return;
+    }
+    let is_new = context.cold.borrow_mut().record(context.now(), runner, left, source);
+    if is_new {
+        log_cold(context, runner, left, source);
+        context.signal_runner_change();
+    }
+}
+
+/// Takes what another node knows about cold runners. Returns whether anything has changed.
+pub fn apply_cold_update(context: &NodeContext, update: ColdUpdate) -> bool {
+    let reports = context.cold.borrow_mut().apply_update(context.now(), update);
+    for report in &reports {
+        log_cold(context, &report.runner, report.left, ColdSource::Node);
+    }
+    !reports.is_empty()
+}
+
+fn log_cold(context: &NodeContext, runner: &RunnerIncarnation, left: TimeSpan, source: ColdSource) {
+    context.metrics.cold_runners.inc();
+    if may_log(context) {
+        let (left_ms, source) = (left.as_millis(), source.as_str());
+        tracing::info!(event = "runner_cold", runner = %runner.runner, left_ms, source);
+    }
+}
+
 /// Records that this start of a runner served a call and did not state that it is brittle.
 pub fn record_not_brittle(context: &NodeContext, runner: &RunnerIncarnation) {
     record_brittle(context, runner, None);
--- a/crates/node/src/runner_probe.rs
+++ b/crates/node/src/runner_probe.rs
@@ -18,7 +18,7 @@
 use crate::context::NodeContext;
 use crate::crash_watch::record_crash;
 use crate::reach_watch::reaches_runners;
-use crate::runner_gate::find_block;
+use crate::runner_gate::{find_block, record_notice};
 
 /// Timeout for connecting to a runner that lost a call.
 const CONNECT_TIMEOUT: TimeSpan = TimeSpan::millis(250);
@@ -140,11 +140,15 @@
         return ProbeOutcome::Answered;
     }
     match read_pulse(connection, &path, &runner.runner, PULSE_TIMEOUT).await {
-        Ok(false) => ProbeOutcome::Replaced,
+        Ok(None) => ProbeOutcome::Replaced,
+        Ok(Some(notice)) => {
+            record_notice(context, &runner.incarnation(), &notice);
+            ProbeOutcome::Answered
+        }
         Err(WebError::Deadline { .. }) => ProbeOutcome::Silent,
         Err(error) if error.is_connection_end() => ProbeOutcome::Ended,
         // Bytes that are no answer come from a process that is up, too.
-        Ok(true) | Err(_) => ProbeOutcome::Answered,
+        Err(_) => ProbeOutcome::Answered,
     }
 }
 
--- a/crates/serving/src/brittle_runners.rs
+++ b/crates/serving/src/brittle_runners.rs
@@ -46,6 +46,8 @@
 /// What one node knows about brittle runners, in its heartbeats.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct BrittleUpdate {
+    /// Number of nodes that the sender knows, itself included.
+    pub fleet_size: u32,
     /// What runners stated to the node.
     pub reports: Vec<BrittleReport>,
 }
@@ -277,7 +279,7 @@
 
     /// What runners stated to this node; those that reject requests first.
     #[must_use]
-    pub fn update(&self, now: TimePoint) -> BrittleUpdate {
+    pub fn update(&self, now: TimePoint, fleet_size: usize) -> BrittleUpdate {
         let holding = self.own.values().filter(|statement| now < statement.until);
         let report = |statement: &BrittleStatement| BrittleReport {
             runner: statement.runner.clone(),
@@ -291,7 +293,7 @@
         let mut reports: Vec<BrittleReport> = holding.map(report).collect();
         reports.sort_by(|a, b| b.rejected.cmp(&a.rejected).then(b.left.cmp(&a.left)));
         reports.truncate(MAX_REPORTS);
-        BrittleUpdate { reports }
+        BrittleUpdate { fleet_size: u32::try_from(fleet_size).unwrap_or(u32::MAX), reports }
     }
 
     /// Drops what no longer holds.
--- a/crates/serving/src/fleet_members.rs
+++ b/crates/serving/src/fleet_members.rs
@@ -12,7 +12,10 @@
 
 /// Time for which a silent node still counts as a member. It exceeds the disturbances in which
 /// nodes do not hear each other but still send to runners.
-const MEMBER_TTL: TimeSpan = TimeSpan::seconds(120);
+const MEMBER_TTL: TimeSpan = TimeSpan::seconds(300);
+/// Silence of all other nodes from which this node has no slots: after `MEMBER_TTL`, the others deal
+/// them among themselves.
+const ABSTAIN_SPAN: TimeSpan = TimeSpan::seconds(240);
 /// Silence of all other nodes from which this node counts as cut off; its members then stay.
 const ISOLATION_SPAN: TimeSpan = TimeSpan::seconds(5);
 /// Time after its start from which a node counts as settled: an earlier process of the same node may
@@ -111,7 +114,10 @@
     /// Number of slots of this node among `slots` of a runner; over all nodes, they add up to
     /// `slots`.
     #[must_use]
-    pub fn share(&mut self, runner: &RunnerId, slots: u32) -> u32 {
+    pub fn share(&mut self, now: TimePoint, runner: &RunnerId, slots: u32) -> u32 {
+        if !self.others.is_empty() && now.since(self.heard_at) >= ABSTAIN_SPAN {
+            return 0;
+        }
         let key = (runner.clone(), slots);
         if let Some(share) = self.shares.get(&key) {
             return *share;
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -7,6 +7,7 @@
 mod attempt;
 mod brittle_runners;
 mod call_input;
+mod cold_runners;
 mod fleet_loads;
 mod fleet_members;
 mod forecast_codec;
@@ -32,6 +33,9 @@
 pub use attempt::{AttemptTracker, FinalStatus, SendOutcome};
 pub use brittle_runners::{BrittleChange, BrittleReport, BrittleTable, BrittleUpdate, RunnerRoom};
 pub use call_input::CallInput;
+pub use cold_runners::{
+    ColdAllowance, ColdReport, ColdSettings, ColdSource, ColdTable, ColdUpdate,
+};
 pub use fleet_loads::{FleetLoads, NodeLoad, RunnerLoad, add_load};
 pub use fleet_members::FleetMembers;
 pub use heartbeat_sections::{HeartbeatSections, MAX_SECTION_BYTES, SectionTag};
@@ -41,8 +45,8 @@
 pub use peer_heartbeat::{PeerHeartbeat, PeerMessage, RunnerUpdate};
 pub use peer_table::PeerTable;
 pub use plan::{
-    EngineLimits, PlanVersion, RequestLimits, RouteKind, RouteRule, RouteTarget, ServicePlan,
-    ServingPlan, TenantRule,
+    ColdPlan, EngineLimits, PlanVersion, RequestLimits, RouteKind, RouteRule, RouteTarget,
+    ServicePlan, ServingPlan, TenantRule,
 };
 pub use retry_budget::{BudgetSettings, RetryBudget};
 pub use runner_limit::{LimitChange, LimitReport, LimitTable, LimitUpdate, ServiceDemand};
--- a/crates/serving/src/plan.rs
+++ b/crates/serving/src/plan.rs
@@ -117,6 +117,15 @@
     pub event_tokens: u32,
 }
 
+/// What the runners of a service can take while they are cold.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct ColdPlan {
+    /// Time for which a runner is cold after its start.
+    pub span: TimeSpan,
+    /// Requests a second that a cold runner can take.
+    pub rate: RequestRate,
+}
+
 /// Limits of a service.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct ServicePlan {
@@ -127,6 +136,9 @@
     pub health_path: Option<Arc<str>>,
     /// Limits of its engines; `None` for plain services.
     pub engine: Option<EngineLimits>,
+    /// What its cold runners can take; `None` if it has no cold runners.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cold: Option<ColdPlan>,
 }
 
 /// A workspace whose API key is accepted.
--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -18,6 +18,8 @@
 const LINK_MBPS_RANGE: [f64; 2] = [0.1, 1_000_000.0];
 /// Maximum of `stop_seconds` and `retry_window_seconds`.
 const MAX_SECONDS: f64 = 3_600.0;
+/// Maximum of `cold_overshoot`.
+const MAX_COLD_OVERSHOOT: f64 = 100.0;
 
 /// Settings of a node process.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
@@ -58,13 +60,23 @@
     pub retry_slack: f64,
     /// Length of the retry budget window, in seconds.
     pub retry_window_seconds: f64,
+    /// Multiple of its rate that a cold runner bears in any one second, over all nodes.
+    pub cold_overshoot: f64,
+    /// Requests that a cold runner bears in any one second in addition, over all nodes.
+    pub cold_start_slack: f64,
     /// Minimum severity of log lines.
     pub log_level: LogLevel,
 }
 
 impl SettingsSchema for NodeSettings {
     fn defaults() -> Value {
-        json!({ "metrics_port": 9_464, "link_mbps": 10.0, "log_level": "info" })
+        json!({
+            "metrics_port": 9_464,
+            "link_mbps": 10.0,
+            "cold_overshoot": 1.5,
+            "cold_start_slack": 5.0,
+            "log_level": "info",
+        })
     }
 
     fn example() -> Value {
@@ -86,6 +98,8 @@
             "retry_ratio": 0.2,
             "retry_slack": 50.0,
             "retry_window_seconds": 10.0,
+            "cold_overshoot": 1.5,
+            "cold_start_slack": 5.0,
             "log_level": "info",
         })
     }
@@ -99,6 +113,8 @@
         check.require_range(self.retry_ratio, "retry_ratio", 0.0, 1.0);
         check.require_range(self.retry_slack, "retry_slack", 0.0, f64::from(u32::MAX));
         check.require_range(self.retry_window_seconds, "retry_window_seconds", 0.1, MAX_SECONDS);
+        check.require_range(self.cold_overshoot, "cold_overshoot", 1.0, MAX_COLD_OVERSHOOT);
+        check.require_range(self.cold_start_slack, "cold_start_slack", 0.0, f64::from(u32::MAX));
     }
 }
 
