Give a time with each refusal behind waiting calls

It waited behind others while the runner, at its limit before, could take one of them at that instant, so no wait was found. A test without a network shows the same.

--- a/crates/route/src/scheduler_refuse.rs
+++ b/crates/route/src/scheduler_refuse.rs
@@ -44,7 +44,9 @@
         }
         if self.waits_too_long(now, record, self.calls_ahead(record)) {
             let retry_after = self.wait_retry_after(now, &call.service, call.model.as_ref());
-            return Some((RefusalReason::RunnersWait, retry_after.unwrap_or_default()));
+            // A runner may accept a call now, but only one of those that wait before this one.
+            let retry_after = retry_after.unwrap_or_else(|| self.retry_after(DEFAULT_RETRY_AFTER));
+            return Some((RefusalReason::RunnersWait, retry_after));
         }
         let view = self.services.get(&call.service);
         let queue = self.queues.get(&(call.service.clone(), call.model.clone()))?;
--- a/crates/route/tests/runner_limits.rs
+++ b/crates/route/tests/runner_limits.rs
@@ -161,3 +161,25 @@
     let arrival = RouteEvent::Arrive(due(&harness, 5, 300));
     assert_eq!(sends_to(&harness.tell(arrival), 0), 1);
 }
+
+/// Guards against `Retry-After: 0` for a call that is refused because of those that wait before it,
+/// at an instant at which the runner could take one.
+#[test]
+fn a_call_behind_others_is_refused_with_a_time_while_the_runner_could_take_one() {
+    let mut harness = SchedulerHarness::new(1);
+    limit(&mut harness, 0, Some(1.0));
+    for number in 1..=4 {
+        let arrival = RouteEvent::Arrive(due(&harness, number, 6_000));
+        harness.tell(arrival);
+    }
+    harness.now = harness.now + TimeSpan::seconds(2);
+    let arrival = RouteEvent::Arrive(due(&harness, 5, 300));
+    let actions = harness.tell(arrival);
+    let refusal = actions.iter().find_map(|action| match action {
+        RouteAction::Refuse { reason, retry_after, .. } => Some((*reason, *retry_after)),
+        _ => None,
+    });
+    let (reason, retry_after) = refusal.unwrap();
+    assert_eq!(reason, RefusalReason::RunnersWait);
+    assert!(retry_after > TimeSpan::default());
+}
