--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -7,9 +7,9 @@
 use futures_channel::mpsc;
 use kernel::{MonotonicClock, StopSignal};
 use serving::{
-    BudgetSettings, EraView, EvacuationTable, FleetLoads, ForwardTable, HedgeLimit, HedgeTimer,
-    InputTable, LimitTable, PeerTable, PlanVersion, RetryBudget, RunnerReach, RunnerTable,
-    ServingPlan, TransferPacer, WaitTable,
+    BrittleTable, BudgetSettings, ColdSettings, ColdTable, EraView, EvacuationTable, FleetLoads,
+    FleetMembers, ForwardTable, HedgeLimit, HedgeTimer, InputTable, LimitTable, PeerTable,
+    PlanVersion, RetryBudget, RunnerReach, RunnerTable, ServingPlan, TransferPacer, WaitTable,
 };
 use settings::NodeSettings;
 
@@ -46,6 +46,14 @@
     pub waits: RefCell<WaitTable>,
     /// Limits on the requests that runners take from all nodes.
     pub limits: RefCell<LimitTable>,
+    /// Cold runners.
+    pub cold: RefCell<ColdTable>,
+    /// Brittle runners.
+    pub brittle: RefCell<BrittleTable>,
+    /// Whether the room at a brittle runner has changed since the dispatcher was told.
+    pub room_changed: Cell<bool>,
+    /// The nodes that share what a runner can take.
+    pub members: RefCell<FleetMembers>,
     /// Inputs of calls that crash runners.
     pub inputs: RefCell<InputTable>,
     /// Whether this node reaches the runners.
@@ -112,6 +120,10 @@
             evacuations: RefCell::default(),
             waits: RefCell::default(),
             limits: RefCell::default(),
+            cold: RefCell::default(),
+            brittle: RefCell::default(),
+            room_changed: Cell::default(),
+            members: RefCell::new(FleetMembers::new(settings.vm.clone(), clock.now())),
             inputs: RefCell::default(),
             reach: RefCell::default(),
             reach_loss: RefCell::default(),
@@ -281,6 +293,12 @@
     }
 }
 
+/// What cold runners bear beyond their rate, from the settings.
+#[must_use]
+pub fn cold_settings(settings: &NodeSettings) -> ColdSettings {
+    ColdSettings { overshoot: settings.cold_overshoot, slack: settings.cold_start_slack }
+}
+
 /// Retry budget parameters from the settings.
 #[must_use]
 pub fn retry_budget_settings(settings: &NodeSettings) -> BudgetSettings {
--- a/crates/node/src/heartbeat_sections.rs
+++ b/crates/node/src/heartbeat_sections.rs
@@ -3,12 +3,13 @@
 use base::prelude::*;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
-use serving::{HeartbeatSections, SectionTag};
+use serving::{BrittleUpdate, ColdUpdate, HeartbeatSections, SectionTag};
 
 use crate::call_log::may_log;
 use crate::context::NodeContext;
 use crate::evacuation_watch::apply_evacuation_update;
 use crate::router::RouterService;
+use crate::runner_gate::{apply_brittle_update, apply_cold_update};
 
 /// Collects what this node states about subjects that have a section.
 #[must_use]
@@ -17,6 +18,17 @@
     if let Some(update) = context.evacuations.borrow().update() {
         put_section(context, &mut sections, SectionTag::EVACUATIONS, &update);
     }
+    let (now, fleet_size) = (context.now(), context.members.borrow().known_size());
+    let has_cold =
+        context.plan().is_some_and(|plan| plan.services.values().any(|entry| entry.cold.is_some()));
+    if has_cold {
+        let cold = context.cold.borrow().update(now, fleet_size);
+        put_section(context, &mut sections, SectionTag::COLD_RUNNERS, &cold);
+    }
+    let brittle = context.brittle.borrow().update(now, fleet_size);
+    if !brittle.reports.is_empty() {
+        put_section(context, &mut sections, SectionTag::BRITTLE_RUNNERS, &brittle);
+    }
     sections
 }
 
@@ -30,6 +42,21 @@
     if let Some(update) = read_section(context, vm, sections, SectionTag::EVACUATIONS) {
         apply_evacuation_update(context, router, update);
     }
+    let brittle: Option<BrittleUpdate> =
+        read_section(context, vm, sections, SectionTag::BRITTLE_RUNNERS);
+    let cold: Option<ColdUpdate> = read_section(context, vm, sections, SectionTag::COLD_RUNNERS);
+    let sizes = (
+        cold.as_ref().map(|update| update.fleet_size),
+        brittle.as_ref().map(|update| update.fleet_size),
+    );
+    if let Some(size) = sizes.0.max(sizes.1) {
+        context.members.borrow_mut().record(context.now(), vm, Some(size as usize));
+    }
+    let cold_changed = cold.is_some_and(|update| apply_cold_update(context, update));
+    let changed = brittle.is_some_and(|update| apply_brittle_update(context, vm, update));
+    if changed || cold_changed {
+        router.update_members();
+    }
 }
 
 /// Adds a section; one that cannot be encoded is logged and left out.
--- a/crates/node/src/hedged_call.rs
+++ b/crates/node/src/hedged_call.rs
@@ -13,7 +13,10 @@
 use hyper::Response;
 use hyper::body::Bytes;
 use route::CallEnd;
-use serving::{AttemptTracker, HedgeDenial, HedgeRequest, HedgeTarget, RunnerRecord, SendOutcome};
+use serving::{
+    AttemptTracker, HedgeDenial, HedgeRequest, HedgeTarget, RunnerIncarnation, RunnerRecord,
+    SendOutcome,
+};
 
 use crate::call::Call;
 use crate::call_log::{log_send, may_log};
@@ -272,19 +275,23 @@
         || context.peer_loads.borrow().waiting_nodes(service) > 0
 }
 
-/// Whether a runner of a service has named a wait or a limit that still holds.
+/// Whether a runner of a service has named a wait or a limit that still holds, or is cold or
+/// brittle.
 fn has_restricted_runner(context: &NodeContext, service: &ServiceName) -> bool {
     let (now, waits, limits) = (context.now(), context.waits.borrow(), context.limits.borrow());
-    if waits.is_empty() && limits.is_empty() {
+    let (cold, brittle) = (context.cold.borrow(), context.brittle.borrow());
+    if waits.is_empty() && limits.is_empty() && cold.is_empty() && brittle.is_empty() {
         return false;
     }
+    let is_restricted = |runner: &RunnerIncarnation| {
+        waits.end(now, runner).is_some()
+            || limits.limit(now, runner).is_some()
+            || cold.end(now, runner).is_some()
+            || brittle.limit(now, runner).is_some()
+    };
     let runners = context.runners.borrow();
     let mut records = runners.entries().map(|entry| &entry.record);
-    records.any(|record| {
-        let incarnation = record.incarnation();
-        record.service == *service
-            && (waits.end(now, &incarnation).is_some() || limits.limit(now, &incarnation).is_some())
-    })
+    records.any(|record| record.service == *service && is_restricted(&record.incarnation()))
 }
 
 fn record_pace(context: &NodeContext, runner: &RunnerRecord, slow: bool) {
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -53,6 +53,12 @@
     pub runner_limits: Counter,
     /// Evacuations of places that began or ended.
     pub evacuations: Counter,
+    /// Runners that became cold.
+    pub cold_runners: Counter,
+    /// Runners that stated that they are brittle, and changes and ends of that.
+    pub brittle_runners: Counter,
+    /// Requests that brittle runners rejected.
+    pub brittle_rejections: Counter,
     /// Runners that crashed as they began to answer a call of this node, once for each call.
     pub runner_crashes: Counter,
     /// Parts of prompts blocked since runners crash under them.
@@ -117,6 +123,9 @@
             runner_waits: Counter::default(),
             runner_limits: Counter::default(),
             evacuations: Counter::default(),
+            cold_runners: Counter::default(),
+            brittle_runners: Counter::default(),
+            brittle_rejections: Counter::default(),
             runner_crashes: Counter::default(),
             parts_blocked: Counter::default(),
             reach_losses: Counter::default(),
@@ -169,6 +178,17 @@
             "Changes of the limits that runners name",
             self.runner_limits.clone(),
         );
+        registry.register("cold_runners", "Runners that became cold", self.cold_runners.clone());
+        registry.register(
+            "brittle_runners",
+            "Changes of what runners state about being brittle",
+            self.brittle_runners.clone(),
+        );
+        registry.register(
+            "brittle_rejections",
+            "Requests rejected by brittle runners",
+            self.brittle_rejections.clone(),
+        );
         registry.register(
             "evacuations",
             "Evacuations of places that began or ended",
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -5,9 +5,12 @@
 //! time, and decisions are returned as values.
 
 mod attempt;
+mod brittle_runners;
 mod call_input;
+mod cold_runners;
 mod evacuation;
 mod fleet_loads;
+mod fleet_members;
 mod forecast_codec;
 mod forward_choice;
 mod heartbeat_sections;
@@ -32,9 +35,14 @@
 mod transfer_pacer;
 
 pub use attempt::{AttemptTracker, FinalStatus, SendOutcome};
+pub use brittle_runners::{BrittleChange, BrittleReport, BrittleTable, BrittleUpdate, RunnerRoom};
 pub use call_input::CallInput;
+pub use cold_runners::{
+    ColdAllowance, ColdReport, ColdSettings, ColdSource, ColdTable, ColdUpdate,
+};
 pub use evacuation::{EvacuationStatement, EvacuationTable, EvacuationUpdate};
 pub use fleet_loads::{FleetLoads, NodeLoad, RunnerLoad, add_load};
+pub use fleet_members::FleetMembers;
 pub use forward_choice::{
     ForwardFailure, ForwardSource, ForwardState, ForwardTable, ForwardTarget,
 };
@@ -47,8 +55,8 @@
 pub use peer_heartbeat::{PeerHeartbeat, PeerMessage, RunnerUpdate};
 pub use peer_table::PeerTable;
 pub use plan::{
-    EngineLimits, PlanVersion, RequestLimits, RouteKind, RouteRule, RouteTarget, ServicePlan,
-    ServingPlan, TenantRule,
+    ColdPlan, EngineLimits, PlanVersion, RequestLimits, RouteKind, RouteRule, RouteTarget,
+    ServicePlan, ServingPlan, TenantRule,
 };
 pub use retry_budget::{BudgetSettings, RetryBudget};
 pub use runner_limit::{LimitChange, LimitReport, LimitTable, LimitUpdate, ServiceDemand};
--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -20,6 +20,8 @@
 const MAX_SECONDS: f64 = 3_600.0;
 /// Maximum of `hedge_share`. More second sends than this would be a load of their own.
 const MAX_HEDGE_SHARE: f64 = 0.1;
+/// Maximum of `cold_overshoot`.
+const MAX_COLD_OVERSHOOT: f64 = 100.0;
 
 /// Settings of a node process.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
@@ -62,6 +64,10 @@
     pub retry_window_seconds: f64,
     /// Hedges allowed per request, over all nodes; 0 turns them off.
     pub hedge_share: f64,
+    /// Multiple of its rate that a cold runner bears in any one second, over all nodes.
+    pub cold_overshoot: f64,
+    /// Requests that a cold runner bears in any one second in addition, over all nodes.
+    pub cold_start_slack: f64,
     /// Minimum severity of log lines.
     pub log_level: LogLevel,
 }
@@ -72,6 +78,8 @@
             "metrics_port": 9_464,
             "link_mbps": 10.0,
             "hedge_share": 0.0,
+            "cold_overshoot": 1.5,
+            "cold_start_slack": 5.0,
             "log_level": "info",
         })
     }
@@ -96,6 +104,8 @@
             "retry_slack": 50.0,
             "retry_window_seconds": 10.0,
             "hedge_share": 0.0,
+            "cold_overshoot": 1.5,
+            "cold_start_slack": 5.0,
             "log_level": "info",
         })
     }
@@ -110,6 +120,8 @@
         check.require_range(self.retry_slack, "retry_slack", 0.0, f64::from(u32::MAX));
         check.require_range(self.hedge_share, "hedge_share", 0.0, MAX_HEDGE_SHARE);
         check.require_range(self.retry_window_seconds, "retry_window_seconds", 0.1, MAX_SECONDS);
+        check.require_range(self.cold_overshoot, "cold_overshoot", 1.0, MAX_COLD_OVERSHOOT);
+        check.require_range(self.cold_start_slack, "cold_start_slack", 0.0, f64::from(u32::MAX));
     }
 }
 
