--- a/crates/serving/src/plan.rs
+++ b/crates/serving/src/plan.rs
@@ -69,6 +69,10 @@
     /// use.
     #[serde(rename = "aim")]
     pub target_latency: TimeSpan,
+    /// Longest pause between two events of a stream; a longer one is of less use. Builds that do
+    /// not know it neither write nor read it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub gap_target: Option<TimeSpan>,
     /// Priority; 0 is the most urgent.
     pub priority: u8,
     /// Number of runners that may execute one request.
--- a/crates/serving/tests/plan.rs
+++ b/crates/serving/tests/plan.rs
@@ -16,6 +16,7 @@
         kind: RouteKind::Idempotent,
         timeout: TimeSpan::seconds(1),
         target_latency: TimeSpan::millis(100),
+        gap_target: None,
         priority: 0,
         max_attempts: 2,
         is_public: false,
--- a/crates/serving/tests/transfer_pacer.rs
+++ b/crates/serving/tests/transfer_pacer.rs
@@ -37,6 +37,7 @@
             kind: RouteKind::Idempotent,
             timeout: TimeSpan::seconds(1),
             target_latency: TimeSpan::millis(100),
+            gap_target: None,
             priority: 1,
             max_attempts: 2,
             is_public: false,
--- a/crates/serving/tests/wire_names.rs
+++ b/crates/serving/tests/wire_names.rs
@@ -20,6 +20,7 @@
         kind: RouteKind::AtMostOnce,
         timeout: TimeSpan::millis(2),
         target_latency: TimeSpan::millis(1),
+        gap_target: None,
         priority: 1,
         max_attempts: 2,
         is_public: true,
