Learn the speed of each runner and use it in scheduling

One prefill time and one pause for a whole service made long streams late on slow runners. The factor of a runner, relative to its service's median, now scales the expected prefill wait, the pause compared with the bound, and the expected time of plain calls. Inside a dead band it is 1.

--- a/crates/dispatch/src/call_handle.rs
+++ b/crates/dispatch/src/call_handle.rs
@@ -40,6 +40,11 @@
         self.dispatcher.handle(RouteEvent::Progress { call: self.call, index });
     }
 
+    /// Reports that the time until the next tokens says nothing about the runner.
+    pub fn hold_progress(&self) {
+        self.dispatcher.handle(RouteEvent::ProgressHeld { call: self.call });
+    }
+
     /// Reports how the attempt ended and closes the call.
     pub fn end(mut self, end: CallEnd) {
         self.open = false;
--- a/crates/route/src/call_record.rs
+++ b/crates/route/src/call_record.rs
@@ -19,6 +19,10 @@
     pub sent_at: TimePoint,
     /// Prompt tokens that waited for prefill at its runner when it was sent, with its own.
     pub prefill_tokens: u64,
+    /// Calls at its runner when it was sent, its own not included.
+    pub calls_at_send: u32,
+    /// When its runner last produced tokens; none before, and after a change of runners.
+    pub progress_at: Option<TimePoint>,
     /// Its contribution to the memory forecast of its runner.
     pub forecast: MemoryForecast,
 }
@@ -34,6 +38,8 @@
             arrived_at: now,
             sent_at: now,
             prefill_tokens: 0,
+            calls_at_send: 0,
+            progress_at: None,
             forecast: MemoryForecast::default(),
         }
     }
--- a/crates/route/src/event.rs
+++ b/crates/route/src/event.rs
@@ -7,7 +7,7 @@
 use config::{CallPriority, PolicyWeights, ServiceKind};
 use serde::{Deserialize, Serialize};
 
-use crate::MemoryForecast;
+use crate::{MemoryForecast, SpeedStatement};
 
 /// Identifier of a call, unique within one entry and never reused by it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -197,6 +197,24 @@
         /// This entry's share of the runner's limit; none if it has no limit.
         rate: Option<RequestRate>,
     },
+    /// The bound of pauses in streams of a service.
+    PauseBound {
+        /// The service.
+        service: ServiceName,
+        /// Longest pause between two events; none if it has no bound.
+        bound: Option<TimeSpan>,
+        /// Tokens of an event.
+        event_tokens: u32,
+    },
+    /// A runner stated how long work takes there at this moment.
+    SpeedFigure {
+        /// The runner.
+        runner: RunnerId,
+        /// Factor by which work takes longer than usual.
+        factor: f64,
+    },
+    /// Another entry stated what it observed of a runner's speed.
+    SpeedTold(SpeedStatement),
     /// Other entries have waiting calls that can still meet their first-token target.
     PeersWaiting {
         /// The service.
@@ -220,6 +238,12 @@
         /// Index of the newest token.
         index: TokenIndex,
     },
+    /// The time until the next tokens of a call says nothing about its runner: the caller was slow
+    /// to take those before.
+    ProgressHeld {
+        /// The call.
+        call: CallId,
+    },
     /// An attempt ended.
     Ended {
         /// The call.
--- a/crates/route/src/runner_score.rs
+++ b/crates/route/src/runner_score.rs
@@ -16,6 +16,15 @@
 /// Cost of a certain memory overflow, for a service weight of 1.
 const RISK_COST: f64 = 1.0;
 
+/// Cost of a runner that takes 2.7 times as long as usual.
+const SPEED_COST: f64 = 0.4;
+/// Cost of a pause risk of 1 to one long call.
+const PAUSE_COST: f64 = 0.6;
+/// Calls at the runner that count as much as one long call of one's own.
+const SPEED_CALLS: f64 = 8.0;
+/// Pause risk from which a runner gets no prompts.
+const MAX_PAUSE_RISK: f64 = 1.0;
+
 /// Age of a report up to which its number of waiting calls is used.
 const MAX_WAITING_AGE: TimeSpan = TimeSpan::seconds(1);
 
@@ -67,7 +76,9 @@
 ) -> RunnerScore {
     let calls = f64::from(runner.corrected_calls());
     let Some(memory) = runner.memory_tokens().filter(|_| view.kind == ServiceKind::Model) else {
-        return RunnerScore { cost: calls, risk: 0.0, admissible: true };
+        // At the usual speed the expected time differs from the number of calls by a constant.
+        let cost = (calls + 1.0) * runner.speed.factor(now) - 1.0;
+        return RunnerScore { cost, risk: 0.0, admissible: true };
     };
     let mut forecast = runner.own_forecast;
     forecast += match runner.other_forecast {
@@ -81,11 +92,14 @@
     let risk = forecast.overflow_probability_during(memory, &record.forecast);
     let is_recent = now.since(runner.received_at) <= MAX_WAITING_AGE;
     let waiting = if is_recent { f64::from(runner.waiting_calls()) } else { 0.0 };
-    let prefill = runner.pending_prefill_tokens(now) as f64 / 1_000.0;
+    let factor = runner.speed.factor(now);
+    let prefill = factor * runner.pending_prefill_tokens(now) as f64 / 1_000.0;
+    let pause = pause_risk(view, runner, factor);
     let cost = MEMORY_COST * highest(&forecast) / memory
         + WAITING_COST * waiting
         + PREFILL_COST * prefill
         + RISK_COST * view.weights.preemptions * risk
+        + speed_cost(record, runner, factor, pause)
         - if cached { CACHED_PREFIX_BONUS } else { 0.0 };
     let urgent = record.call.priority == CallPriority::Urgent;
     let limit = risk_limit(record.call.priority);
@@ -93,7 +107,8 @@
     let won_draw = runner.sent_calls == 0 && runner.admission_draw * view.estimated_entries < 1.0;
     let throttled = runner.health.is_recovering(now) && runner.sent_calls > 0;
     let admissible = !throttled
-        && is_prefilled_in_time(now, record, view, runner)
+        && pause < MAX_PAUSE_RISK
+        && is_prefilled_in_time(now, record, view, runner, factor)
         && risk <= limit
         && (urgent || knows_others || waiting == 0.0 && (fits_all_entries || won_draw));
     RunnerScore { cost, risk, admissible }
@@ -106,16 +121,45 @@
     record: &CallRecord,
     view: &ServiceView,
     runner: &RunnerView,
+    factor: f64,
 ) -> bool {
     let has_started = record.call.produced_tokens.0 > 0;
     let Some(target) = record.call.first_token_target.filter(|_| !has_started) else {
         return true;
     };
-    let own = view.prefill_time(u64::from(record.context_tokens()));
-    let wait = view.prefill_time(runner.pending_prefill_tokens(now));
+    let slowed = |tokens: u64| TimeSpan((view.prefill_time(tokens).0 as f64 * factor) as u64);
+    let own = slowed(u64::from(record.context_tokens()));
+    let wait = slowed(runner.pending_prefill_tokens(now));
     wait <= target.since(now + own).max(MIN_PREFILL_WAIT)
 }
 
+/// Returns how far a pause that few exceed would be beyond the bound of the service's streams,
+/// from 0 to 1, if the runner began to prefill a prompt now. It is 0 at usual speed, so that a
+/// service whose runners do not differ is scheduled by its load alone.
+fn pause_risk(view: &ServiceView, runner: &RunnerView, factor: f64) -> f64 {
+    if factor <= 1.0 {
+        return 0.0;
+    }
+    let share = view.pauses.bound_share(factor, runner.corrected_calls());
+    let unsteady = view.pauses.unsteadiness();
+    share.map_or(0.0, |share| {
+        let excess = share * unsteady - 1.0;
+        // One that is expected to pass the bound without a disturbance gets no prompt.
+        if share >= 1.0 { 1.0 } else { excess.clamp(0.0, MAX_PAUSE_RISK / 2.0) }
+    })
+}
+
+/// Returns the cost of the runner's speed: all that the call does there takes longer, and pauses
+/// beyond the bound concern the call, the more the longer it runs, and the calls that run there.
+fn speed_cost(record: &CallRecord, runner: &RunnerView, factor: f64, pause: f64) -> f64 {
+    if (factor - 1.0).abs() < f64::EPSILON {
+        return 0.0;
+    }
+    let own = record.forecast.mean[2] / record.forecast.mean[0].max(1.0);
+    let beside = f64::from(runner.corrected_calls()) / SPEED_CALLS;
+    SPEED_COST * factor.ln() + PAUSE_COST * pause * (own.min(1.0) + beside.min(1.0))
+}
+
 /// Returns the highest expected memory use over all horizons.
 fn highest(forecast: &MemoryForecast) -> f64 {
     forecast.mean.iter().copied().fold(0.0, f64::max)
--- a/crates/route/src/runner_view.rs
+++ b/crates/route/src/runner_view.rs
@@ -4,7 +4,7 @@
 
 use base::prelude::*;
 
-use crate::{CallId, MemoryForecast, RateLimiter, RunnerHealth, RunnerRamp};
+use crate::{CallId, MemoryForecast, RateLimiter, RunnerHealth, RunnerRamp, RunnerSpeed};
 
 /// Change of a runner's load caused by this entry.
 #[derive(Debug, Clone, Copy)]
@@ -44,6 +44,8 @@
     pub admission_draw: f64,
     /// Whether the runner waits, or has just done so and gets few calls.
     pub ramp: RunnerRamp,
+    /// How long work takes there, relative to the usual runner of its service.
+    pub speed: RunnerSpeed,
     /// This entry's share of the rate that the runner takes.
     pub limiter: RateLimiter,
     /// Number of calls sent since the last report arrived.
@@ -84,6 +86,7 @@
             other_tokens: 0.0,
             admission_draw: 1.0,
             ramp: RunnerRamp::default(),
+            speed: RunnerSpeed::default(),
             limiter: RateLimiter::default(),
             sent_calls: 0,
             pending_prefill: None,
@@ -124,6 +127,7 @@
         self.other_forecast = None;
         self.health = RunnerHealth::default();
         self.ramp = RunnerRamp::default();
+        self.speed = RunnerSpeed::default();
         self.limiter = RateLimiter::default();
     }
 
--- a/crates/route/src/scheduler.rs
+++ b/crates/route/src/scheduler.rs
@@ -35,6 +35,10 @@
     /// When expected waits are checked against deadlines next.
     pub(crate) next_wait_check: TimePoint,
     pub(crate) now: TimePoint,
+    /// Whether speeds of runners are learned and used.
+    pub(crate) uses_speeds: bool,
+    /// Runners whose factor has left or entered the dead band.
+    pub(crate) speed_changes: Vec<usize>,
 }
 
 impl RouteScheduler {
@@ -56,6 +60,8 @@
             deadlines: BTreeSet::new(),
             next_wait_check: TimePoint::default(),
             now: TimePoint::default(),
+            uses_speeds: true,
+            speed_changes: Vec::new(),
         }
     }
 
@@ -125,6 +131,19 @@
                     self.runners[slot].limiter.set_rate(now, rate, draw);
                 }
             }
+            RouteEvent::PauseBound { service, bound, event_tokens } => {
+                let view = self.services.entry(service).or_default();
+                view.pauses.set_bound(bound, event_tokens);
+                return false;
+            }
+            RouteEvent::SpeedFigure { runner, factor } => {
+                self.record_speed_figure(now, &runner, factor);
+                return false;
+            }
+            RouteEvent::SpeedTold(statement) => {
+                self.record_speed_statement(now, &statement);
+                return false;
+            }
             RouteEvent::Cache { runner, event } => {
                 if let Some(&slot) = self.slots.get(&runner) {
                     self.prefixes.apply(slot, &event);
@@ -134,6 +153,12 @@
                 self.record_progress(now, call, index);
                 return false;
             }
+            RouteEvent::ProgressHeld { call } => {
+                if let Some(record) = self.calls.get_mut(&call) {
+                    record.progress_at = None;
+                }
+                return false;
+            }
             RouteEvent::Ended { call, end } => self.end_call(now, call, end),
             RouteEvent::Tick => self.estimate_unreported(now),
             RouteEvent::PeersWaiting { service, waiting_peers } => {
@@ -144,17 +169,13 @@
         true
     }
 
-    /// Records produced tokens and, with the first of them, the time to first token.
+    /// Records produced tokens, and the time that they took.
     fn record_progress(&mut self, now: TimePoint, call: CallId, index: TokenIndex) {
-        let Some(record) = self.calls.get_mut(&call) else { return };
-        let is_first = record.call.produced_tokens.0 == 0;
-        record.call.produced_tokens = TokenCount(index.0 + 1);
+        let Some(record) = self.calls.get(&call) else { return };
         if let Some(slot) = record.slot {
             self.runners[slot].ramp.record_success(call);
         }
-        if let Some(view) = self.services.get_mut(&record.call.service).filter(|_| is_first) {
-            view.observe_first_token(now.since(record.sent_at), record.prefill_tokens);
-        }
+        self.record_token_times(now, call, index);
     }
 
     /// Returns the workspaces with many calls waiting at this entry.
@@ -273,7 +294,9 @@
         let runner = &mut self.runners[slot];
         if end == CallEnd::Finished {
             runner.ramp.record_success(call);
+            self.record_plain_time(now, slot, &record);
         }
+        let runner = &mut self.runners[slot];
         runner.record_ended(now, call, record.context_tokens());
         runner.own_forecast -= record.forecast;
         match end {
--- a/crates/route/src/scheduler_dispatch.rs
+++ b/crates/route/src/scheduler_dispatch.rs
@@ -121,6 +121,8 @@
             record.attempt += 1;
             record.slot = Some(slot);
             record.sent_at = now;
+            record.progress_at = None;
+            record.calls_at_send = self.runners[slot].corrected_calls();
             record.prefill_tokens = pending_prefill + u64::from(record.context_tokens());
             self.runners[slot].record_sent(now, call, record.context_tokens());
             self.runners[slot].own_forecast += record.forecast;
--- a/crates/route/src/scheduler_refuse.rs
+++ b/crates/route/src/scheduler_refuse.rs
@@ -51,7 +51,11 @@
         let wait = queue.expected_wait(call.priority);
         let step = TimeSpan::micros(view.map_or(0.0, |view| view.step_micros) as u64);
         let remaining = self.lengths.expected_remaining(call);
-        let run = TimeSpan::micros((remaining * step.0 as f64) as u64);
+        let factor = match step.0 {
+            0 => 1.0,
+            _ => self.least_factor(now, &call.service, call.model.as_ref()),
+        };
+        let run = TimeSpan::micros((remaining * step.0 as f64 * factor) as u64);
         let slack = call.deadline.since(now + run);
         if wait > slack && !queue.is_empty() {
             let excess = TimeSpan(wait.0 - slack.0);
--- a/crates/route/src/scheduler_relocate.rs
+++ b/crates/route/src/scheduler_relocate.rs
@@ -123,6 +123,7 @@
         }
         let record = self.calls.get_mut(&call)?;
         record.slot = Some(slot);
+        record.progress_at = None;
         let (tokens, forecast) = (record.context_tokens(), record.forecast);
         self.runners[old].record_ended(now, call, tokens);
         self.runners[old].own_forecast -= forecast;
--- a/crates/route/src/scheduler_reports.rs
+++ b/crates/route/src/scheduler_reports.rs
@@ -6,7 +6,7 @@
 use rand::RngExt;
 
 use crate::scheduler::RouteScheduler;
-use crate::{MemoryForecast, PolicyName, RateLimiter, RunnerRamp, ServiceView};
+use crate::{MemoryForecast, PolicyName, RateLimiter, RunnerRamp, RunnerSpeed, ServiceView};
 
 /// Age of a runner's last report above which its load is estimated instead.
 const MAX_REPORT_AGE: TimeSpan = TimeSpan::seconds(1);
@@ -30,6 +30,7 @@
         if incarnation != self.runners[slot].incarnation() {
             self.prefixes.remove_runner(slot);
             self.runners[slot].ramp = RunnerRamp::default();
+            self.runners[slot].speed = RunnerSpeed::default();
             self.runners[slot].limiter = RateLimiter::default();
         }
         if self.settings.policy != PolicyName::Product {
--- a/crates/route/src/scheduler_waits.rs
+++ b/crates/route/src/scheduler_waits.rs
@@ -42,6 +42,17 @@
         ends?.into_iter().min()
     }
 
+    /// Returns the speed factor of the fastest runner that serves `model`; 1 if none does.
+    pub(crate) fn least_factor(
+        &self,
+        now: TimePoint,
+        service: &ServiceName,
+        model: Option<&ModelName>,
+    ) -> f64 {
+        let factors = self.serving_runners(service, model).map(|runner| runner.speed.factor(now));
+        factors.reduce(f64::min).unwrap_or(1.0)
+    }
+
     /// Returns the rate that the runners of a service that serve `model` take together; none if
     /// one of them has no limit.
     fn limited_rate(&self, service: &ServiceName, model: Option<&ModelName>) -> Option<f64> {
@@ -88,11 +99,13 @@
     /// for its first token, because of waits and limits.
     pub(crate) fn waits_too_long(&self, now: TimePoint, record: &CallRecord, ahead: usize) -> bool {
         let call = &record.call;
-        let end = self.accepted_at(now, record, ahead);
+        let Some(end) = self.accepted_at(now, record, ahead) else { return false };
         let view = self.services.get(&call.service);
         let latency = view.map_or(TimeSpan::default(), ServiceView::first_token_latency);
+        let factor = self.least_factor(now, &call.service, call.model.as_ref());
+        let latency = TimeSpan((latency.0 as f64 * factor) as u64);
         let due = call.first_token_target.unwrap_or(call.deadline).min(call.deadline);
-        end.is_some_and(|end| end + latency > due)
+        end + latency > due
     }
 
     /// Refuses waiting calls whose runners all wait for too long.
--- a/crates/route/src/service_view.rs
+++ b/crates/route/src/service_view.rs
@@ -3,7 +3,7 @@
 use base::prelude::*;
 use config::{PolicyWeights, ServiceKind};
 
-use crate::MemoryForecast;
+use crate::{MemoryForecast, PauseModel};
 
 /// Upper bound of the estimated number of entries that share the runners.
 const MAX_ESTIMATED_ENTRIES: f64 = 64.0;
@@ -54,6 +54,12 @@
     /// Median time that a prompt token which waits for prefill adds to the time to first token,
     /// in microseconds.
     pub prefill_micros: f64,
+    /// Usual pauses between tokens, or times of plain calls.
+    pub pauses: PauseModel,
+    /// Until when the figures that runners state replace observed times as evidence of speed.
+    pub figures_until: TimePoint,
+    /// When the speeds of its runners are settled next.
+    pub next_settle: TimePoint,
     /// When the most recent report of any of its runners arrived.
     pub last_report_at: TimePoint,
 }
@@ -74,6 +80,9 @@
             first_token_micros: 0.0,
             waiting_peers: 0,
             prefill_micros: DEFAULT_PREFILL_MICROS,
+            pauses: PauseModel::default(),
+            figures_until: TimePoint::default(),
+            next_settle: TimePoint::default(),
             last_report_at: TimePoint::default(),
         }
     }
