Exchange observed speeds of runners between nodes

Heartbeat section 4 carries fresh evidence only, about ten bytes a runner, since one node of a large fleet sees few answers. Adds the event runner_speed and the metrics speed_changes, uneven_runners.

--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -15,6 +15,7 @@
 use crate::memory_pool::{MemoryPool, MemoryReservation};
 use crate::metrics::NodeMetrics;
 use crate::runner_probe::LostCalls;
+use crate::speed_share::SpeedFigure;
 use crate::state_transfer::EncodedPlan;
 
 /// The bodies of requests, and the answers of runners, may each take one part in this many of the
@@ -43,6 +44,8 @@
     pub waits: RefCell<WaitTable>,
     /// Limits on the requests that runners take from all nodes.
     pub limits: RefCell<LimitTable>,
+    /// Figures of speed that runners stated and that the dispatcher has not received yet.
+    pub speed_figures: RefCell<Vec<SpeedFigure>>,
     /// Inputs of calls that crash runners.
     pub inputs: RefCell<InputTable>,
     /// Whether this node reaches the runners.
@@ -100,6 +103,7 @@
             store_era: RefCell::default(),
             waits: RefCell::default(),
             limits: RefCell::default(),
+            speed_figures: RefCell::default(),
             inputs: RefCell::default(),
             reach: RefCell::default(),
             lost_calls: RefCell::default(),
--- a/crates/node/src/heartbeat_sections.rs
+++ b/crates/node/src/heartbeat_sections.rs
@@ -1,7 +1,5 @@
 //! Optional sections of this node's heartbeats, and those of other nodes.
 
-#![allow(dead_code, reason = "each subject adds its section here")]
-
 use base::prelude::*;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -10,20 +8,28 @@
 use crate::call_log::may_log;
 use crate::context::NodeContext;
 use crate::router::RouterService;
+use crate::speed_share::{apply_speed_update, take_speed_update};
 
 /// Collects what this node states about subjects that have a section.
 #[must_use]
-pub fn collect_sections(_context: &NodeContext) -> HeartbeatSections {
-    HeartbeatSections::default()
+pub fn collect_sections(context: &NodeContext, router: &RouterService) -> HeartbeatSections {
+    let mut sections = HeartbeatSections::default();
+    if let Some(update) = take_speed_update(context, router) {
+        put_section(context, &mut sections, SectionTag::RUNNER_SPEEDS, &update);
+    }
+    sections
 }
 
 /// Applies what another node states.
 pub fn apply_sections(
-    _context: &NodeContext,
-    _router: &RouterService,
-    _vm: &VmId,
-    _sections: &HeartbeatSections,
+    context: &NodeContext,
+    router: &RouterService,
+    vm: &VmId,
+    sections: &HeartbeatSections,
 ) {
+    if let Some(update) = read_section(context, vm, sections, SectionTag::RUNNER_SPEEDS) {
+        apply_speed_update(context, router, &update);
+    }
 }
 
 /// Adds a section; one that cannot be encoded is logged and left out.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -33,6 +33,7 @@
 mod runner_poll;
 mod runner_probe;
 mod runner_send;
+mod speed_share;
 mod state_fetcher;
 mod state_transfer;
 mod store_reader;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -40,6 +40,10 @@
     pub runner_waits: Counter,
     /// Limits that runners named, changed or ended.
     pub runner_limits: Counter,
+    /// Times that the speed factor of a runner left or entered the dead band.
+    pub speed_changes: Counter,
+    /// Runners whose speed factor is outside the dead band.
+    pub uneven_runners: Gauge,
     /// Runners that crashed as they began to answer a call of this node, once for each call.
     pub runner_crashes: Counter,
     /// Parts of prompts blocked since runners crash under them.
@@ -97,6 +101,8 @@
             sends_withheld: Family::default(),
             runner_waits: Counter::default(),
             runner_limits: Counter::default(),
+            speed_changes: Counter::default(),
+            uneven_runners: Gauge::default(),
             runner_crashes: Counter::default(),
             parts_blocked: Counter::default(),
             reach_losses: Counter::default(),
@@ -141,6 +147,16 @@
             "Changes of the limits that runners name",
             self.runner_limits.clone(),
         );
+        registry.register(
+            "speed_changes",
+            "Times that a runner became slower or faster than usual, or usual again",
+            self.speed_changes.clone(),
+        );
+        registry.register(
+            "uneven_runners",
+            "Runners that are slower or faster than usual",
+            self.uneven_runners.clone(),
+        );
         registry.register(
             "runner_crashes",
             "Calls lost as their runner crashed",
--- a/crates/node/src/peer_link.rs
+++ b/crates/node/src/peer_link.rs
@@ -131,7 +131,7 @@
             leaving: self.context.runners.borrow().announced_leaving(),
             input_update: self.context.inputs.borrow().update(self.context.now()),
             limit_update: limit_update(&self.context),
-            sections: collect_sections(&self.context),
+            sections: collect_sections(&self.context, &self.router),
         }
     }
 
--- a/crates/node/src/route_ticket.rs
+++ b/crates/node/src/route_ticket.rs
@@ -63,6 +63,11 @@
         self.handle.report_progress(TokenIndex(produced.saturating_sub(1)));
     }
 
+    /// Records that the time until the next tokens says nothing about the runner.
+    pub fn hold_progress(&self) {
+        self.handle.hold_progress();
+    }
+
     /// Signal that is raised when the call's runner announces that it leaves.
     #[must_use]
     pub fn leaving(&self) -> StopSignal {
--- a/crates/node/src/router.rs
+++ b/crates/node/src/router.rs
@@ -11,13 +11,14 @@
 use futures_util::StreamExt;
 use kernel::StopSignal;
 use route::{CallId, MemoryForecast, PolicyName, RouteCall, RouteEvent, RouteSettings};
-use serving::{RunnerIncarnation, RunnerLoad};
+use serving::{RunnerIncarnation, RunnerKey, RunnerLoad};
 
 use crate::call::Call;
 use crate::context::NodeContext;
 use crate::limit_share::limit_events;
 use crate::route_ticket::RouteTicket;
 use crate::runner_gate;
+use crate::speed_share::{figure_events, pause_bounds, runner_keys};
 
 /// Interval between ticks of the call dispatcher while calls are queued.
 const TICK_PERIOD: TimeSpan = TimeSpan::millis(10);
@@ -51,6 +52,8 @@
     load_sequence: Cell<u64>,
     /// Whether other nodes have reported loads that the dispatcher has not received yet.
     peer_loads_changed: Cell<bool>,
+    /// Runners by the keys that heartbeats name them by.
+    pub(crate) runner_keys: RefCell<BTreeMap<RunnerKey, RunnerId>>,
     /// Whether the dispatcher knows of a limit.
     dispatcher_limited: Cell<bool>,
     /// Requests an immediate heartbeat, so that the other nodes learn of a new call at once.
@@ -87,6 +90,7 @@
             calls,
             load_sequence: Cell::default(),
             peer_loads_changed: Cell::default(),
+            runner_keys: RefCell::default(),
             dispatcher_limited: Cell::default(),
             heartbeat_requests,
             weak_self: weak_self.clone(),
@@ -100,6 +104,8 @@
     pub fn open(&self, mut call: RouteCall) -> RouteTicket {
         if self.peer_loads_changed.get() {
             self.dispatcher.handle_all(self.load_events());
+        } else if !self.context.speed_figures.borrow().is_empty() {
+            self.dispatcher.handle_all(figure_events(&self.context));
         }
         let id = self.dispatcher.next_call_id();
         call.id = id;
@@ -151,6 +157,7 @@
                 shares: Vec::new(),
             });
         }
+        self.dispatcher.handle_all(pause_bounds(&plan));
         self.update_members();
     }
 
@@ -158,6 +165,7 @@
     pub fn update_members(&self) {
         let Some(plan) = self.context.plan() else { return };
         let now = self.context.now();
+        *self.runner_keys.borrow_mut() = runner_keys(&self.context);
         let members = |service: &ServiceName| RouteEvent::Members {
             service: service.clone(),
             members: self.context.runners.borrow().route_members(service, now),
@@ -303,6 +311,7 @@
                 events.push(RouteEvent::RunnerWait { runner: record.runner.clone(), until });
             }
         }
+        events.extend(figure_events(&self.context));
         events.extend(limit_events(&self.context, &self.dispatcher_limited));
         events
     }
--- a/crates/node/src/runner_gate.rs
+++ b/crates/node/src/runner_gate.rs
@@ -17,6 +17,7 @@
 use crate::context::NodeContext;
 use crate::crash_watch::find_blocked_input;
 use crate::metrics::WithheldLabels;
+use crate::speed_share::record_speed_figure;
 
 /// Why a request may not be sent to a runner.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -103,6 +104,9 @@
     if let Some(span) = notice.retry_after {
         begin_wait(context, runner, span);
     }
+    if let Some(factor) = notice.speed {
+        record_speed_figure(context, &runner.runner, factor);
+    }
     if let Some(header) = notice.unknown_value
         && may_log(context)
     {
--- a/crates/node/src/stream_pump.rs
+++ b/crates/node/src/stream_pump.rs
@@ -5,6 +5,7 @@
 use std::pin::pin;
 use std::rc::Rc;
 
+use base::prelude::*;
 use futures_util::{FutureExt, SinkExt, select_biased};
 use hyper::body::Bytes;
 use route::CallEnd;
@@ -19,6 +20,9 @@
 use crate::stream_move::{MAX_SWITCH_TRIES, PendingMove};
 use crate::stream_source::{CallerSide, StreamPace, StreamSource};
 
+/// Time for which a caller has to hold up a stream for the next pause not to count as its runner's.
+const SLOW_CALLER_SPAN: TimeSpan = TimeSpan::millis(2);
+
 /// Inputs that the task reacts to.
 enum PumpInput {
     /// The caller closed the connection.
@@ -184,6 +188,10 @@
         }
         let now = self.context.now();
         self.pace.record(now);
+        // While a move is under way the call is accounted to another runner than its source.
+        if self.pending_move.is_some() || self.source.first_events.is_none() {
+            self.ticket.hold_progress();
+        }
         let first = *self.source.first_events.get_or_insert(now);
         if !self.is_prompt_proven && now.since(first) >= PROOF_SPAN {
             self.is_prompt_proven = true;
@@ -196,7 +204,12 @@
         let mut disconnected = pin!(self.caller.disconnected.wait().fuse());
         select_biased! {
             sent = sent => match sent {
-                Ok(()) => PumpStep::Continue,
+                Ok(()) => {
+                    if self.context.now().since(now) >= SLOW_CALLER_SPAN {
+                        self.ticket.hold_progress();
+                    }
+                    PumpStep::Continue
+                }
                 Err(_) => PumpStep::End(RequestOutcome::CallerDisconnected, ""),
             },
             () = disconnected => PumpStep::End(RequestOutcome::CallerDisconnected, ""),
