--- a/crates/route/src/pause_model.rs
+++ b/crates/route/src/pause_model.rs
@@ -11,6 +11,12 @@
 const CLASS_CALLS: u32 = 4;
 /// Relative step of a median at each observation.
 const MEDIAN_STEP: f64 = 0.02;
+/// Share of times that exceeds the upper one of a load class.
+const UPPER_SHARE: f64 = 0.1;
+/// Relative step of an upper time at each observation.
+const UPPER_STEP: f64 = 0.05;
+/// Observations from which an upper time is used.
+const MIN_UPPER_COUNT: u32 = 100;
 /// Share of pauses, at runners of usual speed, that the unsteadiness exceeds.
 const UNSTEADY_SHARE: f64 = 0.05;
 /// Relative step of the unsteadiness.
@@ -18,11 +24,31 @@
 /// Highest unsteadiness: a longer pause is a fault and not a slow machine.
 const MAX_UNSTEADINESS: f64 = 4.0;
 
+/// Time that a tenth of the observed ones exceeds.
+#[derive(Debug, Clone, Copy, Default)]
+struct UpperTime {
+    micros: f64,
+    count: u32,
+}
+
+impl UpperTime {
+    fn observe(&mut self, micros: f64) {
+        self.count = self.count.saturating_add(1);
+        if self.count == 1 {
+            self.micros = micros;
+        }
+        let step = if micros > self.micros { 1.0 - UPPER_SHARE } else { -UPPER_SHARE };
+        self.micros *= 1.0 + UPPER_STEP * step;
+    }
+}
+
 /// Usual times of a service by load.
 #[derive(Debug, Clone)]
 pub struct PauseModel {
     /// Medians in microseconds, without and with a prompt in prefill; 0 if never observed.
     medians: [[f64; LOAD_CLASSES]; 2],
+    /// Times with a prompt in prefill that a tenth of them exceeds.
+    upper_times: [UpperTime; LOAD_CLASSES],
     /// Ratio of a pause to the usual one that few pauses exceed.
     unsteadiness: f64,
     /// Bound of the pause between two events, and tokens of an event.
@@ -31,7 +57,12 @@
 
 impl Default for PauseModel {
     fn default() -> Self {
-        Self { medians: [[0.0; LOAD_CLASSES]; 2], unsteadiness: 1.0, bound: None }
+        Self {
+            medians: [[0.0; LOAD_CLASSES]; 2],
+            upper_times: [UpperTime::default(); LOAD_CLASSES],
+            unsteadiness: 1.0,
+            bound: None,
+        }
     }
 }
 
@@ -51,6 +82,9 @@
         let usual = self.usual(calls, prefills);
         let median = &mut self.medians[usize::from(prefills)][class(calls)];
         let corrected = micros.max(1.0) / factor;
+        if prefills {
+            self.upper_times[class(calls)].observe(corrected);
+        }
         if *median <= 0.0 {
             *median = corrected;
         }
@@ -62,15 +96,14 @@
         Some((micros.max(1.0) / usual?).ln())
     }
 
-    /// Logarithm of how far a time is above the usual one with a prompt in prefill, or below the
-    /// usual one without; 0 in between. Whether a prompt is in prefill at this moment is known
-    /// too late to compare with one of them alone.
+    /// Logarithm of how far a time is above those that are usual with a prompt in prefill; 0 if it
+    /// is not, or if too few are known. Whether a prompt is in prefill at this moment is known too
+    /// late to compare with the other times.
     #[must_use]
     pub fn deviation(&self, micros: f64, calls: u32) -> f64 {
-        let micros = micros.max(1.0);
-        let above = self.usual(calls, true).map_or(0.0, |usual| (micros / usual).ln().max(0.0));
-        let below = self.usual(calls, false).map_or(0.0, |usual| (micros / usual).ln().min(0.0));
-        above + below
+        let upper = self.upper_times[class(calls)];
+        let is_known = upper.count >= MIN_UPPER_COUNT;
+        if is_known { (micros / upper.micros).ln().max(0.0) } else { 0.0 }
     }
 
     /// The usual time in microseconds at a runner with this load, or with the nearest known one.
--- a/crates/route/src/runner_score.rs
+++ b/crates/route/src/runner_score.rs
@@ -22,6 +22,8 @@
 const PAUSE_COST: f64 = 0.6;
 /// Calls at the runner that count as much as one long call of one's own.
 const SPEED_CALLS: f64 = 8.0;
+/// A call waits for the end of a disturbance for one part in this many of its time to first token.
+const PAUSE_WAIT_DIVISOR: u64 = 4;
 /// Pause risk from which a runner gets no prompts.
 const MAX_PAUSE_RISK: f64 = 1.0;
 
@@ -107,7 +109,7 @@
     let won_draw = runner.sent_calls == 0 && runner.admission_draw * view.estimated_entries < 1.0;
     let throttled = runner.health.is_recovering(now) && runner.sent_calls > 0;
     let admissible = !throttled
-        && pause < MAX_PAUSE_RISK
+        && (pause < MAX_PAUSE_RISK || is_urgent_by_now(now, record))
         && is_prefilled_in_time(now, record, view, runner, factor)
         && risk <= limit
         && (urgent || knows_others || waiting == 0.0 && (fits_all_entries || won_draw));
@@ -149,6 +151,15 @@
     })
 }
 
+/// Returns whether so much of the time to the first token has passed that the call takes a runner
+/// whose pauses are expected to be long, since it would soon be late itself.
+fn is_urgent_by_now(now: TimePoint, record: &CallRecord) -> bool {
+    let arrived = record.arrived_at;
+    let target = record.call.first_token_target;
+    target
+        .is_some_and(|target| now.since(arrived).0 >= target.since(arrived).0 / PAUSE_WAIT_DIVISOR)
+}
+
 /// Returns the cost of the runner's speed: all that the call does there takes longer, and pauses
 /// beyond the bound concern the call, the more the longer it runs, and the calls that run there.
 fn speed_cost(record: &CallRecord, runner: &RunnerView, factor: f64, pause: f64) -> f64 {
