--- a/crates/route/src/scheduler_reports.rs
+++ b/crates/route/src/scheduler_reports.rs
@@ -30,7 +30,9 @@
         if incarnation != self.runners[slot].incarnation() {
             self.prefixes.remove_runner(slot);
             self.runners[slot].ramp = RunnerRamp::default();
-            self.runners[slot].speed = RunnerSpeed::default();
+            if incarnation.is_some() {
+                self.runners[slot].speed = RunnerSpeed::default();
+            }
             self.runners[slot].limiter = RateLimiter::default();
         }
         if self.settings.policy != PolicyName::Product {
--- a/crates/serving/tests/plan.rs
+++ b/crates/serving/tests/plan.rs
@@ -70,3 +70,14 @@
     let share = (0..1_000).filter(|step| first(f64::from(*step) / 1_000.0)).count();
     assert_eq!(share, 900);
 }
+
+#[test]
+fn a_route_of_a_build_without_pause_bounds_can_be_read() {
+    let known = RouteRule { gap_target: Some(TimeSpan::millis(180)), ..rule("h", "/") };
+    let mut json = serde_json::to_value(&known).unwrap();
+    assert_eq!(serde_json::from_value::<RouteRule>(json.clone()).unwrap(), known);
+    json.as_object_mut().unwrap().remove("gap_target").unwrap();
+    assert_eq!(serde_json::from_value::<RouteRule>(json).unwrap(), rule("h", "/"));
+    let unset = serde_json::to_value(rule("h", "/")).unwrap();
+    assert!(unset.get("gap_target").is_none(), "older builds are sent nothing new");
+}
