--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -16,6 +16,7 @@
 use crate::memory_pool::{MemoryPool, MemoryReservation};
 use crate::metrics::NodeMetrics;
 use crate::runner_probe::LostCalls;
+use crate::speed_share::SpeedFigure;
 use crate::state_transfer::EncodedPlan;
 
 /// The bodies of requests, and the answers of runners, may each take one part in this many of the
@@ -54,6 +55,8 @@
     pub room_changed: Cell<bool>,
     /// The nodes that share what a runner can take.
     pub members: RefCell<FleetMembers>,
+    /// Figures of speed that runners stated and that the dispatcher has not received yet.
+    pub speed_figures: RefCell<Vec<SpeedFigure>>,
     /// Inputs of calls that crash runners.
     pub inputs: RefCell<InputTable>,
     /// Whether this node reaches the runners.
@@ -124,6 +127,7 @@
             brittle: RefCell::default(),
             room_changed: Cell::default(),
             members: RefCell::new(FleetMembers::new(settings.vm.clone(), clock.now())),
+            speed_figures: RefCell::default(),
             inputs: RefCell::default(),
             reach: RefCell::default(),
             reach_loss: RefCell::default(),
--- a/crates/node/src/heartbeat_sections.rs
+++ b/crates/node/src/heartbeat_sections.rs
@@ -10,10 +10,11 @@
 use crate::evacuation_watch::apply_evacuation_update;
 use crate::router::RouterService;
 use crate::runner_gate::{apply_brittle_update, apply_cold_update};
+use crate::speed_share::{apply_speed_update, take_speed_update};
 
 /// Collects what this node states about subjects that have a section.
 #[must_use]
-pub fn collect_sections(context: &NodeContext) -> HeartbeatSections {
+pub fn collect_sections(context: &NodeContext, router: &RouterService) -> HeartbeatSections {
     let mut sections = HeartbeatSections::default();
     if let Some(update) = context.evacuations.borrow().update() {
         put_section(context, &mut sections, SectionTag::EVACUATIONS, &update);
@@ -29,6 +30,9 @@
     if !brittle.reports.is_empty() {
         put_section(context, &mut sections, SectionTag::BRITTLE_RUNNERS, &brittle);
     }
+    if let Some(update) = take_speed_update(context, router) {
+        put_section(context, &mut sections, SectionTag::RUNNER_SPEEDS, &update);
+    }
     sections
 }
 
@@ -57,6 +61,9 @@
     if changed || cold_changed {
         router.update_members();
     }
+    if let Some(update) = read_section(context, vm, sections, SectionTag::RUNNER_SPEEDS) {
+        apply_speed_update(context, router, &update);
+    }
 }
 
 /// Adds a section; one that cannot be encoded is logged and left out.
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -59,6 +59,10 @@
     pub brittle_runners: Counter,
     /// Requests that brittle runners rejected.
     pub brittle_rejections: Counter,
+    /// Times that the speed factor of a runner left or entered the dead band.
+    pub speed_changes: Counter,
+    /// Runners whose speed factor is outside the dead band.
+    pub uneven_runners: Gauge,
     /// Runners that crashed as they began to answer a call of this node, once for each call.
     pub runner_crashes: Counter,
     /// Parts of prompts blocked since runners crash under them.
@@ -126,6 +130,8 @@
             cold_runners: Counter::default(),
             brittle_runners: Counter::default(),
             brittle_rejections: Counter::default(),
+            speed_changes: Counter::default(),
+            uneven_runners: Gauge::default(),
             runner_crashes: Counter::default(),
             parts_blocked: Counter::default(),
             reach_losses: Counter::default(),
@@ -152,6 +158,13 @@
     }
 
     fn register(&mut self) {
+        self.register_calls();
+        self.register_runners();
+        self.register_node();
+    }
+
+    /// Registers the metrics of requests and their sends.
+    fn register_calls(&mut self) {
         let registry = &mut self.registry;
         registry.register("requests", "Requests by how they ended", self.requests.clone());
         registry.register("sends", "Sends to runners", self.sends.clone());
@@ -172,6 +185,11 @@
             "Requests not sent since their runner accepts none",
             self.sends_withheld.clone(),
         );
+    }
+
+    /// Registers the metrics of runners and of what they state.
+    fn register_runners(&mut self) {
+        let registry = &mut self.registry;
         registry.register("runner_waits", "Waits begun by runners", self.runner_waits.clone());
         registry.register(
             "runner_limits",
@@ -194,6 +212,16 @@
             "Evacuations of places that began or ended",
             self.evacuations.clone(),
         );
+        registry.register(
+            "speed_changes",
+            "Times that a runner became slower or faster than usual, or usual again",
+            self.speed_changes.clone(),
+        );
+        registry.register(
+            "uneven_runners",
+            "Runners that are slower or faster than usual",
+            self.uneven_runners.clone(),
+        );
         registry.register(
             "runner_crashes",
             "Calls lost as their runner crashed",
@@ -211,6 +239,11 @@
             self.forwarded_calls.clone(),
         );
         registry.register("parts_blocked", "Parts of prompts blocked", self.parts_blocked.clone());
+    }
+
+    /// Registers the metrics of the node's state, its peers and the store, and the histograms.
+    fn register_node(&mut self) {
+        let registry = &mut self.registry;
         registry.register("moves", "Moves of running streams", self.moves.clone());
         registry.register("plans", "Configurations put in force", self.plans.clone());
         registry.register(
--- a/crates/node/src/route_ticket.rs
+++ b/crates/node/src/route_ticket.rs
@@ -69,6 +69,13 @@
         }
     }
 
+    /// Records that the time until the next tokens says nothing about the runner.
+    pub fn hold_progress(&self) {
+        if let Some(handle) = &self.handle {
+            handle.hold_progress();
+        }
+    }
+
     /// Signal that is raised when the call's runner announces that it leaves.
     #[must_use]
     pub fn leaving(&self) -> StopSignal {
--- a/crates/node/src/router.rs
+++ b/crates/node/src/router.rs
@@ -13,13 +13,14 @@
 use route::{
     CallId, MemoryForecast, PolicyName, RouteCall, RouteEvent, RouteMember, RouteSettings,
 };
-use serving::{RunnerIncarnation, RunnerLoad};
+use serving::{RunnerIncarnation, RunnerKey, RunnerLoad};
 
 use crate::call::Call;
 use crate::context::NodeContext;
 use crate::limit_share::{limit_events, room_events};
 use crate::route_ticket::RouteTicket;
 use crate::runner_gate;
+use crate::speed_share::{figure_events, pause_bounds, runner_keys};
 
 /// Interval between ticks of the call dispatcher while calls are queued.
 const TICK_PERIOD: TimeSpan = TimeSpan::millis(10);
@@ -53,6 +54,8 @@
     load_sequence: Cell<u64>,
     /// Whether other nodes have reported loads that the dispatcher has not received yet.
     peer_loads_changed: Cell<bool>,
+    /// Runners by the keys that heartbeats name them by.
+    pub(crate) runner_keys: RefCell<BTreeMap<RunnerKey, RunnerId>>,
     /// Whether the dispatcher knows of a limit.
     dispatcher_limited: Cell<bool>,
     /// Whether the dispatcher knows of a runner with little room.
@@ -91,6 +94,7 @@
             calls,
             load_sequence: Cell::default(),
             peer_loads_changed: Cell::default(),
+            runner_keys: RefCell::default(),
             dispatcher_limited: Cell::default(),
             dispatcher_confined: Cell::default(),
             heartbeat_requests,
@@ -105,6 +109,8 @@
     pub fn open(&self, mut call: RouteCall) -> RouteTicket {
         if self.peer_loads_changed.get() {
             self.dispatcher.handle_all(self.load_events());
+        } else if !self.context.speed_figures.borrow().is_empty() {
+            self.dispatcher.handle_all(figure_events(&self.context));
         }
         self.update_room();
         let id = self.dispatcher.next_call_id();
@@ -161,6 +167,7 @@
                 shares: Vec::new(),
             });
         }
+        self.dispatcher.handle_all(pause_bounds(&plan));
         self.update_members();
     }
 
@@ -168,6 +175,7 @@
     pub fn update_members(&self) {
         let Some(plan) = self.context.plan() else { return };
         let now = self.context.now();
+        *self.runner_keys.borrow_mut() = runner_keys(&self.context);
         let members = |service: &ServiceName| RouteEvent::Members {
             service: service.clone(),
             members: self.usable_members(service, now),
@@ -328,6 +336,7 @@
                 events.push(RouteEvent::RunnerWait { runner: record.runner.clone(), until });
             }
         }
+        events.extend(figure_events(&self.context));
         events.extend(limit_events(&self.context, &self.dispatcher_limited));
         events.extend(room_events(&self.context, &self.dispatcher_confined));
         events
--- a/crates/node/src/runner_gate.rs
+++ b/crates/node/src/runner_gate.rs
@@ -20,6 +20,7 @@
 use crate::evacuation_watch::is_runner_evacuated;
 use crate::limit_share::{cold_plan, cold_share, runner_room};
 use crate::metrics::WithheldLabels;
+use crate::speed_share::record_speed_figure;
 
 /// Why a request may not be sent to a runner.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -195,6 +196,9 @@
     if let Some(span) = notice.retry_after {
         begin_wait(context, runner, span);
     }
+    if let Some(factor) = notice.speed {
+        record_speed_figure(context, &runner.runner, factor);
+    }
     if let Some(header) = notice.unknown_value
         && may_log(context)
     {
--- a/crates/serving/tests/attempt.rs
+++ b/crates/serving/tests/attempt.rs
@@ -100,6 +100,7 @@
         (RouteKind::Stream, true, true),
     ] {
         let route = RouteRule {
+            gap_target: None,
             name: Arc::from("route"),
             host: Arc::from("h"),
             prefix: Arc::from("/"),
--- a/crates/serving/tests/wire_names.rs
+++ b/crates/serving/tests/wire_names.rs
@@ -19,6 +19,7 @@
         kind: RouteKind::AtMostOnce,
         timeout: TimeSpan::millis(2),
         target_latency: TimeSpan::millis(1),
+        gap_target: None,
         priority: 1,
         max_attempts: 2,
         is_public: true,
