--- a/crates/harness/tests/node_runner_partition.rs
+++ b/crates/harness/tests/node_runner_partition.rs
@@ -204,3 +204,44 @@
     })
     .unwrap();
 }
+
+/// Guards against a node that assigns a call again and again without a pause, and so answers
+/// nothing and nobody any more, while connections to all runners hang and no other node reaches them.
+#[test]
+fn a_node_stays_responsive_while_connections_to_all_runners_hang() {
+    kernel::run(async {
+        let mut fleet = NodeFleet::start().await.unwrap();
+        let mut runners = Vec::new();
+        for number in 0..RUNNERS {
+            let settings = RunnerFakeSettings::new(&format!("desk-{number}"));
+            runners.push(fleet.add_runner("desk", settings).await.unwrap());
+        }
+        for _ in 0..NODES {
+            fleet.add_node().unwrap();
+        }
+        fleet.wait_ready().await.unwrap();
+        for runner in &runners {
+            runner.stop_accepting().await;
+        }
+        let begun = Instant::now();
+        let send = async |number: usize| {
+            compio::time::sleep(PAUSE * u32::try_from(number).unwrap()).await;
+            fleet.send(number % NODES, &CallerRequest::booking(&format!("a{number}"))).await.status
+        };
+        let calls = join_all((0..REQUESTS).map(send));
+        let asked = async {
+            let mut slowest = Duration::ZERO;
+            while begun.elapsed() < KNOWN_AFTER {
+                let asked = Instant::now();
+                fleet.readiness(CUT).await;
+                slowest = slowest.max(asked.elapsed());
+                compio::time::sleep(PAUSE).await;
+            }
+            slowest
+        };
+        let (statuses, slowest) = futures_util::future::join(calls, asked).await;
+        assert!(statuses.iter().all(|status| *status == 503), "{statuses:?}");
+        assert!(slowest < Duration::from_secs(1), "{slowest:?}");
+    })
+    .unwrap();
+}
--- a/crates/node/src/call_attempt.rs
+++ b/crates/node/src/call_attempt.rs
@@ -113,6 +113,14 @@
     allowed
 }
 
+/// Counts a request that this node serves. One that is forwarded counts at the other node only:
+/// the sums over all nodes bound retries and hedges.
+pub fn count_request(context: &NodeContext, service: &ServiceName) {
+    let now = context.now();
+    context.retry_budget.borrow_mut().record_request(now, service);
+    context.hedge_limit.borrow_mut().record_request(now, service);
+}
+
 /// Records the outcome of a send, after which the call may not be forwarded if it may have run.
 pub fn record_send(call: &Call, tracker: &mut AttemptTracker, outcome: SendOutcome) {
     tracker.record_send(outcome);
--- a/crates/node/src/call_forward.rs
+++ b/crates/node/src/call_forward.rs
@@ -137,7 +137,8 @@
 
 fn has_choice(context: &NodeContext, call: &Call) -> bool {
     let now = context.now();
-    context.reach.borrow().is_lost()
+    call.deadline > now
+        && context.reach.borrow().is_lost()
         && context.forwards.borrow().has_choice(
             now,
             forward_source(context, call),
--- a/crates/node/src/follow_runners.rs
+++ b/crates/node/src/follow_runners.rs
@@ -223,7 +223,7 @@
     if context.runners_updated.get().is_none() || update.from > read || update.end < read {
         return;
     }
-    let started = new_starts(context, &update.changes);
+    let started = new_starts(context, update.changes.iter().filter_map(written_record));
     let changed = !apply_to_table(context, update.changes, "node").is_empty();
     for runner in &started {
         assume_cold(context, runner);
@@ -231,23 +231,30 @@
     record_current_read(context, router, context.now(), update.end, changed);
 }
 
-/// Starts of runners in `changes` that are not in the table.
-fn new_starts(context: &NodeContext, changes: &[RunnerChange]) -> Vec<RunnerRecord> {
+/// The record of a change that writes one.
+fn written_record(change: &RunnerChange) -> Option<&RunnerRecord> {
+    match change {
+        RunnerChange::Put(record) => Some(record),
+        RunnerChange::Remove(_) => None,
+    }
+}
+
+/// Starts of runners among `records` that are not in the table.
+pub fn new_starts<'a>(
+    context: &NodeContext,
+    records: impl IntoIterator<Item = &'a RunnerRecord>,
+) -> Vec<RunnerRecord> {
     let table = context.runners.borrow();
     let is_new = |record: &&RunnerRecord| {
         let known = table.get(&record.runner);
         known.is_none_or(|known| known.record.started_unix_ms < record.started_unix_ms)
     };
-    let puts = changes.iter().filter_map(|change| match change {
-        RunnerChange::Put(record) => Some(record),
-        RunnerChange::Remove(_) => None,
-    });
-    puts.filter(is_new).cloned().collect()
+    records.into_iter().filter(is_new).cloned().collect()
 }
 
 /// Treats a runner that another node has read of as cold, if its service has cold runners: that it
 /// is cold may become known only with that node's next heartbeat.
-fn assume_cold(context: &NodeContext, runner: &RunnerRecord) {
+pub fn assume_cold(context: &NodeContext, runner: &RunnerRecord) {
     if let Some(cold) = cold_plan(context, &runner.service) {
         record_cold(context, &runner.incarnation(), cold.span, ColdSource::Start);
     }
--- a/crates/node/src/hedged_call.rs
+++ b/crates/node/src/hedged_call.rs
@@ -38,12 +38,14 @@
     pub(crate) result: Result<T, SendFailure>,
 }
 
-/// How a race has ended. A send that was cancelled is not in it.
+/// How a race has ended.
 pub(crate) struct RaceEnd<T> {
     /// The send that won, or the last one that failed.
     pub(crate) last: SendEnd<T>,
     /// The send that failed before.
     pub(crate) failed: Option<SendEnd<T>>,
+    /// The runner of a send that was cancelled since the other one won; it may have run the call.
+    pub(crate) cancelled: Option<RunnerId>,
 }
 
 /// Whether the call may have a second send while its first one is in progress.
@@ -51,11 +53,6 @@
     context.hedge_limit.borrow().is_on() && call.route.may_repeat() && tracker.sends() == 0
 }
 
-/// Counts a request from a caller.
-pub(crate) fn record_request(context: &NodeContext, service: &ServiceName) {
-    context.hedge_limit.borrow_mut().record_request(context.now(), service);
-}
-
 /// Sends a plain call; like [`race`].
 pub(crate) async fn race_plain(
     context: &NodeContext,
@@ -125,7 +122,7 @@
     if let Some(result) = early {
         record_pace(context, &plan.runner, false);
         record_time(context, call, sent_at, result.is_ok());
-        return RaceEnd { last: SendEnd { ticket, plan, result }, failed: None };
+        return RaceEnd { last: SendEnd { ticket, plan, result }, failed: None, cancelled: None };
     }
     record_pace(context, &plan.runner, true);
     let (second_ticket, second_plan) = match open_hedge(context, router, call, tracker, &plan) {
@@ -134,7 +131,11 @@
             note_denial(context, call, &plan.runner, denial);
             let result = first_send.await;
             record_time(context, call, sent_at, result.is_ok());
-            return RaceEnd { last: SendEnd { ticket, plan, result }, failed: None };
+            return RaceEnd {
+                last: SendEnd { ticket, plan, result },
+                failed: None,
+                cancelled: None,
+            };
         }
     };
     let mut second_send = pin!(send(second_plan.clone()).fuse());
@@ -150,17 +151,18 @@
             if has_won(&first.result) {
                 second_ticket.finish(CallEnd::Cancelled);
                 note_end(context, call, &second_plan.runner, "cancelled");
-                return RaceEnd { last: first, failed: None };
+                let cancelled = Some(second_plan.runner.runner);
+                return RaceEnd { last: first, failed: None, cancelled };
             }
             let result = second_send.await;
             if result.as_ref().is_err_and(|failure| failure.withheld) {
                 second_ticket.finish(CallEnd::Cancelled);
-                return RaceEnd { last: first, failed: None };
+                return RaceEnd { last: first, failed: None, cancelled: None };
             }
             let second = SendEnd { ticket: second_ticket, plan: second_plan, result };
             let outcome = if has_won(&second.result) { "won" } else { "failed" };
             note_end(context, call, &second.plan.runner, outcome);
-            RaceEnd { last: second, failed: Some(first) }
+            RaceEnd { last: second, failed: Some(first), cancelled: None }
         }
         Err(result) => {
             if has_won(&result) {
@@ -169,7 +171,7 @@
                 ticket.finish(CallEnd::Cancelled);
                 note_end(context, call, &second_plan.runner, "won");
                 let last = SendEnd { ticket: second_ticket, plan: second_plan, result };
-                return RaceEnd { last, failed: None };
+                return RaceEnd { last, failed: None, cancelled: Some(plan.runner.runner) };
             }
             let withheld = result.as_ref().is_err_and(|failure| failure.withheld);
             let second = SendEnd { ticket: second_ticket, plan: second_plan, result };
@@ -182,7 +184,7 @@
             };
             let result = first_send.await;
             record_time(context, call, sent_at, result.is_ok());
-            RaceEnd { last: SendEnd { ticket, plan, result }, failed }
+            RaceEnd { last: SendEnd { ticket, plan, result }, failed, cancelled: None }
         }
     }
 }
--- a/crates/node/src/plain_call.rs
+++ b/crates/node/src/plain_call.rs
@@ -12,13 +12,14 @@
 use crate::call::Call;
 use crate::call_answer::{fail_call, forward_answer};
 use crate::call_attempt::{
-    explain_failure, find_runner, may_retry, record_send, record_send_failure, unassign,
+    count_request, explain_failure, find_runner, may_retry, record_send, record_send_failure,
+    unassign,
 };
 use crate::call_forward::{ServingStop, try_forward, unless_unreached, unreached_failure};
 use crate::call_log::log_send;
 use crate::context::NodeContext;
 use crate::crash_watch::record_full_answer;
-use crate::hedged_call::{RaceEnd, SendEnd, may_hedge, race_plain, record_request};
+use crate::hedged_call::{RaceEnd, SendEnd, may_hedge, race_plain};
 use crate::router::RouterService;
 use crate::runner_send::{SendFailure, SendPlan, read_full_answer, send_to_runner};
 
@@ -35,8 +36,7 @@
     call: &Rc<Call>,
     closer: ConnectionCloser,
 ) -> WebResponse {
-    context.retry_budget.borrow_mut().record_request(context.now(), &call.service);
-    record_request(context, &call.service);
+    let mut is_counted = false;
     let mut tracker = AttemptTracker::for_route(&call.route);
     let mut tried = Vec::new();
     let mut error_answer: Option<Response<Bytes>> = None;
@@ -44,6 +44,9 @@
         if let Some(response) = try_forward(context, call, &closer).await {
             return response;
         }
+        if !std::mem::replace(&mut is_counted, true) {
+            count_request(context, &call.service);
+        }
         let found = find_runner(context, router, call, &tried);
         let found = match unless_unreached(context, call, found).await {
             Ok(found) => found,
@@ -59,7 +62,7 @@
         let answer = if may_hedge(context, call, &tracker) {
             let first = (ticket, SendPlan::first(runner, None));
             let limit = attempt_limit(context, call, &tracker);
-            let RaceEnd { last, failed } =
+            let RaceEnd { last, failed, .. } =
                 race_plain(context, router, call, &tracker, first, limit).await;
             if let Some(SendEnd { ticket, plan, result }) = failed {
                 tried.push(plan.runner.runner.clone());
--- a/crates/node/src/runner_poll.rs
+++ b/crates/node/src/runner_poll.rs
@@ -11,6 +11,7 @@
 use serving::RunnerRecord;
 
 use crate::context::NodeContext;
+use crate::reach_watch::record_runner_answer;
 use crate::router::RouterService;
 use crate::runner_gate::{find_own_block, record_notice};
 
@@ -63,6 +64,7 @@
     let runner = record.incarnation();
     let RunnerReply { notice, result } = read_report(record.address, REPORT_TIMEOUT).await;
     if let Some(notice) = notice {
+        record_runner_answer(context);
         record_notice(context, &runner, &notice);
     }
     match result {
--- a/crates/node/src/runner_send.rs
+++ b/crates/node/src/runner_send.rs
@@ -12,7 +12,7 @@
 use web::{SendFault, WebConnection, WebError, WebExchange, full_body};
 
 use crate::call::Call;
-use crate::call_forward::unless_unreached;
+use crate::call_forward::{ServingStop, unless_unreached};
 use crate::context::NodeContext;
 use crate::reach_watch::{record_runner_answer, record_runner_failure};
 use crate::runner_gate::{
@@ -103,7 +103,12 @@
 ) -> Result<WebExchange, SendFailure> {
     let connect = connect_to_runner(context, call, &plan.runner);
     let connected = unless_unreached(context, call, connect).await;
-    let connection = connected.map_err(|_| SendFailure::withheld("runners_unreached"))??;
+    let connection = connected.map_err(|stop| {
+        // A call that waits no longer counts as a failed connection: those are limited, while a
+        // call that is withheld is assigned again at once.
+        let withheld = stop == ServingStop::Forward;
+        SendFailure { withheld, ..SendFailure::withheld("runners_unreached") }
+    })??;
     send_connected(context, call, plan, connection, limit).await
 }
 
--- a/crates/node/src/speed_share.rs
+++ b/crates/node/src/speed_share.rs
@@ -15,6 +15,12 @@
 /// Most figures that wait for the dispatcher, which takes them every 100 ms.
 const MAX_FIGURES: usize = 256;
 
+/// Most entries that a node receives in one heartbeat of each other node: at 195 nodes that send 200
+/// entries each, they would take a third of a link of 10 Mbit/s.
+const MAX_FLEET_ENTRIES: usize = 4_000;
+/// Number of entries that each heartbeat may have, however large the fleet is.
+const MIN_SPEED_ENTRIES: usize = 10;
+
 /// A figure that a runner stated: the factor by which work takes longer there than usual.
 #[derive(Debug, Clone)]
 pub struct SpeedFigure {
@@ -85,7 +91,9 @@
         }
     }
     context.metrics.uneven_runners.set(i64::try_from(state.uneven_runners()).unwrap_or(i64::MAX));
-    let statements = state.take_speed_statements(MAX_SPEED_ENTRIES);
+    let fleet_size = context.peers.borrow().fleet_size().max(1);
+    let limit = (MAX_FLEET_ENTRIES / fleet_size).clamp(MIN_SPEED_ENTRIES, MAX_SPEED_ENTRIES);
+    let statements = state.take_speed_statements(limit);
     let runners = context.runners.borrow();
     let entry = |statement: &SpeedStatement| {
         let runner = runners.get(&statement.runner)?.record.incarnation();
--- a/crates/node/src/state_fetcher.rs
+++ b/crates/node/src/state_fetcher.rs
@@ -11,7 +11,7 @@
 use crate::context::NodeContext;
 use crate::dependency::DependencyState;
 use crate::follow_configuration::apply_plan;
-use crate::follow_runners::{log_list_changes, record_read};
+use crate::follow_runners::{assume_cold, log_list_changes, new_starts, record_read};
 use crate::metrics::OutcomeLabels;
 use crate::peer_server::{RUNNERS_PATH, RunnersAnswer};
 use crate::router::RouterService;
@@ -191,11 +191,16 @@
             return Ok(());
         }
         let records: Vec<RunnerRecord> = answer.runners;
+        let is_first = self.context.runners_updated.get().is_none();
+        let started = if is_first { Vec::new() } else { new_starts(&self.context, &records) };
         let changed = self.context.runners.borrow_mut().replace(self.context.now(), records);
         if !changed.is_empty() {
             tracing::info!(event = "runners_taken", read = answer.read.0, source = "node", %peer);
         }
         log_list_changes(&self.context, &changed, "node");
+        for runner in &started {
+            assume_cold(&self.context, runner);
+        }
         record_read(&self.context, &self.router, requested, answer.read, !changed.is_empty());
         Ok(())
     }
--- a/crates/node/src/stream_call.rs
+++ b/crates/node/src/stream_call.rs
@@ -13,13 +13,14 @@
 use crate::call::Call;
 use crate::call_answer::{fail_call, forward_answer};
 use crate::call_attempt::{
-    explain_failure, find_runner, may_retry, record_send, record_send_failure, unassign,
+    count_request, explain_failure, find_runner, may_retry, record_send, record_send_failure,
+    unassign,
 };
 use crate::call_forward::{ServingStop, try_forward, unless_unreached, unreached_failure};
 use crate::call_log::{log_send, log_send_failure};
 use crate::context::NodeContext;
 use crate::crash_watch::record_full_answer;
-use crate::hedged_call::{RaceEnd, SendEnd, may_hedge, race_stream, record_request};
+use crate::hedged_call::{RaceEnd, SendEnd, may_hedge, race_stream};
 use crate::route_ticket::RouteTicket;
 use crate::router::RouterService;
 use crate::runner_probe::probe_lost_runner;
@@ -47,8 +48,7 @@
     call: Rc<Call>,
     closer: ConnectionCloser,
 ) -> WebResponse {
-    context.retry_budget.borrow_mut().record_request(context.now(), &call.service);
-    record_request(context, &call.service);
+    let mut is_counted = false;
     let mut tracker = AttemptTracker::for_route(&call.route);
     let mut tried = Vec::new();
     let mut error_answer: Option<Response<Bytes>> = None;
@@ -56,6 +56,9 @@
         if let Some(response) = try_forward(context, &call, &closer).await {
             return response;
         }
+        if !std::mem::replace(&mut is_counted, true) {
+            count_request(context, &call.service);
+        }
         let found = find_runner(context, router, &call, &tried);
         let found = match unless_unreached(context, &call, found).await {
             Ok(found) => found,
@@ -72,7 +75,7 @@
         log_send(context, &call, &runner.runner, backup_id, load.as_ref(), tracker.sends());
         let mut plan = SendPlan::first(runner, backup);
         let mut outcome = if may_hedge(context, &call, &tracker) {
-            let RaceEnd { last, failed } =
+            let RaceEnd { last, failed, cancelled } =
                 race_stream(context, router, &call, &tracker, (ticket, plan)).await;
             if let Some(SendEnd { ticket, plan, result }) = failed {
                 tried.push(plan.runner.runner.clone());
@@ -92,6 +95,10 @@
                     }
                 }
             }
+            if let Some(runner) = cancelled {
+                record_send(&call, &mut tracker, SendOutcome::Unknown);
+                tried.push(runner);
+            }
             (ticket, plan) = (last.ticket, last.plan);
             last.result
         } else {
--- a/crates/node/src/stream_resume.rs
+++ b/crates/node/src/stream_resume.rs
@@ -10,7 +10,7 @@
 use route::CallEnd;
 use serving::{AttemptTracker, SendOutcome};
 
-use crate::call_attempt::{find_runner, may_retry, record_send_failure, unassign};
+use crate::call_attempt::{find_runner, may_retry, record_send, record_send_failure, unassign};
 use crate::call_log::{RequestOutcome, log_send, log_send_failure, may_log};
 use crate::runner_send::SendPlan;
 use crate::stream_backup::choose_backup;
@@ -35,7 +35,7 @@
             return interrupted;
         }
         self.ticket.end(CallEnd::Failed);
-        self.attempts.tracker.record_send(SendOutcome::Unknown);
+        record_send(&self.call, &mut self.attempts.tracker, SendOutcome::Unknown);
         self.attempts.tried.push(self.source.runner.runner.clone());
         let disconnected = self.caller.disconnected.clone();
         while may_retry(&self.context, &self.call, &self.attempts.tracker) {
@@ -52,7 +52,9 @@
             match ended {
                 Ok(()) => return PumpStep::Continue,
                 Err(ResumeFault::NoRunner) => return interrupted,
-                Err(ResumeFault::Send(outcome)) => self.attempts.tracker.record_send(outcome),
+                Err(ResumeFault::Send(outcome)) => {
+                    record_send(&self.call, &mut self.attempts.tracker, outcome);
+                }
             }
         }
         interrupted
--- a/crates/route/src/pause_model.rs
+++ b/crates/route/src/pause_model.rs
@@ -71,6 +71,12 @@
 }
 
 impl PauseModel {
+    /// Whether pauses have a bound.
+    #[must_use]
+    pub fn has_bound(&self) -> bool {
+        self.bound.is_some()
+    }
+
     /// Sets the bound of the pause between two events of `event_tokens` tokens.
     pub fn set_bound(&mut self, bound: Option<TimeSpan>, event_tokens: u32) {
         self.bound = bound.map(|bound| (bound, event_tokens.max(1)));
--- a/crates/route/src/runner_score.rs
+++ b/crates/route/src/runner_score.rs
@@ -79,8 +79,9 @@
 ) -> RunnerScore {
     let calls = f64::from(runner.corrected_calls());
     let Some(memory) = runner.memory_tokens().filter(|_| view.kind == ServiceKind::Model) else {
-        // At the usual speed the expected time differs from the number of calls by a constant.
-        let cost = (calls + 1.0) * runner.speed.factor(now) - 1.0;
+        // At the usual speed the expected time differs from the number of calls by a constant. A
+        // runner that seems fast may only fail fast, and must not attract the calls.
+        let cost = (calls + 1.0) * runner.speed.factor(now).max(1.0) - 1.0;
         return RunnerScore { cost, risk: 0.0, admissible: true };
     };
     let mut forecast = runner.own_forecast;
--- a/crates/route/src/runner_speed.rs
+++ b/crates/route/src/runner_speed.rs
@@ -22,6 +22,8 @@
 const PRESENT_SPAN: TimeSpan = TimeSpan::millis(500);
 /// Weight of a newly observed pause in the present figure.
 const PRESENT_WEIGHT: f64 = 0.5;
+/// Time in which evidence loses half of its weight.
+const EVIDENCE_HALF_LIFE: TimeSpan = TimeSpan::seconds(30);
 /// Limits of the logarithm of one observation.
 const MAX_LOG: f64 = 2.0;
 
@@ -63,6 +65,8 @@
     is_present_fresh: bool,
     /// Logarithm of the settled factor; 0 inside the dead band.
     settled: f64,
+    /// When the weight of the evidence was last reduced for its age.
+    aged_at: TimePoint,
 }
 
 impl RunnerSpeed {
@@ -112,6 +116,14 @@
         (self.average.weight >= PRIOR_WEIGHT).then_some(self.average.log_factor)
     }
 
+    /// Reduces the weight of the evidence for its age. A runner that counts as slow gets few calls,
+    /// and so little evidence that it has become faster.
+    pub fn age(&mut self, now: TimePoint) {
+        let half_lives = now.since(self.aged_at).as_seconds() / EVIDENCE_HALF_LIFE.as_seconds();
+        self.average.weight *= 0.5_f64.powf(half_lives);
+        self.aged_at = now;
+    }
+
     /// Settles the factor, relative to the median `center` of the service.
     pub fn settle(&mut self, center: f64) {
         let SpeedEvidence { log_factor, weight } = self.average;
--- a/crates/route/src/scheduler_place.rs
+++ b/crates/route/src/scheduler_place.rs
@@ -62,7 +62,8 @@
         let (healthy, ejected): (Vec<usize>, Vec<usize>) =
             serving.partition(|slot| is_healthy(*slot));
         let max_ejected = ((healthy.len() + ejected.len()) / EJECTED_SHARE_DIVISOR).max(1);
-        let too_many = healthy.is_empty() || ejected.len() > max_ejected;
+        let too_many =
+            healthy.is_empty() || self.count_single_ejected(&healthy, &ejected) > max_ejected;
         let readmitted = if too_many { ejected.as_slice() } else { &[] };
         let candidates =
             self.untried_first(&record.call, healthy.iter().chain(readmitted).copied());
@@ -82,6 +83,20 @@
         best.map(|(_, slot, score)| (slot, score))
     }
 
+    /// Returns the number of ejected runners that do not belong to a place of which all runners
+    /// are ejected. Such a place, if it has several runners, is cut off or lost as a whole: the
+    /// failures then say nothing about the other places, and to readmit its runners would fail
+    /// their share of the calls.
+    fn count_single_ejected(&self, healthy: &[usize], ejected: &[usize]) -> usize {
+        let place = |slot: &usize| &self.runners[*slot].place;
+        let is_single = |slot: &&usize| {
+            let own = place(slot);
+            healthy.iter().any(|other| place(other) == own)
+                || ejected.iter().filter(|other| place(other) == own).count() == 1
+        };
+        ejected.iter().filter(is_single).count()
+    }
+
     /// Returns the candidates that the call has not tried yet, or all if it has tried all.
     fn untried_first(
         &self,
--- a/crates/route/src/scheduler_speeds.rs
+++ b/crates/route/src/scheduler_speeds.rs
@@ -61,6 +61,9 @@
         let Some(&slot) = self.slots.get(&told.runner).filter(|_| self.uses_speeds) else {
             return;
         };
+        if !self.service_of(slot).is_some_and(|view| view.wants_speeds(now)) {
+            return;
+        }
         let speed = &mut self.runners[slot].speed;
         if told.evidence.weight > 0.0 {
             speed.learn(told.evidence.log_factor, told.evidence.weight);
@@ -85,7 +88,9 @@
         let runner = &self.runners[slot];
         let (calls, prefills) = (runner.corrected_calls(), runner.pending_prefill_tokens(now) > 0);
         let factor = runner.speed.settled_factor();
-        let Some(view) = self.service_of(slot) else { return };
+        let Some(view) = self.service_of(slot).filter(|view| view.wants_speeds(now)) else {
+            return;
+        };
         let micros = pause.0 as f64 / f64::from(tokens.max(1));
         let has_figures = now < view.figures_until;
         let Some(ratio) = view.pauses.observe(micros, factor, calls, prefills) else { return };
@@ -113,6 +118,7 @@
         let corrected = TimeSpan((span.0 as f64 / factor) as u64);
         let has_figures = now < view.figures_until;
         view.observe_first_token(corrected, prefill_tokens);
+        let uses_speeds = uses_speeds && view.wants_speeds(now);
         if uses_speeds && !has_figures && prefill_tokens >= MIN_PREFILL_TOKENS && usual.0 > 0 {
             let ratio = (span.0.max(1) as f64 / usual.0 as f64).ln();
             self.runners[slot].speed.observe(ratio, CALL_WEIGHT);
@@ -149,6 +155,9 @@
         }
         view.next_settle = now + SETTLE_INTERVAL;
         let slots = view.slots.clone();
+        for &slot in &slots {
+            self.runners[slot].speed.age(now);
+        }
         let mut averages: Vec<f64> =
             slots.iter().filter_map(|slot| self.runners[*slot].speed.average()).collect();
         if averages.is_empty() {
--- a/crates/route/src/service_view.rs
+++ b/crates/route/src/service_view.rs
@@ -96,6 +96,13 @@
         found.map_or(1, |(_, share)| *share)
     }
 
+    /// Returns whether speeds of its runners are learned: the runners state figures, pauses have a
+    /// bound, or calls are placed by their expected time.
+    #[must_use]
+    pub fn wants_speeds(&self, now: TimePoint) -> bool {
+        self.kind == ServiceKind::Plain || self.pauses.has_bound() || now < self.figures_until
+    }
+
     /// Records that a runner's number of reported calls changed from `before` to `now`, and
     /// updates the estimated number of entries.
     pub fn observe_reported_calls(&mut self, before: u32, now: u32) {
--- a/crates/route/tests/runner_speeds.rs
+++ b/crates/route/tests/runner_speeds.rs
@@ -169,3 +169,18 @@
     }
     assert!(harness.scheduler.take_speed_statements(10).is_empty());
 }
+
+/// Guards against a runner that counts as slow for good, since it gets no calls that would show that
+/// it has become faster.
+#[test]
+fn evidence_that_a_runner_is_slow_loses_its_weight_with_time() {
+    let mut speed = settled(&[(0.7, 20)], 0.0);
+    assert!(!is_usual(&speed));
+    let mut now = TimePoint::default();
+    for _ in 0..600 {
+        now = now + TimeSpan::millis(500);
+        speed.age(now);
+        speed.settle(0.0);
+    }
+    assert!(is_usual(&speed));
+}
--- a/crates/route/tests/scheduler.rs
+++ b/crates/route/tests/scheduler.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use base::{CacheEvent, prelude::*};
-use common::{SchedulerHarness, call, id, report};
+use common::{SchedulerHarness, call, id, member, report, runner};
 use config::CallPriority;
 use route::{CallEnd, RouteAction, RouteEvent, RouteMember};
 
@@ -176,3 +176,30 @@
     harness.tell(RouteEvent::Ended { call: id(1), end: CallEnd::Finished });
     insta::assert_json_snapshot!(harness.scheduler.summary());
 }
+
+/// Guards against calls that keep going to the runners of a place that is cut off as a whole, since
+/// more runners are ejected than may be ejected one by one.
+#[test]
+fn all_runners_of_a_place_may_be_ejected_while_another_place_serves() {
+    let mut harness = SchedulerHarness::new(0);
+    let place = |number: usize| if number.is_multiple_of(2) { "place-0" } else { "place-1" };
+    let members = (0..6)
+        .map(|number| RouteMember { place: place(number).parse().unwrap(), ..member(number) });
+    harness.members(members.collect());
+    let is_cut = |runner_id: &RunnerId| (0..6).any(|n| n % 2 == 1 && *runner_id == runner(n));
+    let mut to_cut = Vec::new();
+    for number in 1..=60 {
+        let actions = harness.arrive(call(number, CallPriority::Normal));
+        let [RouteAction::Send { call: id, runner: to, .. }] = &actions[..] else {
+            panic!("{actions:?}");
+        };
+        let end = if is_cut(to) { CallEnd::Failed } else { CallEnd::Finished };
+        if end == CallEnd::Failed {
+            to_cut.push(number);
+        }
+        harness.tell(RouteEvent::Ended { call: *id, end });
+        harness.advance(TimeSpan::millis(10));
+    }
+    // The ejections end after a second, longer than this test takes.
+    assert_eq!(to_cut.len(), 3, "{to_cut:?}");
+}
--- a/crates/serving/src/brittle_runners.rs
+++ b/crates/serving/src/brittle_runners.rs
@@ -239,8 +239,8 @@
         let own = self.sends.get(runner).map_or(0, |sends| sends.rejected(now));
         let peers = self.peer_rejections.get(runner).into_iter().flat_map(BTreeMap::values);
         let valid = peers.filter(|rejections| now < rejections.until);
-        let others: u32 = valid.map(|rejections| rejections.count).sum();
-        others > 0 && own + others > Self::usable_rejections(limit) / 2
+        let others = valid.fold(0_u32, |sum, rejections| sum.saturating_add(rejections.count));
+        others > 0 && own.saturating_add(others) > Self::usable_rejections(limit) / 2
     }
 
     /// Records that a request is being sent to a brittle runner.
--- a/crates/serving/src/fleet_members.rs
+++ b/crates/serving/src/fleet_members.rs
@@ -21,6 +21,9 @@
 /// Time after its start from which a node counts as settled: an earlier process of the same node may
 /// have used its slots within the last second, and the other nodes are not known yet.
 const SETTLE_SPAN: TimeSpan = TimeSpan::seconds(2);
+/// Time for which the size of the fleet that a node has stated counts. Nodes that state one repeat it
+/// with each heartbeat.
+const STATEMENT_TTL: TimeSpan = TimeSpan::seconds(10);
 /// Maximum number of shares that are cached.
 const MAX_CACHED_SHARES: usize = 4_096;
 
@@ -30,6 +33,8 @@
     heard_at: TimePoint,
     /// Size of the fleet that the node states; 0 if it states none.
     stated_size: usize,
+    /// When the node last stated it.
+    stated_at: TimePoint,
 }
 
 /// The nodes that may send to runners, and this node's slots.
@@ -56,11 +61,12 @@
     /// Records a heartbeat, and the size of the fleet if it states one.
     pub fn record(&mut self, now: TimePoint, vm: &VmId, stated_size: Option<usize>) {
         let before = (self.others.len(), self.size());
-        let member = FleetMember { heard_at: now, stated_size: 0 };
+        let member = FleetMember { heard_at: now, stated_size: 0, stated_at: now };
         let member = self.others.entry(vm.clone()).or_insert(member);
         member.heard_at = now;
         if let Some(size) = stated_size {
             member.stated_size = size;
+            member.stated_at = now;
         }
         self.heard_at = now;
         self.clear_changed(before);
@@ -80,6 +86,13 @@
         }
         let before = (self.others.len(), self.size());
         self.others.retain(|_, member| now.since(member.heard_at) < MEMBER_TTL);
+        // Sizes are stated only while runners are cold or brittle; one of an earlier period would
+        // count nodes that are gone.
+        for member in self.others.values_mut() {
+            if now.since(member.stated_at) >= STATEMENT_TTL {
+                member.stated_size = 0;
+            }
+        }
         self.clear_changed(before);
     }
 
--- a/crates/serving/tests/brittle_runners.rs
+++ b/crates/serving/tests/brittle_runners.rs
@@ -206,3 +206,17 @@
         assert!(served as f64 >= 0.4 * 1_600.0, "{nodes} nodes, limit {limit}: {served} served");
     }
 }
+
+/// Guards against slots that stay unused because a node stated the size of the fleet while nodes
+/// were being replaced.
+#[test]
+fn a_stated_size_of_the_fleet_counts_only_while_it_is_repeated() {
+    let mut members = FleetMembers::new(vm(1), at(0.0));
+    members.record(at(1.0), &vm(2), Some(118));
+    assert_eq!(members.size(), 118);
+    for second in 2..20 {
+        members.record(at(f64::from(second)), &vm(2), None);
+        members.prune(at(f64::from(second)));
+    }
+    assert_eq!(members.size(), 2);
+}
