Add yard check-plan, a check of the operators' configuration before it is sent

Cause: nodes accept a configuration whose routes cannot work, whose entries can never match or whose limits contradict each other, and skip one that they cannot decode with one log line. An operator learns of it only from refused requests.

`yard check-plan FILE [--in-force FILE] [--json]` reports errors, entries that never match, limits that contradict each other and the differences to the version in force. Of two routes with one host and prefix, and of two tenants with one API key, nodes keep the last, so the earlier one is named. A version that is not higher is an error, since every node ignores it. API keys are counted, never shown, and decoding errors contain no value.

Ruled out: rules on `ServingPlan`, which no longer has replaced routes, shared keys and unknown route types.

--- a/crates/yard/src/command/mod.rs
+++ b/crates/yard/src/command/mod.rs
@@ -1,6 +1,7 @@
 //! The subcommands, one file each.
 
 mod check;
+mod check_plan;
 mod dump;
 mod explain;
 mod keys;
@@ -12,6 +13,7 @@
 use crate::{ExitStatus, Result};
 
 use check::CheckCommand;
+use check_plan::CheckPlanCommand;
 use dump::DumpCommand;
 use explain::ExplainCommand;
 use keys::KeysCommand;
@@ -37,6 +39,7 @@
 #[argh(subcommand)]
 enum YardAction {
     Check(CheckCommand),
+    CheckPlan(CheckPlanCommand),
     Publish(PublishCommand),
     Status(StatusCommand),
     Dump(DumpCommand),
@@ -52,6 +55,7 @@
     pub fn run(self) -> Result<ExitStatus> {
         match self.action {
             YardAction::Check(command) => command.run(),
+            YardAction::CheckPlan(command) => command.run(),
             YardAction::Publish(command) => kernel::run(command.run())?,
             YardAction::Status(command) => kernel::run(command.run())?,
             YardAction::Dump(command) => kernel::run(command.run())?,
--- a/crates/yard/src/error.rs
+++ b/crates/yard/src/error.rs
@@ -11,11 +11,12 @@
 pub enum ExitStatus {
     /// Done.
     Done = 0,
-    /// Rejected, or not in force everywhere in time.
+    /// Rejected, not in force everywhere in time, or only warnings.
     Rejected = 1,
     /// Arguments or files are wrong; nothing was done.
     BadInput = 2,
-    /// The platform cannot be reached, so that the result is not known.
+    /// The platform cannot be reached or a configuration to check cannot be read, so that the
+    /// result is not known.
     Unreachable = 3,
 }
 
@@ -38,6 +39,14 @@
         /// The cause.
         source: std::io::Error,
     },
+    /// A configuration to check cannot be read.
+    #[error("read {path}: {source}")]
+    PlanFile {
+        /// The file.
+        path: String,
+        /// The cause.
+        source: std::io::Error,
+    },
     /// An argument is wrong.
     #[error("{step}: {reason}")]
     Argument {
@@ -76,9 +85,11 @@
             Self::File { .. } | Self::Argument { .. } | Self::Certificate(_) => {
                 ExitStatus::BadInput
             }
-            Self::Platform(_) | Self::LogGap(_) | Self::Entry { .. } | Self::Kernel(_) => {
-                ExitStatus::Unreachable
-            }
+            Self::PlanFile { .. }
+            | Self::Platform(_)
+            | Self::LogGap(_)
+            | Self::Entry { .. }
+            | Self::Kernel(_) => ExitStatus::Unreachable,
         }
     }
 }
--- a/crates/yard/src/lib.rs
+++ b/crates/yard/src/lib.rs
@@ -9,6 +9,8 @@
 mod in_force_wait;
 mod log_reader;
 mod output;
+mod plan_check;
+mod plan_difference;
 mod publisher;
 mod request_trace;
 
--- a/crates/yard/tests/cli/commands.rs
+++ b/crates/yard/tests/cli/commands.rs
@@ -78,7 +78,7 @@
 
 #[test]
 fn help_shows_an_example_of_each_command() {
-    for command in ["check", "publish", "status", "dump", "explain", "keys"] {
+    for command in ["check", "check-plan", "publish", "status", "dump", "explain", "keys"] {
         let help = run(&[command, "--help"], &[]);
         assert_eq!(help.code, 0);
         assert!(help.out.contains(&format!("yard {command} ")), "{}", help.out);
