--- a/review/standins/http.rs
+++ b/review/standins/http.rs
@@ -2,6 +2,7 @@
 
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::Duration;
 
 /// A head of a message, and the bytes that were read after it.
@@ -181,14 +182,20 @@
 
 /// A listener on a free loopback port.
 pub fn listen() -> TcpListener {
-    TcpListener::bind("127.0.0.1:0").expect("a free port")
+    TcpListener::bind(("127.0.0.1", free_port())).expect("a free port")
 }
 
-/// A port that is free now, for TCP and UDP.
+/// A port that is free now, for TCP and UDP, and that no other call of this process got. It lies below
+/// those that the system gives to outgoing connections.
 pub fn free_port() -> u16 {
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    const FIRST: u16 = 12_000;
+    const COUNT: u16 = 16_000;
+    let own = (std::process::id() % 16) as u16 * 1_000;
     loop {
-        let port = listen().local_addr().unwrap().port();
-        if std::net::UdpSocket::bind(("127.0.0.1", port)).is_ok() {
+        let port = FIRST + (own + NEXT.fetch_add(1, Ordering::SeqCst)) % COUNT;
+        let is_free = TcpListener::bind(("127.0.0.1", port)).is_ok();
+        if is_free && std::net::UdpSocket::bind(("127.0.0.1", port)).is_ok() {
             return port;
         }
     }
