Show that a run goes on at two engines after a hand-over

The run at a leaving engine is ended by closing its connection only; an engine that does not drop such a request works on for seconds beside the next one.

--- a/review/standins/case.rs
+++ b/review/standins/case.rs
@@ -6,6 +6,7 @@
 
 mod caller;
 mod check;
+mod engine;
 mod http;
 mod node;
 mod runner;
@@ -15,7 +16,9 @@
 mod case_hup;
 mod case_path;
 mod case_retire;
+mod case_silence;
 mod case_stop;
+mod case_twice;
 mod case_unframed;
 
 use std::path::PathBuf;
@@ -43,6 +46,8 @@
         "stop" => case_stop::play(trouble),
         "path" => case_path::play(trouble),
         "retire" => case_retire::play(trouble),
+        "twice" => case_twice::play(trouble),
+        "silence" => case_silence::play(trouble),
         "hang" => case_hang::play(trouble),
         "unframed" => case_unframed::play(trouble),
         _ => Err(format!("no case {name}")),
--- a/review/standins/node.rs
+++ b/review/standins/node.rs
@@ -163,7 +163,7 @@
         .iter()
         .map(|name| {
             if *name == "llm" {
-                r#"{"name":"llm","healthPath":"/healthz","maxConnections":222,"engine":{"slots":24,"kvCapacity":34000,"kvTokenBytes":35136,"linkMbps":5100.0,"moves":false,"backups":false,"stride":4}}"#.into()
+                r#"{"name":"llm","healthPath":"/healthz","maxConnections":222,"engine":{"slots":24,"kvCapacity":34000,"kvTokenBytes":35136,"linkMbps":5100.0,"moves":true,"backups":true,"stride":4}}"#.into()
             } else {
                 format!(r#"{{"name":"{name}","healthPath":"/healthz","maxConnections":100}}"#)
             }
