--- a/review/standins/caller.rs
+++ b/review/standins/caller.rs
@@ -18,7 +18,8 @@
 ) -> Answer {
     let request = text(method, path, attempt, deadline_ms, "");
     record.note(format!("sent {attempt} {method} {path} to {}", node.0));
-    let answer = exchange(node.1, request.as_bytes(), Duration::from_millis(u64::from(deadline_ms)));
+    let answer =
+        exchange(node.1, request.as_bytes(), Duration::from_millis(u64::from(deadline_ms)));
     record.note(format!(
         "answered {attempt}: status {} complete {} ({})",
         answer.status, answer.complete, answer.end
--- a/review/standins/case_hang.rs
+++ b/review/standins/case_hang.rs
@@ -1,8 +1,8 @@
 //! The entries of a service's only runners lapse while the store is away, and its runners turn
 //! requests away and name a time.
 
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
 use crate::caller;
@@ -21,10 +21,17 @@
     store.put("keyed.op", "config", &config(1, &routes, &["desk"]));
     let runners: Vec<Runner> = (1..=2)
         .map(|number| {
-            Runner::start(&record, &store, &format!("desk-{number}"), "desk", Duration::from_millis(15))
+            Runner::start(
+                &record,
+                &store,
+                &format!("desk-{number}"),
+                "desk",
+                Duration::from_millis(15),
+            )
         })
         .collect();
-    let nodes = vec![Node::start("node-1", &store, DRAIN_MS)?, Node::start("node-2", &store, DRAIN_MS)?];
+    let nodes =
+        vec![Node::start("node-1", &store, DRAIN_MS)?, Node::start("node-2", &store, DRAIN_MS)?];
     wait_ready(&nodes)?;
     record.note("all nodes are ready");
     let stop = Arc::new(AtomicBool::new(false));
--- a/review/standins/case_silence.rs
+++ b/review/standins/case_silence.rs
@@ -3,12 +3,12 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use crate::caller;
 use crate::check::{Record, Report};
 use crate::engine::{Engine, Memory};
 use crate::http::exchange;
 use crate::node::{Node, config, route, wait_ready};
 use crate::store::Store;
-use crate::caller;
 
 /// Events of a stream; with their pauses of 28 ms it takes 3.4 s.
 const EVENTS: u64 = 120;
@@ -25,7 +25,8 @@
     store.put("keyed.op", "config", &config(1, &routes, &["llm"]));
     let memory: Arc<Mutex<Memory>> = Arc::default();
     let engine = Engine::start(&record, &store, "llm-1", EVENTS, false, &memory);
-    let mut nodes = vec![Node::start("node-1", &store, 2_000)?, Node::start("node-2", &store, 2_000)?];
+    let mut nodes =
+        vec![Node::start("node-1", &store, 2_000)?, Node::start("node-2", &store, 2_000)?];
     wait_ready(&nodes)?;
     record.note("all nodes are ready");
     std::thread::sleep(Duration::from_secs(1));
@@ -72,7 +73,8 @@
     }
     let how = nodes[0].ended();
     record.note(format!("node-1: {how:?}"));
-    let mut findings = vec![format!("streams: {STREAMS}; cut by the stopping node (LOST): {}", lost.len())];
+    let mut findings =
+        vec![format!("streams: {STREAMS}; cut by the stopping node (LOST): {}", lost.len())];
     findings.extend(lost.iter().cloned());
     Ok(record.report(!lost.is_empty(), findings))
 }
--- a/review/standins/case_unframed.rs
+++ b/review/standins/case_unframed.rs
@@ -23,11 +23,23 @@
     store.put("keyed.op", "config", &config(1, &routes, &["llm"]));
     let port = free_port();
     let mut command = Command::new(std::env::current_exe().map_err(|error| error.to_string())?);
-    command.args(["runner", &port.to_string(), "llm-1", &EVENTS.to_string(), &PAUSE_MS.to_string()]);
+    command.args([
+        "runner",
+        &port.to_string(),
+        "llm-1",
+        &EVENTS.to_string(),
+        &PAUSE_MS.to_string(),
+    ]);
     command.stdout(Stdio::piped());
     end_with_parent(&mut command);
     let mut child = command.spawn().map_err(|error| error.to_string())?;
-    runner::beat(&store, "llm-1", "llm", ([127, 0, 0, 1], port).into(), Arc::new(AtomicBool::new(true)));
+    runner::beat(
+        &store,
+        "llm-1",
+        "llm",
+        ([127, 0, 0, 1], port).into(),
+        Arc::new(AtomicBool::new(true)),
+    );
     let nodes = vec![Node::start("node-1", &store, 2_000)?, Node::start("node-2", &store, 2_000)?];
     if let Err(reason) = wait_ready(&nodes) {
         let _ = child.kill();
@@ -74,8 +86,11 @@
             short.push(format!("{attempt}: ended as complete after {events} of {EVENTS} events"));
         }
     }
-    let mut findings =
-        vec![format!("streams: {}; ended as complete before their last piece (ORDER): {}", answers.len(), short.len())];
+    let mut findings = vec![format!(
+        "streams: {}; ended as complete before their last piece (ORDER): {}",
+        answers.len(),
+        short.len()
+    )];
     findings.extend(short.iter().cloned());
     Ok(record.report(!short.is_empty(), findings))
 }
--- a/review/standins/http.rs
+++ b/review/standins/http.rs
@@ -31,7 +31,11 @@
             let headers = lines.filter_map(|line| line.split_once(':'));
             let headers =
                 headers.map(|(name, value)| (name.trim().to_owned(), value.trim().to_owned()));
-            return Ok(Some(Head { first, headers: headers.collect(), rest: bytes[end + 4..].to_vec() }));
+            return Ok(Some(Head {
+                first,
+                headers: headers.collect(),
+                rest: bytes[end + 4..].to_vec(),
+            }));
         }
         let length = stream.read(&mut buffer)?;
         if length == 0 {
--- a/review/standins/node.rs
+++ b/review/standins/node.rs
@@ -41,15 +41,24 @@
         let folder = std::env::temp_dir().join(format!("review-{}-{name}", std::process::id()));
         std::fs::create_dir_all(&folder).map_err(|error| error.to_string())?;
         let settings = folder.join("local.conf");
-        let mut node =
-            Self { name: name.into(), callers, readiness, lookups, folder, settings, text, child: None };
+        let mut node = Self {
+            name: name.into(),
+            callers,
+            readiness,
+            lookups,
+            folder,
+            settings,
+            text,
+            child: None,
+        };
         node.write_settings()?;
         node.spawn()?;
         Ok(node)
     }
 
     fn spawn(&mut self) -> Result<(), String> {
-        let log = std::fs::File::create(self.folder.join("log")).map_err(|error| error.to_string())?;
+        let log =
+            std::fs::File::create(self.folder.join("log")).map_err(|error| error.to_string())?;
         let mut command = Command::new("target/release/yard-node");
         command.arg("--settings").arg(&self.settings);
         command.stdin(Stdio::null()).stdout(log).stderr(Stdio::inherit());
@@ -135,7 +144,9 @@
 pub fn wait_ready(nodes: &[Node]) -> Result<(), String> {
     let end = Instant::now() + Duration::from_secs(15);
     while Instant::now() < end {
-        let known = |node: &Node| node.is_ready(Duration::from_secs(1)) && resolve(node.lookups).len() == nodes.len();
+        let known = |node: &Node| {
+            node.is_ready(Duration::from_secs(1)) && resolve(node.lookups).len() == nodes.len()
+        };
         if nodes.iter().all(known) {
             return Ok(());
         }
