Log and count streams that leave a silent runner

Three ways lead into leave_silent, and all of them wrote send_failed with runner_unreached only. source_silent now says how long the runner was silent, whether it and its service count as not reached, and where the copy is; the counter is source_silent in yard_node_moves. What the node decides is unchanged.

--- a/crates/node/src/stream_silence.rs
+++ b/crates/node/src/stream_silence.rs
@@ -14,7 +14,7 @@
 use route::CallEnd;
 use serving::RunnerRecord;
 
-use crate::call_log::RequestOutcome;
+use crate::call_log::{RequestOutcome, may_log};
 use crate::context::NodeContext;
 use crate::forward::{ResumeOffer, offer_resume};
 use crate::reach::{
@@ -184,6 +184,7 @@
         self.source.close();
         // Its copy would come from the runner that is not reached.
         self.pending_move = None;
+        self.log_silent_source(node.as_ref());
         self.log_send_failure("runner_unreached");
         if node.is_some()
             && let Some(backup) = self.source.backup.clone()
@@ -194,6 +195,27 @@
         self.go_on_elsewhere("runner_unreached").await
     }
 
+    /// Logs and counts a silent source that the stream leaves, for a copy that `node` reaches if there is
+    /// one.
+    fn log_silent_source(&self, node: Option<&VmId>) {
+        self.count_move("source_silent");
+        if !may_log(&self.context) {
+            return;
+        }
+        let now = self.context.now();
+        tracing::info!(
+            event = "source_silent",
+            request = %self.call.attempt,
+            runner = %self.source.runner.runner,
+            silent_ms = now.since(self.activity.last_data_at).as_millis(),
+            is_unreached = is_unreached(&self.context, &self.source.runner),
+            is_cut_off = is_cut_off(&self.context, &self.call.service),
+            copy = self.source.backup.as_ref().map(|backup| backup.runner.as_str()),
+            node = node.map(VmId::as_str),
+            events = self.scanner.event_count(),
+        );
+    }
+
     /// Whether the stream can go on without its source: from a copy, or by another run.
     fn may_go_on(&self) -> bool {
         let is_lost = self.context.reach.borrow().is_lost(&self.call.service);
