Test a stream whose runner is silent for a moment while its copy is refused; the test fails

What callers see: a stream is cut in the middle though its runner is sound. The runner falls silent for 1.2 s and accepts no connection meanwhile; the runner with the copy refuses it (503), as one does that has none yet or has no room.

The stand-in runner can now fall silent and go on, with new connections that come about or hang. The link of the existing tests accepts connections while it is stalled, which is why none of them went this way.

--- a/crates/fakes/src/platform/mod.rs
+++ b/crates/fakes/src/platform/mod.rs
@@ -6,6 +6,7 @@
 mod runner_fake;
 mod runner_request;
 mod runner_script;
+mod runner_silence;
 mod store_fake;
 mod stream_memory;
 
--- a/crates/fakes/src/platform/runner_answers.rs
+++ b/crates/fakes/src/platform/runner_answers.rs
@@ -280,6 +280,7 @@
             write(stream, "20\r\nid: 99").await;
             return false;
         }
+        state.wait_while_silent().await;
         let event = format!("id: {number}\ndata: token {number} of {attempt}\n\n");
         let framed = format!("{:x}\r\n{event}\r\n", event.len());
         if !write(stream, if is_unframed { event } else { framed }).await {
--- a/crates/fakes/src/platform/runner_fake.rs
+++ b/crates/fakes/src/platform/runner_fake.rs
@@ -142,6 +142,8 @@
     pub(super) endless: Cell<Option<EndlessBytes>>,
     /// New connections are accepted.
     pub(super) accepts: Cell<bool>,
+    /// It neither answers nor makes events.
+    pub(super) silent: Cell<bool>,
     /// Connections that fill the queue of the listener.
     pub(super) held: RefCell<Vec<TcpStream>>,
     pub(super) crashed: StopSignal,
@@ -196,6 +198,7 @@
             linger: Cell::default(),
             endless: Cell::default(),
             accepts: Cell::new(true),
+            silent: Cell::default(),
             held: RefCell::default(),
             crashed: StopSignal::new(),
             ended: StopSignal::new(),
@@ -205,6 +208,11 @@
         Ok(Self { state, address })
     }
 
+    /// What its connections share.
+    pub(super) fn state(&self) -> &RunnerState {
+        &self.state
+    }
+
     /// Its address.
     #[must_use]
     pub fn address(&self) -> SocketAddr {
@@ -501,6 +509,7 @@
 
 async fn serve(mut stream: TcpStream, state: Rc<RunnerState>) {
     while let Some(request) = RunnerRequest::read(&mut stream).await {
+        state.wait_while_silent().await;
         if let Some(endless) = state.endless.get() {
             return answer_without_end(&mut stream, &state, request, endless).await;
         }
--- a/crates/harness/tests/node_short_silence.rs
+++ b/crates/harness/tests/node_short_silence.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use fakes::platform::RunnerFakeSettings;
+use fakes::platform::{RunnerFakeSettings, RunnerScript};
 use harness::{CallerRequest, LinkState, NodeFleet, TestLink};
 use http_body_util::BodyExt;
 use hyper::Request;
@@ -51,6 +51,38 @@
     .unwrap();
 }
 
+/// A copy that its runner does not have yet, or has no room for.
+#[test]
+fn a_stream_whose_copy_is_refused_goes_on_at_a_runner_that_was_silent_for_a_moment() {
+    kernel::run(async {
+        let mut fleet = NodeFleet::start().await.unwrap();
+        let mut runners = Vec::new();
+        for number in 0..2 {
+            let mut settings = RunnerFakeSettings::new(&format!("runner-{number}"));
+            settings.events = EVENTS;
+            runners.push(fleet.add_runner("llm", settings).await.unwrap());
+        }
+        fleet.add_node().unwrap();
+        fleet.wait_ready().await.unwrap();
+        let response = fleet.open(0, &CallerRequest::stream("silent")).await.unwrap();
+        compio::time::sleep(RUNNING_AFTER).await;
+        let silence = async {
+            let (source, others): (Vec<_>, Vec<_>) =
+                runners.iter().partition(|runner| runner.working() == 1);
+            others[0].script(&[RunnerScript::Refuse]);
+            source[0].fall_silent_unconnected().await;
+            compio::time::sleep(SILENCE).await;
+            source[0].go_on();
+        };
+        let (body, ()) = futures_util::future::join(response.into_body().collect(), silence).await;
+        let body = body.expect("the whole answer").to_bytes();
+        let text = String::from_utf8_lossy(&body);
+        let ids = text.lines().filter_map(|line| line.strip_prefix("id: ")?.parse::<u64>().ok());
+        assert!(ids.eq(1..=EVENTS), "{text}");
+    })
+    .unwrap();
+}
+
 #[test]
 fn a_booking_is_sent_once_to_a_runner_that_is_silent_for_a_moment() {
     kernel::run(async {
