Keep a silent source until the copy of its stream has taken over

What callers saw: a stream was cut in the middle (LOST) 0.3 s after its runner fell silent, though the runner was sound and went on 1.2 s later.

Cause: leave_silent closed the connection to the source and only then asked for the copy. If the copy was refused, or no node took it, nothing was left and the stream ended with resume_refused or move_failed.

The change: the stream goes on from its copy by the hand-over that leaving runners use. The source is read until the copy has answered, for 250 ms at most, since two runners may not work on one request for 400 ms. If the copy is refused, the stream stays where it is; if nothing was sent, the copy is kept for later. Only a run on a route that allows another one, and a stream that can go on nowhere, still leave the source first.

--- a/crates/node/src/stream_handover.rs
+++ b/crates/node/src/stream_handover.rs
@@ -22,7 +22,7 @@
 
 /// Time that another runner has to take over a run from one that is still working on it. Two
 /// runners may not work on one request for longer than 400 ms.
-const MAX_OVERLAP: TimeSpan = TimeSpan::millis(250);
+pub(crate) const MAX_OVERLAP: TimeSpan = TimeSpan::millis(250);
 
 /// How a handover ended.
 pub(crate) enum HandoverStep {
--- a/crates/node/src/stream_silence.rs
+++ b/crates/node/src/stream_silence.rs
@@ -3,12 +3,14 @@
 //!
 //! Load pattern: a node is cut off from the runners of its streams without a sign on their connections.
 //! A silent runner alone is no reason to leave it; one that is not reached is. The stream then goes on
-//! from the copy of its run, through another node if this one does not reach that either.
+//! from the copy of its run, through another node if this one does not reach that either. The silent
+//! source is kept until the copy has taken over: it may go on by itself.
 
 use std::pin::{Pin, pin};
 use std::rc::Rc;
 
 use base::prelude::*;
+use compio::time::timeout;
 use futures_util::future::join;
 use futures_util::{FutureExt, select_biased};
 use route::CallEnd;
@@ -22,6 +24,8 @@
     suspect_runner,
 };
 use crate::runner_send::SendPlan;
+use crate::stream_backup::plan_backup_resume;
+use crate::stream_handover::{HandoverStep, MAX_OVERLAP};
 use crate::stream_pump::{PumpStep, StreamPump};
 use crate::stream_source::StreamSource;
 
@@ -40,6 +44,8 @@
 const CHECK_PAUSE: TimeSpan = TimeSpan::millis(250);
 /// Time in which a runner that is reached accepts a connection.
 const USUAL_CONNECT: TimeSpan = TimeSpan::millis(8);
+/// Reason of a stream that ends since its runner is not reached.
+const RUNNER_UNREACHED: &str = "runner_unreached";
 /// Shortest time between two events that are recorded.
 const EVENT_RECORD_PAUSE: TimeSpan = TimeSpan::millis(50);
 
@@ -122,7 +128,7 @@
         Some((self.activity.last_data_at + span).max(self.activity.next_look))
     }
 
-    /// Has a silent runner asked; leaves it if it is not reached and the stream can go on elsewhere.
+    /// Has a silent runner asked. If it is not reached, the stream goes on elsewhere where it can.
     pub(crate) async fn handle_silence(&mut self) -> PumpStep {
         let now = self.context.now();
         self.activity.next_look = now + LOOK_PAUSE;
@@ -131,14 +137,32 @@
             self.begin_check();
             return PumpStep::Continue;
         }
-        let is_over = now.since(self.activity.last_data_at) >= UNSAVED_SILENCE
-            && is_cut_off(&self.context, &self.call.service);
-        if is_over || self.may_go_on() {
-            return self.leave_silent(None).await;
+        if self.may_resume() {
+            return self.go_on_from_copy(None).await;
         }
-        if !self.may_move_through_node() {
+        if self.may_run_again() {
+            return self.leave_silent().await;
+        }
+        if !is_cut_off(&self.context, &self.call.service) {
             return PumpStep::Continue;
         }
+        if self.call.supports_moves && !self.move_requested {
+            return self.move_through_node().await;
+        }
+        if now.since(self.activity.last_data_at) >= UNSAVED_SILENCE {
+            return self.leave_silent().await;
+        }
+        PumpStep::Continue
+    }
+
+    /// Whether the route allows another run, and a runner for it is reached.
+    fn may_run_again(&self) -> bool {
+        self.call.route.stream_resume && !self.context.reach.borrow().is_lost(&self.call.service)
+    }
+
+    /// Has another node move the run away from a source that this node is cut off from. That is tried
+    /// once.
+    async fn move_through_node(&mut self) -> PumpStep {
         self.move_requested = true;
         let source = self.source.runner.clone();
         let offer = ResumeOffer::of_run(&source, self.scanner.last_id());
@@ -146,13 +170,6 @@
         step.unwrap_or(PumpStep::Continue)
     }
 
-    /// Whether another node is to move the run away from a source that this node is cut off from. That
-    /// is tried once.
-    fn may_move_through_node(&self) -> bool {
-        let is_cut_off = is_cut_off(&self.context, &self.call.service);
-        is_cut_off && self.call.supports_moves && !self.move_requested
-    }
-
     /// Finds out where the stream can go on, while it is known whether its runner is reached.
     fn begin_check(&mut self) {
         if self.pending_check.is_some() || !self.may_resume() {
@@ -164,8 +181,8 @@
         self.pending_check = Some(Box::pin(check));
     }
 
-    /// Leaves a silent source that cannot be connected to, if it is known where the stream goes on. It is
-    /// left sooner than a runner is taken out of the choice: a run that has a copy loses nothing.
+    /// Follows what the check of a silent source has shown. A stream goes on from its copy sooner than
+    /// its runner is taken out of the choice: a run that has a copy loses nothing.
     pub(crate) async fn finish_check(&mut self, check: SourceCheck) -> PumpStep {
         self.pending_check = None;
         self.activity.next_look = self.context.now() + CHECK_PAUSE;
@@ -174,25 +191,60 @@
             return PumpStep::Continue;
         }
         let node = if check.reaches_backup { None } else { check.node };
-        self.leave_silent(node).await
+        self.go_on_from_copy(node).await
     }
 
-    /// Leaves the source, whose runner is not reached. The stream goes on through `node` if there is
-    /// one.
-    async fn leave_silent(&mut self, node: Option<VmId>) -> PumpStep {
+    /// Goes on from the copy of the run, through `node` if there is one. The silent source is kept until
+    /// the copy has taken over: it may only be silent for a moment.
+    async fn go_on_from_copy(&mut self, node: Option<VmId>) -> PumpStep {
+        let Some(backup) = self.source.backup.clone() else { return PumpStep::Continue };
+        self.tries += 1;
         self.ticket.hold_progress();
-        self.source.close();
-        // Its copy would come from the runner that is not reached.
+        // Another copy would come from the runner that is silent.
         self.pending_move = None;
         self.log_silent_source(node.as_ref());
-        self.log_send_failure("runner_unreached");
-        if node.is_some()
-            && let Some(backup) = self.source.backup.clone()
+        if (node.is_some() || is_unreached(&self.context, &backup))
             && let Some(step) = self.resume_copy_through_node(&backup, node).await
         {
             return step;
         }
-        self.go_on_elsewhere("runner_unreached").await
+        let plan = plan_backup_resume(&self.context, &self.call, &mut self.ticket, backup);
+        let backup = plan.runner.clone();
+        match self.hand_over(plan, "resumed").await {
+            HandoverStep::Switched => PumpStep::Continue,
+            HandoverStep::End(step) => step,
+            HandoverStep::Unreached => {
+                // Nothing was sent: the copy is still there.
+                self.source.backup = Some(backup);
+                self.stay_at_source().await
+            }
+            HandoverStep::Refused => {
+                // A copy is used once.
+                self.source.backup = None;
+                self.stay_at_source().await
+            }
+        }
+    }
+
+    /// Goes on with the source after the copy has not taken over, unless the source has been lost
+    /// meanwhile.
+    async fn stay_at_source(&mut self) -> PumpStep {
+        if self.source.ended {
+            return self.go_on_elsewhere("runner_lost").await;
+        }
+        self.ticket.relocate_to(&self.source.runner.runner);
+        self.activity.next_look = self.context.now() + CHECK_PAUSE;
+        PumpStep::Continue
+    }
+
+    /// Leaves a source that this node does not reach, for another run if the route allows that.
+    async fn leave_silent(&mut self) -> PumpStep {
+        self.ticket.hold_progress();
+        self.pending_move = None;
+        self.log_silent_source(None);
+        self.source.close();
+        self.log_send_failure(RUNNER_UNREACHED);
+        self.run_elsewhere(RUNNER_UNREACHED).await
     }
 
     /// Logs and counts a silent source that the stream leaves, for a copy that `node` reaches if there is
@@ -216,12 +268,6 @@
         );
     }
 
-    /// Whether the stream can go on without its source: from a copy, or by another run.
-    fn may_go_on(&self) -> bool {
-        let is_lost = self.context.reach.borrow().is_lost(&self.call.service);
-        self.may_resume() || self.call.route.stream_resume && !is_lost
-    }
-
     /// Resumes the stream through another node, at the runner `backup` that keeps a copy of its run; the
     /// node `first` is asked before others. Returns `None` if no node takes it.
     pub(crate) async fn resume_copy_through_node(
@@ -240,7 +286,14 @@
     ) -> Option<PumpStep> {
         let taken = {
             let mut disconnected = pin!(self.caller.disconnected.wait().fuse());
-            let mut offered = pin!(offer_resume(&self.context, &self.call, offer, first).fuse());
+            let offered = offer_resume(&self.context, &self.call, offer, first);
+            let limit = if self.source.ended || offer.copy.is_none() {
+                self.call.deadline.since(self.context.now())
+            } else {
+                MAX_OVERLAP
+            };
+            let offered = async { timeout(limit.into(), offered).await.ok().flatten() };
+            let mut offered = pin!(offered.fuse());
             select_biased! {
                 () = disconnected => {
                     return Some(PumpStep::End(RequestOutcome::CallerDisconnected, ""));
