Break off a silent stream only while its runner answers another node

Cause: is_cut_off. A service counts as lost when this node gets no answer, and another node counts as reaching it until it has found out itself; one without calls there never asks. So the only runner of a service that is silent to all nodes looked like a cut between this node and the runner. The class is that of a belief about another node taken for evidence.

The change: before a silent stream is moved by another node or broken off, other nodes are asked whether the runner answers them now (/answers/RUNNER; they send it the question that they use themselves). A build that does not know the path says 404, and the stream is left open until its caller leaves.

--- a/crates/harness/tests/node_short_silence.rs
+++ b/crates/harness/tests/node_short_silence.rs
@@ -6,6 +6,7 @@
 use harness::{CallerRequest, LinkState, NodeFleet, TestLink};
 use http_body_util::BodyExt;
 use hyper::Request;
+use rustix::process::Signal;
 use serde_json::json;
 use web::{full_body, send_once};
 
@@ -34,6 +35,13 @@
     (fleet, runner, link)
 }
 
+/// Each event came once and in order.
+fn check_whole(body: &[u8]) {
+    let text = String::from_utf8_lossy(body);
+    let ids = text.lines().filter_map(|line| line.strip_prefix("id: ")?.parse::<u64>().ok());
+    assert!(ids.eq(1..=EVENTS), "{text}");
+}
+
 #[test]
 fn a_stream_goes_on_at_a_runner_that_was_silent_for_a_moment() {
     kernel::run(async {
@@ -75,10 +83,33 @@
             source[0].go_on();
         };
         let (body, ()) = futures_util::future::join(response.into_body().collect(), silence).await;
-        let body = body.expect("the whole answer").to_bytes();
-        let text = String::from_utf8_lossy(&body);
-        let ids = text.lines().filter_map(|line| line.strip_prefix("id: ")?.parse::<u64>().ok());
-        assert!(ids.eq(1..=EVENTS), "{text}");
+        check_whole(&body.expect("the whole answer").to_bytes());
+    })
+    .unwrap();
+}
+
+/// Another node has no calls at the runner and counts as reaching it, though it is silent to all.
+#[test]
+fn a_stream_without_a_copy_goes_on_at_its_only_runner_that_is_silent_during_a_planned_stop() {
+    kernel::run(async {
+        let mut fleet = NodeFleet::start().await.unwrap();
+        let mut settings = RunnerFakeSettings::new("runner-1");
+        settings.events = EVENTS;
+        let runner = fleet.add_runner("llm", settings).await.unwrap();
+        fleet.add_node().unwrap();
+        fleet.add_node().unwrap();
+        fleet.wait_ready().await.unwrap();
+        let response = fleet.open(0, &CallerRequest::stream("silent")).await.unwrap();
+        compio::time::sleep(RUNNING_AFTER).await;
+        fleet.nodes[0].signal(Signal::TERM).unwrap();
+        let silence = async {
+            runner.fall_silent();
+            compio::time::sleep(SILENCE).await;
+            runner.go_on();
+        };
+        let (body, ()) = futures_util::future::join(response.into_body().collect(), silence).await;
+        check_whole(&body.expect("the whole answer").to_bytes());
+        assert_eq!(runner.runs(), 1);
     })
     .unwrap();
 }
--- a/crates/node/src/peer_server.rs
+++ b/crates/node/src/peer_server.rs
@@ -11,7 +11,7 @@
 
 use crate::context::NodeContext;
 use crate::forward::{FORWARD_PATH, RESUME_PATH, answer_forwarded, answer_resumed};
-use crate::reach::{REACH_PATH, answer_reach};
+use crate::reach::{ANSWERS_PATH, REACH_PATH, answer_answers, answer_reach};
 use crate::router::RouterService;
 use crate::state_transfer::{PLAN_PATH, answer_plan, answer_state};
 
@@ -40,6 +40,7 @@
             answer_forwarded(&context, &router, request).await
         }
         path if path.starts_with(REACH_PATH) => answer_reach(&context, path).await,
+        path if path.starts_with(ANSWERS_PATH) => answer_answers(&context, path).await,
         path if path.starts_with(RESUME_PATH) => answer_resumed(&context, &router, request).await,
         _ => text_reply(StatusCode::NOT_FOUND, "no such page"),
     }
--- a/crates/node/src/reach/mod.rs
+++ b/crates/node/src/reach/mod.rs
@@ -4,7 +4,10 @@
 mod reach_watch;
 mod records;
 
-pub use reach_question::{REACH_PATH, answer_reach, connects_quickly, find_reaching_node};
+pub use reach_question::{
+    ANSWERS_PATH, REACH_PATH, answer_answers, answer_reach, answers_other_nodes, connects_quickly,
+    find_reaching_node,
+};
 pub use reach_watch::{reaches_service, watch_reach};
 pub use records::{
     apply_reach_update, exclude_unreached, impairment, is_cut_off, is_unreached, reached_share,
--- a/crates/node/src/reach/reach_question.rs
+++ b/crates/node/src/reach/reach_question.rs
@@ -14,16 +14,22 @@
 use serving::{ReachShare, RunnerRecord};
 use web::{WebConnection, WebResponse, fetch, text_reply};
 
+use super::reach_watch::ask;
 use crate::context::NodeContext;
 
 /// Path of the question; the id of the runner follows it. Builds that do not know it answer 404.
 pub const REACH_PATH: &str = "/reach/";
+/// Path of the question whether a runner answers this node; the id of the runner follows it. Builds that
+/// do not know it answer 404.
+pub const ANSWERS_PATH: &str = "/answers/";
 /// Time in which a connection comes about over a network that passes everything on.
 const QUICK_CONNECT: TimeSpan = TimeSpan::millis(50);
 /// Time until the second of two connections is opened, which makes up for a lost packet.
 const SECOND_CONNECT: TimeSpan = TimeSpan::millis(20);
 /// Timeout for a node's answer.
 const NODE_TIMEOUT: TimeSpan = TimeSpan::millis(100);
+/// Timeout for the answer of a node that waits for one of a runner itself.
+const ANSWERS_TIMEOUT: TimeSpan = TimeSpan::millis(250);
 /// Nodes that are asked at once.
 const ASKED_NODES: usize = 8;
 
@@ -41,29 +47,59 @@
 
 /// Answers whether this node reaches a runner.
 pub async fn answer_reach(context: &Rc<NodeContext>, path: &str) -> WebResponse {
-    let address = path
-        .strip_prefix(REACH_PATH)
-        .and_then(|id| id.parse::<RunnerId>().ok())
-        .and_then(|runner| context.runners.borrow().get(&runner).map(|entry| entry.record.address));
-    match address {
+    match find_runner(context, path, REACH_PATH) {
         None => text_reply(StatusCode::NOT_FOUND, "no such runner"),
-        Some(address) if connects_quickly(address).await => text_reply(StatusCode::OK, "reached"),
+        Some(runner) if connects_quickly(runner.address).await => {
+            text_reply(StatusCode::OK, "reached")
+        }
         Some(_) => text_reply(StatusCode::SERVICE_UNAVAILABLE, "not reached"),
     }
 }
 
+/// Answers whether a runner answers this node now.
+pub async fn answer_answers(context: &Rc<NodeContext>, path: &str) -> WebResponse {
+    match find_runner(context, path, ANSWERS_PATH) {
+        None => text_reply(StatusCode::NOT_FOUND, "no such runner"),
+        Some(runner) if ask(context, &runner).await.is_ok() => {
+            text_reply(StatusCode::OK, "answers")
+        }
+        Some(_) => text_reply(StatusCode::SERVICE_UNAVAILABLE, "does not answer"),
+    }
+}
+
+fn find_runner(context: &NodeContext, path: &str, prefix: &str) -> Option<RunnerRecord> {
+    let runner = path.strip_prefix(prefix)?.parse::<RunnerId>().ok()?;
+    context.runners.borrow().get(&runner).map(|entry| entry.record.clone())
+}
+
 /// Another node that reaches a runner: the first one to say so. `None` if none does in time.
 pub async fn find_reaching_node(context: &NodeContext, runner: &RunnerRecord) -> Option<VmId> {
+    ask_nodes(context, runner, REACH_PATH, NODE_TIMEOUT).await
+}
+
+/// Whether a runner answers another node now. A runner that is silent to all is only silent; one that
+/// answers others and not this node is cut off from it.
+pub async fn answers_other_nodes(context: &NodeContext, runner: &RunnerRecord) -> bool {
+    ask_nodes(context, runner, ANSWERS_PATH, ANSWERS_TIMEOUT).await.is_some()
+}
+
+/// Asks other nodes about a runner. Returns the first one that says yes; `None` if none does in time.
+async fn ask_nodes(
+    context: &NodeContext,
+    runner: &RunnerRecord,
+    path: &str,
+    limit: TimeSpan,
+) -> Option<VmId> {
     let asked = choose_nodes(context, &runner.service);
     if asked.is_empty() {
         return None;
     }
-    let path = format!("{REACH_PATH}{}", runner.runner);
+    let path = format!("{path}{}", runner.runner);
     let questions = asked.into_iter().map(|(node, address)| {
         let path = &path;
         Box::pin(async move {
             let step = "reach of a runner";
-            let answered = fetch(step, Method::GET, address, path, Bytes::new(), NODE_TIMEOUT);
+            let answered = fetch(step, Method::GET, address, path, Bytes::new(), limit);
             answered.await.map(|_| node)
         })
     });
--- a/crates/node/src/reach/reach_watch.rs
+++ b/crates/node/src/reach/reach_watch.rs
@@ -169,7 +169,10 @@
 
 /// Asks a runner for an answer, whatever it is. One of a service without a health check has only to
 /// accept the connection.
-async fn ask(context: &NodeContext, runner: &RunnerRecord) -> Result<(), QuestionFailure> {
+pub(super) async fn ask(
+    context: &NodeContext,
+    runner: &RunnerRecord,
+) -> Result<(), QuestionFailure> {
     let connected = WebConnection::open(runner.address, ANSWER_TIMEOUT).await;
     let connection = connected.map_err(|_| QuestionFailure::Unconnected)?;
     let path = context.plan().and_then(|plan| {
--- a/crates/node/src/stream_silence.rs
+++ b/crates/node/src/stream_silence.rs
@@ -4,7 +4,8 @@
 //! Load pattern: a node is cut off from the runners of its streams without a sign on their connections.
 //! A silent runner alone is no reason to leave it; one that is not reached is. The stream then goes on
 //! from the copy of its run, through another node if this one does not reach that either. The silent
-//! source is kept until the copy has taken over: it may go on by itself.
+//! source is kept until something has taken over, and a stream that cannot go on elsewhere is broken
+//! off only if its source answers another node: a runner that is silent to all may go on.
 
 use std::pin::{Pin, pin};
 use std::rc::Rc;
@@ -20,8 +21,8 @@
 use crate::context::NodeContext;
 use crate::forward::{ResumeOffer, offer_resume};
 use crate::reach::{
-    connects_quickly, find_reaching_node, is_cut_off, is_unreached, record_runner_event,
-    suspect_runner,
+    answers_other_nodes, connects_quickly, find_reaching_node, is_cut_off, is_unreached,
+    record_runner_event, suspect_runner,
 };
 use crate::runner_send::SendPlan;
 use crate::stream_backup::plan_backup_resume;
@@ -36,7 +37,7 @@
 /// Silence that is not looked into before the first event, which takes as long as the prompt.
 const FIRST_SILENCE: TimeSpan = TimeSpan::millis(500);
 /// Silence after which a stream that cannot go on elsewhere is broken off, if this node is cut off from
-/// the service: a runner that is silent for a moment goes on.
+/// its source.
 const UNSAVED_SILENCE: TimeSpan = TimeSpan::seconds(1);
 /// Pause until a silent source is looked at again.
 const LOOK_PAUSE: TimeSpan = TimeSpan::millis(25);
@@ -49,9 +50,18 @@
 /// Shortest time between two events that are recorded.
 const EVENT_RECORD_PAUSE: TimeSpan = TimeSpan::millis(50);
 
+/// What a check of a silent source has shown.
+#[derive(Debug, Clone)]
+pub enum SourceCheck {
+    /// Who reaches the runners of the stream.
+    Reach(ReachCheck),
+    /// Whether the source answers another node.
+    Answers(bool),
+}
+
 /// Who reaches the runners of a silent stream.
 #[derive(Debug, Clone)]
-pub struct SourceCheck {
+pub struct ReachCheck {
     /// This node reaches the source.
     reaches_source: bool,
     /// This node reaches the runner with the copy.
@@ -76,12 +86,13 @@
         () = kernel::sleep(USUAL_CONNECT.into()).fuse() => None,
     };
     if early == Some(true) {
-        return SourceCheck { reaches_source: true, reaches_backup: false, node: None };
+        let reach = ReachCheck { reaches_source: true, reaches_backup: false, node: None };
+        return SourceCheck::Reach(reach);
     }
     let others = join(connects_quickly(backup.address), find_reaching_node(&context, &backup));
     let source_end = async { if early.is_none() { connecting.await } else { false } };
     let (reaches_source, (reaches_backup, node)) = join(source_end, others).await;
-    SourceCheck { reaches_source, reaches_backup, node }
+    SourceCheck::Reach(ReachCheck { reaches_source, reaches_backup, node })
 }
 
 /// When data last came from the source of a stream.
@@ -93,13 +104,15 @@
     next_look: TimePoint,
     /// When an event is recorded again.
     next_record: TimePoint,
+    /// Whether the source has answered another node since then.
+    answers_others: bool,
 }
 
 impl SourceActivity {
     /// A source whose head arrived at `now`.
     #[must_use]
     pub fn new(now: TimePoint) -> Self {
-        Self { last_data_at: now, next_look: now, next_record: now }
+        Self { last_data_at: now, next_look: now, next_record: now, answers_others: false }
     }
 }
 
@@ -107,6 +120,7 @@
     /// Records that data has come from the source.
     pub(crate) fn record_activity(&mut self, now: TimePoint) {
         self.activity.last_data_at = now;
+        self.activity.answers_others = false;
         self.pending_check = None;
         if now >= self.activity.next_record && !self.source.is_relayed {
             self.activity.next_record = now + EVENT_RECORD_PAUSE;
@@ -146,6 +160,10 @@
         if !is_cut_off(&self.context, &self.call.service) {
             return PumpStep::Continue;
         }
+        if !self.activity.answers_others {
+            self.begin_question();
+            return PumpStep::Continue;
+        }
         if self.call.supports_moves && !self.move_requested {
             return self.move_through_node().await;
         }
@@ -181,16 +199,36 @@
         self.pending_check = Some(Box::pin(check));
     }
 
-    /// Follows what the check of a silent source has shown. A stream goes on from its copy sooner than
+    /// Finds out whether the source answers other nodes.
+    fn begin_question(&mut self) {
+        if self.pending_check.is_some() {
+            return;
+        }
+        let (context, source) = (Rc::clone(&self.context), self.source.runner.clone());
+        let question =
+            async move { SourceCheck::Answers(answers_other_nodes(&context, &source).await) };
+        self.pending_check = Some(Box::pin(question));
+    }
+
+    /// Follows what a check of a silent source has shown. A stream goes on from its copy sooner than
     /// its runner is taken out of the choice: a run that has a copy loses nothing.
     pub(crate) async fn finish_check(&mut self, check: SourceCheck) -> PumpStep {
         self.pending_check = None;
+        let reach = match check {
+            SourceCheck::Answers(answers) => {
+                self.activity.answers_others = answers;
+                let pause = if answers { LOOK_PAUSE } else { CHECK_PAUSE };
+                self.activity.next_look = self.context.now() + pause;
+                return PumpStep::Continue;
+            }
+            SourceCheck::Reach(reach) => reach,
+        };
         self.activity.next_look = self.context.now() + CHECK_PAUSE;
-        let has_way = check.reaches_backup || check.node.is_some();
-        if check.reaches_source || !has_way || !self.may_resume() {
+        let has_way = reach.reaches_backup || reach.node.is_some();
+        if reach.reaches_source || !has_way || !self.may_resume() {
             return PumpStep::Continue;
         }
-        let node = if check.reaches_backup { None } else { check.node };
+        let node = if reach.reaches_backup { None } else { reach.node };
         self.go_on_from_copy(node).await
     }
 
