Wait for a request's runner that is silent to all nodes

Cause: wait_while_unanswered closes the connection as soon as is_cut_off holds, which takes the belief of another node without calls for evidence, as the streams did before.

The change: the runner has to answer another node first, by the same question. Three nodes are asked it instead of eight, since each of them asks the runner.

--- a/crates/fakes/src/platform/runner_answers.rs
+++ b/crates/fakes/src/platform/runner_answers.rs
@@ -151,6 +151,7 @@
     if closed {
         return false;
     }
+    state.wait_while_silent().await;
     answer_plain(stream, state, &request, script).await
 }
 
--- a/crates/harness/tests/node_short_silence.rs
+++ b/crates/harness/tests/node_short_silence.rs
@@ -136,6 +136,31 @@
     .unwrap();
 }
 
+/// Another node has no calls at the runner and counts as reaching it, though it is silent to all.
+#[test]
+fn a_booking_at_the_only_runner_of_its_service_is_answered_after_a_moment_of_silence() {
+    kernel::run(async {
+        let mut fleet = NodeFleet::start().await.unwrap();
+        let mut settings = RunnerFakeSettings::new("runner-1");
+        settings.work = Duration::from_millis(200);
+        let runner = fleet.add_runner("desk", settings).await.unwrap();
+        fleet.add_node().unwrap();
+        fleet.add_node().unwrap();
+        fleet.wait_ready().await.unwrap();
+        let booking = CallerRequest::booking("silent");
+        let (answer, ()) = futures_util::future::join(fleet.send(0, &booking), async {
+            compio::time::sleep(Duration::from_millis(50)).await;
+            runner.fall_silent();
+            compio::time::sleep(SILENCE).await;
+            runner.go_on();
+        })
+        .await;
+        assert_eq!((answer.status, answer.complete), (200, true), "{answer:?}");
+        assert_eq!(runner.runs(), 1);
+    })
+    .unwrap();
+}
+
 /// The system still acknowledges what arrives, so no timeout of a socket is played by this.
 #[test]
 fn a_callers_connection_that_is_silent_for_seconds_is_kept() {
--- a/crates/node/src/reach/reach_question.rs
+++ b/crates/node/src/reach/reach_question.rs
@@ -30,8 +30,10 @@
 const NODE_TIMEOUT: TimeSpan = TimeSpan::millis(100);
 /// Timeout for the answer of a node that waits for one of a runner itself.
 const ANSWERS_TIMEOUT: TimeSpan = TimeSpan::millis(250);
-/// Nodes that are asked at once.
+/// Nodes that are asked at once who reaches a runner.
 const ASKED_NODES: usize = 8;
+/// Nodes that are asked at once whether a runner answers them; each asks the runner.
+const ANSWERING_NODES: usize = 3;
 
 /// Whether a connection to `address` comes about at once.
 pub async fn connects_quickly(address: SocketAddr) -> bool {
@@ -74,23 +76,24 @@
 
 /// Another node that reaches a runner: the first one to say so. `None` if none does in time.
 pub async fn find_reaching_node(context: &NodeContext, runner: &RunnerRecord) -> Option<VmId> {
-    ask_nodes(context, runner, REACH_PATH, NODE_TIMEOUT).await
+    ask_nodes(context, runner, REACH_PATH, ASKED_NODES, NODE_TIMEOUT).await
 }
 
 /// Whether a runner answers another node now. A runner that is silent to all is only silent; one that
 /// answers others and not this node is cut off from it.
 pub async fn answers_other_nodes(context: &NodeContext, runner: &RunnerRecord) -> bool {
-    ask_nodes(context, runner, ANSWERS_PATH, ANSWERS_TIMEOUT).await.is_some()
+    ask_nodes(context, runner, ANSWERS_PATH, ANSWERING_NODES, ANSWERS_TIMEOUT).await.is_some()
 }
 
-/// Asks other nodes about a runner. Returns the first one that says yes; `None` if none does in time.
+/// Asks `count` other nodes about a runner. Returns the first one that says yes; `None` if none does in time.
 async fn ask_nodes(
     context: &NodeContext,
     runner: &RunnerRecord,
     path: &str,
+    count: usize,
     limit: TimeSpan,
 ) -> Option<VmId> {
-    let asked = choose_nodes(context, &runner.service);
+    let asked = choose_nodes(context, &runner.service, count);
     if asked.is_empty() {
         return None;
     }
@@ -106,8 +109,12 @@
     select_ok(questions).await.ok().map(|(node, _)| node)
 }
 
-/// Some live nodes that may reach runners of a service.
-fn choose_nodes(context: &NodeContext, service: &ServiceName) -> Vec<(VmId, SocketAddr)> {
+/// Up to `count` live nodes that may reach runners of a service.
+fn choose_nodes(
+    context: &NodeContext,
+    service: &ServiceName,
+    count: usize,
+) -> Vec<(VmId, SocketAddr)> {
     let (peers, fleet) = (context.peers.borrow(), context.fleet_reach.borrow());
     let usable = peers.live(context.now()).filter(|peer| {
         let reaches = peer.reaches_runners && fleet.share(&peer.vm, service) > ReachShare::NONE;
@@ -116,6 +123,6 @@
     let mut nodes: Vec<(VmId, SocketAddr)> =
         usable.map(|peer| (peer.vm.clone(), peer.peer_address)).collect();
     nodes.shuffle(&mut rand::rng());
-    nodes.truncate(ASKED_NODES);
+    nodes.truncate(count);
     nodes
 }
--- a/crates/node/src/reach/records.rs
+++ b/crates/node/src/reach/records.rs
@@ -5,6 +5,7 @@
 use route::RouteMember;
 use serving::{ReachShare, ReachUpdate, RunnerRecord};
 
+use super::reach_question::answers_other_nodes;
 use crate::call_log::may_log;
 use crate::context::NodeContext;
 use crate::metrics::ServiceLabels;
@@ -13,6 +14,8 @@
 const LOOK_PERIOD: TimeSpan = TimeSpan::millis(50);
 /// Time after which a connection that has not come about is a reason to ask the runner.
 const SLOW_CONNECT: TimeSpan = TimeSpan::millis(100);
+/// Pause until other nodes are asked again whether a runner answers them.
+const ANSWERS_PAUSE: TimeSpan = TimeSpan::millis(250);
 
 /// Records that a runner has answered a request or a question.
 pub fn record_runner_answer(context: &NodeContext, runner: &RunnerRecord) {
@@ -76,12 +79,19 @@
     }
 }
 
-/// Waits until this node is cut off from the service of a runner that was sent a request. A single
-/// runner that is not reached may only be silent for a moment, and have begun to run the request.
+/// Waits until this node is cut off from a runner that was sent a request: it reaches no runner of the
+/// service, and this one answers another node. A runner that is silent to all may only be silent for a
+/// moment, and have begun to run the request.
 pub async fn wait_while_unanswered(context: &NodeContext, runner: &RunnerRecord) {
-    while !is_cut_off(context, &runner.service) {
-        record_runner_send(context, runner);
-        kernel::sleep(SLOW_CONNECT.into()).await;
+    loop {
+        while !is_cut_off(context, &runner.service) {
+            record_runner_send(context, runner);
+            kernel::sleep(SLOW_CONNECT.into()).await;
+        }
+        if answers_other_nodes(context, runner).await {
+            return;
+        }
+        kernel::sleep(ANSWERS_PAUSE.into()).await;
     }
 }
 
