Take during a stop only calls that can end before the process does

Callers keep an address for up to three times the ttlS of a look-up. A stopping node took their plain calls until its process ended, passed them on, and closed the connections of those still under way 0.4 s before the kill: the callers of bookings got no answer, though a runner went on with them. Each new call also prolonged the wait for the end. Only streams were refused.

A stop now has a window of two points in time, set at the signal. Until 6.2 s after it (three times ttlS and 0.2 s) a plain call is taken if it can be expected to be answered by the end: within the time of 98 in 100 of the route's latest 256 calls here, and an eighth more. Other calls get 503 with Retry-After 0.02 before anything is sent, so that their callers go to another node. Later calls are all refused and prolong nothing. The check is repeated when the body has arrived. A call or stream that waits for a runner is refused once too little time is left for its work: bookings that are known to end get the rest of the grace, not streams. A plain call that is still under way at the end gets 502 (outcome unknown), where its connection was closed.

Calls are not forwarded to another live node: the answer would come back over the connection of the node that ends, at the same time or later.

Seen by: stop_refusals, stop_cuts, and both totals in the line "stop ended".

--- a/crates/node/src/call.rs
+++ b/crates/node/src/call.rs
@@ -1,6 +1,6 @@
 //! A caller's request after it was read and matched against the configuration.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
 use base::prelude::*;
@@ -55,6 +55,8 @@
     pub _reservation: MemoryReservation,
     /// When the request arrived.
     pub arrived: TimePoint,
+    /// When the request was last sent to a runner; `None` until it is.
+    pub sent_at: Cell<Option<TimePoint>>,
     /// The earlier of the caller's deadline and the route's timeout.
     pub deadline: TimePoint,
 }
--- a/crates/node/src/call_attempt.rs
+++ b/crates/node/src/call_attempt.rs
@@ -19,6 +19,7 @@
 use crate::runner_gate::{check_inputs, check_send};
 use crate::runner_probe::probe_lost_runner;
 use crate::runner_send::SendFailure;
+use crate::stop_intake::unless_too_late;
 
 /// `Retry-After` if the assigned runner has disappeared from the list.
 const RUNNER_GONE_RETRY_AFTER: TimeSpan = TimeSpan::millis(150);
@@ -61,9 +62,10 @@
     call: &Call,
     tried: &[RunnerId],
 ) -> Option<Result<(RouteTicket, RunnerRecord), CallFailure>> {
-    let found = find_runner(context, router, call, tried);
+    let found = unless_too_late(context, call, find_runner(context, router, call, tried));
     match unless_unreached(context, call, found).await {
-        Ok(found) => Some(found),
+        Ok(Ok(found)) => Some(found),
+        Ok(Err(too_late)) => Some(Err(too_late)),
         Err(ServingStop::Forward) => None,
         Err(ServingStop::Unreached) => Some(Err(unreached_failure(context, call))),
     }
--- a/crates/node/src/call_log.rs
+++ b/crates/node/src/call_log.rs
@@ -43,6 +43,7 @@
     sends: u32,
 ) {
     context.metrics.sends.inc();
+    call.sent_at.set(Some(context.now()));
     if sends > 0 {
         context.metrics.retries.inc();
     }
@@ -135,6 +136,9 @@
 /// Logs and counts a finished request.
 pub fn log_end(context: &NodeContext, call: &Call, summary: RequestSummary) {
     let RequestSummary { outcome, reason, status } = summary;
+    if matches!(outcome, RequestOutcome::Answered | RequestOutcome::Streamed) {
+        record_times(context, call);
+    }
     let outcome = outcome.as_str();
     context.metrics.requests.get_or_create(&OutcomeLabels { outcome, reason }).inc();
     let total = context.now().since(call.arrived);
@@ -154,6 +158,15 @@
     }
 }
 
+/// Records how long a call took that has ended well.
+fn record_times(context: &NodeContext, call: &Call) {
+    let (now, route) = (context.now(), &call.route.name);
+    context.call_times.borrow_mut().record(now, route, now.since(call.arrived));
+    if let Some(sent_at) = call.sent_at.get() {
+        context.work_times.borrow_mut().record(now, route, now.since(sent_at));
+    }
+}
+
 /// Logs and counts a request that was rejected before it could be sent to a runner.
 pub fn log_rejection(context: &NodeContext, request: &str, reason: &'static str, status: u16) {
     let outcome = RequestOutcome::Rejected.as_str();
--- a/crates/node/src/caller_server.rs
+++ b/crates/node/src/caller_server.rs
@@ -1,6 +1,6 @@
 //! Handling of callers' requests: limits, routing and authorization, then the runners.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
 use base::RequestContent;
@@ -21,12 +21,11 @@
 use crate::forward::resume_run;
 use crate::plain_call::run_plain;
 use crate::router::RouterService;
+use crate::stop_intake::{check_intake, unless_stopped};
 use crate::stream_call::run_stream;
 
 /// `Retry-After` of a node that has no configuration yet or no memory for the body.
 const NOT_READY_RETRY_AFTER: TimeSpan = TimeSpan::millis(300);
-/// `Retry-After` of a stopping node; short, since the caller can retry at another node.
-const STOPPING_RETRY_AFTER: TimeSpan = TimeSpan::millis(20);
 
 /// Where a request came from.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -66,7 +65,11 @@
         Ok(call) if call.route.kind == RouteKind::Stream => {
             run_stream(context, router, Rc::new(call), closer).await
         }
-        Ok(call) => run_plain(context, router, &Rc::new(call), closer).await,
+        Ok(call) => {
+            let call = Rc::new(call);
+            let serving = run_plain(context, router, &call, closer);
+            unless_stopped(context, &call, serving).await
+        }
         Err(rejection) => {
             let id = id.as_ref().map_or("", |id| id.as_str());
             log_rejection(context, id, rejection.reason, rejection.status.as_u16());
@@ -119,13 +122,9 @@
             Some(found.ok_or(CallRejection::new(StatusCode::UNAUTHORIZED, "unauthorized"))?)
         }
     };
-    if route.kind == RouteKind::Stream && context.stop.is_raised() {
-        return Err(CallRejection {
-            status: StatusCode::SERVICE_UNAVAILABLE,
-            reason: "stopping",
-            retry_after: Some(STOPPING_RETRY_AFTER),
-        });
-    }
+    let timeout = head.timeout.map_or(route.timeout, |timeout| timeout.min(route.timeout));
+    let deadline = arrived + timeout;
+    check_intake(context, &route, deadline)?;
     let attempt =
         head.attempt.clone().ok_or(CallRejection::new(StatusCode::BAD_REQUEST, "no_attempt_id"))?;
     let service = route
@@ -133,7 +132,6 @@
         .ok_or(CallRejection::new(StatusCode::NOT_FOUND, "no_service"))?
         .clone();
     let engine = plan.services.get(&service).and_then(|service| service.engine.as_ref());
-    let timeout = head.timeout.map_or(route.timeout, |timeout| timeout.min(route.timeout));
     let (parts, body) = request.into_parts();
     let expected = usize::try_from(body.size_hint().upper().unwrap_or(u64::MAX));
     let expected = expected.unwrap_or(usize::MAX).min(plan.limits.max_body_bytes);
@@ -148,6 +146,8 @@
         .await
         .map_err(|_| CallRejection::new(StatusCode::REQUEST_TIMEOUT, "body_late"))?
         .map_err(|error| body_rejection(&error))?;
+    // The stop may have begun while the body arrived.
+    check_intake(context, &route, deadline)?;
     let uri = origin_form(&parts.uri);
     let hashed = RequestContent {
         host: request_host(&parts.uri, &parts.headers),
@@ -177,7 +177,8 @@
         forwards: RefCell::new(ForwardState::new(source == CallSource::Node)),
         _reservation: reservation,
         arrived,
-        deadline: arrived + timeout,
+        sent_at: Cell::default(),
+        deadline,
     })
 }
 
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -8,10 +8,10 @@
 use futures_channel::mpsc;
 use kernel::{MonotonicClock, StopSignal};
 use serving::{
-    BrittleTable, BudgetSettings, ColdSettings, ColdTable, EraView, EvacuationTable, FleetLoads,
-    FleetMembers, FleetReach, ForwardTable, HedgeLimit, HedgeTimer, InputTable, LimitTable,
-    PeerTable, PlanVersion, ReachTable, RetryBudget, RunnerTable, ServingPlan, TransferPacer,
-    WaitTable,
+    BrittleTable, BudgetSettings, CallTimes, ColdSettings, ColdTable, EraView, EvacuationTable,
+    FleetLoads, FleetMembers, FleetReach, ForwardTable, HedgeLimit, HedgeTimer, InputTable,
+    LimitTable, PeerTable, PlanVersion, ReachTable, RetryBudget, RunnerTable, ServingPlan,
+    StopWindow, TransferPacer, WaitTable,
 };
 use settings::NodeSettings;
 
@@ -91,7 +91,13 @@
     pub hedge_limit: RefCell<HedgeLimit>,
     /// Times of sends, for second sends of slow requests.
     pub hedge_timer: RefCell<HedgeTimer>,
-    /// Raised when the process is asked to stop.
+    /// Times of calls from their arrival to their end.
+    pub call_times: RefCell<CallTimes>,
+    /// Times of calls from their last send to their end.
+    pub work_times: RefCell<CallTimes>,
+    /// Until when this node takes and answers calls; `None` until it is asked to stop.
+    pub stop_window: Cell<Option<StopWindow>>,
+    /// Raised when the process is asked to stop, after `stop_window` was set.
     pub stop: StopSignal,
     /// Number of callers' requests in progress.
     pub active_requests: Cell<usize>,
@@ -149,6 +155,9 @@
             retry_budget: RefCell::new(budget),
             hedge_limit: RefCell::new(HedgeLimit::new(settings.hedge_share)),
             hedge_timer: RefCell::default(),
+            call_times: RefCell::default(),
+            work_times: RefCell::default(),
+            stop_window: Cell::default(),
             stop: StopSignal::new(),
             active_requests: Cell::default(),
             request_memory: MemoryPool::new(body_bytes),
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -39,6 +39,7 @@
 mod speed_share;
 mod state_fetcher;
 mod state_transfer;
+mod stop_intake;
 mod store_reader;
 mod stream_backup;
 mod stream_call;
--- a/crates/node/src/lookups.rs
+++ b/crates/node/src/lookups.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use base::prelude::*;
 use hyper::StatusCode;
 use platform::{LOOKUP_PATH, LookupResponse, READY_PATH};
 use rand::seq::SliceRandom;
@@ -13,6 +14,13 @@
 /// Time in seconds for which callers may cache an answer. Short, because a node that has
 /// gone stays in cached answers for as long.
 const ANSWER_TTL_SECONDS: u32 = 2;
+/// Factor by which some callers keep an answer for longer.
+const HOLD_FACTOR: u64 = 3;
+/// Time for an answer given before a stop to reach its caller, and for a request to arrive here.
+const TRANSIT_TIME: TimeSpan = TimeSpan::millis(200);
+/// Time after the last answer with an address until callers use it no more.
+pub const ADDRESS_HOLD_TIME: TimeSpan =
+    TimeSpan(TimeSpan::seconds(ANSWER_TTL_SECONDS as u64 * HOLD_FACTOR).0 + TRANSIT_TIME.0);
 /// Maximum number of addresses in one answer.
 const MAX_ADDRESSES: usize = 64;
 
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -82,6 +82,10 @@
     pub runners_unreached: Counter,
     /// Times that this node reached no runner of a service any more.
     pub reach_losses: Counter,
+    /// Calls that this node did not take or send since it was stopping, by reason.
+    pub stop_refusals: Family<WithheldLabels, Counter>,
+    /// Calls still under way at the end of a stop, which were told that their outcome is unknown.
+    pub stop_cuts: Counter,
     /// Offers of calls to other nodes, by outcome.
     pub forwards: Family<OutcomeLabels, Counter>,
     /// Calls that other nodes forwarded to this one, by outcome.
@@ -151,6 +155,8 @@
             runner_failures: Family::default(),
             runners_unreached: Counter::default(),
             reach_losses: Counter::default(),
+            stop_refusals: Family::default(),
+            stop_cuts: Counter::default(),
             forwards: Family::default(),
             forwarded_calls: Family::default(),
             moves: Family::default(),
@@ -201,6 +207,16 @@
             "Requests not sent since their runner accepts none",
             self.sends_withheld.clone(),
         );
+        registry.register(
+            "stop_refusals",
+            "Requests refused since the node was stopping",
+            self.stop_refusals.clone(),
+        );
+        registry.register(
+            "stop_cuts",
+            "Requests without an answer at the end of a stop",
+            self.stop_cuts.clone(),
+        );
     }
 
     /// Registers the metrics of runners and of what they state.
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -7,6 +7,7 @@
 use hyper::StatusCode;
 use kernel::StopSignal;
 use platform::StoreClient;
+use serving::StopWindow;
 use settings::{NodeSettings, SettingsError};
 use web::{ServerLimits, WebRequest, WebResponse, WebServer, text_reply};
 
@@ -17,12 +18,13 @@
 use crate::follow_configuration::follow_configuration;
 use crate::follow_nodes::follow_nodes;
 use crate::follow_runners::RunnerFeed;
-use crate::lookups::{answer_lookup, answer_readiness};
+use crate::lookups::{ADDRESS_HOLD_TIME, answer_lookup, answer_readiness};
 use crate::peer_link::PeerLink;
 use crate::peer_server::answer_peer;
 use crate::reach::watch_reach;
 use crate::router::RouterService;
 use crate::runner_poll::poll_runners;
+use crate::stop_intake::log_stop_end;
 use crate::store_reader::StoreReader;
 
 /// Timeout of one exchange with the store, in addition to the requested wait. The store
@@ -39,6 +41,8 @@
 const MIN_STOP_TIME: TimeSpan = TimeSpan::millis(2_500);
 /// Part of the stop time that is reserved for the exit of the process itself.
 const EXIT_RESERVE: TimeSpan = TimeSpan::millis(400);
+/// Part of that reserve for writing the last answers.
+const WRITE_RESERVE: TimeSpan = TimeSpan::millis(100);
 /// Interval at which a stopping node checks whether the last request has ended.
 const STOP_POLL: TimeSpan = TimeSpan::millis(50);
 /// Signal number of SIGHUP.
@@ -90,9 +94,8 @@
     kernel::wait_for_signals().await?;
     let deadline = drain_requests(&context).await;
     stop.raise();
-    let connections = drain_connections(&context, &servers, deadline).await;
-    let active = context.active_requests.get();
-    tracing::info!(event = "stop", step = "ended", active, connections);
+    let connections = drain_connections(&context, &servers, deadline + WRITE_RESERVE).await;
+    log_stop_end(&context, connections);
     Ok(())
 }
 
@@ -170,12 +173,14 @@
 }
 
 /// Drops out of look-ups, keeps serving callers that still hold this address, and waits for
-/// requests in progress until the stop time is used up. Returns when it will be.
+/// requests in progress until the stop time is used up. Returns when it will be. How long callers hold
+/// the address is known in advance: requests that arrive later are refused, and prolong nothing.
 async fn drain_requests(context: &NodeContext) -> TimePoint {
     let begun = context.now();
+    let deadline = begun + context.settings.stop_timeout() - EXIT_RESERVE;
+    context.stop_window.set(Some(StopWindow::new(begun + ADDRESS_HOLD_TIME, deadline)));
     context.stop.raise();
     tracing::info!(event = "stop", step = "begun", active = context.active_requests.get());
-    let deadline = begun + context.settings.stop_timeout() - EXIT_RESERVE;
     loop {
         let now = context.now();
         let may_exit = now.since(begun) >= MIN_STOP_TIME;
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -7,6 +7,7 @@
 mod attempt;
 mod brittle_runners;
 mod call_input;
+mod call_times;
 mod cold_runners;
 mod evacuation;
 mod fleet_loads;
@@ -32,6 +33,7 @@
 mod runner_wait;
 mod service_reach;
 mod state_codec;
+mod stop_window;
 mod store_era;
 mod stream_scan;
 mod suspect_inputs;
@@ -40,6 +42,7 @@
 pub use attempt::{AttemptTracker, FinalStatus, SendOutcome};
 pub use brittle_runners::{BrittleChange, BrittleReport, BrittleTable, BrittleUpdate, RunnerRoom};
 pub use call_input::CallInput;
+pub use call_times::CallTimes;
 pub use cold_runners::{
     ColdAllowance, ColdReport, ColdSettings, ColdSource, ColdTable, ColdUpdate,
 };
@@ -71,6 +74,7 @@
 pub use runner_wait::{MAX_RUNNER_WAIT, RunnerWait, WaitTable};
 pub use service_reach::{AnswerNews, QuestionFailure, ServiceReach};
 pub use state_codec::{Result as StateResult, StateCodecError, decode_state, encode_state};
+pub use stop_window::{StopRefusal, StopWindow};
 pub use store_era::{AnswerUse, EraView, StoreCursor};
 pub use stream_scan::{StreamError, StreamScanner};
 pub use transfer_pacer::{TransferForm, TransferId, TransferPacer};
