Forward a request as it is, so that runners see the direct one

What callers saw: during a cut between one node and the runners, GET //pay/7, which goes to the service of the route /, ran as /pay/7 at the service of the route /pay/. Runs that another node resumes took the same way.

Cause: the forwarding node strips all slashes at the start of the path, and the other node gives one back. The search for the same class found four more differences, all in the new process test: "Connection: authorization" (or host) removes them on the way (404; a direct request lost its id in the same way, 502); headers that only nodes send were taken from callers (X-Yard-Forward-Plan was lost on the way, and by reading X-Yard-Resume-From could name the copy of a resumed run); the Host of a request in absolute form was replaced only if it was forwarded; a request with 100 headers was 502, as the forwarded one has 101 and the server takes 100. Headers also changed their order when one was removed.

Fix: each node brings a request into one form before it matches it (normalize_request), and what is forwarded is that form with the path, as it is, behind the prefix. The other node computes the same form, and thus the same request to the runner. Connection cannot name the headers that nodes and runners read. Servers take 128 headers, callers may send 100 as before (431, too_many_headers). Older builds read the new path as it is meant; their own requests are read as before. 431 of an older build counts as not run. Older builds pass the new fingerprint header on to runners.

To see it: the fingerprint of a call goes along, and a node that computes another one declines (request_changed in the end line and in yard_node_forwarded_calls_total).

Looked for elsewhere: resumed runs use the same functions. Bodies are passed as bytes. Relayed responses keep status, body and headers but for X-Yard-Forward-Result, which a runner's own response may have only when it is not relayed; a response with 100 headers would be 101 when relayed and is then an unknown outcome; both left as they are. The fragment of a target is dropped by the HTTP library on both ways.

--- a/crates/harness/tests/node_forwarding.rs
+++ b/crates/harness/tests/node_forwarding.rs
@@ -9,12 +9,12 @@
 use base::{LogOffset, StoreEra, TimeSpan, VmIncarnation};
 use compio::net::UdpSocket;
 use fakes::platform::{RunnerFake, RunnerFakeSettings};
-use harness::{CallerRequest, HOST, KEY, LinkState, NodeFleet, TestLink, wait_until};
+use harness::{CallerRequest, HOST, KEY, LinkState, NodeFleet, TestLink, config, wait_until};
 use http_body_util::BodyExt;
 use hyper::{Request, StatusCode};
 use kernel::StopSignal;
 use rustix::process::Signal;
-use serde_json::json;
+use serde_json::{Value, json};
 use serving::{
     HeartbeatSections, InputUpdate, LimitUpdate, PeerHeartbeat, PeerMessage, PlanVersion,
     encode_message,
@@ -138,13 +138,27 @@
 
     /// Sends a call to the peer port of a node, as another node would.
     async fn forward(&self, node: usize, key: &str, path: &str) -> (StatusCode, Option<String>) {
-        let request = Request::post(path)
+        self.forward_with(node, key, path, &[]).await
+    }
+
+    /// The same with further headers.
+    async fn forward_with(
+        &self,
+        node: usize,
+        key: &str,
+        path: &str,
+        headers: &[(&'static str, &'static str)],
+    ) -> (StatusCode, Option<String>) {
+        let mut request = Request::post(path)
             .header("host", HOST)
             .header("authorization", format!("Bearer {key}"))
             .header("x-dotterelyard-attempt-id", "f1")
             .header("x-dotterelyard-deadline-ms", "3000")
             .body(full_body("{}"))
             .unwrap();
+        for (name, value) in headers {
+            request.headers_mut().insert(*name, value.parse().unwrap());
+        }
         let peer = self.fleet.peer_address(node);
         let response = send_once(peer, request, EXCHANGE_LIMIT, EXCHANGE_LIMIT).await.unwrap();
         let result = response.headers().get("x-yard-forward-result");
@@ -180,6 +194,40 @@
     runner
 }
 
+/// The configuration with a route for all paths, to `desk`, and one for payments, to `till`.
+fn config_with_till() -> Value {
+    let mut config = config(2);
+    for (name, prefix, service) in [("all", "/", "desk"), ("pay", "/pay/", "till")] {
+        let mut route = config["routes"][0].clone();
+        route["name"] = json!(name);
+        route["pathPrefix"] = json!(prefix);
+        route["service"] = json!(service);
+        config["routes"].as_array_mut().unwrap().push(route);
+    }
+    let mut till = config["services"][0].clone();
+    till["name"] = json!("till");
+    config["services"].as_array_mut().unwrap().push(till);
+    config
+}
+
+/// The path and the headers with which a request ran, but for those that the system sets.
+fn request_seen(runners: [&RunnerFake; 2], attempt: &str) -> Vec<(String, String)> {
+    const OWN: [&str; 4] = [
+        "x-dotterelyard-attempt-id",
+        "x-dotterelyard-deadline-ms",
+        "x-dotterelyard-expect-instance",
+        "x-dotterelyard-request-priority",
+    ];
+    let visits = runners.iter().flat_map(|runner| runner.visits());
+    let ran = visits.filter(|visit| visit.request.header(OWN[0]) == attempt && visit.ran);
+    let seen = ran.flat_map(|visit| {
+        let headers = visit.request.headers.into_iter();
+        let others = headers.filter(|(name, _)| !OWN.contains(&name.as_str()));
+        others.chain([("the path".to_owned(), visit.request.path)])
+    });
+    seen.collect()
+}
+
 /// Events of a stream's text.
 fn events(text: &str) -> usize {
     text.matches("data: token").count()
@@ -415,6 +463,23 @@
     .unwrap();
 }
 
+/// A request that is no longer the one the forwarding node read must not run, and must be counted.
+#[test]
+fn a_forwarded_call_that_changed_on_the_way_is_declined_and_does_not_run() {
+    kernel::run(async {
+        let cut = CutFleet::start(2).await;
+        let other = [("x-yard-forward-fingerprint", "7")];
+        let (status, result) = cut.forward_with(OTHER, KEY, "/forward/book/job", &other).await;
+        assert_eq!((status.as_u16(), result.as_deref()), (503, Some("declined")));
+        assert_eq!(cut.runs("f1"), 0);
+        let counted = "forwarded_calls_total{outcome=\"declined\",reason=\"request_changed\"} 1";
+        let page = cut.fleet.metrics(OTHER).await;
+        assert!(page.contains(counted), "{page}");
+        cut.fleet.wait_event(OTHER, "end", "reason", &json!("request_changed")).await.unwrap();
+    })
+    .unwrap();
+}
+
 /// Two nodes that are both cut off must not pass a call back and forth.
 #[test]
 fn a_cut_off_node_declines_a_forwarded_call_and_does_not_forward_it() {
@@ -489,6 +554,75 @@
     }
 }
 
+/// A runner must see the same request whether another node stood between or not, and a request must
+/// not get to a service to which its path does not lead.
+#[test]
+fn a_forwarded_request_has_the_path_the_service_and_the_headers_of_a_direct_one() {
+    /// More headers than [`CallerRequest`] sends, within the 100 that nodes take from callers.
+    const MANY_HEADERS: usize = 96;
+    kernel::run(async {
+        let mut cut = CutFleet::start_with(2, Duration::ZERO).await;
+        let settings = RunnerFakeSettings { work: Duration::ZERO, ..RunnerFakeSettings::new("t1") };
+        let till = add_runner(&mut cut.fleet, &mut cut.links, "till", settings).await;
+        cut.set(CUT, LinkState::Open);
+        cut.set(OTHER, LinkState::Open);
+        cut.fleet.store.put_json("keyed.op", "config", &config_with_till());
+        let at = |path: &str| CallerRequest { path: path.to_owned(), ..CallerRequest::lookup("") };
+        let names = (0..MANY_HEADERS).map(|number| &*format!("x-part-{number:02}").leak());
+        let mut many = at("/look/many");
+        many.headers = names.map(|name: &'static str| (name, "1".to_owned())).collect();
+        let requests = [
+            at("//pay/7"),
+            at("///pay//7?a=//b&c"),
+            at("/pay/7?"),
+            at("//?"),
+            at("http://yard.example:8080//pay/7").with("host", "other.example"),
+            at("http://yard.example:8080?a=1"),
+            at("/look/keyed").with("connection", "authorization, host, x-dotterelyard-attempt-id"),
+            at("/look/plan").with("x-yard-forward-plan", "1"),
+            many,
+        ];
+        let send = async |kind: &str, number: usize, request: &CallerRequest| {
+            let attempt = format!("{kind}{number}");
+            let request = CallerRequest { attempt: attempt.clone(), ..request.clone() };
+            let answer = cut.fleet.send(CUT, &request).await;
+            (attempt, answer.status)
+        };
+        wait_until("the routes", LIMIT, async || {
+            (send("ready", 0, &at("/pay/0")).await.1 == 200).then_some(())
+        })
+        .await
+        .unwrap();
+        let mut direct = Vec::new();
+        for (number, request) in requests.iter().enumerate() {
+            direct.push(send("direct", number, request).await);
+        }
+        cut.cut_off(CUT).await;
+        wait_until("the loss of both services", LIMIT, async || {
+            let _ = send("lost", 0, &at("/pay/0")).await;
+            let lost = cut.fleet.nodes[CUT].events("runners_unreached");
+            lost.iter().any(|line| line["service"] == "till").then_some(())
+        })
+        .await
+        .unwrap();
+        let mut differences = Vec::new();
+        for (number, (request, (attempt, status))) in requests.iter().zip(&direct).enumerate() {
+            let forwarded = send("forwarded", number, request).await;
+            let before = request_seen([&cut.desk, &till], attempt);
+            let after = request_seen([&cut.desk, &till], &forwarded.0);
+            if (*status, forwarded.1) != (200, 200) || before != after || before.is_empty() {
+                let statuses = (*status, forwarded.1);
+                differences.push(format!("{}: {statuses:?} {before:?} {after:?}", request.path));
+            }
+        }
+        assert!(differences.is_empty(), "{}", differences.join("\n"));
+        let payments = till.visits().into_iter().filter(|visit| visit.request.path != "/pay/0");
+        let payments: Vec<String> = payments.map(|visit| visit.request.path).collect();
+        assert!(payments.iter().all(|path| path.starts_with("/pay/")), "{payments:?}");
+    })
+    .unwrap();
+}
+
 /// Nodes of an older build say that they reach runners, and respond 404 to forwarded calls.
 #[test]
 fn a_build_that_does_not_know_the_path_is_passed_over() {
--- a/crates/node/src/call.rs
+++ b/crates/node/src/call.rs
@@ -43,9 +43,7 @@
     pub method: Method,
     /// Path and query.
     pub uri: Uri,
-    /// Host of a request that named it in its URI; otherwise it is in the headers.
-    pub uri_host: Option<Box<str>>,
-    /// Headers as received.
+    /// Headers as received, with the host, and without those that only nodes send.
     pub headers: HeaderMap,
     /// The whole body.
     pub body: Bytes,
--- a/crates/node/src/caller_server.rs
+++ b/crates/node/src/caller_server.rs
@@ -7,9 +7,10 @@
 use base::prelude::*;
 use hyper::body::Body;
 use hyper::header::{CONNECTION, HOST, HeaderValue};
+use hyper::http::request::Parts;
 use hyper::http::uri::PathAndQuery;
-use hyper::{HeaderMap, StatusCode, Uri};
-use platform::CallHead;
+use hyper::{HeaderMap, StatusCode};
+use platform::{CallHead, normalize_request};
 use serving::{CallInput, ForwardState, RouteKind, RouteRule, ServingPlan};
 use web::{ConnectionCloser, WebError, WebRequest, WebResponse, read_bounded};
 
@@ -17,8 +18,7 @@
 use crate::call_answer::CallRejection;
 use crate::call_log::log_rejection;
 use crate::context::NodeContext;
-use crate::forward::ResumeOffer;
-use crate::forward::resume_run;
+use crate::forward::{FORWARD_FINGERPRINT, ResumeOffer, resume_run};
 use crate::plain_call::run_plain;
 use crate::router::RouterService;
 use crate::stop_intake::{check_intake, unless_stopped};
@@ -27,6 +27,9 @@
 /// `Retry-After` of a node that has no configuration yet or no memory for the body.
 const NOT_READY_RETRY_AFTER: TimeSpan = TimeSpan::millis(300);
 
+/// Maximum number of headers of a caller's request; a request of another node has a few more.
+const MAX_CALLER_HEADERS: usize = 100;
+
 /// Where a request came from.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CallSource {
@@ -36,9 +39,10 @@
     Node,
 }
 
-/// Marks the response to a request that was rejected before it could be sent to a runner.
+/// Marks the response to a request that was rejected before it could be sent to a runner, with the
+/// reason.
 #[derive(Debug, Clone, Copy)]
-pub struct Rejected;
+pub struct Rejected(pub &'static str);
 
 /// Handles one request of a caller.
 pub async fn answer_caller(
@@ -74,7 +78,7 @@
             let id = id.as_ref().map_or("", |id| id.as_str());
             log_rejection(context, id, rejection.reason, rejection.status.as_u16());
             let mut response = rejection.reply();
-            response.extensions_mut().insert(Rejected);
+            response.extensions_mut().insert(Rejected(rejection.reason));
             response
         }
     };
@@ -114,7 +118,14 @@
         reason: "not_ready",
         retry_after: Some(NOT_READY_RETRY_AFTER),
     })?;
-    let route = find_route(&plan, &request)?;
+    let (mut parts, body) = request.into_parts();
+    let sent_fingerprint = find_fingerprint(&parts.headers, source);
+    normalize_request(&mut parts.uri, &mut parts.headers);
+    if source == CallSource::Caller && parts.headers.len() > MAX_CALLER_HEADERS {
+        let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
+        return Err(CallRejection::new(status, "too_many_headers"));
+    }
+    let route = find_route(&plan, &parts)?;
     let tenant = match (&plan.keys, route.is_public) {
         (None, _) | (_, true) => None,
         (Some(_), false) => {
@@ -132,7 +143,6 @@
         .ok_or(CallRejection::new(StatusCode::NOT_FOUND, "no_service"))?
         .clone();
     let engine = plan.services.get(&service).and_then(|service| service.engine.as_ref());
-    let (parts, body) = request.into_parts();
     let expected = usize::try_from(body.size_hint().upper().unwrap_or(u64::MAX));
     let expected = expected.unwrap_or(usize::MAX).min(plan.limits.max_body_bytes);
     let reservation = context.reserve_body(expected).ok_or(CallRejection {
@@ -148,14 +158,16 @@
         .map_err(|error| body_rejection(&error))?;
     // The stop may have begun while the body arrived.
     check_intake(context, &route, deadline)?;
-    let uri = origin_form(&parts.uri);
     let hashed = RequestContent {
-        host: request_host(&parts.uri, &parts.headers),
-        path: uri.path_and_query().map_or("", PathAndQuery::as_str),
+        host: request_host(&parts.headers),
+        path: parts.uri.path_and_query().map_or("", PathAndQuery::as_str),
         workspace: tenant.map(|tenant| &tenant.workspace),
         body: &body,
     };
     let fingerprint = hashed.fingerprint();
+    if sent_fingerprint.is_some_and(|sent| sent != fingerprint) {
+        return Err(CallRejection::new(StatusCode::SERVICE_UNAVAILABLE, "request_changed"));
+    }
     Ok(Call {
         attempt,
         fingerprint,
@@ -170,8 +182,7 @@
         inputs: call_inputs(&head, fingerprint),
         head,
         method: parts.method,
-        uri_host: parts.uri.host().map(Box::from),
-        uri,
+        uri: parts.uri,
         headers: parts.headers,
         body,
         forwards: RefCell::new(ForwardState::new(source == CallSource::Node)),
@@ -182,16 +193,21 @@
     })
 }
 
-fn find_route(plan: &ServingPlan, request: &WebRequest) -> Result<Rc<RouteRule>, CallRejection> {
-    let host = request_host(request.uri(), request.headers());
-    let route = plan.find_route(host, request.uri().path());
+/// The fingerprint that the request had at the node that passed it on; `None` if it came from a caller,
+/// or from a build that does not send it.
+fn find_fingerprint(headers: &HeaderMap, source: CallSource) -> Option<RequestFingerprint> {
+    let text = headers.get(FORWARD_FINGERPRINT).filter(|_| source == CallSource::Node)?;
+    text.to_str().ok()?.parse().ok().map(RequestFingerprint)
+}
+
+fn find_route(plan: &ServingPlan, parts: &Parts) -> Result<Rc<RouteRule>, CallRejection> {
+    let route = plan.find_route(request_host(&parts.headers), parts.uri.path());
     route.cloned().ok_or(CallRejection::new(StatusCode::NOT_FOUND, "no_route"))
 }
 
 /// The host that a request is addressed to; empty if it names none.
-fn request_host<'a>(uri: &'a Uri, headers: &'a HeaderMap) -> &'a str {
-    let host_header = headers.get(HOST).and_then(|host| host.to_str().ok());
-    uri.host().or(host_header).unwrap_or_default()
+fn request_host(headers: &HeaderMap) -> &str {
+    headers.get(HOST).and_then(|host| host.to_str().ok()).unwrap_or_default()
 }
 
 /// What of a call may crash runners: the shared parts of its prompt, and the request itself.
@@ -208,8 +224,3 @@
         _ => CallRejection::new(StatusCode::BAD_REQUEST, "body_incomplete"),
     }
 }
-
-/// Strips scheme and host from an absolute URI.
-fn origin_form(uri: &Uri) -> Uri {
-    uri.path_and_query().cloned().map_or_else(|| uri.clone(), Uri::from)
-}
--- a/crates/node/src/forward/forwarded_calls.rs
+++ b/crates/node/src/forward/forwarded_calls.rs
@@ -6,8 +6,9 @@
 use std::rc::Rc;
 
 use base::prelude::*;
+use hyper::StatusCode;
 use hyper::header::{HeaderName, HeaderValue};
-use hyper::{StatusCode, Uri};
+use platform::restored_target;
 use serving::PlanVersion;
 use web::{WebRequest, WebResponse, text_reply};
 
@@ -32,6 +33,9 @@
 pub const RESUME_AFTER: HeaderName = HeaderName::from_static("x-yard-resume-after");
 /// Version of the configuration that the forwarding node matched the call against.
 pub const FORWARD_PLAN: HeaderName = HeaderName::from_static("x-yard-forward-plan");
+/// Fingerprint of the call at the forwarding node. The receiving node declines a call that has another
+/// one there.
+pub const FORWARD_FINGERPRINT: HeaderName = HeaderName::from_static("x-yard-forward-fingerprint");
 /// What the receiving node did with the call. Without it, the response is not that of a node
 /// which accepts forwarded calls.
 pub const FORWARD_RESULT: HeaderName = HeaderName::from_static("x-yard-forward-result");
@@ -64,10 +68,10 @@
     if response.status() == StatusCode::SERVICE_UNAVAILABLE {
         // This status is used only for calls that have not run. Another node may take the call
         // if this one can't, while a refusal for load is the caller's.
-        let is_rejected = response.extensions().get::<Rejected>().is_some();
+        let rejected = response.extensions().get::<Rejected>().map(|Rejected(reason)| *reason);
         let is_unreached = response.extensions().get::<Unreached>().is_some();
         let obstacle = find_obstacle(context, None)
-            .or(is_rejected.then_some("rejected"))
+            .or(rejected)
             .or(is_unreached.then_some("runners_unreached"));
         if let Some(reason) = obstacle {
             return decline(context, reason);
@@ -100,12 +104,12 @@
 }
 
 /// The copy that the run is resumed from, and the request as it arrived at the forwarding node.
-fn restore_resume(mut request: WebRequest) -> Option<(ResumeOffer, WebRequest)> {
-    let mut take = |name: HeaderName| {
-        let value = request.headers_mut().remove(name)?;
+fn restore_resume(request: WebRequest) -> Option<(ResumeOffer, WebRequest)> {
+    let read = |name: HeaderName| {
+        let value = request.headers().get(name)?;
         value.to_str().ok().map(str::to_owned)
     };
-    let (runner, from, after) = (take(RESUME_RUNNER)?, take(RESUME_FROM), take(RESUME_AFTER));
+    let (runner, from, after) = (read(RESUME_RUNNER)?, read(RESUME_FROM), read(RESUME_AFTER));
     let copy = match from {
         Some(from) => Some(parse_handle(&from)?),
         None => None,
@@ -148,11 +152,7 @@
 }
 
 fn restore_path(mut request: WebRequest, prefix: &str) -> Option<WebRequest> {
-    let path = request.uri().path_and_query()?.as_str();
-    // The slash belongs to both paths.
-    let uri: Uri = path.get(prefix.len() - 1..)?.parse().ok()?;
-    *request.uri_mut() = uri;
-    request.headers_mut().remove(FORWARD_PLAN);
+    *request.uri_mut() = restored_target(prefix, request.uri())?;
     Some(request)
 }
 
--- a/crates/node/src/forward/mod.rs
+++ b/crates/node/src/forward/mod.rs
@@ -9,7 +9,9 @@
 mod stop;
 
 pub use call_forward::{TakenResume, offer_resume, try_forward};
-pub use forwarded_calls::{FORWARD_PATH, RESUME_PATH, answer_forwarded, answer_resumed};
+pub use forwarded_calls::{
+    FORWARD_FINGERPRINT, FORWARD_PATH, RESUME_PATH, answer_forwarded, answer_resumed,
+};
 pub use offer::ResumeOffer;
 pub use relay::relay_response;
 pub use resumed_run::resume_run;
--- a/crates/node/src/forward/offer.rs
+++ b/crates/node/src/forward/offer.rs
@@ -4,15 +4,15 @@
 use std::rc::Rc;
 
 use base::prelude::*;
-use hyper::header::{HOST, HeaderValue};
+use hyper::header::HeaderValue;
 use hyper::{Request, StatusCode};
-use platform::forwarded_headers;
+use platform::{forwarded_headers, forwarded_target};
 use serving::{ForwardFailure, ForwardTarget, RunnerRecord};
 use web::{SendFault, WebBody, WebConnection, WebError, WebExchange, full_body};
 
 use super::forwarded_calls::{
-    ANSWERED, DECLINED, FORWARD_PATH, FORWARD_PLAN, FORWARD_RESULT, RESUME_AFTER, RESUME_FROM,
-    RESUME_PATH, RESUME_RUNNER,
+    ANSWERED, DECLINED, FORWARD_FINGERPRINT, FORWARD_PATH, FORWARD_PLAN, FORWARD_RESULT,
+    RESUME_AFTER, RESUME_FROM, RESUME_PATH, RESUME_RUNNER,
 };
 use crate::call::Call;
 use crate::call_log::may_log;
@@ -107,18 +107,15 @@
     resume: Option<&ResumeOffer>,
 ) -> Result<Request<WebBody>, WebError> {
     let fault = |source| WebError::Request { step: "forwarded call", source };
-    let path = call.uri.path_and_query().map_or("/", |path| path.as_str());
     let prefix = if resume.is_some() { RESUME_PATH } else { FORWARD_PATH };
     let mut request = Request::builder()
         .method(call.method.clone())
-        .uri(format!("{prefix}{}", path.trim_start_matches('/')))
+        .uri(forwarded_target(prefix, &call.uri))
         .body(full_body(call.body.clone()))
         .map_err(fault)?;
     let mut headers = forwarded_headers(&call.headers, left);
-    if let Some(host) = &call.uri_host {
-        headers.insert(HOST, HeaderValue::from_str(host).map_err(|error| fault(error.into()))?);
-    }
     headers.insert(FORWARD_PLAN, HeaderValue::from(call.plan_version.0));
+    headers.insert(FORWARD_FINGERPRINT, HeaderValue::from(call.fingerprint.0));
     if let Some(ResumeOffer { runner, copy, last_event_id }) = resume {
         let text = |text: String| HeaderValue::from_str(&text).map_err(|error| fault(error.into()));
         headers.insert(RESUME_RUNNER, text(runner.to_string())?);
@@ -145,6 +142,10 @@
         None if status == StatusCode::NOT_FOUND => {
             OfferEnd::NotRun(ForwardFailure::Unsupported, Rc::from("path not known"))
         }
+        // A server that takes fewer headers responds so before the request is handled.
+        None if status == StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE => {
+            OfferEnd::NotRun(ForwardFailure::Declined, Rc::from("too many headers"))
+        }
         _ => OfferEnd::Unknown(Rc::from(format!("not the response to a call: {status}"))),
     }
 }
--- a/crates/node/src/runner_send.rs
+++ b/crates/node/src/runner_send.rs
@@ -236,7 +236,7 @@
         .body(full_body(call.body.clone()))
         .map_err(|source| WebError::Request { step: "request to a runner", source })?;
     *request.headers_mut() = runner_headers(&call.headers, head);
-    debug_assert!(request.headers().contains_key(HOST) || call.uri.host().is_none());
+    debug_assert!(request.headers().contains_key(HOST), "routes are found by the host");
     Ok(request)
 }
 
--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -17,6 +17,10 @@
 
 use crate::{ConnectionCloser, Result, WebError, WebRequest, WebResponse};
 
+/// Maximum number of headers of a request: those that callers may send, and those that a node adds to
+/// a request which it forwards.
+const MAX_HEADERS: usize = 128;
+
 /// How often a stopping server checks whether its last connection has closed.
 const DRAIN_POLL_INTERVAL: TimeSpan = TimeSpan::millis(10);
 
@@ -155,6 +159,7 @@
     builder
         .timer(CompioTimer)
         .header_read_timeout(std::time::Duration::from(limits.header_timeout))
+        .max_headers(MAX_HEADERS)
         .max_buf_size(limits.max_header_bytes);
     let mut connection = pin!(builder.serve_connection(HyperStream::new_plain(stream), service));
     let mut until_closed = pin!(closer.wait());
