Keep signal handlers in place for the whole life of a process

Cause: `compio::signal` takes its handler away when the future of one signal has ended. Between two waits (while the settings were read), and after the first SIGTERM, the default action was in force.

Mend: `kernel::SignalPipe` (signal-hook, a self-pipe that the event loop reads) installs handlers that stay until the process ends. `yard-node` registers them before it reads its settings; `yard-entry` and `yard-steward` do so for SIGTERM and SIGINT. Signals that come while one is handled are kept in the pipe. They are taken together and before the settings are read, so that a later file is always read once more: the last settings written are in force.

The same class elsewhere: `wait_for_signals` had the gap for a second SIGTERM in `yard-entry`, `yard-steward` and the stand-ins; mended here. No other use of one-shot signal futures is left. What remains is the time between the start of a process and its first line of code, which no program can close.

New promise: a reload ends no process.

--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -5,6 +5,7 @@
 
 use argh::FromArgs;
 use entry::{EntryError, Result, run_entry};
+use kernel::{STOP_SIGNALS, SignalPipe};
 use settings::EntrySettings;
 
 /// Exit code for settings that are not usable.
@@ -38,7 +39,8 @@
 }
 
 fn start(arguments: &EntryArguments) -> Result<()> {
+    let stop_signals = SignalPipe::register(&STOP_SIGNALS)?;
     let settings: EntrySettings = settings::read_settings(&arguments.settings, &arguments.sets)?;
     settings.common.init_logging();
-    kernel::run(run_entry(settings))?
+    kernel::run(run_entry(settings, stop_signals))?
 }
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -18,7 +18,7 @@
 use crate::peer_server::answer_peer;
 use crate::router::{ROUTER, RouterService};
 use crate::view_client::follow_steward;
-use kernel::MetricCounters;
+use kernel::{MetricCounters, SignalPipe};
 
 /// Time for the bookings in flight to end at a planned stop.
 const DRAIN_TIME: TimeSpan = TimeSpan::seconds(125);
@@ -31,7 +31,7 @@
 ///
 /// # Errors
 /// What keeps it from starting.
-pub async fn run_entry(settings: EntrySettings) -> Result<()> {
+pub async fn run_entry(settings: EntrySettings, stop_signals: SignalPipe) -> Result<()> {
     let context = open_context(settings).await?;
     let router = RouterService::new(&context, route_settings(&context.settings)?);
     let bookings = BookingService::new(&context, &router);
@@ -57,7 +57,7 @@
         let (server, stop) = (server.clone(), server_stop.clone());
         kernel::spawn(async move { server.serve(stop, move |r| api.clone().serve(r)).await })
     };
-    kernel::wait_for_signals().await?;
+    stop_signals.listen()?.next().await?;
     leave(&context).await;
     server_stop.raise();
     // Answers in progress end before the process does.
--- a/crates/harness/src/lib.rs
+++ b/crates/harness/src/lib.rs
@@ -24,7 +24,7 @@
 pub use node_caller::{CallerRequest, WholeAnswer};
 pub use node_fleet::{HOST, KEY, NodeFleet, config};
 pub use node_process::NodeProcess;
-pub use process::{TestProcess, run_tool};
+pub use process::{TestProcess, program_path, run_tool};
 pub use stack::{OPERATOR_TOKEN, TestStack};
 pub use stack_plan::{RunnerPlan, StackPlan, VmPlan};
 pub use wait::wait_until;
--- a/crates/harness/src/node_process.rs
+++ b/crates/harness/src/node_process.rs
@@ -86,12 +86,15 @@
         units.map(|units| units * UNIT_BYTES).ok_or(HarnessError::Waited("peak memory".to_owned()))
     }
 
-    /// Replaces the settings file.
+    /// Replaces the settings file, by rename.
     ///
     /// # Errors
     /// If it cannot be written.
     pub fn write_settings(&self, text: &str) -> Result<()> {
-        std::fs::write(&self.settings, text).map_err(|source| HarnessError::Io {
+        let written = self.settings.with_extension("new");
+        let renamed =
+            std::fs::write(&written, text).and_then(|()| std::fs::rename(&written, &self.settings));
+        renamed.map_err(|source| HarnessError::Io {
             step: "write",
             what: self.settings.display().to_string(),
             source,
--- a/crates/harness/src/process.rs
+++ b/crates/harness/src/process.rs
@@ -145,7 +145,8 @@
 }
 
 /// Where the programs of this build are: beside the running one, or above its `deps`.
-pub(crate) fn program_path(program: &str) -> PathBuf {
+#[must_use]
+pub fn program_path(program: &str) -> PathBuf {
     let own = std::env::current_exe().unwrap_or_default();
     let folder = own.parent().map(PathBuf::from).unwrap_or_default();
     let folder = if folder.ends_with("deps") { folder.join("..") } else { folder };
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -9,6 +9,7 @@
 mod error;
 mod logs;
 mod registry;
+mod signals;
 mod stop;
 
 pub use clock::MonotonicClock;
@@ -16,7 +17,8 @@
 pub use error::{KernelError, Result};
 pub use logs::{init_logging, init_stdout_logging};
 pub use registry::ServiceRegistry;
-pub use stop::{StopSignal, StopWait, wait_for_signals};
+pub use signals::{RELOAD_SIGNALS, STOP_SIGNALS, SignalListener, SignalPipe, wait_for_signals};
+pub use stop::{StopSignal, StopWait};
 pub use tracing_appender::non_blocking::WorkerGuard;
 
 pub use compio::runtime::spawn;
--- a/crates/kernel/src/stop.rs
+++ b/crates/kernel/src/stop.rs
@@ -6,13 +6,6 @@
 use std::rc::Rc;
 use std::task::{Context, Poll, Waker};
 
-use futures_util::future::{Either, select};
-
-use crate::{KernelError, Result};
-
-const SIGTERM: i32 = 15;
-const SIGINT: i32 = 2;
-
 /// A flag that is raised once and that any number of tasks can await; clones share one flag.
 #[derive(Clone, Default)]
 pub struct StopSignal {
@@ -86,16 +79,3 @@
         self.signal.state.wakers.borrow_mut().remove(&self.waiter);
     }
 }
-
-/// Waits for SIGTERM or SIGINT.
-///
-/// # Errors
-/// [`KernelError::Signal`] if the signals cannot be awaited.
-pub async fn wait_for_signals() -> Result<()> {
-    let terminate = Box::pin(compio::signal::unix::signal(SIGTERM));
-    let interrupt = Box::pin(compio::signal::unix::signal(SIGINT));
-    let result = match select(terminate, interrupt).await {
-        Either::Left((result, _)) | Either::Right((result, _)) => result,
-    };
-    result.map_err(KernelError::Signal)
-}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -36,6 +36,7 @@
 mod runner_poll;
 mod runner_probe;
 mod runner_send;
+mod signals;
 mod speed_share;
 mod state_fetcher;
 mod state_transfer;
@@ -54,3 +55,4 @@
 
 pub use error::{NodeError, Result};
 pub use process::run_node;
+pub use signals::NodeSignals;
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -4,7 +4,7 @@
 use std::process::ExitCode;
 
 use argh::FromArgs;
-use node::{NodeError, Result, run_node};
+use node::{NodeError, NodeSignals, Result, run_node};
 use settings::NodeSettings;
 
 /// Exit code when the settings are missing or invalid.
@@ -45,10 +45,11 @@
         let (path, sets) = (arguments.settings.clone(), arguments.sets.clone());
         move || settings::read_settings::<NodeSettings>(&path, &sets)
     };
-    let settings = read_settings()?;
     if arguments.check {
-        return Ok(());
+        return Ok(read_settings().map(drop)?);
     }
+    let signals = NodeSignals::register()?;
+    let settings = read_settings()?;
     let _log_guard = kernel::init_stdout_logging(&settings.log_level.to_string());
-    kernel::run(run_node(settings, read_settings))?
+    kernel::run(run_node(settings, signals, read_settings))?
 }
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -112,6 +112,8 @@
     pub messages_skipped: Counter,
     /// Log lines dropped by the rate limit.
     pub lines_dropped: Counter,
+    /// Reloads of the settings, by outcome.
+    pub reloads: Family<OutcomeLabels, Counter>,
     /// Requests in progress.
     pub active: Gauge,
     /// Time from arrival to the first byte of a stream, in seconds.
@@ -170,6 +172,7 @@
             heartbeats: Counter::default(),
             messages_skipped: Counter::default(),
             lines_dropped: Counter::default(),
+            reloads: Family::default(),
             active: Gauge::default(),
             first_byte_time: histogram(),
             total_time: histogram(),
@@ -326,6 +329,7 @@
             self.messages_skipped.clone(),
         );
         registry.register("lines_dropped", "Log lines left out", self.lines_dropped.clone());
+        registry.register("reloads", "Reloads of the settings", self.reloads.clone());
         registry.register("active", "Requests in progress", self.active.clone());
         registry.register(
             "first_byte_seconds",
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -13,7 +13,7 @@
 
 use crate::block_store::keep_blocks;
 use crate::caller_server::answer_caller;
-use crate::context::{NodeContext, retry_budget_settings};
+use crate::context::NodeContext;
 use crate::error::{NodeError, Result};
 use crate::follow_configuration::follow_configuration;
 use crate::follow_nodes::follow_nodes;
@@ -24,6 +24,7 @@
 use crate::reach::watch_reach;
 use crate::router::RouterService;
 use crate::runner_poll::poll_runners;
+use crate::signals::{NodeSignals, follow_reloads, log_repeated_stops};
 use crate::stop_intake::log_stop_end;
 use crate::store_reader::StoreReader;
 
@@ -45,19 +46,18 @@
 const WRITE_RESERVE: TimeSpan = TimeSpan::millis(100);
 /// Interval at which a stopping node checks whether the last request has ended.
 const STOP_POLL: TimeSpan = TimeSpan::millis(50);
-/// Signal number of SIGHUP.
-const SIGHUP: i32 = 1;
 /// Path of the metrics endpoint.
 const METRICS_PATH: &str = "/metrics";
 
 /// Runs a node until it has stopped gracefully.
 ///
-/// `read_settings` is called at each SIGHUP to reload the settings.
+/// `read_settings` is called after each SIGHUP to reload the settings.
 ///
 /// # Errors
 /// Returns an error if a socket cannot be bound or signals cannot be handled.
 pub async fn run_node(
     settings: NodeSettings,
+    signals: NodeSignals,
     read_settings: impl Fn() -> std::result::Result<NodeSettings, SettingsError> + 'static,
 ) -> Result<()> {
     let (runner_changes, changed_runners) = mpsc::channel(1);
@@ -90,8 +90,11 @@
     kernel::spawn(watch_reach(Rc::clone(&context))).detach();
     kernel::spawn(Rc::clone(&router).run_ticks()).detach();
     kernel::spawn(Rc::clone(&router).follow_runner_changes(changed_runners)).detach();
-    kernel::spawn(reload_on_sighup(Rc::clone(&context), read_settings)).detach();
-    kernel::wait_for_signals().await?;
+    let reloads = signals.reload.listen()?;
+    kernel::spawn(follow_reloads(Rc::clone(&context), reloads, read_settings)).detach();
+    let mut stops = signals.stop.listen()?;
+    stops.next().await?;
+    kernel::spawn(log_repeated_stops(stops)).detach();
     let deadline = drain_requests(&context).await;
     stop.raise();
     let connections = drain_connections(&context, &servers, deadline + WRITE_RESERVE).await;
@@ -204,25 +207,3 @@
     }
     open()
 }
-
-/// Reloads the settings at each SIGHUP; only the retry budget and the share
-/// of hedges take effect without a restart.
-async fn reload_on_sighup(
-    context: Rc<NodeContext>,
-    read_settings: impl Fn() -> std::result::Result<NodeSettings, SettingsError>,
-) {
-    loop {
-        if let Err(error) = compio::signal::unix::signal(SIGHUP).await {
-            tracing::error!(event = "reload_impossible", %error);
-            return;
-        }
-        match read_settings() {
-            Ok(settings) => {
-                context.retry_budget.borrow_mut().set_settings(retry_budget_settings(&settings));
-                context.hedge_limit.borrow_mut().set_share(settings.hedge_share);
-                tracing::info!(event = "reload", applied = "retry budget, hedge share");
-            }
-            Err(error) => tracing::error!(event = "reload_failed", %error),
-        }
-    }
-}
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -36,6 +36,13 @@
 /// Seed of the faults in a calm, drawn apart like the returns.
 const CALM_SEED: u64 = 0x11a7;
 
+/// Seed of the reloads, drawn apart like the returns.
+const RELOAD_SEED: u64 = 0x4a9d;
+/// Series of reloads in a storm.
+const RELOAD_SERIES: std::ops::Range<u32> = 1..4;
+/// SIGHUPs in a series.
+const RELOAD_SIGNALS: std::ops::Range<u32> = 2..9;
+
 /// How long faults follow each other before a calm.
 const STORM_SPAN: Duration = Duration::from_secs(6);
 /// Time from the end of a storm to the changes that are checked in the calm: the longest
@@ -69,6 +76,8 @@
     Kill(usize),
     /// A node stands still.
     Freeze(usize, Duration),
+    /// The settings of a node change so many times in a row, each time with a SIGHUP.
+    Reload(usize, u32),
     /// An engine says that it leaves, and is gone later; another one comes.
     Leave(usize),
     /// An engine crashes; another one comes.
@@ -116,10 +125,12 @@
         let mut random = StdRng::seed_from_u64(seed);
         let mut returns = StdRng::seed_from_u64(seed ^ RETURN_SEED);
         let mut calms = StdRng::seed_from_u64(seed ^ CALM_SEED);
+        let mut reloads = StdRng::seed_from_u64(seed ^ RELOAD_SEED);
         let mut steps = Vec::new();
         let mut at = Duration::from_secs(1);
         while at < span {
             let storm_end = at + STORM_SPAN;
+            steps.extend(draw_reloads(&mut reloads, at));
             while at < storm_end {
                 steps.push(SoakStep { at, fault: draw_fault(&mut random) });
                 at += Duration::from_millis(random.random_range(PAUSE_MS));
@@ -140,6 +151,7 @@
             at += CHECK_SPAN;
         }
         steps.retain(|step| step.at < span);
+        steps.sort_by_key(|step| step.at);
         Self { seed, span, steps }
     }
 }
@@ -152,6 +164,19 @@
     random.random_ratio(1, STORMS_PER_RETURN).then_some(step)
 }
 
+/// Series of reloads in the storm that begins at `begin`.
+fn draw_reloads(random: &mut StdRng, begin: Duration) -> Vec<SoakStep> {
+    let count = random.random_range(RELOAD_SERIES);
+    let mut step = |_| SoakStep {
+        at: begin + random.random_range(Duration::ZERO..STORM_SPAN),
+        fault: SoakFault::Reload(
+            random.random_range(0..NODES),
+            random.random_range(RELOAD_SIGNALS),
+        ),
+    };
+    (0..count).map(&mut step).collect()
+}
+
 /// A fault that nothing else may disturb, or none.
 fn draw_calm_fault(random: &mut StdRng) -> Option<SoakFault> {
     let (desk, part) = (random.random_range(0..DESKS), random.random());
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -20,6 +20,11 @@
 const STOP_LIMIT: Duration = Duration::from_secs(8);
 /// Time between the end of a process and its next start.
 const RESTART_PAUSE: Duration = Duration::from_millis(300);
+/// Step of the pauses between SIGHUPs in series, and number of different pauses.
+const RELOAD_PAUSE: Duration = Duration::from_millis(1);
+const RELOAD_PAUSES: u32 = 6;
+/// Time after a series of SIGHUPs in which a process that they end has ended.
+const RELOAD_SPAN: Duration = Duration::from_millis(100);
 /// Time in which a change has to be in force, with some for this machine.
 const APPLY_SPAN: Duration = Duration::from_millis(2_500);
 /// Time after which a leaving runner gets no request.
@@ -125,6 +130,7 @@
             SoakFault::Stop(node) => return self.stop(node).await,
             SoakFault::Kill(node) => return self.kill(node).await,
             SoakFault::Freeze(node, span) => return self.freeze(node, span).await,
+            SoakFault::Reload(node, signals) => return self.reload(node, signals).await,
             SoakFault::Leave(engine) => self.leave(engine).await,
             SoakFault::Crash(engine) => self.crash(engine),
             SoakFault::Spoil(desk, script) => self.site.desks[desk].fake.script(&[script]),
@@ -222,6 +228,29 @@
         Ok(())
     }
 
+    /// Sends SIGHUPs in series; that disturbs nothing, so that all promises hold meanwhile.
+    async fn reload(&self, node: usize, signals: u32) -> Result<()> {
+        for number in 0..signals {
+            self.send_hup(node)?;
+            compio::time::sleep(RELOAD_PAUSE * (number % RELOAD_PAUSES)).await;
+        }
+        compio::time::sleep(RELOAD_SPAN).await;
+        let mut nodes = self.site.nodes.borrow_mut();
+        if let Some(code) = nodes[node].as_mut().and_then(harness::NodeProcess::ended) {
+            self.breach("a reload ends no process", format!("node-{node}: {code}"));
+        }
+        Ok(())
+    }
+
+    /// Sends a SIGHUP, unless the process is away or has not printed a line: from then on, its
+    /// handlers are in place.
+    fn send_hup(&self, node: usize) -> Result<()> {
+        let nodes = self.site.nodes.borrow();
+        let has_begun = |process: &&harness::NodeProcess| !process.events("start").is_empty();
+        let begun = nodes[node].as_ref().filter(has_begun);
+        begun.map_or(Ok(()), |process| process.signal(Signal::HUP))
+    }
+
     /// Takes an engine out of service and puts a spare in its place; gives the id.
     pub(crate) fn replace(&self, engine: usize) -> Option<String> {
         let spare = self.site.spares.borrow_mut().pop()?;
--- a/crates/steward/src/main.rs
+++ b/crates/steward/src/main.rs
@@ -27,7 +27,7 @@
 use crate::context::StewardContext;
 use crate::error::{Result, StewardError};
 use crate::order_service::{ORDER_SERVICE, OrderService};
-use kernel::MetricCounters;
+use kernel::{MetricCounters, STOP_SIGNALS, SignalPipe};
 
 /// Prefix of the names of all metrics.
 const METRIC_PREFIX: &str = "yard.steward";
@@ -45,6 +45,7 @@
 }
 
 async fn run(arguments: StewardArguments) -> Result<()> {
+    let stop_signals = SignalPipe::register(&STOP_SIGNALS)?;
     let path = arguments.settings;
     let settings: StewardSettings = settings::read_settings(&path, &arguments.sets)
         .map_err(|source| StewardError::Settings { path, source })?;
@@ -56,7 +57,7 @@
     let context = StewardContext::new(settings, peers, counters);
     start_services(&context)?;
     let serving = start_serving(&context);
-    kernel::wait_for_signals().await?;
+    stop_signals.listen()?.next().await?;
     planned_stop::run(Rc::clone(&context)).await;
     context.stop.raise();
     // The task ends by itself once the stop is raised; it has no result.
