Tell the scheduler of runners whose service or entry is gone, and bound the search for a runner

It came when a configuration no longer had a service whose runners were full, or when the entries of all runners of a service had lapsed and they named a wait.

Cause: two owners of the fact that a runner may be sent to. The check before a send knew of waits and leaving; the scheduler was told of them only for services of the configuration in force, and of waits only for listed runners. `find_runner` was assigned a runner, was refused by the check, gave the assignment back and asked again, without waiting, in a loop in which nothing could change the outcome.

Mend: - The router keeps the services that the scheduler knows: those in force, and earlier ones that still have runners. It passes members, loads and waits of all of them, and waits of removed runners. A call that was matched under an earlier configuration is so decided at once by that one: sent, or refused by the waits of its runners. A service without runners is passed once more, empty, and then forgotten. - `RunnerSearch` bounds the loop for whatever else the scheduler may not know: a call that is assigned a runner which has refused it within the last 10 ms waits for 10 ms. So it asks no more often than there are runners before it waits.

The same class elsewhere: `try_forward`, `offer_resume` and `find_stop` record each offer, and share the choice of a node, so that they end with the list of nodes. `open_hedge` asks once. Waits in `reach`, the store's followers and the pump all sleep or wait for input. `reach_members` asks only runners of services in force, which is a question and no loop. A wait must follow the report of its runner, since the first report of a start resets it: kept, and noted in the code.

Cost of a decision: not measured; the events of an update are the same but for removed services.

--- a/crates/node/src/call_attempt.rs
+++ b/crates/node/src/call_attempt.rs
@@ -1,5 +1,6 @@
 //! The attempts of a call: the runner of the next one, and what follows from one that failed.
 
+use std::collections::BTreeMap;
 use std::rc::Rc;
 
 use base::prelude::*;
@@ -9,7 +10,7 @@
 
 use crate::call::Call;
 use crate::call_answer::CallFailure;
-use crate::call_log::log_send_failure;
+use crate::call_log::{log_send_failure, may_log};
 use crate::context::NodeContext;
 use crate::crash_watch::find_crash_refusal;
 use crate::evacuation_watch::is_service_evacuated;
@@ -23,59 +24,98 @@
 
 /// `Retry-After` if the assigned runner has disappeared from the list.
 const RUNNER_GONE_RETRY_AFTER: TimeSpan = TimeSpan::millis(150);
+/// Pause before a call asks the dispatcher again that has assigned a runner which had refused it.
+const SEARCH_PAUSE: TimeSpan = TimeSpan::millis(10);
 /// Reason of a refusal because every runner of the service has named a wait.
 const RUNNERS_WAIT: &str = "runners_wait";
 /// Reason of a refusal because every runner of the service is in an evacuated place.
 const PLACE_EVACUATED: &str = "place_evacuated";
 
-/// Waits until the dispatcher assigns a runner that accepts the request.
+/// The search of a call for a runner: bounds how often it asks the dispatcher.
 ///
-/// # Errors
-/// Returns [`CallFailure`] if the dispatcher refuses the call, the assigned runner was removed, or
-/// the prompt has a part that crashes runners.
-pub async fn find_runner(
-    context: &NodeContext,
-    router: &RouterService,
-    call: &Call,
-    tried: &[RunnerId],
-) -> Result<(RouteTicket, RunnerRecord), CallFailure> {
-    loop {
-        if let Some(refusal) = find_crash_refusal(context, call) {
-            return Err(refusal);
+/// The dispatcher is told of each refusal and then assigns another runner. If it assigns one that
+/// has already refused, it does not know why, and asking again at once would change nothing.
+#[derive(Default)]
+pub struct RunnerSearch {
+    /// Runners that were assigned and did not accept the call, and until when another assignment
+    /// to each of them counts as repeated.
+    refused: BTreeMap<RunnerId, TimePoint>,
+}
+
+impl RunnerSearch {
+    /// Waits until the dispatcher assigns a runner that accepts the request.
+    ///
+    /// # Errors
+    /// Returns [`CallFailure`] if the dispatcher refuses the call, the assigned runner was removed,
+    /// or the prompt has a part that crashes runners.
+    pub async fn find_runner(
+        &mut self,
+        context: &NodeContext,
+        router: &RouterService,
+        call: &Call,
+        tried: &[RunnerId],
+    ) -> Result<(RouteTicket, RunnerRecord), CallFailure> {
+        loop {
+            if let Some(refusal) = find_crash_refusal(context, call) {
+                return Err(refusal);
+            }
+            let (ticket, runner) = assign_runner(context, router, call, tried).await?;
+            let incarnation = runner.incarnation();
+            let accepts = check_send(context, &incarnation)
+                .and_then(|()| check_inputs(context, call, &incarnation));
+            let Err(block) = accepts else { return Ok((ticket, runner)) };
+            self.unassign(context, router, (ticket, &runner.runner), block.as_str()).await;
         }
-        let (ticket, runner) = assign_runner(context, router, call, tried).await?;
-        let incarnation = runner.incarnation();
-        let accepts = check_send(context, &incarnation)
-            .and_then(|()| check_inputs(context, call, &incarnation));
-        if accepts.is_ok() {
-            return Ok((ticket, runner));
+    }
+
+    /// Like [`Self::find_runner`], but only while the call is to be served here: returns `None` if
+    /// another node can take it.
+    pub async fn find_runner_here(
+        &mut self,
+        context: &NodeContext,
+        router: &RouterService,
+        call: &Call,
+        tried: &[RunnerId],
+    ) -> Option<Result<(RouteTicket, RunnerRecord), CallFailure>> {
+        let found = self.find_runner(context, router, call, tried);
+        let found = unless_too_late(context, call, found);
+        match unless_unreached(context, call, found).await {
+            Ok(Ok(found)) => Some(found),
+            Ok(Err(too_late)) => Some(Err(too_late)),
+            Err(ServingStop::Forward) => None,
+            Err(ServingStop::Unreached) => Some(Err(unreached_failure(context, call))),
         }
-        unassign(router, ticket);
     }
-}
 
-/// Like [`find_runner`], but only while the call is to be served here: returns `None` if another node can
-/// take it.
-pub async fn find_runner_here(
-    context: &NodeContext,
-    router: &RouterService,
-    call: &Call,
-    tried: &[RunnerId],
-) -> Option<Result<(RouteTicket, RunnerRecord), CallFailure>> {
-    let found = unless_too_late(context, call, find_runner(context, router, call, tried));
-    match unless_unreached(context, call, found).await {
-        Ok(Ok(found)) => Some(found),
-        Ok(Err(too_late)) => Some(Err(too_late)),
-        Err(ServingStop::Forward) => None,
-        Err(ServingStop::Unreached) => Some(Err(unreached_failure(context, call))),
+    /// Takes back the assignment of a call that was not sent, since its runner accepts no
+    /// requests. The dispatcher then knows that it does not, and assigns another. If it has just
+    /// refused before, waits for [`SEARCH_PAUSE`].
+    pub async fn unassign(
+        &mut self,
+        context: &NodeContext,
+        router: &RouterService,
+        (ticket, runner): (RouteTicket, &RunnerId),
+        reason: &str,
+    ) {
+        ticket.finish(CallEnd::Cancelled);
+        router.update_members();
+        let now = context.now();
+        let before = self.refused.insert(runner.clone(), now + SEARCH_PAUSE);
+        if before.is_none_or(|until| until <= now) {
+            return;
+        }
+        context.metrics.repeated_assignments.inc();
+        if may_log(context) {
+            tracing::warn!(event = "assignment_repeated", %runner, reason);
+        }
+        kernel::sleep(SEARCH_PAUSE.into()).await;
     }
 }
 
-/// Takes back the assignment of a call that was not sent, since its runner accepts no
-/// requests. The dispatcher then knows that it does not, and assigns another.
-pub fn unassign(router: &RouterService, ticket: RouteTicket) {
-    ticket.finish(CallEnd::Cancelled);
-    router.update_members();
+/// Why the call was not sent to its runner at present; `None` if the send was begun.
+pub fn withheld_reason<T>(result: &Result<T, SendFailure>) -> Option<&str> {
+    let failure = result.as_ref().err().filter(|failure| failure.withheld)?;
+    Some(&failure.reason)
 }
 
 /// Waits until the dispatcher assigns a runner to the request.
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -54,6 +54,8 @@
     pub hedges_denied: Family<WithheldLabels, Counter>,
     /// Requests not sent to a runner that was assigned, since it accepts none, by reason.
     pub sends_withheld: Family<WithheldLabels, Counter>,
+    /// Assignments of a call to a runner that had just refused it.
+    pub repeated_assignments: Counter,
     /// Waits that runners asked for.
     pub runner_waits: Counter,
     /// Limits that runners named, changed or ended.
@@ -143,6 +145,7 @@
             hedges: Family::default(),
             hedges_denied: Family::default(),
             sends_withheld: Family::default(),
+            repeated_assignments: Counter::default(),
             runner_waits: Counter::default(),
             runner_limits: Counter::default(),
             evacuations: Counter::default(),
@@ -220,6 +223,11 @@
             "Requests without an answer at the end of a stop",
             self.stop_cuts.clone(),
         );
+        registry.register(
+            "repeated_assignments",
+            "Assignments of a call to a runner that had just refused it",
+            self.repeated_assignments.clone(),
+        );
     }
 
     /// Registers the metrics of runners and of what they state.
--- a/crates/node/src/router.rs
+++ b/crates/node/src/router.rs
@@ -13,7 +13,7 @@
 use route::{
     CallId, MemoryForecast, PolicyName, RouteCall, RouteEvent, RouteMember, RouteSettings,
 };
-use serving::{RunnerIncarnation, RunnerKey, RunnerLoad};
+use serving::{RunnerIncarnation, RunnerKey, RunnerLoad, RunnerRecord, ServingPlan};
 
 use crate::call::Call;
 use crate::context::NodeContext;
@@ -59,6 +59,10 @@
     peer_loads_changed: Cell<bool>,
     /// Runners by the keys that heartbeats name them by.
     pub(crate) runner_keys: RefCell<BTreeMap<RunnerKey, RunnerId>>,
+    /// Services that the dispatcher knows, with the memory of each of their runners: those of the
+    /// configuration in force, and those of earlier ones that still have runners. Calls that were
+    /// matched under an earlier one are decided with them.
+    served: RefCell<BTreeMap<ServiceName, u32>>,
     /// Whether the dispatcher knows of a limit.
     dispatcher_limited: Cell<bool>,
     /// Whether the dispatcher knows of a runner with little room.
@@ -98,6 +102,7 @@
             load_sequence: Cell::default(),
             peer_loads_changed: Cell::default(),
             runner_keys: RefCell::default(),
+            served: RefCell::default(),
             dispatcher_limited: Cell::default(),
             dispatcher_confined: Cell::default(),
             heartbeat_requests,
@@ -175,16 +180,38 @@
         self.update_members();
     }
 
+    /// Adds the services of the configuration in force to those that the dispatcher is told of.
+    fn record_services(&self, plan: &ServingPlan) {
+        let mut served = self.served.borrow_mut();
+        for (service, entry) in &plan.services {
+            let memory = entry.engine.as_ref().map_or(0, |engine| engine.kv_capacity.0);
+            match served.get_mut(service) {
+                Some(known) => *known = memory,
+                None => drop(served.insert(service.clone(), memory)),
+            }
+        }
+    }
+
+    /// The runners of all services that the dispatcher knows. A service that is no longer
+    /// configured and has no runner left is passed once more, without any, and then forgotten.
+    fn member_events(&self, plan: &ServingPlan) -> Vec<RouteEvent> {
+        let now = self.context.now();
+        let mut events = Vec::new();
+        self.served.borrow_mut().retain(|service, _| {
+            let members = self.usable_members(service, now);
+            let is_kept = !members.is_empty() || plan.services.contains_key(service);
+            events.push(RouteEvent::Members { service: service.clone(), members });
+            is_kept
+        });
+        events
+    }
+
     /// Passes the current runners to the dispatcher and signals calls whose runner is leaving.
     pub fn update_members(&self) {
         let Some(plan) = self.context.plan() else { return };
-        let now = self.context.now();
         *self.runner_keys.borrow_mut() = runner_keys(&self.context);
-        let members = |service: &ServiceName| RouteEvent::Members {
-            service: service.clone(),
-            members: self.usable_members(service, now),
-        };
-        let mut events: Vec<RouteEvent> = plan.services.keys().map(members).collect();
+        self.record_services(&plan);
+        let mut events = self.member_events(&plan);
         let regained = std::mem::take(&mut *self.context.regained_runners.borrow_mut());
         events.extend(regained.into_iter().map(|runner| RouteEvent::RunnerReached { runner }));
         events.extend(self.load_events());
@@ -294,7 +321,9 @@
 
     /// Dispatcher events with the load of every runner, summed over all nodes.
     fn load_events(&self) -> Vec<RouteEvent> {
-        let Some(plan) = self.context.plan() else { return Vec::new() };
+        if self.context.plan().is_none() {
+            return Vec::new();
+        }
         self.peer_loads_changed.set(false);
         let mut loads = self.context.peer_loads.borrow().totals();
         for load in self.copy_loads(|_| true) {
@@ -315,32 +344,23 @@
             service: service.clone(),
             waiting_peers: peer_loads.waiting_nodes(service),
         };
-        let mut events: Vec<RouteEvent> = plan.services.keys().map(peers_waiting).collect();
-        for entry in runners.entries().filter(|entry| entry.removed_at.is_none()) {
+        let served = self.served.borrow();
+        let mut events: Vec<RouteEvent> = served.keys().map(peers_waiting).collect();
+        for entry in runners.entries() {
             let record = &entry.record;
-            let Some(service) = plan.services.get(&record.service) else { continue };
-            let memory = service.engine.as_ref().map_or(0, |engine| engine.kv_capacity.0);
-            let load = loads.get(&record.runner);
-            let tokens = load.map_or(0, |load| u64::from(load.prefill_tokens));
-            events.push(RouteEvent::PendingPrefill { runner: record.runner.clone(), tokens });
-            let forecast = other_forecasts.get(&record.runner).copied().unwrap_or_default();
-            events.push(RouteEvent::OtherForecast { runner: record.runner.clone(), forecast });
-            events.push(RouteEvent::Report(RunnerReport {
-                runner: record.runner.clone(),
-                incarnation: record.started_unix_ms,
-                sequence,
-                age: TimeSpan::default(),
-                used_blocks: base::BlockCount(load.map_or(0, RunnerLoad::tokens)),
-                total_blocks: base::BlockCount(memory),
-                block_tokens: 1,
-                running: load.map_or(0, |load| load.calls),
-                waiting: 0,
-                preemptions: 0,
-                step: TimeSpan::default(),
-                leaving: false,
-                models: Vec::new(),
-                fence: 0,
-            }));
+            if entry.removed_at.is_none()
+                && let Some(&memory) = served.get(&record.service)
+            {
+                let load = loads.get(&record.runner);
+                let tokens = load.map_or(0, |load| u64::from(load.prefill_tokens));
+                events.push(RouteEvent::PendingPrefill { runner: record.runner.clone(), tokens });
+                let forecast = other_forecasts.get(&record.runner).copied().unwrap_or_default();
+                let runner = record.runner.clone();
+                events.push(RouteEvent::OtherForecast { runner, forecast });
+                events.push(RouteEvent::Report(load_report(record, load, memory, sequence)));
+            }
+            // After its report, which may be the first one of this start. Removed runners too: they
+            // may still be usable.
             if let Some(until) = waits.end(now, &record.incarnation()) {
                 events.push(RouteEvent::RunnerWait { runner: record.runner.clone(), until });
             }
@@ -383,6 +403,31 @@
     }
 }
 
+/// The load of a runner, summed over all nodes, as a report to the dispatcher.
+fn load_report(
+    record: &RunnerRecord,
+    load: Option<&RunnerLoad>,
+    memory: u32,
+    sequence: u64,
+) -> RunnerReport {
+    RunnerReport {
+        runner: record.runner.clone(),
+        incarnation: record.started_unix_ms,
+        sequence,
+        age: TimeSpan::default(),
+        used_blocks: base::BlockCount(load.map_or(0, RunnerLoad::tokens)),
+        total_blocks: base::BlockCount(memory),
+        block_tokens: 1,
+        running: load.map_or(0, |load| load.calls),
+        waiting: 0,
+        preemptions: 0,
+        step: TimeSpan::default(),
+        leaving: false,
+        models: Vec::new(),
+        fence: 0,
+    }
+}
+
 fn try_request_heartbeat(requests: &RefCell<mpsc::Sender<()>>) {
     // A full channel already holds a request.
     let _ = requests.borrow_mut().try_send(());
--- a/crates/node/src/stream_call.rs
+++ b/crates/node/src/stream_call.rs
@@ -13,8 +13,8 @@
 use crate::call::Call;
 use crate::call_answer::{fail_call, forward_answer};
 use crate::call_attempt::{
-    count_request, explain_failure, find_runner_here, may_retry, record_send, record_send_failure,
-    unassign,
+    RunnerSearch, count_request, explain_failure, may_retry, record_send, record_send_failure,
+    withheld_reason,
 };
 use crate::call_log::{log_send, log_send_failure};
 use crate::context::NodeContext;
@@ -52,6 +52,7 @@
     let mut is_counted = false;
     let mut tracker = AttemptTracker::for_route(&call.route);
     let mut tried = Vec::new();
+    let mut search = RunnerSearch::default();
     let mut error_answer: Option<Response<Bytes>> = None;
     loop {
         if let Some(response) = try_forward(context, &call, &closer).await {
@@ -60,7 +61,7 @@
         if !std::mem::replace(&mut is_counted, true) {
             count_request(context, &call.service);
         }
-        let found = find_runner_here(context, router, &call, &tried).await;
+        let found = search.find_runner_here(context, router, &call, &tried).await;
         let Some(found) = found else { continue };
         let (mut ticket, runner) = match found {
             Ok(found) => found,
@@ -101,8 +102,8 @@
         } else {
             request_answer(context, &call, &plan).await
         };
-        if outcome.as_ref().is_err_and(|failure| failure.withheld) {
-            unassign(router, ticket);
+        if let Some(reason) = withheld_reason(&outcome) {
+            search.unassign(context, router, (ticket, &plan.runner.runner), reason).await;
             continue;
         }
         tried.push(plan.runner.runner.clone());
--- a/crates/node/src/stream_resume.rs
+++ b/crates/node/src/stream_resume.rs
@@ -10,7 +10,9 @@
 use route::CallEnd;
 use serving::{AttemptTracker, SendOutcome};
 
-use crate::call_attempt::{find_runner, may_retry, record_send, record_send_failure, unassign};
+use crate::call_attempt::{
+    RunnerSearch, may_retry, record_send, record_send_failure, withheld_reason,
+};
 use crate::call_log::{RequestOutcome, log_send, log_send_failure, may_log};
 use crate::runner_send::SendPlan;
 use crate::stream_backup::choose_backup;
@@ -63,8 +65,10 @@
     /// Waits for a runner and makes it the source of the stream once it has answered.
     async fn send_again(&mut self) -> Result<(), ResumeFault> {
         let last_event_id = self.scanner.last_id();
+        let mut search = RunnerSearch::default();
         let (ticket, plan, outcome) = loop {
-            let found = find_runner(&self.context, &self.router, &self.call, &self.attempts.tried);
+            let tried = &self.attempts.tried;
+            let found = search.find_runner(&self.context, &self.router, &self.call, tried);
             let (ticket, runner) = found.await.map_err(|_| ResumeFault::NoRunner)?;
             let backup = choose_backup(&self.context, &self.call, &ticket);
             let plan = SendPlan { runner, resume: None, last_event_id, backup };
@@ -73,8 +77,9 @@
             let sends = self.attempts.tracker.sends();
             log_send(&self.context, &self.call, &plan.runner.runner, backup, load.as_ref(), sends);
             let outcome = request_answer(&self.context, &self.call, &plan).await;
-            if outcome.as_ref().is_err_and(|failure| failure.withheld) {
-                unassign(&self.router, ticket);
+            if let Some(reason) = withheld_reason(&outcome) {
+                let assigned = (ticket, &plan.runner.runner);
+                search.unassign(&self.context, &self.router, assigned, reason).await;
                 continue;
             }
             break (ticket, plan, outcome);
