Observe the longest time for which one step holds a node's event loop

Mend: `kernel::spawn` times each poll of a task and keeps the longest, with the place where the task was spawned and the last step that it marked (`kernel::mark_step`: `find_runner`, `update_members`, `update_loads`, `reload`). A node looks once a second: `yard_node_loop_hold_seconds` (histogram), and a line `loop_held` above 50 ms. The line is written once the step has ended; a loop without end shows as the absence of all lines. Polls of tasks that libraries spawn themselves, and of the main task, are not timed.

Two readings of the clock are added to each poll and one allocation to each spawned task; the cost of a decision was not measured.

The same class elsewhere: a reload reads its file on the event loop, so that a file on a device that hangs holds the node up; the line names it. Not changed here.

--- a/crates/harness/src/node_process.rs
+++ b/crates/harness/src/node_process.rs
@@ -1,7 +1,7 @@
 //! One `yard-node` process under test, with its log lines.
 
 use std::io::{BufRead, BufReader};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex};
 
@@ -86,6 +86,12 @@
         units.map(|units| units * UNIT_BYTES).ok_or(HarnessError::Waited("peak memory".to_owned()))
     }
 
+    /// The settings file.
+    #[must_use]
+    pub fn settings_path(&self) -> &Path {
+        &self.settings
+    }
+
     /// Replaces the settings file, by rename.
     ///
     /// # Errors
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -7,6 +7,7 @@
 mod clock;
 mod counters;
 mod error;
+mod holds;
 mod logs;
 mod registry;
 mod signals;
@@ -15,13 +16,13 @@
 pub use clock::MonotonicClock;
 pub use counters::MetricCounters;
 pub use error::{KernelError, Result};
+pub use holds::{LoopHold, mark_step, spawn, take_longest_hold};
 pub use logs::{init_logging, init_stdout_logging};
 pub use registry::ServiceRegistry;
 pub use signals::{RELOAD_SIGNALS, STOP_SIGNALS, SignalListener, SignalPipe, wait_for_signals};
 pub use stop::{StopSignal, StopWait};
 pub use tracing_appender::non_blocking::WorkerGuard;
 
-pub use compio::runtime::spawn;
 pub use compio::time::sleep;
 
 /// Runs `main` to completion on the event loop of this process and returns its value.
--- a/crates/node/src/call_attempt.rs
+++ b/crates/node/src/call_attempt.rs
@@ -60,6 +60,7 @@
                 return Err(refusal);
             }
             let (ticket, runner) = assign_runner(context, router, call, tried).await?;
+            kernel::mark_step("find_runner");
             let incarnation = runner.incarnation();
             let accepts = check_send(context, &incarnation)
                 .and_then(|()| check_inputs(context, call, &incarnation));
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -23,6 +23,7 @@
 mod hedged_call;
 mod limit_share;
 mod lookups;
+mod loop_watch;
 mod memory_pool;
 mod metrics;
 mod peer_link;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -124,6 +124,8 @@
     pub total_time: Histogram,
     /// Time from arrival to each send to a runner, in seconds.
     pub queue_time: Histogram,
+    /// Longest time in each second for which one poll held the event loop, in seconds.
+    pub loop_holds: Histogram,
 }
 
 /// Upper bound of the first histogram bucket, in seconds.
@@ -180,6 +182,7 @@
             first_byte_time: histogram(),
             total_time: histogram(),
             queue_time: histogram(),
+            loop_holds: histogram(),
         };
         metrics.register();
         metrics
@@ -344,6 +347,11 @@
             "Time to the first byte",
             self.first_byte_time.clone(),
         );
+        registry.register(
+            "loop_hold_seconds",
+            "Longest time in each second for which one poll held the event loop",
+            self.loop_holds.clone(),
+        );
         registry.register("total_seconds", "Time to the end", self.total_time.clone());
         registry.register("queued_seconds", "Time without a runner", self.queue_time.clone());
     }
--- a/crates/node/src/router.rs
+++ b/crates/node/src/router.rs
@@ -208,6 +208,7 @@
 
     /// Passes the current runners to the dispatcher and signals calls whose runner is leaving.
     pub fn update_members(&self) {
+        kernel::mark_step("update_members");
         let Some(plan) = self.context.plan() else { return };
         *self.runner_keys.borrow_mut() = runner_keys(&self.context);
         self.record_services(&plan);
@@ -384,6 +385,7 @@
         loop {
             let now = self.context.now();
             if now >= next_update {
+                kernel::mark_step("update_loads");
                 next_update = now + LOAD_UPDATE_PERIOD;
                 runner_gate::log_ended_waits(&self.context);
                 self.dispatcher.handle_all(self.load_events());
--- a/crates/node/src/signals.rs
+++ b/crates/node/src/signals.rs
@@ -41,7 +41,10 @@
 ) {
     loop {
         match signals.next().await {
-            Ok(count) => reload_settings(&context, count, read_settings()),
+            Ok(count) => {
+                kernel::mark_step("reload");
+                reload_settings(&context, count, read_settings());
+            }
             Err(error) => {
                 tracing::error!(event = "reload_impossible", %error);
                 return;
