--- a/crates/fakes/src/platform/runner_answers.rs
+++ b/crates/fakes/src/platform/runner_answers.rs
@@ -11,7 +11,7 @@
 use serde_json::{Value, json};
 
 use super::endless_bytes::EndlessBytes;
-use super::runner_fake::{COPY_PATH, RunnerState, RunnerVisit};
+use super::runner_fake::{COPY_PATH, RunAtWork, RunnerState, RunnerVisit};
 use super::runner_request::{RunnerRequest, write};
 use super::runner_script::{LONG_BODY_BYTES, RunnerScript};
 
@@ -19,6 +19,10 @@
 const CRASH_AFTER: Duration = Duration::from_millis(20);
 /// Pause between two bytes of an answer that is never complete.
 const TRICKLE_PAUSE: Duration = Duration::from_millis(100);
+/// Tokens of an event, as reports count the memory of a run.
+const TOKENS_PER_EVENT: u64 = 1;
+/// Priority of a request that names none.
+const DEFAULT_PRIORITY: u8 = 5;
 /// Time until a late answer, or a late end of a connection.
 const LATE_AFTER: Duration = Duration::from_millis(200);
 
@@ -38,7 +42,12 @@
 
 pub(super) async fn answer_report(stream: &mut TcpStream, state: &RunnerState) -> bool {
     let word = if state.leaving.get() { "draining" } else { "ready" };
-    let report = json!({ "phase": "mixed", "active": state.working.get(), "state": word });
+    let entry = |(attempt, run): (&String, &RunAtWork)| {
+        json!([attempt, run.events * TOKENS_PER_EVENT, run.events, DEFAULT_PRIORITY])
+    };
+    let runs: Vec<Value> = state.runs_at_work.borrow().iter().map(entry).collect();
+    let active = state.working.get();
+    let report = json!({ "phase": "mixed", "active": active, "state": word, "runs": runs });
     write(stream, whole("200 OK", &state.notice(), &report.to_string())).await
 }
 
@@ -65,8 +74,17 @@
         return write(stream, whole("503 Service Unavailable", &notice, "{}")).await;
     }
     let body: Value = serde_json::from_slice(&request.body).unwrap_or_default();
-    let copied = state.memory.copy(body["id"].as_str().unwrap_or_default());
-    compio::time::sleep(state.move_time.get()).await;
+    let attempt = body["id"].as_str().unwrap_or_default();
+    let run = state.runs_at_work.borrow().get(attempt).cloned();
+    let copied = run.and_then(|run| {
+        if body["last"] == true && !state.ignores_stops.get() {
+            run.stopped.raise();
+        }
+        state.memory.copy(attempt)
+    });
+    if copied.is_some() {
+        compio::time::sleep(state.move_time.get()).await;
+    }
     match copied {
         Some((handle, events)) => {
             let body = json!({ "kvHandle": handle, "created": events }).to_string();
@@ -96,15 +114,16 @@
 ) -> bool {
     let script = state.next_script();
     let expected = request.header("x-dotterelyard-expect-instance").to_owned();
-    let resumed = request.headers.get("kv-from").map(|from| {
-        let handle = from.rsplit('/').next().unwrap_or_default();
-        state.memory.take(handle, request.header("x-dotterelyard-attempt-id"))
-    });
     let wrong = !expected.is_empty() && expected != state.settings.id;
     let refused = matches!(script, RunnerScript::Refuse | RunnerScript::RefuseEarly);
     let retry_after = state.retry_after.borrow().clone();
     let refused = refused || retry_after.is_some() || state.lacks_room();
-    let ran = !wrong && !refused && resumed != Some(false);
+    let is_taken = !wrong && !refused;
+    let resumed = request.headers.get("kv-from").filter(|_| is_taken).map(|from| {
+        let handle = from.rsplit('/').next().unwrap_or_default();
+        state.memory.take(handle, request.header("x-dotterelyard-attempt-id"))
+    });
+    let ran = is_taken && resumed != Some(false);
     state.visits.borrow_mut().push(RunnerVisit {
         request: request.clone(),
         ran,
@@ -143,10 +162,13 @@
     state.plain_working.set(state.plain_working.get() + 1);
     let is_late = matches!(script, RunnerScript::AnswerLate | RunnerScript::FailureLate);
     let work = if is_late { LATE_AFTER } else { state.settings.work };
-    let closed = !work.is_zero() && {
+    let closed = !work.is_zero() && !state.ignores_close.get() && {
         let (work, closed) = (pin!(compio::time::sleep(work)), pin!(wait_closed(stream, state)));
         matches!(select(work, closed).await, Either::Right(_))
     };
+    if state.ignores_close.get() {
+        compio::time::sleep(work).await;
+    }
     state.plain_working.set(state.plain_working.get() - 1);
     if closed {
         return false;
@@ -244,7 +266,7 @@
     let attempt = request.header("x-dotterelyard-attempt-id");
     let backed_up = request.headers.contains_key("x-dotterelyard-kv-backup");
     state.memory.begin(attempt, backed_up);
-    let _guard = WorkGuard::new(state);
+    let work = WorkGuard::new(state, attempt);
     let mut head = String::from("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n");
     let is_unframed = matches!(
         script,
@@ -269,6 +291,7 @@
     let last = request.header("last-event-id").parse::<u64>();
     let last = last.ok().filter(|_| script != RunnerScript::FromStart);
     let first = last.map_or(1, |last| last + 1);
+    let mut is_read = true;
     for number in first..=state.settings.events {
         match script {
             RunnerScript::UnframedEmpty => return false,
@@ -285,16 +308,26 @@
             return false;
         }
         state.wait_while_silent().await;
+        if work.run.stopped.is_raised() {
+            return false;
+        }
         let event = format!("id: {number}\ndata: token {number} of {attempt}\n\n");
         let framed = format!("{:x}\r\n{event}\r\n", event.len());
-        if !write(stream, if is_unframed { event } else { framed }).await {
+        is_read = is_read && write(stream, if is_unframed { event } else { framed }).await;
+        if !is_read && !state.ignores_close.get() {
             return false;
         }
-        state.memory.note_event(attempt);
+        work.note_event(number);
+        if is_read {
+            state.memory.note_event(attempt);
+        }
         if !state.rushes.get() {
             compio::time::sleep(state.settings.event_pause).await;
         }
     }
+    if !is_read {
+        return false;
+    }
     state.memory.end(attempt);
     !is_unframed && write(stream, "0\r\n\r\n").await
 }
@@ -307,18 +340,32 @@
     false
 }
 
-struct WorkGuard(Rc<RunnerState>);
+/// A stream that is at work until this is dropped.
+struct WorkGuard {
+    state: Rc<RunnerState>,
+    attempt: String,
+    run: RunAtWork,
+}
 
 impl WorkGuard {
-    fn new(state: &Rc<RunnerState>) -> Self {
+    fn new(state: &Rc<RunnerState>, attempt: &str) -> Self {
         state.working.set(state.working.get() + 1);
-        Self(Rc::clone(state))
+        let run = RunAtWork::default();
+        state.runs_at_work.borrow_mut().insert(attempt.to_owned(), run.clone());
+        Self { state: Rc::clone(state), attempt: attempt.to_owned(), run }
+    }
+
+    fn note_event(&self, number: u64) {
+        if let Some(run) = self.state.runs_at_work.borrow_mut().get_mut(&self.attempt) {
+            run.events = number;
+        }
     }
 }
 
 impl Drop for WorkGuard {
     fn drop(&mut self) {
-        self.0.working.set(self.0.working.get() - 1);
+        self.state.working.set(self.state.working.get() - 1);
+        self.state.runs_at_work.borrow_mut().remove(&self.attempt);
     }
 }
 
--- a/crates/fakes/src/platform/runner_fake.rs
+++ b/crates/fakes/src/platform/runner_fake.rs
@@ -1,7 +1,7 @@
 //! A runner, with answers that can be spoilt byte by byte.
 
 use std::cell::{Cell, RefCell};
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
@@ -92,6 +92,15 @@
     pub(super) bears: usize,
 }
 
+/// A stream that a runner works on.
+#[derive(Clone, Default)]
+pub(super) struct RunAtWork {
+    /// Number of the newest event.
+    pub(super) events: u64,
+    /// Raised when a move stops it.
+    pub(super) stopped: StopSignal,
+}
+
 /// State that the connections of a runner share.
 pub(super) struct RunnerState {
     pub(super) settings: RunnerFakeSettings,
@@ -119,6 +128,12 @@
     pub(super) sequence: Cell<u64>,
     /// Plain calls that are at work.
     pub(super) plain_working: Cell<usize>,
+    /// Streams that it works on, by their attempt.
+    pub(super) runs_at_work: RefCell<BTreeMap<String, RunAtWork>>,
+    /// It goes on with a request whose connection has closed.
+    pub(super) ignores_close: Cell<bool>,
+    /// It goes on with a run that a move is to stop.
+    pub(super) ignores_stops: Cell<bool>,
     /// When connections were closed from outside before they were answered.
     pub(super) abandoned: RefCell<Vec<Instant>>,
     /// When it turned requests away for want of room.
@@ -188,6 +203,9 @@
             most_cold: Cell::default(),
             sequence: Cell::default(),
             plain_working: Cell::default(),
+            runs_at_work: RefCell::default(),
+            ignores_close: Cell::default(),
+            ignores_stops: Cell::default(),
             abandoned: RefCell::default(),
             turned_away: RefCell::default(),
             retry_after: RefCell::default(),
@@ -329,6 +347,16 @@
         self.state.moves_refused.set(refused);
     }
 
+    /// It goes on with requests whose connection closes, as some runners do; others drop them.
+    pub fn ignore_closed_requests(&self) {
+        self.state.ignores_close.set(true);
+    }
+
+    /// It goes on with runs that a move is to stop, against its interface.
+    pub fn ignore_stop_orders(&self) {
+        self.state.ignores_stops.set(true);
+    }
+
     /// Its streams make all their further events without a pause.
     pub fn rush(&self) {
         self.state.rushes.set(true);
--- /dev/null
+++ b/crates/harness/tests/node_engines_go_on.rs
@@ -0,0 +1,116 @@
+//! Runners that go on with a request whose connection has closed: a run that goes on elsewhere has
+//! to be ended there.
+
+use std::time::Duration;
+
+use fakes::platform::{RunnerFake, RunnerFakeSettings, RunnerScript};
+use harness::{CallerRequest, NodeFleet, WholeAnswer, wait_until};
+
+const EVENTS: u64 = 350;
+const LIMIT: Duration = Duration::from_secs(10);
+/// Time from the begin of a stream until its copy is complete.
+const COPY_TIME: Duration = Duration::from_millis(900);
+/// Time for which the runner before may still work on a request that goes on at another one.
+const MAX_OVERLAP: Duration = Duration::from_millis(400);
+
+fn slow(id: &str) -> RunnerFakeSettings {
+    let mut settings = RunnerFakeSettings::new(id);
+    settings.events = EVENTS;
+    settings
+}
+
+/// Runners of which each goes on with closed requests.
+async fn fleet() -> (NodeFleet, Vec<RunnerFake>) {
+    let mut fleet = NodeFleet::start().await.unwrap();
+    let mut runners = Vec::new();
+    for number in 1..=3 {
+        let runner = fleet.add_runner("llm", slow(&format!("llm-{number}"))).await.unwrap();
+        runner.ignore_closed_requests();
+        runners.push(runner);
+    }
+    fleet.add_node().unwrap();
+    fleet.wait_ready().await.unwrap();
+    (fleet, runners)
+}
+
+fn assert_whole(answer: &WholeAnswer) {
+    assert_eq!((answer.status, answer.complete), (200, true), "{}", answer.text.len());
+    let event = |number| format!("id: {number}\ndata: token {number} of s1\n\n");
+    let expected: Vec<String> = (1..=EVENTS).map(event).collect();
+    assert_eq!(answer.text, expected.concat());
+}
+
+/// Waits until one of `runners` works and `is_wanted`.
+async fn find_worker(
+    runners: &[RunnerFake],
+    is_wanted: impl Fn(&RunnerFake) -> bool,
+) -> &RunnerFake {
+    let is_at_work = |runner: &&RunnerFake| runner.working() == 1 && is_wanted(runner);
+    wait_until("a runner to work", LIMIT, async || runners.iter().find(is_at_work)).await.unwrap()
+}
+
+/// Plays one stream whose runner announces that it leaves; the runner may not be at work when the
+/// time has passed for which two may be.
+fn assert_ends_at_leaving_runner(request: &CallerRequest) {
+    kernel::run(async {
+        let (fleet, runners) = fleet().await;
+        let (answer, still_working) = futures_util::join!(fleet.send(0, request), async {
+            let leaving = find_worker(&runners, |_| true).await;
+            compio::time::sleep(COPY_TIME).await;
+            fleet.tell(leaving, "llm", "draining");
+            find_worker(&runners, |runner| runner.id() != leaving.id()).await;
+            compio::time::sleep(MAX_OVERLAP).await;
+            leaving.working()
+        });
+        assert_whole(&answer);
+        assert_eq!(still_working, 0);
+    })
+    .unwrap();
+}
+
+#[test]
+fn a_run_that_resumes_from_its_copy_ends_at_a_runner_that_goes_on_with_closed_requests() {
+    assert_ends_at_leaving_runner(&CallerRequest::stream("s1"));
+}
+
+#[test]
+fn a_run_that_is_moved_ends_at_a_runner_that_goes_on_with_closed_requests() {
+    // A stream that is too short for a copy from its start.
+    let request = CallerRequest::stream("s1").with("x-dotterelyard-length-hint", "10");
+    assert_ends_at_leaving_runner(&request);
+}
+
+#[test]
+fn a_run_that_was_stopped_is_not_lost_when_its_copy_is_refused_at_first() {
+    kernel::run(async {
+        let (fleet, runners) = fleet().await;
+        let request = CallerRequest::stream("s1");
+        let (answer, ()) = futures_util::join!(fleet.send(0, &request), async {
+            let leaving = find_worker(&runners, |_| true).await;
+            compio::time::sleep(COPY_TIME).await;
+            for other in runners.iter().filter(|other| other.id() != leaving.id()) {
+                other.script(&[RunnerScript::Refuse, RunnerScript::Refuse]);
+            }
+            fleet.tell(leaving, "llm", "draining");
+        });
+        assert_whole(&answer);
+    })
+    .unwrap();
+}
+
+#[test]
+fn a_run_stays_at_a_runner_that_follows_no_order_to_stop() {
+    kernel::run(async {
+        let (fleet, runners) = fleet().await;
+        runners.iter().for_each(RunnerFake::ignore_stop_orders);
+        let request = CallerRequest::stream("s1");
+        let (answer, ()) = futures_util::join!(fleet.send(0, &request), async {
+            let leaving = find_worker(&runners, |_| true).await;
+            compio::time::sleep(COPY_TIME).await;
+            fleet.tell(leaving, "llm", "draining");
+        });
+        assert_whole(&answer);
+        assert_eq!(runners.iter().map(RunnerFake::runs).sum::<usize>(), 1);
+    })
+    .unwrap();
+}
