--- a/crates/node/src/caller_server.rs
+++ b/crates/node/src/caller_server.rs
@@ -22,7 +22,7 @@
 use crate::plain_call::run_plain;
 use crate::router::RouterService;
 use crate::stop_intake::{check_intake, unless_stopped};
-use crate::stream_call::run_stream;
+use crate::streams::run_stream;
 
 /// `Retry-After` of a node that has no configuration yet or no memory for the body.
 const NOT_READY_RETRY_AFTER: TimeSpan = TimeSpan::millis(300);
--- a/crates/node/src/forward/call_forward.rs
+++ b/crates/node/src/forward/call_forward.rs
@@ -17,7 +17,7 @@
 use super::relay::{fail_unknown, relay_response};
 use crate::call::Call;
 use crate::context::NodeContext;
-use crate::stream_source::is_event_stream;
+use crate::streams::is_event_stream;
 
 /// A run that another node has resumed.
 pub struct TakenResume {
--- a/crates/node/src/forward/relay.rs
+++ b/crates/node/src/forward/relay.rs
@@ -18,7 +18,7 @@
 use crate::call_log::{RequestOutcome, RequestSummary, log_end};
 use crate::context::NodeContext;
 use crate::runner_send::read_full_answer;
-use crate::stream_source::{CallerSide, is_event_stream, open_caller_side};
+use crate::streams::{CallerSide, is_event_stream, open_caller_side};
 
 /// `Retry-After` of a forwarded call whose outcome is unknown; not sent to the caller.
 const UNKNOWN_RETRY_AFTER: TimeSpan = TimeSpan::millis(300);
--- a/crates/node/src/forward/resumed_run.rs
+++ b/crates/node/src/forward/resumed_run.rs
@@ -22,12 +22,10 @@
 use crate::router::RouterService;
 use crate::runner_gate::is_closed;
 use crate::runner_send::{SendPlan, connect_to_runner, send_connected};
-use crate::stream_backup::choose_backup;
-use crate::stream_call::start_stream;
-use crate::stream_copy::{CopyTask, RunCopy};
-use crate::stream_pump::StreamParts;
-use crate::stream_resume::StreamAttempts;
-use crate::stream_source::{StreamSource, is_event_stream};
+use crate::streams::{
+    CopyTask, RunCopy, StreamAttempts, StreamParts, StreamSource, choose_backup, is_event_stream,
+    start_stream,
+};
 
 /// Maximum time to connect to the runner; the other node asks the next one if this one does not reach
 /// it.
--- a/crates/node/src/hedged_call.rs
+++ b/crates/node/src/hedged_call.rs
@@ -26,7 +26,7 @@
 use crate::router::RouterService;
 use crate::runner_gate::find_block;
 use crate::runner_send::{SendFailure, SendPlan, read_full_answer, send_to_runner};
-use crate::stream_call::{RunnerAnswer, request_answer};
+use crate::streams::{RunnerAnswer, request_answer};
 
 /// A send that has ended, and its place at the runner.
 pub(crate) struct SendEnd<T> {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -43,16 +43,7 @@
 mod state_transfer;
 mod stop_intake;
 mod store_reader;
-mod stream_backup;
-mod stream_call;
-mod stream_copy;
-mod stream_handover;
-mod stream_move;
-mod stream_offer;
-mod stream_pump;
-mod stream_resume;
-mod stream_silence;
-mod stream_source;
+mod streams;
 
 pub use error::{NodeError, Result};
 pub use process::run_node;
--- /dev/null
+++ b/crates/node/src/streams/mod.rs
@@ -0,0 +1,21 @@
+//! Stream calls: finding a runner, relaying its events, and going on elsewhere when it leaves, is lost
+//! or falls silent.
+
+mod stream_backup;
+mod stream_call;
+mod stream_copy;
+mod stream_handover;
+mod stream_move;
+mod stream_offer;
+mod stream_pump;
+mod stream_resume;
+mod stream_silence;
+mod stream_source;
+
+pub use stream_backup::choose_backup;
+pub use stream_call::run_stream;
+pub(crate) use stream_call::{RunnerAnswer, request_answer, start_stream};
+pub use stream_copy::{CopyTask, RunCopy};
+pub use stream_pump::StreamParts;
+pub use stream_resume::StreamAttempts;
+pub use stream_source::{CallerSide, StreamSource, is_event_stream, open_caller_side};
--- a/crates/node/src/stream_call.rs
+++ b/crates/node/src/streams/stream_call.rs
@@ -10,6 +10,10 @@
 use serving::{AttemptTracker, RunnerRecord, SendOutcome};
 use web::{ConnectionCloser, WebExchange, WebResponse};
 
+use super::stream_backup::{choose_backup, plan_backup_resume};
+use super::stream_pump::{StreamParts, StreamPump};
+use super::stream_resume::StreamAttempts;
+use super::stream_source::{StreamSource, is_event_stream, open_caller_side};
 use crate::call::Call;
 use crate::call_answer::{fail_call, forward_answer};
 use crate::call_attempt::{
@@ -26,10 +30,6 @@
 use crate::router::RouterService;
 use crate::runner_probe::probe_lost_runner;
 use crate::runner_send::{SendFailure, SendPlan, read_full_answer, send_to_runner};
-use crate::stream_backup::{choose_backup, plan_backup_resume};
-use crate::stream_pump::{StreamParts, StreamPump};
-use crate::stream_resume::StreamAttempts;
-use crate::stream_source::{StreamSource, is_event_stream, open_caller_side};
 
 /// `Retry-After` if no runner accepted the request.
 const REFUSED_RETRY_AFTER: TimeSpan = TimeSpan::millis(300);
--- a/crates/node/src/stream_handover.rs
+++ b/crates/node/src/streams/stream_handover.rs
@@ -13,12 +13,12 @@
 use serving::{RunnerRecord, SendOutcome, StreamScanner};
 use web::{WebConnection, WebExchange};
 
+use super::stream_pump::{PumpStep, StreamPump};
+use super::stream_silence::SourceActivity;
+use super::stream_source::StreamSource;
 use crate::call_log::{RequestOutcome, log_send_failure};
 use crate::context::NodeContext;
 use crate::runner_send::{SendFailure, SendPlan, connect_to_runner, send_connected};
-use crate::stream_pump::{PumpStep, StreamPump};
-use crate::stream_silence::SourceActivity;
-use crate::stream_source::StreamSource;
 
 /// Time that another runner has to take over a run from one that is still working on it. Two
 /// runners may not work on one request for longer than 400 ms.
--- a/crates/node/src/stream_move.rs
+++ b/crates/node/src/streams/stream_move.rs
@@ -10,16 +10,16 @@
 use platform::{CopiedRun, ResumeSource};
 use serving::{RunnerLoss, RunnerRecord};
 
+use super::stream_backup::{choose_backup, plan_backup_resume};
+use super::stream_copy::{CopyTask, RunCopy};
+use super::stream_handover::{HandoverStep, OverlapRule};
+use super::stream_pump::{PumpStep, StreamPump};
 use crate::crash_watch::find_blocked_input;
 use crate::metrics::OutcomeLabels;
 use crate::reach::is_unreached;
 use crate::runner_gate::is_closed;
 use crate::runner_probe::probe_lost_runner;
 use crate::runner_send::SendPlan;
-use crate::stream_backup::{choose_backup, plan_backup_resume};
-use crate::stream_copy::{CopyTask, RunCopy};
-use crate::stream_handover::{HandoverStep, OverlapRule};
-use crate::stream_pump::{PumpStep, StreamPump};
 
 /// Maximum number of consecutive failed tries to change the runner of a stream.
 pub const MAX_SWITCH_TRIES: u32 = 20;
--- a/crates/node/src/stream_offer.rs
+++ b/crates/node/src/streams/stream_offer.rs
@@ -9,12 +9,12 @@
 use route::CallEnd;
 use serving::RunnerRecord;
 
+use super::stream_handover::{MAX_OVERLAP, SOURCE_SILENT, describe_loss, overlap_left};
+use super::stream_pump::{PumpStep, StreamPump};
+use super::stream_source::StreamSource;
 use crate::call_log::RequestOutcome;
 use crate::forward::{ResumeOffer, TakenResume, offer_resume};
 use crate::runner_send::SendPlan;
-use crate::stream_handover::{MAX_OVERLAP, SOURCE_SILENT, describe_loss, overlap_left};
-use crate::stream_pump::{PumpStep, StreamPump};
-use crate::stream_source::StreamSource;
 
 /// How an offer of a run to other nodes ended.
 enum OfferStep {
--- a/crates/node/src/stream_pump.rs
+++ b/crates/node/src/streams/stream_pump.rs
@@ -11,17 +11,17 @@
 use route::CallEnd;
 use serving::StreamScanner;
 
+use super::stream_copy::RunCopy;
+use super::stream_move::{MAX_SWITCH_TRIES, PendingMove};
+use super::stream_resume::StreamAttempts;
+use super::stream_silence::{CheckFuture, SourceActivity, SourceCheck};
+use super::stream_source::{CallerSide, StreamPace, StreamSource};
 use crate::call::Call;
 use crate::call_log::{RequestOutcome, RequestSummary, format_parts, log_end, log_send_failure};
 use crate::context::{NodeContext, RequestGuard};
 use crate::crash_watch::{PROOF_SPAN, record_answer};
 use crate::route_ticket::RouteTicket;
 use crate::router::RouterService;
-use crate::stream_copy::RunCopy;
-use crate::stream_move::{MAX_SWITCH_TRIES, PendingMove};
-use crate::stream_resume::StreamAttempts;
-use crate::stream_silence::{CheckFuture, SourceActivity, SourceCheck};
-use crate::stream_source::{CallerSide, StreamPace, StreamSource};
 
 /// Time for which a caller has to hold up a stream for the next pause not to count as its runner's.
 const SLOW_CALLER_SPAN: TimeSpan = TimeSpan::millis(2);
--- a/crates/node/src/stream_resume.rs
+++ b/crates/node/src/streams/stream_resume.rs
@@ -10,14 +10,14 @@
 use route::CallEnd;
 use serving::{AttemptTracker, SendOutcome};
 
+use super::stream_backup::choose_backup;
+use super::stream_call::{RunnerAnswer, request_answer};
+use super::stream_pump::{PumpStep, StreamPump};
 use crate::call_attempt::{
     RunnerSearch, may_retry, record_send, record_send_failure, withheld_reason,
 };
 use crate::call_log::{RequestOutcome, log_send, log_send_failure, may_log};
 use crate::runner_send::SendPlan;
-use crate::stream_backup::choose_backup;
-use crate::stream_call::{RunnerAnswer, request_answer};
-use crate::stream_pump::{PumpStep, StreamPump};
 
 /// The sends of a stream that failed.
 pub struct StreamAttempts {
--- a/crates/node/src/stream_silence.rs
+++ b/crates/node/src/streams/stream_silence.rs
@@ -15,6 +15,9 @@
 use futures_util::{FutureExt, select_biased};
 use serving::RunnerRecord;
 
+use super::stream_backup::plan_backup_resume;
+use super::stream_handover::{HandoverStep, OverlapRule};
+use super::stream_pump::{PumpStep, StreamPump};
 use crate::call_log::may_log;
 use crate::context::NodeContext;
 use crate::forward::ResumeOffer;
@@ -22,9 +25,6 @@
     answers_other_nodes, connects_quickly, find_reaching_node, is_cut_off, is_unreached,
     record_runner_event, suspect_runner,
 };
-use crate::stream_backup::plan_backup_resume;
-use crate::stream_handover::{HandoverStep, OverlapRule};
-use crate::stream_pump::{PumpStep, StreamPump};
 
 /// Longest silence that is not looked into.
 const MAX_SILENCE: TimeSpan = TimeSpan::millis(250);
