--- a/crates/node/src/streams/stream_silence.rs
+++ b/crates/node/src/streams/stream_silence.rs
@@ -208,7 +208,7 @@
     }
 
     /// Follows what a check of a silent source has shown. A stream goes on from its copy sooner than
-    /// its runner is taken out of the choice: a run that has a copy loses nothing.
+    /// its runner is taken out of the choice; if the copy is refused, it stays at its source.
     pub(crate) async fn finish_check(&mut self, check: SourceCheck) -> PumpStep {
         self.pending_check = None;
         let reach = match check {
@@ -283,8 +283,7 @@
         self.run_elsewhere(RUNNER_UNREACHED).await
     }
 
-    /// Logs and counts a silent source that the stream leaves, for a copy that `node` reaches if there is
-    /// one.
+    /// Logs and counts that a stream is to go on without its silent source, through `node` if there is one.
     fn log_silent_source(&self, node: Option<&VmId>) {
         self.count_move("source_silent");
         if !may_log(&self.context) {
