--- a/crates/fakes/src/platform/runner_answers.rs
+++ b/crates/fakes/src/platform/runner_answers.rs
@@ -66,32 +66,32 @@
     request: &RunnerRequest,
 ) -> bool {
     state.moves.borrow_mut().push(Instant::now());
-    let mut notice = state.notice();
-    if state.moves_refused.get() {
-        if let Some(value) = state.retry_after.borrow().as_ref() {
-            let _ = write!(notice, "Retry-After: {value}\r\n");
-        }
-        return write(stream, whole("503 Service Unavailable", &notice, "{}")).await;
-    }
     let body: Value = serde_json::from_slice(&request.body).unwrap_or_default();
     let attempt = body["id"].as_str().unwrap_or_default();
     let run = state.runs_at_work.borrow().get(attempt).cloned();
-    let copied = run.and_then(|run| {
-        if body["last"] == true && !state.ignores_stops.get() {
-            run.stopped.raise();
-        }
-        state.memory.copy(attempt)
-    });
-    if copied.is_some() {
-        compio::time::sleep(state.move_time.get()).await;
+    let stops = body["last"] == true && !state.ignores_stops.get();
+    if stops && let Some(run) = &run {
+        run.stopped.raise();
     }
-    match copied {
-        Some((handle, events)) => {
-            let body = json!({ "kvHandle": handle, "created": events }).to_string();
-            write(stream, whole("200 OK", &notice, &body)).await
+    let is_refused = state.moves_refused.get();
+    // A run that was stopped is kept, whether or not its copy finds room.
+    let copied = run.filter(|_| stops || !is_refused).and_then(|_| state.memory.copy(attempt));
+    let body = copied
+        .as_ref()
+        .map(|(handle, events)| json!({ "kvHandle": handle, "created": events }).to_string());
+    if is_refused {
+        let mut notice = state.notice();
+        if let Some(value) = state.retry_after.borrow().as_ref() {
+            let _ = write!(notice, "Retry-After: {value}\r\n");
         }
-        None => write(stream, whole("404 Not Found", &notice, "{}")).await,
+        let body = body.as_deref().unwrap_or("{}");
+        return write(stream, whole("503 Service Unavailable", &notice, body)).await;
     }
+    let Some(body) = body else {
+        return write(stream, whole("404 Not Found", &state.notice(), "{}")).await;
+    };
+    compio::time::sleep(state.move_time.get()).await;
+    write(stream, whole("200 OK", &state.notice(), &body)).await
 }
 
 /// Frees a copy; 404 if its handle is used or unknown.
--- a/crates/harness/tests/node_engines_go_on.rs
+++ b/crates/harness/tests/node_engines_go_on.rs
@@ -10,6 +10,8 @@
 const LIMIT: Duration = Duration::from_secs(10);
 /// Time from the begin of a stream until its copy is complete.
 const COPY_TIME: Duration = Duration::from_millis(900);
+/// Time in which a run ends whose caller has left: a report is some hundred milliseconds old.
+const CLOSED_RUN_TIME: Duration = Duration::from_millis(1_500);
 /// Time for which the runner before may still work on a request that goes on at another one.
 const MAX_OVERLAP: Duration = Duration::from_millis(400);
 
@@ -68,11 +70,13 @@
     .unwrap();
 }
 
+/// Guards against TWICE: a run goes on elsewhere from its copy while its first engine works on.
 #[test]
 fn a_run_that_resumes_from_its_copy_ends_at_a_runner_that_goes_on_with_closed_requests() {
     assert_ends_at_leaving_runner(&CallerRequest::stream("s1"));
 }
 
+/// Guards against TWICE: a run without a copy from its start is moved while its first engine works on.
 #[test]
 fn a_run_that_is_moved_ends_at_a_runner_that_goes_on_with_closed_requests() {
     // A stream that is too short for a copy from its start.
@@ -80,6 +84,7 @@
     assert_ends_at_leaving_runner(&request);
 }
 
+/// Guards against LOST: the order that ends a run leaves nothing that it could go on from.
 #[test]
 fn a_run_that_was_stopped_is_not_lost_when_its_copy_is_refused_at_first() {
     kernel::run(async {
@@ -98,6 +103,49 @@
     .unwrap();
 }
 
+/// Guards against LOST: a run is stopped for a copy that finds no room, and its other copy is refused.
+#[test]
+fn a_run_that_was_stopped_without_room_for_its_copy_goes_on_at_its_source() {
+    kernel::run(async {
+        let (fleet, runners) = fleet().await;
+        let request = CallerRequest::stream("s1");
+        let (answer, source_runs) = futures_util::join!(fleet.send(0, &request), async {
+            let leaving = find_worker(&runners, |_| true).await;
+            compio::time::sleep(COPY_TIME).await;
+            leaving.refuse_moves(true);
+            for other in runners.iter().filter(|other| other.id() != leaving.id()) {
+                other.script(&[RunnerScript::Refuse]);
+            }
+            fleet.tell(leaving, "llm", "draining");
+            let returned = async || (leaving.runs() == 2).then_some(());
+            wait_until("the run to return", LIMIT, returned).await.unwrap();
+            leaving.refuse_moves(false);
+            leaving.runs()
+        });
+        assert_whole(&answer);
+        assert_eq!(source_runs, 2);
+    })
+    .unwrap();
+}
+
+/// Guards against GONE: an engine works on for a caller who has left.
+#[test]
+fn a_run_whose_caller_has_left_ends_at_a_runner_that_goes_on_with_closed_requests() {
+    kernel::run(async {
+        let (fleet, runners) = fleet().await;
+        let response = fleet.open(0, &CallerRequest::stream("s1")).await.unwrap();
+        let runner = find_worker(&runners, |_| true).await;
+        drop(response);
+        let ended = async || (runner.working() == 0).then_some(());
+        wait_until("the run to end", CLOSED_RUN_TIME, ended).await.unwrap();
+        assert_eq!(runners.iter().map(RunnerFake::runs).sum::<usize>(), 1);
+        let stop_orders = fleet.metrics(0).await;
+        assert!(stop_orders.contains("stop_orders_total{reason=\"stopped\"} 1"), "{stop_orders}");
+    })
+    .unwrap();
+}
+
+/// Guards against TWICE: a run goes on elsewhere although its engine has confirmed a stop and works on.
 #[test]
 fn a_run_stays_at_a_runner_that_follows_no_order_to_stop() {
     kernel::run(async {
--- a/crates/harness/tests/node_runner_leaving.rs
+++ b/crates/harness/tests/node_runner_leaving.rs
@@ -2,6 +2,7 @@
 
 mod runner_pair;
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use fakes::platform::{RunnerFake, RunnerFakeSettings, RunnerScript, StoreFault};
@@ -171,10 +172,10 @@
     })
     .unwrap();
 }
-/// The release goes to the runner that leaves: it frees the copy at both ends, and is no request
-/// of a caller.
+/// The releases go to the runner that leaves: each frees a copy at both ends, and is no request of a
+/// caller. There are two copies, one made while the run went on and one by the order to stop it.
 #[test]
-fn a_caller_that_leaves_during_a_move_costs_the_leaving_runner_one_release() {
+fn a_caller_that_leaves_during_a_move_costs_the_leaving_runner_one_release_for_each_copy() {
     kernel::run(async {
         let (fleet, runners) = pair("llm").await;
         let (leaving, open) = open_stream(&fleet, &runners).await;
@@ -189,7 +190,9 @@
         drop(open);
         wait_released(leaving).await;
         assert_eq!(later_visits(&fleet, leaving, short).await, 0);
-        assert_eq!((leaving.visits().len(), leaving.releases().len()), (1, 1));
+        let releases: BTreeSet<String> = leaving.releases().into_iter().collect();
+        assert_eq!((leaving.visits().len(), leaving.moves().len()), (1, 2));
+        assert_eq!((leaving.releases().len(), releases.len()), (2, 2));
     })
     .unwrap();
 }
--- a/crates/harness/tests/node_unframed_moves.rs
+++ b/crates/harness/tests/node_unframed_moves.rs
@@ -12,8 +12,9 @@
 /// Time after which nobody waits for the next runner any longer.
 const GIVE_UP_AFTER: Duration = Duration::from_millis(500);
 
-/// Plays one stream whose runner ends while `hinder` keeps the next one from going on.
-async fn play(hinder: impl AsyncFnOnce(&RunnerFake)) -> WholeAnswer {
+/// Plays one stream whose runner ends while `hinder` keeps the next one from going on. The runner gets
+/// `moves` orders to move the run.
+async fn play(moves: usize, hinder: impl AsyncFnOnce(&RunnerFake)) -> WholeAnswer {
     let mut fleet = NodeFleet::start().await.unwrap();
     let leaving = fleet.add_runner("llm", RunnerFakeSettings::new("llm-1")).await.unwrap();
     let next = fleet.prepare_runner(RunnerFakeSettings::new("llm-2")).await.unwrap();
@@ -34,14 +35,15 @@
         compio::time::sleep(GIVE_UP_AFTER).await;
         next.crash();
     });
-    assert_eq!((leaving.moves().len(), leaving.runs()), (1, 1));
+    assert_eq!((leaving.moves().len(), leaving.runs()), (moves, 1));
     answer
 }
 
 #[test]
 fn a_stream_that_ends_before_its_first_event_while_the_next_runner_is_silent_is_not_whole() {
     kernel::run(async {
-        let answer = play(async |next| {
+        // The copy, and the order to stop.
+        let answer = play(2, async |next| {
             next.script(&[RunnerScript::Silent]);
             wait_until("the run to be sent on", LIMIT, async || {
                 (!next.visits().is_empty()).then_some(())
@@ -58,7 +60,7 @@
 #[test]
 fn a_stream_that_ends_before_its_first_event_while_the_next_runner_is_out_of_reach_is_not_whole() {
     kernel::run(async {
-        let answer = play(async |next| next.stop_accepting().await).await;
+        let answer = play(1, async |next| next.stop_accepting().await).await;
         assert!(!(answer.status == 200 && answer.complete), "{answer:?}");
     })
     .unwrap();
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -8,10 +8,10 @@
 use futures_channel::mpsc;
 use kernel::{MonotonicClock, StopSignal};
 use serving::{
-    BrittleTable, BudgetSettings, CallTimes, ColdSettings, ColdTable, EraView, EvacuationTable,
-    FleetLoads, FleetMembers, FleetReach, ForwardTable, HedgeLimit, HedgeTimer, InputTable,
-    LimitTable, PeerTable, PlanVersion, ReachTable, RetryBudget, RunnerTable, ServingPlan,
-    StopWindow, TransferPacer, WaitTable,
+    BrittleTable, BudgetSettings, CallTimes, ColdSettings, ColdTable, EndTable, EraView,
+    EvacuationTable, FleetLoads, FleetMembers, FleetReach, ForwardTable, HedgeLimit, HedgeTimer,
+    InputTable, LimitTable, PeerTable, PlanVersion, ReachTable, RetryBudget, RunnerTable,
+    ServingPlan, StopWindow, TransferPacer, WaitTable,
 };
 use settings::NodeSettings;
 
@@ -49,6 +49,8 @@
     pub waits: RefCell<WaitTable>,
     /// Limits on the requests that runners take from all nodes.
     pub limits: RefCell<LimitTable>,
+    /// How runners end runs that go on elsewhere.
+    pub run_ends: RefCell<EndTable>,
     /// Cold runners.
     pub cold: RefCell<ColdTable>,
     /// Brittle runners.
@@ -135,6 +137,7 @@
             evacuations: RefCell::default(),
             waits: RefCell::default(),
             limits: RefCell::default(),
+            run_ends: RefCell::default(),
             cold: RefCell::default(),
             brittle: RefCell::default(),
             room_changed: Cell::default(),
--- a/crates/node/src/follow_runners.rs
+++ b/crates/node/src/follow_runners.rs
@@ -99,6 +99,10 @@
         let now = self.context.now();
         let mut table = self.context.runners.borrow_mut();
         table.prune(now);
+        self.context.run_ends.borrow_mut().retain(|incarnation| {
+            let entry = table.get(&incarnation.runner);
+            entry.is_some_and(|entry| entry.record.started_unix_ms == incarnation.started_unix_ms)
+        });
         if table.take_list_request(now) {
             self.context.runners_offset.take();
             self.context.metrics.cursors_dropped.inc();
--- a/crates/node/src/forward/resumed_run.rs
+++ b/crates/node/src/forward/resumed_run.rs
@@ -7,7 +7,7 @@
 use dispatch::RouteCommand;
 use futures_util::FutureExt;
 use hyper::Response;
-use platform::{CopiedRun, ResumeSource, copy_reply_headers};
+use platform::{ResumeSource, copy_reply_headers};
 use route::CallEnd;
 use serving::{AttemptTracker, RunnerRecord};
 use web::{ConnectionCloser, WebConnection, WebResponse};
@@ -20,7 +20,7 @@
 use crate::reach::{is_unreached, suspect_runner};
 use crate::route_ticket::RouteTicket;
 use crate::router::RouterService;
-use crate::runner_gate::is_closed;
+use crate::runner_gate::{SendPurpose, is_closed};
 use crate::runner_send::{SendPlan, connect_to_runner, send_connected};
 use crate::streams::{
     CopyTask, RunCopy, StreamAttempts, StreamParts, StreamSource, choose_backup, is_event_stream,
@@ -43,6 +43,8 @@
     connection: WebConnection,
     /// A copy that was made for the run.
     copy: Option<RunCopy>,
+    /// What the runner gets the request for.
+    purpose: SendPurpose,
 }
 
 /// Resumes a run, and relays its stream.
@@ -61,11 +63,11 @@
         Some(memory) => take_copy(context, router, &call, holder, memory).await?,
         None => move_run(context, router, &call, holder).await?,
     };
-    let ResumePlace { ticket, runner, memory, connection, copy } = place;
+    let ResumePlace { ticket, runner, memory, connection, copy, purpose } = place;
     let backup = choose_backup(context, &call, &ticket);
     let RunHandle { address, handle } = memory;
     let resume = ResumeSource { address, handle, last_event_id: offer.last_event_id };
-    let plan = SendPlan { runner, resume: Some(resume), last_event_id: None, backup };
+    let plan = SendPlan { purpose, ..SendPlan::resume(runner, resume, backup) };
     log_send(context, &call, &plan.runner.runner, None, None, 0);
     let left = call.deadline.since(context.now());
     let exchange = match send_connected(context, &call, &plan, connection, left).await {
@@ -112,14 +114,15 @@
     if is_closed(context, &runner.runner) {
         return Err(RUNNER_UNREACHED);
     }
-    let connection = connect(context, call, &runner).await?;
+    let purpose = SendPurpose::NewWork;
+    let connection = connect(context, call, &runner, purpose).await?;
     let mut ticket = router.open(call.route_call(&[]));
     match ticket.next_command().now_or_never() {
         Some(RouteCommand::Send { .. }) => ticket.relocate_to(&runner.runner),
         // The copy has its place at the runner: the call does not wait for another one.
         _ => ticket.end(CallEnd::Cancelled),
     }
-    Ok(ResumePlace { ticket, runner, memory, connection, copy: None })
+    Ok(ResumePlace { ticket, runner, memory, connection, copy: None, purpose })
 }
 
 /// A place at another runner than `source`, to which the run moves from there. The run stops first, since
@@ -144,25 +147,35 @@
         ticket.finish(CallEnd::Cancelled);
         return Err("no_room");
     }
-    let connection = connect(context, call, &target).await?;
+    let purpose = SendPurpose::NewWork;
+    let connection = connect(context, call, &target, purpose).await?;
     let (shared, attempt) = (Rc::clone(context), call.attempt.clone());
-    let run = CopiedRun::Stops;
-    let copied = CopyTask::new(shared, attempt, source.address, target.address, run).await;
-    let copy = copied.map_err(|error| {
+    let (from, to) = (source.address, target.address);
+    let stopped = CopyTask::stop(shared, attempt, from, to).await;
+    let copy = stopped.map_err(|error| {
         log_send_failure(context, call, &source.runner, &error.to_string());
         RESUME_REFUSED
     })?;
     let memory = RunHandle { address: source.address, handle: copy.handle.clone() };
-    Ok(ResumePlace { ticket, runner: target, memory, connection, copy: Some(copy) })
+    if copy.is_copied {
+        let copy = Some(copy);
+        return Ok(ResumePlace { ticket, runner: target, memory, connection, copy, purpose });
+    }
+    // The target had no room: the run goes on where it was stopped.
+    let purpose = SendPurpose::Return;
+    let connection = connect(context, call, &source, purpose).await?;
+    ticket.relocate_to(&source.runner);
+    Ok(ResumePlace { ticket, runner: source, memory, connection, copy: Some(copy), purpose })
 }
 
 async fn connect(
     context: &NodeContext,
     call: &Call,
     runner: &RunnerRecord,
+    purpose: SendPurpose,
 ) -> Result<WebConnection, &'static str> {
-    let connecting = timeout(CONNECT_TIMEOUT.into(), connect_to_runner(context, call, runner));
-    if let Ok(Ok(connection)) = connecting.await {
+    let connecting = connect_to_runner(context, call, runner, purpose);
+    if let Ok(Ok(connection)) = timeout(CONNECT_TIMEOUT.into(), connecting).await {
         return Ok(connection);
     }
     suspect_runner(context, runner);
--- a/crates/node/src/hedged_call.rs
+++ b/crates/node/src/hedged_call.rs
@@ -6,6 +6,7 @@
 //! works for nobody.
 
 use std::pin::pin;
+use std::rc::Rc;
 
 use base::prelude::*;
 use dispatch::RouteCommand;
@@ -24,6 +25,7 @@
 use crate::metrics::{HedgeLabels, WithheldLabels};
 use crate::route_ticket::RouteTicket;
 use crate::router::RouterService;
+use crate::run_end_watch::OpenRun;
 use crate::runner_gate::find_block;
 use crate::runner_send::{SendFailure, SendPlan, read_full_answer, send_to_runner};
 use crate::streams::{RunnerAnswer, request_answer};
@@ -72,9 +74,9 @@
 
 /// Sends a stream and waits for its first event; like [`race`].
 pub(crate) async fn race_stream(
-    context: &NodeContext,
+    context: &Rc<NodeContext>,
     router: &RouterService,
-    call: &Call,
+    call: &Rc<Call>,
     tracker: &AttemptTracker,
     first: (RouteTicket, SendPlan),
 ) -> RaceEnd<RunnerAnswer> {
@@ -86,7 +88,9 @@
         let mut answer = request_answer(context, call, &plan).await?;
         if let RunnerAnswer::Stream(source, _) = &mut answer {
             let left = call.deadline.since(context.now());
+            let run = OpenRun::new(context, call, &plan.runner);
             source.read_first_event(left).await?;
+            run.finish();
         }
         Ok(answer)
     };
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -33,6 +33,7 @@
 mod reach;
 mod route_ticket;
 mod router;
+mod run_end_watch;
 mod runner_gate;
 mod runner_poll;
 mod runner_probe;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -88,6 +88,10 @@
     pub stop_refusals: Family<WithheldLabels, Counter>,
     /// Calls still under way at the end of a stop, which were told that their outcome is unknown.
     pub stop_cuts: Counter,
+    /// Runners that went on with a run that they were to end, by what they ignored.
+    pub end_habits: Family<WithheldLabels, Counter>,
+    /// Orders to stop runs whose callers had left, by outcome.
+    pub stop_orders: Family<WithheldLabels, Counter>,
     /// Offers of calls to other nodes, by outcome.
     pub forwards: Family<OutcomeLabels, Counter>,
     /// Calls that other nodes forwarded to this one, by outcome.
@@ -164,6 +168,8 @@
             reach_losses: Counter::default(),
             stop_refusals: Family::default(),
             stop_cuts: Counter::default(),
+            end_habits: Family::default(),
+            stop_orders: Family::default(),
             forwards: Family::default(),
             forwarded_calls: Family::default(),
             moves: Family::default(),
@@ -237,6 +243,16 @@
     fn register_runners(&mut self) {
         let registry = &mut self.registry;
         registry.register("runner_waits", "Waits begun by runners", self.runner_waits.clone());
+        registry.register(
+            "end_habits",
+            "Runners that went on with a run that they were to end",
+            self.end_habits.clone(),
+        );
+        registry.register(
+            "stop_orders",
+            "Orders to stop runs whose callers had left",
+            self.stop_orders.clone(),
+        );
         registry.register(
             "runner_limits",
             "Changes of the limits that runners name",
--- /dev/null
+++ b/crates/node/src/run_end_watch.rs
@@ -0,0 +1,134 @@
+//! Learns how runners end runs whose connection has closed, and ends those that they go on with.
+//!
+//! Load pattern: callers leave long streams before their end. Most runners drop such a run; one that
+//! does not would work on it for nobody.
+
+use std::rc::Rc;
+
+use base::prelude::*;
+use platform::{RunnerReply, read_report};
+use serving::{EndHabit, RunnerIncarnation, RunnerRecord};
+
+use crate::call::Call;
+use crate::call_log::may_log;
+use crate::context::NodeContext;
+use crate::metrics::WithheldLabels;
+use crate::runner_gate::{SendBlock, find_block, find_own_block, record_notice};
+use crate::streams::CopyTask;
+
+/// Time from the close of a connection until the runner's report shows what became of its run.
+const REPORT_LAG: TimeSpan = TimeSpan::millis(800);
+/// Timeout for reading a runner's report.
+const REPORT_TIMEOUT: TimeSpan = TimeSpan::millis(500);
+
+/// Records what a runner was seen to do with a run that it was to end.
+pub fn record_habit(context: &NodeContext, runner: &RunnerRecord, habit: EndHabit) {
+    if !context.run_ends.borrow_mut().record(&runner.incarnation(), habit) {
+        return;
+    }
+    let reason = habit.as_str();
+    context.metrics.end_habits.get_or_create(&WithheldLabels { reason }).inc();
+    if may_log(context) {
+        tracing::info!(event = "run_not_ended", runner = %runner.runner, habit = reason);
+    }
+}
+
+/// Looks after the run of a stream whose connection was closed before its end: a runner that goes on with
+/// it is ordered to stop.
+pub fn watch_closed_run(context: &Rc<NodeContext>, call: &Rc<Call>, runner: &RunnerRecord) {
+    if !call.supports_moves {
+        return;
+    }
+    let incarnation = runner.incarnation();
+    let habit = context.run_ends.borrow().habit(&incarnation);
+    let asks = context.run_ends.borrow_mut().begin_question(context.now(), &incarnation);
+    if !asks && habit != Some(EndHabit::IgnoresClose) {
+        return;
+    }
+    let (context, call, runner) = (Rc::clone(context), Rc::clone(call), runner.clone());
+    kernel::spawn(async move {
+        if !asks || goes_on(&context, &call, &runner, &incarnation).await {
+            order_stop(&context, &call, &runner).await;
+        }
+    })
+    .detach();
+}
+
+/// A run whose request is being sent or answered. If it is dropped, its connection closes.
+pub struct OpenRun<'a> {
+    context: &'a Rc<NodeContext>,
+    call: &'a Rc<Call>,
+    runner: &'a RunnerRecord,
+    is_answered: bool,
+}
+
+impl<'a> OpenRun<'a> {
+    /// A run of `call` at `runner`.
+    #[must_use]
+    pub fn new(context: &'a Rc<NodeContext>, call: &'a Rc<Call>, runner: &'a RunnerRecord) -> Self {
+        Self { context, call, runner, is_answered: false }
+    }
+
+    /// The request was answered, or has failed.
+    pub fn finish(mut self) {
+        self.is_answered = true;
+    }
+}
+
+impl Drop for OpenRun<'_> {
+    fn drop(&mut self) {
+        if !self.is_answered {
+            watch_closed_run(self.context, self.call, self.runner);
+        }
+    }
+}
+
+/// Whether the runner works on the run some time after its connection was closed.
+async fn goes_on(
+    context: &NodeContext,
+    call: &Call,
+    runner: &RunnerRecord,
+    incarnation: &RunnerIncarnation,
+) -> bool {
+    kernel::sleep(REPORT_LAG.into()).await;
+    if find_own_block(context, incarnation) == Some(SendBlock::Waiting) {
+        return false;
+    }
+    let RunnerReply { notice, result } = read_report(runner.address, REPORT_TIMEOUT).await;
+    if let Some(notice) = notice {
+        record_notice(context, incarnation, &notice);
+    }
+    let runs = result.ok().and_then(|status| status.runs).unwrap_or_default();
+    let goes_on = runs.iter().any(|run| **run == *call.attempt.as_str());
+    if goes_on {
+        record_habit(context, runner, EndHabit::IgnoresClose);
+    }
+    goes_on
+}
+
+/// Orders a runner to stop a run. Its memory is freed: nobody wants the rest of the run.
+async fn order_stop(context: &Rc<NodeContext>, call: &Call, runner: &RunnerRecord) {
+    let Some(target) = find_other_runner(context, runner) else { return };
+    let (from, to) = (runner.address, target.address);
+    let stopped = CopyTask::stop(Rc::clone(context), call.attempt.clone(), from, to).await;
+    let outcome = if stopped.is_ok() { "stopped" } else { "not_stopped" };
+    context.metrics.stop_orders.get_or_create(&WithheldLabels { reason: outcome }).inc();
+    if let Err(error) = stopped
+        && may_log(context)
+    {
+        let (request, runner) = (&call.attempt, &runner.runner);
+        tracing::info!(event = "run_not_stopped", %request, %runner, %error);
+    }
+}
+
+/// A runner that the order to stop can name as the one that the run moves to.
+fn find_other_runner(context: &NodeContext, runner: &RunnerRecord) -> Option<RunnerRecord> {
+    let runners = context.runners.borrow();
+    let records = runners.entries().map(|entry| &entry.record);
+    let others = records.filter(|record| {
+        record.service == runner.service
+            && record.runner != runner.runner
+            && find_block(context, &record.incarnation()).is_none()
+    });
+    others.min_by_key(|record| record.place != runner.place).cloned()
+}
--- a/crates/node/src/runner_gate.rs
+++ b/crates/node/src/runner_gate.rs
@@ -7,7 +7,7 @@
 use std::net::SocketAddr;
 
 use base::prelude::*;
-use platform::{AttemptId, CopiedRun, KvCopy, PlatformError, RunnerNotice, RunnerReply};
+use platform::{AttemptId, KvCopy, PlatformError, RunnerNotice, RunnerReply, StoppedRun};
 use serving::{
     BrittleChange, BrittleUpdate, CallInput, ColdSource, ColdUpdate, LimitChange, LimitUpdate,
     MAX_RUNNER_WAIT, RunnerIncarnation, RunnerRecord,
@@ -57,6 +57,28 @@
     }
 }
 
+/// What a request is sent to a runner for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SendPurpose {
+    /// Work that the runner does not have yet.
+    NewWork,
+    /// Going on with a run that the runner has stopped.
+    Return,
+}
+
+impl SendPurpose {
+    /// Checks whether a request with this purpose may be sent to this start of a runner now.
+    ///
+    /// # Errors
+    /// Returns the reason if it may not.
+    pub fn check(self, context: &NodeContext, runner: &RunnerIncarnation) -> Result<(), SendBlock> {
+        match self {
+            Self::NewWork => check_send(context, runner),
+            Self::Return => check_return(context, runner),
+        }
+    }
+}
+
 /// Checks whether a call may be sent to this start of a runner now.
 ///
 /// # Errors
@@ -85,6 +107,18 @@
     Err(withhold(context, runner, block))
 }
 
+/// Checks whether a run that this start of a runner has stopped may go on there. It may also while the
+/// runner leaves: that is no new work.
+///
+/// # Errors
+/// Returns the reason if it may not.
+pub fn check_return(context: &NodeContext, runner: &RunnerIncarnation) -> Result<(), SendBlock> {
+    match find_block(context, runner) {
+        None | Some(SendBlock::Leaving) => Ok(()),
+        Some(block) => Err(withhold(context, runner, block)),
+    }
+}
+
 /// Counts a request that is not sent.
 fn withhold(context: &NodeContext, runner: &RunnerIncarnation, block: SendBlock) -> SendBlock {
     if block == SendBlock::Waiting {
@@ -168,8 +202,9 @@
 pub fn begin_send<'a>(
     context: &'a NodeContext,
     runner: &RunnerIncarnation,
+    purpose: SendPurpose,
 ) -> Result<PendingSend<'a>, SendBlock> {
-    check_send(context, runner)?;
+    purpose.check(context, runner)?;
     context.cold.borrow_mut().record_sent(context.now(), runner);
     let is_brittle = context.brittle.borrow().limit(context.now(), runner).is_some();
     if is_brittle {
@@ -349,8 +384,8 @@
     changed
 }
 
-/// Copies the KV cache of a run from the runner at `source` to the one at `target`, unless
-/// either accepts no requests, and records what the source states about itself.
+/// Copies the KV cache of a run, which continues, from the runner at `source` to the one at `target`,
+/// unless either accepts no requests, and records what the source states about itself.
 ///
 /// # Errors
 /// [`PlatformError`]; it is `NotSent` if either accepts no requests.
@@ -359,31 +394,58 @@
     attempt: &AttemptId,
     source: SocketAddr,
     target: SocketAddr,
-    run: CopiedRun,
     limit: TimeSpan,
 ) -> platform::Result<KvCopy> {
+    let sender = check_copy(context, source, target)?;
+    let reply = platform::copy_kv_cache(source, attempt, target, limit).await;
+    record_reply(context, sender, reply)
+}
+
+/// Stops a run at the runner at `source` and copies its KV cache like [`copy_between_runners`].
+///
+/// # Errors
+/// [`PlatformError`]; it is `NotSent` if either accepts no requests.
+pub async fn stop_at_runner(
+    context: &NodeContext,
+    attempt: &AttemptId,
+    source: SocketAddr,
+    target: SocketAddr,
+    limit: TimeSpan,
+) -> platform::Result<StoppedRun> {
+    let sender = check_copy(context, source, target)?;
+    let reply = platform::stop_run(source, attempt, target, limit).await;
+    record_reply(context, sender, reply)
+}
+
+/// Checks whether a run may be copied between two runners. Returns the source, if it is known.
+fn check_copy(
+    context: &NodeContext,
+    source: SocketAddr,
+    target: SocketAddr,
+) -> platform::Result<Option<RunnerIncarnation>> {
     let step = "KV cache copy";
+    let not_sent =
+        |peer, block: SendBlock| PlatformError::NotSent { step, peer, reason: block.as_str() };
     if let Some(receiver) = find_runner(context, target) {
-        check_send(context, &receiver).map_err(|block| PlatformError::NotSent {
-            step,
-            peer: target,
-            reason: block.as_str(),
-        })?;
+        check_send(context, &receiver).map_err(|block| not_sent(target, block))?;
     }
     let sender = find_runner(context, source);
     if let Some(sender) = &sender {
-        check_copy_source(context, sender).map_err(|block| PlatformError::NotSent {
-            step,
-            peer: source,
-            reason: block.as_str(),
-        })?;
+        check_copy_source(context, sender).map_err(|block| not_sent(source, block))?;
     }
-    let RunnerReply { notice, result } =
-        platform::copy_kv_cache(source, attempt, target, run, limit).await;
-    if let (Some(runner), Some(notice)) = (sender, notice) {
+    Ok(sender)
+}
+
+/// Records what a runner stated about itself in the answer to a control call.
+fn record_reply<T>(
+    context: &NodeContext,
+    runner: Option<RunnerIncarnation>,
+    reply: RunnerReply<T>,
+) -> platform::Result<T> {
+    if let (Some(runner), Some(notice)) = (runner, reply.notice) {
         record_notice(context, &runner, &notice);
     }
-    result
+    reply.result
 }
 
 /// Frees a copy of a run at both runners, unless the source accepts no requests or is in an
@@ -411,11 +473,8 @@
             reason: block.as_str(),
         })?;
     }
-    let RunnerReply { notice, result } = platform::release_kv_copy(source, handle, limit).await;
-    if let (Some(runner), Some(notice)) = (sender, notice) {
-        record_notice(context, &runner, &notice);
-    }
-    result
+    let reply = platform::release_kv_copy(source, handle, limit).await;
+    record_reply(context, sender, reply)
 }
 
 /// Whether no new run and no copy may go to the runner: it leaves, has gone, or is in an evacuated
--- a/crates/node/src/runner_send.rs
+++ b/crates/node/src/runner_send.rs
@@ -20,7 +20,7 @@
     record_runner_answer, record_runner_failure, wait_while_connecting, wait_while_unanswered,
 };
 use crate::runner_gate::{
-    SendBlock, begin_send, check_inputs, check_send, record_not_brittle, record_notice,
+    SendBlock, SendPurpose, begin_send, check_inputs, record_not_brittle, record_notice,
     record_unlimited,
 };
 
@@ -68,7 +68,7 @@
     }
 
     /// The request is not sent to this runner at present, which says nothing about its health.
-    fn withheld(reason: &str) -> Self {
+    pub(crate) fn withheld(reason: &str) -> Self {
         Self {
             outcome: SendOutcome::NotSent,
             end: CallEnd::Cancelled,
@@ -91,13 +91,26 @@
     pub last_event_id: Option<u64>,
     /// The runner that is to keep a copy of the run's memory.
     pub backup: Option<RunnerRecord>,
+    /// What the runner gets the request for.
+    pub purpose: SendPurpose,
 }
 
 impl SendPlan {
     /// A send that starts a new run.
     #[must_use]
     pub fn first(runner: RunnerRecord, backup: Option<RunnerRecord>) -> Self {
-        Self { runner, resume: None, last_event_id: None, backup }
+        Self { runner, resume: None, last_event_id: None, backup, purpose: SendPurpose::NewWork }
+    }
+
+    /// A send that resumes a run from `resume`; the last event that was forwarded is filled in when it
+    /// is sent.
+    #[must_use]
+    pub fn resume(
+        runner: RunnerRecord,
+        resume: ResumeSource,
+        backup: Option<RunnerRecord>,
+    ) -> Self {
+        Self { resume: Some(resume), ..Self::first(runner, backup) }
     }
 }
 
@@ -114,7 +127,7 @@
     plan: &SendPlan,
     limit: TimeSpan,
 ) -> Result<WebExchange, SendFailure> {
-    let connect = connect_to_runner(context, call, &plan.runner);
+    let connect = connect_to_runner(context, call, &plan.runner, plan.purpose);
     // On the heap: the futures of calls hold several of these.
     let connected = Box::pin(unless_lost(context, call, connect)).await;
     let connection = connected.map_err(|stop| {
@@ -134,8 +147,9 @@
     context: &NodeContext,
     call: &Call,
     runner: &RunnerRecord,
+    purpose: SendPurpose,
 ) -> Result<WebConnection, SendFailure> {
-    check_send(context, &runner.incarnation()).map_err(withheld)?;
+    purpose.check(context, &runner.incarnation()).map_err(withheld)?;
     let left = call.deadline.since(context.now());
     let opening = WebConnection::open(runner.address, CONNECT_TIMEOUT.min(left));
     let connected = unless_stopped(opening, wait_while_connecting(context, runner)).await;
@@ -174,7 +188,7 @@
         backup: plan.backup.as_ref().map(|backup| backup.address),
     };
     let request = build_request(call, &head).map_err(|error| not_sent(&error))?;
-    let pending = begin_send(context, &incarnation).map_err(withheld)?;
+    let pending = begin_send(context, &incarnation, plan.purpose).map_err(withheld)?;
     let sending = connection.send(request, limit.min(left));
     let Some(sent) = unless_stopped(sending, wait_while_unanswered(context, runner)).await else {
         pending.finish(true);
--- /dev/null
+++ b/crates/node/src/streams/run_stop.rs
@@ -0,0 +1,308 @@
+//! Handover of a run that is ended by an order before it goes on at the next runner.
+//!
+//! Load pattern: some runners go on with a request whose connection has closed, and two runners may not
+//! work on one request. The order is sent once the next runner is connected to. What the source has
+//! stopped can go on from its copy, and if that is refused, from the memory that the source keeps.
+
+use std::future::pending;
+use std::pin::pin;
+use std::rc::Rc;
+
+use base::prelude::*;
+use futures_util::{FutureExt, select_biased};
+use hyper::body::Bytes;
+use platform::ResumeSource;
+use serving::{EndHabit, SendOutcome};
+use web::{WebConnection, WebExchange};
+
+use super::stream_backup::choose_backup;
+use super::stream_copy::{CopyTask, RunCopy};
+use super::stream_handover::{HandoverStep, caller_disconnected, describe_loss};
+use super::stream_pump::{PumpStep, StreamPump};
+use crate::call_log::RequestOutcome;
+use crate::run_end_watch::record_habit;
+use crate::runner_gate::SendPurpose;
+use crate::runner_send::{SendFailure, SendPlan, connect_to_runner, send_connected};
+
+/// Time after a confirmed order in which the stream of the stopped run closes.
+const CLOSE_TIME: TimeSpan = TimeSpan::millis(400);
+/// Time for which a run that has lost its stream waits for the answer to the order.
+const ANSWER_TIME: TimeSpan = TimeSpan::millis(500);
+/// Time for which a stopped run waits for a runner to go on with it. A runner that has its memory
+/// answers with its next step.
+const HEAD_TIME: TimeSpan = TimeSpan::millis(250);
+/// Number of times that each place of a stopped run's memory is asked to go on with it.
+const RESUME_ROUNDS: u32 = 3;
+/// Pause between these times.
+const ROUND_PAUSE: TimeSpan = TimeSpan::millis(75);
+/// Time for which a run stays at a source that it has returned to, before it leaves again.
+const RETURN_STAY: TimeSpan = TimeSpan::millis(200);
+/// Part of the drain time, as a divisor, in which a run may return to a runner that leaves.
+const RETURN_DIVISOR: u64 = 2;
+
+/// Reason of a run that may not go on at its source any more.
+const RETURN_LATE: &str = "source_left";
+
+/// Answer of a source to the order to stop a run.
+type StopAnswer = platform::Result<RunCopy>;
+
+/// Inputs while a source is to stop a run.
+enum StopInput {
+    CallerDisconnected,
+    /// The source has answered the order.
+    Answered(StopAnswer),
+    /// The stream should have closed, or the order been answered.
+    Overdue,
+    /// Data of the stream, an error, or the end of the body.
+    Frame(Option<Result<Bytes, hyper::Error>>),
+}
+
+/// How the time ended in which the source was to stop.
+enum StopEnd {
+    /// The stream has closed before its end; what the source has answered until then.
+    Stopped(Option<StopAnswer>),
+    /// The source goes on with the run.
+    Kept,
+    /// The stream has ended.
+    End(PumpStep),
+}
+
+impl StreamPump {
+    /// Has the source stop the run, then sends the request to the runner of `plan`, to which `connection`
+    /// leads. Until the run has stopped, the source is forwarded as before.
+    pub(crate) async fn hand_over_stopped(
+        &mut self,
+        plan: SendPlan,
+        how: &'static str,
+        connection: WebConnection,
+    ) -> HandoverStep {
+        let (context, attempt) = (Rc::clone(&self.context), self.call.attempt.clone());
+        let (from, to) = (self.source.runner.address, plan.runner.address);
+        let mut order = CopyTask::stop(context, attempt, from, to);
+        let answer = match self.wait_for_stop(&mut order).await {
+            StopEnd::Stopped(answer) => answer,
+            StopEnd::Kept => {
+                self.count_move("kept");
+                return HandoverStep::Kept;
+            }
+            StopEnd::End(step) => return HandoverStep::End(step),
+        };
+        let disconnected = self.caller.disconnected.clone();
+        let mut disconnected = pin!(disconnected.wait().fuse());
+        let resumed = {
+            let mut resuming = pin!(self.resume_stopped(&plan, connection, order, answer).fuse());
+            select_biased! {
+                () = disconnected => return HandoverStep::End(caller_disconnected()),
+                resumed = resuming => resumed,
+            }
+        };
+        let Some((plan, exchange)) = resumed else { return HandoverStep::Refused };
+        if plan.purpose == SendPurpose::Return {
+            let tries = self.tries;
+            self.switch_source(&plan, exchange, "returned");
+            self.tries = tries;
+            self.source.switch_at = Some(self.context.now() + RETURN_STAY);
+        } else {
+            self.switch_source(&plan, exchange, how);
+        }
+        HandoverStep::Switched
+    }
+
+    /// Forwards the source until it has stopped the run as ordered, or is known to go on with it.
+    async fn wait_for_stop(&mut self, order: &mut CopyTask) -> StopEnd {
+        let mut answer: Option<StopAnswer> = None;
+        let mut due = None;
+        let mut has_gone_on = false;
+        // Whether the body was closed where it might have ended.
+        let mut is_cut_short = false;
+        loop {
+            match &answer {
+                Some(Err(error)) if is_cut_short && error.is_not_found() => {
+                    // The body ended where the stream did.
+                    return StopEnd::End(PumpStep::End(RequestOutcome::Streamed, ""));
+                }
+                Some(Err(error)) if !self.source.ended => {
+                    self.log_send_failure(&error.to_string());
+                    // A run that the source no longer has is finished; its last events are in transit.
+                    self.stays |= error.is_not_found();
+                    return StopEnd::Kept;
+                }
+                Some(_) if self.source.ended => return StopEnd::Stopped(answer),
+                // The copy of the rest may take long: it queues behind those of other runs.
+                None if self.source.ended && !is_cut_short => {
+                    return StopEnd::Stopped(None);
+                }
+                _ => (),
+            }
+            match self.next_stop_input(order, answer.is_none(), due).await {
+                StopInput::CallerDisconnected => return StopEnd::End(caller_disconnected()),
+                StopInput::Answered(result) => {
+                    due = result.is_ok().then(|| self.context.now() + CLOSE_TIME);
+                    answer = Some(result);
+                }
+                StopInput::Overdue if self.source.ended => return StopEnd::Stopped(None),
+                StopInput::Overdue if has_gone_on => {
+                    self.stays = true;
+                    record_habit(&self.context, &self.source.runner, EndHabit::IgnoresOrder);
+                    return StopEnd::Kept;
+                }
+                StopInput::Overdue => self.source.close(),
+                StopInput::Frame(Some(Ok(bytes))) => {
+                    has_gone_on |= answer.is_some();
+                    self.record_activity(self.context.now());
+                    if let end @ PumpStep::End(..) = self.forward_events(&bytes).await {
+                        return StopEnd::End(end);
+                    }
+                }
+                StopInput::Frame(None) if self.is_whole() && self.source.is_framed() => {
+                    return StopEnd::End(PumpStep::End(RequestOutcome::Streamed, ""));
+                }
+                StopInput::Frame(lost) => {
+                    is_cut_short = lost.is_none() && self.is_whole();
+                    if answer.is_none() {
+                        self.log_send_failure(&describe_loss(lost));
+                    }
+                    self.source.close();
+                    due = Some(self.context.now() + ANSWER_TIME);
+                }
+            }
+        }
+    }
+
+    async fn next_stop_input(
+        &mut self,
+        order: &mut CopyTask,
+        is_open: bool,
+        due: Option<TimePoint>,
+    ) -> StopInput {
+        let now = self.context.now();
+        let answered = async { if is_open { order.await } else { pending().await } };
+        let overdue = async {
+            match due {
+                Some(due) => kernel::sleep(due.since(now).into()).await,
+                None => pending().await,
+            }
+        };
+        let mut disconnected = pin!(self.caller.disconnected.wait().fuse());
+        let (mut answered, mut overdue) = (pin!(answered.fuse()), pin!(overdue.fuse()));
+        let mut frame = pin!(self.source.next_frame().fuse());
+        select_biased! {
+            () = disconnected => StopInput::CallerDisconnected,
+            frame = frame => StopInput::Frame(frame),
+            answer = answered => StopInput::Answered(answer),
+            () = overdue => StopInput::Overdue,
+        }
+    }
+
+    /// Sends the request to the runners that have the memory of the stopped run, until one goes on with
+    /// it: first as `plan` says, then where the order has left it. Returns the send and its answer.
+    async fn resume_stopped(
+        &mut self,
+        plan: &SendPlan,
+        connection: WebConnection,
+        order: CopyTask,
+        answer: Option<StopAnswer>,
+    ) -> Option<(SendPlan, WebExchange)> {
+        let mut connection = Some(connection);
+        let mut plans = vec![plan.clone()];
+        // Runners that may have taken the run and gave no answer.
+        let mut lost: Vec<RunnerId> = Vec::new();
+        let mut order = answer.is_none().then_some(order);
+        let mut copy = answer.and_then(|answer| self.add_stopped(&mut plans, plan, answer));
+        for round in 0..RESUME_ROUNDS {
+            if round > 0 {
+                kernel::sleep(ROUND_PAUSE.into()).await;
+            }
+            let mut number = 0;
+            while let Some(mut next) = plans.get(number).cloned() {
+                number += 1;
+                if lost.contains(&next.runner.runner) {
+                    continue;
+                }
+                match self.resume_at(&mut next, connection.take()).await {
+                    Ok(exchange) => {
+                        let used = next.resume.as_ref().map(|resume| &resume.handle);
+                        if let Some(copy) = copy.filter(|copy| used == Some(&copy.handle)) {
+                            copy.keep();
+                        }
+                        return Some((next, exchange));
+                    }
+                    Err(failure) => {
+                        self.note_refusal(&next, &failure.reason);
+                        if failure.outcome == SendOutcome::Unknown {
+                            lost.push(next.runner.runner);
+                        }
+                    }
+                }
+                if let Some(order) = order.take()
+                    && let Ok(run) = order.await
+                {
+                    copy = self.add_stopped(&mut plans, plan, Ok(run));
+                }
+            }
+        }
+        None
+    }
+
+    /// Adds the places where an order has left the memory of the run: the runner of `plan`, if it has
+    /// a copy, and the source.
+    fn add_stopped(
+        &self,
+        plans: &mut Vec<SendPlan>,
+        plan: &SendPlan,
+        answer: StopAnswer,
+    ) -> Option<RunCopy> {
+        let copy = answer.ok()?;
+        let source = &self.source.runner;
+        let address = source.address;
+        let resume = ResumeSource { address, handle: copy.handle.clone(), last_event_id: None };
+        if copy.is_copied {
+            plans.push(SendPlan { resume: Some(resume.clone()), ..plan.clone() });
+        }
+        let back = SendPlan::resume(source.clone(), resume, None);
+        plans.push(SendPlan { purpose: SendPurpose::Return, ..back });
+        Some(copy)
+    }
+
+    /// Sends the request as `plan` says, and waits for the head of a success.
+    async fn resume_at(
+        &mut self,
+        plan: &mut SendPlan,
+        connection: Option<WebConnection>,
+    ) -> Result<WebExchange, SendFailure> {
+        let (context, call) = (Rc::clone(&self.context), Rc::clone(&self.call));
+        if plan.purpose == SendPurpose::Return && !self.may_return() {
+            return Err(SendFailure::withheld(RETURN_LATE));
+        }
+        if self.ticket.assigned_runner().as_ref() != Some(&plan.runner.runner) {
+            self.ticket.relocate_to(&plan.runner.runner);
+        }
+        if plan.purpose == SendPurpose::Return {
+            plan.backup = choose_backup(&context, &call, &self.ticket);
+        }
+        if let Some(resume) = &mut plan.resume {
+            resume.last_event_id = self.scanner.last_id();
+        }
+        let connection = if let Some(connection) = connection {
+            connection
+        } else {
+            let connecting = connect_to_runner(&context, &call, &plan.runner, plan.purpose);
+            Box::pin(connecting).await?
+        };
+        let limit = HEAD_TIME.min(call.deadline.since(context.now()));
+        let exchange = Box::pin(send_connected(&context, &call, plan, connection, limit)).await?;
+        let status = exchange.response.status();
+        if status.is_success() {
+            return Ok(exchange);
+        }
+        Err(SendFailure::withheld(&status.to_string()))
+    }
+
+    /// Whether the run may go on at its source, which may get no requests some time after it has
+    /// announced that it leaves.
+    fn may_return(&self) -> bool {
+        let window = TimeSpan(self.context.settings.drain.0 / RETURN_DIVISOR);
+        let now = self.context.now();
+        self.leaving_since.is_none_or(|since| now.since(since) < window)
+    }
+}
--- a/crates/node/src/streams/stream_backup.rs
+++ b/crates/node/src/streams/stream_backup.rs
@@ -37,5 +37,5 @@
     let handle = Arc::from(call.attempt.as_str());
     let resume = ResumeSource { address: backup.address, handle, last_event_id: None };
     let next = choose_backup(context, call, ticket);
-    SendPlan { runner: backup, resume: Some(resume), last_event_id: None, backup: next }
+    SendPlan::resume(backup, resume, next)
 }
--- a/crates/node/src/streams/stream_call.rs
+++ b/crates/node/src/streams/stream_call.rs
@@ -28,6 +28,7 @@
 use crate::reach::is_unreached;
 use crate::route_ticket::RouteTicket;
 use crate::router::RouterService;
+use crate::run_end_watch::OpenRun;
 use crate::runner_probe::probe_lost_runner;
 use crate::runner_send::{SendFailure, SendPlan, read_full_answer, send_to_runner};
 
@@ -153,12 +154,15 @@
 
 /// Sends the call and reads the head of a stream, or the whole of any other answer.
 pub(crate) async fn request_answer(
-    context: &NodeContext,
-    call: &Call,
+    context: &Rc<NodeContext>,
+    call: &Rc<Call>,
     plan: &SendPlan,
 ) -> Result<RunnerAnswer, SendFailure> {
     let left = call.deadline.since(context.now());
-    let exchange = send_to_runner(context, call, plan, left).await?;
+    let run = OpenRun::new(context, call, &plan.runner);
+    let sent = send_to_runner(context, call, plan, left).await;
+    run.finish();
+    let exchange = sent?;
     if !is_event_stream(&exchange.response) {
         let left = call.deadline.since(context.now());
         return read_full_answer(context, exchange, left).await.map(RunnerAnswer::Full);
--- a/crates/node/src/streams/stream_copy.rs
+++ b/crates/node/src/streams/stream_copy.rs
@@ -1,8 +1,7 @@
-//! Copying a running stream's memory to another runner.
+//! Copying a stream's memory to another runner, while the run continues or after an order has stopped it.
 //!
-//! The memory is mostly copied while the run continues. The target runner then prefills the tokens
-//! that were generated during the copy: engines prefill far faster than they generate, and a
-//! second copy would queue behind those of all other runs that leave the runner.
+//! Load pattern: all runs of a runner leave it together and share its link. Most of the memory is copied
+//! while the run continues, so that little is left for the time in which it stands still.
 
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -10,10 +9,10 @@
 use std::task::{Context, Poll};
 
 use base::prelude::*;
-use platform::{AttemptId, CopiedRun};
+use platform::AttemptId;
 
 use crate::context::NodeContext;
-use crate::runner_gate::{copy_between_runners, free_copy};
+use crate::runner_gate::{copy_between_runners, free_copy, stop_at_runner};
 
 /// Timeout for copying the memory of a run; runs that leave together share the link.
 const COPY_LIMIT: TimeSpan = TimeSpan::millis(2_500);
@@ -22,12 +21,24 @@
 
 /// A copy of a run's memory at another runner; freed when dropped, unless kept.
 pub struct RunCopy {
-    /// Handle under which the target runner finds the copy.
+    /// Handle under which the target runner finds the copy, and the source the memory of a stopped run.
     pub handle: Arc<str>,
+    /// Whether the target has the copy; if not, only the source has the memory.
+    pub is_copied: bool,
     guard: CopyGuard,
 }
 
 impl RunCopy {
+    fn new(
+        context: Rc<NodeContext>,
+        source: SocketAddr,
+        handle: Arc<str>,
+        is_copied: bool,
+    ) -> Self {
+        let guard = CopyGuard { context, source, handle: Some(handle.clone()) };
+        Self { handle, is_copied, guard }
+    }
+
     /// Keeps the copy for the run that has resumed from it.
     pub fn keep(mut self) {
         self.guard.handle = None;
@@ -44,18 +55,43 @@
 type CopyFuture = Pin<Box<dyn Future<Output = platform::Result<RunCopy>>>>;
 
 impl CopyTask {
-    /// Copies the memory of the run of `attempt` from `source` to `target`.
+    /// Copies the memory of the run of `attempt`, which continues, from `source` to `target`.
     /// Gives an error if the source refuses the copy or does not answer in time.
     #[must_use]
-    pub fn new(
+    pub fn copy(
         context: Rc<NodeContext>,
         attempt: AttemptId,
         source: SocketAddr,
         target: SocketAddr,
-        run: CopiedRun,
     ) -> Self {
-        let future = Box::pin(copy_run(context, attempt, source, target, run));
-        Self { future: Some(future), has_begun: false }
+        Self::new(async move {
+            let begun = context.now();
+            let limit = COPY_LIMIT;
+            let copy = copy_between_runners(&context, &attempt, source, target, limit).await?;
+            log_copy("run_copied", &context, &attempt, begun, copy.events);
+            Ok(RunCopy::new(context, source, copy.handle, true))
+        })
+    }
+
+    /// Orders `source` to stop the run of `attempt`, and then to copy its memory to `target`. Gives an
+    /// error if the source has not stopped it, or if that is not known.
+    #[must_use]
+    pub fn stop(
+        context: Rc<NodeContext>,
+        attempt: AttemptId,
+        source: SocketAddr,
+        target: SocketAddr,
+    ) -> Self {
+        Self::new(async move {
+            let begun = context.now();
+            let run = stop_at_runner(&context, &attempt, source, target, COPY_LIMIT).await?;
+            log_copy("run_stopped", &context, &attempt, begun, run.events);
+            Ok(RunCopy::new(context, source, run.handle, run.is_copied))
+        })
+    }
+
+    fn new(future: impl Future<Output = platform::Result<RunCopy>> + 'static) -> Self {
+        Self { future: Some(Box::pin(future)), has_begun: false }
     }
 }
 
@@ -81,24 +117,15 @@
     }
 }
 
-async fn copy_run(
-    context: Rc<NodeContext>,
-    attempt: AttemptId,
-    source: SocketAddr,
-    target: SocketAddr,
-    run: CopiedRun,
-) -> platform::Result<RunCopy> {
-    let begun = context.now();
-    let copy = copy_between_runners(&context, &attempt, source, target, run, COPY_LIMIT).await?;
-    let handle = Some(copy.handle.clone());
-    let guard = CopyGuard { context: Rc::clone(&context), source, handle };
-    tracing::info!(
-        event = "run_copied",
-        request = %attempt,
-        copy_ms = context.now().since(begun).as_millis(),
-        events = copy.events,
-    );
-    Ok(RunCopy { handle: copy.handle, guard })
+fn log_copy(
+    event: &'static str,
+    context: &NodeContext,
+    attempt: &AttemptId,
+    begun: TimePoint,
+    events: u64,
+) {
+    let copy_ms = context.now().since(begun).as_millis();
+    tracing::info!(event, request = %attempt, copy_ms, events);
 }
 
 /// Frees an unused copy at both runners when dropped; otherwise it would occupy memory for
--- a/crates/node/src/streams/stream_handover.rs
+++ b/crates/node/src/streams/stream_handover.rs
@@ -18,6 +18,7 @@
 use super::stream_source::StreamSource;
 use crate::call_log::{RequestOutcome, log_send_failure};
 use crate::context::NodeContext;
+use crate::runner_gate::SendPurpose;
 use crate::runner_send::{SendFailure, SendPlan, connect_to_runner, send_connected};
 
 /// Time that another runner has to take over a run from one that is still working on it. Two
@@ -35,6 +36,8 @@
     Unreached,
     /// The next runner did not take over; the old source is kept, unless it is closed.
     Refused,
+    /// The source was not stopped and goes on with the run; nothing was sent to the next runner.
+    Kept,
     /// The stream has ended meanwhile.
     End(PumpStep),
 }
@@ -98,7 +101,7 @@
     kernel::sleep(end.since(context.now()).into()).await;
 }
 
-fn caller_disconnected() -> PumpStep {
+pub(super) fn caller_disconnected() -> PumpStep {
     PumpStep::End(RequestOutcome::CallerDisconnected, "")
 }
 
@@ -121,6 +124,11 @@
         how: &'static str,
         rule: OverlapRule,
     ) -> HandoverStep {
+        let ends_by_order = rule == OverlapRule::KeepSource && self.is_ended_by_order();
+        if ends_by_order && !self.follows_orders() {
+            self.stays = true;
+            return HandoverStep::Kept;
+        }
         let connection = match self.connect_next(&plan.runner).await {
             Ok(Ok(connection)) => connection,
             Ok(Err(failure)) => {
@@ -129,6 +137,9 @@
             }
             Err(end) => return HandoverStep::End(end),
         };
+        if rule == OverlapRule::KeepSource && self.is_ended_by_order() {
+            return Box::pin(self.hand_over_stopped(plan, how, connection)).await;
+        }
         if let Some(resume) = &mut plan.resume {
             resume.last_event_id = self.scanner.last_id();
         }
@@ -156,6 +167,28 @@
             }
             OverlapEnd::CallerDisconnected => return HandoverStep::End(caller_disconnected()),
         };
+        self.switch_source(&plan, exchange, how);
+        HandoverStep::Switched
+    }
+
+    /// Whether the run at the source has to be stopped by an order before it goes on elsewhere.
+    fn is_ended_by_order(&self) -> bool {
+        !self.source.ended && !self.source.is_relayed && self.call.supports_moves
+    }
+
+    /// Whether the runner of the source stops runs as ordered, as far as is known.
+    pub(crate) fn follows_orders(&self) -> bool {
+        let runner = self.source.runner.incarnation();
+        self.context.run_ends.borrow().follows_orders(&runner)
+    }
+
+    /// Makes the answer of the runner of `plan` the source of the stream.
+    pub(crate) fn switch_source(
+        &mut self,
+        plan: &SendPlan,
+        exchange: WebExchange,
+        how: &'static str,
+    ) {
         self.count_move(how);
         self.changes += 1;
         self.tries = 0;
@@ -169,12 +202,16 @@
             events = self.scanner.event_count(),
         );
         self.scanner.discard_partial_event();
-        self.replace_source(StreamSource::new(&plan, exchange));
-        HandoverStep::Switched
+        if plan.runner.runner != self.source.runner.runner {
+            self.leaving_since = None;
+        }
+        self.replace_source(StreamSource::new(plan, exchange));
     }
 
     /// Makes `source` the source of the stream. What was found out about the old one no longer holds.
     pub(crate) fn replace_source(&mut self, source: StreamSource) {
+        self.close_source();
+        self.stays = false;
         self.source = source;
         self.activity = SourceActivity::new(self.context.now());
         self.pending_check = None;
@@ -187,7 +224,8 @@
         runner: &RunnerRecord,
     ) -> Result<Result<WebConnection, SendFailure>, PumpStep> {
         let (context, call) = (Rc::clone(&self.context), Rc::clone(&self.call));
-        let mut connect = pin!(connect_to_runner(&context, &call, runner).fuse());
+        let mut connect =
+            pin!(connect_to_runner(&context, &call, runner, SendPurpose::NewWork).fuse());
         loop {
             let frame = {
                 let mut disconnected = pin!(self.caller.disconnected.wait().fuse());
@@ -210,7 +248,7 @@
                 }
                 lost => {
                     self.log_send_failure(&describe_loss(lost));
-                    self.source.close();
+                    self.close_source();
                 }
             }
         }
@@ -251,11 +289,11 @@
                 }
                 Some(lost) => {
                     self.log_send_failure(&describe_loss(lost));
-                    self.source.close();
+                    self.close_source();
                 }
                 None if rule == OverlapRule::LeaveSilentSource && held.frames.is_empty() => {
                     self.log_send_failure(SOURCE_SILENT);
-                    self.source.close();
+                    self.close_source();
                 }
                 None => return OverlapEnd::Unanswered,
             }
@@ -286,7 +324,7 @@
     }
 
     /// Logs and counts a runner that did not take over.
-    fn note_refusal(&self, plan: &SendPlan, reason: &str) {
+    pub(crate) fn note_refusal(&self, plan: &SendPlan, reason: &str) {
         self.count_move("refused");
         log_send_failure(&self.context, &self.call, &plan.runner.runner, reason);
     }
--- a/crates/node/src/streams/stream_move.rs
+++ b/crates/node/src/streams/stream_move.rs
@@ -7,7 +7,7 @@
 use std::rc::Rc;
 
 use base::prelude::*;
-use platform::{CopiedRun, ResumeSource};
+use platform::ResumeSource;
 use serving::{RunnerLoss, RunnerRecord};
 
 use super::stream_backup::{choose_backup, plan_backup_resume};
@@ -55,7 +55,7 @@
 impl StreamPump {
     /// Handles a source that failed before the end of the stream.
     pub(crate) async fn handle_source_loss(&mut self, reason: &str) -> PumpStep {
-        self.source.close();
+        self.close_source();
         self.log_send_failure(reason);
         if !self.is_prompt_proven {
             let (runner, loss) = (&self.source.runner, RunnerLoss::ConnectionEnded);
@@ -87,6 +87,11 @@
     /// Handles the announcement that the runner leaves: schedules the switch to the backup,
     /// or starts a move.
     pub(crate) fn handle_leaving_runner(&mut self) -> PumpStep {
+        self.leaving_since.get_or_insert(self.context.now());
+        if !self.follows_orders() {
+            self.stays = true;
+            return PumpStep::Continue;
+        }
         if self.has_usable_backup() {
             self.source.switch_at = Some(self.context.now() + SWITCH_DELAY);
             return PumpStep::Continue;
@@ -125,6 +130,10 @@
         match self.hand_over(plan, "resumed", OverlapRule::KeepSource).await {
             HandoverStep::Switched => PumpStep::Continue,
             HandoverStep::End(step) => step,
+            HandoverStep::Kept => {
+                self.source.backup = Some(backup);
+                self.keep_run()
+            }
             HandoverStep::Unreached | HandoverStep::Refused if !self.source.ended => {
                 self.start_move()
             }
@@ -164,8 +173,7 @@
         let events = self.scanner.event_count();
         tracing::info!(event = "move_begun", %request, %from, to = %target.runner, events);
         let (context, attempt) = (Rc::clone(&self.context), self.call.attempt.clone());
-        let copy =
-            CopyTask::new(context, attempt, old.address, target.address, CopiedRun::Continues);
+        let copy = CopyTask::copy(context, attempt, old.address, target.address);
         self.pending_move = Some(PendingMove { target, future: Box::pin(copy) });
         PumpStep::Continue
     }
@@ -211,14 +219,14 @@
             last_event_id: None,
         };
         let backup = choose_backup(&self.context, &self.call, &self.ticket);
-        let plan =
-            SendPlan { runner: target.clone(), resume: Some(resume), last_event_id: None, backup };
+        let plan = SendPlan::resume(target.clone(), resume, backup);
         match self.hand_over(plan, "moved", OverlapRule::KeepSource).await {
             HandoverStep::Switched => {
                 copy.keep();
                 PumpStep::Continue
             }
             HandoverStep::End(step) => step,
+            HandoverStep::Kept => self.keep_run(),
             HandoverStep::Unreached if self.source.ended && self.tries < MAX_SWITCH_TRIES => {
                 // Nothing was sent: the copy is still there, and nothing else is.
                 self.tries += 1;
@@ -229,6 +237,14 @@
         }
     }
 
+    /// Goes on with a run that its source has not stopped. It leaves later, unless it stays for good.
+    fn keep_run(&mut self) -> PumpStep {
+        self.ticket.relocate_to(&self.source.runner.runner);
+        let may_leave = !self.stays && self.tries < MAX_SWITCH_TRIES;
+        self.source.switch_at = may_leave.then(|| self.context.now() + MOVE_RETRY_PAUSE);
+        PumpStep::Continue
+    }
+
     /// Counts a runner change by its outcome.
     pub(crate) fn count_move(&self, outcome: &'static str) {
         self.context.metrics.moves.get_or_create(&OutcomeLabels { outcome, reason: "" }).inc();
--- a/crates/node/src/streams/stream_offer.rs
+++ b/crates/node/src/streams/stream_offer.rs
@@ -107,11 +107,11 @@
                 }
                 Some(lost) => {
                     self.log_send_failure(&describe_loss(lost));
-                    self.source.close();
+                    self.close_source();
                 }
                 None => {
                     self.log_send_failure(SOURCE_SILENT);
-                    self.source.close();
+                    self.close_source();
                 }
             }
         }
--- a/crates/node/src/streams/stream_pump.rs
+++ b/crates/node/src/streams/stream_pump.rs
@@ -22,6 +22,7 @@
 use crate::crash_watch::{PROOF_SPAN, record_answer};
 use crate::route_ticket::RouteTicket;
 use crate::router::RouterService;
+use crate::run_end_watch::watch_closed_run;
 
 /// Time for which a caller has to hold up a stream for the next pause not to count as its runner's.
 const SLOW_CALLER_SPAN: TimeSpan = TimeSpan::millis(2);
@@ -88,6 +89,10 @@
     pub(crate) activity: SourceActivity,
     /// Whether another node was asked to move the run.
     pub(crate) move_requested: bool,
+    /// Whether the stream stays at its runner although that leaves, since its run cannot be ended there.
+    pub(crate) stays: bool,
+    /// When this node learned that the runner of the stream leaves.
+    pub(crate) leaving_since: Option<TimePoint>,
     /// The check of a silent source that is in progress.
     pub(crate) pending_check: Option<CheckFuture>,
     pace: StreamPace,
@@ -119,6 +124,8 @@
             is_prompt_proven: false,
             activity: SourceActivity::new(context.now()),
             move_requested: false,
+            stays: false,
+            leaving_since: None,
             pending_check: None,
             pace: StreamPace::default(),
             _active: context.track_request(),
@@ -156,6 +163,7 @@
             && self.source.switch_at.is_none()
             && self.tries < MAX_SWITCH_TRIES
             && !self.source.is_relayed
+            && !self.stays
             && (self.call.supports_moves || self.source.backup.is_some());
         let switch_at = self.source.switch_at.filter(|_| self.pending_move.is_none());
         let leaving = self.ticket.leaving();
@@ -273,12 +281,20 @@
         }
     }
 
+    /// Closes the source before the end of its stream. Its runner may go on with the run.
+    pub(crate) fn close_source(&mut self) {
+        if !self.source.ended && !self.source.is_relayed {
+            watch_closed_run(&self.context, &self.call, &self.source.runner);
+        }
+        self.source.close();
+    }
+
     /// Logs a failure of the current runner.
     pub(crate) fn log_send_failure(&self, reason: &str) {
         log_send_failure(&self.context, &self.call, &self.source.runner.runner, reason);
     }
 
-    async fn finish(self, outcome: RequestOutcome, reason: &'static str) {
+    async fn finish(mut self, outcome: RequestOutcome, reason: &'static str) {
         let end = match outcome {
             RequestOutcome::Streamed => CallEnd::Finished,
             RequestOutcome::CallerDisconnected => CallEnd::Cancelled,
@@ -298,6 +314,9 @@
             parts = format_parts(&self.call.head.shared_parts),
         );
         log_end(&self.context, &self.call, RequestSummary { outcome, reason, status: 200 });
+        if outcome != RequestOutcome::Streamed {
+            self.close_source();
+        }
         self.ticket.finish(end);
         drop(self.source.connection);
         if end == CallEnd::Failed {
--- a/crates/node/src/streams/stream_resume.rs
+++ b/crates/node/src/streams/stream_resume.rs
@@ -71,7 +71,7 @@
             let found = search.find_runner(&self.context, &self.router, &self.call, tried);
             let (ticket, runner) = found.await.map_err(|_| ResumeFault::NoRunner)?;
             let backup = choose_backup(&self.context, &self.call, &ticket);
-            let plan = SendPlan { runner, resume: None, last_event_id, backup };
+            let plan = SendPlan { last_event_id, ..SendPlan::first(runner, backup) };
             let load = ticket.runner_summary(&plan.runner.runner);
             let backup = plan.backup.as_ref().map(|backup| &backup.runner);
             let sends = self.attempts.tracker.sends();
--- a/crates/node/src/streams/stream_silence.rs
+++ b/crates/node/src/streams/stream_silence.rs
@@ -249,7 +249,7 @@
         match self.hand_over(plan, "resumed", OverlapRule::LeaveSilentSource).await {
             HandoverStep::Switched => PumpStep::Continue,
             HandoverStep::End(step) => step,
-            HandoverStep::Unreached => {
+            HandoverStep::Unreached | HandoverStep::Kept => {
                 // Nothing was sent: the copy is still there.
                 self.source.backup = Some(backup);
                 self.stay_at_source().await
@@ -278,7 +278,7 @@
         self.ticket.hold_progress();
         self.pending_move = None;
         self.log_silent_source(None);
-        self.source.close();
+        self.close_source();
         self.log_send_failure(RUNNER_UNREACHED);
         self.run_elsewhere(RUNNER_UNREACHED).await
     }
--- a/crates/node/src/streams/stream_source.rs
+++ b/crates/node/src/streams/stream_source.rs
@@ -69,6 +69,12 @@
         Self { is_relayed: true, ..Self::new(plan, exchange) }
     }
 
+    /// Whether the body has a length or chunks, so that its end shows.
+    #[must_use]
+    pub fn is_framed(&self) -> bool {
+        !self.ends_with_connection
+    }
+
     /// Whether the end of the body is that of the stream, if it is not inside an event. A
     /// connection that ends before any event says nothing about the stream.
     #[must_use]
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -26,6 +26,7 @@
 mod plan;
 mod reach_table;
 mod retry_budget;
+mod run_ends;
 mod runner_limit;
 mod runner_loss;
 mod runner_speeds;
@@ -67,6 +68,7 @@
 };
 pub use reach_table::{ReachMembers, ReachQuestion, ReachTable};
 pub use retry_budget::{BudgetSettings, RetryBudget};
+pub use run_ends::{EndHabit, EndTable};
 pub use runner_limit::{LimitChange, LimitReport, LimitTable, LimitUpdate, ServiceDemand};
 pub use runner_loss::{ProbeOutcome, RunnerLoss, has_crashed};
 pub use runner_speeds::{MAX_SPEED_ENTRIES, QuantizedLog, RunnerKey, SpeedEntry, SpeedUpdate};
