--- a/crates/harness/tests/node_stream_partition.rs
+++ b/crates/harness/tests/node_stream_partition.rs
@@ -156,7 +156,10 @@
     let _turn = take_turn();
     kernel::run(async {
         let services = ServiceFleet::start(long_streams).await;
-        services.runners.iter().for_each(|linked| linked.runner.refuse_moves(true));
+        for linked in &services.runners {
+            linked.runner.refuse_moves(true);
+            linked.runner.ignore_stop_orders();
+        }
         let adjust = |request: CallerRequest| request.with("x-dotterelyard-length-hint", "10");
         let streams = cut_streams(&services, usize::from(RUNNERS), LinkState::Lost, adjust).await;
         for stream in &streams {
@@ -167,3 +170,21 @@
     })
     .unwrap();
 }
+
+/// Guards against LOST: another node stops a run to move it, finds no room for it, and drops it.
+#[test]
+fn streams_whose_moves_find_no_room_go_on_at_their_silent_runners_through_another_node() {
+    let _turn = take_turn();
+    kernel::run(async {
+        let services = ServiceFleet::start(long_streams).await;
+        services.runners.iter().for_each(|linked| linked.runner.refuse_moves(true));
+        let adjust = |request: CallerRequest| request.with("x-dotterelyard-length-hint", "10");
+        let streams = cut_streams(&services, usize::from(RUNNERS), LinkState::Lost, adjust).await;
+        for stream in &streams {
+            assert!(stream.is_whole, "{stream:?}");
+            assert!(stream.longest_pause <= MAX_PAUSE, "{stream:?}");
+        }
+        assert_eq!(services.most_runs(), 1);
+    })
+    .unwrap();
+}
