--- a/crates/fakes/src/platform/runner_answers.rs
+++ b/crates/fakes/src/platform/runner_answers.rs
@@ -161,7 +161,7 @@
     }
     state.plain_working.set(state.plain_working.get() + 1);
     let is_late = matches!(script, RunnerScript::AnswerLate | RunnerScript::FailureLate);
-    let work = if is_late { LATE_AFTER } else { state.settings.work };
+    let work = if is_late { LATE_AFTER } else { state.work.get() };
     let closed = !work.is_zero() && !state.ignores_close.get() && {
         let (work, closed) = (pin!(compio::time::sleep(work)), pin!(wait_closed(stream, state)));
         matches!(select(work, closed).await, Either::Right(_))
--- a/crates/fakes/src/platform/runner_fake.rs
+++ b/crates/fakes/src/platform/runner_fake.rs
@@ -126,6 +126,8 @@
     pub(super) most_cold: Cell<usize>,
     /// Number of its last entry in the store.
     pub(super) sequence: Cell<u64>,
+    /// Time that further plain calls take.
+    pub(super) work: Cell<Duration>,
     /// Plain calls that are at work.
     pub(super) plain_working: Cell<usize>,
     /// Streams that it works on, by their attempt.
@@ -188,6 +190,7 @@
         let listener = TcpListener::bind(address).await.map_err(FakeError::Announce)?;
         let address = listener.local_addr().map_err(FakeError::Announce)?;
         let state = Rc::new(RunnerState {
+            work: Cell::new(settings.work),
             settings,
             memory: memory.clone(),
             scripts: RefCell::default(),
@@ -337,6 +340,11 @@
         *self.state.retry_after.borrow_mut() = retry_after.map(str::to_owned);
     }
 
+    /// Further plain calls take this long.
+    pub fn take_time(&self, work: Duration) {
+        self.state.work.set(work);
+    }
+
     /// Moves of its runs take this long.
     pub fn slow_moves(&self, time: Duration) {
         self.state.move_time.set(time);
--- a/crates/harness/src/lib.rs
+++ b/crates/harness/src/lib.rs
@@ -3,6 +3,7 @@
 //! Only this crate and the tests start processes; the product's own never do.
 
 mod addresses;
+mod attempt_end;
 mod caller;
 mod error;
 mod keys;
@@ -17,6 +18,7 @@
 mod wait;
 
 pub use addresses::AddressBlock;
+pub use attempt_end::{AttemptEnd, book};
 pub use caller::{CallAnswer, TestCaller, TokenStream};
 pub use error::{HarnessError, Result};
 pub use keys::TestKeys;
--- a/crates/harness/tests/node_rolling_stop.rs
+++ b/crates/harness/tests/node_rolling_stop.rs
@@ -8,11 +8,9 @@
 use compio::time::{sleep, timeout};
 use fakes::platform::RunnerFakeSettings;
 use futures_util::future::{join, join_all};
-use harness::{CallerRequest, HarnessError, NodeFleet, NodeProcess, wait_until};
-use http_body_util::BodyExt;
+use harness::{AttemptEnd, CallerRequest, NodeFleet, NodeProcess, book, wait_until};
 use rustix::process::Signal;
 use serde_json::json;
-use web::SendFault;
 
 const NODES: usize = 3;
 /// Time for a node to be told by every other one, or to end.
@@ -32,36 +30,6 @@
 const WARM_UP: Duration = Duration::from_secs(3);
 const LEAST_BOOKINGS: usize = 1_000;
 
-/// What became of one attempt.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum AttemptEnd {
-    Served,
-    /// Not run: a 503 with a time, or no connection.
-    Refused,
-    /// Anything else, after which the caller does not know whether it has run.
-    Lost(u16),
-}
-
-/// Sends one booking to a node.
-async fn book(fleet: &NodeFleet, node: usize, attempt: &str) -> AttemptEnd {
-    match fleet.open(node, &CallerRequest::booking(attempt)).await {
-        Ok(response) => {
-            let status = response.status().as_u16();
-            let may_return = response.headers().contains_key("retry-after");
-            let whole = response.into_body().collect().await.is_ok();
-            match status {
-                200 if whole => AttemptEnd::Served,
-                503 if whole && may_return => AttemptEnd::Refused,
-                _ => AttemptEnd::Lost(status),
-            }
-        }
-        Err(HarnessError::Web(error)) if error.send_fault() == SendFault::NotSent => {
-            AttemptEnd::Refused
-        }
-        Err(_) => AttemptEnd::Lost(0),
-    }
-}
-
 /// A caller that keeps addresses for [`HOLD`], and leaves one that has failed it.
 struct HoldingCaller {
     fleet: Rc<NodeFleet>,
--- a/crates/node/src/caller_server.rs
+++ b/crates/node/src/caller_server.rs
@@ -71,6 +71,7 @@
         }
         Ok(call) => {
             let call = Rc::new(call);
+            let _open = context.open_calls.open(&call);
             let serving = run_plain(context, router, &call, closer);
             unless_stopped(context, &call, serving).await
         }
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -17,6 +17,7 @@
 
 use crate::memory_pool::{MemoryPool, MemoryReservation};
 use crate::metrics::NodeMetrics;
+use crate::open_calls::OpenCalls;
 use crate::runner_probe::LostCalls;
 use crate::speed_share::SpeedFigure;
 use crate::state_transfer::EncodedPlan;
@@ -97,6 +98,8 @@
     pub call_times: RefCell<CallTimes>,
     /// Times of calls from their last send to their end.
     pub work_times: RefCell<CallTimes>,
+    /// Plain calls under way.
+    pub open_calls: OpenCalls,
     /// Until when this node takes and answers calls; `None` until it is asked to stop.
     pub stop_window: Cell<Option<StopWindow>>,
     /// Raised when the process is asked to stop, after `stop_window` was set.
@@ -160,6 +163,7 @@
             hedge_timer: RefCell::default(),
             call_times: RefCell::default(),
             work_times: RefCell::default(),
+            open_calls: OpenCalls::default(),
             stop_window: Cell::default(),
             stop: StopSignal::new(),
             active_requests: Cell::default(),
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -26,6 +26,7 @@
 mod loop_watch;
 mod memory_pool;
 mod metrics;
+mod open_calls;
 mod peer_link;
 mod peer_server;
 mod plain_call;
--- a/crates/node/src/stop_intake.rs
+++ b/crates/node/src/stop_intake.rs
@@ -16,6 +16,8 @@
 
 /// `Retry-After` of a stopping node; short, since the caller can retry at another node.
 const STOPPING_RETRY_AFTER: TimeSpan = TimeSpan::millis(20);
+/// Longest time for which a waiting call relies on how long calls were expected to take.
+const EXPECTATION_AGE: TimeSpan = TimeSpan::millis(100);
 /// Reason of a refusal by a stopping node.
 const STOPPING: &str = "stopping";
 /// Reason of an unknown outcome because the process ended before the call did.
@@ -41,8 +43,9 @@
         Some(STREAM)
     } else {
         let left = deadline.since(now);
-        let expected =
-            context.call_times.borrow().expected(route).map_or(left, |time| time.min(left));
+        let longest = context.open_calls.longest(now, route, |call| Some(call.arrived));
+        let expected = context.call_times.borrow().expected(route, longest);
+        let expected = expected.map_or(left, |time| time.min(left));
         window.refusal(now, expected).map(serving::StopRefusal::as_str)
     };
     let Some(refusal) = refusal else { return Ok(()) };
@@ -75,10 +78,18 @@
 
 async fn wait_until_too_late(context: &NodeContext, call: &Call) {
     let window = wait_for_window(context).await;
-    let left = call.deadline.since(context.now());
-    let expected = context.work_times.borrow().expected(&call.route);
-    let last_begin = window.last_begin(expected.map_or(left, |time| time.min(left)));
-    kernel::sleep(last_begin.since(context.now()).into()).await;
+    loop {
+        let now = context.now();
+        let left = call.deadline.since(now);
+        let longest = context.open_calls.longest(now, &call.route, |open| open.sent_at.get());
+        let expected = context.work_times.borrow().expected(&call.route, longest);
+        let last_begin = window.last_begin(expected.map_or(left, |time| time.min(left)));
+        if last_begin <= now {
+            return;
+        }
+        // What is expected may change while the call waits.
+        kernel::sleep(last_begin.since(now).min(EXPECTATION_AGE).into()).await;
+    }
 }
 
 /// Waits for the response to a call, but not beyond the end of the process: what is still under way then
--- a/crates/serving/src/call_times.rs
+++ b/crates/serving/src/call_times.rs
@@ -11,11 +11,19 @@
 
 /// Number of calls of a route that are kept.
 const KEPT_TIMES: usize = 256;
-/// Share of a route's calls that are to end within the expected time.
+/// Share of a route's calls that are to end within the expected time, if they may be repeated.
 const EXPECTED_QUANTILE: f64 = 0.98;
+/// Number of calls of a route that tell by themselves how long its calls take.
+const ENOUGH_TIMES: usize = 16;
+/// Part of the expected time, as a divisor, by which a call under way exceeds it if calls have become
+/// slower, and the least excess.
+const EXCESS_DIVISOR: u64 = 8;
+const LEAST_EXCESS: TimeSpan = TimeSpan::millis(50);
+/// Factor by which a call takes longer in the end than one under way has taken so far.
+const UNDER_WAY_FACTOR: u64 = 2;
 /// Number of routes whose calls are kept. Of more, the least recently used is dropped.
 const MAX_ROUTES: usize = 256;
-/// Expected time of a plain call on a route without calls so far, as a multiple of its target latency.
+/// Expected time of a plain call on a route with few calls so far, as a multiple of its target latency.
 const UNKNOWN_FACTOR: u64 = 4;
 
 /// Recent calls of one route.
@@ -34,13 +42,21 @@
         self.times.push_back(time);
     }
 
-    fn expected(&self) -> Option<TimeSpan> {
+    /// Time within which a call ends: nearly all of those kept if it may be repeated, otherwise all.
+    fn expected(&self, kind: RouteKind) -> Option<TimeSpan> {
+        if kind == RouteKind::AtMostOnce {
+            return self.times.iter().max().copied();
+        }
         let mut sorted: Vec<TimeSpan> = self.times.iter().copied().collect();
         let rank = (EXPECTED_QUANTILE * sorted.len() as f64).ceil() as usize;
         let rank = rank.checked_sub(1)?;
         let (_, expected, _) = sorted.select_nth_unstable(rank);
         Some(*expected)
     }
+
+    fn tells_all(&self) -> bool {
+        self.times.len() >= ENOUGH_TIMES
+    }
 }
 
 /// Recent times of the calls of each route.
@@ -61,13 +77,26 @@
         self.routes.entry(Arc::clone(route)).or_default().push(now, time);
     }
 
-    /// Time within which nearly all calls of the route end. `None` if nothing is known: no stream of
-    /// the route has ended, and its target is that of the first event.
+    /// Time within which a call of the route ends: nearly every call if they may be repeated, otherwise
+    /// every one. `longest_open` is the time that the longest call under way has taken so far; if it is
+    /// beyond what is known, calls have become slower. `None` if nothing is known: no stream of the
+    /// route has ended, and its target is that of the first event.
     #[must_use]
-    pub fn expected(&self, route: &RouteRule) -> Option<TimeSpan> {
-        let observed = self.routes.get(&route.name).and_then(RouteCalls::expected);
-        let is_stream = route.kind == RouteKind::Stream;
+    pub fn expected(&self, route: &RouteRule, longest_open: TimeSpan) -> Option<TimeSpan> {
+        let calls = self.routes.get(&route.name);
+        let observed = calls.and_then(|calls| calls.expected(route.kind));
+        if route.kind == RouteKind::Stream {
+            return observed;
+        }
+        let doubled = TimeSpan(longest_open.0.saturating_mul(UNDER_WAY_FACTOR));
+        if let Some(observed) = observed
+            && calls.is_some_and(RouteCalls::tells_all)
+        {
+            let excess = TimeSpan(observed.0 / EXCESS_DIVISOR).max(LEAST_EXCESS);
+            let is_slower = longest_open.0 > observed.0.saturating_add(excess.0);
+            return Some(if is_slower { doubled } else { observed });
+        }
         let assumed = TimeSpan(route.target_latency.0.saturating_mul(UNKNOWN_FACTOR));
-        observed.or((!is_stream).then_some(assumed))
+        Some(observed.unwrap_or_default().max(assumed).max(doubled))
     }
 }
