--- a/crates/harness/tests/node_stop_load.rs
+++ b/crates/harness/tests/node_stop_load.rs
@@ -86,6 +86,37 @@
     .unwrap();
 }
 
+/// Guards against a refusal that its caller never sees, since the connection is reset under the rest of
+/// the body that it is still sending.
+#[test]
+fn a_caller_that_is_still_sending_its_body_gets_the_refusal_of_a_stopping_node() {
+    const PART: usize = 1_000;
+    kernel::run(async {
+        let mut fleet = NodeFleet::start().await.unwrap();
+        let _llm = fleet.add_runner("llm", RunnerFakeSettings::new("llm-1")).await.unwrap();
+        fleet.add_node().unwrap();
+        fleet.wait_ready().await.unwrap();
+        fleet.nodes[0].signal(Signal::TERM).unwrap();
+        let mut stream = TcpStream::connect(fleet.callers(0)).await.unwrap();
+        let head = format!(
+            "POST /digest/long HTTP/1.1\r\nHost: {HOST}\r\nAuthorization: Bearer {KEY}\r\n\
+             X-Dotterelyard-Attempt-Id: s1\r\nContent-Length: {}\r\n\r\n",
+            3 * PART
+        );
+        stream.write_all(head.into_bytes()).await.0.unwrap();
+        for _ in 0..3 {
+            compio::time::sleep(WORK / 4).await;
+            stream.write_all(vec![b'x'; PART]).await.0.unwrap();
+        }
+        let (read, bytes) = stream.read(Vec::with_capacity(4_096)).await.into();
+        read.unwrap();
+        let answer = String::from_utf8_lossy(&bytes);
+        assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+        assert!(answer.contains("retry-after: 0.02"), "{answer}");
+    })
+    .unwrap();
+}
+
 /// Guards against a stop that takes until the kill because a caller keeps a connection open.
 #[test]
 fn open_connections_without_a_request_do_not_delay_a_planned_stop() {
--- a/crates/node/src/caller_server.rs
+++ b/crates/node/src/caller_server.rs
@@ -5,14 +5,14 @@
 
 use base::RequestContent;
 use base::prelude::*;
-use hyper::body::Body;
+use hyper::body::{Body, Incoming};
 use hyper::header::{CONNECTION, HOST, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::http::uri::PathAndQuery;
 use hyper::{HeaderMap, StatusCode};
 use platform::{CallHead, normalize_request};
 use serving::{CallInput, ForwardState, RouteKind, RouteRule, ServingPlan};
-use web::{ConnectionCloser, WebError, WebRequest, WebResponse, read_bounded};
+use web::{ConnectionCloser, WebError, WebRequest, WebResponse, discard_body, read_bounded};
 
 use crate::call::Call;
 use crate::call_answer::CallRejection;
@@ -27,6 +27,12 @@
 /// `Retry-After` of a node that has no configuration yet or no memory for the body.
 const NOT_READY_RETRY_AFTER: TimeSpan = TimeSpan::millis(300);
 
+/// Largest rest of the body of a rejected request that is read, in bytes.
+const MAX_DISCARDED_BYTES: usize = 1 << 20;
+
+/// Time for that rest to arrive.
+const DISCARD_TIME: TimeSpan = TimeSpan::seconds(2);
+
 /// Maximum number of headers of a caller's request; a request of another node has a few more.
 const MAX_CALLER_HEADERS: usize = 100;
 
@@ -65,7 +71,8 @@
     let arrived = context.now();
     let head = CallHead::decode(request.headers());
     let id = head.attempt.clone();
-    let mut response = match match_call(context, request, head, arrived, source).await {
+    let (parts, mut body) = request.into_parts();
+    let mut response = match match_call(context, parts, &mut body, head, arrived, source).await {
         Ok(call) if call.route.kind == RouteKind::Stream => {
             run_stream(context, router, Rc::new(call), closer).await
         }
@@ -78,6 +85,7 @@
         Err(rejection) => {
             let id = id.as_ref().map_or("", |id| id.as_str());
             log_rejection(context, id, rejection.reason, rejection.status.as_u16());
+            discard_rest(body);
             let mut response = rejection.reply();
             response.extensions_mut().insert(Rejected(rejection.reason));
             response
@@ -101,15 +109,27 @@
 ) -> Result<WebResponse, &'static str> {
     let closer = ConnectionCloser::from_request(&request);
     let (arrived, head) = (context.now(), CallHead::decode(request.headers()));
-    let call = match_call(context, request, head, arrived, CallSource::Node).await;
-    let call = call.map_err(|rejection| rejection.reason)?;
+    let (parts, mut body) = request.into_parts();
+    let call = match match_call(context, parts, &mut body, head, arrived, CallSource::Node).await {
+        Ok(call) => call,
+        Err(rejection) => {
+            discard_rest(body);
+            return Err(rejection.reason);
+        }
+    };
     resume_run(context, router, Rc::new(call), closer, offer).await
 }
 
+/// Reads the rest of the body of a request that was rejected, so that its sender sees the response.
+pub fn discard_rest(body: Incoming) {
+    discard_body(body, MAX_DISCARDED_BYTES, DISCARD_TIME);
+}
+
 /// Matches a request against the active configuration and reads its body.
 async fn match_call(
     context: &Rc<NodeContext>,
-    request: WebRequest,
+    mut parts: Parts,
+    body: &mut Incoming,
     head: CallHead,
     arrived: TimePoint,
     source: CallSource,
@@ -119,7 +139,6 @@
         reason: "not_ready",
         retry_after: Some(NOT_READY_RETRY_AFTER),
     })?;
-    let (mut parts, body) = request.into_parts();
     let sent_fingerprint = find_fingerprint(&parts.headers, source);
     normalize_request(&mut parts.uri, &mut parts.headers);
     if source == CallSource::Caller && parts.headers.len() > MAX_CALLER_HEADERS {
--- a/crates/node/src/forward/forwarded_calls.rs
+++ b/crates/node/src/forward/forwarded_calls.rs
@@ -14,7 +14,7 @@
 
 use super::offer::{ResumeOffer, RunHandle};
 use crate::call_answer::{CallRejection, Unreached};
-use crate::caller_server::{CallSource, Rejected, answer_call, resume_call};
+use crate::caller_server::{CallSource, Rejected, answer_call, discard_rest, resume_call};
 use crate::context::NodeContext;
 use crate::metrics::OutcomeLabels;
 use crate::router::RouterService;
@@ -59,6 +59,7 @@
     // Counted from the beginning, so that a planned stop waits for the call.
     let _guard = context.track_request();
     if let Some(reason) = find_obstacle(context, required_plan(&request)) {
+        discard_rest(request.into_body());
         return decline(context, reason);
     }
     let Some(request) = restore_request(request) else {
@@ -89,6 +90,7 @@
 ) -> WebResponse {
     let _guard = context.track_request();
     if let Some(reason) = find_obstacle(context, required_plan(&request)) {
+        discard_rest(request.into_body());
         return decline(context, reason);
     }
     let Some((offer, request)) = restore_resume(request) else {
--- a/crates/web/src/body.rs
+++ b/crates/web/src/body.rs
@@ -37,7 +37,11 @@
 /// # Errors
 /// [`WebError::TooLong`] if the body exceeds the limit, [`WebError::Body`] if it
 /// cannot be read to its end.
-pub async fn read_bounded(step: &'static str, mut body: Incoming, limit: usize) -> Result<Bytes> {
+pub async fn read_bounded(
+    step: &'static str,
+    mut body: impl Body<Data = Bytes, Error = hyper::Error> + Unpin,
+    limit: usize,
+) -> Result<Bytes> {
     let declared_length = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
     let mut bytes = Vec::with_capacity(declared_length.min(limit));
     let mut length = 0;
@@ -57,6 +61,24 @@
     Ok(Bytes::from(bytes))
 }
 
+/// Reads and drops what is still to come of a request's body after its response, at most `max_bytes`
+/// and until `limit` has passed. A connection that closes with unread bytes is reset, and a peer that
+/// is still writing would not see the response.
+pub fn discard_body(mut body: Incoming, max_bytes: usize, limit: TimeSpan) {
+    if body.is_end_stream() {
+        return;
+    }
+    let reading = async move {
+        let mut left = max_bytes;
+        while let Some(Ok(frame)) = body.frame().await {
+            let length = frame.data_ref().map_or(0, Bytes::len);
+            let Some(rest) = left.checked_sub(length) else { return };
+            left = rest;
+        }
+    };
+    compio::runtime::spawn(timeout(limit.into(), reading)).detach();
+}
+
 /// Reads a complete body for as long as `admit` accepts its length so far, in bytes. The rest of
 /// a body that is not accepted is not read.
 ///
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -10,7 +10,9 @@
 mod server;
 mod sse;
 
-pub use body::{WebBody, full_body, read_admitted, read_bounded, read_steadily, stream_body};
+pub use body::{
+    WebBody, discard_body, full_body, read_admitted, read_bounded, read_steadily, stream_body,
+};
 pub use client::{
     ConnectionTask, FetchLimit, MAX_FETCH_BYTES, WebAnswer, WebConnection, WebExchange, fetch,
     fetch_answer, fetch_json, open_exchange, post_json, send_once,
