--- a/crates/node/src/call.rs
+++ b/crates/node/src/call.rs
@@ -53,12 +53,38 @@
     pub _reservation: MemoryReservation,
     /// When the request arrived.
     pub arrived: TimePoint,
+    /// Where its run goes on, if it is a stream.
+    pub run_place: RefCell<RunPlace>,
     /// When the request was last sent to a runner; `None` until it is.
     pub sent_at: Cell<Option<TimePoint>>,
     /// The earlier of the caller's deadline and the route's timeout.
     pub deadline: TimePoint,
 }
 
+/// Where the run of a stream goes on, as far as this node knows.
+#[derive(Debug, Default)]
+pub enum RunPlace {
+    /// No stream of the call is relayed.
+    #[default]
+    Nowhere,
+    /// At a runner that this node reads.
+    Runner(RunnerId),
+    /// At a runner that another node reads.
+    OtherNode,
+}
+
+impl RunPlace {
+    /// Whether the run may go on at `runner`.
+    #[must_use]
+    pub fn may_be_at(&self, runner: &RunnerId) -> bool {
+        match self {
+            Self::Nowhere => false,
+            Self::Runner(current) => current == runner,
+            Self::OtherNode => true,
+        }
+    }
+}
+
 /// Workspace name that the call dispatcher uses for requests without a workspace.
 const PUBLIC_WORKSPACE: &str = "public";
 
--- a/crates/node/src/caller_server.rs
+++ b/crates/node/src/caller_server.rs
@@ -208,6 +208,7 @@
         forwards: RefCell::new(ForwardState::new(source == CallSource::Node)),
         _reservation: reservation,
         arrived,
+        run_place: RefCell::default(),
         sent_at: Cell::default(),
         deadline,
     })
--- a/crates/node/src/follow_runners.rs
+++ b/crates/node/src/follow_runners.rs
@@ -18,7 +18,7 @@
 use crate::limit_share::cold_plan;
 use crate::peer_link::PeerLink;
 use crate::router::RouterService;
-use crate::runner_gate::record_cold;
+use crate::runner_notices::record_cold;
 use crate::store_reader::{EraListing, StoreReader};
 
 /// Pause between two reads. Runners rewrite their records about once a second each, so a
--- a/crates/node/src/heartbeat_sections.rs
+++ b/crates/node/src/heartbeat_sections.rs
@@ -10,7 +10,7 @@
 use crate::evacuation_watch::apply_evacuation_update;
 use crate::reach::apply_reach_update;
 use crate::router::RouterService;
-use crate::runner_gate::{apply_brittle_update, apply_cold_update};
+use crate::runner_notices::{apply_brittle_update, apply_cold_update};
 use crate::speed_share::{apply_speed_update, take_speed_update};
 
 /// Collects what this node states about subjects that have a section.
--- a/crates/node/src/peer_link.rs
+++ b/crates/node/src/peer_link.rs
@@ -21,7 +21,7 @@
 use crate::heartbeat_sections::{apply_sections, collect_sections};
 use crate::limit_share::limit_update;
 use crate::router::RouterService;
-use crate::runner_gate::apply_limit_update;
+use crate::runner_notices::apply_limit_update;
 use crate::state_fetcher::StateFetcher;
 
 /// A requested heartbeat is sent no sooner than the heartbeat interval divided by this after
--- a/crates/node/src/reach/reach_watch.rs
+++ b/crates/node/src/reach/reach_watch.rs
@@ -13,7 +13,8 @@
 use super::records::{count_reaching, impairment, record_runner_answer};
 use crate::call_log::may_log;
 use crate::context::NodeContext;
-use crate::runner_gate::{find_own_block, record_notice};
+use crate::runner_gate::find_own_block;
+use crate::runner_notices::record_notice;
 
 /// How often it is looked whether runners are to be asked.
 const WATCH_PERIOD: TimeSpan = TimeSpan::millis(50);
--- a/crates/node/src/run_end_watch.rs
+++ b/crates/node/src/run_end_watch.rs
@@ -13,7 +13,8 @@
 use crate::call_log::may_log;
 use crate::context::NodeContext;
 use crate::metrics::WithheldLabels;
-use crate::runner_gate::{SendBlock, find_block, find_own_block, record_notice};
+use crate::runner_gate::{SendBlock, find_block, find_own_block};
+use crate::runner_notices::record_notice;
 use crate::streams::CopyTask;
 
 /// Time from the close of a connection until the runner's report shows what became of its run.
@@ -47,7 +48,12 @@
     }
     let (context, call, runner) = (Rc::clone(context), Rc::clone(call), runner.clone());
     kernel::spawn(async move {
-        if !asks || goes_on(&context, &call, &runner, &incarnation).await {
+        let goes_on = !asks || is_in_report(&context, &call, &runner, &incarnation).await;
+        // The run may have come back to the runner meanwhile.
+        if goes_on && !call.run_place.borrow().may_be_at(&runner.runner) {
+            if asks {
+                record_habit(&context, &runner, EndHabit::IgnoresClose);
+            }
             order_stop(&context, &call, &runner).await;
         }
     })
@@ -83,8 +89,8 @@
     }
 }
 
-/// Whether the runner works on the run some time after its connection was closed.
-async fn goes_on(
+/// Whether the runner's report names the run some time after its connection was closed.
+async fn is_in_report(
     context: &NodeContext,
     call: &Call,
     runner: &RunnerRecord,
@@ -99,11 +105,7 @@
         record_notice(context, incarnation, &notice);
     }
     let runs = result.ok().and_then(|status| status.runs).unwrap_or_default();
-    let goes_on = runs.iter().any(|run| **run == *call.attempt.as_str());
-    if goes_on {
-        record_habit(context, runner, EndHabit::IgnoresClose);
-    }
-    goes_on
+    runs.iter().any(|run| **run == *call.attempt.as_str())
 }
 
 /// Orders a runner to stop a run. Its memory is freed: nobody wants the rest of the run.
--- a/crates/node/src/runner_poll.rs
+++ b/crates/node/src/runner_poll.rs
@@ -13,7 +13,8 @@
 use crate::context::NodeContext;
 use crate::reach::record_runner_answer;
 use crate::router::RouterService;
-use crate::runner_gate::{find_own_block, record_notice};
+use crate::runner_gate::find_own_block;
+use crate::runner_notices::record_notice;
 
 /// Age of the list of runners from which runners are polled: longer than the pauses of all
 /// nodes that stand by to read it.
--- a/crates/node/src/runner_probe.rs
+++ b/crates/node/src/runner_probe.rs
@@ -18,7 +18,8 @@
 use crate::context::NodeContext;
 use crate::crash_watch::record_crash;
 use crate::reach::reaches_service;
-use crate::runner_gate::{find_own_block, record_notice};
+use crate::runner_gate::find_own_block;
+use crate::runner_notices::record_notice;
 
 /// Timeout for connecting to a runner that lost a call.
 const CONNECT_TIMEOUT: TimeSpan = TimeSpan::millis(250);
--- a/crates/node/src/runner_send.rs
+++ b/crates/node/src/runner_send.rs
@@ -19,10 +19,8 @@
 use crate::reach::{
     record_runner_answer, record_runner_failure, wait_while_connecting, wait_while_unanswered,
 };
-use crate::runner_gate::{
-    SendBlock, SendPurpose, begin_send, check_inputs, record_not_brittle, record_notice,
-    record_unlimited,
-};
+use crate::runner_gate::{SendBlock, SendPurpose, begin_send, check_inputs};
+use crate::runner_notices::{record_not_brittle, record_notice, record_unlimited};
 
 /// Maximum time to connect. A runner whose connection backlog is full drops the first
 /// packet, which TCP sends again only after a second.
--- a/crates/node/src/streams/run_stop.rs
+++ b/crates/node/src/streams/run_stop.rs
@@ -19,8 +19,9 @@
 use super::stream_copy::{CopyTask, RunCopy};
 use super::stream_handover::{HandoverStep, caller_disconnected, describe_loss};
 use super::stream_pump::{PumpStep, StreamPump};
+use crate::call::RunPlace;
 use crate::call_log::RequestOutcome;
-use crate::run_end_watch::record_habit;
+use crate::run_end_watch::{OpenRun, record_habit};
 use crate::runner_gate::SendPurpose;
 use crate::runner_send::{SendFailure, SendPlan, connect_to_runner, send_connected};
 
@@ -37,8 +38,8 @@
 const ROUND_PAUSE: TimeSpan = TimeSpan::millis(75);
 /// Time for which a run stays at a source that it has returned to, before it leaves again.
 const RETURN_STAY: TimeSpan = TimeSpan::millis(200);
-/// Part of the drain time, as a divisor, in which a run may return to a runner that leaves.
-const RETURN_DIVISOR: u64 = 2;
+/// Time to keep for another return when a run that has returned leaves again.
+const RETURN_MARGIN: TimeSpan = TimeSpan::millis(500);
 
 /// Reason of a run that may not go on at its source any more.
 const RETURN_LATE: &str = "source_left";
@@ -101,6 +102,7 @@
             let tries = self.tries;
             self.switch_source(&plan, exchange, "returned");
             self.tries = tries;
+            self.returned_at = Some(self.context.now());
             self.source.switch_at = Some(self.context.now() + RETURN_STAY);
         } else {
             self.switch_source(&plan, exchange, how);
@@ -271,7 +273,7 @@
         connection: Option<WebConnection>,
     ) -> Result<WebExchange, SendFailure> {
         let (context, call) = (Rc::clone(&self.context), Rc::clone(&self.call));
-        if plan.purpose == SendPurpose::Return && !self.may_return() {
+        if plan.purpose == SendPurpose::Return && !self.may_return(TimeSpan::default()) {
             return Err(SendFailure::withheld(RETURN_LATE));
         }
         if self.ticket.assigned_runner().as_ref() != Some(&plan.runner.runner) {
@@ -290,7 +292,16 @@
             Box::pin(connecting).await?
         };
         let limit = HEAD_TIME.min(call.deadline.since(context.now()));
-        let exchange = Box::pin(send_connected(&context, &call, plan, connection, limit)).await?;
+        call.run_place.replace(RunPlace::Runner(plan.runner.runner.clone()));
+        let run = OpenRun::new(&context, &call, &plan.runner);
+        let sent = Box::pin(send_connected(&context, &call, plan, connection, limit)).await;
+        if sent.as_ref().is_err_and(|failure| failure.outcome == SendOutcome::Unknown) {
+            // It may work on the run, which goes on elsewhere.
+            drop(run);
+        } else {
+            run.finish();
+        }
+        let exchange = sent?;
         let status = exchange.response.status();
         if status.is_success() {
             return Ok(exchange);
@@ -298,11 +309,16 @@
         Err(SendFailure::withheld(&status.to_string()))
     }
 
-    /// Whether the run may go on at its source, which may get no requests some time after it has
-    /// announced that it leaves.
-    fn may_return(&self) -> bool {
-        let window = TimeSpan(self.context.settings.drain.0 / RETURN_DIVISOR);
-        let now = self.context.now();
-        self.leaving_since.is_none_or(|since| now.since(since) < window)
+    /// Whether the run can go on at its source if it is not taken elsewhere, or has not had to so far.
+    pub(crate) fn may_leave_again(&self) -> bool {
+        self.returned_at.is_none() || self.may_return(RETURN_MARGIN)
+    }
+
+    /// Whether the run may go on at its source, for `margin` more. It may in the first three quarters of
+    /// the drain time: after that time a runner that has announced that it leaves may get no requests.
+    fn may_return(&self, margin: TimeSpan) -> bool {
+        let window = TimeSpan(self.context.settings.drain.0 / 4 * 3);
+        let end = self.context.now() + margin;
+        self.leaving_since.is_none_or(|since| end.since(since) < window)
     }
 }
--- a/crates/node/src/streams/stream_copy.rs
+++ b/crates/node/src/streams/stream_copy.rs
@@ -12,7 +12,7 @@
 use platform::AttemptId;
 
 use crate::context::NodeContext;
-use crate::runner_gate::{copy_between_runners, free_copy, stop_at_runner};
+use crate::run_copies::{copy_between_runners, free_copy, stop_at_runner};
 
 /// Timeout for copying the memory of a run; runs that leave together share the link.
 const COPY_LIMIT: TimeSpan = TimeSpan::millis(2_500);
--- a/crates/node/src/streams/stream_handover.rs
+++ b/crates/node/src/streams/stream_handover.rs
@@ -16,8 +16,10 @@
 use super::stream_pump::{PumpStep, StreamPump};
 use super::stream_silence::SourceActivity;
 use super::stream_source::StreamSource;
+use crate::call::RunPlace;
 use crate::call_log::{RequestOutcome, log_send_failure};
 use crate::context::NodeContext;
+use crate::run_end_watch::OpenRun;
 use crate::runner_gate::SendPurpose;
 use crate::runner_send::{SendFailure, SendPlan, connect_to_runner, send_connected};
 
@@ -125,7 +127,7 @@
         rule: OverlapRule,
     ) -> HandoverStep {
         let ends_by_order = rule == OverlapRule::KeepSource && self.is_ended_by_order();
-        if ends_by_order && !self.follows_orders() {
+        if ends_by_order && !(self.follows_orders() && self.may_leave_again()) {
             self.stays = true;
             return HandoverStep::Kept;
         }
@@ -204,6 +206,7 @@
         self.scanner.discard_partial_event();
         if plan.runner.runner != self.source.runner.runner {
             self.leaving_since = None;
+            self.returned_at = None;
         }
         self.replace_source(StreamSource::new(plan, exchange));
     }
@@ -212,6 +215,12 @@
     pub(crate) fn replace_source(&mut self, source: StreamSource) {
         self.close_source();
         self.stays = false;
+        let place = if source.is_relayed {
+            RunPlace::OtherNode
+        } else {
+            RunPlace::Runner(source.runner.runner.clone())
+        };
+        self.call.run_place.replace(place);
         self.source = source;
         self.activity = SourceActivity::new(self.context.now());
         self.pending_check = None;
@@ -267,6 +276,7 @@
         let overlap_end = context.now() + MAX_OVERLAP;
         let left = call.deadline.since(context.now());
         let mut send = pin!(send_connected(&context, &call, plan, connection, left).fuse());
+        let run = OpenRun::new(&context, &call, &plan.runner);
         loop {
             let frame = {
                 let mut disconnected = pin!(self.caller.disconnected.wait().fuse());
@@ -276,6 +286,7 @@
                 select_biased! {
                     () = disconnected => return OverlapEnd::CallerDisconnected,
                     outcome = send => {
+                        run.finish();
                         return outcome.map_or_else(OverlapEnd::Failed, OverlapEnd::Answered);
                     }
                     frame = frame => Some(frame),
--- a/crates/node/src/streams/stream_pump.rs
+++ b/crates/node/src/streams/stream_pump.rs
@@ -16,7 +16,7 @@
 use super::stream_resume::StreamAttempts;
 use super::stream_silence::{CheckFuture, SourceActivity, SourceCheck};
 use super::stream_source::{CallerSide, StreamPace, StreamSource};
-use crate::call::Call;
+use crate::call::{Call, RunPlace};
 use crate::call_log::{RequestOutcome, RequestSummary, format_parts, log_end, log_send_failure};
 use crate::context::{NodeContext, RequestGuard};
 use crate::crash_watch::{PROOF_SPAN, record_answer};
@@ -93,6 +93,8 @@
     pub(crate) stays: bool,
     /// When this node learned that the runner of the stream leaves.
     pub(crate) leaving_since: Option<TimePoint>,
+    /// When the run last returned to the runner of the stream, which had stopped it.
+    pub(crate) returned_at: Option<TimePoint>,
     /// The check of a silent source that is in progress.
     pub(crate) pending_check: Option<CheckFuture>,
     pace: StreamPace,
@@ -109,6 +111,7 @@
         caller: CallerSide,
     ) -> Self {
         let StreamParts { call, ticket, source, attempts, resumed_after } = parts;
+        call.run_place.replace(RunPlace::Runner(source.runner.runner.clone()));
         Self {
             context: Rc::clone(context),
             router: Rc::clone(router),
@@ -126,6 +129,7 @@
             move_requested: false,
             stays: false,
             leaving_since: None,
+            returned_at: None,
             pending_check: None,
             pace: StreamPace::default(),
             _active: context.track_request(),
@@ -314,6 +318,7 @@
             parts = format_parts(&self.call.head.shared_parts),
         );
         log_end(&self.context, &self.call, RequestSummary { outcome, reason, status: 200 });
+        self.call.run_place.take();
         if outcome != RequestOutcome::Streamed {
             self.close_source();
         }
