End a run by closing where the order to stop it finds no room (LOST)

Cause: the order to stop copies the rest of the run to the next runner, and answers 503 where that has no room. The node kept the run and tried until its runner ended.

A runner that is known to go on with closed requests keeps the run.

--- a/crates/fakes/src/platform/runner_answers.rs
+++ b/crates/fakes/src/platform/runner_answers.rs
@@ -69,11 +69,13 @@
     let body: Value = serde_json::from_slice(&request.body).unwrap_or_default();
     let attempt = body["id"].as_str().unwrap_or_default();
     let run = state.runs_at_work.borrow().get(attempt).cloned();
-    let stops = body["last"] == true && !state.ignores_stops.get();
+    let is_order = body["last"] == true;
+    let is_order_refused = is_order && state.stops_refused.get();
+    let stops = is_order && !is_order_refused && !state.ignores_stops.get();
     if stops && let Some(run) = &run {
         run.stopped.raise();
     }
-    let is_refused = state.moves_refused.get();
+    let is_refused = state.moves_refused.get() || is_order_refused;
     // A run that was stopped is kept, whether or not its copy finds room.
     let copied = run.filter(|_| stops || !is_refused).and_then(|_| state.memory.copy(attempt));
     let body = copied
--- a/crates/fakes/src/platform/runner_fake.rs
+++ b/crates/fakes/src/platform/runner_fake.rs
@@ -136,6 +136,8 @@
     pub(super) ignores_close: Cell<bool>,
     /// It goes on with a run that a move is to stop.
     pub(super) ignores_stops: Cell<bool>,
+    /// Orders to stop a run find no room for its copy and stop nothing.
+    pub(super) stops_refused: Cell<bool>,
     /// When connections were closed from outside before they were answered.
     pub(super) abandoned: RefCell<Vec<Instant>>,
     /// When it turned requests away for want of room.
@@ -209,6 +211,7 @@
             runs_at_work: RefCell::default(),
             ignores_close: Cell::default(),
             ignores_stops: Cell::default(),
+            stops_refused: Cell::default(),
             abandoned: RefCell::default(),
             turned_away: RefCell::default(),
             retry_after: RefCell::default(),
@@ -365,6 +368,11 @@
         self.state.ignores_stops.set(true);
     }
 
+    /// Moves that are to stop a run find no room, and the run goes on; other moves find some.
+    pub fn refuse_stop_orders(&self) {
+        self.state.stops_refused.set(true);
+    }
+
     /// Its streams make all their further events without a pause.
     pub fn rush(&self) {
         self.state.rushes.set(true);
--- a/crates/harness/tests/node_engines_go_on.rs
+++ b/crates/harness/tests/node_engines_go_on.rs
@@ -128,6 +128,33 @@
     .unwrap();
 }
 
+/// Guards against LOST: an order finds no room and stops nothing, so that its run stays at a runner that ends.
+#[test]
+fn a_run_whose_order_to_stop_finds_no_room_goes_on_from_its_copy() {
+    /// Time from the announcement until the runner ends.
+    const NOTICE: Duration = Duration::from_millis(1_500);
+    kernel::run(async {
+        let mut fleet = NodeFleet::start().await.unwrap();
+        let mut runners = Vec::new();
+        for number in 1..=3 {
+            let runner = fleet.add_runner("llm", slow(&format!("llm-{number}"))).await.unwrap();
+            runner.refuse_stop_orders();
+            runners.push(runner);
+        }
+        fleet.add_node().unwrap();
+        fleet.wait_ready().await.unwrap();
+        let request = CallerRequest::stream("s1").with("x-dotterelyard-length-hint", "10");
+        let (answer, ()) = futures_util::join!(fleet.send(0, &request), async {
+            let leaving = find_worker(&runners, |_| true).await;
+            fleet.tell(leaving, "llm", "draining");
+            compio::time::sleep(NOTICE).await;
+            leaving.crash();
+        });
+        assert_whole(&answer);
+    })
+    .unwrap();
+}
+
 /// Guards against GONE: an engine works on for a caller who has left.
 #[test]
 fn a_run_whose_caller_has_left_ends_at_a_runner_that_goes_on_with_closed_requests() {
--- a/crates/node/src/streams/run_stop.rs
+++ b/crates/node/src/streams/run_stop.rs
@@ -41,6 +41,8 @@
 /// Time to keep for another return when a run that has returned leaves again.
 const RETURN_MARGIN: TimeSpan = TimeSpan::millis(500);
 
+/// Status of an order that found no room for the rest of the copy and has not stopped the run.
+const NO_ROOM: u16 = 503;
 /// Reason of a run that may not go on at its source any more.
 const RETURN_LATE: &str = "source_left";
 
@@ -64,10 +66,20 @@
     Stopped(Option<StopAnswer>),
     /// The source goes on with the run.
     Kept,
+    /// The source goes on with the run, since the order found no room for the rest of its copy.
+    NoRoom,
     /// The stream has ended.
     End(PumpStep),
 }
 
+/// How a handover by an order ended.
+pub(super) enum OrderedStep {
+    /// The handover has ended.
+    Done(HandoverStep),
+    /// The run was not stopped for want of room. The connection to the next runner is still unused.
+    NoRoom(WebConnection),
+}
+
 impl StreamPump {
     /// Has the source stop the run, then sends the request to the runner of `plan`, to which `connection`
     /// leads. Until the run has stopped, the source is forwarded as before.
@@ -76,28 +88,33 @@
         plan: SendPlan,
         how: &'static str,
         connection: WebConnection,
-    ) -> HandoverStep {
+    ) -> OrderedStep {
         let (context, attempt) = (Rc::clone(&self.context), self.call.attempt.clone());
         let (from, to) = (self.source.runner.address, plan.runner.address);
         let mut order = CopyTask::stop(context, attempt, from, to);
         let answer = match self.wait_for_stop(&mut order).await {
             StopEnd::Stopped(answer) => answer,
-            StopEnd::Kept => {
+            StopEnd::NoRoom if self.ends_by_close() => return OrderedStep::NoRoom(connection),
+            StopEnd::Kept | StopEnd::NoRoom => {
                 self.count_move("kept");
-                return HandoverStep::Kept;
+                return OrderedStep::Done(HandoverStep::Kept);
             }
-            StopEnd::End(step) => return HandoverStep::End(step),
+            StopEnd::End(step) => return OrderedStep::Done(HandoverStep::End(step)),
         };
         let disconnected = self.caller.disconnected.clone();
         let mut disconnected = pin!(disconnected.wait().fuse());
         let resumed = {
             let mut resuming = pin!(self.resume_stopped(&plan, connection, order, answer).fuse());
             select_biased! {
-                () = disconnected => return HandoverStep::End(caller_disconnected()),
+                () = disconnected => {
+                    return OrderedStep::Done(HandoverStep::End(caller_disconnected()));
+                }
                 resumed = resuming => resumed,
             }
         };
-        let Some((plan, exchange)) = resumed else { return HandoverStep::Refused };
+        let Some((plan, exchange)) = resumed else {
+            return OrderedStep::Done(HandoverStep::Refused);
+        };
         if plan.purpose == SendPurpose::Return {
             let tries = self.tries;
             self.switch_source(&plan, exchange, "returned");
@@ -107,7 +124,13 @@
         } else {
             self.switch_source(&plan, exchange, how);
         }
-        HandoverStep::Switched
+        OrderedStep::Done(HandoverStep::Switched)
+    }
+
+    /// Whether the runner of the source drops a run whose connection closes, as far as is known.
+    fn ends_by_close(&self) -> bool {
+        let runner = self.source.runner.incarnation();
+        self.context.run_ends.borrow().habit(&runner).is_none()
     }
 
     /// Forwards the source until it has stopped the run as ordered, or is known to go on with it.
@@ -125,6 +148,9 @@
                 }
                 Some(Err(error)) if !self.source.ended => {
                     self.log_send_failure(&error.to_string());
+                    if error.status() == Some(NO_ROOM) {
+                        return StopEnd::NoRoom;
+                    }
                     // A run that the source no longer has is finished; its last events are in transit.
                     self.stays |= error.is_not_found();
                     return StopEnd::Kept;
--- a/crates/node/src/streams/stream_handover.rs
+++ b/crates/node/src/streams/stream_handover.rs
@@ -13,6 +13,7 @@
 use serving::{RunnerRecord, SendOutcome, StreamScanner};
 use web::{WebConnection, WebExchange};
 
+use super::run_stop::OrderedStep;
 use super::stream_pump::{PumpStep, StreamPump};
 use super::stream_silence::SourceActivity;
 use super::stream_source::StreamSource;
@@ -131,7 +132,7 @@
             self.stays = true;
             return HandoverStep::Kept;
         }
-        let connection = match self.connect_next(&plan.runner).await {
+        let mut connection = match self.connect_next(&plan.runner).await {
             Ok(Ok(connection)) => connection,
             Ok(Err(failure)) => {
                 self.note_refusal(&plan, &failure.reason);
@@ -140,7 +141,11 @@
             Err(end) => return HandoverStep::End(end),
         };
         if rule == OverlapRule::KeepSource && self.is_ended_by_order() {
-            return Box::pin(self.hand_over_stopped(plan, how, connection)).await;
+            let ordered = Box::pin(self.hand_over_stopped(plan.clone(), how, connection)).await;
+            connection = match ordered {
+                OrderedStep::Done(step) => return step,
+                OrderedStep::NoRoom(connection) => connection,
+            };
         }
         if let Some(resume) = &mut plan.resume {
             resume.last_event_id = self.scanner.last_id();
