--- a/crates/harness/tests/node_stream_partition.rs
+++ b/crates/harness/tests/node_stream_partition.rs
@@ -101,7 +101,7 @@
 }
 
 #[test]
-fn streams_under_way_when_half_of_the_runners_fall_silent_go_on() {
+fn streams_under_way_go_on_within_the_bound_when_half_of_the_runners_fall_silent() {
     check_cut(usize::from(RUNNERS) / 2, LinkState::Lost);
 }
 
