Keep what runners state about themselves in one table

Limits and brittle runners kept the same statements, with the same rules for which one is newer and how long it holds, in two files. RunnerStatements holds them now; what differs (rates, rejections) stays where it was. The messages between nodes are unchanged.

--- a/crates/serving/src/brittle_runners.rs
+++ b/crates/serving/src/brittle_runners.rs
@@ -11,6 +11,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::RunnerIncarnation;
+use crate::runner_statements::{RunnerStatements, StatementChange};
 
 /// Time for which a statement holds after the last answer that made it.
 const BRITTLE_TTL: TimeSpan = TimeSpan::seconds(60);
@@ -61,6 +62,12 @@
     pub limit: Option<u32>,
 }
 
+impl BrittleChange {
+    fn new(change: StatementChange<u32>) -> Self {
+        Self { runner: change.runner, limit: change.value }
+    }
+}
+
 /// How many more requests this node may send to a runner.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct RunnerRoom {
@@ -71,20 +78,6 @@
     pub free_at: Option<TimePoint>,
 }
 
-#[derive(Debug, Clone)]
-struct BrittleStatement {
-    runner: RunnerIncarnation,
-    limit: Option<u32>,
-    until: TimePoint,
-}
-
-impl BrittleStatement {
-    fn is_newer_than(&self, known: &Self) -> bool {
-        let starts = (self.runner.started_unix_ms, known.runner.started_unix_ms);
-        starts.0 > starts.1 || starts.0 == starts.1 && self.until >= known.until
-    }
-}
-
 /// This node's requests at one brittle runner.
 #[derive(Debug, Default)]
 struct RunnerSends {
@@ -125,10 +118,7 @@
 /// The brittle runners at this node.
 #[derive(Debug, Default)]
 pub struct BrittleTable {
-    /// Statements in answers to this node.
-    own: BTreeMap<RunnerId, BrittleStatement>,
-    /// The newest statements in answers to other nodes. They are not passed on, like limits.
-    from_peers: BTreeMap<RunnerId, BrittleStatement>,
+    statements: RunnerStatements<u32>,
     sends: BTreeMap<RunnerId, RunnerSends>,
     peer_rejections: BTreeMap<RunnerId, BTreeMap<VmId, PeerRejections>>,
 }
@@ -149,14 +139,7 @@
         runner: &RunnerIncarnation,
         limit: Option<u32>,
     ) -> Option<BrittleChange> {
-        let before = self.limit(now, runner);
-        if limit.is_none() && before.is_none() && !self.own.contains_key(&runner.runner) {
-            return None;
-        }
-        let statement =
-            BrittleStatement { runner: runner.clone(), limit, until: now + BRITTLE_TTL };
-        keep_newest(&mut self.own, statement);
-        self.change(now, runner, before)
+        self.statements.record(now, runner, limit, now + BRITTLE_TTL).map(BrittleChange::new)
     }
 
     /// Applies the update of another node. Returns the changes.
@@ -176,41 +159,24 @@
             } else if let Some(of_runner) = self.peer_rejections.get_mut(&runner.runner) {
                 of_runner.remove(vm);
             }
-            let before = self.limit(now, &runner);
             let until = now + left.min(BRITTLE_TTL);
-            let statement = BrittleStatement { runner: runner.clone(), limit, until };
-            keep_newest(&mut self.from_peers, statement);
-            changes.extend(self.change(now, &runner, before));
+            let change = self.statements.record_from_peer(now, &runner, limit, until);
+            changes.extend(change.map(BrittleChange::new));
         }
         changes
     }
 
-    fn change(
-        &self,
-        now: TimePoint,
-        runner: &RunnerIncarnation,
-        before: Option<u32>,
-    ) -> Option<BrittleChange> {
-        let limit = self.limit(now, runner);
-        (limit != before).then(|| BrittleChange { runner: runner.runner.clone(), limit })
-    }
-
     /// Whether no runner is brittle, or was lately.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.own.is_empty() && self.from_peers.is_empty()
+        self.statements.is_empty()
     }
 
     /// Rejections in a second that this start of a runner can bear by its newest statement; `None`
     /// if it is not brittle.
     #[must_use]
     pub fn limit(&self, now: TimePoint, runner: &RunnerIncarnation) -> Option<u32> {
-        let statements = [&self.own, &self.from_peers]
-            .into_iter()
-            .filter_map(|statements| statements.get(&runner.runner));
-        let holding =
-            statements.filter(|statement| statement.runner == *runner && now < statement.until);
-        holding.max_by_key(|statement| statement.until)?.limit
+        self.statements.value(now, runner)
     }
 
     /// How many more requests this node may send to a brittle runner, if `share` of the usable
@@ -280,17 +246,13 @@
     /// What runners stated to this node; those that reject requests first.
     #[must_use]
     pub fn update(&self, now: TimePoint, fleet_size: usize) -> BrittleUpdate {
-        let holding = self.own.values().filter(|statement| now < statement.until);
-        let report = |statement: &BrittleStatement| BrittleReport {
-            runner: statement.runner.clone(),
-            limit: statement.limit,
-            left: statement.until.since(now),
-            rejected: self
-                .sends
-                .get(&statement.runner.runner)
-                .map_or(0, |sends| sends.rejected(now)),
+        let report = |(runner, limit, left): (&RunnerIncarnation, _, _)| BrittleReport {
+            runner: runner.clone(),
+            limit,
+            left,
+            rejected: self.sends.get(&runner.runner).map_or(0, |sends| sends.rejected(now)),
         };
-        let mut reports: Vec<BrittleReport> = holding.map(report).collect();
+        let mut reports: Vec<BrittleReport> = self.statements.own(now).map(report).collect();
         reports.sort_by(|a, b| b.rejected.cmp(&a.rejected).then(b.left.cmp(&a.left)));
         reports.truncate(MAX_REPORTS);
         BrittleUpdate { fleet_size: u32::try_from(fleet_size).unwrap_or(u32::MAX), reports }
@@ -298,22 +260,12 @@
 
     /// Drops what no longer holds.
     pub fn prune(&mut self, now: TimePoint) {
-        self.own.retain(|_, statement| now < statement.until);
-        self.from_peers.retain(|_, statement| now < statement.until);
+        self.statements.prune(now);
         self.peer_rejections.retain(|_, of_runner| {
             of_runner.retain(|_, rejections| now < rejections.until);
             !of_runner.is_empty()
         });
-        let is_known = |runner: &RunnerId| {
-            self.own.contains_key(runner) || self.from_peers.contains_key(runner)
-        };
-        self.sends.retain(|runner, sends| sends.outstanding > 0 || is_known(runner));
-    }
-}
-
-fn keep_newest(statements: &mut BTreeMap<RunnerId, BrittleStatement>, statement: BrittleStatement) {
-    let known = statements.get(&statement.runner.runner);
-    if known.is_none_or(|known| statement.is_newer_than(known)) {
-        statements.insert(statement.runner.runner.clone(), statement);
+        let statements = &self.statements;
+        self.sends.retain(|runner, sends| sends.outstanding > 0 || statements.contains(runner));
     }
 }
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -30,6 +30,7 @@
 mod runner_limit;
 mod runner_loss;
 mod runner_speeds;
+mod runner_statements;
 mod runner_table;
 mod runner_wait;
 mod service_reach;
--- a/crates/serving/src/runner_limit.rs
+++ b/crates/serving/src/runner_limit.rs
@@ -10,6 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::RunnerIncarnation;
+use crate::runner_statements::{RunnerStatements, StatementChange};
 
 /// Time for which a limit holds after the last answer that named it.
 const LIMIT_TTL: TimeSpan = TimeSpan::seconds(60);
@@ -55,30 +56,16 @@
     pub limit: Option<RequestRate>,
 }
 
-/// The newest known statement of a runner about its limit.
-#[derive(Debug, Clone)]
-struct LimitStatement {
-    runner: RunnerIncarnation,
-    limit: Option<RequestRate>,
-    until: TimePoint,
-}
-
-impl LimitStatement {
-    /// Whether it replaces `known`: it is that of a later start, or newer.
-    fn is_newer_than(&self, known: &Self) -> bool {
-        let starts = (self.runner.started_unix_ms, known.runner.started_unix_ms);
-        starts.0 > starts.1 || starts.0 == starts.1 && self.until >= known.until
+impl LimitChange {
+    fn new(change: StatementChange<RequestRate>) -> Self {
+        Self { runner: change.runner, limit: change.value }
     }
 }
 
 /// The limits of all runners at this node.
 #[derive(Debug, Default)]
 pub struct LimitTable {
-    /// Statements in answers to this node.
-    own: BTreeMap<RunnerId, LimitStatement>,
-    /// The newest statements in answers to other nodes. They are not passed on: each message adds
-    /// its delay to the time left, so that a statement that is passed on would outlast newer ones.
-    from_peers: BTreeMap<RunnerId, LimitStatement>,
+    statements: RunnerStatements<RequestRate>,
     /// Demand of the other nodes.
     demands: BTreeMap<VmId, Vec<ServiceDemand>>,
 }
@@ -92,14 +79,7 @@
         runner: &RunnerIncarnation,
         limit: Option<RequestRate>,
     ) -> Option<LimitChange> {
-        let before = self.limit(now, runner);
-        let is_known = self.own.contains_key(&runner.runner);
-        if limit.is_none() && before.is_none() && !is_known {
-            return None;
-        }
-        let statement = LimitStatement { runner: runner.clone(), limit, until: now + LIMIT_TTL };
-        keep_newest(&mut self.own, statement);
-        self.change(now, runner, before)
+        self.statements.record(now, runner, limit, now + LIMIT_TTL).map(LimitChange::new)
     }
 
     /// Applies the update of another node. Returns the changes.
@@ -115,27 +95,13 @@
             self.demands.insert(vm.clone(), update.demands);
         }
         let mut changes = Vec::new();
-        for report in update.limits {
-            let LimitReport { runner, limit, left } = report;
-            let before = self.limit(now, &runner);
-            let statement = LimitStatement { runner: runner.clone(), limit, until: now + left };
-            keep_newest(&mut self.from_peers, statement);
-            changes.extend(self.change(now, &runner, before));
+        for LimitReport { runner, limit, left } in update.limits {
+            let change = self.statements.record_from_peer(now, &runner, limit, now + left);
+            changes.extend(change.map(LimitChange::new));
         }
         changes
     }
 
-    /// The change from a limit before to that of now, if there is one.
-    fn change(
-        &self,
-        now: TimePoint,
-        runner: &RunnerIncarnation,
-        before: Option<RequestRate>,
-    ) -> Option<LimitChange> {
-        let limit = self.limit(now, runner);
-        (limit != before).then(|| LimitChange { runner: runner.runner.clone(), limit })
-    }
-
     /// Forgets the demand of a node that has fallen silent; what runners stated to it still holds.
     pub fn forget_demand(&mut self, vm: &VmId) {
         self.demands.remove(vm);
@@ -144,18 +110,13 @@
     /// Whether no runner has a limit, or had one lately.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.own.is_empty() && self.from_peers.is_empty()
+        self.statements.is_empty()
     }
 
     /// The limit of this start of a runner by its newest statement; `None` if it has none.
     #[must_use]
     pub fn limit(&self, now: TimePoint, runner: &RunnerIncarnation) -> Option<RequestRate> {
-        let statements = [&self.own, &self.from_peers]
-            .into_iter()
-            .filter_map(|statements| statements.get(&runner.runner));
-        let holding =
-            statements.filter(|statement| statement.runner == *runner && now < statement.until);
-        holding.max_by_key(|statement| statement.until)?.limit
+        self.statements.value(now, runner)
     }
 
     /// Rate that all nodes together send to this start of a runner at most; `None` if it has no
@@ -180,26 +141,16 @@
     /// What runners stated to this node.
     #[must_use]
     pub fn reports(&self, now: TimePoint) -> Vec<LimitReport> {
-        let holding = self.own.values().filter(|statement| now < statement.until);
-        let report = |statement: &LimitStatement| LimitReport {
-            runner: statement.runner.clone(),
-            limit: statement.limit,
-            left: statement.until.since(now),
+        let report = |(runner, limit, left): (&RunnerIncarnation, _, _)| LimitReport {
+            runner: runner.clone(),
+            limit,
+            left,
         };
-        holding.map(report).collect()
+        self.statements.own(now).map(report).collect()
     }
 
     /// Drops statements that no longer hold.
     pub fn prune(&mut self, now: TimePoint) {
-        self.own.retain(|_, statement| now < statement.until);
-        self.from_peers.retain(|_, statement| now < statement.until);
-    }
-}
-
-/// Keeps the newest statement of each runner.
-fn keep_newest(statements: &mut BTreeMap<RunnerId, LimitStatement>, statement: LimitStatement) {
-    let known = statements.get(&statement.runner.runner);
-    if known.is_none_or(|known| statement.is_newer_than(known)) {
-        statements.insert(statement.runner.runner.clone(), statement);
+        self.statements.prune(now);
     }
 }
