--- a/crates/harness/tests/node_stream_partition.rs
+++ b/crates/harness/tests/node_stream_partition.rs
@@ -9,7 +9,7 @@
 use futures_util::future::{join, join_all};
 use harness::{CallerRequest, LinkState};
 use http_body_util::BodyExt;
-use service_fleet::{CUT, RUNNERS, ServiceFleet, take_turn};
+use service_fleet::{CUT, LinkedRunner, RUNNERS, ServiceFleet, take_turn};
 
 /// Events of a stream, one in 20 ms.
 const EVENTS: u64 = 150;
@@ -22,6 +22,11 @@
 
 /// Time that a runner takes to answer a run that goes on from its copy.
 const RESUME_TIME: Duration = Duration::from_millis(400);
+/// Time from the silence of a source to that of the runner with the copy: it has been asked by then, and
+/// has not got the run.
+const LATER: Duration = Duration::from_millis(400);
+/// How long a sound runner may be silent.
+const SILENCE: Duration = Duration::from_millis(1_200);
 
 /// What a caller saw of a stream.
 #[derive(Debug)]
@@ -188,3 +193,103 @@
     })
     .unwrap();
 }
+
+/// What falls silent to the node, how, and when after the source of a stream.
+struct CopySilence {
+    source: LinkState,
+    copy: LinkState,
+    delay: Duration,
+}
+
+/// The runner that works on the only stream, and the one that keeps a copy of its run.
+fn find_places(services: &ServiceFleet) -> (&LinkedRunner, &LinkedRunner) {
+    let mut runners = services.runners.iter();
+    let source = runners.find(|linked| linked.runner.working() == 1).unwrap();
+    let visits = source.runner.visits();
+    let copy = visits[0].request.header("x-dotterelyard-kv-backup");
+    let mut runners = services.runners.iter();
+    let keeps = |linked: &&LinkedRunner| copy.contains(&linked.link.address().to_string());
+    (source, runners.find(keeps).unwrap())
+}
+
+/// A stream whose source and copy are cut off from its node, one after the other, goes on through
+/// another node.
+fn check_silent_copy(silence: &CopySilence) {
+    let _turn = take_turn();
+    kernel::run(async {
+        let services = ServiceFleet::start(long_streams).await;
+        let request = CallerRequest::stream("cut");
+        let cut = async {
+            sleep(CUT_AFTER).await;
+            let (source, copy) = find_places(&services);
+            let pid = services.fleet.nodes[CUT].pid();
+            source.link.set_for(pid, silence.source);
+            sleep(silence.delay).await;
+            copy.link.set_for(pid, silence.copy);
+        };
+        let (stream, ()) = join(read_stream(&services, &request), cut).await;
+        check_whole_within(&services, &[stream], MAX_PAUSE + silence.delay);
+    })
+    .unwrap();
+}
+
+/// The runner with the copy has just answered when the stream is to go on there, and never gets the run.
+#[test]
+fn a_stream_is_not_cut_at_its_deadline_when_the_runner_with_its_copy_is_silent_too() {
+    let (source, copy) = (LinkState::Lost, LinkState::Lost);
+    check_silent_copy(&CopySilence { source, copy, delay: LATER });
+}
+
+/// The runner with the copy works on the run, and nothing of that arrives.
+#[test]
+fn a_stream_is_not_cut_at_its_deadline_when_its_copy_is_taken_and_not_answered() {
+    let (source, copy) = (LinkState::Lost, LinkState::AnswersStalled);
+    check_silent_copy(&CopySilence { source, copy, delay: LATER });
+}
+
+/// The source is closed already, so that nothing but the silent runner is left here.
+#[test]
+fn a_stream_that_has_lost_its_source_is_not_cut_at_its_deadline_by_a_silent_copy() {
+    let (source, copy) = (LinkState::Cut, LinkState::AnswersStalled);
+    check_silent_copy(&CopySilence { source, copy, delay: Duration::ZERO });
+}
+
+/// A node that reaches the other runners of the service is no less cut off from this one.
+#[test]
+fn a_stream_without_a_copy_moves_when_only_its_runner_is_silent_to_the_node() {
+    let _turn = take_turn();
+    kernel::run(async {
+        let services = ServiceFleet::start(long_streams).await;
+        let request = CallerRequest::stream("cut").with("x-dotterelyard-length-hint", "10");
+        let cut = async {
+            sleep(CUT_AFTER).await;
+            let mut runners = services.runners.iter();
+            let source = runners.find(|linked| linked.runner.working() == 1).unwrap();
+            source.link.set_for(services.fleet.nodes[CUT].pid(), LinkState::Lost);
+        };
+        let (stream, ()) = join(read_stream(&services, &request), cut).await;
+        check_whole(&services, &[stream]);
+    })
+    .unwrap();
+}
+
+/// A source that is silent for a moment must not be given up for a copy that nobody gets an answer from.
+#[test]
+fn a_stream_goes_on_at_its_silent_runner_while_the_one_with_its_copy_is_silent_to_all() {
+    let _turn = take_turn();
+    kernel::run(async {
+        let services = ServiceFleet::start(long_streams).await;
+        let silence = async {
+            sleep(CUT_AFTER).await;
+            let (source, copy) = find_places(&services);
+            copy.runner.fall_silent();
+            source.runner.fall_silent();
+            sleep(SILENCE).await;
+            source.runner.go_on();
+        };
+        let request = CallerRequest::stream("silent");
+        let (stream, ()) = join(read_stream(&services, &request), silence).await;
+        check_whole_within(&services, &[stream], SILENCE + MAX_PAUSE);
+    })
+    .unwrap();
+}
--- a/crates/node/src/forward/offer.rs
+++ b/crates/node/src/forward/offer.rs
@@ -6,7 +6,7 @@
 use base::prelude::*;
 use hyper::header::HeaderValue;
 use hyper::{Request, StatusCode};
-use platform::{forwarded_headers, forwarded_target};
+use platform::{ResumeSource, forwarded_headers, forwarded_target};
 use serving::{ForwardFailure, ForwardTarget, RunnerRecord};
 use web::{SendFault, WebBody, WebConnection, WebError, WebExchange, full_body};
 
@@ -55,6 +55,18 @@
         Self { runner: backup.runner.clone(), copy, last_event_id }
     }
 
+    /// A run whose memory the runner `holder` can take from `memory`.
+    #[must_use]
+    pub fn of_memory(
+        holder: &RunnerRecord,
+        memory: &ResumeSource,
+        last_event_id: Option<u64>,
+    ) -> Self {
+        let ResumeSource { address, handle, .. } = memory.clone();
+        let copy = Some(RunHandle { address, handle });
+        Self { runner: holder.runner.clone(), copy, last_event_id }
+    }
+
     /// A run without a copy, on which the runner `source` works.
     #[must_use]
     pub fn of_run(source: &RunnerRecord, last_event_id: Option<u64>) -> Self {
--- a/crates/node/src/reach/mod.rs
+++ b/crates/node/src/reach/mod.rs
@@ -3,10 +3,11 @@
 mod reach_question;
 mod reach_watch;
 mod records;
+mod runner_answers;
 
 pub use reach_question::{
     ANSWERS_PATH, REACH_PATH, answer_answers, answer_reach, answers_other_nodes, connects_quickly,
-    find_reaching_node,
+    find_answering_node, find_reaching_node,
 };
 pub use reach_watch::{reaches_service, watch_reach};
 pub use records::{
@@ -14,3 +15,4 @@
     record_runner_answer, record_runner_event, record_runner_failure, suspect_runner,
     wait_while_connecting, wait_while_unanswered,
 };
+pub use runner_answers::find_answer_place;
--- a/crates/node/src/runner_send.rs
+++ b/crates/node/src/runner_send.rs
@@ -65,6 +65,11 @@
         Self { end: CallEnd::Cancelled, ..Self::stream_lost(RUNNER_UNREACHED, loss) }
     }
 
+    /// Whether this node is cut off from the runner, which may have taken the request.
+    pub(crate) fn is_cut_off(&self) -> bool {
+        self.outcome == SendOutcome::Unknown && *self.reason == *RUNNER_UNREACHED
+    }
+
     /// The request is not sent to this runner at present, which says nothing about its health.
     pub(crate) fn withheld(reason: &str) -> Self {
         Self {
--- a/crates/node/src/streams/mod.rs
+++ b/crates/node/src/streams/mod.rs
@@ -8,6 +8,8 @@
 mod stream_handover;
 mod stream_move;
 mod stream_offer;
+mod stream_overlap;
+mod stream_places;
 mod stream_pump;
 mod stream_resume;
 mod stream_silence;
--- a/crates/node/src/streams/stream_handover.rs
+++ b/crates/node/src/streams/stream_handover.rs
@@ -3,33 +3,23 @@
 //! Load pattern: runners leave every few seconds, and the next one may be out of reach, full or
 //! silent. The old runner is given up only when the next one has answered.
 
-use std::future::pending;
 use std::pin::pin;
 use std::rc::Rc;
 
-use base::prelude::*;
 use futures_util::{FutureExt, select_biased};
 use hyper::body::Bytes;
-use serving::{RunnerRecord, SendOutcome, StreamScanner};
+use serving::{OverlapRule, RunnerRecord, SendOutcome};
 use web::{WebConnection, WebExchange};
 
 use super::run_stop::OrderedStep;
+use super::stream_overlap::{HeldEvents, OverlapEnd};
 use super::stream_pump::{PumpStep, StreamPump};
 use super::stream_silence::SourceActivity;
 use super::stream_source::StreamSource;
 use crate::call::RunPlace;
 use crate::call_log::{RequestOutcome, log_send_failure};
-use crate::context::NodeContext;
-use crate::run_end_watch::OpenRun;
 use crate::runner_gate::SendPurpose;
-use crate::runner_send::{SendFailure, SendPlan, connect_to_runner, send_connected};
-
-/// Time that another runner has to take over a run from one that is still working on it. Two
-/// runners may not work on one request for longer than 400 ms.
-pub(crate) const MAX_OVERLAP: TimeSpan = TimeSpan::millis(250);
-
-/// Reason of a source that is given up since nothing has come from it while the next runner worked.
-pub(crate) const SOURCE_SILENT: &str = "source_silent";
+use crate::runner_send::{SendFailure, SendPlan, connect_to_runner};
 
 /// How a handover ended.
 pub(crate) enum HandoverStep {
@@ -41,69 +31,10 @@
     Refused,
     /// The source was not stopped and goes on with the run; nothing was sent to the next runner.
     Kept,
-    /// The stream has ended meanwhile.
+    /// The stream goes on through another node, or has ended meanwhile.
     End(PumpStep),
 }
 
-/// What becomes of the old source if the next runner has not answered within [`MAX_OVERLAP`].
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum OverlapRule {
-    /// The source is kept, and the next runner given up.
-    KeepSource,
-    /// A source from which nothing has come meanwhile is given up: a runner that refuses does so at
-    /// once.
-    LeaveSilentSource,
-}
-
-/// How the time ended in which the next runner was asked to go on.
-enum OverlapEnd {
-    /// The next runner has answered.
-    Answered(WebExchange),
-    /// The next runner gave no answer to go on with.
-    Failed(SendFailure),
-    /// The next runner has not answered in time, and the source still works: the connection to
-    /// the next one is closed, so that only the source goes on.
-    Unanswered,
-    /// The source has delivered the stream to its end.
-    SourceEnded,
-    /// The caller closed the connection.
-    CallerDisconnected,
-}
-
-/// What a source delivered after the next runner was asked to go on. It is forwarded only if
-/// that runner does not take over, since it would make the same events again.
-struct HeldEvents {
-    frames: Vec<Bytes>,
-    /// Reads the frames ahead of their forwarding.
-    scanner: StreamScanner,
-    malformed: bool,
-}
-
-impl HeldEvents {
-    /// Nothing held yet; `scanner` is that of the forwarded events.
-    fn new(scanner: &StreamScanner) -> Self {
-        Self { frames: Vec::new(), scanner: scanner.clone(), malformed: false }
-    }
-
-    fn push(&mut self, bytes: Bytes) {
-        self.malformed |= self.scanner.push(&bytes).is_err();
-        self.frames.push(bytes);
-    }
-
-    /// Whether the held frames end with a complete event.
-    fn is_whole(&self) -> bool {
-        !self.malformed && !self.scanner.has_partial_event()
-    }
-}
-
-/// Waits until the source may no longer work beside the next runner; forever if it is closed.
-pub(crate) async fn overlap_left(context: &NodeContext, source_ended: bool, end: TimePoint) {
-    if source_ended {
-        pending::<()>().await;
-    }
-    kernel::sleep(end.since(context.now()).into()).await;
-}
-
 pub(super) fn caller_disconnected() -> PumpStep {
     PumpStep::End(RequestOutcome::CallerDisconnected, "")
 }
@@ -119,7 +50,7 @@
 impl StreamPump {
     /// Sends the request to the runner that has the run's memory, and makes that runner the
     /// source of the stream. The old source is read on until that runner has answered. If that takes
-    /// longer than [`MAX_OVERLAP`], `rule` says which of them is given up, unless the old source has
+    /// longer than [`MAX_OVERLAP`](super::stream_overlap::MAX_OVERLAP), `rule` says which of them is given up, unless the old source has
     /// ended.
     pub(crate) async fn hand_over(
         &mut self,
@@ -157,6 +88,9 @@
                 let reason = exchange.response.status().to_string();
                 return self.keep_source(&plan, held, &reason).await;
             }
+            OverlapEnd::Failed(failure) if failure.is_cut_off() => {
+                return self.leave_cut_off(&plan, held).await;
+            }
             OverlapEnd::Failed(failure) => {
                 return match self.keep_source(&plan, held, &failure.reason).await {
                     HandoverStep::Refused if failure.outcome == SendOutcome::NotSent => {
@@ -166,6 +100,7 @@
                 };
             }
             OverlapEnd::Unanswered => return self.keep_source(&plan, held, "no answer").await,
+            OverlapEnd::CutOff => return self.leave_cut_off(&plan, held).await,
             OverlapEnd::SourceEnded => {
                 self.count_move("source_ended");
                 let end = self.forward_held(held).await;
@@ -220,6 +155,7 @@
     pub(crate) fn replace_source(&mut self, source: StreamSource) {
         self.close_source();
         self.stays = false;
+        self.move_requested = false;
         let place = if source.is_relayed {
             RunPlace::OtherNode
         } else {
@@ -268,52 +204,15 @@
         }
     }
 
-    /// Sends the request and waits for the head of the answer. What the source delivers
-    /// meanwhile goes to `held`. While both are kept, the wait takes [`MAX_OVERLAP`] at most.
-    async fn send_with_overlap(
-        &mut self,
-        plan: &SendPlan,
-        connection: WebConnection,
-        held: &mut HeldEvents,
-        rule: OverlapRule,
-    ) -> OverlapEnd {
-        let (context, call) = (Rc::clone(&self.context), Rc::clone(&self.call));
-        let overlap_end = context.now() + MAX_OVERLAP;
-        let left = call.deadline.since(context.now());
-        let mut send = pin!(send_connected(&context, &call, plan, connection, left).fuse());
-        let run = OpenRun::new(&context, &call, &plan.runner);
-        loop {
-            let frame = {
-                let mut disconnected = pin!(self.caller.disconnected.wait().fuse());
-                let mut overlap =
-                    pin!(overlap_left(&context, self.source.ended, overlap_end).fuse());
-                let mut frame = pin!(self.source.next_frame().fuse());
-                select_biased! {
-                    () = disconnected => return OverlapEnd::CallerDisconnected,
-                    outcome = send => {
-                        run.finish();
-                        return outcome.map_or_else(OverlapEnd::Failed, OverlapEnd::Answered);
-                    }
-                    frame = frame => Some(frame),
-                    () = overlap => None,
-                }
-            };
-            match frame {
-                Some(Some(Ok(bytes))) => held.push(bytes),
-                Some(None) if held.is_whole() && self.source.has_whole_body() => {
-                    return OverlapEnd::SourceEnded;
-                }
-                Some(lost) => {
-                    self.log_send_failure(&describe_loss(lost));
-                    self.close_source();
-                }
-                None if rule == OverlapRule::LeaveSilentSource && held.frames.is_empty() => {
-                    self.log_send_failure(SOURCE_SILENT);
-                    self.close_source();
-                }
-                None => return OverlapEnd::Unanswered,
-            }
+    /// Goes on through another node, or else with the source, after the next runner was found to be cut
+    /// off from this node.
+    async fn leave_cut_off(&mut self, plan: &SendPlan, held: HeldEvents) -> HandoverStep {
+        let step = self.keep_source(plan, held, "cut off").await;
+        if !matches!(step, HandoverStep::Refused) {
+            return step;
         }
+        let through_node = Box::pin(self.go_on_through_node(plan, true)).await;
+        through_node.map_or(HandoverStep::Refused, HandoverStep::End)
     }
 
     /// Goes on with the source after the next runner did not take over.
--- a/crates/node/src/streams/stream_move.rs
+++ b/crates/node/src/streams/stream_move.rs
@@ -8,11 +8,11 @@
 
 use base::prelude::*;
 use platform::ResumeSource;
-use serving::{RunnerLoss, RunnerRecord};
+use serving::{OverlapRule, RunnerLoss, RunnerRecord};
 
 use super::stream_backup::{choose_backup, plan_backup_resume};
 use super::stream_copy::{CopyTask, RunCopy};
-use super::stream_handover::{HandoverStep, OverlapRule};
+use super::stream_handover::HandoverStep;
 use super::stream_pump::{PumpStep, StreamPump};
 use crate::crash_watch::find_blocked_input;
 use crate::metrics::OutcomeLabels;
@@ -146,11 +146,24 @@
                 self.schedule_move(true).await
             }
             // A copy is used once: if the runner has taken it in spite of its failure, it refuses.
-            HandoverStep::Refused => match self.resume_copy_through_node(&backup, None).await {
-                Some(step) => step,
-                None => self.run_elsewhere("resume_refused").await,
-            },
+            HandoverStep::Refused => {
+                if let Some(step) = self.resume_copy_through_node(&backup, None).await {
+                    return step;
+                }
+                self.end_refused("resume_refused").await
+            }
+        }
+    }
+
+    /// Goes on at the source through another node after all other places have refused the run, or else runs
+    /// again if the route allows that. Otherwise the stream ends with `reason`.
+    async fn end_refused(&mut self, reason: &'static str) -> PumpStep {
+        if self.may_move_from_source()
+            && let Some(step) = self.move_from_source().await
+        {
+            return step;
         }
+        self.run_elsewhere(reason).await
     }
 
     /// Starts copying the run's memory to another runner, if there is one.
@@ -204,7 +217,7 @@
     /// has lost its source ends if it has no copy either.
     async fn schedule_move(&mut self, still_runs: bool) -> PumpStep {
         if self.source.ended && !self.may_resume() {
-            return self.run_elsewhere("move_failed").await;
+            return self.end_refused("move_failed").await;
         }
         let has_next = still_runs || self.source.ended;
         self.source.switch_at = has_next.then(|| self.context.now() + MOVE_RETRY_PAUSE);
--- a/crates/node/src/streams/stream_offer.rs
+++ b/crates/node/src/streams/stream_offer.rs
@@ -9,13 +9,25 @@
 use route::CallEnd;
 use serving::RunnerRecord;
 
-use super::stream_handover::{MAX_OVERLAP, SOURCE_SILENT, describe_loss, overlap_left};
+use super::stream_handover::describe_loss;
+use super::stream_overlap::{MAX_OVERLAP, SOURCE_SILENT, overlap_left};
 use super::stream_pump::{PumpStep, StreamPump};
 use super::stream_source::StreamSource;
 use crate::call_log::RequestOutcome;
+use crate::context::NodeContext;
 use crate::forward::{ResumeOffer, TakenResume, offer_resume};
+use crate::reach::answers_other_nodes;
 use crate::runner_send::SendPlan;
 
+/// Whether a runner answers another node now.
+async fn answers_other_node(context: &NodeContext, runner: &RunnerId) -> bool {
+    let record = context.runners.borrow().get(runner).map(|entry| entry.record.clone());
+    match record {
+        Some(record) => answers_other_nodes(context, &record).await,
+        None => false,
+    }
+}
+
 /// How an offer of a run to other nodes ended.
 enum OfferStep {
     /// A node has taken it.
@@ -68,21 +80,26 @@
         Some(PumpStep::Continue)
     }
 
-    /// Offers the run to other nodes. A source whose copy is offered is read meanwhile: if it goes on, it
-    /// is kept; if it is silent for [`MAX_OVERLAP`] more, it is given up.
+    /// Offers the run to other nodes. A source is read while a run or a copy at another runner is offered:
+    /// if it goes on, it is kept; if it is silent for [`MAX_OVERLAP`] more, it is given up, provided that
+    /// the other runner is known to be up.
     async fn offer_beside_source(&mut self, offer: &ResumeOffer, first: Option<VmId>) -> OfferStep {
         let (context, call) = (Rc::clone(&self.context), Rc::clone(&self.call));
         let overlap_end = context.now() + MAX_OVERLAP;
-        let has_copy = offer.copy.is_some();
+        let is_elsewhere = offer.runner != self.source.runner.runner;
+        let mut is_up = false;
+        let mut asked = pin!(answers_other_node(&context, &offer.runner).fuse());
         let mut offered = pin!(offer_resume(&context, &call, offer, first).fuse());
         loop {
             let frame = {
                 let mut disconnected = pin!(self.caller.disconnected.wait().fuse());
-                let is_left = self.source.ended || !has_copy;
-                let mut overlap = pin!(overlap_left(&context, is_left, overlap_end).fuse());
+                let may_leave = !self.source.ended && is_elsewhere && is_up;
+                let end = may_leave.then_some(overlap_end);
+                let mut overlap = pin!(overlap_left(&context, end).fuse());
                 let source = &mut self.source;
-                let read =
-                    async { if has_copy { source.next_frame().await } else { pending().await } };
+                let read = async {
+                    if is_elsewhere { source.next_frame().await } else { pending().await }
+                };
                 let mut frame = pin!(read.fuse());
                 select_biased! {
                     () = disconnected => {
@@ -92,6 +109,10 @@
                         return taken.map_or(OfferStep::NotTaken, OfferStep::Taken);
                     }
                     frame = frame => Some(frame),
+                    answers = asked => {
+                        is_up = answers;
+                        continue;
+                    }
                     () = overlap => None,
                 }
             };
--- /dev/null
+++ b/crates/node/src/streams/stream_overlap.rs
@@ -0,0 +1,190 @@
+//! The time in which the next runner of a stream is asked to go on, while the source is read.
+//!
+//! Load pattern: the next runner may be slow, silent for a moment, or cut off from this node, and so may
+//! the source. Which of them is given up is decided by what the next one answers.
+
+use std::future::pending;
+use std::pin::{Pin, pin};
+use std::rc::Rc;
+
+use base::prelude::*;
+use futures_util::future::FusedFuture;
+use futures_util::{FutureExt, select_biased};
+use hyper::body::Bytes;
+use serving::{
+    AnswerPlace, OverlapRule, SourceState, StreamScanner, WaitDecision, WaitFacts, decide_wait,
+};
+use web::{WebConnection, WebExchange};
+
+use super::stream_handover::describe_loss;
+use super::stream_places::{NextQuestion, ask_next};
+use super::stream_pump::StreamPump;
+use crate::context::NodeContext;
+use crate::run_end_watch::OpenRun;
+use crate::runner_send::{SendFailure, SendPlan, send_connected};
+
+/// Time that another runner has to take over a run from one that is still working on it. Two
+/// runners may not work on one request for longer than 400 ms.
+pub(crate) const MAX_OVERLAP: TimeSpan = TimeSpan::millis(250);
+
+/// Reason of a source that is given up since nothing has come from it while the next runner worked.
+pub(crate) const SOURCE_SILENT: &str = "source_silent";
+
+/// How the time ended in which the next runner was asked to go on.
+pub(super) enum OverlapEnd {
+    /// The next runner has answered.
+    Answered(WebExchange),
+    /// The next runner gave no answer to go on with.
+    Failed(SendFailure),
+    /// The next runner has not answered in time, and the source still works: the connection to
+    /// the next one is closed, so that only the source goes on.
+    Unanswered,
+    /// The next runner answers another node, and not this one: it may have taken the run.
+    CutOff,
+    /// The source has delivered the stream to its end.
+    SourceEnded,
+    /// The caller closed the connection.
+    CallerDisconnected,
+}
+
+/// What happens while the next runner is asked to go on.
+enum OverlapInput {
+    /// The caller closed the connection.
+    CallerDisconnected,
+    /// The next runner has answered, or failed.
+    Sent(Result<WebExchange, SendFailure>),
+    /// Data of the source, an error, or the end of its body.
+    Frame(Option<Result<Bytes, hyper::Error>>),
+    /// Where the next runner answers.
+    Asked(AnswerPlace),
+    /// [`MAX_OVERLAP`] has passed.
+    OverlapOver,
+}
+
+/// What a source delivered after the next runner was asked to go on. It is forwarded only if
+/// that runner does not take over, since it would make the same events again.
+pub(super) struct HeldEvents {
+    pub(super) frames: Vec<Bytes>,
+    /// Reads the frames ahead of their forwarding.
+    scanner: StreamScanner,
+    malformed: bool,
+}
+
+impl HeldEvents {
+    /// Nothing held yet; `scanner` is that of the forwarded events.
+    pub(super) fn new(scanner: &StreamScanner) -> Self {
+        Self { frames: Vec::new(), scanner: scanner.clone(), malformed: false }
+    }
+
+    fn push(&mut self, bytes: Bytes) {
+        self.malformed |= self.scanner.push(&bytes).is_err();
+        self.frames.push(bytes);
+    }
+
+    /// Whether the held frames end with a complete event.
+    fn is_whole(&self) -> bool {
+        !self.malformed && !self.scanner.has_partial_event()
+    }
+}
+
+/// Waits until `end`, from which on the source may no longer work beside the next runner; forever without
+/// one.
+pub(crate) async fn overlap_left(context: &NodeContext, end: Option<TimePoint>) {
+    match end {
+        Some(end) => kernel::sleep(end.since(context.now()).into()).await,
+        None => pending().await,
+    }
+}
+
+impl StreamPump {
+    /// Sends the request and waits for the head of the answer. What the source delivers
+    /// meanwhile goes to `held`. While both are kept and one of them works, the wait takes [`MAX_OVERLAP`]
+    /// at most.
+    pub(super) async fn send_with_overlap(
+        &mut self,
+        plan: &SendPlan,
+        connection: WebConnection,
+        held: &mut HeldEvents,
+        rule: OverlapRule,
+    ) -> OverlapEnd {
+        let (context, call) = (Rc::clone(&self.context), Rc::clone(&self.call));
+        let overlap_end = context.now() + MAX_OVERLAP;
+        let left = call.deadline.since(context.now());
+        let mut send = pin!(send_connected(&context, &call, plan, connection, left).fuse());
+        let run = OpenRun::new(&context, &call, &plan.runner);
+        let mut question = ask_next(&context, &plan.runner, true);
+        let mut answered = None;
+        let mut is_overlap_over = false;
+        loop {
+            let due = (!is_overlap_over).then_some(overlap_end);
+            let input = self.next_overlap_input(send.as_mut(), &mut question, due).await;
+            let is_news = matches!(input, OverlapInput::Asked(_));
+            match input {
+                OverlapInput::CallerDisconnected => return OverlapEnd::CallerDisconnected,
+                OverlapInput::Sent(outcome) => {
+                    run.finish();
+                    return outcome.map_or_else(OverlapEnd::Failed, OverlapEnd::Answered);
+                }
+                OverlapInput::Frame(Some(Ok(bytes))) => held.push(bytes),
+                OverlapInput::Frame(None) if held.is_whole() && self.source.has_whole_body() => {
+                    return OverlapEnd::SourceEnded;
+                }
+                OverlapInput::Frame(lost) => {
+                    self.log_send_failure(&describe_loss(lost));
+                    self.close_source();
+                }
+                OverlapInput::Asked(place) => {
+                    answered = Some(place);
+                    question = ask_next(&context, &plan.runner, false);
+                }
+                OverlapInput::OverlapOver => is_overlap_over = true,
+            }
+            let source = self.source_state(held);
+            let facts = WaitFacts { source, rule, is_overlap_over, answered: answered.clone() };
+            let decision = decide_wait(&facts);
+            if is_news || decision != WaitDecision::Wait {
+                self.log_wait(plan, &facts, decision);
+            }
+            match decision {
+                WaitDecision::Wait => (),
+                WaitDecision::LeaveSource => {
+                    self.log_send_failure(SOURCE_SILENT);
+                    self.close_source();
+                }
+                WaitDecision::LeaveNext => return OverlapEnd::Unanswered,
+                WaitDecision::LeaveThisNode => return OverlapEnd::CutOff,
+            }
+        }
+    }
+
+    /// Waits for the next input. The order of the branches is their priority.
+    async fn next_overlap_input(
+        &mut self,
+        mut send: Pin<&mut impl FusedFuture<Output = Result<WebExchange, SendFailure>>>,
+        question: &mut NextQuestion,
+        due: Option<TimePoint>,
+    ) -> OverlapInput {
+        let overlap_end = due.filter(|_| !self.source.ended);
+        let context = Rc::clone(&self.context);
+        let mut overlap = pin!(overlap_left(&context, overlap_end).fuse());
+        let mut disconnected = pin!(self.caller.disconnected.wait().fuse());
+        let mut asked = pin!(question.fuse());
+        let mut frame = pin!(self.source.next_frame().fuse());
+        select_biased! {
+            () = disconnected => OverlapInput::CallerDisconnected,
+            outcome = send => OverlapInput::Sent(outcome),
+            frame = frame => OverlapInput::Frame(frame),
+            place = asked => OverlapInput::Asked(place),
+            () = overlap => OverlapInput::OverlapOver,
+        }
+    }
+
+    /// What the source has done since the next runner got the run.
+    fn source_state(&self, held: &HeldEvents) -> SourceState {
+        match (self.source.ended, held.frames.is_empty()) {
+            (true, _) => SourceState::Ended,
+            (false, true) => SourceState::Silent,
+            (false, false) => SourceState::Active,
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/streams/stream_places.rs
@@ -0,0 +1,116 @@
+//! Streams whose next runner has got the run and does not answer, or has refused it: where it answers, and
+//! the places where the run goes on through another node.
+
+use std::pin::{Pin, pin};
+use std::rc::Rc;
+
+use base::prelude::*;
+use futures_util::{FutureExt, select_biased};
+use serving::{
+    AnswerPlace, NodePlace, PlaceFacts, RunnerRecord, WaitDecision, WaitFacts, list_node_places,
+};
+
+use super::stream_handover::caller_disconnected;
+use super::stream_pump::{PumpStep, StreamPump};
+use crate::call_log::may_log;
+use crate::context::NodeContext;
+use crate::forward::ResumeOffer;
+use crate::reach::{find_answer_place, find_answering_node};
+use crate::runner_send::SendPlan;
+
+/// Time in which a runner that has the memory of a run answers.
+const USUAL_ANSWER: TimeSpan = TimeSpan::millis(50);
+/// Pause until a runner that does not answer is asked again.
+const QUESTION_PAUSE: TimeSpan = TimeSpan::millis(250);
+
+/// A question to a next runner, in progress.
+pub(super) type NextQuestion = Pin<Box<dyn Future<Output = AnswerPlace>>>;
+
+/// Asks the next runner where it answers: first after the usual time of an answer, then again and again.
+pub(super) fn ask_next(
+    context: &Rc<NodeContext>,
+    runner: &RunnerRecord,
+    is_first: bool,
+) -> NextQuestion {
+    let (context, runner) = (Rc::clone(context), runner.clone());
+    Box::pin(async move {
+        kernel::sleep(if is_first { USUAL_ANSWER } else { QUESTION_PAUSE }.into()).await;
+        find_answer_place(&context, &runner).await
+    })
+}
+
+impl StreamPump {
+    /// Logs and counts what was found out about a next runner that does not answer, and what follows.
+    pub(super) fn log_wait(&self, plan: &SendPlan, facts: &WaitFacts, decision: WaitDecision) {
+        self.count_move("next_silent");
+        if !may_log(&self.context) {
+            return;
+        }
+        tracing::info!(
+            event = "next_silent",
+            request = %self.call.attempt,
+            runner = %plan.runner.runner,
+            source = ?facts.source,
+            answered = facts.answered.as_ref().map(AnswerPlace::as_str),
+            is_overlap_over = facts.is_overlap_over,
+            ?decision,
+            left_ms = self.call.deadline.since(self.context.now()).as_millis(),
+        );
+    }
+
+    /// Goes on through another node that reaches the runner of `plan`, or the source. That runner may
+    /// have taken the run if `next_may_run`. Returns `None` if the run goes on at no place.
+    pub(super) async fn go_on_through_node(
+        &mut self,
+        plan: &SendPlan,
+        next_may_run: bool,
+    ) -> Option<PumpStep> {
+        let facts = PlaceFacts {
+            next_may_run: next_may_run && self.call.supports_moves,
+            has_memory: plan.resume.is_some(),
+            source_may_run: self.may_move_from_source(),
+        };
+        for place in list_node_places(facts) {
+            let last_event_id = self.scanner.last_id();
+            let step = match (place, &plan.resume) {
+                (NodePlace::NextRun, _) => {
+                    let offer = ResumeOffer::of_run(&plan.runner, last_event_id);
+                    self.resume_through_node(&offer, None).await
+                }
+                (NodePlace::NextMemory, Some(memory)) => {
+                    let offer = ResumeOffer::of_memory(&plan.runner, memory, last_event_id);
+                    self.resume_through_node(&offer, None).await
+                }
+                (NodePlace::NextMemory, None) => None,
+                (NodePlace::SourceRun, _) => self.move_from_source().await,
+            };
+            if step.is_some() {
+                return step;
+            }
+        }
+        None
+    }
+
+    /// Whether another node may still be asked to move the run away from its source.
+    pub(super) fn may_move_from_source(&self) -> bool {
+        self.call.supports_moves && !self.move_requested
+    }
+
+    /// Has another node move the run away from a source that answers it. That is tried once.
+    pub(super) async fn move_from_source(&mut self) -> Option<PumpStep> {
+        let source = self.source.runner.clone();
+        let (context, disconnected) = (Rc::clone(&self.context), self.caller.disconnected.clone());
+        let node = {
+            let mut found = pin!(find_answering_node(&context, &source).fuse());
+            let mut disconnected = pin!(disconnected.wait().fuse());
+            select_biased! {
+                () = disconnected => return Some(caller_disconnected()),
+                node = found => node,
+            }
+        };
+        let node = node?;
+        self.move_requested = true;
+        let offer = ResumeOffer::of_run(&source, self.scanner.last_id());
+        self.resume_through_node(&offer, Some(node)).await
+    }
+}
--- a/crates/node/src/streams/stream_silence.rs
+++ b/crates/node/src/streams/stream_silence.rs
@@ -13,14 +13,13 @@
 use base::prelude::*;
 use futures_util::future::join;
 use futures_util::{FutureExt, select_biased};
-use serving::RunnerRecord;
+use serving::{OverlapRule, RunnerRecord};
 
 use super::stream_backup::plan_backup_resume;
-use super::stream_handover::{HandoverStep, OverlapRule};
+use super::stream_handover::HandoverStep;
 use super::stream_pump::{PumpStep, StreamPump};
 use crate::call_log::may_log;
 use crate::context::NodeContext;
-use crate::forward::ResumeOffer;
 use crate::reach::{
     answers_other_nodes, connects_quickly, find_reaching_node, is_cut_off, is_unreached,
     record_runner_event, suspect_runner,
@@ -98,6 +97,8 @@
     last_data_at: TimePoint,
     /// When its silence is looked into at the earliest.
     next_look: TimePoint,
+    /// When it is checked again at the earliest where the stream can go on.
+    next_check: TimePoint,
     /// When an event is recorded again.
     next_record: TimePoint,
     /// When the source last answered another node since then.
@@ -108,7 +109,13 @@
     /// A source whose head arrived at `now`.
     #[must_use]
     pub fn new(now: TimePoint) -> Self {
-        Self { last_data_at: now, next_look: now, next_record: now, others_answered: None }
+        Self {
+            last_data_at: now,
+            next_look: now,
+            next_check: now,
+            next_record: now,
+            others_answered: None,
+        }
     }
 }
 
@@ -144,6 +151,9 @@
         self.activity.next_look = now + LOOK_PAUSE;
         if !is_unreached(&self.context, &self.source.runner) {
             suspect_runner(&self.context, &self.source.runner);
+            if let Some(backup) = &self.source.backup {
+                suspect_runner(&self.context, backup);
+            }
             self.begin_check();
             return PumpStep::Continue;
         }
@@ -153,18 +163,16 @@
         if self.may_run_again() {
             return self.leave_silent().await;
         }
-        if !is_cut_off(&self.context, &self.call.service) {
-            return PumpStep::Continue;
-        }
         let answered = self.activity.others_answered;
         if answered.is_none_or(|answered| now.since(answered) >= CHECK_PAUSE) {
             self.begin_question();
             return PumpStep::Continue;
         }
-        if self.call.supports_moves && !self.move_requested {
+        if self.may_move_from_source() {
             return self.move_through_node().await;
         }
-        if now.since(self.activity.last_data_at) >= UNSAVED_SILENCE {
+        let silence = now.since(self.activity.last_data_at);
+        if is_cut_off(&self.context, &self.call.service) && silence >= UNSAVED_SILENCE {
             return self.leave_silent().await;
         }
         PumpStep::Continue
@@ -178,16 +186,13 @@
     /// Has another node move the run away from a source that this node is cut off from. That is tried
     /// once.
     async fn move_through_node(&mut self) -> PumpStep {
-        self.move_requested = true;
-        let source = self.source.runner.clone();
-        let offer = ResumeOffer::of_run(&source, self.scanner.last_id());
-        let step = self.resume_through_node(&offer, None).await;
-        step.unwrap_or(PumpStep::Continue)
+        self.move_from_source().await.unwrap_or(PumpStep::Continue)
     }
 
     /// Finds out where the stream can go on, while it is known whether its runner is reached.
     fn begin_check(&mut self) {
-        if self.pending_check.is_some() || !self.may_resume() {
+        let is_due = self.context.now() >= self.activity.next_check;
+        if !is_due || self.pending_check.is_some() || !self.may_resume() {
             return;
         }
         let Some(backup) = self.source.backup.clone() else { return };
@@ -220,7 +225,7 @@
             }
             SourceCheck::Reach(reach) => reach,
         };
-        self.activity.next_look = self.context.now() + CHECK_PAUSE;
+        self.activity.next_check = self.context.now() + CHECK_PAUSE;
         let has_way = reach.reaches_backup || reach.node.is_some();
         if reach.reaches_source || !has_way || !self.may_resume() {
             return PumpStep::Continue;
@@ -250,7 +255,8 @@
             HandoverStep::Switched => PumpStep::Continue,
             HandoverStep::End(step) => step,
             HandoverStep::Unreached | HandoverStep::Kept => {
-                // Nothing was sent: the copy is still there.
+                // Nothing was sent: the copy is still there, and the try does not count.
+                self.tries -= 1;
                 self.source.backup = Some(backup);
                 self.stay_at_source().await
             }
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -27,6 +27,7 @@
 mod reach_table;
 mod retry_budget;
 mod run_ends;
+mod run_places;
 mod runner_limit;
 mod runner_loss;
 mod runner_speeds;
@@ -69,6 +70,10 @@
 pub use reach_table::{ReachMembers, ReachQuestion, ReachTable};
 pub use retry_budget::{BudgetSettings, RetryBudget};
 pub use run_ends::{EndHabit, EndTable};
+pub use run_places::{
+    AnswerPlace, NodePlace, OverlapRule, PlaceFacts, SourceState, WaitDecision, WaitFacts,
+    decide_wait, list_node_places,
+};
 pub use runner_limit::{LimitChange, LimitReport, LimitTable, LimitUpdate, ServiceDemand};
 pub use runner_loss::{ProbeOutcome, RunnerLoss, has_crashed};
 pub use runner_speeds::{MAX_SPEED_ENTRIES, QuantizedLog, RunnerKey, SpeedEntry, SpeedUpdate};
--- /dev/null
+++ b/crates/serving/src/run_places.rs
@@ -0,0 +1,139 @@
+//! Decides where a run goes on whose next runner has got it and does not answer.
+//!
+//! Load pattern: a node is cut off from several runners at once, or runners fall silent for a moment. The
+//! source of a stream is given up only for a runner that is known to be up, and a wait for one that this
+//! node does not reach ends as soon as another node gets its answers.
+
+use base::prelude::*;
+
+/// Where a runner answers a question.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum AnswerPlace {
+    /// At this node.
+    Here,
+    /// Not here, but at this other node.
+    OtherNode(VmId),
+    /// Nowhere that was asked: it may only be silent for a moment.
+    Nowhere,
+}
+
+impl AnswerPlace {
+    /// Name of the place, for logs.
+    #[must_use]
+    pub fn as_str(&self) -> &'static str {
+        match self {
+            Self::Here => "here",
+            Self::OtherNode(_) => "other_node",
+            Self::Nowhere => "nowhere",
+        }
+    }
+}
+
+/// What becomes of the source of a stream if the next runner has not answered in time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OverlapRule {
+    /// The source is kept, and the next runner given up.
+    KeepSource,
+    /// A source from which nothing has come meanwhile is given up for a next runner that is known to be
+    /// up: a runner that refuses does so at once.
+    LeaveSilentSource,
+}
+
+/// The source of a stream, since the next runner got the run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SourceState {
+    /// It is read no more.
+    Ended,
+    /// Nothing has come from it.
+    Silent,
+    /// Something has.
+    Active,
+}
+
+/// What is known while the next runner does not answer.
+#[derive(Debug, Clone)]
+pub struct WaitFacts {
+    /// The source.
+    pub source: SourceState,
+    /// What becomes of it.
+    pub rule: OverlapRule,
+    /// Whether two runners have had the run for as long as they may both work on it.
+    pub is_overlap_over: bool,
+    /// Where the next runner has answered since it got the run; `None` if that is not known yet.
+    pub answered: Option<AnswerPlace>,
+}
+
+/// What to do while the next runner does not answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum WaitDecision {
+    /// Wait on, with what is open.
+    Wait,
+    /// Close the source, and wait on.
+    LeaveSource,
+    /// Close the connection to the next runner, and go on with the source.
+    LeaveNext,
+    /// The same, and go on through another node.
+    LeaveThisNode,
+}
+
+/// Decides what to do while the next runner does not answer.
+#[must_use]
+pub fn decide_wait(facts: &WaitFacts) -> WaitDecision {
+    let is_kept = facts.rule == OverlapRule::KeepSource;
+    match facts.source {
+        SourceState::Active => keep_source(facts),
+        SourceState::Silent if is_kept => keep_source(facts),
+        SourceState::Silent | SourceState::Ended => follow_answers(facts),
+    }
+}
+
+/// A source that works, or may, goes on alone if the next runner does not answer in time.
+fn keep_source(facts: &WaitFacts) -> WaitDecision {
+    if facts.is_overlap_over { WaitDecision::LeaveNext } else { WaitDecision::Wait }
+}
+
+/// Without a word from the source, what the next runner answers decides. One that answers nobody is waited
+/// for beside the source: as far as is known, none of them works.
+fn follow_answers(facts: &WaitFacts) -> WaitDecision {
+    match &facts.answered {
+        Some(AnswerPlace::OtherNode(_)) => WaitDecision::LeaveThisNode,
+        Some(AnswerPlace::Here) if facts.source == SourceState::Silent && facts.is_overlap_over => {
+            WaitDecision::LeaveSource
+        }
+        _ => WaitDecision::Wait,
+    }
+}
+
+/// A place, reached through another node, where a run may go on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NodePlace {
+    /// The run at its next runner, if that has taken it; it is stopped there and moved.
+    NextRun,
+    /// The memory that the next runner can take, if it has not taken the run.
+    NextMemory,
+    /// The run at its source; it is stopped there and moved.
+    SourceRun,
+}
+
+/// Which places of a run may be left.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PlaceFacts {
+    /// The next runner may have taken the run, and moves runs.
+    pub next_may_run: bool,
+    /// The next runner has not refused the memory.
+    pub has_memory: bool,
+    /// The source may still have the run, moves runs, and nobody was asked to move this one yet.
+    pub source_may_run: bool,
+}
+
+/// The places to try, in order. A run that the next runner may have taken is stopped before anything else
+/// goes on; the source is last, since it has the oldest state of the run.
+#[must_use]
+pub fn list_node_places(facts: PlaceFacts) -> Vec<NodePlace> {
+    let places = [
+        (NodePlace::NextRun, facts.next_may_run),
+        (NodePlace::NextMemory, facts.has_memory),
+        (NodePlace::SourceRun, facts.source_may_run),
+    ];
+    places.into_iter().filter(|(_, is_open)| *is_open).map(|(place, _)| place).collect()
+}
--- /dev/null
+++ b/crates/serving/tests/run_places.rs
@@ -0,0 +1,73 @@
+//! Checks where a run goes on whose next runner does not answer.
+
+use serving::{
+    AnswerPlace, NodePlace, OverlapRule, PlaceFacts, SourceState, WaitDecision, WaitFacts,
+    decide_wait, list_node_places,
+};
+
+const SOURCES: [SourceState; 3] = [SourceState::Ended, SourceState::Silent, SourceState::Active];
+const RULES: [OverlapRule; 2] = [OverlapRule::KeepSource, OverlapRule::LeaveSilentSource];
+
+/// All that can be known, and what is decided.
+fn all_decisions() -> Vec<(WaitFacts, WaitDecision)> {
+    let other = || AnswerPlace::OtherNode("other".parse().unwrap());
+    let answers = [None, Some(AnswerPlace::Here), Some(other()), Some(AnswerPlace::Nowhere)];
+    let mut decisions = Vec::new();
+    for source in SOURCES {
+        for rule in RULES {
+            for is_overlap_over in [false, true] {
+                for answered in answers.clone() {
+                    let facts = WaitFacts { source, rule, is_overlap_over, answered };
+                    let decision = decide_wait(&facts);
+                    decisions.push((facts, decision));
+                }
+            }
+        }
+    }
+    decisions
+}
+
+#[test]
+fn a_source_is_given_up_only_if_silent_and_only_for_a_runner_that_answers() {
+    for (facts, decision) in all_decisions() {
+        let may_leave = facts.source == SourceState::Silent
+            && facts.rule == OverlapRule::LeaveSilentSource
+            && facts.is_overlap_over
+            && facts.answered == Some(AnswerPlace::Here);
+        assert_eq!(decision == WaitDecision::LeaveSource, may_leave, "{facts:?}");
+    }
+}
+
+#[test]
+fn two_runners_that_may_both_work_are_kept_no_longer_than_the_overlap() {
+    for (facts, decision) in all_decisions().into_iter().filter(|(facts, _)| facts.is_overlap_over)
+    {
+        let next_answers = facts.answered == Some(AnswerPlace::Here);
+        let may_both_work = match facts.source {
+            SourceState::Ended => false,
+            SourceState::Silent => facts.rule == OverlapRule::KeepSource || next_answers,
+            SourceState::Active => true,
+        };
+        assert!(!may_both_work || decision != WaitDecision::Wait, "{facts:?}");
+    }
+}
+
+#[test]
+fn a_wait_ends_where_another_node_gets_answers_and_the_source_gives_none() {
+    for (facts, decision) in all_decisions() {
+        let is_left = facts.source == SourceState::Ended
+            || facts.source == SourceState::Silent && facts.rule == OverlapRule::LeaveSilentSource;
+        let is_elsewhere = matches!(facts.answered, Some(AnswerPlace::OtherNode(_)));
+        let leaves = decision == WaitDecision::LeaveThisNode;
+        assert_eq!(leaves, is_left && is_elsewhere, "{facts:?}");
+    }
+}
+
+#[test]
+fn a_run_that_may_have_been_taken_is_stopped_before_its_memory_is_used() {
+    let all = PlaceFacts { next_may_run: true, has_memory: true, source_may_run: true };
+    let places = [NodePlace::NextRun, NodePlace::NextMemory, NodePlace::SourceRun];
+    assert_eq!(list_node_places(all), places);
+    let none = PlaceFacts { next_may_run: false, has_memory: false, source_may_run: false };
+    assert!(list_node_places(none).is_empty());
+}
