Stop a run for another node only when the next runner has its memory

What callers saw: a stream whose node was cut off from its runner, and that had no copy, was closed in the middle after another node had taken it in hand: its next runner refused or was silent, or the copy took longer than a second.

Cause: the node that moves the run stopped it before its memory was copied, and freed that memory if the next runner did not go on. The node that asked waited for 1 s whatever the copy took, and learned nothing from a refusal: it offered the run to further nodes, which were told that it did not exist, and ended the stream.

Now the run works on while it is copied; the next runner is connected to; then the run is stopped, and goes on there, or returns to its source. The asking node says how long it waits (4 s for a move), and a refusal says whether the run works or where its memory is (`X-Yard-Resume-Run`): it is then offered again, to all nodes, three times. Both headers are optional; without them nodes do as before. A run that has ended during the copy goes on from the copy, since its last events went to nobody. New: `run_moved`, `runs_moved`, and the reason `run_alive` of `relayed`.

Ruled out: to have the asking node read its source during a move. Events that arrive from before the order would end the offer, and the run is stopped by then.

--- a/crates/node/src/caller_server.rs
+++ b/crates/node/src/caller_server.rs
@@ -18,7 +18,7 @@
 use crate::call_answer::CallRejection;
 use crate::call_log::log_rejection;
 use crate::context::NodeContext;
-use crate::forward::{FORWARD_FINGERPRINT, ResumeOffer, resume_run};
+use crate::forward::{FORWARD_FINGERPRINT, ResumeOffer, ResumeRefusal, resume_run};
 use crate::plain_call::run_plain;
 use crate::router::RouterService;
 use crate::stop_intake::{check_intake, unless_stopped};
@@ -106,7 +106,7 @@
     router: &Rc<RouterService>,
     request: WebRequest,
     offer: ResumeOffer,
-) -> Result<WebResponse, &'static str> {
+) -> Result<WebResponse, ResumeRefusal> {
     let closer = ConnectionCloser::from_request(&request);
     let (arrived, head) = (context.now(), CallHead::decode(request.headers()));
     let (parts, mut body) = request.into_parts();
@@ -114,7 +114,7 @@
         Ok(call) => call,
         Err(rejection) => {
             discard_rest(body);
-            return Err(rejection.reason);
+            return Err(rejection.reason.into());
         }
     };
     resume_run(context, router, Rc::new(call), closer, offer).await
--- a/crates/node/src/forward/call_forward.rs
+++ b/crates/node/src/forward/call_forward.rs
@@ -15,10 +15,16 @@
 use super::choice::{choose_among_peers, choose_target, find_target, own_source};
 use super::offer::{OfferEnd, ResumeOffer, failure_reason, log_offer, offer_call};
 use super::relay::{fail_unknown, relay_response};
+use super::run_trace::RunTrace;
 use crate::call::Call;
 use crate::context::NodeContext;
 use crate::streams::is_event_stream;
 
+/// Number of times that a run which lives is offered to the other nodes.
+const OFFER_ROUNDS: u32 = 3;
+/// Pause between these times.
+const ROUND_PAUSE: TimeSpan = TimeSpan::millis(150);
+
 /// A run that another node has resumed.
 pub struct TakenResume {
     /// The node.
@@ -47,6 +53,8 @@
                 context.forwards.borrow_mut().record_failure(now, &target, &call.service, failure);
                 log_offer(context, call, &target, "not_run", failure_reason(failure), &error);
             }
+            // No run was offered.
+            OfferEnd::NotResumed(_) => return Some(fail_unknown(context, call)),
             OfferEnd::Unknown(error) => {
                 log_offer(context, call, &target, "unknown", "", &error);
                 return Some(fail_unknown(context, call));
@@ -55,40 +63,87 @@
     }
 }
 
-/// Has another node resume a run whose runner this node has lost, `first` before all others. Returns
-/// `None` if none takes it.
+/// How a round of offers of a run ended.
+enum RoundEnd {
+    /// A node has taken the run.
+    Taken(TakenResume),
+    /// No node has.
+    NotTaken,
+    /// The run may go on at a node that has not answered as it should.
+    Unknown,
+}
+
+/// Has another node resume a run whose runner this node has lost, `first` before all others. A run that
+/// a node has found alive is offered to all of them again. Returns `None` if none takes it.
 pub async fn offer_resume(
     context: &NodeContext,
     call: &Call,
     offer: &ResumeOffer,
-    first: Option<VmId>,
+    mut first: Option<VmId>,
 ) -> Option<TakenResume> {
+    let mut run = OfferedRun { offer: offer.clone(), is_alive: false };
+    for _ in 0..OFFER_ROUNDS {
+        match offer_round(context, call, &mut run, first.take()).await {
+            RoundEnd::Taken(taken) => return Some(taken),
+            RoundEnd::NotTaken if run.is_alive => kernel::sleep(ROUND_PAUSE.into()).await,
+            RoundEnd::NotTaken | RoundEnd::Unknown => return None,
+        }
+    }
+    None
+}
+
+/// A run that is offered to other nodes, and what they have said about it.
+struct OfferedRun {
+    offer: ResumeOffer,
+    /// A node has said that the run works, or where its memory is.
+    is_alive: bool,
+}
+
+impl OfferedRun {
+    /// Follows what a node that does not go on with the run has left of it.
+    fn follow(&mut self, trace: RunTrace) {
+        self.is_alive = true;
+        if let RunTrace::Stopped(memory) = trace {
+            self.offer = self.offer.clone().of_stopped(memory);
+        }
+    }
+}
+
+/// Offers a run to each of the other nodes that can be asked, until one takes it.
+async fn offer_round(
+    context: &NodeContext,
+    call: &Call,
+    run: &mut OfferedRun,
+    first: Option<VmId>,
+) -> RoundEnd {
     let mut state = ForwardState::new(false);
     let mut known = first.and_then(|vm| find_target(context, &vm));
     loop {
         let now = context.now();
         let source = ForwardSource { reached: ReachShare::NONE, ..own_source(context, call) };
-        let target = match known.take() {
-            Some(target) => target,
-            None => choose_among_peers(context, now, source, &state)?,
-        };
+        let chosen = known.take().or_else(|| choose_among_peers(context, now, source, &state));
+        let Some(target) = chosen else { return RoundEnd::NotTaken };
         state.record_offer(&target.vm);
-        match offer_call(context, call, &target, Some(offer)).await {
+        match offer_call(context, call, &target, Some(&run.offer)).await {
             OfferEnd::Answered(exchange) if is_event_stream(&exchange.response) => {
                 log_offer(context, call, &target, "resumed", "", "");
-                return Some(TakenResume { node: target.vm, exchange });
+                return RoundEnd::Taken(TakenResume { node: target.vm, exchange });
             }
             OfferEnd::Answered(exchange) => {
                 let status = exchange.response.status().to_string();
                 log_offer(context, call, &target, "unknown", "", &status);
-                return None;
+                return RoundEnd::Unknown;
             }
             OfferEnd::NotRun(failure, error) => {
                 log_offer(context, call, &target, "not_run", failure_reason(failure), &error);
             }
+            OfferEnd::NotResumed(trace) => {
+                log_offer(context, call, &target, "not_run", "run_alive", &trace.to_string());
+                run.follow(trace);
+            }
             OfferEnd::Unknown(error) => {
                 log_offer(context, call, &target, "unknown", "", &error);
-                return None;
+                return RoundEnd::Unknown;
             }
         }
     }
--- a/crates/node/src/forward/forwarded_calls.rs
+++ b/crates/node/src/forward/forwarded_calls.rs
@@ -12,7 +12,8 @@
 use serving::PlanVersion;
 use web::{WebRequest, WebResponse, text_reply};
 
-use super::offer::{ResumeOffer, RunHandle};
+use super::offer::{RESUME_TIMEOUT, ResumeOffer};
+use super::run_trace::RunHandle;
 use crate::call_answer::{CallRejection, Unreached};
 use crate::caller_server::{CallSource, Rejected, answer_call, discard_rest, resume_call};
 use crate::context::NodeContext;
@@ -31,6 +32,11 @@
 pub const RESUME_FROM: HeaderName = HeaderName::from_static("x-yard-resume-from");
 /// Id of the last event that the caller has; missing if it has none.
 pub const RESUME_AFTER: HeaderName = HeaderName::from_static("x-yard-resume-after");
+/// Time for which the asking node waits, in milliseconds; [`RESUME_TIMEOUT`] if missing.
+pub const RESUME_LIMIT: HeaderName = HeaderName::from_static("x-yard-resume-limit");
+/// What is left of a run that the receiving node does not go on with: `works`, or where its memory is, as
+/// in [`RESUME_FROM`]. Missing if the node does not know.
+pub const RESUME_RUN: HeaderName = HeaderName::from_static("x-yard-resume-run");
 /// Version of the configuration that the forwarding node matched the call against.
 pub const FORWARD_PLAN: HeaderName = HeaderName::from_static("x-yard-forward-plan");
 /// Fingerprint of the call at the forwarding node. The receiving node declines a call that has another
@@ -101,7 +107,13 @@
             count(context, RESUMED, "");
             mark(response, ANSWERED)
         }
-        Err(reason) => decline(context, reason),
+        Err(refusal) => {
+            let mut response = decline(context, refusal.reason);
+            if let Some(trace) = refusal.trace.and_then(|trace| trace.encode()) {
+                response.headers_mut().insert(RESUME_RUN, trace);
+            }
+            response
+        }
     }
 }
 
@@ -113,22 +125,21 @@
     };
     let (runner, from, after) = (read(RESUME_RUNNER)?, read(RESUME_FROM), read(RESUME_AFTER));
     let copy = match from {
-        Some(from) => Some(parse_handle(&from)?),
+        Some(from) => Some(RunHandle::decode(&from)?),
         None => None,
     };
     let last_event_id = match after {
         Some(after) => Some(after.parse().ok()?),
         None => None,
     };
-    let offer = ResumeOffer { runner: runner.parse().ok()?, copy, last_event_id };
+    let limit = match read(RESUME_LIMIT) {
+        Some(limit) => TimeSpan::millis(limit.parse::<u32>().ok()?.into()),
+        None => RESUME_TIMEOUT,
+    };
+    let offer = ResumeOffer { runner: runner.parse().ok()?, copy, last_event_id, limit };
     Some((offer, restore_path(request, RESUME_PATH)?))
 }
 
-fn parse_handle(text: &str) -> Option<RunHandle> {
-    let (address, handle) = text.split_once('/')?;
-    Some(RunHandle { address: address.parse().ok()?, handle: Arc::from(handle) })
-}
-
 /// Why this node can serve no forwarded call at present; `None` if it can.
 fn find_obstacle(context: &NodeContext, required: Option<PlanVersion>) -> Option<&'static str> {
     if context.stop.is_raised() {
--- a/crates/node/src/forward/mod.rs
+++ b/crates/node/src/forward/mod.rs
@@ -3,9 +3,11 @@
 mod call_forward;
 mod choice;
 mod forwarded_calls;
+mod moved_run;
 mod offer;
 mod relay;
 mod resumed_run;
+mod run_trace;
 mod stop;
 
 pub use call_forward::{TakenResume, offer_resume, try_forward};
@@ -15,4 +17,5 @@
 pub use offer::ResumeOffer;
 pub use relay::relay_response;
 pub use resumed_run::resume_run;
+pub use run_trace::ResumeRefusal;
 pub use stop::{ServingStop, unless_lost, unless_unreached, unreached_failure};
--- a/crates/node/src/forward/offer.rs
+++ b/crates/node/src/forward/offer.rs
@@ -1,6 +1,5 @@
 //! The offer of a call, or of a run, to another node: the request, and what its response means.
 
-use std::net::SocketAddr;
 use std::rc::Rc;
 
 use base::prelude::*;
@@ -12,8 +11,9 @@
 
 use super::forwarded_calls::{
     ANSWERED, DECLINED, FORWARD_FINGERPRINT, FORWARD_PATH, FORWARD_PLAN, FORWARD_RESULT,
-    RESUME_AFTER, RESUME_FROM, RESUME_PATH, RESUME_RUNNER,
+    RESUME_AFTER, RESUME_FROM, RESUME_LIMIT, RESUME_PATH, RESUME_RUN, RESUME_RUNNER,
 };
+use super::run_trace::{RunHandle, RunTrace};
 use crate::call::Call;
 use crate::call_log::may_log;
 use crate::context::NodeContext;
@@ -23,8 +23,13 @@
 /// heartbeats, so one that takes longer is better replaced by another one.
 const CONNECT_TIMEOUT: TimeSpan = TimeSpan::millis(250);
 
-/// Longest time for a node to resume a run: its caller has waited for events since the run was lost.
-const RESUME_TIMEOUT: TimeSpan = TimeSpan::seconds(1);
+/// Longest time for a node to resume a run from its copy: its caller has waited for events since the run
+/// was lost. Builds that name no limit wait as long for a move.
+pub(super) const RESUME_TIMEOUT: TimeSpan = TimeSpan::seconds(1);
+
+/// Longest time for a node to move a run, which works on until its memory is copied: the longest time for
+/// a copy, and time to stop the run and to go on with it.
+const MOVE_TIMEOUT: TimeSpan = TimeSpan::seconds(4);
 
 /// A run that another node is to resume.
 #[derive(Debug, Clone)]
@@ -35,15 +40,8 @@
     pub copy: Option<RunHandle>,
     /// Id of the last event that the caller has.
     pub last_event_id: Option<u64>,
-}
-
-/// Where a copy of a run's memory is found.
-#[derive(Debug, Clone)]
-pub struct RunHandle {
-    /// Address of the runner.
-    pub address: SocketAddr,
-    /// Handle of the copy there.
-    pub handle: Arc<str>,
+    /// Time for which the asking node waits.
+    pub limit: TimeSpan,
 }
 
 impl ResumeOffer {
@@ -52,13 +50,29 @@
     pub fn of_backup(call: &Call, backup: &RunnerRecord, last_event_id: Option<u64>) -> Self {
         let handle = Arc::from(call.attempt.as_str());
         let copy = Some(RunHandle { address: backup.address, handle });
-        Self { runner: backup.runner.clone(), copy, last_event_id }
+        Self { runner: backup.runner.clone(), copy, last_event_id, limit: RESUME_TIMEOUT }
     }
 
     /// A run without a copy, on which the runner `source` works.
     #[must_use]
     pub fn of_run(source: &RunnerRecord, last_event_id: Option<u64>) -> Self {
-        Self { runner: source.runner.clone(), copy: None, last_event_id }
+        let limit = MOVE_TIMEOUT;
+        Self { runner: source.runner.clone(), copy: None, last_event_id, limit }
+    }
+
+    /// The same run after another node has stopped it, and its runner keeps its memory.
+    #[must_use]
+    pub fn of_stopped(self, memory: RunHandle) -> Self {
+        Self { copy: Some(memory), limit: RESUME_TIMEOUT, ..self }
+    }
+
+    /// Whether the run was stopped, and its memory is at the runner that worked on it.
+    #[must_use]
+    pub fn is_stopped(&self, call: &Call, runner: &RunnerRecord) -> bool {
+        let is_kept = |memory: &RunHandle| {
+            memory.address == runner.address && *memory.handle != *call.attempt.as_str()
+        };
+        self.copy.as_ref().is_some_and(is_kept)
     }
 }
 
@@ -68,6 +82,8 @@
     Answered(WebExchange),
     /// The call has not run there.
     NotRun(ForwardFailure, Rc<str>),
+    /// The node does not go on with the run, and says what it has left of it.
+    NotResumed(RunTrace),
     /// The call may have run there.
     Unknown(Rc<str>),
 }
@@ -93,7 +109,7 @@
         Ok(request) => request,
         Err(error) => return unconnected(&error),
     };
-    let limit = if resume.is_some() { RESUME_TIMEOUT.min(left) } else { left };
+    let limit = resume.map_or(left, |offer| offer.limit.min(left));
     match connection.send(request, limit).await {
         Ok(exchange) => classify_response(exchange),
         Err(error) if error.send_fault() == SendFault::NotSent => unconnected(&error),
@@ -116,7 +132,7 @@
     let mut headers = forwarded_headers(&call.headers, left);
     headers.insert(FORWARD_PLAN, HeaderValue::from(call.plan_version.0));
     headers.insert(FORWARD_FINGERPRINT, HeaderValue::from(call.fingerprint.0));
-    if let Some(ResumeOffer { runner, copy, last_event_id }) = resume {
+    if let Some(ResumeOffer { runner, copy, last_event_id, limit }) = resume {
         let text = |text: String| HeaderValue::from_str(&text).map_err(|error| fault(error.into()));
         headers.insert(RESUME_RUNNER, text(runner.to_string())?);
         if let Some(RunHandle { address, handle }) = copy {
@@ -125,6 +141,7 @@
         if let Some(id) = last_event_id {
             headers.insert(RESUME_AFTER, HeaderValue::from(*id));
         }
+        headers.insert(RESUME_LIMIT, HeaderValue::from(limit.min(&left).as_millis()));
     }
     *request.headers_mut() = headers;
     Ok(request)
@@ -136,6 +153,10 @@
     match result {
         Some(result) if result == ANSWERED.as_bytes() => OfferEnd::Answered(exchange),
         Some(result) if result == DECLINED.as_bytes() => {
+            let trace = exchange.response.headers().get(RESUME_RUN);
+            if let Some(trace) = trace.and_then(RunTrace::decode) {
+                return OfferEnd::NotResumed(trace);
+            }
             OfferEnd::NotRun(ForwardFailure::Declined, Rc::from(format!("declined with {status}")))
         }
         // Builds that do not know the path respond so to all requests on it.
--- a/crates/node/src/forward/resumed_run.rs
+++ b/crates/node/src/forward/resumed_run.rs
@@ -10,83 +10,58 @@
 use platform::{ResumeSource, copy_reply_headers};
 use route::CallEnd;
 use serving::{AttemptTracker, RunnerRecord};
-use web::{ConnectionCloser, WebConnection, WebResponse};
+use web::{ConnectionCloser, WebConnection, WebExchange, WebResponse};
 
-use super::offer::{ResumeOffer, RunHandle};
+use super::moved_run::move_run;
+use super::offer::ResumeOffer;
+use super::run_trace::{ResumeRefusal, RunHandle, RunTrace};
 use crate::call::Call;
 use crate::call_log::{log_send, log_send_failure};
 use crate::context::NodeContext;
-use crate::reach::connects_quickly;
 use crate::reach::{is_unreached, suspect_runner};
 use crate::route_ticket::RouteTicket;
 use crate::router::RouterService;
 use crate::runner_gate::{SendPurpose, is_closed};
 use crate::runner_send::{SendPlan, connect_to_runner, send_connected};
 use crate::streams::{
-    CopyTask, RunCopy, StreamAttempts, StreamParts, StreamSource, choose_backup, is_event_stream,
-    start_stream,
+    StreamAttempts, StreamParts, StreamSource, choose_backup, is_event_stream, start_stream,
 };
 
 /// Maximum time to connect to the runner; the other node asks the next one if this one does not reach
 /// it.
 const CONNECT_TIMEOUT: TimeSpan = TimeSpan::millis(100);
 /// Reason to decline: the runner is not reached, leaves or is not known.
-const RUNNER_UNREACHED: &str = "runner_unreached";
+pub(super) const RUNNER_UNREACHED: &str = "runner_unreached";
 /// Reason to decline: the runner did not resume the run.
-const RESUME_REFUSED: &str = "resume_refused";
+pub(super) const RESUME_REFUSED: &str = "resume_refused";
 
-/// A place for the run: its runner, where its memory comes from, and a connection to the runner.
-struct ResumePlace {
-    ticket: RouteTicket,
-    runner: RunnerRecord,
-    memory: RunHandle,
-    connection: WebConnection,
-    /// A copy that was made for the run.
-    copy: Option<RunCopy>,
-    /// What the runner gets the request for.
-    purpose: SendPurpose,
+/// A run that goes on at a runner of this node's choice.
+pub(super) struct ResumedRun {
+    /// The place of the call at the runner.
+    pub(super) ticket: RouteTicket,
+    /// How the run was sent there.
+    pub(super) plan: SendPlan,
+    /// The runner's answer, a stream of events.
+    pub(super) exchange: WebExchange,
 }
 
 /// Resumes a run, and relays its stream.
 ///
 /// # Errors
-/// Returns the reason if the run cannot be resumed here.
+/// Returns the reason, and what is left of the run, if it cannot be resumed here.
 pub async fn resume_run(
     context: &Rc<NodeContext>,
     router: &Rc<RouterService>,
     call: Rc<Call>,
     closer: ConnectionCloser,
     offer: ResumeOffer,
-) -> Result<WebResponse, &'static str> {
+) -> Result<WebResponse, ResumeRefusal> {
     let holder = find_runner(context, &offer.runner)?;
-    let place = match offer.copy {
-        Some(memory) => take_copy(context, router, &call, holder, memory).await?,
-        None => move_run(context, router, &call, holder).await?,
-    };
-    let ResumePlace { ticket, runner, memory, connection, copy, purpose } = place;
-    let backup = choose_backup(context, &call, &ticket);
-    let RunHandle { address, handle } = memory;
-    let resume = ResumeSource { address, handle, last_event_id: offer.last_event_id };
-    let plan = SendPlan { purpose, ..SendPlan::resume(runner, resume, backup) };
-    log_send(context, &call, &plan.runner.runner, None, None, 0);
-    let left = call.deadline.since(context.now());
-    let exchange = match send_connected(context, &call, &plan, connection, left).await {
-        Ok(exchange) if is_event_stream(&exchange.response) => exchange,
-        Ok(exchange) => {
-            let reason = exchange.response.status().to_string();
-            log_send_failure(context, &call, &plan.runner.runner, &reason);
-            ticket.finish(CallEnd::Cancelled);
-            return Err(RESUME_REFUSED);
-        }
-        Err(failure) => {
-            log_send_failure(context, &call, &plan.runner.runner, &failure.reason);
-            ticket.finish(failure.end);
-            return Err(RESUME_REFUSED);
-        }
+    let resumed = match offer.copy.clone() {
+        Some(memory) => take_memory(context, router, &call, holder, memory, &offer).await?,
+        None => move_run(context, router, &call, holder, &offer).await?,
     };
-    if let Some(copy) = copy {
-        copy.keep();
-    }
+    let ResumedRun { ticket, plan, exchange } = resumed;
     let mut head = Response::new(());
     *head.status_mut() = exchange.response.status();
     *head.headers_mut() = copy_reply_headers(exchange.response.headers());
@@ -98,77 +73,59 @@
     Ok(start_stream(context, router, parts, closer, head))
 }
 
-fn find_runner(context: &NodeContext, runner: &RunnerId) -> Result<RunnerRecord, &'static str> {
+pub(super) fn find_runner(
+    context: &NodeContext,
+    runner: &RunnerId,
+) -> Result<RunnerRecord, &'static str> {
     let known = context.runners.borrow().get(runner).map(|entry| entry.record.clone());
     known.filter(|record| !is_unreached(context, record)).ok_or(RUNNER_UNREACHED)
 }
 
-/// A place at the runner that keeps a copy of the run's memory.
-async fn take_copy(
+/// Resumes the run at the runner that keeps its memory: a copy, or what it has kept of a run that
+/// another node has stopped there.
+async fn take_memory(
     context: &Rc<NodeContext>,
     router: &Rc<RouterService>,
     call: &Rc<Call>,
     runner: RunnerRecord,
     memory: RunHandle,
-) -> Result<ResumePlace, &'static str> {
-    if is_closed(context, &runner.runner) {
-        return Err(RUNNER_UNREACHED);
+    offer: &ResumeOffer,
+) -> Result<ResumedRun, ResumeRefusal> {
+    let is_stopped = offer.is_stopped(call, &runner);
+    if !is_stopped && is_closed(context, &runner.runner) {
+        return Err(RUNNER_UNREACHED.into());
     }
-    let purpose = SendPurpose::NewWork;
-    let connection = connect(context, call, &runner, purpose).await?;
+    let purpose = if is_stopped { SendPurpose::Return } else { SendPurpose::NewWork };
+    let refuse = |reason| ResumeRefusal {
+        reason,
+        trace: is_stopped.then(|| RunTrace::Stopped(memory.clone())),
+    };
+    let connection = connect(context, call, &runner, purpose).await.map_err(refuse)?;
     let mut ticket = router.open(call.route_call(&[]));
     match ticket.next_command().now_or_never() {
         Some(RouteCommand::Send { .. }) => ticket.relocate_to(&runner.runner),
         // The copy has its place at the runner: the call does not wait for another one.
         _ => ticket.end(CallEnd::Cancelled),
     }
-    Ok(ResumePlace { ticket, runner, memory, connection, copy: None, purpose })
-}
-
-/// A place at another runner than `source`, to which the run moves from there. The run stops first, since
-/// nobody reads its stream.
-async fn move_run(
-    context: &Rc<NodeContext>,
-    router: &Rc<RouterService>,
-    call: &Rc<Call>,
-    source: RunnerRecord,
-) -> Result<ResumePlace, &'static str> {
-    if !connects_quickly(source.address).await {
-        suspect_runner(context, &source);
-        return Err(RUNNER_UNREACHED);
-    }
-    let mut ticket = router.open(call.route_call(std::slice::from_ref(&source.runner)));
-    let Some(RouteCommand::Send { runner: target }) = ticket.next_command().now_or_never() else {
-        ticket.finish(CallEnd::Cancelled);
-        return Err("no_room");
+    let RunHandle { address, handle } = memory.clone();
+    let resume = ResumeSource { address, handle, last_event_id: offer.last_event_id };
+    let backup = choose_backup(context, call, &ticket);
+    let plan = SendPlan { purpose, ..SendPlan::resume(runner, resume, backup) };
+    log_send(context, call, &plan.runner.runner, None, None, 0);
+    let left = call.deadline.since(context.now());
+    let (reason, end) = match send_connected(context, call, &plan, connection, left).await {
+        Ok(exchange) if is_event_stream(&exchange.response) => {
+            return Ok(ResumedRun { ticket, plan, exchange });
+        }
+        Ok(exchange) => (exchange.response.status().to_string(), CallEnd::Cancelled),
+        Err(failure) => (failure.reason.to_string(), failure.end),
     };
-    let target = find_runner(context, &target)?;
-    if target.runner == source.runner {
-        ticket.finish(CallEnd::Cancelled);
-        return Err("no_room");
-    }
-    let purpose = SendPurpose::NewWork;
-    let connection = connect(context, call, &target, purpose).await?;
-    let (shared, attempt) = (Rc::clone(context), call.attempt.clone());
-    let (from, to) = (source.address, target.address);
-    let stopped = CopyTask::stop(shared, attempt, from, to).await;
-    let copy = stopped.map_err(|error| {
-        log_send_failure(context, call, &source.runner, &error.to_string());
-        RESUME_REFUSED
-    })?;
-    let memory = RunHandle { address: source.address, handle: copy.handle.clone() };
-    if copy.is_copied {
-        let copy = Some(copy);
-        return Ok(ResumePlace { ticket, runner: target, memory, connection, copy, purpose });
-    }
-    // The target had no room: the run goes on where it was stopped.
-    let purpose = SendPurpose::Return;
-    let connection = connect(context, call, &source, purpose).await?;
-    ticket.relocate_to(&source.runner);
-    Ok(ResumePlace { ticket, runner: source, memory, connection, copy: Some(copy), purpose })
+    log_send_failure(context, call, &plan.runner.runner, &reason);
+    ticket.finish(end);
+    Err(refuse(RESUME_REFUSED))
 }
 
-async fn connect(
+pub(super) async fn connect(
     context: &NodeContext,
     call: &Call,
     runner: &RunnerRecord,
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -96,6 +96,8 @@
     pub forwards: Family<OutcomeLabels, Counter>,
     /// Calls that other nodes forwarded to this one, by outcome.
     pub forwarded_calls: Family<OutcomeLabels, Counter>,
+    /// Runs that this node was to move for other ones, by outcome.
+    pub runs_moved: Family<WithheldLabels, Counter>,
     /// Runner changes of running streams, by outcome.
     pub moves: Family<OutcomeLabels, Counter>,
     /// Configurations activated.
@@ -172,6 +174,7 @@
             stop_orders: Family::default(),
             forwards: Family::default(),
             forwarded_calls: Family::default(),
+            runs_moved: Family::default(),
             moves: Family::default(),
             plans: Counter::default(),
             plan_fetches: Family::default(),
@@ -315,6 +318,7 @@
             "Calls forwarded by other nodes",
             self.forwarded_calls.clone(),
         );
+        registry.register("runs_moved", "Runs moved for other nodes", self.runs_moved.clone());
         registry.register("parts_blocked", "Parts of prompts blocked", self.parts_blocked.clone());
     }
 
