--- a/crates/node/src/forward/offer.rs
+++ b/crates/node/src/forward/offer.rs
@@ -62,7 +62,7 @@
     ) -> Self {
         let ResumeSource { address, handle, .. } = memory.clone();
         let copy = Some(RunHandle { address, handle });
-        Self { runner: holder.runner.clone(), copy, last_event_id }
+        Self { runner: holder.runner.clone(), copy, last_event_id, limit: RESUME_TIMEOUT }
     }
 
     /// A run without a copy, on which the runner `source` works.
