--- a/crates/harness/tests/node_stream_partition.rs
+++ b/crates/harness/tests/node_stream_partition.rs
@@ -293,3 +293,27 @@
     })
     .unwrap();
 }
+
+/// A stream whose runner works on it and whose answer does not arrive has no head yet. The runner with its
+/// copy may be silent as well, which shows only once it is to go on there.
+#[test]
+fn streams_without_a_head_go_on_when_half_of_the_runners_answer_only_other_nodes() {
+    let _turn = take_turn();
+    kernel::run(async {
+        let services = ServiceFleet::start(long_streams).await;
+        services.set("llm", usize::from(RUNNERS) / 2, LinkState::AnswersStalled);
+        let requests: Vec<_> =
+            (0..STREAMS).map(|number| CallerRequest::stream(&format!("s{number}"))).collect();
+        let begun = Instant::now();
+        let read = requests.iter().map(async |request| {
+            let stream = read_stream(&services, request).await;
+            (stream, begun.elapsed())
+        });
+        let run_time = Duration::from_millis(20) * u32::try_from(EVENTS).unwrap();
+        for (stream, taken) in join_all(read).await {
+            check_whole_within(&services, &[stream], MAX_PAUSE);
+            assert!(taken <= run_time + 2 * MAX_PAUSE, "{taken:?}");
+        }
+    })
+    .unwrap();
+}
--- a/crates/harness/tests/node_stream_resume.rs
+++ b/crates/harness/tests/node_stream_resume.rs
@@ -13,6 +13,9 @@
 /// Window of the retry budget.
 const RETRY_WINDOW: Duration = Duration::from_secs(1);
 
+/// How long a sound runner may be silent.
+const SILENCE: Duration = Duration::from_millis(1_200);
+
 /// The configuration with another route for generations.
 fn plan(resume: bool, attempts: u32) -> Value {
     let mut plan = config(2);
@@ -217,3 +220,26 @@
     })
     .unwrap();
 }
+
+/// Guards against LOST: a source that is silent for a moment is closed before another runner takes the run.
+#[test]
+fn a_stream_stays_at_its_silent_runner_while_no_other_one_takes_it() {
+    kernel::run(async {
+        let (fleet, runners) = fleet(&plan(true, 2), 2, &[]).await;
+        let silence = async {
+            compio::time::sleep(Duration::from_millis(100)).await;
+            let (source, others): (Vec<_>, Vec<_>) =
+                runners.iter().partition(|runner| runner.working() == 1);
+            others[0].script(&[RunnerScript::Refuse; 20]);
+            source[0].fall_silent();
+            compio::time::sleep(SILENCE).await;
+            source[0].go_on();
+        };
+        let request = short("silent");
+        let (answer, ()) = futures_util::future::join(fleet.send(0, &request), silence).await;
+        assert_eq!((answer.status, answer.complete), (200, true), "{}", answer.text);
+        assert_eq!(ids(&answer), (1..=EVENTS).collect::<Vec<_>>());
+        assert_eq!(runs(&runners), [""]);
+    })
+    .unwrap();
+}
--- a/crates/node/src/reach/records.rs
+++ b/crates/node/src/reach/records.rs
@@ -81,10 +81,13 @@
 
 /// Waits until this node is cut off from a runner that was sent a request: it reaches no runner of the
 /// service, and this one answers another node. A runner that is silent to all may only be silent for a
-/// moment, and have begun to run the request.
-pub async fn wait_while_unanswered(context: &NodeContext, runner: &RunnerRecord) {
+/// moment, and have begun to run the request. A run that `may_go_on` elsewhere does not wait for other
+/// runners of the service to be lost, too.
+pub async fn wait_while_unanswered(context: &NodeContext, runner: &RunnerRecord, may_go_on: bool) {
+    let is_cut =
+        || is_cut_off(context, &runner.service) || may_go_on && is_unreached(context, runner);
     loop {
-        while !is_cut_off(context, &runner.service) {
+        while !is_cut() {
             record_runner_send(context, runner);
             kernel::sleep(SLOW_CONNECT.into()).await;
         }
--- a/crates/node/src/runner_send.rs
+++ b/crates/node/src/runner_send.rs
@@ -115,6 +115,11 @@
     ) -> Self {
         Self { resume: Some(resume), ..Self::first(runner, backup) }
     }
+
+    /// Whether the run may go on elsewhere if this node is cut off from the runner.
+    fn may_go_on(&self, call: &Call) -> bool {
+        self.backup.is_some() || self.resume.is_some() || call.route.stream_resume
+    }
 }
 
 /// Sends `call` according to `plan` and waits at most `limit` for the head of the answer.
@@ -193,7 +198,8 @@
     let request = build_request(call, &head).map_err(|error| not_sent(&error))?;
     let pending = begin_send(context, &incarnation, plan.purpose).map_err(withheld)?;
     let sending = connection.send(request, limit.min(left));
-    let Some(sent) = unless_stopped(sending, wait_while_unanswered(context, runner)).await else {
+    let unanswered = wait_while_unanswered(context, runner, plan.may_go_on(call));
+    let Some(sent) = unless_stopped(sending, unanswered).await else {
         pending.finish(true);
         return Err(SendFailure::unreached());
     };
--- a/crates/node/src/streams/run_stop.rs
+++ b/crates/node/src/streams/run_stop.rs
@@ -113,7 +113,7 @@
             }
         };
         let Some((plan, exchange)) = resumed else {
-            return OrderedStep::Done(HandoverStep::Refused);
+            return OrderedStep::Done(HandoverStep::Refused(SendOutcome::Unknown));
         };
         if plan.purpose == SendPurpose::Return {
             let tries = self.tries;
--- a/crates/node/src/streams/stream_call.rs
+++ b/crates/node/src/streams/stream_call.rs
@@ -52,8 +52,7 @@
 ) -> WebResponse {
     let mut is_counted = false;
     let mut tracker = AttemptTracker::for_route(&call.route);
-    let mut tried = Vec::new();
-    let mut search = RunnerSearch::default();
+    let (mut tried, mut search) = (Vec::new(), RunnerSearch::default());
     let mut error_answer: Option<Response<Bytes>> = None;
     loop {
         if let Some(response) = try_forward(context, &call, &closer).await {
@@ -69,8 +68,8 @@
             Err(failure) => return fail_call(context, &call, &tracker, error_answer, failure),
         };
         let backup = choose_backup(context, &call, &ticket);
-        let backup_id = backup.as_ref().map(|backup| &backup.runner);
         let load = ticket.runner_summary(&runner.runner);
+        let backup_id = backup.as_ref().map(|backup| &backup.runner);
         log_send(context, &call, &runner.runner, backup_id, load.as_ref(), tracker.sends());
         let mut plan = SendPlan::first(runner, backup);
         let mut outcome = if may_hedge(context, &call, &tracker) {
@@ -113,7 +112,8 @@
             if failure.outcome == SendOutcome::Unknown
                 && let Some(backup) = plan.backup
             {
-                match recover_run(context, &call, backup, &mut ticket).await {
+                let cut_off = failure.is_cut_off().then_some(&plan.runner);
+                match recover_run(context, &call, backup, &mut ticket, cut_off).await {
                     Some(RecoveredRun::Here(answer)) => outcome = Ok(answer),
                     Some(RecoveredRun::Elsewhere(exchange)) => {
                         ticket.finish(CallEnd::Cancelled);
@@ -182,12 +182,30 @@
 }
 
 /// Resumes the call at the runner that keeps a copy, after the first runner failed without
-/// an answer. If the copy has not arrived there, that runner refuses and runs nothing.
+/// an answer. If the copy has not arrived there, that runner refuses and runs nothing. If this node is
+/// `cut_off` from the first runner, another node then moves the run from there.
 async fn recover_run(
     context: &Rc<NodeContext>,
     call: &Rc<Call>,
     backup: RunnerRecord,
     ticket: &mut RouteTicket,
+    cut_off: Option<&RunnerRecord>,
+) -> Option<RecoveredRun> {
+    if let Some(recovered) = resume_copy(context, call, backup, ticket).await {
+        return Some(recovered);
+    }
+    let source = cut_off.filter(|_| call.supports_moves)?;
+    let offer = ResumeOffer::of_run(source, None);
+    let taken = offer_resume(context, call, &offer, None).await?;
+    Some(RecoveredRun::Elsewhere(taken.exchange))
+}
+
+/// Resumes the call from its copy, here or through another node.
+async fn resume_copy(
+    context: &Rc<NodeContext>,
+    call: &Rc<Call>,
+    backup: RunnerRecord,
+    ticket: &mut RouteTicket,
 ) -> Option<RecoveredRun> {
     if is_unreached(context, &backup) {
         let offer = ResumeOffer::of_backup(call, &backup, None);
--- a/crates/node/src/streams/stream_handover.rs
+++ b/crates/node/src/streams/stream_handover.rs
@@ -15,7 +15,7 @@
 use super::stream_overlap::{HeldEvents, OverlapEnd};
 use super::stream_pump::{PumpStep, StreamPump};
 use super::stream_silence::SourceActivity;
-use super::stream_source::StreamSource;
+use super::stream_source::{StreamSource, is_event_stream};
 use crate::call::RunPlace;
 use crate::call_log::{RequestOutcome, log_send_failure};
 use crate::runner_gate::SendPurpose;
@@ -27,8 +27,9 @@
     Switched,
     /// The next runner was not reached; nothing was sent.
     Unreached,
-    /// The next runner did not take over; the old source is kept, unless it is closed.
-    Refused,
+    /// The next runner did not take over; the old source is kept, unless it is closed. Whether the next one
+    /// may have run the request.
+    Refused(SendOutcome),
     /// The source was not stopped and goes on with the run; nothing was sent to the next runner.
     Kept,
     /// The stream goes on through another node, or has ended meanwhile.
@@ -48,8 +49,8 @@
 }
 
 impl StreamPump {
-    /// Sends the request to the runner that has the run's memory, and makes that runner the
-    /// source of the stream. The old source is read on until that runner has answered. If that takes
+    /// Sends the request to a runner that has the run's memory, or is to run it again, and makes that
+    /// runner the source of the stream. The old source is read on until that runner has answered. If that takes
     /// longer than [`MAX_OVERLAP`](super::stream_overlap::MAX_OVERLAP), `rule` says which of them is given up, unless the old source has
     /// ended.
     pub(crate) async fn hand_over(
@@ -78,28 +79,30 @@
                 OrderedStep::NoRoom(connection) => connection,
             };
         }
-        if let Some(resume) = &mut plan.resume {
-            resume.last_event_id = self.scanner.last_id();
+        match &mut plan.resume {
+            Some(resume) => resume.last_event_id = self.scanner.last_id(),
+            None => plan.last_event_id = self.scanner.last_id(),
         }
         let mut held = HeldEvents::new(&self.scanner);
         let exchange = match self.send_with_overlap(&plan, connection, &mut held, rule).await {
-            OverlapEnd::Answered(exchange) if exchange.response.status().is_success() => exchange,
+            OverlapEnd::Answered(exchange) if is_event_stream(&exchange.response) => exchange,
             OverlapEnd::Answered(exchange) => {
                 let reason = exchange.response.status().to_string();
-                return self.keep_source(&plan, held, &reason).await;
+                return self.keep_source(&plan, held, &reason, SendOutcome::Failed).await;
             }
             OverlapEnd::Failed(failure) if failure.is_cut_off() => {
                 return self.leave_cut_off(&plan, held).await;
             }
             OverlapEnd::Failed(failure) => {
-                return match self.keep_source(&plan, held, &failure.reason).await {
-                    HandoverStep::Refused if failure.outcome == SendOutcome::NotSent => {
-                        HandoverStep::Unreached
-                    }
+                let outcome = failure.outcome;
+                return match self.keep_source(&plan, held, &failure.reason, outcome).await {
+                    HandoverStep::Refused(SendOutcome::NotSent) => HandoverStep::Unreached,
                     step => step,
                 };
             }
-            OverlapEnd::Unanswered => return self.keep_source(&plan, held, "no answer").await,
+            OverlapEnd::Unanswered => {
+                return self.keep_source(&plan, held, "no answer", SendOutcome::Unknown).await;
+            }
             OverlapEnd::CutOff => return self.leave_cut_off(&plan, held).await,
             OverlapEnd::SourceEnded => {
                 self.count_move("source_ended");
@@ -207,12 +210,12 @@
     /// Goes on through another node, or else with the source, after the next runner was found to be cut
     /// off from this node.
     async fn leave_cut_off(&mut self, plan: &SendPlan, held: HeldEvents) -> HandoverStep {
-        let step = self.keep_source(plan, held, "cut off").await;
-        if !matches!(step, HandoverStep::Refused) {
+        let step = self.keep_source(plan, held, "cut off", SendOutcome::Unknown).await;
+        if !matches!(step, HandoverStep::Refused(_)) {
             return step;
         }
         let through_node = Box::pin(self.go_on_through_node(plan, true)).await;
-        through_node.map_or(HandoverStep::Refused, HandoverStep::End)
+        through_node.map_or(step, HandoverStep::End)
     }
 
     /// Goes on with the source after the next runner did not take over.
@@ -221,10 +224,11 @@
         plan: &SendPlan,
         held: HeldEvents,
         reason: &str,
+        outcome: SendOutcome,
     ) -> HandoverStep {
         self.note_refusal(plan, reason);
         let end = self.forward_held(held).await;
-        end.map_or(HandoverStep::Refused, HandoverStep::End)
+        end.map_or(HandoverStep::Refused(outcome), HandoverStep::End)
     }
 
     /// Forwards what the source delivered while the next runner was asked to go on. Returns how
--- a/crates/node/src/streams/stream_move.rs
+++ b/crates/node/src/streams/stream_move.rs
@@ -134,7 +134,7 @@
                 self.source.backup = Some(backup);
                 self.keep_run()
             }
-            HandoverStep::Unreached | HandoverStep::Refused if !self.source.ended => {
+            HandoverStep::Unreached | HandoverStep::Refused(_) if !self.source.ended => {
                 self.start_move()
             }
             HandoverStep::Unreached => {
@@ -146,7 +146,7 @@
                 self.schedule_move(true).await
             }
             // A copy is used once: if the runner has taken it in spite of its failure, it refuses.
-            HandoverStep::Refused => {
+            HandoverStep::Refused(_) => {
                 if let Some(step) = self.resume_copy_through_node(&backup, None).await {
                     return step;
                 }
@@ -246,7 +246,7 @@
                 self.pending_move = Some(PendingMove::again(target, copy));
                 PumpStep::Continue
             }
-            HandoverStep::Unreached | HandoverStep::Refused => self.schedule_move(true).await,
+            HandoverStep::Unreached | HandoverStep::Refused(_) => self.schedule_move(true).await,
         }
     }
 
--- a/crates/node/src/streams/stream_places.rs
+++ b/crates/node/src/streams/stream_places.rs
@@ -96,7 +96,7 @@
         self.call.supports_moves && !self.move_requested
     }
 
-    /// Has another node move the run away from a source that answers it. That is tried once.
+    /// Has another node move the run away from a source, if that answers one.
     pub(super) async fn move_from_source(&mut self) -> Option<PumpStep> {
         let source = self.source.runner.clone();
         let (context, disconnected) = (Rc::clone(&self.context), self.caller.disconnected.clone());
@@ -108,9 +108,13 @@
                 node = found => node,
             }
         };
-        let node = node?;
+        self.move_through_node(node?).await
+    }
+
+    /// Has another node, `node` before others, move the run away from its source. That is tried once.
+    pub(super) async fn move_through_node(&mut self, node: VmId) -> Option<PumpStep> {
         self.move_requested = true;
-        let offer = ResumeOffer::of_run(&source, self.scanner.last_id());
+        let offer = ResumeOffer::of_run(&self.source.runner, self.scanner.last_id());
         self.resume_through_node(&offer, Some(node)).await
     }
 }
--- a/crates/node/src/streams/stream_silence.rs
+++ b/crates/node/src/streams/stream_silence.rs
@@ -13,17 +13,20 @@
 use base::prelude::*;
 use futures_util::future::join;
 use futures_util::{FutureExt, select_biased};
-use serving::{OverlapRule, RunnerRecord};
+use serving::{OverlapRule, RunnerRecord, SendOutcome};
 
-use super::stream_backup::plan_backup_resume;
+use super::stream_backup::{choose_backup, plan_backup_resume};
 use super::stream_handover::HandoverStep;
+use super::stream_move::MAX_SWITCH_TRIES;
 use super::stream_pump::{PumpStep, StreamPump};
+use crate::call_attempt::{may_retry, record_send};
 use crate::call_log::may_log;
 use crate::context::NodeContext;
 use crate::reach::{
-    answers_other_nodes, connects_quickly, find_reaching_node, is_cut_off, is_unreached,
+    connects_quickly, find_answering_node, find_reaching_node, is_cut_off, is_unreached,
     record_runner_event, suspect_runner,
 };
+use crate::runner_send::SendPlan;
 
 /// Longest silence that is not looked into.
 const MAX_SILENCE: TimeSpan = TimeSpan::millis(250);
@@ -50,8 +53,8 @@
 pub enum SourceCheck {
     /// Who reaches the runners of the stream.
     Reach(ReachCheck),
-    /// Whether the source answers another node.
-    Answers(bool),
+    /// Another node that the source answers.
+    Answers(Option<VmId>),
 }
 
 /// Who reaches the runners of a silent stream.
@@ -91,7 +94,7 @@
 }
 
 /// When data last came from the source of a stream.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub struct SourceActivity {
     /// When data came last.
     last_data_at: TimePoint,
@@ -101,8 +104,8 @@
     next_check: TimePoint,
     /// When an event is recorded again.
     next_record: TimePoint,
-    /// When the source last answered another node since then.
-    others_answered: Option<TimePoint>,
+    /// When the source last answered another node since then, and which one.
+    others_answered: Option<(TimePoint, VmId)>,
 }
 
 impl SourceActivity {
@@ -161,15 +164,16 @@
             return self.go_on_from_copy(None).await;
         }
         if self.may_run_again() {
-            return self.leave_silent().await;
+            return self.run_beside_source().await;
         }
-        let answered = self.activity.others_answered;
-        if answered.is_none_or(|answered| now.since(answered) >= CHECK_PAUSE) {
+        let answered = self.activity.others_answered.as_ref();
+        let answered = answered.filter(|(at, _)| now.since(*at) < CHECK_PAUSE);
+        let Some(node) = answered.map(|(_, node)| node.clone()) else {
             self.begin_question();
             return PumpStep::Continue;
-        }
+        };
         if self.may_move_from_source() {
-            return self.move_through_node().await;
+            return self.move_through_node(node).await.unwrap_or(PumpStep::Continue);
         }
         let silence = now.since(self.activity.last_data_at);
         if is_cut_off(&self.context, &self.call.service) && silence >= UNSAVED_SILENCE {
@@ -183,12 +187,6 @@
         self.call.route.stream_resume && !self.context.reach.borrow().is_lost(&self.call.service)
     }
 
-    /// Has another node move the run away from a source that this node is cut off from. That is tried
-    /// once.
-    async fn move_through_node(&mut self) -> PumpStep {
-        self.move_from_source().await.unwrap_or(PumpStep::Continue)
-    }
-
     /// Finds out where the stream can go on, while it is known whether its runner is reached.
     fn begin_check(&mut self) {
         let is_due = self.context.now() >= self.activity.next_check;
@@ -201,14 +199,14 @@
         self.pending_check = Some(Box::pin(check));
     }
 
-    /// Finds out whether the source answers other nodes.
+    /// Finds out whether the source answers another node.
     fn begin_question(&mut self) {
         if self.pending_check.is_some() {
             return;
         }
         let (context, source) = (Rc::clone(&self.context), self.source.runner.clone());
         let question =
-            async move { SourceCheck::Answers(answers_other_nodes(&context, &source).await) };
+            async move { SourceCheck::Answers(find_answering_node(&context, &source).await) };
         self.pending_check = Some(Box::pin(question));
     }
 
@@ -217,10 +215,11 @@
     pub(crate) async fn finish_check(&mut self, check: SourceCheck) -> PumpStep {
         self.pending_check = None;
         let reach = match check {
-            SourceCheck::Answers(answers) => {
+            SourceCheck::Answers(node) => {
                 let now = self.context.now();
-                self.activity.others_answered = answers.then_some(now);
-                self.activity.next_look = now + if answers { LOOK_PAUSE } else { CHECK_PAUSE };
+                let pause = if node.is_some() { TimeSpan::default() } else { CHECK_PAUSE };
+                self.activity.others_answered = node.map(|node| (now, node));
+                self.activity.next_look = now + pause;
                 return PumpStep::Continue;
             }
             SourceCheck::Reach(reach) => reach,
@@ -260,7 +259,7 @@
                 self.source.backup = Some(backup);
                 self.stay_at_source().await
             }
-            HandoverStep::Refused => {
+            HandoverStep::Refused(_) => {
                 // A copy is used once.
                 self.source.backup = None;
                 self.stay_at_source().await
@@ -279,6 +278,46 @@
         PumpStep::Continue
     }
 
+    /// Runs again at another runner beside the silent source, which is kept until that one has answered.
+    async fn run_beside_source(&mut self) -> PumpStep {
+        self.activity.next_look = self.context.now() + CHECK_PAUSE;
+        // The run at the source counts if the stream leaves it.
+        let mut left = self.attempts.tracker.clone();
+        left.record_send(SendOutcome::Unknown);
+        if self.tries >= MAX_SWITCH_TRIES || !may_retry(&self.context, &self.call, &left) {
+            return PumpStep::Continue;
+        }
+        let Some(plan) = self.plan_another_run() else { return PumpStep::Continue };
+        self.tries += 1;
+        self.ticket.hold_progress();
+        self.log_silent_source(None);
+        let source = self.source.runner.runner.clone();
+        match self.hand_over(plan, "run_again", OverlapRule::LeaveSilentSource).await {
+            HandoverStep::Switched => {
+                self.attempts.tracker = left;
+                self.attempts.tried.push(source);
+                PumpStep::Continue
+            }
+            HandoverStep::End(step) => step,
+            HandoverStep::Unreached | HandoverStep::Kept => {
+                self.tries -= 1;
+                self.stay_at_source().await
+            }
+            HandoverStep::Refused(outcome) => {
+                record_send(&self.call, &mut self.attempts.tracker, outcome);
+                self.stay_at_source().await
+            }
+        }
+    }
+
+    /// Another run at another runner, which the call is assigned to; `None` if there is none.
+    fn plan_another_run(&mut self) -> Option<SendPlan> {
+        let target = self.ticket.relocate()?;
+        let record = self.context.runners.borrow().get(&target).map(|entry| entry.record.clone());
+        let backup = choose_backup(&self.context, &self.call, &self.ticket);
+        record.map(|record| SendPlan::first(record, backup))
+    }
+
     /// Leaves a source that this node does not reach, for another run if the route allows that.
     async fn leave_silent(&mut self) -> PumpStep {
         self.ticket.hold_progress();
