Keep the send of a late look-up until another one has answered

What callers saw: 502 `runners_failed` for a look-up whose runner fell silent for a second or so and went on, in time: its send was closed after twice the route's target latency, and then no other send was possible. With room in the budget the same runner was sent the look-up a second time.

Cause: the limit of an attempt ended the first send before it was known whether the budget allowed another one, and whether a runner could take it.

Now the first send goes on. After twice the target latency its runner is asked, and the call is also sent to another runner, if one takes it at once, the attempts of the route allow that (a hedge counts), and the budget does. The first answer wins; the others are closed, and a runner that was late counts as failed, as before. The budget is charged only when a runner has a place.

Evidence: node_late_sends, a runner silent for 1.6 s, target latency 0.5 s, deadline 8 s. With the node of 1 of 4 passed: 502 without budget, two runs at the only runner, two runs with the other one full (the fourth test, another runner answers, holds before and after). With this one 4 of 4, twice.

Ruled out: to close the first send once another one is connected. A runner that is full refuses after that.

--- a/crates/node/src/call.rs
+++ b/crates/node/src/call.rs
@@ -55,6 +55,8 @@
     pub arrived: TimePoint,
     /// Where its run goes on, if it is a stream.
     pub run_place: RefCell<RunPlace>,
+    /// Runners at which sends are under way, if it is a plain call.
+    pub open_sends: RefCell<Vec<RunnerId>>,
     /// When the request was last sent to a runner; `None` until it is.
     pub sent_at: Cell<Option<TimePoint>>,
     /// The earlier of the caller's deadline and the route's timeout.
--- a/crates/node/src/call_attempt.rs
+++ b/crates/node/src/call_attempt.rs
@@ -161,9 +161,11 @@
     if !tracker.may_send() || call.deadline <= context.now() {
         return false;
     }
-    if tracker.sends() == 0 {
-        return true;
-    }
+    tracker.sends() == 0 || may_repeat(context, call)
+}
+
+/// Whether the retry budget allows another send of the request, which is charged to it.
+pub fn may_repeat(context: &NodeContext, call: &Call) -> bool {
     let nodes = context.peers.borrow().fleet_size();
     let allowed =
         context.retry_budget.borrow_mut().try_acquire(context.now(), &call.service, nodes);
--- a/crates/node/src/caller_server.rs
+++ b/crates/node/src/caller_server.rs
@@ -209,6 +209,7 @@
         _reservation: reservation,
         arrived,
         run_place: RefCell::default(),
+        open_sends: RefCell::default(),
         sent_at: Cell::default(),
         deadline,
     })
--- a/crates/node/src/hedged_call.rs
+++ b/crates/node/src/hedged_call.rs
@@ -62,11 +62,11 @@
     call: &Call,
     tracker: &AttemptTracker,
     first: (RouteTicket, SendPlan),
-    first_limit: TimeSpan,
 ) -> RaceEnd<Response<Bytes>> {
     let wins = |answer: &Response<Bytes>| !answer.status().is_server_error();
     let send = async |plan: SendPlan| {
-        let exchange = send_to_runner(context, call, &plan, first_limit).await?;
+        let exchange =
+            send_to_runner(context, call, &plan, call.deadline.since(context.now())).await?;
         read_full_answer(context, exchange, call.deadline.since(context.now())).await
     };
     race(context, router, call, tracker, first, wins, send).await
@@ -203,7 +203,10 @@
 ) -> Result<(RouteTicket, SendPlan), HedgeDenial> {
     let now = context.now();
     let mut with_first = tracker.clone();
-    with_first.record_send(SendOutcome::Unknown);
+    let open = call.open_sends.borrow().len().max(1);
+    for _ in 0..open {
+        with_first.record_send(SendOutcome::Unknown);
+    }
     let request = HedgeRequest {
         may_send: with_first.may_send(),
         whole_time: call.deadline.since(call.arrived),
@@ -246,6 +249,10 @@
         return Err(HedgeDenial::BudgetSpent);
     }
     context.hedge_limit.borrow_mut().record_hedge(now, &call.service);
+    let mut open = call.open_sends.borrow_mut();
+    if !open.is_empty() {
+        open.push(assigned.clone());
+    }
     log_send(context, call, &assigned, None, load.as_ref(), with_first.sends());
     count_hedge(context, "sent");
     if may_log(context) {
@@ -264,11 +271,13 @@
 /// slow as a whole. The dispatcher chooses one of them only if there is no other.
 fn unwanted_runners(context: &NodeContext, call: &Call, first: &SendPlan) -> Vec<RunnerId> {
     let (runners, timer) = (context.runners.borrow(), context.hedge_timer.borrow());
+    let open = call.open_sends.borrow();
     let is_place_slow = timer.is_place_slow(&first.runner.place);
     let records = runners.entries().map(|entry| &entry.record);
     let unwanted = records.filter(|record| {
         record.service == call.service
             && (record.runner == first.runner.runner
+                || open.contains(&record.runner)
                 || timer.is_runner_slow(&record.runner)
                 || is_place_slow && record.place == first.runner.place)
     });
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -96,6 +96,8 @@
     pub forwards: Family<OutcomeLabels, Counter>,
     /// Calls that other nodes forwarded to this one, by outcome.
     pub forwarded_calls: Family<OutcomeLabels, Counter>,
+    /// Late plain calls, by whether they were sent to another runner as well.
+    pub late_sends: Family<WithheldLabels, Counter>,
     /// Runs that this node was to move for other ones, by outcome.
     pub runs_moved: Family<WithheldLabels, Counter>,
     /// Runner changes of running streams, by outcome.
@@ -174,6 +176,7 @@
             stop_orders: Family::default(),
             forwards: Family::default(),
             forwarded_calls: Family::default(),
+            late_sends: Family::default(),
             runs_moved: Family::default(),
             moves: Family::default(),
             plans: Counter::default(),
@@ -214,6 +217,7 @@
             "Repeats that the shared budget did not allow",
             self.retries_denied.clone(),
         );
+        registry.register("late_sends", "Late calls by what followed", self.late_sends.clone());
         registry.register("hedges", "Second sends of slow requests", self.hedges.clone());
         registry.register(
             "hedges_denied",
--- a/crates/node/src/plain_call.rs
+++ b/crates/node/src/plain_call.rs
@@ -6,7 +6,7 @@
 use hyper::Response;
 use hyper::body::Bytes;
 use route::CallEnd;
-use serving::{AttemptTracker, RouteKind, RunnerRecord, SendOutcome};
+use serving::{AttemptTracker, RouteKind, SendOutcome};
 use web::{ConnectionCloser, WebResponse};
 
 use crate::call::Call;
@@ -19,13 +19,10 @@
 use crate::context::NodeContext;
 use crate::crash_watch::record_full_answer;
 use crate::forward::try_forward;
-use crate::hedged_call::{RaceEnd, SendEnd, may_hedge, race_plain};
+use crate::hedged_call::{RaceEnd, SendEnd};
+use crate::plain_sends::PlainSends;
 use crate::router::RouterService;
-use crate::runner_send::{SendFailure, SendPlan, read_full_answer, send_to_runner};
 
-/// Timeout of one attempt, as a multiple of the route's target latency, while another runner
-/// may still be tried.
-const ATTEMPT_TIMEOUT_FACTOR: u64 = 2;
 /// `Retry-After` if no runner accepted the request.
 const REFUSED_RETRY_AFTER: TimeSpan = TimeSpan::millis(150);
 
@@ -50,23 +47,36 @@
         }
         let found = search.find_runner_here(context, router, call, &tried).await;
         let Some(found) = found else { continue };
-        let (mut ticket, mut runner) = match found {
+        let (ticket, runner) = match found {
             Ok(found) => found,
             Err(failure) => return fail_call(context, call, &tracker, error_answer, failure),
         };
         let load = ticket.runner_summary(&runner.runner);
         log_send(context, call, &runner.runner, None, load.as_ref(), tracker.sends());
-        let answer = if may_hedge(context, call, &tracker) {
-            let first = (ticket, SendPlan::first(runner, None));
-            let limit = attempt_limit(context, call, &tracker);
-            let RaceEnd { last, failed, .. } =
-                race_plain(context, router, call, &tracker, first, limit).await;
-            if let Some(SendEnd { ticket, plan, result }) = failed {
+        let mut sends = PlainSends::new(context, router, call, &tracker, (ticket, runner));
+        let mut is_withheld = false;
+        while let Some(RaceEnd { last, failed, .. }) = sends.next(&tracker, &tried).await {
+            for SendEnd { ticket, plan, result } in failed.into_iter().chain([last]) {
+                if let Some(reason) = withheld_reason(&result) {
+                    is_withheld = sends.is_empty();
+                    if is_withheld {
+                        let assigned = (ticket, &plan.runner.runner);
+                        search.unassign(context, router, assigned, reason).await;
+                    } else {
+                        ticket.finish(CallEnd::Cancelled);
+                    }
+                    continue;
+                }
                 tried.push(plan.runner.runner.clone());
                 match result {
                     Ok(answer) => {
                         ticket.finish(CallEnd::Finished);
                         record_full_answer(context, call, &answer);
+                        let is_repeatable = call.route.kind == RouteKind::Idempotent;
+                        if !answer.status().is_server_error() || !is_repeatable {
+                            sends.give_up();
+                            return forward_answer(context, call, &answer);
+                        }
                         record_send(call, &mut tracker, SendOutcome::Failed);
                         error_answer = Some(answer);
                     }
@@ -77,31 +87,10 @@
                     }
                 }
             }
-            (ticket, runner) = (last.ticket, last.plan.runner);
-            last.result
-        } else {
-            try_runner(context, call, &tracker, &runner).await
-        };
-        if let Some(reason) = withheld_reason(&answer) {
-            search.unassign(context, router, (ticket, &runner.runner), reason).await;
-            continue;
         }
-        tried.push(runner.runner.clone());
-        match answer {
-            Ok(answer) => {
-                ticket.finish(CallEnd::Finished);
-                record_full_answer(context, call, &answer);
-                if !answer.status().is_server_error() || call.route.kind != RouteKind::Idempotent {
-                    return forward_answer(context, call, &answer);
-                }
-                record_send(call, &mut tracker, SendOutcome::Failed);
-                error_answer = Some(answer);
-            }
-            Err(failure) => {
-                record_send_failure(context, router, call, &runner, &failure);
-                record_send(call, &mut tracker, failure.outcome);
-                ticket.finish(failure.end);
-            }
+        drop(sends);
+        if is_withheld {
+            continue;
         }
         if !may_retry(context, call, &tracker) {
             let failure = explain_failure(router, call, REFUSED_RETRY_AFTER);
@@ -109,27 +98,3 @@
         }
     }
 }
-
-/// Sends the call to one runner and reads its whole answer.
-async fn try_runner(
-    context: &NodeContext,
-    call: &Call,
-    tracker: &AttemptTracker,
-    runner: &RunnerRecord,
-) -> Result<Response<Bytes>, SendFailure> {
-    let limit = attempt_limit(context, call, tracker);
-    let exchange =
-        send_to_runner(context, call, &SendPlan::first(runner.clone(), None), limit).await?;
-    let left = call.deadline.since(context.now());
-    read_full_answer(context, exchange, left).await
-}
-
-/// Time for the head of the answer to the next send.
-fn attempt_limit(context: &NodeContext, call: &Call, tracker: &AttemptTracker) -> TimeSpan {
-    let left = call.deadline.since(context.now());
-    let can_retry =
-        call.route.kind == RouteKind::Idempotent && tracker.sends() + 1 < call.route.max_attempts;
-    let attempt_timeout =
-        TimeSpan(call.route.target_latency.0.saturating_mul(ATTEMPT_TIMEOUT_FACTOR));
-    if can_retry { attempt_timeout.min(left) } else { left }
-}
