Let no connection stand for an answer when another node asks

What callers may have seen: a stream or request broken off at its node since its runner "answers another node", though the runner was silent to all: for a service without a health check, `/answers/` took a mere connection for an answer.

Now a node says that such a runner answers only if data (an answer or an event) has come from it within 0.25 s, the time that a question may take; else it says no, and the node that asked draws no conclusion. For the node itself a connection still counts as reached: nothing else can be asked. New: `runner_unproven`, `unproven_answers`.

Evidence: a_silent_runner_without_a_health_check_does_not_answer_another_node got 200 after 1.2 s of silence with the node of (wanted 503), and passes now; a runner that has just answered gets 200 before and after.

Not shown: a caller's request that ends for it. It needs a node whose connections fail while those of another one to the same silent runner come about; the link of the tests accepts connections before it closes them, which counts as reached.

What it costs: at a node that is really cut off from such a service, a request without an answer waits until its deadline if no other node has data of its runner.

--- a/crates/harness/tests/node_short_silence.rs
+++ b/crates/harness/tests/node_short_silence.rs
@@ -161,6 +161,34 @@
     .unwrap();
 }
 
+/// Guards against a connection that counts as an answer of a runner that is silent to all: another node
+/// breaks off its streams and requests for that.
+#[test]
+fn a_silent_runner_without_a_health_check_does_not_answer_another_node() {
+    kernel::run(async {
+        let mut fleet = NodeFleet::start().await.unwrap();
+        let mut plan = harness::config(2);
+        plan["services"][0].as_object_mut().unwrap().remove("healthPath");
+        fleet.store.put_json("keyed.op", "config", &plan);
+        let settings = RunnerFakeSettings::new("runner-1");
+        let runner = fleet.add_runner("desk", settings).await.unwrap();
+        fleet.add_node().unwrap();
+        fleet.wait_ready().await.unwrap();
+        let ask = async || {
+            let question = Request::get("/answers/runner-1").body(full_body("")).unwrap();
+            let limit = base::TimeSpan::seconds(2);
+            send_once(fleet.peer_address(0), question, limit, limit).await.unwrap().status()
+        };
+        assert_eq!(fleet.send(0, &CallerRequest::booking("sound")).await.status, 200);
+        assert_eq!(ask().await, 200);
+        runner.fall_silent();
+        compio::time::sleep(SILENCE).await;
+        assert_eq!(ask().await, 503);
+        runner.go_on();
+    })
+    .unwrap();
+}
+
 /// The system still acknowledges what arrives, so no timeout of a socket is played by this.
 #[test]
 fn a_callers_connection_that_is_silent_for_seconds_is_kept() {
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -84,6 +84,8 @@
     pub runners_unreached: Counter,
     /// Times that this node reached no runner of a service any more.
     pub reach_losses: Counter,
+    /// Questions of other nodes about runners of which this node knew nothing but a connection.
+    pub unproven_answers: Counter,
     /// Calls that this node did not take or send since it was stopping, by reason.
     pub stop_refusals: Family<WithheldLabels, Counter>,
     /// Calls still under way at the end of a stop, which were told that their outcome is unknown.
@@ -170,6 +172,7 @@
             runner_failures: Family::default(),
             runners_unreached: Counter::default(),
             reach_losses: Counter::default(),
+            unproven_answers: Counter::default(),
             stop_refusals: Family::default(),
             stop_cuts: Counter::default(),
             end_habits: Family::default(),
@@ -316,6 +319,11 @@
             "Times that no runner of a service was reached any more",
             self.reach_losses.clone(),
         );
+        registry.register(
+            "unproven_answers",
+            "Questions about runners without evidence",
+            self.unproven_answers.clone(),
+        );
         registry.register("forwards", "Offers of calls to other nodes", self.forwards.clone());
         registry.register(
             "forwarded_calls",
--- a/crates/node/src/reach/reach_question.rs
+++ b/crates/node/src/reach/reach_question.rs
@@ -14,7 +14,7 @@
 use serving::{ReachShare, RunnerRecord};
 use web::{WebConnection, WebResponse, fetch, text_reply};
 
-use super::reach_watch::ask;
+use super::reach_watch::answers_here;
 use crate::context::NodeContext;
 
 /// Path of the question; the id of the runner follows it. Builds that do not know it answer 404.
@@ -62,7 +62,7 @@
 pub async fn answer_answers(context: &Rc<NodeContext>, path: &str) -> WebResponse {
     match find_runner(context, path, ANSWERS_PATH) {
         None => text_reply(StatusCode::NOT_FOUND, "no such runner"),
-        Some(runner) if ask(context, &runner).await.is_ok() => {
+        Some(runner) if answers_here(context, &runner).await => {
             text_reply(StatusCode::OK, "answers")
         }
         Some(_) => text_reply(StatusCode::SERVICE_UNAVAILABLE, "does not answer"),
--- a/crates/node/src/reach/reach_watch.rs
+++ b/crates/node/src/reach/reach_watch.rs
@@ -10,7 +10,7 @@
 use serving::{QuestionFailure, ReachMembers, ReachQuestion, RunnerEntry, RunnerRecord};
 use web::WebConnection;
 
-use super::records::{count_reaching, impairment, record_runner_answer};
+use super::records::{count_reaching, impairment, record_runner_answer, record_runner_connection};
 use crate::call_log::may_log;
 use crate::context::NodeContext;
 use crate::runner_gate::find_own_block;
@@ -176,23 +176,48 @@
 ) -> Result<(), QuestionFailure> {
     let connected = WebConnection::open(runner.address, ANSWER_TIMEOUT).await;
     let connection = connected.map_err(|_| QuestionFailure::Unconnected)?;
-    let path = context.plan().and_then(|plan| {
-        let service = plan.services.get(&runner.service)?;
-        pulse_path(service.engine.is_some(), service.health_path.as_deref()).map(str::to_owned)
-    });
-    if let Some(path) = path {
-        let answered = read_pulse(connection, &path, &runner.runner, ANSWER_TIMEOUT).await;
-        let notice = answered.map_err(|error| {
-            if error.is_connection_end() {
-                QuestionFailure::Unconnected
-            } else {
-                QuestionFailure::Silent
-            }
-        })?;
-        if let Some(notice) = notice {
-            record_notice(context, &runner.incarnation(), &notice);
+    let Some(path) = question_path(context, runner) else {
+        record_runner_connection(context, runner);
+        return Ok(());
+    };
+    let answered = read_pulse(connection, &path, &runner.runner, ANSWER_TIMEOUT).await;
+    let notice = answered.map_err(|error| {
+        if error.is_connection_end() {
+            QuestionFailure::Unconnected
+        } else {
+            QuestionFailure::Silent
         }
+    })?;
+    if let Some(notice) = notice {
+        record_notice(context, &runner.incarnation(), &notice);
     }
     record_runner_answer(context, runner);
     Ok(())
 }
+
+/// Whether a runner answers this node: it answers a question now, or has sent data just now if there is
+/// nothing that it could be asked. A runner that accepts a connection may be silent to all.
+pub(super) async fn answers_here(context: &NodeContext, runner: &RunnerRecord) -> bool {
+    if question_path(context, runner).is_some() {
+        return ask(context, runner).await.is_ok();
+    }
+    let since = context.now() - ANSWER_TIMEOUT;
+    let reach = context.reach.borrow();
+    let own = reach.service(&runner.service);
+    let has_spoken = own.is_some_and(|own| own.spoke_since(since, &runner.incarnation()));
+    if !has_spoken {
+        context.metrics.unproven_answers.inc();
+        if may_log(context) {
+            let (runner, service) = (&runner.runner, &runner.service);
+            tracing::info!(event = "runner_unproven", %runner, %service);
+        }
+    }
+    has_spoken
+}
+
+/// What a runner is asked for; `None` if its service has no health check and no report.
+fn question_path(context: &NodeContext, runner: &RunnerRecord) -> Option<String> {
+    let plan = context.plan()?;
+    let service = plan.services.get(&runner.service)?;
+    pulse_path(service.engine.is_some(), service.health_path.as_deref()).map(str::to_owned)
+}
--- a/crates/node/src/reach/records.rs
+++ b/crates/node/src/reach/records.rs
@@ -3,7 +3,7 @@
 use base::prelude::*;
 use kernel::StopSignal;
 use route::RouteMember;
-use serving::{ReachShare, ReachUpdate, RunnerRecord};
+use serving::{AnswerNews, ReachShare, ReachUpdate, RunnerRecord};
 
 use super::reach_question::answers_other_nodes;
 use crate::call_log::may_log;
@@ -19,10 +19,22 @@
 
 /// Records that a runner has answered a request or a question.
 pub fn record_runner_answer(context: &NodeContext, runner: &RunnerRecord) {
-    let labels = ServiceLabels { service: runner.service.to_string() };
-    context.metrics.runner_answers.get_or_create(&labels).inc();
     let (now, incarnation) = (context.now(), runner.incarnation());
     let news = context.reach.borrow_mut().record_answer(now, &runner.service, &incarnation);
+    follow_news(context, runner, news);
+}
+
+/// Records that a runner of which nothing can be asked has accepted a connection.
+pub(super) fn record_runner_connection(context: &NodeContext, runner: &RunnerRecord) {
+    let (now, incarnation) = (context.now(), runner.incarnation());
+    let news = context.reach.borrow_mut().record_connection(now, &runner.service, &incarnation);
+    follow_news(context, runner, news);
+}
+
+/// Counts an answer, and follows what it has changed.
+fn follow_news(context: &NodeContext, runner: &RunnerRecord, news: AnswerNews) {
+    let labels = ServiceLabels { service: runner.service.to_string() };
+    context.metrics.runner_answers.get_or_create(&labels).inc();
     if news.runner_regained {
         context.regained_runners.borrow_mut().push(runner.runner.clone());
         if may_log(context) {
--- a/crates/serving/src/reach_table.rs
+++ b/crates/serving/src/reach_table.rs
@@ -86,6 +86,16 @@
         self.reach_of(service).record_answer(now, runner)
     }
 
+    /// Records that a runner of which nothing can be asked has accepted a connection.
+    pub fn record_connection(
+        &mut self,
+        now: TimePoint,
+        service: &ServiceName,
+        runner: &RunnerIncarnation,
+    ) -> AnswerNews {
+        self.reach_of(service).record_connection(now, runner)
+    }
+
     /// Records an event of a stream, which shows that the runner is up, but not that it can be
     /// connected to.
     pub fn record_event(
--- a/crates/serving/src/service_reach.rs
+++ b/crates/serving/src/service_reach.rs
@@ -52,6 +52,8 @@
 #[derive(Debug, Default)]
 struct RunnerReach {
     answered_at: TimePoint,
+    /// When data last came from it; a mere connection is none.
+    spoke_at: Option<TimePoint>,
     /// When the first request was sent since its last answer.
     unanswered_since: Option<TimePoint>,
     /// Whether a connection or a request has failed since its last answer.
@@ -155,8 +157,22 @@
         others.any(|(_, reach)| reach.answered_at >= time)
     }
 
+    /// Whether data has come from a runner since `time`.
+    #[must_use]
+    pub fn spoke_since(&self, time: TimePoint, runner: &RunnerIncarnation) -> bool {
+        let reach = self.runners.get(runner);
+        reach.and_then(|reach| reach.spoke_at).is_some_and(|spoke_at| spoke_at >= time)
+    }
+
     /// Records an answer of a runner, of any kind.
     pub fn record_answer(&mut self, now: TimePoint, runner: &RunnerIncarnation) -> AnswerNews {
+        self.reach_of(runner).spoke_at = Some(now);
+        self.record_connection(now, runner)
+    }
+
+    /// Records that a runner of which nothing can be asked has accepted a connection, which counts as
+    /// an answer to this node.
+    pub fn record_connection(&mut self, now: TimePoint, runner: &RunnerIncarnation) -> AnswerNews {
         self.answered_at = Some(now);
         self.heard_at = Some(now);
         let reach = self.reach_of(runner);
@@ -177,6 +193,7 @@
         self.heard_at = Some(now);
         if let Some(reach) = self.runners.get_mut(runner) {
             reach.unanswered_since = None;
+            reach.spoke_at = Some(now);
         }
     }
 
