--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -84,6 +84,8 @@
     pub runners_unreached: Counter,
     /// Times that this node reached no runner of a service any more.
     pub reach_losses: Counter,
+    /// Questions of other nodes about runners of which this node knew nothing but a connection.
+    pub unproven_answers: Counter,
     /// Calls that this node did not take or send since it was stopping, by reason.
     pub stop_refusals: Family<WithheldLabels, Counter>,
     /// Calls still under way at the end of a stop, which were told that their outcome is unknown.
@@ -96,6 +98,8 @@
     pub forwards: Family<OutcomeLabels, Counter>,
     /// Calls that other nodes forwarded to this one, by outcome.
     pub forwarded_calls: Family<OutcomeLabels, Counter>,
+    /// Late plain calls, by whether they were sent to another runner as well.
+    pub late_sends: Family<WithheldLabels, Counter>,
     /// Runs that this node was to move for other ones, by outcome.
     pub runs_moved: Family<WithheldLabels, Counter>,
     /// Runner changes of running streams, by outcome.
@@ -168,12 +172,14 @@
             runner_failures: Family::default(),
             runners_unreached: Counter::default(),
             reach_losses: Counter::default(),
+            unproven_answers: Counter::default(),
             stop_refusals: Family::default(),
             stop_cuts: Counter::default(),
             end_habits: Family::default(),
             stop_orders: Family::default(),
             forwards: Family::default(),
             forwarded_calls: Family::default(),
+            late_sends: Family::default(),
             runs_moved: Family::default(),
             moves: Family::default(),
             plans: Counter::default(),
@@ -214,6 +220,7 @@
             "Repeats that the shared budget did not allow",
             self.retries_denied.clone(),
         );
+        registry.register("late_sends", "Late calls by what followed", self.late_sends.clone());
         registry.register("hedges", "Second sends of slow requests", self.hedges.clone());
         registry.register(
             "hedges_denied",
@@ -312,6 +319,11 @@
             "Times that no runner of a service was reached any more",
             self.reach_losses.clone(),
         );
+        registry.register(
+            "unproven_answers",
+            "Questions about runners without evidence",
+            self.unproven_answers.clone(),
+        );
         registry.register("forwards", "Offers of calls to other nodes", self.forwards.clone());
         registry.register(
             "forwarded_calls",
