Forecast waits from what is sent while calls wait, not from how seldom calls came

Cause: the expected wait is the work ahead divided by the send rate, and the send rate counted all time: that since the start of the process for the first call, and pauses between calls later. The rate at which calls come and are sent at once is no measure of how many could be sent.

Now a send rate of its own counts only time in which calls wait, and what is sent in it; until calls have waited for 2 s altogether there is no forecast, and the other rules decide (1 s beyond the objective, the deadline, the limit of the queue).

Evidence: calls_that_wait_for_a_moment_after_few_calls_are_not_refused fails on the code before in each run (the second call that waits is refused, with 6.6 s to come back).

Two tests taught the scheduler a rate by calls that never waited; they now do it by calls that wait, at the same rate, and check the same.

--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -30,6 +30,7 @@
 mod scheduler_reports;
 mod scheduler_speeds;
 mod scheduler_waits;
+mod send_rate;
 mod service_view;
 mod subset;
 mod wait_queue;
--- a/crates/route/src/scheduler.rs
+++ b/crates/route/src/scheduler.rs
@@ -95,6 +95,7 @@
             actions.extend(self.refuse_overdue(now));
             actions.extend(self.refuse_unreachable_deadlines(now));
         }
+        self.queues.values_mut().for_each(|queue| queue.record_waiting(now));
         actions
     }
 
--- a/crates/route/src/wait_queue.rs
+++ b/crates/route/src/wait_queue.rs
@@ -7,6 +7,7 @@
 use base::prelude::*;
 use config::CallPriority;
 
+use crate::send_rate::SendRate;
 use crate::{CallId, RouteCall};
 
 /// Sort key of a call in the queue.
@@ -38,9 +39,7 @@
     last_finish_tag: BTreeMap<(CallPriority, WorkspaceId), u64>,
     virtual_time: BTreeMap<CallPriority, u64>,
     work: BTreeMap<CallPriority, u64>,
-    period_work: u64,
-    period_start: TimePoint,
-    send_rate: Option<f64>,
+    send_rate: SendRate,
     /// When this entry may next compete with others for free capacity.
     pub next_turn: TimePoint,
 }
@@ -49,11 +48,6 @@
 /// freed soon can still serve it.
 const LATE_GRACE: TimeSpan = TimeSpan::millis(1_000);
 
-/// Measurement period of the send rate.
-const RATE_PERIOD: TimeSpan = TimeSpan::seconds(2);
-/// Weight of the newest period in the moving average of the send rate.
-const RATE_WEIGHT: f64 = 0.3;
-
 impl WaitQueue {
     /// Enqueues a call of `work` estimated tokens; `share` is the weight of its workspace.
     pub fn push(&mut self, waiting: &RouteCall, work: u64, share: u32) {
@@ -134,34 +128,32 @@
     /// Removes a call that is sent now, and counts its work towards the send rate.
     pub fn dequeue(&mut self, now: TimePoint, call: CallId) {
         if let Some(waiting) = self.waiting.get(&call) {
-            self.period_work += waiting.work;
+            self.send_rate.record_sent(now, waiting.work);
             let virtual_time = self.virtual_time.entry(waiting.key.priority).or_default();
             *virtual_time = (*virtual_time).max(waiting.key.finish_tag);
         }
-        let period = now.since(self.period_start);
-        if period >= RATE_PERIOD {
-            let rate = self.period_work as f64 / period.as_seconds();
-            let before = self.send_rate.unwrap_or(rate);
-            self.send_rate = Some(before + RATE_WEIGHT * (rate - before));
-            self.period_work = 0;
-            self.period_start = now;
-        }
         self.remove(call);
     }
 
+    /// Records whether calls wait after all has been sent that can be. The send rate counts only
+    /// while some do.
+    pub fn record_waiting(&mut self, now: TimePoint) {
+        self.send_rate.record_waiting(now, !self.is_empty());
+    }
+
     /// Returns the expected wait of a call of this priority that arrives now; zero while the
     /// send rate is unknown.
     #[must_use]
     pub fn expected_wait(&self, priority: CallPriority) -> TimeSpan {
         let ahead = self.work_ahead(priority) as f64;
-        let seconds = self.send_rate.filter(|rate| *rate > 0.0).map_or(0.0, |rate| ahead / rate);
+        let seconds = self.send_rate.get().map_or(0.0, |rate| ahead / rate);
         TimeSpan::micros((seconds * 1e6) as u64)
     }
 
     /// Iterates over all waiting calls in queue order with their expected waits; empty while
     /// the send rate is unknown.
     pub fn expected_waits(&self) -> impl Iterator<Item = (CallId, TimeSpan)> + '_ {
-        let rate = self.send_rate.filter(|rate| *rate > 0.0);
+        let rate = self.send_rate.get();
         let mut ahead = 0;
         rate.into_iter().flat_map(move |_| self.order.values()).filter_map(move |call| {
             let wait = TimeSpan::micros((ahead as f64 / rate? * 1e6) as u64);
--- a/crates/route/tests/scheduler.rs
+++ b/crates/route/tests/scheduler.rs
@@ -84,9 +84,10 @@
 fn expected_wait_beyond_the_deadline_is_refused_with_a_retry_delay() {
     let mut harness = SchedulerHarness::new(1);
     for number in 0..200 {
-        harness.report(report(0, 100, 2));
-        harness.arrive(call(number, CallPriority::Normal));
+        harness.report(report(0, 2_048, 40));
+        assert_eq!(harness.arrive(call(number, CallPriority::Normal)), vec![]);
         harness.advance(TimeSpan::millis(100));
+        assert_eq!(harness.report(report(0, 100, 2)).len(), 1, "call {number} is sent");
         harness.tell(RouteEvent::Ended { call: id(number), end: CallEnd::Finished });
     }
     harness.report(report(0, 2_048, 40));
--- a/crates/route/tests/unreachable_deadlines.rs
+++ b/crates/route/tests/unreachable_deadlines.rs
@@ -1,5 +1,6 @@
 //! Early refusal of waiting calls whose expected wait exceeds their deadline. Without it,
-//! their callers would learn only at the deadline that the call was not run.
+//! their callers would learn only at the deadline that the call was not run. Calls that arrived
+//! seldom before say nothing of the wait.
 
 mod common;
 
@@ -13,14 +14,16 @@
 fn full_scheduler() -> (SchedulerHarness, u64) {
     let mut harness = SchedulerHarness::new(1);
     let mut number = 0;
+    harness.report(report(0, 2_040, 30));
     for _ in 0..30 {
         number += 1;
-        harness.arrive(call(number, CallPriority::Normal));
+        assert_eq!(harness.arrive(call(number, CallPriority::Normal)), vec![]);
         harness.advance(TimeSpan::millis(250));
+        assert_eq!(harness.report(report(0, 10, 0)).len(), 1, "call {number} is sent");
         harness.tell(RouteEvent::Ended { call: id(number), end: CallEnd::Finished });
-        harness.report(report(0, 10, 0));
+        harness.advance(TimeSpan::millis(100));
+        harness.report(report(0, 2_040, 30));
     }
-    harness.report(report(0, 2_040, 30));
     (harness, number)
 }
 
@@ -49,3 +52,26 @@
     }
     assert!(refused_early > 0, "none of {accepted} queued calls was refused before its deadline");
 }
+
+/// Guards against calls that a node with few calls refuses as soon as two of them wait.
+#[test]
+fn calls_that_wait_for_a_moment_after_few_calls_are_not_refused() {
+    let mut harness = SchedulerHarness::new(1);
+    for number in 1..=5 {
+        harness.report(report(0, 10, 0));
+        assert!(matches!(
+            harness.arrive(call(number, CallPriority::Normal))[..],
+            [RouteAction::Send { .. }]
+        ));
+        harness.tell(RouteEvent::Ended { call: id(number), end: CallEnd::Finished });
+        harness.advance(TimeSpan::seconds(20));
+    }
+    harness.report(report(0, 2_040, 30));
+    for number in 6..=10 {
+        let mut waiting = call(number, CallPriority::Normal);
+        waiting.deadline = harness.now + TimeSpan::seconds(8);
+        assert_eq!(harness.arrive(waiting), vec![], "call {number}");
+    }
+    harness.advance(TimeSpan::millis(300));
+    assert_eq!(harness.report(report(0, 10, 0)).len(), 5);
+}
