End the streams of two tests of node_forwarding by a sign, not by the pace of the stand-in

Which limit refused: "end ... overloaded" 1.50 to 1.75 s after the arrival, that is the rule that a call which has waited for 1 s beyond its objective (500 ms) is refused. That is right: the only runner was full. It was full for as long as its streams took, nominally 1.2 s, which leaves 0.3 s; on a busy machine the stand-in takes 1.4 to 2 s.

calls_that_hang_at_a_cut_off_node_take_no_room_at_the_others: eight of the calls that hang are forwarded as soon as the loss is seen, and fill the runner for the other node in earnest. Its streams now come without pauses. The check is the same.

calls_that_wait_when_the_cut_is_seen_are_forwarded: the loss of the service was seen only by the first call that was sent when the streams ended, so the calls did wait on, and calls that were sent in the same instant were lost with it. Now a call that fits beside the streams shows the loss, and the streams end once calls are active at the other node. The check that no stream has ended by then is new; the others stay.

--- a/crates/harness/tests/node_forwarding.rs
+++ b/crates/harness/tests/node_forwarding.rs
@@ -376,30 +376,49 @@
 #[test]
 fn calls_that_wait_when_the_cut_is_seen_are_forwarded() {
     /// Streams; about seven of them fit into the runner's memory.
-    const STREAMS: usize = 12;
+    const STREAMS: usize = 16;
     kernel::run(async {
         let cut = CutFleet::start_with(2, Duration::ZERO).await;
+        let stream = |name: &str, tokens: &str| {
+            CallerRequest::stream(name).with("x-dotterelyard-token-count", tokens)
+        };
         let send = async |number: usize| {
             let name = format!("w{number}");
-            let request =
-                CallerRequest::stream(&name).with("x-dotterelyard-token-count", "4000,400");
-            (name, cut.fleet.send(CUT, &request).await)
+            let answer = cut.fleet.send(CUT, &stream(&name, "4000,400")).await;
+            (name, answer)
         };
         let streams = futures_util::future::join_all((0..STREAMS).map(send));
+        let is_lost = || {
+            let lost = cut.fleet.nodes[CUT].events("runners_unreached");
+            lost.iter().any(|line| line["service"] == "llm")
+        };
         let cut_off = async {
             wait_until("the streams", LIMIT, async || (cut.llm.working() >= 4).then_some(()))
                 .await
                 .unwrap();
             // Streams under way go on, so that the runner stays full.
             cut.set(CUT, LinkState::NewCut);
-            wait_until("the cut to be seen", LIMIT, async || {
-                let _ = cut.fleet.send(CUT, &CallerRequest::booking("cut")).await;
-                (!cut.fleet.nodes[CUT].events("runners_unreached").is_empty()).then_some(())
+            // Calls that fit beside them show the cut.
+            while !is_lost() {
+                let _ = cut.fleet.send(CUT, &stream("cut", "1,1")).await;
+            }
+        };
+        let end_streams = async {
+            // One of the forwarded calls may be that which shows the cut.
+            wait_until("the calls to be forwarded", LIMIT, async || {
+                let page = cut.fleet.metrics(OTHER).await;
+                let active = page.lines().find_map(|line| line.strip_prefix("yard_node_active "));
+                let active: usize = active.and_then(|count| count.parse().ok()).unwrap_or_default();
+                (active >= 2).then_some(())
             })
             .await
             .unwrap();
+            let ended = cut.fleet.nodes[CUT].events("end");
+            let waited = ended.iter().any(|line| line["outcome"] == "streamed");
+            assert!(!waited, "the calls waited for the streams to end: {ended:?}");
+            cut.llm.rush();
         };
-        let (answers, ()) = futures_util::future::join(streams, cut_off).await;
+        let (answers, (), ()) = futures_util::join!(streams, cut_off, end_streams);
         let relayed = cut.fleet.nodes[CUT].events("relayed");
         let waited: Vec<_> = relayed.iter().filter(|line| line["waited_ms"] != 0).collect();
         let of = |name: &str| waited.iter().any(|line| line["request"] == name);
@@ -420,6 +439,8 @@
     const STREAMS: usize = 12;
     kernel::run(async {
         let cut = CutFleet::start_with(2, Duration::ZERO).await;
+        // Streams that are forwarded take room at the other node until they end.
+        cut.llm.rush();
         cut.set(CUT, LinkState::Lost);
         let long =
             |name: &str| CallerRequest::stream(name).with("x-dotterelyard-token-count", "4000,400");
