--- a/crates/harness/tests/node_cold_runners.rs
+++ b/crates/harness/tests/node_cold_runners.rs
@@ -87,7 +87,7 @@
             Instant::now()
         };
         let span = Duration::from_secs(1) + COLD_SPAN + Duration::from_secs(3);
-        let (statuses, came_back) = futures_util::join!(send_for(&fleet, span), come_back);
+        let (statuses, cold_from) = futures_util::join!(send_for(&fleet, span), come_back);
         let most: Vec<usize> = cold.iter().map(RunnerFake::most_cold_requests).collect();
         assert!(!cold.iter().any(RunnerFake::has_crashed), "requests in a second: {most:?}");
         assert!(most.iter().sum::<usize>() > 0, "no cold runner was used: {most:?}");
@@ -96,7 +96,7 @@
         // They are used in full once they are warm, however many requests the callers manage to send.
         let got = |runner: &RunnerFake| {
             let visits = runner.visits();
-            visits.iter().filter(|visit| visit.at >= came_back + COLD_SPAN).count()
+            visits.iter().filter(|visit| visit.at >= cold_from + COLD_SPAN).count()
         };
         let all: Vec<usize> = warm.iter().chain(&cold).map(got).collect();
         let least = (all.iter().sum::<usize>() / all.len() / 3).max(1);
