Ask a silent runner again whether it works on for a caller who has left

What runners saw: an engine that goes on with closed requests, and was silent when its report was to be read, worked on for nobody until the end of the stream.

Cause: the report was read once, 0.8 s after the close; no answer counted as no run.

Now a report that is not answered is asked for again after 0.8 s, six times in all, while this start of the runner is in the list. Any answer decides, as before. When all six are unanswered, `run_not_stopped` and `stop_orders` say so (`unanswered`).

Ruled out: to order the stop without a report. Most runners drop closed requests, and the order may copy the run.

--- a/crates/harness/tests/node_engines_go_on.rs
+++ b/crates/harness/tests/node_engines_go_on.rs
@@ -172,6 +172,25 @@
     .unwrap();
 }
 
+/// Guards against GONE: the engine is silent when it is asked whether it works on for a caller who has left.
+#[test]
+fn a_run_whose_caller_has_left_ends_at_a_runner_that_was_silent_meanwhile() {
+    /// Longer than until the report is read, and until that is given up.
+    const SILENCE: Duration = Duration::from_millis(1_600);
+    kernel::run(async {
+        let (fleet, runners) = fleet().await;
+        let response = fleet.open(0, &CallerRequest::stream("s1")).await.unwrap();
+        let runner = find_worker(&runners, |_| true).await;
+        drop(response);
+        runner.fall_silent();
+        compio::time::sleep(SILENCE).await;
+        runner.go_on();
+        let ended = async || (runner.working() == 0).then_some(());
+        wait_until("the run to end", CLOSED_RUN_TIME, ended).await.unwrap();
+    })
+    .unwrap();
+}
+
 /// Guards against TWICE: a run goes on elsewhere although its engine has confirmed a stop and works on.
 #[test]
 fn a_run_stays_at_a_runner_that_follows_no_order_to_stop() {
--- a/crates/node/src/run_end_watch.rs
+++ b/crates/node/src/run_end_watch.rs
@@ -21,6 +21,9 @@
 const REPORT_LAG: TimeSpan = TimeSpan::millis(800);
 /// Timeout for reading a runner's report.
 const REPORT_TIMEOUT: TimeSpan = TimeSpan::millis(500);
+/// Number of times that the report of a silent runner is asked for. A runner that is silent for longer is
+/// not sound.
+const MAX_REPORTS: u32 = 6;
 
 /// Records what a runner was seen to do with a run that it was to end.
 pub fn record_habit(context: &NodeContext, runner: &RunnerRecord, habit: EndHabit) {
@@ -89,23 +92,42 @@
     }
 }
 
-/// Whether the runner's report names the run some time after its connection was closed.
+/// Whether the runner's report names the run some time after its connection was closed. A runner that does
+/// not answer is asked again, as long as it is in the list.
 async fn is_in_report(
     context: &NodeContext,
     call: &Call,
     runner: &RunnerRecord,
     incarnation: &RunnerIncarnation,
 ) -> bool {
-    kernel::sleep(REPORT_LAG.into()).await;
-    if find_own_block(context, incarnation) == Some(SendBlock::Waiting) {
-        return false;
+    for _ in 0..MAX_REPORTS {
+        kernel::sleep(REPORT_LAG.into()).await;
+        let is_known = context.runners.borrow().get(&runner.runner).is_some_and(|entry| {
+            entry.removed_at.is_none() && entry.record.incarnation() == *incarnation
+        });
+        if !is_known || find_own_block(context, incarnation) == Some(SendBlock::Waiting) {
+            return false;
+        }
+        let RunnerReply { notice, result } = read_report(runner.address, REPORT_TIMEOUT).await;
+        if let Some(notice) = notice {
+            record_notice(context, incarnation, &notice);
+        }
+        match result {
+            Ok(status) => {
+                let runs = status.runs.unwrap_or_default();
+                return runs.iter().any(|run| **run == *call.attempt.as_str());
+            }
+            Err(error) if error.status().is_some() => return false,
+            Err(_) => (),
+        }
     }
-    let RunnerReply { notice, result } = read_report(runner.address, REPORT_TIMEOUT).await;
-    if let Some(notice) = notice {
-        record_notice(context, incarnation, &notice);
+    let reason = "unanswered";
+    context.metrics.stop_orders.get_or_create(&WithheldLabels { reason }).inc();
+    if may_log(context) {
+        let (request, runner) = (&call.attempt, &runner.runner);
+        tracing::info!(event = "run_not_stopped", %request, %runner, error = reason);
     }
-    let runs = result.ok().and_then(|status| status.runs).unwrap_or_default();
-    runs.iter().any(|run| **run == *call.attempt.as_str())
+    false
 }
 
 /// Orders a runner to stop a run. Its memory is freed: nobody wants the rest of the run.
