--- a/crates/node/src/streams/stream_silence.rs
+++ b/crates/node/src/streams/stream_silence.rs
@@ -100,7 +100,7 @@
     last_data_at: TimePoint,
     /// When its silence is looked into at the earliest.
     next_look: TimePoint,
-    /// When it is checked again at the earliest where the stream can go on.
+    /// When it is looked at the earliest again where the stream can go on.
     next_check: TimePoint,
     /// When an event is recorded again.
     next_record: TimePoint,
@@ -163,8 +163,10 @@
         if self.may_resume() {
             return self.go_on_from_copy(None).await;
         }
-        if self.may_run_again() {
-            return self.run_beside_source().await;
+        if self.may_run_again()
+            && let Some(plan) = self.plan_another_run()
+        {
+            return self.run_beside_source(plan).await;
         }
         let answered = self.activity.others_answered.as_ref();
         let answered = answered.filter(|(at, _)| now.since(*at) < CHECK_PAUSE);
@@ -279,22 +281,14 @@
     }
 
     /// Runs again at another runner beside the silent source, which is kept until that one has answered.
-    async fn run_beside_source(&mut self) -> PumpStep {
-        self.activity.next_look = self.context.now() + CHECK_PAUSE;
-        // The run at the source counts if the stream leaves it.
-        let mut left = self.attempts.tracker.clone();
-        left.record_send(SendOutcome::Unknown);
-        if self.tries >= MAX_SWITCH_TRIES || !may_retry(&self.context, &self.call, &left) {
-            return PumpStep::Continue;
-        }
-        let Some(plan) = self.plan_another_run() else { return PumpStep::Continue };
+    async fn run_beside_source(&mut self, plan: SendPlan) -> PumpStep {
         self.tries += 1;
         self.ticket.hold_progress();
         self.log_silent_source(None);
         let source = self.source.runner.runner.clone();
         match self.hand_over(plan, "run_again", OverlapRule::LeaveSilentSource).await {
             HandoverStep::Switched => {
-                self.attempts.tracker = left;
+                record_send(&self.call, &mut self.attempts.tracker, SendOutcome::Unknown);
                 self.attempts.tried.push(source);
                 PumpStep::Continue
             }
@@ -310,8 +304,20 @@
         }
     }
 
-    /// Another run at another runner, which the call is assigned to; `None` if there is none.
+    /// Another run at another runner, which the call is assigned to; `None` if none is left, or if that was
+    /// tried a moment ago.
     fn plan_another_run(&mut self) -> Option<SendPlan> {
+        let now = self.context.now();
+        if now < self.activity.next_check || self.tries >= MAX_SWITCH_TRIES {
+            return None;
+        }
+        self.activity.next_check = now + CHECK_PAUSE;
+        // The run at the source counts if the stream leaves it.
+        let mut tracker = self.attempts.tracker.clone();
+        tracker.record_send(SendOutcome::Unknown);
+        if !may_retry(&self.context, &self.call, &tracker) {
+            return None;
+        }
         let target = self.ticket.relocate()?;
         let record = self.context.runners.borrow().get(&target).map(|entry| entry.record.clone());
         let backup = choose_backup(&self.context, &self.call, &self.ticket);
