--- a/crates/harness/tests/node_stream_partition.rs
+++ b/crates/harness/tests/node_stream_partition.rs
@@ -7,9 +7,10 @@
 use compio::time::sleep;
 use fakes::platform::RunnerFakeSettings;
 use futures_util::future::{join, join_all};
-use harness::{CallerRequest, LinkState};
+use harness::{CallerRequest, LinkState, config};
 use http_body_util::BodyExt;
-use service_fleet::{CUT, LinkedRunner, RUNNERS, ServiceFleet, take_turn};
+use serde_json::json;
+use service_fleet::{CUT, LinkedRunner, NODES, RUNNERS, ServiceFleet, take_turn};
 
 /// Events of a stream, one in 20 ms.
 const EVENTS: u64 = 150;
@@ -254,21 +255,43 @@
     check_silent_copy(&CopySilence { source, copy, delay: Duration::ZERO });
 }
 
+/// A stream without a copy goes on through another node when only its runner is silent to its own.
+async fn check_silent_runner(services: &ServiceFleet) {
+    let request = CallerRequest::stream("cut").with("x-dotterelyard-length-hint", "10");
+    let cut = async {
+        sleep(CUT_AFTER).await;
+        let mut runners = services.runners.iter();
+        let source = runners.find(|linked| linked.runner.working() == 1).unwrap();
+        source.link.set_for(services.fleet.nodes[CUT].pid(), LinkState::Lost);
+    };
+    let (stream, ()) = join(read_stream(services, &request), cut).await;
+    check_whole(services, &[stream]);
+}
+
 /// A node that reaches the other runners of the service is no less cut off from this one.
 #[test]
 fn a_stream_without_a_copy_moves_when_only_its_runner_is_silent_to_the_node() {
     let _turn = take_turn();
     kernel::run(async {
         let services = ServiceFleet::start(long_streams).await;
-        let request = CallerRequest::stream("cut").with("x-dotterelyard-length-hint", "10");
-        let cut = async {
-            sleep(CUT_AFTER).await;
-            let mut runners = services.runners.iter();
-            let source = runners.find(|linked| linked.runner.working() == 1).unwrap();
-            source.link.set_for(services.fleet.nodes[CUT].pid(), LinkState::Lost);
-        };
-        let (stream, ()) = join(read_stream(&services, &request), cut).await;
-        check_whole(&services, &[stream]);
+        check_silent_runner(&services).await;
+    })
+    .unwrap();
+}
+
+#[test]
+fn a_stream_that_may_not_run_again_moves_when_only_its_runner_is_silent_to_the_node() {
+    let _turn = take_turn();
+    kernel::run(async {
+        let services = ServiceFleet::start(long_streams).await;
+        let mut plan = config(2);
+        plan["routes"][2]["streamResume"] = json!(true);
+        plan["routes"][2]["maxAttempts"] = json!(1);
+        services.fleet.store.put_json("keyed.op", "config", &plan);
+        for node in 0..NODES {
+            services.fleet.wait_event(node, "plan_in_force", "version", &json!(2)).await.unwrap();
+        }
+        check_silent_runner(&services).await;
     })
     .unwrap();
 }
--- a/crates/harness/tests/node_stream_resume.rs
+++ b/crates/harness/tests/node_stream_resume.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use fakes::platform::{RunnerFake, RunnerFakeSettings, RunnerScript, SharedScripts};
-use harness::{CallerRequest, NodeFleet, WholeAnswer, config};
+use harness::{CallerRequest, NodeFleet, WholeAnswer, config, wait_until};
 use serde_json::{Value, json};
 
 /// Events of a stream of the stand-in runners.
@@ -227,13 +227,13 @@
     kernel::run(async {
         let (fleet, runners) = fleet(&plan(true, 2), 2, &[]).await;
         let silence = async {
+            let at_work = async || runners.iter().position(|runner| runner.working() == 1);
+            let number = wait_until("the run", SILENCE, at_work).await.unwrap();
             compio::time::sleep(Duration::from_millis(100)).await;
-            let (source, others): (Vec<_>, Vec<_>) =
-                runners.iter().partition(|runner| runner.working() == 1);
-            others[0].script(&[RunnerScript::Refuse; 20]);
-            source[0].fall_silent();
+            runners[1 - number].script(&[RunnerScript::Refuse; 20]);
+            runners[number].fall_silent();
             compio::time::sleep(SILENCE).await;
-            source[0].go_on();
+            runners[number].go_on();
         };
         let request = short("silent");
         let (answer, ()) = futures_util::future::join(fleet.send(0, &request), silence).await;
