End a run at the runner that its node has lost when another one resumes it

What runners saw: a node is cut off from a runner, another node resumes the run from its copy, and the first runner works on beside it until the end of the stream, since its connection to the cut-off node neither passes nor closes.

Cause: the offer named the runner with the copy only; the node that resumed the run could not look after the other one.

Now the offer names the runner that had the run (`X-Yard-Resume-Source`, optional; builds without it do as before), and the node that resumes looks for the run in that runner's report 0.8 s later and orders the stop, as for any closed run.

Not mended: the run works on for 0.8 s and the age of a report, beyond 400 ms. An order at once would copy the run of each stream, also where the runner has dropped it.

--- a/crates/harness/tests/node_moved_runs.rs
+++ b/crates/harness/tests/node_moved_runs.rs
@@ -49,6 +49,37 @@
     .unwrap();
 }
 
+/// Guards against TWICE: the runner that the node has lost works on beside the one with the copy.
+#[test]
+fn a_run_that_resumes_through_another_node_ends_at_the_runner_that_was_lost() {
+    /// Events of a stream that lasts longer than the test waits.
+    const LONG: u64 = 250;
+    /// Time until copies are complete, and then until a report shows what goes on.
+    const SPANS: [Duration; 2] = [Duration::from_secs(1), Duration::from_millis(2_500)];
+    let _turn = take_turn();
+    kernel::run(async {
+        let services = ServiceFleet::start(|settings| {
+            settings.events = LONG;
+            settings.event_pause = Duration::from_millis(20);
+        })
+        .await;
+        let request = CallerRequest::stream("s1");
+        let (answer, still_working) = join(services.fleet.send(CUT, &request), async {
+            sleep(SPANS[0]).await;
+            let is_working = |linked: &&service_fleet::LinkedRunner| linked.runner.working() == 1;
+            let source = &services.runners.iter().find(is_working).unwrap().runner;
+            source.ignore_closed_requests();
+            services.set("llm", usize::from(RUNNERS), LinkState::Lost);
+            sleep(SPANS[1]).await;
+            source.working()
+        })
+        .await;
+        assert!(answer.complete && answer.text.contains(&format!("id: {LONG}\n")), "{answer:?}");
+        assert_eq!(still_working, 0);
+    })
+    .unwrap();
+}
+
 /// The next answers of `runners`.
 fn script(runners: &[&RunnerFake], scripts: &[RunnerScript]) {
     for runner in runners {
--- a/crates/node/src/forward/forwarded_calls.rs
+++ b/crates/node/src/forward/forwarded_calls.rs
@@ -32,6 +32,9 @@
 pub const RESUME_FROM: HeaderName = HeaderName::from_static("x-yard-resume-from");
 /// Id of the last event that the caller has; missing if it has none.
 pub const RESUME_AFTER: HeaderName = HeaderName::from_static("x-yard-resume-after");
+/// Id of the runner that worked on the run before its copy goes on; missing if it is not known, or has
+/// stopped the run.
+pub const RESUME_SOURCE: HeaderName = HeaderName::from_static("x-yard-resume-source");
 /// Time for which the asking node waits, in milliseconds; [`RESUME_TIMEOUT`] if missing.
 pub const RESUME_LIMIT: HeaderName = HeaderName::from_static("x-yard-resume-limit");
 /// What is left of a run that the receiving node does not go on with: `works`, or where its memory is, as
@@ -136,7 +139,12 @@
         Some(limit) => TimeSpan::millis(limit.parse::<u32>().ok()?.into()),
         None => RESUME_TIMEOUT,
     };
-    let offer = ResumeOffer { runner: runner.parse().ok()?, copy, last_event_id, limit };
+    let source = match read(RESUME_SOURCE) {
+        Some(source) => Some(source.parse().ok()?),
+        None => None,
+    };
+    let runner = runner.parse().ok()?;
+    let offer = ResumeOffer { runner, copy, last_event_id, limit, source };
     Some((offer, restore_path(request, RESUME_PATH)?))
 }
 
--- a/crates/node/src/forward/offer.rs
+++ b/crates/node/src/forward/offer.rs
@@ -11,7 +11,7 @@
 
 use super::forwarded_calls::{
     ANSWERED, DECLINED, FORWARD_FINGERPRINT, FORWARD_PATH, FORWARD_PLAN, FORWARD_RESULT,
-    RESUME_AFTER, RESUME_FROM, RESUME_LIMIT, RESUME_PATH, RESUME_RUN, RESUME_RUNNER,
+    RESUME_AFTER, RESUME_FROM, RESUME_LIMIT, RESUME_PATH, RESUME_RUN, RESUME_RUNNER, RESUME_SOURCE,
 };
 use super::run_trace::{RunHandle, RunTrace};
 use crate::call::Call;
@@ -42,6 +42,8 @@
     pub last_event_id: Option<u64>,
     /// Time for which the asking node waits.
     pub limit: TimeSpan,
+    /// The runner that worked on the run, if its copy is to go on instead.
+    pub source: Option<RunnerId>,
 }
 
 impl ResumeOffer {
@@ -50,14 +52,21 @@
     pub fn of_backup(call: &Call, backup: &RunnerRecord, last_event_id: Option<u64>) -> Self {
         let handle = Arc::from(call.attempt.as_str());
         let copy = Some(RunHandle { address: backup.address, handle });
-        Self { runner: backup.runner.clone(), copy, last_event_id, limit: RESUME_TIMEOUT }
+        let runner = backup.runner.clone();
+        Self { runner, copy, last_event_id, limit: RESUME_TIMEOUT, source: None }
+    }
+
+    /// The same run, on which `source` may work on: it is to be ended there.
+    #[must_use]
+    pub fn instead_of(self, source: &RunnerRecord) -> Self {
+        Self { source: Some(source.runner.clone()), ..self }
     }
 
     /// A run without a copy, on which the runner `source` works.
     #[must_use]
     pub fn of_run(source: &RunnerRecord, last_event_id: Option<u64>) -> Self {
         let limit = MOVE_TIMEOUT;
-        Self { runner: source.runner.clone(), copy: None, last_event_id, limit }
+        Self { runner: source.runner.clone(), copy: None, last_event_id, limit, source: None }
     }
 
     /// The same run after another node has stopped it, and its runner keeps its memory.
@@ -132,7 +141,7 @@
     let mut headers = forwarded_headers(&call.headers, left);
     headers.insert(FORWARD_PLAN, HeaderValue::from(call.plan_version.0));
     headers.insert(FORWARD_FINGERPRINT, HeaderValue::from(call.fingerprint.0));
-    if let Some(ResumeOffer { runner, copy, last_event_id, limit }) = resume {
+    if let Some(ResumeOffer { runner, copy, last_event_id, limit, source }) = resume {
         let text = |text: String| HeaderValue::from_str(&text).map_err(|error| fault(error.into()));
         headers.insert(RESUME_RUNNER, text(runner.to_string())?);
         if let Some(RunHandle { address, handle }) = copy {
@@ -141,6 +150,9 @@
         if let Some(id) = last_event_id {
             headers.insert(RESUME_AFTER, HeaderValue::from(*id));
         }
+        if let Some(source) = source {
+            headers.insert(RESUME_SOURCE, text(source.to_string())?);
+        }
         headers.insert(RESUME_LIMIT, HeaderValue::from(limit.min(&left).as_millis()));
     }
     *request.headers_mut() = headers;
--- a/crates/node/src/forward/resumed_run.rs
+++ b/crates/node/src/forward/resumed_run.rs
@@ -21,6 +21,7 @@
 use crate::reach::{is_unreached, suspect_runner};
 use crate::route_ticket::RouteTicket;
 use crate::router::RouterService;
+use crate::run_end_watch::watch_closed_run;
 use crate::runner_gate::{SendPurpose, is_closed};
 use crate::runner_send::{SendPlan, connect_to_runner, send_connected};
 use crate::streams::{
@@ -62,6 +63,11 @@
         None => move_run(context, router, &call, holder, &offer).await?,
     };
     let ResumedRun { ticket, plan, exchange } = resumed;
+    // The asking node may not reach it to end the run there.
+    let source = offer.source.and_then(|source| find_runner(context, &source).ok());
+    if let Some(source) = source.filter(|source| source.runner != plan.runner.runner) {
+        watch_closed_run(context, &call, &source);
+    }
     let mut head = Response::new(());
     *head.status_mut() = exchange.response.status();
     *head.headers_mut() = copy_reply_headers(exchange.response.headers());
--- a/crates/node/src/streams/stream_offer.rs
+++ b/crates/node/src/streams/stream_offer.rs
@@ -34,7 +34,8 @@
         backup: &RunnerRecord,
         first: Option<VmId>,
     ) -> Option<PumpStep> {
-        let offer = ResumeOffer::of_backup(&self.call, backup, self.scanner.last_id());
+        let offer = ResumeOffer::of_backup(&self.call, backup, self.scanner.last_id())
+            .instead_of(&self.source.runner);
         self.resume_through_node(&offer, first).await
     }
 
