Compare what warm runners get with one another in node_cold_runners, not with a number

a_place_that_comes_back_cold_is_not_overrun failed beside other work (old node, load 36: once in 12 plays, "cold-5 ran 20", more than 22 asked for). The node's lines of that run: all six nodes sent 93 to 105 requests in each second, but 9 and 11 in two of them, in which calls took up to 2.3 s; of the rest, each cold runner got its part. The callers of the test send the next request 40 ms after an answer, so their number depends on the speed of the machine, and the bound did not.

Now each runner that was cold has to get a third at least of the average of all eight runners after the cold time (about as much as before at 150 requests a second).

--- a/crates/harness/tests/node_cold_runners.rs
+++ b/crates/harness/tests/node_cold_runners.rs
@@ -72,29 +72,36 @@
 #[test]
 fn a_place_that_comes_back_cold_is_not_overrun() {
     kernel::run(async {
-        let (mut fleet, _warm) = fleet_of(2).await;
+        let (mut fleet, warm) = fleet_of(2).await;
         let mut cold = Vec::new();
         for number in 0..6 {
             let settings = RunnerFakeSettings::new(&format!("cold-{number}"));
             cold.push(fleet.prepare_runner(settings).await.unwrap());
         }
-        let come_back = async {
+        let return_cold = async {
             compio::time::sleep(Duration::from_secs(1)).await;
             for runner in &cold {
                 runner.become_cold(COLD_SPAN, BEARS);
                 fleet.tell(runner, "desk", "ready");
             }
+            Instant::now()
         };
         let span = Duration::from_secs(1) + COLD_SPAN + Duration::from_secs(3);
-        let (statuses, ()) = futures_util::join!(send_for(&fleet, span), come_back);
+        let (statuses, came_back) = futures_util::join!(send_for(&fleet, span), return_cold);
         let most: Vec<usize> = cold.iter().map(RunnerFake::most_cold_requests).collect();
         assert!(!cold.iter().any(RunnerFake::has_crashed), "requests in a second: {most:?}");
         assert!(most.iter().sum::<usize>() > 0, "no cold runner was used: {most:?}");
         let served = statuses.iter().filter(|status| **status == 200).count();
         assert_eq!(served, statuses.len(), "the warm runners take the rest");
-        // They are used in full once they are warm.
+        // They are used in full once they are warm, however many requests the callers manage to send.
+        let got = |runner: &RunnerFake| {
+            let visits = runner.visits();
+            visits.iter().filter(|visit| visit.at >= came_back + COLD_SPAN).count()
+        };
+        let all: Vec<usize> = warm.iter().chain(&cold).map(got).collect();
+        let least = (all.iter().sum::<usize>() / all.len() / 3).max(1);
         for runner in &cold {
-            assert!(runner.runs() > 2 * BEARS, "{} ran {}", runner.id(), runner.runs());
+            assert!(got(runner) >= least, "{} got {} of {all:?}", runner.id(), got(runner));
         }
         let source = |node: usize| fleet.nodes[node].events("runner_cold");
         assert!((0..NODES).all(|node| !source(node).is_empty()));
