--- a/crates/node/src/forward/offer.rs
+++ b/crates/node/src/forward/offer.rs
@@ -71,7 +71,8 @@
     ) -> Self {
         let ResumeSource { address, handle, .. } = memory.clone();
         let copy = Some(RunHandle { address, handle });
-        Self { runner: holder.runner.clone(), copy, last_event_id, limit: RESUME_TIMEOUT }
+        let runner = holder.runner.clone();
+        Self { runner, copy, last_event_id, limit: RESUME_TIMEOUT, source: None }
     }
 
     /// A run without a copy, on which the runner `source` works.
--- a/crates/node/src/streams/stream_places.rs
+++ b/crates/node/src/streams/stream_places.rs
@@ -78,7 +78,8 @@
                     self.resume_through_node(&offer, None).await
                 }
                 (NodePlace::NextMemory, Some(memory)) => {
-                    let offer = ResumeOffer::of_memory(&plan.runner, memory, last_event_id);
+                    let offer = ResumeOffer::of_memory(&plan.runner, memory, last_event_id)
+                        .instead_of(&self.source.runner);
                     self.resume_through_node(&offer, None).await
                 }
                 (NodePlace::NextMemory, None) => None,
