Let a cut-off node send nothing into the cut while no other node takes its calls

What callers saw: 502 (it is unknown whether the call has run) at a node that knew for 3.7 s that it reached no runner.

Cause: while a service is lost its runners stay assignable, and find_runner_here stopped a call only if another node could take it. A node whose offer has failed is passed over for a while, and then nothing held the call back: it was sent where nothing had answered for seconds, and could no longer be forwarded.

Now a call waits unassigned while this node is cut off, that is, it reaches no runner of the service and another node says that it does. If no other node reaches the service either, its runners may be silent for a moment, and calls are sent as before. New: call_withheld, sends_withheld with reason cut_off.

Ruled out by reading: to hold back a call when its connection is open. It is assigned again at once then, and its send fails as often.

--- a/crates/harness/tests/node_forwarding.rs
+++ b/crates/harness/tests/node_forwarding.rs
@@ -575,6 +575,35 @@
     }
 }
 
+/// Guards against calls that are sent into the cut while no other node takes them: whether they have run
+/// is then unknown.
+#[test]
+fn a_cut_off_node_sends_nothing_while_another_one_reaches_the_runners() {
+    kernel::run(async {
+        let cut = CutFleet::start_with(1, Duration::ZERO).await;
+        // A node that is heard, and cannot be connected to.
+        let other = cut.fleet.peer_address(9);
+        let era = StoreEra(cut.fleet.store.era());
+        kernel::spawn(send_heartbeats(other, era, cut.fleet.peer_address(CUT))).detach();
+        wait_until("the other node to be known", LIMIT, async || {
+            (cut.fleet.lookup(CUT).await.len() == 2).then_some(())
+        })
+        .await
+        .unwrap();
+        cut.cut_off(CUT).await;
+        let book = async |number: usize| {
+            cut.fleet.send(CUT, &CallerRequest::booking(&format!("b{number}"))).await
+        };
+        let answers = (0..6).map(book);
+        for answer in futures_util::future::join_all(answers).await {
+            assert_eq!((answer.status, answer.retry_after.is_some()), (503, true), "{answer:?}");
+        }
+        let page = cut.fleet.metrics(CUT).await;
+        assert!(page.contains("sends_withheld_total{reason=\"cut_off\"}"), "{page}");
+    })
+    .unwrap();
+}
+
 /// A runner must see the same request whether another node stood between or not, and a request must
 /// not get to a service to which its path does not lead.
 #[test]
--- a/crates/node/src/forward/stop.rs
+++ b/crates/node/src/forward/stop.rs
@@ -9,8 +9,10 @@
 use super::choice::has_choice;
 use crate::call::Call;
 use crate::call_answer::{CallFailure, RUNNERS_UNREACHED};
+use crate::call_log::may_log;
 use crate::context::NodeContext;
-use crate::reach::impairment;
+use crate::metrics::WithheldLabels;
+use crate::reach::{impairment, is_cut_off};
 
 /// Interval at which a waiting call is checked for a node to forward it to.
 const CHOICE_INTERVAL: TimeSpan = TimeSpan::millis(50);
@@ -19,6 +21,9 @@
 /// it is forwarded to a node that reaches more of them.
 const ROOM_WAIT: TimeSpan = TimeSpan::millis(100);
 
+/// Reason for which a call waits while this node is cut off, in logs and metrics.
+const CUT_OFF: &str = "cut_off";
+
 /// Shortest and longest `Retry-After` if no runner of a service is reached, before its random part.
 const UNREACHED_RETRY_BOUNDS: [TimeSpan; 2] = [TimeSpan::millis(500), TimeSpan::seconds(5)];
 
@@ -49,9 +54,31 @@
         return Err(stop);
     }
     let room_end = context.now() + ROOM_WAIT;
+    let cut_off = wait_while_cut_off(context, call);
+    unless_stopped(cut_off, wait_for_stop(context, call, Some(room_end))).await?;
     unless_stopped(serving, wait_for_stop(context, call, Some(room_end))).await
 }
 
+/// Waits while this node reaches no runner of the service and another node does: a call that is sent
+/// now would be lost in the cut, and nobody could tell whether it has run.
+async fn wait_while_cut_off(context: &NodeContext, call: &Call) {
+    if is_cut_off(context, &call.service) {
+        withhold_cut_off(context, call);
+    }
+    while is_cut_off(context, &call.service) {
+        kernel::sleep(CHOICE_INTERVAL.into()).await;
+    }
+}
+
+/// Counts and logs a call that waits, since this node is cut off and no other one takes it at present.
+fn withhold_cut_off(context: &NodeContext, call: &Call) {
+    context.metrics.sends_withheld.get_or_create(&WithheldLabels { reason: CUT_OFF }).inc();
+    if may_log(context) {
+        let (request, service) = (&call.attempt, &call.service);
+        tracing::info!(event = "call_withheld", %request, %service, reason = CUT_OFF);
+    }
+}
+
 /// Like [`unless_unreached`], but only while no runner of the service is reached.
 ///
 /// # Errors
