--- a/crates/node/src/forward/stop.rs
+++ b/crates/node/src/forward/stop.rs
@@ -54,10 +54,8 @@
         return Err(stop);
     }
     let room_end = context.now() + ROOM_WAIT;
-    let serving = async {
-        wait_while_cut_off(context, call).await;
-        serving.await
-    };
+    let cut_off = wait_while_cut_off(context, call);
+    unless_stopped(cut_off, wait_for_stop(context, call, Some(room_end))).await?;
     unless_stopped(serving, wait_for_stop(context, call, Some(room_end))).await
 }
 
