Charge all bytes that are read from peers to one budget of the process

Cause: each call was bounded (256 KiB of head, 64 KiB of answer outside the pool, 8 MiB in the pool), all calls together were not. The pool counted the length of answers, and not heads, events or control calls.

Fix: the reading side of each connection (`MeteredRead`, in place of `BoundedHead`, with no copy) and each reader that keeps what it has read charge a ledger of the process: heads, answers, incomplete and held events, reports, moves, stops, releases, forwarded answers, the store and transfers. A peer may keep no more than it leaves free, so that no peer takes all of it; state has a reserve; connections take room from the same half of the memory. What does not fit is given up as before (it may have run), with a line `bytes_given_up` and the counter `reads_given_up`. Framing without data (zeros of a chunk's size, interim responses) ends after 64 KiB. The first 8 KiB of each reader are free, so that small answers always fit and cost no entry in the ledger.

The stand-in also sends short headers, extensions of a chunk, zeros in its size, trailers, comments, single bytes, and bytes after a whole answer. Connections to runners are not kept, so that nothing reads the last.

--- a/crates/fakes/src/platform/endless_bytes.rs
+++ b/crates/fakes/src/platform/endless_bytes.rs
@@ -23,25 +23,61 @@
     ChunkedBody,
     /// Interim answers, and never a final one.
     Interim,
+    /// Headers, each of them short.
+    ShortHeaders,
+    /// The extension of a chunk.
+    ChunkExtension,
+    /// Zeros before the size of a chunk.
+    ChunkZeros,
+    /// Trailers of a chunked body.
+    Trailers,
+    /// Lines of comment of a stream of events, and never an event.
+    Comments,
+    /// In a header of the head, byte by byte. Not one of [`Self::ALL`]: only time ends it.
+    Trickle,
+    /// After a whole answer. Not one of [`Self::ALL`].
+    AfterAnswer,
 }
 
 impl EndlessBytes {
-    /// All of them.
-    pub const ALL: [Self; 5] =
-        [Self::Start, Self::Header, Self::Body, Self::ChunkedBody, Self::Interim];
+    /// All that are ended by their size.
+    pub const ALL: [Self; 10] = [
+        Self::Start,
+        Self::Header,
+        Self::Body,
+        Self::ChunkedBody,
+        Self::Interim,
+        Self::ShortHeaders,
+        Self::ChunkExtension,
+        Self::ChunkZeros,
+        Self::Trailers,
+        Self::Comments,
+    ];
 
     /// Writes until the peer closes; `signed` are the headers of a sound answer.
     pub(super) async fn write_to(self, stream: &mut TcpStream, signed: &str) {
         let head = format!("HTTP/1.1 200 OK\r\n{signed}");
+        let chunked = format!("{head}Transfer-Encoding: chunked\r\n\r\n");
         let (begin, part) = match self {
             Self::Start => (String::new(), filler(CHUNK_BYTES)),
             Self::Header => (format!("{head}X-Endless: "), filler(CHUNK_BYTES)),
             Self::Body => (format!("{head}\r\n"), filler(CHUNK_BYTES)),
             Self::ChunkedBody => {
                 let chunk = format!("{CHUNK_BYTES:x}\r\n{}\r\n", filler(CHUNK_BYTES));
-                (format!("{head}Transfer-Encoding: chunked\r\n\r\n"), chunk)
+                (chunked, chunk)
             }
             Self::Interim => (String::new(), "HTTP/1.1 100 Continue\r\n\r\n".repeat(1_000)),
+            Self::ShortHeaders => (head, "X-Short: 1\r\n".repeat(1_000)),
+            Self::ChunkExtension => (format!("{chunked}5;name="), filler(CHUNK_BYTES)),
+            Self::ChunkZeros => (chunked, "0".repeat(CHUNK_BYTES)),
+            Self::Trailers => {
+                (format!("{chunked}2\r\n{{}}\r\n0\r\n"), "X-Short: 1\r\n".repeat(1_000))
+            }
+            Self::Trickle => (format!("{head}X-Endless: "), filler(1)),
+            Self::AfterAnswer => {
+                (format!("{head}Content-Length: 2\r\n\r\n{{}}"), filler(CHUNK_BYTES))
+            }
+            Self::Comments => (format!("{head}\r\n"), ": still here\n".repeat(1_000)),
         };
         let mut bytes = begin + &part;
         while write(stream, bytes).await {
--- a/crates/harness/tests/node_endless_bytes.rs
+++ b/crates/harness/tests/node_endless_bytes.rs
@@ -6,23 +6,36 @@
 use fakes::platform::{EndlessBytes, RunnerFakeSettings, StoreFault};
 use futures_util::future::join_all;
 use harness::{CallerRequest, NodeFleet, WholeAnswer};
+use serde_json::json;
 
 /// Calls of each kind that come at once.
 const CALLS: usize = 12;
-/// Memory that a node may have on the smallest machines (`limits.memoryMb`), in bytes.
-const MEMORY_BYTES: u64 = 88 << 20;
+/// Memory that a node may have on the smallest machines (`limits.memoryMb`), in MiB.
+const MEMORY_MB: u64 = 88;
+/// The same in bytes.
+const MEMORY_BYTES: u64 = MEMORY_MB << 20;
 /// Time in which a call has to end that a runner answers with bytes without end: well before its
 /// deadline of 8 s.
 const END_LIMIT: Duration = Duration::from_secs(4);
 /// Time for a report, longer than [`END_LIMIT`].
 const REPORT_LIMIT: TimeSpan = TimeSpan::seconds(8);
 
+/// Runners of one service that answer a crowd without end.
+const CROWD_RUNNERS: usize = 6;
+/// Calls of a sound service that come beside a crowd, one after the other.
+const SOUND_CALLS: usize = 20;
+/// Descriptors of a node that has connections for the largest crowd.
+const MANY_DESCRIPTORS: usize = 4_100;
+/// Deadline of a call, with time for its answer to arrive.
+const CALL_LIMIT: Duration = Duration::from_secs(9);
+
 /// Sends calls together, and gives their answers with the time that each took.
 async fn send_all(
     fleet: &NodeFleet,
+    calls: usize,
     make: impl Fn(&str) -> CallerRequest,
 ) -> Vec<(WholeAnswer, Duration)> {
-    let sends = (0..CALLS).map(|number| {
+    let sends = (0..calls).map(|number| {
         let request = make(&format!("c{number}"));
         async move {
             let sent = Instant::now();
@@ -57,7 +70,7 @@
     fleet.add_node().unwrap();
     fleet.wait_ready().await.unwrap();
     bad.answer_without_end(endless);
-    let answers = send_all(&fleet, make).await;
+    let answers = send_all(&fleet, CALLS, make).await;
     let peak = fleet.nodes[0].peak_memory().unwrap();
     assert!(peak <= MEMORY_BYTES, "{endless:?}: {} MiB", peak >> 20);
     assert!(bad.runs() > 0, "{endless:?}: no call reached the runner");
@@ -145,7 +158,7 @@
         fleet.add_node().unwrap();
         fleet.wait_ready().await.unwrap();
         bad.answer_without_end(EndlessBytes::Body);
-        let answers = send_all(&fleet, CallerRequest::booking).await;
+        let answers = send_all(&fleet, CALLS, CallerRequest::booking).await;
         let served = answers.iter().filter(|(answer, _)| answer.status == 200).count();
         assert!(sound.runs() > 0 && bad.runs() > 0);
         assert_eq!(served, sound.runs());
@@ -179,3 +192,104 @@
     })
     .unwrap();
 }
+
+/// Plays `calls` calls at once to runners that all answer without end, beside calls of a service
+/// whose runner is sound. Returns what was wrong.
+async fn play_crowd(
+    endless: EndlessBytes,
+    calls: usize,
+    make: impl Fn(&str) -> CallerRequest,
+) -> Option<String> {
+    let mut fleet = NodeFleet::start().await.unwrap();
+    let mut runners = Vec::new();
+    for number in 0..CROWD_RUNNERS {
+        let settings = RunnerFakeSettings::new(&format!("bad-{number}"));
+        runners.push(fleet.add_runner("desk", settings).await.unwrap());
+    }
+    let _sound = fleet.add_runner("llm", RunnerFakeSettings::new("sound")).await.unwrap();
+    let sets = [("memory_mb", json!(MEMORY_MB)), ("descriptors", json!(MANY_DESCRIPTORS))];
+    fleet.add_node_with(&sets, true).unwrap();
+    fleet.wait_ready().await.unwrap();
+    for runner in &runners {
+        runner.answer_without_end(endless);
+    }
+    let (ends, sound) = futures_util::join!(send_all(&fleet, calls, make), send_sound(&fleet));
+    let peak = fleet.nodes[0].peak_memory().unwrap();
+    let longest = ends.iter().map(|(_, took)| *took).max().unwrap();
+    let count = |status| ends.iter().filter(|(answer, _)| answer.status == status).count();
+    let (none, refused, unknown) = (count(0), count(503), count(502) + count(504));
+    let figures = format!(
+        "{endless:?}, {calls} calls: {} KiB at most, {none} without an answer, {refused} refused, \
+         {unknown} unknown, the last after {longest:?}; {sound} of {SOUND_CALLS} sound ones served",
+        peak >> 10,
+    );
+    println!("{figures}");
+    let is_sound = peak <= MEMORY_BYTES && longest < CALL_LIMIT && none == 0;
+    let is_told = refused + unknown == calls;
+    (!is_sound || !is_told || sound < SOUND_CALLS).then_some(figures)
+}
+
+/// Sends calls of the sound service one after the other, and counts those that are served.
+async fn send_sound(fleet: &NodeFleet) -> usize {
+    let mut served = 0;
+    for number in 0..SOUND_CALLS {
+        let answer = fleet.send(0, &CallerRequest::stream(&format!("s{number}"))).await;
+        served += usize::from(answer.status == 200 && answer.complete);
+    }
+    served
+}
+
+#[test]
+fn a_crowd_answered_without_end_does_not_take_the_memory_of_a_node() {
+    kernel::run(async {
+        let mut faults = Vec::new();
+        for endless in [EndlessBytes::Header, EndlessBytes::Body] {
+            faults.extend(play_crowd(endless, 300, CallerRequest::booking).await);
+            faults.extend(play_crowd(endless, 300, CallerRequest::lookup).await);
+        }
+        assert!(faults.is_empty(), "{faults:#?}");
+    })
+    .unwrap();
+}
+
+#[test]
+fn a_large_crowd_with_heads_without_end_does_not_take_the_memory_of_a_node() {
+    kernel::run(async {
+        let fault = play_crowd(EndlessBytes::Header, 900, CallerRequest::lookup).await;
+        assert_eq!(fault, None);
+    })
+    .unwrap();
+}
+
+#[test]
+fn a_large_crowd_with_bodies_without_end_does_not_take_the_memory_of_a_node() {
+    kernel::run(async {
+        let fault = play_crowd(EndlessBytes::Body, 900, CallerRequest::lookup).await;
+        assert_eq!(fault, None);
+    })
+    .unwrap();
+}
+
+#[test]
+fn bytes_after_a_whole_answer_harm_nothing() {
+    kernel::run(async {
+        let ends = play("desk", EndlessBytes::AfterAnswer, false, CallerRequest::booking).await;
+        for CallEnd { answer, took, .. } in &ends {
+            assert_eq!((answer.status, answer.complete), (200, true));
+            assert!(*took < END_LIMIT, "{took:?}");
+        }
+    })
+    .unwrap();
+}
+
+#[test]
+fn an_answer_that_comes_byte_by_byte_ends_with_its_deadline() {
+    kernel::run(async {
+        let ends = play("desk", EndlessBytes::Trickle, false, CallerRequest::booking).await;
+        for CallEnd { answer, took, .. } in &ends {
+            assert!(matches!(answer.status, 502 | 504), "{}", answer.status);
+            assert!(*took < CALL_LIMIT, "{took:?}");
+        }
+    })
+    .unwrap();
+}
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -14,6 +14,7 @@
     ServingPlan, StopWindow, TransferPacer, WaitTable,
 };
 use settings::NodeSettings;
+use web::ReadLimits;
 
 use crate::memory_pool::{MemoryPool, MemoryReservation};
 use crate::metrics::NodeMetrics;
@@ -22,9 +23,13 @@
 use crate::speed_share::SpeedFigure;
 use crate::state_transfer::EncodedPlan;
 
-/// The bodies of requests, and the answers of runners, may each take one part in this many of the
-/// process's memory.
+/// The bodies of requests, and what is read from runners and other nodes, may each take one part in
+/// this many of the process's memory.
 const BODY_SHARE_DIVISOR: usize = 4;
+/// State that is read may take one further part in this many.
+const STATE_SHARE_DIVISOR: usize = 16;
+/// Connections and what is read may together take one part in this many.
+const CONNECTION_SHARE_DIVISOR: usize = 2;
 
 /// Shared state of a node. Several services read it; each part has one writer.
 pub struct NodeContext {
@@ -108,8 +113,6 @@
     pub active_requests: Cell<usize>,
     /// Memory for the bodies of these requests.
     request_memory: Rc<MemoryPool>,
-    /// Memory for answers of runners that are read completely.
-    answer_memory: Rc<MemoryPool>,
     /// Signals the router that an answer has changed what is known about a runner.
     runner_changes: RefCell<mpsc::Sender<()>>,
     /// Signals that blocked inputs of calls have changed.
@@ -127,7 +130,7 @@
     ) -> Rc<Self> {
         let clock = MonotonicClock::new();
         let budget = RetryBudget::new(retry_budget_settings(&settings), clock.now());
-        let body_bytes = (settings.memory_mb as usize * (1 << 20)) / BODY_SHARE_DIVISOR;
+        let body_bytes = memory_bytes(&settings) / BODY_SHARE_DIVISOR;
         Rc::new(Self {
             incarnation: VmIncarnation(rand::random()),
             metrics: NodeMetrics::new(),
@@ -168,7 +171,6 @@
             stop: StopSignal::new(),
             active_requests: Cell::default(),
             request_memory: MemoryPool::new(body_bytes),
-            answer_memory: MemoryPool::new(body_bytes),
             runner_changes: RefCell::new(runner_changes),
             block_changes: RefCell::new(block_changes),
             settings,
@@ -297,12 +299,6 @@
         reservation.grow_to(bytes).then_some(reservation)
     }
 
-    /// A reservation for an answer of a runner, which grows as the answer is read.
-    #[must_use]
-    pub fn open_answer(&self) -> MemoryReservation {
-        self.answer_memory.open()
-    }
-
     /// Counts a request as in progress until the returned guard is dropped.
     pub fn track_request(self: &Rc<Self>) -> RequestGuard {
         self.active_requests.set(self.active_requests.get() + 1);
@@ -321,6 +317,20 @@
     }
 }
 
+fn memory_bytes(settings: &NodeSettings) -> usize {
+    settings.memory_mb as usize * (1 << 20)
+}
+
+/// Bounds what this process keeps of what it reads.
+pub fn install_read_budget(settings: &NodeSettings) {
+    let bytes = memory_bytes(settings);
+    web::install_read_budget(ReadLimits {
+        kept: bytes / BODY_SHARE_DIVISOR,
+        reserve: bytes / STATE_SHARE_DIVISOR,
+        shared: bytes / CONNECTION_SHARE_DIVISOR,
+    });
+}
+
 /// What cold runners bear beyond their rate, from the settings.
 #[must_use]
 pub fn cold_settings(settings: &NodeSettings) -> ColdSettings {
--- a/crates/node/src/forward/relay.rs
+++ b/crates/node/src/forward/relay.rs
@@ -42,7 +42,7 @@
         WebResponse::new(body)
     } else {
         let left = call.deadline.since(context.now());
-        let Ok(answer) = read_full_answer(context, exchange, left).await else {
+        let Ok(answer) = read_full_answer(exchange, left).await else {
             return fail_unknown(context, call);
         };
         log_relayed_end(context, call, status);
@@ -76,6 +76,7 @@
     let WebExchange { response, connection } = exchange;
     let mut body = response.into_body();
     let mut scanner = StreamScanner::default();
+    let mut charge = body.open_charge();
     let (outcome, reason) = loop {
         let frame = {
             let left = call.deadline.since(context.now());
@@ -96,6 +97,9 @@
         let Ok(events) = scanner.push(&bytes) else {
             break (RequestOutcome::Interrupted, "stream_malformed");
         };
+        if !charge.keep("event", scanner.partial_bytes()) {
+            break (RequestOutcome::Interrupted, "memory_full");
+        }
         if !events.is_empty() && !send_events(&mut caller, Bytes::from(events)).await {
             break (RequestOutcome::CallerDisconnected, "");
         }
--- a/crates/node/src/hedged_call.rs
+++ b/crates/node/src/hedged_call.rs
@@ -67,7 +67,7 @@
     let wins = |answer: &Response<Bytes>| !answer.status().is_server_error();
     let send = async |plan: SendPlan| {
         let exchange = send_to_runner(context, call, &plan, first_limit).await?;
-        read_full_answer(context, exchange, call.deadline.since(context.now())).await
+        read_full_answer(exchange, call.deadline.since(context.now())).await
     };
     race(context, router, call, tracker, first, wins, send).await
 }
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -122,6 +122,10 @@
     pub reloads: Family<OutcomeLabels, Counter>,
     /// Requests in progress.
     pub active: Gauge,
+    /// Bytes that were read and are kept.
+    pub read_bytes: Gauge,
+    /// Heads and bodies that were given up for their size.
+    pub reads_given_up: Counter,
     /// Time from arrival to the first byte of a stream, in seconds.
     pub first_byte_time: Histogram,
     /// Time from arrival to the end of the request, in seconds.
@@ -185,6 +189,8 @@
             lines_dropped: Counter::default(),
             reloads: Family::default(),
             active: Gauge::default(),
+            read_bytes: Gauge::default(),
+            reads_given_up: Counter::default(),
             first_byte_time: histogram(),
             total_time: histogram(),
             queue_time: histogram(),
@@ -358,6 +364,12 @@
         registry.register("lines_dropped", "Log lines left out", self.lines_dropped.clone());
         registry.register("reloads", "Reloads of the settings", self.reloads.clone());
         registry.register("active", "Requests in progress", self.active.clone());
+        registry.register("read_bytes", "Bytes read that are kept", self.read_bytes.clone());
+        registry.register(
+            "reads_given_up",
+            "Heads and bodies given up for their size",
+            self.reads_given_up.clone(),
+        );
         registry.register(
             "first_byte_seconds",
             "Time to the first byte",
--- a/crates/node/src/plain_call.rs
+++ b/crates/node/src/plain_call.rs
@@ -121,7 +121,7 @@
     let exchange =
         send_to_runner(context, call, &SendPlan::first(runner.clone(), None), limit).await?;
     let left = call.deadline.since(context.now());
-    read_full_answer(context, exchange, left).await
+    read_full_answer(exchange, left).await
 }
 
 /// Time for the head of the answer to the next send.
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -13,13 +13,14 @@
 
 use crate::block_store::keep_blocks;
 use crate::caller_server::answer_caller;
-use crate::context::NodeContext;
+use crate::context::{NodeContext, install_read_budget};
 use crate::error::{NodeError, Result};
 use crate::follow_configuration::follow_configuration;
 use crate::follow_nodes::follow_nodes;
 use crate::follow_runners::RunnerFeed;
 use crate::lookups::{ADDRESS_HOLD_TIME, answer_lookup, answer_readiness};
 use crate::loop_watch::watch_loop;
+use crate::metrics::NodeMetrics;
 use crate::peer_link::PeerLink;
 use crate::peer_server::answer_peer;
 use crate::reach::watch_reach;
@@ -63,6 +64,7 @@
 ) -> Result<()> {
     let (runner_changes, changed_runners) = mpsc::channel(1);
     let (block_changes, changed_blocks) = mpsc::channel(1);
+    install_read_budget(&settings);
     let context = NodeContext::new(settings, runner_changes, block_changes);
     tracing::info!(
         event = "start",
@@ -174,9 +176,17 @@
         return text_reply(StatusCode::NOT_FOUND, "no such page");
     }
     context.metrics.active.set(i64::try_from(context.active_requests.get()).unwrap_or(i64::MAX));
+    record_reads(&context.metrics);
     text_reply(StatusCode::OK, context.metrics.encode())
 }
 
+/// Records what is kept of what was read, and what was given up.
+fn record_reads(metrics: &NodeMetrics) {
+    let reads = web::read_use();
+    metrics.read_bytes.set(i64::try_from(reads.held).unwrap_or(i64::MAX));
+    metrics.reads_given_up.inc_by(reads.given_up.saturating_sub(metrics.reads_given_up.get()));
+}
+
 /// Drops out of look-ups, keeps serving callers that still hold this address, and waits for
 /// requests in progress until the stop time is used up. Returns when it will be. How long callers hold
 /// the address is known in advance: requests that arrive later are refused, and prolong nothing.
--- a/crates/node/src/runner_send.rs
+++ b/crates/node/src/runner_send.rs
@@ -315,30 +315,17 @@
 /// Reads the whole body of an answer within `limit`.
 ///
 /// # Errors
-/// Returns [`SendFailure`] if the body is incomplete, too long or late, or if the answers that
-/// are being read take all the memory for them.
+/// Returns [`SendFailure`] if the body is incomplete, too long or late, or if the budget has no room
+/// for it.
 pub async fn read_full_answer(
-    context: &NodeContext,
     exchange: WebExchange,
     limit: TimeSpan,
 ) -> Result<hyper::Response<hyper::body::Bytes>, SendFailure> {
     /// Maximum size of an answer that is read completely, in bytes.
     const MAX_ANSWER_BYTES: usize = 8 << 20;
-    /// Size up to which an answer is read whatever the others take, in bytes.
-    const SMALL_ANSWER_BYTES: usize = 64 << 10;
     let WebExchange { response, connection } = exchange;
     let (parts, body) = response.into_parts();
-    let step = "answer of a runner";
-    let mut reservation = context.open_answer();
-    let read = web::read_admitted(step, body, |length| {
-        if length > MAX_ANSWER_BYTES {
-            return Err(WebError::TooLong { step, limit: MAX_ANSWER_BYTES });
-        }
-        if length > SMALL_ANSWER_BYTES && !reservation.grow_to(length) {
-            return Err(WebError::MemoryFull { step });
-        }
-        Ok(())
-    });
+    let read = web::read_whole("answer of a runner", body, MAX_ANSWER_BYTES);
     let bytes = match timeout(limit.into(), read).await {
         Ok(Ok(bytes)) => bytes,
         Ok(Err(error)) => return Err(outcome_unknown(&error)),
--- a/crates/node/src/state_transfer.rs
+++ b/crates/node/src/state_transfer.rs
@@ -207,7 +207,8 @@
         .header(ACCEPT_ENCODING, ENCODING)
         .body(full_body(Bytes::new()))
         .map_err(|source| WebError::Request { step, source })?;
-    let response = web::send_once(peer, request, STALL_TIMEOUT, STALL_TIMEOUT).await?;
+    let exchange = web::open_state_exchange(peer, request, STALL_TIMEOUT, STALL_TIMEOUT).await?;
+    let response = exchange.response;
     match response.status() {
         StatusCode::OK => (),
         StatusCode::TOO_MANY_REQUESTS => return Err(TransferError::Busy { peer }),
@@ -215,7 +216,7 @@
     }
     let is_encoded = response.headers().contains_key(CONTENT_ENCODING);
     let body = response.into_body();
-    let bytes = web::read_steadily(step, peer, body, MAX_ENCODED_BYTES, STALL_TIMEOUT).await?;
+    let bytes = web::read_steadily(step, body, MAX_ENCODED_BYTES, STALL_TIMEOUT).await?;
     let malformed = |source| TransferError::Malformed { peer, source };
     if is_encoded {
         let state = decode_state(&bytes).map_err(malformed)?;
--- a/crates/node/src/streams/stream_call.rs
+++ b/crates/node/src/streams/stream_call.rs
@@ -165,7 +165,7 @@
     let exchange = sent?;
     if !is_event_stream(&exchange.response) {
         let left = call.deadline.since(context.now());
-        return read_full_answer(context, exchange, left).await.map(RunnerAnswer::Full);
+        return read_full_answer(exchange, left).await.map(RunnerAnswer::Full);
     }
     let mut head = Response::new(());
     *head.status_mut() = exchange.response.status();
--- a/crates/node/src/streams/stream_handover.rs
+++ b/crates/node/src/streams/stream_handover.rs
@@ -11,7 +11,7 @@
 use futures_util::{FutureExt, select_biased};
 use hyper::body::Bytes;
 use serving::{RunnerRecord, SendOutcome, StreamScanner};
-use web::{WebConnection, WebExchange};
+use web::{ReadCharge, WebConnection, WebExchange};
 
 use super::run_stop::OrderedStep;
 use super::stream_pump::{PumpStep, StreamPump};
@@ -77,17 +77,30 @@
     /// Reads the frames ahead of their forwarding.
     scanner: StreamScanner,
     malformed: bool,
+    /// Bytes of the frames.
+    bytes: usize,
+    charge: ReadCharge,
 }
 
 impl HeldEvents {
     /// Nothing held yet; `scanner` is that of the forwarded events.
-    fn new(scanner: &StreamScanner) -> Self {
-        Self { frames: Vec::new(), scanner: scanner.clone(), malformed: false }
+    fn new(scanner: &StreamScanner, charge: ReadCharge) -> Self {
+        let scanner = scanner.clone();
+        Self { frames: Vec::new(), scanner, malformed: false, bytes: 0, charge }
     }
 
+    /// Holds `bytes`, unless what came before is malformed or had no room.
     fn push(&mut self, bytes: Bytes) {
-        self.malformed |= self.scanner.push(&bytes).is_err();
-        self.frames.push(bytes);
+        if self.malformed {
+            return;
+        }
+        self.malformed = self.scanner.push(&bytes).is_err();
+        self.bytes += bytes.len();
+        if self.charge.keep("held events", self.bytes) {
+            self.frames.push(bytes);
+        } else {
+            self.malformed = true;
+        }
     }
 
     /// Whether the held frames end with a complete event.
@@ -150,7 +163,7 @@
         if let Some(resume) = &mut plan.resume {
             resume.last_event_id = self.scanner.last_id();
         }
-        let mut held = HeldEvents::new(&self.scanner);
+        let mut held = HeldEvents::new(&self.scanner, self.source.body.open_charge());
         let exchange = match self.send_with_overlap(&plan, connection, &mut held, rule).await {
             OverlapEnd::Answered(exchange) if exchange.response.status().is_success() => exchange,
             OverlapEnd::Answered(exchange) => {
--- a/crates/node/src/streams/stream_pump.rs
+++ b/crates/node/src/streams/stream_pump.rs
@@ -252,6 +252,10 @@
                 return PumpStep::End(RequestOutcome::Interrupted, "stream_malformed");
             }
         };
+        if !self.source.hold(self.scanner.partial_bytes()) {
+            self.log_send_failure("no memory left for an event");
+            return PumpStep::End(RequestOutcome::Interrupted, "memory_full");
+        }
         if events.is_empty() {
             return PumpStep::Continue;
         }
--- a/crates/node/src/streams/stream_source.rs
+++ b/crates/node/src/streams/stream_source.rs
@@ -9,11 +9,13 @@
 use futures_util::StreamExt;
 use http_body_util::BodyExt;
 use hyper::Response;
-use hyper::body::{Bytes, Incoming};
+use hyper::body::Bytes;
 use hyper::header::{CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING};
 use kernel::StopSignal;
 use serving::{RunnerLoss, RunnerRecord, StreamScanner};
-use web::{ConnectionCloser, ConnectionTask, WebBody, WebExchange, stream_body};
+use web::{
+    ConnectionCloser, ConnectionTask, ReadCharge, ReplyBody, WebBody, WebExchange, stream_body,
+};
 
 use crate::runner_send::{SendFailure, SendPlan};
 
@@ -26,7 +28,9 @@
     /// Data that was read before the stream was passed on.
     peeked: VecDeque<Bytes>,
     /// Body of the runner's answer.
-    pub body: Incoming,
+    pub body: ReplyBody,
+    /// For what is kept of the body until a whole event has come.
+    charge: ReadCharge,
     /// The connection to the runner; `None` once closed.
     pub connection: Option<ConnectionTask>,
     /// Whether the body has neither a length nor chunks, so that it ends with its connection.
@@ -49,11 +53,13 @@
         let headers = response.headers();
         let is_framed =
             headers.contains_key(TRANSFER_ENCODING) || headers.contains_key(CONTENT_LENGTH);
+        let body = response.into_body();
         Self {
             runner: plan.runner.clone(),
             backup: plan.backup.clone(),
             peeked: VecDeque::new(),
-            body: response.into_body(),
+            charge: body.open_charge(),
+            body,
             connection: Some(connection),
             ends_with_connection: !is_framed,
             ended: false,
@@ -99,6 +105,12 @@
         }
     }
 
+    /// Charges `bytes` that are kept until a whole event has come; `false` without room for them.
+    #[must_use]
+    pub fn hold(&mut self, bytes: usize) -> bool {
+        self.charge.keep("event", bytes)
+    }
+
     /// Keeps `bytes`, which were read, as the next data of the body.
     pub fn keep_frame(&mut self, bytes: Bytes) {
         self.peeked.push_front(bytes);
@@ -125,6 +137,10 @@
                 })?;
                 // What is malformed is left to the relay of the stream.
                 let is_malformed = scanner.push(&bytes).is_err();
+                if !self.hold(scanner.partial_bytes() + bytes.len()) {
+                    let reason = "no memory left for the first event";
+                    return Err(SendFailure::stream_lost(reason, RunnerLoss::NoAnswer));
+                }
                 self.peeked.push_back(bytes);
                 if is_malformed {
                     break;
--- a/crates/serving/src/stream_scan.rs
+++ b/crates/serving/src/stream_scan.rs
@@ -54,6 +54,12 @@
         self.event_count
     }
 
+    /// Bytes of the incomplete event.
+    #[must_use]
+    pub fn partial_bytes(&self) -> usize {
+        self.partial.len()
+    }
+
     /// Whether bytes of an incomplete event are buffered.
     #[must_use]
     pub fn has_partial_event(&self) -> bool {
--- a/crates/web/src/body.rs
+++ b/crates/web/src/body.rs
@@ -1,7 +1,6 @@
 //! Message bodies: complete, streamed, and read up to a size limit.
 
 use std::convert::Infallible;
-use std::net::SocketAddr;
 use std::pin::Pin;
 
 use base::TimeSpan;
@@ -78,75 +77,3 @@
     };
     compio::runtime::spawn(timeout(limit.into(), reading)).detach();
 }
-
-/// Reads a complete body for as long as `admit` accepts its length so far, in bytes. The rest of
-/// a body that is not accepted is not read.
-///
-/// # Errors
-/// [`WebError::Body`] if the body cannot be read to its end, and the errors of `admit`.
-pub async fn read_admitted(
-    step: &'static str,
-    mut body: Incoming,
-    mut admit: impl FnMut(usize) -> Result<()>,
-) -> Result<Bytes> {
-    /// Largest size for which a declared length is relied on, in bytes.
-    const MAX_FIRST_CAPACITY: usize = 64 << 10;
-    let declared_length = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
-    let mut bytes = Vec::with_capacity(declared_length.min(MAX_FIRST_CAPACITY));
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|source| WebError::Body { step, source })?;
-        let Ok(chunk) = frame.into_data() else { continue };
-        admit(bytes.len() + chunk.len())?;
-        bytes.extend_from_slice(&chunk);
-    }
-    Ok(Bytes::from(bytes))
-}
-
-/// Bytes of a steadily read body that have to arrive in each stall timeout. A peer that sends
-/// single bytes now and then would otherwise occupy its reader without end.
-const MIN_STEADY_BYTES: usize = 256;
-
-/// Reads a complete body of at most `limit` bytes, for as long as at least
-/// [`MIN_STEADY_BYTES`] of it, or its end, arrive in each `stall_timeout`.
-///
-/// # Errors
-/// [`WebError::Deadline`] if too little arrives in time, [`WebError::TooLong`] and
-/// [`WebError::Body`] as of [`read_bounded`].
-pub async fn read_steadily(
-    step: &'static str,
-    peer: SocketAddr,
-    mut body: Incoming,
-    limit: usize,
-    stall_timeout: TimeSpan,
-) -> Result<Bytes> {
-    let mut bytes = Vec::new();
-    loop {
-        let reading = read_progress(step, &mut body, &mut bytes, limit);
-        let has_ended = timeout(stall_timeout.into(), reading)
-            .await
-            .map_err(|_| WebError::Deadline { step, peer })??;
-        if has_ended {
-            return Ok(Bytes::from(bytes));
-        }
-    }
-}
-
-/// Reads at least [`MIN_STEADY_BYTES`] of a body, or to its end; returns whether it has ended.
-async fn read_progress(
-    step: &'static str,
-    body: &mut Incoming,
-    bytes: &mut Vec<u8>,
-    limit: usize,
-) -> Result<bool> {
-    let begin = bytes.len();
-    while bytes.len() < begin + MIN_STEADY_BYTES {
-        let Some(frame) = body.frame().await else { return Ok(true) };
-        let frame = frame.map_err(|source| WebError::Body { step, source })?;
-        let Ok(chunk) = frame.into_data() else { continue };
-        if bytes.len() + chunk.len() > limit {
-            return Err(WebError::TooLong { step, limit });
-        }
-        bytes.extend_from_slice(&chunk);
-    }
-    Ok(false)
-}
--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 
 use base::TimeSpan;
+use compio::io::util::Splittable;
 use compio::net::TcpStream;
 use compio::runtime::{JoinHandle, spawn};
 use compio::time::timeout;
@@ -16,8 +17,12 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
-use crate::body::{WebBody, full_body, read_bounded, read_steadily};
-use crate::bounded_head::{BoundedHead, HeadLimit};
+use crate::body::{WebBody, full_body};
+use crate::metered_read::{MAX_IDLE_READ_BYTES, MeteredRead, ReadMeter};
+use crate::read_budget::ReadFault;
+use crate::read_ledger::ReadPart;
+use crate::reply_body::ReplyBody;
+use crate::reply_reader::{read_steadily, read_whole};
 use crate::{Result, WebError};
 
 /// Maximum size of a response body that [`fetch`] accepts, in bytes.
@@ -26,7 +31,8 @@
 const MAX_ERROR_TEXT_CHARS: usize = 300;
 
 /// Connects within `connect_timeout`, sends `request` once, and returns when the response's
-/// head has arrived, within `head_timeout` after that. The body is not yet read.
+/// head has arrived, within `head_timeout` after that. The body is not yet read; what its reader
+/// keeps of it is charged to nothing.
 ///
 /// # Errors
 /// If [`WebError::send_fault`] of the error is `NotSent`, no byte was written.
@@ -38,13 +44,13 @@
 ) -> Result<Response<Incoming>> {
     let exchange = open_exchange(peer, request, connect_timeout, head_timeout).await?;
     exchange.connection.detach();
-    Ok(exchange.response)
+    Ok(exchange.response.map(ReplyBody::into_unbounded))
 }
 
 /// A response and its connection, which closes when this is dropped.
 pub struct WebExchange {
     /// The response; its body may not have arrived yet.
-    pub response: Response<Incoming>,
+    pub response: Response<ReplyBody>,
     /// The task that drives the connection.
     pub connection: ConnectionTask,
 }
@@ -75,6 +81,21 @@
     connection.send(request, head_timeout).await
 }
 
+/// Like [`open_exchange`], for state that this process works by: its bytes may also take the reserve of
+/// the budget.
+///
+/// # Errors
+/// Same as [`send_once`].
+pub async fn open_state_exchange(
+    peer: SocketAddr,
+    request: Request<WebBody>,
+    connect_timeout: TimeSpan,
+    head_timeout: TimeSpan,
+) -> Result<WebExchange> {
+    let connection = WebConnection::open(peer, connect_timeout).await?;
+    send_on(connection.stream, peer, request, head_timeout, ReadPart::State).await
+}
+
 /// A connection on which nothing has been sent.
 pub struct WebConnection {
     peer: SocketAddr,
@@ -105,7 +126,7 @@
         request: Request<WebBody>,
         head_timeout: TimeSpan,
     ) -> Result<WebExchange> {
-        send_on(self.stream, self.peer, request, head_timeout).await
+        send_on(self.stream, self.peer, request, head_timeout, ReadPart::Call).await
     }
 }
 
@@ -114,14 +135,16 @@
     peer: SocketAddr,
     mut request: Request<WebBody>,
     head_timeout: TimeSpan,
+    part: ReadPart,
 ) -> Result<WebExchange> {
     if !request.headers().contains_key(HOST) {
         let host = HeaderValue::from_str(&peer.to_string())
             .map_err(|source| WebError::Request { step: "host header", source: source.into() })?;
         request.headers_mut().insert(HOST, host);
     }
-    let head_limit = HeadLimit::new();
-    let stream = BoundedHead::new(HyperStream::new_plain(stream), head_limit.clone());
+    let meter = ReadMeter::new(part, peer);
+    let (reading, writing) = stream.split();
+    let stream = HyperStream::new_plain((MeteredRead::new(reading, meter.clone()), writing));
     let (mut sender, connection) = hyper::client::conn::http1::handshake(stream)
         .await
         .map_err(|source| WebError::Exchange { step: "handshake", peer, source })?;
@@ -133,11 +156,21 @@
     let response = timeout(head_timeout.into(), sender.send_request(request))
         .await
         .map_err(|_| WebError::Deadline { step: "request", peer })?
-        .map_err(|source| WebError::Exchange { step: "request", peer, source })?;
-    head_limit.end();
+        .map_err(|source| read_error(&meter, "request", source))?;
+    meter.end_head();
+    let response = response.map(|body| ReplyBody::new(body, meter));
     Ok(WebExchange { response, connection })
 }
 
+/// The error of an exchange whose head did not arrive.
+fn read_error(meter: &ReadMeter, step: &'static str, source: hyper::Error) -> WebError {
+    match meter.fault() {
+        Some(ReadFault::MemoryFull) => WebError::MemoryFull { step },
+        Some(ReadFault::TooLong) => WebError::TooLong { step, limit: MAX_IDLE_READ_BYTES },
+        None => WebError::Exchange { step, peer: meter.peer(), source },
+    }
+}
+
 /// Time that an exchange may take.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum FetchLimit {
@@ -199,10 +232,11 @@
 }
 
 /// Like [`fetch`], but returns the head too, also that of an error status, and accepts a body of
-/// at most `max_bytes`.
+/// at most `max_bytes`. A response that is read steadily counts as state of this process.
 ///
 /// # Errors
-/// [`WebError::TooLong`] and [`WebError::Body`] for the body, and all errors of [`send_once`].
+/// [`WebError::TooLong`], [`WebError::MemoryFull`] and [`WebError::Body`] for the body, and all
+/// errors of [`send_once`].
 pub async fn fetch_answer(
     step: &'static str,
     method: Method,
@@ -220,14 +254,17 @@
         .map_err(|source| WebError::Request { step, source })?;
     let (FetchLimit::Whole(until_head) | FetchLimit::Steady { head: until_head, .. }) = limit;
     let exchange = async {
-        let response = send_once(peer, request, until_head, until_head).await?;
-        let (head, body) = response.into_parts();
-        let bytes = match limit {
-            FetchLimit::Whole(_) => read_bounded(step, body, max_bytes).await?,
-            FetchLimit::Steady { stall, .. } => {
-                read_steadily(step, peer, body, max_bytes, stall).await?
+        let exchange = match limit {
+            FetchLimit::Whole(_) => open_exchange(peer, request, until_head, until_head).await?,
+            FetchLimit::Steady { .. } => {
+                open_state_exchange(peer, request, until_head, until_head).await?
             }
         };
+        let (head, body) = exchange.response.into_parts();
+        let bytes = match limit {
+            FetchLimit::Whole(_) => read_whole(step, body, max_bytes).await?,
+            FetchLimit::Steady { stall, .. } => read_steadily(step, body, max_bytes, stall).await?,
+        };
         Ok(WebAnswer { status: head.status, headers: head.headers, bytes })
     };
     match limit {
--- a/crates/web/src/error.rs
+++ b/crates/web/src/error.rs
@@ -56,8 +56,8 @@
         /// The limit, in bytes.
         limit: usize,
     },
-    /// There is no memory left for a body.
-    #[error("{step}: no memory left for the body")]
+    /// There is no memory left for a head or a body.
+    #[error("{step}: no memory left for what is read")]
     MemoryFull {
         /// The step that failed.
         step: &'static str,
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -2,24 +2,30 @@
 //! client that never retries, and server-sent events.
 
 mod body;
-mod bounded_head;
 mod client;
 mod closer;
 mod error;
+mod metered_read;
+mod read_budget;
+mod read_ledger;
 mod reply;
+mod reply_body;
+mod reply_reader;
 mod server;
 mod sse;
 
-pub use body::{
-    WebBody, discard_body, full_body, read_admitted, read_bounded, read_steadily, stream_body,
-};
+pub use body::{WebBody, discard_body, full_body, read_bounded, stream_body};
 pub use client::{
     ConnectionTask, FetchLimit, MAX_FETCH_BYTES, WebAnswer, WebConnection, WebExchange, fetch,
-    fetch_answer, fetch_json, open_exchange, post_json, send_once,
+    fetch_answer, fetch_json, open_exchange, open_state_exchange, post_json, send_once,
 };
 pub use closer::ConnectionCloser;
 pub use error::{Result, SendFault, WebError};
+pub use read_budget::{FREE_READ_BYTES, ReadCharge, ReadUse, install_read_budget, read_use};
+pub use read_ledger::{CONNECTION_BYTES, ReadLedger, ReadLimits, ReadPart};
 pub use reply::{json_reply, refusal_reply, text_reply};
+pub use reply_body::ReplyBody;
+pub use reply_reader::{read_steadily, read_whole};
 pub use server::{ServerLimits, WebServer};
 pub use sse::{SseEvent, SseReader};
 
