Answer calls on connections beyond those of a node instead of closing them

What callers saw: with 900 look-ups at once, 201 to 550 got no answer at all, only a closed connection (status 0 of the harness).

Cause: a node has connections for callers for half of its descriptors less 300: 350 with the 1,000 of the harness. Further connections were closed on accept.

Fix: a connection over the limit is answered with 503 and `Retry-After` 0.3 (reason `connections_full`), up to 64 at the same time; further ones wait to be accepted, for a second at most each.

Evidence: `calls_beyond_the_connections_of_a_node_are_told_when_to_come_back` passes: 900 calls, all served or refused with a time to come back.

--- a/crates/harness/tests/node_endless_bytes.rs
+++ b/crates/harness/tests/node_endless_bytes.rs
@@ -293,3 +293,26 @@
     })
     .unwrap();
 }
+
+/// Guards against connections beyond those of a node that are closed without an answer.
+#[test]
+fn calls_beyond_the_connections_of_a_node_are_told_when_to_come_back() {
+    /// More than a node with 1,000 descriptors has connections for.
+    const MANY_CALLS: usize = 900;
+    kernel::run(async {
+        let mut fleet = NodeFleet::start().await.unwrap();
+        let mut settings = RunnerFakeSettings::new("sound");
+        settings.work = Duration::from_millis(500);
+        let _runner = fleet.add_runner("desk", settings).await.unwrap();
+        fleet.add_node().unwrap();
+        fleet.wait_ready().await.unwrap();
+        let ends = send_all(&fleet, MANY_CALLS, CallerRequest::lookup).await;
+        let count = |status| ends.iter().filter(|(answer, _)| answer.status == status).count();
+        let (served, refused) = (count(200), count(503));
+        assert!(served > 0 && refused > 0, "{served} served, {refused} refused");
+        assert_eq!(served + refused, MANY_CALLS, "{} without an answer", count(0));
+        let told = |answer: &WholeAnswer| answer.status == 200 || answer.retry_after.is_some();
+        assert!(ends.iter().all(|(answer, _)| told(answer)));
+    })
+    .unwrap();
+}
--- a/crates/node/src/caller_server.rs
+++ b/crates/node/src/caller_server.rs
@@ -24,7 +24,8 @@
 use crate::stop_intake::{check_intake, unless_stopped};
 use crate::streams::run_stream;
 
-/// `Retry-After` of a node that has no configuration yet or no memory for the body.
+/// `Retry-After` of a node that has no configuration yet, or no connection left, or no memory for the
+/// body.
 const NOT_READY_RETRY_AFTER: TimeSpan = TimeSpan::millis(300);
 
 /// Largest rest of the body of a rejected request that is read, in bytes.
@@ -97,6 +98,17 @@
     response
 }
 
+/// Rejects a request of a caller for which there is no connection left.
+pub fn refuse_connection(context: &NodeContext) -> WebResponse {
+    let rejection = CallRejection {
+        status: StatusCode::SERVICE_UNAVAILABLE,
+        reason: "connections_full",
+        retry_after: Some(NOT_READY_RETRY_AFTER),
+    };
+    log_rejection(context, "", rejection.reason, rejection.status.as_u16());
+    rejection.reply()
+}
+
 /// Resumes the run of a call that another node has lost.
 ///
 /// # Errors
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -12,7 +12,7 @@
 use web::{ServerLimits, WebRequest, WebResponse, WebServer, text_reply};
 
 use crate::block_store::keep_blocks;
-use crate::caller_server::answer_caller;
+use crate::caller_server::{answer_caller, refuse_connection};
 use crate::context::{NodeContext, install_read_budget};
 use crate::error::{NodeError, Result};
 use crate::follow_configuration::follow_configuration;
@@ -120,7 +120,10 @@
         header_timeout: IDLE_TIMEOUT,
         max_header_bytes: MAX_HEADER_BYTES,
     };
-    let callers = WebServer::bind(settings.callers, limits).await?;
+    let refusing = Rc::clone(context);
+    let callers = WebServer::bind(settings.callers, limits)
+        .await?
+        .refuse_with(Rc::new(move || refuse_connection(&refusing)));
     let (caller_context, caller_router) = (Rc::clone(context), Rc::clone(router));
     let handler = move |request| {
         answer_caller(Rc::clone(&caller_context), Rc::clone(&caller_router), request)
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -26,7 +26,7 @@
 pub use reply::{json_reply, refusal_reply, text_reply};
 pub use reply_body::ReplyBody;
 pub use reply_reader::{read_steadily, read_whole};
-pub use server::{ServerLimits, WebServer};
+pub use server::{ConnectionRefusal, ServerLimits, WebServer};
 pub use sse::{SseEvent, SseReader};
 
 /// A request as the server passes it to its handler.
--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -9,25 +9,37 @@
 use base::TimeSpan;
 use compio::net::{TcpListener, TcpStream};
 use compio::runtime::spawn;
+use compio::time::timeout;
 use cyper_core::{CompioTimer, HyperStream};
 use futures_util::future::{Either, select};
+use hyper::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use kernel::StopSignal;
 
-use crate::{ConnectionCloser, Result, WebError, WebRequest, WebResponse};
+use crate::{ConnectionCloser, Result, WebError, WebRequest, WebResponse, discard_body};
 
 /// Maximum number of headers of a request: those that callers may send, and those that a node adds to
 /// a request which it forwards.
 const MAX_HEADERS: usize = 128;
 
-/// How often a stopping server checks whether its last connection has closed.
+/// How often a stopping server checks whether its last connection has closed, and a full one whether a
+/// refused connection has.
 const DRAIN_POLL_INTERVAL: TimeSpan = TimeSpan::millis(10);
+/// Connections over the limit that are answered at the same time; further ones wait to be accepted.
+const MAX_REFUSED: usize = 64;
+/// Time for a connection over the limit to send its request and to take the answer.
+const REFUSED_TIME: TimeSpan = TimeSpan::seconds(1);
+/// Largest body of a refused request that is read, in bytes.
+const MAX_REFUSED_BYTES: usize = 1 << 20;
+
+/// Makes the answer to a request for which there is no connection left.
+pub type ConnectionRefusal = Rc<dyn Fn() -> WebResponse>;
 
 /// Limits of a server.
 #[derive(Debug, Clone, Copy)]
 pub struct ServerLimits {
-    /// Maximum number of concurrent connections; further ones are closed on accept.
+    /// Maximum number of concurrent connections; further ones are refused, or closed on accept.
     pub max_connections: usize,
     /// Maximum time for a caller to send a request's head.
     pub header_timeout: TimeSpan,
@@ -53,6 +65,8 @@
     limits: ServerLimits,
     open: Rc<Cell<usize>>,
     rejected: Rc<Cell<u64>>,
+    refused: Rc<Cell<usize>>,
+    refusal: Option<ConnectionRefusal>,
 }
 
 impl WebServer {
@@ -72,9 +86,17 @@
             limits,
             open: Rc::default(),
             rejected: Rc::default(),
+            refused: Rc::default(),
+            refusal: None,
         })
     }
 
+    /// Answers requests on connections over the limit with `refusal`.
+    #[must_use]
+    pub fn refuse_with(self, refusal: ConnectionRefusal) -> Self {
+        Self { refusal: Some(refusal), ..self }
+    }
+
     /// The address that the server listens on, with the actual port if 0 was requested.
     #[must_use]
     pub fn address(&self) -> SocketAddr {
@@ -87,7 +109,7 @@
         self.open.get()
     }
 
-    /// Number of connections closed on accept because the limit was reached.
+    /// Number of connections refused, or closed on accept, because the limit was reached.
     #[must_use]
     pub fn rejected_connections(&self) -> u64 {
         self.rejected.get()
@@ -112,6 +134,7 @@
             let Ok((stream, _)) = accepted else { continue };
             if self.open.get() >= self.limits.max_connections {
                 self.rejected.set(self.rejected.get() + 1);
+                self.refuse_connection(stream, stop.clone()).await;
                 continue;
             }
             self.start_connection(stream, stop.clone(), handler.clone());
@@ -121,6 +144,28 @@
         }
     }
 
+    /// Answers a connection over the limit, once there is room for that, or closes it.
+    async fn refuse_connection(&self, stream: TcpStream, stop: StopSignal) {
+        let Some(refusal) = self.refusal.clone() else { return };
+        while self.refused.get() >= MAX_REFUSED {
+            compio::time::sleep(DRAIN_POLL_INTERVAL.into()).await;
+        }
+        let guard = ConnectionGuard::new(&self.refused);
+        let limits = ServerLimits { header_timeout: REFUSED_TIME, ..self.limits };
+        let handler = move |request: WebRequest| {
+            discard_body(request.into_body(), MAX_REFUSED_BYTES, REFUSED_TIME);
+            let mut response = refusal();
+            response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+            async move { response }
+        };
+        let serving = serve_connection(stream, limits, stop, handler);
+        spawn(async move {
+            let _guard = guard;
+            let _ = timeout(REFUSED_TIME.into(), serving).await;
+        })
+        .detach();
+    }
+
     fn start_connection<F>(
         &self,
         stream: TcpStream,
