--- a/crates/node/src/plain_sends.rs
+++ b/crates/node/src/plain_sends.rs
@@ -242,7 +242,7 @@
 ) -> Result<Response<Bytes>, SendFailure> {
     let left = call.deadline.since(context.now());
     let exchange = send_to_runner(context, call, plan, left).await?;
-    read_full_answer(context, exchange, call.deadline.since(context.now())).await
+    read_full_answer(exchange, call.deadline.since(context.now())).await
 }
 
 /// Time for an answer after which a send is late.
--- a/crates/node/src/streams/stream_handover.rs
+++ b/crates/node/src/streams/stream_handover.rs
@@ -83,7 +83,7 @@
             Some(resume) => resume.last_event_id = self.scanner.last_id(),
             None => plan.last_event_id = self.scanner.last_id(),
         }
-        let mut held = HeldEvents::new(&self.scanner);
+        let mut held = HeldEvents::new(&self.scanner, self.source.body.open_charge());
         let exchange = match self.send_with_overlap(&plan, connection, &mut held, rule).await {
             OverlapEnd::Answered(exchange) if is_event_stream(&exchange.response) => exchange,
             OverlapEnd::Answered(exchange) => {
--- a/crates/node/src/streams/stream_overlap.rs
+++ b/crates/node/src/streams/stream_overlap.rs
@@ -14,7 +14,7 @@
 use serving::{
     AnswerPlace, OverlapRule, SourceState, StreamScanner, WaitDecision, WaitFacts, decide_wait,
 };
-use web::{WebConnection, WebExchange};
+use web::{ReadCharge, WebConnection, WebExchange};
 
 use super::stream_handover::describe_loss;
 use super::stream_places::{NextQuestion, ask_next};
@@ -68,17 +68,30 @@
     /// Reads the frames ahead of their forwarding.
     scanner: StreamScanner,
     malformed: bool,
+    /// Bytes of the frames.
+    bytes: usize,
+    charge: ReadCharge,
 }
 
 impl HeldEvents {
     /// Nothing held yet; `scanner` is that of the forwarded events.
-    pub(super) fn new(scanner: &StreamScanner) -> Self {
-        Self { frames: Vec::new(), scanner: scanner.clone(), malformed: false }
+    pub(super) fn new(scanner: &StreamScanner, charge: ReadCharge) -> Self {
+        let scanner = scanner.clone();
+        Self { frames: Vec::new(), scanner, malformed: false, bytes: 0, charge }
     }
 
+    /// Holds `bytes`, unless what came before is malformed or had no room.
     fn push(&mut self, bytes: Bytes) {
-        self.malformed |= self.scanner.push(&bytes).is_err();
-        self.frames.push(bytes);
+        if self.malformed {
+            return;
+        }
+        self.malformed = self.scanner.push(&bytes).is_err();
+        self.bytes += bytes.len();
+        if self.charge.keep("held events", self.bytes) {
+            self.frames.push(bytes);
+        } else {
+            self.malformed = true;
+        }
     }
 
     /// Whether the held frames end with a complete event.
