Test that events which come again after a move are skipped

The skip came with the reading of a source during a move; process tests do not make a node repeat events.

--- a/crates/serving/tests/stream_scan.rs
+++ b/crates/serving/tests/stream_scan.rs
@@ -69,3 +69,21 @@
     }
     assert!(StreamScanner::after(None).push(b"id: 7\n\n").is_ok());
 }
+
+/// Guards against events that a caller gets twice, from a source and from the node that moves its run.
+#[test]
+fn events_that_come_again_after_a_move_are_skipped_once() {
+    let mut scanner = StreamScanner::default();
+    scanner.push(stream(1..=5).as_bytes()).unwrap();
+    scanner.skip_repeats();
+    assert_eq!(scanner.push(stream(3..=4).as_bytes()).unwrap(), b"");
+    let text = stream(5..=7);
+    let new = stream(6..=7);
+    assert_eq!(scanner.push(text.as_bytes()).unwrap(), new.as_bytes());
+    assert_eq!((scanner.last_id(), scanner.event_count()), (Some(7), 7));
+    let repeated = Err(StreamError::OutOfOrder { last: 7, found: 7 });
+    assert_eq!(scanner.push(stream(7..=7).as_bytes()), repeated);
+    scanner.skip_repeats();
+    let gap = Err(StreamError::OutOfOrder { last: 7, found: 9 });
+    assert_eq!(scanner.push(stream(9..=9).as_bytes()), gap);
+}
