Find out that a leaving runner is not reached

What callers saw: a stream at a runner that leaves gets nothing more, and is cut at its deadline, though the runner works on and answers other nodes.

Cause: runners that leave were not among those that are asked whether they are reached (`may_be_asked`), and what was known of them was dropped with each check. So a leaving runner never counted as unreached, and every way on that a silent stream has (its copy, another node that moves the run, the end after a second) was closed to it. What was left were copies of 2.5 s each.

Now the runners of a service that may be asked are given as staying and leaving ones. A leaving one is asked where a stream gives a reason to; it counts neither for its service, nor for what other nodes are told, nor as a reason to ask others. A runner that named a wait is still not asked.

--- a/crates/node/src/reach/reach_watch.rs
+++ b/crates/node/src/reach/reach_watch.rs
@@ -1,19 +1,19 @@
 //! Watches which runners this node reaches, by asking those at which calls fail or hang.
 
-use std::collections::BTreeSet;
 use std::rc::Rc;
 
 use base::prelude::*;
 use futures_util::future::join_all;
 use platform::{pulse_path, read_pulse};
 use rand::seq::SliceRandom;
-use serving::{QuestionFailure, ReachMembers, ReachQuestion, RunnerEntry, RunnerRecord};
+use serving::{
+    QuestionFailure, ReachMembers, ReachQuestion, RunnerEntry, RunnerIncarnation, RunnerRecord,
+};
 use web::WebConnection;
 
 use super::records::{count_reaching, impairment, record_runner_answer, record_runner_connection};
 use crate::call_log::may_log;
 use crate::context::NodeContext;
-use crate::runner_gate::find_own_block;
 use crate::runner_notices::record_notice;
 
 /// How often it is looked whether runners are to be asked.
@@ -44,24 +44,34 @@
     }
 }
 
-/// The runners that may be asked and may receive new requests, by service.
+/// The runners that may be asked, by service.
 fn reach_members(context: &NodeContext) -> ReachMembers {
     let Some(plan) = context.plan() else { return ReachMembers::new() };
     let mut members = ReachMembers::new();
     let table = context.runners.borrow();
     for entry in table.entries().filter(|entry| plan.services.contains_key(&entry.record.service)) {
-        if may_be_asked(context, entry) {
-            let of_service: &mut BTreeSet<_> =
-                members.entry(entry.record.service.clone()).or_default();
-            of_service.insert(entry.record.incarnation());
+        let runner = entry.record.incarnation();
+        if is_waiting(context, &runner) {
+            continue;
+        }
+        let of_service = members.entry(entry.record.service.clone()).or_default();
+        if is_staying(entry) {
+            of_service.staying.insert(runner);
+        } else {
+            of_service.leaving.insert(runner);
         }
     }
     members
 }
 
-fn may_be_asked(context: &NodeContext, entry: &RunnerEntry) -> bool {
-    let is_staying = entry.removed_at.is_none() && !entry.record.leaving;
-    is_staying && find_own_block(context, &entry.record.incarnation()).is_none()
+/// Whether a runner may receive new requests, as far as it has not asked for a wait.
+fn is_staying(entry: &RunnerEntry) -> bool {
+    entry.removed_at.is_none() && !entry.record.leaving
+}
+
+/// Whether a runner has asked this node to send it nothing for some time.
+fn is_waiting(context: &NodeContext, runner: &RunnerIncarnation) -> bool {
+    context.waits.borrow().end(context.now(), runner).is_some()
 }
 
 /// Asks a runner, and records what that shows.
@@ -90,7 +100,9 @@
 
 fn note_unreached_runner(context: &NodeContext, runner: &RunnerRecord, failure: QuestionFailure) {
     context.metrics.runners_unreached.inc();
-    impairment(context, &runner.service).raise();
+    if !context.runners.borrow().is_leaving(&runner.runner) {
+        impairment(context, &runner.service).raise();
+    }
     if may_log(context) {
         let (runner, service) = (&runner.runner, &runner.service);
         tracing::info!(event = "runner_unreached", %runner, %service, ?failure);
@@ -157,7 +169,8 @@
     let table = context.runners.borrow();
     let others = table
         .entries()
-        .filter(|entry| entry.record.runner != runner.runner && may_be_asked(context, entry));
+        .filter(|entry| entry.record.runner != runner.runner && is_staying(entry))
+        .filter(|entry| !is_waiting(context, &entry.record.incarnation()));
     let mut others: Vec<RunnerRecord> = others.map(|entry| entry.record.clone()).collect();
     let is_own = |other: &RunnerRecord| other.service == runner.service;
     if others.iter().any(is_own) {
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -68,7 +68,7 @@
     ColdPlan, EngineLimits, PlanVersion, RequestLimits, RouteKind, RouteRule, RouteTarget,
     ServicePlan, ServingPlan, TenantRule,
 };
-pub use reach_table::{ReachMembers, ReachQuestion, ReachTable};
+pub use reach_table::{ReachMembers, ReachQuestion, ReachTable, ServiceMembers};
 pub use retry_budget::{BudgetSettings, RetryBudget};
 pub use run_ends::{EndHabit, EndTable};
 pub use run_places::{
--- a/crates/serving/src/reach_table.rs
+++ b/crates/serving/src/reach_table.rs
@@ -16,8 +16,17 @@
 /// Number of such services whose runners are asked in one check.
 const MAX_IDLE_SERVICES: usize = 8;
 
-/// The runners that may receive new requests, by service.
-pub type ReachMembers = BTreeMap<ServiceName, BTreeSet<RunnerIncarnation>>;
+/// The runners of one service that may be asked.
+#[derive(Debug, Clone, Default)]
+pub struct ServiceMembers {
+    /// Those that may receive new requests.
+    pub staying: BTreeSet<RunnerIncarnation>,
+    /// Those that receive none, and may still work on runs.
+    pub leaving: BTreeSet<RunnerIncarnation>,
+}
+
+/// The runners that may be asked, by service.
+pub type ReachMembers = BTreeMap<ServiceName, ServiceMembers>;
 
 /// A runner that is to be asked.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/crates/serving/src/service_reach.rs
+++ b/crates/serving/src/service_reach.rs
@@ -3,6 +3,8 @@
 //! Load pattern: a node is cut off from all or some runners of a service while other services,
 //! callers and other nodes are reached as before. What a call shows comes late, so runners are
 //! asked as soon as calls give a reason to. Only what a runner answers shows that it is reached.
+//!
+//! A runner that leaves counts for nothing but its own runs, which go on elsewhere if it is not reached.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -10,7 +12,7 @@
 use rand::Rng;
 use rand::seq::SliceRandom;
 
-use crate::RunnerIncarnation;
+use crate::{RunnerIncarnation, ServiceMembers};
 
 /// Time without an answer of any runner of the service after which one failure is enough to ask
 /// the others, too.
@@ -91,6 +93,8 @@
     heard_at: Option<TimePoint>,
     /// Runners that may receive new requests; as of the last check.
     members: BTreeSet<RunnerIncarnation>,
+    /// Runners that receive no new requests, and may work on runs; as of the last check.
+    leaving: BTreeSet<RunnerIncarnation>,
     runners: BTreeMap<RunnerIncarnation, RunnerReach>,
     /// Since when no runner is reached; `None` while some are.
     lost_since: Option<TimePoint>,
@@ -227,10 +231,16 @@
         self.wants_round || self.is_lost() || self.runners.values().any(needs_check)
     }
 
-    /// Replaces the runners that may receive new requests.
-    pub fn set_members(&mut self, members: BTreeSet<RunnerIncarnation>) {
-        self.runners.retain(|runner, _| members.contains(runner));
-        self.members = members;
+    /// Replaces the runners that may be asked.
+    pub fn set_members(&mut self, members: ServiceMembers) {
+        let ServiceMembers { staying, leaving } = members;
+        self.runners.retain(|runner, _| staying.contains(runner) || leaving.contains(runner));
+        self.members = staying;
+        self.leaving = leaving;
+    }
+
+    fn is_leaving(&self, runner: &RunnerIncarnation) -> bool {
+        self.leaving.contains(runner)
     }
 
     /// The runners to ask now; they count as asked until [`Self::record_answer`] or
@@ -242,7 +252,7 @@
     ) -> Vec<RunnerIncarnation> {
         let mut chosen =
             if self.is_lost() { self.choose_lost(now, rng) } else { self.choose_due(now, rng) };
-        chosen.retain(|runner| self.members.contains(runner));
+        chosen.retain(|runner| self.members.contains(runner) || self.is_leaving(runner));
         for runner in &chosen {
             let reach = self.reach_of(runner);
             reach.is_asked = true;
@@ -251,27 +261,35 @@
         chosen
     }
 
-    /// Some of the runners, while none is reached.
+    /// Some of the runners, while none is reached, and those that leave if calls give a reason to.
     fn choose_lost(&mut self, now: TimePoint, rng: &mut impl Rng) -> Vec<RunnerIncarnation> {
+        let mut chosen = self.list_due(now);
+        chosen.retain(|runner| self.is_leaving(runner));
         if now < self.next_round {
-            return Vec::new();
+            return chosen;
         }
         self.next_round = now + LOST_PAUSE;
         let mut open = self.unasked_members();
         open.shuffle(rng);
         open.truncate(LOST_QUESTIONS);
-        open
+        chosen.extend(open);
+        chosen
     }
 
-    /// The runners that calls give a reason to ask, those that were not reached, and in rounds also
-    /// others.
-    fn choose_due(&mut self, now: TimePoint, rng: &mut impl Rng) -> Vec<RunnerIncarnation> {
+    /// The runners that calls give a reason to ask, and those that were not reached.
+    fn list_due(&self, now: TimePoint) -> Vec<RunnerIncarnation> {
         let is_due = |reach: &RunnerReach| {
             let has_reason = reach.unreached_since.is_some() || reach.is_suspect(now);
             has_reason && !reach.is_asked && reach.next_question <= now
         };
         let due = self.runners.iter().filter(|(_, reach)| is_due(reach));
-        let mut chosen: Vec<RunnerIncarnation> = due.map(|(runner, _)| runner.clone()).collect();
+        due.map(|(runner, _)| runner.clone()).collect()
+    }
+
+    /// The runners that calls give a reason to ask, those that were not reached, and in rounds also
+    /// others.
+    fn choose_due(&mut self, now: TimePoint, rng: &mut impl Rng) -> Vec<RunnerIncarnation> {
+        let mut chosen = self.list_due(now);
         if self.is_round_due(now) {
             self.next_round = now + ROUND_PAUSE;
             self.wants_round = false;
@@ -287,7 +305,8 @@
     /// Whether runners are to be asked at which no call has failed.
     #[must_use]
     pub fn is_round_due(&self, now: TimePoint) -> bool {
-        let suspects = self.runners.values().filter(|reach| reach.is_suspect(now)).count();
+        let staying = self.runners.iter().filter(|(runner, _)| !self.is_leaving(runner));
+        let suspects = staying.filter(|(_, reach)| reach.is_suspect(now)).count();
         let is_silent = self.is_silent(now, SUSPECT_SPAN);
         let wants_round = self.wants_round || suspects >= 2 || suspects == 1 && is_silent;
         wants_round && !self.is_lost() && now >= self.next_round
@@ -323,6 +342,7 @@
         runner: &RunnerIncarnation,
         failure: QuestionFailure,
     ) -> bool {
+        let is_leaving = self.is_leaving(runner);
         let Some(reach) = self.runners.get_mut(runner) else { return false };
         reach.is_asked = false;
         let is_busy =
@@ -337,8 +357,8 @@
         let [shortest, longest] = UNREACHED_PAUSE_BOUNDS;
         let pause = TimeSpan(now.since(since).0 / UNREACHED_PAUSE_DIVISOR);
         reach.next_question = now + pause.clamp(shortest, longest);
-        // What cuts a node off from one runner often cuts it off from others.
-        self.wants_round |= is_news;
+        // What cuts a node off from one runner often cuts it off from others; one that leaves ends soon.
+        self.wants_round |= is_news && !is_leaving;
         is_news
     }
 
--- a/crates/serving/tests/service_reach.rs
+++ b/crates/serving/tests/service_reach.rs
@@ -1,12 +1,13 @@
 //! Which runners a node takes for out of reach, and when it takes a service for lost.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 
 use base::prelude::*;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use serving::{
-    AnswerNews, QuestionFailure, ReachQuestion, ReachTable, RunnerIncarnation, ServiceShare,
+    AnswerNews, QuestionFailure, ReachMembers, ReachQuestion, ReachTable, RunnerIncarnation,
+    ServiceMembers, ServiceShare,
 };
 
 fn at(millis: u64) -> TimePoint {
@@ -24,7 +25,7 @@
 /// A table, and the runners that it is checked with.
 struct Checked {
     reach: ReachTable,
-    members: BTreeMap<ServiceName, BTreeSet<RunnerIncarnation>>,
+    members: ReachMembers,
     rng: StdRng,
 }
 
@@ -32,16 +33,29 @@
     /// Services with numbers of runners, all of which answered at one second.
     fn new(services: &[(&str, usize)]) -> Self {
         let mut reach = ReachTable::default();
-        let mut members: BTreeMap<ServiceName, BTreeSet<RunnerIncarnation>> = BTreeMap::new();
+        let mut members = ReachMembers::new();
         for (name, count) in services {
             for number in 0..*count {
                 reach.record_answer(at(1_000), &service(name), &runner(name, number));
-                members.entry(service(name)).or_default().insert(runner(name, number));
+                members.entry(service(name)).or_default().staying.insert(runner(name, number));
             }
         }
         Self { reach, members, rng: StdRng::seed_from_u64(1) }
     }
 
+    /// `staying` is the only runner of a service from now on.
+    fn set_staying(&mut self, name: &str, staying: &RunnerIncarnation) {
+        let staying = BTreeSet::from([staying.clone()]);
+        self.members.insert(service(name), ServiceMembers { staying, ..ServiceMembers::default() });
+    }
+
+    /// A runner leaves.
+    fn leave(&mut self, name: &str, number: usize) {
+        let members = self.members.get_mut(&service(name)).unwrap();
+        members.staying.remove(&runner(name, number));
+        members.leaving.insert(runner(name, number));
+    }
+
     fn fail(&mut self, name: &str, number: usize) {
         self.reach.record_failure(&service(name), &runner(name, number));
     }
@@ -318,10 +332,28 @@
     let questions = checked.ask(2_000);
     checked.end_unconnected(2_250, 2_000, &questions);
     let started = RunnerIncarnation { started_unix_ms: 2, ..runner("desk", 0) };
-    checked.members.insert(service("desk"), BTreeSet::from([started.clone()]));
+    checked.set_staying("desk", &started);
     let questions = checked.ask(2_500);
     assert_eq!(questions.len(), 1);
     assert!(checked.reach.is_lost(&service("desk")));
     checked.reach.record_answer(at(2_510), &service("desk"), &started);
     assert!(!checked.reach.is_lost(&service("desk")));
 }
+
+/// Guards against LOST: a stream at a leaving runner that is not reached is never looked into.
+#[test]
+fn a_leaving_runner_at_which_a_stream_is_silent_is_asked_and_counts_as_not_reached() {
+    let mut checked = Checked::new(&[("llm", 3)]);
+    checked.leave("llm", 0);
+    checked.fail("llm", 0);
+    let questions = checked.ask(2_000);
+    assert_eq!(
+        questions.iter().map(|asked| asked.runner.clone()).collect::<Vec<_>>(),
+        [runner("llm", 0)]
+    );
+    checked.end_silent(2_250, 2_000, &questions, QuestionFailure::Silent);
+    assert!(checked.reach.is_unreached(&service("llm"), &runner("llm", 0)));
+    // It takes no new requests, so it counts neither for its service nor as a reason to ask others.
+    assert!(checked.reach.update().0.is_empty());
+    assert!(checked.ask(2_300).is_empty());
+}
