End the wait for an order once its runner answers only other nodes

What callers saw: a stream whose runner leaves and is to stop the run gets nothing for 2.5 s at a time, and is cut at its deadline.

Cause: after the order to stop a run the node waited for its answer, or for the end of the stream, with no other end than the limit of a copy (2.5 s); it then kept the source and ordered again. A stopped run whose next runner gave no answer waited for the order in the same way, and the next runner, which may have taken the run, was not looked for at another node.

Now a source that is silent and has not answered the order for 100 ms is asked, here and at other nodes. If it answers only another node, the connection to the next runner is used as for any other silent source (`LeaveSilentSource`). A stopped run that goes on nowhere from here goes on through another node: first where the next runner may have it. A copy that is on its way from a source that has been replaced is dropped. Line and outcome: `order_silent`.

--- a/crates/node/src/streams/run_stop.rs
+++ b/crates/node/src/streams/run_stop.rs
@@ -12,12 +12,13 @@
 use futures_util::{FutureExt, select_biased};
 use hyper::body::Bytes;
 use platform::ResumeSource;
-use serving::{EndHabit, SendOutcome};
+use serving::{AnswerPlace, EndHabit, SendOutcome};
 use web::{WebConnection, WebExchange};
 
 use super::stream_backup::choose_backup;
 use super::stream_copy::{CopyTask, RunCopy};
 use super::stream_handover::{HandoverStep, caller_disconnected, describe_loss};
+use super::stream_places::{QUESTION_PAUSE, RunnerQuestion, ask_runner};
 use super::stream_pump::{PumpStep, StreamPump};
 use crate::call::RunPlace;
 use crate::call_log::RequestOutcome;
@@ -29,6 +30,8 @@
 const CLOSE_TIME: TimeSpan = TimeSpan::millis(400);
 /// Time for which a run that has lost its stream waits for the answer to the order.
 const ANSWER_TIME: TimeSpan = TimeSpan::millis(500);
+/// Silence of a source that has not answered the order, after which it is found out where it answers.
+const ORDER_SILENCE: TimeSpan = TimeSpan::millis(100);
 /// Time for which a stopped run waits for a runner to go on with it. A runner that has its memory
 /// answers with its next step.
 const HEAD_TIME: TimeSpan = TimeSpan::millis(250);
@@ -56,6 +59,8 @@
     Answered(StopAnswer),
     /// The stream should have closed, or the order been answered.
     Overdue,
+    /// Where the source answers, that has not answered the order.
+    Asked(AnswerPlace),
     /// Data of the stream, an error, or the end of the body.
     Frame(Option<Result<Bytes, hyper::Error>>),
 }
@@ -68,6 +73,8 @@
     Kept,
     /// The source goes on with the run, since the order found no room for the rest of its copy.
     NoRoom,
+    /// The source answers another node, and not this one: it may have stopped the run.
+    CutOff,
     /// The stream has ended.
     End(PumpStep),
 }
@@ -78,6 +85,9 @@
     Done(HandoverStep),
     /// The run was not stopped for want of room. The connection to the next runner is still unused.
     NoRoom(WebConnection),
+    /// The source is cut off from this node, and may have stopped the run. The connection to the next
+    /// runner is still unused.
+    CutOff(WebConnection),
 }
 
 impl StreamPump {
@@ -95,6 +105,7 @@
         let answer = match self.wait_for_stop(&mut order).await {
             StopEnd::Stopped(answer) => answer,
             StopEnd::NoRoom if self.ends_by_close() => return OrderedStep::NoRoom(connection),
+            StopEnd::CutOff => return OrderedStep::CutOff(connection),
             StopEnd::Kept | StopEnd::NoRoom => {
                 self.count_move("kept");
                 return OrderedStep::Done(HandoverStep::Kept);
@@ -112,8 +123,14 @@
                 resumed = resuming => resumed,
             }
         };
-        let Some((plan, exchange)) = resumed else {
-            return OrderedStep::Done(HandoverStep::Refused(SendOutcome::Unknown));
+        let (plan, exchange) = match resumed {
+            Ok(resumed) => resumed,
+            Err(lost) => {
+                let next_may_run = lost.contains(&plan.runner.runner);
+                let through_node = Box::pin(self.go_on_through_node(&plan, next_may_run)).await;
+                let refused = HandoverStep::Refused(SendOutcome::Unknown);
+                return OrderedStep::Done(through_node.map_or(refused, HandoverStep::End));
+            }
         };
         if plan.purpose == SendPurpose::Return {
             let tries = self.tries;
@@ -136,6 +153,7 @@
     /// Forwards the source until it has stopped the run as ordered, or is known to go on with it.
     async fn wait_for_stop(&mut self, order: &mut CopyTask) -> StopEnd {
         let mut answer: Option<StopAnswer> = None;
+        let mut question = self.ask_source(ORDER_SILENCE);
         let mut due = None;
         let mut has_gone_on = false;
         // Whether the body was closed where it might have ended.
@@ -162,7 +180,7 @@
                 }
                 _ => (),
             }
-            match self.next_stop_input(order, answer.is_none(), due).await {
+            match self.next_stop_input(order, &mut question, answer.is_none(), due).await {
                 StopInput::CallerDisconnected => return StopEnd::End(caller_disconnected()),
                 StopInput::Answered(result) => {
                     due = result.is_ok().then(|| self.context.now() + CLOSE_TIME);
@@ -175,7 +193,15 @@
                     return StopEnd::Kept;
                 }
                 StopInput::Overdue => self.source.close(),
+                StopInput::Asked(place) => {
+                    self.log_unanswered_order(&place);
+                    if matches!(place, AnswerPlace::OtherNode(_)) && !self.source.ended {
+                        return StopEnd::CutOff;
+                    }
+                    question = self.ask_source(QUESTION_PAUSE);
+                }
                 StopInput::Frame(Some(Ok(bytes))) => {
+                    question = self.ask_source(ORDER_SILENCE);
                     has_gone_on |= answer.is_some();
                     self.record_activity(self.context.now());
                     if let end @ PumpStep::End(..) = self.forward_events(&bytes).await {
@@ -200,11 +226,13 @@
     async fn next_stop_input(
         &mut self,
         order: &mut CopyTask,
+        question: &mut RunnerQuestion,
         is_open: bool,
         due: Option<TimePoint>,
     ) -> StopInput {
         let now = self.context.now();
         let answered = async { if is_open { order.await } else { pending().await } };
+        let asked = async { if is_open { question.await } else { pending().await } };
         let overdue = async {
             match due {
                 Some(due) => kernel::sleep(due.since(now).into()).await,
@@ -213,27 +241,50 @@
         };
         let mut disconnected = pin!(self.caller.disconnected.wait().fuse());
         let (mut answered, mut overdue) = (pin!(answered.fuse()), pin!(overdue.fuse()));
+        let mut asked = pin!(asked.fuse());
         let mut frame = pin!(self.source.next_frame().fuse());
         select_biased! {
             () = disconnected => StopInput::CallerDisconnected,
             frame = frame => StopInput::Frame(frame),
             answer = answered => StopInput::Answered(answer),
+            place = asked => StopInput::Asked(place),
             () = overdue => StopInput::Overdue,
         }
     }
 
+    /// Finds out after a pause where the source answers.
+    fn ask_source(&self, pause: TimeSpan) -> RunnerQuestion {
+        ask_runner(&self.context, &self.source.runner, pause)
+    }
+
+    /// Waits for the answer to an order. `None` if the source answers another node, and not this one.
+    async fn await_order(&self, mut order: CopyTask) -> Option<StopAnswer> {
+        let mut question = self.ask_source(ORDER_SILENCE);
+        loop {
+            let place = select_biased! {
+                answer = (&mut order).fuse() => return Some(answer),
+                place = (&mut question).fuse() => place,
+            };
+            self.log_unanswered_order(&place);
+            if matches!(place, AnswerPlace::OtherNode(_)) {
+                return None;
+            }
+            question = self.ask_source(QUESTION_PAUSE);
+        }
+    }
+
     /// Sends the request to the runners that have the memory of the stopped run, until one goes on with
-    /// it: first as `plan` says, then where the order has left it. Returns the send and its answer.
+    /// it: first as `plan` says, then where the order has left it. Returns the send and its answer, or the
+    /// runners that may have taken the run and gave no answer.
     async fn resume_stopped(
         &mut self,
         plan: &SendPlan,
         connection: WebConnection,
         order: CopyTask,
         answer: Option<StopAnswer>,
-    ) -> Option<(SendPlan, WebExchange)> {
+    ) -> Result<(SendPlan, WebExchange), Vec<RunnerId>> {
         let mut connection = Some(connection);
         let mut plans = vec![plan.clone()];
-        // Runners that may have taken the run and gave no answer.
         let mut lost: Vec<RunnerId> = Vec::new();
         let mut order = answer.is_none().then_some(order);
         let mut copy = answer.and_then(|answer| self.add_stopped(&mut plans, plan, answer));
@@ -253,7 +304,7 @@
                         if let Some(copy) = copy.filter(|copy| used == Some(&copy.handle)) {
                             copy.keep();
                         }
-                        return Some((next, exchange));
+                        return Ok((next, exchange));
                     }
                     Err(failure) => {
                         self.note_refusal(&next, &failure.reason);
@@ -263,13 +314,13 @@
                     }
                 }
                 if let Some(order) = order.take()
-                    && let Ok(run) = order.await
+                    && let Some(Ok(run)) = self.await_order(order).await
                 {
                     copy = self.add_stopped(&mut plans, plan, Ok(run));
                 }
             }
         }
-        None
+        Err(lost)
     }
 
     /// Adds the places where an order has left the memory of the run: the runner of `plan`, if it has
--- a/crates/node/src/streams/stream_handover.rs
+++ b/crates/node/src/streams/stream_handover.rs
@@ -57,7 +57,7 @@
         &mut self,
         mut plan: SendPlan,
         how: &'static str,
-        rule: OverlapRule,
+        mut rule: OverlapRule,
     ) -> HandoverStep {
         let ends_by_order = rule == OverlapRule::KeepSource && self.is_ended_by_order();
         if ends_by_order && !(self.follows_orders() && self.may_leave_again()) {
@@ -77,6 +77,10 @@
             connection = match ordered {
                 OrderedStep::Done(step) => return step,
                 OrderedStep::NoRoom(connection) => connection,
+                OrderedStep::CutOff(connection) => {
+                    rule = OverlapRule::LeaveSilentSource;
+                    connection
+                }
             };
         }
         match &mut plan.resume {
@@ -159,6 +163,8 @@
         self.close_source();
         self.stays = false;
         self.move_requested = false;
+        // What is being copied is the run at the old source.
+        self.pending_move = None;
         let place = if source.is_relayed {
             RunPlace::OtherNode
         } else {
--- a/crates/node/src/streams/stream_overlap.rs
+++ b/crates/node/src/streams/stream_overlap.rs
@@ -17,7 +17,7 @@
 use web::{ReadCharge, WebConnection, WebExchange};
 
 use super::stream_handover::describe_loss;
-use super::stream_places::{NextQuestion, ask_next};
+use super::stream_places::{RunnerQuestion, ask_next};
 use super::stream_pump::StreamPump;
 use crate::context::NodeContext;
 use crate::run_end_watch::OpenRun;
@@ -174,7 +174,7 @@
     async fn next_overlap_input(
         &mut self,
         mut send: Pin<&mut impl FusedFuture<Output = Result<WebExchange, SendFailure>>>,
-        question: &mut NextQuestion,
+        question: &mut RunnerQuestion,
         due: Option<TimePoint>,
     ) -> OverlapInput {
         let overlap_end = due.filter(|_| !self.source.ended);
--- a/crates/node/src/streams/stream_places.rs
+++ b/crates/node/src/streams/stream_places.rs
@@ -21,20 +21,29 @@
 /// Time in which a runner that has the memory of a run answers.
 const USUAL_ANSWER: TimeSpan = TimeSpan::millis(50);
 /// Pause until a runner that does not answer is asked again.
-const QUESTION_PAUSE: TimeSpan = TimeSpan::millis(250);
+pub(super) const QUESTION_PAUSE: TimeSpan = TimeSpan::millis(250);
 
-/// A question to a next runner, in progress.
-pub(super) type NextQuestion = Pin<Box<dyn Future<Output = AnswerPlace>>>;
+/// A question to a runner, in progress.
+pub(super) type RunnerQuestion = Pin<Box<dyn Future<Output = AnswerPlace>>>;
 
 /// Asks the next runner where it answers: first after the usual time of an answer, then again and again.
 pub(super) fn ask_next(
     context: &Rc<NodeContext>,
     runner: &RunnerRecord,
     is_first: bool,
-) -> NextQuestion {
+) -> RunnerQuestion {
+    ask_runner(context, runner, if is_first { USUAL_ANSWER } else { QUESTION_PAUSE })
+}
+
+/// Asks a runner after a pause where it answers.
+pub(super) fn ask_runner(
+    context: &Rc<NodeContext>,
+    runner: &RunnerRecord,
+    pause: TimeSpan,
+) -> RunnerQuestion {
     let (context, runner) = (Rc::clone(context), runner.clone());
     Box::pin(async move {
-        kernel::sleep(if is_first { USUAL_ANSWER } else { QUESTION_PAUSE }.into()).await;
+        kernel::sleep(pause.into()).await;
         find_answer_place(&context, &runner).await
     })
 }
@@ -58,6 +67,21 @@
         );
     }
 
+    /// Logs and counts what was found out about a source that does not answer the order to stop a run.
+    pub(super) fn log_unanswered_order(&self, place: &AnswerPlace) {
+        self.count_move("order_silent");
+        if !may_log(&self.context) {
+            return;
+        }
+        tracing::info!(
+            event = "order_silent",
+            request = %self.call.attempt,
+            runner = %self.source.runner.runner,
+            answered = place.as_str(),
+            left_ms = self.call.deadline.since(self.context.now()).as_millis(),
+        );
+    }
+
     /// Goes on through another node that reaches the runner of `plan`, or the source. That runner may
     /// have taken the run if `next_may_run`. Returns `None` if the run goes on at no place.
     pub(super) async fn go_on_through_node(
