Know at the end of a second whether a silent source answers other nodes

Cause: not load. What is known about the source counts for 250 ms, and the next question begins only after that and takes 250 ms more. If the second ends in between, the stream waits for it: 1.0 to 1.28 s by chance.

Now the next question follows the last one at once while the stream can neither move nor be broken off, and an answer counts for the time of two.

--- a/crates/node/src/streams/stream_silence.rs
+++ b/crates/node/src/streams/stream_silence.rs
@@ -41,6 +41,8 @@
 const LOOK_PAUSE: TimeSpan = TimeSpan::millis(25);
 /// Pause until a silent source is checked again after it could be connected to.
 const CHECK_PAUSE: TimeSpan = TimeSpan::millis(250);
+/// Age up to which it counts that a source has answered another node: the time of two questions.
+const MAX_ANSWER_AGE: TimeSpan = TimeSpan::millis(500);
 /// Time in which a runner that is reached accepts a connection.
 const USUAL_CONNECT: TimeSpan = TimeSpan::millis(8);
 /// Reason of a stream that ends since its runner is not reached.
@@ -169,7 +171,7 @@
             return self.run_beside_source(plan).await;
         }
         let answered = self.activity.others_answered.as_ref();
-        let answered = answered.filter(|(at, _)| now.since(*at) < CHECK_PAUSE);
+        let answered = answered.filter(|(at, _)| now.since(*at) < MAX_ANSWER_AGE);
         let Some(node) = answered.map(|(_, node)| node.clone()) else {
             self.begin_question();
             return PumpStep::Continue;
@@ -181,6 +183,8 @@
         if is_cut_off(&self.context, &self.call.service) && silence >= UNSAVED_SILENCE {
             return self.leave_silent().await;
         }
+        // What is known is to be recent when the silence has lasted long enough.
+        self.begin_question();
         PumpStep::Continue
     }
 
