Keep where a stopped run goes on in a module of its own

The second half is run_return.rs now: the places that have the memory of a stopped run, and the limits of a return.

--- a/crates/node/src/streams/mod.rs
+++ b/crates/node/src/streams/mod.rs
@@ -1,6 +1,7 @@
 //! Stream calls: finding a runner, relaying its events, and going on elsewhere when it leaves, is lost
 //! or falls silent.
 
+mod run_return;
 mod run_stop;
 mod stream_backup;
 mod stream_call;
