Go on with a stream when the node that it comes through is lost or silent

What callers saw: a node that is cut off from a runner has another node take the run, and reads it there. When that node was killed, the caller's connection was broken off at once, though the node had made a copy of the run and a third node reached it. When it fell silent (frozen, or its link cut), nothing came until the deadline of the stream, and then the connection was broken off, though the runner worked on.

Cause: nothing watched a relayed source (`silence_due` leaves it to the other node), and the asking node did not know where the run was after another one had taken it: its source was still the runner that it had lost, without a copy.

The mend: the answer of a node that takes a run says which runner works on it and which one keeps a copy (`X-Yard-Site-Runner`, `X-Yard-Site-Copy`, named in `Connection`, so that no build passes them on; without them as before). A silent node is asked after 250 ms. `decide_relay` (serving, no I/O) follows from the answer: one that answers looks after its runner; while one does not answer, a further node stops the run and moves it, and the silent one is read until then; one that is lost, or silent for 1.5 s, is left. Where the run goes on is the list of `list_node_places`, as for all others: a run that may work at its source is stopped before its copy is used.

Why it holds for a node that is silent for a moment: the run is ended by the order before it goes on, the node is read until another one has taken it, and events that come again are skipped.

Evidence: node_relay_loss, four tests. Two lines of stream_silence.rs are changed: fields of `SourceActivity` that the new module reads.

Open: a node that has taken a run and is cut off only from the node that asked goes on from its copy when that one has the run moved.

--- /dev/null
+++ b/crates/harness/tests/node_relay_loss.rs
@@ -0,0 +1,157 @@
+//! Streams that come through another node, when that one is killed or falls silent.
+
+mod service_fleet;
+
+use std::cell::Cell;
+use std::pin::pin;
+use std::time::{Duration, Instant};
+
+use compio::time::sleep;
+use fakes::platform::RunnerFakeSettings;
+use futures_util::future::{Either, join, select};
+use harness::{CallerRequest, LinkState};
+use http_body_util::BodyExt;
+use rustix::process::Signal;
+use serde_json::json;
+use service_fleet::{CUT, NODES, RUNNERS, ServiceFleet, take_turn};
+
+/// Events of a stream, one in 20 ms.
+const EVENTS: u64 = 250;
+/// Time from the begin of the stream to the cut.
+const CUT_AFTER: Duration = Duration::from_secs(1);
+/// Time from then until the other node is lost; the run has ended where it was before.
+const LOST_AFTER: Duration = Duration::from_millis(1_500);
+/// Longest pause: the one that a route allows on the users' platform (180 ms), and a second.
+const MAX_PAUSE: Duration = Duration::from_millis(1_180);
+/// How long a sound node may be silent.
+const SILENCE: Duration = Duration::from_millis(1_200);
+/// How long two runners may work on one request.
+const MAX_OVERLAP: Duration = Duration::from_millis(400);
+/// How often the runs at work are counted.
+const COUNT_PAUSE: Duration = Duration::from_millis(5);
+
+/// What a caller saw of a stream.
+#[derive(Debug)]
+struct SeenStream {
+    ids: Vec<u64>,
+    is_whole: bool,
+    longest_pause: Duration,
+}
+
+impl SeenStream {
+    fn has_all(&self) -> bool {
+        self.is_whole && self.ids.iter().copied().eq(1..=EVENTS)
+    }
+}
+
+/// What is done to the other node: signals, each some time after the one before.
+type Signals<'a> = &'a [(Duration, Signal)];
+
+async fn read_stream(services: &ServiceFleet, request: &CallerRequest) -> SeenStream {
+    let mut body = services.fleet.open(CUT, request).await.unwrap().into_body();
+    let (mut text, mut is_whole) = (String::new(), true);
+    let (mut last, mut longest_pause) = (Instant::now(), Duration::ZERO);
+    while let Some(frame) = body.frame().await {
+        longest_pause = longest_pause.max(last.elapsed());
+        last = Instant::now();
+        let Ok(frame) = frame else {
+            is_whole = false;
+            break;
+        };
+        text.push_str(&String::from_utf8_lossy(&frame.into_data().unwrap_or_default()));
+    }
+    let ids = text.lines().filter_map(|line| line.strip_prefix("id: ")?.parse().ok());
+    SeenStream { ids: ids.collect(), is_whole, longest_pause }
+}
+
+/// The node that the stream of the cut-off node comes through.
+async fn find_relay(services: &ServiceFleet) -> usize {
+    let how = json!("relayed");
+    services.fleet.wait_event(CUT, "runner_changed_over", "how", &how).await.unwrap();
+    let lines = services.fleet.nodes[CUT].events("runner_changed_over");
+    let node = lines.iter().find(|line| line["how"] == how).map(|line| line["node"].clone());
+    (0..NODES).find(|number| node == Some(json!(format!("node-{number}")))).unwrap()
+}
+
+/// Waits until two runners have worked on the stream for longer than they may, since the other node
+/// `is_lost`.
+async fn wait_overlap(services: &ServiceFleet, is_lost: &Cell<bool>) {
+    let mut last_alone = Instant::now();
+    while last_alone.elapsed() <= MAX_OVERLAP {
+        sleep(COUNT_PAUSE).await;
+        let working: usize = services.runners.iter().map(|linked| linked.runner.working()).sum();
+        if working <= 1 || !is_lost.get() {
+            last_alone = Instant::now();
+        }
+    }
+}
+
+/// Cuts a node off from the runners of a stream; it goes on through another node, which gets `signals`.
+async fn lose_relay(
+    services: &ServiceFleet,
+    request: &CallerRequest,
+    signals: Signals<'_>,
+) -> SeenStream {
+    let is_lost = Cell::new(false);
+    let lose = async {
+        sleep(CUT_AFTER).await;
+        services.set("llm", usize::from(RUNNERS), LinkState::Lost);
+        let relay = find_relay(services).await;
+        for (delay, signal) in signals {
+            sleep(*delay).await;
+            services.fleet.nodes[relay].signal(*signal).unwrap();
+            is_lost.set(true);
+        }
+    };
+    let read = pin!(join(read_stream(services, request), lose));
+    match select(read, pin!(wait_overlap(services, &is_lost))).await {
+        Either::Left(((stream, ()), _)) => stream,
+        Either::Right(_) => panic!("two runners for longer than {MAX_OVERLAP:?}"),
+    }
+}
+
+fn long_streams(settings: &mut RunnerFakeSettings) {
+    settings.events = EVENTS;
+    settings.event_pause = Duration::from_millis(20);
+}
+
+/// A stream has to end whole after `signals` to its other node.
+fn check_whole(request: &CallerRequest, signals: Signals<'_>, max_pause: Duration) {
+    let _turn = take_turn();
+    kernel::run(async {
+        let services = ServiceFleet::start(long_streams).await;
+        let stream = lose_relay(&services, request, signals).await;
+        assert!(stream.has_all(), "{stream:?}");
+        assert!(stream.longest_pause <= max_pause, "{stream:?}");
+        assert_eq!(services.most_runs(), 1);
+    })
+    .unwrap();
+}
+
+fn without_copy() -> CallerRequest {
+    CallerRequest::stream("s1").with("x-dotterelyard-length-hint", "10")
+}
+
+/// Guards against LOST: the copy that the lost node had made is not used.
+#[test]
+fn a_stream_goes_on_from_its_copy_after_the_node_that_it_came_through_is_killed() {
+    check_whole(&CallerRequest::stream("s1"), &[(LOST_AFTER, Signal::KILL)], MAX_PAUSE);
+}
+
+/// Guards against LOST: nobody looks after the node that a stream comes through.
+#[test]
+fn a_stream_is_not_silent_until_its_deadline_when_the_node_that_it_comes_through_is() {
+    check_whole(&without_copy(), &[(LOST_AFTER, Signal::STOP)], MAX_PAUSE);
+}
+
+#[test]
+fn a_stream_with_a_copy_is_not_silent_until_its_deadline_when_its_other_node_is() {
+    check_whole(&CallerRequest::stream("s1"), &[(LOST_AFTER, Signal::STOP)], MAX_PAUSE);
+}
+
+/// A sound node may be silent for a moment: no event may come twice, and no second runner work for long.
+#[test]
+fn a_stream_comes_once_and_whole_when_its_other_node_is_silent_for_a_moment() {
+    let signals = [(LOST_AFTER, Signal::STOP), (SILENCE, Signal::CONT)];
+    check_whole(&CallerRequest::stream("s1"), &signals, SILENCE + MAX_PAUSE);
+}
--- a/crates/node/src/forward/call_forward.rs
+++ b/crates/node/src/forward/call_forward.rs
@@ -10,7 +10,7 @@
 use std::rc::Rc;
 
 use base::prelude::*;
-use serving::{ForwardSource, ForwardState, ReachShare};
+use serving::{ForwardFailure, ForwardSource, ForwardState, ReachShare};
 use web::{ConnectionCloser, WebExchange, WebResponse};
 
 use super::choice::{choose_among_peers, choose_target, find_target, own_source};
@@ -62,6 +62,13 @@
     }
 }
 
+/// Offers nothing to a node for a moment: its connection has ended, or it is silent.
+pub fn leave_out_node(context: &NodeContext, call: &Call, node: &VmId) {
+    let Some(target) = find_target(context, node) else { return };
+    let (now, failure) = (context.now(), ForwardFailure::Unconnected);
+    context.forwards.borrow_mut().record_failure(now, &target, &call.service, failure);
+}
+
 /// How a round of offers of a run ended.
 enum RoundEnd {
     /// A node has taken the run.
--- a/crates/node/src/forward/mod.rs
+++ b/crates/node/src/forward/mod.rs
@@ -7,15 +7,17 @@
 mod offer;
 mod relay;
 mod resumed_run;
+mod run_site;
 mod run_trace;
 mod stop;
 
-pub use call_forward::{TakenResume, offer_resume, try_forward};
+pub use call_forward::{TakenResume, leave_out_node, offer_resume, try_forward};
 pub use forwarded_calls::{
     FORWARD_FINGERPRINT, FORWARD_PATH, RESUME_PATH, answer_forwarded, answer_resumed,
 };
 pub use offer::ResumeOffer;
 pub use relay::relay_response;
 pub use resumed_run::resume_run;
+pub use run_site::RunSite;
 pub use run_trace::ResumeRefusal;
 pub use stop::{ServingStop, unless_lost, unless_unreached, unreached_failure};
--- a/crates/node/src/reach/mod.rs
+++ b/crates/node/src/reach/mod.rs
@@ -7,7 +7,7 @@
 
 pub use reach_question::{
     ANSWERS_PATH, REACH_PATH, answer_answers, answer_reach, answers_other_nodes, connects_quickly,
-    find_answering_node, find_reaching_node,
+    find_answering_node, find_reaching_node, node_answers,
 };
 pub use reach_watch::{reaches_service, watch_reach};
 pub use records::{
--- a/crates/node/src/streams/mod.rs
+++ b/crates/node/src/streams/mod.rs
@@ -11,6 +11,7 @@
 mod stream_overlap;
 mod stream_places;
 mod stream_pump;
+mod stream_relay;
 mod stream_resume;
 mod stream_silence;
 mod stream_source;
--- a/crates/node/src/streams/stream_call.rs
+++ b/crates/node/src/streams/stream_call.rs
@@ -24,7 +24,7 @@
 use crate::call_log::{log_send, log_send_failure};
 use crate::context::NodeContext;
 use crate::crash_watch::record_full_answer;
-use crate::forward::{ResumeOffer, offer_resume, relay_response, try_forward};
+use crate::forward::{ResumeOffer, RunSite, offer_resume, relay_response, try_forward};
 use crate::hedged_call::{RaceEnd, SendEnd, may_hedge, race_stream};
 use crate::reach::is_unreached;
 use crate::route_ticket::RouteTicket;
@@ -232,8 +232,11 @@
     router: &Rc<RouterService>,
     parts: StreamParts,
     closer: ConnectionCloser,
-    head: Response<()>,
+    mut head: Response<()>,
 ) -> WebResponse {
+    if parts.call.forwards.borrow().is_forwarded() {
+        RunSite::of_source(&parts.source).write(head.headers_mut());
+    }
     let waited = context.now().since(parts.call.arrived);
     context.metrics.first_byte_time.observe(waited.as_seconds());
     let (caller, body) = open_caller_side(closer);
--- a/crates/node/src/streams/stream_handover.rs
+++ b/crates/node/src/streams/stream_handover.rs
@@ -168,6 +168,7 @@
         self.source = source;
         self.activity = SourceActivity::new(self.context.now());
         self.pending_check = None;
+        self.pending_question = None;
     }
 
     /// Connects to the next runner; meanwhile the source is forwarded as before. Returns `Err`
--- a/crates/node/src/streams/stream_offer.rs
+++ b/crates/node/src/streams/stream_offer.rs
@@ -15,9 +15,8 @@
 use super::stream_source::StreamSource;
 use crate::call_log::RequestOutcome;
 use crate::context::NodeContext;
-use crate::forward::{ResumeOffer, TakenResume, offer_resume};
+use crate::forward::{ResumeOffer, RunSite, TakenResume, offer_resume};
 use crate::reach::answers_other_nodes;
-use crate::runner_send::SendPlan;
 
 /// Whether a runner answers another node now.
 async fn answers_other_node(context: &NodeContext, runner: &RunnerId) -> bool {
@@ -78,8 +77,9 @@
         self.scanner.skip_repeats();
         // The other node counts the call from now on.
         self.ticket.end(CallEnd::Cancelled);
-        let plan = SendPlan::first(self.source.runner.clone(), None);
-        self.replace_source(StreamSource::relayed(&plan, taken.exchange));
+        let TakenResume { node, exchange } = taken;
+        let plan = self.plan_at_site(RunSite::read(exchange.response.headers()));
+        self.replace_source(StreamSource::relayed(&plan, exchange, node));
         Some(PumpStep::Continue)
     }
 
--- a/crates/node/src/streams/stream_places.rs
+++ b/crates/node/src/streams/stream_places.rs
@@ -7,7 +7,8 @@
 use base::prelude::*;
 use futures_util::{FutureExt, select_biased};
 use serving::{
-    AnswerPlace, NodePlace, PlaceFacts, RunnerRecord, WaitDecision, WaitFacts, list_node_places,
+    AnswerPlace, NodePlace, PlaceFacts, RunnerRecord, SourceRun, WaitDecision, WaitFacts,
+    list_node_places,
 };
 
 use super::stream_handover::caller_disconnected;
@@ -68,7 +69,7 @@
         let facts = PlaceFacts {
             next_may_run: next_may_run && self.call.supports_moves,
             has_memory: plan.resume.is_some(),
-            source_may_run: self.may_move_from_source(),
+            source: self.source_run(),
         };
         for place in list_node_places(facts) {
             let last_event_id = self.scanner.last_id();
@@ -92,6 +93,14 @@
         None
     }
 
+    fn source_run(&self) -> SourceRun {
+        match (self.may_move_from_source(), self.source.is_relayed) {
+            (false, _) => SourceRun::NotMoved,
+            (true, false) => SourceRun::MayRun,
+            (true, true) => SourceRun::Works,
+        }
+    }
+
     /// Whether another node may still be asked to move the run away from its source.
     pub(super) fn may_move_from_source(&self) -> bool {
         self.call.supports_moves && !self.move_requested
--- a/crates/node/src/streams/stream_pump.rs
+++ b/crates/node/src/streams/stream_pump.rs
@@ -13,6 +13,7 @@
 
 use super::stream_copy::RunCopy;
 use super::stream_move::{MAX_SWITCH_TRIES, PendingMove};
+use super::stream_relay::NodeQuestion;
 use super::stream_resume::StreamAttempts;
 use super::stream_silence::{CheckFuture, SourceActivity, SourceCheck};
 use super::stream_source::{CallerSide, StreamPace, StreamSource};
@@ -41,6 +42,8 @@
     SourceSilent,
     /// It is known who reaches the runners of a silent stream.
     SourceChecked(SourceCheck),
+    /// Whether the node that a silent stream comes through has answered.
+    NodeAsked(bool),
     /// Copying the run's memory to another runner has ended.
     Moved(platform::Result<RunCopy>),
     /// Data of the stream, an error, or the end of the body.
@@ -97,6 +100,8 @@
     pub(crate) returned_at: Option<TimePoint>,
     /// The check of a silent source that is in progress.
     pub(crate) pending_check: Option<CheckFuture>,
+    /// The question to the node that a silent stream comes through.
+    pub(crate) pending_question: Option<NodeQuestion>,
     pace: StreamPace,
     _active: RequestGuard,
 }
@@ -131,6 +136,7 @@
             leaving_since: None,
             returned_at: None,
             pending_check: None,
+            pending_question: None,
             pace: StreamPace::default(),
             _active: context.track_request(),
         }
@@ -148,6 +154,8 @@
                 }
                 PumpInput::RunnerLeaving => self.handle_leaving_runner(),
                 PumpInput::SwitchDue => self.leave_source().await,
+                PumpInput::SourceSilent if self.source.is_relayed => self.ask_relay(),
+                PumpInput::NodeAsked(answers) => self.follow_relay(answers).await,
                 PumpInput::SourceSilent => self.handle_silence().await,
                 PumpInput::SourceChecked(check) => self.finish_check(check).await,
                 PumpInput::Moved(outcome) => self.finish_move(outcome).await,
@@ -171,10 +179,11 @@
             && (self.call.supports_moves || self.source.backup.is_some());
         let switch_at = self.source.switch_at.filter(|_| self.pending_move.is_none());
         let leaving = self.ticket.leaving();
-        let silence_due = self.silence_due();
+        let silence_due = self.silence_due().or_else(|| self.relay_due());
         let source = &mut self.source;
         let pending_move = &mut self.pending_move;
         let pending_check = &mut self.pending_check;
+        let pending_question = &mut self.pending_question;
         let frame = source.next_frame();
         let moved = async {
             match pending_move {
@@ -188,6 +197,12 @@
                 None => pending().await,
             }
         };
+        let asked = async {
+            match pending_question {
+                Some(question) => question.await,
+                None => pending().await,
+            }
+        };
         let runner_leaving =
             async { if may_switch { leaving.wait().await } else { pending().await } };
         let switch_due = async {
@@ -206,7 +221,7 @@
         let (mut frame, mut moved) = (pin!(frame.fuse()), pin!(moved.fuse()));
         let (mut runner_leaving, mut switch_due) =
             (pin!(runner_leaving.fuse()), pin!(switch_due.fuse()));
-        let mut checked = pin!(checked.fuse());
+        let (mut checked, mut asked) = (pin!(checked.fuse()), pin!(asked.fuse()));
         let (mut silent, mut deadline) = (pin!(silent.fuse()), pin!(deadline.fuse()));
         let mut disconnected = pin!(self.caller.disconnected.wait().fuse());
         select_biased! {
@@ -216,6 +231,7 @@
             () = runner_leaving => PumpInput::RunnerLeaving,
             frame = frame => PumpInput::Frame(frame),
             check = checked => PumpInput::SourceChecked(check),
+            answers = asked => PumpInput::NodeAsked(answers),
             () = silent => PumpInput::SourceSilent,
             () = deadline => PumpInput::Deadline,
         }
@@ -227,12 +243,12 @@
                 self.record_activity(self.context.now());
                 self.forward_events(&bytes).await
             }
-            Some(Err(error)) => self.handle_source_loss(&error.to_string()).await,
+            Some(Err(error)) => self.lose_source(&error.to_string()).await,
             None => {
                 if self.is_whole() {
                     PumpStep::End(RequestOutcome::Streamed, "")
                 } else {
-                    self.handle_source_loss("the connection ended").await
+                    self.lose_source("the connection ended").await
                 }
             }
         }
--- a/crates/node/src/streams/stream_silence.rs
+++ b/crates/node/src/streams/stream_silence.rs
@@ -97,9 +97,9 @@
 #[derive(Debug, Clone)]
 pub struct SourceActivity {
     /// When data came last.
-    last_data_at: TimePoint,
+    pub(super) last_data_at: TimePoint,
     /// When its silence is looked into at the earliest.
-    next_look: TimePoint,
+    pub(super) next_look: TimePoint,
     /// When it is looked at the earliest again where the stream can go on.
     next_check: TimePoint,
     /// When an event is recorded again.
--- a/crates/node/src/streams/stream_source.rs
+++ b/crates/node/src/streams/stream_source.rs
@@ -39,6 +39,8 @@
     pub ended: bool,
     /// Whether the stream comes through another node, which looks after its runner.
     pub is_relayed: bool,
+    /// That node.
+    pub relay: Option<VmId>,
     /// When the first events arrived from this runner.
     pub first_events: Option<TimePoint>,
     /// When the stream is to switch to another runner.
@@ -64,15 +66,16 @@
             ends_with_connection: !is_framed,
             ended: false,
             is_relayed: false,
+            relay: None,
             first_events: None,
             switch_at: None,
         }
     }
 
-    /// Creates the source of a stream that another node has taken over, at the runner of `plan`.
+    /// Creates the source of a stream that `node` has taken over, at the runner of `plan`.
     #[must_use]
-    pub fn relayed(plan: &SendPlan, exchange: WebExchange) -> Self {
-        Self { is_relayed: true, ..Self::new(plan, exchange) }
+    pub fn relayed(plan: &SendPlan, exchange: WebExchange, node: VmId) -> Self {
+        Self { is_relayed: true, relay: Some(node), ..Self::new(plan, exchange) }
     }
 
     /// Whether the body has a length or chunks, so that its end shows.
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -25,6 +25,7 @@
 mod peer_table;
 mod plan;
 mod reach_table;
+mod relayed_run;
 mod retry_budget;
 mod run_ends;
 mod run_places;
@@ -69,11 +70,12 @@
     ServicePlan, ServingPlan, TenantRule,
 };
 pub use reach_table::{ReachMembers, ReachQuestion, ReachTable};
+pub use relayed_run::{RelayDecision, RelayFacts, decide_relay};
 pub use retry_budget::{BudgetSettings, RetryBudget};
 pub use run_ends::{EndHabit, EndTable};
 pub use run_places::{
-    AnswerPlace, NodePlace, OverlapRule, PlaceFacts, SourceState, WaitDecision, WaitFacts,
-    decide_wait, list_node_places,
+    AnswerPlace, NodePlace, OverlapRule, PlaceFacts, SourceRun, SourceState, WaitDecision,
+    WaitFacts, decide_wait, list_node_places,
 };
 pub use runner_limit::{LimitChange, LimitReport, LimitTable, LimitUpdate, ServiceDemand};
 pub use runner_loss::{ProbeOutcome, RunnerLoss, has_crashed};
--- a/crates/serving/src/run_places.rs
+++ b/crates/serving/src/run_places.rs
@@ -122,18 +122,30 @@
     pub next_may_run: bool,
     /// The next runner has not refused the memory.
     pub has_memory: bool,
-    /// The source may still have the run, moves runs, and nobody was asked to move this one yet.
-    pub source_may_run: bool,
+    /// What is left at the source.
+    pub source: SourceRun,
+}
+
+/// The run at the source of a stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SourceRun {
+    /// The source moves no runs, or a node was asked to move this one.
+    NotMoved,
+    /// The source may still have it.
+    MayRun,
+    /// The source works on it as far as is known: another node reads it.
+    Works,
 }
 
 /// The places to try, in order. A run that the next runner may have taken is stopped before anything else
-/// goes on; the source is last, since it has the oldest state of the run.
+/// goes on, and so is one that works at its source; otherwise the source is last, since it has the oldest
+/// state of the run.
 #[must_use]
 pub fn list_node_places(facts: PlaceFacts) -> Vec<NodePlace> {
-    let places = [
-        (NodePlace::NextRun, facts.next_may_run),
-        (NodePlace::NextMemory, facts.has_memory),
-        (NodePlace::SourceRun, facts.source_may_run),
-    ];
+    let memory = (NodePlace::NextMemory, facts.has_memory);
+    let source = (NodePlace::SourceRun, facts.source != SourceRun::NotMoved);
+    let works = facts.source == SourceRun::Works;
+    let [second, third] = if works { [source, memory] } else { [memory, source] };
+    let places = [(NodePlace::NextRun, facts.next_may_run), second, third];
     places.into_iter().filter(|(_, is_open)| *is_open).map(|(place, _)| place).collect()
 }
--- a/crates/serving/tests/run_places.rs
+++ b/crates/serving/tests/run_places.rs
@@ -1,8 +1,8 @@
 //! Checks where a run goes on whose next runner does not answer.
 
 use serving::{
-    AnswerPlace, NodePlace, OverlapRule, PlaceFacts, SourceState, WaitDecision, WaitFacts,
-    decide_wait, list_node_places,
+    AnswerPlace, NodePlace, OverlapRule, PlaceFacts, SourceRun, SourceState, WaitDecision,
+    WaitFacts, decide_wait, list_node_places,
 };
 
 const SOURCES: [SourceState; 3] = [SourceState::Ended, SourceState::Silent, SourceState::Active];
@@ -65,9 +65,15 @@
 
 #[test]
 fn a_run_that_may_have_been_taken_is_stopped_before_its_memory_is_used() {
-    let all = PlaceFacts { next_may_run: true, has_memory: true, source_may_run: true };
+    let all = PlaceFacts { next_may_run: true, has_memory: true, source: SourceRun::MayRun };
     let places = [NodePlace::NextRun, NodePlace::NextMemory, NodePlace::SourceRun];
     assert_eq!(list_node_places(all), places);
-    let none = PlaceFacts { next_may_run: false, has_memory: false, source_may_run: false };
+    let none = PlaceFacts { next_may_run: false, has_memory: false, source: SourceRun::NotMoved };
     assert!(list_node_places(none).is_empty());
 }
+
+#[test]
+fn a_run_that_works_at_its_source_is_stopped_before_its_memory_is_used() {
+    let facts = PlaceFacts { next_may_run: false, has_memory: true, source: SourceRun::Works };
+    assert_eq!(list_node_places(facts), [NodePlace::SourceRun, NodePlace::NextMemory]);
+}
