Go on with a forwarded stream when its node is lost or silent

What callers saw: a stream that a cut-off node had forwarded as a whole was broken off at once when the other node was killed, though the run had a copy and a third node reached it; when the other node froze, nothing came until the deadline.

Cause: `relay_stream` copied the events, and knew neither where the run was nor whether the other node worked.

The mend: a forwarded stream whose node says where its run is (`RunSite`, as for a run that was taken) is relayed by the same task as all other streams, with a relayed source, so that what holds for a run that was taken holds for it: `decide_relay` and `list_node_places`. So is a stream without a head that was recovered through another node (`recover_run`). Streams of builds that do not say where their runs are, and of plain calls, are relayed as before.

Evidence: node_relay_loss, three new tests. The third (silent for 1.2 s) guards the mend.

--- a/crates/harness/tests/node_relay_loss.rs
+++ b/crates/harness/tests/node_relay_loss.rs
@@ -9,7 +9,7 @@
 use compio::time::sleep;
 use fakes::platform::RunnerFakeSettings;
 use futures_util::future::{Either, join, select};
-use harness::{CallerRequest, LinkState};
+use harness::{CallerRequest, LinkState, wait_until};
 use http_body_util::BodyExt;
 use rustix::process::Signal;
 use serde_json::json;
@@ -21,6 +21,8 @@
 const CUT_AFTER: Duration = Duration::from_secs(1);
 /// Time from then until the other node is lost; the run has ended where it was before.
 const LOST_AFTER: Duration = Duration::from_millis(1_500);
+/// Time for the cut to be seen.
+const LIMIT: Duration = Duration::from_secs(10);
 /// Longest pause: the one that a route allows on the users' platform (180 ms), and a second.
 const MAX_PAUSE: Duration = Duration::from_millis(1_180);
 /// How long a sound node may be silent.
@@ -86,6 +88,47 @@
     }
 }
 
+/// The node that has answered the stream of the cut-off node.
+async fn find_forward(services: &ServiceFleet) -> usize {
+    let request = json!("s1");
+    services.fleet.wait_event(CUT, "relayed", "request", &request).await.unwrap();
+    let lines = services.fleet.nodes[CUT].events("relayed");
+    let own = lines.iter().find(|line| line["request"] == request).unwrap();
+    assert_eq!(own["outcome"], "answered");
+    (0..NODES).find(|number| own["node"] == json!(format!("node-{number}"))).unwrap()
+}
+
+/// Cuts a node off from all runners of a service, and waits until it knows.
+async fn cut_off(services: &ServiceFleet) {
+    services.set("llm", usize::from(RUNNERS), LinkState::Cut);
+    wait_until("the cut to be seen", LIMIT, async || {
+        let _ = services.fleet.send(CUT, &CallerRequest::stream("look")).await;
+        let lost = services.fleet.nodes[CUT].events("runners_unreached");
+        (!lost.is_empty()).then_some(())
+    })
+    .await
+    .unwrap();
+}
+
+/// The same with a stream that is forwarded as a whole.
+fn check_forwarded(request: &CallerRequest, signals: Signals<'_>, max_pause: Duration) {
+    let _turn = take_turn();
+    kernel::run(async {
+        let services = ServiceFleet::start(long_streams).await;
+        cut_off(&services).await;
+        let is_lost = Cell::new(false);
+        let lose = async {
+            let relay = find_forward(&services).await;
+            send_signals(&services, relay, signals, &is_lost).await;
+        };
+        let stream = read_alone(&services, request, lose, &is_lost).await;
+        assert!(stream.has_all(), "{stream:?}");
+        assert!(stream.longest_pause <= max_pause, "{stream:?}");
+        assert_eq!(services.most_runs(), 1);
+    })
+    .unwrap();
+}
+
 /// Cuts a node off from the runners of a stream; it goes on through another node, which gets `signals`.
 async fn lose_relay(
     services: &ServiceFleet,
@@ -97,14 +140,34 @@
         sleep(CUT_AFTER).await;
         services.set("llm", usize::from(RUNNERS), LinkState::Lost);
         let relay = find_relay(services).await;
-        for (delay, signal) in signals {
-            sleep(*delay).await;
-            services.fleet.nodes[relay].signal(*signal).unwrap();
-            is_lost.set(true);
-        }
+        send_signals(services, relay, signals, &is_lost).await;
     };
+    read_alone(services, request, lose, &is_lost).await
+}
+
+async fn send_signals(
+    services: &ServiceFleet,
+    node: usize,
+    signals: Signals<'_>,
+    is_lost: &Cell<bool>,
+) {
+    for (delay, signal) in signals {
+        sleep(*delay).await;
+        services.fleet.nodes[node].signal(*signal).unwrap();
+        is_lost.set(true);
+    }
+}
+
+/// Reads a stream, on which no two runners may work for long, while the node that it comes through is lost
+/// by `lose`.
+async fn read_alone(
+    services: &ServiceFleet,
+    request: &CallerRequest,
+    lose: impl Future<Output = ()>,
+    is_lost: &Cell<bool>,
+) -> SeenStream {
     let read = pin!(join(read_stream(services, request), lose));
-    match select(read, pin!(wait_overlap(services, &is_lost))).await {
+    match select(read, pin!(wait_overlap(services, is_lost))).await {
         Either::Left(((stream, ()), _)) => stream,
         Either::Right(_) => panic!("two runners for longer than {MAX_OVERLAP:?}"),
     }
@@ -155,3 +218,21 @@
     let signals = [(LOST_AFTER, Signal::STOP), (SILENCE, Signal::CONT)];
     check_whole(&CallerRequest::stream("s1"), &signals, SILENCE + MAX_PAUSE);
 }
+
+/// Guards against LOST: a stream that was forwarded is broken off, though its run has a copy.
+#[test]
+fn a_forwarded_stream_goes_on_from_its_copy_after_its_other_node_is_killed() {
+    check_forwarded(&CallerRequest::stream("s1"), &[(LOST_AFTER, Signal::KILL)], MAX_PAUSE);
+}
+
+/// Guards against LOST: a stream that was forwarded waits for a silent node until its deadline.
+#[test]
+fn a_forwarded_stream_is_not_silent_until_its_deadline_when_its_other_node_is() {
+    check_forwarded(&without_copy(), &[(LOST_AFTER, Signal::STOP)], MAX_PAUSE);
+}
+
+#[test]
+fn a_forwarded_stream_comes_once_and_whole_when_its_other_node_is_silent_for_a_moment() {
+    let signals = [(LOST_AFTER, Signal::STOP), (SILENCE, Signal::CONT)];
+    check_forwarded(&CallerRequest::stream("s1"), &signals, SILENCE + MAX_PAUSE);
+}
--- a/crates/node/src/forward/call_forward.rs
+++ b/crates/node/src/forward/call_forward.rs
@@ -7,15 +7,14 @@
 //! reached the first.
 
 use std::cell::Cell;
-use std::rc::Rc;
 
 use base::prelude::*;
 use serving::{ForwardFailure, ForwardSource, ForwardState, ReachShare};
-use web::{ConnectionCloser, WebExchange, WebResponse};
+use web::{WebExchange, WebResponse};
 
 use super::choice::{choose_among_peers, choose_target, find_target, own_source};
 use super::offer::{OfferEnd, ResumeOffer, failure_reason, log_offer, offer_call};
-use super::relay::{fail_unknown, relay_response};
+use super::relay::fail_unknown;
 use super::run_trace::RunTrace;
 use crate::call::Call;
 use crate::context::NodeContext;
@@ -24,28 +23,32 @@
 /// Pause until a run that lives is offered to the other nodes again.
 const ROUND_PAUSE: TimeSpan = TimeSpan::millis(150);
 
-/// A run that another node has resumed.
+/// A call that another node has answered, or a run that it has resumed.
 pub struct TakenResume {
     /// The node.
     pub node: VmId,
-    /// Its response, a stream of events.
+    /// Its response; a stream of events if it has resumed a run.
     pub exchange: WebExchange,
 }
 
+/// How forwarding a call ended.
+pub enum ForwardEnd {
+    /// A node has answered it.
+    Taken(TakenResume),
+    /// It may have run at a node that gave no answer.
+    Failed(WebResponse),
+}
+
 /// Forwards the call if this node reaches no runner of its service, or too few, and another one can
 /// take the call. Returns `None` if the call is to be served here.
-pub async fn try_forward(
-    context: &Rc<NodeContext>,
-    call: &Rc<Call>,
-    closer: &ConnectionCloser,
-) -> Option<WebResponse> {
+pub async fn try_forward(context: &NodeContext, call: &Call) -> Option<ForwardEnd> {
     loop {
         let target = choose_target(context, call)?;
         call.forwards.borrow_mut().record_offer(&target.vm);
         match offer_call(context, call, &target, None).await {
             OfferEnd::Answered(exchange) => {
                 log_offer(context, call, &target, "answered", "", "");
-                return Some(relay_response(context, call, closer, exchange).await);
+                return Some(ForwardEnd::Taken(TakenResume { node: target.vm, exchange }));
             }
             OfferEnd::NotRun(failure, error) => {
                 let now = context.now();
@@ -53,10 +56,12 @@
                 log_offer(context, call, &target, "not_run", failure_reason(failure), &error);
             }
             // No run was offered.
-            OfferEnd::NotResumed(_) => return Some(fail_unknown(context, call)),
+            OfferEnd::NotResumed(_) => {
+                return Some(ForwardEnd::Failed(fail_unknown(context, call)));
+            }
             OfferEnd::Unknown(error) => {
                 log_offer(context, call, &target, "unknown", "", &error);
-                return Some(fail_unknown(context, call));
+                return Some(ForwardEnd::Failed(fail_unknown(context, call)));
             }
         }
     }
--- a/crates/node/src/forward/mod.rs
+++ b/crates/node/src/forward/mod.rs
@@ -11,12 +11,12 @@
 mod run_trace;
 mod stop;
 
-pub use call_forward::{TakenResume, leave_out_node, offer_resume, try_forward};
+pub use call_forward::{ForwardEnd, TakenResume, leave_out_node, offer_resume, try_forward};
 pub use forwarded_calls::{
     FORWARD_FINGERPRINT, FORWARD_PATH, RESUME_PATH, answer_forwarded, answer_resumed,
 };
 pub use offer::ResumeOffer;
-pub use relay::relay_response;
+pub use relay::{answer_headers, relay_response};
 pub use resumed_run::resume_run;
 pub use run_site::RunSite;
 pub use run_trace::ResumeRefusal;
--- a/crates/node/src/forward/relay.rs
+++ b/crates/node/src/forward/relay.rs
@@ -6,8 +6,8 @@
 use base::prelude::*;
 use futures_util::{FutureExt, SinkExt, select_biased};
 use http_body_util::BodyExt;
-use hyper::StatusCode;
 use hyper::body::Bytes;
+use hyper::{HeaderMap, StatusCode};
 use platform::copy_reply_headers;
 use serving::{AttemptTracker, SendOutcome, StreamScanner};
 use web::{ConnectionCloser, WebExchange, WebResponse, full_body};
@@ -28,11 +28,10 @@
     context: &Rc<NodeContext>,
     call: &Rc<Call>,
     closer: &ConnectionCloser,
-    mut exchange: WebExchange,
+    exchange: WebExchange,
 ) -> WebResponse {
-    exchange.response.headers_mut().remove(FORWARD_RESULT);
     let status = exchange.response.status();
-    let headers = copy_reply_headers(exchange.response.headers());
+    let headers = answer_headers(&exchange);
     let mut response = if is_event_stream(&exchange.response) {
         let waited = context.now().since(call.arrived);
         context.metrics.first_byte_time.observe(waited.as_seconds());
@@ -53,6 +52,14 @@
     response
 }
 
+/// The headers of another node's response that are those of the answer.
+#[must_use]
+pub fn answer_headers(exchange: &WebExchange) -> HeaderMap {
+    let mut headers = copy_reply_headers(exchange.response.headers());
+    headers.remove(FORWARD_RESULT);
+    headers
+}
+
 fn log_relayed_end(context: &NodeContext, call: &Call, status: StatusCode) {
     let (outcome, reason) = match status {
         StatusCode::SERVICE_UNAVAILABLE => (RequestOutcome::NotRun, "forwarded"),
--- a/crates/node/src/plain_call.rs
+++ b/crates/node/src/plain_call.rs
@@ -18,7 +18,7 @@
 use crate::call_log::log_send;
 use crate::context::NodeContext;
 use crate::crash_watch::record_full_answer;
-use crate::forward::try_forward;
+use crate::forward::{ForwardEnd, relay_response, try_forward};
 use crate::hedged_call::{RaceEnd, SendEnd};
 use crate::plain_sends::PlainSends;
 use crate::router::RouterService;
@@ -39,8 +39,12 @@
     let mut search = RunnerSearch::default();
     let mut error_answer: Option<Response<Bytes>> = None;
     loop {
-        if let Some(response) = try_forward(context, call, &closer).await {
-            return response;
+        match try_forward(context, call).await {
+            Some(ForwardEnd::Taken(taken)) => {
+                return relay_response(context, call, &closer, taken.exchange).await;
+            }
+            Some(ForwardEnd::Failed(response)) => return response,
+            None => (),
         }
         if !std::mem::replace(&mut is_counted, true) {
             count_request(context, &call.service);
--- a/crates/node/src/streams/stream_call.rs
+++ b/crates/node/src/streams/stream_call.rs
@@ -9,10 +9,11 @@
 use platform::copy_reply_headers;
 use route::CallEnd;
 use serving::{AttemptTracker, RunnerRecord, SendOutcome};
-use web::{ConnectionCloser, WebExchange, WebResponse};
+use web::{ConnectionCloser, WebResponse};
 
 use super::stream_backup::{choose_backup, plan_backup_resume};
 use super::stream_pump::{StreamParts, StreamPump};
+use super::stream_relay::{forward_stream, relay_taken};
 use super::stream_resume::StreamAttempts;
 use super::stream_source::{StreamSource, is_event_stream, open_caller_side};
 use crate::call::Call;
@@ -24,7 +25,7 @@
 use crate::call_log::{log_send, log_send_failure};
 use crate::context::NodeContext;
 use crate::crash_watch::record_full_answer;
-use crate::forward::{ResumeOffer, RunSite, offer_resume, relay_response, try_forward};
+use crate::forward::{ResumeOffer, RunSite, TakenResume, offer_resume};
 use crate::hedged_call::{RaceEnd, SendEnd, may_hedge, race_stream};
 use crate::reach::is_unreached;
 use crate::route_ticket::RouteTicket;
@@ -56,7 +57,7 @@
     let (mut tried, mut search) = (Vec::new(), RunnerSearch::default());
     let mut error_answer: Option<Response<Bytes>> = None;
     loop {
-        if let Some(response) = try_forward(context, &call, &closer).await {
+        if let Some(response) = forward_stream(context, router, &call, &closer).await {
             return response;
         }
         if !std::mem::replace(&mut is_counted, true) {
@@ -116,9 +117,9 @@
                 let cut_off = failure.is_cut_off().then_some(&plan.runner);
                 match recover_run(context, &call, backup, &mut ticket, cut_off).await {
                     Some(RecoveredRun::Here(answer)) => outcome = Ok(answer),
-                    Some(RecoveredRun::Elsewhere(exchange)) => {
+                    Some(RecoveredRun::Elsewhere(taken)) => {
                         ticket.finish(CallEnd::Cancelled);
-                        return relay_response(context, &call, &closer, exchange).await;
+                        return relay_taken(context, router, call, closer, taken).await;
                     }
                     None => (),
                 }
@@ -178,8 +179,8 @@
 enum RecoveredRun {
     /// The answer of the runner that keeps a copy.
     Here(RunnerAnswer),
-    /// The response of a node that reaches this runner.
-    Elsewhere(WebExchange),
+    /// The node that reaches this runner, and its response.
+    Elsewhere(TakenResume),
 }
 
 /// Resumes the call at the runner that keeps a copy, after the first runner failed without
@@ -198,7 +199,7 @@
     let source = cut_off.filter(|_| call.supports_moves)?;
     let offer = ResumeOffer::of_run(source, None);
     let taken = offer_resume(context, call, &offer, None, &Cell::default()).await?;
-    Some(RecoveredRun::Elsewhere(taken.exchange))
+    Some(RecoveredRun::Elsewhere(taken))
 }
 
 /// Resumes the call from its copy, here or through another node.
@@ -211,7 +212,7 @@
     if is_unreached(context, &backup) {
         let offer = ResumeOffer::of_backup(call, &backup, None);
         let taken = offer_resume(context, call, &offer, None, &Cell::default()).await?;
-        return Some(RecoveredRun::Elsewhere(taken.exchange));
+        return Some(RecoveredRun::Elsewhere(taken));
     }
     let plan = plan_backup_resume(context, call, ticket, backup);
     match request_answer(context, call, &plan).await {
--- a/crates/node/src/streams/stream_handover.rs
+++ b/crates/node/src/streams/stream_handover.rs
@@ -16,7 +16,6 @@
 use super::stream_pump::{PumpStep, StreamPump};
 use super::stream_silence::SourceActivity;
 use super::stream_source::{StreamSource, is_event_stream};
-use crate::call::RunPlace;
 use crate::call_log::{RequestOutcome, log_send_failure};
 use crate::runner_gate::SendPurpose;
 use crate::runner_send::{SendFailure, SendPlan, connect_to_runner};
@@ -159,12 +158,7 @@
         self.close_source();
         self.stays = false;
         self.move_requested = false;
-        let place = if source.is_relayed {
-            RunPlace::OtherNode
-        } else {
-            RunPlace::Runner(source.runner.runner.clone())
-        };
-        self.call.run_place.replace(place);
+        self.call.run_place.replace(source.run_place());
         self.source = source;
         self.activity = SourceActivity::new(self.context.now());
         self.pending_check = None;
--- a/crates/node/src/streams/stream_pump.rs
+++ b/crates/node/src/streams/stream_pump.rs
@@ -17,7 +17,7 @@
 use super::stream_resume::StreamAttempts;
 use super::stream_silence::{CheckFuture, SourceActivity, SourceCheck};
 use super::stream_source::{CallerSide, StreamPace, StreamSource};
-use crate::call::{Call, RunPlace};
+use crate::call::Call;
 use crate::call_log::{RequestOutcome, RequestSummary, format_parts, log_end, log_send_failure};
 use crate::context::{NodeContext, RequestGuard};
 use crate::crash_watch::{PROOF_SPAN, record_answer};
@@ -116,7 +116,7 @@
         caller: CallerSide,
     ) -> Self {
         let StreamParts { call, ticket, source, attempts, resumed_after } = parts;
-        call.run_place.replace(RunPlace::Runner(source.runner.runner.clone()));
+        call.run_place.replace(source.run_place());
         Self {
             context: Rc::clone(context),
             router: Rc::clone(router),
--- a/crates/node/src/streams/stream_relay.rs
+++ b/crates/node/src/streams/stream_relay.rs
@@ -9,13 +9,24 @@
 use std::rc::Rc;
 
 use base::prelude::*;
+use hyper::Response;
 use platform::ResumeSource;
-use serving::{RelayDecision, RelayFacts, RunnerRecord, decide_relay};
+use route::CallEnd;
+use serving::{AttemptTracker, RelayDecision, RelayFacts, decide_relay};
+use web::{ConnectionCloser, WebResponse};
 
-use super::stream_pump::{PumpStep, StreamPump};
+use super::stream_call::start_stream;
+use super::stream_pump::{PumpStep, StreamParts, StreamPump};
+use super::stream_resume::StreamAttempts;
+use super::stream_source::{StreamSource, is_event_stream};
+use crate::call::Call;
 use crate::call_log::may_log;
-use crate::forward::{RunSite, leave_out_node};
+use crate::context::NodeContext;
+use crate::forward::{
+    ForwardEnd, RunSite, TakenResume, answer_headers, leave_out_node, relay_response, try_forward,
+};
 use crate::reach::{is_unreached, node_answers};
+use crate::router::RouterService;
 use crate::runner_send::SendPlan;
 
 /// Silence after which the node is asked, and pause until it is asked again.
@@ -26,6 +37,60 @@
 /// A question to a node, in progress: whether it answers.
 pub type NodeQuestion = Pin<Box<dyn Future<Output = bool>>>;
 
+/// Forwards a stream call if another node is to take it, and relays its stream. Returns `None` if the call is
+/// to be served here.
+pub(super) async fn forward_stream(
+    context: &Rc<NodeContext>,
+    router: &Rc<RouterService>,
+    call: &Rc<Call>,
+    closer: &ConnectionCloser,
+) -> Option<WebResponse> {
+    match try_forward(context, call).await? {
+        ForwardEnd::Taken(taken) => {
+            let (call, closer) = (Rc::clone(call), closer.clone());
+            Some(relay_taken(context, router, call, closer, taken).await)
+        }
+        ForwardEnd::Failed(response) => Some(response),
+    }
+}
+
+/// Relays what another node has answered: a stream as one whose source comes through that node, if it says
+/// where the run is.
+pub(super) async fn relay_taken(
+    context: &Rc<NodeContext>,
+    router: &Rc<RouterService>,
+    call: Rc<Call>,
+    closer: ConnectionCloser,
+    taken: TakenResume,
+) -> WebResponse {
+    let TakenResume { node, exchange } = taken;
+    let site = RunSite::read(exchange.response.headers());
+    let plan = site.and_then(|site| plan_at(context, &site));
+    let Some(plan) = plan.filter(|_| is_event_stream(&exchange.response)) else {
+        return relay_response(context, &call, &closer, exchange).await;
+    };
+    let mut head = Response::new(());
+    *head.status_mut() = exchange.response.status();
+    *head.headers_mut() = answer_headers(&exchange);
+    // The other node counts the call.
+    let mut ticket = router.open(call.route_call(&[]));
+    ticket.end(CallEnd::Cancelled);
+    let source = StreamSource::relayed(&plan, exchange, node);
+    let tracker = AttemptTracker::for_route(&call.route);
+    let attempts = StreamAttempts { tracker, tried: Vec::new() };
+    let resumed_after = call.head.last_event_id.filter(|_| call.route.stream_resume);
+    let parts = StreamParts { call, ticket, source, attempts, resumed_after };
+    start_stream(context, router, parts, closer, head)
+}
+
+/// The send of the run at `site`; `None` if its runner is not known.
+fn plan_at(context: &NodeContext, site: &RunSite) -> Option<SendPlan> {
+    let runners = context.runners.borrow();
+    let find = |runner: &RunnerId| runners.get(runner).map(|entry| entry.record.clone());
+    let copy = site.copy.as_ref().and_then(find);
+    Some(SendPlan::first(find(&site.runner)?, copy))
+}
+
 impl StreamPump {
     /// When the node that the stream comes through is to be asked; `None` if there is none.
     pub(super) fn relay_due(&self) -> Option<TimePoint> {
@@ -116,12 +181,8 @@
     /// The run as the node that has taken it says. Builds that do not say where it is may have left it where
     /// it was.
     pub(super) fn plan_at_site(&self, site: Option<RunSite>) -> SendPlan {
-        let find = |runner: &RunnerId| -> Option<RunnerRecord> {
-            self.context.runners.borrow().get(runner).map(|entry| entry.record.clone())
-        };
-        let runner = site.as_ref().and_then(|site| find(&site.runner));
-        let copy = site.and_then(|site| find(&site.copy?));
-        SendPlan::first(runner.unwrap_or_else(|| self.source.runner.clone()), copy)
+        let plan = site.and_then(|site| plan_at(&self.context, &site));
+        plan.unwrap_or_else(|| SendPlan::first(self.source.runner.clone(), None))
     }
 
     /// Logs and counts what becomes of a stream whose node is lost or silent.
--- a/crates/node/src/streams/stream_source.rs
+++ b/crates/node/src/streams/stream_source.rs
@@ -17,6 +17,7 @@
     ConnectionCloser, ConnectionTask, ReadCharge, ReplyBody, WebBody, WebExchange, stream_body,
 };
 
+use crate::call::RunPlace;
 use crate::runner_send::{SendFailure, SendPlan};
 
 /// The runner that a stream is read from.
@@ -78,6 +79,16 @@
         Self { is_relayed: true, relay: Some(node), ..Self::new(plan, exchange) }
     }
 
+    /// Where the run is.
+    #[must_use]
+    pub fn run_place(&self) -> RunPlace {
+        if self.is_relayed {
+            RunPlace::OtherNode
+        } else {
+            RunPlace::Runner(self.runner.runner.clone())
+        }
+    }
+
     /// Whether the body has a length or chunks, so that its end shows.
     #[must_use]
     pub fn is_framed(&self) -> bool {
