Keep the account of the runners' load in a module of its own

The router assigned calls, kept the list of services and summed loads over all nodes, in 436 lines; what is counted where could only be read between the two other jobs. `load_account.rs` now holds the loads and their reports to the dispatcher, and `local_call.rs` the calls that the router, its tickets and the account share. Nothing else changes: the functions are moved as they were, and the events come in the same order.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -22,6 +22,8 @@
 mod heartbeat_sections;
 mod hedged_call;
 mod limit_share;
+mod load_account;
+mod local_call;
 mod lookups;
 mod loop_watch;
 mod memory_pool;
--- a/crates/node/src/peer_link.rs
+++ b/crates/node/src/peer_link.rs
@@ -127,7 +127,7 @@
             plan_version: self.context.plan_version(),
             store_era: self.context.newest_era(),
             runners_offset: self.context.runners_offset.get(),
-            loads: self.router.local_loads(),
+            loads: self.router.loads.local_loads(),
             waiting_services: self.router.waiting_services(),
             leaving: self.context.runners.borrow().announced_leaving(),
             input_update: self.context.inputs.borrow().update(self.context.now()),
@@ -212,7 +212,7 @@
             self.context.members.borrow_mut().record(self.context.now(), &vm, None);
             let limits_changed = apply_limit_update(&self.context, &vm, limit_update);
             if self.context.peer_loads.borrow_mut().set(vm.clone(), load) {
-                self.router.mark_loads_changed();
+                self.router.loads.mark_peers_changed();
             }
             self.router.apply_leaving(&leaving);
             apply_input_update(&self.context, &input_update);
--- a/crates/node/src/router.rs
+++ b/crates/node/src/router.rs
@@ -1,4 +1,4 @@
-//! Connects the call dispatcher to the calls of this node, and tracks their load on runners.
+//! Connects the call dispatcher to the calls of this node.
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -10,14 +10,14 @@
 use futures_channel::mpsc;
 use futures_util::StreamExt;
 use kernel::StopSignal;
-use route::{
-    CallId, MemoryForecast, PolicyName, RouteCall, RouteEvent, RouteMember, RouteSettings,
-};
-use serving::{RunnerIncarnation, RunnerKey, RunnerLoad, RunnerRecord, ServingPlan};
+use route::{CallId, PolicyName, RouteCall, RouteEvent, RouteMember, RouteSettings};
+use serving::{RunnerIncarnation, RunnerKey, ServingPlan};
 
 use crate::call::Call;
 use crate::context::NodeContext;
 use crate::limit_share::{limit_events, room_events};
+use crate::load_account::LoadAccount;
+use crate::local_call::{LocalCall, LocalCalls};
 use crate::reach::exclude_unreached;
 use crate::route_ticket::RouteTicket;
 use crate::runner_gate;
@@ -30,33 +30,12 @@
 /// Maximum number of calls queued on this node.
 const QUEUE_LIMIT: usize = 2_000;
 
-/// A call of this node that is assigned to a runner or queued for one.
-pub(crate) struct LocalCall {
-    /// The service of the call.
-    pub(crate) service: ServiceName,
-    /// The assigned runner; `None` while the call is queued.
-    pub(crate) runner: Option<RunnerId>,
-    /// The runner that keeps a copy of the call's memory.
-    pub(crate) backup: Option<RunnerId>,
-    /// Prompt tokens plus the tokens generated so far.
-    pub(crate) tokens: u32,
-    /// Whether the first tokens have arrived, so that prefill is over.
-    pub(crate) started: bool,
-    /// Raised when the assigned runner announces that it leaves.
-    pub(crate) leaving: StopSignal,
-}
-
-type LocalCalls = Rc<RefCell<BTreeMap<CallId, LocalCall>>>;
-
 /// Assigns the calls of this node to runners.
 pub struct RouterService {
     pub(crate) context: Rc<NodeContext>,
     pub(crate) dispatcher: Rc<CallDispatcher>,
     pub(crate) calls: LocalCalls,
-    /// Sequence number of the last load reports given to the dispatcher.
-    load_sequence: Cell<u64>,
-    /// Whether other nodes have reported loads that the dispatcher has not received yet.
-    peer_loads_changed: Cell<bool>,
+    pub(crate) loads: LoadAccount,
     /// Runners by the keys that heartbeats name them by.
     pub(crate) runner_keys: RefCell<BTreeMap<RunnerKey, RunnerId>>,
     /// Services that the dispatcher knows, with the memory of each of their runners: those of the
@@ -95,12 +74,12 @@
             }
         };
         let dispatcher = CallDispatcher::new(settings, context.clock(), on_send);
+        let loads = LoadAccount::new(context, &dispatcher, &calls);
         Rc::new_cyclic(|weak_self| Self {
             context: Rc::clone(context),
             dispatcher,
             calls,
-            load_sequence: Cell::default(),
-            peer_loads_changed: Cell::default(),
+            loads,
             runner_keys: RefCell::default(),
             served: RefCell::default(),
             dispatcher_limited: Cell::default(),
@@ -115,7 +94,7 @@
     /// # Panics
     /// Never: the router lives as long as the process.
     pub fn open(&self, mut call: RouteCall) -> RouteTicket {
-        if self.peer_loads_changed.get() {
+        if self.loads.has_peer_changes() {
             self.dispatcher.handle_all(self.load_events());
         } else if !self.context.speed_figures.borrow().is_empty() {
             self.dispatcher.handle_all(figure_events(&self.context));
@@ -157,11 +136,6 @@
         try_request_heartbeat(&self.heartbeat_requests);
     }
 
-    /// Records that another node has reported changed loads.
-    pub fn mark_loads_changed(&self) {
-        self.peer_loads_changed.set(true);
-    }
-
     /// Passes the services of the active configuration to the dispatcher.
     pub fn update_services(&self) {
         let Some(plan) = self.context.plan() else { return };
@@ -280,92 +254,13 @@
         self.dispatcher.state_mut().wait_retry_after(now, &call.service, model)
     }
 
-    /// Load that the calls of this node put on each runner, including backup copies, as the other
-    /// nodes learn it.
-    ///
-    /// While this node reaches no runner of a service, only streams that have begun count: other
-    /// calls may never have arrived, and the other nodes would take the runners for busy until these
-    /// calls end.
-    #[must_use]
-    pub fn local_loads(&self) -> Vec<RunnerLoad> {
-        let reach = self.context.reach.borrow();
-        let counts = |call: &LocalCall| call.started || !reach.is_lost(&call.service);
-        let mut loads: BTreeMap<RunnerId, RunnerLoad> = BTreeMap::new();
-        for load in self.run_loads(counts).iter().chain(&self.copy_loads(counts)) {
-            serving::add_load(&mut loads, load);
-        }
-        loads.into_values().collect()
-    }
-
-    /// Load of each call that `counts` at its runner.
-    fn run_loads(&self, counts: impl Fn(&LocalCall) -> bool) -> Vec<RunnerLoad> {
-        let state = self.dispatcher.state();
-        let run_load = |(id, call): (&CallId, &LocalCall)| {
-            let forecast = state.call_forecast(*id).unwrap_or_default();
-            let prefill_tokens = if call.started { 0 } else { call.tokens };
-            let runner = call.runner.clone()?;
-            Some(RunnerLoad { runner, calls: 1, prefill_tokens, forecast })
-        };
-        self.calls.borrow().iter().filter(|(_, call)| counts(call)).filter_map(run_load).collect()
-    }
-
-    /// Load of the backup copy of each call that `counts`, at the runner that keeps it.
-    fn copy_loads(&self, counts: impl Fn(&LocalCall) -> bool) -> Vec<RunnerLoad> {
-        let state = self.dispatcher.state();
-        let copy_load = |(id, call): (&CallId, &LocalCall)| {
-            let forecast = state.call_forecast(*id).unwrap_or_default();
-            let runner = call.backup.clone()?;
-            Some(RunnerLoad { runner, calls: 0, prefill_tokens: 0, forecast })
-        };
-        self.calls.borrow().iter().filter(|(_, call)| counts(call)).filter_map(copy_load).collect()
-    }
-
-    /// Dispatcher events with the load of every runner, summed over all nodes.
+    /// Dispatcher events with the load of every runner, summed over all nodes, and with what runners
+    /// state about their speed, limits and room.
     fn load_events(&self) -> Vec<RouteEvent> {
         if self.context.plan().is_none() {
             return Vec::new();
         }
-        self.peer_loads_changed.set(false);
-        let mut loads = self.context.peer_loads.borrow().totals();
-        for load in self.copy_loads(|_| true) {
-            serving::add_load(&mut loads, &load);
-        }
-        let other_forecasts: BTreeMap<RunnerId, MemoryForecast> =
-            loads.iter().map(|(runner, load)| (runner.clone(), load.forecast)).collect();
-        for load in self.run_loads(|_| true) {
-            serving::add_load(&mut loads, &load);
-        }
-        let sequence = self.load_sequence.get() + 1;
-        self.load_sequence.set(sequence);
-        let now = self.context.now();
-        let waits = self.context.waits.borrow();
-        let runners = self.context.runners.borrow();
-        let peer_loads = self.context.peer_loads.borrow();
-        let peers_waiting = |service: &ServiceName| RouteEvent::PeersWaiting {
-            service: service.clone(),
-            waiting_peers: peer_loads.waiting_nodes(service),
-        };
-        let served = self.served.borrow();
-        let mut events: Vec<RouteEvent> = served.keys().map(peers_waiting).collect();
-        for entry in runners.entries() {
-            let record = &entry.record;
-            if entry.removed_at.is_none()
-                && let Some(&memory) = served.get(&record.service)
-            {
-                let load = loads.get(&record.runner);
-                let tokens = load.map_or(0, |load| u64::from(load.prefill_tokens));
-                events.push(RouteEvent::PendingPrefill { runner: record.runner.clone(), tokens });
-                let forecast = other_forecasts.get(&record.runner).copied().unwrap_or_default();
-                let runner = record.runner.clone();
-                events.push(RouteEvent::OtherForecast { runner, forecast });
-                events.push(RouteEvent::Report(load_report(record, load, memory, sequence)));
-            }
-            // After its report, which may be the first one of this start. Removed runners too: they
-            // may still be usable.
-            if let Some(until) = waits.end(now, &record.incarnation()) {
-                events.push(RouteEvent::RunnerWait { runner: record.runner.clone(), until });
-            }
-        }
+        let mut events = self.loads.events(&self.served.borrow());
         events.extend(figure_events(&self.context));
         events.extend(limit_events(&self.context, &self.dispatcher_limited));
         events.extend(room_events(&self.context, &self.dispatcher_confined));
@@ -405,31 +300,6 @@
     }
 }
 
-/// The load of a runner, summed over all nodes, as a report to the dispatcher.
-fn load_report(
-    record: &RunnerRecord,
-    load: Option<&RunnerLoad>,
-    memory: u32,
-    sequence: u64,
-) -> RunnerReport {
-    RunnerReport {
-        runner: record.runner.clone(),
-        incarnation: record.started_unix_ms,
-        sequence,
-        age: TimeSpan::default(),
-        used_blocks: base::BlockCount(load.map_or(0, RunnerLoad::tokens)),
-        total_blocks: base::BlockCount(memory),
-        block_tokens: 1,
-        running: load.map_or(0, |load| load.calls),
-        waiting: 0,
-        preemptions: 0,
-        step: TimeSpan::default(),
-        leaving: false,
-        models: Vec::new(),
-        fence: 0,
-    }
-}
-
 fn try_request_heartbeat(requests: &RefCell<mpsc::Sender<()>>) {
     // A full channel already holds a request.
     let _ = requests.borrow_mut().try_send(());
--- a/crates/node/src/runner_poll.rs
+++ b/crates/node/src/runner_poll.rs
@@ -44,7 +44,7 @@
 fn runners_to_poll(context: &NodeContext, router: &RouterService) -> Vec<RunnerRecord> {
     let Some(plan) = context.plan() else { return Vec::new() };
     let runners = context.runners.borrow();
-    let loads = router.local_loads();
+    let loads = router.loads.local_loads();
     let entries = loads.iter().filter_map(|load| runners.get(&load.runner));
     let peer_loads = context.peer_loads.borrow();
     let staying = entries.filter(|entry| !entry.record.leaving && entry.removed_at.is_none());
