Register a node's metrics by what they measure, with their labels apart

One file of 411 lines held the label types, all metrics and 50 registrations, so that the name which a metric has on the page stood 300 lines from its meaning. The folder `metrics` now has the metrics, the labels, and the registrations of calls, of runners and of the node's state in a file each. Nothing else changes: the same 50 registrations follow each other in the same order (the old and the new ones compared as text). The metrics stay fields of one struct, as the whole crate uses them.

`the_page_names_the_nodes_metrics` read the one file by its path, and failed first; it reads all files of the folder now and is as strict: it fails if a row is taken from METRICS.md, and if a metric gets another name in one of the new files (both tried).

--- a/crates/harness/tests/metrics_page.rs
+++ b/crates/harness/tests/metrics_page.rs
@@ -47,9 +47,10 @@
 
 #[test]
 fn the_page_names_the_nodes_metrics() {
-    let source = Path::new(env!("CARGO_MANIFEST_DIR")).join("../node/src/metrics.rs");
-    let text = std::fs::read_to_string(source).unwrap();
-    let calls = text.split("registry.register(").skip(1);
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("../node/src/metrics");
+    let files = std::fs::read_dir(folder).unwrap().map(|file| file.unwrap().path());
+    let sources: String = files.map(|file| std::fs::read_to_string(file).unwrap()).collect();
+    let calls = sources.split("registry.register(").skip(1);
     let names = calls.filter_map(|call| call.split('"').nth(1)).map(str::to_owned);
     assert_eq!(documented_names("Node"), names.collect::<BTreeSet<_>>());
 }
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics/mod.rs
@@ -1,41 +1,18 @@
 //! Counters and latency histograms, exposed in the Prometheus text format.
 
-use prometheus_client::encoding::{EncodeLabelSet, text};
+mod call_metrics;
+mod metric_labels;
+mod runner_metrics;
+mod state_metrics;
+
+use prometheus_client::encoding::text;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 
-/// Labels of a finished request or stream move.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
-pub struct OutcomeLabels {
-    /// Outcome of the request or move.
-    pub outcome: &'static str,
-    /// Why it was refused or failed; empty otherwise.
-    pub reason: &'static str,
-}
-
-/// Labels of a send that was withheld.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
-pub struct WithheldLabels {
-    /// Why the runner accepts no requests.
-    pub reason: &'static str,
-}
-
-/// Labels of what concerns one service.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
-pub struct ServiceLabels {
-    /// The service.
-    pub service: String,
-}
-
-/// Labels of a hedge.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
-pub struct HedgeLabels {
-    /// What became of it.
-    pub outcome: &'static str,
-}
+pub use metric_labels::{HedgeLabels, OutcomeLabels, ServiceLabels, WithheldLabels};
 
 /// Metrics of a node.
 pub struct NodeMetrics {
@@ -212,192 +189,7 @@
     fn register(&mut self) {
         self.register_calls();
         self.register_runners();
-        self.register_node();
-    }
-
-    /// Registers the metrics of requests and their sends.
-    fn register_calls(&mut self) {
-        let registry = &mut self.registry;
-        registry.register("requests", "Requests by how they ended", self.requests.clone());
-        registry.register("sends", "Sends to runners", self.sends.clone());
-        registry.register("repeats", "Sends beyond the first of a request", self.retries.clone());
-        registry.register(
-            "repeats_denied",
-            "Repeats that the shared budget did not allow",
-            self.retries_denied.clone(),
-        );
-        registry.register("late_sends", "Late calls by what followed", self.late_sends.clone());
-        registry.register("hedges", "Second sends of slow requests", self.hedges.clone());
-        registry.register(
-            "hedges_denied",
-            "Slow requests without a second send",
-            self.hedges_denied.clone(),
-        );
-        registry.register(
-            "sends_withheld",
-            "Requests not sent since their runner accepts none",
-            self.sends_withheld.clone(),
-        );
-        registry.register(
-            "stop_refusals",
-            "Requests refused since the node was stopping",
-            self.stop_refusals.clone(),
-        );
-        registry.register(
-            "stop_cuts",
-            "Requests without an answer at the end of a stop",
-            self.stop_cuts.clone(),
-        );
-        registry.register(
-            "repeated_assignments",
-            "Assignments of a call to a runner that had just refused it",
-            self.repeated_assignments.clone(),
-        );
-    }
-
-    /// Registers the metrics of runners and of what they state.
-    fn register_runners(&mut self) {
-        let registry = &mut self.registry;
-        registry.register("runner_waits", "Waits begun by runners", self.runner_waits.clone());
-        registry.register(
-            "end_habits",
-            "Runners that went on with a run that they were to end",
-            self.end_habits.clone(),
-        );
-        registry.register(
-            "stop_orders",
-            "Orders to stop runs whose callers had left",
-            self.stop_orders.clone(),
-        );
-        registry.register(
-            "runner_limits",
-            "Changes of the limits that runners name",
-            self.runner_limits.clone(),
-        );
-        registry.register("cold_runners", "Runners that became cold", self.cold_runners.clone());
-        registry.register(
-            "brittle_runners",
-            "Changes of what runners state about being brittle",
-            self.brittle_runners.clone(),
-        );
-        registry.register(
-            "brittle_rejections",
-            "Requests rejected by brittle runners",
-            self.brittle_rejections.clone(),
-        );
-        registry.register(
-            "evacuations",
-            "Evacuations of places that began or ended",
-            self.evacuations.clone(),
-        );
-        registry.register(
-            "speed_changes",
-            "Times that a runner became slower or faster than usual, or usual again",
-            self.speed_changes.clone(),
-        );
-        registry.register(
-            "uneven_runners",
-            "Runners that are slower or faster than usual",
-            self.uneven_runners.clone(),
-        );
-        registry.register(
-            "runner_crashes",
-            "Calls lost as their runner crashed",
-            self.runner_crashes.clone(),
-        );
-        registry.register(
-            "runner_answers",
-            "Answers of runners to this node",
-            self.runner_answers.clone(),
-        );
-        registry.register(
-            "runner_failures",
-            "Connections and requests to runners without an answer",
-            self.runner_failures.clone(),
-        );
-        registry.register(
-            "runners_unreached",
-            "Runners that were not reached any more",
-            self.runners_unreached.clone(),
-        );
-        registry.register(
-            "reach_losses",
-            "Times that no runner of a service was reached any more",
-            self.reach_losses.clone(),
-        );
-        registry.register(
-            "unproven_answers",
-            "Questions about runners without evidence",
-            self.unproven_answers.clone(),
-        );
-        registry.register("forwards", "Offers of calls to other nodes", self.forwards.clone());
-        registry.register(
-            "forwarded_calls",
-            "Calls forwarded by other nodes",
-            self.forwarded_calls.clone(),
-        );
-        registry.register("runs_moved", "Runs moved for other nodes", self.runs_moved.clone());
-        registry.register("parts_blocked", "Parts of prompts blocked", self.parts_blocked.clone());
-    }
-
-    /// Registers the metrics of the node's state, its peers and the store, and the histograms.
-    fn register_node(&mut self) {
-        let registry = &mut self.registry;
-        registry.register("moves", "Moves of running streams", self.moves.clone());
-        registry.register("plans", "Configurations put in force", self.plans.clone());
-        registry.register(
-            "plan_fetches",
-            "Transfers of a configuration from another node",
-            self.plan_fetches.clone(),
-        );
-        registry.register(
-            "plans_sent",
-            "Transfers of the configuration to other nodes",
-            self.plans_sent.clone(),
-        );
-        registry.register(
-            "store_failures",
-            "Failed exchanges with the store",
-            self.store_failures.clone(),
-        );
-        registry.register("store_eras", "Higher eras of the store seen", self.store_eras.clone());
-        registry.register(
-            "cursors_dropped",
-            "Positions in the topics of the store dropped",
-            self.cursors_dropped.clone(),
-        );
-        registry.register(
-            "records_rewritten",
-            "Records of this node written to the store again",
-            self.records_rewritten.clone(),
-        );
-        registry.register("beats", "Heartbeats of other nodes", self.heartbeats.clone());
-        registry.register(
-            "messages_skipped",
-            "Messages of other nodes that could not be read",
-            self.messages_skipped.clone(),
-        );
-        registry.register("lines_dropped", "Log lines left out", self.lines_dropped.clone());
-        registry.register("reloads", "Reloads of the settings", self.reloads.clone());
-        registry.register("active", "Requests in progress", self.active.clone());
-        registry.register("read_bytes", "Bytes read that are kept", self.read_bytes.clone());
-        registry.register(
-            "reads_given_up",
-            "Heads and bodies given up for their size",
-            self.reads_given_up.clone(),
-        );
-        registry.register(
-            "first_byte_seconds",
-            "Time to the first byte",
-            self.first_byte_time.clone(),
-        );
-        registry.register(
-            "loop_hold_seconds",
-            "Longest time in each second for which one poll held the event loop",
-            self.loop_holds.clone(),
-        );
-        registry.register("total_seconds", "Time to the end", self.total_time.clone());
-        registry.register("queued_seconds", "Time without a runner", self.queue_time.clone());
+        self.register_state();
     }
 
     /// Encodes all metrics in the Prometheus text format.
