Give each part of the runner stand-in a module

One file of 576 lines held what tests set before a start, what they change later, what they ask afterwards, the state behind all of it, and the serving of connections; a test author had to read all of it to find a setter. They are `runner_settings`, `runner_setters`, `runner_records`, `runner_state` and `runner_server` now, and `runner_fake` starts and ends a runner.

--- a/crates/fakes/src/platform/runner_answers.rs
+++ b/crates/fakes/src/platform/runner_answers.rs
@@ -11,10 +11,13 @@
 use serde_json::{Value, json};
 
 use super::endless_bytes::EndlessBytes;
-use super::runner_fake::{COPY_PATH, RunAtWork, RunnerState, RunnerVisit};
+use super::runner_records::RunnerVisit;
 use super::runner_request::{RunnerRequest, write};
 use super::runner_script::{LONG_BODY_BYTES, RunnerScript};
+use super::runner_state::{RunAtWork, RunnerState};
 
+/// Path of the handles of copies.
+pub(super) const COPY_PATH: &str = "/api/kv-handle/";
 /// Time from the begin of a run, or from the head of its answer, to the crash that it brings about.
 const CRASH_AFTER: Duration = Duration::from_millis(20);
 /// Pause between two bytes of an answer that is never complete.
--- a/crates/fakes/src/platform/runner_crash.rs
+++ b/crates/fakes/src/platform/runner_crash.rs
@@ -6,8 +6,8 @@
 use futures_util::future::select;
 use kernel::spawn;
 
-use super::runner_fake::RunnerState;
 use super::runner_request::RunnerRequest;
+use super::runner_state::RunnerState;
 
 /// A request that a runner crashes on.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/crates/fakes/src/platform/runner_silence.rs
+++ b/crates/fakes/src/platform/runner_silence.rs
@@ -4,7 +4,8 @@
 
 use compio::time::sleep;
 
-use super::runner_fake::{RunnerFake, RunnerState};
+use super::runner_fake::RunnerFake;
+use super::runner_state::RunnerState;
 
 /// Pause between two looks at whether a silent runner goes on.
 const LOOK_EVERY: Duration = Duration::from_millis(5);
