Let each plain send own its place at the runner, so that none can be missing

A send and the list of sends shared a ticket in `Rc<RefCell<Option<..>>>`; the send took it at its end, with an `unreachable!` for the case that it was gone, and a reader had to find out from both places who ends it. A send (`plain_send.rs`) is now a future that owns its ticket: it yields it with its outcome, or gives it back when it is closed. The list of single sends beside the futures is gone with the shared cell and the `unreachable!`.

Nothing else changes: the sends are polled by the same `FuturesUnordered`; on an answer all connections close first, then the places end in the order in which the sends began, as failed if late and as cancelled otherwise.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -32,6 +32,7 @@
 mod peer_link;
 mod peer_server;
 mod plain_call;
+mod plain_send;
 mod plain_sends;
 mod process;
 mod reach;
--- a/crates/node/src/plain_sends.rs
+++ b/crates/node/src/plain_sends.rs
@@ -4,9 +4,8 @@
 //! budget for repeats is used up. A send is given up only for an answer of another one: until then its
 //! runner may be the one that answers.
 
-use std::cell::RefCell;
 use std::future::pending;
-use std::pin::{Pin, pin};
+use std::pin::pin;
 use std::rc::Rc;
 
 use base::prelude::*;
@@ -22,13 +21,14 @@
 use crate::call_attempt::{may_repeat, record_send_failure};
 use crate::call_log::{log_send, may_log};
 use crate::context::NodeContext;
-use crate::hedged_call::{RaceEnd, SendEnd, may_hedge, race_plain};
+use crate::hedged_call::{RaceEnd, may_hedge, race_plain};
 use crate::metrics::WithheldLabels;
+use crate::plain_send::{PlainSend, SendPlace, SingleSend};
 use crate::reach::suspect_runner;
 use crate::route_ticket::RouteTicket;
 use crate::router::RouterService;
 use crate::runner_gate::find_block;
-use crate::runner_send::{SendFailure, SendPlan, read_full_answer, send_to_runner};
+use crate::runner_send::{SendFailure, SendPlan};
 
 /// Time for an answer, as a multiple of the route's target latency, after which another runner is asked
 /// as well.
@@ -36,24 +36,12 @@
 /// Pause until it is looked again for a runner that can take a late call.
 const LOOK_PAUSE: TimeSpan = TimeSpan::millis(100);
 
-/// A send under way. It ends with its own end, and that of a second send which has failed before it.
-type PlainSend<'a> = Pin<Box<dyn Future<Output = RaceEnd<Response<Bytes>>> + 'a>>;
-
-/// A send without a race, and its place at the runner until it ends.
-struct SingleSend {
-    runner: RunnerRecord,
-    ticket: Rc<RefCell<Option<RouteTicket>>>,
-    /// When it takes longer than usual.
-    late_at: TimePoint,
-}
-
 /// The sends of a call that are under way.
 pub(crate) struct PlainSends<'a> {
     context: &'a Rc<NodeContext>,
     router: &'a RouterService,
     call: &'a Rc<Call>,
     sends: FuturesUnordered<PlainSend<'a>>,
-    singles: Vec<SingleSend>,
     /// When another runner is asked as well; `None` if no further send is allowed.
     late_at: Option<TimePoint>,
     /// Whether it is known that no runner can take the call now.
@@ -72,15 +60,14 @@
         let is_repeatable = call.route.kind == RouteKind::Idempotent;
         let late_at = is_repeatable.then(|| context.now() + late_after(call));
         let sends = FuturesUnordered::new();
-        let (singles, is_denied) = (Vec::new(), false);
-        let mut begun = Self { context, router, call, sends, singles, late_at, is_denied };
+        let mut begun = Self { context, router, call, sends, late_at, is_denied: false };
         let plan = SendPlan::first(runner, None);
         call.open_sends.borrow_mut().push(plan.runner.runner.clone());
         let tracker = tracker.clone();
         if may_hedge(context, call, &tracker) {
-            begun.sends.push(Box::pin(async move {
+            begun.sends.push(PlainSend::Raced(Box::pin(async move {
                 race_plain(context, router, call, &tracker, (ticket, plan)).await
-            }));
+            })));
         } else {
             begun.push_single(ticket, plan);
         }
@@ -198,31 +185,27 @@
     }
 
     fn push_single(&mut self, ticket: RouteTicket, plan: SendPlan) {
-        let (context, call) = (self.context, self.call);
-        let ticket = Rc::new(RefCell::new(Some(ticket)));
-        let late_at = context.now() + late_after(call);
-        let kept = Rc::clone(&ticket);
-        self.singles.push(SingleSend { runner: plan.runner.clone(), ticket: kept, late_at });
-        self.sends.push(Box::pin(async move {
-            let result = send_plain(context, call, &plan).await;
-            let ticket = ticket.take().unwrap_or_else(|| unreachable!("the send is under way"));
-            RaceEnd { last: SendEnd { ticket, plan, result }, failed: None, cancelled: None }
-        }));
+        let late_at = self.context.now() + late_after(self.call);
+        let single = SingleSend::new(self.context, self.call, (ticket, plan), late_at);
+        self.sends.push(PlainSend::Single(Box::new(single)));
     }
 
     /// Gives up the sends that are still under way, since another one was answered. A runner that is late
     /// has failed to answer.
     pub(crate) fn give_up(&mut self) {
-        self.sends.clear();
+        // All connections close before the end of any send is reported.
+        let sends = std::mem::take(&mut self.sends).into_iter();
+        let mut places: Vec<SendPlace> = sends.filter_map(PlainSend::close).collect();
+        // In the order in which they began.
+        places.sort_by_key(|place| place.late_at);
         let now = self.context.now();
-        for single in self.singles.drain(..) {
-            let Some(ticket) = single.ticket.take() else { continue };
-            if now < single.late_at {
+        for SendPlace { ticket, runner, late_at } in places {
+            if now < late_at {
                 ticket.finish(CallEnd::Cancelled);
                 continue;
             }
             let failure = SendFailure::stream_lost("no answer in time", RunnerLoss::NoAnswer);
-            record_send_failure(self.context, self.router, self.call, &single.runner, &failure);
+            record_send_failure(self.context, self.router, self.call, &runner, &failure);
             ticket.finish(failure.end);
         }
     }
@@ -234,17 +217,6 @@
     }
 }
 
-/// Sends the call to one runner and reads its whole answer.
-async fn send_plain(
-    context: &NodeContext,
-    call: &Call,
-    plan: &SendPlan,
-) -> Result<Response<Bytes>, SendFailure> {
-    let left = call.deadline.since(context.now());
-    let exchange = send_to_runner(context, call, plan, left).await?;
-    read_full_answer(exchange, call.deadline.since(context.now())).await
-}
-
 /// Time for an answer after which a send is late.
 fn late_after(call: &Call) -> TimeSpan {
     TimeSpan(call.route.target_latency.0.saturating_mul(LATE_FACTOR))
