Record the statements of runners in one function, whoever got them

`record` and `record_from_peer` differed in the table and in one early return; which of their lines had to agree was not written down. One `record` takes the source of the statement now, and `change`, which only they used, is a part of it. Nothing else changes: an answer without a value of a runner that has stated nothing is passed over as before, a report of another node is not.

--- a/crates/serving/src/brittle_runners.rs
+++ b/crates/serving/src/brittle_runners.rs
@@ -11,7 +11,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::RunnerIncarnation;
-use crate::runner_statements::{RunnerStatements, StatementChange};
+use crate::runner_statements::{RunnerStatements, StatementChange, StatementSource};
 
 /// Time for which a statement holds after the last answer that made it.
 const BRITTLE_TTL: TimeSpan = TimeSpan::seconds(60);
@@ -139,7 +139,9 @@
         runner: &RunnerIncarnation,
         limit: Option<u32>,
     ) -> Option<BrittleChange> {
-        self.statements.record(now, runner, limit, now + BRITTLE_TTL).map(BrittleChange::new)
+        let until = now + BRITTLE_TTL;
+        let change = self.statements.record(now, StatementSource::Answer, runner, limit, until);
+        change.map(BrittleChange::new)
     }
 
     /// Applies the update of another node. Returns the changes.
@@ -160,7 +162,7 @@
                 of_runner.remove(vm);
             }
             let until = now + left.min(BRITTLE_TTL);
-            let change = self.statements.record_from_peer(now, &runner, limit, until);
+            let change = self.statements.record(now, StatementSource::Peer, &runner, limit, until);
             changes.extend(change.map(BrittleChange::new));
         }
         changes
--- a/crates/serving/src/runner_limit.rs
+++ b/crates/serving/src/runner_limit.rs
@@ -10,7 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::RunnerIncarnation;
-use crate::runner_statements::{RunnerStatements, StatementChange};
+use crate::runner_statements::{RunnerStatements, StatementChange, StatementSource};
 
 /// Time for which a limit holds after the last answer that named it.
 const LIMIT_TTL: TimeSpan = TimeSpan::seconds(60);
@@ -79,7 +79,9 @@
         runner: &RunnerIncarnation,
         limit: Option<RequestRate>,
     ) -> Option<LimitChange> {
-        self.statements.record(now, runner, limit, now + LIMIT_TTL).map(LimitChange::new)
+        let until = now + LIMIT_TTL;
+        let change = self.statements.record(now, StatementSource::Answer, runner, limit, until);
+        change.map(LimitChange::new)
     }
 
     /// Applies the update of another node. Returns the changes.
@@ -96,7 +98,8 @@
         }
         let mut changes = Vec::new();
         for LimitReport { runner, limit, left } in update.limits {
-            let change = self.statements.record_from_peer(now, &runner, limit, now + left);
+            let until = now + left;
+            let change = self.statements.record(now, StatementSource::Peer, &runner, limit, until);
             changes.extend(change.map(LimitChange::new));
         }
         changes
--- a/crates/serving/src/runner_statements.rs
+++ b/crates/serving/src/runner_statements.rs
@@ -14,6 +14,15 @@
     pub(crate) value: Option<T>,
 }
 
+/// How this node has learned of a statement.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum StatementSource {
+    /// By an answer to this node.
+    Answer,
+    /// By another node, which got the answer.
+    Peer,
+}
+
 /// The newest known statement of a runner.
 #[derive(Debug, Clone)]
 struct RunnerStatement<T> {
@@ -51,42 +60,26 @@
 }
 
 impl<T: Copy + PartialEq> RunnerStatements<T> {
-    /// Records what a runner stated in an answer to this node, which holds until `until`. Returns the
-    /// change, if it is one.
+    /// Records what a runner stated, which holds until `until`. Returns the change, if it is one.
     pub(crate) fn record(
         &mut self,
         now: TimePoint,
+        source: StatementSource,
         runner: &RunnerIncarnation,
         value: Option<T>,
         until: TimePoint,
     ) -> Option<StatementChange<T>> {
         let before = self.value(now, runner);
-        if value.is_none() && before.is_none() && !self.own.contains_key(&runner.runner) {
+        let statements = match source {
+            StatementSource::Answer => &mut self.own,
+            StatementSource::Peer => &mut self.from_peers,
+        };
+        // Most answers state nothing, of a runner that has stated nothing before.
+        let is_known = before.is_some() || statements.contains_key(&runner.runner);
+        if source == StatementSource::Answer && value.is_none() && !is_known {
             return None;
         }
-        keep_newest(&mut self.own, RunnerStatement { runner: runner.clone(), value, until });
-        self.change(now, runner, before)
-    }
-
-    /// Records what a runner stated in an answer to another node; like [`Self::record`].
-    pub(crate) fn record_from_peer(
-        &mut self,
-        now: TimePoint,
-        runner: &RunnerIncarnation,
-        value: Option<T>,
-        until: TimePoint,
-    ) -> Option<StatementChange<T>> {
-        let before = self.value(now, runner);
-        keep_newest(&mut self.from_peers, RunnerStatement { runner: runner.clone(), value, until });
-        self.change(now, runner, before)
-    }
-
-    fn change(
-        &self,
-        now: TimePoint,
-        runner: &RunnerIncarnation,
-        before: Option<T>,
-    ) -> Option<StatementChange<T>> {
+        keep_newest(statements, RunnerStatement { runner: runner.clone(), value, until });
         let value = self.value(now, runner);
         (value != before).then(|| StatementChange { runner: runner.runner.clone(), value })
     }
