Keep what is known of recent routes in one table

`recent_routes.rs` has it, and the time of the last use, which both kept among their own figures. Nothing else changes: the same uses count, the bound is 256 in both, and the same route is dropped.

--- a/crates/serving/src/call_times.rs
+++ b/crates/serving/src/call_times.rs
@@ -3,10 +3,11 @@
 //! Load pattern: a node that is told to stop goes on receiving calls for seconds. It may take only those
 //! that end before it does, and the routes' timeouts are much longer than most calls take.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::VecDeque;
 
 use base::prelude::*;
 
+use crate::recent_routes::RecentRoutes;
 use crate::{RouteKind, RouteRule};
 
 /// Number of calls of a route that are kept.
@@ -21,21 +22,17 @@
 const LEAST_EXCESS: TimeSpan = TimeSpan::millis(50);
 /// Factor by which a call takes longer in the end than one under way has taken so far.
 const UNDER_WAY_FACTOR: u64 = 2;
-/// Number of routes whose calls are kept. Of more, the least recently used is dropped.
-const MAX_ROUTES: usize = 256;
 /// Expected time of a plain call on a route with few calls so far, as a multiple of its target latency.
 const UNKNOWN_FACTOR: u64 = 4;
 
 /// Recent calls of one route.
 #[derive(Debug, Default)]
 struct RouteCalls {
-    used_at: TimePoint,
     times: VecDeque<TimeSpan>,
 }
 
 impl RouteCalls {
-    fn push(&mut self, now: TimePoint, time: TimeSpan) {
-        self.used_at = now;
+    fn push(&mut self, time: TimeSpan) {
         if self.times.len() >= KEPT_TIMES {
             self.times.pop_front();
         }
@@ -62,19 +59,13 @@
 /// Recent times of the calls of each route.
 #[derive(Debug, Default)]
 pub struct CallTimes {
-    routes: BTreeMap<Arc<str>, RouteCalls>,
+    routes: RecentRoutes<RouteCalls>,
 }
 
 impl CallTimes {
     /// Records the time that a call on `route` took.
     pub fn record(&mut self, now: TimePoint, route: &Arc<str>, time: TimeSpan) {
-        if !self.routes.contains_key(route) && self.routes.len() >= MAX_ROUTES {
-            let oldest = self.routes.iter().min_by_key(|(_, calls)| calls.used_at);
-            if let Some(oldest) = oldest.map(|(name, _)| Arc::clone(name)) {
-                self.routes.remove(&oldest);
-            }
-        }
-        self.routes.entry(Arc::clone(route)).or_default().push(now, time);
+        self.routes.get_or_insert(now, route).push(time);
     }
 
     /// Time within which a call of the route ends: nearly every call if they may be repeated, otherwise
--- a/crates/serving/src/hedge_timer.rs
+++ b/crates/serving/src/hedge_timer.rs
@@ -8,13 +8,12 @@
 
 use base::prelude::*;
 
-/// Number of sends of a route that are kept.
+use crate::recent_routes::RecentRoutes;
+
+/// Number of sends of a route that are kept; 256 KiB in all for the most routes that are kept.
 const KEPT_TIMES: usize = 256;
 /// Sends of a route below which none is called slow: a high quantile of fewer says little.
 const LEAST_TIMES: usize = 100;
-/// Number of routes whose sends are kept; 256 KiB in all. Of more, the least recently used is
-/// dropped.
-const MAX_ROUTES: usize = 256;
 /// Share of a route's sends that are quicker than a slow one, at least.
 const LEAST_QUANTILE: f64 = 0.95;
 /// Shortest time after which a send is slow. Connecting and sending again takes about as long.
@@ -32,7 +31,6 @@
     /// Sends since the quantile was computed.
     unused: u32,
     delay: Option<TimeSpan>,
-    used_at: TimePoint,
 }
 
 impl RouteTimes {
@@ -80,7 +78,7 @@
 /// Times of the sends of each route, and how many of them were slow at each runner and place.
 #[derive(Debug, Default)]
 pub struct HedgeTimer {
-    routes: BTreeMap<Arc<str>, RouteTimes>,
+    routes: RecentRoutes<RouteTimes>,
     runners: BTreeMap<RunnerId, SlowSends>,
     places: BTreeMap<PlaceName, SlowSends>,
 }
@@ -89,8 +87,7 @@
     /// Time after which a send on `route` is slow, if `share` of the requests may be hedged; `None`
     /// if too few sends were observed.
     pub fn delay(&mut self, now: TimePoint, route: &str, share: f64) -> Option<TimeSpan> {
-        let times = self.routes.get_mut(route)?;
-        times.used_at = now;
+        let times = self.routes.get_used(now, route)?;
         if times.micros.len() < LEAST_TIMES {
             return None;
         }
@@ -106,15 +103,7 @@
     /// Records the time that a first send took; for one that was cancelled, the time until then,
     /// so that the slow sends are not left out.
     pub fn record_time(&mut self, now: TimePoint, route: &Arc<str>, time: TimeSpan) {
-        if !self.routes.contains_key(route) && self.routes.len() >= MAX_ROUTES {
-            let oldest = self.routes.iter().min_by_key(|(_, times)| times.used_at);
-            if let Some(oldest) = oldest.map(|(name, _)| Arc::clone(name)) {
-                self.routes.remove(&oldest);
-            }
-        }
-        let times = self.routes.entry(Arc::clone(route)).or_default();
-        times.used_at = now;
-        times.push(time);
+        self.routes.get_or_insert(now, route).push(time);
     }
 
     /// Records whether a first send to `runner` was slow.
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -25,6 +25,7 @@
 mod peer_table;
 mod plan;
 mod reach_table;
+mod recent_routes;
 mod retry_budget;
 mod run_ends;
 mod run_places;
