Split the tests of forwarding and of evacuation by subject

Which nodes take forwarded calls, and how a request arrives, is in node_forward_targets.rs now; streams under way in an evacuated place in node_evacuation_streams.rs. No test is changed, renamed or dropped: `--list` gives the same 17 and 15 names before and after, and the lines, sorted, differ only in imports, module comments and `pub`.

--- a/crates/harness/tests/node_evacuation.rs
+++ b/crates/harness/tests/node_evacuation.rs
@@ -1,20 +1,17 @@
 //! Nodes while the operator evacuates a place: nothing new may be sent to its runners.
 
+mod two_places;
+
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 use compio::time::sleep;
-use fakes::platform::{RunnerFake, RunnerFakeSettings, StoreFake, StoreFault};
+use fakes::platform::{RunnerFake, StoreFake, StoreFault};
 use futures_util::future::join_all;
-use harness::{CallerRequest, LinkState, NodeFleet, TestLink, WholeAnswer, wait_until};
+use harness::{CallerRequest, LinkState, TestLink, WholeAnswer, wait_until};
 use serde_json::json;
+use two_places::{APPLY_LIMIT, SOON, TOPIC, TwoPlaces, add_runner};
 
-/// Topic of the operator's keys.
-const TOPIC: &str = "keyed.op";
-/// Time in which an evacuation or its end has to be in force at every node.
-const APPLY_LIMIT: Duration = Duration::from_secs(5);
-/// Time in which a change reaches the nodes of a fleet whose store is undisturbed.
-const SOON: Duration = Duration::from_secs(2);
 /// Time that the store is away.
 const OUTAGE: Duration = Duration::from_millis(300);
 /// Time in which an operator writes again what a copy of the store lacks.
@@ -31,39 +28,7 @@
     format!("{:016x}", NEXT_ATTEMPT.fetch_add(1, Ordering::Relaxed))
 }
 
-/// Starts a runner in a place.
-async fn add_runner(fleet: &mut NodeFleet, service: &str, id: &str, place: &str) -> RunnerFake {
-    let mut settings = RunnerFakeSettings::new(id);
-    settings.events = 150;
-    let runner = fleet.prepare_runner(settings).await.unwrap();
-    fleet.store.put_json("keyed.servers", id, &runner.entry(service, place, "ready"));
-    runner
-}
-
-/// A fleet with a runner of each service in `north` and in `south`.
-struct TwoPlaces {
-    fleet: NodeFleet,
-    north: [RunnerFake; 2],
-    south: [RunnerFake; 2],
-}
-
 impl TwoPlaces {
-    async fn start(nodes: usize) -> Self {
-        let mut fleet = NodeFleet::start().await.unwrap();
-        let mut north = Vec::new();
-        let mut south = Vec::new();
-        for service in ["desk", "llm"] {
-            north.push(add_runner(&mut fleet, service, &format!("{service}-n"), "north").await);
-            south.push(add_runner(&mut fleet, service, &format!("{service}-s"), "south").await);
-        }
-        for _ in 0..nodes {
-            fleet.add_node().unwrap();
-        }
-        fleet.wait_ready().await.unwrap();
-        let (north, south) = (north.try_into().ok().unwrap(), south.try_into().ok().unwrap());
-        Self { fleet, north, south }
-    }
-
     /// Adds a node whose own store has a fault from the start; the others learn its address.
     async fn add_rejected_node(&mut self, fault: StoreFault) -> StoreFake {
         let store = StoreFake::start("127.0.0.1:0".parse().unwrap()).await.unwrap();
@@ -78,10 +43,6 @@
         store
     }
 
-    fn evacuate(&self, place: &str) {
-        self.fleet.store.put_json(TOPIC, &format!("evacuate/{place}"), &json!({}));
-    }
-
     fn withdraw(&self, place: &str) {
         self.fleet.store.put(TOPIC, &format!("evacuate/{place}"), None);
     }
@@ -130,19 +91,6 @@
             .unwrap_or_else(|error| panic!("node {node}: {error}"));
         }
     }
-
-    /// Waits until every node has noted a change of `north`.
-    async fn wait_events(&self, event: &str, count: usize) {
-        for node in 0..self.fleet.nodes.len() {
-            wait_until(event, APPLY_LIMIT, async || {
-                let lines = self.fleet.nodes[node].events(event);
-                (lines.iter().filter(|line| line["place"] == "north").count() >= count)
-                    .then_some(())
-            })
-            .await
-            .unwrap_or_else(|error| panic!("node {node}: {error}"));
-        }
-    }
 }
 
 /// Guards against requests to a place whose key the operator has written, at any node.
@@ -298,87 +246,6 @@
     .unwrap();
 }
 
-/// Guards against streams that are cut off or run twice since their place is evacuated.
-#[test]
-fn a_stream_under_way_in_the_place_ends_whole_where_it_runs() {
-    kernel::run(async {
-        let places = TwoPlaces::start(2).await;
-        let work = async |name: String| {
-            let request = CallerRequest::stream(&name).with("x-dotterelyard-length-hint", "10");
-            (places.fleet.send(0, &request).await, name)
-        };
-        let streams = join_all((0..6).map(|number| work(format!("s{number}"))));
-        let (answers, ()) = futures_util::join!(streams, async {
-            wait_until("streams in both places", APPLY_LIMIT, async || {
-                (places.north[1].working() > 0 && places.south[1].working() > 0).then_some(())
-            })
-            .await
-            .unwrap();
-            places.evacuate("north");
-            places.wait_events("place_evacuated", 1).await;
-            assert!(places.north[1].working() > 0, "the streams are still at work");
-        });
-        for (answer, name) in answers {
-            assert_eq!((answer.status, answer.complete), (200, true));
-            let event = |number| format!("id: {number}\ndata: token {number} of {name}\n\n");
-            assert_eq!(answer.text, (1..=150).map(event).collect::<String>());
-        }
-        let runs = places.north[1].runs() + places.south[1].runs();
-        assert_eq!(runs, 6, "each stream ran once");
-    })
-    .unwrap();
-}
-
-/// Plays a stream that has a copy at the other runner, evacuates the place of its runner or that of
-/// the copy, and lets its runner crash. Gives the answer and the runs of both runners.
-async fn lose_runner(evacuate_copy: bool) -> (WholeAnswer, usize) {
-    let places = TwoPlaces::start(1).await;
-    let request = CallerRequest::stream("s1");
-    let (answer, ()) = futures_util::join!(places.fleet.send(0, &request), async {
-        let is_north = wait_until("the stream", APPLY_LIMIT, async || {
-            let working = [&places.north[1], &places.south[1]].map(RunnerFake::working);
-            (working != [0, 0]).then_some(working[0] == 1)
-        })
-        .await
-        .unwrap();
-        // The copy is complete.
-        sleep(SOON / 4).await;
-        let (runner, place, other) = if is_north {
-            (&places.north[1], "north", "south")
-        } else {
-            (&places.south[1], "south", "north")
-        };
-        let evacuated = if evacuate_copy { other } else { place };
-        places.evacuate(evacuated);
-        places.wait_event_of(evacuated).await;
-        runner.crash();
-    });
-    (answer, places.north[1].runs() + places.south[1].runs())
-}
-
-/// Guards against a stream that is lost although it has a copy outside of the evacuated place.
-#[test]
-fn a_stream_whose_runner_fails_in_the_place_resumes_at_its_copy_elsewhere() {
-    let (answer, runs) = kernel::run(lose_runner(false)).unwrap();
-    assert_eq!((answer.status, answer.complete, runs), (200, true, 2));
-}
-
-/// Guards against a resume at a copy in the evacuated place.
-#[test]
-fn a_stream_does_not_resume_at_a_copy_in_the_place() {
-    let (answer, runs) = kernel::run(lose_runner(true)).unwrap();
-    assert_eq!((answer.status, answer.complete, runs), (200, false, 1));
-}
-
-impl TwoPlaces {
-    /// Waits until every node has noted that `place` is evacuated.
-    async fn wait_event_of(&self, place: &str) {
-        for node in 0..self.fleet.nodes.len() {
-            self.fleet.wait_event(node, "place_evacuated", "place", &json!(place)).await.unwrap();
-        }
-    }
-}
-
 /// Guards against bad input that stops the reading of the topic or affects other places.
 #[test]
 fn malformed_keys_and_values_affect_no_other_place() {
