Put the hand-over of bookings into a module of its own

`booking_handover.rs` has the stop, the choice of the adopter, the messages and their answers. Nothing else changes: the functions are moved as they were, and some fields and functions of the service can be reached in the crate for it.

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,6 +1,7 @@
 //! The entry: callers' requests, from the lookup of an address to the last token.
 
 mod api;
+mod booking_handover;
 mod bookings;
 mod callers;
 mod completions;
