Find out that a runner that named a wait is not reached

What callers saw: a stream at a runner that named a wait gets nothing more once its answers do not arrive, and is cut at its deadline, though the runner works on and answers other nodes.

Cause: the runners that may be asked left out those that named a wait, and what was known of them was dropped with each check (`reach_members`). So such a runner never counted as unreached, as leaving ones did not before. A runner that leaves often names a wait: its 503 to a move carries one.

Now a waiting runner is asked like a leaving one: where a stream or call gives a reason to, and it counts for nothing but its own runs. The only thing sent is the health check; PLATFORM.md's list of what a wait holds back (sends, retries, resumes, reports, copies) has none, and other nodes ask it already.

--- /dev/null
+++ b/crates/harness/tests/node_waiting_partition.rs
@@ -0,0 +1,111 @@
+//! Streams at runners that named a wait or leave, while nodes get no answers from them.
+
+#[allow(dead_code, reason = "other tests set the links of a service")]
+mod service_fleet;
+
+use std::time::{Duration, Instant};
+
+use compio::time::sleep;
+use fakes::platform::RunnerFakeSettings;
+use futures_util::future::join;
+use harness::{CallerRequest, LinkState};
+use http_body_util::BodyExt;
+use serde_json::json;
+use service_fleet::{CUT, LinkedRunner, ServiceFleet, take_turn};
+
+/// Events of a stream, one in 20 ms.
+const EVENTS: u64 = 200;
+/// Time from the begin of the stream to the leave of its runner; its copy is complete by then.
+const LEAVE_AFTER: Duration = Duration::from_secs(1);
+/// Longest pause: the one that a route allows on the users' platform (180 ms), and a second.
+const MAX_PAUSE: Duration = Duration::from_millis(1_180);
+
+fn long_streams(settings: &mut RunnerFakeSettings) {
+    settings.events = EVENTS;
+    settings.event_pause = Duration::from_millis(20);
+}
+
+/// What a caller saw of a stream.
+#[derive(Debug)]
+struct SeenStream {
+    ids: Vec<u64>,
+    is_whole: bool,
+    longest_pause: Duration,
+}
+
+async fn read_stream(services: &ServiceFleet, request: &CallerRequest) -> SeenStream {
+    let mut body = services.fleet.open(CUT, request).await.unwrap().into_body();
+    let (mut text, mut is_whole) = (String::new(), true);
+    let (mut last, mut longest_pause) = (Instant::now(), Duration::ZERO);
+    while let Some(frame) = body.frame().await {
+        longest_pause = longest_pause.max(last.elapsed());
+        last = Instant::now();
+        let Ok(frame) = frame else {
+            is_whole = false;
+            break;
+        };
+        text.push_str(&String::from_utf8_lossy(&frame.into_data().unwrap_or_default()));
+    }
+    let ids = text.lines().filter_map(|line| line.strip_prefix("id: ")?.parse().ok());
+    SeenStream { ids: ids.collect(), is_whole, longest_pause }
+}
+
+/// The runner that works on the only stream.
+fn find_source(services: &ServiceFleet) -> &LinkedRunner {
+    services.runners.iter().find(|linked| linked.runner.working() == 1).unwrap()
+}
+
+/// The store says that a runner leaves.
+fn announce_leave(services: &ServiceFleet, linked: &LinkedRunner) {
+    let mut entry = linked.runner.entry(linked.service, "north", "draining");
+    entry["address"] = json!(linked.link.address());
+    services.fleet.store.put_json("keyed.servers", linked.runner.id(), &entry);
+}
+
+/// Every event came once and in order, without a pause beyond the bound.
+fn check_whole(services: &ServiceFleet, stream: &SeenStream) {
+    let ids = &stream.ids;
+    let (count, pause) = (ids.len(), stream.longest_pause);
+    let seen = format!("{count} events, whole: {}, longest pause {pause:?}", stream.is_whole);
+    assert!(stream.is_whole && ids.iter().copied().eq(1..=EVENTS), "{seen}");
+    assert!(pause <= MAX_PAUSE, "{seen}");
+    assert_eq!(services.most_runs(), 1);
+}
+
+/// A leaving runner answers a move with a wait of 9 s, then its answers arrive at other nodes only.
+fn check_wait(state: LinkState) {
+    let _turn = take_turn();
+    kernel::run(async {
+        let services = ServiceFleet::start(long_streams).await;
+        let request = CallerRequest::stream("waiting").with("x-dotterelyard-length-hint", "10");
+        let cut = async {
+            sleep(LEAVE_AFTER).await;
+            let source = find_source(&services);
+            let pid = services.fleet.nodes[CUT].pid();
+            source.runner.refuse_moves(true);
+            source.runner.turn_away(Some("9"));
+            announce_leave(&services, source);
+            while source.runner.moves().is_empty() {
+                sleep(Duration::from_millis(5)).await;
+            }
+            source.runner.refuse_moves(false);
+            source.runner.turn_away(None);
+            sleep(Duration::from_millis(100)).await;
+            source.link.set_for(pid, state);
+        };
+        let (stream, ()) = join(read_stream(&services, &request), cut).await;
+        check_whole(&services, &stream);
+    })
+    .unwrap();
+}
+
+/// Guards against LOST: the wait that a runner named hid that its answers do not arrive.
+#[test]
+fn a_stream_is_not_cut_when_a_runner_that_named_a_wait_answers_only_other_nodes() {
+    check_wait(LinkState::AnswersStalled);
+}
+
+#[test]
+fn a_stream_is_not_cut_when_a_runner_that_named_a_wait_is_lost_to_its_node() {
+    check_wait(LinkState::Lost);
+}
--- a/crates/node/src/reach/reach_watch.rs
+++ b/crates/node/src/reach/reach_watch.rs
@@ -51,11 +51,8 @@
     let table = context.runners.borrow();
     for entry in table.entries().filter(|entry| plan.services.contains_key(&entry.record.service)) {
         let runner = entry.record.incarnation();
-        if is_waiting(context, &runner) {
-            continue;
-        }
         let of_service = members.entry(entry.record.service.clone()).or_default();
-        if is_staying(entry) {
+        if is_staying(entry) && !is_waiting(context, &runner) {
             of_service.staying.insert(runner);
         } else {
             of_service.leaving.insert(runner);
--- a/crates/serving/src/reach_table.rs
+++ b/crates/serving/src/reach_table.rs
@@ -21,7 +21,7 @@
 pub struct ServiceMembers {
     /// Those that may receive new requests.
     pub staying: BTreeSet<RunnerIncarnation>,
-    /// Those that receive none, and may still work on runs.
+    /// Those that receive none, and may still work on runs: they leave, or named a wait.
     pub leaving: BTreeSet<RunnerIncarnation>,
 }
 
--- a/crates/serving/src/service_reach.rs
+++ b/crates/serving/src/service_reach.rs
@@ -4,7 +4,8 @@
 //! callers and other nodes are reached as before. What a call shows comes late, so runners are
 //! asked as soon as calls give a reason to. Only what a runner answers shows that it is reached.
 //!
-//! A runner that leaves counts for nothing but its own runs, which go on elsewhere if it is not reached.
+//! A runner that leaves or named a wait counts for nothing but its own runs, which go on elsewhere if it
+//! is not reached.
 
 use std::collections::{BTreeMap, BTreeSet};
 
