End the wait for an order once its runner answers nobody

What callers saw: a stream whose leaving runner falls silent to all nodes while it is ordered to stop gets nothing for 2.77 s, though a runner with its copy is reached. A stream at a runner that stays goes on from its copy as soon as its runner is unreached.

Cause: while an order is open only an answer at another node ended the wait (`wait_for_stop`); a source that answers nobody was waited for until the order failed (2.5 s).

--- a/crates/harness/tests/node_waiting_partition.rs
+++ b/crates/harness/tests/node_waiting_partition.rs
@@ -109,3 +109,25 @@
 fn a_stream_is_not_cut_when_a_runner_that_named_a_wait_is_lost_to_its_node() {
     check_wait(LinkState::Lost);
 }
+
+/// Guards against a pause until an order ends: the leaving runner falls silent to all nodes, and its copy
+/// is at a runner that answers.
+#[test]
+fn a_stream_goes_on_from_its_copy_when_its_leaving_runner_falls_silent_to_all() {
+    let _turn = take_turn();
+    kernel::run(async {
+        let services = ServiceFleet::start(long_streams).await;
+        let request = CallerRequest::stream("leaving");
+        let leave = async {
+            sleep(LEAVE_AFTER).await;
+            let source = find_source(&services);
+            for node in &services.fleet.nodes {
+                source.link.set_for(node.pid(), LinkState::Lost);
+            }
+            announce_leave(&services, source);
+        };
+        let (stream, ()) = join(read_stream(&services, &request), leave).await;
+        check_whole(&services, &stream);
+    })
+    .unwrap();
+}
--- a/crates/node/src/streams/run_stop.rs
+++ b/crates/node/src/streams/run_stop.rs
@@ -19,6 +19,7 @@
 use super::stream_places::{QUESTION_PAUSE, RunnerQuestion, ask_runner};
 use super::stream_pump::{PumpStep, StreamPump};
 use crate::call_log::RequestOutcome;
+use crate::reach::{find_answer_place, is_unreached, suspect_runner};
 use crate::run_end_watch::record_habit;
 use crate::runner_gate::SendPurpose;
 use crate::runner_send::SendPlan;
@@ -59,7 +60,7 @@
     Kept,
     /// The source goes on with the run, since the order found no room for the rest of its copy.
     NoRoom,
-    /// The source answers another node, and not this one: it may have stopped the run.
+    /// The source answers another node and not this one, or nobody: it may have stopped the run.
     CutOff,
     /// The stream has ended.
     End(PumpStep),
@@ -139,7 +140,7 @@
     /// Forwards the source until it has stopped the run as ordered, or is known to go on with it.
     async fn wait_for_stop(&mut self, order: &mut CopyTask) -> StopEnd {
         let mut answer: Option<StopAnswer> = None;
-        let mut question = self.ask_source(ORDER_SILENCE);
+        let mut question = self.ask_ordered(ORDER_SILENCE);
         let mut due = None;
         let mut has_gone_on = false;
         // Whether the body was closed where it might have ended.
@@ -181,13 +182,15 @@
                 StopInput::Overdue => self.source.close(),
                 StopInput::Asked(place) => {
                     self.log_unanswered_order(&place);
-                    if matches!(place, AnswerPlace::OtherNode(_)) && !self.source.ended {
+                    if self.is_source_lost(&place) && !self.source.ended {
                         return StopEnd::CutOff;
                     }
-                    question = self.ask_source(QUESTION_PAUSE);
+                    let is_silent = place == AnswerPlace::Nowhere;
+                    let pause = if is_silent { ORDER_SILENCE } else { QUESTION_PAUSE };
+                    question = self.ask_ordered(pause);
                 }
                 StopInput::Frame(Some(Ok(bytes))) => {
-                    question = self.ask_source(ORDER_SILENCE);
+                    question = self.ask_ordered(ORDER_SILENCE);
                     has_gone_on |= answer.is_some();
                     self.record_activity(self.context.now());
                     if let end @ PumpStep::End(..) = self.forward_events(&bytes).await {
@@ -238,6 +241,33 @@
         }
     }
 
+    /// Whether a source that was found to answer at `place` is not reached from this node: it answers only
+    /// another one, or nobody, also when asked again.
+    fn is_source_lost(&self, place: &AnswerPlace) -> bool {
+        match place {
+            AnswerPlace::Here => false,
+            AnswerPlace::OtherNode(_) => true,
+            AnswerPlace::Nowhere => is_unreached(&self.context, &self.source.runner),
+        }
+    }
+
+    /// The same as [`Self::ask_source`] for a source whose stream is read. One that leaves counts as not
+    /// reached soon after it has answered nobody: it is asked for that at the same time.
+    fn ask_ordered(&self, pause: TimeSpan) -> RunnerQuestion {
+        let (context, runner) = (Rc::clone(&self.context), self.source.runner.clone());
+        let is_leaving = self.leaving_since.is_some();
+        Box::pin(async move {
+            kernel::sleep(pause.into()).await;
+            if is_unreached(&context, &runner) {
+                return AnswerPlace::Nowhere;
+            }
+            if is_leaving {
+                suspect_runner(&context, &runner);
+            }
+            find_answer_place(&context, &runner).await
+        })
+    }
+
     /// Finds out after a pause where the source answers.
     pub(super) fn ask_source(&self, pause: TimeSpan) -> RunnerQuestion {
         ask_runner(&self.context, &self.source.runner, pause)
