Ask for a silent source at most once in 200 ms

What runners saw: a flood of health checks. One stream, 700 ms between its events, at a runner that refuses connections of its node had it asked some 60 to 130 times a second (1,512 to 3,752 bytes in 500 ms, 55 a question); each also asks other nodes.

Cause: since the next question begins at once, and with an answer the next look comes without a pause. A question that fails at once and is answered at once elsewhere takes a few milliseconds, so questions followed each other in a loop until the stream moved, spoke or ended.

Now a new one begins when the last answer is 200 ms old. It takes 250 ms at most, and an answer counts for 500 ms, so what is known stays recent.

--- a/crates/harness/tests/node_waiting_partition.rs
+++ b/crates/harness/tests/node_waiting_partition.rs
@@ -8,7 +8,7 @@
 use compio::time::sleep;
 use fakes::platform::RunnerFakeSettings;
 use futures_util::future::join;
-use harness::{CallerRequest, LinkState};
+use harness::{CallerRequest, LinkState, config};
 use http_body_util::BodyExt;
 use serde_json::json;
 use service_fleet::{CUT, LinkedRunner, ServiceFleet, take_turn};
@@ -20,6 +20,11 @@
 /// Longest pause: the one that a route allows on the users' platform (180 ms), and a second.
 const MAX_PAUSE: Duration = Duration::from_millis(1_180);
 
+/// Events of a slow stream, one in 700 ms.
+const SLOW_EVENTS: u64 = 9;
+/// Bytes that a silent stream may have its runner asked in 500 ms: a health check takes 55.
+const MAX_ASKED: u64 = 880;
+
 fn long_streams(settings: &mut RunnerFakeSettings) {
     settings.events = EVENTS;
     settings.event_pause = Duration::from_millis(20);
@@ -131,3 +136,44 @@
     })
     .unwrap();
 }
+
+/// Guards against a flood of questions: the source is slow and sound, the node cannot connect to it again,
+/// and another node gets its answers at once.
+#[test]
+fn a_slow_stream_whose_runner_refuses_one_node_does_not_flood_it_with_questions() {
+    let _turn = take_turn();
+    kernel::run(async {
+        let slow = |settings: &mut RunnerFakeSettings| {
+            settings.events = SLOW_EVENTS;
+            settings.event_pause = Duration::from_millis(700);
+        };
+        let services = ServiceFleet::start(slow).await;
+        let mut plan = config(2);
+        plan["services"][1]["engine"]["moves"] = json!(false);
+        plan["services"][1]["engine"]["backups"] = json!(false);
+        services.fleet.store.put_json("keyed.op", "config", &plan);
+        sleep(LEAVE_AFTER).await;
+        let request = CallerRequest::stream("slow");
+        let cut = async {
+            sleep(LEAVE_AFTER).await;
+            let source = find_source(&services);
+            source.link.set_for(services.fleet.nodes[CUT].pid(), LinkState::NewCut);
+            let mut passed = Vec::new();
+            for _ in 0..8 {
+                let before = source.link.forwarded();
+                sleep(Duration::from_millis(500)).await;
+                passed.push(source.link.forwarded() - before);
+            }
+            passed
+        };
+        let (stream, passed) = join(read_stream(&services, &request), cut).await;
+        let ids = &stream.ids;
+        assert!(
+            stream.is_whole && ids.iter().copied().eq(1..=SLOW_EVENTS),
+            "{ids:?} {}",
+            stream.is_whole
+        );
+        assert!(passed.iter().all(|bytes| *bytes <= MAX_ASKED), "{passed:?}");
+    })
+    .unwrap();
+}
--- a/crates/node/src/streams/stream_silence.rs
+++ b/crates/node/src/streams/stream_silence.rs
@@ -43,6 +43,9 @@
 const CHECK_PAUSE: TimeSpan = TimeSpan::millis(250);
 /// Age up to which it counts that a source has answered another node: the time of two questions.
 const MAX_ANSWER_AGE: TimeSpan = TimeSpan::millis(500);
+/// Age of such an answer from which on the source is asked again: the next answer comes while the last one
+/// still counts. A question may take a millisecond only.
+const RENEWAL_AGE: TimeSpan = TimeSpan::millis(200);
 /// Time in which a runner that is reached accepts a connection.
 const USUAL_CONNECT: TimeSpan = TimeSpan::millis(8);
 /// Reason of a stream that ends since its runner is not reached.
@@ -172,7 +175,7 @@
         }
         let answered = self.activity.others_answered.as_ref();
         let answered = answered.filter(|(at, _)| now.since(*at) < MAX_ANSWER_AGE);
-        let Some(node) = answered.map(|(_, node)| node.clone()) else {
+        let Some((answered_at, node)) = answered.cloned() else {
             self.begin_question();
             return PumpStep::Continue;
         };
@@ -184,7 +187,9 @@
             return self.leave_silent().await;
         }
         // What is known is to be recent when the silence has lasted long enough.
-        self.begin_question();
+        if now.since(answered_at) >= RENEWAL_AGE {
+            self.begin_question();
+        }
         PumpStep::Continue
     }
 
