Answer a forwarded stream soon when its node falls silent before the head

What callers saw: a stream that was forwarded to a node which then froze got nothing until its deadline, then 504.

Cause: the wait for the head of the other node's answer had no end but the deadline (`offer_call`).

The mend: while a forwarded stream has no head, its node is asked each 250 ms (`wait_node_lost`). After 1.5 s without an answer, the time after which `decide_relay` leaves a silent node elsewhere, the caller gets 502, outcome unknown; the call is not sent again. An answer holds for 100 ms for all streams that ask the same node, so that a crowd of waiting streams does not ask it for each of them. Plain calls wait as before: their outcome is unknown either way.

--- a/crates/harness/tests/node_relay_loss.rs
+++ b/crates/harness/tests/node_relay_loss.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use compio::time::sleep;
-use fakes::platform::RunnerFakeSettings;
+use fakes::platform::{RunnerFakeSettings, RunnerScript};
 use futures_util::future::{Either, join, select};
 use harness::{CallerRequest, LinkState, wait_until};
 use http_body_util::BodyExt;
@@ -236,3 +236,32 @@
     let signals = [(LOST_AFTER, Signal::STOP), (SILENCE, Signal::CONT)];
     check_forwarded(&CallerRequest::stream("s1"), &signals, SILENCE + MAX_PAUSE);
 }
+
+/// Guards against LOST: a forwarded stream waits until its deadline for the head of a silent node's answer.
+#[test]
+fn a_forwarded_stream_without_a_head_is_answered_soon_after_its_other_node_falls_silent() {
+    let _turn = take_turn();
+    kernel::run(async {
+        let services = ServiceFleet::start(long_streams).await;
+        cut_off(&services).await;
+        services.runners.iter().for_each(|linked| linked.runner.script(&[RunnerScript::Silent]));
+        let request = CallerRequest::stream("s1");
+        let freeze = async {
+            let number = wait_until("the call to run", LIMIT, async || {
+                (0..NODES).find(|number| {
+                    let sends = services.fleet.nodes[*number].events("send");
+                    sends.iter().any(|line| line["request"] == "s1")
+                })
+            });
+            services.fleet.nodes[number.await.unwrap()].signal(Signal::STOP).unwrap();
+            Instant::now()
+        };
+        let answered = async { (services.fleet.send(CUT, &request).await.status, Instant::now()) };
+        let ((status, end), begun) = join(answered, freeze).await;
+        assert_eq!(status, 502);
+        let taken = end.duration_since(begun);
+        assert!((SILENCE..=2 * MAX_PAUSE).contains(&taken), "{taken:?}");
+        assert_eq!(services.most_runs(), 1);
+    })
+    .unwrap();
+}
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -77,6 +77,8 @@
     pub impairments: RefCell<BTreeMap<ServiceName, StopSignal>>,
     /// Runners that are reached again, which the dispatcher has not received yet.
     pub regained_runners: RefCell<Vec<RunnerId>>,
+    /// When other nodes last answered a question, while that is recent.
+    pub node_answers: RefCell<BTreeMap<VmId, TimePoint>>,
     /// Nodes that did not take a forwarded call lately.
     pub forwards: RefCell<ForwardTable>,
     /// Calls that were lost by runners which are being probed.
@@ -154,6 +156,7 @@
             fleet_reach: RefCell::default(),
             impairments: RefCell::default(),
             regained_runners: RefCell::default(),
+            node_answers: RefCell::default(),
             forwards: RefCell::default(),
             lost_calls: RefCell::default(),
             runners_offset: Cell::default(),
--- a/crates/node/src/forward/call_forward.rs
+++ b/crates/node/src/forward/call_forward.rs
@@ -7,9 +7,12 @@
 //! reached the first.
 
 use std::cell::Cell;
+use std::pin::pin;
+use std::rc::Rc;
 
 use base::prelude::*;
-use serving::{ForwardFailure, ForwardSource, ForwardState, ReachShare};
+use futures_util::{FutureExt, select_biased};
+use serving::{ForwardFailure, ForwardSource, ForwardState, ForwardTarget, ReachShare};
 use web::{WebExchange, WebResponse};
 
 use super::choice::{choose_among_peers, choose_target, find_target, own_source};
@@ -18,11 +21,15 @@
 use super::run_trace::RunTrace;
 use crate::call::Call;
 use crate::context::NodeContext;
+use crate::reach::wait_node_lost;
 use crate::streams::is_event_stream;
 
 /// Pause until a run that lives is offered to the other nodes again.
 const ROUND_PAUSE: TimeSpan = TimeSpan::millis(150);
 
+/// Error of an offer whose node has fallen silent.
+const NODE_SILENT: &str = "the node is silent";
+
 /// A call that another node has answered, or a run that it has resumed.
 pub struct TakenResume {
     /// The node.
@@ -45,7 +52,7 @@
     loop {
         let target = choose_target(context, call)?;
         call.forwards.borrow_mut().record_offer(&target.vm);
-        match offer_call(context, call, &target, None).await {
+        match offer_whole(context, call, &target).await {
             OfferEnd::Answered(exchange) => {
                 log_offer(context, call, &target, "answered", "", "");
                 return Some(ForwardEnd::Taken(TakenResume { node: target.vm, exchange }));
@@ -67,6 +74,20 @@
     }
 }
 
+/// Offers a call to a node. A stream is not waited for if the node falls silent: its caller is to have its
+/// events, or to learn that none come.
+async fn offer_whole(context: &NodeContext, call: &Call, target: &ForwardTarget) -> OfferEnd {
+    let mut offered = pin!(offer_call(context, call, target, None).fuse());
+    if call.tokens_per_event.is_none() {
+        return offered.await;
+    }
+    let mut lost = pin!(wait_node_lost(context, &target.vm).fuse());
+    select_biased! {
+        end = offered => end,
+        () = lost => OfferEnd::Unknown(Rc::from(NODE_SILENT)),
+    }
+}
+
 /// Offers nothing to a node for a moment: its connection has ended, or it is silent.
 pub fn leave_out_node(context: &NodeContext, call: &Call, node: &VmId) {
     let Some(target) = find_target(context, node) else { return };
--- a/crates/node/src/reach/mod.rs
+++ b/crates/node/src/reach/mod.rs
@@ -1,13 +1,15 @@
 //! Which runners this node reaches, and which of them other nodes reach.
 
+mod node_question;
 mod reach_question;
 mod reach_watch;
 mod records;
 mod runner_answers;
 
+pub use node_question::{node_answers, wait_node_lost};
 pub use reach_question::{
     ANSWERS_PATH, REACH_PATH, answer_answers, answer_reach, answers_other_nodes, connects_quickly,
-    find_answering_node, find_reaching_node, node_answers,
+    find_answering_node, find_reaching_node,
 };
 pub use reach_watch::{reaches_service, watch_reach};
 pub use records::{
--- a/crates/node/src/reach/reach_question.rs
+++ b/crates/node/src/reach/reach_question.rs
@@ -12,7 +12,7 @@
 use hyper::{Method, StatusCode};
 use rand::seq::SliceRandom;
 use serving::{ReachShare, RunnerRecord};
-use web::{FetchLimit, WebConnection, WebResponse, fetch, fetch_answer, text_reply};
+use web::{WebConnection, WebResponse, fetch, text_reply};
 
 use super::reach_watch::answers_here;
 use crate::context::NodeContext;
@@ -30,8 +30,6 @@
 const NODE_TIMEOUT: TimeSpan = TimeSpan::millis(100);
 /// Timeout for the answer of a node that waits for one of a runner itself.
 const ANSWERS_TIMEOUT: TimeSpan = TimeSpan::millis(250);
-/// Most bytes of the answer of a node that is asked whether it answers.
-const MAX_ANSWER_BYTES: usize = 1_024;
 /// Nodes that are asked at once who reaches a runner.
 const ASKED_NODES: usize = 8;
 /// Nodes that are asked at once whether a runner answers them; each asks the runner.
@@ -92,22 +90,6 @@
     ask_nodes(context, runner, ANSWERS_PATH, ANSWERING_NODES, ANSWERS_TIMEOUT).await
 }
 
-/// Whether another node answers at all.
-pub async fn node_answers(context: &NodeContext, node: &VmId) -> bool {
-    let address = {
-        let peers = context.peers.borrow();
-        let mut live = peers.live(context.now());
-        live.find(|peer| peer.vm == *node).map(|peer| peer.peer_address)
-    };
-    let Some(address) = address else { return false };
-    // The path names no runner, so that any node that works answers 404 at once.
-    let limit = FetchLimit::Whole(ANSWERS_TIMEOUT);
-    let (step, body) = ("answer of a node", Bytes::new());
-    let answered =
-        fetch_answer(step, Method::GET, address, REACH_PATH, body, limit, MAX_ANSWER_BYTES);
-    answered.await.is_ok()
-}
-
 /// Asks `count` other nodes about a runner. Returns the first one that says yes; `None` if none does in time.
 async fn ask_nodes(
     context: &NodeContext,
