--- a/crates/load/src/policy/mod.rs
+++ b/crates/load/src/policy/mod.rs
@@ -13,6 +13,7 @@
 mod oracle_desk;
 mod policy_command;
 mod simulation;
+mod simulation_engines;
 mod simulation_faults;
 mod turn_away_measures;
 mod turn_away_plan;
--- a/crates/load/src/policy/simulation.rs
+++ b/crates/load/src/policy/simulation.rs
@@ -4,20 +4,18 @@
 
 use base::{AttemptNumber, CacheEvent, prelude::*};
 use fakes::engine::{AdmitError, AttemptKey, EngineModel, EngineRequest, StepResult};
-use rand::{RngExt, SeedableRng, rngs::StdRng};
+use rand::{SeedableRng, rngs::StdRng};
 use route::{CallEnd, CallId, RouteAction, RouteCall, RouteEvent};
 
 use crate::policy::bench_call::{INDEX_BITS, call_index};
 use crate::policy::bench_desk::{runner_id, runner_number};
 use crate::policy::call_state::CallState;
+use crate::policy::simulation_engines::REPORT_PERIOD;
 use crate::policy::{
     ArrivalPlan, BenchCall, BenchDesk, BenchMeasures, BenchSettings, FaultName, PolicyFigures,
 };
 
-const REPORT_PERIOD: TimeSpan = TimeSpan::millis(250);
-const REPORT_LAG_MILLIS: std::ops::Range<u64> = 200..400;
 const TICK_PERIOD: TimeSpan = TimeSpan::millis(10);
-const CACHE_EVENT_LOSS: f64 = 0.05;
 const COME_BACKS: u32 = 3;
 const BURST_FACTOR: f64 = 2.0;
 
@@ -129,7 +127,7 @@
         self.put_at(self.settings.fault_window.1, BenchEvent::FaultEnd);
     }
 
-    fn put_at(&mut self, at: TimePoint, event: BenchEvent) {
+    pub(super) fn put_at(&mut self, at: TimePoint, event: BenchEvent) {
         self.events_put += 1;
         self.events.insert((at, self.events_put), event);
     }
@@ -163,7 +161,7 @@
         }
     }
 
-    fn entry_is_gone(&self, entry: usize) -> bool {
+    pub(super) fn entry_is_gone(&self, entry: usize) -> bool {
         entry == 0 && self.fault_on && self.settings.fault == FaultName::EntryGone
     }
 
@@ -276,7 +274,7 @@
         }
     }
 
-    fn decide(&mut self, index: usize, met: bool) {
+    pub(super) fn decide(&mut self, index: usize, met: bool) {
         self.states[index].decided = true;
         match self.states[index].first_token {
             Some(first) if met => self.measures.add_worth(&self.calls[index], first),
@@ -296,95 +294,6 @@
         self.tell(self.states[index].entry, RouteEvent::Ended { call, end: CallEnd::Cancelled });
     }
 
-    fn wake(&mut self, runner: usize) {
-        if self.steps[runner].is_none() {
-            self.steps[runner] = Some(StepResult::default());
-            self.put(TimeSpan::default(), BenchEvent::Step(runner));
-        }
-    }
-
-    /// Passes the tokens of the last step on and begins the next one.
-    fn step(&mut self, runner: usize) {
-        let ended = |result: &mut StepResult| result.until <= self.now;
-        let Some(result) = self.steps[runner].take_if(ended) else {
-            return;
-        };
-        for token in &result.tokens {
-            let index = token.key.generation.0 as usize;
-            if token.key == self.key(index) && self.states[index].runner == Some(runner) {
-                self.note_answer(index, runner, token.last);
-                self.pass_token(index, token.index, token.last);
-            }
-        }
-        if self.engines[runner].is_idle() || self.steps[runner].is_some() {
-            return;
-        }
-        let before = (self.engines[runner].preemptions(), self.engines[runner].recomputed());
-        let result = self.engines[runner].step(self.now);
-        let engine = &self.engines[runner];
-        if self.measures.covers(self.now) {
-            self.measures
-                .preempted(engine.preemptions() - before.0, engine.recomputed() - before.1);
-        }
-        self.put_at(result.until, BenchEvent::Step(runner));
-        self.steps[runner] = Some(result);
-    }
-
-    fn pass_token(&mut self, index: usize, token: base::TokenIndex, last: bool) {
-        let state = &mut self.states[index];
-        state.produced += 1;
-        let entry = state.entry;
-        if let Some(newest) = state.newest.replace(self.now) {
-            self.measures.gap(self.now, self.now.since(newest));
-        } else {
-            state.first_token = Some(self.now);
-            self.record_first_token(index, self.now);
-        }
-        let call = self.call_id(index);
-        self.tell(entry, RouteEvent::Progress { call, index: token });
-        if last {
-            self.states[index].runner = None;
-            self.decide(index, true);
-            self.tell(entry, RouteEvent::Ended { call, end: CallEnd::Finished });
-        }
-    }
-
-    fn report(&mut self, runner: usize) {
-        self.put(REPORT_PERIOD, BenchEvent::Report(runner));
-        if self.engines[runner].is_killed() {
-            return;
-        }
-        let mut report = self.engines[runner].report();
-        report.leaving &= self.settings.fault != FaultName::EnginesLeaveByAnswer;
-        report.models = vec!["model".parse().expect("a valid name")];
-        let cache = self.engines[runner].take_cache_events();
-        for entry in 0..self.settings.workload.entries {
-            let lag = TimeSpan::millis(self.random.random_range(REPORT_LAG_MILLIS));
-            let kept = |_: &&CacheEvent| !self.random.random_bool(CACHE_EVENT_LOSS);
-            let cache = cache.iter().filter(kept).cloned().collect();
-            let report = RunnerReport { age: lag, ..report.clone() };
-            self.put(lag, BenchEvent::Deliver { entry, report, cache });
-        }
-    }
-
-    fn deliver(&mut self, entry: usize, report: RunnerReport, cache: Vec<CacheEvent>) {
-        let fault = if self.fault_on { self.settings.fault } else { FaultName::None };
-        if self.entry_is_gone(entry) {
-            return;
-        }
-        let runner = report.runner.clone();
-        if fault != FaultName::ReportsFrozen {
-            self.tell(entry, RouteEvent::Report(report));
-        }
-        if fault == FaultName::CacheLost {
-            self.engines[runner_number(&runner)].clear_cache();
-            return;
-        }
-        for event in cache {
-            self.tell(entry, RouteEvent::Cache { runner: runner.clone(), event });
-        }
-    }
-
     pub(super) fn calls_where(&self, wanted: impl Fn(&CallState) -> bool) -> Vec<usize> {
         let states = self.states.iter().enumerate();
         let open = states.filter(|(_, state)| !state.decided && wanted(state));
@@ -399,7 +308,7 @@
     }
 
     /// The first token of a call came at this time, or its caller gave up then.
-    fn record_first_token(&mut self, index: usize, at: TimePoint) {
+    pub(super) fn record_first_token(&mut self, index: usize, at: TimePoint) {
         self.measures.first_token(at, &self.calls[index]);
         if self.states[index].has_returned() {
             self.measures.returned_first_token(at, &self.calls[index]);
