Test that a forwarded stream that goes on nowhere is broken off soon

A node that falls silent is left after 1.5 s, and a stream that has no copy and can't be moved then ends. No change of the product.

--- a/crates/harness/tests/node_relay_loss.rs
+++ b/crates/harness/tests/node_relay_loss.rs
@@ -110,18 +110,27 @@
     .unwrap();
 }
 
-/// The same with a stream that is forwarded as a whole.
+/// Forwards a stream as a whole to a node that then gets `signals`.
+async fn lose_forward(
+    services: &ServiceFleet,
+    request: &CallerRequest,
+    signals: Signals<'_>,
+) -> SeenStream {
+    cut_off(services).await;
+    let is_lost = Cell::new(false);
+    let lose = async {
+        let node = find_forward(services).await;
+        send_signals(services, node, signals, &is_lost).await;
+    };
+    read_alone(services, request, lose, &is_lost).await
+}
+
+/// Like [`check_whole`], with a stream that is forwarded.
 fn check_forwarded(request: &CallerRequest, signals: Signals<'_>, max_pause: Duration) {
     let _turn = take_turn();
     kernel::run(async {
         let services = ServiceFleet::start(long_streams).await;
-        cut_off(&services).await;
-        let is_lost = Cell::new(false);
-        let lose = async {
-            let relay = find_forward(&services).await;
-            send_signals(&services, relay, signals, &is_lost).await;
-        };
-        let stream = read_alone(&services, request, lose, &is_lost).await;
+        let stream = lose_forward(&services, request, signals).await;
         assert!(stream.has_all(), "{stream:?}");
         assert!(stream.longest_pause <= max_pause, "{stream:?}");
         assert_eq!(services.most_runs(), 1);
@@ -265,3 +274,22 @@
     })
     .unwrap();
 }
+
+/// A stream that goes on nowhere must not wait for its silent node until its deadline.
+#[test]
+fn a_forwarded_stream_that_cannot_move_is_broken_off_soon_after_its_other_node_falls_silent() {
+    let _turn = take_turn();
+    kernel::run(async {
+        let services = ServiceFleet::start(long_streams).await;
+        for linked in &services.runners {
+            linked.runner.refuse_moves(true);
+            linked.runner.ignore_stop_orders();
+        }
+        let signals = [(LOST_AFTER, Signal::STOP)];
+        let stream = lose_forward(&services, &without_copy(), &signals).await;
+        assert!(!stream.is_whole && !stream.ids.is_empty(), "{stream:?}");
+        assert!((SILENCE..=2 * MAX_PAUSE).contains(&stream.longest_pause), "{stream:?}");
+        assert_eq!(services.most_runs(), 1);
+    })
+    .unwrap();
+}
