Read and write connections without buffers of their own

A node with 900 look-ups whose bodies do not end had 110 to 124 MiB resident (bound 88). Each connection, to callers and to runners, lent two buffers of 8 KiB to the event loop for as long as it was open, and each read filled the rest of the library's buffer with zeros first, which made all of it resident. Connections now wait until the socket is readable, read at most 16 KiB (before: 8 KiB) through one buffer of the thread, and write straight from the library's buffers (one copy fewer). A read is one byte shorter than the library's buffer of 16 KiB, which would otherwise grow to 32 KiB.

The crowd of bodies does not fit with this change alone. The meter's bounds are unchanged.

--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -6,11 +6,9 @@
 use std::net::SocketAddr;
 
 use base::TimeSpan;
-use compio::io::util::Splittable;
 use compio::net::TcpStream;
 use compio::runtime::{JoinHandle, spawn};
 use compio::time::timeout;
-use cyper_core::HyperStream;
 use hyper::body::{Bytes, Incoming};
 use hyper::header::{CONTENT_TYPE, HOST, HeaderMap, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode};
@@ -18,11 +16,12 @@
 use serde::de::DeserializeOwned;
 
 use crate::body::{WebBody, full_body};
-use crate::metered_read::{MAX_IDLE_READ_BYTES, MeteredRead, ReadMeter};
+use crate::metered_read::{MAX_IDLE_READ_BYTES, ReadMeter};
 use crate::read_budget::ReadFault;
 use crate::read_ledger::ReadPart;
 use crate::reply_body::ReplyBody;
 use crate::reply_reader::{read_steadily, read_whole};
+use crate::socket_stream::socket_stream;
 use crate::{Result, WebError};
 
 /// Maximum size of a response body that [`fetch`] accepts, in bytes.
@@ -143,8 +142,8 @@
         request.headers_mut().insert(HOST, host);
     }
     let meter = ReadMeter::new(part, peer);
-    let (reading, writing) = stream.split();
-    let stream = HyperStream::new_plain((MeteredRead::new(reading, meter.clone()), writing));
+    let stream = socket_stream(stream, Some(meter.clone()))
+        .map_err(|source| WebError::Connect { peer, source })?;
     let (mut sender, connection) = hyper::client::conn::http1::handshake(stream)
         .await
         .map_err(|source| WebError::Exchange { step: "handshake", peer, source })?;
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -12,6 +12,7 @@
 mod reply_body;
 mod reply_reader;
 mod server;
+mod socket_stream;
 mod sse;
 
 pub use body::{WebBody, discard_body, full_body, read_bounded, stream_body};
--- a/crates/web/src/metered_read.rs
+++ b/crates/web/src/metered_read.rs
@@ -1,4 +1,4 @@
-//! The reading side of a connection, which bounds and charges what is read.
+//! Bounds and charges what is read from a connection.
 //!
 //! The HTTP library bounds one head, but reads any number of interim responses before the final
 //! one, for as long as their bytes arrive and without letting other tasks run. It also reads framing
@@ -9,10 +9,6 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use compio::BufResult;
-use compio::buf::IoBufMut;
-use compio::io::AsyncRead;
-
 use crate::read_budget::{FREE_READ_BYTES, OpenConnection, ReadCharge, ReadFault, record_given_up};
 use crate::read_ledger::ReadPart;
 
@@ -84,6 +80,14 @@
     }
 
     /// Notes `bytes` that were read.
+    ///
+    /// # Errors
+    /// If the response is given up.
+    pub fn check(&self, bytes: usize) -> io::Result<()> {
+        let given_up = |_| io::Error::new(io::ErrorKind::InvalidData, "the response is given up");
+        self.record(bytes).map_err(given_up)
+    }
+
     fn record(&self, bytes: usize) -> Result<(), ReadFault> {
         let Some(idle) = self.state.idle.get().map(|idle| idle + bytes) else { return Ok(()) };
         self.state.idle.set(Some(idle));
@@ -106,27 +110,3 @@
         self.state.charge.borrow_mut().resize(bytes + further)
     }
 }
-
-/// The reading side of a connection.
-pub struct MeteredRead<R> {
-    stream: R,
-    meter: ReadMeter,
-}
-
-impl<R> MeteredRead<R> {
-    /// Counts what is read of `stream`.
-    pub fn new(stream: R, meter: ReadMeter) -> Self {
-        Self { stream, meter }
-    }
-}
-
-impl<R: AsyncRead> AsyncRead for MeteredRead<R> {
-    async fn read<B: IoBufMut>(&mut self, buffer: B) -> BufResult<usize, B> {
-        let BufResult(read, buffer) = self.stream.read(buffer).await;
-        let checked = read.and_then(|bytes| match self.meter.record(bytes) {
-            Ok(()) => Ok(bytes),
-            Err(_) => Err(io::Error::new(io::ErrorKind::InvalidData, "the response is given up")),
-        });
-        BufResult(checked, buffer)
-    }
-}
--- a/crates/web/src/read_ledger.rs
+++ b/crates/web/src/read_ledger.rs
@@ -3,8 +3,9 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-/// Memory of a connection to a peer with that of the caller it serves, in bytes: three buffers of
-/// 8 KiB each, and what a reader keeps free of charge.
+/// Memory of a connection to a peer with that of the caller it serves, in bytes: the library's buffer
+/// and the part of a body that it passes on, of 16 KiB each, two buffers of 8 KiB at the caller's, and
+/// what a reader keeps free of charge.
 pub const CONNECTION_BYTES: usize = 7 * (8 << 10);
 
 /// What bytes are read for.
--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -10,13 +10,14 @@
 use compio::net::{TcpListener, TcpStream};
 use compio::runtime::spawn;
 use compio::time::timeout;
-use cyper_core::{CompioTimer, HyperStream};
+use cyper_core::CompioTimer;
 use futures_util::future::{Either, select};
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use kernel::StopSignal;
 
+use crate::socket_stream::socket_stream;
 use crate::{ConnectionCloser, Result, WebError, WebRequest, WebResponse, discard_body};
 
 /// Maximum number of headers of a request: those that callers may send, and those that a node adds to
@@ -193,6 +194,7 @@
 ) where
     F: Future<Output = WebResponse> + 'static,
 {
+    let Ok(stream) = socket_stream(stream, None) else { return };
     let closer = ConnectionCloser::default();
     let request_closer = closer.clone();
     let service = service_fn(move |mut request: WebRequest| {
@@ -206,7 +208,7 @@
         .header_read_timeout(std::time::Duration::from(limits.header_timeout))
         .max_headers(MAX_HEADERS)
         .max_buf_size(limits.max_header_bytes);
-    let mut connection = pin!(builder.serve_connection(HyperStream::new_plain(stream), service));
+    let mut connection = pin!(builder.serve_connection(stream, service));
     let mut until_closed = pin!(closer.wait());
     let mut stopping = pin!(stop.wait());
     let mut until_stop = pin!(select(stopping.as_mut(), until_closed.as_mut()));
