Keep calls from taking the size of futures that they do not use

The future of a caller's request held that of a stream (49,280 B), also for look-ups and bookings, and a send held those of connecting and of the exchange several times (send_plain 21,800 B, connecting 11,040 B, the exchange 10,632 B; size_of_val, printed in a trial with some moves added that count twice): a future that is passed to another function counts once as its argument and once where it is awaited. They are now on the heap where they are passed on.

--- a/crates/node/src/caller_server.rs
+++ b/crates/node/src/caller_server.rs
@@ -75,7 +75,8 @@
     let (parts, mut body) = request.into_parts();
     let mut response = match match_call(context, parts, &mut body, head, arrived, source).await {
         Ok(call) if call.route.kind == RouteKind::Stream => {
-            run_stream(context, router, Rc::new(call), closer).await
+            // On the heap: requests of other kinds would take its size as well.
+            Box::pin(run_stream(context, router, Rc::new(call), closer)).await
         }
         Ok(call) => {
             let call = Rc::new(call);
--- a/crates/node/src/runner_send.rs
+++ b/crates/node/src/runner_send.rs
@@ -135,8 +135,8 @@
     plan: &SendPlan,
     limit: TimeSpan,
 ) -> Result<WebExchange, SendFailure> {
-    let connect = connect_to_runner(context, call, &plan.runner, plan.purpose);
-    // On the heap: the futures of calls hold several of these.
+    // On the heap: the futures of calls hold several of these, and one that is passed on counts twice.
+    let connect = Box::pin(connect_to_runner(context, call, &plan.runner, plan.purpose));
     let connected = Box::pin(unless_lost(context, call, connect)).await;
     let connection = connected.map_err(|stop| {
         // A call that waits no longer counts as a failed connection: those are limited, while a
@@ -159,7 +159,7 @@
 ) -> Result<WebConnection, SendFailure> {
     purpose.check(context, &runner.incarnation()).map_err(withheld)?;
     let left = call.deadline.since(context.now());
-    let opening = WebConnection::open(runner.address, CONNECT_TIMEOUT.min(left));
+    let opening = Box::pin(WebConnection::open(runner.address, CONNECT_TIMEOUT.min(left)));
     let connected = unless_stopped(opening, wait_while_connecting(context, runner)).await;
     let connected = connected.ok_or_else(|| SendFailure::withheld(RUNNER_UNREACHED))?;
     connected.map_err(|error| {
@@ -197,7 +197,7 @@
     };
     let request = build_request(call, &head).map_err(|error| not_sent(&error))?;
     let pending = begin_send(context, &incarnation, plan.purpose).map_err(withheld)?;
-    let sending = connection.send(request, limit.min(left));
+    let sending = Box::pin(connection.send(request, limit.min(left)));
     let unanswered = wait_while_unanswered(context, runner, plan.may_go_on(call));
     let Some(sent) = unless_stopped(sending, unanswered).await else {
         pending.finish(true);
