Keep the segments of an answer until it is complete

A node with 900 look-ups whose bodies do not end grew from 66 to 91 MiB resident after most of its connections had closed: the bytes kept of a body were one buffer that doubled, so that it had to be moved, and the places that it left (and those of closed connections) were too small for the next larger one. A body is now kept in segments of 16 KiB (up to 64 KiB where its length is declared), joined once it is complete, without another task in between; what is charged is as before the capacity. An answer in one segment is not copied.

--- a/crates/web/src/reply_reader.rs
+++ b/crates/web/src/reply_reader.rs
@@ -10,8 +10,10 @@
 use crate::reply_body::ReplyBody;
 use crate::{Result, WebError};
 
-/// Largest size for which a declared length is relied on, in bytes.
-const MAX_FIRST_CAPACITY: usize = 64 << 10;
+/// Largest segment for which a declared length is relied on, in bytes.
+const MAX_DECLARED_SEGMENT_BYTES: usize = 64 << 10;
+/// Smallest segment of a body that does not fit into one, in bytes.
+const MIN_SEGMENT_BYTES: usize = 16 << 10;
 /// Bytes of a steadily read body that have to arrive in each stall timeout. A peer that sends
 /// single bytes now and then would otherwise occupy its reader without end.
 const MIN_STEADY_BYTES: usize = 256;
@@ -24,7 +26,7 @@
 pub async fn read_whole(step: &'static str, body: ReplyBody, limit: usize) -> Result<Bytes> {
     let mut reader = ReplyReader::new(step, body, limit);
     while !reader.read_part().await? {}
-    Ok(Bytes::from(reader.bytes))
+    Ok(reader.into_bytes())
 }
 
 /// Reads a complete body of at most `limit` bytes, for as long as at least
@@ -45,32 +47,40 @@
             .await
             .map_err(|_| WebError::Deadline { step, peer })??;
         if has_ended {
-            return Ok(Bytes::from(reader.bytes));
+            return Ok(reader.into_bytes());
         }
     }
 }
 
 /// What has been read of a body.
+///
+/// It is kept in segments until it is complete. A single buffer that grows by doubling has to be moved,
+/// and the places that it leaves are of no use to the next larger one: many bodies that arrive at once
+/// then take twice the memory that is charged.
 struct ReplyReader {
     step: &'static str,
     body: ReplyBody,
     /// Largest body, in bytes.
     limit: usize,
-    bytes: Vec<u8>,
-    /// For the capacity of `bytes`.
+    segments: Vec<Vec<u8>>,
+    /// Bytes in all segments.
+    length: usize,
+    /// Capacity of all segments, in bytes.
+    capacity: usize,
+    /// For the capacity.
     charge: ReadCharge,
 }
 
 impl ReplyReader {
     fn new(step: &'static str, body: ReplyBody, limit: usize) -> Self {
         let charge = body.open_charge();
-        Self { step, body, limit, bytes: Vec::new(), charge }
+        Self { step, body, limit, segments: Vec::new(), length: 0, capacity: 0, charge }
     }
 
     /// Reads at least [`MIN_STEADY_BYTES`], or to the end; returns whether the body has ended.
     async fn read_progress(&mut self) -> Result<bool> {
-        let begin = self.bytes.len();
-        while self.bytes.len() < begin + MIN_STEADY_BYTES {
+        let begin = self.length;
+        while self.length < begin + MIN_STEADY_BYTES {
             if self.read_part().await? {
                 return Ok(true);
             }
@@ -83,30 +93,55 @@
         let Some(frame) = self.body.frame().await else { return Ok(true) };
         let frame = frame.map_err(|source| self.body_error(source))?;
         if let Ok(chunk) = frame.into_data() {
-            self.make_room(chunk.len())?;
-            self.bytes.extend_from_slice(&chunk);
+            self.keep_chunk(&chunk)?;
         }
         Ok(false)
     }
 
-    /// Makes room for `further` bytes.
-    fn make_room(&mut self, further: usize) -> Result<()> {
-        let length = self.bytes.len() + further;
+    fn keep_chunk(&mut self, chunk: &[u8]) -> Result<()> {
+        let length = self.length + chunk.len();
         if length > self.limit {
             record_given_up(self.step, self.body.meter().peer(), length, ReadFault::TooLong);
             return Err(WebError::TooLong { step: self.step, limit: self.limit });
         }
-        if length <= self.bytes.capacity() {
-            return Ok(());
+        let room = (self.capacity - self.length).min(chunk.len());
+        let (fitting, rest) = chunk.split_at(room);
+        if let Some(segment) = self.segments.last_mut() {
+            segment.extend_from_slice(fitting);
+        }
+        if !rest.is_empty() {
+            let segment = self.open_segment(length, rest.len())?;
+            segment.extend_from_slice(rest);
         }
+        self.length = length;
+        Ok(())
+    }
+
+    /// Opens a segment for `needed` bytes, with which the body has `length`.
+    fn open_segment(&mut self, length: usize, needed: usize) -> Result<&mut Vec<u8>> {
         let rest = usize::try_from(self.body.size_hint().lower()).unwrap_or(usize::MAX);
-        let declared = length.saturating_add(rest).min(MAX_FIRST_CAPACITY);
-        let capacity = length.max(2 * self.bytes.capacity()).max(declared).min(self.limit);
-        if !self.charge.keep(self.step, capacity) {
+        let declared = needed.saturating_add(rest).min(MAX_DECLARED_SEGMENT_BYTES);
+        let least = if self.segments.is_empty() { 0 } else { MIN_SEGMENT_BYTES };
+        let most = needed + (self.limit - length);
+        let capacity = needed.max(declared).max(least).min(most);
+        if !self.charge.keep(self.step, self.capacity + capacity) {
             return Err(WebError::MemoryFull { step: self.step });
         }
-        self.bytes.reserve_exact(capacity - self.bytes.len());
-        Ok(())
+        self.capacity += capacity;
+        Ok(self.segments.push_mut(Vec::with_capacity(capacity)))
+    }
+
+    /// The complete body. Its segments are freed one after the other while they are joined, without
+    /// other tasks in between.
+    fn into_bytes(mut self) -> Bytes {
+        if self.segments.len() <= 1 {
+            return self.segments.pop().unwrap_or_default().into();
+        }
+        let mut whole = Vec::with_capacity(self.length);
+        for segment in self.segments {
+            whole.extend_from_slice(&segment);
+        }
+        whole.into()
     }
 
     fn body_error(&self, source: hyper::Error) -> WebError {
