--- a/crates/node/src/forward/call_forward.rs
+++ b/crates/node/src/forward/call_forward.rs
@@ -7,45 +7,55 @@
 //! reached the first.
 
 use std::cell::Cell;
+use std::pin::pin;
 use std::rc::Rc;
 
 use base::prelude::*;
-use serving::{ForwardSource, ForwardState, ReachShare};
-use web::{ConnectionCloser, WebExchange, WebResponse};
+use futures_util::{FutureExt, select_biased};
+use serving::{ForwardFailure, ForwardSource, ForwardState, ForwardTarget, ReachShare};
+use web::{WebExchange, WebResponse};
 
 use super::choice::{choose_among_peers, choose_target, find_target, own_source};
 use super::offer::{OfferEnd, ResumeOffer, failure_reason, log_offer, offer_call};
-use super::relay::{fail_unknown, relay_response};
+use super::relay::fail_unknown;
 use super::run_trace::RunTrace;
 use crate::call::Call;
 use crate::context::NodeContext;
+use crate::reach::wait_node_lost;
 use crate::streams::is_event_stream;
 
 /// Pause until a run that lives is offered to the other nodes again.
 const ROUND_PAUSE: TimeSpan = TimeSpan::millis(150);
 
-/// A run that another node has resumed.
+/// Error of an offer whose node has fallen silent.
+const NODE_SILENT: &str = "the node is silent";
+
+/// A call that another node has answered, or a run that it has resumed.
 pub struct TakenResume {
     /// The node.
     pub node: VmId,
-    /// Its response, a stream of events.
+    /// Its response; a stream of events if it has resumed a run.
     pub exchange: WebExchange,
 }
 
+/// How forwarding a call ended.
+pub enum ForwardEnd {
+    /// A node has answered it.
+    Taken(TakenResume),
+    /// It may have run at a node that gave no answer.
+    Failed(WebResponse),
+}
+
 /// Forwards the call if this node reaches no runner of its service, or too few, and another one can
 /// take the call. Returns `None` if the call is to be served here.
-pub async fn try_forward(
-    context: &Rc<NodeContext>,
-    call: &Rc<Call>,
-    closer: &ConnectionCloser,
-) -> Option<WebResponse> {
+pub async fn try_forward(context: &NodeContext, call: &Call) -> Option<ForwardEnd> {
     loop {
         let target = choose_target(context, call)?;
         call.forwards.borrow_mut().record_offer(&target.vm);
-        match offer_call(context, call, &target, None).await {
+        match offer_whole(context, call, &target).await {
             OfferEnd::Answered(exchange) => {
                 log_offer(context, call, &target, "answered", "", "");
-                return Some(relay_response(context, call, closer, exchange).await);
+                return Some(ForwardEnd::Taken(TakenResume { node: target.vm, exchange }));
             }
             OfferEnd::NotRun(failure, error) => {
                 let now = context.now();
@@ -53,15 +63,38 @@
                 log_offer(context, call, &target, "not_run", failure_reason(failure), &error);
             }
             // No run was offered.
-            OfferEnd::NotResumed(_) => return Some(fail_unknown(context, call)),
+            OfferEnd::NotResumed(_) => {
+                return Some(ForwardEnd::Failed(fail_unknown(context, call)));
+            }
             OfferEnd::Unknown(error) => {
                 log_offer(context, call, &target, "unknown", "", &error);
-                return Some(fail_unknown(context, call));
+                return Some(ForwardEnd::Failed(fail_unknown(context, call)));
             }
         }
     }
 }
 
+/// Offers a call to a node. A stream is not waited for if the node falls silent: its caller is to have its
+/// events, or to learn that none come.
+async fn offer_whole(context: &NodeContext, call: &Call, target: &ForwardTarget) -> OfferEnd {
+    let mut offered = pin!(offer_call(context, call, target, None).fuse());
+    if call.tokens_per_event.is_none() {
+        return offered.await;
+    }
+    let mut lost = pin!(wait_node_lost(context, &target.vm).fuse());
+    select_biased! {
+        end = offered => end,
+        () = lost => OfferEnd::Unknown(Rc::from(NODE_SILENT)),
+    }
+}
+
+/// Offers nothing to a node for a moment: its connection has ended, or it is silent.
+pub fn leave_out_node(context: &NodeContext, call: &Call, node: &VmId) {
+    let Some(target) = find_target(context, node) else { return };
+    let (now, failure) = (context.now(), ForwardFailure::Unconnected);
+    context.forwards.borrow_mut().record_failure(now, &target, &call.service, failure);
+}
+
 /// How a round of offers of a run ended.
 enum RoundEnd {
     /// A node has taken the run.
--- a/crates/node/src/streams/mod.rs
+++ b/crates/node/src/streams/mod.rs
@@ -1,6 +1,7 @@
 //! Stream calls: finding a runner, relaying its events, and going on elsewhere when it leaves, is lost
 //! or falls silent.
 
+mod run_return;
 mod run_stop;
 mod stream_backup;
 mod stream_call;
@@ -11,6 +12,7 @@
 mod stream_overlap;
 mod stream_places;
 mod stream_pump;
+mod stream_relay;
 mod stream_resume;
 mod stream_silence;
 mod stream_source;
--- a/crates/node/src/streams/stream_source.rs
+++ b/crates/node/src/streams/stream_source.rs
@@ -17,6 +17,7 @@
     ConnectionCloser, ConnectionTask, ReadCharge, ReplyBody, WebBody, WebExchange, stream_body,
 };
 
+use crate::call::RunPlace;
 use crate::runner_send::{SendFailure, SendPlan};
 
 /// The runner that a stream is read from.
@@ -39,6 +40,8 @@
     pub ended: bool,
     /// Whether the stream comes through another node, which looks after its runner.
     pub is_relayed: bool,
+    /// That node.
+    pub relay: Option<VmId>,
     /// When the first events arrived from this runner.
     pub first_events: Option<TimePoint>,
     /// When the stream is to switch to another runner.
@@ -64,15 +67,26 @@
             ends_with_connection: !is_framed,
             ended: false,
             is_relayed: false,
+            relay: None,
             first_events: None,
             switch_at: None,
         }
     }
 
-    /// Creates the source of a stream that another node has taken over, at the runner of `plan`.
+    /// Creates the source of a stream that `node` has taken over, at the runner of `plan`.
     #[must_use]
-    pub fn relayed(plan: &SendPlan, exchange: WebExchange) -> Self {
-        Self { is_relayed: true, ..Self::new(plan, exchange) }
+    pub fn relayed(plan: &SendPlan, exchange: WebExchange, node: VmId) -> Self {
+        Self { is_relayed: true, relay: Some(node), ..Self::new(plan, exchange) }
+    }
+
+    /// Where the run is.
+    #[must_use]
+    pub fn run_place(&self) -> RunPlace {
+        if self.is_relayed {
+            RunPlace::OtherNode
+        } else {
+            RunPlace::Runner(self.runner.runner.clone())
+        }
     }
 
     /// Whether the body has a length or chunks, so that its end shows.
