Correct doc comments and entries after a last reading of the diff

find_own_block still said that health checks depend on it, RUN-END left out runners that are silent to all, and three comments had to be read twice.

--- a/crates/node/src/reach/node_question.rs
+++ b/crates/node/src/reach/node_question.rs
@@ -46,7 +46,7 @@
     true
 }
 
-/// Waits until a node has been silent for as long as a lost one.
+/// Waits until a node has answered no question for so long that it counts as lost.
 pub async fn wait_node_lost(context: &NodeContext, node: &VmId) {
     let mut last_answer = context.now();
     loop {
--- a/crates/node/src/runner_gate.rs
+++ b/crates/node/src/runner_gate.rs
@@ -130,8 +130,9 @@
     find_own_block(context, runner)
 }
 
-/// Why this start of a runner accepts nothing by its own statement; `None` if it does. Health checks
-/// and reads of reports depend only on this: streams in an evacuated place go on.
+/// Why this start of a runner accepts nothing by its own statement; `None` if it does. Reads of reports
+/// depend only on this: streams in an evacuated place go on. The question whether a runner is reached,
+/// a health check, depends on nothing.
 #[must_use]
 pub fn find_own_block(context: &NodeContext, runner: &RunnerIncarnation) -> Option<SendBlock> {
     if context.runners.borrow().is_incarnation_leaving(runner) {
--- a/crates/node/src/streams/run_stop.rs
+++ b/crates/node/src/streams/run_stop.rs
@@ -46,7 +46,7 @@
     Answered(StopAnswer),
     /// The stream should have closed, or the order been answered.
     Overdue,
-    /// Where the source answers, that has not answered the order.
+    /// Who gets answers of the source while it has not answered the order.
     Asked(AnswerPlace),
     /// Data of the stream, an error, or the end of the body.
     Frame(Option<Result<Bytes, hyper::Error>>),
@@ -241,8 +241,8 @@
         }
     }
 
-    /// Whether a source that was found to answer at `place` is not reached from this node: it answers only
-    /// another one, or nobody, also when asked again.
+    /// Whether this node does not reach the source: it answers only another node, or it answers nobody and
+    /// counts as unreached.
     fn is_source_lost(&self, place: &AnswerPlace) -> bool {
         match place {
             AnswerPlace::Here => false,
@@ -251,8 +251,8 @@
         }
     }
 
-    /// The same as [`Self::ask_source`] for a source whose stream is read. One that leaves counts as not
-    /// reached soon after it has answered nobody: it is asked for that at the same time.
+    /// Finds out after a pause where a source answers that was ordered to stop a run. One that leaves is
+    /// suspected as well, so that it soon counts as unreached if it answers nobody.
     fn ask_ordered(&self, pause: TimeSpan) -> RunnerQuestion {
         let (context, runner) = (Rc::clone(&self.context), self.source.runner.clone());
         let is_leaving = self.leaving_since.is_some();
