Read streams in tests in one place, and name runners without new requests closed

Cause: four test files held the same 25 lines that read a stream as its caller does, and ServiceMembers.leaving also held runners that had named a wait. No check and no behaviour changes.

--- a/crates/harness/src/node_fleet.rs
+++ b/crates/harness/src/node_fleet.rs
@@ -9,8 +9,8 @@
 use web::{full_body, send_once};
 
 use crate::{
-    AddressBlock, CallerRequest, HarnessError, NodeProcess, Result, TestLink, WholeAnswer,
-    wait_until,
+    AddressBlock, CallerRequest, HarnessError, NodeProcess, Result, SeenStream, TestLink,
+    WholeAnswer, wait_until,
 };
 
 /// Host of all routes.
@@ -270,6 +270,14 @@
         }
         Ok(send_once(self.callers(number), sent, EXCHANGE_LIMIT, EXCHANGE_LIMIT).await?)
     }
+
+    /// Sends a request to a node, and reads the stream that it answers.
+    ///
+    /// # Panics
+    /// Panics if no response head comes.
+    pub async fn read_stream(&self, number: usize, request: &CallerRequest) -> SeenStream {
+        SeenStream::read(self.open(number, request).await.expect("a response head")).await
+    }
 }
 
 fn fake_fault(error: &fakes::FakeError) -> HarnessError {
--- a/crates/harness/tests/node_leaving_partition.rs
+++ b/crates/harness/tests/node_leaving_partition.rs
@@ -2,13 +2,12 @@
 
 mod service_fleet;
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use compio::time::sleep;
 use fakes::platform::RunnerFakeSettings;
 use futures_util::future::join;
-use harness::{CallerRequest, LinkState};
-use http_body_util::BodyExt;
+use harness::{CallerRequest, LinkState, SeenStream};
 use serde_json::json;
 use service_fleet::{CUT, LinkedRunner, RUNNERS, ServiceFleet, take_turn};
 
@@ -28,31 +27,6 @@
     settings.event_pause = Duration::from_millis(20);
 }
 
-/// What a caller saw of a stream.
-#[derive(Debug)]
-struct SeenStream {
-    ids: Vec<u64>,
-    is_whole: bool,
-    longest_pause: Duration,
-}
-
-async fn read_stream(services: &ServiceFleet, request: &CallerRequest) -> SeenStream {
-    let mut body = services.fleet.open(CUT, request).await.unwrap().into_body();
-    let (mut text, mut is_whole) = (String::new(), true);
-    let (mut last, mut longest_pause) = (Instant::now(), Duration::ZERO);
-    while let Some(frame) = body.frame().await {
-        longest_pause = longest_pause.max(last.elapsed());
-        last = Instant::now();
-        let Ok(frame) = frame else {
-            is_whole = false;
-            break;
-        };
-        text.push_str(&String::from_utf8_lossy(&frame.into_data().unwrap_or_default()));
-    }
-    let ids = text.lines().filter_map(|line| line.strip_prefix("id: ")?.parse().ok());
-    SeenStream { ids: ids.collect(), is_whole, longest_pause }
-}
-
 /// The runner that works on the only stream.
 fn find_source(services: &ServiceFleet) -> &LinkedRunner {
     services.runners.iter().find(|linked| linked.runner.working() == 1).unwrap()
@@ -75,7 +49,7 @@
 
 /// Every event came once and in order, without a pause beyond the bound.
 fn check_whole(services: &ServiceFleet, stream: &SeenStream) {
-    assert!(stream.is_whole && stream.ids.iter().copied().eq(1..=EVENTS), "{stream:?}");
+    assert!(stream.has_all(EVENTS), "{stream:?}");
     assert!(stream.longest_pause <= MAX_PAUSE, "{stream:?}");
     assert_eq!(services.most_runs(), 1);
 }
@@ -95,7 +69,7 @@
             copy.link.set_for(pid, copy_state);
             announce_leave(&services, source);
         };
-        let (stream, ()) = join(read_stream(&services, &request), leave).await;
+        let (stream, ()) = join(services.fleet.read_stream(CUT, &request), leave).await;
         check_whole(&services, &stream);
     })
     .unwrap();
@@ -139,7 +113,7 @@
             }
             source.link.set_for(pid, LinkState::Cut);
         };
-        let (stream, ()) = join(read_stream(&services, &request), leave).await;
+        let (stream, ()) = join(services.fleet.read_stream(CUT, &request), leave).await;
         check_whole(&services, &stream);
     })
     .unwrap();
@@ -160,7 +134,7 @@
             source.runner.slow_moves(Duration::ZERO);
             cut(&services, source);
         };
-        let (stream, ()) = join(read_stream(&services, &request), leave).await;
+        let (stream, ()) = join(services.fleet.read_stream(CUT, &request), leave).await;
         check_whole(&services, &stream);
     })
     .unwrap();
--- a/crates/harness/tests/node_relay_loss.rs
+++ b/crates/harness/tests/node_relay_loss.rs
@@ -9,8 +9,7 @@
 use compio::time::sleep;
 use fakes::platform::{RunnerFakeSettings, RunnerScript};
 use futures_util::future::{Either, join, select};
-use harness::{CallerRequest, LinkState, wait_until};
-use http_body_util::BodyExt;
+use harness::{CallerRequest, LinkState, SeenStream, wait_until};
 use rustix::process::Signal;
 use serde_json::json;
 use service_fleet::{CUT, NODES, RUNNERS, ServiceFleet, take_turn};
@@ -32,40 +31,9 @@
 /// How often the runs at work are counted.
 const COUNT_PAUSE: Duration = Duration::from_millis(5);
 
-/// What a caller saw of a stream.
-#[derive(Debug)]
-struct SeenStream {
-    ids: Vec<u64>,
-    is_whole: bool,
-    longest_pause: Duration,
-}
-
-impl SeenStream {
-    fn has_all(&self) -> bool {
-        self.is_whole && self.ids.iter().copied().eq(1..=EVENTS)
-    }
-}
-
 /// What is done to the other node: signals, each some time after the one before.
 type Signals<'a> = &'a [(Duration, Signal)];
 
-async fn read_stream(services: &ServiceFleet, request: &CallerRequest) -> SeenStream {
-    let mut body = services.fleet.open(CUT, request).await.unwrap().into_body();
-    let (mut text, mut is_whole) = (String::new(), true);
-    let (mut last, mut longest_pause) = (Instant::now(), Duration::ZERO);
-    while let Some(frame) = body.frame().await {
-        longest_pause = longest_pause.max(last.elapsed());
-        last = Instant::now();
-        let Ok(frame) = frame else {
-            is_whole = false;
-            break;
-        };
-        text.push_str(&String::from_utf8_lossy(&frame.into_data().unwrap_or_default()));
-    }
-    let ids = text.lines().filter_map(|line| line.strip_prefix("id: ")?.parse().ok());
-    SeenStream { ids: ids.collect(), is_whole, longest_pause }
-}
-
 /// The node that the stream of the cut-off node comes through.
 async fn find_relay(services: &ServiceFleet) -> usize {
     let how = json!("relayed");
@@ -131,7 +99,7 @@
     kernel::run(async {
         let services = ServiceFleet::start(long_streams).await;
         let stream = lose_forward(&services, request, signals).await;
-        assert!(stream.has_all(), "{stream:?}");
+        assert!(stream.has_all(EVENTS), "{stream:?}");
         assert!(stream.longest_pause <= max_pause, "{stream:?}");
         assert_eq!(services.most_runs(), 1);
     })
@@ -175,7 +143,7 @@
     lose: impl Future<Output = ()>,
     is_lost: &Cell<bool>,
 ) -> SeenStream {
-    let read = pin!(join(read_stream(services, request), lose));
+    let read = pin!(join(services.fleet.read_stream(CUT, request), lose));
     match select(read, pin!(wait_overlap(services, is_lost))).await {
         Either::Left(((stream, ()), _)) => stream,
         Either::Right(_) => panic!("two runners for longer than {MAX_OVERLAP:?}"),
@@ -193,7 +161,7 @@
     kernel::run(async {
         let services = ServiceFleet::start(long_streams).await;
         let stream = lose_relay(&services, request, signals).await;
-        assert!(stream.has_all(), "{stream:?}");
+        assert!(stream.has_all(EVENTS), "{stream:?}");
         assert!(stream.longest_pause <= max_pause, "{stream:?}");
         assert_eq!(services.most_runs(), 1);
     })
--- a/crates/harness/tests/node_stream_partition.rs
+++ b/crates/harness/tests/node_stream_partition.rs
@@ -7,8 +7,7 @@
 use compio::time::sleep;
 use fakes::platform::RunnerFakeSettings;
 use futures_util::future::{join, join_all};
-use harness::{CallerRequest, LinkState, config};
-use http_body_util::BodyExt;
+use harness::{CallerRequest, LinkState, SeenStream, config};
 use serde_json::json;
 use service_fleet::{CUT, LinkedRunner, NODES, RUNNERS, ServiceFleet, take_turn};
 
@@ -29,38 +28,11 @@
 /// How long a sound runner may be silent.
 const SILENCE: Duration = Duration::from_millis(1_200);
 
-/// What a caller saw of a stream.
-#[derive(Debug)]
-struct SeenStream {
-    ids: Vec<u64>,
-    is_whole: bool,
-    longest_pause: Duration,
-}
-
 fn long_streams(settings: &mut RunnerFakeSettings) {
     settings.events = EVENTS;
     settings.event_pause = Duration::from_millis(20);
 }
 
-/// Reads a stream to its end.
-async fn read_stream(services: &ServiceFleet, request: &CallerRequest) -> SeenStream {
-    let response = services.fleet.open(CUT, request).await.unwrap();
-    let mut body = response.into_body();
-    let (mut text, mut is_whole) = (String::new(), true);
-    let (mut last, mut longest_pause) = (Instant::now(), Duration::ZERO);
-    while let Some(frame) = body.frame().await {
-        longest_pause = longest_pause.max(last.elapsed());
-        last = Instant::now();
-        let Ok(frame) = frame else {
-            is_whole = false;
-            break;
-        };
-        text.push_str(&String::from_utf8_lossy(&frame.into_data().unwrap_or_default()));
-    }
-    let ids = text.lines().filter_map(|line| line.strip_prefix("id: ")?.parse().ok());
-    SeenStream { ids: ids.collect(), is_whole, longest_pause }
-}
-
 /// Cuts the node off from `count` runners of the service in the middle of streams.
 async fn cut_streams(
     services: &ServiceFleet,
@@ -69,7 +41,7 @@
     adjust: impl Fn(CallerRequest) -> CallerRequest,
 ) -> Vec<SeenStream> {
     let read = async |number: usize| {
-        read_stream(services, &adjust(CallerRequest::stream(&format!("s{number}")))).await
+        services.fleet.read_stream(CUT, &adjust(CallerRequest::stream(&format!("s{number}")))).await
     };
     let cut = async {
         sleep(CUT_AFTER).await;
@@ -85,7 +57,7 @@
 
 fn check_whole_within(services: &ServiceFleet, streams: &[SeenStream], max_pause: Duration) {
     for stream in streams {
-        assert!(stream.is_whole && stream.ids.iter().copied().eq(1..=EVENTS), "{stream:?}");
+        assert!(stream.has_all(EVENTS), "{stream:?}");
         assert!(stream.longest_pause <= max_pause, "{stream:?}");
     }
     assert_eq!(services.most_runs(), 1);
@@ -228,7 +200,7 @@
             sleep(silence.delay).await;
             copy.link.set_for(pid, silence.copy);
         };
-        let (stream, ()) = join(read_stream(&services, &request), cut).await;
+        let (stream, ()) = join(services.fleet.read_stream(CUT, &request), cut).await;
         check_whole_within(&services, &[stream], MAX_PAUSE + silence.delay);
     })
     .unwrap();
@@ -264,7 +236,7 @@
         let source = runners.find(|linked| linked.runner.working() == 1).unwrap();
         source.link.set_for(services.fleet.nodes[CUT].pid(), LinkState::Lost);
     };
-    let (stream, ()) = join(read_stream(services, &request), cut).await;
+    let (stream, ()) = join(services.fleet.read_stream(CUT, &request), cut).await;
     check_whole(services, &[stream]);
 }
 
@@ -311,7 +283,7 @@
             source.runner.go_on();
         };
         let request = CallerRequest::stream("silent");
-        let (stream, ()) = join(read_stream(&services, &request), silence).await;
+        let (stream, ()) = join(services.fleet.read_stream(CUT, &request), silence).await;
         check_whole_within(&services, &[stream], SILENCE + MAX_PAUSE);
     })
     .unwrap();
@@ -329,7 +301,7 @@
             (0..STREAMS).map(|number| CallerRequest::stream(&format!("s{number}"))).collect();
         let begun = Instant::now();
         let read = requests.iter().map(async |request| {
-            let stream = read_stream(&services, request).await;
+            let stream = services.fleet.read_stream(CUT, request).await;
             (stream, begun.elapsed())
         });
         let run_time = Duration::from_millis(20) * u32::try_from(EVENTS).unwrap();
--- a/crates/harness/tests/node_waiting_partition.rs
+++ b/crates/harness/tests/node_waiting_partition.rs
@@ -3,13 +3,12 @@
 #[allow(dead_code, reason = "other tests set the links of a service")]
 mod service_fleet;
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use compio::time::sleep;
 use fakes::platform::RunnerFakeSettings;
 use futures_util::future::join;
-use harness::{CallerRequest, LinkState, config};
-use http_body_util::BodyExt;
+use harness::{CallerRequest, LinkState, SeenStream, config};
 use serde_json::json;
 use service_fleet::{CUT, LinkedRunner, ServiceFleet, take_turn};
 
@@ -30,31 +29,6 @@
     settings.event_pause = Duration::from_millis(20);
 }
 
-/// What a caller saw of a stream.
-#[derive(Debug)]
-struct SeenStream {
-    ids: Vec<u64>,
-    is_whole: bool,
-    longest_pause: Duration,
-}
-
-async fn read_stream(services: &ServiceFleet, request: &CallerRequest) -> SeenStream {
-    let mut body = services.fleet.open(CUT, request).await.unwrap().into_body();
-    let (mut text, mut is_whole) = (String::new(), true);
-    let (mut last, mut longest_pause) = (Instant::now(), Duration::ZERO);
-    while let Some(frame) = body.frame().await {
-        longest_pause = longest_pause.max(last.elapsed());
-        last = Instant::now();
-        let Ok(frame) = frame else {
-            is_whole = false;
-            break;
-        };
-        text.push_str(&String::from_utf8_lossy(&frame.into_data().unwrap_or_default()));
-    }
-    let ids = text.lines().filter_map(|line| line.strip_prefix("id: ")?.parse().ok());
-    SeenStream { ids: ids.collect(), is_whole, longest_pause }
-}
-
 /// The runner that works on the only stream.
 fn find_source(services: &ServiceFleet) -> &LinkedRunner {
     services.runners.iter().find(|linked| linked.runner.working() == 1).unwrap()
@@ -72,7 +46,7 @@
     let ids = &stream.ids;
     let (count, pause) = (ids.len(), stream.longest_pause);
     let seen = format!("{count} events, whole: {}, longest pause {pause:?}", stream.is_whole);
-    assert!(stream.is_whole && ids.iter().copied().eq(1..=EVENTS), "{seen}");
+    assert!(stream.has_all(EVENTS), "{seen}");
     assert!(pause <= MAX_PAUSE, "{seen}");
     assert_eq!(services.most_runs(), 1);
 }
@@ -98,7 +72,7 @@
             sleep(Duration::from_millis(100)).await;
             source.link.set_for(pid, state);
         };
-        let (stream, ()) = join(read_stream(&services, &request), cut).await;
+        let (stream, ()) = join(services.fleet.read_stream(CUT, &request), cut).await;
         check_whole(&services, &stream);
     })
     .unwrap();
@@ -131,7 +105,7 @@
             }
             announce_leave(&services, source);
         };
-        let (stream, ()) = join(read_stream(&services, &request), leave).await;
+        let (stream, ()) = join(services.fleet.read_stream(CUT, &request), leave).await;
         check_whole(&services, &stream);
     })
     .unwrap();
@@ -166,13 +140,9 @@
             }
             passed
         };
-        let (stream, passed) = join(read_stream(&services, &request), cut).await;
+        let (stream, passed) = join(services.fleet.read_stream(CUT, &request), cut).await;
         let ids = &stream.ids;
-        assert!(
-            stream.is_whole && ids.iter().copied().eq(1..=SLOW_EVENTS),
-            "{ids:?} {}",
-            stream.is_whole
-        );
+        assert!(stream.has_all(SLOW_EVENTS), "{ids:?} {}", stream.is_whole);
         assert!(passed.iter().all(|bytes| *bytes <= MAX_ASKED), "{passed:?}");
     })
     .unwrap();
--- a/crates/node/src/reach/reach_watch.rs
+++ b/crates/node/src/reach/reach_watch.rs
@@ -53,9 +53,9 @@
         let runner = entry.record.incarnation();
         let of_service = members.entry(entry.record.service.clone()).or_default();
         if is_staying(entry) && !is_waiting(context, &runner) {
-            of_service.staying.insert(runner);
+            of_service.open.insert(runner);
         } else {
-            of_service.leaving.insert(runner);
+            of_service.closed.insert(runner);
         }
     }
     members
--- a/crates/serving/src/reach_table.rs
+++ b/crates/serving/src/reach_table.rs
@@ -20,9 +20,9 @@
 #[derive(Debug, Clone, Default)]
 pub struct ServiceMembers {
     /// Those that may receive new requests.
-    pub staying: BTreeSet<RunnerIncarnation>,
+    pub open: BTreeSet<RunnerIncarnation>,
     /// Those that receive none, and may still work on runs: they leave, or named a wait.
-    pub leaving: BTreeSet<RunnerIncarnation>,
+    pub closed: BTreeSet<RunnerIncarnation>,
 }
 
 /// The runners that may be asked, by service.
--- a/crates/serving/src/service_reach.rs
+++ b/crates/serving/src/service_reach.rs
@@ -95,7 +95,7 @@
     /// Runners that may receive new requests; as of the last check.
     members: BTreeSet<RunnerIncarnation>,
     /// Runners that receive no new requests, and may work on runs; as of the last check.
-    leaving: BTreeSet<RunnerIncarnation>,
+    closed: BTreeSet<RunnerIncarnation>,
     runners: BTreeMap<RunnerIncarnation, RunnerReach>,
     /// Since when no runner is reached; `None` while some are.
     lost_since: Option<TimePoint>,
@@ -234,14 +234,14 @@
 
     /// Replaces the runners that may be asked.
     pub fn set_members(&mut self, members: ServiceMembers) {
-        let ServiceMembers { staying, leaving } = members;
-        self.runners.retain(|runner, _| staying.contains(runner) || leaving.contains(runner));
-        self.members = staying;
-        self.leaving = leaving;
+        let ServiceMembers { open, closed } = members;
+        self.runners.retain(|runner, _| open.contains(runner) || closed.contains(runner));
+        self.members = open;
+        self.closed = closed;
     }
 
-    fn is_leaving(&self, runner: &RunnerIncarnation) -> bool {
-        self.leaving.contains(runner)
+    fn is_closed(&self, runner: &RunnerIncarnation) -> bool {
+        self.closed.contains(runner)
     }
 
     /// The runners to ask now; they count as asked until [`Self::record_answer`] or
@@ -253,7 +253,7 @@
     ) -> Vec<RunnerIncarnation> {
         let mut chosen =
             if self.is_lost() { self.choose_lost(now, rng) } else { self.choose_due(now, rng) };
-        chosen.retain(|runner| self.members.contains(runner) || self.is_leaving(runner));
+        chosen.retain(|runner| self.members.contains(runner) || self.is_closed(runner));
         for runner in &chosen {
             let reach = self.reach_of(runner);
             reach.is_asked = true;
@@ -265,7 +265,7 @@
     /// Some of the runners, while none is reached, and those that leave if calls give a reason to.
     fn choose_lost(&mut self, now: TimePoint, rng: &mut impl Rng) -> Vec<RunnerIncarnation> {
         let mut chosen = self.list_due(now);
-        chosen.retain(|runner| self.is_leaving(runner));
+        chosen.retain(|runner| self.is_closed(runner));
         if now < self.next_round {
             return chosen;
         }
@@ -306,8 +306,8 @@
     /// Whether runners are to be asked at which no call has failed.
     #[must_use]
     pub fn is_round_due(&self, now: TimePoint) -> bool {
-        let staying = self.runners.iter().filter(|(runner, _)| !self.is_leaving(runner));
-        let suspects = staying.filter(|(_, reach)| reach.is_suspect(now)).count();
+        let open = self.runners.iter().filter(|(runner, _)| !self.is_closed(runner));
+        let suspects = open.filter(|(_, reach)| reach.is_suspect(now)).count();
         let is_silent = self.is_silent(now, SUSPECT_SPAN);
         let wants_round = self.wants_round || suspects >= 2 || suspects == 1 && is_silent;
         wants_round && !self.is_lost() && now >= self.next_round
@@ -343,7 +343,7 @@
         runner: &RunnerIncarnation,
         failure: QuestionFailure,
     ) -> bool {
-        let is_leaving = self.is_leaving(runner);
+        let is_leaving = self.is_closed(runner);
         let Some(reach) = self.runners.get_mut(runner) else { return false };
         reach.is_asked = false;
         let is_busy =
--- a/crates/serving/tests/service_reach.rs
+++ b/crates/serving/tests/service_reach.rs
@@ -37,23 +37,23 @@
         for (name, count) in services {
             for number in 0..*count {
                 reach.record_answer(at(1_000), &service(name), &runner(name, number));
-                members.entry(service(name)).or_default().staying.insert(runner(name, number));
+                members.entry(service(name)).or_default().open.insert(runner(name, number));
             }
         }
         Self { reach, members, rng: StdRng::seed_from_u64(1) }
     }
 
-    /// `staying` is the only runner of a service from now on.
-    fn set_staying(&mut self, name: &str, staying: &RunnerIncarnation) {
-        let staying = BTreeSet::from([staying.clone()]);
-        self.members.insert(service(name), ServiceMembers { staying, ..ServiceMembers::default() });
+    /// `open` is the only runner of a service from now on.
+    fn set_open(&mut self, name: &str, open: &RunnerIncarnation) {
+        let open = BTreeSet::from([open.clone()]);
+        self.members.insert(service(name), ServiceMembers { open, ..ServiceMembers::default() });
     }
 
     /// A runner leaves.
     fn leave(&mut self, name: &str, number: usize) {
         let members = self.members.get_mut(&service(name)).unwrap();
-        members.staying.remove(&runner(name, number));
-        members.leaving.insert(runner(name, number));
+        members.open.remove(&runner(name, number));
+        members.closed.insert(runner(name, number));
     }
 
     fn fail(&mut self, name: &str, number: usize) {
@@ -332,7 +332,7 @@
     let questions = checked.ask(2_000);
     checked.end_unconnected(2_250, 2_000, &questions);
     let started = RunnerIncarnation { started_unix_ms: 2, ..runner("desk", 0) };
-    checked.set_staying("desk", &started);
+    checked.set_open("desk", &started);
     let questions = checked.ask(2_500);
     assert_eq!(questions.len(), 1);
     assert!(checked.reach.is_lost(&service("desk")));
