Replace a test of hanging calls that passed without the rule that it guards

While a node reaches no runner of a service, its heartbeats count only streams that have begun: other calls may never have arrived, and the other nodes would refuse calls as overloaded until they end.

calls_that_hang_at_a_cut_off_node_take_no_room_at_the_others was to guard this rule.

The new test has the same assertion in the case that is left: the cut-off node is heard by the other one, and hears nobody. Its calls then hang until their deadline, which the test checks too (all sent, none ended). Seven streams hang, four are sent to the other node; prompts are shorter, so that all seven are sent to the runner at once.

--- a/crates/harness/tests/cut_fleet/mod.rs
+++ b/crates/harness/tests/cut_fleet/mod.rs
@@ -31,6 +31,13 @@
 
     /// Starts nodes before runners whose plain calls take `work`.
     pub async fn start_with(nodes: usize, work: Duration) -> Self {
+        let mut cut = Self::prepare(work).await;
+        cut.add_nodes(nodes).await;
+        cut
+    }
+
+    /// Starts runners whose plain calls take `work`, and no node yet.
+    pub async fn prepare(work: Duration) -> Self {
         let mut fleet = NodeFleet::start().await.unwrap();
         let mut links = Vec::new();
         let mut desk = RunnerFakeSettings::new("desk-1");
@@ -40,15 +47,19 @@
         llm.event_pause = Duration::from_millis(20);
         let desk = add_runner(&mut fleet, &mut links, "desk", desk).await;
         let llm = add_runner(&mut fleet, &mut links, "llm", llm).await;
+        Self { fleet, desk, llm, links }
+    }
+
+    /// Starts nodes, and waits until they are ready.
+    pub async fn add_nodes(&mut self, nodes: usize) {
         for _ in 0..nodes {
-            let number = fleet.add_node().unwrap();
-            let pid = fleet.nodes[number].pid();
-            for link in &links {
+            let number = self.fleet.add_node().unwrap();
+            let pid = self.fleet.nodes[number].pid();
+            for link in &self.links {
                 link.set_for(pid, LinkState::Open);
             }
         }
-        fleet.wait_ready().await.unwrap();
-        Self { fleet, desk, llm, links }
+        self.fleet.wait_ready().await.unwrap();
     }
 
     /// Starts the fleet, and cuts off its first node.
--- a/crates/harness/tests/node_forwarding.rs
+++ b/crates/harness/tests/node_forwarding.rs
@@ -3,12 +3,20 @@
 
 mod cut_fleet;
 
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::pin::pin;
 use std::time::{Duration, Instant};
 
+use compio::BufResult;
+use compio::net::UdpSocket;
 use cut_fleet::{CUT, CutFleet, EVENTS, LIMIT, OTHER};
-use harness::{CallerRequest, LinkState, wait_until};
+use futures_util::future::{Either, select};
+use harness::{CallerRequest, LinkState, NodeFleet, wait_until};
 use http_body_util::BodyExt;
 use rustix::process::Signal;
+use serde_json::json;
+use serving::{PeerMessage, decode_message, encode_message};
 
 /// Time in which work has to end after its caller has left.
 const CANCEL_WITHIN: Duration = Duration::from_millis(500);
@@ -234,35 +242,68 @@
     .unwrap();
 }
 
-/// Calls that hang at a cut-off node must not count as load of the runners at the other nodes, which
-/// would refuse calls as overloaded.
+/// Passes the heartbeats that come at `socket` on to a node, without an address to reply to.
+async fn pass_heartbeats(socket: UdpSocket, target: SocketAddr, no_address: SocketAddr) {
+    let mut buffer = vec![0; 60_000];
+    loop {
+        let BufResult(received, back) = socket.recv_from(buffer).await;
+        buffer = back;
+        let message = decode_message(&buffer[..received.unwrap().0]).unwrap();
+        if let PeerMessage::Heartbeat(mut heartbeat) = message {
+            heartbeat.peer_address = no_address;
+            let bytes = encode_message(&PeerMessage::Heartbeat(heartbeat)).unwrap();
+            socket.send_to(bytes, target).await.0.unwrap();
+        }
+        buffer.resize(60_000, 0);
+    }
+}
+
+/// Guards against calls that are refused as overloaded since calls which hang at a cut-off node
+/// count as load of runners that they have not reached. That node hears no other one, so that nothing
+/// ends its calls before their deadline.
 #[test]
-fn calls_that_hang_at_a_cut_off_node_take_no_room_at_the_others() {
-    /// Streams that would fill the runner's memory if they had arrived.
-    const STREAMS: usize = 12;
+fn calls_that_hang_at_a_node_that_hears_nobody_take_no_room_at_the_others() {
+    /// Streams that hang; the runner would take one more beside them.
+    const STREAMS: usize = 7;
     kernel::run(async {
-        let cut = CutFleet::start_with(2, Duration::ZERO).await;
-        // Streams that are forwarded take room at the other node until they end.
+        let mut cut = CutFleet::prepare(Duration::ZERO).await;
+        let mut others = NodeFleet::start().await.unwrap();
+        others.tell(&cut.desk, "desk", "ready");
+        others.tell(&cut.llm, "llm", "ready");
+        others.add_node_with(&[("vm", json!("other"))], true).unwrap();
+        others.wait_ready().await.unwrap();
+        let (target, no_address) = (others.peer_address(0), others.peer_address(9));
+        let socket = UdpSocket::bind(SocketAddr::new(target.ip(), 0)).await.unwrap();
+        let listed = json!({ "vm": "other", "peer": socket.local_addr().unwrap() });
+        cut.fleet.store.put_json("keyed.status", "other", &listed);
+        kernel::spawn(pass_heartbeats(socket, target, no_address)).detach();
+        cut.add_nodes(1).await;
+        wait_until("the heartbeats to be heard", LIMIT, async || {
+            (others.lookup(0).await.len() == 2).then_some(())
+        })
+        .await
+        .unwrap();
         cut.llm.rush();
         cut.set(CUT, LinkState::Lost);
-        let long =
-            |name: &str| CallerRequest::stream(name).with("x-dotterelyard-token-count", "4000,400");
-        let hanging =
-            futures_util::future::join_all((0..STREAMS).map(async |number: usize| {
-                cut.fleet.send(CUT, &long(&format!("h{number}"))).await
-            }));
-        let others = async {
-            wait_until("the cut to be seen", LIMIT, async || {
-                (!cut.fleet.nodes[CUT].events("runners_unreached").is_empty()).then_some(())
-            })
-            .await
-            .unwrap();
+        let stream =
+            |name: &str| CallerRequest::stream(name).with("x-dotterelyard-token-count", "400,400");
+        let ended = Cell::new(0);
+        let hanging = futures_util::future::join_all((0..STREAMS).map(async |number: usize| {
+            cut.fleet.send(CUT, &stream(&format!("h{number}"))).await;
+            ended.set(ended.get() + 1);
+        }));
+        let served = async {
+            cut.fleet.wait_event(CUT, "runners_unreached", "service", &json!("llm")).await.unwrap();
             compio::time::sleep(Duration::from_millis(300)).await;
-            let send =
-                async |number: usize| cut.fleet.send(OTHER, &long(&format!("o{number}"))).await;
+            let send = async |number: usize| others.send(0, &stream(&format!("o{number}"))).await;
             futures_util::future::join_all((0..4).map(send)).await
         };
-        let (_, answers) = futures_util::future::join(hanging, others).await;
+        let Either::Right((answers, _)) = select(pin!(hanging), pin!(served)).await else {
+            panic!("the calls at the cut-off node have ended");
+        };
+        // All of them hang at the runner to the end.
+        let sent = cut.fleet.nodes[CUT].events("send").len();
+        assert_eq!((sent, ended.get()), (STREAMS, 0));
         for answer in answers {
             assert_eq!((answer.status, answer.complete), (200, true), "{}", answer.text);
         }
