Give up a response after 64 interim responses

Seen: 900 bookings at once that runners answered with interim responses without end were answered 7 to 8 s after their deadline of 8 s, and the node's readiness check took 2.4 s. Cause: what precedes a final response was bounded in bytes only. 64 KiB hold 2,600 interim responses, and the library parses each of them as a whole head. Why it works: the reader of a connection counts status lines until the final one, and ends the exchange beyond 64. What follows the final status line is not looked at, so a body may hold any text.

--- a/crates/harness/tests/node_endless_bytes.rs
+++ b/crates/harness/tests/node_endless_bytes.rs
@@ -270,6 +270,17 @@
     .unwrap();
 }
 
+/// Guards against the processor time of a node going to heads that are no answer: calls were answered
+/// seconds after their deadline.
+#[test]
+fn a_large_crowd_with_interim_answers_without_end_is_answered_in_time() {
+    kernel::run(async {
+        let fault = play_crowd(EndlessBytes::Interim, 900, CallerRequest::booking).await;
+        assert_eq!(fault, None);
+    })
+    .unwrap();
+}
+
 #[test]
 fn bytes_after_a_whole_answer_harm_nothing() {
     kernel::run(async {
--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -166,6 +166,7 @@
     match meter.fault() {
         Some(ReadFault::MemoryFull) => WebError::MemoryFull { step },
         Some(ReadFault::TooLong) => WebError::TooLong { step, limit: MAX_IDLE_READ_BYTES },
+        Some(ReadFault::TooManyInterim) => WebError::TooManyInterim { step },
         None => WebError::Exchange { step, peer: meter.peer(), source },
     }
 }
--- a/crates/web/src/error.rs
+++ b/crates/web/src/error.rs
@@ -4,6 +4,8 @@
 
 use thiserror::Error;
 
+use crate::interim_scan::MAX_INTERIM_RESPONSES;
+
 /// Whether a failed request may have reached its peer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum SendFault {
@@ -56,6 +58,12 @@
         /// The limit, in bytes.
         limit: usize,
     },
+    /// More interim responses precede the final one than there may be.
+    #[error("{step}: more than {MAX_INTERIM_RESPONSES} interim responses")]
+    TooManyInterim {
+        /// The step that failed.
+        step: &'static str,
+    },
     /// There is no memory left for a head or a body.
     #[error("{step}: no memory left for what is read")]
     MemoryFull {
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -5,6 +5,7 @@
 mod client;
 mod closer;
 mod error;
+mod interim_scan;
 mod metered_read;
 mod read_budget;
 mod read_ledger;
@@ -22,6 +23,7 @@
 };
 pub use closer::ConnectionCloser;
 pub use error::{Result, SendFault, WebError};
+pub use interim_scan::MAX_INTERIM_RESPONSES;
 pub use read_budget::{FREE_READ_BYTES, ReadCharge, ReadUse, install_read_budget, read_use};
 pub use read_ledger::{CONNECTION_BYTES, ReadLedger, ReadLimits, ReadPart};
 pub use reply::{json_reply, refusal_reply, text_reply};
--- a/crates/web/src/metered_read.rs
+++ b/crates/web/src/metered_read.rs
@@ -9,6 +9,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use crate::interim_scan::InterimScan;
 use crate::read_budget::{FREE_READ_BYTES, OpenConnection, ReadCharge, ReadFault, record_given_up};
 use crate::read_ledger::ReadPart;
 
@@ -31,6 +32,8 @@
     idle: Cell<Option<usize>>,
     /// Whether the head has arrived.
     has_head: Cell<bool>,
+    /// Interim responses before the head.
+    interim: Cell<InterimScan>,
     /// Bytes of the head.
     charge: RefCell<ReadCharge>,
     fault: Cell<Option<ReadFault>>,
@@ -42,9 +45,18 @@
     pub fn new(part: ReadPart, peer: SocketAddr) -> Self {
         let charge = RefCell::new(ReadCharge::open(part, peer));
         let (idle, has_head) = (Cell::new(Some(0)), Cell::new(false));
+        let interim = Cell::new(InterimScan::new());
         let (fault, connection) = (Cell::default(), OpenConnection::new());
-        let state =
-            MeterState { peer, part, idle, has_head, charge, fault, _connection: connection };
+        let state = MeterState {
+            peer,
+            part,
+            idle,
+            has_head,
+            interim,
+            charge,
+            fault,
+            _connection: connection,
+        };
         Self { state: Rc::new(state) }
     }
 
@@ -79,31 +91,46 @@
         self.state.peer
     }
 
-    /// Notes `bytes` that were read.
+    /// Notes the `bytes` of a read.
     ///
     /// # Errors
     /// If the response is given up.
-    pub fn check(&self, bytes: usize) -> io::Result<()> {
+    pub fn check(&self, bytes: &[u8]) -> io::Result<()> {
         let given_up = |_| io::Error::new(io::ErrorKind::InvalidData, "the response is given up");
         self.record(bytes).map_err(given_up)
     }
 
-    fn record(&self, bytes: usize) -> Result<(), ReadFault> {
-        let Some(idle) = self.state.idle.get().map(|idle| idle + bytes) else { return Ok(()) };
+    fn record(&self, bytes: &[u8]) -> Result<(), ReadFault> {
+        let Some(idle) = self.state.idle.get().map(|idle| idle + bytes.len()) else {
+            return Ok(());
+        };
         self.state.idle.set(Some(idle));
+        let has_head = self.state.has_head.get();
         let fault = if idle > MAX_IDLE_READ_BYTES {
             ReadFault::TooLong
-        } else if self.state.has_head.get() || self.charge_head(idle) {
+        } else if has_head {
+            return Ok(());
+        } else if !self.scan_interim(bytes) {
+            ReadFault::TooManyInterim
+        } else if self.charge_head(idle) {
             return Ok(());
         } else {
             ReadFault::MemoryFull
         };
-        let step = if self.state.has_head.get() { "body" } else { "head" };
+        let step = if has_head { "body" } else { "head" };
         self.state.fault.set(Some(fault));
         record_given_up(step, self.state.peer, idle, fault);
         Err(fault)
     }
 
+    /// Counts the interim responses in `bytes`; returns whether there may be as many.
+    fn scan_interim(&self, bytes: &[u8]) -> bool {
+        let mut scan = self.state.interim.get();
+        let is_allowed = scan.read(bytes);
+        self.state.interim.set(scan);
+        is_allowed
+    }
+
     /// Charges a head of `bytes` so far; its buffer grows by doubling.
     fn charge_head(&self, bytes: usize) -> bool {
         let further = bytes.saturating_sub(FREE_READ_BYTES);
--- a/crates/web/src/read_budget.rs
+++ b/crates/web/src/read_budget.rs
@@ -70,6 +70,8 @@
     MemoryFull,
     /// There are more of them than there may be.
     TooLong,
+    /// There are more interim responses before the final one than there may be.
+    TooManyInterim,
 }
 
 /// Counts that `bytes` of `peer` are given up, and logs it unless a line has just been written.
@@ -88,6 +90,7 @@
     let reason = match fault {
         ReadFault::MemoryFull => "memory_full",
         ReadFault::TooLong => "too_long",
+        ReadFault::TooManyInterim => "too_many_interim",
     };
     let ReadUse { held, given_up } = read_use();
     tracing::warn!(event = "bytes_given_up", step, %peer, bytes, held, reason, given_up);
--- a/crates/web/src/reply_reader.rs
+++ b/crates/web/src/reply_reader.rs
@@ -149,6 +149,7 @@
         match self.body.meter().fault() {
             Some(ReadFault::MemoryFull) => WebError::MemoryFull { step },
             Some(ReadFault::TooLong) => WebError::TooLong { step, limit: MAX_IDLE_READ_BYTES },
+            Some(ReadFault::TooManyInterim) => WebError::TooManyInterim { step },
             None => WebError::Body { step, source },
         }
     }
--- a/crates/web/src/socket_stream.rs
+++ b/crates/web/src/socket_stream.rs
@@ -58,7 +58,7 @@
             let room = target.remaining().min(buffer.len());
             let bytes = ready!(self.socket.poll_read(context, &mut buffer[..room]))?;
             if let Some(meter) = &self.meter {
-                meter.check(bytes)?;
+                meter.check(&buffer[..bytes])?;
             }
             target.put_slice(&buffer[..bytes]);
             Poll::Ready(Ok(()))
