Break off a stream soon after a node that has not named its runner falls silent

What callers saw: a stream that another node had taken was silent until its deadline when that node froze, if its answer did not say where the run is (a build without site headers), or named a runner that is not known here.

Cause: relay_stream waited for the next frame or the deadline only; the node was asked just where the place of the run is known (decide_relay in the pump).

Fix: the same decision in both. While no frame comes, the node is asked, and the stream is broken off once it has answered no question for 1.5 s, so that the caller can try again. It goes on nowhere: without the runner, neither the run nor its copy can be found, and another run beside it would break the rule of 400 ms. A node that answers is waited for, however late the events are.

The sender of heartbeats of node_forward_targets moves to a module that both files use; no check changes.

--- a/crates/harness/tests/node_forward_targets.rs
+++ b/crates/harness/tests/node_forward_targets.rs
@@ -2,25 +2,22 @@
 //! arrives at the runner.
 
 mod cut_fleet;
+mod older_node;
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use base::{LogOffset, StoreEra, TimeSpan, VmIncarnation};
-use compio::net::UdpSocket;
+use base::{StoreEra, TimeSpan};
 use cut_fleet::{CUT, CutFleet, LIMIT, OTHER, add_runner};
 use fakes::platform::{RunnerFake, RunnerFakeSettings};
 use harness::{CallerRequest, HOST, KEY, LinkState, config, wait_until};
 use hyper::{Request, StatusCode};
 use kernel::StopSignal;
+use older_node::send_heartbeats;
 use rustix::process::Signal;
 use serde_json::{Value, json};
-use serving::{
-    HeartbeatSections, InputUpdate, LimitUpdate, PeerHeartbeat, PeerMessage, PlanVersion,
-    encode_message,
-};
 use web::{ServerLimits, WebRequest, WebResponse, WebServer, full_body, send_once, text_reply};
 
 /// Time for a peer exchange of the test itself.
@@ -199,36 +196,6 @@
     .unwrap();
 }
 
-/// Sends heartbeats of a ready node at `address` that reaches runners.
-async fn send_heartbeats(address: SocketAddr, era: StoreEra, target: SocketAddr) {
-    let socket = UdpSocket::bind(SocketAddr::new(address.ip(), 0)).await.unwrap();
-    for sequence in 1.. {
-        let heartbeat = PeerHeartbeat {
-            vm: "older".parse().unwrap(),
-            incarnation: VmIncarnation(7),
-            sequence,
-            caller_address: address,
-            peer_address: address,
-            place: "north".parse().unwrap(),
-            ready: true,
-            store_reachable: false,
-            reaches_runners: true,
-            store_era: era,
-            plan_version: Some(PlanVersion(1)),
-            runners_offset: LogOffset(0),
-            loads: Vec::new(),
-            waiting_services: Vec::new(),
-            leaving: Vec::new(),
-            input_update: InputUpdate::default(),
-            limit_update: LimitUpdate::default(),
-            sections: HeartbeatSections::default(),
-        };
-        let bytes = encode_message(&PeerMessage::Heartbeat(Box::new(heartbeat))).unwrap();
-        let _ = socket.send_to(bytes, target).await;
-        compio::time::sleep(Duration::from_millis(100)).await;
-    }
-}
-
 /// Guards against calls that are sent into the cut while no other node takes them: whether they have run
 /// is then unknown.
 #[test]
--- /dev/null
+++ b/crates/harness/tests/node_relay_waits.rs
@@ -0,0 +1,168 @@
+//! Streams through a node of a build that does not say where their runs are, when that node falls silent.
+
+#[allow(dead_code, reason = "other tests start it cut off, and read its streams")]
+mod cut_fleet;
+mod older_node;
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use base::StoreEra;
+use compio::time::sleep;
+use cut_fleet::{CUT, CutFleet, LIMIT};
+use futures_util::future::join;
+use futures_util::stream::unfold;
+use harness::{CallerRequest, SeenStream, wait_until};
+use hyper::StatusCode;
+use hyper::body::Bytes;
+use hyper::header::HeaderValue;
+use kernel::StopSignal;
+use older_node::send_heartbeats;
+use web::{ServerLimits, WebRequest, WebResponse, WebServer, stream_body, text_reply};
+
+/// Events of a stream, one in 20 ms.
+const EVENTS: u64 = 150;
+/// Time from the begin of the stream until the node falls silent.
+const SILENT_AFTER: Duration = Duration::from_secs(1);
+/// How long a sound node may be silent.
+const SILENCE: Duration = Duration::from_millis(1_200);
+/// Longest pause: twice the one that a route allows on the users' platform (180 ms), and a second.
+const MAX_PAUSE: Duration = Duration::from_millis(2_360);
+
+/// What the node and its runner do from [`SILENT_AFTER`] on.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Trouble {
+    /// The node does nothing.
+    NodeSilent,
+    /// The node does nothing for [`SILENCE`].
+    NodeSilentForMoment,
+    /// No events come, and the node answers.
+    EventsLate,
+}
+
+/// The state of the node.
+#[derive(Default)]
+struct OlderNode {
+    is_silent: Cell<bool>,
+    holds_events: Cell<bool>,
+    /// Runner that it names in its answers.
+    site: Option<&'static str>,
+}
+
+impl OlderNode {
+    async fn answer(self: Rc<Self>, request: WebRequest) -> WebResponse {
+        wait_while(&self.is_silent).await;
+        let path = request.uri().path();
+        if !path.starts_with("/forward/") {
+            return text_reply(StatusCode::NOT_FOUND, "no such page");
+        }
+        let mut response = text_reply(StatusCode::OK, "");
+        let set = |response: &mut WebResponse, name, value| {
+            response.headers_mut().insert(name, HeaderValue::from_static(value));
+        };
+        if path.starts_with("/forward/digest/") {
+            response = WebResponse::new(stream_body(unfold((self.clone(), 1), next_event)));
+            set(&mut response, "content-type", "text/event-stream");
+        }
+        if let Some(site) = self.site {
+            set(&mut response, "x-yard-site-runner", site);
+        }
+        set(&mut response, "x-yard-forward-result", "answered");
+        response
+    }
+
+    async fn play(&self, trouble: Trouble) {
+        sleep(SILENT_AFTER).await;
+        self.holds_events.set(true);
+        self.is_silent.set(trouble != Trouble::EventsLate);
+        if trouble == Trouble::NodeSilent {
+            return;
+        }
+        let times = if trouble == Trouble::EventsLate { 2 } else { 1 };
+        sleep(SILENCE * times).await;
+        self.holds_events.set(false);
+        self.is_silent.set(false);
+    }
+}
+
+async fn wait_while(condition: &Cell<bool>) {
+    while condition.get() {
+        sleep(Duration::from_millis(5)).await;
+    }
+}
+
+async fn next_event((node, number): (Rc<OlderNode>, u64)) -> Option<(Bytes, (Rc<OlderNode>, u64))> {
+    sleep(Duration::from_millis(20)).await;
+    wait_while(&node.holds_events).await;
+    let event = format!("id: {number}\ndata: token {number}\n\n");
+    (number <= EVENTS).then(|| (Bytes::from(event), (node, number + 1)))
+}
+
+/// Reads a stream of a cut-off node that comes through an older one, which names `site`.
+async fn read_through(site: Option<&'static str>, trouble: Trouble) -> SeenStream {
+    let cut = CutFleet::start_with(1, Duration::ZERO).await;
+    let address = SocketAddr::new(cut.fleet.peer_address(9).ip(), 0);
+    let server = WebServer::bind(address, ServerLimits::default()).await.unwrap();
+    let address = server.address();
+    let node = Rc::new(OlderNode { site, ..OlderNode::default() });
+    let handler = {
+        let node = Rc::clone(&node);
+        move |request: WebRequest| Rc::clone(&node).answer(request)
+    };
+    kernel::spawn(async move { server.serve(StopSignal::new(), handler).await }).detach();
+    let era = StoreEra(cut.fleet.store.era());
+    kernel::spawn(send_heartbeats(address, era, cut.fleet.peer_address(CUT))).detach();
+    wait_until("the older node to be known", LIMIT, async || {
+        (cut.fleet.lookup(CUT).await.len() == 2).then_some(())
+    })
+    .await
+    .unwrap();
+    cut.cut_off(CUT).await;
+    let request = CallerRequest::stream("s1");
+    let (stream, ()) = join(cut.fleet.read_stream(CUT, &request), node.play(trouble)).await;
+    assert_eq!(cut.runs("s1"), 0);
+    stream
+}
+
+/// A stream that cannot go on has to be broken off soon.
+fn check_broken_off(site: Option<&'static str>) {
+    kernel::run(async {
+        let stream = read_through(site, Trouble::NodeSilent).await;
+        assert!(!stream.is_whole && !stream.ids.is_empty(), "{stream:?}");
+        assert!((SILENCE..=MAX_PAUSE).contains(&stream.longest_pause), "{stream:?}");
+    })
+    .unwrap();
+}
+
+/// Guards against LOST: a stream through a node that says nothing of its run is silent until its deadline.
+#[test]
+fn a_stream_of_an_unknown_place_is_broken_off_soon_after_its_other_node_falls_silent() {
+    check_broken_off(None);
+}
+
+/// Guards against LOST: the same with a runner that is not known here.
+#[test]
+fn a_stream_of_an_unknown_runner_is_broken_off_soon_after_its_other_node_falls_silent() {
+    check_broken_off(Some("llm-9"));
+}
+
+#[test]
+fn a_stream_of_an_unknown_place_comes_whole_when_its_other_node_is_silent_for_a_moment() {
+    kernel::run(async {
+        let stream = read_through(None, Trouble::NodeSilentForMoment).await;
+        assert!(stream.has_all(EVENTS), "{stream:?}");
+    })
+    .unwrap();
+}
+
+/// A node that answers is waited for, however long its runner takes.
+#[test]
+fn a_stream_of_an_unknown_place_comes_whole_when_its_events_are_late() {
+    kernel::run(async {
+        let stream = read_through(None, Trouble::EventsLate).await;
+        assert!(stream.has_all(EVENTS) && stream.longest_pause >= 2 * SILENCE, "{stream:?}");
+    })
+    .unwrap();
+}
--- a/crates/node/src/forward/relay.rs
+++ b/crates/node/src/forward/relay.rs
@@ -12,14 +12,20 @@
 use serving::{AttemptTracker, SendOutcome, StreamScanner};
 use web::{ConnectionCloser, WebExchange, WebResponse, full_body};
 
+use super::call_forward::{TakenResume, leave_out_node};
 use super::forwarded_calls::FORWARD_RESULT;
 use crate::call::Call;
 use crate::call_answer::{CallFailure, fail_call};
-use crate::call_log::{RequestOutcome, RequestSummary, log_end};
+use crate::call_log::{RequestOutcome, RequestSummary, log_end, may_log};
 use crate::context::NodeContext;
+use crate::metrics::OutcomeLabels;
+use crate::reach::wait_node_lost;
 use crate::runner_send::read_full_answer;
 use crate::streams::{CallerSide, is_event_stream, open_caller_side};
 
+/// Reason of a call that ends since the node that it came through is lost.
+const NODE_LOST: &str = "node_lost";
+
 /// `Retry-After` of a forwarded call whose outcome is unknown; not sent to the caller.
 const UNKNOWN_RETRY_AFTER: TimeSpan = TimeSpan::millis(300);
 
@@ -28,15 +34,17 @@
     context: &Rc<NodeContext>,
     call: &Rc<Call>,
     closer: &ConnectionCloser,
-    exchange: WebExchange,
+    taken: TakenResume,
 ) -> WebResponse {
+    let TakenResume { node, exchange } = taken;
     let status = exchange.response.status();
     let headers = answer_headers(&exchange);
     let mut response = if is_event_stream(&exchange.response) {
         let waited = context.now().since(call.arrived);
         context.metrics.first_byte_time.observe(waited.as_seconds());
         let (caller, body) = open_caller_side(closer.clone());
-        let relay = relay_stream(Rc::clone(context), Rc::clone(call), exchange, caller);
+        let taken = TakenResume { node, exchange };
+        let relay = relay_stream(Rc::clone(context), Rc::clone(call), taken, caller);
         kernel::spawn(relay).detach();
         WebResponse::new(body)
     } else {
@@ -72,14 +80,16 @@
 }
 
 /// Relays the events of a stream until it has ended; closes the caller's connection if the
-/// stream has broken off.
+/// stream has broken off. It is not known where its run is, so that a stream whose node is lost goes on
+/// nowhere; its caller is to learn that soon.
 async fn relay_stream(
     context: Rc<NodeContext>,
     call: Rc<Call>,
-    exchange: WebExchange,
+    taken: TakenResume,
     mut caller: CallerSide,
 ) {
     let _active = context.track_request();
+    let TakenResume { node, exchange } = taken;
     let WebExchange { response, connection } = exchange;
     let mut body = response.into_body();
     let mut scanner = StreamScanner::default();
@@ -90,16 +100,21 @@
             let mut deadline = pin!(kernel::sleep(left.into()).fuse());
             let mut disconnected = pin!(caller.disconnected.wait().fuse());
             let mut frame = pin!(body.frame().fuse());
+            let mut lost = pin!(wait_node_lost(&context, &node).fuse());
             select_biased! {
                 () = disconnected => break (RequestOutcome::CallerDisconnected, ""),
                 frame = frame => frame,
+                () = lost => {
+                    leave_silent_node(&context, &call, &node, scanner.event_count());
+                    break (RequestOutcome::Interrupted, NODE_LOST);
+                }
                 () = deadline => break (RequestOutcome::Interrupted, "deadline_passed"),
             }
         };
         let bytes = match frame {
             Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
             None if !scanner.has_partial_event() => break (RequestOutcome::Streamed, ""),
-            Some(Err(_)) | None => break (RequestOutcome::Interrupted, "node_lost"),
+            Some(Err(_)) | None => break (RequestOutcome::Interrupted, NODE_LOST),
         };
         let Ok(events) = scanner.push(&bytes) else {
             break (RequestOutcome::Interrupted, "stream_malformed");
@@ -120,6 +135,17 @@
     }
 }
 
+/// Logs and counts a stream that ends since its node is silent, and offers that node nothing for a moment.
+fn leave_silent_node(context: &NodeContext, call: &Call, node: &VmId, events: u64) {
+    leave_out_node(context, call, node);
+    let labels = OutcomeLabels { outcome: "node_silent", reason: "" };
+    context.metrics.moves.get_or_create(&labels).inc();
+    if may_log(context) {
+        let (request, is_lost) = (&call.attempt, false);
+        tracing::info!(event = "relay_lost", %request, %node, is_lost, decision = "BreakOff", events);
+    }
+}
+
 /// Passes events on to the caller; `false` if it has disconnected.
 async fn send_events(caller: &mut CallerSide, events: Bytes) -> bool {
     let mut disconnected = pin!(caller.disconnected.wait().fuse());
@@ -134,6 +160,6 @@
 pub(super) fn fail_unknown(context: &NodeContext, call: &Call) -> WebResponse {
     let mut tracker = AttemptTracker::new(call.route.kind, call.route.max_attempts);
     tracker.record_send(SendOutcome::Unknown);
-    let failure = CallFailure { reason: "node_lost", retry_after: UNKNOWN_RETRY_AFTER };
+    let failure = CallFailure { reason: NODE_LOST, retry_after: UNKNOWN_RETRY_AFTER };
     fail_call(context, call, &tracker, None, failure)
 }
--- a/crates/node/src/plain_call.rs
+++ b/crates/node/src/plain_call.rs
@@ -41,7 +41,7 @@
     loop {
         match try_forward(context, call).await {
             Some(ForwardEnd::Taken(taken)) => {
-                return relay_response(context, call, &closer, taken.exchange).await;
+                return relay_response(context, call, &closer, taken).await;
             }
             Some(ForwardEnd::Failed(response)) => return response,
             None => (),
--- a/crates/node/src/streams/stream_relay.rs
+++ b/crates/node/src/streams/stream_relay.rs
@@ -67,7 +67,7 @@
     let site = RunSite::read(exchange.response.headers());
     let plan = site.and_then(|site| plan_at(context, &site));
     let Some(plan) = plan.filter(|_| is_event_stream(&exchange.response)) else {
-        return relay_response(context, &call, &closer, exchange).await;
+        return relay_response(context, &call, &closer, TakenResume { node, exchange }).await;
     };
     let mut head = Response::new(());
     *head.status_mut() = exchange.response.status();
