Move a run from its source while its next runner answers nobody

Callers: a stream whose source is cut off from its node, and whose next runner falls silent to all nodes once it has got the run, got nothing until its deadline and was cut, although the run worked at its source and another node reached that.

Cause: only the next runner was asked while it did not answer. One that answers nobody is waited for beside the silent source, and nothing found out that the source answers another node.

Fix: while nobody gets an answer of the next runner, the silent source is asked as well (`asks_source`). If it answers another node, that one moves the run away from it, and the connection to the next runner closes first (`MoveSource` in `decide_wait`). If it does not, both are waited for as before. A source that has ended is not asked: its run ended with its connection, and only the next runner can go on.

--- a/crates/harness/tests/node_stream_partition.rs
+++ b/crates/harness/tests/node_stream_partition.rs
@@ -289,6 +289,42 @@
     .unwrap();
 }
 
+/// Cuts the node off from the source of a stream. The runner with its copy falls silent to all after
+/// `delay`, for `silence` or to the end of the stream.
+async fn check_silent_next(delay: Duration, silence: Option<Duration>) {
+    let services = ServiceFleet::start(long_streams).await;
+    let request = CallerRequest::stream("silent");
+    let silent = async {
+        sleep(CUT_AFTER).await;
+        let (source, copy) = find_places(&services);
+        source.link.set_for(services.fleet.nodes[CUT].pid(), LinkState::Lost);
+        sleep(delay).await;
+        copy.runner.fall_silent();
+        if let Some(silence) = silence {
+            sleep(silence).await;
+            copy.runner.go_on();
+        }
+    };
+    let (stream, ()) = join(services.fleet.read_stream(CUT, &request), silent).await;
+    check_whole_within(&services, &[stream], MAX_PAUSE + delay);
+    assert!(services.runners.iter().all(|linked| linked.runner.working() == 0));
+}
+
+/// Guards against LOST: a run that works at its source is left there until the deadline, since its next
+/// runner has got the run and answers nobody.
+#[test]
+fn a_stream_moves_from_its_cut_off_source_when_its_next_runner_falls_silent_to_all() {
+    let _turn = take_turn();
+    kernel::run(check_silent_next(LATER, None)).unwrap();
+}
+
+/// Guards against two runners on one request: the next runner goes on after the run was moved.
+#[test]
+fn a_run_that_has_moved_from_its_source_does_not_go_on_at_a_runner_that_was_silent() {
+    let _turn = take_turn();
+    kernel::run(check_silent_next(LATER, Some(SILENCE))).unwrap();
+}
+
 /// A stream whose runner works on it and whose answer does not arrive has no head yet. The runner with its
 /// copy may be silent as well, which shows only once it is to go on there.
 #[test]
--- a/crates/node/src/streams/stream_handover.rs
+++ b/crates/node/src/streams/stream_handover.rs
@@ -6,6 +6,7 @@
 use std::pin::pin;
 use std::rc::Rc;
 
+use base::prelude::*;
 use futures_util::{FutureExt, select_biased};
 use hyper::body::Bytes;
 use serving::{OverlapRule, RunnerRecord, SendOutcome};
@@ -107,6 +108,9 @@
                 return self.keep_source(&plan, held, "no answer", SendOutcome::Unknown).await;
             }
             OverlapEnd::CutOff => return self.leave_cut_off(&plan, held).await,
+            OverlapEnd::SourceElsewhere(node) => {
+                return self.leave_silent_next(&plan, held, node).await;
+            }
             OverlapEnd::SourceEnded => {
                 self.count_move("source_ended");
                 let end = self.forward_held(held).await;
@@ -219,6 +223,22 @@
         through_node.map_or(step, HandoverStep::End)
     }
 
+    /// Has `node` move the run away from the source, or else goes on with that, after the next runner was
+    /// found to be silent to all.
+    async fn leave_silent_next(
+        &mut self,
+        plan: &SendPlan,
+        held: HeldEvents,
+        node: VmId,
+    ) -> HandoverStep {
+        let step = self.keep_source(plan, held, "silent to all", SendOutcome::Unknown).await;
+        if !matches!(step, HandoverStep::Refused(_)) {
+            return step;
+        }
+        let moved = Box::pin(self.move_through_node(node)).await;
+        moved.map_or(step, HandoverStep::End)
+    }
+
     /// Goes on with the source after the next runner did not take over.
     async fn keep_source(
         &mut self,
--- a/crates/node/src/streams/stream_overlap.rs
+++ b/crates/node/src/streams/stream_overlap.rs
@@ -12,7 +12,8 @@
 use futures_util::{FutureExt, select_biased};
 use hyper::body::Bytes;
 use serving::{
-    AnswerPlace, OverlapRule, SourceState, StreamScanner, WaitDecision, WaitFacts, decide_wait,
+    AnswerPlace, OverlapRule, SourceState, StreamScanner, WaitDecision, WaitFacts, asks_source,
+    decide_wait,
 };
 use web::{ReadCharge, WebConnection, WebExchange};
 
@@ -41,6 +42,8 @@
     Unanswered,
     /// The next runner answers another node, and not this one: it may have taken the run.
     CutOff,
+    /// The next runner answers nobody, and the source answers this other node.
+    SourceElsewhere(VmId),
     /// The source has delivered the stream to its end.
     SourceEnded,
     /// The caller closed the connection.
@@ -55,12 +58,43 @@
     Sent(Result<WebExchange, SendFailure>),
     /// Data of the source, an error, or the end of its body.
     Frame(Option<Result<Bytes, hyper::Error>>),
-    /// Where the next runner answers.
+    /// Where the runner answers that was asked.
     Asked(AnswerPlace),
     /// [`MAX_OVERLAP`] has passed.
     OverlapOver,
 }
 
+/// The questions where the next runner and the source answer, and what is known.
+struct OverlapQuestions {
+    /// The question that is open.
+    open: RunnerQuestion,
+    /// Whether the source is asked.
+    is_of_source: bool,
+    next: Option<AnswerPlace>,
+    /// Since the last answer of the next runner.
+    source: Option<AnswerPlace>,
+}
+
+impl OverlapQuestions {
+    fn of_next(open: RunnerQuestion) -> Self {
+        Self { open, is_of_source: false, next: None, source: None }
+    }
+
+    fn record(&mut self, place: AnswerPlace) {
+        if self.is_of_source {
+            self.source = Some(place);
+        } else {
+            self.next = Some(place);
+            self.source = None;
+        }
+    }
+
+    fn facts(&self, source: SourceState, rule: OverlapRule, is_overlap_over: bool) -> WaitFacts {
+        let (answered, source_answered) = (self.next.clone(), self.source.clone());
+        WaitFacts { source, rule, is_overlap_over, answered, source_answered }
+    }
+}
+
 /// What a source delivered after the next runner was asked to go on. It is forwarded only if
 /// that runner does not take over, since it would make the same events again.
 pub(super) struct HeldEvents {
@@ -125,12 +159,11 @@
         let left = call.deadline.since(context.now());
         let mut send = pin!(send_connected(&context, &call, plan, connection, left).fuse());
         let run = OpenRun::new(&context, &call, &plan.runner);
-        let mut question = ask_next(&context, &plan.runner, true);
-        let mut answered = None;
+        let mut questions = OverlapQuestions::of_next(ask_next(&context, &plan.runner, true));
         let mut is_overlap_over = false;
         loop {
             let due = (!is_overlap_over).then_some(overlap_end);
-            let input = self.next_overlap_input(send.as_mut(), &mut question, due).await;
+            let input = self.next_overlap_input(send.as_mut(), &mut questions.open, due).await;
             let is_news = matches!(input, OverlapInput::Asked(_));
             match input {
                 OverlapInput::CallerDisconnected => return OverlapEnd::CallerDisconnected,
@@ -146,15 +179,14 @@
                     self.log_send_failure(&describe_loss(lost));
                     self.close_source();
                 }
-                OverlapInput::Asked(place) => {
-                    answered = Some(place);
-                    question = ask_next(&context, &plan.runner, false);
-                }
+                OverlapInput::Asked(place) => questions.record(place),
                 OverlapInput::OverlapOver => is_overlap_over = true,
             }
-            let source = self.source_state(held);
-            let facts = WaitFacts { source, rule, is_overlap_over, answered: answered.clone() };
+            let facts = questions.facts(self.source_state(held), rule, is_overlap_over);
             let decision = decide_wait(&facts);
+            if is_news {
+                self.ask_on(&mut questions, &facts, plan);
+            }
             if is_news || decision != WaitDecision::Wait {
                 self.log_wait(plan, &facts, decision);
             }
@@ -166,10 +198,25 @@
                 }
                 WaitDecision::LeaveNext => return OverlapEnd::Unanswered,
                 WaitDecision::LeaveThisNode => return OverlapEnd::CutOff,
+                WaitDecision::MoveSource => {
+                    if let Some(AnswerPlace::OtherNode(node)) = facts.source_answered {
+                        return OverlapEnd::SourceElsewhere(node);
+                    }
+                }
             }
         }
     }
 
+    /// Asks the source at once if its answer decides, or else the next runner again.
+    fn ask_on(&self, questions: &mut OverlapQuestions, facts: &WaitFacts, plan: &SendPlan) {
+        questions.is_of_source = asks_source(facts) && self.may_move_from_source();
+        questions.open = if questions.is_of_source {
+            self.ask_source(TimeSpan::default())
+        } else {
+            ask_next(&self.context, &plan.runner, false)
+        };
+    }
+
     /// Waits for the next input. The order of the branches is their priority.
     async fn next_overlap_input(
         &mut self,
--- a/crates/node/src/streams/stream_places.rs
+++ b/crates/node/src/streams/stream_places.rs
@@ -62,6 +62,7 @@
             runner = %plan.runner.runner,
             source = ?facts.source,
             answered = facts.answered.as_ref().map(AnswerPlace::as_str),
+            source_answered = facts.source_answered.as_ref().map(AnswerPlace::as_str),
             is_overlap_over = facts.is_overlap_over,
             ?decision,
             left_ms = self.call.deadline.since(self.context.now()).as_millis(),
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -76,7 +76,7 @@
 pub use run_ends::{EndHabit, EndTable};
 pub use run_places::{
     AnswerPlace, NodePlace, OverlapRule, PlaceFacts, SourceRun, SourceState, WaitDecision,
-    WaitFacts, decide_wait, list_node_places,
+    WaitFacts, asks_source, decide_wait, list_node_places,
 };
 pub use runner_limit::{LimitChange, LimitReport, LimitTable, LimitUpdate, ServiceDemand};
 pub use runner_loss::{ProbeOutcome, RunnerLoss, has_crashed};
--- a/crates/serving/src/run_places.rs
+++ b/crates/serving/src/run_places.rs
@@ -2,7 +2,7 @@
 //!
 //! Load pattern: a node is cut off from several runners at once, or runners fall silent for a moment. The
 //! source of a stream is given up only for a runner that is known to be up, and a wait for one that this
-//! node does not reach ends as soon as another node gets its answers.
+//! node does not reach ends as soon as another node gets its answers, or those of the source.
 
 use base::prelude::*;
 
@@ -61,6 +61,9 @@
     pub is_overlap_over: bool,
     /// Where the next runner has answered since it got the run; `None` if that is not known yet.
     pub answered: Option<AnswerPlace>,
+    /// Where the source has answered since the last answer of the next runner; `None` if it was not asked,
+    /// or if no other node can move the run from there.
+    pub source_answered: Option<AnswerPlace>,
 }
 
 /// What to do while the next runner does not answer.
@@ -74,6 +77,8 @@
     LeaveNext,
     /// The same, and go on through another node.
     LeaveThisNode,
+    /// Close the connection to the next runner, and have another node move the run away from the source.
+    MoveSource,
 }
 
 /// Decides what to do while the next runner does not answer.
@@ -92,14 +97,31 @@
     if facts.is_overlap_over { WaitDecision::LeaveNext } else { WaitDecision::Wait }
 }
 
-/// Without a word from the source, what the next runner answers decides. One that answers nobody is waited
-/// for beside the source: as far as is known, none of them works.
+/// Whether the source is to be asked where it answers: nothing comes from it, and nobody gets an answer
+/// of the next runner.
+#[must_use]
+pub fn asks_source(facts: &WaitFacts) -> bool {
+    let is_left = facts.rule == OverlapRule::LeaveSilentSource;
+    let is_silent = is_left && facts.source == SourceState::Silent;
+    let is_next_silent = facts.answered == Some(AnswerPlace::Nowhere);
+    is_silent && is_next_silent && facts.source_answered.is_none()
+}
+
+/// Without a word from the source, what the next runner answers decides. If that answers nobody, the run
+/// moves from a source that answers another node. If the source does not either, the next runner is waited
+/// for beside it: as far as is known, none of them works.
 fn follow_answers(facts: &WaitFacts) -> WaitDecision {
     match &facts.answered {
         Some(AnswerPlace::OtherNode(_)) => WaitDecision::LeaveThisNode,
         Some(AnswerPlace::Here) if facts.source == SourceState::Silent && facts.is_overlap_over => {
             WaitDecision::LeaveSource
         }
+        Some(AnswerPlace::Nowhere) if facts.source == SourceState::Silent => {
+            match facts.source_answered {
+                Some(AnswerPlace::OtherNode(_)) => WaitDecision::MoveSource,
+                _ => WaitDecision::Wait,
+            }
+        }
         _ => WaitDecision::Wait,
     }
 }
--- a/crates/serving/tests/run_places.rs
+++ b/crates/serving/tests/run_places.rs
@@ -2,7 +2,7 @@
 
 use serving::{
     AnswerPlace, NodePlace, OverlapRule, PlaceFacts, SourceRun, SourceState, WaitDecision,
-    WaitFacts, decide_wait, list_node_places,
+    WaitFacts, asks_source, decide_wait, list_node_places,
 };
 
 const SOURCES: [SourceState; 3] = [SourceState::Ended, SourceState::Silent, SourceState::Active];
@@ -17,9 +17,13 @@
         for rule in RULES {
             for is_overlap_over in [false, true] {
                 for answered in answers.clone() {
-                    let facts = WaitFacts { source, rule, is_overlap_over, answered };
-                    let decision = decide_wait(&facts);
-                    decisions.push((facts, decision));
+                    for source_answered in answers.clone() {
+                        let answered = answered.clone();
+                        let facts =
+                            WaitFacts { source, rule, is_overlap_over, answered, source_answered };
+                        let decision = decide_wait(&facts);
+                        decisions.push((facts, decision));
+                    }
                 }
             }
         }
@@ -63,6 +67,19 @@
     }
 }
 
+/// Guards against LOST: a next runner that answers nobody is waited for, while the run works at its source.
+#[test]
+fn a_run_moves_from_its_silent_source_only_if_the_next_runner_answers_nobody() {
+    for (facts, decision) in all_decisions() {
+        let is_left = facts.source == SourceState::Silent
+            && facts.rule == OverlapRule::LeaveSilentSource
+            && facts.answered == Some(AnswerPlace::Nowhere);
+        let is_elsewhere = matches!(facts.source_answered, Some(AnswerPlace::OtherNode(_)));
+        assert_eq!(decision == WaitDecision::MoveSource, is_left && is_elsewhere, "{facts:?}");
+        assert_eq!(asks_source(&facts), is_left && facts.source_answered.is_none(), "{facts:?}");
+    }
+}
+
 #[test]
 fn a_run_that_may_have_been_taken_is_stopped_before_its_memory_is_used() {
     let all = PlaceFacts { next_may_run: true, has_memory: true, source: SourceRun::MayRun };
