Give up the rest of an answer at a runner that answers only other nodes

What callers saw: a plain call whose answer had begun got 504 at its deadline when its runner was cut off from the node before the rest had come; a booking was told only then that its outcome is unknown.

Cause: the head of an answer is waited for beside questions to the runner (wait_while_unanswered), its body only until the deadline (read_full_answer).

Evidence: a runner that sends half of its answer, and the link lost 0.3 s later (node_answer_waits): 504 after 7.68 s of a deadline of 8 s, for a booking whose runner alone is cut off and for a look-up whose whole service is.

Fix: while no part of the body comes, the runner is asked (questions that all calls share). If it has not been reached for a second, and answers another node, the rest is given up (decide_rest): a call that may be repeated can go to another runner, a booking ends with 502 and is not sent again. A runner that is silent to all, or that takes long and answers, is waited for; so is an answer of which parts still come. The bound is that a sound runner may be silent for about a second.

The first event of a hedged stream is still read without questions.

--- a/crates/fakes/src/platform/runner_answers.rs
+++ b/crates/fakes/src/platform/runner_answers.rs
@@ -28,6 +28,8 @@
 const DEFAULT_PRIORITY: u8 = 5;
 /// Time until a late answer, or a late end of a connection.
 const LATE_AFTER: Duration = Duration::from_millis(200);
+/// Time until the late rest of an answer.
+const REST_AFTER: Duration = Duration::from_secs(3);
 
 pub(super) async fn answer_without_end(
     stream: &mut TcpStream,
@@ -219,6 +221,12 @@
             write(stream, &good[..good.len() - body.len() / 2]).await;
             false
         }
+        RunnerScript::RestLate => {
+            let (first, rest) = good.split_at(good.len() - body.len() / 2);
+            let is_read = write(stream, first).await;
+            compio::time::sleep(REST_AFTER).await;
+            is_read && write(stream, rest).await
+        }
         RunnerScript::Unframed => {
             write(stream, format!("HTTP/1.1 200 OK\r\n{signed}\r\n{body}")).await;
             false
--- a/crates/fakes/src/platform/runner_script.rs
+++ b/crates/fakes/src/platform/runner_script.rs
@@ -55,4 +55,6 @@
     Trickle,
     /// Not at all; the connection ends after 200 ms.
     CloseLate,
+    /// Half of the body of a plain call, and the rest after 3 s.
+    RestLate,
 }
--- /dev/null
+++ b/crates/harness/tests/node_answer_waits.rs
@@ -0,0 +1,100 @@
+//! Plain calls whose answer has begun, when its runner is cut off from the node.
+
+#[allow(dead_code, reason = "other tests read streams and cut a whole service off")]
+mod service_fleet;
+
+use std::time::{Duration, Instant};
+
+use compio::time::sleep;
+use fakes::platform::RunnerScript;
+use futures_util::future::join;
+use harness::{CallerRequest, LinkState, WholeAnswer, wait_until};
+use service_fleet::{CUT, LinkedRunner, RUNNERS, ServiceFleet, take_turn};
+
+/// Time for a call to reach its runner.
+const LIMIT: Duration = Duration::from_secs(10);
+/// Time from the begin of the answer to the cut.
+const CUT_AFTER: Duration = Duration::from_millis(300);
+/// How long a link may be cut that then goes on.
+const SILENCE: Duration = Duration::from_millis(1_200);
+/// Longest wait: twice the pause that a route allows on the users' platform (180 ms), and a second.
+const MAX_WAIT: Duration = Duration::from_millis(2_360);
+
+/// The runner that has got the call.
+async fn find_runner(services: &ServiceFleet) -> &LinkedRunner {
+    wait_until("the call to run", LIMIT, async || {
+        services.runners.iter().find(|linked| !linked.runner.visits().is_empty())
+    })
+    .await
+    .unwrap()
+}
+
+/// Sends a call whose answer is late, and does `cut` after its begin. Gives the answer, and the time from
+/// the cut.
+async fn send_late(
+    services: &ServiceFleet,
+    request: &CallerRequest,
+    cut: impl AsyncFnOnce(&LinkedRunner),
+) -> (WholeAnswer, Duration) {
+    services.runners.iter().for_each(|linked| linked.runner.script(&[RunnerScript::RestLate]));
+    let cut = async {
+        let linked = find_runner(services).await;
+        sleep(CUT_AFTER).await;
+        let begun = Instant::now();
+        cut(linked).await;
+        begun
+    };
+    let sent = async { (services.fleet.send(CUT, request).await, Instant::now()) };
+    let ((answer, end), begun) = join(sent, cut).await;
+    (answer, end.duration_since(begun))
+}
+
+/// Guards against LOST: a booking whose answer has begun waits for the rest until its deadline.
+#[test]
+fn a_booking_is_answered_soon_after_its_runner_is_cut_off_in_the_answer() {
+    let _turn = take_turn();
+    kernel::run(async {
+        let services = ServiceFleet::start(|_| ()).await;
+        let pid = services.fleet.nodes[CUT].pid();
+        let cut = async |linked: &LinkedRunner| linked.link.set_for(pid, LinkState::Lost);
+        let (answer, taken) = send_late(&services, &CallerRequest::booking("b1"), cut).await;
+        assert_eq!((answer.status, services.most_runs()), (502, 1), "{answer:?} {taken:?}");
+        assert!((SILENCE..=MAX_WAIT).contains(&taken), "{taken:?}");
+    })
+    .unwrap();
+}
+
+/// Guards against LOST: the same of a look-up that no other runner can take.
+#[test]
+fn a_look_up_is_answered_soon_after_its_service_is_cut_off_in_the_answer() {
+    let _turn = take_turn();
+    kernel::run(async {
+        let services = ServiceFleet::start(|_| ()).await;
+        let cut = async |_: &LinkedRunner| {
+            services.set("desk", usize::from(RUNNERS), LinkState::Lost);
+        };
+        let (answer, taken) = send_late(&services, &CallerRequest::lookup("l1"), cut).await;
+        assert_ne!(answer.status, 0, "{answer:?}");
+        assert!(taken <= MAX_WAIT, "{answer:?} {taken:?}");
+    })
+    .unwrap();
+}
+
+/// The rest of an answer may be late, and the link be cut for a moment.
+#[test]
+fn a_booking_gets_the_late_rest_of_its_answer_after_a_short_cut() {
+    let _turn = take_turn();
+    kernel::run(async {
+        let services = ServiceFleet::start(|_| ()).await;
+        let pid = services.fleet.nodes[CUT].pid();
+        let cut = async |linked: &LinkedRunner| {
+            linked.link.set_for(pid, LinkState::Stalled);
+            sleep(SILENCE).await;
+            linked.link.set_for(pid, LinkState::Open);
+        };
+        let (answer, taken) = send_late(&services, &CallerRequest::booking("b1"), cut).await;
+        assert_eq!((answer.status, answer.complete), (200, true), "{answer:?} {taken:?}");
+        assert_eq!(services.most_runs(), 1);
+    })
+    .unwrap();
+}
--- a/crates/node/src/hedged_call.rs
+++ b/crates/node/src/hedged_call.rs
@@ -19,6 +19,7 @@
     SendOutcome,
 };
 
+use crate::answer_rest::read_runner_answer;
 use crate::call::Call;
 use crate::call_log::{log_send, may_log};
 use crate::context::NodeContext;
@@ -27,7 +28,7 @@
 use crate::router::RouterService;
 use crate::run_end_watch::OpenRun;
 use crate::runner_gate::find_block;
-use crate::runner_send::{SendFailure, SendPlan, read_full_answer, send_to_runner};
+use crate::runner_send::{SendFailure, SendPlan, send_to_runner};
 use crate::streams::{RunnerAnswer, request_answer};
 
 /// A send that has ended, and its place at the runner.
@@ -67,7 +68,7 @@
     let send = async |plan: SendPlan| {
         let exchange =
             send_to_runner(context, call, &plan, call.deadline.since(context.now())).await?;
-        read_full_answer(exchange, call.deadline.since(context.now())).await
+        read_runner_answer(context, call, &plan.runner, exchange).await
     };
     race(context, router, call, tracker, first, wins, send).await
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -4,6 +4,7 @@
 //! heartbeats with the other nodes, answers address look-ups and forwards callers' requests
 //! to runners.
 
+mod answer_rest;
 mod block_store;
 mod call;
 mod call_answer;
--- a/crates/node/src/metrics/call_metrics.rs
+++ b/crates/node/src/metrics/call_metrics.rs
@@ -15,6 +15,11 @@
             self.retries_denied.clone(),
         );
         registry.register("late_sends", "Late calls by what followed", self.late_sends.clone());
+        registry.register(
+            "answers_cut_off",
+            "Answers whose rest was given up at a cut-off node",
+            self.answers_cut_off.clone(),
+        );
         registry.register("hedges", "Second sends of slow requests", self.hedges.clone());
         registry.register(
             "hedges_denied",
--- a/crates/node/src/metrics/mod.rs
+++ b/crates/node/src/metrics/mod.rs
@@ -77,6 +77,8 @@
     pub forwarded_calls: Family<OutcomeLabels, Counter>,
     /// Late plain calls, by whether they were sent to another runner as well.
     pub late_sends: Family<WithheldLabels, Counter>,
+    /// Answers that had begun and whose rest was given up, since this node was cut off from the runner.
+    pub answers_cut_off: Counter,
     /// Runs that this node was to move for other ones, by outcome.
     pub runs_moved: Family<WithheldLabels, Counter>,
     /// Runner changes of running streams, by outcome.
@@ -161,6 +163,7 @@
             forwards: Family::default(),
             forwarded_calls: Family::default(),
             late_sends: Family::default(),
+            answers_cut_off: Counter::default(),
             runs_moved: Family::default(),
             moves: Family::default(),
             plans: Counter::default(),
--- a/crates/node/src/plain_send.rs
+++ b/crates/node/src/plain_send.rs
@@ -10,11 +10,12 @@
 use hyper::body::Bytes;
 use serving::RunnerRecord;
 
+use crate::answer_rest::read_runner_answer;
 use crate::call::Call;
 use crate::context::NodeContext;
 use crate::hedged_call::{RaceEnd, SendEnd};
 use crate::route_ticket::RouteTicket;
-use crate::runner_send::{SendFailure, SendPlan, read_full_answer, send_to_runner};
+use crate::runner_send::{SendFailure, SendPlan, send_to_runner};
 
 /// A send under way. It ends with its own end, and that of a second send which has failed before it.
 pub(crate) enum PlainSend<'a> {
@@ -106,5 +107,5 @@
 ) -> Result<Response<Bytes>, SendFailure> {
     let left = call.deadline.since(context.now());
     let exchange = send_to_runner(context, call, plan, left).await?;
-    read_full_answer(exchange, call.deadline.since(context.now())).await
+    read_runner_answer(context, call, &plan.runner, exchange).await
 }
--- a/crates/node/src/runner_send.rs
+++ b/crates/node/src/runner_send.rs
@@ -60,7 +60,7 @@
     }
 
     /// The runner is not reached any more, and has not answered.
-    fn unreached() -> Self {
+    pub(crate) fn unreached() -> Self {
         let loss = RunnerLoss::NoAnswer;
         Self { end: CallEnd::Cancelled, ..Self::stream_lost(RUNNER_UNREACHED, loss) }
     }
@@ -331,12 +331,24 @@
 pub async fn read_full_answer(
     exchange: WebExchange,
     limit: TimeSpan,
+) -> Result<hyper::Response<hyper::body::Bytes>, SendFailure> {
+    read_parts(exchange, limit, || ()).await
+}
+
+/// Like [`read_full_answer`]; calls `note` for each part that has come.
+///
+/// # Errors
+/// Same as [`read_full_answer`].
+pub async fn read_parts(
+    exchange: WebExchange,
+    limit: TimeSpan,
+    note: impl FnMut(),
 ) -> Result<hyper::Response<hyper::body::Bytes>, SendFailure> {
     /// Maximum size of an answer that is read completely, in bytes.
     const MAX_ANSWER_BYTES: usize = 8 << 20;
     let WebExchange { response, connection } = exchange;
     let (parts, body) = response.into_parts();
-    let read = web::read_whole("answer of a runner", body, MAX_ANSWER_BYTES);
+    let read = web::read_whole_noting("answer of a runner", body, MAX_ANSWER_BYTES, note);
     let bytes = match timeout(limit.into(), read).await {
         Ok(Ok(bytes)) => bytes,
         Ok(Err(error)) => return Err(outcome_unknown(&error)),
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -4,6 +4,7 @@
 //! Nothing here performs I/O or reads a clock: the caller passes in updates and the current
 //! time, and decisions are returned as values.
 
+mod answer_rest;
 mod attempt;
 mod brittle_runners;
 mod call_input;
@@ -44,6 +45,7 @@
 mod suspect_inputs;
 mod transfer_pacer;
 
+pub use answer_rest::{RestDecision, RestFacts, decide_rest};
 pub use attempt::{AttemptTracker, FinalStatus, SendOutcome};
 pub use brittle_runners::{BrittleChange, BrittleReport, BrittleTable, BrittleUpdate, RunnerRoom};
 pub use call_input::CallInput;
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -26,7 +26,7 @@
 pub use read_ledger::{CONNECTION_BYTES, ReadLedger, ReadLimits, ReadPart};
 pub use reply::{json_reply, refusal_reply, text_reply};
 pub use reply_body::ReplyBody;
-pub use reply_reader::{read_steadily, read_whole};
+pub use reply_reader::{read_steadily, read_whole, read_whole_noting};
 pub use server::{ConnectionRefusal, ServerLimits, WebServer};
 pub use sse::{SseEvent, SseReader};
 
--- a/crates/web/src/reply_reader.rs
+++ b/crates/web/src/reply_reader.rs
@@ -24,8 +24,23 @@
 /// [`WebError::TooLong`] and [`WebError::MemoryFull`] if it is not accepted, [`WebError::Body`] if it
 /// cannot be read to its end.
 pub async fn read_whole(step: &'static str, body: ReplyBody, limit: usize) -> Result<Bytes> {
+    read_whole_noting(step, body, limit, || ()).await
+}
+
+/// Like [`read_whole`]; calls `note` for each part that has come.
+///
+/// # Errors
+/// Same as [`read_whole`].
+pub async fn read_whole_noting(
+    step: &'static str,
+    body: ReplyBody,
+    limit: usize,
+    mut note: impl FnMut(),
+) -> Result<Bytes> {
     let mut reader = ReplyReader::new(step, body, limit);
-    while !reader.read_part().await? {}
+    while !reader.read_part().await? {
+        note();
+    }
     Ok(reader.into_bytes())
 }
 
