Hold late answers of stand-ins until the node has decided, not for 200 ms

Seen: node_hedged_calls failed in one test at a time beside other work, for instance nothing_is_hedged_while_a_runner_names_a_limit_or_a_wait in 1 of 4: no hedge_denied line.

Cause, in the stand-in: a late answer took 200 ms, while the node holds a send for slow once it takes longer than 95 of 100 of its route. If the node is slow while it learns, that is more than 200 ms, no send is slow, and none is hedged or denied, as the rule says.

Late answers, failures and ends of connections now wait for release_late, which the tests call once they see what the node has decided (a second run, or the line of the denial); the caller who leaves does so once both sends run, not after 300 ms. All assertions are as before. Without a limit by the 200 ms, how soon a send is hedged is bounded by the_second_send_wins_over_a_stalled_runner (900 ms), as before.

--- a/crates/fakes/src/platform/runner_answers.rs
+++ b/crates/fakes/src/platform/runner_answers.rs
@@ -26,8 +26,6 @@
 const TOKENS_PER_EVENT: u64 = 1;
 /// Priority of a request that names none.
 const DEFAULT_PRIORITY: u8 = 5;
-/// Time until a late answer, or a late end of a connection.
-const LATE_AFTER: Duration = Duration::from_millis(200);
 
 pub(super) async fn answer_without_end(
     stream: &mut TcpStream,
@@ -154,7 +152,7 @@
         return wait_closed(stream, state).await;
     }
     if script == RunnerScript::CloseLate {
-        compio::time::sleep(LATE_AFTER).await;
+        wait_released(state).await;
         return false;
     }
     let trigger = state.crash_trigger.borrow().clone();
@@ -166,14 +164,21 @@
     }
     state.plain_working.set(state.plain_working.get() + 1);
     let is_late = matches!(script, RunnerScript::AnswerLate | RunnerScript::FailureLate);
-    let work = if is_late { LATE_AFTER } else { state.work.get() };
-    let closed = !work.is_zero() && !state.ignores_close.get() && {
-        let (work, closed) = (pin!(compio::time::sleep(work)), pin!(wait_closed(stream, state)));
-        matches!(select(work, closed).await, Either::Right(_))
+    let is_quick = !is_late && state.work.get().is_zero();
+    let work = async {
+        if is_late {
+            wait_released(state).await;
+        } else {
+            compio::time::sleep(state.work.get()).await;
+        }
+    };
+    let closed = if state.ignores_close.get() {
+        work.await;
+        false
+    } else {
+        let (work, closed) = (pin!(work), pin!(wait_closed(stream, state)));
+        !is_quick && matches!(select(work, closed).await, Either::Right(_))
     };
-    if state.ignores_close.get() {
-        compio::time::sleep(work).await;
-    }
     state.plain_working.set(state.plain_working.get() - 1);
     if closed {
         return false;
@@ -182,6 +187,12 @@
     answer_plain(stream, state, &request, script).await
 }
 
+/// Waits until the test lets late answers go.
+async fn wait_released(state: &RunnerState) {
+    let late = state.late.borrow().clone();
+    late.wait().await;
+}
+
 /// Waits until the connection is closed from outside; it does not go on then.
 async fn wait_closed(stream: &mut TcpStream, state: &RunnerState) -> bool {
     let _ = stream.read(Vec::with_capacity(1)).await;
--- a/crates/fakes/src/platform/runner_script.rs
+++ b/crates/fakes/src/platform/runner_script.rs
@@ -9,11 +9,11 @@
     /// As it should be.
     #[default]
     Answer,
-    /// As it should be, but a plain call takes 200 ms.
+    /// As it should be, but a plain call takes until [`super::RunnerFake::release_late`].
     AnswerLate,
     /// With a failure of its own.
     Failure,
-    /// The same, after 200 ms for a plain call.
+    /// The same, after [`super::RunnerFake::release_late`] for a plain call.
     FailureLate,
     /// With the promise that it was not run.
     Refuse,
@@ -53,6 +53,6 @@
     Long,
     /// A stream whose first event does not end: a byte of it comes now and then.
     Trickle,
-    /// Not at all; the connection ends after 200 ms.
+    /// Not at all; the connection ends after [`super::RunnerFake::release_late`].
     CloseLate,
 }
--- a/crates/fakes/src/platform/runner_setters.rs
+++ b/crates/fakes/src/platform/runner_setters.rs
@@ -80,6 +80,11 @@
         self.state().moves_refused.set(refused);
     }
 
+    /// Its late answers, and late ends of connections, go now; those of further requests wait again.
+    pub fn release_late(&self) {
+        self.state().late.take().raise();
+    }
+
     /// It goes on with requests whose connection closes, as some runners do; others drop them.
     pub fn ignore_closed_requests(&self) {
         self.state().ignores_close.set(true);
--- a/crates/fakes/src/platform/runner_state.rs
+++ b/crates/fakes/src/platform/runner_state.rs
@@ -86,6 +86,8 @@
     pub(super) move_time: Cell<Duration>,
     /// Moves from here find no room.
     pub(super) moves_refused: Cell<bool>,
+    /// Raised when late answers, and late ends of connections, may go.
+    pub(super) late: RefCell<StopSignal>,
     /// Events are made without a pause.
     pub(super) rushes: Cell<bool>,
     /// What it crashes on.
@@ -138,6 +140,7 @@
             releases: RefCell::default(),
             move_time: Cell::default(),
             moves_refused: Cell::default(),
+            late: RefCell::default(),
             rushes: Cell::default(),
             crash_trigger: RefCell::default(),
             crash_look: Cell::default(),
--- a/crates/harness/tests/node_hedged_calls.rs
+++ b/crates/harness/tests/node_hedged_calls.rs
@@ -1,10 +1,12 @@
 //! Second sends of slow requests: the first whole response reaches the caller, the other send is
 //! ended at once, and nothing is sent twice that may not be.
 
+use std::pin::pin;
 use std::time::{Duration, Instant};
 
 use fakes::platform::{RunnerFake, RunnerFakeSettings, RunnerScript, SharedScripts};
-use harness::{CallerRequest, NodeFleet, config, wait_until};
+use futures_util::future::{Either, join, select};
+use harness::{CallerRequest, NodeFleet, WholeAnswer, config, wait_until};
 use serde_json::{Value, json};
 
 /// Sends of a route after which a slow one is told from others.
@@ -13,6 +15,8 @@
 const CLOSE_LIMIT: Duration = Duration::from_millis(500);
 /// Time in which runners report their load several times.
 const REPORT_SPAN: Duration = Duration::from_millis(500);
+/// Time after the end of a first send in which the node sees it, before the second one ends.
+const SEEN_SPAN: Duration = Duration::from_millis(200);
 /// Time for a change that a test waits for.
 const LIMIT: Duration = Duration::from_secs(5);
 
@@ -74,6 +78,35 @@
         own.count()
     }
 
+    /// Waits until a request has run `count` times.
+    async fn wait_runs(&self, attempt: &str, count: usize) {
+        let has_run = async || (self.runs(attempt) >= count).then_some(());
+        wait_until("the runs", LIMIT, has_run).await.unwrap();
+    }
+
+    /// Lets the late answers of all runners go.
+    fn release_late(&self) {
+        self.runners.iter().for_each(RunnerFake::release_late);
+    }
+
+    /// Sends a look-up; once `decided` has ended, lets the late answers go.
+    async fn look_up_late(&self, attempt: &str, decided: impl Future<Output = ()>) -> WholeAnswer {
+        let request = CallerRequest::lookup(attempt);
+        let release = async {
+            decided.await;
+            self.release_late();
+        };
+        join(self.fleet.send(0, &request), release).await.0
+    }
+
+    /// Sends a look-up whose answer is late until the node has denied it a second send; gives the
+    /// reason.
+    async fn denial(&self, attempt: &str) -> Value {
+        let denied = async { drop(self.lines("hedge_denied", attempt).await) };
+        self.look_up_late(attempt, denied).await;
+        self.lines("hedge_denied", attempt).await[0]["reason"].clone()
+    }
+
     /// When connections were closed from outside.
     fn abandoned(&self) -> Vec<Instant> {
         self.runners.iter().flat_map(RunnerFake::abandoned).collect()
@@ -164,7 +197,7 @@
         let site = Site::start("desk", &plan(false, 2), &hedging()).await;
         site.learn(CallerRequest::lookup).await;
         site.script(&[RunnerScript::AnswerLate, RunnerScript::Silent]);
-        let answer = site.fleet.send(0, &CallerRequest::lookup("s1")).await;
+        let answer = site.look_up_late("s1", site.wait_runs("s1", 2)).await;
         let answered = Instant::now();
         let lines = site.lines("hedge_sent", "s1").await;
         let from = lines[0]["from"].as_str().unwrap();
@@ -259,7 +292,7 @@
         let site = Site::start("desk", &plan(false, 2), &hedging()).await;
         site.learn(CallerRequest::lookup).await;
         site.script(&[RunnerScript::CloseLate, RunnerScript::CloseLate]);
-        let answer = site.fleet.send(0, &CallerRequest::lookup("s1")).await;
+        let answer = site.look_up_late("s1", site.wait_runs("s1", 2)).await;
         assert_eq!(answer.status, 502, "{answer:?}");
         assert_eq!(site.lines("hedge_sent", "s1").await.len(), 1);
         assert_eq!(site.runs("s1"), 2);
@@ -276,7 +309,14 @@
             let site = Site::start("desk", &plan(false, 2), &hedging()).await;
             site.learn(CallerRequest::lookup).await;
             site.script(&[script, RunnerScript::AnswerLate]);
-            let answer = site.fleet.send(0, &CallerRequest::lookup("s1")).await;
+            let first_fails = async {
+                site.wait_runs("s1", 2).await;
+                let from = site.lines("hedge_sent", "s1").await[0]["from"].clone();
+                let first = site.runners.iter().find(|runner| from == runner.id()).unwrap();
+                first.release_late();
+                compio::time::sleep(SEEN_SPAN).await;
+            };
+            let answer = site.look_up_late("s1", first_fails).await;
             let lines = site.lines("hedge_sent", "s1").await;
             let to = lines[0]["to"].as_str().unwrap();
             assert_eq!(answer.text, format!("answer of {to} to s1 /look/ticket"), "{script:?}");
@@ -295,9 +335,7 @@
         let site = Site::start("desk", &plan(false, 1), &hedging()).await;
         site.learn(CallerRequest::lookup).await;
         site.script(&[RunnerScript::AnswerLate]);
-        site.fleet.send(0, &CallerRequest::lookup("s1")).await;
-        let lines = site.lines("hedge_denied", "s1").await;
-        assert_eq!(lines[0]["reason"], "attempts_used");
+        assert_eq!(site.denial("s1").await, "attempts_used");
         assert_eq!(site.runs("s1"), 1);
     })
     .unwrap();
@@ -311,8 +349,13 @@
         site.learn(CallerRequest::lookup).await;
         site.script(&[RunnerScript::Silent, RunnerScript::Silent]);
         let request = CallerRequest::lookup("s1");
-        let open = site.fleet.open(0, &request);
-        assert!(compio::time::timeout(Duration::from_millis(300), open).await.is_err());
+        let sent = site.wait_runs("s1", 2);
+        // The caller leaves at the end of this statement.
+        let is_open = matches!(
+            select(pin!(site.fleet.open(0, &request)), pin!(sent)).await,
+            Either::Right(_)
+        );
+        assert!(is_open, "answered");
         let left = Instant::now();
         site.wait_abandoned(2).await;
         assert!(site.abandoned().iter().all(|closed| *closed < left + CLOSE_LIMIT));
@@ -332,9 +375,15 @@
             let attempt = format!("s{requests}");
             requests += 1;
             site.script(&[RunnerScript::AnswerLate]);
-            site.fleet.send(0, &CallerRequest::lookup(&attempt)).await;
-            let denied = site.counter("yard_node_hedges_denied_total{reason=\"share_used\"}").await;
-            if denied > 0 {
+            let denied = async || {
+                site.counter("yard_node_hedges_denied_total{reason=\"share_used\"}").await > 0
+            };
+            let decided = Box::pin(async {
+                let sees = async || (site.runs(&attempt) == 2 || denied().await).then_some(());
+                wait_until("a decision", LIMIT, sees).await.unwrap();
+            });
+            site.look_up_late(&attempt, decided).await;
+            if denied().await {
                 break;
             }
             assert!(requests < LEARNED + 20, "no end of the hedges");
@@ -354,9 +403,7 @@
         let site = Site::start("desk", &plan(false, 2), &sets).await;
         site.learn(CallerRequest::lookup).await;
         site.script(&[RunnerScript::AnswerLate]);
-        site.fleet.send(0, &CallerRequest::lookup("s1")).await;
-        let lines = site.lines("hedge_denied", "s1").await;
-        assert_eq!(lines[0]["reason"], "budget_spent");
+        assert_eq!(site.denial("s1").await, "budget_spent");
         assert_eq!(site.runs("s1"), 1);
     })
     .unwrap();
@@ -384,9 +431,7 @@
             }
             assert!(runner.visits().len() > before);
             site.script(&[RunnerScript::AnswerLate]);
-            site.fleet.send(0, &CallerRequest::lookup("s1")).await;
-            let lines = site.lines("hedge_denied", "s1").await;
-            assert_eq!(lines[0]["reason"], "runners_restricted", "{named}");
+            assert_eq!(site.denial("s1").await, "runners_restricted", "{named}");
             assert_eq!(site.runs("s1"), 1, "{named}");
         }
     })
