Ask where a copy and its source answer before the copy is offered

Callers: a stream whose node is cut off from its source, while the runner with its copy is silent to all nodes, got nothing until its deadline and was cut, although another node reached the source.

Cause: when a node reaches neither the source nor the runner with the copy, it offered the copy to other nodes without asking whether that runner answers any of them. The offer waits 1 s for a runner that answers nobody, then the copy is tried from here, and the run at its source ends meanwhile with nobody to read it.

Fix: other nodes are asked for both runners at the same time, as an input of the stream's loop, so that frames, a leave and the deadline are seen meanwhile. The copy goes on through a node that its runner answers; if there is none, the run moves from a source that answers one (`choose_silent_place`). If nobody gets an answer of either, the stream goes on as before.

--- a/crates/harness/tests/node_stream_partition.rs
+++ b/crates/harness/tests/node_stream_partition.rs
@@ -310,6 +310,14 @@
     assert!(services.runners.iter().all(|linked| linked.runner.working() == 0));
 }
 
+/// Guards against LOST: the copy of a run is offered at a runner that answers nobody, and the run that works
+/// at its source is not moved.
+#[test]
+fn a_stream_moves_from_its_cut_off_source_while_the_runner_with_its_copy_is_silent_to_all() {
+    let _turn = take_turn();
+    kernel::run(check_silent_next(Duration::ZERO, None)).unwrap();
+}
+
 /// Guards against LOST: a run that works at its source is left there until the deadline, since its next
 /// runner has got the run and answers nobody.
 #[test]
--- a/crates/node/src/streams/stream_places.rs
+++ b/crates/node/src/streams/stream_places.rs
@@ -1,22 +1,24 @@
-//! Streams whose next runner has got the run and does not answer, or has refused it: where it answers, and
-//! the places where the run goes on through another node.
+//! Streams whose next runner does not answer, or has refused the run: where it answers, and the places where
+//! the run goes on through another node.
 
 use std::pin::{Pin, pin};
 use std::rc::Rc;
 
 use base::prelude::*;
+use futures_util::future::{Either, select};
 use futures_util::{FutureExt, select_biased};
 use serving::{
-    AnswerPlace, NodePlace, PlaceFacts, RunnerRecord, SourceRun, WaitDecision, WaitFacts,
-    list_node_places,
+    AnswerPlace, NodePlace, PlaceFacts, PlaceNodes, RunnerRecord, SilentPlace, SourceRun,
+    WaitDecision, WaitFacts, choose_silent_place, list_node_places,
 };
 
 use super::stream_handover::caller_disconnected;
 use super::stream_pump::{PumpStep, StreamPump};
+use super::stream_silence::SourceCheck;
 use crate::call_log::may_log;
 use crate::context::NodeContext;
 use crate::forward::ResumeOffer;
-use crate::reach::{find_answer_place, find_answering_node};
+use crate::reach::{find_answer_place, find_answering_node, is_unreached};
 use crate::runner_send::SendPlan;
 
 /// Time in which a runner that has the memory of a run answers.
@@ -49,7 +51,54 @@
     })
 }
 
+/// Asks for the runner with the copy of a run, and for its source, which other node gets their answers.
+/// Nobody waits for the source's once there is one for the copy.
+async fn find_place_nodes(
+    context: Rc<NodeContext>,
+    source: RunnerRecord,
+    backup: RunnerRecord,
+) -> PlaceNodes {
+    let of_copy = pin!(find_answering_node(&context, &backup));
+    let of_source = pin!(find_answering_node(&context, &source));
+    match select(of_copy, of_source).await {
+        Either::Left((None, of_source)) => PlaceNodes { copy: None, source: of_source.await },
+        Either::Left((copy, _)) => PlaceNodes { copy, source: None },
+        Either::Right((source, of_copy)) => PlaceNodes { copy: of_copy.await, source },
+    }
+}
+
 impl StreamPump {
+    /// Finds out where a run goes on whose copy this node does not reach either. Returns `false` if it
+    /// does.
+    pub(super) fn begin_place_question(&mut self) -> bool {
+        let backup = self.source.backup.clone();
+        let Some(backup) = backup.filter(|backup| is_unreached(&self.context, backup)) else {
+            return false;
+        };
+        if self.pending_check.is_none() {
+            let (context, source) = (Rc::clone(&self.context), self.source.runner.clone());
+            let question = find_place_nodes(context, source, backup);
+            self.pending_check = Some(Box::pin(question.map(SourceCheck::Places)));
+        }
+        true
+    }
+
+    /// Goes on through a node that gets answers of the runner with the copy, or else of the source.
+    pub(super) async fn go_to_answering_place(&mut self, nodes: PlaceNodes) -> PumpStep {
+        let mut copy_node = None;
+        match choose_silent_place(nodes, self.may_move_from_source()) {
+            SilentPlace::Copy(node) => copy_node = node,
+            SilentPlace::Source(node) => {
+                self.ticket.hold_progress();
+                self.log_silent_source(Some(&node));
+                if let Some(step) = self.move_through_node(node).await {
+                    return step;
+                }
+            }
+        }
+        if self.may_resume() { self.go_on_from_copy(copy_node).await } else { PumpStep::Continue }
+    }
+
     /// Logs and counts what was found out about a next runner that does not answer, and what follows.
     pub(super) fn log_wait(&self, plan: &SendPlan, facts: &WaitFacts, decision: WaitDecision) {
         self.count_move("next_silent");
--- a/crates/node/src/streams/stream_silence.rs
+++ b/crates/node/src/streams/stream_silence.rs
@@ -13,7 +13,7 @@
 use base::prelude::*;
 use futures_util::future::join;
 use futures_util::{FutureExt, select_biased};
-use serving::{AnswerPlace, OverlapRule, RunnerRecord, SendOutcome};
+use serving::{AnswerPlace, OverlapRule, PlaceNodes, RunnerRecord, SendOutcome};
 
 use super::stream_backup::{choose_backup, plan_backup_resume};
 use super::stream_handover::HandoverStep;
@@ -60,6 +60,8 @@
     Reach(ReachCheck),
     /// Another node that the source answers.
     Answers(Option<VmId>),
+    /// Other nodes that get answers, if this node reaches neither the source nor the runner with the copy.
+    Places(PlaceNodes),
 }
 
 /// Who reaches the runners of a silent stream.
@@ -166,6 +168,9 @@
             return PumpStep::Continue;
         }
         if self.may_resume() {
+            if self.begin_place_question() {
+                return PumpStep::Continue;
+            }
             return self.go_on_from_copy(None).await;
         }
         if self.may_run_again()
@@ -238,6 +243,7 @@
                 self.activity.next_look = now + pause;
                 return PumpStep::Continue;
             }
+            SourceCheck::Places(nodes) => return self.go_to_answering_place(nodes).await,
             SourceCheck::Reach(reach) => reach,
         };
         self.activity.next_check = self.context.now() + CHECK_PAUSE;
@@ -251,7 +257,7 @@
 
     /// Goes on from the copy of the run, through `node` if there is one. The silent source is kept until
     /// the copy has taken over: it may only be silent for a moment.
-    async fn go_on_from_copy(&mut self, node: Option<VmId>) -> PumpStep {
+    pub(super) async fn go_on_from_copy(&mut self, node: Option<VmId>) -> PumpStep {
         let Some(backup) = self.source.backup.clone() else { return PumpStep::Continue };
         self.tries += 1;
         self.pending_check = None;
@@ -349,7 +355,7 @@
     }
 
     /// Logs and counts that a stream is to go on without its silent source, through `node` if there is one.
-    fn log_silent_source(&self, node: Option<&VmId>) {
+    pub(super) fn log_silent_source(&self, node: Option<&VmId>) {
         self.count_move("source_silent");
         if !may_log(&self.context) {
             return;
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -75,8 +75,9 @@
 pub use retry_budget::{BudgetSettings, RetryBudget};
 pub use run_ends::{EndHabit, EndTable};
 pub use run_places::{
-    AnswerPlace, NodePlace, OverlapRule, PlaceFacts, SourceRun, SourceState, WaitDecision,
-    WaitFacts, asks_source, decide_wait, list_node_places,
+    AnswerPlace, NodePlace, OverlapRule, PlaceFacts, PlaceNodes, SilentPlace, SourceRun,
+    SourceState, WaitDecision, WaitFacts, asks_source, choose_silent_place, decide_wait,
+    list_node_places,
 };
 pub use runner_limit::{LimitChange, LimitReport, LimitTable, LimitUpdate, ServiceDemand};
 pub use runner_loss::{ProbeOutcome, RunnerLoss, has_crashed};
--- a/crates/serving/src/run_places.rs
+++ b/crates/serving/src/run_places.rs
@@ -126,6 +126,34 @@
     }
 }
 
+/// Other nodes that get answers of the runners of a run which are silent to this node.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PlaceNodes {
+    /// A node that the runner with the copy answers.
+    pub copy: Option<VmId>,
+    /// A node that the source answers.
+    pub source: Option<VmId>,
+}
+
+/// Where a run goes on whose source and copy are at runners that are silent to this node.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum SilentPlace {
+    /// From its copy, through this node before others.
+    Copy(Option<VmId>),
+    /// From its source, where this node has it moved.
+    Source(VmId),
+}
+
+/// Chooses where such a run goes on: from its copy, which needs no order to the source, unless nobody gets
+/// an answer of the runner with the copy, and the run `may_move` from a source that answers.
+#[must_use]
+pub fn choose_silent_place(nodes: PlaceNodes, may_move: bool) -> SilentPlace {
+    match nodes {
+        PlaceNodes { copy: None, source: Some(node) } if may_move => SilentPlace::Source(node),
+        PlaceNodes { copy, .. } => SilentPlace::Copy(copy),
+    }
+}
+
 /// A place, reached through another node, where a run may go on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum NodePlace {
--- a/crates/serving/tests/run_places.rs
+++ b/crates/serving/tests/run_places.rs
@@ -1,8 +1,9 @@
 //! Checks where a run goes on whose next runner does not answer.
 
 use serving::{
-    AnswerPlace, NodePlace, OverlapRule, PlaceFacts, SourceRun, SourceState, WaitDecision,
-    WaitFacts, asks_source, decide_wait, list_node_places,
+    AnswerPlace, NodePlace, OverlapRule, PlaceFacts, PlaceNodes, SilentPlace, SourceRun,
+    SourceState, WaitDecision, WaitFacts, asks_source, choose_silent_place, decide_wait,
+    list_node_places,
 };
 
 const SOURCES: [SourceState; 3] = [SourceState::Ended, SourceState::Silent, SourceState::Active];
@@ -80,6 +81,22 @@
     }
 }
 
+#[test]
+fn a_run_goes_on_from_its_copy_unless_only_its_source_answers() {
+    let node = |name: &str| Some(name.parse().unwrap());
+    let nodes = [(None, None), (None, node("b")), (node("a"), None), (node("a"), node("b"))];
+    for (copy, source) in nodes {
+        for may_move in [false, true] {
+            let nodes = PlaceNodes { copy: copy.clone(), source: source.clone() };
+            let place = match (&copy, &source) {
+                (None, Some(node)) if may_move => SilentPlace::Source(node.clone()),
+                _ => SilentPlace::Copy(copy.clone()),
+            };
+            assert_eq!(choose_silent_place(nodes, may_move), place);
+        }
+    }
+}
+
 #[test]
 fn a_run_that_may_have_been_taken_is_stopped_before_its_memory_is_used() {
     let all = PlaceFacts { next_may_run: true, has_memory: true, source: SourceRun::MayRun };
