Look after a stream that may be hedged before its first event

What callers saw: on a route with streamResume, with second sends switched on, a stream whose head had come got 504 at its deadline when its runner was cut off from the node before the first event.

Cause: race_stream reads the first event before the stream gets its task, and that wait (read_first_event) ended only with the deadline. All that a silent stream can do (copy, move, another run, another node) belongs to the task.

Evidence: a runner that sends the head and no event, its link lost 0.3 s later, and no second send since the usual time is not known yet (node_answer_waits): 504 after 7.68 s of a deadline of 8 s. Without second sends the same test passed in 1.24 s as a whole.

Fix: beside the first event, the runner is asked as for a head (wait_while_unanswered). Once it answers only another node, the stream gets its task without that event and goes on as from any silent source. Nothing is sent that the task would not send. A second send under way is closed then, as by any first send that wins.

ServiceFleet can start nodes with other settings; no check of an existing test changes.

--- a/crates/harness/tests/node_answer_waits.rs
+++ b/crates/harness/tests/node_answer_waits.rs
@@ -1,4 +1,4 @@
-//! Plain calls whose answer has begun, when its runner is cut off from the node.
+//! Calls whose answer has begun, when its runner is cut off from the node.
 
 #[allow(dead_code, reason = "other tests read streams and cut a whole service off")]
 mod service_fleet;
@@ -6,10 +6,11 @@
 use std::time::{Duration, Instant};
 
 use compio::time::sleep;
-use fakes::platform::RunnerScript;
+use fakes::platform::{RunnerScript, SharedScripts};
 use futures_util::future::join;
-use harness::{CallerRequest, LinkState, WholeAnswer, wait_until};
-use service_fleet::{CUT, LinkedRunner, RUNNERS, ServiceFleet, take_turn};
+use harness::{CallerRequest, LinkState, WholeAnswer, config, wait_until};
+use serde_json::json;
+use service_fleet::{CUT, LinkedRunner, NODES, RUNNERS, ServiceFleet, take_turn};
 
 /// Time for a call to reach its runner.
 const LIMIT: Duration = Duration::from_secs(10);
@@ -98,3 +99,43 @@
     })
     .unwrap();
 }
+
+/// A fleet whose streams may go on at another runner without their memory, and may be hedged.
+async fn start_resuming() -> ServiceFleet {
+    let services = ServiceFleet::start_with(|_| (), &[("hedge_share", json!(0.1))]).await;
+    let mut plan = config(2);
+    plan["routes"][2]["streamResume"] = json!(true);
+    plan["routes"][2]["maxAttempts"] = json!(2);
+    services.fleet.store.put_json("keyed.op", "config", &plan);
+    for node in 0..NODES {
+        services.fleet.wait_event(node, "plan_in_force", "version", &json!(2)).await.unwrap();
+    }
+    services
+}
+
+/// Guards against LOST: a stream that may be hedged waits for its first event until its deadline.
+#[test]
+fn a_stream_goes_on_soon_after_its_runner_is_cut_off_before_the_first_event() {
+    let _turn = take_turn();
+    kernel::run(async {
+        let services = start_resuming().await;
+        let scripts = SharedScripts::default();
+        scripts.borrow_mut().push_back(RunnerScript::UnframedSilent);
+        services.runners.iter().for_each(|linked| linked.runner.share_scripts(&scripts));
+        let pid = services.fleet.nodes[CUT].pid();
+        let cut = async {
+            let linked = find_runner(&services).await;
+            sleep(CUT_AFTER).await;
+            linked.link.set_for(pid, LinkState::Lost);
+            Instant::now()
+        };
+        let request = CallerRequest::stream("s1");
+        let read = async { (services.fleet.send(CUT, &request).await, Instant::now()) };
+        let ((answer, end), begun) = join(read, cut).await;
+        let taken = end.duration_since(begun);
+        let events = answer.text.matches("data: token").count();
+        assert_eq!((answer.status, answer.complete, events), (200, true, 30), "{taken:?}");
+        assert!(taken <= MAX_WAIT, "{taken:?}");
+    })
+    .unwrap();
+}
--- a/crates/harness/tests/service_fleet/mod.rs
+++ b/crates/harness/tests/service_fleet/mod.rs
@@ -5,7 +5,7 @@
 
 use fakes::platform::{RunnerFake, RunnerFakeSettings};
 use harness::{LinkState, NodeFleet, TestLink};
-use serde_json::json;
+use serde_json::{Value, json};
 
 /// Nodes of a fleet.
 pub const NODES: usize = 3;
@@ -38,6 +38,14 @@
 impl ServiceFleet {
     /// Starts a fleet whose runners `adjust` has changed.
     pub async fn start(adjust: impl Fn(&mut RunnerFakeSettings)) -> Self {
+        Self::start_with(adjust, &[]).await
+    }
+
+    /// The same, whose nodes have other settings.
+    pub async fn start_with(
+        adjust: impl Fn(&mut RunnerFakeSettings),
+        sets: &[(&str, Value)],
+    ) -> Self {
         let mut fleet = NodeFleet::start().await.unwrap();
         let mut runners = Vec::new();
         for number in 0..RUNNERS {
@@ -54,7 +62,8 @@
             }
         }
         for _ in 0..NODES {
-            let pid = fleet.add_node().map(|number| fleet.nodes[number].pid()).unwrap();
+            let pid =
+                fleet.add_node_with(sets, true).map(|number| fleet.nodes[number].pid()).unwrap();
             for linked in &runners {
                 linked.link.set_for(pid, LinkState::Open);
             }
--- a/crates/node/src/hedged_call.rs
+++ b/crates/node/src/hedged_call.rs
@@ -24,11 +24,12 @@
 use crate::call_log::{log_send, may_log};
 use crate::context::NodeContext;
 use crate::metrics::{HedgeLabels, WithheldLabels};
+use crate::reach::wait_while_unanswered;
 use crate::route_ticket::RouteTicket;
 use crate::router::RouterService;
 use crate::run_end_watch::OpenRun;
 use crate::runner_gate::find_block;
-use crate::runner_send::{SendFailure, SendPlan, send_to_runner};
+use crate::runner_send::{SendFailure, SendPlan, send_to_runner, unless_stopped};
 use crate::streams::{RunnerAnswer, request_answer};
 
 /// A send that has ended, and its place at the runner.
@@ -73,7 +74,8 @@
     race(context, router, call, tracker, first, wins, send).await
 }
 
-/// Sends a stream and waits for its first event; like [`race`].
+/// Sends a stream and waits for its first event, or until this node is cut off from the runner; like
+/// [`race`].
 pub(crate) async fn race_stream(
     context: &Rc<NodeContext>,
     router: &RouterService,
@@ -90,7 +92,12 @@
         if let RunnerAnswer::Stream(source, _) = &mut answer {
             let left = call.deadline.since(context.now());
             let run = OpenRun::new(context, call, &plan.runner);
-            source.read_first_event(left).await?;
+            let first_event = Box::pin(source.read_first_event(left));
+            let cut_off = Box::pin(wait_while_unanswered(context, &plan.runner, true));
+            // A stream whose runner is cut off from this node is looked after like any that is silent.
+            if let Some(read) = unless_stopped(first_event, cut_off).await {
+                read?;
+            }
             run.finish();
         }
         Ok(answer)
--- a/crates/node/src/runner_send.rs
+++ b/crates/node/src/runner_send.rs
@@ -231,7 +231,7 @@
 }
 
 /// The output of `future`; `None` if `stop` ends first.
-async fn unless_stopped<T>(
+pub(crate) async fn unless_stopped<T>(
     future: impl Future<Output = T>,
     stop: impl Future<Output = ()>,
 ) -> Option<T> {
