Read from the system whether the queue of a stand-in that stops accepting is full

Seen: a_node_stays_responsive_while_connections_to_all_runners_hang got 504, wanted 503, beside other work.

Cause, in the stand-in: stop_accepting connects until an attempt takes more than 100 ms, and takes the queue for full then. If the thread of the stand-in is held meanwhile, the first attempt takes as long; connections of the nodes then come about and are never answered, which is another fault than the one tested.

The stand-in sets the length of its queue itself, and reads from the system's list of sockets how many connections it holds; it goes on connecting until it is full. The checks of the tests stay as they are.

--- a/crates/fakes/src/platform/runner_fake.rs
+++ b/crates/fakes/src/platform/runner_fake.rs
@@ -3,10 +3,10 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use compio::net::TcpListener;
 use kernel::{StopSignal, spawn};
 use serde_json::{Value, json};
 
+use super::runner_queue::listen;
 use super::runner_server::accept;
 use super::runner_settings::RunnerFakeSettings;
 use super::runner_state::RunnerState;
@@ -29,7 +29,7 @@
         settings: RunnerFakeSettings,
         memory: &StreamMemory,
     ) -> Result<Self> {
-        let listener = TcpListener::bind(address).await.map_err(FakeError::Announce)?;
+        let listener = listen(address).await.map_err(FakeError::Announce)?;
         let address = listener.local_addr().map_err(FakeError::Announce)?;
         let state = Rc::new(RunnerState::new(settings, memory));
         let shared = Rc::clone(&state);
--- a/crates/fakes/src/platform/runner_setters.rs
+++ b/crates/fakes/src/platform/runner_setters.rs
@@ -8,11 +8,12 @@
 use super::endless_bytes::EndlessBytes;
 use super::runner_crash::{CrashLook, CrashTrigger};
 use super::runner_fake::RunnerFake;
+use super::runner_queue::is_queue_full;
 use super::runner_script::RunnerScript;
 use super::runner_settings::{BrittleRoom, SharedScripts};
 use super::runner_state::ColdTime;
 
-/// Time after which an attempt to connect counts as hanging.
+/// Time after which it is looked whether an attempt to connect finds the queue full.
 const HANG_AFTER: Duration = Duration::from_millis(100);
 
 impl RunnerFake {
@@ -110,8 +111,11 @@
         self.state().accepts.set(false);
         loop {
             let connect = TcpStream::connect(self.address());
-            let Ok(Ok(stream)) = compio::time::timeout(HANG_AFTER, connect).await else { return };
-            self.state().held.borrow_mut().push(stream);
+            if let Ok(Ok(stream)) = compio::time::timeout(HANG_AFTER, connect).await {
+                self.state().held.borrow_mut().push(stream);
+            } else if is_queue_full(self.address()) {
+                return;
+            }
         }
     }
 
