Decide the life of a stream apart from I/O, and search it

The loop in crates/node/src/streams waits inside the handling of an input, and each of the four reported losses was an input that a nested wait did not look at. crates/life is the state machine that is to replace these waits: it keeps each place where a run may go on, what is known of it with the time, and what is under way with a deadline, and looks at the whole state after each input. The node does not use it yet.

The four earlier faults, put into the binding, each lose a stream. No process test of this work has shown these.

--- /dev/null
+++ b/crates/spec/src/lives/course.rs
@@ -0,0 +1,296 @@
+//! What happens in a step of time.
+
+use base::prelude::*;
+use life::{LifeInput, LifeStep, OfferedPlace, SeenPlace, StepOutcome};
+
+use super::world::{
+    LENGTH, LifeWorld, LostRun, OpState, OpenOp, RunReader, RunnerPower, WorldRun, node_id,
+    runner_number,
+};
+
+/// Steps for which two runners may work on one request: 400 ms.
+const MAX_OVERLAP_TICKS: u8 = 2;
+
+/// Lets a step of time pass.
+pub(super) fn advance(mut world: LifeWorld, answers_first: bool) -> LifeWorld {
+    let due = world.life.due(world.now());
+    world.tick += 1;
+    check_due(&mut world, due);
+    pass_time(&mut world);
+    make_events(&mut world);
+    if answers_first {
+        answer_ops(&mut world);
+        read_events(&mut world);
+    } else {
+        read_events(&mut world);
+        answer_ops(&mut world);
+    }
+    world.act_early();
+    answer_questions(&mut world);
+    world.give(&LifeInput::Due, 0);
+    world
+}
+
+/// Without an input, nothing is to be done before a stored deadline.
+fn check_due(world: &mut LifeWorld, due: TimePoint) {
+    let now = world.now();
+    let is_idle = world.life.clone().step(&LifeInput::Due, now).is_empty();
+    if !is_idle && due > now {
+        world.violate("a deadline is not stored");
+    }
+}
+
+/// Runners wake or leave, and notice closed connections.
+fn pass_time(world: &mut LifeWorld) {
+    let is_node_up = world.is_node_up;
+    for number in 0..world.runners.len() {
+        let is_missed = world.is_missed(number);
+        let runner = &mut world.runners[number];
+        runner.silent_here = runner.silent_here.saturating_sub(1);
+        runner.silent_to_all = runner.silent_to_all.saturating_sub(1);
+        if runner.leaves_in == 1 {
+            runner.switch_off();
+            if is_missed {
+                runner.lost = LostRun::Missed;
+            }
+        }
+        runner.leaves_in = runner.leaves_in.saturating_sub(1);
+        let answers = runner.answers();
+        runner.run.take_if(|run| run.is_through_node && !is_node_up && answers);
+    }
+    world.end_closed();
+}
+
+/// Runners make events. A run at a runner that no node reaches can be ended by nobody, and doesn't count.
+fn make_events(world: &mut LifeWorld) {
+    let mut at_work = 0;
+    let is_node_up = world.is_node_up;
+    for runner in world.runners.iter_mut().filter(|runner| runner.answers()) {
+        let is_reached = is_node_up || runner.answers_here();
+        let Some(run) = runner.run.as_mut().filter(|run| !run.is_hung) else { continue };
+        if run.made < LENGTH {
+            at_work += u8::from(is_reached);
+            run.made += 1;
+        }
+    }
+    world.overlap = if at_work > 1 { world.overlap + 1 } else { 0 };
+    if world.overlap > MAX_OVERLAP_TICKS {
+        world.violate("two runners work on a run for longer than allowed");
+    }
+}
+
+/// Reads what has come from the source, and its end.
+fn read_events(world: &mut LifeWorld) {
+    while let Some(reading) = world.reading {
+        if world.life.end().is_some() {
+            return;
+        }
+        let runner = &world.runners[reading.runner];
+        let is_through_node = reading.is_through_node;
+        let is_cut = if is_through_node { !world.is_node_up } else { runner.is_cut_off };
+        if is_cut && !is_through_node {
+            return;
+        }
+        let run = runner.run.filter(|run| run.reader == reading.reader);
+        let Some(run) = run.filter(|_| !is_cut && runner.power == RunnerPower::On) else {
+            let is_silent = !runner.answers_here() && runner.power == RunnerPower::On;
+            if is_silent && !is_through_node {
+                return;
+            }
+            world.reading = None;
+            world.give(&LifeInput::SourceLost, 0);
+            return;
+        };
+        let is_heard = if is_through_node { runner.answers() } else { runner.answers_here() };
+        if !is_heard || reading.read == run.made && run.made < LENGTH {
+            return;
+        }
+        if reading.read == LENGTH {
+            world.reading = None;
+            world.runners[reading.runner].run = None;
+            world.give(&LifeInput::SourceEnded, 0);
+            return;
+        }
+        let event = reading.read + 1;
+        if let Some(reading) = &mut world.reading {
+            reading.read = event;
+        }
+        world.give(&LifeInput::Events, event);
+    }
+}
+
+/// Has the steps under way followed and answered.
+fn answer_ops(world: &mut LifeWorld) {
+    for op in world.ops.clone() {
+        if !world.ops.contains(&op) || world.life.end().is_some() {
+            continue;
+        }
+        let (state, late, outcome) = follow(world, &op);
+        if let Some(outcome) = outcome {
+            world.ops.retain(|other| other.number != op.number);
+            if let (LifeStep::Copy(to), StepOutcome::Done) = (&op.step, outcome) {
+                // The handle of a copy comes with the answer.
+                world.runners[runner_number(to)].has_memory = true;
+            }
+            world.give(&LifeInput::StepEnded(op.number, outcome), 0);
+            continue;
+        }
+        for other in world.ops.iter_mut().filter(|other| other.number == op.number) {
+            (other.state, other.late) = (state, late);
+        }
+    }
+}
+
+/// What becomes of a step: its state, the steps until its answer, and the answer if it arrives now.
+fn follow(world: &mut LifeWorld, op: &OpenOp) -> (OpState, u8, Option<StepOutcome>) {
+    let late = op.late.saturating_sub(1);
+    match op.state {
+        OpState::Lost => (OpState::Lost, late, None),
+        OpState::Refused => {
+            refuse(world, op);
+            (OpState::Refused, late, Some(StepOutcome::Refused))
+        }
+        OpState::Followed if op.late > 0 => (OpState::Followed, late, None),
+        OpState::Followed => {
+            let answer = answers(world, &op.step).then(|| done(world, op));
+            (OpState::Followed, late, answer)
+        }
+        OpState::Sent | OpState::Unanswered => {
+            if !answers(world, &op.step) {
+                // The connection to a runner that is off is refused.
+                let refused = is_off(world, &op.step).then_some(StepOutcome::Refused);
+                return (op.state, op.late, refused);
+            }
+            let is_unanswered = op.state == OpState::Unanswered;
+            let is_done = take_effect(world, op, is_unanswered);
+            match (is_done, is_unanswered) {
+                (_, true) => (OpState::Lost, late, None),
+                (false, _) => (OpState::Sent, late, Some(StepOutcome::Refused)),
+                (true, _) if op.late > 0 => (OpState::Followed, late, None),
+                (true, _) => (OpState::Followed, late, Some(done(world, op))),
+            }
+        }
+    }
+}
+
+/// What the answer to a step that was followed says.
+fn done(world: &LifeWorld, op: &OpenOp) -> StepOutcome {
+    let LifeStep::Offer(OfferedPlace::SourceRun, runner, _) = &op.step else {
+        return StepOutcome::Done;
+    };
+    let run = world.runners[runner_number(runner)].run;
+    let is_returned = run.is_some_and(|run| run.reader == RunReader::Step(op.number));
+    if is_returned { StepOutcome::Returned } else { StepOutcome::Done }
+}
+
+/// A runner that refuses memory has used it.
+fn refuse(world: &mut LifeWorld, op: &OpenOp) {
+    let is_used =
+        matches!(op.step, LifeStep::Send(_) | LifeStep::Offer(OfferedPlace::NextMemory, ..));
+    if is_used {
+        let at = peer(world, &op.step);
+        world.runners[at].has_memory = false;
+    }
+}
+
+/// The runner that a step goes to.
+fn peer(world: &LifeWorld, step: &LifeStep) -> usize {
+    match step {
+        LifeStep::Connect(runner) | LifeStep::Send(runner) | LifeStep::Offer(_, runner, _) => {
+            runner_number(runner)
+        }
+        LifeStep::Copy(runner) => 1 - runner_number(runner),
+        LifeStep::Order | LifeStep::Return => world.reading.map_or(0, |reading| reading.runner),
+    }
+}
+
+fn answers(world: &LifeWorld, step: &LifeStep) -> bool {
+    let runner = &world.runners[peer(world, step)];
+    match step {
+        LifeStep::Offer(..) => world.is_node_up && runner.answers(),
+        _ => runner.answers_here(),
+    }
+}
+
+fn is_off(world: &LifeWorld, step: &LifeStep) -> bool {
+    let runner = &world.runners[peer(world, step)];
+    let is_reached = match step {
+        LifeStep::Offer(..) => world.is_node_up,
+        _ => !runner.is_cut_off,
+    };
+    is_reached && runner.power == RunnerPower::Off
+}
+
+/// Follows a step; false if it is refused.
+fn take_effect(world: &mut LifeWorld, op: &OpenOp, is_unanswered: bool) -> bool {
+    let at = peer(world, &op.step);
+    let start = |is_through_node| WorldRun {
+        made: op.last_event,
+        reader: RunReader::Step(op.number),
+        is_through_node,
+        is_hung: is_unanswered,
+    };
+    match &op.step {
+        LifeStep::Connect(_) => true,
+        LifeStep::Copy(_) => world.runners[at].run.is_some() && world.runners[1 - at].answers(),
+        LifeStep::Order => {
+            let runner = &mut world.runners[at];
+            runner.has_memory |= runner.run.take().is_some();
+            runner.has_memory
+        }
+        LifeStep::Send(_) | LifeStep::Return => start_run(world, at, start(false)),
+        LifeStep::Offer(OfferedPlace::NextMemory, ..) => start_run(world, at, start(true)),
+        LifeStep::Offer(OfferedPlace::NextRun, ..) => move_run(world, at, at, start(true)),
+        LifeStep::Offer(..) => {
+            let other = &world.runners[1 - at];
+            let is_open = other.answers() && other.leaves_in == 0;
+            let to = if is_open { 1 - at } else { at };
+            move_run(world, at, to, start(true))
+        }
+    }
+}
+
+/// Starts a run from the memory at a runner.
+fn start_run(world: &mut LifeWorld, at: usize, run: WorldRun) -> bool {
+    let runner = &mut world.runners[at];
+    let is_done = std::mem::take(&mut runner.has_memory);
+    if is_done {
+        runner.run = Some(run);
+        runner.is_end_ordered = false;
+    }
+    is_done
+}
+
+/// Another node stops the run at a runner, or takes its memory, and has it go on at the same or the other one.
+fn move_run(world: &mut LifeWorld, from: usize, to: usize, run: WorldRun) -> bool {
+    let old = &world.runners[from];
+    let is_done = (old.run.is_some() || old.has_memory) && world.runners[to].answers();
+    if is_done {
+        let old = &mut world.runners[from];
+        old.run = None;
+        old.has_memory = true;
+        world.runners[to].has_memory = true;
+        start_run(world, to, run);
+    }
+    is_done
+}
+
+/// Answers the questions of this node where the runners answer.
+fn answer_questions(world: &mut LifeWorld) {
+    for number in 0..world.questions.len() {
+        let runner = &world.runners[number];
+        if !world.questions[number] {
+            continue;
+        }
+        let place = if runner.answers_here() {
+            SeenPlace::Here
+        } else if runner.answers() && world.is_node_up {
+            SeenPlace::OtherNode(node_id())
+        } else {
+            continue;
+        };
+        world.questions[number] = false;
+        let name = ["first", "second"][number].parse().expect("a valid name");
+        world.give(&LifeInput::Asked(name, place), 0);
+    }
+}
--- /dev/null
+++ b/crates/spec/src/lives/mod.rs
@@ -0,0 +1,9 @@
+//! The life of a stream: two runners, two nodes, and one caller, in steps of 200 ms.
+
+mod binding;
+mod course;
+mod faults;
+mod variant;
+mod world;
+
+pub use variant::{LifeVariant, check_lives};
--- a/crates/spec/tests/models.rs
+++ b/crates/spec/tests/models.rs
@@ -2,9 +2,9 @@
 
 use insta::assert_snapshot;
 use spec::{
-    AttemptVariant, BookingVariant, ClaimVariant, ConfigVariant, EraVariant, ModelRun, MoveVariant,
-    StreamKind, StreamVariant, check_attempts, check_bookings, check_claims, check_configs,
-    check_eras, check_moves, check_streams,
+    AttemptVariant, BookingVariant, ClaimVariant, ConfigVariant, EraVariant, LifeVariant, ModelRun,
+    MoveVariant, StreamKind, StreamVariant, check_attempts, check_bookings, check_claims,
+    check_configs, check_eras, check_lives, check_moves, check_streams,
 };
 
 /// One line for each run; a run that is not as expected fails with its trace.
@@ -83,3 +83,39 @@
     Deliver(Table { from: 0, to: 2, asked: VmIncarnation(3) })
     ");
 }
+
+/// A search that finds a violation, as its rule and its shortest course; steps of time are counted.
+fn course(variant: LifeVariant) -> String {
+    let run = check_lives(variant);
+    let mut steps: Vec<(String, u32)> = Vec::new();
+    for step in run.trace {
+        match steps.last_mut() {
+            Some((last, count)) if *last == step => *count += 1,
+            _ => steps.push((step, 1)),
+        }
+    }
+    let step = |(step, count): &(String, u32)| {
+        if *count > 1 { format!("{step} x{count}") } else { step.clone() }
+    };
+    let steps = steps.iter().map(step).collect::<Vec<_>>().join(", ");
+    format!("{variant:?}: {}: {steps}", run.violation.unwrap_or("holds"))
+}
+
+/// Guards against LOST: a stream whose rest a place could have given.
+#[test]
+fn a_stream_ends_without_its_rest_only_if_no_place_has_it() {
+    let sound = LifeVariant::SOUND.map(check_lives);
+    assert_snapshot!(table(sound));
+}
+
+/// Guards against a model that holds whatever the rules are: each earlier fault loses a stream.
+#[test]
+fn each_earlier_fault_loses_a_stream() {
+    assert_snapshot!(LifeVariant::FAULTS.map(course).join("\n"));
+}
+
+/// Rules of the present loop, and one wait of the state machine, that the search shows to be broken.
+#[test]
+fn findings_of_the_search_are_reproduced() {
+    assert_snapshot!(LifeVariant::FINDINGS.map(course).join("\n"));
+}
