Keep a hedged stream's other send while one of its runners is cut off

With a second send under way, the send whose runner is cut off would win the race and close the other one, which may be about to answer (found when the change was read before the merge; by reading, no run shows it, and no test covers a second send beside a cut).

--- a/crates/node/src/hedged_call.rs
+++ b/crates/node/src/hedged_call.rs
@@ -5,6 +5,7 @@
 //! room. The first whole response wins; the other connection is closed at once, so that no runner
 //! works for nobody.
 
+use std::cell::Cell;
 use std::pin::pin;
 use std::rc::Rc;
 
@@ -32,6 +33,25 @@
 use crate::runner_send::{SendFailure, SendPlan, send_to_runner, unless_stopped};
 use crate::streams::{RunnerAnswer, request_answer};
 
+/// Pause until a send whose runner is cut off from this node looks again whether another one may win.
+const OTHER_SEND_PAUSE: TimeSpan = TimeSpan::millis(50);
+
+/// A send whose runner is not known to be cut off from this node; counted as long as it lives.
+struct ReachedSend<'a>(&'a Cell<usize>);
+
+impl<'a> ReachedSend<'a> {
+    fn new(count: &'a Cell<usize>) -> Self {
+        count.set(count.get() + 1);
+        Self(count)
+    }
+}
+
+impl Drop for ReachedSend<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
 /// A send that has ended, and its place at the runner.
 pub(crate) struct SendEnd<T> {
     /// The place of the call at the runner.
@@ -74,8 +94,8 @@
     race(context, router, call, tracker, first, wins, send).await
 }
 
-/// Sends a stream and waits for its first event, or until this node is cut off from the runner; like
-/// [`race`].
+/// Sends a stream and waits for its first event, or until this node is cut off from the runners of all
+/// sends; like [`race`].
 pub(crate) async fn race_stream(
     context: &Rc<NodeContext>,
     router: &RouterService,
@@ -87,14 +107,23 @@
         RunnerAnswer::Stream(..) => true,
         RunnerAnswer::Full(answer) => !answer.status().is_server_error(),
     };
+    let reached = Cell::new(0);
     let send = async |plan: SendPlan| {
+        let reached_send = ReachedSend::new(&reached);
         let mut answer = request_answer(context, call, &plan).await?;
         if let RunnerAnswer::Stream(source, _) = &mut answer {
             let left = call.deadline.since(context.now());
             let run = OpenRun::new(context, call, &plan.runner);
             let first_event = Box::pin(source.read_first_event(left));
-            let cut_off = Box::pin(wait_while_unanswered(context, &plan.runner, true));
-            // A stream whose runner is cut off from this node is looked after like any that is silent.
+            let cut_off = Box::pin(async {
+                wait_while_unanswered(context, &plan.runner, true).await;
+                drop(reached_send);
+                while reached.get() > 0 {
+                    kernel::sleep(OTHER_SEND_PAUSE.into()).await;
+                }
+            });
+            // A stream whose runner is cut off from this node is looked after like any that is silent,
+            // unless another send may still win.
             if let Some(read) = unless_stopped(first_event, cut_off).await {
                 read?;
             }
