Keep the silent next runner until another node has moved the run

Callers: a stream whose source is cut off from its node and has ended the run there was cut at its deadline, if its next runner was silent for 1.2 s once it had got the run. Before it came whole from that runner.

Cause: MoveSource closed the connection to the next runner before it was known that another node moves the run. The source answers that node's question, and has no run to move (404); the copy counted as used, and nothing was left.

Fix: the run is offered beside the open send. The next runner is given up once a node has taken the run; if none takes it, the next runner is waited for as before. While the offer is open the source is not closed, since the node may have stopped the run there. If the source works again, the next runner may not work beside it: its connection closes, the source is forwarded, and the offer is waited for.

--- a/crates/node/src/streams/stream_handover.rs
+++ b/crates/node/src/streams/stream_handover.rs
@@ -6,7 +6,6 @@
 use std::pin::pin;
 use std::rc::Rc;
 
-use base::prelude::*;
 use futures_util::{FutureExt, select_biased};
 use hyper::body::Bytes;
 use serving::{OverlapRule, RunnerRecord, SendOutcome};
@@ -108,9 +107,14 @@
                 return self.keep_source(&plan, held, "no answer", SendOutcome::Unknown).await;
             }
             OverlapEnd::CutOff => return self.leave_cut_off(&plan, held).await,
-            OverlapEnd::SourceElsewhere(node) => {
-                return self.leave_silent_next(&plan, held, node).await;
+            OverlapEnd::Moved(taken) => {
+                if let Some(end) = self.forward_held(held).await {
+                    return HandoverStep::End(end);
+                }
+                let source = self.source.runner.runner.clone();
+                return HandoverStep::End(self.switch_to_node(taken, &source));
             }
+            OverlapEnd::End(step) => return HandoverStep::End(step),
             OverlapEnd::SourceEnded => {
                 self.count_move("source_ended");
                 let end = self.forward_held(held).await;
@@ -223,22 +227,6 @@
         through_node.map_or(step, HandoverStep::End)
     }
 
-    /// Has `node` move the run away from the source, or else goes on with that, after the next runner was
-    /// found to be silent to all.
-    async fn leave_silent_next(
-        &mut self,
-        plan: &SendPlan,
-        held: HeldEvents,
-        node: VmId,
-    ) -> HandoverStep {
-        let step = self.keep_source(plan, held, "silent to all", SendOutcome::Unknown).await;
-        if !matches!(step, HandoverStep::Refused(_)) {
-            return step;
-        }
-        let moved = Box::pin(self.move_through_node(node)).await;
-        moved.map_or(step, HandoverStep::End)
-    }
-
     /// Goes on with the source after the next runner did not take over.
     async fn keep_source(
         &mut self,
@@ -255,7 +243,12 @@
     /// Forwards what the source delivered while the next runner was asked to go on. Returns how
     /// the stream ends, if it has to.
     async fn forward_held(&mut self, held: HeldEvents) -> Option<PumpStep> {
-        for bytes in held.frames {
+        self.forward_frames(held.frames).await
+    }
+
+    /// Forwards frames of the source. Returns how the stream ends, if it has to.
+    pub(super) async fn forward_frames(&mut self, frames: Vec<Bytes>) -> Option<PumpStep> {
+        for bytes in frames {
             if let end @ PumpStep::End(..) = self.forward_events(&bytes).await {
                 return Some(end);
             }
--- a/crates/node/src/streams/stream_offer.rs
+++ b/crates/node/src/streams/stream_offer.rs
@@ -61,6 +61,11 @@
             OfferStep::NotTaken => return None,
             OfferStep::End(step) => return Some(step),
         };
+        Some(self.switch_to_node(taken, &offer.runner))
+    }
+
+    /// Makes the answer of a node that has taken the run, offered at `to`, the source of the stream.
+    pub(super) fn switch_to_node(&mut self, taken: TakenResume, to: &RunnerId) -> PumpStep {
         self.count_move("relayed");
         self.changes += 1;
         tracing::info!(
@@ -68,7 +73,7 @@
             request = %self.call.attempt,
             how = "relayed",
             from = %self.source.runner.runner,
-            to = %offer.runner,
+            %to,
             node = %taken.node,
             events = self.scanner.event_count(),
         );
@@ -80,7 +85,7 @@
         let TakenResume { node, exchange } = taken;
         let plan = self.plan_at_site(RunSite::read(exchange.response.headers()));
         self.replace_source(StreamSource::relayed(&plan, exchange, node));
-        Some(PumpStep::Continue)
+        PumpStep::Continue
     }
 
     /// Offers the run to other nodes, and reads the source meanwhile. If a run or a copy at another runner
--- a/crates/node/src/streams/stream_overlap.rs
+++ b/crates/node/src/streams/stream_overlap.rs
@@ -3,12 +3,13 @@
 //! Load pattern: the next runner may be slow, silent for a moment, or cut off from this node, and so may
 //! the source. Which of them is given up is decided by what the next one answers.
 
+use std::cell::Cell;
 use std::future::pending;
 use std::pin::{Pin, pin};
 use std::rc::Rc;
 
 use base::prelude::*;
-use futures_util::future::FusedFuture;
+use futures_util::future::{Fuse, FusedFuture};
 use futures_util::{FutureExt, select_biased};
 use hyper::body::Bytes;
 use serving::{
@@ -19,8 +20,10 @@
 
 use super::stream_handover::describe_loss;
 use super::stream_places::{RunnerQuestion, ask_next};
-use super::stream_pump::StreamPump;
+use super::stream_pump::{PumpStep, StreamPump};
+use crate::call_log::RequestOutcome;
 use crate::context::NodeContext;
+use crate::forward::{ResumeOffer, TakenResume, offer_resume};
 use crate::run_end_watch::OpenRun;
 use crate::runner_send::{SendFailure, SendPlan, send_connected};
 
@@ -42,8 +45,10 @@
     Unanswered,
     /// The next runner answers another node, and not this one: it may have taken the run.
     CutOff,
-    /// The next runner answers nobody, and the source answers this other node.
-    SourceElsewhere(VmId),
+    /// Another node has moved the run away from the source.
+    Moved(TakenResume),
+    /// The stream has ended.
+    End(PumpStep),
     /// The source has delivered the stream to its end.
     SourceEnded,
     /// The caller closed the connection.
@@ -60,10 +65,15 @@
     Frame(Option<Result<Bytes, hyper::Error>>),
     /// Where the runner answers that was asked.
     Asked(AnswerPlace),
+    /// The node that has moved the run away from the source; `None` if none has.
+    Offered(Option<TakenResume>),
     /// [`MAX_OVERLAP`] has passed.
     OverlapOver,
 }
 
+/// An offer of the run at the source to other nodes, in progress.
+type OfferFuture<'a> = Pin<Box<dyn Future<Output = Option<TakenResume>> + 'a>>;
+
 /// The questions where the next runner and the source answer, and what is known.
 struct OverlapQuestions {
     /// The question that is open.
@@ -161,9 +171,13 @@
         let run = OpenRun::new(&context, &call, &plan.runner);
         let mut questions = OverlapQuestions::of_next(ask_next(&context, &plan.runner, true));
         let mut is_overlap_over = false;
+        let source_offer = ResumeOffer::of_run(&self.source.runner, self.scanner.last_id());
+        let is_back = Cell::new(false);
+        let mut offer: Option<OfferFuture<'_>> = None;
         loop {
             let due = (!is_overlap_over).then_some(overlap_end);
-            let input = self.next_overlap_input(send.as_mut(), &mut questions.open, due).await;
+            let open = (&mut questions.open, &mut offer);
+            let input = self.next_overlap_input(send.as_mut(), open, due).await;
             let is_news = matches!(input, OverlapInput::Asked(_));
             match input {
                 OverlapInput::CallerDisconnected => return OverlapEnd::CallerDisconnected,
@@ -171,15 +185,21 @@
                     run.finish();
                     return outcome.map_or_else(OverlapEnd::Failed, OverlapEnd::Answered);
                 }
-                OverlapInput::Frame(Some(Ok(bytes))) => held.push(bytes),
+                OverlapInput::Frame(Some(Ok(bytes))) => {
+                    is_back.set(true);
+                    held.push(bytes);
+                }
                 OverlapInput::Frame(None) if held.is_whole() && self.source.has_whole_body() => {
                     return OverlapEnd::SourceEnded;
                 }
                 OverlapInput::Frame(lost) => {
+                    is_back.set(false);
                     self.log_send_failure(&describe_loss(lost));
                     self.close_source();
                 }
                 OverlapInput::Asked(place) => questions.record(place),
+                OverlapInput::Offered(Some(taken)) => return OverlapEnd::Moved(taken),
+                OverlapInput::Offered(None) => offer = None,
                 OverlapInput::OverlapOver => is_overlap_over = true,
             }
             let facts = questions.facts(self.source_state(held), rule, is_overlap_over);
@@ -192,16 +212,70 @@
             }
             match decision {
                 WaitDecision::Wait => (),
+                WaitDecision::LeaveNext => {
+                    let Some(offer) = offer else { return OverlapEnd::Unanswered };
+                    // The source works again: the next runner may not work beside it any longer.
+                    send.set(Fuse::terminated());
+                    drop(run);
+                    return self.await_offer(offer, held).await;
+                }
+                // The other node may have stopped the run at the source: what it answers comes first.
+                _ if offer.is_some() => (),
                 WaitDecision::LeaveSource => {
                     self.log_send_failure(SOURCE_SILENT);
                     self.close_source();
                 }
-                WaitDecision::LeaveNext => return OverlapEnd::Unanswered,
                 WaitDecision::LeaveThisNode => return OverlapEnd::CutOff,
                 WaitDecision::MoveSource => {
-                    if let Some(AnswerPlace::OtherNode(node)) = facts.source_answered {
-                        return OverlapEnd::SourceElsewhere(node);
+                    if let Some(AnswerPlace::OtherNode(node)) = facts.source_answered
+                        && self.may_move_from_source()
+                    {
+                        self.move_requested = true;
+                        let node = Some(node);
+                        let offering = offer_resume(&context, &call, &source_offer, node, &is_back);
+                        offer = Some(Box::pin(offering));
+                    }
+                }
+            }
+        }
+    }
+
+    /// Forwards a source that works again until it is known whether another node has moved its run.
+    async fn await_offer(
+        &mut self,
+        mut offer: OfferFuture<'_>,
+        held: &mut HeldEvents,
+    ) -> OverlapEnd {
+        let frames = std::mem::take(&mut held.frames);
+        if let Some(end) = self.forward_frames(frames).await {
+            return OverlapEnd::End(end);
+        }
+        loop {
+            let frame = {
+                let mut disconnected = pin!(self.caller.disconnected.wait().fuse());
+                let mut frame = pin!(self.source.next_frame().fuse());
+                select_biased! {
+                    () = disconnected => return OverlapEnd::CallerDisconnected,
+                    taken = (&mut offer).fuse() => {
+                        return taken.map_or(OverlapEnd::Unanswered, OverlapEnd::Moved);
                     }
+                    frame = frame => frame,
+                }
+            };
+            match frame {
+                Some(Ok(bytes)) => {
+                    self.record_activity(self.context.now());
+                    if let end @ PumpStep::End(..) = self.forward_events(&bytes).await {
+                        return OverlapEnd::End(end);
+                    }
+                }
+                None if self.is_whole() => {
+                    let whole = PumpStep::End(RequestOutcome::Streamed, "");
+                    return OverlapEnd::End(whole);
+                }
+                lost => {
+                    self.log_send_failure(&describe_loss(lost));
+                    self.close_source();
                 }
             }
         }
@@ -221,18 +295,26 @@
     async fn next_overlap_input(
         &mut self,
         mut send: Pin<&mut impl FusedFuture<Output = Result<WebExchange, SendFailure>>>,
-        question: &mut RunnerQuestion,
+        (question, offer): (&mut RunnerQuestion, &mut Option<OfferFuture<'_>>),
         due: Option<TimePoint>,
     ) -> OverlapInput {
+        let offering = async {
+            match offer {
+                Some(offer) => offer.await,
+                None => pending().await,
+            }
+        };
         let overlap_end = due.filter(|_| !self.source.ended);
         let context = Rc::clone(&self.context);
         let mut overlap = pin!(overlap_left(&context, overlap_end).fuse());
         let mut disconnected = pin!(self.caller.disconnected.wait().fuse());
         let mut asked = pin!(question.fuse());
+        let mut offered = pin!(offering.fuse());
         let mut frame = pin!(self.source.next_frame().fuse());
         select_biased! {
             () = disconnected => OverlapInput::CallerDisconnected,
             outcome = send => OverlapInput::Sent(outcome),
+            taken = offered => OverlapInput::Offered(taken),
             frame = frame => OverlapInput::Frame(frame),
             place = asked => OverlapInput::Asked(place),
             () = overlap => OverlapInput::OverlapOver,
