Wait for the rest of an answer that its call can get nowhere else

Cause: gave up the rest of any answer once its runner answered only other nodes for a second. A booking goes nowhere else, and its answer may still come.

Fix: the rest is given up only if the call may be repeated, or if no runner of its service is reached, the rule that holds for the head of an answer (may_leave in decide_rest).

--- a/crates/node/src/answer_rest.rs
+++ b/crates/node/src/answer_rest.rs
@@ -15,14 +15,15 @@
 use crate::call::Call;
 use crate::call_log::may_log;
 use crate::context::NodeContext;
-use crate::reach::{find_answer_place, is_unreached, suspect_runner};
+use crate::reach::{find_answer_place, is_cut_off, is_unreached, suspect_runner};
 use crate::runner_send::{SendFailure, read_parts};
 
 /// How often it is looked whether the runner is reached; silence after which it is asked.
 const LOOK_PAUSE: TimeSpan = TimeSpan::millis(250);
 
 /// Reads the whole body of a runner's answer, until the deadline of the call or until this node is cut off
-/// from the runner: that answers another node, and neither this one nor the call.
+/// from the runner, which answers another node, and neither this one nor the call. A call that goes to no
+/// other runner waits on while others of its service are reached.
 ///
 /// # Errors
 /// Returns [`SendFailure`] if the body does not arrive as a whole.
@@ -35,7 +36,7 @@
     let heard_at = Cell::new(context.now());
     let left = call.deadline.since(context.now());
     let reading = Box::pin(read_parts(exchange, left, || heard_at.set(context.now())));
-    let lost = Box::pin(wait_rest_lost(context, runner, &heard_at));
+    let lost = Box::pin(wait_rest_lost(context, call, runner, &heard_at));
     match select(reading, lost).await {
         Either::Left((answer, _)) => answer,
         Either::Right((unheard, _)) => {
@@ -49,6 +50,7 @@
 /// the time without a sign of the runner.
 async fn wait_rest_lost(
     context: &NodeContext,
+    call: &Call,
     runner: &RunnerRecord,
     heard_at: &Cell<TimePoint>,
 ) -> TimeSpan {
@@ -63,7 +65,8 @@
             heard_at.set(context.now());
             continue;
         }
-        let mut facts = RestFacts { unheard: unheard_for(), answered: None };
+        let may_leave = call.route.may_repeat() || is_cut_off(context, &runner.service);
+        let mut facts = RestFacts { unheard: unheard_for(), may_leave, answered: None };
         if decide_rest(&facts) != RestDecision::Ask {
             continue;
         }
--- a/crates/serving/src/answer_rest.rs
+++ b/crates/serving/src/answer_rest.rs
@@ -16,6 +16,9 @@
 pub struct RestFacts {
     /// Time since a part of the answer came, or since the runner last counted as reached.
     pub unheard: TimeSpan,
+    /// Whether the call can go to another runner, or no runner of its service is reached. Otherwise the
+    /// answer is all that it can get, and the cut may heal.
+    pub may_leave: bool,
     /// Where the runner answers; `None` if that was not asked.
     pub answered: Option<AnswerPlace>,
 }
@@ -34,7 +37,7 @@
 /// Decides what to do about the rest of an answer whose runner counts as not reached.
 #[must_use]
 pub fn decide_rest(facts: &RestFacts) -> RestDecision {
-    if facts.unheard < LOST_SILENCE {
+    if !facts.may_leave || facts.unheard < LOST_SILENCE {
         return RestDecision::Wait;
     }
     match &facts.answered {
