Wait for an open offer when the next runner refuses the run

Cause: since a run is offered to other nodes beside an open send. If the next runner refused or failed meanwhile, the offer was dropped, although its node may have stopped the run at the source: nothing would have been left of it. By reading; no run shows it, and the order of the two answers can't be set in a test today. Change: unless the next runner goes on with the run, the outcome of the offer is waited for, and the source is forwarded until then, as when the source works again.

--- a/crates/node/src/streams/stream_overlap.rs
+++ b/crates/node/src/streams/stream_overlap.rs
@@ -21,6 +21,7 @@
 use super::stream_handover::describe_loss;
 use super::stream_places::{RunnerQuestion, ask_next};
 use super::stream_pump::{PumpStep, StreamPump};
+use super::stream_source::is_event_stream;
 use crate::call_log::RequestOutcome;
 use crate::context::NodeContext;
 use crate::forward::{ResumeOffer, TakenResume, offer_resume};
@@ -183,7 +184,7 @@
                 OverlapInput::CallerDisconnected => return OverlapEnd::CallerDisconnected,
                 OverlapInput::Sent(outcome) => {
                     run.finish();
-                    return outcome.map_or_else(OverlapEnd::Failed, OverlapEnd::Answered);
+                    return self.end_send(outcome, offer, held).await;
                 }
                 OverlapInput::Frame(Some(Ok(bytes))) => {
                     is_back.set(true);
@@ -240,7 +241,24 @@
         }
     }
 
-    /// Forwards a source that works again until it is known whether another node has moved its run.
+    /// Follows the outcome of a send. If the next runner does not go on with the run, an open offer is waited
+    /// for: its node may have stopped the run at the source.
+    async fn end_send(
+        &mut self,
+        outcome: Result<WebExchange, SendFailure>,
+        offer: Option<OfferFuture<'_>>,
+        held: &mut HeldEvents,
+    ) -> OverlapEnd {
+        let goes_on = outcome.as_ref().is_ok_and(|exchange| is_event_stream(&exchange.response));
+        let end = outcome.map_or_else(OverlapEnd::Failed, OverlapEnd::Answered);
+        let Some(offer) = offer.filter(|_| !goes_on) else { return end };
+        match self.await_offer(offer, held).await {
+            OverlapEnd::Unanswered => end,
+            offered => offered,
+        }
+    }
+
+    /// Forwards the source until it is known whether another node has moved its run.
     async fn await_offer(
         &mut self,
         mut offer: OfferFuture<'_>,
