--- a/crates/harness/tests/node_endless_bytes.rs
+++ b/crates/harness/tests/node_endless_bytes.rs
@@ -1,5 +1,6 @@
 //! Runners that send bytes which are no answer and do not end until the caller closes.
 
+use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use base::TimeSpan;
@@ -193,6 +194,13 @@
     .unwrap();
 }
 
+/// Crowds are played one at a time: each measures one node, and how soon it answers.
+static TURN: Mutex<()> = Mutex::new(());
+
+fn take_turn() -> MutexGuard<'static, ()> {
+    TURN.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// Plays `calls` plain calls at once to runners that all answer without end, beside streams of a
 /// sound runner. Returns what was wrong.
 async fn play_crowd(
@@ -267,6 +275,7 @@
 
 #[test]
 fn a_crowd_answered_without_end_does_not_take_the_memory_of_a_node() {
+    let _turn = take_turn();
     kernel::run(async {
         let mut faults = Vec::new();
         for endless in [EndlessBytes::Header, EndlessBytes::Body] {
@@ -280,6 +289,7 @@
 
 #[test]
 fn a_crowd_of_streams_answered_without_end_does_not_take_the_memory_of_a_node() {
+    let _turn = take_turn();
     kernel::run(async {
         let mut faults = Vec::new();
         for endless in [EndlessBytes::Header, EndlessBytes::Interim, EndlessBytes::Comments] {
@@ -292,6 +302,7 @@
 
 #[test]
 fn a_large_crowd_with_heads_without_end_does_not_take_the_memory_of_a_node() {
+    let _turn = take_turn();
     kernel::run(async {
         let fault = play_crowd(EndlessBytes::Header, 900, CallerRequest::lookup).await;
         assert_eq!(fault, None);
@@ -301,6 +312,7 @@
 
 #[test]
 fn a_large_crowd_with_bodies_without_end_does_not_take_the_memory_of_a_node() {
+    let _turn = take_turn();
     kernel::run(async {
         let fault = play_crowd(EndlessBytes::Body, 900, CallerRequest::lookup).await;
         assert_eq!(fault, None);
@@ -312,6 +324,7 @@
 /// seconds after their deadline.
 #[test]
 fn a_large_crowd_with_interim_answers_without_end_is_answered_in_time() {
+    let _turn = take_turn();
     kernel::run(async {
         let fault = play_crowd(EndlessBytes::Interim, 900, CallerRequest::booking).await;
         assert_eq!(fault, None);
@@ -322,6 +335,7 @@
 /// The same for the size of a chunk that does not end: the library reads it byte by byte.
 #[test]
 fn a_large_crowd_with_zeros_before_a_chunk_is_answered_in_time() {
+    let _turn = take_turn();
     kernel::run(async {
         let fault = play_crowd(EndlessBytes::ChunkZeros, 900, CallerRequest::booking).await;
         assert_eq!(fault, None);
