Add a test that loses a stream whose stopped run is read late

What callers see: a 200 whose stream breaks off in the middle, while its runner has stopped the run as ordered and the next one has its memory.

The link of the source has less room than the stream takes, as the small link of a node that reads a configuration. The answer to the order to stop comes on another connection, before events that were written earlier. 400 ms later the source counts as one that ignores orders, the copy is freed, and the stream ends with the source.

The test link passes on a limited answer in pieces of 20 ms, so that a full connection delays another one as packets do.

--- a/crates/harness/src/link.rs
+++ b/crates/harness/src/link.rs
@@ -19,6 +19,8 @@
 
 /// Size of a copy buffer, in bytes.
 const BUFFER_BYTES: usize = 16 << 10;
+/// Time for which a piece of an answer fills a link with a limited rate.
+const PIECE_TIME: Duration = Duration::from_millis(20);
 /// Pause between two looks at the state of a stalled link.
 const LOOK_EVERY: Duration = Duration::from_millis(5);
 
@@ -63,6 +65,12 @@
 }
 
 impl AnswerPace {
+    /// Bytes that a connection may put on the link before others get their turn.
+    fn piece(&self) -> usize {
+        let bytes = self.rate.get() as f64 * PIECE_TIME.as_secs_f64();
+        if self.rate.get() == 0 { BUFFER_BYTES } else { (bytes as usize).clamp(1, BUFFER_BYTES) }
+    }
+
     /// Waits until `bytes` more have gone over the link.
     async fn pass(&self, bytes: usize) {
         let rate = self.rate.get();
@@ -196,9 +204,9 @@
     pace: Option<Rc<AnswerPace>>,
     count: Rc<Cell<u64>>,
 ) {
-    let mut buffer = Vec::with_capacity(BUFFER_BYTES);
     loop {
-        buffer.clear();
+        let piece = pace.as_ref().map_or(BUFFER_BYTES, |pace| pace.piece());
+        let buffer = Vec::with_capacity(piece);
         let (read, broken) = (pin!(from.read(buffer)), pin!(wait_until_broken(&state)));
         let Either::Left((outcome, _)) = select(read, broken).await else { break };
         let BufResult(length, filled) = outcome;
@@ -211,11 +219,9 @@
             pace.pass(filled.len()).await;
         }
         count.set(count.get() + filled.len() as u64);
-        let BufResult(written, returned) = to.write_all(filled).await;
-        if written.is_err() {
+        if to.write_all(filled).await.0.is_err() {
             break;
         }
-        buffer = returned;
     }
     if state.get() == LinkState::Lost {
         return hold((from, to)).await;
--- /dev/null
+++ b/crates/harness/tests/node_late_reads.rs
@@ -0,0 +1,71 @@
+//! Streams that a node reads late: what their runner wrote before an event arrives after it.
+
+#[allow(dead_code, reason = "other tests cut a whole service off and count runs")]
+mod service_fleet;
+
+use std::time::Duration;
+
+use compio::time::sleep;
+use fakes::platform::RunnerFakeSettings;
+use futures_util::future::join;
+use harness::{CallerRequest, wait_until};
+use serde_json::json;
+use service_fleet::{CUT, LinkedRunner, ServiceFleet, take_turn};
+
+/// Events of a stream, one in 10 ms.
+const EVENTS: u64 = 300;
+/// Time for a stream to reach its runner.
+const LIMIT: Duration = Duration::from_secs(10);
+/// Time from the begin of a stream until its runner's link fills up.
+const FILL_AFTER: Duration = Duration::from_millis(500);
+/// Time from then until the runner announces that it leaves.
+const LEAVE_AFTER: Duration = Duration::from_millis(700);
+/// Bytes that the full link passes on in a second: under half of what the stream takes.
+const FULL_RATE: u64 = 2_000;
+
+fn long_streams(settings: &mut RunnerFakeSettings) {
+    settings.events = EVENTS;
+}
+
+/// A stream that is too short for a copy from its start, as its caller expects.
+fn stream_without_copy(attempt: &str) -> CallerRequest {
+    CallerRequest::stream(attempt).with("x-dotterelyard-length-hint", "10")
+}
+
+async fn find_source(services: &ServiceFleet) -> &LinkedRunner {
+    let is_at_work = |linked: &&LinkedRunner| linked.runner.working() == 1;
+    wait_until("a runner to work", LIMIT, async || services.runners.iter().find(is_at_work))
+        .await
+        .unwrap()
+}
+
+/// Writes the entry of a runner that is reached over its link, with a state.
+fn tell(services: &ServiceFleet, linked: &LinkedRunner, state: &str) {
+    let mut entry = linked.runner.entry(linked.service, "north", state);
+    entry["address"] = json!(linked.link.address());
+    services.fleet.store.put_json("keyed.servers", linked.runner.id(), &entry);
+}
+
+/// Guards against LOST: a run that has stopped is taken for one that goes on, since its last events are read late.
+#[test]
+fn a_stream_whose_last_events_are_read_after_its_run_has_stopped_goes_on_elsewhere() {
+    let _turn = take_turn();
+    kernel::run(async {
+        let services = ServiceFleet::start(long_streams).await;
+        let request = stream_without_copy("late");
+        let leave = async {
+            let source = find_source(&services).await;
+            sleep(FILL_AFTER).await;
+            source.link.set_answer_rate(FULL_RATE);
+            sleep(LEAVE_AFTER).await;
+            tell(&services, source, "draining");
+        };
+        let (stream, ()) = join(services.fleet.read_stream(CUT, &request), leave).await;
+        let node = &services.fleet.nodes[CUT];
+        let lines = [node.events("send_failed"), node.events("run_not_ended"), node.events("end")];
+        assert!(stream.has_all(EVENTS), "{stream:?} {lines:?}");
+        assert!(lines[1].is_empty(), "{lines:?}");
+        assert_eq!(services.most_runs(), 1);
+    })
+    .unwrap();
+}
