Let events beyond a confirmed stop show that a source goes on, not their time

Cause: data that was read after the answer to the order counted as made after the stop. On a node that is behind, or whose link is full, it was written before and is read late; the order's answer comes on another connection. 400 ms later the source counted as one that ignores orders, for all its streams, the copy was freed, and the stream ended with its source.

Change: decide_stop (serving, without I/O) follows from what the source answered: its answer says how many events the run had made, and only an event beyond that shows that it goes on. Events from before put off the end of a stopped stream, for 2 s at most; then the next runner goes on after the last event that was read. A count that is lower than what was read before the order is not of this stream, and shows nothing. A run that the source does not find keeps its copy until its body has ended. The call's deadline is an input of the wait. Each decision leaves a line (stop_decided) with the answer, the events made and read, and their ages.

Ruled out: a longer time than 400 ms; a link can be full for seconds.

--- a/crates/node/src/streams/run_stop.rs
+++ b/crates/node/src/streams/run_stop.rs
@@ -2,32 +2,36 @@
 //!
 //! Load pattern: some runners go on with a request whose connection has closed, and two runners may not
 //! work on one request. The order is sent once the next runner is connected to. A source that does not
-//! answer it may be cut off from this node.
+//! answer it may be cut off from this node. [`decide_stop`] says what follows from its answer.
 
 use std::future::pending;
+use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
 
 use base::prelude::*;
 use futures_util::{FutureExt, select_biased};
 use hyper::body::Bytes;
-use serving::{AnswerPlace, EndHabit, SendOutcome};
+use serving::{
+    AnswerPlace, BodyState, EndHabit, OrderAnswer, SendOutcome, StopDecision, StopFacts,
+    decide_stop, stop_due,
+};
 use web::WebConnection;
 
 use super::stream_copy::{CopyTask, RunCopy};
 use super::stream_handover::{HandoverStep, caller_disconnected, describe_loss};
 use super::stream_places::{QUESTION_PAUSE, RunnerQuestion, ask_runner};
 use super::stream_pump::{PumpStep, StreamPump};
-use crate::call_log::RequestOutcome;
+use crate::call_log::{RequestOutcome, may_log};
 use crate::reach::{find_answer_place, is_unreached, suspect_runner};
 use crate::run_end_watch::record_habit;
 use crate::runner_gate::SendPurpose;
 use crate::runner_send::SendPlan;
 
-/// Time after a confirmed order in which the stream of the stopped run closes.
-const CLOSE_TIME: TimeSpan = TimeSpan::millis(400);
 /// Time for which a run that has lost its stream waits for the answer to the order.
 const ANSWER_TIME: TimeSpan = TimeSpan::millis(500);
+/// Shortest time between two orders to stop a run.
+const ORDER_PAUSE: TimeSpan = TimeSpan::millis(250);
 /// Silence of a source that has not answered the order, after which it is found out where it answers.
 pub(super) const ORDER_SILENCE: TimeSpan = TimeSpan::millis(100);
 /// Time for which a run stays at a source that it has returned to, before it leaves again.
@@ -42,10 +46,12 @@
 /// Inputs while a source is to stop a run.
 enum StopInput {
     CallerDisconnected,
+    /// The call's deadline has passed.
+    Deadline,
     /// The source has answered the order.
     Answered(StopAnswer),
-    /// The stream should have closed, or the order been answered.
-    Overdue,
+    /// A stored deadline of the order has passed.
+    Due,
     /// Who gets answers of the source while it has not answered the order.
     Asked(AnswerPlace),
     /// Data of the stream, an error, or the end of the body.
@@ -54,8 +60,8 @@
 
 /// How the time ended in which the source was to stop.
 enum StopEnd {
-    /// The stream has closed before its end; what the source has answered until then.
-    Stopped(Option<StopAnswer>),
+    /// The run has stopped, as far as is known.
+    Stopped,
     /// The source goes on with the run.
     Kept,
     /// The source goes on with the run, since the order found no room for the rest of its copy.
@@ -66,6 +72,38 @@
     End(PumpStep),
 }
 
+/// An order to the source to stop the run, and what is known since.
+struct StopOrder {
+    /// The latest order. Once answered, it is not polled any more.
+    task: CopyTask,
+    sent_at: TimePoint,
+    /// Events of the run that were read before the first order; `None` if its begin was read elsewhere.
+    events_before: Option<u64>,
+    answer: Option<StopAnswer>,
+    answered_at: TimePoint,
+    last_event_at: TimePoint,
+    body: BodyState,
+    /// When an order whose stream has closed is to be answered at the latest.
+    answer_due: Option<TimePoint>,
+    question: RunnerQuestion,
+}
+
+impl StopOrder {
+    /// What the source has answered. Events that were read before the first order show whether its count
+    /// is that of this stream.
+    fn answer(&self) -> Option<OrderAnswer> {
+        let answer = match self.answer.as_ref()? {
+            Ok(run) => {
+                OrderAnswer::Stopped(run.events.filter(|made| Some(*made) >= self.events_before))
+            }
+            Err(error) if error.is_not_found() => OrderAnswer::NotFound,
+            Err(error) if error.status() == Some(NO_ROOM) => OrderAnswer::NoRoom,
+            Err(_) => OrderAnswer::Refused,
+        };
+        Some(answer)
+    }
+}
+
 /// How a handover by an order ended.
 pub(super) enum OrderedStep {
     /// The handover has ended.
@@ -88,9 +126,10 @@
     ) -> OrderedStep {
         let (context, attempt) = (Rc::clone(&self.context), self.call.attempt.clone());
         let (from, to) = (self.source.runner.address, plan.runner.address);
-        let mut order = CopyTask::stop(context, attempt, from, to);
-        let answer = match self.wait_for_stop(&mut order).await {
-            StopEnd::Stopped(answer) => answer,
+        let task = CopyTask::stop(context, attempt, from, to);
+        let mut order = self.begin_order(task);
+        match self.wait_for_stop(&mut order, to).await {
+            StopEnd::Stopped => (),
             StopEnd::NoRoom if self.ends_by_close() => return OrderedStep::NoRoom(connection),
             StopEnd::CutOff => return OrderedStep::CutOff(connection),
             StopEnd::Kept | StopEnd::NoRoom => {
@@ -98,11 +137,15 @@
                 return OrderedStep::Done(HandoverStep::Kept);
             }
             StopEnd::End(step) => return OrderedStep::Done(HandoverStep::End(step)),
-        };
+        }
+        if order.answer() == Some(OrderAnswer::Unknown) {
+            self.order_again(&mut order, to);
+        }
+        let StopOrder { task, answer, .. } = order;
         let disconnected = self.caller.disconnected.clone();
         let mut disconnected = pin!(disconnected.wait().fuse());
         let resumed = {
-            let mut resuming = pin!(self.resume_stopped(&plan, connection, order, answer).fuse());
+            let mut resuming = pin!(self.resume_stopped(&plan, connection, task, answer).fuse());
             select_biased! {
                 () = disconnected => {
                     return OrderedStep::Done(HandoverStep::End(caller_disconnected()));
@@ -137,49 +180,50 @@
         self.context.run_ends.borrow().habit(&runner).is_none()
     }
 
-    /// Forwards the source until it has stopped the run as ordered, or is known to go on with it.
-    async fn wait_for_stop(&mut self, order: &mut CopyTask) -> StopEnd {
-        let mut answer: Option<StopAnswer> = None;
-        let mut question = self.ask_ordered(ORDER_SILENCE);
-        let mut due = None;
-        let mut has_gone_on = false;
-        // Whether the body was closed where it might have ended.
-        let mut is_cut_short = false;
+    fn begin_order(&self, task: CopyTask) -> StopOrder {
+        let now = self.context.now();
+        StopOrder {
+            task,
+            sent_at: now,
+            events_before: self.scanner.total_events(),
+            answer: None,
+            answered_at: now,
+            last_event_at: now,
+            body: BodyState::Open,
+            answer_due: None,
+            question: self.ask_ordered(ORDER_SILENCE),
+        }
+    }
+
+    /// Forwards the source until it has stopped the run as ordered, or is known to go on with it. `to` is the
+    /// next runner.
+    async fn wait_for_stop(&mut self, order: &mut StopOrder, to: SocketAddr) -> StopEnd {
         loop {
-            match &answer {
-                Some(Err(error)) if is_cut_short && error.is_not_found() => {
-                    // The body ended where the stream did.
-                    return StopEnd::End(PumpStep::End(RequestOutcome::Streamed, ""));
-                }
-                Some(Err(error)) if !self.source.ended => {
-                    self.log_send_failure(&error.to_string());
-                    if error.status() == Some(NO_ROOM) {
-                        return StopEnd::NoRoom;
-                    }
-                    // A run that the source no longer has is finished; its last events are in transit.
-                    self.stays |= error.is_not_found();
-                    return StopEnd::Kept;
-                }
-                Some(_) if self.source.ended => return StopEnd::Stopped(answer),
-                // The copy of the rest may take long: it queues behind those of other runs.
-                None if self.source.ended && !is_cut_short => {
-                    return StopEnd::Stopped(None);
-                }
-                _ => (),
+            let facts = self.stop_facts(order);
+            let decision = decide_stop(&facts, self.context.now());
+            let is_early = self.context.now() < order.sent_at + ORDER_PAUSE;
+            if decision == StopDecision::OrderAgain && !is_early {
+                self.log_stop(&facts, decision);
+                self.order_again(order, to);
+            } else if !matches!(decision, StopDecision::Wait | StopDecision::OrderAgain) {
+                self.log_stop(&facts, decision);
+                return self.end_stop(decision);
             }
-            match self.next_stop_input(order, &mut question, answer.is_none(), due).await {
+            let due = self.stop_input_due(order);
+            match self.next_stop_input(order, due).await {
                 StopInput::CallerDisconnected => return StopEnd::End(caller_disconnected()),
-                StopInput::Answered(result) => {
-                    due = result.is_ok().then(|| self.context.now() + CLOSE_TIME);
-                    answer = Some(result);
+                StopInput::Deadline => {
+                    let late = PumpStep::End(RequestOutcome::Interrupted, "deadline_passed");
+                    return StopEnd::End(late);
                 }
-                StopInput::Overdue if self.source.ended => return StopEnd::Stopped(None),
-                StopInput::Overdue if has_gone_on => {
-                    self.stays = true;
-                    record_habit(&self.context, &self.source.runner, EndHabit::IgnoresOrder);
-                    return StopEnd::Kept;
+                StopInput::Answered(answer) => {
+                    if let Err(error) = &answer {
+                        self.log_send_failure(&error.to_string());
+                    }
+                    order.answer = Some(answer);
+                    order.answered_at = self.context.now();
                 }
-                StopInput::Overdue => self.source.close(),
+                StopInput::Due => (),
                 StopInput::Asked(place) => {
                     self.log_unanswered_order(&place);
                     if self.is_source_lost(&place) && !self.source.ended {
@@ -187,60 +231,142 @@
                     }
                     let is_silent = place == AnswerPlace::Nowhere;
                     let pause = if is_silent { ORDER_SILENCE } else { QUESTION_PAUSE };
-                    question = self.ask_ordered(pause);
+                    order.question = self.ask_ordered(pause);
                 }
                 StopInput::Frame(Some(Ok(bytes))) => {
-                    question = self.ask_ordered(ORDER_SILENCE);
-                    has_gone_on |= answer.is_some();
+                    let events = self.scanner.event_count();
+                    order.question = self.ask_ordered(ORDER_SILENCE);
                     self.record_activity(self.context.now());
                     if let end @ PumpStep::End(..) = self.forward_events(&bytes).await {
                         return StopEnd::End(end);
                     }
+                    if self.scanner.event_count() > events {
+                        order.last_event_at = self.context.now();
+                    }
                 }
                 StopInput::Frame(None) if self.is_whole() && self.source.is_framed() => {
                     return StopEnd::End(PumpStep::End(RequestOutcome::Streamed, ""));
                 }
                 StopInput::Frame(lost) => {
-                    is_cut_short = lost.is_none() && self.is_whole();
-                    if answer.is_none() {
+                    let may_be_whole = lost.is_none() && self.is_whole();
+                    order.body =
+                        if may_be_whole { BodyState::MaybeWhole } else { BodyState::Broken };
+                    if order.answer.is_none() {
                         self.log_send_failure(&describe_loss(lost));
                     }
                     self.source.close();
-                    due = Some(self.context.now() + ANSWER_TIME);
+                    order.answer_due = Some(self.context.now() + ANSWER_TIME);
                 }
             }
         }
     }
 
+    fn stop_facts(&self, order: &StopOrder) -> StopFacts {
+        StopFacts {
+            answer: order.answer(),
+            answered_at: order.answered_at,
+            last_event_at: order.last_event_at,
+            events: self.scanner.total_events(),
+            body: order.body,
+            is_answer_late: order.answer_due.is_some_and(|due| due <= self.context.now()),
+        }
+    }
+
+    /// Ends the wait for the stop as decided.
+    fn end_stop(&mut self, decision: StopDecision) -> StopEnd {
+        match decision {
+            StopDecision::TakeNext => {
+                self.source.close();
+                StopEnd::Stopped
+            }
+            StopDecision::Finish => StopEnd::End(PumpStep::End(RequestOutcome::Streamed, "")),
+            StopDecision::NoRoom => StopEnd::NoRoom,
+            StopDecision::GoesOn => {
+                self.stays = true;
+                record_habit(&self.context, &self.source.runner, EndHabit::IgnoresOrder);
+                StopEnd::Kept
+            }
+            StopDecision::Keep | StopDecision::Wait | StopDecision::OrderAgain => StopEnd::Kept,
+        }
+    }
+
+    /// Sends the order once more: it is not known whether the source has followed the last one.
+    fn order_again(&self, order: &mut StopOrder, to: SocketAddr) {
+        let (context, attempt) = (Rc::clone(&self.context), self.call.attempt.clone());
+        order.task = CopyTask::stop(context, attempt, self.source.runner.address, to);
+        order.sent_at = self.context.now();
+        order.answer = None;
+    }
+
+    /// When the order is looked at again without an input.
+    fn stop_input_due(&self, order: &StopOrder) -> Option<TimePoint> {
+        if order.answer_due.is_some() {
+            return order.answer_due;
+        }
+        if order.answer() == Some(OrderAnswer::Unknown) {
+            return Some(order.sent_at + ORDER_PAUSE);
+        }
+        stop_due(&self.stop_facts(order))
+    }
+
+    /// Waits for the next input. The order of the branches is their priority.
     async fn next_stop_input(
         &mut self,
-        order: &mut CopyTask,
-        question: &mut RunnerQuestion,
-        is_open: bool,
+        order: &mut StopOrder,
         due: Option<TimePoint>,
     ) -> StopInput {
         let now = self.context.now();
-        let answered = async { if is_open { order.await } else { pending().await } };
+        let is_open = order.answer.is_none();
+        let (task, question) = (&mut order.task, &mut order.question);
+        let answered = async { if is_open { task.await } else { pending().await } };
         let asked = async { if is_open { question.await } else { pending().await } };
-        let overdue = async {
+        let passed = async {
             match due {
                 Some(due) => kernel::sleep(due.since(now).into()).await,
                 None => pending().await,
             }
         };
+        let deadline = kernel::sleep(self.call.deadline.since(now).into());
         let mut disconnected = pin!(self.caller.disconnected.wait().fuse());
-        let (mut answered, mut overdue) = (pin!(answered.fuse()), pin!(overdue.fuse()));
-        let mut asked = pin!(asked.fuse());
+        let (mut answered, mut passed) = (pin!(answered.fuse()), pin!(passed.fuse()));
+        let (mut asked, mut deadline) = (pin!(asked.fuse()), pin!(deadline.fuse()));
         let mut frame = pin!(self.source.next_frame().fuse());
         select_biased! {
             () = disconnected => StopInput::CallerDisconnected,
             frame = frame => StopInput::Frame(frame),
             answer = answered => StopInput::Answered(answer),
             place = asked => StopInput::Asked(place),
-            () = overdue => StopInput::Overdue,
+            () = passed => StopInput::Due,
+            () = deadline => StopInput::Deadline,
         }
     }
 
+    /// Logs and counts what was decided about a source that was ordered to stop, and from what.
+    fn log_stop(&self, facts: &StopFacts, decision: StopDecision) {
+        self.count_move(decision.as_str());
+        if !may_log(&self.context) {
+            return;
+        }
+        let now = self.context.now();
+        let made = match facts.answer {
+            Some(OrderAnswer::Stopped(made)) => made,
+            _ => None,
+        };
+        tracing::info!(
+            event = "stop_decided",
+            request = %self.call.attempt,
+            runner = %self.source.runner.runner,
+            decision = decision.as_str(),
+            answer = facts.answer.map(OrderAnswer::as_str),
+            answer_age_ms = now.since(facts.answered_at).as_millis(),
+            event_age_ms = now.since(facts.last_event_at).as_millis(),
+            made,
+            events = facts.events,
+            body = ?facts.body,
+            left_ms = self.call.deadline.since(now).as_millis(),
+        );
+    }
+
     /// Whether this node does not reach the source: it answers only another node, or it answers nobody and
     /// counts as unreached.
     fn is_source_lost(&self, place: &AnswerPlace) -> bool {
--- a/crates/node/src/streams/stream_copy.rs
+++ b/crates/node/src/streams/stream_copy.rs
@@ -9,7 +9,7 @@
 use std::task::{Context, Poll};
 
 use base::prelude::*;
-use platform::AttemptId;
+use platform::{AttemptId, KvCopy, StoppedRun};
 
 use crate::context::NodeContext;
 use crate::run_copies::{copy_between_runners, free_copy, stop_at_runner};
@@ -23,20 +23,19 @@
 pub struct RunCopy {
     /// Handle under which the target runner finds the copy, and the source the memory of a stopped run.
     pub handle: Arc<str>,
+    /// Events that the run had made when it was copied or stopped, if the source tells.
+    pub events: Option<u64>,
     /// Whether the target has the copy; if not, only the source has the memory.
     pub is_copied: bool,
     guard: CopyGuard,
 }
 
 impl RunCopy {
-    fn new(
-        context: Rc<NodeContext>,
-        source: SocketAddr,
-        handle: Arc<str>,
-        is_copied: bool,
-    ) -> Self {
+    /// The copy that `run` describes, of the run at `source`.
+    fn new(context: Rc<NodeContext>, source: SocketAddr, run: StoppedRun) -> Self {
+        let StoppedRun { handle, events, is_copied } = run;
         let guard = CopyGuard { context, source, handle: Some(handle.clone()) };
-        Self { handle, is_copied, guard }
+        Self { handle, events, is_copied, guard }
     }
 
     /// Keeps the copy for the run that has resumed from it.
@@ -69,7 +68,8 @@
             let limit = COPY_LIMIT;
             let copy = copy_between_runners(&context, &attempt, source, target, limit).await?;
             log_copy("run_copied", &context, &attempt, begun, copy.events);
-            Ok(RunCopy::new(context, source, copy.handle, true))
+            let KvCopy { handle, events } = copy;
+            Ok(RunCopy::new(context, source, StoppedRun { handle, events, is_copied: true }))
         })
     }
 
@@ -86,7 +86,7 @@
             let begun = context.now();
             let run = stop_at_runner(&context, &attempt, source, target, COPY_LIMIT).await?;
             log_copy("run_stopped", &context, &attempt, begun, run.events);
-            Ok(RunCopy::new(context, source, run.handle, run.is_copied))
+            Ok(RunCopy::new(context, source, run))
         })
     }
 
@@ -122,7 +122,7 @@
     context: &NodeContext,
     attempt: &AttemptId,
     begun: TimePoint,
-    events: u64,
+    events: Option<u64>,
 ) {
     let copy_ms = context.now().since(begun).as_millis();
     tracing::info!(event, request = %attempt, copy_ms, events);
--- a/crates/node/src/streams/stream_handover.rs
+++ b/crates/node/src/streams/stream_handover.rs
@@ -158,6 +158,9 @@
             events = self.scanner.event_count(),
         );
         self.scanner.discard_partial_event();
+        if plan.resume.is_none() {
+            self.scanner.begin_run();
+        }
         if plan.runner.runner != self.source.runner.runner {
             self.leaving_since = None;
             self.returned_at = None;
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -31,6 +31,7 @@
 mod retry_budget;
 mod run_ends;
 mod run_places;
+mod run_stop;
 mod runner_limit;
 mod runner_loss;
 mod runner_speeds;
@@ -81,6 +82,7 @@
     SourceState, WaitDecision, WaitFacts, asks_source, choose_silent_place, decide_wait,
     list_node_places,
 };
+pub use run_stop::{BodyState, OrderAnswer, StopDecision, StopFacts, decide_stop, stop_due};
 pub use runner_limit::{LimitChange, LimitReport, LimitTable, LimitUpdate, ServiceDemand};
 pub use runner_loss::{ProbeOutcome, RunnerLoss, has_crashed};
 pub use runner_speeds::{MAX_SPEED_ENTRIES, QuantizedLog, RunnerKey, SpeedEntry, SpeedUpdate};
--- a/crates/serving/src/stream_scan.rs
+++ b/crates/serving/src/stream_scan.rs
@@ -34,6 +34,8 @@
     event_count: u64,
     /// Whether events up to the last one may come again.
     may_repeat: bool,
+    /// Whether the first events of the run were read elsewhere.
+    lacks_begin: bool,
 }
 
 impl StreamScanner {
@@ -41,7 +43,7 @@
     /// `None`.
     #[must_use]
     pub fn after(last_id: Option<u64>) -> Self {
-        Self { last_id, ..Self::default() }
+        Self { last_id, lacks_begin: last_id.is_some(), ..Self::default() }
     }
 
     /// Id of the last complete event.
@@ -56,6 +58,18 @@
         self.event_count
     }
 
+    /// Number of complete events of the run so far; `None` if its first ones were read elsewhere, or if
+    /// another run has gone on after the last one.
+    #[must_use]
+    pub fn total_events(&self) -> Option<u64> {
+        (!self.lacks_begin).then_some(self.event_count)
+    }
+
+    /// The events from now on are those of another run.
+    pub fn begin_run(&mut self) {
+        self.lacks_begin = true;
+    }
+
     /// Bytes of the incomplete event.
     #[must_use]
     pub fn partial_bytes(&self) -> usize {
--- /dev/null
+++ b/crates/serving/tests/run_stop.rs
@@ -0,0 +1,83 @@
+//! What becomes of a stream whose source was ordered to stop its run.
+
+use base::prelude::*;
+use insta::assert_snapshot;
+use serving::{BodyState, OrderAnswer, StopFacts, decide_stop};
+
+const ANSWERED: TimePoint = TimePoint(10_000_000);
+
+/// Facts of an order that was answered at 10 s.
+fn facts(answer: Option<OrderAnswer>, events: Option<u64>, body: BodyState) -> StopFacts {
+    let is_answer_late = false;
+    StopFacts {
+        answer,
+        answered_at: ANSWERED,
+        last_event_at: ANSWERED,
+        events,
+        body,
+        is_answer_late,
+    }
+}
+
+/// Decisions some milliseconds after the answer.
+fn decisions(facts: StopFacts) -> String {
+    let decide = |ms| {
+        let decision = decide_stop(&facts, ANSWERED + TimeSpan::millis(ms));
+        format!("{ms} {}", decision.as_str())
+    };
+    [0, 399, 400, 1_999, 2_000].map(decide).join(", ")
+}
+
+#[test]
+fn events_from_before_the_stop_show_nothing_and_later_ones_that_the_source_goes_on() {
+    let stopped = Some(OrderAnswer::Stopped(Some(7)));
+    let untold = Some(OrderAnswer::Stopped(None));
+    let rows = [
+        ("before", facts(stopped, Some(7), BodyState::Open)),
+        ("beyond", facts(stopped, Some(8), BodyState::Open)),
+        ("begun elsewhere", facts(stopped, None, BodyState::Open)),
+        ("untold", facts(untold, Some(8), BodyState::Open)),
+    ];
+    let lines = rows.map(|(name, facts)| format!("{name}: {}", decisions(facts)));
+    assert_snapshot!(lines.join("\n"), @r"
+    before: 0 wait, 399 wait, 400 take_next, 1999 take_next, 2000 take_next
+    beyond: 0 goes_on, 399 goes_on, 400 goes_on, 1999 goes_on, 2000 goes_on
+    begun elsewhere: 0 wait, 399 wait, 400 take_next, 1999 take_next, 2000 take_next
+    untold: 0 wait, 399 wait, 400 take_next, 1999 take_next, 2000 take_next
+    ");
+}
+
+#[test]
+fn late_events_put_off_the_end_of_a_stopped_stream_for_a_while() {
+    let stopped = facts(Some(OrderAnswer::Stopped(Some(7))), Some(5), BodyState::Open);
+    let late = StopFacts { last_event_at: ANSWERED + TimeSpan::millis(1_900), ..stopped };
+    let gone = StopFacts { answer: Some(OrderAnswer::NotFound), ..late };
+    assert_snapshot!(decisions(late), @"0 wait, 399 wait, 400 wait, 1999 wait, 2000 take_next");
+    assert_snapshot!(decisions(gone), @"0 wait, 399 wait, 400 wait, 1999 wait, 2000 wait");
+}
+
+#[test]
+fn an_ended_body_and_the_answer_decide_together() {
+    let answers = [
+        None,
+        Some(OrderAnswer::Stopped(Some(7))),
+        Some(OrderAnswer::NotFound),
+        Some(OrderAnswer::NoRoom),
+        Some(OrderAnswer::Refused),
+        Some(OrderAnswer::Unknown),
+    ];
+    let line = |answer: Option<OrderAnswer>| {
+        let bodies = [BodyState::Open, BodyState::MaybeWhole, BodyState::Broken];
+        let decide = |body| decide_stop(&facts(answer, Some(7), body), ANSWERED).as_str();
+        let name = answer.map_or("none", OrderAnswer::as_str);
+        format!("{name}: {}", bodies.map(decide).join(", "))
+    };
+    assert_snapshot!(answers.map(line).join("\n"), @r"
+    none: wait, wait, take_next
+    stopped: wait, take_next, take_next
+    not_found: wait, finish, take_next
+    no_room: no_room, take_next, take_next
+    refused: keep, take_next, take_next
+    unknown: order_again, take_next, take_next
+    ");
+}
