Order a run to stop again when it is not known whether it has

Cause: an order to stop that was not answered within 2.5 s counted as refused. Its answer waits for the copy of the rest, which queues behind those of other runs, and the end of the stream is read late at a node that is behind. The copy was freed, the next order got 404, and the stream ended with its source.

Change: after an outcome that is not known the order is sent again, while the source is read on and the copy kept: its answer, or the end of the stream, shows what became of the run. A run that has stopped, with an order that is not answered, orders again to learn where its memory is.

--- a/crates/harness/tests/node_late_reads.rs
+++ b/crates/harness/tests/node_late_reads.rs
@@ -69,3 +69,42 @@
     })
     .unwrap();
 }
+
+/// Has `source` leave; waits until its run is copied. The order to stop it, which comes next, is answered
+/// after `order_time`.
+async fn leave_slowly(services: &ServiceFleet, source: &LinkedRunner, order_time: Duration) {
+    const COPY_TIME: Duration = Duration::from_millis(100);
+    let runner = &source.runner;
+    runner.slow_moves(COPY_TIME);
+    tell(services, source, "draining");
+    let is_copied = async || (runner.moves().len() == 1).then_some(());
+    wait_until("a copy of the run", LIMIT, is_copied).await.unwrap();
+    runner.slow_moves(order_time);
+}
+
+/// Guards against LOST: an order whose answer is late counts as refused, although its run has stopped.
+#[test]
+fn a_stream_whose_order_to_stop_is_answered_too_late_goes_on_elsewhere() {
+    /// Longer than an order is waited for.
+    const ORDER_TIME: Duration = Duration::from_secs(3);
+    /// Bytes a second with which the last events are read later than that.
+    const SLOW_RATE: u64 = 1_000;
+    let _turn = take_turn();
+    kernel::run(async {
+        let services = ServiceFleet::start(long_streams).await;
+        let request = stream_without_copy("late-order");
+        let leave = async {
+            let source = find_source(&services).await;
+            sleep(FILL_AFTER).await;
+            source.link.set_answer_rate(SLOW_RATE);
+            sleep(LEAVE_AFTER).await;
+            leave_slowly(&services, source, ORDER_TIME).await;
+        };
+        let (stream, ()) = join(services.fleet.read_stream(CUT, &request), leave).await;
+        let node = &services.fleet.nodes[CUT];
+        let lines = [node.events("send_failed"), node.events("end")];
+        assert!(stream.has_all(EVENTS), "{stream:?} {lines:?}");
+        assert_eq!(services.most_runs(), 1);
+    })
+    .unwrap();
+}
--- a/crates/node/src/streams/run_stop.rs
+++ b/crates/node/src/streams/run_stop.rs
@@ -98,6 +98,7 @@
             }
             Err(error) if error.is_not_found() => OrderAnswer::NotFound,
             Err(error) if error.status() == Some(NO_ROOM) => OrderAnswer::NoRoom,
+            Err(error) if error.is_outcome_unknown() => OrderAnswer::Unknown,
             Err(_) => OrderAnswer::Refused,
         };
         Some(answer)
