Wait for a silent next runner while a stopped run has no other place

Cause: 250 ms after the request was sent to the next runner its connection was closed, which uses the copy up, also while the order was not answered and no other place was known. A sound runner may be silent for a second, and a node that is behind reads its answer late.

Change: while no other place is known, the next runner has 2.5 s. The answer to the order is an input of that wait: once it shows another place, 250 ms hold again. The places of a stopped run are one struct.

--- a/crates/harness/tests/node_late_reads.rs
+++ b/crates/harness/tests/node_late_reads.rs
@@ -108,3 +108,37 @@
     })
     .unwrap();
 }
+
+/// Guards against LOST: the next runner is given up in its moment of silence, and has used up the memory.
+#[test]
+fn a_stopped_run_waits_for_a_silent_next_runner_while_no_other_place_is_known() {
+    /// How long a sound runner may be silent.
+    const SILENCE: Duration = Duration::from_millis(1_200);
+    const ORDER_TIME: Duration = Duration::from_secs(4);
+    let _turn = take_turn();
+    kernel::run(async {
+        let services = ServiceFleet::start(long_streams).await;
+        let request = stream_without_copy("late-head");
+        let leave = async {
+            let source = find_source(&services).await;
+            sleep(FILL_AFTER).await;
+            leave_slowly(&services, source, ORDER_TIME).await;
+            let others =
+                services.runners.iter().filter(|other| other.runner.id() != source.runner.id());
+            let others: Vec<_> = others.filter(|other| other.service == source.service).collect();
+            for other in &others {
+                other.runner.fall_silent();
+            }
+            sleep(SILENCE).await;
+            for other in &others {
+                other.runner.go_on();
+            }
+        };
+        let (stream, ()) = join(services.fleet.read_stream(CUT, &request), leave).await;
+        let node = &services.fleet.nodes[CUT];
+        let lines = [node.events("send_failed"), node.events("end"), node.events("stop_decided")];
+        assert!(stream.has_all(EVENTS), "{stream:?} {lines:?}");
+        assert_eq!(services.most_runs(), 1);
+    })
+    .unwrap();
+}
--- a/crates/node/src/streams/run_return.rs
+++ b/crates/node/src/streams/run_return.rs
@@ -3,12 +3,14 @@
 //! Load pattern: the next runner is full, silent or cut off from this node. What was stopped goes on from
 //! its copy, or returns to its source, which keeps its memory.
 
+use std::future::pending;
+use std::pin::pin;
 use std::rc::Rc;
 
 use base::prelude::*;
 use futures_util::{FutureExt, select_biased};
 use platform::ResumeSource;
-use serving::{AnswerPlace, SendOutcome};
+use serving::{AnswerPlace, RunnerLoss, RunnerRecord, SendOutcome};
 use web::{WebConnection, WebExchange};
 
 use super::run_stop::{ORDER_SILENCE, StopAnswer};
@@ -21,9 +23,13 @@
 use crate::runner_gate::SendPurpose;
 use crate::runner_send::{SendFailure, SendPlan, connect_to_runner, send_connected};
 
-/// Time for which a stopped run waits for a runner to go on with it. A runner that has its memory
-/// answers with its next step.
+/// Time for which a stopped run that can go on elsewhere waits for a runner to go on with it. A runner that
+/// has its memory answers with its next step.
 const HEAD_TIME: TimeSpan = TimeSpan::millis(250);
+/// The same for one that cannot, as far as is known: a sound runner may be silent for a second.
+const SILENCE_TIME: TimeSpan = TimeSpan::millis(2_500);
+/// Reason of a runner that has the memory and was given up for another place.
+const HEAD_LATE: &str = "no head in time";
 /// Number of times that each place of a stopped run's memory is asked to go on with it.
 const RESUME_ROUNDS: u32 = 3;
 /// Pause between these times.
@@ -33,6 +39,60 @@
 /// Reason of a run that may not go on at its source any more.
 const RETURN_LATE: &str = "source_left";
 
+/// Where the memory of a stopped run is.
+struct StoppedPlaces {
+    source: RunnerRecord,
+    /// The handover that the run was stopped for.
+    handover: SendPlan,
+    /// The sends by which the run can go on.
+    plans: Vec<SendPlan>,
+    /// Runners that may have taken the run and gave no answer.
+    lost: Vec<RunnerId>,
+    /// The order, while it is not answered.
+    order: Option<CopyTask>,
+    /// What the order has left.
+    copy: Option<RunCopy>,
+}
+
+impl StoppedPlaces {
+    fn new(
+        source: RunnerRecord,
+        plan: &SendPlan,
+        order: CopyTask,
+        answer: Option<StopAnswer>,
+    ) -> Self {
+        let order = answer.is_none().then_some(order);
+        let (handover, plans, lost) = (plan.clone(), vec![plan.clone()], Vec::new());
+        let mut places = Self { source, handover, plans, lost, order, copy: None };
+        if let Some(answer) = answer {
+            places.add_stopped(answer);
+        }
+        places
+    }
+
+    /// Adds the places where an order has left the memory of the run: the next runner, if it has a copy, and
+    /// the source.
+    fn add_stopped(&mut self, answer: StopAnswer) {
+        let Ok(copy) = answer else { return };
+        let address = self.source.address;
+        let resume = ResumeSource { address, handle: copy.handle.clone(), last_event_id: None };
+        if copy.is_copied {
+            self.plans.push(SendPlan { resume: Some(resume.clone()), ..self.handover.clone() });
+        }
+        let back = SendPlan::resume(self.source.clone(), resume, None);
+        self.plans.push(SendPlan { purpose: SendPurpose::Return, ..back });
+        self.copy = Some(copy);
+    }
+
+    /// Keeps the copy that `plan` has used.
+    fn keep_used(&mut self, plan: &SendPlan) {
+        let used = plan.resume.as_ref().map(|resume| &resume.handle);
+        if let Some(copy) = self.copy.take_if(|copy| used == Some(&copy.handle)) {
+            copy.keep();
+        }
+    }
+}
+
 impl StreamPump {
     /// Waits for the answer to an order. `None` if the source answers another node, and not this one.
     async fn await_order(&self, mut order: CopyTask) -> Option<StopAnswer> {
@@ -61,81 +121,49 @@
         answer: Option<StopAnswer>,
     ) -> Result<(SendPlan, WebExchange), Vec<RunnerId>> {
         let mut connection = Some(connection);
-        let mut plans = vec![plan.clone()];
-        let mut lost: Vec<RunnerId> = Vec::new();
-        let mut order = answer.is_none().then_some(order);
-        let mut copy = answer.and_then(|answer| self.add_stopped(&mut plans, plan, answer));
+        let mut places = StoppedPlaces::new(self.source.runner.clone(), plan, order, answer);
         for round in 0..RESUME_ROUNDS {
             if round > 0 {
                 kernel::sleep(ROUND_PAUSE.into()).await;
             }
             let mut number = 0;
-            while let Some(mut next) = plans.get(number).cloned() {
+            while let Some(next) = places.plans.get(number).cloned() {
                 number += 1;
-                if lost.contains(&next.runner.runner) {
+                if places.lost.contains(&next.runner.runner) {
                     continue;
                 }
-                match self.resume_at(&mut next, connection.take()).await {
-                    Ok(exchange) => {
-                        let used = next.resume.as_ref().map(|resume| &resume.handle);
-                        if let Some(copy) = copy.filter(|copy| used == Some(&copy.handle)) {
-                            copy.keep();
-                        }
-                        return Ok((next, exchange));
+                match self.resume_at(next.clone(), connection.take(), &mut places).await {
+                    Ok(resumed) => {
+                        places.keep_used(&resumed.0);
+                        return Ok(resumed);
                     }
                     Err(failure) => {
                         self.note_refusal(&next, &failure.reason);
                         if failure.outcome == SendOutcome::Unknown {
-                            lost.push(next.runner.runner);
+                            places.lost.push(next.runner.runner);
                         }
                     }
                 }
-                if let Some(order) = order.take()
-                    && let Some(Ok(run)) = self.await_order(order).await
+                if let Some(order) = places.order.take()
+                    && let Some(answer) = self.await_order(order).await
                 {
-                    copy = self.add_stopped(&mut plans, plan, Ok(run));
+                    places.add_stopped(answer);
                 }
             }
         }
-        Err(lost)
+        Err(places.lost)
     }
 
-    /// Adds the places where an order has left the memory of the run: the runner of `plan`, if it has
-    /// a copy, and the source.
-    fn add_stopped(
-        &self,
-        plans: &mut Vec<SendPlan>,
-        plan: &SendPlan,
-        answer: StopAnswer,
-    ) -> Option<RunCopy> {
-        let copy = answer.ok()?;
-        let source = &self.source.runner;
-        let address = source.address;
-        let resume = ResumeSource { address, handle: copy.handle.clone(), last_event_id: None };
-        if copy.is_copied {
-            plans.push(SendPlan { resume: Some(resume.clone()), ..plan.clone() });
-        }
-        let back = SendPlan::resume(source.clone(), resume, None);
-        plans.push(SendPlan { purpose: SendPurpose::Return, ..back });
-        Some(copy)
-    }
-
-    /// Sends the request as `plan` says, and waits for the head of a success.
+    /// Sends the request as `plan` says, and waits for the head of a success: for [`HEAD_TIME`] if the run can
+    /// go on elsewhere, and for [`SILENCE_TIME`] as long as no other place is known.
     async fn resume_at(
         &mut self,
-        plan: &mut SendPlan,
+        mut plan: SendPlan,
         connection: Option<WebConnection>,
-    ) -> Result<WebExchange, SendFailure> {
+        places: &mut StoppedPlaces,
+    ) -> Result<(SendPlan, WebExchange), SendFailure> {
         let (context, call) = (Rc::clone(&self.context), Rc::clone(&self.call));
-        if plan.purpose == SendPurpose::Return && !self.may_return(TimeSpan::default()) {
-            return Err(SendFailure::withheld(RETURN_LATE));
-        }
-        if self.ticket.assigned_runner().as_ref() != Some(&plan.runner.runner) {
-            self.ticket.relocate_to(&plan.runner.runner);
-        }
-        if plan.purpose == SendPurpose::Return {
-            plan.backup = choose_backup(&context, &call, &self.ticket);
-        }
+        self.prepare_return(&mut plan)?;
         if let Some(resume) = &mut plan.resume {
             resume.last_event_id = self.scanner.last_id();
         }
@@ -145,10 +173,9 @@
             let connecting = connect_to_runner(&context, &call, &plan.runner, plan.purpose);
             Box::pin(connecting).await?
         };
-        let limit = HEAD_TIME.min(call.deadline.since(context.now()));
         call.run_place.replace(RunPlace::Runner(plan.runner.runner.clone()));
         let run = OpenRun::new(&context, &call, &plan.runner);
-        let sent = Box::pin(send_connected(&context, &call, plan, connection, limit)).await;
+        let sent = self.send_to_place(&plan, connection, places).await;
         if sent.as_ref().is_err_and(|failure| failure.outcome == SendOutcome::Unknown) {
             // It may work on the run, which goes on elsewhere.
             drop(run);
@@ -158,11 +185,70 @@
         let exchange = sent?;
         let status = exchange.response.status();
         if status.is_success() {
-            return Ok(exchange);
+            return Ok((plan, exchange));
         }
         Err(SendFailure::withheld(&status.to_string()))
     }
 
+    /// Assigns the call to the runner of `plan`, and checks whether the run may still return to its source.
+    fn prepare_return(&mut self, plan: &mut SendPlan) -> Result<(), SendFailure> {
+        let is_return = plan.purpose == SendPurpose::Return;
+        if is_return && !self.may_return(TimeSpan::default()) {
+            return Err(SendFailure::withheld(RETURN_LATE));
+        }
+        if self.ticket.assigned_runner().as_ref() != Some(&plan.runner.runner) {
+            self.ticket.relocate_to(&plan.runner.runner);
+        }
+        if is_return {
+            plan.backup = choose_backup(&self.context, &self.call, &self.ticket);
+        }
+        Ok(())
+    }
+
+    /// Sends the request to one place. What the source answers meanwhile may show another one.
+    async fn send_to_place(
+        &self,
+        plan: &SendPlan,
+        connection: WebConnection,
+        places: &mut StoppedPlaces,
+    ) -> Result<WebExchange, SendFailure> {
+        let (context, call) = (&self.context, &self.call);
+        let begun = context.now();
+        let limit = SILENCE_TIME.min(call.deadline.since(begun));
+        let sending = Box::pin(send_connected(context, call, plan, connection, limit));
+        let mut sending = pin!(sending.fuse());
+        loop {
+            let has_other =
+                places.plans.iter().any(|other| self.is_other_place(other, plan, places));
+            let left = (begun + HEAD_TIME).since(context.now());
+            let late = async {
+                if has_other { kernel::sleep(left.into()).await } else { pending().await }
+            };
+            let mut late = pin!(late.fuse());
+            let answered = async {
+                match &mut places.order {
+                    Some(order) => order.await,
+                    None => pending().await,
+                }
+            };
+            let mut answered = pin!(answered.fuse());
+            let answer = select_biased! {
+                sent = sending => return sent,
+                answer = answered => answer,
+                () = late => return Err(SendFailure::stream_lost(HEAD_LATE, RunnerLoss::NoAnswer)),
+            };
+            places.order = None;
+            places.add_stopped(answer);
+        }
+    }
+
+    /// Whether the run can go on as `other` says instead of as `plan` says.
+    fn is_other_place(&self, other: &SendPlan, plan: &SendPlan, places: &StoppedPlaces) -> bool {
+        let is_open = other.purpose != SendPurpose::Return || self.may_return(TimeSpan::default());
+        let runner = &other.runner.runner;
+        is_open && *runner != plan.runner.runner && !places.lost.contains(runner)
+    }
+
     /// Whether the run can go on at its source if it is not taken elsewhere, or has not had to so far.
     pub(crate) fn may_leave_again(&self) -> bool {
         self.returned_at.is_none() || self.may_return(RETURN_MARGIN)
