Write an end line for each stream that a stop cuts, and count it

Ruled out: ending the streams before the process does. Their answers could then look complete, or end earlier than today; the lines are written once nothing is polled any more, and the connections stay as they are.

Change: streams under way are kept in two lists, with and without a response head. Just before the last `stop` line each gets its `end` line, reason `stopped`: `cut` with 200, or `unknown` with status 0 without a head. They count in `stop_cuts`, `cut` and `requests`. `yard explain` knows the reason.

The relay of a stream that another node forwards is changed in the same way, without a test of its own.

--- a/crates/harness/tests/node_stop_load.rs
+++ b/crates/harness/tests/node_stop_load.rs
@@ -1,13 +1,15 @@
 //! A planned stop of a node that is under load: what it has accepted is answered to its end.
 
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use compio::io::{AsyncRead, AsyncWriteExt};
 use compio::net::TcpStream;
 use fakes::platform::{LONG_BODY_BYTES, RunnerFakeSettings, RunnerScript};
 use futures_util::future::join_all;
-use harness::{CallerRequest, HOST, KEY, NodeFleet, WholeAnswer, wait_until};
+use harness::{CallerRequest, HOST, KEY, NodeFleet, SeenStream, WholeAnswer, wait_until};
 use rustix::process::Signal;
+use serde_json::json;
 
 const LIMIT: Duration = Duration::from_secs(10);
 /// Time that a call takes at a runner.
@@ -117,6 +119,55 @@
     .unwrap();
 }
 
+/// Checks that the stop has ended one stream, and that one line says so.
+async fn check_cut(fleet: &NodeFleet, outcome: &str) {
+    fleet.wait_event(0, "stop", "step", &json!("ended")).await.unwrap();
+    let ends = fleet.nodes[0].events("end");
+    let ends: Vec<_> = ends.iter().filter(|end| end["request"] == "s1").collect();
+    assert_eq!(ends.len(), 1, "{ends:?}");
+    assert_eq!((&ends[0]["outcome"], &ends[0]["reason"]), (&json!(outcome), &json!("stopped")));
+    assert_eq!(fleet.nodes[0].events("stop").last().unwrap()["cut"], 1);
+}
+
+/// Guards against a stream that a stop cuts and that no line tells from one that a fault cuts.
+#[test]
+fn a_stream_that_outlives_a_planned_stop_has_an_end_line_that_names_the_stop() {
+    kernel::run(async {
+        let mut fleet = NodeFleet::start().await.unwrap();
+        let mut settings = RunnerFakeSettings::new("llm-1");
+        (settings.events, settings.event_pause) = (200, WORK / 4);
+        let _llm = fleet.add_runner("llm", settings).await.unwrap();
+        fleet.add_node_with(&[("stop_seconds", json!(4.0))], true).unwrap();
+        fleet.wait_ready().await.unwrap();
+        let opened = fleet.open(0, &CallerRequest::stream("s1")).await.unwrap();
+        fleet.nodes[0].signal(Signal::TERM).unwrap();
+        let seen = SeenStream::read(opened).await;
+        assert!(!seen.is_whole && !seen.ids.is_empty(), "{seen:?}");
+        check_cut(&fleet, "cut").await;
+    })
+    .unwrap();
+}
+
+/// Guards against a stream whose runner answers later than its node stops, and that no line ends.
+#[test]
+fn a_stream_without_a_head_at_the_end_of_a_planned_stop_has_an_end_line() {
+    kernel::run(async {
+        let mut fleet = NodeFleet::start().await.unwrap();
+        let llm = fleet.add_runner("llm", RunnerFakeSettings::new("llm-1")).await.unwrap();
+        fleet.add_node_with(&[("stop_seconds", json!(4.0))], true).unwrap();
+        fleet.wait_ready().await.unwrap();
+        llm.script(&[RunnerScript::Silent]);
+        let fleet = Rc::new(fleet);
+        let caller = Rc::clone(&fleet);
+        let sent = kernel::spawn(async move { caller.send(0, &CallerRequest::stream("s1")).await });
+        fleet.wait_event(0, "send", "request", &json!("s1")).await.unwrap();
+        fleet.nodes[0].signal(Signal::TERM).unwrap();
+        assert_eq!(sent.await.unwrap().status, 0);
+        check_cut(&fleet, "unknown").await;
+    })
+    .unwrap();
+}
+
 /// Guards against a stop that takes until the kill because a caller keeps a connection open.
 #[test]
 fn open_connections_without_a_request_do_not_delay_a_planned_stop() {
--- a/crates/node/src/call_log.rs
+++ b/crates/node/src/call_log.rs
@@ -129,7 +129,7 @@
     pub outcome: RequestOutcome,
     /// Why the request was refused or failed; empty otherwise.
     pub reason: &'static str,
-    /// HTTP status sent to the caller.
+    /// HTTP status sent to the caller; 0 if none was.
     pub status: u16,
 }
 
--- a/crates/node/src/caller_server.rs
+++ b/crates/node/src/caller_server.rs
@@ -75,8 +75,10 @@
     let (parts, mut body) = request.into_parts();
     let mut response = match match_call(context, parts, &mut body, head, arrived, source).await {
         Ok(call) if call.route.kind == RouteKind::Stream => {
+            let call = Rc::new(call);
+            let _open = context.headless_streams.open(&call);
             // On the heap: requests of other kinds would take its size as well.
-            Box::pin(run_stream(context, router, Rc::new(call), closer)).await
+            Box::pin(run_stream(context, router, call, closer)).await
         }
         Ok(call) => {
             let call = Rc::new(call);
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -107,6 +107,10 @@
     pub work_times: RefCell<CallTimes>,
     /// Plain calls under way.
     pub open_calls: OpenCalls,
+    /// Streams under way that have no response head yet.
+    pub headless_streams: OpenCalls,
+    /// Streams under way whose response head has been sent.
+    pub open_streams: OpenCalls,
     /// Until when this node takes and answers calls; `None` until it is asked to stop.
     pub stop_window: Cell<Option<StopWindow>>,
     /// Raised when the process is asked to stop, after `stop_window` was set.
@@ -170,6 +174,8 @@
             call_times: RefCell::default(),
             work_times: RefCell::default(),
             open_calls: OpenCalls::default(),
+            headless_streams: OpenCalls::default(),
+            open_streams: OpenCalls::default(),
             stop_window: Cell::default(),
             stop: StopSignal::new(),
             active_requests: Cell::default(),
--- a/crates/node/src/forward/relay.rs
+++ b/crates/node/src/forward/relay.rs
@@ -89,6 +89,7 @@
     mut caller: CallerSide,
 ) {
     let _active = context.track_request();
+    let open = context.open_streams.open(&call);
     let TakenResume { node, exchange } = taken;
     let WebExchange { response, connection } = exchange;
     let mut body = response.into_body();
@@ -126,6 +127,7 @@
             break (RequestOutcome::CallerDisconnected, "");
         }
     };
+    open.end();
     log_end(&context, &call, RequestSummary { outcome, reason, status: 200 });
     drop(connection);
     if outcome == RequestOutcome::Interrupted {
--- a/crates/node/src/metrics/mod.rs
+++ b/crates/node/src/metrics/mod.rs
@@ -65,7 +65,7 @@
     pub unproven_answers: Counter,
     /// Calls that this node did not take or send since it was stopping, by reason.
     pub stop_refusals: Family<WithheldLabels, Counter>,
-    /// Calls still under way at the end of a stop, which were told that their outcome is unknown.
+    /// Calls still under way at the end of a stop: plain ones, told that their outcome is unknown, and streams.
     pub stop_cuts: Counter,
     /// Runners that went on with a run that they were to end, by what they ignored.
     pub end_habits: Family<WithheldLabels, Counter>,
--- a/crates/node/src/open_calls.rs
+++ b/crates/node/src/open_calls.rs
@@ -1,4 +1,5 @@
-//! The plain calls that are under way, from which a stopping node sees that calls have become slower.
+//! The calls that are under way: from the plain ones a stopping node sees that calls have become slower, and
+//! the streams are those that the end of its process cuts.
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -9,20 +10,25 @@
 
 use crate::call::Call;
 
-/// The plain calls under way.
+/// Calls under way, of one kind.
 #[derive(Default)]
 pub struct OpenCalls {
-    calls: RefCell<BTreeMap<u64, Rc<Call>>>,
+    calls: Rc<RefCell<BTreeMap<u64, Rc<Call>>>>,
     next_key: Cell<u64>,
 }
 
 impl OpenCalls {
-    /// Counts a call as under way until the returned guard is dropped.
-    pub fn open(&self, call: &Rc<Call>) -> OpenCall<'_> {
+    /// Counts a call as under way until the returned guard is dropped, or has ended it.
+    pub fn open(&self, call: &Rc<Call>) -> OpenCall {
         let key = self.next_key.get();
         self.next_key.set(key + 1);
         self.calls.borrow_mut().insert(key, Rc::clone(call));
-        OpenCall { calls: self, key }
+        OpenCall { calls: Rc::clone(&self.calls), key }
+    }
+
+    /// Takes out all calls.
+    pub fn take(&self) -> Vec<Rc<Call>> {
+        self.calls.take().into_values().collect()
     }
 
     /// Time since the earliest begin of the calls of a route, where `begin` gives that of a call; zero
@@ -40,14 +46,21 @@
     }
 }
 
-/// A call under way; it has ended when this is dropped.
-pub struct OpenCall<'a> {
-    calls: &'a OpenCalls,
+/// A call under way; it has ended at the latest when this is dropped.
+pub struct OpenCall {
+    calls: Rc<RefCell<BTreeMap<u64, Rc<Call>>>>,
     key: u64,
 }
 
-impl Drop for OpenCall<'_> {
+impl OpenCall {
+    /// Counts the call as ended.
+    pub fn end(&self) {
+        self.calls.borrow_mut().remove(&self.key);
+    }
+}
+
+impl Drop for OpenCall {
     fn drop(&mut self) {
-        self.calls.calls.borrow_mut().remove(&self.key);
+        self.end();
     }
 }
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -27,7 +27,7 @@
 use crate::router::RouterService;
 use crate::runner_poll::poll_runners;
 use crate::signals::{NodeSignals, follow_reloads, log_repeated_stops};
-use crate::stop_intake::log_stop_end;
+use crate::stop_intake::{cut_streams, log_stop_end};
 use crate::store_reader::StoreReader;
 
 /// Timeout of one exchange with the store, in addition to the requested wait. The store
@@ -102,6 +102,7 @@
     let deadline = drain_requests(&context).await;
     stop.raise();
     let connections = drain_connections(&context, &servers, deadline + WRITE_RESERVE).await;
+    cut_streams(&context);
     log_stop_end(&context, connections);
     Ok(())
 }
--- a/crates/node/src/stop_intake.rs
+++ b/crates/node/src/stop_intake.rs
@@ -20,7 +20,7 @@
 const EXPECTATION_AGE: TimeSpan = TimeSpan::millis(100);
 /// Reason of a refusal by a stopping node.
 const STOPPING: &str = "stopping";
-/// Reason of an unknown outcome because the process ended before the call did.
+/// Reason of a call that ends since the process does.
 const STOPPED: &str = "stopped";
 /// Label of refused streams, whose end is not known when they arrive.
 const STREAM: &str = "stream";
@@ -130,6 +130,22 @@
     CallRejection::new(status, STOPPED).reply()
 }
 
+/// Logs and counts the streams that the end of the process cuts. Their connections stay as they are until
+/// then: an answer that ends early must not look complete.
+pub fn cut_streams(context: &NodeContext) {
+    let begun =
+        RequestSummary { outcome: RequestOutcome::Interrupted, reason: STOPPED, status: 200 };
+    let headless = RequestSummary { outcome: RequestOutcome::Unknown, reason: STOPPED, status: 0 };
+    for (streams, summary) in
+        [(&context.open_streams, begun), (&context.headless_streams, headless)]
+    {
+        for call in streams.take() {
+            context.metrics.stop_cuts.inc();
+            log_end(context, &call, summary);
+        }
+    }
+}
+
 fn count_refusal(context: &NodeContext, reason: &'static str) {
     context.metrics.stop_refusals.get_or_create(&WithheldLabels { reason }).inc();
 }
--- a/crates/node/src/streams/stream_pump.rs
+++ b/crates/node/src/streams/stream_pump.rs
@@ -21,6 +21,7 @@
 use crate::call_log::{RequestOutcome, RequestSummary, format_parts, log_end, log_send_failure};
 use crate::context::{NodeContext, RequestGuard};
 use crate::crash_watch::{PROOF_SPAN, record_answer};
+use crate::open_calls::OpenCall;
 use crate::route_ticket::RouteTicket;
 use crate::router::RouterService;
 use crate::run_end_watch::watch_closed_run;
@@ -103,6 +104,7 @@
     /// The question to the node that a silent stream comes through.
     pub(crate) pending_question: Option<NodeQuestion>,
     pace: StreamPace,
+    open: OpenCall,
     _active: RequestGuard,
 }
 
@@ -117,6 +119,7 @@
     ) -> Self {
         let StreamParts { call, ticket, source, attempts, resumed_after } = parts;
         call.run_place.replace(source.run_place());
+        let open = context.open_streams.open(&call);
         Self {
             context: Rc::clone(context),
             router: Rc::clone(router),
@@ -138,6 +141,7 @@
             pending_check: None,
             pending_question: None,
             pace: StreamPace::default(),
+            open,
             _active: context.track_request(),
         }
     }
@@ -337,6 +341,7 @@
             changes = self.changes,
             parts = format_parts(&self.call.head.shared_parts),
         );
+        self.open.end();
         log_end(&self.context, &self.call, RequestSummary { outcome, reason, status: 200 });
         self.call.run_place.take();
         if outcome != RequestOutcome::Streamed {
--- a/crates/yard/src/request_trace.rs
+++ b/crates/yard/src/request_trace.rs
@@ -9,7 +9,7 @@
 
 /// Why requests end as they do: the reason in the line `end`, what it means, and the kinds of lines
 /// that tell more.
-const REASONS: [(&str, &str, &[&str]); 28] = [
+const REASONS: [(&str, &str, &[&str]); 29] = [
     ("no_runner", "all runners of the service leave or are gone", &["runner_changed"]),
     (
         "runners_wait",
@@ -53,6 +53,7 @@
     ("unauthorized", "the configuration in force does not know its key", CONFIGURATION),
     ("not_ready", "the node had no configuration yet", CONFIGURATION),
     ("stopping", "the node was told to stop", &["stop"]),
+    ("stopped", "the process of the node ended its stop before the request had ended", &["stop"]),
     ("memory_full", "the node had no memory left for request bodies", &[]),
     ("connections_full", "the node had no connection left for callers", &[]),
     ("no_attempt_id", "the request has no attempt id", &[]),
