Show how late a node's timers fire, and how long a configuration took

`loop_held` shows a step that holds the loop, but only as a poll; `plan_in_force` did not say how long a read from the store took (`plan_fetched` does for one from another node).

Ruled out: a line for each late timer (no bound); a limit below 100 ms for the line, since a processor quota with periods of 100 ms would write one each second: the histogram has these.

Change: a task that sleeps 50 ms at a time (20 wake-ups a second) and observes the overshoot in `yard_node_loop_lag_seconds`; `node_behind` with `lag_ms` after a second with more than 100 ms, one line a second at most. `plan_in_force` has `took_ms` and, from the store, `bytes`. No logic reads any of it.

--- a/crates/harness/tests/node_loop_holds.rs
+++ b/crates/harness/tests/node_loop_holds.rs
@@ -28,6 +28,32 @@
     .unwrap();
 }
 
+/// Guards against a node that is behind, and of which neither lines nor metrics say so.
+#[test]
+fn timers_that_fire_late_are_on_the_metrics_page_and_in_a_line() {
+    kernel::run(async {
+        let mut fleet = NodeFleet::start().await.unwrap();
+        fleet.add_node().unwrap();
+        fleet.wait_ready().await.unwrap();
+        fleet.nodes[0].signal(Signal::STOP).unwrap();
+        compio::time::sleep(HOLD).await;
+        fleet.nodes[0].signal(Signal::CONT).unwrap();
+        let line = wait_until("a line", LIMIT, async || {
+            let lines = fleet.nodes[0].events("node_behind");
+            lines.into_iter().find(|line| line["lag_ms"].as_u64() >= Some(200))
+        });
+        line.await.unwrap();
+        let page = fleet.metrics(0).await;
+        let name = "yard_node_loop_lag_seconds_bucket{le=\"0.128\"} ";
+        let count = |name: &str| {
+            let count = page.lines().find_map(|line| line.strip_prefix(name));
+            count.and_then(|count| count.parse::<u32>().ok())
+        };
+        assert!(count(name) < count("yard_node_loop_lag_seconds_count "), "{page}");
+    })
+    .unwrap();
+}
+
 /// Guards against a held event loop that no line names: a settings file that gives nothing for a
 /// while holds the node up.
 #[test]
--- a/crates/harness/tests/node_store_link.rs
+++ b/crates/harness/tests/node_store_link.rs
@@ -33,12 +33,14 @@
     let link = fleet.start_link(1, fleet.store.address()).await.unwrap();
     link.set_answer_rate(LINK_RATE);
     fleet.add_node_with(&[("store", json!(link.address()))], true).unwrap();
-    wait_until("the configuration", CATCH_UP_LIMIT, async || {
+    let found = wait_until("the configuration", CATCH_UP_LIMIT, async || {
         let lines = fleet.nodes[0].events("plan_in_force");
-        lines.iter().any(|line| line["version"] == 2).then_some(())
-    })
-    .await
-    .unwrap();
+        lines.into_iter().find(|line| line["version"] == 2)
+    });
+    let entry = found.await.unwrap();
+    let (bytes, took) = (entry["bytes"].as_u64().unwrap(), entry["took_ms"].as_u64().unwrap());
+    assert_eq!(bytes, config.to_string().len() as u64);
+    assert!(took >= bytes * 1_000 / LINK_RATE / 2, "{entry}");
 }
 
 #[test]
--- a/crates/node/src/follow_configuration.rs
+++ b/crates/node/src/follow_configuration.rs
@@ -21,8 +21,24 @@
 /// Pause after a failed read.
 const RETRY_PAUSE: TimeSpan = TimeSpan::millis(250);
 
+/// How a configuration came to this node.
+#[derive(Debug, Clone, Copy)]
+pub struct PlanTransfer {
+    /// Name of where it came from, for logs.
+    pub source: &'static str,
+    /// When it was asked for. The store answers when it has a change, at the latest after [`READ_WAIT`].
+    pub begun: TimePoint,
+    /// Its size as it was sent; `None` if that is not known.
+    pub bytes: Option<usize>,
+}
+
 /// Activates `plan` if it is newer than the active configuration.
-pub fn apply_plan(context: &NodeContext, router: &RouterService, plan: ServingPlan, from: &str) {
+pub fn apply_plan(
+    context: &NodeContext,
+    router: &RouterService,
+    plan: ServingPlan,
+    transfer: PlanTransfer,
+) {
     let before = context.plan_version();
     if before.is_some_and(|version| version >= plan.version) {
         return;
@@ -32,7 +48,9 @@
         version = plan.version.0,
         before = before.map(|version| version.0),
         routes = plan.routes.values().map(std::collections::BTreeMap::len).sum::<usize>(),
-        source = from,
+        source = transfer.source,
+        bytes = transfer.bytes,
+        took_ms = context.now().since(transfer.begun).as_millis(),
     );
     *context.plan.borrow_mut() = Some(Rc::new(plan));
     context.newer_plan_since.set(None);
@@ -54,6 +72,7 @@
         if from.is_some() || context.plan_version().is_some() && is_informed {
             wait_for_turn(&context).await;
         }
+        let begun = context.now();
         match reader.read_or_list(StoreTopic::Operators, from, READ_WAIT).await {
             Ok(Some(read)) => {
                 dependency.record_success();
@@ -61,7 +80,7 @@
                 // A configuration may be what this node needs to send its first request.
                 apply_evacuations(&context, &router, from, &read);
                 from = Some(read.end);
-                apply_listing(&context, &router, &read.listing);
+                apply_listing(&context, &router, &read.listing, begun);
             }
             Ok(None) => from = None,
             Err(error) => {
@@ -82,8 +101,14 @@
     }
 }
 
-/// Activates the newest configuration in `listing` and reports malformed records.
-fn apply_listing(context: &NodeContext, router: &RouterService, listing: &KeyedListing) {
+/// Activates the newest configuration in `listing`, which was asked for when it had `begun`, and reports
+/// malformed records.
+fn apply_listing(
+    context: &NodeContext,
+    router: &RouterService,
+    listing: &KeyedListing,
+    begun: TimePoint,
+) {
     if listing.malformed > 0 {
         tracing::warn!(
             event = "records_skipped",
@@ -94,7 +119,8 @@
     for change in &listing.entries {
         if let Some(plan) = decode_plan(change) {
             report_unconfirmed(context, &plan);
-            apply_plan(context, router, plan, "store");
+            let bytes = change.value.as_ref().map(Vec::len);
+            apply_plan(context, router, plan, PlanTransfer { source: "store", begun, bytes });
         }
     }
 }
--- a/crates/node/src/loop_watch.rs
+++ b/crates/node/src/loop_watch.rs
@@ -1,4 +1,5 @@
-//! Observes for how long single polls hold the event loop, during which the node answers nothing.
+//! Observes for how long single polls hold the event loop, during which the node answers nothing, and how late
+//! its timers fire.
 
 use std::rc::Rc;
 
@@ -10,6 +11,10 @@
 const WATCH_PERIOD: TimeSpan = TimeSpan::seconds(1);
 /// Polls that take longer than this are logged.
 const HOLD_LIMIT: TimeSpan = TimeSpan::millis(50);
+/// Time after which a timer fires whose lag is observed.
+const LAG_PERIOD: TimeSpan = TimeSpan::millis(50);
+/// Lags above this are logged.
+const LAG_LIMIT: TimeSpan = TimeSpan::millis(100);
 
 /// Observes the longest poll of each [`WATCH_PERIOD`], until the process ends.
 pub async fn watch_loop(context: Rc<NodeContext>) {
@@ -23,3 +28,35 @@
         }
     }
 }
+
+/// Observes how late timers fire, until the process ends. A second with a lag above [`LAG_LIMIT`] is logged.
+pub async fn watch_lag(context: Rc<NodeContext>) {
+    let mut second = LagSecond::begin(context.now());
+    loop {
+        let due = context.now() + LAG_PERIOD;
+        kernel::sleep(LAG_PERIOD.into()).await;
+        let now = context.now();
+        let lag = now.since(due);
+        context.metrics.loop_lags.observe(lag.as_seconds());
+        second.largest = second.largest.max(lag);
+        if now < second.ends_at {
+            continue;
+        }
+        if second.largest > LAG_LIMIT {
+            tracing::warn!(event = "node_behind", lag_ms = second.largest.as_millis());
+        }
+        second = LagSecond::begin(now);
+    }
+}
+
+/// The lags of one second.
+struct LagSecond {
+    ends_at: TimePoint,
+    largest: TimeSpan,
+}
+
+impl LagSecond {
+    fn begin(now: TimePoint) -> Self {
+        Self { ends_at: now + WATCH_PERIOD, largest: TimeSpan::default() }
+    }
+}
--- a/crates/node/src/metrics/mod.rs
+++ b/crates/node/src/metrics/mod.rs
@@ -119,6 +119,8 @@
     pub queue_time: Histogram,
     /// Longest time in each second for which one poll held the event loop, in seconds.
     pub loop_holds: Histogram,
+    /// How late timers fire, in seconds.
+    pub loop_lags: Histogram,
 }
 
 /// Upper bound of the first histogram bucket, in seconds.
@@ -184,6 +186,7 @@
             total_time: histogram(),
             queue_time: histogram(),
             loop_holds: histogram(),
+            loop_lags: histogram(),
         };
         metrics.register();
         metrics
--- a/crates/node/src/metrics/state_metrics.rs
+++ b/crates/node/src/metrics/state_metrics.rs
@@ -59,6 +59,7 @@
             "Longest time in each second for which one poll held the event loop",
             self.loop_holds.clone(),
         );
+        registry.register("loop_lag_seconds", "How late timers fire", self.loop_lags.clone());
         registry.register("total_seconds", "Time to the end", self.total_time.clone());
         registry.register("queued_seconds", "Time without a runner", self.queue_time.clone());
     }
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -19,7 +19,7 @@
 use crate::follow_nodes::follow_nodes;
 use crate::follow_runners::RunnerFeed;
 use crate::lookups::{ADDRESS_HOLD_TIME, answer_lookup, answer_readiness};
-use crate::loop_watch::watch_loop;
+use crate::loop_watch::{watch_lag, watch_loop};
 use crate::metrics::NodeMetrics;
 use crate::peer_link::PeerLink;
 use crate::peer_server::answer_peer;
@@ -92,6 +92,7 @@
     kernel::spawn(poll_runners(Rc::clone(&context), Rc::clone(&router))).detach();
     kernel::spawn(watch_reach(Rc::clone(&context))).detach();
     kernel::spawn(watch_loop(Rc::clone(&context))).detach();
+    kernel::spawn(watch_lag(Rc::clone(&context))).detach();
     kernel::spawn(Rc::clone(&router).run_ticks()).detach();
     kernel::spawn(Rc::clone(&router).follow_runner_changes(changed_runners)).detach();
     let reloads = signals.reload.listen()?;
--- a/crates/node/src/state_fetcher.rs
+++ b/crates/node/src/state_fetcher.rs
@@ -10,7 +10,7 @@
 
 use crate::context::NodeContext;
 use crate::dependency::DependencyState;
-use crate::follow_configuration::apply_plan;
+use crate::follow_configuration::{PlanTransfer, apply_plan};
 use crate::follow_runners::{assume_cold, log_list_changes, new_starts, record_read};
 use crate::metrics::OutcomeLabels;
 use crate::peer_server::{RUNNERS_PATH, RunnersAnswer};
@@ -143,7 +143,8 @@
         match fetched {
             Ok(plan) => {
                 self.dependency.record_success();
-                apply_plan(&self.context, &self.router, plan, "node");
+                let transfer = PlanTransfer { source: "node", begun, bytes: None };
+                apply_plan(&self.context, &self.router, plan, transfer);
             }
             Err(error) => {
                 if !matches!(error, TransferError::Busy { .. }) {
