--- a/crates/harness/tests/node_engines_go_on.rs
+++ b/crates/harness/tests/node_engines_go_on.rs
@@ -205,6 +205,8 @@
         });
         assert_whole(&answer);
         assert_eq!(runners.iter().map(RunnerFake::runs).sum::<usize>(), 1);
+        assert_eq!(fleet.nodes[0].events("run_not_ended")[0]["request"], "s1");
+        fleet.wait_event(0, "stop_decided", "decision", &"goes_on".into()).await.unwrap();
     })
     .unwrap();
 }
--- a/crates/node/src/run_end_watch.rs
+++ b/crates/node/src/run_end_watch.rs
@@ -25,15 +25,16 @@
 /// not sound.
 const MAX_REPORTS: u32 = 6;
 
-/// Records what a runner was seen to do with a run that it was to end.
-pub fn record_habit(context: &NodeContext, runner: &RunnerRecord, habit: EndHabit) {
+/// Records what a runner was seen to do with the run of `call`, which it was to end.
+pub fn record_habit(context: &NodeContext, call: &Call, runner: &RunnerRecord, habit: EndHabit) {
     if !context.run_ends.borrow_mut().record(&runner.incarnation(), habit) {
         return;
     }
     let reason = habit.as_str();
     context.metrics.end_habits.get_or_create(&WithheldLabels { reason }).inc();
     if may_log(context) {
-        tracing::info!(event = "run_not_ended", runner = %runner.runner, habit = reason);
+        let request = &call.attempt;
+        tracing::info!(event = "run_not_ended", %request, runner = %runner.runner, habit = reason);
     }
 }
 
@@ -55,7 +56,7 @@
         // The run may have come back to the runner meanwhile.
         if goes_on && !call.run_place.borrow().may_be_at(&runner.runner) {
             if asks {
-                record_habit(&context, &runner, EndHabit::IgnoresClose);
+                record_habit(&context, &call, &runner, EndHabit::IgnoresClose);
             }
             order_stop(&context, &call, &runner).await;
         }
--- a/crates/node/src/streams/run_stop.rs
+++ b/crates/node/src/streams/run_stop.rs
@@ -284,7 +284,8 @@
             StopDecision::NoRoom => StopEnd::NoRoom,
             StopDecision::GoesOn => {
                 self.stays = true;
-                record_habit(&self.context, &self.source.runner, EndHabit::IgnoresOrder);
+                let runner = &self.source.runner;
+                record_habit(&self.context, &self.call, runner, EndHabit::IgnoresOrder);
                 StopEnd::Kept
             }
             StopDecision::Keep | StopDecision::Wait | StopDecision::OrderAgain => StopEnd::Kept,
