Test that a relayed stream which outlives a stop has an end line

Cause: the relay of a stream that an older node forwards got its `end` line at a stop without a test of its own.

Ruled out: nothing; no code changes.

--- a/crates/harness/tests/node_relay_waits.rs
+++ b/crates/harness/tests/node_relay_waits.rs
@@ -20,6 +20,8 @@
 use hyper::header::HeaderValue;
 use kernel::StopSignal;
 use older_node::send_heartbeats;
+use rustix::process::Signal;
+use serde_json::{Value, json};
 use web::{ServerLimits, WebRequest, WebResponse, WebServer, stream_body, text_reply};
 
 /// Events of a stream, one in 20 ms.
@@ -40,6 +42,8 @@
     NodeSilentForMoment,
     /// No events come, and the node answers.
     EventsLate,
+    /// The same, and the cut-off node is told to stop.
+    EventsLateInStop,
 }
 
 /// The state of the node.
@@ -76,8 +80,8 @@
     async fn play(&self, trouble: Trouble) {
         sleep(SILENT_AFTER).await;
         self.holds_events.set(true);
-        self.is_silent.set(trouble != Trouble::EventsLate);
-        if trouble == Trouble::NodeSilent {
+        self.is_silent.set(matches!(trouble, Trouble::NodeSilent | Trouble::NodeSilentForMoment));
+        if matches!(trouble, Trouble::NodeSilent | Trouble::EventsLateInStop) {
             return;
         }
         let times = if trouble == Trouble::EventsLate { 2 } else { 1 };
@@ -102,6 +106,11 @@
 
 /// Reads a stream of a cut-off node that comes through an older one, which names `site`.
 async fn read_through(site: Option<&'static str>, trouble: Trouble) -> SeenStream {
+    read_with_ends(site, trouble).await.0
+}
+
+/// The same, with the `end` lines of the stream.
+async fn read_with_ends(site: Option<&'static str>, trouble: Trouble) -> (SeenStream, Vec<Value>) {
     let cut = CutFleet::start_with(1, Duration::ZERO).await;
     let address = SocketAddr::new(cut.fleet.peer_address(9).ip(), 0);
     let server = WebServer::bind(address, ServerLimits::default()).await.unwrap();
@@ -121,9 +130,18 @@
     .unwrap();
     cut.cut_off(CUT).await;
     let request = CallerRequest::stream("s1");
-    let (stream, ()) = join(cut.fleet.read_stream(CUT, &request), node.play(trouble)).await;
+    let play = async {
+        node.play(trouble).await;
+        if trouble == Trouble::EventsLateInStop {
+            cut.fleet.nodes[CUT].signal(Signal::TERM).unwrap();
+            cut.fleet.wait_event(CUT, "stop", "step", &json!("ended")).await.unwrap();
+        }
+    };
+    let (stream, ()) = join(cut.fleet.read_stream(CUT, &request), play).await;
     assert_eq!(cut.runs("s1"), 0);
-    stream
+    let mut ends = cut.fleet.nodes[CUT].events("end");
+    ends.retain(|end| end["request"] == "s1");
+    (stream, ends)
 }
 
 /// A stream that cannot go on has to be broken off soon.
@@ -157,6 +175,18 @@
     .unwrap();
 }
 
+/// Guards against a relayed stream that a stop cuts and that no line tells from one that a fault cuts.
+#[test]
+fn a_stream_of_an_unknown_place_that_outlives_a_planned_stop_has_an_end_line() {
+    kernel::run(async {
+        let (stream, ends) = read_with_ends(None, Trouble::EventsLateInStop).await;
+        assert!(!stream.is_whole && !stream.ids.is_empty(), "{stream:?}");
+        assert_eq!(ends.len(), 1, "{ends:?}");
+        assert_eq!((&ends[0]["outcome"], &ends[0]["reason"]), (&json!("cut"), &json!("stopped")));
+    })
+    .unwrap();
+}
+
 /// A node that answers is waited for, however long its runner takes.
 #[test]
 fn a_stream_of_an_unknown_place_comes_whole_when_its_events_are_late() {
