--- a/crates/node/src/metrics/mod.rs
+++ b/crates/node/src/metrics/mod.rs
@@ -65,7 +65,7 @@
     pub unproven_answers: Counter,
     /// Calls that this node did not take or send since it was stopping, by reason.
     pub stop_refusals: Family<WithheldLabels, Counter>,
-    /// Calls still under way at the end of a stop, which were told that their outcome is unknown.
+    /// Calls still under way at the end of a stop: plain ones, told that their outcome is unknown, and streams.
     pub stop_cuts: Counter,
     /// Runners that went on with a run that they were to end, by what they ignored.
     pub end_habits: Family<WithheldLabels, Counter>,
@@ -119,6 +119,8 @@
     pub queue_time: Histogram,
     /// Longest time in each second for which one poll held the event loop, in seconds.
     pub loop_holds: Histogram,
+    /// How late timers fire, in seconds.
+    pub loop_lags: Histogram,
 }
 
 /// Upper bound of the first histogram bucket, in seconds.
@@ -184,6 +186,7 @@
             total_time: histogram(),
             queue_time: histogram(),
             loop_holds: histogram(),
+            loop_lags: histogram(),
         };
         metrics.register();
         metrics
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -19,7 +19,7 @@
 use crate::follow_nodes::follow_nodes;
 use crate::follow_runners::RunnerFeed;
 use crate::lookups::{ADDRESS_HOLD_TIME, answer_lookup, answer_readiness};
-use crate::loop_watch::watch_loop;
+use crate::loop_watch::{watch_lag, watch_loop};
 use crate::metrics::NodeMetrics;
 use crate::peer_link::PeerLink;
 use crate::peer_server::answer_peer;
@@ -27,7 +27,7 @@
 use crate::router::RouterService;
 use crate::runner_poll::poll_runners;
 use crate::signals::{NodeSignals, follow_reloads, log_repeated_stops};
-use crate::stop_intake::log_stop_end;
+use crate::stop_intake::{cut_streams, log_stop_end};
 use crate::store_reader::StoreReader;
 
 /// Timeout of one exchange with the store, in addition to the requested wait. The store
@@ -92,6 +92,7 @@
     kernel::spawn(poll_runners(Rc::clone(&context), Rc::clone(&router))).detach();
     kernel::spawn(watch_reach(Rc::clone(&context))).detach();
     kernel::spawn(watch_loop(Rc::clone(&context))).detach();
+    kernel::spawn(watch_lag(Rc::clone(&context))).detach();
     kernel::spawn(Rc::clone(&router).run_ticks()).detach();
     kernel::spawn(Rc::clone(&router).follow_runner_changes(changed_runners)).detach();
     let reloads = signals.reload.listen()?;
@@ -102,6 +103,7 @@
     let deadline = drain_requests(&context).await;
     stop.raise();
     let connections = drain_connections(&context, &servers, deadline + WRITE_RESERVE).await;
+    cut_streams(&context);
     log_stop_end(&context, connections);
     Ok(())
 }
