Count the time for the last answers from when a stop ends, not from when it was due

Cause: the time for writing the last answers ended at a fixed point, 300 ms before the end of the stop. A node that stood still over that point woke, found both its limits passed, logged the stop as ended and exited at once. What its runners had sent meanwhile lay unread in its sockets, or was given to the body and not yet written, so that some of the lost streams even had an `end` line with `streamed`.

Ruled out: callers that read slowly (connections kept and closed, streams and plain answers), a stop 60 ms before and after the end of a run, and runs that end 4.7 s after the signal, at full speed and at 12 of each 100 ms; none of these loses an answer, before or after the change. A single stream at the node that stood still came whole: the runtime's last turn, of at most 61 tasks, was enough for it.

Change: the 100 ms for writing count from when the drain of requests has ended.

--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -44,7 +44,8 @@
 const MIN_STOP_TIME: TimeSpan = TimeSpan::millis(2_500);
 /// Part of the stop time that is reserved for the exit of the process itself.
 const EXIT_RESERVE: TimeSpan = TimeSpan::millis(400);
-/// Part of that reserve for writing the last answers.
+/// Part of that reserve for writing the last answers; a node that has stood still first reads what has
+/// arrived meanwhile.
 const WRITE_RESERVE: TimeSpan = TimeSpan::millis(100);
 /// Interval at which a stopping node checks whether the last request has ended.
 const STOP_POLL: TimeSpan = TimeSpan::millis(50);
@@ -101,7 +102,8 @@
     kernel::spawn(log_repeated_stops(stops)).detach();
     let deadline = drain_requests(&context).await;
     stop.raise();
-    let connections = drain_connections(&context, &servers, deadline + WRITE_RESERVE).await;
+    let deadline = deadline.max(context.now()) + WRITE_RESERVE;
+    let connections = drain_connections(&context, &servers, deadline).await;
     log_stop_end(&context, connections);
     Ok(())
 }
