Keep the copy of a run whose source takes no further orders

Cause: a source that could not be connected to counted as one that has refused the order and goes on, also after an order whose outcome is not known. So did 409, which says that an earlier call about the run is in progress. The same class: what this node did not get done counts as something the source did.

Change: such a source is ordered again, and the copy kept, until it answers or its body ends. A refusal after an order that may have been followed shows nothing.

--- a/crates/harness/tests/node_late_reads.rs
+++ b/crates/harness/tests/node_late_reads.rs
@@ -8,7 +8,7 @@
 use compio::time::sleep;
 use fakes::platform::RunnerFakeSettings;
 use futures_util::future::join;
-use harness::{CallerRequest, wait_until};
+use harness::{CallerRequest, LinkState, wait_until};
 use serde_json::json;
 use service_fleet::{CUT, LinkedRunner, ServiceFleet, take_turn};
 
@@ -142,3 +142,32 @@
     })
     .unwrap();
 }
+
+/// Guards against LOST: the copy is given up since its source takes no order, though it is about to end.
+#[test]
+fn a_stream_keeps_its_copy_while_its_leaving_runner_takes_no_orders() {
+    const NO_TIME: Duration = Duration::ZERO;
+    /// Time from the copy until the runner ends.
+    const NOTICE: Duration = Duration::from_millis(1_200);
+    let _turn = take_turn();
+    kernel::run(async {
+        let services = ServiceFleet::start(long_streams).await;
+        let request = stream_without_copy("no-order");
+        let leave = async {
+            let source = find_source(&services).await;
+            sleep(FILL_AFTER).await;
+            leave_slowly(&services, source, NO_TIME).await;
+            for node in &services.fleet.nodes {
+                source.link.set_for(node.pid(), LinkState::NewCut);
+            }
+            sleep(NOTICE).await;
+            source.runner.crash();
+        };
+        let (stream, ()) = join(services.fleet.read_stream(CUT, &request), leave).await;
+        let node = &services.fleet.nodes[CUT];
+        let lines = [node.events("send_failed"), node.events("end"), node.events("stop_decided")];
+        assert!(stream.has_all(EVENTS), "{stream:?} {lines:?}");
+        assert_eq!(services.most_runs(), 1);
+    })
+    .unwrap();
+}
--- a/crates/node/src/streams/run_stop.rs
+++ b/crates/node/src/streams/run_stop.rs
@@ -39,6 +39,8 @@
 
 /// Status of an order that found no room for the rest of the copy and has not stopped the run.
 const NO_ROOM: u16 = 503;
+/// Status of an order while an earlier call about the same run is in progress.
+const IN_PROGRESS: u16 = 409;
 
 /// Answer of a source to the order to stop a run.
 pub(super) type StopAnswer = platform::Result<RunCopy>;
@@ -80,6 +82,8 @@
     /// Events of the run that were read before the first order; `None` if its begin was read elsewhere.
     events_before: Option<u64>,
     answer: Option<StopAnswer>,
+    /// Whether the source may have followed an earlier order.
+    may_have_stopped: bool,
     answered_at: TimePoint,
     last_event_at: TimePoint,
     body: BodyState,
@@ -98,7 +102,9 @@
             }
             Err(error) if error.is_not_found() => OrderAnswer::NotFound,
             Err(error) if error.status() == Some(NO_ROOM) => OrderAnswer::NoRoom,
+            Err(error) if error.is_unreached() => OrderAnswer::Unreached,
             Err(error) if error.is_outcome_unknown() => OrderAnswer::Unknown,
+            Err(error) if error.status() == Some(IN_PROGRESS) => OrderAnswer::Unknown,
             Err(_) => OrderAnswer::Refused,
         };
         Some(answer)
@@ -139,7 +145,7 @@
             }
             StopEnd::End(step) => return OrderedStep::Done(HandoverStep::End(step)),
         }
-        if order.answer() == Some(OrderAnswer::Unknown) {
+        if order.answer().is_some_and(OrderAnswer::is_open) {
             self.order_again(&mut order, to);
         }
         let StopOrder { task, answer, .. } = order;
@@ -188,6 +194,7 @@
             sent_at: now,
             events_before: self.scanner.total_events(),
             answer: None,
+            may_have_stopped: false,
             answered_at: now,
             last_event_at: now,
             body: BodyState::Open,
@@ -265,6 +272,7 @@
     fn stop_facts(&self, order: &StopOrder) -> StopFacts {
         StopFacts {
             answer: order.answer(),
+            may_have_stopped: order.may_have_stopped,
             answered_at: order.answered_at,
             last_event_at: order.last_event_at,
             events: self.scanner.total_events(),
@@ -297,6 +305,7 @@
         let (context, attempt) = (Rc::clone(&self.context), self.call.attempt.clone());
         order.task = CopyTask::stop(context, attempt, self.source.runner.address, to);
         order.sent_at = self.context.now();
+        order.may_have_stopped |= order.answer() == Some(OrderAnswer::Unknown);
         order.answer = None;
     }
 
@@ -305,10 +314,11 @@
         if order.answer_due.is_some() {
             return order.answer_due;
         }
-        if order.answer() == Some(OrderAnswer::Unknown) {
+        let facts = self.stop_facts(order);
+        if decide_stop(&facts, self.context.now()) == StopDecision::OrderAgain {
             return Some(order.sent_at + ORDER_PAUSE);
         }
-        stop_due(&self.stop_facts(order))
+        stop_due(&facts)
     }
 
     /// Waits for the next input. The order of the branches is their priority.
--- a/crates/serving/src/run_stop.rs
+++ b/crates/serving/src/run_stop.rs
@@ -21,9 +21,11 @@
     NotFound,
     /// It found no room for the rest of the copy, and goes on.
     NoRoom,
-    /// It has refused the order, or did not get it.
+    /// It has refused the order, or accepts none at present.
     Refused,
-    /// The order was sent, and not answered in time: it may have been followed.
+    /// It could not be connected to.
+    Unreached,
+    /// The order was sent, and nothing shows what became of it: it may have been followed.
     Unknown,
 }
 
@@ -36,11 +38,20 @@
             Self::NotFound => "not_found",
             Self::NoRoom => "no_room",
             Self::Refused => "refused",
+            Self::Unreached => "unreached",
             Self::Unknown => "unknown",
         }
     }
 }
 
+impl OrderAnswer {
+    /// Whether another order may tell where the memory of a stopped run is.
+    #[must_use]
+    pub fn is_open(self) -> bool {
+        matches!(self, Self::Unreached | Self::Unknown)
+    }
+}
+
 /// The body of a source's stream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum BodyState {
@@ -55,8 +66,10 @@
 /// What is known of a source that was ordered to stop a run.
 #[derive(Debug, Clone, Copy)]
 pub struct StopFacts {
-    /// What it has answered; `None` before that.
+    /// What it has answered to the latest order; `None` before that.
     pub answer: Option<OrderAnswer>,
+    /// Whether it may have followed an earlier order.
+    pub may_have_stopped: bool,
     /// When the answer came.
     pub answered_at: TimePoint,
     /// When the last event was read.
@@ -74,7 +87,7 @@
 pub enum StopDecision {
     /// Read on.
     Wait,
-    /// Send the order again: whether it was followed is not known.
+    /// Send the order again, and keep the copy: whether the source will deliver the rest is not known.
     OrderAgain,
     /// The run has stopped: the next runner goes on with it.
     TakeNext,
@@ -121,8 +134,10 @@
         Some(OrderAnswer::Stopped(_) | OrderAnswer::NotFound) if is_due => StopDecision::TakeNext,
         None | Some(OrderAnswer::Stopped(_) | OrderAnswer::NotFound) => StopDecision::Wait,
         Some(OrderAnswer::NoRoom) => StopDecision::NoRoom,
-        Some(OrderAnswer::Refused) => StopDecision::Keep,
-        Some(OrderAnswer::Unknown) => StopDecision::OrderAgain,
+        Some(OrderAnswer::Refused) if !facts.may_have_stopped => StopDecision::Keep,
+        Some(OrderAnswer::Refused | OrderAnswer::Unreached | OrderAnswer::Unknown) => {
+            StopDecision::OrderAgain
+        }
     }
 }
 
@@ -150,6 +165,9 @@
     match facts.answer? {
         OrderAnswer::Stopped(_) => Some((heard_at + CLOSE_TIME).min(facts.answered_at + LATE_TIME)),
         OrderAnswer::NotFound => Some(heard_at + LATE_TIME),
-        OrderAnswer::NoRoom | OrderAnswer::Refused | OrderAnswer::Unknown => None,
+        OrderAnswer::NoRoom
+        | OrderAnswer::Refused
+        | OrderAnswer::Unreached
+        | OrderAnswer::Unknown => None,
     }
 }
--- a/crates/serving/tests/run_stop.rs
+++ b/crates/serving/tests/run_stop.rs
@@ -11,6 +11,7 @@
     let is_answer_late = false;
     StopFacts {
         answer,
+        may_have_stopped: false,
         answered_at: ANSWERED,
         last_event_at: ANSWERED,
         events,
@@ -64,6 +65,7 @@
         Some(OrderAnswer::NotFound),
         Some(OrderAnswer::NoRoom),
         Some(OrderAnswer::Refused),
+        Some(OrderAnswer::Unreached),
         Some(OrderAnswer::Unknown),
     ];
     let line = |answer: Option<OrderAnswer>| {
@@ -78,6 +80,15 @@
     not_found: wait, finish, take_next
     no_room: no_room, take_next, take_next
     refused: keep, take_next, take_next
+    unreached: order_again, take_next, take_next
     unknown: order_again, take_next, take_next
     ");
 }
+
+#[test]
+fn a_refusal_after_an_order_that_may_have_been_followed_shows_nothing() {
+    let refused = facts(Some(OrderAnswer::Refused), Some(7), BodyState::Open);
+    let unknown = StopFacts { may_have_stopped: true, ..refused };
+    let decide = |facts: &StopFacts| decide_stop(facts, ANSWERED).as_str();
+    assert_eq!((decide(&refused), decide(&unknown)), ("keep", "order_again"));
+}
