Count the events of a stream from its first answer on

Cause: the machine knew no number of events until the first one was read, so that an answer to an order that came before it could not be compared.

Change: a stream whose first answer has come has read none.

--- a/crates/life/src/stream_life.rs
+++ b/crates/life/src/stream_life.rs
@@ -121,7 +121,7 @@
             is_stopped: false,
             habit: SourceHabit::Leaves,
             order_answer: None,
-            events: None,
+            events: Some(0),
             last_heard: now,
             is_move_asked: false,
             mover: None,
