Test that reloads and large configurations cut no answer that ends meanwhile

Change: a test with 16 slow callers (streams and plain answers, connections kept and closed) at a node with a link of 10 Mbit/s to its store, configurations of 4,200 routes back to back and a SIGHUP each 200 ms, at full speed and at 12 of each 100 ms. The slow caller of the file moves to a module of its own.

--- a/crates/harness/tests/node_answer_tails.rs
+++ b/crates/harness/tests/node_answer_tails.rs
@@ -1,25 +1,21 @@
 //! The last bytes of whole answers on their way to slow callers, around a stop, a reload and a large
 //! configuration.
 
+mod slow_caller;
+
+use std::pin::pin;
 use std::time::{Duration, Instant};
 
-use compio::io::{AsyncRead, AsyncWriteExt};
-use compio::net::{TcpSocket, TcpStream};
 use compio::time::{sleep, timeout};
 use fakes::platform::{RunnerFake, RunnerFakeSettings, RunnerScript};
-use futures_util::future::{join, join_all};
-use harness::{HOST, KEY, NodeFleet};
+use futures_util::future::{Either, join, join_all, select};
+use harness::{NodeFleet, config};
 use rustix::process::Signal;
+use serde_json::json;
+use slow_caller::{AnswerKind, KINDS, SlowCaller};
 
-/// Receive buffer of a caller, in bytes: a small part of an answer.
-const RECEIVE_BYTES: u32 = 8 << 10;
-/// Bytes of one read, and the pause after it.
-const READ_BYTES: usize = 64 << 10;
-const READ_PAUSE: Duration = Duration::from_millis(5);
 /// Time by which a caller is late.
 const CALLER_LATE: Duration = Duration::from_secs(1);
-/// Time in which an answer comes.
-const LIMIT: Duration = Duration::from_secs(20);
 /// Time from the signal to the kill.
 const STOP_TIME: Duration = Duration::from_secs(6);
 /// Pause between two events of a stream whose end has a set time.
@@ -27,109 +23,6 @@
 /// Time that a node under a quota runs, and stands, in each period.
 const RUNS: Duration = Duration::from_millis(12);
 const STANDS: Duration = Duration::from_millis(88);
-/// Further requests on a connection, and their parts: more than a node reads ahead.
-const FURTHER_REQUESTS: usize = 400;
-const FURTHER_PARTS: usize = 4;
-
-/// What a caller asks for.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum AnswerKind {
-    Plain,
-    Stream,
-}
-
-const KINDS: [AnswerKind; 2] = [AnswerKind::Plain, AnswerKind::Stream];
-
-/// A request as its caller writes it.
-fn request_text(kind: AnswerKind, attempt: &str, closes: bool) -> String {
-    let (path, further) = match kind {
-        AnswerKind::Plain => ("/book/job", ""),
-        AnswerKind::Stream => {
-            ("/digest/long", "X-Dotterelyard-Model: m\r\nX-Dotterelyard-Token-Count: 1000,400\r\n")
-        }
-    };
-    let closing = if closes { "Connection: close\r\n" } else { "" };
-    format!(
-        "POST {path} HTTP/1.1\r\nHost: {HOST}\r\nAuthorization: Bearer {KEY}\r\n\
-         X-Dotterelyard-Attempt-Id: {attempt}\r\nX-Dotterelyard-Deadline-Ms: 8000\r\n\
-         {further}{closing}Content-Length: 4\r\n\r\nboot"
-    )
-}
-
-/// A caller that reads slowly.
-struct SlowCaller {
-    stream: TcpStream,
-    kind: AnswerKind,
-    bytes: Vec<u8>,
-}
-
-impl SlowCaller {
-    /// Sends one request to a node.
-    async fn send(fleet: &NodeFleet, kind: AnswerKind, attempt: &str, closes: bool) -> Self {
-        let socket = TcpSocket::new_v4().await.unwrap();
-        socket.set_recv_buffer_size(RECEIVE_BYTES).unwrap();
-        let mut stream = socket.connect(fleet.callers(0)).await.unwrap();
-        let text = request_text(kind, attempt, closes);
-        stream.write_all(text.into_bytes()).await.0.unwrap();
-        Self { stream, kind, bytes: Vec::new() }
-    }
-
-    /// Sends further requests in parts, before the answer to the first one is read.
-    async fn send_further(&mut self) {
-        let mut text = String::new();
-        for number in 0..FURTHER_REQUESTS {
-            text += &request_text(AnswerKind::Plain, &format!("f{number}"), false);
-        }
-        for part in text.as_bytes().chunks(text.len() / FURTHER_PARTS) {
-            sleep(EVENT_PAUSE / 4).await;
-            // A node that reads no further bytes need not take them.
-            let _ = timeout(EVENT_PAUSE, self.stream.write_all(part.to_vec())).await;
-        }
-    }
-
-    /// Reads on to the end of the first answer; whether it is whole.
-    async fn read_whole(&mut self) -> bool {
-        timeout(LIMIT, self.read_on()).await.unwrap_or_default()
-    }
-
-    async fn read_on(&mut self) -> bool {
-        while !self.is_whole() {
-            let (read, bytes) = self.stream.read(Vec::with_capacity(READ_BYTES)).await.into();
-            if !matches!(read, Ok(length) if length > 0) {
-                eprintln!("{:?} ended after {} bytes: {read:?}", self.kind, self.bytes.len());
-                return false;
-            }
-            self.bytes.extend(bytes);
-            sleep(READ_PAUSE).await;
-        }
-        true
-    }
-
-    /// Whether the first answer has come to its end.
-    fn is_whole(&self) -> bool {
-        let Some(head) = find(&self.bytes, b"\r\n\r\n") else { return false };
-        let (head, body) = self.bytes.split_at(head);
-        let head = String::from_utf8_lossy(head).to_ascii_lowercase();
-        if !head.starts_with("http/1.1 200") {
-            return false;
-        }
-        match self.kind {
-            AnswerKind::Stream => {
-                find(&body[body.len().saturating_sub(READ_BYTES)..], b"\r\n0\r\n\r\n").is_some()
-            }
-            AnswerKind::Plain => {
-                let length = head.split("content-length: ").nth(1).unwrap();
-                let length: usize = length.split("\r\n").next().unwrap().parse().unwrap();
-                body.len() >= length + 4
-            }
-        }
-    }
-}
-
-fn find(bytes: &[u8], part: &[u8]) -> Option<usize> {
-    bytes.windows(part.len()).position(|window| window == part)
-}
-
 /// A node before one runner of each service.
 struct TailFleet {
     fleet: NodeFleet,
@@ -139,6 +32,13 @@
 impl TailFleet {
     /// Starts the fleet; a plain call takes `work`, a stream `events` of [`EVENT_PAUSE`] each.
     async fn start(work: Duration, events: u64) -> Self {
+        let (mut fleet, runners) = Self::start_runners(work, events).await;
+        fleet.add_node().unwrap();
+        fleet.wait_ready().await.unwrap();
+        Self { fleet, runners }
+    }
+
+    async fn start_runners(work: Duration, events: u64) -> (NodeFleet, Vec<RunnerFake>) {
         let mut fleet = NodeFleet::start().await.unwrap();
         let mut runners = Vec::new();
         for service in ["desk", "llm"] {
@@ -147,7 +47,16 @@
             settings.event_pause = EVENT_PAUSE;
             runners.push(fleet.add_runner(service, settings).await.unwrap());
         }
-        fleet.add_node().unwrap();
+        (fleet, runners)
+    }
+
+    /// Starts a fleet whose node reaches its store over a link of `rate` bytes a second.
+    async fn start_over_link(rate: u64) -> Self {
+        const EVENTS: u64 = 5;
+        let (mut fleet, runners) = Self::start_runners(3 * EVENT_PAUSE, EVENTS).await;
+        let link = fleet.start_link(1, fleet.store.address()).await.unwrap();
+        link.set_answer_rate(rate);
+        fleet.add_node_with(&[("store", json!(link.address()))], true).unwrap();
         fleet.wait_ready().await.unwrap();
         Self { fleet, runners }
     }
@@ -223,32 +132,33 @@
     callers: usize,
 }
 
-/// Slows the node until it is killed, as the platform does at the end of the stop.
-async fn play_stop(tails: &TailFleet, case: StopCase) {
+/// Slows a node from now on; does not end.
+async fn slow_down(tails: &TailFleet, speed: NodeSpeed) {
     const STILL_FROM: Duration = Duration::from_millis(4_800);
     const STILL_FOR: Duration = Duration::from_secs(1);
+    match speed {
+        NodeSpeed::Full => (),
+        NodeSpeed::Quota => loop {
+            sleep(RUNS).await;
+            tails.signal(Signal::STOP);
+            sleep(STANDS).await;
+            tails.signal(Signal::CONT);
+        },
+        NodeSpeed::Still => {
+            sleep(STILL_FROM).await;
+            tails.signal(Signal::STOP);
+            sleep(STILL_FOR).await;
+            tails.signal(Signal::CONT);
+        }
+    }
+    std::future::pending::<()>().await;
+}
+
+/// Stops a slow node, and kills it at the end of the stop, as the platform does.
+async fn play_stop(tails: &TailFleet, case: StopCase) {
     sleep(case.stop).await;
     tails.signal(Signal::TERM);
-    let begun = Instant::now();
-    let slowing = async {
-        match case.speed {
-            NodeSpeed::Full => (),
-            NodeSpeed::Quota => loop {
-                sleep(RUNS).await;
-                tails.signal(Signal::STOP);
-                sleep(STANDS).await;
-                tails.signal(Signal::CONT);
-            },
-            NodeSpeed::Still => {
-                sleep(STILL_FROM).await;
-                tails.signal(Signal::STOP);
-                sleep(STILL_FOR).await;
-                tails.signal(Signal::CONT);
-            }
-        }
-        std::future::pending::<()>().await;
-    };
-    let _ = timeout(STOP_TIME.saturating_sub(begun.elapsed()), slowing).await;
+    let _ = timeout(STOP_TIME, slow_down(tails, case.speed)).await;
     tails.signal(Signal::KILL);
 }
 
@@ -313,3 +223,70 @@
     let stop = Duration::from_millis(200);
     play_stops(&[(LATEST, stop)], &[NodeSpeed::Still], 24);
 }
+
+/// Signals a reload again and again, and writes configurations that take seconds on the node's link.
+async fn reload_under_large_configurations(tails: &TailFleet) {
+    const ROUTES: usize = 4_200;
+    const RELOADS: u64 = 10;
+    for version in 2.. {
+        let mut config = config(version);
+        let mut route = config["routes"][0].clone();
+        for number in 0..ROUTES {
+            route["name"] = json!(format!("r-{number}"));
+            route["pathPrefix"] = json!(format!("/p{number}/"));
+            config["routes"].as_array_mut().unwrap().push(route.clone());
+        }
+        tails.fleet.store.put_json("keyed.op", "config", &config);
+        for _ in 0..RELOADS {
+            sleep(2 * EVENT_PAUSE).await;
+            tails.signal(Signal::HUP);
+        }
+    }
+}
+
+/// Sends one request after the other for a while; how many answers came whole, and how many were cut.
+async fn send_on(tails: &TailFleet, kind: AnswerKind, number: usize) -> (usize, usize) {
+    const SEND_FOR: Duration = Duration::from_secs(6);
+    let (mut whole, mut cut) = (0, 0);
+    let begun = Instant::now();
+    while begun.elapsed() < SEND_FOR {
+        let attempt = format!("{kind:?}-{number}-{whole}-{cut}");
+        let mut caller =
+            SlowCaller::send(&tails.fleet, kind, &attempt, number.is_multiple_of(2)).await;
+        if caller.read_whole().await {
+            whole += 1;
+        } else {
+            cut += 1;
+        }
+    }
+    (whole, cut)
+}
+
+/// The number of answers that are cut at a node whose link carries large configurations.
+async fn count_cut_by_changes(speed: NodeSpeed) -> usize {
+    /// Bandwidth of a small machine's link (10 Mbit/s), in bytes a second.
+    const LINK_RATE: u64 = 1_250_000;
+    const CALLERS: usize = 8;
+    const LEAST_ANSWERS: usize = 80;
+    let tails = TailFleet::start_over_link(LINK_RATE).await;
+    let callers = KINDS.into_iter().flat_map(|kind| (0..CALLERS).map(move |number| (kind, number)));
+    let sending = join_all(callers.map(|(kind, number)| send_on(&tails, kind, number)));
+    let changing = join(reload_under_large_configurations(&tails), slow_down(&tails, speed));
+    let Either::Left((ends, _)) = select(pin!(sending), pin!(changing)).await else { return 0 };
+    let count = |part: fn(&(usize, usize)) -> usize| ends.iter().map(part).sum::<usize>();
+    let (whole, cut) = (count(|(whole, _)| *whole), count(|(_, cut)| *cut));
+    let versions = tails.fleet.nodes[0].events("plan_in_force").len();
+    eprintln!("{speed:?}: {whole} whole, {cut} cut, {versions} configurations");
+    assert!(whole >= LEAST_ANSWERS && versions > 1, "{whole} whole, {versions} configurations");
+    cut
+}
+
+/// Guards against answers that are cut by a reload or a configuration that arrives as they end.
+#[test]
+fn reloads_and_large_configurations_cut_no_answer() {
+    kernel::run(async {
+        let speeds = [NodeSpeed::Full, NodeSpeed::Quota];
+        assert_eq!(join_all(speeds.map(count_cut_by_changes)).await, [0, 0]);
+    })
+    .unwrap();
+}
