--- a/crates/harness/tests/node_answer_tails.rs
+++ b/crates/harness/tests/node_answer_tails.rs
@@ -9,7 +9,7 @@
 use compio::time::{sleep, timeout};
 use fakes::platform::{RunnerFake, RunnerFakeSettings, RunnerScript};
 use futures_util::future::{Either, join, join_all, select};
-use harness::{NodeFleet, config};
+use harness::{NodeFleet, config, wait_until};
 use rustix::process::Signal;
 use serde_json::json;
 use slow_caller::{AnswerKind, KINDS, SlowCaller};
@@ -154,9 +154,14 @@
     std::future::pending::<()>().await;
 }
 
-/// Stops a slow node, and kills it at the end of the stop, as the platform does.
+/// Stops a slow node whose calls are all at work, and kills it at the end of the stop, as the platform does.
 async fn play_stop(tails: &TailFleet, case: StopCase) {
     sleep(case.stop).await;
+    let has_begun = async || {
+        let runs: usize = tails.runners.iter().map(RunnerFake::runs).sum();
+        (runs == case.callers).then_some(())
+    };
+    wait_until("all calls to be at work", case.work, has_begun).await.unwrap();
     tails.signal(Signal::TERM);
     let _ = timeout(STOP_TIME, slow_down(tails, case.speed)).await;
     tails.signal(Signal::KILL);
