Spawn nothing for what is dropped with the event loop

What operators saw: a node whose process ends while a stream without a response head is under way panics after its last line, and ends with 101 instead of 0 (with an abort in a release build).

Cause: the drop of a run, or of a copy under way, spawns the task that looks after it at its runner; at the end of the process the event loop that is being dropped takes no tasks.

Change: spawn_rest drops such work once the event loop of the thread has ended.

--- a/crates/harness/tests/node_stop_load.rs
+++ b/crates/harness/tests/node_stop_load.rs
@@ -164,6 +164,9 @@
         fleet.nodes[0].signal(Signal::TERM).unwrap();
         assert_eq!(sent.await.unwrap().status, 0);
         check_cut(&fleet, "unknown").await;
+        let mut fleet = Rc::into_inner(fleet).unwrap();
+        let ended = wait_until("the node to end", LIMIT, async || fleet.nodes[0].ended()).await;
+        assert_eq!(ended.unwrap(), 0);
     })
     .unwrap();
 }
--- a/crates/kernel/src/holds.rs
+++ b/crates/kernel/src/holds.rs
@@ -15,6 +15,8 @@
 thread_local! {
     /// The longest poll since the last look.
     static LONGEST: Cell<Option<LoopHold>> = const { Cell::new(None) };
+    /// Whether the event loop of this thread has ended; what it still holds is dropped then.
+    static HAS_ENDED: Cell<bool> = const { Cell::new(false) };
     /// The last step that the current poll has marked.
     static STEP: Cell<&'static str> = const { Cell::new("") };
 }
@@ -47,6 +49,20 @@
     compio::runtime::spawn(TimedTask { task: Location::caller(), future: Box::pin(future) })
 }
 
+/// Like [`spawn`], for what is left to do when something is dropped: it is dropped as well if the event loop has
+/// ended.
+#[track_caller]
+pub fn spawn_rest(future: impl Future<Output = ()> + 'static) {
+    if !HAS_ENDED.get() {
+        spawn(future).detach();
+    }
+}
+
+/// Records whether the event loop of this thread has ended.
+pub(crate) fn set_ended(has_ended: bool) {
+    HAS_ENDED.set(has_ended);
+}
+
 /// A task whose polls are timed.
 struct TimedTask<F> {
     task: &'static Location<'static>,
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -16,7 +16,7 @@
 pub use clock::MonotonicClock;
 pub use counters::MetricCounters;
 pub use error::{KernelError, Result};
-pub use holds::{LoopHold, mark_step, spawn, take_longest_hold};
+pub use holds::{LoopHold, mark_step, spawn, spawn_rest, take_longest_hold};
 pub use logs::{init_logging, init_stdout_logging};
 pub use registry::ServiceRegistry;
 pub use signals::{RELOAD_SIGNALS, STOP_SIGNALS, SignalListener, SignalPipe, wait_for_signals};
@@ -31,5 +31,8 @@
 /// [`KernelError::EventLoop`] if the event loop cannot be created.
 pub fn run<T>(main: impl Future<Output = T>) -> Result<T> {
     let runtime = compio::runtime::Runtime::new().map_err(KernelError::EventLoop)?;
-    Ok(runtime.block_on(main))
+    holds::set_ended(false);
+    let output = runtime.block_on(main);
+    holds::set_ended(true);
+    Ok(output)
 }
--- a/crates/node/src/run_end_watch.rs
+++ b/crates/node/src/run_end_watch.rs
@@ -51,7 +51,7 @@
         return;
     }
     let (context, call, runner) = (Rc::clone(context), Rc::clone(call), runner.clone());
-    kernel::spawn(async move {
+    kernel::spawn_rest(async move {
         let goes_on = !asks || is_in_report(&context, &call, &runner, &incarnation).await;
         // The run may have come back to the runner meanwhile.
         if goes_on && !call.run_place.borrow().may_be_at(&runner.runner) {
@@ -60,8 +60,7 @@
             }
             order_stop(&context, &call, &runner).await;
         }
-    })
-    .detach();
+    });
 }
 
 /// A run whose request is being sent or answered. If it is dropped, its connection closes.
--- a/crates/node/src/streams/stream_copy.rs
+++ b/crates/node/src/streams/stream_copy.rs
@@ -112,7 +112,7 @@
 impl Drop for CopyTask {
     fn drop(&mut self) {
         if let Some(future) = self.future.take().filter(|_| self.has_begun) {
-            kernel::spawn(async move { drop(future.await) }).detach();
+            kernel::spawn_rest(async move { drop(future.await) });
         }
     }
 }
@@ -140,11 +140,10 @@
     fn drop(&mut self) {
         let Some(handle) = self.handle.take() else { return };
         let (context, source) = (Rc::clone(&self.context), self.source);
-        kernel::spawn(async move {
+        kernel::spawn_rest(async move {
             if let Err(error) = free_copy(&context, source, &handle, FREE_LIMIT).await {
                 tracing::info!(event = "copy_not_freed", %source, %error);
             }
-        })
-        .detach();
+        });
     }
 }
