Measure the silence of a node that a stream comes through in the time in which this one ran

Cause: a node that stands still for a second counts it as silence of the node that its streams come through. At its wake the question is unanswered, and each stream leaves a sound node. Without a pause after such a question the decision is repeated at once (600 lines relay_lost).

A question without an answer is followed by a pause of 25 ms; no test shows that pause alone. The test's signal loop is written as a for loop, as the linter asks; what it checks is the same.

--- a/crates/harness/tests/node_late_timers.rs
+++ b/crates/harness/tests/node_late_timers.rs
@@ -36,7 +36,9 @@
 /// Has `nodes` run and stand still in turn, without an end.
 async fn run_late(services: &ServiceFleet, nodes: &[usize], [runs, stands]: [Duration; 2]) {
     let signal = |signal| {
-        nodes.iter().for_each(|node| services.fleet.nodes[*node].signal(signal).unwrap());
+        for node in nodes {
+            services.fleet.nodes[*node].signal(signal).unwrap();
+        }
     };
     loop {
         signal(Signal::STOP);
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -2,13 +2,14 @@
 //! services find each other by name.
 //!
 //! The kernel depends on no service. It provides the registry of services and state dumps, a
-//! monotonic clock, logging, metrics and the stop signal; everything else is a service.
+//! monotonic clock, a clock of the time in which the process ran, logging, metrics and the stop signal; everything else is a service.
 
 mod clock;
 mod counters;
 mod error;
 mod holds;
 mod logs;
+mod own_time;
 mod registry;
 mod signals;
 mod stop;
@@ -18,6 +19,7 @@
 pub use error::{KernelError, Result};
 pub use holds::{LoopHold, mark_step, spawn, take_longest_hold};
 pub use logs::{init_logging, init_stdout_logging};
+pub use own_time::{OwnClock, OwnPoint, own_now};
 pub use registry::ServiceRegistry;
 pub use signals::{RELOAD_SIGNALS, STOP_SIGNALS, SignalListener, SignalPipe, wait_for_signals};
 pub use stop::{StopSignal, StopWait};
@@ -31,5 +33,8 @@
 /// [`KernelError::EventLoop`] if the event loop cannot be created.
 pub fn run<T>(main: impl Future<Output = T>) -> Result<T> {
     let runtime = compio::runtime::Runtime::new().map_err(KernelError::EventLoop)?;
-    Ok(runtime.block_on(main))
+    Ok(runtime.block_on(async {
+        compio::runtime::spawn(own_time::keep_own_time()).detach();
+        main.await
+    }))
 }
--- a/crates/node/src/streams/stream_relay.rs
+++ b/crates/node/src/streams/stream_relay.rs
@@ -31,6 +31,8 @@
 
 /// Silence after which the node is asked, and pause until it is asked again.
 const QUESTION_PAUSE: TimeSpan = TimeSpan::millis(250);
+/// Pause after a question without an answer: a node that sends no heartbeats is not asked at all.
+const UNANSWERED_PAUSE: TimeSpan = TimeSpan::millis(25);
 /// Reason of a stream that ends since the node that it came through is lost.
 const NODE_LOST: &str = "node_lost";
 
@@ -112,13 +114,12 @@
     /// Follows what the node of a silent stream has answered.
     pub(super) async fn follow_relay(&mut self, answers: bool) -> PumpStep {
         self.pending_question = None;
-        let now = self.context.now();
-        let silence = now.since(self.activity.last_data_at);
+        let pause = if answers { QUESTION_PAUSE } else { UNANSWERED_PAUSE };
+        self.activity.next_look = self.context.now() + pause;
+        let silence = self.activity.own_silence();
         if silence < QUESTION_PAUSE {
             return PumpStep::Continue;
         }
-        let pause = if answers { QUESTION_PAUSE } else { TimeSpan::default() };
-        self.activity.next_look = now + pause;
         let may_move = self.may_move_from_source();
         let facts = RelayFacts { is_lost: false, answers, silence, may_move };
         self.follow_decision(facts).await
@@ -130,7 +131,7 @@
             return self.handle_source_loss(reason).await;
         }
         self.log_send_failure(reason);
-        let silence = self.context.now().since(self.activity.last_data_at);
+        let silence = self.activity.own_silence();
         let facts = RelayFacts { is_lost: true, answers: false, silence, may_move: false };
         self.follow_decision(facts).await
     }
--- a/crates/node/src/streams/stream_silence.rs
+++ b/crates/node/src/streams/stream_silence.rs
@@ -13,6 +13,7 @@
 use base::prelude::*;
 use futures_util::future::join;
 use futures_util::{FutureExt, select_biased};
+use kernel::OwnPoint;
 use serving::{AnswerPlace, OverlapRule, PlaceNodes, RunnerRecord, SendOutcome};
 
 use super::stream_backup::{choose_backup, plan_backup_resume};
@@ -105,6 +106,8 @@
 pub struct SourceActivity {
     /// When data came last.
     pub(super) last_data_at: TimePoint,
+    /// The same in the time of this process.
+    heard_at: OwnPoint,
     /// When its silence is looked into at the earliest.
     pub(super) next_look: TimePoint,
     /// When it is looked at the earliest again where the stream can go on.
@@ -121,18 +124,25 @@
     pub fn new(now: TimePoint) -> Self {
         Self {
             last_data_at: now,
+            heard_at: kernel::own_now(),
             next_look: now,
             next_check: now,
             next_record: now,
             others_answered: None,
         }
     }
+
+    /// Time without data in which this process ran.
+    pub(super) fn own_silence(&self) -> TimeSpan {
+        kernel::own_now().since(self.heard_at)
+    }
 }
 
 impl StreamPump {
     /// Records that data has come from the source.
     pub(crate) fn record_activity(&mut self, now: TimePoint) {
         self.activity.last_data_at = now;
+        self.activity.heard_at = kernel::own_now();
         self.activity.others_answered = None;
         self.pending_check = None;
         if now >= self.activity.next_record && !self.source.is_relayed {
--- a/crates/serving/src/relayed_run.rs
+++ b/crates/serving/src/relayed_run.rs
@@ -17,7 +17,7 @@
     pub is_lost: bool,
     /// It has answered a question, asked since something last came from it.
     pub answers: bool,
-    /// Time since something last came from it.
+    /// Time since something last came from it, in which this node ran.
     pub silence: TimeSpan,
     /// Another node may be asked to stop the run and to move it.
     pub may_move: bool,
