--- a/crates/life/src/next_runner.rs
+++ b/crates/life/src/next_runner.rs
@@ -6,7 +6,7 @@
     list_node_places,
 };
 
-use crate::ordered_source::SourceHabit;
+use crate::ordered_source::{EarlierOrders, SourceHabit};
 use crate::stream_life::{OpenStep, RETRY_PAUSE, end_left_run};
 use crate::stream_place::MemoryTrust;
 use crate::{LifeAction, LifeStep, SeenPlace, StepNumber, StreamLife};
@@ -144,7 +144,7 @@
         self.is_stopped = false;
         self.habit = SourceHabit::Leaves;
         self.order_answer = None;
-        self.may_have_stopped = false;
+        self.earlier_orders = EarlierOrders::NotFollowed;
         self.is_move_asked = false;
         self.mover = None;
         self.next.has_memory = false;
--- a/crates/life/src/ordered_source.rs
+++ b/crates/life/src/ordered_source.rs
@@ -26,6 +26,15 @@
     pub(crate) at: TimePoint,
 }
 
+/// What is known of earlier orders to the source to stop its run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub(crate) enum EarlierOrders {
+    /// There were none, or they were refused.
+    NotFollowed,
+    /// One may have been followed: nothing shows what became of it.
+    MaybeFollowed,
+}
+
 impl StreamLife {
     /// Records an answer. The order stays under way until it is certain whether the run has stopped.
     pub(crate) fn note_answer(&mut self, open: OpenStep, answer: OrderAnswer, now: TimePoint) {
@@ -82,7 +91,9 @@
             StopDecision::Wait => (),
             StopDecision::OrderAgain => {
                 let answer = self.order_answer.map(|seen| seen.answer);
-                self.may_have_stopped |= answer == Some(OrderAnswer::Unknown);
+                if answer == Some(OrderAnswer::Unknown) {
+                    self.earlier_orders = EarlierOrders::MaybeFollowed;
+                }
                 self.close_step(actions);
                 self.begin(LifeStep::Order, now, actions);
             }
@@ -108,7 +119,7 @@
         let seen = self.order_answer;
         StopFacts {
             answer: seen.map(|seen| seen.answer),
-            may_have_stopped: self.may_have_stopped,
+            may_have_stopped: self.earlier_orders == EarlierOrders::MaybeFollowed,
             answered_at: seen.map_or(now, |seen| seen.at),
             last_event_at: self.last_heard,
             events: self.events,
--- a/crates/life/src/stream_life.rs
+++ b/crates/life/src/stream_life.rs
@@ -2,7 +2,7 @@
 
 use base::prelude::*;
 
-use crate::ordered_source::{SeenAnswer, SourceHabit};
+use crate::ordered_source::{EarlierOrders, SeenAnswer, SourceHabit};
 use crate::stored_deadlines::step_due;
 use crate::stream_place::{MemoryTrust, RunnerView};
 use crate::{
@@ -81,8 +81,7 @@
     pub(crate) habit: SourceHabit,
     /// What the source has answered to the latest order to stop the run.
     pub(crate) order_answer: Option<SeenAnswer>,
-    /// Whether the source may have followed an earlier order to stop the run.
-    pub(crate) may_have_stopped: bool,
+    pub(crate) earlier_orders: EarlierOrders,
     /// Events of the run that were read; `None` if its begin was read elsewhere.
     pub(crate) events: Option<u64>,
     /// When events came last.
@@ -123,7 +122,7 @@
             is_stopped: false,
             habit: SourceHabit::Leaves,
             order_answer: None,
-            may_have_stopped: false,
+            earlier_orders: EarlierOrders::NotFollowed,
             events: Some(0),
             last_heard: now,
             is_move_asked: false,
