Count a send as not sent if its connection had ended before

What callers saw (found by the review, shown by a test): a stream cut with move_failed although the next runner had its copy. The connection to the next runner is opened before the order; a long wait for the stop outlasts the time after which a runner closes idle connections. The send then failed with "operation was canceled", counted as one that may have run, and the runner was not tried again.

Cause: the library cancels a request that it has not taken because its connection has ended; that counted like a connection lost in the exchange.

Change: such an error says that nothing was sent, and the run connects again.

--- a/crates/web/src/error.rs
+++ b/crates/web/src/error.rs
@@ -133,6 +133,8 @@
             Self::Connect { .. } | Self::ConnectDeadline { .. } | Self::Request { .. } => {
                 SendFault::NotSent
             }
+            // The connection had ended before the request was taken.
+            Self::Exchange { source, .. } if source.is_canceled() => SendFault::NotSent,
             _ => SendFault::MaybeSent,
         }
     }
