Leave a few events beyond a confirmed stop to what the source was writing

What callers saw (found by the review, shown by a test): a stream cut with runner_lost at an engine whose answer to the order counts one event less than it writes. One event beyond the count was taken for proof that it goes on.

Change: a source goes on if it makes more than four events beyond its count; nothing has been sent to the next runner until then.

--- a/crates/serving/src/run_stop.rs
+++ b/crates/serving/src/run_stop.rs
@@ -6,6 +6,8 @@
 
 use base::prelude::*;
 
+/// Events beyond its count that a source may have been writing as it stopped.
+const SPARE_EVENTS: u64 = 4;
 /// Time without an event in which the stream of a run closes whose stop is confirmed.
 const CLOSE_TIME: TimeSpan = TimeSpan::millis(400);
 /// Longest time for which events from before a confirmed stop are read, and longest silence of a stream
@@ -151,10 +153,10 @@
     }
 }
 
-/// Whether the source has made events after the stop that it confirmed.
+/// Whether the source has made events after the stop that it confirmed, beyond what it may have been writing.
 fn has_gone_on(facts: &StopFacts) -> bool {
     let Some(OrderAnswer::Stopped(Some(made))) = facts.answer else { return false };
-    facts.events.is_some_and(|events| events > made)
+    facts.events.is_some_and(|events| events > made + SPARE_EVENTS)
 }
 
 /// When an open body is read no longer after the answer. Events from before the stop, which may come late,
--- a/crates/serving/tests/run_stop.rs
+++ b/crates/serving/tests/run_stop.rs
@@ -35,13 +35,15 @@
     let untold = Some(OrderAnswer::Stopped(None));
     let rows = [
         ("before", facts(stopped, Some(7), BodyState::Open)),
-        ("beyond", facts(stopped, Some(8), BodyState::Open)),
+        ("being written", facts(stopped, Some(11), BodyState::Open)),
+        ("beyond", facts(stopped, Some(12), BodyState::Open)),
         ("begun elsewhere", facts(stopped, None, BodyState::Open)),
-        ("untold", facts(untold, Some(8), BodyState::Open)),
+        ("untold", facts(untold, Some(12), BodyState::Open)),
     ];
     let lines = rows.map(|(name, facts)| format!("{name}: {}", decisions(facts)));
     assert_snapshot!(lines.join("\n"), @r"
     before: 0 wait, 399 wait, 400 take_next, 1999 take_next, 2000 take_next
+    being written: 0 wait, 399 wait, 400 take_next, 1999 take_next, 2000 take_next
     beyond: 0 goes_on, 399 goes_on, 400 goes_on, 1999 goes_on, 2000 goes_on
     begun elsewhere: 0 wait, 399 wait, 400 take_next, 1999 take_next, 2000 take_next
     untold: 0 wait, 399 wait, 400 take_next, 1999 take_next, 2000 take_next
