Measure the limit of a whole exchange in the time in which this node ran

Cause (found by the review, shown by a test): an answer that has arrived in time is dropped by a node that stands still over the limit: reading it takes more than one turn of the event loop, and the timer is due at the first. Orders and copies, reports and questions to nodes are such exchanges.

Change: own_timeout; the limit of a whole exchange counts the time in which the process ran. Connecting, and heads of calls, keep their limits in wall time: those of callers are promised in it.

--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -20,7 +20,7 @@
 pub use error::{KernelError, Result};
 pub use holds::{LoopHold, mark_step, spawn, spawn_rest, take_longest_hold};
 pub use logs::{init_logging, init_stdout_logging};
-pub use own_time::{OwnClock, OwnPoint, own_now};
+pub use own_time::{OwnClock, OwnPoint, own_now, own_timeout};
 pub use registry::ServiceRegistry;
 pub use signals::{RELOAD_SIGNALS, STOP_SIGNALS, SignalListener, SignalPipe, wait_for_signals};
 pub use stop::{StopSignal, StopWait};
--- a/crates/kernel/src/own_time.rs
+++ b/crates/kernel/src/own_time.rs
@@ -5,9 +5,11 @@
 
 use std::cell::RefCell;
 use std::ops::Add;
+use std::pin::pin;
 
 use base::{TimePoint, TimeSpan};
 use compio::time::sleep;
+use futures_util::future::{Either, select};
 
 use crate::MonotonicClock;
 
@@ -85,6 +87,20 @@
     CLOCK.with_borrow_mut(ProcessClock::now)
 }
 
+/// The output of `future`, unless it takes longer than `limit` of the time in which this process runs.
+pub async fn own_timeout<T>(limit: TimeSpan, future: impl Future<Output = T>) -> Option<T> {
+    let due = own_now() + limit;
+    let passed = async {
+        while own_now() < due {
+            sleep(due.since(own_now()).into()).await;
+        }
+    };
+    match select(pin!(future), pin!(passed)).await {
+        Either::Left((output, _)) => Some(output),
+        Either::Right(((), _)) => None,
+    }
+}
+
 /// Advances the clock of this thread, without an end.
 pub(crate) async fn keep_own_time() {
     loop {
--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -26,6 +26,8 @@
 
 /// Maximum size of a response body that [`fetch`] accepts, in bytes.
 pub const MAX_FETCH_BYTES: usize = 64 << 20;
+/// Limit of a head whose whole exchange has a shorter one.
+const HEAD_LIMIT: TimeSpan = TimeSpan::seconds(3_600);
 /// Maximum length of the part of an error body that is kept, in characters.
 const MAX_ERROR_TEXT_CHARS: usize = 300;
 
@@ -255,7 +257,8 @@
     let (FetchLimit::Whole(until_head) | FetchLimit::Steady { head: until_head, .. }) = limit;
     let exchange = async {
         let exchange = match limit {
-            FetchLimit::Whole(_) => open_exchange(peer, request, until_head, until_head).await?,
+            // The whole exchange has a limit, in the time of the process.
+            FetchLimit::Whole(_) => open_exchange(peer, request, until_head, HEAD_LIMIT).await?,
             FetchLimit::Steady { .. } => {
                 open_state_exchange(peer, request, until_head, until_head).await?
             }
@@ -270,8 +273,8 @@
     match limit {
         FetchLimit::Steady { .. } => exchange.await,
         FetchLimit::Whole(whole) => {
-            let outcome = timeout(whole.into(), exchange).await;
-            outcome.map_err(|_| WebError::Deadline { step, peer })?
+            let outcome = kernel::own_timeout(whole, exchange).await;
+            outcome.ok_or(WebError::Deadline { step, peer })?
         }
     }
 }
--- a/crates/web/src/unread_bytes.rs
+++ b/crates/web/src/unread_bytes.rs
@@ -13,7 +13,7 @@
 use futures_util::AsyncReadExt;
 
 /// Time for a caller to receive the last answer and to close its side.
-const CLOSE_TIME: TimeSpan = TimeSpan::seconds(5);
+const DROP_TIME: TimeSpan = TimeSpan::seconds(5);
 /// Most that is read and dropped, in bytes.
 const MAX_DROPPED_BYTES: usize = 1 << 20;
 /// Largest read, in bytes.
@@ -24,7 +24,7 @@
 pub(crate) async fn drop_unread(connection: TcpStream) {
     let Ok(mut socket) = connection.into_poll_fd() else { return };
     if has_unread(&socket) {
-        let _ = timeout(CLOSE_TIME.into(), drop_until_closed(&mut socket)).await;
+        let _ = timeout(DROP_TIME.into(), drop_until_closed(&mut socket)).await;
     }
 }
 
