Order a run again whose stop is not answered while it goes on elsewhere

By reading (the review): an order whose outcome was not known once the request had gone to the next runner was not sent again, so that the memory at the source was never learnt; and the limit for the next runner's head fell from 2.5 s to 250 ms in retrospect when the answer came.

Change: the order is sent again; the 250 ms count from when the other place became known. Waiting decisions cannot end the wait for the stop.

--- a/crates/node/src/streams/run_return.rs
+++ b/crates/node/src/streams/run_return.rs
@@ -147,7 +147,7 @@
                 if let Some(order) = places.order.take()
                     && let Some(answer) = self.await_order(order).await
                 {
-                    places.add_stopped(answer);
+                    self.follow_order(&mut places, answer);
                 }
             }
         }
@@ -217,10 +217,12 @@
         let limit = SILENCE_TIME.min(call.deadline.since(begun));
         let sending = Box::pin(send_connected(context, call, plan, connection, limit));
         let mut sending = pin!(sending.fuse());
+        // When the places were last added to.
+        let mut known_at = begun;
         loop {
             let has_other =
                 places.plans.iter().any(|other| self.is_other_place(other, plan, places));
-            let left = (begun + HEAD_TIME).since(context.now());
+            let left = (known_at + HEAD_TIME).since(context.now());
             let late = async {
                 if has_other { kernel::sleep(left.into()).await } else { pending().await }
             };
@@ -238,8 +240,19 @@
                 () = late => return Err(SendFailure::stream_lost(HEAD_LATE, RunnerLoss::NoAnswer)),
             };
             places.order = None;
-            places.add_stopped(answer);
+            self.follow_order(places, answer);
+            known_at = context.now();
+        }
+    }
+
+    /// Adds what an order has left; one whose outcome is not known is sent again.
+    fn follow_order(&self, places: &mut StoppedPlaces, answer: StopAnswer) {
+        if answer.as_ref().is_err_and(platform::PlatformError::is_outcome_unknown) {
+            let (context, attempt) = (Rc::clone(&self.context), self.call.attempt.clone());
+            let (from, to) = (places.source.address, places.handover.runner.address);
+            places.order = Some(CopyTask::stop(context, attempt, from, to));
         }
+        places.add_stopped(answer);
     }
 
     /// Whether the run can go on as `other` says instead of as `plan` says.
--- a/crates/node/src/streams/run_stop.rs
+++ b/crates/node/src/streams/run_stop.rs
@@ -213,9 +213,9 @@
             if decision == StopDecision::OrderAgain && !is_early {
                 self.log_stop(&facts, decision);
                 self.order_again(order, to);
-            } else if !matches!(decision, StopDecision::Wait | StopDecision::OrderAgain) {
+            } else if let Some(end) = self.end_stop(decision) {
                 self.log_stop(&facts, decision);
-                return self.end_stop(decision);
+                return end;
             }
             let due = self.stop_input_due(order);
             match self.next_stop_input(order, due).await {
@@ -281,9 +281,10 @@
         }
     }
 
-    /// Ends the wait for the stop as decided.
-    fn end_stop(&mut self, decision: StopDecision) -> StopEnd {
-        match decision {
+    /// Ends the wait for the stop as decided; `None` if it goes on.
+    fn end_stop(&mut self, decision: StopDecision) -> Option<StopEnd> {
+        let end = match decision {
+            StopDecision::Wait | StopDecision::OrderAgain => return None,
             StopDecision::TakeNext => {
                 self.source.close();
                 StopEnd::Stopped
@@ -296,8 +297,9 @@
                 record_habit(&self.context, &self.call, runner, EndHabit::IgnoresOrder);
                 StopEnd::Kept
             }
-            StopDecision::Keep | StopDecision::Wait | StopDecision::OrderAgain => StopEnd::Kept,
-        }
+            StopDecision::Keep => StopEnd::Kept,
+        };
+        Some(end)
     }
 
     /// Sends the order once more: it is not known whether the source has followed the last one.
