--- a/crates/fakes/src/platform/runner_answers.rs
+++ b/crates/fakes/src/platform/runner_answers.rs
@@ -71,6 +71,9 @@
     state.moves.borrow_mut().push(Instant::now());
     let body: Value = serde_json::from_slice(&request.body).unwrap_or_default();
     let attempt = body["id"].as_str().unwrap_or_default();
+    if state.open_moves.borrow().contains(attempt) {
+        return write(stream, whole("409 Conflict", &state.notice(), "{}")).await;
+    }
     let run = state.runs_at_work.borrow().get(attempt).cloned();
     let is_order = body["last"] == true;
     let is_order_refused = is_order && state.stops_refused.get();
@@ -81,9 +84,10 @@
     let is_refused = state.moves_refused.get() || is_order_refused;
     // A run that was stopped is kept, whether or not its copy finds room.
     let copied = run.filter(|_| stops || !is_refused).and_then(|_| state.memory.copy(attempt));
-    let body = copied
-        .as_ref()
-        .map(|(handle, events)| json!({ "kvHandle": handle, "created": events }).to_string());
+    let uncounted = state.uncounted_events.get();
+    let body = copied.as_ref().map(|(handle, events)| {
+        json!({ "kvHandle": handle, "created": *events - uncounted }).to_string()
+    });
     if is_refused {
         let mut notice = state.notice();
         if let Some(value) = state.retry_after.borrow().as_ref() {
@@ -95,7 +99,9 @@
     let Some(body) = body else {
         return write(stream, whole("404 Not Found", &state.notice(), "{}")).await;
     };
+    state.open_moves.borrow_mut().insert(attempt.to_owned());
     compio::time::sleep(state.move_time.get()).await;
+    state.open_moves.borrow_mut().remove(attempt);
     write(stream, whole("200 OK", &state.notice(), &body)).await
 }
 
--- a/crates/fakes/src/platform/runner_server.rs
+++ b/crates/fakes/src/platform/runner_server.rs
@@ -52,9 +52,18 @@
     look_crashed(listener, state).await;
 }
 
+/// The next request of a connection; `None` if it is closed, or idle for too long.
+async fn read_request(stream: &mut TcpStream, state: &RunnerState) -> Option<RunnerRequest> {
+    let reading = RunnerRequest::read(stream);
+    match state.idle_time.get() {
+        Some(idle) => compio::time::timeout(idle, reading).await.ok().flatten(),
+        None => reading.await,
+    }
+}
+
 /// Answers the requests of one connection.
 async fn serve(mut stream: TcpStream, state: Rc<RunnerState>) {
-    while let Some(request) = RunnerRequest::read(&mut stream).await {
+    while let Some(request) = read_request(&mut stream, &state).await {
         state.wait_while_silent().await;
         if let Some(endless) = state.endless.get() {
             return answer_without_end(&mut stream, &state, request, endless).await;
--- a/crates/fakes/src/platform/runner_setters.rs
+++ b/crates/fakes/src/platform/runner_setters.rs
@@ -76,6 +76,16 @@
         self.state().move_time.set(time);
     }
 
+    /// Its answers to moves count so many events less than it has made.
+    pub fn count_less(&self, events: u64) {
+        self.state().uncounted_events.set(events);
+    }
+
+    /// It closes connections on which no request comes for this long.
+    pub fn close_idle(&self, time: Duration) {
+        self.state().idle_time.set(Some(time));
+    }
+
     /// Whether moves of its runs find no room.
     pub fn refuse_moves(&self, refused: bool) {
         self.state().moves_refused.set(refused);
--- a/crates/fakes/src/platform/runner_state.rs
+++ b/crates/fakes/src/platform/runner_state.rs
@@ -1,7 +1,7 @@
 //! State that the connections of a runner share, and what follows from it for a request.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::{Duration, Instant};
 
 use compio::net::TcpStream;
@@ -84,6 +84,12 @@
     pub(super) releases: RefCell<Vec<String>>,
     /// Time that a move from here takes.
     pub(super) move_time: Cell<Duration>,
+    /// Attempts whose runs are being moved.
+    pub(super) open_moves: RefCell<BTreeSet<String>>,
+    /// Events that it leaves out of the count in its answers to moves.
+    pub(super) uncounted_events: Cell<u64>,
+    /// Time without a request after which it closes a connection.
+    pub(super) idle_time: Cell<Option<Duration>>,
     /// Moves from here find no room.
     pub(super) moves_refused: Cell<bool>,
     /// Raised when late answers, and late ends of connections, may go.
@@ -139,6 +145,9 @@
             moves: RefCell::default(),
             releases: RefCell::default(),
             move_time: Cell::default(),
+            open_moves: RefCell::default(),
+            uncounted_events: Cell::default(),
+            idle_time: Cell::default(),
             moves_refused: Cell::default(),
             late: RefCell::default(),
             rushes: Cell::default(),
--- a/crates/harness/tests/node_late_reads.rs
+++ b/crates/harness/tests/node_late_reads.rs
@@ -8,7 +8,8 @@
 use compio::time::sleep;
 use fakes::platform::RunnerFakeSettings;
 use futures_util::future::join;
-use harness::{CallerRequest, LinkState, wait_until};
+use harness::{CallerRequest, LinkState, SeenStream, wait_until};
+use rustix::process::Signal;
 use serde_json::json;
 use service_fleet::{CUT, LinkedRunner, ServiceFleet, take_turn};
 
@@ -46,6 +47,21 @@
     services.fleet.store.put_json("keyed.servers", linked.runner.id(), &entry);
 }
 
+/// The other runners of the source's service.
+fn find_others<'a>(services: &'a ServiceFleet, source: &LinkedRunner) -> Vec<&'a LinkedRunner> {
+    let all = services.runners.iter().filter(|other| other.runner.id() != source.runner.id());
+    all.filter(|other| other.service == source.service).collect()
+}
+
+/// Checks that a stream came whole, of one run.
+fn check_whole(services: &ServiceFleet, stream: &SeenStream) {
+    let node = &services.fleet.nodes[CUT];
+    let lines =
+        ["send_failed", "stop_decided", "run_not_ended", "end"].map(|name| node.events(name));
+    assert!(stream.has_all(EVENTS), "{stream:?} {lines:?}");
+    assert_eq!(services.most_runs(), 1);
+}
+
 /// Guards against LOST: a run that has stopped is taken for one that goes on, since its last events are read late.
 #[test]
 fn a_stream_whose_last_events_are_read_after_its_run_has_stopped_goes_on_elsewhere() {
@@ -61,11 +77,8 @@
             tell(&services, source, "draining");
         };
         let (stream, ()) = join(services.fleet.read_stream(CUT, &request), leave).await;
-        let node = &services.fleet.nodes[CUT];
-        let lines = [node.events("send_failed"), node.events("run_not_ended"), node.events("end")];
-        assert!(stream.has_all(EVENTS), "{stream:?} {lines:?}");
-        assert!(lines[1].is_empty(), "{lines:?}");
-        assert_eq!(services.most_runs(), 1);
+        check_whole(&services, &stream);
+        assert!(services.fleet.nodes[CUT].events("run_not_ended").is_empty());
     })
     .unwrap();
 }
@@ -101,10 +114,7 @@
             leave_slowly(&services, source, ORDER_TIME).await;
         };
         let (stream, ()) = join(services.fleet.read_stream(CUT, &request), leave).await;
-        let node = &services.fleet.nodes[CUT];
-        let lines = [node.events("send_failed"), node.events("end")];
-        assert!(stream.has_all(EVENTS), "{stream:?} {lines:?}");
-        assert_eq!(services.most_runs(), 1);
+        check_whole(&services, &stream);
     })
     .unwrap();
 }
@@ -135,10 +145,7 @@
             }
         };
         let (stream, ()) = join(services.fleet.read_stream(CUT, &request), leave).await;
-        let node = &services.fleet.nodes[CUT];
-        let lines = [node.events("send_failed"), node.events("end"), node.events("stop_decided")];
-        assert!(stream.has_all(EVENTS), "{stream:?} {lines:?}");
-        assert_eq!(services.most_runs(), 1);
+        check_whole(&services, &stream);
     })
     .unwrap();
 }
@@ -164,10 +171,87 @@
             source.runner.crash();
         };
         let (stream, ()) = join(services.fleet.read_stream(CUT, &request), leave).await;
-        let node = &services.fleet.nodes[CUT];
-        let lines = [node.events("send_failed"), node.events("end"), node.events("stop_decided")];
-        assert!(stream.has_all(EVENTS), "{stream:?} {lines:?}");
-        assert_eq!(services.most_runs(), 1);
+        check_whole(&services, &stream);
+    })
+    .unwrap();
+}
+
+/// Guards against LOST: the connection to the next runner, opened before a long stop, has been closed as idle.
+#[test]
+fn a_stopped_run_connects_again_to_a_next_runner_that_has_closed_an_idle_connection() {
+    const IDLE: Duration = Duration::from_secs(2);
+    const ORDER_TIME: Duration = Duration::from_secs(3);
+    const SLOW_RATE: u64 = 1_000;
+    let _turn = take_turn();
+    kernel::run(async {
+        let services = ServiceFleet::start(long_streams).await;
+        let request = stream_without_copy("idle");
+        let leave = async {
+            let source = find_source(&services).await;
+            sleep(FILL_AFTER).await;
+            source.link.set_answer_rate(SLOW_RATE);
+            sleep(LEAVE_AFTER).await;
+            for other in find_others(&services, source) {
+                other.runner.close_idle(IDLE);
+                // No other node can take the run.
+                for node in services.fleet.nodes.iter().skip(CUT + 1) {
+                    other.link.set_for(node.pid(), LinkState::NewCut);
+                }
+            }
+            leave_slowly(&services, source, ORDER_TIME).await;
+        };
+        let (stream, ()) = join(services.fleet.read_stream(CUT, &request), leave).await;
+        check_whole(&services, &stream);
+    })
+    .unwrap();
+}
+
+/// Guards against LOST: an engine whose count lacks the last event is taken for one that goes on.
+#[test]
+fn a_stream_goes_on_elsewhere_although_its_source_has_counted_an_event_less() {
+    let _turn = take_turn();
+    kernel::run(async {
+        let services = ServiceFleet::start(long_streams).await;
+        let request = stream_without_copy("less");
+        let leave = async {
+            let source = find_source(&services).await;
+            source.runner.count_less(1);
+            sleep(FILL_AFTER).await;
+            source.link.set_answer_rate(FULL_RATE);
+            sleep(LEAVE_AFTER).await;
+            tell(&services, source, "draining");
+        };
+        let (stream, ()) = join(services.fleet.read_stream(CUT, &request), leave).await;
+        check_whole(&services, &stream);
+    })
+    .unwrap();
+}
+
+/// Guards against a node that stands still over the limit of a call, and drops an answer that has arrived in time.
+#[test]
+fn an_answer_to_an_order_counts_that_arrives_while_the_node_stands_still() {
+    /// Within the limit of an order, which passes while the node stands still.
+    const ORDER_TIME: Duration = Duration::from_millis(2_200);
+    const STILL_AFTER: Duration = Duration::from_secs(2);
+    const STILL_FOR: Duration = Duration::from_secs(1);
+    let _turn = take_turn();
+    kernel::run(async {
+        let services = ServiceFleet::start(long_streams).await;
+        let request = stream_without_copy("still");
+        let leave = async {
+            let source = find_source(&services).await;
+            sleep(FILL_AFTER).await;
+            leave_slowly(&services, source, ORDER_TIME).await;
+            let is_ordered = async || (source.runner.moves().len() == 2).then_some(());
+            wait_until("an order", LIMIT, is_ordered).await.unwrap();
+            sleep(STILL_AFTER).await;
+            services.fleet.nodes[CUT].signal(Signal::STOP).unwrap();
+            sleep(STILL_FOR).await;
+            services.fleet.nodes[CUT].signal(Signal::CONT).unwrap();
+        };
+        let (stream, ()) = join(services.fleet.read_stream(CUT, &request), leave).await;
+        check_whole(&services, &stream);
+        assert_eq!(services.fleet.nodes[CUT].events("run_stopped").len(), 1);
     })
     .unwrap();
 }
