Pause between orders to stop a run that goes on elsewhere

By reading, before a landing: an order whose outcome is not known was sent again at once while the next runner was waited for; at a source that closes each connection that is a flood of control calls for up to 2.5 s. Now 250 ms pass, as while the source is read.

--- a/crates/node/src/streams/run_return.rs
+++ b/crates/node/src/streams/run_return.rs
@@ -13,12 +13,13 @@
 use serving::{AnswerPlace, RunnerLoss, RunnerRecord, SendOutcome};
 use web::{WebConnection, WebExchange};
 
-use super::run_stop::{ORDER_SILENCE, StopAnswer};
+use super::run_stop::{ORDER_PAUSE, ORDER_SILENCE, StopAnswer};
 use super::stream_backup::choose_backup;
 use super::stream_copy::{CopyTask, RunCopy};
 use super::stream_places::QUESTION_PAUSE;
 use super::stream_pump::StreamPump;
 use crate::call::RunPlace;
+use crate::context::NodeContext;
 use crate::run_end_watch::OpenRun;
 use crate::runner_gate::SendPurpose;
 use crate::runner_send::{SendFailure, SendPlan, connect_to_runner, send_connected};
@@ -39,6 +40,24 @@
 /// Reason of a run that may not go on at its source any more.
 const RETURN_LATE: &str = "source_left";
 
+/// An order to stop the run that is not answered.
+struct OpenOrder {
+    task: CopyTask,
+    /// When it is sent; `None` if it has been.
+    begins_at: Option<TimePoint>,
+}
+
+impl OpenOrder {
+    /// Sends the order when it is time, and waits for its answer.
+    async fn answer(&mut self, context: &NodeContext) -> StopAnswer {
+        if let Some(begin) = self.begins_at {
+            kernel::sleep(begin.since(context.now()).into()).await;
+            self.begins_at = None;
+        }
+        (&mut self.task).await
+    }
+}
+
 /// Where the memory of a stopped run is.
 struct StoppedPlaces {
     source: RunnerRecord,
@@ -49,7 +68,7 @@
     /// Runners that may have taken the run and gave no answer.
     lost: Vec<RunnerId>,
     /// The order, while it is not answered.
-    order: Option<CopyTask>,
+    order: Option<OpenOrder>,
     /// What the order has left.
     copy: Option<RunCopy>,
 }
@@ -61,7 +80,7 @@
         order: CopyTask,
         answer: Option<StopAnswer>,
     ) -> Self {
-        let order = answer.is_none().then_some(order);
+        let order = answer.is_none().then_some(OpenOrder { task: order, begins_at: None });
         let (handover, plans, lost) = (plan.clone(), vec![plan.clone()], Vec::new());
         let mut places = Self { source, handover, plans, lost, order, copy: None };
         if let Some(answer) = answer {
@@ -95,12 +114,15 @@
 
 impl StreamPump {
     /// Waits for the answer to an order. `None` if the source answers another node, and not this one.
-    async fn await_order(&self, mut order: CopyTask) -> Option<StopAnswer> {
+    async fn await_order(&self, mut order: OpenOrder) -> Option<StopAnswer> {
         let mut question = self.ask_source(ORDER_SILENCE);
         loop {
-            let place = select_biased! {
-                answer = (&mut order).fuse() => return Some(answer),
-                place = (&mut question).fuse() => place,
+            let place = {
+                let mut answered = pin!(order.answer(&self.context).fuse());
+                select_biased! {
+                    answer = answered => return Some(answer),
+                    place = (&mut question).fuse() => place,
+                }
             };
             self.log_unanswered_order(&place);
             if matches!(place, AnswerPlace::OtherNode(_)) {
@@ -223,34 +245,39 @@
             let has_other =
                 places.plans.iter().any(|other| self.is_other_place(other, plan, places));
             let left = (known_at + HEAD_TIME).since(context.now());
-            let late = async {
-                if has_other { kernel::sleep(left.into()).await } else { pending().await }
-            };
-            let mut late = pin!(late.fuse());
-            let answered = async {
-                match &mut places.order {
-                    Some(order) => order.await,
-                    None => pending().await,
+            let answer = {
+                let late = async {
+                    if has_other { kernel::sleep(left.into()).await } else { pending().await }
+                };
+                let answered = async {
+                    match &mut places.order {
+                        Some(order) => order.answer(context).await,
+                        None => pending().await,
+                    }
+                };
+                let (mut late, mut answered) = (pin!(late.fuse()), pin!(answered.fuse()));
+                select_biased! {
+                    sent = sending => return sent,
+                    answer = answered => answer,
+                    () = late => {
+                        return Err(SendFailure::stream_lost(HEAD_LATE, RunnerLoss::NoAnswer));
+                    }
                 }
             };
-            let mut answered = pin!(answered.fuse());
-            let answer = select_biased! {
-                sent = sending => return sent,
-                answer = answered => answer,
-                () = late => return Err(SendFailure::stream_lost(HEAD_LATE, RunnerLoss::NoAnswer)),
-            };
             places.order = None;
             self.follow_order(places, answer);
             known_at = context.now();
         }
     }
 
-    /// Adds what an order has left; one whose outcome is not known is sent again.
+    /// Adds what an order has left; one whose outcome is not known is sent again after a pause.
     fn follow_order(&self, places: &mut StoppedPlaces, answer: StopAnswer) {
         if answer.as_ref().is_err_and(platform::PlatformError::is_outcome_unknown) {
             let (context, attempt) = (Rc::clone(&self.context), self.call.attempt.clone());
             let (from, to) = (places.source.address, places.handover.runner.address);
-            places.order = Some(CopyTask::stop(context, attempt, from, to));
+            let begins_at = Some(context.now() + ORDER_PAUSE);
+            let task = CopyTask::stop(context, attempt, from, to);
+            places.order = Some(OpenOrder { task, begins_at });
         }
         places.add_stopped(answer);
     }
--- a/crates/node/src/streams/run_stop.rs
+++ b/crates/node/src/streams/run_stop.rs
@@ -31,7 +31,7 @@
 /// Time for which a run that has lost its stream waits for the answer to the order.
 const ANSWER_TIME: TimeSpan = TimeSpan::millis(500);
 /// Shortest time between two orders to stop a run.
-const ORDER_PAUSE: TimeSpan = TimeSpan::millis(250);
+pub(super) const ORDER_PAUSE: TimeSpan = TimeSpan::millis(250);
 /// Silence of a source that has not answered the order, after which it is found out where it answers.
 pub(super) const ORDER_SILENCE: TimeSpan = TimeSpan::millis(100);
 /// Time for which a run stays at a source that it has returned to, before it leaves again.
