--- a/crates/fakes/src/platform/runner_answers.rs
+++ b/crates/fakes/src/platform/runner_answers.rs
@@ -71,7 +71,7 @@
     state.moves.borrow_mut().push(Instant::now());
     let body: Value = serde_json::from_slice(&request.body).unwrap_or_default();
     let attempt = body["id"].as_str().unwrap_or_default();
-    if state.open_moves.borrow().contains(attempt) {
+    if state.is_one_move_at_a_time.get() && state.open_moves.borrow().contains(attempt) {
         return write(stream, whole("409 Conflict", &state.notice(), "{}")).await;
     }
     let run = state.runs_at_work.borrow().get(attempt).cloned();
--- a/crates/fakes/src/platform/runner_setters.rs
+++ b/crates/fakes/src/platform/runner_setters.rs
@@ -76,6 +76,11 @@
         self.state().move_time.set(time);
     }
 
+    /// It refuses moves of a run that it is moving, as its interface says.
+    pub fn move_one_at_a_time(&self) {
+        self.state().is_one_move_at_a_time.set(true);
+    }
+
     /// Its answers to moves count so many events less than it has made.
     pub fn count_less(&self, events: u64) {
         self.state().uncounted_events.set(events);
--- a/crates/fakes/src/platform/runner_state.rs
+++ b/crates/fakes/src/platform/runner_state.rs
@@ -84,6 +84,8 @@
     pub(super) releases: RefCell<Vec<String>>,
     /// Time that a move from here takes.
     pub(super) move_time: Cell<Duration>,
+    /// Moves of a run that is being moved are refused.
+    pub(super) is_one_move_at_a_time: Cell<bool>,
     /// Attempts whose runs are being moved.
     pub(super) open_moves: RefCell<BTreeSet<String>>,
     /// Events that it leaves out of the count in its answers to moves.
@@ -145,6 +147,7 @@
             moves: RefCell::default(),
             releases: RefCell::default(),
             move_time: Cell::default(),
+            is_one_move_at_a_time: Cell::default(),
             open_moves: RefCell::default(),
             uncounted_events: Cell::default(),
             idle_time: Cell::default(),
--- a/crates/harness/tests/node_late_reads.rs
+++ b/crates/harness/tests/node_late_reads.rs
@@ -110,6 +110,7 @@
             let source = find_source(&services).await;
             sleep(FILL_AFTER).await;
             source.link.set_answer_rate(SLOW_RATE);
+            source.runner.move_one_at_a_time();
             sleep(LEAVE_AFTER).await;
             leave_slowly(&services, source, ORDER_TIME).await;
         };
--- a/crates/harness/tests/node_leaving_partition.rs
+++ b/crates/harness/tests/node_leaving_partition.rs
@@ -153,3 +153,12 @@
         source.link.set_for(services.fleet.nodes[CUT].pid(), LinkState::AnswersStalled);
     });
 }
+
+/// Guards against LOST: another node cannot move a run whose copy, ordered by a node that is cut off now, is under way.
+#[test]
+fn a_stream_is_moved_by_another_node_while_a_copy_of_its_run_is_under_way() {
+    check_leave_without_copy(|services, source| {
+        source.runner.move_one_at_a_time();
+        source.link.set_for(services.fleet.nodes[CUT].pid(), LinkState::AnswersStalled);
+    });
+}
