--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -19,6 +19,7 @@
 use crate::memory_pool::{MemoryPool, MemoryReservation};
 use crate::metrics::NodeMetrics;
 use crate::open_calls::OpenCalls;
+use crate::ordered_runs::OrderedRuns;
 use crate::runner_probe::LostCalls;
 use crate::speed_share::SpeedFigure;
 use crate::state_transfer::EncodedPlan;
@@ -57,6 +58,8 @@
     pub limits: RefCell<LimitTable>,
     /// How runners end runs that go on elsewhere.
     pub run_ends: RefCell<EndTable>,
+    /// Runs that this node has lately ordered runners to stop.
+    pub ordered_runs: RefCell<OrderedRuns>,
     /// Cold runners.
     pub cold: RefCell<ColdTable>,
     /// Brittle runners.
@@ -150,6 +153,7 @@
             waits: RefCell::default(),
             limits: RefCell::default(),
             run_ends: RefCell::default(),
+            ordered_runs: RefCell::default(),
             cold: RefCell::default(),
             brittle: RefCell::default(),
             room_changed: Cell::default(),
--- a/crates/node/src/forward/call_forward.rs
+++ b/crates/node/src/forward/call_forward.rs
@@ -20,6 +20,7 @@
 use super::relay::fail_unknown;
 use super::run_trace::RunTrace;
 use crate::call::Call;
+use crate::call_log::may_log;
 use crate::context::NodeContext;
 use crate::reach::wait_node_lost;
 use crate::streams::is_event_stream;
@@ -105,6 +106,17 @@
     Unknown,
 }
 
+impl RoundEnd {
+    /// Name of the end, for logs.
+    fn as_str(&self) -> &'static str {
+        match self {
+            Self::Taken(_) => "taken",
+            Self::NotTaken => "not_taken",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
 /// Has another node resume a run whose runner this node has lost, `first` before all others. A run that
 /// a node has found alive is offered to all of them again, until its deadline or until it `is_back` where
 /// it worked. Returns `None` if none takes it.
@@ -115,9 +127,12 @@
     mut first: Option<VmId>,
     is_back: &Cell<bool>,
 ) -> Option<TakenResume> {
-    let mut run = OfferedRun { offer: offer.clone(), state: RunState::Unknown };
+    let (offer, state, begun) = (offer.clone(), RunState::Unknown, context.now());
+    let mut run = OfferedRun { offer, state, begun, asked: 0 };
     loop {
-        match offer_round(context, call, &mut run, first.take()).await {
+        let end = offer_round(context, call, &mut run, first.take()).await;
+        log_round(context, call, &run, &end);
+        match end {
             RoundEnd::Taken(taken) => return Some(taken),
             RoundEnd::NotTaken if run.is_alive(is_back.get()) && call.deadline > context.now() => {
                 kernel::sleep(ROUND_PAUSE.into()).await;
@@ -138,10 +153,25 @@
     Stopped,
 }
 
+impl RunState {
+    /// Name of the state, for logs.
+    fn as_str(self) -> &'static str {
+        match self {
+            Self::Unknown => "unknown",
+            Self::Works => "works",
+            Self::Stopped => "stopped",
+        }
+    }
+}
+
 /// A run that is offered to other nodes.
 struct OfferedRun {
     offer: ResumeOffer,
     state: RunState,
+    /// When it was first offered.
+    begun: TimePoint,
+    /// Number of nodes asked so far.
+    asked: u32,
 }
 
 impl OfferedRun {
@@ -167,6 +197,27 @@
     }
 }
 
+/// Logs how a round of offers ended.
+fn log_round(context: &NodeContext, call: &Call, run: &OfferedRun, end: &RoundEnd) {
+    if !may_log(context) {
+        return;
+    }
+    let now = context.now();
+    let offer = &run.offer;
+    tracing::info!(
+        event = "run_offered",
+        request = %call.attempt,
+        runner = %offer.runner,
+        memory = offer.copy.as_ref().map(ToString::to_string),
+        after = offer.last_event_id,
+        outcome = end.as_str(),
+        run = run.state.as_str(),
+        asked = run.asked,
+        offered_ms = now.since(run.begun).as_millis(),
+        left_ms = call.deadline.since(now).as_millis(),
+    );
+}
+
 /// Offers a run to each of the other nodes that can be asked, until one takes it.
 async fn offer_round(
     context: &NodeContext,
@@ -182,6 +233,7 @@
         let chosen = known.take().or_else(|| choose_among_peers(context, now, source, &state));
         let Some(target) = chosen else { return RoundEnd::NotTaken };
         state.record_offer(&target.vm);
+        run.asked += 1;
         match offer_call(context, call, &target, Some(&run.offer)).await {
             OfferEnd::Answered(exchange) if is_event_stream(&exchange.response) => {
                 log_offer(context, call, &target, "resumed", "", "");
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -30,6 +30,7 @@
 mod memory_pool;
 mod metrics;
 mod open_calls;
+mod ordered_runs;
 mod peer_link;
 mod peer_server;
 mod plain_call;
--- a/crates/node/src/reach/mod.rs
+++ b/crates/node/src/reach/mod.rs
@@ -13,8 +13,8 @@
 };
 pub use reach_watch::{reaches_service, watch_reach};
 pub use records::{
-    apply_reach_update, exclude_unreached, impairment, is_cut_off, is_unreached, reached_share,
-    record_runner_answer, record_runner_event, record_runner_failure, suspect_runner,
-    wait_while_connecting, wait_while_unanswered,
+    apply_reach_update, exclude_unreached, heard_ages, impairment, is_cut_off, is_unreached,
+    reached_share, record_runner_answer, record_runner_event, record_runner_failure,
+    suspect_runner, wait_while_connecting, wait_while_unanswered,
 };
 pub use runner_answers::find_answer_place;
--- a/crates/node/src/reach/records.rs
+++ b/crates/node/src/reach/records.rs
@@ -116,6 +116,24 @@
     context.reach.borrow().is_lost(service) && count_reaching(context, service) > 0
 }
 
+/// Time since data last came from runners; `None` if none has yet.
+#[derive(Debug, Clone, Copy)]
+pub struct HeardAges {
+    /// From those of one service.
+    pub service: Option<TimeSpan>,
+    /// From those of any service.
+    pub all: Option<TimeSpan>,
+}
+
+/// For how long this node has heard nothing of its runners, those of `service` and all. A link that is full
+/// holds back the data of all of them.
+#[must_use]
+pub fn heard_ages(context: &NodeContext, service: &ServiceName) -> HeardAges {
+    let (now, reach) = (context.now(), context.reach.borrow());
+    let of_service = reach.service(service).and_then(|own| own.unheard_for(now));
+    HeardAges { service: of_service, all: reach.unheard_for(now) }
+}
+
 /// The signal that is raised while this node does not reach all runners of a service.
 #[must_use]
 pub fn impairment(context: &NodeContext, service: &ServiceName) -> StopSignal {
--- a/crates/node/src/streams/stream_copy.rs
+++ b/crates/node/src/streams/stream_copy.rs
@@ -9,9 +9,11 @@
 use std::task::{Context, Poll};
 
 use base::prelude::*;
-use platform::{AttemptId, KvCopy, StoppedRun};
+use platform::{AttemptId, KvCopy, PlatformError, StoppedRun};
 
+use crate::call_log::may_log;
 use crate::context::NodeContext;
+use crate::ordered_runs::{OrderOutcome, OrderRecord};
 use crate::run_copies::{copy_between_runners, free_copy, stop_at_runner};
 
 /// Timeout for copying the memory of a run; runs that leave together share the link.
@@ -32,9 +34,9 @@
 
 impl RunCopy {
     /// The copy that `run` describes, of the run at `source`.
-    fn new(context: Rc<NodeContext>, source: SocketAddr, run: StoppedRun) -> Self {
+    fn new(call: CopyCall, run: StoppedRun) -> Self {
         let StoppedRun { handle, events, is_copied } = run;
-        let guard = CopyGuard { context, source, handle: Some(handle.clone()) };
+        let guard = CopyGuard { call, handle: Some(handle.clone()) };
         Self { handle, events, is_copied, guard }
     }
 
@@ -44,9 +46,73 @@
     }
 }
 
+/// What a runner is asked about a run, for the log.
+#[derive(Clone)]
+struct CopyCall {
+    context: Rc<NodeContext>,
+    attempt: AttemptId,
+    source: SocketAddr,
+    /// Whether the run is to stop.
+    is_stop: bool,
+    begun: TimePoint,
+}
+
+impl CopyCall {
+    fn new(
+        context: Rc<NodeContext>,
+        attempt: AttemptId,
+        source: SocketAddr,
+        is_stop: bool,
+    ) -> Self {
+        let begun = context.now();
+        Self { context, attempt, source, is_stop, begun }
+    }
+
+    /// The same call, sent now.
+    fn begin(self) -> Self {
+        Self { begun: self.context.now(), ..self }
+    }
+
+    /// Logs that the run has been copied or stopped.
+    fn log_done(&self, events: Option<u64>) {
+        let event = if self.is_stop { "run_stopped" } else { "run_copied" };
+        let copy_ms = self.context.now().since(self.begun).as_millis();
+        tracing::info!(event, request = %self.attempt, copy_ms, events);
+    }
+
+    /// Logs that the runner does not have the run. It does not say why: this node can if it has had the run
+    /// stopped by an `earlier` order.
+    fn log_failure(&self, error: &PlatformError, earlier: Option<OrderRecord>) {
+        if !error.is_not_found() || !may_log(&self.context) {
+            return;
+        }
+        let now = self.context.now();
+        tracing::info!(
+            event = "run_not_found",
+            request = %self.attempt,
+            source = %self.source,
+            is_stop = self.is_stop,
+            ordered_ms = earlier.map(|order| now.since(order.given_at).as_millis()),
+            ordered_at = earlier.map(|order| order.source.to_string()),
+            order = earlier.map(|order| order.outcome.as_str()),
+        );
+    }
+
+    /// Logs `event`, which tells what became of the call or of the memory that it has left.
+    fn log_rest(&self, event: &'static str) {
+        if !may_log(&self.context) {
+            return;
+        }
+        let age_ms = self.context.now().since(self.begun).as_millis();
+        let (source, is_stop) = (self.source, self.is_stop);
+        tracing::info!(event, request = %self.attempt, %source, is_stop, age_ms);
+    }
+}
+
 /// A copy in progress. Dropped before its end, it completes in a task of its own, which frees the
 /// copy: its handle is known only then.
 pub struct CopyTask {
+    call: CopyCall,
     future: Option<CopyFuture>,
     has_begun: bool,
 }
@@ -63,13 +129,17 @@
         source: SocketAddr,
         target: SocketAddr,
     ) -> Self {
-        Self::new(async move {
-            let begun = context.now();
-            let limit = COPY_LIMIT;
-            let copy = copy_between_runners(&context, &attempt, source, target, limit).await?;
-            log_copy("run_copied", &context, &attempt, begun, copy.events);
+        let call = CopyCall::new(context, attempt, source, false);
+        let done = call.clone();
+        Self::new(call, async move {
+            let done = done.begin();
+            let CopyCall { context, attempt, source, .. } = &done;
+            let copied = copy_between_runners(context, attempt, *source, target, COPY_LIMIT).await;
+            let earlier = context.ordered_runs.borrow().find(attempt);
+            let copy = copied.inspect_err(|error| done.log_failure(error, earlier))?;
+            done.log_done(copy.events);
             let KvCopy { handle, events } = copy;
-            Ok(RunCopy::new(context, source, StoppedRun { handle, events, is_copied: true }))
+            Ok(RunCopy::new(done, StoppedRun { handle, events, is_copied: true }))
         })
     }
 
@@ -82,16 +152,27 @@
         source: SocketAddr,
         target: SocketAddr,
     ) -> Self {
-        Self::new(async move {
-            let begun = context.now();
-            let run = stop_at_runner(&context, &attempt, source, target, COPY_LIMIT).await?;
-            log_copy("run_stopped", &context, &attempt, begun, run.events);
-            Ok(RunCopy::new(context, source, run))
+        let call = CopyCall::new(context, attempt, source, true);
+        let done = call.clone();
+        Self::new(call, async move {
+            let done = done.begin();
+            let CopyCall { context, attempt, source, .. } = &done;
+            let earlier = context.ordered_runs.borrow_mut().begin(done.begun, attempt, *source);
+            let stopped = stop_at_runner(context, attempt, *source, target, COPY_LIMIT).await;
+            let outcome =
+                if stopped.is_ok() { OrderOutcome::Stopped } else { OrderOutcome::Failed };
+            context.ordered_runs.borrow_mut().end(attempt, outcome);
+            let run = stopped.inspect_err(|error| done.log_failure(error, earlier))?;
+            done.log_done(run.events);
+            Ok(RunCopy::new(done, run))
         })
     }
 
-    fn new(future: impl Future<Output = platform::Result<RunCopy>> + 'static) -> Self {
-        Self { future: Some(Box::pin(future)), has_begun: false }
+    fn new(
+        call: CopyCall,
+        future: impl Future<Output = platform::Result<RunCopy>> + 'static,
+    ) -> Self {
+        Self { call, future: Some(Box::pin(future)), has_begun: false }
     }
 }
 
@@ -112,34 +193,24 @@
 impl Drop for CopyTask {
     fn drop(&mut self) {
         if let Some(future) = self.future.take().filter(|_| self.has_begun) {
+            self.call.log_rest("copy_dropped");
             kernel::spawn_rest(async move { drop(future.await) });
         }
     }
 }
 
-fn log_copy(
-    event: &'static str,
-    context: &NodeContext,
-    attempt: &AttemptId,
-    begun: TimePoint,
-    events: Option<u64>,
-) {
-    let copy_ms = context.now().since(begun).as_millis();
-    tracing::info!(event, request = %attempt, copy_ms, events);
-}
-
 /// Frees an unused copy at both runners when dropped; otherwise it would occupy memory for
 /// seconds.
 struct CopyGuard {
-    context: Rc<NodeContext>,
-    source: SocketAddr,
+    call: CopyCall,
     handle: Option<Arc<str>>,
 }
 
 impl Drop for CopyGuard {
     fn drop(&mut self) {
         let Some(handle) = self.handle.take() else { return };
-        let (context, source) = (Rc::clone(&self.context), self.source);
+        self.call.log_rest("copy_freed");
+        let CopyCall { context, source, .. } = self.call.clone();
         kernel::spawn_rest(async move {
             if let Err(error) = free_copy(&context, source, &handle, FREE_LIMIT).await {
                 tracing::info!(event = "copy_not_freed", %source, %error);
--- a/crates/node/src/streams/stream_silence.rs
+++ b/crates/node/src/streams/stream_silence.rs
@@ -24,7 +24,7 @@
 use crate::call_log::may_log;
 use crate::context::NodeContext;
 use crate::reach::{
-    connects_quickly, find_answer_place, find_reaching_node, is_cut_off, is_unreached,
+    connects_quickly, find_answer_place, find_reaching_node, heard_ages, is_cut_off, is_unreached,
     record_runner_event, suspect_runner,
 };
 use crate::runner_send::SendPlan;
@@ -371,11 +371,14 @@
             return;
         }
         let now = self.context.now();
+        let heard = heard_ages(&self.context, &self.call.service);
         tracing::info!(
             event = "source_silent",
             request = %self.call.attempt,
             runner = %self.source.runner.runner,
             silent_ms = now.since(self.activity.last_data_at).as_millis(),
+            service_silent_ms = heard.service.map(TimeSpan::as_millis),
+            all_silent_ms = heard.all.map(TimeSpan::as_millis),
             is_unreached = is_unreached(&self.context, &self.source.runner),
             is_cut_off = is_cut_off(&self.context, &self.call.service),
             copy = self.source.backup.as_ref().map(|backup| backup.runner.as_str()),
--- a/crates/serving/src/reach_table.rs
+++ b/crates/serving/src/reach_table.rs
@@ -75,6 +75,12 @@
         self.services.values().any(ServiceReach::is_lost)
     }
 
+    /// Time since a runner of any service was last heard; `None` if none has been yet.
+    #[must_use]
+    pub fn unheard_for(&self, now: TimePoint) -> Option<TimeSpan> {
+        self.services.values().filter_map(|reach| reach.unheard_for(now)).min()
+    }
+
     /// The services of which some runners are not reached, as other nodes are told.
     #[must_use]
     pub fn update(&self) -> ReachUpdate {
--- a/crates/serving/src/service_reach.rs
+++ b/crates/serving/src/service_reach.rs
@@ -149,6 +149,13 @@
         self.answered_at.map(|answered| now.since(answered))
     }
 
+    /// Time since a runner of the service was last heard, by an answer or by an event of a stream; `None` if
+    /// none has been yet.
+    #[must_use]
+    pub fn unheard_for(&self, now: TimePoint) -> Option<TimeSpan> {
+        self.heard_at.map(|heard| now.since(heard))
+    }
+
     /// Whether no runner of the service was heard for `span`.
     #[must_use]
     pub fn is_silent(&self, now: TimePoint, span: TimeSpan) -> bool {
