Reproduce streams that are cut while the rest of their run is on the way

Callers saw a 200 and a closed connection.

The stand-in kept the copy of a run that had ended, which the platform does not: a copy lasts until its run has ended successfully. With that mended, a stream with a copy is cut as well.

--- a/crates/fakes/src/platform/stream_memory.rs
+++ b/crates/fakes/src/platform/stream_memory.rs
@@ -38,13 +38,20 @@
         }
     }
 
-    /// A run ended by itself.
+    /// A run ended by itself; the copy under its id is gone with it.
     pub fn end(&self, attempt: &str) {
         if let Some(run) = self.runs.borrow_mut().get_mut(attempt) {
             run.ended = true;
+            run.backed_up = false;
         }
     }
 
+    /// Events that a run has made; 0 if it has not begun.
+    #[must_use]
+    pub fn events(&self, attempt: &str) -> u64 {
+        self.runs.borrow().get(attempt).map_or(0, |run| run.events)
+    }
+
     /// Copies a run, which goes on. Gives the handle and the events made, or none if no
     /// such run goes on.
     #[must_use]
--- /dev/null
+++ b/crates/harness/tests/node_held_tails.rs
@@ -0,0 +1,105 @@
+//! Streams whose runs end while their last events are held back on the way to the node.
+
+#[allow(dead_code, reason = "other tests cut a whole service off")]
+mod service_fleet;
+
+use std::time::Duration;
+
+use compio::time::sleep;
+use fakes::platform::RunnerFakeSettings;
+use futures_util::future::join;
+use harness::{CallerRequest, LinkState, SeenStream, wait_until};
+use service_fleet::{CUT, LinkedRunner, ServiceFleet, take_turn};
+
+/// Events of a stream, one in 20 ms.
+const EVENTS: u64 = 150;
+/// Events that the run makes after its links have begun to hold back.
+const TAIL: u64 = 20;
+/// Time for a stream to get there.
+const LIMIT: Duration = Duration::from_secs(20);
+/// For how long a full link, or a sound runner, is silent: its configuration takes 3.4 s of a small one.
+const SPANS: [Duration; 3] =
+    [Duration::from_millis(1_200), Duration::from_millis(2_500), Duration::from_millis(3_400)];
+
+fn long_streams(settings: &mut RunnerFakeSettings) {
+    settings.events = EVENTS;
+    settings.event_pause = Duration::from_millis(20);
+}
+
+/// The runners whose links to the caller's node hold back.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum HeldRunners {
+    /// That of the run.
+    Source,
+    /// All of its service.
+    All,
+}
+
+impl HeldRunners {
+    fn set(self, services: &ServiceFleet, state: LinkState) {
+        let pid = services.fleet.nodes[CUT].pid();
+        let of_service = services.runners.iter().filter(|linked| linked.service == "llm");
+        let is_held = |linked: &&LinkedRunner| {
+            self == Self::All || linked.runner.visits().iter().any(|visit| visit.ran)
+        };
+        of_service.filter(is_held).for_each(|linked| linked.link.set_for(pid, state));
+    }
+}
+
+/// Holds back what runners send to the caller's node while the run of `request` ends.
+async fn hold_tail(
+    held: HeldRunners,
+    span: Duration,
+    request: &CallerRequest,
+) -> (ServiceFleet, SeenStream) {
+    let services = ServiceFleet::start(long_streams).await;
+    let hold = async {
+        let events = async || {
+            let made = services.fleet.memory.events(&request.attempt);
+            (made >= EVENTS - TAIL).then_some(())
+        };
+        wait_until("the run to be near its end", LIMIT, events).await.unwrap();
+        held.set(&services, LinkState::Stalled);
+        sleep(span).await;
+        held.set(&services, LinkState::Open);
+    };
+    let (stream, ()) = join(services.fleet.read_stream(CUT, request), hold).await;
+    (services, stream)
+}
+
+fn check_held_tail(held: HeldRunners, adjust: impl Fn(CallerRequest) -> CallerRequest) {
+    let _turn = take_turn();
+    for span in SPANS {
+        kernel::run(async {
+            let request = adjust(CallerRequest::stream("held"));
+            let (services, stream) = hold_tail(held, span, &request).await;
+            let lines = ["source_silent", "run_offered", "send_failed", "end"]
+                .map(|name| services.fleet.nodes[CUT].events(name));
+            assert!(stream.has_all(EVENTS), "{span:?} {stream:?} {lines:?}");
+            assert_eq!(services.most_runs(), 1);
+        })
+        .unwrap();
+    }
+}
+
+fn without_copy(request: CallerRequest) -> CallerRequest {
+    request.with("x-dotterelyard-length-hint", "10")
+}
+
+/// Guards against LOST: a node that waits for the tail of a whole run takes its runner for lost, and closes it.
+#[test]
+fn a_stream_without_a_copy_whose_last_events_are_held_back_comes_whole() {
+    check_held_tail(HeldRunners::All, without_copy);
+}
+
+/// Guards against LOST: the same, with a copy that is gone since its run has ended.
+#[test]
+fn a_stream_whose_copy_is_gone_while_its_last_events_are_held_back_comes_whole() {
+    check_held_tail(HeldRunners::All, |request| request);
+}
+
+/// Guards against LOST: the same, while the runner with the copy is reached.
+#[test]
+fn a_stream_whose_last_events_are_held_back_by_its_runner_alone_comes_whole() {
+    check_held_tail(HeldRunners::Source, |request| request);
+}
