Wait for a silent source as long as its stream may still come

Callers saw a 200 and a closed connection, seconds before their deadline. Cause: a node that reached no runner of the service closed a source after 1 s of silence if that answered another node and could not be moved from there (leave_silent). A run that has ended is found by no other node (404), so that a stream whose last events were late was dropped although it was whole at its runner: the time for which a configuration of 4 MiB fills a link of 10 Mbit/s is 3.4 s.

Change: silence closes no source. The stream waits until its connection ends or its deadline passes; other nodes are asked again after a second, not once only.

--- a/crates/node/src/streams/stream_handover.rs
+++ b/crates/node/src/streams/stream_handover.rs
@@ -172,7 +172,7 @@
     pub(crate) fn replace_source(&mut self, source: StreamSource) {
         self.close_source();
         self.stays = false;
-        self.move_requested = false;
+        self.next_move = self.context.now();
         // What is being copied is the run at the old source.
         self.pending_move = None;
         self.call.run_place.replace(source.run_place());
--- a/crates/node/src/streams/stream_overlap.rs
+++ b/crates/node/src/streams/stream_overlap.rs
@@ -19,7 +19,7 @@
 use web::{ReadCharge, WebConnection, WebExchange};
 
 use super::stream_handover::describe_loss;
-use super::stream_places::{RunnerQuestion, ask_next};
+use super::stream_places::{MOVE_PAUSE, RunnerQuestion, ask_next};
 use super::stream_pump::{PumpStep, StreamPump};
 use super::stream_source::is_event_stream;
 use crate::call_log::RequestOutcome;
@@ -231,7 +231,7 @@
                     if let Some(AnswerPlace::OtherNode(node)) = facts.source_answered
                         && self.may_move_from_source()
                     {
-                        self.move_requested = true;
+                        self.next_move = context.now() + MOVE_PAUSE;
                         let node = Some(node);
                         let offering = offer_resume(&context, &call, &source_offer, node, &is_back);
                         offer = Some(Box::pin(offering));
--- a/crates/node/src/streams/stream_places.rs
+++ b/crates/node/src/streams/stream_places.rs
@@ -26,6 +26,9 @@
 /// Pause until a runner that does not answer is asked again.
 pub(super) const QUESTION_PAUSE: TimeSpan = TimeSpan::millis(250);
 
+/// Shortest time between two rounds in which other nodes are asked to move a run.
+pub(super) const MOVE_PAUSE: TimeSpan = TimeSpan::seconds(1);
+
 /// A question to a runner, in progress.
 pub(super) type RunnerQuestion = Pin<Box<dyn Future<Output = AnswerPlace>>>;
 
@@ -175,9 +178,9 @@
         }
     }
 
-    /// Whether another node may still be asked to move the run away from its source.
+    /// Whether another node may be asked to move the run away from its source.
     pub(super) fn may_move_from_source(&self) -> bool {
-        self.call.supports_moves && !self.move_requested
+        self.call.supports_moves && self.context.now() >= self.next_move
     }
 
     /// Has another node move the run away from a source, if that answers one.
@@ -195,9 +198,9 @@
         self.move_through_node(node?).await
     }
 
-    /// Has another node, `node` before others, move the run away from its source. That is tried once.
+    /// Has another node, `node` before others, move the run away from its source.
     pub(super) async fn move_through_node(&mut self, node: VmId) -> Option<PumpStep> {
-        self.move_requested = true;
+        self.next_move = self.context.now() + MOVE_PAUSE;
         let offer = ResumeOffer::of_run(&self.source.runner, self.scanner.last_id());
         self.resume_through_node(&offer, Some(node)).await
     }
--- a/crates/node/src/streams/stream_pump.rs
+++ b/crates/node/src/streams/stream_pump.rs
@@ -91,8 +91,8 @@
     /// Whether the answer shows that the prompt does not crash runners.
     pub(crate) is_prompt_proven: bool,
     pub(crate) activity: SourceActivity,
-    /// Whether another node was asked to move the run.
-    pub(crate) move_requested: bool,
+    /// When another node may be asked again to move the run.
+    pub(crate) next_move: TimePoint,
     /// Whether the stream stays at its runner although that leaves, since its run cannot be ended there.
     pub(crate) stays: bool,
     /// When this node learned that the runner of the stream leaves.
@@ -134,7 +134,7 @@
             tries: 0,
             is_prompt_proven: false,
             activity: SourceActivity::new(context.now()),
-            move_requested: false,
+            next_move: context.now(),
             stays: false,
             leaving_since: None,
             returned_at: None,
--- a/crates/node/src/streams/stream_silence.rs
+++ b/crates/node/src/streams/stream_silence.rs
@@ -4,8 +4,8 @@
 //! Load pattern: a node is cut off from the runners of its streams without a sign on their connections.
 //! A silent runner alone is no reason to leave it; one that is not reached is. The stream then goes on
 //! from the copy of its run, through another node if this one does not reach that either. The silent
-//! source is kept until something has taken over, and a stream that cannot go on elsewhere is broken
-//! off only if its source answers another node: a runner that is silent to all may go on.
+//! source is kept until something has taken over: what it has sent may be late, also the rest of a run that
+//! has ended, which no other node finds any more.
 
 use std::pin::{Pin, pin};
 use std::rc::Rc;
@@ -35,9 +35,6 @@
 const SILENCE_DIVISOR: u64 = 2;
 /// Silence that is not looked into before the first event, which takes as long as the prompt.
 const FIRST_SILENCE: TimeSpan = TimeSpan::millis(500);
-/// Silence after which a stream that cannot go on elsewhere is broken off, if this node is cut off from
-/// its source.
-const UNSAVED_SILENCE: TimeSpan = TimeSpan::seconds(1);
 /// Pause until a silent source is looked at again.
 const LOOK_PAUSE: TimeSpan = TimeSpan::millis(25);
 /// Pause until a silent source is checked again after it could be connected to.
@@ -49,8 +46,6 @@
 const RENEWAL_AGE: TimeSpan = TimeSpan::millis(200);
 /// Time in which a runner that is reached accepts a connection.
 const USUAL_CONNECT: TimeSpan = TimeSpan::millis(8);
-/// Reason of a stream that ends since its runner is not reached.
-const RUNNER_UNREACHED: &str = "runner_unreached";
 /// Shortest time between two events that are recorded.
 const EVENT_RECORD_PAUSE: TimeSpan = TimeSpan::millis(50);
 
@@ -197,11 +192,7 @@
         if self.may_move_from_source() {
             return self.move_through_node(node).await.unwrap_or(PumpStep::Continue);
         }
-        let silence = now.since(self.activity.last_data_at);
-        if is_cut_off(&self.context, &self.call.service) && silence >= UNSAVED_SILENCE {
-            return self.leave_silent().await;
-        }
-        // What is known is to be recent when the silence has lasted long enough.
+        // What is known is to be recent when another node may be asked again.
         if now.since(answered_at) >= RENEWAL_AGE {
             self.begin_question();
         }
@@ -354,16 +345,6 @@
         Some(SendPlan::first(record, backup))
     }
 
-    /// Leaves a source that this node does not reach, for another run if the route allows that.
-    async fn leave_silent(&mut self) -> PumpStep {
-        self.ticket.hold_progress();
-        self.pending_move = None;
-        self.log_silent_source(None);
-        self.close_source();
-        self.log_send_failure(RUNNER_UNREACHED);
-        self.run_elsewhere(RUNNER_UNREACHED).await
-    }
-
     /// Logs and counts that a stream is to go on without its silent source, through `node` if there is one.
     pub(super) fn log_silent_source(&self, node: Option<&VmId>) {
         self.count_move("source_silent");
