Send no run to a runner that is not listed any more

Cause: the last check before a send asked whether the listed start of the runner leaves, and said no for one that is not listed any more; resume_copy asks nothing else. A copy to such a runner was not checked at all once its entry was forgotten.

Change: the check before each send and each copy asks has_left: a runner that is not listed has left, but for the time in which all runners of a service lapse together. Runs may still return to a source that leaves.

--- a/crates/node/src/run_copies.rs
+++ b/crates/node/src/run_copies.rs
@@ -54,9 +54,11 @@
     let step = "KV cache copy";
     let not_sent =
         |peer, block: SendBlock| PlatformError::NotSent { step, peer, reason: block.as_str() };
-    if let Some(receiver) = find_runner(context, target) {
-        check_send(context, &receiver).map_err(|block| not_sent(target, block))?;
-    }
+    // A runner that is not listed any more has left.
+    let receiver = find_runner(context, target).ok_or(SendBlock::Leaving);
+    receiver
+        .and_then(|receiver| check_send(context, &receiver))
+        .map_err(|block| not_sent(target, block))?;
     let sender = find_runner(context, source);
     if let Some(sender) = &sender {
         check_copy_source(context, sender).map_err(|block| not_sent(source, block))?;
--- a/crates/node/src/runner_gate.rs
+++ b/crates/node/src/runner_gate.rs
@@ -17,7 +17,7 @@
 /// Why a request may not be sent to a runner.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum SendBlock {
-    /// The runner is leaving.
+    /// The runner is leaving, or is not listed any more.
     Leaving,
     /// The operator has evacuated the place of the runner.
     Evacuated,
@@ -135,7 +135,7 @@
 /// a health check, depends on nothing.
 #[must_use]
 pub fn find_own_block(context: &NodeContext, runner: &RunnerIncarnation) -> Option<SendBlock> {
-    if context.runners.borrow().is_incarnation_leaving(runner) {
+    if context.runners.borrow().has_left(runner, context.now()) {
         return Some(SendBlock::Leaving);
     }
     let end = context.waits.borrow().end(context.now(), runner);
--- a/crates/serving/src/runner_table.rs
+++ b/crates/serving/src/runner_table.rs
@@ -323,6 +323,26 @@
         })
     }
 
+    /// Whether this incarnation leaves, or is not listed any more and gets no new requests. One of a newer start
+    /// does not count: it answers that the runner has changed.
+    #[must_use]
+    pub fn has_left(&self, incarnation: &RunnerIncarnation, now: TimePoint) -> bool {
+        let Some(entry) = self.entries.get(&incarnation.runner) else { return true };
+        let service = &entry.record.service;
+        let mut of_service = self.entries.values().filter(|entry| entry.record.service == *service);
+        let all_removed = of_service.all(|entry| entry.removed_at.is_some());
+        self.is_incarnation_leaving(incarnation) || !self.is_usable(entry, all_removed, now)
+    }
+
+    /// Whether an entry is listed, or counts as listed since all of its service were removed at about the
+    /// same time.
+    fn is_usable(&self, entry: &RunnerEntry, all_removed: bool, now: TimePoint) -> bool {
+        match entry.removed_at {
+            Some(removed) => all_removed && now.since(removed) < self.lapse_grace,
+            None => true,
+        }
+    }
+
     /// The record of the runner at `address`; of several, that of the latest start.
     #[must_use]
     pub fn find_by_address(&self, address: SocketAddr) -> Option<&RunnerRecord> {
@@ -339,10 +359,7 @@
     pub fn route_members(&self, service: &ServiceName, now: TimePoint) -> Vec<RouteMember> {
         let of_service = || self.entries.values().filter(|entry| entry.record.service == *service);
         let all_removed = of_service().all(|entry| entry.removed_at.is_some());
-        let usable = |entry: &RunnerEntry| match entry.removed_at {
-            Some(removed) => all_removed && now.since(removed) < self.lapse_grace,
-            None => true,
-        };
+        let usable = |entry: &RunnerEntry| self.is_usable(entry, all_removed, now);
         of_service()
             .map(|entry| RouteMember {
                 runner: entry.record.runner.clone(),
