Keep what an order has left until it is known who goes on

Callers saw a 200 and a closed connection. Cause: a node that moves a run for another one gave the order to stop it, waited 400 ms and the rest of the offer for the answer, and then declined as if the order had been refused. What the late answer named was freed in the background, and so was the copy; each node that was asked next found 404. The next runner, the only other place, was left after 250 ms of silence.

Change: the order is waited for by a task of its own until the call's deadline. While no other place of the run is known, the next runner is waited for up to 2.5 s. If it is not known then what the order has left, the node declines with ordered, keeps the copy and the answer, and is asked again before others; it goes on from what it has kept. An order that was refused leaves works. Builds before take ordered for a refusal without a trace, as today.

--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -16,6 +16,7 @@
 use settings::NodeSettings;
 use web::ReadLimits;
 
+use crate::forward::LateOrders;
 use crate::memory_pool::{MemoryPool, MemoryReservation};
 use crate::metrics::NodeMetrics;
 use crate::open_calls::OpenCalls;
@@ -60,6 +61,8 @@
     pub run_ends: RefCell<EndTable>,
     /// Runs that this node has lately ordered runners to stop.
     pub ordered_runs: RefCell<OrderedRuns>,
+    /// Runs that were ordered to stop for another node, and that nobody goes on with yet.
+    pub late_orders: LateOrders,
     /// Cold runners.
     pub cold: RefCell<ColdTable>,
     /// Brittle runners.
@@ -154,6 +157,7 @@
             limits: RefCell::default(),
             run_ends: RefCell::default(),
             ordered_runs: RefCell::default(),
+            late_orders: LateOrders::default(),
             cold: RefCell::default(),
             brittle: RefCell::default(),
             room_changed: Cell::default(),
--- a/crates/node/src/forward/call_forward.rs
+++ b/crates/node/src/forward/call_forward.rs
@@ -128,7 +128,7 @@
     is_back: &Cell<bool>,
 ) -> Option<TakenResume> {
     let (offer, state, begun) = (offer.clone(), RunState::Unknown, context.now());
-    let mut run = OfferedRun { offer, state, begun, asked: 0 };
+    let mut run = OfferedRun { offer, state, begun, asked: 0, holder: None };
     loop {
         let end = offer_round(context, call, &mut run, first.take()).await;
         log_round(context, call, &run, &end);
@@ -136,6 +136,7 @@
             RoundEnd::Taken(taken) => return Some(taken),
             RoundEnd::NotTaken if run.is_alive(is_back.get()) && call.deadline > context.now() => {
                 kernel::sleep(ROUND_PAUSE.into()).await;
+                first = run.holder.take();
             }
             RoundEnd::NotTaken | RoundEnd::Unknown => return None,
         }
@@ -151,6 +152,8 @@
     Works,
     /// It was stopped, and its memory is kept.
     Stopped,
+    /// It was ordered to stop by the node that says so.
+    Ordered,
 }
 
 impl RunState {
@@ -160,6 +163,7 @@
             Self::Unknown => "unknown",
             Self::Works => "works",
             Self::Stopped => "stopped",
+            Self::Ordered => "ordered",
         }
     }
 }
@@ -172,12 +176,18 @@
     begun: TimePoint,
     /// Number of nodes asked so far.
     asked: u32,
+    /// The node that has ordered it to stop.
+    holder: Option<VmId>,
 }
 
 impl OfferedRun {
     /// Follows what a node that does not go on with the run has left of it.
-    fn follow(&mut self, trace: RunTrace) {
+    fn follow(&mut self, node: &VmId, trace: RunTrace) {
         match trace {
+            RunTrace::Ordered => {
+                self.state = RunState::Ordered;
+                self.holder = Some(node.clone());
+            }
             RunTrace::Works => self.state = RunState::Works,
             RunTrace::Stopped(memory) => {
                 self.state = RunState::Stopped;
@@ -192,7 +202,7 @@
         match std::mem::replace(&mut self.state, RunState::Unknown) {
             RunState::Unknown => false,
             RunState::Works => !is_back,
-            RunState::Stopped => true,
+            RunState::Stopped | RunState::Ordered => true,
         }
     }
 }
@@ -249,7 +259,7 @@
             }
             OfferEnd::NotResumed(trace) => {
                 log_offer(context, call, &target, "not_run", "run_alive", &trace.to_string());
-                run.follow(trace);
+                run.follow(&target.vm, trace);
             }
             OfferEnd::Unknown(error) => {
                 log_offer(context, call, &target, "unknown", "", &error);
--- a/crates/node/src/forward/forwarded_calls.rs
+++ b/crates/node/src/forward/forwarded_calls.rs
@@ -37,8 +37,8 @@
 pub const RESUME_SOURCE: HeaderName = HeaderName::from_static("x-yard-resume-source");
 /// Time for which the asking node waits, in milliseconds; [`RESUME_TIMEOUT`] if missing.
 pub const RESUME_LIMIT: HeaderName = HeaderName::from_static("x-yard-resume-limit");
-/// What is left of a run that the receiving node does not go on with: `works`, or where its memory is, as
-/// in [`RESUME_FROM`]. Missing if the node does not know.
+/// What is left of a run that the receiving node does not go on with: `works`, `ordered` (to stop, without
+/// an answer so far), or where its memory is, as in [`RESUME_FROM`]. Missing if the node does not know.
 pub const RESUME_RUN: HeaderName = HeaderName::from_static("x-yard-resume-run");
 /// Version of the configuration that the forwarding node matched the call against.
 pub const FORWARD_PLAN: HeaderName = HeaderName::from_static("x-yard-forward-plan");
--- a/crates/node/src/forward/mod.rs
+++ b/crates/node/src/forward/mod.rs
@@ -7,6 +7,7 @@
 mod offer;
 mod relay;
 mod resumed_run;
+mod run_order;
 mod run_site;
 mod run_trace;
 mod stop;
@@ -18,6 +19,7 @@
 pub use offer::ResumeOffer;
 pub use relay::{answer_headers, relay_response};
 pub use resumed_run::resume_run;
+pub use run_order::LateOrders;
 pub use run_site::RunSite;
 pub use run_trace::ResumeRefusal;
 pub use stop::{ServingStop, unless_lost, unless_unreached, unreached_failure};
--- a/crates/node/src/forward/moved_run.rs
+++ b/crates/node/src/forward/moved_run.rs
@@ -10,7 +10,7 @@
 use base::prelude::*;
 use compio::time::timeout;
 use dispatch::RouteCommand;
-use futures_util::FutureExt;
+use futures_util::{FutureExt, select_biased};
 use platform::ResumeSource;
 use route::CallEnd;
 use serving::{RunnerRecord, SendOutcome};
@@ -18,6 +18,7 @@
 
 use super::offer::ResumeOffer;
 use super::resumed_run::{RESUME_REFUSED, RUNNER_UNREACHED, ResumedRun, connect, find_runner};
+use super::run_order::{LateOrder, RunOrder, keep_order};
 use super::run_trace::{ResumeRefusal, RunHandle, RunTrace};
 use crate::call::Call;
 use crate::call_log::{log_send, log_send_failure, may_log};
@@ -39,8 +40,10 @@
 const MAX_STOP_TIME: TimeSpan = TimeSpan::millis(1_400);
 /// Time in which a runner stops a run as ordered. The copy of the rest may take longer.
 const ORDER_TIME: TimeSpan = TimeSpan::millis(400);
-/// Time for a runner that has the memory of a run to go on with it.
+/// Time for a runner that has the memory of a run to go on with it, if the run can go on elsewhere.
 const HEAD_TIME: TimeSpan = TimeSpan::millis(250);
+/// The same if it cannot, as far as is known: a sound runner may be silent for a second.
+const SILENCE_TIME: TimeSpan = TimeSpan::millis(2_500);
 
 /// Status of a copy or an order that found no room.
 const NO_ROOM: u16 = 503;
@@ -71,6 +74,10 @@
     source: RunnerRecord,
     offer: &ResumeOffer,
 ) -> Result<ResumedRun, ResumeRefusal> {
+    if let Some(late) = context.late_orders.take(&call.attempt) {
+        let moved = resume_late(context, router, call, late, offer).await;
+        return end_move(context, call, moved);
+    }
     if !connects_quickly(source.address).await {
         suspect_runner(context, &source);
         return Err(RUNNER_UNREACHED.into());
@@ -82,6 +89,18 @@
         }
         _ => Err(ResumeRefusal::works("no_room")),
     };
+    end_move(context, call, (ticket, moved))
+}
+
+/// A move that has ended: the place of the call, and how the run goes on.
+type MoveEnd = (RouteTicket, Result<(SendPlan, WebExchange), ResumeRefusal>);
+
+/// Counts and logs how a move ended, and gives its place back if the run does not go on.
+fn end_move(
+    context: &NodeContext,
+    call: &Call,
+    (ticket, moved): MoveEnd,
+) -> Result<ResumedRun, ResumeRefusal> {
     match moved {
         Ok((plan, exchange)) => {
             let is_back = plan.purpose == SendPurpose::Return;
@@ -92,6 +111,7 @@
             let outcome = match &refusal.trace {
                 Some(RunTrace::Works) => "works",
                 Some(RunTrace::Stopped(_)) => "stopped",
+                Some(RunTrace::Ordered) => "ordered",
                 None => "unknown",
             };
             note_end(context, call, outcome, refusal.reason);
@@ -101,6 +121,29 @@
     }
 }
 
+/// Goes on with a run that this node has ordered to stop when it was asked before.
+async fn resume_late(
+    context: &Rc<NodeContext>,
+    router: &Rc<RouterService>,
+    call: &Rc<Call>,
+    late: LateOrder,
+    offer: &ResumeOffer,
+) -> MoveEnd {
+    let LateOrder { source, target, order, copy } = late;
+    let mut ticket = router.open(call.route_call(std::slice::from_ref(&source.runner)));
+    // The copy has its place at the next runner: the call does not wait for another one.
+    if ticket.next_command().now_or_never().is_none() {
+        ticket.end(CallEnd::Cancelled);
+    }
+    let end = call.arrived + TimeSpan(offer.limit.0.saturating_sub(ANSWER_TIME.0));
+    let last_event_id = offer.last_event_id;
+    let (connection, is_target_lost) = (None, false);
+    let mut run =
+        RunMove { context, call, source, target, last_event_id, end, connection, is_target_lost };
+    let moved = run.follow_order(&mut ticket, copy, order).await;
+    (ticket, moved)
+}
+
 /// Moves a run between two runners. It is stopped once the next one has its memory and is connected to.
 async fn move_to(
     context: &Rc<NodeContext>,
@@ -148,73 +191,102 @@
         copy: Option<RunCopy>,
     ) -> Result<(SendPlan, WebExchange), ResumeRefusal> {
         let (from, to) = (self.source.address, self.target.address);
-        let order = CopyTask::stop(Rc::clone(self.context), self.call.attempt.clone(), from, to);
-        let mut order = pin!(order.fuse());
-        let early = timeout(ORDER_TIME.into(), order.as_mut()).await.ok();
-        if let Some(Err(error)) = &early {
-            self.log_source_failure(error);
+        let order = RunOrder::give(self.context, self.call, from, to);
+        let is_early = timeout(ORDER_TIME.into(), order.wait()).await.is_ok();
+        if is_early {
+            order.log_failure(self.context, self.call, &self.source);
             // A run that its source no longer has is finished; the caller has not got the rest.
-            let is_finished = error.is_not_found() && copy.is_some();
-            if !is_finished {
-                return Err(RESUME_REFUSED.into());
+            let is_finished = order.is_not_found() && copy.is_some();
+            if !order.has_memory() && !order.is_open() && !is_finished {
+                let trace = (!order.is_not_found()).then_some(RunTrace::Works);
+                return Err(ResumeRefusal { reason: RESUME_REFUSED, trace });
             }
         }
-        let is_answered = early.is_some();
-        let mut stopped = early.and_then(Result::ok);
-        if let Some(copy) = copy {
-            match self.resume_at(ticket, &copy.handle, SendPurpose::NewWork).await {
-                Some(resumed) => {
-                    copy.keep();
-                    return Ok(resumed);
-                }
-                // The runner may name both alike.
-                None if stopped.as_ref().is_some_and(|run| run.handle == copy.handle) => {
-                    copy.keep();
-                }
-                None => (),
+        self.follow_order(ticket, copy, order).await
+    }
+
+    /// Goes on with a run that was ordered to stop. Its copy and what the order leaves are kept until it is known
+    /// who goes on.
+    async fn follow_order(
+        &mut self,
+        ticket: &mut RouteTicket,
+        copy: Option<RunCopy>,
+        order: RunOrder,
+    ) -> Result<(SendPlan, WebExchange), ResumeRefusal> {
+        if let Some(held) = &copy {
+            let handle = held.handle.clone();
+            if let Some(resumed) = self.resume_copy(ticket, &handle, &order).await {
+                copy.into_iter().for_each(RunCopy::keep);
+                return Ok(resumed);
             }
         }
-        if !is_answered {
-            stopped = self.await_order(order).await;
+        let is_late = timeout(self.left().into(), order.wait()).await.is_err();
+        if is_late || order.is_open() {
+            let (source, target) = (self.source.clone(), self.target.clone());
+            keep_order(self.context, self.call, LateOrder { source, target, order, copy });
+            let trace = Some(RunTrace::Ordered);
+            return Err(ResumeRefusal { reason: RESUME_REFUSED, trace });
         }
-        let Some(run) = stopped else { return Err(RESUME_REFUSED.into()) };
+        let Some(run) = order.take_memory() else { return Err(RESUME_REFUSED.into()) };
         let mut resumed = None;
         if run.is_copied {
-            resumed = self.resume_at(ticket, &run.handle, SendPurpose::NewWork).await;
+            let left = HEAD_TIME;
+            resumed = self.resume_at(ticket, &run.handle, SendPurpose::NewWork, left).await;
         }
         if resumed.is_none() {
-            resumed = self.resume_at(ticket, &run.handle, SendPurpose::Return).await;
+            let left = self.left().min(SILENCE_TIME);
+            resumed = self.resume_at(ticket, &run.handle, SendPurpose::Return, left).await;
         }
-        let memory = RunHandle { address: from, handle: run.handle.clone() };
+        let memory = RunHandle { address: self.source.address, handle: run.handle.clone() };
+        // The runner may name both alike.
+        copy.into_iter().filter(|copy| copy.handle == run.handle).for_each(RunCopy::keep);
         // The run has used it, or another node may go on from it.
         run.keep();
         resumed
             .ok_or(ResumeRefusal { reason: RESUME_REFUSED, trace: Some(RunTrace::Stopped(memory)) })
     }
 
-    /// Waits for the answer to an order as long as the other node waits.
-    async fn await_order(
-        &self,
-        order: impl Future<Output = platform::Result<RunCopy>>,
-    ) -> Option<RunCopy> {
-        let left = self.end.since(self.context.now());
-        match timeout(left.into(), order).await {
-            Ok(Ok(run)) => Some(run),
-            Ok(Err(error)) => {
-                self.log_source_failure(&error);
-                None
+    /// Goes on from the copy at the next runner. That runner is waited for as long as no other place of the
+    /// run is known, and for [`HEAD_TIME`] from when the order has left one.
+    async fn resume_copy(
+        &mut self,
+        ticket: &mut RouteTicket,
+        handle: &Arc<str>,
+        order: &RunOrder,
+    ) -> Option<(SendPlan, WebExchange)> {
+        let left = self.left().min(SILENCE_TIME);
+        let resumed = {
+            let resuming = self.resume_at(ticket, handle, SendPurpose::NewWork, left);
+            let mut resuming = pin!(resuming.fuse());
+            let mut answered = pin!(order.wait().fuse());
+            select_biased! {
+                resumed = resuming => return resumed,
+                () = answered => (),
             }
-            Err(_) => None,
-        }
+            if order.has_memory() {
+                timeout(HEAD_TIME.into(), resuming).await.ok()
+            } else {
+                Some(resuming.await)
+            }
+        };
+        // It may have taken the run.
+        self.is_target_lost |= resumed.is_none();
+        resumed.flatten()
+    }
+
+    /// Time until the other node is to have its answer.
+    fn left(&self) -> TimeSpan {
+        self.end.since(self.context.now())
     }
 
     /// Sends the request to the runner that has the memory `handle`, the source if it is to return, and
-    /// waits for a stream.
+    /// waits for a stream, for `limit` at most.
     async fn resume_at(
         &mut self,
         ticket: &mut RouteTicket,
         handle: &Arc<str>,
         purpose: SendPurpose,
+        limit: TimeSpan,
     ) -> Option<(SendPlan, WebExchange)> {
         let (context, call) = (self.context, self.call);
         let is_return = purpose == SendPurpose::Return;
@@ -233,7 +305,7 @@
             None => connect(context, call, &plan.runner, purpose).await.ok()?,
         };
         log_send(context, call, &plan.runner.runner, None, None, 0);
-        let left = HEAD_TIME.min(call.deadline.since(context.now()));
+        let left = limit.min(call.deadline.since(context.now()));
         let run = OpenRun::new(context, call, &plan.runner);
         let sent = Box::pin(send_connected(context, call, &plan, connection, left)).await;
         let is_unknown =
--- a/crates/node/src/forward/resumed_run.rs
+++ b/crates/node/src/forward/resumed_run.rs
@@ -57,7 +57,9 @@
     closer: ConnectionCloser,
     offer: ResumeOffer,
 ) -> Result<WebResponse, ResumeRefusal> {
-    let holder = find_runner(context, &offer.runner)?;
+    // What this node has ordered goes on from here also if the runner is silent at the moment.
+    let is_ordered = offer.copy.is_none() && context.late_orders.has(&call.attempt);
+    let holder = find_holder(context, &offer.runner, is_ordered)?;
     let resumed = match offer.copy.clone() {
         Some(memory) => take_memory(context, router, &call, holder, memory, &offer).await?,
         None => move_run(context, router, &call, holder, &offer).await?,
@@ -79,6 +81,19 @@
     Ok(start_stream(context, router, parts, closer, head))
 }
 
+/// The runner that keeps the memory of a run or works on it. It counts as reached if the run `is_ordered`.
+fn find_holder(
+    context: &NodeContext,
+    runner: &RunnerId,
+    is_ordered: bool,
+) -> Result<RunnerRecord, &'static str> {
+    if !is_ordered {
+        return find_runner(context, runner);
+    }
+    let known = context.runners.borrow().get(runner).map(|entry| entry.record.clone());
+    known.ok_or(RUNNER_UNREACHED)
+}
+
 pub(super) fn find_runner(
     context: &NodeContext,
     runner: &RunnerId,
--- a/crates/node/src/forward/run_trace.rs
+++ b/crates/node/src/forward/run_trace.rs
@@ -37,10 +37,15 @@
     Works,
     /// It was stopped, and its runner keeps its memory.
     Stopped(RunHandle),
+    /// It was ordered to stop, and the node that gave the order does not know yet what is left. It keeps what
+    /// the answer names, and goes on from there when it is asked again.
+    Ordered,
 }
 
 /// The header of a run that was not stopped.
 const WORKS: &str = "works";
+/// The header of a run that was ordered to stop. Builds that do not know it take it for none.
+const ORDERED: &str = "ordered";
 
 impl RunTrace {
     /// Reads the header; `None` if it is malformed.
@@ -48,6 +53,7 @@
     pub fn decode(header: &HeaderValue) -> Option<Self> {
         match header.to_str().ok()? {
             WORKS => Some(Self::Works),
+            ORDERED => Some(Self::Ordered),
             text => RunHandle::decode(text).map(Self::Stopped),
         }
     }
@@ -63,6 +69,7 @@
     fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
         match self {
             Self::Works => formatter.write_str(WORKS),
+            Self::Ordered => formatter.write_str(ORDERED),
             Self::Stopped(memory) => memory.fmt(formatter),
         }
     }
--- a/crates/node/src/streams/stream_copy.rs
+++ b/crates/node/src/streams/stream_copy.rs
@@ -151,6 +151,18 @@
         attempt: AttemptId,
         source: SocketAddr,
         target: SocketAddr,
+    ) -> Self {
+        Self::stop_within(context, attempt, source, target, COPY_LIMIT)
+    }
+
+    /// The same, which waits for `limit` for the answer.
+    #[must_use]
+    pub fn stop_within(
+        context: Rc<NodeContext>,
+        attempt: AttemptId,
+        source: SocketAddr,
+        target: SocketAddr,
+        limit: TimeSpan,
     ) -> Self {
         let call = CopyCall::new(context, attempt, source, true);
         let done = call.clone();
@@ -158,7 +170,7 @@
             let done = done.begin();
             let CopyCall { context, attempt, source, .. } = &done;
             let earlier = context.ordered_runs.borrow_mut().begin(done.begun, attempt, *source);
-            let stopped = stop_at_runner(context, attempt, *source, target, COPY_LIMIT).await;
+            let stopped = stop_at_runner(context, attempt, *source, target, limit).await;
             let outcome =
                 if stopped.is_ok() { OrderOutcome::Stopped } else { OrderOutcome::Failed };
             context.ordered_runs.borrow_mut().end(attempt, outcome);
