--- a/crates/harness/tests/node_stream_partition.rs
+++ b/crates/harness/tests/node_stream_partition.rs
@@ -7,7 +7,7 @@
 use compio::time::sleep;
 use fakes::platform::RunnerFakeSettings;
 use futures_util::future::{join, join_all};
-use harness::{CallerRequest, LinkState, SeenStream, config};
+use harness::{CallerRequest, LinkState, SeenStream, config, wait_until};
 use serde_json::json;
 use service_fleet::{CUT, LinkedRunner, NODES, RUNNERS, ServiceFleet, take_turn};
 
@@ -28,6 +28,8 @@
 /// How long a sound runner may be silent.
 const SILENCE: Duration = Duration::from_millis(1_200);
 
+/// Time for a step of the nodes.
+const LIMIT: Duration = Duration::from_secs(5);
 /// For how long a full link holds data back: a configuration of 4 MiB at 10 Mbit/s.
 const LONG_SILENCE: Duration = Duration::from_millis(3_400);
 
@@ -150,9 +152,11 @@
         for stream in &streams {
             assert!(!stream.is_whole && !stream.ids.is_empty(), "{stream:?}");
         }
-        let ends = services.fleet.nodes[CUT].events("end");
-        assert_eq!(ends.len(), STREAMS);
-        for end in ends {
+        let node = &services.fleet.nodes[CUT];
+        let ends = wait_until("the streams to end", LIMIT, async || {
+            Some(node.events("end")).filter(|ends| ends.len() == STREAMS)
+        });
+        for end in ends.await.unwrap() {
             assert_eq!(end["reason"], "deadline_passed", "{end}");
             assert_eq!(end["left_ms"], 0, "{end}");
         }
