Read a stopped run's late events for 400 ms at most

What callers saw: streams whose runner left while their node was behind were cut with 23 s left. The source had confirmed its stop at once; the node read late events for 2 s, and the next runner had left by then.

Cause: the stream of a run whose stop is confirmed was read until 400 ms had passed without an event, for 2 s at most. The wait gains only events that the next runner can make again from the last event read.

Change: 400 ms after the answer are the bound, also while events come. An engine that confirms the order and goes on is still noticed in that time, before anything is sent.

Open: the source is closed before the next runner has answered.

--- a/crates/serving/src/run_stop.rs
+++ b/crates/serving/src/run_stop.rs
@@ -8,10 +8,10 @@
 
 /// Events beyond its count that a source may have been writing as it stopped.
 const SPARE_EVENTS: u64 = 4;
-/// Time without an event in which the stream of a run closes whose stop is confirmed.
+/// Time after a confirmed stop for which the stream is read, unless it closes before. The next runner may
+/// leave meanwhile, and makes what is not read again.
 const CLOSE_TIME: TimeSpan = TimeSpan::millis(400);
-/// Longest time for which events from before a confirmed stop are read, and longest silence of a stream
-/// whose run is not found.
+/// Longest silence of a stream whose run is not found.
 const LATE_TIME: TimeSpan = TimeSpan::seconds(2);
 
 /// What a source has answered to the order to stop a run.
@@ -160,13 +160,13 @@
 }
 
 /// When an open body is read no longer after the answer. Events from before the stop, which may come late,
-/// put that off: for a while if the memory is certain, and as long as they come if it is not.
+/// put that off as long as they come if the memory is not certain. If it is, they are no reason to wait: the
+/// next runner makes them again, if it has not left by then.
 #[must_use]
 pub fn stop_due(facts: &StopFacts) -> Option<TimePoint> {
-    let heard_at = facts.last_event_at.max(facts.answered_at);
     match facts.answer? {
-        OrderAnswer::Stopped(_) => Some((heard_at + CLOSE_TIME).min(facts.answered_at + LATE_TIME)),
-        OrderAnswer::NotFound => Some(heard_at + LATE_TIME),
+        OrderAnswer::Stopped(_) => Some(facts.answered_at + CLOSE_TIME),
+        OrderAnswer::NotFound => Some(facts.last_event_at.max(facts.answered_at) + LATE_TIME),
         OrderAnswer::NoRoom
         | OrderAnswer::Refused
         | OrderAnswer::Unreached
