Count the silence of a node in the time of the process where it has a whole call

Callers saw: a stream that was forwarded as a whole was broken off (200, 48 or 49 of 150 events, node_lost), and one without a head answered 502 (node_lost), when both nodes stood still for 1.6 s and the other one went on 100 ms later, as on one paused machine.

Cause: wait_node_lost measured the silence in wall time. After the standstill the heartbeats of the other node counted as too old, so that it was not asked at all, and 1.6 s of the node's own standstill were over the limit of 1.5 s.

Fix: the silence counts own_now, as for streams whose place is known. A standstill counts 40 ms, the node is asked again 250 ms later, and has answered by then. A node that is silent for good is left as soon as before.

--- a/crates/node/src/reach/node_question.rs
+++ b/crates/node/src/reach/node_question.rs
@@ -46,13 +46,14 @@
     true
 }
 
-/// Waits until a node has answered no question for so long that it counts as lost.
+/// Waits until a node has answered no question for so long that it counts as lost. Only time in which this
+/// node ran counts.
 pub async fn wait_node_lost(context: &NodeContext, node: &VmId) {
-    let mut last_answer = context.now();
+    let mut last_answer = kernel::own_now();
     loop {
         kernel::sleep(QUESTION_PAUSE.into()).await;
         let answers = node_answers(context, node).await;
-        let now = context.now();
+        let now = kernel::own_now();
         if answers {
             last_answer = now;
         }
