Ask a node whose heartbeats are missing before it counts as lost

Callers saw: a stream that was forwarded as a whole was broken off (46 to 48 of 150 events, after a pause of 2.26 to 2.31 s) while its node answered all questions over TCP; only its events and heartbeats were late for 2.4 s.

Cause: node_answers looked the address up among the nodes that are alive by heartbeats. One whose heartbeats had been missing for a second was not asked, and that counted as a question without an answer. Heartbeats are datagrams: a full link drops them, and a node that stood still has not read them.

Fix: the last known address of a node that has not been forgotten (30 s) is asked. The question has its own limit of 250 ms, so that a node that is gone costs that much more. Streams whose place is known ask the same way.

--- a/crates/harness/tests/node_relay_waits.rs
+++ b/crates/harness/tests/node_relay_waits.rs
@@ -46,6 +46,8 @@
     NodeSilentForMoment,
     /// No events come, and the node answers.
     EventsLate,
+    /// The same, and no heartbeats come.
+    EventsAndHeartbeatsLate,
     /// Both nodes stand still for [`STANDSTILL`].
     Standstill,
     /// The same, before the head of the answer has come.
@@ -96,12 +98,13 @@
         let stands = matches!(trouble, Trouble::Standstill | Trouble::StandstillBeforeHead);
         let is_silent = matches!(trouble, Trouble::NodeSilent | Trouble::NodeSilentForMoment);
         self.is_silent.set(is_silent || stands);
-        self.is_mute.set(stands);
+        self.is_mute.set(stands || trouble == Trouble::EventsAndHeartbeatsLate);
         if matches!(trouble, Trouble::NodeSilent | Trouble::EventsLateInStop) {
             return;
         }
         let silence = if stands { STANDSTILL + LATER } else { SILENCE };
-        let times = if trouble == Trouble::EventsLate { 2 } else { 1 };
+        let is_late = matches!(trouble, Trouble::EventsLate | Trouble::EventsAndHeartbeatsLate);
+        let times = if is_late { 2 } else { 1 };
         sleep(silence * times).await;
         self.holds_events.set(false);
         self.holds_head.set(false);
@@ -246,3 +249,13 @@
 fn a_stream_of_an_unknown_place_comes_whole_when_both_nodes_stand_still_before_its_head() {
     check_standstill(Trouble::StandstillBeforeHead);
 }
+
+/// Guards against LOST: a node whose heartbeats are lost on a full link is given up without being asked.
+#[test]
+fn a_stream_of_an_unknown_place_comes_whole_when_its_events_and_heartbeats_are_late() {
+    kernel::run(async {
+        let stream = read_through(None, Trouble::EventsAndHeartbeatsLate).await;
+        assert!(stream.has_all(EVENTS) && stream.longest_pause >= 2 * SILENCE, "{stream:?}");
+    })
+    .unwrap();
+}
--- a/crates/node/src/reach/node_question.rs
+++ b/crates/node/src/reach/node_question.rs
@@ -28,11 +28,8 @@
     if context.node_answers.borrow().contains_key(node) {
         return true;
     }
-    let address = {
-        let peers = context.peers.borrow();
-        let mut live = peers.live(now);
-        live.find(|peer| peer.vm == *node).map(|peer| peer.peer_address)
-    };
+    // Its heartbeats may be lost on a full link, or be unread since this node stood still.
+    let address = context.peers.borrow().find(node).map(|peer| peer.peer_address);
     let Some(address) = address else { return false };
     // The path names no runner, so that any node that works answers 404 at once.
     let limit = FetchLimit::Whole(ANSWER_TIMEOUT);
--- a/crates/node/src/streams/stream_relay.rs
+++ b/crates/node/src/streams/stream_relay.rs
@@ -31,7 +31,7 @@
 
 /// Silence after which the node is asked, and pause until it is asked again.
 const QUESTION_PAUSE: TimeSpan = TimeSpan::millis(250);
-/// Pause after a question without an answer: a node that sends no heartbeats is not asked at all.
+/// Pause after a question without an answer.
 const UNANSWERED_PAUSE: TimeSpan = TimeSpan::millis(25);
 /// Reason of a stream that ends since the node that it came through is lost.
 const NODE_LOST: &str = "node_lost";
--- a/crates/serving/src/peer_table.rs
+++ b/crates/serving/src/peer_table.rs
@@ -107,6 +107,12 @@
         self.peers.values().filter(alive).map(|entry| &entry.heartbeat)
     }
 
+    /// Latest heartbeat of a node that has not been forgotten, even if it is considered dead.
+    #[must_use]
+    pub fn find(&self, vm: &VmId) -> Option<&PeerHeartbeat> {
+        self.peers.get(vm).map(|entry| &entry.heartbeat)
+    }
+
     /// Number of nodes that share fleet-wide budgets: this one and all that have not been
     /// forgotten, including those considered dead.
     #[must_use]
