Search around the end of a run behind held links

The search could not express that: a run stayed at its runner until this node had read it, and a copy outlived its run.

Two searches start with half of the run read (`LifeFaults::TAIL`). A runner that is silent to this node writes on to its link there, and ends the run whole: no copy is of use afterwards, no other node finds the run, and the last events and the end arrive late. All links may be held back for 1.6 s. In all searches, an end of the stream that this node gives up by closing the connection counts as a place.

`SilentSourceClosed` closes a source that has been silent for a second once no other runner has the run; it loses a stream by `Tick, LinksHeld, Tick x5`.

An event of before, read beside the next runner, was taken for a source that works; the next runner was left after 250 ms with its memory used, and the source, cut off, ended the run. The source counts as working now if it has answered this node since that event.

--- a/crates/life/src/next_runner.rs
+++ b/crates/life/src/next_runner.rs
@@ -45,7 +45,9 @@
         now: TimePoint,
         actions: &mut Vec<LifeAction>,
     ) {
-        let source = match (self.is_open, open.has_held) {
+        let source_answered = self.source.seen_since(self.last_heard, now);
+        let works_here = open.has_held && source_answered == Some(&SeenPlace::Here);
+        let source = match (self.is_open, works_here) {
             (false, _) => SourceState::Ended,
             (true, false) => SourceState::Silent,
             (true, true) => SourceState::Active,
@@ -55,7 +57,7 @@
             rule: OverlapRule::LeaveSilentSource,
             is_overlap_over: now.since(open.begun) >= MAX_OVERLAP,
             answered: self.next.seen_since(open.begun, now).map(Into::into),
-            source_answered: self.source.seen_since(self.last_heard, now).map(Into::into),
+            source_answered: source_answered.map(Into::into),
         };
         match decide_wait(&facts) {
             WaitDecision::Wait => (),
--- a/crates/life/src/stream_life.rs
+++ b/crates/life/src/stream_life.rs
@@ -154,6 +154,12 @@
         self.step.as_ref().map(|open| now.since(open.begun))
     }
 
+    /// Time since events came last.
+    #[must_use]
+    pub fn silence(&self, now: TimePoint) -> TimeSpan {
+        now.since(self.last_heard)
+    }
+
     /// Follows an input. After each one, the whole state is looked at.
     pub fn step(&mut self, input: &LifeInput, now: TimePoint) -> Vec<LifeAction> {
         let mut actions = Vec::new();
--- a/crates/spec/src/lib.rs
+++ b/crates/spec/src/lib.rs
@@ -44,6 +44,7 @@
     runs.extend(LifeVariant::SOUND.map(check_lives));
     runs.extend(LifeVariant::FAULTS.map(check_lives));
     runs.extend(LifeVariant::LATE_READS.map(check_lives));
+    runs.extend(LifeVariant::EARLY_ENDS.map(check_lives));
     runs.extend(LifeVariant::FINDINGS.map(check_lives));
     runs
 }
--- a/crates/spec/src/lives/binding.rs
+++ b/crates/spec/src/lives/binding.rs
@@ -5,11 +5,13 @@
 use serving::OrderAnswer;
 
 use super::LifeVariant;
-use super::runner::RunnerPower;
+use super::runner::{RunnerPower, WorldRunner};
 use super::world::{LENGTH, LifeWorld, OpenOp};
 
 /// Time of a step after which some variants act.
 const EARLY_LIMIT: TimeSpan = TimeSpan::millis(200);
+/// Silence after which one variant closes a source.
+const SILENCE_LIMIT: TimeSpan = TimeSpan::seconds(1);
 /// Time of an order after which one variant gives it up: that of a late answer here, shorter than any real limit.
 const ORDER_LIMIT: TimeSpan = TimeSpan::millis(600);
 
@@ -78,8 +80,20 @@
         self.give(&LifeInput::StepEnded(number, StepOutcome::Refused), 0);
     }
 
+    /// Closes a source that has been silent for long, if no runner has anything of the run.
+    fn close_silent(&mut self) {
+        let is_unsaved = |runner: &WorldRunner| runner.run.is_none() && !runner.has_memory;
+        let is_lost = self.runners.iter().all(is_unsaved);
+        if self.reading.is_some() && is_lost && self.life.silence(self.now()) >= SILENCE_LIMIT {
+            self.lose_source();
+        }
+    }
+
     /// What is done early for a step that has not been answered.
     pub(super) fn act_early(&mut self) {
+        if self.is_variant(LifeVariant::SilentSourceClosed) {
+            self.close_silent();
+        }
         if self.is_variant(LifeVariant::UnansweredTakenForRefused) {
             self.give_up_order();
         }
--- a/crates/spec/src/lives/course.rs
+++ b/crates/spec/src/lives/course.rs
@@ -4,7 +4,7 @@
 use life::{LifeInput, LifeStep, OfferedPlace, SeenPlace, StepOutcome};
 use serving::OrderAnswer;
 
-use super::runner::{LostRun, RunReader, RunnerPower, WorldRun};
+use super::runner::{LostRun, RunReader, RunStage, RunnerPower, WorldRun};
 use super::world::{LENGTH, LifeWorld, OpState, OpenOp, node_id, runner_number};
 
 /// Steps for which two runners may work on one request: 400 ms.
@@ -71,15 +71,17 @@
     for number in 0..world.runners.len() {
         let is_missed = world.is_missed(number);
         let runner = &mut world.runners[number];
+        let is_last = runner.leaves_in == 1;
         runner.silent_here = runner.silent_here.saturating_sub(1);
         runner.silent_to_all = runner.silent_to_all.saturating_sub(1);
-        if runner.leaves_in == 1 {
-            runner.switch_off();
-            if is_missed {
-                runner.lost = LostRun::Missed;
-            }
-        }
         runner.leaves_in = runner.leaves_in.saturating_sub(1);
+        if is_last {
+            world.lose_runner(number);
+        }
+        let runner = &mut world.runners[number];
+        if is_last && is_missed {
+            runner.lost = LostRun::Missed;
+        }
         let answers = runner.answers();
         runner.run.take_if(|run| run.is_through_node && !is_node_up && answers);
     }
@@ -117,8 +119,8 @@
         if let Some(outcome) = outcome.filter(|_| world.stands == 0) {
             world.ops.retain(|other| other.number != op.number);
             if let (LifeStep::Copy(to), StepOutcome::Done) = (&op.step, outcome) {
-                // The handle of a copy comes with the answer.
-                world.runners[runner_number(to)].has_memory = true;
+                // The handle of a copy comes with the answer, and is of no use once the run has ended.
+                world.runners[runner_number(to)].has_memory = world.stage == RunStage::Working;
             }
             world.confirmed_stops +=
                 u8::from(matches!(outcome, StepOutcome::Ordered(OrderAnswer::Stopped(_))));
--- a/crates/spec/src/lives/faults.rs
+++ b/crates/spec/src/lives/faults.rs
@@ -1,7 +1,7 @@
 //! What can happen next.
 
 use super::course::{TickOrder, advance};
-use super::runner::RunnerPower;
+use super::runner::{RunnerPower, WorldRunner};
 use super::world::{LifeWorld, OpState, OpenOp};
 
 /// Time for which a sound runner may be silent, in steps.
@@ -10,6 +10,8 @@
 const NOTICE_TICKS: u8 = 16;
 /// Delay of a late answer, in steps.
 const LATE_TICKS: u8 = 3;
+/// Time for which the links of this node to the runners are held back, in steps.
+const HELD_TICKS: u8 = 8;
 /// Time for which this node stands still, in steps.
 const STAND_TICKS: u8 = 5;
 /// Times by which this node is behind, in steps: 400 and 800 ms.
@@ -30,6 +32,10 @@
     pub(super) behind_ticks: u8,
     /// By how much at most, in steps.
     pub(super) max_behind: u8,
+    /// Events that the run has made and the caller has read at the start.
+    pub(super) first_event: u8,
+    /// Whether links are held back, and runs end at their runners while their last events are.
+    pub(super) has_held_links: bool,
 }
 
 impl LifeFaults {
@@ -42,7 +48,12 @@
         ticks: 6,
         behind_ticks: 6,
         max_behind: 4,
+        first_event: 0,
+        has_held_links: false,
     };
+    /// Two in 0.8 s, around the end of the run.
+    pub(super) const TAIL: Self =
+        Self { ticks: 4, behind_ticks: 4, first_event: 5, has_held_links: true, ..Self::TWO };
     /// Three in 0.8 s, of this node too.
     pub(super) const THREE_SLOW: Self = Self { has_slow_node: true, ..Self::THREE };
     /// Two in 1.2 s, of steps and of this node only, which is behind from the start or not at all.
@@ -50,15 +61,8 @@
     /// The same, behind by 400 ms.
     pub(super) const SLOW_BY_LITTLE: Self = Self { max_behind: 2, ..Self::SLOW };
     /// Three in 0.8 s.
-    pub(super) const THREE: Self = Self {
-        all: 3,
-        leaves: 1,
-        has_lost_places: true,
-        has_slow_node: false,
-        ticks: 4,
-        behind_ticks: 4,
-        max_behind: 4,
-    };
+    pub(super) const THREE: Self =
+        Self { all: 3, ticks: 4, behind_ticks: 4, has_slow_node: false, ..Self::TWO };
 }
 
 /// Runners and steps are named by their number.
@@ -74,6 +78,8 @@
     SilentHere(usize),
     SilentToAll(usize),
     CutOff(usize),
+    /// The links of both runners to this node hold data and answers back for 1.6 s.
+    LinksHeld,
     Dies(usize),
     NodeLost,
     /// A step never arrives.
@@ -121,6 +127,10 @@
             events.push(LifeEvent::SilentToAll(number));
         }
     }
+    let is_held = |runner: &WorldRunner| runner.silent_here > 0 || runner.is_cut_off;
+    if world.left.has_held_links && !world.runners.iter().any(is_held) {
+        events.push(LifeEvent::LinksHeld);
+    }
     if world.is_node_up && world.left.has_lost_places {
         events.push(LifeEvent::NodeLost);
     }
@@ -163,7 +173,10 @@
         LifeEvent::SilentHere(number) => next.runners[number].silent_here = SILENT_TICKS,
         LifeEvent::SilentToAll(number) => next.runners[number].silent_to_all = SILENT_TICKS,
         LifeEvent::CutOff(number) => next.runners[number].is_cut_off = true,
-        LifeEvent::Dies(number) => next.runners[number].switch_off(),
+        LifeEvent::LinksHeld => {
+            next.runners.iter_mut().for_each(|runner| runner.silent_here = HELD_TICKS);
+        }
+        LifeEvent::Dies(number) => next.lose_runner(number),
         LifeEvent::NodeLost => next.is_node_up = false,
         LifeEvent::Lost(number) => next.ops[number].state = OpState::Lost,
         LifeEvent::Refused(number) => next.ops[number].state = OpState::Refused,
--- a/crates/spec/src/lives/runner.rs
+++ b/crates/spec/src/lives/runner.rs
@@ -35,6 +35,14 @@
     Missed,
 }
 
+/// How far the run of the stream is, wherever it works.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub(super) enum RunStage {
+    Working,
+    /// It has ended whole: no runner keeps memory of it.
+    Ended,
+}
+
 /// A run at a runner.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub(super) struct WorldRun {
--- a/crates/spec/src/lives/variant.rs
+++ b/crates/spec/src/lives/variant.rs
@@ -17,6 +17,10 @@
     UncopiedOften,
     /// As the actions say, with a copy; the source confirms orders and goes on, also with closed requests.
     Ignoring,
+    /// As the actions say, with a copy; the run may end whole while the links of this node are held back.
+    Tail,
+    /// The same without a copy.
+    UncopiedTail,
     /// It closes the source before the next runner is connected to.
     ClosedBeforeConnect,
     /// It closes the source before the next runner has taken the copy.
@@ -31,6 +35,8 @@
     UnansweredTakenForRefused,
     /// It takes a place whose first answer is not read in time for one that has refused.
     LateHeadTakenForRefused,
+    /// It closes a source that has been silent for a second while no other runner has the run.
+    SilentSourceClosed,
     /// It has no run ended that was left at a runner which answers only another node.
     LeftNotEnded,
     /// It closes a silent source beside the next runner, where that is to be stopped.
@@ -51,8 +57,15 @@
 
 impl LifeVariant {
     /// The sound ones.
-    pub const SOUND: [Self; 5] =
-        [Self::Copied, Self::Uncopied, Self::CopiedOften, Self::UncopiedOften, Self::Ignoring];
+    pub const SOUND: [Self; 7] = [
+        Self::Copied,
+        Self::Uncopied,
+        Self::CopiedOften,
+        Self::UncopiedOften,
+        Self::Ignoring,
+        Self::Tail,
+        Self::UncopiedTail,
+    ];
 
     /// Faults that streams were lost by earlier.
     pub const FAULTS: [Self; 4] = [
@@ -66,6 +79,9 @@
     pub const LATE_READS: [Self; 3] =
         [Self::LateTakenForGoingOn, Self::UnansweredTakenForRefused, Self::LateHeadTakenForRefused];
 
+    /// Rules by which a place was given up before another one was certain.
+    pub const EARLY_ENDS: [Self; 1] = [Self::SilentSourceClosed];
+
     /// Rules of the loop in `crates/node/src/streams` that break a rule, and what is open in the state machine.
     pub const FINDINGS: [Self; 8] = [
         Self::LeftNotEnded,
@@ -85,6 +101,8 @@
             Self::CopiedOften => "sound: copy, three disruptions",
             Self::UncopiedOften => "sound: no copy, three disruptions",
             Self::Ignoring => "sound: source ignores orders",
+            Self::Tail => "sound: run ends behind held links",
+            Self::UncopiedTail => "sound: the same, no copy",
             Self::ClosedBeforeConnect => "source closed before connecting",
             Self::ClosedBeforeTaken => "source closed before copy taken",
             Self::ClosedBeforeAnswer => "source closed before answers",
@@ -92,6 +110,7 @@
             Self::LateTakenForGoingOn => "late events taken for going on",
             Self::UnansweredTakenForRefused => "late order taken for refused",
             Self::LateHeadTakenForRefused => "late head taken for refused",
+            Self::SilentSourceClosed => "silent source closed",
             Self::LeftNotEnded => "run left at work",
             Self::ClosedNotStopped => "silent source closed, not stopped",
             Self::SilentTakenForUsed => "silent memory taken for used",
@@ -124,6 +143,8 @@
             self,
             Self::Uncopied
                 | Self::UncopiedOften
+                | Self::UncopiedTail
+                | Self::SilentSourceClosed
                 | Self::LeavingNotAsked
                 | Self::MovedOnce
                 | Self::UnansweredMove
@@ -134,6 +155,7 @@
         match self {
             Self::CopiedOften | Self::UncopiedOften => LifeFaults::THREE,
             Self::SlowOften => LifeFaults::THREE_SLOW,
+            Self::Tail | Self::UncopiedTail | Self::SilentSourceClosed => LifeFaults::TAIL,
             Self::Ignoring => LifeFaults::SLOW_BY_LITTLE,
             Self::IgnoringFarBehind
             | Self::LateTakenForGoingOn
--- a/crates/spec/src/lives/wire.rs
+++ b/crates/spec/src/lives/wire.rs
@@ -5,8 +5,8 @@
 
 use life::LifeInput;
 
-use super::runner::RunnerPower;
-use super::world::{LENGTH, LifeWorld};
+use super::runner::{RunStage, RunnerPower};
+use super::world::{LENGTH, LifeWorld, WorldReading};
 
 /// What a connection carries.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
@@ -27,7 +27,42 @@
 
 impl LifeWorld {
     fn put(&mut self, data: WireData) {
-        self.wire.push(WireItem { data, due: self.tick + self.behind });
+        let held = self.reading.map_or(0, |reading| self.held_ticks(reading));
+        self.wire.push(WireItem { data, due: self.tick + self.behind.max(held) });
+    }
+
+    /// Steps for which what the source writes is held back on its link.
+    fn held_ticks(&self, reading: WorldReading) -> u8 {
+        let is_held = self.left.has_held_links && !reading.is_through_node;
+        if is_held { self.runners[reading.runner].silent_here } else { 0 }
+    }
+
+    /// Whether the source writes what it has made: to a link that holds it back, too.
+    fn is_written(&self, reading: WorldReading) -> bool {
+        let runner = &self.runners[reading.runner];
+        let is_written = reading.is_through_node || self.held_ticks(reading) > 0;
+        if is_written { runner.answers() } else { runner.answers_here() }
+    }
+
+    /// Ends a run whole at its runner. Its copies are of no use from then on.
+    fn end_run(&mut self, number: usize) {
+        self.runners[number].run = None;
+        if self.left.has_held_links {
+            self.stage = RunStage::Ended;
+            self.runners.iter_mut().for_each(|runner| runner.has_memory = false);
+        }
+    }
+
+    /// Switches a runner off. What its link holds back is lost, and the connection ends.
+    pub(super) fn lose_runner(&mut self, number: usize) {
+        let source = self.reading.filter(|reading| reading.runner == number);
+        let held = source.map_or(0, |reading| self.held_ticks(reading));
+        self.runners[number].switch_off();
+        if held > 0 {
+            let arrived = self.tick + self.behind;
+            self.wire.retain(|item| item.due <= arrived);
+            self.reading.iter_mut().for_each(|reading| reading.is_over = false);
+        }
     }
 
     /// Puts on the wire what the source has made, and its end.
@@ -37,6 +72,10 @@
             let is_through_node = reading.is_through_node;
             let is_cut = if is_through_node { !self.is_node_up } else { runner.is_cut_off };
             if is_cut && !is_through_node {
+                let is_over = runner.run.is_some_and(|run| run.made == LENGTH);
+                if self.left.has_held_links && is_over {
+                    self.end_run(reading.runner);
+                }
                 return;
             }
             let run = runner.run.filter(|run| run.reader == reading.reader);
@@ -47,12 +86,11 @@
                 }
                 return;
             };
-            let is_heard = if is_through_node { runner.answers() } else { runner.answers_here() };
-            if !is_heard || reading.read == run.made && run.made < LENGTH {
+            if !self.is_written(reading) || reading.read == run.made && run.made < LENGTH {
                 return;
             }
             if reading.read == LENGTH {
-                self.runners[reading.runner].run = None;
+                self.end_run(reading.runner);
                 self.end_reading(WireData::End);
                 return;
             }
--- a/crates/spec/src/lives/world.rs
+++ b/crates/spec/src/lives/world.rs
@@ -7,7 +7,7 @@
 
 use super::LifeVariant;
 use super::faults::LifeFaults;
-use super::runner::{LostRun, OrderHabit, RunReader, RunnerPower, WorldRun, WorldRunner};
+use super::runner::{LostRun, OrderHabit, RunReader, RunStage, RunnerPower, WorldRun, WorldRunner};
 use super::wire::WireItem;
 
 /// Time of a step.
@@ -69,6 +69,7 @@
     pub(super) left: LifeFaults,
     pub(super) runners: [WorldRunner; 2],
     pub(super) is_node_up: bool,
+    pub(super) stage: RunStage,
     /// A move from a source was asked for.
     pub(super) is_move_asked: bool,
     pub(super) reading: Option<WorldReading>,
@@ -117,7 +118,8 @@
             deadline: now + CALL_LIMIT,
         };
         let reader = RunReader::Step(StepNumber::default());
-        let run = WorldRun { made: 0, reader, is_through_node: false, is_hung: false };
+        let first = left.first_event;
+        let run = WorldRun { made: first, reader, is_through_node: false, is_hung: false };
         let is_ignoring = matches!(variant, LifeVariant::Ignoring | LifeVariant::IgnoringFarBehind);
         let habit = if is_ignoring { OrderHabit::Ignores } else { OrderHabit::Follows };
         let source = WorldRunner { run: Some(run), habit, ..WorldRunner::new() };
@@ -129,8 +131,9 @@
             left,
             runners: [source, next],
             is_node_up: true,
+            stage: RunStage::Working,
             is_move_asked: false,
-            reading: Some(WorldReading::new(0, reader, 0, false)),
+            reading: Some(WorldReading::new(0, reader, first, false)),
             wire: Vec::new(),
             behind: 0,
             stands: 0,
@@ -139,7 +142,7 @@
             answers: [None, None],
             ops: Vec::new(),
             questions: [false; 2],
-            delivered: 0,
+            delivered: first,
             held: Vec::new(),
             overlap: 0,
             violation: None,
@@ -296,9 +299,10 @@
     /// A source that is closed without a switch is given up before another place is certain.
     pub(super) fn close_source(&mut self, is_switch: bool) {
         let Some(reading) = self.reading.take() else { return };
+        let carries_end = self.carries_end();
         self.wire.clear();
         let runner = &mut self.runners[reading.runner];
-        if !is_switch && runner.run.is_some_and(|run| !run.is_hung) {
+        if !is_switch && (carries_end || runner.run.is_some_and(|run| !run.is_hung)) {
             runner.lost = LostRun::GivenUp;
         }
         self.close_reader(reading.reader);
--- a/crates/spec/tests/models.rs
+++ b/crates/spec/tests/models.rs
@@ -120,6 +120,12 @@
     assert_snapshot!(LifeVariant::LATE_READS.map(course).join("\n"));
 }
 
+/// Guards against LOST: a place is given up, or a stop is given, before another place is certain to go on.
+#[test]
+fn each_place_given_up_early_loses_a_stream() {
+    assert_snapshot!(LifeVariant::EARLY_ENDS.map(course).join("\n"));
+}
+
 /// Rules of the present loop, and what is open in the state machine, that the search shows to be broken.
 #[test]
 fn findings_of_the_search_are_reproduced() {
