Search for orders of a moving node that are answered late

`OrderLate` in the world: the source follows the order of the other node, which hears nothing in time, says that it has ordered the run (`OrderAnswer::Unknown`) and is asked again.

Only the node that had ordered the run was asked again, and it was gone; the memory at the source was never asked for. The machine now holds the memory at the source for possible after such an offer, and asks the source to go on once it answers this node.

--- a/crates/life/src/life_input.rs
+++ b/crates/life/src/life_input.rs
@@ -32,7 +32,8 @@
 pub enum StepOutcome {
     /// Copied, connected, answered, or taken.
     Done,
-    /// What a source has answered to the order to stop the run.
+    /// What a source has answered to the order to stop the run. [`OrderAnswer::Unknown`] also from a node that was
+    /// offered the run, and has ordered it.
     Ordered(OrderAnswer),
     /// A node that was offered the run at the source has taken it, and has it go on there.
     Returned,
--- a/crates/life/src/node_offer.rs
+++ b/crates/life/src/node_offer.rs
@@ -4,6 +4,7 @@
 
 use crate::next_runner::MAX_OVERLAP;
 use crate::stream_life::{OpenStep, RETRY_PAUSE};
+use crate::stream_place::MemoryTrust;
 use crate::{LifeAction, LifeStep, OfferedPlace, SeenPlace, StepNumber, StepOutcome, StreamLife};
 
 impl StreamLife {
@@ -57,6 +58,15 @@
         self.retry_at = now + RETRY_PAUSE;
     }
 
+    /// Has the node asked again that may have stopped the run. The memory is at the source then, which goes on from it
+    /// if the node is lost meanwhile.
+    pub(crate) fn ask_mover_again(&mut self, node: VmId) {
+        self.is_move_asked = false;
+        self.mover = Some(node);
+        self.source.has_memory = true;
+        self.source.trust = MemoryTrust::Doubtful;
+    }
+
     /// Reads the other node from now on, or offers the next place. Memory is used once.
     pub(crate) fn end_offer(
         &mut self,
@@ -66,6 +76,12 @@
         now: TimePoint,
         actions: &mut Vec<LifeAction>,
     ) {
+        if matches!(outcome, StepOutcome::Ordered(_)) {
+            self.ask_mover_again(node);
+            actions.push(LifeAction::ForwardHeld);
+            self.offer_next(now, actions);
+            return;
+        }
         if outcome == StepOutcome::Refused {
             actions.push(LifeAction::ForwardHeld);
             self.next.has_memory &= place != OfferedPlace::NextMemory;
--- a/crates/life/src/stream_life.rs
+++ b/crates/life/src/stream_life.rs
@@ -283,8 +283,7 @@
             LifeStep::Order => self.end_late_order(open, now, actions),
             LifeStep::Offer(place, _, node) => {
                 if place == OfferedPlace::SourceRun {
-                    self.is_move_asked = false;
-                    self.mover = Some(node);
+                    self.ask_mover_again(node);
                 }
                 actions.push(LifeAction::ForwardHeld);
                 self.offer_next(now, actions);
--- a/crates/spec/src/lives/binding.rs
+++ b/crates/spec/src/lives/binding.rs
@@ -5,7 +5,7 @@
 use serving::OrderAnswer;
 
 use super::LifeVariant;
-use super::runner::{RunnerPower, WorldRunner};
+use super::runner::{LostRun, RunnerPower, WorldRunner};
 use super::world::{LENGTH, LifeWorld, OpenOp};
 
 /// Time of a step after which some variants act.
@@ -80,6 +80,12 @@
         self.give(&LifeInput::StepEnded(number, StepOutcome::Refused), 0);
     }
 
+    /// Frees all memory of a run that was stopped at a runner.
+    pub(super) fn free_memory(&mut self, number: usize) {
+        self.runners.iter_mut().for_each(|runner| runner.has_memory = false);
+        self.runners[number].lost = LostRun::GivenUp;
+    }
+
     /// Closes a source that has been silent for long, if no runner has anything of the run.
     fn close_silent(&mut self) {
         let is_unsaved = |runner: &WorldRunner| runner.run.is_none() && !runner.has_memory;
--- a/crates/spec/src/lives/course.rs
+++ b/crates/spec/src/lives/course.rs
@@ -4,6 +4,8 @@
 use life::{LifeInput, LifeStep, OfferedPlace, SeenPlace, StepOutcome};
 use serving::OrderAnswer;
 
+use super::LifeVariant;
+use super::faults::LATE_TICKS;
 use super::runner::{LostRun, RunReader, RunStage, RunnerPower, WorldRun};
 use super::world::{LENGTH, LifeWorld, OpState, OpenOp, node_id, runner_number};
 
@@ -136,7 +138,11 @@
 }
 
 fn wait_for_node(outcome: StepOutcome) -> OpState {
-    if outcome == StepOutcome::Refused { OpState::Refused } else { OpState::Followed }
+    match outcome {
+        StepOutcome::Refused => OpState::Refused,
+        StepOutcome::Ordered(OrderAnswer::Unknown) => OpState::Ordered,
+        _ => OpState::Followed,
+    }
 }
 
 /// What becomes of a step: its state, the steps until its answer, and the answer if it arrives now.
@@ -157,7 +163,13 @@
             let answer = is_answered.then(|| done(world, op));
             (OpState::Followed, late, answer)
         }
-        OpState::Sent | OpState::Unanswered => {
+        OpState::Ordered => {
+            let is_answered = op.late == 0 && world.is_node_up;
+            let answer = is_answered.then_some(StepOutcome::Ordered(OrderAnswer::Unknown));
+            (OpState::Ordered, late, answer)
+        }
+        OpState::OrderLate if answers(world, &op.step) => order_late(world, op),
+        OpState::OrderLate | OpState::Sent | OpState::Unanswered => {
             if !answers(world, &op.step) {
                 // The connection to a runner that is off is refused.
                 let refused = is_off(world, &op.step).then_some(StepOutcome::Refused);
@@ -176,6 +188,21 @@
     }
 }
 
+/// The other node orders the source, which stops the run and keeps its memory. The node gets no answer in time: it
+/// says that it has ordered the run, or takes the order for refused in one variant.
+fn order_late(world: &mut LifeWorld, op: &OpenOp) -> (OpState, u8, Option<StepOutcome>) {
+    let at = peer(world, &op.step);
+    if world.runners[at].run.is_none() {
+        return (OpState::Refused, 0, Some(StepOutcome::Refused));
+    }
+    world.runners[at].follow_order();
+    if world.is_variant(LifeVariant::MoveTakenForRefused) {
+        world.free_memory(at);
+        return (OpState::Refused, 0, Some(StepOutcome::Refused));
+    }
+    (OpState::Ordered, LATE_TICKS, None)
+}
+
 /// Steps until an answer is read, after the first. That to a request for a run comes before the data of the run,
 /// on the same connection.
 fn answer_ticks(world: &LifeWorld, op: &OpenOp) -> u8 {
--- a/crates/spec/src/lives/faults.rs
+++ b/crates/spec/src/lives/faults.rs
@@ -1,5 +1,7 @@
 //! What can happen next.
 
+use life::{LifeStep, OfferedPlace};
+
 use super::course::{TickOrder, advance};
 use super::runner::{RunnerPower, WorldRunner};
 use super::world::{LifeWorld, OpState, OpenOp};
@@ -9,7 +11,7 @@
 /// Time from the notice of a leave to its end, in steps.
 const NOTICE_TICKS: u8 = 16;
 /// Delay of a late answer, in steps.
-const LATE_TICKS: u8 = 3;
+pub(super) const LATE_TICKS: u8 = 3;
 /// Time for which the links of this node to the runners are held back, in steps.
 const HELD_TICKS: u8 = 8;
 /// Time for which this node stands still, in steps.
@@ -36,6 +38,8 @@
     pub(super) first_event: u8,
     /// Whether links are held back, and runs end at their runners while their last events are.
     pub(super) has_held_links: bool,
+    /// Orders of the other node that may be answered late, beside the others.
+    pub(super) late_orders: u8,
 }
 
 impl LifeFaults {
@@ -50,7 +54,10 @@
         max_behind: 4,
         first_event: 0,
         has_held_links: false,
+        late_orders: 0,
     };
+    /// Two in 1.2 s, and a late answer to an order of the other node.
+    pub(super) const ORDERS: Self = Self { late_orders: 1, ..Self::TWO };
     /// Two in 0.8 s, around the end of the run.
     pub(super) const TAIL: Self =
         Self { ticks: 4, behind_ticks: 4, first_event: 5, has_held_links: true, ..Self::TWO };
@@ -87,6 +94,8 @@
     Refused(usize),
     /// A step is followed, and its answer is late.
     Late(usize),
+    /// The other node orders a run for this one, and the source's answer is late.
+    OrderLate(usize),
     /// A step is followed, and never answered.
     Unanswered(usize),
     /// This node stands still for a second.
@@ -112,6 +121,10 @@
     if world.left.leaves > 0 {
         events.push(LifeEvent::Leave);
     }
+    if world.left.late_orders > 0 {
+        let moves = world.ops.iter().enumerate().filter(|(_, op)| is_sent(op) && is_move(op));
+        events.extend(moves.map(|(number, _)| LifeEvent::OrderLate(number)));
+    }
     if world.left.all == 0 {
         return events;
     }
@@ -158,6 +171,10 @@
     op.state == OpState::Sent && op.late == 0
 }
 
+fn is_move(op: &OpenOp) -> bool {
+    matches!(op.step, LifeStep::Offer(OfferedPlace::SourceRun, ..))
+}
+
 pub(super) fn apply(world: &LifeWorld, event: LifeEvent) -> LifeWorld {
     let mut next = world.clone();
     match event {
@@ -170,6 +187,11 @@
             next.announce_leave();
             return next;
         }
+        LifeEvent::OrderLate(number) => {
+            next.left.late_orders -= 1;
+            next.ops[number].state = OpState::OrderLate;
+            return next;
+        }
         LifeEvent::SilentHere(number) => next.runners[number].silent_here = SILENT_TICKS,
         LifeEvent::SilentToAll(number) => next.runners[number].silent_to_all = SILENT_TICKS,
         LifeEvent::CutOff(number) => next.runners[number].is_cut_off = true,
--- a/crates/spec/src/lives/variant.rs
+++ b/crates/spec/src/lives/variant.rs
@@ -21,6 +21,10 @@
     Tail,
     /// The same without a copy.
     UncopiedTail,
+    /// As the actions say, with a copy; another node may get no answer to an order in time.
+    OrderedLate,
+    /// The same without a copy.
+    UncopiedOrderedLate,
     /// It closes the source before the next runner is connected to.
     ClosedBeforeConnect,
     /// It closes the source before the next runner has taken the copy.
@@ -37,6 +41,9 @@
     LateHeadTakenForRefused,
     /// It closes a source that has been silent for a second while no other runner has the run.
     SilentSourceClosed,
+    /// Another node takes an order that is answered late for refused, and frees the copy and the memory that the
+    /// answer names.
+    MoveTakenForRefused,
     /// It has no run ended that was left at a runner which answers only another node.
     LeftNotEnded,
     /// It closes a silent source beside the next runner, where that is to be stopped.
@@ -57,7 +64,7 @@
 
 impl LifeVariant {
     /// The sound ones.
-    pub const SOUND: [Self; 7] = [
+    pub const SOUND: [Self; 9] = [
         Self::Copied,
         Self::Uncopied,
         Self::CopiedOften,
@@ -65,6 +72,8 @@
         Self::Ignoring,
         Self::Tail,
         Self::UncopiedTail,
+        Self::OrderedLate,
+        Self::UncopiedOrderedLate,
     ];
 
     /// Faults that streams were lost by earlier.
@@ -80,7 +89,7 @@
         [Self::LateTakenForGoingOn, Self::UnansweredTakenForRefused, Self::LateHeadTakenForRefused];
 
     /// Rules by which a place was given up before another one was certain.
-    pub const EARLY_ENDS: [Self; 1] = [Self::SilentSourceClosed];
+    pub const EARLY_ENDS: [Self; 2] = [Self::SilentSourceClosed, Self::MoveTakenForRefused];
 
     /// Rules of the loop in `crates/node/src/streams` that break a rule, and what is open in the state machine.
     pub const FINDINGS: [Self; 8] = [
@@ -103,6 +112,8 @@
             Self::Ignoring => "sound: source ignores orders",
             Self::Tail => "sound: run ends behind held links",
             Self::UncopiedTail => "sound: the same, no copy",
+            Self::OrderedLate => "sound: late order of another node",
+            Self::UncopiedOrderedLate => "sound: late order, no copy",
             Self::ClosedBeforeConnect => "source closed before connecting",
             Self::ClosedBeforeTaken => "source closed before copy taken",
             Self::ClosedBeforeAnswer => "source closed before answers",
@@ -111,6 +122,7 @@
             Self::UnansweredTakenForRefused => "late order taken for refused",
             Self::LateHeadTakenForRefused => "late head taken for refused",
             Self::SilentSourceClosed => "silent source closed",
+            Self::MoveTakenForRefused => "late order of a move taken for refused",
             Self::LeftNotEnded => "run left at work",
             Self::ClosedNotStopped => "silent source closed, not stopped",
             Self::SilentTakenForUsed => "silent memory taken for used",
@@ -145,6 +157,8 @@
                 | Self::UncopiedOften
                 | Self::UncopiedTail
                 | Self::SilentSourceClosed
+                | Self::UncopiedOrderedLate
+                | Self::MoveTakenForRefused
                 | Self::LeavingNotAsked
                 | Self::MovedOnce
                 | Self::UnansweredMove
@@ -156,6 +170,9 @@
             Self::CopiedOften | Self::UncopiedOften => LifeFaults::THREE,
             Self::SlowOften => LifeFaults::THREE_SLOW,
             Self::Tail | Self::UncopiedTail | Self::SilentSourceClosed => LifeFaults::TAIL,
+            Self::OrderedLate | Self::UncopiedOrderedLate | Self::MoveTakenForRefused => {
+                LifeFaults::ORDERS
+            }
             Self::Ignoring => LifeFaults::SLOW_BY_LITTLE,
             Self::IgnoringFarBehind
             | Self::LateTakenForGoingOn
--- a/crates/spec/src/lives/world.rs
+++ b/crates/spec/src/lives/world.rs
@@ -29,6 +29,10 @@
     Unanswered,
     /// Followed; the answer is on its way.
     Followed,
+    /// The other node is to order the run, and gets no answer in time.
+    OrderLate,
+    /// It has ordered the run, and says so.
+    Ordered,
 }
 
 /// A step of the stream that is under way.
