Search for a next runner that leaves between the order and the send

In the new searches (`LifeFaults::NEXT`) the second runner may announce its leave and takes no new work from then on. A run counts as lost by the stream if its stop was confirmed 400 ms earlier or more and the next runner, which could have been asked meanwhile, was not.

`SentAfterWait`, which asks the next runner 2 s after the answer, loses a stream by `Leave, Tick x5, NextLeaves, Dies(0), Tick x11`. At a node that is behind by 400 ms it loses a stream, since `decide_stop` waits for late events: `Leave, Tick, Behind(2), Tick x3, NextLeaves, Tick, Dies(0), Tick x13`.

--- a/crates/spec/src/lives/binding.rs
+++ b/crates/spec/src/lives/binding.rs
@@ -10,6 +10,8 @@
 
 /// Time of a step after which some variants act.
 const EARLY_LIMIT: TimeSpan = TimeSpan::millis(200);
+/// Time that one variant waits after a confirmed stop before it asks the next runner, in steps.
+const SEND_WAIT_TICKS: u8 = 10;
 /// Silence after which one variant closes a source.
 const SILENCE_LIMIT: TimeSpan = TimeSpan::seconds(1);
 /// Time of an order after which one variant gives it up: that of a late answer here, shorter than any real limit.
@@ -80,6 +82,12 @@
         self.give(&LifeInput::StepEnded(number, StepOutcome::Refused), 0);
     }
 
+    /// Steps for which a request to go on with a stopped run is not sent yet.
+    pub(super) fn delayed(&self, step: &LifeStep) -> Option<u8> {
+        let is_delayed = self.is_variant(LifeVariant::SentAfterWait) && self.confirmed_at.is_some();
+        (is_delayed && matches!(step, LifeStep::Send(_))).then_some(SEND_WAIT_TICKS)
+    }
+
     /// Frees all memory of a run that was stopped at a runner.
     pub(super) fn free_memory(&mut self, number: usize) {
         self.runners.iter_mut().for_each(|runner| runner.has_memory = false);
--- a/crates/spec/src/lives/course.rs
+++ b/crates/spec/src/lives/course.rs
@@ -124,8 +124,11 @@
                 // The handle of a copy comes with the answer, and is of no use once the run has ended.
                 world.runners[runner_number(to)].has_memory = world.stage == RunStage::Working;
             }
-            world.confirmed_stops +=
-                u8::from(matches!(outcome, StepOutcome::Ordered(OrderAnswer::Stopped(_))));
+            let is_stopped = matches!(outcome, StepOutcome::Ordered(OrderAnswer::Stopped(_)));
+            world.confirmed_stops += u8::from(is_stopped);
+            if is_stopped && world.left.next_leaves > 0 {
+                world.confirmed_at = Some(world.tick);
+            }
             world.give(&LifeInput::StepEnded(op.number, outcome), 0);
             continue;
         }
@@ -163,6 +166,8 @@
             let answer = is_answered.then(|| done(world, op));
             (OpState::Followed, late, answer)
         }
+        OpState::Delayed if op.late > 0 => (OpState::Delayed, late, None),
+        OpState::Delayed => (OpState::Sent, 0, None),
         OpState::Ordered => {
             let is_answered = op.late == 0 && world.is_node_up;
             let answer = is_answered.then_some(StepOutcome::Ordered(OrderAnswer::Unknown));
@@ -277,7 +282,10 @@
     };
     match &op.step {
         LifeStep::Connect(_) => true,
-        LifeStep::Copy(_) => world.runners[at].run.is_some() && world.runners[1 - at].answers(),
+        LifeStep::Copy(_) => {
+            let next = &world.runners[1 - at];
+            world.runners[at].run.is_some() && next.answers() && !next.refuses_copies(1 - at)
+        }
         LifeStep::Order => {
             world.runners[at].follow_order();
             true
--- a/crates/spec/src/lives/faults.rs
+++ b/crates/spec/src/lives/faults.rs
@@ -40,6 +40,8 @@
     pub(super) has_held_links: bool,
     /// Orders of the other node that may be answered late, beside the others.
     pub(super) late_orders: u8,
+    /// Leaves of the second runner, beside the others.
+    pub(super) next_leaves: u8,
 }
 
 impl LifeFaults {
@@ -55,9 +57,14 @@
         first_event: 0,
         has_held_links: false,
         late_orders: 0,
+        next_leaves: 0,
     };
     /// Two in 1.2 s, and a late answer to an order of the other node.
     pub(super) const ORDERS: Self = Self { late_orders: 1, ..Self::TWO };
+    /// Two in 1.2 s, of this node too, and a leave of the second runner.
+    pub(super) const NEXT_SLOW: Self = Self { next_leaves: 1, ..Self::TWO };
+    /// The same, none of this node.
+    pub(super) const NEXT: Self = Self { has_slow_node: false, ..Self::NEXT_SLOW };
     /// Two in 0.8 s, around the end of the run.
     pub(super) const TAIL: Self =
         Self { ticks: 4, behind_ticks: 4, first_event: 5, has_held_links: true, ..Self::TWO };
@@ -82,6 +89,8 @@
     /// 200 ms pass, and this node goes on: deadlines come before what has arrived.
     TickDueFirst,
     Leave,
+    /// The second runner announces its leave.
+    NextLeaves,
     SilentHere(usize),
     SilentToAll(usize),
     CutOff(usize),
@@ -121,6 +130,9 @@
     if world.left.leaves > 0 {
         events.push(LifeEvent::Leave);
     }
+    if world.left.next_leaves > 0 && world.stands == 0 {
+        events.push(LifeEvent::NextLeaves);
+    }
     if world.left.late_orders > 0 {
         let moves = world.ops.iter().enumerate().filter(|(_, op)| is_sent(op) && is_move(op));
         events.extend(moves.map(|(number, _)| LifeEvent::OrderLate(number)));
@@ -187,6 +199,12 @@
             next.announce_leave();
             return next;
         }
+        LifeEvent::NextLeaves => {
+            next.left.next_leaves -= 1;
+            next.runners[1].leaves_in = NOTICE_TICKS;
+            next.announce_next_leave();
+            return next;
+        }
         LifeEvent::OrderLate(number) => {
             next.left.late_orders -= 1;
             next.ops[number].state = OpState::OrderLate;
--- a/crates/spec/src/lives/mod.rs
+++ b/crates/spec/src/lives/mod.rs
@@ -3,6 +3,7 @@
 mod binding;
 mod course;
 mod faults;
+mod places;
 mod runner;
 mod variant;
 mod wire;
--- a/crates/spec/src/lives/runner.rs
+++ b/crates/spec/src/lives/runner.rs
@@ -31,7 +31,8 @@
     None,
     /// The node has closed it before another place was certain.
     GivenUp,
-    /// Its runner has left with it, though it could have gone on elsewhere.
+    /// Its runner has left with it, though it could have gone on elsewhere; or it was stopped, and not sent to the
+    /// next runner while that took it.
     Missed,
 }
 
@@ -100,7 +101,15 @@
     }
 
     pub(super) fn switch_off(&mut self) {
-        *self = Self { power: RunnerPower::Off, is_cut_off: self.is_cut_off, ..Self::new() };
+        let is_missed = self.lost == LostRun::Missed;
+        let lost = if is_missed { LostRun::Missed } else { LostRun::None };
+        let is_cut_off = self.is_cut_off;
+        *self = Self { power: RunnerPower::Off, is_cut_off, lost, ..Self::new() };
+    }
+
+    /// Whether it takes no copies: the second runner leaves.
+    pub(super) fn refuses_copies(&self, number: usize) -> bool {
+        number == 1 && self.leaves_in > 0
     }
 
     /// Whether it answers a node that it is not silent to.
--- a/crates/spec/src/lives/variant.rs
+++ b/crates/spec/src/lives/variant.rs
@@ -25,6 +25,10 @@
     OrderedLate,
     /// The same without a copy.
     UncopiedOrderedLate,
+    /// As the actions say, with a copy; the next runner may leave too.
+    NextLeaves,
+    /// The same without a copy.
+    UncopiedNextLeaves,
     /// It closes the source before the next runner is connected to.
     ClosedBeforeConnect,
     /// It closes the source before the next runner has taken the copy.
@@ -44,6 +48,10 @@
     /// Another node takes an order that is answered late for refused, and frees the copy and the memory that the
     /// answer names.
     MoveTakenForRefused,
+    /// It waits for 2 s after a confirmed stop before it asks the next runner.
+    SentAfterWait,
+    /// As the actions say, with a copy; the next runner may leave, and this node may be slow.
+    NextLeavesSlow,
     /// It has no run ended that was left at a runner which answers only another node.
     LeftNotEnded,
     /// It closes a silent source beside the next runner, where that is to be stopped.
@@ -64,7 +72,7 @@
 
 impl LifeVariant {
     /// The sound ones.
-    pub const SOUND: [Self; 9] = [
+    pub const SOUND: [Self; 11] = [
         Self::Copied,
         Self::Uncopied,
         Self::CopiedOften,
@@ -74,6 +82,8 @@
         Self::UncopiedTail,
         Self::OrderedLate,
         Self::UncopiedOrderedLate,
+        Self::NextLeaves,
+        Self::UncopiedNextLeaves,
     ];
 
     /// Faults that streams were lost by earlier.
@@ -89,10 +99,11 @@
         [Self::LateTakenForGoingOn, Self::UnansweredTakenForRefused, Self::LateHeadTakenForRefused];
 
     /// Rules by which a place was given up before another one was certain.
-    pub const EARLY_ENDS: [Self; 2] = [Self::SilentSourceClosed, Self::MoveTakenForRefused];
+    pub const EARLY_ENDS: [Self; 3] =
+        [Self::SilentSourceClosed, Self::MoveTakenForRefused, Self::SentAfterWait];
 
     /// Rules of the loop in `crates/node/src/streams` that break a rule, and what is open in the state machine.
-    pub const FINDINGS: [Self; 8] = [
+    pub const FINDINGS: [Self; 9] = [
         Self::LeftNotEnded,
         Self::ClosedNotStopped,
         Self::SilentTakenForUsed,
@@ -101,6 +112,7 @@
         Self::UnansweredMove,
         Self::SlowOften,
         Self::IgnoringFarBehind,
+        Self::NextLeavesSlow,
     ];
 
     fn name(self) -> &'static str {
@@ -114,6 +126,8 @@
             Self::UncopiedTail => "sound: the same, no copy",
             Self::OrderedLate => "sound: late order of another node",
             Self::UncopiedOrderedLate => "sound: late order, no copy",
+            Self::NextLeaves => "sound: next runner leaves",
+            Self::UncopiedNextLeaves => "sound: next runner leaves, no copy",
             Self::ClosedBeforeConnect => "source closed before connecting",
             Self::ClosedBeforeTaken => "source closed before copy taken",
             Self::ClosedBeforeAnswer => "source closed before answers",
@@ -123,6 +137,8 @@
             Self::LateHeadTakenForRefused => "late head taken for refused",
             Self::SilentSourceClosed => "silent source closed",
             Self::MoveTakenForRefused => "late order of a move taken for refused",
+            Self::SentAfterWait => "stopped run sent after a wait",
+            Self::NextLeavesSlow => "next runner leaves, slow node",
             Self::LeftNotEnded => "run left at work",
             Self::ClosedNotStopped => "silent source closed, not stopped",
             Self::SilentTakenForUsed => "silent memory taken for used",
@@ -158,6 +174,7 @@
                 | Self::UncopiedTail
                 | Self::SilentSourceClosed
                 | Self::UncopiedOrderedLate
+                | Self::UncopiedNextLeaves
                 | Self::MoveTakenForRefused
                 | Self::LeavingNotAsked
                 | Self::MovedOnce
@@ -173,6 +190,8 @@
             Self::OrderedLate | Self::UncopiedOrderedLate | Self::MoveTakenForRefused => {
                 LifeFaults::ORDERS
             }
+            Self::NextLeaves | Self::UncopiedNextLeaves | Self::SentAfterWait => LifeFaults::NEXT,
+            Self::NextLeavesSlow => LifeFaults::NEXT_SLOW,
             Self::Ignoring => LifeFaults::SLOW_BY_LITTLE,
             Self::IgnoringFarBehind
             | Self::LateTakenForGoingOn
--- a/crates/spec/src/lives/world.rs
+++ b/crates/spec/src/lives/world.rs
@@ -33,6 +33,8 @@
     OrderLate,
     /// It has ordered the run, and says so.
     Ordered,
+    /// Not sent yet.
+    Delayed,
 }
 
 /// A step of the stream that is under way.
@@ -87,6 +89,8 @@
     pub(super) is_notice_waiting: bool,
     /// Orders to stop that were confirmed.
     pub(super) confirmed_stops: u8,
+    /// When the latest one was, until the stream has switched.
+    pub(super) confirmed_at: Option<u8>,
     /// Answers to questions that have come meanwhile.
     pub(super) answers: [Option<SeenPlace>; 2],
     pub(super) ops: Vec<OpenOp>,
@@ -99,7 +103,7 @@
 }
 
 /// Name of a runner.
-fn runner_id(number: usize) -> RunnerId {
+pub(super) fn runner_id(number: usize) -> RunnerId {
     ["first", "second"][number].parse().expect("a valid name")
 }
 
@@ -143,6 +147,7 @@
             stands: 0,
             is_notice_waiting: false,
             confirmed_stops: 0,
+            confirmed_at: None,
             answers: [None, None],
             ops: Vec::new(),
             questions: [false; 2],
@@ -241,7 +246,8 @@
             OpState::Sent
         };
         let last_event = self.delivered;
-        self.ops.push(OpenOp { number, step, state, late: 0, last_event });
+        let (state, late) = self.delayed(&step).map_or((state, 0), |late| (OpState::Delayed, late));
+        self.ops.push(OpenOp { number, step, state, late, last_event });
         if is_closing {
             self.lose_source();
         }
@@ -324,9 +330,15 @@
             let read = self.delivered.min(run.made);
             self.reading = Some(WorldReading::new(at, reader, read, is_through_node));
         }
+        self.confirmed_at = None;
+        let at = self.reading.map_or(0, |reading| reading.runner);
+        let is_at_leaving = self.runners[at].leaves_in > 0;
         for runner in &mut self.runners {
             runner.has_memory = false;
-            runner.lost = LostRun::None;
+            // A run that returns to a runner that leaves is not saved by that.
+            if runner.lost != LostRun::Missed || !is_at_leaving {
+                runner.lost = LostRun::None;
+            }
         }
     }
 
@@ -346,31 +358,4 @@
             _ => (),
         }
     }
-
-    /// Whether a place could have given the rest of the stream: a run that works, memory of it, or a run that
-    /// this node gave up before another place was certain, at a runner that is up and that this node
-    /// or the other one reaches; or a run at a runner that has left, for which there was a place.
-    fn has_place(&self) -> bool {
-        let is_reached = |runner: &WorldRunner| !runner.is_cut_off || self.is_node_up;
-        let is_up = |runner: &WorldRunner| runner.power == RunnerPower::On && is_reached(runner);
-        let has_place = |runner: &WorldRunner| is_up(runner) && runner.has_place(self.is_node_up);
-        let has_any = |runner: &WorldRunner| runner.lost == LostRun::Missed || has_place(runner);
-        self.carries_end() || self.runners.iter().any(has_any)
-    }
-
-    /// Whether a run at a runner that is off now could have gone on elsewhere: a node reached the runner,
-    /// the other one was up, and no step that is never answered was waited for.
-    pub(super) fn is_missed(&self, number: usize) -> bool {
-        let runner = &self.runners[number];
-        let is_waiting = self.ops.iter().any(|op| op.state == OpState::Lost);
-        let is_excused = is_waiting && !self.is_variant(LifeVariant::UnansweredMove);
-        // A run that comes through another node is moved by that one, which is not part of this world.
-        let is_read = |reading: WorldReading| reading.runner == number && !reading.is_through_node;
-        let is_reached =
-            |runner: &WorldRunner| runner.answers_here() || self.is_node_up && runner.answers();
-        self.reading.is_some_and(is_read)
-            && runner.run.is_some()
-            && self.runners.iter().all(is_reached)
-            && !is_excused
-    }
 }
