--- a/crates/life/src/stream_life.rs
+++ b/crates/life/src/stream_life.rs
@@ -154,6 +154,12 @@
         self.step.as_ref().map(|open| now.since(open.begun))
     }
 
+    /// Time since events came last.
+    #[must_use]
+    pub fn silence(&self, now: TimePoint) -> TimeSpan {
+        now.since(self.last_heard)
+    }
+
     /// Follows an input. After each one, the whole state is looked at.
     pub fn step(&mut self, input: &LifeInput, now: TimePoint) -> Vec<LifeAction> {
         let mut actions = Vec::new();
@@ -277,8 +283,7 @@
             LifeStep::Order => self.end_late_order(open, now, actions),
             LifeStep::Offer(place, _, node) => {
                 if place == OfferedPlace::SourceRun {
-                    self.is_move_asked = false;
-                    self.mover = Some(node);
+                    self.ask_mover_again(node);
                 }
                 actions.push(LifeAction::ForwardHeld);
                 self.offer_next(now, actions);
--- a/crates/spec/src/lives/course.rs
+++ b/crates/spec/src/lives/course.rs
@@ -4,7 +4,9 @@
 use life::{LifeInput, LifeStep, OfferedPlace, SeenPlace, StepOutcome};
 use serving::OrderAnswer;
 
-use super::runner::{LostRun, RunReader, RunnerPower, WorldRun};
+use super::LifeVariant;
+use super::faults::LATE_TICKS;
+use super::runner::{LostRun, RunReader, RunStage, RunnerPower, WorldRun};
 use super::world::{LENGTH, LifeWorld, OpState, OpenOp, node_id, runner_number};
 
 /// Steps for which two runners may work on one request: 400 ms.
@@ -71,15 +73,17 @@
     for number in 0..world.runners.len() {
         let is_missed = world.is_missed(number);
         let runner = &mut world.runners[number];
+        let is_last = runner.leaves_in == 1;
         runner.silent_here = runner.silent_here.saturating_sub(1);
         runner.silent_to_all = runner.silent_to_all.saturating_sub(1);
-        if runner.leaves_in == 1 {
-            runner.switch_off();
-            if is_missed {
-                runner.lost = LostRun::Missed;
-            }
-        }
         runner.leaves_in = runner.leaves_in.saturating_sub(1);
+        if is_last {
+            world.lose_runner(number);
+        }
+        let runner = &mut world.runners[number];
+        if is_last && is_missed {
+            runner.lost = LostRun::Missed;
+        }
         let answers = runner.answers();
         runner.run.take_if(|run| run.is_through_node && !is_node_up && answers);
     }
@@ -117,11 +121,14 @@
         if let Some(outcome) = outcome.filter(|_| world.stands == 0) {
             world.ops.retain(|other| other.number != op.number);
             if let (LifeStep::Copy(to), StepOutcome::Done) = (&op.step, outcome) {
-                // The handle of a copy comes with the answer.
-                world.runners[runner_number(to)].has_memory = true;
+                // The handle of a copy comes with the answer, and is of no use once the run has ended.
+                world.runners[runner_number(to)].has_memory = world.stage == RunStage::Working;
+            }
+            let is_stopped = matches!(outcome, StepOutcome::Ordered(OrderAnswer::Stopped(_)));
+            world.confirmed_stops += u8::from(is_stopped);
+            if is_stopped && world.left.next_leaves > 0 {
+                world.confirmed_at = Some(world.tick);
             }
-            world.confirmed_stops +=
-                u8::from(matches!(outcome, StepOutcome::Ordered(OrderAnswer::Stopped(_))));
             world.give(&LifeInput::StepEnded(op.number, outcome), 0);
             continue;
         }
@@ -134,7 +141,11 @@
 }
 
 fn wait_for_node(outcome: StepOutcome) -> OpState {
-    if outcome == StepOutcome::Refused { OpState::Refused } else { OpState::Followed }
+    match outcome {
+        StepOutcome::Refused => OpState::Refused,
+        StepOutcome::Ordered(OrderAnswer::Unknown) => OpState::Ordered,
+        _ => OpState::Followed,
+    }
 }
 
 /// What becomes of a step: its state, the steps until its answer, and the answer if it arrives now.
@@ -155,7 +166,15 @@
             let answer = is_answered.then(|| done(world, op));
             (OpState::Followed, late, answer)
         }
-        OpState::Sent | OpState::Unanswered => {
+        OpState::Delayed if op.late > 0 => (OpState::Delayed, late, None),
+        OpState::Delayed => (OpState::Sent, 0, None),
+        OpState::Ordered => {
+            let is_answered = op.late == 0 && world.is_node_up;
+            let answer = is_answered.then_some(StepOutcome::Ordered(OrderAnswer::Unknown));
+            (OpState::Ordered, late, answer)
+        }
+        OpState::OrderLate if answers(world, &op.step) => order_late(world, op),
+        OpState::OrderLate | OpState::Sent | OpState::Unanswered => {
             if !answers(world, &op.step) {
                 // The connection to a runner that is off is refused.
                 let refused = is_off(world, &op.step).then_some(StepOutcome::Refused);
@@ -174,6 +193,21 @@
     }
 }
 
+/// The other node orders the source, which stops the run and keeps its memory. The node gets no answer in time: it
+/// says that it has ordered the run, or takes the order for refused in one variant.
+fn order_late(world: &mut LifeWorld, op: &OpenOp) -> (OpState, u8, Option<StepOutcome>) {
+    let at = peer(world, &op.step);
+    if world.runners[at].run.is_none() {
+        return (OpState::Refused, 0, Some(StepOutcome::Refused));
+    }
+    world.runners[at].follow_order();
+    if world.is_variant(LifeVariant::MoveTakenForRefused) {
+        world.free_memory(at);
+        return (OpState::Refused, 0, Some(StepOutcome::Refused));
+    }
+    (OpState::Ordered, LATE_TICKS, None)
+}
+
 /// Steps until an answer is read, after the first. That to a request for a run comes before the data of the run,
 /// on the same connection.
 fn answer_ticks(world: &LifeWorld, op: &OpenOp) -> u8 {
@@ -248,7 +282,10 @@
     };
     match &op.step {
         LifeStep::Connect(_) => true,
-        LifeStep::Copy(_) => world.runners[at].run.is_some() && world.runners[1 - at].answers(),
+        LifeStep::Copy(_) => {
+            let next = &world.runners[1 - at];
+            world.runners[at].run.is_some() && next.answers() && !next.refuses_copies(1 - at)
+        }
         LifeStep::Order => {
             world.runners[at].follow_order();
             true
--- a/crates/spec/src/lives/variant.rs
+++ b/crates/spec/src/lives/variant.rs
@@ -17,6 +17,18 @@
     UncopiedOften,
     /// As the actions say, with a copy; the source confirms orders and goes on, also with closed requests.
     Ignoring,
+    /// As the actions say, with a copy; the run may end whole while the links of this node are held back.
+    Tail,
+    /// The same without a copy.
+    UncopiedTail,
+    /// As the actions say, with a copy; another node may get no answer to an order in time.
+    OrderedLate,
+    /// The same without a copy.
+    UncopiedOrderedLate,
+    /// As the actions say, with a copy; the next runner may leave too.
+    NextLeaves,
+    /// The same without a copy.
+    UncopiedNextLeaves,
     /// It closes the source before the next runner is connected to.
     ClosedBeforeConnect,
     /// It closes the source before the next runner has taken the copy.
@@ -31,6 +43,15 @@
     UnansweredTakenForRefused,
     /// It takes a place whose first answer is not read in time for one that has refused.
     LateHeadTakenForRefused,
+    /// It closes a source that has been silent for a second while no other runner has the run.
+    SilentSourceClosed,
+    /// Another node takes an order that is answered late for refused, and frees the copy and the memory that the
+    /// answer names.
+    MoveTakenForRefused,
+    /// It waits for 2 s after a confirmed stop before it asks the next runner.
+    SentAfterWait,
+    /// As the actions say, with a copy; the next runner may leave, and this node may be slow.
+    NextLeavesSlow,
     /// It has no run ended that was left at a runner which answers only another node.
     LeftNotEnded,
     /// It closes a silent source beside the next runner, where that is to be stopped.
@@ -51,8 +72,19 @@
 
 impl LifeVariant {
     /// The sound ones.
-    pub const SOUND: [Self; 5] =
-        [Self::Copied, Self::Uncopied, Self::CopiedOften, Self::UncopiedOften, Self::Ignoring];
+    pub const SOUND: [Self; 11] = [
+        Self::Copied,
+        Self::Uncopied,
+        Self::CopiedOften,
+        Self::UncopiedOften,
+        Self::Ignoring,
+        Self::Tail,
+        Self::UncopiedTail,
+        Self::OrderedLate,
+        Self::UncopiedOrderedLate,
+        Self::NextLeaves,
+        Self::UncopiedNextLeaves,
+    ];
 
     /// Faults that streams were lost by earlier.
     pub const FAULTS: [Self; 4] = [
@@ -66,8 +98,12 @@
     pub const LATE_READS: [Self; 3] =
         [Self::LateTakenForGoingOn, Self::UnansweredTakenForRefused, Self::LateHeadTakenForRefused];
 
+    /// Rules by which a place was given up before another one was certain.
+    pub const EARLY_ENDS: [Self; 3] =
+        [Self::SilentSourceClosed, Self::MoveTakenForRefused, Self::SentAfterWait];
+
     /// Rules of the loop in `crates/node/src/streams` that break a rule, and what is open in the state machine.
-    pub const FINDINGS: [Self; 8] = [
+    pub const FINDINGS: [Self; 9] = [
         Self::LeftNotEnded,
         Self::ClosedNotStopped,
         Self::SilentTakenForUsed,
@@ -76,6 +112,7 @@
         Self::UnansweredMove,
         Self::SlowOften,
         Self::IgnoringFarBehind,
+        Self::NextLeavesSlow,
     ];
 
     fn name(self) -> &'static str {
@@ -85,6 +122,12 @@
             Self::CopiedOften => "sound: copy, three disruptions",
             Self::UncopiedOften => "sound: no copy, three disruptions",
             Self::Ignoring => "sound: source ignores orders",
+            Self::Tail => "sound: run ends behind held links",
+            Self::UncopiedTail => "sound: the same, no copy",
+            Self::OrderedLate => "sound: late order of another node",
+            Self::UncopiedOrderedLate => "sound: late order, no copy",
+            Self::NextLeaves => "sound: next runner leaves",
+            Self::UncopiedNextLeaves => "sound: next runner leaves, no copy",
             Self::ClosedBeforeConnect => "source closed before connecting",
             Self::ClosedBeforeTaken => "source closed before copy taken",
             Self::ClosedBeforeAnswer => "source closed before answers",
@@ -92,6 +135,10 @@
             Self::LateTakenForGoingOn => "late events taken for going on",
             Self::UnansweredTakenForRefused => "late order taken for refused",
             Self::LateHeadTakenForRefused => "late head taken for refused",
+            Self::SilentSourceClosed => "silent source closed",
+            Self::MoveTakenForRefused => "late order of a move taken for refused",
+            Self::SentAfterWait => "stopped run sent after a wait",
+            Self::NextLeavesSlow => "next runner leaves, slow node",
             Self::LeftNotEnded => "run left at work",
             Self::ClosedNotStopped => "silent source closed, not stopped",
             Self::SilentTakenForUsed => "silent memory taken for used",
@@ -124,6 +171,11 @@
             self,
             Self::Uncopied
                 | Self::UncopiedOften
+                | Self::UncopiedTail
+                | Self::SilentSourceClosed
+                | Self::UncopiedOrderedLate
+                | Self::UncopiedNextLeaves
+                | Self::MoveTakenForRefused
                 | Self::LeavingNotAsked
                 | Self::MovedOnce
                 | Self::UnansweredMove
@@ -134,6 +186,12 @@
         match self {
             Self::CopiedOften | Self::UncopiedOften => LifeFaults::THREE,
             Self::SlowOften => LifeFaults::THREE_SLOW,
+            Self::Tail | Self::UncopiedTail | Self::SilentSourceClosed => LifeFaults::TAIL,
+            Self::OrderedLate | Self::UncopiedOrderedLate | Self::MoveTakenForRefused => {
+                LifeFaults::ORDERS
+            }
+            Self::NextLeaves | Self::UncopiedNextLeaves | Self::SentAfterWait => LifeFaults::NEXT,
+            Self::NextLeavesSlow => LifeFaults::NEXT_SLOW,
             Self::Ignoring => LifeFaults::SLOW_BY_LITTLE,
             Self::IgnoringFarBehind
             | Self::LateTakenForGoingOn
--- a/crates/spec/src/lives/world.rs
+++ b/crates/spec/src/lives/world.rs
@@ -7,7 +7,7 @@
 
 use super::LifeVariant;
 use super::faults::LifeFaults;
-use super::runner::{LostRun, OrderHabit, RunReader, RunnerPower, WorldRun, WorldRunner};
+use super::runner::{LostRun, OrderHabit, RunReader, RunStage, RunnerPower, WorldRun, WorldRunner};
 use super::wire::WireItem;
 
 /// Time of a step.
@@ -29,6 +29,12 @@
     Unanswered,
     /// Followed; the answer is on its way.
     Followed,
+    /// The other node is to order the run, and gets no answer in time.
+    OrderLate,
+    /// It has ordered the run, and says so.
+    Ordered,
+    /// Not sent yet.
+    Delayed,
 }
 
 /// A step of the stream that is under way.
@@ -69,6 +75,7 @@
     pub(super) left: LifeFaults,
     pub(super) runners: [WorldRunner; 2],
     pub(super) is_node_up: bool,
+    pub(super) stage: RunStage,
     /// A move from a source was asked for.
     pub(super) is_move_asked: bool,
     pub(super) reading: Option<WorldReading>,
@@ -82,6 +89,8 @@
     pub(super) is_notice_waiting: bool,
     /// Orders to stop that were confirmed.
     pub(super) confirmed_stops: u8,
+    /// When the latest one was, until the stream has switched.
+    pub(super) confirmed_at: Option<u8>,
     /// Answers to questions that have come meanwhile.
     pub(super) answers: [Option<SeenPlace>; 2],
     pub(super) ops: Vec<OpenOp>,
@@ -94,7 +103,7 @@
 }
 
 /// Name of a runner.
-fn runner_id(number: usize) -> RunnerId {
+pub(super) fn runner_id(number: usize) -> RunnerId {
     ["first", "second"][number].parse().expect("a valid name")
 }
 
@@ -117,7 +126,8 @@
             deadline: now + CALL_LIMIT,
         };
         let reader = RunReader::Step(StepNumber::default());
-        let run = WorldRun { made: 0, reader, is_through_node: false, is_hung: false };
+        let first = left.first_event;
+        let run = WorldRun { made: first, reader, is_through_node: false, is_hung: false };
         let is_ignoring = matches!(variant, LifeVariant::Ignoring | LifeVariant::IgnoringFarBehind);
         let habit = if is_ignoring { OrderHabit::Ignores } else { OrderHabit::Follows };
         let source = WorldRunner { run: Some(run), habit, ..WorldRunner::new() };
@@ -129,17 +139,19 @@
             left,
             runners: [source, next],
             is_node_up: true,
+            stage: RunStage::Working,
             is_move_asked: false,
-            reading: Some(WorldReading::new(0, reader, 0, false)),
+            reading: Some(WorldReading::new(0, reader, first, false)),
             wire: Vec::new(),
             behind: 0,
             stands: 0,
             is_notice_waiting: false,
             confirmed_stops: 0,
+            confirmed_at: None,
             answers: [None, None],
             ops: Vec::new(),
             questions: [false; 2],
-            delivered: 0,
+            delivered: first,
             held: Vec::new(),
             overlap: 0,
             violation: None,
@@ -234,7 +246,8 @@
             OpState::Sent
         };
         let last_event = self.delivered;
-        self.ops.push(OpenOp { number, step, state, late: 0, last_event });
+        let (state, late) = self.delayed(&step).map_or((state, 0), |late| (OpState::Delayed, late));
+        self.ops.push(OpenOp { number, step, state, late, last_event });
         if is_closing {
             self.lose_source();
         }
@@ -296,9 +309,10 @@
     /// A source that is closed without a switch is given up before another place is certain.
     pub(super) fn close_source(&mut self, is_switch: bool) {
         let Some(reading) = self.reading.take() else { return };
+        let carries_end = self.carries_end();
         self.wire.clear();
         let runner = &mut self.runners[reading.runner];
-        if !is_switch && runner.run.is_some_and(|run| !run.is_hung) {
+        if !is_switch && (carries_end || runner.run.is_some_and(|run| !run.is_hung)) {
             runner.lost = LostRun::GivenUp;
         }
         self.close_reader(reading.reader);
@@ -316,9 +330,15 @@
             let read = self.delivered.min(run.made);
             self.reading = Some(WorldReading::new(at, reader, read, is_through_node));
         }
+        self.confirmed_at = None;
+        let at = self.reading.map_or(0, |reading| reading.runner);
+        let is_at_leaving = self.runners[at].leaves_in > 0;
         for runner in &mut self.runners {
             runner.has_memory = false;
-            runner.lost = LostRun::None;
+            // A run that returns to a runner that leaves is not saved by that.
+            if runner.lost != LostRun::Missed || !is_at_leaving {
+                runner.lost = LostRun::None;
+            }
         }
     }
 
@@ -338,31 +358,4 @@
             _ => (),
         }
     }
-
-    /// Whether a place could have given the rest of the stream: a run that works, memory of it, or a run that
-    /// this node gave up before another place was certain, at a runner that is up and that this node
-    /// or the other one reaches; or a run at a runner that has left, for which there was a place.
-    fn has_place(&self) -> bool {
-        let is_reached = |runner: &WorldRunner| !runner.is_cut_off || self.is_node_up;
-        let is_up = |runner: &WorldRunner| runner.power == RunnerPower::On && is_reached(runner);
-        let has_place = |runner: &WorldRunner| is_up(runner) && runner.has_place(self.is_node_up);
-        let has_any = |runner: &WorldRunner| runner.lost == LostRun::Missed || has_place(runner);
-        self.carries_end() || self.runners.iter().any(has_any)
-    }
-
-    /// Whether a run at a runner that is off now could have gone on elsewhere: a node reached the runner,
-    /// the other one was up, and no step that is never answered was waited for.
-    pub(super) fn is_missed(&self, number: usize) -> bool {
-        let runner = &self.runners[number];
-        let is_waiting = self.ops.iter().any(|op| op.state == OpState::Lost);
-        let is_excused = is_waiting && !self.is_variant(LifeVariant::UnansweredMove);
-        // A run that comes through another node is moved by that one, which is not part of this world.
-        let is_read = |reading: WorldReading| reading.runner == number && !reading.is_through_node;
-        let is_reached =
-            |runner: &WorldRunner| runner.answers_here() || self.is_node_up && runner.answers();
-        self.reading.is_some_and(is_read)
-            && runner.run.is_some()
-            && self.runners.iter().all(is_reached)
-            && !is_excused
-    }
 }
