Read a silent source until another node has taken its copy

Callers saw a 200 and a closed connection while the rest of their stream was on the way. Cause: while a copy was offered to other nodes, the silent source was closed after 250 ms if the copy's runner answered another node. If that runner refused later (503: the copy is gone since its run has ended), the nodes declined and nothing was left.

Change: the source is read until a node has taken the offer, its connection has ended, or the offer has. A source that sends again goes on alone, as before, and the offer is dropped; one that is silent to this node counts as not reached.

The stand-in can take time to refuse a run whose memory is gone (refusal_time).

--- a/crates/fakes/src/platform/runner_answers.rs
+++ b/crates/fakes/src/platform/runner_answers.rs
@@ -146,6 +146,9 @@
         return write(stream, whole("421 Misdirected Request", &headers, "")).await;
     }
     state.note_cold_request();
+    if resumed == Some(false) {
+        compio::time::sleep(state.settings.refusal_time).await;
+    }
     if !ran {
         let mut headers = state.refusal_headers();
         if let Some(value) = retry_after {
--- a/crates/fakes/src/platform/runner_settings.rs
+++ b/crates/fakes/src/platform/runner_settings.rs
@@ -25,6 +25,8 @@
     pub work: Duration,
     /// Time until a run that goes on from its memory is answered.
     pub resume_time: Duration,
+    /// Time until a run is refused whose memory is gone.
+    pub refusal_time: Duration,
 }
 
 impl RunnerFakeSettings {
@@ -32,8 +34,15 @@
     #[must_use]
     pub fn new(id: &str) -> Self {
         let id = id.to_owned();
-        let (work, resume_time) = (Duration::ZERO, Duration::ZERO);
-        Self { id, event_pause: EVENT_PAUSE, events: EVENTS, work, resume_time }
+        let none = Duration::ZERO;
+        Self {
+            id,
+            event_pause: EVENT_PAUSE,
+            events: EVENTS,
+            work: none,
+            resume_time: none,
+            refusal_time: none,
+        }
     }
 }
 
--- a/crates/harness/tests/node_held_tails.rs
+++ b/crates/harness/tests/node_held_tails.rs
@@ -17,6 +17,8 @@
 const TAIL: u64 = 20;
 /// Time for a stream to get there.
 const LIMIT: Duration = Duration::from_secs(20);
+/// Time in which a runner refuses a run whose copy is gone: longer than two runners may work on it.
+const LATE_REFUSAL: Duration = Duration::from_millis(600);
 /// For how long a full link, or a sound runner, is silent: its configuration takes 3.4 s of a small one.
 const SPANS: [Duration; 3] =
     [Duration::from_millis(1_200), Duration::from_millis(2_500), Duration::from_millis(3_400)];
@@ -48,11 +50,15 @@
 
 /// Holds back what runners send to the caller's node while the run of `request` ends.
 async fn hold_tail(
-    held: HeldRunners,
+    (held, refusal_time): (HeldRunners, Duration),
     span: Duration,
     request: &CallerRequest,
 ) -> (ServiceFleet, SeenStream) {
-    let services = ServiceFleet::start(long_streams).await;
+    let adjust = |settings: &mut RunnerFakeSettings| {
+        long_streams(settings);
+        settings.refusal_time = refusal_time;
+    };
+    let services = ServiceFleet::start(adjust).await;
     let hold = async {
         let events = async || {
             let made = services.fleet.memory.events(&request.attempt);
@@ -67,7 +73,7 @@
     (services, stream)
 }
 
-fn check_held_tail(held: HeldRunners, adjust: impl Fn(CallerRequest) -> CallerRequest) {
+fn check_held_tail(held: (HeldRunners, Duration), adjust: impl Fn(CallerRequest) -> CallerRequest) {
     let _turn = take_turn();
     for span in SPANS {
         kernel::run(async {
@@ -89,17 +95,23 @@
 /// Guards against LOST: a node that waits for the tail of a whole run takes its runner for lost, and closes it.
 #[test]
 fn a_stream_without_a_copy_whose_last_events_are_held_back_comes_whole() {
-    check_held_tail(HeldRunners::All, without_copy);
+    check_held_tail((HeldRunners::All, Duration::ZERO), without_copy);
 }
 
 /// Guards against LOST: the same, with a copy that is gone since its run has ended.
 #[test]
 fn a_stream_whose_copy_is_gone_while_its_last_events_are_held_back_comes_whole() {
-    check_held_tail(HeldRunners::All, |request| request);
+    check_held_tail((HeldRunners::All, Duration::ZERO), |request| request);
 }
 
 /// Guards against LOST: the same, while the runner with the copy is reached.
 #[test]
 fn a_stream_whose_last_events_are_held_back_by_its_runner_alone_comes_whole() {
-    check_held_tail(HeldRunners::Source, |request| request);
+    check_held_tail((HeldRunners::Source, Duration::ZERO), |request| request);
+}
+
+/// Guards against LOST: a source is closed as other nodes are offered its copy, which is gone; they say so late.
+#[test]
+fn a_stream_whose_other_nodes_decline_its_copy_late_comes_whole() {
+    check_held_tail((HeldRunners::All, LATE_REFUSAL), |request| request);
 }
--- a/crates/node/src/reach/mod.rs
+++ b/crates/node/src/reach/mod.rs
@@ -8,8 +8,8 @@
 
 pub use node_question::{node_answers, wait_node_lost};
 pub use reach_question::{
-    ANSWERS_PATH, REACH_PATH, answer_answers, answer_reach, answers_other_nodes, connects_quickly,
-    find_answering_node, find_reaching_node,
+    ANSWERS_PATH, REACH_PATH, answer_answers, answer_reach, connects_quickly, find_answering_node,
+    find_reaching_node,
 };
 pub use reach_watch::{reaches_service, watch_reach};
 pub use records::{
--- a/crates/node/src/reach/reach_question.rs
+++ b/crates/node/src/reach/reach_question.rs
@@ -79,12 +79,6 @@
     ask_nodes(context, runner, REACH_PATH, ASKED_NODES, NODE_TIMEOUT).await
 }
 
-/// Whether a runner answers another node now. A runner that is silent to all is only silent; one that
-/// answers others and not this node is cut off from it.
-pub async fn answers_other_nodes(context: &NodeContext, runner: &RunnerRecord) -> bool {
-    find_answering_node(context, runner).await.is_some()
-}
-
 /// Another node that a runner answers now: the first one to say so. `None` if none does in time.
 pub async fn find_answering_node(context: &NodeContext, runner: &RunnerRecord) -> Option<VmId> {
     ask_nodes(context, runner, ANSWERS_PATH, ANSWERING_NODES, ANSWERS_TIMEOUT).await
--- a/crates/node/src/streams/stream_offer.rs
+++ b/crates/node/src/streams/stream_offer.rs
@@ -10,22 +10,10 @@
 use serving::RunnerRecord;
 
 use super::stream_handover::describe_loss;
-use super::stream_overlap::{MAX_OVERLAP, SOURCE_SILENT, overlap_left};
 use super::stream_pump::{PumpStep, StreamPump};
 use super::stream_source::StreamSource;
 use crate::call_log::RequestOutcome;
-use crate::context::NodeContext;
 use crate::forward::{ResumeOffer, RunSite, TakenResume, offer_resume};
-use crate::reach::answers_other_nodes;
-
-/// Whether a runner answers another node now.
-async fn answers_other_node(context: &NodeContext, runner: &RunnerId) -> bool {
-    let record = context.runners.borrow().get(runner).map(|entry| entry.record.clone());
-    match record {
-        Some(record) => answers_other_nodes(context, &record).await,
-        None => false,
-    }
-}
 
 /// How an offer of a run to other nodes ended.
 enum OfferStep {
@@ -89,23 +77,18 @@
     }
 
     /// Offers the run to other nodes, and reads the source meanwhile. If a run or a copy at another runner
-    /// is offered and the source goes on, it is kept; if it is silent for [`MAX_OVERLAP`] more, it is given
-    /// up, provided that the other runner is known to be up. If the run at the source is offered, what
-    /// comes from there is forwarded, and may come again from the node that takes the run.
+    /// is offered and the source goes on, it is kept. One that is silent is read until a node has taken
+    /// the offer: all may decline it, since a run that has ended has no copy any more. If the run at the
+    /// source is offered, what comes from there is forwarded, and may come again from the node that takes it.
     async fn offer_beside_source(&mut self, offer: &ResumeOffer, first: Option<VmId>) -> OfferStep {
         let (context, call) = (Rc::clone(&self.context), Rc::clone(&self.call));
-        let overlap_end = context.now() + MAX_OVERLAP;
         let is_elsewhere = offer.runner != self.source.runner.runner;
-        let (mut is_up, is_back) = (false, Cell::new(false));
-        let mut asked = pin!(answers_other_node(&context, &offer.runner).fuse());
+        let is_back = Cell::new(false);
         let offering = Box::pin(offer_resume(&context, &call, offer, first, &is_back));
         let mut offered = offering.fuse();
         loop {
             let frame = {
                 let mut disconnected = pin!(self.caller.disconnected.wait().fuse());
-                let may_leave = !self.source.ended && is_elsewhere && is_up;
-                let end = may_leave.then_some(overlap_end);
-                let mut overlap = pin!(overlap_left(&context, end).fuse());
                 let mut frame = pin!(self.source.next_frame().fuse());
                 select_biased! {
                     () = disconnected => {
@@ -114,40 +97,31 @@
                     taken = offered => {
                         return taken.map_or(OfferStep::NotTaken, OfferStep::Taken);
                     }
-                    frame = frame => Some(frame),
-                    answers = asked => {
-                        is_up = answers;
-                        continue;
-                    }
-                    () = overlap => None,
+                    frame = frame => frame,
                 }
             };
             match frame {
-                Some(Some(Ok(bytes))) if is_elsewhere => {
+                Some(Ok(bytes)) if is_elsewhere => {
                     // The copy may be used already.
                     self.source.backup = None;
                     self.source.keep_frame(bytes);
                     return OfferStep::End(PumpStep::Continue);
                 }
-                Some(Some(Ok(bytes))) => {
+                Some(Ok(bytes)) => {
                     is_back.set(true);
                     self.record_activity(context.now());
                     if let end @ PumpStep::End(..) = self.forward_events(&bytes).await {
                         return OfferStep::End(end);
                     }
                 }
-                Some(None) if self.is_whole() => {
+                None if self.is_whole() => {
                     return OfferStep::End(PumpStep::End(RequestOutcome::Streamed, ""));
                 }
-                Some(lost) => {
+                lost => {
                     is_back.set(false);
                     self.log_send_failure(&describe_loss(lost));
                     self.close_source();
                 }
-                None => {
-                    self.log_send_failure(SOURCE_SILENT);
-                    self.close_source();
-                }
             }
         }
     }
