Read a silent source until its next runner has answered

Callers saw a 200 and a closed connection. Cause: a silent source was closed 250 ms after the next runner got the run, if that answered questions, on the ground that a runner which refuses does so at once. A copy is gone once its run has ended: a next runner that is slow to say so (503) left nothing, although the rest of the stream was on the way from the source.

Change: decide_wait decides as before, but the loop closes no source on LeaveSource: it is read on. One that sends again while the next runner has not answered goes on alone (LeaveNext), as two runners may work for 400 ms only where the node reaches both; one that is silent and counts as unreached does not limit the wait. The variant stays: the model in crates/life has the source stopped through another node then, for which the loop has no message. The checks of decide_wait are unchanged; one has a name that fits, and a new one holds when a source goes on alone. That no two runners may work is now checked of the decision only where the source is silent and the next runner answers.

--- a/crates/harness/tests/node_held_tails.rs
+++ b/crates/harness/tests/node_held_tails.rs
@@ -115,3 +115,9 @@
 fn a_stream_whose_other_nodes_decline_its_copy_late_comes_whole() {
     check_held_tail((HeldRunners::All, LATE_REFUSAL), |request| request);
 }
+
+/// Guards against LOST: the same as the runner with the copy, which answers questions, refuses the run late.
+#[test]
+fn a_stream_whose_next_runner_refuses_it_late_comes_whole() {
+    check_held_tail((HeldRunners::Source, LATE_REFUSAL), |request| request);
+}
--- a/crates/node/src/streams/stream_handover.rs
+++ b/crates/node/src/streams/stream_handover.rs
@@ -50,8 +50,8 @@
 impl StreamPump {
     /// Sends the request to a runner that has the run's memory, or is to run it again, and makes that
     /// runner the source of the stream. The old source is read on until that runner has answered. If that
-    /// takes longer than [`MAX_OVERLAP`](super::stream_overlap::MAX_OVERLAP), `rule` says which of them is
-    /// given up, unless the old source has ended.
+    /// takes longer than [`MAX_OVERLAP`](super::stream_overlap::MAX_OVERLAP) while the old source works, that
+    /// goes on alone; `rule` says whether a silent one counts as working.
     pub(crate) async fn hand_over(
         &mut self,
         mut plan: SendPlan,
--- a/crates/node/src/streams/stream_overlap.rs
+++ b/crates/node/src/streams/stream_overlap.rs
@@ -32,9 +32,6 @@
 /// runners may not work on one request for longer than 400 ms.
 pub(crate) const MAX_OVERLAP: TimeSpan = TimeSpan::millis(250);
 
-/// Reason of a source that is given up since nothing has come from it while the next runner worked.
-pub(crate) const SOURCE_SILENT: &str = "source_silent";
-
 /// How the time ended in which the next runner was asked to go on.
 pub(super) enum OverlapEnd {
     /// The next runner has answered.
@@ -212,7 +209,8 @@
                 self.log_wait(plan, &facts, decision);
             }
             match decision {
-                WaitDecision::Wait => (),
+                // The next runner may refuse, and what the source has sent may be late: it is read on.
+                WaitDecision::Wait | WaitDecision::LeaveSource => (),
                 WaitDecision::LeaveNext => {
                     let Some(offer) = offer else { return OverlapEnd::Unanswered };
                     // The source works again: the next runner may not work beside it any longer.
@@ -222,10 +220,6 @@
                 }
                 // The other node may have stopped the run at the source: what it answers comes first.
                 _ if offer.is_some() => (),
-                WaitDecision::LeaveSource => {
-                    self.log_send_failure(SOURCE_SILENT);
-                    self.close_source();
-                }
                 WaitDecision::LeaveThisNode => return OverlapEnd::CutOff,
                 WaitDecision::MoveSource => {
                     if let Some(AnswerPlace::OtherNode(node)) = facts.source_answered
--- a/crates/serving/src/run_places.rs
+++ b/crates/serving/src/run_places.rs
@@ -1,7 +1,7 @@
 //! Decides where a run goes on whose next runner has got it and does not answer.
 //!
 //! Load pattern: a node is cut off from several runners at once, or runners fall silent for a moment. The
-//! source of a stream is given up only for a runner that is known to be up, and a wait for one that this
+//! source of a stream is read until the next runner has answered, and a wait for one that this
 //! node does not reach ends as soon as another node gets its answers, or those of the source.
 
 use base::prelude::*;
@@ -29,13 +29,13 @@
     }
 }
 
-/// What becomes of the source of a stream if the next runner has not answered in time.
+/// What a silent source of a stream means if the next runner has not answered in time.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum OverlapRule {
     /// The source is kept, and the next runner given up.
     KeepSource,
-    /// A source from which nothing has come meanwhile is given up for a next runner that is known to be
-    /// up: a runner that refuses does so at once.
+    /// A source from which nothing has come meanwhile, and which counts as not reached, does not limit the
+    /// wait. It is read on: a next runner that is up may still refuse.
     LeaveSilentSource,
 }
 
@@ -71,7 +71,8 @@
 pub enum WaitDecision {
     /// Wait on, with what is open.
     Wait,
-    /// Close the source, and wait on.
+    /// Have the silent source work no longer beside the next runner, where a message for that exists; it is
+    /// read on, and is a place until the next runner has answered.
     LeaveSource,
     /// Close the connection to the next runner, and go on with the source.
     LeaveNext,
--- a/crates/serving/tests/run_places.rs
+++ b/crates/serving/tests/run_places.rs
@@ -33,7 +33,7 @@
 }
 
 #[test]
-fn a_source_is_given_up_only_if_silent_and_only_for_a_runner_that_answers() {
+fn a_source_is_to_stop_only_if_silent_and_only_for_a_runner_that_answers() {
     for (facts, decision) in all_decisions() {
         let may_leave = facts.source == SourceState::Silent
             && facts.rule == OverlapRule::LeaveSilentSource
@@ -57,6 +57,17 @@
     }
 }
 
+/// Guards against TWICE: a source is read beside the next runner; it sends again, and both work on.
+#[test]
+fn a_source_that_sends_again_goes_on_alone_once_the_overlap_is_over() {
+    for (facts, decision) in all_decisions() {
+        let is_kept = facts.source == SourceState::Silent && facts.rule == OverlapRule::KeepSource;
+        let works = facts.source == SourceState::Active || is_kept;
+        let leaves = decision == WaitDecision::LeaveNext;
+        assert_eq!(leaves, works && facts.is_overlap_over, "{facts:?}");
+    }
+}
+
 #[test]
 fn a_wait_ends_where_another_node_gets_answers_and_the_source_gives_none() {
     for (facts, decision) in all_decisions() {
