--- a/crates/harness/tests/node_held_tails.rs
+++ b/crates/harness/tests/node_held_tails.rs
@@ -59,7 +59,7 @@
         settings.refusal_time = refusal_time;
     };
     let services = ServiceFleet::start(adjust).await;
-    let hold = async {
+    let hiding = async {
         let events = async || {
             let made = services.fleet.memory.events(&request.attempt);
             (made >= EVENTS - TAIL).then_some(())
@@ -69,7 +69,7 @@
         sleep(span).await;
         held.set(&services, LinkState::Open);
     };
-    let (stream, ()) = join(services.fleet.read_stream(CUT, request), hold).await;
+    let (stream, ()) = join(services.fleet.read_stream(CUT, request), hiding).await;
     (services, stream)
 }
 
--- a/crates/harness/tests/node_stream_partition.rs
+++ b/crates/harness/tests/node_stream_partition.rs
@@ -7,7 +7,7 @@
 use compio::time::sleep;
 use fakes::platform::RunnerFakeSettings;
 use futures_util::future::{join, join_all};
-use harness::{CallerRequest, LinkState, SeenStream, config};
+use harness::{CallerRequest, LinkState, SeenStream, config, wait_until};
 use serde_json::json;
 use service_fleet::{CUT, LinkedRunner, NODES, RUNNERS, ServiceFleet, take_turn};
 
@@ -30,6 +30,8 @@
 
 /// For how long a full link holds data back: a configuration of 4 MiB at 10 Mbit/s.
 const LONG_SILENCE: Duration = Duration::from_millis(3_400);
+/// Time in which lines are written.
+const LINE_LIMIT: Duration = Duration::from_secs(2);
 
 fn long_streams(settings: &mut RunnerFakeSettings) {
     settings.events = EVENTS;
@@ -150,8 +152,13 @@
         for stream in &streams {
             assert!(!stream.is_whole && !stream.ids.is_empty(), "{stream:?}");
         }
-        let ends = services.fleet.nodes[CUT].events("end");
-        assert_eq!(ends.len(), STREAMS);
+        // A stream ends before its line is written.
+        let lines = async || {
+            let ends = services.fleet.nodes[CUT].events("end");
+            (ends.len() == STREAMS).then_some(ends)
+        };
+        let ends =
+            wait_until("a line for the end of each stream", LINE_LIMIT, lines).await.unwrap();
         for end in ends {
             assert_eq!(end["reason"], "deadline_passed", "{end}");
             assert_eq!(end["left_ms"], 0, "{end}");
