--- a/crates/fakes/src/platform/mod.rs
+++ b/crates/fakes/src/platform/mod.rs
@@ -4,6 +4,7 @@
 mod runner_answers;
 mod runner_crash;
 mod runner_fake;
+mod runner_moves;
 mod runner_queue;
 mod runner_records;
 mod runner_request;
--- a/crates/fakes/src/platform/runner_answers.rs
+++ b/crates/fakes/src/platform/runner_answers.rs
@@ -16,8 +16,6 @@
 use super::runner_script::{LONG_BODY_BYTES, RunnerScript};
 use super::runner_state::{RunAtWork, RunnerState};
 
-/// Path of the handles of copies.
-pub(super) const COPY_PATH: &str = "/api/kv-handle/";
 /// Time from the begin of a run, or from the head of its answer, to the crash that it brings about.
 const CRASH_AFTER: Duration = Duration::from_millis(20);
 /// Pause between two bytes of an answer that is never complete.
@@ -63,60 +61,6 @@
     write(stream, whole("200 OK", &headers, "")).await
 }
 
-pub(super) async fn answer_move(
-    stream: &mut TcpStream,
-    state: &RunnerState,
-    request: &RunnerRequest,
-) -> bool {
-    state.moves.borrow_mut().push(Instant::now());
-    let body: Value = serde_json::from_slice(&request.body).unwrap_or_default();
-    let attempt = body["id"].as_str().unwrap_or_default();
-    if state.is_one_move_at_a_time.get() && state.open_moves.borrow().contains(attempt) {
-        return write(stream, whole("409 Conflict", &state.notice(), "{}")).await;
-    }
-    let run = state.runs_at_work.borrow().get(attempt).cloned();
-    let is_order = body["last"] == true;
-    let is_order_refused = is_order && state.stops_refused.get();
-    let stops = is_order && !is_order_refused && !state.ignores_stops.get();
-    if stops && let Some(run) = &run {
-        run.stopped.raise();
-    }
-    let is_refused = state.moves_refused.get() || is_order_refused;
-    // A run that was stopped is kept, whether or not its copy finds room.
-    let copied = run.filter(|_| stops || !is_refused).and_then(|_| state.memory.copy(attempt));
-    let uncounted = state.uncounted_events.get();
-    let body = copied.as_ref().map(|(handle, events)| {
-        json!({ "kvHandle": handle, "created": *events - uncounted }).to_string()
-    });
-    if is_refused {
-        let mut notice = state.notice();
-        if let Some(value) = state.retry_after.borrow().as_ref() {
-            let _ = write!(notice, "Retry-After: {value}\r\n");
-        }
-        let body = body.as_deref().unwrap_or("{}");
-        return write(stream, whole("503 Service Unavailable", &notice, body)).await;
-    }
-    let Some(body) = body else {
-        return write(stream, whole("404 Not Found", &state.notice(), "{}")).await;
-    };
-    state.open_moves.borrow_mut().insert(attempt.to_owned());
-    compio::time::sleep(state.move_time.get()).await;
-    state.open_moves.borrow_mut().remove(attempt);
-    write(stream, whole("200 OK", &state.notice(), &body)).await
-}
-
-/// Frees a copy; 404 if its handle is used or unknown.
-pub(super) async fn answer_release(
-    stream: &mut TcpStream,
-    state: &RunnerState,
-    request: &RunnerRequest,
-) -> bool {
-    let handle = request.path.strip_prefix(COPY_PATH).unwrap_or_default();
-    state.releases.borrow_mut().push(handle.to_owned());
-    let status = if state.memory.free(handle) { "200 OK" } else { "404 Not Found" };
-    write(stream, whole(status, &state.notice(), "{}")).await
-}
-
 /// Answers a request; whether the connection goes on.
 pub(super) async fn answer(
     stream: &mut TcpStream,
@@ -131,8 +75,7 @@
     let refused = refused || retry_after.is_some() || state.lacks_room();
     let is_taken = !wrong && !refused;
     let resumed = request.headers.get("kv-from").filter(|_| is_taken).map(|from| {
-        let handle = from.rsplit('/').next().unwrap_or_default();
-        state.memory.take(handle, request.header("x-dotterelyard-attempt-id"))
+        state.memory.take(from, request.header("x-dotterelyard-attempt-id"), state.place)
     });
     let ran = is_taken && resumed != Some(false);
     state.visits.borrow_mut().push(RunnerVisit {
@@ -297,8 +240,8 @@
         return false;
     }
     let attempt = request.header("x-dotterelyard-attempt-id");
-    let backed_up = request.headers.contains_key("x-dotterelyard-kv-backup");
-    state.memory.begin(attempt, backed_up);
+    let backup = request.headers.get("x-dotterelyard-kv-backup");
+    state.memory.begin(attempt, backup.map(String::as_str));
     let work = WorkGuard::new(state, attempt);
     let mut head = String::from("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n");
     let is_unframed = matches!(
@@ -402,6 +345,6 @@
     }
 }
 
-fn whole(status: &str, headers: &str, body: &str) -> String {
+pub(super) fn whole(status: &str, headers: &str, body: &str) -> String {
     format!("HTTP/1.1 {status}\r\n{headers}Content-Length: {}\r\n\r\n{body}", body.len())
 }
--- a/crates/fakes/src/platform/runner_fake.rs
+++ b/crates/fakes/src/platform/runner_fake.rs
@@ -31,7 +31,8 @@
     ) -> Result<Self> {
         let listener = listen(address).await.map_err(FakeError::Announce)?;
         let address = listener.local_addr().map_err(FakeError::Announce)?;
-        let state = Rc::new(RunnerState::new(settings, memory));
+        let state = Rc::new(RunnerState::new(settings, address, memory));
+        memory.add_runner(address, state.crashed.clone());
         let shared = Rc::clone(&state);
         spawn(async move { accept(listener, shared).await }).detach();
         Ok(Self { state, address })
--- a/crates/fakes/src/platform/runner_server.rs
+++ b/crates/fakes/src/platform/runner_server.rs
@@ -8,11 +8,9 @@
 use futures_util::future::{Either, select};
 use kernel::spawn;
 
-use super::runner_answers::{
-    COPY_PATH, answer, answer_health, answer_move, answer_release, answer_report,
-    answer_without_end,
-};
+use super::runner_answers::{answer, answer_health, answer_report, answer_without_end};
 use super::runner_crash::{CrashLook, look_crashed};
+use super::runner_moves::{COPY_PATH, answer_move, answer_release};
 use super::runner_request::RunnerRequest;
 use super::runner_state::RunnerState;
 
--- a/crates/fakes/src/platform/runner_state.rs
+++ b/crates/fakes/src/platform/runner_state.rs
@@ -12,7 +12,7 @@
 use super::runner_records::RunnerVisit;
 use super::runner_script::RunnerScript;
 use super::runner_settings::{BrittleRoom, RunnerFakeSettings, SharedScripts};
-use super::stream_memory::StreamMemory;
+use super::stream_memory::{RunnerPlace, StreamMemory};
 
 /// Time in which the requests that a brittle runner turns away, or that a cold one gets, count
 /// together.
@@ -38,6 +38,8 @@
 /// State that the connections of a runner share.
 pub(super) struct RunnerState {
     pub(super) settings: RunnerFakeSettings,
+    /// Its own address.
+    pub(super) place: RunnerPlace,
     pub(super) memory: StreamMemory,
     pub(super) scripts: RefCell<VecDeque<RunnerScript>>,
     /// Scripts that it shares with other runners; used after its own.
@@ -119,10 +121,15 @@
 
 impl RunnerState {
     /// The state of a runner that has got no requests yet.
-    pub(super) fn new(settings: RunnerFakeSettings, memory: &StreamMemory) -> Self {
+    pub(super) fn new(
+        settings: RunnerFakeSettings,
+        place: RunnerPlace,
+        memory: &StreamMemory,
+    ) -> Self {
         Self {
             work: Cell::new(settings.work),
             settings,
+            place,
             memory: memory.clone(),
             scripts: RefCell::default(),
             shared_scripts: RefCell::default(),
--- a/crates/harness/src/node_fleet.rs
+++ b/crates/harness/src/node_fleet.rs
@@ -88,6 +88,7 @@
     /// If an address cannot be had.
     pub async fn start_runner_link(&self, number: u8, runner: &RunnerFake) -> Result<TestLink> {
         let address = self.addresses.address(150 + number, 0);
+        self.memory.add_link(address, runner.address());
         TestLink::start_until(address, runner.address(), runner.crash_signal()).await
     }
 
--- a/crates/harness/tests/node_place_loss.rs
+++ b/crates/harness/tests/node_place_loss.rs
@@ -72,6 +72,7 @@
                     if let Some(second) = &second_store {
                         let link = u8::try_from(1 + links.len()).unwrap();
                         let link = addresses.address(link, 0);
+                        fleet.memory.add_link(link, runner.address());
                         let link = TestLink::start_until(link, runner.address(), cut.clone());
                         let link = link.await.unwrap();
                         let mut far = entry.clone();
