--- a/crates/harness/tests/node_kept_memory.rs
+++ b/crates/harness/tests/node_kept_memory.rs
@@ -125,7 +125,9 @@
 /// Guards against LOST: the rest of a stopped run comes late and is taken for a sign that its source works.
 #[test]
 fn a_stopped_run_whose_last_events_are_held_back_goes_on_at_the_next_runner() {
-    SPANS.into_iter().for_each(|span| check_stopped_run(Fault::Held(span)));
+    for span in SPANS {
+        check_stopped_run(Fault::Held(span));
+    }
 }
 
 /// A stream whose request reaches its runner just before all links of the service begin to hold back.
@@ -162,5 +164,7 @@
 /// Guards against LOST: the same, with a copy.
 #[test]
 fn a_stream_with_a_copy_whose_first_events_are_held_back_comes_whole() {
-    SPANS.into_iter().for_each(|span| check_held_head(span, |request| request));
+    for span in SPANS {
+        check_held_head(span, |request| request);
+    }
 }
--- a/crates/harness/tests/node_move_refused.rs
+++ b/crates/harness/tests/node_move_refused.rs
@@ -80,7 +80,7 @@
 fn a_stream_goes_on_at_its_silent_next_runner_if_its_cut_off_source_refuses_the_move() {
     let _turn = take_turn();
     kernel::run(check_silent_next(CUT_EARLY, LinkState::Lost, |source| {
-        source.runner.refuse_moves(true)
+        source.runner.refuse_moves(true);
     }))
     .unwrap();
 }
