Ask a runner that has crashed although it is not listed any more

Cause: put the question whether a runner is still listed into find_own_block, on which reads of reports and the probes of lost runners depend; a crashed runner leaves the list and was not probed.

Change: the question stands in find_block, which sends and copies ask.

--- a/crates/node/src/runner_gate.rs
+++ b/crates/node/src/runner_gate.rs
@@ -127,6 +127,10 @@
     if is_runner_evacuated(context, &runner.runner) {
         return Some(SendBlock::Evacuated);
     }
+    // A runner that has crashed is not listed either, and is asked what became of it.
+    if context.runners.borrow().has_left(runner, context.now()) {
+        return Some(SendBlock::Leaving);
+    }
     find_own_block(context, runner)
 }
 
@@ -135,7 +139,7 @@
 /// a health check, depends on nothing.
 #[must_use]
 pub fn find_own_block(context: &NodeContext, runner: &RunnerIncarnation) -> Option<SendBlock> {
-    if context.runners.borrow().has_left(runner, context.now()) {
+    if context.runners.borrow().is_incarnation_leaving(runner) {
         return Some(SendBlock::Leaving);
     }
     let end = context.waits.borrow().end(context.now(), runner);
