Leave a run unnamed whose order to stop was refused

Cause: let a moving node say that a run works if its runner had refused the order to stop; the asking node then offers it again until its deadline, where nothing can move it. Before, the node said nothing, and the run was offered to each node once.

Change: as before.

--- a/crates/node/src/forward/moved_run.rs
+++ b/crates/node/src/forward/moved_run.rs
@@ -198,8 +198,7 @@
             // A run that its source no longer has is finished; the caller has not got the rest.
             let is_finished = order.is_not_found() && copy.is_some();
             if !order.has_memory() && !order.is_open() && !is_finished {
-                let trace = (!order.is_not_found()).then_some(RunTrace::Works);
-                return Err(ResumeRefusal { reason: RESUME_REFUSED, trace });
+                return Err(RESUME_REFUSED.into());
             }
         }
         self.follow_order(ticket, copy, order).await
