Log what each place of a stopped run is when none goes on with it here

The record of LOST shows offers of a run and of its copy, and no line says what the caller's node knew of the places: whether the run was stopped by its own order, which handle that left, whether the next runner was asked and may have the run, and whether the source may still get it.

New: the line places_left and its counter, when the places of a stopped run that this node asked have not gone on with it. No decision has changed; the node builds without a warning.

--- a/crates/node/src/streams/run_return.rs
+++ b/crates/node/src/streams/run_return.rs
@@ -19,7 +19,9 @@
 use super::stream_places::QUESTION_PAUSE;
 use super::stream_pump::StreamPump;
 use crate::call::RunPlace;
+use crate::call_log::may_log;
 use crate::context::NodeContext;
+use crate::reach::is_unreached;
 use crate::run_end_watch::OpenRun;
 use crate::runner_gate::SendPurpose;
 use crate::runner_send::{SendFailure, SendPlan, connect_to_runner, send_connected};
@@ -59,7 +61,7 @@
 }
 
 /// Where the memory of a stopped run is.
-struct StoppedPlaces {
+pub(super) struct StoppedPlaces {
     source: RunnerRecord,
     /// The handover that the run was stopped for.
     handover: SendPlan,
@@ -103,6 +105,11 @@
         self.copy = Some(copy);
     }
 
+    /// Whether the next runner may have taken the run, and gave no answer.
+    pub(super) fn next_may_run(&self) -> bool {
+        self.lost.contains(&self.handover.runner.runner)
+    }
+
     /// Keeps the copy that `plan` has used.
     fn keep_used(&mut self, plan: &SendPlan) {
         let used = plan.resume.as_ref().map(|resume| &resume.handle);
@@ -133,15 +140,15 @@
     }
 
     /// Sends the request to the runners that have the memory of the stopped run, until one goes on with
-    /// it: first as `plan` says, then where the order has left it. Returns the send and its answer, or the
-    /// runners that may have taken the run and gave no answer.
+    /// it: first as `plan` says, then where the order has left it. Returns the send and its answer, or what is
+    /// left of the run.
     pub(super) async fn resume_stopped(
         &mut self,
         plan: &SendPlan,
         connection: WebConnection,
         order: CopyTask,
         answer: Option<StopAnswer>,
-    ) -> Result<(SendPlan, WebExchange), Vec<RunnerId>> {
+    ) -> Result<(SendPlan, WebExchange), StoppedPlaces> {
         let mut connection = Some(connection);
         let mut places = StoppedPlaces::new(self.source.runner.clone(), plan, order, answer);
         for round in 0..RESUME_ROUNDS {
@@ -173,7 +180,8 @@
                 }
             }
         }
-        Err(places.lost)
+        self.log_places(&places);
+        Err(places)
     }
 
     /// Sends the request as `plan` says, and waits for the head of a success: for [`HEAD_TIME`] if the run can
@@ -289,6 +297,31 @@
         is_open && *runner != plan.runner.runner && !places.lost.contains(runner)
     }
 
+    /// Logs what is known of each place of a stopped run that this node goes on with at none of them.
+    fn log_places(&self, places: &StoppedPlaces) {
+        self.count_move("places_left");
+        if !may_log(&self.context) {
+            return;
+        }
+        let next = &places.handover.runner.runner;
+        let memory = places.copy.as_ref().map(|copy| copy.handle.as_ref());
+        let handover = places.handover.resume.as_ref().map(|resume| resume.handle.as_ref());
+        tracing::info!(
+            event = "places_left",
+            request = %self.call.attempt,
+            source = %places.source.runner,
+            is_source_unreached = is_unreached(&self.context, &places.source),
+            memory,
+            is_ordered = places.order.is_some(),
+            may_return = self.may_return(TimeSpan::default()),
+            %next,
+            handover,
+            next_may_run = places.next_may_run(),
+            events = self.scanner.event_count(),
+            left_ms = self.call.deadline.since(self.context.now()).as_millis(),
+        );
+    }
+
     /// Whether the run can go on at its source if it is not taken elsewhere, or has not had to so far.
     pub(crate) fn may_leave_again(&self) -> bool {
         self.returned_at.is_none() || self.may_return(RETURN_MARGIN)
--- a/crates/node/src/streams/run_stop.rs
+++ b/crates/node/src/streams/run_stop.rs
@@ -162,8 +162,9 @@
         };
         let (plan, exchange) = match resumed {
             Ok(resumed) => resumed,
-            Err(lost) => {
-                let next_may_run = lost.contains(&plan.runner.runner);
+            Err(places) => {
+                let next_may_run = places.next_may_run();
+                drop(places);
                 let through_node = Box::pin(self.go_on_through_node(&plan, next_may_run)).await;
                 let refused = HandoverStep::Refused(SendOutcome::Unknown);
                 return OrderedStep::Done(through_node.map_or(refused, HandoverStep::End));
