--- a/crates/harness/tests/node_held_tails.rs
+++ b/crates/harness/tests/node_held_tails.rs
@@ -7,7 +7,7 @@
 
 use compio::time::sleep;
 use fakes::platform::RunnerFakeSettings;
-use futures_util::future::join;
+use futures_util::future::{join, join_all};
 use harness::{CallerRequest, LinkState, SeenStream, wait_until};
 use service_fleet::{CUT, LinkedRunner, ServiceFleet, take_turn};
 
@@ -121,3 +121,40 @@
 fn a_stream_whose_next_runner_refuses_it_late_comes_whole() {
     check_held_tail((HeldRunners::Source, LATE_REFUSAL), |request| request);
 }
+
+/// Guards against LOST: a configuration fills the links of two nodes, and each takes the run of its stream for lost.
+#[test]
+fn streams_at_two_nodes_whose_last_events_are_held_back_come_whole() {
+    /// Nodes whose links are full.
+    const HELD_NODES: usize = 2;
+    let _turn = take_turn();
+    for span in SPANS {
+        kernel::run(async {
+            let services = ServiceFleet::start(long_streams).await;
+            let requests: Vec<_> =
+                (0..HELD_NODES).map(|node| CallerRequest::stream(&format!("s{node}"))).collect();
+            let holding = async {
+                let near_end = async || {
+                    let made =
+                        |request: &CallerRequest| services.fleet.memory.events(&request.attempt);
+                    let is_near = requests.iter().all(|request| made(request) >= EVENTS - TAIL);
+                    is_near.then_some(())
+                };
+                wait_until("the runs to be near their end", LIMIT, near_end).await.unwrap();
+                services.set_nodes(HELD_NODES, "llm", LinkState::Stalled);
+                sleep(span).await;
+                services.set_nodes(HELD_NODES, "llm", LinkState::Open);
+            };
+            let reading = requests.iter().enumerate();
+            let reading = reading.map(|(node, request)| services.fleet.read_stream(node, request));
+            let (streams, ()) = join(join_all(reading), holding).await;
+            for (node, stream) in streams.iter().enumerate() {
+                let lines = ["source_silent", "run_offered", "send_failed", "end"]
+                    .map(|name| services.fleet.nodes[node].events(name));
+                assert!(stream.has_all(EVENTS), "{span:?} {node} {stream:?} {lines:?}");
+            }
+            assert_eq!(services.most_runs(), 1);
+        })
+        .unwrap();
+    }
+}
--- a/crates/harness/tests/node_kept_memory.rs
+++ b/crates/harness/tests/node_kept_memory.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use compio::time::sleep;
-use fakes::platform::RunnerFakeSettings;
+use fakes::platform::{RunnerFakeSettings, RunnerScript};
 use futures_util::future::join;
 use harness::{CallerRequest, LinkState, wait_until};
 use serde_json::json;
@@ -32,6 +32,10 @@
     LateAndCut(Duration),
     /// The links hold back for a while.
     Held(Duration),
+    /// The next runner takes the run and ends its stream before the first event.
+    Broken,
+    /// The next runner takes the run, its answer is held back, and the node is cut off from the source.
+    Taken,
 }
 
 fn long_streams(settings: &mut RunnerFakeSettings) {
@@ -59,9 +63,12 @@
     if let Fault::LateAndCut(time) = fault {
         source.runner.slow_moves(time);
     }
-    if !matches!(fault, Fault::Held(_)) {
-        for linked in &others {
-            linked.runner.fall_silent();
+    for linked in &others {
+        match fault {
+            Fault::Cut | Fault::LateAndCut(_) => linked.runner.fall_silent(),
+            Fault::Broken => linked.runner.script(&[RunnerScript::UnframedEmpty]),
+            Fault::Taken => services.set_of(linked, LinkState::AnswersStalled),
+            Fault::Held(_) => (),
         }
     }
     let is_ordered = async || (source.runner.moves().len() >= 2).then_some(());
@@ -77,6 +84,11 @@
             sleep(span).await;
             services.set("llm", all, LinkState::Open);
         }
+        Fault::Broken => (),
+        Fault::Taken => {
+            sleep(COPY_TIME + COPY_TIME / 2).await;
+            services.set_of(source, LinkState::Lost);
+        }
     }
 }
 
@@ -88,6 +100,7 @@
         let read = services.fleet.read_stream(CUT, &request);
         let (stream, ()) = join(read, leave(&services, fault)).await;
         let names = [
+            "places_left",
             "run_stopped",
             "stop_decided",
             "order_silent",
@@ -122,6 +135,18 @@
     check_stopped_run(Fault::LateAndCut(Duration::from_secs(2)));
 }
 
+/// Guards against LOST: the memory of a stopped run is freed as its next runner answers, which then ends the stream.
+#[test]
+fn a_stopped_run_goes_on_whose_next_runner_ends_it_before_an_event() {
+    check_stopped_run(Fault::Broken);
+}
+
+/// Guards against LOST: a handle is used by a send that is not answered, and nobody reads the run.
+#[test]
+fn a_stopped_run_goes_on_whose_next_runner_has_taken_it_without_an_answer() {
+    check_stopped_run(Fault::Taken);
+}
+
 /// Guards against LOST: the rest of a stopped run comes late and is taken for a sign that its source works.
 #[test]
 fn a_stopped_run_whose_last_events_are_held_back_goes_on_at_the_next_runner() {
--- a/crates/harness/tests/node_stopped_places.rs
+++ b/crates/harness/tests/node_stopped_places.rs
@@ -21,8 +21,9 @@
 const LEAVE_AFTER: Duration = Duration::from_millis(700);
 /// Bytes that the full link passes on in a second: far less than the stream takes.
 const FULL_RATE: u64 = 1_000;
-/// Time from the answer to the order until the next places leave.
-const NEXT_LEAVES_AFTER: Duration = Duration::from_secs(1);
+/// Times from the answer to the order until the next places leave.
+const NEXT_LEAVES_AFTER: [Duration; 3] =
+    [Duration::ZERO, Duration::from_millis(200), Duration::from_secs(1)];
 
 /// Has a runner that is reached over its link announce that it leaves.
 fn leave(services: &ServiceFleet, linked: &LinkedRunner) {
@@ -31,10 +32,8 @@
     services.fleet.store.put_json("keyed.servers", linked.runner.id(), &entry);
 }
 
-/// Guards against LOST: late events of a stopped run are read until its next places have left.
-#[test]
-fn a_stopped_run_goes_on_before_its_next_places_leave() {
-    let _turn = take_turn();
+/// Plays a run whose next places leave `after` the answer to the order, while its last events come late.
+fn check_leaving_places(after: Duration) {
     kernel::run(async {
         let services = ServiceFleet::start(|settings| settings.events = EVENTS).await;
         let node = &services.fleet.nodes[CUT];
@@ -50,16 +49,23 @@
             leave(&services, source);
             let is_stopped = async || (!node.events("run_stopped").is_empty()).then_some(());
             wait_until("the run to stop", LIMIT, is_stopped).await.unwrap();
-            sleep(NEXT_LEAVES_AFTER).await;
+            sleep(after).await;
             let of_service = services.runners.iter().filter(|next| next.service == source.service);
             of_service.for_each(|next| leave(&services, next));
         };
         let (stream, ()) = join(services.fleet.read_stream(CUT, &request), leaving).await;
         let lines =
-            ["run_copied", "run_stopped", "stop_decided", "send_failed", "resume_refused", "end"];
+            ["run_copied", "run_stopped", "stop_decided", "send_failed", "places_left", "end"];
         let lines = lines.map(|name| node.events(name));
-        assert!(stream.has_all(EVENTS), "{stream:?} {lines:?}");
+        assert!(stream.has_all(EVENTS), "{after:?} {stream:?} {lines:?}");
         assert_eq!(services.most_runs(), 1);
     })
     .unwrap();
 }
+
+/// Guards against LOST: late events of a stopped run are read until its next places have left.
+#[test]
+fn a_stopped_run_goes_on_before_its_next_places_leave() {
+    let _turn = take_turn();
+    NEXT_LEAVES_AFTER.into_iter().for_each(check_leaving_places);
+}
--- a/crates/harness/tests/service_fleet/mod.rs
+++ b/crates/harness/tests/service_fleet/mod.rs
@@ -79,6 +79,22 @@
         of_service.take(count).for_each(|linked| linked.link.set_for(pid, state));
     }
 
+    /// Changes what the link of one node to one runner does.
+    #[allow(dead_code, reason = "most tests change the links of a whole service")]
+    pub fn set_of(&self, linked: &LinkedRunner, state: LinkState) {
+        linked.link.set_for(self.fleet.nodes[CUT].pid(), state);
+    }
+
+    /// Changes what the links of the first `count` nodes to a service do.
+    #[allow(dead_code, reason = "most tests cut one node off")]
+    pub fn set_nodes(&self, count: usize, service: &str, state: LinkState) {
+        let of_service = self.runners.iter().filter(|linked| linked.service == service);
+        for linked in of_service {
+            let nodes = self.fleet.nodes.iter().take(count);
+            nodes.for_each(|node| linked.link.set_for(node.pid(), state));
+        }
+    }
+
     /// The most runs of one request, without the repeat that a look-up may have; a run that goes on
     /// elsewhere from its memory counts once.
     pub fn most_runs(&self) -> usize {
--- a/crates/life/src/lib.rs
+++ b/crates/life/src/lib.rs
@@ -12,6 +12,7 @@
 mod next_runner;
 mod node_offer;
 mod ordered_source;
+mod run_places;
 mod silent_source;
 mod source_events;
 mod standing_node;
@@ -22,5 +23,8 @@
 
 pub use life_action::{LifeAction, LifeEnd};
 pub use life_input::{LifeInput, StepOutcome};
+pub use run_places::{
+    FreeFacts, LeftFacts, LeftPlace, OrderLeft, RunMemory, RunPlaces, may_free_memory,
+};
 pub use stream_life::{LifeStart, StreamLife};
 pub use stream_place::{LifeStep, OfferedPlace, SeenPlace, StepNumber};
--- a/crates/life/src/ordered_source.rs
+++ b/crates/life/src/ordered_source.rs
@@ -124,6 +124,7 @@
             last_event_at: self.last_heard,
             events: self.events,
             body: if self.is_open { BodyState::Open } else { BodyState::Broken },
+            is_gone: false,
             is_answer_late: false,
         }
     }
--- a/crates/node/src/forward/call_forward.rs
+++ b/crates/node/src/forward/call_forward.rs
@@ -134,6 +134,7 @@
         log_round(context, call, &run, &end);
         match end {
             RoundEnd::Taken(taken) => return Some(taken),
+            RoundEnd::NotTaken if run.offer.is_once => return None,
             RoundEnd::NotTaken if run.is_alive(is_back.get()) && call.deadline > context.now() => {
                 kernel::sleep(ROUND_PAUSE.into()).await;
                 first = run.holder.take();
--- a/crates/node/src/forward/mod.rs
+++ b/crates/node/src/forward/mod.rs
@@ -21,5 +21,5 @@
 pub use resumed_run::resume_run;
 pub use run_order::LateOrders;
 pub use run_site::RunSite;
-pub use run_trace::ResumeRefusal;
+pub use run_trace::{ResumeRefusal, RunHandle};
 pub use stop::{ServingStop, unless_lost, unless_unreached, unreached_failure};
--- a/crates/node/src/forward/offer.rs
+++ b/crates/node/src/forward/offer.rs
@@ -44,6 +44,8 @@
     pub limit: TimeSpan,
     /// The runner that worked on the run, if its copy is to go on instead.
     pub source: Option<RunnerId>,
+    /// Whether each node is offered the run once only, whatever is left of it.
+    pub is_once: bool,
 }
 
 impl ResumeOffer {
@@ -53,7 +55,7 @@
         let handle = Arc::from(call.attempt.as_str());
         let copy = Some(RunHandle { address: backup.address, handle });
         let runner = backup.runner.clone();
-        Self { runner, copy, last_event_id, limit: RESUME_TIMEOUT, source: None }
+        Self { runner, copy, last_event_id, limit: RESUME_TIMEOUT, source: None, is_once: false }
     }
 
     /// The same run, on which `source` may work on: it is to be ended there.
@@ -72,14 +74,15 @@
         let ResumeSource { address, handle, .. } = memory.clone();
         let copy = Some(RunHandle { address, handle });
         let runner = holder.runner.clone();
-        Self { runner, copy, last_event_id, limit: RESUME_TIMEOUT, source: None }
+        Self { runner, copy, last_event_id, limit: RESUME_TIMEOUT, source: None, is_once: false }
     }
 
     /// A run without a copy, on which the runner `source` works.
     #[must_use]
     pub fn of_run(source: &RunnerRecord, last_event_id: Option<u64>) -> Self {
         let limit = MOVE_TIMEOUT;
-        Self { runner: source.runner.clone(), copy: None, last_event_id, limit, source: None }
+        let runner = source.runner.clone();
+        Self { runner, copy: None, last_event_id, limit, source: None, is_once: false }
     }
 
     /// The same run after another node has stopped it, and its runner keeps its memory.
@@ -88,6 +91,12 @@
         Self { copy: Some(memory), limit: RESUME_TIMEOUT, ..self }
     }
 
+    /// The same offer for one round: who asks has other places to offer, too.
+    #[must_use]
+    pub fn once(self) -> Self {
+        Self { is_once: true, ..self }
+    }
+
     /// Whether the run was stopped, and its memory is at the runner that worked on it.
     #[must_use]
     pub fn is_stopped(&self, call: &Call, runner: &RunnerRecord) -> bool {
@@ -154,7 +163,7 @@
     let mut headers = forwarded_headers(&call.headers, left);
     headers.insert(FORWARD_PLAN, HeaderValue::from(call.plan_version.0));
     headers.insert(FORWARD_FINGERPRINT, HeaderValue::from(call.fingerprint.0));
-    if let Some(ResumeOffer { runner, copy, last_event_id, limit, source }) = resume {
+    if let Some(ResumeOffer { runner, copy, last_event_id, limit, source, .. }) = resume {
         let text = |text: String| HeaderValue::from_str(&text).map_err(|error| fault(error.into()));
         headers.insert(RESUME_RUNNER, text(runner.to_string())?);
         if let Some(RunHandle { address, handle }) = copy {
--- a/crates/node/src/runner_gate.rs
+++ b/crates/node/src/runner_gate.rs
@@ -56,6 +56,9 @@
     NewWork,
     /// Going on with a run that the runner has stopped.
     Return,
+    /// Going on with a run that was stopped when this runner, which has its memory, could be asked. It may have
+    /// announced since then that it leaves, or its place may be evacuated.
+    StoppedRun,
 }
 
 impl SendPurpose {
@@ -67,6 +70,7 @@
         match self {
             Self::NewWork => check_send(context, runner),
             Self::Return => check_return(context, runner),
+            Self::StoppedRun => check_stopped(context, runner),
         }
     }
 }
@@ -111,6 +115,14 @@
     }
 }
 
+/// Checks whether a run that was stopped for this start of a runner may go on there: that is no new work.
+fn check_stopped(context: &NodeContext, runner: &RunnerIncarnation) -> Result<(), SendBlock> {
+    match find_block(context, runner).or_else(|| find_shortage(context, runner)) {
+        None | Some(SendBlock::Leaving | SendBlock::Evacuated) => Ok(()),
+        Some(block) => Err(withhold(context, runner, block)),
+    }
+}
+
 /// Counts a request that is not sent.
 pub fn withhold(context: &NodeContext, runner: &RunnerIncarnation, block: SendBlock) -> SendBlock {
     if block == SendBlock::Waiting {
--- a/crates/node/src/streams/mod.rs
+++ b/crates/node/src/streams/mod.rs
@@ -3,6 +3,7 @@
 
 mod run_return;
 mod run_stop;
+mod stopped_places;
 mod stream_backup;
 mod stream_call;
 mod stream_copy;
--- a/crates/node/src/streams/run_return.rs
+++ b/crates/node/src/streams/run_return.rs
@@ -8,20 +8,22 @@
 use std::rc::Rc;
 
 use base::prelude::*;
+use futures_util::future::{Either, select};
 use futures_util::{FutureExt, select_biased};
-use platform::ResumeSource;
+use life::{LeftPlace, RunMemory};
 use serving::{AnswerPlace, RunnerLoss, RunnerRecord, SendOutcome};
 use web::{WebConnection, WebExchange};
 
-use super::run_stop::{ORDER_PAUSE, ORDER_SILENCE, StopAnswer};
+use super::run_stop::ORDER_SILENCE;
+use super::stopped_places::StoppedPlaces;
 use super::stream_backup::choose_backup;
-use super::stream_copy::{CopyTask, RunCopy};
-use super::stream_places::QUESTION_PAUSE;
-use super::stream_pump::StreamPump;
+use super::stream_places::{QUESTION_PAUSE, ask_next};
+use super::stream_pump::{PumpStep, StreamPump};
 use crate::call::RunPlace;
 use crate::call_log::may_log;
 use crate::context::NodeContext;
-use crate::reach::is_unreached;
+use crate::forward::ResumeOffer;
+use crate::reach::{find_answering_node, is_unreached};
 use crate::run_end_watch::OpenRun;
 use crate::runner_gate::SendPurpose;
 use crate::runner_send::{SendFailure, SendPlan, connect_to_runner, send_connected};
@@ -39,173 +41,228 @@
 const ROUND_PAUSE: TimeSpan = TimeSpan::millis(75);
 /// Time to keep for another return when a run that has returned leaves again.
 const RETURN_MARGIN: TimeSpan = TimeSpan::millis(500);
-/// Reason of a run that may not go on at its source any more.
-const RETURN_LATE: &str = "source_left";
+/// Pause until the places that have not gone on with the run are offered again.
+const OFFER_PAUSE: TimeSpan = TimeSpan::millis(250);
 
-/// An order to stop the run that is not answered.
-struct OpenOrder {
-    task: CopyTask,
-    /// When it is sent; `None` if it has been.
-    begins_at: Option<TimePoint>,
+/// How a stopped run goes on.
+pub(super) enum StoppedResume {
+    /// At a runner that this node reads.
+    Here(Box<SendPlan>, WebExchange),
+    /// Through another node, or the stream has ended.
+    Through(PumpStep),
+    /// At no place: all of them are gone, or the deadline has passed.
+    Nowhere,
 }
 
-impl OpenOrder {
-    /// Sends the order when it is time, and waits for its answer.
-    async fn answer(&mut self, context: &NodeContext) -> StopAnswer {
-        if let Some(begin) = self.begins_at {
-            kernel::sleep(begin.since(context.now()).into()).await;
-            self.begins_at = None;
+/// Waits until a runner answers another node, and not this one.
+async fn wait_answer_elsewhere(context: &Rc<NodeContext>, runner: &RunnerRecord) -> VmId {
+    let mut question = ask_next(context, runner, true);
+    loop {
+        if let AnswerPlace::OtherNode(node) = question.await {
+            return node;
         }
-        (&mut self.task).await
+        question = ask_next(context, runner, false);
     }
 }
 
-/// Where the memory of a stopped run is.
-pub(super) struct StoppedPlaces {
-    source: RunnerRecord,
-    /// The handover that the run was stopped for.
-    handover: SendPlan,
-    /// The sends by which the run can go on.
-    plans: Vec<SendPlan>,
-    /// Runners that may have taken the run and gave no answer.
-    lost: Vec<RunnerId>,
-    /// The order, while it is not answered.
-    order: Option<OpenOrder>,
-    /// What the order has left.
-    copy: Option<RunCopy>,
-}
-
-impl StoppedPlaces {
-    fn new(
-        source: RunnerRecord,
-        plan: &SendPlan,
-        order: CopyTask,
-        answer: Option<StopAnswer>,
-    ) -> Self {
-        let order = answer.is_none().then_some(OpenOrder { task: order, begins_at: None });
-        let (handover, plans, lost) = (plan.clone(), vec![plan.clone()], Vec::new());
-        let mut places = Self { source, handover, plans, lost, order, copy: None };
-        if let Some(answer) = answer {
-            places.add_stopped(answer);
+impl StreamPump {
+    /// Waits for the answer to the order, unless the source answers another node, and not this one.
+    async fn await_order(&self, places: &mut StoppedPlaces) {
+        let mut question = self.ask_source(ORDER_SILENCE);
+        while places.is_order_open() {
+            let place = {
+                let mut answered = pin!(places.next_answer(&self.context).fuse());
+                select_biased! {
+                    answer = answered => Err(answer),
+                    place = (&mut question).fuse() => Ok(place),
+                }
+            };
+            match place {
+                Err(answer) => {
+                    places.follow_answer(&self.context, &self.call, answer);
+                    return;
+                }
+                Ok(place) => {
+                    self.log_unanswered_order(&place);
+                    if matches!(place, AnswerPlace::OtherNode(_)) {
+                        return;
+                    }
+                    question = self.ask_source(QUESTION_PAUSE);
+                }
+            }
         }
-        places
     }
 
-    /// Adds the places where an order has left the memory of the run: the next runner, if it has a copy, and
-    /// the source.
-    fn add_stopped(&mut self, answer: StopAnswer) {
-        let Ok(copy) = answer else { return };
-        let address = self.source.address;
-        let resume = ResumeSource { address, handle: copy.handle.clone(), last_event_id: None };
-        if copy.is_copied {
-            self.plans.push(SendPlan { resume: Some(resume.clone()), ..self.handover.clone() });
-        }
-        let back = SendPlan::resume(self.source.clone(), resume, None);
-        self.plans.push(SendPlan { purpose: SendPurpose::Return, ..back });
-        self.copy = Some(copy);
+    /// What is left of a run that its source is ordered to stop, for `handover`.
+    pub(super) fn begin_places(&self, handover: &SendPlan) -> StoppedPlaces {
+        let window = TimeSpan(self.context.settings.drain.0 / 4 * 3);
+        let return_end = self.leaving_since.map(|since| since + window);
+        let ends = (return_end, self.context.now() + window);
+        StoppedPlaces::new(self.source.runner.clone(), handover.clone(), ends)
     }
 
-    /// Whether the next runner may have taken the run, and gave no answer.
-    pub(super) fn next_may_run(&self) -> bool {
-        self.lost.contains(&self.handover.runner.runner)
+    /// Goes on with a run that its source was ordered to stop: here where one of its places takes it, or else through
+    /// another node. That none has taken it so far is no reason to give it up while a place may still do so.
+    pub(super) async fn resume_stopped(
+        &mut self,
+        connection: Option<WebConnection>,
+        places: &mut StoppedPlaces,
+    ) -> StoppedResume {
+        let mut connection = connection;
+        let mut rounds = RESUME_ROUNDS;
+        while self.call.deadline > self.context.now() {
+            if let Some(resumed) = self.resume_here(rounds, connection.take(), places).await {
+                return resumed;
+            }
+            if rounds == RESUME_ROUNDS {
+                self.log_places(places);
+            }
+            if let Some(step) = self.resume_through_nodes(places).await {
+                return StoppedResume::Through(step);
+            }
+            if !self.has_places(places) {
+                break;
+            }
+            rounds = 1;
+            self.pause_round(places).await;
+            self.ask_next_node(places).await;
+        }
+        StoppedResume::Nowhere
     }
 
-    /// Keeps the copy that `plan` has used.
-    fn keep_used(&mut self, plan: &SendPlan) {
-        let used = plan.resume.as_ref().map(|resume| &resume.handle);
-        if let Some(copy) = self.copy.take_if(|copy| used == Some(&copy.handle)) {
-            copy.keep();
-        }
+    /// Whether a place of the run may still give it.
+    fn has_places(&self, places: &StoppedPlaces) -> bool {
+        places.places.is_left(places.facts(&self.context))
     }
-}
 
-impl StreamPump {
-    /// Waits for the answer to an order. `None` if the source answers another node, and not this one.
-    async fn await_order(&self, mut order: OpenOrder) -> Option<StopAnswer> {
-        let mut question = self.ask_source(ORDER_SILENCE);
-        loop {
-            let place = {
-                let mut answered = pin!(order.answer(&self.context).fuse());
-                select_biased! {
-                    answer = answered => return Some(answer),
-                    place = (&mut question).fuse() => place,
-                }
-            };
-            self.log_unanswered_order(&place);
-            if matches!(place, AnswerPlace::OtherNode(_)) {
-                return None;
+    /// Waits until the places are asked again, or the order is answered.
+    async fn pause_round(&self, places: &mut StoppedPlaces) {
+        let answer = {
+            let mut answered = pin!(places.next_answer(&self.context).fuse());
+            let mut passed = pin!(kernel::sleep(OFFER_PAUSE.into()).fuse());
+            select_biased! {
+                answer = answered => answer,
+                () = passed => return,
             }
-            question = self.ask_source(QUESTION_PAUSE);
+        };
+        places.follow_answer(&self.context, &self.call, answer);
+    }
+
+    /// Finds out which other node gets answers of a next runner that may have taken the run.
+    async fn ask_next_node(&self, places: &mut StoppedPlaces) {
+        places.next_node = None;
+        if places.places.next_may_run() {
+            places.next_node = find_answering_node(&self.context, &places.handover.runner).await;
         }
     }
 
     /// Sends the request to the runners that have the memory of the stopped run, until one goes on with
-    /// it: first as `plan` says, then where the order has left it. Returns the send and its answer, or what is
-    /// left of the run.
-    pub(super) async fn resume_stopped(
+    /// it: first to the one that the run was stopped for, then where the order has left it.
+    async fn resume_here(
         &mut self,
-        plan: &SendPlan,
-        connection: WebConnection,
-        order: CopyTask,
-        answer: Option<StopAnswer>,
-    ) -> Result<(SendPlan, WebExchange), StoppedPlaces> {
-        let mut connection = Some(connection);
-        let mut places = StoppedPlaces::new(self.source.runner.clone(), plan, order, answer);
-        for round in 0..RESUME_ROUNDS {
+        rounds: u32,
+        mut connection: Option<WebConnection>,
+        places: &mut StoppedPlaces,
+    ) -> Option<StoppedResume> {
+        for round in 0..rounds {
             if round > 0 {
                 kernel::sleep(ROUND_PAUSE.into()).await;
             }
-            let mut number = 0;
-            while let Some(next) = places.plans.get(number).cloned() {
-                number += 1;
-                if places.lost.contains(&next.runner.runner) {
-                    continue;
-                }
-                match self.resume_at(next.clone(), connection.take(), &mut places).await {
-                    Ok(resumed) => {
-                        places.keep_used(&resumed.0);
-                        return Ok(resumed);
+            for memory in RunMemory::ALL {
+                let Some(plan) = places.plan(&self.context, memory) else { continue };
+                let sent = self.resume_at(memory, plan.clone(), connection.take(), places).await;
+                match sent {
+                    Ok((plan, exchange)) => {
+                        places.note_use(memory);
+                        return Some(StoppedResume::Here(Box::new(plan), exchange));
                     }
                     Err(failure) => {
-                        self.note_refusal(&next, &failure.reason);
-                        if failure.outcome == SendOutcome::Unknown {
-                            places.lost.push(next.runner.runner);
-                        }
+                        self.note_refusal(&plan, &failure.reason);
+                        places.note_failure(memory, failure.outcome);
                     }
                 }
-                if let Some(order) = places.order.take()
-                    && let Some(answer) = self.await_order(order).await
-                {
-                    self.follow_order(&mut places, answer);
+                self.await_order(places).await;
+                if places.source_node.is_some() || places.next_node.is_some() {
+                    return None;
+                }
+            }
+        }
+        None
+    }
+
+    /// Offers the places of the run to other nodes, one after the other. The run at the next runner is offered only
+    /// to a node that gets answers of that runner.
+    async fn resume_through_nodes(&mut self, places: &mut StoppedPlaces) -> Option<PumpStep> {
+        let next = places.handover.runner.clone();
+        let (next_node, source_node) = (places.next_node.clone(), places.source_node.clone());
+        let facts = places.facts(&self.context);
+        for place in places.places.list_offers(facts) {
+            let (offer, first) = match place {
+                LeftPlace::NextRun => {
+                    (ResumeOffer::of_run(&next, self.scanner.last_id()), &next_node)
+                }
+                LeftPlace::SourceRun if self.call.supports_moves => {
+                    (ResumeOffer::of_run(&places.source, self.scanner.last_id()), &source_node)
                 }
+                LeftPlace::SourceRun => continue,
+                LeftPlace::SourceMemory => {
+                    let Some(offer) = places.offer_source(self.scanner.last_id()) else { continue };
+                    let is_left = places.places.next_may_run();
+                    (if is_left { offer.instead_of(&next) } else { offer }, &source_node)
+                }
+                LeftPlace::NextMemory(memory) => {
+                    let Some(resume) = places.memory(memory) else { continue };
+                    let offer = ResumeOffer::of_memory(&next, &resume, self.scanner.last_id());
+                    (offer.instead_of(&places.source), &next_node)
+                }
+            };
+            let step = self.resume_through_node(&offer.once(), first.clone()).await;
+            if step.is_some() {
+                match place {
+                    LeftPlace::SourceMemory => places.note_use(RunMemory::Source),
+                    LeftPlace::NextMemory(memory) => places.note_use(memory),
+                    LeftPlace::NextRun | LeftPlace::SourceRun => (),
+                }
+                return step;
             }
         }
-        self.log_places(&places);
-        Err(places)
+        None
     }
 
     /// Sends the request as `plan` says, and waits for the head of a success: for [`HEAD_TIME`] if the run can
     /// go on elsewhere, and for [`SILENCE_TIME`] as long as no other place is known.
     async fn resume_at(
         &mut self,
+        memory: RunMemory,
         mut plan: SendPlan,
         connection: Option<WebConnection>,
         places: &mut StoppedPlaces,
     ) -> Result<(SendPlan, WebExchange), SendFailure> {
         let (context, call) = (Rc::clone(&self.context), Rc::clone(&self.call));
-        self.prepare_return(&mut plan)?;
+        self.prepare_send(&mut plan);
         if let Some(resume) = &mut plan.resume {
             resume.last_event_id = self.scanner.last_id();
         }
-        let connection = if let Some(connection) = connection {
+        let unused = connection.filter(|_| memory == RunMemory::Copy);
+        let connection = if let Some(connection) = unused {
             connection
         } else {
             let connecting = connect_to_runner(&context, &call, &plan.runner, plan.purpose);
-            Box::pin(connecting).await?
+            let elsewhere = wait_answer_elsewhere(&context, &plan.runner);
+            match select(Box::pin(connecting), Box::pin(elsewhere)).await {
+                Either::Left((connected, _)) => connected?,
+                Either::Right((node, _)) => {
+                    places.note_node(memory, node);
+                    return Err(SendFailure {
+                        outcome: SendOutcome::NotSent,
+                        ..SendFailure::unreached()
+                    });
+                }
+            }
         };
         call.run_place.replace(RunPlace::Runner(plan.runner.runner.clone()));
         let run = OpenRun::new(&context, &call, &plan.runner);
-        let sent = self.send_to_place(&plan, connection, places).await;
+        let sent = self.send_to_place((memory, &plan), connection, places).await;
         if sent.as_ref().is_err_and(|failure| failure.outcome == SendOutcome::Unknown) {
             // It may work on the run, which goes on elsewhere.
             drop(run);
@@ -220,25 +277,20 @@
         Err(SendFailure::withheld(&status.to_string()))
     }
 
-    /// Assigns the call to the runner of `plan`, and checks whether the run may still return to its source.
-    fn prepare_return(&mut self, plan: &mut SendPlan) -> Result<(), SendFailure> {
-        let is_return = plan.purpose == SendPurpose::Return;
-        if is_return && !self.may_return(TimeSpan::default()) {
-            return Err(SendFailure::withheld(RETURN_LATE));
-        }
+    /// Assigns the call to the runner of `plan`.
+    fn prepare_send(&mut self, plan: &mut SendPlan) {
         if self.ticket.assigned_runner().as_ref() != Some(&plan.runner.runner) {
             self.ticket.relocate_to(&plan.runner.runner);
         }
-        if is_return {
+        if plan.purpose == SendPurpose::Return {
             plan.backup = choose_backup(&self.context, &self.call, &self.ticket);
         }
-        Ok(())
     }
 
     /// Sends the request to one place. What the source answers meanwhile may show another one.
     async fn send_to_place(
         &self,
-        plan: &SendPlan,
+        (memory, plan): (RunMemory, &SendPlan),
         connection: WebConnection,
         places: &mut StoppedPlaces,
     ) -> Result<WebExchange, SendFailure> {
@@ -247,54 +299,36 @@
         let limit = SILENCE_TIME.min(call.deadline.since(begun));
         let sending = Box::pin(send_connected(context, call, plan, connection, limit));
         let mut sending = pin!(sending.fuse());
+        let mut elsewhere = Box::pin(wait_answer_elsewhere(context, &plan.runner)).fuse();
         // When the places were last added to.
         let mut known_at = begun;
+        let unreached;
         loop {
-            let has_other =
-                places.plans.iter().any(|other| self.is_other_place(other, plan, places));
+            let has_other = places.places.has_other(memory, places.facts(context));
             let left = (known_at + HEAD_TIME).since(context.now());
             let answer = {
                 let late = async {
                     if has_other { kernel::sleep(left.into()).await } else { pending().await }
                 };
-                let answered = async {
-                    match &mut places.order {
-                        Some(order) => order.answer(context).await,
-                        None => pending().await,
-                    }
-                };
+                let answered = places.next_answer(context);
                 let (mut late, mut answered) = (pin!(late.fuse()), pin!(answered.fuse()));
                 select_biased! {
                     sent = sending => return sent,
                     answer = answered => answer,
+                    node = elsewhere => {
+                        unreached = node;
+                        break;
+                    }
                     () = late => {
                         return Err(SendFailure::stream_lost(HEAD_LATE, RunnerLoss::NoAnswer));
                     }
                 }
             };
-            places.order = None;
-            self.follow_order(places, answer);
+            places.follow_answer(context, call, answer);
             known_at = context.now();
         }
-    }
-
-    /// Adds what an order has left; one whose outcome is not known is sent again after a pause.
-    fn follow_order(&self, places: &mut StoppedPlaces, answer: StopAnswer) {
-        if answer.as_ref().is_err_and(platform::PlatformError::is_outcome_unknown) {
-            let (context, attempt) = (Rc::clone(&self.context), self.call.attempt.clone());
-            let (from, to) = (places.source.address, places.handover.runner.address);
-            let begins_at = Some(context.now() + ORDER_PAUSE);
-            let task = CopyTask::stop(context, attempt, from, to);
-            places.order = Some(OpenOrder { task, begins_at });
-        }
-        places.add_stopped(answer);
-    }
-
-    /// Whether the run can go on as `other` says instead of as `plan` says.
-    fn is_other_place(&self, other: &SendPlan, plan: &SendPlan, places: &StoppedPlaces) -> bool {
-        let is_open = other.purpose != SendPurpose::Return || self.may_return(TimeSpan::default());
-        let runner = &other.runner.runner;
-        is_open && *runner != plan.runner.runner && !places.lost.contains(runner)
+        places.note_node(memory, unreached);
+        Err(SendFailure::unreached())
     }
 
     /// Logs what is known of each place of a stopped run that this node goes on with at none of them.
@@ -304,7 +338,7 @@
             return;
         }
         let next = &places.handover.runner.runner;
-        let memory = places.copy.as_ref().map(|copy| copy.handle.as_ref());
+        let memory = places.handle().map(AsRef::as_ref);
         let handover = places.handover.resume.as_ref().map(|resume| resume.handle.as_ref());
         tracing::info!(
             event = "places_left",
@@ -312,11 +346,11 @@
             source = %places.source.runner,
             is_source_unreached = is_unreached(&self.context, &places.source),
             memory,
-            is_ordered = places.order.is_some(),
-            may_return = self.may_return(TimeSpan::default()),
+            is_ordered = places.is_order_open(),
+            may_return = places.facts(&self.context).may_return,
             %next,
             handover,
-            next_may_run = places.next_may_run(),
+            next_may_run = places.places.next_may_run(),
             events = self.scanner.event_count(),
             left_ms = self.call.deadline.since(self.context.now()).as_millis(),
         );
--- a/crates/node/src/streams/run_stop.rs
+++ b/crates/node/src/streams/run_stop.rs
@@ -6,7 +6,7 @@
 
 use std::future::pending;
 use std::net::SocketAddr;
-use std::pin::pin;
+use std::pin::{Pin, pin};
 use std::rc::Rc;
 
 use base::prelude::*;
@@ -18,12 +18,15 @@
 };
 use web::WebConnection;
 
+use super::run_return::StoppedResume;
+use super::stopped_places::StoppedPlaces;
 use super::stream_copy::{CopyTask, RunCopy};
 use super::stream_handover::{HandoverStep, caller_disconnected, describe_loss};
 use super::stream_places::{QUESTION_PAUSE, RunnerQuestion, ask_runner};
 use super::stream_pump::{PumpStep, StreamPump};
 use crate::call_log::{RequestOutcome, may_log};
 use crate::reach::{find_answer_place, is_unreached, suspect_runner};
+use crate::run_copies::stop_at_runner;
 use crate::run_end_watch::record_habit;
 use crate::runner_gate::SendPurpose;
 use crate::runner_send::SendPlan;
@@ -34,6 +37,8 @@
 pub(super) const ORDER_PAUSE: TimeSpan = TimeSpan::millis(250);
 /// Silence of a source that has not answered the order, after which it is found out where it answers.
 pub(super) const ORDER_SILENCE: TimeSpan = TimeSpan::millis(100);
+/// Time in which the stream of a stopped run closes over a link that is not full.
+const CHECK_PAUSE: TimeSpan = TimeSpan::millis(50);
 /// Time for which a run stays at a source that it has returned to, before it leaves again.
 const RETURN_STAY: TimeSpan = TimeSpan::millis(200);
 
@@ -56,6 +61,8 @@
     Due,
     /// Who gets answers of the source while it has not answered the order.
     Asked(AnswerPlace),
+    /// Whether a source that has stopped the run was found not to have it any more.
+    Checked(bool),
     /// Data of the stream, an error, or the end of the body.
     Frame(Option<Result<Bytes, hyper::Error>>),
 }
@@ -89,9 +96,16 @@
     body: BodyState,
     /// When an order whose stream has closed is to be answered at the latest.
     answer_due: Option<TimePoint>,
+    /// Asks the source once more after it has answered that the run has stopped.
+    check: Option<CheckFuture>,
+    /// Whether the source was found not to have the run any more.
+    is_gone: bool,
     question: RunnerQuestion,
 }
 
+/// The answer to whether a source still has a run that it has stopped.
+type CheckFuture = Pin<Box<dyn Future<Output = bool>>>;
+
 impl StopOrder {
     /// What the source has answered. Events that were read before the first order show whether its count
     /// is that of this stream.
@@ -138,7 +152,13 @@
         match self.wait_for_stop(&mut order, to).await {
             StopEnd::Stopped => (),
             StopEnd::NoRoom if self.ends_by_close() => return OrderedStep::NoRoom(connection),
-            StopEnd::CutOff => return OrderedStep::CutOff(connection),
+            StopEnd::CutOff => {
+                // The order may be followed, and what it leaves is the only place that is certain.
+                let StopOrder { task, answer, .. } = order;
+                let places = self.begin_places(&plan).with_order(task, answer);
+                self.left_places = Some(Box::new(places));
+                return OrderedStep::CutOff(connection);
+            }
             StopEnd::Kept | StopEnd::NoRoom => {
                 self.count_move("kept");
                 return OrderedStep::Done(HandoverStep::Kept);
@@ -149,10 +169,12 @@
             self.order_again(&mut order, to);
         }
         let StopOrder { task, answer, .. } = order;
+        let mut places = self.begin_places(&plan).with_order(task, answer);
         let disconnected = self.caller.disconnected.clone();
-        let mut disconnected = pin!(disconnected.wait().fuse());
         let resumed = {
-            let mut resuming = pin!(self.resume_stopped(&plan, connection, task, answer).fuse());
+            let mut disconnected = pin!(disconnected.wait().fuse());
+            let resuming = Box::pin(self.resume_stopped(Some(connection), &mut places));
+            let mut resuming = resuming.fuse();
             select_biased! {
                 () = disconnected => {
                     return OrderedStep::Done(HandoverStep::End(caller_disconnected()));
@@ -160,26 +182,66 @@
                 resumed = resuming => resumed,
             }
         };
-        let (plan, exchange) = match resumed {
-            Ok(resumed) => resumed,
-            Err(places) => {
-                let next_may_run = places.next_may_run();
-                drop(places);
-                let through_node = Box::pin(self.go_on_through_node(&plan, next_may_run)).await;
-                let refused = HandoverStep::Refused(SendOutcome::Unknown);
-                return OrderedStep::Done(through_node.map_or(refused, HandoverStep::End));
+        OrderedStep::Done(match self.follow_stopped(resumed, places, how) {
+            Some(PumpStep::Continue) if !self.source.is_relayed => HandoverStep::Switched,
+            Some(step) => HandoverStep::End(step),
+            None => HandoverStep::Refused(SendOutcome::Unknown),
+        })
+    }
+
+    /// Reads a stopped run from where it goes on. What else is left of it is kept until an event has come from there.
+    /// `None` if it goes on nowhere.
+    pub(super) fn follow_stopped(
+        &mut self,
+        resumed: StoppedResume,
+        places: StoppedPlaces,
+        how: &'static str,
+    ) -> Option<PumpStep> {
+        match resumed {
+            StoppedResume::Here(plan, exchange) if plan.purpose == SendPurpose::Return => {
+                let tries = self.tries;
+                self.switch_source(&plan, exchange, "returned");
+                self.tries = tries;
+                self.returned_at = Some(self.context.now());
+                self.source.switch_at = Some(self.context.now() + RETURN_STAY);
+            }
+            StoppedResume::Here(plan, exchange) => self.switch_source(&plan, exchange, how),
+            StoppedResume::Through(PumpStep::Continue) => (),
+            StoppedResume::Through(end) => return Some(end),
+            StoppedResume::Nowhere => return None,
+        }
+        self.left_places = Some(Box::new(places));
+        Some(PumpStep::Continue)
+    }
+
+    /// Goes on from what else is left of a stopped run, whose next place was lost before it delivered an event. `None`
+    /// if nothing is left.
+    pub(super) async fn resume_left_places(&mut self) -> Option<PumpStep> {
+        let mut places = self.left_places.take()?;
+        let disconnected = self.caller.disconnected.clone();
+        let resumed = {
+            let mut disconnected = pin!(disconnected.wait().fuse());
+            let mut resuming = Box::pin(self.resume_stopped(None, &mut places)).fuse();
+            select_biased! {
+                () = disconnected => return Some(caller_disconnected()),
+                resumed = resuming => resumed,
             }
         };
-        if plan.purpose == SendPurpose::Return {
-            let tries = self.tries;
-            self.switch_source(&plan, exchange, "returned");
-            self.tries = tries;
-            self.returned_at = Some(self.context.now());
-            self.source.switch_at = Some(self.context.now() + RETURN_STAY);
-        } else {
-            self.switch_source(&plan, exchange, how);
+        self.follow_stopped(resumed, *places, "resumed")
+    }
+
+    /// Follows an order that is answered after its source was found to be cut off. A run that has stopped goes on
+    /// from what that has left, unless it has gone on elsewhere meanwhile.
+    pub(super) async fn follow_late_order(&mut self, answer: StopAnswer) -> PumpStep {
+        let (context, call) = (Rc::clone(&self.context), Rc::clone(&self.call));
+        let Some(places) = &mut self.left_places else { return PumpStep::Continue };
+        places.follow_answer(&context, &call, answer);
+        let is_same = places.source.runner == self.source.runner.runner && !self.source.is_relayed;
+        if !is_same || !places.places.has_kept() {
+            return PumpStep::Continue;
         }
-        OrderedStep::Done(HandoverStep::Switched)
+        self.source.close();
+        Box::pin(self.go_on_elsewhere("resume_refused")).await
     }
 
     /// Whether the runner of the source drops a run whose connection closes, as far as is known.
@@ -200,6 +262,8 @@
             last_event_at: now,
             body: BodyState::Open,
             answer_due: None,
+            check: None,
+            is_gone: false,
             question: self.ask_ordered(ORDER_SILENCE),
         }
     }
@@ -229,10 +293,17 @@
                     if let Err(error) = &answer {
                         self.log_send_failure(&error.to_string());
                     }
+                    if answer.is_ok() {
+                        order.check = Some(self.ask_stopped(to));
+                    }
                     order.answer = Some(answer);
                     order.answered_at = self.context.now();
                 }
                 StopInput::Due => (),
+                StopInput::Checked(is_gone) => {
+                    order.is_gone = is_gone;
+                    order.check = None;
+                }
                 StopInput::Asked(place) => {
                     self.log_unanswered_order(&place);
                     if self.is_source_lost(&place) && !self.source.ended {
@@ -270,6 +341,18 @@
         }
     }
 
+    /// Finds out after a moment whether the source still has a run that it has stopped: it does not know the run any
+    /// more then. The stream of the run closes meanwhile, unless its link is full.
+    fn ask_stopped(&self, to: SocketAddr) -> CheckFuture {
+        let (context, attempt) = (Rc::clone(&self.context), self.call.attempt.clone());
+        let from = self.source.runner.address;
+        Box::pin(async move {
+            kernel::sleep(CHECK_PAUSE.into()).await;
+            let asked = stop_at_runner(&context, &attempt, from, to, ANSWER_TIME).await;
+            asked.is_err_and(|error| error.is_not_found())
+        })
+    }
+
     fn stop_facts(&self, order: &StopOrder) -> StopFacts {
         StopFacts {
             answer: order.answer(),
@@ -278,6 +361,7 @@
             last_event_at: order.last_event_at,
             events: self.scanner.total_events(),
             body: order.body,
+            is_gone: order.is_gone,
             is_answer_late: order.answer_due.is_some_and(|due| due <= self.context.now()),
         }
     }
@@ -332,7 +416,13 @@
     ) -> StopInput {
         let now = self.context.now();
         let is_open = order.answer.is_none();
-        let (task, question) = (&mut order.task, &mut order.question);
+        let (task, question, check) = (&mut order.task, &mut order.question, &mut order.check);
+        let checked = async {
+            match check {
+                Some(check) => check.await,
+                None => pending().await,
+            }
+        };
         let answered = async { if is_open { task.await } else { pending().await } };
         let asked = async { if is_open { question.await } else { pending().await } };
         let passed = async {
@@ -345,11 +435,13 @@
         let mut disconnected = pin!(self.caller.disconnected.wait().fuse());
         let (mut answered, mut passed) = (pin!(answered.fuse()), pin!(passed.fuse()));
         let (mut asked, mut deadline) = (pin!(asked.fuse()), pin!(deadline.fuse()));
+        let mut checked = pin!(checked.fuse());
         let mut frame = pin!(self.source.next_frame().fuse());
         select_biased! {
             () = disconnected => StopInput::CallerDisconnected,
             frame = frame => StopInput::Frame(frame),
             answer = answered => StopInput::Answered(answer),
+            is_gone = checked => StopInput::Checked(is_gone),
             place = asked => StopInput::Asked(place),
             () = passed => StopInput::Due,
             () = deadline => StopInput::Deadline,
@@ -376,6 +468,7 @@
             answer_age_ms = now.since(facts.answered_at).as_millis(),
             event_age_ms = now.since(facts.last_event_at).as_millis(),
             made,
+            is_gone = facts.is_gone,
             events = facts.events,
             body = ?facts.body,
             left_ms = self.call.deadline.since(now).as_millis(),
--- a/crates/node/src/streams/stream_handover.rs
+++ b/crates/node/src/streams/stream_handover.rs
@@ -8,6 +8,7 @@
 
 use futures_util::{FutureExt, select_biased};
 use hyper::body::Bytes;
+use life::RunMemory;
 use serving::{OverlapRule, RunnerRecord, SendOutcome};
 use web::{WebConnection, WebExchange};
 
@@ -239,6 +240,9 @@
         outcome: SendOutcome,
     ) -> HandoverStep {
         self.note_refusal(plan, reason);
+        if let Some(places) = &mut self.left_places {
+            places.note_failure(RunMemory::Copy, outcome);
+        }
         let end = self.forward_held(held).await;
         end.map_or(HandoverStep::Refused(outcome), HandoverStep::End)
     }
--- a/crates/node/src/streams/stream_move.rs
+++ b/crates/node/src/streams/stream_move.rs
@@ -70,6 +70,9 @@
     /// Goes on from the backup copy after the source was lost, or else runs again if the route allows
     /// that. Otherwise the stream ends with `reason`.
     pub(crate) async fn go_on_elsewhere(&mut self, reason: &'static str) -> PumpStep {
+        if let Some(step) = self.resume_left_places().await {
+            return step;
+        }
         if self.may_resume() {
             return self.resume_from_backup().await;
         }
--- a/crates/node/src/streams/stream_pump.rs
+++ b/crates/node/src/streams/stream_pump.rs
@@ -8,9 +8,11 @@
 use base::prelude::*;
 use futures_util::{FutureExt, SinkExt, select_biased};
 use hyper::body::Bytes;
+use life::{FreeFacts, may_free_memory};
 use route::CallEnd;
 use serving::StreamScanner;
 
+use super::stopped_places::StoppedPlaces;
 use super::stream_copy::RunCopy;
 use super::stream_move::{MAX_SWITCH_TRIES, PendingMove};
 use super::stream_relay::NodeQuestion;
@@ -47,6 +49,8 @@
     NodeAsked(bool),
     /// Copying the run's memory to another runner has ended.
     Moved(platform::Result<RunCopy>),
+    /// An order to stop the run was answered after the source was found to be cut off.
+    OrderAnswered(platform::Result<RunCopy>),
     /// Data of the stream, an error, or the end of the body.
     Frame(Option<Result<Bytes, hyper::Error>>),
 }
@@ -103,6 +107,8 @@
     pub(crate) pending_check: Option<CheckFuture>,
     /// The question to the node that a silent stream comes through.
     pub(crate) pending_question: Option<NodeQuestion>,
+    /// What else is left of a run that was stopped, until its next place has delivered an event.
+    pub(crate) left_places: Option<Box<StoppedPlaces>>,
     pace: StreamPace,
     open: OpenCall,
     _active: RequestGuard,
@@ -140,6 +146,7 @@
             returned_at: None,
             pending_check: None,
             pending_question: None,
+            left_places: None,
             pace: StreamPace::default(),
             open,
             _active: context.track_request(),
@@ -163,6 +170,7 @@
                 PumpInput::SourceSilent => self.handle_silence().await,
                 PumpInput::SourceChecked(check) => self.finish_check(check).await,
                 PumpInput::Moved(outcome) => self.finish_move(outcome).await,
+                PumpInput::OrderAnswered(answer) => self.follow_late_order(answer).await,
                 PumpInput::Frame(frame) => self.handle_frame(frame).await,
             };
             if let PumpStep::End(outcome, reason) = step {
@@ -189,6 +197,13 @@
         let pending_check = &mut self.pending_check;
         let pending_question = &mut self.pending_question;
         let frame = source.next_frame();
+        let (context, left_places) = (&self.context, &mut self.left_places);
+        let ordered = async {
+            match left_places {
+                Some(places) => places.next_answer(context).await,
+                None => pending().await,
+            }
+        };
         let moved = async {
             match pending_move {
                 Some(pending) => (&mut pending.future).await,
@@ -226,11 +241,13 @@
         let (mut runner_leaving, mut switch_due) =
             (pin!(runner_leaving.fuse()), pin!(switch_due.fuse()));
         let (mut checked, mut asked) = (pin!(checked.fuse()), pin!(asked.fuse()));
+        let mut ordered = pin!(ordered.fuse());
         let (mut silent, mut deadline) = (pin!(silent.fuse()), pin!(deadline.fuse()));
         let mut disconnected = pin!(self.caller.disconnected.wait().fuse());
         select_biased! {
             () = disconnected => PumpInput::CallerDisconnected,
             moved = moved => PumpInput::Moved(moved),
+            answer = ordered => PumpInput::OrderAnswered(answer),
             () = switch_due => PumpInput::SwitchDue,
             () = runner_leaving => PumpInput::RunnerLeaving,
             frame = frame => PumpInput::Frame(frame),
@@ -285,6 +302,8 @@
         if self.pending_move.is_some() || self.source.first_events.is_none() {
             self.ticket.hold_progress();
         }
+        let has_event = self.source.first_events.is_none();
+        self.free_left_places(FreeFacts { has_event, is_over: false });
         let first = *self.source.first_events.get_or_insert(now);
         if !self.is_prompt_proven && now.since(first) >= PROOF_SPAN {
             self.is_prompt_proven = true;
@@ -309,6 +328,13 @@
         }
     }
 
+    /// Frees what else is left of a stopped run, if that is not needed any more.
+    fn free_left_places(&mut self, facts: FreeFacts) {
+        if may_free_memory(facts) {
+            self.left_places = None;
+        }
+    }
+
     /// Closes the source before the end of its stream. Its runner may go on with the run.
     pub(crate) fn close_source(&mut self) {
         if !self.source.ended && !self.source.is_relayed {
@@ -347,6 +373,7 @@
         if outcome != RequestOutcome::Streamed {
             self.close_source();
         }
+        self.free_left_places(FreeFacts { has_event: false, is_over: true });
         self.ticket.finish(end);
         drop(self.source.connection);
         if end == CallEnd::Failed {
--- a/crates/serving/src/run_stop.rs
+++ b/crates/serving/src/run_stop.rs
@@ -83,6 +83,8 @@
     pub events: Option<u64>,
     /// Its body.
     pub body: BodyState,
+    /// Whether the source, asked again after it had confirmed the stop, does not have the run.
+    pub is_gone: bool,
     /// Whether the time is over for the answer to an order whose stream has closed.
     pub is_answer_late: bool,
 }
@@ -136,6 +138,7 @@
     let is_due = stop_due(facts).is_some_and(|due| due <= now);
     match facts.answer {
         Some(OrderAnswer::Stopped(_)) if has_gone_on(facts) => StopDecision::GoesOn,
+        Some(OrderAnswer::Stopped(_)) if facts.is_gone => StopDecision::TakeNext,
         Some(OrderAnswer::Stopped(_) | OrderAnswer::NotFound) if is_due => StopDecision::TakeNext,
         None | Some(OrderAnswer::Stopped(_) | OrderAnswer::NotFound) => StopDecision::Wait,
         Some(OrderAnswer::NoRoom) => StopDecision::NoRoom,
--- a/crates/serving/tests/run_stop.rs
+++ b/crates/serving/tests/run_stop.rs
@@ -16,6 +16,7 @@
         last_event_at: ANSWERED,
         events,
         body,
+        is_gone: false,
         is_answer_late,
     }
 }
@@ -59,6 +60,16 @@
     assert_snapshot!(decisions(gone), @"0 wait, 399 wait, 400 wait, 1999 wait, 2000 wait");
 }
 
+/// Guards against LOST: the next runner is asked only when the late events of a stopped run have come.
+#[test]
+fn a_source_that_does_not_have_the_run_any_more_is_not_waited_for() {
+    let stopped = facts(Some(OrderAnswer::Stopped(Some(7))), Some(5), BodyState::Open);
+    let gone = StopFacts { is_gone: true, ..stopped };
+    let beyond = StopFacts { events: Some(12), ..gone };
+    assert_snapshot!(decisions(gone), @"0 take_next, 399 take_next, 400 take_next, 1999 take_next, 2000 take_next");
+    assert_snapshot!(decisions(beyond), @"0 goes_on, 399 goes_on, 400 goes_on, 1999 goes_on, 2000 goes_on");
+}
+
 #[test]
 fn an_ended_body_and_the_answer_decide_together() {
     let answers = [
--- a/crates/spec/src/lib.rs
+++ b/crates/spec/src/lib.rs
@@ -3,7 +3,7 @@
 //! Each model is a small world around the very structs that the product runs
 //! ([`booking::BookingCoordinator`], [`relay::TokenRelay`], [`orders::OrderController`],
 //! [`config::ConfigFold`], [`serving::AttemptTracker`], [`serving::StreamScanner`],
-//! [`serving::EraView`], [`life::StreamLife`]): a few processes, a caller or a target, and a network that
+//! [`serving::EraView`], [`life::StreamLife`], [`life::RunPlaces`]): a few processes, a caller or a target, and a network that
 //! loses, repeats, delays and reorders. All interleavings within the world's bounds are
 //! visited. Each model has broken variants, in which the binding around the struct makes
 //! a mistake that is easily made; the search must find a violation in each, or it proves
@@ -17,6 +17,7 @@
 mod lives;
 mod moves;
 mod search;
+mod stopped;
 mod streams;
 
 pub use attempts::{AttemptVariant, check_attempts};
@@ -27,6 +28,7 @@
 pub use lives::{LifeVariant, check_lives};
 pub use moves::{MoveVariant, check_moves};
 pub use search::{ModelRun, explore};
+pub use stopped::{StoppedVariant, check_stopped};
 pub use streams::{StreamKind, StreamVariant, check_streams};
 
 /// All models: the sound ones, then their broken variants.
@@ -41,6 +43,7 @@
     runs.extend(AttemptVariant::ALL.map(check_attempts));
     runs.extend(MoveVariant::ALL.map(check_moves));
     runs.extend(EraVariant::ALL.map(check_eras));
+    runs.extend(StoppedVariant::ALL.map(check_stopped));
     runs.extend(LifeVariant::SOUND.map(check_lives));
     runs.extend(LifeVariant::FAULTS.map(check_lives));
     runs.extend(LifeVariant::LATE_READS.map(check_lives));
--- a/crates/spec/tests/models.rs
+++ b/crates/spec/tests/models.rs
@@ -3,8 +3,9 @@
 use insta::assert_snapshot;
 use spec::{
     AttemptVariant, BookingVariant, ClaimVariant, ConfigVariant, EraVariant, LifeVariant, ModelRun,
-    MoveVariant, StreamKind, StreamVariant, check_attempts, check_bookings, check_claims,
-    check_configs, check_eras, check_lives, check_moves, check_streams,
+    MoveVariant, StoppedVariant, StreamKind, StreamVariant, check_attempts, check_bookings,
+    check_claims, check_configs, check_eras, check_lives, check_moves, check_stopped,
+    check_streams,
 };
 
 /// One line for each run; a run that is not as expected fails with its trace.
@@ -48,6 +49,12 @@
     assert_snapshot!(table(MoveVariant::ALL.map(check_moves)));
 }
 
+/// A stopped run, its places and its memory: each rule taken out loses a stream.
+#[test]
+fn a_stopped_run_goes_on_where_a_place_has_it() {
+    assert_snapshot!(table(StoppedVariant::ALL.map(check_stopped)));
+}
+
 #[test]
 fn a_store_that_comes_back_from_a_copy_hides_no_version() {
     assert_snapshot!(table(EraVariant::ALL.map(check_eras)));
