Have another node move a stream whose first answer does not come, and read on

What callers saw: 502 after 1.06 s for a stream whose head is late by 1.2 s, 6.9 s before its deadline. Cause: wait_while_unanswered ends a send once this node reaches no runner of the service and the runner answers another node. For a stream that has no copy and may run once this gives up the only place: the connection that may still deliver.

Change: such a send is waited for until its deadline. Other nodes are asked beside it to move the run (request_or_move); what comes first is relayed. Sends that can go on elsewhere are ended as before, and so are plain calls: a booking at a node that is cut off from its whole service still gets 502 (node_answer_waits), which is listed as open.

--- a/crates/node/src/runner_send.rs
+++ b/crates/node/src/runner_send.rs
@@ -116,6 +116,13 @@
         Self { resume: Some(resume), ..Self::first(runner, backup) }
     }
 
+    /// Whether the answer is waited for although this node is cut off from the runner: the run can go on nowhere else
+    /// but where another node moves it.
+    #[must_use]
+    pub fn moves_unanswered(&self, call: &Call) -> bool {
+        call.tokens_per_event.is_some() && call.supports_moves && !self.may_go_on(call)
+    }
+
     /// Whether the run may go on elsewhere if this node is cut off from the runner.
     fn may_go_on(&self, call: &Call) -> bool {
         self.backup.is_some() || self.resume.is_some() || call.route.stream_resume
@@ -198,7 +205,12 @@
     let request = build_request(call, &head).map_err(|error| not_sent(&error))?;
     let pending = begin_send(context, &incarnation, plan.purpose).map_err(withheld)?;
     let sending = Box::pin(connection.send(request, limit.min(left)));
-    let unanswered = wait_while_unanswered(context, runner, plan.may_go_on(call));
+    let unanswered = async {
+        if plan.moves_unanswered(call) {
+            return std::future::pending().await;
+        }
+        wait_while_unanswered(context, runner, plan.may_go_on(call)).await;
+    };
     let Some(sent) = unless_stopped(sending, unanswered).await else {
         pending.finish(true);
         return Err(SendFailure::unreached());
--- a/crates/node/src/streams/stream_call.rs
+++ b/crates/node/src/streams/stream_call.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 
 use base::prelude::*;
+use futures_util::future::{Either, select};
 use hyper::Response;
 use hyper::body::Bytes;
 use platform::copy_reply_headers;
@@ -12,6 +13,7 @@
 use web::{ConnectionCloser, WebResponse};
 
 use super::stream_backup::{choose_backup, plan_backup_resume};
+use super::stream_places::MOVE_PAUSE;
 use super::stream_pump::{StreamParts, StreamPump};
 use super::stream_relay::{forward_stream, relay_taken};
 use super::stream_resume::StreamAttempts;
@@ -27,7 +29,7 @@
 use crate::crash_watch::record_full_answer;
 use crate::forward::{ResumeOffer, RunSite, TakenResume, offer_resume};
 use crate::hedged_call::{RaceEnd, SendEnd, may_hedge, race_stream};
-use crate::reach::is_unreached;
+use crate::reach::{is_unreached, wait_while_unanswered};
 use crate::route_ticket::RouteTicket;
 use crate::router::RouterService;
 use crate::run_end_watch::OpenRun;
@@ -77,23 +79,10 @@
         let mut outcome = if may_hedge(context, &call, &tracker) {
             let RaceEnd { last, failed, cancelled } =
                 race_stream(context, router, &call, &tracker, (ticket, plan)).await;
-            if let Some(SendEnd { ticket, plan, result }) = failed {
-                tried.push(plan.runner.runner.clone());
-                match result {
-                    Ok(RunnerAnswer::Full(answer)) => {
-                        ticket.finish(CallEnd::Finished);
-                        record_full_answer(context, &call, &answer);
-                        record_send(&call, &mut tracker, SendOutcome::Failed);
-                        error_answer = Some(answer);
-                    }
-                    // A stream wins its race.
-                    Ok(RunnerAnswer::Stream(..)) => ticket.finish(CallEnd::Cancelled),
-                    Err(failure) => {
-                        record_send_failure(context, router, &call, &plan.runner, &failure);
-                        record_send(&call, &mut tracker, failure.outcome);
-                        ticket.finish(failure.end);
-                    }
-                }
+            if let Some(failed) = failed {
+                tried.push(failed.plan.runner.runner.clone());
+                let lost = end_lost_send(context, router, &call, &mut tracker, failed);
+                error_answer = lost.or(error_answer);
             }
             if let Some(runner) = cancelled {
                 record_send(&call, &mut tracker, SendOutcome::Unknown);
@@ -102,7 +91,13 @@
             (ticket, plan) = (last.ticket, last.plan);
             last.result
         } else {
-            request_answer(context, &call, &plan).await
+            match request_or_move(context, &call, &plan).await {
+                SendStep::Ended(outcome) => outcome,
+                SendStep::Moved(taken) => {
+                    ticket.finish(CallEnd::Cancelled);
+                    return relay_taken(context, router, call, closer, taken).await;
+                }
+            }
         };
         if let Some(reason) = withheld_reason(&outcome) {
             search.unassign(context, router, (ticket, &plan.runner.runner), reason).await;
@@ -154,6 +149,70 @@
     }
 }
 
+/// Records the send that has lost a race. Returns the error that its runner has answered with.
+fn end_lost_send(
+    context: &Rc<NodeContext>,
+    router: &Rc<RouterService>,
+    call: &Rc<Call>,
+    tracker: &mut AttemptTracker,
+    SendEnd { ticket, plan, result }: SendEnd<RunnerAnswer>,
+) -> Option<Response<Bytes>> {
+    match result {
+        Ok(RunnerAnswer::Full(answer)) => {
+            ticket.finish(CallEnd::Finished);
+            record_full_answer(context, call, &answer);
+            record_send(call, tracker, SendOutcome::Failed);
+            return Some(answer);
+        }
+        // A stream wins its race.
+        Ok(RunnerAnswer::Stream(..)) => ticket.finish(CallEnd::Cancelled),
+        Err(failure) => {
+            record_send_failure(context, router, call, &plan.runner, &failure);
+            record_send(call, tracker, failure.outcome);
+            ticket.finish(failure.end);
+        }
+    }
+    None
+}
+
+/// How the first send of a stream ended.
+enum SendStep {
+    /// The runner has answered, or failed.
+    Ended(Result<RunnerAnswer, SendFailure>),
+    /// Another node has moved the run away from a runner whose answer does not reach this one.
+    Moved(TakenResume),
+}
+
+/// Sends the call like [`request_answer`]. If this node is cut off from the runner, and no copy of the run is kept, the
+/// answer is waited for while other nodes are asked to move the run.
+async fn request_or_move(context: &Rc<NodeContext>, call: &Rc<Call>, plan: &SendPlan) -> SendStep {
+    if !plan.moves_unanswered(call) {
+        return SendStep::Ended(request_answer(context, call, plan).await);
+    }
+    let sending = Box::pin(request_answer(context, call, plan));
+    let moving = Box::pin(move_unanswered(context, call, &plan.runner));
+    match select(sending, moving).await {
+        Either::Left((outcome, _)) => SendStep::Ended(outcome),
+        Either::Right((taken, _)) => SendStep::Moved(taken),
+    }
+}
+
+/// Has other nodes move a run whose runner answers them, and not this node, until one has.
+async fn move_unanswered(
+    context: &Rc<NodeContext>,
+    call: &Rc<Call>,
+    runner: &RunnerRecord,
+) -> TakenResume {
+    loop {
+        wait_while_unanswered(context, runner, false).await;
+        let offer = ResumeOffer::of_run(runner, None).once();
+        if let Some(taken) = offer_resume(context, call, &offer, None, &Cell::default()).await {
+            return taken;
+        }
+        kernel::sleep(MOVE_PAUSE.into()).await;
+    }
+}
+
 /// Sends the call and reads the head of a stream, or the whole of any other answer.
 pub(crate) async fn request_answer(
     context: &Rc<NodeContext>,
