Take a response whose status is none for no answer

Played: 000, 099, 20 and 2000 are stopped by the HTTP library, also behind an interim response; 101 was passed on as a whole empty answer, 600 to 999 with their body.

Cause: nothing said which statuses an answer has; the library's range was the rule. All readers go through it: answers of runners, of nodes to offers, of the store, of copies and orders, of the directory.

RunnerScript has a status line of its own.

--- a/crates/fakes/src/platform/runner_answers.rs
+++ b/crates/fakes/src/platform/runner_answers.rs
@@ -203,6 +203,9 @@
             write(stream, format!("{good}{refusal}")).await
         }
         RunnerScript::Extra => write(stream, format!("{good}{good}")).await,
+        RunnerScript::StatusLine(line) => {
+            write(stream, good.replacen("HTTP/1.1 200 OK", line, 1)).await
+        }
         RunnerScript::Garbage => {
             write(stream, "bytes that are no answer\r\n\r\n").await;
             false
@@ -257,6 +260,9 @@
         write(stream, &head[..length]).await;
         return false;
     }
+    if let RunnerScript::StatusLine(line) = script {
+        head = head.replacen("HTTP/1.1 200 OK", line, 1);
+    }
     if !write(stream, head).await {
         return false;
     }
--- a/crates/fakes/src/platform/runner_script.rs
+++ b/crates/fakes/src/platform/runner_script.rs
@@ -57,4 +57,6 @@
     CloseLate,
     /// Half of the body of a plain call, and the rest after 3 s.
     RestLate,
+    /// As it should be, but for this status line, which others may come before.
+    StatusLine(&'static str),
 }
--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -4,6 +4,7 @@
 //! closed, which is not allowed for calls that must not be repeated.
 
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 
 use base::TimeSpan;
 use compio::net::TcpStream;
@@ -131,6 +132,10 @@
     }
 }
 
+/// Statuses that an answer can have. A peer that sends another one may have followed the request; nothing more is
+/// read from its connection.
+const ANSWER_STATUSES: RangeInclusive<u16> = 200..=599;
+
 async fn send_on(
     stream: TcpStream,
     peer: SocketAddr,
@@ -159,6 +164,10 @@
         .map_err(|_| WebError::Deadline { step: "request", peer })?
         .map_err(|source| read_error(&meter, "request", source))?;
     meter.end_head();
+    let status = response.status();
+    if !ANSWER_STATUSES.contains(&status.as_u16()) {
+        return Err(WebError::OddStatus { step: "request", peer, status });
+    }
     let response = response.map(|body| ReplyBody::new(body, meter));
     Ok(WebExchange { response, connection })
 }
--- a/crates/web/src/error.rs
+++ b/crates/web/src/error.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use hyper::StatusCode;
 use thiserror::Error;
 
 use crate::interim_scan::MAX_INTERIM_RESPONSES;
@@ -58,6 +59,16 @@
         /// The limit, in bytes.
         limit: usize,
     },
+    /// The head has a status that no answer has.
+    #[error("{step} with {peer}: {status} is no status of an answer")]
+    OddStatus {
+        /// The step that failed.
+        step: &'static str,
+        /// The peer.
+        peer: SocketAddr,
+        /// The status.
+        status: StatusCode,
+    },
     /// More interim responses precede the final one than there may be.
     #[error("{step}: more than {MAX_INTERIM_RESPONSES} interim responses")]
     TooManyInterim {
