--- a/crates/life/src/run_places.rs
+++ b/crates/life/src/run_places.rs
@@ -190,6 +190,12 @@
         self.kept.is_kept()
     }
 
+    /// Whether the copy of before the order is still unused, as far as is known.
+    #[must_use]
+    pub fn has_copy(&self) -> bool {
+        self.copy.is_kept()
+    }
+
     /// Whether the next runner may have taken the run, and gave no answer.
     #[must_use]
     pub fn next_may_run(&self) -> bool {
--- a/crates/node/src/forward/moved_run.rs
+++ b/crates/node/src/forward/moved_run.rs
@@ -28,7 +28,7 @@
 use crate::route_ticket::RouteTicket;
 use crate::router::RouterService;
 use crate::run_end_watch::OpenRun;
-use crate::runner_gate::SendPurpose;
+use crate::runner_gate::{SendPurpose, stopped_run_window};
 use crate::runner_send::{SendPlan, send_connected};
 use crate::streams::{CopyTask, RunCopy, choose_backup, is_event_stream};
 
@@ -57,6 +57,8 @@
     last_event_id: Option<u64>,
     /// When the other node is to have its answer.
     end: TimePoint,
+    /// Until when the target may get a run that was stopped for it although it leaves, or its place is evacuated.
+    target_end: TimePoint,
     /// A connection to the target that is still unused.
     connection: Option<WebConnection>,
     /// Whether the target may have taken the run and gave no answer.
@@ -138,8 +140,19 @@
     let end = call.arrived + TimeSpan(offer.limit.0.saturating_sub(ANSWER_TIME.0));
     let last_event_id = offer.last_event_id;
     let (connection, is_target_lost) = (None, false);
-    let mut run =
-        RunMove { context, call, source, target, last_event_id, end, connection, is_target_lost };
+    // The order was given some time ago.
+    let target_end = context.now();
+    let mut run = RunMove {
+        context,
+        call,
+        source,
+        target,
+        last_event_id,
+        end,
+        target_end,
+        connection,
+        is_target_lost,
+    };
     let moved = run.follow_order(&mut ticket, copy, order).await;
     (ticket, moved)
 }
@@ -156,8 +169,18 @@
     let end = call.arrived + TimeSpan(offer.limit.0.saturating_sub(ANSWER_TIME.0));
     let last_event_id = offer.last_event_id;
     let (connection, is_target_lost) = (None, false);
-    let mut run =
-        RunMove { context, call, source, target, last_event_id, end, connection, is_target_lost };
+    let target_end = context.now();
+    let mut run = RunMove {
+        context,
+        call,
+        source,
+        target,
+        last_event_id,
+        end,
+        target_end,
+        connection,
+        is_target_lost,
+    };
     let stop_time = MAX_STOP_TIME.min(TimeSpan(offer.limit.0 / STOP_SHARE));
     let copy = run.copy_beside_run(end - stop_time).await?;
     let connected = connect(context, call, &run.target, SendPurpose::NewWork).await;
@@ -192,6 +215,7 @@
     ) -> Result<(SendPlan, WebExchange), ResumeRefusal> {
         let (from, to) = (self.source.address, self.target.address);
         let order = RunOrder::give(self.context, self.call, from, to);
+        self.target_end = self.context.now() + stopped_run_window(self.context);
         let is_early = timeout(ORDER_TIME.into(), order.wait()).await.is_ok();
         if is_early {
             order.log_failure(self.context, self.call, &self.source);
@@ -293,6 +317,8 @@
             return None;
         }
         let runner = if is_return { self.source.clone() } else { self.target.clone() };
+        let is_stopped = !is_return && context.now() < self.target_end;
+        let purpose = if is_stopped { SendPurpose::StoppedRun } else { purpose };
         ticket.relocate_to(&runner.runner);
         let address = self.source.address;
         let resume =
--- a/crates/node/src/runner_gate.rs
+++ b/crates/node/src/runner_gate.rs
@@ -115,6 +115,13 @@
     }
 }
 
+/// Time from when a run was ordered to stop, or from when this node has learned that its runner leaves, in which the
+/// run may go to a runner that leaves: a part of the time after which that may get no requests.
+#[must_use]
+pub fn stopped_run_window(context: &NodeContext) -> TimeSpan {
+    TimeSpan(context.settings.drain.0 / 4 * 3)
+}
+
 /// Checks whether a run that was stopped for this start of a runner may go on there: that is no new work.
 fn check_stopped(context: &NodeContext, runner: &RunnerIncarnation) -> Result<(), SendBlock> {
     match find_block(context, runner).or_else(|| find_shortage(context, runner)) {
--- a/crates/node/src/streams/mod.rs
+++ b/crates/node/src/streams/mod.rs
@@ -1,8 +1,10 @@
 //! Stream calls: finding a runner, relaying its events, and going on elsewhere when it leaves, is lost
 //! or falls silent.
 
+mod left_places;
 mod run_return;
 mod run_stop;
+mod stop_order;
 mod stopped_places;
 mod stream_backup;
 mod stream_call;
--- a/crates/node/src/streams/run_return.rs
+++ b/crates/node/src/streams/run_return.rs
@@ -14,7 +14,7 @@
 use serving::{AnswerPlace, RunnerLoss, RunnerRecord, SendOutcome};
 use web::{WebConnection, WebExchange};
 
-use super::run_stop::ORDER_SILENCE;
+use super::stop_order::ORDER_SILENCE;
 use super::stopped_places::StoppedPlaces;
 use super::stream_backup::choose_backup;
 use super::stream_places::{QUESTION_PAUSE, ask_next};
@@ -25,7 +25,7 @@
 use crate::forward::ResumeOffer;
 use crate::reach::{find_answering_node, is_unreached};
 use crate::run_end_watch::OpenRun;
-use crate::runner_gate::SendPurpose;
+use crate::runner_gate::{SendPurpose, stopped_run_window};
 use crate::runner_send::{SendFailure, SendPlan, connect_to_runner, send_connected};
 
 /// Time for which a stopped run that can go on elsewhere waits for a runner to go on with it. A runner that
@@ -95,7 +95,7 @@
 
     /// What is left of a run that its source is ordered to stop, for `handover`.
     pub(super) fn begin_places(&self, handover: &SendPlan) -> StoppedPlaces {
-        let window = TimeSpan(self.context.settings.drain.0 / 4 * 3);
+        let window = stopped_run_window(&self.context);
         let return_end = self.leaving_since.map(|since| since + window);
         let ends = (return_end, self.context.now() + window);
         StoppedPlaces::new(self.source.runner.clone(), handover.clone(), ends)
@@ -364,7 +364,7 @@
     /// Whether the run may go on at its source, for `margin` more. It may in the first three quarters of
     /// the drain time: after that time a runner that has announced that it leaves may get no requests.
     fn may_return(&self, margin: TimeSpan) -> bool {
-        let window = TimeSpan(self.context.settings.drain.0 / 4 * 3);
+        let window = stopped_run_window(&self.context);
         let end = self.context.now() + margin;
         self.leaving_since.is_none_or(|since| end.since(since) < window)
     }
--- a/crates/node/src/streams/stopped_places.rs
+++ b/crates/node/src/streams/stopped_places.rs
@@ -7,7 +7,7 @@
 use platform::{PlatformError, ResumeSource};
 use serving::{RunnerRecord, SendOutcome};
 
-use super::run_stop::{ORDER_PAUSE, StopAnswer};
+use super::stop_order::{ORDER_PAUSE, StopAnswer};
 use super::stream_copy::{CopyTask, RunCopy};
 use crate::call::Call;
 use crate::context::NodeContext;
@@ -32,6 +32,8 @@
     pub(super) places: RunPlaces,
     order: Option<OpenOrder>,
     copy: Option<RunCopy>,
+    /// The copy that the next runner had before, if this node has asked for it.
+    earlier_copy: Option<RunCopy>,
     /// Another node that gets answers of the source, which this one does not.
     pub(super) source_node: Option<VmId>,
     /// The same of the next runner.
@@ -58,6 +60,7 @@
             places,
             order: None,
             copy: None,
+            earlier_copy: None,
             source_node: None,
             next_node: None,
             return_end,
@@ -192,6 +195,15 @@
         self.places.note_failure(memory, outcome);
     }
 
+    /// Keeps the copy of before the order like what the order has left; one that is used, or may be, is not freed.
+    pub(super) fn hold_earlier(&mut self, copy: RunCopy) {
+        if self.places.has_copy() {
+            self.earlier_copy = Some(copy);
+        } else {
+            copy.keep();
+        }
+    }
+
     /// Does not free a memory that a runner has used.
     fn keep_used(&mut self, memory: RunMemory) {
         let used = self.memory(memory).map(|resume| resume.handle);
--- a/crates/node/src/streams/stream_move.rs
+++ b/crates/node/src/streams/stream_move.rs
@@ -237,8 +237,8 @@
         let backup = choose_backup(&self.context, &self.call, &self.ticket);
         let plan = SendPlan::resume(target.clone(), resume, backup);
         match self.hand_over(plan, "moved", OverlapRule::KeepSource).await {
-            HandoverStep::Switched => {
-                copy.keep();
+            HandoverStep::Switched | HandoverStep::End(PumpStep::Continue) => {
+                self.hold_copy(copy);
                 PumpStep::Continue
             }
             HandoverStep::End(step) => step,
@@ -253,6 +253,15 @@
         }
     }
 
+    /// Keeps the copy that a run was moved by until it goes on for certain. One that the next runner has taken without
+    /// an order is used.
+    fn hold_copy(&mut self, copy: RunCopy) {
+        match &mut self.left_places {
+            Some(places) => places.hold_earlier(copy),
+            None => copy.keep(),
+        }
+    }
+
     /// Goes on with a run that its source has not stopped. It leaves later, unless it stays for good.
     fn keep_run(&mut self) -> PumpStep {
         self.ticket.relocate_to(&self.source.runner.runner);
