Ask the places of a stopped run in rounds that become rarer

A stopped run that no place gives is kept until its deadline since, and was asked for four times a second at every node that may be asked. On a deployment whose places stay away for long that is a load for nothing. The pause between rounds now doubles from 150 ms to 1.2 s.

--- a/crates/node/src/streams/run_return.rs
+++ b/crates/node/src/streams/run_return.rs
@@ -41,8 +41,10 @@
 const ROUND_PAUSE: TimeSpan = TimeSpan::millis(75);
 /// Time to keep for another return when a run that has returned leaves again.
 const RETURN_MARGIN: TimeSpan = TimeSpan::millis(500);
-/// Pause until the places that have not gone on with the run are offered again.
-const OFFER_PAUSE: TimeSpan = TimeSpan::millis(250);
+/// Shortest pause until the places that have not gone on with the run are asked again; it doubles with each round.
+const OFFER_PAUSE: TimeSpan = TimeSpan::millis(150);
+/// Longest such pause.
+const MAX_OFFER_PAUSE: TimeSpan = TimeSpan::millis(1_200);
 
 /// How a stopped run goes on.
 pub(super) enum StoppedResume {
@@ -110,6 +112,7 @@
     ) -> StoppedResume {
         let mut connection = connection;
         let mut rounds = RESUME_ROUNDS;
+        let mut pause = OFFER_PAUSE;
         while self.call.deadline > self.context.now() {
             if let Some(resumed) = self.resume_here(rounds, connection.take(), places).await {
                 return resumed;
@@ -124,7 +127,8 @@
                 break;
             }
             rounds = 1;
-            self.pause_round(places).await;
+            self.pause_round(pause, places).await;
+            pause = TimeSpan(pause.0 * 2).min(MAX_OFFER_PAUSE);
             self.ask_next_node(places).await;
         }
         StoppedResume::Nowhere
@@ -136,10 +140,10 @@
     }
 
     /// Waits until the places are asked again, or the order is answered.
-    async fn pause_round(&self, places: &mut StoppedPlaces) {
+    async fn pause_round(&self, pause: TimeSpan, places: &mut StoppedPlaces) {
         let answer = {
             let mut answered = pin!(places.next_answer(&self.context).fuse());
-            let mut passed = pin!(kernel::sleep(OFFER_PAUSE.into()).fuse());
+            let mut passed = pin!(kernel::sleep(pause.into()).fuse());
             select_biased! {
                 answer = answered => answer,
                 () = passed => return,
