Ask a source once more only while events of before its stop are missing

Where everything that the source counts was read, a source that goes on shows by its next events, as before; so the question is asked only if fewer events were read than the source says that it had made.

--- a/crates/node/src/streams/run_stop.rs
+++ b/crates/node/src/streams/run_stop.rs
@@ -133,7 +133,7 @@
                     if let Err(error) = &answer {
                         self.log_send_failure(&error.to_string());
                     }
-                    if answer.is_ok() {
+                    if answer.as_ref().is_ok_and(|run| run.events > self.scanner.total_events()) {
                         order.check = Some(self.ask_stopped(to));
                     }
                     order.answer = Some(answer);
--- a/crates/node/src/streams/stop_order.rs
+++ b/crates/node/src/streams/stop_order.rs
@@ -24,7 +24,7 @@
 pub(super) const ORDER_PAUSE: TimeSpan = TimeSpan::millis(250);
 /// Silence of a source that has not answered the order, after which it is found out where it answers.
 pub(super) const ORDER_SILENCE: TimeSpan = TimeSpan::millis(100);
-/// Time in which the stream of a stopped run closes over a link that is not full.
+/// Time in which the last events of a stopped run come over a link that is not full.
 const CHECK_PAUSE: TimeSpan = TimeSpan::millis(50);
 
 /// Status of an order that found no room for the rest of the copy and has not stopped the run.
@@ -67,7 +67,7 @@
     pub(super) body: BodyState,
     /// When an order whose stream has closed is to be answered at the latest.
     pub(super) answer_due: Option<TimePoint>,
-    /// Asks the source once more after it has answered that the run has stopped.
+    /// Asks the source once more after it has answered that the run has stopped, while events of before that are missing.
     pub(super) check: Option<CheckFuture>,
     /// Whether the source was found not to have the run any more.
     pub(super) is_gone: bool,
@@ -116,7 +116,7 @@
     }
 
     /// Finds out after a moment whether the source still has a run that it has stopped: it does not know the run any
-    /// more then. The stream of the run closes meanwhile, unless its link is full.
+    /// more then. What it made before comes meanwhile, unless its link is full.
     pub(super) fn ask_stopped(&self, to: SocketAddr) -> CheckFuture {
         let (context, attempt) = (Rc::clone(&self.context), self.call.attempt.clone());
         let from = self.source.runner.address;
