Offer the memory of a stopped run only while its source may get requests

A stream whose next place was lost before an event, with nothing left of its run, does not pause for three rounds any more.

The bound itself has no test of its own.

--- a/crates/node/src/forward/call_forward.rs
+++ b/crates/node/src/forward/call_forward.rs
@@ -134,7 +134,7 @@
         log_round(context, call, &run, &end);
         match end {
             RoundEnd::Taken(taken) => return Some(taken),
-            RoundEnd::NotTaken if run.offer.is_once => return None,
+            RoundEnd::NotTaken if run.offer.once_until.is_some() => return None,
             RoundEnd::NotTaken if run.is_alive(is_back.get()) && call.deadline > context.now() => {
                 kernel::sleep(ROUND_PAUSE.into()).await;
                 first = run.holder.take();
@@ -243,6 +243,9 @@
         let source = ForwardSource { reached: ReachShare::NONE, ..own_source(context, call) };
         let chosen = known.take().or_else(|| choose_among_peers(context, now, source, &state));
         let Some(target) = chosen else { return RoundEnd::NotTaken };
+        if run.offer.once_until.is_some_and(|end| now >= end) {
+            return RoundEnd::NotTaken;
+        }
         state.record_offer(&target.vm);
         run.asked += 1;
         match offer_call(context, call, &target, Some(&run.offer)).await {
--- a/crates/node/src/forward/forwarded_calls.rs
+++ b/crates/node/src/forward/forwarded_calls.rs
@@ -144,7 +144,7 @@
         None => None,
     };
     let runner = runner.parse().ok()?;
-    let offer = ResumeOffer { runner, copy, last_event_id, limit, source, is_once: false };
+    let offer = ResumeOffer { runner, copy, last_event_id, limit, source, once_until: None };
     Some((offer, restore_path(request, RESUME_PATH)?))
 }
 
--- a/crates/node/src/forward/offer.rs
+++ b/crates/node/src/forward/offer.rs
@@ -44,8 +44,8 @@
     pub limit: TimeSpan,
     /// The runner that worked on the run, if its copy is to go on instead.
     pub source: Option<RunnerId>,
-    /// Whether each node is offered the run once only, whatever is left of it.
-    pub is_once: bool,
+    /// Until when nodes are asked, each once only whatever is left of the run; `None` if they are asked in rounds.
+    pub once_until: Option<TimePoint>,
 }
 
 impl ResumeOffer {
@@ -55,7 +55,7 @@
         let handle = Arc::from(call.attempt.as_str());
         let copy = Some(RunHandle { address: backup.address, handle });
         let runner = backup.runner.clone();
-        Self { runner, copy, last_event_id, limit: RESUME_TIMEOUT, source: None, is_once: false }
+        Self { runner, copy, last_event_id, limit: RESUME_TIMEOUT, source: None, once_until: None }
     }
 
     /// The same run, on which `source` may work on: it is to be ended there.
@@ -74,7 +74,7 @@
         let ResumeSource { address, handle, .. } = memory.clone();
         let copy = Some(RunHandle { address, handle });
         let runner = holder.runner.clone();
-        Self { runner, copy, last_event_id, limit: RESUME_TIMEOUT, source: None, is_once: false }
+        Self { runner, copy, last_event_id, limit: RESUME_TIMEOUT, source: None, once_until: None }
     }
 
     /// A run without a copy, on which the runner `source` works.
@@ -82,7 +82,7 @@
     pub fn of_run(source: &RunnerRecord, last_event_id: Option<u64>) -> Self {
         let limit = MOVE_TIMEOUT;
         let runner = source.runner.clone();
-        Self { runner, copy: None, last_event_id, limit, source: None, is_once: false }
+        Self { runner, copy: None, last_event_id, limit, source: None, once_until: None }
     }
 
     /// The same run after another node has stopped it, and its runner keeps its memory.
@@ -91,10 +91,10 @@
         Self { copy: Some(memory), limit: RESUME_TIMEOUT, ..self }
     }
 
-    /// The same offer for one round: who asks has other places to offer, too.
+    /// The same offer for one round, in which nodes are asked until `end`: who asks has other places to offer, too.
     #[must_use]
-    pub fn once(self) -> Self {
-        Self { is_once: true, ..self }
+    pub fn once_until(self, end: TimePoint) -> Self {
+        Self { once_until: Some(end), ..self }
     }
 
     /// Whether the run was stopped, and its memory is at the runner that worked on it.
--- a/crates/node/src/streams/left_places.rs
+++ b/crates/node/src/streams/left_places.rs
@@ -45,7 +45,7 @@
     /// Goes on from what else is left of a stopped run, whose next place was lost before it delivered an event. `None`
     /// if nothing is left.
     pub(super) async fn resume_left_places(&mut self) -> Option<PumpStep> {
-        let mut places = self.left_places.take()?;
+        let mut places = self.left_places.take().filter(|places| self.has_places(places))?;
         let disconnected = self.caller.disconnected.clone();
         let resumed = {
             let mut disconnected = pin!(disconnected.wait().fuse());
--- a/crates/node/src/streams/run_return.rs
+++ b/crates/node/src/streams/run_return.rs
@@ -135,7 +135,7 @@
     }
 
     /// Whether a place of the run may still give it.
-    fn has_places(&self, places: &StoppedPlaces) -> bool {
+    pub(super) fn has_places(&self, places: &StoppedPlaces) -> bool {
         places.places.is_left(places.facts(&self.context))
     }
 
@@ -220,7 +220,8 @@
                     (offer.instead_of(&places.source), &next_node)
                 }
             };
-            let step = self.resume_through_node(&offer.once(), first.clone()).await;
+            let end = places.offer_end(place, self.call.deadline);
+            let step = self.resume_through_node(&offer.once_until(end), first.clone()).await;
             if step.is_some() {
                 match place {
                     LeftPlace::SourceMemory => places.note_use(RunMemory::Source),
--- a/crates/node/src/streams/stopped_places.rs
+++ b/crates/node/src/streams/stopped_places.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use base::prelude::*;
-use life::{LeftFacts, OrderLeft, RunMemory, RunPlaces};
+use life::{LeftFacts, LeftPlace, OrderLeft, RunMemory, RunPlaces};
 use platform::{PlatformError, ResumeSource};
 use serving::{RunnerRecord, SendOutcome};
 
@@ -184,6 +184,12 @@
         Some(ResumeOffer::of_run(&self.source, last_event_id).of_stopped(handle))
     }
 
+    /// Until when nodes may be offered `place`.
+    pub(super) fn offer_end(&self, place: LeftPlace, deadline: TimePoint) -> TimePoint {
+        let return_end = self.return_end.filter(|_| place == LeftPlace::SourceMemory);
+        return_end.unwrap_or(deadline).min(deadline)
+    }
+
     /// The run goes on from `memory`, or has been asked to and may.
     pub(super) fn note_use(&mut self, memory: RunMemory) {
         self.places.note_use(memory);
--- a/crates/node/src/streams/stream_call.rs
+++ b/crates/node/src/streams/stream_call.rs
@@ -205,7 +205,7 @@
 ) -> TakenResume {
     loop {
         wait_while_unanswered(context, runner, false).await;
-        let offer = ResumeOffer::of_run(runner, None).once();
+        let offer = ResumeOffer::of_run(runner, None).once_until(call.deadline);
         if let Some(taken) = offer_resume(context, call, &offer, None, &Cell::default()).await {
             return taken;
         }
