Read a source on that does not find the run it is to stop, until another place goes on

What callers saw: a stream that is cut although its run has ended whole and its last events are on the way (LOST).

Cause: a leaving source that is ordered to stop a run which has ended answers 404. After 2 s without an event decide_stop took the next runner, and the node closed the source, the only place that could still deliver: a link that is full of a configuration holds the tail back for longer. The copy had ended with the run, so all places refused.

Change: such a source is read on while the next runner is asked (the way of a source that is cut off); if that refuses, the stream stays and waits for its tail. If an earlier order had stopped the run, the next runner takes over as before.

--- a/crates/harness/tests/node_held_tails.rs
+++ b/crates/harness/tests/node_held_tails.rs
@@ -9,6 +9,7 @@
 use fakes::platform::RunnerFakeSettings;
 use futures_util::future::{join, join_all};
 use harness::{CallerRequest, LinkState, SeenStream, wait_until};
+use serde_json::json;
 use service_fleet::{CUT, LinkedRunner, ServiceFleet, take_turn};
 
 /// Events of a stream, one in 20 ms.
@@ -158,3 +159,43 @@
         .unwrap();
     }
 }
+
+/// Guards against LOST: an order finds no run, since it has ended, and its source is closed before the rest has come.
+#[test]
+fn a_stream_whose_order_finds_no_run_before_its_last_events_have_come_is_whole() {
+    /// Bytes that the full link passes on in a second: the last events take longer than the run.
+    const FULL_RATE: u64 = 600;
+    let _turn = take_turn();
+    kernel::run(async {
+        let services = ServiceFleet::start(long_streams).await;
+        let node = &services.fleet.nodes[CUT];
+        let request = CallerRequest::stream("held");
+        let holding = async {
+            let near_end = async || {
+                let made = services.fleet.memory.events(&request.attempt);
+                (made >= EVENTS - TAIL).then_some(())
+            };
+            wait_until("the run to be near its end", LIMIT, near_end).await.unwrap();
+            let is_at_work = |linked: &&LinkedRunner| linked.runner.working() == 1;
+            let source = services.runners.iter().find(is_at_work).unwrap();
+            source.link.set_answer_rate(FULL_RATE);
+            let ended = async || (source.runner.working() == 0).then_some(());
+            wait_until("the run to end", LIMIT, ended).await.unwrap();
+            let mut entry = source.runner.entry(source.service, "north", "draining");
+            entry["address"] = json!(source.link.address());
+            services.fleet.store.put_json("keyed.servers", source.runner.id(), &entry);
+            let is_ordered = async || (!node.events("run_not_found").is_empty()).then_some(());
+            wait_until("an order that finds no run", LIMIT, is_ordered).await.unwrap();
+            HeldRunners::All.set(&services, LinkState::Stalled);
+            sleep(SPANS[1]).await;
+            source.link.set_answer_rate(0);
+            HeldRunners::All.set(&services, LinkState::Open);
+        };
+        let (stream, ()) = join(services.fleet.read_stream(CUT, &request), holding).await;
+        let lines = ["run_not_found", "stop_decided", "places_left", "send_failed", "end"];
+        let lines = lines.map(|name| node.events(name));
+        assert!(stream.has_all(EVENTS), "{stream:?} {lines:?}");
+        assert_eq!(services.most_runs(), 1);
+    })
+    .unwrap();
+}
--- a/crates/node/src/streams/run_stop.rs
+++ b/crates/node/src/streams/run_stop.rs
@@ -34,6 +34,8 @@
     NoRoom,
     /// The source answers another node and not this one, or nobody: it may have stopped the run.
     CutOff,
+    /// The source does not have the run, and its stream is still open: the rest of it may come late.
+    NotFound,
     /// The stream has ended.
     End(PumpStep),
 }
@@ -44,9 +46,9 @@
     Done(HandoverStep),
     /// The run was not stopped for want of room. The connection to the next runner is still unused.
     NoRoom(WebConnection),
-    /// The source is cut off from this node, and may have stopped the run. The connection to the next
-    /// runner is still unused.
-    CutOff(WebConnection),
+    /// The source is cut off from this node, or does not have the run: it is read on, and the next runner asked. The
+    /// connection to that is still unused.
+    ReadOn(WebConnection),
 }
 
 impl StreamPump {
@@ -70,8 +72,9 @@
                 let StopOrder { task, answer, .. } = order;
                 let places = self.begin_places(&plan).with_order(task, answer);
                 self.left_places = Some(Box::new(places));
-                return OrderedStep::CutOff(connection);
+                return OrderedStep::ReadOn(connection);
             }
+            StopEnd::NotFound => return OrderedStep::ReadOn(connection),
             StopEnd::Kept | StopEnd::NoRoom => {
                 self.count_move("kept");
                 return OrderedStep::Done(HandoverStep::Kept);
@@ -114,11 +117,12 @@
         loop {
             let facts = self.stop_facts(order);
             let decision = decide_stop(&facts, self.context.now());
+            let is_not_found = facts.answer == Some(OrderAnswer::NotFound);
             let is_early = self.context.now() < order.sent_at + ORDER_PAUSE;
             if decision == StopDecision::OrderAgain && !is_early {
                 self.log_stop(&facts, decision);
                 self.order_again(order, to);
-            } else if let Some(end) = self.end_stop(decision) {
+            } else if let Some(end) = self.end_stop(decision, is_not_found) {
                 self.log_stop(&facts, decision);
                 return end;
             }
@@ -182,9 +186,10 @@
     }
 
     /// Ends the wait for the stop as decided; `None` if it goes on.
-    fn end_stop(&mut self, decision: StopDecision) -> Option<StopEnd> {
+    fn end_stop(&mut self, decision: StopDecision, is_not_found: bool) -> Option<StopEnd> {
         let end = match decision {
             StopDecision::Wait | StopDecision::OrderAgain => return None,
+            StopDecision::TakeNext if is_not_found && !self.source.ended => StopEnd::NotFound,
             StopDecision::TakeNext => {
                 self.source.close();
                 StopEnd::Stopped
--- a/crates/node/src/streams/stream_handover.rs
+++ b/crates/node/src/streams/stream_handover.rs
@@ -77,7 +77,7 @@
             connection = match ordered {
                 OrderedStep::Done(step) => return step,
                 OrderedStep::NoRoom(connection) => connection,
-                OrderedStep::CutOff(connection) => {
+                OrderedStep::ReadOn(connection) => {
                     rule = OverlapRule::LeaveSilentSource;
                     connection
                 }
