Give a stopped run's next runner up only for another one that answers

Cause: a next runner that had not answered in 250 ms was given up for the source, and the source after 2.5 s. Closing such a request uses its memory up. Behind a link that is full of a configuration no answer comes for longer, so one place after the other was used up by time that had passed at this node.

Change: after 250 ms the runner of the other place is asked, and the request is closed only if that answers this node or another one; a request is taken for lost after 2.5 s only if its own runner answers this node's questions. The same in a node that moves the run for another one (moved_run.rs), by reading: it has no test of its own.

--- a/crates/harness/tests/node_kept_memory.rs
+++ b/crates/harness/tests/node_kept_memory.rs
@@ -8,6 +8,7 @@
 use fakes::platform::{RunnerFakeSettings, RunnerScript};
 use futures_util::future::join;
 use harness::{CallerRequest, LinkState, wait_until};
+use rustix::process::Signal;
 use serde_json::json;
 use service_fleet::{CUT, LinkedRunner, NODES, RUNNERS, ServiceFleet, take_turn};
 
@@ -36,6 +37,8 @@
     Broken,
     /// The next runner takes the run, its answer is held back, and the node is cut off from the source.
     Taken,
+    /// All answers to the node are held back for a while from before the next runner's, also those of other nodes.
+    Full(Duration),
 }
 
 fn long_streams(settings: &mut RunnerFakeSettings) {
@@ -67,7 +70,7 @@
         match fault {
             Fault::Cut | Fault::LateAndCut(_) => linked.runner.fall_silent(),
             Fault::Broken => linked.runner.script(&[RunnerScript::UnframedEmpty]),
-            Fault::Taken => services.set_of(linked, LinkState::AnswersStalled),
+            Fault::Taken | Fault::Full(_) => services.set_of(linked, LinkState::AnswersStalled),
             Fault::Held(_) => (),
         }
     }
@@ -85,6 +88,15 @@
             services.set("llm", all, LinkState::Open);
         }
         Fault::Broken => (),
+        Fault::Full(span) => {
+            for node in &services.fleet.nodes[1..] {
+                node.signal(Signal::STOP).unwrap();
+            }
+            sleep(COPY_TIME + COPY_TIME / 2).await;
+            services.set_of(source, LinkState::AnswersStalled);
+            sleep(span).await;
+            services.set("llm", all, LinkState::Open);
+        }
         Fault::Taken => {
             sleep(COPY_TIME + COPY_TIME / 2).await;
             services.set_of(source, LinkState::Lost);
@@ -147,6 +159,14 @@
     check_stopped_run(Fault::Taken);
 }
 
+/// Guards against LOST: the link of a node is full, and each runner that has the memory is given up as it does not answer.
+#[test]
+fn a_stopped_run_goes_on_whose_next_answers_are_all_held_back() {
+    for span in SPANS {
+        check_stopped_run(Fault::Full(span));
+    }
+}
+
 /// Guards against LOST: the rest of a stopped run comes late and is taken for a sign that its source works.
 #[test]
 fn a_stopped_run_whose_last_events_are_held_back_goes_on_at_the_next_runner() {
--- a/crates/life/src/run_places.rs
+++ b/crates/life/src/run_places.rs
@@ -22,6 +22,12 @@
 impl RunMemory {
     /// All of them, in the order in which this node asks for them.
     pub const ALL: [Self; 3] = [Self::Copy, Self::Rest, Self::Source];
+
+    /// A memory at the other runner.
+    #[must_use]
+    pub fn other_runner(self) -> Self {
+        if self == Self::Source { Self::Rest } else { Self::Source }
+    }
 }
 
 /// What an order to stop a run has left.
--- a/crates/node/src/forward/moved_run.rs
+++ b/crates/node/src/forward/moved_run.rs
@@ -13,7 +13,7 @@
 use futures_util::{FutureExt, select_biased};
 use platform::ResumeSource;
 use route::CallEnd;
-use serving::{RunnerRecord, SendOutcome};
+use serving::{AnswerPlace, RunnerRecord, SendOutcome};
 use web::{WebConnection, WebExchange};
 
 use super::offer::ResumeOffer;
@@ -24,7 +24,7 @@
 use crate::call_log::{log_send, log_send_failure, may_log};
 use crate::context::NodeContext;
 use crate::metrics::WithheldLabels;
-use crate::reach::{connects_quickly, suspect_runner};
+use crate::reach::{connects_quickly, find_answer_place, suspect_runner};
 use crate::route_ticket::RouteTicket;
 use crate::router::RouterService;
 use crate::run_end_watch::OpenRun;
@@ -40,7 +40,7 @@
 const MAX_STOP_TIME: TimeSpan = TimeSpan::millis(1_400);
 /// Time in which a runner stops a run as ordered. The copy of the rest may take longer.
 const ORDER_TIME: TimeSpan = TimeSpan::millis(400);
-/// Time for a runner that has the memory of a run to go on with it, if the run can go on elsewhere.
+/// Time after which a source that has the memory of a run, too, is asked: a runner that has it answers with its next step.
 const HEAD_TIME: TimeSpan = TimeSpan::millis(250);
 /// The same if it cannot, as far as is known: a sound runner may be silent for a second.
 const SILENCE_TIME: TimeSpan = TimeSpan::millis(2_500);
@@ -253,8 +253,7 @@
         let Some(run) = order.take_memory() else { return Err(RESUME_REFUSED.into()) };
         let mut resumed = None;
         if run.is_copied {
-            let left = HEAD_TIME;
-            resumed = self.resume_at(ticket, &run.handle, SendPurpose::NewWork, left).await;
+            resumed = self.resume_rest(ticket, &run.handle).await;
         }
         if resumed.is_none() {
             let left = self.left().min(SILENCE_TIME);
@@ -270,7 +269,7 @@
     }
 
     /// Goes on from the copy at the next runner. That runner is waited for as long as no other place of the
-    /// run is known, and for [`HEAD_TIME`] from when the order has left one.
+    /// run is known, and from when the order has left one until the source is known to answer.
     async fn resume_copy(
         &mut self,
         ticket: &mut RouteTicket,
@@ -278,6 +277,7 @@
         order: &RunOrder,
     ) -> Option<(SendPlan, WebExchange)> {
         let left = self.left().min(SILENCE_TIME);
+        let (context, source) = (Rc::clone(self.context), self.source.clone());
         let resumed = {
             let resuming = self.resume_at(ticket, handle, SendPurpose::NewWork, left);
             let mut resuming = pin!(resuming.fuse());
@@ -287,7 +287,11 @@
                 () = answered => (),
             }
             if order.has_memory() {
-                timeout(HEAD_TIME.into(), resuming).await.ok()
+                let mut source_answers = pin!(wait_source_answers(&context, &source).fuse());
+                select_biased! {
+                    resumed = resuming => Some(resumed),
+                    () = source_answers => None,
+                }
             } else {
                 Some(resuming.await)
             }
@@ -297,6 +301,23 @@
         resumed.flatten()
     }
 
+    /// Goes on from the rest that the order has copied, until the source is known to answer.
+    async fn resume_rest(
+        &mut self,
+        ticket: &mut RouteTicket,
+        handle: &Arc<str>,
+    ) -> Option<(SendPlan, WebExchange)> {
+        let left = self.left().min(SILENCE_TIME);
+        let (context, source) = (Rc::clone(self.context), self.source.clone());
+        let resuming = self.resume_at(ticket, handle, SendPurpose::NewWork, left);
+        let (mut resuming, mut source_answers) =
+            (pin!(resuming.fuse()), pin!(wait_source_answers(&context, &source).fuse()));
+        select_biased! {
+            resumed = resuming => resumed,
+            () = source_answers => None,
+        }
+    }
+
     /// Time until the other node is to have its answer.
     fn left(&self) -> TimeSpan {
         self.end.since(self.context.now())
@@ -357,6 +378,17 @@
     }
 }
 
+/// Waits until a run can go on at its source instead: from [`HEAD_TIME`] on that is asked until it answers a node. While
+/// nobody does, the link of this node may be full, and a memory is used once.
+async fn wait_source_answers(context: &NodeContext, source: &RunnerRecord) {
+    loop {
+        kernel::sleep(HEAD_TIME.into()).await;
+        if find_answer_place(context, source).await != AnswerPlace::Nowhere {
+            return;
+        }
+    }
+}
+
 /// Counts and logs how a move for another node ended.
 fn note_end(context: &NodeContext, call: &Call, outcome: &'static str, reason: &'static str) {
     context.metrics.runs_moved.get_or_create(&WithheldLabels { reason: outcome }).inc();
--- a/crates/node/src/streams/run_return.rs
+++ b/crates/node/src/streams/run_return.rs
@@ -14,10 +14,10 @@
 use serving::{AnswerPlace, RunnerLoss, RunnerRecord, SendOutcome};
 use web::{WebConnection, WebExchange};
 
-use super::stop_order::ORDER_SILENCE;
+use super::stop_order::{ORDER_SILENCE, StopAnswer};
 use super::stopped_places::StoppedPlaces;
 use super::stream_backup::choose_backup;
-use super::stream_places::{QUESTION_PAUSE, ask_next};
+use super::stream_places::{QUESTION_PAUSE, RunnerQuestion, ask_next, ask_runner};
 use super::stream_pump::{PumpStep, StreamPump};
 use crate::call::RunPlace;
 use crate::call_log::may_log;
@@ -28,10 +28,11 @@
 use crate::runner_gate::{SendPurpose, stopped_run_window};
 use crate::runner_send::{SendFailure, SendPlan, connect_to_runner, send_connected};
 
-/// Time for which a stopped run that can go on elsewhere waits for a runner to go on with it. A runner that
-/// has its memory answers with its next step.
+/// Time after which the runner of another place is asked, if there is one. A runner that has the memory of a run
+/// answers with its next step.
 const HEAD_TIME: TimeSpan = TimeSpan::millis(250);
-/// The same for one that cannot, as far as is known: a sound runner may be silent for a second.
+/// Time after which a runner that answers questions is taken not to answer the request. A sound one may be silent for a
+/// second.
 const SILENCE_TIME: TimeSpan = TimeSpan::millis(2_500);
 /// Reason of a runner that has the memory and was given up for another place.
 const HEAD_LATE: &str = "no head in time";
@@ -67,6 +68,38 @@
     }
 }
 
+/// What happens while a place is asked to go on with the run.
+enum PlaceInput {
+    /// The order is answered.
+    Answered(StopAnswer),
+    /// Where the runner of the place answers.
+    Asked(AnswerPlace),
+    /// Where the runner of the other place answers.
+    OtherAsked(AnswerPlace),
+}
+
+/// The question where the runner of another place answers, while one has not answered in time.
+struct OtherQuestion {
+    /// When it is asked.
+    look_at: TimePoint,
+    open: Option<RunnerQuestion>,
+}
+
+impl OtherQuestion {
+    /// Asks `other` when it is time; waits forever if there is none.
+    async fn answer(
+        &mut self,
+        context: &Rc<NodeContext>,
+        other: Option<RunnerRecord>,
+    ) -> AnswerPlace {
+        let Some(other) = other else { return pending().await };
+        kernel::sleep(self.look_at.since(context.now()).into()).await;
+        let open =
+            self.open.get_or_insert_with(|| ask_runner(context, &other, TimeSpan::default()));
+        open.await
+    }
+}
+
 impl StreamPump {
     /// Waits for the answer to the order, unless the source answers another node, and not this one.
     async fn await_order(&self, places: &mut StoppedPlaces) {
@@ -234,8 +267,7 @@
         None
     }
 
-    /// Sends the request as `plan` says, and waits for the head of a success: for [`HEAD_TIME`] if the run can
-    /// go on elsewhere, and for [`SILENCE_TIME`] as long as no other place is known.
+    /// Sends the request as `plan` says, and waits for the head of a success.
     async fn resume_at(
         &mut self,
         memory: RunMemory,
@@ -292,7 +324,8 @@
         }
     }
 
-    /// Sends the request to one place. What the source answers meanwhile may show another one.
+    /// Sends the request to one place. It is given up for another place only if the runner of that one answers: while
+    /// nobody does, the link of this node may be full, and a memory is used once.
     async fn send_to_place(
         &self,
         (memory, plan): (RunMemory, &SendPlan),
@@ -301,39 +334,49 @@
     ) -> Result<WebExchange, SendFailure> {
         let (context, call) = (&self.context, &self.call);
         let begun = context.now();
-        let limit = SILENCE_TIME.min(call.deadline.since(begun));
-        let sending = Box::pin(send_connected(context, call, plan, connection, limit));
-        let mut sending = pin!(sending.fuse());
-        let mut elsewhere = Box::pin(wait_answer_elsewhere(context, &plan.runner)).fuse();
-        // When the places were last added to.
-        let mut known_at = begun;
-        let unreached;
+        let sending = send_connected(context, call, plan, connection, call.deadline.since(begun));
+        let mut sending = pin!(Box::pin(sending).fuse());
+        let mut question = ask_next(context, &plan.runner, true);
+        let mut other = OtherQuestion { look_at: begun + HEAD_TIME, open: None };
+        let head_late = || Err(SendFailure::stream_lost(HEAD_LATE, RunnerLoss::NoAnswer));
         loop {
-            let has_other = places.places.has_other(memory, places.facts(context));
-            let left = (known_at + HEAD_TIME).since(context.now());
-            let answer = {
-                let late = async {
-                    if has_other { kernel::sleep(left.into()).await } else { pending().await }
-                };
-                let answered = places.next_answer(context);
-                let (mut late, mut answered) = (pin!(late.fuse()), pin!(answered.fuse()));
+            let input = {
+                let asked_other = other.answer(context, places.other_runner(context, memory));
+                let mut asked_other = pin!(asked_other.fuse());
+                let mut answered = pin!(places.next_answer(context).fuse());
                 select_biased! {
                     sent = sending => return sent,
-                    answer = answered => answer,
-                    node = elsewhere => {
-                        unreached = node;
-                        break;
-                    }
-                    () = late => {
-                        return Err(SendFailure::stream_lost(HEAD_LATE, RunnerLoss::NoAnswer));
-                    }
+                    answer = answered => PlaceInput::Answered(answer),
+                    place = (&mut question).fuse() => PlaceInput::Asked(place),
+                    place = asked_other => PlaceInput::OtherAsked(place),
                 }
             };
-            places.follow_answer(context, call, answer);
-            known_at = context.now();
+            match input {
+                PlaceInput::Answered(answer) => {
+                    places.follow_answer(context, call, answer);
+                    other.look_at = context.now() + HEAD_TIME;
+                }
+                PlaceInput::Asked(AnswerPlace::OtherNode(node)) => {
+                    places.note_node(memory, node);
+                    return Err(SendFailure::unreached());
+                }
+                // The request or its answer was lost.
+                PlaceInput::Asked(AnswerPlace::Here)
+                    if context.now().since(begun) >= SILENCE_TIME =>
+                {
+                    return head_late();
+                }
+                PlaceInput::Asked(_) => question = ask_next(context, &plan.runner, false),
+                PlaceInput::OtherAsked(AnswerPlace::Nowhere) => {
+                    other = OtherQuestion { look_at: context.now() + QUESTION_PAUSE, open: None };
+                }
+                PlaceInput::OtherAsked(AnswerPlace::Here) => return head_late(),
+                PlaceInput::OtherAsked(AnswerPlace::OtherNode(node)) => {
+                    places.note_node(memory.other_runner(), node);
+                    return head_late();
+                }
+            }
         }
-        places.note_node(memory, unreached);
-        Err(SendFailure::unreached())
     }
 
     /// Logs what is known of each place of a stopped run that this node goes on with at none of them.
--- a/crates/node/src/streams/stopped_places.rs
+++ b/crates/node/src/streams/stopped_places.rs
@@ -169,6 +169,18 @@
         })
     }
 
+    /// The runner of another place than that of `memory`, if the run can go on there.
+    pub(super) fn other_runner(
+        &self,
+        context: &NodeContext,
+        memory: RunMemory,
+    ) -> Option<RunnerRecord> {
+        let is_open = self.places.has_other(memory, self.facts(context));
+        let is_source = memory == RunMemory::Source;
+        let other = if is_source { &self.handover.runner } else { &self.source };
+        is_open.then(|| other.clone())
+    }
+
     /// Where a memory is found.
     pub(super) fn memory(&self, memory: RunMemory) -> Option<ResumeSource> {
         if memory == RunMemory::Copy {
