--- a/crates/node/src/forward/moved_run.rs
+++ b/crates/node/src/forward/moved_run.rs
@@ -40,9 +40,9 @@
 const MAX_STOP_TIME: TimeSpan = TimeSpan::millis(1_400);
 /// Time in which a runner stops a run as ordered. The copy of the rest may take longer.
 const ORDER_TIME: TimeSpan = TimeSpan::millis(400);
-/// Time after which a source that has the memory of a run, too, is asked: a runner that has it answers with its next step.
+/// Time after which the source is asked, if it has the memory of a run as well: the next runner answers with its next step.
 const HEAD_TIME: TimeSpan = TimeSpan::millis(250);
-/// The same if it cannot, as far as is known: a sound runner may be silent for a second.
+/// Longest time for a runner that has the memory of a run to go on with it: a sound one may be silent for a second.
 const SILENCE_TIME: TimeSpan = TimeSpan::millis(2_500);
 
 /// Status of a copy or an order that found no room.
@@ -137,22 +137,7 @@
     if ticket.next_command().now_or_never().is_none() {
         ticket.end(CallEnd::Cancelled);
     }
-    let end = call.arrived + TimeSpan(offer.limit.0.saturating_sub(ANSWER_TIME.0));
-    let last_event_id = offer.last_event_id;
-    let (connection, is_target_lost) = (None, false);
-    // The order was given some time ago.
-    let target_end = context.now();
-    let mut run = RunMove {
-        context,
-        call,
-        source,
-        target,
-        last_event_id,
-        end,
-        target_end,
-        connection,
-        is_target_lost,
-    };
+    let mut run = RunMove::new(context, call, (source, target), offer);
     let moved = run.follow_order(&mut ticket, copy, order).await;
     (ticket, moved)
 }
@@ -166,29 +151,35 @@
     offer: &ResumeOffer,
 ) -> Result<(SendPlan, WebExchange), ResumeRefusal> {
     let target = find_runner(context, target).map_err(ResumeRefusal::works)?;
-    let end = call.arrived + TimeSpan(offer.limit.0.saturating_sub(ANSWER_TIME.0));
-    let last_event_id = offer.last_event_id;
-    let (connection, is_target_lost) = (None, false);
-    let target_end = context.now();
-    let mut run = RunMove {
-        context,
-        call,
-        source,
-        target,
-        last_event_id,
-        end,
-        target_end,
-        connection,
-        is_target_lost,
-    };
+    let mut run = RunMove::new(context, call, (source, target), offer);
     let stop_time = MAX_STOP_TIME.min(TimeSpan(offer.limit.0 / STOP_SHARE));
-    let copy = run.copy_beside_run(end - stop_time).await?;
+    let copy = run.copy_beside_run(run.end - stop_time).await?;
     let connected = connect(context, call, &run.target, SendPurpose::NewWork).await;
     run.connection = Some(connected.map_err(ResumeRefusal::works)?);
     run.stop_and_resume(ticket, copy).await
 }
 
-impl RunMove<'_> {
+impl<'a> RunMove<'a> {
+    /// A move between two runners that has not begun.
+    fn new(
+        context: &'a Rc<NodeContext>,
+        call: &'a Rc<Call>,
+        (source, target): (RunnerRecord, RunnerRecord),
+        offer: &ResumeOffer,
+    ) -> Self {
+        Self {
+            context,
+            call,
+            source,
+            target,
+            last_event_id: offer.last_event_id,
+            end: call.arrived + TimeSpan(offer.limit.0.saturating_sub(ANSWER_TIME.0)),
+            target_end: context.now(),
+            connection: None,
+            is_target_lost: false,
+        }
+    }
+
     /// Copies the memory of the run, which works on. Returns `None` if the next runner has no room.
     async fn copy_beside_run(&self, end: TimePoint) -> Result<Option<RunCopy>, ResumeRefusal> {
         let (from, to) = (self.source.address, self.target.address);
--- a/crates/node/src/streams/run_return.rs
+++ b/crates/node/src/streams/run_return.rs
@@ -22,7 +22,6 @@
 use crate::call::RunPlace;
 use crate::call_log::may_log;
 use crate::context::NodeContext;
-use crate::forward::ResumeOffer;
 use crate::reach::{find_answering_node, is_unreached};
 use crate::run_end_watch::OpenRun;
 use crate::runner_gate::{SendPurpose, stopped_run_window};
@@ -230,31 +229,12 @@
     /// Offers the places of the run to other nodes, one after the other. The run at the next runner is offered only
     /// to a node that gets answers of that runner.
     async fn resume_through_nodes(&mut self, places: &mut StoppedPlaces) -> Option<PumpStep> {
-        let next = places.handover.runner.clone();
-        let (next_node, source_node) = (places.next_node.clone(), places.source_node.clone());
         let facts = places.facts(&self.context);
         for place in places.places.list_offers(facts) {
-            let (offer, first) = match place {
-                LeftPlace::NextRun => {
-                    (ResumeOffer::of_run(&next, self.scanner.last_id()), &next_node)
-                }
-                LeftPlace::SourceRun if self.call.supports_moves => {
-                    (ResumeOffer::of_run(&places.source, self.scanner.last_id()), &source_node)
-                }
-                LeftPlace::SourceRun => continue,
-                LeftPlace::SourceMemory => {
-                    let Some(offer) = places.offer_source(self.scanner.last_id()) else { continue };
-                    let is_left = places.places.next_may_run();
-                    (if is_left { offer.instead_of(&next) } else { offer }, &source_node)
-                }
-                LeftPlace::NextMemory(memory) => {
-                    let Some(resume) = places.memory(memory) else { continue };
-                    let offer = ResumeOffer::of_memory(&next, &resume, self.scanner.last_id());
-                    (offer.instead_of(&places.source), &next_node)
-                }
-            };
+            let last_event_id = self.scanner.last_id();
+            let Some((offer, first)) = places.offer(place, last_event_id) else { continue };
             let end = places.offer_end(place, self.call.deadline);
-            let step = self.resume_through_node(&offer.once_until(end), first.clone()).await;
+            let step = self.resume_through_node(&offer.once_until(end), first).await;
             if step.is_some() {
                 match place {
                     LeftPlace::SourceMemory => places.note_use(RunMemory::Source),
--- a/crates/node/src/streams/stopped_places.rs
+++ b/crates/node/src/streams/stopped_places.rs
@@ -190,10 +190,33 @@
         Some(ResumeSource { address, handle, last_event_id: None })
     }
 
-    /// The memory at the source, as it is offered to other nodes.
-    pub(super) fn offer_source(&self, last_event_id: Option<u64>) -> Option<ResumeOffer> {
+    /// How `place` is offered to other nodes, and the one that is asked first.
+    pub(super) fn offer(
+        &self,
+        place: LeftPlace,
+        last_event_id: Option<u64>,
+    ) -> Option<(ResumeOffer, Option<VmId>)> {
+        let next = &self.handover.runner;
+        let (offer, node) = match place {
+            LeftPlace::NextRun => (ResumeOffer::of_run(next, last_event_id), &self.next_node),
+            LeftPlace::SourceRun => {
+                (ResumeOffer::of_run(&self.source, last_event_id), &self.source_node)
+            }
+            LeftPlace::SourceMemory => (self.offer_source(last_event_id)?, &self.source_node),
+            LeftPlace::NextMemory(memory) => {
+                let offer = ResumeOffer::of_memory(next, &self.memory(memory)?, last_event_id);
+                (offer.instead_of(&self.source), &self.next_node)
+            }
+        };
+        Some((offer, node.clone()))
+    }
+
+    /// The memory at the source. A run that the next runner may have taken is ended there.
+    fn offer_source(&self, last_event_id: Option<u64>) -> Option<ResumeOffer> {
         let handle = RunHandle { address: self.source.address, handle: self.handle()?.clone() };
-        Some(ResumeOffer::of_run(&self.source, last_event_id).of_stopped(handle))
+        let offer = ResumeOffer::of_run(&self.source, last_event_id).of_stopped(handle);
+        let is_next_left = self.places.next_may_run();
+        Some(if is_next_left { offer.instead_of(&self.handover.runner) } else { offer })
     }
 
     /// Until when nodes may be offered `place`.
