End the wait for a stopped run's places at the call's deadline

By reading: what waits for the answer to an order inside the rounds of a stopped run does not look at the deadline, as before; since the rounds last until the deadline a caller could wait for up to 2.5 s longer. The rounds now end with it, `deadline_passed`, and what is left is freed. The two places that waited for the end of the rounds share resume_until_end.

--- a/crates/node/src/streams/left_places.rs
+++ b/crates/node/src/streams/left_places.rs
@@ -5,18 +5,41 @@
 
 use base::prelude::*;
 use futures_util::{FutureExt, select_biased};
+use web::WebConnection;
 
 use super::run_return::StoppedResume;
 use super::stop_order::StopAnswer;
 use super::stopped_places::StoppedPlaces;
 use super::stream_handover::caller_disconnected;
 use super::stream_pump::{PumpStep, StreamPump};
+use crate::call_log::RequestOutcome;
 use crate::runner_gate::SendPurpose;
 
 /// Time for which a run stays at a source that it has returned to, before it leaves again.
 const RETURN_STAY: TimeSpan = TimeSpan::millis(200);
 
 impl StreamPump {
+    /// Goes on with a stopped run as [`Self::resume_stopped`], until the caller has left or its deadline has passed.
+    pub(super) async fn resume_until_end(
+        &mut self,
+        connection: Option<WebConnection>,
+        places: &mut StoppedPlaces,
+    ) -> StoppedResume {
+        let disconnected = self.caller.disconnected.clone();
+        let left = self.call.deadline.since(self.context.now());
+        let mut disconnected = pin!(disconnected.wait().fuse());
+        let mut deadline = pin!(kernel::sleep(left.into()).fuse());
+        let mut resuming = Box::pin(self.resume_stopped(connection, places)).fuse();
+        select_biased! {
+            () = disconnected => StoppedResume::Through(caller_disconnected()),
+            resumed = resuming => resumed,
+            () = deadline => {
+                let late = PumpStep::End(RequestOutcome::Interrupted, "deadline_passed");
+                StoppedResume::Through(late)
+            }
+        }
+    }
+
     /// Reads a stopped run from where it goes on. What else is left of it is kept until an event has come from there.
     /// `None` if it goes on nowhere.
     pub(super) fn follow_stopped(
@@ -46,15 +69,7 @@
     /// if nothing is left.
     pub(super) async fn resume_left_places(&mut self) -> Option<PumpStep> {
         let mut places = self.left_places.take().filter(|places| self.has_places(places))?;
-        let disconnected = self.caller.disconnected.clone();
-        let resumed = {
-            let mut disconnected = pin!(disconnected.wait().fuse());
-            let mut resuming = Box::pin(self.resume_stopped(None, &mut places)).fuse();
-            select_biased! {
-                () = disconnected => return Some(caller_disconnected()),
-                resumed = resuming => resumed,
-            }
-        };
+        let resumed = self.resume_until_end(None, &mut places).await;
         self.follow_stopped(resumed, *places, "resumed")
     }
 
--- a/crates/node/src/streams/run_stop.rs
+++ b/crates/node/src/streams/run_stop.rs
@@ -5,10 +5,8 @@
 //! answer it may be cut off from this node. [`decide_stop`] says what follows from its answer.
 
 use std::net::SocketAddr;
-use std::pin::pin;
 use std::rc::Rc;
 
-use futures_util::{FutureExt, select_biased};
 use serving::{
     AnswerPlace, BodyState, EndHabit, OrderAnswer, SendOutcome, StopDecision, StopFacts,
     decide_stop,
@@ -86,18 +84,7 @@
         }
         let StopOrder { task, answer, .. } = order;
         let mut places = self.begin_places(&plan).with_order(task, answer);
-        let disconnected = self.caller.disconnected.clone();
-        let resumed = {
-            let mut disconnected = pin!(disconnected.wait().fuse());
-            let resuming = Box::pin(self.resume_stopped(Some(connection), &mut places));
-            let mut resuming = resuming.fuse();
-            select_biased! {
-                () = disconnected => {
-                    return OrderedStep::Done(HandoverStep::End(caller_disconnected()));
-                }
-                resumed = resuming => resumed,
-            }
-        };
+        let resumed = self.resume_until_end(Some(connection), &mut places).await;
         OrderedStep::Done(match self.follow_stopped(resumed, places, how) {
             Some(PumpStep::Continue) if !self.source.is_relayed => HandoverStep::Switched,
             Some(step) => HandoverStep::End(step),
