Count the window of a stopped run's next runner from the order

Found by reading the diff once more: the time in which a stopped run may go to the runner that it was stopped for, although that leaves, began at the end of the wait for the stop. That wait takes up to 2.5 s, so a request could reach a next runner 4.7 s after it had announced its leave, with drainMs 3 s (DRAIN).

Change: it counts from the order, before which the next runner was checked and connected to. No test of its own: in the fixtures the wait is short.

--- a/crates/node/src/streams/run_return.rs
+++ b/crates/node/src/streams/run_return.rs
@@ -127,11 +127,11 @@
         }
     }
 
-    /// What is left of a run that its source is ordered to stop, for `handover`.
-    pub(super) fn begin_places(&self, handover: &SendPlan) -> StoppedPlaces {
+    /// What is left of a run that its source was ordered to stop at `ordered_at`, for `handover`.
+    pub(super) fn begin_places(&self, handover: &SendPlan, ordered_at: TimePoint) -> StoppedPlaces {
         let window = stopped_run_window(&self.context);
         let return_end = self.leaving_since.map(|since| since + window);
-        let ends = (return_end, self.context.now() + window);
+        let ends = (return_end, ordered_at + window);
         StoppedPlaces::new(self.source.runner.clone(), handover.clone(), ends)
     }
 
--- a/crates/node/src/streams/run_stop.rs
+++ b/crates/node/src/streams/run_stop.rs
@@ -61,6 +61,7 @@
         let (context, attempt) = (Rc::clone(&self.context), self.call.attempt.clone());
         let (from, to) = (self.source.runner.address, plan.runner.address);
         let task = CopyTask::stop(context, attempt, from, to);
+        let ordered_at = self.context.now();
         let mut order = self.begin_order(task);
         match self.wait_for_stop(&mut order, to).await {
             StopEnd::Stopped => (),
@@ -68,7 +69,7 @@
             StopEnd::CutOff => {
                 // The order may be followed, and what it leaves is the only place that is certain.
                 let StopOrder { task, answer, .. } = order;
-                let places = self.begin_places(&plan).with_order(task, answer);
+                let places = self.begin_places(&plan, ordered_at).with_order(task, answer);
                 self.left_places = Some(Box::new(places));
                 return OrderedStep::ReadOn(connection);
             }
@@ -83,7 +84,7 @@
             self.order_again(&mut order, to);
         }
         let StopOrder { task, answer, .. } = order;
-        let mut places = self.begin_places(&plan).with_order(task, answer);
+        let mut places = self.begin_places(&plan, ordered_at).with_order(task, answer);
         let resumed = self.resume_until_end(Some(connection), &mut places).await;
         OrderedStep::Done(match self.follow_stopped(resumed, places, how) {
             Some(PumpStep::Continue) if !self.source.is_relayed => HandoverStep::Switched,
