Answer or refuse the connections that arrive as a process stops

Cause: two windows. After its servers were told to stop, the process waited for its last connections with the listeners still open, and the kernel accepted for them; the process then ended. And the library's graceful shutdown closes a connection on which nothing has been read, so a request that was on its way was cut.

Change: a server that stops takes the connections in its queue, stops listening in the same step, and gives connections that are new 100 ms for their first request; the node ends after its servers. All servers of the node and of the entry use this code, so a booking that is forwarded to a stopping node is answered or refused too.

--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -49,6 +49,8 @@
 const WRITE_RESERVE: TimeSpan = TimeSpan::millis(100);
 /// Interval at which a stopping node checks whether the last request has ended.
 const STOP_POLL: TimeSpan = TimeSpan::millis(50);
+/// Interval at which it then checks whether its servers have ended.
+const DRAIN_POLL: TimeSpan = TimeSpan::millis(10);
 /// Path of the metrics endpoint.
 const METRICS_PATH: &str = "/metrics";
 
@@ -213,16 +215,16 @@
     }
 }
 
-/// Waits until the connections of `servers` have closed, but no longer than until `deadline`: a
-/// request has ended before a slow caller has read its answer. Returns how many are still open.
+/// Waits until `servers` have ended with all their connections, but no longer than until `deadline`: a
+/// request has ended before a slow caller has read its answer. Returns how many connections are still
+/// open.
 async fn drain_connections(
     context: &NodeContext,
     servers: &[WebServer],
     deadline: TimePoint,
 ) -> usize {
-    let open = || servers.iter().map(WebServer::open_connections).sum();
-    while open() > 0 && context.now() < deadline {
-        kernel::sleep(STOP_POLL.into()).await;
+    while !servers.iter().all(WebServer::has_ended) && context.now() < deadline {
+        kernel::sleep(DRAIN_POLL.into()).await;
     }
-    open()
+    servers.iter().map(WebServer::open_connections).sum()
 }
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -6,6 +6,7 @@
 mod closer;
 mod error;
 mod interim_scan;
+mod listener;
 mod metered_read;
 mod read_budget;
 mod read_ledger;
--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
+use std::time::{Duration, Instant};
 
 use base::TimeSpan;
 use compio::net::{TcpListener, TcpStream};
@@ -17,10 +18,14 @@
 use hyper::service::service_fn;
 use kernel::StopSignal;
 
+use crate::listener::close_listener;
 use crate::socket_stream::socket_stream;
 use crate::unread_bytes::drop_unread;
 use crate::{ConnectionCloser, Result, WebError, WebRequest, WebResponse, discard_body};
 
+/// Time for the first request of a connection that is new when its server stops.
+const FIRST_REQUEST_TIME: TimeSpan = TimeSpan::millis(100);
+
 /// Maximum number of headers of a request: those that callers may send, and those that a node adds to
 /// a request which it forwards.
 const MAX_HEADERS: usize = 128;
@@ -64,6 +69,7 @@
 pub struct WebServer {
     address: SocketAddr,
     listener: Rc<TcpListener>,
+    is_listening: Rc<Cell<bool>>,
     limits: ServerLimits,
     open: Rc<Cell<usize>>,
     rejected: Rc<Cell<u64>>,
@@ -85,6 +91,7 @@
         Ok(Self {
             address,
             listener: Rc::new(listener),
+            is_listening: Rc::new(Cell::new(true)),
             limits,
             open: Rc::default(),
             rejected: Rc::default(),
@@ -111,13 +118,20 @@
         self.open.get()
     }
 
+    /// Whether the server has stopped: it accepts no connections, and the last one has closed.
+    #[must_use]
+    pub fn has_ended(&self) -> bool {
+        !self.is_listening.get() && self.open.get() == 0 && self.refused.get() == 0
+    }
+
     /// Number of connections refused, or closed on accept, because the limit was reached.
     #[must_use]
     pub fn rejected_connections(&self) -> u64 {
         self.rejected.get()
     }
 
-    /// Serves until `stop` is raised, then until the last connection has closed.
+    /// Serves until `stop` is raised, then until the last connection has closed. Connections that the
+    /// kernel has accepted by then are served too; later ones are refused.
     pub async fn serve<F>(
         &self,
         stop: StopSignal,
@@ -134,18 +148,35 @@
             // Accept errors are ignored: a connection that failed before it was accepted affects
             // only its caller.
             let Ok((stream, _)) = accepted else { continue };
-            if self.open.get() >= self.limits.max_connections {
-                self.rejected.set(self.rejected.get() + 1);
-                self.refuse_connection(stream, stop.clone()).await;
-                continue;
-            }
-            self.start_connection(stream, stop.clone(), handler.clone());
+            self.take_connection(stream, &stop, &handler).await;
+        }
+        let waiting = close_listener(&self.listener);
+        for stream in waiting {
+            self.take_connection(stream, &stop, &handler).await;
         }
-        while self.open.get() > 0 {
+        self.is_listening.set(false);
+        while !self.has_ended() {
             compio::time::sleep(DRAIN_POLL_INTERVAL.into()).await;
         }
     }
 
+    /// Serves a connection, or refuses it if there are too many.
+    async fn take_connection<F>(
+        &self,
+        stream: TcpStream,
+        stop: &StopSignal,
+        handler: &(impl Fn(WebRequest) -> F + Clone + 'static),
+    ) where
+        F: Future<Output = WebResponse> + 'static,
+    {
+        if self.open.get() >= self.limits.max_connections {
+            self.rejected.set(self.rejected.get() + 1);
+            self.refuse_connection(stream, stop.clone()).await;
+        } else {
+            self.start_connection(stream, stop.clone(), handler.clone());
+        }
+    }
+
     /// Answers a connection over the limit, once there is room for that, or closes it.
     async fn refuse_connection(&self, stream: TcpStream, stop: StopSignal) {
         let Some(refusal) = self.refusal.clone() else { return };
@@ -212,7 +243,12 @@
         .max_buf_size(limits.max_header_bytes);
     let mut connection = pin!(builder.serve_connection(stream, service));
     let mut until_closed = pin!(closer.wait());
-    let mut stopping = pin!(stop.wait());
+    let first_request_end = Instant::now() + Duration::from(FIRST_REQUEST_TIME);
+    let mut stopping = pin!(async {
+        stop.wait().await;
+        // A graceful shutdown closes a connection on which nothing has arrived.
+        compio::time::sleep_until(first_request_end).await;
+    });
     let mut until_stop = pin!(select(stopping.as_mut(), until_closed.as_mut()));
     // Errors are ignored: the caller disconnected or sent invalid HTTP, which hyper answers
     // itself where it can.
