Test that a stopped run does not go to a runner that left a drain time ago

The test has the order answered 1.6 s late and the last events read late, so that the stop is decided 2.4 s after the next runners have announced that they leave (drain time 2 s).

--- a/crates/harness/tests/node_stopped_places.rs
+++ b/crates/harness/tests/node_stopped_places.rs
@@ -25,6 +25,13 @@
 const NEXT_LEAVES_AFTER: [Duration; 3] =
     [Duration::ZERO, Duration::from_millis(200), Duration::from_secs(1)];
 
+/// Time that the copy takes before that order.
+const COPY_TIME: Duration = Duration::from_millis(100);
+/// Time that the order takes in which the next places leave.
+const LATE_ORDER: Duration = Duration::from_millis(1_600);
+/// Time after which a runner that leaves may get no requests, as the nodes are told.
+const DRAIN: Duration = Duration::from_secs(2);
+
 /// Has a runner that is reached over its link announce that it leaves.
 fn leave(services: &ServiceFleet, linked: &LinkedRunner) {
     let mut entry = linked.runner.entry(linked.service, "north", "draining");
@@ -69,3 +76,41 @@
     let _turn = take_turn();
     NEXT_LEAVES_AFTER.into_iter().for_each(check_leaving_places);
 }
+
+fn count_visits(services: &ServiceFleet) -> usize {
+    services.runners.iter().map(|linked| linked.runner.visits().len()).sum()
+}
+
+/// Guards against DRAIN: the time in which a next runner that leaves may be asked counts from the end of the order.
+#[test]
+fn a_stopped_run_is_not_sent_to_a_next_runner_that_left_a_drain_time_ago() {
+    let _turn = take_turn();
+    kernel::run(async {
+        let services = ServiceFleet::start(|settings| settings.events = EVENTS).await;
+        let request = CallerRequest::stream("late").with("x-dotterelyard-length-hint", "10");
+        let leaving = async {
+            let is_at_work = |linked: &&LinkedRunner| linked.runner.working() == 1;
+            let find = async || services.runners.iter().find(is_at_work);
+            let source = wait_until("a runner to work", LIMIT, find).await.unwrap();
+            sleep(FILL_AFTER).await;
+            source.link.set_answer_rate(FULL_RATE);
+            sleep(LEAVE_AFTER).await;
+            source.runner.slow_moves(COPY_TIME);
+            leave(&services, source);
+            let has_moves = async |count| (source.runner.moves().len() == count).then_some(());
+            wait_until("a copy", LIMIT, async || has_moves(1).await).await.unwrap();
+            source.runner.slow_moves(LATE_ORDER);
+            wait_until("an order", LIMIT, async || has_moves(2).await).await.unwrap();
+            let of_service = services.runners.iter().filter(|next| next.service == source.service);
+            let next: Vec<_> = of_service.collect();
+            next.iter().for_each(|next| leave(&services, next));
+            sleep(DRAIN).await;
+            count_visits(&services)
+        };
+        let (_, visits) = join(services.fleet.read_stream(CUT, &request), leaving).await;
+        let left = services.fleet.nodes[CUT].events("places_left");
+        assert_eq!(count_visits(&services), visits, "{left:?}");
+        assert_eq!(left.len(), 1, "{left:?}");
+    })
+    .unwrap();
+}
