Go on with a stream whose source has ended while its run was offered

Callers saw a stream stand still until its deadline and then end without its rest (LOST), also on a route that may run again (streamResume).

Cause: a silent source is read while its run is offered to other nodes. If its connection ends meanwhile, only that is noted; a round that no node takes then returns to the loop, in which nothing looks at an ended source any more (`handle_silence`, `go_to_answering_place`).

Change: the loop looks at the state before it waits. A source that has ended, with no move, check, question or open order under way, is an input of its own (`SourceGone`): the stream goes on from what a stopped run has left, from its copy, through a node that its runner answers, or by another run, or else it ends at once. All paths come through there, so that none needs to remember it.

--- a/crates/node/src/streams/stream_move.rs
+++ b/crates/node/src/streams/stream_move.rs
@@ -79,6 +79,17 @@
         self.run_elsewhere(reason).await
     }
 
+    /// Goes on from what is left of the run of an ended source. The run itself may work on, for another node.
+    pub(super) async fn replace_ended_source(&mut self) -> PumpStep {
+        if let Some(step) = self.resume_left_places().await {
+            return step;
+        }
+        if self.may_resume() {
+            return self.resume_from_backup().await;
+        }
+        self.end_refused("runner_lost").await
+    }
+
     /// Whether a stream that has lost its source can go on from the backup copy.
     pub(crate) fn may_resume(&self) -> bool {
         let backup = self.source.backup.as_ref();
--- a/crates/node/src/streams/stream_pump.rs
+++ b/crates/node/src/streams/stream_pump.rs
@@ -53,6 +53,8 @@
     OrderAnswered(platform::Result<RunCopy>),
     /// Data of the stream, an error, or the end of the body.
     Frame(Option<Result<Bytes, hyper::Error>>),
+    /// The source has ended, and nothing that is under way leads to another one.
+    SourceGone,
 }
 
 /// Whether the task continues after an input.
@@ -172,6 +174,7 @@
                 PumpInput::Moved(outcome) => self.finish_move(outcome).await,
                 PumpInput::OrderAnswered(answer) => self.follow_late_order(answer).await,
                 PumpInput::Frame(frame) => self.handle_frame(frame).await,
+                PumpInput::SourceGone => self.replace_ended_source().await,
             };
             if let PumpStep::End(outcome, reason) = step {
                 self.finish(outcome, reason).await;
@@ -182,6 +185,9 @@
 
     /// Waits for the next input. The order of the branches is their priority.
     async fn next_input(&mut self) -> PumpInput {
+        if self.is_source_gone() {
+            return PumpInput::SourceGone;
+        }
         let now = self.context.now();
         let may_switch = self.pending_move.is_none()
             && self.source.switch_at.is_none()
@@ -258,6 +264,14 @@
         }
     }
 
+    /// Whether the source has ended, and no move, check or order is under way after which the stream may go on.
+    fn is_source_gone(&self) -> bool {
+        let is_ordered = self.left_places.as_ref().is_some_and(|places| places.is_order_open());
+        let is_checked = self.pending_check.is_some() || self.pending_question.is_some();
+        let is_moved = self.pending_move.is_some() || self.source.switch_at.is_some();
+        self.source.ended && !is_ordered && !is_checked && !is_moved
+    }
+
     async fn handle_frame(&mut self, frame: Option<Result<Bytes, hyper::Error>>) -> PumpStep {
         match frame {
             Some(Ok(bytes)) => {
