Ask the node that has the caller before its run is ordered to stop

Callers saw a stream end without its rest (LOST): cut after 201 of 250 events in the new test.

Cause: a node that reads a run for another one is silent for a moment. The node with the caller has a third node move the run, which finds no room elsewhere and returns to its runner. The first node then finds its connections closed, waits 0.8 s and reads the request in the runner's report, which names no more than that. It takes the run for one that nobody wants and orders it to stop. It also notes that the runner ignores closed connections, which is wrong.

The stand-in hid the fault: when a run came back to its runner, the end of the earlier run took the new one off the report. Mended first.

Change: a call or a run that is passed on names the machine of the node that has the caller (X-Yard-Forward-Owner, optional). A node whose own stream of it is over asks that node whether the run may be at the runner (POST /run-place, run_owner.rs), and leaves it alone if so (run_left_to_node, stop_orders with other_node). A node that answers none of six questions counts as lost. Builds before neither send the header nor know the path: as before.

--- a/crates/fakes/src/platform/runner_answers.rs
+++ b/crates/fakes/src/platform/runner_answers.rs
@@ -332,13 +332,16 @@
 impl WorkGuard {
     fn new(state: &Rc<RunnerState>, attempt: &str) -> Self {
         state.working.set(state.working.get() + 1);
-        let run = RunAtWork::default();
+        let number = state.next_run.get();
+        state.next_run.set(number + 1);
+        let run = RunAtWork { number, ..RunAtWork::default() };
         state.runs_at_work.borrow_mut().insert(attempt.to_owned(), run.clone());
         Self { state: Rc::clone(state), attempt: attempt.to_owned(), run }
     }
 
     fn note_event(&self, number: u64) {
-        if let Some(run) = self.state.runs_at_work.borrow_mut().get_mut(&self.attempt) {
+        let mut runs = self.state.runs_at_work.borrow_mut();
+        if let Some(run) = runs.get_mut(&self.attempt).filter(|run| run.number == self.run.number) {
             run.events = number;
         }
     }
@@ -347,7 +350,10 @@
 impl Drop for WorkGuard {
     fn drop(&mut self) {
         self.state.working.set(self.state.working.get() - 1);
-        self.state.runs_at_work.borrow_mut().remove(&self.attempt);
+        let mut runs = self.state.runs_at_work.borrow_mut();
+        if runs.get(&self.attempt).is_some_and(|run| run.number == self.run.number) {
+            runs.remove(&self.attempt);
+        }
     }
 }
 
--- a/crates/fakes/src/platform/runner_state.rs
+++ b/crates/fakes/src/platform/runner_state.rs
@@ -29,6 +29,8 @@
 /// A stream that a runner works on.
 #[derive(Clone, Default)]
 pub(super) struct RunAtWork {
+    /// Its number at this runner: a request may come back while its earlier run still ends.
+    pub(super) number: u64,
     /// Number of the newest event.
     pub(super) events: u64,
     /// Raised when a move stops it.
@@ -68,6 +70,8 @@
     pub(super) plain_working: Cell<usize>,
     /// Streams that it works on, by their attempt.
     pub(super) runs_at_work: RefCell<BTreeMap<String, RunAtWork>>,
+    /// Number of the next run.
+    pub(super) next_run: Cell<u64>,
     /// It goes on with a request whose connection has closed.
     pub(super) ignores_close: Cell<bool>,
     /// It goes on with a run that a move is to stop.
@@ -145,6 +149,7 @@
             sequence: Cell::default(),
             plain_working: Cell::default(),
             runs_at_work: RefCell::default(),
+            next_run: Cell::default(),
             ignores_close: Cell::default(),
             ignores_stops: Cell::default(),
             stops_refused: Cell::default(),
--- a/crates/harness/tests/node_relay_loss.rs
+++ b/crates/harness/tests/node_relay_loss.rs
@@ -196,6 +196,33 @@
     check_whole(&CallerRequest::stream("s1"), &signals, SILENCE + MAX_PAUSE);
 }
 
+/// Guards against LOST: a node that was silent stops the run that has gone on at its runner through another node.
+#[test]
+fn a_run_that_returns_to_its_runner_through_another_node_is_not_stopped_by_the_silent_one() {
+    let _turn = take_turn();
+    kernel::run(async {
+        let services = ServiceFleet::start(long_streams).await;
+        let request = without_copy();
+        let lose = async {
+            sleep(CUT_AFTER).await;
+            services.set("llm", usize::from(RUNNERS), LinkState::Lost);
+            let relay = find_relay(&services).await;
+            // A run that is stopped finds no room elsewhere.
+            services.runners.iter().for_each(|linked| linked.runner.refuse_moves(true));
+            let signals = [(LOST_AFTER, Signal::STOP), (SILENCE, Signal::CONT)];
+            send_signals(&services, relay, &signals, &Cell::new(false)).await;
+        };
+        let (stream, ()) = join(services.fleet.read_stream(CUT, &request), lose).await;
+        let names = ["relay_lost", "run_not_ended", "run_moved", "send_failed", "end"];
+        let lines: Vec<_> = (0..NODES)
+            .flat_map(|node| names.map(|name| (node, services.fleet.nodes[node].events(name))))
+            .collect();
+        assert!(stream.has_all(EVENTS), "{stream:?} {lines:#?}");
+        assert_eq!(services.most_runs(), 1);
+    })
+    .unwrap();
+}
+
 /// Guards against LOST: a stream that was forwarded is broken off, though its run has a copy.
 #[test]
 fn a_forwarded_stream_goes_on_from_its_copy_after_its_other_node_is_killed() {
--- a/crates/harness/tests/node_stopped_places.rs
+++ b/crates/harness/tests/node_stopped_places.rs
@@ -101,9 +101,10 @@
             wait_until("a copy", LIMIT, async || has_moves(1).await).await.unwrap();
             source.runner.slow_moves(LATE_ORDER);
             wait_until("an order", LIMIT, async || has_moves(2).await).await.unwrap();
-            let of_service = services.runners.iter().filter(|next| next.service == source.service);
-            let next: Vec<_> = of_service.collect();
-            next.iter().for_each(|next| leave(&services, next));
+            let next = services.runners.iter().filter(|next| next.service == source.service);
+            for linked in next {
+                leave(&services, linked);
+            }
             sleep(DRAIN).await;
             count_visits(&services)
         };
--- a/crates/node/src/call.rs
+++ b/crates/node/src/call.rs
@@ -47,6 +47,8 @@
     pub headers: HeaderMap,
     /// The whole body.
     pub body: Bytes,
+    /// The node that has its caller; `None` if that is this one, or one of a build that does not say so.
+    pub owner: Option<VmId>,
     /// Whether the call may be forwarded to another node.
     pub forwards: RefCell<ForwardState>,
     /// Memory reserved for the body.
--- a/crates/node/src/caller_server.rs
+++ b/crates/node/src/caller_server.rs
@@ -18,7 +18,7 @@
 use crate::call_answer::CallRejection;
 use crate::call_log::log_rejection;
 use crate::context::NodeContext;
-use crate::forward::{FORWARD_FINGERPRINT, ResumeOffer, ResumeRefusal, resume_run};
+use crate::forward::{FORWARD_FINGERPRINT, FORWARD_OWNER, ResumeOffer, ResumeRefusal, resume_run};
 use crate::plain_call::run_plain;
 use crate::router::RouterService;
 use crate::stop_intake::{check_intake, unless_stopped};
@@ -155,6 +155,7 @@
         retry_after: Some(NOT_READY_RETRY_AFTER),
     })?;
     let sent_fingerprint = find_fingerprint(&parts.headers, source);
+    let owner = find_owner(&parts.headers, source);
     normalize_request(&mut parts.uri, &mut parts.headers);
     if source == CallSource::Caller && parts.headers.len() > MAX_CALLER_HEADERS {
         let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
@@ -220,6 +221,7 @@
         uri: parts.uri,
         headers: parts.headers,
         body,
+        owner,
         forwards: RefCell::new(ForwardState::new(source == CallSource::Node)),
         _reservation: reservation,
         arrived,
@@ -237,6 +239,12 @@
     text.to_str().ok()?.parse().ok().map(RequestFingerprint)
 }
 
+/// The node that has the caller of a request from another node.
+fn find_owner(headers: &HeaderMap, source: CallSource) -> Option<VmId> {
+    let text = headers.get(FORWARD_OWNER).filter(|_| source == CallSource::Node)?;
+    text.to_str().ok()?.parse().ok()
+}
+
 fn find_route(plan: &ServingPlan, parts: &Parts) -> Result<Rc<RouteRule>, CallRejection> {
     let route = plan.find_route(request_host(&parts.headers), parts.uri.path());
     route.cloned().ok_or(CallRejection::new(StatusCode::NOT_FOUND, "no_route"))
--- a/crates/node/src/forward/forwarded_calls.rs
+++ b/crates/node/src/forward/forwarded_calls.rs
@@ -45,6 +45,9 @@
 /// Fingerprint of the call at the forwarding node. The receiving node declines a call that has another
 /// one there.
 pub const FORWARD_FINGERPRINT: HeaderName = HeaderName::from_static("x-yard-forward-fingerprint");
+/// Id of the machine whose node has the call's caller, and so decides where its run goes on; missing in requests of
+/// builds that do not say so.
+pub const FORWARD_OWNER: HeaderName = HeaderName::from_static("x-yard-forward-owner");
 /// What the receiving node did with the call. Without it, the response is not that of a node
 /// which accepts forwarded calls.
 pub const FORWARD_RESULT: HeaderName = HeaderName::from_static("x-yard-forward-result");
--- a/crates/node/src/forward/mod.rs
+++ b/crates/node/src/forward/mod.rs
@@ -14,7 +14,7 @@
 
 pub use call_forward::{ForwardEnd, TakenResume, leave_out_node, offer_resume, try_forward};
 pub use forwarded_calls::{
-    FORWARD_FINGERPRINT, FORWARD_PATH, RESUME_PATH, answer_forwarded, answer_resumed,
+    FORWARD_FINGERPRINT, FORWARD_OWNER, FORWARD_PATH, RESUME_PATH, answer_forwarded, answer_resumed,
 };
 pub use offer::ResumeOffer;
 pub use relay::{answer_headers, relay_response};
--- a/crates/node/src/forward/offer.rs
+++ b/crates/node/src/forward/offer.rs
@@ -10,8 +10,9 @@
 use web::{SendFault, WebBody, WebConnection, WebError, WebExchange, full_body};
 
 use super::forwarded_calls::{
-    ANSWERED, DECLINED, FORWARD_FINGERPRINT, FORWARD_PATH, FORWARD_PLAN, FORWARD_RESULT,
-    RESUME_AFTER, RESUME_FROM, RESUME_LIMIT, RESUME_PATH, RESUME_RUN, RESUME_RUNNER, RESUME_SOURCE,
+    ANSWERED, DECLINED, FORWARD_FINGERPRINT, FORWARD_OWNER, FORWARD_PATH, FORWARD_PLAN,
+    FORWARD_RESULT, RESUME_AFTER, RESUME_FROM, RESUME_LIMIT, RESUME_PATH, RESUME_RUN,
+    RESUME_RUNNER, RESUME_SOURCE,
 };
 use super::run_trace::{RunHandle, RunTrace};
 use crate::call::Call;
@@ -136,7 +137,7 @@
         Err(error) => return unconnected(&error),
     };
     let left = call.deadline.since(context.now());
-    let request = match build_request(call, left, resume) {
+    let request = match build_request(context, call, left, resume) {
         Ok(request) => request,
         Err(error) => return unconnected(&error),
     };
@@ -149,6 +150,7 @@
 }
 
 fn build_request(
+    context: &NodeContext,
     call: &Call,
     left: TimeSpan,
     resume: Option<&ResumeOffer>,
@@ -163,8 +165,10 @@
     let mut headers = forwarded_headers(&call.headers, left);
     headers.insert(FORWARD_PLAN, HeaderValue::from(call.plan_version.0));
     headers.insert(FORWARD_FINGERPRINT, HeaderValue::from(call.fingerprint.0));
+    let text = |text: String| HeaderValue::from_str(&text).map_err(|error| fault(error.into()));
+    let owner = call.owner.as_ref().unwrap_or(&context.settings.vm);
+    headers.insert(FORWARD_OWNER, text(owner.to_string())?);
     if let Some(ResumeOffer { runner, copy, last_event_id, limit, source, .. }) = resume {
-        let text = |text: String| HeaderValue::from_str(&text).map_err(|error| fault(error.into()));
         headers.insert(RESUME_RUNNER, text(runner.to_string())?);
         if let Some(RunHandle { address, handle }) = copy {
             headers.insert(RESUME_FROM, text(format!("{address}/{handle}"))?);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -42,6 +42,7 @@
 mod router;
 mod run_copies;
 mod run_end_watch;
+mod run_owner;
 mod runner_gate;
 mod runner_notices;
 mod runner_poll;
--- a/crates/node/src/open_calls.rs
+++ b/crates/node/src/open_calls.rs
@@ -31,6 +31,11 @@
         self.calls.take().into_values().collect()
     }
 
+    /// Whether `is_sought` holds for any of the calls.
+    pub fn any(&self, is_sought: impl Fn(&Call) -> bool) -> bool {
+        self.calls.borrow().values().any(|call| is_sought(call))
+    }
+
     /// Time since the earliest begin of the calls of a route, where `begin` gives that of a call; zero
     /// if there is none.
     pub fn longest(
--- a/crates/node/src/peer_server.rs
+++ b/crates/node/src/peer_server.rs
@@ -13,6 +13,7 @@
 use crate::forward::{FORWARD_PATH, RESUME_PATH, answer_forwarded, answer_resumed};
 use crate::reach::{ANSWERS_PATH, REACH_PATH, answer_answers, answer_reach};
 use crate::router::RouterService;
+use crate::run_owner::{RUN_PLACE_PATH, answer_run_place};
 use crate::state_transfer::{PLAN_PATH, answer_plan, answer_state};
 
 /// Path of the list of runners.
@@ -34,6 +35,7 @@
     request: WebRequest,
 ) -> WebResponse {
     match request.uri().path() {
+        RUN_PLACE_PATH => answer_run_place(&context, request).await,
         PLAN_PATH => answer_plan(&context, &request),
         RUNNERS_PATH => answer_state(&request, &runners_answer(&context)),
         path if path.starts_with(FORWARD_PATH) => {
--- a/crates/node/src/run_end_watch.rs
+++ b/crates/node/src/run_end_watch.rs
@@ -13,6 +13,7 @@
 use crate::call_log::may_log;
 use crate::context::NodeContext;
 use crate::metrics::WithheldLabels;
+use crate::run_owner::may_be_of_owner;
 use crate::runner_gate::{SendBlock, find_block, find_own_block};
 use crate::runner_notices::record_notice;
 use crate::streams::CopyTask;
@@ -54,15 +55,31 @@
     kernel::spawn_rest(async move {
         let goes_on = !asks || is_in_report(&context, &call, &runner, &incarnation).await;
         // The run may have come back to the runner meanwhile.
-        if goes_on && !call.run_place.borrow().may_be_at(&runner.runner) {
-            if asks {
-                record_habit(&context, &call, &runner, EndHabit::IgnoresClose);
-            }
-            order_stop(&context, &call, &runner).await;
+        if !goes_on || call.run_place.borrow().may_be_at(&runner.runner) {
+            return;
+        }
+        if may_be_of_owner(&context, &call, &runner).await {
+            leave_to_owner(&context, &call, &runner);
+            return;
+        }
+        if asks {
+            record_habit(&context, &call, &runner, EndHabit::IgnoresClose);
         }
+        order_stop(&context, &call, &runner).await;
     });
 }
 
+/// Counts a run that is not ordered to stop, since the node that has its caller may go on with it.
+fn leave_to_owner(context: &NodeContext, call: &Call, runner: &RunnerRecord) {
+    let reason = "other_node";
+    context.metrics.stop_orders.get_or_create(&WithheldLabels { reason }).inc();
+    if may_log(context) {
+        let (request, runner) = (&call.attempt, &runner.runner);
+        let owner = call.owner.as_ref().map(VmId::as_str);
+        tracing::info!(event = "run_left_to_node", %request, %runner, owner);
+    }
+}
+
 /// A run whose request is being sent or answered. If it is dropped, its connection closes.
 pub struct OpenRun<'a> {
     context: &'a Rc<NodeContext>,
--- /dev/null
+++ b/crates/node/src/run_owner.rs
@@ -0,0 +1,90 @@
+//! Asks the node that has the caller of a request whether its run may go on at a runner.
+//!
+//! Load pattern: a node that reads a run for another one is silent for a moment. The other one goes on through a
+//! third node, and the run may return to its runner, whose report names the request only. The node that was
+//! silent then finds its connections closed, and may not take that run for one that nobody wants.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use base::prelude::*;
+use hyper::body::Bytes;
+use hyper::{Method, StatusCode};
+use serde::{Deserialize, Serialize};
+use serving::RunnerRecord;
+use web::{FetchLimit, WebRequest, WebResponse, fetch_answer, read_bounded, text_reply};
+
+use crate::call::{Call, RunPlace};
+use crate::context::NodeContext;
+
+/// Path of the question. Builds that do not know it answer 404, as for a run that is not there.
+pub const RUN_PLACE_PATH: &str = "/run-place";
+/// Timeout for the answer.
+const ANSWER_TIMEOUT: TimeSpan = TimeSpan::millis(250);
+/// Pause until a node that has not answered is asked again.
+const QUESTION_PAUSE: TimeSpan = TimeSpan::millis(250);
+/// Questions without an answer after which the node counts as lost: as many as it takes to leave a silent one
+/// that streams come through (1.5 s).
+const MAX_QUESTIONS: u32 = 6;
+/// Most bytes of a question, which holds the id of a request.
+const MAX_QUESTION_BYTES: usize = 64 << 10;
+/// Most bytes of an answer.
+const MAX_ANSWER_BYTES: usize = 1_024;
+
+/// Where a run may be.
+#[derive(Debug, Serialize, Deserialize)]
+struct PlaceQuestion {
+    request: Arc<str>,
+    runner: Arc<str>,
+}
+
+/// Answers another node whether the run of a request of this node may go on at a runner.
+pub async fn answer_run_place(context: &NodeContext, request: WebRequest) -> WebResponse {
+    let body = read_bounded("run place", request.into_body(), MAX_QUESTION_BYTES).await;
+    let question = body.ok().and_then(|body| serde_json::from_slice(&body).ok());
+    let Some(PlaceQuestion { request, runner }) = question else {
+        return text_reply(StatusCode::BAD_REQUEST, "not a question for the place of a run");
+    };
+    let Ok(runner) = runner.parse::<RunnerId>() else {
+        return text_reply(StatusCode::BAD_REQUEST, "not the id of a runner");
+    };
+    let is_of_run = |call: &Call| *call.attempt.as_str() == *request;
+    let is_there = |call: &Call| is_of_run(call) && call.run_place.borrow().may_be_at(&runner);
+    // A stream without a head may have been sent anywhere.
+    if context.open_streams.any(is_there) || context.headless_streams.any(is_of_run) {
+        text_reply(StatusCode::OK, "may be there")
+    } else {
+        text_reply(StatusCode::NOT_FOUND, "not there")
+    }
+}
+
+/// Whether another node, which has the caller of `call`, may go on with its run at `runner`. This one knows better
+/// while it reads the run itself.
+pub async fn may_be_of_owner(
+    context: &Rc<NodeContext>,
+    call: &Call,
+    runner: &RunnerRecord,
+) -> bool {
+    let is_over = matches!(*call.run_place.borrow(), RunPlace::Nowhere);
+    let Some(owner) = call.owner.as_ref().filter(|_| is_over) else { return false };
+    for _ in 0..MAX_QUESTIONS {
+        let address = context.peers.borrow().find(owner).map(|peer| peer.peer_address);
+        let Some(address) = address else { return false };
+        if let Some(status) = ask(call, runner, address).await {
+            return status == StatusCode::OK;
+        }
+        kernel::sleep(QUESTION_PAUSE.into()).await;
+    }
+    false
+}
+
+/// Asks the node at `address`; `None` if it does not answer.
+async fn ask(call: &Call, runner: &RunnerRecord, address: SocketAddr) -> Option<StatusCode> {
+    let request = Arc::from(call.attempt.as_str());
+    let question = PlaceQuestion { request, runner: Arc::from(runner.runner.as_str()) };
+    let body = Bytes::from(serde_json::to_vec(&question).ok()?);
+    let (step, path) = ("place of a run", RUN_PLACE_PATH);
+    let limit = FetchLimit::Whole(ANSWER_TIMEOUT);
+    let answer = fetch_answer(step, Method::POST, address, path, body, limit, MAX_ANSWER_BYTES);
+    answer.await.ok().map(|answer| answer.status)
+}
