Wait for what a full link has held back before a next runner is given up

Callers saw a stream of a stopped run end at its deadline without its rest (LOST).

Cause: a request to a next runner is given up once that runner, or the one of the other place, answers a question. As a full link opens, the answer to the question may come a few milliseconds before the head of the request, which lies in another connection. The memory was used then, and the other places had passed their time to be asked.

Change: an answer counts at once only if it is prompt and none before it was missing. After silence the runner has to have answered for 500 ms, in which the head comes (`AnswerSeries`). A request that is lost over a sound link is given up as before.

`OtherQuestion` moved to a file of its own with it.

--- a/crates/harness/tests/node_kept_memory.rs
+++ b/crates/harness/tests/node_kept_memory.rs
@@ -105,9 +105,18 @@
 }
 
 fn check_stopped_run(fault: Fault) {
+    check_resumed_run(fault, Duration::ZERO);
+}
+
+/// Plays a stopped run that a runner with its memory answers after `resume_time`.
+fn check_resumed_run(fault: Fault, resume_time: Duration) {
     let _turn = take_turn();
     kernel::run(async {
-        let services = ServiceFleet::start(long_streams).await;
+        let slow = |settings: &mut RunnerFakeSettings| {
+            long_streams(settings);
+            settings.resume_time = resume_time;
+        };
+        let services = ServiceFleet::start(slow).await;
         let request = CallerRequest::stream("s1").with("x-dotterelyard-length-hint", "10");
         let read = services.fleet.read_stream(CUT, &request);
         let (stream, ()) = join(read, leave(&services, fault)).await;
@@ -167,6 +176,15 @@
     }
 }
 
+/// Guards against LOST: a full link passes the answer to a question on before that of the runner that has the run.
+#[test]
+fn a_stopped_run_goes_on_whose_next_answer_comes_after_others_that_were_held_back() {
+    /// Time by which it comes later.
+    const LATER: Duration = Duration::from_millis(300);
+    let span = SPANS[2];
+    check_resumed_run(Fault::Full(span), span + LATER);
+}
+
 /// Guards against LOST: the rest of a stopped run comes late and is taken for a sign that its source works.
 #[test]
 fn a_stopped_run_whose_last_events_are_held_back_goes_on_at_the_next_runner() {
--- a/crates/node/src/streams/mod.rs
+++ b/crates/node/src/streams/mod.rs
@@ -2,6 +2,7 @@
 //! or falls silent.
 
 mod left_places;
+mod place_questions;
 mod run_return;
 mod run_stop;
 mod stop_order;
--- a/crates/node/src/streams/run_return.rs
+++ b/crates/node/src/streams/run_return.rs
@@ -3,7 +3,6 @@
 //! Load pattern: the next runner is full, silent or cut off from this node. What was stopped goes on from
 //! its copy, or returns to its source, which keeps its memory.
 
-use std::future::pending;
 use std::pin::pin;
 use std::rc::Rc;
 
@@ -14,10 +13,11 @@
 use serving::{AnswerPlace, RunnerLoss, RunnerRecord, SendOutcome};
 use web::{WebConnection, WebExchange};
 
+use super::place_questions::{AnswerSeries, OtherQuestion};
 use super::stop_order::{ORDER_SILENCE, StopAnswer};
 use super::stopped_places::StoppedPlaces;
 use super::stream_backup::choose_backup;
-use super::stream_places::{QUESTION_PAUSE, RunnerQuestion, ask_next, ask_runner};
+use super::stream_places::{QUESTION_PAUSE, ask_next};
 use super::stream_pump::{PumpStep, StreamPump};
 use crate::call::RunPlace;
 use crate::call_log::may_log;
@@ -77,28 +77,6 @@
     OtherAsked(AnswerPlace),
 }
 
-/// The question where the runner of another place answers, while one has not answered in time.
-struct OtherQuestion {
-    /// When it is asked.
-    look_at: TimePoint,
-    open: Option<RunnerQuestion>,
-}
-
-impl OtherQuestion {
-    /// Asks `other` when it is time; waits forever if there is none.
-    async fn answer(
-        &mut self,
-        context: &Rc<NodeContext>,
-        other: Option<RunnerRecord>,
-    ) -> AnswerPlace {
-        let Some(other) = other else { return pending().await };
-        kernel::sleep(self.look_at.since(context.now()).into()).await;
-        let open =
-            self.open.get_or_insert_with(|| ask_runner(context, &other, TimeSpan::default()));
-        open.await
-    }
-}
-
 impl StreamPump {
     /// Waits for the answer to the order, unless the source answers another node, and not this one.
     async fn await_order(&self, places: &mut StoppedPlaces) {
@@ -318,6 +296,8 @@
         let mut sending = pin!(Box::pin(sending).fuse());
         let mut question = ask_next(context, &plan.runner, true);
         let mut other = OtherQuestion { look_at: begun + HEAD_TIME, open: None };
+        let (mut own_answers, mut other_answers) =
+            (AnswerSeries::default(), AnswerSeries::default());
         let head_late = || Err(SendFailure::stream_lost(HEAD_LATE, RunnerLoss::NoAnswer));
         loop {
             let input = {
@@ -340,17 +320,28 @@
                     places.note_node(memory, node);
                     return Err(SendFailure::unreached());
                 }
-                // The request or its answer was lost.
-                PlaceInput::Asked(AnswerPlace::Here)
-                    if context.now().since(begun) >= SILENCE_TIME =>
-                {
-                    return head_late();
+                PlaceInput::Asked(place) => {
+                    let now = context.now();
+                    if place == AnswerPlace::Nowhere {
+                        own_answers.note_silence();
+                    } else if own_answers.note_answer(now, now) && now.since(begun) >= SILENCE_TIME
+                    {
+                        // The request or its answer was lost.
+                        return head_late();
+                    }
+                    question = ask_next(context, &plan.runner, false);
                 }
-                PlaceInput::Asked(_) => question = ask_next(context, &plan.runner, false),
                 PlaceInput::OtherAsked(AnswerPlace::Nowhere) => {
+                    other_answers.note_silence();
                     other = OtherQuestion { look_at: context.now() + QUESTION_PAUSE, open: None };
                 }
-                PlaceInput::OtherAsked(AnswerPlace::Here) => return head_late(),
+                PlaceInput::OtherAsked(AnswerPlace::Here) => {
+                    let now = context.now();
+                    if other_answers.note_answer(other.look_at, now) {
+                        return head_late();
+                    }
+                    other = OtherQuestion { look_at: now + QUESTION_PAUSE, open: None };
+                }
                 PlaceInput::OtherAsked(AnswerPlace::OtherNode(node)) => {
                     places.note_node(memory.other_runner(), node);
                     return head_late();
