--- a/crates/harness/tests/node_hedged_calls.rs
+++ b/crates/harness/tests/node_hedged_calls.rs
@@ -1,24 +1,21 @@
 //! Second sends of slow requests: the first whole response reaches the caller, the other send is
 //! ended at once, and nothing is sent twice that may not be.
 
+mod hedge_site;
+
 use std::pin::pin;
 use std::time::{Duration, Instant};
 
-use fakes::platform::{RunnerFake, RunnerFakeSettings, RunnerScript, SharedScripts};
-use futures_util::future::{Either, join, select};
-use harness::{CallerRequest, NodeFleet, WholeAnswer, config, wait_until};
+use fakes::platform::RunnerScript;
+use futures_util::future::{Either, select};
+use harness::{CallerRequest, config, wait_until};
+use hedge_site::{LEARNED, LIMIT, Site};
 use serde_json::{Value, json};
 
-/// Sends of a route after which a slow one is told from others.
-const LEARNED: usize = 100;
 /// Time within which the connection of a send that lost is closed.
 const CLOSE_LIMIT: Duration = Duration::from_millis(500);
-/// Time in which runners report their load several times.
-const REPORT_SPAN: Duration = Duration::from_millis(500);
 /// Time after the end of a first send in which the node sees it, before the second one ends.
 const SEEN_SPAN: Duration = Duration::from_millis(200);
-/// Time for a change that a test waits for.
-const LIMIT: Duration = Duration::from_secs(5);
 
 fn plan(resume: bool, attempts: u32) -> Value {
     let mut plan = config(2);
@@ -29,121 +26,6 @@
     plan
 }
 
-struct Site {
-    fleet: NodeFleet,
-    runners: Vec<RunnerFake>,
-    scripts: SharedScripts,
-}
-
-impl Site {
-    /// One node and two runners of `service`.
-    async fn start(service: &str, plan: &Value, sets: &[(&str, Value)]) -> Self {
-        let mut fleet = NodeFleet::start().await.unwrap();
-        fleet.store.put_json("keyed.op", "config", plan);
-        let scripts = SharedScripts::default();
-        let mut runners = Vec::new();
-        for number in 1..=2 {
-            let mut settings = RunnerFakeSettings::new(&format!("runner-{number}"));
-            settings.events = 3;
-            settings.event_pause = Duration::from_millis(1);
-            let runner = fleet.add_runner(service, settings).await.unwrap();
-            runner.share_scripts(&scripts);
-            runners.push(runner);
-        }
-        fleet.add_node_with(sets, true).unwrap();
-        fleet.wait_ready().await.unwrap();
-        Self { fleet, runners, scripts }
-    }
-
-    /// Sends requests until the node knows how long they take.
-    async fn learn(&self, make: fn(&str) -> CallerRequest) {
-        for number in 0..LEARNED {
-            let answer = self.fleet.send(0, &make(&format!("l{number}"))).await;
-            assert!(answer.complete && answer.status == 200, "{answer:?}");
-        }
-        // The node learns from the runners' reports that nothing waits there any more.
-        compio::time::sleep(REPORT_SPAN).await;
-    }
-
-    /// The next requests are answered by these scripts, whichever runner gets them.
-    fn script(&self, scripts: &[RunnerScript]) {
-        *self.scripts.borrow_mut() = scripts.iter().copied().collect();
-    }
-
-    fn runs(&self, attempt: &str) -> usize {
-        let visits = self.runners.iter().flat_map(RunnerFake::visits);
-        let own = visits.filter(|visit| {
-            visit.ran && visit.request.header("x-dotterelyard-attempt-id") == attempt
-        });
-        own.count()
-    }
-
-    /// Waits until a request has run `count` times.
-    async fn wait_runs(&self, attempt: &str, count: usize) {
-        let has_run = async || (self.runs(attempt) >= count).then_some(());
-        wait_until("the runs", LIMIT, has_run).await.unwrap();
-    }
-
-    /// Lets the late answers of all runners go.
-    fn release_late(&self) {
-        self.runners.iter().for_each(RunnerFake::release_late);
-    }
-
-    /// Sends a look-up; once `decided` has ended, lets the late answers go.
-    async fn look_up_late(&self, attempt: &str, decided: impl Future<Output = ()>) -> WholeAnswer {
-        let request = CallerRequest::lookup(attempt);
-        let release = async {
-            decided.await;
-            self.release_late();
-        };
-        join(self.fleet.send(0, &request), release).await.0
-    }
-
-    /// Sends a look-up whose answer is late until the node has denied it a second send; gives the
-    /// reason.
-    async fn denial(&self, attempt: &str) -> Value {
-        let denied = async { drop(self.lines("hedge_denied", attempt).await) };
-        self.look_up_late(attempt, denied).await;
-        self.lines("hedge_denied", attempt).await[0]["reason"].clone()
-    }
-
-    /// When connections were closed from outside.
-    fn abandoned(&self) -> Vec<Instant> {
-        self.runners.iter().flat_map(RunnerFake::abandoned).collect()
-    }
-
-    /// Waits for the lines of an event that name this request.
-    async fn lines(&self, event: &str, attempt: &str) -> Vec<Value> {
-        let found = async || {
-            let mut lines = self.fleet.nodes[0].events(event);
-            lines.retain(|line| line["request"] == attempt);
-            (!lines.is_empty()).then_some(lines)
-        };
-        wait_until(event, LIMIT, found).await.unwrap()
-    }
-
-    /// Value of a counter; 0 if it is not on the page.
-    async fn counter(&self, name: &str) -> u64 {
-        let page = self.fleet.metrics(0).await;
-        let line = page.lines().find_map(|line| line.strip_prefix(name));
-        line.map_or(0, |value| value.trim().parse().unwrap())
-    }
-
-    /// Checks that no request was hedged, nor denied a hedge.
-    async fn check_not_considered(&self) {
-        let page = self.fleet.metrics(0).await;
-        assert!(page.contains("yard_node_sends_total "), "{page}");
-        assert!(!page.contains("yard_node_hedges_total{"), "{page}");
-        assert!(!page.contains("yard_node_hedges_denied_total{"), "{page}");
-    }
-
-    /// Waits until `count` connections have been closed from outside.
-    async fn wait_abandoned(&self, count: usize) {
-        let closed = async || (self.abandoned().len() >= count).then_some(());
-        wait_until("connections to be closed", LIMIT, closed).await.unwrap();
-    }
-}
-
 fn hedging() -> Vec<(&'static str, Value)> {
     vec![("hedge_share", json!(0.1))]
 }
