--- a/crates/route/tests/common/speed_replay.rs
+++ b/crates/route/tests/common/speed_replay.rs
@@ -6,40 +6,28 @@
 
 use base::BlockCount;
 use base::prelude::*;
-use config::{CallPriority, PolicyWeights, ServiceKind};
+use config::CallPriority;
 use rand::{RngExt, SeedableRng, rngs::StdRng};
-use route::{
-    CallEnd, CallId, MemoryForecast, PolicyName, RouteAction, RouteCall, RouteEvent, RouteMember,
-    RouteScheduler, RouteSettings,
-};
+use route::{CallEnd, CallId, MemoryForecast, RouteAction, RouteCall, RouteEvent, RouteScheduler};
 
 use crate::common::{runner, service};
+use crate::replay_input::{
+    Arrival, DISTURBED_FACTOR, DISTURBED_SHARE, ENTRIES, EVENT_TOKENS, LONG_OUTPUT, MEASURED,
+    PAUSE_BOUND, RUNNERS, WARM_UP, draw_arrivals, scheduler, start,
+};
 
-const RUNNERS: usize = 12;
-const ENTRIES: usize = 6;
 /// Memory of an engine in tokens.
 const MEMORY: u32 = 32_768;
-/// Time before the measured calls, in which speeds are learned.
-const WARM_UP: TimeSpan = TimeSpan::seconds(10);
-const MEASURED: TimeSpan = TimeSpan::seconds(20);
 /// Time after the last arrival in which calls end.
 const DRAIN: TimeSpan = TimeSpan::seconds(15);
 const STEP_MICROS: f64 = 7_000.0;
 const STEP_MICROS_PER_CALL: f64 = 120.0;
 const CHUNK_TOKENS: u32 = 112;
 const MICROS_PER_PROMPT_TOKEN: f64 = 1_000.0 / 14.0;
-const EVENT_TOKENS: u32 = 4;
-const PAUSE_BOUND: TimeSpan = TimeSpan::millis(180);
 const FIRST_TOKEN_TARGET: TimeSpan = TimeSpan::millis(1_800);
-const DISTURBED_SHARE: f64 = 0.15;
-const DISTURBED_FACTOR: f64 = 2.5;
 const DISTURBANCE: TimeSpan = TimeSpan::millis(600);
 const EXCHANGE: TimeSpan = TimeSpan::millis(100);
 const TICK: TimeSpan = TimeSpan::millis(10);
-/// Output from which a stream is long.
-const LONG_OUTPUT: u32 = 200;
-/// Calls a second that an engine of usual speed takes with a full memory.
-const ENGINE_RATE: f64 = 5.5;
 
 pub struct ReplayPlan {
     /// Factors of the time that work takes; the runners have them in turn.
@@ -85,13 +73,6 @@
     chunk: u32,
 }
 
-struct Arrival {
-    entry: usize,
-    at: TimePoint,
-    prompt: u32,
-    output: u32,
-}
-
 #[derive(PartialEq, Eq, PartialOrd, Ord, Clone, Copy)]
 enum Due {
     Noise,
@@ -144,10 +125,6 @@
     figures
 }
 
-fn start() -> TimePoint {
-    TimePoint::default() + TimeSpan::seconds(10)
-}
-
 fn percentile(values: &mut [u64], share: f64) -> u64 {
     values.sort_unstable();
     values.get((values.len() as f64 * share) as usize).copied().unwrap_or(0)
@@ -412,56 +389,3 @@
         }
     }
 }
-
-fn scheduler(seed: u64, uses_speeds: bool) -> RouteScheduler {
-    let mut scheduler = RouteScheduler::new(RouteSettings {
-        policy: PolicyName::Product,
-        seed,
-        place: "place-0".parse().unwrap(),
-        queue_limit: 1_000,
-    });
-    if !uses_speeds {
-        scheduler.ignore_speeds();
-    }
-    let weights = PolicyWeights::default();
-    let kind = ServiceKind::Model;
-    let configured = RouteEvent::Service { service: service(), kind, weights, shares: vec![] };
-    let member = |slot| RouteMember {
-        runner: runner(slot),
-        place: "place-0".parse().unwrap(),
-        leaving: false,
-    };
-    let members = (0..RUNNERS).map(member).collect();
-    let bound = RouteEvent::PauseBound {
-        service: service(),
-        bound: Some(PAUSE_BOUND),
-        event_tokens: EVENT_TOKENS,
-    };
-    let listed = RouteEvent::Members { service: service(), members };
-    scheduler.handle_all(start(), [configured, listed, bound]);
-    scheduler
-}
-
-fn draw_arrivals(plan: &ReplayPlan, seed: u64) -> Vec<Arrival> {
-    let mut rng = StdRng::seed_from_u64(seed);
-    let engines: f64 = (0..RUNNERS).map(|slot| 1.0 / plan.speeds[slot % plan.speeds.len()]).sum();
-    let noise = DISTURBED_SHARE * (1.0 - 1.0 / DISTURBED_FACTOR);
-    let kept = if plan.disturbed { 1.0 - noise } else { 1.0 };
-    let rate = plan.load * ENGINE_RATE * engines * kept;
-    let mut at = start();
-    let mut arrivals = Vec::new();
-    while at < start() + WARM_UP + MEASURED {
-        let gap = -rng.random::<f64>().max(1e-9).ln() / rate;
-        at = at + TimeSpan::micros((gap * 1e6) as u64);
-        let is_long = rng.random_bool(0.5);
-        let output =
-            if is_long { rng.random_range(LONG_OUTPUT..600) } else { rng.random_range(16..100) };
-        arrivals.push(Arrival {
-            entry: rng.random_range(0..ENTRIES),
-            at,
-            prompt: rng.random_range(300..1_700),
-            output,
-        });
-    }
-    arrivals
-}
--- a/crates/route/tests/runner_speeds.rs
+++ b/crates/route/tests/runner_speeds.rs
@@ -3,6 +3,8 @@
 //! the same disturbances.
 
 mod common;
+#[path = "common/replay_input.rs"]
+mod replay_input;
 #[path = "common/speed_replay.rs"]
 mod speed_replay;
 
