--- a/review/standins-2/case.rs
+++ b/review/standins-2/case.rs
@@ -2,6 +2,7 @@
 
 mod case_copy;
 mod case_end;
+mod case_silent;
 mod client;
 mod nodes;
 mod runner;
@@ -95,6 +96,7 @@
     let world = Arc::new(World::new());
     let verdict = match words.get(1).map(String::as_str) {
         Some("end") => case_end::run(&world, trouble),
+        Some("silent") => case_silent::run(&world, trouble),
         Some("copy") => case_copy::run(&world, trouble),
         _ => Verdict::CouldNotRun,
     };
--- a/review/standins-2/case_copy.rs
+++ b/review/standins-2/case_copy.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use crate::client::read_stream;
-use crate::runner::{Pace, Runners};
+use crate::runner::{Pace, Runners, Work};
 use crate::world::{CutMode, World};
 use crate::{Verdict, Yard};
 
@@ -74,10 +74,10 @@
             work.attempt == next.attempt && work.begun < next.begun && work.runner != next.runner
         });
         for before in before {
-            let ended = if before.ended == 0 { now } else { before.ended };
-            let both = ended.saturating_sub(next.begun);
+            let end = |work: &Work| if work.ended == 0 { now } else { work.ended };
+            let both = end(before).min(end(next)).saturating_sub(next.begun);
             world.note(&format!(
-                "{} went on at {}; {} worked on it for {both} ms more",
+                "{} went on at {}; {} worked on it beside that for {both} ms",
                 next.attempt,
                 Runners::id(next.runner),
                 Runners::id(before.runner)
--- a/review/standins-2/runner.rs
+++ b/review/standins-2/runner.rs
@@ -37,6 +37,8 @@
     /// When it ended; 0 while it goes on.
     pub ended: u64,
     pub resumed: bool,
+    /// When it last made an event; 0 if it has made none.
+    pub last_event: u64,
 }
 
 struct Run {
@@ -62,6 +64,10 @@
     pub works: Mutex<Vec<Work>>,
     /// Runs that were ordered to stop.
     pub orders: AtomicU64,
+    /// A runner that goes on with a request whose connection has closed; all others drop it.
+    pub keeps: Mutex<Option<usize>>,
+    /// A runner that is silent until then: it answers, makes and notices nothing.
+    pub silent: Mutex<Option<(usize, u64)>>,
 }
 
 impl Runners {
@@ -79,6 +85,8 @@
             next_handle: AtomicU64::new(1),
             works: Mutex::default(),
             orders: AtomicU64::new(0),
+            keeps: Mutex::default(),
+            silent: Mutex::default(),
         });
         for (number, listener) in listeners.into_iter().enumerate() {
             let runners = Arc::clone(&runners);
@@ -111,6 +119,9 @@
             None => (),
         }
         let Some(request) = read_request(&mut stream) else { return };
+        while self.is_silent(number) {
+            thread::sleep(Duration::from_millis(2));
+        }
         let path = request.path.as_str();
         if path == "/api/report" {
             return self.report(number, &mut stream);
@@ -129,6 +140,15 @@
         self.run(number, stream, &request, owner);
     }
 
+    fn is_silent(&self, number: usize) -> bool {
+        let now = self.world.ms();
+        self.silent.lock().unwrap().is_some_and(|(runner, end)| runner == number && now < end)
+    }
+
+    fn keeps(&self, number: usize) -> bool {
+        *self.keeps.lock().unwrap() == Some(number)
+    }
+
     fn report(&self, number: usize, stream: &mut TcpStream) {
         let runs = self.runs.lock().unwrap();
         let own = runs.iter().filter(|((runner, _), _)| *runner == number);
@@ -229,10 +249,11 @@
         let place = {
             let mut works = self.works.lock().unwrap();
             let (begun, resumed) = (self.world.ms(), from.is_some());
-            works.push(Work { attempt: attempt.clone(), runner: number, begun, ended: 0, resumed });
+            let (attempt, runner) = (attempt.clone(), number);
+            works.push(Work { attempt, runner, begun, ended: 0, resumed, last_event: 0 });
             works.len() - 1
         };
-        let end = self.write_events(&mut stream, &attempt, &run, owner, from.is_some());
+        let end = self.write_events(&mut stream, (number, place), &attempt, &run, owner);
         self.works.lock().unwrap()[place].ended = self.world.ms();
         self.runs.lock().unwrap().remove(&key);
         let events = run.events.load(Ordering::SeqCst);
@@ -252,12 +273,14 @@
     fn write_events(
         &self,
         stream: &mut TcpStream,
+        (runner, place): (usize, usize),
         attempt: &str,
         run: &Run,
         owner: Option<u32>,
-        resumed: bool,
     ) -> &'static str {
         let pace = &self.pace;
+        let resumed = self.works.lock().unwrap()[place].resumed;
+        let keeps = self.keeps(runner);
         let framing =
             if pace.unframed { "Connection: close\r\n" } else { "Transfer-Encoding: chunked\r\n" };
         let mut waiting = format!(
@@ -272,16 +295,22 @@
                 pause = pace.preempted_for;
             }
             let until = self.world.ms() + pause.as_millis() as u64;
-            while self.world.ms() < until {
+            while self.world.ms() < until || self.is_silent(runner) {
+                if self.is_silent(runner) {
+                    thread::sleep(Duration::from_millis(2));
+                    continue;
+                }
                 if run.stop.load(Ordering::SeqCst) {
                     return "ordered to stop";
                 }
-                if self.world.cut_of(owner) != Some(CutMode::Hang) && is_closed(stream) {
+                let hangs = self.world.cut_of(owner) == Some(CutMode::Hang);
+                if !keeps && !hangs && is_closed(stream) {
                     return "its connection has closed";
                 }
                 thread::sleep(Duration::from_millis(4));
             }
             run.events.store(number, Ordering::SeqCst);
+            self.works.lock().unwrap()[place].last_event = self.world.ms();
             let event = format!("id: {number}\ndata: {attempt} token {number}\n\n");
             if pace.unframed {
                 waiting.extend(event.as_bytes());
@@ -289,7 +318,7 @@
                 waiting.extend(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes());
             }
             if self.world.cut_of(owner) != Some(CutMode::Hang) {
-                if stream.write_all(&waiting).is_err() {
+                if stream.write_all(&waiting).is_err() && !keeps {
                     return "its connection is broken";
                 }
                 waiting.clear();
