--- a/review/standins-2/case.rs
+++ b/review/standins-2/case.rs
@@ -2,6 +2,7 @@
 
 mod case_copy;
 mod case_end;
+mod case_leave;
 mod case_silent;
 mod client;
 mod nodes;
@@ -44,20 +45,26 @@
         let runners = Runners::start(world, runners, pace);
         store.put("keyed.op", "config", CONFIG);
         let is_over = Arc::new(AtomicBool::new(false));
-        let (over, listed, entries) =
-            (Arc::clone(&is_over), runners.addresses.clone(), Arc::clone(&store));
+        let (over, beating, entries) =
+            (Arc::clone(&is_over), Arc::clone(&runners), Arc::clone(&store));
         let beats = thread::spawn(move || {
             for sequence in 1_u64.. {
-                for (number, address) in listed.iter().enumerate() {
+                for (number, address) in beating.addresses.iter().enumerate() {
+                    let state = if beating.leaves(number) { "draining" } else { "ready" };
                     entries.put("keyed.servers", &Runners::id(number), &format!(
-                        r#"{{"service":"huvo11a","address":"{address}","zone":"caerdydd","version":"v1","slots":24,"state":"ready","coldRemainingMs":0,"phase":"mixed","models":[{{"name":"m","version":1,"adapters":[]}}],"sequence":{sequence},"born":1765000000000}}"#
+                        r#"{{"service":"huvo11a","address":"{address}","zone":"caerdydd","version":"v1","slots":24,"state":"{state}","coldRemainingMs":0,"phase":"mixed","models":[{{"name":"m","version":1,"adapters":[]}}],"sequence":{sequence},"born":1765000000000}}"#
                     ));
                 }
+                let leaves = *beating.leaves.lock().unwrap();
                 for _ in 0..60 {
                     if over.load(Ordering::SeqCst) {
                         return;
                     }
                     thread::sleep(Duration::from_millis(20));
+                    // A runner that leaves says so at once.
+                    if *beating.leaves.lock().unwrap() != leaves {
+                        break;
+                    }
                 }
             }
         });
@@ -96,6 +103,7 @@
     let world = Arc::new(World::new());
     let verdict = match words.get(1).map(String::as_str) {
         Some("end") => case_end::run(&world, trouble),
+        Some("leave") => case_leave::run(&world, trouble),
         Some("silent") => case_silent::run(&world, trouble),
         Some("copy") => case_copy::run(&world, trouble),
         _ => Verdict::CouldNotRun,
--- a/review/standins-2/runner.rs
+++ b/review/standins-2/runner.rs
@@ -66,6 +66,8 @@
     pub orders: AtomicU64,
     /// A runner that goes on with a request whose connection has closed; all others drop it.
     pub keeps: Mutex<Option<usize>>,
+    /// A runner that has announced that it leaves.
+    pub leaves: Mutex<Option<usize>>,
     /// A runner that is silent until then: it answers, makes and notices nothing.
     pub silent: Mutex<Option<(usize, u64)>>,
 }
@@ -86,6 +88,7 @@
             works: Mutex::default(),
             orders: AtomicU64::new(0),
             keeps: Mutex::default(),
+            leaves: Mutex::default(),
             silent: Mutex::default(),
         });
         for (number, listener) in listeners.into_iter().enumerate() {
@@ -145,6 +148,10 @@
         self.silent.lock().unwrap().is_some_and(|(runner, end)| runner == number && now < end)
     }
 
+    pub fn leaves(&self, number: usize) -> bool {
+        *self.leaves.lock().unwrap() == Some(number)
+    }
+
     fn keeps(&self, number: usize) -> bool {
         *self.keeps.lock().unwrap() == Some(number)
     }
@@ -158,8 +165,9 @@
                 format!(r#"["{attempt}",{},{events},5]"#, 1_460 + 4 * events)
             })
             .collect();
+        let state = if self.leaves(number) { "draining" } else { "ready" };
         let body = format!(
-            r#"{{"phase":"mixed","models":[{{"name":"m","version":1,"adapters":[]}}],"busy":false,"sequence":1,"queued":0,"active":{},"kvUsed":{},"kvTotal":34261,"kvHandles":0,"state":"ready","nextToken":0,"runs":[{}]}}"#,
+            r#"{{"phase":"mixed","models":[{{"name":"m","version":1,"adapters":[]}}],"busy":false,"sequence":1,"queued":0,"active":{},"kvUsed":{},"kvTotal":34261,"kvHandles":0,"state":"{state}","nextToken":0,"runs":[{}]}}"#,
             rows.len(),
             1_500 * rows.len(),
             rows.join(",")
@@ -186,6 +194,9 @@
             }
             self.orders.fetch_add(1, Ordering::SeqCst);
         }
+        while self.is_silent(number) {
+            thread::sleep(Duration::from_millis(2));
+        }
         thread::sleep(Duration::from_millis(15));
         let created = run.events.load(Ordering::SeqCst);
         let handle = format!("h{}", self.next_handle.fetch_add(1, Ordering::SeqCst));
@@ -295,7 +306,7 @@
                 pause = pace.preempted_for;
             }
             let until = self.world.ms() + pause.as_millis() as u64;
-            while self.world.ms() < until || self.is_silent(runner) {
+            loop {
                 if self.is_silent(runner) {
                     thread::sleep(Duration::from_millis(2));
                     continue;
@@ -307,6 +318,9 @@
                 if !keeps && !hangs && is_closed(stream) {
                     return "its connection has closed";
                 }
+                if self.world.ms() >= until {
+                    break;
+                }
                 thread::sleep(Duration::from_millis(4));
             }
             run.events.store(number, Ordering::SeqCst);
