Take the end of an unframed body for the stream's only if no order was followed

Cause: the node ordered the runner to stop its runs; it was silent, counted as cut off, and the next runners were asked while it was read on. It went on, followed the orders and closed its bodies between two events. send_with_overlap took that for the end of the stream. Six readers of a body decided this alone.

Ruled out: a body with chunks (its control passes before as well).

Why it works: each order of this node is recorded before it is sent, in the one place that sends them, and leaves the record when its answer says that it was not followed (life::StopOrders). life::judge_end decides what an end says, and all readers ask it through StreamPump::ends_stream. An end that proves nothing is followed like a lost source; what became of the orders decides later. The line source_ended tells such ends apart. end_refused goes on from what an open order leaves before it gives a stream up.

--- a/crates/fakes/src/platform/runner_answers.rs
+++ b/crates/fakes/src/platform/runner_answers.rs
@@ -290,6 +290,7 @@
             return false;
         }
         state.wait_while_silent().await;
+        state.wait_while_preempted(&work.run.stopped).await;
         if work.run.stopped.is_raised() {
             return false;
         }
--- a/crates/fakes/src/platform/runner_silence.rs
+++ b/crates/fakes/src/platform/runner_silence.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use compio::time::sleep;
+use kernel::StopSignal;
 
 use super::runner_fake::RunnerFake;
 use super::runner_state::RunnerState;
@@ -23,6 +24,11 @@
         self.stop_accepting().await;
     }
 
+    /// Its runs make no events, but are stopped as ordered.
+    pub fn preempt_runs(&self, preempted: bool) {
+        self.state().preempted.set(preempted);
+    }
+
     /// It goes on where it fell silent.
     pub fn go_on(&self) {
         self.state().silent.set(false);
@@ -31,6 +37,13 @@
 }
 
 impl RunnerState {
+    /// Waits until the run is not preempted, or is stopped.
+    pub(super) async fn wait_while_preempted(&self, stopped: &StopSignal) {
+        while self.preempted.get() && !stopped.is_raised() {
+            sleep(LOOK_EVERY).await;
+        }
+    }
+
     /// Waits until the runner is not silent.
     pub(super) async fn wait_while_silent(&self) {
         while self.silent.get() {
--- a/crates/fakes/src/platform/runner_state.rs
+++ b/crates/fakes/src/platform/runner_state.rs
@@ -116,6 +116,8 @@
     pub(super) accepts: Cell<bool>,
     /// It neither answers nor makes events.
     pub(super) silent: Cell<bool>,
+    /// Its runs are preempted: they make no events, and it answers all else.
+    pub(super) preempted: Cell<bool>,
     /// Connections that fill the queue of the listener.
     pub(super) held: RefCell<Vec<TcpStream>>,
     pub(super) crashed: StopSignal,
@@ -172,6 +174,7 @@
             endless: Cell::default(),
             accepts: Cell::new(true),
             silent: Cell::default(),
+            preempted: Cell::default(),
             held: RefCell::default(),
             crashed: StopSignal::new(),
             ended: StopSignal::new(),
--- a/crates/life/src/lib.rs
+++ b/crates/life/src/lib.rs
@@ -6,6 +6,7 @@
 //! from this node while their streams go on, and a place that could go on is not given up for one that
 //! might.
 
+mod body_end;
 mod leaving_source;
 mod life_action;
 mod life_input;
@@ -21,6 +22,7 @@
 mod stream_life;
 mod stream_place;
 
+pub use body_end::{BodyEnd, BodyFraming, EndMeaning, OrderOrigin, StopOrders, judge_end};
 pub use life_action::{LifeAction, LifeEnd};
 pub use life_input::{LifeInput, StepOutcome};
 pub use run_places::{
--- a/crates/node/src/call.rs
+++ b/crates/node/src/call.rs
@@ -7,6 +7,7 @@
 use config::CallPriority;
 use hyper::body::Bytes;
 use hyper::{HeaderMap, Method, Uri};
+use life::StopOrders;
 use platform::{AttemptId, CallHead};
 use route::{CallId, RouteCall};
 use serving::{CallInput, ForwardState, PlanVersion, RouteRule};
@@ -57,6 +58,8 @@
     pub arrived: TimePoint,
     /// Where its run goes on, if it is a stream.
     pub run_place: RefCell<RunPlace>,
+    /// Orders to stop its runs that may have been followed, if it is a stream.
+    pub stop_orders: Rc<RefCell<StopOrders>>,
     /// Runners at which sends are under way, if it is a plain call.
     pub open_sends: RefCell<Vec<RunnerId>>,
     /// When the request was last sent to a runner; `None` until it is.
--- a/crates/node/src/caller_server.rs
+++ b/crates/node/src/caller_server.rs
@@ -226,6 +226,7 @@
         _reservation: reservation,
         arrived,
         run_place: RefCell::default(),
+        stop_orders: Rc::default(),
         open_sends: RefCell::default(),
         sent_at: Cell::default(),
         deadline,
--- a/crates/node/src/forward/moved_run.rs
+++ b/crates/node/src/forward/moved_run.rs
@@ -204,8 +204,7 @@
         ticket: &mut RouteTicket,
         copy: Option<RunCopy>,
     ) -> Result<(SendPlan, WebExchange), ResumeRefusal> {
-        let (from, to) = (self.source.address, self.target.address);
-        let order = RunOrder::give(self.context, self.call, from, to);
+        let order = RunOrder::give(self.context, self.call, &self.source, self.target.address);
         self.target_end = self.context.now() + stopped_run_window(self.context);
         let is_early = timeout(ORDER_TIME.into(), order.wait()).await.is_ok();
         if is_early {
--- a/crates/node/src/forward/run_order.rs
+++ b/crates/node/src/forward/run_order.rs
@@ -26,18 +26,18 @@
 }
 
 impl RunOrder {
-    /// Orders the runner at `from` to stop the run of `call`, and to copy its memory to `to`. Its answer is
+    /// Orders `source` to stop the run of `call`, and to copy its memory to `to`. Its answer is
     /// waited for until the call's deadline.
     #[must_use]
     pub fn give(
         context: &Rc<NodeContext>,
         call: &Rc<Call>,
-        from: SocketAddr,
+        source: &RunnerRecord,
         to: SocketAddr,
     ) -> Self {
         let order = Self { answered: StopSignal::new(), answer: Rc::default() };
         let left = call.deadline.since(context.now());
-        let task = CopyTask::stop_within(Rc::clone(context), call.attempt.clone(), from, to, left);
+        let task = CopyTask::stop_within(context, call, source, to, left);
         let kept = order.clone();
         kernel::spawn_rest(async move {
             let answer = task.await;
--- a/crates/node/src/run_end_watch.rs
+++ b/crates/node/src/run_end_watch.rs
@@ -150,8 +150,7 @@
 /// Orders a runner to stop a run. Its memory is freed: nobody wants the rest of the run.
 async fn order_stop(context: &Rc<NodeContext>, call: &Call, runner: &RunnerRecord) {
     let Some(target) = find_other_runner(context, runner) else { return };
-    let (from, to) = (runner.address, target.address);
-    let stopped = CopyTask::stop(Rc::clone(context), call.attempt.clone(), from, to).await;
+    let stopped = CopyTask::stop(context, call, runner, target.address).await;
     let outcome = if stopped.is_ok() { "stopped" } else { "not_stopped" };
     context.metrics.stop_orders.get_or_create(&WithheldLabels { reason: outcome }).inc();
     if let Err(error) = stopped
--- a/crates/node/src/streams/mod.rs
+++ b/crates/node/src/streams/mod.rs
@@ -10,6 +10,7 @@
 mod stream_backup;
 mod stream_call;
 mod stream_copy;
+mod stream_end;
 mod stream_handover;
 mod stream_move;
 mod stream_offer;
--- a/crates/node/src/streams/run_stop.rs
+++ b/crates/node/src/streams/run_stop.rs
@@ -5,7 +5,6 @@
 //! answer it may be cut off from this node. [`decide_stop`] says what follows from its answer.
 
 use std::net::SocketAddr;
-use std::rc::Rc;
 
 use serving::{
     AnswerPlace, BodyState, EndHabit, OrderAnswer, SendOutcome, StopDecision, StopFacts,
@@ -58,9 +57,8 @@
         how: &'static str,
         connection: WebConnection,
     ) -> OrderedStep {
-        let (context, attempt) = (Rc::clone(&self.context), self.call.attempt.clone());
-        let (from, to) = (self.source.runner.address, plan.runner.address);
-        let task = CopyTask::stop(context, attempt, from, to);
+        let to = plan.runner.address;
+        let task = CopyTask::stop(&self.context, &self.call, &self.source.runner, to);
         let ordered_at = self.context.now();
         let mut order = self.begin_order(task);
         match self.wait_for_stop(&mut order, to).await {
@@ -156,11 +154,11 @@
                         order.last_event_at = self.context.now();
                     }
                 }
-                StopInput::Frame(None) if self.is_whole() && self.source.is_framed() => {
+                StopInput::Frame(None) if self.ends_stream(self.scanner.has_partial_event()) => {
                     return StopEnd::End(PumpStep::End(RequestOutcome::Streamed, ""));
                 }
                 StopInput::Frame(lost) => {
-                    let may_be_whole = lost.is_none() && self.is_whole();
+                    let may_be_whole = lost.is_none() && self.source.may_be_whole;
                     order.body =
                         if may_be_whole { BodyState::MaybeWhole } else { BodyState::Broken };
                     if order.answer.is_none() {
--- a/crates/node/src/streams/stop_order.rs
+++ b/crates/node/src/streams/stop_order.rs
@@ -12,7 +12,7 @@
     AnswerPlace, BodyState, OrderAnswer, StopDecision, StopFacts, decide_stop, stop_due,
 };
 
-use super::stream_copy::{CopyTask, RunCopy};
+use super::stream_copy::{CopyTask, IN_PROGRESS, RunCopy};
 use super::stream_places::{RunnerQuestion, ask_runner};
 use super::stream_pump::StreamPump;
 use crate::reach::{find_answer_place, is_unreached, suspect_runner};
@@ -29,8 +29,6 @@
 
 /// Status of an order that found no room for the rest of the copy and has not stopped the run.
 const NO_ROOM: u16 = 503;
-/// Status of an order while an earlier call about the same run is in progress.
-const IN_PROGRESS: u16 = 409;
 
 /// Answer of a source to the order to stop a run.
 pub(super) type StopAnswer = platform::Result<RunCopy>;
@@ -142,8 +140,7 @@
 
     /// Sends the order once more: it is not known whether the source has followed the last one.
     pub(super) fn order_again(&self, order: &mut StopOrder, to: SocketAddr) {
-        let (context, attempt) = (Rc::clone(&self.context), self.call.attempt.clone());
-        order.task = CopyTask::stop(context, attempt, self.source.runner.address, to);
+        order.task = CopyTask::stop(&self.context, &self.call, &self.source.runner, to);
         order.sent_at = self.context.now();
         order.may_have_stopped |= order.answer() == Some(OrderAnswer::Unknown);
         order.answer = None;
--- a/crates/node/src/streams/stopped_places.rs
+++ b/crates/node/src/streams/stopped_places.rs
@@ -109,9 +109,8 @@
         answer: StopAnswer,
     ) {
         if answer.as_ref().is_err_and(PlatformError::is_outcome_unknown) {
-            let (from, to) = (self.source.address, self.handover.runner.address);
             let begins_at = Some(context.now() + ORDER_PAUSE);
-            let task = CopyTask::stop(Rc::clone(context), call.attempt.clone(), from, to);
+            let task = CopyTask::stop(context, call, &self.source, self.handover.runner.address);
             self.order = Some(OpenOrder { task, begins_at });
         }
         self.note_answer(answer);
--- a/crates/node/src/streams/stream_copy.rs
+++ b/crates/node/src/streams/stream_copy.rs
@@ -9,8 +9,11 @@
 use std::task::{Context, Poll};
 
 use base::prelude::*;
+use life::{OrderOrigin, StopOrders};
 use platform::{AttemptId, KvCopy, PlatformError, StoppedRun};
+use serving::RunnerRecord;
 
+use crate::call::Call;
 use crate::call_log::may_log;
 use crate::context::NodeContext;
 use crate::ordered_runs::{OrderOutcome, OrderRecord};
@@ -18,6 +21,8 @@
 
 /// Timeout for copying the memory of a run; runs that leave together share the link.
 const COPY_LIMIT: TimeSpan = TimeSpan::millis(2_500);
+/// Status of a call about a run while an earlier one is in progress.
+pub(super) const IN_PROGRESS: u16 = 409;
 /// Timeout for freeing a copy.
 const FREE_LIMIT: TimeSpan = TimeSpan::millis(1_000);
 
@@ -147,26 +152,29 @@
     /// error if the source has not stopped it, or if that is not known.
     #[must_use]
     pub fn stop(
-        context: Rc<NodeContext>,
-        attempt: AttemptId,
-        source: SocketAddr,
+        context: &Rc<NodeContext>,
+        call: &Call,
+        source: &RunnerRecord,
         target: SocketAddr,
     ) -> Self {
-        Self::stop_within(context, attempt, source, target, COPY_LIMIT)
+        Self::stop_within(context, call, source, target, COPY_LIMIT)
     }
 
     /// The same, which waits for `limit` for the answer.
     #[must_use]
     pub fn stop_within(
-        context: Rc<NodeContext>,
-        attempt: AttemptId,
-        source: SocketAddr,
+        context: &Rc<NodeContext>,
+        call: &Call,
+        source: &RunnerRecord,
         target: SocketAddr,
         limit: TimeSpan,
     ) -> Self {
-        let call = CopyCall::new(context, attempt, source, true);
+        let (context, attempt) = (Rc::clone(context), call.attempt.clone());
+        let (orders, runner) = (Rc::clone(&call.stop_orders), source.runner.clone());
+        let call = CopyCall::new(context, attempt, source.address, true);
         let done = call.clone();
         Self::new(call, async move {
+            orders.borrow_mut().note_order(&runner, OrderOrigin::ThisNode);
             let done = done.begin();
             let CopyCall { context, attempt, source, .. } = &done;
             let earlier = context.ordered_runs.borrow_mut().begin(done.begun, attempt, *source);
@@ -174,6 +182,7 @@
             let outcome =
                 if stopped.is_ok() { OrderOutcome::Stopped } else { OrderOutcome::Failed };
             context.ordered_runs.borrow_mut().end(attempt, outcome);
+            note_outcome(&mut orders.borrow_mut(), &runner, stopped.as_ref().err());
             let run = stopped.inspect_err(|error| done.log_failure(error, earlier))?;
             done.log_done(run.events);
             Ok(RunCopy::new(done, run))
@@ -188,6 +197,16 @@
     }
 }
 
+/// Records what an order of this node has brought about; it may still be followed if that is not known.
+fn note_outcome(orders: &mut StopOrders, runner: &RunnerId, error: Option<&PlatformError>) {
+    let origin = &OrderOrigin::ThisNode;
+    match error {
+        None => orders.note_followed(runner, origin),
+        Some(error) if error.is_outcome_unknown() || error.status() == Some(IN_PROGRESS) => (),
+        Some(_) => orders.note_not_followed(runner, origin),
+    }
+}
+
 impl Future for CopyTask {
     type Output = platform::Result<RunCopy>;
 
--- a/crates/node/src/streams/stream_handover.rs
+++ b/crates/node/src/streams/stream_handover.rs
@@ -177,6 +177,7 @@
         // What is being copied is the run at the old source.
         self.pending_move = None;
         self.call.run_place.replace(source.run_place());
+        self.call.stop_orders.borrow_mut().begin_run(&source.runner.runner);
         self.source = source;
         self.activity = SourceActivity::new(self.context.now());
         self.pending_check = None;
@@ -209,7 +210,7 @@
                         return Err(end);
                     }
                 }
-                None if self.is_whole() => {
+                None if self.ends_stream(self.scanner.has_partial_event()) => {
                     return Err(PumpStep::End(RequestOutcome::Streamed, ""));
                 }
                 lost => {
--- a/crates/node/src/streams/stream_move.rs
+++ b/crates/node/src/streams/stream_move.rs
@@ -172,6 +172,10 @@
     /// Goes on at the source through another node after all other places have refused the run, or else runs
     /// again if the route allows that. Otherwise the stream ends with `reason`.
     async fn end_refused(&mut self, reason: &'static str) -> PumpStep {
+        // An order that is not answered yet may leave a memory.
+        if let Some(step) = self.resume_left_places().await {
+            return step;
+        }
         if self.may_move_from_source()
             && let Some(step) = self.move_from_source().await
         {
--- a/crates/node/src/streams/stream_offer.rs
+++ b/crates/node/src/streams/stream_offer.rs
@@ -87,17 +87,22 @@
         let offering = Box::pin(offer_resume(&context, &call, offer, first, &is_back));
         let mut offered = offering.fuse();
         loop {
-            let frame = {
+            let input = {
                 let mut disconnected = pin!(self.caller.disconnected.wait().fuse());
                 let mut frame = pin!(self.source.next_frame().fuse());
                 select_biased! {
                     () = disconnected => {
                         return OfferStep::End(PumpStep::End(RequestOutcome::CallerDisconnected, ""));
                     }
-                    taken = offered => {
-                        return taken.map_or(OfferStep::NotTaken, OfferStep::Taken);
-                    }
-                    frame = frame => frame,
+                    taken = offered => Err(taken),
+                    frame = frame => Ok(frame),
+                }
+            };
+            let frame = match input {
+                Ok(frame) => frame,
+                Err(Some(taken)) => return OfferStep::Taken(taken),
+                Err(None) => {
+                    return self.proven_end().map_or(OfferStep::NotTaken, OfferStep::End);
                 }
             };
             match frame {
@@ -114,7 +119,7 @@
                         return OfferStep::End(end);
                     }
                 }
-                None if self.is_whole() => {
+                None if self.ends_stream(self.scanner.has_partial_event()) => {
                     return OfferStep::End(PumpStep::End(RequestOutcome::Streamed, ""));
                 }
                 lost => {
--- a/crates/node/src/streams/stream_overlap.rs
+++ b/crates/node/src/streams/stream_overlap.rs
@@ -136,9 +136,9 @@
         }
     }
 
-    /// Whether the held frames end with a complete event.
-    fn is_whole(&self) -> bool {
-        !self.malformed && !self.scanner.has_partial_event()
+    /// Whether the held frames end inside an event, or cannot be read.
+    fn is_in_event(&self) -> bool {
+        self.malformed || self.scanner.has_partial_event()
     }
 }
 
@@ -187,7 +187,7 @@
                     is_back.set(true);
                     held.push(bytes);
                 }
-                OverlapInput::Frame(None) if held.is_whole() && self.source.has_whole_body() => {
+                OverlapInput::Frame(None) if self.ends_stream(held.is_in_event()) => {
                     return OverlapEnd::SourceEnded;
                 }
                 OverlapInput::Frame(lost) => {
@@ -281,7 +281,7 @@
                         return OverlapEnd::End(end);
                     }
                 }
-                None if self.is_whole() => {
+                None if self.ends_stream(self.scanner.has_partial_event()) => {
                     let whole = PumpStep::End(RequestOutcome::Streamed, "");
                     return OverlapEnd::End(whole);
                 }
--- a/crates/node/src/streams/stream_pump.rs
+++ b/crates/node/src/streams/stream_pump.rs
@@ -176,6 +176,8 @@
                 PumpInput::Frame(frame) => self.handle_frame(frame).await,
                 PumpInput::SourceGone => self.replace_ended_source().await,
             };
+            let is_lost = matches!(step, PumpStep::End(RequestOutcome::Interrupted, _));
+            let step = self.proven_end().filter(|_| is_lost).unwrap_or(step);
             if let PumpStep::End(outcome, reason) = step {
                 self.finish(outcome, reason).await;
                 return;
@@ -280,7 +282,7 @@
             }
             Some(Err(error)) => self.lose_source(&error.to_string()).await,
             None => {
-                if self.is_whole() {
+                if self.ends_stream(self.scanner.has_partial_event()) {
                     PumpStep::End(RequestOutcome::Streamed, "")
                 } else {
                     self.lose_source("the connection ended").await
@@ -289,11 +291,6 @@
         }
     }
 
-    /// Whether a stream whose source has ended now is whole.
-    pub(crate) fn is_whole(&self) -> bool {
-        !self.scanner.has_partial_event() && self.source.has_whole_body()
-    }
-
     /// Forwards the complete events in `bytes`; the scanner keeps an incomplete rest.
     pub(crate) async fn forward_events(&mut self, bytes: &[u8]) -> PumpStep {
         let events = match self.scanner.push(bytes) {
--- a/crates/node/src/streams/stream_source.rs
+++ b/crates/node/src/streams/stream_source.rs
@@ -12,6 +12,7 @@
 use hyper::body::Bytes;
 use hyper::header::{CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING};
 use kernel::StopSignal;
+use life::{BodyEnd, BodyFraming, EndMeaning, OrderOrigin, judge_end};
 use serving::{RunnerLoss, RunnerRecord, StreamScanner};
 use web::{
     ConnectionCloser, ConnectionTask, ReadCharge, ReplyBody, WebBody, WebExchange, stream_body,
@@ -34,8 +35,10 @@
     charge: ReadCharge,
     /// The connection to the runner; `None` once closed.
     pub connection: Option<ConnectionTask>,
-    /// Whether the body has neither a length nor chunks, so that it ends with its connection.
-    ends_with_connection: bool,
+    /// What shows the end of the body.
+    framing: BodyFraming,
+    /// Whether the body has ended, and it was not known whether an order had brought that about.
+    pub may_be_whole: bool,
     /// Whether the source was closed and is no longer read.
     pub ended: bool,
     /// Whether the stream comes through another node, which looks after its runner.
@@ -64,7 +67,8 @@
             charge: body.open_charge(),
             body,
             connection: Some(connection),
-            ends_with_connection: !is_framed,
+            framing: if is_framed { BodyFraming::Framed } else { BodyFraming::ByConnection },
+            may_be_whole: false,
             ended: false,
             is_relayed: false,
             relay: None,
@@ -76,7 +80,8 @@
     /// Creates the source of a stream that `node` has taken over, at the runner of `plan`.
     #[must_use]
     pub fn relayed(plan: &SendPlan, exchange: WebExchange, node: VmId) -> Self {
-        Self { is_relayed: true, relay: Some(node), ..Self::new(plan, exchange) }
+        let framing = BodyFraming::Relayed;
+        Self { is_relayed: true, relay: Some(node), framing, ..Self::new(plan, exchange) }
     }
 
     /// Where the run is.
@@ -89,17 +94,11 @@
         }
     }
 
-    /// Whether the body has a length or chunks, so that its end shows.
+    /// The end of the body, which has come now, `is_in_event` or not.
     #[must_use]
-    pub fn is_framed(&self) -> bool {
-        !self.ends_with_connection
-    }
-
-    /// Whether the end of the body is that of the stream, if it is not inside an event. A
-    /// connection that ends before any event says nothing about the stream.
-    #[must_use]
-    pub fn has_whole_body(&self) -> bool {
-        !self.ends_with_connection || self.first_events.is_some()
+    pub fn body_end(&self, is_in_event: bool, stopped_by: Option<OrderOrigin>) -> BodyEnd {
+        let has_event = self.first_events.is_some();
+        BodyEnd { framing: self.framing, has_event, is_in_event, stopped_by }
     }
 
     /// Closes the connection and stops reading from it.
@@ -141,7 +140,9 @@
         let read = async {
             while scanner.event_count() == 0 {
                 let Some(data) = self.next_data().await else {
-                    let is_whole = self.has_whole_body() && !scanner.has_partial_event();
+                    // A body without events is that of a stream only if it is framed, whoever has ordered what.
+                    let end = self.body_end(scanner.has_partial_event(), None);
+                    let is_whole = judge_end(&end) == EndMeaning::Whole;
                     let loss =
                         || SendFailure::stream_lost("the connection ended", connection_ended);
                     return is_whole.then_some(()).ok_or_else(loss);
