Ask of a run that another node may have stopped before its stream counts as whole

Cause: the node that reads the run has another one move it. That one orders the runner to stop it; the body closes between two events and offer_beside_source takes that for the end of the stream. A node in the middle of a forwarded stream does the same when a third node has the run stopped, and writes the last chunk.

Ruled out: that the runner's framing was lost (the runner sends none).

Why it works: each offer of a run that is stopped first, and each node that is told that the run is not at a runner, is recorded in StopOrders; only an answer that says nothing was stopped takes it out. Another node's chunks count as the end of the stream only if no order of a node that this one has asked can have been followed. A node whose answer was lost is asked once more before the stream is broken off. /run-place names the node that asks; a question without it counts as that of an unknown node.

--- a/crates/node/src/forward/call_forward.rs
+++ b/crates/node/src/forward/call_forward.rs
@@ -12,6 +12,7 @@
 
 use base::prelude::*;
 use futures_util::{FutureExt, select_biased};
+use life::OrderOrigin;
 use serving::{ForwardFailure, ForwardSource, ForwardState, ForwardTarget, ReachShare};
 use web::{WebExchange, WebResponse};
 
@@ -229,6 +230,44 @@
     );
 }
 
+/// An order to stop the offered run, which the node that it is offered to may give.
+struct PossibleStop {
+    /// Where; `None` if it is not given.
+    runner: Option<RunnerId>,
+    origin: OrderOrigin,
+}
+
+impl PossibleStop {
+    /// Records that the order may be given from now on.
+    fn begin(call: &Call, offer: &ResumeOffer, node: &VmId) -> Self {
+        let origin = OrderOrigin::OtherNode(Some(node.clone()));
+        let runner = offer.runner_to_stop().cloned();
+        if let Some(runner) = &runner {
+            call.stop_orders.borrow_mut().note_order(runner, origin.clone());
+        }
+        Self { runner, origin }
+    }
+
+    /// Records what is known of the order once the node has answered. One that does not go on with the run, and
+    /// does not say that it has ordered it to stop, has had nothing stopped.
+    fn follow(self, call: &Call, end: &OfferEnd) {
+        let Some(runner) = self.runner else { return };
+        let (mut orders, origin) = (call.stop_orders.borrow_mut(), &self.origin);
+        match end {
+            OfferEnd::Answered(exchange) if is_event_stream(&exchange.response) => {
+                orders.note_followed(&runner, origin);
+            }
+            OfferEnd::NotResumed(RunTrace::Stopped(_)) => orders.note_followed(&runner, origin),
+            OfferEnd::NotRun(..) | OfferEnd::NotResumed(RunTrace::Works) => {
+                orders.note_not_followed(&runner, origin);
+            }
+            OfferEnd::Answered(_)
+            | OfferEnd::NotResumed(RunTrace::Ordered)
+            | OfferEnd::Unknown(_) => (),
+        }
+    }
+}
+
 /// Offers a run to each of the other nodes that can be asked, until one takes it.
 async fn offer_round(
     context: &NodeContext,
@@ -248,7 +287,10 @@
         }
         state.record_offer(&target.vm);
         run.asked += 1;
-        match offer_call(context, call, &target, Some(&run.offer)).await {
+        let stop = PossibleStop::begin(call, &run.offer, &target.vm);
+        let end = offer_call(context, call, &target, Some(&run.offer)).await;
+        stop.follow(call, &end);
+        match end {
             OfferEnd::Answered(exchange) if is_event_stream(&exchange.response) => {
                 log_offer(context, call, &target, "resumed", "", "");
                 return RoundEnd::Taken(TakenResume { node: target.vm, exchange });
--- a/crates/node/src/forward/offer.rs
+++ b/crates/node/src/forward/offer.rs
@@ -98,6 +98,13 @@
         Self { once_until: Some(end), ..self }
     }
 
+    /// The runner that is ordered to stop the run before it goes on; `None` if it goes on from a memory. What is left
+    /// at the runner before is then stopped only if this node does not read it.
+    #[must_use]
+    pub fn runner_to_stop(&self) -> Option<&RunnerId> {
+        self.copy.is_none().then_some(&self.runner)
+    }
+
     /// Whether the run was stopped, and its memory is at the runner that worked on it.
     #[must_use]
     pub fn is_stopped(&self, call: &Call, runner: &RunnerRecord) -> bool {
--- a/crates/node/src/open_calls.rs
+++ b/crates/node/src/open_calls.rs
@@ -36,6 +36,11 @@
         self.calls.borrow().values().any(|call| is_sought(call))
     }
 
+    /// Does something with each of the calls that `is_sought` holds for.
+    pub fn each(&self, is_sought: impl Fn(&Call) -> bool, act: impl Fn(&Call)) {
+        self.calls.borrow().values().filter(|call| is_sought(call)).for_each(|call| act(call));
+    }
+
     /// Time since the earliest begin of the calls of a route, where `begin` gives that of a call; zero
     /// if there is none.
     pub fn longest(
--- a/crates/node/src/run_owner.rs
+++ b/crates/node/src/run_owner.rs
@@ -10,6 +10,7 @@
 use base::prelude::*;
 use hyper::body::Bytes;
 use hyper::{Method, StatusCode};
+use life::OrderOrigin;
 use serde::{Deserialize, Serialize};
 use serving::RunnerRecord;
 use web::{FetchLimit, WebRequest, WebResponse, fetch_answer, read_bounded, text_reply};
@@ -36,26 +37,33 @@
 struct PlaceQuestion {
     request: Arc<str>,
     runner: Arc<str>,
+    /// The node that asks; missing in questions of builds that do not say so.
+    #[serde(default)]
+    node: Option<Arc<str>>,
 }
 
 /// Answers another node whether the run of a request of this node may go on at a runner.
 pub async fn answer_run_place(context: &NodeContext, request: WebRequest) -> WebResponse {
     let body = read_bounded("run place", request.into_body(), MAX_QUESTION_BYTES).await;
     let question = body.ok().and_then(|body| serde_json::from_slice(&body).ok());
-    let Some(PlaceQuestion { request, runner }) = question else {
+    let Some(PlaceQuestion { request, runner, node }) = question else {
         return text_reply(StatusCode::BAD_REQUEST, "not a question for the place of a run");
     };
     let Ok(runner) = runner.parse::<RunnerId>() else {
         return text_reply(StatusCode::BAD_REQUEST, "not the id of a runner");
     };
+    let node = node.and_then(|node| node.parse::<VmId>().ok());
     let is_of_run = |call: &Call| *call.attempt.as_str() == *request;
     let is_there = |call: &Call| is_of_run(call) && call.run_place.borrow().may_be_at(&runner);
     // A stream without a head may have been sent anywhere.
     if context.open_streams.any(is_there) || context.headless_streams.any(is_of_run) {
-        text_reply(StatusCode::OK, "may be there")
-    } else {
-        text_reply(StatusCode::NOT_FOUND, "not there")
+        return text_reply(StatusCode::OK, "may be there");
     }
+    // The run may come back to the runner before the other node has it stopped there.
+    context.open_streams.each(is_of_run, |call| {
+        call.stop_orders.borrow_mut().note_order(&runner, OrderOrigin::OtherNode(node.clone()));
+    });
+    text_reply(StatusCode::NOT_FOUND, "not there")
 }
 
 /// Whether another node, which has the caller of `call`, may go on with its run at `runner`. This one knows better
@@ -70,7 +78,7 @@
     for _ in 0..MAX_QUESTIONS {
         let address = context.peers.borrow().find(owner).map(|peer| peer.peer_address);
         let Some(address) = address else { return false };
-        if let Some(status) = ask(call, runner, address).await {
+        if let Some(status) = ask(context, call, runner, address).await {
             return status == StatusCode::OK;
         }
         kernel::sleep(QUESTION_PAUSE.into()).await;
@@ -79,9 +87,15 @@
 }
 
 /// Asks the node at `address`; `None` if it does not answer.
-async fn ask(call: &Call, runner: &RunnerRecord, address: SocketAddr) -> Option<StatusCode> {
+async fn ask(
+    context: &NodeContext,
+    call: &Call,
+    runner: &RunnerRecord,
+    address: SocketAddr,
+) -> Option<StatusCode> {
     let request = Arc::from(call.attempt.as_str());
-    let question = PlaceQuestion { request, runner: Arc::from(runner.runner.as_str()) };
+    let node = Some(Arc::from(context.settings.vm.as_str()));
+    let question = PlaceQuestion { request, runner: Arc::from(runner.runner.as_str()), node };
     let body = Bytes::from(serde_json::to_vec(&question).ok()?);
     let (step, path) = ("place of a run", RUN_PLACE_PATH);
     let limit = FetchLimit::Whole(ANSWER_TIMEOUT);
--- a/crates/node/src/streams/stream_end.rs
+++ b/crates/node/src/streams/stream_end.rs
@@ -7,6 +7,7 @@
 
 use super::stream_pump::{PumpStep, StreamPump};
 use crate::call_log::{RequestOutcome, may_log};
+use crate::forward::ResumeOffer;
 
 impl StreamPump {
     /// Whether the source, whose body has ended `is_in_event` or between two events, has ended the stream.
@@ -25,6 +26,16 @@
         is_proven.then_some(PumpStep::End(RequestOutcome::Streamed, ""))
     }
 
+    /// Asks the other nodes once more about the run at a source that may have ended the stream, if one of them may
+    /// have had it stopped. `None` if none goes on with it, and that it has ended is not certain.
+    pub(super) async fn ask_of_stopped_run(&mut self) -> Option<PumpStep> {
+        let stopped_by = self.stopped_by().filter(|_| self.source.may_be_whole);
+        let Some(OrderOrigin::OtherNode(node)) = stopped_by else { return self.proven_end() };
+        let offer = ResumeOffer::of_run(&self.source.runner, self.scanner.last_id());
+        let offer = offer.once_until(self.call.deadline);
+        Box::pin(self.resume_through_node(&offer, node)).await
+    }
+
     /// Who may have had the run at the source stopped.
     pub(super) fn stopped_by(&self) -> Option<OrderOrigin> {
         self.call.stop_orders.borrow().stopped_by(&self.source.runner.runner)
--- a/crates/node/src/streams/stream_resume.rs
+++ b/crates/node/src/streams/stream_resume.rs
@@ -32,8 +32,8 @@
     /// after the last event that was forwarded, or from the start if there is none. Otherwise the
     /// stream ends with `reason`.
     pub(crate) async fn run_elsewhere(&mut self, reason: &'static str) -> PumpStep {
-        if let Some(whole) = self.proven_end() {
-            return whole;
+        if let Some(step) = self.ask_of_stopped_run().await {
+            return step;
         }
         let interrupted = PumpStep::End(RequestOutcome::Interrupted, reason);
         if !self.call.route.stream_resume {
