Order each run to stop at the runner that it has left, at once

The rule allows 400 ms.

Cause: a closed connection counted as the end of a run until a report, read 0.8 s later and for one run of a runner in 10 s, showed otherwise. From a node whose connections hang, no close arrives. A run without an answer so far was offered without the runner that it was at.

Evidence: the records; by them each order came 0.8 s after the switch, or never.

Why it works: left_run.rs owns each run that goes on elsewhere: it is ordered to stop at once by the node that has sent it on, and again while the order may not have arrived, for 6 s. A node that reads the run for another one asks that one first, which may still read the runner before; after 200 ms it orders, as long as the other one has not closed its connection. Each such run has a line (left_run) and a count (stop_orders). A run of which nobody wants the rest is looked for in the report as before.

--- /dev/null
+++ b/crates/harness/tests/node_left_runs.rs
@@ -0,0 +1,85 @@
+//! Runs that go on elsewhere while the runner before still works on them: each has to be ended there.
+
+mod service_fleet;
+
+use std::time::{Duration, Instant};
+
+use compio::time::sleep;
+use fakes::platform::RunnerFakeSettings;
+use futures_util::future::{join, join_all};
+use harness::{CallerRequest, LinkState, SeenStream};
+use service_fleet::{CUT, RUNNERS, ServiceFleet, take_turn};
+
+/// Events of a stream, one in 20 ms.
+const EVENTS: u64 = 200;
+/// Streams of a test; some runners have several.
+const STREAMS: usize = 8;
+/// Time from the begin of the streams to the disruption; their copies are complete by then.
+const TROUBLE_AFTER: Duration = Duration::from_secs(1);
+/// Time for which a node is cut off from the runners.
+const CUT_TIME: Duration = Duration::from_secs(3);
+/// How long two runners may work on one request.
+const MAX_OVERLAP: Duration = Duration::from_millis(400);
+/// How often the runs at work are counted.
+const COUNT_PAUSE: Duration = Duration::from_millis(5);
+
+async fn start_fleet() -> ServiceFleet {
+    ServiceFleet::start(|settings: &mut RunnerFakeSettings| {
+        settings.events = EVENTS;
+        settings.event_pause = Duration::from_millis(20);
+    })
+    .await
+}
+
+/// Reads all streams through the node that may be cut off.
+async fn read_streams(services: &ServiceFleet, count: usize) -> Vec<SeenStream> {
+    let names: Vec<String> = (0..count).map(|number| format!("left-{number}")).collect();
+    let requests: Vec<_> = names.iter().map(|name| CallerRequest::stream(name)).collect();
+    let reads = requests.iter().map(|request| services.fleet.read_stream(CUT, request));
+    join_all(reads).await
+}
+
+fn count_working(services: &ServiceFleet) -> usize {
+    services.runners.iter().map(|linked| linked.runner.working()).sum()
+}
+
+/// The longest time for which more runs than `streams` were at work, until `end`.
+async fn longest_overlap(services: &ServiceFleet, streams: usize, end: Instant) -> Duration {
+    let (mut longest, mut last_alone) = (Duration::ZERO, Instant::now());
+    while Instant::now() < end {
+        sleep(COUNT_PAUSE).await;
+        if count_working(services) <= streams {
+            last_alone = Instant::now();
+        }
+        longest = longest.max(last_alone.elapsed());
+    }
+    longest
+}
+
+fn check_whole(streams: &[SeenStream]) {
+    for stream in streams {
+        assert!(stream.has_all(EVENTS), "{stream:?}");
+    }
+}
+
+/// Guards against TWICE: connections hang, so that closing them ends no run, and the node that resumes the runs from
+/// their copies orders only one of each runner to stop, and late.
+#[test]
+fn runs_that_another_node_resumes_are_ended_at_the_runners_before() {
+    let _turn = take_turn();
+    kernel::run(async {
+        let services = start_fleet().await;
+        let trouble = async {
+            sleep(TROUBLE_AFTER).await;
+            services.set("llm", usize::from(RUNNERS), LinkState::Stalled);
+            let overlap = longest_overlap(&services, STREAMS, Instant::now() + CUT_TIME).await;
+            services.set("llm", usize::from(RUNNERS), LinkState::Open);
+            overlap
+        };
+        let (streams, overlap) = join(read_streams(&services, STREAMS), trouble).await;
+        assert!(overlap <= MAX_OVERLAP, "{overlap:?}");
+        check_whole(&streams);
+        assert_eq!(services.most_runs(), 1);
+    })
+    .unwrap();
+}
--- a/crates/node/src/call.rs
+++ b/crates/node/src/call.rs
@@ -76,8 +76,8 @@
     Nowhere,
     /// At a runner that this node reads.
     Runner(RunnerId),
-    /// At a runner that another node reads.
-    OtherNode,
+    /// At a runner that another node reads; `None` if it is not known which.
+    OtherNode(Option<VmId>),
 }
 
 impl RunPlace {
@@ -87,7 +87,7 @@
         match self {
             Self::Nowhere => false,
             Self::Runner(current) => current == runner,
-            Self::OtherNode => true,
+            Self::OtherNode(_) => true,
         }
     }
 }
--- a/crates/node/src/forward/resumed_run.rs
+++ b/crates/node/src/forward/resumed_run.rs
@@ -18,10 +18,10 @@
 use crate::call::Call;
 use crate::call_log::{log_send, log_send_failure};
 use crate::context::NodeContext;
+use crate::left_run::end_left_run;
 use crate::reach::{is_unreached, suspect_runner};
 use crate::route_ticket::RouteTicket;
 use crate::router::RouterService;
-use crate::run_end_watch::watch_closed_run;
 use crate::runner_gate::{SendPurpose, is_closed};
 use crate::runner_send::{SendPlan, connect_to_runner, send_connected};
 use crate::streams::{
@@ -68,7 +68,7 @@
     // The asking node may not reach it to end the run there.
     let source = offer.source.and_then(|source| find_runner(context, &source).ok());
     if let Some(source) = source.filter(|source| source.runner != plan.runner.runner) {
-        watch_closed_run(context, &call, &source);
+        end_left_run(context, &call, &source);
     }
     let mut head = Response::new(());
     *head.status_mut() = exchange.response.status();
--- /dev/null
+++ b/crates/node/src/left_run.rs
@@ -0,0 +1,133 @@
+//! Ends the run of a stream at a runner that the stream has left for another one.
+//!
+//! Load pattern: a silent runner goes on, or the connection that was closed to it hangs, and it works on beside the
+//! next one. That a connection was closed ends no run: each run that was left is ordered to stop, by the node that
+//! has sent it on.
+
+use std::rc::Rc;
+
+use base::prelude::*;
+use serving::RunnerRecord;
+
+use crate::call::{Call, RunPlace};
+use crate::call_log::may_log;
+use crate::context::NodeContext;
+use crate::run_end_watch::{count_order, leave_to_owner, order_stop};
+use crate::run_owner::is_left_by_owner;
+
+/// Time in which the node that has the caller reads the run where it goes on. Two runners may not work on one request
+/// for longer than 400 ms.
+const OWNER_TIME: TimeSpan = TimeSpan::millis(200);
+/// Pause until that node is asked again.
+const OWNER_PAUSE: TimeSpan = TimeSpan::millis(25);
+/// Pause until an order is given again that may not have arrived; each further one is twice as long.
+const ORDER_PAUSE: TimeSpan = TimeSpan::millis(250);
+/// Time for which orders are given. A runner that answers none for longer is not sound.
+const ORDER_TIME: TimeSpan = TimeSpan::seconds(6);
+
+/// A run that goes on at another runner, and may still be at work where it was.
+struct LeftRun {
+    context: Rc<NodeContext>,
+    call: Rc<Call>,
+    /// The runner that it has left.
+    runner: RunnerRecord,
+    left_at: TimePoint,
+}
+
+/// Has a run stopped at `runner`, since its stream goes on at another one.
+pub fn end_left_run(context: &Rc<NodeContext>, call: &Rc<Call>, runner: &RunnerRecord) {
+    if !call.supports_moves {
+        return;
+    }
+    let (context, call, runner) = (Rc::clone(context), Rc::clone(call), runner.clone());
+    let left_at = context.now();
+    let left = LeftRun { context, call, runner, left_at };
+    kernel::spawn_rest(left.end());
+}
+
+impl LeftRun {
+    /// Orders the runner to stop the run until that is known to have ended there.
+    async fn end(self) {
+        if !self.is_left_for_certain().await {
+            leave_to_owner(&self.context, &self.call, &self.runner);
+            return;
+        }
+        let order_end = self.left_at + ORDER_TIME;
+        let (mut orders, mut pause) = (0, ORDER_PAUSE);
+        let outcome = loop {
+            if let Some(reason) = self.find_end() {
+                break reason;
+            }
+            orders += 1;
+            if order_stop(&self.context, &self.call, &self.runner).await {
+                break "ended";
+            }
+            if self.context.now() >= order_end {
+                count_order(&self.context, "unanswered");
+                break "unanswered";
+            }
+            kernel::sleep(pause.into()).await;
+            pause = TimeSpan(pause.0 * 2);
+        };
+        self.log_end(outcome, orders);
+    }
+
+    /// Whether the node that has the caller reads the run where it goes on now. One that still reads the runner
+    /// before has closed the connection to this node; one that does not answer in time cannot read either.
+    async fn is_left_for_certain(&self) -> bool {
+        if self.call.owner.is_none() {
+            return true;
+        }
+        let owner_end = self.left_at + OWNER_TIME;
+        while self.context.now() < owner_end {
+            if is_left_by_owner(&self.context, &self.call, &self.runner).await {
+                return true;
+            }
+            if self.is_over() {
+                return false;
+            }
+            kernel::sleep(OWNER_PAUSE.into()).await;
+        }
+        !self.is_over()
+    }
+
+    /// Whether this node reads the run no longer.
+    fn is_over(&self) -> bool {
+        matches!(*self.call.run_place.borrow(), RunPlace::Nowhere)
+    }
+
+    /// Why no order is given; `None` if one is.
+    fn find_end(&self) -> Option<&'static str> {
+        let incarnation = self.runner.incarnation();
+        let is_known =
+            self.context.runners.borrow().get(&self.runner.runner).is_some_and(|entry| {
+                entry.removed_at.is_none() && entry.record.incarnation() == incarnation
+            });
+        if !is_known {
+            Some("runner_gone")
+        } else if self.call.run_place.borrow().may_be_at(&self.runner.runner) {
+            Some("returned")
+        } else if self.call.owner.is_some() && self.is_over() {
+            // The node that has the caller goes on with the run without this one, maybe at this runner.
+            Some("other_node")
+        } else if !self.context.run_ends.borrow().follows_orders(&incarnation) {
+            Some("ignores_order")
+        } else {
+            None
+        }
+    }
+
+    fn log_end(&self, outcome: &'static str, orders: u32) {
+        if !may_log(&self.context) {
+            return;
+        }
+        tracing::info!(
+            event = "left_run",
+            request = %self.call.attempt,
+            runner = %self.runner.runner,
+            outcome,
+            orders,
+            left_ms = self.context.now().since(self.left_at).as_millis(),
+        );
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -22,6 +22,7 @@
 mod forward;
 mod heartbeat_sections;
 mod hedged_call;
+mod left_run;
 mod limit_share;
 mod load_account;
 mod local_call;
--- a/crates/node/src/run_end_watch.rs
+++ b/crates/node/src/run_end_watch.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 
 use base::prelude::*;
-use platform::{RunnerReply, read_report};
+use platform::{PlatformError, RunnerReply, read_report};
 use serving::{EndHabit, RunnerIncarnation, RunnerRecord};
 
 use crate::call::Call;
@@ -70,9 +70,8 @@
 }
 
 /// Counts a run that is not ordered to stop, since the node that has its caller may go on with it.
-fn leave_to_owner(context: &NodeContext, call: &Call, runner: &RunnerRecord) {
-    let reason = "other_node";
-    context.metrics.stop_orders.get_or_create(&WithheldLabels { reason }).inc();
+pub fn leave_to_owner(context: &NodeContext, call: &Call, runner: &RunnerRecord) {
+    count_order(context, "other_node");
     if may_log(context) {
         let (request, runner) = (&call.attempt, &runner.runner);
         let owner = call.owner.as_ref().map(VmId::as_str);
@@ -139,7 +138,7 @@
         }
     }
     let reason = "unanswered";
-    context.metrics.stop_orders.get_or_create(&WithheldLabels { reason }).inc();
+    count_order(context, reason);
     if may_log(context) {
         let (request, runner) = (&call.attempt, &runner.runner);
         tracing::info!(event = "run_not_stopped", %request, %runner, error = reason);
@@ -147,18 +146,36 @@
     false
 }
 
-/// Orders a runner to stop a run. Its memory is freed: nobody wants the rest of the run.
-async fn order_stop(context: &Rc<NodeContext>, call: &Call, runner: &RunnerRecord) {
-    let Some(target) = find_other_runner(context, runner) else { return };
+/// Orders a runner to stop a run. Its memory is freed: nobody wants the rest of the run. Returns whether it is
+/// known that the runner does not work on the run any more.
+pub async fn order_stop(context: &Rc<NodeContext>, call: &Call, runner: &RunnerRecord) -> bool {
+    let Some(target) = find_other_runner(context, runner) else {
+        count_order(context, "no_target");
+        return false;
+    };
     let stopped = CopyTask::stop(context, call, runner, target.address).await;
-    let outcome = if stopped.is_ok() { "stopped" } else { "not_stopped" };
-    context.metrics.stop_orders.get_or_create(&WithheldLabels { reason: outcome }).inc();
-    if let Err(error) = stopped
+    let is_gone = stopped.as_ref().is_err_and(PlatformError::is_not_found);
+    count_order(
+        context,
+        match &stopped {
+            Ok(_) => "stopped",
+            Err(_) if is_gone => "not_found",
+            Err(_) => "not_stopped",
+        },
+    );
+    if let Err(error) = &stopped
+        && !is_gone
         && may_log(context)
     {
         let (request, runner) = (&call.attempt, &runner.runner);
         tracing::info!(event = "run_not_stopped", %request, %runner, %error);
     }
+    stopped.is_ok() || is_gone
+}
+
+/// Counts what became of an order to stop a run, or why none was given.
+pub fn count_order(context: &NodeContext, reason: &'static str) {
+    context.metrics.stop_orders.get_or_create(&WithheldLabels { reason }).inc();
 }
 
 /// A runner that the order to stop can name as the one that the run moves to.
--- a/crates/node/src/run_owner.rs
+++ b/crates/node/src/run_owner.rs
@@ -40,13 +40,16 @@
     /// The node that asks; missing in questions of builds that do not say so.
     #[serde(default)]
     node: Option<Arc<str>>,
+    /// That node reads the run at another runner, for the node that is asked.
+    #[serde(default)]
+    is_read: bool,
 }
 
 /// Answers another node whether the run of a request of this node may go on at a runner.
 pub async fn answer_run_place(context: &NodeContext, request: WebRequest) -> WebResponse {
     let body = read_bounded("run place", request.into_body(), MAX_QUESTION_BYTES).await;
     let question = body.ok().and_then(|body| serde_json::from_slice(&body).ok());
-    let Some(PlaceQuestion { request, runner, node }) = question else {
+    let Some(PlaceQuestion { request, runner, node, is_read }) = question else {
         return text_reply(StatusCode::BAD_REQUEST, "not a question for the place of a run");
     };
     let Ok(runner) = runner.parse::<RunnerId>() else {
@@ -54,7 +57,8 @@
     };
     let node = node.and_then(|node| node.parse::<VmId>().ok());
     let is_of_run = |call: &Call| *call.attempt.as_str() == *request;
-    let is_there = |call: &Call| is_of_run(call) && call.run_place.borrow().may_be_at(&runner);
+    let is_there =
+        |call: &Call| is_of_run(call) && may_be_there(call, &runner, node.as_ref(), is_read);
     // A stream without a head may have been sent anywhere.
     if context.open_streams.any(is_there) || context.headless_streams.any(is_of_run) {
         return text_reply(StatusCode::OK, "may be there");
@@ -66,6 +70,14 @@
     text_reply(StatusCode::NOT_FOUND, "not there")
 }
 
+/// Whether a run of this node may go on at `runner`. The node that it comes through knows better.
+fn may_be_there(call: &Call, runner: &RunnerId, node: Option<&VmId>, is_read: bool) -> bool {
+    match &*call.run_place.borrow() {
+        RunPlace::OtherNode(Some(relay)) if is_read => Some(relay) != node,
+        place => place.may_be_at(runner),
+    }
+}
+
 /// Whether another node, which has the caller of `call`, may go on with its run at `runner`. This one knows better
 /// while it reads the run itself.
 pub async fn may_be_of_owner(
@@ -78,7 +90,7 @@
     for _ in 0..MAX_QUESTIONS {
         let address = context.peers.borrow().find(owner).map(|peer| peer.peer_address);
         let Some(address) = address else { return false };
-        if let Some(status) = ask(context, call, runner, address).await {
+        if let Some(status) = ask(context, call, runner, (address, false)).await {
             return status == StatusCode::OK;
         }
         kernel::sleep(QUESTION_PAUSE.into()).await;
@@ -86,16 +98,31 @@
     false
 }
 
-/// Asks the node at `address`; `None` if it does not answer.
+/// Whether the node that has the caller of `call`, whose run this one reads at another runner, is known to have given
+/// up the run at `runner`.
+pub async fn is_left_by_owner(
+    context: &Rc<NodeContext>,
+    call: &Call,
+    runner: &RunnerRecord,
+) -> bool {
+    let owner = call.owner.as_ref();
+    let address =
+        owner.and_then(|owner| context.peers.borrow().find(owner).map(|peer| peer.peer_address));
+    let Some(address) = address else { return false };
+    ask(context, call, runner, (address, true)).await == Some(StatusCode::NOT_FOUND)
+}
+
+/// Asks the node at an address, for which this one reads the run elsewhere if `is_read`; `None` if it does not answer.
 async fn ask(
     context: &NodeContext,
     call: &Call,
     runner: &RunnerRecord,
-    address: SocketAddr,
+    (address, is_read): (SocketAddr, bool),
 ) -> Option<StatusCode> {
     let request = Arc::from(call.attempt.as_str());
     let node = Some(Arc::from(context.settings.vm.as_str()));
-    let question = PlaceQuestion { request, runner: Arc::from(runner.runner.as_str()), node };
+    let question =
+        PlaceQuestion { request, runner: Arc::from(runner.runner.as_str()), node, is_read };
     let body = Bytes::from(serde_json::to_vec(&question).ok()?);
     let (step, path) = ("place of a run", RUN_PLACE_PATH);
     let limit = FetchLimit::Whole(ANSWER_TIMEOUT);
--- a/crates/node/src/streams/stream_call.rs
+++ b/crates/node/src/streams/stream_call.rs
@@ -29,6 +29,7 @@
 use crate::crash_watch::record_full_answer;
 use crate::forward::{ResumeOffer, RunSite, TakenResume, offer_resume};
 use crate::hedged_call::{RaceEnd, SendEnd, may_hedge, race_stream};
+use crate::left_run::end_left_run;
 use crate::reach::{is_unreached, wait_while_unanswered};
 use crate::route_ticket::RouteTicket;
 use crate::router::RouterService;
@@ -109,8 +110,9 @@
             if failure.outcome == SendOutcome::Unknown
                 && let Some(backup) = plan.backup
             {
-                let cut_off = failure.is_cut_off().then_some(&plan.runner);
-                match recover_run(context, &call, backup, &mut ticket, cut_off).await {
+                let is_cut_off = failure.is_cut_off();
+                let places = (&plan.runner, backup);
+                match recover_run(context, &call, places, &mut ticket, is_cut_off).await {
                     Some(RecoveredRun::Here(answer)) => outcome = Ok(answer),
                     Some(RecoveredRun::Elsewhere(taken)) => {
                         ticket.finish(CallEnd::Cancelled);
@@ -242,21 +244,23 @@
     Elsewhere(TakenResume),
 }
 
-/// Resumes the call at the runner that keeps a copy, after the first runner failed without
+/// Resumes the call at the runner that keeps a copy, after the `first` runner failed without
 /// an answer. If the copy has not arrived there, that runner refuses and runs nothing. If this node is
-/// `cut_off` from the first runner, another node then moves the run from there.
+/// cut off from the first runner, another node then moves the run from there.
 async fn recover_run(
     context: &Rc<NodeContext>,
     call: &Rc<Call>,
-    backup: RunnerRecord,
+    (first, backup): (&RunnerRecord, RunnerRecord),
     ticket: &mut RouteTicket,
-    cut_off: Option<&RunnerRecord>,
+    is_cut_off: bool,
 ) -> Option<RecoveredRun> {
-    if let Some(recovered) = resume_copy(context, call, backup, ticket).await {
+    if let Some(recovered) = resume_copy(context, call, (first, backup), ticket).await {
         return Some(recovered);
     }
-    let source = cut_off.filter(|_| call.supports_moves)?;
-    let offer = ResumeOffer::of_run(source, None);
+    if !is_cut_off || !call.supports_moves {
+        return None;
+    }
+    let offer = ResumeOffer::of_run(first, None);
     let taken = offer_resume(context, call, &offer, None, &Cell::default()).await?;
     Some(RecoveredRun::Elsewhere(taken))
 }
@@ -265,17 +269,20 @@
 async fn resume_copy(
     context: &Rc<NodeContext>,
     call: &Rc<Call>,
-    backup: RunnerRecord,
+    (first, backup): (&RunnerRecord, RunnerRecord),
     ticket: &mut RouteTicket,
 ) -> Option<RecoveredRun> {
     if is_unreached(context, &backup) {
-        let offer = ResumeOffer::of_backup(call, &backup, None);
+        let offer = ResumeOffer::of_backup(call, &backup, None).instead_of(first);
         let taken = offer_resume(context, call, &offer, None, &Cell::default()).await?;
         return Some(RecoveredRun::Elsewhere(taken));
     }
     let plan = plan_backup_resume(context, call, ticket, backup);
     match request_answer(context, call, &plan).await {
-        Ok(answer) => Some(RecoveredRun::Here(answer)),
+        Ok(answer) => {
+            end_left_run(context, call, first);
+            Some(RecoveredRun::Here(answer))
+        }
         Err(failure) => {
             log_send_failure(context, call, &plan.runner.runner, &failure.reason);
             if failure.outcome == SendOutcome::Unknown {
--- a/crates/node/src/streams/stream_handover.rs
+++ b/crates/node/src/streams/stream_handover.rs
@@ -18,6 +18,7 @@
 use super::stream_silence::SourceActivity;
 use super::stream_source::{StreamSource, is_event_stream};
 use crate::call_log::{RequestOutcome, log_send_failure};
+use crate::left_run::end_left_run;
 use crate::runner_gate::SendPurpose;
 use crate::runner_send::{SendFailure, SendPlan, connect_to_runner};
 
@@ -172,6 +173,9 @@
     /// Makes `source` the source of the stream. What was found out about the old one no longer holds.
     pub(crate) fn replace_source(&mut self, source: StreamSource) {
         self.close_source();
+        if self.source.is_left && self.source.runner.runner != source.runner.runner {
+            end_left_run(&self.context, &self.call, &self.source.runner);
+        }
         self.stays = false;
         self.next_move = self.context.now();
         // What is being copied is the run at the old source.
--- a/crates/node/src/streams/stream_pump.rs
+++ b/crates/node/src/streams/stream_pump.rs
@@ -349,6 +349,7 @@
     /// Closes the source before the end of its stream. Its runner may go on with the run.
     pub(crate) fn close_source(&mut self) {
         if !self.source.ended && !self.source.is_relayed {
+            self.source.is_left = true;
             watch_closed_run(&self.context, &self.call, &self.source.runner);
         }
         self.source.close();
--- a/crates/node/src/streams/stream_source.rs
+++ b/crates/node/src/streams/stream_source.rs
@@ -41,6 +41,8 @@
     pub may_be_whole: bool,
     /// Whether the source was closed and is no longer read.
     pub ended: bool,
+    /// Whether it was closed before the end of its stream, so that its runner may still work on the run.
+    pub is_left: bool,
     /// Whether the stream comes through another node, which looks after its runner.
     pub is_relayed: bool,
     /// That node.
@@ -70,6 +72,7 @@
             framing: if is_framed { BodyFraming::Framed } else { BodyFraming::ByConnection },
             may_be_whole: false,
             ended: false,
+            is_left: false,
             is_relayed: false,
             relay: None,
             first_events: None,
@@ -88,7 +91,7 @@
     #[must_use]
     pub fn run_place(&self) -> RunPlace {
         if self.is_relayed {
-            RunPlace::OtherNode
+            RunPlace::OtherNode(self.relay.clone())
         } else {
             RunPlace::Runner(self.runner.runner.clone())
         }
