Leave a silent source only after the silence that a sound runner may have

Cause: a short silence, which a sound runner may have, was taken for a loss.

Ruled out: that the order is not given in time (it is at the runner as that goes on).

Why it works: the run of a silent source goes on elsewhere after 750 ms: the second for which a sound runner may be silent, less MAX_OVERLAP. A node that is cut off from the service does not wait.

Such a stream pauses for some 0.4 s more if its runner does not go on meanwhile.

--- a/crates/harness/tests/node_left_runs.rs
+++ b/crates/harness/tests/node_left_runs.rs
@@ -8,7 +8,7 @@
 use fakes::platform::RunnerFakeSettings;
 use futures_util::future::{join, join_all};
 use harness::{CallerRequest, LinkState, SeenStream};
-use service_fleet::{CUT, RUNNERS, ServiceFleet, take_turn};
+use service_fleet::{CUT, LinkedRunner, RUNNERS, ServiceFleet, take_turn};
 
 /// Events of a stream, one in 20 ms.
 const EVENTS: u64 = 200;
@@ -18,6 +18,8 @@
 const TROUBLE_AFTER: Duration = Duration::from_secs(1);
 /// Time for which a node is cut off from the runners.
 const CUT_TIME: Duration = Duration::from_secs(3);
+/// Time for which a sound runner is silent.
+const SILENCE: Duration = Duration::from_secs(1);
 /// How long two runners may work on one request.
 const MAX_OVERLAP: Duration = Duration::from_millis(400);
 /// How often the runs at work are counted.
@@ -83,3 +85,41 @@
     })
     .unwrap();
 }
+
+/// Guards against TWICE: a silent runner goes on with requests whose connections have closed, and only one of its
+/// runs is ordered to stop, and late.
+#[test]
+fn runs_that_have_left_a_silent_runner_are_ended_as_it_goes_on() {
+    let _turn = take_turn();
+    kernel::run(async {
+        let services = start_fleet().await;
+        let trouble = async {
+            sleep(TROUBLE_AFTER).await;
+            let llm = services.runners.iter().filter(|linked| linked.service == "llm");
+            let source = llm.max_by_key(|linked| linked.runner.working()).unwrap();
+            assert!(source.runner.working() > 1);
+            source.runner.ignore_closed_requests();
+            source.runner.fall_silent();
+            join(go_on_later(source), count_left(&services, source)).await.1
+        };
+        let (streams, left) = join(read_streams(&services, STREAMS), trouble).await;
+        assert_eq!(left, 0);
+        check_whole(&streams);
+        assert_eq!(services.most_runs(), 1);
+    })
+    .unwrap();
+}
+
+async fn go_on_later(source: &LinkedRunner) {
+    sleep(SILENCE).await;
+    source.runner.go_on();
+}
+
+/// Runs at work at the silent source, as long after the last of them has gone on elsewhere as two may work on it.
+async fn count_left(services: &ServiceFleet, source: &LinkedRunner) -> usize {
+    while count_working(services) - source.runner.working() < STREAMS {
+        sleep(COUNT_PAUSE).await;
+    }
+    sleep(MAX_OVERLAP).await;
+    source.runner.working()
+}
--- a/crates/node/src/streams/stream_silence.rs
+++ b/crates/node/src/streams/stream_silence.rs
@@ -19,6 +19,7 @@
 use super::stream_backup::{choose_backup, plan_backup_resume};
 use super::stream_handover::HandoverStep;
 use super::stream_move::MAX_SWITCH_TRIES;
+use super::stream_overlap::MAX_OVERLAP;
 use super::stream_pump::{PumpStep, StreamPump};
 use crate::call_attempt::{may_retry, record_send};
 use crate::call_log::may_log;
@@ -35,6 +36,11 @@
 const SILENCE_DIVISOR: u64 = 2;
 /// Silence that is not looked into before the first event, which takes as long as the prompt.
 const FIRST_SILENCE: TimeSpan = TimeSpan::millis(500);
+/// Longest silence of a sound runner that is to be borne.
+const SOUND_SILENCE: TimeSpan = TimeSpan::seconds(1);
+/// Silence after which the run of a source goes on elsewhere: one that is sound goes on before two runners have worked
+/// on the run for too long.
+const LEAVE_SILENCE: TimeSpan = TimeSpan(SOUND_SILENCE.0 - MAX_OVERLAP.0);
 /// Pause until a silent source is looked at again.
 const LOOK_PAUSE: TimeSpan = TimeSpan::millis(25);
 /// Pause until a silent source is checked again after it could be connected to.
@@ -172,6 +178,9 @@
             self.begin_check();
             return PumpStep::Continue;
         }
+        if self.may_be_sound() {
+            return PumpStep::Continue;
+        }
         if self.may_resume() {
             if self.begin_place_question() {
                 return PumpStep::Continue;
@@ -199,6 +208,13 @@
         PumpStep::Continue
     }
 
+    /// Whether the source may be a sound runner that is silent for a moment, and goes on later than two may work on
+    /// the run. One that answers other nodes is not silent.
+    fn may_be_sound(&self) -> bool {
+        let is_cut_off = is_cut_off(&self.context, &self.call.service);
+        !is_cut_off && self.activity.own_silence() < LEAVE_SILENCE
+    }
+
     /// Whether the route allows another run, and a runner for it is reached.
     fn may_run_again(&self) -> bool {
         self.call.route.stream_resume && !self.context.reach.borrow().is_lost(&self.call.service)
