Say in one field what may be left of a run whose source is read no longer

Cause: two flags of StreamSource, one of which was wrong for a body that has ended by itself: its runner was ordered to stop a run that it does not have any more. Change: SourceRest is the run, maybe a memory, or nothing; only a run that may be at work is ordered to stop.

--- a/crates/node/src/streams/run_stop.rs
+++ b/crates/node/src/streams/run_stop.rs
@@ -17,6 +17,7 @@
 use super::stream_handover::{HandoverStep, caller_disconnected, describe_loss};
 use super::stream_places::QUESTION_PAUSE;
 use super::stream_pump::{PumpStep, StreamPump};
+use super::stream_source::SourceRest;
 use crate::call_log::{RequestOutcome, may_log};
 use crate::run_end_watch::record_habit;
 use crate::runner_send::SendPlan;
@@ -158,7 +159,8 @@
                     return StopEnd::End(PumpStep::End(RequestOutcome::Streamed, ""));
                 }
                 StopInput::Frame(lost) => {
-                    let may_be_whole = lost.is_none() && self.source.may_be_whole;
+                    let may_be_whole =
+                        lost.is_none() && self.source.rest == SourceRest::MaybeMemory;
                     order.body =
                         if may_be_whole { BodyState::MaybeWhole } else { BodyState::Broken };
                     if order.answer.is_none() {
--- a/crates/node/src/streams/stream_handover.rs
+++ b/crates/node/src/streams/stream_handover.rs
@@ -16,7 +16,7 @@
 use super::stream_overlap::{HeldEvents, OverlapEnd};
 use super::stream_pump::{PumpStep, StreamPump};
 use super::stream_silence::SourceActivity;
-use super::stream_source::{StreamSource, is_event_stream};
+use super::stream_source::{SourceRest, StreamSource, is_event_stream};
 use crate::call_log::{RequestOutcome, log_send_failure};
 use crate::left_run::end_left_run;
 use crate::runner_gate::SendPurpose;
@@ -173,7 +173,8 @@
     /// Makes `source` the source of the stream. What was found out about the old one no longer holds.
     pub(crate) fn replace_source(&mut self, source: StreamSource) {
         self.close_source();
-        if self.source.is_left && self.source.runner.runner != source.runner.runner {
+        let is_left = self.source.rest == SourceRest::Run;
+        if is_left && self.source.runner.runner != source.runner.runner {
             end_left_run(&self.context, &self.call, &self.source.runner);
         }
         self.stays = false;
--- a/crates/node/src/streams/stream_pump.rs
+++ b/crates/node/src/streams/stream_pump.rs
@@ -18,7 +18,7 @@
 use super::stream_relay::NodeQuestion;
 use super::stream_resume::StreamAttempts;
 use super::stream_silence::{CheckFuture, SourceActivity, SourceCheck};
-use super::stream_source::{CallerSide, StreamPace, StreamSource};
+use super::stream_source::{CallerSide, SourceRest, StreamPace, StreamSource};
 use crate::call::Call;
 use crate::call_log::{RequestOutcome, RequestSummary, format_parts, log_end, log_send_failure};
 use crate::context::{NodeContext, RequestGuard};
@@ -349,7 +349,9 @@
     /// Closes the source before the end of its stream. Its runner may go on with the run.
     pub(crate) fn close_source(&mut self) {
         if !self.source.ended && !self.source.is_relayed {
-            self.source.is_left = true;
+            if self.source.rest == SourceRest::Nothing {
+                self.source.rest = SourceRest::Run;
+            }
             watch_closed_run(&self.context, &self.call, &self.source.runner);
         }
         self.source.close();
--- a/crates/node/src/streams/stream_source.rs
+++ b/crates/node/src/streams/stream_source.rs
@@ -21,6 +21,17 @@
 use crate::call::RunPlace;
 use crate::runner_send::{SendFailure, SendPlan};
 
+/// What may be left of a run whose source is read no longer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SourceRest {
+    /// Nothing, as far as is known, or it is read.
+    Nothing,
+    /// The run: its connection was closed before its end.
+    Run,
+    /// Nothing if its body has ended whole; or what an order to stop it has left.
+    MaybeMemory,
+}
+
 /// The runner that a stream is read from.
 pub struct StreamSource {
     /// The runner that works on the stream.
@@ -37,12 +48,10 @@
     pub connection: Option<ConnectionTask>,
     /// What shows the end of the body.
     framing: BodyFraming,
-    /// Whether the body has ended, and it was not known whether an order had brought that about.
-    pub may_be_whole: bool,
     /// Whether the source was closed and is no longer read.
     pub ended: bool,
-    /// Whether it was closed before the end of its stream, so that its runner may still work on the run.
-    pub is_left: bool,
+    /// What may be left of its run.
+    pub rest: SourceRest,
     /// Whether the stream comes through another node, which looks after its runner.
     pub is_relayed: bool,
     /// That node.
@@ -70,9 +79,8 @@
             body,
             connection: Some(connection),
             framing: if is_framed { BodyFraming::Framed } else { BodyFraming::ByConnection },
-            may_be_whole: false,
             ended: false,
-            is_left: false,
+            rest: SourceRest::Nothing,
             is_relayed: false,
             relay: None,
             first_events: None,
