Search the ends of unframed streams, and let no node's answer speak for an order that it still gives

Cause: crates/spec had no body without framing. The new model runs life::StopOrders and judge_end themselves: a run, orders of this node and of another, followed, refused or finding no run, with answers late or lost.

An answer now speaks for earlier orders of that node only once it knows what has become of them, when the time of their offers is over.

--- a/crates/life/src/body_end.rs
+++ b/crates/life/src/body_end.rs
@@ -31,6 +31,8 @@
 struct StopOrder {
     runner: RunnerId,
     origin: OrderOrigin,
+    /// When who has given it knows what has become of it, at the latest.
+    known_at: TimePoint,
     /// The run that it was given for has stopped by it: a later run at the runner is not concerned.
     is_followed: bool,
 }
@@ -47,9 +49,10 @@
 pub struct StopOrders(Vec<StopOrder>);
 
 impl StopOrders {
-    /// Records that `runner` may follow an order from now on. Each order is to be recorded before it is sent.
-    pub fn note_order(&mut self, runner: &RunnerId, origin: OrderOrigin) {
-        self.0.push(StopOrder { runner: runner.clone(), origin, is_followed: false });
+    /// Records that `runner` may follow an order from now on. Each order is to be recorded before it is sent. Who has
+    /// given it knows at `known_at` what has become of it.
+    pub fn note_order(&mut self, runner: &RunnerId, origin: OrderOrigin, known_at: TimePoint) {
+        self.0.push(StopOrder { runner: runner.clone(), origin, known_at, is_followed: false });
     }
 
     /// Records that one such order was followed.
@@ -59,13 +62,14 @@
         }
     }
 
-    /// Records that one such order was not followed, and will not be. What another node says holds for all that it
-    /// may have given.
-    pub fn note_not_followed(&mut self, runner: &RunnerId, origin: &OrderOrigin) {
+    /// Records that the latest such order was not followed, and will not be. What another node says at `now` holds for
+    /// its earlier ones as well, as far as it knows what has become of them.
+    pub fn note_not_followed(&mut self, runner: &RunnerId, origin: &OrderOrigin, now: TimePoint) {
+        if let Some(open) = self.0.iter().rposition(|order| order.is_open(runner, origin)) {
+            self.0.remove(open);
+        }
         if matches!(origin, OrderOrigin::OtherNode(_)) {
-            self.0.retain(|order| !order.is_open(runner, origin));
-        } else if let Some(open) = self.0.iter().position(|order| order.is_open(runner, origin)) {
-            self.0.swap_remove(open);
+            self.0.retain(|order| !order.is_open(runner, origin) || order.known_at > now);
         }
     }
 
--- a/crates/life/tests/body_end.rs
+++ b/crates/life/tests/body_end.rs
@@ -34,35 +34,40 @@
 fn an_order_counts_until_it_is_known_not_to_have_been_followed() {
     let (first, second) = (runner("first"), runner("second"));
     let other = |name: &str| OrderOrigin::OtherNode(Some(name.parse().unwrap()));
+    let (now, later) = (TimePoint::default(), TimePoint::default() + TimeSpan::seconds(4));
     let mut orders = StopOrders::default();
-    orders.note_order(&first, OrderOrigin::ThisNode);
-    orders.note_order(&first, OrderOrigin::ThisNode);
+    orders.note_order(&first, OrderOrigin::ThisNode, later);
+    orders.note_order(&first, OrderOrigin::ThisNode, later);
     assert_eq!(orders.stopped_by(&second), None);
-    orders.note_not_followed(&first, &OrderOrigin::ThisNode);
+    orders.note_not_followed(&first, &OrderOrigin::ThisNode, now);
     assert_eq!(orders.stopped_by(&first), Some(OrderOrigin::ThisNode));
-    orders.note_not_followed(&first, &OrderOrigin::ThisNode);
+    orders.note_not_followed(&first, &OrderOrigin::ThisNode, now);
     assert_eq!(orders.stopped_by(&first), None);
-    orders.note_order(&first, other("node-1"));
-    orders.note_order(&first, other("node-1"));
-    orders.note_not_followed(&first, &other("node-2"));
+    // A node that is asked again while it still handles the first offer does not know what becomes of that.
+    orders.note_order(&first, other("node-1"), later);
+    orders.note_order(&first, other("node-1"), later);
+    orders.note_not_followed(&first, &other("node-2"), now);
+    orders.note_not_followed(&first, &other("node-1"), now);
     assert_eq!(orders.stopped_by(&first), Some(other("node-1")));
-    orders.note_not_followed(&first, &other("node-1"));
+    orders.note_order(&first, other("node-1"), later);
+    orders.note_not_followed(&first, &other("node-1"), later);
     assert_eq!(orders.stopped_by(&first), None);
 }
 
 #[test]
 fn a_run_that_returns_is_concerned_only_by_open_orders_of_this_node() {
     let first = runner("first");
+    let now = TimePoint::default();
     let mut orders = StopOrders::default();
-    orders.note_order(&first, OrderOrigin::ThisNode);
+    orders.note_order(&first, OrderOrigin::ThisNode, now);
     orders.note_followed(&first, &OrderOrigin::ThisNode);
     assert_eq!(orders.stopped_by(&first), Some(OrderOrigin::ThisNode));
     orders.begin_run(&first);
     assert_eq!(orders.stopped_by(&first), None);
-    orders.note_order(&first, OrderOrigin::OtherNode(None));
+    orders.note_order(&first, OrderOrigin::OtherNode(None), now);
     orders.begin_run(&first);
     assert_eq!(orders.stopped_by(&first), None);
-    orders.note_order(&first, OrderOrigin::ThisNode);
+    orders.note_order(&first, OrderOrigin::ThisNode, now);
     orders.begin_run(&first);
     assert_eq!(orders.stopped_by(&first), Some(OrderOrigin::ThisNode));
 }
--- a/crates/node/src/forward/call_forward.rs
+++ b/crates/node/src/forward/call_forward.rs
@@ -239,18 +239,20 @@
 
 impl PossibleStop {
     /// Records that the order may be given from now on.
-    fn begin(call: &Call, offer: &ResumeOffer, node: &VmId) -> Self {
+    fn begin((context, call): (&NodeContext, &Call), offer: &ResumeOffer, node: &VmId) -> Self {
         let origin = OrderOrigin::OtherNode(Some(node.clone()));
         let runner = offer.runner_to_stop().cloned();
         if let Some(runner) = &runner {
-            call.stop_orders.borrow_mut().note_order(runner, origin.clone());
+            // The node gives up its order, or keeps it, when the time of the offer is over.
+            let known_at = context.now() + offer.limit;
+            call.stop_orders.borrow_mut().note_order(runner, origin.clone(), known_at);
         }
         Self { runner, origin }
     }
 
     /// Records what is known of the order once the node has answered. One that does not go on with the run, and
     /// does not say that it has ordered it to stop, has had nothing stopped.
-    fn follow(self, call: &Call, end: &OfferEnd) {
+    fn follow(self, (context, call): (&NodeContext, &Call), end: &OfferEnd) {
         let Some(runner) = self.runner else { return };
         let (mut orders, origin) = (call.stop_orders.borrow_mut(), &self.origin);
         match end {
@@ -259,7 +261,7 @@
             }
             OfferEnd::NotResumed(RunTrace::Stopped(_)) => orders.note_followed(&runner, origin),
             OfferEnd::NotRun(..) | OfferEnd::NotResumed(RunTrace::Works) => {
-                orders.note_not_followed(&runner, origin);
+                orders.note_not_followed(&runner, origin, context.now());
             }
             OfferEnd::Answered(_)
             | OfferEnd::NotResumed(RunTrace::Ordered)
@@ -287,9 +289,9 @@
         }
         state.record_offer(&target.vm);
         run.asked += 1;
-        let stop = PossibleStop::begin(call, &run.offer, &target.vm);
+        let stop = PossibleStop::begin((context, call), &run.offer, &target.vm);
         let end = offer_call(context, call, &target, Some(&run.offer)).await;
-        stop.follow(call, &end);
+        stop.follow((context, call), &end);
         match end {
             OfferEnd::Answered(exchange) if is_event_stream(&exchange.response) => {
                 log_offer(context, call, &target, "resumed", "", "");
--- a/crates/node/src/left_run.rs
+++ b/crates/node/src/left_run.rs
@@ -23,7 +23,7 @@
 /// Pause until an order is given again that may not have arrived; each further one is twice as long.
 const ORDER_PAUSE: TimeSpan = TimeSpan::millis(250);
 /// Time for which orders are given. A runner that answers none for longer is not sound.
-const ORDER_TIME: TimeSpan = TimeSpan::seconds(6);
+pub const ORDER_TIME: TimeSpan = TimeSpan::seconds(6);
 
 /// A run that goes on at another runner, and may still be at work where it was.
 struct LeftRun {
--- a/crates/node/src/run_owner.rs
+++ b/crates/node/src/run_owner.rs
@@ -17,6 +17,7 @@
 
 use crate::call::{Call, RunPlace};
 use crate::context::NodeContext;
+use crate::left_run::ORDER_TIME;
 
 /// Path of the question. Builds that do not know it answer 404, as for a run that is not there.
 pub const RUN_PLACE_PATH: &str = "/run-place";
@@ -64,8 +65,13 @@
         return text_reply(StatusCode::OK, "may be there");
     }
     // The run may come back to the runner before the other node has it stopped there.
+    let known_at = context.now() + ORDER_TIME;
     context.open_streams.each(is_of_run, |call| {
-        call.stop_orders.borrow_mut().note_order(&runner, OrderOrigin::OtherNode(node.clone()));
+        call.stop_orders.borrow_mut().note_order(
+            &runner,
+            OrderOrigin::OtherNode(node.clone()),
+            known_at,
+        );
     });
     text_reply(StatusCode::NOT_FOUND, "not there")
 }
--- a/crates/node/src/streams/stream_copy.rs
+++ b/crates/node/src/streams/stream_copy.rs
@@ -174,7 +174,8 @@
         let call = CopyCall::new(context, attempt, source.address, true);
         let done = call.clone();
         Self::new(call, async move {
-            orders.borrow_mut().note_order(&runner, OrderOrigin::ThisNode);
+            let known_at = done.context.now() + limit;
+            orders.borrow_mut().note_order(&runner, OrderOrigin::ThisNode, known_at);
             let done = done.begin();
             let CopyCall { context, attempt, source, .. } = &done;
             let earlier = context.ordered_runs.borrow_mut().begin(done.begun, attempt, *source);
@@ -182,7 +183,8 @@
             let outcome =
                 if stopped.is_ok() { OrderOutcome::Stopped } else { OrderOutcome::Failed };
             context.ordered_runs.borrow_mut().end(attempt, outcome);
-            note_outcome(&mut orders.borrow_mut(), &runner, stopped.as_ref().err());
+            let now = context.now();
+            note_outcome(&mut orders.borrow_mut(), &runner, stopped.as_ref().err(), now);
             let run = stopped.inspect_err(|error| done.log_failure(error, earlier))?;
             done.log_done(run.events);
             Ok(RunCopy::new(done, run))
@@ -198,12 +200,17 @@
 }
 
 /// Records what an order of this node has brought about; it may still be followed if that is not known.
-fn note_outcome(orders: &mut StopOrders, runner: &RunnerId, error: Option<&PlatformError>) {
+fn note_outcome(
+    orders: &mut StopOrders,
+    runner: &RunnerId,
+    error: Option<&PlatformError>,
+    now: TimePoint,
+) {
     let origin = &OrderOrigin::ThisNode;
     match error {
         None => orders.note_followed(runner, origin),
         Some(error) if error.is_outcome_unknown() || error.status() == Some(IN_PROGRESS) => (),
-        Some(_) => orders.note_not_followed(runner, origin),
+        Some(_) => orders.note_not_followed(runner, origin, now),
     }
 }
 
--- a/crates/spec/src/lib.rs
+++ b/crates/spec/src/lib.rs
@@ -3,7 +3,8 @@
 //! Each model is a small world around the very structs that the product runs
 //! ([`booking::BookingCoordinator`], [`relay::TokenRelay`], [`orders::OrderController`],
 //! [`config::ConfigFold`], [`serving::AttemptTracker`], [`serving::StreamScanner`],
-//! [`serving::EraView`], [`life::StreamLife`], [`life::RunPlaces`]): a few processes, a caller or a target, and a network that
+//! [`serving::EraView`], [`life::StreamLife`], [`life::RunPlaces`],
+//! [`life::StopOrders`]): a few processes, a caller or a target, and a network that
 //! loses, repeats, delays and reorders. All interleavings within the world's bounds are
 //! visited. Each model has broken variants, in which the binding around the struct makes
 //! a mistake that is easily made; the search must find a violation in each, or it proves
@@ -13,6 +14,7 @@
 mod bookings;
 mod claims;
 mod configs;
+mod ends;
 mod eras;
 mod lives;
 mod moves;
@@ -24,6 +26,7 @@
 pub use bookings::{BookingVariant, check_bookings};
 pub use claims::{ClaimVariant, check_claims};
 pub use configs::{ConfigVariant, check_configs};
+pub use ends::{EndVariant, check_ends};
 pub use eras::{EraVariant, check_eras};
 pub use lives::{LifeVariant, check_lives};
 pub use moves::{MoveVariant, check_moves};
@@ -44,6 +47,7 @@
     runs.extend(MoveVariant::ALL.map(check_moves));
     runs.extend(EraVariant::ALL.map(check_eras));
     runs.extend(StoppedVariant::ALL.map(check_stopped));
+    runs.extend(EndVariant::ALL.map(check_ends));
     runs.extend(LifeVariant::SOUND.map(check_lives));
     runs.extend(LifeVariant::FAULTS.map(check_lives));
     runs.extend(LifeVariant::LATE_READS.map(check_lives));
--- a/crates/spec/tests/models.rs
+++ b/crates/spec/tests/models.rs
@@ -2,10 +2,10 @@
 
 use insta::assert_snapshot;
 use spec::{
-    AttemptVariant, BookingVariant, ClaimVariant, ConfigVariant, EraVariant, LifeVariant, ModelRun,
-    MoveVariant, StoppedVariant, StreamKind, StreamVariant, check_attempts, check_bookings,
-    check_claims, check_configs, check_eras, check_lives, check_moves, check_stopped,
-    check_streams,
+    AttemptVariant, BookingVariant, ClaimVariant, ConfigVariant, EndVariant, EraVariant,
+    LifeVariant, ModelRun, MoveVariant, StoppedVariant, StreamKind, StreamVariant, check_attempts,
+    check_bookings, check_claims, check_configs, check_ends, check_eras, check_lives, check_moves,
+    check_stopped, check_streams,
 };
 
 /// One line for each run; a run that is not as expected fails with its trace.
@@ -55,6 +55,12 @@
     assert_snapshot!(table(StoppedVariant::ALL.map(check_stopped)));
 }
 
+/// Guards against ORDER: the end of a body without framing, after which an order may have been followed.
+#[test]
+fn a_part_of_an_unframed_stream_never_looks_whole() {
+    assert_snapshot!(table(EndVariant::ALL.map(check_ends)));
+}
+
 #[test]
 fn a_store_that_comes_back_from_a_copy_hides_no_version() {
     assert_snapshot!(table(EraVariant::ALL.map(check_eras)));
