Decide in crates/life when a left run is ordered to stop, and search it

Change: decide_left_run and leaves_silent_source are in crates/life, used by the node and by the new model "lefts" of crates/spec. Behaviour is as before.

--- a/crates/life/src/lib.rs
+++ b/crates/life/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod body_end;
 mod leaving_source;
+mod left_run;
 mod life_action;
 mod life_input;
 mod next_runner;
@@ -23,6 +24,9 @@
 mod stream_place;
 
 pub use body_end::{BodyEnd, BodyFraming, EndMeaning, OrderOrigin, StopOrders, judge_end};
+pub use left_run::{
+    CallerView, LeftRunDecision, LeftRunFacts, decide_left_run, leaves_silent_source,
+};
 pub use life_action::{LifeAction, LifeEnd};
 pub use life_input::{LifeInput, StepOutcome};
 pub use run_places::{
--- a/crates/node/src/left_run.rs
+++ b/crates/node/src/left_run.rs
@@ -7,6 +7,7 @@
 use std::rc::Rc;
 
 use base::prelude::*;
+use life::{CallerView, LeftRunDecision, LeftRunFacts, decide_left_run};
 use serving::RunnerRecord;
 
 use crate::call::{Call, RunPlace};
@@ -15,9 +16,6 @@
 use crate::run_end_watch::{count_order, leave_to_owner, order_stop};
 use crate::run_owner::is_left_by_owner;
 
-/// Time in which the node that has the caller reads the run where it goes on. Two runners may not work on one request
-/// for longer than 400 ms.
-const OWNER_TIME: TimeSpan = TimeSpan::millis(200);
 /// Pause until that node is asked again.
 const OWNER_PAUSE: TimeSpan = TimeSpan::millis(25);
 /// Pause until an order is given again that may not have arrived; each further one is twice as long.
@@ -72,23 +70,26 @@
         self.log_end(outcome, orders);
     }
 
-    /// Whether the node that has the caller reads the run where it goes on now. One that still reads the runner
-    /// before has closed the connection to this node; one that does not answer in time cannot read either.
+    /// Whether the runner is to be ordered: the node that has the caller is asked until that is decided.
     async fn is_left_for_certain(&self) -> bool {
-        if self.call.owner.is_none() {
-            return true;
-        }
-        let owner_end = self.left_at + OWNER_TIME;
-        while self.context.now() < owner_end {
-            if is_left_by_owner(&self.context, &self.call, &self.runner).await {
-                return true;
+        loop {
+            let caller = self.ask_caller().await;
+            let left_for = self.context.now().since(self.left_at);
+            let facts = LeftRunFacts { caller, is_read_here: !self.is_over(), left_for };
+            match decide_left_run(facts) {
+                LeftRunDecision::Order => return true,
+                LeftRunDecision::Leave => return false,
+                LeftRunDecision::Ask => kernel::sleep(OWNER_PAUSE.into()).await,
             }
-            if self.is_over() {
-                return false;
-            }
-            kernel::sleep(OWNER_PAUSE.into()).await;
         }
-        !self.is_over()
+    }
+
+    async fn ask_caller(&self) -> CallerView {
+        if self.call.owner.is_none() {
+            return CallerView::Own;
+        }
+        let is_left = is_left_by_owner(&self.context, &self.call, &self.runner).await;
+        if is_left { CallerView::HasLeft } else { CallerView::MayRead }
     }
 
     /// Whether this node reads the run no longer.
--- a/crates/node/src/streams/stream_silence.rs
+++ b/crates/node/src/streams/stream_silence.rs
@@ -14,6 +14,7 @@
 use futures_util::future::join;
 use futures_util::{FutureExt, select_biased};
 use kernel::OwnPoint;
+use life::leaves_silent_source;
 use serving::{AnswerPlace, OverlapRule, PlaceNodes, RunnerRecord, SendOutcome};
 
 use super::stream_backup::{choose_backup, plan_backup_resume};
@@ -36,11 +37,6 @@
 const SILENCE_DIVISOR: u64 = 2;
 /// Silence that is not looked into before the first event, which takes as long as the prompt.
 const FIRST_SILENCE: TimeSpan = TimeSpan::millis(500);
-/// Longest silence of a sound runner that is to be borne.
-const SOUND_SILENCE: TimeSpan = TimeSpan::seconds(1);
-/// Silence after which the run of a source goes on elsewhere: one that is sound goes on before two runners have worked
-/// on the run for too long.
-const LEAVE_SILENCE: TimeSpan = TimeSpan(SOUND_SILENCE.0 - MAX_OVERLAP.0);
 /// Pause until a silent source is looked at again.
 const LOOK_PAUSE: TimeSpan = TimeSpan::millis(25);
 /// Pause until a silent source is checked again after it could be connected to.
@@ -208,11 +204,11 @@
         PumpStep::Continue
     }
 
-    /// Whether the source may be a sound runner that is silent for a moment, and goes on later than two may work on
-    /// the run. One that answers other nodes is not silent.
+    /// Whether the source may be a sound runner that is silent for a moment, and goes on too late for two to work on
+    /// the run.
     fn may_be_sound(&self) -> bool {
-        let is_cut_off = is_cut_off(&self.context, &self.call.service);
-        !is_cut_off && self.activity.own_silence() < LEAVE_SILENCE
+        let answers_others = is_cut_off(&self.context, &self.call.service);
+        !leaves_silent_source(self.activity.own_silence(), answers_others, MAX_OVERLAP)
     }
 
     /// Whether the route allows another run, and a runner for it is reached.
--- a/crates/spec/src/lib.rs
+++ b/crates/spec/src/lib.rs
@@ -4,7 +4,7 @@
 //! ([`booking::BookingCoordinator`], [`relay::TokenRelay`], [`orders::OrderController`],
 //! [`config::ConfigFold`], [`serving::AttemptTracker`], [`serving::StreamScanner`],
 //! [`serving::EraView`], [`life::StreamLife`], [`life::RunPlaces`],
-//! [`life::StopOrders`]): a few processes, a caller or a target, and a network that
+//! [`life::StopOrders`], [`life::decide_left_run`]): a few processes, a caller or a target, and a network that
 //! loses, repeats, delays and reorders. All interleavings within the world's bounds are
 //! visited. Each model has broken variants, in which the binding around the struct makes
 //! a mistake that is easily made; the search must find a violation in each, or it proves
@@ -16,6 +16,7 @@
 mod configs;
 mod ends;
 mod eras;
+mod lefts;
 mod lives;
 mod moves;
 mod search;
@@ -28,6 +29,7 @@
 pub use configs::{ConfigVariant, check_configs};
 pub use ends::{EndVariant, check_ends};
 pub use eras::{EraVariant, check_eras};
+pub use lefts::{LeftVariant, check_lefts};
 pub use lives::{LifeVariant, check_lives};
 pub use moves::{MoveVariant, check_moves};
 pub use search::{ModelRun, explore};
@@ -48,6 +50,7 @@
     runs.extend(EraVariant::ALL.map(check_eras));
     runs.extend(StoppedVariant::ALL.map(check_stopped));
     runs.extend(EndVariant::ALL.map(check_ends));
+    runs.extend(LeftVariant::ALL.map(check_lefts));
     runs.extend(LifeVariant::SOUND.map(check_lives));
     runs.extend(LifeVariant::FAULTS.map(check_lives));
     runs.extend(LifeVariant::LATE_READS.map(check_lives));
--- a/crates/spec/tests/models.rs
+++ b/crates/spec/tests/models.rs
@@ -3,9 +3,9 @@
 use insta::assert_snapshot;
 use spec::{
     AttemptVariant, BookingVariant, ClaimVariant, ConfigVariant, EndVariant, EraVariant,
-    LifeVariant, ModelRun, MoveVariant, StoppedVariant, StreamKind, StreamVariant, check_attempts,
-    check_bookings, check_claims, check_configs, check_ends, check_eras, check_lives, check_moves,
-    check_stopped, check_streams,
+    LeftVariant, LifeVariant, ModelRun, MoveVariant, StoppedVariant, StreamKind, StreamVariant,
+    check_attempts, check_bookings, check_claims, check_configs, check_ends, check_eras,
+    check_lefts, check_lives, check_moves, check_stopped, check_streams,
 };
 
 /// One line for each run; a run that is not as expected fails with its trace.
@@ -61,6 +61,12 @@
     assert_snapshot!(table(EndVariant::ALL.map(check_ends)));
 }
 
+/// Guards against TWICE: closes that end nothing, two runs at a runner, and one that is silent for a moment.
+#[test]
+fn a_run_is_ended_in_time_at_the_runner_that_it_has_left() {
+    assert_snapshot!(table(LeftVariant::ALL.map(check_lefts)));
+}
+
 #[test]
 fn a_store_that_comes_back_from_a_copy_hides_no_version() {
     assert_snapshot!(table(EraVariant::ALL.map(check_eras)));
