Take only a lost place for a reason to look whether a stream has ended whole

Cause: found in the last reading of the diff: any stream that broke off after its source may have ended it was taken for whole once its orders were known, also one whose last events could not be kept (memory_full). Change: only what ends a stream for want of a place asks that; a source that has ended is asked first. Ruled out by reading: that the deadline needs it.

--- a/crates/node/src/streams/stream_move.rs
+++ b/crates/node/src/streams/stream_move.rs
@@ -81,6 +81,9 @@
 
     /// Goes on from what is left of the run of an ended source. The run itself may work on, for another node.
     pub(super) async fn replace_ended_source(&mut self) -> PumpStep {
+        if let Some(whole) = self.proven_end() {
+            return whole;
+        }
         if let Some(step) = self.resume_left_places().await {
             return step;
         }
--- a/crates/node/src/streams/stream_pump.rs
+++ b/crates/node/src/streams/stream_pump.rs
@@ -176,8 +176,6 @@
                 PumpInput::Frame(frame) => self.handle_frame(frame).await,
                 PumpInput::SourceGone => self.replace_ended_source().await,
             };
-            let is_lost = matches!(step, PumpStep::End(RequestOutcome::Interrupted, _));
-            let step = self.proven_end().filter(|_| is_lost).unwrap_or(step);
             if let PumpStep::End(outcome, reason) = step {
                 self.finish(outcome, reason).await;
                 return;
