Order the run of a next runner to stop once the source works again

What callers saw: nothing; but a next runner that was asked to go on, and given up as the silent source went on, worked on beside it.

Why it works: the next runner is ordered to stop the run at once. It may begin the run later than the order comes, and does not find it then (404): it is ordered each 200 ms for 1.5 s.

--- a/crates/harness/tests/node_left_runs.rs
+++ b/crates/harness/tests/node_left_runs.rs
@@ -20,15 +20,25 @@
 const CUT_TIME: Duration = Duration::from_secs(3);
 /// Time for which a sound runner is silent.
 const SILENCE: Duration = Duration::from_secs(1);
+/// The same, for a runner that goes on while the next one is asked.
+const SHORT_SILENCE: Duration = Duration::from_millis(850);
+/// Time until the next runner answers, after it has begun.
+const RESUME_TIME: Duration = Duration::from_millis(400);
 /// How long two runners may work on one request.
 const MAX_OVERLAP: Duration = Duration::from_millis(400);
 /// How often the runs at work are counted.
 const COUNT_PAUSE: Duration = Duration::from_millis(5);
 
 async fn start_fleet() -> ServiceFleet {
+    start_slow_fleet(Duration::ZERO).await
+}
+
+/// A fleet whose runners answer a run that goes on from its memory after `resume_time`.
+async fn start_slow_fleet(resume_time: Duration) -> ServiceFleet {
     ServiceFleet::start(|settings: &mut RunnerFakeSettings| {
         settings.events = EVENTS;
         settings.event_pause = Duration::from_millis(20);
+        settings.resume_time = resume_time;
     })
     .await
 }
@@ -110,6 +120,31 @@
     .unwrap();
 }
 
+/// Guards against TWICE: the silent runner goes on before the next one has answered, and the next one works on beside
+/// it, since it goes on with requests whose connections have closed.
+#[test]
+fn runs_that_stay_at_a_runner_that_goes_on_are_ended_at_the_next_one() {
+    let _turn = take_turn();
+    kernel::run(async {
+        let services = start_slow_fleet(RESUME_TIME).await;
+        let trouble = async {
+            sleep(TROUBLE_AFTER).await;
+            services.runners.iter().for_each(|linked| linked.runner.ignore_closed_requests());
+            let llm = services.runners.iter().filter(|linked| linked.service == "llm");
+            let source = llm.max_by_key(|linked| linked.runner.working()).unwrap();
+            source.runner.fall_silent();
+            sleep(SHORT_SILENCE).await;
+            source.runner.go_on();
+            longest_overlap(&services, STREAMS, Instant::now() + CUT_TIME).await
+        };
+        let (streams, overlap) = join(read_streams(&services, STREAMS), trouble).await;
+        assert!(overlap <= MAX_OVERLAP, "{overlap:?}");
+        check_whole(&streams);
+        assert_eq!(services.most_runs(), 1);
+    })
+    .unwrap();
+}
+
 async fn go_on_later(source: &LinkedRunner) {
     sleep(SILENCE).await;
     source.runner.go_on();
--- a/crates/node/src/left_run.rs
+++ b/crates/node/src/left_run.rs
@@ -13,13 +13,15 @@
 use crate::call::{Call, RunPlace};
 use crate::call_log::may_log;
 use crate::context::NodeContext;
-use crate::run_end_watch::{count_order, leave_to_owner, order_stop};
+use crate::run_end_watch::{StopOutcome, count_order, leave_to_owner, order_stop};
 use crate::run_owner::is_left_by_owner;
 
 /// Pause until that node is asked again.
 const OWNER_PAUSE: TimeSpan = TimeSpan::millis(25);
 /// Pause until an order is given again that may not have arrived; each further one is twice as long.
-const ORDER_PAUSE: TimeSpan = TimeSpan::millis(250);
+const ORDER_PAUSE: TimeSpan = TimeSpan::millis(200);
+/// Time in which a runner begins a run that it was sent.
+const BEGIN_TIME: TimeSpan = TimeSpan::millis(1_500);
 /// Time for which orders are given. A runner that answers none for longer is not sound.
 pub const ORDER_TIME: TimeSpan = TimeSpan::seconds(6);
 
@@ -30,16 +32,32 @@
     /// The runner that it has left.
     runner: RunnerRecord,
     left_at: TimePoint,
+    /// Until when it may begin there, although the runner does not have it.
+    begins_until: TimePoint,
 }
 
 /// Has a run stopped at `runner`, since its stream goes on at another one.
 pub fn end_left_run(context: &Rc<NodeContext>, call: &Rc<Call>, runner: &RunnerRecord) {
+    begin_end(context, call, runner, context.now());
+}
+
+/// The same of a run that `runner` was sent and has not answered: it may begin it late.
+pub fn end_unanswered_run(context: &Rc<NodeContext>, call: &Rc<Call>, runner: &RunnerRecord) {
+    begin_end(context, call, runner, context.now() + BEGIN_TIME);
+}
+
+fn begin_end(
+    context: &Rc<NodeContext>,
+    call: &Rc<Call>,
+    runner: &RunnerRecord,
+    begins_until: TimePoint,
+) {
     if !call.supports_moves {
         return;
     }
     let (context, call, runner) = (Rc::clone(context), Rc::clone(call), runner.clone());
     let left_at = context.now();
-    let left = LeftRun { context, call, runner, left_at };
+    let left = LeftRun { context, call, runner, left_at, begins_until };
     kernel::spawn_rest(left.end());
 }
 
@@ -57,15 +75,21 @@
                 break reason;
             }
             orders += 1;
-            if order_stop(&self.context, &self.call, &self.runner).await {
-                break "ended";
-            }
-            if self.context.now() >= order_end {
-                count_order(&self.context, "unanswered");
-                break "unanswered";
+            let outcome = order_stop(&self.context, &self.call, &self.runner).await;
+            let now = self.context.now();
+            match outcome {
+                StopOutcome::Stopped => break "ended",
+                StopOutcome::NotFound if now >= self.begins_until => break "ended",
+                StopOutcome::NotStopped if now >= order_end => {
+                    count_order(&self.context, "unanswered");
+                    break "unanswered";
+                }
+                StopOutcome::NotFound | StopOutcome::NotStopped => (),
             }
             kernel::sleep(pause.into()).await;
-            pause = TimeSpan(pause.0 * 2);
+            if outcome == StopOutcome::NotStopped {
+                pause = TimeSpan(pause.0 * 2);
+            }
         };
         self.log_end(outcome, orders);
     }
--- a/crates/node/src/run_end_watch.rs
+++ b/crates/node/src/run_end_watch.rs
@@ -6,12 +6,13 @@
 use std::rc::Rc;
 
 use base::prelude::*;
-use platform::{PlatformError, RunnerReply, read_report};
+use platform::{RunnerReply, read_report};
 use serving::{EndHabit, RunnerIncarnation, RunnerRecord};
 
 use crate::call::Call;
 use crate::call_log::may_log;
 use crate::context::NodeContext;
+use crate::left_run::end_unanswered_run;
 use crate::metrics::WithheldLabels;
 use crate::run_owner::may_be_of_owner;
 use crate::runner_gate::{SendBlock, find_block, find_own_block};
@@ -98,6 +99,12 @@
     pub fn finish(mut self) {
         self.is_answered = true;
     }
+
+    /// The run goes on elsewhere: it is ordered to stop here, where it may have begun.
+    pub fn leave(self) {
+        end_unanswered_run(self.context, self.call, self.runner);
+        self.finish();
+    }
 }
 
 impl Drop for OpenRun<'_> {
@@ -146,31 +153,51 @@
     false
 }
 
-/// Orders a runner to stop a run. Its memory is freed: nobody wants the rest of the run. Returns whether it is
-/// known that the runner does not work on the run any more.
-pub async fn order_stop(context: &Rc<NodeContext>, call: &Call, runner: &RunnerRecord) -> bool {
+/// How an order to stop a run that goes on elsewhere, or that nobody wants, has ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StopOutcome {
+    Stopped,
+    /// The runner does not have the run: it has ended, or has not begun.
+    NotFound,
+    /// The run may work on.
+    NotStopped,
+}
+
+impl StopOutcome {
+    fn as_str(self) -> &'static str {
+        match self {
+            Self::Stopped => "stopped",
+            Self::NotFound => "not_found",
+            Self::NotStopped => "not_stopped",
+        }
+    }
+}
+
+/// Orders a runner to stop a run. Its memory is freed: nobody wants the rest of the run there.
+pub async fn order_stop(
+    context: &Rc<NodeContext>,
+    call: &Call,
+    runner: &RunnerRecord,
+) -> StopOutcome {
     let Some(target) = find_other_runner(context, runner) else {
         count_order(context, "no_target");
-        return false;
+        return StopOutcome::NotStopped;
     };
     let stopped = CopyTask::stop(context, call, runner, target.address).await;
-    let is_gone = stopped.as_ref().is_err_and(PlatformError::is_not_found);
-    count_order(
-        context,
-        match &stopped {
-            Ok(_) => "stopped",
-            Err(_) if is_gone => "not_found",
-            Err(_) => "not_stopped",
-        },
-    );
+    let outcome = match &stopped {
+        Ok(_) => StopOutcome::Stopped,
+        Err(error) if error.is_not_found() => StopOutcome::NotFound,
+        Err(_) => StopOutcome::NotStopped,
+    };
+    count_order(context, outcome.as_str());
     if let Err(error) = &stopped
-        && !is_gone
+        && outcome == StopOutcome::NotStopped
         && may_log(context)
     {
         let (request, runner) = (&call.attempt, &runner.runner);
         tracing::info!(event = "run_not_stopped", %request, %runner, %error);
     }
-    stopped.is_ok() || is_gone
+    outcome
 }
 
 /// Counts what became of an order to stop a run, or why none was given.
--- a/crates/node/src/streams/stream_overlap.rs
+++ b/crates/node/src/streams/stream_overlap.rs
@@ -212,10 +212,10 @@
                 // The next runner may refuse, and what the source has sent may be late: it is read on.
                 WaitDecision::Wait | WaitDecision::LeaveSource => (),
                 WaitDecision::LeaveNext => {
-                    let Some(offer) = offer else { return OverlapEnd::Unanswered };
                     // The source works again: the next runner may not work beside it any longer.
                     send.set(Fuse::terminated());
-                    drop(run);
+                    run.leave();
+                    let Some(offer) = offer else { return OverlapEnd::Unanswered };
                     return self.await_offer(offer, held).await;
                 }
                 // The other node may have stopped the run at the source: what it answers comes first.
