Order no run to stop at a runner that was sent it again

Its place is recorded once the runner has answered, so that an order in between would have stopped the only run. Change: a runner that was sent the run and has not answered counts as its place as well (asked_runners, kept by OpenRun). No run has shown this fault; by reading only.

--- a/crates/node/src/call.rs
+++ b/crates/node/src/call.rs
@@ -60,6 +60,8 @@
     pub run_place: RefCell<RunPlace>,
     /// Orders to stop its runs that may have been followed, if it is a stream.
     pub stop_orders: Rc<RefCell<StopOrders>>,
+    /// Runners that were sent its run and have not answered, if it is a stream.
+    pub asked_runners: RefCell<Vec<RunnerId>>,
     /// Runners at which sends are under way, if it is a plain call.
     pub open_sends: RefCell<Vec<RunnerId>>,
     /// When the request was last sent to a runner; `None` until it is.
--- a/crates/node/src/caller_server.rs
+++ b/crates/node/src/caller_server.rs
@@ -227,6 +227,7 @@
         arrived,
         run_place: RefCell::default(),
         stop_orders: Rc::default(),
+        asked_runners: RefCell::default(),
         open_sends: RefCell::default(),
         sent_at: Cell::default(),
         deadline,
--- a/crates/node/src/left_run.rs
+++ b/crates/node/src/left_run.rs
@@ -130,7 +130,7 @@
             });
         if !is_known {
             Some("runner_gone")
-        } else if self.call.run_place.borrow().may_be_at(&self.runner.runner) {
+        } else if self.is_back() {
             Some("returned")
         } else if self.call.owner.is_some() && self.is_over() {
             // The node that has the caller goes on with the run without this one, maybe at this runner.
@@ -142,6 +142,13 @@
         }
     }
 
+    /// Whether the run may go on at the runner again, or that was sent it again.
+    fn is_back(&self) -> bool {
+        let runner = &self.runner.runner;
+        let is_asked = self.call.asked_runners.borrow().contains(runner);
+        is_asked || self.call.run_place.borrow().may_be_at(runner)
+    }
+
     fn log_end(&self, outcome: &'static str, orders: u32) {
         if !may_log(&self.context) {
             return;
--- a/crates/node/src/run_end_watch.rs
+++ b/crates/node/src/run_end_watch.rs
@@ -92,6 +92,7 @@
     /// A run of `call` at `runner`.
     #[must_use]
     pub fn new(context: &'a Rc<NodeContext>, call: &'a Rc<Call>, runner: &'a RunnerRecord) -> Self {
+        call.asked_runners.borrow_mut().push(runner.runner.clone());
         Self { context, call, runner, is_answered: false }
     }
 
@@ -109,6 +110,11 @@
 
 impl Drop for OpenRun<'_> {
     fn drop(&mut self) {
+        let mut asked = self.call.asked_runners.borrow_mut();
+        if let Some(own) = asked.iter().position(|runner| *runner == self.runner.runner) {
+            asked.swap_remove(own);
+        }
+        drop(asked);
         if !self.is_answered {
             watch_closed_run(self.context, self.call, self.runner);
         }
