Order a left run in time also if its caller's node is slow or its runner counts as unreached

Cause, by reading: a node that resumes a run passed over the runner before if that counted as unreached at the moment; and the question to the node that has the caller could take 250 ms, counted from the first event of the next runner. The case keeps no lines of nodes.

Ruled out by the record: that orders were given and not followed (no order reached the runner). No test of its own.

--- a/crates/node/src/forward/resumed_run.rs
+++ b/crates/node/src/forward/resumed_run.rs
@@ -66,7 +66,7 @@
     };
     let ResumedRun { ticket, plan, exchange } = resumed;
     // The asking node may not reach it to end the run there.
-    let source = offer.source.and_then(|source| find_runner(context, &source).ok());
+    let source = offer.source.and_then(|source| find_known(context, &source));
     if let Some(source) = source.filter(|source| source.runner != plan.runner.runner) {
         end_left_run(context, &call, &source);
     }
@@ -90,15 +90,19 @@
     if !is_ordered {
         return find_runner(context, runner);
     }
-    let known = context.runners.borrow().get(runner).map(|entry| entry.record.clone());
-    known.ok_or(RUNNER_UNREACHED)
+    find_known(context, runner).ok_or(RUNNER_UNREACHED)
+}
+
+/// A runner that is listed, reached or not.
+fn find_known(context: &NodeContext, runner: &RunnerId) -> Option<RunnerRecord> {
+    context.runners.borrow().get(runner).map(|entry| entry.record.clone())
 }
 
 pub(super) fn find_runner(
     context: &NodeContext,
     runner: &RunnerId,
 ) -> Result<RunnerRecord, &'static str> {
-    let known = context.runners.borrow().get(runner).map(|entry| entry.record.clone());
+    let known = find_known(context, runner);
     known.filter(|record| !is_unreached(context, record)).ok_or(RUNNER_UNREACHED)
 }
 
--- a/crates/node/src/left_run.rs
+++ b/crates/node/src/left_run.rs
@@ -98,7 +98,9 @@
     async fn is_left_for_certain(&self) -> bool {
         loop {
             let caller = self.ask_caller().await;
-            let left_for = self.context.now().since(self.left_at);
+            // The next runner may have begun as it was sent the run.
+            let begun = self.call.sent_at.get().unwrap_or(self.left_at);
+            let left_for = self.context.now().since(begun);
             let facts = LeftRunFacts { caller, is_read_here: !self.is_over(), left_for };
             match decide_left_run(facts) {
                 LeftRunDecision::Order => return true,
--- a/crates/node/src/run_owner.rs
+++ b/crates/node/src/run_owner.rs
@@ -23,6 +23,8 @@
 pub const RUN_PLACE_PATH: &str = "/run-place";
 /// Timeout for the answer.
 const ANSWER_TIMEOUT: TimeSpan = TimeSpan::millis(250);
+/// The same for a node for which this one reads the run elsewhere: two runners are at work.
+const READER_TIMEOUT: TimeSpan = TimeSpan::millis(100);
 /// Pause until a node that has not answered is asked again.
 const QUESTION_PAUSE: TimeSpan = TimeSpan::millis(250);
 /// Questions without an answer after which the node counts as lost: as many as it takes to leave a silent one
@@ -96,7 +98,8 @@
     for _ in 0..MAX_QUESTIONS {
         let address = context.peers.borrow().find(owner).map(|peer| peer.peer_address);
         let Some(address) = address else { return false };
-        if let Some(status) = ask(context, call, runner, (address, false)).await {
+        let question = PlaceAsk { address, is_read: false, limit: ANSWER_TIMEOUT };
+        if let Some(status) = ask(context, call, runner, question).await {
             return status == StatusCode::OK;
         }
         kernel::sleep(QUESTION_PAUSE.into()).await;
@@ -115,15 +118,24 @@
     let address =
         owner.and_then(|owner| context.peers.borrow().find(owner).map(|peer| peer.peer_address));
     let Some(address) = address else { return false };
-    ask(context, call, runner, (address, true)).await == Some(StatusCode::NOT_FOUND)
+    let question = PlaceAsk { address, is_read: true, limit: READER_TIMEOUT };
+    ask(context, call, runner, question).await == Some(StatusCode::NOT_FOUND)
 }
 
-/// Asks the node at an address, for which this one reads the run elsewhere if `is_read`; `None` if it does not answer.
+/// How a node is asked.
+struct PlaceAsk {
+    address: SocketAddr,
+    /// This node reads the run elsewhere for it.
+    is_read: bool,
+    limit: TimeSpan,
+}
+
+/// Asks a node; `None` if it does not answer.
 async fn ask(
     context: &NodeContext,
     call: &Call,
     runner: &RunnerRecord,
-    (address, is_read): (SocketAddr, bool),
+    PlaceAsk { address, is_read, limit }: PlaceAsk,
 ) -> Option<StatusCode> {
     let request = Arc::from(call.attempt.as_str());
     let node = Some(Arc::from(context.settings.vm.as_str()));
@@ -131,7 +143,7 @@
         PlaceQuestion { request, runner: Arc::from(runner.runner.as_str()), node, is_read };
     let body = Bytes::from(serde_json::to_vec(&question).ok()?);
     let (step, path) = ("place of a run", RUN_PLACE_PATH);
-    let limit = FetchLimit::Whole(ANSWER_TIMEOUT);
+    let limit = FetchLimit::Whole(limit);
     let answer = fetch_answer(step, Method::POST, address, path, body, limit, MAX_ANSWER_BYTES);
     answer.await.ok().map(|answer| answer.status)
 }
