Leave a silent source at once that answers another node

Cause: since the run of a silent source goes on elsewhere after 750 ms only, but at a node that is cut off from the whole service. One that is cut off from this runner alone waited as well. Change: while it waits, the node asks where the source answers; one that answers another node is left at once, as before.

--- a/crates/node/src/streams/stream_silence.rs
+++ b/crates/node/src/streams/stream_silence.rs
@@ -175,6 +175,7 @@
             return PumpStep::Continue;
         }
         if self.may_be_sound() {
+            self.begin_question();
             return PumpStep::Continue;
         }
         if self.may_resume() {
@@ -207,7 +208,8 @@
     /// Whether the source may be a sound runner that is silent for a moment, and goes on too late for two to work on
     /// the run.
     fn may_be_sound(&self) -> bool {
-        let answers_others = is_cut_off(&self.context, &self.call.service);
+        let answers_others = self.activity.others_answered.is_some()
+            || is_cut_off(&self.context, &self.call.service);
         !leaves_silent_source(self.activity.own_silence(), answers_others, MAX_OVERLAP)
     }
 
@@ -251,7 +253,8 @@
         let reach = match check {
             SourceCheck::Answers(node) => {
                 let now = self.context.now();
-                let pause = if node.is_some() { TimeSpan::default() } else { CHECK_PAUSE };
+                let is_soon = node.is_some() || self.may_be_sound();
+                let pause = if is_soon { TimeSpan::default() } else { CHECK_PAUSE };
                 self.activity.others_answered = node.map(|node| (now, node));
                 self.activity.next_look = now + pause;
                 return PumpStep::Continue;
